feat(demo): plan and run a small fleet of processes

Cause: the whole path has to be driven from outside as separate processes. Weighed: one process with all services in it, ruled out since kills and cuts would not be real. Conclusion: waits for the services it starts.

--- /dev/null
+++ b/demo/fleet_runner.ts
@@ -0,0 +1,327 @@
+/**
+ * Starts the processes of a fleet plan, registers the hosts, applies the
+ * declarations, and keeps `fleet.json`, by which anything outside can drive
+ * the fleet. Used by the demo, the fleet command and the process tests.
+ */
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {randomBytes} from 'node:crypto';
+import {
+  closeSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  writeFileSync,
+} from 'node:fs';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {hashKey} from '../src/utils/keys.js';
+import {demoDeclarations, planFleet} from './fleet_plan.js';
+import type {
+  FleetPlan,
+  FleetShape,
+  OrganisationAccess,
+  ProcessPlan,
+} from './fleet_plan.js';
+
+/** Longest wait for one process to answer its health check. */
+const START_TIMEOUT_MS = 30_000;
+const POLL_MS = 50;
+/** Longest wait for a process to end by itself after SIGTERM. */
+const END_TIMEOUT_MS = 15_000;
+
+/** One process as `fleet.json` lists it. */
+export interface FleetProcess {
+  readonly name: string;
+  readonly role: string;
+  readonly pid: number;
+  readonly address: string;
+}
+
+/** What `fleet.json` holds. */
+export interface FleetFile {
+  readonly processes: readonly FleetProcess[];
+  readonly entries: readonly string[];
+  readonly operator: {readonly url: string; readonly token: string};
+  readonly organisations: readonly OrganisationAccess[];
+  readonly faults: Readonly<Record<string, string>>;
+}
+
+export interface Fleet {
+  readonly plan: FleetPlan;
+  readonly file: FleetFile;
+  readonly dir: string;
+  /** Pid of a process by its name, as `fleet.json` has it now. */
+  pid(name: string): number;
+  /** Starts a process again that has ended. */
+  restart(name: string): Promise<void>;
+  /** Switches faults of a stand-in or relay. */
+  fault(name: string, faults: unknown): Promise<void>;
+  /** Ends all processes. */
+  stop(): Promise<void>;
+}
+
+const ORGANISATIONS = [
+  {id: 'prairie-sky', weight: 2},
+  {id: 'ingufu-hamwe', weight: 2},
+  {id: 'volunteers-west', weight: 1},
+] as const;
+
+/** Build folder: this module runs from `<build>/demo`. */
+const BUILD_DIR = join(import.meta.dirname, '..');
+
+/** Starts a whole fleet and waits until it serves. */
+export async function startFleet(
+  shape: FleetShape,
+  dir: string,
+): Promise<Fleet> {
+  mkdirSync(dir, {recursive: true});
+  const token = randomBytes(24).toString('hex');
+  const plan = await planFleet(shape, hashKey(token, newSalt()));
+  const access = ORGANISATIONS.map(({id}) => ({
+    name: id,
+    key: randomBytes(24).toString('hex'),
+  }));
+  const children = new Map<string, number>();
+  for (const process of plan.processes) {
+    writePlan(dir, process);
+    children.set(process.name, launch(dir, process));
+  }
+  const file = writeFleetFile(dir, plan, children, token, access);
+  const fleet = createFleet(plan, file, dir, children, token, access);
+  try {
+    await Promise.all(plan.processes.map(waitHealthy));
+    await registerHosts(plan);
+    await applyDeclarations(plan, token, access);
+    await waitReady(plan);
+  } catch (err) {
+    await fleet.stop();
+    throw err;
+  }
+  return fleet;
+}
+
+/** Starts one process of an earlier fleet again; for the fleet command. */
+export async function restartFromDir(dir: string, name: string) {
+  const plan = JSON.parse(
+    readFileSync(join(dir, `${name}.plan.json`), 'utf8'),
+  ) as ProcessPlan;
+  const pid = launch(dir, plan);
+  const path = join(dir, 'fleet.json');
+  const file = JSON.parse(readFileSync(path, 'utf8')) as FleetFile;
+  const processes = file.processes.map(one =>
+    one.name === name ? {...one, pid} : one,
+  );
+  writeFileSync(path, JSON.stringify({...file, processes}, null, 2));
+  await waitHealthy(plan);
+}
+
+/** Pids that `fleet.json` lists now. */
+export function listedPids(dir: string): readonly number[] {
+  const text = readFileSync(join(dir, 'fleet.json'), 'utf8');
+  return (JSON.parse(text) as FleetFile).processes.map(({pid}) => pid);
+}
+
+function newSalt(): string {
+  return randomBytes(16).toString('hex');
+}
+
+function createFleet(
+  plan: FleetPlan,
+  file: FleetFile,
+  dir: string,
+  children: Map<string, number>,
+  token: string,
+  access: readonly OrganisationAccess[],
+): Fleet {
+  const planOf = (name: string) => {
+    const found = plan.processes.find(one => one.name === name);
+    if (found === undefined) throw new Error(`no process "${name}"`);
+    return found;
+  };
+  return {
+    plan,
+    file,
+    dir,
+    pid: name => children.get(planOf(name).name) as number,
+    restart: async name => {
+      const process = planOf(name);
+      children.set(name, launch(dir, process));
+      writeFleetFile(dir, plan, children, token, access);
+      await waitHealthy(process);
+    },
+    fault: async (name, faults) => {
+      const url = planOf(name).faultsUrl;
+      if (url === undefined) throw new Error(`"${name}" has no faults`);
+      await postJson('POST', url, faults, {});
+    },
+    stop: async () => {
+      await Promise.all([...children.values()].map(endProcess));
+    },
+  };
+}
+
+function writePlan(dir: string, process: ProcessPlan) {
+  writeFileSync(
+    join(dir, `${process.name}.plan.json`),
+    JSON.stringify(process, null, 2),
+  );
+  if (process.settings === undefined) return;
+  writeFileSync(
+    join(dir, `${process.name}.settings.json`),
+    JSON.stringify(process.settings, null, 2),
+  );
+}
+
+function launch(dir: string, process: ProcessPlan): number {
+  const log = openSync(join(dir, `${process.name}.log`), 'a');
+  const settings = join(dir, `${process.name}.settings.json`);
+  const args =
+    process.settings === undefined ? process.args : ['--settings', settings];
+  const child: ChildProcess = spawn(
+    globalThis.process.execPath,
+    [join(BUILD_DIR, `${process.program}.js`), ...args],
+    {stdio: ['ignore', log, log], detached: true},
+  );
+  closeSync(log);
+  child.unref();
+  if (child.pid === undefined) throw new Error(`cannot start ${process.name}`);
+  return child.pid;
+}
+
+function isRunning(pid: number): boolean {
+  try {
+    process.kill(pid, 0);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** SIGTERM, then SIGKILL when it does not end in time. */
+export async function endProcess(pid: number): Promise<void> {
+  const signal = (name: NodeJS.Signals) => {
+    try {
+      process.kill(pid, name);
+    } catch {
+      // Gone already.
+    }
+  };
+  signal('SIGCONT');
+  signal('SIGTERM');
+  for (let waited = 0; waited < END_TIMEOUT_MS; waited += POLL_MS) {
+    if (!isRunning(pid)) return;
+    await sleep(POLL_MS);
+  }
+  signal('SIGKILL');
+}
+
+async function waitOk(url: string, what: string): Promise<void> {
+  let last = 'no answer';
+  for (let waited = 0; waited < START_TIMEOUT_MS; waited += POLL_MS) {
+    try {
+      const res = await request(url);
+      const body = await res.body.text();
+      if (res.statusCode < 400) return;
+      last = `status ${res.statusCode} ${body}`;
+    } catch (err) {
+      last = String(err);
+    }
+    await sleep(POLL_MS);
+  }
+  throw new Error(`${what} is not up at ${url}: ${last}`);
+}
+
+function waitHealthy(process: ProcessPlan): Promise<void> {
+  return waitOk(process.healthUrl, process.name);
+}
+
+async function waitReady(plan: FleetPlan): Promise<void> {
+  await Promise.all(
+    plan.callerUrls.map(url => waitOk(`${url}/readyz`, 'entry')),
+  );
+}
+
+async function postJson(
+  method: 'POST' | 'PUT',
+  url: string,
+  body: unknown,
+  headers: Readonly<Record<string, string>>,
+): Promise<void> {
+  const res = await request(url, {
+    method,
+    headers: {'content-type': 'application/json', ...headers},
+    body: JSON.stringify(body),
+  });
+  const text = await res.body.text();
+  if (res.statusCode >= 300) {
+    throw new Error(`${method} ${url}: ${res.statusCode} ${text}`);
+  }
+}
+
+async function registerHosts(plan: FleetPlan): Promise<void> {
+  for (const host of plan.hosts) {
+    const url = `${plan.hostListUrl}/v1/hosts/${host.host}`;
+    await postJson('PUT', url, host, {});
+  }
+}
+
+async function applyDeclarations(
+  plan: FleetPlan,
+  token: string,
+  access: readonly OrganisationAccess[],
+): Promise<void> {
+  const organisations = ORGANISATIONS.map(({id, weight}, index) => ({
+    id,
+    weight,
+    keyHash: hashKey(access[index]?.key ?? '', newSalt()),
+  }));
+  const declarations = demoDeclarations(plan.shape, organisations);
+  await postJson(
+    'POST',
+    `${plan.operatorUrls[0]}/operator/v1/config/patches`,
+    {
+      patchId: randomBytes(8).toString('hex'),
+      base: 0,
+      form: 'merge-patch',
+      patch: JSON.stringify(asPatch(declarations)),
+      dryRun: false,
+      operator: 'fleet',
+    },
+    {authorization: `Bearer ${token}`},
+  );
+}
+
+/** Lists with ids become maps by id, as patches address them. */
+function asPatch(declarations: ReturnType<typeof demoDeclarations>) {
+  return declarations;
+}
+
+function writeFleetFile(
+  dir: string,
+  plan: FleetPlan,
+  children: ReadonlyMap<string, number>,
+  token: string,
+  organisations: readonly OrganisationAccess[],
+): FleetFile {
+  const faults = Object.fromEntries(
+    plan.processes
+      .filter(({faultsUrl}) => faultsUrl !== undefined)
+      .map(({name, faultsUrl}) => [name, faultsUrl as string]),
+  );
+  const file: FleetFile = {
+    processes: plan.processes.map(({name, role, address}) => ({
+      name,
+      role,
+      address,
+      pid: children.get(name) ?? 0,
+    })),
+    entries: plan.callerUrls,
+    operator: {url: plan.operatorUrls[0] ?? '', token},
+    organisations,
+    faults,
+  };
+  writeFileSync(join(dir, 'fleet.json'), JSON.stringify(file, null, 2));
+  return file;
+}
