--- /dev/null
+++ b/test/support/seeded_random.ts
@@ -0,0 +1,2 @@
+/** Seeded chance, for tests. */
+export {createSeededRandom} from '../../standins/seeded_random.js';
--- /dev/null
+++ b/test/virtual_clock.test.ts
@@ -0,0 +1,58 @@
+import {describe, expect, it} from 'vitest';
+import {createVirtualClock} from './support/virtual_clock.js';
+
+describe('virtual clock', () => {
+  it('fires timers in order of time, equal ones in order of setting', async () => {
+    const clock = createVirtualClock();
+    const fired: string[] = [];
+    for (const [name, delay] of [
+      ['late', 30],
+      ['first', 10],
+      ['second', 10],
+      ['cancelled', 10],
+    ] as const) {
+      const cancel = clock.after(delay, () => fired.push(name));
+      if (name === 'cancelled') cancel();
+    }
+    expect(clock.pending()).toBe(3);
+    await clock.runUntilIdle(10);
+    expect(fired).toEqual(['first', 'second', 'late']);
+    expect(clock.now()).toBe(30);
+  });
+
+  it('settles long promise chains before the next timer', async () => {
+    const clock = createVirtualClock();
+    const seen: string[] = [];
+    clock.after(1, () => {
+      void (async () => {
+        for (let depth = 0; depth < 100; depth++) await Promise.resolve();
+        seen.push(`chain at ${clock.now()}`);
+      })();
+    });
+    clock.after(2, () => seen.push('timer'));
+    await clock.runUntilIdle(10);
+    expect(seen).toEqual(['chain at 1', 'timer']);
+  });
+
+  it('repeats a period until it is cancelled', async () => {
+    const clock = createVirtualClock();
+    const times: number[] = [];
+    const cancel = clock.every(10, () => times.push(clock.now()));
+    await clock.runFor(35);
+    cancel();
+    await clock.runFor(35);
+    expect(times).toEqual([10, 20, 30]);
+    expect(clock.now()).toBe(70);
+    expect(clock.pending()).toBe(0);
+  });
+
+  it('fires overdue timers late after a pause', async () => {
+    const clock = createVirtualClock();
+    const times: number[] = [];
+    clock.after(10, () => times.push(clock.now()));
+    clock.advance(50);
+    expect(times).toEqual([]);
+    await clock.step();
+    expect(times).toEqual([50]);
+  });
+});
