feat(cli): add the operators' command line over a programmatic client

Operators need to read and patch the numbered configuration, see the fleet, drain a process, check settings and make keys. The commands are thin over createOperatorClient, so that programs can do the same. Exit codes: 0 done, 1 failed or in conflict, 2 wrong usage or files.

A patch whose answer is lost is repeated under its patch id, which makes the repeat the same patch.

Ruled out: keeping connections open between calls, since an established one may have gone silent while new ones work. Clipanion's ES modules import a directory, so Vitest has to take that package through Vite; under Node the package's CommonJS form is used, and the built tool runs.

--- /dev/null
+++ b/src/cli/local_commands.ts
@@ -0,0 +1,67 @@
+/** Commands that talk to no process: settings files and keys. */
+import {Command, Option} from 'clipanion';
+import {formatFault} from '../config/settings_faults.js';
+import {loadSettings} from '../config/settings.js';
+import {SALT_BYTES, generateKey, hashGeneratedKey} from '../utils/keys.js';
+import {EXIT_OK, EXIT_USAGE, ToolCommand} from './operator_command.js';
+
+export class SettingsCheckCommand extends ToolCommand {
+  static override paths = [['settings', 'check']];
+  static override usage = Command.Usage({
+    category: 'Settings',
+    description: 'check settings files of processes',
+    details:
+      'Prints every fault of every file with its line, option and mend. Exits 2 when there is one.',
+    examples: [
+      ['Check one file', '$0 settings check entry.jsonc'],
+      ['Read the faults in a script', '$0 settings check --json *.jsonc'],
+    ],
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for scripts',
+  });
+
+  files = Option.Rest({name: 'FILE', required: 1});
+
+  protected override async perform(): Promise<number> {
+    const checked = this.files.map(file => ({
+      file,
+      faults: loadSettings(file).swap().orDefault([]),
+    }));
+    const faults = checked.flatMap(each => each.faults);
+    if (this.json) {
+      this.print(JSON.stringify({faults}, null, 2));
+    } else {
+      for (const {file, faults: own} of checked) {
+        if (own.length === 0) this.print(`${file}: right`);
+      }
+      for (const fault of faults) this.complain(formatFault(fault));
+    }
+    return faults.length === 0 ? EXIT_OK : EXIT_USAGE;
+  }
+}
+
+export class KeyGenerateCommand extends ToolCommand {
+  static override paths = [['key', 'generate']];
+  static override usage = Command.Usage({
+    category: 'Settings',
+    description: 'make a key and its salted hash',
+    details:
+      "Hand the key to its owner and keep only the hash: in an organisation's keyHashes, or as operatorTokenHash in the settings of entries.",
+    examples: [['Make a key', '$0 key generate']],
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for scripts',
+  });
+
+  protected override async perform(): Promise<number> {
+    const key = generateKey(bytes => this.randomHex(bytes));
+    const hash = hashGeneratedKey(key, this.randomHex(SALT_BYTES));
+    this.print(
+      this.json ? JSON.stringify({key, hash}) : `key:  ${key}\nhash: ${hash}`,
+    );
+    return EXIT_OK;
+  }
+}
--- /dev/null
+++ b/src/cli/operator_client.ts
@@ -0,0 +1,208 @@
+/**
+ * Client of the operators' HTTP API. The command line is thin over it, and
+ * programs may use it as it is. Each call uses a connection of its own: an
+ * established one may have gone silent while new ones work.
+ */
+import {Agent, request} from 'undici';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {NumberedDeclarations} from '../types/config.js';
+import {OnyxError} from '../types/errors.js';
+import type {ErrorCode, ErrorDetails, Step} from '../types/errors.js';
+import type {ConfigNumber, RequestId} from '../types/ids.js';
+import type {
+  ConfigAccepted,
+  ConfigFault,
+  ConfigHistoryLine,
+  ConfigPatch,
+  ConfigRejection,
+} from '../types/services.js';
+
+const DEFAULT_TIMEOUT_MS = 30_000;
+/** First attempt and repeats of a call that is safe to repeat. */
+const ATTEMPTS = 3;
+const LEAST_ERROR_STATUS = 400;
+
+export interface OperatorClientOptions {
+  /** Base URL of an entry's operators' address. */
+  readonly url: string;
+  readonly token: string;
+  /** Time limit of one attempt, in milliseconds. @default 30000 */
+  readonly timeoutMs?: number;
+}
+
+/** Outcome of a call: an `OnyxError` carries the step and the peer. */
+export type OperatorResult<T> = Promise<Either<OnyxError, T>>;
+
+export interface OperatorClient {
+  /** The newest accepted declarations. */
+  config(): OperatorResult<NumberedDeclarations>;
+  configAt(number: ConfigNumber): OperatorResult<NumberedDeclarations>;
+  /** Newest first. */
+  history(limit: number): OperatorResult<readonly ConfigHistoryLine[]>;
+  /** Applies a patch, or with `dryRun` only tells what would change. */
+  patch(patch: ConfigPatch): Promise<Either<ConfigRejection, ConfigAccepted>>;
+  status(): OperatorResult<unknown>;
+  hosts(): OperatorResult<unknown>;
+  /** Routing decisions of a request. */
+  explain(id: RequestId): OperatorResult<unknown>;
+  /** Tells the process at the client's URL to drain and end. */
+  drain(): OperatorResult<unknown>;
+}
+
+/** Answer of the API, whatever its status. */
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Method = 'GET' | 'POST';
+
+/** Makes a client. */
+export function createOperatorClient(
+  options: OperatorClientOptions,
+): OperatorClient {
+  const call = (method: Method, path: string, body?: unknown) =>
+    callOnce(options, method, path, body);
+  const get = async <T>(path: string) =>
+    (await repeated(() => call('GET', path))).chain(answer =>
+      bodyOf<T>(options.url, answer),
+    );
+  return {
+    config: () => get('/config'),
+    configAt: number => get(`/config/${number}`),
+    history: limit => get(`/config/history?limit=${limit}`),
+    patch: async patch => {
+      // An answer may be lost after the patch took effect. Repeating it is
+      // safe: the patch id makes the repeat the same patch, never a second.
+      const answer = await repeated(() =>
+        call('POST', '/config/patches', patch),
+      );
+      return answer
+        .mapLeft(error => ({error, head: 0, faults: []}))
+        .chain(found => patchOutcome(options.url, found));
+    },
+    status: () => get('/status'),
+    hosts: () => get('/hosts'),
+    explain: id => get(`/requests/${encodeURIComponent(id)}/explain`),
+    drain: async () =>
+      (await call('POST', '/drain', {})).chain(answer =>
+        bodyOf(options.url, answer),
+      ),
+  };
+}
+
+async function repeated(
+  attempt: () => OperatorResult<Answer>,
+): OperatorResult<Answer> {
+  let outcome = await attempt();
+  for (let i = 1; i < ATTEMPTS && outcome.isLeft(); i++) {
+    outcome = await attempt();
+  }
+  return outcome;
+}
+
+async function callOnce(
+  options: OperatorClientOptions,
+  method: Method,
+  path: string,
+  body: unknown,
+): OperatorResult<Answer> {
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const dispatcher = new Agent();
+  const base = options.url.replace(/\/+$/, '');
+  try {
+    const res = await request(`${base}/operator/v1${path}`, {
+      method,
+      dispatcher,
+      headers: {
+        authorization: `Bearer ${options.token}`,
+        ...(body === undefined ? {} : {'content-type': 'application/json'}),
+      },
+      body: body === undefined ? null : JSON.stringify(body),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    return Right({status: res.statusCode, body: parsed(await res.body.text())});
+  } catch (err) {
+    return Left(unreachable(options.url, timeoutMs, err as Error));
+  } finally {
+    void dispatcher.destroy();
+  }
+}
+
+function unreachable(url: string, timeoutMs: number, err: Error): OnyxError {
+  const late = err.name === 'TimeoutError';
+  return new OnyxError({
+    code: late ? 'timeout' : 'peer-unreachable',
+    step: 'read',
+    peer: url,
+    message: late ? `no answer within ${timeoutMs} ms` : err.message,
+    ran: 'unknown',
+  });
+}
+
+function parsed(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function bodyOf<T>(url: string, answer: Answer): Either<OnyxError, T> {
+  const {status, body} = answer;
+  if (status >= LEAST_ERROR_STATUS) return Left(errorOf(url, answer));
+  if (body === undefined) return Left(notOurs(url, status));
+  return Right(body as T);
+}
+
+function patchOutcome(
+  url: string,
+  answer: Answer,
+): Either<ConfigRejection, ConfigAccepted> {
+  const rejected = (answer.body ?? {}) as {
+    readonly head?: number;
+    readonly faults?: readonly ConfigFault[];
+  };
+  return bodyOf<ConfigAccepted>(url, answer).mapLeft(error => ({
+    error,
+    head: rejected.head ?? 0,
+    faults: rejected.faults ?? [],
+  }));
+}
+
+function errorOf(url: string, {status, body}: Answer): OnyxError {
+  const error = (body as {readonly error?: Partial<ErrorDetails>} | undefined)
+    ?.error;
+  if (typeof error?.message !== 'string') return notOurs(url, status);
+  return new OnyxError({
+    code: error.code ?? codeOf(status),
+    step: error.step ?? stepOf(status),
+    peer: error.peer || url,
+    message: error.message,
+    ran: error.ran ?? 'no',
+    requestId: error.requestId,
+  });
+}
+
+/** Something else than an entry answered, or answered half. */
+function notOurs(url: string, status: number): OnyxError {
+  return new OnyxError({
+    code: codeOf(status),
+    step: stepOf(status),
+    peer: url,
+    message: `status ${status} without the JSON of the operators' API; is this the address of listen.operators?`,
+    ran: 'unknown',
+  });
+}
+
+function codeOf(status: number): ErrorCode {
+  if (status === 401) return 'unauthorised';
+  if (status === 403) return 'forbidden';
+  if (status === 404) return 'not-found';
+  return 'internal';
+}
+
+function stepOf(status: number): Step {
+  return status === 401 || status === 403 ? 'authenticate' : 'read';
+}
--- /dev/null
+++ b/src/cli/operator_command.ts
@@ -0,0 +1,109 @@
+/**
+ * What the commands share: the options that name the entry and the token, the
+ * exit codes, and how outcomes and faults are printed.
+ */
+import {Command, Option} from 'clipanion';
+import type {Either} from 'purify-ts';
+import {createProcessRandom} from '../utils/clock.js';
+import type {OnyxError} from '../types/errors.js';
+import {createOperatorClient} from './operator_client.js';
+import type {OperatorClient} from './operator_client.js';
+import {renderValue} from './render.js';
+
+/** Exit codes; scripts may rely on them. */
+export const EXIT_OK = 0;
+/** The operation failed, or the patch was in conflict. */
+export const EXIT_FAILED = 1;
+/** Wrong usage, or a wrong settings or patch file. */
+export const EXIT_USAGE = 2;
+
+/** Wrong usage found after the options were read. */
+export class WrongUsage extends Error {}
+
+/** A command that ends with one of the exit codes. */
+export abstract class ToolCommand extends Command {
+  async execute(): Promise<number> {
+    try {
+      return await this.perform();
+    } catch (err) {
+      if (!(err instanceof WrongUsage)) throw err;
+      this.complain(err.message);
+      return EXIT_USAGE;
+    }
+  }
+
+  protected abstract perform(): Promise<number>;
+
+  protected print(text: string): void {
+    this.context.stdout.write(`${text}\n`);
+  }
+
+  protected complain(text: string): void {
+    this.context.stderr.write(`onyxloft: ${text}\n`);
+  }
+
+  protected randomHex(bytes: number): string {
+    return createProcessRandom().hex(bytes);
+  }
+}
+
+/** A command that talks to the operators' API. */
+export abstract class OperatorCommand extends ToolCommand {
+  url = Option.String('--url', {
+    env: 'ONYXLOFT_URL',
+    description: "An entry's operators' address, such as http://10.0.0.5:7200",
+  });
+
+  token = Option.String('--token', {
+    env: 'ONYXLOFT_TOKEN',
+    description: "The operators' token; the environment hides it from ps",
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for scripts',
+  });
+
+  /** The client for `--url`, or for another address. */
+  protected client(url: string | undefined = this.url): OperatorClient {
+    if (url === undefined || !URL.canParse(url)) {
+      throw new WrongUsage('give --url or ONYXLOFT_URL, an http(s) URL');
+    }
+    if (this.token === undefined || this.token === '') {
+      throw new WrongUsage('give --token or ONYXLOFT_TOKEN');
+    }
+    return createOperatorClient({url, token: this.token});
+  }
+
+  /** Prints the outcome, as JSON or by `render`. */
+  protected finish<T>(
+    outcome: Either<OnyxError, T>,
+    render: (value: T) => string = renderValue,
+  ): number {
+    return outcome.caseOf({
+      Left: err => this.failed(err),
+      Right: value => {
+        this.print(this.json ? JSON.stringify(value, null, 2) : render(value));
+        return EXIT_OK;
+      },
+    });
+  }
+
+  protected failed(err: OnyxError, more: object = {}): number {
+    if (this.json) this.print(JSON.stringify({error: errorJson(err), ...more}));
+    this.complain(`${err.message} (${err.code} at ${err.step}, ${err.peer})`);
+    return EXIT_FAILED;
+  }
+}
+
+/** A count given as an argument or option. */
+export function countOf(text: string, name: string): number {
+  if (!/^\d{1,15}$/.test(text)) {
+    throw new WrongUsage(`${name} is not a whole number: "${text}"`);
+  }
+  return Number(text);
+}
+
+function errorJson(err: OnyxError) {
+  const {code, step, peer, message, requestId, ran} = err;
+  return {code, step, peer, message, requestId, ran};
+}
--- /dev/null
+++ b/src/cli/tool.ts
@@ -0,0 +1,67 @@
+/** The command line as a whole: its commands, and how it ends. */
+import {Builtins, Cli} from 'clipanion';
+import type {BaseContext, Command} from 'clipanion';
+import {
+  ConfigApplyCommand,
+  ConfigDiffCommand,
+  ConfigGetCommand,
+  ConfigHistoryCommand,
+  ConfigShowCommand,
+} from './config_commands.js';
+import {
+  DrainCommand,
+  ExplainCommand,
+  HostsCommand,
+  StatusCommand,
+} from './fleet_commands.js';
+import {KeyGenerateCommand, SettingsCheckCommand} from './local_commands.js';
+import {EXIT_OK, EXIT_USAGE} from './operator_command.js';
+
+/** Commands of the tool, in the order of its help. */
+export const COMMANDS = [
+  ConfigGetCommand,
+  ConfigShowCommand,
+  ConfigHistoryCommand,
+  ConfigDiffCommand,
+  ConfigApplyCommand,
+  StatusCommand,
+  HostsCommand,
+  ExplainCommand,
+  DrainCommand,
+  SettingsCheckCommand,
+  KeyGenerateCommand,
+] as const;
+
+/** Runs one command line; resolves to the exit code. */
+export async function runTool(
+  args: readonly string[],
+  context: BaseContext,
+): Promise<number> {
+  const cli = createTool();
+  if (args.length === 0) {
+    context.stdout.write(cli.usage());
+    return EXIT_OK;
+  }
+  let command: Command;
+  try {
+    command = cli.process([...args], context);
+  } catch (err) {
+    context.stderr.write(cli.error(err));
+    return EXIT_USAGE;
+  }
+  return cli.run(command, context);
+}
+
+/** The tool's parser, for its help texts. */
+export function createTool(): Cli {
+  const cli = new Cli({
+    binaryLabel: 'Onyxloft, the command line for operators',
+    binaryName: 'onyxloft',
+    binaryVersion: '0.1.0',
+    enableColors: false,
+  });
+  for (const command of COMMANDS) cli.register(command);
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  return cli;
+}
--- /dev/null
+++ b/test/support/run_tool.ts
@@ -0,0 +1,22 @@
+/** Runs the command line in this process and keeps what it printed. */
+import {PassThrough} from 'node:stream';
+import {runTool} from '../../src/cli/tool.js';
+
+export interface ToolRun {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+export async function runToolWith(
+  args: readonly string[],
+  env: Readonly<Record<string, string>> = {},
+): Promise<ToolRun> {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const stdin = new PassThrough();
+  const context = {env, stdin, stdout, stderr, colorDepth: 1};
+  const code = await runTool(args, context);
+  const kept = (stream: PassThrough) => String(stream.read() ?? '');
+  return {code, stdout: kept(stdout), stderr: kept(stderr)};
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,5 +7,7 @@
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 6,
+    // Its ES modules import a directory, which Node refuses and Vite resolves.
+    server: {deps: {inline: ['clipanion']}},
   },
 });
