feat(examples): add settings and declarations of two deployments

A new user needs something to start from. Each deployment has an entry for each failure domain, a side of each pool there, the host list with all hosts, and declarations. A file for each of the 43 sides would only repeat the template, so the host list carries what differs.

The tests check the files with the command line, hold settings and host list together, and check the declarations' references, floors and classes.

--- /dev/null
+++ b/test/examples.test.ts
@@ -0,0 +1,81 @@
+/** The examples are settings and declarations that a deployment can start from. */
+import {readFileSync, readdirSync} from 'node:fs';
+import {parse} from 'jsonc-parser';
+import type {ParseError} from 'jsonc-parser';
+import {describe, expect, test} from 'vitest';
+import {loadSettings} from '../src/config/settings.js';
+import type {Declarations} from '../src/types/config.js';
+import type {HostInfo} from '../src/types/platform.js';
+import {parseKeyHash} from '../src/utils/keys.js';
+import {runToolWith} from './support/run_tool.js';
+
+const DEPLOYMENTS = [
+  ['prairie-sky', {entry: 3, 'onyx-pool': 16, 'station-app': 3}],
+  ['ingufu-hamwe', {entry: 3, 'onyx-pool': 21, 'plan-desk': 3}],
+] as const;
+
+function settingsFiles(deployment: string): readonly string[] {
+  return readdirSync(`examples/${deployment}`)
+    .filter(name => /^(entry|side)-/.test(name))
+    .map(name => `examples/${deployment}/${name}`);
+}
+
+function readJsonc(file: string): unknown {
+  const errors: ParseError[] = [];
+  const text = readFileSync(file, 'utf8');
+  const value: unknown = parse(text, errors, {allowTrailingComma: true});
+  expect(errors).toEqual([]);
+  return value;
+}
+
+describe.each(DEPLOYMENTS)('example %s', (deployment, pools) => {
+  const hosts = readJsonc(
+    `examples/${deployment}/hosts.jsonc`,
+  ) as readonly HostInfo[];
+
+  test('all settings pass "settings check"', async () => {
+    const files = settingsFiles(deployment);
+    const run = await runToolWith(['settings', 'check', ...files]);
+    expect(run).toMatchObject({code: 0, stderr: ''});
+    expect(files).toHaveLength(9);
+  });
+
+  test('hosts.jsonc has each pool whole and each host once', () => {
+    const counts: Record<string, number> = {};
+    for (const {pool} of hosts) counts[pool] = (counts[pool] ?? 0) + 1;
+    expect(counts).toEqual(pools);
+    expect(new Set(hosts.map(host => host.host)).size).toBe(hosts.length);
+    expect(new Set(hosts.map(host => host.address)).size).toBe(hosts.length);
+  });
+
+  test('settings and host list agree on host, address and place', () => {
+    for (const file of settingsFiles(deployment)) {
+      const settings = loadSettings(file).unsafeCoerce();
+      expect(hosts).toContainEqual({
+        host: settings.host,
+        address: settings.advertise.peers,
+        failureDomain: settings.failureDomain,
+        pool: settings.role === 'side' ? settings.upstream.pool : 'entry',
+        state: 'live',
+      });
+    }
+  });
+
+  test('declarations name what is there and leave memory for all', () => {
+    const file = `examples/${deployment}/declarations.jsonc`;
+    const declared = readJsonc(file) as Declarations;
+    expect(declared.organisations).toHaveLength(10);
+    const hashes = declared.organisations.flatMap(org => org.keyHashes);
+    expect(hashes.filter(hash => parseKeyHash(hash).isNothing())).toEqual([]);
+    const floors = declared.lengthClasses.map(each => each.memoryFloor);
+    expect(floors.reduce((sum, floor) => sum + floor, 0)).toBeLessThan(0.5);
+    const limits = declared.lengthClasses.map(each => each.maxTokens);
+    expect(limits).toEqual([8_000, 32_000, 128_000, 1_000_000]);
+    expect(declared.models.filter(model => model.isDefault)).toHaveLength(1);
+    for (const {pool, minReplicas} of declared.placement) {
+      const there = hosts.filter(host => host.pool === pool).length;
+      expect(minReplicas).toBeLessThanOrEqual(there);
+    }
+    for (const {pool} of declared.services) expect(pools).toHaveProperty(pool);
+  });
+});
