--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,7 +1,13 @@
 /** A settings file is checked as a whole before anything starts. */
+import {readFileSync} from 'node:fs';
 import {describe, expect, test} from 'vitest';
 import {parseSettings} from '../src/config/settings.js';
 import {formatFault} from '../src/config/settings_faults.js';
+import {
+  LIMIT_DEFAULTS,
+  OPTION_NAMES,
+  TIMING_DEFAULTS,
+} from '../src/config/settings_schema.js';
 
 const HASH = `sha256$${'ab'.repeat(16)}$${'cd'.repeat(32)}`;
 
@@ -88,4 +94,22 @@
     expect(faults).toContain('side.jsonc:3: is not JSON');
     expect(faults).not.toContain('is missing');
   });
+
+  test('docs/settings.md lists exactly the options, with their defaults', () => {
+    const docs = readFileSync('docs/settings.md', 'utf8');
+    const rows = [...docs.matchAll(/^\| `([\w.]+)` \| [^|]+ \| ([^|]+) \|/gm)];
+    const known = Object.entries(OPTION_NAMES).flatMap(([parent, names]) =>
+      names
+        .map(name => (parent === '' ? name : `${parent}.${name}`))
+        .filter(option => !(option in OPTION_NAMES)),
+    );
+    expect(rows.map(row => row[1]).sort()).toEqual(known.sort());
+    const defaults = new Map(rows.map(row => [row[1], row[2]]));
+    for (const [name, value] of Object.entries(TIMING_DEFAULTS)) {
+      expect(defaults.get(`timing.${name}`)).toBe(`\`${value}\``);
+    }
+    for (const [name, value] of Object.entries(LIMIT_DEFAULTS)) {
+      expect(defaults.get(`limits.${name}`)).toBe(`\`${value}\``);
+    }
+  });
 });
