--- /dev/null
+++ b/src/platform/http_host_list.ts
@@ -0,0 +1,52 @@
+/** The platform's host list over HTTP. */
+import {z} from 'zod';
+import type {HostList} from '../types/platform.js';
+import type {Clock} from '../types/runtime.js';
+import {createHttpClient} from './http_client.js';
+import {getJson} from './http_json.js';
+
+const PATH = '/v1/hosts';
+const CONNECTIONS = 1;
+
+const listSchema = z.object({
+  version: z.number(),
+  hosts: z.array(
+    z.object({
+      host: z.string(),
+      address: z.string(),
+      failureDomain: z.string(),
+      pool: z.string(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+export interface HttpHostListOptions {
+  readonly clock: Clock;
+  /** Limit of each call. @default 1000 */
+  readonly timeoutMs?: number;
+}
+
+export interface HttpHostList {
+  readonly list: HostList;
+  close(): Promise<void>;
+}
+
+/** Client of the host list at `url`, for example `http://127.0.0.1:7401`. */
+export function createHttpHostList(
+  url: string,
+  options: HttpHostListOptions,
+): HttpHostList {
+  const client = createHttpClient({...options, url, connections: CONNECTIONS});
+  const source = {
+    client,
+    peer: url,
+    path: PATH,
+    step: 'host-list',
+    schema: listSchema,
+  } as const;
+  return {
+    list: async () => (await getJson(source)).map(answer => answer.hosts),
+    close: () => client.close(),
+  };
+}
--- /dev/null
+++ b/src/platform/http_weight_store.ts
@@ -0,0 +1,45 @@
+/** The platform's weight store over HTTP: its rate and its load. */
+import {z} from 'zod';
+import type {WeightStore} from '../types/platform.js';
+import type {Clock} from '../types/runtime.js';
+import {createHttpClient} from './http_client.js';
+import {getJson} from './http_json.js';
+
+const PATH = '/v1/status';
+const CONNECTIONS = 1;
+
+const statusSchema = z.object({
+  bytesPerSec: z.number(),
+  activeTransfers: z.number(),
+  queuedTransfers: z.number(),
+});
+
+export interface HttpWeightStoreOptions {
+  readonly clock: Clock;
+  /** Limit of each call. @default 1000 */
+  readonly timeoutMs?: number;
+}
+
+export interface HttpWeightStore {
+  readonly status: WeightStore;
+  close(): Promise<void>;
+}
+
+/** Client of the weight store at `url`. */
+export function createHttpWeightStore(
+  url: string,
+  options: HttpWeightStoreOptions,
+): HttpWeightStore {
+  const client = createHttpClient({...options, url, connections: CONNECTIONS});
+  const source = {
+    client,
+    peer: url,
+    path: PATH,
+    step: 'placement',
+    schema: statusSchema,
+  } as const;
+  return {
+    status: () => getJson(source),
+    close: () => client.close(),
+  };
+}
