--- a/src/upstream/http_engine.ts
+++ b/src/upstream/http_engine.ts
@@ -3,6 +3,7 @@
  * takes them, answers come down as lines of JSON. Each run's stream has a
  * connection of its own, and one that falls silent is given up.
  */
+import {Readable} from 'node:stream';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {Stream} from 'most';
@@ -163,7 +164,7 @@
         method: 'POST',
         path: runPath(req.runId),
         headers: {[RUN_HEADER]: JSON.stringify(req)},
-        body: prompt as unknown as Dispatcher.RequestOptions['body'],
+        body: Readable.from(prompt),
       }),
     resume: (runId, fromIndex) =>
       openStream({method: 'GET', path: `${runPath(runId)}?from=${fromIndex}`}),
