--- /dev/null
+++ b/src/side/abandon.ts
@@ -0,0 +1,57 @@
+/**
+ * Answers an entry that sent a go and heard nothing: did it start? "Never
+ * started" is said only after the id was tombstoned, so that a go still on its
+ * way can not run after the answer.
+ */
+import type {AbandonReq, AbandonRes} from '../types/peer_messages.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {SideCore} from './core.js';
+import type {Lifecycle} from './lifecycle.js';
+import type {Run} from './run.js';
+
+export type Abandon = (req: AbandonReq) => AbandonRes;
+
+export function createAbandon(core: SideCore, lifecycle: Lifecycle): Abandon {
+  const {ctx, table, tombstones, incarnation} = core;
+
+  const ofUnknown = (req: AbandonReq): AbandonRes['state'] => {
+    const before = tombstones.get(req.dispatchId);
+    if (before !== undefined) {
+      return before.started ? 'started' : 'never-started';
+    }
+    const buried = tombstones.add(
+      {
+        dispatchId: req.dispatchId,
+        organisation: '',
+        started: false,
+        answer: undefined,
+      },
+      ctx.clock.now(),
+    );
+    return buried ? 'never-started' : 'unknown';
+  };
+
+  const ofRun = (run: Run, entry: string): AbandonRes['state'] => {
+    // Another entry has taken the run over: it is no longer this one's to end.
+    if (run.owner !== entry) return run.started ? 'started' : 'unknown';
+    const isSentCall = run.offer.kind === 'call' && run.started;
+    if (!isSentCall) {
+      lifecycle.cancel(run, 'cancelled', 'the entry abandoned the run');
+    }
+    run.delivered = true;
+    if (run.started) return 'started';
+    return tombstones.get(run.id) === undefined ? 'unknown' : 'never-started';
+  };
+
+  const decide = (req: AbandonReq): AbandonRes['state'] => {
+    if (req.incarnation !== incarnation) return 'unknown';
+    const run = table.get(req.dispatchId);
+    return run === undefined ? ofUnknown(req) : ofRun(run, req.entry);
+  };
+
+  return req => {
+    const state = decide(req);
+    ctx.log(SIDE_EVENTS.runAbandoned, {dispatchId: req.dispatchId, state});
+    return {state, incarnation};
+  };
+}
--- /dev/null
+++ b/src/side/answers.ts
@@ -0,0 +1,95 @@
+/** What a side tells of itself: load, heartbeat answers, where a run is. */
+import type {
+  LocateReq,
+  LocateRes,
+  SideHeartbeatRes,
+  SideLoad,
+} from '../types/peer_messages.js';
+import type {SideCore} from './core.js';
+import {classesOf} from './core.js';
+import type {SideStatus} from './messages.js';
+import {classIndexOf} from './queue_policy.js';
+import {prefillLeft} from './run.js';
+import type {Run, RunState} from './run.js';
+
+const STATE_TOLD: {readonly [S in RunState]: LocateRes['state']} = {
+  offered: 'none',
+  receiving: 'queued',
+  queued: 'queued',
+  running: 'running',
+  ended: 'ended',
+  failed: 'failed',
+  cancelled: 'failed',
+};
+
+function backlog(runs: readonly Run[]): number {
+  return runs.reduce((sum, run) => sum + prefillLeft(run), 0);
+}
+
+export function loadOf(core: SideCore): SideLoad {
+  const {table, memory, rates, upstream} = core;
+  const all = table.all();
+  const isShort = (run: Run) =>
+    classIndexOf(classesOf(core), run.offer.promptTokens) === 0;
+  return {
+    capacityTokens: memory.capacity(),
+    freeTokens: memory.free(),
+    running: table.placed().length,
+    queued: table.waiting().length,
+    prefillBacklogTokens: backlog(all),
+    shortBacklogTokens: backlog(all.filter(isShort)),
+    prefillTokensPerSec: rates.prefillTokensPerSec(),
+    stepMs: rates.stepMs(),
+    reportAgeMs: reportAge(core, upstream.heardAt),
+  };
+}
+
+function reportAge(core: SideCore, heardAt: number | undefined): number {
+  if (heardAt === undefined) return 0;
+  return core.ctx.clock.now() - heardAt + core.upstream.reportAgeMs;
+}
+
+export function heartbeatOf(core: SideCore): SideHeartbeatRes {
+  const {options} = core;
+  return {
+    node: options.node,
+    incarnation: core.incarnation,
+    pool: options.pool,
+    failureDomain: options.failureDomain,
+    leaving: core.leaving,
+    configNumber: core.config?.number ?? 0,
+    fence: core.fence,
+    load: loadOf(core),
+    models: core.upstream.models,
+  };
+}
+
+export function locate(core: SideCore, req: LocateReq): LocateRes {
+  const run = core.table.find(req.requestId, req.organisation);
+  const state = run === undefined ? 'none' : STATE_TOLD[run.state];
+  if (run === undefined || state === 'none') {
+    return {state: 'none', dispatchId: '', nextSeq: 0, kind: 'completion'};
+  }
+  return {
+    state,
+    dispatchId: run.id,
+    nextSeq: run.log.count(),
+    kind: run.offer.kind,
+  };
+}
+
+export function statusOf(core: SideCore, channels: number): SideStatus {
+  return {
+    incarnation: core.incarnation,
+    leaving: core.leaving,
+    load: loadOf(core),
+    reservedTokens: core.memory.reserved(),
+    runs: core.table.all().map(run => ({
+      dispatchId: run.id,
+      state: run.state,
+      owner: run.owner,
+    })),
+    tombstones: core.tombstones.size(),
+    channels,
+  };
+}
--- /dev/null
+++ b/src/side/audit.ts
@@ -0,0 +1,125 @@
+/**
+ * Compares the engine's list of runs with the own table. A run that this
+ * incarnation does not know would hold the engine's memory for good: it is
+ * from an earlier incarnation, or its cancel was lost. A run that the engine
+ * lost would keep its caller waiting to the time limit.
+ */
+import type {Either} from 'purify-ts';
+import type {OnyxError} from '../types/errors.js';
+import type {EngineRunInfo} from '../types/upstream.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {SideCore} from './core.js';
+import type {Lifecycle} from './lifecycle.js';
+import {isOver} from './run.js';
+
+/** A list may have been made just before a run came to the engine. */
+const MISSED_MOST = 2;
+
+export interface Audit {
+  /** Asks the engine for its list. */
+  ask(): void;
+  listed(
+    sentAt: number,
+    outcome: Either<OnyxError, readonly EngineRunInfo[]>,
+  ): void;
+  freed(dispatchId: string, outcome: Either<OnyxError, void>): void;
+}
+
+export function createAudit(core: SideCore, lifecycle: Lifecycle): Audit {
+  const {ctx, table, memory, options, upstream} = core;
+  const client = options.upstream;
+
+  const isOurs = (id: string) => table.get(id)?.state === 'running';
+
+  /** A finished run that is only kept for resuming holds no memory. */
+  const isSpent = (info: EngineRunInfo) =>
+    info.state === 'done' && info.memoryTokens === 0;
+
+  const freeStrays = (list: readonly EngineRunInfo[]): number => {
+    const strays = list.filter(info => !isOurs(info.runId) && !isSpent(info));
+    for (const stray of strays) {
+      ctx.log(SIDE_EVENTS.strayRunFreed, {
+        dispatchId: stray.runId,
+        state: stray.state,
+        memoryTokens: stray.memoryTokens,
+      });
+      lifecycle.free(stray.runId);
+    }
+    return strays.length;
+  };
+
+  const noteReconciled = (strays: number) => {
+    if (upstream.reconciled || strays > 0) return;
+    upstream.reconciled = true;
+    core.queueChanged = true;
+    ctx.log(SIDE_EVENTS.reconciled, {incarnation: core.incarnation});
+  };
+
+  /** What the engine no longer lists, it no longer holds memory for. */
+  const releaseUnlisted = (listed: ReadonlySet<string>) => {
+    for (const id of memory.holders()) {
+      const run = table.get(id);
+      const over = run === undefined || isOver(run);
+      if (!over || listed.has(id)) continue;
+      memory.release(id);
+      core.queueChanged = true;
+    }
+  };
+
+  const failMissing = (listed: ReadonlySet<string>, sentAt: number) => {
+    for (const run of table.placed()) {
+      const quiet = run.progress.lastEventAt < sentAt;
+      const missed = !listed.has(run.id) && run.startedAt < sentAt && quiet;
+      run.missedAudits = missed ? run.missedAudits + 1 : 0;
+      if (run.missedAudits < MISSED_MOST) continue;
+      ctx.log(SIDE_EVENTS.runMissing, {dispatchId: run.id});
+      lifecycle.fail(run, {
+        code: 'upstream-lost',
+        message: 'the engine no longer has the run',
+      });
+    }
+  };
+
+  const compare = (list: readonly EngineRunInfo[], sentAt: number) => {
+    const holding = list.filter(info => !isSpent(info));
+    releaseUnlisted(new Set(holding.map(info => info.runId)));
+    failMissing(new Set(list.map(info => info.runId)), sentAt);
+    noteReconciled(freeStrays(list));
+  };
+
+  return {
+    ask: () => {
+      if (client.kind !== 'engine') return;
+      const sentAt = ctx.clock.now();
+      client.client
+        .list()
+        .then(outcome => ctx.send('runs', {kind: 'listed', sentAt, outcome}))
+        .catch(cause => ctx.fail(cause));
+    },
+    listed: (sentAt, outcome) => {
+      outcome
+        .ifLeft(err =>
+          ctx.log(SIDE_EVENTS.auditFailed, {
+            code: err.code,
+            cause: err.message,
+          }),
+        )
+        .ifRight(list => compare(list, sentAt));
+      lifecycle.freeAgain();
+    },
+    freed: (dispatchId, outcome) => {
+      outcome
+        .ifLeft(err =>
+          ctx.log(SIDE_EVENTS.freeFailed, {
+            dispatchId,
+            code: err.code,
+            cause: err.message,
+          }),
+        )
+        .ifRight(() => {
+          memory.release(dispatchId);
+          core.queueChanged = true;
+        });
+    },
+  };
+}
--- /dev/null
+++ b/src/side/engine_events.ts
@@ -0,0 +1,91 @@
+/**
+ * What an engine's events do to their run: tokens become chunks, in order and
+ * once each; progress teaches the rates.
+ */
+import {OnyxError} from '../types/errors.js';
+import type {EngineEvent} from '../types/upstream.js';
+import type {Channels} from './channels.js';
+import type {SideCore} from './core.js';
+import type {Lifecycle} from './lifecycle.js';
+import {prefillLeft} from './run.js';
+import type {Run} from './run.js';
+
+type TokensEvent = EngineEvent & {readonly kind: 'tokens'};
+type DoneEvent = EngineEvent & {readonly kind: 'done'};
+
+export type EngineEvents = (run: Run, event: EngineEvent) => void;
+
+/** `broke` is called when the stream can not be trusted any further. */
+export function createEngineEvents(
+  core: SideCore,
+  channels: Channels,
+  lifecycle: Lifecycle,
+  broke: (run: Run, error: OnyxError) => void,
+): EngineEvents {
+  const {ctx, rates} = core;
+
+  const gap = (run: Run, got: number) =>
+    new OnyxError({
+      code: 'upstream-lost',
+      step: 'run',
+      peer: core.options.node,
+      message: `token ${got} came where ${run.progress.nextToken} was due`,
+      ran: 'yes',
+    });
+
+  const prefilled = (run: Run, done: number) => {
+    const count = done - run.progress.prefillDone;
+    if (count <= 0) return;
+    run.progress.prefillDone = done;
+    rates.prefilled(count, ctx.clock.now());
+  };
+
+  const learnStep = (run: Run, count: number) => {
+    const now = ctx.clock.now();
+    const {lastTokenAt} = run.progress;
+    if (lastTokenAt !== undefined) rates.decoded(count, now - lastTokenAt);
+    run.progress.lastTokenAt = now;
+  };
+
+  const tokens = (run: Run, event: TokensEvent) => {
+    const {nextToken} = run.progress;
+    const isCopy = event.index + event.count <= nextToken;
+    if (isCopy && event.count > 0) return;
+    // A gap or a half copy would cut or mix the answer: ask for what is due.
+    if (event.index !== nextToken) return broke(run, gap(run, event.index));
+    if (prefillLeft(run) > 0) prefilled(run, run.offer.promptTokens);
+    learnStep(run, event.count);
+    run.progress.nextToken = nextToken + event.count;
+    run.stream.resumes = 0;
+    const {data, count} = event;
+    run.log.append({dispatchId: run.id, data, tokens: count});
+    channels.pump(run);
+  };
+
+  const done = (run: Run, event: DoneEvent) => {
+    if (event.tokens !== run.progress.nextToken) {
+      return broke(run, gap(run, event.tokens));
+    }
+    lifecycle.end(run, event.finishReason, event.cachedTokens);
+  };
+
+  return (run, event) => {
+    // A resume that only beats says nothing of the run yet.
+    if (event.kind !== 'beat') run.progress.seen = true;
+    switch (event.kind) {
+      case 'prefill':
+        return prefilled(run, event.doneTokens);
+      case 'tokens':
+        return tokens(run, event);
+      case 'done':
+        return done(run, event);
+      case 'failed':
+        return lifecycle.fail(run, {
+          code: 'upstream-failed',
+          message: event.message,
+        });
+      case 'beat':
+        return;
+    }
+  };
+}
--- /dev/null
+++ b/src/side/fair_shares.ts
@@ -0,0 +1,33 @@
+/**
+ * Service that each organisation got, divided by its weight. The queue takes
+ * the least served first, so that one that sends much waits for its own.
+ */
+import type {OrganisationId} from '../types/ids.js';
+
+export interface FairShares {
+  /**
+   * An organisation without open runs sends one. It starts at the least of the
+   * active ones: time in which it asked for nothing is no credit.
+   */
+  arrive(id: OrganisationId, active: readonly OrganisationId[]): void;
+  charge(id: OrganisationId, cost: number, weight: number): void;
+  served(): ReadonlyMap<OrganisationId, number>;
+}
+
+export function createFairShares(): FairShares {
+  const served = new Map<OrganisationId, number>();
+
+  return {
+    arrive: (id, active) => {
+      if (active.includes(id)) return;
+      const others = active.map(other => served.get(other) ?? 0);
+      const least = others.length === 0 ? 0 : Math.min(...others);
+      served.set(id, Math.max(served.get(id) ?? 0, least));
+    },
+    charge: (id, cost, weight) => {
+      const share = cost / Math.max(weight, Number.MIN_VALUE);
+      served.set(id, (served.get(id) ?? 0) + share);
+    },
+    served: () => served,
+  };
+}
--- /dev/null
+++ b/src/side/frames.ts
@@ -0,0 +1,248 @@
+/**
+ * Frames from entries on runs' channels: go with the prompt, attach, cancel.
+ */
+import type {
+  Attach,
+  Go,
+  PromptEnd,
+  RunFailed,
+  RunUp,
+} from '../types/peer_messages.js';
+import type {Ran} from '../types/errors.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {Channels} from './channels.js';
+import type {SideCore} from './core.js';
+import type {Lifecycle} from './lifecycle.js';
+import {isHold, isOver} from './run.js';
+import type {Run} from './run.js';
+
+export interface Frames {
+  handle(channelId: number, frame: RunUp): void;
+  /** The channel is gone; its run goes on unless its prompt is not whole. */
+  closed(channelId: number, clean: boolean): void;
+  /** Missing prompt frames had their time. */
+  promptGap(run: Run): void;
+}
+
+export interface FrameActions {
+  /** Sets the timer of the run's time limit. */
+  readonly watchDeadline: (run: Run) => void;
+  /** Starts a group's member or lead: its memory is reserved already. */
+  readonly startReserved: (run: Run) => void;
+}
+
+export function createFrames(
+  core: SideCore,
+  channels: Channels,
+  lifecycle: Lifecycle,
+  actions: FrameActions,
+): Frames {
+  const {ctx, table, tombstones, timing} = core;
+
+  const failed = (
+    dispatchId: string,
+    code: string,
+    ran: Ran,
+    message: string,
+  ): RunFailed => ({
+    kind: 'failed',
+    dispatchId,
+    ran,
+    code,
+    message,
+    retryAfterMs: 0,
+  });
+
+  const refuseGo = (channelId: number, frame: RunFailed) => {
+    ctx.log(SIDE_EVENTS.goRefused, {
+      dispatchId: frame.dispatchId,
+      code: frame.code,
+      ran: frame.ran,
+    });
+    channels.dismiss(channelId, frame);
+  };
+
+  /** A go without an accepted offer never runs, nor does a later copy. */
+  const refuseUnknownGo = (channelId: number, id: string) => {
+    const before = tombstones.get(id);
+    const buried =
+      before !== undefined ||
+      tombstones.add(
+        {dispatchId: id, organisation: '', started: false, answer: undefined},
+        ctx.clock.now(),
+      );
+    const ran = before?.started === true ? 'yes' : buried ? 'no' : 'unknown';
+    const message = 'there is no accepted offer for this dispatch';
+    refuseGo(channelId, failed(id, 'tombstoned', ran, message));
+  };
+
+  /** A second go: the run is in other hands or over. */
+  const refuseCopyOfGo = (channelId: number, run: Run) => {
+    if (run.channelId === channelId) return;
+    if (run.started || !isOver(run)) {
+      // Saying "not run" of a run that may run would let it run twice.
+      channels.dismiss(channelId, undefined);
+      return;
+    }
+    const message = 'the offer of this dispatch is over';
+    refuseGo(channelId, failed(run.id, 'tombstoned', 'no', message));
+  };
+
+  const go = (channelId: number, frame: Go) => {
+    const {dispatchId} = frame;
+    if (frame.incarnation !== core.incarnation) {
+      const message = 'the side was restarted since the offer';
+      refuseGo(channelId, failed(dispatchId, 'incarnation', 'no', message));
+      return;
+    }
+    const run = table.get(dispatchId);
+    if (run === undefined) {
+      refuseUnknownGo(channelId, dispatchId);
+    } else if (run.state !== 'offered') {
+      refuseCopyOfGo(channelId, run);
+    } else {
+      takeGo(channelId, run, frame);
+    }
+  };
+
+  const takeGo = (channelId: number, run: Run, frame: Go) => {
+    const now = ctx.clock.now();
+    run.state = 'receiving';
+    run.call = frame.call;
+    run.ownerHeardAt = now;
+    run.deadlineAt = Math.min(run.deadlineAt, now + frame.timeLeftMs);
+    actions.watchDeadline(run);
+    channels.bind(channelId, run, 0);
+    if (isHold(run.offer)) actions.startReserved(run);
+  };
+
+  const promptWhole = (run: Run) => {
+    if (run.state !== 'receiving' || !run.prompt.isWhole()) return;
+    run.state = 'queued';
+    core.queueChanged = true;
+    if (run.offer.group !== undefined) actions.startReserved(run);
+  };
+
+  const promptEnd = (run: Run, frame: PromptEnd) => {
+    if (run.state !== 'receiving' || run.prompt.ended()) return;
+    run.prompt.end(frame.count);
+    promptWhole(run);
+    if (run.state !== 'receiving') return;
+    run.timers.push(
+      ctx.clock.after(timing.promptGapMs, () =>
+        ctx.send('runs', {
+          kind: 'due',
+          dispatchId: run.id,
+          what: 'prompt-gap',
+        }),
+      ),
+    );
+  };
+
+  const cancel = (run: Run) => {
+    // A call once sent may not be repeated: it runs to its end.
+    if (run.offer.kind === 'call' && run.started) return;
+    lifecycle.cancel(run, 'cancelled', 'the entry cancelled the run');
+  };
+
+  const bound = (channelId: number, run: Run, frame: RunUp) => {
+    if (run.channelId !== channelId) return;
+    run.ownerHeardAt = ctx.clock.now();
+    switch (frame.kind) {
+      case 'prompt':
+        if (run.state !== 'receiving') return;
+        run.prompt.put(frame.seq, frame.data);
+        return promptWhole(run);
+      case 'prompt-end':
+        return promptEnd(run, frame);
+      case 'cancel':
+        return cancel(run);
+      case 'go':
+      case 'attach':
+      case 'ack':
+      case 'beat':
+        return;
+    }
+  };
+
+  const notFound = (channelId: number, id: string) => {
+    const message = 'there is no such run here';
+    channels.dismiss(channelId, failed(id, 'not-found', 'unknown', message));
+  };
+
+  const attachBuried = (channelId: number, frame: Attach) => {
+    const buried = tombstones.get(frame.dispatchId);
+    if (buried === undefined || buried.organisation !== frame.organisation) {
+      notFound(channelId, frame.dispatchId);
+      return;
+    }
+    const ran = buried.started ? 'yes' : 'no';
+    const message = buried.started
+      ? 'the answer is no longer kept'
+      : 'the dispatch was refused, lapsed or abandoned';
+    const outcome = failed(frame.dispatchId, 'tombstoned', ran, message);
+    channels.dismiss(channelId, outcome);
+  };
+
+  const attach = (channelId: number, frame: Attach) => {
+    const run = table.get(frame.dispatchId);
+    if (run === undefined) return attachBuried(channelId, frame);
+    // Another organisation learns nothing, not even that there is such a run.
+    if (run.offer.organisation !== frame.organisation) {
+      return notFound(channelId, frame.dispatchId);
+    }
+    if (run.owner !== frame.entry) {
+      ctx.log(SIDE_EVENTS.runTakenOver, {
+        dispatchId: run.id,
+        from: run.owner,
+        to: frame.entry,
+        fromSeq: frame.fromSeq,
+      });
+    }
+    run.owner = frame.entry;
+    run.ownerHeardAt = ctx.clock.now();
+    run.delivered = false;
+    channels.bind(channelId, run, frame.fromSeq);
+    // The prompt came only in part and can not be sent again.
+    if (run.state === 'offered' || run.state === 'receiving') {
+      failUnwhole(run);
+      return;
+    }
+    if (run.started) channels.sendStarted(run);
+    channels.pump(run);
+  };
+
+  const failUnwhole = (run: Run) =>
+    lifecycle.fail(run, {
+      code: 'prompt-incomplete',
+      message: 'the prompt did not arrive whole',
+      ran: 'no',
+    });
+
+  return {
+    handle: (channelId, frame) => {
+      const open = channels.heard(channelId);
+      if (open === undefined) return;
+      if (open.dispatchId !== undefined) {
+        const run = table.get(open.dispatchId);
+        if (run !== undefined) bound(channelId, run, frame);
+      } else if (frame.kind === 'go') {
+        go(channelId, frame);
+      } else if (frame.kind === 'attach') {
+        attach(channelId, frame);
+      }
+    },
+    closed: (channelId, clean) => {
+      const channel = channels.closed(channelId);
+      if (channel?.dispatchId === undefined) return;
+      const run = table.get(channel.dispatchId);
+      if (run === undefined || run.channelId !== channelId) return;
+      run.channelId = undefined;
+      run.delivered ||= clean && channel.outcomeSent;
+      if (run.state === 'receiving') failUnwhole(run);
+    },
+    promptGap: run => {
+      if (run.state === 'receiving') failUnwhole(run);
+    },
+  };
+}
--- /dev/null
+++ b/src/side/handlers.ts
@@ -0,0 +1,22 @@
+/** Turns calls and channels of peers into messages to `runs`. */
+import type {ServiceContext, ServiceName} from '../types/kernel.js';
+import type {PeerHandlers} from '../types/transport.js';
+import './messages.js';
+
+/** The part of a service context or kernel that handlers need. */
+export type SideHandlerContext = Pick<
+  ServiceContext<ServiceName>,
+  'ask' | 'send'
+>;
+
+export function createSideHandlers(ctx: SideHandlerContext): PeerHandlers {
+  return {
+    offer: req => ctx.ask('runs', reply => ({kind: 'offer', req, reply})),
+    abandon: req => ctx.ask('runs', reply => ({kind: 'abandon', req, reply})),
+    locate: req => ctx.ask('runs', reply => ({kind: 'locate', req, reply})),
+    sideHeartbeat: req =>
+      ctx.ask('runs', reply => ({kind: 'heartbeat', req, reply})),
+    order: req => ctx.ask('runs', reply => ({kind: 'order', req, reply})),
+    run: channel => ctx.send('runs', {kind: 'channel', channel}),
+  };
+}
--- /dev/null
+++ b/src/side/learned_rates.ts
@@ -0,0 +1,95 @@
+/**
+ * What the side learns of its engine's speed from the events it sees: prompt
+ * tokens prefilled per second over all runs, and the time of one decode step.
+ * Priors stand until something was seen.
+ */
+
+export interface RatePriors {
+  /** @default 8000 */
+  readonly prefillTokensPerSec: number;
+  /** @default 25 */
+  readonly stepMs: number;
+  /** Time of one call to a plain service. @default 100 */
+  readonly callMs: number;
+  /** Weight of a new sample. @default 0.2 */
+  readonly alpha: number;
+  /**
+   * Extra prefill time by attention over a long context, in milliseconds per
+   * token squared. @default 0
+   */
+  readonly contextMsPerTokenSquared: number;
+}
+
+export const DEFAULT_RATE_PRIORS: RatePriors = {
+  prefillTokensPerSec: 8_000,
+  stepMs: 25,
+  callMs: 100,
+  alpha: 0.2,
+  contextMsPerTokenSquared: 0,
+};
+
+/** A sample of the prefill rate spans at least this much busy time. */
+const SAMPLE_MS = 20;
+
+export interface LearnedRates {
+  /** Whether any prompt is in prefill; idle time is no sample. */
+  prefillBusy(busy: boolean, now: number): void;
+  prefilled(tokens: number, now: number): void;
+  /** `count` tokens of one run came `elapsedMs` after its last ones. */
+  decoded(count: number, elapsedMs: number): void;
+  /** A call to a plain service took so long. */
+  called(elapsedMs: number): void;
+  prefillTokensPerSec(): number;
+  stepMs(): number;
+  callMs(): number;
+  /** Predicted time to prefill so many tokens, nothing else running. */
+  prefillMs(tokens: number): number;
+}
+
+export function createLearnedRates(priors: RatePriors): LearnedRates {
+  let perSec = priors.prefillTokensPerSec;
+  let step = priors.stepMs;
+  let call = priors.callMs;
+  let busySince: number | undefined;
+  let tokens = 0;
+
+  const blend = (old: number, sample: number) =>
+    old + priors.alpha * (sample - old);
+
+  const sample = (now: number) => {
+    if (busySince === undefined || tokens === 0) return;
+    const elapsed = now - busySince;
+    if (elapsed < SAMPLE_MS) return;
+    perSec = Math.max(1, blend(perSec, (tokens / elapsed) * 1_000));
+    busySince = now;
+    tokens = 0;
+  };
+
+  return {
+    prefillBusy: (busy, now) => {
+      if (busy) {
+        busySince ??= now;
+        return;
+      }
+      sample(now);
+      busySince = undefined;
+      tokens = 0;
+    },
+    prefilled: (count, now) => {
+      tokens += count;
+      sample(now);
+    },
+    decoded: (count, elapsedMs) => {
+      if (count > 0) step = blend(step, elapsedMs / count);
+    },
+    called: elapsedMs => {
+      call = blend(call, elapsedMs);
+    },
+    prefillTokensPerSec: () => perSec,
+    stepMs: () => step,
+    callMs: () => call,
+    prefillMs: count =>
+      (count / perSec) * 1_000 +
+      priors.contextMsPerTokenSquared * count * count,
+  };
+}
--- /dev/null
+++ b/src/side/lifecycle.ts
@@ -0,0 +1,150 @@
+/**
+ * How a run leaves the living: ended, failed or cancelled. What it held is
+ * released, what it leaves behind is recorded, its owner is told.
+ */
+import type {Ran} from '../types/errors.js';
+import type {RunFailed} from '../types/peer_messages.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {Channels} from './channels.js';
+import type {SideCore} from './core.js';
+import {isOver, ranOf} from './run.js';
+import type {Run, RunState} from './run.js';
+
+export interface Failure {
+  readonly code: string;
+  readonly message: string;
+  /** @default what the run's progress shows */
+  readonly ran?: Ran;
+}
+
+export interface Lifecycle {
+  end(run: Run, finishReason: string, cachedTokens: number): void;
+  fail(run: Run, failure: Failure): void;
+  cancel(run: Run, code: string, message: string): void;
+  /** Asks the engine again to free what it has not confirmed. */
+  freeAgain(): void;
+  /** Asks the engine to end a run and free its memory. */
+  free(dispatchId: string): void;
+  /** Forgets a run that is over; its id stays remembered. */
+  forget(run: Run): void;
+}
+
+export function createLifecycle(core: SideCore, channels: Channels): Lifecycle {
+  const {ctx, table, tombstones, memory} = core;
+
+  const free = (dispatchId: string) => {
+    const {upstream} = core.options;
+    if (upstream.kind !== 'engine') return;
+    upstream.client
+      .cancel(dispatchId)
+      .then(outcome => ctx.send('runs', {kind: 'freed', dispatchId, outcome}))
+      .catch(cause => ctx.fail(cause));
+  };
+
+  const bury = (run: Run) =>
+    tombstones.add(
+      {
+        dispatchId: run.id,
+        organisation: run.offer.organisation,
+        started: run.started,
+        answer: undefined,
+      },
+      ctx.clock.now(),
+    );
+
+  /** A call once sent is not cut: it may not be repeated. */
+  const stopUpstream = (run: Run) => {
+    if (!run.started) {
+      memory.release(run.id);
+      return;
+    }
+    if (run.offer.kind === 'call') {
+      run.lateCall = run.stream.unsubscribe !== undefined;
+      return;
+    }
+    stopListening(run);
+    // The engine may still hold the memory: it stays reserved until the engine
+    // has confirmed, or two runs would be given the same memory.
+    free(run.id);
+  };
+
+  const close = (run: Run, state: RunState, outcome: Run['outcome']) => {
+    run.state = state;
+    run.outcome = outcome;
+    run.endedAt = ctx.clock.now();
+    for (const cancel of run.timers.splice(0)) cancel();
+    run.prompt.clear();
+    if (!run.started) bury(run);
+    core.queueChanged = true;
+    ctx.metrics.count('side_runs_total', {outcome: state});
+    channels.pump(run);
+  };
+
+  const failed = (run: Run, failure: Failure): RunFailed => ({
+    kind: 'failed',
+    dispatchId: run.id,
+    ran: failure.ran ?? ranOf(run),
+    code: failure.code,
+    message: failure.message,
+    retryAfterMs: 0,
+  });
+
+  const closeFailed = (run: Run, state: RunState, failure: Failure) => {
+    if (isOver(run)) return;
+    const outcome = failed(run, failure);
+    stopUpstream(run);
+    close(run, state, outcome);
+    ctx.log(SIDE_EVENTS.runFailed, {
+      dispatchId: run.id,
+      state,
+      code: failure.code,
+      ran: outcome.ran,
+      message: failure.message,
+    });
+  };
+
+  return {
+    end: (run, finishReason, cachedTokens) => {
+      stopListening(run);
+      memory.release(run.id);
+      ctx.invariant(!memory.holds(run.id), 'memory-released-at-end', {
+        dispatchId: run.id,
+      });
+      close(run, 'ended', {
+        kind: 'end',
+        dispatchId: run.id,
+        count: run.log.count(),
+        digest: run.log.digest(),
+        finishReason,
+        cachedTokens,
+      });
+      ctx.log(SIDE_EVENTS.runEnded, {
+        dispatchId: run.id,
+        chunks: run.log.count(),
+        tokens: run.progress.nextToken,
+        ms: Math.round(run.endedAt - run.startedAt),
+      });
+    },
+    fail: (run, failure) => closeFailed(run, 'failed', failure),
+    cancel: (run, code, message) =>
+      closeFailed(run, 'cancelled', {code, message}),
+    freeAgain: () => {
+      for (const id of memory.holders()) {
+        const run = table.get(id);
+        if (run === undefined || isOver(run)) free(id);
+      }
+    },
+    free,
+    forget: run => {
+      bury(run);
+      table.remove(run.id);
+    },
+  };
+}
+
+/** Events of the stream listened to until now are dropped from here on. */
+export function stopListening(run: Run): void {
+  run.stream.unsubscribe?.();
+  run.stream.unsubscribe = undefined;
+  run.stream.number += 1;
+}
--- /dev/null
+++ b/src/side/offers.ts
@@ -0,0 +1,186 @@
+/**
+ * Takes or refuses offers. An offer that is taken has a place in the queue; it
+ * lapses without a go. A copy of an offer gets the answer of the first.
+ */
+import type {
+  OfferAccepted,
+  OfferRefused,
+  OfferReq,
+  OfferRes,
+  RefusalReason,
+} from '../types/peer_messages.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {SideCore} from './core.js';
+import {isUpstreamDown} from './core.js';
+import type {FairShares} from './fair_shares.js';
+import type {Prediction} from './prediction.js';
+import {memoryFreeMs, placeFreeMs, predict} from './prediction.js';
+import {createRun, isOver, memoryOf} from './run.js';
+import type {Run} from './run.js';
+
+/** Least time to come back where nothing better is known. */
+const COME_BACK_MS = 100;
+/** Coming back does not help: this side can never run it in its time. */
+const NEVER_MS = 0;
+
+interface Refusal {
+  readonly reason: RefusalReason;
+  readonly retryAfterMs: number;
+}
+
+export interface Offers {
+  offer(req: OfferReq): OfferRes;
+}
+
+/** `watch` sets the timers of an accepted run. */
+export function createOffers(
+  core: SideCore,
+  shares: FairShares,
+  watch: (run: Run) => void,
+): Offers {
+  const {ctx, table, tombstones, memory, bounds, timing, incarnation} = core;
+
+  const refused = (refusal: Refusal): OfferRefused => ({
+    kind: 'refused',
+    incarnation,
+    reason: refusal.reason,
+    retryAfterMs: Math.ceil(refusal.retryAfterMs),
+  });
+
+  const hasModel = (req: OfferReq) => {
+    const serves = core.options.upstream.kind;
+    if (req.kind === 'call') return serves === 'service';
+    return core.upstream.models.some(
+      state =>
+        state.ready &&
+        state.model === req.model &&
+        (req.adapter === '' || state.adapters.includes(req.adapter)),
+    );
+  };
+
+  const isQueueFull = (req: OfferReq) => {
+    const waiting = table.waiting();
+    const tokens = waiting.reduce((sum, r) => sum + r.offer.promptTokens, 0);
+    // Without room to remember an id, a late copy of it could run: no offer is
+    // taken that could not be buried.
+    if (tombstones.isFull()) return true;
+    if (waiting.length >= bounds.maxQueued) return true;
+    return (
+      waiting.length > 0 && tokens + req.promptTokens > bounds.maxQueuedTokens
+    );
+  };
+
+  const refuseState = (req: OfferReq): Refusal | undefined => {
+    if (req.incarnation !== incarnation) {
+      return {reason: 'incarnation', retryAfterMs: NEVER_MS};
+    }
+    if (core.leaving) return {reason: 'leaving', retryAfterMs: NEVER_MS};
+    if (isUpstreamDown(core)) {
+      return {reason: 'engine-down', retryAfterMs: timing.upstreamDownMs};
+    }
+    if (!hasModel(req)) return {reason: 'no-model', retryAfterMs: NEVER_MS};
+    return undefined;
+  };
+
+  const refuseRoom = (req: OfferReq): Refusal | undefined => {
+    const need = memoryOf(req);
+    if (need > memory.capacity() && req.kind === 'completion') {
+      return {reason: 'full', retryAfterMs: NEVER_MS};
+    }
+    if (req.group !== undefined && need > memory.free()) {
+      const afterMs = Math.max(COME_BACK_MS, memoryFreeMs(core, need));
+      return {reason: 'full', retryAfterMs: afterMs};
+    }
+    if (isQueueFull(req)) {
+      const afterMs = Math.max(COME_BACK_MS, placeFreeMs(core));
+      return {reason: 'queue-full', retryAfterMs: afterMs};
+    }
+    return undefined;
+  };
+
+  const refuseTime = (
+    req: OfferReq,
+    prediction: Prediction,
+  ): Refusal | undefined => {
+    if (prediction.endMs <= req.timeLeftMs) return undefined;
+    const fitsAlone = prediction.aloneMs <= req.timeLeftMs;
+    const excess = prediction.endMs - req.timeLeftMs;
+    return {reason: 'too-late', retryAfterMs: fitsAlone ? excess : NEVER_MS};
+  };
+
+  const refuse = (req: OfferReq, refusal: Refusal): OfferRefused => {
+    const answer = refused(refusal);
+    tombstones.add(
+      {
+        dispatchId: req.dispatchId,
+        organisation: req.organisation,
+        started: false,
+        answer,
+      },
+      ctx.clock.now(),
+    );
+    ctx.metrics.count('side_refusals_total', {reason: refusal.reason});
+    ctx.log(SIDE_EVENTS.offerRefused, {
+      dispatchId: req.dispatchId,
+      reason: refusal.reason,
+      promptTokens: req.promptTokens,
+      timeLeftMs: req.timeLeftMs,
+      retryAfterMs: answer.retryAfterMs,
+    });
+    return answer;
+  };
+
+  const activeOrganisations = () =>
+    table
+      .all()
+      .filter(run => !isOver(run))
+      .map(run => run.offer.organisation);
+
+  const accept = (req: OfferReq, prediction: Prediction): OfferAccepted => {
+    const answer: OfferAccepted = {
+      kind: 'accepted',
+      incarnation,
+      predictedFirstTokenMs: prediction.firstTokenMs,
+      lapseMs: timing.offerLapseMs,
+    };
+    const run = createRun({offer: req, answer, now: ctx.clock.now()});
+    shares.arrive(req.organisation, activeOrganisations());
+    table.add(run);
+    // Members of a group are all or nothing: what a member promised must still
+    // be free when its lead goes, or two groups could wait for each other.
+    if (req.group !== undefined) memory.reserve(run.id, run.memoryTokens);
+    watch(run);
+    ctx.log(SIDE_EVENTS.offerAccepted, {
+      dispatchId: req.dispatchId,
+      organisation: req.organisation,
+      promptTokens: req.promptTokens,
+      predictedFirstTokenMs: Math.round(prediction.firstTokenMs),
+      predictedEndMs: Math.round(prediction.endMs),
+    });
+    return answer;
+  };
+
+  /** The answer that a copy of a known offer gets. */
+  const known = (req: OfferReq): OfferRes | undefined => {
+    const buried = tombstones.get(req.dispatchId);
+    if (buried !== undefined) {
+      const tombstoned = {
+        reason: 'tombstoned',
+        retryAfterMs: NEVER_MS,
+      } as const;
+      return buried.answer ?? refused(tombstoned);
+    }
+    return table.get(req.dispatchId)?.answer;
+  };
+
+  const decide = (req: OfferReq): OfferRes => {
+    const state = refuseState(req) ?? refuseRoom(req);
+    if (state !== undefined) return refuse(req, state);
+    const prediction = predict(core, req);
+    const late = refuseTime(req, prediction);
+    if (late !== undefined) return refuse(req, late);
+    return accept(req, prediction);
+  };
+
+  return {offer: req => known(req) ?? decide(req)};
+}
--- /dev/null
+++ b/src/side/orders.ts
@@ -0,0 +1,186 @@
+/**
+ * Orders of the placer to the engine. Some engines ignore fencing numbers, so
+ * the side, the only one that gives its engine orders, fences them itself: one
+ * at a time, none with a number below the highest seen. A side that was just
+ * started has seen none, so it reads the lease first; otherwise a placer long
+ * replaced could order through it.
+ */
+import type {Either} from 'purify-ts';
+import type {OnyxError} from '../types/errors.js';
+import type {OrderReq, OrderRes} from '../types/peer_messages.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {SideCore} from './core.js';
+import {isOver} from './run.js';
+
+const REMEMBERED_ORDERS = 256;
+
+type Reply = (res: OrderRes) => void;
+
+interface PendingOrder {
+  readonly req: OrderReq;
+  readonly reply: Reply;
+}
+
+export interface Orders {
+  order(req: OrderReq, reply: Reply): void;
+  done(orderId: string, outcome: Either<OnyxError, void>): void;
+  fenceSeen(fence: number): void;
+  fenceRead(outcome: Either<OnyxError, number>): void;
+  /** Asks for the highest fencing number. */
+  askFence(): void;
+}
+
+export function createOrders(core: SideCore): Orders {
+  const {ctx, options, table, timing} = core;
+  const {upstream} = options;
+  const outcomes = new Map<string, OrderRes>();
+  const waiting: PendingOrder[] = [];
+  let passed: PendingOrder | undefined;
+
+  const answer = (state: OrderRes['state'], reason: string): OrderRes => ({
+    state,
+    reason,
+    fence: core.fence,
+  });
+
+  const fenceSeen = (fence: number) => {
+    core.fence = Math.max(core.fence, fence);
+  };
+
+  const inUse = (req: OrderReq) =>
+    req.action === 'unload' &&
+    table.all().some(run => !isOver(run) && run.offer.model === req.model);
+
+  const refusal = (req: OrderReq): string | undefined => {
+    if (upstream.kind !== 'engine') return 'not-an-engine';
+    if (!core.fenceKnown) return 'fence-unknown';
+    if (req.fence < core.fence) return 'stale-fence';
+    if (inUse(req)) return 'in-use';
+    return undefined;
+  };
+
+  const refuse = ({req, reply}: PendingOrder, reason: string) => {
+    ctx.log(SIDE_EVENTS.orderRefused, {
+      orderId: req.orderId,
+      reason,
+      fence: req.fence,
+      highestFence: core.fence,
+    });
+    reply(answer('refused', reason));
+  };
+
+  const remember = (orderId: string, res: OrderRes) => {
+    outcomes.set(orderId, res);
+    if (outcomes.size <= REMEMBERED_ORDERS) return;
+    const [oldest] = outcomes.keys();
+    if (oldest !== undefined) outcomes.delete(oldest);
+  };
+
+  const noteUnload = (req: OrderReq) => {
+    if (req.action !== 'unload') return;
+    // The engine's report lags: no offer is taken on what is being unloaded.
+    core.upstream.models = core.upstream.models.filter(
+      state =>
+        state.model !== req.model ||
+        (req.version !== '' && state.version !== req.version),
+    );
+  };
+
+  const pass = (pending: PendingOrder) => {
+    const {req} = pending;
+    if (upstream.kind !== 'engine') return;
+    passed = pending;
+    noteUnload(req);
+    ctx.log(SIDE_EVENTS.orderPassed, {
+      orderId: req.orderId,
+      action: req.action,
+      model: req.model,
+      version: req.version,
+      fence: req.fence,
+    });
+    upstream.client
+      .order(req)
+      .then(outcome =>
+        ctx.send('runs', {kind: 'order-done', orderId: req.orderId, outcome}),
+      )
+      .catch(cause => ctx.fail(cause));
+  };
+
+  /** The number may have grown while an order waited: it is looked at again. */
+  const passNext = () => {
+    while (passed === undefined) {
+      const next = waiting.shift();
+      if (next === undefined) return;
+      const reason = refusal(next.req);
+      if (reason === undefined) pass(next);
+      else refuse(next, reason);
+    }
+  };
+
+  const isPending = (orderId: string) =>
+    passed?.req.orderId === orderId ||
+    waiting.some(pending => pending.req.orderId === orderId);
+
+  const settle = (pending: PendingOrder, outcome: Either<OnyxError, void>) => {
+    const {req, reply} = pending;
+    outcome
+      .ifLeft(err => {
+        ctx.log(SIDE_EVENTS.orderFailed, {
+          orderId: req.orderId,
+          code: err.code,
+          cause: err.message,
+        });
+        const reason = err.code === 'stale' ? 'stale-fence' : err.code;
+        reply(answer('refused', reason));
+      })
+      .ifRight(() => {
+        const res = answer(req.action === 'load' ? 'started' : 'done', '');
+        remember(req.orderId, res);
+        reply(res);
+      });
+  };
+
+  return {
+    order: (req, reply) => {
+      const pending = {req, reply};
+      const reason = refusal(req);
+      const stale = reason !== undefined && reason !== 'in-use';
+      if (stale) return refuse(pending, reason);
+      fenceSeen(req.fence);
+      const before = outcomes.get(req.orderId);
+      if (before !== undefined) return reply({...before, fence: core.fence});
+      if (isPending(req.orderId)) return reply(answer('started', ''));
+      waiting.push(pending);
+      passNext();
+    },
+    done: (orderId, outcome) => {
+      const pending = passed;
+      if (pending?.req.orderId !== orderId) return;
+      passed = undefined;
+      settle(pending, outcome);
+      passNext();
+    },
+    fenceSeen,
+    askFence: () => {
+      if (upstream.kind !== 'engine' || core.fenceKnown) return;
+      options
+        .readFence()
+        .then(outcome => ctx.send('runs', {kind: 'fence-read', outcome}))
+        .catch(cause => ctx.fail(cause));
+    },
+    fenceRead: outcome => {
+      outcome
+        .ifRight(fence => {
+          core.fenceKnown = true;
+          fenceSeen(fence);
+          ctx.log(SIDE_EVENTS.fenceRead, {fence: core.fence});
+        })
+        .ifLeft(() => {
+          const again = ctx.clock.after(timing.fenceRetryMs, () => {
+            ctx.send('runs', {kind: 'fence-due'});
+          });
+          ctx.own(again);
+        });
+    },
+  };
+}
--- /dev/null
+++ b/src/side/owners.ts
@@ -0,0 +1,94 @@
+/**
+ * Ownership of runs by entries, as leases kept alive by heartbeats and open
+ * channels, and how long what is over is kept.
+ */
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {Channels} from './channels.js';
+import type {SideCore} from './core.js';
+import type {Lifecycle} from './lifecycle.js';
+import {isOver} from './run.js';
+import type {Run} from './run.js';
+
+export interface Owners {
+  /** An entry said which dispatches it owns. */
+  heard(entry: string, owned: readonly string[]): void;
+  sweep(): void;
+  /** After a freeze of this process: no entry could be heard. */
+  forgive(): void;
+  /** Somebody may still come for the run's outcome. */
+  isAwaited(run: Run): boolean;
+}
+
+export function createOwners(
+  core: SideCore,
+  channels: Channels,
+  lifecycle: Lifecycle,
+): Owners {
+  const {ctx, table, timing, bounds, tombstones} = core;
+
+  const isSilent = (run: Run) =>
+    run.channelId === undefined &&
+    ctx.clock.now() - run.ownerHeardAt > timing.holdMs;
+
+  // An entry that died never says so. Its runs would hold memory until their
+  // time limit, which for a long prompt is many minutes.
+  const cancelOrphans = () => {
+    for (const run of table.all()) {
+      if (isOver(run) || run.state === 'offered' || !isSilent(run)) continue;
+      if (run.offer.kind === 'call' && run.started) continue;
+      ctx.log(SIDE_EVENTS.ownerLost, {dispatchId: run.id, owner: run.owner});
+      lifecycle.cancel(run, 'owner-lost', `entry ${run.owner} is silent`);
+    }
+  };
+
+  const isBeingRead = (run: Run) =>
+    run.channelId !== undefined && !run.delivered;
+
+  const forget = (run: Run) => {
+    // An id that can not be remembered stays in the table until it can be.
+    if (tombstones.isFull() && tombstones.get(run.id) === undefined) return;
+    if (run.channelId !== undefined) {
+      channels.dismiss(run.channelId, undefined);
+    }
+    lifecycle.forget(run);
+  };
+
+  const forgetOld = () => {
+    const now = ctx.clock.now();
+    const kept: Run[] = [];
+    for (const run of table.over()) {
+      if (run.lateCall || isBeingRead(run)) continue;
+      if (now - run.endedAt > timing.retentionMs) forget(run);
+      else kept.push(run);
+    }
+    forgetOverBound(kept);
+  };
+
+  const forgetOverBound = (kept: readonly Run[]) => {
+    let bytes = kept.reduce((total, run) => total + run.log.bytes(), 0);
+    const oldestFirst = [...kept].sort((a, b) => a.endedAt - b.endedAt);
+    for (const run of oldestFirst) {
+      if (bytes <= bounds.retentionBytes) return;
+      bytes -= run.log.bytes();
+      forget(run);
+    }
+  };
+
+  return {
+    heard: (entry, owned) => {
+      for (const id of owned) {
+        const run = table.get(id);
+        if (run?.owner === entry) run.ownerHeardAt = ctx.clock.now();
+      }
+    },
+    sweep: () => {
+      tombstones.sweep(ctx.clock.now());
+      cancelOrphans();
+      forgetOld();
+    },
+    forgive: () => {
+      for (const run of table.all()) run.ownerHeardAt = ctx.clock.now();
+    },
+    isAwaited: run => !isOver(run) || (!run.delivered && !isSilent(run)),
+  };
+}
--- /dev/null
+++ b/src/side/prediction.ts
@@ -0,0 +1,168 @@
+/**
+ * Predicts when a run will give its first token and when it will end, from
+ * the learned rates and what is ahead of it under the queue policy.
+ */
+import type {OfferReq} from '../types/peer_messages.js';
+import type {OrganisationId} from '../types/ids.js';
+import type {SideCore} from './core.js';
+import {classesOf, placesOf} from './core.js';
+import type {QueueItem, QueueView} from './queue_policy.js';
+import {classIndexOf} from './queue_policy.js';
+import {isHold, memoryOf, prefillLeft} from './run.js';
+import type {Run} from './run.js';
+
+const DEFAULT_AGEING_MS = 10_000;
+
+export interface Prediction {
+  readonly firstTokenMs: number;
+  /** Time to the end, the queue included. */
+  readonly endMs: number;
+  /** Time to the end if nothing were ahead. */
+  readonly aloneMs: number;
+}
+
+/** Time from start to end of a run with so much prefill and decode left. */
+function serviceMs(
+  core: SideCore,
+  offer: OfferReq,
+  prefillTokens: number,
+  tokensLeft: number,
+): number {
+  if (offer.kind === 'call') return core.rates.callMs();
+  return ownPrefillMs(core, offer, prefillTokens) + decodeMs(core, tokensLeft);
+}
+
+function ownPrefillMs(core: SideCore, offer: OfferReq, tokens: number): number {
+  return core.rates.prefillMs(tokens) / (offer.group?.size ?? 1);
+}
+
+function decodeMs(core: SideCore, tokens: number): number {
+  return Math.max(0, tokens) * core.rates.stepMs();
+}
+
+export function itemOf(core: SideCore, run: Run): QueueItem {
+  const left = prefillLeft(run);
+  const tokensLeft = run.offer.maxTokens - run.progress.nextToken;
+  return {
+    dispatchId: run.id,
+    organisation: run.offer.organisation,
+    weight: run.offer.weight,
+    priority: run.offer.priority,
+    classIndex: classIndexOf(classesOf(core), run.offer.promptTokens),
+    memoryTokens: run.memoryTokens,
+    prefillTokens: left,
+    enqueuedAt: run.offeredAt,
+    deadlineAt: run.deadlineAt,
+    serviceMs: serviceMs(core, run.offer, left, tokensLeft),
+  };
+}
+
+/** The queue as a policy sees it. */
+export function viewOf(
+  core: SideCore,
+  waiting: readonly Run[],
+  served: ReadonlyMap<OrganisationId, number>,
+): QueueView {
+  const {memory, config, ctx, table} = core;
+  return {
+    now: ctx.clock.now(),
+    waiting: waiting.map(run => itemOf(core, run)),
+    running: table
+      .placed()
+      .filter(run => !isHold(run.offer))
+      .map(run => itemOf(core, run)),
+    capacityTokens: memory.capacity(),
+    freeTokens: memory.free(),
+    maxRunning: placesOf(core),
+    classes: classesOf(core),
+    ageingMs: config?.declarations.policy.ageingMs ?? DEFAULT_AGEING_MS,
+    served,
+  };
+}
+
+/** Time until what runs has freed so many places and so much memory. */
+function freedAfterMs(
+  view: QueueView,
+  places: number,
+  memoryTokens: number,
+): number {
+  let needPlaces = places - (view.maxRunning - view.running.length);
+  let needMemory = view.capacityTokens > 0 ? memoryTokens - view.freeTokens : 0;
+  if (needPlaces <= 0 && needMemory <= 0) return 0;
+  const soonestFirst = [...view.running].sort(
+    (a, b) => a.serviceMs - b.serviceMs,
+  );
+  let after = 0;
+  for (const item of soonestFirst) {
+    after = item.serviceMs;
+    needPlaces -= 1;
+    needMemory -= item.memoryTokens;
+    if (needPlaces <= 0 && needMemory <= 0) return after;
+  }
+  // More is ahead than runs: so many more rounds of what runs.
+  const rounds = Math.max(
+    needPlaces / Math.max(1, view.maxRunning),
+    needMemory / Math.max(1, view.capacityTokens),
+  );
+  return after * (1 + Math.max(0, rounds));
+}
+
+const sum = (numbers: readonly number[]) => numbers.reduce((a, b) => a + b, 0);
+
+function itemOfOffer(core: SideCore, offer: OfferReq): QueueItem {
+  const now = core.ctx.clock.now();
+  return {
+    dispatchId: offer.dispatchId,
+    organisation: offer.organisation,
+    weight: offer.weight,
+    priority: offer.priority,
+    classIndex: classIndexOf(classesOf(core), offer.promptTokens),
+    memoryTokens: memoryOf(offer),
+    prefillTokens: offer.promptTokens,
+    enqueuedAt: now,
+    deadlineAt: now + offer.timeLeftMs,
+    serviceMs: serviceMs(core, offer, offer.promptTokens, offer.maxTokens),
+  };
+}
+
+export function predict(core: SideCore, offer: OfferReq): Prediction {
+  const item = itemOfOffer(core, offer);
+  const view = viewOf(core, core.table.waiting(), new Map());
+  const waitingAhead = view.waiting.filter(other =>
+    core.options.queuePolicy.waitsFor(view, item, other),
+  );
+  const runningAhead = view.running.filter(other =>
+    core.options.queuePolicy.waitsFor(view, item, other),
+  );
+  const ahead = [...waitingAhead, ...runningAhead];
+  const prefillAheadMs = sum(
+    ahead.map(other => core.rates.prefillMs(other.prefillTokens)),
+  );
+  const blockedMs = freedAfterMs(
+    view,
+    waitingAhead.length + 1,
+    sum(waitingAhead.map(other => other.memoryTokens)) + item.memoryTokens,
+  );
+  const waitMs = Math.max(prefillAheadMs, blockedMs);
+  const ownMs =
+    offer.kind === 'call'
+      ? item.serviceMs
+      : ownPrefillMs(core, offer, offer.promptTokens);
+  return {
+    firstTokenMs: waitMs + ownMs,
+    endMs: waitMs + item.serviceMs,
+    aloneMs: item.serviceMs,
+  };
+}
+
+/** Time until so much memory is free, as predicted. */
+export function memoryFreeMs(core: SideCore, memoryTokens: number): number {
+  const view = viewOf(core, [], new Map());
+  return freedAfterMs(view, 0, memoryTokens);
+}
+
+/** Time until a place is free, as predicted. */
+export function placeFreeMs(core: SideCore): number {
+  const view = viewOf(core, [], new Map());
+  return freedAfterMs(view, 1, 0);
+}
--- /dev/null
+++ b/src/side/runs_service.ts
@@ -0,0 +1,336 @@
+/**
+ * The `runs` service: sole owner of one upstream's capacity and of the runs on
+ * it. It takes one message at a time; what its timers, streams and channels
+ * have to say comes through its mailbox too.
+ */
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {SideHeartbeatReq} from '../types/peer_messages.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import {createAbandon} from './abandon.js';
+import {heartbeatOf, locate, loadOf, statusOf} from './answers.js';
+import {createAudit} from './audit.js';
+import {createChannels} from './channels.js';
+import type {RunsOptions, SideCore} from './core.js';
+import {createFairShares} from './fair_shares.js';
+import {createFrames} from './frames.js';
+import {DEFAULT_RATE_PRIORS, createLearnedRates} from './learned_rates.js';
+import {createLifecycle, stopListening} from './lifecycle.js';
+import {createMemoryLedger} from './memory_ledger.js';
+import type {RunsEvent, RunsMessage, RunsRequest} from './messages.js';
+import {createOffers} from './offers.js';
+import {createOrders} from './orders.js';
+import {createOwners} from './owners.js';
+import type {Run} from './run.js';
+import {createRunTable} from './run_table.js';
+import {createScheduler} from './scheduler.js';
+import {DEFAULT_SIDE_BOUNDS, DEFAULT_SIDE_TIMING} from './timing.js';
+import {createTombstones} from './tombstones.js';
+import {createUpstreamRunner} from './upstream_runner.js';
+import {createUpstreamWatch} from './upstream_watch.js';
+
+/** So many missed sweeps mean that the process stood still. */
+const FROZEN_SWEEPS = 3;
+
+export function createRunsService(options: RunsOptions): ServiceSpec<'runs'> {
+  let starts = 0;
+  return {
+    name: 'runs',
+    start: ctx => {
+      // A service that failed and was started again has forgotten its
+      // tombstones: to its peers it must be another incarnation.
+      const again = starts === 0 ? '' : `-${starts}`;
+      starts += 1;
+      run(createCore(ctx, options, options.incarnation + again));
+    },
+  };
+}
+
+function createCore(
+  ctx: ServiceContext<'runs'>,
+  options: RunsOptions,
+  incarnation: string,
+): SideCore {
+  const timing = {...DEFAULT_SIDE_TIMING, ...options.timing};
+  const bounds = {...DEFAULT_SIDE_BOUNDS, ...options.bounds};
+  const isEngine = options.upstream.kind === 'engine';
+  return {
+    ctx,
+    options,
+    incarnation,
+    timing,
+    bounds,
+    table: createRunTable(),
+    tombstones: createTombstones(timing.tombstoneMs, bounds.maxTombstones),
+    memory: createMemoryLedger(ctx.invariant),
+    rates: createLearnedRates({...DEFAULT_RATE_PRIORS, ...options.priors}),
+    upstream: {
+      heardAt: undefined,
+      reportAgeMs: 0,
+      models: [],
+      reconciled: !isEngine,
+    },
+    config: undefined,
+    leaving: false,
+    fence: 0,
+    fenceKnown: false,
+    queueChanged: false,
+  };
+}
+
+function run(core: SideCore): void {
+  const {ctx, timing, table} = core;
+  const shares = createFairShares();
+  const channels = createChannels(core);
+  const lifecycle = createLifecycle(core, channels);
+  const runner = createUpstreamRunner(core, channels, lifecycle);
+  const scheduler = createScheduler(core, shares, lifecycle, runner);
+  const owners = createOwners(core, channels, lifecycle);
+  const audit = createAudit(core, lifecycle);
+  const orders = createOrders(core);
+  const upstreamWatch = createUpstreamWatch(core);
+  const abandon = createAbandon(core, lifecycle);
+  const drains: Array<() => void> = [];
+  let lastTickAt = ctx.clock.now();
+
+  const due = (
+    target: Run,
+    what: (RunsEvent & {kind: 'due'})['what'],
+    afterMs: number,
+  ) => {
+    const dispatchId = target.id;
+    target.timers.push(
+      ctx.clock.after(afterMs, () =>
+        ctx.send('runs', {kind: 'due', dispatchId, what}),
+      ),
+    );
+  };
+
+  const watchDeadline = (target: Run) =>
+    due(target, 'deadline', target.deadlineAt - ctx.clock.now());
+
+  const offers = createOffers(core, shares, target => {
+    due(target, 'lapse', timing.offerLapseMs);
+    watchDeadline(target);
+  });
+  const frames = createFrames(core, channels, lifecycle, {
+    watchDeadline,
+    startReserved: scheduler.startReserved,
+  });
+
+  const lapse = (target: Run) => {
+    if (target.state !== 'offered') return;
+    ctx.log(SIDE_EVENTS.offerLapsed, {dispatchId: target.id});
+    lifecycle.cancel(target, 'lapsed', 'no go came for the accepted offer');
+  };
+
+  const deadline = (target: Run) => {
+    if (ctx.clock.now() < target.deadlineAt) {
+      watchDeadline(target);
+      return;
+    }
+    lifecycle.fail(target, {
+      code: 'deadline-exceeded',
+      message: 'the time limit passed',
+    });
+    if (target.lateCall) due(target, 'late-call', timing.lateCallMs);
+  };
+
+  const lateCall = (target: Run) => {
+    if (!target.lateCall) return;
+    stopListening(target);
+    target.lateCall = false;
+    core.queueChanged = true;
+  };
+
+  const onDue = (message: RunsEvent & {kind: 'due'}) => {
+    const target = table.get(message.dispatchId);
+    if (target === undefined) return;
+    switch (message.what) {
+      case 'lapse':
+        return lapse(target);
+      case 'deadline':
+        return deadline(target);
+      case 'prompt-gap':
+        return frames.promptGap(target);
+      case 'late-call':
+        return lateCall(target);
+    }
+  };
+
+  const checkFrozen = () => {
+    const now = ctx.clock.now();
+    const gap = now - lastTickAt;
+    lastTickAt = now;
+    if (gap <= FROZEN_SWEEPS * timing.heartbeatMs) return;
+    // While this process stood still it could hear nobody. To take that for
+    // the others' silence would end runs whose owners are well.
+    ctx.log(SIDE_EVENTS.sideFrozen, {ms: Math.round(gap)});
+    channels.forgive();
+    owners.forgive();
+  };
+
+  const gauges = () => {
+    const load = loadOf(core);
+    ctx.metrics.gauge('side_queue_length', {}, load.queued);
+    ctx.metrics.gauge('side_running', {}, load.running);
+    ctx.metrics.gauge('side_reserved_tokens', {}, core.memory.reserved());
+  };
+
+  const tick = () => {
+    checkFrozen();
+    for (const id of channels.sweep()) {
+      ctx.log(SIDE_EVENTS.channelSilent, {channel: id});
+      frames.closed(id, false);
+    }
+    owners.sweep();
+    runner.sweep();
+    // Ageing and deadlines change the queue without any event.
+    core.queueChanged = true;
+    gauges();
+  };
+
+  const heartbeat = (req: SideHeartbeatReq) => {
+    owners.heard(req.entry, req.owned);
+    orders.fenceSeen(req.fence);
+    if (req.configNumber > (core.config?.number ?? 0)) {
+      ctx.send('config', {
+        kind: 'peer-number',
+        peer: req.entryAddress,
+        number: req.configNumber,
+      });
+    }
+    return heartbeatOf(core);
+  };
+
+  const leave = (reply: () => void) => {
+    if (!core.leaving) ctx.log(SIDE_EVENTS.sideLeaving, {node: ctx.name});
+    core.leaving = true;
+    drains.push(reply);
+  };
+
+  const onRequest = (message: RunsRequest) => {
+    switch (message.kind) {
+      case 'offer':
+        return message.reply(offers.offer(message.req));
+      case 'abandon':
+        return message.reply(abandon(message.req));
+      case 'locate':
+        return message.reply(locate(core, message.req));
+      case 'heartbeat':
+        return message.reply(heartbeat(message.req));
+      case 'order':
+        return orders.order(message.req, message.reply);
+      case 'channel':
+        return channels.open(message.channel);
+      case 'config':
+        if (message.config.number <= (core.config?.number ?? 0)) return;
+        core.config = message.config;
+        core.queueChanged = true;
+        return;
+      case 'drain':
+        return leave(message.reply);
+      case 'status':
+        return message.reply(statusOf(core, channels.count()));
+    }
+  };
+
+  const onEvent = (message: RunsEvent) => {
+    switch (message.kind) {
+      case 'frame':
+        return frames.handle(message.channelId, message.frame);
+      case 'channel-closed':
+        return frames.closed(message.channelId, message.clean);
+      case 'channel-ready': {
+        const id = channels.ready(message.channelId);
+        const target = id === undefined ? undefined : table.get(id);
+        if (target !== undefined) channels.pump(target);
+        return;
+      }
+      case 'upstream': {
+        const target = table.get(message.dispatchId);
+        if (target === undefined) return;
+        return runner.handle(target, message.stream, message.event);
+      }
+      case 'resume-due': {
+        const target = table.get(message.dispatchId);
+        if (target !== undefined) runner.resume(target, message.stream);
+        return;
+      }
+      case 'due':
+        return onDue(message);
+      case 'tick':
+        return tick();
+      case 'audit':
+        return audit.ask();
+      case 'listed':
+        return audit.listed(message.sentAt, message.outcome);
+      case 'freed':
+        return audit.freed(message.dispatchId, message.outcome);
+      case 'report':
+        if (!core.upstream.reconciled) audit.ask();
+        return upstreamWatch.ask();
+      case 'reported':
+        return upstreamWatch.reported(message.outcome);
+      case 'fence-due':
+        return orders.askFence();
+      case 'fence-read':
+        return orders.fenceRead(message.outcome);
+      case 'order-done':
+        return orders.done(message.orderId, message.outcome);
+    }
+  };
+
+  const answerDrains = () => {
+    if (drains.length === 0 || table.all().some(owners.isAwaited)) return;
+    if (table.placed().length > 0) return;
+    ctx.log(SIDE_EVENTS.sideDrained, {});
+    for (const reply of drains.splice(0)) reply();
+  };
+
+  const handle = (message: RunsMessage) => {
+    if (isRequest(message)) onRequest(message);
+    else onEvent(message);
+    if (core.queueChanged) {
+      core.queueChanged = false;
+      scheduler.run();
+    }
+    answerDrains();
+  };
+
+  const periodically = (ms: number, message: RunsEvent) =>
+    ctx.own(ctx.clock.every(ms, () => ctx.send('runs', message)));
+
+  ctx.own(() => channels.closeAll());
+  ctx.own(() => {
+    for (const target of table.all()) {
+      stopListening(target);
+      for (const cancel of target.timers.splice(0)) cancel();
+    }
+  });
+  void ctx.mailbox.observe(handle);
+  periodically(timing.heartbeatMs, {kind: 'tick'});
+  periodically(timing.auditMs, {kind: 'audit'});
+  periodically(timing.reportMs, {kind: 'report'});
+  ctx.send('runs', {kind: 'report'});
+  ctx.send('runs', {kind: 'fence-due'});
+  ctx.send('config', {
+    kind: 'subscribe',
+    listener: config => ctx.send('runs', {kind: 'config', config}),
+  });
+}
+
+const REQUEST_KINDS: ReadonlySet<string> = new Set<RunsRequest['kind']>([
+  'offer',
+  'abandon',
+  'locate',
+  'heartbeat',
+  'order',
+  'channel',
+  'config',
+  'drain',
+  'status',
+]);
+
+function isRequest(message: RunsMessage): message is RunsRequest {
+  return REQUEST_KINDS.has(message.kind);
+}
--- /dev/null
+++ b/src/side/scheduler.ts
@@ -0,0 +1,95 @@
+/** Starts waiting runs as the queue policy says, and logs each decision. */
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {SideCore} from './core.js';
+import {isUpstreamDown} from './core.js';
+import type {FairShares} from './fair_shares.js';
+import type {Lifecycle} from './lifecycle.js';
+import {viewOf} from './prediction.js';
+import type {QueueChoice, QueueView} from './queue_policy.js';
+import type {Run} from './run.js';
+import type {UpstreamRunner} from './upstream_runner.js';
+
+export interface Scheduler {
+  /** Starts all that may start now. */
+  run(): void;
+  /** Starts a member of a group, whose memory is reserved already. */
+  startReserved(run: Run): void;
+}
+
+export function createScheduler(
+  core: SideCore,
+  shares: FairShares,
+  lifecycle: Lifecycle,
+  runner: UpstreamRunner,
+): Scheduler {
+  const {ctx, table} = core;
+
+  const isLate = (run: Run) => {
+    if (ctx.clock.now() < run.deadlineAt) return false;
+    lifecycle.fail(run, {
+      code: 'deadline-exceeded',
+      message: 'the time limit passed in the queue',
+    });
+    return true;
+  };
+
+  const charge = (run: Run) => {
+    const {organisation, weight, promptTokens, maxTokens, kind} = run.offer;
+    const cost = kind === 'call' ? 1 : promptTokens + maxTokens;
+    shares.charge(organisation, cost, weight);
+  };
+
+  const logStart = (run: Run, reason: string, view: QueueView) => {
+    const now = ctx.clock.now();
+    ctx.log(SIDE_EVENTS.runStarted, {
+      dispatchId: run.id,
+      policy: core.options.queuePolicy.name,
+      reason,
+      organisation: run.offer.organisation,
+      promptTokens: run.offer.promptTokens,
+      waitedMs: Math.round(now - run.offeredAt),
+      timeLeftMs: Math.round(run.deadlineAt - now),
+      memoryTokens: run.memoryTokens,
+      freeTokens: view.freeTokens,
+      running: view.running.length,
+      waiting: view.waiting.map(item => item.dispatchId),
+    });
+  };
+
+  const start = (run: Run, choice: QueueChoice, view: QueueView) => {
+    logStart(run, choice.reason, view);
+    charge(run);
+    runner.start(run, choice.enginePriority);
+  };
+
+  const queued = () => table.all().filter(run => run.state === 'queued');
+
+  const startNext = (): boolean => {
+    const waiting = queued().filter(run => run.offer.group === undefined);
+    if (waiting.length === 0) return false;
+    const view = viewOf(core, waiting, shares.served());
+    const choice = core.options.queuePolicy.choose(view);
+    const run = choice && table.get(choice.dispatchId);
+    if (choice === undefined || run === undefined) return false;
+    start(run, choice, view);
+    return true;
+  };
+
+  return {
+    run: () => {
+      for (const run of queued()) isLate(run);
+      if (isUpstreamDown(core)) return;
+      while (startNext());
+    },
+    startReserved: run => {
+      if (isLate(run)) return;
+      const view = viewOf(core, [run], shares.served());
+      const choice = {
+        dispatchId: run.id,
+        enginePriority: run.offer.priority,
+        reason: 'group',
+      };
+      start(run, choice, view);
+    },
+  };
+}
--- /dev/null
+++ b/src/side/upstream_runner.ts
@@ -0,0 +1,241 @@
+/**
+ * Hands runs to the upstream and listens to what comes back. A stream that
+ * breaks is taken up again from the next token on a new connection; a call to
+ * a plain service is made once and never repeated here.
+ */
+import type {Stream} from 'most';
+import {OnyxError} from '../types/errors.js';
+import type {CallEvent, EngineEvent} from '../types/upstream.js';
+import {SIDE_EVENTS} from '../utils/events.js';
+import type {Channels} from './channels.js';
+import type {SideCore} from './core.js';
+import {createEngineEvents} from './engine_events.js';
+import type {Lifecycle} from './lifecycle.js';
+import {stopListening} from './lifecycle.js';
+import type {UpstreamEvent} from './messages.js';
+import {isHold, isOver, prefillLeft, ranOf} from './run.js';
+import type {Run} from './run.js';
+
+export interface UpstreamRunner {
+  /** Hands a run to the upstream; once for each id. */
+  start(run: Run, enginePriority: number): void;
+  handle(run: Run, stream: number, event: UpstreamEvent): void;
+  resume(run: Run, stream: number): void;
+  /** Treats engine streams without any event for too long as broken. */
+  sweep(): void;
+}
+
+async function* nothing(): AsyncIterable<Uint8Array> {
+  // A hold has no prompt.
+}
+
+export function createUpstreamRunner(
+  core: SideCore,
+  channels: Channels,
+  lifecycle: Lifecycle,
+): UpstreamRunner {
+  const {ctx, timing, options, table, tombstones, memory, rates} = core;
+  const {upstream} = options;
+
+  const lost = (run: Run, cause: unknown) =>
+    cause instanceof OnyxError
+      ? cause
+      : new OnyxError({
+          code: 'upstream-lost',
+          step: 'run',
+          peer: options.node,
+          message: cause instanceof Error ? cause.message : String(cause),
+          ran: ranOf(run),
+        });
+
+  const listen = <E>(
+    run: Run,
+    source: Stream<E>,
+    wrap: (event: E) => UpstreamEvent,
+  ) => {
+    run.stream.number += 1;
+    const stream = run.stream.number;
+    const tell = (event: UpstreamEvent) =>
+      ctx.send('runs', {kind: 'upstream', dispatchId: run.id, stream, event});
+    const broken = (cause: unknown) =>
+      tell({from: 'stream', error: lost(run, cause)});
+    const subscription = source.subscribe({
+      next: event => tell(wrap(event)),
+      error: broken,
+      complete: () => broken(new Error('the stream ended early')),
+    });
+    run.stream.unsubscribe = () => subscription.unsubscribe();
+  };
+
+  const listenToEngine = (run: Run, source: Stream<EngineEvent>) => {
+    run.progress.lastEventAt = ctx.clock.now();
+    listen(run, source, event => ({from: 'engine', event}));
+  };
+
+  const handOver = (run: Run, enginePriority: number) => {
+    const {offer} = run;
+    if (upstream.kind === 'service') {
+      const head = run.call ?? {method: 'GET', path: '/', headers: []};
+      const answer = upstream.client.call(run.id, head, run.prompt.take());
+      listen(run, answer, event => ({from: 'service', event}));
+      return;
+    }
+    const holdOnly = isHold(offer);
+    const req = {
+      runId: run.id,
+      model: offer.model,
+      adapter: offer.adapter,
+      priority: enginePriority,
+      promptTokens: offer.promptTokens,
+      maxTokens: offer.maxTokens,
+      memoryTokens: run.memoryTokens,
+      groupSize: offer.group?.size ?? 1,
+      holdOnly,
+      prefixHashes: offer.prefixHashes,
+    };
+    const prompt = holdOnly ? nothing() : run.prompt.take();
+    listenToEngine(run, upstream.client.start(req, prompt));
+  };
+
+  const noteBusy = () => {
+    const busy = table
+      .placed()
+      .some(run => run.progress.seen && prefillLeft(run) > 0);
+    rates.prefillBusy(busy, ctx.clock.now());
+  };
+
+  const giveUp = (run: Run, error: OnyxError) =>
+    lifecycle.fail(run, {code: 'upstream-lost', message: error.message});
+
+  const engineBroke = (run: Run, error: OnyxError) => {
+    ctx.log(SIDE_EVENTS.streamBroken, {
+      dispatchId: run.id,
+      nextToken: run.progress.nextToken,
+      resumes: run.stream.resumes,
+      code: error.code,
+      cause: error.message,
+    });
+    stopListening(run);
+    // The engine answered that it has no such run: there is nothing to take up.
+    if (error.code === 'not-found') return giveUp(run, error);
+    if (run.stream.resumes >= timing.maxResumes) return giveUp(run, error);
+    const pause = timing.resumeFirstMs * 2 ** run.stream.resumes;
+    run.stream.resumes += 1;
+    const stream = run.stream.number;
+    run.timers.push(
+      ctx.clock.after(pause, () =>
+        ctx.send('runs', {kind: 'resume-due', dispatchId: run.id, stream}),
+      ),
+    );
+  };
+
+  const engineEvents = createEngineEvents(
+    core,
+    channels,
+    lifecycle,
+    engineBroke,
+  );
+
+  const placeFreed = (run: Run) => {
+    stopListening(run);
+    run.lateCall = false;
+    core.queueChanged = true;
+  };
+
+  const callEvent = (run: Run, event: CallEvent) => {
+    run.progress.seen = true;
+    if (isOver(run)) {
+      if (event.kind === 'done') placeFreed(run);
+      return;
+    }
+    switch (event.kind) {
+      case 'head':
+        append(run, new Uint8Array(0), event.head);
+        break;
+      case 'data':
+        append(run, event.data);
+        break;
+      case 'done':
+        rates.called(ctx.clock.now() - run.startedAt);
+        lifecycle.end(run, 'done', 0);
+        break;
+    }
+  };
+
+  const append = (
+    run: Run,
+    data: Uint8Array,
+    callHead?: (CallEvent & {kind: 'head'})['head'],
+  ) => {
+    run.log.append({dispatchId: run.id, data, tokens: 0, callHead});
+    channels.pump(run);
+  };
+
+  const callBroke = (run: Run, error: OnyxError) => {
+    if (isOver(run)) return placeFreed(run);
+    stopListening(run);
+    // Only the client knows whether a byte was sent; once an event came back,
+    // one surely was.
+    const unsent = error.ran === 'no' && !run.progress.seen;
+    lifecycle.fail(run, {
+      code: error.code,
+      message: error.message,
+      ran: unsent ? 'no' : ranOf(run),
+    });
+  };
+
+  return {
+    start: (run, enginePriority) => {
+      ctx.invariant(!run.started, 'dispatch-started-once', {
+        dispatchId: run.id,
+      });
+      ctx.invariant(
+        tombstones.get(run.id) === undefined,
+        'nothing-started-after-tombstone',
+        {dispatchId: run.id},
+      );
+      if (upstream.kind === 'engine' && !memory.holds(run.id)) {
+        memory.reserve(run.id, run.memoryTokens);
+      }
+      // From the first byte on the upstream may run it, whatever becomes of
+      // this process. `started` is set and told before, so that no answer
+      // given later can claim that it did not run.
+      run.state = 'running';
+      run.started = true;
+      run.startedAt = ctx.clock.now();
+      channels.sendStarted(run);
+      handOver(run, enginePriority);
+    },
+    handle: (run, stream, event) => {
+      if (stream !== run.stream.number) return;
+      run.progress.lastEventAt = ctx.clock.now();
+      if (event.from === 'service') {
+        callEvent(run, event.event);
+      } else if (event.from === 'engine') {
+        engineEvents(run, event.event);
+        noteBusy();
+      } else if (run.offer.kind === 'call') {
+        callBroke(run, event.error);
+      } else {
+        engineBroke(run, event.error);
+      }
+    },
+    resume: (run, stream) => {
+      if (upstream.kind !== 'engine' || run.state !== 'running') return;
+      if (stream !== run.stream.number) return;
+      const {nextToken} = run.progress;
+      listenToEngine(run, upstream.client.resume(run.id, nextToken));
+    },
+    sweep: () => {
+      if (upstream.kind !== 'engine') return;
+      const now = ctx.clock.now();
+      for (const run of table.placed()) {
+        if (run.stream.unsubscribe === undefined) continue;
+        const {seen, lastEventAt} = run.progress;
+        const limit = seen ? timing.engineSilenceMs : timing.firstEventMs;
+        if (now - lastEventAt <= limit) continue;
+        engineBroke(run, lost(run, new Error('the stream went silent')));
+      }
+    },
+  };
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -27,6 +27,33 @@
   clockJumped: event(113, 'warn', 'clock-jumped'),
 } as const;
 
+export const SIDE_EVENTS = {
+  offerAccepted: event(400, 'info', 'offer-accepted'),
+  offerRefused: event(401, 'info', 'offer-refused'),
+  offerLapsed: event(402, 'info', 'offer-lapsed'),
+  runStarted: event(403, 'info', 'run-started'),
+  runEnded: event(404, 'info', 'run-ended'),
+  runFailed: event(405, 'info', 'run-failed'),
+  runAbandoned: event(406, 'info', 'run-abandoned'),
+  runTakenOver: event(407, 'info', 'run-taken-over'),
+  goRefused: event(408, 'warn', 'go-refused'),
+  channelSilent: event(409, 'warn', 'channel-silent'),
+  ownerLost: event(410, 'warn', 'owner-lost'),
+  streamBroken: event(411, 'warn', 'upstream-stream-broken'),
+  strayRunFreed: event(412, 'warn', 'stray-run-freed'),
+  runMissing: event(413, 'warn', 'run-missing-at-engine'),
+  auditFailed: event(414, 'warn', 'audit-failed'),
+  reconciled: event(415, 'info', 'engine-reconciled'),
+  freeFailed: event(416, 'warn', 'engine-free-failed'),
+  sideLeaving: event(417, 'info', 'side-leaving'),
+  sideDrained: event(418, 'info', 'side-drained'),
+  orderRefused: event(419, 'warn', 'order-refused'),
+  orderPassed: event(420, 'info', 'order-passed'),
+  orderFailed: event(421, 'warn', 'order-failed'),
+  fenceRead: event(422, 'info', 'fence-read'),
+  sideFrozen: event(423, 'warn', 'side-was-frozen'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
