feat(entry): drive requests from submit to their one final event

The path of a request at an entry: limits, claim, ranked candidates, offers, go with the prompt in 64 KiB frames, checked chunks, end with count and digest, renewed channels, abandon as evidence, bounded retries, resume and state at any entry. Routing policies are functions passed in.

--- /dev/null
+++ b/src/entry/abandon.ts
@@ -0,0 +1,78 @@
+/**
+ * Asks a side to give up a dispatch. The side tombstones the id before it
+ * answers `never-started`, so that answer is evidence that no late copy of the
+ * offer or the go will run; every other outcome is not.
+ */
+import type {Ran} from '../types/errors.js';
+import type {Address, DispatchId, Incarnation, NodeId} from '../types/ids.js';
+import type {Log} from '../types/runtime.js';
+import type {Transport} from '../types/transport.js';
+import {REQUEST_EVENTS} from '../utils/events.js';
+import type {RequestTiming} from './timing.js';
+
+export interface AbandonTarget {
+  readonly side: Address;
+  readonly dispatchId: DispatchId;
+  readonly incarnation: Incarnation;
+}
+
+export interface AbandonOutcome {
+  readonly ran: Ran;
+  /** The side answered, in whichever way. */
+  readonly answered: boolean;
+  /** Incarnation that answered; the one asked for when none did. */
+  readonly incarnation: Incarnation;
+}
+
+export interface AbandonDeps {
+  readonly transport: Transport;
+  readonly timing: RequestTiming;
+  readonly node: NodeId;
+  readonly log: Log;
+}
+
+const RAN_OF_STATE = {
+  'never-started': 'no',
+  started: 'yes',
+  unknown: 'unknown',
+} as const;
+
+export async function abandonDispatch(
+  deps: AbandonDeps,
+  target: AbandonTarget,
+): Promise<AbandonOutcome> {
+  const res = await deps.transport.call(
+    target.side,
+    'abandon',
+    {
+      dispatchId: target.dispatchId,
+      entry: deps.node,
+      incarnation: target.incarnation,
+    },
+    deps.timing.abandonTimeoutMs,
+  );
+  const outcome = res.caseOf<AbandonOutcome>({
+    Left: () => ({
+      ran: 'unknown',
+      answered: false,
+      incarnation: target.incarnation,
+    }),
+    Right: answer => ({
+      // Another incarnation has no record of this dispatch: its word on it
+      // is no evidence, whatever it says.
+      ran:
+        answer.incarnation === target.incarnation
+          ? RAN_OF_STATE[answer.state]
+          : 'unknown',
+      answered: true,
+      incarnation: answer.incarnation,
+    }),
+  });
+  deps.log(REQUEST_EVENTS.abandoned, {
+    dispatch: target.dispatchId,
+    side: target.side,
+    answered: outcome.answered,
+    ran: outcome.ran,
+  });
+  return outcome;
+}
--- /dev/null
+++ b/src/entry/admit.ts
@@ -0,0 +1,61 @@
+/**
+ * What a request needs before it is routed: a place within its organisation's
+ * limits and, where it must not run twice, the record of its idempotency key.
+ */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {ServiceContext} from '../types/kernel.js';
+import type {ClaimOutcome, RequestSpec} from '../types/services.js';
+
+type Ctx = ServiceContext<'requests'>;
+
+/** Takes a place; `release` must follow when the request is over. */
+export function acquirePlace(
+  ctx: Ctx,
+  spec: RequestSpec,
+): Promise<Either<OnyxError, void>> {
+  return asked(
+    ctx.ask('limits', (reply: (value: Either<OnyxError, void>) => void) => ({
+      kind: 'acquire',
+      organisation: spec.organisation,
+      tokens: spec.promptTokens + spec.maxTokens,
+      reply,
+    })),
+  );
+}
+
+/** A request that may be repeated, or has no key, is always ours. */
+export function claimKey(
+  ctx: Ctx,
+  spec: RequestSpec,
+): Promise<Either<OnyxError, ClaimOutcome>> {
+  const key = spec.idempotencyKey;
+  if (spec.repeatable || key === undefined) {
+    return Promise.resolve(Right({kind: 'ours'}));
+  }
+  return asked(
+    ctx.ask(
+      'claims',
+      (reply: (value: Either<OnyxError, ClaimOutcome>) => void) => ({
+        kind: 'claim',
+        organisation: spec.organisation,
+        key,
+        requestId: spec.id,
+        reply,
+      }),
+    ),
+  );
+}
+
+/** `ask` rejects when the other service has ended. */
+async function asked<T>(
+  answer: Promise<Either<OnyxError, T>>,
+): Promise<Either<OnyxError, T>> {
+  try {
+    return await answer;
+  } catch (err) {
+    if (err instanceof OnyxError) return Left(err);
+    throw err;
+  }
+}
--- /dev/null
+++ b/src/entry/drive_request.ts
@@ -0,0 +1,179 @@
+/**
+ * Drives one admitted request: offers, the attempt on the side that accepted,
+ * and other attempts where the rules, the budget and the time allow them.
+ */
+import type {ErrorDetails} from '../types/errors.js';
+import type {Incarnation} from '../types/ids.js';
+import type {RequestSpec} from '../types/services.js';
+import {REQUEST_EVENTS} from '../utils/events.js';
+import type {FinalEvent} from './answer_log.js';
+import {startAttempt} from './attempt.js';
+import type {AttemptOutcome} from './attempt.js';
+import {offerRound} from './offers.js';
+import type {AcceptedOffer, OfferDeps} from './offers.js';
+import {failedEvent, isOver, strongerRan} from './open_request.js';
+import type {OpenRequest} from './open_request.js';
+import type {RetryBudget} from './retry_budget.js';
+import {judgeOutcome} from './verdict.js';
+import type {Verdict} from './verdict.js';
+
+export interface DriveDeps extends OfferDeps {
+  readonly budget: RetryBudget;
+  /** Gives the request its final event, unless it has one. */
+  readonly finish: (open: OpenRequest, event: FinalEvent) => void;
+}
+
+/** What was tried so far. */
+interface Past {
+  readonly tries: number;
+  /** Incarnations on which an attempt failed. */
+  readonly lost: ReadonlySet<Incarnation>;
+}
+
+/** Resolves when the request is over. Does not throw for the request's sake. */
+export async function driveRequest(
+  deps: DriveDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+): Promise<void> {
+  const lost = new Set<Incarnation>();
+  deps.budget.onFirstAttempt(spec.config.declarations.policy.retryRatio);
+  for (let tries = 1; !isOver(open); tries++) {
+    const offer = await offerRound(deps, open, spec, lost);
+    if (offer.kind === 'over') return;
+    if (offer.kind === 'none') {
+      deps.finish(open, failedEvent(open, offer.details));
+      return;
+    }
+    const outcome = await runOn(deps, open, spec, offer);
+    lost.add(offer.incarnation);
+    const verdict = judgeOutcome(outcome, {
+      side: open.side,
+      repeatable: spec.repeatable,
+      delivered: open.answer.nextSeq(),
+    });
+    if (verdict === undefined || isOver(open)) return;
+    if (!(await goesOn(deps, open, spec, verdict, {tries, lost}))) return;
+  }
+}
+
+async function runOn(
+  deps: DriveDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+  offer: AcceptedOffer,
+): Promise<AttemptOutcome> {
+  const side = offer.ranked.target.replica.address;
+  const {dispatchId} = offer;
+  assertMayRun(deps, open, spec);
+  open.side = side;
+  open.dispatchId = dispatchId;
+  deps.tellMembership({kind: 'own', address: side, dispatchId});
+  open.answer.placed({kind: 'placed', dispatchId, side});
+  const attempt = startAttempt(deps, {
+    side,
+    dispatchId,
+    incarnation: offer.incarnation,
+    organisation: spec.organisation,
+    go: {body: spec.body, call: spec.call, deadlineAt: spec.deadlineAt},
+    answer: open.answer,
+    onEvidence: (what, incarnation) =>
+      deps.tellMembership({kind: 'evidence', address: side, what, incarnation}),
+  });
+  open.stopAttempt = attempt.stop;
+  open.attemptRan = attempt.ran;
+  const outcome = await attempt.outcome;
+  open.stopAttempt = undefined;
+  open.attemptRan = undefined;
+  deps.tellMembership({kind: 'disown', address: side, dispatchId});
+  return outcome;
+}
+
+function assertMayRun(
+  deps: DriveDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+): void {
+  deps.invariant(
+    spec.repeatable || open.ran === 'no',
+    'not-repeatable-runs-once',
+    {request: spec.id, ran: open.ran},
+  );
+  deps.invariant(open.answer.nextSeq() === 0, 'answers-never-mixed', {
+    request: spec.id,
+    delivered: open.answer.nextSeq(),
+  });
+}
+
+/** Applies the verdict; true when another attempt is to be made. */
+async function goesOn(
+  deps: DriveDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+  verdict: Verdict,
+  past: Past,
+): Promise<boolean> {
+  if (verdict.kind === 'end') {
+    const {end} = verdict.outcome;
+    deps.router.ended(spec, end.cachedTokens);
+    deps.finish(open, {
+      kind: 'end',
+      count: end.count,
+      tokens: open.answer.tokens(),
+      finishReason: end.finishReason,
+      cachedTokens: end.cachedTokens,
+    });
+    return false;
+  }
+  open.ran = strongerRan(open.ran, verdict.ran);
+  deps.log(REQUEST_EVENTS.attemptLost, {
+    dispatch: open.dispatchId,
+    side: open.side,
+    ran: verdict.ran,
+    cause: verdict.details.message,
+  });
+  if (verdict.kind === 'retry' && mayRetry(deps, spec, verdict, past)) {
+    deps.metrics.count('onyxloft_retries_total', {ran: verdict.ran});
+    deps.log(REQUEST_EVENTS.retried, {
+      request: spec.id,
+      tries: past.tries,
+    });
+    await pause(deps, past.tries);
+    return !isOver(open);
+  }
+  giveUp(deps, open, verdict.details);
+  return false;
+}
+
+function mayRetry(
+  deps: DriveDeps,
+  spec: RequestSpec,
+  verdict: Verdict & {kind: 'retry'},
+  past: Past,
+): boolean {
+  if (past.tries >= spec.config.declarations.policy.maxOffers) return false;
+  const best = deps.router.rank(spec, past.lost)[0];
+  if (best === undefined) return false;
+  const timeLeftMs = spec.deadlineAt - deps.clock.now();
+  // It could only end late: the caller is better served by the failure now.
+  if (best.predictedFirstTokenMs >= timeLeftMs) return false;
+  // Work that did not run adds no load when it runs elsewhere.
+  return verdict.ran === 'no' || deps.budget.take();
+}
+
+function giveUp(
+  deps: DriveDeps,
+  open: OpenRequest,
+  details: ErrorDetails,
+): void {
+  deps.finish(
+    open,
+    failedEvent(open, {...details, retryAfterMs: details.retryAfterMs ?? 1000}),
+  );
+}
+
+function pause(deps: DriveDeps, tries: number): Promise<void> {
+  const jitter = 0.5 + deps.random.next();
+  const delayMs = deps.timing.retryPauseMs * 2 ** (tries - 1) * jitter;
+  return new Promise(resolve => deps.clock.after(delayMs, resolve));
+}
--- /dev/null
+++ b/src/entry/open_request.ts
@@ -0,0 +1,83 @@
+/**
+ * One request that this entry owns, from submit to its one final event, and
+ * what is known so far of whether its work ran.
+ */
+import {OnyxError} from '../types/errors.js';
+import type {ErrorDetails, Ran} from '../types/errors.js';
+import type {
+  Address,
+  DispatchId,
+  OrganisationId,
+  RequestId,
+} from '../types/ids.js';
+import type {WorkKind} from '../types/peer_messages.js';
+import type {AnswerLog, FinalEvent} from './answer_log.js';
+
+export interface OpenRequest {
+  readonly id: RequestId;
+  readonly organisation: OrganisationId;
+  readonly kind: WorkKind;
+  readonly answer: AnswerLog;
+  /** Side and dispatch of the newest attempt; empty before the first. */
+  side: Address;
+  dispatchId: DispatchId;
+  /** Highest attempt number given out. */
+  attempts: number;
+  /** What the attempts that are over let us say. */
+  ran: Ran;
+  /** Ends the attempt that runs now. */
+  stopAttempt: (() => void) | undefined;
+  /** What the running attempt lets us say. */
+  attemptRan: (() => Ran) | undefined;
+}
+
+export function createOpenRequest(
+  id: RequestId,
+  organisation: OrganisationId,
+  kind: WorkKind,
+  answer: AnswerLog,
+): OpenRequest {
+  return {
+    id,
+    organisation,
+    kind,
+    answer,
+    side: '',
+    dispatchId: '',
+    attempts: 0,
+    ran: 'no',
+    stopAttempt: undefined,
+    attemptRan: undefined,
+  };
+}
+
+const RAN_ORDER: readonly Ran[] = ['no', 'unknown', 'yes'];
+
+/** The stronger claim of two: `yes` over `unknown` over `no`. */
+export function strongerRan(a: Ran, b: Ran): Ran {
+  return RAN_ORDER.indexOf(a) >= RAN_ORDER.indexOf(b) ? a : b;
+}
+
+/** What may be said now about the whole request. */
+export function ranSoFar(open: OpenRequest): Ran {
+  return strongerRan(open.ran, open.attemptRan?.() ?? 'no');
+}
+
+export function isOver(open: OpenRequest): boolean {
+  return open.answer.final() !== undefined;
+}
+
+/** The failure as the caller gets it, with id and `ran` filled in. */
+export function failedEvent(
+  open: OpenRequest,
+  details: ErrorDetails,
+): FinalEvent {
+  return {
+    kind: 'failed',
+    error: new OnyxError({
+      ...details,
+      requestId: open.id,
+      ran: details.ran ?? ranSoFar(open),
+    }),
+  };
+}
--- /dev/null
+++ b/src/entry/prompt_sender.ts
@@ -0,0 +1,38 @@
+/**
+ * Sends a prompt in small frames, each only when the channel can take it, so
+ * that a prompt of megabytes neither blocks short requests in this process nor
+ * fills its memory with unsent frames.
+ */
+import type {RunUp} from '../types/peer_messages.js';
+import type {Body} from '../types/services.js';
+
+/** Largest prompt frame, in bytes. */
+export const PROMPT_FRAME_BYTES = 64 * 1024;
+
+export interface PromptTarget {
+  send(frame: RunUp): Promise<void>;
+  closed(): boolean;
+}
+
+/** Resolves to true when the prompt's end was sent. */
+export async function sendPrompt(
+  target: PromptTarget,
+  body: Body,
+): Promise<boolean> {
+  let seq = 0;
+  for (const data of framesOf(body)) {
+    await target.send({kind: 'prompt', seq, data});
+    if (target.closed()) return false;
+    seq++;
+  }
+  await target.send({kind: 'prompt-end', count: seq});
+  return !target.closed();
+}
+
+function* framesOf(body: Body): Generator<Uint8Array> {
+  for (const piece of body.pieces) {
+    for (let at = 0; at < piece.length; at += PROMPT_FRAME_BYTES) {
+      yield piece.subarray(at, at + PROMPT_FRAME_BYTES);
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/requests.ts
@@ -0,0 +1,295 @@
+/**
+ * The service that owns requests: from submit to the one final event of each.
+ * It keeps deadlines, limits and ownership; how a request is run stands in
+ * `drive_request.ts`.
+ */
+import {OnyxError} from '../types/errors.js';
+import type {
+  FailureDomain,
+  NodeId,
+  OrganisationId,
+  RequestId,
+} from '../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {
+  MembershipView,
+  RequestListener,
+  RequestSpec,
+  RequestsMessage,
+} from '../types/services.js';
+import type {Transport} from '../types/transport.js';
+import type {RoutingPolicy} from '../policy/routing.js';
+import {REQUEST_EVENTS} from '../utils/events.js';
+import {acquirePlace, claimKey} from './admit.js';
+import {createAnswerLog} from './answer_log.js';
+import type {FinalEvent} from './answer_log.js';
+import {driveRequest} from './drive_request.js';
+import type {DriveDeps} from './drive_request.js';
+import {
+  createOpenRequest,
+  failedEvent,
+  isOver,
+  ranSoFar,
+  strongerRan,
+} from './open_request.js';
+import type {OpenRequest} from './open_request.js';
+import {createRequestTable} from './request_table.js';
+import {createResumer} from './resume.js';
+import {createRetryBudget} from './retry_budget.js';
+import {createRouter} from './router.js';
+import {DEFAULT_REQUEST_TIMING} from './timing.js';
+import type {RequestTiming} from './timing.js';
+
+/** A membership that was restarted has lost its subscribers. */
+const SUBSCRIBE_EVERY_MS = 5_000;
+/** When to come back to another entry while this one drains. */
+const DRAIN_RETRY_AFTER_MS = 200;
+const DEFAULT_PREFIX_BLOCK_TOKENS = 256;
+
+export interface RequestsOptions {
+  readonly transport: Transport;
+  readonly node: NodeId;
+  readonly failureDomain: FailureDomain;
+  /** Policy by the name that the configuration gives. */
+  readonly routingPolicy: (name: string) => RoutingPolicy;
+  /** @default DEFAULT_REQUEST_TIMING */
+  readonly timing?: Partial<RequestTiming>;
+  /** Prompt tokens that one prefix hash stands for. @default 256 */
+  readonly prefixBlockTokens?: number;
+}
+
+export function createRequestsService(
+  options: RequestsOptions,
+): ServiceSpec<'requests'> {
+  return {name: 'requests', start: ctx => startRequests(ctx, options)};
+}
+
+function startRequests(
+  ctx: ServiceContext<'requests'>,
+  options: RequestsOptions,
+): void {
+  const timing = {...DEFAULT_REQUEST_TIMING, ...options.timing};
+  const table = createRequestTable(ctx.clock, timing.keepEndedMs);
+  /** What to release when a request is over. */
+  const releases = new Map<OpenRequest, Array<() => void>>();
+  const drained: Array<() => void> = [];
+  let draining = false;
+  let view: MembershipView = {replicas: [], allSides: [], entries: []};
+
+  const router = createRouter({
+    runtime: ctx,
+    failureDomain: options.failureDomain,
+    routingPolicy: options.routingPolicy,
+    view: () => view,
+    prefixBlockTokens: options.prefixBlockTokens ?? DEFAULT_PREFIX_BLOCK_TOKENS,
+  });
+
+  const finish = (open: OpenRequest, event: FinalEvent) => {
+    const first = open.answer.finish(event);
+    ctx.invariant(first, 'one-final-event', {request: open.id});
+    if (!first) return;
+    open.stopAttempt?.();
+    for (const release of releases.get(open) ?? []) release();
+    releases.delete(open);
+    table.end(open);
+    logEnd(ctx, open, event);
+    ctx.metrics.gauge('onyxloft_open_requests', {}, table.size());
+    if (draining && table.size() === 0) {
+      for (const reply of drained.splice(0)) reply();
+    }
+  };
+
+  const deps: DriveDeps = {
+    ...ctx,
+    transport: options.transport,
+    timing,
+    node: options.node,
+    router,
+    budget: createRetryBudget(),
+    tellMembership: message => ctx.send('membership', message),
+    finish,
+  };
+
+  const open = (request: OpenRequest, release: readonly (() => void)[]) => {
+    table.add(request);
+    releases.set(request, [...release]);
+    ctx.metrics.gauge('onyxloft_open_requests', {}, table.size());
+  };
+
+  const resumer = createResumer({deps, table, open, view: () => view});
+
+  const submit = (spec: RequestSpec, listener: RequestListener) => {
+    const answer = createAnswerLog(spec.id, 0, ctx.invariant);
+    const request = createOpenRequest(
+      spec.id,
+      spec.organisation,
+      spec.kind,
+      answer,
+    );
+    answer.subscribe(0, listener);
+    if (draining) {
+      answer.finish(
+        failedEvent(request, {
+          code: 'draining',
+          step: 'validate',
+          message: 'this entry is shutting down; send it to another',
+          retryAfterMs: DRAIN_RETRY_AFTER_MS,
+        }),
+      );
+      return;
+    }
+    open(request, [
+      // A caller is told at its deadline, whatever else is still awaited.
+      ctx.clock.after(spec.deadlineAt - ctx.clock.now(), () =>
+        onDeadline(request),
+      ),
+    ]);
+    guard(request, admitAndDrive(request, spec));
+  };
+
+  const onDeadline = (request: OpenRequest) => {
+    if (isOver(request)) return;
+    finish(
+      request,
+      failedEvent(request, {
+        code: 'deadline-exceeded',
+        step: request.side === '' ? 'route' : 'run',
+        peer: request.side,
+        message: 'the time limit passed before the answer was whole',
+      }),
+    );
+  };
+
+  const admitAndDrive = async (request: OpenRequest, spec: RequestSpec) => {
+    const place = await acquirePlace(ctx, spec);
+    if (place.isLeft()) {
+      place.ifLeft(err => failWith(request, err));
+      return;
+    }
+    const release = () =>
+      ctx.send('limits', {kind: 'release', organisation: spec.organisation});
+    if (isOver(request)) {
+      release();
+      return;
+    }
+    releases.get(request)?.push(release);
+    const claim = await claimKey(ctx, spec);
+    if (isOver(request)) return;
+    await claim.caseOf<Promise<void>>({
+      Left: err => Promise.resolve(failWith(request, err)),
+      Right: outcome =>
+        outcome.kind === 'ours'
+          ? driveRequest(deps, request, spec)
+          : resumer.followEarlier(request, outcome.requestId),
+    });
+  };
+
+  const failWith = (request: OpenRequest, err: Error) => {
+    if (!isOver(request)) finish(request, asFinal(request, err));
+  };
+
+  /** A fault of ours must not leave a caller without its final event. */
+  const guard = (request: OpenRequest, work: Promise<void>) => {
+    work.catch(err => {
+      failWith(request, err instanceof Error ? err : new Error(String(err)));
+    });
+  };
+
+  const cancel = (id: RequestId, organisation: OrganisationId): boolean => {
+    const request = table.find(id, organisation);
+    if (request === undefined || isOver(request)) return false;
+    finish(
+      request,
+      failedEvent(request, {
+        code: 'cancelled',
+        step: 'run',
+        peer: request.side,
+        message: 'cancelled by the caller',
+      }),
+    );
+    return true;
+  };
+
+  const onMessage = (message: RequestsMessage) => {
+    switch (message.kind) {
+      case 'submit':
+        submit(message.spec, message.listener);
+        return;
+      case 'cancel':
+        message.reply?.(cancel(message.id, message.organisation));
+        return;
+      case 'resume':
+        void resumer.resume(message);
+        return;
+      case 'state':
+        void resumer.state(message.id, message.organisation, message.reply);
+        return;
+      case 'explain':
+        message.reply(router.explain(message.id));
+        return;
+      case 'drain':
+        draining = true;
+        if (table.size() === 0) message.reply();
+        else drained.push(message.reply);
+        return;
+      case 'count':
+        message.reply(table.size());
+        return;
+    }
+  };
+
+  const subscribe = () => ctx.send('membership', {kind: 'subscribe', listener});
+  const listener = (next: MembershipView) => {
+    view = next;
+  };
+  subscribe();
+  ctx.own(ctx.clock.every(SUBSCRIBE_EVERY_MS, subscribe));
+  ctx.own(() => {
+    for (const request of table.open()) {
+      failWith(request, new Error('the request service ended'));
+    }
+  });
+  void ctx.mailbox.observe(onMessage);
+}
+
+function asFinal(request: OpenRequest, err: Error): FinalEvent {
+  if (!(err instanceof OnyxError)) {
+    return failedEvent(request, {
+      code: 'internal',
+      step: 'run',
+      peer: request.side,
+      message: err.message,
+    });
+  }
+  const {code, step, peer, message, retryAfterMs} = err;
+  const ran = strongerRan(err.ran, ranSoFar(request));
+  return failedEvent(request, {code, step, peer, message, ran, retryAfterMs});
+}
+
+function logEnd(
+  ctx: ServiceContext<'requests'>,
+  request: OpenRequest,
+  event: FinalEvent,
+): void {
+  const outcome = event.kind === 'end' ? 'ended' : event.error.code;
+  ctx.metrics.count('onyxloft_requests_total', {outcome});
+  if (event.kind === 'end') {
+    ctx.log(REQUEST_EVENTS.ended, {
+      request: request.id,
+      side: request.side,
+      dispatch: request.dispatchId,
+      chunks: event.count,
+      tokens: event.tokens,
+    });
+    return;
+  }
+  ctx.log(REQUEST_EVENTS.failed, {
+    request: request.id,
+    side: request.side,
+    dispatch: request.dispatchId,
+    code: event.error.code,
+    step: event.error.step,
+    ran: event.error.ran,
+    cause: event.error.message,
+  });
+}
--- /dev/null
+++ b/src/entry/resume.ts
@@ -0,0 +1,182 @@
+/**
+ * Resuming a request and telling its state, at whichever entry the caller asks:
+ * from what is kept here, else from the side that holds the run.
+ */
+import {OnyxError} from '../types/errors.js';
+import type {OrganisationId, RequestId} from '../types/ids.js';
+import type {
+  MembershipView,
+  RequestListener,
+  RequestState,
+  RequestsMessage,
+} from '../types/services.js';
+import {adoptRun} from './adopt.js';
+import {createAnswerLog} from './answer_log.js';
+import type {DriveDeps} from './drive_request.js';
+import {locateRun} from './locate.js';
+import type {Located} from './locate.js';
+import {createOpenRequest, failedEvent, isOver} from './open_request.js';
+import type {OpenRequest} from './open_request.js';
+import {stateOf} from './request_table.js';
+import type {RequestTable} from './request_table.js';
+
+type ResumeMessage = Extract<RequestsMessage, {readonly kind: 'resume'}>;
+
+export interface Resumer {
+  resume(message: ResumeMessage): Promise<void>;
+  state(
+    id: RequestId,
+    organisation: OrganisationId,
+    reply: (state: RequestState) => void,
+  ): Promise<void>;
+  /** Gives `open` the answer of the request that took its key before. */
+  followEarlier(open: OpenRequest, earlier: RequestId): Promise<void>;
+}
+
+export interface ResumerOptions {
+  readonly deps: DriveDeps;
+  readonly table: RequestTable;
+  readonly open: (open: OpenRequest, release: readonly (() => void)[]) => void;
+  readonly view: () => MembershipView;
+}
+
+export function createResumer(options: ResumerOptions): Resumer {
+  const {deps, table} = options;
+
+  const locate = (
+    id: RequestId,
+    organisation: OrganisationId,
+    sideHint: string,
+  ) =>
+    locateRun({
+      transport: deps.transport,
+      timing: deps.timing,
+      id,
+      organisation,
+      sideHint,
+      allSides: options.view().allSides,
+    });
+
+  const adopt = (located: Located, message: ResumeMessage) => {
+    const answer = createAnswerLog(message.id, 0, deps.invariant);
+    const open = createOpenRequest(
+      message.id,
+      message.organisation,
+      located.res.kind,
+      answer,
+    );
+    options.open(open, []);
+    answer.subscribe(message.fromSeq, message.listener);
+    const known = options
+      .view()
+      .replicas.find(one => one.address === located.side);
+    adoptRun(deps, {
+      open,
+      located,
+      fromSeq: message.fromSeq,
+      incarnation: known?.incarnation ?? '',
+    }).catch(err => {
+      if (isOver(open)) return;
+      deps.finish(
+        open,
+        failedEvent(open, {
+          code: 'internal',
+          step: 'resume',
+          peer: located.side,
+          message: String(err),
+        }),
+      );
+    });
+  };
+
+  const resume = async (message: ResumeMessage) => {
+    const {id, organisation, fromSeq, listener} = message;
+    const known = table.find(id, organisation);
+    if (known !== undefined) {
+      known.answer.subscribe(fromSeq, listener);
+      return;
+    }
+    const located = await locate(id, organisation, message.sideHint);
+    // Another resume of the same request may have been faster.
+    const meanwhile = table.find(id, organisation);
+    if (meanwhile !== undefined) meanwhile.answer.subscribe(fromSeq, listener);
+    else if (located !== undefined) adopt(located, message);
+    else listener({kind: 'failed', error: notFound(id)});
+  };
+
+  const state: Resumer['state'] = async (id, organisation, reply) => {
+    const known = table.find(id, organisation);
+    if (known !== undefined) {
+      reply(stateOf(known));
+      return;
+    }
+    const located = await locate(id, organisation, '');
+    reply({
+      id,
+      state: located?.res.state ?? 'none',
+      kind: located?.res.kind ?? 'completion',
+      side: located?.side ?? '',
+      dispatchId: located?.res.dispatchId ?? '',
+      nextSeq: located?.res.nextSeq ?? 0,
+    });
+  };
+
+  /** Copies the events of the earlier request into the later one's answer. */
+  const copyTo =
+    (open: OpenRequest): RequestListener =>
+    event => {
+      if (isOver(open)) return;
+      if (event.kind === 'placed') {
+        open.side = event.side;
+        open.dispatchId = event.dispatchId;
+        open.answer.placed(event);
+      } else if (event.kind === 'chunk') {
+        open.answer.append(event);
+      } else if (event.kind === 'end') {
+        deps.finish(open, event);
+      } else {
+        deps.finish(open, earlierFailed(open, event.error));
+      }
+    };
+
+  return {
+    resume,
+    state,
+    followEarlier: async (open, earlier) => {
+      await resume({
+        kind: 'resume',
+        id: earlier,
+        organisation: open.organisation,
+        fromSeq: 0,
+        sideHint: '',
+        listener: copyTo(open),
+      });
+    },
+  };
+}
+
+function notFound(id: RequestId): OnyxError {
+  return new OnyxError({
+    code: 'not-found',
+    step: 'resume',
+    message: 'no entry or side that was reached knows this request',
+    ran: 'unknown',
+    requestId: id,
+  });
+}
+
+/**
+ * The key was taken, so this request does not run. The earlier one's trace is
+ * gone or cannot be reached: whether that one ran is not known.
+ */
+function earlierFailed(open: OpenRequest, error: OnyxError) {
+  if (error.code !== 'not-found') {
+    return {kind: 'failed', error} as const;
+  }
+  return failedEvent(open, {
+    code: 'already-claimed',
+    step: 'claim',
+    message: 'an earlier request has this idempotency key; its state is lost',
+    ran: 'unknown',
+  });
+}
--- /dev/null
+++ b/src/entry/retry_budget.ts
@@ -0,0 +1,30 @@
+/**
+ * Bounds retries to a share of first attempts. When half the engines go, every
+ * request would otherwise be tried several times on what is left, and the
+ * extra load would take that down as well.
+ */
+
+/** Retries that may be made at once after a quiet time. */
+const BURST = 10;
+
+export interface RetryBudget {
+  /** A first attempt was made: adds `ratio` of a retry. */
+  onFirstAttempt(ratio: number): void;
+  /** Takes one retry; false when the budget is used up. */
+  take(): boolean;
+}
+
+/** A full token bucket of `burst` retries. */
+export function createRetryBudget(burst = BURST): RetryBudget {
+  let tokens = burst;
+  return {
+    onFirstAttempt: ratio => {
+      tokens = Math.min(burst, tokens + ratio);
+    },
+    take: () => {
+      if (tokens < 1) return false;
+      tokens -= 1;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/run_link.ts
@@ -0,0 +1,84 @@
+/**
+ * One connection of a run's channel, watched for silence. A connection may go
+ * silent for good while new ones work; without the watch the run would look
+ * slow until its deadline.
+ */
+import type {Address} from '../types/ids.js';
+import type {RunDown, RunUp} from '../types/peer_messages.js';
+import type {Clock} from '../types/runtime.js';
+import type {Transport} from '../types/transport.js';
+import type {RequestTiming} from './timing.js';
+
+export type LinkLoss = 'silent' | 'closed';
+
+export interface RunLink {
+  send(frame: RunUp): Promise<void>;
+  /** Ends the link without telling its owner. */
+  close(): void;
+  closed(): boolean;
+}
+
+export interface RunLinkOptions {
+  readonly transport: Transport;
+  readonly clock: Clock;
+  readonly timing: RequestTiming;
+  readonly side: Address;
+  /** On a new connection rather than an established one. */
+  readonly fresh: boolean;
+  readonly onFrame: (frame: RunDown) => void;
+  /** Called once at most, and not after `close`. */
+  readonly onLost: (loss: LinkLoss) => void;
+}
+
+/** Opens a link; beats are sent and expected from now on. */
+export function openRunLink(options: RunLinkOptions): RunLink {
+  const {clock, timing} = options;
+  const channel = options.transport.openRun(options.side, options.fresh);
+  let isClosed = false;
+  let lastHeardAt = clock.now();
+  let nextTickAt = clock.now() + timing.beatMs;
+
+  const close = () => {
+    if (isClosed) return;
+    isClosed = true;
+    stopTicks();
+    channel.close();
+  };
+
+  const lose = (loss: LinkLoss) => {
+    if (isClosed) return;
+    close();
+    options.onLost(loss);
+  };
+
+  const tick = () => {
+    const now = clock.now();
+    // This process was paused: frames may wait in its own socket unread, so
+    // the pause is not counted as the peer's silence.
+    if (now - nextTickAt > timing.beatMs) lastHeardAt = now;
+    nextTickAt = now + timing.beatMs;
+    if (now - lastHeardAt > timing.silenceMs) {
+      lose('silent');
+      return;
+    }
+    void channel.send({kind: 'beat'});
+  };
+
+  const stopTicks = clock.every(timing.beatMs, tick);
+  channel.frames
+    .observe(frame => {
+      if (isClosed) return;
+      lastHeardAt = clock.now();
+      options.onFrame(frame);
+    })
+    .then(
+      () => lose('closed'),
+      () => lose('closed'),
+    );
+
+  return {
+    send: frame => channel.send(frame),
+    close,
+    closed: () => isClosed,
+  };
+}
--- /dev/null
+++ b/src/entry/verdict.ts
@@ -0,0 +1,108 @@
+/**
+ * What follows from an attempt's outcome: the final event, or another try. All
+ * rules about running a request twice stand in here.
+ */
+import type {ErrorCode, ErrorDetails, Ran} from '../types/errors.js';
+import type {Address} from '../types/ids.js';
+import type {RunFailed} from '../types/peer_messages.js';
+import type {AttemptOutcome} from './attempt.js';
+
+export interface VerdictInput {
+  readonly side: Address;
+  readonly repeatable: boolean;
+  /** Chunks that the caller has. */
+  readonly delivered: number;
+}
+
+export type Verdict =
+  | {readonly kind: 'end'; readonly outcome: AttemptOutcome & {kind: 'end'}}
+  | {readonly kind: 'fail'; readonly details: ErrorDetails; readonly ran: Ran}
+  /** `details` is the failure to give if no other try can be made. */
+  | {readonly kind: 'retry'; readonly details: ErrorDetails; readonly ran: Ran};
+
+/** Codes with which a side ends a run for good: another try is no help. */
+const FINAL_CODES: ReadonlySet<string> = new Set<ErrorCode | 'superseded'>([
+  'bad-request',
+  'too-large',
+  'unknown-model',
+  'deadline-exceeded',
+  'cancelled',
+  'answer-incomplete',
+  'superseded',
+]);
+
+const PASSED_ON: ReadonlySet<string> = new Set<ErrorCode>([
+  'bad-request',
+  'too-large',
+  'unknown-model',
+  'deadline-exceeded',
+  'deadline-unreachable',
+  'cancelled',
+  'answer-incomplete',
+  'overloaded',
+]);
+
+/** Undefined when the attempt was stopped: its request is over already. */
+export function judgeOutcome(
+  outcome: AttemptOutcome,
+  input: VerdictInput,
+): Verdict | undefined {
+  switch (outcome.kind) {
+    case 'stopped':
+      return undefined;
+    case 'end':
+      return {kind: 'end', outcome};
+    case 'changed':
+      return {
+        kind: 'fail',
+        ran: 'yes',
+        details: {
+          code: 'answer-incomplete',
+          step: 'answer',
+          peer: input.side,
+          message: 'the answer is not what the side sent; count or digest',
+        },
+      };
+    case 'failed':
+      return afterFailure(outcome.failed, input);
+    case 'lost':
+      return again(outcome.ran, input, {
+        code: 'upstream-lost',
+        step: 'run',
+        peer: input.side,
+        message: `the side went away in mid-run (${outcome.reason})`,
+      });
+  }
+}
+
+function afterFailure(failed: RunFailed, input: VerdictInput): Verdict {
+  const details: ErrorDetails = {
+    code: PASSED_ON.has(failed.code)
+      ? (failed.code as ErrorCode)
+      : 'upstream-failed',
+    step: 'run',
+    peer: input.side,
+    message: failed.message,
+    retryAfterMs: failed.retryAfterMs > 0 ? failed.retryAfterMs : undefined,
+  };
+  if (FINAL_CODES.has(failed.code)) {
+    return {kind: 'fail', details, ran: honestRan(failed.ran, input)};
+  }
+  return again(failed.ran, input, details);
+}
+
+function again(said: Ran, input: VerdictInput, details: ErrorDetails): Verdict {
+  const ran = honestRan(said, input);
+  // A second run need not give the same words: its chunks after those of the
+  // first would make an answer that no run gave.
+  if (input.delivered > 0) return {kind: 'fail', details, ran};
+  // Without the side's word the first run may still go on: a second one would
+  // do twice what must be done once.
+  if (!input.repeatable && ran !== 'no') return {kind: 'fail', details, ran};
+  return {kind: 'retry', details, ran};
+}
+
+/** Who has chunks knows that it ran, whatever is said. */
+function honestRan(said: Ran, input: VerdictInput): Ran {
+  return input.delivered > 0 ? 'yes' : said;
+}
--- /dev/null
+++ b/src/policy/predicted_first_token.ts
@@ -0,0 +1,153 @@
+/**
+ * Least predicted time to first token: queue and prefill ahead at the rate the
+ * side has learned, less what its prefix cache should spare, plus the way
+ * there. Old load reports count for less, so that entries which all saw the
+ * same old report do not all choose the same side.
+ */
+import {rendezvousOrder} from '../utils/rendezvous.js';
+import type {
+  RankedTarget,
+  RoutingInput,
+  RoutingPolicy,
+  RoutingTarget,
+} from './routing.js';
+
+/** Prefill rate of an engine that has not reported one yet. */
+const UNKNOWN_TOKENS_PER_SEC = 8_000;
+/** Time of a call ahead on a plain service; only ranks, promises nothing. */
+const CALL_AHEAD_MS = 20;
+/** Share of longer prompts' backlog that a short prompt waits for. */
+const LONG_BACKLOG_FOR_SHORT = 0.1;
+/** Cost of leaving the own failure domain, beside the measured round trip. */
+const OTHER_DOMAIN_MS = 1;
+/** A report of this age is half trusted. */
+const HALF_TRUST_AGE_MS = 2_000;
+/** A prefix that is new here leans to its home by this share of its tokens. */
+const NEW_PREFIX_LEAN = 0.02;
+
+export const predictedFirstToken: RoutingPolicy = input => {
+  const home = prefixHome(input);
+  return input.targets
+    .map(target => {
+      const ranked = predict(input, target, home);
+      return {ranked, score: scoreOf(input, ranked, home)};
+    })
+    .sort((a, b) => a.score - b.score)
+    .map(one => one.ranked);
+};
+
+function predict(
+  input: RoutingInput,
+  target: RoutingTarget,
+  home: string | undefined,
+): RankedTarget {
+  const {request} = input;
+  const {replica} = target;
+  const atHome = replica.address === home;
+  const cachedTokens = atHome
+    ? Math.min(input.knownPrefixTokens, request.promptTokens) *
+      input.prefixHitRatio *
+      input.weights.prefixWeight
+    : 0;
+  const workMs =
+    request.kind === 'call'
+      ? callsAhead(target) * CALL_AHEAD_MS
+      : prefillMs(input, target, cachedTokens);
+  return {
+    target,
+    predictedFirstTokenMs: workMs + wayMs(input, target),
+    cachedTokens,
+    reason: atHome
+      ? 'least predicted first token; home of the prefix'
+      : 'least predicted first token',
+  };
+}
+
+function prefillMs(
+  input: RoutingInput,
+  target: RoutingTarget,
+  cachedTokens: number,
+): number {
+  const {load} = target.replica;
+  const rate = load.prefillTokensPerSec || UNKNOWN_TOKENS_PER_SEC;
+  const ahead = backlogAhead(input, target) + target.unreportedTokens;
+  const own = Math.max(0, input.request.promptTokens - cachedTokens);
+  return ((ahead + own) / rate) * 1_000 + load.stepMs;
+}
+
+function backlogAhead(input: RoutingInput, target: RoutingTarget): number {
+  const {prefillBacklogTokens, shortBacklogTokens} = target.replica.load;
+  if (!input.request.short) return prefillBacklogTokens;
+  const longer = Math.max(0, prefillBacklogTokens - shortBacklogTokens);
+  return shortBacklogTokens + longer * LONG_BACKLOG_FOR_SHORT;
+}
+
+function callsAhead(target: RoutingTarget): number {
+  const {running, queued} = target.replica.load;
+  return running + queued + target.unreportedRequests;
+}
+
+function wayMs(input: RoutingInput, target: RoutingTarget): number {
+  const {replica} = target;
+  const other = replica.failureDomain !== input.ownFailureDomain;
+  return replica.rttMs + (other ? OTHER_DOMAIN_MS : 0);
+}
+
+/** The prediction as it ranks: noise grows with the age of the report. */
+function scoreOf(
+  input: RoutingInput,
+  ranked: RankedTarget,
+  home: string | undefined,
+): number {
+  const {replica} = ranked.target;
+  const ageMs = input.now - replica.loadAt + replica.load.reportAgeMs;
+  const doubt = ageMs / (ageMs + HALF_TRUST_AGE_MS);
+  const noise = 1 + doubt * input.random.next();
+  const lean = replica.address === home ? newPrefixLeanMs(input, ranked) : 0;
+  return ranked.predictedFirstTokenMs * noise - lean;
+}
+
+function newPrefixLeanMs(input: RoutingInput, ranked: RankedTarget): number {
+  if (ranked.cachedTokens > 0) return 0;
+  const {load} = ranked.target.replica;
+  const rate = load.prefillTokensPerSec || UNKNOWN_TOKENS_PER_SEC;
+  return (input.request.promptTokens / rate) * 1_000 * NEW_PREFIX_LEAN;
+}
+
+/**
+ * The target where prompts with these leading blocks meet: first in rendezvous
+ * order whose load is not too far over the mean, so that one popular prefix
+ * cannot bury its home.
+ */
+function prefixHome(input: RoutingInput): string | undefined {
+  const leading = input.request.prefixHashes[0];
+  if (leading === undefined || input.weights.prefixWeight <= 0) {
+    return undefined;
+  }
+  const byAddress = new Map(
+    input.targets.map(target => [target.replica.address, target]),
+  );
+  const mean = meanOf(input.targets.map(workOf));
+  const most = (mean + input.request.promptTokens) * factorOf(input);
+  return rendezvousOrder(leading, [...byAddress.keys()]).find(address => {
+    const target = byAddress.get(address);
+    return (
+      target !== undefined &&
+      workOf(target) + input.request.promptTokens <= most
+    );
+  });
+}
+
+function factorOf(input: RoutingInput): number {
+  return Math.max(1, input.weights.boundedLoadFactor);
+}
+
+/** Prompt tokens ahead at a target. */
+function workOf(target: RoutingTarget): number {
+  return target.replica.load.prefillBacklogTokens + target.unreportedTokens;
+}
+
+function meanOf(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/src/policy/routing_policies.ts
@@ -0,0 +1,71 @@
+/** The routing policies by name, as the configuration names them. */
+import {predictedFirstToken} from './predicted_first_token.js';
+import type {
+  RankedTarget,
+  RoutingInput,
+  RoutingPolicy,
+  RoutingTarget,
+} from './routing.js';
+
+/** Cycles through the targets in order of address. */
+export function createRoundRobin(): RoutingPolicy {
+  let turn = 0;
+  return input => {
+    const sorted = [...input.targets].sort(byAddress);
+    const first = sorted.length === 0 ? 0 : turn++ % sorted.length;
+    const order = [...sorted.slice(first), ...sorted.slice(0, first)];
+    return order.map(target => plain(target, 'next in turn'));
+  };
+}
+
+/** Fewest requests, running, queued and unreported; ties by chance. */
+export const leastRequests: RoutingPolicy = input =>
+  shuffled(input)
+    .sort((a, b) => requestsOf(a) - requestsOf(b))
+    .map(target => plain(target, `${requestsOf(target)} requests`));
+
+/** The lesser of two drawn by chance, then two others, and so on. */
+export const randomPairs: RoutingPolicy = input => {
+  const drawn = shuffled(input);
+  for (let at = 0; at + 1 < drawn.length; at += 2) {
+    const [a, b] = [drawn[at], drawn[at + 1]];
+    if (requestsOf(b) < requestsOf(a)) {
+      drawn[at] = b;
+      drawn[at + 1] = a;
+    }
+  }
+  return drawn.map(target => plain(target, 'lesser of a random pair'));
+};
+
+/** Makes a lookup with its own turn counter for round robin. */
+export function createRoutingPolicies(): (name: string) => RoutingPolicy {
+  const byName = new Map<string, RoutingPolicy>([
+    ['predicted-first-token', predictedFirstToken],
+    ['round-robin', createRoundRobin()],
+    ['least-requests', leastRequests],
+    ['random-pairs', randomPairs],
+  ]);
+  return name => byName.get(name) ?? predictedFirstToken;
+}
+
+function plain(target: RoutingTarget, reason: string): RankedTarget {
+  return {target, predictedFirstTokenMs: 0, cachedTokens: 0, reason};
+}
+
+function requestsOf(target: RoutingTarget): number {
+  const {running, queued} = target.replica.load;
+  return running + queued + target.unreportedRequests;
+}
+
+function byAddress(a: RoutingTarget, b: RoutingTarget): number {
+  return a.replica.address < b.replica.address ? -1 : 1;
+}
+
+function shuffled(input: RoutingInput): RoutingTarget[] {
+  const targets = [...input.targets];
+  for (let at = targets.length - 1; at > 0; at--) {
+    const other = Math.floor(input.random.next() * (at + 1));
+    [targets[at], targets[other]] = [targets[other], targets[at]];
+  }
+  return targets;
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -30,3 +30,31 @@
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
+
+export const REQUEST_EVENTS = {
+  ended: event(200, 'info', 'request-ended'),
+  failed: event(201, 'warn', 'request-failed'),
+  frameDropped: event(202, 'warn', 'frame-dropped'),
+  channelRenewed: event(203, 'warn', 'channel-renewed'),
+  attemptLost: event(204, 'warn', 'attempt-lost'),
+  retried: event(205, 'info', 'request-retried'),
+  adopted: event(206, 'info', 'run-adopted'),
+  offerUnanswered: event(207, 'warn', 'offer-unanswered'),
+  abandoned: event(208, 'info', 'dispatch-abandoned'),
+} as const;
+
+export const ROUTING_EVENTS = {
+  decided: event(300, 'info', 'routing-decided'),
+  refused: event(301, 'info', 'offer-refused'),
+  noCandidate: event(302, 'warn', 'no-candidate'),
+  groupDecided: event(303, 'info', 'group-decided'),
+} as const;
+
+export const MEMBERSHIP_EVENTS = {
+  replicaState: event(500, 'info', 'replica-state'),
+  entryState: event(501, 'info', 'entry-state'),
+  followingChanged: event(502, 'info', 'following-changed'),
+  hostListFailed: event(503, 'warn', 'host-list-failed'),
+  observerPaused: event(504, 'warn', 'observer-paused'),
+  manySuspect: event(505, 'warn', 'many-suspect'),
+} as const;
