feat(membership): follow a bounded subset by heartbeats and serve entry peers

Two additive contract lines: the entryPeers service and a local-state question to requests, since an entry that is asked by another must not ask all sides again.

--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -224,6 +224,9 @@
       case 'state':
         void resumer.state(message.id, message.organisation, message.reply);
         return;
+      case 'local-state':
+        message.reply(resumer.localState(message.id, message.organisation));
+        return;
       case 'explain':
         message.reply(router.explain(message.id));
         return;
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -29,6 +29,8 @@
     organisation: OrganisationId,
     reply: (state: RequestState) => void,
   ): Promise<void>;
+  /** From what is known at this entry alone. */
+  localState(id: RequestId, organisation: OrganisationId): RequestState;
   /** Gives `open` the answer of the request that took its key before. */
   followEarlier(open: OpenRequest, earlier: RequestId): Promise<void>;
 }
@@ -104,21 +106,20 @@
     else listener({kind: 'failed', error: notFound(id)});
   };
 
-  const state: Resumer['state'] = async (id, organisation, reply) => {
+  const localState: Resumer['localState'] = (id, organisation) => {
     const known = table.find(id, organisation);
-    if (known !== undefined) {
-      reply(stateOf(known));
+    return known === undefined ? unknownState(id) : stateOf(known);
+  };
+
+  const state: Resumer['state'] = async (id, organisation, reply) => {
+    const known = localState(id, organisation);
+    if (known.state !== 'none') {
+      reply(known);
       return;
     }
     const located = await locate(id, organisation, '');
-    reply({
-      id,
-      state: located?.res.state ?? 'none',
-      kind: located?.res.kind ?? 'completion',
-      side: located?.side ?? '',
-      dispatchId: located?.res.dispatchId ?? '',
-      nextSeq: located?.res.nextSeq ?? 0,
-    });
+    if (located === undefined) reply(known);
+    else reply({...located.res, id, side: located.side});
   };
 
   /** Copies the events of the earlier request into the later one's answer. */
@@ -142,6 +143,7 @@
   return {
     resume,
     state,
+    localState,
     followEarlier: async (open, earlier) => {
       await resume({
         kind: 'resume',
@@ -155,6 +157,17 @@
   };
 }
 
+function unknownState(id: RequestId): RequestState {
+  return {
+    id,
+    state: 'none',
+    kind: 'completion',
+    side: '',
+    dispatchId: '',
+    nextSeq: 0,
+  };
+}
+
 function notFound(id: RequestId): OnyxError {
   return new OnyxError({
     code: 'not-found',
--- /dev/null
+++ b/src/membership/roster.ts
@@ -0,0 +1,183 @@
+/**
+ * All peers known to this entry, which of them it follows, and the view that
+ * other services get. Pure bookkeeping: no sockets and no timers.
+ */
+import type {Address, FailureDomain, NodeId} from '../types/ids.js';
+import type {HostInfo} from '../types/platform.js';
+import type {MembershipView} from '../types/services.js';
+import {
+  createMember,
+  isEntry,
+  isSilent,
+  stateOf,
+  toEntryPeer,
+  toReplica,
+  withListing,
+} from './member.js';
+import type {Member, MemberState} from './member.js';
+import {chooseSubset} from './subset.js';
+import type {MembershipTiming} from './timing.js';
+
+/** Other entries to which heartbeats go, at most. */
+const ENTRY_PEERS = 8;
+
+export interface RosterOptions {
+  readonly node: NodeId;
+  readonly address: Address;
+  readonly failureDomain: FailureDomain;
+  readonly followReplicas: number;
+  readonly timing: MembershipTiming;
+  readonly now: () => number;
+}
+
+export interface Roster {
+  get(address: Address): Member | undefined;
+  /** Changes a member; makes one when the address is new. */
+  update(address: Address, change: (member: Member) => Member): void;
+  /** Changes all members. */
+  updateAll(change: (member: Member) => Member): void;
+  /** Takes in a newer host list. */
+  list(hosts: readonly HostInfo[]): void;
+  /** Notes who has gone silent; true when `follow` should be called. */
+  notice(): boolean;
+  /** Chooses again whom to follow, and forgets who is gone. */
+  follow(): void;
+  following(): ReadonlySet<Address>;
+  state(member: Member): MemberState;
+  members(): readonly Member[];
+  view(): MembershipView;
+}
+
+export function createRoster(options: RosterOptions): Roster {
+  const {timing, now} = options;
+  const members = new Map<Address, Member>();
+  let following: ReadonlySet<Address> = new Set();
+  /** Whom others replace, to see when that changes. */
+  let replacedBefore = '';
+
+  const update: Roster['update'] = (address, change) => {
+    const member = members.get(address) ?? createMember(address, now());
+    members.set(address, change(member));
+  };
+
+  const updateAll: Roster['updateAll'] = change => {
+    for (const member of members.values()) {
+      members.set(member.address, change(member));
+    }
+  };
+
+  const list = (hosts: readonly HostInfo[]) => {
+    const others = hosts.filter(host => host.address !== options.address);
+    const listed = new Set(others.map(host => host.address));
+    updateAll(member => ({
+      ...member,
+      listed: listed.has(member.address),
+      listedLeaving: listed.has(member.address) && member.listedLeaving,
+    }));
+    for (const host of others) {
+      update(host.address, member => withListing(member, host));
+    }
+  };
+
+  const state = (member: Member): MemberState => stateOf(member, now(), timing);
+
+  const isLongSuspect = (member: Member) =>
+    member.suspectSince !== undefined &&
+    now() - member.suspectSince > timing.replaceAfterMs;
+
+  const choose = (hosts: readonly Member[], limit: number) =>
+    chooseSubset({
+      node: options.node,
+      ownFailureDomain: options.failureDomain,
+      hosts: hosts.map(hostInfo),
+      limit,
+    });
+
+  /** Whom to follow among these; long suspects are replaced, and kept. */
+  const among = (hosts: readonly Member[], limit: number) => {
+    const wanted = choose(hosts, limit);
+    const sound = hosts.filter(member => !isLongSuspect(member));
+    // When most seem gone it is likelier this process that is cut off:
+    // replacing them all would move every entry's subset at once.
+    if (sound.length * 2 <= hosts.length) return wanted;
+    return new Set([...wanted, ...choose(sound, limit)]);
+  };
+
+  /** The host list lags: one that still answers is still there. */
+  const isGone = (member: Member) =>
+    !member.listed &&
+    member.owned.length === 0 &&
+    isSilent(member, now(), timing);
+
+  const notice = () => {
+    updateAll(member => {
+      const silent = isSilent(member, now(), timing);
+      const since = silent ? (member.suspectSince ?? now()) : undefined;
+      if (since === member.suspectSince) return member;
+      return {...member, suspectSince: since};
+    });
+    const all = [...members.values()];
+    const replaced = all
+      .filter(isLongSuspect)
+      .map(member => member.address)
+      .join();
+    const changed = replaced !== replacedBefore || all.some(isGone);
+    replacedBefore = replaced;
+    return changed;
+  };
+
+  const follow = () => {
+    for (const member of members.values()) {
+      if (isGone(member)) members.delete(member.address);
+    }
+    const all = [...members.values()];
+    const owning = all.filter(member => member.owned.length > 0);
+    following = new Set([
+      ...among(all.filter(isSide), options.followReplicas),
+      ...among(all.filter(isEntry), ENTRY_PEERS),
+      ...owning.map(member => member.address),
+    ]);
+  };
+
+  const view = (): MembershipView => {
+    const all = [...members.values()];
+    const sides = all.filter(isSide);
+    return {
+      replicas: sides
+        .filter(member => following.has(member.address))
+        .map(member => toReplica(member, state(member))),
+      allSides: sides.map(member => member.address),
+      entries: all
+        .filter(isEntry)
+        .map(member => toEntryPeer(member, entryState(member))),
+    };
+  };
+
+  /** Of an entry that is not followed, only the host list speaks. */
+  const entryState = (member: Member): MemberState => {
+    if (following.has(member.address)) return state(member);
+    return member.listedLeaving ? 'leaving' : 'live';
+  };
+
+  return {
+    get: address => members.get(address),
+    update,
+    updateAll,
+    list,
+    notice,
+    follow,
+    following: () => following,
+    state,
+    members: () => [...members.values()],
+    view,
+  };
+}
+
+function isSide(member: Member): boolean {
+  return !isEntry(member);
+}
+
+function hostInfo(member: Member): HostInfo {
+  const {host, address, failureDomain, pool} = member;
+  return {host, address, failureDomain, pool, state: 'live'};
+}
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -133,6 +133,13 @@
       readonly organisation: OrganisationId;
       readonly reply: (state: RequestState) => void;
     }
+  /** Like `state`, from what is known here alone; for other entries. */
+  | {
+      readonly kind: 'local-state';
+      readonly id: RequestId;
+      readonly organisation: OrganisationId;
+      readonly reply: (state: RequestState) => void;
+    }
   | {
       readonly kind: 'explain';
       readonly id: RequestId;
@@ -235,6 +242,12 @@
   /** This entry is leaving. */
   | {readonly kind: 'leave'};
 
+/** To `entryPeers`: where it listens for other processes. */
+export interface EntryPeersMessage {
+  readonly kind: 'address';
+  readonly reply: (address: Address) => void;
+}
+
 /** To `config`: holds the newest accepted declarations. */
 export type ConfigMessage =
   /** The listener is called at once, if there is any, and at each number. */
@@ -383,6 +396,7 @@
   interface ServiceMessages {
     requests: RequestsMessage;
     membership: MembershipMessage;
+    entryPeers: EntryPeersMessage;
     config: ConfigMessage;
     limits: LimitsMessage;
     claims: ClaimsMessage;
