--- /dev/null
+++ b/src/config/json_pointer.ts
@@ -0,0 +1,10 @@
+/** JSON pointers (RFC 6901), made from path segments. */
+
+/** Pointer to the value under the segments; empty for the whole document. */
+export function pointerOf(segments: readonly string[]): string {
+  return segments.map(segment => `/${escapeSegment(segment)}`).join('');
+}
+
+function escapeSegment(segment: string): string {
+  return segment.replaceAll('~', '~0').replaceAll('/', '~1');
+}
--- /dev/null
+++ b/src/config/keyed_form.ts
@@ -0,0 +1,76 @@
+/**
+ * Converts between the keyed form, which operators patch, and the lists that
+ * services read. Both hold the same; lists come out in a fixed order, so that
+ * equal declarations give equal documents whatever the order of patches.
+ */
+import type {Declarations} from '../types/config.js';
+import type {KeyedDeclarations} from './declarations_schema.js';
+
+type ByKey<T> = Record<string, T>;
+
+/** Lists as objects by id; of two items with one id the later one stays. */
+export function toKeyed(declarations: Declarations): KeyedDeclarations {
+  return {
+    organisations: keyBy(declarations.organisations, 'id'),
+    models: keyBy(declarations.models, 'id'),
+    priorityClasses: keyBy(declarations.priorityClasses, 'name'),
+    lengthClasses: keyBy(declarations.lengthClasses, 'name'),
+    services: keyBy(declarations.services, 'pool'),
+    placement: keyPlacement(declarations.placement),
+    policy: {...declarations.policy},
+  } as KeyedDeclarations;
+}
+
+/** Objects by id as lists; classes in growing order, the rest by id. */
+export function fromKeyed(keyed: KeyedDeclarations): Declarations {
+  return {
+    organisations: listOf(keyed.organisations, 'id'),
+    models: listOf(keyed.models, 'id'),
+    priorityClasses: listOf(keyed.priorityClasses, 'name').sort(
+      (a, b) => a.priority - b.priority,
+    ),
+    lengthClasses: listOf(keyed.lengthClasses, 'name').sort(
+      (a, b) => a.maxTokens - b.maxTokens,
+    ),
+    services: listOf(keyed.services, 'pool'),
+    placement: sortedEntries(keyed.placement).flatMap(([pool, models]) =>
+      listOf(models, 'model').map(wish => ({pool, ...wish})),
+    ),
+    policy: keyed.policy,
+  };
+}
+
+function keyBy<T extends object, K extends keyof T & string>(
+  items: readonly T[],
+  key: K,
+): ByKey<Omit<T, K>> {
+  return Object.fromEntries(
+    items.map(item => {
+      const {[key]: name, ...rest} = item;
+      return [String(name), rest];
+    }),
+  );
+}
+
+function keyPlacement(
+  wishes: Declarations['placement'],
+): KeyedDeclarations['placement'] {
+  const byPool: KeyedDeclarations['placement'] = {};
+  for (const {pool, model, ...rest} of wishes) {
+    byPool[pool] = {...byPool[pool], [model]: rest};
+  }
+  return byPool;
+}
+
+function listOf<T extends object, K extends string>(
+  items: ByKey<T>,
+  key: K,
+): Array<T & Record<K, string>> {
+  return sortedEntries(items).map(
+    ([name, item]) => ({[key]: name, ...item}) as T & Record<K, string>,
+  );
+}
+
+function sortedEntries<T>(items: ByKey<T>): Array<[string, T]> {
+  return Object.entries(items).sort(([a], [b]) => (a < b ? -1 : 1));
+}
