feat(config): hold, fetch and change the numbered configuration

One service per process keeps the newest number, follows the head in the store, hears of numbers from peers and takes patches to a new number once.

--- /dev/null
+++ b/src/config/apply_patch.ts
@@ -0,0 +1,350 @@
+/**
+ * Takes an operator's patch to a new number, exactly once. A patch based on N
+ * can only become N+1, by a conditional update of the head. So whatever
+ * happened to an answer, the patch id found under N+1 tells who got it.
+ */
+import {EitherAsync, Left, Right} from 'purify-ts';
+import type {Either, Maybe} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {ErrorCode, Ran} from '../types/errors.js';
+import type {ConfigNumber} from '../types/ids.js';
+import type {StoreError} from '../types/platform.js';
+import type {Clock, Random} from '../types/runtime.js';
+import type {
+  ConfigAccepted,
+  ConfigFault,
+  ConfigPatch,
+  ConfigRejection,
+} from '../types/services.js';
+import {assembleConfig} from './config_state.js';
+import type {AcceptedConfig} from './config_state.js';
+import type {ConfigHead, ConfigStore} from './config_store.js';
+import {createInitialDeclarations} from './declarations_schema.js';
+import {
+  MAX_VALUE_BYTES,
+  createManifest,
+  splitDeclarations,
+} from './documents.js';
+import type {Manifest, NamedDocument} from './documents.js';
+import {patchDeclarations} from './patch.js';
+import type {PatchedDeclarations} from './patch.js';
+import type {KnownFleet} from './validate.js';
+
+/** Pause before a store call is repeated, drawn between half and all of it. */
+const RETRY_PAUSE_MS = 200;
+
+export interface ApplyOptions {
+  readonly store: ConfigStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** The highest number that this process has seen. */
+  readonly seenNumber: () => ConfigNumber;
+  /** Documents at hand, by hash. */
+  readonly documents: () => ReadonlyMap<string, string>;
+  /** Live hosts, for limits that no fleet can meet. */
+  readonly knownFleet: () => Promise<Maybe<KnownFleet>>;
+  /** How long store calls are repeated before giving up. */
+  readonly timeoutMs: number;
+}
+
+/** Outcome of an accepted patch. */
+export interface AppliedPatch {
+  readonly accepted: ConfigAccepted;
+  /** What is now at the head; undefined for a dry run. */
+  readonly config: AcceptedConfig | undefined;
+}
+
+type Outcome<T> = Promise<Either<ConfigRejection, T>>;
+
+/** Applies a patch. Left: why not; nothing changed unless `ran` is unknown. */
+export async function applyConfigPatch(
+  options: ApplyOptions,
+  patch: ConfigPatch,
+): Outcome<AppliedPatch> {
+  const attempt = new PatchAttempt(options, patch);
+  return attempt.run();
+}
+
+/** One patch on its way through the store. */
+class PatchAttempt {
+  private readonly deadline: number;
+  private head: ConfigNumber;
+  /** Whether the patch may have become a number. */
+  private ran: Ran = 'no';
+
+  constructor(
+    private readonly options: ApplyOptions,
+    private readonly patch: ConfigPatch,
+  ) {
+    this.deadline = options.clock.now() + options.timeoutMs;
+    this.head = options.seenNumber();
+  }
+
+  run(): Outcome<AppliedPatch> {
+    return EitherAsync<ConfigRejection, AppliedPatch>(
+      async ({fromPromise, liftEither}) => {
+        const head = await fromPromise(this.readFreshHead());
+        const earlier = await fromPromise(this.findEarlier(head));
+        if (earlier !== undefined) return this.repeatOf(earlier);
+        if (this.head !== this.patch.base) {
+          return liftEither(this.reject(this.conflict()));
+        }
+        const base = await fromPromise(this.loadBase(head));
+        const patched = await fromPromise(this.patchBase(base));
+        const documents = splitDeclarations(patched.declarations);
+        await liftEither(this.checkSizes(documents));
+        if (this.patch.dryRun) return this.accept(patched, undefined);
+        const manifest = this.manifestOf(patched, documents);
+        await fromPromise(this.writeBeforeHead(base, documents));
+        await fromPromise(this.moveHead(manifest, head?.version ?? 0));
+        return this.accept(
+          patched,
+          acceptedConfig(manifest, patched, documents),
+        );
+      },
+    ).run();
+  }
+
+  /**
+   * Reads the head until it is as new as what this process has seen. A stale
+   * read would else make a patch based on the newest number a conflict.
+   */
+  private async readFreshHead(): Outcome<ConfigHead | undefined> {
+    for (;;) {
+      const read = await this.options.store.readHead('operator');
+      const head = read.map(found => found.extract());
+      if (head.isRight()) {
+        const found = head.extract() as ConfigHead | undefined;
+        const number = found?.manifest.number ?? 0;
+        if (number >= this.options.seenNumber()) {
+          this.head = number;
+          return Right(found);
+        }
+      }
+      if (!(await this.pause())) {
+        return this.reject(
+          this.storeError(
+            read.isLeft()
+              ? (read.extract() as OnyxError).message
+              : 'the object API answers with an old head',
+          ),
+        );
+      }
+    }
+  }
+
+  /** The manifest under base + 1 if this very patch made it. */
+  private async findEarlier(
+    head: ConfigHead | undefined,
+  ): Outcome<Manifest | undefined> {
+    const {patchId, base} = this.patch;
+    const newest = head?.manifest;
+    if (newest === undefined || this.patch.dryRun) return Right(undefined);
+    if (newest.patchId === patchId) return Right(newest);
+    if (newest.number <= base + 1) return Right(undefined);
+    const read = await this.options.store.readManifest(base + 1);
+    return read.caseOf<Either<ConfigRejection, Manifest | undefined>>({
+      Left: err => {
+        if (err.code === 'not-found') return Right(undefined);
+        this.ran = 'unknown';
+        return this.reject(this.storeError(err.message));
+      },
+      Right: manifest =>
+        Right(manifest.patchId === patchId ? manifest : undefined),
+    });
+  }
+
+  private async loadBase(
+    head: ConfigHead | undefined,
+  ): Outcome<AcceptedConfig | undefined> {
+    if (head === undefined) return Right(undefined);
+    const read = await this.options.store.readDocuments(
+      head.manifest.documents,
+      this.options.documents(),
+      'operator',
+    );
+    return read
+      .chain(known => assembleConfig(head.manifest, known))
+      .chainLeft(err => this.reject(this.storeError(err.message)));
+  }
+
+  private async patchBase(
+    base: AcceptedConfig | undefined,
+  ): Outcome<PatchedDeclarations> {
+    const fleet = await this.options.knownFleet();
+    return patchDeclarations(
+      base?.declarations ?? createInitialDeclarations(),
+      this.patch,
+      fleet.extract(),
+    ).chainLeft(faults => this.rejectFaults(faults));
+  }
+
+  private checkSizes(
+    documents: readonly NamedDocument[],
+  ): Either<ConfigRejection, void> {
+    const faults = documents
+      .filter(({json}) => Buffer.byteLength(json) > MAX_VALUE_BYTES)
+      .map(({name}) => ({
+        path: `/${name}`,
+        message: `this part takes more than ${MAX_VALUE_BYTES} bytes`,
+        mend: 'remove keys that are no longer used',
+      }));
+    return faults.length === 0 ? Right(undefined) : this.rejectFaults(faults);
+  }
+
+  private manifestOf(
+    patched: PatchedDeclarations,
+    documents: readonly NamedDocument[],
+  ): Manifest {
+    const {base, patchId, operator} = this.patch;
+    const {changedPaths} = patched;
+    const origin = {number: base + 1, base, patchId, operator, changedPaths};
+    return createManifest(origin, documents);
+  }
+
+  /** Writes new documents and the history of the number that is left. */
+  private async writeBeforeHead(
+    base: AcceptedConfig | undefined,
+    documents: readonly NamedDocument[],
+  ): Outcome<void> {
+    const {store} = this.options;
+    const added = documents.filter(({hash}) => !base?.jsonByHash.has(hash));
+    const written = await this.persist(() => store.writeDocuments(added));
+    if (written.isLeft() || base === undefined) return written;
+    return this.persist(() => store.writeHistory(base.manifest));
+  }
+
+  /** Repeats an idempotent write until it is through or time is up. */
+  private async persist(
+    write: () => Promise<Either<StoreError, void>>,
+  ): Outcome<void> {
+    for (;;) {
+      const outcome = await write();
+      if (outcome.isRight()) return Right(undefined);
+      if (!(await this.pause())) {
+        const err = outcome.extract() as StoreError;
+        return this.reject(this.storeError(err.message));
+      }
+    }
+  }
+
+  /**
+   * Moves the head, or finds out who did. An answer lost after the effect
+   * would look like a failure, and a plain repeat like another's win: the
+   * operator would apply the patch again, under a second number. The repeat
+   * has the same condition, so it cannot take effect twice; a conflict is
+   * judged by the patch id found under the new number.
+   */
+  private async moveHead(manifest: Manifest, version: number): Outcome<void> {
+    for (;;) {
+      const written = await this.options.store.writeHead(manifest, version);
+      if (written.isRight()) return Right(undefined);
+      const err = written.extract() as StoreError;
+      if (err.kind === 'conflict') return this.settleConflict(err.version);
+      if (err.effect === 'unknown') this.ran = 'unknown';
+      if (!(await this.pause())) {
+        return this.reject(this.storeError(err.message));
+      }
+    }
+  }
+
+  /** Someone moved the head to `version` or further: us, or another. */
+  private async settleConflict(version: number): Outcome<void> {
+    // Until it is read, the winner may be an earlier try of this patch.
+    this.ran = 'unknown';
+    for (;;) {
+      const read = await this.options.store.readHead('operator');
+      const head = read.map(found => found.extract()).orDefault(undefined);
+      if (head !== undefined && head.version >= version) {
+        this.head = head.manifest.number;
+        const earlier = await this.findEarlier(head);
+        if (earlier.isRight()) {
+          if (earlier.extract() !== undefined) return Right(undefined);
+          this.ran = 'no';
+          return this.reject(this.conflict());
+        }
+      }
+      if (!(await this.pause())) {
+        return this.reject(
+          this.storeError('the head could not be read after a conflict'),
+        );
+      }
+    }
+  }
+
+  private accept(
+    patched: PatchedDeclarations,
+    config: AcceptedConfig | undefined,
+  ): AppliedPatch {
+    const accepted = {
+      number: this.patch.base + 1,
+      changedPaths: patched.changedPaths,
+      dryRun: this.patch.dryRun,
+    };
+    return {accepted, config};
+  }
+
+  private repeatOf(manifest: Manifest): AppliedPatch {
+    const {number, changedPaths} = manifest;
+    const accepted = {number, changedPaths, dryRun: false};
+    return {accepted, config: undefined};
+  }
+
+  /** Waits before a repeat; false when time is up. */
+  private async pause(): Promise<boolean> {
+    const {clock, random} = this.options;
+    const ms = RETRY_PAUSE_MS * (0.5 + 0.5 * random.next());
+    if (clock.now() + ms >= this.deadline) return false;
+    await new Promise<void>(resolve => void clock.after(ms, resolve));
+    return true;
+  }
+
+  private conflict(): OnyxError {
+    const head = Math.max(this.head, this.options.seenNumber());
+    return this.error(
+      'conflict',
+      `the patch is based on number ${this.patch.base}, but number ${head} is in force; nothing changed. Look at the changes with: onyxloft config diff --base ${head} FILE`,
+    );
+  }
+
+  private storeError(cause: string): OnyxError {
+    const effect =
+      this.ran === 'no'
+        ? 'Nothing changed'
+        : `The patch may have been accepted as number ${this.patch.base + 1}`;
+    return this.error(
+      'store-unavailable',
+      `the object API could not be used (${cause}). ${effect}. Send the same patch with the same id again: it is accepted once at most`,
+    );
+  }
+
+  private error(code: ErrorCode, message: string): OnyxError {
+    const peer = code === 'store-unavailable' ? 'object-api' : '';
+    return new OnyxError({code, step: 'config', peer, message, ran: this.ran});
+  }
+
+  private rejectFaults(
+    faults: readonly ConfigFault[],
+  ): Either<ConfigRejection, never> {
+    const message = `the patch has ${faults.length} fault(s); nothing changed`;
+    return this.reject(this.error('invalid-config', message), faults);
+  }
+
+  private reject(
+    error: OnyxError,
+    faults: readonly ConfigFault[] = [],
+  ): Either<ConfigRejection, never> {
+    const head = Math.max(this.head, this.options.seenNumber());
+    return Left({error, head, faults});
+  }
+}
+
+function acceptedConfig(
+  manifest: Manifest,
+  patched: PatchedDeclarations,
+  documents: readonly NamedDocument[],
+): AcceptedConfig {
+  const {declarations} = patched;
+  const jsonByHash = new Map(documents.map(({hash, json}) => [hash, json]));
+  return {manifest, declarations, jsonByHash};
+}
--- /dev/null
+++ b/src/config/config_service.ts
@@ -0,0 +1,349 @@
+/**
+ * The service `config`: holds the newest accepted declarations of this
+ * process, gets newer ones from the store and from peers, and takes
+ * operators' patches to new numbers. It works on with what it has while the
+ * store is out.
+ */
+import {Left, Maybe, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {NumberedDeclarations} from '../types/config.js';
+import {OnyxError} from '../types/errors.js';
+import type {Address, ConfigNumber, NodeId} from '../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {ObjectStore} from '../types/platform.js';
+import type {Runtime} from '../types/runtime.js';
+import type {
+  ConfigAccepted,
+  ConfigMessage,
+  ConfigPatch,
+  ConfigRejection,
+} from '../types/services.js';
+import type {Transport} from '../types/transport.js';
+import {CONFIG_EVENTS} from '../utils/events.js';
+import {applyConfigPatch} from './apply_patch.js';
+import type {AppliedPatch} from './apply_patch.js';
+import {readHistory} from './config_history.js';
+import {isConfigHome} from './config_home.js';
+import {assembleConfig, createConfigState} from './config_state.js';
+import type {ConfigState} from './config_state.js';
+import {createConfigStore} from './config_store.js';
+import type {ConfigHead, ConfigStore} from './config_store.js';
+import {createInitialDeclarations} from './declarations_schema.js';
+import {startHeadFollower} from './head_follower.js';
+import type {HeadFollower} from './head_follower.js';
+import {answerFetch, fetchFromPeer} from './peer_exchange.js';
+import type {KnownFleet} from './validate.js';
+
+/** Pause between tries to subscribe to the membership. */
+const SUBSCRIBE_RETRY_MS = 500;
+
+export interface ConfigServiceOptions {
+  readonly node: NodeId;
+  /** Entries follow the membership and may become the home; sides do not. */
+  readonly role: 'entry' | 'side';
+  readonly store: ObjectStore;
+  readonly transport: Transport;
+  /** Live hosts, if known; for limits that no fleet can meet. */
+  readonly knownFleet?: () => Promise<Maybe<KnownFleet>>;
+  /** @default 25000 */
+  readonly watchMs?: number;
+  /** Mean pause between reads of the head. @default 30000, a side 300000 */
+  readonly pollMs?: number;
+  /** @default 1000 */
+  readonly startJitterMs?: number;
+  /** How long an operator's patch may take. @default 5000 */
+  readonly applyTimeoutMs?: number;
+}
+
+/** Makes the service. What it holds outlives a restart of its task. */
+export function createConfigService(
+  options: ConfigServiceOptions,
+): ServiceSpec<'config'> {
+  let runtime: Runtime | undefined;
+  const state = createConfigState(() => {
+    if (runtime === undefined) throw new Error('the service is not started');
+    return runtime;
+  });
+  const store = createConfigStore(options.store);
+  return {
+    name: 'config',
+    start: ctx => {
+      runtime = ctx;
+      new ConfigTask(ctx, options, state, store).start();
+    },
+  };
+}
+
+type ApplyMessage = Extract<ConfigMessage, {readonly kind: 'apply'}>;
+
+class ConfigTask {
+  private home = false;
+  private ended = false;
+  private fetching = false;
+  private follower: HeadFollower | undefined;
+  /** Patches are taken one at a time; the store would refuse the rest. */
+  private applying: Promise<void> = Promise.resolve();
+
+  constructor(
+    private readonly ctx: ServiceContext<'config'>,
+    private readonly options: ConfigServiceOptions,
+    private readonly state: ConfigState,
+    private readonly store: ConfigStore,
+  ) {}
+
+  start(): void {
+    const {ctx, options} = this;
+    ctx.own(() => {
+      this.ended = true;
+      this.follower?.stop();
+    });
+    const isEntry = options.role === 'entry';
+    this.follower = startHeadFollower({
+      store: this.store,
+      clock: ctx.clock,
+      random: ctx.random,
+      isHome: () => this.home,
+      watchMs: options.watchMs ?? 25_000,
+      pollMs: options.pollMs ?? (isEntry ? 30_000 : 300_000),
+      startJitterMs: options.startJitterMs ?? 1_000,
+      onHead: head => this.takeHead(head),
+      onFailure: (err, retryMs) =>
+        ctx.log(CONFIG_EVENTS.storeUnreachable, {
+          cause: err.message,
+          step: err.step,
+          peer: err.peer,
+          retryMs: Math.round(retryMs),
+        }),
+    });
+    if (isEntry) this.followMembership();
+    void ctx.mailbox.observe(message => this.handle(message));
+  }
+
+  private handle(message: ConfigMessage): void {
+    switch (message.kind) {
+      case 'subscribe':
+        return this.state.subscribe(message.listener);
+      case 'peer-number':
+        return this.hearNumber(message.peer, message.number);
+      case 'fetch':
+        return message.reply(answerFetch(this.state, message.req));
+      case 'apply':
+        return this.queuePatch(message);
+      case 'show':
+        return this.settle(this.show(message.number), message.reply);
+      case 'history':
+        return this.settle(
+          readHistory(this.store, this.state, message.limit),
+          message.reply,
+        );
+    }
+  }
+
+  /** Gives an answer when it is there; a throw ends the task. */
+  private settle<T>(answer: Promise<T>, reply: (value: T) => void): void {
+    answer.then(reply).catch(cause => this.ctx.fail(cause));
+  }
+
+  /** Repeats until the listener was called: membership may start later. */
+  private followMembership(): void {
+    let heard = false;
+    const subscribe = () => {
+      if (heard || this.ended) return;
+      this.ctx.send('membership', {
+        kind: 'subscribe',
+        listener: view => {
+          heard = true;
+          this.setHome(isConfigHome(this.options.node, view.entries));
+        },
+      });
+      this.ctx.own(this.ctx.clock.after(SUBSCRIBE_RETRY_MS, subscribe));
+    };
+    subscribe();
+  }
+
+  private setHome(home: boolean): void {
+    if (home === this.home || this.ended) return;
+    this.home = home;
+    this.ctx.log(CONFIG_EVENTS.homeChanged, {home});
+    if (home) this.follower?.poke();
+  }
+
+  private async takeHead(
+    found: Maybe<ConfigHead>,
+  ): Promise<Either<OnyxError, void>> {
+    const head = found.extract();
+    if (head === undefined) {
+      if (this.state.number() > 0) this.state.noteOlder(0, 'store');
+      else this.state.offerInitial(createInitialDeclarations());
+      return Right(undefined);
+    }
+    const {manifest} = head;
+    if (manifest.number === this.state.number()) return Right(undefined);
+    if (manifest.number < this.state.number()) {
+      this.state.noteOlder(manifest.number, 'store');
+      return Right(undefined);
+    }
+    const read = await this.store.readDocuments(
+      manifest.documents,
+      this.state.documents(),
+      'config',
+    );
+    return read
+      .chain(known => assembleConfig(manifest, known))
+      .map(config => void this.state.offer(config, 'store'));
+  }
+
+  private hearNumber(peer: Address, number: ConfigNumber): void {
+    if (number <= this.state.number() || this.fetching) return;
+    this.fetching = true;
+    this.fetch(peer, number)
+      .catch(cause => this.ctx.fail(cause))
+      .finally(() => {
+        this.fetching = false;
+      });
+  }
+
+  private async fetch(peer: Address, number: ConfigNumber): Promise<void> {
+    const fetched = await fetchFromPeer(
+      {
+        transport: this.options.transport,
+        haveNumber: this.state.number(),
+        known: this.state.documents(),
+        onCorrupt: hash =>
+          this.ctx.log(CONFIG_EVENTS.documentCorrupt, {peer, hash}),
+      },
+      peer,
+    );
+    const config = fetched.chain(got =>
+      got === undefined
+        ? Right(undefined)
+        : assembleConfig(got.manifest, got.jsonByHash),
+    );
+    config.caseOf({
+      Left: err => {
+        this.countFetch('failed');
+        this.ctx.log(CONFIG_EVENTS.fetchFailed, {
+          peer,
+          number,
+          cause: err.message,
+        });
+      },
+      Right: newer => {
+        if (newer === undefined) return this.countFetch('none-newer');
+        this.countFetch('taken');
+        this.state.offer(newer, 'peer');
+      },
+    });
+  }
+
+  private countFetch(outcome: string): void {
+    this.ctx.metrics.count('onyxloft_config_peer_fetch_total', {outcome});
+  }
+
+  private queuePatch(message: ApplyMessage): void {
+    this.applying = this.applying
+      .then(() => this.apply(message.patch))
+      .then(message.reply)
+      .catch(cause => this.ctx.fail(cause));
+  }
+
+  private async apply(
+    patch: ConfigPatch,
+  ): Promise<Either<ConfigRejection, ConfigAccepted>> {
+    const {ctx, options, state} = this;
+    const outcome = await applyConfigPatch(
+      {
+        store: this.store,
+        clock: ctx.clock,
+        random: ctx.random,
+        seenNumber: state.number,
+        documents: state.documents,
+        knownFleet:
+          options.knownFleet ?? (() => Promise.resolve(Maybe.empty())),
+        timeoutMs: options.applyTimeoutMs ?? 5_000,
+      },
+      patch,
+    );
+    return outcome.bimap(
+      rejection => this.noteRejected(patch, rejection),
+      applied => this.noteAccepted(patch, applied),
+    );
+  }
+
+  private noteAccepted(
+    patch: ConfigPatch,
+    {accepted, config}: AppliedPatch,
+  ): ConfigAccepted {
+    const {ctx} = this;
+    if (config !== undefined) this.state.offer(config, 'patch');
+    // A repeat finds its number made: read it, if it has not come here yet.
+    else if (!accepted.dryRun) this.follower?.poke();
+    ctx.metrics.count('onyxloft_config_patches_total', {outcome: 'accepted'});
+    ctx.log(CONFIG_EVENTS.patchAccepted, {
+      number: accepted.number,
+      base: patch.base,
+      patchId: patch.patchId,
+      operator: patch.operator,
+      dryRun: accepted.dryRun,
+      changed: accepted.changedPaths.length,
+    });
+    return accepted;
+  }
+
+  private noteRejected(
+    patch: ConfigPatch,
+    rejection: ConfigRejection,
+  ): ConfigRejection {
+    const {ctx} = this;
+    const {error, head, faults} = rejection;
+    const isUnknown = error.ran === 'unknown';
+    ctx.metrics.count('onyxloft_config_patches_total', {outcome: error.code});
+    ctx.log(
+      isUnknown ? CONFIG_EVENTS.patchUnknown : CONFIG_EVENTS.patchRejected,
+      {
+        base: patch.base,
+        head,
+        patchId: patch.patchId,
+        operator: patch.operator,
+        code: error.code,
+        faults: faults.length,
+        cause: error.message,
+      },
+    );
+    return rejection;
+  }
+
+  private async show(
+    number: ConfigNumber,
+  ): Promise<Either<OnyxError, NumberedDeclarations>> {
+    const inForce = this.state.inForce();
+    if (inForce !== undefined && (number === 0 || number === inForce.number)) {
+      return Right(inForce);
+    }
+    if (number === 0) return Left(nothingKnown());
+    const manifest = await this.store.readManifest(number);
+    if (manifest.isLeft()) return manifest;
+    const {documents} = manifest.unsafeCoerce();
+    const read = await this.store.readDocuments(
+      documents,
+      this.state.documents(),
+      'operator',
+    );
+    return manifest.chain(found =>
+      read
+        .chain(known => assembleConfig(found, known))
+        .map(({declarations}) => ({number, declarations})),
+    );
+  }
+}
+
+function nothingKnown(): OnyxError {
+  return new OnyxError({
+    code: 'store-unavailable',
+    step: 'config',
+    peer: 'object-api',
+    message:
+      'no configuration has reached this process yet: neither the object API nor a peer has answered',
+    retryAfterMs: 1_000,
+  });
+}
--- /dev/null
+++ b/src/config/config_store.ts
@@ -0,0 +1,209 @@
+/**
+ * The configuration's objects in the platform's store:
+ *
+ * - `config/head`: the newest manifest, changed by conditional update only;
+ * - `config/doc/<hash>`: documents, created once and never changed;
+ * - `config/history/<number>`: manifests of the numbers below the head. The
+ *   one of a number is written before the head leaves it, so that there is
+ *   never a gap, whatever fails in between.
+ */
+import {Left, Maybe, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {Ran} from '../types/errors.js';
+import type {ConfigNumber} from '../types/ids.js';
+import type {
+  ObjectStore,
+  StoreError,
+  StorePurpose,
+  StoredObject,
+} from '../types/platform.js';
+import {isIntact, parseManifest} from './documents.js';
+import type {DocumentRef, Manifest, NamedDocument} from './documents.js';
+
+const HEAD_KEY = 'config/head';
+/** Store calls in flight at once when many documents are moved. */
+const PARALLEL_CALLS = 8;
+
+/** The head with the store's version of it. */
+export interface ConfigHead {
+  readonly version: number;
+  readonly manifest: Manifest;
+}
+
+export interface ConfigStore {
+  readHead(
+    purpose: StorePurpose,
+  ): Promise<Either<OnyxError, Maybe<ConfigHead>>>;
+  /** Waits for a head over `version`, at most `waitMs`. */
+  watchHead(
+    version: number,
+    waitMs: number,
+  ): Promise<Either<OnyxError, Maybe<ConfigHead>>>;
+  readManifest(number: ConfigNumber): Promise<Either<OnyxError, Manifest>>;
+  /** Reads what `known` lacks; gives `known` and the rest together. */
+  readDocuments(
+    refs: readonly DocumentRef[],
+    known: ReadonlyMap<string, string>,
+    purpose: StorePurpose,
+  ): Promise<Either<OnyxError, ReadonlyMap<string, string>>>;
+  /** Creates documents; one that is there already is the same one. */
+  writeDocuments(
+    documents: readonly NamedDocument[],
+  ): Promise<Either<StoreError, void>>;
+  /** Keeps the manifest of a number that the head is about to leave. */
+  writeHistory(manifest: Manifest): Promise<Either<StoreError, void>>;
+  /** Moves the head. `version` 0 creates it. */
+  writeHead(
+    manifest: Manifest,
+    version: number,
+  ): Promise<Either<StoreError, void>>;
+}
+
+/** Puts the configuration's objects over the platform's store. */
+export function createConfigStore(store: ObjectStore): ConfigStore {
+  const toHead = (
+    object: Maybe<StoredObject>,
+  ): Either<OnyxError, Maybe<ConfigHead>> =>
+    object.caseOf<Either<OnyxError, Maybe<ConfigHead>>>({
+      Nothing: () => Right(Maybe.empty()),
+      Just: ({value, version}) =>
+        readManifestText(value).map(manifest => Maybe.of({version, manifest})),
+    });
+
+  const readDocument = async (
+    ref: DocumentRef,
+    purpose: StorePurpose,
+  ): Promise<Either<OnyxError, string>> => {
+    const found = await store.get(`config/doc/${ref.hash}`, purpose);
+    return found
+      .mapLeft(toOnyxError)
+      .chain(object =>
+        object.toEither(unreadable(`document ${ref.name} is not in the store`)),
+      )
+      .chain(({value}) =>
+        isIntact({hash: ref.hash, json: value})
+          ? Right(value)
+          : Left(unreadable(`document ${ref.name} does not match its hash`)),
+      );
+  };
+
+  const createOnce = async (
+    key: string,
+    value: string,
+  ): Promise<Either<StoreError, void>> => {
+    const created = await store.create(key, value, 'operator');
+    // The key names the content: a conflict says that it is there already.
+    return created
+      .map(() => undefined)
+      .chainLeft(err =>
+        err.kind === 'conflict' ? Right(undefined) : Left(err),
+      );
+  };
+
+  return {
+    readHead: async purpose =>
+      (await store.get(HEAD_KEY, purpose)).mapLeft(toOnyxError).chain(toHead),
+    watchHead: async (version, waitMs) =>
+      (await store.watch(HEAD_KEY, version, waitMs, 'config'))
+        .mapLeft(toOnyxError)
+        .chain(toHead),
+    readManifest: async number => {
+      const key = historyKey(number);
+      const kept = await store.get(key, 'operator');
+      if (kept.isLeft()) return kept.mapLeft(toOnyxError);
+      const object = kept.unsafeCoerce();
+      if (object.isJust()) return readManifestText(object.unsafeCoerce().value);
+      // The newest number has no history yet: it is the head itself.
+      const head = await store.get(HEAD_KEY, 'operator');
+      return head
+        .mapLeft(toOnyxError)
+        .chain(toHead)
+        .chain(found =>
+          found
+            .map(({manifest}) => manifest)
+            .filter(manifest => manifest.number === number)
+            .toEither(noSuchNumber(number)),
+        );
+    },
+    readDocuments: async (refs, known, purpose) => {
+      const all = new Map(known);
+      const missing = refs.filter(({hash}) => !known.has(hash));
+      const outcome = await eachInParallel(missing, async ref =>
+        (await readDocument(ref, purpose)).map(json => {
+          all.set(ref.hash, json);
+        }),
+      );
+      return outcome.map(() => all);
+    },
+    writeDocuments: documents =>
+      eachInParallel(documents, ({hash, json}) =>
+        createOnce(`config/doc/${hash}`, json),
+      ),
+    writeHistory: manifest =>
+      createOnce(historyKey(manifest.number), JSON.stringify(manifest)),
+    writeHead: async (manifest, version) => {
+      const value = JSON.stringify(manifest);
+      const written =
+        version === 0
+          ? await store.create(HEAD_KEY, value, 'operator')
+          : await store.update(HEAD_KEY, value, version, 'operator');
+      return written.map(() => undefined);
+    },
+  };
+}
+
+/** A store's failure as an error; an unknown effect stays unknown. */
+export function toOnyxError(err: StoreError): OnyxError {
+  const ran: Ran = err.effect === 'unknown' ? 'unknown' : 'no';
+  return new OnyxError({
+    code: err.kind === 'conflict' ? 'conflict' : 'store-unavailable',
+    step: 'store',
+    peer: 'object-api',
+    message: err.message,
+    ran,
+  });
+}
+
+function historyKey(number: ConfigNumber): string {
+  return `config/history/${number}`;
+}
+
+function noSuchNumber(number: ConfigNumber): OnyxError {
+  return new OnyxError({
+    code: 'not-found',
+    step: 'config',
+    message: `the store holds no number ${number}; see: onyxloft config history`,
+  });
+}
+
+function unreadable(message: string): OnyxError {
+  return new OnyxError({
+    code: 'internal',
+    step: 'config',
+    peer: 'object-api',
+    message,
+  });
+}
+
+function readManifestText(text: string): Either<OnyxError, Manifest> {
+  try {
+    return Right(parseManifest(text));
+  } catch (err) {
+    return Left(unreadable(`the manifest is not readable: ${String(err)}`));
+  }
+}
+
+/** Runs over the items, a few at a time; stops at the first failure. */
+async function eachInParallel<T, E>(
+  items: readonly T[],
+  run: (item: T) => Promise<Either<E, void>>,
+): Promise<Either<E, void>> {
+  for (let from = 0; from < items.length; from += PARALLEL_CALLS) {
+    const batch = items.slice(from, from + PARALLEL_CALLS);
+    const outcomes = await Promise.all(batch.map(run));
+    const failed = outcomes.find(outcome => outcome.isLeft());
+    if (failed !== undefined) return failed;
+  }
+  return Right(undefined);
+}
--- /dev/null
+++ b/src/config/head_follower.ts
@@ -0,0 +1,118 @@
+/**
+ * Follows the head in the store. The home holds a long watch, all others read
+ * it rarely and hear of new numbers from peers, so that calls to the store
+ * grow with the number of processes only by the rare reads. Pauses are
+ * jittered and grow while the store is out: processes that all failed at the
+ * same moment would else all come back at the same moment.
+ */
+import type {OnyxError} from '../types/errors.js';
+import type {Either, Maybe} from 'purify-ts';
+import type {Clock, Random} from '../types/runtime.js';
+import type {ConfigHead, ConfigStore} from './config_store.js';
+
+/** First pause after a failed call; doubles up to the largest. */
+const FIRST_BACKOFF_MS = 500;
+const LARGEST_BACKOFF_MS = 30_000;
+
+export interface HeadFollowerOptions {
+  readonly store: ConfigStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly isHome: () => boolean;
+  /** Longest wait of the home's watch, in milliseconds. */
+  readonly watchMs: number;
+  /** Mean pause between reads of a process that is not the home. */
+  readonly pollMs: number;
+  /** The first read comes within this long. */
+  readonly startJitterMs: number;
+  /**
+   * Takes a head, or Nothing when the store holds none. Rejecting means that
+   * it could not be taken, and it is read again.
+   */
+  readonly onHead: (
+    head: Maybe<ConfigHead>,
+  ) => Promise<Either<OnyxError, void>>;
+  readonly onFailure: (err: OnyxError, retryMs: number) => void;
+}
+
+export interface HeadFollower {
+  /** Ends a pause early: for when this process has become the home. */
+  poke(): void;
+  stop(): void;
+}
+
+/** Starts to follow. */
+export function startHeadFollower(options: HeadFollowerOptions): HeadFollower {
+  const {store, clock, random} = options;
+  let stopped = false;
+  let failures = 0;
+  let version = 0;
+  let wake: () => void = () => undefined;
+
+  const pause = (ms: number) =>
+    new Promise<void>(resolve => {
+      const cancel = clock.after(ms, resolve);
+      wake = () => {
+        cancel();
+        resolve();
+      };
+    });
+
+  const readOnce = async (): Promise<Either<OnyxError, void>> => {
+    const watching = options.isHome() && version > 0;
+    const read = watching
+      ? await store.watchHead(version, options.watchMs)
+      : await store.readHead('config');
+    if (read.isLeft()) return read;
+    const head = read.extract() as Maybe<ConfigHead>;
+    const taken = await options.onHead(head);
+    // Remembered only once taken: else the watch would wait past a head whose
+    // documents could not be read.
+    if (taken.isRight()) {
+      head.ifJust(found => {
+        version = Math.max(version, found.version);
+      });
+    }
+    return taken;
+  };
+
+  const backoffMs = () => {
+    const limit = Math.min(
+      LARGEST_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** failures,
+    );
+    failures += 1;
+    return limit * (0.5 + 0.5 * random.next());
+  };
+
+  const nextPauseMs = (outcome: Either<OnyxError, void>) => {
+    if (outcome.isLeft()) {
+      const retryMs = backoffMs();
+      options.onFailure(outcome.extract() as OnyxError, retryMs);
+      return retryMs;
+    }
+    failures = 0;
+    // A watch waits by itself; without a head there is nothing to watch.
+    if (options.isHome() && version > 0) return 0;
+    return options.pollMs * (0.5 + random.next());
+  };
+
+  const run = async () => {
+    await pause(options.startJitterMs * random.next());
+    while (!stopped) {
+      const outcome = await readOnce();
+      if (stopped) return;
+      const ms = nextPauseMs(outcome);
+      if (ms > 0) await pause(ms);
+    }
+  };
+
+  void run();
+  return {
+    poke: () => wake(),
+    stop: () => {
+      stopped = true;
+      wake();
+    },
+  };
+}
--- /dev/null
+++ b/src/config/peer_exchange.ts
@@ -0,0 +1,140 @@
+/**
+ * Hands configurations from process to process, so that an accepted number
+ * reaches all of them while the store is out. The manifest goes first; then
+ * only the documents that the asker lacks, in answers of bounded size.
+ */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {Address, ConfigNumber} from '../types/ids.js';
+import type {
+  ConfigDocument,
+  FetchConfigReq,
+  FetchConfigRes,
+} from '../types/peer_messages.js';
+import type {Transport} from '../types/transport.js';
+import type {ConfigState} from './config_state.js';
+import {isIntact, parseManifest} from './documents.js';
+import type {Manifest} from './documents.js';
+
+const FETCH_TIMEOUT_MS = 2_000;
+/** Documents asked for in one call. */
+const FETCH_BATCH = 64;
+/** Bytes of documents in one answer; keeps messages far below grpc's limit. */
+const MAX_ANSWER_BYTES = 1_000_000;
+
+/** Answers a peer from what is in force here. */
+export function answerFetch(
+  state: ConfigState,
+  req: FetchConfigReq,
+): FetchConfigRes {
+  const manifest = state.current()?.manifest;
+  const isNewer = manifest !== undefined && manifest.number > req.haveNumber;
+  return {
+    number: state.number(),
+    manifest: isNewer ? JSON.stringify(manifest) : '',
+    documents: pickDocuments(state.documents(), req.wantHashes),
+  };
+}
+
+function pickDocuments(
+  known: ReadonlyMap<string, string>,
+  hashes: readonly string[],
+): readonly ConfigDocument[] {
+  const picked: ConfigDocument[] = [];
+  let bytes = 0;
+  for (const hash of hashes) {
+    const json = known.get(hash);
+    if (json === undefined) continue;
+    bytes += Buffer.byteLength(json);
+    if (picked.length > 0 && bytes > MAX_ANSWER_BYTES) break;
+    picked.push({hash, json});
+  }
+  return picked;
+}
+
+/** What a peer had to give. */
+export interface FetchedConfig {
+  readonly manifest: Manifest;
+  readonly jsonByHash: ReadonlyMap<string, string>;
+}
+
+export interface PeerFetchOptions {
+  readonly transport: Transport;
+  readonly haveNumber: ConfigNumber;
+  readonly known: ReadonlyMap<string, string>;
+  /** A document came whose text does not match its hash. */
+  readonly onCorrupt: (hash: string) => void;
+}
+
+/**
+ * Fetches the peer's configuration. Right of undefined: it has none newer.
+ * Left: it could not be reached, or did not give all documents.
+ */
+export async function fetchFromPeer(
+  options: PeerFetchOptions,
+  peer: Address,
+): Promise<Either<OnyxError, FetchedConfig | undefined>> {
+  const {transport, haveNumber} = options;
+  const first = await transport.call(
+    peer,
+    'fetchConfig',
+    {haveNumber, wantHashes: []},
+    FETCH_TIMEOUT_MS,
+  );
+  if (first.isLeft()) return first;
+  const res = first.extract() as FetchConfigRes;
+  if (res.manifest === '') return Right(undefined);
+  const manifest = readManifest(res.manifest);
+  if (manifest === undefined) {
+    return Left(fetchError(peer, 'the manifest is not readable'));
+  }
+  return fetchDocuments(options, peer, manifest);
+}
+
+async function fetchDocuments(
+  options: PeerFetchOptions,
+  peer: Address,
+  manifest: Manifest,
+): Promise<Either<OnyxError, FetchedConfig>> {
+  const jsonByHash = new Map(options.known);
+  for (;;) {
+    const missing = manifest.documents
+      .map(({hash}) => hash)
+      .filter(hash => !jsonByHash.has(hash));
+    if (missing.length === 0) return Right({manifest, jsonByHash});
+    const answer = await options.transport.call(
+      peer,
+      'fetchConfig',
+      {
+        haveNumber: options.haveNumber,
+        wantHashes: missing.slice(0, FETCH_BATCH),
+      },
+      FETCH_TIMEOUT_MS,
+    );
+    if (answer.isLeft()) return answer;
+    const {documents} = answer.extract() as FetchConfigRes;
+    const sound = documents.filter(document => {
+      if (isIntact(document)) return true;
+      options.onCorrupt(document.hash);
+      return false;
+    });
+    // The peer has gone on to a later number, or sends what is broken.
+    if (sound.length === 0) {
+      return Left(fetchError(peer, `${missing.length} documents are missing`));
+    }
+    for (const {hash, json} of sound) jsonByHash.set(hash, json);
+  }
+}
+
+function readManifest(text: string): Manifest | undefined {
+  try {
+    return parseManifest(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function fetchError(peer: Address, message: string): OnyxError {
+  return new OnyxError({code: 'internal', step: 'config', peer, message});
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -27,6 +27,18 @@
   clockJumped: event(113, 'warn', 'clock-jumped'),
 } as const;
 
+export const CONFIG_EVENTS = {
+  adopted: event(600, 'info', 'config-adopted'),
+  olderOffered: event(601, 'warn', 'config-older-offered'),
+  storeUnreachable: event(602, 'warn', 'config-store-unreachable'),
+  documentCorrupt: event(603, 'error', 'config-document-corrupt'),
+  fetchFailed: event(604, 'warn', 'config-fetch-failed'),
+  patchAccepted: event(605, 'info', 'config-patch-accepted'),
+  patchRejected: event(606, 'info', 'config-patch-rejected'),
+  patchUnknown: event(607, 'error', 'config-patch-outcome-unknown'),
+  homeChanged: event(608, 'debug', 'config-home-changed'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
