--- /dev/null
+++ b/test/support/config_cluster.ts
@@ -0,0 +1,234 @@
+/**
+ * Several processes with the service `config`, one store, and heartbeats that
+ * carry the number in force, in virtual time.
+ */
+import type {Either} from 'purify-ts';
+import {createConfigService} from '../../src/config/config_service.js';
+import type {ConfigServiceOptions} from '../../src/config/config_service.js';
+import {createKernel} from '../../src/kernel/kernel.js';
+import type {Kernel} from '../../src/kernel/kernel.js';
+import type {NumberedDeclarations} from '../../src/types/config.js';
+import type {ServiceSpec} from '../../src/types/kernel.js';
+import type {
+  FetchConfigReq,
+  FetchConfigRes,
+} from '../../src/types/peer_messages.js';
+import type {
+  ConfigAccepted,
+  ConfigPatch,
+  ConfigRejection,
+  MembershipView,
+} from '../../src/types/services.js';
+import {createMemoryObjectStore} from '../../standins/memory_object_store.js';
+import type {MemoryObjectStore} from '../../standins/memory_object_store.js';
+import {createObjectStoreCore} from '../../standins/object_store_core.js';
+import type {ObjectStoreCore} from '../../standins/object_store_core.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import type {RecordingRuntime} from '../../standins/recording_runtime.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
+import {createPeerCallsNet} from './peer_calls.js';
+import type {PeerCallsNet} from './peer_calls.js';
+
+const HEARTBEAT_MS = 1_000;
+/** Processes to which each one sends heartbeats. */
+const PEERS = 4;
+
+export interface ConfigNode {
+  readonly name: string;
+  readonly address: string;
+  readonly kernel: Kernel;
+  readonly recording: RecordingRuntime;
+  readonly store: MemoryObjectStore;
+  /** Numbers in force here, in order. */
+  readonly seen: number[];
+  inForce(): NumberedDeclarations | undefined;
+}
+
+export interface ConfigCluster {
+  readonly clock: VirtualClock;
+  readonly core: ObjectStoreCore;
+  readonly net: PeerCallsNet;
+  readonly nodes: readonly ConfigNode[];
+  addNode(options?: Partial<ConfigServiceOptions>): Promise<ConfigNode>;
+  /** Sends a patch and runs the clock until it is answered. */
+  apply(
+    node: ConfigNode,
+    patch: Partial<ConfigPatch>,
+  ): Promise<Either<ConfigRejection, ConfigAccepted>>;
+  /** Runs the clock until the promise settles. */
+  until<T>(answer: Promise<T>): Promise<T>;
+  stop(): Promise<void>;
+}
+
+/** Starts without processes. */
+export function createConfigCluster(seed = 1): ConfigCluster {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(seed);
+  const core = createObjectStoreCore({clock, random});
+  const net = createPeerCallsNet(clock);
+  const nodes: ConfigNode[] = [];
+
+  const membershipOf = (self: () => ConfigNode): ServiceSpec<'membership'> => ({
+    name: 'membership',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        if (message.kind === 'subscribe') message.listener(viewOf(nodes));
+      });
+      const beat = () => {
+        for (const peer of peersOf(nodes, self())) {
+          const transport = net.transport(self().address);
+          const req = heartbeatOf(self());
+          void transport
+            .call(peer.address, 'entryHeartbeat', req, HEARTBEAT_MS)
+            .then(answer =>
+              answer.ifRight(res =>
+                ctx.send('config', {
+                  kind: 'peer-number',
+                  peer: peer.address,
+                  number: res.configNumber,
+                }),
+              ),
+            );
+        }
+      };
+      ctx.own(
+        ctx.clock.after(random.next() * HEARTBEAT_MS, () => {
+          beat();
+          ctx.own(ctx.clock.every(HEARTBEAT_MS, beat));
+        }),
+      );
+    },
+  });
+
+  const addNode = async (options: Partial<ConfigServiceOptions> = {}) => {
+    const name = `node-${nodes.length}`;
+    const address = `127.0.0.1:${7000 + nodes.length}`;
+    const recording = createRecordingRuntime({clock, random});
+    const kernel = createKernel(recording.runtime);
+    const store = createMemoryObjectStore({core, clock});
+    const seen: number[] = [];
+    let latest: NumberedDeclarations | undefined;
+    const node: ConfigNode = {
+      name,
+      address,
+      kernel,
+      recording,
+      store,
+      seen,
+      inForce: () => latest,
+    };
+    nodes.push(node);
+    net.serve(address, {
+      fetchConfig: req => askFetch(kernel, req),
+      entryHeartbeat: req => {
+        const {address: peer, configNumber: number} = req;
+        kernel.send('config', {kind: 'peer-number', peer, number});
+        return Promise.resolve(heartbeatOf(node));
+      },
+    });
+    await kernel.start(membershipOf(() => node));
+    await kernel.start(
+      createConfigService({
+        node: name,
+        role: 'entry',
+        store,
+        transport: net.transport(address),
+        ...options,
+      }),
+    );
+    kernel.send('config', {
+      kind: 'subscribe',
+      listener: config => {
+        latest = config;
+        seen.push(config.number);
+      },
+    });
+    return node;
+  };
+
+  const until = async <T>(answer: Promise<T>): Promise<T> => {
+    let settled = false;
+    const mark = () => {
+      settled = true;
+    };
+    answer.then(mark, mark);
+    await clock.settle();
+    while (!settled) await clock.step();
+    return answer;
+  };
+
+  return {
+    clock,
+    core,
+    net,
+    nodes,
+    addNode,
+    until,
+    apply: (node, patch) =>
+      until(
+        node.kernel.ask('config', reply => ({
+          kind: 'apply',
+          patch: {...PATCH, ...patch},
+          reply,
+        })),
+      ),
+    stop: async () => {
+      for (const node of nodes) await node.kernel.stop();
+    },
+  };
+}
+
+/** A merge patch on number 0 that declares one organisation. */
+export const PATCH: ConfigPatch = {
+  patchId: 'patch-1',
+  base: 0,
+  form: 'merge-patch',
+  patch: '{"organisations":{"prairie-sky":{}}}',
+  dryRun: false,
+  operator: 'ada',
+};
+
+function askFetch(
+  kernel: Kernel,
+  req: FetchConfigReq,
+): Promise<FetchConfigRes> {
+  return kernel.ask('config', reply => ({kind: 'fetch', req, reply}));
+}
+
+/** Neighbours on a ring: a new number needs several hops to reach all. */
+function peersOf(
+  nodes: readonly ConfigNode[],
+  self: ConfigNode,
+): readonly ConfigNode[] {
+  const at = nodes.indexOf(self);
+  const others = Math.min(PEERS, nodes.length - 1);
+  return Array.from(
+    {length: others},
+    (_, hop) => nodes[(at + 2 ** hop) % nodes.length] as ConfigNode,
+  ).filter(peer => peer !== self);
+}
+
+function heartbeatOf(node: ConfigNode) {
+  return {
+    node: node.name,
+    incarnation: node.name,
+    address: node.address,
+    failureDomain: 'hall-north',
+    leaving: false,
+    configNumber: node.inForce()?.number ?? 0,
+    fence: 0,
+  };
+}
+
+function viewOf(nodes: readonly ConfigNode[]): MembershipView {
+  return {
+    replicas: [],
+    allSides: [],
+    entries: nodes.map(node => ({
+      ...heartbeatOf(node),
+      state: 'live' as const,
+    })),
+  };
+}
