--- /dev/null
+++ b/test/config_spread.test.ts
@@ -0,0 +1,156 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {CONFIG_EVENTS} from '../src/utils/events.js';
+import {createConfigCluster} from './support/config_cluster.js';
+import type {ConfigCluster, ConfigNode} from './support/config_cluster.js';
+
+let cluster: ConfigCluster;
+
+afterEach(() => cluster.stop());
+
+async function start(nodes: number) {
+  cluster = createConfigCluster();
+  for (let n = 0; n < nodes; n++) await cluster.addNode();
+  await cluster.clock.runFor(3_000);
+  return cluster.nodes;
+}
+
+async function applyNext(node: ConfigNode, base: number) {
+  const outcome = await cluster.apply(node, {
+    base,
+    patchId: `patch-${base + 1}`,
+    patch: `{"organisations":{"prairie-sky":{"weight":${base + 1}}}}`,
+  });
+  expect(outcome.isRight()).toBe(true);
+}
+
+function numbers(): readonly number[] {
+  return cluster.nodes.map(node => node.inForce()?.number ?? -1);
+}
+
+function onlyGrows(values: readonly number[]): boolean {
+  return values.every((value, at) => at === 0 || value > values[at - 1]);
+}
+
+describe('a number in force', () => {
+  // The store goes out right after it has accepted a patch. The other
+  // processes cannot read it there; they hear the number on heartbeats and
+  // get the documents from the peer that has them.
+  it('reaches all when the store goes out just after acceptance', async () => {
+    const nodes = await start(12);
+    await applyNext(nodes[0], 0);
+    cluster.core.setFaults({outage: true});
+    await cluster.clock.runFor(5_000);
+    expect(new Set(numbers())).toEqual(new Set([1]));
+  });
+
+  // A process starts while the store is out. It has no rules to admit
+  // requests under until a peer gives it the number in force.
+  it('reaches a process that starts while the store is out', async () => {
+    const nodes = await start(3);
+    await applyNext(nodes[0], 0);
+    cluster.core.setFaults({outage: true});
+    const late = await cluster.addNode();
+    expect(late.inForce()).toBeUndefined();
+    await cluster.clock.runFor(5_000);
+    expect(late.inForce()).toEqual(nodes[0].inForce());
+  });
+
+  // The watch of one process and the reads of all serve the state of a minute
+  // ago, while peers carry newer numbers. What was in force must not come
+  // back: a revoked key would open again.
+  it('never goes back whatever a stale read says', async () => {
+    const nodes = await start(6);
+    for (let base = 0; base < 5; base++) {
+      await applyNext(nodes[base], base);
+      await cluster.clock.runFor(4_000);
+    }
+    cluster.core.setFaults({staleMs: 15_000});
+    await cluster.clock.runFor(120_000);
+    expect(new Set(numbers())).toEqual(new Set([5]));
+    for (const node of nodes) expect(onlyGrows(node.seen)).toBe(true);
+    const noted = nodes.flatMap(node =>
+      node.recording.eventsOf(CONFIG_EVENTS.olderOffered),
+    );
+    expect(noted.length).toBeGreaterThan(0);
+  });
+
+  it('takes no document that does not match its hash', async () => {
+    const nodes = await start(1);
+    await applyNext(nodes[0], 0);
+    cluster.core.setFaults({outage: true});
+    const late = await cluster.addNode();
+    let spoilt = true;
+    cluster.net.serve(nodes[0].address, {
+      entryHeartbeat: req => {
+        late.kernel.send('config', {
+          kind: 'peer-number',
+          peer: nodes[0].address,
+          number: 1,
+        });
+        return Promise.resolve({...req, configNumber: 1});
+      },
+      fetchConfig: async req => {
+        const res = await nodes[0].kernel.ask('config', reply => ({
+          kind: 'fetch' as const,
+          req,
+          reply,
+        }));
+        if (!spoilt) return res;
+        const documents = res.documents.map(({hash, json}) => ({
+          hash,
+          json: `${json} `,
+        }));
+        return {...res, documents};
+      },
+    });
+    await cluster.clock.runFor(5_000);
+    expect(late.inForce()).toBeUndefined();
+    expect(
+      late.recording.eventsOf(CONFIG_EVENTS.documentCorrupt).length,
+    ).toBeGreaterThan(0);
+    spoilt = false;
+    await cluster.clock.runFor(5_000);
+    expect(late.inForce()?.number).toBe(1);
+  });
+
+  it('asks a peer only for documents that changed', async () => {
+    const nodes = await start(2);
+    await applyNext(nodes[0], 0);
+    await cluster.clock.runFor(3_000);
+    const wanted: number[] = [];
+    cluster.net.serve(nodes[0].address, {
+      entryHeartbeat: req => Promise.resolve({...req, configNumber: 2}),
+      fetchConfig: req => {
+        wanted.push(req.wantHashes.length);
+        return nodes[0].kernel.ask('config', reply => ({
+          kind: 'fetch' as const,
+          req,
+          reply,
+        }));
+      },
+    });
+    await applyNext(nodes[0], 1);
+    await cluster.clock.runFor(3_000);
+    expect(numbers()).toEqual([2, 2]);
+    expect(wanted).toEqual([0, 1]);
+  });
+
+  // All processes lose the store at the same moment and keep trying. Were
+  // their pauses equal, all would call in the same instant when it returns.
+  it('keeps the calls of a whole fleet few, with one watch', async () => {
+    await start(40);
+    const before = callsOf('watch') + callsOf('get');
+    await cluster.clock.runFor(600_000);
+    const perSec = (callsOf('watch') + callsOf('get') - before) / 600;
+    // 39 reads in 30 s and one watch in 25 s.
+    expect(perSec).toBeLessThan(1.6);
+    expect(callsOf('watch')).toBeLessThan(30);
+  });
+});
+
+function callsOf(kind: string): number {
+  return cluster.core
+    .counts()
+    .filter(count => count.kind === kind)
+    .reduce((sum, {calls}) => sum + calls, 0);
+}
