--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,91 @@
+/** A settings file is checked as a whole before anything starts. */
+import {describe, expect, test} from 'vitest';
+import {parseSettings} from '../src/config/settings.js';
+import {formatFault} from '../src/config/settings_faults.js';
+
+const HASH = `sha256$${'ab'.repeat(16)}$${'cd'.repeat(32)}`;
+
+const ENTRY = `{
+  // An entry in the north hall.
+  "role": "entry",
+  "node": "entry-north-1",
+  "host": "north-entry-1",
+  "failureDomain": "hall-north",
+  "listen": {
+    "callers": "10.1.0.5:7100",
+    "operators": "10.1.0.5:7200",
+    "peers": "10.1.0.5:7300",
+  },
+  "platform": {
+    "objectApi": "http://10.9.0.1:8001",
+    "hostList": "http://10.9.0.1:8002",
+    "weightStore": "http://10.9.0.1:8003"
+  },
+  "operatorTokenHash": "${HASH}"
+}`;
+
+const WRONG_SIDE = `{
+  "role": "side",
+  "node": "side one",
+  "host": 7,
+  "listen": {
+    "callers": "10.1.0.7:7100",
+    "operators": "localhost:7200",
+    "peers": "0.0.0.0:7300"
+  },
+  "platform": {
+    "objectApi": "10.9.0.1:8001",
+    "hostList": "http://10.9.0.1:8002",
+    "hostlist": "http://10.9.0.1:8002"
+  },
+  "upstream": {
+    "kind": "service",
+    "pool": "station-app",
+    "url": "http://127.0.0.1:9000",
+    "refusesOldFence": true
+  },
+  "operatorTokenHash": "secret",
+  "timing": {
+    "heartBeatMs": 500,
+    "holdMs": 1500,
+    "suspectAfterMs": 900,
+    "drainMs": -1
+  },
+  "limits": {"maxBodyBytes": "8 MB", "followReplicas": 1.5},
+  "log": {"level": "loud", "file": "/var/log/onyxloft"},
+  "node": "side-1",
+  "telemetry": {}
+}`;
+
+const BROKEN_TEXT = `{
+  "role": "side"
+  "node": "side one",
+`;
+
+function faultsOf(text: string): string {
+  const faults = parseSettings(text, 'side.jsonc').swap().orDefault([]);
+  return faults.map(formatFault).join('\n') + '\n';
+}
+
+describe('settings', () => {
+  test('a right file gives its options with all defaults', async () => {
+    const settings = parseSettings(ENTRY, 'entry.jsonc').extract();
+    const text = JSON.stringify(settings, null, 2) + '\n';
+    await expect(text).toMatchFileSnapshot('golden/settings_entry.json');
+  });
+
+  test('a wrong file tells every fault at once, with line and mend', async () => {
+    const faults = faultsOf(WRONG_SIDE);
+    await expect(faults).toMatchFileSnapshot('golden/settings_faults.txt');
+  });
+
+  test('a token is never shown in a fault', () => {
+    expect(faultsOf(WRONG_SIDE)).not.toContain('secret');
+  });
+
+  test('broken text tells no option lost behind the break as missing', () => {
+    const faults = faultsOf(BROKEN_TEXT);
+    expect(faults).toContain('side.jsonc:3: is not JSON');
+    expect(faults).not.toContain('is missing');
+  });
+});
