--- /dev/null
+++ b/src/entry/admission.ts
@@ -0,0 +1,204 @@
+/**
+ * Makes a request's spec from what the caller sent and the newest
+ * declarations: model, classes, time limit, prefix hashes. No upstream is
+ * asked here, so a refusal costs none of them anything.
+ */
+import type {
+  Declarations,
+  LengthClass,
+  Model,
+  NumberedDeclarations,
+  Organisation,
+  PlainService,
+  PriorityClass,
+} from '../types/config.js';
+import {OnyxError} from '../types/errors.js';
+import type {PoolId, RequestId} from '../types/ids.js';
+import type {CallHead} from '../types/peer_messages.js';
+import type {Body, RequestSpec} from '../types/services.js';
+import type {CompletionFields} from './completion_fields.js';
+import {badRequest} from './faults.js';
+import {prefixHashes} from './prefix_hashes.js';
+import type {RequestOptions} from './request_options.js';
+
+/**
+ * Bytes of prompt per token, for the estimate. English prose under the usual
+ * tokenizers has some four; only engines count exactly.
+ */
+export const BYTES_PER_TOKEN = 4;
+
+/** Length class of calls in metrics. */
+export const CALL_LENGTH_CLASS = 'call';
+
+/** What is known of a request before its body is looked at. */
+export interface Arrival {
+  readonly id: RequestId;
+  readonly organisation: Organisation;
+  readonly config: NumberedDeclarations;
+  /** On this process's clock; the time limit counts from here. */
+  readonly arrivedAt: number;
+}
+
+/** Estimated tokens of a prompt. */
+export function estimateTokens(bytes: number): number {
+  return Math.ceil(bytes / BYTES_PER_TOKEN);
+}
+
+/** Throws an `OnyxError` when the request cannot be admitted. */
+export function admitCompletion(
+  arrival: Arrival,
+  fields: CompletionFields,
+  options: RequestOptions,
+): RequestSpec {
+  const {declarations} = arrival.config;
+  const {model, adapter} = findModel(declarations, fields.model);
+  const promptTokens = estimateTokens(fields.prompt.bytes);
+  if (promptTokens > model.maxPromptTokens) {
+    throw tooLong(promptTokens, model);
+  }
+  const lengthClass = findLengthClass(declarations, promptTokens);
+  const scope = `${arrival.organisation.id}\n${model.id}\n${adapter}`;
+  return {
+    ...common(arrival, options, lengthClass.defaultTimeLimitMs),
+    kind: 'completion',
+    pool: '',
+    model: model.id,
+    adapter,
+    lengthClass: lengthClass.name,
+    body: fields.prompt,
+    promptTokens,
+    maxTokens: fields.maxTokens,
+    repeatable: options.repeatable ?? true,
+    prefixHashes: prefixHashes(fields.prompt, scope),
+    call: undefined,
+  };
+}
+
+/** Throws an `OnyxError` when the call cannot be admitted. */
+export function admitCall(
+  arrival: Arrival,
+  service: PlainService,
+  call: CallHead,
+  body: Body,
+  options: RequestOptions,
+): RequestSpec {
+  return {
+    ...common(arrival, options, service.defaultTimeLimitMs),
+    kind: 'call',
+    pool: service.pool,
+    model: '',
+    adapter: '',
+    lengthClass: CALL_LENGTH_CLASS,
+    body,
+    promptTokens: 0,
+    maxTokens: 0,
+    repeatable:
+      options.repeatable ?? service.repeatableMethods.includes(call.method),
+    prefixHashes: [],
+    call,
+  };
+}
+
+/** Throws `not-found` for a pool that no plain service is declared for. */
+export function findService(
+  declarations: Declarations,
+  pool: PoolId,
+): PlainService {
+  const found = declarations.services.find(service => service.pool === pool);
+  if (found === undefined) {
+    throw badRequest(`no service "${pool}"`, 'validate', 'not-found');
+  }
+  return found;
+}
+
+function common(
+  arrival: Arrival,
+  options: RequestOptions,
+  defaultTimeLimitMs: number,
+) {
+  const {declarations} = arrival.config;
+  const priorityClass = findPriorityClass(declarations, options.priority);
+  const timeLimitMs = options.timeLimitMs ?? defaultTimeLimitMs;
+  return {
+    id: arrival.id,
+    organisation: arrival.organisation.id,
+    weight: arrival.organisation.weight,
+    priorityClass: priorityClass.name,
+    priority: priorityClass.priority,
+    deadlineAt: arrival.arrivedAt + timeLimitMs,
+    admittedAt: arrival.arrivedAt,
+    idempotencyKey: options.idempotencyKey,
+    config: arrival.config,
+  };
+}
+
+interface ModelChoice {
+  readonly model: Model;
+  readonly adapter: string;
+}
+
+/** `MODEL` or `MODEL:ADAPTER`; none for the default model. */
+function findModel(
+  declarations: Declarations,
+  wanted: string | undefined,
+): ModelChoice {
+  const {models} = declarations;
+  const whole =
+    wanted === undefined
+      ? models.find(model => model.isDefault)
+      : models.find(model => model.id === wanted);
+  if (whole !== undefined) return {model: whole, adapter: ''};
+  const colon = (wanted ?? '').lastIndexOf(':');
+  const id = (wanted ?? '').slice(0, Math.max(0, colon));
+  const adapter = (wanted ?? '').slice(colon + 1);
+  const base = models.find(
+    model => model.id === id && model.adapters.includes(adapter),
+  );
+  if (base !== undefined) return {model: base, adapter};
+  throw badRequest(
+    wanted === undefined
+      ? 'no model was named and none is the default'
+      : `no model "${wanted}"`,
+    'validate',
+    'unknown-model',
+  );
+}
+
+function findPriorityClass(
+  declarations: Declarations,
+  name: string | undefined,
+): PriorityClass {
+  const {priorityClasses} = declarations;
+  const found =
+    name === undefined
+      ? (priorityClasses.find(each => each.isDefault) ?? priorityClasses[0])
+      : priorityClasses.find(each => each.name === name);
+  if (found !== undefined) return found;
+  const names = priorityClasses.map(each => each.name).join(', ');
+  throw badRequest(`no priority class "${name}"; there are: ${names}`);
+}
+
+function findLengthClass(
+  declarations: Declarations,
+  tokens: number,
+): LengthClass {
+  const {lengthClasses} = declarations;
+  const found =
+    lengthClasses.find(each => tokens <= each.maxTokens) ??
+    lengthClasses.at(-1);
+  if (found !== undefined) return found;
+  throw new OnyxError({
+    code: 'internal',
+    step: 'validate',
+    message: 'the declarations have no length class',
+  });
+}
+
+function tooLong(promptTokens: number, model: Model): OnyxError {
+  return badRequest(
+    `the prompt has some ${promptTokens} tokens; ` +
+      `"${model.id}" takes ${model.maxPromptTokens}`,
+    'validate',
+    'too-large',
+  );
+}
--- /dev/null
+++ b/src/entry/answer_text.ts
@@ -0,0 +1,52 @@
+/**
+ * Turns an answer's bytes into text chunk by chunk. A character cut by a chunk
+ * border is held back with its whole chunk until the rest is there.
+ */
+
+const CONTINUATION_MASK = 0xc0;
+const CONTINUATION = 0x80;
+const MAX_CHARACTER_BYTES = 4;
+
+export interface AnswerText {
+  /** Text that is whole now; empty while a chunk is held back. */
+  push(data: Uint8Array): string;
+  /** What was held back to the end. */
+  end(): string;
+}
+
+/** Starts an answer. */
+export function createAnswerText(): AnswerText {
+  const decoder = new TextDecoder();
+  let held: readonly Uint8Array[] = [];
+
+  const flush = () => {
+    const text = decoder.decode(Buffer.concat(held));
+    held = [];
+    return text;
+  };
+
+  return {
+    push: data => {
+      held = [...held, data];
+      return endsAmidCharacter(data) ? '' : flush();
+    },
+    end: flush,
+  };
+}
+
+/** True when the last character of the bytes lacks some of its own. */
+export function endsAmidCharacter(bytes: Uint8Array): boolean {
+  const from = Math.max(0, bytes.length - MAX_CHARACTER_BYTES);
+  for (let at = bytes.length - 1; at >= from; at -= 1) {
+    const byte = bytes[at] ?? 0;
+    if ((byte & CONTINUATION_MASK) === CONTINUATION) continue;
+    return at + characterBytes(byte) > bytes.length;
+  }
+  return false;
+}
+
+function characterBytes(lead: number): number {
+  if (lead >= 0xf0) return 4;
+  if (lead >= 0xe0) return 3;
+  return lead >= 0xc0 ? 2 : 1;
+}
--- /dev/null
+++ b/src/entry/answers.ts
@@ -0,0 +1,213 @@
+/**
+ * Writes a request's events to its caller: as server-sent events, as one JSON
+ * object, or as the plain service's own response.
+ */
+import type {ServerResponse} from 'node:http';
+import {OnyxError} from '../types/errors.js';
+import type {ModelId, RequestId} from '../types/ids.js';
+import type {CallResHead, Header} from '../types/peer_messages.js';
+import type {RequestEvent} from '../types/services.js';
+import {createAnswerText} from './answer_text.js';
+import {errorBody, sendError, sendJson} from './http_errors.js';
+
+type EndEvent = Extract<RequestEvent, {kind: 'end'}>;
+type ChunkEvent = Extract<RequestEvent, {kind: 'chunk'}>;
+
+/** One way of answering. Events come in the order of `RequestEvent`. */
+export interface Answer {
+  placed(dispatchId: string): void;
+  chunk(event: ChunkEvent): void;
+  end(event: EndEvent): void;
+  /** No whole answer will come. */
+  fail(error: OnyxError): void;
+  /** Keeps a quiet connection known to be alive. */
+  beat(): void;
+}
+
+/** What a completion's answer tells besides its text. */
+export interface CompletionHead {
+  readonly id: RequestId;
+  /** Empty on a resume: the entry that admitted it knew. */
+  readonly model: ModelId;
+  /** Unix time in seconds. */
+  readonly created: number;
+  /** Undefined on a resume. */
+  readonly promptTokens: number | undefined;
+}
+
+/** Headers that belong to one connection, not to the message. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers that go on to the other end of a call. */
+export function endToEndHeaders(headers: readonly Header[]): readonly Header[] {
+  const named = headers
+    .filter(header => header.name.toLowerCase() === 'connection')
+    .flatMap(header => header.value.split(','))
+    .map(name => name.trim().toLowerCase());
+  return headers.filter(header => {
+    const name = header.name.toLowerCase();
+    return !CONNECTION_HEADERS.has(name) && !named.includes(name);
+  });
+}
+
+function choice(text: string, finishReason: string | null) {
+  return {index: 0, text, logprobs: null, finish_reason: finishReason};
+}
+
+function completion(head: CompletionHead, text: string, end?: EndEvent) {
+  return {
+    id: head.id,
+    object: 'text_completion',
+    created: head.created,
+    model: head.model,
+    choices: [choice(text, end?.finishReason ?? null)],
+    ...(end === undefined ? {} : {usage: usage(head, end)}),
+  };
+}
+
+function usage(head: CompletionHead, end: EndEvent) {
+  const known =
+    head.promptTokens === undefined
+      ? {}
+      : {
+          prompt_tokens: head.promptTokens,
+          total_tokens: head.promptTokens + end.tokens,
+        };
+  return {
+    ...known,
+    completion_tokens: end.tokens,
+    prompt_tokens_details: {cached_tokens: end.cachedTokens},
+  };
+}
+
+/** Where a resumed stream goes on. */
+export interface ResumePoint {
+  readonly fromSeq: number;
+  /** The run that the chunks before came from; empty when not known. */
+  readonly dispatchId: string;
+}
+
+/**
+ * Server-sent events. Each chunk's `id` is `<request>:<dispatch>:<seq>`, from
+ * which a caller resumes. The response head waits for the first chunk, so that
+ * a refusal still has its own status, but not beyond the first beat.
+ */
+export function createStreamAnswer(
+  res: ServerResponse,
+  head: CompletionHead,
+  from: ResumePoint,
+): Answer {
+  const text = createAnswerText();
+  let dispatchId = from.dispatchId;
+  let begun = from.fromSeq > 0;
+
+  const write = (frame: string) => {
+    if (!res.headersSent) {
+      res.writeHead(200, {
+        'Content-Type': 'text/event-stream',
+        'Cache-Control': 'no-store',
+      });
+    }
+    res.write(frame);
+  };
+
+  const data = (value: unknown) => `data: ${JSON.stringify(value)}\n\n`;
+
+  const fail = (error: OnyxError) => {
+    if (!res.headersSent) {
+      sendError(res, error, head.id);
+      return;
+    }
+    res.end(`event: error\n${data(errorBody(error, head.id))}`);
+  };
+
+  const placed = (placedId: string) => {
+    // Chunks of two runs must not be joined: the texts differ, and the caller
+    // would take the seam for the model's own words.
+    if (begun && dispatchId !== '' && placedId !== dispatchId) {
+      throw otherRun(head.id);
+    }
+    dispatchId = placedId;
+  };
+
+  const chunk = (event: ChunkEvent) => {
+    begun = true;
+    const whole = text.push(event.data);
+    if (whole === '') return;
+    const id = `${head.id}:${dispatchId}:${event.seq}`;
+    write(`id: ${id}\n${data(completion(head, whole))}`);
+  };
+
+  const end = (event: EndEvent) => {
+    write(data(completion(head, text.end(), event)));
+    res.end('data: [DONE]\n\n');
+  };
+
+  return {placed, chunk, end, fail, beat: () => write(': beat\n\n')};
+}
+
+function otherRun(id: RequestId): OnyxError {
+  return new OnyxError({
+    code: 'answer-incomplete',
+    step: 'resume',
+    requestId: id,
+    message: 'the run was replaced by another; resume with from=0',
+    ran: 'yes',
+  });
+}
+
+/** One JSON object, sent when the answer is whole. */
+export function createWholeAnswer(
+  res: ServerResponse,
+  head: CompletionHead,
+): Answer {
+  const text = createAnswerText();
+  const parts: string[] = [];
+  return {
+    placed: () => undefined,
+    chunk: event => void parts.push(text.push(event.data)),
+    end: event => {
+      parts.push(text.end());
+      sendJson(res, 200, completion(head, parts.join(''), event));
+    },
+    fail: error => sendError(res, error, head.id),
+    beat: () => undefined,
+  };
+}
+
+/** A plain service's response, passed on as it comes. */
+export function createCallAnswer(res: ServerResponse, id: RequestId): Answer {
+  const begin = (head: CallResHead) => {
+    for (const {name, value} of endToEndHeaders(head.headers)) {
+      res.appendHeader(name, value);
+    }
+    res.writeHead(head.status);
+  };
+  return {
+    placed: () => undefined,
+    chunk: event => {
+      if (!res.headersSent) begin(event.callHead ?? {status: 200, headers: []});
+      res.write(event.data);
+    },
+    end: () => {
+      if (!res.headersSent) begin({status: 200, headers: []});
+      res.end();
+    },
+    fail: error => {
+      // Ending it in good order would pass a cut answer off as a whole one.
+      if (res.headersSent) res.destroy();
+      else sendError(res, error, id);
+    },
+    beat: () => undefined,
+  };
+}
--- /dev/null
+++ b/src/entry/callers_state.ts
@@ -0,0 +1,148 @@
+/**
+ * What the callers' front knows and holds: the newest declarations, who is
+ * there to serve, and the requests that are open here.
+ */
+import type {NumberedDeclarations} from '../types/config.js';
+import {OnyxError} from '../types/errors.js';
+import type {RequestId} from '../types/ids.js';
+import type {MembershipView} from '../types/services.js';
+import type {Link} from './answer_link.js';
+
+/** When a caller that met a full or starting entry should come back. */
+const RETRY_MS = 1_000;
+
+export interface CallersCapacity {
+  readonly maxOpenRequests: number;
+  /** Bodies of open requests together, in bytes. */
+  readonly maxHeldBytes: number;
+}
+
+/** Room for one request, from its arrival to its end. */
+export interface Place {
+  /** Sets the bytes that its body holds, once they are known. */
+  hold(bytes: number): void;
+  /** Calling it again does nothing. */
+  release(): void;
+}
+
+export interface CallersState {
+  takeConfig(config: NumberedDeclarations): void;
+  takeView(view: MembershipView): void;
+  /** Throws an `OnyxError` while none is known. */
+  config(): NumberedDeclarations;
+  /** Config known, some replica live, not draining. */
+  ready(): boolean;
+  /** Throws an `OnyxError` when the entry is full or draining. */
+  enter(bytes: number): Place;
+  /** As `enter`, also while draining: for requests that are in progress. */
+  reenter(): Place;
+  link(id: RequestId): Link | undefined;
+  addLink(id: RequestId, link: Link): void;
+  removeLink(id: RequestId, link: Link): void;
+  /** No new requests; calls back when none is open. */
+  drain(done: () => void): void;
+  open(): number;
+  dropAll(): void;
+}
+
+/** Starts with nothing known. */
+export function createCallersState(capacity: CallersCapacity): CallersState {
+  const links = new Map<RequestId, Link>();
+  let newest: NumberedDeclarations | undefined;
+  let view: MembershipView | undefined;
+  let draining = false;
+  let open = 0;
+  let heldBytes = 0;
+  let waiting: ReadonlyArray<() => void> = [];
+
+  const tellDrained = () => {
+    if (!draining || open > 0) return;
+    const told = waiting;
+    waiting = [];
+    for (const done of told) done();
+  };
+
+  const place = (bytes: number): Place => {
+    let held = bytes;
+    let released = false;
+    open += 1;
+    heldBytes += held;
+    const hold = (now: number) => {
+      if (released) return;
+      heldBytes += now - held;
+      held = now;
+    };
+    const release = () => {
+      if (released) return;
+      hold(0);
+      released = true;
+      open -= 1;
+      tellDrained();
+    };
+    return {hold, release};
+  };
+
+  const checkRoom = (bytes: number) => {
+    if (open >= capacity.maxOpenRequests) {
+      throw comeBack('overloaded', 'too many requests are open at this entry');
+    }
+    if (heldBytes + bytes > capacity.maxHeldBytes) {
+      throw comeBack('overloaded', 'too many long prompts are held here');
+    }
+  };
+
+  return {
+    takeConfig: config => {
+      // A late message must not bring an older version back into force.
+      if (newest === undefined || config.number > newest.number) {
+        newest = config;
+      }
+    },
+    takeView: taken => {
+      view = taken;
+    },
+    config: () => {
+      if (newest !== undefined) return newest;
+      throw comeBack('store-unavailable', 'the configuration is not known yet');
+    },
+    ready: () =>
+      newest !== undefined &&
+      !draining &&
+      (view?.replicas ?? []).some(replica => replica.state === 'live'),
+    enter: bytes => {
+      if (draining) throw comeBack('draining', 'this entry is leaving');
+      checkRoom(bytes);
+      return place(bytes);
+    },
+    reenter: () => {
+      checkRoom(0);
+      return place(0);
+    },
+    link: id => links.get(id),
+    addLink: (id, link) => void links.set(id, link),
+    removeLink: (id, link) => {
+      if (links.get(id) === link) links.delete(id);
+    },
+    drain: done => {
+      draining = true;
+      waiting = [...waiting, done];
+      tellDrained();
+    },
+    open: () => open,
+    dropAll: () => {
+      for (const link of [...links.values()]) link.drop();
+    },
+  };
+}
+
+function comeBack(
+  code: 'overloaded' | 'draining' | 'store-unavailable',
+  message: string,
+): OnyxError {
+  return new OnyxError({
+    code,
+    step: 'limit',
+    message,
+    retryAfterMs: RETRY_MS,
+  });
+}
--- /dev/null
+++ b/src/entry/callers_submit.ts
@@ -0,0 +1,178 @@
+/** Routes that start a request: completions, and calls to plain services. */
+import type {IncomingMessage} from 'node:http';
+import type {CallHead, Header} from '../types/peer_messages.js';
+import type {RequestSpec} from '../types/services.js';
+import {REQUEST_EVENTS} from '../utils/events.js';
+import {admitCall, admitCompletion, findService} from './admission.js';
+import type {Arrival} from './admission.js';
+import {
+  createCallAnswer,
+  createStreamAnswer,
+  createWholeAnswer,
+  endToEndHeaders,
+} from './answers.js';
+import type {Answer} from './answers.js';
+import {join} from './callers_front.js';
+import type {Exchange, Front} from './callers_front.js';
+import type {Place} from './callers_state.js';
+import {NO_BODY_OPTIONS, checkFields} from './completion_fields.js';
+import {badRequest} from './faults.js';
+import {declaredLength} from './http_body.js';
+import {readRequestOptions} from './request_options.js';
+
+const MS_PER_SEC = 1000;
+/** Meant for the entry, and none of the plain service's business. */
+const ENTRY_HEADERS: ReadonlySet<string> = new Set([
+  'authorization',
+  'expect',
+  'host',
+]);
+const ENTRY_PREFIX = 'x-onyxloft-';
+
+/** `POST /v1/completions`. Rejects with an `OnyxError` when refused. */
+export function submitCompletion(
+  front: Front,
+  exchange: Exchange,
+): Promise<void> {
+  return inPlace(front, exchange, async (arrival, place) => {
+    const {req, res} = exchange;
+    // What the headers alone tell is told before the body is sent.
+    readRequestOptions(req.headers, NO_BODY_OPTIONS, front.wallTimeMs());
+    const parsed = await front.reader.completion(req, res);
+    const fields = checkFields(parsed);
+    const options = readRequestOptions(
+      req.headers,
+      fields.options,
+      front.wallTimeMs(),
+    );
+    const spec = admitCompletion(arrival, fields, options);
+    const head = {
+      id: spec.id,
+      model: fields.model ?? spec.model,
+      created: Math.floor(front.wallTimeMs() / MS_PER_SEC),
+      promptTokens: spec.promptTokens,
+    };
+    const answer = fields.stream
+      ? createStreamAnswer(res, head, {fromSeq: 0, dispatchId: ''})
+      : createWholeAnswer(res, head);
+    submit(front, exchange, spec, answer, place);
+  });
+}
+
+/** `ANY /v1/services/POOL/PATH`. Rejects with an `OnyxError` when refused. */
+export function submitCall(
+  front: Front,
+  exchange: Exchange,
+  pool: string,
+  path: string,
+): Promise<void> {
+  return inPlace(front, exchange, async (arrival, place) => {
+    const {req, res} = exchange;
+    const service = findService(arrival.config.declarations, pool);
+    const options = readRequestOptions(
+      req.headers,
+      NO_BODY_OPTIONS,
+      front.wallTimeMs(),
+    );
+    const body = await front.reader.raw(req, res);
+    const call: CallHead = {
+      method: req.method ?? 'GET',
+      path,
+      headers: callHeaders(req),
+    };
+    const spec = admitCall(arrival, service, call, body, options);
+    submit(front, exchange, spec, createCallAnswer(res, spec.id), place);
+  });
+}
+
+/** Takes a place and tells the organisation before any body is read. */
+async function inPlace(
+  front: Front,
+  exchange: Exchange,
+  run: (arrival: Arrival, place: Place) => Promise<void>,
+): Promise<void> {
+  const {req, id, arrivedAt} = exchange;
+  const config = front.state.config();
+  const expected = Math.min(
+    declaredLength(req) ?? front.maxBodyBytes,
+    front.maxBodyBytes,
+  );
+  const place = front.state.enter(expected);
+  try {
+    const organisation = await front.authenticator.authenticate(
+      req.headers.authorization,
+      config.declarations,
+    );
+    await run({id, organisation, config, arrivedAt}, place);
+  } catch (err) {
+    place.release();
+    throw err;
+  }
+}
+
+function submit(
+  front: Front,
+  exchange: Exchange,
+  spec: RequestSpec,
+  answer: Answer,
+  place: Place,
+): void {
+  const {ctx} = front;
+  const {req, arrivedAt} = exchange;
+  const timeLeftMs = spec.deadlineAt - ctx.clock.now();
+  if (timeLeftMs <= 0) {
+    throw badRequest(
+      'the time limit ended while the body came in',
+      'read',
+      'deadline-exceeded',
+    );
+  }
+  // A caller that left before this point would never be seen to leave.
+  if (req.socket.destroyed) {
+    throw badRequest('the caller left', 'read', 'cancelled');
+  }
+  place.hold(spec.body.bytes);
+  const [shortest] = spec.config.declarations.lengthClasses;
+  const listener = join(front, exchange, {
+    organisation: spec.organisation,
+    answer,
+    fromSeq: 0,
+    deadlineAt: spec.deadlineAt,
+    place,
+    onFirstChunk: () => {
+      if (spec.kind !== 'completion') return;
+      front.firstTokens.record(
+        spec.lengthClass,
+        ctx.clock.now() - arrivedAt,
+        spec.lengthClass === shortest?.name,
+      );
+    },
+  });
+  ctx.log(REQUEST_EVENTS.admitted, {
+    requestId: spec.id,
+    organisation: spec.organisation,
+    kind: spec.kind,
+    pool: spec.pool,
+    model: spec.model,
+    priorityClass: spec.priorityClass,
+    lengthClass: spec.lengthClass,
+    promptTokens: spec.promptTokens,
+    timeLeftMs,
+    repeatable: spec.repeatable,
+    config: spec.config.number,
+  });
+  ctx.send('requests', {kind: 'submit', spec, listener});
+}
+
+/** Headers as they came, in order, those of this connection left out. */
+function callHeaders(req: IncomingMessage): readonly Header[] {
+  const headers: Header[] = [];
+  for (let at = 0; at + 1 < req.rawHeaders.length; at += 2) {
+    const name = req.rawHeaders[at] ?? '';
+    headers.push({name, value: req.rawHeaders[at + 1] ?? ''});
+  }
+  return endToEndHeaders(headers).filter(({name}) => {
+    const lower = name.toLowerCase();
+    return !ENTRY_HEADERS.has(lower) && !lower.startsWith(ENTRY_PREFIX);
+  });
+}
--- /dev/null
+++ b/src/entry/http_operators.ts
@@ -0,0 +1,282 @@
+/**
+ * Service `operators`: the HTTP front for operators and for the platform's
+ * probes and scrapers. It serves an entry and a side alike: what there is to
+ * ask is in the handlers passed in.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {OnyxError} from '../types/errors.js';
+import type {Address} from '../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {ConfigPatch} from '../types/services.js';
+import {REQUEST_EVENTS} from '../utils/events.js';
+import type {YieldLoop} from '../utils/event_loop.js';
+import type {VerifyKey} from './authenticator.js';
+import {asOnyxError, badRequest} from './faults.js';
+import {createBodyReader} from './http_body.js';
+import type {BodyReader} from './http_body.js';
+import {
+  errorBody,
+  lingerAfter,
+  sendError,
+  sendJson,
+  statusOf,
+} from './http_errors.js';
+import {openHttpServer} from './http_server.js';
+import {createOperatorAuth} from './operator_auth.js';
+import type {OperatorHandlers} from './operator_handlers.js';
+
+export interface OperatorsOptions {
+  /** Port 0 takes any free one; ask `address` for it. */
+  readonly listen: Address;
+  /** Salted hash of the token; without it no operator is let in. */
+  readonly operatorTokenHash: string | undefined;
+  readonly verifyKey: VerifyKey;
+  readonly yieldLoop: YieldLoop;
+  /** Makes the handlers once, at the start of the service. */
+  readonly handlers: (ctx: ServiceContext<'operators'>) => OperatorHandlers;
+  /** Time for a patch to arrive, in milliseconds. @default 30000 */
+  readonly bodyTimeoutMs?: number;
+}
+
+/** To `operators`. */
+export type OperatorsMessage = {
+  readonly kind: 'address';
+  readonly reply: (address: Address) => void;
+};
+
+declare module '../types/kernel.js' {
+  interface ServiceMessages {
+    operators: OperatorsMessage;
+  }
+}
+
+const MAX_PATCH_BYTES = 4 * 1024 * 1024;
+const DEFAULT_BODY_TIMEOUT_MS = 30_000;
+const DEFAULT_HISTORY = 50;
+const MAX_HISTORY = 1_000;
+const METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+const patchSchema = z.strictObject({
+  patchId: z.string().min(1).max(128),
+  base: z.number().int().min(0),
+  form: z.enum(['json-patch', 'merge-patch']),
+  patch: z.string(),
+  dryRun: z.boolean().default(false),
+  operator: z.string().max(256).default(''),
+});
+
+interface Operators {
+  readonly ctx: ServiceContext<'operators'>;
+  readonly handlers: OperatorHandlers;
+  readonly reader: BodyReader;
+}
+
+interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly path: string;
+  readonly query: URLSearchParams;
+}
+
+type Route = (operators: Operators, exchange: Exchange) => Promise<void>;
+
+/** Routes without a token: they tell nothing of callers or prompts. */
+const OPEN_ROUTES: Readonly<Record<string, Route>> = {
+  'GET /healthz': async (_, {res}) => sendJson(res, 200, {healthy: true}),
+  'GET /readyz': async ({handlers}, {res}) => {
+    const ready = await handlers.ready();
+    sendJson(res, ready ? 200 : 503, {ready});
+  },
+  'GET /metrics': async ({ctx}, {res}) => {
+    res.writeHead(200, {'Content-Type': METRICS_TYPE});
+    res.end(ctx.metrics.render());
+  },
+};
+
+/** Routes with a token; `*` stands for one part of the path. */
+const TOKEN_ROUTES: Readonly<Record<string, Route>> = {
+  'GET /operator/v1/config': (operators, exchange) =>
+    showConfig(operators, exchange, 0),
+  'GET /operator/v1/config/*': (operators, exchange) =>
+    showConfig(operators, exchange, wholeNumber(lastPart(exchange))),
+  'GET /operator/v1/config/history': showHistory,
+  'POST /operator/v1/config/patches': applyPatch,
+  'GET /operator/v1/status': async ({handlers}, {res}) =>
+    sendJson(res, 200, await handlers.status()),
+  'GET /operator/v1/hosts': async ({handlers}, {res}) =>
+    sendJson(res, 200, await offered(handlers.hosts)()),
+  'GET /operator/v1/requests/*/explain': explain,
+  'POST /operator/v1/drain': async ({handlers}, {res}) => {
+    offered(handlers.drain)();
+    sendJson(res, 202, {draining: true});
+  },
+};
+
+/** Makes the service. */
+export function createOperatorsService(
+  options: OperatorsOptions,
+): ServiceSpec<'operators'> {
+  return {name: 'operators', start: ctx => start(ctx, options)};
+}
+
+async function start(
+  ctx: ServiceContext<'operators'>,
+  options: OperatorsOptions,
+): Promise<void> {
+  const auth = createOperatorAuth(options.operatorTokenHash, options.verifyKey);
+  const limits = {
+    maxBodyBytes: MAX_PATCH_BYTES,
+    bodyTimeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+  };
+  const operators: Operators = {
+    ctx,
+    handlers: options.handlers(ctx),
+    reader: createBodyReader(limits, ctx.clock, options.yieldLoop),
+  };
+  const handle = async (exchange: Exchange) => {
+    const {req, path} = exchange;
+    const open = OPEN_ROUTES[`${req.method} ${path}`];
+    if (open !== undefined) {
+      await open(operators, exchange);
+      return;
+    }
+    await auth.check(req.headers.authorization);
+    await tokenRoute(exchange)(operators, exchange);
+  };
+  const server = await openHttpServer({
+    listen: options.listen,
+    handler: (req, res) => {
+      const [path = '/', search = ''] = (req.url ?? '/').split('?', 2);
+      const exchange = {req, res, path, query: new URLSearchParams(search)};
+      handle(exchange).catch(thrown => refuse(ctx, exchange, thrown));
+    },
+  });
+  ctx.own(() => server.close());
+  void ctx.mailbox.observe(message => message.reply(server.address));
+  ctx.log(REQUEST_EVENTS.frontListening, {
+    service: ctx.name,
+    address: server.address,
+  });
+}
+
+function tokenRoute({req, path}: Exchange): Route {
+  const exact = TOKEN_ROUTES[`${req.method} ${path}`];
+  if (exact !== undefined) return exact;
+  const parts = `${req.method} ${path}`.split('/');
+  const match = Object.entries(TOKEN_ROUTES).find(([pattern]) => {
+    const wanted = pattern.split('/');
+    return (
+      wanted.length === parts.length &&
+      wanted.every((part, at) => part === '*' || part === parts[at])
+    );
+  });
+  if (match === undefined) throw noRoute(path);
+  return match[1];
+}
+
+function refuse(
+  ctx: ServiceContext<'operators'>,
+  exchange: Exchange,
+  thrown: unknown,
+): void {
+  const {req, res, path} = exchange;
+  const error = asOnyxError(thrown, 'config');
+  if (error !== thrown) {
+    const cause = thrown instanceof Error ? thrown.stack : String(thrown);
+    ctx.log(REQUEST_EVENTS.frontFailed, {requestId: '', cause});
+  }
+  if (error.step === 'authenticate') {
+    ctx.log(REQUEST_EVENTS.operatorRefused, {path, message: error.message});
+  }
+  if (res.headersSent || res.destroyed) {
+    res.destroy();
+    return;
+  }
+  lingerAfter(req, res, ctx.clock);
+  sendError(res, error, '');
+}
+
+async function showConfig(
+  {handlers}: Operators,
+  {res}: Exchange,
+  number: number,
+): Promise<void> {
+  const shown = await offered(handlers.config).show(number);
+  shown.caseOf({
+    Left: error => sendError(res, error, ''),
+    Right: config => sendJson(res, 200, config),
+  });
+}
+
+async function showHistory(
+  {handlers}: Operators,
+  {res, query}: Exchange,
+): Promise<void> {
+  const limit = wholeNumber(query.get('limit') ?? String(DEFAULT_HISTORY));
+  const lines = await offered(handlers.config).history(
+    Math.min(MAX_HISTORY, limit),
+  );
+  lines.caseOf({
+    Left: error => sendError(res, error, ''),
+    Right: history => sendJson(res, 200, history),
+  });
+}
+
+async function applyPatch(
+  {handlers, reader}: Operators,
+  {req, res}: Exchange,
+): Promise<void> {
+  const config = offered(handlers.config);
+  const body = await reader.raw(req, res);
+  const patch = checkPatch(Buffer.concat(body.pieces).toString('utf8'));
+  const outcome = await config.apply(patch);
+  outcome.caseOf({
+    Left: ({error, head, faults}) =>
+      sendJson(res, statusOf(error), {...errorBody(error, ''), head, faults}),
+    Right: accepted => sendJson(res, 200, accepted),
+  });
+}
+
+async function explain(
+  {handlers}: Operators,
+  exchange: Exchange,
+): Promise<void> {
+  const id = exchange.path.split('/').at(-2) ?? '';
+  const decisions = await offered(handlers.explain)(id);
+  sendJson(exchange.res, 200, decisions);
+}
+
+function checkPatch(text: string): ConfigPatch {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (err) {
+    throw badRequest(`the body is not JSON: ${String(err)}`);
+  }
+  const checked = patchSchema.safeParse(value);
+  if (checked.success) return checked.data;
+  throw badRequest(
+    checked.error.issues
+      .map(issue => `"${issue.path.join('.')}": ${issue.message}`)
+      .join('; '),
+  );
+}
+
+function offered<T>(handler: T | undefined): T {
+  if (handler !== undefined) return handler;
+  throw badRequest('this process does not offer that', 'validate', 'not-found');
+}
+
+function noRoute(path: string): OnyxError {
+  return badRequest(`no route ${path}`, 'validate', 'not-found');
+}
+
+function lastPart({path}: Exchange): string {
+  return path.split('/').at(-1) ?? '';
+}
+
+function wholeNumber(text: string): number {
+  if (/^\d{1,12}$/.test(text)) return Number(text);
+  throw badRequest(`"${text}" is not a whole number`);
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -27,6 +27,21 @@
   clockJumped: event(113, 'warn', 'clock-jumped'),
 } as const;
 
+/** Requests at an entry's front, from admission to the answer. */
+export const REQUEST_EVENTS = {
+  admitted: event(200, 'info', 'request-admitted'),
+  refused: event(201, 'info', 'request-refused'),
+  answered: event(202, 'info', 'request-answered'),
+  failed: event(203, 'warn', 'request-failed'),
+  callerLeft: event(204, 'info', 'caller-left'),
+  callerSlow: event(205, 'warn', 'caller-slow'),
+  overdue: event(206, 'error', 'request-overdue'),
+  superseded: event(207, 'info', 'answer-superseded'),
+  frontFailed: event(208, 'error', 'front-failed'),
+  frontListening: event(209, 'info', 'front-listening'),
+  operatorRefused: event(210, 'warn', 'operator-refused'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
--- /dev/null
+++ b/test/completion_parser.test.ts
@@ -0,0 +1,108 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {
+  createCompletionParser,
+  parseSmallCompletion,
+} from '../src/entry/completion_parser.js';
+import type {ParsedCompletion} from '../src/entry/completion_parser.js';
+import {PIECE_BYTES} from '../src/entry/piece_buffer.js';
+
+/** Writes the body in steps of these lengths, in turn. */
+function parseInSteps(
+  body: Uint8Array,
+  lengths: readonly number[],
+): ParsedCompletion {
+  const parser = createCompletionParser();
+  for (let from = 0, turn = 0; from < body.length; turn += 1) {
+    const length = lengths[turn % lengths.length] ?? 1;
+    parser.write(body.subarray(from, from + length));
+    from += length;
+  }
+  return parser.end();
+}
+
+function promptOf(parsed: ParsedCompletion): string {
+  return Buffer.concat(parsed.prompt?.pieces ?? []).toString('utf8');
+}
+
+/** JSON with each character outside ASCII as an escape. */
+function escaped(value: unknown): string {
+  return JSON.stringify(value).replace(
+    /[^ -~]/g,
+    unit => `\\u${unit.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
+}
+
+const PARTS = ['plain ', '\n', '"', '\\', 'é', '雨', '🌨', '\\ud83d', '\u0001'];
+
+describe('parsing a completion in steps', () => {
+  test('any split gives the prompt and fields that JSON.parse gives', () => {
+    const prompt = fc
+      .array(fc.constantFrom(...PARTS), {maxLength: 60})
+      .map(parts => parts.join(''));
+    fc.assert(
+      fc.property(
+        prompt,
+        fc.boolean(),
+        fc.boolean(),
+        fc.array(fc.integer({min: 1, max: 40}), {minLength: 1}),
+        (text, asEscapes, inArray, lengths) => {
+          const value = {
+            model: 'm',
+            prompt: inArray ? [text] : text,
+            onyxloft: {repeatable: false},
+            stop: ['a', 'b'],
+          };
+          const json = asEscapes ? escaped(value) : JSON.stringify(value);
+          const parsed = parseInSteps(Buffer.from(json), lengths);
+          expect(promptOf(parsed)).toBe(text);
+          const {prompt: _, ...others} = value;
+          expect(Object.fromEntries(parsed.fields)).toEqual(others);
+        },
+      ),
+      {seed: 7, numRuns: 500},
+    );
+  });
+
+  test('five megabytes come out in bounded pieces, byte for byte', () => {
+    const line = 'frost at 04:10, "hall\\north"\tplus 🌨 and é\n';
+    const text = line.repeat(Math.ceil((5 * 1024 * 1024) / line.length));
+    const parsed = parseInSteps(
+      Buffer.from(escaped({prompt: text, max_tokens: 4})),
+      [16_384, 16_381, 7],
+    );
+    const pieces = parsed.prompt?.pieces ?? [];
+    expect(Buffer.concat(pieces).equals(Buffer.from(text))).toBe(true);
+    expect(Math.max(...pieces.map(piece => piece.length))).toBeLessThanOrEqual(
+      PIECE_BYTES,
+    );
+    expect(parsed.fields.get('max_tokens')).toBe(4);
+  });
+
+  test('the last of two prompts counts, as with JSON.parse', () => {
+    const body = Buffer.from('{"prompt":"one","prompt":["two"]}');
+    expect(promptOf(parseInSteps(body, [3]))).toBe('two');
+    expect(promptOf(parseSmallCompletion(body))).toBe('two');
+  });
+
+  test.each([
+    ['cut', '{"prompt":"abc', 'not JSON'],
+    ['cut after a value', '{"prompt":"abc"', 'not whole'],
+    ['something after the end', '{"prompt":"a"} x', 'not JSON'],
+    ['an array', '["prompt"]', 'must be a JSON object'],
+    ['a number', '17 ', 'must be a JSON object'],
+    ['a prompt that is a number', '{"prompt":17}', '"prompt" must be'],
+    ['a prompt of two', '{"prompt":["a","b"]}', '"prompt" must be'],
+    ['a prompt of none', '{"prompt":[]}', '"prompt" must be'],
+    ['a prompt that is an object', '{"prompt":{"a":"b"}}', '"prompt" must be'],
+    ['a prompt nested twice', '{"prompt":[["a"]]}', '"prompt" must be'],
+    ['bytes that are not UTF-8', '{"prompt":"\xff\xff"}', 'not JSON'],
+    ['deep nesting', `{"a":${'['.repeat(100)}`, 'too deep'],
+    ['many values', `{"a":[${'1,'.repeat(20_000)}1]}`, 'too many values'],
+    ['a long name', `{"${'n'.repeat(40_000)}":1}`, 'name that is too long'],
+    ['a long number', `{"a":${'1'.repeat(80_000)}}`, 'number that is too long'],
+  ])('%s is refused with the reason', (_, json, reason) => {
+    const body = Buffer.from(json, 'latin1');
+    expect(() => parseInSteps(body, [16_384])).toThrow(reason);
+  });
+});
--- /dev/null
+++ b/test/http_callers.test.ts
@@ -0,0 +1,498 @@
+/** What callers get, whole: streamed, in one piece, from a plain service. */
+import {afterEach, describe, expect, test} from 'vitest';
+import {OnyxError} from '../src/types/errors.js';
+import type {RequestListener, RequestSpec} from '../src/types/services.js';
+import {
+  INGUFU_KEY,
+  PRAIRIE_KEY,
+  declarations,
+  openFront,
+  tellAnswer,
+  viewOf,
+} from './support/front_bench.js';
+import type {FrontBench, RequestsScript} from './support/front_bench.js';
+
+let bench: FrontBench;
+
+afterEach(() => bench.kernel.stop());
+
+async function open(script: RequestsScript = {}): Promise<void> {
+  bench = await openFront(script);
+}
+
+function call(
+  method: string,
+  path: string,
+  body?: string | Uint8Array,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Response> {
+  return fetch(bench.url + path, {
+    method,
+    headers: {Authorization: `Bearer ${PRAIRIE_KEY}`, ...headers},
+    ...(body === undefined ? {} : {body: body as string}),
+  });
+}
+
+function complete(
+  fields: object,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Response> {
+  return call('POST', '/v1/completions', JSON.stringify(fields), headers);
+}
+
+function submitted(): RequestSpec {
+  const message = bench.received.find(each => each.kind === 'submit');
+  if (message?.kind !== 'submit') throw new Error('nothing was submitted');
+  return message.spec;
+}
+
+function promptOf(spec: RequestSpec): string {
+  return Buffer.concat(spec.body.pieces).toString('utf8');
+}
+
+function withoutIds(text: string): string {
+  return text.replaceAll(/[0-9a-f]{32}/g, 'ID');
+}
+
+const answers =
+  (...chunks: readonly string[]) =>
+  (spec: RequestSpec, listener: RequestListener) =>
+    tellAnswer(listener, spec.id, chunks);
+
+function lost(ran: 'no' | 'unknown', retryAfterMs?: number): OnyxError {
+  return new OnyxError({
+    code: ran === 'no' ? 'no-upstream' : 'upstream-lost',
+    step: ran === 'no' ? 'route' : 'run',
+    peer: '127.0.0.1:9',
+    message: 'it went away',
+    ran,
+    retryAfterMs,
+  });
+}
+
+describe('completions', () => {
+  test('a streamed answer has numbered chunks, usage, and its end', async () => {
+    await open({submit: answers('late ', 'frost ❄')});
+    const res = await complete({
+      model: 'onyx-1',
+      prompt: 'summary?',
+      stream: true,
+      max_tokens: 5,
+      temperature: 0.2,
+      user: 'volunteer',
+    });
+    expect(res.headers.get('content-type')).toBe('text/event-stream');
+    expect(res.headers.get('x-request-id')).toBe(submitted().id);
+    await expect(withoutIds(await res.text())).toMatchFileSnapshot(
+      'golden/front_stream.txt',
+    );
+  });
+
+  test('a whole answer is one JSON object', async () => {
+    await open({submit: answers('late ', 'frost')});
+    const res = await complete({prompt: ['summary?']});
+    expect(res.status).toBe(200);
+    const text = withoutIds(await res.text());
+    await expect(text).toMatchFileSnapshot('golden/front_whole.json');
+  });
+
+  test('a character cut by a chunk border arrives whole, under the later chunk', async () => {
+    await open({
+      submit: (spec, listener) => {
+        const bytes = new TextEncoder().encode('a❄b');
+        listener({kind: 'placed', dispatchId: `${spec.id}.0`, side: ''});
+        [bytes.subarray(0, 2), bytes.subarray(2)].forEach((data, seq) =>
+          listener({kind: 'chunk', seq, data, tokens: 1, callHead: undefined}),
+        );
+      },
+    });
+    const res = await complete({prompt: 'x', stream: true});
+    const reader = res.body?.getReader();
+    const first = new TextDecoder().decode((await reader?.read())?.value);
+    await reader?.cancel();
+    expect(withoutIds(first)).toContain('id: ID:ID.0:1\n');
+    expect(first).toContain('"text":"a❄b"');
+  });
+
+  test('the spec carries classes, limits and marks from headers', async () => {
+    await open({submit: answers('x')});
+    await complete(
+      {
+        model: 'onyx-1:frost',
+        prompt: 'p'.repeat(20_000),
+        onyxloft: {priority: 'normal', time_limit_ms: 1_000},
+      },
+      {
+        'X-Onyxloft-Priority': 'alert',
+        'X-Onyxloft-Repeatable': 'no',
+        'Idempotency-Key': 'alert-17',
+      },
+    );
+    expect(submitted()).toMatchObject({
+      organisation: 'prairie-sky',
+      model: 'onyx-1',
+      adapter: 'frost',
+      priorityClass: 'alert',
+      priority: 0,
+      promptTokens: 5_000,
+      lengthClass: 'long',
+      deadlineAt: 1_000,
+      repeatable: false,
+      idempotencyKey: 'alert-17',
+      maxTokens: 16,
+    });
+    expect(submitted().prefixHashes).toHaveLength(9);
+  });
+
+  test('five megabytes of prompt reach the upstream unchanged', async () => {
+    await open({submit: answers('x')});
+    const line = 'Ünit 4: "isolated"\n\\ at 🌨 \u0001 ';
+    const prompt = line.repeat(Math.ceil((5 * 1024 * 1024) / line.length));
+    const res = await complete({prompt, max_tokens: 1});
+    expect(res.status).toBe(200);
+    expect(promptOf(submitted()) === prompt).toBe(true);
+    expect(submitted().prefixHashes).toHaveLength(32);
+  });
+
+  test('a refusal has its own status, and when to come back', async () => {
+    await open({
+      submit: (_, listener) =>
+        listener({kind: 'failed', error: lost('no', 1_200)}),
+    });
+    const res = await complete({prompt: 'x', stream: true});
+    expect(res.status).toBe(503);
+    expect(res.headers.get('retry-after')).toBe('2');
+    const text = withoutIds(await res.text());
+    await expect(text).toMatchFileSnapshot('golden/front_refusal.json');
+  });
+
+  test('a stream that fails midway ends with an error and never with its end mark', async () => {
+    await open({
+      submit: (spec, listener) => {
+        tellAnswer(event => event.kind !== 'end' && listener(event), spec.id, [
+          'half',
+        ]);
+        listener({kind: 'failed', error: lost('unknown')});
+      },
+    });
+    const text = await (await complete({prompt: 'x', stream: true})).text();
+    expect(text).toContain('"half"');
+    expect(text).toMatch(/event: error\ndata: .*"ran":"unknown"/);
+    expect(text).not.toContain('[DONE]');
+  });
+
+  /*
+   * The caller must not see a text with a hole that looks whole. A chunk is
+   * lost on its way to the front; the one after it arrives; the front ends the
+   * answer with an error and cancels the run rather than go on.
+   */
+  test('a missing chunk ends the stream with an error', async () => {
+    await open({
+      submit: (spec, listener) => {
+        const data = new TextEncoder().encode('x');
+        const chunk = {kind: 'chunk', data, tokens: 1} as const;
+        listener({...chunk, seq: 0, callHead: undefined});
+        listener({...chunk, seq: 2, callHead: undefined});
+        listener({
+          kind: 'end',
+          count: 3,
+          tokens: 3,
+          finishReason: 'stop',
+          cachedTokens: 0,
+        });
+        void spec;
+      },
+    });
+    const text = await (await complete({prompt: 'x', stream: true})).text();
+    expect(text).toContain('"code":"answer-incomplete"');
+    expect(text).not.toContain('[DONE]');
+    await bench.until('cancel');
+  });
+
+  /*
+   * The caller waits for an answer that the owner of the request has lost. Its
+   * time limit ends; nothing comes; the front itself gives the final answer,
+   * which says that nobody knows whether it ran.
+   */
+  test('a request that nobody ends is ended by the front after its deadline', async () => {
+    await open();
+    const pending = complete({prompt: 'x', onyxloft: {time_limit_ms: 100}});
+    await bench.until('submit');
+    bench.clock.advance(700);
+    const res = await pending;
+    expect(res.status).toBe(504);
+    expect(await res.json()).toMatchObject({
+      error: {code: 'deadline-exceeded', ran: 'unknown'},
+    });
+    await bench.until('cancel');
+  });
+
+  test('a caller that leaves and stays away has its run cancelled', async () => {
+    await open({
+      submit: (spec, listener) =>
+        tellAnswer(event => event.kind !== 'end' && listener(event), spec.id, [
+          'half',
+        ]),
+    });
+    const res = await complete({prompt: 'x', stream: true});
+    await res.body?.cancel();
+    await expect
+      .poll(() => bench.logged.some(line => line.name === 'caller-left'))
+      .toBe(true);
+    bench.clock.advance(2_001);
+    expect(await bench.until('cancel')).toMatchObject({id: submitted().id});
+  });
+
+  test('time to first token and slowdown are measured by class', async () => {
+    await open({
+      submit: (spec, listener) => {
+        bench.clock.advance(spec.promptTokens);
+        tellAnswer(listener, spec.id, ['x']);
+      },
+    });
+    await (await complete({prompt: 'p'.repeat(400)})).text();
+    await (await complete({prompt: 'p'.repeat(800)})).text();
+    const metrics = bench.runtime.metrics.render();
+    expect(metrics).toContain(
+      'onyxloft_first_token_ms_sum{length_class="short"} 300',
+    );
+    expect(metrics).toContain('onyxloft_short_slowdown_sum 3');
+    expect(metrics).toContain('onyxloft_requests_total{outcome="complete"} 2');
+  });
+});
+
+describe('calls to a plain service', () => {
+  test('method, path, headers, body and the whole answer are passed on', async () => {
+    await open({
+      submit: (spec, listener) => {
+        const head = {
+          status: 207,
+          headers: [
+            {name: 'X-Station', value: '12'},
+            {name: 'Connection', value: 'X-Hop'},
+            {name: 'X-Hop', value: 'dropped'},
+          ],
+        };
+        const data = Buffer.concat(spec.body.pieces);
+        listener({kind: 'chunk', seq: 0, data, tokens: 0, callHead: head});
+        listener({
+          kind: 'end',
+          count: 1,
+          tokens: 0,
+          finishReason: '',
+          cachedTokens: 0,
+        });
+      },
+    });
+    const res = await call(
+      'PUT',
+      '/v1/services/station-app/readings/12?unit=c&x=%2F',
+      Uint8Array.of(0, 255, 1),
+      {'X-Volunteer': 'ann', 'X-Onyxloft-Priority': 'alert'},
+    );
+    expect(res.status).toBe(207);
+    expect(res.headers.get('x-station')).toBe('12');
+    expect(res.headers.get('x-hop')).toBeNull();
+    expect([...new Uint8Array(await res.arrayBuffer())]).toEqual([0, 255, 1]);
+    const {call: head, repeatable, priority} = submitted();
+    expect({method: head?.method, path: head?.path}).toEqual({
+      method: 'PUT',
+      path: '/readings/12?unit=c&x=%2F',
+    });
+    expect({repeatable, priority}).toEqual({repeatable: false, priority: 0});
+    const names = head?.headers.map(({name}) => name.toLowerCase());
+    expect(names).toContain('x-volunteer');
+    expect(names).not.toContain('authorization');
+    expect(names).not.toContain('x-onyxloft-priority');
+  });
+
+  /*
+   * The caller reads a body that stops. Ended in good order it would look like
+   * a whole one, so the connection is cut and the client reports an error.
+   */
+  test('an answer cut midway cuts the connection', async () => {
+    await open({
+      submit: (_, listener) => {
+        const callHead = {status: 200, headers: []};
+        const data = Buffer.from('half');
+        listener({kind: 'chunk', seq: 0, data, tokens: 0, callHead});
+        listener({kind: 'failed', error: lost('unknown')});
+      },
+    });
+    await expect(
+      call('GET', '/v1/services/station-app').then(res => res.text()),
+    ).rejects.toThrow();
+    expect(submitted()).toMatchObject({
+      repeatable: true,
+      call: {method: 'GET', path: '/'},
+    });
+  });
+});
+
+describe('a request started before', () => {
+  const ID = 'ab'.repeat(16);
+  const owned: RequestsScript['state'] = (id, organisation) =>
+    id === ID && organisation === 'prairie-sky' ? {nextSeq: 4} : undefined;
+
+  test('its state is told', async () => {
+    await open({state: owned});
+    const res = await call('GET', `/v1/requests/${ID}`);
+    expect(await res.json()).toEqual({
+      id: ID,
+      state: 'running',
+      kind: 'completion',
+      upstream: '127.0.0.1:9',
+      dispatch_id: `${ID}.0`,
+      next_chunk: 4,
+    });
+  });
+
+  test('a stream resumes after the last chunk that the caller has', async () => {
+    await open({
+      state: owned,
+      resume: ({listener, fromSeq}) =>
+        tellAnswer(listener, ID, ['c', 'd'], fromSeq),
+    });
+    const res = await call('GET', `/v1/requests/${ID}?stream=true`, undefined, {
+      'Last-Event-ID': `${ID}:${ID}.0:1`,
+    });
+    const text = await res.text();
+    expect(text.match(/^id: .*$/gm)).toEqual([
+      `id: ${ID}:${ID}.0:2`,
+      `id: ${ID}:${ID}.0:3`,
+    ]);
+    expect(text).toContain('[DONE]');
+  });
+
+  /*
+   * The caller has chunks 0 and 1 of one run. That run is lost and another one
+   * takes its place, with other words. Joined, they would read as one answer
+   * that no model gave; so the caller is told to start at 0.
+   */
+  test('a resume does not join chunks of two runs', async () => {
+    await open({
+      state: owned,
+      resume: ({listener, fromSeq}) => tellAnswer(listener, ID, ['c'], fromSeq),
+    });
+    const res = await call('GET', `/v1/requests/${ID}?stream=true`, undefined, {
+      'Last-Event-ID': `${ID}:${ID}.7:1`,
+    });
+    expect(res.status).toBe(502);
+    expect(await res.text()).toContain('"code":"answer-incomplete"');
+  });
+
+  test('the whole answer is waited for when asked', async () => {
+    await open({
+      state: owned,
+      resume: ({listener}) => tellAnswer(listener, ID, ['a', 'b']),
+    });
+    const res = await call('GET', `/v1/requests/${ID}?wait=true`);
+    expect(await res.json()).toMatchObject({choices: [{text: 'ab'}]});
+  });
+
+  /*
+   * The caller's first connection went silent, and it has come back on a
+   * second one. When the first is seen to close at last, the run must go on:
+   * it now belongs to the second.
+   */
+  test('a second connection takes over, and the end of the first cancels nothing', async () => {
+    let second: RequestListener | undefined;
+    await open({
+      submit: (spec, listener) =>
+        tellAnswer(event => event.kind !== 'end' && listener(event), spec.id, [
+          'a',
+        ]),
+      state: () => ({}),
+      resume: ({listener}) => {
+        second = listener;
+      },
+    });
+    const first = await complete({prompt: 'x', stream: true});
+    const {id} = submitted();
+    const resumed = call('GET', `/v1/requests/${id}?stream=true&from=1`);
+    await bench.until('resume');
+    await expect(first.text()).rejects.toThrow();
+    bench.clock.advance(10_000);
+    if (second !== undefined) tellAnswer(second, id, ['b'], 1);
+    expect(await (await resumed).text()).toContain('[DONE]');
+    expect(bench.received.map(({kind}) => kind)).not.toContain('cancel');
+  });
+
+  test('its own organisation ends it', async () => {
+    await open({state: owned});
+    const res = await call('DELETE', `/v1/requests/${ID}`);
+    expect(await res.json()).toEqual({id: ID, cancelled: true});
+  });
+
+  test('another organisation gets what it would get for an unknown id', async () => {
+    await open({state: owned});
+    const other = 'cd'.repeat(16);
+    const headers = {Authorization: `Bearer ${INGUFU_KEY}`};
+    const ask = async (method: string, path: string) => {
+      const res = await call(method, path, undefined, headers);
+      return {status: res.status, text: withoutIds(await res.text())};
+    };
+    for (const [method, query] of [
+      ['GET', ''],
+      ['GET', '?stream=true'],
+      ['GET', '?wait=true'],
+      ['DELETE', ''],
+    ] as const) {
+      const theirs = await ask(method, `/v1/requests/${ID}${query}`);
+      expect(theirs.status).toBe(404);
+      expect(theirs).toEqual(
+        await ask(method, `/v1/requests/${other}${query}`),
+      );
+    }
+    expect(bench.received.map(({kind}) => kind)).not.toContain('resume');
+  });
+});
+
+describe('readiness and drain', () => {
+  test('ready only with a configuration and a live replica', async () => {
+    await open();
+    const ready = async () => (await call('GET', '/readyz')).status;
+    expect(await ready()).toBe(200);
+    bench.setView(viewOf('suspect', 'leaving'));
+    expect(await ready()).toBe(503);
+    expect((await call('GET', '/healthz')).status).toBe(200);
+  });
+
+  test('an older configuration does not come back into force', async () => {
+    await open({submit: answers('x')});
+    bench.setConfig(declarations({}, 8));
+    bench.setConfig(declarations({models: []}, 7));
+    expect((await complete({prompt: 'x'})).status).toBe(200);
+    expect(submitted().config.number).toBe(8);
+  });
+
+  test('a drain refuses new requests and waits for the open ones', async () => {
+    let finish = () => undefined as void;
+    await open({
+      submit: (spec, listener) => {
+        finish = () => tellAnswer(listener, spec.id, ['whole']);
+      },
+    });
+    const open1 = complete({prompt: 'x'});
+    await bench.until('submit');
+    let drained = false;
+    const drain = bench.kernel
+      .ask('callers', (reply: (value: void) => void) => ({
+        kind: 'drain',
+        reply: () => reply(),
+      }))
+      .then(() => {
+        drained = true;
+      });
+    expect((await call('GET', '/readyz')).status).toBe(503);
+    const refused = await complete({prompt: 'y'});
+    expect(refused.status).toBe(503);
+    expect(await refused.text()).toContain('"code":"draining"');
+    expect(drained).toBe(false);
+    finish();
+    expect(await (await open1).json()).toMatchObject({
+      choices: [{text: 'whole'}],
+    });
+    await drain;
+  });
+});
--- /dev/null
+++ b/test/support/front_bench.ts
@@ -0,0 +1,270 @@
+/**
+ * The callers' front in a real kernel on a real port, with fakes for the
+ * services behind it: a test scripts how `requests` answers, and looks at what
+ * reached it.
+ */
+import {createCallersService} from '../../src/entry/http_callers.js';
+import type {
+  CallersOptions,
+  CallersStatus,
+} from '../../src/entry/http_callers.js';
+import {createKernel} from '../../src/kernel/kernel.js';
+import type {Kernel} from '../../src/kernel/kernel.js';
+import type {NumberedDeclarations} from '../../src/types/config.js';
+import type {LogFields, Runtime} from '../../src/types/runtime.js';
+import type {
+  MembershipView,
+  Replica,
+  RequestListener,
+  RequestSpec,
+  RequestState,
+  RequestsMessage,
+} from '../../src/types/services.js';
+import {createProcessRandom} from '../../src/utils/clock.js';
+import {yieldToLoop} from '../../src/utils/event_loop.js';
+import {hashGeneratedKey, verifyKeyAsync} from '../../src/utils/keys.js';
+import {createMetrics} from '../../src/utils/metrics.js';
+import {createManualClock} from './manual_clock.js';
+import type {ManualClock} from './manual_clock.js';
+
+export const PRAIRIE_KEY = 'onyx_prairie';
+export const INGUFU_KEY = 'onyx_ingufu';
+/** Unix time in these tests: 2026-01-01. */
+export const WALL_MS = Date.UTC(2026, 0, 1);
+const SALT = '00112233445566778899aabbccddeeff';
+
+export type Submit = Extract<RequestsMessage, {kind: 'submit'}>;
+export type Resume = Extract<RequestsMessage, {kind: 'resume'}>;
+
+/** How the fake `requests` service answers. */
+export interface RequestsScript {
+  readonly submit?: (spec: RequestSpec, listener: RequestListener) => void;
+  readonly resume?: (message: Resume) => void;
+  /** By id and organisation; undefined for none. */
+  readonly state?: (
+    id: string,
+    organisation: string,
+  ) => Partial<RequestState> | undefined;
+}
+
+export interface FrontBench {
+  readonly url: string;
+  readonly port: number;
+  readonly kernel: Kernel;
+  readonly clock: ManualClock;
+  readonly runtime: Runtime;
+  /** All messages that reached `requests`, in order. */
+  readonly received: readonly RequestsMessage[];
+  readonly logged: ReadonlyArray<{readonly name: string} & LogFields>;
+  setConfig(config: NumberedDeclarations): void;
+  setView(view: MembershipView): void;
+  /** Resolves when `requests` has received such a message. */
+  until(kind: RequestsMessage['kind']): Promise<RequestsMessage>;
+}
+
+export function declarations(
+  change: Partial<NumberedDeclarations['declarations']> = {},
+  number = 1,
+): NumberedDeclarations {
+  const organisation = (id: string, key: string) => ({
+    id,
+    keyHashes: [hashGeneratedKey(key, SALT)],
+    weight: 1,
+    maxRunning: 10,
+    tokensPerSec: 1e6,
+  });
+  const lengthClass = (name: string, maxTokens: number) => ({
+    name,
+    maxTokens,
+    memoryFloor: 0,
+    maxRunning: 0,
+    defaultTimeLimitMs: 60_000,
+  });
+  return {
+    number,
+    declarations: {
+      organisations: [
+        organisation('prairie-sky', PRAIRIE_KEY),
+        organisation('ingufu-hamwe', INGUFU_KEY),
+      ],
+      models: [
+        {
+          id: 'onyx-1',
+          version: '1',
+          adapters: ['frost'],
+          isDefault: true,
+          weightBytes: 1,
+          maxPromptTokens: 1_500_000,
+        },
+      ],
+      priorityClasses: [
+        {name: 'alert', priority: 0, isDefault: false},
+        {name: 'normal', priority: 2, isDefault: true},
+      ],
+      lengthClasses: [
+        lengthClass('short', 4_000),
+        lengthClass('long', 1_000_000),
+      ],
+      services: [
+        {
+          pool: 'station-app',
+          repeatableMethods: ['GET', 'HEAD'],
+          maxRunning: 8,
+          defaultTimeLimitMs: 10_000,
+        },
+      ],
+      placement: [],
+      policy: {
+        routing: 'predicted-first-token',
+        maxOffers: 3,
+        retryRatio: 0.2,
+        prefixWeight: 1,
+        boundedLoadFactor: 1.25,
+        longShare: 0.5,
+        ageingMs: 10_000,
+        shortSlowdownWeight: 0.5,
+        longFirstTokenWeight: 0.5,
+      },
+      ...change,
+    },
+  };
+}
+
+export function viewOf(...states: ReadonlyArray<Replica['state']>) {
+  const replicas = states.map(
+    (state, at) => ({node: `side-${at}`, state, loadAt: 0}) as Replica,
+  );
+  return {replicas, allSides: [], entries: []};
+}
+
+/** Starts the front; the kernel is to be stopped by the test. */
+export async function openFront(
+  script: RequestsScript = {},
+  options: Partial<CallersOptions> = {},
+): Promise<FrontBench> {
+  const clock = createManualClock();
+  const logged: Array<{readonly name: string} & LogFields> = [];
+  const runtime: Runtime = {
+    clock,
+    random: createProcessRandom(),
+    metrics: createMetrics(),
+    log: (event, fields) => logged.push({...fields, name: event.name}),
+    invariant: (holds, name) => {
+      if (!holds) throw new Error(`invariant ${name}`);
+    },
+  };
+  const kernel = createKernel(runtime);
+  const received: RequestsMessage[] = [];
+  const waiting = new Map<string, (message: RequestsMessage) => void>();
+  let setConfig: FrontBench['setConfig'] = () => undefined;
+  let setView: FrontBench['setView'] = () => undefined;
+
+  await kernel.start({
+    name: 'requests',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        received.push(message);
+        answer(script, message);
+        waiting.get(message.kind)?.(message);
+      });
+    },
+  });
+  await kernel.start({
+    name: 'config',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        if (message.kind === 'subscribe') setConfig = message.listener;
+      });
+    },
+  });
+  await kernel.start({
+    name: 'membership',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        if (message.kind === 'subscribe') setView = message.listener;
+      });
+    },
+  });
+  await kernel.start(
+    createCallersService({
+      listen: '127.0.0.1:0',
+      verifyKey: verifyKeyAsync,
+      wallTimeMs: () => WALL_MS,
+      yieldLoop: yieldToLoop,
+      loopDelayMs: () => 0,
+      ...options,
+    }),
+  );
+  const {address} = await kernel.ask(
+    'callers',
+    (reply: (status: CallersStatus) => void) => ({kind: 'status', reply}),
+  );
+  setConfig(declarations());
+  setView(viewOf('live'));
+  return {
+    url: `http://${address}`,
+    port: Number(address.split(':')[1]),
+    kernel,
+    clock,
+    runtime,
+    received,
+    logged,
+    setConfig: config => setConfig(config),
+    setView: view => setView(view),
+    until: kind => {
+      const found = received.find(message => message.kind === kind);
+      if (found !== undefined) return Promise.resolve(found);
+      return new Promise(resolve => waiting.set(kind, resolve));
+    },
+  };
+}
+
+function answer(script: RequestsScript, message: RequestsMessage): void {
+  if (message.kind === 'submit') {
+    script.submit?.(message.spec, message.listener);
+  } else if (message.kind === 'resume') {
+    script.resume?.(message);
+  } else if (message.kind === 'cancel') {
+    const found = script.state?.(message.id, message.organisation);
+    message.reply?.(found !== undefined);
+  } else if (message.kind === 'state') {
+    const found = script.state?.(message.id, message.organisation);
+    message.reply({
+      id: message.id,
+      state: found === undefined ? 'none' : 'running',
+      kind: 'completion',
+      side: '127.0.0.1:9',
+      dispatchId: `${message.id}.0`,
+      nextSeq: 0,
+      ...found,
+    });
+  }
+}
+
+const encoder = new TextEncoder();
+
+/** Tells a listener a whole answer in these chunks. */
+export function tellAnswer(
+  listener: RequestListener,
+  id: string,
+  chunks: readonly string[],
+  fromSeq = 0,
+): void {
+  listener({kind: 'placed', dispatchId: `${id}.0`, side: '127.0.0.1:9'});
+  chunks.forEach((chunk, at) =>
+    listener({
+      kind: 'chunk',
+      seq: fromSeq + at,
+      data: encoder.encode(chunk),
+      tokens: 1,
+      callHead: undefined,
+    }),
+  );
+  listener({
+    kind: 'end',
+    count: fromSeq + chunks.length,
+    tokens: fromSeq + chunks.length,
+    finishReason: 'stop',
+    cachedTokens: 3,
+  });
+}
