--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -27,6 +27,40 @@
   clockJumped: event(113, 'warn', 'clock-jumped'),
 } as const;
 
+/** Requests at an entry's front, from admission to the answer. */
+export const FRONT_EVENTS = {
+  admitted: event(200, 'info', 'request-admitted'),
+  refused: event(201, 'info', 'request-refused'),
+  answered: event(202, 'info', 'request-answered'),
+  failed: event(203, 'warn', 'request-failed'),
+  callerLeft: event(204, 'info', 'caller-left'),
+  callerSlow: event(205, 'warn', 'caller-slow'),
+  overdue: event(206, 'error', 'request-overdue'),
+  superseded: event(207, 'info', 'answer-superseded'),
+  frontFailed: event(208, 'error', 'front-failed'),
+  frontListening: event(209, 'info', 'front-listening'),
+  operatorRefused: event(210, 'warn', 'operator-refused'),
+} as const;
+
+export const REQUEST_EVENTS = {
+  ended: event(230, 'info', 'request-ended'),
+  failed: event(231, 'warn', 'request-given-up'),
+  frameDropped: event(232, 'warn', 'frame-dropped'),
+  channelRenewed: event(233, 'warn', 'channel-renewed'),
+  attemptLost: event(234, 'warn', 'attempt-lost'),
+  retried: event(235, 'info', 'request-retried'),
+  adopted: event(236, 'info', 'run-adopted'),
+  offerUnanswered: event(237, 'warn', 'offer-unanswered'),
+  abandoned: event(238, 'info', 'dispatch-abandoned'),
+} as const;
+
+export const ROUTING_EVENTS = {
+  decided: event(300, 'info', 'routing-decided'),
+  refused: event(301, 'info', 'offer-refused'),
+  noCandidate: event(302, 'warn', 'no-candidate'),
+  groupDecided: event(303, 'info', 'group-decided'),
+} as const;
+
 export const SIDE_EVENTS = {
   offerAccepted: event(400, 'info', 'offer-accepted'),
   offerRefused: event(401, 'info', 'offer-refused'),
@@ -54,29 +88,6 @@
   sideFrozen: event(423, 'warn', 'side-was-frozen'),
 } as const;
 
-export const INVARIANT_EVENTS = {
-  violated: event(990, 'error', 'invariant-violated'),
-} as const;
-
-export const REQUEST_EVENTS = {
-  ended: event(200, 'info', 'request-ended'),
-  failed: event(201, 'warn', 'request-failed'),
-  frameDropped: event(202, 'warn', 'frame-dropped'),
-  channelRenewed: event(203, 'warn', 'channel-renewed'),
-  attemptLost: event(204, 'warn', 'attempt-lost'),
-  retried: event(205, 'info', 'request-retried'),
-  adopted: event(206, 'info', 'run-adopted'),
-  offerUnanswered: event(207, 'warn', 'offer-unanswered'),
-  abandoned: event(208, 'info', 'dispatch-abandoned'),
-} as const;
-
-export const ROUTING_EVENTS = {
-  decided: event(300, 'info', 'routing-decided'),
-  refused: event(301, 'info', 'offer-refused'),
-  noCandidate: event(302, 'warn', 'no-candidate'),
-  groupDecided: event(303, 'info', 'group-decided'),
-} as const;
-
 export const MEMBERSHIP_EVENTS = {
   replicaState: event(500, 'info', 'replica-state'),
   entryState: event(501, 'info', 'entry-state'),
@@ -85,3 +96,19 @@
   observerPaused: event(504, 'warn', 'observer-paused'),
   manySuspect: event(505, 'warn', 'many-suspect'),
 } as const;
+
+export const CONFIG_EVENTS = {
+  adopted: event(600, 'info', 'config-adopted'),
+  olderOffered: event(601, 'warn', 'config-older-offered'),
+  storeUnreachable: event(602, 'warn', 'config-store-unreachable'),
+  documentCorrupt: event(603, 'error', 'config-document-corrupt'),
+  fetchFailed: event(604, 'warn', 'config-fetch-failed'),
+  patchAccepted: event(605, 'info', 'config-patch-accepted'),
+  patchRejected: event(606, 'info', 'config-patch-rejected'),
+  patchUnknown: event(607, 'error', 'config-patch-outcome-unknown'),
+  homeChanged: event(608, 'debug', 'config-home-changed'),
+} as const;
+
+export const INVARIANT_EVENTS = {
+  violated: event(990, 'error', 'invariant-violated'),
+} as const;
