--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -213,7 +213,7 @@
           kind,
           pool: poolName,
           url: `http://${behind}`,
-          refusesOldFence: index % 2 === 0,
+          refusesOldFence: kind === 'engine' && index % 2 === 0,
         },
       },
       domainOf(index),
--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -16,7 +16,8 @@
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
-import {hashKey} from '../src/utils/keys.js';
+import {toKeyed} from '../src/config/keyed_form.js';
+import {hashGeneratedKey} from '../src/utils/keys.js';
 import {demoDeclarations, planFleet} from './fleet_plan.js';
 import type {
   FleetPlan,
@@ -78,7 +79,7 @@
 ): Promise<Fleet> {
   mkdirSync(dir, {recursive: true});
   const token = randomBytes(24).toString('hex');
-  const plan = await planFleet(shape, hashKey(token, newSalt()));
+  const plan = await planFleet(shape, hashGeneratedKey(token, newSalt()));
   const access = ORGANISATIONS.map(({id}) => ({
     name: id,
     key: randomBytes(24).toString('hex'),
@@ -275,7 +276,7 @@
   const organisations = ORGANISATIONS.map(({id, weight}, index) => ({
     id,
     weight,
-    keyHash: hashKey(access[index]?.key ?? '', newSalt()),
+    keyHash: hashGeneratedKey(access[index]?.key ?? '', newSalt()),
   }));
   const declarations = demoDeclarations(plan.shape, organisations);
   await postJson(
@@ -285,7 +286,7 @@
       patchId: randomBytes(8).toString('hex'),
       base: 0,
       form: 'merge-patch',
-      patch: JSON.stringify(asPatch(declarations)),
+      patch: JSON.stringify(toKeyed(declarations)),
       dryRun: false,
       operator: 'fleet',
     },
@@ -293,11 +294,6 @@
   );
 }
 
-/** Lists with ids become maps by id, as patches address them. */
-function asPatch(declarations: ReturnType<typeof demoDeclarations>) {
-  return declarations;
-}
-
 function writeFleetFile(
   dir: string,
   plan: FleetPlan,
--- a/src/onyxloftd.ts
+++ b/src/onyxloftd.ts
@@ -101,7 +101,9 @@
     return;
   }
   const runtime = createRuntime(settings);
-  const wired = await wire(settings, runtime, readFileSync);
+  // Operators may ask for the drain that SIGTERM starts.
+  const requestDrain = () => void process.emit('SIGTERM', 'SIGTERM');
+  const wired = await wire(settings, runtime, readFileSync, requestDrain);
   runtime.log(KERNEL_EVENTS.processStarted, {
     role: settings.role,
     pid: process.pid,
--- /dev/null
+++ b/src/side/operator_handlers.ts
@@ -0,0 +1,31 @@
+/** What operators and probes can ask of a side. */
+import type {OperatorHandlers} from '../entry/operator_handlers.js';
+import type {NodeId} from '../types/ids.js';
+import type {ServiceContext} from '../types/kernel.js';
+import type {SideStatus} from './messages.js';
+
+export interface SideHandlersOptions {
+  readonly node: NodeId;
+  /** Starts the drain of the process and returns at once. */
+  readonly drain: () => void;
+}
+
+export function createSideOperatorHandlers(
+  ctx: ServiceContext<'operators'>,
+  options: SideHandlersOptions,
+): OperatorHandlers {
+  const runs = () =>
+    ctx.ask('runs', (reply: (status: SideStatus) => void) => ({
+      kind: 'status',
+      reply,
+    }));
+  return {
+    ready: async () => !(await runs()).leaving,
+    status: async () => ({
+      node: options.node,
+      role: 'side',
+      ...(await runs()),
+    }),
+    drain: options.drain,
+  };
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -56,7 +56,7 @@
 
 export const ROUTING_EVENTS = {
   decided: event(300, 'info', 'routing-decided'),
-  refused: event(301, 'info', 'offer-refused'),
+  refused: event(301, 'info', 'route-refused'),
   noCandidate: event(302, 'warn', 'no-candidate'),
   groupDecided: event(303, 'info', 'group-decided'),
 } as const;
