feat(settings): add the forms of faults and log that the daemon uses

The daemon prints all faults at once and needs only the log function: formatFaults and createProcessLog are these.

--- a/src/config/settings_faults.ts
+++ b/src/config/settings_faults.ts
@@ -96,6 +96,11 @@
   return `${fault.file}:${fault.line}: ${option}${fault.message}; ${fault.mend}`;
 }
 
+/** All faults as text, one a line. */
+export function formatFaults(faults: readonly SettingsFault[]): string {
+  return faults.map(formatFault).join('\n');
+}
+
 /** Faults of the schema's issues. */
 export function schemaFaults(
   document: SettingsDocument,
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -46,6 +46,11 @@
   return {log, close};
 }
 
+/** The log of a process that ends only with the process itself. */
+export function createProcessLog(options: LoggerOptions): Log {
+  return createLogger(options).log;
+}
+
 /** `time`, `level`, `event`, `name`, `node`, then the event's own fields. */
 function lineOf(info: Readonly<Record<string, unknown>>): string {
   return JSON.stringify({
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {describe, expect, test} from 'vitest';
 import {parseSettings} from '../src/config/settings.js';
-import {formatFault} from '../src/config/settings_faults.js';
+import {formatFaults} from '../src/config/settings_faults.js';
 import {
   LIMIT_DEFAULTS,
   OPTION_NAMES,
@@ -70,7 +70,7 @@
 
 function faultsOf(text: string): string {
   const faults = parseSettings(text, 'side.jsonc').swap().orDefault([]);
-  return faults.map(formatFault).join('\n') + '\n';
+  return `${formatFaults(faults)}\n`;
 }
 
 describe('settings', () => {
