test(side): hold at-most-once, answers, capacity and the queue under failure

Cause: the runs service had no test.

Ruled out and mended on the way: a frame sent just before its channel was closed was lost, so refused gos went unanswered; the close now waits for the send. A go for another incarnation was answered 'not run', though a copy may have run before the restart; it is 'unknown' now. The audit took a beat for a sign of the run's life; only progress counts now.

--- a/src/side/audit.ts
+++ b/src/side/audit.ts
@@ -12,7 +12,7 @@
 import type {Lifecycle} from './lifecycle.js';
 import {isOver} from './run.js';
 
-/** A list may have been made just before a run came to the engine. */
+/** One list may have been made just before a run came to the engine. */
 const MISSED_MOST = 2;
 
 export interface Audit {
@@ -68,7 +68,8 @@
 
   const failMissing = (listed: ReadonlySet<string>, sentAt: number) => {
     for (const run of table.placed()) {
-      const quiet = run.progress.lastEventAt < sentAt;
+      // A beat only says that the connection lives, not that the run does.
+      const quiet = run.progress.lastProgressAt < sentAt;
       const missed = !listed.has(run.id) && run.startedAt < sentAt && quiet;
       run.missedAudits = missed ? run.missedAudits + 1 : 0;
       if (run.missedAudits < MISSED_MOST) continue;
--- a/src/side/channels.ts
+++ b/src/side/channels.ts
@@ -20,6 +20,8 @@
   /** A chunk is on its way and the channel can not take another yet. */
   busy: boolean;
   outcomeSent: boolean;
+  /** It is closed once the last frame has gone; nothing more is heard. */
+  dismissed: boolean;
   heardAt: number;
 }
 
@@ -108,6 +110,7 @@
     }
     if (!isOver(run) || open.outcomeSent || run.outcome === undefined) return;
     open.outcomeSent = true;
+    run.toldAt = ctx.clock.now();
     say(open, run.outcome);
   };
 
@@ -121,13 +124,15 @@
         nextSeq: 0,
         busy: false,
         outcomeSent: false,
+        dismissed: false,
         heardAt: ctx.clock.now(),
       });
       observe(id, channel);
     },
     heard: id => {
       const open = channels.get(id);
-      if (open !== undefined) open.heardAt = ctx.clock.now();
+      if (open === undefined || open.dismissed) return undefined;
+      open.heardAt = ctx.clock.now();
       return open;
     },
     bind: (id, run, fromSeq) => {
@@ -137,13 +142,17 @@
         drop(run.channelId);
       }
       run.channelId = id;
+      run.toldAt = undefined;
       open.dispatchId = run.id;
       open.nextSeq = fromSeq;
     },
     dismiss: (id, frame) => {
       const open = channels.get(id);
-      if (open !== undefined && frame !== undefined) say(open, frame);
-      drop(id);
+      if (open === undefined || frame === undefined) return drop(id);
+      open.dismissed = true;
+      // A frame still on its way would be lost by the close.
+      const gone = () => drop(id);
+      open.channel.send(frame).then(gone, gone);
     },
     sendStarted: run => {
       const open =
--- a/src/side/engine_events.ts
+++ b/src/side/engine_events.ts
@@ -71,7 +71,10 @@
 
   return (run, event) => {
     // A resume that only beats says nothing of the run yet.
-    if (event.kind !== 'beat') run.progress.seen = true;
+    if (event.kind !== 'beat') {
+      run.progress.seen = true;
+      run.progress.lastProgressAt = ctx.clock.now();
+    }
     switch (event.kind) {
       case 'prefill':
         return prefilled(run, event.doneTokens);
--- a/src/side/frames.ts
+++ b/src/side/frames.ts
@@ -91,8 +91,12 @@
   const go = (channelId: number, frame: Go) => {
     const {dispatchId} = frame;
     if (frame.incarnation !== core.incarnation) {
+      // A copy of this go may have run before the restart; that is forgotten.
       const message = 'the side was restarted since the offer';
-      refuseGo(channelId, failed(dispatchId, 'incarnation', 'no', message));
+      refuseGo(
+        channelId,
+        failed(dispatchId, 'incarnation', 'unknown', message),
+      );
       return;
     }
     const run = table.get(dispatchId);
--- a/src/side/owners.ts
+++ b/src/side/owners.ts
@@ -42,7 +42,16 @@
   };
 
   const isBeingRead = (run: Run) =>
-    run.channelId !== undefined && !run.delivered;
+    run.channelId !== undefined && run.toldAt === undefined;
+
+  /** On a channel that lives on, what was sent has arrived by now. */
+  const noteDelivered = () => {
+    const before = ctx.clock.now() - timing.channelSilenceMs;
+    for (const run of table.over()) {
+      if (run.channelId === undefined || run.toldAt === undefined) continue;
+      if (run.toldAt < before) run.delivered = true;
+    }
+  };
 
   const forget = (run: Run) => {
     // An id that can not be remembered stays in the table until it can be.
@@ -84,6 +93,7 @@
     sweep: () => {
       tombstones.sweep(ctx.clock.now());
       cancelOrphans();
+      noteDelivered();
       forgetOld();
     },
     forgive: () => {
--- a/src/side/run.ts
+++ b/src/side/run.ts
@@ -38,6 +38,8 @@
   /** Any event at all came from the upstream. */
   seen: boolean;
   lastEventAt: number;
+  /** The same, beats left out. */
+  lastProgressAt: number;
   /** When the last tokens came; undefined before the first. */
   lastTokenAt: number | undefined;
 }
@@ -76,6 +78,8 @@
   lateCall: boolean;
   outcome: RunEnd | RunFailed | undefined;
   endedAt: number;
+  /** When the outcome was sent on the run's present channel. */
+  toldAt: number | undefined;
   /** The owner has got the outcome. */
   delivered: boolean;
   /** Audits in a row in which the engine did not list it. */
@@ -103,6 +107,7 @@
       nextToken: 0,
       seen: false,
       lastEventAt: now,
+      lastProgressAt: now,
       lastTokenAt: undefined,
     },
     stream: {number: 0, unsubscribe: undefined, resumes: 0},
@@ -118,6 +123,7 @@
     lateCall: false,
     outcome: undefined,
     endedAt: 0,
+    toldAt: undefined,
     delivered: false,
     missedAudits: 0,
   };
--- /dev/null
+++ b/test/side_at_most_once.test.ts
@@ -0,0 +1,176 @@
+/** "Not run" truly did not run, and no dispatch runs twice at a side. */
+import {expect, describe, test} from 'vitest';
+import {createSideRig} from './support/side_rig.js';
+
+describe('a go that comes late', () => {
+  test('does not run once its offer has lapsed', async () => {
+    // The entry's go is held up past the lapse; the entry has long been told
+    // by the lapse that it may try elsewhere. When the go comes it must not
+    // run here too.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    await rig.clock.runFor(1_500);
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expect(channel.last('failed')).toMatchObject({
+      ran: 'no',
+      code: 'tombstoned',
+    });
+    expect(rig.starts('r1.0')).toBe(0);
+  });
+
+  test('does not run after the abandon was answered', async () => {
+    // The entry sends its go and hears nothing, abandons on another connection
+    // and is told "never started". Then the go arrives.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    expect(await rig.abandon('r1.0')).toMatchObject({state: 'never-started'});
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expect(channel.last('failed')).toMatchObject({ran: 'no'});
+    expect(rig.starts('r1.0')).toBe(0);
+  });
+
+  test('does not run when its abandon came before its offer', async () => {
+    // All messages of one dispatch are reordered: abandon, offer, go. The
+    // offer is a copy of one that this side never answered.
+    const rig = await createSideRig();
+    expect(await rig.abandon('r1.0')).toMatchObject({state: 'never-started'});
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'tombstoned'});
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expect(rig.starts('r1.0')).toBe(0);
+  });
+
+  test('without any offer is refused, and its offer after it', async () => {
+    const rig = await createSideRig();
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(10);
+    expect(channel.last('failed')).toMatchObject({
+      ran: 'no',
+      code: 'tombstoned',
+    });
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'tombstoned'});
+  });
+
+  test('for another incarnation is refused', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    const channel = rig.go('r1.0', 60_000, 'i0');
+    await rig.clock.runFor(100);
+    expect(channel.last('failed')).toMatchObject({code: 'incarnation'});
+  });
+});
+
+describe('a message that comes twice', () => {
+  test('as an offer gets the same answer and one place', async () => {
+    const rig = await createSideRig();
+    const first = await rig.offer('r1.0');
+    expect(await rig.offer('r1.0')).toEqual(first);
+    expect((await rig.status()).runs).toHaveLength(1);
+    const refused = await rig.offer('r2.0', {timeLeftMs: 1});
+    await rig.clock.runFor(100);
+    expect(await rig.offer('r2.0', {timeLeftMs: 1})).toEqual(refused);
+  });
+
+  test('as a go does not start the run again nor claim it did not run', async () => {
+    // A copy of the go comes on a second connection while the first runs. To
+    // answer it "not run" would let the entry run the request elsewhere.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    const first = rig.goWhole('r1.0');
+    await rig.clock.runFor(200);
+    const second = rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expect(first.last('end')).toBeDefined();
+    expect(second.got).toEqual([]);
+    expect(rig.starts('r1.0')).toBe(1);
+  });
+
+  test('does not run again after the answer is forgotten', async () => {
+    // Offer and go are copied and delayed by more than the time for which the
+    // answer is kept; the id is still remembered as one that ran.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(70_000);
+    expect((await rig.status()).runs).toEqual([]);
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'tombstoned'});
+    const late = rig.goWhole('r1.0');
+    await rig.clock.runFor(100);
+    expect(late.last('failed')).toMatchObject({ran: 'yes'});
+    expect(rig.starts('r1.0')).toBe(1);
+    expect(await rig.abandon('r1.0')).toMatchObject({state: 'started'});
+  });
+});
+
+describe('abandon', () => {
+  test('of a started run says so and frees the engine', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 1_000});
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(500);
+    expect(await rig.abandon('r1.0')).toMatchObject({state: 'started'});
+    await rig.clock.runFor(100);
+    expect(rig.model.counts().usedTokens).toBe(0);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+
+  test('of another incarnation is answered as unknown', async () => {
+    const rig = await createSideRig();
+    expect(await rig.abandon('r1.0', 'entry-1', 'i0')).toEqual({
+      state: 'unknown',
+      incarnation: 'i1',
+    });
+  });
+
+  test('by an entry that lost the run to another ends nothing', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 200});
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(500);
+    const taken = rig.attach('r1.0', 0);
+    await rig.clock.runFor(100);
+    expect(await rig.abandon('r1.0')).toMatchObject({state: 'started'});
+    await rig.clock.runFor(10_000);
+    expect(taken.last('end')).toBeDefined();
+  });
+});
+
+describe('started', () => {
+  test('is told before the engine hears of the run', async () => {
+    // The engine gets the first byte and the side dies. If the entry had not
+    // been told before, "not run" could be concluded from the silence.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    const channel = rig.goWhole('r1.0');
+    while (channel.got.length === 0) await rig.clock.step();
+    expect(channel.got[0]).toEqual({kind: 'started'});
+    expect(rig.starts('r1.0')).toBe(0);
+  });
+});
+
+describe('a side that was started again', () => {
+  test('takes no offer or go made to the one before', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    await rig.kill();
+    await rig.restart('i2');
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'incarnation'});
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expect(channel.last('failed')).toMatchObject({code: 'incarnation'});
+    expect(rig.starts('r1.0')).toBe(0);
+  });
+
+  test('by its kernel is another incarnation too', async () => {
+    // The service fails inside a living process and has forgotten its
+    // tombstones: to entries it must not look like the one they know.
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    rig.kernel().send('runs', {kind: 'offer'} as never);
+    await rig.clock.runFor(200);
+    expect((await rig.status()).incarnation).toBe('i1-1');
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'incarnation'});
+  });
+});
--- /dev/null
+++ b/test/side_capacity.test.ts
@@ -0,0 +1,336 @@
+/** An upstream's memory and places come back, whatever dies. */
+import {Left, Right} from 'purify-ts';
+import {expect, describe, test} from 'vitest';
+import {OnyxError} from '../src/types/errors.js';
+import type {EngineEvent} from '../src/types/upstream.js';
+import {pushStream} from '../src/upstream/push_stream.js';
+import {SIDE_EVENTS} from '../src/utils/events.js';
+import {createSideRig} from './support/side_rig.js';
+
+const HUNDRED_K = {promptTokens: 100_000, timeLeftMs: 600_000};
+
+describe('a run whose owner is gone', () => {
+  test('is cancelled after the hold time and its memory is freed', async () => {
+    // The entry dies: its channel goes silent and no heartbeat lists the run.
+    // Nobody ever tells the side; without the lease the engine would hold the
+    // memory to the run's time limit.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 4_000, timeLeftMs: 600_000});
+    const channel = rig.goWhole('r1.0', 600_000);
+    await rig.clock.runFor(1_000);
+    channel.silence();
+    await rig.clock.runFor(9_000);
+    expect(await rig.stateOf('r1.0')).toBe('running');
+    await rig.clock.runFor(8_000);
+    expect(await rig.stateOf('r1.0')).toBe('cancelled');
+    expect(rig.model.counts().usedTokens).toBe(0);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+
+  test('goes on while heartbeats list it', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 1_500, timeLeftMs: 600_000});
+    const silent = rig.goWhole('r1.0', 600_000);
+    await rig.clock.runFor(100);
+    silent.silence();
+    for (let i = 0; i < 40; i++) {
+      await rig.clock.runFor(1_000);
+      await rig.heartbeat(['r1.0']);
+    }
+    expect(await rig.stateOf('r1.0')).toBe('ended');
+  });
+
+  test('is not ended by a freeze of the side itself', async () => {
+    // The side stands still for a minute and wakes. It heard no one for that
+    // long, since it could not; the owner is well and beats on.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 3_000, timeLeftMs: 600_000});
+    const channel = rig.goWhole('r1.0', 600_000);
+    await rig.clock.runFor(1_000);
+    rig.clock.advance(60_000);
+    await rig.clock.runFor(10_000);
+    expect(rig.eventsOf(SIDE_EVENTS.sideFrozen)).toHaveLength(1);
+    expect(channel.isClosed()).toBe(false);
+    expect(await rig.stateOf('r1.0')).toBe('running');
+  });
+});
+
+describe('an engine that holds what nobody owns', () => {
+  test('is freed by a new incarnation before it takes offers', async () => {
+    // The side is killed with a run in mid-answer. The engine goes on with it;
+    // the next incarnation finds it in the list and frees it.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 4_000, timeLeftMs: 600_000});
+    rig.goWhole('r1.0', 600_000);
+    await rig.clock.runFor(1_000);
+    await rig.kill();
+    expect(rig.model.counts().usedTokens).toBeGreaterThan(0);
+    const restarted = rig.restart('i2');
+    await rig.clock.runFor(1);
+    await restarted;
+    await rig.clock.runFor(1_500);
+    expect(rig.model.counts().usedTokens).toBe(0);
+    const {kind} = await rig.offer('r2.0', {incarnation: 'i2'});
+    expect(kind).toBe('accepted');
+  });
+
+  test('is freed by the audit', async () => {
+    // The old incarnation was frozen while it was replaced; it wakes and
+    // starts one more run before it is ended.
+    const rig = await createSideRig();
+    const zombie = rig.engine.start(
+      {
+        runId: 'z1.0',
+        model: 'm',
+        adapter: '',
+        priority: 0,
+        promptTokens: 1_000,
+        maxTokens: 50_000,
+        memoryTokens: 51_000,
+        groupSize: 1,
+        holdOnly: false,
+        prefixHashes: [],
+      },
+      (async function* () {
+        yield Buffer.from('p');
+      })(),
+    );
+    void zombie.drain().catch(() => undefined);
+    await rig.clock.runFor(1_000);
+    expect(rig.model.counts().usedTokens).toBe(51_000);
+    await rig.clock.runFor(6_000);
+    expect(rig.model.counts().usedTokens).toBe(0);
+  });
+
+  test('is asked again when a cancel gets no answer', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 4_000, timeLeftMs: 600_000});
+    rig.goWhole('r1.0', 600_000);
+    await rig.clock.runFor(1_000);
+    rig.engine.setSilent(true);
+    await rig.abandon('r1.0');
+    await rig.clock.runFor(4_000);
+    expect((await rig.status()).reservedTokens).toBe(5_000);
+    rig.engine.setSilent(false);
+    await rig.clock.runFor(10_000);
+    expect((await rig.status()).reservedTokens).toBe(0);
+    expect(rig.model.counts().usedTokens).toBe(0);
+  });
+
+  test('is noticed when it lost a run without breaking its stream', async () => {
+    // The engine drops the run and keeps beating on its stream, so that no
+    // silence shows it; only the list does.
+    const beats = pushStream<EngineEvent>(push => {
+      return rig.clock.every(500, () => push.event({kind: 'beat'}));
+    });
+    const rig = await createSideRig({
+      wrapEngine: engine => ({...engine, start: () => beats}),
+    });
+    await rig.offer('r1.0');
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(20_000);
+    expect(channel.last('failed')).toMatchObject({
+      code: 'upstream-lost',
+      ran: 'unknown',
+    });
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+});
+
+describe('a time limit', () => {
+  test('ends a run at once and frees the engine', async () => {
+    const rig = await createSideRig({priors: {stepMs: 1}});
+    await rig.offer('r1.0', {maxTokens: 1_000, timeLeftMs: 2_000});
+    const channel = rig.goWhole('r1.0', 2_000);
+    await rig.clock.runFor(2_010);
+    expect(channel.last('failed')).toMatchObject({
+      code: 'deadline-exceeded',
+      ran: 'yes',
+    });
+    expect(rig.model.counts().usedTokens).toBe(0);
+  });
+
+  test('ends a run in the queue as not run', async () => {
+    const rig = await createSideRig({
+      bounds: {maxRunning: 1},
+      priors: {stepMs: 1},
+    });
+    await rig.offer('r1.0', {maxTokens: 1_000});
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(10);
+    await rig.offer('r2.0', {timeLeftMs: 3_000});
+    const channel = rig.goWhole('r2.0', 3_000);
+    await rig.clock.runFor(3_010);
+    expect(channel.last('failed')).toMatchObject({
+      code: 'deadline-exceeded',
+      ran: 'no',
+    });
+    expect(rig.starts('r2.0')).toBe(0);
+  });
+});
+
+describe('an offer', () => {
+  test('is refused with its reason and a time to come back', async () => {
+    const rig = await createSideRig({bounds: {maxQueued: 2, maxRunning: 1}});
+    const refuse = (id: string, over: Parameters<typeof rig.offer>[1]) =>
+      rig.offer(id, over);
+    expect(await refuse('a.0', {model: 'other'})).toMatchObject({
+      reason: 'no-model',
+    });
+    expect(await refuse('b.0', {promptTokens: 500_000})).toMatchObject({
+      reason: 'full',
+      retryAfterMs: 0,
+    });
+    expect(
+      await refuse('c.0', {...HUNDRED_K, timeLeftMs: 1_000}),
+    ).toMatchObject({reason: 'too-late', retryAfterMs: 0});
+    await rig.offer('d.0', HUNDRED_K);
+    rig.goWhole('d.0', 600_000);
+    await rig.clock.runFor(10);
+    const late = await refuse('e.0', {priority: 9, timeLeftMs: 3_000});
+    expect(late).toMatchObject({reason: 'too-late'});
+    expect(late.kind === 'refused' && late.retryAfterMs).toBeGreaterThan(1_000);
+    await rig.offer('f.0');
+    await rig.offer('g.0');
+    const full = await refuse('h.0', {});
+    expect(full).toMatchObject({reason: 'queue-full'});
+    expect(full.kind === 'refused' && full.retryAfterMs).toBeGreaterThan(1_000);
+    expect(rig.metrics.total('side_refusals_total')).toBe(5);
+  });
+
+  test('is refused while the engine gives no report', async () => {
+    const rig = await createSideRig();
+    rig.model.die();
+    await rig.clock.runFor(7_000);
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'engine-down'});
+    rig.model.restart();
+    await rig.clock.runFor(2_000);
+    expect(await rig.offer('r2.0')).toMatchObject({kind: 'accepted'});
+  });
+});
+
+describe('a group', () => {
+  const member = (lead: boolean, holdTokens: number) => ({
+    ...HUNDRED_K,
+    promptTokens: 700_000,
+    group: {lead, size: 2, holdTokens},
+  });
+
+  test('holds memory at a member until it is abandoned', async () => {
+    const rig = await createSideRig();
+    await rig.offer('g1.0', member(false, 300_000));
+    const second = await rig.offer('g2.0', member(false, 300_000));
+    expect(second).toMatchObject({reason: 'full'});
+    const channel = rig.go('g1.0', 600_000);
+    await rig.clock.runFor(1_000);
+    expect(channel.last('started')).toBeDefined();
+    expect(rig.model.counts().usedTokens).toBe(300_000);
+    await rig.abandon('g1.0');
+    await rig.clock.runFor(100);
+    expect(rig.model.counts().usedTokens).toBe(0);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+
+  test('gives the memory back when no go comes', async () => {
+    const rig = await createSideRig();
+    await rig.offer('g1.0', member(false, 300_000));
+    expect((await rig.status()).reservedTokens).toBe(300_000);
+    await rig.clock.runFor(1_100);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+
+  test('runs its prompt at the lead', async () => {
+    const rig = await createSideRig();
+    await rig.offer('g1.0', member(true, 360_000));
+    const channel = rig.goWhole('g1.0', 600_000);
+    await rig.clock.runFor(120_000);
+    expect(channel.last('end')).toBeDefined();
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+});
+
+describe('drain', () => {
+  test('takes no offers, ends what is accepted, then replies', async () => {
+    // An offer was accepted just before the side leaves; its go is still on
+    // the way. Cutting it would lose a request that was promised.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 100});
+    let drained = false;
+    void rig.drain().then(() => (drained = true));
+    await rig.clock.settle();
+    expect(await rig.offer('r2.0')).toMatchObject({reason: 'leaving'});
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(1_500);
+    expect(drained).toBe(false);
+    expect((await rig.heartbeat(['r1.0'])).leaving).toBe(true);
+    await rig.clock.runFor(2_000);
+    expect(channel.last('end')).toBeDefined();
+    expect(drained).toBe(false);
+    channel.close();
+    await rig.clock.runFor(10);
+    expect(drained).toBe(true);
+  });
+});
+
+describe('orders', () => {
+  const load = (orderId: string, fence: number) => ({
+    orderId,
+    fence,
+    action: 'load' as const,
+    model: 'm2',
+    version: '1',
+    adapter: '',
+    role: 'mixed' as const,
+  });
+
+  test('of an older placer are not passed to an engine that ignores numbers', async () => {
+    // A placer was paused past its lease and wakes; the newer one's number
+    // came by a heartbeat. The engine would obey either.
+    const rig = await createSideRig({model: {honoursFence: false}});
+    await rig.heartbeat([], 7);
+    const order = rig.handlers().order;
+    const old = await rig.answer(order?.(load('o1', 6)));
+    expect(old).toMatchObject({state: 'refused', reason: 'stale-fence'});
+    const asked = order?.(load('o2', 7));
+    await rig.clock.runFor(10);
+    expect(await asked).toMatchObject({state: 'started', fence: 7});
+    expect(await rig.answer(order?.(load('o2', 7)))).toMatchObject({
+      state: 'started',
+    });
+    await rig.clock.runFor(6_000);
+    const {models} = await rig.heartbeat([]);
+    expect(models.filter(state => state.model === 'm2')).toHaveLength(1);
+  });
+
+  test('are taken only when the lease was read after a start', async () => {
+    let up = false;
+    const down = new OnyxError({
+      code: 'store-unavailable',
+      step: 'store',
+      message: 'out',
+    });
+    const rig = await createSideRig({
+      readFence: () => Promise.resolve(up ? Right(9) : Left(down)),
+    });
+    const order = rig.handlers().order;
+    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+      reason: 'fence-unknown',
+    });
+    up = true;
+    await rig.clock.runFor(2_100);
+    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+      reason: 'stale-fence',
+      fence: 9,
+    });
+  });
+
+  test('do not unload a model with runs on it', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0');
+    const order = {...load('o1', 1), model: 'm', action: 'unload' as const};
+    expect(await rig.answer(rig.handlers().order?.(order))).toMatchObject({
+      state: 'refused',
+      reason: 'in-use',
+    });
+  });
+});
