--- a/src/upstream/http_connection.ts
+++ b/src/upstream/http_connection.ts
@@ -59,18 +59,30 @@
   readonly code: ErrorCode;
 }
 
+/** Errors of the library about a request that it cannot send at all. */
+const UNSENDABLE_CODES: ReadonlySet<unknown> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
+
 /** An error of a connection, with step, peer and whether the work ran. */
 export function toOnyxError(
   err: unknown,
   connection: HttpConnection,
   place: ErrorPlace,
 ): OnyxError {
-  if (err instanceof OnyxError) return err;
-  const {step, peer} = place;
   const isMade = connection.isMade();
-  const code: ErrorCode = isMade ? place.code : 'peer-unreachable';
+  // An error of the body's source may say "not run" of its own work. Once
+  // bytes can have gone out, passing that on would let the upstream run twice.
+  if (err instanceof OnyxError && !(isMade && err.ran === 'no')) return err;
+  const {step, peer} = place;
   const ran: Ran = isMade ? 'unknown' : 'no';
   const cause = err instanceof Error ? err.message : String(err);
+  if (!isMade && UNSENDABLE_CODES.has((err as {code?: unknown}).code)) {
+    const message = `request cannot be sent to ${peer}: ${cause}`;
+    return new OnyxError({code: 'bad-request', step, peer, message, ran});
+  }
+  const code: ErrorCode = isMade ? place.code : 'peer-unreachable';
   const message = isMade
     ? `connection to ${peer} broke: ${cause}`
     : `cannot connect to ${peer}: ${cause}`;
--- a/test/http_engine.test.ts
+++ b/test/http_engine.test.ts
@@ -1,6 +1,4 @@
 // The engine's client and the engine program's routes, over real sockets.
-import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {createEngineModel} from '../standins/engine_model.js';
 import {createEngineRoutes} from '../standins/engine_routes.js';
@@ -10,12 +8,14 @@
 import {createProcessClock} from '../src/utils/clock.js';
 import {collect, promptOf, runReq} from './support/engine_runs.js';
 import type {Collected} from './support/engine_runs.js';
+import {listenRoutes, until} from './support/http_server.js';
+import type {TestServer} from './support/http_server.js';
 
 const clock = createProcessClock();
-const closers: (() => void)[] = [];
+const servers: TestServer[] = [];
 
 afterEach(() => {
-  for (const close of closers.splice(0)) close();
+  for (const server of servers.splice(0)) server.close();
 });
 
 /** An engine that answers within milliseconds, behind a real server. */
@@ -27,18 +27,9 @@
   };
   const model = createEngineModel({clock, figures});
   const handle = createEngineRoutes({model, clock, beatMs: 20});
-  const server = createServer((req, res) => {
-    handle(req, res, new URL(req.url ?? '/', 'http://engine')).catch(() =>
-      res.destroy(),
-    );
-  });
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
-  closers.push(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  const {port} = server.address() as AddressInfo;
-  const url = `http://127.0.0.1:${port}`;
+  const server = await listenRoutes(handle);
+  servers.push(server);
+  const {url} = server;
   const client = createHttpEngine({url, clock, silenceMs});
   const setFaults = async (faults: object) => {
     const body = JSON.stringify(faults);
@@ -47,10 +38,6 @@
   return {model, client, url, setFaults};
 }
 
-async function until(holds: () => boolean): Promise<void> {
-  while (!holds()) await new Promise(resolve => setTimeout(resolve, 5));
-}
-
 function isOver(collected: Collected): boolean {
   return collected.ended || collected.err !== undefined;
 }
