--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -109,6 +109,13 @@
   homeChanged: event(608, 'debug', 'config-home-changed'),
 } as const;
 
+export const PLATFORM_EVENTS = {
+  leaseTaken: event(900, 'info', 'lease-taken'),
+  leaseLost: event(901, 'warn', 'lease-lost'),
+  leaseNotRenewed: event(902, 'warn', 'lease-not-renewed'),
+  claimUnknown: event(910, 'warn', 'claim-unknown'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
