feat(wire): carry the peer messages over grpc

The processes need calls and two-way runs between them.

Each peer gets two connections, one for control traffic and one for requests: heartbeats never wait behind a prompt, and the bytes of both are counted at the socket at both ends. A call's deadline runs on the monotonic clock, since grpc's own is a reading of the wall clock. A call that was bound to no connection is told as not sent; any other loss is told as unknown outcome.

Ruled out: reading the text of grpc's errors to learn whether a call was sent (the peer name of the call says it without guessing); closing a replaced connection only after its calls (a try at it changed nothing: grpc lets calls that were sent go on); checking names by a fixed name in every certificate (one stolen certificate would do for every host, so the dialled IP is checked against the subject alternative names, and the fixed name only fills the handshake's field, where an IP is not allowed).

--- /dev/null
+++ b/src/wire/peer_client.ts
@@ -0,0 +1,229 @@
+/**
+ * Connections to one peer for one kind of traffic: kept between calls, dialled
+ * again by grpc when lost, and given up for a new one when it went silent.
+ */
+import type {Socket} from 'node:net';
+import {Client, Metadata, status} from '@grpc/grpc-js';
+import type {
+  ChannelOptions,
+  ClientDuplexStream,
+  ServiceError,
+} from '@grpc/grpc-js';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {Step} from '../types/errors.js';
+import type {Address} from '../types/ids.js';
+import type {PeerMethod, RunDown, RunUp} from '../types/peer_messages.js';
+import type {Clock} from '../types/runtime.js';
+import type {RunChannel} from '../types/transport.js';
+import {RUN_CODEC} from './codec.js';
+import type {MethodCodec} from './codec.js';
+import {TLS_SERVER_NAME, clientCredentials} from './credentials.js';
+import type {TlsOptions} from './credentials.js';
+import {createGrpcChannel} from './grpc_channel.js';
+
+/** Timeouts in a row after which a connection counts as silent. */
+const SILENT_AFTER_TIMEOUTS = 2;
+/**
+ * A connection younger than this is fresh to every run that asks for one. A
+ * silent connection takes all its runs along, and they notice together; each
+ * on a connection of its own would be hundreds of them at once. Silence takes
+ * longer than this to notice, so no run gets back the connection it left.
+ */
+const FRESH_FOR_MS = 500;
+/** Time for a closed run's last frames before its stream is cut. */
+const CLOSE_GRACE_MS = 1_000;
+
+const CHANNEL_OPTIONS: ChannelOptions = {
+  // Each client has connections of its own, so that a new client is a new
+  // connection and control traffic never waits behind a prompt.
+  'grpc.use_local_subchannel_pool': 1,
+  // Who calls decides on retries: it knows what may be repeated.
+  'grpc.enable_retries': 0,
+  'grpc.enable_http_proxy': 0,
+  'grpc.enable_channelz': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+  // Ends a connection that went silent under an open stream. Streams notice
+  // sooner by their own beats; this frees the socket.
+  'grpc.keepalive_time_ms': 20_000,
+  'grpc.keepalive_timeout_ms': 5_000,
+  'grpc.keepalive_permit_without_calls': 0,
+  'grpc.ssl_target_name_override': TLS_SERVER_NAME,
+  'grpc.default_authority': TLS_SERVER_NAME,
+};
+
+const STEPS: Readonly<Record<PeerMethod, Step>> = {
+  offer: 'offer',
+  abandon: 'abandon',
+  locate: 'locate',
+  sideHeartbeat: 'heartbeat',
+  entryHeartbeat: 'heartbeat',
+  fetchConfig: 'config',
+  grant: 'limit',
+  order: 'order',
+};
+
+export interface PeerClientOptions {
+  readonly peer: Address;
+  readonly clock: Clock;
+  readonly tls: TlsOptions | undefined;
+  readonly onSocket: (socket: Socket) => void;
+}
+
+export interface PeerClient {
+  call<Req, Res>(
+    method: PeerMethod,
+    codec: MethodCodec<Req, Res>,
+    req: Req,
+    timeoutMs: number,
+  ): Promise<Either<OnyxError, Res>>;
+  openRun(fresh: boolean): RunChannel;
+  /** When it was last used, on the process's clock. */
+  usedAt(): number;
+  /** Ends the connection with the last call or run sent on it. */
+  close(): void;
+}
+
+interface Connection {
+  readonly client: Client;
+  readonly dialledAt: number;
+  timeoutsInRow: number;
+}
+
+/** What became of a call, as seen by the transport. */
+interface CallFailure {
+  readonly peer: Address;
+  readonly method: PeerMethod;
+  /** False when the request never reached a connection. */
+  readonly sent: boolean;
+  readonly timedOut: boolean;
+  readonly err: ServiceError;
+}
+
+/** Answers that the peer's own server gives when a handler fails. */
+const ANSWERED_STATUSES: ReadonlySet<status> = new Set([
+  status.FAILED_PRECONDITION,
+  status.UNIMPLEMENTED,
+]);
+
+function toError(failure: CallFailure): OnyxError {
+  const {peer, method, sent, timedOut, err} = failure;
+  const step = STEPS[method];
+  if (ANSWERED_STATUSES.has(err.code)) {
+    const message = `${method} failed at ${peer}: ${err.details}`;
+    return new OnyxError({code: 'internal', step, peer, message});
+  }
+  if (!sent) {
+    const cause = timedOut ? 'no connection in time' : err.details;
+    const message = `${method} was not sent to ${peer}: ${cause}`;
+    return new OnyxError({code: 'peer-unreachable', step, peer, message});
+  }
+  // A connection lost after sending says no more than a timeout does: the
+  // peer may have done what was asked.
+  const cause = timedOut ? 'no answer in time' : err.details;
+  const message = `${method} to ${peer} has an unknown outcome: ${cause}`;
+  return new OnyxError({code: 'timeout', step, peer, message});
+}
+
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+  const {peer, clock, tls, onSocket} = options;
+  const target = `${peer.startsWith('[') ? 'ipv6' : 'ipv4'}:${peer}`;
+  let usedAt = clock.now();
+
+  const dial = (): Connection => ({
+    client: new Client(
+      target,
+      clientCredentials(peer, tls, onSocket),
+      CHANNEL_OPTIONS,
+    ),
+    dialledAt: clock.now(),
+    timeoutsInRow: 0,
+  });
+
+  let current = dial();
+
+  const take = (): Connection => {
+    usedAt = clock.now();
+    return current;
+  };
+
+  /**
+   * An established connection can go silent for good: writes succeed and no
+   * answer comes, call after call. A new connection is the cure. Calls and
+   * runs already sent on the old one go on; those that still wait for it to
+   * connect end as not sent.
+   */
+  const redial = (): void => {
+    const old = current;
+    current = dial();
+    old.client.close();
+  };
+
+  const noteTimeout = (on: Connection): void => {
+    on.timeoutsInRow++;
+    if (on === current && on.timeoutsInRow >= SILENT_AFTER_TIMEOUTS) redial();
+  };
+
+  const call = <Req, Res>(
+    method: PeerMethod,
+    codec: MethodCodec<Req, Res>,
+    req: Req,
+    timeoutMs: number,
+  ): Promise<Either<OnyxError, Res>> => {
+    const on = take();
+    return new Promise(resolve => {
+      let timedOut = false;
+      const done = (err: ServiceError | null, res?: Res): void => {
+        cancelTimer();
+        if (timedOut) noteTimeout(on);
+        else on.timeoutsInRow = 0;
+        if (err === null) {
+          resolve(Right(res as Res));
+          return;
+        }
+        // The stream is bound to a connection from when it is sent on; until
+        // then the call names the channel's target as its peer.
+        const sent = stream.getPeer() !== on.client.getChannel().getTarget();
+        resolve(Left(toError({peer, method, sent, timedOut, err})));
+      };
+      const stream = on.client.makeUnaryRequest(
+        codec.path,
+        codec.req.encode,
+        codec.res.decode,
+        req,
+        done,
+      );
+      // The deadline is on the monotonic clock. That of grpc is a reading of
+      // the wall clock, whose steps would end every call at once.
+      const cancelTimer = clock.after(timeoutMs, () => {
+        timedOut = true;
+        stream.cancel();
+      });
+    });
+  };
+
+  const openRun = (fresh: boolean): RunChannel => {
+    if (fresh && clock.now() - current.dialledAt >= FRESH_FOR_MS) redial();
+    const on = take();
+    const stream: ClientDuplexStream<RunUp, RunDown> =
+      on.client.makeBidiStreamRequest(
+        RUN_CODEC.path,
+        RUN_CODEC.req.encode,
+        RUN_CODEC.res.decode,
+        new Metadata(),
+      );
+    return createGrpcChannel(stream, () => {
+      clock.after(CLOSE_GRACE_MS, () => stream.cancel());
+    });
+  };
+
+  return {
+    call,
+    openRun,
+    usedAt: () => usedAt,
+    close: () => current.client.close(),
+  };
+}
--- /dev/null
+++ b/src/wire/peer_server.ts
@@ -0,0 +1,186 @@
+/**
+ * The listening end: takes connections, hands calls to handlers, and tells
+ * which connection carries which kind of traffic.
+ */
+import {createServer} from 'node:net';
+import type {Server as NetServer, Socket} from 'node:net';
+import {Server, status} from '@grpc/grpc-js';
+import type {
+  ServerDuplexStream,
+  ServerUnaryCall,
+  ServiceDefinition,
+  UntypedServiceImplementation,
+  sendUnaryData,
+} from '@grpc/grpc-js';
+import {OnyxError} from '../types/errors.js';
+import type {Address} from '../types/ids.js';
+import type {
+  PeerCalls,
+  PeerMethod,
+  RunDown,
+  RunUp,
+} from '../types/peer_messages.js';
+import type {Clock} from '../types/runtime.js';
+import type {Listener, PeerHandlers} from '../types/transport.js';
+import {trafficOf} from './byte_counter.js';
+import type {ByteCounter, TrafficKind} from './byte_counter.js';
+import {CALL_CODECS, RUN_CODEC} from './codec.js';
+import {ipOf, serverCredentials} from './credentials.js';
+import type {TlsOptions} from './credentials.js';
+import {createGrpcChannel} from './grpc_channel.js';
+
+/** Time for open calls to end after `close`, before they are cut. */
+const CLOSE_GRACE_MS = 1_000;
+
+export interface PeerServerOptions {
+  readonly address: Address;
+  readonly handlers: PeerHandlers;
+  readonly clock: Clock;
+  readonly tls: TlsOptions | undefined;
+  readonly bytes: ByteCounter;
+}
+
+const METHODS = Object.keys(CALL_CODECS) as readonly PeerMethod[];
+
+function describeFailure(err: unknown): string {
+  if (err instanceof OnyxError) return `${err.code}: ${err.message}`;
+  return err instanceof Error ? err.message : String(err);
+}
+
+function callDefinition(method: PeerMethod): ServiceDefinition[string] {
+  const codec = CALL_CODECS[method];
+  return {
+    path: codec.path,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: codec.req.encode as (value: unknown) => Buffer,
+    requestDeserialize: codec.req.decode,
+    responseSerialize: codec.res.encode as (value: unknown) => Buffer,
+    responseDeserialize: codec.res.decode,
+  };
+}
+
+const RUN_DEFINITION: ServiceDefinition[string] = {
+  path: RUN_CODEC.path,
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: RUN_CODEC.req.encode as (value: unknown) => Buffer,
+  requestDeserialize: RUN_CODEC.req.decode,
+  responseSerialize: RUN_CODEC.res.encode as (value: unknown) => Buffer,
+  responseDeserialize: RUN_CODEC.res.decode,
+};
+
+function definitionOf(handlers: PeerHandlers): ServiceDefinition {
+  const served = METHODS.filter(method => handlers[method] !== undefined);
+  const calls = served.map(method => [method, callDefinition(method)] as const);
+  const definition: ServiceDefinition = Object.fromEntries(calls);
+  if (handlers.run === undefined) return definition;
+  return {...definition, run: RUN_DEFINITION};
+}
+
+type KindOfPeer = (peer: string, kind: TrafficKind) => void;
+
+function callHandler<M extends PeerMethod>(
+  method: M,
+  handle: (req: PeerCalls[M]['req']) => Promise<PeerCalls[M]['res']>,
+  mark: KindOfPeer,
+) {
+  return (
+    call: ServerUnaryCall<PeerCalls[M]['req'], PeerCalls[M]['res']>,
+    answer: sendUnaryData<PeerCalls[M]['res']>,
+  ): void => {
+    mark(call.getPeer(), trafficOf(method));
+    // An async function turns a handler's throw into a rejection as well.
+    const handled = (async () => handle(call.request))();
+    handled.then(
+      res => answer(null, res),
+      (err: unknown) =>
+        answer({
+          code: status.FAILED_PRECONDITION,
+          details: describeFailure(err),
+        }),
+    );
+  };
+}
+
+function implementationOf(
+  handlers: PeerHandlers,
+  mark: KindOfPeer,
+): UntypedServiceImplementation {
+  const implementation: UntypedServiceImplementation = {};
+  for (const method of METHODS) {
+    const handle = handlers[method] as
+      ((req: unknown) => Promise<never>) | undefined;
+    if (handle !== undefined) {
+      implementation[method] = callHandler(method, handle, mark);
+    }
+  }
+  const {run} = handlers;
+  if (run !== undefined) {
+    implementation['run'] = (stream: ServerDuplexStream<RunUp, RunDown>) => {
+      mark(stream.getPeer(), 'request');
+      run(createGrpcChannel<RunDown, RunUp>(stream));
+    };
+  }
+  return implementation;
+}
+
+function bind(server: NetServer, address: Address): Promise<Address> {
+  const host = ipOf(address);
+  const port = Number(address.slice(address.lastIndexOf(':') + 1));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port}, () => {
+      server.off('error', reject);
+      const bound = server.address();
+      const boundPort =
+        bound !== null && typeof bound === 'object' ? bound.port : port;
+      resolve(`${host.includes(':') ? `[${host}]` : host}:${boundPort}`);
+    });
+  });
+}
+
+/** Listens at an address; port 0 takes a free one. */
+export async function listenForPeers(
+  options: PeerServerOptions,
+): Promise<Listener> {
+  const {handlers, clock, tls, bytes} = options;
+  const kinds = new Map<string, TrafficKind>();
+  const server = new Server({'grpc.enable_channelz': 0});
+  const mark: KindOfPeer = (peer, kind) => {
+    if (kinds.get(peer) === undefined) kinds.set(peer, kind);
+  };
+  server.addService(definitionOf(handlers), implementationOf(handlers, mark));
+  const injector = server.createConnectionInjector(serverCredentials(tls));
+
+  const open = new Set<Socket>();
+  const listener = createServer((socket: Socket) => {
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    socket.setNoDelay();
+    // A reset before the handshake has no other listener yet.
+    socket.on('error', () => socket.destroy());
+    bytes.watch(socket, () => kinds.get(peer));
+    open.add(socket);
+    socket.once('close', () => {
+      open.delete(socket);
+      kinds.delete(peer);
+    });
+    injector.injectConnection(socket);
+  });
+  const address = await bind(listener, options.address);
+
+  const close = (): Promise<void> =>
+    new Promise(resolve => {
+      listener.close();
+      const cancel = clock.after(CLOSE_GRACE_MS, () => {
+        server.forceShutdown();
+        for (const socket of open) socket.destroy();
+        resolve();
+      });
+      server.tryShutdown(() => {
+        cancel();
+        resolve();
+      });
+    });
+  return {address, close};
+}
--- /dev/null
+++ b/test/grpc_tls.test.ts
@@ -0,0 +1,128 @@
+import {ChannelCredentials, Client, status} from '@grpc/grpc-js';
+import type {ServiceError} from '@grpc/grpc-js';
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import type {Transport} from '../src/types/transport.js';
+import {createProcessClock} from '../src/utils/clock.js';
+import {CALL_CODECS} from '../src/wire/codec.js';
+import {TLS_SERVER_NAME} from '../src/wire/credentials.js';
+import type {TlsOptions} from '../src/wire/credentials.js';
+import {createGrpcTransport} from '../src/wire/grpc_transport.js';
+import {createRecordedMetrics} from '../standins/recording_runtime.js';
+import {createAuthority} from './support/certificates.js';
+import type {Authority} from './support/certificates.js';
+
+const TIMEOUT_MS = 10_000;
+const REQ = {requestId: 'r', organisation: 'o'};
+
+let authority: Authority;
+let stranger: Authority;
+const closers: Array<() => Promise<void>> = [];
+
+beforeAll(() => {
+  authority = createAuthority();
+  stranger = createAuthority();
+});
+
+afterAll(() => {
+  authority.remove();
+  stranger.remove();
+});
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+function newTransport(tls?: TlsOptions): Transport {
+  const metrics = createRecordedMetrics();
+  const clock = createProcessClock();
+  const transport = createGrpcTransport({clock, metrics, tls});
+  closers.push(() => transport.close());
+  return transport;
+}
+
+async function listen(tls: TlsOptions, onCall: () => void): Promise<string> {
+  const listener = await newTransport(tls).listen('127.0.0.1:0', {
+    locate: async () => {
+      onCall();
+      return {state: 'none', dispatchId: '', nextSeq: 0, kind: 'call'};
+    },
+  });
+  closers.push(() => listener.close());
+  return listener.address;
+}
+
+/** What a call gives, and whether a handler saw it. */
+async function tryCall(server: TlsOptions, client?: TlsOptions) {
+  let handled = false;
+  const address = await listen(server, () => {
+    handled = true;
+  });
+  const got = await newTransport(client).call(
+    address,
+    'locate',
+    REQ,
+    TIMEOUT_MS,
+  );
+  const outcome = got.caseOf({Left: err => err.code, Right: () => 'ok'});
+  return {outcome, handled};
+}
+
+describe('mutual TLS between processes', () => {
+  it('lets two hosts of the authority talk', async () => {
+    const server = authority.issue('127.0.0.1');
+    const client = authority.issue('127.0.0.2');
+    expect(await tryCall(server, client)).toEqual({
+      outcome: 'ok',
+      handled: true,
+    });
+  });
+
+  it('refuses a caller that shows no certificate', async () => {
+    const server = authority.issue('127.0.0.1');
+    let handled = false;
+    const address = await listen(server, () => {
+      handled = true;
+    });
+    const {path, req, res} = CALL_CODECS.locate;
+    const client = new Client(
+      address,
+      ChannelCredentials.createSsl(server.ca, null, null, {
+        checkServerIdentity: () => undefined,
+      }),
+      {'grpc.ssl_target_name_override': TLS_SERVER_NAME},
+    );
+    closers.push(async () => client.close());
+    const err = await new Promise<ServiceError | null>(resolve => {
+      client.makeUnaryRequest(path, req.encode, res.decode, REQ, resolve);
+    });
+    expect(err?.code).toBe(status.UNAVAILABLE);
+    expect(handled).toBe(false);
+  });
+
+  it('refuses a caller without TLS', async () => {
+    const server = authority.issue('127.0.0.1');
+    const {outcome, handled} = await tryCall(server);
+    expect(outcome).not.toBe('ok');
+    expect(handled).toBe(false);
+  });
+
+  it('refuses a caller of another authority', async () => {
+    const server = authority.issue('127.0.0.1');
+    const client = {...stranger.issue('127.0.0.2'), ca: server.ca};
+    const {outcome, handled} = await tryCall(server, client);
+    expect(outcome).not.toBe('ok');
+    expect(handled).toBe(false);
+  });
+
+  // A host's certificate was taken and another process poses as a side with
+  // it. The entry dials the side's IP, is shown a certificate for another one
+  // and sends nothing, although the authority signed it.
+  it('refuses a server whose certificate names another IP', async () => {
+    const server = authority.issue('127.0.0.9');
+    const client = authority.issue('127.0.0.2');
+    expect(await tryCall(server, client)).toEqual({
+      outcome: 'peer-unreachable',
+      handled: false,
+    });
+  });
+});
--- /dev/null
+++ b/test/grpc_transport.test.ts
@@ -0,0 +1,400 @@
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import fc from 'fast-check';
+import type {Arbitrary} from 'fast-check';
+import {afterEach, describe, expect, it} from 'vitest';
+import type {
+  LocateRes,
+  PeerMethod,
+  RunDown,
+  RunUp,
+  SideHeartbeatReq,
+  SideHeartbeatRes,
+} from '../src/types/peer_messages.js';
+import type {
+  PeerHandlers,
+  RunServerChannel,
+  Transport,
+} from '../src/types/transport.js';
+import {createProcessClock} from '../src/utils/clock.js';
+import {CALL_CODECS} from '../src/wire/codec.js';
+import {createGrpcTransport} from '../src/wire/grpc_transport.js';
+import {createRecordedMetrics} from '../standins/recording_runtime.js';
+import type {RecordedMetrics} from '../standins/recording_runtime.js';
+import {createVirtualClock} from '../standins/virtual_clock.js';
+import {
+  CALL_ARBITRARIES,
+  RUN_DOWN_ARBITRARY,
+  RUN_UP_ARBITRARY,
+} from './support/message_arbitraries.js';
+
+const SEED = 20260101;
+const TIMEOUT_MS = 10_000;
+const closers: Array<() => Promise<void>> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+function newTransport(metrics = createRecordedMetrics()): Transport {
+  const transport = createGrpcTransport({clock: createProcessClock(), metrics});
+  closers.push(() => transport.close());
+  return transport;
+}
+
+async function listen(
+  handlers: PeerHandlers,
+  transport = newTransport(),
+): Promise<string> {
+  const listener = await transport.listen('127.0.0.1:0', handlers);
+  closers.push(() => listener.close());
+  return listener.address;
+}
+
+/** Forwards bytes to a peer until it is told to swallow them. */
+async function listenSilenceable(target: string) {
+  const sockets = new Set<Socket>();
+  const silenced = new Set<Socket>();
+  const [ip, port] = target.split(':');
+  const server = createServer(inward => {
+    const outward = connect(Number(port), ip);
+    const pass = (from: Socket, to: Socket): void => {
+      from.on('data', data => {
+        if (!silenced.has(inward)) to.write(data);
+      });
+      from.on('error', () => undefined);
+      from.on('close', () => to.destroy());
+    };
+    pass(inward, outward);
+    pass(outward, inward);
+    sockets.add(inward);
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  closers.push(async () => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    connections: () => sockets.size,
+    silence: () => {
+      for (const socket of sockets) silenced.add(socket);
+    },
+  };
+}
+
+/** A run whose frames are taken one by one. */
+function openRun(transport: Transport, peer: string, fresh: boolean) {
+  const channel = transport.openRun(peer, fresh);
+  const frames: RunDown[] = [];
+  let wake = (): void => undefined;
+  void channel.frames.observe(frame => {
+    frames.push(frame);
+    wake();
+  });
+  const next = async (): Promise<RunDown | undefined> => {
+    if (frames.length === 0) {
+      await new Promise<void>(resolve => {
+        wake = resolve;
+      });
+    }
+    return frames.shift();
+  };
+  return {channel, next};
+}
+
+/** Buffers compare as the plain byte arrays that they are. */
+function withPlainBytes<T extends object>(frame: T): T {
+  if (!('data' in frame)) return frame;
+  return {...frame, data: Uint8Array.from(frame.data as Uint8Array)};
+}
+
+const METHODS = Object.keys(CALL_ARBITRARIES) as readonly PeerMethod[];
+
+const HEARTBEAT: SideHeartbeatReq = {
+  entry: 'entry-07',
+  entryIncarnation: '8f14e45fceea167a',
+  entryAddress: '10.20.30.40:7301',
+  configNumber: 412,
+  fence: 17,
+  owned: [
+    '0123456789abcdef0123456789abcdef.1',
+    'fedcba9876543210fedcba9876543210.2',
+  ],
+};
+
+const LOCATED: LocateRes = {
+  state: 'none',
+  dispatchId: '',
+  nextSeq: 0,
+  kind: 'call',
+};
+
+const HEARTBEAT_RES: SideHeartbeatRes = {
+  node: 'side-123',
+  incarnation: 'c9f0f895fb98ab91',
+  pool: 'onyx-pool',
+  failureDomain: 'hall-north',
+  leaving: false,
+  configNumber: 412,
+  fence: 17,
+  load: {
+    capacityTokens: 500_000,
+    freeTokens: 123_456,
+    running: 12,
+    queued: 3,
+    prefillBacklogTokens: 234_567,
+    shortBacklogTokens: 4_567,
+    prefillTokensPerSec: 41_234.56,
+    stepMs: 23.45,
+    reportAgeMs: 812.5,
+  },
+  models: [
+    {
+      model: 'station-summary',
+      version: '2026-05-01',
+      adapters: ['frost'],
+      ready: true,
+      role: 'mixed',
+    },
+  ],
+};
+
+describe('calls over loopback', () => {
+  it.each(METHODS)('carries any %s there and back unchanged', async method => {
+    let seen: unknown;
+    let next: unknown;
+    const address = await listen({
+      [method]: async (req: unknown) => {
+        seen = req;
+        return next;
+      },
+    } as PeerHandlers);
+    const transport = newTransport();
+    const {req, res} = CALL_ARBITRARIES[method] as {
+      readonly req: Arbitrary<never>;
+      readonly res: Arbitrary<never>;
+    };
+    await fc.assert(
+      fc.asyncProperty(req, res, async (question, reply) => {
+        next = reply;
+        const got = await transport.call(address, method, question, TIMEOUT_MS);
+        expect(seen).toEqual(question);
+        expect(got.extract()).toEqual(reply);
+      }),
+      {seed: SEED, numRuns: 50},
+    );
+  });
+
+  it('keeps a heartbeat within 160 bytes each way', () => {
+    const {req, res} = CALL_CODECS.sideHeartbeat;
+    expect(req.encode(HEARTBEAT).length).toBeLessThanOrEqual(160);
+    expect(res.encode(HEARTBEAT_RES).length).toBeLessThanOrEqual(160);
+  });
+
+  it('tells a failed handler from a lost answer', async () => {
+    const address = await listen({
+      abandon: () => Promise.reject(new Error('no such dispatch')),
+    });
+    const req = {dispatchId: 'd.1', entry: 'e', incarnation: 'i'};
+    const got = await newTransport().call(address, 'abandon', req, TIMEOUT_MS);
+    const err = got.swap().unsafeCoerce();
+    expect(err).toMatchObject({code: 'internal', peer: address});
+    expect(err.message).toContain('no such dispatch');
+  });
+});
+
+describe('a run over loopback', () => {
+  it('carries frames both ways in order and ends at both ends', async () => {
+    const up = fc.sample(RUN_UP_ARBITRARY, {seed: SEED, numRuns: 300});
+    const down = fc.sample(RUN_DOWN_ARBITRARY, {seed: SEED, numRuns: 300});
+    const atSide: RunUp[] = [];
+    let sideEnded: Promise<unknown> = Promise.resolve();
+    const serve = async (channel: RunServerChannel): Promise<void> => {
+      sideEnded = channel.frames.observe(frame => {
+        atSide.push(withPlainBytes(frame));
+      });
+      for (const frame of down) await channel.send(frame);
+    };
+    const address = await listen({run: channel => void serve(channel)});
+    const channel = newTransport().openRun(address, false);
+    const atEntry: RunDown[] = [];
+    const got = channel.frames.take(down.length).observe(frame => {
+      atEntry.push(withPlainBytes(frame));
+    });
+    for (const frame of up) await channel.send(frame);
+    await got;
+    expect(atEntry).toEqual(down);
+    channel.close();
+    await sideEnded;
+    expect(atSide).toEqual(up);
+  });
+
+  it('holds back a sender while nobody observes the frames', async () => {
+    const opened: RunServerChannel[] = [];
+    const address = await listen({run: channel => void opened.push(channel)});
+    const channel = newTransport().openRun(address, false);
+    const data = new Uint8Array(65_536);
+    let sent = 0;
+    const fill = async (): Promise<void> => {
+      while (sent < 500) {
+        await channel.send({kind: 'prompt', seq: sent, data});
+        sent++;
+      }
+    };
+    const filled = fill();
+    // A call that went there and back tells that the sender had its turns.
+    const idle = await listen({locate: async () => LOCATED});
+    const transport = newTransport();
+    for (let turn = 0; turn < 200; turn++) {
+      const req = {requestId: 'r', organisation: 'o'};
+      await transport.call(idle, 'locate', req, TIMEOUT_MS);
+    }
+    expect(sent).toBeLessThan(100);
+    let got = 0;
+    const all = opened[0].frames.take(500).observe(() => {
+      got++;
+    });
+    await filled;
+    await all;
+    expect(got).toBe(500);
+    channel.close();
+  });
+});
+
+describe('faults of the connection', () => {
+  it('says that a call was not sent when nobody listens', async () => {
+    const got = await newTransport().call(
+      '127.0.0.1:1',
+      'sideHeartbeat',
+      HEARTBEAT,
+      TIMEOUT_MS,
+    );
+    expect(got.swap().unsafeCoerce()).toMatchObject({
+      code: 'peer-unreachable',
+      step: 'heartbeat',
+      peer: '127.0.0.1:1',
+    });
+  });
+
+  it('says that the outcome is unknown when the peer goes mid-call', async () => {
+    let arrived = (): void => undefined;
+    const calls = new Promise<void>(resolve => {
+      arrived = resolve;
+    });
+    const server = newTransport();
+    const listener = await server.listen('127.0.0.1:0', {
+      sideHeartbeat: () => {
+        arrived();
+        return new Promise(() => undefined);
+      },
+    });
+    const call = newTransport().call(
+      listener.address,
+      'sideHeartbeat',
+      HEARTBEAT,
+      TIMEOUT_MS,
+    );
+    await calls;
+    await listener.close();
+    const err = (await call).swap().unsafeCoerce();
+    expect(err).toMatchObject({code: 'timeout', peer: listener.address});
+  });
+
+  // A connection stays open while something between the two ends has lost
+  // track of it: calls are sent and time out one after the other. After the
+  // second the next call goes out on a new connection and is answered; without
+  // that every later call would time out for good.
+  it('dials anew after two timeouts in a row', async () => {
+    const address = await listen({sideHeartbeat: async () => HEARTBEAT_RES});
+    const silent = await listenSilenceable(address);
+    const transport = newTransport();
+    const beat = async (timeoutMs: number): Promise<string> => {
+      const got = await transport.call(
+        silent.address,
+        'sideHeartbeat',
+        HEARTBEAT,
+        timeoutMs,
+      );
+      return got.caseOf({Left: err => err.code, Right: () => 'ok'});
+    };
+    expect(await beat(TIMEOUT_MS)).toBe('ok');
+    silent.silence();
+    expect(await beat(50)).toBe('timeout');
+    expect(await beat(50)).toBe('timeout');
+    expect(await beat(TIMEOUT_MS)).toBe('ok');
+    expect(silent.connections()).toBe(2);
+  });
+
+  // An established connection went silent under a run. The run opens again on
+  // a new connection, which works, while a run on the old one goes on for as
+  // long as it lasts; were the old one closed, that run would be cut as well.
+  it('opens fresh runs on a new connection and cuts no other', async () => {
+    const address = await listen({
+      run: channel => {
+        void channel.frames.observe(() => void channel.send({kind: 'beat'}));
+        void channel.send({kind: 'started'});
+      },
+    });
+    const silent = await listenSilenceable(address);
+    const clock = createVirtualClock();
+    const metrics = createRecordedMetrics();
+    const transport = createGrpcTransport({clock, metrics});
+    closers.push(() => transport.close());
+    const kept = openRun(transport, silent.address, false);
+    expect(await kept.next()).toEqual({kind: 'started'});
+
+    clock.advance(1_000);
+    const fresh = openRun(transport, silent.address, true);
+    const sharing = openRun(transport, silent.address, true);
+    expect(await fresh.next()).toEqual({kind: 'started'});
+    expect(await sharing.next()).toEqual({kind: 'started'});
+    expect(silent.connections()).toBe(2);
+    await kept.channel.send({kind: 'beat'});
+    expect(await kept.next()).toEqual({kind: 'beat'});
+
+    clock.advance(1_000);
+    silent.silence();
+    const again = openRun(transport, silent.address, true);
+    expect(await again.next()).toEqual({kind: 'started'});
+    expect(silent.connections()).toBe(3);
+  });
+});
+
+describe('bytes of peers', () => {
+  it('are counted at both ends, control apart from requests', async () => {
+    const client = createRecordedMetrics();
+    const server = createRecordedMetrics();
+    const serving = newTransport(server);
+    const address = await listen(
+      {
+        sideHeartbeat: async () => HEARTBEAT_RES,
+        locate: async () => LOCATED,
+      },
+      serving,
+    );
+    const transport = newTransport(client);
+    for (let beat = 0; beat < 20; beat++) {
+      await transport.call(address, 'sideHeartbeat', HEARTBEAT, TIMEOUT_MS);
+    }
+    const req = {requestId: 'r', organisation: 'o'};
+    await transport.call(address, 'locate', req, TIMEOUT_MS);
+    await transport.close();
+    await serving.close();
+    const bytes = (at: RecordedMetrics, kind: string, direction: string) =>
+      at.total('onyxloft_peer_bytes_total', {kind, direction});
+    const control = bytes(client, 'control', 'out');
+    expect(control).toBeGreaterThan(20 * 140);
+    expect(bytes(client, 'request', 'out')).toBeLessThan(20 * 140);
+    // Both ends count the same but for the frames of the connection itself
+    // that are on their way.
+    for (const kind of ['control', 'request']) {
+      const sent = bytes(client, kind, 'out');
+      const answered = bytes(server, kind, 'out');
+      expect(Math.abs(bytes(server, kind, 'in') - sent)).toBeLessThan(100);
+      expect(Math.abs(bytes(client, kind, 'in') - answered)).toBeLessThan(100);
+    }
+  });
+});
