feat(entry): add at-most-once claims of idempotency keys

A request that may not repeat runs only after one create-if-absent in the object store has been proven ours. With the store out it is refused at once as not run, with a time to come back: without the record nothing can tell whether another entry runs the same key.

A lost answer is settled by reading back and comparing the nonce. When that is not possible either, the request is refused as not run and its claim may stand; a repeat at the same entry knows it by the nonce and takes it over, one repeat at a time. At another entry, or after a restart, the key is burnt.

Ruled out: knowing a claim by its request id alone (a repeat has a new one), and letting requests run unclaimed in an outage.

--- /dev/null
+++ b/src/entry/claims.ts
@@ -0,0 +1,201 @@
+/**
+ * The `claims` service: at-most-once records of idempotency keys in the
+ * platform's store, one object per key, made only if absent. A request that
+ * may not repeat runs only after its claim is proven, so with the store out
+ * such requests are refused as not run, and never run unclaimed.
+ */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {OnyxError} from '../types/errors.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {ObjectStore, StoredObject} from '../types/platform.js';
+import type {ClaimOutcome, ClaimsMessage} from '../types/services.js';
+import {PLATFORM_EVENTS} from '../utils/events.js';
+import {claimKey, formatClaimRecord, parseClaimRecord} from './claim_record.js';
+import type {ClaimRecord} from './claim_record.js';
+import {createRecentMap} from './recent_map.js';
+
+const NONCE_BYTES = 12;
+const DEFAULT_TRIES = 3;
+const DEFAULT_LIMIT_MS = 2_000;
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+/** Pause before the first repeat of a failed try; doubles each time. */
+const FIRST_PAUSE_MS = 20;
+/** Claims of unknown effect, and claims won, that a process remembers. */
+const REMEMBERED = 10_000;
+
+export const CLAIMS_METRIC = 'onyxloft_claims_total';
+
+export interface ClaimsOptions {
+  readonly store: ObjectStore;
+  /** Tries of one claim, each a create and at need a read. @default 3 */
+  readonly tries?: number;
+  /** No new try after this long, in milliseconds. @default 2000 */
+  readonly limitMs?: number;
+  /** Told to callers that were refused, in milliseconds. @default 1000 */
+  readonly retryAfterMs?: number;
+}
+
+/** Outcome of one try: an answer for the caller, or none yet. */
+type Verdict =
+  | {readonly kind: 'settled'; readonly outcome: ClaimOutcome}
+  /** Not there, as far as can be told. */
+  | {readonly kind: 'open'}
+  /** The store does not answer; nothing was learned. */
+  | {readonly kind: 'no-answer'};
+
+const OURS: Verdict = {kind: 'settled', outcome: {kind: 'ours'}};
+const OPEN: Verdict = {kind: 'open'};
+const NO_ANSWER: Verdict = {kind: 'no-answer'};
+
+type Outcome = Either<OnyxError, ClaimOutcome>;
+
+export function createClaimsService(
+  options: ClaimsOptions,
+): ServiceSpec<'claims'> {
+  return {
+    name: 'claims',
+    start: ctx => {
+      const claim = createClaimer(options, ctx);
+      void ctx.mailbox.observe(message => {
+        claim(message).then(message.reply, cause => ctx.fail(cause));
+      });
+    },
+  };
+}
+
+/** Claims one key at a time; different keys at once. */
+function createClaimer(options: ClaimsOptions, ctx: ServiceContext<'claims'>) {
+  const {store, tries = DEFAULT_TRIES} = options;
+  const {limitMs = DEFAULT_LIMIT_MS} = options;
+  const {retryAfterMs = DEFAULT_RETRY_AFTER_MS} = options;
+  const {clock, random, log, metrics} = ctx;
+  const turns = new Map<string, Promise<unknown>>();
+  // Nonces of claims that were refused while their effect was unknown. Such a
+  // claim may stand in the store though its request never ran, and would burn
+  // the key; a repeat in this process knows it by the nonce and takes it over.
+  const unresolved = createRecentMap<ClaimRecord>(REMEMBERED);
+  const won = createRecentMap<string>(REMEMBERED);
+
+  const sleep = (ms: number) =>
+    new Promise<void>(resolve => {
+      clock.after(ms, resolve);
+    });
+
+  /** Waits for earlier claims of the same key in this process. */
+  const inTurn = async <T>(key: string, job: () => Promise<T>): Promise<T> => {
+    // Two repeats at once would both know an unresolved claim by its nonce,
+    // and both would run. One after the other, the second finds it taken.
+    const turn = (turns.get(key) ?? Promise.resolve()).then(job, job);
+    turns.set(key, turn);
+    try {
+      return await turn;
+    } finally {
+      if (turns.get(key) === turn) turns.delete(key);
+    }
+  };
+
+  const create = async (key: string, mine: ClaimRecord): Promise<Verdict> => {
+    const made = await store.create(key, formatClaimRecord(mine), 'claim');
+    if (made.isRight()) return OURS;
+    const {kind, effect} = made.swap().unsafeCoerce();
+    if (kind === 'unavailable' && effect === 'none') return NO_ANSWER;
+    if (kind === 'unavailable') unresolved.set(key, mine);
+    // A conflict may be with our own earlier try, whose answer was lost; and
+    // after a lost answer the record may be there or not. What is stored tells.
+    return readBack(key, mine);
+  };
+
+  const readBack = async (key: string, mine: ClaimRecord): Promise<Verdict> => {
+    const read = await store.get(key, 'claim');
+    if (read.isLeft()) return NO_ANSWER;
+    const object = read.unsafeCoerce().extract();
+    if (object === undefined) return OPEN;
+    const theirs = parseClaimRecord(object.value).extract();
+    if (theirs?.nonce === mine.nonce) return adopt(object, theirs, mine);
+    const requestId = theirs?.requestId ?? '';
+    return {kind: 'settled', outcome: {kind: 'taken', requestId}};
+  };
+
+  /** Puts our request's id on a claim that an earlier request of ours made. */
+  const adopt = async (
+    object: StoredObject,
+    stored: ClaimRecord,
+    mine: ClaimRecord,
+  ): Promise<Verdict> => {
+    if (stored.requestId === mine.requestId) return OURS;
+    const value = formatClaimRecord(mine);
+    const {key, version} = object;
+    const written = await store.update(key, value, version, 'claim');
+    return written.isRight() ? OURS : OPEN;
+  };
+
+  const settle = async (
+    key: string,
+    mine: ClaimRecord,
+  ): Promise<ClaimOutcome | undefined> => {
+    const endAt = clock.now() + limitMs;
+    for (let count = 0; count < tries && clock.now() < endAt; count++) {
+      if (count > 0) {
+        const pauseMs = FIRST_PAUSE_MS * 2 ** (count - 1);
+        await sleep(pauseMs * (0.5 + random.next()));
+      }
+      const verdict = await create(key, mine);
+      if (verdict.kind === 'settled') return verdict.outcome;
+    }
+    return undefined;
+  };
+
+  const refuse = (message: ClaimsMessage, key: string): Outcome => {
+    if (unresolved.get(key) !== undefined) {
+      log(PLATFORM_EVENTS.claimUnknown, {
+        request: message.requestId,
+        organisation: message.organisation,
+        claim: key,
+      });
+    }
+    return Left(
+      new OnyxError({
+        code: 'store-unavailable',
+        step: 'claim',
+        ran: 'no',
+        requestId: message.requestId,
+        // Spread, so that the refused do not all come back at one moment.
+        retryAfterMs: Math.round(retryAfterMs * (1 + random.next())),
+        message:
+          'the idempotency key could not be claimed; ' +
+          'nothing ran, send the request again with the same key',
+      }),
+    );
+  };
+
+  const noteWon = (key: string, message: ClaimsMessage) => {
+    const before = won.get(key) ?? message.requestId;
+    ctx.invariant(before === message.requestId, 'claimed-once', {
+      claim: key,
+      request: message.requestId,
+      before,
+    });
+    won.set(key, message.requestId);
+  };
+
+  const claim = async (
+    key: string,
+    message: ClaimsMessage,
+  ): Promise<Outcome> => {
+    const {organisation, requestId} = message;
+    const nonce = unresolved.get(key)?.nonce ?? random.hex(NONCE_BYTES);
+    const outcome = await settle(key, {requestId, organisation, nonce});
+    const kind = outcome?.kind ?? 'refused';
+    metrics.count(CLAIMS_METRIC, {outcome: kind});
+    if (outcome === undefined) return refuse(message, key);
+    unresolved.delete(key);
+    if (outcome.kind === 'ours') noteWon(key, message);
+    return Right(outcome);
+  };
+
+  return (message: ClaimsMessage): Promise<Outcome> => {
+    const key = claimKey(message.organisation, message.key);
+    return inTurn(key, () => claim(key, message));
+  };
+}
--- /dev/null
+++ b/test/claims.test.ts
@@ -0,0 +1,140 @@
+import type {Either} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import {createClaimsService} from '../src/entry/claims.js';
+import {createKernel} from '../src/kernel/kernel.js';
+import type {Kernel} from '../src/kernel/kernel.js';
+import type {OnyxError} from '../src/types/errors.js';
+import type {ClaimOutcome} from '../src/types/services.js';
+import {createMemoryObjectStore} from '../standins/memory_object_store.js';
+import {createObjectStoreCore} from '../standins/object_store_core.js';
+import {createTestRuntime} from './support/test_runtime.js';
+
+/** Several entries over one store, each with its own claims service. */
+async function createEntries(count: number, seed = 1) {
+  const test = createTestRuntime(seed);
+  const {clock, random, runtime} = test;
+  const core = createObjectStoreCore({clock, random});
+  const client = () => createMemoryObjectStore({core, clock, timeoutMs: 200});
+  const kernels: Kernel[] = [];
+  for (let index = 0; index < count; index++) {
+    const kernel = createKernel(runtime);
+    await kernel.start(createClaimsService({store: client()}));
+    kernels.push(kernel);
+  }
+
+  /** Starts a claim; resolves to what the requests service would be told. */
+  const claim = async (entry: number, requestId: string, key = 'k') => {
+    const outcome = await kernels[entry].ask<'claims', Outcome>(
+      'claims',
+      reply => ({kind: 'claim', organisation: 'org', key, requestId, reply}),
+    );
+    return outcome.caseOf({
+      Right: it => (it.kind === 'ours' ? 'ours' : `taken ${it.requestId}`),
+      Left: err => `${err.code} ${err.step} ran ${err.ran}`,
+    });
+  };
+
+  const during = async <T>(work: Promise<T>, ms: number): Promise<T> => {
+    await clock.runFor(ms);
+    return work;
+  };
+  return {...test, core, claim, during};
+}
+
+type Outcome = Either<OnyxError, ClaimOutcome>;
+
+const REFUSED = 'store-unavailable claim ran no';
+
+describe('claims', () => {
+  it('gives a key to the first request and names it to all others', async () => {
+    const {claim, during} = await createEntries(2);
+    expect(await during(claim(0, 'r1'), 10)).toBe('ours');
+    expect(await during(claim(0, 'r2'), 10)).toBe('taken r1');
+    expect(await during(claim(1, 'r3'), 10)).toBe('taken r1');
+    expect(await during(claim(1, 'r4', 'other'), 10)).toBe('ours');
+  });
+
+  it('costs one call when the key is new', async () => {
+    const {claim, during, core} = await createEntries(1);
+    await during(claim(0, 'r1'), 10);
+    expect(core.counts()).toEqual([
+      {purpose: 'claim', kind: 'create', calls: 1},
+    ]);
+  });
+
+  // The store makes the record and its answer is lost. Taken as failed, the
+  // caller's repeat would meet the record and be told that another request
+  // has run; taken as done unread, two entries could both believe it.
+  it('settles a lost answer by the nonce that is stored', async () => {
+    const {claim, during, core} = await createEntries(2);
+    core.setFaults({loseEvery: 1});
+    const both = Promise.all([claim(0, 'r1'), claim(1, 'r2')]);
+    const outcomes = await during(both, 1_000);
+    expect(outcomes.filter(outcome => outcome === 'ours')).toHaveLength(1);
+    expect(outcomes.filter(it => it.startsWith('taken'))).toHaveLength(1);
+  });
+
+  // The store is out when a permit lookup comes in. Without a claim nothing
+  // tells whether another entry runs the same key, so it is refused at once
+  // as not run, with a time to come back, and the same key is good later.
+  it('refuses as not run while the store is out', async () => {
+    for (const hang of [false, true]) {
+      const {claim, during, core} = await createEntries(2);
+      core.setFaults({outage: true, hang});
+      expect(await during(claim(0, 'r1'), 3_000)).toBe(REFUSED);
+      core.setFaults({outage: false});
+      expect(await during(claim(1, 'r2'), 10)).toBe('ours');
+    }
+  });
+
+  // The record is made, its answer lost, and the store goes out before it can
+  // be read back: the request is refused though its claim stands. The repeat
+  // at the same entry knows the claim by its nonce; else the key were burnt.
+  // Two repeats at once must not both know it.
+  it('gives a claim of unknown effect to one repeat at the same entry', async () => {
+    const {claim, during, clock, core} = await createEntries(2);
+    core.setFaults({loseEvery: 1});
+    const first = claim(0, 'r1');
+    await clock.runFor(1.5);
+    core.setFaults({outage: true});
+    expect(await during(first, 3_000)).toBe(REFUSED);
+    core.setFaults({outage: false, loseEvery: 0});
+    expect(await during(claim(1, 'r2'), 10)).toBe('taken r1');
+    const repeats = Promise.all([claim(0, 'r3'), claim(0, 'r4')]);
+    expect(await during(repeats, 100)).toEqual(['ours', 'taken r3']);
+    expect(await during(claim(1, 'r5'), 10)).toBe('taken r3');
+  });
+
+  // All faults at once, by chance. The judge stands outside: whatever the
+  // store does, no key is given to two requests.
+  it('gives no key twice through random faults', async () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const entries = await createEntries(3, seed);
+      const {random, core, clock} = entries;
+      const owners = new Map<string, string[]>();
+      const open: Array<Promise<void>> = [];
+      for (let count = 0; count < 300; count++) {
+        const key = `k${Math.floor(random.next() * 60)}`;
+        const entry = Math.floor(random.next() * 3);
+        const note = (outcome: string) => {
+          if (outcome !== 'ours') return;
+          owners.set(key, [...(owners.get(key) ?? []), `r${count}`]);
+        };
+        open.push(entries.claim(entry, `r${count}`, key).then(note));
+        core.setFaults({
+          outage: random.next() < 0.2,
+          hang: random.next() < 0.3,
+          slowMs: random.next() < 0.3 ? random.next() * 500 : 0,
+          loseProbability: 0.5,
+          staleMs: random.next() < 0.3 ? random.next() * 500 : 0,
+        });
+        await clock.runFor(random.next() * 40);
+      }
+      await clock.runFor(10_000);
+      await Promise.all(open);
+      expect([...owners.values()].filter(ids => ids.length > 1)).toEqual([]);
+      expect(owners.size).toBeGreaterThan(20);
+      expect(entries.violations).toEqual([]);
+    }
+  });
+});
