--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -67,6 +67,8 @@
     readonly deadlineAt: number;
   };
   readonly answer: AnswerLog;
+  /** The run was handed to the upstream. */
+  readonly onStarted?: () => void;
   /** Direct evidence about the side, for the membership. */
   readonly onEvidence: (
     what: 'unreachable' | 'incarnation' | 'answered',
@@ -80,6 +82,8 @@
   ran(): Ran;
   /** Cancels the run at the side and resolves as `stopped`. */
   stop(): void;
+  /** Cancels it, and resolves as `lost` with what the side says of it. */
+  abandon(reason: string): void;
 }
 
 /** Starts the attempt at once. */
@@ -161,6 +165,7 @@
     switch (frame.kind) {
       case 'started':
         started = true;
+        spec.onStarted?.();
         return;
       case 'chunk':
         onChunk(frame);
@@ -283,5 +288,11 @@
     outcome,
     ran: () => (started ? 'yes' : 'unknown'),
     stop,
+    abandon: reason => {
+      if (settled) return;
+      link?.close();
+      relinkTimer();
+      void giveUp(reason);
+    },
   };
 }
--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -5,12 +5,16 @@
 import type {ErrorDetails} from '../types/errors.js';
 import type {Incarnation} from '../types/ids.js';
 import type {RequestSpec} from '../types/services.js';
-import {REQUEST_EVENTS} from '../utils/events.js';
+import {REQUEST_EVENTS, ROUTING_EVENTS} from '../utils/events.js';
 import type {FinalEvent} from './answer_log.js';
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
+import {planGroup} from './group.js';
+import {reserveGroup} from './group_reserve.js';
+import type {ReservedPart} from './group_reserve.js';
+import {runGroup} from './group_run.js';
+import type {AcceptedOffer, OfferDeps} from './offer_call.js';
 import {offerRound} from './offers.js';
-import type {AcceptedOffer, OfferDeps} from './offers.js';
 import {failedEvent, isOver, strongerRan} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import type {RetryBudget} from './retry_budget.js';
@@ -39,14 +43,20 @@
   const lost = new Set<Incarnation>();
   deps.budget.onFirstAttempt(spec.config.declarations.policy.retryRatio);
   for (let tries = 1; !isOver(open); tries++) {
-    const offer = await offerRound(deps, open, spec, lost);
-    if (offer.kind === 'over') return;
-    if (offer.kind === 'none') {
-      deps.finish(open, failedEvent(open, offer.details));
+    const placed = await place(deps, open, spec, lost);
+    if (placed.kind === 'over') return;
+    if (placed.kind === 'none') {
+      deps.finish(open, failedEvent(open, placed.details));
       return;
     }
-    const outcome = await runOn(deps, open, spec, offer);
-    lost.add(offer.incarnation);
+    assertMayRun(deps, open, spec);
+    const outcome =
+      placed.kind === 'reserved'
+        ? await runGroup(deps, open, spec, placed.parts)
+        : await runOn(deps, open, spec, placed);
+    // A group is gathered anew from all that answer: which of its members
+    // failed is the membership's to say.
+    if (placed.kind === 'accepted') lost.add(placed.incarnation);
     const verdict = judgeOutcome(outcome, {
       side: open.side,
       repeatable: spec.repeatable,
@@ -57,6 +67,33 @@
   }
 }
 
+type Placed =
+  | AcceptedOffer
+  | {readonly kind: 'reserved'; readonly parts: readonly ReservedPart[]}
+  | {readonly kind: 'none'; readonly details: ErrorDetails}
+  | {readonly kind: 'over'};
+
+/** Gets the request a place on one engine, or on a group where it needs one. */
+function place(
+  deps: DriveDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+  lost: ReadonlySet<Incarnation>,
+): Promise<Placed> {
+  const rank = () => deps.router.rank(spec, lost);
+  const ranked = rank();
+  if (ranked.length === 0) {
+    deps.log(ROUTING_EVENTS.noCandidate, {
+      request: spec.id,
+      model: spec.model,
+      pool: spec.pool,
+    });
+  }
+  return planGroup(spec, ranked).kind === 'single'
+    ? offerRound(deps, open, spec, ranked)
+    : reserveGroup(deps, open, spec, rank);
+}
+
 async function runOn(
   deps: DriveDeps,
   open: OpenRequest,
@@ -65,7 +102,6 @@
 ): Promise<AttemptOutcome> {
   const side = offer.ranked.target.replica.address;
   const {dispatchId} = offer;
-  assertMayRun(deps, open, spec);
   open.side = side;
   open.dispatchId = dispatchId;
   deps.tellMembership({kind: 'own', address: side, dispatchId});
--- /dev/null
+++ b/src/entry/group.ts
@@ -0,0 +1,87 @@
+/**
+ * Which engines together hold a prompt that is over one engine's memory: the
+ * fewest, and of those the roomiest.
+ */
+import type {RequestSpec} from '../types/services.js';
+import type {RankedTarget} from '../policy/routing.js';
+
+/** One engine of a group and its part. */
+export interface GroupPart {
+  readonly ranked: RankedTarget;
+  readonly lead: boolean;
+  readonly holdTokens: number;
+}
+
+export type GroupPlan =
+  /** One engine will do. */
+  | {readonly kind: 'single'}
+  /** In the global order of reservation: by address. */
+  | {readonly kind: 'group'; readonly parts: readonly GroupPart[]}
+  | {readonly kind: 'too-large'; readonly haveTokens: number};
+
+/** Memory that the request takes: prompt and answer, in tokens. */
+export function memoryOf(spec: RequestSpec): number {
+  return spec.promptTokens + spec.maxTokens;
+}
+
+export function planGroup(
+  spec: RequestSpec,
+  ranked: readonly RankedTarget[],
+): GroupPlan {
+  const needed = memoryOf(spec);
+  const known = ranked.filter(one => capacityOf(one) > 0);
+  // An engine that has not reported its memory may well take it alone.
+  const unknown = known.length < ranked.length || ranked.length === 0;
+  const fits = unknown || known.some(one => capacityOf(one) >= needed);
+  if (spec.kind === 'call' || fits) return {kind: 'single'};
+  const roomiest = [...known].sort(
+    (a, b) => freeOf(b) - freeOf(a) || capacityOf(b) - capacityOf(a),
+  );
+  const members = fewest(roomiest, needed);
+  const haveTokens = members.reduce((sum, one) => sum + capacityOf(one), 0);
+  if (haveTokens < needed) return {kind: 'too-large', haveTokens};
+  return {kind: 'group', parts: partsOf(members, needed, haveTokens)};
+}
+
+/**
+ * The smallest size is found from capacities; the members are then the
+ * roomiest of that size that suffice, so free memory decides between equals.
+ */
+function fewest(
+  roomiest: readonly RankedTarget[],
+  needed: number,
+): readonly RankedTarget[] {
+  const largest = [...roomiest].sort((a, b) => capacityOf(b) - capacityOf(a));
+  let sum = 0;
+  const size = 1 + largest.findIndex(one => (sum += capacityOf(one)) >= needed);
+  if (size === 0) return largest;
+  const free = roomiest.slice(0, size);
+  const enough = free.reduce((all, one) => all + capacityOf(one), 0) >= needed;
+  return enough ? free : largest.slice(0, size);
+}
+
+function partsOf(
+  members: readonly RankedTarget[],
+  needed: number,
+  haveTokens: number,
+): readonly GroupPart[] {
+  return members
+    .map((ranked, at) => ({
+      ranked,
+      lead: at === 0,
+      holdTokens: Math.ceil((needed * capacityOf(ranked)) / haveTokens),
+    }))
+    .sort((a, b) => (addressOf(a.ranked) < addressOf(b.ranked) ? -1 : 1));
+}
+
+function capacityOf(ranked: RankedTarget): number {
+  return ranked.target.replica.load.capacityTokens;
+}
+
+function freeOf(ranked: RankedTarget): number {
+  return ranked.target.replica.load.freeTokens;
+}
+
+function addressOf(ranked: RankedTarget): string {
+  return ranked.target.replica.address;
+}
--- /dev/null
+++ b/src/entry/offer_call.ts
@@ -0,0 +1,174 @@
+/**
+ * One offer to one side, and what its answer says of the side. No go is sent
+ * in here: whatever the side answers, or fails to, the offer has not run.
+ */
+import type {DispatchId, Incarnation, NodeId} from '../types/ids.js';
+import type {GroupRole, OfferReq, OfferRes} from '../types/peer_messages.js';
+import type {Runtime} from '../types/runtime.js';
+import type {MembershipMessage, RequestSpec} from '../types/services.js';
+import type {Transport} from '../types/transport.js';
+import type {RankedTarget} from '../policy/routing.js';
+import {REQUEST_EVENTS, ROUTING_EVENTS} from '../utils/events.js';
+import {abandonDispatch} from './abandon.js';
+import type {OpenRequest} from './open_request.js';
+import type {NotAccepted, Refusal} from './refusals.js';
+import type {Router} from './router.js';
+import type {RequestTiming} from './timing.js';
+
+export interface OfferDeps extends Runtime {
+  readonly transport: Transport;
+  readonly timing: RequestTiming;
+  readonly node: NodeId;
+  readonly router: Router;
+  readonly tellMembership: (message: MembershipMessage) => void;
+}
+
+/** What is offered to one side. */
+export interface OfferTerms {
+  readonly candidate: RankedTarget;
+  /** Incarnation that the offer is meant for. */
+  readonly incarnation: Incarnation;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Set for a member of a group. */
+  readonly group?: GroupRole;
+}
+
+export interface AcceptedOffer {
+  readonly kind: 'accepted';
+  readonly ranked: RankedTarget;
+  readonly dispatchId: DispatchId;
+  readonly incarnation: Incarnation;
+  readonly predictedFirstTokenMs: number;
+  /** It lapses after this long without a go. */
+  readonly lapseMs: number;
+}
+
+export interface OfferNotAccepted extends Refusal {
+  readonly kind: 'refused';
+  /** Set when another incarnation of the side may take the request. */
+  readonly incarnation?: Incarnation;
+}
+
+export type OfferAnswer = AcceptedOffer | OfferNotAccepted;
+
+/** Refusals that say something of the side itself. */
+const EVIDENCE: {
+  readonly [reason in NotAccepted]?: 'leaving' | 'incarnation';
+} = {leaving: 'leaving', incarnation: 'incarnation'};
+
+/** Takes the next attempt number of the request. */
+export async function sendOffer(
+  deps: OfferDeps,
+  open: OpenRequest,
+  spec: RequestSpec,
+  terms: OfferTerms,
+): Promise<OfferAnswer> {
+  const side = terms.candidate.target.replica.address;
+  open.attempts++;
+  const dispatchId = `${spec.id}.${open.attempts}`;
+  deps.router.assigned(spec, side, dispatchId);
+  const req = offerOf(deps, spec, dispatchId, terms);
+  const waitMs = Math.min(deps.timing.offerTimeoutMs, req.timeLeftMs);
+  const res = await deps.transport.call(side, 'offer', req, waitMs);
+  return res.caseOf<OfferAnswer>({
+    Left: err => {
+      noAnswer(deps, terms, dispatchId, err.message);
+      return {kind: 'refused', side, reason: 'unanswered', retryAfterMs: 0};
+    },
+    Right: answer => judge(deps, spec, terms, dispatchId, answer),
+  });
+}
+
+/** Frees the reservation of an accepted offer that is not wanted any more. */
+export function withdrawOffer(deps: OfferDeps, offer: AcceptedOffer): void {
+  const {dispatchId, incarnation} = offer;
+  const side = offer.ranked.target.replica.address;
+  deps.router.refused(side, dispatchId);
+  void abandonDispatch(deps, {side, dispatchId, incarnation});
+}
+
+function noAnswer(
+  deps: OfferDeps,
+  terms: OfferTerms,
+  dispatchId: DispatchId,
+  cause: string,
+): void {
+  const {incarnation} = terms;
+  const side = terms.candidate.target.replica.address;
+  deps.router.refused(side, dispatchId);
+  deps.log(REQUEST_EVENTS.offerUnanswered, {dispatch: dispatchId, side, cause});
+  deps.tellMembership({
+    kind: 'evidence',
+    address: side,
+    what: 'unreachable',
+    incarnation,
+  });
+  // The offer may have been accepted unseen, or may still be on its way: the
+  // tombstone frees the reservation and stops a late copy.
+  void abandonDispatch(deps, {side, dispatchId, incarnation});
+}
+
+function judge(
+  deps: OfferDeps,
+  spec: RequestSpec,
+  terms: OfferTerms,
+  dispatchId: DispatchId,
+  answer: OfferRes,
+): OfferAnswer {
+  const {candidate} = terms;
+  if (answer.kind === 'accepted') {
+    return {...answer, ranked: candidate, dispatchId};
+  }
+  const {reason, incarnation, retryAfterMs} = answer;
+  const side = candidate.target.replica.address;
+  deps.router.refused(side, dispatchId);
+  deps.metrics.count('onyxloft_offer_refusals_total', {reason});
+  deps.log(ROUTING_EVENTS.refused, {
+    request: spec.id,
+    dispatch: dispatchId,
+    side,
+    reason,
+    retryAfterMs,
+  });
+  const what = EVIDENCE[reason];
+  if (what !== undefined) {
+    deps.tellMembership({kind: 'evidence', address: side, what, incarnation});
+  }
+  const renewed = reason === 'incarnation' && incarnation !== terms.incarnation;
+  return {
+    kind: 'refused',
+    side,
+    reason,
+    retryAfterMs,
+    incarnation: renewed ? incarnation : undefined,
+  };
+}
+
+function offerOf(
+  deps: OfferDeps,
+  spec: RequestSpec,
+  dispatchId: DispatchId,
+  terms: OfferTerms,
+): OfferReq {
+  return {
+    dispatchId,
+    requestId: spec.id,
+    organisation: spec.organisation,
+    weight: spec.weight,
+    entry: deps.node,
+    incarnation: terms.incarnation,
+    kind: spec.kind,
+    model: spec.model,
+    adapter: spec.adapter,
+    priorityClass: spec.priorityClass,
+    priority: terms.priority,
+    timeLeftMs: Math.max(1, spec.deadlineAt - deps.clock.now()),
+    promptTokens: spec.promptTokens,
+    maxTokens: spec.maxTokens,
+    repeatable: spec.repeatable,
+    prefixHashes: spec.prefixHashes,
+    configNumber: spec.config.number,
+    group: terms.group,
+  };
+}
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -215,9 +215,11 @@
       case 'submit':
         submit(message.spec, message.listener);
         return;
-      case 'cancel':
-        message.reply?.(cancel(message.id, message.organisation));
+      case 'cancel': {
+        const found = cancel(message.id, message.organisation);
+        message.reply?.(found);
         return;
+      }
       case 'resume':
         void resumer.resume(message);
         return;
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -9,7 +9,7 @@
   Incarnation,
   RequestId,
 } from '../types/ids.js';
-import type {Runtime} from '../types/runtime.js';
+import type {LogFields, Runtime} from '../types/runtime.js';
 import type {
   MembershipView,
   Replica,
@@ -19,6 +19,7 @@
 } from '../types/services.js';
 import type {RankedTarget, RoutingPolicy} from '../policy/routing.js';
 import {ROUTING_EVENTS} from '../utils/events.js';
+import type {GroupPart} from './group.js';
 import {createAssignments} from './assignments.js';
 import {createPrefixMemory} from './prefix_memory.js';
 
@@ -40,6 +41,13 @@
     chosen: RankedTarget,
     ranked: readonly RankedTarget[],
   ): void;
+  /** The same for a group; the lead is the one chosen. */
+  decidedGroup(
+    spec: RequestSpec,
+    attempt: number,
+    parts: readonly GroupPart[],
+    ranked: readonly RankedTarget[],
+  ): void;
   assigned(spec: RequestSpec, side: Address, dispatchId: DispatchId): void;
   refused(side: Address, dispatchId: DispatchId): void;
   /** An answer ended whole: what the engine found in its prefix cache. */
@@ -96,39 +104,48 @@
     });
   };
 
-  const keep = (decision: RoutingDecision) => {
+  const shown = (ranked: readonly RankedTarget[]) => {
+    const now = runtime.clock.now();
+    return ranked.slice(0, SHOWN_CANDIDATES).map(one => candidateOf(one, now));
+  };
+
+  const keep = (decision: RoutingDecision): RoutingDecision => {
     const list = explained.get(decision.requestId) ?? [];
     list.push(decision);
     explained.set(decision.requestId, list);
-    if (explained.size <= KEEP_EXPLAINED) return;
     for (const oldest of explained.keys()) {
+      if (explained.size <= KEEP_EXPLAINED) break;
       explained.delete(oldest);
-      return;
     }
+    return decision;
   };
 
   return {
     rank,
     decided: (spec, attempt, chosen, ranked) => {
-      const now = runtime.clock.now();
-      const decision: RoutingDecision = {
+      const decision = keep({
         requestId: spec.id,
         attempt,
         chosen: chosen.target.replica.address,
         reason: chosen.reason,
-        candidates: ranked
-          .slice(0, SHOWN_CANDIDATES)
-          .map(one => candidateOf(one, now)),
-      };
-      keep(decision);
+        candidates: shown(ranked),
+      });
       runtime.log(ROUTING_EVENTS.decided, {
-        request: spec.id,
+        ...fieldsOf(spec, decision),
+        considered: ranked.length,
+      });
+    },
+    decidedGroup: (spec, attempt, parts, ranked) => {
+      const lead = parts.find(part => part.lead);
+      const decision = keep({
+        requestId: spec.id,
         attempt,
-        chosen: decision.chosen,
-        reason: decision.reason,
-        policy: spec.config.declarations.policy.routing,
-        promptTokens: spec.promptTokens,
-        candidates: decision.candidates.map(one => ({...one})),
+        chosen: lead?.ranked.target.replica.address ?? '',
+        reason: `group of ${parts.length}: ${parts.map(nameOf).join(', ')}`,
+        candidates: shown(ranked),
+      });
+      runtime.log(ROUTING_EVENTS.groupDecided, {
+        ...fieldsOf(spec, decision),
         considered: ranked.length,
       });
     },
@@ -163,6 +180,23 @@
   return live.length > 0 ? live : replicas;
 }
 
+function nameOf(part: GroupPart): string {
+  const {address} = part.ranked.target.replica;
+  return `${address}${part.lead ? ' (lead)' : ''} ${part.holdTokens} tokens`;
+}
+
+function fieldsOf(spec: RequestSpec, decision: RoutingDecision): LogFields {
+  return {
+    request: spec.id,
+    attempt: decision.attempt,
+    chosen: decision.chosen,
+    reason: decision.reason,
+    policy: spec.config.declarations.policy.routing,
+    promptTokens: spec.promptTokens,
+    candidates: decision.candidates.map(one => ({...one})),
+  };
+}
+
 function candidateOf(ranked: RankedTarget, now: number): RoutingCandidate {
   const {replica, unreportedRequests, unreportedTokens} = ranked.target;
   return {
--- a/src/membership/state_log.ts
+++ b/src/membership/state_log.ts
@@ -76,7 +76,7 @@
       }
       warnOfMany(
         followed
-          .filter(member => !isEntry(member))
+          .filter(member => !isEntry(member) && member.answered)
           .map(member => roster.state(member)),
       );
     },
--- /dev/null
+++ b/test/entry_callers.test.ts
@@ -0,0 +1,196 @@
+/** What a caller may ask of a request besides its answer. */
+import {Right} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import type {RequestListener} from '../src/types/services.js';
+import {startEntry} from './support/entry_fixture.js';
+import type {EntryFixture} from './support/entry_fixture.js';
+import {createRun, endOf, makeThree} from './support/scripted_side.js';
+import type {SideScript} from './support/scripted_side.js';
+
+/** Answers the first chunk at once, the rest after a second. */
+function slowly(entry: () => EntryFixture): SideScript {
+  return {
+    run: (_side, run) => {
+      makeThree(run);
+      run.send(run.chunks[0]);
+      entry().clock.after(1_000, () => {
+        for (const chunk of run.chunks.slice(1)) run.send(chunk);
+        run.send(endOf(run));
+      });
+    },
+  };
+}
+
+describe('a caller that resumes', () => {
+  it('gets the rest of an open answer at the same entry', async () => {
+    const entry = await startEntry({sides: [slowly(() => entry)]});
+    entry.submit({id: 'q1'});
+    await entry.clock.runFor(100);
+    const again = entry.caller();
+    resume(entry, 'q1', 'prairie-sky', 1, again.listener);
+    await entry.clock.runFor(2_000);
+    expect(again.text()).toBe('two three');
+    expect(again.final()).toMatchObject({kind: 'end', count: 3});
+    expect(entry.sides[0].gos).toHaveLength(1);
+  });
+
+  // Its entry is gone, with the connection. This entry knows nothing of the
+  // request and finds the run by asking the sides; the chunks before those
+  // wanted are fetched for the digest and not told again.
+  it('gets the rest at an entry that did not start the run', async () => {
+    const entry = await startEntry({sides: [{}, {}]});
+    holdRun(entry, 'q2.1');
+    const caller = entry.caller();
+    resume(entry, 'q2', 'prairie-sky', 2, caller.listener);
+    await entry.clock.runFor(1_000);
+    expect(caller.text()).toBe('three');
+    expect(caller.final()).toMatchObject({kind: 'end', count: 3});
+    expect(entry.toMembership.map(({kind}) => kind)).toEqual(['own', 'disown']);
+  });
+
+  it('is told at once when nobody knows the request', async () => {
+    const entry = await startEntry({sides: [{}]});
+    const caller = entry.caller();
+    resume(entry, 'q3', 'prairie-sky', 0, caller.listener);
+    await entry.clock.runFor(100);
+    expect(caller.final()).toMatchObject({
+      error: {code: 'not-found', ran: 'unknown'},
+    });
+  });
+
+  // One organisation guesses another's request id. It must learn nothing: not
+  // the answer, not the state, not that there is such a request.
+  it('gets nothing of another organisation', async () => {
+    const entry = await startEntry({sides: [slowly(() => entry)]});
+    const owner = entry.submit({id: 'q4'});
+    await entry.clock.runFor(100);
+    const stranger = entry.caller();
+    resume(entry, 'q4', 'ingufu', 0, stranger.listener);
+    const state = entry.kernel.ask('requests', reply => ({
+      kind: 'state',
+      id: 'q4',
+      organisation: 'ingufu',
+      reply,
+    }));
+    const cancelled = entry.kernel.ask<'requests', boolean>(
+      'requests',
+      reply => ({kind: 'cancel', id: 'q4', organisation: 'ingufu', reply}),
+    );
+    await entry.clock.runFor(2_000);
+    expect(stranger.final()).toMatchObject({error: {code: 'not-found'}});
+    expect(await state).toMatchObject({state: 'none', side: ''});
+    expect(await cancelled).toBe(false);
+    expect(owner.final()).toMatchObject({kind: 'end'});
+  });
+});
+
+describe('a caller that repeats its idempotency key', () => {
+  it('gets the earlier answer, and nothing runs again', async () => {
+    let taken = false;
+    const entry = await startEntry({
+      sides: [{}],
+      claim: () => {
+        const outcome = taken
+          ? ({kind: 'taken', requestId: 'q5'} as const)
+          : ({kind: 'ours'} as const);
+        taken = true;
+        return Right(outcome);
+      },
+    });
+    const permit = {repeatable: false, idempotencyKey: 'permit-7'};
+    entry.submit({id: 'q5', ...permit});
+    await entry.clock.runFor(100);
+    const second = entry.submit({id: 'q6', ...permit});
+    await entry.clock.runFor(100);
+    expect(second.text()).toBe('one two three');
+    expect(entry.sides[0].gos).toEqual(['q5.1']);
+    expect(entry.places()).toBe(0);
+  });
+
+  it('is told that it was claimed when the earlier one is lost', async () => {
+    const entry = await startEntry({
+      sides: [{}],
+      claim: () => Right({kind: 'taken', requestId: 'q-gone'}),
+    });
+    const caller = entry.submit({repeatable: false, idempotencyKey: 'k'});
+    await entry.clock.runFor(100);
+    expect(caller.final()).toMatchObject({
+      error: {code: 'already-claimed', ran: 'unknown'},
+    });
+    expect(entry.sides[0].offers).toEqual([]);
+  });
+});
+
+describe('a caller that cancels', () => {
+  it('ends the request and its run', async () => {
+    const entry = await startEntry({sides: [slowly(() => entry)]});
+    const caller = entry.submit({id: 'q7'});
+    await entry.clock.runFor(100);
+    entry.kernel.send('requests', {
+      kind: 'cancel',
+      id: 'q7',
+      organisation: 'prairie-sky',
+    });
+    await entry.clock.runFor(2_000);
+    expect(caller.final()).toMatchObject({
+      error: {code: 'cancelled', ran: 'yes'},
+    });
+    expect(caller.text()).toBe('one ');
+    expect(entry.sides[0].abandons).toEqual(['q7.1']);
+  });
+});
+
+describe('an entry that drains', () => {
+  // The process is to stop. Requests in progress must end whole, and a new one
+  // must be told to go elsewhere rather than be cut later.
+  it('ends its open requests and takes no new ones', async () => {
+    const entry = await startEntry({sides: [slowly(() => entry)]});
+    const open = entry.submit();
+    await entry.clock.runFor(100);
+    let drained = false;
+    void entry.kernel
+      .ask<'requests', void>('requests', reply => ({
+        kind: 'drain',
+        reply: () => reply(undefined),
+      }))
+      .then(() => {
+        drained = true;
+      });
+    const late = entry.submit();
+    await entry.clock.runFor(100);
+    expect(late.final()).toMatchObject({error: {code: 'draining', ran: 'no'}});
+    expect(drained).toBe(false);
+    await entry.clock.runFor(2_000);
+    expect(open.text()).toBe('one two three');
+    expect(drained).toBe(true);
+  });
+});
+
+function resume(
+  entry: EntryFixture,
+  id: string,
+  organisation: string,
+  fromSeq: number,
+  listener: RequestListener,
+): void {
+  entry.kernel.send('requests', {
+    kind: 'resume',
+    id,
+    organisation,
+    fromSeq,
+    sideHint: '',
+    listener,
+  });
+}
+
+/** The second side holds a run of three chunks that another entry started. */
+function holdRun(entry: EntryFixture, dispatchId: string): void {
+  const [, side] = entry.sides;
+  const run = createRun(dispatchId);
+  makeThree(run);
+  side.runs.set(dispatchId, run);
+  side.locate = (id, organisation) =>
+    dispatchId.startsWith(`${id}.`) && organisation === 'prairie-sky'
+      ? {state: 'running', dispatchId, nextSeq: 3, kind: 'completion'}
+      : undefined;
+}
--- /dev/null
+++ b/test/entry_groups.test.ts
@@ -0,0 +1,155 @@
+/** Prompts over one engine's memory: several engines, all or none. */
+import {describe, expect, it} from 'vitest';
+import {startEntry} from './support/entry_fixture.js';
+import type {EntryFixture} from './support/entry_fixture.js';
+import {accepted, answerThree, refused} from './support/scripted_side.js';
+import type {SideScript} from './support/scripted_side.js';
+
+const LONG = {promptTokens: 1_000_000, maxTokens: 1_000, deadlineAt: 600_000};
+
+/** Leads answer; members say that they hold their memory, and beat. */
+const groupSide = (entry: () => EntryFixture): SideScript => ({
+  run: (side, run) => {
+    const offer = offerOf(entry(), run.dispatchId);
+    if (offer?.group?.lead === true) {
+      entry().clock.after(2_000, () => answerThree(side, run));
+    } else {
+      run.send({kind: 'started'});
+    }
+  },
+});
+
+function offerOf(entry: EntryFixture, dispatchId: string) {
+  return entry.sides
+    .flatMap(side => side.offers)
+    .find(offer => offer.dispatchId === dispatchId);
+}
+
+/** Dispatches that no side was told to cancel or forget. */
+function heldAt(entry: EntryFixture): readonly string[] {
+  return entry.sides.flatMap(side =>
+    side.offers
+      .map(offer => offer.dispatchId)
+      .filter(id => !side.abandons.includes(id)),
+  );
+}
+
+describe('a prompt over one engine’s memory', () => {
+  it('runs on the fewest engines and frees the members at its end', async () => {
+    const script = groupSide(() => entry);
+    const entry = await startEntry({sides: [script, script, script, script]});
+    const caller = entry.submit(LONG);
+    await entry.clock.runFor(5_000);
+    expect(caller.text()).toBe('one two three');
+    const offers = entry.sides.flatMap(side => side.offers);
+    expect(offers.map(({group}) => group?.size)).toEqual([3, 3, 3]);
+    const held = offers.reduce(
+      (sum, {group}) => sum + (group?.holdTokens ?? 0),
+      0,
+    );
+    expect(held).toBeGreaterThanOrEqual(1_001_000);
+    const lead = offers.find(({group}) => group?.lead)?.dispatchId;
+    expect(heldAt(entry)).toEqual([lead]);
+  });
+
+  // One engine of the group has no room for a while. What the others hold in
+  // the meantime is memory that nobody uses: it is given back before the next
+  // try, and the request runs when all three have room at once.
+  it('gives back what it holds while one engine refuses', async () => {
+    let room = false;
+    const entry = await startEntry({
+      sides: [
+        groupSide(() => entry),
+        groupSide(() => entry),
+        {
+          ...groupSide(() => entry),
+          offer: () => (room ? accepted(entry.sides[2]) : refused('full', 100)),
+        },
+      ],
+    });
+    const caller = entry.submit(LONG);
+    await entry.clock.runFor(3_000);
+    const [first] = entry.sides;
+    expect(first.offers.length).toBeGreaterThan(2);
+    expect(first.offers.length - first.abandons.length).toBeLessThanOrEqual(1);
+    expect(entry.sides.flatMap(side => side.gos)).toEqual([]);
+    room = true;
+    await entry.clock.runFor(10_000);
+    expect(caller.text()).toBe('one two three');
+  });
+
+  // Two groups want the same three engines, each of which has room for one
+  // member. They rank the engines in opposite orders, and yet both reserve by
+  // address: the second meets the first at the first engine and holds nothing
+  // while it waits. Both end.
+  it('reserves in one order, so that two groups both end', async () => {
+    const taken = new Set<string>();
+    const reservedAt: string[] = [];
+    const one = (at: number): SideScript => ({
+      offer: () => {
+        const side = entry.sides[at];
+        if (taken.has(side.address)) return refused('full', 100);
+        taken.add(side.address);
+        reservedAt.push(side.address);
+        return accepted(side);
+      },
+      abandon: () => {
+        taken.delete(entry.sides[at].address);
+        return 'started';
+      },
+      run: (side, run) => {
+        if (offerOf(entry, run.dispatchId)?.group?.lead !== true) {
+          run.send({kind: 'started'});
+          return;
+        }
+        entry.clock.after(2_000, () => {
+          taken.delete(side.address);
+          answerThree(side, run);
+        });
+      },
+    });
+    const entry = await startEntry({sides: [one(0), one(1), one(2)]});
+    const first = entry.submit(LONG);
+    await entry.clock.runFor(1);
+    const reversed = entry.sides.map((side, at) =>
+      side.replica({freeTokens: 300_000 + at}),
+    );
+    entry.view(reversed);
+    const second = entry.submit(LONG);
+    await entry.clock.runFor(60_000);
+    expect(first.text()).toBe('one two three');
+    expect(second.text()).toBe('one two three');
+    expect(reservedAt).toEqual(['s1', 's2', 's3', 's1', 's2', 's3']);
+  });
+
+  // A member dies while the lead works. The lead cannot end without the memory
+  // that went, so the run is cancelled on all, at once, and gathered anew.
+  it('is cancelled on all when a member is lost, and run again', async () => {
+    const script = groupSide(() => entry);
+    const entry = await startEntry({sides: [script, script, script, script]});
+    const caller = entry.submit(LONG);
+    await entry.clock.runFor(500);
+    const member = entry.sides.find(
+      side => side.gos.length > 0 && side.offers[0].group?.lead === false,
+    );
+    const before = heldAt(entry);
+    entry.network.down.add(member?.address ?? '');
+    entry.network.cut(member?.address ?? '');
+    entry.view(
+      entry.sides.filter(side => side !== member).map(side => side.replica()),
+    );
+    await entry.clock.runFor(10_000);
+    expect(caller.text()).toBe('one two three');
+    const still = heldAt(entry).filter(id => before.includes(id));
+    expect(still).toEqual([member?.offers[0].dispatchId]);
+  });
+
+  it('fails at once when all engines together have not the room', async () => {
+    const entry = await startEntry({sides: [{}, {}]});
+    const caller = entry.submit(LONG);
+    await entry.clock.runFor(50);
+    expect(caller.final()).toMatchObject({
+      error: {code: 'too-large', ran: 'no'},
+    });
+  });
+});
--- /dev/null
+++ b/test/support/entry_fixture.ts
@@ -0,0 +1,215 @@
+/**
+ * The request service on virtual time with scripted sides, and stand-ins for
+ * the services that it asks.
+ */
+import {Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {createRequestsService} from '../../src/entry/requests.js';
+import type {RequestsOptions} from '../../src/entry/requests.js';
+import {createKernel} from '../../src/kernel/kernel.js';
+import {createRoutingPolicies} from '../../src/policy/routing_policies.js';
+import type {OnyxError} from '../../src/types/errors.js';
+import type {
+  ClaimOutcome,
+  MembershipMessage,
+  MembershipView,
+  Replica,
+  RequestEvent,
+  RequestSpec,
+} from '../../src/types/services.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {createScriptedNetwork} from './scripted_network.js';
+import {startScriptedSide} from './scripted_side.js';
+import type {SideScript} from './scripted_side.js';
+
+export interface Caller {
+  readonly events: RequestEvent[];
+  /** Text of the chunks so far. */
+  text(): string;
+  final(): RequestEvent | undefined;
+  /** When the final event came, on the virtual clock. */
+  endedAt(): number | undefined;
+  readonly listener: (event: RequestEvent) => void;
+}
+
+export type EntryFixture = Awaited<ReturnType<typeof startEntry>>;
+
+export interface EntryFixtureOptions {
+  /** Scripts of the sides s1, s2, … */
+  readonly sides: readonly SideScript[];
+  readonly seed?: number;
+  readonly requests?: Partial<RequestsOptions>;
+  readonly claim?: (key: string) => Either<OnyxError, ClaimOutcome>;
+}
+
+export async function startEntry(options: EntryFixtureOptions) {
+  const recording = createRecordingRuntime({seed: options.seed ?? 1});
+  const {clock, runtime} = recording;
+  const network = createScriptedNetwork(clock);
+  const sides = await Promise.all(
+    options.sides.map((script, at) =>
+      startScriptedSide(clock, network.transport, `s${at + 1}`, script),
+    ),
+  );
+  const kernel = createKernel(runtime);
+  const toMembership: MembershipMessage[] = [];
+  let tell: ((view: MembershipView) => void) | undefined;
+  let places = 0;
+
+  const viewOf = (replicas: readonly Replica[]): MembershipView => ({
+    replicas,
+    allSides: sides.map(side => side.address),
+    entries: [],
+  });
+
+  await kernel.start({
+    name: 'membership',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        if (message.kind !== 'subscribe') {
+          toMembership.push(message);
+          return;
+        }
+        const first = tell === undefined;
+        tell = message.listener;
+        if (first) tell(viewOf(sides.map(side => side.replica())));
+      });
+    },
+  });
+  await kernel.start({
+    name: 'limits',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        if (message.kind === 'acquire') {
+          places++;
+          message.reply(Right(undefined));
+        } else if (message.kind === 'release') {
+          places--;
+        }
+      });
+    },
+  });
+  await kernel.start({
+    name: 'claims',
+    start: ctx => {
+      void ctx.mailbox.observe(message => {
+        message.reply(options.claim?.(message.key) ?? Right({kind: 'ours'}));
+      });
+    },
+  });
+  await kernel.start(
+    createRequestsService({
+      transport: network.transport,
+      node: 'entry-1',
+      failureDomain: 'hall-north',
+      routingPolicy: createRoutingPolicies(),
+      ...options.requests,
+    }),
+  );
+  await clock.settle();
+
+  const caller = (): Caller => {
+    const events: RequestEvent[] = [];
+    const decoder = new TextDecoder();
+    let endedAt: number | undefined;
+    return {
+      events,
+      text: () =>
+        events
+          .filter(event => event.kind === 'chunk')
+          .map(event => decoder.decode(event.data))
+          .join(''),
+      final: () => events.find(({kind}) => kind === 'end' || kind === 'failed'),
+      endedAt: () => endedAt,
+      listener: event => {
+        events.push(event);
+        if (event.kind === 'end' || event.kind === 'failed') {
+          endedAt = clock.now();
+        }
+      },
+    };
+  };
+
+  const submit = (spec: Partial<RequestSpec> = {}): Caller => {
+    const to = caller();
+    kernel.send('requests', {
+      kind: 'submit',
+      spec: specOf(clock.now(), spec),
+      listener: to.listener,
+    });
+    return to;
+  };
+
+  return {
+    ...recording,
+    network,
+    kernel,
+    sides,
+    toMembership,
+    caller,
+    submit,
+    /** Places that are taken of the organisation's limit. */
+    places: () => places,
+    view: (replicas: readonly Replica[]) => tell?.(viewOf(replicas)),
+  };
+}
+
+let minted = 0;
+
+export function specOf(
+  now: number,
+  changes: Partial<RequestSpec> = {},
+): RequestSpec {
+  const text = new TextEncoder().encode('how much rain fell?');
+  return {
+    id: `r${++minted}`,
+    organisation: 'prairie-sky',
+    weight: 1,
+    kind: 'completion',
+    pool: '',
+    model: 'onyx',
+    adapter: '',
+    priorityClass: 'normal',
+    priority: 1,
+    lengthClass: 'short',
+    deadlineAt: now + 30_000,
+    admittedAt: now,
+    body: {pieces: [text], bytes: text.length},
+    promptTokens: 1_000,
+    maxTokens: 100,
+    repeatable: true,
+    idempotencyKey: undefined,
+    prefixHashes: [],
+    config: {number: 1, declarations: DECLARATIONS},
+    call: undefined,
+    ...changes,
+  };
+}
+
+const DECLARATIONS: RequestSpec['config']['declarations'] = {
+  organisations: [],
+  models: [],
+  priorityClasses: [],
+  lengthClasses: [
+    {
+      name: 'short',
+      maxTokens: 8_000,
+      memoryFloor: 0,
+      maxRunning: 0,
+      defaultTimeLimitMs: 30_000,
+    },
+  ],
+  services: [],
+  placement: [],
+  policy: {
+    routing: 'predicted-first-token',
+    maxOffers: 3,
+    retryRatio: 0.2,
+    prefixWeight: 1,
+    boundedLoadFactor: 1.25,
+    longShare: 0.5,
+    ageingMs: 10_000,
+    shortSlowdownWeight: 0.5,
+    longFirstTokenWeight: 0.5,
+  },
+};
--- /dev/null
+++ b/test/support/scripted_side.ts
@@ -0,0 +1,254 @@
+/** A side for tests of the entry: does what the test's script says. */
+import type {Address, DispatchId, Incarnation} from '../../src/types/ids.js';
+import type {
+  AbandonRes,
+  Chunk,
+  LocateRes,
+  OfferReq,
+  OfferRes,
+  RunDown,
+  RunEnd,
+  RunUp,
+  SideLoad,
+} from '../../src/types/peer_messages.js';
+import type {Clock} from '../../src/types/runtime.js';
+import type {Replica} from '../../src/types/services.js';
+import type {RunServerChannel, Transport} from '../../src/types/transport.js';
+import {createDigest} from '../../src/utils/digest.js';
+
+const BEAT_MS = 1_000;
+
+export interface SideScript {
+  /** @default accepts */
+  readonly offer?: (req: OfferReq) => Promise<OfferRes> | OfferRes;
+  /** Called at the prompt's end. @default answers 'one ', 'two ', 'three' */
+  readonly run?: (side: ScriptedSide, run: SideRun) => void;
+  /** @default sends what it has from the chunk asked for */
+  readonly attach?: (side: ScriptedSide, run: SideRun, fromSeq: number) => void;
+  /** @default by whether the run was started */
+  readonly abandon?: (id: DispatchId) => AbandonRes['state'];
+}
+
+export interface SideRun {
+  readonly dispatchId: DispatchId;
+  /** The newest channel. */
+  channel: RunServerChannel | undefined;
+  readonly promptBytes: () => number;
+  readonly chunks: Chunk[];
+  send(frame: RunDown): void;
+}
+
+export interface ScriptedSide {
+  readonly address: Address;
+  incarnation: Incarnation;
+  readonly offers: OfferReq[];
+  /** Dispatches whose go arrived, in order. */
+  readonly gos: DispatchId[];
+  readonly abandons: DispatchId[];
+  /** `fromSeq` of each attach. */
+  readonly attaches: number[];
+  readonly runs: Map<DispatchId, SideRun>;
+  readonly cancels: DispatchId[];
+  locate: (id: string, organisation: string) => LocateRes | undefined;
+  replica(load?: Partial<SideLoad>): Replica;
+}
+
+export async function startScriptedSide(
+  clock: Clock,
+  transport: Transport,
+  address: Address,
+  script: SideScript = {},
+): Promise<ScriptedSide> {
+  const side: ScriptedSide = {
+    address,
+    incarnation: `inc-${address}`,
+    offers: [],
+    gos: [],
+    abandons: [],
+    attaches: [],
+    runs: new Map(),
+    cancels: [],
+    locate: () => undefined,
+    replica: load => replicaOf(side, load),
+  };
+
+  const serve = (channel: RunServerChannel) => {
+    let run: SideRun | undefined;
+    let bytes = 0;
+    let open = true;
+    const stopBeats = clock.every(BEAT_MS, () => {
+      if (open) void channel.send({kind: 'beat'});
+    });
+    const onFrame = (frame: RunUp) => {
+      if (frame.kind === 'go') {
+        side.gos.push(frame.dispatchId);
+        run = createRun(frame.dispatchId, () => bytes);
+        run.channel = channel;
+        side.runs.set(frame.dispatchId, run);
+      } else if (frame.kind === 'attach') {
+        side.attaches.push(frame.fromSeq);
+        run = side.runs.get(frame.dispatchId);
+        if (run === undefined) {
+          void channel.send(failed(frame.dispatchId, 'unknown', 'not-found'));
+          return;
+        }
+        run.channel = channel;
+        (script.attach ?? resend)(side, run, frame.fromSeq);
+      } else if (frame.kind === 'prompt') {
+        bytes += frame.data.length;
+      } else if (frame.kind === 'prompt-end' && run !== undefined) {
+        (script.run ?? answerThree)(side, run);
+      } else if (frame.kind === 'cancel' && run !== undefined) {
+        side.cancels.push(run.dispatchId);
+      }
+    };
+    void channel.frames.observe(onFrame).then(() => {
+      open = false;
+      stopBeats();
+    });
+  };
+
+  await transport.listen(address, {
+    offer: async req => {
+      side.offers.push(req);
+      if (req.incarnation !== side.incarnation) {
+        return refused('incarnation', 0, side.incarnation);
+      }
+      return (script.offer ?? (() => accepted(side)))(req);
+    },
+    abandon: async ({dispatchId}) => {
+      side.abandons.push(dispatchId);
+      const ran = side.runs.has(dispatchId) ? 'started' : 'never-started';
+      const state = script.abandon?.(dispatchId) ?? ran;
+      return {state, incarnation: side.incarnation};
+    },
+    locate: async ({requestId, organisation}) =>
+      side.locate(requestId, organisation) ?? {
+        state: 'none',
+        dispatchId: '',
+        nextSeq: 0,
+        kind: 'completion',
+      },
+    run: serve,
+  });
+  return side;
+}
+
+export function accepted(side: ScriptedSide): OfferRes {
+  return {
+    kind: 'accepted',
+    incarnation: side.incarnation,
+    predictedFirstTokenMs: 10,
+    lapseMs: 1_000,
+  };
+}
+
+export function refused(
+  reason: Extract<OfferRes, {kind: 'refused'}>['reason'],
+  retryAfterMs = 0,
+  incarnation = '',
+): OfferRes {
+  return {kind: 'refused', reason, retryAfterMs, incarnation};
+}
+
+export function failed(
+  dispatchId: DispatchId,
+  ran: 'no' | 'yes' | 'unknown',
+  code = 'upstream-failed',
+): RunDown {
+  return {
+    kind: 'failed',
+    dispatchId,
+    ran,
+    code,
+    message: code,
+    retryAfterMs: 0,
+  };
+}
+
+export function chunkOf(run: SideRun, seq: number, text: string): Chunk {
+  const data = new TextEncoder().encode(text);
+  return {kind: 'chunk', dispatchId: run.dispatchId, seq, data, tokens: 1};
+}
+
+export function endOf(run: SideRun): RunEnd {
+  const digest = createDigest();
+  for (const chunk of run.chunks) digest.update(chunk.data);
+  return {
+    kind: 'end',
+    dispatchId: run.dispatchId,
+    count: run.chunks.length,
+    digest: digest.value(),
+    finishReason: 'stop',
+    cachedTokens: 0,
+  };
+}
+
+/** Makes the answer of three chunks without sending it. */
+export function makeThree(run: SideRun): void {
+  for (const [seq, text] of ['one ', 'two ', 'three'].entries()) {
+    run.chunks.push(chunkOf(run, seq, text));
+  }
+}
+
+export function answerThree(_side: ScriptedSide, run: SideRun): void {
+  makeThree(run);
+  run.send({kind: 'started'});
+  for (const chunk of run.chunks) run.send(chunk);
+  run.send(endOf(run));
+}
+
+export function resend(
+  _side: ScriptedSide,
+  run: SideRun,
+  fromSeq: number,
+): void {
+  for (const chunk of run.chunks.slice(fromSeq)) run.send(chunk);
+  run.send(endOf(run));
+}
+
+/** A run without a channel yet, as one that an attach takes up. */
+export function createRun(
+  dispatchId: DispatchId,
+  promptBytes: () => number = () => 0,
+): SideRun {
+  const run: SideRun = {
+    dispatchId,
+    channel: undefined,
+    promptBytes,
+    chunks: [],
+    send: frame => void run.channel?.send(frame),
+  };
+  return run;
+}
+
+function replicaOf(side: ScriptedSide, load: Partial<SideLoad> = {}): Replica {
+  return {
+    host: side.address,
+    node: side.address,
+    address: side.address,
+    pool: 'onyx-pool',
+    failureDomain: 'hall-north',
+    incarnation: side.incarnation,
+    state: 'live',
+    load: {
+      capacityTokens: 400_000,
+      freeTokens: 400_000,
+      running: 0,
+      queued: 0,
+      prefillBacklogTokens: 0,
+      shortBacklogTokens: 0,
+      prefillTokensPerSec: 10_000,
+      stepMs: 20,
+      reportAgeMs: 0,
+      ...load,
+    },
+    loadAt: 0,
+    models: [
+      {model: 'onyx', version: '1', adapters: [], ready: true, role: 'mixed'},
+    ],
+    configNumber: 1,
+    fence: 0,
+    rttMs: 1,
+  };
+}
