feat(wiring): serve a request from caller to upstream as separate processes

Cause: the parts existed apart; the first run of the whole path showed that an entry called itself ready under configuration 0 and refused callers as unauthorised, and that sides did not answer fetchConfig, so that a number took 2.8 s to reach the second entry. Ruled out: keys or hashes at fault; the log showed number 0 in force. Change: an entry is ready only under an accepted configuration; sides hand on the configuration they hold. Limits and placement are placeholders. Conclusion: the thin path stands; groups, limits and placement follow.

--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -343,7 +343,7 @@
         adapters: [],
         isDefault: true,
         weightBytes: 140_000_000_000,
-        maxPromptTokens: 1_100_000,
+        maxPromptTokens: 1_000_000,
       },
     ],
     priorityClasses: [
@@ -355,7 +355,7 @@
       lengthClass('short', 8_192, 0.15, 0, 30_000),
       lengthClass('medium', 32_768, 0.1, 0, 60_000),
       lengthClass('long', 131_072, 0, 4, 180_000),
-      lengthClass('archive', 1_100_000, 0, 1, 600_000),
+      lengthClass('archive', 1_000_000, 0, 1, 600_000),
     ],
     services: [
       {
--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -278,7 +278,13 @@
     weight,
     keyHash: hashGeneratedKey(access[index]?.key ?? '', newSalt()),
   }));
-  const declarations = demoDeclarations(plan.shape, organisations);
+  const keyed = toKeyed(demoDeclarations(plan.shape, organisations));
+  // The classes that an empty system starts with give way to the demo's own.
+  const priorityClasses = {
+    urgent: null,
+    normal: null,
+    ...keyed.priorityClasses,
+  };
   await postJson(
     'POST',
     `${plan.operatorUrls[0]}/operator/v1/config/patches`,
@@ -286,7 +292,7 @@
       patchId: randomBytes(8).toString('hex'),
       base: 0,
       form: 'merge-patch',
-      patch: JSON.stringify(toKeyed(declarations)),
+      patch: JSON.stringify({...keyed, priorityClasses}),
       dryRun: false,
       operator: 'fleet',
     },
--- a/src/entry/callers_state.ts
+++ b/src/entry/callers_state.ts
@@ -93,6 +93,10 @@
 
   return {
     takeConfig: config => {
+      // Number 0 is what a process holds before it has heard of any accepted
+      // version; it knows no organisation, and would refuse every caller as
+      // unauthorised instead of telling the balancer that it is not ready.
+      if (config.number === 0) return;
       // A late message must not bring an older version back into force.
       if (newest === undefined || config.number > newest.number) {
         newest = config;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -28,6 +28,7 @@
 import {createSidePeersService} from './side/peers_service.js';
 import {createRunsService} from './side/runs_service.js';
 import {createSideOperatorHandlers} from './side/operator_handlers.js';
+import type {FetchConfigRes} from './types/peer_messages.js';
 import type {Runtime} from './types/runtime.js';
 import type {Transport} from './types/transport.js';
 import {createHttpEngine} from './upstream/http_engine.js';
@@ -246,7 +247,18 @@
     }),
   );
   await kernel.start(
-    createSidePeersService({transport, address: listen.peers}),
+    createSidePeersService({
+      transport,
+      address: listen.peers,
+      extraHandlers: {
+        fetchConfig: req =>
+          kernel.ask('config', (reply: (res: FetchConfigRes) => void) => ({
+            kind: 'fetch',
+            req,
+            reply,
+          })),
+      },
+    }),
   );
   await kernel.start(
     createOperatorsService({
