refactor(wiring): let tests start a role's services without its HTTP front

Cause: randomised runs and benches must drive the services that the processes run, on a virtual clock and an in-memory network. Change: startEntryCore and startSideCore take transport, store and upstream as parts. A prefix block is 256 tokens, as in the engines' cache; with 512 the entries' hashes could never meet the engines'.

--- a/src/entry/prefix_hashes.ts
+++ b/src/entry/prefix_hashes.ts
@@ -6,10 +6,10 @@
 import type {Body} from '../types/services.js';
 import {chainHash} from '../utils/digest.js';
 
-/** Bytes of prompt in one block: some 512 tokens. */
-export const PREFIX_BLOCK_BYTES = 2 * 1024;
+/** Bytes of prompt in one block: some 256 tokens. */
+export const PREFIX_BLOCK_BYTES = 1024;
 /** Blocks hashed at most: the first 64 KiB, some 16,000 tokens. */
-export const MAX_PREFIX_BLOCKS = 32;
+export const MAX_PREFIX_BLOCKS = 64;
 
 const HASH_DIGITS = 16;
 const encoder = new TextEncoder();
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,7 +3,13 @@
  * that knows which implementation stands behind each interface.
  */
 import {Right} from 'purify-ts';
-import type {EntrySettings, Settings, SideSettings} from './config/settings.js';
+import type {
+  EntrySettings,
+  LimitSettings,
+  Settings,
+  SideSettings,
+  TimingSettings,
+} from './config/settings.js';
 import {createConfigService} from './config/config_service.js';
 import {createClaimsService} from './entry/claims.js';
 import {createEntryPeersService} from './entry/entry_peers.js';
@@ -21,14 +27,25 @@
 import {createHttpHostList} from './platform/http_host_list.js';
 import {createHttpObjectStore} from './platform/http_object_store.js';
 import {createHttpWeightStore} from './platform/http_weight_store.js';
+import type {RoutingPolicy} from './policy/routing.js';
 import {createRoutingPolicies} from './policy/routing_policies.js';
 import {classQueue} from './policy/side_queue.js';
 import type {SideUpstream} from './side/core.js';
+import type {QueuePolicy} from './side/queue_policy.js';
 import type {SideStatus} from './side/messages.js';
 import {createSidePeersService} from './side/peers_service.js';
 import {createRunsService} from './side/runs_service.js';
 import {createSideOperatorHandlers} from './side/operator_handlers.js';
+import type {
+  Address,
+  FailureDomain,
+  HostId,
+  Incarnation,
+  NodeId,
+  PoolId,
+} from './types/ids.js';
 import type {FetchConfigRes} from './types/peer_messages.js';
+import type {HostList, ObjectStore, WeightStore} from './types/platform.js';
 import type {Runtime} from './types/runtime.js';
 import type {Transport} from './types/transport.js';
 import {createHttpEngine} from './upstream/http_engine.js';
@@ -41,6 +58,119 @@
 const BYTES_PER_TOKEN = 4;
 const INCARNATION_BYTES = 6;
 
+/** What the services of both roles are made of. */
+export interface CoreParts {
+  readonly node: NodeId;
+  readonly failureDomain: FailureDomain;
+  readonly incarnation: Incarnation;
+  /** Where to listen for peers. */
+  readonly listen: Address;
+  readonly timing: TimingSettings;
+  readonly transport: Transport;
+  readonly store: ObjectStore;
+}
+
+export interface EntryParts extends CoreParts {
+  readonly host: HostId;
+  /** Where peers reach this entry. */
+  readonly address: Address;
+  readonly limits: Pick<LimitSettings, 'followReplicas'>;
+  readonly hostList: HostList;
+  readonly weightStore: WeightStore;
+  readonly routingPolicy: (name: string) => RoutingPolicy;
+}
+
+export interface SideParts extends CoreParts {
+  readonly pool: PoolId;
+  readonly upstream: SideUpstream;
+  readonly queuePolicy: QueuePolicy;
+}
+
+/**
+ * Starts an entry's services but its HTTP fronts. Randomised runs and benches
+ * start these same services on a virtual clock and an in-memory network.
+ */
+export async function startEntryCore(
+  kernel: Kernel,
+  parts: EntryParts,
+): Promise<void> {
+  const {node, failureDomain, timing, transport, store} = parts;
+  await kernel.start(
+    createMembershipService({
+      ...parts,
+      timing: {
+        heartbeatMs: timing.heartbeatMs,
+        suspectAfterMs: timing.suspectAfterMs,
+        hostListMs: timing.hostListPollMs,
+      },
+      followReplicas: parts.limits.followReplicas,
+    }),
+  );
+  await kernel.start(
+    createConfigService({node, role: 'entry', store, transport}),
+  );
+  await kernel.start(createClaimsService({store}));
+  await kernel.start(createLimitsService({node, transport}));
+  await kernel.start(
+    createPlacementService({
+      node,
+      store,
+      transport,
+      weightStore: parts.weightStore,
+    }),
+  );
+  await kernel.start(
+    createRequestsService({
+      transport,
+      node,
+      failureDomain,
+      routingPolicy: parts.routingPolicy,
+      prefixBlockTokens: PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN,
+      timing: {
+        beatMs: timing.heartbeatMs,
+        silenceMs: timing.channelSilenceMs,
+      },
+    }),
+  );
+  await kernel.start(
+    createEntryPeersService({transport, address: parts.listen}),
+  );
+}
+
+/** Starts a side's services but its HTTP front; see `startEntryCore`. */
+export async function startSideCore(
+  kernel: Kernel,
+  parts: SideParts,
+): Promise<void> {
+  const {node, transport, store, upstream} = parts;
+  await kernel.start(
+    createConfigService({node, role: 'side', store, transport}),
+  );
+  await kernel.start(
+    createRunsService({
+      ...parts,
+      readFence:
+        upstream.kind === 'engine'
+          ? () => readLeaseFence(store)
+          : () => Promise.resolve(Right(0)),
+    }),
+  );
+  await kernel.start(
+    createSidePeersService({
+      transport,
+      address: parts.listen,
+      extraHandlers: {
+        fetchConfig: req =>
+          kernel.ask('config', (reply: (res: FetchConfigRes) => void) => ({
+            kind: 'fetch',
+            req,
+            reply,
+          })),
+      },
+    }),
+  );
+}
+
 /** A process with its services running. */
 export interface WiredProcess {
   readonly kernel: Kernel;
@@ -100,57 +230,21 @@
   transport: Transport,
   requestDrain: () => void,
 ): Promise<WiredProcess> {
-  const {node, host, failureDomain, timing, limits, listen} = settings;
+  const {node, limits, listen} = settings;
   const incarnation = runtime.random.hex(INCARNATION_BYTES);
   const kernel = createKernel(runtime);
   const {store, hostList, weightStore} = platformOf(settings, runtime);
-  const address = settings.advertise.peers;
-  await kernel.start(
-    createMembershipService({
-      transport,
-      hostList: hostList.list,
-      node,
-      host,
-      address,
-      failureDomain,
-      incarnation,
-      timing: {
-        heartbeatMs: timing.heartbeatMs,
-        suspectAfterMs: timing.suspectAfterMs,
-        hostListMs: timing.hostListPollMs,
-      },
-      followReplicas: limits.followReplicas,
-    }),
-  );
-  await kernel.start(
-    createConfigService({node, role: 'entry', store, transport}),
-  );
-  await kernel.start(createClaimsService({store}));
-  await kernel.start(createLimitsService({node, transport}));
-  await kernel.start(
-    createPlacementService({
-      node,
-      store,
-      transport,
-      weightStore: weightStore.status,
-    }),
-  );
-  await kernel.start(
-    createRequestsService({
-      transport,
-      node,
-      failureDomain,
-      routingPolicy: createRoutingPolicies(),
-      prefixBlockTokens: PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN,
-      timing: {
-        beatMs: timing.heartbeatMs,
-        silenceMs: timing.channelSilenceMs,
-      },
-    }),
-  );
-  await kernel.start(
-    createEntryPeersService({transport, address: listen.peers}),
-  );
+  await startEntryCore(kernel, {
+    ...settings,
+    incarnation,
+    listen: listen.peers,
+    address: settings.advertise.peers,
+    transport,
+    store,
+    hostList: hostList.list,
+    weightStore: weightStore.status,
+    routingPolicy: createRoutingPolicies(),
+  });
   await kernel.start(
     createCallersService({
       listen: listen.callers,
@@ -218,48 +312,20 @@
   transport: Transport,
   requestDrain: () => void,
 ): Promise<WiredProcess> {
-  const {node, failureDomain, timing, listen, upstream} = settings;
+  const {node, listen, upstream} = settings;
   const incarnation = runtime.random.hex(INCARNATION_BYTES);
   const kernel = createKernel(runtime);
   const {store} = platformOf(settings, runtime);
-  await kernel.start(
-    createConfigService({node, role: 'side', store, transport}),
-  );
-  await kernel.start(
-    createRunsService({
-      upstream: upstreamOf(settings, runtime),
-      node,
-      incarnation,
-      pool: upstream.pool,
-      failureDomain,
-      queuePolicy: classQueue,
-      readFence:
-        upstream.kind === 'engine'
-          ? () => readLeaseFence(store)
-          : () => Promise.resolve(Right(0)),
-      timing: {
-        heartbeatMs: timing.heartbeatMs,
-        channelSilenceMs: timing.channelSilenceMs,
-        holdMs: timing.holdMs,
-        offerLapseMs: timing.offerLapseMs,
-        tombstoneMs: timing.tombstoneMs,
-      },
-    }),
-  );
-  await kernel.start(
-    createSidePeersService({
-      transport,
-      address: listen.peers,
-      extraHandlers: {
-        fetchConfig: req =>
-          kernel.ask('config', (reply: (res: FetchConfigRes) => void) => ({
-            kind: 'fetch',
-            req,
-            reply,
-          })),
-      },
-    }),
-  );
+  await startSideCore(kernel, {
+    ...settings,
+    incarnation,
+    listen: listen.peers,
+    pool: upstream.pool,
+    upstream: upstreamOf(settings, runtime),
+    transport,
+    store,
+    queuePolicy: classQueue,
+  });
   await kernel.start(
     createOperatorsService({
       listen: listen.operators,
