--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -122,7 +122,7 @@
       idempotencyKey: 'alert-17',
       maxTokens: 16,
     });
-    expect(submitted().prefixHashes).toHaveLength(18);
+    expect(submitted().prefixHashes).toHaveLength(19);
   });
 
   test('five megabytes of prompt reach the upstream unchanged', async () => {
