--- /dev/null
+++ b/src/upstream/engine_protocol.ts
@@ -0,0 +1,118 @@
+/**
+ * What goes over HTTP between a side and its model engine: paths, the header
+ * that describes a run, and the answer's lines of JSON.
+ */
+import {z} from 'zod';
+import type {
+  CacheEvent,
+  EngineEvent,
+  EngineOrder,
+  EngineReport,
+  EngineRunInfo,
+  EngineRunReq,
+} from '../types/upstream.js';
+
+/** Header of a start: the `EngineRunReq` as JSON. */
+export const RUN_HEADER = 'x-run';
+
+const count = z.number().int().min(0);
+
+export const runReqSchema: z.ZodType<EngineRunReq> = z.object({
+  runId: z.string().min(1),
+  model: z.string(),
+  adapter: z.string(),
+  priority: z.number(),
+  promptTokens: count,
+  maxTokens: count,
+  memoryTokens: count,
+  groupSize: z.number().int().min(1),
+  holdOnly: z.boolean(),
+  prefixHashes: z.array(z.string()),
+});
+
+export const runListSchema: z.ZodType<{
+  readonly runs: readonly EngineRunInfo[];
+}> = z.object({
+  runs: z.array(
+    z.object({
+      runId: z.string(),
+      state: z.enum(['waiting', 'prefill', 'decode', 'done', 'hold']),
+      memoryTokens: count,
+      tokens: count,
+    }),
+  ),
+});
+
+export const reportSchema: z.ZodType<EngineReport> = z.object({
+  capacityTokens: count,
+  usedTokens: count,
+  cacheTokens: count,
+  waiting: count,
+  running: count,
+  ageMs: z.number(),
+  models: z.array(
+    z.object({
+      model: z.string(),
+      version: z.string(),
+      adapters: z.array(z.string()),
+      ready: z.boolean(),
+      role: z.enum(['mixed', 'short', 'long']),
+    }),
+  ),
+});
+
+export const cacheEventsSchema: z.ZodType<{
+  readonly events: readonly CacheEvent[];
+}> = z.object({
+  events: z.array(
+    z.object({
+      seq: count,
+      kind: z.enum(['stored', 'evicted']),
+      hash: z.string(),
+    }),
+  ),
+});
+
+export const orderSchema: z.ZodType<EngineOrder> = z.object({
+  orderId: z.string(),
+  fence: z.number(),
+  action: z.enum(['load', 'unload', 'load-adapter', 'set-role']),
+  model: z.string(),
+  version: z.string(),
+  adapter: z.string(),
+  role: z.string(),
+});
+
+const lineSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('prefill'), doneTokens: count}),
+  z.object({
+    kind: z.literal('tokens'),
+    index: count,
+    count,
+    text: z.string(),
+  }),
+  z.object({
+    kind: z.literal('done'),
+    tokens: count,
+    finishReason: z.string(),
+    cachedTokens: count,
+  }),
+  z.object({kind: z.literal('beat')}),
+  z.object({kind: z.literal('failed'), message: z.string()}),
+]);
+
+/** One event as a line of JSON, with its newline. */
+export function eventToLine(event: EngineEvent): string {
+  if (event.kind !== 'tokens') return `${JSON.stringify(event)}\n`;
+  const {kind, index} = event;
+  const text = Buffer.from(event.data).toString('utf8');
+  return `${JSON.stringify({kind, index, count: event.count, text})}\n`;
+}
+
+/** Reads a line back; throws when it is none of the known events. */
+export function lineToEvent(line: string): EngineEvent {
+  const parsed = lineSchema.parse(JSON.parse(line));
+  if (parsed.kind !== 'tokens') return parsed;
+  const {kind, index, text} = parsed;
+  return {kind, index, count: parsed.count, data: Buffer.from(text, 'utf8')};
+}
--- a/standins/engine_model.ts
+++ b/standins/engine_model.ts
@@ -97,7 +97,10 @@
   freeze(on: boolean): void;
   /** Fault: steps take `factor` times as long. */
   slow(factor: number): void;
+  /** Whether the run is known: under way, or ended not long ago. */
+  has(runId: string): boolean;
   isDead(): boolean;
+  isFrozen(): boolean;
   /** Calls `fn` now, or at the end of a freeze; never if it dies before. */
   whenAwake(fn: () => void): void;
   /** Calls `fn` at each death, for what holds connections to break them. */
@@ -351,7 +354,12 @@
     },
     freeze,
     slow: factor => scheduler.setSlowFactor(factor),
+    has: runId => {
+      forgetOld();
+      return runs.has(runId);
+    },
     isDead: () => dead,
+    isFrozen: () => frozen,
     whenAwake: fn => {
       if (frozen) asleep.push(fn);
       else fn();
--- a/standins/memory_engine.ts
+++ b/standins/memory_engine.ts
@@ -9,7 +9,11 @@
 import {OnyxError} from '../src/types/errors.js';
 import type {ErrorCode} from '../src/types/errors.js';
 import type {Cancel, Clock} from '../src/types/runtime.js';
-import type {EngineClient, EngineEvent} from '../src/types/upstream.js';
+import type {
+  EngineClient,
+  EngineEvent,
+  EngineRunReq,
+} from '../src/types/upstream.js';
 import {pushStream} from '../src/upstream/push_stream.js';
 import type {Push} from '../src/upstream/push_stream.js';
 import {watchSilence} from '../src/upstream/silence_watch.js';
@@ -49,8 +53,13 @@
   muted: boolean;
 }
 
-/** What a connection does when it reaches the engine; returns its ending. */
-type Attach = (connection: Connection) => () => void;
+/** A request that has reached the engine's socket. */
+interface Arrival {
+  /** The engine reads the request: at once, or at the end of a freeze. */
+  serve(): void;
+  /** The connection is over. */
+  close(): void;
+}
 
 /** Digest of a whole prompt; its first eight digits name it in an answer. */
 export async function hashPrompt(
@@ -84,9 +93,8 @@
   };
 
   const beat = () => {
-    model.whenAwake(() => {
-      for (const {listener} of connections) listener({kind: 'beat'});
-    });
+    if (model.isFrozen()) return;
+    for (const {listener} of connections) listener({kind: 'beat'});
   };
 
   const add = (connection: Connection) => {
@@ -101,9 +109,11 @@
     stopBeats = undefined;
   };
 
-  const connect = (attach: Attach): Stream<EngineEvent> => {
+  const connect = (
+    receive: (connection: Connection) => Arrival,
+  ): Stream<EngineEvent> => {
     return pushStream(push => {
-      let detach: () => void = () => {};
+      let arrival: Arrival | undefined;
       const watch = watchSilence(clock, silenceMs, () => {
         push.error(fault('timeout', `engine ${peer} went silent`));
       });
@@ -115,18 +125,21 @@
       };
       const connection: Connection = {push, listener, muted: silent};
       const arrive = () => {
-        if (push.isClosed() || connection.muted) return;
-        if (model.isDead()) push.error(unreachable());
-        else detach = attach(connection);
-        if (push.isClosed()) detach();
+        if (connection.muted) return;
+        if (model.isDead()) {
+          push.error(unreachable());
+          return;
+        }
+        arrival = receive(connection);
+        model.whenAwake(arrival.serve);
       };
       add(connection);
-      const cancel = clock.after(latencyMs, () => model.whenAwake(arrive));
+      const cancel = clock.after(latencyMs, arrive);
       return () => {
         cancel();
         watch.stop();
         drop(connection);
-        detach();
+        arrival?.close();
       };
     });
   };
@@ -158,36 +171,62 @@
 
   model.onDeath(() => breakAll('upstream-lost', `engine ${peer} died`));
 
+  const receiveStart = (
+    {push, listener}: Connection,
+    req: EngineRunReq,
+    prompt: AsyncIterable<Uint8Array>,
+  ): Arrival => {
+    const {runId} = req;
+    let hash: string | undefined;
+    let isBroken = false;
+    let isOpened = false;
+
+    const submit = () => {
+      if (isOpened && hash !== undefined) model.submit(runId, hash);
+    };
+    const abort = () => {
+      isBroken = true;
+      if (isOpened) model.abort(runId);
+    };
+    hashPrompt(prompt).then(whole => {
+      if (isBroken) return;
+      hash = whole;
+      submit();
+    }, abort);
+
+    return {
+      // Also when the client has left during a freeze: a prompt that was sent
+      // whole waits in the socket, and the run begins with nobody listening.
+      serve: () => {
+        if (isBroken) return;
+        isOpened = model.open(req, listener) === 'opened';
+        if (push.isClosed()) model.detach(runId, listener);
+        submit();
+      },
+      close: () => {
+        if (hash === undefined) abort();
+        model.detach(runId, listener);
+      },
+    };
+  };
+
+  const receiveResume = (
+    {push, listener}: Connection,
+    runId: string,
+    fromIndex: number,
+  ): Arrival => ({
+    serve: () => {
+      if (push.isClosed()) return;
+      if (model.resume(runId, fromIndex, listener)) return;
+      const message = `engine ${peer} has no run ${runId}`;
+      push.error(fault('not-found', message));
+    },
+    close: () => model.detach(runId, listener),
+  });
+
   return {
-    start: (req, prompt) =>
-      connect(connection => {
-        const {listener} = connection;
-        const {runId} = req;
-        let uploading = model.open(req, listener) === 'opened';
-        const finish = (hash: string | undefined) => {
-          // Bytes on a silenced connection are lost: the prompt stays short.
-          if (!uploading || connection.muted) return;
-          uploading = false;
-          if (hash === undefined) model.abort(runId);
-          else model.submit(runId, hash);
-        };
-        if (uploading) {
-          hashPrompt(prompt).then(finish, () => finish(undefined));
-        }
-        return () => {
-          model.detach(runId, listener);
-          if (uploading) model.abort(runId);
-          uploading = false;
-        };
-      }),
-    resume: (runId, fromIndex) =>
-      connect(({push, listener}) => {
-        if (!model.resume(runId, fromIndex, listener)) {
-          const message = `engine ${peer} has no run ${runId}`;
-          push.error(fault('not-found', message));
-        }
-        return () => model.detach(runId, listener);
-      }),
+    start: (req, prompt) => connect(one => receiveStart(one, req, prompt)),
+    resume: (runId, from) => connect(one => receiveResume(one, runId, from)),
     cancel: runId => call(() => Right(model.cancel(runId))),
     list: () => call(() => Right(model.list())),
     report: () => call(() => Right(model.report())),
--- a/test/engine_model.test.ts
+++ b/test/engine_model.test.ts
@@ -240,6 +240,20 @@
     expect(after.text).toBe(await answerTo('r', 20));
   });
 
+  // A whole prompt lies in the frozen engine's socket when the client gives
+  // up. On waking the engine reads it and runs it, with nobody listening: a
+  // client that took the silence for "not run" would have it run twice.
+  test('a start given up during a freeze runs on waking', async () => {
+    const {clock, model, start} = setUp();
+    model.freeze(true);
+    const run = start('r');
+    await clock.runFor(2_000);
+    expect(run.err).toMatchObject({code: 'timeout', ran: 'unknown'});
+    model.freeze(false);
+    await clock.runFor(2_000);
+    expect(model.counts().runsStarted).toEqual({r: 1});
+  });
+
   test('the load report lags and an idle engine sets no timer', async () => {
     const {clock, model, start} = setUp({figures: {reportLagMs: 2_000}});
     start('r', {promptTokens: 4_000, maxTokens: 2_000});
