--- /dev/null
+++ b/src/upstream/http_service.ts
@@ -0,0 +1,154 @@
+/**
+ * Client of a plain service over HTTP. Method, path, headers, body and status
+ * pass on whole. Each call has a connection of its own, so that one which may
+ * not be repeated is never caught by the end of a connection kept alive.
+ */
+import {Readable} from 'node:stream';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+import {z} from 'zod';
+import {OnyxError} from '../types/errors.js';
+import type {CallHead, Header} from '../types/peer_messages.js';
+import type {Clock} from '../types/runtime.js';
+import type {
+  CallEvent,
+  ServiceClient,
+  ServiceReport,
+} from '../types/upstream.js';
+import {withoutHopHeaders} from './hop_headers.js';
+import {createHttpConnection, toOnyxError} from './http_connection.js';
+import type {HttpConnection} from './http_connection.js';
+import {pushStream} from './push_stream.js';
+import type {Push} from './push_stream.js';
+
+/** Header by which the service can tell a run. */
+const RUN_ID_HEADER = 'x-onyxloft-run-id';
+
+const reportSchema: z.ZodType<ServiceReport> = z.object({
+  running: z.number(),
+  capacity: z.number(),
+  ageMs: z.number(),
+});
+
+export interface HttpServiceOptions {
+  /** `http://ip:port` of the service. */
+  readonly url: string;
+  readonly clock: Clock;
+  /** Where the service reports its load. @default "/-/report" */
+  readonly reportPath?: string;
+  /** Time limit of a load report. @default 2000 */
+  readonly reportTimeoutMs?: number;
+  /** @default 1000 */
+  readonly connectTimeoutMs?: number;
+}
+
+/** Makes a client; nothing is dialled before its first use. */
+export function createHttpService(options: HttpServiceOptions): ServiceClient {
+  const {url, clock} = options;
+  const reportPath = options.reportPath ?? '/-/report';
+  const reportTimeoutMs = options.reportTimeoutMs ?? 2000;
+  const connectTimeoutMs = options.connectTimeoutMs ?? 1000;
+  const connect = () => createHttpConnection({url, connectTimeoutMs});
+  const place = {code: 'upstream-lost', step: 'run', peer: url} as const;
+
+  const exchange = async (
+    push: Push<CallEvent>,
+    connection: HttpConnection,
+    req: Dispatcher.RequestOptions,
+  ) => {
+    const reply = await connection.request(req);
+    const headers = withoutHopHeaders(flatten(reply.headers));
+    push.event({kind: 'head', head: {status: reply.statusCode, headers}});
+    for await (const data of reply.body) push.event({kind: 'data', data});
+    push.event({kind: 'done'});
+    push.end();
+  };
+
+  const readReport = async (
+    connection: HttpConnection,
+  ): Promise<ServiceReport> => {
+    const reply = await connection.request({method: 'GET', path: reportPath});
+    return reportSchema.parse(await reply.body.json());
+  };
+
+  return {
+    call: (runId, head, body) =>
+      pushStream(push => {
+        const connection = connect();
+        toRequest(runId, head, body)
+          .then(req => exchange(push, connection, req))
+          .catch(err => push.error(toOnyxError(err, connection, place)));
+        return () => connection.close();
+      }),
+    report: () =>
+      new Promise(resolve => {
+        const connection = connect();
+        const settle = (outcome: Either<OnyxError, ServiceReport>) => {
+          cancel();
+          connection.close();
+          resolve(outcome);
+        };
+        const cancel = clock.after(reportTimeoutMs, () => {
+          const message = `service ${url} sent no report`;
+          const details = {code: 'timeout', step: 'run', peer: url} as const;
+          settle(Left(new OnyxError({...details, message, ran: 'unknown'})));
+        });
+        readReport(connection)
+          .then(report => settle(Right(report)))
+          .catch(err => settle(Left(toOnyxError(err, connection, place))));
+      }),
+  };
+}
+
+async function toRequest(
+  runId: string,
+  head: CallHead,
+  body: AsyncIterable<Uint8Array>,
+): Promise<Dispatcher.RequestOptions> {
+  const headers = withoutHopHeaders(head.headers)
+    .filter(({name}) => name.toLowerCase() !== RUN_ID_HEADER)
+    .flatMap(({name, value}) => [name, value]);
+  return {
+    method: head.method as Dispatcher.HttpMethod,
+    path: head.path,
+    headers: [...headers, RUN_ID_HEADER, runId],
+    body: await bodyOrNull(body),
+  };
+}
+
+/** Null for an empty body: a GET with a chunked one is refused by many. */
+async function bodyOrNull(
+  body: AsyncIterable<Uint8Array>,
+): Promise<Readable | null> {
+  const pieces = body[Symbol.asyncIterator]();
+  let first = await pieces.next();
+  while (!first.done && first.value.length === 0) first = await pieces.next();
+  if (first.done) return null;
+  return Readable.from(joined(first.value, pieces));
+}
+
+async function* joined(
+  first: Uint8Array,
+  rest: AsyncIterator<Uint8Array>,
+): AsyncIterable<Uint8Array> {
+  try {
+    yield first;
+    for (;;) {
+      const next = await rest.next();
+      if (next.done) return;
+      yield next.value;
+    }
+  } finally {
+    await rest.return?.();
+  }
+}
+
+function flatten(headers: {
+  readonly [name: string]: string | string[] | undefined;
+}): readonly Header[] {
+  return Object.entries(headers).flatMap(([name, value]) => {
+    const values = Array.isArray(value) ? value : [value ?? ''];
+    return values.map(one => ({name, value: one}));
+  });
+}
