--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -90,4 +90,5 @@
     weightStore === undefined ? undefined : loadFrom(weightStore, weightBytes),
 });
 
-serve(args['listen'] ?? '127.0.0.1:0', createEngineRoutes({model, clock}));
+const routes = createEngineRoutes({model, clock, speed});
+serve(args['listen'] ?? '127.0.0.1:0', routes);
--- a/standins/engine_connections.ts
+++ b/standins/engine_connections.ts
@@ -12,7 +12,6 @@
   /** Sends an event as a line; the last one ends the answer. */
   readonly listener: RunListener;
   isMuted(): boolean;
-  isOpen(): boolean;
 }
 
 export interface EngineConnections {
@@ -40,11 +39,10 @@
   const beatLine = eventToLine({kind: 'beat'});
 
   const beat = () => {
-    model.whenAwake(() => {
-      for (const {res, muted} of all) {
-        if (!muted && !res.writableEnded) res.write(beatLine);
-      }
-    });
+    if (model.isFrozen()) return;
+    for (const {res, muted} of all) {
+      if (!muted && !res.writableEnded) res.write(beatLine);
+    }
   };
 
   const add = (entry: Open) => {
@@ -76,7 +74,6 @@
           if (event.kind === 'done' || event.kind === 'failed') res.end();
         },
         isMuted: () => entry.muted,
-        isOpen: () => !res.destroyed && !res.writableEnded,
       };
     },
     silence: () => {
--- a/standins/engine_routes.ts
+++ b/standins/engine_routes.ts
@@ -47,6 +47,8 @@
   readonly clock: Clock;
   /** @default 500 */
   readonly beatMs?: number;
+  /** How many times as fast the model's clock runs. @default 1 */
+  readonly speed?: number;
 }
 
 /** Makes the handler of all requests to one engine. */
@@ -54,8 +56,12 @@
   const {model} = options;
   const beatMs = options.beatMs ?? 500;
   const connections = createEngineConnections(model, options.clock, beatMs);
+  const speed = options.speed ?? 1;
+  const pending = new Set<ServerResponse>();
   let faults: Faults = {};
-  model.onDeath(() => connections.breakAll());
+  model.onDeath(() => {
+    for (const res of [...pending]) res.destroy();
+  });
 
   /** Reads the prompt to its end; undefined when it broke off. */
   const readPrompt = async (
@@ -101,7 +107,7 @@
   };
 
   const resume = (res: ServerResponse, runId: string, from: number) => {
-    if (!model.list().some(run => run.runId === runId)) {
+    if (!model.has(runId)) {
       sendMissing(res, runId);
       return;
     }
@@ -167,7 +173,8 @@
     } else if (route === `GET ${RUNS}`) {
       sendJson(res, 200, {runs: model.list()});
     } else if (route === 'GET /v1/report') {
-      sendJson(res, 200, model.report());
+      const report = model.report();
+      sendJson(res, 200, {...report, ageMs: report.ageMs / speed});
     } else if (route === 'GET /v1/cache/events') {
       const after = Number(url.searchParams.get('after') ?? 0);
       sendJson(res, 200, {events: model.cacheEvents(after)});
@@ -211,8 +218,12 @@
       req.socket.destroy();
       return;
     }
+    pending.add(res);
+    res.on('close', () => pending.delete(res));
     if (faults.silent) return;
     await whenAwake();
+    // The caller left during a freeze; its unread prompt is gone with it.
+    if (res.destroyed) return;
     await handle(req, res, url);
   };
 }
