fix(platform): name the fields of log events as the other services do

The lease's events named the store key "lease" and the cause "reason", and the claim's named the request "request"; a reader who searches by requestId or key would have missed them.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -149,9 +149,9 @@
   const refuse = (message: ClaimsMessage, key: string): Outcome => {
     if (unresolved.get(key) !== undefined) {
       log(PLATFORM_EVENTS.claimUnknown, {
-        request: message.requestId,
+        requestId: message.requestId,
         organisation: message.organisation,
-        claim: key,
+        key,
       });
     }
     return Left(
@@ -172,8 +172,8 @@
   const noteWon = (key: string, message: ClaimsMessage) => {
     const before = won.get(key) ?? message.requestId;
     ctx.invariant(before === message.requestId, 'claimed-once', {
-      claim: key,
-      request: message.requestId,
+      key,
+      requestId: message.requestId,
       before,
     });
     won.set(key, message.requestId);
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -122,12 +122,12 @@
     highestFence = Math.max(highestFence, record.fence);
   };
 
-  const lose = (reason: string) => {
+  const lose = (why: string) => {
     if (held === undefined) return;
     log(PLATFORM_EVENTS.leaseLost, {
-      lease: key,
+      key,
       fence: held.record.fence,
-      reason,
+      why,
     });
     held = undefined;
     options.onChange?.(false);
@@ -136,7 +136,7 @@
   const hold = (version: number, record: LeaseRecord, provenAt: number) => {
     pending = undefined;
     runtime.invariant(record.fence >= highestFence, 'fence-grows', {
-      lease: key,
+      key,
       fence: record.fence,
       highestFence,
     });
@@ -144,7 +144,7 @@
     const isNew = held === undefined;
     held = {version, record, provenAt};
     if (!isNew) return;
-    log(PLATFORM_EVENTS.leaseTaken, {lease: key, fence: record.fence});
+    log(PLATFORM_EVENTS.leaseTaken, {key, fence: record.fence});
     options.onChange?.(true);
   };
 
@@ -261,7 +261,7 @@
     const ok = held === undefined ? await tryTake() : await renew(held);
     if (!ok && held !== undefined) {
       log(PLATFORM_EVENTS.leaseNotRenewed, {
-        lease: key,
+        key,
         fence: held.record.fence,
         valid: valid(),
       });
