--- a/src/wire/peer_client.ts
+++ b/src/wire/peer_client.ts
@@ -11,12 +11,12 @@
 } from '@grpc/grpc-js';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {OnyxError} from '../types/errors.js';
-import type {Step} from '../types/errors.js';
+import type {OnyxError} from '../types/errors.js';
 import type {Address} from '../types/ids.js';
 import type {PeerMethod, RunDown, RunUp} from '../types/peer_messages.js';
 import type {Clock} from '../types/runtime.js';
 import type {RunChannel} from '../types/transport.js';
+import {failedAtPeer, notSent, outcomeUnknown} from './call_errors.js';
 import {RUN_CODEC} from './codec.js';
 import type {MethodCodec} from './codec.js';
 import {TLS_SERVER_NAME, clientCredentials} from './credentials.js';
@@ -35,6 +35,9 @@
 /** Time for a closed run's last frames before its stream is cut. */
 const CLOSE_GRACE_MS = 1_000;
 
+const NO_CONNECTION = 'no connection in time';
+const NO_ANSWER = 'no answer in time';
+
 const CHANNEL_OPTIONS: ChannelOptions = {
   // Each client has connections of its own, so that a new client is a new
   // connection and control traffic never waits behind a prompt.
@@ -55,17 +58,6 @@
   'grpc.default_authority': TLS_SERVER_NAME,
 };
 
-const STEPS: Readonly<Record<PeerMethod, Step>> = {
-  offer: 'offer',
-  abandon: 'abandon',
-  locate: 'locate',
-  sideHeartbeat: 'heartbeat',
-  entryHeartbeat: 'heartbeat',
-  fetchConfig: 'config',
-  grant: 'limit',
-  order: 'order',
-};
-
 export interface PeerClientOptions {
   readonly peer: Address;
   readonly clock: Clock;
@@ -111,21 +103,13 @@
 
 function toError(failure: CallFailure): OnyxError {
   const {peer, method, sent, timedOut, err} = failure;
-  const step = STEPS[method];
   if (ANSWERED_STATUSES.has(err.code)) {
-    const message = `${method} failed at ${peer}: ${err.details}`;
-    return new OnyxError({code: 'internal', step, peer, message});
+    return failedAtPeer(method, peer, err.details);
   }
   if (!sent) {
-    const cause = timedOut ? 'no connection in time' : err.details;
-    const message = `${method} was not sent to ${peer}: ${cause}`;
-    return new OnyxError({code: 'peer-unreachable', step, peer, message});
+    return notSent(method, peer, timedOut ? NO_CONNECTION : err.details);
   }
-  // A connection lost after sending says no more than a timeout does: the
-  // peer may have done what was asked.
-  const cause = timedOut ? 'no answer in time' : err.details;
-  const message = `${method} to ${peer} has an unknown outcome: ${cause}`;
-  return new OnyxError({code: 'timeout', step, peer, message});
+  return outcomeUnknown(method, peer, timedOut ? NO_ANSWER : err.details);
 }
 
 export function createPeerClient(options: PeerClientOptions): PeerClient {
--- a/test/virtual_clock.test.ts
+++ b/test/virtual_clock.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {createPausableClock} from '../standins/pausable_clock.js';
 import {createVirtualClock} from './support/virtual_clock.js';
 
 describe('virtual clock', () => {
@@ -56,3 +57,26 @@
     expect(times).toEqual([50]);
   });
 });
+
+describe('pausable clock', () => {
+  it('holds the timers of a paused process and drops those of a dead one', async () => {
+    const shared = createVirtualClock();
+    const clock = createPausableClock(shared);
+    const fired: string[] = [];
+    const note = (name: string) => () => fired.push(`${name} ${clock.now()}`);
+    clock.after(10, note('once'));
+    const cancel = clock.after(10, note('cancelled'));
+    clock.every(10, note('period'));
+    clock.pause();
+    await shared.runFor(35);
+    expect(fired).toEqual([]);
+    cancel();
+    clock.resume();
+    expect(fired).toEqual(['once 35', 'period 35']);
+    await shared.runFor(10);
+    expect(fired).toEqual(['once 35', 'period 35', 'period 40']);
+    clock.stop();
+    await shared.runFor(100);
+    expect(fired).toHaveLength(3);
+  });
+});
