--- a/src/membership/subset.ts
+++ b/src/membership/subset.ts
@@ -6,7 +6,7 @@
  */
 import type {Address, FailureDomain, NodeId} from '../types/ids.js';
 import type {HostInfo} from '../types/platform.js';
-import {rendezvousOrder} from '../utils/rendezvous.js';
+import {rendezvousNames} from '../utils/rendezvous.js';
 
 /** Share of a pool's places for the own failure domain. */
 const OWN_DOMAIN_SHARE = 0.5;
@@ -43,7 +43,7 @@
   const ordered = new Map(
     [...domains].map(([domain, members]) => [
       domain,
-      rendezvousOrder(
+      rendezvousNames(
         options.node,
         members.map(host => host.address),
       ),
@@ -82,7 +82,7 @@
   const rest = hosts
     .map(host => host.address)
     .filter(address => !taken.has(address));
-  const more = rendezvousOrder(options.node, rest);
+  const more = rendezvousNames(options.node, rest);
   return [...chosen, ...more.slice(0, places - chosen.length)];
 }
 
--- a/src/policy/predicted_first_token.ts
+++ b/src/policy/predicted_first_token.ts
@@ -4,7 +4,7 @@
  * there. Old load reports count for less, so that entries which all saw the
  * same old report do not all choose the same side.
  */
-import {rendezvousOrder} from '../utils/rendezvous.js';
+import {rendezvousNames} from '../utils/rendezvous.js';
 import type {
   RankedTarget,
   RoutingInput,
@@ -129,7 +129,7 @@
   );
   const mean = meanOf(input.targets.map(workOf));
   const most = (mean + input.request.promptTokens) * factorOf(input);
-  return rendezvousOrder(leading, [...byAddress.keys()]).find(address => {
+  return rendezvousNames(leading, [...byAddress.keys()]).find(address => {
     const target = byAddress.get(address);
     return (
       target !== undefined &&
