test(entry): see each safeguard of the HTTP fronts red and green

The first test of a missing chunk stayed green without either check, as each stood in for the other; it is now two tests. A test of the lingering close stayed green too: Node reads a refused body on by itself, so what the safeguard adds is the end of it, and the test now shows that.

--- a/src/entry/http_errors.ts
+++ b/src/entry/http_errors.ts
@@ -101,9 +101,10 @@
 }
 
 /**
- * A connection closed with unread bytes in it is reset, and the reset can
- * overtake the error: the caller would see a broken connection rather than the
- * reason. So what still comes is read and dropped for a while first.
+ * A refused body may still be on its way. Closing at once would reset the
+ * connection, and the reset can overtake the error; reading on for good would
+ * let a refused caller hold the connection. So the rest is read and dropped
+ * for a short while, which is enough for the error to be read.
  */
 export function lingerAfter(
   req: IncomingMessage,
--- a/test/http_bad_input.test.ts
+++ b/test/http_bad_input.test.ts
@@ -22,13 +22,13 @@
 afterAll(() => bench.kernel.stop());
 
 /** Writes bytes and gives all that comes back until the end. */
-function raw(text: string): Promise<string> {
+function raw(text: string, stay = false): Promise<string> {
   return new Promise((resolve, reject) => {
     let got = '';
     const socket = connect(bench.port, '127.0.0.1', () => socket.write(text));
     socket.on('data', data => {
       got += data.toString();
-      if (got.includes('\r\n\r\n{')) socket.end();
+      if (got.includes('\r\n\r\n{') && !stay) socket.end();
     });
     socket.on('close', () => resolve(got));
     socket.on('error', reject);
@@ -127,6 +127,17 @@
     expect(got).toContain('"code":"too-large"');
   });
 
+  test('a refused caller that goes on sending is cut off', async () => {
+    const refusals = () =>
+      bench.logged.filter(({name}) => name === 'request-refused').length;
+    const before = refusals();
+    const got = raw(`${POST}Content-Length: 50\r\n\r\n{`, true);
+    await expect.poll(refusals).toBe(before + 1);
+    await post(GOOD);
+    bench.clock.advance(1_001);
+    expect(await got).toContain('HTTP/1.1 401');
+  });
+
   test('with Expect: 100-continue the body is not even asked for', async () => {
     const got = await raw(
       `${POST}${AUTH}Expect: 100-continue\r\nContent-Length: 100001\r\n\r\n`,
--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -167,28 +167,37 @@
    * lost on its way to the front; the one after it arrives; the front ends the
    * answer with an error and cancels the run rather than go on.
    */
-  test('a missing chunk ends the stream with an error', async () => {
-    await open({
-      submit: (spec, listener) => {
-        const data = new TextEncoder().encode('x');
-        const chunk = {kind: 'chunk', data, tokens: 1} as const;
-        listener({...chunk, seq: 0, callHead: undefined});
-        listener({...chunk, seq: 2, callHead: undefined});
-        listener({
-          kind: 'end',
-          count: 3,
-          tokens: 3,
-          finishReason: 'stop',
-          cachedTokens: 0,
-        });
-        void spec;
-      },
-    });
-    const text = await (await complete({prompt: 'x', stream: true})).text();
-    expect(text).toContain('"code":"answer-incomplete"');
-    expect(text).not.toContain('[DONE]');
-    await bench.until('cancel');
-  });
+  test.each([
+    ['between two others', [0, 2], 2],
+    ['at the end', [0], 2],
+  ])(
+    'a chunk missing %s ends the stream with an error',
+    async (_, seqs, count) => {
+      await open({
+        submit: (_spec, listener) => {
+          const data = new TextEncoder().encode('x');
+          const chunk = {
+            kind: 'chunk',
+            data,
+            tokens: 1,
+            callHead: undefined,
+          } as const;
+          for (const seq of seqs) listener({...chunk, seq});
+          listener({
+            kind: 'end',
+            count,
+            tokens: count,
+            finishReason: 'stop',
+            cachedTokens: 0,
+          });
+        },
+      });
+      const text = await (await complete({prompt: 'x', stream: true})).text();
+      expect(text).toContain('"code":"answer-incomplete"');
+      expect(text).not.toContain('[DONE]');
+      await bench.until('cancel');
+    },
+  );
 
   /*
    * The caller waits for an answer that the owner of the request has lost. Its
