fix(entry): follow the membership across a restart of its service

The fronts subscribed once. A membership that failed and was restarted has lost its subscribers, so readiness stayed as it was for good. They now subscribe again every five seconds; the same listener is kept once only. The configuration keeps its subscribers across a restart and needs no such thing.

The front's gauge of open exchanges had the name of the gauge of open requests and the two wrote over each other; it is onyxloft_open_callers now.

--- a/src/entry/http_callers.ts
+++ b/src/entry/http_callers.ts
@@ -16,6 +16,7 @@
 import {createCallersState} from './callers_state.js';
 import {submitCall, submitCompletion} from './callers_submit.js';
 import {asOnyxError, badRequest} from './faults.js';
+import {followMembership} from './follow_membership.js';
 import {createFirstTokenMetrics} from './first_token_metrics.js';
 import {createBodyReader} from './http_body.js';
 import {sendJson} from './http_errors.js';
@@ -138,11 +139,11 @@
     ctx.clock.every(LOOP_DELAY_PERIOD_MS, () => {
       const delayMs = options.loopDelayMs();
       ctx.metrics.gauge('onyxloft_event_loop_delay_ms', {}, delayMs);
-      ctx.metrics.gauge('onyxloft_open_requests', {}, state.open());
+      ctx.metrics.gauge('onyxloft_open_callers', {}, state.open());
     }),
   );
   ctx.send('config', {kind: 'subscribe', listener: state.takeConfig});
-  ctx.send('membership', {kind: 'subscribe', listener: state.takeView});
+  followMembership(ctx, state.takeView);
   void ctx.mailbox.observe(message => {
     if (message.kind === 'drain') {
       state.drain(message.reply);
--- a/src/entry/operator_handlers.ts
+++ b/src/entry/operator_handlers.ts
@@ -22,6 +22,7 @@
   PlacementStatus,
   RoutingDecision,
 } from '../types/services.js';
+import {followMembership} from './follow_membership.js';
 import type {CallersStatus} from './http_callers.js';
 
 /** A handler left out answers `not-found`. */
@@ -64,11 +65,8 @@
 ): OperatorHandlers {
   let view: MembershipView = {replicas: [], allSides: [], entries: []};
   let configNumber: ConfigNumber = 0;
-  ctx.send('membership', {
-    kind: 'subscribe',
-    listener: taken => {
-      view = taken;
-    },
+  followMembership(ctx, taken => {
+    view = taken;
   });
   ctx.send('config', {
     kind: 'subscribe',
--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -329,6 +329,21 @@
     expect((await call('GET', '/healthz')).status).toBe(200);
   });
 
+  /*
+   * The membership service fails and is restarted, and no longer knows whom to
+   * tell. The last replica goes; the balancer must hear that this entry is of
+   * no use, rather than send callers to it for good.
+   */
+  test('readiness follows a membership that was restarted', async () => {
+    await open();
+    bench.forgetSubscribers();
+    bench.clock.advance(5_000);
+    // An answered call: by now the subscription has been delivered.
+    expect((await call('GET', '/readyz')).status).toBe(200);
+    bench.setView(viewOf('gone'));
+    expect((await call('GET', '/readyz')).status).toBe(503);
+  });
+
   test('an older configuration does not come back into force', async () => {
     await open({submit: answers('x')});
     bench.setConfig(declarations({}, 8));
--- a/test/support/front_bench.ts
+++ b/test/support/front_bench.ts
@@ -65,6 +65,8 @@
   ): Promise<Response>;
   setConfig(config: NumberedDeclarations): void;
   setView(view: MembershipView): void;
+  /** As when the membership service fails and is restarted. */
+  forgetSubscribers(): void;
   /** Resolves when `requests` has received such a message. */
   until(kind: RequestsMessage['kind']): Promise<RequestsMessage>;
 }
@@ -164,7 +166,7 @@
   const received: RequestsMessage[] = [];
   const waiting = new Map<string, (message: RequestsMessage) => void>();
   let setConfig: FrontBench['setConfig'] = () => undefined;
-  let setView: FrontBench['setView'] = () => undefined;
+  const viewListeners = new Set<FrontBench['setView']>();
 
   await kernel.start({
     name: 'requests',
@@ -188,7 +190,7 @@
     name: 'membership',
     start: ctx => {
       void ctx.mailbox.observe(message => {
-        if (message.kind === 'subscribe') setView = message.listener;
+        if (message.kind === 'subscribe') viewListeners.add(message.listener);
       });
     },
   });
@@ -207,6 +209,9 @@
     (reply: (status: CallersStatus) => void) => ({kind: 'status', reply}),
   );
   setConfig(declarations());
+  const setView: FrontBench['setView'] = view => {
+    for (const listener of viewListeners) listener(view);
+  };
   setView(viewOf('live'));
   return {
     url: `http://${address}`,
@@ -223,7 +228,8 @@
         ...(body === undefined ? {} : {body: body as string}),
       }),
     setConfig: config => setConfig(config),
-    setView: view => setView(view),
+    setView,
+    forgetSubscribers: () => viewListeners.clear(),
     until: kind => {
       const found = received.find(message => message.kind === kind);
       if (found !== undefined) return Promise.resolve(found);
