--- /dev/null
+++ b/src/placement/plan_roles.ts
@@ -0,0 +1,188 @@
+/**
+ * Sets engines aside for short or for long prompts by the mix of what waits.
+ * A change of role empties caches and queues, so it is damped three times: the
+ * mix is averaged over time, a change needs more than a rounding's difference,
+ * and an engine keeps its role for a dwell time.
+ */
+import type {PolicyWeights} from '../types/config.js';
+import type {PoolId} from '../types/ids.js';
+import type {EngineRole} from '../types/peer_messages.js';
+import type {EngineView} from './engine_view.js';
+import {plannedOrder} from './plan_types.js';
+import type {
+  PlannedOrder,
+  PlannerLimits,
+  PoolMix,
+  RoleMemory,
+} from './plan_types.js';
+
+/** Pools smaller than this keep all engines mixed. */
+const MIN_ENGINES = 3;
+/** Below this share of either kind, none is set aside for the other. */
+const MIN_SHARE = 0.05;
+
+export interface RolePlanInput {
+  readonly now: number;
+  readonly engines: readonly EngineView[];
+  readonly policy: PolicyWeights;
+  readonly limits: PlannerLimits;
+  readonly memory: RoleMemory;
+}
+
+export interface RolePlan {
+  readonly orders: readonly PlannedOrder[];
+  readonly memory: RoleMemory;
+}
+
+/** Starts without knowledge of earlier changes. */
+export function createRoleMemory(now: number): RoleMemory {
+  return {mixes: new Map(), changedAt: new Map(), startedAt: now};
+}
+
+/** One change of role at most for each pool. */
+export function planRoles(input: RolePlanInput): RolePlan {
+  const mixes = new Map<PoolId, PoolMix>();
+  const changedAt = new Map(input.memory.changedAt);
+  const orders: PlannedOrder[] = [];
+  for (const [pool, engines] of byPool(input.engines)) {
+    const mix = nextMix(input, engines, input.memory.mixes.get(pool));
+    const order = nextChange(input, pool, engines, mix);
+    if (order !== undefined) {
+      orders.push(order);
+      changedAt.set(order.address, input.now);
+    }
+    const lastChangeAt = order === undefined ? mix.lastChangeAt : input.now;
+    mixes.set(pool, {...mix, lastChangeAt});
+  }
+  const {startedAt} = input.memory;
+  return {orders, memory: {mixes, changedAt, startedAt}};
+}
+
+function byPool(
+  engines: readonly EngineView[],
+): ReadonlyMap<PoolId, readonly EngineView[]> {
+  const pools = new Map<PoolId, EngineView[]>();
+  for (const engine of engines) {
+    // Without a model an engine serves neither kind, and shows no role.
+    if (engine.versions.size === 0) continue;
+    pools.set(engine.pool, [...(pools.get(engine.pool) ?? []), engine]);
+  }
+  return pools;
+}
+
+function nextMix(
+  {now, limits, memory}: RolePlanInput,
+  engines: readonly EngineView[],
+  before: PoolMix | undefined,
+): PoolMix {
+  const total = sum(engines, load => load.prefillBacklogTokens);
+  const short = sum(engines, load => load.shortBacklogTokens);
+  const backlogTokens = total / engines.length;
+  const isIdle = total === 0;
+  const longShare = isIdle
+    ? (before?.longShare ?? 0)
+    : Math.max(0, total - short) / total;
+  if (before === undefined) {
+    const lastChangeAt = memory.startedAt;
+    return {longShare, backlogTokens, updatedAt: now, lastChangeAt};
+  }
+  const weight = 1 - Math.exp(-(now - before.updatedAt) / limits.mixTimeMs);
+  return {
+    longShare: before.longShare + weight * (longShare - before.longShare),
+    backlogTokens:
+      before.backlogTokens + weight * (backlogTokens - before.backlogTokens),
+    updatedAt: now,
+    lastChangeAt: before.lastChangeAt,
+  };
+}
+
+function sum(
+  engines: readonly EngineView[],
+  pick: (load: EngineView['load']) => number,
+): number {
+  return engines.reduce((total, {load}) => total + pick(load), 0);
+}
+
+type RoleCounts = Readonly<Record<'long' | 'short', number>>;
+
+/** Wished engines of each role, unrounded. The rest stays mixed. */
+function wishedCounts(
+  {policy, limits}: RolePlanInput,
+  engines: number,
+  mix: PoolMix,
+): RoleCounts {
+  const isQuiet = mix.backlogTokens < limits.minBacklogTokens;
+  const isOneKind = mix.longShare < MIN_SHARE || mix.longShare > 1 - MIN_SHARE;
+  if (isQuiet || isOneKind || engines < MIN_ENGINES) return {long: 0, short: 0};
+  const long = engines * Math.min(policy.longShare, mix.longShare);
+  return {long, short: (engines - long) / 2};
+}
+
+function nextChange(
+  input: RolePlanInput,
+  pool: PoolId,
+  engines: readonly EngineView[],
+  mix: PoolMix,
+): PlannedOrder | undefined {
+  const {now, limits, memory} = input;
+  if (now - mix.lastChangeAt < limits.roleIntervalMs) return undefined;
+  const wished = wishedCounts(input, engines.length, mix);
+  const have: RoleCounts = {
+    long: engines.filter(({role}) => role === 'long').length,
+    short: engines.filter(({role}) => role === 'short').length,
+  };
+  const change = pickChange(wished, have, limits.roleHysteresis);
+  if (change === undefined) return undefined;
+  const dwelt = engines.filter(
+    ({address, busy}) =>
+      !busy &&
+      now - (memory.changedAt.get(address) ?? memory.startedAt) >=
+        limits.roleDwellMs,
+  );
+  const [engine] = dwelt
+    .filter(({role}) => role === change.from)
+    .sort(byBacklog);
+  if (engine === undefined) return undefined;
+  return plannedOrder({
+    action: 'set-role',
+    address: engine.address,
+    role: change.to,
+    reason: `${change.from} to ${change.to}: ${have.long} long and ${have.short} short engines, ${wished.long.toFixed(1)} and ${wished.short.toFixed(1)} wished`,
+    figures: {
+      pool,
+      role: change.to,
+      longShare: Number(mix.longShare.toFixed(3)),
+      backlogTokens: Math.round(mix.backlogTokens),
+      engines: engines.length,
+      candidates: dwelt.length,
+    },
+  });
+}
+
+interface RoleChange {
+  readonly from: EngineRole;
+  readonly to: EngineRole;
+}
+
+function pickChange(
+  wished: RoleCounts,
+  have: RoleCounts,
+  hysteresis: number,
+): RoleChange | undefined {
+  for (const role of ['long', 'short'] as const) {
+    if (have[role] - wished[role] > hysteresis)
+      return {from: role, to: 'mixed'};
+  }
+  for (const role of ['long', 'short'] as const) {
+    if (wished[role] - have[role] > hysteresis)
+      return {from: 'mixed', to: role};
+  }
+  return undefined;
+}
+
+/** Least waiting work first; then by address, the same for any placer. */
+function byBacklog(a: EngineView, b: EngineView): number {
+  const difference = a.load.prefillBacklogTokens - b.load.prefillBacklogTokens;
+  if (difference !== 0) return difference;
+  return a.address < b.address ? -1 : 1;
+}
--- /dev/null
+++ b/src/placement/plan_versions.ts
@@ -0,0 +1,239 @@
+/**
+ * Which engines load and unload which versions. A new version is loaded beside
+ * the old one, engine by engine; the old one goes from an engine when the new
+ * one is ready there and the old one is still ready elsewhere, and its last
+ * replica only when the wish is met by the new one.
+ */
+import type {Model, PlacementWish} from '../types/config.js';
+import type {FailureDomain} from '../types/ids.js';
+import {stateOf, versionsIn} from './engine_view.js';
+import type {EngineView} from './engine_view.js';
+import type {LoadBudget} from './load_budget.js';
+import {plannedOrder} from './plan_types.js';
+import type {PlannedOrder, UnmetWish} from './plan_types.js';
+
+/** A model that a pool should serve. */
+export interface WishedModel {
+  readonly wish: PlacementWish;
+  readonly model: Model;
+  /** Engines of the pool that may be counted on. */
+  readonly engines: readonly EngineView[];
+}
+
+/** Loads for one wish, within the budget that all wishes share. */
+export function planLoads(
+  wished: WishedModel,
+  budget: LoadBudget,
+): readonly PlannedOrder[] {
+  const chosen: EngineView[] = [];
+  const orders: PlannedOrder[] = [];
+  for (;;) {
+    const next = nextToLoad(wished, chosen);
+    if (next === undefined || !budget.take(wished.model)) return orders;
+    chosen.push(next.engine);
+    orders.push(loadOrder(wished, next, budget));
+  }
+}
+
+interface NextLoad {
+  readonly engine: EngineView;
+  readonly reason: string;
+  readonly candidates: number;
+}
+
+function nextToLoad(
+  wished: WishedModel,
+  chosen: readonly EngineView[],
+): NextLoad | undefined {
+  const {engines, model} = wished;
+  const holding = engines.filter(
+    engine => holds(engine, model) || chosen.includes(engine),
+  );
+  const candidates = engines.filter(
+    engine => !holding.includes(engine) && !engine.busy,
+  );
+  const short = shortDomains(wished, holding);
+  const inShort = candidates.filter(({failureDomain}) =>
+    short.has(failureDomain),
+  );
+  const isUnder = holding.length < targetCount(wished);
+  const pool = inShort.length > 0 ? inShort : isUnder ? candidates : [];
+  const [engine] = [...pool].sort(byPreference(wished, holding));
+  if (engine === undefined) return undefined;
+  const reason = reasonToLoad(wished, engine, inShort.length > 0);
+  return {engine, reason, candidates: pool.length};
+}
+
+function holds(engine: EngineView, model: Model): boolean {
+  return stateOf(engine, model.id, model.version) !== 'absent';
+}
+
+/** Engines that should hold the version: a roll keeps the capacity there was. */
+function targetCount({wish, model, engines}: WishedModel): number {
+  const serving = engines.filter(
+    engine =>
+      holds(engine, model) || versionsIn(engine, model.id, 'ready').length > 0,
+  );
+  return Math.min(engines.length, Math.max(wish.minReplicas, serving.length));
+}
+
+/** Failure domains with fewer engines in `holding` than wished. */
+function shortDomains(
+  {wish, engines}: WishedModel,
+  holding: readonly EngineView[],
+): ReadonlySet<FailureDomain> {
+  const all = countDomains(engines);
+  const held = countDomains(holding);
+  return new Set(
+    [...all]
+      .filter(([domain, count]) => {
+        const wanted = Math.min(count, wish.minPerFailureDomain);
+        return (held.get(domain) ?? 0) < wanted;
+      })
+      .map(([domain]) => domain),
+  );
+}
+
+function countDomains(
+  engines: readonly EngineView[],
+): ReadonlyMap<FailureDomain, number> {
+  const counts = new Map<FailureDomain, number>();
+  for (const {failureDomain} of engines) {
+    counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/**
+ * Best first: engines with an old version (a roll stays in place and does not
+ * spread over the pool), but the only ready one last; then the failure domain
+ * with the fewest; then the least backlog.
+ */
+function byPreference(wished: WishedModel, holding: readonly EngineView[]) {
+  const {model, engines} = wished;
+  const serving = engines.filter(
+    engine => versionsIn(engine, model.id, 'ready').length > 0,
+  );
+  const held = countDomains(holding);
+  const rank = (engine: EngineView): readonly number[] => {
+    const isServing = serving.includes(engine);
+    const isOnly = isServing && serving.length === 1;
+    return [
+      isOnly ? 2 : isServing ? 0 : 1,
+      held.get(engine.failureDomain) ?? 0,
+      engine.load.prefillBacklogTokens,
+    ];
+  };
+  return (a: EngineView, b: EngineView) => {
+    const [ranksA, ranksB] = [rank(a), rank(b)];
+    const at = ranksA.findIndex((value, n) => value !== ranksB[n]);
+    if (at === -1) return a.address < b.address ? -1 : 1;
+    return (ranksA[at] ?? 0) - (ranksB[at] ?? 0);
+  };
+}
+
+function reasonToLoad(
+  {model}: WishedModel,
+  engine: EngineView,
+  isDomainShort: boolean,
+): string {
+  if (isDomainShort) return `failure domain ${engine.failureDomain} is short`;
+  const old = versionsIn(engine, model.id, 'ready');
+  return old.length > 0 ? `rolls from ${old.join(', ')}` : 'too few replicas';
+}
+
+function loadOrder(
+  wished: WishedModel,
+  {engine, reason, candidates}: NextLoad,
+  budget: LoadBudget,
+): PlannedOrder {
+  const {wish, model, engines} = wished;
+  return plannedOrder({
+    action: 'load',
+    address: engine.address,
+    model: model.id,
+    version: model.version,
+    reason,
+    figures: {
+      pool: wish.pool,
+      ready: countIn(engines, model, 'ready'),
+      loading: countIn(engines, model, 'loading'),
+      target: targetCount(wished),
+      candidates,
+      loadsAtOnce: budget.inFlight(),
+      loadsAllowed: budget.allowed(model),
+    },
+  });
+}
+
+function countIn(
+  engines: readonly EngineView[],
+  model: Model,
+  state: 'ready' | 'loading',
+): number {
+  return engines.filter(
+    engine => stateOf(engine, model.id, model.version) === state,
+  ).length;
+}
+
+/** One unload of an old version at most; the next when it was read back. */
+export function planUnload(wished: WishedModel): readonly PlannedOrder[] {
+  const {engines, model} = wished;
+  const ready = engines.filter(
+    engine => stateOf(engine, model.id, model.version) === 'ready',
+  );
+  // Only engines that no older placer can still change may be relied on.
+  const sure = engines.filter(({isFenced}) => isFenced);
+  const readyAndSure = ready.filter(({isFenced}) => isFenced);
+  const isMet =
+    readyAndSure.length >= targetCount(wished) &&
+    shortDomains(wished, readyAndSure).size === 0;
+  for (const engine of ready.filter(({busy}) => !busy)) {
+    for (const version of versionsIn(engine, model.id, 'ready')) {
+      if (version === model.version) continue;
+      const left = sure.filter(
+        other =>
+          other !== engine && stateOf(other, model.id, version) === 'ready',
+      ).length;
+      // The last ready replica of a version in use: without it, callers would
+      // depend on a new version that has not proved itself where it is wished.
+      if (left === 0 && !isMet) continue;
+      return [
+        unloadOrder(wished, engine, version, {left, ready: ready.length}),
+      ];
+    }
+  }
+  return [];
+}
+
+function unloadOrder(
+  {wish, model}: WishedModel,
+  engine: EngineView,
+  version: string,
+  figures: {readonly left: number; readonly ready: number},
+): PlannedOrder {
+  return plannedOrder({
+    action: 'unload',
+    address: engine.address,
+    model: model.id,
+    version,
+    reason: `version ${model.version} is ready here; ${figures.left} replicas of ${version} are left`,
+    figures: {pool: wish.pool, ...figures},
+  });
+}
+
+/** The wish when fewer are ready than it asks for. */
+export function unmetWish(wished: WishedModel): readonly UnmetWish[] {
+  const {wish, model, engines} = wished;
+  const ready = countIn(engines, model, 'ready');
+  if (ready >= wish.minReplicas) return [];
+  return [
+    {
+      pool: wish.pool,
+      model: model.id,
+      wanted: wish.minReplicas,
+      ready,
+      engines: engines.length,
+    },
+  ];
+}
--- /dev/null
+++ b/src/placement/planner.ts
@@ -0,0 +1,122 @@
+/**
+ * The planner: from the declarations, the engines' reports and the time to the
+ * orders that come next. It has no state of its own and does nothing itself,
+ * so that a placement decision can be replayed from its figures.
+ */
+import type {Declarations, Model} from '../types/config.js';
+import {adaptersOf, stateOf, versionsIn, viewEngines} from './engine_view.js';
+import type {EngineView} from './engine_view.js';
+import {createLoadBudget} from './load_budget.js';
+import {planRoles} from './plan_roles.js';
+import {plannedOrder} from './plan_types.js';
+import type {Plan, PlanInput, PlannedOrder} from './plan_types.js';
+import {planLoads, planUnload, unmetWish} from './plan_versions.js';
+import type {WishedModel} from './plan_versions.js';
+
+/** Orders that come next, at most one for each engine. */
+export function planPlacement(input: PlanInput): Plan {
+  const {declarations, limits} = input;
+  const engines = viewEngines(input);
+  const wishes = wishedModels(declarations, engines);
+  const budget = createLoadBudget(engines, input.weightStore, limits);
+  const orders = firstForEach([
+    ...wishes.flatMap(wished => planLoads(wished, budget)),
+    ...wishes.flatMap(planAdapters),
+    ...wishes.flatMap(planUnload),
+    ...planRemoved(declarations, engines),
+  ]);
+  const roles = planRoles({
+    now: input.now,
+    engines: markBusy(engines, orders),
+    policy: declarations.policy,
+    limits,
+    memory: input.roles,
+  });
+  return {
+    orders: [...orders, ...roles.orders],
+    unmet: wishes.flatMap(unmetWish),
+    roles: roles.memory,
+  };
+}
+
+function markBusy(
+  engines: readonly EngineView[],
+  orders: readonly PlannedOrder[],
+): readonly EngineView[] {
+  const taken = new Set(orders.map(({address}) => address));
+  return engines.map(engine =>
+    taken.has(engine.address) ? {...engine, busy: true} : engine,
+  );
+}
+
+function wishedModels(
+  {placement, models}: Declarations,
+  engines: readonly EngineView[],
+): readonly WishedModel[] {
+  return placement.flatMap(wish => {
+    const model = models.find(({id}) => id === wish.model);
+    if (model === undefined) return [];
+    const pool = engines.filter(engine => engine.pool === wish.pool);
+    return [{wish, model, engines: pool}];
+  });
+}
+
+/** Missing adapters of the wished version, one at a time on each engine. */
+function planAdapters({model, engines}: WishedModel): readonly PlannedOrder[] {
+  return engines
+    .filter(({busy}) => !busy)
+    .filter(engine => stateOf(engine, model.id, model.version) === 'ready')
+    .flatMap(engine => {
+      const ready = adaptersOf(engine, model.id, model.version);
+      const [adapter] = model.adapters.filter(name => !ready.includes(name));
+      if (adapter === undefined) return [];
+      return [
+        plannedOrder({
+          action: 'load-adapter',
+          address: engine.address,
+          model: model.id,
+          version: model.version,
+          adapter,
+          reason: `adapter ${adapter} is declared and not ready here`,
+          figures: {adapter, ready: ready.length},
+        }),
+      ];
+    });
+}
+
+/** Models that are no longer declared, one engine at a time. */
+function planRemoved(
+  {models}: Declarations,
+  engines: readonly EngineView[],
+): readonly PlannedOrder[] {
+  const declared = new Set(models.map(({id}: Model) => id));
+  for (const engine of engines.filter(({busy}) => !busy)) {
+    for (const model of engine.versions.keys()) {
+      const [version] = versionsIn(engine, model, 'ready');
+      if (declared.has(model) || version === undefined) continue;
+      return [
+        plannedOrder({
+          action: 'unload',
+          address: engine.address,
+          model,
+          version,
+          reason: 'the model is no longer declared',
+          figures: {pool: engine.pool},
+        }),
+      ];
+    }
+  }
+  return [];
+}
+
+/** An engine's second order waits until the first was read back. */
+function firstForEach(
+  orders: readonly PlannedOrder[],
+): readonly PlannedOrder[] {
+  const taken = new Set<string>();
+  return orders.filter(({address}) => {
+    if (taken.has(address)) return false;
+    taken.add(address);
+    return true;
+  });
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -109,6 +109,17 @@
   homeChanged: event(608, 'debug', 'config-home-changed'),
 } as const;
 
+export const PLACEMENT_EVENTS = {
+  decided: event(700, 'info', 'placement-decided'),
+  orderAnswered: event(701, 'info', 'placement-order-answered'),
+  readBack: event(702, 'info', 'placement-order-read-back'),
+  notSent: event(703, 'warn', 'placement-order-not-sent'),
+  placerStarted: event(704, 'info', 'placer-started'),
+  placerStopped: event(705, 'warn', 'placer-stopped'),
+  wishUnmet: event(706, 'warn', 'placement-wish-unmet'),
+  wishMet: event(707, 'info', 'placement-wish-met'),
+} as const;
+
 export const PLATFORM_EVENTS = {
   leaseTaken: event(900, 'info', 'lease-taken'),
   leaseLost: event(901, 'warn', 'lease-lost'),
