--- a/src/config/config_home.ts
+++ b/src/config/config_home.ts
@@ -5,21 +5,17 @@
  */
 import type {NodeId} from '../types/ids.js';
 import type {EntryPeer} from '../types/services.js';
-import {hashText} from '../utils/digest.js';
+import {rendezvousFirst} from '../utils/rendezvous.js';
 
-const HOME_NAME = 'config';
+const HOME_KEY = 'config';
 
 /** True when `self` is the home among itself and the live entries. */
 export function isConfigHome(
   self: NodeId,
   entries: readonly Pick<EntryPeer, 'node' | 'state'>[],
 ): boolean {
-  const own = rank(self);
-  return entries.every(
-    ({node, state}) => node === self || state !== 'live' || rank(node) < own,
-  );
-}
-
-function rank(node: NodeId): string {
-  return hashText(`${HOME_NAME} ${node}`).padStart(16, '0');
+  const others = entries
+    .filter(({node, state}) => node !== self && state === 'live')
+    .map(({node}) => ({id: node}));
+  return rendezvousFirst(HOME_KEY, [{id: self}, ...others])?.id === self;
 }
--- a/test/config_spread.test.ts
+++ b/test/config_spread.test.ts
@@ -80,7 +80,7 @@
     cluster.core.setFaults({outage: true});
     const late = await cluster.addNode();
     let spoilt = true;
-    cluster.net.serve(nodes[0].address, {
+    nodes[0].answer({
       entryHeartbeat: req => {
         late.kernel.send('config', {
           kind: 'peer-number',
@@ -114,7 +114,7 @@
     await applyNext(nodes[0], 0);
     await cluster.clock.runFor(3_000);
     const wanted: number[] = [];
-    cluster.net.serve(nodes[0].address, {
+    nodes[0].answer({
       entryHeartbeat: req => Promise.resolve({...req, configNumber: 2}),
       fetchConfig: req => {
         wanted.push(req.wantHashes.length);
--- a/test/support/config_cluster.ts
+++ b/test/support/config_cluster.ts
@@ -30,8 +30,9 @@
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
-import {createPeerCallsNet} from './peer_calls.js';
-import type {PeerCallsNet} from './peer_calls.js';
+import {createMemoryNetwork} from '../../standins/memory_network.js';
+import type {MemoryNetwork} from '../../standins/memory_network.js';
+import type {PeerHandlers, Transport} from '../../src/types/transport.js';
 
 const HEARTBEAT_MS = 1_000;
 /** Processes to which each one sends heartbeats. */
@@ -43,6 +44,9 @@
   readonly kernel: Kernel;
   readonly recording: RecordingRuntime;
   readonly store: MemoryObjectStore;
+  readonly transport: Transport;
+  /** Answers peers in another way from here on. */
+  answer(handlers: PeerHandlers): void;
   /** Numbers in force here, in order. */
   readonly seen: number[];
   inForce(): NumberedDeclarations | undefined;
@@ -51,7 +55,7 @@
 export interface ConfigCluster {
   readonly clock: VirtualClock;
   readonly core: ObjectStoreCore;
-  readonly net: PeerCallsNet;
+  readonly net: MemoryNetwork;
   readonly nodes: readonly ConfigNode[];
   addNode(options?: Partial<ConfigServiceOptions>): Promise<ConfigNode>;
   /** Sends a patch and runs the clock until it is answered. */
@@ -76,7 +80,7 @@
   const clock = createVirtualClock();
   const random = createSeededRandom(seed);
   const core = createObjectStoreCore({clock, random});
-  const net = createPeerCallsNet(clock);
+  const net = createMemoryNetwork(clock, random);
   const nodes: ConfigNode[] = [];
   const viewers: Array<(view: MembershipView) => void> = [];
 
@@ -90,10 +94,9 @@
       });
       const beat = () => {
         for (const peer of peersOf(nodes, self())) {
-          const transport = net.transport(self().address);
           const req = heartbeatOf(self());
-          void transport
-            .call(peer.address, 'entryHeartbeat', req, HEARTBEAT_MS)
+          void self()
+            .transport.call(peer.address, 'entryHeartbeat', req, HEARTBEAT_MS)
             .then(answer =>
               answer.ifRight(res =>
                 ctx.send('config', {
@@ -122,24 +125,33 @@
     const store = createMemoryObjectStore({core, clock});
     const seen: number[] = [];
     let latest: NumberedDeclarations | undefined;
+    const transport = net.transport(address);
+    let handlers: PeerHandlers = {
+      fetchConfig: req => askFetch(kernel, req),
+      entryHeartbeat: req => {
+        const {address: peer, configNumber: number} = req;
+        kernel.send('config', {kind: 'peer-number', peer, number});
+        return Promise.resolve(heartbeatOf(node));
+      },
+    };
     const node: ConfigNode = {
       name,
       address,
       kernel,
       recording,
       store,
+      transport,
+      answer: other => {
+        handlers = {...handlers, ...other};
+      },
       seen,
       inForce: () => latest,
     };
     nodes.push(node);
     for (const viewer of viewers) viewer(viewOf(nodes));
-    net.serve(address, {
-      fetchConfig: req => askFetch(kernel, req),
-      entryHeartbeat: req => {
-        const {address: peer, configNumber: number} = req;
-        kernel.send('config', {kind: 'peer-number', peer, number});
-        return Promise.resolve(heartbeatOf(node));
-      },
+    await transport.listen(address, {
+      fetchConfig: req => answerBy(handlers.fetchConfig, req),
+      entryHeartbeat: req => answerBy(handlers.entryHeartbeat, req),
     });
     await kernel.start(membershipOf(() => node));
     await kernel.start(
@@ -147,7 +159,7 @@
         node: name,
         role: 'entry',
         store,
-        transport: net.transport(address),
+        transport,
         ...options,
       }),
     );
@@ -223,6 +235,14 @@
   return kernel.ask('config', reply => ({kind: 'fetch', req, reply}));
 }
 
+function answerBy<Req, Res>(
+  handler: ((req: Req) => Promise<Res>) | undefined,
+  req: Req,
+): Promise<Res> {
+  if (handler === undefined) throw new Error('no handler');
+  return handler(req);
+}
+
 /** Neighbours on a ring: a new number needs several hops to reach all. */
 function peersOf(
   nodes: readonly ConfigNode[],
