test(placement): see each safeguard of the placer red once

The planner wished only as many replicas as engines were in sight, so with most of a pool out of sight one replica of the new version was enough to take the last of the old one; a random run showed it, and the wish as declared now counts. A first form of the two-believers test compared numbers for each engine only and let two plans mix over the fleet; a new placer now waits until every live side knows its number, 10 s at most, before its first order.

What is ruled out by now: an order late by 40 s, a placer paused 30 s, a lease object removed under its holder.

--- a/src/placement/placement_service.ts
+++ b/src/placement/placement_service.ts
@@ -39,6 +39,11 @@
 const ORDER_ID_BYTES = 8;
 /** Pause between tries to subscribe to other services. */
 const SUBSCRIBE_RETRY_MS = 500;
+/**
+ * How long a new placer waits for all sides to know its number. Heartbeats
+ * carry it within seconds; a side that stays cut off must not stop placement.
+ */
+const HANDOVER_MS = 10_000;
 /** Key of the placer's lease; sides read it for the fencing number. */
 export const PLACER_LEASE_KEY = 'lease/placer';
 
@@ -82,6 +87,8 @@
   private fenceSeen: FencingNumber = 0;
   /** Number under which this process is the placer; 0 when it is not. */
   private placerFence: FencingNumber = 0;
+  /** When this process became the placer. */
+  private placerSince = 0;
   private unmet: ReadonlySet<string> = new Set();
   private planning = false;
 
@@ -185,7 +192,8 @@
     }
     if (fence === 0) return;
     this.book.clear();
-    this.roles = createRoleMemory(this.ctx.clock.now());
+    this.placerSince = this.ctx.clock.now();
+    this.roles = createRoleMemory(this.placerSince);
     this.ctx.log(PLACEMENT_EVENTS.placerStarted, {fence});
   }
 
@@ -196,6 +204,7 @@
     if (config === undefined || config.number === 0) return;
     if (view === undefined || fence === 0) return;
     const now = this.ctx.clock.now();
+    if (!this.isHandedOver(view, now)) return;
     this.readBack(view, now);
     const plan = planPlacement({
       now,
@@ -212,6 +221,19 @@
     for (const planned of plan.orders) this.send(planned, fence);
   }
 
+  /**
+   * The first order waits until every live side knows the new number, which
+   * goes out with the heartbeats. Else an order of the placer before, still
+   * believing or still on its way, could take effect after it at a side that
+   * this one has not ordered yet: two placers' plans would mix.
+   */
+  private isHandedOver({replicas}: MembershipView, now: number): boolean {
+    if (now - this.placerSince >= HANDOVER_MS) return true;
+    return replicas
+      .filter(({state, load}) => state === 'live' && load.capacityTokens > 0)
+      .every(({fence}) => fence >= this.placerFence);
+  }
+
   private async askWeightStore(): Promise<WeightStoreStatus | undefined> {
     const answer = await this.options.weightStore?.();
     return answer?.toMaybe().extract();
--- a/src/placement/plan_versions.ts
+++ b/src/placement/plan_versions.ts
@@ -185,8 +185,11 @@
   // Only engines that no older placer can still change may be relied on.
   const sure = engines.filter(({isFenced}) => isFenced);
   const readyAndSure = ready.filter(({isFenced}) => isFenced);
+  // The wish as declared, not as the engines at hand could meet it: with most
+  // of a pool out of sight one engine would else be enough.
+  const wanted = Math.max(wished.wish.minReplicas, targetCount(wished));
   const isMet =
-    readyAndSure.length >= targetCount(wished) &&
+    readyAndSure.length >= wanted &&
     shortDomains(wished, readyAndSure).size === 0;
   for (const engine of ready.filter(({busy}) => !busy)) {
     for (const version of versionsIn(engine, model.id, 'ready')) {
--- /dev/null
+++ b/test/support/placement_fleet.ts
@@ -0,0 +1,369 @@
+/**
+ * Sides with scripted engines, and placers on hosts that can be paused, in
+ * virtual time. Every effect on an engine is recorded with its number.
+ */
+import {Left, Right} from 'purify-ts';
+import {createInitialDeclarations} from '../../src/config/declarations_schema.js';
+import {createKernel} from '../../src/kernel/kernel.js';
+import type {Kernel} from '../../src/kernel/kernel.js';
+import {createPlacementService} from '../../src/placement/placement_service.js';
+import type {PlacementServiceOptions} from '../../src/placement/placement_service.js';
+import type {
+  Declarations,
+  NumberedDeclarations,
+} from '../../src/types/config.js';
+import {OnyxError} from '../../src/types/errors.js';
+import type {
+  ModelState,
+  OrderReq,
+  OrderRes,
+  SideLoad,
+} from '../../src/types/peer_messages.js';
+import type {WeightStore} from '../../src/types/platform.js';
+import type {ServiceSpec} from '../../src/types/kernel.js';
+import type {
+  MembershipView,
+  PlacementStatus,
+  Replica,
+} from '../../src/types/services.js';
+import {createMemoryNetwork} from '../../standins/memory_network.js';
+import type {MemoryNetwork} from '../../standins/memory_network.js';
+import {createMemoryObjectStore} from '../../standins/memory_object_store.js';
+import {createObjectStoreCore} from '../../standins/object_store_core.js';
+import type {ObjectStoreCore} from '../../standins/object_store_core.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import type {RecordingRuntime} from '../../standins/recording_runtime.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
+import {createWeightStoreCore} from '../../standins/weight_store_core.js';
+import type {WeightStoreCore} from '../../standins/weight_store_core.js';
+import {createHostClock, storeOnHost} from './host_clock.js';
+import type {HostClock} from './host_clock.js';
+
+const HEARTBEAT_MS = 1_000;
+export const WEIGHT_BYTES = 20e9;
+
+/** Declarations of one model in one pool. */
+export function declareModel(
+  version: string,
+  wish: {readonly minReplicas: number; readonly minPerFailureDomain?: number},
+): Declarations {
+  return {
+    ...createInitialDeclarations(),
+    models: [
+      {
+        id: 'skylark',
+        version,
+        adapters: [],
+        isDefault: true,
+        weightBytes: WEIGHT_BYTES,
+        maxPromptTokens: 1_000_000,
+      },
+    ],
+    placement: [
+      {
+        pool: 'onyx-pool',
+        model: 'skylark',
+        minPerFailureDomain: 0,
+        ...wish,
+      },
+    ],
+  };
+}
+
+export const IDLE: SideLoad = {
+  capacityTokens: 400_000,
+  freeTokens: 400_000,
+  running: 0,
+  queued: 0,
+  prefillBacklogTokens: 0,
+  shortBacklogTokens: 0,
+  prefillTokensPerSec: 5_000,
+  stepMs: 20,
+  reportAgeMs: 100,
+};
+
+/** Who refuses an old number: the engine itself, or the side before it. */
+export type FencedBy = 'engine' | 'side' | 'nobody';
+
+export interface Effect {
+  readonly at: number;
+  readonly address: string;
+  readonly order: OrderReq;
+}
+
+export interface FakeSide {
+  readonly address: string;
+  models: readonly ModelState[];
+  load: SideLoad;
+  readonly failureDomain: string;
+  fence: number;
+  /** While true no heartbeat reaches it; orders do. */
+  isDeaf: boolean;
+}
+
+export interface FakePlacer {
+  readonly name: string;
+  readonly address: string;
+  readonly host: HostClock;
+  readonly kernel: Kernel;
+  readonly recording: RecordingRuntime;
+  /** While true it sends no heartbeats and its view stands still. */
+  isBlind: boolean;
+  declare(config: NumberedDeclarations): void;
+  status(): Promise<PlacementStatus>;
+}
+
+export interface PlacementFleet {
+  readonly clock: VirtualClock;
+  readonly net: MemoryNetwork;
+  readonly core: ObjectStoreCore;
+  readonly weights: WeightStoreCore;
+  readonly sides: readonly FakeSide[];
+  readonly placers: readonly FakePlacer[];
+  readonly effects: readonly Effect[];
+  /** Most engines that loaded at once. */
+  mostLoads(): number;
+  addPlacer(options?: Partial<PlacementServiceOptions>): Promise<FakePlacer>;
+  declare(number: number, declarations: Declarations): void;
+  /** Runs on and calls `check` each 100 ms. */
+  runFor(ms: number, check?: () => void): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export interface FleetOptions {
+  readonly sides: number;
+  readonly fencedBy?: FencedBy;
+  readonly models?: readonly string[];
+  /** Of the weight store. @default 2e9 */
+  readonly bytesPerSec?: number;
+}
+
+export function readyModel(version: string): ModelState {
+  return {model: 'skylark', version, adapters: [], ready: true, role: 'mixed'};
+}
+
+/** Starts sides without placers. */
+export async function createPlacementFleet(
+  options: FleetOptions,
+): Promise<PlacementFleet> {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(7);
+  const net = createMemoryNetwork(clock, random);
+  const core = createObjectStoreCore({clock, random});
+  const weights = createWeightStoreCore({
+    clock,
+    bytesPerSec: options.bytesPerSec ?? 2e9,
+    maxActive: 100,
+  });
+  const effects: Effect[] = [];
+  const placers: FakePlacer[] = [];
+  let loading = 0;
+  let mostLoads = 0;
+
+  const carryOut = (side: FakeSide, order: OrderReq): void => {
+    effects.push({at: clock.now(), address: side.address, order});
+    const {model, version} = order;
+    const others = side.models.filter(state => state.version !== version);
+    if (order.action === 'unload') side.models = others;
+    if (order.action === 'set-role') {
+      side.models = side.models.map(state => ({...state, role: order.role}));
+    }
+    if (order.action === 'load' && others.length === side.models.length) {
+      const state = {...readyModel(version), ready: false};
+      side.models = [...others, state];
+      loading += 1;
+      mostLoads = Math.max(mostLoads, loading);
+      const transfer = weights.start({model, version, bytes: WEIGHT_BYTES});
+      void weights.whenOver(transfer?.id ?? '').then(() => {
+        loading -= 1;
+        side.models = side.models.map(item =>
+          item === state ? {...item, ready: true} : item,
+        );
+      });
+    }
+  };
+
+  const fencedBy = options.fencedBy ?? 'side';
+  const onOrder = (side: FakeSide, order: OrderReq): OrderRes => {
+    if (fencedBy !== 'nobody' && order.fence < side.fence) {
+      // As told by an engine that checks, or by the side for one that does not.
+      const reason = fencedBy === 'engine' ? 'stale' : 'stale-fence';
+      return {state: 'refused', reason, fence: side.fence};
+    }
+    side.fence = Math.max(side.fence, order.fence);
+    carryOut(side, order);
+    const state = order.action === 'load' ? 'started' : 'done';
+    return {state, reason: '', fence: side.fence};
+  };
+
+  const domains = ['hall-north', 'hall-south', 'hall-east'];
+  const sides = await Promise.all(
+    Array.from({length: options.sides}, async (_, n): Promise<FakeSide> => {
+      const side: FakeSide = {
+        address: `127.0.0.1:${8000 + n}`,
+        models: (options.models ?? []).map(readyModel),
+        load: IDLE,
+        failureDomain: domains[n % domains.length],
+        fence: 0,
+        isDeaf: false,
+      };
+      await net.transport(side.address).listen(side.address, {
+        order: order => Promise.resolve(onOrder(side, order)),
+      });
+      return side;
+    }),
+  );
+
+  const weightStore: WeightStore = () => {
+    const status = weights.status();
+    return Promise.resolve(
+      status === undefined
+        ? Left(
+            new OnyxError({
+              code: 'timeout',
+              step: 'placement',
+              peer: 'weight-store',
+              message: 'the weight store gives no answer',
+            }),
+          )
+        : Right(status),
+    );
+  };
+
+  const addPlacer = async (
+    given: Partial<PlacementServiceOptions> = {},
+  ): Promise<FakePlacer> => {
+    const name = `entry-${placers.length}`;
+    const address = `127.0.0.1:${7000 + placers.length}`;
+    const host = createHostClock(clock);
+    const recording = createRecordingRuntime({clock, random});
+    const kernel = createKernel({...recording.runtime, clock: host});
+    const store = storeOnHost(createMemoryObjectStore({core, clock}), host);
+    let tellConfig = (_config: NumberedDeclarations) => {};
+    const config: ServiceSpec<'config'> = {
+      name: 'config',
+      start: ctx => {
+        void ctx.mailbox.observe(message => {
+          if (message.kind === 'subscribe') tellConfig = message.listener;
+        });
+      },
+    };
+    await kernel.start(config);
+    await kernel.start(membershipOf(sides, () => placer.isBlind));
+    await kernel.start(
+      createPlacementService({
+        node: name,
+        store,
+        transport: net.transport(address),
+        weightStore,
+        ...given,
+      }),
+    );
+    const placer: FakePlacer = {
+      name,
+      address,
+      host,
+      kernel,
+      recording,
+      isBlind: false,
+      declare: next => tellConfig(next),
+      status: () => kernel.ask('placement', reply => ({kind: 'status', reply})),
+    };
+    placers.push(placer);
+    await clock.runFor(1);
+    return placer;
+  };
+
+  return {
+    clock,
+    net,
+    core,
+    weights,
+    sides,
+    placers,
+    effects,
+    mostLoads: () => mostLoads,
+    addPlacer,
+    declare: (number, declarations) => {
+      for (const placer of placers) placer.declare({number, declarations});
+    },
+    runFor: async (ms, check) => {
+      for (let passed = 0; passed < ms; passed += 100) {
+        await clock.runFor(100);
+        check?.();
+      }
+    },
+    stop: async () => {
+      for (const {kernel, host} of placers) {
+        host.thaw();
+        const stopped = kernel.stop();
+        await clock.runFor(20_000);
+        await stopped;
+      }
+    },
+  };
+}
+
+/** Tells the view each heartbeat period, as the heartbeats would. */
+function membershipOf(
+  sides: readonly FakeSide[],
+  isBlind: () => boolean,
+): ServiceSpec<'membership'> {
+  return {
+    name: 'membership',
+    start: ctx => {
+      const listeners: Array<(view: MembershipView) => void> = [];
+      const look = () => ({
+        replicas: sides.map(side => replicaOf(side, ctx.clock.now())),
+        allSides: [],
+        entries: [],
+      });
+      const beat = (fence: number) => {
+        if (isBlind()) return;
+        // Heartbeats carry the number that this entry knows to the sides.
+        for (const side of sides.filter(({isDeaf}) => !isDeaf)) {
+          side.fence = Math.max(side.fence, fence);
+        }
+        const view = look();
+        for (const listener of listeners) listener(view);
+      };
+      void ctx.mailbox.observe(message => {
+        if (message.kind !== 'subscribe') return;
+        listeners.push(message.listener);
+        message.listener(look());
+      });
+      ctx.own(
+        ctx.clock.every(
+          HEARTBEAT_MS,
+          () =>
+            void ctx
+              .ask('placement', (reply: (status: PlacementStatus) => void) => ({
+                kind: 'status',
+                reply,
+              }))
+              .then(({fence}) => beat(fence)),
+        ),
+      );
+    },
+  };
+}
+
+export function replicaOf(side: FakeSide, loadAt: number): Replica {
+  return {
+    host: side.address,
+    node: side.address,
+    address: side.address,
+    pool: 'onyx-pool',
+    failureDomain: side.failureDomain,
+    incarnation: '1',
+    state: 'live',
+    load: side.load,
+    loadAt,
+    models: side.models,
+    configNumber: 1,
+    fence: side.fence,
+    rttMs: 1,
+  };
+}
