feat(placement): take the place of the stub and read the lease's number

The service stands where the wiring looks for it, and a side reads the fencing number of the lease before its first order. Configuration and placement follow the membership across its restarts; a listener that subscribes again is kept once (membership subscribes over and over, which would have grown the list of listeners without bound).

--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -6,6 +6,7 @@
  */
 import {Left, Maybe, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {followMembership} from '../entry/follow_membership.js';
 import type {NumberedDeclarations} from '../types/config.js';
 import {OnyxError} from '../types/errors.js';
 import type {Address, ConfigNumber, NodeId} from '../types/ids.js';
@@ -34,9 +35,6 @@
 import {answerFetch, fetchFromPeer} from './peer_exchange.js';
 import type {KnownFleet} from './validate.js';
 
-/** Pause between tries to subscribe to the membership. */
-const SUBSCRIBE_RETRY_MS = 500;
-
 export interface ConfigServiceOptions {
   readonly node: NodeId;
   /** Entries follow the membership and may become the home; sides do not. */
@@ -116,7 +114,11 @@
           retryMs: Math.round(retryMs),
         }),
     });
-    if (isEntry) this.followMembership();
+    if (isEntry) {
+      followMembership(ctx, view =>
+        this.setHome(isConfigHome(options.node, view.entries)),
+      );
+    }
     void ctx.mailbox.observe(message => this.handle(message));
   }
 
@@ -145,23 +147,6 @@
     answer.then(reply).catch(cause => this.ctx.fail(cause));
   }
 
-  /** Repeats until the listener was called: membership may start later. */
-  private followMembership(): void {
-    let heard = false;
-    const subscribe = () => {
-      if (heard || this.ended) return;
-      this.ctx.send('membership', {
-        kind: 'subscribe',
-        listener: view => {
-          heard = true;
-          this.setHome(isConfigHome(this.options.node, view.entries));
-        },
-      });
-      this.ctx.own(this.ctx.clock.after(SUBSCRIBE_RETRY_MS, subscribe));
-    };
-    subscribe();
-  }
-
   private setHome(home: boolean): void {
     if (home === this.home || this.ended) return;
     this.home = home;
--- a/src/config/config_state.ts
+++ b/src/config/config_state.ts
@@ -40,6 +40,7 @@
   offerInitial(initial: Declarations): void;
   /** Documents at hand, of the number in force and the one before. */
   documents(): ReadonlyMap<string, string>;
+  /** Calls it at once and at each number; a known one is kept once. */
   subscribe(listener: ConfigListener): void;
 }
 
@@ -47,7 +48,7 @@
 export function createConfigState(
   runtime: () => Pick<Runtime, 'log' | 'metrics' | 'invariant'>,
 ): ConfigState {
-  const listeners: ConfigListener[] = [];
+  const listeners = new Set<ConfigListener>();
   let current: AcceptedConfig | undefined;
   let before: AcceptedConfig | undefined;
   let inForce: NumberedDeclarations | undefined;
@@ -116,7 +117,7 @@
     documents: () =>
       new Map([...(before?.jsonByHash ?? []), ...(current?.jsonByHash ?? [])]),
     subscribe: listener => {
-      listeners.push(listener);
+      listeners.add(listener);
       if (inForce !== undefined) listener(inForce);
     },
   };
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,12 +1,330 @@
-import type {ServiceSpec} from '../types/kernel.js';
-export function createPlacementService(_: object): ServiceSpec<'placement'> {
+/**
+ * The service `placement` of each entry. The one that holds the lease is the
+ * placer: it plans once a second and sends orders to sides under its fencing
+ * number. It may be wrong about holding the lease, when it was paused or cut
+ * off; the sides, which refuse numbers lower than the highest they have seen,
+ * make that harmless.
+ */
+import type {NumberedDeclarations} from '../types/config.js';
+import type {FencingNumber, NodeId} from '../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {OrderReq, OrderRes} from '../types/peer_messages.js';
+import type {
+  ObjectStore,
+  WeightStore,
+  WeightStoreStatus,
+} from '../types/platform.js';
+import type {
+  MembershipView,
+  PlacementMessage,
+  PlacementStatus,
+} from '../types/services.js';
+import type {Transport} from '../types/transport.js';
+import {followMembership} from '../entry/follow_membership.js';
+import {createLease} from '../platform/lease.js';
+import type {Lease} from '../platform/lease.js';
+import {PLACEMENT_EVENTS} from '../utils/events.js';
+import {createOrderBook} from './order_book.js';
+import type {OrderBook} from './order_book.js';
+import {createRoleMemory} from './plan_roles.js';
+import {DEFAULT_PLANNER_LIMITS} from './plan_types.js';
+import type {
+  Plan,
+  PlannedOrder,
+  PlannerLimits,
+  RoleMemory,
+  UnmetWish,
+} from './plan_types.js';
+import {PLACER_LEASE_KEY} from './placement_lease.js';
+import {planPlacement} from './planner.js';
+
+const ORDER_ID_BYTES = 8;
+/** Time between two subscriptions to the configuration. */
+const SUBSCRIBE_EVERY_MS = 5_000;
+/**
+ * How long a new placer waits for all sides to know its number. Heartbeats
+ * carry it within seconds; a side that stays cut off must not stop placement.
+ */
+const HANDOVER_MS = 10_000;
+
+export interface PlacementServiceOptions {
+  readonly node: NodeId;
+  readonly store: ObjectStore;
+  readonly transport: Transport;
+  /** Asked before loads; without it, loads run one at a time. */
+  readonly weightStore?: WeightStore;
+  /** @default 10000 */
+  readonly leaseTtlMs?: number;
+  /** @default 2000 */
+  readonly leaseMarginMs?: number;
+  /** Time between two plans. @default 1000 */
+  readonly tickMs?: number;
+  /** @default 5000 */
+  readonly orderTimeoutMs?: number;
+  /** An order without a visible effect is under way so long. @default 30000 */
+  readonly orderHoldMs?: number;
+  readonly limits?: Partial<PlannerLimits>;
+}
+
+/** Makes the service. */
+export function createPlacementService(
+  options: PlacementServiceOptions,
+): ServiceSpec<'placement'> {
   return {
     name: 'placement',
-    start: ctx => {
-      void ctx.mailbox.observe(m => {
-        if (m.kind === 'status')
-          m.reply({placer: false, holder: '', fence: 0, decisions: []});
-      });
-    },
+    start: ctx => new PlacementTask(ctx, options).start(),
   };
 }
+
+class PlacementTask {
+  private readonly lease: Lease;
+  private readonly book: OrderBook;
+  private readonly limits: PlannerLimits;
+  private config: NumberedDeclarations | undefined;
+  private view: MembershipView | undefined;
+  private roles: RoleMemory;
+  /** Highest fencing number heard of, from any side or entry. */
+  private fenceSeen: FencingNumber = 0;
+  /** Number under which this process is the placer; 0 when it is not. */
+  private placerFence: FencingNumber = 0;
+  /** When this process became the placer. */
+  private placerSince = 0;
+  private unmet: ReadonlySet<string> = new Set();
+  private planning = false;
+
+  constructor(
+    private readonly ctx: ServiceContext<'placement'>,
+    private readonly options: PlacementServiceOptions,
+  ) {
+    this.lease = createLease({
+      store: options.store,
+      key: PLACER_LEASE_KEY,
+      ttlMs: options.leaseTtlMs ?? 10_000,
+      marginMs: options.leaseMarginMs ?? 2_000,
+      holder: options.node,
+      runtime: ctx,
+      fenceFloor: () => this.fenceSeen,
+    });
+    this.book = createOrderBook(options.orderHoldMs ?? 30_000);
+    this.limits = {...DEFAULT_PLANNER_LIMITS, ...options.limits};
+    this.roles = createRoleMemory(ctx.clock.now());
+  }
+
+  start(): void {
+    const {ctx, options} = this;
+    this.lease.run(ctx);
+    this.subscribe();
+    ctx.own(ctx.clock.every(options.tickMs ?? 1_000, () => this.tick()));
+    void ctx.mailbox.observe(message => this.handle(message));
+  }
+
+  /** Subscribes again and again: the other services may have restarted. */
+  private subscribe(): void {
+    followMembership(this.ctx, view => {
+      this.view = view;
+      const fences = [...view.replicas, ...view.entries].map(p => p.fence);
+      this.noteFence(Math.max(0, ...fences));
+    });
+    const listener = (config: NumberedDeclarations) => {
+      this.config = config;
+    };
+    const followConfig = () =>
+      this.ctx.send('config', {kind: 'subscribe', listener});
+    followConfig();
+    this.ctx.own(this.ctx.clock.every(SUBSCRIBE_EVERY_MS, followConfig));
+  }
+
+  private handle(message: PlacementMessage): void {
+    if (message.kind === 'fence-seen') return this.noteFence(message.fence);
+    message.reply(this.status());
+  }
+
+  private status(): PlacementStatus {
+    return {
+      placer: this.isPlacer(),
+      holder: this.lease.holder(),
+      fence: Math.max(this.lease.fence(), this.fenceSeen),
+      decisions: this.book.decisions(),
+    };
+  }
+
+  private noteFence(fence: FencingNumber): void {
+    this.fenceSeen = Math.max(this.fenceSeen, fence);
+  }
+
+  /**
+   * Asked before each order, not once for each plan: the process may have been
+   * paused in between, and its lease may be another's now. A higher number
+   * seen anywhere says the same before the store does.
+   */
+  private isPlacer(): boolean {
+    return this.lease.valid() && this.lease.fence() >= this.fenceSeen;
+  }
+
+  private tick(): void {
+    this.noteRole();
+    if (this.placerFence === 0 || this.planning) return;
+    this.planning = true;
+    this.plan()
+      .catch(cause => this.ctx.fail(cause))
+      .finally(() => {
+        this.planning = false;
+      });
+  }
+
+  /** Starts anew with each lease: earlier orders are another placer's. */
+  private noteRole(): void {
+    const fence = this.isPlacer() ? this.lease.fence() : 0;
+    if (fence === this.placerFence) return;
+    const before = this.placerFence;
+    this.placerFence = fence;
+    this.ctx.metrics.gauge('onyxloft_placer', {}, fence === 0 ? 0 : 1);
+    if (before !== 0) {
+      this.ctx.log(PLACEMENT_EVENTS.placerStopped, {
+        fence: before,
+        seen: this.fenceSeen,
+      });
+    }
+    if (fence === 0) return;
+    this.book.clear();
+    this.placerSince = this.ctx.clock.now();
+    this.roles = createRoleMemory(this.placerSince);
+    this.ctx.log(PLACEMENT_EVENTS.placerStarted, {fence});
+  }
+
+  private async plan(): Promise<void> {
+    const status = await this.askWeightStore();
+    const {config, view, placerFence: fence} = this;
+    // Number 0 declares no models: planned by it, all would be unloaded.
+    if (config === undefined || config.number === 0) return;
+    if (view === undefined || fence === 0) return;
+    const now = this.ctx.clock.now();
+    if (!this.isHandedOver(view, now)) return;
+    this.readBack(view, now);
+    const plan = planPlacement({
+      now,
+      fence,
+      declarations: config.declarations,
+      replicas: view.replicas,
+      pending: this.book.pending(),
+      weightStore: status,
+      limits: this.limits,
+      roles: this.roles,
+    });
+    this.roles = plan.roles;
+    this.noteUnmet(plan);
+    for (const planned of plan.orders) this.send(planned, fence);
+  }
+
+  /**
+   * The first order waits until every live side knows the new number, which
+   * goes out with the heartbeats. Else an order of the placer before, still
+   * believing or still on its way, could take effect after it at a side that
+   * this one has not ordered yet: two placers' plans would mix.
+   */
+  private isHandedOver({replicas}: MembershipView, now: number): boolean {
+    if (now - this.placerSince >= HANDOVER_MS) return true;
+    return replicas
+      .filter(({state, load}) => state === 'live' && load.capacityTokens > 0)
+      .every(({fence}) => fence >= this.placerFence);
+  }
+
+  private async askWeightStore(): Promise<WeightStoreStatus | undefined> {
+    const answer = await this.options.weightStore?.();
+    return answer?.toMaybe().extract();
+  }
+
+  private readBack(view: MembershipView, now: number): void {
+    for (const closed of this.book.readBack(view.replicas, now)) {
+      const {order, address, outcome, tookMs} = closed;
+      this.ctx.metrics.count('onyxloft_placement_orders_total', {
+        action: order.action,
+        outcome,
+      });
+      this.ctx.log(PLACEMENT_EVENTS.readBack, {
+        orderId: order.orderId,
+        address,
+        action: order.action,
+        model: order.model,
+        version: order.version,
+        outcome,
+        tookMs: Math.round(tookMs),
+      });
+    }
+  }
+
+  private noteUnmet({unmet}: Plan): void {
+    const keyOf = ({pool, model}: UnmetWish) => `${pool}/${model}`;
+    for (const wish of unmet) {
+      if (this.unmet.has(keyOf(wish))) continue;
+      this.ctx.log(PLACEMENT_EVENTS.wishUnmet, {...wish});
+    }
+    const keys = new Set(unmet.map(keyOf));
+    for (const wish of this.unmet) {
+      if (!keys.has(wish)) this.ctx.log(PLACEMENT_EVENTS.wishMet, {wish});
+    }
+    this.ctx.metrics.gauge('onyxloft_placement_unmet', {}, unmet.length);
+    this.unmet = keys;
+  }
+
+  private send(planned: PlannedOrder, fence: FencingNumber): void {
+    const {address, action, model, version, adapter, role, reason} = planned;
+    const orderId = this.ctx.random.hex(ORDER_ID_BYTES);
+    const order: OrderReq = {
+      orderId,
+      fence,
+      action,
+      model,
+      version,
+      adapter,
+      role,
+    };
+    if (!this.isPlacer() || this.lease.fence() !== fence) {
+      this.ctx.log(PLACEMENT_EVENTS.notSent, {orderId, address, action, fence});
+      return;
+    }
+    this.book.book(planned, order, this.ctx.clock.now());
+    this.ctx.log(PLACEMENT_EVENTS.decided, {
+      ...order,
+      address,
+      reason,
+      figures: planned.figures,
+    });
+    this.options.transport
+      .call(address, 'order', order, this.options.orderTimeoutMs ?? 5_000)
+      .then(answer =>
+        answer.caseOf({
+          Left: err =>
+            this.noteAnswer(order, 'unanswered', `${err.code}: ${err.message}`),
+          Right: res => this.takeAnswer(order, res),
+        }),
+      )
+      .catch(cause => this.ctx.fail(cause));
+  }
+
+  private takeAnswer(order: OrderReq, res: OrderRes): void {
+    this.noteFence(res.fence);
+    if (res.state === 'refused') {
+      this.noteAnswer(order, 'refused', res.reason);
+      this.book.refuse(order.orderId, this.ctx.clock.now());
+    } else {
+      this.noteAnswer(order, 'accepted', res.reason);
+    }
+  }
+
+  private noteAnswer(
+    order: OrderReq,
+    outcome: 'accepted' | 'refused' | 'unanswered',
+    reason: string,
+  ): void {
+    this.book.note(order.orderId, outcome, reason);
+    this.ctx.log(PLACEMENT_EVENTS.orderAnswered, {
+      orderId: order.orderId,
+      action: order.action,
+      outcome,
+      reason,
+      fence: order.fence,
+      seen: this.fenceSeen,
+    });
+  }
+}
--- a/test/support/config_cluster.ts
+++ b/test/support/config_cluster.ts
@@ -82,14 +82,14 @@
   const core = createObjectStoreCore({clock, random});
   const net = createMemoryNetwork(clock, random);
   const nodes: ConfigNode[] = [];
-  const viewers: Array<(view: MembershipView) => void> = [];
+  const viewers = new Set<(view: MembershipView) => void>();
 
   const membershipOf = (self: () => ConfigNode): ServiceSpec<'membership'> => ({
     name: 'membership',
     start: ctx => {
       void ctx.mailbox.observe(message => {
         if (message.kind !== 'subscribe') return;
-        viewers.push(message.listener);
+        viewers.add(message.listener);
         message.listener(viewOf(nodes));
       });
       const beat = () => {
--- a/test/support/placement_fleet.ts
+++ b/test/support/placement_fleet.ts
@@ -6,8 +6,8 @@
 import {createInitialDeclarations} from '../../src/config/declarations_schema.js';
 import {createKernel} from '../../src/kernel/kernel.js';
 import type {Kernel} from '../../src/kernel/kernel.js';
-import {createPlacementService} from '../../src/placement/placement_service.js';
-import type {PlacementServiceOptions} from '../../src/placement/placement_service.js';
+import {createPlacementService} from '../../src/placement/placement.js';
+import type {PlacementServiceOptions} from '../../src/placement/placement.js';
 import type {
   Declarations,
   NumberedDeclarations,
@@ -314,7 +314,7 @@
   return {
     name: 'membership',
     start: ctx => {
-      const listeners: Array<(view: MembershipView) => void> = [];
+      const listeners = new Set<(view: MembershipView) => void>();
       const look = () => ({
         replicas: sides.map(side => replicaOf(side, ctx.clock.now())),
         allSides: [],
@@ -331,7 +331,7 @@
       };
       void ctx.mailbox.observe(message => {
         if (message.kind !== 'subscribe') return;
-        listeners.push(message.listener);
+        listeners.add(message.listener);
         message.listener(look());
       });
       ctx.own(
