feat(limits): keep organisation limits over all entries by short grants

An organisation's limits hold over all entries, with nothing central. Each organisation has a home by rendezvous hashing; the home hands out short grants of places and tokens to the entries that ask.

Ruled out: an even split (less than a place each on a large fleet), asking the home for each request (a round trip in each request's path), and a home that grants nothing for a time to live after it took over (refusals at each restart of an entry).

--- /dev/null
+++ b/src/limits/fleet_view.ts
@@ -0,0 +1,100 @@
+/** Which entries there are, as far as limits need to know. */
+import type {Address, NodeId, OrganisationId} from '../types/ids.js';
+import type {EntryPeer} from '../types/services.js';
+import {rendezvousFirst} from '../utils/rendezvous.js';
+
+export interface Self {
+  readonly node: NodeId;
+  readonly address: Address;
+}
+
+/** An organisation's home. */
+export interface Home {
+  readonly address: Address;
+  readonly isHere: boolean;
+}
+
+export interface FleetView {
+  homeOf(organisation: OrganisationId): Home;
+  /** Entries that are not known to be gone, this one included. */
+  size(): number;
+  /** Share of those that a home here can reach, over 0 up to 1. */
+  part(): number;
+  /** False once an entry is known to be gone. */
+  isPresent(entry: NodeId): boolean;
+  /** When the entries that can be a home last changed. */
+  readonly changedAt: number;
+}
+
+interface Candidate {
+  readonly id: NodeId;
+  readonly address: Address;
+}
+
+function sameNodes(a: readonly Candidate[], b: readonly Candidate[]): boolean {
+  return (
+    a.length === b.length && a.every((entry, index) => entry.id === b[index].id)
+  );
+}
+
+class EntriesView implements FleetView {
+  private readonly homes = new Map<OrganisationId, Home>();
+
+  constructor(
+    private readonly self: Self,
+    readonly candidates: readonly Candidate[],
+    private readonly reached: number,
+    private readonly known: ReadonlySet<NodeId>,
+    readonly changedAt: number,
+  ) {}
+
+  homeOf(organisation: OrganisationId): Home {
+    const known = this.homes.get(organisation);
+    if (known !== undefined) return known;
+    const best = rendezvousFirst(`limits ${organisation}`, this.candidates);
+    const address = best?.address ?? this.self.address;
+    const home = {address, isHere: address === this.self.address};
+    this.homes.set(organisation, home);
+    return home;
+  }
+
+  size(): number {
+    return this.known.size;
+  }
+
+  part(): number {
+    return this.reached / this.known.size;
+  }
+
+  isPresent(entry: NodeId): boolean {
+    return this.known.has(entry);
+  }
+}
+
+/** `before` is the view that this one takes the place of. */
+export function createFleetView(
+  self: Self,
+  peers: readonly EntryPeer[],
+  now: number,
+  before?: FleetView,
+): FleetView {
+  const candidates = peers
+    .filter(peer => peer.state === 'live' && peer.node !== self.node)
+    .map(peer => ({id: peer.node, address: peer.address}))
+    .concat({id: self.node, address: self.address})
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
+  const known = peers.filter(
+    peer => peer.state !== 'gone' && peer.node !== self.node,
+  );
+  const reached = known.filter(peer => peer.state !== 'suspect');
+  const isSame =
+    before instanceof EntriesView && sameNodes(before.candidates, candidates);
+  const changedAt = isSame ? before.changedAt : now;
+  return new EntriesView(
+    self,
+    candidates,
+    reached.length + 1,
+    new Set([self.node, ...known.map(peer => peer.node)]),
+    changedAt,
+  );
+}
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -1,11 +1,192 @@
-import {Right} from 'purify-ts';
-import type {ServiceSpec} from '../types/kernel.js';
-export function createLimitsService(_: object): ServiceSpec<'limits'> {
+/**
+ * Organisation limits over all entries, without anything central. Each
+ * organisation has a home: the entry that rendezvous hashing gives among the
+ * live ones. The home hands out short grants of places and tokens to entries
+ * that ask, in proportion to what they want; an entry admits from its grant
+ * and asks again when it runs short and at half its time to live.
+ *
+ * Bound. At any time the places in use are at most `maxRunning`, plus those
+ * granted by homes other than the present one that have not lapsed or are
+ * still in use (at most `maxRunning` for each change of home), plus the
+ * allowances of the entries that reach no home: `max(1, floor(maxRunning /
+ * (4 * entries)))` each. A home that can't reach an entry goes on counting the
+ * places that the entry last said were in use until the entry is known to be
+ * gone. Entries that it can't reach and that are not known to be gone may be
+ * served by another home, so it grants only its part of the limit; two halves
+ * of a fleet that are cut off from each other grant the limit between them,
+ * not twice.
+ */
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {followMembership} from '../entry/follow_membership.js';
+import type {Organisation} from '../types/config.js';
+import {OnyxError} from '../types/errors.js';
+import type {Address, NodeId, OrganisationId} from '../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {GrantReq, GrantRes} from '../types/peer_messages.js';
+import type {LimitsMessage} from '../types/services.js';
+import type {Transport} from '../types/transport.js';
+import {createAdmission} from './admission.js';
+import type {Admission} from './admission.js';
+import {createFleetView} from './fleet_view.js';
+import type {FleetView, Home} from './fleet_view.js';
+import {MIN_TTL_MS, createHomeLedger} from './home.js';
+import type {HomeLedger} from './home.js';
+
+/** Longest wait for a home's answer. */
+const ASK_TIMEOUT_MS = 300;
+/** How often the need for renewals is looked at. */
+const TICK_MS = 50;
+
+export interface LimitsOptions {
+  readonly node: NodeId;
+  /** Where this entry listens for peers. */
+  readonly address: Address;
+  readonly transport: Transport;
+}
+
+/** Made anew with each start of the service. */
+interface State {
+  readonly ctx: ServiceContext<'limits'>;
+  readonly options: LimitsOptions;
+  readonly admissions: Map<OrganisationId, Admission>;
+  readonly ledgers: Map<OrganisationId, HomeLedger>;
+  organisations: ReadonlyMap<OrganisationId, Organisation>;
+  fleet: FleetView;
+}
+
+function ledgerOf(state: State, id: OrganisationId): HomeLedger {
+  const known = state.ledgers.get(id);
+  if (known !== undefined) return known;
+  const now = state.ctx.clock.now();
+  const isSettled = now - state.fleet.changedAt >= MIN_TTL_MS;
+  const ledger = createHomeLedger({
+    invariant: state.ctx.invariant,
+    now,
+    initialSec: isSettled ? 1 : 0,
+  });
+  state.ledgers.set(id, ledger);
+  return ledger;
+}
+
+/** Answers an ask, as the home or as one that is not. */
+function grant(state: State, req: GrantReq): GrantRes {
+  const {fleet, organisations} = state;
+  const organisation = organisations.get(req.organisation);
+  if (organisation === undefined || !fleet.homeOf(req.organisation).isHere) {
+    return {places: 0, tokens: 0, ttlMs: MIN_TTL_MS, home: false};
+  }
+  const limits = {
+    maxRunning: organisation.maxRunning,
+    tokensPerSec: organisation.tokensPerSec,
+    part: fleet.part(),
+    isPresent: (entry: NodeId) => fleet.isPresent(entry),
+  };
+  const ledger = ledgerOf(state, req.organisation);
+  return ledger.grant(req, limits, state.ctx.clock.now());
+}
+
+async function askHome(
+  state: State,
+  home: Home,
+  req: GrantReq,
+): Promise<Either<string, GrantRes>> {
+  const {transport} = state.options;
+  const outcome: Either<OnyxError, GrantRes> = home.isHere
+    ? Right(grant(state, req))
+    : await transport.call(home.address, 'grant', req, ASK_TIMEOUT_MS);
+  return outcome
+    .mapLeft(err => err.message)
+    .chain(res =>
+      res.home ? Right(res) : Left(`${home.address} is not the home`),
+    );
+}
+
+function admissionOf(state: State, id: OrganisationId): Admission {
+  const known = state.admissions.get(id);
+  if (known !== undefined) return known;
+  const admission = createAdmission({
+    id,
+    node: state.options.node,
+    ctx: state.ctx,
+    organisation: () => state.organisations.get(id),
+    fleet: () => state.fleet,
+    askHome: (home, req) => askHome(state, home, req),
+  });
+  state.admissions.set(id, admission);
+  return admission;
+}
+
+function handle(state: State, message: LimitsMessage): void {
+  switch (message.kind) {
+    case 'acquire': {
+      const {organisation, tokens, reply} = message;
+      if (state.organisations.has(organisation)) {
+        admissionOf(state, organisation).acquire(tokens, reply);
+        return;
+      }
+      const text = `organisation ${organisation} is not in the configuration`;
+      const details = {
+        code: 'not-found',
+        step: 'limit',
+        message: text,
+      } as const;
+      reply(Left(new OnyxError(details)));
+      return;
+    }
+    case 'release':
+      state.admissions.get(message.organisation)?.release();
+      return;
+    case 'grant':
+      message.reply(grant(state, message.req));
+      return;
+  }
+}
+
+function tick(state: State): void {
+  for (const [id, admission] of state.admissions) {
+    if (!admission.renew()) state.admissions.delete(id);
+  }
+  const now = state.ctx.clock.now();
+  const {fleet} = state;
+  const isPresent = (entry: NodeId): boolean => fleet.isPresent(entry);
+  for (const [id, ledger] of state.ledgers) {
+    if (fleet.homeOf(id).isHere || !ledger.isIdle(now, isPresent)) continue;
+    state.ledgers.delete(id);
+  }
+}
+
+/** The service that admits requests by their organisation's limits. */
+export function createLimitsService(
+  options: LimitsOptions,
+): ServiceSpec<'limits'> {
   return {
     name: 'limits',
     start: ctx => {
-      void ctx.mailbox.observe(m => {
-        if (m.kind === 'acquire') m.reply(Right(undefined));
+      const state: State = {
+        ctx,
+        options,
+        admissions: new Map(),
+        ledgers: new Map(),
+        organisations: new Map(),
+        fleet: createFleetView(options, [], ctx.clock.now()),
+      };
+      void ctx.mailbox.observe(message => handle(state, message));
+      ctx.own(ctx.clock.every(TICK_MS, () => tick(state)));
+      ctx.send('config', {
+        kind: 'subscribe',
+        listener: ({declarations}) => {
+          state.organisations = new Map(
+            declarations.organisations.map(item => [item.id, item]),
+          );
+        },
+      });
+      followMembership(ctx, ({entries}) => {
+        const now = ctx.clock.now();
+        state.fleet = createFleetView(options, entries, now, state.fleet);
+        for (const admission of state.admissions.values()) {
+          admission.checkHome();
+        }
       });
     },
   };
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -116,6 +116,13 @@
   claimUnknown: event(910, 'warn', 'claim-unknown'),
 } as const;
 
+export const LIMIT_EVENTS = {
+  reached: event(800, 'info', 'limit-reached'),
+  homeChanged: event(801, 'info', 'limit-home-changed'),
+  homeUnreachable: event(802, 'warn', 'limit-home-unreachable'),
+  homeBack: event(803, 'info', 'limit-home-back'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -110,7 +110,9 @@
     createConfigService({node, role: 'entry', store, transport}),
   );
   await kernel.start(createClaimsService({store}));
-  await kernel.start(createLimitsService({node, transport}));
+  await kernel.start(
+    createLimitsService({node, address: parts.address, transport}),
+  );
   await kernel.start(
     createPlacementService({
       node,
--- /dev/null
+++ b/test/limit_grants.test.ts
@@ -0,0 +1,128 @@
+import {describe, expect, it} from 'vitest';
+import {createHomeLedger} from '../src/limits/home.js';
+import type {HomeLimits} from '../src/limits/home.js';
+import {allowanceOf, createShare} from '../src/limits/share.js';
+import {createTestRuntime} from './support/test_runtime.js';
+
+const TTL_MS = 2_000;
+const LIMITS: HomeLimits = {
+  maxRunning: 10,
+  tokensPerSec: 1_000,
+  part: 1,
+  isPresent: () => true,
+};
+
+function createLedger() {
+  const {runtime} = createTestRuntime();
+  const {invariant} = runtime;
+  const ledger = createHomeLedger({invariant, now: 0, initialSec: 1});
+  const ask = (
+    entry: string,
+    wantPlaces: number,
+    usedPlaces: number,
+    now: number,
+    limits = LIMITS,
+  ): number => {
+    const organisation = 'prairie';
+    const wantTokens = 0;
+    const req = {organisation, entry, wantPlaces, usedPlaces, wantTokens};
+    return ledger.grant(req, limits, now).places;
+  };
+  return {ledger, ask};
+}
+
+describe('a home', () => {
+  // An entry holds eight places. An old ask of it comes late and wants one, or
+  // the answer to a new one is lost; the entry goes by its eight until they
+  // lapse. Were they given to another entry before, both would use them.
+  it('counts a larger grant until it lapses, whatever is asked since', () => {
+    const {ask} = createLedger();
+    expect(ask('a', 8, 0, 0)).toBe(8);
+    expect(ask('a', 1, 0, 1_000)).toBe(1);
+    expect(ask('b', 9, 0, 1_001)).toBe(2);
+    expect(ask('b', 9, 2, TTL_MS + 1)).toBe(9);
+  });
+
+  it('counts what a cut-off entry has in use until it is gone', () => {
+    const {ask} = createLedger();
+    expect(ask('a', 8, 8, 0)).toBe(8);
+    const later = 10 * TTL_MS;
+    expect(ask('b', 10, 0, later)).toBe(2);
+    const gone = {...LIMITS, isPresent: (entry: string) => entry !== 'a'};
+    expect(ask('b', 10, 2, later + 1, gone)).toBe(10);
+  });
+
+  // Two homes have let in more than the limit. An entry is granted fewer
+  // places than it uses; were it granted as many, it would fill each one that
+  // ends, and the excess would last as long as the load.
+  it('grants less than is in use when that is too much', () => {
+    const {ask} = createLedger();
+    expect(ask('a', 9, 9, 0)).toBe(9);
+    expect(ask('b', 9, 6, 0)).toBe(1);
+    expect(ask('a', 9, 8, 1)).toBe(4);
+  });
+
+  it('grants its part while it does not reach all entries', () => {
+    const {ask} = createLedger();
+    expect(ask('a', 10, 0, 0, {...LIMITS, part: 0.5})).toBe(5);
+  });
+
+  it('lets grants live longer when many entries ask', () => {
+    const {ledger} = createLedger();
+    const ttlOf = (entry: number): number =>
+      ledger.grant(
+        {
+          organisation: 'prairie',
+          entry: `entry-${entry}`,
+          wantPlaces: 1,
+          usedPlaces: 0,
+          wantTokens: 0,
+        },
+        {...LIMITS, maxRunning: 1_000},
+        0,
+      ).ttlMs;
+    const ttls = Array.from({length: 370}, (_, entry) => ttlOf(entry));
+    expect(ttls[0]).toBe(2_000);
+    expect(ttls[63]).toBe(8_000);
+    expect(ttls[369]).toBe(16_000);
+  });
+});
+
+describe('a share', () => {
+  const grant = {places: 2, tokens: 100, ttlMs: TTL_MS, home: true};
+
+  it('lapses its time to live after it was asked for', () => {
+    const share = createShare(TTL_MS);
+    share.enter(grant, 1_000);
+    expect(share.take(10, 2_999)).toBe('none');
+    expect(share.take(10, 3_000)).toBe('places');
+    share.enter({...grant, tokens: 0}, 2_500);
+    expect(share.take(10, 3_000)).toBe('tokens');
+  });
+
+  it('stands on a small allowance without the home', () => {
+    expect(allowanceOf(64, 4_000, 4)).toEqual({places: 4, tokensPerSec: 250});
+    expect(allowanceOf(2, 4_000, 4).places).toBe(1);
+    const share = createShare(TTL_MS);
+    share.fallBack({places: 1, tokensPerSec: 250}, 0);
+    expect(share.take(1_000, 0)).toBe('none');
+    expect(share.take(1, 0)).toBe('places');
+    share.release();
+    // 750 in debt: over 0 again after three seconds and a little.
+    expect(share.take(1, 3_000)).toBe('tokens');
+    expect(share.take(1, 3_010)).toBe('none');
+  });
+
+  it('asks for what waits, a quarter more, and what two periods used', () => {
+    const share = createShare(TTL_MS);
+    expect(share.wants(4, 400, 0)).toEqual({places: 5, tokens: 400});
+    share.enter({...grant, places: 9, tokens: 1_000}, 0);
+    for (const now of [0, 1]) {
+      share.take(300, now);
+      share.release();
+      share.endPeriod(now);
+    }
+    expect(share.wants(0, 0, 2)).toEqual({places: 2, tokens: 0});
+    expect(share.wants(0, 0, TTL_MS)).toEqual({places: 2, tokens: 300});
+  });
+});
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,193 @@
+import {describe, expect, it} from 'vitest';
+import {ORGANISATION, createLimitsFleet} from './support/limits_fleet.js';
+import type {Entry} from './support/limits_fleet.js';
+
+const MAX_RUNNING = 64;
+const TTL_MS = 2_000;
+/** Requests a second over all entries: some four times what fits. */
+const ALL_PER_SEC = 250;
+const LOAD = {perSec: 60, holdMs: 1_000, tokens: 10};
+/** Requests last at most one and a half times `holdMs`. */
+const LONGEST_MS = 1_500;
+
+function allowancePlaces(entries: number): number {
+  return Math.max(1, Math.floor(MAX_RUNNING / (4 * entries)));
+}
+
+describe.each([2, 4, 8])('limits over %i entries', entryCount => {
+  const createLoaded = async (seed: number, holdMs = LOAD.holdMs) => {
+    const options = {entries: entryCount, maxRunning: MAX_RUNNING, seed};
+    const fleet = await createLimitsFleet(options);
+    const perSec = ALL_PER_SEC / entryCount;
+    const load = {...LOAD, holdMs, perSec};
+    for (const entry of fleet.entries) fleet.startLoad(entry, load);
+    await fleet.clock.runFor(10_000);
+    return fleet;
+  };
+
+  it('fill the limit and keep it while homes stay', async () => {
+    const fleet = await createLoaded(1);
+    const peak = await fleet.peakOver(20_000);
+    expect(peak).toBeLessThanOrEqual(MAX_RUNNING);
+    expect(peak).toBeGreaterThan(0.9 * MAX_RUNNING);
+    expect(fleet.entries[0].refusals[0]).toMatchObject({
+      code: 'limit-reached',
+      step: 'limit',
+    });
+    expect(fleet.entries[0].refusals[0].retryAfterMs).toBeGreaterThan(0);
+    await fleet.stop();
+  });
+
+  // The home dies. Entries admit from grants that have not lapsed, then from
+  // their allowances, until their views name a new home. It knows nothing of
+  // the old grants and may grant the whole limit on top of them; once those
+  // have lapsed and their requests have ended, the limit holds again.
+  it('exceed the limit by no more than old grants when the home dies', async () => {
+    const fleet = await createLoaded(2);
+    const home = fleet.homeAmong(fleet.entries);
+    const left = fleet.entries.filter(entry => entry !== home);
+    fleet.kill(home);
+    const unseen = await fleet.peakOver(1_000);
+    for (const entry of left) {
+      fleet.show(entry, peer => (peer === home ? 'gone' : 'live'));
+    }
+    const moved = await fleet.peakOver(TTL_MS + LONGEST_MS);
+    const settled = await fleet.peakOver(10_000);
+    const allowances = left.length * allowancePlaces(entryCount);
+    expect(unseen).toBeLessThanOrEqual(MAX_RUNNING + allowances);
+    expect(moved).toBeLessThanOrEqual(2 * MAX_RUNNING + allowances);
+    expect(settled).toBeLessThanOrEqual(MAX_RUNNING);
+    expect(settled).toBeGreaterThan(0.8 * MAX_RUNNING);
+    await fleet.stop();
+  });
+
+  // The fleet falls into two halves. At first the half without the home lives
+  // on allowances; then each half suspects the other and has a home of its
+  // own. Each home counts the suspects as served elsewhere and grants only its
+  // part, so that the two together keep the limit; without that they would
+  // grant it twice for as long as the cut lasts.
+  it('are kept by two halves that are cut off from each other', async () => {
+    // Long requests, which outlive the grants that let them in.
+    const holdMs = 4_000;
+    const fleet = await createLoaded(3, holdMs);
+    const half = fleet.entries.length / 2;
+    const halves = [fleet.entries.slice(0, half), fleet.entries.slice(half)];
+    for (const a of halves[0]) {
+      for (const b of halves[1]) fleet.faults.cut(a.address, b.address);
+    }
+    const unseen = await fleet.peakOver(5_000);
+    for (const [index, own] of halves.entries()) {
+      const other = new Set<Entry>(halves[1 - index]);
+      for (const entry of own) {
+        fleet.show(entry, peer => (other.has(peer) ? 'suspect' : 'live'));
+      }
+    }
+    const moved = await fleet.peakOver(TTL_MS + 2 * holdMs);
+    const parted = await fleet.peakOver(10_000);
+    fleet.faults.healAll();
+    for (const entry of fleet.entries) fleet.show(entry, () => 'live');
+    const healed = await fleet.peakOver(TTL_MS + 2 * holdMs);
+    const settled = await fleet.peakOver(10_000);
+    const allowances = half * allowancePlaces(entryCount);
+    expect(unseen).toBeLessThanOrEqual(MAX_RUNNING + allowances);
+    expect(moved).toBeLessThanOrEqual(2 * MAX_RUNNING + allowances);
+    expect(parted).toBeLessThanOrEqual(MAX_RUNNING);
+    expect(parted).toBeGreaterThan(0.8 * MAX_RUNNING);
+    expect(healed).toBeLessThanOrEqual(2 * MAX_RUNNING);
+    expect(settled).toBeLessThanOrEqual(MAX_RUNNING);
+    await fleet.stop();
+  });
+});
+
+describe('an entry', () => {
+  it('gets places in proportion to what it wants', async () => {
+    const fleet = await createLimitsFleet({entries: 2, maxRunning: 60});
+    const [busy, calm] = fleet.entries;
+    fleet.startLoad(busy, {...LOAD, perSec: 200});
+    fleet.startLoad(calm, {...LOAD, perSec: 20});
+    await fleet.clock.runFor(30_000);
+    const admitted = (entry: Entry): number =>
+      entry.admitted / (entry.admitted + entry.refusals.length);
+    expect(admitted(calm)).toBeGreaterThanOrEqual(admitted(busy));
+    expect(busy.admitted).toBeGreaterThan(2 * calm.admitted);
+    await fleet.stop();
+  });
+
+  it('keeps an unused grant no longer than its time to live', async () => {
+    const fleet = await createLimitsFleet({entries: 2, maxRunning: 4});
+    const [first, second] = fleet.entries;
+    const load = {holdMs: 100, tokens: 1, perSec: 0};
+    for (let count = 0; count < 4; count++) fleet.request(first, load);
+    await fleet.clock.runFor(2.5 * TTL_MS);
+    for (let count = 0; count < 4; count++) fleet.request(second, load);
+    await fleet.clock.runFor(100);
+    expect(first.admitted).toBe(4);
+    expect(second.admitted).toBe(4);
+    await fleet.stop();
+  });
+
+  it('is not in the way of an organisation that is unknown', async () => {
+    const fleet = await createLimitsFleet({entries: 2, maxRunning: 4});
+    const outcome = await fleet.entries[0].kernel.ask(
+      'limits',
+      (reply: (value: unknown) => void) => ({
+        kind: 'acquire',
+        organisation: `not-${ORGANISATION}`,
+        tokens: 1,
+        reply,
+      }),
+    );
+    expect(outcome).toMatchObject({__value: {code: 'not-found'}});
+    await fleet.stop();
+  });
+});
+
+describe('lost and late asks', () => {
+  // Answers are lost and asks arrive again, long after. The entries go by what
+  // they were last told, and the home has to count no less than that.
+  it('leave the limit whole but for allowances', async () => {
+    const options = {entries: 4, maxRunning: MAX_RUNNING, seed: 4};
+    const fleet = await createLimitsFleet(options);
+    fleet.faults.setDrops(0.2);
+    fleet.faults.setDuplicates(0.3, {minMs: 100, maxMs: 1_900});
+    for (const entry of fleet.entries) fleet.startLoad(entry, LOAD);
+    const peak = await fleet.peakOver(60_000);
+    const allowances = 4 * allowancePlaces(4);
+    expect(peak).toBeLessThanOrEqual(MAX_RUNNING + allowances);
+    await fleet.stop();
+  });
+});
+
+describe('tokens', () => {
+  it('flow at the rate, with a second of burst and one ask over', async () => {
+    const tokensPerSec = 100_000;
+    const options = {entries: 4, maxRunning: 1_000, tokensPerSec};
+    const fleet = await createLimitsFleet(options);
+    const load = {perSec: 50, holdMs: 200, tokens: 2_000};
+    for (const entry of fleet.entries) fleet.startLoad(entry, load);
+    const seconds = 30;
+    await fleet.clock.runFor(seconds * 1_000);
+    const taken = fleet.entries.reduce((sum, entry) => sum + entry.tokens, 0);
+    expect(taken).toBeLessThanOrEqual(tokensPerSec * (seconds + 2));
+    expect(taken).toBeGreaterThan(0.8 * tokensPerSec * seconds);
+    await fleet.stop();
+  });
+
+  it('let in a prompt of more than a second of them, and then wait', async () => {
+    const options = {entries: 2, maxRunning: 10, tokensPerSec: 100_000};
+    const fleet = await createLimitsFleet(options);
+    const [entry] = fleet.entries;
+    const huge = {perSec: 0, holdMs: 10, tokens: 1_000_000};
+    fleet.request(entry, huge);
+    await fleet.clock.runFor(1_000);
+    fleet.request(entry, huge);
+    await fleet.clock.runFor(1_000);
+    expect(entry.admitted).toBe(1);
+    expect(entry.refusals).toHaveLength(1);
+    await fleet.clock.runFor(8_000);
+    fleet.request(entry, huge);
+    await fleet.clock.runFor(1_000);
+    expect(entry.admitted).toBe(2);
+    await fleet.stop();
+  });
+});
--- /dev/null
+++ b/test/support/limits_fleet.ts
@@ -0,0 +1,241 @@
+/**
+ * Entries with the limits service on virtual time, under a load of requests,
+ * with membership views that the test sets.
+ */
+import type {Either} from 'purify-ts';
+import {createLimitsService} from '../../src/limits/limits.js';
+import {createKernel} from '../../src/kernel/kernel.js';
+import type {Kernel} from '../../src/kernel/kernel.js';
+import type {Declarations} from '../../src/types/config.js';
+import type {OnyxError} from '../../src/types/errors.js';
+import type {GrantRes} from '../../src/types/peer_messages.js';
+import type {EntryPeer, MembershipView} from '../../src/types/services.js';
+import {rendezvousFirst} from '../../src/utils/rendezvous.js';
+import {createMemoryNetwork} from '../../standins/memory_network.js';
+import {createPausableClock} from '../../standins/pausable_clock.js';
+import type {PausableClock} from '../../standins/pausable_clock.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {createSeededRandom} from './seeded_random.js';
+import {createVirtualClock} from './virtual_clock.js';
+
+export const ORGANISATION = 'prairie';
+
+export interface FleetOptions {
+  readonly entries: number;
+  readonly maxRunning: number;
+  readonly tokensPerSec?: number;
+  readonly seed?: number;
+}
+
+/** A load of requests on one entry. */
+export interface Load {
+  /** Arrivals a second, evenly spread in chance. */
+  readonly perSec: number;
+  readonly holdMs: number;
+  readonly tokens: number;
+}
+
+export interface Entry {
+  readonly address: string;
+  readonly node: string;
+  readonly clock: PausableClock;
+  readonly kernel: Kernel;
+  running: number;
+  admitted: number;
+  tokens: number;
+  readonly refusals: OnyxError[];
+  view: (view: MembershipView) => void;
+  isUp: boolean;
+}
+
+function declarations(options: FleetOptions): Declarations {
+  const {maxRunning, tokensPerSec = 1e9} = options;
+  const organisation = {
+    id: ORGANISATION,
+    keyHashes: [],
+    weight: 1,
+    maxRunning,
+    tokensPerSec,
+  };
+  // The service reads nothing else of them.
+  return {organisations: [organisation]} as unknown as Declarations;
+}
+
+export async function createLimitsFleet(options: FleetOptions) {
+  const shared = createVirtualClock();
+  const random = createSeededRandom(options.seed ?? 1);
+  const network = createMemoryNetwork(shared, random);
+  const entries: Entry[] = [];
+  const runtime = createRecordingRuntime({clock: shared, random});
+
+  const startEntry = async (index: number): Promise<Entry> => {
+    const address = `10.0.0.${index + 1}:7300`;
+    const clock = createPausableClock(shared);
+    const kernel = createKernel({...runtime.runtime, clock});
+    const transport = network.transport(address);
+    const node = `entry-${index}`;
+    const entry: Entry = {
+      address,
+      node,
+      clock,
+      kernel,
+      running: 0,
+      admitted: 0,
+      tokens: 0,
+      refusals: [],
+      view: () => undefined,
+      isUp: true,
+    };
+    await kernel.start({
+      name: 'config',
+      start: ctx => {
+        void ctx.mailbox.observe(message => {
+          if (message.kind !== 'subscribe') return;
+          message.listener({number: 1, declarations: declarations(options)});
+        });
+      },
+    });
+    await kernel.start({
+      name: 'membership',
+      start: ctx => {
+        void ctx.mailbox.observe(message => {
+          if (message.kind === 'subscribe') entry.view = message.listener;
+        });
+      },
+    });
+    await kernel.start(createLimitsService({node, address, transport}));
+    await transport.listen(address, {
+      grant: req =>
+        kernel.ask('limits', (reply: (res: GrantRes) => void) => ({
+          kind: 'grant',
+          req,
+          reply,
+        })),
+    });
+    return entry;
+  };
+
+  for (let index = 0; index < options.entries; index++) {
+    entries.push(await startEntry(index));
+  }
+  await shared.settle();
+
+  /** Tells an entry in which state it sees the others. */
+  const show = (
+    to: Entry,
+    stateOf: (entry: Entry) => EntryPeer['state'],
+  ): void => {
+    const peers = entries
+      .filter(entry => entry !== to)
+      .map(entry => ({
+        node: entry.node,
+        address: entry.address,
+        failureDomain: 'hall-north',
+        incarnation: '1',
+        state: stateOf(entry),
+        configNumber: 1,
+        fence: 0,
+      }));
+    to.view({replicas: [], allSides: [], entries: peers});
+  };
+  for (const entry of entries) show(entry, () => 'live');
+  await shared.runFor(10_000);
+
+  let peak = 0;
+  let isStopped = false;
+  const running = (): number =>
+    entries.reduce((sum, entry) => sum + (entry.isUp ? entry.running : 0), 0);
+
+  const request = (entry: Entry, load: Load): void => {
+    const asked = entry.kernel.ask(
+      'limits',
+      (reply: (outcome: Either<OnyxError, void>) => void) => ({
+        kind: 'acquire',
+        organisation: ORGANISATION,
+        tokens: load.tokens,
+        reply,
+      }),
+    );
+    // A service that ends, as with the fleet, answers by a rejection.
+    const answered = asked.catch((err: unknown) => {
+      if (!isStopped) throw err;
+      return undefined;
+    });
+    void answered.then(outcome => {
+      if (!entry.isUp || outcome === undefined) return;
+      outcome.caseOf({
+        Left: err => void entry.refusals.push(err),
+        Right: () => {
+          entry.running++;
+          entry.admitted++;
+          entry.tokens += load.tokens;
+          peak = Math.max(peak, running());
+          entry.clock.after(load.holdMs * (0.5 + random.next()), () => {
+            entry.running--;
+            entry.kernel.send('limits', {
+              kind: 'release',
+              organisation: ORGANISATION,
+            });
+          });
+        },
+      });
+    });
+  };
+
+  /** Requests come to the entry until the returned function is called. */
+  const startLoad = (entry: Entry, load: Load): (() => void) => {
+    let ended = false;
+    const next = (): void => {
+      const gapMs = (-Math.log(1 - random.next()) * 1_000) / load.perSec;
+      entry.clock.after(gapMs, () => {
+        if (ended) return;
+        request(entry, load);
+        next();
+      });
+    };
+    next();
+    return () => {
+      ended = true;
+    };
+  };
+
+  /** Most requests running at once over all entries in the next `ms`. */
+  const peakOver = async (ms: number): Promise<number> => {
+    peak = running();
+    await shared.runFor(ms);
+    return peak;
+  };
+
+  const kill = (entry: Entry): void => {
+    entry.isUp = false;
+    entry.clock.stop();
+    network.faults.down(entry.address);
+  };
+
+  /** The organisation's home among these entries. */
+  const homeAmong = (among: readonly Entry[]): Entry => {
+    const nodes = among.map(entry => ({id: entry.node, entry}));
+    const best = rendezvousFirst(`limits ${ORGANISATION}`, nodes);
+    if (best === undefined) throw new Error('there are no entries');
+    return best.entry;
+  };
+
+  return {
+    entries,
+    faults: network.faults,
+    runtime,
+    clock: shared,
+    show,
+    request,
+    startLoad,
+    peakOver,
+    running,
+    kill,
+    homeAmong,
+    asks: () => network.callCount('grant'),
+    stop: async () => {
+      isStopped = true;
+      for (const entry of entries) await entry.kernel.stop();
+    },
+  };
+}
