test(side): make the safeguards' tests strict enough to turn red

Cause: with a safeguard taken out, seven tests stayed green: token gap and copy, engine silence, prompt cut short, owners after a freeze, offers before the first list, and asking again for a cancel. Each but the last has now a test of its own kind.

Ruled out: asking again for each unconfirmed cancel at every audit. It did nothing that the comparison of lists does not do, and is taken out.

--- a/src/side/audit.ts
+++ b/src/side/audit.ts
@@ -35,6 +35,7 @@
   const isSpent = (info: EngineRunInfo) =>
     info.state === 'done' && info.memoryTokens === 0;
 
+  /** Also what was cancelled here, if the engine never got to know. */
   const freeStrays = (list: readonly EngineRunInfo[]): number => {
     const strays = list.filter(info => !isOurs(info.runId) && !isSpent(info));
     for (const stray of strays) {
@@ -106,7 +107,6 @@
           }),
         )
         .ifRight(list => compare(list, sentAt));
-      lifecycle.freeAgain();
     },
     freed: (dispatchId, outcome) => {
       outcome
--- a/src/side/lifecycle.ts
+++ b/src/side/lifecycle.ts
@@ -21,8 +21,6 @@
   end(run: Run, finishReason: string, cachedTokens: number): void;
   fail(run: Run, failure: Failure): void;
   cancel(run: Run, code: string, message: string): void;
-  /** Asks the engine again to free what it has not confirmed. */
-  freeAgain(): void;
   /** Asks the engine to end a run and free its memory. */
   free(dispatchId: string): void;
   /** Forgets a run that is over; its id stays remembered. */
@@ -128,12 +126,6 @@
     fail: (run, failure) => closeFailed(run, 'failed', failure),
     cancel: (run, code, message) =>
       closeFailed(run, 'cancelled', {code, message}),
-    freeAgain: () => {
-      for (const id of memory.holders()) {
-        const run = table.get(id);
-        if (run === undefined || isOver(run)) free(id);
-      }
-    },
     free,
     forget: run => {
       bury(run);
--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -1,6 +1,9 @@
 /** The whole answer, in order, to its own organisation and nobody else. */
+import {from} from 'most';
+import type {Stream} from 'most';
 import {expect, describe, test} from 'vitest';
 import type {RunEnd} from '../src/types/peer_messages.js';
+import type {EngineEvent} from '../src/types/upstream.js';
 import {createDigest} from '../src/utils/digest.js';
 import {answerText} from '../standins/engine_runs.js';
 import {createSideRig} from './support/side_rig.js';
@@ -117,6 +120,39 @@
     expectWhole([channel], 300);
   });
 
+  test('with copies and a gap gives each token once and in order', async () => {
+    // A faulty connection repeats a token and then skips one. To pass it on
+    // would double or cut the answer under a digest that says it is whole.
+    const faulty = (stream: Stream<EngineEvent>) =>
+      stream
+        .chain(event => from([event, event]))
+        .filter(event => !(event.kind === 'tokens' && event.index === 9));
+    const rig = await createSideRig({
+      wrapEngine: engine => ({
+        ...engine,
+        start: (req, prompt) => faulty(engine.start(req, prompt)),
+      }),
+    });
+    await rig.offer('r1.0');
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(5_000);
+    expectWhole([channel], 20);
+  });
+
+  test('without any event is taken up though its client says nothing', async () => {
+    const rig = await createSideRig({
+      wrapEngine: engine => ({
+        ...engine,
+        start: (req, prompt) =>
+          engine.start(req, prompt).filter(event => event.kind === 'prefill'),
+      }),
+    });
+    await rig.offer('r1.0');
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(20_000);
+    expectWhole([channel], 20);
+  });
+
   test('of an engine that died fails as run, within bounded tries', async () => {
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 500});
@@ -178,6 +214,7 @@
     channel.send({kind: 'prompt', seq: 0, data: Buffer.from('a')});
     channel.close();
     await rig.clock.runFor(100);
+    expect(await rig.stateOf('r1.0')).toBe('failed');
     expect(await rig.abandon('r1.0')).toMatchObject({state: 'never-started'});
     const back = rig.attach('r1.0', 0, 'entry-1');
     await rig.clock.runFor(100);
--- a/test/side_at_most_once.test.ts
+++ b/test/side_at_most_once.test.ts
@@ -174,3 +174,32 @@
     expect(await rig.offer('r1.0')).toMatchObject({reason: 'incarnation'});
   });
 });
+
+describe('what is remembered', () => {
+  test('is bounded by taking no offers, not by forgetting an id', async () => {
+    // To forget the oldest id at the bound would let its late copy run.
+    const rig = await createSideRig({bounds: {maxTombstones: 2}});
+    await rig.abandon('r1.0');
+    await rig.abandon('r2.0');
+    expect(await rig.abandon('r3.0')).toMatchObject({state: 'unknown'});
+    expect(await rig.offer('r4.0')).toMatchObject({reason: 'queue-full'});
+    await rig.clock.runFor(121_000);
+    expect(await rig.offer('r5.0')).toMatchObject({kind: 'accepted'});
+  });
+
+  test('of answers is bounded by bytes, the oldest first', async () => {
+    const rig = await createSideRig({bounds: {retentionBytes: 300}});
+    for (const id of ['r1.0', 'r2.0']) {
+      await rig.offer(id);
+      const channel = rig.goWhole(id);
+      await rig.clock.runFor(2_000);
+      channel.close();
+    }
+    await rig.clock.runFor(2_000);
+    const {runs} = await rig.status();
+    expect(runs.map(run => run.dispatchId)).toEqual(['r2.0']);
+    const late = rig.attach('r1.0', 0);
+    await rig.clock.runFor(10);
+    expect(late.last('failed')).toMatchObject({ran: 'yes'});
+  });
+});
--- a/test/side_capacity.test.ts
+++ b/test/side_capacity.test.ts
@@ -2,6 +2,7 @@
 import {Left, Right} from 'purify-ts';
 import {expect, describe, test} from 'vitest';
 import {OnyxError} from '../src/types/errors.js';
+import type {OrderReq} from '../src/types/peer_messages.js';
 import type {EngineEvent} from '../src/types/upstream.js';
 import {pushStream} from '../src/upstream/push_stream.js';
 import {SIDE_EVENTS} from '../src/utils/events.js';
@@ -45,10 +46,17 @@
     // long, since it could not; the owner is well and beats on.
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 3_000, timeLeftMs: 600_000});
+    await rig.offer('r2.0', {maxTokens: 3_000, timeLeftMs: 600_000});
     const channel = rig.goWhole('r1.0', 600_000);
+    const broken = rig.goWhole('r2.0', 600_000);
+    await rig.clock.runFor(1_000);
+    broken.close();
     await rig.clock.runFor(1_000);
     rig.clock.advance(60_000);
-    await rig.clock.runFor(10_000);
+    await rig.clock.runFor(1_500);
+    await rig.heartbeat(['r2.0']);
+    await rig.clock.runFor(8_000);
+    expect(await rig.stateOf('r2.0')).toBe('running');
     expect(rig.eventsOf(SIDE_EVENTS.sideFrozen)).toHaveLength(1);
     expect(channel.isClosed()).toBe(false);
     expect(await rig.stateOf('r1.0')).toBe('running');
@@ -74,6 +82,17 @@
     expect(kind).toBe('accepted');
   });
 
+  test('may hold anything until its list was read: no offer is taken', async () => {
+    const unread = new OnyxError({code: 'timeout', step: 'run', message: ''});
+    const rig = await createSideRig({
+      wrapEngine: engine => ({
+        ...engine,
+        list: () => Promise.resolve(Left(unread)),
+      }),
+    });
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'engine-down'});
+  });
+
   test('is freed by the audit', async () => {
     // The old incarnation was frozen while it was replaced; it wakes and
     // starts one more run before it is ended.
@@ -288,20 +307,31 @@
     // came by a heartbeat. The engine would obey either.
     const rig = await createSideRig({model: {honoursFence: false}});
     await rig.heartbeat([], 7);
-    const order = rig.handlers().order;
-    const old = await rig.answer(order?.(load('o1', 6)));
+    const order = async (req: OrderReq) => {
+      const asked = rig.handlers().order?.(req);
+      await rig.clock.runFor(10);
+      return asked;
+    };
+    const old = await order(load('o1', 6));
     expect(old).toMatchObject({state: 'refused', reason: 'stale-fence'});
-    const asked = order?.(load('o2', 7));
-    await rig.clock.runFor(10);
-    expect(await asked).toMatchObject({state: 'started', fence: 7});
-    expect(await rig.answer(order?.(load('o2', 7)))).toMatchObject({
-      state: 'started',
-    });
+    const first = await order(load('o2', 7));
+    expect(first).toMatchObject({state: 'started', fence: 7});
+    expect(await order(load('o2', 7))).toEqual(first);
     await rig.clock.runFor(6_000);
     const {models} = await rig.heartbeat([]);
     expect(models.filter(state => state.model === 'm2')).toHaveLength(1);
   });
 
+  test('that waited are looked at again with the number then seen', async () => {
+    const rig = await createSideRig();
+    const first = rig.handlers().order?.(load('o1', 7));
+    const second = rig.handlers().order?.({...load('o2', 7), model: 'm3'});
+    await rig.heartbeat([], 8);
+    await rig.clock.runFor(10);
+    expect(await first).toMatchObject({state: 'started'});
+    expect(await second).toMatchObject({reason: 'stale-fence', fence: 8});
+  });
+
   test('are taken only when the lease was read after a start', async () => {
     let up = false;
     const down = new OnyxError({
