test(side): show each safeguard red without it and green with it

Cause: a safeguard counts only if its test turns red when it is taken out.

Ruled out: the check that a beat is no progress stays without a red run; with it taken out the test stays green, since few beats fall into the moment between a list's asking and its answer.

--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -1,9 +1,10 @@
 /** The whole answer, in order, to its own organisation and nobody else. */
-import {from} from 'most';
+import {from, never} from 'most';
 import type {Stream} from 'most';
 import {expect, describe, test} from 'vitest';
 import type {RunEnd} from '../src/types/peer_messages.js';
 import type {EngineEvent} from '../src/types/upstream.js';
+import {SIDE_EVENTS} from '../src/utils/events.js';
 import {createDigest} from '../src/utils/digest.js';
 import {answerText} from '../standins/engine_runs.js';
 import {createSideRig} from './support/side_rig.js';
@@ -137,14 +138,18 @@
     const channel = rig.goWhole('r1.0');
     await rig.clock.runFor(5_000);
     expectWhole([channel], 20);
+    const broken = rig.eventsOf(SIDE_EVENTS.streamBroken);
+    expect(broken.map(line => line.fields.nextToken)).toEqual([9]);
   });
 
   test('without any event is taken up though its client says nothing', async () => {
     const rig = await createSideRig({
       wrapEngine: engine => ({
         ...engine,
-        start: (req, prompt) =>
-          engine.start(req, prompt).filter(event => event.kind === 'prefill'),
+        start: (req, prompt) => {
+          void engine.start(req, prompt).drain();
+          return never();
+        },
       }),
     });
     await rig.offer('r1.0');
--- a/test/side_capacity.test.ts
+++ b/test/side_capacity.test.ts
@@ -2,7 +2,6 @@
 import {Left, Right} from 'purify-ts';
 import {expect, describe, test} from 'vitest';
 import {OnyxError} from '../src/types/errors.js';
-import type {OrderReq} from '../src/types/peer_messages.js';
 import type {EngineEvent} from '../src/types/upstream.js';
 import {pushStream} from '../src/upstream/push_stream.js';
 import {SIDE_EVENTS} from '../src/utils/events.js';
@@ -307,16 +306,11 @@
     // came by a heartbeat. The engine would obey either.
     const rig = await createSideRig({model: {honoursFence: false}});
     await rig.heartbeat([], 7);
-    const order = async (req: OrderReq) => {
-      const asked = rig.handlers().order?.(req);
-      await rig.clock.runFor(10);
-      return asked;
-    };
-    const old = await order(load('o1', 6));
+    const old = await rig.order(load('o1', 6));
     expect(old).toMatchObject({state: 'refused', reason: 'stale-fence'});
-    const first = await order(load('o2', 7));
+    const first = await rig.order(load('o2', 7));
     expect(first).toMatchObject({state: 'started', fence: 7});
-    expect(await order(load('o2', 7))).toEqual(first);
+    expect(await rig.order(load('o2', 7))).toEqual(first);
     await rig.clock.runFor(6_000);
     const {models} = await rig.heartbeat([]);
     expect(models.filter(state => state.model === 'm2')).toHaveLength(1);
@@ -342,13 +336,12 @@
     const rig = await createSideRig({
       readFence: () => Promise.resolve(up ? Right(9) : Left(down)),
     });
-    const order = rig.handlers().order;
-    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+    expect(await rig.order(load('o1', 8))).toMatchObject({
       reason: 'fence-unknown',
     });
     up = true;
     await rig.clock.runFor(2_100);
-    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+    expect(await rig.order(load('o1', 8))).toMatchObject({
       reason: 'stale-fence',
       fence: 9,
     });
@@ -358,7 +351,7 @@
     const rig = await createSideRig();
     await rig.offer('r1.0');
     const order = {...load('o1', 1), model: 'm', action: 'unload' as const};
-    expect(await rig.answer(rig.handlers().order?.(order))).toMatchObject({
+    expect(await rig.order(order)).toMatchObject({
       state: 'refused',
       reason: 'in-use',
     });
--- a/test/support/side_rig.ts
+++ b/test/support/side_rig.ts
@@ -14,6 +14,7 @@
 import type {
   Chunk,
   OfferReq,
+  OrderReq,
   RunDown,
   RunUp,
 } from '../../src/types/peer_messages.js';
@@ -228,6 +229,11 @@
     abandon,
     heartbeat,
     status,
+    order: async (req: OrderReq) => {
+      const asked = handlers().order?.(req);
+      await clock.runFor(10);
+      return asked;
+    },
     drain: () =>
       kernel.ask<'runs', void>('runs', reply => ({kind: 'drain', reply})),
     /** Ends the side as a kill would: the engine is told nothing. */
