--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -120,13 +120,6 @@
   wishMet: event(707, 'info', 'placement-wish-met'),
 } as const;
 
-export const PLATFORM_EVENTS = {
-  leaseTaken: event(900, 'info', 'lease-taken'),
-  leaseLost: event(901, 'warn', 'lease-lost'),
-  leaseNotRenewed: event(902, 'warn', 'lease-not-renewed'),
-  claimUnknown: event(910, 'warn', 'claim-unknown'),
-} as const;
-
 export const LIMIT_EVENTS = {
   reached: event(800, 'info', 'limit-reached'),
   homeChanged: event(801, 'info', 'limit-home-changed'),
@@ -134,6 +127,13 @@
   homeBack: event(803, 'info', 'limit-home-back'),
 } as const;
 
+export const PLATFORM_EVENTS = {
+  leaseTaken: event(900, 'info', 'lease-taken'),
+  leaseLost: event(901, 'warn', 'lease-lost'),
+  leaseNotRenewed: event(902, 'warn', 'lease-not-renewed'),
+  claimUnknown: event(910, 'warn', 'claim-unknown'),
+} as const;
+
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
