feat(policy): count the wait for memory when choosing an engine

Hypothesis: at 80% of capacity the tail of short and medium prompts comes from engines whose memory a group holds: a member shows no backlog, so it looks idle and is chosen, and what is sent there waits for some 40 s.

Change: an engine without room for the request counts at least half of its held tokens as ahead of it.

--- a/src/policy/predicted_first_token.ts
+++ b/src/policy/predicted_first_token.ts
@@ -18,6 +18,8 @@
 const CALL_AHEAD_MS = 20;
 /** Share of longer prompts' backlog that a short prompt waits for. */
 const LONG_BACKLOG_FOR_SHORT = 0.1;
+/** Part of its memory's prefill that a run has before it on average. */
+const HELD_LEFT = 0.5;
 /** Cost of leaving the own failure domain, beside the measured round trip. */
 const OTHER_DOMAIN_MS = 1;
 /** A report of this age is half trusted. */
@@ -72,7 +74,23 @@
   const rate = load.prefillTokensPerSec || UNKNOWN_TOKENS_PER_SEC;
   const ahead = backlogAhead(input, target) + target.unreportedTokens;
   const own = Math.max(0, input.request.promptTokens - cachedTokens);
-  return ((ahead + own) / rate) * 1_000 + load.stepMs;
+  const waitTokens = Math.max(ahead, heldAhead(input, target));
+  return ((waitTokens + own) / rate) * 1_000 + load.stepMs;
+}
+
+/**
+ * Tokens to prefill before the engine has memory for the request: what holds
+ * the memory is on average half done. A member of a group shows no backlog of
+ * its own, and yet may hold nearly all of its engine for as long as the
+ * group's prefill takes.
+ */
+function heldAhead(input: RoutingInput, target: RoutingTarget): number {
+  const {capacityTokens, freeTokens} = target.replica.load;
+  if (capacityTokens === 0) return 0;
+  const {promptTokens, maxTokens} = input.request;
+  const free = freeTokens - target.unreportedTokens;
+  if (promptTokens + maxTokens <= free) return 0;
+  return (capacityTokens - freeTokens) * HELD_LEFT;
 }
 
 function backlogAhead(input: RoutingInput, target: RoutingTarget): number {
