feat(entry): let a group leave room beside it on its members

Hypothesis: a group of the fewest engines takes nearly all of their memory, so short prompts sent there wait until its prefill ends.

Change: a group takes at most 0.85 of its members' memory where enough engines are there, and the former plan where they are not. More members also share its prefill.

--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -5,6 +5,12 @@
 import type {RequestSpec} from '../types/services.js';
 import type {RankedTarget} from '../policy/routing.js';
 
+/**
+ * Share of its members' memory that a group takes where it can. A group that
+ * fills its members stops all short work on them for as long as it runs.
+ */
+const GROUP_SHARE = 0.85;
+
 /** One engine of a group and its part. */
 export interface GroupPart {
   readonly ranked: RankedTarget;
@@ -37,8 +43,12 @@
   const roomiest = [...known].sort(
     (a, b) => freeOf(b) - freeOf(a) || capacityOf(b) - capacityOf(a),
   );
-  const members = fewest(roomiest, needed);
-  const haveTokens = members.reduce((sum, one) => sum + capacityOf(one), 0);
+  // Engines that together leave room beside the group; where there are too few
+  // of them, any that hold it.
+  const beside = fewest(roomiest, needed / GROUP_SHARE);
+  const holds = capacitySum(beside) >= needed / GROUP_SHARE;
+  const members = holds ? beside : fewest(roomiest, needed);
+  const haveTokens = capacitySum(members);
   if (haveTokens < needed) return {kind: 'too-large', haveTokens};
   return {kind: 'group', parts: partsOf(members, needed, haveTokens)};
 }
@@ -74,6 +84,10 @@
     .sort((a, b) => (addressOf(a.ranked) < addressOf(b.ranked) ? -1 : 1));
 }
 
+function capacitySum(members: readonly RankedTarget[]): number {
+  return members.reduce((sum, one) => sum + capacityOf(one), 0);
+}
+
 function capacityOf(ranked: RankedTarget): number {
   return ranked.target.replica.load.capacityTokens;
 }
