feat(bench): measure slopes and work the capacity page out of them

Cause: there was no page that says what each role costs at the target size. Real daemons over loopback are measured at three sizes or more for each line; processor time comes from /proc over all threads, bytes from the counters at the socket, memory through the inspector after a forced collection.

Ruled out: a gauge of the heap in the daemon, which is noisy without a forced collection; clock ticks of /proc/PID/stat, 10 ms being too coarse for 1%.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,9 +1,15 @@
 /** Runs one bench by name: `npm run bench -- NAME [options]`. */
+import {benchCapacityPage} from './capacity_page.js';
 import {benchPolicy} from './policy.js';
+import {benchSlopes} from './slopes.js';
 
 type Bench = (args: readonly string[]) => Promise<void>;
 
-const BENCHES: ReadonlyMap<string, Bench> = new Map([['policy', benchPolicy]]);
+const BENCHES: ReadonlyMap<string, Bench> = new Map([
+  ['policy', benchPolicy],
+  ['slopes', benchSlopes],
+  ['capacity-page', benchCapacityPage],
+]);
 
 const [name = '', ...args] = process.argv.slice(2);
 const bench = BENCHES.get(name);
--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -22,6 +22,12 @@
   readonly engineSpeed: number;
   /** Put a relay before each side, engine and the object API. */
   readonly relays: boolean;
+  /**
+   * Daemons listen for peers at all of the machine's addresses, so that each
+   * can be listed many times, as 127.0.0.1, 127.0.0.2 and so on.
+   * @default false
+   */
+  readonly listenOnAll?: boolean;
 }
 
 export const DEMO_SHAPE: FleetShape = {
@@ -150,6 +156,11 @@
       healthUrl: `http://${address}${healthPath}`,
     });
 
+  const bound = (address: string) =>
+    shape.listenOnAll === true
+      ? address.replace('127.0.0.1', '0.0.0.0')
+      : address;
+
   const relay = (name: string, target: string): string => {
     if (!shape.relays) return target;
     const address = take();
@@ -185,7 +196,8 @@
         node: name,
         host: `host-${name}`,
         failureDomain,
-        listen,
+        listen: {...listen, peers: bound(listen['peers'] as string)},
+        advertise: {peers: listen['peers']},
         platform,
         ...more,
       },
