--- a/src/side/prediction.ts
+++ b/src/side/prediction.ts
@@ -80,8 +80,41 @@
   };
 }
 
+/** What holds memory and frees it when it ends. */
+interface Holder {
+  readonly memoryTokens: number;
+  readonly leftMs: number;
+}
+
+/**
+ * Members of groups hold memory without running here. Left out, they would be
+ * taken for memory that is free at once, and what waits for it would be
+ * promised a time that it cannot have.
+ */
+function holdersOf(core: SideCore, view: QueueView): readonly Holder[] {
+  const now = core.ctx.clock.now();
+  const holds = core.table
+    .all()
+    .filter(run => isHold(run.offer) && core.memory.holds(run.id))
+    .map(run => ({
+      memoryTokens: run.memoryTokens,
+      leftMs: Math.max(0, holdMs(core, run) - (now - run.offeredAt)),
+    }));
+  const running = view.running.map(item => ({
+    memoryTokens: item.memoryTokens,
+    leftMs: item.serviceMs,
+  }));
+  return [...holds, ...running];
+}
+
+function holdMs(core: SideCore, run: Run): number {
+  const {offer} = run;
+  return serviceMs(core, offer, offer.promptTokens, offer.maxTokens);
+}
+
 /** Time until what runs has freed so many places and so much memory. */
 function freedAfterMs(
+  core: SideCore,
   view: QueueView,
   places: number,
   memoryTokens: number,
@@ -89,12 +122,12 @@
   let needPlaces = places - (view.maxRunning - view.running.length);
   let needMemory = view.capacityTokens > 0 ? memoryTokens - view.freeTokens : 0;
   if (needPlaces <= 0 && needMemory <= 0) return 0;
-  const soonestFirst = [...view.running].sort(
-    (a, b) => a.serviceMs - b.serviceMs,
+  const soonestFirst = [...holdersOf(core, view)].sort(
+    (a, b) => a.leftMs - b.leftMs,
   );
   let after = 0;
   for (const item of soonestFirst) {
-    after = item.serviceMs;
+    after = item.leftMs;
     needPlaces -= 1;
     needMemory -= item.memoryTokens;
     if (needPlaces <= 0 && needMemory <= 0) return after;
@@ -139,6 +172,7 @@
     ahead.map(other => core.rates.prefillMs(other.prefillTokens)),
   );
   const blockedMs = freedAfterMs(
+    core,
     view,
     waitingAhead.length + 1,
     sum(waitingAhead.map(other => other.memoryTokens)) + item.memoryTokens,
@@ -158,11 +192,11 @@
 /** Time until so much memory is free, as predicted. */
 export function memoryFreeMs(core: SideCore, memoryTokens: number): number {
   const view = viewOf(core, [], new Map());
-  return freedAfterMs(view, 0, memoryTokens);
+  return freedAfterMs(core, view, 0, memoryTokens);
 }
 
 /** Time until a place is free, as predicted. */
 export function placeFreeMs(core: SideCore): number {
   const view = viewOf(core, [], new Map());
-  return freedAfterMs(view, 1, 0);
+  return freedAfterMs(core, view, 1, 0);
 }
--- a/src/side/runs_service.ts
+++ b/src/side/runs_service.ts
@@ -203,7 +203,8 @@
   };
 
   const leave = (reply: () => void) => {
-    if (!core.leaving) ctx.log(SIDE_EVENTS.sideLeaving, {node: ctx.name});
+    if (!core.leaving)
+      ctx.log(SIDE_EVENTS.sideLeaving, {node: core.options.node});
     core.leaving = true;
     drains.push(reply);
   };
--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -176,6 +176,24 @@
   });
 });
 
+describe('a run whose engine takes no connection', () => {
+  test('fails at once as not run, so that another engine may serve it', async () => {
+    // The engine dies between the accepted offer and the go. The caller's
+    // request may not be repeated; since the connection was refused no byte
+    // of it left the side, and the entry may offer it elsewhere.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {repeatable: false});
+    rig.model.die();
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(200);
+    expect(channel.last('failed')).toMatchObject({ran: 'no'});
+    rig.model.restart();
+    await rig.clock.runFor(10_000);
+    expect(rig.starts('r1.0')).toBe(0);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+});
+
 describe('a prompt', () => {
   test('with doubled and reordered frames arrives as it was sent', async () => {
     const rig = await createSideRig();
