--- a/standins/pausable_clock.ts
+++ b/standins/pausable_clock.ts
@@ -3,7 +3,7 @@
  * stopped process, its timers wait; on resuming they fire late, in order, and
  * the process finds that time has jumped.
  */
-import type {Clock} from '../src/types/runtime.js';
+import type {Cancel, Clock} from '../src/types/runtime.js';
 
 export interface PausableClock extends Clock {
   pause(): void;
@@ -14,6 +14,8 @@
 
 export function createPausableClock(shared: Clock): PausableClock {
   const held: Array<() => void> = [];
+  /** Ends all timers set and not fired. */
+  const timers = new Set<Cancel>();
   let paused = false;
   let stopped = false;
 
@@ -23,37 +25,48 @@
     else run();
   };
 
+  const after: Clock['after'] = (delayMs, fn) => {
+    if (stopped) return () => undefined;
+    let cancelled = false;
+    const cancel = shared.after(delayMs, () => {
+      timers.delete(cancel);
+      later(() => {
+        if (!cancelled) fn();
+      });
+    });
+    timers.add(cancel);
+    return () => {
+      cancelled = true;
+      timers.delete(cancel);
+      cancel();
+    };
+  };
+
+  const every: Clock['every'] = (periodMs, fn) => {
+    if (stopped) return () => undefined;
+    let cancelled = false;
+    // A period that comes round again while one is held adds nothing.
+    let isHeld = false;
+    const cancel = shared.every(periodMs, () => {
+      if (isHeld) return;
+      isHeld = true;
+      later(() => {
+        isHeld = false;
+        if (!cancelled) fn();
+      });
+    });
+    timers.add(cancel);
+    return () => {
+      cancelled = true;
+      timers.delete(cancel);
+      cancel();
+    };
+  };
+
   return {
     now: () => shared.now(),
-    after: (delayMs, fn) => {
-      let cancelled = false;
-      const cancel = shared.after(delayMs, () =>
-        later(() => {
-          if (!cancelled) fn();
-        }),
-      );
-      return () => {
-        cancelled = true;
-        cancel();
-      };
-    },
-    every: (periodMs, fn) => {
-      let cancelled = false;
-      // A period that comes round again while one is held adds nothing.
-      let isHeld = false;
-      const cancel = shared.every(periodMs, () => {
-        if (isHeld) return;
-        isHeld = true;
-        later(() => {
-          isHeld = false;
-          if (!cancelled) fn();
-        });
-      });
-      return () => {
-        cancelled = true;
-        cancel();
-      };
-    },
+    after,
+    every,
     pause: () => {
       paused = true;
     },
@@ -64,6 +77,8 @@
     stop: () => {
       stopped = true;
       held.length = 0;
+      for (const cancel of timers) cancel();
+      timers.clear();
     },
   };
 }
