--- a/test/side_capacity.test.ts
+++ b/test/side_capacity.test.ts
@@ -45,10 +45,17 @@
     // long, since it could not; the owner is well and beats on.
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 3_000, timeLeftMs: 600_000});
+    await rig.offer('r2.0', {maxTokens: 3_000, timeLeftMs: 600_000});
     const channel = rig.goWhole('r1.0', 600_000);
+    const broken = rig.goWhole('r2.0', 600_000);
+    await rig.clock.runFor(1_000);
+    broken.close();
     await rig.clock.runFor(1_000);
     rig.clock.advance(60_000);
-    await rig.clock.runFor(10_000);
+    await rig.clock.runFor(1_500);
+    await rig.heartbeat(['r2.0']);
+    await rig.clock.runFor(8_000);
+    expect(await rig.stateOf('r2.0')).toBe('running');
     expect(rig.eventsOf(SIDE_EVENTS.sideFrozen)).toHaveLength(1);
     expect(channel.isClosed()).toBe(false);
     expect(await rig.stateOf('r1.0')).toBe('running');
@@ -74,6 +81,17 @@
     expect(kind).toBe('accepted');
   });
 
+  test('may hold anything until its list was read: no offer is taken', async () => {
+    const unread = new OnyxError({code: 'timeout', step: 'run', message: ''});
+    const rig = await createSideRig({
+      wrapEngine: engine => ({
+        ...engine,
+        list: () => Promise.resolve(Left(unread)),
+      }),
+    });
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'engine-down'});
+  });
+
   test('is freed by the audit', async () => {
     // The old incarnation was frozen while it was replaced; it wakes and
     // starts one more run before it is ended.
@@ -288,20 +306,26 @@
     // came by a heartbeat. The engine would obey either.
     const rig = await createSideRig({model: {honoursFence: false}});
     await rig.heartbeat([], 7);
-    const order = rig.handlers().order;
-    const old = await rig.answer(order?.(load('o1', 6)));
+    const old = await rig.order(load('o1', 6));
     expect(old).toMatchObject({state: 'refused', reason: 'stale-fence'});
-    const asked = order?.(load('o2', 7));
-    await rig.clock.runFor(10);
-    expect(await asked).toMatchObject({state: 'started', fence: 7});
-    expect(await rig.answer(order?.(load('o2', 7)))).toMatchObject({
-      state: 'started',
-    });
+    const first = await rig.order(load('o2', 7));
+    expect(first).toMatchObject({state: 'started', fence: 7});
+    expect(await rig.order(load('o2', 7))).toEqual(first);
     await rig.clock.runFor(6_000);
     const {models} = await rig.heartbeat([]);
     expect(models.filter(state => state.model === 'm2')).toHaveLength(1);
   });
 
+  test('that waited are looked at again with the number then seen', async () => {
+    const rig = await createSideRig();
+    const first = rig.handlers().order?.(load('o1', 7));
+    const second = rig.handlers().order?.({...load('o2', 7), model: 'm3'});
+    await rig.heartbeat([], 8);
+    await rig.clock.runFor(10);
+    expect(await first).toMatchObject({state: 'started'});
+    expect(await second).toMatchObject({reason: 'stale-fence', fence: 8});
+  });
+
   test('are taken only when the lease was read after a start', async () => {
     let up = false;
     const down = new OnyxError({
@@ -312,13 +336,12 @@
     const rig = await createSideRig({
       readFence: () => Promise.resolve(up ? Right(9) : Left(down)),
     });
-    const order = rig.handlers().order;
-    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+    expect(await rig.order(load('o1', 8))).toMatchObject({
       reason: 'fence-unknown',
     });
     up = true;
     await rig.clock.runFor(2_100);
-    expect(await rig.answer(order?.(load('o1', 8)))).toMatchObject({
+    expect(await rig.order(load('o1', 8))).toMatchObject({
       reason: 'stale-fence',
       fence: 9,
     });
@@ -328,7 +351,7 @@
     const rig = await createSideRig();
     await rig.offer('r1.0');
     const order = {...load('o1', 1), model: 'm', action: 'unload' as const};
-    expect(await rig.answer(rig.handlers().order?.(order))).toMatchObject({
+    expect(await rig.order(order)).toMatchObject({
       state: 'refused',
       reason: 'in-use',
     });
