--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -132,6 +132,7 @@
     },
     noteAsked: tracked => {
       open.add(tracked);
+      if (tracked.resumed) return;
       const {idempotencyKey, organisation, repeatable} = tracked.ask;
       if (idempotencyKey === undefined || repeatable) return;
       const key = `${organisation} ${idempotencyKey}`;
--- a/bench/soak_judge_leaving.ts
+++ b/bench/soak_judge_leaving.ts
@@ -54,6 +54,8 @@
     const awake = (entry?.awakeSince() ?? 0) + HOST_LIST_MS;
     for (const placed of one.placements) {
       if (placed.side !== process.address) continue;
+      // Who repeats a key is told the place of the earlier asking.
+      if (!placed.dispatchId.startsWith(one.id)) continue;
       const isLate = placed.at > Math.max(from, awake) && placed.at < until;
       if (!isLate) continue;
       return {
