--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -2,9 +2,9 @@
  * What processes a small fleet has, with their settings: stand-ins, entries,
  * and a side beside each upstream, over three failure domains.
  */
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import type {Declarations} from '../src/types/config.js';
+import type {TimingSettings, TlsSettings} from '../src/config/settings.js';
+import {freeAddresses} from './free_addresses.js';
 
 /** How a fleet is made up. */
 export interface FleetShape {
@@ -20,8 +20,12 @@
   readonly engineMemoryTokens: number;
   /** How much faster than its figures an engine runs. */
   readonly engineSpeed: number;
-  /** Put a relay before each side, engine and the object API. */
+  /** Put a relay before each entry's callers, side, upstream, object API. */
   readonly relays: boolean;
+  /** Timing of all daemons. @default that of the settings */
+  readonly timing?: Partial<TimingSettings>;
+  /** Mutual TLS between the daemons. @default plain TCP */
+  readonly tls?: TlsSettings;
 }
 
 export const DEMO_SHAPE: FleetShape = {
@@ -82,26 +86,6 @@
   readonly state: 'live';
 }
 
-/** Hands out loopback ports that are free now. */
-export async function freeAddresses(count: number): Promise<string[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  const listening = servers.map(
-    server =>
-      new Promise<string>((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(0, '127.0.0.1', () => {
-          const {port} = server.address() as AddressInfo;
-          resolve(`127.0.0.1:${port}`);
-        });
-      }),
-  );
-  const addresses = await Promise.all(listening);
-  await Promise.all(
-    servers.map(server => new Promise(done => server.close(done))),
-  );
-  return addresses;
-}
-
 /** Works out processes, addresses and settings. */
 export async function planFleet(
   shape: FleetShape,
@@ -114,7 +98,7 @@
 async function createBuilder(shape: FleetShape, operatorTokenHash: string) {
   const upstreams = shape.engines + shape.services;
   const pool = await freeAddresses(
-    3 + 2 * upstreams * 3 + shape.entries * 3 + upstreams * 4,
+    5 + 2 * upstreams * 3 + shape.entries * 5 + upstreams * 4,
   );
   const take = () => pool.pop() as string;
   const objectApi = take();
@@ -167,6 +151,8 @@
     return address;
   };
 
+  const reachedStore = relay('object-api', objectApi);
+
   const daemon = (
     name: string,
     role: 'entry' | 'side',
@@ -186,7 +172,9 @@
         host: `host-${name}`,
         failureDomain,
         listen,
-        platform,
+        platform: {...platform, objectApi: `http://${reachedStore}`},
+        timing: shape.timing,
+        tls: shape.tls,
         ...more,
       },
       faultsUrl: undefined,
@@ -297,8 +285,9 @@
     for (let i = 0; i < shape.entries; i++) {
       const listen = {callers: take(), operators: take(), peers: take()};
       const name = `entry-${i + 1}`;
+      const reached = relay(name, listen.callers);
       daemon(name, 'entry', listen, {operatorTokenHash}, domainOf(i));
-      callerUrls.push(`http://${listen.callers}`);
+      callerUrls.push(`http://${reached}`);
       operatorUrls.push(`http://${listen.operators}`);
       hosts.push({
         host: `host-${name}`,
--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -55,6 +55,8 @@
   readonly dir: string;
   /** Pid of a process by its name, as `fleet.json` has it now. */
   pid(name: string): number;
+  /** Resolves with the exit code of the newest process of that name. */
+  exited(name: string): Promise<number | NodeJS.Signals>;
   /** Starts a process again that has ended. */
   restart(name: string): Promise<void>;
   /** Switches faults of a stand-in or relay. */
@@ -63,14 +65,22 @@
   stop(): Promise<void>;
 }
 
+/** A process that was started, by its pid. */
+interface Launched {
+  readonly pid: number;
+  readonly exited: Promise<number | NodeJS.Signals>;
+}
+
 const ORGANISATIONS = [
   {id: 'prairie-sky', weight: 2},
   {id: 'ingufu-hamwe', weight: 2},
   {id: 'volunteers-west', weight: 1},
 ] as const;
 
-/** Build folder: this module runs from `<build>/demo`. */
-const BUILD_DIR = join(import.meta.dirname, '..');
+/** Build folder: this module runs from `<build>/demo`, or as source in tests. */
+const BUILD_DIR = import.meta.filename.endsWith('.ts')
+  ? join(import.meta.dirname, '..', 'dist')
+  : join(import.meta.dirname, '..');
 
 /** Starts a whole fleet and waits until it serves. */
 export async function startFleet(
@@ -84,7 +94,7 @@
     name: id,
     key: randomBytes(24).toString('hex'),
   }));
-  const children = new Map<string, number>();
+  const children = new Map<string, Launched>();
   for (const process of plan.processes) {
     writePlan(dir, process);
     children.set(process.name, launch(dir, process));
@@ -108,7 +118,7 @@
   const plan = JSON.parse(
     readFileSync(join(dir, `${name}.plan.json`), 'utf8'),
   ) as ProcessPlan;
-  const pid = launch(dir, plan);
+  const {pid} = launch(dir, plan);
   const path = join(dir, 'fleet.json');
   const file = JSON.parse(readFileSync(path, 'utf8')) as FleetFile;
   const processes = file.processes.map(one =>
@@ -132,7 +142,7 @@
   plan: FleetPlan,
   file: FleetFile,
   dir: string,
-  children: Map<string, number>,
+  children: Map<string, Launched>,
   token: string,
   access: readonly OrganisationAccess[],
 ): Fleet {
@@ -141,11 +151,14 @@
     if (found === undefined) throw new Error(`no process "${name}"`);
     return found;
   };
+  const launched = (name: string) =>
+    children.get(planOf(name).name) as Launched;
   return {
     plan,
     file,
     dir,
-    pid: name => children.get(planOf(name).name) as number,
+    pid: name => launched(name).pid,
+    exited: name => launched(name).exited,
     restart: async name => {
       const process = planOf(name);
       children.set(name, launch(dir, process));
@@ -158,7 +171,7 @@
       await postJson('POST', url, faults, {});
     },
     stop: async () => {
-      await Promise.all([...children.values()].map(endProcess));
+      await Promise.all([...children.values()].map(({pid}) => endProcess(pid)));
     },
   };
 }
@@ -175,7 +188,7 @@
   );
 }
 
-function launch(dir: string, process: ProcessPlan): number {
+function launch(dir: string, process: ProcessPlan): Launched {
   const log = openSync(join(dir, `${process.name}.log`), 'a');
   const settings = join(dir, `${process.name}.settings.json`);
   const args =
@@ -188,7 +201,10 @@
   closeSync(log);
   child.unref();
   if (child.pid === undefined) throw new Error(`cannot start ${process.name}`);
-  return child.pid;
+  const exited = new Promise<number | NodeJS.Signals>(resolve => {
+    child.once('exit', (code, signal) => resolve(code ?? signal ?? 0));
+  });
+  return {pid: child.pid, exited};
 }
 
 function isRunning(pid: number): boolean {
@@ -303,7 +319,7 @@
 function writeFleetFile(
   dir: string,
   plan: FleetPlan,
-  children: ReadonlyMap<string, number>,
+  children: ReadonlyMap<string, Launched>,
   token: string,
   organisations: readonly OrganisationAccess[],
 ): FleetFile {
@@ -317,7 +333,7 @@
       name,
       role,
       address,
-      pid: children.get(name) ?? 0,
+      pid: children.get(name)?.pid ?? 0,
     })),
     entries: plan.callerUrls,
     operator: {url: plan.operatorUrls[0] ?? '', token},
