--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -103,24 +103,24 @@
 }
 
 interface ServiceCounts {
-  readonly requests: Readonly<Record<string, number>>;
+  readonly runs: Readonly<Record<string, number>>;
 }
 
 /** Times each request was run, over all upstreams; keys are request ids. */
 async function countRuns(fleet: Fleet): Promise<ReadonlyMap<string, number>> {
   const times = new Map<string, number>();
-  const add = (id: string, by: number) =>
+  // A run's id is the request's id and the attempt's number.
+  const add = (runId: string, by: number) => {
+    const id = runId.slice(0, runId.lastIndexOf('.'));
     times.set(id, (times.get(id) ?? 0) + by);
+  };
   for (const url of fleet.plan.engineUrls) {
     const {runsStarted} = await getJson<EngineCounts>(`${url}/counts`);
-    // A run's id is the request's id and the attempt's number.
-    for (const [id, by] of Object.entries(runsStarted)) {
-      add(id.slice(0, id.lastIndexOf('.')), by);
-    }
+    for (const [id, by] of Object.entries(runsStarted)) add(id, by);
   }
   for (const url of fleet.plan.serviceUrls) {
-    const {requests} = await getJson<ServiceCounts>(`${url}/-/counts`);
-    for (const [id, by] of Object.entries(requests)) add(id, by);
+    const {runs} = await getJson<ServiceCounts>(`${url}/-/counts`);
+    for (const [id, by] of Object.entries(runs)) add(id, by);
   }
   return times;
 }
--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -57,7 +57,7 @@
   pid(name: string): number;
   /** Resolves with the exit code of the newest process of that name. */
   exited(name: string): Promise<number | NodeJS.Signals>;
-  /** Starts a process again that has ended. */
+  /** Starts a process again that has ended; an entry until it is ready. */
   restart(name: string): Promise<void>;
   /** Switches faults of a stand-in or relay. */
   fault(name: string, faults: unknown): Promise<void>;
@@ -164,6 +164,9 @@
       children.set(name, launch(dir, process));
       writeFleetFile(dir, plan, children, token, access);
       await waitHealthy(process);
+      const entries = plan.processes.filter(({role}) => role === 'entry');
+      const url = plan.callerUrls[entries.indexOf(process)];
+      if (url !== undefined) await waitOk(`${url}/readyz`, name);
     },
     fault: async (name, faults) => {
       const url = planOf(name).faultsUrl;
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -120,18 +120,24 @@
     ];
   };
 
+  /** A run's id is the request's id and the attempt's number. */
+  const sumOf = (
+    counts: ReadonlyArray<readonly [string, number]>,
+    requestId: string,
+  ) =>
+    counts
+      .filter(([id]) => id.startsWith(`${requestId}.`))
+      .reduce((sum, [, count]) => sum + count, 0);
+
   const countsOf = async (requestId: string) => {
     const ofEngines = engineUrls.map(async url => {
-      const started = await startsOf(url);
-      return started
-        .filter(([id]) => id.startsWith(`${requestId}.`))
-        .reduce((sum, [, count]) => sum + count, 0);
+      return sumOf(await startsOf(url), requestId);
     });
     const ofServices = serviceUrls.map(async url => {
-      const {requests} = await getJson<{
-        readonly requests: Readonly<Record<string, number>>;
+      const {runs} = await getJson<{
+        readonly runs: Readonly<Record<string, number>>;
       }>(`${url}/-/counts`);
-      return requests[requestId] ?? 0;
+      return sumOf(Object.entries(runs), requestId);
     });
     return Promise.all([...ofEngines, ...ofServices]);
   };
