--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -167,28 +167,37 @@
    * lost on its way to the front; the one after it arrives; the front ends the
    * answer with an error and cancels the run rather than go on.
    */
-  test('a missing chunk ends the stream with an error', async () => {
-    await open({
-      submit: (spec, listener) => {
-        const data = new TextEncoder().encode('x');
-        const chunk = {kind: 'chunk', data, tokens: 1} as const;
-        listener({...chunk, seq: 0, callHead: undefined});
-        listener({...chunk, seq: 2, callHead: undefined});
-        listener({
-          kind: 'end',
-          count: 3,
-          tokens: 3,
-          finishReason: 'stop',
-          cachedTokens: 0,
-        });
-        void spec;
-      },
-    });
-    const text = await (await complete({prompt: 'x', stream: true})).text();
-    expect(text).toContain('"code":"answer-incomplete"');
-    expect(text).not.toContain('[DONE]');
-    await bench.until('cancel');
-  });
+  test.each([
+    ['between two others', [0, 2], 2],
+    ['at the end', [0], 2],
+  ])(
+    'a chunk missing %s ends the stream with an error',
+    async (_, seqs, count) => {
+      await open({
+        submit: (_spec, listener) => {
+          const data = new TextEncoder().encode('x');
+          const chunk = {
+            kind: 'chunk',
+            data,
+            tokens: 1,
+            callHead: undefined,
+          } as const;
+          for (const seq of seqs) listener({...chunk, seq});
+          listener({
+            kind: 'end',
+            count,
+            tokens: count,
+            finishReason: 'stop',
+            cachedTokens: 0,
+          });
+        },
+      });
+      const text = await (await complete({prompt: 'x', stream: true})).text();
+      expect(text).toContain('"code":"answer-incomplete"');
+      expect(text).not.toContain('[DONE]');
+      await bench.until('cancel');
+    },
+  );
 
   /*
    * The caller waits for an answer that the owner of the request has lost. Its
@@ -320,6 +329,21 @@
     expect((await call('GET', '/healthz')).status).toBe(200);
   });
 
+  /*
+   * The membership service fails and is restarted, and no longer knows whom to
+   * tell. The last replica goes; the balancer must hear that this entry is of
+   * no use, rather than send callers to it for good.
+   */
+  test('readiness follows a membership that was restarted', async () => {
+    await open();
+    bench.forgetSubscribers();
+    bench.clock.advance(5_000);
+    // An answered call: by now the subscription has been delivered.
+    expect((await call('GET', '/readyz')).status).toBe(200);
+    bench.setView(viewOf('gone'));
+    expect((await call('GET', '/readyz')).status).toBe(503);
+  });
+
   test('an older configuration does not come back into force', async () => {
     await open({submit: answers('x')});
     bench.setConfig(declarations({}, 8));
