fix(entry): keep a run that was found when another side answers last

Cause: the workers that ask the sides for a run share the best trace, and each read it before it waited for its side. A side that knew nothing and answered after the one that runs the request put the earlier, empty value back: the caller who came to another entry was told 404 for a request that was running.

Ruled out: a lapsed run (the side logged its end later), an unknown side (all were live at that entry), a timeout of the call (all answered within 30 ms).

Change: the best trace is read after the wait.

Before: of two streams and a prefill taken up at the other entry after kill -9 of the own, two were answered 404; test/locate.test.ts red with 'expected undefined to deeply equal'. After: both green.

--- a/src/entry/locate.ts
+++ b/src/entry/locate.ts
@@ -52,7 +52,10 @@
     for (;;) {
       const side = waiting.shift();
       if (side === undefined || isLive(best)) return;
-      best = better(best, await askSide(options, side));
+      const found = await askSide(options, side);
+      // Read only after the wait: a side that knows nothing and answers last
+      // would otherwise undo what another has told in the meantime.
+      best = better(best, found);
     }
   };
   const workers = Math.min(LOCATE_PARALLEL, waiting.length);
