feat(config): let a side take a hash of the operators' token

Cause: a side shows its status only to a bearer of the operators' token, but its settings had no place for the token's hash, so each call of status or drain at a side ended with 403.

Change: operatorTokenHash is an optional option of sides too. Without it status and drain are refused as before; health and metrics are shown.

Without the change the new test (a side with a hash) fails: its settings are faulty.

--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -209,6 +209,7 @@
       listen,
       {
         advertise: {peers: reached},
+        operatorTokenHash,
         upstream: {
           kind,
           pool: poolName,
--- a/src/cli/local_commands.ts
+++ b/src/cli/local_commands.ts
@@ -48,7 +48,7 @@
     category: 'Settings',
     description: 'make a key and its salted hash',
     details:
-      "Hand the key to its owner and keep only the hash: in an organisation's keyHashes, or as operatorTokenHash in the settings of entries.",
+      "Hand the key to its owner and keep only the hash: in an organisation's keyHashes, or as operatorTokenHash in the settings of entries and sides.",
     examples: [['Make a key', '$0 key generate']],
   });
 
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -58,7 +58,11 @@
   readonly role: 'side';
   readonly listen: SideListenSettings;
   readonly upstream: UpstreamSettings;
-  readonly operatorTokenHash?: undefined;
+  /**
+   * Salted hash of the operators' token; see `utils/keys.ts`.
+   * @default none: status and drain are refused; health and metrics are shown
+   */
+  readonly operatorTokenHash?: string;
 }
 
 /** Where a side listens; port 0 takes a free port. */
--- a/src/config/settings_faults.ts
+++ b/src/config/settings_faults.ts
@@ -177,7 +177,6 @@
 /** Options that only one role has, for telling them from unknown ones. */
 const ROLE_OF_OPTION: Readonly<Record<string, string>> = {
   'listen.callers': 'entry',
-  operatorTokenHash: 'entry',
   upstream: 'side',
 };
 
--- a/src/config/settings_schema.ts
+++ b/src/config/settings_schema.ts
@@ -111,6 +111,7 @@
     role: z.literal('side'),
     ...common,
     listen: z.strictObject({operators: address, peers: address}),
+    operatorTokenHash: keyHash.optional(),
     upstream: z.strictObject({
       kind: z.enum(['engine', 'service']),
       pool: name,
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -63,6 +63,22 @@
   "telemetry": {}
 }`;
 
+function sideWith(line: string): string {
+  return `{
+    "role": "side", "node": "side-1", "host": "host-1", ${line}
+    "failureDomain": "hall-north",
+    "listen": {"operators": "10.1.0.7:7200", "peers": "10.1.0.7:7300"},
+    "platform": {
+      "objectApi": "http://10.9.0.1:8001",
+      "hostList": "http://10.9.0.1:8002",
+      "weightStore": "http://10.9.0.1:8003"
+    },
+    "upstream": {
+      "kind": "engine", "pool": "onyx-pool", "url": "http://127.0.0.1:9000"
+    }
+  }`;
+}
+
 const BROKEN_TEXT = `{
   "role": "side"
   "node": "side one",
@@ -85,6 +101,14 @@
     await expect(faults).toMatchFileSnapshot('golden/settings_faults.txt');
   });
 
+  test.each([
+    ['with', `"operatorTokenHash": "${HASH}",`, HASH],
+    ['without', '', undefined],
+  ])('a side is right %s a token for its operators', (_, line, hash) => {
+    const settings = parseSettings(sideWith(line), 'side.jsonc');
+    expect(settings.unsafeCoerce().operatorTokenHash).toBe(hash);
+  });
+
   test('a token is never shown in a fault', () => {
     expect(faultsOf(WRONG_SIDE)).not.toContain('secret');
   });
