fix(side): give a group's lead the engine priority of its length class

Cause: a reserved run was started with its bare declared priority, the same as a short prompt's, or more urgent once aged. A short prompt that came after the lead of a group waited for the group's whole prefill; found by tracing prompts that were admitted and late at 80% of capacity. Ruled out: memory, which was free.

Change: the queue policy tells the engine priority of any run, reserved ones included.

The test without the change: "expected 0 to be greater than 0" at the short prompt's chunks; with it green.

--- a/bench/policy_variants.ts
+++ b/bench/policy_variants.ts
@@ -72,6 +72,7 @@
 function withoutPriority(queue: QueuePolicy): QueuePolicy {
   return {
     ...queue,
+    enginePriority: () => 0,
     choose: view => {
       const choice = queue.choose(view);
       return choice && {...choice, enginePriority: 0};
--- a/src/policy/side_queue.ts
+++ b/src/policy/side_queue.ts
@@ -12,6 +12,8 @@
 
 /** Engine priorities of one length class; declared ones lie within. */
 const PRIORITIES_PER_CLASS = 100;
+/** Without classes the engine serves in order of arrival. */
+const FIRST_COME_PRIORITY = 0;
 /** A run that waited this many ageing steps is not overtaken for memory. */
 const PATIENCE_STEPS = 3;
 
@@ -78,10 +80,14 @@
     a.enqueuedAt - b.enqueuedAt;
 }
 
+function enginePriorityOf(item: QueueItem): number {
+  return item.classIndex * PRIORITIES_PER_CLASS + item.priority;
+}
+
 function choiceOf(item: QueueItem, reason: string): QueueChoice {
   return {
     dispatchId: item.dispatchId,
-    enginePriority: item.classIndex * PRIORITIES_PER_CLASS + item.priority,
+    enginePriority: enginePriorityOf(item),
     reason,
   };
 }
@@ -120,6 +126,7 @@
 export const classQueue: QueuePolicy = {
   name: 'class',
   choose: chooseByClass,
+  enginePriority: enginePriorityOf,
   waitsFor: (view, item, other) => levelOf(view, other) <= levelOf(view, item),
 };
 
@@ -131,7 +138,7 @@
   if (counted && first.memoryTokens > view.freeTokens) return undefined;
   return {
     dispatchId: first.dispatchId,
-    enginePriority: 0,
+    enginePriority: FIRST_COME_PRIORITY,
     reason: 'first-come',
   };
 }
@@ -140,5 +147,6 @@
 export const fcfsQueue: QueuePolicy = {
   name: 'fcfs',
   choose: chooseFirst,
+  enginePriority: () => FIRST_COME_PRIORITY,
   waitsFor: (_view, item, other) => other.enqueuedAt <= item.enqueuedAt,
 };
--- a/src/side/queue_policy.ts
+++ b/src/side/queue_policy.ts
@@ -50,6 +50,8 @@
   readonly name: string;
   /** The run to start now, if any may. */
   choose(view: QueueView): QueueChoice | undefined;
+  /** Priority at the engine; 0 is the most urgent. */
+  enginePriority(item: QueueItem): number;
   /** Whether `item` waits for the prefill of `other`. */
   waitsFor(view: QueueView, item: QueueItem, other: QueueItem): boolean;
 }
--- a/src/side/scheduler.ts
+++ b/src/side/scheduler.ts
@@ -4,7 +4,7 @@
 import {isUpstreamDown} from './core.js';
 import type {FairShares} from './fair_shares.js';
 import type {Lifecycle} from './lifecycle.js';
-import {viewOf} from './prediction.js';
+import {itemOf, viewOf} from './prediction.js';
 import type {QueueChoice, QueueView} from './queue_policy.js';
 import type {Run} from './run.js';
 import type {UpstreamRunner} from './upstream_runner.js';
@@ -86,7 +86,11 @@
       const view = viewOf(core, [run], shares.served());
       const choice = {
         dispatchId: run.id,
-        enginePriority: run.offer.priority,
+        // By the policy as for any other run: a group's long prefill with the
+        // bare priority of a short prompt would stop short ones on its lead.
+        enginePriority: core.options.queuePolicy.enginePriority(
+          itemOf(core, run),
+        ),
         reason: 'group',
       };
       start(run, choice, view);
--- /dev/null
+++ b/test/side_group_priority.test.ts
@@ -0,0 +1,30 @@
+/** A group's lead beside short prompts on the same engine. */
+import {describe, expect, test} from 'vitest';
+import type {LengthClass} from '../src/types/config.js';
+import {createSideRig} from './support/side_rig.js';
+
+const CLASS = {memoryFloor: 0, maxRunning: 0, defaultTimeLimitMs: 600_000};
+const LENGTH_CLASSES: readonly LengthClass[] = [
+  {...CLASS, name: 'short', maxTokens: 8_000},
+  {...CLASS, name: 'archive', maxTokens: 1_000_000},
+];
+
+describe('the lead of a group', () => {
+  // The caller of a short prompt waits for its first token while a group of
+  // two prefills 600,000 tokens with this engine as its lead. The group came
+  // first and both ask for the same declared priority. The short prompt must
+  // still be prefilled at the next step: with the bare declared priority the
+  // lead would keep the engine for its whole prefill, some half a minute.
+  test('gives way to short prompts between prefill steps', async () => {
+    const rig = await createSideRig({lengthClasses: LENGTH_CLASSES});
+    const group = {lead: true, size: 2, holdTokens: 300_000};
+    await rig.offer('g.1', {promptTokens: 600_000, group});
+    const lead = rig.goWhole('g.1');
+    await rig.clock.runFor(500);
+    await rig.offer('s.1', {promptTokens: 1_000});
+    const short = rig.goWhole('s.1');
+    await rig.clock.runFor(1_000);
+    expect(short.chunks().length).toBeGreaterThan(0);
+    expect(lead.chunks()).toEqual([]);
+  });
+});
