--- a/src/side/upstream_runner.ts
+++ b/src/side/upstream_runner.ts
@@ -115,7 +115,19 @@
       code: error.code,
       cause: error.message,
     });
+    const unsent =
+      error.ran === 'no' && !run.progress.seen && run.stream.resumes === 0;
     stopListening(run);
+    // The connection was never made, so no byte of the run went out: asking to
+    // take it up would end as "unknown", and a request that may not repeat
+    // would be lost though another engine could serve it.
+    if (unsent) {
+      return lifecycle.fail(run, {
+        code: error.code,
+        message: error.message,
+        ran: 'no',
+      });
+    }
     // The engine answered that it has no such run: there is nothing to take up.
     if (error.code === 'not-found') return giveUp(run, error);
     if (run.stream.resumes >= timing.maxResumes) return giveUp(run, error);
