fix(entry): take up the newest attempt, once, and say no more than is known

Cause: with real latencies between the locate answers, a worker that wrote its own stale best over a better one lost the run that was found. A trace of a lapsed attempt was taken for the whole request, so a caller that resumed was told "not run" of a request that ran. Two live entries took one run from each other for ever, since renewing a channel was the same frame as taking over. A request whose side did not start it was given up on a stale prediction instead of being offered on; a refusal for good carried a time to come back; a missing group member was told as too large.

Ruled out: stopping the search at the first live trace (an earlier attempt may be live too, and its chunks must not follow those of a later one).

Change: all sides are asked and the newest attempt with an answer wins; an adopted run never says "not run"; attach carries takeOver, set on the first attach of an adoption only, and `superseded` is final; work that did not run is offered on without the entry's own prediction; kept answers of ended requests are bounded by bytes. The tests drive the in-memory network in place of a smaller one of their own. Log fields are named as in the other areas.

A side that does not yet read takeOver behaves as before.

--- a/src/entry/abandon.ts
+++ b/src/entry/abandon.ts
@@ -69,7 +69,7 @@
     }),
   });
   deps.log(REQUEST_EVENTS.abandoned, {
-    dispatch: target.dispatchId,
+    dispatchId: target.dispatchId,
     side: target.side,
     answered: outcome.answered,
     ran: outcome.ran,
--- a/src/entry/adopt.ts
+++ b/src/entry/adopt.ts
@@ -32,8 +32,8 @@
   open.side = side;
   open.dispatchId = dispatchId;
   deps.log(REQUEST_EVENTS.adopted, {
-    request: open.id,
-    dispatch: dispatchId,
+    requestId: open.id,
+    dispatchId,
     side,
     fromSeq: adoption.fromSeq,
   });
@@ -98,7 +98,10 @@
   });
   if (verdict === undefined || isOver(open)) return;
   if (verdict.kind !== 'end') {
-    const {details, ran} = verdict;
+    // That this attempt did not run says nothing of the others, which the
+    // entry that made them knew of and this one does not.
+    const ran = verdict.ran === 'no' ? 'unknown' : verdict.ran;
+    const {details} = verdict;
     deps.finish(open, failedEvent(open, {...details, ran}));
     return;
   }
--- a/src/entry/answer_log.ts
+++ b/src/entry/answer_log.ts
@@ -22,6 +22,8 @@
   /** Next chunk that the answer lacks. */
   nextSeq(): number;
   tokens(): number;
+  /** Of the chunks kept to resume. */
+  keptBytes(): number;
   final(): FinalEvent | undefined;
   placed(event: PlacedEvent): void;
   append(chunk: ChunkEvent): void;
@@ -79,6 +81,7 @@
   return {
     nextSeq: () => nextSeq,
     tokens: () => tokens,
+    keptBytes: () => keptBytes,
     final: () => final,
     placed: event => {
       if (final !== undefined) return;
@@ -86,9 +89,9 @@
       tell(event);
     },
     append: chunk => {
-      invariant(final === undefined, 'no-chunk-after-final', {request: id});
+      invariant(final === undefined, 'no-chunk-after-final', {requestId: id});
       invariant(chunk.seq === nextSeq, 'chunks-in-order', {
-        request: id,
+        requestId: id,
         seq: chunk.seq,
         expected: nextSeq,
       });
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -97,6 +97,7 @@
   let started = false;
   let linkOpenedAt = clock.now();
   let linkHeard = false;
+  let heardOnce = false;
   let endRefetched = false;
   let settled = false;
   let settle: (outcome: AttemptOutcome) => void = () => undefined;
@@ -115,7 +116,7 @@
   const drop = (reason: string, frame: RunDown) => {
     deps.metrics.count('onyxloft_dropped_frames_total', {reason});
     deps.log(REQUEST_EVENTS.frameDropped, {
-      dispatch: spec.dispatchId,
+      dispatchId: spec.dispatchId,
       side: spec.side,
       frame: frame.kind,
       reason,
@@ -162,6 +163,7 @@
 
   const onFrame = (frame: RunDown) => {
     linkHeard = true;
+    heardOnce = true;
     switch (frame.kind) {
       case 'started':
         started = true;
@@ -213,7 +215,7 @@
       return;
     }
     deps.log(REQUEST_EVENTS.channelRenewed, {
-      dispatch: spec.dispatchId,
+      dispatchId: spec.dispatchId,
       side: spec.side,
       reason,
       fromSeq: check.nextSeq(),
@@ -241,6 +243,7 @@
       organisation: spec.organisation,
       entry: deps.node,
       fromSeq: check.nextSeq(),
+      takeOver: spec.go === undefined && !heardOnce,
     });
   };
 
--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -17,6 +17,7 @@
 import {offerRound} from './offers.js';
 import {failedEvent, isOver, strongerRan} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
+import {RETRY_AFTER_MS} from './refusals.js';
 import type {RetryBudget} from './retry_budget.js';
 import {judgeOutcome} from './verdict.js';
 import type {Verdict} from './verdict.js';
@@ -84,7 +85,7 @@
   const ranked = rank();
   if (ranked.length === 0) {
     deps.log(ROUTING_EVENTS.noCandidate, {
-      request: spec.id,
+      requestId: spec.id,
       model: spec.model,
       pool: spec.pool,
     });
@@ -133,10 +134,10 @@
   deps.invariant(
     spec.repeatable || open.ran === 'no',
     'not-repeatable-runs-once',
-    {request: spec.id, ran: open.ran},
+    {requestId: spec.id, ran: open.ran},
   );
   deps.invariant(open.answer.nextSeq() === 0, 'answers-never-mixed', {
-    request: spec.id,
+    requestId: spec.id,
     delivered: open.answer.nextSeq(),
   });
 }
@@ -163,7 +164,7 @@
   }
   open.ran = strongerRan(open.ran, verdict.ran);
   deps.log(REQUEST_EVENTS.attemptLost, {
-    dispatch: open.dispatchId,
+    dispatchId: open.dispatchId,
     side: open.side,
     ran: verdict.ran,
     cause: verdict.details.message,
@@ -171,13 +172,16 @@
   if (verdict.kind === 'retry' && mayRetry(deps, spec, verdict, past)) {
     deps.metrics.count('onyxloft_retries_total', {ran: verdict.ran});
     deps.log(REQUEST_EVENTS.retried, {
-      request: spec.id,
+      requestId: spec.id,
       tries: past.tries,
     });
     await pause(deps, past.tries);
     return !isOver(open);
   }
-  giveUp(deps, open, verdict.details);
+  const retryAfterMs =
+    verdict.details.retryAfterMs ??
+    (verdict.kind === 'retry' ? RETRY_AFTER_MS : undefined);
+  deps.finish(open, failedEvent(open, {...verdict.details, retryAfterMs}));
   return false;
 }
 
@@ -188,24 +192,15 @@
   past: Past,
 ): boolean {
   if (past.tries >= spec.config.declarations.policy.maxOffers) return false;
+  // Work that did not run adds no load when it runs elsewhere, and an offer
+  // costs little: whether there is time for it is the sides' to say.
+  if (verdict.ran === 'no') return true;
   const best = deps.router.rank(spec, past.lost)[0];
   if (best === undefined) return false;
   const timeLeftMs = spec.deadlineAt - deps.clock.now();
   // It could only end late: the caller is better served by the failure now.
   if (best.predictedFirstTokenMs >= timeLeftMs) return false;
-  // Work that did not run adds no load when it runs elsewhere.
-  return verdict.ran === 'no' || deps.budget.take();
-}
-
-function giveUp(
-  deps: DriveDeps,
-  open: OpenRequest,
-  details: ErrorDetails,
-): void {
-  deps.finish(
-    open,
-    failedEvent(open, {...details, retryAfterMs: details.retryAfterMs ?? 1000}),
-  );
+  return deps.budget.take();
 }
 
 function pause(deps: DriveDeps, tries: number): Promise<void> {
--- a/src/entry/group_reserve.ts
+++ b/src/entry/group_reserve.ts
@@ -6,13 +6,13 @@
  */
 import type {ErrorDetails} from '../types/errors.js';
 import type {RequestSpec} from '../types/services.js';
-import {planGroup} from './group.js';
-import type {GroupPart} from './group.js';
+import {memoryOf, planGroup} from './group.js';
+import type {GroupPart, GroupPlan} from './group.js';
 import {sendOffer, withdrawOffer} from './offer_call.js';
 import type {AcceptedOffer, OfferDeps} from './offer_call.js';
 import {isOver} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
-import {refusedBy} from './refusals.js';
+import {RETRY_AFTER_MS, refusedBy} from './refusals.js';
 import type {Refusal} from './refusals.js';
 
 export interface ReservedPart {
@@ -42,7 +42,9 @@
   for (let tries = 0; ; tries++) {
     const ranked = rank();
     const plan = planGroup(spec, ranked);
-    if (plan.kind !== 'group') return cannotGather(spec, plan);
+    if (plan.kind !== 'group') {
+      return cannotGather(spec, plan, deps.router.someAway(spec));
+    }
     deps.router.decidedGroup(spec, open.attempts + 1, plan.parts, ranked);
     const waitedMs = deps.clock.now() - startedAt;
     const outcome = await tryOnce(deps, open, spec, plan.parts, waitedMs);
@@ -124,17 +126,22 @@
 
 function cannotGather(
   spec: RequestSpec,
-  plan: Exclude<ReturnType<typeof planGroup>, {kind: 'group'}>,
+  plan: Exclude<GroupPlan, {kind: 'group'}>,
+  someAway: boolean,
 ): GroupOutcome {
   if (plan.kind === 'single') return {kind: 'none', details: refusedBy([])};
+  const message =
+    `needs memory for ${memoryOf(spec)} tokens; ` +
+    `the engines in reach have ${plan.haveTokens}`;
   return {
     kind: 'none',
-    details: {
-      code: 'too-large',
-      step: 'route',
-      message:
-        `needs memory for ${spec.promptTokens + spec.maxTokens} tokens; ` +
-        `the engines in reach have ${plan.haveTokens}`,
-    },
+    details: someAway
+      ? {
+          code: 'no-upstream',
+          step: 'route',
+          message: `${message}, and some are away`,
+          retryAfterMs: RETRY_AFTER_MS,
+        }
+      : {code: 'too-large', step: 'route', message},
   };
 }
--- a/src/entry/locate.ts
+++ b/src/entry/locate.ts
@@ -4,6 +4,7 @@
  */
 import type {Address, OrganisationId, RequestId} from '../types/ids.js';
 import type {LocateRes} from '../types/peer_messages.js';
+import type {Clock} from '../types/runtime.js';
 import type {Transport} from '../types/transport.js';
 import type {RequestTiming} from './timing.js';
 
@@ -17,6 +18,7 @@
 
 export interface LocateOptions {
   readonly transport: Transport;
+  readonly clock: Clock;
   readonly timing: RequestTiming;
   readonly id: RequestId;
   readonly organisation: OrganisationId;
@@ -25,10 +27,10 @@
   readonly allSides: readonly Address[];
 }
 
-/** How much a state tells; a request may have left traces on several sides. */
-const WORTH = {none: 0, failed: 1, ended: 2, queued: 3, running: 4} as const;
-
-/** The most telling trace; undefined when no side knows the request. */
+/**
+ * The trace to take up: of the newest attempt that has anything to give;
+ * undefined when no side knows the request.
+ */
 export async function locateRun(
   options: LocateOptions,
 ): Promise<Located | undefined> {
@@ -37,25 +39,36 @@
   const hinted = options.allSides.includes(options.sideHint)
     ? await askSide(options, options.sideHint)
     : undefined;
-  if (hinted !== undefined) return hinted;
+  if (hinted !== undefined && isOfUse(hinted)) return hinted;
   const others = options.allSides.filter(one => one !== options.sideHint);
-  return askAll(options, others);
+  return askAll(options, others, hinted);
 }
 
+/**
+ * Asks all, since an earlier attempt may have left a trace too: its chunks
+ * after those of a later one would be an answer that no run gave. Sides that
+ * do not answer hold this up for one waiting time at most.
+ */
 async function askAll(
   options: LocateOptions,
   sides: readonly Address[],
+  hinted: Located | undefined,
 ): Promise<Located | undefined> {
+  const {clock, timing} = options;
   const waiting = [...sides];
-  let best: Located | undefined;
+  let best = hinted;
+  let until = Infinity;
   const work = async () => {
     for (;;) {
       const side = waiting.shift();
-      if (side === undefined || isLive(best)) return;
+      if (side === undefined || clock.now() > until) return;
       const found = await askSide(options, side);
       // Read only after the wait: a side that knows nothing and answers last
       // would otherwise undo what another has told in the meantime.
       best = better(best, found);
+      if (best !== undefined && isOfUse(best)) {
+        until = Math.min(until, clock.now() + timing.locateTimeoutMs);
+      }
     }
   };
   const workers = Math.min(LOCATE_PARALLEL, waiting.length);
@@ -80,8 +93,9 @@
     .extract();
 }
 
-function isLive(found: Located | undefined): boolean {
-  return found?.res.state === 'running' || found?.res.state === 'queued';
+/** There is an answer, or will be. */
+function isOfUse(found: Located): boolean {
+  return found.res.state !== 'failed';
 }
 
 function better(
@@ -89,5 +103,11 @@
   b: Located | undefined,
 ): Located | undefined {
   if (a === undefined || b === undefined) return a ?? b;
-  return WORTH[b.res.state] > WORTH[a.res.state] ? b : a;
+  if (isOfUse(a) !== isOfUse(b)) return isOfUse(a) ? a : b;
+  return attemptOf(b) > attemptOf(a) ? b : a;
+}
+
+/** Number of the attempt, from its dispatch id. */
+function attemptOf({res}: Located): number {
+  return Number(res.dispatchId.slice(res.dispatchId.lastIndexOf('.') + 1));
 }
--- a/src/entry/offer_call.ts
+++ b/src/entry/offer_call.ts
@@ -2,6 +2,7 @@
  * One offer to one side, and what its answer says of the side. No go is sent
  * in here: whatever the side answers, or fails to, the offer has not run.
  */
+import type {OnyxError} from '../types/errors.js';
 import type {DispatchId, Incarnation, NodeId} from '../types/ids.js';
 import type {GroupRole, OfferReq, OfferRes} from '../types/peer_messages.js';
 import type {Runtime} from '../types/runtime.js';
@@ -73,7 +74,7 @@
   const res = await deps.transport.call(side, 'offer', req, waitMs);
   return res.caseOf<OfferAnswer>({
     Left: err => {
-      noAnswer(deps, terms, dispatchId, err.message);
+      noAnswer(deps, terms, dispatchId, err);
       return {kind: 'refused', side, reason: 'unanswered', retryAfterMs: 0};
     },
     Right: answer => judge(deps, spec, terms, dispatchId, answer),
@@ -92,18 +93,25 @@
   deps: OfferDeps,
   terms: OfferTerms,
   dispatchId: DispatchId,
-  cause: string,
+  err: OnyxError,
 ): void {
   const {incarnation} = terms;
   const side = terms.candidate.target.replica.address;
   deps.router.refused(side, dispatchId);
-  deps.log(REQUEST_EVENTS.offerUnanswered, {dispatch: dispatchId, side, cause});
-  deps.tellMembership({
-    kind: 'evidence',
-    address: side,
-    what: 'unreachable',
-    incarnation,
+  deps.log(REQUEST_EVENTS.offerUnanswered, {
+    dispatchId,
+    side,
+    cause: err.message,
   });
+  // A handler that failed has answered, after all.
+  if (err.code !== 'internal') {
+    deps.tellMembership({
+      kind: 'evidence',
+      address: side,
+      what: 'unreachable',
+      incarnation,
+    });
+  }
   // The offer may have been accepted unseen, or may still be on its way: the
   // tombstone frees the reservation and stops a late copy.
   void abandonDispatch(deps, {side, dispatchId, incarnation});
@@ -125,8 +133,8 @@
   deps.router.refused(side, dispatchId);
   deps.metrics.count('onyxloft_offer_refusals_total', {reason});
   deps.log(ROUTING_EVENTS.refused, {
-    request: spec.id,
-    dispatch: dispatchId,
+    requestId: spec.id,
+    dispatchId,
     side,
     reason,
     retryAfterMs,
--- a/src/entry/refusals.ts
+++ b/src/entry/refusals.ts
@@ -16,8 +16,11 @@
   readonly retryAfterMs: number;
 }
 
-/** When to come back if no side named a time. */
-const RETRY_AFTER_MS = 1_000;
+/** When to come back after what soon passes, in milliseconds. */
+export const RETRY_AFTER_MS = 1_000;
+
+/** Reasons for which a side that names no time means: never. */
+const LASTING: ReadonlySet<NotAccepted> = new Set(['full', 'too-late']);
 
 /** Codes by reason; the first reason found in this order decides. */
 const CODES: ReadonlyArray<readonly [NotAccepted, ErrorCode]> = [
@@ -45,10 +48,16 @@
       refusals.length === 0
         ? 'no upstream serves this now'
         : `refused by ${refusals.map(nameOf).join(', ')}`,
-    retryAfterMs: told.length > 0 ? Math.min(...told) : RETRY_AFTER_MS,
+    retryAfterMs: told.length > 0 ? Math.min(...told) : passing(refusals),
   };
 }
 
+function passing(refusals: readonly Refusal[]): number | undefined {
+  const lasts =
+    refusals.length > 0 && refusals.every(one => LASTING.has(one.reason));
+  return lasts ? undefined : RETRY_AFTER_MS;
+}
+
 function nameOf(refusal: Refusal): string {
   return `${refusal.side} (${refusal.reason})`;
 }
--- a/src/entry/request_table.ts
+++ b/src/entry/request_table.ts
@@ -10,6 +10,8 @@
 
 /** Ended requests kept at most, the oldest forgotten first. */
 const KEEP_ENDED = 512;
+/** Bytes of the answers of ended requests kept at most. */
+const KEEP_ENDED_BYTES = 16 << 20;
 
 export interface RequestTable {
   add(open: OpenRequest): void;
@@ -29,11 +31,15 @@
   const open = new Map<RequestId, OpenRequest>();
   const ended = new Map<RequestId, {request: OpenRequest; at: number}>();
 
+  let endedBytes = 0;
+
   const forgetOld = () => {
     const before = clock.now() - keepEndedMs;
-    for (const [id, {at}] of ended) {
-      if (at >= before && ended.size <= KEEP_ENDED) return;
+    for (const [id, {request, at}] of ended) {
+      const fits = ended.size <= KEEP_ENDED && endedBytes <= KEEP_ENDED_BYTES;
+      if (at >= before && fits) return;
       ended.delete(id);
+      endedBytes -= request.answer.keptBytes();
     }
   };
 
@@ -44,6 +50,7 @@
     end: request => {
       open.delete(request.id);
       ended.set(request.id, {request, at: clock.now()});
+      endedBytes += request.answer.keptBytes();
       forgetOld();
     },
     find: (id, organisation) => {
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -44,7 +44,8 @@
 const SUBSCRIBE_EVERY_MS = 5_000;
 /** When to come back to another entry while this one drains. */
 const DRAIN_RETRY_AFTER_MS = 200;
-const DEFAULT_PREFIX_BLOCK_TOKENS = 256;
+/** Prompt blocks are hashed by 2 KiB, some 512 tokens of text. */
+const DEFAULT_PREFIX_BLOCK_TOKENS = 512;
 
 export interface RequestsOptions {
   readonly transport: Transport;
@@ -54,7 +55,7 @@
   readonly routingPolicy: (name: string) => RoutingPolicy;
   /** @default DEFAULT_REQUEST_TIMING */
   readonly timing?: Partial<RequestTiming>;
-  /** Prompt tokens that one prefix hash stands for. @default 256 */
+  /** Prompt tokens that one prefix hash stands for. @default 512 */
   readonly prefixBlockTokens?: number;
 }
 
@@ -86,14 +87,14 @@
 
   const finish = (open: OpenRequest, event: FinalEvent) => {
     const first = open.answer.finish(event);
-    ctx.invariant(first, 'one-final-event', {request: open.id});
+    ctx.invariant(first, 'one-final-event', {requestId: open.id});
     if (!first) return;
     open.stopAttempt?.();
     for (const release of releases.get(open) ?? []) release();
     releases.delete(open);
     table.end(open);
     logEnd(ctx, open, event);
-    ctx.metrics.gauge('onyxloft_open_requests', {}, table.size());
+    ctx.metrics.gauge('onyxloft_owned_requests', {}, table.size());
     if (draining && table.size() === 0) {
       for (const reply of drained.splice(0)) reply();
     }
@@ -113,7 +114,7 @@
   const open = (request: OpenRequest, release: readonly (() => void)[]) => {
     table.add(request);
     releases.set(request, [...release]);
-    ctx.metrics.gauge('onyxloft_open_requests', {}, table.size());
+    ctx.metrics.gauge('onyxloft_owned_requests', {}, table.size());
   };
 
   const resumer = createResumer({deps, table, open, view: () => view});
@@ -132,7 +133,7 @@
         failedEvent(request, {
           code: 'draining',
           step: 'validate',
-          message: 'this entry is shutting down; send it to another',
+          message: 'this entry is shutting down; send the request to another',
           retryAfterMs: DRAIN_RETRY_AFTER_MS,
         }),
       );
@@ -277,21 +278,21 @@
   event: FinalEvent,
 ): void {
   const outcome = event.kind === 'end' ? 'ended' : event.error.code;
-  ctx.metrics.count('onyxloft_requests_total', {outcome});
+  ctx.metrics.count('onyxloft_request_outcomes_total', {outcome});
   if (event.kind === 'end') {
     ctx.log(REQUEST_EVENTS.ended, {
-      request: request.id,
+      requestId: request.id,
       side: request.side,
-      dispatch: request.dispatchId,
+      dispatchId: request.dispatchId,
       chunks: event.count,
       tokens: event.tokens,
     });
     return;
   }
   ctx.log(REQUEST_EVENTS.failed, {
-    request: request.id,
+    requestId: request.id,
     side: request.side,
-    dispatch: request.dispatchId,
+    dispatchId: request.dispatchId,
     code: event.error.code,
     step: event.error.step,
     ran: event.error.ran,
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -52,6 +52,7 @@
   ) =>
     locateRun({
       transport: deps.transport,
+      clock: deps.clock,
       timing: deps.timing,
       id,
       organisation,
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -34,6 +34,8 @@
     spec: RequestSpec,
     except: ReadonlySet<Incarnation>,
   ): readonly RankedTarget[];
+  /** Some replica that may do this work is not to be had just now. */
+  someAway(spec: RequestSpec): boolean;
   /** Logs and keeps a decision. */
   decided(
     spec: RequestSpec,
@@ -122,6 +124,15 @@
 
   return {
     rank,
+    someAway: spec =>
+      options
+        .view()
+        .replicas.some(
+          one =>
+            one.state !== 'live' ||
+            one.incarnation === '' ||
+            (spec.kind === 'completion' && one.load.capacityTokens === 0),
+        ),
     decided: (spec, attempt, chosen, ranked) => {
       const decision = keep({
         requestId: spec.id,
@@ -187,7 +198,7 @@
 
 function fieldsOf(spec: RequestSpec, decision: RoutingDecision): LogFields {
   return {
-    request: spec.id,
+    requestId: spec.id,
     attempt: decision.attempt,
     chosen: decision.chosen,
     reason: decision.reason,
--- a/src/entry/verdict.ts
+++ b/src/entry/verdict.ts
@@ -31,6 +31,15 @@
   'superseded',
 ]);
 
+/** The run or its record went with a process; the upstream did not fail it. */
+const LOST_CODES: ReadonlySet<string> = new Set([
+  'incarnation',
+  'not-found',
+  'owner-lost',
+  'superseded',
+  'upstream-lost',
+]);
+
 const PASSED_ON: ReadonlySet<string> = new Set<ErrorCode>([
   'bad-request',
   'too-large',
@@ -77,9 +86,7 @@
 
 function afterFailure(failed: RunFailed, input: VerdictInput): Verdict {
   const details: ErrorDetails = {
-    code: PASSED_ON.has(failed.code)
-      ? (failed.code as ErrorCode)
-      : 'upstream-failed',
+    code: codeOf(failed.code),
     step: 'run',
     peer: input.side,
     message: failed.message,
@@ -91,6 +98,12 @@
   return again(failed.ran, input, details);
 }
 
+/** The side's codes are more than those that callers rely on. */
+function codeOf(code: string): ErrorCode {
+  if (PASSED_ON.has(code)) return code as ErrorCode;
+  return LOST_CODES.has(code) ? 'upstream-lost' : 'upstream-failed';
+}
+
 function again(said: Ran, input: VerdictInput, details: ErrorDetails): Verdict {
   const ran = honestRan(said, input);
   // A second run need not give the same words: its chunks after those of the
--- a/src/types/peer_messages.ts
+++ b/src/types/peer_messages.ts
@@ -138,6 +138,12 @@
   readonly entry: NodeId;
   /** First chunk wanted. */
   readonly fromSeq: number;
+  /**
+   * The caller resumes at this entry: it takes the run from its owner. Without
+   * it, an entry that is no longer the owner is told `superseded`, so that it
+   * cannot take the run back while it renews a channel. @default false
+   */
+  readonly takeOver?: boolean;
 }
 
 /** Chunks below `nextSeq` have arrived. */
--- a/test/entry_answer.test.ts
+++ b/test/entry_answer.test.ts
@@ -1,7 +1,7 @@
 /** Whole answers: order, count and digest checked between side and caller. */
 import {describe, expect, it} from 'vitest';
 import {REQUEST_EVENTS} from '../src/utils/events.js';
-import {startEntry} from './support/entry_fixture.js';
+import {ENTRY, startEntry} from './support/entry_fixture.js';
 import {
   answerThree,
   chunkOf,
@@ -145,7 +145,7 @@
             makeThree(run);
             run.send(run.chunks[0]);
             entry.clock.after(100, () => {
-              entry.network.silence(side.address);
+              entry.network.faults.silence(ENTRY, side.address);
               run.send(run.chunks[1]);
             });
           },
@@ -159,4 +159,24 @@
     expect(entry.sides[0].attaches).toEqual([1]);
     expect(entry.sides[0].gos).toHaveLength(1);
   });
+
+  // The entry itself was stopped for ten seconds. Frames of that time wait in
+  // its socket; the connection is well, and must not be taken for silent.
+  it('is not confused with a pause of this process', async () => {
+    const entry = await startEntry({
+      sides: [
+        {
+          run: (side, run) => {
+            entry.clock.after(15_000, () => answerThree(side, run));
+          },
+        },
+      ],
+    });
+    const caller = entry.submit();
+    await entry.clock.runFor(2_500);
+    entry.clock.advance(10_000);
+    await entry.clock.runFor(8_000);
+    expect(caller.text()).toBe('one two three');
+    expect(entry.eventsOf(REQUEST_EVENTS.channelRenewed)).toEqual([]);
+  });
 });
--- a/test/entry_attempts.test.ts
+++ b/test/entry_attempts.test.ts
@@ -77,6 +77,14 @@
     });
   });
 
+  it('that can never be met name no time to come back', async () => {
+    const entry = await startEntry({sides: [{offer: () => refused('full')}]});
+    const caller = entry.submit();
+    await entry.clock.runFor(50);
+    expect(errorOf(caller)?.code).toBe('overloaded');
+    expect(errorOf(caller)?.retryAfterMs).toBeUndefined();
+  });
+
   // The first side takes the offer and its answer is lost. No go was sent, so
   // the other side may have the work; the first is told to forget the id, or
   // it would hold memory for it.
@@ -101,9 +109,7 @@
     const entry = await startEntry({sides: [mute, {}]});
     const caller = entry.submit({repeatable: false});
     await entry.clock.runFor(50);
-    const [first] = gosOf(entry);
-    for (const {address} of entry.sides.filter(({gos}) => gos.includes(first)))
-      entry.network.frozen.add(address);
+    entry.freeze(entry.sides.findIndex(({gos}) => gos.length > 0));
     await entry.clock.runFor(29_000);
     expect(errorOf(caller)).toMatchObject({
       code: 'upstream-lost',
@@ -119,8 +125,8 @@
     const entry = await startEntry({
       sides: [
         {
-          run: side => entry.network.cut(side.address),
-          attach: side => entry.network.cut(side.address),
+          run: (_side, run) => run.channel?.close(),
+          attach: (_side, run) => run.channel?.close(),
           abandon: () => 'never-started',
         },
         {},
@@ -265,6 +271,5 @@
   }));
 
 function goDown(entry: EntryFixture, address: string): void {
-  entry.network.down.add(address);
-  entry.network.cut(address);
+  entry.network.faults.down(address);
 }
--- a/test/entry_callers.test.ts
+++ b/test/entry_callers.test.ts
@@ -1,10 +1,20 @@
 /** What a caller may ask of a request besides its answer. */
 import {Right} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
-import type {RequestListener} from '../src/types/services.js';
-import {startEntry} from './support/entry_fixture.js';
+import {createRoundRobin} from '../src/policy/routing_policies.js';
+import type {RequestListener, RoutingDecision} from '../src/types/services.js';
+import {ROUTING_EVENTS} from '../src/utils/events.js';
+import {ENTRY, startEntry} from './support/entry_fixture.js';
 import type {EntryFixture} from './support/entry_fixture.js';
-import {createRun, endOf, makeThree} from './support/scripted_side.js';
+import {
+  accepted,
+  createRun,
+  endOf,
+  failed,
+  resend,
+  makeThree,
+  refused,
+} from './support/scripted_side.js';
 import type {SideScript} from './support/scripted_side.js';
 
 /** Answers the first chunk at once, the rest after a second. */
@@ -48,6 +58,85 @@
     expect(entry.toMembership.map(({kind}) => kind)).toEqual(['own', 'disown']);
   });
 
+  // The first attach takes the run from its owner; the channel then breaks.
+  // The second one must not take it over again: were the caller elsewhere by
+  // then, the two entries would take the run from each other for ever.
+  it('takes the run over once, and not when it renews a channel', async () => {
+    const entry = await startEntry({
+      sides: [
+        {},
+        {
+          attach: (side, run, fromSeq) => {
+            if (side.attaches.length > 1) {
+              resend(side, run, fromSeq);
+              return;
+            }
+            run.send(run.chunks[0]);
+            entry.clock.after(10, () => run.channel?.close());
+          },
+        },
+      ],
+    });
+    holdRun(entry, 'q13.1');
+    const caller = entry.caller();
+    resume(entry, 'q13', 'prairie-sky', 0, caller.listener);
+    await entry.clock.runFor(2_000);
+    expect(caller.text()).toBe('one two three');
+    expect(entry.sides[1].attaches).toEqual([0, 1]);
+    expect(entry.sides[1].takeOvers).toEqual([true, false]);
+  });
+
+  // The caller resumed elsewhere, and that entry took the run. Running it
+  // again here would do the work twice for nobody.
+  it('elsewhere ends the request here without another run', async () => {
+    const entry = await startEntry({
+      sides: [
+        {run: (_side, run) => run.send(superseded(run.dispatchId))},
+        {run: (_side, run) => run.send(superseded(run.dispatchId))},
+      ],
+    });
+    const caller = entry.submit();
+    await entry.clock.runFor(2_000);
+    expect(caller.final()).toMatchObject({error: {code: 'upstream-lost'}});
+    expect(entry.sides.flatMap(side => side.gos)).toHaveLength(1);
+  });
+
+  // Its first attempt lapsed on one side, its second ran on another. The trace
+  // of the first must not be taken for the request: it would be told 'not run'
+  // of a request that ran, or get another run's chunks.
+  it('gets the newest attempt that has an answer', async () => {
+    const entry = await startEntry({sides: [{}, {}, {}]});
+    const [lapsed, newest, older] = entry.sides;
+    const late = {minMs: 5, maxMs: 5};
+    entry.network.faults.setDelay(late, ENTRY, newest.address);
+    holdRun(entry, 'q11.2');
+    const trace = (state: 'failed' | 'ended', dispatchId: string) => () =>
+      ({state, dispatchId, nextSeq: 0, kind: 'completion'}) as const;
+    lapsed.locate = trace('failed', 'q11.3');
+    older.locate = trace('ended', 'q11.1');
+    const caller = entry.caller();
+    resume(entry, 'q11', 'prairie-sky', 1, caller.listener, lapsed.address);
+    await entry.clock.runFor(1_000);
+    expect(caller.text()).toBe('two three');
+  });
+
+  it('is not told that nothing ran by a trace that did not', async () => {
+    const entry = await startEntry({
+      sides: [{attach: (_side, run) => run.send(failed(run.dispatchId, 'no'))}],
+    });
+    entry.sides[0].locate = () => ({
+      state: 'failed',
+      dispatchId: 'q12.1',
+      nextSeq: 0,
+      kind: 'completion',
+    });
+    entry.sides[0].runs.set('q12.1', createRun('q12.1'));
+    const caller = entry.caller();
+    resume(entry, 'q12', 'prairie-sky', 0, caller.listener);
+    await entry.clock.runFor(1_000);
+    expect(caller.final()).toMatchObject({error: {ran: 'unknown'}});
+  });
+
   it('is told at once when nobody knows the request', async () => {
     const entry = await startEntry({sides: [{}]});
     const caller = entry.caller();
@@ -140,6 +229,77 @@
   });
 });
 
+describe('a caller that leaves before its offer is answered', () => {
+  // The side takes the offer after the request is over. Nobody will send its
+  // go; the side is told, or it would hold the place until the offer lapses.
+  it('leaves no reservation and no run behind', async () => {
+    const entry = await startEntry({
+      sides: [
+        {
+          offer: () =>
+            new Promise(resolve =>
+              entry.clock.after(300, () => resolve(accepted(entry.sides[0]))),
+            ),
+        },
+      ],
+    });
+    const caller = entry.submit({id: 'q8'});
+    await entry.clock.runFor(100);
+    entry.kernel.send('requests', {
+      kind: 'cancel',
+      id: 'q8',
+      organisation: 'prairie-sky',
+    });
+    await entry.clock.runFor(1_000);
+    expect(caller.final()).toMatchObject({error: {ran: 'no'}});
+    expect(entry.sides[0].abandons).toEqual(['q8.1']);
+    expect(entry.sides[0].gos).toEqual([]);
+  });
+});
+
+describe('a caller that names a side', () => {
+  // The hint is the caller's word. An address that the host list does not show
+  // is not one of ours; connecting to it would let a caller aim this process.
+  it('has it asked only when it is one of ours', async () => {
+    const entry = await startEntry({sides: [{}]});
+    const asked: string[] = [];
+    const stranger = entry.network.transport('10.0.0.9:22');
+    await stranger.listen('10.0.0.9:22', {
+      locate: async req => {
+        asked.push(req.requestId);
+        throw new Error('not ours');
+      },
+    });
+    const caller = entry.caller();
+    resume(entry, 'q9', 'prairie-sky', 0, caller.listener, '10.0.0.9:22');
+    await entry.clock.runFor(2_000);
+    expect(asked).toEqual([]);
+    expect(caller.final()).toMatchObject({error: {code: 'not-found'}});
+  });
+});
+
+describe('an operator that asks why', () => {
+  it('gets the decisions with candidates, figures and reason', async () => {
+    const entry = await startEntry({
+      sides: [{offer: () => refused('full', 100)}, {}],
+      requests: {routingPolicy: () => createRoundRobin()},
+    });
+    entry.submit({id: 'q10'});
+    await entry.clock.runFor(100);
+    const decisions = await entry.kernel.ask<
+      'requests',
+      readonly RoutingDecision[]
+    >('requests', reply => ({kind: 'explain', id: 'q10', reply}));
+    expect(decisions.map(({attempt, chosen}) => [attempt, chosen])).toEqual([
+      [1, 's1'],
+      [2, 's2'],
+    ]);
+    expect(decisions[1].candidates).toHaveLength(2);
+    expect(decisions[1].reason).toBe('next in turn');
+    expect(entry.eventsOf(ROUTING_EVENTS.decided)).toHaveLength(2);
+  });
+});
+
 describe('an entry that drains', () => {
   // The process is to stop. Requests in progress must end whole, and a new one
   // must be told to go elsewhere rather than be cut later.
@@ -166,19 +326,24 @@
   });
 });
 
+function superseded(dispatchId: string) {
+  return failed(dispatchId, 'unknown', 'superseded');
+}
+
 function resume(
   entry: EntryFixture,
   id: string,
   organisation: string,
   fromSeq: number,
   listener: RequestListener,
+  sideHint = '',
 ): void {
   entry.kernel.send('requests', {
     kind: 'resume',
     id,
     organisation,
     fromSeq,
-    sideHint: '',
+    sideHint,
     listener,
   });
 }
--- a/test/entry_groups.test.ts
+++ b/test/entry_groups.test.ts
@@ -133,8 +133,7 @@
       side => side.gos.length > 0 && side.offers[0].group?.lead === false,
     );
     const before = heldAt(entry);
-    entry.network.down.add(member?.address ?? '');
-    entry.network.cut(member?.address ?? '');
+    entry.network.faults.down(member?.address ?? '');
     entry.view(
       entry.sides.filter(side => side !== member).map(side => side.replica()),
     );
--- a/test/support/entry_fixture.ts
+++ b/test/support/entry_fixture.ts
@@ -17,8 +17,9 @@
   RequestEvent,
   RequestSpec,
 } from '../../src/types/services.js';
+import {createMemoryNetwork} from '../../standins/memory_network.js';
+import {createPausableClock} from '../../standins/pausable_clock.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
-import {createScriptedNetwork} from './scripted_network.js';
 import {startScriptedSide} from './scripted_side.js';
 import type {SideScript} from './scripted_side.js';
 
@@ -42,13 +43,22 @@
   readonly claim?: (key: string) => Either<OnyxError, ClaimOutcome>;
 }
 
+/** Address of the entry on the network. */
+export const ENTRY = 'e1';
+
 export async function startEntry(options: EntryFixtureOptions) {
   const recording = createRecordingRuntime({seed: options.seed ?? 1});
   const {clock, runtime} = recording;
-  const network = createScriptedNetwork(clock);
+  const network = createMemoryNetwork(clock, recording.random);
+  const sideClocks = options.sides.map(() => createPausableClock(clock));
   const sides = await Promise.all(
     options.sides.map((script, at) =>
-      startScriptedSide(clock, network.transport, `s${at + 1}`, script),
+      startScriptedSide(
+        sideClocks[at],
+        network.transport(`s${at + 1}`),
+        `s${at + 1}`,
+        script,
+      ),
     ),
   );
   const kernel = createKernel(runtime);
@@ -99,7 +109,7 @@
   });
   await kernel.start(
     createRequestsService({
-      transport: network.transport,
+      transport: network.transport(ENTRY),
       node: 'entry-1',
       failureDomain: 'hall-north',
       routingPolicy: createRoutingPolicies(),
@@ -148,6 +158,11 @@
     toMembership,
     caller,
     submit,
+    /** Stops a side's process, as by a signal, without ending it. */
+    freeze: (at: number) => {
+      sideClocks[at].pause();
+      network.faults.freeze(sides[at].address);
+    },
     /** Places that are taken of the organisation's limit. */
     places: () => places,
     view: (replicas: readonly Replica[]) => tell?.(viewOf(replicas)),
--- a/test/support/message_arbitraries.ts
+++ b/test/support/message_arbitraries.ts
@@ -228,6 +228,7 @@
     organisation: text,
     entry: text,
     fromSeq: count,
+    takeOver: fc.boolean(),
   }),
   fc.record({kind: fc.constant('ack' as const), nextSeq: count}),
   beat,
--- a/test/support/scripted_side.ts
+++ b/test/support/scripted_side.ts
@@ -47,6 +47,8 @@
   readonly abandons: DispatchId[];
   /** `fromSeq` of each attach. */
   readonly attaches: number[];
+  /** Whether each of those took the run over. */
+  readonly takeOvers: boolean[];
   readonly runs: Map<DispatchId, SideRun>;
   readonly cancels: DispatchId[];
   locate: (id: string, organisation: string) => LocateRes | undefined;
@@ -66,6 +68,7 @@
     gos: [],
     abandons: [],
     attaches: [],
+    takeOvers: [],
     runs: new Map(),
     cancels: [],
     locate: () => undefined,
@@ -87,6 +90,7 @@
         side.runs.set(frame.dispatchId, run);
       } else if (frame.kind === 'attach') {
         side.attaches.push(frame.fromSeq);
+        side.takeOvers.push(frame.takeOver === true);
         run = side.runs.get(frame.dispatchId);
         if (run === undefined) {
           void channel.send(failed(frame.dispatchId, 'unknown', 'not-found'));
