--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -9,9 +9,10 @@
 import type {HostInfo} from '../src/types/platform.js';
 import type {MembershipView, Replica} from '../src/types/services.js';
 import {MEMBERSHIP_EVENTS} from '../src/utils/events.js';
+import {createMemoryNetwork} from '../standins/memory_network.js';
 import {createRecordingRuntime} from '../standins/recording_runtime.js';
-import {createScriptedNetwork} from './support/scripted_network.js';
 
+const ENTRY = 'entry-1:7300';
 const DOMAINS = ['hall-north', 'hall-south', 'hall-east'];
 
 function hostsOf(count: number, pool = 'onyx-pool'): HostInfo[] {
@@ -27,7 +28,7 @@
 async function startMembership(count: number) {
   const recording = createRecordingRuntime();
   const {clock, runtime} = recording;
-  const network = createScriptedNetwork(clock);
+  const network = createMemoryNetwork(clock, recording.random);
   const kernel = createKernel(runtime);
   const told: unknown[] = [];
   const beats: SideHeartbeatReq[] = [];
@@ -39,14 +40,14 @@
     fence: 1,
   }));
   let list: readonly HostInfo[] | undefined = sides.map(({host}) => host);
-  for (const side of sides) {
-    await network.transport.listen(side.host.address, {
+  const listen = (side: (typeof sides)[number]) =>
+    network.transport(side.host.address).listen(side.host.address, {
       sideHeartbeat: async req => {
         beats.push(req);
         return answerOf(side);
       },
     });
-  }
+  for (const side of sides) await listen(side);
   await kernel.start({
     name: 'config',
     start: ctx => {
@@ -65,12 +66,12 @@
   });
   await kernel.start(
     createMembershipService({
-      transport: network.transport,
+      transport: network.transport(ENTRY),
       hostList: async () =>
         list === undefined ? Left(listIsOut()) : Right(list),
       node: 'entry-1',
       host: 'entry-host-1',
-      address: 'entry-1:7300',
+      address: ENTRY,
       failureDomain: 'hall-north',
       incarnation: 'e-1',
     }),
@@ -85,7 +86,9 @@
   await clock.runFor(500);
   return {
     ...recording,
-    network,
+    faults: network.faults,
+    /** Starts a side's process again after `faults.down`. */
+    restart: (at: number) => listen(sides[at]),
     kernel,
     sides,
     beats,
@@ -186,7 +189,7 @@
     fleet.setList(others);
     await fleet.clock.runFor(10_000);
     expect(fleet.replica(0)?.state).toBe('live');
-    fleet.network.frozen.add(first.address);
+    fleet.faults.freeze(first.address);
     await fleet.clock.runFor(6_000);
     expect(fleet.replica(0)).toBeUndefined();
   });
@@ -196,17 +199,17 @@
   it('comes with a refused connection and goes with an answer', async () => {
     const fleet = await startMembership(3);
     const {address} = fleet.sides[0].host;
-    fleet.network.down.add(address);
+    fleet.faults.down(address);
     await fleet.clock.runFor(1_500);
     expect(fleet.replica(0)?.state).toBe('suspect');
-    fleet.network.down.delete(address);
+    await fleet.restart(0);
     await fleet.clock.runFor(1_500);
     expect(fleet.replica(0)?.state).toBe('live');
   });
 
   it('comes with three seconds of silence', async () => {
     const fleet = await startMembership(3);
-    fleet.network.frozen.add(fleet.sides[0].host.address);
+    fleet.faults.freeze(fleet.sides[0].host.address);
     await fleet.clock.runFor(2_000);
     expect(fleet.replica(0)?.state).toBe('live');
     await fleet.clock.runFor(2_500);
@@ -231,11 +234,11 @@
   // empty pool to route to, and all come back with the network.
   it('of all at once leaves them all in the view', async () => {
     const fleet = await startMembership(6);
-    for (const {host} of fleet.sides) fleet.network.frozen.add(host.address);
+    for (const {host} of fleet.sides) fleet.faults.cut(ENTRY, host.address);
     await fleet.clock.runFor(60_000);
     expect(fleet.states()).toEqual(Array(6).fill('suspect'));
     expect(fleet.eventsOf(MEMBERSHIP_EVENTS.manySuspect)).toHaveLength(1);
-    fleet.network.frozen.clear();
+    fleet.faults.healAll();
     await fleet.clock.runFor(3_000);
     expect(fleet.states()).toEqual(Array(6).fill('live'));
   });
--- a/test/routing_policies.test.ts
+++ b/test/routing_policies.test.ts
@@ -124,7 +124,7 @@
     expect(others).toBe(home);
     const buried = at(address =>
       address === home
-        ? {prefillBacklogTokens: 90_000, shortBacklogTokens: 90_000}
+        ? {prefillBacklogTokens: 2_500, shortBacklogTokens: 2_500}
         : {},
     );
     expect(buried).not.toBe(home);
