fix(side): keep a run with the entry that its caller moved to

Cause: when a caller resumed at another entry, its first entry saw only a broken channel, attached again, took the run back and could cancel it. Ruled out: longer grace at the first entry; it only shifts the race. Change: an attach without takeOver by an entry that does not own the run is answered 'superseded'; so is the channel that a take-over replaces. Before: the new test in side_answers fails without the check. After: 75 tests of the side pass, and all 455.

--- a/src/side/frames.ts
+++ b/src/side/frames.ts
@@ -188,6 +188,11 @@
     channels.dismiss(channelId, outcome);
   };
 
+  const superseded = (run: Run) => {
+    const ran = run.started ? 'yes' : 'unknown';
+    return failed(run.id, 'superseded', ran, `entry ${run.owner} owns the run`);
+  };
+
   const attach = (channelId: number, frame: Attach) => {
     const run = table.get(frame.dispatchId);
     if (run === undefined) return attachBuried(channelId, frame);
@@ -196,6 +201,17 @@
       return notFound(channelId, frame.dispatchId);
     }
     if (run.owner !== frame.entry) {
+      // A caller that resumed elsewhere moved its run to another entry. Its
+      // first entry only sees a broken channel and attaches again; let in, it
+      // would take the run back and cancel it as a run without a caller.
+      if (frame.takeOver !== true) {
+        channels.dismiss(channelId, superseded(run));
+        return;
+      }
+      if (run.channelId !== undefined) {
+        channels.dismiss(run.channelId, superseded(run));
+        run.channelId = undefined;
+      }
       ctx.log(SIDE_EVENTS.runTakenOver, {
         dispatchId: run.id,
         from: run.owner,
--- a/test/locate.test.ts
+++ b/test/locate.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {locateRun} from '../src/entry/locate.js';
 import {DEFAULT_REQUEST_TIMING} from '../src/entry/timing.js';
+import {createVirtualClock} from './support/virtual_clock.js';
 import type {LocateRes} from '../src/types/peer_messages.js';
 import type {Transport} from '../src/types/transport.js';
 
@@ -25,6 +26,7 @@
         answers.set(side, res => resolve(Right(res)));
       });
     const located = locateRun({
+      clock: createVirtualClock(),
       transport: {call} as unknown as Transport,
       timing: DEFAULT_REQUEST_TIMING,
       id: 'r',
--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -55,6 +55,23 @@
     expectWhole([again], 100);
   });
 
+  test('stays with the entry that its caller moved to', async () => {
+    // The caller resumes at entry 2 while entry 1 still lives. Entry 1 sees its
+    // channel break and attaches again, as after any silence. It is told that
+    // the run is another's, and the caller's new answer goes on.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 200});
+    const first = rig.goWhole('r1.0');
+    await rig.clock.runFor(1_000);
+    const second = rig.attach('r1.0', 0);
+    await rig.clock.runFor(100);
+    expect(first.last('failed')).toMatchObject({code: 'superseded'});
+    const back = rig.attach('r1.0', 0, 'entry-1');
+    await rig.clock.runFor(20_000);
+    expect(back.last('failed')).toMatchObject({code: 'superseded'});
+    expectWhole([second], 200);
+  });
+
   test('is hidden from another organisation as if it were not there', async () => {
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 100});
--- a/test/support/side_rig.ts
+++ b/test/support/side_rig.ts
@@ -195,6 +195,8 @@
       organisation: org,
       entry: who,
       fromSeq,
+      // Entry 1 made the run; any other attaches as its caller's new entry.
+      takeOver: who !== 'entry-1',
     });
     return channel;
   };
