--- /dev/null
+++ b/test/support/session_fleet.ts
@@ -0,0 +1,240 @@
+/**
+ * A small fleet for golden files: stand-in programs, and entries and sides
+ * wired as the daemon wires them, with real HTTP and grpc, in the test's own
+ * process so that their log events can be read.
+ */
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {DEMO_SHAPE, demoDeclarations} from '../../demo/fleet_plan.js';
+import {toKeyed} from '../../src/config/keyed_form.js';
+import {parseSettings} from '../../src/config/settings.js';
+import type {Runtime} from '../../src/types/runtime.js';
+import {
+  createProcessClock,
+  createProcessRandom,
+} from '../../src/utils/clock.js';
+import {hashGeneratedKey} from '../../src/utils/keys.js';
+import {createMetrics} from '../../src/utils/metrics.js';
+import {wire} from '../../src/wiring.js';
+import type {WiredProcess} from '../../src/wiring.js';
+import {startProgram} from './programs.js';
+import type {Program} from './programs.js';
+
+const TOKEN = 'operators-token';
+const SALT = '00112233445566778899aabbccddeeff';
+const POLL_MS = 25;
+const TRIES = 800;
+/** Callers' keys by organisation. */
+export const KEYS = {
+  'prairie-sky': 'onyx_prairie',
+  'ingufu-hamwe': 'onyx_ingufu',
+} as const;
+
+/** One log event of a process. */
+export interface LoggedEvent {
+  readonly node: string;
+  readonly line: string;
+  readonly text: string;
+}
+
+export interface SessionFleet {
+  /** Callers' base URL of an entry. */
+  url(entry: string): string;
+  /** Operators' base URL of an entry. */
+  operators(entry: string): string;
+  readonly operatorToken: string;
+  /** Events that name the request, process by process. */
+  eventsOf(requestId: string): readonly string[];
+  close(): Promise<void>;
+}
+
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(done => server.close(done));
+  return `127.0.0.1:${port}`;
+}
+
+async function until(what: string, check: () => Promise<boolean>) {
+  for (let tries = 0; tries < TRIES; tries++) {
+    if (await check().catch(() => false)) return;
+    await sleep(POLL_MS);
+  }
+  throw new Error(`waited in vain: ${what}`);
+}
+
+async function send(url: string, method: string, body: object) {
+  const res = await fetch(url, {
+    method,
+    headers: {authorization: `Bearer ${TOKEN}`},
+    body: JSON.stringify(body),
+  });
+  if (!res.ok) throw new Error(`${url}: ${res.status} ${await res.text()}`);
+}
+
+/** Three entries, one engine, one plain service. */
+export async function startSessionFleet(): Promise<SessionFleet> {
+  const [objectApi, hostList, weightStore, engine, service] =
+    (await Promise.all([
+      startProgram('standins/object_api.ts'),
+      startProgram('standins/host_list.ts'),
+      startProgram('standins/weight_store.ts'),
+      startProgram('standins/engine.ts', [
+        '--models',
+        `${DEMO_SHAPE.model}@${DEMO_SHAPE.modelVersion}`,
+        '--memory-tokens',
+        '420000',
+      ]),
+      startProgram('standins/plain_service.ts'),
+    ])) as [Program, Program, Program, Program, Program];
+  const events: LoggedEvent[] = [];
+  const wired: WiredProcess[] = [];
+  const listens = new Map<string, Readonly<Record<string, string>>>();
+  const platform = {
+    objectApi: objectApi.url,
+    hostList: hostList.url,
+    weightStore: weightStore.url,
+  };
+
+  const runtimeOf = (node: string): Runtime => ({
+    clock: createProcessClock(),
+    random: createProcessRandom(),
+    metrics: createMetrics(),
+    log: ({number, level, name}, fields) => {
+      const text = JSON.stringify(fields);
+      events.push({node, line: `${number} ${level} ${name}`, text});
+    },
+    invariant: (holds, name, fields) => {
+      if (!holds) throw new Error(`${name} ${JSON.stringify(fields)}`);
+    },
+  });
+
+  const start = async (
+    node: string,
+    pool: string,
+    names: readonly string[],
+    more: object,
+  ) => {
+    const listen = Object.fromEntries(
+      await Promise.all(
+        names.map(async name => [name, await freeAddress()] as const),
+      ),
+    );
+    listens.set(node, listen);
+    const host = `host-${node}`;
+    const failureDomain = 'hall-north';
+    const settings = parseSettings(
+      JSON.stringify({
+        node,
+        host,
+        failureDomain,
+        listen,
+        platform,
+        operatorTokenHash: hashGeneratedKey(TOKEN, SALT),
+        ...more,
+      }),
+      node,
+    ).unsafeCoerce();
+    const noFiles = () => Buffer.alloc(0);
+    const drain = () => void running.drain();
+    const running: WiredProcess = await wire(
+      settings,
+      runtimeOf(node),
+      noFiles,
+      drain,
+    );
+    wired.push(running);
+    await send(`${hostList.url}/v1/hosts/${host}`, 'PUT', {
+      host,
+      address: listen['peers'],
+      failureDomain,
+      pool,
+      state: 'live',
+    });
+  };
+
+  const startSide = (node: string, kind: string, pool: string, url: string) =>
+    start(node, pool, ['operators', 'peers'], {
+      role: 'side',
+      upstream: {kind, pool, url},
+    });
+  await startSide('side-engine', 'engine', DEMO_SHAPE.enginePool, engine.url);
+  await startSide(
+    'side-service',
+    'service',
+    DEMO_SHAPE.servicePool,
+    service.url,
+  );
+  const entries = ['entry-1', 'entry-2', 'entry-3'];
+  for (const entry of entries) {
+    await start(entry, 'entry', ['callers', 'operators', 'peers'], {
+      role: 'entry',
+    });
+  }
+
+  const addressOf = (node: string, name: string) =>
+    `http://${listens.get(node)?.[name]}`;
+  const operators = (entry: string) => addressOf(entry, 'operators');
+  await applyDeclarations(operators('entry-1'));
+  await Promise.all(entries.map(entry => untilServing(operators(entry))));
+
+  return {
+    url: entry => addressOf(entry, 'callers'),
+    operators,
+    operatorToken: TOKEN,
+    eventsOf: requestId => {
+      const own = events.filter(({text}) => text.includes(requestId));
+      const nodes = [...new Set(own.map(({node}) => node))].sort();
+      return nodes.flatMap(node =>
+        own
+          .filter(event => event.node === node)
+          .map(({line}) => `${node} ${line}`),
+      );
+    },
+    close: async () => {
+      await Promise.all(wired.map(one => one.stop()));
+      const programs = [objectApi, hostList, weightStore, engine, service];
+      await Promise.all(programs.map(program => program.end()));
+    },
+  };
+}
+
+async function applyDeclarations(operators: string): Promise<void> {
+  const organisations = Object.entries(KEYS).map(([id, key]) => ({
+    id,
+    keyHash: hashGeneratedKey(key, SALT),
+    weight: 1,
+  }));
+  const shape = {...DEMO_SHAPE, engines: 1, services: 1};
+  const keyed = toKeyed(demoDeclarations(shape, organisations));
+  const gone = {urgent: null, normal: null};
+  const priorityClasses = {...gone, ...keyed.priorityClasses};
+  await send(`${operators}/operator/v1/config/patches`, 'POST', {
+    patchId: 'first',
+    base: 0,
+    form: 'merge-patch',
+    patch: JSON.stringify({...keyed, priorityClasses}),
+  });
+}
+
+/** Ready, and both upstreams have reported what they can take. */
+function untilServing(operators: string): Promise<void> {
+  const headers = {authorization: `Bearer ${TOKEN}`};
+  return until(`${operators} serves`, async () => {
+    const ready = await fetch(`${operators}/readyz`);
+    if (!ready.ok) return false;
+    const res = await fetch(`${operators}/operator/v1/hosts`, {headers});
+    const {replicas} = (await res.json()) as {
+      readonly replicas: ReadonlyArray<{
+        readonly pool: string;
+        readonly load: {readonly capacityTokens: number};
+        readonly models: ReadonlyArray<{readonly ready: boolean}>;
+      }>;
+    };
+    const engine = replicas.find(({pool}) => pool === DEMO_SHAPE.enginePool);
+    const modelReady = engine?.models.some(model => model.ready) ?? false;
+    return replicas.length === 2 && modelReady;
+  });
+}
--- /dev/null
+++ b/test/support/session_text.ts
@@ -0,0 +1,96 @@
+/** Records HTTP exchanges as text, and puts what differs by run into words. */
+import {request} from 'node:http';
+import type {IncomingMessage} from 'node:http';
+
+export interface ExchangeOptions {
+  readonly method: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Breaks the connection after so many events of a stream. */
+  readonly cutAfterEvents?: number;
+  /** Called once, when the first event of a stream has come. */
+  readonly onFirstEvent?: () => void;
+}
+
+export interface Exchange {
+  /** Both directions, as they went over the connection, less the framing. */
+  readonly text: string;
+  readonly requestId: string;
+  readonly body: string;
+}
+
+const LONG_BODY = 200;
+const EVENT_END = '\n\n';
+
+/** Sends a request and reads its answer to the end, or to the cut. */
+export async function exchange(
+  url: string,
+  options: ExchangeOptions,
+): Promise<Exchange> {
+  const {method, headers = {}, body = ''} = options;
+  const res = await new Promise<IncomingMessage>((resolve, reject) => {
+    const req = request(url, {method, headers, agent: false}, resolve);
+    req.on('error', reject);
+    req.end(body);
+  });
+  let answer = '';
+  let told = false;
+  for await (const piece of res) {
+    answer += String(piece);
+    if (!told && answer.includes(EVENT_END)) {
+      told = true;
+      options.onFirstEvent?.();
+    }
+    const {cutAfterEvents} = options;
+    const events = answer.split(EVENT_END);
+    if (cutAfterEvents !== undefined && events.length > cutAfterEvents) {
+      answer = events.slice(0, cutAfterEvents).join(EVENT_END) + EVENT_END;
+      break;
+    }
+  }
+  const requestId = String(res.headers['x-request-id'] ?? '');
+  const path = url.replace(/^http:\/\/[^/]+/, '');
+  const sent = Object.entries(headers).map(([name, value]) => [name, value]);
+  const got: string[][] = [];
+  for (let at = 0; at < res.rawHeaders.length; at += 2) {
+    got.push(res.rawHeaders.slice(at, at + 2));
+  }
+  const text = [
+    `> ${method} ${path}`,
+    ...sent.map(([name, value]) => `> ${name}: ${value}`),
+    ...(body === '' ? [] : ['>', `> ${shortened(body)}`]),
+    `< ${res.statusCode} ${res.statusMessage}`,
+    ...got.map(([name, value]) => `< ${name}: ${value}`),
+    '<',
+    ...answer
+      .trimEnd()
+      .split('\n')
+      .map(line => `< ${line}`.trimEnd()),
+    ...(options.cutAfterEvents === undefined ? [] : ['(connection cut)']),
+  ];
+  return {text: text.join('\n'), requestId, body: answer};
+}
+
+function shortened(body: string): string {
+  return body.length <= LONG_BODY ? body : `(${body.length} bytes)`;
+}
+
+/** The same session gives the same text: ids, addresses and times go. */
+export function normalised(text: string): string {
+  const names = new Map<string, string>();
+  const nameOf = (kind: string) => (value: string) => {
+    const known = [...names.values()].filter(name => name.startsWith(kind));
+    const name = names.get(value) ?? `${kind}-${known.length + 1}`;
+    names.set(value, name);
+    return name;
+  };
+  return text
+    .replace(/\b[0-9a-f]{32}\b/g, nameOf('REQUEST'))
+    .replace(/127\.0\.0\.1:\d+/g, nameOf('ADDRESS'))
+    .replace(/"created":\d+/g, '"created":SECONDS')
+    .replace(
+      /^(< (?:Date|date|Retry-After|Content-Length)): .+$/gm,
+      '$1: VARIES',
+    )
+    .replace(/"retry_after_ms":\d+/g, '"retry_after_ms":MS');
+}
