--- a/test/examples.test.ts
+++ b/test/examples.test.ts
@@ -3,9 +3,14 @@
 import {parse} from 'jsonc-parser';
 import type {ParseError} from 'jsonc-parser';
 import {describe, expect, test} from 'vitest';
+import type {Either} from 'purify-ts';
+import {createInitialDeclarations} from '../src/config/declarations_schema.js';
+import {patchDeclarations} from '../src/config/patch.js';
 import {loadSettings} from '../src/config/settings.js';
+import {fleetOfHosts} from '../src/config/validate.js';
 import type {Declarations} from '../src/types/config.js';
 import type {HostInfo} from '../src/types/platform.js';
+import type {ConfigFault} from '../src/types/services.js';
 import {parseKeyHash} from '../src/utils/keys.js';
 import {runToolWith} from './support/run_tool.js';
 
@@ -28,6 +33,21 @@
   return value;
 }
 
+/** What "config apply --base 0" makes of an example, on those hosts. */
+function declare(
+  deployment: string,
+  hosts: readonly HostInfo[],
+): Either<readonly ConfigFault[], Declarations> {
+  const patch = JSON.stringify(
+    readJsonc(`examples/${deployment}/declarations.jsonc`),
+  );
+  return patchDeclarations(
+    createInitialDeclarations(),
+    {form: 'merge-patch', patch},
+    fleetOfHosts(hosts),
+  ).map(({declarations}) => declarations);
+}
+
 describe.each(DEPLOYMENTS)('example %s', (deployment, pools) => {
   const hosts = readJsonc(
     `examples/${deployment}/hosts.jsonc`,
@@ -62,8 +82,7 @@
   });
 
   test('declarations name what is there and leave memory for all', () => {
-    const file = `examples/${deployment}/declarations.jsonc`;
-    const declared = readJsonc(file) as Declarations;
+    const declared = declare(deployment, hosts).unsafeCoerce();
     expect(declared.organisations).toHaveLength(10);
     const hashes = declared.organisations.flatMap(org => org.keyHashes);
     expect(hashes.filter(hash => parseKeyHash(hash).isNothing())).toEqual([]);
@@ -77,5 +96,15 @@
       expect(minReplicas).toBeLessThanOrEqual(there);
     }
     for (const {pool} of declared.services) expect(pools).toHaveProperty(pool);
+    const classes = declared.priorityClasses.map(({name}) => name);
+    expect(classes).toEqual(['alert', 'interactive', 'batch']);
+  });
+
+  test('declarations are refused where the pool is too small for them', () => {
+    const few = hosts.filter(host => host.pool !== 'onyx-pool');
+    const faults = declare(deployment, few).swap().unsafeCoerce();
+    expect(faults.map(({path}) => path)).toContain(
+      '/placement/onyx-pool/onyx-large',
+    );
   });
 });
