fix(cli): tell an unknown request and a wrong NODE-URL as what they are

Cause: "onyxloft explain" of an id that no entry knows printed an empty line and ended with 0, so a script took a slip for an answer.

Change: the operators' API answers 404 not-found when the entry knows no decision of the request, and the tool ends with 1. A wrong URL is named by the option that it came from.

Red without the change: "tells that NODE-URL is wrong" and "an unknown request is told"; green with it.

--- a/src/cli/fleet_commands.ts
+++ b/src/cli/fleet_commands.ts
@@ -60,6 +60,6 @@
   nodeUrl = Option.String({name: 'NODE-URL'});
 
   protected override async perform(): Promise<number> {
-    return this.finish(await this.client(this.nodeUrl).drain());
+    return this.finish(await this.client(this.nodeUrl, 'NODE-URL').drain());
   }
 }
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -64,9 +64,15 @@
   });
 
   /** The client for `--url`, or for another address. */
-  protected client(url: string | undefined = this.url): OperatorClient {
-    if (url === undefined || !URL.canParse(url)) {
-      throw new WrongUsage('give --url or ONYXLOFT_URL, an http(s) URL');
+  /** `source` names where the URL is from, for telling a wrong one. */
+  protected client(
+    url: string | undefined = this.url,
+    source = '--url or ONYXLOFT_URL',
+  ): OperatorClient {
+    if (url === undefined || !/^https?:/.test(url) || !URL.canParse(url)) {
+      throw new WrongUsage(
+        `give ${source}, an http(s) URL such as http://10.0.0.5:7200`,
+      );
     }
     if (this.token === undefined || this.token === '') {
       throw new WrongUsage('give --token or ONYXLOFT_TOKEN');
--- a/src/entry/http_operators.ts
+++ b/src/entry/http_operators.ts
@@ -244,6 +244,13 @@
 ): Promise<void> {
   const id = exchange.path.split('/').at(-2) ?? '';
   const decisions = await offered(handlers.explain)(id);
+  if (decisions.length === 0) {
+    throw badRequest(
+      `this entry knows no routing decision of "${id}"; ask the entry that admitted it, soon after`,
+      'validate',
+      'not-found',
+    );
+  }
   sendJson(exchange.res, 200, decisions);
 }
 
--- a/src/side/runs_service.ts
+++ b/src/side/runs_service.ts
@@ -173,7 +173,11 @@
     const load = loadOf(core);
     ctx.metrics.gauge('onyxloft_side_queue_length', {}, load.queued);
     ctx.metrics.gauge('onyxloft_side_running', {}, load.running);
-    ctx.metrics.gauge('onyxloft_side_reserved_tokens', {}, core.memory.reserved());
+    ctx.metrics.gauge(
+      'onyxloft_side_reserved_tokens',
+      {},
+      core.memory.reserved(),
+    );
   };
 
   const tick = () => {
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -61,6 +61,14 @@
   });
 });
 
+describe('drain', () => {
+  test('tells that NODE-URL is wrong, not the entry it talks to', async () => {
+    const run = await runToolWith(['drain', 'side-1:7200', '--token', 't']);
+    expect(run.code).toBe(2);
+    expect(run.stderr).toContain('give NODE-URL, an http(s) URL');
+  });
+});
+
 describe('config apply', () => {
   test('sends the patch without its comments and prints the number', async () => {
     let sent: ConfigPatch | undefined;
--- a/test/http_operators.test.ts
+++ b/test/http_operators.test.ts
@@ -123,6 +123,20 @@
     });
   });
 
+  test('an unknown request is told from one without decisions', async () => {
+    const decision = {requestId: 'q1', attempt: 1, chosen: 's1', reason: 'r'};
+    const known = [{...decision, candidates: []}];
+    await open({
+      explain: id => Promise.resolve(id === 'q1' ? known : []),
+    });
+    const path = (id: string) => `/operator/v1/requests/${id}/explain`;
+    expect(await ask('GET', path('q1'))).toEqual({status: 200, value: known});
+    expect(await ask('GET', path('q2'))).toMatchObject({
+      status: 404,
+      value: {error: {code: 'not-found'}},
+    });
+  });
+
   test('an accepted patch is told with its number', async () => {
     let seen: ConfigPatch | undefined;
     const accepted = {number: 8, changedPaths: ['/models'], dryRun: false};
