--- a/test/processes/freezes.test.ts
+++ b/test/processes/freezes.test.ts
@@ -11,11 +11,6 @@
 
 afterAll(() => fleet.close());
 
-const logged = (node: string, name: string) =>
-  until(`${node} logs ${name}`, () =>
-    fleet.log(node).some(line => line.name === name),
-  );
-
 describe('a process stands still for longer than every lease', () => {
   // A side stops in the midst of its work: its connections stay open, nothing
   // comes. The entry dials anew, gets no word there either, and gives the runs
@@ -27,8 +22,9 @@
     fleet.signal(side, 'SIGSTOP');
     await load.speedUp();
     await judge(fleet, load);
+    const wakes = fleet.next(side, 'side-was-frozen');
     fleet.signal(side, 'SIGCONT');
-    await logged(side, 'side-was-frozen');
+    await wakes();
     await expectWell(fleet, 150);
   });
 
@@ -56,8 +52,9 @@
   // caller an end: failed, for it can no longer get the answer.
   it('does no harm when an entry wakes', async () => {
     const load = await startLoad(fleet, 300);
+    const misses = fleet.next(`side-engine-${load.victim}`, 'owner-lost');
     fleet.signal('entry-1', 'SIGSTOP');
-    await logged(`side-engine-${load.victim}`, 'owner-lost');
+    await misses();
     await load.speedUp();
     await fleet.memoryFree();
     const runsBefore = (await fleet.runIds()).size;
--- a/test/processes/leaving.test.ts
+++ b/test/processes/leaving.test.ts
@@ -119,10 +119,9 @@
     const side = `side-engine-${victim}`;
     await fleet.fault('host-list', {frozen: true});
     const exited = fleet.exited(side);
+    const leaves = fleet.next(side, 'side-leaving');
     fleet.signal(side, 'SIGTERM');
-    await until('the side says that it leaves', () =>
-      fleet.log(side).some(line => line.name === 'side-leaving'),
-    );
+    await leaves();
     const others = [1, 2, 3].filter(one => one !== victim);
     for (const one of others) {
       await fleet.fault(`engine-${one}`, {slowFactor: 1});
@@ -160,10 +159,9 @@
     );
     expect(long.answer.parts()).toBe(0);
     const exited = fleet.exited('entry-1');
+    const drains = fleet.next('entry-1', 'drain-started');
     fleet.signal('entry-1', 'SIGTERM');
-    await until('it drains', () =>
-      fleet.log('entry-1').some(line => line.name === 'drain-started'),
-    );
+    await drains();
     await fleet.engines({slowFactor: 1});
     await expectWhole([...streams, long]);
     expect(await exited).toBe(0);
@@ -178,21 +176,13 @@
     const entry = `entry-${(number % 2) + 1}`;
     await until('the answer has begun', () => answer.parts() >= 3);
     const exited = fleet.exited(entry);
+    const drains = fleet.next(entry, 'drain-started');
+    const cuts = fleet.next(entry, 'drain-ended');
     fleet.signal(entry, 'SIGTERM');
-    await until('it drains', () =>
-      fleet
-        .log(entry)
-        .some(
-          line => line.name === 'drain-started' && line['signal'] === 'SIGTERM',
-        ),
-    );
+    await drains();
     fleet.signal(entry, 'SIGINT');
     expect(await exited).toBe(1);
-    const ended = fleet
-      .log(entry)
-      .filter(line => line.name === 'drain-ended')
-      .at(-1);
-    expect(ended).toMatchObject({why: 'second signal SIGINT', open: 1});
+    expect(await cuts()).toMatchObject({why: 'second signal SIGINT', open: 1});
     await answer.ended;
     expect(answer.whole()).toBe(false);
     await fleet.engines({slowFactor: 1});
--- a/test/processes/silence.test.ts
+++ b/test/processes/silence.test.ts
@@ -51,11 +51,6 @@
   }
 }
 
-const seen = (node: string, name: string) =>
-  until(`${node} logs ${name}`, () =>
-    fleet.log(node).some(line => line.name === name),
-  );
-
 describe('connections go silent while new ones work', () => {
   // Something between entry and side has lost track of their connections:
   // neither end is told. The entry misses the beats, dials anew and takes the
@@ -63,8 +58,9 @@
   // twice.
   it('takes answers up on new connections between entry and side', async () => {
     const streams = await startStreams(100);
+    const seen = fleet.next('entry-1', 'channel-renewed');
     await fleet.fault('relay-side-engine-1', {silence: true});
-    await seen('entry-1', 'channel-renewed');
+    await seen();
     await fleet.engines({slowFactor: 1});
     await expectWhole(streams);
     await fleet.memoryFree();
@@ -74,8 +70,9 @@
   // side resumes the run's tokens on a new connection.
   it('takes answers up on new connections between side and engine', async () => {
     const streams = await startStreams(200);
+    const seen = fleet.next('side-engine-1', 'upstream-stream-broken');
     await fleet.fault('relay-side-engine-1-upstream', {silence: true});
-    await seen('side-engine-1', 'upstream-stream-broken');
+    await seen();
     await fleet.engines({slowFactor: 1});
     await expectWhole(streams);
     await fleet.memoryFree();
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -66,6 +66,8 @@
   key(number: number): string;
   signal(name: string, signal: NodeJS.Signals): void;
   log(name: string): readonly LogLine[];
+  /** Gives the wait for a line of that name that is not in the log yet. */
+  next(node: string, name: string): () => Promise<LogLine>;
   engine(number: number): Promise<EngineCounts>;
   /** Sets a fault on every engine. */
   engines(faults: unknown): Promise<void>;
@@ -150,8 +152,15 @@
     idempotencyKey: undefined,
   };
 
+  const next = (node: string, name: string) => {
+    const lines = () => log(node).filter(line => line.name === name);
+    const had = lines().length;
+    return () => until(`${node} logs ${name}`, () => lines()[had]);
+  };
+
   return {
     ...fleet,
+    next,
     entryUrl,
     key,
     log,
