--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -200,8 +200,10 @@
   };
 }
 
-async function main(): Promise<number> {
+/** Runs the bench; `args` as on the command line. */
+export async function benchRecovery(args: readonly string[]): Promise<void> {
   const {values} = parseArgs({
+    args: [...args],
     options: {
       json: {type: 'string'},
       rounds: {type: 'string', default: '3'},
@@ -236,7 +238,8 @@
   if (values.json !== undefined) {
     writeFileSync(values.json, JSON.stringify({results, notes}, null, 2));
   }
-  return 0;
 }
 
-process.exit(await main());
+if (import.meta.filename === process.argv[1]) {
+  await benchRecovery(process.argv.slice(2));
+}
