--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -5,7 +5,7 @@
  * `--json FILE` writes the figures, `--rounds N` repeats each fault.
  */
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {cpus, loadavg, tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -20,6 +20,12 @@
 const BOUND_MS = 60_000;
 const PROBE_EVERY_MS = 50;
 const TIME_LIMIT_MS = 20_000;
+/** Requests under way at the fault; each takes about two seconds. */
+const LOAD = 12;
+const LOAD_TOKENS = 600;
+const LOAD_LEAD_MS = 600;
+/** What ended is started again only after a while, as a platform does. */
+const DOWN_MS = 4_000;
 
 interface Fault {
   readonly kind: string;
@@ -41,16 +47,21 @@
   readonly backMs: number;
   /** Probes that failed until then. */
   readonly failedProbes: number;
+  /** From the fault until each request that was under way has its end. */
+  readonly loadEndedMs: number;
+  /** Of the requests under way, those that ended whole and those that did not. */
+  readonly loadWhole: number;
+  readonly loadFailed: number;
 }
 
 let probes = 0;
 
-function ask(fleet: Fleet, entry: number) {
+function ask(fleet: Fleet, entry: number, maxTokens = 4) {
   return complete({
     entryUrl: fleet.file.entries[entry] as string,
     key: fleet.file.organisations[0]?.key as string,
     prompt: makePrompt(probes++, 200),
-    maxTokens: 4,
+    maxTokens,
     stream: true,
     priority: 'interactive',
     timeLimitMs: TIME_LIMIT_MS,
@@ -166,9 +177,13 @@
   }
 }
 
-/** Requests in progress on the victim, so that the fault hits some. */
-function backgroundLoad(fleet: Fleet): Promise<unknown> {
-  return Promise.all(Array.from({length: 12}, () => ask(fleet, 1)));
+/** Requests in progress, so that the fault hits some in mid-answer. */
+async function backgroundLoad(fleet: Fleet, entry: number) {
+  const all = Promise.all(
+    Array.from({length: LOAD}, () => ask(fleet, entry, LOAD_TOKENS)),
+  ).then(outcomes => ({outcomes, endedAt: performance.now()}));
+  await sleep(LOAD_LEAD_MS);
+  return {all};
 }
 
 async function measure(
@@ -176,7 +191,8 @@
   fault: Fault,
   round: number,
 ): Promise<Recovery> {
-  const load = backgroundLoad(fleet);
+  const load = await backgroundLoad(fleet, 1);
+  const faultAt = performance.now();
   await fault.start(fleet);
   // Several at once, so that some are routed to what is at fault.
   const served = await timeUntil(async () => {
@@ -185,9 +201,10 @@
     );
     return all.every(Boolean);
   });
-  await load;
-  // Processes of the platform come back after a while, not at once.
-  await sleep(5_000);
+  const {outcomes, endedAt} = await load.all;
+  const loadEndedMs = Math.round(endedAt - faultAt);
+  const loadWhole = outcomes.filter(({complete}) => complete).length;
+  await sleep(DOWN_MS);
   await fault.mend(fleet);
   const back = await timeUntil(() => fault.isBack(fleet));
   await sleep(2_000);
@@ -197,6 +214,9 @@
     servedMs: Math.round(served.ms),
     backMs: Math.round(back.ms),
     failedProbes: served.failed,
+    loadEndedMs,
+    loadWhole,
+    loadFailed: outcomes.length - loadWhole,
   };
 }
 
@@ -210,6 +230,7 @@
     },
   });
   const dir = mkdtempSync(join(tmpdir(), 'onyxloft-recovery-'));
+  const machine = {cores: cpus().length, loadBefore: loadavg()};
   const shape = {...DEMO_SHAPE, engines: 3, services: 1, relays: true};
   const fleet = await startFleet(shape, dir);
   const results: Recovery[] = [];
@@ -218,11 +239,7 @@
       for (const fault of FAULTS) {
         const result = await measure(fleet, fault, round);
         results.push(result);
-        const {kind, servedMs, backMs, failedProbes} = result;
-        process.stdout.write(
-          `${kind.padEnd(20)} round ${round}  served again ${servedMs} ms, ` +
-            `capacity back ${backMs} ms, failed probes ${failedProbes}\n`,
-        );
+        process.stdout.write(`${JSON.stringify(result)}\n`);
       }
     }
   } finally {
@@ -236,7 +253,10 @@
     ]),
   );
   if (values.json !== undefined) {
-    writeFileSync(values.json, JSON.stringify({results, notes}, null, 2));
+    writeFileSync(
+      values.json,
+      JSON.stringify({machine, results, notes}, null, 2),
+    );
   }
 }
 
