--- a/test/processes/leaving.test.ts
+++ b/test/processes/leaving.test.ts
@@ -11,6 +11,8 @@
 
 const TOKENS = 120;
 const SLOW = 25;
+/** Over the memory of two engines. */
+const LONG_TOKENS = 990_000;
 const NEW_REQUESTS = 12;
 
 let fleet: TestFleet;
@@ -137,8 +139,8 @@
 });
 
 describe('a graceful shutdown', () => {
-  // An entry is told to end with streams in mid-answer and a prompt of 300,000
-  // tokens in prefill. It takes nothing new, and ends only when each of its
+  // An entry is told to end with streams in mid-answer and a prompt of nearly
+  // a million tokens in prefill on all three engines. It takes nothing new, and ends only when each of its
   // callers has the whole answer.
   it('cuts no answer of an entry', async () => {
     await fleet.engines({slowFactor: SLOW});
@@ -147,15 +149,17 @@
       const ask = fleet.ask(prompt, {maxTokens, timeLimitMs: 120_000});
       return {prompt, maxTokens, answer: openAnswer(ask)};
     };
-    const before = (await fleet.runIds()).size;
-    const long = atEntry(300_000, 20);
     const streams = Array.from({length: 4}, () => atEntry(200, TOKENS));
     await until('answers have begun', () =>
       streams.every(({answer}) => answer.parts() >= 3),
     );
+    const before = (await fleet.runIds()).size;
+    const grouped = fleet.next('entry-1', 'group-decided');
+    const long = atEntry(LONG_TOKENS, 20);
+    await grouped();
     await until(
       'the long prompt is in prefill',
-      async () => (await fleet.runIds()).size === before + 5,
+      async () => (await fleet.runIds()).size > before,
     );
     expect(long.answer.parts()).toBe(0);
     const exited = fleet.exited('entry-1');
@@ -163,7 +167,10 @@
     fleet.signal('entry-1', 'SIGTERM');
     await drains();
     await fleet.engines({slowFactor: 1});
-    await expectWhole([...streams, long]);
+    await expectWhole(streams);
+    await long.answer.ended;
+    expect(long.answer.error()).toBeUndefined();
+    expect(long.answer.text()).toBe(answerTo(long.prompt, long.maxTokens));
     expect(await exited).toBe(0);
     await fleet.restart('entry-1');
   });
