--- a/standins/fleet_callers.ts
+++ b/standins/fleet_callers.ts
@@ -33,12 +33,21 @@
   readonly repeatable: boolean;
   readonly priority: number;
   readonly idempotencyKey?: string;
+  /** Text of the prompt's end. @default names the request */
+  readonly prompt?: string;
   /** Prompts of the same topic share their first blocks. @default none */
   readonly topic?: number;
   /** For a call: how long the service takes. @default 20 */
   readonly serviceMs?: number;
 }
 
+/** A dispatch that a caller was told of. */
+export interface Placement {
+  readonly at: number;
+  readonly side: Address;
+  readonly dispatchId: DispatchId;
+}
+
 /** One asking, with all that its caller was told. */
 export interface Tracked {
   readonly id: RequestId;
@@ -49,9 +58,12 @@
   readonly deadlineAt: number;
   /** First chunk asked for; over 0 for a resume. */
   readonly fromSeq: number;
+  /** Takes up an earlier asking. */
+  readonly resumed: boolean;
   /** Answer that the caller should get. */
   readonly expected: string;
   readonly events: RequestEvent[];
+  readonly placements: Placement[];
   /** Final events, of which there should be one. */
   finals: number;
   endedAt: number | undefined;
@@ -83,7 +95,7 @@
 
 function bodyOf(id: RequestId, ask: Ask): Body {
   const shared = ask.topic === undefined ? [] : topicPieces(ask.topic);
-  const pieces = [...shared, encoder.encode(`request ${id}`)];
+  const pieces = [...shared, encoder.encode(ask.prompt ?? `request ${id}`)];
   const bytes = pieces.reduce((sum, piece) => sum + piece.length, 0);
   return {pieces, bytes};
 }
@@ -162,6 +174,7 @@
   | 'submittedAt'
   | 'deadlineAt'
   | 'fromSeq'
+  | 'resumed'
   | 'expected'
 >;
 
@@ -169,6 +182,7 @@
   return {
     ...start,
     events: [],
+    placements: [],
     finals: 0,
     endedAt: undefined,
     cut: false,
@@ -189,6 +203,8 @@
   return event => {
     tracked.events.push(event);
     if (event.kind === 'placed') {
+      const {side, dispatchId} = event;
+      tracked.placements.push({at: now(), side, dispatchId});
       tracked.side = event.side;
       tracked.dispatchId = event.dispatchId;
     } else if (event.kind === 'chunk') {
--- a/standins/memory_fleet.ts
+++ b/standins/memory_fleet.ts
@@ -279,6 +279,7 @@
         submittedAt: now,
         deadlineAt: now + ask.timeLimitMs,
         fromSeq: 0,
+        resumed: false,
         expected: made?.expected ?? '',
       }),
     });
@@ -296,7 +297,9 @@
 
   const resume = (at: number, from: Tracked, fromSeq: number): Tracked => {
     const entry = entryAt(at);
-    const one = track(entry, {...createTracked({...from, fromSeq})});
+    const one = track(entry, {
+      ...createTracked({...from, fromSeq, resumed: true}),
+    });
     const listener = listen(entry, one);
     entry.deliver(() =>
       entry.kernel().send('requests', {
