feat(placement): let the placer ask all sides, and few entries look at its lease

Cause: the placer saw the replicas that its entry follows, 24 of a pool of hundreds, and all entries read the lease twice in its duration, 74 reads a second at 370 entries. Wishes that no fleet can meet were not judged, as nobody passed the known fleet. Change: while it holds the lease the placer asks the sides that it does not follow, one each 50 ms, each at least once in 30 s and the first time within 5 s; their reports count for 70 s, but only fresh ones for taking a version away. Three entries in rendezvous order look at the lease often, the others once a minute. A patch's wishes are judged by the host list, only those that it changes: with a failure domain lost, old wishes would stop every patch. Ruled out: placing within the followed subset; a survey by all entries.

--- a/src/config/patch.ts
+++ b/src/config/patch.ts
@@ -53,7 +53,7 @@
         ? Right(mergePatch(before as unknown as Json, parsed))
         : applyOperations(before, parsed),
     )
-    .chain(after => readKeyed(after, fleet))
+    .chain(after => readKeyed(after, fleet, base.placement))
     .map(declarations => ({
       declarations,
       changedPaths: changedPaths(base, declarations),
--- a/src/config/validate.ts
+++ b/src/config/validate.ts
@@ -46,18 +46,23 @@
 export function readKeyed(
   keyed: unknown,
   fleet?: KnownFleet,
+  before: readonly PlacementWish[] = [],
 ): Either<readonly ConfigFault[], Declarations> {
   const parsed = keyedDeclarationsSchema.safeParse(keyed);
   if (!parsed.success) return Left(parsed.error.issues.map(faultOfIssue));
   const declarations = fromKeyed(parsed.data);
-  const faults = validateDeclarations(declarations, fleet);
+  const faults = validateDeclarations(declarations, fleet, before);
   return faults.length === 0 ? Right(declarations) : Left(faults);
 }
 
-/** Every fault of well-formed declarations; empty when there is none. */
+/**
+ * Every fault of well-formed declarations; empty when there is none. `before`:
+ * wishes in force, which are not judged by the live hosts again.
+ */
 export function validateDeclarations(
   declarations: Declarations,
   fleet?: KnownFleet,
+  before: readonly PlacementWish[] = [],
 ): readonly ConfigFault[] {
   return [
     ...duplicateFaults(declarations),
@@ -67,7 +72,7 @@
     ...keyFaults(declarations),
     ...placementFaults(declarations),
     ...policyFaults(declarations),
-    ...(fleet === undefined ? [] : fleetFaults(declarations, fleet)),
+    ...(fleet === undefined ? [] : fleetFaults(declarations, fleet, before)),
   ];
 }
 
@@ -252,8 +257,19 @@
   ];
 }
 
-function fleetFaults(d: Declarations, fleet: KnownFleet) {
-  return d.placement.flatMap(wish => wishFleetFaults(wish, fleet));
+/**
+ * Only wishes that the patch changes: while a failure domain is lost, an old
+ * wish can't be met, and must not stop an operator from changing anything.
+ */
+function fleetFaults(
+  d: Declarations,
+  fleet: KnownFleet,
+  before: readonly PlacementWish[],
+) {
+  const kept = new Set(before.map(wish => JSON.stringify(wish)));
+  return d.placement
+    .filter(wish => !kept.has(JSON.stringify(wish)))
+    .flatMap(wish => wishFleetFaults(wish, fleet));
 }
 
 function wishFleetFaults(
--- a/src/placement/engine_view.ts
+++ b/src/placement/engine_view.ts
@@ -30,10 +30,11 @@
   readonly load: SideLoad;
   readonly role: EngineRole;
   /**
-   * Its side knows the placer's number. One that does not may still take an
-   * order of the placer before, which had been on its way.
+   * What its side reported may be relied on: the report is fresh, and the side
+   * knows the placer's number. One that does not may still take an order of
+   * the placer before, which had been on its way.
    */
-  readonly isFenced: boolean;
+  readonly isSure: boolean;
   /** An order to it is under way; it gets no second one. */
   readonly busy: boolean;
   /** States by model, then by version. */
@@ -47,7 +48,7 @@
   /** The placer's number. */
   readonly fence: FencingNumber;
   readonly now: number;
-  readonly limits: {readonly freshMs: number};
+  readonly limits: {readonly freshMs: number; readonly knownMs: number};
 }
 
 /**
@@ -63,13 +64,13 @@
 }: ViewInput): readonly EngineView[] {
   return replicas
     .filter(replica => replica.state === 'live')
-    .filter(replica => now - replica.loadAt <= limits.freshMs)
+    .filter(replica => now - replica.loadAt <= limits.knownMs)
     .filter(({load}) => load.capacityTokens > 0)
     .map(replica =>
       viewOf(
         replica,
         pending.filter(({address}) => address === replica.address),
-        fence,
+        replica.fence >= fence && now - replica.loadAt <= limits.freshMs,
       ),
     );
 }
@@ -77,7 +78,7 @@
 function viewOf(
   replica: Replica,
   pending: readonly PendingOrder[],
-  fence: FencingNumber,
+  isSure: boolean,
 ): EngineView {
   const versions = new Map<ModelId, Map<string, VersionState>>();
   const adapters = new Map<ModelId, readonly string[]>();
@@ -103,7 +104,7 @@
     failureDomain: replica.failureDomain,
     load: replica.load,
     role: replica.models[0]?.role ?? 'mixed',
-    isFenced: replica.fence >= fence,
+    isSure,
     busy: pending.length > 0,
     versions,
     adapters,
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -6,7 +6,7 @@
  * make that harmless.
  */
 import type {NumberedDeclarations} from '../types/config.js';
-import type {FencingNumber, NodeId} from '../types/ids.js';
+import type {Address, FencingNumber, NodeId} from '../types/ids.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import type {OrderReq, OrderRes} from '../types/peer_messages.js';
 import type {
@@ -18,6 +18,7 @@
   MembershipView,
   PlacementMessage,
   PlacementStatus,
+  Replica,
 } from '../types/services.js';
 import type {Transport} from '../types/transport.js';
 import {followConfig} from '../config/follow_config.js';
@@ -25,6 +26,7 @@
 import {createLease} from '../platform/lease.js';
 import type {Lease} from '../platform/lease.js';
 import {PLACEMENT_EVENTS} from '../utils/events.js';
+import {isLeaseCandidate} from './lease_candidates.js';
 import {createOrderBook} from './order_book.js';
 import type {OrderBook} from './order_book.js';
 import {createRoleMemory} from './plan_roles.js';
@@ -38,6 +40,8 @@
 } from './plan_types.js';
 import {PLACER_LEASE_KEY} from './placement_lease.js';
 import {planPlacement} from './planner.js';
+import {createSurvey} from './survey.js';
+import type {Survey, SurveySelf} from './survey.js';
 
 const ORDER_ID_BYTES = 8;
 /**
@@ -63,6 +67,11 @@
   /** An order without a visible effect is under way so long. @default 30000 */
   readonly orderHoldMs?: number;
   readonly limits?: Partial<PlannerLimits>;
+  /**
+   * Named to sides that this entry does not follow, which the placer asks as
+   * well. @default only followed sides are placed on
+   */
+  readonly survey?: Pick<SurveySelf, 'address' | 'incarnation'>;
 }
 
 /** Makes the service. */
@@ -78,6 +87,7 @@
 class PlacementTask {
   private readonly lease: Lease;
   private readonly book: OrderBook;
+  private readonly survey: Survey;
   private readonly limits: PlannerLimits;
   private config: NumberedDeclarations | undefined;
   private view: MembershipView | undefined;
@@ -103,16 +113,32 @@
       holder: options.node,
       runtime: ctx,
       fenceFloor: () => this.fenceSeen,
+      isCandidate: () => isLeaseCandidate(options.node, this.view),
     });
     this.book = createOrderBook(options.orderHoldMs ?? 30_000);
     this.limits = {...DEFAULT_PLANNER_LIMITS, ...options.limits};
     this.roles = createRoleMemory(ctx.clock.now());
+    this.survey = createSurvey({
+      self: {
+        address: '',
+        incarnation: '',
+        ...options.survey,
+        node: options.node,
+      },
+      clock: ctx.clock,
+      transport: options.transport,
+      fence: () => this.placerFence,
+      configNumber: () => this.config?.number ?? 0,
+      sides: () => this.unfollowed(),
+      onCrash: cause => ctx.fail(cause),
+    });
   }
 
   start(): void {
     const {ctx, options} = this;
     this.lease.run(ctx);
     this.subscribe();
+    ctx.own(() => this.survey.stop());
     ctx.own(ctx.clock.every(options.tickMs ?? 1_000, () => this.tick()));
     void ctx.mailbox.observe(message => this.handle(message));
   }
@@ -143,6 +169,23 @@
     };
   }
 
+  /** Sides that no heartbeat of this entry goes to. */
+  private unfollowed(): readonly Address[] {
+    const {view} = this;
+    if (view === undefined || this.options.survey === undefined) return [];
+    const followed = new Set(view.replicas.map(({address}) => address));
+    return view.allSides.filter(address => !followed.has(address));
+  }
+
+  private replicas(view: MembershipView): readonly Replica[] {
+    const followed = new Set(view.replicas.map(({address}) => address));
+    const others = this.survey.replicas();
+    return [
+      ...view.replicas,
+      ...others.filter(({address}) => !followed.has(address)),
+    ];
+  }
+
   private noteFence(fence: FencingNumber): void {
     this.fenceSeen = Math.max(this.fenceSeen, fence);
   }
@@ -180,10 +223,11 @@
         seen: this.fenceSeen,
       });
     }
-    if (fence === 0) return;
+    if (fence === 0) return this.survey.stop();
     this.book.clear();
     this.placerSince = this.ctx.clock.now();
     this.roles = createRoleMemory(this.placerSince);
+    this.survey.start();
     this.ctx.log(PLACEMENT_EVENTS.placerStarted, {fence});
   }
 
@@ -194,13 +238,14 @@
     if (config === undefined || config.number === 0) return;
     if (view === undefined || fence === 0) return;
     const now = this.ctx.clock.now();
-    if (!this.isHandedOver(view, now)) return;
-    this.readBack(view, now);
+    const replicas = this.replicas(view);
+    if (!this.isHandedOver(replicas, now)) return;
+    this.readBack(replicas, now);
     const plan = planPlacement({
       now,
       fence,
       declarations: config.declarations,
-      replicas: view.replicas,
+      replicas,
       pending: this.book.pending(),
       weightStore: status,
       limits: this.limits,
@@ -217,8 +262,9 @@
    * believing or still on its way, could take effect after it at a side that
    * this one has not ordered yet: two placers' plans would mix.
    */
-  private isHandedOver({replicas}: MembershipView, now: number): boolean {
+  private isHandedOver(replicas: readonly Replica[], now: number): boolean {
     if (now - this.placerSince >= HANDOVER_MS) return true;
+    if (!this.survey.isComplete()) return false;
     return replicas
       .filter(({state, load}) => state === 'live' && load.capacityTokens > 0)
       .every(({fence}) => fence >= this.placerFence);
@@ -229,8 +275,9 @@
     return answer?.toMaybe().extract();
   }
 
-  private readBack(view: MembershipView, now: number): void {
-    for (const closed of this.book.readBack(view.replicas, now)) {
+  private readBack(replicas: readonly Replica[], now: number): void {
+    this.survey.watch(this.book.pending().map(({address}) => address));
+    for (const closed of this.book.readBack(replicas, now)) {
       const {order, address, outcome, tookMs} = closed;
       this.ctx.metrics.count('onyxloft_placement_orders_total', {
         action: order.action,
--- a/src/placement/plan_types.ts
+++ b/src/placement/plan_types.ts
@@ -9,8 +9,13 @@
 
 /** Bounds of the planner; all times in milliseconds. */
 export interface PlannerLimits {
-  /** A replica counts while its report is no older. @default 10000 */
+  /** A report no older is relied on to take a version away. @default 10000 */
   readonly freshMs: number;
+  /**
+   * An engine counts while its report is no older: two passes of the survey
+   * over all sides and some delay. @default 70000
+   */
+  readonly knownMs: number;
   /** A load should end within this; sets how many run at once. @default 180000 */
   readonly usefulLoadMs: number;
   /** Most loads at once, whatever the weight store's rate. @default 4 */
@@ -32,6 +37,7 @@
 
 export const DEFAULT_PLANNER_LIMITS: PlannerLimits = {
   freshMs: 10_000,
+  knownMs: 70_000,
   usefulLoadMs: 180_000,
   maxLoads: 4,
   roleDwellMs: 120_000,
--- a/src/placement/plan_versions.ts
+++ b/src/placement/plan_versions.ts
@@ -182,9 +182,9 @@
   const ready = engines.filter(
     engine => stateOf(engine, model.id, model.version) === 'ready',
   );
-  // Only engines that no older placer can still change may be relied on.
-  const sure = engines.filter(({isFenced}) => isFenced);
-  const readyAndSure = ready.filter(({isFenced}) => isFenced);
+  // Others may have died since, or be changed by an older placer.
+  const sure = engines.filter(({isSure}) => isSure);
+  const readyAndSure = ready.filter(({isSure}) => isSure);
   // The wish as declared, not as the engines at hand could meet it: with most
   // of a pool out of sight one engine would else be enough.
   const wanted = Math.max(wished.wish.minReplicas, targetCount(wished));
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -30,6 +30,8 @@
 const RETRIES_PER_TTL = 10;
 /** Pauses are spread by this share to either side, against herds. */
 const JITTER = 0.2;
+/** Pause between two looks of a process that is no candidate. */
+const IDLE_LOOK_MS = 60_000;
 const NONCE_BYTES = 8;
 
 export interface LeaseOptions {
@@ -52,6 +54,12 @@
    * numbers growing when the object was removed. @default always 0
    */
   readonly fenceFloor?: () => FencingNumber;
+  /**
+   * Whether this process should be among the few that look at the lease often.
+   * The others look once in `IDLE_LOOK_MS`, so that the calls to the store do
+   * not grow with the fleet. @default always true
+   */
+  readonly isCandidate?: () => boolean;
   /** Called when this process gains the lease or learns that it lost it. */
   readonly onChange?: (held: boolean) => void;
 }
@@ -105,6 +113,7 @@
   let running = false;
   let cancelNext: Cancel = () => undefined;
   let turn: Promise<void> = Promise.resolve();
+  let idleLookAt = clock.now() + IDLE_LOOK_MS * random.next();
 
   // Computed from the clock at each call and never kept: a process that was
   // frozen past its lease wakes with timers unfired and answers queued, and
@@ -248,6 +257,14 @@
     return write(reuse ?? nextRecord(number), seen?.version ?? 0);
   };
 
+  /** Correct whoever looks, as only the conditional write takes the lease. */
+  const lookOrTake = async (): Promise<boolean> => {
+    const isIdle = options.isCandidate?.() === false;
+    if (isIdle && clock.now() < idleLookAt) return true;
+    idleLookAt = clock.now() + IDLE_LOOK_MS * (0.5 + random.next());
+    return tryTake();
+  };
+
   const pause = (ok: boolean) => {
     // A renewal may be proven only as of long ago; the next one is then due.
     const isDue = !ok || (held !== undefined && !valid());
@@ -258,7 +275,7 @@
   };
 
   const step = async () => {
-    const ok = held === undefined ? await tryTake() : await renew(held);
+    const ok = held === undefined ? await lookOrTake() : await renew(held);
     if (!ok && held !== undefined) {
       log(PLATFORM_EVENTS.leaseNotRenewed, {
         key,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,6 +3,7 @@
  * that knows which implementation stands behind each interface.
  */
 import {Right} from 'purify-ts';
+import type {Maybe} from 'purify-ts';
 import type {
   EntrySettings,
   LimitSettings,
@@ -11,6 +12,8 @@
   TimingSettings,
 } from './config/settings.js';
 import {createConfigService} from './config/config_service.js';
+import {fleetOfHosts} from './config/validate.js';
+import type {KnownFleet} from './config/validate.js';
 import {createClaimsService} from './entry/claims.js';
 import {createEntryPeersService} from './entry/entry_peers.js';
 import {createCallersService} from './entry/http_callers.js';
@@ -107,7 +110,13 @@
     }),
   );
   await kernel.start(
-    createConfigService({node, role: 'entry', store, transport}),
+    createConfigService({
+      node,
+      role: 'entry',
+      store,
+      transport,
+      knownFleet: () => readKnownFleet(parts.hostList),
+    }),
   );
   await kernel.start(createClaimsService({store}));
   await kernel.start(
@@ -119,6 +128,7 @@
       store,
       transport,
       weightStore: parts.weightStore,
+      survey: parts,
     }),
   );
   await kernel.start(
@@ -139,6 +149,14 @@
   );
 }
 
+/** Nothing while the host list is out or empty: then no wish is judged by it. */
+async function readKnownFleet(hostList: HostList): Promise<Maybe<KnownFleet>> {
+  return (await hostList())
+    .toMaybe()
+    .filter(hosts => hosts.length > 0)
+    .map(fleetOfHosts);
+}
+
 /** Starts a side's services but its HTTP front; see `startEntryCore`. */
 export async function startSideCore(
   kernel: Kernel,
