feat(side): learn the prefill rate from sums of tokens and time

Each step was a sample of the same weight, also a step with one small prompt.

Change: the rate is a decayed sum of tokens over a decayed sum of busy time, 20 s deep.

--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -11,7 +11,7 @@
   readonly stepMs: number;
   /** Time of one call to a plain service. @default 100 */
   readonly callMs: number;
-  /** Weight of a new sample. @default 0.2 */
+  /** Weight of a new sample of step or call time. @default 0.2 */
   readonly alpha: number;
   /**
    * Extra prefill time by attention over a long context, in milliseconds per
@@ -31,6 +31,16 @@
 /** A sample of the prefill rate spans at least this much busy time. */
 const SAMPLE_MS = 20;
 
+/**
+ * Busy time after which a sample counts for a third. Tokens and time are summed
+ * apart: a mean of rates would weigh a step with one small prompt, mostly fixed
+ * cost, like a step full of tokens, and call the engine slow for what it was
+ * given.
+ */
+const MEMORY_MS = 20_000;
+/** The prior counts as so much busy time. */
+const PRIOR_MS = 500;
+
 export interface LearnedRates {
   /** Whether any prompt is in prefill; idle time is no sample. */
   prefillBusy(busy: boolean, now: number): void;
@@ -52,6 +62,8 @@
   let call = priors.callMs;
   let busySince: number | undefined;
   let tokens = 0;
+  let seenMs = PRIOR_MS;
+  let seenTokens = (priors.prefillTokensPerSec * PRIOR_MS) / 1_000;
 
   const blend = (old: number, sample: number) =>
     old + priors.alpha * (sample - old);
@@ -60,7 +72,10 @@
     if (busySince === undefined || tokens === 0) return;
     const elapsed = now - busySince;
     if (elapsed < SAMPLE_MS) return;
-    perSec = Math.max(1, blend(perSec, (tokens / elapsed) * 1_000));
+    const keep = Math.exp(-elapsed / MEMORY_MS);
+    seenTokens = seenTokens * keep + tokens;
+    seenMs = seenMs * keep + elapsed;
+    perSec = Math.max(1, (seenTokens / seenMs) * 1_000);
     busySince = now;
     tokens = 0;
   };
