fix(side): let the prior of the prefill rate end with the first sample

The prior counted as 0.5 s of busy time, and the test of the learned rates, which wants 50 of 20,000 tokens a second after its samples, failed at 444. The prior now stands until something was seen, as the module says; the test is as it was, and green.

--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -38,8 +38,6 @@
  * given.
  */
 const MEMORY_MS = 20_000;
-/** The prior counts as so much busy time. */
-const PRIOR_MS = 500;
 
 export interface LearnedRates {
   /** Whether any prompt is in prefill; idle time is no sample. */
@@ -62,8 +60,8 @@
   let call = priors.callMs;
   let busySince: number | undefined;
   let tokens = 0;
-  let seenMs = PRIOR_MS;
-  let seenTokens = (priors.prefillTokensPerSec * PRIOR_MS) / 1_000;
+  let seenMs = 0;
+  let seenTokens = 0;
 
   const blend = (old: number, sample: number) =>
     old + priors.alpha * (sample - old);
