feat(policy): cap what a short prompt is taken to wait for longer ones

Hypothesis: a tenth of the longer prompts' backlog drives short ones away from most engines and together on a few, though an engine lets them pass at the next step.

Change: of the longer backlog at most 3,000 tokens count, three quarters of them.

--- a/src/policy/predicted_first_token.ts
+++ b/src/policy/predicted_first_token.ts
@@ -16,8 +16,12 @@
 const UNKNOWN_TOKENS_PER_SEC = 8_000;
 /** Time of a call ahead on a plain service; only ranks, promises nothing. */
 const CALL_AHEAD_MS = 20;
-/** Share of longer prompts' backlog that a short prompt waits for. */
-const LONG_BACKLOG_FOR_SHORT = 0.1;
+/**
+ * What a short prompt waits for of longer ones: engines let it pass at the next
+ * step, so about a step's worth, however long their backlog is.
+ */
+const LONGER_MOST_TOKENS = 3_000;
+const LONGER_FOR_SHORT = 0.75;
 /** Part of its memory's prefill that a run has before it on average. */
 const HELD_LEFT = 0.5;
 /** Cost of leaving the own failure domain, beside the measured round trip. */
@@ -97,7 +101,9 @@
   const {prefillBacklogTokens, shortBacklogTokens} = target.replica.load;
   if (!input.request.short) return prefillBacklogTokens;
   const longer = Math.max(0, prefillBacklogTokens - shortBacklogTokens);
-  return shortBacklogTokens + longer * LONG_BACKLOG_FOR_SHORT;
+  return (
+    shortBacklogTokens + Math.min(longer, LONGER_MOST_TOKENS) * LONGER_FOR_SHORT
+  );
 }
 
 function callsAhead(target: RoutingTarget): number {
