--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -69,6 +69,18 @@
   const entryOf = (one: Tracked) =>
     fleet.entries.find(entry => entry.name === one.entry);
 
+  /** An open asking whose run its engine still has. */
+  const runningAt = (process: FleetProcess): Tracked | undefined => {
+    const engine = fleet.engines.find(({name}) => name === process.name);
+    const runs = engine?.model.list().filter(run => run.state !== 'done') ?? [];
+    const ids = new Set(runs.map(({runId}) => runId));
+    return [...open].find(one => {
+      const entry = entryOf(one);
+      if (entry === undefined || !entry.isAlive()) return false;
+      return one.finals === 0 && ids.has(one.dispatchId);
+    });
+  };
+
   const checkOpen = (): Breach | undefined => {
     for (const one of open) {
       const breach = judgeAsking(one, entryOf(one), fleet.clock.now());
@@ -126,9 +138,10 @@
       const cut = [...open].find(one => {
         return one.entryIncarnation === incarnation && one.finals === 0;
       });
-      if (cut === undefined) return;
+      const left = cut ?? runningAt(process);
+      if (left === undefined) return;
       const message = `${process.name} ended its drain with an asking open`;
-      early.push(breachOf('i drain cuts nothing', message, cut.id));
+      early.push(breachOf('i drain cuts nothing', message, left.id));
     },
     noteAsked: tracked => {
       open.add(tracked);
--- a/bench/soak_run.ts
+++ b/bench/soak_run.ts
@@ -10,6 +10,7 @@
 import type {Step} from './soak_actions.js';
 import {createJudge} from './soak_judge.js';
 import type {Breach} from './soak_judge.js';
+import {probeCapacity} from './soak_probe.js';
 import {createLoad, isLoad} from './soak_load.js';
 
 export interface SoakFailure extends Breach {
@@ -129,7 +130,12 @@
     const breach = judge.check();
     if (breach !== undefined) return result(breach, steps);
   }
-  return result(await judge.checkEnd(), steps);
+  const {engineMemoryTokens} = shape;
+  const breach =
+    (await judge.checkEnd()) ??
+    (await probeCapacity(fleet, judge, engineMemoryTokens)) ??
+    (await judge.checkEnd());
+  return result(breach, steps);
 }
 
 function lineOf(event: FleetEvent): string {
