fix(demo): declare no placement for a pool that a fleet does not have

Cause: declarations are now checked against the hosts that the host list shows; a test fleet without engines still wished for its model. Before: processes/offers does not start (422, no live host in the pool).

--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -355,14 +355,8 @@
         defaultTimeLimitMs: 15_000,
       },
     ],
-    placement: [
-      {
-        pool: shape.enginePool,
-        model: shape.model,
-        minReplicas: shape.engines,
-        minPerFailureDomain: 0,
-      },
-    ],
+    // A wish for a pool without hosts is a fault in the declarations.
+    placement: shape.engines === 0 ? [] : [wishOf(shape)],
     policy: {
       routing: 'predicted-first-token',
       maxOffers: 3,
@@ -386,3 +380,12 @@
 ) {
   return {name, maxTokens, memoryFloor, maxRunning, defaultTimeLimitMs};
 }
+
+function wishOf(shape: FleetShape) {
+  return {
+    pool: shape.enginePool,
+    model: shape.model,
+    minReplicas: shape.engines,
+    minPerFailureDomain: 0,
+  };
+}
