--- a/test/processes/kills.test.ts
+++ b/test/processes/kills.test.ts
@@ -21,14 +21,19 @@
   // A side dies with requests in prefill, in mid-answer and near the end. Its
   // engine runs on and nobody listens. Callers with a part of their answer get
   // a failure that says it ran; of the others, those that may be repeated are
-  // served by the other engine. The next side ends what its engine still runs.
+  // served by the other engine. The next side ends what its engine still runs,
+  // which by itself would go on for many minutes.
   it('serves elsewhere what may be repeated when a side is killed', async () => {
     const load = await startLoad(fleet, 100);
     const side = `side-engine-${load.victim}`;
     fleet.signal(side, 'SIGKILL');
-    await load.speedUp();
+    await fleet.fault(`engine-${load.victim}`, {slowFactor: 1_000});
+    await fleet.fault(`engine-${3 - load.victim}`, {slowFactor: 1});
     await judge(fleet, load);
+    expect((await fleet.engine(load.victim)).usedTokens).toBeGreaterThan(0);
     await fleet.restart(side);
+    await fleet.memoryFree();
+    await load.speedUp();
     await expectWell(fleet, 150);
   });
 
