test(processes): give the offers' fleet an engine

The configuration now refuses placement in a pool without a live host, so a fleet without engines does not start.

--- a/test/processes/offers.test.ts
+++ b/test/processes/offers.test.ts
@@ -14,7 +14,7 @@
 let transport: Transport;
 
 beforeAll(async () => {
-  fleet = await startTestFleet({engines: 0, services: 1, entries: 1});
+  fleet = await startTestFleet({engines: 1, services: 1, entries: 1});
   transport = createGrpcTransport({
     clock: createProcessClock(),
     metrics: createRecordedMetrics(),
