--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -4,7 +4,7 @@
  * figures are the assumed ones of `standins/engine_figures.ts`.
  *
  * `npm run bench -- policy [--json FILE] [--seed N] [--seconds N]
- *  [--deployment NAME] [--scenario NAME] [--policy NAME]`
+ *  [--deployment NAME] [--scenario NAME,…] [--policy NAME;…] [--plots FOLDER]`
  */
 import {readFileSync, writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
@@ -13,6 +13,7 @@
 import {DEPLOYMENTS, makeArrivals} from './policy_mix.js';
 import type {Arrival, Deployment} from './policy_mix.js';
 import {printScenario} from './policy_print.js';
+import {writePlots} from './policy_plots.js';
 import {runPolicy} from './policy_run.js';
 import type {RunResult} from './policy_run.js';
 import {
@@ -246,6 +247,7 @@
       deployment: {type: 'string', default: ''},
       scenario: {type: 'string', default: ''},
       policy: {type: 'string', default: ''},
+      plots: {type: 'string'},
     },
   });
   const settings = {
@@ -263,7 +265,8 @@
         `${deployment.replicas} engines`,
     );
     for (const scenario of SCENARIOS) {
-      if (!scenario.name.includes(values.scenario)) continue;
+      const named = values.scenario.split(',');
+      if (!named.some(name => scenario.name.includes(name))) continue;
       const result = await runScenario(
         deployment,
         scenario,
@@ -279,6 +282,7 @@
       printScenario(result);
     }
   }
+  if (values.plots !== undefined) writePlots(values.plots, results);
   if (values.json !== undefined) {
     const report = {seed: settings.seed, seconds: settings.durationMs / 1_000};
     writeFileSync(
