feat(policy): keep long prompts to a share of the engines

Hypothesis: with long prefill on the same engines for all entries, the others stay free for short prompts. The setting longShare was read by no routing policy.

Change: prompts over 32,000 tokens lean to the engines that come first in a rendezvous order, as many as longShare says; leaving them costs a part of the prompt's own prefill, so that full engines are no wall.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -9,6 +9,8 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {parse} from 'jsonc-parser';
+import type {KeyedDeclarations} from '../src/config/declarations_schema.js';
+import {fromKeyed} from '../src/config/keyed_form.js';
 import type {Declarations} from '../src/types/config.js';
 import {DEPLOYMENTS, makeArrivals} from './policy_mix.js';
 import type {Arrival, Deployment} from './policy_mix.js';
@@ -73,9 +75,10 @@
 
 export function declarationsOf(deployment: Deployment): Declarations {
   const file = `examples/${deployment.folder}/declarations.jsonc`;
-  return parse(readFileSync(file, 'utf8'), [], {
+  const keyed = parse(readFileSync(file, 'utf8'), [], {
     allowTrailingComma: true,
-  }) as Declarations;
+  }) as KeyedDeclarations;
+  return fromKeyed(keyed);
 }
 
 export function arrivalsOf(
--- a/src/policy/predicted_first_token.ts
+++ b/src/policy/predicted_first_token.ts
@@ -4,6 +4,7 @@
  * there. Old load reports count for less, so that entries which all saw the
  * same old report do not all choose the same side.
  */
+import type {Address} from '../types/ids.js';
 import {rendezvousNames} from '../utils/rendezvous.js';
 import type {
   RankedTarget,
@@ -24,6 +25,11 @@
 const LONGER_FOR_SHORT = 0.75;
 /** Part of its memory's prefill that a run has before it on average. */
 const HELD_LEFT = 0.5;
+/** Prompts over this keep to the share of engines for long ones. */
+const LONG_TOKENS = 32_000;
+const LONG_KEY = 'long prompts';
+/** Cost of leaving that share, as a part of the prompt's own prefill. */
+const OUTSIDE_SHARE = 0.25;
 /** Cost of leaving the own failure domain, beside the measured round trip. */
 const OTHER_DOMAIN_MS = 1;
 /** A report of this age is half trusted. */
@@ -33,10 +39,13 @@
 
 export const predictedFirstToken: RoutingPolicy = input => {
   const home = prefixHome(input);
+  const outsideMs = outsideLongShareMs(input);
+  const forLong = enginesForLong(input);
   return input.targets
     .map(target => {
       const ranked = predict(input, target, home);
-      return {ranked, score: scoreOf(input, ranked, home)};
+      const outside = forLong.has(target.replica.address) ? 0 : outsideMs;
+      return {ranked, score: scoreOf(input, ranked, home) + outside};
     })
     .sort((a, b) => a.score - b.score)
     .map(one => one.ranked);
@@ -117,6 +126,23 @@
   return replica.rttMs + (other ? OTHER_DOMAIN_MS : 0);
 }
 
+/**
+ * The engines to which long prompts go first: the same for all entries, so
+ * that the other engines stay free of long prefill for short prompts.
+ */
+function enginesForLong(input: RoutingInput): ReadonlySet<Address> {
+  const addresses = input.targets.map(target => target.replica.address);
+  const count = Math.ceil(input.weights.longShare * addresses.length);
+  return new Set(rendezvousNames(LONG_KEY, addresses).slice(0, count));
+}
+
+/** A lean, not a wall: with those engines full, a long prompt goes elsewhere. */
+function outsideLongShareMs(input: RoutingInput): number {
+  const {promptTokens} = input.request;
+  if (promptTokens <= LONG_TOKENS) return 0;
+  return (promptTokens / UNKNOWN_TOKENS_PER_SEC) * 1_000 * OUTSIDE_SHARE;
+}
+
 /** The prediction as it ranks: noise grows with the age of the report. */
 function scoreOf(
   input: RoutingInput,
