--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -10,6 +10,7 @@
 import type {MemoryFleet} from '../standins/memory_fleet.js';
 import type {FaultAction} from './soak_actions.js';
 import {judgeEnd} from './soak_judge_end.js';
+import {createOrphanJudge} from './soak_judge_orphans.js';
 import {judgeLeaving} from './soak_judge_leaving.js';
 import type {Leaving} from './soak_judge_leaving.js';
 
@@ -63,6 +64,7 @@
   /** Askings whose final event has not been judged yet. */
   const open = new Set<Tracked>();
   const early: Breach[] = [];
+  const orphans = createOrphanJudge(fleet);
   const lastNumbers = new Map<string, number>();
   let listFaultUntil = 0;
 
@@ -114,6 +116,7 @@
   return {
     notes,
     noteFault: action => {
+      orphans.noteFault(action);
       if (action.kind.startsWith('list-') && 'ms' in action) {
         const until = fleet.clock.now() + action.ms;
         listFaultUntil = Math.max(listFaultUntil, until + 5_000);
@@ -122,6 +125,10 @@
     noteCrash: process => {
       // A crashed side forgets that it was leaving; the list does not.
       endLeavings(notes, process.name, 'own-notice', fleet.clock.now());
+      const left = [...open].filter(one => {
+        return one.entry === process.name && one.finals === 0 && !one.resumed;
+      });
+      orphans.noteOrphans(left.map(({id}) => id));
     },
     noteLeaving: (process, how) => {
       notes.leavings.push({
@@ -145,7 +152,10 @@
     },
     noteAsked: tracked => {
       open.add(tracked);
-      if (tracked.resumed) return;
+      if (tracked.resumed) {
+        orphans.noteResumed(tracked.id);
+        return;
+      }
       const {idempotencyKey, organisation, repeatable} = tracked.ask;
       if (idempotencyKey === undefined || repeatable) return;
       const key = `${organisation} ${idempotencyKey}`;
@@ -157,6 +167,7 @@
       checkViolations() ??
       checkOpen() ??
       checkNumbers() ??
+      orphans.check() ??
       judgeLeaving(fleet, notes.leavings, listFaultUntil),
     checkEnd: () => judgeEnd(fleet, notes),
   };
