fix(membership): leave no side that nobody follows, and no fencing number twice

Cause 1: subsets are drawn by each entry alone; with ten entries for 90 sides some side is in none. Change: each side has two entries by rendezvous hashing that follow it in any case, unless the subsets are many enough. Ruled out: larger subsets, since the chance of a gap falls slowly and control traffic grows. Cause 2: with the placer's lease removed by mistake, an entry that was just started made it anew under number 1, the number in use; sides could not tell the two placers apart. Change: a missing lease is made after 10 s, by when heartbeats have told the number and an old holder no longer believes. The test of owned dispatches lists more entries, since one alone now follows all 40 sides.

--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -15,6 +15,7 @@
   withListing,
 } from './member.js';
 import type {Member, MemberState} from './member.js';
+import {createGuards} from './guards.js';
 import {chooseSubset} from './subset.js';
 import type {MembershipTiming} from './timing.js';
 
@@ -51,6 +52,10 @@
 export function createRoster(options: RosterOptions): Roster {
   const {timing, now} = options;
   const members = new Map<Address, Member>();
+  const guardedOf = createGuards({
+    self: options.address,
+    followReplicas: options.followReplicas,
+  });
   let following: ReadonlySet<Address> = new Set();
   /** Whom others replace, to see when that changes. */
   let replacedBefore = '';
@@ -131,11 +136,15 @@
       if (isGone(member)) members.delete(member.address);
     }
     const all = [...members.values()];
+    const listedEntries = all.filter(
+      member => isEntry(member) && member.listed,
+    );
     const owning = all.filter(member => member.owned.length > 0);
     following = new Set([
       ...among(all.filter(isSide), options.followReplicas),
       ...among(all.filter(isEntry), ENTRY_PEERS),
       ...owning.map(member => member.address),
+      ...guardedOf(addressesOf(all.filter(isSide)), addressesOf(listedEntries)),
     ]);
   };
 
@@ -173,6 +182,10 @@
   };
 }
 
+function addressesOf(members: readonly Member[]): readonly Address[] {
+  return members.map(member => member.address).sort();
+}
+
 function isSide(member: Member): boolean {
   return !isEntry(member);
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -44,6 +44,7 @@
 import type {Survey, SurveySelf} from './survey.js';
 
 const ORDER_ID_BYTES = 8;
+const LEASE_TTL_MS = 10_000;
 /**
  * How long a new placer waits for all sides to know its number. Heartbeats
  * carry it within seconds; a side that stays cut off must not stop placement.
@@ -58,6 +59,8 @@
   readonly weightStore?: WeightStore;
   /** @default 10000 */
   readonly leaseTtlMs?: number;
+  /** A missing lease is made after so long. @default 10000 */
+  readonly leaseCreateAfterMs?: number;
   /** @default 2000 */
   readonly leaseMarginMs?: number;
   /** Time between two plans. @default 1000 */
@@ -108,7 +111,8 @@
     this.lease = createLease({
       store: options.store,
       key: PLACER_LEASE_KEY,
-      ttlMs: options.leaseTtlMs ?? 10_000,
+      ttlMs: options.leaseTtlMs ?? LEASE_TTL_MS,
+      createAfterMs: options.leaseCreateAfterMs ?? LEASE_TTL_MS,
       marginMs: options.leaseMarginMs ?? 2_000,
       holder: options.node,
       runtime: ctx,
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -60,6 +60,13 @@
    * not grow with the fleet. @default always true
    */
   readonly isCandidate?: () => boolean;
+  /**
+   * How long the object must have been missing before it is made, in
+   * milliseconds. With heartbeats that carry `fenceFloor` it should be over
+   * what those take, and over the time for which a holder still believes.
+   * @default 0
+   */
+  readonly createAfterMs?: number;
   /** Called when this process gains the lease or learns that it lost it. */
   readonly onChange?: (held: boolean) => void;
 }
@@ -113,6 +120,8 @@
   let running = false;
   let cancelNext: Cancel = () => undefined;
   let turn: Promise<void> = Promise.resolve();
+  /** On this process's clock: since when no look found the object. */
+  let missingSince: number | undefined;
   let idleLookAt = clock.now() + IDLE_LOOK_MS * random.next();
 
   // Computed from the clock at each call and never kept: a process that was
@@ -164,7 +173,11 @@
     const object = read.unsafeCoerce().extract();
     // A stale read may show nothing where there is a lease; only a
     // conditional write decides that there is none.
-    if (object === undefined) return true;
+    if (object === undefined) {
+      missingSince ??= clock.now();
+      return true;
+    }
+    missingSince = undefined;
     const record = parseLeaseRecord(object.value).extract();
     if (record === undefined) return false;
     see(object.version, record);
@@ -247,10 +260,18 @@
     return clock.now() - lease.since > lastsMs;
   };
 
+  // Someone may have removed the object. A process that was just started has
+  // heard of no number, would begin at 1 again, and sides could not tell its
+  // orders from those of the placer before, which may still believe.
+  const mayCreate = () =>
+    missingSince === undefined ||
+    clock.now() - missingSince >= (options.createAfterMs ?? 0);
+
   const tryTake = async (): Promise<boolean> => {
     if (!(await look())) return false;
     if (held !== undefined) return true;
     if (seen !== undefined && !isFree(seen)) return true;
+    if (!mayCreate()) return true;
     const floor = options.fenceFloor?.() ?? 0;
     const number = Math.max(floor, highestFence) + 1;
     const reuse = pending?.record.fence === number ? pending.record : undefined;
--- a/standins/memory_fleet.ts
+++ b/standins/memory_fleet.ts
@@ -50,6 +50,8 @@
   readonly engineMemoryTokens?: number;
   /** Whether engines refuse an old fencing number. @default false */
   readonly honoursFence?: boolean;
+  /** Replicas that an entry follows. @default 24 */
+  readonly followReplicas?: number;
   readonly timing?: Partial<TimingSettings>;
   /** @default createRoutingPolicies() */
   readonly routingPolicy?: (name: string) => RoutingPolicy;
@@ -130,6 +132,7 @@
   const events: FleetEvent[] = [];
   const violations: string[] = [];
   const tracked: Tracked[] = [];
+  const followReplicas = options.followReplicas ?? FOLLOW_REPLICAS;
   const timing = {...FLEET_TIMING, ...options.timing};
   const keepEvents = options.keepEvents ?? Number.POSITIVE_INFINITY;
   let patches = 0;
@@ -179,7 +182,7 @@
       hostList,
       weightStore,
       routingPolicy: options.routingPolicy ?? createRoutingPolicies(),
-      followReplicas: FOLLOW_REPLICAS,
+      followReplicas,
       onCrash: () => cutCallers(place.name),
     });
   });
@@ -219,7 +222,9 @@
 
   const isReady = (): boolean =>
     [...entries, ...sides].every(each => (each.config()?.number ?? 0) >= 1) &&
-    entries.every(each => isViewWhole(each.view(), sides.length));
+    entries.every(each =>
+      isViewWhole(each.view(), sides.length, followReplicas),
+    );
 
   const start = async (): Promise<void> => {
     for (const process of [...entries, ...sides]) listHost(process);
@@ -368,7 +373,8 @@
       }
     | undefined,
   sides: number,
+  followReplicas: number,
 ): boolean {
   const live = view?.replicas.filter(each => each.state === 'live') ?? [];
-  return live.length === sides;
+  return live.length >= Math.min(sides, followReplicas);
 }
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -251,6 +251,10 @@
 describe('heartbeats', () => {
   it('carry the dispatches owned at the side, followed or not', async () => {
     const fleet = await startMembership(40);
+    // Alone, an entry would follow all sides.
+    const hosts = fleet.sides.map(({host}) => host);
+    fleet.setList([...hosts, ...hostsOf(30, 'entry')]);
+    await fleet.clock.runFor(2_500);
     const at = fleet.sides.findIndex((_, index) => !fleet.replica(index));
     const {address} = fleet.sides[at].host;
     fleet.kernel.send('membership', {kind: 'own', address, dispatchId: 'r.1'});
--- a/test/membership_fleet.test.ts
+++ b/test/membership_fleet.test.ts
@@ -7,7 +7,9 @@
   observerPaused,
   regionCut,
 } from '../bench/membership_runs.js';
+import {DOMAINS} from '../bench/membership_scenarios.js';
 import type {Outcome} from '../bench/membership_scenarios.js';
+import {createMemoryFleet} from '../standins/memory_fleet.js';
 import {subsetMoves} from '../bench/membership_subset.js';
 
 const SIDES = 12;
@@ -86,6 +88,27 @@
 });
 
 describe('the followed subsets', () => {
+  // Ten entries follow 24 of 90 sides each. Some side is in no subset: it
+  // would get no work, and no new configuration while the store is out.
+  it('leave no side that nobody follows', async () => {
+    const fleet = createMemoryFleet({
+      seed: 100,
+      entries: 10,
+      engines: 90,
+      services: 0,
+      failureDomains: DOMAINS,
+    });
+    await fleet.start();
+    const followed = fleet.entries.flatMap(entry =>
+      (entry.view()?.replicas ?? []).map(({address}) => address),
+    );
+    const counts = fleet.sides.map(
+      ({address}) => followed.filter(each => each === address).length,
+    );
+    expect(Math.min(...counts)).toBeGreaterThanOrEqual(2);
+    fleet.stop();
+  });
+
   it.each([
     [100, 40],
     [600, 370],
--- /dev/null
+++ b/test/placement_fleet.test.ts
@@ -0,0 +1,250 @@
+/** One placer at a time over real sides and both kinds of engines. */
+import {describe, expect, it} from 'vitest';
+import {FLEET_MODEL} from '../standins/fleet_declarations.js';
+import {finalOf} from '../standins/fleet_callers.js';
+import type {FleetEntry} from '../standins/fleet_entry.js';
+import {createMemoryFleet} from '../standins/memory_fleet.js';
+import type {
+  MemoryFleet,
+  MemoryFleetOptions,
+} from '../standins/memory_fleet.js';
+import type {OrderRes} from '../src/types/peer_messages.js';
+import type {PlacementStatus} from '../src/types/services.js';
+import {SIDE_EVENTS} from '../src/utils/events.js';
+
+const ENGINES = 4;
+const LEASE_KEY = 'lease/placer';
+const LONG_DELAY = {minMs: 22_000, maxMs: 22_000};
+const LIMIT_MS = 180_000;
+const KINDS = [
+  ['refuse old numbers', true],
+  ['ignore numbers', false],
+] as const;
+
+async function startFleet(
+  options: Partial<MemoryFleetOptions>,
+): Promise<MemoryFleet> {
+  const fleet = createMemoryFleet({
+    seed: 1,
+    entries: 2,
+    engines: ENGINES,
+    services: 1,
+    failureDomains: ['hall-north', 'hall-south'],
+    ...options,
+  });
+  await fleet.start();
+  await fleet.clock.runFor(14_000);
+  return fleet;
+}
+
+function statusOf(entry: FleetEntry): Promise<PlacementStatus> {
+  return entry
+    .kernel()
+    .ask('placement', (reply: (status: PlacementStatus) => void) => ({
+      kind: 'status',
+      reply,
+    }));
+}
+
+/** The placer first, then the other entry. */
+async function inTurn({entries}: MemoryFleet) {
+  const [a, b] = entries as readonly [FleetEntry, FleetEntry];
+  return (await statusOf(a)).placer ? ([a, b] as const) : ([b, a] as const);
+}
+
+async function newVersion(
+  fleet: MemoryFleet,
+  entry: FleetEntry,
+  version: string,
+): Promise<void> {
+  const patch = JSON.stringify({models: {[FLEET_MODEL]: {version}}});
+  void fleet.applyPatch(fleet.entries.indexOf(entry), {base: 1, patch});
+  await fleet.clock.runFor(100);
+}
+
+/** Numbers of the orders that sides passed to engines, oldest first. */
+function passedFences({events}: MemoryFleet): readonly number[] {
+  return events
+    .filter(({event}) => event.number === SIDE_EVENTS.orderPassed.number)
+    .map(({fields}) => Number(fields.fence));
+}
+
+function refusals({events}: MemoryFleet, reason: string): number {
+  return events.filter(
+    ({event, fields}) =>
+      event.number === SIDE_EVENTS.orderRefused.number &&
+      fields.reason === reason,
+  ).length;
+}
+
+function expectFenced(fleet: MemoryFleet): void {
+  const fences = passedFences(fleet);
+  expect(fences).toEqual([...fences].sort((a, b) => a - b));
+  expect(fences.at(-1)).toBe(2);
+  expect(fleet.violations).toEqual([]);
+}
+
+/** How many engines serve just this version, ready. */
+function serving({engines}: MemoryFleet, version: string): number {
+  return engines.filter(({model}) => {
+    const {models} = model.report();
+    return (
+      models.length === 1 && models[0]?.version === version && models[0].ready
+    );
+  }).length;
+}
+
+async function untilServing(
+  fleet: MemoryFleet,
+  version: string,
+  engines = ENGINES,
+): Promise<void> {
+  for (let ms = 0; ms < LIMIT_MS; ms += 1_000) {
+    if (serving(fleet, version) === engines) return;
+    await fleet.clock.runFor(1_000);
+  }
+}
+
+function delayOrders(fleet: MemoryFleet, from: FleetEntry): void {
+  for (const {address} of fleet.engines) {
+    fleet.network.faults.setDelay(LONG_DELAY, from.address, address);
+  }
+}
+
+describe.each(KINDS)('over engines that %s', (_, honoursFence) => {
+  // The placer orders a new version, and its orders are held up on their way.
+  // It is paused past its lease; another takes over and orders. Then the old
+  // orders arrive and the first placer wakes. An old order that took effect
+  // now would undo what the new placer relies on.
+  it('no order of a placer that was paused follows the newer ones', async () => {
+    const fleet = await startFleet({honoursFence});
+    const [first, second] = await inTurn(fleet);
+    delayOrders(fleet, first);
+    await newVersion(fleet, first, '2');
+    await fleet.clock.runFor(1_500);
+    first.freeze(18_000);
+    await fleet.clock.runFor(18_000);
+    expect((await statusOf(second)).placer).toBe(true);
+    await untilServing(fleet, '2');
+    await fleet.clock.runFor(8_000);
+    expect(refusals(fleet, 'stale-fence')).toBeGreaterThan(0);
+    expectFenced(fleet);
+    expect(serving(fleet, '2')).toBe(ENGINES);
+    fleet.stop();
+  });
+
+  // The lease's object is removed by mistake while the placer is cut off from
+  // the store, and the other entry is started anew: it knows of no number. If
+  // it made the lease at once it would begin at 1 again, and both would order
+  // the same engines under one number.
+  it('a lease that was removed is made anew under a higher number', async () => {
+    const fleet = await startFleet({honoursFence});
+    const [first, second] = await inTurn(fleet);
+    await newVersion(fleet, first, '2');
+    first.cutStore(true);
+    fleet.network.faults.cut(first.address, second.address);
+    delayOrders(fleet, first);
+    const lease = fleet.store.peek(LEASE_KEY).unsafeCoerce();
+    void fleet.store.remove(LEASE_KEY, lease.version, 'lease');
+    void second.restart();
+    let bothBelieved = false;
+    for (let ms = 0; ms < 20_000; ms += 100) {
+      await fleet.clock.runFor(100);
+      const [a, b] = await Promise.all([statusOf(first), statusOf(second)]);
+      bothBelieved ||= a.placer && b.placer;
+    }
+    expect(bothBelieved).toBe(false);
+    expect((await statusOf(second)).placer).toBe(true);
+    first.cutStore(false);
+    fleet.network.faults.healAll();
+    await untilServing(fleet, '2');
+    await fleet.clock.runFor(8_000);
+    expect(refusals(fleet, 'stale-fence')).toBeGreaterThan(0);
+    expectFenced(fleet);
+    expect(serving(fleet, '2')).toBe(ENGINES);
+    fleet.stop();
+  });
+
+  // A side is started anew and has heard no number yet. An order of a placer
+  // that was replaced long ago comes at that moment. The side must learn from
+  // the lease which number is in force before it takes any.
+  it('a side that was just restarted takes no old order', async () => {
+    const fleet = await startFleet({honoursFence});
+    const [first] = await inTurn(fleet);
+    await first.restart();
+    await fleet.clock.runFor(16_000);
+    const [side] = fleet.engines;
+    if (side === undefined) throw new Error('no side');
+    void side.restart();
+    const rogue = fleet.network.transport('127.0.0.1:9999');
+    const answers: OrderRes[] = [];
+    for (let at = 0; at < 20; at++) {
+      const order = {
+        orderId: `old-${at}`,
+        fence: 1,
+        action: 'unload',
+        model: FLEET_MODEL,
+        version: '1',
+        adapter: '',
+        role: 'mixed',
+      } as const;
+      void rogue
+        .call(side.address, 'order', order, 1_000)
+        .then(res => res.ifRight(answer => answers.push(answer)));
+      await fleet.clock.runFor(1);
+    }
+    await fleet.clock.runFor(5_000);
+    expect(answers.length).toBeGreaterThan(0);
+    expect(new Set(answers.map(({state}) => state))).toEqual(
+      new Set(['refused']),
+    );
+    expect(serving(fleet, '1')).toBe(ENGINES);
+    fleet.stop();
+  });
+
+  // A new version is rolled out under load. Engine by engine the new one is
+  // loaded beside the old one, which goes last: callers see neither a refusal
+  // nor a failure for lack of a version.
+  it('rolls a new version with the old one in service and loses nothing', async () => {
+    const fleet = await startFleet({honoursFence});
+    const [first] = await inTurn(fleet);
+    await newVersion(fleet, first, '2');
+    for (let ms = 0; ms < 40_000; ms += 200) {
+      fleet.submit((ms / 200) % 2, {
+        kind: 'completion',
+        organisation: 'prairie-sky',
+        promptTokens: 1_000,
+        maxTokens: 20,
+        timeLimitMs: 30_000,
+        repeatable: true,
+        priority: 1,
+      });
+      await fleet.clock.runFor(200);
+    }
+    await untilServing(fleet, '2');
+    await fleet.clock.runFor(5_000);
+    expect(serving(fleet, '2')).toBe(ENGINES);
+    expect(fleet.tracked.map(one => finalOf(one)?.kind)).toEqual(
+      fleet.tracked.map(() => 'end'),
+    );
+    expect(fleet.violations).toEqual([]);
+    fleet.stop();
+  });
+});
+
+describe('a placer that follows few of many sides', () => {
+  // Its entry follows two of eight. Placed by these alone, six engines
+  // would keep the old version for good, or be taken for missing.
+  it('places over all of them', async () => {
+    const fleet = await startFleet({
+      engines: 8,
+      followReplicas: 2,
+      services: 0,
+    });
+    const [first] = await inTurn(fleet);
+    await newVersion(fleet, first, '2');
+    await untilServing(fleet, '2', 8);
+    expect(serving(fleet, '2')).toBe(8);
+    fleet.stop();
+  });
+});
