--- a/bench/capacity_table.ts
+++ b/bench/capacity_table.ts
@@ -127,6 +127,15 @@
     whole: true,
     times: CHANGES_PER_SEC,
   },
+  {
+    role: 'entry',
+    what: 'control: bytes for runs, answers of 8 tokens',
+    unit: 'B/s',
+    sweep: 'requests',
+    figure: 'control bytes of all',
+    at: TARGET.requestsPerSec * PER_ENTRY,
+    sharedBy: 2,
+  },
   {
     role: 'side',
     what: 'control: processor',
@@ -220,10 +229,10 @@
       },
       {
         role,
-        what: 'open long prompts: resident',
+        what: 'open long prompts: buffers',
         unit: 'MB',
         sweep: 'prompts',
-        figure: 'resident of all',
+        figure: 'buffers of all',
         at: OPEN_LONG_MB * share,
         sharedBy: 2,
       },
--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -4,15 +4,18 @@
  * figures are the assumed ones of `standins/engine_figures.ts`.
  *
  * `npm run bench -- policy [--json FILE] [--seed N] [--seconds N]
- *  [--deployment NAME] [--scenario NAME] [--policy NAME]`
+ *  [--deployment NAME] [--scenario NAME,…] [--policy NAME;…] [--plots FOLDER]`
  */
 import {readFileSync, writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {parse} from 'jsonc-parser';
+import type {KeyedDeclarations} from '../src/config/declarations_schema.js';
+import {fromKeyed} from '../src/config/keyed_form.js';
 import type {Declarations} from '../src/types/config.js';
 import {DEPLOYMENTS, makeArrivals} from './policy_mix.js';
 import type {Arrival, Deployment} from './policy_mix.js';
 import {printScenario} from './policy_print.js';
+import {writePlots} from './policy_plots.js';
 import {runPolicy} from './policy_run.js';
 import type {RunResult} from './policy_run.js';
 import {
@@ -61,6 +64,8 @@
   }[];
 }
 
+/** Policies of the scenarios that leave out the others. */
+const COMPARED = ['least requests, fcfs', 'ours'];
 /** First rate tried, per engine; the second follows from what it showed. */
 const FIRST_GUESS_PER_ENGINE = 0.55;
 /** Engines of the second try should be this busy. */
@@ -70,9 +75,10 @@
 
 export function declarationsOf(deployment: Deployment): Declarations {
   const file = `examples/${deployment.folder}/declarations.jsonc`;
-  return parse(readFileSync(file, 'utf8'), [], {
+  const keyed = parse(readFileSync(file, 'utf8'), [], {
     allowTrailingComma: true,
-  }) as Declarations;
+  }) as KeyedDeclarations;
+  return fromKeyed(keyed);
 }
 
 export function arrivalsOf(
@@ -244,6 +250,7 @@
       deployment: {type: 'string', default: ''},
       scenario: {type: 'string', default: ''},
       policy: {type: 'string', default: ''},
+      plots: {type: 'string'},
     },
   });
   const settings = {
@@ -261,16 +268,15 @@
         `${deployment.replicas} engines`,
     );
     for (const scenario of SCENARIOS) {
-      if (!scenario.name.includes(values.scenario)) continue;
+      const named = values.scenario.split(',');
+      if (!named.some(name => scenario.name.includes(name))) continue;
       const result = await runScenario(
         deployment,
         scenario,
         capacity.requestsPerSec,
         settings,
         variant =>
-          (scenario.allVariants ||
-            variant.baseline ||
-            variant.name === 'ours') &&
+          (scenario.allVariants || COMPARED.includes(variant.name)) &&
           (values.policy === '' ||
             variant.baseline ||
             values.policy.split(';').includes(variant.name)),
@@ -279,6 +285,7 @@
       printScenario(result);
     }
   }
+  if (values.plots !== undefined) writePlots(values.plots, results);
   if (values.json !== undefined) {
     const report = {seed: settings.seed, seconds: settings.durationMs / 1_000};
     writeFileSync(
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -174,12 +174,15 @@
     tell();
   };
 
-  /** Load reports come often: their view is told once for several. */
+  /**
+   * Load reports come often: their view is told once for several. Who has
+   * gone silent is for the next tick to see.
+   */
   const changedSoon = () => {
     if (dirty) return;
     dirty = true;
     clock.after(TELL_WITHIN_MS, () => {
-      if (dirty && !stopped) changed(false);
+      if (dirty && !stopped) tell();
     });
   };
 
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -30,6 +30,8 @@
 const RETRIES_PER_TTL = 10;
 /** Pauses are spread by this share to either side, against herds. */
 const JITTER = 0.2;
+/** Pause between two looks of a process that is no candidate. */
+const IDLE_LOOK_MS = 60_000;
 const NONCE_BYTES = 8;
 
 export interface LeaseOptions {
@@ -52,6 +54,19 @@
    * numbers growing when the object was removed. @default always 0
    */
   readonly fenceFloor?: () => FencingNumber;
+  /**
+   * Whether this process should be among the few that look at the lease often.
+   * The others look once in `IDLE_LOOK_MS`, so that the calls to the store do
+   * not grow with the fleet. @default always true
+   */
+  readonly isCandidate?: () => boolean;
+  /**
+   * How long the object must have been missing before it is made, in
+   * milliseconds. With heartbeats that carry `fenceFloor` it should be over
+   * what those take, and over the time for which a holder still believes.
+   * @default 0
+   */
+  readonly createAfterMs?: number;
   /** Called when this process gains the lease or learns that it lost it. */
   readonly onChange?: (held: boolean) => void;
 }
@@ -105,6 +120,9 @@
   let running = false;
   let cancelNext: Cancel = () => undefined;
   let turn: Promise<void> = Promise.resolve();
+  /** On this process's clock: since when no look found the object. */
+  let missingSince: number | undefined;
+  let idleLookAt = clock.now() + IDLE_LOOK_MS * random.next();
 
   // Computed from the clock at each call and never kept: a process that was
   // frozen past its lease wakes with timers unfired and answers queued, and
@@ -155,7 +173,11 @@
     const object = read.unsafeCoerce().extract();
     // A stale read may show nothing where there is a lease; only a
     // conditional write decides that there is none.
-    if (object === undefined) return true;
+    if (object === undefined) {
+      missingSince ??= clock.now();
+      return true;
+    }
+    missingSince = undefined;
     const record = parseLeaseRecord(object.value).extract();
     if (record === undefined) return false;
     see(object.version, record);
@@ -238,16 +260,32 @@
     return clock.now() - lease.since > lastsMs;
   };
 
+  // Someone may have removed the object. A process that was just started has
+  // heard of no number, would begin at 1 again, and sides could not tell its
+  // orders from those of the placer before, which may still believe.
+  const mayCreate = () =>
+    missingSince === undefined ||
+    clock.now() - missingSince >= (options.createAfterMs ?? 0);
+
   const tryTake = async (): Promise<boolean> => {
     if (!(await look())) return false;
     if (held !== undefined) return true;
     if (seen !== undefined && !isFree(seen)) return true;
+    if (!mayCreate()) return true;
     const floor = options.fenceFloor?.() ?? 0;
     const number = Math.max(floor, highestFence) + 1;
     const reuse = pending?.record.fence === number ? pending.record : undefined;
     return write(reuse ?? nextRecord(number), seen?.version ?? 0);
   };
 
+  /** Correct whoever looks, as only the conditional write takes the lease. */
+  const lookOrTake = async (): Promise<boolean> => {
+    const isIdle = options.isCandidate?.() === false;
+    if (isIdle && clock.now() < idleLookAt) return true;
+    idleLookAt = clock.now() + IDLE_LOOK_MS * (0.5 + random.next());
+    return tryTake();
+  };
+
   const pause = (ok: boolean) => {
     // A renewal may be proven only as of long ago; the next one is then due.
     const isDue = !ok || (held !== undefined && !valid());
@@ -258,7 +296,7 @@
   };
 
   const step = async () => {
-    const ok = held === undefined ? await tryTake() : await renew(held);
+    const ok = held === undefined ? await lookOrTake() : await renew(held);
     if (!ok && held !== undefined) {
       log(PLATFORM_EVENTS.leaseNotRenewed, {
         key,
--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -55,6 +55,23 @@
     expectWhole([again], 100);
   });
 
+  test('stays with the entry that its caller moved to', async () => {
+    // The caller resumes at entry 2 while entry 1 still lives. Entry 1 sees its
+    // channel break and attaches again, as after any silence. It is told that
+    // the run is another's, and the caller's new answer goes on.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 200});
+    const first = rig.goWhole('r1.0');
+    await rig.clock.runFor(1_000);
+    const second = rig.attach('r1.0', 0);
+    await rig.clock.runFor(100);
+    expect(first.last('failed')).toMatchObject({code: 'superseded'});
+    const back = rig.attach('r1.0', 0, 'entry-1');
+    await rig.clock.runFor(20_000);
+    expect(back.last('failed')).toMatchObject({code: 'superseded'});
+    expectWhole([second], 200);
+  });
+
   test('is hidden from another organisation as if it were not there', async () => {
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 100});
@@ -176,6 +193,24 @@
   });
 });
 
+describe('a run whose engine takes no connection', () => {
+  test('fails at once as not run, so that another engine may serve it', async () => {
+    // The engine dies between the accepted offer and the go. The caller's
+    // request may not be repeated; since the connection was refused no byte
+    // of it left the side, and the entry may offer it elsewhere.
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {repeatable: false});
+    rig.model.die();
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(200);
+    expect(channel.last('failed')).toMatchObject({ran: 'no'});
+    rig.model.restart();
+    await rig.clock.runFor(10_000);
+    expect(rig.starts('r1.0')).toBe(0);
+    expect((await rig.status()).reservedTokens).toBe(0);
+  });
+});
+
 describe('a prompt', () => {
   test('with doubled and reordered frames arrives as it was sent', async () => {
     const rig = await createSideRig();
