--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -10,7 +10,9 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
+import type {FleetShape} from '../demo/fleet_plan.js';
 import {startFleet} from '../demo/fleet_runner.js';
+import type {Fleet} from '../demo/fleet_runner.js';
 import {sweepChanges, sweepOrganisations} from './slopes_config.js';
 import {sweepEntries, sweepHosts, sweepReplicas} from './slopes_members.js';
 import type {WithFleet} from './slopes_members.js';
@@ -40,9 +42,23 @@
     ['mixed', sweepShortBesideLong],
   ]);
 
+const START_TRIES = 3;
+
+/** An inspector may take the port that was meant for another process. */
+async function startInSomeTries(shape: FleetShape): Promise<Fleet> {
+  for (let tries = 1; ; tries++) {
+    const dir = mkdtempSync(join(tmpdir(), 'slopes-'));
+    try {
+      return await startFleet(shape, dir);
+    } catch (err) {
+      if (tries === START_TRIES) throw err;
+      console.log(`the fleet did not start: ${String(err)}`);
+    }
+  }
+}
+
 const withFleet: WithFleet = async (shape, use) => {
-  const dir = mkdtempSync(join(tmpdir(), 'slopes-'));
-  const fleet = await startFleet(shape, dir);
+  const fleet = await startInSomeTries(shape);
   try {
     return await use(fleet);
   } finally {
