--- a/bench/capacity_table.ts
+++ b/bench/capacity_table.ts
@@ -81,6 +81,26 @@
     at: HOSTS,
     whole: true,
   },
+  {
+    role: 'entry',
+    what: 'control: processor of the placer, one entry',
+    unit: '% of a core',
+    budget: BUDGET.cpuPercent,
+    sweep: 'hosts',
+    figure: 'processor of the placer',
+    at: HOSTS,
+    whole: true,
+  },
+  {
+    role: 'entry',
+    what: 'control: bytes of the placer, one entry',
+    unit: 'B/s',
+    budget: BUDGET.bytesPerSec,
+    sweep: 'hosts',
+    figure: 'control bytes of the placer',
+    at: HOSTS,
+    whole: true,
+  },
   {
     role: 'entry',
     what: 'control: heap of the process, code included',
@@ -243,12 +263,12 @@
 const STORE: readonly Wanted[] = [
   {
     role: 'object-api',
-    what: 'reads of the lease, all entries',
+    what: 'reads of the lease, 16 entries; three look often',
     unit: '1/s',
     budget: ASSUMED.storeReadsPerSec,
     sweep: 'entries',
     figure: 'calls: lease get',
-    at: TARGET.entries,
+    at: 16,
     whole: true,
   },
   {
--- a/bench/slopes_readings.ts
+++ b/bench/slopes_readings.ts
@@ -78,11 +78,24 @@
   return field('rchar') + field('wchar');
 }
 
-async function peerBytes(fleet: Fleet, name: string) {
+async function metricsOf(fleet: Fleet, name: string): Promise<string> {
   const plan = fleet.plan.processes.find(one => one.name === name);
   const {settings} = plan as DaemonSettings;
   const url = `http://${settings.listen.operators}/metrics`;
-  const text = await (await request(url)).body.text();
+  return (await request(url)).body.text();
+}
+
+/** Which of these entries is the placer now, if any. */
+export async function placerOf(
+  fleet: Fleet,
+  names: readonly string[],
+): Promise<string | undefined> {
+  const texts = await Promise.all(names.map(name => metricsOf(fleet, name)));
+  return names.find((_, i) => /^onyxloft_placer 1$/m.test(texts[i] ?? ''));
+}
+
+async function peerBytes(fleet: Fleet, name: string) {
+  const text = await metricsOf(fleet, name);
   const bytes = {control: 0, request: 0};
   for (const [, , kind, value] of text.matchAll(PEER_BYTES)) {
     bytes[kind as keyof typeof bytes] += Number(value);
