--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -26,6 +26,12 @@
   readonly timing?: Partial<TimingSettings>;
   /** Mutual TLS between the daemons. @default plain TCP */
   readonly tls?: TlsSettings;
+  /**
+   * Daemons listen for peers at all of the machine's addresses, so that each
+   * can be listed many times, as 127.0.0.1, 127.0.0.2 and so on.
+   * @default false
+   */
+  readonly listenOnAll?: boolean;
 }
 
 export const DEMO_SHAPE: FleetShape = {
@@ -134,6 +140,11 @@
       healthUrl: `http://${address}${healthPath}`,
     });
 
+  const bound = (address: string) =>
+    shape.listenOnAll === true
+      ? address.replace('127.0.0.1', '0.0.0.0')
+      : address;
+
   const relay = (name: string, target: string): string => {
     if (!shape.relays) return target;
     const address = take();
@@ -171,7 +182,8 @@
         node: name,
         host: `host-${name}`,
         failureDomain,
-        listen,
+        listen: {...listen, peers: bound(listen['peers'] as string)},
+        advertise: {peers: listen['peers']},
         platform: {...platform, objectApi: `http://${reachedStore}`},
         timing: shape.timing,
         tls: shape.tls,
@@ -355,14 +367,8 @@
         defaultTimeLimitMs: 15_000,
       },
     ],
-    placement: [
-      {
-        pool: shape.enginePool,
-        model: shape.model,
-        minReplicas: shape.engines,
-        minPerFailureDomain: 0,
-      },
-    ],
+    // A wish for a pool without hosts is a fault in the declarations.
+    placement: shape.engines === 0 ? [] : [wishOf(shape)],
     policy: {
       routing: 'predicted-first-token',
       maxOffers: 3,
@@ -386,3 +392,12 @@
 ) {
   return {name, maxTokens, memoryFloor, maxRunning, defaultTimeLimitMs};
 }
+
+function wishOf(shape: FleetShape) {
+  return {
+    pool: shape.enginePool,
+    model: shape.model,
+    minReplicas: shape.engines,
+    minPerFailureDomain: 0,
+  };
+}
