fix(side): do not refuse as too late on assumptions alone

Cause: a side predicted the end of a run as its prefill plus the tokens that the caller allows times the step time. On a fresh fleet the step time is an assumption (25 ms), so a first completion that allowed 2,000 tokens in 30 s was taken to need 50 s and refused for good, without a time to come back. What is refused teaches nothing, so only other requests could end that. The allowed tokens are a bound besides, not the length of the answer.

Ruled out: the queue (nothing was ahead) and the entry, which passes on what the sides answer.

Change: a side learns the distribution of its answers' lengths, from those that ended and those that were cut by their limit, and predicts with the mean of what is still to come. Until eight answers were seen, only the first token counts in a refusal as too late; until 8,000 prompt tokens were seen, the prefill rate may be four times the assumed one.

What the learned lengths are worth under load is not measured here.

--- a/src/side/core.ts
+++ b/src/side/core.ts
@@ -17,6 +17,7 @@
 import type {EngineClient, ServiceClient} from '../types/upstream.js';
 import type {RatePriors, LearnedRates} from './learned_rates.js';
 import type {MemoryLedger} from './memory_ledger.js';
+import type {OutputLengths} from './output_lengths.js';
 import type {QueuePolicy} from './queue_policy.js';
 import type {RunTable} from './run_table.js';
 import type {SideBounds, SideTiming} from './timing.js';
@@ -68,6 +69,7 @@
   readonly tombstones: Tombstones;
   readonly memory: MemoryLedger;
   readonly rates: LearnedRates;
+  readonly lengths: OutputLengths;
   readonly upstream: UpstreamView;
   config: NumberedDeclarations | undefined;
   leaving: boolean;
--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -39,6 +39,16 @@
  */
 const MEMORY_MS = 20_000;
 
+/** Prompt tokens seen from which on the prefill rate is no guess. */
+const LEARNED_TOKENS = 8_000;
+/** Calls seen after which the time of a call is no guess. */
+const LEARNED_CALLS = 8;
+/**
+ * An upstream may be so many times as fast as was assumed. A refusal for good
+ * on assumptions alone would keep itself up: what is refused teaches nothing.
+ */
+const DOUBT = 4;
+
 export interface LearnedRates {
   /** Whether any prompt is in prefill; idle time is no sample. */
   prefillBusy(busy: boolean, now: number): void;
@@ -52,6 +62,10 @@
   callMs(): number;
   /** Predicted time to prefill so many tokens, nothing else running. */
   prefillMs(tokens: number): number;
+  /** The least that it may take: the prediction, or well below a prior. */
+  leastPrefillMs(tokens: number): number;
+  /** The same for a call. */
+  leastCallMs(): number;
 }
 
 export function createLearnedRates(priors: RatePriors): LearnedRates {
@@ -62,6 +76,7 @@
   let tokens = 0;
   let seenMs = 0;
   let seenTokens = 0;
+  let seenCalls = 0;
 
   const blend = (old: number, sample: number) =>
     old + priors.alpha * (sample - old);
@@ -78,6 +93,9 @@
     tokens = 0;
   };
 
+  const prefillMs = (count: number) =>
+    (count / perSec) * 1_000 + priors.contextMsPerTokenSquared * count * count;
+
   return {
     prefillBusy: (busy, now) => {
       if (busy) {
@@ -97,12 +115,14 @@
     },
     called: elapsedMs => {
       call = blend(call, elapsedMs);
+      seenCalls += 1;
     },
     prefillTokensPerSec: () => perSec,
     stepMs: () => step,
     callMs: () => call,
-    prefillMs: count =>
-      (count / perSec) * 1_000 +
-      priors.contextMsPerTokenSquared * count * count,
+    prefillMs,
+    leastPrefillMs: count =>
+      prefillMs(count) / (seenTokens >= LEARNED_TOKENS ? 1 : DOUBT),
+    leastCallMs: () => call / (seenCalls >= LEARNED_CALLS ? 1 : DOUBT),
   };
 }
--- a/src/side/lifecycle.ts
+++ b/src/side/lifecycle.ts
@@ -90,6 +90,11 @@
   const closeFailed = (run: Run, state: RunState, failure: Failure) => {
     if (isOver(run)) return;
     const outcome = failed(run, failure);
+    // Left out, answers too long for their time would be forgotten, and the
+    // side would go on taking more of them.
+    if (failure.code === 'deadline-exceeded') {
+      core.lengths.ended(run.progress.nextToken);
+    }
     stopUpstream(run);
     close(run, state, outcome);
     ctx.log(SIDE_EVENTS.runFailed, {
@@ -105,6 +110,7 @@
     end: (run, finishReason, cachedTokens) => {
       stopListening(run);
       memory.release(run.id);
+      core.lengths.ended(run.progress.nextToken);
       ctx.invariant(!memory.holds(run.id), 'memory-released-at-end', {
         dispatchId: run.id,
       });
--- a/src/side/offers.ts
+++ b/src/side/offers.ts
@@ -102,9 +102,9 @@
     req: OfferReq,
     prediction: Prediction,
   ): Refusal | undefined => {
-    if (prediction.endMs <= req.timeLeftMs) return undefined;
-    const fitsAlone = prediction.aloneMs <= req.timeLeftMs;
-    const excess = prediction.endMs - req.timeLeftMs;
+    if (prediction.leastEndMs <= req.timeLeftMs) return undefined;
+    const fitsAlone = prediction.leastAloneMs <= req.timeLeftMs;
+    const excess = prediction.leastEndMs - req.timeLeftMs;
     return {reason: 'too-late', retryAfterMs: fitsAlone ? excess : NEVER_MS};
   };
 
--- a/src/side/prediction.ts
+++ b/src/side/prediction.ts
@@ -17,8 +17,10 @@
   readonly firstTokenMs: number;
   /** Time to the end, the queue included. */
   readonly endMs: number;
-  /** Time to the end if nothing were ahead. */
-  readonly aloneMs: number;
+  /** The same at the least that its own work may take. */
+  readonly leastEndMs: number;
+  /** The least time to the end if nothing were ahead. */
+  readonly leastAloneMs: number;
 }
 
 /** Time from start to end of a run with so much prefill and decode left. */
@@ -32,6 +34,11 @@
   return ownPrefillMs(core, offer, prefillTokens) + decodeMs(core, tokensLeft);
 }
 
+function wholeMs(core: SideCore, offer: OfferReq): number {
+  const tokens = core.lengths.expectedLeft(offer.maxTokens, 0);
+  return serviceMs(core, offer, offer.promptTokens, tokens);
+}
+
 function ownPrefillMs(core: SideCore, offer: OfferReq, tokens: number): number {
   return core.rates.prefillMs(tokens) / (offer.group?.size ?? 1);
 }
@@ -40,9 +47,25 @@
   return Math.max(0, tokens) * core.rates.stepMs();
 }
 
+/**
+ * The least that an offer's own work may take. Until answers were seen only its
+ * first token counts: what it is allowed says how long it gets at most.
+ */
+function leastServiceMs(core: SideCore, offer: OfferReq): number {
+  const {rates, lengths} = core;
+  if (offer.kind === 'call') return rates.leastCallMs();
+  const prefillMs =
+    rates.leastPrefillMs(offer.promptTokens) / (offer.group?.size ?? 1);
+  if (!lengths.isLearned()) return prefillMs;
+  return prefillMs + decodeMs(core, lengths.expectedLeft(offer.maxTokens, 0));
+}
+
 export function itemOf(core: SideCore, run: Run): QueueItem {
   const left = prefillLeft(run);
-  const tokensLeft = run.offer.maxTokens - run.progress.nextToken;
+  const tokensLeft = core.lengths.expectedLeft(
+    run.offer.maxTokens,
+    run.progress.nextToken,
+  );
   return {
     dispatchId: run.id,
     organisation: run.offer.organisation,
@@ -109,7 +132,7 @@
 
 function holdMs(core: SideCore, run: Run): number {
   const {offer} = run;
-  return serviceMs(core, offer, offer.promptTokens, offer.maxTokens);
+  return wholeMs(core, offer);
 }
 
 /** Time until what runs has freed so many places and so much memory. */
@@ -154,7 +177,7 @@
     prefillTokens: offer.promptTokens,
     enqueuedAt: now,
     deadlineAt: now + offer.timeLeftMs,
-    serviceMs: serviceMs(core, offer, offer.promptTokens, offer.maxTokens),
+    serviceMs: wholeMs(core, offer),
   };
 }
 
@@ -182,10 +205,12 @@
     offer.kind === 'call'
       ? item.serviceMs
       : ownPrefillMs(core, offer, offer.promptTokens);
+  const leastMs = leastServiceMs(core, offer);
   return {
     firstTokenMs: waitMs + ownMs,
     endMs: waitMs + item.serviceMs,
-    aloneMs: item.serviceMs,
+    leastEndMs: waitMs + leastMs,
+    leastAloneMs: leastMs,
   };
 }
 
--- a/src/side/runs_service.ts
+++ b/src/side/runs_service.ts
@@ -15,6 +15,7 @@
 import {createFairShares} from './fair_shares.js';
 import {createFrames} from './frames.js';
 import {DEFAULT_RATE_PRIORS, createLearnedRates} from './learned_rates.js';
+import {createOutputLengths} from './output_lengths.js';
 import {createLifecycle, stopListening} from './lifecycle.js';
 import {createMemoryLedger} from './memory_ledger.js';
 import type {RunsEvent, RunsMessage, RunsRequest} from './messages.js';
@@ -64,6 +65,7 @@
     tombstones: createTombstones(timing.tombstoneMs, bounds.maxTombstones),
     memory: createMemoryLedger(ctx.invariant),
     rates: createLearnedRates({...DEFAULT_RATE_PRIORS, ...options.priors}),
+    lengths: createOutputLengths(),
     upstream: {
       heardAt: undefined,
       reportAgeMs: 0,
--- /dev/null
+++ b/test/side_cold_start.test.ts
@@ -0,0 +1,70 @@
+/** What a side promises before it has learned, and from what it has learned. */
+import {describe, expect, test} from 'vitest';
+import {DEFAULT_RATE_PRIORS} from '../src/side/learned_rates.js';
+import {createSideRig} from './support/side_rig.js';
+
+/** Answers of 200 tokens, of which the caller allowed ten times as many. */
+const LOOSE = {maxTokens: 2_000, timeLeftMs: 30_000};
+const priors = DEFAULT_RATE_PRIORS;
+
+async function runOf(
+  rig: Awaited<ReturnType<typeof createSideRig>>,
+  id: string,
+) {
+  const offered = await rig.offer(id, LOOSE);
+  if (offered.kind === 'accepted') rig.goWhole(id, LOOSE.timeLeftMs);
+  await rig.clock.runFor(29_000);
+  return {offered, state: await rig.stateOf(id)};
+}
+
+describe('a side that has seen no run', () => {
+  // A fresh fleet: the first completion allows 2,000 tokens in 30 s. At the
+  // assumed 25 ms a step that is 50 s, so that each side refused it for good,
+  // and none could ever learn that engines are quicker or answers shorter.
+  test('takes a first run that allows more tokens than it has time for', async () => {
+    const rig = await createSideRig({priors, model: {answerTokens: () => 200}});
+    const first = await runOf(rig, 'r1.0');
+    expect(first).toMatchObject({offered: {kind: 'accepted'}, state: 'ended'});
+  });
+
+  // The engine prefills twice as fast as assumed: 100,000 tokens in 7 s, not
+  // in 12.5 s. A refusal on the assumption would stand until shorter prompts
+  // had taught the side better.
+  test('doubts the assumed prefill rate too, within bounds', async () => {
+    const rig = await createSideRig({priors});
+    const offer = (id: string, timeLeftMs: number) =>
+      rig.offer(id, {promptTokens: 100_000, timeLeftMs});
+    expect(await offer('r1.0', 2_000)).toMatchObject({reason: 'too-late'});
+    expect(await offer('r2.0', 9_000)).toMatchObject({kind: 'accepted'});
+  });
+});
+
+describe('a side that has seen answers end', () => {
+  const taught = async (answerTokens: number) => {
+    const rig = await createSideRig({
+      priors,
+      model: {answerTokens: req => Math.min(answerTokens, req.maxTokens)},
+    });
+    for (let count = 0; count < 20; count++) {
+      const id = `t${count}.0`;
+      await rig.offer(id, {maxTokens: 2_000, timeLeftMs: 600_000});
+      rig.goWhole(id, 600_000);
+      await rig.clock.runFor(1_000);
+    }
+    await rig.clock.runFor(60_000);
+    return rig;
+  };
+
+  test('expects answers as long as they were, not as long as allowed', async () => {
+    const rig = await taught(200);
+    expect(await rig.offer('r1.0', LOOSE)).toMatchObject({kind: 'accepted'});
+  });
+
+  test('refuses at once what answers of that length make late', async () => {
+    const rig = await taught(2_000);
+    expect(await rig.offer('r1.0', LOOSE)).toMatchObject({
+      reason: 'too-late',
+      retryAfterMs: 0,
+    });
+  });
+});
