fix(entry): forget an assignment when its attempt is over

Cause: what an entry had sent to a side was dropped from its own count only when a later load report of that side came, or when the side refused it. With reports silent nothing was dropped: the lists grew with each request, and the side that had served most looked the busiest ever after.

Ruled out: withdrawn and unanswered offers, which were removed already.

Change: the assignment goes when its attempt is over, whatever its outcome, and for a group at each member; the lists are keyed by dispatch, so that a removal does not search. They are bounded by the requests in progress.

Before, test/assignments.test.ts without the change: 3 of 4 tests failed (50 assignments counted after 50 requests had ended, 1 after a failed run, 3 after a group). After: 4 pass, and so do the entry's attempt, answer and group tests and those of the routing policies.

--- a/src/entry/assignments.ts
+++ b/src/entry/assignments.ts
@@ -7,7 +7,6 @@
 import type {Replica} from '../types/services.js';
 
 interface Assignment {
-  readonly dispatchId: DispatchId;
   readonly at: number;
   readonly tokens: number;
 }
@@ -19,36 +18,40 @@
 
 export interface Assignments {
   add(side: Address, dispatchId: DispatchId, tokens: number, at: number): void;
-  /** The side refused it: it adds no load there. */
+  /** It adds no load there: the side refused it, or it is over. */
   remove(side: Address, dispatchId: DispatchId): void;
   /** Sums what the replica's last report cannot have counted. */
   since(replica: Replica): Unreported;
 }
 
 export function createAssignments(): Assignments {
-  const bySide = new Map<Address, Assignment[]>();
+  const bySide = new Map<Address, Map<DispatchId, Assignment>>();
 
   return {
     add: (side, dispatchId, tokens, at) => {
-      const list = bySide.get(side) ?? [];
-      list.push({dispatchId, at, tokens});
+      const list = bySide.get(side) ?? new Map<DispatchId, Assignment>();
+      list.set(dispatchId, {at, tokens});
       bySide.set(side, list);
     },
+    // Reports may stop for good: what only a report removed would add up, and
+    // the side that served most would look the busiest ever after.
     remove: (side, dispatchId) => {
-      const list = bySide.get(side) ?? [];
-      const at = list.findIndex(one => one.dispatchId === dispatchId);
-      if (at >= 0) list.splice(at, 1);
+      const list = bySide.get(side);
+      list?.delete(dispatchId);
+      if (list?.size === 0) bySide.delete(side);
     },
     since: replica => {
       const list = bySide.get(replica.address);
       if (list === undefined) return {requests: 0, tokens: 0};
       // A report left the side about half a round trip before it came in.
       const reportedAt = replica.loadAt - replica.rttMs / 2;
-      const kept = list.filter(one => one.at >= reportedAt);
-      if (kept.length === 0) bySide.delete(replica.address);
-      else bySide.set(replica.address, kept);
-      const tokens = kept.reduce((sum, one) => sum + one.tokens, 0);
-      return {requests: kept.length, tokens};
+      let tokens = 0;
+      for (const [dispatchId, one] of list) {
+        if (one.at < reportedAt) list.delete(dispatchId);
+        else tokens += one.tokens;
+      }
+      if (list.size === 0) bySide.delete(replica.address);
+      return {requests: list.size, tokens};
     },
   };
 }
--- a/src/entry/group_run.ts
+++ b/src/entry/group_run.ts
@@ -137,6 +137,10 @@
   return {
     go,
     own: (part: ReservedPart) => tell('own', part),
-    disown: (part: ReservedPart) => tell('disown', part),
+    disown: (part: ReservedPart) => {
+      tell('disown', part);
+      const {ranked, dispatchId} = part.offer;
+      deps.router.unassigned(ranked.target.replica.address, dispatchId);
+    },
   };
 }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -51,7 +51,8 @@
     ranked: readonly RankedTarget[],
   ): void;
   assigned(spec: RequestSpec, side: Address, dispatchId: DispatchId): void;
-  refused(side: Address, dispatchId: DispatchId): void;
+  /** The side refused it, or the attempt is over. */
+  unassigned(side: Address, dispatchId: DispatchId): void;
   /** An answer ended whole: what the engine found in its prefix cache. */
   ended(spec: RequestSpec, cachedTokens: number): void;
   explain(id: RequestId): readonly RoutingDecision[];
@@ -164,7 +165,7 @@
       assignments.add(side, dispatchId, spec.promptTokens, runtime.clock.now());
       prefixes.routed(spec.prefixHashes);
     },
-    refused: (side, dispatchId) => assignments.remove(side, dispatchId),
+    unassigned: (side, dispatchId) => assignments.remove(side, dispatchId),
     ended: (spec, cachedTokens) =>
       prefixes.confirmed(spec.prefixHashes, cachedTokens),
     explain: id => explained.get(id) ?? [],
