refactor(test): one virtual clock for all tests

The front's bench had a clock of its own, with the same job as the stand-ins' virtual clock and without its promise settling. The bench now takes the virtual clock, and its tests wait for `runFor` where they moved the manual one. The policy's defaults in its declarations come from the schema, where they stood twice.

--- a/test/http_bad_input.test.ts
+++ b/test/http_bad_input.test.ts
@@ -134,7 +134,7 @@
     const got = raw(`${POST}Content-Length: 50\r\n\r\n{`, true);
     await expect.poll(refusals).toBe(before + 1);
     await post(GOOD);
-    bench.clock.advance(1_001);
+    await bench.clock.runFor(1_001);
     expect(await got).toContain('HTTP/1.1 401');
   });
 
@@ -166,7 +166,7 @@
   test('a body that comes too slowly is answered 408', async () => {
     const got = raw(`${POST}${AUTH}Content-Length: 50\r\n\r\n{"pro`);
     await expect.poll(() => openRequests()).toBe(1);
-    bench.clock.advance(2_001);
+    await bench.clock.runFor(2_001);
     expect(await got).toContain('HTTP/1.1 408');
     expect(await openRequests()).toBe(0);
   });
@@ -178,7 +178,7 @@
     const res = await post(GOOD);
     expect(res.status).toBe(503);
     expect(res.headers.get('retry-after')).toBe('1');
-    bench.clock.advance(2_001);
+    await bench.clock.runFor(2_001);
     await Promise.all(slow);
   });
 
--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -208,7 +208,7 @@
     await open();
     const pending = complete({prompt: 'x', onyxloft: {time_limit_ms: 100}});
     await bench.until('submit');
-    bench.clock.advance(700);
+    await bench.clock.runFor(700);
     const res = await pending;
     expect(res.status).toBe(504);
     expect(await res.json()).toMatchObject({
@@ -229,7 +229,7 @@
     await expect
       .poll(() => bench.logged.some(line => line.name === 'caller-left'))
       .toBe(true);
-    bench.clock.advance(2_001);
+    await bench.clock.runFor(2_001);
     expect(await bench.until('cancel')).toMatchObject({id: submitted().id});
   });
 
@@ -337,7 +337,7 @@
   test('readiness follows a membership that was restarted', async () => {
     await open();
     bench.forgetSubscribers();
-    bench.clock.advance(5_000);
+    await bench.clock.runFor(5_000);
     // An answered call: by now the subscription has been delivered.
     expect((await call('GET', '/readyz')).status).toBe(200);
     bench.setView(viewOf('gone'));
--- a/test/http_requests.test.ts
+++ b/test/http_requests.test.ts
@@ -103,7 +103,7 @@
     const resumed = call('GET', `/v1/requests/${id}?stream=true&from=1`);
     await bench.until('resume');
     await expect(first.text()).rejects.toThrow();
-    bench.clock.advance(10_000);
+    await bench.clock.runFor(10_000);
     if (second !== undefined) tellAnswer(second, id, ['b'], 1);
     expect(await (await resumed).text()).toContain('[DONE]');
     expect(bench.received.map(({kind}) => kind)).not.toContain('cancel');
--- a/test/support/front_bench.ts
+++ b/test/support/front_bench.ts
@@ -3,6 +3,9 @@
  * services behind it: a test scripts how `requests` answers, and looks at what
  * reached it.
  */
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
+import {createInitialDeclarations} from '../../src/config/declarations_schema.js';
 import {createCallersService} from '../../src/entry/http_callers.js';
 import type {
   CallersOptions,
@@ -24,8 +27,6 @@
 import {yieldToLoop} from '../../src/utils/event_loop.js';
 import {hashGeneratedKey, verifyKeyAsync} from '../../src/utils/keys.js';
 import {createMetrics} from '../../src/utils/metrics.js';
-import {createManualClock} from './manual_clock.js';
-import type {ManualClock} from './manual_clock.js';
 
 export const PRAIRIE_KEY = 'onyx_prairie';
 export const INGUFU_KEY = 'onyx_ingufu';
@@ -33,7 +34,6 @@
 export const WALL_MS = Date.UTC(2026, 0, 1);
 const SALT = '00112233445566778899aabbccddeeff';
 
-export type Submit = Extract<RequestsMessage, {kind: 'submit'}>;
 export type Resume = Extract<RequestsMessage, {kind: 'resume'}>;
 
 /** How the fake `requests` service answers. */
@@ -51,7 +51,7 @@
   readonly url: string;
   readonly port: number;
   readonly kernel: Kernel;
-  readonly clock: ManualClock;
+  readonly clock: VirtualClock;
   readonly runtime: Runtime;
   /** All messages that reached `requests`, in order. */
   readonly received: readonly RequestsMessage[];
@@ -123,17 +123,7 @@
         },
       ],
       placement: [],
-      policy: {
-        routing: 'predicted-first-token',
-        maxOffers: 3,
-        retryRatio: 0.2,
-        prefixWeight: 1,
-        boundedLoadFactor: 1.25,
-        longShare: 0.5,
-        ageingMs: 10_000,
-        shortSlowdownWeight: 0.5,
-        longFirstTokenWeight: 0.5,
-      },
+      policy: createInitialDeclarations().policy,
       ...change,
     },
   };
@@ -151,7 +141,7 @@
   script: RequestsScript = {},
   options: Partial<CallersOptions> = {},
 ): Promise<FrontBench> {
-  const clock = createManualClock();
+  const clock = createVirtualClock();
   const logged: Array<{readonly name: string} & LogFields> = [];
   const runtime: Runtime = {
     clock,
