--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -3,6 +3,7 @@
  * and a side beside each upstream, over three failure domains.
  */
 import type {Declarations} from '../src/types/config.js';
+import {createInitialDeclarations} from '../src/config/declarations_schema.js';
 import type {TimingSettings, TlsSettings} from '../src/config/settings.js';
 import {freeAddresses} from './free_addresses.js';
 
@@ -369,17 +370,7 @@
     ],
     // A wish for a pool without hosts is a fault in the declarations.
     placement: shape.engines === 0 ? [] : [wishOf(shape)],
-    policy: {
-      routing: 'predicted-first-token',
-      maxOffers: 3,
-      retryRatio: 0.2,
-      prefixWeight: 1,
-      boundedLoadFactor: 1.25,
-      longShare: 0.5,
-      ageingMs: 10_000,
-      shortSlowdownWeight: 0.5,
-      longFirstTokenWeight: 0.5,
-    },
+    policy: createInitialDeclarations().policy,
   };
 }
 
--- a/src/types/config.ts
+++ b/src/types/config.ts
@@ -2,13 +2,7 @@
  * Declarations that operators hold in version control and apply as patches
  * against a numbered version. Checked as a whole before acceptance.
  */
-import type {
-  ConfigNumber,
-  FailureDomain,
-  ModelId,
-  OrganisationId,
-  PoolId,
-} from './ids.js';
+import type {ConfigNumber, ModelId, OrganisationId, PoolId} from './ids.js';
 
 /** One accepted version of all declarations. */
 export interface Declarations {
@@ -35,6 +29,7 @@
   readonly tokensPerSec: number;
 }
 
+/** A model that placement loads and callers may name. */
 export interface Model {
   readonly id: ModelId;
   readonly version: string;
@@ -47,6 +42,7 @@
   readonly maxPromptTokens: number;
 }
 
+/** How urgent a request is; callers name the class. */
 export interface PriorityClass {
   readonly name: string;
   /** 0 is the most urgent. */
@@ -113,8 +109,3 @@
   readonly number: ConfigNumber;
   readonly declarations: Declarations;
 }
-
-/** Where an upstream is, for spreading. */
-export interface Placed {
-  readonly failureDomain: FailureDomain;
-}
--- a/test/support/entry_fixture.ts
+++ b/test/support/entry_fixture.ts
@@ -4,6 +4,7 @@
  */
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createInitialDeclarations} from '../../src/config/declarations_schema.js';
 import {createRequestsService} from '../../src/entry/requests.js';
 import type {RequestsOptions} from '../../src/entry/requests.js';
 import {createKernel} from '../../src/kernel/kernel.js';
@@ -216,15 +217,5 @@
   ],
   services: [],
   placement: [],
-  policy: {
-    routing: 'predicted-first-token',
-    maxOffers: 3,
-    retryRatio: 0.2,
-    prefixWeight: 1,
-    boundedLoadFactor: 1.25,
-    longShare: 0.5,
-    ageingMs: 10_000,
-    shortSlowdownWeight: 0.5,
-    longFirstTokenWeight: 0.5,
-  },
+  policy: createInitialDeclarations().policy,
 };
