docs(api): say what each exported item is, outside the request path

Types, kernel, utils, wire, platform, upstream, config, limits and the command line exported about 130 items without a doc comment: what a frame proves, what a zero means, who calls a listener. No code changed.

--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -21,6 +21,7 @@
 const CATEGORY = 'Configuration';
 const PATCH_ID_BYTES = 16;
 
+/** `onyxloft config get` */
 export class ConfigGetCommand extends OperatorCommand {
   static override paths = [['config', 'get']];
   static override usage = Command.Usage({
@@ -39,6 +40,7 @@
   }
 }
 
+/** `onyxloft config show N` */
 export class ConfigShowCommand extends OperatorCommand {
   static override paths = [['config', 'show']];
   static override usage = Command.Usage({
@@ -58,6 +60,7 @@
   }
 }
 
+/** `onyxloft config history` */
 export class ConfigHistoryCommand extends OperatorCommand {
   static override paths = [['config', 'history']];
   static override usage = Command.Usage({
@@ -133,6 +136,7 @@
   }
 }
 
+/** `onyxloft config diff --base N FILE` */
 export class ConfigDiffCommand extends PatchCommand {
   static override paths = [['config', 'diff']];
   static override usage = Command.Usage({
@@ -148,6 +152,7 @@
   }
 }
 
+/** `onyxloft config apply --base N FILE` */
 export class ConfigApplyCommand extends PatchCommand {
   static override paths = [['config', 'apply']];
   static override usage = Command.Usage({
--- a/src/cli/fleet_commands.ts
+++ b/src/cli/fleet_commands.ts
@@ -4,6 +4,7 @@
 
 const CATEGORY = 'Fleet';
 
+/** `onyxloft status` */
 export class StatusCommand extends OperatorCommand {
   static override paths = [['status']];
   static override usage = Command.Usage({
@@ -17,6 +18,7 @@
   }
 }
 
+/** `onyxloft hosts` */
 export class HostsCommand extends OperatorCommand {
   static override paths = [['hosts']];
   static override usage = Command.Usage({
@@ -30,6 +32,7 @@
   }
 }
 
+/** `onyxloft explain REQUEST` */
 export class ExplainCommand extends OperatorCommand {
   static override paths = [['explain']];
   static override usage = Command.Usage({
@@ -47,6 +50,7 @@
   }
 }
 
+/** `onyxloft drain NODE-URL` */
 export class DrainCommand extends OperatorCommand {
   static override paths = [['drain']];
   static override usage = Command.Usage({
--- a/src/cli/local_commands.ts
+++ b/src/cli/local_commands.ts
@@ -5,6 +5,7 @@
 import {SALT_BYTES, generateKey, hashGeneratedKey} from '../utils/keys.js';
 import {EXIT_OK, EXIT_USAGE, ToolCommand} from './operator_command.js';
 
+/** `onyxloft settings check FILE...` */
 export class SettingsCheckCommand extends ToolCommand {
   static override paths = [['settings', 'check']];
   static override usage = Command.Usage({
@@ -42,6 +43,7 @@
   }
 }
 
+/** `onyxloft key generate` */
 export class KeyGenerateCommand extends ToolCommand {
   static override paths = [['key', 'generate']];
   static override usage = Command.Usage({
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -23,6 +23,7 @@
 const ATTEMPTS = 3;
 const LEAST_ERROR_STATUS = 400;
 
+/** Where the operators' API is, and the token for it. */
 export interface OperatorClientOptions {
   /** Base URL of an entry's operators' address. */
   readonly url: string;
@@ -34,6 +35,7 @@
 /** Outcome of a call: an `OnyxError` carries the step and the peer. */
 export type OperatorResult<T> = Promise<Either<OnyxError, T>>;
 
+/** The operators' API, for the command line and for programs. */
 export interface OperatorClient {
   /** The newest accepted declarations. */
   config(): OperatorResult<NumberedDeclarations>;
--- a/src/config/apply_patch.ts
+++ b/src/config/apply_patch.ts
@@ -33,6 +33,7 @@
 /** Pause before a store call is repeated, drawn between half and all of it. */
 const RETRY_PAUSE_MS = 200;
 
+/** What the check and the acceptance of a patch need. */
 export interface ApplyOptions {
   readonly store: ConfigStore;
   readonly clock: Clock;
--- a/src/config/config_service.ts
+++ b/src/config/config_service.ts
@@ -35,6 +35,7 @@
 import {answerFetch, fetchFromPeer} from './peer_exchange.js';
 import type {KnownFleet} from './validate.js';
 
+/** Who this process is, and where its configuration comes from. */
 export interface ConfigServiceOptions {
   readonly node: NodeId;
   /** Entries follow the membership and may become the home; sides do not. */
@@ -43,11 +44,11 @@
   readonly transport: Transport;
   /** Live hosts, if known; for limits that no fleet can meet. */
   readonly knownFleet?: () => Promise<Maybe<KnownFleet>>;
-  /** @default 25000 */
+  /** Longest wait of the home's watch. @default 25000 */
   readonly watchMs?: number;
   /** Mean pause between reads of the head. @default 30000, a side 300000 */
   readonly pollMs?: number;
-  /** @default 1000 */
+  /** The first read comes within this long. @default 1000 */
   readonly startJitterMs?: number;
   /** How long an operator's patch may take. @default 5000 */
   readonly applyTimeoutMs?: number;
--- a/src/config/config_state.ts
+++ b/src/config/config_state.ts
@@ -23,8 +23,10 @@
   readonly jsonByHash: ReadonlyMap<string, string>;
 }
 
+/** Called with each number that comes into force, in growing order. */
 export type ConfigListener = (config: NumberedDeclarations) => void;
 
+/** The configuration that this process holds; its number only grows. */
 export interface ConfigState {
   /** The highest number taken; 0 before the first patch. */
   number(): ConfigNumber;
--- a/src/config/config_store.ts
+++ b/src/config/config_store.ts
@@ -31,6 +31,7 @@
   readonly manifest: Manifest;
 }
 
+/** The configuration in the object API: head, documents and history. */
 export interface ConfigStore {
   readHead(
     purpose: StorePurpose,
--- a/src/config/declarations_schema.ts
+++ b/src/config/declarations_schema.ts
@@ -102,6 +102,7 @@
   policy,
 });
 
+/** Declarations in the operators' form, defaults filled in. */
 export type KeyedDeclarations = z.infer<typeof keyedDeclarationsSchema>;
 
 /** The form that services read: lists in the order of `types/config.ts`. */
--- a/src/config/documents.ts
+++ b/src/config/documents.ts
@@ -48,6 +48,7 @@
   readonly documents: readonly DocumentRef[];
 }
 
+/** A document by its name and content hash. */
 export interface DocumentRef {
   readonly name: string;
   readonly hash: string;
--- a/src/config/head_follower.ts
+++ b/src/config/head_follower.ts
@@ -14,6 +14,7 @@
 const FIRST_BACKOFF_MS = 500;
 const LARGEST_BACKOFF_MS = 30_000;
 
+/** Where the head is read, how often, and who takes it. */
 export interface HeadFollowerOptions {
   readonly store: ConfigStore;
   readonly clock: Clock;
@@ -37,6 +38,7 @@
   readonly onFailure: (err: OnyxError, retryMs: number) => void;
 }
 
+/** A running follower. */
 export interface HeadFollower {
   /** Ends a pause early: for when this process has become the home. */
   poke(): void;
--- a/src/config/peer_exchange.ts
+++ b/src/config/peer_exchange.ts
@@ -59,6 +59,7 @@
   readonly jsonByHash: ReadonlyMap<string, string>;
 }
 
+/** What this process has already; `known` is JSON by hash. */
 export interface PeerFetchOptions {
   readonly transport: Transport;
   readonly haveNumber: ConfigNumber;
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -83,6 +83,7 @@
   readonly callers: Address;
 }
 
+/** Addresses that others see, where they differ from `listen`. */
 export interface AdvertiseSettings {
   /**
    * Address at which peers reach this process.
@@ -145,6 +146,7 @@
   readonly drainMs: number;
 }
 
+/** Bounds on callers' requests and on this process. */
 export interface LimitSettings {
   /** Largest body of a caller's request, in bytes. @default 8388608 */
   readonly maxBodyBytes: number;
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -20,6 +20,7 @@
 /** A service that ran this long is taken as sound again. */
 const SOUND_AFTER_MS = 10_000;
 
+/** Starts, connects and ends the services of one process. */
 export interface Kernel {
   /** Starts a service; resolves when its first start has returned. */
   start<N extends ServiceName>(spec: ServiceSpec<N>): Promise<void>;
@@ -43,6 +44,7 @@
   ended: boolean;
 }
 
+/** Makes a kernel without services. A failed one is restarted after a pause. */
 export function createKernel(runtime: Runtime): Kernel {
   const tasks = new Map<string, Task>();
   const restarts = new Map<string, number>();
--- a/src/kernel/mailbox.ts
+++ b/src/kernel/mailbox.ts
@@ -6,6 +6,7 @@
 import {Stream} from 'most';
 import type {Disposable, Scheduler, Sink} from 'most';
 
+/** One service's queue: senders push, the service observes. */
 export interface Mailbox<T> {
   readonly stream: Stream<T>;
   push(message: T): void;
--- a/src/limits/admission.ts
+++ b/src/limits/admission.ts
@@ -20,8 +20,10 @@
 const REPORT_SPREAD_MS = 100;
 const MAX_RETRY_AFTER_MS = 10_000;
 
+/** Left: over the limit, with a time to come back. */
 export type AcquireReply = (outcome: Either<OnyxError, void>) => void;
 
+/** One organisation at this entry, and the way to its home. */
 export interface AdmissionOptions {
   readonly id: OrganisationId;
   readonly node: NodeId;
@@ -35,6 +37,7 @@
   ) => Promise<Either<string, GrantRes>>;
 }
 
+/** Admits one organisation's requests under what its home granted. */
 export interface Admission {
   acquire(tokens: number, reply: AcquireReply): void;
   release(): void;
@@ -49,6 +52,7 @@
   readonly reply: AcquireReply;
 }
 
+/** Starts without a grant: the first request asks for one. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const {id, ctx, fleet} = options;
   const {clock, metrics} = ctx;
--- a/src/limits/fleet_view.ts
+++ b/src/limits/fleet_view.ts
@@ -3,6 +3,7 @@
 import type {EntryPeer} from '../types/services.js';
 import {rendezvousFirst} from '../utils/rendezvous.js';
 
+/** This entry. */
 export interface Self {
   readonly node: NodeId;
   readonly address: Address;
@@ -14,6 +15,7 @@
   readonly isHere: boolean;
 }
 
+/** The entries at one time, and the homes that follow from them. */
 export interface FleetView {
   homeOf(organisation: OrganisationId): Home;
   /** Entries that are not known to be gone, this one included. */
--- a/src/limits/home.ts
+++ b/src/limits/home.ts
@@ -51,6 +51,7 @@
   readonly holdings: readonly Holding[];
 }
 
+/** An organisation's grants, kept at its home entry. */
 export interface HomeLedger {
   /** Answers an ask; times are on the home's clock. */
   grant(req: GrantReq, limits: HomeLimits, now: number): GrantRes;
@@ -58,6 +59,7 @@
   isIdle(now: number, isPresent: HomeLimits['isPresent']): boolean;
 }
 
+/** Start of a ledger. */
 export interface HomeLedgerOptions {
   readonly invariant: Invariant;
   readonly now: number;
@@ -107,6 +109,7 @@
   return Math.ceil((limit * wanted) / allWanted);
 }
 
+/** Opens a ledger that knows of no grant. */
 export function createHomeLedger(options: HomeLedgerOptions): HomeLedger {
   const {invariant} = options;
   const entries = new Map<NodeId, EntryRecord>();
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -39,6 +39,7 @@
 /** How often the need for renewals is looked at. */
 const TICK_MS = 50;
 
+/** This entry, and the way to the others. */
 export interface LimitsOptions {
   readonly node: NodeId;
   /** Where this entry listens for peers. */
--- a/src/limits/share.ts
+++ b/src/limits/share.ts
@@ -46,6 +46,7 @@
 /** What is lacking for a request; `none` when it was let in. */
 export type Lack = 'none' | 'places' | 'tokens';
 
+/** Places and tokens that this entry may give out, with what is in use. */
 export interface Share {
   /** Takes a place and the tokens of a request, if there are. */
   take(tokens: number, now: number): Lack;
@@ -65,6 +66,7 @@
   ttlMs(): number;
 }
 
+/** Starts empty; `firstTtlMs` stands until the first grant. */
 export function createShare(firstTtlMs: number): Share {
   let places = 0;
   let placesLapseAt = 0;
--- a/src/platform/http_client.ts
+++ b/src/platform/http_client.ts
@@ -20,6 +20,7 @@
 const DEFAULT_TIMEOUT_MS = 1_000;
 const DEFAULT_CONNECTIONS = 16;
 
+/** One request to a platform service. */
 export interface HttpCall {
   readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
   /** Path with query. */
@@ -30,6 +31,7 @@
   readonly timeoutMs?: number;
 }
 
+/** A whole answer, whatever its status. */
 export interface HttpAnswer {
   readonly status: number;
   readonly body: string;
@@ -43,6 +45,7 @@
   readonly message: string;
 }
 
+/** Address and bounds of a client. */
 export interface HttpClientOptions {
   /** Base, for example `http://127.0.0.1:7400`. */
   readonly url: string;
@@ -53,6 +56,7 @@
   readonly connections?: number;
 }
 
+/** Pooled connections to one platform service. */
 export interface HttpClient {
   call(call: HttpCall): Promise<Either<HttpFailure, HttpAnswer>>;
   close(): Promise<void>;
@@ -62,6 +66,7 @@
   return String((err as {code?: unknown} | undefined)?.code ?? '');
 }
 
+/** Makes a client; nothing is dialled before the first call. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
   const {url, clock, timeoutMs = DEFAULT_TIMEOUT_MS} = options;
   const agent = new Agent({
--- a/src/platform/http_host_list.ts
+++ b/src/platform/http_host_list.ts
@@ -21,12 +21,14 @@
   ),
 });
 
+/** Clock and time limit of the calls. */
 export interface HttpHostListOptions {
   readonly clock: Clock;
   /** Limit of each call. @default 1000 */
   readonly timeoutMs?: number;
 }
 
+/** The host list with its connections. */
 export interface HttpHostList {
   readonly list: HostList;
   close(): Promise<void>;
--- a/src/platform/http_json.ts
+++ b/src/platform/http_json.ts
@@ -6,6 +6,7 @@
 import type {Step} from '../types/errors.js';
 import type {HttpClient} from './http_client.js';
 
+/** What to get, and how to read it. */
 export interface JsonSource<T> {
   readonly client: HttpClient;
   /** Address, for errors. */
--- a/src/platform/http_object_store.ts
+++ b/src/platform/http_object_store.ts
@@ -19,6 +19,7 @@
 const OBJECTS = '/v1/objects';
 const DEFAULT_TIMEOUT_MS = 1_000;
 
+/** Counter of store calls by purpose, call and outcome. */
 export const STORE_CALLS_METRIC = 'onyxloft_store_calls_total';
 
 const objectSchema = z.object({
@@ -29,6 +30,7 @@
 const writtenSchema = z.object({version: z.number()});
 const keysSchema = z.object({keys: z.array(z.string())});
 
+/** Runtime and bounds of the calls. */
 export interface HttpObjectStoreOptions {
   readonly runtime: Pick<Runtime, 'clock' | 'metrics'>;
   /** Limit of each call; of a watch, beyond its wait. @default 1000 */
@@ -37,6 +39,7 @@
   readonly connections?: number;
 }
 
+/** The object API with its connections. */
 export interface HttpObjectStore extends ObjectStore {
   close(): Promise<void>;
 }
--- a/src/platform/http_weight_store.ts
+++ b/src/platform/http_weight_store.ts
@@ -14,12 +14,14 @@
   queuedTransfers: z.number(),
 });
 
+/** Clock and time limit of the calls. */
 export interface HttpWeightStoreOptions {
   readonly clock: Clock;
   /** Limit of each call. @default 1000 */
   readonly timeoutMs?: number;
 }
 
+/** The weight store with its connections. */
 export interface HttpWeightStore {
   readonly status: WeightStore;
   close(): Promise<void>;
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -34,6 +34,7 @@
 const IDLE_LOOK_MS = 60_000;
 const NONCE_BYTES = 8;
 
+/** The lease to hold, its times, and who wants it. */
 export interface LeaseOptions {
   /** Its calls must end within a time limit, as failures if need be. */
   readonly store: ObjectStore;
@@ -71,6 +72,7 @@
   readonly onChange?: (held: boolean) => void;
 }
 
+/** This process's part in a lease. */
 export interface Lease {
   /** Whether this process may act now; to be asked before each action. */
   valid(): boolean;
@@ -108,6 +110,7 @@
   readonly sentAt: number;
 }
 
+/** Makes a lease that nobody tries for until `run` or `start`. */
 export function createLease(options: LeaseOptions): Lease {
   const {store, key, ttlMs, marginMs, runtime} = options;
   const {clock, random, log} = runtime;
--- a/src/platform/lease_record.ts
+++ b/src/platform/lease_record.ts
@@ -7,6 +7,7 @@
 /** Holder of a lease that was given up. */
 export const FREE_HOLDER: NodeId = '';
 
+/** Content of the object. */
 export interface LeaseRecord {
   readonly holder: NodeId;
   /** Random per process start: tells two processes of one name apart. */
@@ -26,6 +27,7 @@
   ttlMs: z.number(),
 });
 
+/** JSON text; `parseLeaseRecord` reads it back. */
 export function formatLeaseRecord(record: LeaseRecord): string {
   return JSON.stringify(record);
 }
--- a/src/types/errors.ts
+++ b/src/types/errors.ts
@@ -61,6 +61,7 @@
   | 'order'
   | 'settings';
 
+/** What an `OnyxError` is made from. `ran` is `no` unless it is given. */
 export interface ErrorDetails {
   readonly code: ErrorCode;
   readonly step: Step;
--- a/src/types/ids.ts
+++ b/src/types/ids.ts
@@ -15,10 +15,13 @@
 export type RequestId = string;
 /** One attempt to run a request on one upstream: `<request>.<attempt>`. */
 export type DispatchId = string;
+/** Organisation (customer), as the operators declare it. */
 export type OrganisationId = string;
+/** Model without its version, as the operators declare it. */
 export type ModelId = string;
 /** Pool of like upstreams, for example `onyx-pool` or `station-app`. */
 export type PoolId = string;
+/** Failure domain (zone) of a host, from the host list. */
 export type FailureDomain = string;
 /** Version number of the configuration; grows by one with each patch. */
 export type ConfigNumber = number;
--- a/src/types/kernel.ts
+++ b/src/types/kernel.ts
@@ -11,6 +11,7 @@
  */
 export interface ServiceMessages {}
 
+/** Name of a service that has declared its messages. */
 export type ServiceName = keyof ServiceMessages & string;
 
 /** What a service gets when it is started. */
--- a/src/types/peer_messages.ts
+++ b/src/types/peer_messages.ts
@@ -62,8 +62,10 @@
   readonly holdTokens: number;
 }
 
+/** A side's answer to an offer. */
 export type OfferRes = OfferAccepted | OfferRefused;
 
+/** The side keeps a place in its queue until the offer lapses. */
 export interface OfferAccepted {
   readonly kind: 'accepted';
   readonly incarnation: Incarnation;
@@ -84,6 +86,7 @@
   | 'tombstoned'
   | 'engine-down';
 
+/** The run was not started. `retryAfterMs` 0: coming back does not help. */
 export interface OfferRefused {
   readonly kind: 'refused';
   readonly reason: RefusalReason;
@@ -104,6 +107,7 @@
   readonly call?: CallHead;
 }
 
+/** Request line and headers of a call to a plain service. */
 export interface CallHead {
   readonly method: string;
   /** Path with query, as the caller gave it. */
@@ -111,11 +115,13 @@
   readonly headers: readonly Header[];
 }
 
+/** One header line; a repeated name has a line for each value. */
 export interface Header {
   readonly name: string;
   readonly value: string;
 }
 
+/** A piece of the prompt, or of the body of a call. */
 export interface Prompt {
   readonly kind: 'prompt';
   /** Counts from 0. */
@@ -123,6 +129,7 @@
   readonly data: Uint8Array;
 }
 
+/** The prompt is whole; `count` shows a lost frame. */
 export interface PromptEnd {
   readonly kind: 'prompt-end';
   /** Number of prompt frames sent. */
@@ -157,6 +164,7 @@
   readonly kind: 'beat';
 }
 
+/** Ends the run and frees its memory. */
 export interface CancelRun {
   readonly kind: 'cancel';
 }
@@ -169,6 +177,7 @@
   readonly kind: 'started';
 }
 
+/** A piece of the answer. */
 export interface Chunk {
   readonly kind: 'chunk';
   readonly dispatchId: DispatchId;
@@ -181,11 +190,13 @@
   readonly callHead?: CallResHead;
 }
 
+/** Status line and headers of the answer to a call. */
 export interface CallResHead {
   readonly status: number;
   readonly headers: readonly Header[];
 }
 
+/** Last frame of a whole answer; `count` and `digest` prove it whole. */
 export interface RunEnd {
   readonly kind: 'end';
   readonly dispatchId: DispatchId;
@@ -198,6 +209,7 @@
   readonly cachedTokens: number;
 }
 
+/** Last frame of a run that gives no whole answer. */
 export interface RunFailed {
   readonly kind: 'failed';
   readonly dispatchId: DispatchId;
@@ -207,6 +219,7 @@
   readonly retryAfterMs: number;
 }
 
+/** Gives a dispatch up; leaves a tombstone at the side. */
 export interface AbandonReq {
   readonly dispatchId: DispatchId;
   readonly entry: NodeId;
@@ -222,11 +235,13 @@
   readonly incarnation: Incarnation;
 }
 
+/** Asks a side for the run of a request, for resuming it. */
 export interface LocateReq {
   readonly requestId: RequestId;
   readonly organisation: OrganisationId;
 }
 
+/** State `none`, with an empty dispatch id, when there is no such run. */
 export interface LocateRes {
   readonly state: 'none' | 'queued' | 'running' | 'ended' | 'failed';
   readonly dispatchId: DispatchId;
@@ -246,6 +261,7 @@
   readonly owned: readonly DispatchId[];
 }
 
+/** The side's state, as routing and placement see it. */
 export interface SideHeartbeatRes {
   readonly node: NodeId;
   readonly incarnation: Incarnation;
@@ -259,6 +275,7 @@
   readonly models: readonly ModelState[];
 }
 
+/** One version of a model on an engine. */
 export interface ModelState {
   readonly model: ModelId;
   readonly version: string;
@@ -268,6 +285,7 @@
   readonly role: EngineRole;
 }
 
+/** Kind of prompts that an engine is set aside for. */
 export type EngineRole = 'mixed' | 'short' | 'long';
 
 /** Load of one side, with the rates it has learned. */
@@ -310,6 +328,7 @@
   readonly wantHashes: readonly string[];
 }
 
+/** A manifest first; its documents on the second call. */
 export interface FetchConfigRes {
   readonly number: ConfigNumber;
   /** The manifest as JSON; empty when the peer has none newer. */
@@ -317,6 +336,7 @@
   readonly documents: readonly ConfigDocument[];
 }
 
+/** One document of the configuration under its content hash. */
 export interface ConfigDocument {
   readonly hash: string;
   readonly json: string;
@@ -332,6 +352,7 @@
   readonly usedPlaces: number;
 }
 
+/** What the home grants; it may be less than was wanted. */
 export interface GrantRes {
   readonly places: number;
   readonly tokens: number;
@@ -352,6 +373,7 @@
   readonly role: EngineRole;
 }
 
+/** Outcome of an order; `reason` tells why it was refused. */
 export interface OrderRes {
   readonly state: 'done' | 'started' | 'refused';
   readonly reason: string;
@@ -380,4 +402,5 @@
   readonly order: {readonly req: OrderReq; readonly res: OrderRes};
 }
 
+/** Name of a unary call. */
 export type PeerMethod = keyof PeerCalls;
--- a/src/types/platform.ts
+++ b/src/types/platform.ts
@@ -26,6 +26,7 @@
   readonly message: string;
 }
 
+/** Outcome of a store call. */
 export type StoreResult<T> = Promise<Either<StoreError, T>>;
 
 /** Purpose of a store call, for counting calls a second by purpose. */
@@ -85,4 +86,5 @@
   readonly queuedTransfers: number;
 }
 
+/** Reads the weight store's load. Left: it gave no answer in time. */
 export type WeightStore = () => Promise<Either<OnyxError, WeightStoreStatus>>;
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -91,6 +91,7 @@
     }
   | {readonly kind: 'failed'; readonly error: OnyxError};
 
+/** Called for each event of one request, in order. */
 export type RequestListener = (event: RequestEvent) => void;
 
 /** State of a request as any entry can tell it. */
@@ -158,6 +159,7 @@
   readonly candidates: readonly RoutingCandidate[];
 }
 
+/** A replica with the figures that the decision went by. */
 export interface RoutingCandidate {
   readonly address: Address;
   readonly failureDomain: FailureDomain;
@@ -304,6 +306,7 @@
   readonly operator: string;
 }
 
+/** A patch that is in force; with `dryRun`, that would be accepted. */
 export interface ConfigAccepted {
   readonly number: ConfigNumber;
   /** Paths that the patch changes, as JSON pointers. */
@@ -311,6 +314,7 @@
   readonly dryRun: boolean;
 }
 
+/** One fault that a patch would bring into the declarations. */
 export interface ConfigFault {
   /** JSON pointer into the declarations. */
   readonly path: string;
@@ -327,6 +331,7 @@
   readonly faults: readonly ConfigFault[];
 }
 
+/** One accepted patch. */
 export interface ConfigHistoryLine {
   readonly number: ConfigNumber;
   readonly patchId: string;
@@ -373,6 +378,7 @@
   /** A peer has seen this fencing number. */
   | {readonly kind: 'fence-seen'; readonly fence: FencingNumber};
 
+/** Placement as this entry sees it. `placer`: it holds the lease. */
 export interface PlacementStatus {
   readonly placer: boolean;
   readonly holder: NodeId;
--- a/src/types/transport.ts
+++ b/src/types/transport.ts
@@ -21,7 +21,9 @@
   close(): void;
 }
 
+/** An entry's end of a run's channel. */
 export type RunChannel = Channel<RunUp, RunDown>;
+/** A side's end of a run's channel. */
 export type RunServerChannel = Channel<RunDown, RunUp>;
 
 /** Answers calls of peers; a method left out is answered as an error. */
@@ -31,12 +33,14 @@
   ) => Promise<PeerCalls[M]['res']>;
 } & {readonly run?: (channel: RunServerChannel) => void};
 
+/** An open listening socket. */
 export interface Listener {
   readonly address: Address;
   /** Stops taking connections; open ones may end. */
   close(): Promise<void>;
 }
 
+/** Calls and channels to other processes, and listening for theirs. */
 export interface Transport {
   /**
    * One call. Left: `peer-unreachable`, `timeout` (the peer may have done it)
--- a/src/types/upstream.ts
+++ b/src/types/upstream.ts
@@ -73,6 +73,7 @@
   readonly hash: string;
 }
 
+/** Order to an engine; see `OrderReq`. The engine may check `fence` or not. */
 export interface EngineOrder {
   readonly orderId: string;
   readonly fence: FencingNumber;
@@ -83,6 +84,7 @@
   readonly role: string;
 }
 
+/** A model engine, as its side drives it. */
 export interface EngineClient {
   /**
    * Starts a run and streams its events; `prompt` is pulled as it is sent.
@@ -116,12 +118,14 @@
   | {readonly kind: 'data'; readonly data: Uint8Array}
   | {readonly kind: 'done'};
 
+/** A plain service's own load report; lags. Counts are of calls. */
 export interface ServiceReport {
   readonly running: number;
   readonly capacity: number;
   readonly ageMs: number;
 }
 
+/** A plain service, as its side drives it. */
 export interface ServiceClient {
   /**
    * Makes the call once. The stream errors with an `OnyxError` whose `ran` is
--- a/src/upstream/engine_protocol.ts
+++ b/src/upstream/engine_protocol.ts
@@ -17,6 +17,7 @@
 
 const count = z.number().int().min(0);
 
+/** Of `RUN_HEADER`. */
 export const runReqSchema: z.ZodType<EngineRunReq> = z.object({
   runId: z.string().min(1),
   model: z.string(),
@@ -30,6 +31,7 @@
   prefixHashes: z.array(z.string()),
 });
 
+/** Answer to a list of runs. */
 export const runListSchema: z.ZodType<{
   readonly runs: readonly EngineRunInfo[];
 }> = z.object({
@@ -43,6 +45,7 @@
   ),
 });
 
+/** Answer to a load report. */
 export const reportSchema: z.ZodType<EngineReport> = z.object({
   capacityTokens: count,
   usedTokens: count,
@@ -61,6 +64,7 @@
   ),
 });
 
+/** Answer to a read of cache events. */
 export const cacheEventsSchema: z.ZodType<{
   readonly events: readonly CacheEvent[];
 }> = z.object({
@@ -73,6 +77,7 @@
   ),
 });
 
+/** Body of an order. */
 export const orderSchema: z.ZodType<EngineOrder> = z.object({
   orderId: z.string(),
   fence: z.number(),
--- a/src/upstream/http_connection.ts
+++ b/src/upstream/http_connection.ts
@@ -10,12 +10,14 @@
 import {OnyxError} from '../types/errors.js';
 import type {ErrorCode, Ran, Step} from '../types/errors.js';
 
+/** Where to dial, and for how long. */
 export interface HttpConnectionOptions {
   /** `http://ip:port` of the upstream. */
   readonly url: string;
   readonly connectTimeoutMs: number;
 }
 
+/** A connection for one exchange. */
 export interface HttpConnection {
   /** Sends the request; resolves with the head of the answer. */
   request(
--- a/src/upstream/http_engine.ts
+++ b/src/upstream/http_engine.ts
@@ -29,6 +29,7 @@
 
 const MAX_LINE_BYTES = 1_000_000;
 
+/** Address and time limits of an engine. */
 export interface HttpEngineOptions {
   /** `http://ip:port` of the engine. */
   readonly url: string;
--- a/src/upstream/http_service.ts
+++ b/src/upstream/http_service.ts
@@ -31,6 +31,7 @@
   ageMs: z.number(),
 });
 
+/** Address and time limits of a plain service. */
 export interface HttpServiceOptions {
   /** `http://ip:port` of the service. */
   readonly url: string;
--- a/src/upstream/line_splitter.ts
+++ b/src/upstream/line_splitter.ts
@@ -2,6 +2,7 @@
 
 const NEWLINE = 0x0a;
 
+/** Keeps the part of a line that has not ended yet. */
 export interface LineSplitter {
   /** Calls `onLine` for each line that is whole now, without its newline. */
   push(chunk: Uint8Array, onLine: (line: string) => void): void;
--- a/src/upstream/silence_watch.ts
+++ b/src/upstream/silence_watch.ts
@@ -6,6 +6,7 @@
  */
 import type {Cancel, Clock} from '../types/runtime.js';
 
+/** A running watch. */
 export interface SilenceWatch {
   /** Something was heard. */
   touch(): void;
--- a/src/utils/digest.ts
+++ b/src/utils/digest.ts
@@ -7,6 +7,7 @@
 
 const hasher = await xxhash();
 
+/** A hash that grows with each piece; pieces must come in order. */
 export interface Digest {
   update(data: Uint8Array): void;
   /** Hex of all bytes so far. */
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -16,6 +16,7 @@
   return {number, level, name};
 }
 
+/** The process and its services. */
 export const KERNEL_EVENTS = {
   serviceStarted: event(100, 'info', 'service-started'),
   serviceFailed: event(101, 'error', 'service-failed'),
@@ -42,6 +43,7 @@
   operatorRefused: event(210, 'warn', 'operator-refused'),
 } as const;
 
+/** Requests at an entry, between admission and the final event. */
 export const REQUEST_EVENTS = {
   ended: event(230, 'info', 'request-ended'),
   failed: event(231, 'warn', 'request-given-up'),
@@ -54,6 +56,7 @@
   abandoned: event(238, 'info', 'dispatch-abandoned'),
 } as const;
 
+/** Choice of a side, one decision an event. */
 export const ROUTING_EVENTS = {
   decided: event(300, 'info', 'routing-decided'),
   refused: event(301, 'info', 'route-refused'),
@@ -61,6 +64,7 @@
   groupDecided: event(303, 'info', 'group-decided'),
 } as const;
 
+/** Runs at a side, and its upstream. */
 export const SIDE_EVENTS = {
   offerAccepted: event(400, 'info', 'offer-accepted'),
   offerRefused: event(401, 'info', 'offer-refused'),
@@ -88,6 +92,7 @@
   sideFrozen: event(423, 'warn', 'side-was-frozen'),
 } as const;
 
+/** States of hosts and peers. */
 export const MEMBERSHIP_EVENTS = {
   replicaState: event(500, 'info', 'replica-state'),
   entryState: event(501, 'info', 'entry-state'),
@@ -97,6 +102,7 @@
   manySuspect: event(505, 'warn', 'many-suspect'),
 } as const;
 
+/** Numbers, patches and their spread. */
 export const CONFIG_EVENTS = {
   adopted: event(600, 'info', 'config-adopted'),
   olderOffered: event(601, 'warn', 'config-older-offered'),
@@ -109,6 +115,7 @@
   homeChanged: event(608, 'debug', 'config-home-changed'),
 } as const;
 
+/** The placer, its lease and its orders. */
 export const PLACEMENT_EVENTS = {
   decided: event(700, 'info', 'placement-decided'),
   orderAnswered: event(701, 'info', 'placement-order-answered'),
@@ -120,6 +127,7 @@
   wishMet: event(707, 'info', 'placement-wish-met'),
 } as const;
 
+/** Grants of organisations' limits. */
 export const LIMIT_EVENTS = {
   reached: event(800, 'info', 'limit-reached'),
   homeChanged: event(801, 'info', 'limit-home-changed'),
@@ -127,6 +135,7 @@
   homeBack: event(803, 'info', 'limit-home-back'),
 } as const;
 
+/** The platform's services. */
 export const PLATFORM_EVENTS = {
   leaseTaken: event(900, 'info', 'lease-taken'),
   leaseLost: event(901, 'warn', 'lease-lost'),
@@ -134,6 +143,7 @@
   claimUnknown: event(910, 'warn', 'claim-unknown'),
 } as const;
 
+/** A fault of the program itself. */
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
 } as const;
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -8,6 +8,7 @@
 /** Names that each line has of its own. */
 const RESERVED = new Set(['time', 'level', 'event', 'name', 'node']);
 
+/** What each line of a process carries, and where it goes. */
 export interface LoggerOptions {
   /** Name of this process, on each line. */
   readonly node: string;
@@ -17,6 +18,7 @@
   readonly stream?: NodeJS.WritableStream;
 }
 
+/** The log, and its end at shutdown. */
 export interface Logger {
   readonly log: Log;
   /** Resolves when all lines before it are handed to the stream. */
--- a/src/utils/metrics.ts
+++ b/src/utils/metrics.ts
@@ -38,6 +38,7 @@
   readonly series: Map<string, Series>;
 }
 
+/** Bounds of the metrics. */
 export interface MetricsOptions {
   /** Label sets kept for each metric. @default 200 */
   readonly maxLabelSets?: number;
--- a/src/utils/rendezvous.ts
+++ b/src/utils/rendezvous.ts
@@ -5,6 +5,7 @@
  */
 import {hashText} from './digest.js';
 
+/** A node that keys may fall to. */
 export interface RendezvousNode {
   readonly id: string;
   /** Share of keys relative to other nodes, over 0. @default 1 */
--- a/src/wire/byte_counter.ts
+++ b/src/wire/byte_counter.ts
@@ -24,6 +24,7 @@
   return REQUEST_METHODS.has(method) ? 'request' : 'control';
 }
 
+/** Counts the bytes of sockets by direction and kind of traffic. */
 export interface ByteCounter {
   /**
    * Counts a socket until it closes. `kind` is asked at each sample; while it
@@ -40,6 +41,7 @@
   written: number;
 }
 
+/** Starts to sample; `close` takes the last sample. */
 export function createByteCounter(clock: Clock, metrics: Metrics): ByteCounter {
   const watched = new Set<Watched>();
 
--- a/src/wire/call_stream.ts
+++ b/src/wire/call_stream.ts
@@ -21,6 +21,7 @@
 
 type Settle<Res> = (failure: StreamFailure | undefined, res?: Res) => void;
 
+/** Calls of one method over one kept stream, answered in order. */
 export interface CallStream<Req, Res> {
   call(req: Req, timeoutMs: number, settle: Settle<Res>): void;
   close(): void;
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -15,12 +15,14 @@
 import {wireMethod} from './proto_file.js';
 import type {WireMessage, WireMethod} from './proto_file.js';
 
+/** Message to bytes and back. */
 export interface Codec<T> {
   readonly encode: (value: T) => Buffer;
   /** Throws on bytes that are no such message. */
   readonly decode: (bytes: Buffer) => T;
 }
 
+/** How one method goes over the wire. */
 export interface MethodCodec<Req, Res> {
   /** Path of the method in grpc. */
   readonly path: string;
@@ -28,6 +30,7 @@
   readonly res: Codec<Res>;
 }
 
+/** Codecs of all unary calls. */
 export type CallCodecs = {
   readonly [M in PeerMethod]: MethodCodec<
     PeerCalls[M]['req'],
--- a/src/wire/credentials.ts
+++ b/src/wire/credentials.ts
@@ -86,6 +86,7 @@
   return new WatchedCredentials(baseCredentials(peer, tls), onSocket);
 }
 
+/** Credentials to listen with; under TLS the caller must show a certificate. */
 export function serverCredentials(
   tls: TlsOptions | undefined,
 ): ServerCredentials {
--- a/src/wire/frame_stream.ts
+++ b/src/wire/frame_stream.ts
@@ -5,6 +5,7 @@
 import {Stream} from 'most';
 import type {Disposable, Scheduler, Sink} from 'most';
 
+/** A stream with the end that feeds it. */
 export interface FrameStream<T> {
   readonly stream: Stream<T>;
   /** Hands a frame to the observer; dropped after the end. */
--- a/src/wire/grpc_transport.ts
+++ b/src/wire/grpc_transport.ts
@@ -19,6 +19,7 @@
 /** Unused time after which the connections to a peer are dropped. */
 const UNUSED_AFTER_MS = 600_000;
 
+/** Time, metrics and certificates of the transport. */
 export interface GrpcTransportOptions {
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -26,6 +27,7 @@
   readonly tls?: TlsOptions;
 }
 
+/** Makes a transport; nothing is dialled before the first call. */
 export function createGrpcTransport(options: GrpcTransportOptions): Transport {
   const {clock, metrics, tls} = options;
   const bytes = createByteCounter(clock, metrics);
--- a/src/wire/heartbeat_streams.ts
+++ b/src/wire/heartbeat_streams.ts
@@ -15,6 +15,7 @@
 import {wireMethod} from './proto_file.js';
 import type {WireMessage} from './proto_file.js';
 
+/** Methods whose calls share a stream. */
 export type StreamedMethod = 'sideHeartbeat' | 'entryHeartbeat';
 
 /** A streamed method's path and the fields of its messages. */
@@ -55,6 +56,7 @@
   'fence',
 ];
 
+/** Field order is part of the wire form: deltas name fields by position. */
 export const STREAMED_CALLS: {
   readonly [M in StreamedMethod]: StreamedCall<M>;
 } = {
--- a/src/wire/peer_client.ts
+++ b/src/wire/peer_client.ts
@@ -67,6 +67,7 @@
   'grpc.default_authority': TLS_SERVER_NAME,
 };
 
+/** One peer, and how to dial it. `onSocket` gets each new connection. */
 export interface PeerClientOptions {
   readonly peer: Address;
   readonly clock: Clock;
@@ -74,6 +75,7 @@
   readonly onSocket: (socket: Socket) => void;
 }
 
+/** Connections to one peer. */
 export interface PeerClient {
   call<Req, Res>(
     method: PeerMethod,
@@ -123,6 +125,7 @@
   return outcomeUnknown(method, peer, timedOut ? NO_ANSWER : err.details);
 }
 
+/** Dials with the first call, and anew after timeouts in a row. */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const {peer, clock, tls, onSocket} = options;
   const target = `${peer.startsWith('[') ? 'ipv6' : 'ipv4'}:${peer}`;
--- a/src/wire/peer_server.ts
+++ b/src/wire/peer_server.ts
@@ -36,6 +36,7 @@
 /** Time for open calls to end after `close`, before they are cut. */
 const CLOSE_GRACE_MS = 1_000;
 
+/** Where to listen, and who answers. */
 export interface PeerServerOptions {
   readonly address: Address;
   readonly handlers: PeerHandlers;
--- a/src/wire/proto_file.ts
+++ b/src/wire/proto_file.ts
@@ -36,6 +36,7 @@
 /** A message as `proto-loader` takes and gives it. */
 export type WireMessage = Readonly<Record<string, unknown>>;
 
+/** A grpc method with messages as plain objects. */
 export type WireMethod = MethodDefinition<WireMessage, WireMessage>;
 
 /** Definition of a method by its name in `peers.proto`. */
