refactor(words): orphaned runs, answers, and no option that nobody reads

A run that the engine holds and its side does not know is the field's orphaned run; the event 412, its key and the proofs now say so (the number stays). A side's 'word' is its answer or its last frame. The link to a caller took an organisation that it never read.

--- a/src/entry/abandon.ts
+++ b/src/entry/abandon.ts
@@ -58,7 +58,7 @@
       incarnation: target.incarnation,
     }),
     Right: answer => ({
-      // Another incarnation has no record of this dispatch: its word on it
+      // Another incarnation has no record of this dispatch: its answer about it
       // is no evidence, whatever it says.
       ran:
         answer.incarnation === target.incarnation
--- a/src/entry/answer_link.ts
+++ b/src/entry/answer_link.ts
@@ -4,7 +4,7 @@
  */
 import type {ServerResponse} from 'node:http';
 import {OnyxError} from '../types/errors.js';
-import type {OrganisationId, RequestId} from '../types/ids.js';
+import type {RequestId} from '../types/ids.js';
 import type {Cancel, Runtime} from '../types/runtime.js';
 import type {RequestEvent, RequestListener} from '../types/services.js';
 import {FRONT_EVENTS} from '../utils/events.js';
@@ -17,7 +17,6 @@
 
 export interface LinkOptions {
   readonly id: RequestId;
-  readonly organisation: OrganisationId;
   readonly res: ServerResponse;
   readonly answer: Answer;
   /** First chunk wanted. */
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -40,9 +40,9 @@
 
 export type AttemptOutcome =
   | {readonly kind: 'end'; readonly end: RunEnd}
-  /** The side's own word. */
+  /** As the side itself says. */
   | {readonly kind: 'failed'; readonly failed: RunFailed}
-  /** No word from the side; `ran` is what the evidence allows to say. */
+  /** The side did not answer; `ran` is what the evidence allows to say. */
   | {readonly kind: 'lost'; readonly ran: Ran; readonly reason: string}
   /** All chunks came, but they are not the bytes that the side sent. */
   | {readonly kind: 'changed'}
@@ -209,7 +209,7 @@
     relinkTimer();
     if (linkWasSound()) renewals = 0;
     renewals++;
-    // A prompt cut short cannot be taken up; the side's word decides.
+    // A prompt cut short cannot be taken up; the side's answer decides.
     if (!promptSent || renewals > timing.attachTries) {
       void giveUp(reason);
       return;
@@ -248,15 +248,15 @@
   };
 
   const giveUp = async (reason: string) => {
-    const word = await abandonDispatch(deps, spec);
+    const res = await abandonDispatch(deps, spec);
     if (settled) return;
-    if (!word.answered) spec.onEvidence('unreachable', spec.incarnation);
-    else if (word.incarnation !== spec.incarnation) {
-      spec.onEvidence('incarnation', word.incarnation);
+    if (!res.answered) spec.onEvidence('unreachable', spec.incarnation);
+    else if (res.incarnation !== spec.incarnation) {
+      spec.onEvidence('incarnation', res.incarnation);
     }
     finish({
       kind: 'lost',
-      ran: started ? 'yes' : word.ran,
+      ran: started ? 'yes' : res.ran,
       reason,
     });
   };
--- a/src/entry/verdict.ts
+++ b/src/entry/verdict.ts
@@ -109,7 +109,7 @@
   // A second run need not give the same words: its chunks after those of the
   // first would make an answer that no run gave.
   if (input.delivered > 0) return {kind: 'fail', details, ran};
-  // Without the side's word the first run may still go on: a second one would
+  // Without the side's answer the first run may still go on: a second one would
   // do twice what must be done once.
   if (!input.repeatable && ran !== 'no') return {kind: 'fail', details, ran};
   return {kind: 'retry', details, ran};
--- a/src/side/audit.ts
+++ b/src/side/audit.ts
@@ -36,21 +36,21 @@
     info.state === 'done' && info.memoryTokens === 0;
 
   /** Also what was cancelled here, if the engine never got to know. */
-  const freeStrays = (list: readonly EngineRunInfo[]): number => {
-    const strays = list.filter(info => !isOurs(info.runId) && !isSpent(info));
-    for (const stray of strays) {
-      ctx.log(SIDE_EVENTS.strayRunFreed, {
-        dispatchId: stray.runId,
-        state: stray.state,
-        memoryTokens: stray.memoryTokens,
+  const freeOrphans = (list: readonly EngineRunInfo[]): number => {
+    const orphans = list.filter(info => !isOurs(info.runId) && !isSpent(info));
+    for (const orphan of orphans) {
+      ctx.log(SIDE_EVENTS.orphanedRunFreed, {
+        dispatchId: orphan.runId,
+        state: orphan.state,
+        memoryTokens: orphan.memoryTokens,
       });
-      lifecycle.free(stray.runId);
+      lifecycle.free(orphan.runId);
     }
-    return strays.length;
+    return orphans.length;
   };
 
-  const noteReconciled = (strays: number) => {
-    if (upstream.reconciled || strays > 0) return;
+  const noteReconciled = (orphans: number) => {
+    if (upstream.reconciled || orphans > 0) return;
     upstream.reconciled = true;
     core.queueChanged = true;
     ctx.log(SIDE_EVENTS.reconciled, {incarnation: core.incarnation});
@@ -86,7 +86,7 @@
     const holding = list.filter(info => !isSpent(info));
     releaseUnlisted(new Set(holding.map(info => info.runId)));
     failMissing(new Set(list.map(info => info.runId)), sentAt);
-    noteReconciled(freeStrays(list));
+    noteReconciled(freeOrphans(list));
   };
 
   return {
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -78,7 +78,7 @@
   channelSilent: event(409, 'warn', 'channel-silent'),
   ownerLost: event(410, 'warn', 'owner-lost'),
   streamBroken: event(411, 'warn', 'upstream-stream-broken'),
-  strayRunFreed: event(412, 'warn', 'stray-run-freed'),
+  orphanedRunFreed: event(412, 'warn', 'orphaned-run-freed'),
   runMissing: event(413, 'warn', 'run-missing-at-engine'),
   auditFailed: event(414, 'warn', 'audit-failed'),
   reconciled: event(415, 'info', 'engine-reconciled'),
--- a/test/processes/offers.test.ts
+++ b/test/processes/offers.test.ts
@@ -68,7 +68,7 @@
   return req;
 }
 
-/** Sends go and the end of an empty body; gives the side's last word. */
+/** Sends go and the end of an empty body; gives the side's last frame. */
 async function go(req: OfferReq): Promise<RunDown | undefined> {
   const {dispatchId, incarnation} = req;
   const channel = transport.openRun(address(), true);
@@ -109,13 +109,13 @@
   it('does not run when its go comes after it was abandoned', async () => {
     const req = await offer('given-up.1');
     const {dispatchId, incarnation} = req;
-    const word = await transport.call(
+    const res = await transport.call(
       address(),
       'abandon',
       {dispatchId, incarnation, entry: 'test'},
       TIMEOUT_MS,
     );
-    expect(word.unsafeCoerce().state).toBe('never-started');
+    expect(res.unsafeCoerce().state).toBe('never-started');
     expect(await go(req)).toMatchObject({kind: 'failed', ran: 'no'});
     expect(await fleet.runs('given-up')).toBe(0);
   });
