--- a/bench/soak_actions.ts
+++ b/bench/soak_actions.ts
@@ -66,7 +66,7 @@
 
 export type LoadAction =
   | {readonly kind: 'ask'; readonly entry: number; readonly ask: Ask}
-  /** An earlier asking with a key, once more, at whichever entry. */
+  /** An earlier submission with a key, once more, at whichever entry. */
   | {
       readonly kind: 'repeat-key';
       readonly entry: number;
--- a/bench/soak_draw.ts
+++ b/bench/soak_draw.ts
@@ -10,7 +10,7 @@
 const STORM_ENDS = 0.02;
 /** More than any fleet has; indices are taken modulo. */
 const MANY = 1 << 20;
-/** How far back a step reaches among earlier askings. */
+/** How far back a step reaches among earlier submissions. */
 const BACK = 64;
 
 export interface DrawOptions {
--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -61,7 +61,7 @@
     leavings: [],
     keys: new Map(),
   };
-  /** Askings whose final event has not been judged yet. */
+  /** Submissions whose final event has not been judged yet. */
   const open = new Set<Tracked>();
   const early: Breach[] = [];
   const orphans = createOrphanJudge(fleet);
@@ -71,7 +71,7 @@
   const entryOf = (one: Tracked) =>
     fleet.entries.find(entry => entry.name === one.entry);
 
-  /** An open asking whose run its engine still has. */
+  /** An open submission whose run its engine still has. */
   const runningAt = (process: FleetProcess): Tracked | undefined => {
     const engine = fleet.engines.find(({name}) => name === process.name);
     const runs = engine?.model.list().filter(run => run.state !== 'done') ?? [];
@@ -147,7 +147,7 @@
       });
       const left = cut ?? runningAt(process);
       if (left === undefined) return;
-      const message = `${process.name} ended its drain with an asking open`;
+      const message = `${process.name} ended its drain with a submission open`;
       early.push(breachOf('i drain cuts nothing', message, left.id));
     },
     noteAsked: tracked => {
@@ -194,7 +194,7 @@
   return {invariant, message, request};
 }
 
-/** Judges one asking as it stands. */
+/** Judges one submission as it stands. */
 function judgeAsking(
   one: Tracked,
   entry: FleetProcess | undefined,
--- a/bench/soak_judge_leaving.ts
+++ b/bench/soak_judge_leaving.ts
@@ -45,7 +45,7 @@
 ): Breach | undefined {
   const {process} = leaving;
   const until = leaving.until ?? Number.POSITIVE_INFINITY;
-  // Newest first: askings from before it left cannot be concerned for long.
+  // Newest first: submissions from before it left cannot be concerned for long.
   for (let at = fleet.tracked.length - 1; at >= 0; at--) {
     const one = fleet.tracked[at];
     if (one === undefined || one.resumed) continue;
@@ -54,7 +54,7 @@
     const awake = (entry?.awakeSince() ?? 0) + HOST_LIST_MS;
     for (const placed of one.placements) {
       if (placed.side !== process.address) continue;
-      // Who repeats a key is told the place of the earlier asking.
+      // Who repeats a key is told the place of the earlier submission.
       if (!placed.dispatchId.startsWith(one.id)) continue;
       const isLate = placed.at > Math.max(from, awake) && placed.at < until;
       if (!isLate) continue;
--- a/bench/soak_judge_orphans.ts
+++ b/bench/soak_judge_orphans.ts
@@ -16,7 +16,7 @@
 
 export interface OrphanJudge {
   noteFault(action: FaultAction): void;
-  /** The entries of these askings have crashed. */
+  /** The entries of these submissions have crashed. */
   noteOrphans(ids: readonly RequestId[]): void;
   /** An entry took it up. */
   noteResumed(id: RequestId): void;
--- a/src/limits/share.ts
+++ b/src/limits/share.ts
@@ -149,7 +149,7 @@
     enter: (grant, askedAt) => {
       ttl = grant.ttlMs;
       places = grant.places;
-      // Counted from the asking, so that it lapses here before it does there.
+      // Counted from the ask, so that it lapses here before it does there.
       placesLapseAt = askedAt + grant.ttlMs;
       if (grant.tokens > 0) {
         const batch = {tokens: grant.tokens, lapsesAt: placesLapseAt};
--- a/standins/fleet_callers.ts
+++ b/standins/fleet_callers.ts
@@ -48,7 +48,7 @@
   readonly dispatchId: DispatchId;
 }
 
-/** One asking, with all that its caller was told. */
+/** One submission, with all that its caller was told. */
 export interface Tracked {
   readonly id: RequestId;
   readonly ask: Ask;
@@ -58,7 +58,7 @@
   readonly deadlineAt: number;
   /** First chunk asked for; over 0 for a resume. */
   readonly fromSeq: number;
-  /** Takes up an earlier asking. */
+  /** Takes up an earlier submission. */
   readonly resumed: boolean;
   /** Answer that the caller should get. */
   readonly expected: string;
@@ -121,7 +121,7 @@
   return JSON.stringify({method, path, length: body.bytes, digest});
 }
 
-/** The spec that the entry's front would make of an asking. */
+/** The spec that the entry's front would make of a submission. */
 export function specOf(
   id: RequestId,
   ask: Ask,
--- a/standins/memory_fleet.ts
+++ b/standins/memory_fleet.ts
@@ -81,12 +81,12 @@
   readonly events: readonly FleetEvent[];
   /** Broken invariants, oldest first. */
   readonly violations: readonly string[];
-  /** All askings, resumes as well, oldest first. */
+  /** All submissions, resumes as well, oldest first. */
   readonly tracked: readonly Tracked[];
   /** Until the first patch is in force everywhere and all replicas live. */
   start(): Promise<void>;
   submit(entry: number, ask: Ask): Tracked;
-  /** Takes up an asking at an entry, from chunk `fromSeq` on. */
+  /** Takes up a submission at an entry, from chunk `fromSeq` on. */
   resume(entry: number, tracked: Tracked, fromSeq: number): Tracked;
   /** The caller goes away. */
   cancel(entry: number, tracked: Tracked): void;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -5,7 +5,7 @@
 
 describe('a randomised run', () => {
   // Callers ask, repeat, cancel and resume while processes, engines, network
-  // and platform fail. Whatever falls together, each asking gets one true
+  // and platform fail. Whatever falls together, each submission gets one true
   // answer in time, and after a quiet time nothing is left anywhere.
   test.each([3, 12, 27])('holds all invariants from seed %i', async seed => {
     const {failure, ended} = await runSeed(seed, STEPS);
