refactor(fold): one place for hop-by-hop headers, idle loads, lost leases

The entry and the service client dropped hop-by-hop headers by two copies of one list; both now use utils/hop_headers, and the client adds its own two. The tests' idle load and the placer whose lease was removed stood twice.

--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -18,7 +18,8 @@
 import {request} from 'undici';
 import {toKeyed} from '../src/config/keyed_form.js';
 import {hashGeneratedKey} from '../src/utils/keys.js';
-import {demoDeclarations, planFleet} from './fleet_plan.js';
+import {demoDeclarations} from './fleet_declarations.js';
+import {planFleet} from './fleet_plan.js';
 import type {
   FleetPlan,
   FleetShape,
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -5,8 +5,9 @@
 import type {ServerResponse} from 'node:http';
 import {OnyxError} from '../types/errors.js';
 import type {ModelId, RequestId} from '../types/ids.js';
-import type {CallResHead, Header} from '../types/peer_messages.js';
+import type {CallResHead} from '../types/peer_messages.js';
 import type {RequestEvent} from '../types/services.js';
+import {withoutHopHeaders} from '../utils/hop_headers.js';
 import {createAnswerText} from './answer_text.js';
 import {errorBody, sendError, sendJson} from './http_errors.js';
 
@@ -35,31 +36,6 @@
   readonly promptTokens: number | undefined;
 }
 
-/** Headers that belong to one connection, not to the message. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
-/** Headers that go on to the other end of a call. */
-export function endToEndHeaders(headers: readonly Header[]): readonly Header[] {
-  const named = headers
-    .filter(header => header.name.toLowerCase() === 'connection')
-    .flatMap(header => header.value.split(','))
-    .map(name => name.trim().toLowerCase());
-  return headers.filter(header => {
-    const name = header.name.toLowerCase();
-    return !CONNECTION_HEADERS.has(name) && !named.includes(name);
-  });
-}
-
 function choice(text: string, finishReason: string | null) {
   return {index: 0, text, logprobs: null, finish_reason: finishReason};
 }
@@ -188,7 +164,7 @@
 /** A plain service's response, passed on as it comes. */
 export function createCallAnswer(res: ServerResponse, id: RequestId): Answer {
   const begin = (head: CallResHead) => {
-    for (const {name, value} of endToEndHeaders(head.headers)) {
+    for (const {name, value} of withoutHopHeaders(head.headers)) {
       res.appendHeader(name, value);
     }
     res.writeHead(head.status);
--- a/src/entry/callers_submit.ts
+++ b/src/entry/callers_submit.ts
@@ -3,13 +3,13 @@
 import type {CallHead, Header} from '../types/peer_messages.js';
 import type {RequestSpec} from '../types/services.js';
 import {FRONT_EVENTS} from '../utils/events.js';
+import {withoutHopHeaders} from '../utils/hop_headers.js';
 import {admitCall, admitCompletion, findService} from './admission.js';
 import type {Arrival} from './admission.js';
 import {
   createCallAnswer,
   createStreamAnswer,
   createWholeAnswer,
-  endToEndHeaders,
 } from './answers.js';
 import type {Answer} from './answers.js';
 import {join} from './callers_front.js';
@@ -171,7 +171,7 @@
     const name = req.rawHeaders[at] ?? '';
     headers.push({name, value: req.rawHeaders[at + 1] ?? ''});
   }
-  return endToEndHeaders(headers).filter(({name}) => {
+  return withoutHopHeaders(headers).filter(({name}) => {
     const lower = name.toLowerCase();
     return !ENTRY_HEADERS.has(lower) && !lower.startsWith(ENTRY_PREFIX);
   });
--- a/src/upstream/http_service.ts
+++ b/src/upstream/http_service.ts
@@ -16,7 +16,7 @@
   ServiceClient,
   ServiceReport,
 } from '../types/upstream.js';
-import {withoutHopHeaders} from './hop_headers.js';
+import {withoutHopHeaders} from '../utils/hop_headers.js';
 import {createHttpConnection, toOnyxError} from './http_connection.js';
 import type {HttpConnection} from './http_connection.js';
 import {pushStream} from './push_stream.js';
@@ -25,6 +25,14 @@
 /** Header by which the service can tell a run. */
 const RUN_ID_HEADER = 'x-onyxloft-run-id';
 
+/** Headers that this client sets or answers for itself. */
+const CLIENT_HEADERS: ReadonlySet<string> = new Set([
+  // Answered by the entry: the body is already here when the call goes out.
+  'expect',
+  // The upstream's own, set from its address.
+  'host',
+]);
+
 const reportSchema: z.ZodType<ServiceReport> = z.object({
   running: z.number(),
   capacity: z.number(),
@@ -59,7 +67,7 @@
     req: Dispatcher.RequestOptions,
   ) => {
     const reply = await connection.request(req);
-    const headers = withoutHopHeaders(flatten(reply.headers));
+    const headers = passedOn(flatten(reply.headers));
     push.event({kind: 'head', head: {status: reply.statusCode, headers}});
     for await (const data of reply.body) push.event({kind: 'data', data});
     push.event({kind: 'done'});
@@ -107,7 +115,7 @@
   head: CallHead,
   body: AsyncIterable<Uint8Array>,
 ): Promise<Dispatcher.RequestOptions> {
-  const headers = withoutHopHeaders(head.headers)
+  const headers = passedOn(head.headers)
     .filter(({name}) => name.toLowerCase() !== RUN_ID_HEADER)
     .flatMap(({name, value}) => [name, value]);
   return {
@@ -145,6 +153,12 @@
   }
 }
 
+function passedOn(headers: readonly Header[]): readonly Header[] {
+  return withoutHopHeaders(headers).filter(
+    ({name}) => !CLIENT_HEADERS.has(name.toLowerCase()),
+  );
+}
+
 function flatten(headers: {
   readonly [name: string]: string | string[] | undefined;
 }): readonly Header[] {
--- a/src/upstream/hop_headers.ts
+++ b/src/utils/hop_headers.ts
@@ -1,6 +1,6 @@
 /**
  * Headers that concern one connection only and must not be passed on, by
- * RFC 9110 section 7.6.1, and those that the connection sets for itself.
+ * RFC 9110 section 7.6.1.
  */
 import type {Header} from '../types/peer_messages.js';
 
@@ -14,10 +14,6 @@
   'trailer',
   'transfer-encoding',
   'upgrade',
-  // Answered by the entry: the body is already here when the call goes out.
-  'expect',
-  // The upstream's own, set from its address.
-  'host',
 ]);
 
 /** The headers without hop-by-hop ones, also those `connection` names. */
--- a/test/placement_placers.test.ts
+++ b/test/placement_placers.test.ts
@@ -146,16 +146,7 @@
     // and the first believes until its next renewal; its view of the engines
     // lags, too. Both order the same engines at the same time.
     it('of two that both believe only the newer one has effect', async () => {
-      fleet = await createPlacementFleet({sides: 4, fencedBy: by});
-      const first = await fleet.addPlacer({
-        leaseTtlMs: 300_000,
-        leaseCreateAfterMs: 0,
-      });
-      first.declare({number: 1, declarations: ONE});
-      await fleet.runFor(60_000);
-      const lease = fleet.core.peek('lease/placer').unsafeCoerce();
-      void fleet.core.remove('lease/placer', lease.version, 'lease');
-      first.isBlind = true;
+      const first = await placerWithoutLease(by);
       const second = await fleet.addPlacer({leaseCreateAfterMs: 0});
       second.declare({number: 2, declarations: TWO});
       await fleet.runFor(3_500);
@@ -179,16 +170,7 @@
     // order takes effect there; the second must not have begun by then, or the
     // engines would be changed by two plans in turn.
     it('a new placer waits until all sides know its number', async () => {
-      fleet = await createPlacementFleet({sides: 4, fencedBy: by});
-      const first = await fleet.addPlacer({
-        leaseTtlMs: 300_000,
-        leaseCreateAfterMs: 0,
-      });
-      first.declare({number: 1, declarations: ONE});
-      await fleet.runFor(60_000);
-      const lease = fleet.core.peek('lease/placer').unsafeCoerce();
-      void fleet.core.remove('lease/placer', lease.version, 'lease');
-      first.isBlind = true;
+      const first = await placerWithoutLease(by);
       fleet.sides[3].isDeaf = true;
       const second = await fleet.addPlacer({leaseCreateAfterMs: 0});
       const all = declareModel('2', {minReplicas: 4});
@@ -207,6 +189,21 @@
   },
 );
 
+/** A placer that believes in its lease, whose object has been removed. */
+async function placerWithoutLease(fencedBy: FencedBy): Promise<FakePlacer> {
+  fleet = await createPlacementFleet({sides: 4, fencedBy});
+  const placer = await fleet.addPlacer({
+    leaseTtlMs: 300_000,
+    leaseCreateAfterMs: 0,
+  });
+  placer.declare({number: 1, declarations: ONE});
+  await fleet.runFor(60_000);
+  const lease = fleet.core.peek('lease/placer').unsafeCoerce();
+  void fleet.core.remove('lease/placer', lease.version, 'lease');
+  placer.isBlind = true;
+  return placer;
+}
+
 function refusalsOf(placer: FakePlacer): number {
   return placer.recording
     .eventsOf(PLACEMENT_EVENTS.orderAnswered)
--- a/test/routing_policies.test.ts
+++ b/test/routing_policies.test.ts
@@ -8,18 +8,7 @@
 import type {Replica} from '../src/types/services.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 import {specOf} from './support/entry_fixture.js';
-
-const IDLE: SideLoad = {
-  capacityTokens: 400_000,
-  freeTokens: 400_000,
-  running: 0,
-  queued: 0,
-  prefillBacklogTokens: 0,
-  shortBacklogTokens: 0,
-  prefillTokensPerSec: 10_000,
-  stepMs: 20,
-  reportAgeMs: 0,
-};
+import {IDLE_LOAD} from './support/scripted_side.js';
 
 function targetOf(
   address: string,
@@ -37,7 +26,7 @@
       failureDomain: 'kg-a',
       incarnation: address,
       state: 'live',
-      load: {...IDLE, ...load},
+      load: {...IDLE_LOAD, ...load},
       loadAt: 0,
       models: [],
       configNumber: 1,
--- a/test/support/scripted_side.ts
+++ b/test/support/scripted_side.ts
@@ -18,6 +18,19 @@
 
 const BEAT_MS = 1_000;
 
+/** An engine with nothing to do. */
+export const IDLE_LOAD: SideLoad = {
+  capacityTokens: 400_000,
+  freeTokens: 400_000,
+  running: 0,
+  queued: 0,
+  prefillBacklogTokens: 0,
+  shortBacklogTokens: 0,
+  prefillTokensPerSec: 10_000,
+  stepMs: 20,
+  reportAgeMs: 0,
+};
+
 export interface SideScript {
   /** @default accepts */
   readonly offer?: (req: OfferReq) => Promise<OfferRes> | OfferRes;
@@ -235,18 +248,7 @@
     failureDomain: 'hall-north',
     incarnation: side.incarnation,
     state: 'live',
-    load: {
-      capacityTokens: 400_000,
-      freeTokens: 400_000,
-      running: 0,
-      queued: 0,
-      prefillBacklogTokens: 0,
-      shortBacklogTokens: 0,
-      prefillTokensPerSec: 10_000,
-      stepMs: 20,
-      reportAgeMs: 0,
-      ...load,
-    },
+    load: {...IDLE_LOAD, ...load},
     loadAt: 0,
     models: [
       {model: 'onyx', version: '1', adapters: [], ready: true, role: 'mixed'},
--- a/test/support/session_fleet.ts
+++ b/test/support/session_fleet.ts
@@ -6,7 +6,8 @@
 import {createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {DEMO_SHAPE, demoDeclarations} from '../../demo/fleet_plan.js';
+import {demoDeclarations} from '../../demo/fleet_declarations.js';
+import {DEMO_SHAPE} from '../../demo/fleet_plan.js';
 import {toKeyed} from '../../src/config/keyed_form.js';
 import {parseSettings} from '../../src/config/settings.js';
 import type {Runtime} from '../../src/types/runtime.js';
