--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -22,12 +22,6 @@
   readonly request: RequestId | undefined;
 }
 
-/** A patch as the judge has to remember it. */
-export interface PatchNote {
-  readonly patchId: string;
-  readonly outcome: PatchOutcome | undefined;
-}
-
 /** What the judge was told by the run. */
 export interface JudgeNotes {
   readonly patches: Map<string, PatchOutcome | undefined>;
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -13,7 +13,7 @@
 /** Exit codes; scripts may rely on them. */
 export const EXIT_OK = 0;
 /** The operation failed, or the patch was in conflict. */
-export const EXIT_FAILED = 1;
+const EXIT_FAILED = 1;
 /** Wrong usage, or a wrong settings or patch file. */
 export const EXIT_USAGE = 2;
 
--- a/src/config/config_store.ts
+++ b/src/config/config_store.ts
@@ -155,7 +155,7 @@
 }
 
 /** A store's failure as an error; an unknown effect stays unknown. */
-export function toOnyxError(err: StoreError): OnyxError {
+function toOnyxError(err: StoreError): OnyxError {
   const ran: Ran = err.effect === 'unknown' ? 'unknown' : 'no';
   return new OnyxError({
     code: err.kind === 'conflict' ? 'conflict' : 'store-unavailable',
--- a/src/config/patch.ts
+++ b/src/config/patch.ts
@@ -61,7 +61,7 @@
 }
 
 /** Pointers into the keyed form under which two declarations differ. */
-export function changedPaths(
+function changedPaths(
   before: Declarations,
   after: Declarations,
 ): readonly string[] {
--- a/src/config/validate.ts
+++ b/src/config/validate.ts
@@ -59,7 +59,7 @@
  * Every fault of well-formed declarations; empty when there is none. `before`:
  * wishes in force, which are not judged by the live hosts again.
  */
-export function validateDeclarations(
+function validateDeclarations(
   declarations: Declarations,
   fleet?: KnownFleet,
   before: readonly PlacementWish[] = [],
--- a/src/limits/home.ts
+++ b/src/limits/home.ts
@@ -15,7 +15,7 @@
 /** Time to live of a grant while few entries ask. */
 export const MIN_TTL_MS = 2_000;
 /** With many entries asking, grants live longer, up to this. */
-export const MAX_TTL_MS = 16_000;
+const MAX_TTL_MS = 16_000;
 /**
  * Entries that ask an organisation's home before the time to live grows. The
  * home of a busy organisation then hears some 16 asks a second, however many
--- a/src/utils/invariant.ts
+++ b/src/utils/invariant.ts
@@ -7,7 +7,7 @@
 import {INVARIANT_EVENTS} from './events.js';
 
 /** Counter of violations, by the invariant's name. */
-export const VIOLATIONS_METRIC = 'onyxloft_invariant_violations_total';
+const VIOLATIONS_METRIC = 'onyxloft_invariant_violations_total';
 
 /** Makes the assertion that processes use. */
 export function createProcessInvariant(log: Log, metrics: Metrics): Invariant {
--- a/src/utils/metrics.ts
+++ b/src/utils/metrics.ts
@@ -8,7 +8,7 @@
 import type {MetricLabels, Metrics} from '../types/runtime.js';
 
 /** Metrics of this endpoint's own: samples that found no place. */
-export const LABEL_OVERFLOW_METRIC = 'onyxloft_metrics_overflow_total';
+const LABEL_OVERFLOW_METRIC = 'onyxloft_metrics_overflow_total';
 
 /**
  * Label values may come from callers and hosts. Without a bound their number
