--- a/src/limits/share.ts
+++ b/src/limits/share.ts
@@ -46,6 +46,7 @@
 /** What is lacking for a request; `none` when it was let in. */
 export type Lack = 'none' | 'places' | 'tokens';
 
+/** Places and tokens that this entry may give out, with what is in use. */
 export interface Share {
   /** Takes a place and the tokens of a request, if there are. */
   take(tokens: number, now: number): Lack;
@@ -65,6 +66,7 @@
   ttlMs(): number;
 }
 
+/** Starts empty; `firstTtlMs` stands until the first grant. */
 export function createShare(firstTtlMs: number): Share {
   let places = 0;
   let placesLapseAt = 0;
@@ -147,7 +149,7 @@
     enter: (grant, askedAt) => {
       ttl = grant.ttlMs;
       places = grant.places;
-      // Counted from the asking, so that it lapses here before it does there.
+      // Counted from the ask, so that it lapses here before it does there.
       placesLapseAt = askedAt + grant.ttlMs;
       if (grant.tokens > 0) {
         const batch = {tokens: grant.tokens, lapsesAt: placesLapseAt};
