fix(side): doubt what was learned when nothing was seen for a while

Ruled out: the capacity itself; all engines were empty and well. Change: each 15 s without a sample lets the side take a prediction for four times too long, up to 64 times; the first sample brings the truth back. An idle side may take one prompt that it cannot end in time before it knows better.

--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -48,24 +48,35 @@
  * on assumptions alone would keep itself up: what is refused teaches nothing.
  */
 const DOUBT = 4;
+/**
+ * What was learned of an engine that was slow by a fault goes on refusing once
+ * the engine is well again, and what is refused teaches nothing: the side would
+ * serve no long prompt ever after. So each period without a sample adds doubt,
+ * until some work is taken; the first sample brings the truth back.
+ */
+const STALE_MS = 15_000;
+/** With this much doubt all but the plainly impossible is tried. */
+const MOST_DOUBT = 64;
 
 export interface LearnedRates {
   /** Whether any prompt is in prefill; idle time is no sample. */
   prefillBusy(busy: boolean, now: number): void;
   prefilled(tokens: number, now: number): void;
   /** `count` tokens of one run came `elapsedMs` after its last ones. */
-  decoded(count: number, elapsedMs: number): void;
+  decoded(count: number, elapsedMs: number, now: number): void;
   /** A call to a plain service took so long. */
-  called(elapsedMs: number): void;
+  called(elapsedMs: number, now: number): void;
   prefillTokensPerSec(): number;
   stepMs(): number;
   callMs(): number;
   /** Predicted time to prefill so many tokens, nothing else running. */
   prefillMs(tokens: number): number;
-  /** The least that it may take: the prediction, or well below a prior. */
-  leastPrefillMs(tokens: number): number;
+  /** The least that it may take: the prediction, less what is in doubt. */
+  leastPrefillMs(tokens: number, now: number): number;
+  /** The same for one decode step. */
+  leastStepMs(now: number): number;
   /** The same for a call. */
-  leastCallMs(): number;
+  leastCallMs(now: number): number;
 }
 
 export function createLearnedRates(priors: RatePriors): LearnedRates {
@@ -77,6 +88,14 @@
   let seenMs = 0;
   let seenTokens = 0;
   let seenCalls = 0;
+  let sampledAt: number | undefined;
+
+  /** By how much a prediction may be too long. */
+  const doubt = (isLearned: boolean, now: number) => {
+    const idleMs = sampledAt === undefined ? 0 : now - sampledAt;
+    const periods = Math.floor(idleMs / STALE_MS) + (isLearned ? 0 : 1);
+    return Math.min(MOST_DOUBT, DOUBT ** periods);
+  };
 
   const blend = (old: number, sample: number) =>
     old + priors.alpha * (sample - old);
@@ -91,6 +110,7 @@
     perSec = Math.max(1, (seenTokens / seenMs) * 1_000);
     busySince = now;
     tokens = 0;
+    sampledAt = now;
   };
 
   const prefillMs = (count: number) =>
@@ -110,19 +130,23 @@
       tokens += count;
       sample(now);
     },
-    decoded: (count, elapsedMs) => {
-      if (count > 0) step = blend(step, elapsedMs / count);
+    decoded: (count, elapsedMs, now) => {
+      if (count === 0) return;
+      step = blend(step, elapsedMs / count);
+      sampledAt = now;
     },
-    called: elapsedMs => {
+    called: (elapsedMs, now) => {
       call = blend(call, elapsedMs);
       seenCalls += 1;
+      sampledAt = now;
     },
     prefillTokensPerSec: () => perSec,
     stepMs: () => step,
     callMs: () => call,
     prefillMs,
-    leastPrefillMs: count =>
-      prefillMs(count) / (seenTokens >= LEARNED_TOKENS ? 1 : DOUBT),
-    leastCallMs: () => call / (seenCalls >= LEARNED_CALLS ? 1 : DOUBT),
+    leastPrefillMs: (count, now) =>
+      prefillMs(count) / doubt(seenTokens >= LEARNED_TOKENS, now),
+    leastStepMs: now => step / doubt(true, now),
+    leastCallMs: now => call / doubt(seenCalls >= LEARNED_CALLS, now),
   };
 }
--- a/src/side/prediction.ts
+++ b/src/side/prediction.ts
@@ -53,11 +53,13 @@
  */
 function leastServiceMs(core: SideCore, offer: OfferReq): number {
   const {rates, lengths} = core;
-  if (offer.kind === 'call') return rates.leastCallMs();
+  const now = core.ctx.clock.now();
+  if (offer.kind === 'call') return rates.leastCallMs(now);
   const prefillMs =
-    rates.leastPrefillMs(offer.promptTokens) / (offer.group?.size ?? 1);
+    rates.leastPrefillMs(offer.promptTokens, now) / (offer.group?.size ?? 1);
   if (!lengths.isLearned()) return prefillMs;
-  return prefillMs + decodeMs(core, lengths.expectedLeft(offer.maxTokens, 0));
+  const tokens = Math.max(0, lengths.expectedLeft(offer.maxTokens, 0));
+  return prefillMs + tokens * rates.leastStepMs(now);
 }
 
 export function itemOf(core: SideCore, run: Run): QueueItem {
--- a/test/side_cold_start.test.ts
+++ b/test/side_cold_start.test.ts
@@ -68,3 +68,20 @@
     });
   });
 });
+
+describe('a side whose engine was slow by a fault', () => {
+  // Runs on the slowed engine teach the side a rate far too low. The engine is
+  // well again, but each prompt is refused as too late at the learned rate, and
+  // what is refused teaches nothing: without doubt it would refuse for good.
+  test('takes work again once the engine is well', async () => {
+    const rig = await createSideRig({priors});
+    rig.model.slow(100);
+    await rig.offer('r1.0', {promptTokens: 30_000, timeLeftMs: 900_000});
+    rig.goWhole('r1.0', 900_000);
+    await rig.clock.runFor(300_000);
+    rig.model.slow(1);
+    await rig.clock.runFor(60_000);
+    const offer = {promptTokens: 30_000, timeLeftMs: 20_000};
+    expect(await rig.offer('r2.0', offer)).toMatchObject({kind: 'accepted'});
+  });
+});
