fix(side): close a channel on which no run was named

A go or attach that is lost under way (by a relay that drops frames; the stream itself is reliable) left a channel on which both ends only beat. Neither saw silence. A run taken up at another entry has no time limit there, so its request and its channel stayed for ever.

Ruled out: a side that misses silence; the channel had been heard 12 ms before.

The entry attaches on a new channel, as after any loss.

Before: the new test in side_answers is red without the change (expected false to be true at isClosed).

--- a/src/side/channels.ts
+++ b/src/side/channels.ts
@@ -23,6 +23,8 @@
   /** It is closed once the last frame has gone; nothing more is heard. */
   dismissed: boolean;
   heardAt: number;
+  /** Since when a go or attach is awaited. */
+  awaitedSince: number;
 }
 
 export interface Channels {
@@ -40,7 +42,7 @@
   ready(channelId: number): DispatchId | undefined;
   /** Forgets a closed channel; the run it belonged to. */
   closed(channelId: number): ClosedChannel | undefined;
-  /** Beats on all, and closes the silent ones; gives their ids. */
+  /** Beats on all; gives the ids of the silent and the idle ones. */
   sweep(): readonly number[];
   /** After a freeze of this process: silence proves nothing. */
   forgive(): void;
@@ -114,6 +116,13 @@
     say(open, run.outcome);
   };
 
+  // A go or attach that was lost on its way leaves a channel on which both ends
+  // only beat. The entry would wait on it for ever, as a run taken up has no
+  // time limit there; closed, it attaches anew on another.
+  const isIdle = (open: OpenChannel, now: number) =>
+    open.dispatchId === undefined &&
+    now - open.awaitedSince > timing.channelSilenceMs;
+
   return {
     open: channel => {
       const id = ++lastId;
@@ -126,6 +135,7 @@
         outcomeSent: false,
         dismissed: false,
         heardAt: ctx.clock.now(),
+        awaitedSince: ctx.clock.now(),
       });
       observe(id, channel);
     },
@@ -174,13 +184,17 @@
       const now = ctx.clock.now();
       const silent: number[] = [];
       for (const open of channels.values()) {
-        if (now - open.heardAt > timing.channelSilenceMs) silent.push(open.id);
+        const isSilent = now - open.heardAt > timing.channelSilenceMs;
+        if (isSilent || isIdle(open, now)) silent.push(open.id);
         else say(open, {kind: 'beat'});
       }
       return silent;
     },
     forgive: () => {
-      for (const open of channels.values()) open.heardAt = ctx.clock.now();
+      for (const open of channels.values()) {
+        open.heardAt = ctx.clock.now();
+        open.awaitedSince = ctx.clock.now();
+      }
     },
     closeAll: () => {
       for (const id of [...channels.keys()]) drop(id);
--- a/test/side_answers.test.ts
+++ b/test/side_answers.test.ts
@@ -55,6 +55,19 @@
     expectWhole([again], 100);
   });
 
+  test('is not waited for on a channel whose attach was lost', async () => {
+    // An entry takes a run up, and its attach is lost under way. Both ends go
+    // on to beat, so neither sees silence, and a run taken up has no time limit
+    // at the entry: its caller would wait for ever. The side closes a channel
+    // without a run, and the entry attaches on another.
+    const rig = await createSideRig();
+    const channel = rig.open();
+    await rig.clock.runFor(2_000);
+    expect(channel.isClosed()).toBe(false);
+    await rig.clock.runFor(3_000);
+    expect(channel.isClosed()).toBe(true);
+  });
+
   test('stays with the entry that its caller moved to', async () => {
     // The caller resumes at entry 2 while entry 1 still lives. Entry 1 sees its
     // channel break and attaches again, as after any silence. It is told that
