test(soak): let frames fail, dispatches come twice and owners lapse soon

The randomised runs could not trip safeguards against what a run's channel never did: frames doubled, late, lost or with changed data, and a whole dispatch that comes once more on a new channel, also after the side has another incarnation. These are faults of the in-memory network now, off by default, with seeded chance; nothing is drawn while they are off. They stand for faulty relays, as the stream itself is reliable and ordered. Odd seeds of the runs have them, and a hold time of 3 s; even seeds are as before.

An answer of which a chunk was changed under way may fail after the changed byte was told, as the digest comes last; it may never end as whole. All else is judged as before, and for answers without a changed chunk this too.

--- a/bench/soak_actions.ts
+++ b/bench/soak_actions.ts
@@ -62,7 +62,22 @@
       readonly share: number;
       readonly laterMs: number;
     }
-  | {readonly kind: 'net-drop'; readonly ms: number; readonly share: number};
+  | {readonly kind: 'net-drop'; readonly ms: number; readonly share: number}
+  | FrameAction;
+
+/** Faults of frames on runs' channels, by relays that are not to be trusted. */
+export type FrameAction =
+  | {
+      readonly kind: 'frame-double' | 'frame-late' | 'go-copy';
+      readonly ms: number;
+      readonly share: number;
+      readonly laterMs: number;
+    }
+  | {
+      readonly kind: 'frame-drop' | 'frame-change';
+      readonly ms: number;
+      readonly share: number;
+    };
 
 export type LoadAction =
   | {readonly kind: 'ask'; readonly entry: number; readonly ask: Ask}
--- a/bench/soak_draw.ts
+++ b/bench/soak_draw.ts
@@ -1,7 +1,13 @@
 /** Draws the steps of a randomised run from seeded chance. */
 import type {Random} from '../src/types/runtime.js';
 import type {Ask} from '../standins/fleet_callers.js';
-import type {Action, FaultAction, LoadAction, Step} from './soak_actions.js';
+import type {
+  Action,
+  FaultAction,
+  FrameAction,
+  LoadAction,
+  Step,
+} from './soak_actions.js';
 
 /** Calm stretches, and storms in which faults fall together. */
 const CALM_FAULTS = 0.015;
@@ -18,8 +24,15 @@
   /** Memory of one engine, in tokens. */
   readonly engineMemoryTokens: number;
   readonly meanPauseMs: number;
+  /** Whether frames of runs' channels have faults too. */
+  readonly frameFaults: boolean;
 }
 
+/** Share of faults that are of frames, where there are any. */
+const FRAME_SHARE = 0.3;
+/** Copies of a dispatch come up to this much later: ids are kept for longer. */
+const MAX_COPY_LATER_MS = 100_000;
+
 /** Draws one step after another. */
 export function createDraw(options: DrawOptions): () => Step {
   const {random} = options;
@@ -34,7 +47,7 @@
     else storm = chance.isTrue(STORM_STARTS);
     const isFault = chance.isTrue(storm ? STORM_FAULTS : CALM_FAULTS);
     const action: Action = isFault
-      ? drawFault(chance)
+      ? drawAnyFault(chance, options.frameFaults)
       : drawLoad(chance, options.engineMemoryTokens, nextKey);
     const pauseMs = chance.isTrue(0.1)
       ? 0
@@ -165,6 +178,34 @@
   'store-cut',
 ] as const;
 
+function drawAnyFault(chance: Chance, frameFaults: boolean): FaultAction {
+  const isFrames = frameFaults && chance.isTrue(FRAME_SHARE);
+  return isFrames ? drawFrameFault(chance) : drawFault(chance);
+}
+
+function drawFrameFault(chance: Chance): FrameAction {
+  const ms = chance.spread(500, 30_000);
+  const share = chance.spread(5, 40) / 100;
+  const kind = chance.of<FrameAction['kind']>([
+    'frame-double',
+    'frame-late',
+    'frame-drop',
+    'frame-change',
+    'go-copy',
+  ]);
+  if (kind === 'go-copy') {
+    // Half of them soon, as after a restart; half when the run is forgotten.
+    const laterMs = chance.isTrue(0.5)
+      ? chance.spread(500, 10_000)
+      : MAX_COPY_LATER_MS;
+    return {kind, ms, share: 0.8, laterMs};
+  }
+  if (kind === 'frame-double' || kind === 'frame-late') {
+    return {kind, ms, share, laterMs: chance.spread(1, 3_000)};
+  }
+  return {kind, ms, share: share / 4};
+}
+
 function drawFault(chance: Chance): FaultAction {
   const at = chance.index();
   const ms = chance.spread(50, 20_000);
--- a/bench/soak_faults.ts
+++ b/bench/soak_faults.ts
@@ -6,8 +6,9 @@
 import type {FleetProcess} from '../standins/fleet_process.js';
 import type {FleetSide} from '../standins/fleet_upstreams.js';
 import type {MemoryFleet} from '../standins/memory_fleet.js';
+import {NO_FRAME_FAULTS} from '../standins/memory_frames.js';
 import {NO_FAULTS} from '../standins/object_store_core.js';
-import type {FaultAction} from './soak_actions.js';
+import type {FaultAction, FrameAction} from './soak_actions.js';
 import type {Judge} from './soak_judge.js';
 
 /** One-way delays of the network without faults. */
@@ -17,6 +18,16 @@
 /** A drained process is gone for this long. */
 const REPLACED_AFTER_MS = 500;
 const SERVICE_SLOW_MS = 2_000;
+/** How long a side is gone that restarts at once. */
+const RESTART_MS = 50;
+
+const FRAME_FIELDS = {
+  'frame-double': 'doubled',
+  'frame-late': 'late',
+  'frame-drop': 'dropped',
+  'frame-change': 'changed',
+  'go-copy': 'copied',
+} as const;
 
 export interface Faults {
   apply(action: FaultAction): void;
@@ -242,11 +253,36 @@
       case 'net-drop':
         faults.setDrops(action.share);
         return forTime('drop', action.ms, () => faults.setDrops(0));
+      case 'frame-double':
+      case 'frame-late':
+      case 'frame-drop':
+      case 'frame-change':
+      case 'go-copy':
+        return applyToFrames(action);
       default:
         throw new Error(`no such fault: ${action.kind}`);
     }
   };
 
+  const applyToFrames = (action: FrameAction): void => {
+    const {kind, share, ms} = action;
+    const {faults} = network;
+    const field = FRAME_FIELDS[kind];
+    if (kind === 'go-copy') {
+      faults.setFrames({copyLaterMs: {minMs: 0, maxMs: action.laterMs}});
+      // Copies that meet another incarnation need a restart in their time.
+      const side = pick(sides, Math.round(action.laterMs));
+      const begun = healed;
+      clock.after(ms, () => {
+        if (begun === healed) crash(side, RESTART_MS);
+      });
+    } else if (kind === 'frame-double' || kind === 'frame-late') {
+      faults.setFrames({laterMs: {minMs: 0, maxMs: action.laterMs}});
+    }
+    faults.setFrames({[field]: share});
+    forTime(kind, ms, () => faults.setFrames({[field]: 0}));
+  };
+
   const healAll = () => {
     healed++;
     counts.clear();
@@ -277,6 +313,8 @@
     network.faults.setDelay(USUAL_DELAY);
     network.faults.setDuplicates(0, {minMs: 0, maxMs: 0});
     network.faults.setDrops(0);
+    network.faults.setFrames(NO_FRAME_FAULTS);
+    network.faults.endCopies();
   };
 
   return {apply, healAll};
--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -55,7 +55,7 @@
 /** A final event may come this much after the deadline. */
 const LATE_SLACK_MS = 50;
 
-export function createJudge(fleet: MemoryFleet): Judge {
+export function createJudge(fleet: MemoryFleet, holdMs: number): Judge {
   const notes: JudgeNotes = {
     patches: new Map(),
     leavings: [],
@@ -64,7 +64,7 @@
   /** Askings whose final event has not been judged yet. */
   const open = new Set<Tracked>();
   const early: Breach[] = [];
-  const orphans = createOrphanJudge(fleet);
+  const orphans = createOrphanJudge(fleet, holdMs);
   const lastNumbers = new Map<string, number>();
   let listFaultUntil = 0;
 
@@ -83,9 +83,20 @@
     });
   };
 
+  /** The network changed a chunk of an attempt that this one was told of. */
+  const isChanged = (one: Tracked): boolean =>
+    one.placements.some(({dispatchId}) =>
+      fleet.network.changedRuns.has(dispatchId),
+    );
+
   const checkOpen = (): Breach | undefined => {
     for (const one of open) {
-      const breach = judgeAsking(one, entryOf(one), fleet.clock.now());
+      const breach = judgeAsking(
+        one,
+        entryOf(one),
+        fleet.clock.now(),
+        isChanged(one),
+      );
       if (breach !== undefined) return breach;
       if (one.cut || one.finals > 0) open.delete(one);
     }
@@ -199,6 +210,7 @@
   one: Tracked,
   entry: FleetProcess | undefined,
   now: number,
+  changed: boolean,
 ): Breach | undefined {
   const isResume = one.fromSeq > 0 || one.resumed;
   if (one.finals > 1) {
@@ -218,13 +230,16 @@
     const message = `final event at ${one.endedAt}, due ${due}`;
     return breachOf('a in time', message, one.id);
   }
-  return judgeAnswer(one);
+  return judgeAnswer(one, changed);
 }
 
-function judgeAnswer(one: Tracked): Breach | undefined {
+function judgeAnswer(one: Tracked, changed: boolean): Breach | undefined {
   const order = judgeOrder(one);
   if (order !== undefined) return order;
   const final = finalOf(one);
+  // A changed byte shows when the digest comes, after it was told: such an
+  // answer may fail, and may never end as whole.
+  if (changed && final?.kind !== 'end') return undefined;
   // What comes before a resume's first chunk was told to another connection.
   if (one.fromSeq > 0) {
     if (one.expected.includes(one.text)) return undefined;
--- a/bench/soak_run.ts
+++ b/bench/soak_run.ts
@@ -2,7 +2,7 @@
 import type {Random} from '../src/types/runtime.js';
 import {createDigest} from '../src/utils/digest.js';
 import type {FleetEvent} from '../standins/fleet_process.js';
-import {createMemoryFleet} from '../standins/memory_fleet.js';
+import {FLEET_TIMING, createMemoryFleet} from '../standins/memory_fleet.js';
 import type {MemoryFleet} from '../standins/memory_fleet.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 import {createDraw} from './soak_draw.js';
@@ -41,6 +41,8 @@
   readonly services: number;
   readonly engineMemoryTokens: number;
   readonly meanPauseMs: number;
+  /** Hold time of sides, in milliseconds. @default that of FLEET_TIMING */
+  readonly holdMs?: number;
 }
 
 const HISTORY = 40;
@@ -65,8 +67,9 @@
 /** Draws a fleet and `steps` steps from the seed, and runs them. */
 export function runSeed(seed: number, steps: number): Promise<SoakResult> {
   const random = createSeededRandom(seed);
-  const shape = drawShape(random);
-  const draw = createDraw({random, ...shape});
+  const harsh = seed % 2 === 1;
+  const shape = {...drawShape(random), ...(harsh ? {holdMs: 3_000} : {})};
+  const draw = createDraw({random, ...shape, frameFaults: harsh});
   return runSteps({seed, shape, steps, next: draw});
 }
 
@@ -85,11 +88,12 @@
   const fleet = createMemoryFleet({
     seed,
     ...shape,
+    timing: shape.holdMs === undefined ? {} : {holdMs: shape.holdMs},
     failureDomains: ['hall-north', 'hall-south', 'hall-east'],
     keepEvents: KEEP_EVENTS,
     onEvent: event => digest.update(encoder.encode(lineOf(event))),
   });
-  const judge = createJudge(fleet);
+  const judge = createJudge(fleet, shape.holdMs ?? FLEET_TIMING.holdMs);
   const faults = createFaults(fleet, judge);
   const load = createLoad(fleet, judge);
   await fleet.start();
--- a/standins/memory_network.ts
+++ b/standins/memory_network.ts
@@ -9,10 +9,14 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {OnyxError} from '../src/types/errors.js';
-import type {Address} from '../src/types/ids.js';
+import type {Address, DispatchId} from '../src/types/ids.js';
 import type {PeerCalls, PeerMethod} from '../src/types/peer_messages.js';
 import type {Clock, Random} from '../src/types/runtime.js';
-import type {PeerHandlers, Transport} from '../src/types/transport.js';
+import type {
+  PeerHandlers,
+  RunChannel,
+  Transport,
+} from '../src/types/transport.js';
 import {trafficOf} from '../src/wire/byte_counter.js';
 import type {TrafficKind} from '../src/wire/byte_counter.js';
 import {
@@ -20,6 +24,8 @@
   notSent,
   outcomeUnknown,
 } from '../src/wire/call_errors.js';
+import {createFrameRelay} from './memory_frames.js';
+import type {CopiedRun, FrameFaults} from './memory_frames.js';
 import {MemoryLinks} from './memory_links.js';
 import type {Connection, DelayRange, Endpoint} from './memory_links.js';
 import {openMemoryRun} from './memory_run.js';
@@ -27,6 +33,11 @@
 const SILENT_AFTER_TIMEOUTS = 2;
 /** Younger connections count as fresh; see the grpc client. */
 const FRESH_FOR_MS = 500;
+/** Where copies of whole dispatches come from. */
+const RELAY_ADDRESS = 'relay';
+const COPY_TIMEOUT_MS = 2_000;
+/** A copy's channel stays open for so long. */
+const COPY_OPEN_MS = 2_000;
 
 export interface MemoryNetworkOptions {
   /** One-way delay. @default {minMs: 0.3, maxMs: 0.7} */
@@ -52,6 +63,10 @@
   setDuplicates(share: number, laterMs: DelayRange): void;
   /** Share of calls whose request or answer is lost. @default 0 */
   setDrops(share: number): void;
+  /** Of channels' frames; see there. Those not named stay. @default none */
+  setFrames(faults: Partial<FrameFaults>): void;
+  /** Copies of dispatches that are still to come never do. */
+  endCopies(): void;
   /** The process is gone: connections break and nothing runs in it any more. */
   down(address: Address): void;
   /** The process is paused: what comes for it waits until `thaw`. */
@@ -65,6 +80,8 @@
   readonly faults: MemoryFaults;
   /** Calls sent since the start, by method. */
   callCount(method: PeerMethod): number;
+  /** Dispatches of which a chunk's data was changed under way. */
+  readonly changedRuns: ReadonlySet<DispatchId>;
 }
 
 interface CallState<Res> {
@@ -84,6 +101,8 @@
     options.delay ?? {minMs: 0.3, maxMs: 0.7},
   );
   const counts = new Map<PeerMethod, number>();
+  const relay = createFrameRelay(clock, random);
+  let relayEndpoint: Endpoint | undefined;
   let duplicateShare = 0;
   let duplicateDelay: DelayRange = {minMs: 0, maxMs: 0};
   let dropShare = 0;
@@ -153,6 +172,7 @@
     timeoutMs: number,
   ): Promise<Either<OnyxError, PeerCalls[M]['res']>> => {
     counts.set(method, (counts.get(method) ?? 0) + 1);
+    if (method === 'offer') relay.noteOffer(req as PeerCalls['offer']['req']);
     return new Promise(resolve => {
       const conn = connect(from, peer, trafficOf(method), false);
       let settled = false;
@@ -187,13 +207,30 @@
     });
   };
 
+  const openRun = (from: Endpoint, peer: Address, fresh: boolean): RunChannel =>
+    openMemoryRun(links, relay, connect(from, peer, 'request', fresh), copy => {
+      void sendCopy(peer, copy);
+    });
+
+  /** Sends a dispatch that passed once more, and hears nothing of it. */
+  const sendCopy = async (peer: Address, copy: CopiedRun): Promise<void> => {
+    relayEndpoint ??= links.add(RELAY_ADDRESS);
+    const from = relayEndpoint;
+    if (copy.offer !== undefined) {
+      await call(from, peer, 'offer', copy.offer, COPY_TIMEOUT_MS);
+    }
+    const conn = connect(from, peer, 'request', true);
+    const channel = openMemoryRun(links, relay, conn, () => undefined);
+    clock.after(COPY_OPEN_MS, () => channel.close());
+    for (const frame of [...copy.frames]) await channel.send(frame);
+  };
+
   const transport = (address: Address): Transport => {
     const own = links.add(address);
     return {
       call: (peer, method, req, timeoutMs) =>
         call(own, peer, method, req, timeoutMs),
-      openRun: (peer, fresh) =>
-        openMemoryRun(links, connect(own, peer, 'request', fresh)),
+      openRun: (peer, fresh) => openRun(own, peer, fresh),
       listen: async (at: Address, handlers: PeerHandlers) => {
         if (at !== address) {
           throw new Error(`${address} can't listen at ${at}`);
@@ -223,10 +260,17 @@
     setDrops: share => {
       dropShare = share;
     },
+    setFrames: next => relay.set(next),
+    endCopies: () => relay.endCopies(),
     down: address => links.down(address),
     freeze: address => links.freeze(address),
     thaw: address => links.thaw(address),
   };
 
-  return {transport, faults, callCount: method => counts.get(method) ?? 0};
+  return {
+    transport,
+    faults,
+    callCount: method => counts.get(method) ?? 0,
+    changedRuns: relay.changed,
+  };
 }
--- a/standins/memory_run.ts
+++ b/standins/memory_run.ts
@@ -3,6 +3,7 @@
 import type {Channel, RunChannel} from '../src/types/transport.js';
 import {createFrameStream} from '../src/wire/frame_stream.js';
 import type {FrameStream} from '../src/wire/frame_stream.js';
+import type {CopiedRun, FrameRelay} from './memory_frames.js';
 import type {Connection, Endpoint, MemoryLinks} from './memory_links.js';
 
 /** Frames under way in one direction before a sender has to wait. */
@@ -47,8 +48,9 @@
   if (shut(end)) end.frames.end();
 }
 
-function createChannel<Out, In>(
+function createChannel<Out extends RunUp | RunDown, In>(
   links: MemoryLinks,
+  relay: FrameRelay,
   conn: Connection,
   own: End<In>,
   other: End<Out>,
@@ -71,15 +73,31 @@
     own.waiting.clear();
   };
 
+  const arrive = (frame: Out): void => {
+    if (other.open) other.frames.push(frame);
+  };
+
+  /** Past what is sent meanwhile; nobody waits for it. */
+  const sendLate = (frame: Out, laterMs: number): void => {
+    links.clock.after(laterMs, () => {
+      links.whenEstablished(conn, () => {
+        links.send(conn, other.endpoint, () => arrive(frame));
+      });
+    });
+  };
+
   return {
     frames: own.frames.stream,
-    send: frame => {
+    send: sent => {
       if (!own.open) return Promise.resolve();
       own.underWay++;
+      const {frame, isDropped, lateMs, againMs} = relay.fateOf(sent);
       sendInOrder(() => {
-        if (other.open) other.frames.push(frame);
+        if (!isDropped && lateMs === 0) arrive(frame);
         taken();
       });
+      if (!isDropped && lateMs > 0) sendLate(frame, lateMs);
+      if (againMs !== undefined) sendLate(frame, againMs);
       if (own.underWay < WINDOW) return Promise.resolve();
       return new Promise(resolve => own.waiting.add(resolve));
     },
@@ -91,10 +109,39 @@
   };
 }
 
+/** Notes what is sent, from a go that is to come once more. */
+function copySent(
+  channel: RunChannel,
+  relay: FrameRelay,
+  sendCopy: (copy: CopiedRun) => void,
+): RunChannel {
+  let copy: CopiedRun | undefined;
+  return {
+    ...channel,
+    send: frame => {
+      const begun = copy === undefined ? relay.copyOf(frame) : undefined;
+      if (begun !== undefined) {
+        copy = begun;
+        relay.sendLater(() => sendCopy(begun));
+      }
+      if (COPIED.has(frame.kind)) copy?.frames.push(frame);
+      return channel.send(frame);
+    },
+  };
+}
+
+const COPIED: ReadonlySet<string> = new Set<RunUp['kind']>([
+  'go',
+  'prompt',
+  'prompt-end',
+]);
+
 /** Opens a run from the dialling end of a connection. */
 export function openMemoryRun(
   links: MemoryLinks,
+  relay: FrameRelay,
   conn: Connection,
+  sendCopy: (copy: CopiedRun) => void,
 ): RunChannel {
   const entryLost = (): void => closedByPeer(entry);
   const sideLost = (): void => closedByPeer(side);
@@ -106,7 +153,7 @@
   });
   conn.pending.add(entryLost);
 
-  const down = createChannel<RunDown, RunUp>(links, conn, side, entry);
+  const down = createChannel<RunDown, RunUp>(links, relay, conn, side, entry);
   links.whenEstablished(conn, () => {
     entry.lastArrivalAt = links.send(conn, conn.to, () => {
       const run = conn.to.handlers?.run;
@@ -118,5 +165,6 @@
       run(down);
     });
   });
-  return createChannel<RunUp, RunDown>(links, conn, entry, side);
+  const up = createChannel<RunUp, RunDown>(links, relay, conn, entry, side);
+  return copySent(up, relay, sendCopy);
 }
