test(entry): bound retries when half of the engines die under load

300 requests in 1.5 s on six engines, three of which die with what they were reading, then 40 more. Runs by the engines' own counters must stay at first runs times 1.2 plus the burst of ten of each entry; each asking ends once and in its time.

Seen beside it, not mended here: a side takes offers for up to upstreamDownMs after its engine died, and refuses the runs one by one as not run.

--- /dev/null
+++ b/test/retry_storm.test.ts
@@ -0,0 +1,69 @@
+import {expect, test} from 'vitest';
+import type {Ask} from '../standins/fleet_callers.js';
+import {createMemoryFleet} from '../standins/memory_fleet.js';
+import type {MemoryFleet} from '../standins/memory_fleet.js';
+
+const ENTRIES = 2;
+const ENGINES = 6;
+/** The default of the policy's `retryRatio`. */
+const RETRY_RATIO = 0.2;
+/** Retries that each entry may make at once after a quiet time. */
+const BURST = 10;
+const LATE_SLACK_MS = 50;
+
+const ASK: Ask = {
+  kind: 'completion',
+  organisation: 'prairie-sky',
+  promptTokens: 4_000,
+  maxTokens: 20,
+  timeLimitMs: 30_000,
+  repeatable: true,
+  priority: 1,
+};
+
+/** Runs by the engines' own counters; those handed to dead ones never ran. */
+function countRuns(fleet: MemoryFleet) {
+  const runs = fleet.engines.flatMap(({model}) =>
+    Object.entries(model.counts().runsStarted),
+  );
+  const attempts = runs.reduce((sum, [, count]) => sum + count, 0);
+  const ids = runs.map(([runId]) => runId.split('.')[0]);
+  return {attempts, requests: new Set(ids).size};
+}
+
+async function load(fleet: MemoryFleet, count: number): Promise<void> {
+  for (let at = 0; at < count; at++) {
+    fleet.submit(at % ENTRIES, ASK);
+    await fleet.clock.runFor(5);
+  }
+}
+
+test('half of the engines die under load and retries stay a share of the work', async () => {
+  // Three of six engines die with all that they were reading. Each of their
+  // runs could be tried again elsewhere, on engines that have twice the load
+  // already; these would fall behind, and more would be tried again. The budget
+  // lets through a share; the other callers are told at once.
+  const fleet = createMemoryFleet({
+    seed: 1,
+    entries: ENTRIES,
+    engines: ENGINES,
+    services: 0,
+    failureDomains: ['hall-north', 'hall-south'],
+  });
+  await fleet.start();
+  await load(fleet, 300);
+  for (const engine of fleet.engines.slice(0, ENGINES / 2)) engine.kill();
+  await load(fleet, 40);
+  await fleet.clock.runFor(ASK.timeLimitMs + LATE_SLACK_MS);
+  const {attempts, requests} = countRuns(fleet);
+  expect(attempts).toBeGreaterThan(requests);
+  expect(attempts).toBeLessThanOrEqual(
+    requests * (1 + RETRY_RATIO) + ENTRIES * BURST,
+  );
+  for (const one of fleet.tracked) {
+    expect(one.finals).toBe(1);
+    expect(one.endedAt).toBeLessThanOrEqual(one.deadlineAt + LATE_SLACK_MS);
+  }
+  expect(fleet.violations).toEqual([]);
+  fleet.stop();
+});
