fix(entry): run a whole answer again when nothing of it was shown

A caller that waits for a whole answer has seen nothing when its run dies after the first chunk, yet the request failed as if the chunk had been shown: the verdict counted chunks that came, not chunks that a caller has.

Ruled out: holding all chunks back until the end, which would put the time to first token of whole answers at their last token. Chunks are still passed on as they come; the answer log now counts those told to a streamed listener. While there are none, a repeatable request may be tried again under the budget and the time left as before: the log drops its chunks before the pause (so nobody joins to chunks that are void), tells its listeners, and the whole answer begins anew. A stream that joins later and has a chunk, or that asks for the rest, counts as shown. Both answers that are passed on as they come throw on a restart, and the log holds 'answers-never-mixed' at the point of the drop.

--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -68,6 +68,7 @@
     body: fields.prompt,
     promptTokens,
     maxTokens: fields.maxTokens,
+    streamed: fields.stream,
     repeatable: options.repeatable ?? true,
     prefixHashes: prefixHashes(fields.prompt, scope),
     call: undefined,
@@ -92,6 +93,7 @@
     body,
     promptTokens: 0,
     maxTokens: 0,
+    streamed: true,
     repeatable:
       options.repeatable ?? service.repeatableMethods.includes(call.method),
     prefixHashes: [],
--- a/src/entry/adopt.ts
+++ b/src/entry/adopt.ts
@@ -94,7 +94,8 @@
   const verdict = judgeOutcome(outcome, {
     side,
     repeatable: false,
-    delivered: open.answer.nextSeq(),
+    received: open.answer.nextSeq(),
+    delivered: open.answer.delivered(),
   });
   if (verdict === undefined || isOver(open)) return;
   if (verdict.kind !== 'end') {
--- a/src/entry/answer_link.ts
+++ b/src/entry/answer_link.ts
@@ -60,6 +60,7 @@
   const timers: Cancel[] = [];
   let state: LinkState = 'open';
   let nextSeq = options.fromSeq;
+  let begun = false;
 
   const settle = (outcome: Outcome, error?: OnyxError) => {
     if (state === 'ended') return;
@@ -85,11 +86,18 @@
     // a repetition that looks whole. Chunks are numbered, so both show here.
     if (event.seq !== nextSeq) throw outOfOrder(id, event.seq, nextSeq);
     nextSeq += 1;
-    if (event.seq === 0) options.onFirstChunk();
+    // After a restart chunk 0 comes once more.
+    if (event.seq === 0 && !begun) options.onFirstChunk();
+    begun = true;
     answer.chunk(event);
     checkBuffered();
   };
 
+  const onRestart = () => {
+    answer.restart();
+    nextSeq = 0;
+  };
+
   const onEnd = (event: Extract<RequestEvent, {kind: 'end'}>) => {
     if (event.count !== nextSeq) throw outOfOrder(id, event.count, nextSeq);
     answer.end(event);
@@ -109,6 +117,7 @@
   const apply = (event: RequestEvent) => {
     if (event.kind === 'placed') answer.placed(event.dispatchId);
     else if (event.kind === 'chunk') onChunk(event);
+    else if (event.kind === 'restarted') onRestart();
     else if (event.kind === 'end') onEnd(event);
     else fail(event.error);
   };
--- a/src/entry/answer_log.ts
+++ b/src/entry/answer_log.ts
@@ -22,6 +22,8 @@
   /** Next chunk that the answer lacks. */
   nextSeq(): number;
   tokens(): number;
+  /** Chunks that a caller may have seen: they cannot be taken back. */
+  delivered(): number;
   /** Of the chunks kept to resume. */
   keptBytes(): number;
   final(): FinalEvent | undefined;
@@ -29,10 +31,25 @@
   append(chunk: ChunkEvent): void;
   /** Lets the log begin later; only before its first chunk. */
   beginAt(seq: number): void;
+  /** Drops all chunks for those of another run; only if none was delivered. */
+  restart(): void;
   /** False when there was a final event before; the first one stands. */
   finish(event: FinalEvent): boolean;
-  /** Replays from `fromSeq`, then follows; chunks before it are left out. */
-  subscribe(fromSeq: number, listener: RequestListener): void;
+  /**
+   * Replays from `fromSeq`, then follows; chunks before it are left out. What
+   * a listener that is not `streamed` is told does not count as delivered.
+   */
+  subscribe(
+    fromSeq: number,
+    listener: RequestListener,
+    streamed?: boolean,
+  ): void;
+}
+
+interface Subscription {
+  /** First chunk wanted. */
+  readonly fromSeq: number;
+  readonly streamed: boolean;
 }
 
 /** Starts the log of an answer whose first chunk is `firstSeq`. */
@@ -41,19 +58,31 @@
   firstSeq: number,
   invariant: Invariant,
 ): AnswerLog {
-  /** With the first chunk that each of them wants. */
-  const listeners = new Map<RequestListener, number>();
+  const listeners = new Map<RequestListener, Subscription>();
   const kept: ChunkEvent[] = [];
   let keptBytes = 0;
   let nextSeq = firstSeq;
   let tokens = 0;
+  let delivered = firstSeq;
   let placed: PlacedEvent | undefined;
   let final: FinalEvent | undefined;
 
   const tell = (event: RequestEvent) => {
-    for (const [listener, fromSeq] of [...listeners]) {
-      if (event.kind !== 'chunk' || event.seq >= fromSeq) listener(event);
+    for (const [listener, subscription] of [...listeners]) {
+      tellOne(listener, subscription, event);
+    }
+  };
+
+  const tellOne = (
+    listener: RequestListener,
+    {fromSeq, streamed}: Subscription,
+    event: RequestEvent,
+  ) => {
+    if (event.kind === 'chunk') {
+      if (event.seq < fromSeq) return;
+      if (streamed) delivered = Math.max(delivered, event.seq + 1);
     }
+    listener(event);
   };
 
   const keep = (chunk: ChunkEvent) => {
@@ -64,23 +93,29 @@
     }
   };
 
-  const subscribe = (fromSeq: number, listener: RequestListener) => {
+  const subscribe = (
+    fromSeq: number,
+    listener: RequestListener,
+    streamed = true,
+  ) => {
     const oldest = kept[0]?.seq ?? nextSeq;
     if (fromSeq < oldest) {
       listener({kind: 'failed', error: outOfReach(id, fromSeq, oldest)});
       return;
     }
+    const subscription = {fromSeq, streamed};
+    // Who wants the rest has the chunks before it.
+    if (streamed) delivered = Math.max(delivered, fromSeq);
     if (placed !== undefined) listener(placed);
-    for (const chunk of kept) {
-      if (chunk.seq >= fromSeq) listener(chunk);
-    }
-    if (final === undefined) listeners.set(listener, fromSeq);
+    for (const chunk of kept) tellOne(listener, subscription, chunk);
+    if (final === undefined) listeners.set(listener, subscription);
     else listener(final);
   };
 
   return {
     nextSeq: () => nextSeq,
     tokens: () => tokens,
+    delivered: () => delivered,
     keptBytes: () => keptBytes,
     final: () => final,
     placed: event => {
@@ -104,6 +139,19 @@
     beginAt: seq => {
       if (kept.length === 0 && final === undefined) nextSeq = seq;
     },
+    restart: () => {
+      // Chunks of two runs joined would be an answer that no run gave.
+      invariant(delivered === 0, 'answers-never-mixed', {
+        requestId: id,
+        delivered,
+      });
+      if (delivered > 0 || nextSeq === 0 || final !== undefined) return;
+      kept.length = 0;
+      keptBytes = 0;
+      nextSeq = 0;
+      tokens = 0;
+      tell({kind: 'restarted'});
+    },
     finish: event => {
       if (final !== undefined) return false;
       final = event;
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -17,6 +17,8 @@
 export interface Answer {
   placed(dispatchId: string): void;
   chunk(event: ChunkEvent): void;
+  /** Chunks so far are void; throws an `OnyxError` if the caller has some. */
+  restart(): void;
   end(event: EndEvent): void;
   /** No whole answer will come. */
   fail(error: OnyxError): void;
@@ -153,7 +155,11 @@
     res.end('data: [DONE]\n\n');
   };
 
-  return {placed, chunk, end, fail, beat: () => write(': beat\n\n')};
+  const restart = () => {
+    if (begun) throw otherRun(head.id);
+  };
+
+  return {placed, chunk, restart, end, fail, beat: () => write(': beat\n\n')};
 }
 
 function otherRun(id: RequestId): OnyxError {
@@ -171,11 +177,15 @@
   res: ServerResponse,
   head: CompletionHead,
 ): Answer {
-  const text = createAnswerText();
   const parts: string[] = [];
+  let text = createAnswerText();
   return {
     placed: () => undefined,
     chunk: event => void parts.push(text.push(event.data)),
+    restart: () => {
+      parts.length = 0;
+      text = createAnswerText();
+    },
     end: event => {
       parts.push(text.end());
       sendJson(res, 200, completion(head, parts.join(''), event));
@@ -199,6 +209,9 @@
       if (!res.headersSent) begin(event.callHead ?? {status: 200, headers: []});
       res.write(event.data);
     },
+    restart: () => {
+      if (res.headersSent) throw otherRun(id);
+    },
     end: () => {
       if (!res.headersSent) begin({status: 200, headers: []});
       res.end();
--- a/src/entry/callers_requests.ts
+++ b/src/entry/callers_requests.ts
@@ -152,6 +152,7 @@
     organisation: organisation.id,
     fromSeq,
     sideHint: state.side,
+    streamed: state.kind === 'call' || from !== undefined,
     listener,
   });
 }
--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -61,7 +61,8 @@
     const verdict = judgeOutcome(outcome, {
       side: open.side,
       repeatable: spec.repeatable,
-      delivered: open.answer.nextSeq(),
+      received: open.answer.nextSeq(),
+      delivered: open.answer.delivered(),
     });
     if (verdict === undefined || isOver(open)) return;
     if (!(await goesOn(deps, open, spec, verdict, {tries, lost}))) return;
@@ -170,6 +171,9 @@
     cause: verdict.details.message,
   });
   if (verdict.kind === 'retry' && mayRetry(deps, spec, verdict, past)) {
+    // Before the pause: a caller that joins during it must not be shown chunks
+    // of the run that was given up.
+    open.answer.restart();
     deps.metrics.count('onyxloft_retries_total', {ran: verdict.ran});
     deps.log(REQUEST_EVENTS.retried, {
       requestId: spec.id,
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -127,7 +127,7 @@
       spec.kind,
       answer,
     );
-    answer.subscribe(0, listener);
+    answer.subscribe(0, listener, spec.streamed);
     if (draining) {
       answer.finish(
         failedEvent(request, {
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -69,7 +69,7 @@
       answer,
     );
     options.open(open, []);
-    answer.subscribe(message.fromSeq, message.listener);
+    answer.subscribe(message.fromSeq, message.listener, message.streamed);
     const known = options
       .view()
       .replicas.find(one => one.address === located.side);
@@ -93,17 +93,18 @@
   };
 
   const resume = async (message: ResumeMessage) => {
-    const {id, organisation, fromSeq, listener} = message;
+    const {id, organisation, fromSeq, listener, streamed} = message;
     const known = table.find(id, organisation);
     if (known !== undefined) {
-      known.answer.subscribe(fromSeq, listener);
+      known.answer.subscribe(fromSeq, listener, streamed);
       return;
     }
     const located = await locate(id, organisation, message.sideHint);
     // Another resume of the same request may have been faster.
     const meanwhile = table.find(id, organisation);
-    if (meanwhile !== undefined) meanwhile.answer.subscribe(fromSeq, listener);
-    else if (located !== undefined) adopt(located, message);
+    if (meanwhile !== undefined) {
+      meanwhile.answer.subscribe(fromSeq, listener, streamed);
+    } else if (located !== undefined) adopt(located, message);
     else listener({kind: 'failed', error: notFound(id)});
   };
 
@@ -134,6 +135,8 @@
         open.answer.placed(event);
       } else if (event.kind === 'chunk') {
         open.answer.append(event);
+      } else if (event.kind === 'restarted') {
+        open.answer.restart();
       } else if (event.kind === 'end') {
         deps.finish(open, event);
       } else {
--- a/src/entry/verdict.ts
+++ b/src/entry/verdict.ts
@@ -10,7 +10,9 @@
 export interface VerdictInput {
   readonly side: Address;
   readonly repeatable: boolean;
-  /** Chunks that the caller has. */
+  /** Chunks that came: evidence that it ran. */
+  readonly received: number;
+  /** Chunks that a caller has seen. */
   readonly delivered: number;
 }
 
@@ -115,7 +117,7 @@
   return {kind: 'retry', details, ran};
 }
 
-/** Who has chunks knows that it ran, whatever is said. */
+/** Chunks that came tell that it ran, whatever is said. */
 function honestRan(said: Ran, input: VerdictInput): Ran {
-  return input.delivered > 0 ? 'yes' : said;
+  return input.received > 0 ? 'yes' : said;
 }
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -59,6 +59,12 @@
   readonly promptTokens: number;
   readonly maxTokens: number;
   readonly repeatable: boolean;
+  /**
+   * The caller is shown chunks as they come. Without it nothing is shown before
+   * the end, so an answer cut short may be given up for that of another run.
+   * @default true
+   */
+  readonly streamed?: boolean;
   readonly idempotencyKey: string | undefined;
   readonly prefixHashes: readonly string[];
   readonly config: NumberedDeclarations;
@@ -67,7 +73,9 @@
 
 /**
  * What a request's caller is told, in order: `placed` any number of times,
- * then chunks from 0 without gaps, then exactly one `end` or `failed`.
+ * then chunks from 0 without gaps, then exactly one `end` or `failed`. A
+ * listener that is not streamed may be told `restarted` in between: the chunks
+ * so far are void, and those of another run follow from 0.
  */
 export type RequestEvent =
   | {
@@ -82,6 +90,7 @@
       readonly tokens: number;
       readonly callHead: CallResHead | undefined;
     }
+  | {readonly kind: 'restarted'}
   | {
       readonly kind: 'end';
       readonly count: number;
@@ -125,6 +134,8 @@
       readonly fromSeq: number;
       /** Where the run was last seen, if the caller knows it. */
       readonly sideHint: Address;
+      /** As in `RequestSpec`. @default true */
+      readonly streamed?: boolean;
       readonly listener: RequestListener;
     }
   | {
--- a/test/entry_attempts.test.ts
+++ b/test/entry_attempts.test.ts
@@ -15,6 +15,16 @@
 /** Takes the go and says nothing more. */
 const mute: SideScript = {run: () => undefined};
 
+/** Sends one chunk, then goes down. */
+function dyingAfterOneChunk(entry: () => EntryFixture): SideScript {
+  return {
+    run: (side, run) => {
+      run.send(chunkOf(run, 0, 'uno '));
+      entry().clock.after(10, () => goDown(entry(), side.address));
+    },
+  };
+}
+
 function gosOf(entry: EntryFixture): string[] {
   return entry.sides.flatMap(side => side.gos);
 }
@@ -170,15 +180,7 @@
   // may word its answer differently: the two together are no run's answer.
   it('is not run again once the caller has a chunk', async () => {
     const entry = await startEntry({
-      sides: [
-        {
-          run: (side, run) => {
-            run.send(chunkOf(run, 0, 'uno '));
-            entry.clock.after(10, () => goDown(entry, side.address));
-          },
-        },
-        {},
-      ],
+      sides: [dyingAfterOneChunk(() => entry), {}],
       requests: {routingPolicy: () => inOrder},
     });
     const caller = entry.submit();
@@ -188,6 +190,47 @@
     expect(gosOf(entry)).toHaveLength(1);
   });
 
+  // The caller waits for the whole answer and has seen nothing of it when the
+  // side dies after the first chunk. The chunk is given up, and the answer that
+  // the caller gets is the second run's alone.
+  it('is run again after a chunk that no caller was shown', async () => {
+    const entry = await startEntry({
+      sides: [dyingAfterOneChunk(() => entry), {}],
+      requests: {routingPolicy: () => inOrder},
+    });
+    const caller = entry.submit({streamed: false});
+    await entry.clock.runFor(20_000);
+    expect(caller.text()).toBe('one two three');
+    expect(caller.final()).toMatchObject({kind: 'end', count: 3, tokens: 3});
+    expect(gosOf(entry)).toHaveLength(2);
+    expect(entry.violations).toEqual([]);
+  });
+
+  // The caller asked for the whole answer, then came a second time for a
+  // stream of it: that one has the chunk, so the run may not be replaced.
+  it('is not run again once a second connection has a chunk', async () => {
+    const entry = await startEntry({
+      sides: [dyingAfterOneChunk(() => entry), {}],
+      requests: {routingPolicy: () => inOrder},
+    });
+    const caller = entry.submit({id: 'q-shown', streamed: false});
+    const second = entry.caller();
+    entry.clock.after(5, () =>
+      entry.kernel.send('requests', {
+        kind: 'resume',
+        id: 'q-shown',
+        organisation: 'prairie-sky',
+        fromSeq: 0,
+        sideHint: '',
+        listener: second.listener,
+      }),
+    );
+    await entry.clock.runFor(20_000);
+    expect(second.text()).toBe('uno ');
+    expect(errorOf(caller)).toMatchObject({code: 'upstream-lost', ran: 'yes'});
+    expect(gosOf(entry)).toHaveLength(1);
+  });
+
   // Every run fails on every side. Without a budget each request would be run
   // three times, and the extra load would take down what is left.
   it('is retried within a budget over all requests', async () => {
--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -77,6 +77,25 @@
     await expect(text).toMatchFileSnapshot('golden/front_whole.json');
   });
 
+  // The first run dies amid a character. The caller, who has seen nothing yet,
+  // gets the second run's text, with no byte of the first before it.
+  test('a whole answer holds nothing of a run that was given up', async () => {
+    await open({
+      submit: (spec, listener) => {
+        const cut = Buffer.from('up ❄').subarray(0, -1);
+        for (const [seq, data] of [Buffer.from('given '), cut].entries()) {
+          listener({kind: 'chunk', seq, data, tokens: 1, callHead: undefined});
+        }
+        listener({kind: 'restarted'});
+        tellAnswer(listener, spec.id, ['late ', 'frost']);
+      },
+    });
+    const res = await complete({model: 'onyx-1', prompt: 'summary?'});
+    const body = (await res.json()) as {choices: {text: string}[]};
+    expect(body.choices[0].text).toBe('late frost');
+    expect(submitted().streamed).toBe(false);
+  });
+
   test('a character cut by a chunk border arrives whole, under the later chunk', async () => {
     await open({
       submit: (spec, listener) => {
--- a/test/support/entry_fixture.ts
+++ b/test/support/entry_fixture.ts
@@ -25,7 +25,7 @@
 
 export interface Caller {
   readonly events: RequestEvent[];
-  /** Text of the chunks so far. */
+  /** Text of the chunks so far, those that were called void left out. */
   text(): string;
   final(): RequestEvent | undefined;
   /** When the final event came, on the virtual clock. */
@@ -126,6 +126,7 @@
       events,
       text: () =>
         events
+          .slice(events.map(({kind}) => kind).lastIndexOf('restarted') + 1)
           .filter(event => event.kind === 'chunk')
           .map(event => decoder.decode(event.data))
           .join(''),
