fix(entry): cancel a request at an entry that does not own it

DELETE /v1/requests/ID at another entry than the owner answered 404 while the request ran: only the entry's own table was looked at, though the state and the answer of the same request are found at the sides.

Ruled out: taking the run over and then cancelling it, since the owner would be told 'superseded' and its caller 'upstream-lost'. A cancel that wants an answer now asks the sides for traces and abandons each that is queued or running in the organisation's name (an additive field of the abandon); the side checks it, ends the run and tells the owner's channel 'cancelled', which is never run again. Without the field the ownership rules stand as they were. A caller that just left is not looked for elsewhere. A group has parts at several sides: a member's 'cancelled' now ends the request rather than have the group gathered anew.

Left: a request that waits between two offers has no trace at a side, so a cancel elsewhere at that moment still gets 404.

--- a/src/entry/abandon.ts
+++ b/src/entry/abandon.ts
@@ -4,7 +4,13 @@
  * offer or the go will run; every other outcome is not.
  */
 import type {Ran} from '../types/errors.js';
-import type {Address, DispatchId, Incarnation, NodeId} from '../types/ids.js';
+import type {
+  Address,
+  DispatchId,
+  Incarnation,
+  NodeId,
+  OrganisationId,
+} from '../types/ids.js';
 import type {Log} from '../types/runtime.js';
 import type {Transport} from '../types/transport.js';
 import {REQUEST_EVENTS} from '../utils/events.js';
@@ -14,6 +20,8 @@
   readonly side: Address;
   readonly dispatchId: DispatchId;
   readonly incarnation: Incarnation;
+  /** As in `AbandonReq`. */
+  readonly organisation?: OrganisationId;
 }
 
 export interface AbandonOutcome {
@@ -48,6 +56,7 @@
       dispatchId: target.dispatchId,
       entry: deps.node,
       incarnation: target.incarnation,
+      organisation: target.organisation ?? '',
     },
     deps.timing.abandonTimeoutMs,
   );
--- a/src/entry/group_run.ts
+++ b/src/entry/group_run.ts
@@ -30,6 +30,8 @@
   const members: Attempt[] = [];
   let lead: Attempt | undefined;
   let lostMember: string | undefined;
+  /** A member's word that the caller ended the request at another entry. */
+  let cancelled: AttemptOutcome | undefined;
   let stopped = false;
 
   const tell = (kind: 'own' | 'disown', {offer}: ReservedPart) =>
@@ -84,6 +86,7 @@
       void member.outcome.then(outcome => {
         if (outcome.kind !== 'stopped') {
           lostMember = dispatchId;
+          if (isCancelled(outcome)) cancelled = outcome;
           lead?.abandon(`group member ${dispatchId} lost`);
         }
         resolve();
@@ -121,7 +124,13 @@
     if (!held) {
       letGo();
       withdrawOffer(deps, offer);
-      return {kind: 'lost', ran: 'no', reason: 'the group did not assemble'};
+      return (
+        cancelled ?? {
+          kind: 'lost',
+          ran: 'no',
+          reason: 'the group did not assemble',
+        }
+      );
     }
     open.answer.placed({
       kind: 'placed',
@@ -131,7 +140,8 @@
     lead = start(leading);
     const outcome = await lead.outcome;
     letGo();
-    return outcome;
+    // Taken for a lost member, it would be run again for nobody.
+    return cancelled ?? outcome;
   };
 
   return {
@@ -140,3 +150,7 @@
     disown: (part: ReservedPart) => tell('disown', part),
   };
 }
+
+function isCancelled(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'failed' && outcome.failed.code === 'cancelled';
+}
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -23,6 +23,7 @@
 import {acquirePlace, claimKey} from './admit.js';
 import {createAnswerLog} from './answer_log.js';
 import type {FinalEvent} from './answer_log.js';
+import {cancelElsewhere} from './cancel_elsewhere.js';
 import {driveRequest} from './drive_request.js';
 import type {DriveDeps} from './drive_request.js';
 import {
@@ -40,6 +41,8 @@
 import {DEFAULT_REQUEST_TIMING} from './timing.js';
 import type {RequestTiming} from './timing.js';
 
+type CancelMessage = Extract<RequestsMessage, {readonly kind: 'cancel'}>;
+
 /** A membership that was restarted has lost its subscribers. */
 const SUBSCRIBE_EVERY_MS = 5_000;
 /** When to come back to another entry while this one drains. */
@@ -211,6 +214,14 @@
     return true;
   };
 
+  const cancelAnywhere = async (
+    {id, organisation}: CancelMessage,
+    reply: (found: boolean) => void,
+  ) => {
+    const sides = view.allSides;
+    reply(await cancelElsewhere(deps, {id, organisation, sides}));
+  };
+
   const onMessage = (message: RequestsMessage) => {
     switch (message.kind) {
       case 'submit':
@@ -218,7 +229,8 @@
         return;
       case 'cancel': {
         const found = cancel(message.id, message.organisation);
-        message.reply?.(found);
+        if (found || message.reply === undefined) message.reply?.(found);
+        else void cancelAnywhere(message, message.reply);
         return;
       }
       case 'resume':
--- a/src/side/abandon.ts
+++ b/src/side/abandon.ts
@@ -31,19 +31,35 @@
     return buried ? 'never-started' : 'unknown';
   };
 
+  const end = (run: Run, why: string): AbandonRes['state'] => {
+    const isSentCall = run.offer.kind === 'call' && run.started;
+    if (!isSentCall) lifecycle.cancel(run, 'cancelled', why);
+    if (run.started) return 'started';
+    return tombstones.get(run.id) === undefined ? 'unknown' : 'never-started';
+  };
+
   const ofRun = (run: Run, entry: string): AbandonRes['state'] => {
     // Another entry has taken the run over: it is no longer this one's to end.
     if (run.owner !== entry) return run.started ? 'started' : 'unknown';
-    const isSentCall = run.offer.kind === 'call' && run.started;
-    if (!isSentCall) {
-      lifecycle.cancel(run, 'cancelled', 'the entry abandoned the run');
-    }
+    const state = end(run, 'the entry abandoned the run');
     run.delivered = true;
-    if (run.started) return 'started';
-    return tombstones.get(run.id) === undefined ? 'unknown' : 'never-started';
+    return state;
+  };
+
+  /** The caller's own wish, at whichever entry it was told. */
+  const ofCaller = (
+    dispatchId: string,
+    organisation: string,
+  ): AbandonRes['state'] => {
+    const run = table.get(dispatchId);
+    // One organisation must not end another's run, nor learn that there is one.
+    if (run?.offer.organisation !== organisation) return 'unknown';
+    return end(run, 'the caller cancelled the request at another entry');
   };
 
   const decide = (req: AbandonReq): AbandonRes['state'] => {
+    const organisation = req.organisation ?? '';
+    if (organisation !== '') return ofCaller(req.dispatchId, organisation);
     if (req.incarnation !== incarnation) return 'unknown';
     const run = table.get(req.dispatchId);
     return run === undefined ? ofUnknown(req) : ofRun(run, req.entry);
--- a/src/types/peer_messages.ts
+++ b/src/types/peer_messages.ts
@@ -210,7 +210,14 @@
 export interface AbandonReq {
   readonly dispatchId: DispatchId;
   readonly entry: NodeId;
+  /** Empty, with an organisation, for whichever incarnation has the run. */
   readonly incarnation: Incarnation;
+  /**
+   * Set when the caller itself asks for the end at another entry than the
+   * run's owner: a run of this organisation ends whoever owns it, and the
+   * owner is told. @default ''
+   */
+  readonly organisation?: OrganisationId;
 }
 
 /**
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -119,7 +119,10 @@
       readonly spec: RequestSpec;
       readonly listener: RequestListener;
     }
-  /** The caller went away or asked to end it. */
+  /**
+   * The caller went away or asked to end it. With a reply, it is looked for at
+   * the sides too when another entry owns it.
+   */
   | {
       readonly kind: 'cancel';
       readonly id: RequestId;
--- a/test/entry_callers.test.ts
+++ b/test/entry_callers.test.ts
@@ -229,6 +229,26 @@
   });
 });
 
+describe('a caller that cancels at an entry that does not own the request', () => {
+  // The run goes on at a side for another entry. The caller is told that it was
+  // cancelled, and the side is asked in its organisation's name, since the run
+  // is not this entry's own.
+  it('has the run ended at its side', async () => {
+    const entry = await startEntry({sides: [{}, {}]});
+    holdRun(entry, 'q20.1');
+    expect(await cancelled(entry, 'q20', 'prairie-sky')).toBe(true);
+    expect(entry.sides.map(side => side.abandons)).toEqual([[], ['q20.1']]);
+    expect(entry.sides[1].abandonedFor).toEqual(['prairie-sky']);
+  });
+
+  it('gets nothing done for another organisation', async () => {
+    const entry = await startEntry({sides: [{}, {}]});
+    holdRun(entry, 'q21.1');
+    expect(await cancelled(entry, 'q21', 'other')).toBe(false);
+    expect(entry.sides.flatMap(side => side.abandons)).toEqual([]);
+  });
+});
+
 describe('a caller that leaves before its offer is answered', () => {
   // The side takes the offer after the request is over. Nobody will send its
   // go; the side is told, or it would hold the place until the offer lapses.
@@ -349,6 +369,24 @@
 }
 
 /** The second side holds a run of three chunks that another entry started. */
+async function cancelled(
+  entry: EntryFixture,
+  id: string,
+  organisation: string,
+): Promise<boolean | undefined> {
+  let found: boolean | undefined;
+  entry.kernel.send('requests', {
+    kind: 'cancel',
+    id,
+    organisation,
+    reply: told => {
+      found = told;
+    },
+  });
+  await entry.clock.runFor(1_000);
+  return found;
+}
+
 function holdRun(entry: EntryFixture, dispatchId: string): void {
   const [, side] = entry.sides;
   const run = createRun(dispatchId);
--- a/test/entry_groups.test.ts
+++ b/test/entry_groups.test.ts
@@ -2,7 +2,12 @@
 import {describe, expect, it} from 'vitest';
 import {startEntry} from './support/entry_fixture.js';
 import type {EntryFixture} from './support/entry_fixture.js';
-import {accepted, answerThree, refused} from './support/scripted_side.js';
+import {
+  accepted,
+  answerThree,
+  failed,
+  refused,
+} from './support/scripted_side.js';
 import type {SideScript} from './support/scripted_side.js';
 
 const LONG = {promptTokens: 1_000_000, maxTokens: 1_000, deadlineAt: 600_000};
@@ -143,6 +148,24 @@
     expect(still).toEqual([member?.offers[0].dispatchId]);
   });
 
+  // The caller cancelled at another entry, which has the sides end their parts.
+  // A member's part is told here first: as a lost member it would have the
+  // group gathered again for a request that nobody wants.
+  it('is not run again when a member was cancelled for the caller', async () => {
+    const script = groupSide(() => entry);
+    const entry = await startEntry({sides: [script, script, script]});
+    const caller = entry.submit(LONG);
+    await entry.clock.runFor(500);
+    const member = entry.sides
+      .flatMap(({runs}) => [...runs.values()])
+      .find(run => offerOf(entry, run.dispatchId)?.group?.lead !== true);
+    if (member === undefined) throw new Error('no member was started');
+    member.send(failed(member.dispatchId, 'yes', 'cancelled'));
+    await entry.clock.runFor(5_000);
+    expect(caller.final()).toMatchObject({error: {code: 'cancelled'}});
+    expect(entry.sides.flatMap(side => side.gos)).toHaveLength(3);
+  });
+
   it('fails at once when all engines together have not the room', async () => {
     const entry = await startEntry({sides: [{}, {}]});
     const caller = entry.submit(LONG);
--- a/test/side_at_most_once.test.ts
+++ b/test/side_at_most_once.test.ts
@@ -124,6 +124,25 @@
     });
   });
 
+  // The caller asks another entry than the owner for the end. The run ends, and
+  // the owner's channel is told why, so that it does not run it elsewhere.
+  test('in the name of its organisation ends a run that another entry owns', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {maxTokens: 1_000});
+    const channel = rig.goWhole('r1.0');
+    await rig.clock.runFor(500);
+    expect(await rig.abandon('r1.0', 'entry-2', '', 'stranger')).toMatchObject({
+      state: 'unknown',
+    });
+    expect(channel.last('failed')).toBeUndefined();
+    expect(await rig.abandon('r1.0', 'entry-2', '', 'org-a')).toMatchObject({
+      state: 'started',
+    });
+    await rig.clock.runFor(100);
+    expect(channel.last('failed')).toMatchObject({code: 'cancelled'});
+    expect(rig.model.counts().usedTokens).toBe(0);
+  });
+
   test('by an entry that lost the run to another ends nothing', async () => {
     const rig = await createSideRig();
     await rig.offer('r1.0', {maxTokens: 200});
--- a/test/support/message_arbitraries.ts
+++ b/test/support/message_arbitraries.ts
@@ -126,7 +126,12 @@
     ),
   },
   abandon: {
-    req: fc.record({dispatchId, entry: text, incarnation: text}),
+    req: fc.record({
+      dispatchId,
+      entry: text,
+      incarnation: text,
+      organisation: text,
+    }),
     res: fc.record({
       state: fc.constantFrom('never-started' as const, 'unknown' as const),
       incarnation: text,
--- a/test/support/scripted_side.ts
+++ b/test/support/scripted_side.ts
@@ -45,6 +45,8 @@
   /** Dispatches whose go arrived, in order. */
   readonly gos: DispatchId[];
   readonly abandons: DispatchId[];
+  /** Organisations that those were asked for in the name of. */
+  readonly abandonedFor: string[];
   /** `fromSeq` of each attach. */
   readonly attaches: number[];
   /** Whether each of those took the run over. */
@@ -67,6 +69,7 @@
     offers: [],
     gos: [],
     abandons: [],
+    abandonedFor: [],
     attaches: [],
     takeOvers: [],
     runs: new Map(),
@@ -120,8 +123,9 @@
       }
       return (script.offer ?? (() => accepted(side)))(req);
     },
-    abandon: async ({dispatchId}) => {
+    abandon: async ({dispatchId, organisation = ''}) => {
       side.abandons.push(dispatchId);
+      side.abandonedFor.push(organisation);
       const ran = side.runs.has(dispatchId) ? 'started' : 'never-started';
       const state = script.abandon?.(dispatchId) ?? ran;
       return {state, incarnation: side.incarnation};
--- a/test/support/side_rig.ts
+++ b/test/support/side_rig.ts
@@ -200,8 +200,15 @@
     });
     return channel;
   };
-  const abandon = (id: string, entry = 'entry-1', incarnation = 'i1') =>
-    answer(handlers().abandon?.({dispatchId: id, entry, incarnation}));
+  const abandon = (
+    id: string,
+    entry = 'entry-1',
+    incarnation = 'i1',
+    organisation = '',
+  ) =>
+    answer(
+      handlers().abandon?.({dispatchId: id, entry, incarnation, organisation}),
+    );
   const heartbeat = (owned: readonly string[], fence = 0) =>
     answer(
       handlers().sideHeartbeat?.({
