fix(entry): give a frozen side up sooner

A side stopped by a signal held the callers that have part of their answer: its kernel takes connections, so each of the three new ones waited out the whole silence of a channel.

A side that lives beats at once on any connection, so a new connection now has one and a half heartbeats for its first word (at most the channel's silence); a connection that was heard keeps the full silence. The number of tries and the final abandon stay, so one silent connection is replaced as before. A pause of the entry itself does not count. Ruled out: fewer tries, which would make two lost connections fatal, and the heartbeats' state as the sign, since a side that answers those may still have lost the run's connection.

Bound stated with the setting: one silence and its beat, three first words, one abandon.

--- a/src/entry/run_link.ts
+++ b/src/entry/run_link.ts
@@ -5,7 +5,7 @@
  */
 import type {Address} from '../types/ids.js';
 import type {RunDown, RunUp} from '../types/peer_messages.js';
-import type {Clock} from '../types/runtime.js';
+import type {Cancel, Clock} from '../types/runtime.js';
 import type {Transport} from '../types/transport.js';
 import type {RequestTiming} from './timing.js';
 
@@ -37,11 +37,13 @@
   let isClosed = false;
   let lastHeardAt = clock.now();
   let nextTickAt = clock.now() + timing.beatMs;
+  let stopWaiting: Cancel = () => undefined;
 
   const close = () => {
     if (isClosed) return;
     isClosed = true;
     stopTicks();
+    stopWaiting();
     channel.close();
   };
 
@@ -64,10 +66,23 @@
     void channel.send({kind: 'beat'});
   };
 
+  // A side that lives beats at once on whatever connection. One that is frozen
+  // takes connections all the same, its kernel does: with the full silence for
+  // each of them its callers would wait on for a run that cannot go on.
+  const awaitFirstWord = () => {
+    const dueAt = clock.now() + timing.firstWordMs;
+    stopWaiting = clock.after(timing.firstWordMs, () => {
+      // As above: this process was paused itself.
+      if (clock.now() - dueAt > timing.beatMs) awaitFirstWord();
+      else lose('silent');
+    });
+  };
+
   const stopTicks = clock.every(timing.beatMs, tick);
   channel.frames
     .observe(frame => {
       if (isClosed) return;
+      stopWaiting();
       lastHeardAt = clock.now();
       options.onFrame(frame);
     })
@@ -76,6 +91,8 @@
       () => lose('closed'),
     );
 
+  if (options.fresh) awaitFirstWord();
+
   return {
     send: frame => channel.send(frame),
     close,
--- a/src/entry/timing.ts
+++ b/src/entry/timing.ts
@@ -11,6 +11,11 @@
   readonly beatMs: number;
   /** A channel quiet for so long is taken as silent. @default 3000 */
   readonly silenceMs: number;
+  /**
+   * A new connection that a run is taken up on counts as silent when its first
+   * word takes so long; over one beat of the side. @default 1500
+   */
+  readonly firstWordMs: number;
   /** New connections tried before a side counts as lost. @default 3 */
   readonly attachTries: number;
   /** Pause before a retry, doubled each time, with jitter. @default 50 */
@@ -27,6 +32,7 @@
   locateTimeoutMs: 1_000,
   beatMs: 1_000,
   silenceMs: 3_000,
+  firstWordMs: 1_500,
   attachTries: 3,
   retryPauseMs: 50,
   groupHoldMs: 500,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -60,6 +60,8 @@
 /** Bytes of text taken for one token; see `entry/admission.ts`. */
 const BYTES_PER_TOKEN = 4;
 const INCARNATION_BYTES = 6;
+/** A side beats once in a heartbeat; half of one more is for the way. */
+const FIRST_WORD_BEATS = 1.5;
 
 /** What the services of both roles are made of. */
 export interface CoreParts {
@@ -141,6 +143,10 @@
       timing: {
         beatMs: timing.heartbeatMs,
         silenceMs: timing.channelSilenceMs,
+        firstWordMs: Math.min(
+          timing.channelSilenceMs,
+          FIRST_WORD_BEATS * timing.heartbeatMs,
+        ),
       },
     }),
   );
--- a/test/entry_answer.test.ts
+++ b/test/entry_answer.test.ts
@@ -160,6 +160,29 @@
     expect(entry.sides[0].gos).toHaveLength(1);
   });
 
+  // The side's process is stopped for good after its first words, while its
+  // kernel takes connections. The caller has words that no other run can go on
+  // from: it is told so after one silence and three short waits.
+  it('for good ends the request in under ten seconds', async () => {
+    const entry = await startEntry({
+      sides: [
+        {
+          run: (_side, run) => {
+            makeThree(run);
+            run.send(run.chunks[0]);
+          },
+        },
+      ],
+    });
+    const caller = entry.submit();
+    await entry.clock.runFor(100);
+    const frozenAt = entry.clock.now();
+    entry.freeze(0);
+    await entry.clock.runFor(25_000);
+    expect(caller.final()).toMatchObject({error: {code: 'upstream-lost'}});
+    expect((caller.endedAt() ?? Infinity) - frozenAt).toBeLessThan(10_000);
+  });
+
   // The entry itself was stopped for ten seconds. Frames of that time wait in
   // its socket; the connection is well, and must not be taken for silent.
   it('is not confused with a pause of this process', async () => {
