fix(entry): tell the true state of a request after a take-over

When a caller resumed at another entry, the first one ended its part and from then on told 'failed', and gave that failure to a caller that came back, while the run went on under the other entry: its own table was asked first, and the end in it is the end of its part alone.

A request whose side says 'superseded' is now marked as taken over, and its state and its answer are looked for at the sides; if none knows it, the state known last is told. Ruled out: asking the sides for every failed request, since the owner's word on an answer that came changed is the better one. A request that comes back ends twice in the table: its first answer's bytes are now taken off the count of kept bytes.

Seen red: with taken-over requests found as others are, 'after its run was taken over is told of the run that goes on' gets 'failed'; green with the mark, as are entry_attempts and memory_fleet.

--- a/src/entry/adopt.ts
+++ b/src/entry/adopt.ts
@@ -8,7 +8,7 @@
 import type {AttemptOutcome} from './attempt.js';
 import type {DriveDeps} from './drive_request.js';
 import type {Located} from './locate.js';
-import {failedEvent, isOver} from './open_request.js';
+import {failedEvent, isOver, isTakenOver} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import {judgeOutcome} from './verdict.js';
 
@@ -91,6 +91,7 @@
   side: Address,
   outcome: AttemptOutcome,
 ): void {
+  open.takenOver = isTakenOver(outcome);
   const verdict = judgeOutcome(outcome, {
     side,
     repeatable: false,
--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -15,7 +15,7 @@
 import {runGroup} from './group_run.js';
 import type {AcceptedOffer, OfferDeps} from './offer_call.js';
 import {offerRound} from './offers.js';
-import {failedEvent, isOver, strongerRan} from './open_request.js';
+import {failedEvent, isOver, isTakenOver, strongerRan} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import {RETRY_AFTER_MS} from './refusals.js';
 import type {RetryBudget} from './retry_budget.js';
@@ -58,6 +58,7 @@
     // A group is gathered anew from all that answer: which of its members
     // failed is the membership's to say.
     if (placed.kind === 'accepted') lost.add(placed.incarnation);
+    open.takenOver = isTakenOver(outcome);
     const verdict = judgeOutcome(outcome, {
       side: open.side,
       repeatable: spec.repeatable,
--- a/src/entry/open_request.ts
+++ b/src/entry/open_request.ts
@@ -12,6 +12,7 @@
 } from '../types/ids.js';
 import type {WorkKind} from '../types/peer_messages.js';
 import type {AnswerLog, FinalEvent} from './answer_log.js';
+import type {AttemptOutcome} from './attempt.js';
 
 export interface OpenRequest {
   readonly id: RequestId;
@@ -25,6 +26,8 @@
   attempts: number;
   /** What the attempts that are over let us say. */
   ran: Ran;
+  /** Another entry took the run over: what is known here is out of date. */
+  takenOver: boolean;
   /** Ends the attempt that runs now. */
   stopAttempt: (() => void) | undefined;
   /** What the running attempt lets us say. */
@@ -46,6 +49,7 @@
     dispatchId: '',
     attempts: 0,
     ran: 'no',
+    takenOver: false,
     stopAttempt: undefined,
     attemptRan: undefined,
   };
@@ -63,6 +67,11 @@
   return strongerRan(open.ran, open.attemptRan?.() ?? 'no');
 }
 
+/** Whether the outcome is a side's word that another entry has the run. */
+export function isTakenOver(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'failed' && outcome.failed.code === 'superseded';
+}
+
 export function isOver(open: OpenRequest): boolean {
   return open.answer.final() !== undefined;
 }
--- a/src/entry/request_table.ts
+++ b/src/entry/request_table.ts
@@ -35,20 +35,28 @@
 
   const forgetOld = () => {
     const before = clock.now() - keepEndedMs;
-    for (const [id, {request, at}] of ended) {
+    for (const [id, {at}] of ended) {
       const fits = ended.size <= KEEP_ENDED && endedBytes <= KEEP_ENDED_BYTES;
       if (at >= before && fits) return;
-      ended.delete(id);
-      endedBytes -= request.answer.keptBytes();
+      forget(id);
     }
   };
 
+  /** A request that came back after its run was taken over ends twice here. */
+  const forget = (id: RequestId) => {
+    const before = ended.get(id);
+    if (before === undefined) return;
+    ended.delete(id);
+    endedBytes -= before.request.answer.keptBytes();
+  };
+
   return {
     add: request => {
       open.set(request.id, request);
     },
     end: request => {
       open.delete(request.id);
+      forget(request.id);
       ended.set(request.id, {request, at: clock.now()});
       endedBytes += request.answer.keptBytes();
       forgetOld();
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -45,6 +45,12 @@
 export function createResumer(options: ResumerOptions): Resumer {
   const {deps, table} = options;
 
+  /** Not one that another entry has by now: the sides know how it goes on. */
+  const find = (id: RequestId, organisation: OrganisationId) => {
+    const known = table.find(id, organisation);
+    return known?.takenOver === true ? undefined : known;
+  };
+
   const locate = (
     id: RequestId,
     organisation: OrganisationId,
@@ -94,14 +100,14 @@
 
   const resume = async (message: ResumeMessage) => {
     const {id, organisation, fromSeq, listener, streamed} = message;
-    const known = table.find(id, organisation);
+    const known = find(id, organisation);
     if (known !== undefined) {
       known.answer.subscribe(fromSeq, listener, streamed);
       return;
     }
     const located = await locate(id, organisation, message.sideHint);
     // Another resume of the same request may have been faster.
-    const meanwhile = table.find(id, organisation);
+    const meanwhile = find(id, organisation);
     if (meanwhile !== undefined) {
       meanwhile.answer.subscribe(fromSeq, listener, streamed);
     } else if (located !== undefined) adopt(located, message);
@@ -109,10 +115,16 @@
   };
 
   const localState: Resumer['localState'] = (id, organisation) => {
-    const known = table.find(id, organisation);
+    const known = find(id, organisation);
     return known === undefined ? unknownState(id) : stateOf(known);
   };
 
+  /** What was known here last, also of a run that was taken over. */
+  const ownState = (id: RequestId, organisation: OrganisationId) => {
+    const known = table.find(id, organisation);
+    return known === undefined ? undefined : stateOf(known);
+  };
+
   const state: Resumer['state'] = async (id, organisation, reply) => {
     const known = localState(id, organisation);
     if (known.state !== 'none') {
@@ -120,8 +132,8 @@
       return;
     }
     const located = await locate(id, organisation, '');
-    if (located === undefined) reply(known);
-    else reply({...located.res, id, side: located.side});
+    if (located !== undefined) reply({...located.res, id, side: located.side});
+    else reply(ownState(id, organisation) ?? known);
   };
 
   /** Copies the events of the earlier request into the later one's answer. */
--- a/test/entry_callers.test.ts
+++ b/test/entry_callers.test.ts
@@ -2,7 +2,11 @@
 import {Right} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
 import {createRoundRobin} from '../src/policy/routing_policies.js';
-import type {RequestListener, RoutingDecision} from '../src/types/services.js';
+import type {
+  RequestListener,
+  RequestState,
+  RoutingDecision,
+} from '../src/types/services.js';
 import {ROUTING_EVENTS} from '../src/utils/events.js';
 import {ENTRY, startEntry} from './support/entry_fixture.js';
 import type {EntryFixture} from './support/entry_fixture.js';
@@ -101,6 +105,31 @@
     expect(entry.sides.flatMap(side => side.gos)).toHaveLength(1);
   });
 
+  // Another entry took the run over and it goes on there. This entry's own end
+  // of the request is not the request's: the state told is the side's, and a
+  // caller that comes back gets the answer.
+  it('after its run was taken over is told of the run that goes on', async () => {
+    const entry = await startEntry({
+      sides: [
+        {offer: () => refused('full')},
+        {run: (_side, run) => run.send(superseded(run.dispatchId))},
+      ],
+    });
+    entry.submit({id: 'q30'});
+    await entry.clock.runFor(1_000);
+    holdRun(entry, 'q30.2');
+    const state = entry.kernel.ask<'requests', RequestState>(
+      'requests',
+      reply => ({kind: 'state', id: 'q30', organisation: 'prairie-sky', reply}),
+    );
+    await entry.clock.runFor(1_000);
+    expect(await state).toMatchObject({state: 'running', dispatchId: 'q30.2'});
+    const again = entry.caller();
+    resume(entry, 'q30', 'prairie-sky', 0, again.listener);
+    await entry.clock.runFor(1_000);
+    expect(again.text()).toBe('one two three');
+  });
+
   // Its first attempt lapsed on one side, its second ran on another. The trace
   // of the first must not be taken for the request: it would be told 'not run'
   // of a request that ran, or get another run's chunks.
