fix(entry): name the model and the prompt's tokens in a resumed answer

A resumed stream had an empty model and a usage without prompt_tokens: the state that an entry is told of a request had neither, and only the entry that admitted it knew them. The side has both from the offer.

Both are now optional fields of the state and of the locate's answer, on the wire as well; a process that does not send them is taken as before. Ruled out: asking the caller for them on a resume.

--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -29,11 +29,10 @@
 /** What a completion's answer tells besides its text. */
 export interface CompletionHead {
   readonly id: RequestId;
-  /** Empty on a resume: the entry that admitted it knew. */
   readonly model: ModelId;
   /** Unix time in seconds. */
   readonly created: number;
-  /** Undefined on a resume. */
+  /** Undefined when the side that was asked did not tell. */
   readonly promptTokens: number | undefined;
 }
 
--- a/src/entry/callers_requests.ts
+++ b/src/entry/callers_requests.ts
@@ -167,9 +167,9 @@
   if (state.kind === 'call') return createCallAnswer(res, id);
   const head = {
     id,
-    model: '',
+    model: state.model ?? '',
     created: Math.floor(front.wallTimeMs() / MS_PER_SEC),
-    promptTokens: undefined,
+    promptTokens: state.promptTokens,
   };
   return from === undefined
     ? createWholeAnswer(res, head)
--- a/src/entry/entry_peers.ts
+++ b/src/entry/entry_peers.ts
@@ -82,5 +82,7 @@
     dispatchId: state.dispatchId,
     nextSeq: state.nextSeq,
     kind: state.kind,
+    model: state.model,
+    promptTokens: state.promptTokens,
   };
 }
--- a/src/entry/open_request.ts
+++ b/src/entry/open_request.ts
@@ -14,10 +14,16 @@
 import type {AnswerLog, FinalEvent} from './answer_log.js';
 import type {AttemptOutcome} from './attempt.js';
 
-export interface OpenRequest {
+export interface RequestIdentity {
   readonly id: RequestId;
   readonly organisation: OrganisationId;
   readonly kind: WorkKind;
+  /** As the answer names it; empty for a call. */
+  readonly model: string;
+  readonly promptTokens: number;
+}
+
+export interface OpenRequest extends RequestIdentity {
   readonly answer: AnswerLog;
   /** Side and dispatch of the newest attempt; empty before the first. */
   side: Address;
@@ -35,15 +41,11 @@
 }
 
 export function createOpenRequest(
-  id: RequestId,
-  organisation: OrganisationId,
-  kind: WorkKind,
+  identity: RequestIdentity,
   answer: AnswerLog,
 ): OpenRequest {
   return {
-    id,
-    organisation,
-    kind,
+    ...identity,
     answer,
     side: '',
     dispatchId: '',
--- a/src/entry/request_table.ts
+++ b/src/entry/request_table.ts
@@ -82,6 +82,8 @@
     side: request.side,
     dispatchId: request.dispatchId,
     nextSeq: request.answer.nextSeq(),
+    model: request.model,
+    promptTokens: request.promptTokens,
   };
 }
 
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -20,6 +20,7 @@
 import type {Transport} from '../types/transport.js';
 import type {RoutingPolicy} from '../policy/routing.js';
 import {REQUEST_EVENTS} from '../utils/events.js';
+import {modelName} from '../utils/model_name.js';
 import {acquirePlace, claimKey} from './admit.js';
 import {createAnswerLog} from './answer_log.js';
 import type {FinalEvent} from './answer_log.js';
@@ -125,9 +126,13 @@
   const submit = (spec: RequestSpec, listener: RequestListener) => {
     const answer = createAnswerLog(spec.id, 0, ctx.invariant);
     const request = createOpenRequest(
-      spec.id,
-      spec.organisation,
-      spec.kind,
+      {
+        id: spec.id,
+        organisation: spec.organisation,
+        kind: spec.kind,
+        model: modelName(spec),
+        promptTokens: spec.promptTokens,
+      },
       answer,
     );
     answer.subscribe(0, listener, spec.streamed);
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -69,9 +69,13 @@
   const adopt = (located: Located, message: ResumeMessage) => {
     const answer = createAnswerLog(message.id, 0, deps.invariant);
     const open = createOpenRequest(
-      message.id,
-      message.organisation,
-      located.res.kind,
+      {
+        id: message.id,
+        organisation: message.organisation,
+        kind: located.res.kind,
+        model: located.res.model ?? '',
+        promptTokens: located.res.promptTokens ?? 0,
+      },
       answer,
     );
     options.open(open, []);
--- a/src/side/answers.ts
+++ b/src/side/answers.ts
@@ -8,6 +8,7 @@
 import type {SideCore} from './core.js';
 import {classesOf} from './core.js';
 import type {SideStatus} from './messages.js';
+import {modelName} from '../utils/model_name.js';
 import {classIndexOf} from './queue_policy.js';
 import {prefillLeft} from './run.js';
 import type {Run, RunState} from './run.js';
@@ -75,6 +76,8 @@
     dispatchId: run.id,
     nextSeq: run.log.count(),
     kind: run.offer.kind,
+    model: modelName(run.offer),
+    promptTokens: run.offer.promptTokens,
   };
 }
 
--- a/src/types/peer_messages.ts
+++ b/src/types/peer_messages.ts
@@ -239,6 +239,10 @@
   readonly dispatchId: DispatchId;
   readonly nextSeq: number;
   readonly kind: WorkKind;
+  /** As the answer names it, with its adapter; empty for a call. @default '' */
+  readonly model?: string;
+  /** Estimated; 0 for a call. @default 0 */
+  readonly promptTokens?: number;
 }
 
 /** Entry to side, each heartbeat period. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -110,6 +110,9 @@
   readonly side: Address;
   readonly dispatchId: DispatchId;
   readonly nextSeq: number;
+  /** As in `LocateRes`. */
+  readonly model?: string;
+  readonly promptTokens?: number;
 }
 
 /** To `requests`: the service that owns requests from admission to end. */
--- a/test/support/message_arbitraries.ts
+++ b/test/support/message_arbitraries.ts
@@ -144,6 +144,8 @@
       dispatchId,
       nextSeq: count,
       kind: workKind,
+      model: text,
+      promptTokens: count,
     }),
   },
   sideHeartbeat: {
