fix(membership): start without a dropped message to the configuration

Each start of an entry warned 'message-dropped' for the service config: the membership starts first and subscribed at once. Changing the order only moves the warning, since the configuration follows the membership too. The first asking is now a turn of the loop later, when the services of the core are up; the repeat each few seconds stays.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -319,7 +319,9 @@
   });
   ctx.own(clock.every(TICK_MS, tick));
   ctx.own(clock.every(OWN_STATE_MS, askOwnState));
-  askOwnState();
+  // In a turn of its own: the services that it asks start after this one, and
+  // what is sent to them before is dropped with a warning.
+  ctx.own(clock.after(0, askOwnState));
   pollForever();
   void ctx.mailbox.observe(onMessage);
 }
--- a/test/memory_fleet.test.ts
+++ b/test/memory_fleet.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, test} from 'vitest';
+import {KERNEL_EVENTS} from '../src/utils/events.js';
 import {finalOf} from '../standins/fleet_callers.js';
 import type {Ask} from '../standins/fleet_callers.js';
 import {createMemoryFleet} from '../standins/memory_fleet.js';
@@ -37,6 +38,19 @@
     fleet.stop();
   });
 
+  // An operator looks at the first lines of a log for what went wrong: a start
+  // in good order must not warn of messages between its own services.
+  test('starts without a message between services dropped', async () => {
+    const fleet = smallFleet();
+    await fleet.start();
+    await fleet.clock.runFor(1_000);
+    const dropped = fleet.events.filter(
+      ({event}) => event.number === KERNEL_EVENTS.messageDropped.number,
+    );
+    expect(dropped).toEqual([]);
+    fleet.stop();
+  });
+
   test('cuts the callers of an entry that crashes, and resumes at another', async () => {
     const fleet = smallFleet();
     await fleet.start();
