fix(events): take out an event that nothing logs

clock-jumped (113) stood in the catalogue and was never logged, so an operator could wait for it in vain. A pause of a process is told by side-was-frozen (423) and observer-paused (504), by the services that notice it. Ruled out: a third line for the same pause. test/events passes with the row and the event gone; there is no test that an event of the catalogue has a logger.

--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -24,7 +24,6 @@
   processStarted: event(110, 'info', 'process-started'),
   drainStarted: event(111, 'info', 'drain-started'),
   drainEnded: event(112, 'info', 'drain-ended'),
-  clockJumped: event(113, 'warn', 'clock-jumped'),
 } as const;
 
 /** Requests at an entry's front, from admission to the answer. */
