--- a/src/limits/home.ts
+++ b/src/limits/home.ts
@@ -15,7 +15,7 @@
 /** Time to live of a grant while few entries ask. */
 export const MIN_TTL_MS = 2_000;
 /** With many entries asking, grants live longer, up to this. */
-export const MAX_TTL_MS = 16_000;
+const MAX_TTL_MS = 16_000;
 /**
  * Entries that ask an organisation's home before the time to live grows. The
  * home of a busy organisation then hears some 16 asks a second, however many
@@ -51,6 +51,7 @@
   readonly holdings: readonly Holding[];
 }
 
+/** An organisation's grants, kept at its home entry. */
 export interface HomeLedger {
   /** Answers an ask; times are on the home's clock. */
   grant(req: GrantReq, limits: HomeLimits, now: number): GrantRes;
@@ -58,6 +59,7 @@
   isIdle(now: number, isPresent: HomeLimits['isPresent']): boolean;
 }
 
+/** Start of a ledger. */
 export interface HomeLedgerOptions {
   readonly invariant: Invariant;
   readonly now: number;
@@ -107,6 +109,7 @@
   return Math.ceil((limit * wanted) / allWanted);
 }
 
+/** Opens a ledger that knows of no grant. */
 export function createHomeLedger(options: HomeLedgerOptions): HomeLedger {
   const {invariant} = options;
   const entries = new Map<NodeId, EntryRecord>();
--- a/src/types/platform.ts
+++ b/src/types/platform.ts
@@ -26,6 +26,7 @@
   readonly message: string;
 }
 
+/** Outcome of a store call. */
 export type StoreResult<T> = Promise<Either<StoreError, T>>;
 
 /** Purpose of a store call, for counting calls a second by purpose. */
@@ -75,7 +76,10 @@
   readonly state: 'live' | 'leaving';
 }
 
-/** The platform's host list; lags behind the truth. */
+/**
+ * The platform's host list; lags behind the truth. A list that has not changed
+ * may be the same object as the one before.
+ */
 export type HostList = () => Promise<Either<OnyxError, readonly HostInfo[]>>;
 
 /** Rate-limited weight store: what a load of a model costs. */
@@ -85,4 +89,5 @@
   readonly queuedTransfers: number;
 }
 
+/** Reads the weight store's load. Left: it gave no answer in time. */
 export type WeightStore = () => Promise<Either<OnyxError, WeightStoreStatus>>;
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -100,6 +100,7 @@
     }
   | {readonly kind: 'failed'; readonly error: OnyxError};
 
+/** Called for each event of one request, in order. */
 export type RequestListener = (event: RequestEvent) => void;
 
 /** State of a request as any entry can tell it. */
@@ -175,6 +176,7 @@
   readonly candidates: readonly RoutingCandidate[];
 }
 
+/** A replica with the figures that the decision went by. */
 export interface RoutingCandidate {
   readonly address: Address;
   readonly failureDomain: FailureDomain;
@@ -321,6 +323,7 @@
   readonly operator: string;
 }
 
+/** A patch that is in force; with `dryRun`, that would be accepted. */
 export interface ConfigAccepted {
   readonly number: ConfigNumber;
   /** Paths that the patch changes, as JSON pointers. */
@@ -328,6 +331,7 @@
   readonly dryRun: boolean;
 }
 
+/** One fault that a patch would bring into the declarations. */
 export interface ConfigFault {
   /** JSON pointer into the declarations. */
   readonly path: string;
@@ -344,6 +348,7 @@
   readonly faults: readonly ConfigFault[];
 }
 
+/** One accepted patch. */
 export interface ConfigHistoryLine {
   readonly number: ConfigNumber;
   readonly patchId: string;
@@ -390,6 +395,7 @@
   /** A peer has seen this fencing number. */
   | {readonly kind: 'fence-seen'; readonly fence: FencingNumber};
 
+/** Placement as this entry sees it. `placer`: it holds the lease. */
 export interface PlacementStatus {
   readonly placer: boolean;
   readonly holder: NodeId;
