--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -15,7 +15,7 @@
 import {runGroup} from './group_run.js';
 import type {AcceptedOffer, OfferDeps} from './offer_call.js';
 import {offerRound} from './offers.js';
-import {failedEvent, isOver, strongerRan} from './open_request.js';
+import {failedEvent, isOver, isTakenOver, strongerRan} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import {RETRY_AFTER_MS} from './refusals.js';
 import type {RetryBudget} from './retry_budget.js';
@@ -58,10 +58,12 @@
     // A group is gathered anew from all that answer: which of its members
     // failed is the membership's to say.
     if (placed.kind === 'accepted') lost.add(placed.incarnation);
+    open.takenOver = isTakenOver(outcome);
     const verdict = judgeOutcome(outcome, {
       side: open.side,
       repeatable: spec.repeatable,
-      delivered: open.answer.nextSeq(),
+      received: open.answer.nextSeq(),
+      delivered: open.answer.delivered(),
     });
     if (verdict === undefined || isOver(open)) return;
     if (!(await goesOn(deps, open, spec, verdict, {tries, lost}))) return;
@@ -171,6 +173,9 @@
     cause: verdict.details.message,
   });
   if (verdict.kind === 'retry' && mayRetry(deps, spec, verdict, past)) {
+    // Before the pause: a caller that joins during it must not be shown chunks
+    // of the run that was given up.
+    open.answer.restart();
     deps.metrics.count('onyxloft_retries_total', {ran: verdict.ran});
     deps.log(REQUEST_EVENTS.retried, {
       requestId: spec.id,
--- a/src/types/peer_messages.ts
+++ b/src/types/peer_messages.ts
@@ -223,7 +223,14 @@
 export interface AbandonReq {
   readonly dispatchId: DispatchId;
   readonly entry: NodeId;
+  /** Empty, with an organisation, for whichever incarnation has the run. */
   readonly incarnation: Incarnation;
+  /**
+   * Set when the caller itself asks for the end at another entry than the
+   * run's owner: a run of this organisation ends whoever owns it, and the
+   * owner is told. @default ''
+   */
+  readonly organisation?: OrganisationId;
 }
 
 /**
@@ -247,6 +254,10 @@
   readonly dispatchId: DispatchId;
   readonly nextSeq: number;
   readonly kind: WorkKind;
+  /** As the answer names it, with its adapter; empty for a call. @default '' */
+  readonly model?: string;
+  /** Estimated; 0 for a call. @default 0 */
+  readonly promptTokens?: number;
 }
 
 /** Entry to side, each heartbeat period. */
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -59,6 +59,12 @@
   readonly promptTokens: number;
   readonly maxTokens: number;
   readonly repeatable: boolean;
+  /**
+   * The caller is shown chunks as they come. Without it nothing is shown before
+   * the end, so an answer cut short may be given up for that of another run.
+   * @default true
+   */
+  readonly streamed?: boolean;
   readonly idempotencyKey: string | undefined;
   readonly prefixHashes: readonly string[];
   readonly config: NumberedDeclarations;
@@ -67,7 +73,9 @@
 
 /**
  * What a request's caller is told, in order: `placed` any number of times,
- * then chunks from 0 without gaps, then exactly one `end` or `failed`.
+ * then chunks from 0 without gaps, then exactly one `end` or `failed`. A
+ * listener that is not streamed may be told `restarted` in between: the chunks
+ * so far are void, and those of another run follow from 0.
  */
 export type RequestEvent =
   | {
@@ -82,6 +90,7 @@
       readonly tokens: number;
       readonly callHead: CallResHead | undefined;
     }
+  | {readonly kind: 'restarted'}
   | {
       readonly kind: 'end';
       readonly count: number;
@@ -102,6 +111,9 @@
   readonly side: Address;
   readonly dispatchId: DispatchId;
   readonly nextSeq: number;
+  /** As in `LocateRes`. */
+  readonly model?: string;
+  readonly promptTokens?: number;
 }
 
 /** To `requests`: the service that owns requests from admission to end. */
@@ -111,7 +123,10 @@
       readonly spec: RequestSpec;
       readonly listener: RequestListener;
     }
-  /** The caller went away or asked to end it. */
+  /**
+   * The caller went away or asked to end it. With a reply, it is looked for at
+   * the sides too when another entry owns it.
+   */
   | {
       readonly kind: 'cancel';
       readonly id: RequestId;
@@ -126,6 +141,8 @@
       readonly fromSeq: number;
       /** Where the run was last seen, if the caller knows it. */
       readonly sideHint: Address;
+      /** As in `RequestSpec`. @default true */
+      readonly streamed?: boolean;
       readonly listener: RequestListener;
     }
   | {
