fix(entry): let what is over count for ten seconds, not forever or no longer

Cause: assignments were kept until a newer load report, without end when reports are silent.

Change: an assignment whose attempt is over counts on until a newer report or for ten seconds. The lists stay bounded.

--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -123,7 +123,7 @@
   open.stopAttempt = undefined;
   open.attemptRan = undefined;
   deps.tellMembership({kind: 'disown', address: side, dispatchId});
-  deps.router.unassigned(side, dispatchId);
+  deps.router.attemptOver(side, dispatchId);
   return outcome;
 }
 
--- a/src/entry/group_run.ts
+++ b/src/entry/group_run.ts
@@ -140,7 +140,7 @@
     disown: (part: ReservedPart) => {
       tell('disown', part);
       const {ranked, dispatchId} = part.offer;
-      deps.router.unassigned(ranked.target.replica.address, dispatchId);
+      deps.router.attemptOver(ranked.target.replica.address, dispatchId);
     },
   };
 }
--- a/src/entry/offer_call.ts
+++ b/src/entry/offer_call.ts
@@ -85,7 +85,7 @@
 export function withdrawOffer(deps: OfferDeps, offer: AcceptedOffer): void {
   const {dispatchId, incarnation} = offer;
   const side = offer.ranked.target.replica.address;
-  deps.router.unassigned(side, dispatchId);
+  deps.router.refused(side, dispatchId);
   void abandonDispatch(deps, {side, dispatchId, incarnation});
 }
 
@@ -97,7 +97,7 @@
 ): void {
   const {incarnation} = terms;
   const side = terms.candidate.target.replica.address;
-  deps.router.unassigned(side, dispatchId);
+  deps.router.refused(side, dispatchId);
   deps.log(REQUEST_EVENTS.offerUnanswered, {
     dispatchId,
     side,
@@ -130,7 +130,7 @@
   }
   const {reason, incarnation, retryAfterMs} = answer;
   const side = candidate.target.replica.address;
-  deps.router.unassigned(side, dispatchId);
+  deps.router.refused(side, dispatchId);
   deps.metrics.count('onyxloft_offer_refusals_total', {reason});
   deps.log(ROUTING_EVENTS.refused, {
     requestId: spec.id,
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -51,8 +51,9 @@
     ranked: readonly RankedTarget[],
   ): void;
   assigned(spec: RequestSpec, side: Address, dispatchId: DispatchId): void;
-  /** The side refused it, or the attempt is over. */
-  unassigned(side: Address, dispatchId: DispatchId): void;
+  refused(side: Address, dispatchId: DispatchId): void;
+  /** The attempt is over, whatever its outcome. */
+  attemptOver(side: Address, dispatchId: DispatchId): void;
   /** An answer ended whole: what the engine found in its prefix cache. */
   ended(spec: RequestSpec, cachedTokens: number): void;
   explain(id: RequestId): readonly RoutingDecision[];
@@ -75,6 +76,7 @@
   const explained = new Map<RequestId, RoutingDecision[]>();
 
   const rank = (spec: RequestSpec, except: ReadonlySet<Incarnation>) => {
+    assignments.forgetOver(runtime.clock.now());
     const eligible = options
       .view()
       .replicas.filter(
@@ -165,7 +167,9 @@
       assignments.add(side, dispatchId, spec.promptTokens, runtime.clock.now());
       prefixes.routed(spec.prefixHashes);
     },
-    unassigned: (side, dispatchId) => assignments.remove(side, dispatchId),
+    refused: (side, dispatchId) => assignments.remove(side, dispatchId),
+    attemptOver: (side, dispatchId) =>
+      assignments.over(side, dispatchId, runtime.clock.now()),
     ended: (spec, cachedTokens) =>
       prefixes.confirmed(spec.prefixHashes, cachedTokens),
     explain: id => explained.get(id) ?? [],
