--- a/src/side/prediction.ts
+++ b/src/side/prediction.ts
@@ -35,7 +35,7 @@
 }
 
 function wholeMs(core: SideCore, offer: OfferReq): number {
-  const tokens = core.lengths.expectedLeft(offer.maxTokens, 0);
+  const tokens = core.lengths.likelyLeft(offer.maxTokens, 0);
   return serviceMs(core, offer, offer.promptTokens, tokens);
 }
 
@@ -58,13 +58,13 @@
   const prefillMs =
     rates.leastPrefillMs(offer.promptTokens, now) / (offer.group?.size ?? 1);
   if (!lengths.isLearned()) return prefillMs;
-  const tokens = Math.max(0, lengths.expectedLeft(offer.maxTokens, 0));
+  const tokens = Math.max(0, lengths.likelyLeft(offer.maxTokens, 0));
   return prefillMs + tokens * rates.leastStepMs(now);
 }
 
 export function itemOf(core: SideCore, run: Run): QueueItem {
   const left = prefillLeft(run);
-  const tokensLeft = core.lengths.expectedLeft(
+  const tokensLeft = core.lengths.likelyLeft(
     run.offer.maxTokens,
     run.progress.nextToken,
   );
