fix(side): let only refusals bring the doubt about learned rates

Cause: doubt by idle time alone let a side that was merely idle take what it could tell was impossible; the test 'refuses too what answers of some length make late' showed it. Change: the doubt grows from the first refusal of work for its own length since the last sample; an idle side refuses as before.

--- a/src/side/engine_events.ts
+++ b/src/side/engine_events.ts
@@ -43,7 +43,7 @@
   const learnStep = (run: Run, count: number) => {
     const now = ctx.clock.now();
     const {lastTokenAt} = run.progress;
-    if (lastTokenAt !== undefined) rates.decoded(count, now - lastTokenAt, now);
+    if (lastTokenAt !== undefined) rates.decoded(count, now - lastTokenAt);
     run.progress.lastTokenAt = now;
   };
 
--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -51,8 +51,9 @@
 /**
  * What was learned of an engine that was slow by a fault goes on refusing once
  * the engine is well again, and what is refused teaches nothing: the side would
- * serve no long prompt ever after. So each period without a sample adds doubt,
- * until some work is taken; the first sample brings the truth back.
+ * serve no long prompt ever after. So each period in which it refused and saw
+ * nothing adds doubt, until some work is taken; the first sample brings the
+ * truth back.
  */
 const STALE_MS = 15_000;
 /** With this much doubt all but the plainly impossible is tried. */
@@ -63,9 +64,11 @@
   prefillBusy(busy: boolean, now: number): void;
   prefilled(tokens: number, now: number): void;
   /** `count` tokens of one run came `elapsedMs` after its last ones. */
-  decoded(count: number, elapsedMs: number, now: number): void;
+  decoded(count: number, elapsedMs: number): void;
   /** A call to a plain service took so long. */
-  called(elapsedMs: number, now: number): void;
+  called(elapsedMs: number): void;
+  /** Work was refused as too late. */
+  refused(now: number): void;
   prefillTokensPerSec(): number;
   stepMs(): number;
   callMs(): number;
@@ -88,12 +91,13 @@
   let seenMs = 0;
   let seenTokens = 0;
   let seenCalls = 0;
-  let sampledAt: number | undefined;
+  /** First refusal since the last sample. */
+  let refusingSince: number | undefined;
 
   /** By how much a prediction may be too long. */
   const doubt = (isLearned: boolean, now: number) => {
-    const idleMs = sampledAt === undefined ? 0 : now - sampledAt;
-    const periods = Math.floor(idleMs / STALE_MS) + (isLearned ? 0 : 1);
+    const refusingMs = refusingSince === undefined ? 0 : now - refusingSince;
+    const periods = Math.floor(refusingMs / STALE_MS) + (isLearned ? 0 : 1);
     return Math.min(MOST_DOUBT, DOUBT ** periods);
   };
 
@@ -110,7 +114,7 @@
     perSec = Math.max(1, (seenTokens / seenMs) * 1_000);
     busySince = now;
     tokens = 0;
-    sampledAt = now;
+    refusingSince = undefined;
   };
 
   const prefillMs = (count: number) =>
@@ -130,15 +134,18 @@
       tokens += count;
       sample(now);
     },
-    decoded: (count, elapsedMs, now) => {
+    decoded: (count, elapsedMs) => {
       if (count === 0) return;
       step = blend(step, elapsedMs / count);
-      sampledAt = now;
+      refusingSince = undefined;
     },
-    called: (elapsedMs, now) => {
+    called: elapsedMs => {
       call = blend(call, elapsedMs);
       seenCalls += 1;
-      sampledAt = now;
+      refusingSince = undefined;
+    },
+    refused: now => {
+      refusingSince ??= now;
     },
     prefillTokensPerSec: () => perSec,
     stepMs: () => step,
--- a/src/side/offers.ts
+++ b/src/side/offers.ts
@@ -105,6 +105,7 @@
     if (prediction.leastEndMs <= req.timeLeftMs) return undefined;
     const fitsAlone = prediction.leastAloneMs <= req.timeLeftMs;
     const excess = prediction.leastEndMs - req.timeLeftMs;
+    if (!fitsAlone) core.rates.refused(ctx.clock.now());
     return {reason: 'too-late', retryAfterMs: fitsAlone ? excess : NEVER_MS};
   };
 
--- a/src/side/upstream_runner.ts
+++ b/src/side/upstream_runner.ts
@@ -168,7 +168,7 @@
         append(run, event.data);
         break;
       case 'done':
-        rates.called(ctx.clock.now() - run.startedAt, ctx.clock.now());
+        rates.called(ctx.clock.now() - run.startedAt);
         lifecycle.end(run, 'done', 0);
         break;
     }
--- a/test/side_cold_start.test.ts
+++ b/test/side_cold_start.test.ts
@@ -86,8 +86,9 @@
     rig.goWhole('r1.0', 900_000);
     await rig.clock.runFor(300_000);
     rig.model.slow(1);
-    await rig.clock.runFor(60_000);
     const offer = {promptTokens: 30_000, timeLeftMs: 20_000};
-    expect(await rig.offer('r2.0', offer)).toMatchObject({kind: 'accepted'});
+    expect(await rig.offer('r2.0', offer)).toMatchObject({reason: 'too-late'});
+    await rig.clock.runFor(60_000);
+    expect(await rig.offer('r3.0', offer)).toMatchObject({kind: 'accepted'});
   });
 });
--- a/test/side_queue.test.ts
+++ b/test/side_queue.test.ts
@@ -168,7 +168,7 @@
       rates.prefillBusy(true, at);
       rates.prefilled(2_000, at + 100);
       rates.prefillBusy(false, at + 100);
-      rates.decoded(4, 200, at + 100);
+      rates.decoded(4, 200);
     }
     expect(rates.prefillTokensPerSec()).toBeCloseTo(20_000, -2);
     expect(rates.stepMs()).toBeCloseTo(50, 0);
