fix(entry): let a drain wait for a resume that is still looked for

In a process the front's own drain covers this; the request service alone did not. Ruled out: a lost run; it ended whole at its side. Change: a drain counts resumes under way.

--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -78,6 +78,8 @@
   /** What to release when a request is over. */
   const releases = new Map<OpenRequest, Array<() => void>>();
   const drained: Array<() => void> = [];
+  /** Resumes whose run is still being looked for; not in the table yet. */
+  let locating = 0;
   let draining = false;
   let view: MembershipView = {replicas: [], allSides: [], entries: []};
 
@@ -89,6 +91,13 @@
     prefixBlockTokens: options.prefixBlockTokens ?? DEFAULT_PREFIX_BLOCK_TOKENS,
   });
 
+  const isIdle = () => table.size() === 0 && locating === 0;
+
+  const tellDrained = () => {
+    if (!draining || !isIdle()) return;
+    for (const reply of drained.splice(0)) reply();
+  };
+
   const finish = (open: OpenRequest, event: FinalEvent) => {
     const first = open.answer.finish(event);
     ctx.invariant(first, 'one-final-event', {requestId: open.id});
@@ -99,9 +108,7 @@
     table.end(open);
     logEnd(ctx, open, event);
     ctx.metrics.gauge('onyxloft_owned_requests', {}, table.size());
-    if (draining && table.size() === 0) {
-      for (const reply of drained.splice(0)) reply();
-    }
+    tellDrained();
   };
 
   const deps: DriveDeps = {
@@ -227,6 +234,16 @@
     reply(await cancelElsewhere(deps, {id, organisation, sides}));
   };
 
+  const resume = (message: Extract<RequestsMessage, {kind: 'resume'}>) => {
+    // A drain that ends while the run is looked for would cut the caller that
+    // came for its answer.
+    locating++;
+    void resumer.resume(message).finally(() => {
+      locating--;
+      tellDrained();
+    });
+  };
+
   const onMessage = (message: RequestsMessage) => {
     switch (message.kind) {
       case 'submit':
@@ -239,7 +256,7 @@
         return;
       }
       case 'resume':
-        void resumer.resume(message);
+        resume(message);
         return;
       case 'state':
         void resumer.state(message.id, message.organisation, message.reply);
@@ -252,7 +269,7 @@
         return;
       case 'drain':
         draining = true;
-        if (table.size() === 0) message.reply();
+        if (isIdle()) message.reply();
         else drained.push(message.reply);
         return;
       case 'count':
--- a/test/entry_callers.test.ts
+++ b/test/entry_callers.test.ts
@@ -350,6 +350,24 @@
 });
 
 describe('an entry that drains', () => {
+  it('waits for a resume whose run it still looks for', async () => {
+    // The caller's own entry died; it asks here for its answer just as this
+    // entry drains. The run is not found yet, so no request is open here.
+    const entry = await startEntry({sides: [{}]});
+    const caller = entry.caller();
+    resume(entry, 'q11', 'prairie-sky', 0, caller.listener, 's1');
+    let drained = false;
+    entry.kernel.send('requests', {
+      kind: 'drain',
+      reply: () => {
+        drained = caller.final() !== undefined;
+        expect(drained).toBe(true);
+      },
+    });
+    await entry.clock.runFor(5_000);
+    expect(drained).toBe(true);
+  });
+
   // The process is to stop. Requests in progress must end whole, and a new one
   // must be told to go elsewhere rather than be cut later.
   it('ends its open requests and takes no new ones', async () => {
