feat(policy): route by own assignments when all reports are stale

Change: when every candidate's report is over 20 s old, candidates go in random pairs, the lesser by this entry's own tokens first. The shuffle and the pairs are shared with the plain policy of that name.

The new test of test/routing_policies.test.ts fails without the bound (all 200 on one side) and passes with it.

--- a/src/policy/predicted_first_token.ts
+++ b/src/policy/predicted_first_token.ts
@@ -2,9 +2,11 @@
  * Least predicted time to first token: queue and prefill ahead at the rate the
  * side has learned, less what its prefix cache should spare, plus the way
  * there. Old load reports count for less, so that entries which all saw the
- * same old report do not all choose the same side.
+ * same old report do not all choose the same side; where all have stopped, only
+ * what this entry itself sent counts.
  */
 import type {Address} from '../types/ids.js';
+import {inPairs, shuffled} from './random_order.js';
 import {rendezvousNames} from '../utils/rendezvous.js';
 import type {
   RankedTarget,
@@ -32,12 +34,17 @@
 const OUTSIDE_SHARE = 0.25;
 /** Cost of leaving the own failure domain, beside the measured round trip. */
 const OTHER_DOMAIN_MS = 1;
+/** Older reports say nothing of the load any more. */
+const STALE_AGE_MS = 20_000;
 /** A report of this age is half trusted. */
 const HALF_TRUST_AGE_MS = 2_000;
 /** A prefix that is new here leans to its home by this share of its tokens. */
 const NEW_PREFIX_LEAN = 0.02;
 
 export const predictedFirstToken: RoutingPolicy = input => {
+  if (input.targets.every(target => ageOf(input, target) > STALE_AGE_MS)) {
+    return byOwnAssignments(input);
+  }
   const home = prefixHome(input);
   const outsideMs = outsideLongShareMs(input);
   const forLong = enginesForLong(input);
@@ -51,6 +58,24 @@
     .map(one => one.ranked);
 };
 
+/**
+ * By chance in pairs, the lesser of each by this entry's own tokens first.
+ * Ranked on what was last reported, all entries would go on choosing alike, for
+ * as long as reports are silent.
+ */
+function byOwnAssignments(input: RoutingInput): readonly RankedTarget[] {
+  const lesserFirst = (a: RoutingTarget, b: RoutingTarget) =>
+    a.unreportedTokens - b.unreportedTokens;
+  return inPairs(shuffled(input), lesserFirst).map(target => ({
+    ...predict(input, target, undefined),
+    reason: 'reports are stale: lesser of a random pair by own tokens',
+  }));
+}
+
+function ageOf(input: RoutingInput, {replica}: RoutingTarget): number {
+  return input.now - replica.loadAt + replica.load.reportAgeMs;
+}
+
 function predict(
   input: RoutingInput,
   target: RoutingTarget,
@@ -150,7 +175,7 @@
   home: string | undefined,
 ): number {
   const {replica} = ranked.target;
-  const ageMs = input.now - replica.loadAt + replica.load.reportAgeMs;
+  const ageMs = ageOf(input, ranked.target);
   const doubt = ageMs / (ageMs + HALF_TRUST_AGE_MS);
   const noise = 1 + doubt * input.random.next();
   const lean = replica.address === home ? newPrefixLeanMs(input, ranked) : 0;
--- a/src/policy/routing_policies.ts
+++ b/src/policy/routing_policies.ts
@@ -1,11 +1,7 @@
 /** The routing policies by name, as the configuration names them. */
 import {predictedFirstToken} from './predicted_first_token.js';
-import type {
-  RankedTarget,
-  RoutingInput,
-  RoutingPolicy,
-  RoutingTarget,
-} from './routing.js';
+import {inPairs, shuffled} from './random_order.js';
+import type {RankedTarget, RoutingPolicy, RoutingTarget} from './routing.js';
 
 /** Cycles through the targets in order of address. */
 export function createRoundRobin(): RoutingPolicy {
@@ -26,14 +22,9 @@
 
 /** The lesser of two drawn by chance, then two others, and so on. */
 export const randomPairs: RoutingPolicy = input => {
-  const drawn = shuffled(input);
-  for (let at = 0; at + 1 < drawn.length; at += 2) {
-    const [a, b] = [drawn[at], drawn[at + 1]];
-    if (requestsOf(b) < requestsOf(a)) {
-      drawn[at] = b;
-      drawn[at + 1] = a;
-    }
-  }
+  const fewerFirst = (a: RoutingTarget, b: RoutingTarget) =>
+    requestsOf(a) - requestsOf(b);
+  const drawn = inPairs(shuffled(input), fewerFirst);
   return drawn.map(target => plain(target, 'lesser of a random pair'));
 };
 
@@ -60,12 +51,3 @@
 function byAddress(a: RoutingTarget, b: RoutingTarget): number {
   return a.replica.address < b.replica.address ? -1 : 1;
 }
-
-function shuffled(input: RoutingInput): RoutingTarget[] {
-  const targets = [...input.targets];
-  for (let at = targets.length - 1; at > 0; at--) {
-    const other = Math.floor(input.random.next() * (at + 1));
-    [targets[at], targets[other]] = [targets[other], targets[at]];
-  }
-  return targets;
-}
--- a/test/routing_policies.test.ts
+++ b/test/routing_policies.test.ts
@@ -167,6 +167,22 @@
     }
     expect(Math.max(...counts.values())).toBeLessThan(120);
   });
+
+  // Reports stopped half a minute ago, and the side that looked best then still
+  // does, to every entry. None sees what the others have sent since.
+  it('spreads over many entries when reports have stopped', () => {
+    const random = createSeededRandom(13);
+    const targets = ['a', 'b', 'c', 'd'].map((name, at) =>
+      targetOf(name, {shortBacklogTokens: at * 20_000}),
+    );
+    const counts = new Map<string, number>();
+    for (let entry = 0; entry < 200; entry++) {
+      const address = firstOf(inputOf(targets, {random, now: 30_000}));
+      counts.set(address, (counts.get(address) ?? 0) + 1);
+    }
+    expect(counts.size).toBe(4);
+    expect(Math.max(...counts.values())).toBeLessThan(70);
+  });
 });
 
 describe('the plain policies', () => {
