--- a/bench/soak_judge.ts
+++ b/bench/soak_judge.ts
@@ -22,12 +22,6 @@
   readonly request: RequestId | undefined;
 }
 
-/** A patch as the judge has to remember it. */
-export interface PatchNote {
-  readonly patchId: string;
-  readonly outcome: PatchOutcome | undefined;
-}
-
 /** What the judge was told by the run. */
 export interface JudgeNotes {
   readonly patches: Map<string, PatchOutcome | undefined>;
@@ -55,23 +49,23 @@
 /** A final event may come this much after the deadline. */
 const LATE_SLACK_MS = 50;
 
-export function createJudge(fleet: MemoryFleet): Judge {
+export function createJudge(fleet: MemoryFleet, holdMs: number): Judge {
   const notes: JudgeNotes = {
     patches: new Map(),
     leavings: [],
     keys: new Map(),
   };
-  /** Askings whose final event has not been judged yet. */
+  /** Submissions whose final event has not been judged yet. */
   const open = new Set<Tracked>();
   const early: Breach[] = [];
-  const orphans = createOrphanJudge(fleet);
+  const orphans = createOrphanJudge(fleet, holdMs);
   const lastNumbers = new Map<string, number>();
   let listFaultUntil = 0;
 
   const entryOf = (one: Tracked) =>
     fleet.entries.find(entry => entry.name === one.entry);
 
-  /** An open asking whose run its engine still has. */
+  /** An open submission whose run its engine still has. */
   const runningAt = (process: FleetProcess): Tracked | undefined => {
     const engine = fleet.engines.find(({name}) => name === process.name);
     const runs = engine?.model.list().filter(run => run.state !== 'done') ?? [];
@@ -83,9 +77,20 @@
     });
   };
 
+  /** The network changed a chunk of an attempt that this one was told of. */
+  const isChanged = (one: Tracked): boolean =>
+    one.placements.some(({dispatchId}) =>
+      fleet.network.changedRuns.has(dispatchId),
+    );
+
   const checkOpen = (): Breach | undefined => {
     for (const one of open) {
-      const breach = judgeAsking(one, entryOf(one), fleet.clock.now());
+      const breach = judgeAsking(
+        one,
+        entryOf(one),
+        fleet.clock.now(),
+        isChanged(one),
+      );
       if (breach !== undefined) return breach;
       if (one.cut || one.finals > 0) open.delete(one);
     }
@@ -147,7 +152,7 @@
       });
       const left = cut ?? runningAt(process);
       if (left === undefined) return;
-      const message = `${process.name} ended its drain with an asking open`;
+      const message = `${process.name} ended its drain with a submission open`;
       early.push(breachOf('i drain cuts nothing', message, left.id));
     },
     noteAsked: tracked => {
@@ -194,11 +199,12 @@
   return {invariant, message, request};
 }
 
-/** Judges one asking as it stands. */
+/** Judges one submission as it stands. */
 function judgeAsking(
   one: Tracked,
   entry: FleetProcess | undefined,
   now: number,
+  changed: boolean,
 ): Breach | undefined {
   const isResume = one.fromSeq > 0 || one.resumed;
   if (one.finals > 1) {
@@ -218,13 +224,16 @@
     const message = `final event at ${one.endedAt}, due ${due}`;
     return breachOf('a in time', message, one.id);
   }
-  return judgeAnswer(one);
+  return judgeAnswer(one, changed);
 }
 
-function judgeAnswer(one: Tracked): Breach | undefined {
+function judgeAnswer(one: Tracked, changed: boolean): Breach | undefined {
   const order = judgeOrder(one);
   if (order !== undefined) return order;
   const final = finalOf(one);
+  // A changed byte shows when the digest comes, after it was told: such an
+  // answer may fail, and may never end as whole.
+  if (changed && final?.kind !== 'end') return undefined;
   // What comes before a resume's first chunk was told to another connection.
   if (one.fromSeq > 0) {
     if (one.expected.includes(one.text)) return undefined;
--- a/src/entry/abandon.ts
+++ b/src/entry/abandon.ts
@@ -4,7 +4,13 @@
  * offer or the go will run; every other outcome is not.
  */
 import type {Ran} from '../types/errors.js';
-import type {Address, DispatchId, Incarnation, NodeId} from '../types/ids.js';
+import type {
+  Address,
+  DispatchId,
+  Incarnation,
+  NodeId,
+  OrganisationId,
+} from '../types/ids.js';
 import type {Log} from '../types/runtime.js';
 import type {Transport} from '../types/transport.js';
 import {REQUEST_EVENTS} from '../utils/events.js';
@@ -14,6 +20,8 @@
   readonly side: Address;
   readonly dispatchId: DispatchId;
   readonly incarnation: Incarnation;
+  /** As in `AbandonReq`. */
+  readonly organisation?: OrganisationId;
 }
 
 export interface AbandonOutcome {
@@ -48,6 +56,7 @@
       dispatchId: target.dispatchId,
       entry: deps.node,
       incarnation: target.incarnation,
+      organisation: target.organisation ?? '',
     },
     deps.timing.abandonTimeoutMs,
   );
@@ -58,7 +67,7 @@
       incarnation: target.incarnation,
     }),
     Right: answer => ({
-      // Another incarnation has no record of this dispatch: its word on it
+      // Another incarnation has no record of this dispatch: its answer about it
       // is no evidence, whatever it says.
       ran:
         answer.incarnation === target.incarnation
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -5,8 +5,9 @@
 import type {ServerResponse} from 'node:http';
 import {OnyxError} from '../types/errors.js';
 import type {ModelId, RequestId} from '../types/ids.js';
-import type {CallResHead, Header} from '../types/peer_messages.js';
+import type {CallResHead} from '../types/peer_messages.js';
 import type {RequestEvent} from '../types/services.js';
+import {withoutHopHeaders} from '../utils/hop_headers.js';
 import {createAnswerText} from './answer_text.js';
 import {errorBody, sendError, sendJson} from './http_errors.js';
 
@@ -17,6 +18,8 @@
 export interface Answer {
   placed(dispatchId: string): void;
   chunk(event: ChunkEvent): void;
+  /** Chunks so far are void; throws an `OnyxError` if the caller has some. */
+  restart(): void;
   end(event: EndEvent): void;
   /** No whole answer will come. */
   fail(error: OnyxError): void;
@@ -27,39 +30,13 @@
 /** What a completion's answer tells besides its text. */
 export interface CompletionHead {
   readonly id: RequestId;
-  /** Empty on a resume: the entry that admitted it knew. */
   readonly model: ModelId;
   /** Unix time in seconds. */
   readonly created: number;
-  /** Undefined on a resume. */
+  /** Undefined when the side that was asked did not tell. */
   readonly promptTokens: number | undefined;
 }
 
-/** Headers that belong to one connection, not to the message. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
-/** Headers that go on to the other end of a call. */
-export function endToEndHeaders(headers: readonly Header[]): readonly Header[] {
-  const named = headers
-    .filter(header => header.name.toLowerCase() === 'connection')
-    .flatMap(header => header.value.split(','))
-    .map(name => name.trim().toLowerCase());
-  return headers.filter(header => {
-    const name = header.name.toLowerCase();
-    return !CONNECTION_HEADERS.has(name) && !named.includes(name);
-  });
-}
-
 function choice(text: string, finishReason: string | null) {
   return {index: 0, text, logprobs: null, finish_reason: finishReason};
 }
@@ -153,7 +130,11 @@
     res.end('data: [DONE]\n\n');
   };
 
-  return {placed, chunk, end, fail, beat: () => write(': beat\n\n')};
+  const restart = () => {
+    if (begun) throw otherRun(head.id);
+  };
+
+  return {placed, chunk, restart, end, fail, beat: () => write(': beat\n\n')};
 }
 
 function otherRun(id: RequestId): OnyxError {
@@ -171,11 +152,15 @@
   res: ServerResponse,
   head: CompletionHead,
 ): Answer {
-  const text = createAnswerText();
   const parts: string[] = [];
+  let text = createAnswerText();
   return {
     placed: () => undefined,
     chunk: event => void parts.push(text.push(event.data)),
+    restart: () => {
+      parts.length = 0;
+      text = createAnswerText();
+    },
     end: event => {
       parts.push(text.end());
       sendJson(res, 200, completion(head, parts.join(''), event));
@@ -188,7 +173,7 @@
 /** A plain service's response, passed on as it comes. */
 export function createCallAnswer(res: ServerResponse, id: RequestId): Answer {
   const begin = (head: CallResHead) => {
-    for (const {name, value} of endToEndHeaders(head.headers)) {
+    for (const {name, value} of withoutHopHeaders(head.headers)) {
       res.appendHeader(name, value);
     }
     res.writeHead(head.status);
@@ -199,6 +184,9 @@
       if (!res.headersSent) begin(event.callHead ?? {status: 200, headers: []});
       res.write(event.data);
     },
+    restart: () => {
+      if (res.headersSent) throw otherRun(id);
+    },
     end: () => {
       if (!res.headersSent) begin({status: 200, headers: []});
       res.end();
--- a/src/entry/open_request.ts
+++ b/src/entry/open_request.ts
@@ -12,11 +12,18 @@
 } from '../types/ids.js';
 import type {WorkKind} from '../types/peer_messages.js';
 import type {AnswerLog, FinalEvent} from './answer_log.js';
+import type {AttemptOutcome} from './attempt.js';
 
-export interface OpenRequest {
+export interface RequestIdentity {
   readonly id: RequestId;
   readonly organisation: OrganisationId;
   readonly kind: WorkKind;
+  /** As the answer names it; empty for a call. */
+  readonly model: string;
+  readonly promptTokens: number;
+}
+
+export interface OpenRequest extends RequestIdentity {
   readonly answer: AnswerLog;
   /** Side and dispatch of the newest attempt; empty before the first. */
   side: Address;
@@ -25,6 +32,8 @@
   attempts: number;
   /** What the attempts that are over let us say. */
   ran: Ran;
+  /** Another entry took the run over: what is known here is out of date. */
+  takenOver: boolean;
   /** Ends the attempt that runs now. */
   stopAttempt: (() => void) | undefined;
   /** What the running attempt lets us say. */
@@ -32,20 +41,17 @@
 }
 
 export function createOpenRequest(
-  id: RequestId,
-  organisation: OrganisationId,
-  kind: WorkKind,
+  identity: RequestIdentity,
   answer: AnswerLog,
 ): OpenRequest {
   return {
-    id,
-    organisation,
-    kind,
+    ...identity,
     answer,
     side: '',
     dispatchId: '',
     attempts: 0,
     ran: 'no',
+    takenOver: false,
     stopAttempt: undefined,
     attemptRan: undefined,
   };
@@ -63,6 +69,11 @@
   return strongerRan(open.ran, open.attemptRan?.() ?? 'no');
 }
 
+/** Whether the outcome is a side's word that another entry has the run. */
+export function isTakenOver(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'failed' && outcome.failed.code === 'superseded';
+}
+
 export function isOver(open: OpenRequest): boolean {
   return open.answer.final() !== undefined;
 }
--- a/src/entry/resume.ts
+++ b/src/entry/resume.ts
@@ -45,6 +45,12 @@
 export function createResumer(options: ResumerOptions): Resumer {
   const {deps, table} = options;
 
+  /** Not one that another entry has by now: the sides know how it goes on. */
+  const find = (id: RequestId, organisation: OrganisationId) => {
+    const known = table.find(id, organisation);
+    return known?.takenOver === true ? undefined : known;
+  };
+
   const locate = (
     id: RequestId,
     organisation: OrganisationId,
@@ -63,13 +69,17 @@
   const adopt = (located: Located, message: ResumeMessage) => {
     const answer = createAnswerLog(message.id, 0, deps.invariant);
     const open = createOpenRequest(
-      message.id,
-      message.organisation,
-      located.res.kind,
+      {
+        id: message.id,
+        organisation: message.organisation,
+        kind: located.res.kind,
+        model: located.res.model ?? '',
+        promptTokens: located.res.promptTokens ?? 0,
+      },
       answer,
     );
     options.open(open, []);
-    answer.subscribe(message.fromSeq, message.listener);
+    answer.subscribe(message.fromSeq, message.listener, message.streamed);
     const known = options
       .view()
       .replicas.find(one => one.address === located.side);
@@ -93,25 +103,32 @@
   };
 
   const resume = async (message: ResumeMessage) => {
-    const {id, organisation, fromSeq, listener} = message;
-    const known = table.find(id, organisation);
+    const {id, organisation, fromSeq, listener, streamed} = message;
+    const known = find(id, organisation);
     if (known !== undefined) {
-      known.answer.subscribe(fromSeq, listener);
+      known.answer.subscribe(fromSeq, listener, streamed);
       return;
     }
     const located = await locate(id, organisation, message.sideHint);
     // Another resume of the same request may have been faster.
-    const meanwhile = table.find(id, organisation);
-    if (meanwhile !== undefined) meanwhile.answer.subscribe(fromSeq, listener);
-    else if (located !== undefined) adopt(located, message);
+    const meanwhile = find(id, organisation);
+    if (meanwhile !== undefined) {
+      meanwhile.answer.subscribe(fromSeq, listener, streamed);
+    } else if (located !== undefined) adopt(located, message);
     else listener({kind: 'failed', error: notFound(id)});
   };
 
   const localState: Resumer['localState'] = (id, organisation) => {
-    const known = table.find(id, organisation);
+    const known = find(id, organisation);
     return known === undefined ? unknownState(id) : stateOf(known);
   };
 
+  /** What was known here last, also of a run that was taken over. */
+  const ownState = (id: RequestId, organisation: OrganisationId) => {
+    const known = table.find(id, organisation);
+    return known === undefined ? undefined : stateOf(known);
+  };
+
   const state: Resumer['state'] = async (id, organisation, reply) => {
     const known = localState(id, organisation);
     if (known.state !== 'none') {
@@ -119,8 +136,8 @@
       return;
     }
     const located = await locate(id, organisation, '');
-    if (located === undefined) reply(known);
-    else reply({...located.res, id, side: located.side});
+    if (located !== undefined) reply({...located.res, id, side: located.side});
+    else reply(ownState(id, organisation) ?? known);
   };
 
   /** Copies the events of the earlier request into the later one's answer. */
@@ -134,6 +151,8 @@
         open.answer.placed(event);
       } else if (event.kind === 'chunk') {
         open.answer.append(event);
+      } else if (event.kind === 'restarted') {
+        open.answer.restart();
       } else if (event.kind === 'end') {
         deps.finish(open, event);
       } else {
--- a/src/entry/verdict.ts
+++ b/src/entry/verdict.ts
@@ -10,7 +10,9 @@
 export interface VerdictInput {
   readonly side: Address;
   readonly repeatable: boolean;
-  /** Chunks that the caller has. */
+  /** Chunks that came: evidence that it ran. */
+  readonly received: number;
+  /** Chunks that a caller has seen. */
   readonly delivered: number;
 }
 
@@ -109,13 +111,13 @@
   // A second run need not give the same words: its chunks after those of the
   // first would make an answer that no run gave.
   if (input.delivered > 0) return {kind: 'fail', details, ran};
-  // Without the side's word the first run may still go on: a second one would
+  // Without the side's answer the first run may still go on: a second one would
   // do twice what must be done once.
   if (!input.repeatable && ran !== 'no') return {kind: 'fail', details, ran};
   return {kind: 'retry', details, ran};
 }
 
-/** Who has chunks knows that it ran, whatever is said. */
+/** Chunks that came tell that it ran, whatever is said. */
 function honestRan(said: Ran, input: VerdictInput): Ran {
-  return input.delivered > 0 ? 'yes' : said;
+  return input.received > 0 ? 'yes' : said;
 }
--- a/src/types/services.ts
+++ b/src/types/services.ts
@@ -59,6 +59,12 @@
   readonly promptTokens: number;
   readonly maxTokens: number;
   readonly repeatable: boolean;
+  /**
+   * The caller is shown chunks as they come. Without it nothing is shown before
+   * the end, so an answer cut short may be given up for that of another run.
+   * @default true
+   */
+  readonly streamed?: boolean;
   readonly idempotencyKey: string | undefined;
   readonly prefixHashes: readonly string[];
   readonly config: NumberedDeclarations;
@@ -67,7 +73,9 @@
 
 /**
  * What a request's caller is told, in order: `placed` any number of times,
- * then chunks from 0 without gaps, then exactly one `end` or `failed`.
+ * then chunks from 0 without gaps, then exactly one `end` or `failed`. A
+ * listener that is not streamed may be told `restarted` in between: the chunks
+ * so far are void, and those of another run follow from 0.
  */
 export type RequestEvent =
   | {
@@ -82,6 +90,7 @@
       readonly tokens: number;
       readonly callHead: CallResHead | undefined;
     }
+  | {readonly kind: 'restarted'}
   | {
       readonly kind: 'end';
       readonly count: number;
@@ -91,6 +100,7 @@
     }
   | {readonly kind: 'failed'; readonly error: OnyxError};
 
+/** Called for each event of one request, in order. */
 export type RequestListener = (event: RequestEvent) => void;
 
 /** State of a request as any entry can tell it. */
@@ -101,6 +111,9 @@
   readonly side: Address;
   readonly dispatchId: DispatchId;
   readonly nextSeq: number;
+  /** As in `LocateRes`. */
+  readonly model?: string;
+  readonly promptTokens?: number;
 }
 
 /** To `requests`: the service that owns requests from admission to end. */
@@ -110,7 +123,10 @@
       readonly spec: RequestSpec;
       readonly listener: RequestListener;
     }
-  /** The caller went away or asked to end it. */
+  /**
+   * The caller went away or asked to end it. With a reply, it is looked for at
+   * the sides too when another entry owns it.
+   */
   | {
       readonly kind: 'cancel';
       readonly id: RequestId;
@@ -125,6 +141,8 @@
       readonly fromSeq: number;
       /** Where the run was last seen, if the caller knows it. */
       readonly sideHint: Address;
+      /** As in `RequestSpec`. @default true */
+      readonly streamed?: boolean;
       readonly listener: RequestListener;
     }
   | {
@@ -158,6 +176,7 @@
   readonly candidates: readonly RoutingCandidate[];
 }
 
+/** A replica with the figures that the decision went by. */
 export interface RoutingCandidate {
   readonly address: Address;
   readonly failureDomain: FailureDomain;
@@ -304,6 +323,7 @@
   readonly operator: string;
 }
 
+/** A patch that is in force; with `dryRun`, that would be accepted. */
 export interface ConfigAccepted {
   readonly number: ConfigNumber;
   /** Paths that the patch changes, as JSON pointers. */
@@ -311,6 +331,7 @@
   readonly dryRun: boolean;
 }
 
+/** One fault that a patch would bring into the declarations. */
 export interface ConfigFault {
   /** JSON pointer into the declarations. */
   readonly path: string;
@@ -327,6 +348,7 @@
   readonly faults: readonly ConfigFault[];
 }
 
+/** One accepted patch. */
 export interface ConfigHistoryLine {
   readonly number: ConfigNumber;
   readonly patchId: string;
@@ -373,6 +395,7 @@
   /** A peer has seen this fencing number. */
   | {readonly kind: 'fence-seen'; readonly fence: FencingNumber};
 
+/** Placement as this entry sees it. `placer`: it holds the lease. */
 export interface PlacementStatus {
   readonly placer: boolean;
   readonly holder: NodeId;
--- a/src/utils/metrics.ts
+++ b/src/utils/metrics.ts
@@ -8,7 +8,7 @@
 import type {MetricLabels, Metrics} from '../types/runtime.js';
 
 /** Metrics of this endpoint's own: samples that found no place. */
-export const LABEL_OVERFLOW_METRIC = 'onyxloft_metrics_overflow_total';
+const LABEL_OVERFLOW_METRIC = 'onyxloft_metrics_overflow_total';
 
 /**
  * Label values may come from callers and hosts. Without a bound their number
@@ -38,6 +38,7 @@
   readonly series: Map<string, Series>;
 }
 
+/** Bounds of the metrics. */
 export interface MetricsOptions {
   /** Label sets kept for each metric. @default 200 */
   readonly maxLabelSets?: number;
--- a/test/http_callers.test.ts
+++ b/test/http_callers.test.ts
@@ -77,6 +77,25 @@
     await expect(text).toMatchFileSnapshot('golden/front_whole.json');
   });
 
+  // The first run dies amid a character. The caller, who has seen nothing yet,
+  // gets the second run's text, with no byte of the first before it.
+  test('a whole answer holds nothing of a run that was given up', async () => {
+    await open({
+      submit: (spec, listener) => {
+        const cut = Buffer.from('up ❄').subarray(0, -1);
+        for (const [seq, data] of [Buffer.from('given '), cut].entries()) {
+          listener({kind: 'chunk', seq, data, tokens: 1, callHead: undefined});
+        }
+        listener({kind: 'restarted'});
+        tellAnswer(listener, spec.id, ['late ', 'frost']);
+      },
+    });
+    const res = await complete({model: 'onyx-1', prompt: 'summary?'});
+    const body = (await res.json()) as {choices: {text: string}[]};
+    expect(body.choices[0].text).toBe('late frost');
+    expect(submitted().streamed).toBe(false);
+  });
+
   test('a character cut by a chunk border arrives whole, under the later chunk', async () => {
     await open({
       submit: (spec, listener) => {
@@ -208,7 +227,7 @@
     await open();
     const pending = complete({prompt: 'x', onyxloft: {time_limit_ms: 100}});
     await bench.until('submit');
-    bench.clock.advance(700);
+    await bench.clock.runFor(700);
     const res = await pending;
     expect(res.status).toBe(504);
     expect(await res.json()).toMatchObject({
@@ -229,7 +248,7 @@
     await expect
       .poll(() => bench.logged.some(line => line.name === 'caller-left'))
       .toBe(true);
-    bench.clock.advance(2_001);
+    await bench.clock.runFor(2_001);
     expect(await bench.until('cancel')).toMatchObject({id: submitted().id});
   });
 
@@ -337,7 +356,7 @@
   test('readiness follows a membership that was restarted', async () => {
     await open();
     bench.forgetSubscribers();
-    bench.clock.advance(5_000);
+    await bench.clock.runFor(5_000);
     // An answered call: by now the subscription has been delivered.
     expect((await call('GET', '/readyz')).status).toBe(200);
     bench.setView(viewOf('gone'));
--- a/test/support/scripted_side.ts
+++ b/test/support/scripted_side.ts
@@ -18,6 +18,19 @@
 
 const BEAT_MS = 1_000;
 
+/** An engine with nothing to do. */
+export const IDLE_LOAD: SideLoad = {
+  capacityTokens: 400_000,
+  freeTokens: 400_000,
+  running: 0,
+  queued: 0,
+  prefillBacklogTokens: 0,
+  shortBacklogTokens: 0,
+  prefillTokensPerSec: 10_000,
+  stepMs: 20,
+  reportAgeMs: 0,
+};
+
 export interface SideScript {
   /** @default accepts */
   readonly offer?: (req: OfferReq) => Promise<OfferRes> | OfferRes;
@@ -45,6 +58,8 @@
   /** Dispatches whose go arrived, in order. */
   readonly gos: DispatchId[];
   readonly abandons: DispatchId[];
+  /** Organisations that those were asked for in the name of. */
+  readonly abandonedFor: string[];
   /** `fromSeq` of each attach. */
   readonly attaches: number[];
   /** Whether each of those took the run over. */
@@ -67,6 +82,7 @@
     offers: [],
     gos: [],
     abandons: [],
+    abandonedFor: [],
     attaches: [],
     takeOvers: [],
     runs: new Map(),
@@ -120,8 +136,9 @@
       }
       return (script.offer ?? (() => accepted(side)))(req);
     },
-    abandon: async ({dispatchId}) => {
+    abandon: async ({dispatchId, organisation = ''}) => {
       side.abandons.push(dispatchId);
+      side.abandonedFor.push(organisation);
       const ran = side.runs.has(dispatchId) ? 'started' : 'never-started';
       const state = script.abandon?.(dispatchId) ?? ran;
       return {state, incarnation: side.incarnation};
@@ -235,18 +252,7 @@
     failureDomain: 'hall-north',
     incarnation: side.incarnation,
     state: 'live',
-    load: {
-      capacityTokens: 400_000,
-      freeTokens: 400_000,
-      running: 0,
-      queued: 0,
-      prefillBacklogTokens: 0,
-      shortBacklogTokens: 0,
-      prefillTokensPerSec: 10_000,
-      stepMs: 20,
-      reportAgeMs: 0,
-      ...load,
-    },
+    load: {...IDLE_LOAD, ...load},
     loadAt: 0,
     models: [
       {model: 'onyx', version: '1', adapters: [], ready: true, role: 'mixed'},
