--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,6 +1,12 @@
 /** Runs one bench by name: `npm run bench -- NAME [options]`. */
 import {benchCapacityPage} from './capacity_page.js';
+import {benchConfigSpread} from './config_spread.js';
+import {benchConfigSpreadReal} from './config_spread_real.js';
+import {benchMembership} from './membership.js';
+import {benchObjectCalls} from './object_calls.js';
+import {benchPath} from './path.js';
 import {benchPolicy} from './policy.js';
+import {benchRecovery} from './recovery.js';
 import {benchSlopes} from './slopes.js';
 
 type Bench = (args: readonly string[]) => Promise<void>;
@@ -9,6 +15,12 @@
   ['policy', benchPolicy],
   ['slopes', benchSlopes],
   ['capacity-page', benchCapacityPage],
+  ['path', benchPath],
+  ['recovery', benchRecovery],
+  ['membership', benchMembership],
+  ['config-spread', benchConfigSpread],
+  ['config-spread-real', benchConfigSpreadReal],
+  ['object-calls', benchObjectCalls],
 ]);
 
 const [name = '', ...args] = process.argv.slice(2);
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -204,7 +204,3 @@
     rmSync(dir, {recursive: true, force: true});
   }
 }
-
-if (import.meta.filename === process.argv[1]) {
-  await benchPath(process.argv.slice(2));
-}
--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -259,7 +259,3 @@
     );
   }
 }
-
-if (import.meta.filename === process.argv[1]) {
-  await benchRecovery(process.argv.slice(2));
-}
