refactor(entry): write a claim's refusal and a drain once

Cause: both stood twice, word for word. Change: claim_refused.ts; drained and stopAll in the wiring. No behaviour changes.

--- /dev/null
+++ b/src/entry/claim_refused.ts
@@ -0,0 +1,22 @@
+/** What a caller is told when its idempotency key could not be claimed. */
+import {OnyxError} from '../types/errors.js';
+import type {RequestId} from '../types/ids.js';
+import type {Random} from '../types/runtime.js';
+
+/** `retryAfterMs` is spread up to twice, lest all come back at one moment. */
+export function claimRefused(
+  requestId: RequestId,
+  retryAfterMs: number,
+  random: Random,
+): OnyxError {
+  return new OnyxError({
+    code: 'store-unavailable',
+    step: 'claim',
+    ran: 'no',
+    requestId,
+    retryAfterMs: Math.round(retryAfterMs * (1 + random.next())),
+    message:
+      'the idempotency key could not be claimed; ' +
+      'nothing ran, send the request again with the same key',
+  });
+}
--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -6,13 +6,14 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {OnyxError} from '../types/errors.js';
+import type {OnyxError} from '../types/errors.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import type {ObjectStore, StoredObject} from '../types/platform.js';
 import type {ClaimOutcome, ClaimsMessage} from '../types/services.js';
 import {PLATFORM_EVENTS} from '../utils/events.js';
 import {claimKey, formatClaimRecord, parseClaimRecord} from './claim_record.js';
 import type {ClaimRecord} from './claim_record.js';
+import {claimRefused} from './claim_refused.js';
 import {createRecentMap} from './recent_map.js';
 
 const NONCE_BYTES = 12;
@@ -154,19 +155,7 @@
         key,
       });
     }
-    return Left(
-      new OnyxError({
-        code: 'store-unavailable',
-        step: 'claim',
-        ran: 'no',
-        requestId: message.requestId,
-        // Spread, so that the refused do not all come back at one moment.
-        retryAfterMs: Math.round(retryAfterMs * (1 + random.next())),
-        message:
-          'the idempotency key could not be claimed; ' +
-          'nothing ran, send the request again with the same key',
-      }),
-    );
+    return Left(claimRefused(message.requestId, retryAfterMs, random));
   };
 
   const noteWon = (key: string, message: ClaimsMessage) => {
--- a/src/entry/claims_batched.ts
+++ b/src/entry/claims_batched.ts
@@ -7,11 +7,12 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {OnyxError} from '../types/errors.js';
+import type {OnyxError} from '../types/errors.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import type {ObjectStore} from '../types/platform.js';
 import type {ClaimOutcome, ClaimsMessage} from '../types/services.js';
 import {claimHash} from './claim_record.js';
+import {claimRefused} from './claim_refused.js';
 import {
   decideClaims,
   formatShardTable,
@@ -104,18 +105,7 @@
     });
 
   const refusal = (message: ClaimsMessage): Outcome =>
-    Left(
-      new OnyxError({
-        code: 'store-unavailable',
-        step: 'claim',
-        ran: 'no',
-        requestId: message.requestId,
-        retryAfterMs: Math.round(retryAfterMs * (1 + random.next())),
-        message:
-          'the idempotency key could not be claimed; ' +
-          'nothing ran, send the request again with the same key',
-      }),
-    );
+    Left(claimRefused(message.requestId, retryAfterMs, random));
 
   const reply = (queued: Queued, outcome: Outcome) => {
     const kind = outcome.map(it => it.kind).orDefault('refused' as never);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -250,6 +250,22 @@
   };
 }
 
+/** Tells a service to drain; resolves when what it has has ended. */
+function drained(
+  kernel: Kernel,
+  service: 'callers' | 'requests' | 'runs',
+): Promise<void> {
+  return kernel.ask(service, (reply: (done: void) => void) => ({
+    kind: 'drain',
+    reply: () => reply(),
+  }));
+}
+
+async function stopAll(kernel: Kernel, transport: Transport): Promise<void> {
+  await kernel.stop();
+  await transport.close();
+}
+
 async function wireEntry(
   settings: EntrySettings,
   runtime: Runtime,
@@ -302,14 +318,8 @@
     drain: async () => {
       kernel.send('membership', {kind: 'leave'});
       await Promise.all([
-        kernel.ask('callers', (reply: (done: void) => void) => ({
-          kind: 'drain',
-          reply: () => reply(),
-        })),
-        kernel.ask('requests', (reply: (done: void) => void) => ({
-          kind: 'drain',
-          reply: () => reply(),
-        })),
+        drained(kernel, 'callers'),
+        drained(kernel, 'requests'),
       ]);
     },
     open: () =>
@@ -317,10 +327,7 @@
         kind: 'count',
         reply,
       })),
-    stop: async () => {
-      await kernel.stop();
-      await transport.close();
-    },
+    stop: () => stopAll(kernel, transport),
   };
 }
 
@@ -369,15 +376,8 @@
     }));
   return {
     kernel,
-    drain: () =>
-      kernel.ask('runs', (reply: (done: void) => void) => ({
-        kind: 'drain',
-        reply: () => reply(),
-      })),
+    drain: () => drained(kernel, 'runs'),
     open: async () => (await status()).runs.length,
-    stop: async () => {
-      await kernel.stop();
-      await transport.close();
-    },
+    stop: () => stopAll(kernel, transport),
   };
 }
