fix(side): bury no id for an offer to an earlier incarnation

Ruled out: the entry's verdict; it trusted the side's answer, as it must. Change: such a refusal leaves no tombstone; a go to the old incarnation is refused by the incarnation alone.

--- a/src/side/offers.ts
+++ b/src/side/offers.ts
@@ -111,15 +111,21 @@
 
   const refuse = (req: OfferReq, refusal: Refusal): OfferRefused => {
     const answer = refused(refusal);
-    tombstones.add(
-      {
-        dispatchId: req.dispatchId,
-        organisation: req.organisation,
-        started: false,
-        answer,
-      },
-      ctx.clock.now(),
-    );
+    // A late copy of an offer to an earlier incarnation may be of a run that
+    // started there: buried as refused, it would be called "not run" to the
+    // entry that comes back for it, and run twice. Its go is refused by the
+    // incarnation alone.
+    if (refusal.reason !== 'incarnation') {
+      tombstones.add(
+        {
+          dispatchId: req.dispatchId,
+          organisation: req.organisation,
+          started: false,
+          answer,
+        },
+        ctx.clock.now(),
+      );
+    }
     ctx.metrics.count('onyxloft_side_refusals_total', {reason: refusal.reason});
     ctx.log(SIDE_EVENTS.offerRefused, {
       dispatchId: req.dispatchId,
--- a/test/side_at_most_once.test.ts
+++ b/test/side_at_most_once.test.ts
@@ -222,3 +222,22 @@
     expect(late.last('failed')).toMatchObject({ran: 'yes'});
   });
 });
+
+describe('a copy of an offer to an earlier incarnation', () => {
+  // The run started before its side was restarted. Then a late copy of its
+  // offer comes and is refused, and the entry comes back for its run. It must
+  // not hear "not run": what may not be repeated would run a second time.
+  test('says nothing of the run that started there', async () => {
+    const rig = await createSideRig();
+    await rig.offer('r1.0', {repeatable: false});
+    rig.goWhole('r1.0');
+    await rig.clock.runFor(100);
+    expect(rig.starts('r1.0')).toBe(1);
+    await rig.kill();
+    await rig.restart('i2');
+    expect(await rig.offer('r1.0')).toMatchObject({reason: 'incarnation'});
+    const back = rig.attach('r1.0', 0, 'entry-1');
+    await rig.clock.runFor(100);
+    expect(back.last('failed')).not.toMatchObject({ran: 'no'});
+  });
+});
