--- a/src/side/learned_rates.ts
+++ b/src/side/learned_rates.ts
@@ -55,7 +55,7 @@
  * nothing adds doubt, until some work is taken; the first sample brings the
  * truth back.
  */
-const STALE_MS = 15_000;
+const STALE_MS = 5_000;
 /** With this much doubt all but the plainly impossible is tried. */
 const MOST_DOUBT = 64;
 
