fix(entry): name the prefix block of 1 KiB where its default stands

Cause: read again as a newcomer: the default and its comment still said 512 tokens, while the fronts hash blocks of 1 KiB, 256 tokens; the wiring passes 256, so no process was touched. Figures: 60 tests of entry and routing pass.

--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -48,8 +48,8 @@
 const SUBSCRIBE_EVERY_MS = 5_000;
 /** When to come back to another entry while this one drains. */
 const DRAIN_RETRY_AFTER_MS = 200;
-/** Prompt blocks are hashed by 2 KiB, some 512 tokens of text. */
-const DEFAULT_PREFIX_BLOCK_TOKENS = 512;
+/** Prompt blocks are hashed by 1 KiB, some 256 tokens of text. */
+const DEFAULT_PREFIX_BLOCK_TOKENS = 256;
 
 export interface RequestsOptions {
   readonly transport: Transport;
@@ -59,7 +59,7 @@
   readonly routingPolicy: (name: string) => RoutingPolicy;
   /** @default DEFAULT_REQUEST_TIMING */
   readonly timing?: Partial<RequestTiming>;
-  /** Prompt tokens that one prefix hash stands for. @default 512 */
+  /** Prompt tokens that one prefix hash stands for. @default 256 */
   readonly prefixBlockTokens?: number;
 }
 
