refactor(wiring): start the operators' front in one place

Cause: both roles built the same front, word for word but for the handlers. Change: startOperators. No behaviour changes.

--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -18,6 +18,7 @@
 import {createEntryPeersService} from './entry/entry_peers.js';
 import {createCallersService} from './entry/http_callers.js';
 import {createOperatorsService} from './entry/http_operators.js';
+import type {OperatorsOptions} from './entry/http_operators.js';
 import {createEntryHandlers} from './entry/operator_handlers.js';
 import {PREFIX_BLOCK_BYTES} from './entry/prefix_hashes.js';
 import {createRequestsService} from './entry/requests.js';
@@ -266,6 +267,23 @@
   await transport.close();
 }
 
+/** Both roles have the same front for operators, with handlers of their own. */
+function startOperators(
+  kernel: Kernel,
+  settings: Settings,
+  handlers: OperatorsOptions['handlers'],
+): Promise<void> {
+  return kernel.start(
+    createOperatorsService({
+      listen: settings.listen.operators,
+      operatorTokenHash: settings.operatorTokenHash,
+      verifyKey: verifyKeyAsync,
+      yieldLoop: yieldToLoop,
+      handlers,
+    }),
+  );
+}
+
 async function wireEntry(
   settings: EntrySettings,
   runtime: Runtime,
@@ -298,19 +316,12 @@
       loopDelayMs: createLoopDelayProbe(),
     }),
   );
-  await kernel.start(
-    createOperatorsService({
-      listen: listen.operators,
-      operatorTokenHash: settings.operatorTokenHash,
-      verifyKey: verifyKeyAsync,
-      yieldLoop: yieldToLoop,
-      handlers: ctx =>
-        createEntryHandlers(ctx, {
-          node,
-          incarnation,
-          limits,
-          drain: requestDrain,
-        }),
+  await startOperators(kernel, settings, ctx =>
+    createEntryHandlers(ctx, {
+      node,
+      incarnation,
+      limits,
+      drain: requestDrain,
     }),
   );
   return {
@@ -359,15 +370,8 @@
     store,
     queuePolicy: classQueue,
   });
-  await kernel.start(
-    createOperatorsService({
-      listen: listen.operators,
-      operatorTokenHash: settings.operatorTokenHash,
-      verifyKey: verifyKeyAsync,
-      yieldLoop: yieldToLoop,
-      handlers: ctx =>
-        createSideOperatorHandlers(ctx, {node, drain: requestDrain}),
-    }),
+  await startOperators(kernel, settings, ctx =>
+    createSideOperatorHandlers(ctx, {node, drain: requestDrain}),
   );
   const status = () =>
     kernel.ask('runs', (reply: (status: SideStatus) => void) => ({
