--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['dist/', 'node_modules/', 'coverage/']},
+  {ignores: ['dist/', 'target/', 'node_modules/', 'coverage/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/src/direct/evidence.ts
@@ -0,0 +1,58 @@
+/**
+ * Until when a key may be taken as valid: no longer than `limitMs` after the
+ * sending of the newest call to the store that was answered. An entry that is
+ * cut off from the store would otherwise serve a key for as long as the cut
+ * lasts after it was taken away.
+ *
+ * A process that was suspended doesn't see the time on its monotonic clock, but
+ * the time of day runs ahead of it. A stepped time of day looks the same; then
+ * one more call to the store settles it.
+ */
+import type {Clock} from '../types/runtime.js';
+
+/** Time of day and monotonic clock drift apart by less than this. */
+const DRIFT_MS = 250;
+
+export interface Evidence {
+  /** The store has answered a call that was sent at `sentAt`. */
+  confirm(sentAt: number): void;
+  /** Age of the newest evidence, in milliseconds; infinite without any. */
+  ageMs(): number;
+  isFresh(): boolean;
+}
+
+/** `wallMs` is the time of day in milliseconds. */
+export function createEvidence(
+  clock: Clock,
+  wallMs: () => number,
+  limitMs: number,
+): Evidence {
+  let confirmedAt = Number.NEGATIVE_INFINITY;
+  let ahead = 0;
+  /** Before this time nothing counts: the process may have stood still. */
+  let doubtedAt = Number.NEGATIVE_INFINITY;
+
+  const lead = () => wallMs() - clock.now();
+  const checkLead = () => {
+    const now = lead();
+    if (Math.abs(now - ahead) > DRIFT_MS) doubtedAt = clock.now();
+    ahead = now;
+  };
+  ahead = lead();
+
+  const ageMs = () => {
+    checkLead();
+    return confirmedAt < doubtedAt
+      ? Number.POSITIVE_INFINITY
+      : clock.now() - confirmedAt;
+  };
+
+  return {
+    confirm: sentAt => {
+      checkLead();
+      confirmedAt = Math.max(confirmedAt, sentAt);
+    },
+    ageMs,
+    isFresh: () => ageMs() <= limitMs,
+  };
+}
--- /dev/null
+++ b/src/direct/exchange.ts
@@ -0,0 +1,84 @@
+/**
+ * One caller's request from its arrival to its one final answer: what was
+ * asked, how much time is left, and whether the caller is still there.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock} from '../types/runtime.js';
+import type {DirectConfig, KeyOwner, RequestFacts, Route} from './types.js';
+
+/** A request that may be served. */
+export interface Admitted {
+  readonly config: DirectConfig;
+  readonly route: Route;
+  readonly service: string;
+  readonly facts: RequestFacts;
+  readonly id: string;
+  readonly owner: KeyOwner | undefined;
+  readonly body: Buffer;
+}
+
+/** Why nothing more can come of a request. */
+export type EndReason = 'caller left' | 'time is up' | 'answered';
+
+export interface Exchange extends Admitted {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  /** On this process's clock. */
+  readonly arrivedAt: number;
+  /** Aborts when nothing more can come of the request. */
+  readonly signal: AbortSignal;
+  timeLeftMs(): number;
+  elapsedMs(): number;
+  /** Replicas to which the request was sent so far. */
+  sent: number;
+  /** It may have run: a replica got it and gave no proof that it did not. */
+  mayHaveRun: boolean;
+  /** Refuses, or ends an answer that has begun; set by the front. */
+  end(reason: EndReason): void;
+}
+
+export interface ExchangeOptions {
+  readonly clock: Clock;
+  readonly arrivedAt: number;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly admitted: Admitted;
+  /** The time limit or the caller's own ended first. */
+  onTimeUp(exchange: Exchange): void;
+  onCallerLeft(exchange: Exchange): void;
+}
+
+export function openExchange(options: ExchangeOptions): Exchange {
+  const {clock, arrivedAt, req, res, admitted} = options;
+  const {timeLimitMs} = admitted.route;
+  const limitMs = Math.min(timeLimitMs, admitted.facts.timeLeftMs ?? Infinity);
+  const abort = new AbortController();
+  const end = (reason: EndReason) => {
+    cancelTimer();
+    if (!abort.signal.aborted) abort.abort(reason);
+  };
+  const exchange: Exchange = {
+    ...admitted,
+    req,
+    res,
+    arrivedAt,
+    signal: abort.signal,
+    timeLeftMs: () => arrivedAt + limitMs - clock.now(),
+    elapsedMs: () => clock.now() - arrivedAt,
+    sent: 0,
+    mayHaveRun: false,
+    end,
+  };
+  const cancelTimer = clock.after(exchange.timeLeftMs(), () => {
+    if (abort.signal.aborted) return;
+    end('time is up');
+    options.onTimeUp(exchange);
+  });
+  res.once('close', () => {
+    if (abort.signal.aborted) return;
+    const whole = res.writableFinished;
+    end(whole ? 'answered' : 'caller left');
+    if (!whole) options.onCallerLeft(exchange);
+  });
+  return exchange;
+}
--- /dev/null
+++ b/src/direct/follow.ts
@@ -0,0 +1,118 @@
+/**
+ * Follows one collection of the platform's store: reads it whole, then watches
+ * from that revision on. Watches are short: a connection may go silent without
+ * a reset, and only a watch that fails to return shows it.
+ */
+import type {Cancel, Clock, Random} from '../types/runtime.js';
+import type {Collection, StoreFault} from './types.js';
+
+/** Pause after a failed call; doubles up to the second, with jitter. */
+const RETRY_FIRST_MS = 100;
+const RETRY_MOST_MS = 500;
+
+/** What is followed, and who is told. */
+export interface FollowOptions<T> {
+  readonly collection: Collection<T>;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Wait of one watch, in milliseconds. */
+  readonly waitMs: number;
+  /** All items after a whole read. */
+  onList(items: ReadonlyMap<string, T>): void;
+  /** Items that changed; undefined ones were removed. */
+  onChanges(items: ReadonlyMap<string, T | undefined>): void;
+  /**
+   * All that was acknowledged before the call was sent is known now.
+   * `sentAt` is on this process's clock.
+   */
+  onConfirmed(sentAt: number): void;
+  onFault(fault: StoreFault): void;
+}
+
+/** A running follower. */
+export interface Follower {
+  /** Reads the collection anew at once, beside the running watch. */
+  confirmNow(): void;
+  stop(): void;
+}
+
+/** Starts to follow; ends with `stop`. */
+export function follow<T>(options: FollowOptions<T>): Follower {
+  const {collection, clock, random} = options;
+  let stopped = false;
+  let revision: number | undefined;
+  let retryMs = RETRY_FIRST_MS;
+  let cancelPause: Cancel | undefined;
+  let confirming = false;
+
+  const readWhole = async (): Promise<boolean> => {
+    const sentAt = clock.now();
+    const res = await collection.list();
+    if (stopped) return false;
+    return res.caseOf({
+      Left: fault => {
+        options.onFault(fault);
+        return false;
+      },
+      Right: listing => {
+        // A read that was overtaken by a watch must not bring back old items.
+        if (revision !== undefined && listing.revision < revision) return true;
+        revision = listing.revision;
+        options.onList(listing.items);
+        options.onConfirmed(sentAt);
+        return true;
+      },
+    });
+  };
+
+  const watchOnce = async (from: number): Promise<boolean> => {
+    const sentAt = clock.now();
+    const res = await collection.watch(from, options.waitMs);
+    if (stopped) return false;
+    return res.caseOf({
+      Left: fault => {
+        if (fault.historyGone) revision = undefined;
+        options.onFault(fault);
+        return fault.historyGone;
+      },
+      Right: changes => {
+        if (revision !== undefined && changes.revision < revision) return true;
+        revision = changes.revision;
+        if (changes.items.size > 0) options.onChanges(changes.items);
+        options.onConfirmed(sentAt);
+        return true;
+      },
+    });
+  };
+
+  const pause = (): Promise<void> =>
+    new Promise(resolve => {
+      const delayMs = retryMs * (0.5 + random.next());
+      retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
+      cancelPause = clock.after(delayMs, resolve);
+    });
+
+  const run = async (): Promise<void> => {
+    while (!stopped) {
+      const well =
+        revision === undefined ? await readWhole() : await watchOnce(revision);
+      if (well) retryMs = RETRY_FIRST_MS;
+      else if (!stopped) await pause();
+    }
+  };
+  void run();
+
+  return {
+    confirmNow: () => {
+      if (confirming || stopped) return;
+      confirming = true;
+      void readWhole().finally(() => {
+        confirming = false;
+      });
+    },
+    stop: () => {
+      stopped = true;
+      cancelPause?.();
+    },
+  };
+}
--- /dev/null
+++ b/src/direct/front.ts
@@ -0,0 +1,272 @@
+/**
+ * The service `direct`: takes callers' requests and serves them at upstreams
+ * that have no side. It owns the callers' socket, the load book and what it
+ * knows of the replicas; the configuration and the replicas come as messages.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createRetryBudget} from '../entry/retry_budget.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import {admitRequest} from './admit_request.js';
+import type {Refused} from './admit_request.js';
+import {openCallersServer} from './callers_server.js';
+import type {CallersServer} from './callers_server.js';
+import {createEvidence} from './evidence.js';
+import {openExchange} from './exchange.js';
+import type {Admitted, Exchange} from './exchange.js';
+import {createFleet} from './fleet.js';
+import {createGroups} from './groups.js';
+import {createLoadBook} from './load_book.js';
+import {sendOwnAnswer} from './own_answers.js';
+import {createReplicaHealth} from './replica_health.js';
+import {serveCall} from './serve_call.js';
+import {giveUp} from './serve_context.js';
+import type {ServeContext} from './serve_context.js';
+import {serveStream} from './serve_stream.js';
+import type {DirectMessage} from './messages.js';
+import type {DirectSettings} from './settings.js';
+import type {DirectConfig, HeaderCodec, Reservations} from './types.js';
+
+/** Share of the revocation bound for which evidence counts. */
+const EVIDENCE_SHARE = 0.9;
+/** A request waits so long for the store to confirm its key. */
+const CONFIRM_WAIT_MS = 400;
+const CONFIRM_LOOK_MS = 20;
+/** Between looks for changes of the own load that others should know. */
+const SHARE_MS = 20;
+/** Of the budget for retries, for errors in the share by entries. */
+const BUDGET_SHARE = 0.8;
+/** Ready means that the store was heard of within this share of the bound. */
+const READY_SHARE = 0.6;
+/**
+ * From the signal on, new connections come until the balancer has missed two
+ * checks, a second each; then the socket is closed.
+ */
+const TAKE_ON_MS = 2_600;
+/** Kept of the grace time for the last answers' way out. */
+const GRACE_MARGIN_MS = 500;
+
+export interface DirectFrontOptions {
+  readonly settings: DirectSettings;
+  readonly incarnation: string;
+  readonly codec: HeaderCodec;
+  readonly orders: Reservations;
+  /** Time of one lease on a replica's memory, in milliseconds. */
+  readonly holdMs: number;
+  /** Time of day, in milliseconds. */
+  readonly wallMs: () => number;
+}
+
+export function createDirectFront(
+  options: DirectFrontOptions,
+): ServiceSpec<'direct'> {
+  return {name: 'direct', start: ctx => startFront(options, ctx)};
+}
+
+function startFront(
+  options: DirectFrontOptions,
+  ctx: ServiceContext<'direct'>,
+): void {
+  const {settings, codec} = options;
+  const {clock, log, metrics, random} = ctx;
+  const {revokeMs} = settings.timing;
+  let config: DirectConfig | undefined;
+  let server: CallersServer | undefined;
+  let opening = false;
+  let draining = false;
+  let entries = 1;
+  const open = new Set<Exchange>();
+
+  const evidence = createEvidence(
+    clock,
+    options.wallMs,
+    revokeMs * EVIDENCE_SHARE,
+  );
+  const health = createReplicaHealth(clock);
+  const fleet = createFleet(clock, ({id}) => health.forget(id));
+  const book = createLoadBook(clock);
+  const serveContext: ServeContext = {
+    clock,
+    log,
+    metrics,
+    random,
+    codec,
+    failureDomain: settings.failureDomain,
+    fleet,
+    health,
+    book,
+    groups: createGroups({
+      clock,
+      log,
+      orders: options.orders,
+      idPrefix: `${settings.node}-${options.incarnation}`,
+      holdMs: options.holdMs,
+    }),
+    budget: createRetryBudget(
+      () => (settings.retries.slack * BUDGET_SHARE) / entries,
+    ),
+    retryRatio: settings.retries.ratio * BUDGET_SHARE,
+    isDraining: () => draining,
+  };
+
+  /** Waits a little for the store, where the evidence has grown old. */
+  const keysAreFresh = async (): Promise<boolean> => {
+    if (evidence.isFresh()) return true;
+    ctx.send('followed', {kind: 'confirm'});
+    const until = clock.now() + CONFIRM_WAIT_MS;
+    while (clock.now() < until) {
+      await new Promise<void>(
+        resolve => void clock.after(CONFIRM_LOOK_MS, resolve),
+      );
+      if (evidence.isFresh()) return true;
+    }
+    return false;
+  };
+
+  const serve = (admitted: Admitted, ...sides: Sides): void => {
+    const [req, res, arrivedAt] = sides;
+    const exchange = openExchange({
+      clock,
+      arrivedAt,
+      req,
+      res,
+      admitted,
+      onTimeUp: late => giveUp(serveContext, late, 'time is up'),
+      onCallerLeft: ({id, elapsedMs}) => {
+        const waitedMs = Math.round(elapsedMs());
+        log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
+      },
+    });
+    open.add(exchange);
+    const serving = admitted.route.streaming
+      ? serveStream(serveContext, exchange)
+      : serveCall(serveContext, exchange);
+    void serving
+      .catch(err => {
+        log(DIRECT_EVENTS.faulted, {
+          requestId: exchange.id,
+          cause: String(err),
+        });
+        exchange.mayHaveRun = true;
+        giveUp(serveContext, exchange, 'internal error');
+      })
+      .finally(() => {
+        exchange.end('answered');
+        open.delete(exchange);
+      });
+  };
+
+  const refuse = (res: ServerResponse, refused: Refused, id: unknown) => {
+    const {status, message} = refused;
+    log(DIRECT_EVENTS.refused, {
+      requestId: String(id),
+      status,
+      message,
+      config: config?.version,
+      evidenceAgeMs: Math.round(Math.min(evidence.ageMs(), 1e9)),
+    });
+    metrics.count('onyxloft_direct_refused_total', {status: String(status)});
+    // A retry should reach an entry that knows more.
+    const close = draining || status === 503 || status === 413;
+    sendOwnAnswer(res, {...refused, close});
+  };
+
+  const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    const arrivedAt = clock.now();
+    const parts = {
+      codec,
+      draw: () => random.next(),
+      keysAreFresh,
+      config: () => config,
+    };
+    admitRequest(parts, req)
+      .then(result => {
+        if (res.destroyed) return;
+        if ('status' in result) {
+          const {id} = codec.readRequest(req.headers);
+          refuse(res, result, id);
+        } else {
+          serve(result, req, res, arrivedAt);
+        }
+      })
+      .catch(() => res.destroy());
+  };
+
+  const openServer = async (): Promise<void> => {
+    opening = true;
+    server = await openCallersServer(settings.listen.callers, onRequest);
+    if (config !== undefined) server.setLimits(config.limits);
+    log(DIRECT_EVENTS.listening, {address: settings.listen.callers});
+  };
+
+  const setConfig = (next: DirectConfig): void => {
+    // A read of an older state must never undo what was in force.
+    if (config !== undefined && next.version <= config.version) return;
+    log(DIRECT_EVENTS.configAdopted, {
+      version: next.version,
+      before: config?.version,
+      routes: next.routes.length,
+    });
+    config = next;
+    server?.setLimits(next.limits);
+    if (!opening) openServer().catch(ctx.fail);
+  };
+
+  const drain = (reply: () => void): void => {
+    if (draining) return;
+    draining = true;
+    const startedAt = clock.now();
+    clock.after(TAKE_ON_MS, () => server?.stopTaking());
+    const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
+    const cancel = clock.every(CONFIRM_LOOK_MS, () => {
+      const passedMs = clock.now() - startedAt;
+      const done = passedMs > TAKE_ON_MS && open.size === 0;
+      if (!done && passedMs < graceMs) return;
+      cancel();
+      reply();
+    });
+  };
+
+  const handle = (message: DirectMessage): void => {
+    switch (message.kind) {
+      case 'config':
+        return setConfig(message.config);
+      case 'confirmed':
+        return evidence.confirm(message.sentAt);
+      case 'replicas':
+        return fleet.setAll(message.replicas);
+      case 'replica-changes':
+        return fleet.change(message.replicas);
+      case 'store-failed':
+        return fleet.storeFailed();
+      case 'other-load':
+        return book.setOther(message.node, message.loads);
+      case 'entries':
+        entries = message.count;
+        return;
+      case 'ready':
+        return message.reply(
+          !draining &&
+            server !== undefined &&
+            fleet.size() > 0 &&
+            evidence.ageMs() < revokeMs * READY_SHARE,
+        );
+      case 'count':
+        return message.reply(open.size);
+      case 'drain':
+        return drain(message.reply);
+    }
+  };
+
+  let shared = -1;
+  const stopSharing = clock.every(SHARE_MS, () => {
+    if (book.version() === shared) return;
+    shared = book.version();
+    ctx.send('sharing', {kind: 'load', loads: book.own()});
+  });
+  ctx.own(stopSharing);
+  ctx.own(() => server?.close());
+  void ctx.mailbox.observe(handle);
+}
+
+type Sides = readonly [IncomingMessage, ServerResponse, number];
--- /dev/null
+++ b/src/direct/messages.ts
@@ -0,0 +1,48 @@
+/** Messages between the services of a direct entry. */
+import type {ReplicaLoad} from './load_book.js';
+import type {DirectConfig, DirectReplica} from './types.js';
+
+/** To the front. */
+export type DirectMessage =
+  | {readonly kind: 'config'; readonly config: DirectConfig}
+  /** The store answered a call about the configuration, sent at this time. */
+  | {readonly kind: 'confirmed'; readonly sentAt: number}
+  | {
+      readonly kind: 'replicas';
+      readonly replicas: ReadonlyMap<string, DirectReplica>;
+    }
+  | {
+      readonly kind: 'replica-changes';
+      readonly replicas: ReadonlyMap<string, DirectReplica | undefined>;
+    }
+  | {readonly kind: 'store-failed'}
+  | {
+      readonly kind: 'other-load';
+      readonly node: string;
+      readonly loads: readonly ReplicaLoad[];
+    }
+  /** Entries that are there, with this one. */
+  | {readonly kind: 'entries'; readonly count: number}
+  | {readonly kind: 'ready'; readonly reply: (ready: boolean) => void}
+  | {readonly kind: 'count'; readonly reply: (open: number) => void}
+  | {readonly kind: 'drain'; readonly reply: () => void};
+
+/** To the follower of the store. */
+export interface FollowedMessage {
+  /** Reads the configuration anew at once. */
+  readonly kind: 'confirm';
+}
+
+/** To the service that shares load with the other entries. */
+export interface SharingMessage {
+  readonly kind: 'load';
+  readonly loads: readonly ReplicaLoad[];
+}
+
+declare module '../types/kernel.js' {
+  interface ServiceMessages {
+    direct: DirectMessage;
+    followed: FollowedMessage;
+    sharing: SharingMessage;
+  }
+}
--- /dev/null
+++ b/src/direct/own_answers.ts
@@ -0,0 +1,36 @@
+/**
+ * Answers of the entry's own. 503 promises that the request has not run and
+ * never will; 502 and 504 promise nothing.
+ */
+import type {ServerResponse} from 'node:http';
+
+/** When a caller that was refused should come back, in seconds. */
+const COME_BACK_S = 0.25;
+
+export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 431 | 502 | 503 | 504;
+
+/** What the caller is told. */
+export interface OwnAnswer {
+  readonly status: OwnStatus;
+  readonly message: string;
+  /** Ends the connection, so that a retry reaches another entry. */
+  readonly close: boolean;
+}
+
+/** Sends the answer; nothing of another may have been sent. */
+export function sendOwnAnswer(
+  res: ServerResponse,
+  {status, message, close}: OwnAnswer,
+): void {
+  const body = JSON.stringify({error: message});
+  const headers = [
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    String(Buffer.byteLength(body)),
+  ];
+  if (status === 503) headers.push('Retry-After', String(COME_BACK_S));
+  if (close) headers.push('Connection', 'close');
+  res.writeHead(status, headers);
+  res.end(body);
+}
--- /dev/null
+++ b/src/direct/ready_server.ts
@@ -0,0 +1,62 @@
+/** Answers the balancer's readiness checks, and serves the metrics. */
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import './messages.js';
+import {splitAddress} from './settings.js';
+
+export interface ReadyOptions {
+  /** IP:PORT. */
+  readonly ready: string;
+  /** IP:PORT. */
+  readonly metrics: string;
+}
+
+const METRICS_PATH = '/metrics';
+const METRICS_TYPE = 'text/plain; version=0.0.4';
+
+declare module '../types/kernel.js' {
+  interface ServiceMessages {
+    ready: {readonly kind: 'none'};
+  }
+}
+
+export function createReadyServer(options: ReadyOptions): ServiceSpec<'ready'> {
+  return {name: 'ready', start: ctx => start(options, ctx)};
+}
+
+async function start(
+  options: ReadyOptions,
+  ctx: ServiceContext<'ready'>,
+): Promise<void> {
+  const isReady = () =>
+    ctx.ask('direct', (reply: (ready: boolean) => void) => ({
+      kind: 'ready',
+      reply,
+    }));
+  const ready = createServer((_req, res) => {
+    isReady()
+      .then(well => res.writeHead(well ? 200 : 503).end())
+      .catch(() => res.writeHead(503).end());
+  });
+  const metrics = createServer((req, res) => {
+    if (req.url !== METRICS_PATH) {
+      res.writeHead(404).end();
+      return;
+    }
+    res.writeHead(200, {'Content-Type': METRICS_TYPE});
+    res.end(ctx.metrics.render());
+  });
+  ctx.own(() => void ready.close());
+  ctx.own(() => void metrics.close());
+  await listen(ready, options.ready);
+  await listen(metrics, options.metrics);
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const at = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(at?.port, at?.ip, resolve);
+  });
+}
--- /dev/null
+++ b/src/direct/serve_call.ts
@@ -0,0 +1,254 @@
+/**
+ * Serves a request whose answer comes at once: at a plain service, or at an
+ * engine without events. The answer is held until it is whole, so that a
+ * replica that breaks off can be replaced before the caller saw a byte.
+ */
+import {DIRECT_EVENTS} from '../utils/events.js';
+import {CALL_MS, chooseForCall} from './choose_call.js';
+import {openDispatch} from './dispatch.js';
+import type {AnswerHead} from './dispatch.js';
+import type {Exchange} from './exchange.js';
+import {
+  callerHeaders,
+  candidatesOf,
+  dispatchRequest,
+  giveUp,
+  mayTry,
+} from './serve_context.js';
+import type {ServeContext} from './serve_context.js';
+import type {DirectReplica} from './types.js';
+
+/** Larger answers go on as they come, once so much of them is there. */
+const HELD_BYTES = 1024 * 1024;
+
+/** How one try ended. */
+type CallOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly head: AnswerHead;
+      readonly body: Buffer;
+    }
+  | {readonly kind: 'passed-on'}
+  | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
+  | {readonly kind: 'not-sent'; readonly reason: string}
+  | {readonly kind: 'broken'; readonly reason: string}
+  | {readonly kind: 'ended'};
+
+/** Serves the request to its final answer. */
+export async function serveCall(
+  ctx: ServeContext,
+  exchange: Exchange,
+): Promise<void> {
+  const tried = new Set<string>();
+  ctx.budget.onFirstAttempt(ctx.retryRatio);
+  while (!exchange.signal.aborted) {
+    const replica = choose(ctx, exchange, tried);
+    if (replica === undefined) {
+      giveUp(ctx, exchange, 'no replica left to try');
+      return;
+    }
+    if (!mayTry(ctx, exchange)) {
+      giveUp(ctx, exchange, 'no more attempts');
+      return;
+    }
+    tried.add(replica.id);
+    const outcome = await tryOnce(ctx, exchange, replica);
+    if (settle(ctx, exchange, replica, outcome)) return;
+  }
+}
+
+function choose(
+  ctx: ServeContext,
+  exchange: Exchange,
+  tried: ReadonlySet<string>,
+): DirectReplica | undefined {
+  const candidates = candidatesOf(ctx, exchange.service, tried).map(
+    replica => ({
+      replica,
+      load: ctx.book.of(replica.id),
+      slowness: ctx.health.slowness(replica.id),
+    }),
+  );
+  const chosen = chooseForCall(candidates, ctx.failureDomain, () =>
+    ctx.random.next(),
+  );
+  if (chosen !== undefined) {
+    ctx.log(DIRECT_EVENTS.dispatched, {
+      requestId: exchange.id,
+      replica: chosen.replica.id,
+      running: chosen.load.running,
+      slowness: chosen.slowness,
+      candidates: candidates.length,
+      config: exchange.config.version,
+    });
+  }
+  return chosen?.replica;
+}
+
+/** True when the request has its final answer, or needs none. */
+function settle(
+  ctx: ServeContext,
+  exchange: Exchange,
+  replica: DirectReplica,
+  outcome: CallOutcome,
+): boolean {
+  switch (outcome.kind) {
+    case 'answered':
+      answer(ctx, exchange, outcome.head, outcome.body);
+      return true;
+    case 'passed-on':
+    case 'ended':
+      return true;
+    case 'not-run':
+    case 'not-sent':
+      logFailed(ctx, exchange, replica, outcome.kind);
+      return false;
+    case 'broken':
+      logFailed(ctx, exchange, replica, outcome.reason);
+      if (exchange.route.kind === 'idempotent') return false;
+      giveUp(ctx, exchange, 'the replica broke off');
+      return true;
+  }
+}
+
+function logFailed(
+  ctx: ServeContext,
+  exchange: Exchange,
+  replica: DirectReplica,
+  reason: string,
+): void {
+  const elapsedMs = Math.round(exchange.elapsedMs());
+  ctx.log(DIRECT_EVENTS.tryFailed, {
+    requestId: exchange.id,
+    replica: replica.id,
+    reason,
+    elapsedMs,
+  });
+}
+
+function answer(
+  ctx: ServeContext,
+  exchange: Exchange,
+  head: AnswerHead,
+  body: Buffer,
+): void {
+  const {res} = exchange;
+  const headers = [...callerHeaders(ctx, head)];
+  if (head.headers['content-length'] === undefined && body.length > 0) {
+    headers.push('Content-Length', String(body.length));
+  }
+  ctx.log(DIRECT_EVENTS.answered, {
+    requestId: exchange.id,
+    status: head.status,
+    elapsedMs: Math.round(exchange.elapsedMs()),
+  });
+  res.writeHead(head.status, headers);
+  res.end(body);
+}
+
+function tryOnce(
+  ctx: ServeContext,
+  exchange: Exchange,
+  replica: DirectReplica,
+): Promise<CallOutcome> {
+  const {codec, health, book, clock, metrics} = ctx;
+  const startedAt = clock.now();
+  const work = book.enter({
+    replicaId: replica.id,
+    places: 1,
+    tokens: 0,
+    readMs: 0,
+    expectedMs: 0,
+    pauseAimMs: Infinity,
+    weight: 0,
+  });
+  exchange.sent++;
+  return new Promise(resolve => {
+    let head: AnswerHead | undefined;
+    let held: Buffer[] = [];
+    let bytes = 0;
+    let passing = false;
+
+    const finish = (outcome: CallOutcome) => {
+      work.end();
+      exchange.signal.removeEventListener('abort', onAbort);
+      resolve(outcome);
+    };
+    const onAbort = () => {
+      exchange.mayHaveRun = true;
+      dispatch.cancel();
+      finish({kind: 'ended'});
+    };
+    const startPassing = (of: AnswerHead) => {
+      passing = true;
+      exchange.res.writeHead(of.status, [...callerHeaders(ctx, of)]);
+      for (const piece of held) exchange.res.write(piece);
+      held = [];
+    };
+    const onHead = (came: AnswerHead) => {
+      const facts = codec.readAnswer(came.status, came.headers);
+      if (facts.requestId !== exchange.id || facts.encoded) {
+        exchange.mayHaveRun = true;
+        dispatch.cancel();
+        health.failed(replica.id);
+        finish({kind: 'broken', reason: 'an answer to another request'});
+        return;
+      }
+      if (facts.notRun) {
+        dispatch.cancel();
+        finish({kind: 'not-run', faultAt: facts.faultAt});
+        return;
+      }
+      exchange.mayHaveRun = true;
+      if (came.status < 300 && !facts.signed) {
+        dispatch.cancel();
+        health.failed(replica.id);
+        finish({kind: 'broken', reason: 'an unsigned success'});
+        return;
+      }
+      head = came;
+    };
+    const onData = (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (!passing) held.push(chunk);
+      if (!passing && bytes > HELD_BYTES && head !== undefined) {
+        startPassing(head);
+        return;
+      }
+      if (!passing || exchange.res.write(chunk)) return;
+      dispatch.pause();
+      exchange.res.once('drain', () => dispatch.resume());
+    };
+    const onEnd = () => {
+      if (passing) {
+        exchange.res.end();
+        finish({kind: 'passed-on'});
+        return;
+      }
+      const tookMs = clock.now() - startedAt;
+      health.answered(replica.id, tookMs, CALL_MS);
+      metrics.observe('onyxloft_direct_call_ms', {}, tookMs);
+      if (head === undefined) return;
+      finish({kind: 'answered', head, body: Buffer.concat(held)});
+    };
+    const onBroken = (sent: boolean, reason: string) => {
+      health.failed(replica.id);
+      if (!sent) {
+        exchange.sent--;
+        finish({kind: 'not-sent', reason});
+        return;
+      }
+      exchange.mayHaveRun = true;
+      if (passing) exchange.res.destroy();
+      finish({kind: passing ? 'passed-on' : 'broken', reason});
+    };
+    const spec = dispatchRequest(ctx, exchange, replica, undefined, []);
+    const dispatch = openDispatch(spec, clock, {
+      onHead,
+      onData,
+      onEnd,
+      onBroken,
+    });
+    exchange.signal.addEventListener('abort', onAbort);
+  });
+}
--- /dev/null
+++ b/src/direct/serve_context.ts
@@ -0,0 +1,132 @@
+/** What serving a request needs of the entry, and steps that all kinds share. */
+import type {RetryBudget} from '../entry/retry_budget.js';
+import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
+import type {AnswerHead, DispatchRequest} from './dispatch.js';
+import type {Exchange} from './exchange.js';
+import type {Fleet} from './fleet.js';
+import type {Groups} from './groups.js';
+import type {LoadBook} from './load_book.js';
+import {sendOwnAnswer} from './own_answers.js';
+import type {ReplicaHealth} from './replica_health.js';
+import type {
+  DirectReplica,
+  GroupMember,
+  HeaderCodec,
+  HeadersOut,
+} from './types.js';
+
+export interface ServeContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  readonly codec: HeaderCodec;
+  readonly failureDomain: string;
+  readonly fleet: Fleet;
+  readonly health: ReplicaHealth;
+  readonly book: LoadBook;
+  readonly groups: Groups;
+  readonly budget: RetryBudget;
+  /** Share of the budget that each request adds. */
+  readonly retryRatio: number;
+  isDraining(): boolean;
+}
+
+/** Priority of a request that names none. */
+const MOST_PRIORITY = 9;
+
+/** Replicas for the next try: those that are well, or else any. */
+export function candidatesOf(
+  ctx: ServeContext,
+  service: string,
+  tried: ReadonlySet<string>,
+): readonly DirectReplica[] {
+  const untried = ctx.fleet.serving(service).filter(({id}) => !tried.has(id));
+  const well = untried.filter(({id}) => !ctx.health.isSuspect(id));
+  return well.length > 0 ? well : untried;
+}
+
+/** Whether the request may go to one more replica. */
+export function mayTry(ctx: ServeContext, exchange: Exchange): boolean {
+  if (exchange.sent === 0) return true;
+  return exchange.sent < exchange.route.maxAttempts && ctx.budget.take();
+}
+
+/** The request as the replica gets it. */
+export function dispatchRequest(
+  ctx: ServeContext,
+  exchange: Exchange,
+  replica: DirectReplica,
+  lastEventId: string | undefined,
+  helpers: readonly GroupMember[],
+): DispatchRequest {
+  const {req, body, route, owner} = exchange;
+  const priority = owner?.priority ?? route.priority;
+  const headers = ctx.codec.dispatchHeaders(req.rawHeaders, {
+    replicaId: replica.id,
+    organisation: owner?.organisation,
+    timeLeftMs: exchange.timeLeftMs(),
+    priority: Math.min(MOST_PRIORITY, Math.max(0, priority)),
+    lastEventId,
+    helpers,
+  });
+  const framed =
+    body.length > 0 ||
+    req.headers['content-length'] !== undefined ||
+    req.headers['transfer-encoding'] !== undefined;
+  return {
+    address: replica.address,
+    method: req.method ?? 'GET',
+    path: req.url ?? '/',
+    headers: framed
+      ? [...headers, 'Content-Length', String(body.length)]
+      : headers,
+    body,
+  };
+}
+
+/** A replica's headers as they go to the caller. */
+export function callerHeaders(ctx: ServeContext, head: AnswerHead): HeadersOut {
+  const dropped = namedByConnection(head.rawHeaders);
+  const kept: string[] = [];
+  for (let at = 0; at + 1 < head.rawHeaders.length; at += 2) {
+    const name = head.rawHeaders[at].toLowerCase();
+    if (HOP_BY_HOP.has(name) || dropped.has(name)) continue;
+    kept.push(head.rawHeaders[at], head.rawHeaders[at + 1]);
+  }
+  if (ctx.isDraining()) kept.push('Connection', 'close');
+  return kept;
+}
+
+/** Ends a request that no replica answered. */
+export function giveUp(
+  ctx: ServeContext,
+  exchange: Exchange,
+  reason: string,
+): void {
+  const {res, id} = exchange;
+  const ran = exchange.mayHaveRun ? 'unknown' : 'no';
+  ctx.log(DIRECT_EVENTS.givenUp, {
+    requestId: id,
+    reason,
+    ran,
+    sent: exchange.sent,
+    elapsedMs: Math.round(exchange.elapsedMs()),
+  });
+  ctx.metrics.count('onyxloft_direct_given_up_total', {ran, reason});
+  const timeUp = exchange.signal.reason === 'time is up';
+  exchange.end('answered');
+  if (res.headersSent) {
+    // A cut that the caller sees; an end would look like a whole answer.
+    res.destroy();
+    return;
+  }
+  const failed = timeUp ? 504 : 502;
+  sendOwnAnswer(res, {
+    status: exchange.mayHaveRun ? failed : 503,
+    message: reason,
+    close: ctx.isDraining(),
+  });
+}
--- /dev/null
+++ b/src/direct/settings.ts
@@ -0,0 +1,87 @@
+/**
+ * Settings of an entry that serves upstreams without sides: JSON with comments,
+ * checked as a whole before anything is started.
+ */
+import {parse} from 'jsonc-parser';
+import type {ParseError} from 'jsonc-parser';
+import {Codec, array, number, optional, string} from 'purify-ts/Codec';
+import {Left, Right} from 'purify-ts/Either';
+import type {Either} from 'purify-ts';
+
+const ADDRESS_FORM = 'IP:PORT';
+
+export const directSettingsCodec = Codec.interface({
+  /** Name of this process, on each log line. */
+  node: string,
+  failureDomain: string,
+  ip: string,
+  listen: Codec.interface({
+    /** Callers, IP:PORT. */
+    callers: string,
+    /** The balancer's readiness checks, IP:PORT. */
+    ready: string,
+    /** Counters and histograms, IP:PORT. */
+    metrics: string,
+  }),
+  /** Where other entries reach this one, over UDP. */
+  peerPorts: array(number),
+  store: Codec.interface({address: string}),
+  limits: Codec.interface({memoryMb: number, maxDescriptors: number}),
+  timing: Codec.interface({
+    /** From SIGTERM to the end of the process, in seconds. */
+    graceS: number,
+    /** Longest use of a key after it was taken away. */
+    revokeMs: number,
+    /** Longest lease on memory that a replica grants. */
+    maxHoldMs: optional(number),
+    /** Memory may stay set aside this long after its last use. */
+    freeMs: optional(number),
+  }),
+  retries: Codec.interface({
+    /** Retries as a share of requests, over all entries. */
+    ratio: number,
+    /** Retries beyond that share in one window, over all entries. */
+    slack: number,
+    windowS: number,
+  }),
+});
+
+/** Checked settings of a direct entry. */
+export type DirectSettings = ReturnType<
+  typeof directSettingsCodec.unsafeDecode
+>;
+
+/** Reads and checks the text of a settings file. */
+export function parseDirectSettings(
+  text: string,
+): Either<string, DirectSettings> {
+  const faults: ParseError[] = [];
+  const value: unknown = parse(text, faults, {allowTrailingComma: true});
+  const fault = faults[0];
+  if (fault !== undefined) {
+    return Left(`not JSON with comments, at offset ${fault.offset}`);
+  }
+  return directSettingsCodec.decode(value).chain(checkAddresses);
+}
+
+function checkAddresses(
+  settings: DirectSettings,
+): Either<string, DirectSettings> {
+  const {callers, ready, metrics} = settings.listen;
+  const wrong = [callers, ready, metrics, settings.store.address].find(
+    address => splitAddress(address) === undefined,
+  );
+  return wrong === undefined
+    ? Right(settings)
+    : Left(`"${wrong}" is not of the form ${ADDRESS_FORM}`);
+}
+
+/** Host and port of IP:PORT; undefined when it has another form. */
+export function splitAddress(
+  address: string,
+): {readonly ip: string; readonly port: number} | undefined {
+  const at = address.lastIndexOf(':');
+  const port = Number(address.slice(at + 1));
+  const valid = at > 0 && Number.isInteger(port) && port > 0 && port < 65_536;
+  return valid ? {ip: address.slice(0, at), port} : undefined;
+}
--- /dev/null
+++ b/src/direct/sharing.ts
@@ -0,0 +1,162 @@
+/**
+ * The service `sharing`: tells the other entries what this one has assigned,
+ * in datagrams. Each holds all of the entry's load, so a lost one is mended by
+ * the next, and there is no connection that could go silent.
+ */
+import {createSocket} from 'node:dgram';
+import type {Socket} from 'node:dgram';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import type {ReplicaLoad} from './load_book.js';
+import './messages.js';
+import type {DirectStore, EntryAddress} from './types.js';
+
+/** An entry without news says that it is there this often. */
+const BEAT_MS = 300;
+/** An entry that was not heard of for this long is not counted. */
+const SILENT_MS = 1_500;
+/** A record in the store whose entry stays silent for this long is removed. */
+const REMOVE_MS = 15_000;
+/** Between reads of the entries' records. */
+const LIST_MS = 4_000;
+/** Until the own record stands in the store. */
+const ANNOUNCE_AGAIN_MS = 1_000;
+
+export interface SharingOptions {
+  readonly self: EntryAddress;
+  readonly store: DirectStore;
+}
+
+/** A datagram between entries. */
+interface LoadDatagram {
+  readonly from: EntryAddress;
+  /** Grows with each datagram of one incarnation. */
+  readonly seq: number;
+  readonly loads: readonly ReplicaLoad[];
+}
+
+interface Peer {
+  readonly entry: EntryAddress;
+  heardAt: number;
+  seq: number;
+}
+
+export function createSharing(options: SharingOptions): ServiceSpec<'sharing'> {
+  return {name: 'sharing', start: ctx => startSharing(options, ctx)};
+}
+
+async function startSharing(
+  {self, store}: SharingOptions,
+  ctx: ServiceContext<'sharing'>,
+): Promise<void> {
+  const {clock, log, metrics} = ctx;
+  const peers = new Map<string, Peer>();
+  let loads: readonly ReplicaLoad[] = [];
+  let seq = 0;
+  let sentAt = Number.NEGATIVE_INFINITY;
+  let told = 1;
+
+  const socket = await openSocket(self);
+
+  const send = (): void => {
+    const datagram: LoadDatagram = {from: self, seq: ++seq, loads};
+    const bytes = Buffer.from(JSON.stringify(datagram));
+    sentAt = clock.now();
+    for (const {entry} of peers.values()) {
+      socket.send(bytes, entry.port, entry.ip, () => undefined);
+    }
+    metrics.count(
+      'onyxloft_sharing_bytes_total',
+      {},
+      bytes.length * peers.size,
+    );
+  };
+
+  const add = (entry: EntryAddress): Peer | undefined => {
+    if (entry.node === self.node) return undefined;
+    const known = peers.get(entry.node);
+    if (known?.entry.incarnation === entry.incarnation) return known;
+    const peer = {entry, heardAt: clock.now(), seq: 0};
+    peers.set(entry.node, peer);
+    log(DIRECT_EVENTS.entryFound, {entry: entry.node, ip: entry.ip});
+    return peer;
+  };
+
+  const receive = (bytes: Buffer): void => {
+    const datagram = parseDatagram(bytes);
+    if (datagram === undefined) return;
+    const peer = add(datagram.from);
+    if (peer === undefined || datagram.seq <= peer.seq) return;
+    peer.seq = datagram.seq;
+    peer.heardAt = clock.now();
+    const {node} = datagram.from;
+    ctx.send('direct', {kind: 'other-load', node, loads: datagram.loads});
+  };
+
+  const beat = (): void => {
+    if (clock.now() - sentAt >= BEAT_MS) send();
+    const heard = [...peers.values()].filter(
+      peer => clock.now() - peer.heardAt < SILENT_MS,
+    );
+    const count = heard.length + 1;
+    if (count === told) return;
+    told = count;
+    log(DIRECT_EVENTS.entriesCounted, {count});
+    ctx.send('direct', {kind: 'entries', count});
+  };
+
+  const list = async (): Promise<void> => {
+    const entries = await store.listEntries();
+    entries.ifRight(found => found.forEach(add));
+    for (const [node, peer] of peers) {
+      if (clock.now() - peer.heardAt < REMOVE_MS) continue;
+      peers.delete(node);
+      log(DIRECT_EVENTS.entryRemoved, {entry: node});
+      (await store.removeEntry(node)).ifLeft(({message}) =>
+        log(DIRECT_EVENTS.storeCallFailed, {step: 'remove entry', message}),
+      );
+    }
+  };
+
+  const announce = async (): Promise<void> => {
+    const announced = await store.announceEntry(self);
+    announced.ifLeft(({message}) => {
+      log(DIRECT_EVENTS.storeCallFailed, {step: 'announce entry', message});
+      const cancel = clock.after(ANNOUNCE_AGAIN_MS, () => void announce());
+      ctx.own(cancel);
+    });
+  };
+
+  socket.on('message', receive);
+  ctx.own(() => void socket.close());
+  ctx.own(clock.every(BEAT_MS, beat));
+  ctx.own(clock.every(LIST_MS, () => void list()));
+  void ctx.mailbox.observe(message => {
+    loads = message.loads;
+    send();
+  });
+  void announce().then(list);
+}
+
+function openSocket(self: EntryAddress): Promise<Socket> {
+  const socket = createSocket('udp4');
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(self.port, self.ip, () => {
+      socket.removeListener('error', reject);
+      // An unreachable peer shows as silence; nothing else is to be done.
+      socket.on('error', () => undefined);
+      resolve(socket);
+    });
+  });
+}
+
+function parseDatagram(bytes: Buffer): LoadDatagram | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as LoadDatagram;
+    return typeof value.from?.node === 'string' ? value : undefined;
+  } catch {
+    // Not from an entry; the sender is not told.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/direct/types.ts
@@ -0,0 +1,219 @@
+/**
+ * What an entry knows of upstreams that have no side: their configuration, the
+ * replicas that are there, and what a request says of itself. The folder that
+ * speaks a given platform's protocol decodes into these types, and nothing
+ * else of the product sees that protocol.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Either} from 'purify-ts';
+
+/** What may be repeated: anything, nothing, or a stream from where it broke. */
+export type RouteKind = 'idempotent' | 'once' | 'resumable-stream';
+
+/** A share of a route's requests, by weight, for one service. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Requests of one host below one path, and how they are served. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  /** The answer is a series of events. */
+  readonly streaming: boolean;
+  readonly targets: readonly RouteTarget[];
+  /** Longest time to the final answer, in milliseconds. */
+  readonly timeLimitMs: number;
+  /** Latency objective: to the answer, or to a stream's first event. */
+  readonly aimMs: number;
+  /** Longest pause between events that still counts as on time. */
+  readonly pauseAimMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Replicas to which one request may be sent. */
+  readonly maxAttempts: number;
+  /** Served without a key. */
+  readonly isPublic: boolean;
+}
+
+/** Published figures of a pool's model engines. */
+export interface EngineFigures {
+  /** Requests that are read or written at once. */
+  readonly places: number;
+  /** KV cache, in tokens. */
+  readonly memoryTokens: number;
+  /** Steps of one pass while any request is writing. */
+  readonly stepsPerPass: number;
+  readonly stepMs: number;
+  /** Added to a step for each request that is writing. */
+  readonly stepMsPerWriter: number;
+  readonly readTokensPerMs: number;
+  /** For each million pairs of a token with an earlier one. */
+  readonly pairsMsPerMillion: number;
+  /** Most prompt tokens read in one step. */
+  readonly readTokensPerStep: number;
+}
+
+/** A pool of replicas; without `engine`, a plain service. */
+export interface UpstreamService {
+  readonly name: string;
+  readonly engine: EngineFigures | undefined;
+}
+
+/** The organisation that a key belongs to. */
+export interface KeyOwner {
+  readonly organisation: string;
+  /** Goes before the route's priority. */
+  readonly priority: number | undefined;
+}
+
+/** Bounds on what a caller may send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headersTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** One version of the configuration, whole. */
+export interface DirectConfig {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, UpstreamService>;
+  /** Undefined where requests carry no keys. */
+  readonly keys: ReadonlyMap<string, KeyOwner> | undefined;
+  readonly limits: CallerLimits;
+}
+
+/** A replica that has announced itself. */
+export interface DirectReplica {
+  readonly id: string;
+  readonly service: string;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly places: number;
+  /** Takes no new work. */
+  readonly leaving: boolean;
+}
+
+/** Another entry, as it announced itself. */
+export interface EntryAddress {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly ip: string;
+  readonly port: number;
+}
+
+/** A call to the platform's store that gave no usable answer. */
+export interface StoreFault {
+  readonly step: string;
+  /** The history asked for is gone: read anew. */
+  readonly historyGone: boolean;
+  readonly message: string;
+}
+
+/** What there is, as of a revision of the store. */
+export interface Listing<T> {
+  readonly revision: number;
+  readonly items: ReadonlyMap<string, T>;
+}
+
+/** What has changed since a revision; an undefined value was removed. */
+export interface Changes<T> {
+  readonly revision: number;
+  readonly items: ReadonlyMap<string, T | undefined>;
+}
+
+/** Objects of one kind in the platform's store. */
+export interface Collection<T> {
+  list(): Promise<Either<StoreFault, Listing<T>>>;
+  /** Answers at the first change after `revision`, or after `waitMs`. */
+  watch(
+    revision: number,
+    waitMs: number,
+  ): Promise<Either<StoreFault, Changes<T>>>;
+}
+
+/** The platform's store, as far as the direct path asks it. */
+export interface DirectStore {
+  readonly configs: Collection<DirectConfig>;
+  readonly replicas: Collection<DirectReplica>;
+  listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
+  announceEntry(entry: EntryAddress): Promise<Either<StoreFault, void>>;
+  removeEntry(node: string): Promise<Either<StoreFault, void>>;
+}
+
+/** What a caller's headers say. */
+export interface RequestFacts {
+  readonly id: string | undefined;
+  readonly key: string | undefined;
+  /** Time the caller waits, in milliseconds; undefined when not told. */
+  readonly timeLeftMs: number | undefined;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** Estimate of the answer's tokens; undefined when not told. */
+  readonly expectedTokens: number | undefined;
+  /** Last event that the caller has of a stream it resumes. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What an entry tells a replica beside the caller's own headers. */
+export interface DispatchFacts {
+  readonly replicaId: string;
+  readonly organisation: string | undefined;
+  readonly timeLeftMs: number;
+  readonly priority: number;
+  readonly lastEventId: string | undefined;
+  /** Members that read parts of the prompt, with their reservations. */
+  readonly helpers: readonly GroupMember[];
+}
+
+/** A replica that takes a part of a prompt, under a reservation or without. */
+export interface GroupMember {
+  readonly address: string;
+  readonly reservation: string | undefined;
+}
+
+/** What a replica's headers say. */
+export interface AnswerFacts {
+  readonly requestId: string | undefined;
+  /** The answer bears a replica's signature. */
+  readonly signed: boolean;
+  /** The replica says that it did not run the request and never will. */
+  readonly notRun: boolean;
+  /** Address of the replica at fault, where the answer names one. */
+  readonly faultAt: string | undefined;
+  readonly encoded: boolean;
+}
+
+/** Flat list of header names and values. */
+export type HeadersOut = readonly string[];
+
+/** Header names and forms between callers, entries and replicas. */
+export interface HeaderCodec {
+  readRequest(headers: IncomingHttpHeaders): RequestFacts;
+  /** Headers for the replica, as a flat list of names and values. */
+  dispatchHeaders(
+    rawHeaders: readonly string[],
+    facts: DispatchFacts,
+  ): readonly string[];
+  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
+}
+
+/** Answer of a replica to an order about its memory. */
+export type ReservationAnswer = 'done' | 'refused' | 'unknown';
+
+/** Orders about memory that a replica sets aside for a group. */
+export interface Reservations {
+  reserve(
+    address: string,
+    id: string,
+    tokens: number,
+    holdMs: number,
+  ): Promise<ReservationAnswer>;
+  release(address: string, id: string): Promise<ReservationAnswer>;
+}
--- /dev/null
+++ b/src/direct_wiring.ts
@@ -0,0 +1,91 @@
+/**
+ * Wires the services of an entry that serves upstreams without sides. The
+ * platform's protocol comes in as functions.
+ */
+import {createDirectFront} from './direct/front.js';
+import {createFollowed} from './direct/followed.js';
+import {createReadyServer} from './direct/ready_server.js';
+import type {DirectSettings} from './direct/settings.js';
+import {createSharing} from './direct/sharing.js';
+import type {
+  DirectStore,
+  EntryAddress,
+  HeaderCodec,
+  Reservations,
+} from './direct/types.js';
+import {createKernel} from './kernel/kernel.js';
+import type {Kernel} from './kernel/kernel.js';
+import type {Runtime} from './types/runtime.js';
+
+const INCARNATION_BYTES = 6;
+/** Lease on a member's memory, where the platform sets no bound. */
+const HOLD_MS = 3_500;
+/** A lease of a dead entry must lapse before the platform's bound on it. */
+const HOLD_MARGIN_MS = 500;
+
+/** What the platform's folder brings. */
+export interface DirectParts {
+  readonly settings: DirectSettings;
+  readonly store: DirectStore;
+  readonly codec: HeaderCodec;
+  readonly orders: Reservations;
+}
+
+export interface DirectProcess {
+  readonly kernel: Kernel;
+  /** Takes no new work; resolves when what is in progress has ended. */
+  drain(): Promise<void>;
+  open(): Promise<number>;
+}
+
+/** Starts all services of a direct entry. */
+export async function wireDirectEntry(
+  parts: DirectParts,
+  runtime: Runtime,
+): Promise<DirectProcess> {
+  const {settings, store} = parts;
+  const kernel = createKernel(runtime);
+  const incarnation = runtime.random.hex(INCARNATION_BYTES);
+  const self: EntryAddress = {
+    node: settings.node,
+    incarnation,
+    ip: settings.ip,
+    port: settings.peerPorts[0],
+  };
+  await kernel.start(
+    createDirectFront({
+      settings,
+      incarnation,
+      codec: parts.codec,
+      orders: parts.orders,
+      holdMs: holdMsOf(settings),
+      wallMs: () => Date.now(),
+    }),
+  );
+  await kernel.start(createSharing({self, store}));
+  await kernel.start(createFollowed(store));
+  await kernel.start(
+    createReadyServer({
+      ready: settings.listen.ready,
+      metrics: settings.listen.metrics,
+    }),
+  );
+  return {
+    kernel,
+    drain: () =>
+      kernel.ask('direct', (reply: (done: void) => void) => ({
+        kind: 'drain',
+        reply: () => reply(),
+      })),
+    open: () =>
+      kernel.ask('direct', (reply: (open: number) => void) => ({
+        kind: 'count',
+        reply,
+      })),
+  };
+}
+
+function holdMsOf({timing}: DirectSettings): number {
+  const {maxHoldMs = Infinity, freeMs = Infinity} = timing;
+  return Math.min(HOLD_MS, maxHoldMs, freeMs - HOLD_MARGIN_MS);
+}
--- a/src/entry/retry_budget.ts
+++ b/src/entry/retry_budget.ts
@@ -14,14 +14,15 @@
   take(): boolean;
 }
 
-/** A full token bucket of `burst` retries. */
-export function createRetryBudget(burst = BURST): RetryBudget {
-  let tokens = burst;
+/** A full token bucket of `burst()` retries, which may change with time. */
+export function createRetryBudget(burst = () => BURST): RetryBudget {
+  let tokens = burst();
   return {
     onFirstAttempt: ratio => {
-      tokens = Math.min(burst, tokens + ratio);
+      tokens = Math.min(burst(), tokens + ratio);
     },
     take: () => {
+      tokens = Math.min(burst(), tokens);
       if (tokens < 1) return false;
       tokens -= 1;
       return true;
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -25,6 +25,7 @@
   processStarted: event(110, 'info', 'process-started'),
   drainStarted: event(111, 'info', 'drain-started'),
   drainEnded: event(112, 'info', 'drain-ended'),
+  reloaded: event(113, 'info', 'settings-reloaded'),
 } as const;
 
 /** Requests at an entry's front, from admission to the answer. */
@@ -142,6 +143,26 @@
   claimUnknown: event(910, 'warn', 'claim-unknown'),
 } as const;
 
+/** Requests served at upstreams without sides. */
+export const DIRECT_EVENTS = {
+  refused: event(250, 'info', 'direct-refused'),
+  dispatched: event(251, 'info', 'direct-dispatched'),
+  answered: event(252, 'info', 'direct-answered'),
+  tryFailed: event(253, 'warn', 'direct-try-failed'),
+  givenUp: event(254, 'warn', 'direct-given-up'),
+  callerLeft: event(255, 'info', 'direct-caller-left'),
+  groupRefused: event(256, 'warn', 'direct-group-refused'),
+  faulted: event(257, 'error', 'direct-faulted'),
+  listening: event(258, 'info', 'direct-listening'),
+  entryFound: event(550, 'info', 'entry-found'),
+  entryRemoved: event(551, 'info', 'entry-removed'),
+  entriesCounted: event(552, 'info', 'entries-counted'),
+  configAdopted: event(650, 'info', 'direct-config-adopted'),
+  storeLost: event(950, 'warn', 'store-lost'),
+  storeBack: event(951, 'info', 'store-back'),
+  storeCallFailed: event(952, 'warn', 'store-call-failed'),
+} as const;
+
 /** A fault of the program itself. */
 export const INVARIANT_EVENTS = {
   violated: event(990, 'error', 'invariant-violated'),
