fix(direct): keep a replica's framing when its answer has no length

Ruled out: a reset read as an end (a reset is told as broken, tried apart). Change: such an answer goes on without a length and ends with the connection.

--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -9,11 +9,11 @@
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import {
-  callerHeaders,
   candidatesOf,
   dispatchRequest,
   giveUp,
   mayTry,
+  writeHead,
 } from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica} from './types.js';
@@ -133,16 +133,12 @@
   body: Buffer,
 ): void {
   const {res} = exchange;
-  const headers = [...callerHeaders(ctx, head)];
-  if (head.headers['content-length'] === undefined && body.length > 0) {
-    headers.push('Content-Length', String(body.length));
-  }
   ctx.log(DIRECT_EVENTS.answered, {
     requestId: exchange.id,
     status: head.status,
     elapsedMs: Math.round(exchange.elapsedMs()),
   });
-  res.writeHead(head.status, headers);
+  writeHead(ctx, res, head, body.length);
   res.end(body);
 }
 
@@ -181,7 +177,7 @@
     };
     const startPassing = (of: AnswerHead) => {
       passing = true;
-      exchange.res.writeHead(of.status, [...callerHeaders(ctx, of)]);
+      writeHead(ctx, exchange.res, of);
       for (const piece of held) exchange.res.write(piece);
       held = [];
     };
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -1,4 +1,5 @@
 /** What serving a request needs of the entry, and steps that all kinds share. */
+import type {ServerResponse} from 'node:http';
 import type {RetryBudget} from '../entry/retry_budget.js';
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -87,16 +88,37 @@
   };
 }
 
-/** A replica's headers as they go to the caller. */
-export function callerHeaders(ctx: ServeContext, head: AnswerHead): HeadersOut {
-  const dropped = namedByConnection(head.rawHeaders);
+/** Sends a replica's status and headers to the caller. */
+export function writeHead(
+  ctx: ServeContext,
+  res: ServerResponse,
+  head: AnswerHead,
+  length?: number,
+): void {
+  const headers = [...keptHeaders(head)];
+  const {'content-length': declared, 'transfer-encoding': coding} =
+    head.headers;
+  // An answer without a length ends with its connection, and so one that a
+  // replica breaks off looks whole. Given a length or chunks here, the caller
+  // would take half an answer for all of it; it keeps the replica's framing.
+  const unframed = declared === undefined && coding === undefined;
+  if (unframed) res.removeHeader('Transfer-Encoding');
+  else if (declared === undefined && length !== undefined) {
+    headers.push('Content-Length', String(length));
+  }
+  if (ctx.isDraining() || unframed) headers.push('Connection', 'close');
+  res.writeHead(head.status, headers);
+}
+
+/** All but what concerns the replica's connection. */
+function keptHeaders({rawHeaders}: AnswerHead): HeadersOut {
+  const dropped = namedByConnection(rawHeaders);
   const kept: string[] = [];
-  for (let at = 0; at + 1 < head.rawHeaders.length; at += 2) {
-    const name = head.rawHeaders[at].toLowerCase();
+  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
+    const name = rawHeaders[at].toLowerCase();
     if (HOP_BY_HOP.has(name) || dropped.has(name)) continue;
-    kept.push(head.rawHeaders[at], head.rawHeaders[at + 1]);
+    kept.push(rawHeaders[at], rawHeaders[at + 1]);
   }
-  if (ctx.isDraining()) kept.push('Connection', 'close');
   return kept;
 }
 
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -12,12 +12,7 @@
 import type {Exchange} from './exchange.js';
 import {openPlace} from './place.js';
 import type {Place} from './place.js';
-import {
-  callerHeaders,
-  dispatchRequest,
-  giveUp,
-  mayTry,
-} from './serve_context.js';
+import {dispatchRequest, giveUp, mayTry, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 
 /** A failure's body is small; more of it is not kept. */
@@ -100,7 +95,7 @@
     case 'failure':
       if (res.headersSent) break;
       logAnswered(ctx, exchange, outcome.head.status, progress);
-      res.writeHead(outcome.head.status, [...callerHeaders(ctx, outcome.head)]);
+      writeHead(ctx, res, outcome.head, outcome.body.length);
       res.end(outcome.body);
       return true;
     default:
@@ -209,7 +204,7 @@
         if (id <= progress.lastId) return;
       }
       if (!res.headersSent && head !== undefined) {
-        res.writeHead(200, [...callerHeaders(ctx, head)]);
+        writeHead(ctx, res, head);
       }
       progress.lastId = id ?? progress.lastId;
       progress.events++;
