feat(direct): try an idempotent call again that a replica answers 5xx

Change: one more replica within maxAttempts and the budget; without it the first failure is the answer. The answer's log line tells the first event's time and the longest pause.

--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -21,13 +21,16 @@
 /** Larger answers go on as they come, once so much of them is there. */
 const HELD_BYTES = 1024 * 1024;
 
+/** A whole answer. */
+interface Answered {
+  readonly kind: 'answered';
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
 /** How one try ended. */
 type CallOutcome =
-  | {
-      readonly kind: 'answered';
-      readonly head: AnswerHead;
-      readonly body: Buffer;
-    }
+  | Answered
   | {readonly kind: 'passed-on'}
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
   | {readonly kind: 'not-sent'; readonly reason: string}
@@ -40,21 +43,35 @@
   exchange: Exchange,
 ): Promise<void> {
   const tried = new Set<string>();
+  let failure: Answered | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
     const replica = choose(ctx, exchange, tried);
-    if (replica === undefined) {
-      giveUp(ctx, exchange, 'no replica left to try');
-      return;
-    }
-    if (!mayTry(ctx, exchange)) {
-      giveUp(ctx, exchange, 'no more attempts');
+    if (replica === undefined || !mayTry(ctx, exchange)) {
+      endUnserved(ctx, exchange, failure, replica);
       return;
     }
+    logChoice(ctx, exchange, replica);
     tried.add(replica.id);
     const outcome = await tryOnce(ctx, exchange, replica);
     if (settle(ctx, exchange, replica, outcome)) return;
+    if (outcome.kind === 'answered') failure = outcome;
+  }
+}
+
+/** A replica's own failure is the caller's answer where no try is left. */
+function endUnserved(
+  ctx: ServeContext,
+  exchange: Exchange,
+  failure: Answered | undefined,
+  replica: DirectReplica | undefined,
+): void {
+  if (failure !== undefined) {
+    answer(ctx, exchange, failure.head, failure.body);
+    return;
   }
+  const none = replica === undefined;
+  giveUp(ctx, exchange, none ? 'no replica left to try' : 'no more attempts');
 }
 
 function choose(
@@ -69,20 +86,22 @@
       slowness: ctx.health.slowness(replica.id),
     }),
   );
-  const chosen = chooseForCall(candidates, ctx.failureDomain, () =>
-    ctx.random.next(),
-  );
-  if (chosen !== undefined) {
-    ctx.log(DIRECT_EVENTS.dispatched, {
-      requestId: exchange.id,
-      replica: chosen.replica.id,
-      running: chosen.load.running,
-      slowness: chosen.slowness,
-      candidates: candidates.length,
-      config: exchange.config.version,
-    });
-  }
-  return chosen?.replica;
+  return chooseForCall(candidates, ctx.failureDomain, () => ctx.random.next())
+    ?.replica;
+}
+
+function logChoice(
+  ctx: ServeContext,
+  exchange: Exchange,
+  {id}: DirectReplica,
+): void {
+  ctx.log(DIRECT_EVENTS.dispatched, {
+    requestId: exchange.id,
+    replica: id,
+    running: ctx.book.of(id).running,
+    slowness: ctx.health.slowness(id),
+    config: exchange.config.version,
+  });
 }
 
 /** True when the request has its final answer, or needs none. */
@@ -94,6 +113,10 @@
 ): boolean {
   switch (outcome.kind) {
     case 'answered':
+      if (isRetriable(exchange, outcome.head)) {
+        logFailed(ctx, exchange, replica, `status ${outcome.head.status}`);
+        return false;
+      }
       answer(ctx, exchange, outcome.head, outcome.body);
       return true;
     case 'passed-on':
@@ -111,6 +134,11 @@
   }
 }
 
+/** A replica's own failure may be that replica's alone. */
+function isRetriable(exchange: Exchange, {status}: AnswerHead): boolean {
+  return status >= 500 && exchange.route.kind === 'idempotent';
+}
+
 function logFailed(
   ctx: ServeContext,
   exchange: Exchange,
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -36,6 +36,8 @@
   lastId: number | undefined;
   events: number;
   lastEventAt: number;
+  firstEventMs: number;
+  longestPauseMs: number;
 }
 
 /** Serves the request to its final answer. */
@@ -73,6 +75,8 @@
     lastId: Number.isInteger(lastId) ? lastId : undefined,
     events: 0,
     lastEventAt: arrivedAt,
+    firstEventMs: 0,
+    longestPauseMs: 0,
   };
 }
 
@@ -128,6 +132,8 @@
     requestId: exchange.id,
     status,
     events: progress.events,
+    firstEventMs: Math.round(progress.firstEventMs),
+    longestPauseMs: Math.round(progress.longestPauseMs),
     sent: exchange.sent,
     elapsedMs: Math.round(exchange.elapsedMs()),
   });
@@ -275,6 +281,8 @@
       ? 'onyxloft_direct_first_event_ms'
       : 'onyxloft_direct_pause_ms';
   metrics.observe(name, {length}, ms);
+  if (progress.events === 1) progress.firstEventMs = ms;
+  else progress.longestPauseMs = Math.max(progress.longestPauseMs, ms);
   progress.lastEventAt = now;
 }
 
