feat(direct): choose engines and groups by whom their reading holds up

Entries that chose within 20 ms of each other took the same idle engine. Change: load tells readers with their slack and what groups read; a group's harm to readers counts; ties are drawn; new work is told at once; long prompts are read in more parts; short ones fill few engines; worth by the route's usual prompt.

--- a/src/direct/choose_engines.ts
+++ b/src/direct/choose_engines.ts
@@ -19,12 +19,16 @@
 /** What the choice depends on. */
 export interface EngineRequest {
   readonly promptTokens: number;
+  /** What its lateness costs; see `weightOf`. */
+  readonly weight: number;
   /** Tokens that the answer may take of the memory. */
   readonly answerTokens: number;
   readonly aimMs: number;
   readonly pauseAimMs: number;
   /** Time that has passed since the request came. */
   readonly elapsedMs: number;
+  /** Uniform in [0, 1); see `TIE_LOSS`. */
+  readonly draw: () => number;
 }
 
 /** The choice. Members beside the first read even parts. */
@@ -42,10 +46,14 @@
 
 /** Sizes of groups that are compared; a replica takes 16 helpers at most. */
 const GROUP_SIZES = [1, 2, 3, 4, 6, 8, 12, 16] as const;
-/** Worth of a request grows less than its length does. */
+/** Worth of a route's requests grows less than their usual length does. */
 const WEIGHT_EXPONENT = 0.75;
-/** Lateness is expected from this share of an aim on, and sure at all of it. */
-const RISK_FROM = 0.6;
+/** Share of a request's worth that does not depend on its length. */
+const FIXED_SHARE = 0.3;
+/** A pause is at risk from this share of its aim on, and late at all of it. */
+const PAUSE_RISK_FROM = 0.7;
+/** A first event is at risk with less slack than this share of its aim. */
+const MARGIN_SHARE = 0.25;
 /** Memory kept free of the prediction's error. */
 const MEMORY_SHARE = 0.96;
 /** Prompts over this share of the memory are held by all members. */
@@ -53,17 +61,33 @@
 /** Two prompts of this share leave no room for any other at one engine. */
 const ONE_HOLDER_SHARE = 0.6;
 /** Loss for each member more, as a share of the newcomer's weight. */
-const MEMBER_LOSS = 0.002;
+const MEMBER_LOSS = 0.006;
 /** Loss of opening an engine that has no like writers, as such a share. */
 const SPREAD_OUT_LOSS = 0.03;
+/** What is read within this share of its pause aim goes beside its like. */
+const SHORT_READ_SHARE = 0.4;
+/** Engines are filled up to this share of their places. */
+const FULL_SHARE = 0.7;
+/** Beyond it, each tenth more of the places costs as much as a new engine. */
+const CROWDING = 10;
 /** A place is freed about this often at a full engine. */
 const PLACE_WAIT_MS = 150;
 /** Ranks what is otherwise equal: the share of the aim that is used. */
-const TIME_LOSS = 0.02;
+const TIME_LOSS = 0.1;
+/**
+ * Drawn loss that parts equals. Entries that choose in the same instant, before
+ * they hear of each other, would all take the first of the idle engines.
+ */
+const TIE_LOSS = 0.002;
 
-/** What a request's lateness costs, relative to others. */
-export function weightOf(promptTokens: number): number {
-  return Math.max(1, promptTokens) ** WEIGHT_EXPONENT;
+/**
+ * What a request's lateness costs, relative to others: a route's usual prompt
+ * says what its requests are worth, and part of that goes by the length.
+ */
+export function weightOf(promptTokens: number, usualTokens: number): number {
+  const usual = Math.max(1, usualTokens);
+  const byLength = FIXED_SHARE + (1 - FIXED_SHARE) * (promptTokens / usual);
+  return usual ** WEIGHT_EXPONENT * byLength;
 }
 
 /** The best plan; undefined when no engine or group has the memory now. */
@@ -103,9 +127,10 @@
   if (size === 1 && tooMuchForOne && candidates.length > 1) return undefined;
   const held = spread ? req.promptTokens / size + req.answerTokens : total;
   const partReadMs = readMs(figures, req.promptTokens, size);
+  const part = {readMs: partReadMs, grouped: size > 1};
   const judged = candidates
     .filter(it => !spread || hasMemory(figures, it, held))
-    .map(it => judge(figures, req, it, partReadMs))
+    .map(it => judge(figures, req, it, part))
     .sort((a, b) => a.rank - b.rank);
   const first = judged.find(it => hasMemory(figures, it.candidate, held));
   if (first === undefined || judged.length < size) return undefined;
@@ -124,10 +149,10 @@
 ): EnginePlan {
   const members = [first, ...helpers];
   const firstEventMs = Math.max(...members.map(it => it.firstEventMs));
-  const weight = weightOf(req.promptTokens);
+  const {weight} = req;
   const loss =
     members.reduce((sum, it) => sum + it.harm, 0) +
-    weight * risk((req.elapsedMs + firstEventMs) / req.aimMs) +
+    weight * aimRisk(req, firstEventMs) +
     weight * TIME_LOSS * (firstEventMs / req.aimMs) +
     weight * MEMBER_LOSS * helpers.length;
   return {
@@ -151,51 +176,86 @@
   figures: EngineFigures,
   req: EngineRequest,
   candidate: EngineCandidate,
-  partReadMs: number,
+  part: {readonly readMs: number; readonly grouped: boolean},
 ): Judged {
   const {load, slowness, replica} = candidate;
-  const pass = passMs(figures, load.running + 1);
+  const {weight} = req;
+  const pass = passMs(figures, load.running + 1) * slowness;
   const queued = Math.max(0, load.running + 1 - replica.places);
-  const reading = load.readMs + partReadMs;
+  const aheadMs = part.grouped ? load.groupReadMs : load.readMs;
   const firstEventMs =
-    (1.5 * pass + reading) * slowness + queued * PLACE_WAIT_MS;
-  const weight = weightOf(req.promptTokens);
-  const aimShare = (req.elapsedMs + firstEventMs) / req.aimMs;
+    1.5 * pass + (aheadMs + part.readMs) * slowness + queued * PLACE_WAIT_MS;
   const harm =
-    pauseLoss(load, pass * slowness, load.readMs, reading) +
-    weight * SPREAD_OUT_LOSS * spreadOut(load, req.pauseAimMs);
+    pauseLoss(load, pass, part.readMs) +
+    (part.grouped ? readersLoss(load, part.readMs * slowness) : 0) +
+    weight * SPREAD_OUT_LOSS * spreadOut(req, candidate, part.readMs);
+  const timeShare = (req.elapsedMs + firstEventMs) / req.aimMs;
+  const ownLoss =
+    aimRisk(req, firstEventMs) + TIME_LOSS * timeShare + TIE_LOSS * req.draw();
   return {
     candidate,
     firstEventMs,
     harm,
-    rank: harm + weight * (risk(aimShare) + TIME_LOSS * aimShare),
+    rank: harm + weight * ownLoss,
   };
 }
 
 /** Lateness that the newcomer's reading adds for those who write there. */
-function pauseLoss(
-  load: ReplicaLoad,
-  pass: number,
-  readBefore: number,
-  readAfter: number,
-): number {
+function pauseLoss(load: ReplicaLoad, pass: number, addedMs: number): number {
   return load.writers.reduce((sum, {pauseAimMs, weight}) => {
-    const after = risk((pass + readAfter) / pauseAimMs);
-    const before = risk((pass + readBefore) / pauseAimMs);
+    const before = pauseRisk(pass + load.readMs, pauseAimMs);
+    const after = pauseRisk(pass + load.readMs + addedMs, pauseAimMs);
+    return sum + weight * (after - before);
+  }, 0);
+}
+
+/** Lateness of those whose reading a group's part goes before. */
+function readersLoss(load: ReplicaLoad, addedMs: number): number {
+  return load.readers.reduce((sum, {slackMs, marginMs, weight}) => {
+    const before = slackRisk(slackMs, marginMs);
+    const after = slackRisk(slackMs - addedMs, marginMs);
     return sum + weight * (after - before);
   }, 0);
 }
 
 /**
- * 1 where nobody with as short a pause aim writes, else 0: requests that bear
- * only short pauses keep to few engines, and leave the rest to long reads.
+ * 1 where nobody with as short a pause aim writes, and less the more do:
+ * requests that are read in a fraction of the pause they bear fill few engines,
+ * and leave the rest to long reads. The last places stay free, since other
+ * entries choose as well.
  */
-function spreadOut(load: ReplicaLoad, pauseAimMs: number): number {
-  const alike = load.writers.some(it => it.pauseAimMs <= pauseAimMs);
-  return alike ? 0 : 1;
+function spreadOut(
+  req: EngineRequest,
+  {load, replica}: EngineCandidate,
+  ownReadMs: number,
+): number {
+  const used = load.running / replica.places;
+  if (used >= FULL_SHARE) return 1 + (used - FULL_SHARE) * CROWDING;
+  if (ownReadMs > SHORT_READ_SHARE * req.pauseAimMs) return 0;
+  const alike = load.writers.some(it => it.pauseAimMs <= req.pauseAimMs);
+  return alike ? 1 - used : 1;
+}
+
+/** Slack below which a first event may miss its aim, in milliseconds. */
+export function aimMargin(aimMs: number): number {
+  return aimMs * MARGIN_SHARE;
+}
+
+function aimRisk(req: EngineRequest, firstEventMs: number): number {
+  const slackMs = req.aimMs - req.elapsedMs - firstEventMs;
+  return slackRisk(slackMs, aimMargin(req.aimMs));
+}
+
+/** Chance of being late: none with the whole margin left, sure without any. */
+function slackRisk(slackMs: number, marginMs: number): number {
+  return clamp(1 - slackMs / Math.max(1, marginMs));
+}
+
+function pauseRisk(pauseMs: number, pauseAimMs: number): number {
+  const share = pauseMs / pauseAimMs;
+  return clamp((share - PAUSE_RISK_FROM) / (1 - PAUSE_RISK_FROM));
 }
 
-/** Chance of being late, from the share of the aim that is used up. */
-function risk(share: number): number {
-  return Math.min(1, Math.max(0, (share - RISK_FROM) / (1 - RISK_FROM)));
+function clamp(value: number): number {
+  return Math.min(1, Math.max(0, value));
 }
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -29,6 +29,8 @@
   readonly signal: AbortSignal;
   timeLeftMs(): number;
   elapsedMs(): number;
+  /** What its lateness costs, relative to others. */
+  readonly weight: number;
   /** Replicas to which the request was sent so far. */
   sent: number;
   /** It may have run: a replica got it and gave no proof that it did not. */
@@ -43,6 +45,7 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly admitted: Admitted;
+  readonly weight: number;
   /** The time limit or the caller's own ended first. */
   onTimeUp(exchange: Exchange): void;
   onCallerLeft(exchange: Exchange): void;
@@ -62,6 +65,7 @@
     req,
     res,
     arrivedAt,
+    weight: options.weight,
     signal: abort.signal,
     timeLeftMs: () => arrivedAt + limitMs - clock.now(),
     elapsedMs: () => clock.now() - arrivedAt,
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRetryBudget} from '../entry/retry_budget.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {Cancel, Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {admitRequest} from './admit_request.js';
 import type {Refused} from './admit_request.js';
@@ -18,6 +19,7 @@
 import {createGroups} from './groups.js';
 import {createLoadBook} from './load_book.js';
 import {sendOwnAnswer} from './own_answers.js';
+import {createUsualLengths} from './usual_lengths.js';
 import {createReplicaHealth} from './replica_health.js';
 import {serveCall} from './serve_call.js';
 import {giveUp} from './serve_context.js';
@@ -32,8 +34,13 @@
 /** A request waits so long for the store to confirm its key. */
 const CONFIRM_WAIT_MS = 400;
 const CONFIRM_LOOK_MS = 20;
-/** Between looks for changes of the own load that others should know. */
-const SHARE_MS = 20;
+/**
+ * New work is told to the other entries at once, but for what comes in the same
+ * instant: two that choose within this time may choose the same replica.
+ */
+const SHARE_MORE_MS = 2;
+/** Work that has ended only leaves room; it is told in batches. */
+const SHARE_LESS_MS = 25;
 /** Of the budget for retries, for errors in the share by entries. */
 const BUDGET_SHARE = 0.8;
 /** Ready means that the store was heard of within this share of the bound. */
@@ -76,6 +83,7 @@
   let draining = false;
   let entries = 1;
   const open = new Set<Exchange>();
+  const usual = createUsualLengths();
 
   const evidence = createEvidence(
     clock,
@@ -84,7 +92,12 @@
   );
   const health = createReplicaHealth(clock);
   const fleet = createFleet(clock, ({id}) => health.forget(id));
-  const book = createLoadBook(clock);
+  const shareLater = createBatcher(clock, () =>
+    ctx.send('sharing', {kind: 'load', loads: book.own()}),
+  );
+  const book = createLoadBook(clock, change =>
+    shareLater(change === 'more' ? SHARE_MORE_MS : SHARE_LESS_MS),
+  );
   const serveContext: ServeContext = {
     clock,
     log,
@@ -131,6 +144,7 @@
       req,
       res,
       admitted,
+      weight: usual.weigh(admitted.route.name, admitted.facts.promptTokens),
       onTimeUp: late => giveUp(serveContext, late, 'time is up'),
       onCallerLeft: ({id, elapsedMs}) => {
         const waitedMs = Math.round(elapsedMs());
@@ -258,15 +272,24 @@
     }
   };
 
-  let shared = -1;
-  const stopSharing = clock.every(SHARE_MS, () => {
-    if (book.version() === shared) return;
-    shared = book.version();
-    ctx.send('sharing', {kind: 'load', loads: book.own()});
-  });
-  ctx.own(stopSharing);
   ctx.own(() => server?.close());
   void ctx.mailbox.observe(handle);
 }
 
+/** Calls `run` once for all that asks within the shortest delay given. */
+function createBatcher(clock: Clock, run: () => void) {
+  let dueAt = Infinity;
+  let cancel: Cancel = () => undefined;
+  return (delayMs: number): void => {
+    const at = clock.now() + delayMs;
+    if (at >= dueAt) return;
+    cancel();
+    dueAt = at;
+    cancel = clock.after(delayMs, () => {
+      dueAt = Infinity;
+      run();
+    });
+  };
+}
+
 type Sides = readonly [IncomingMessage, ServerResponse, number];
--- a/src/direct/load_book.ts
+++ b/src/direct/load_book.ts
@@ -13,6 +13,15 @@
   readonly weight: number;
 }
 
+/** A request whose prompt is being read, or waits for it, at a replica. */
+export interface Reader {
+  /** Time left to its latency objective after its expected first token. */
+  readonly slackMs: number;
+  /** Slack below which it may miss the objective. */
+  readonly marginMs: number;
+  readonly weight: number;
+}
+
 /** Load of one replica as one entry tells it to the others. */
 export interface ReplicaLoad {
   readonly replicaId: string;
@@ -22,6 +31,10 @@
   readonly tokens: number;
   /** Reading still ahead, in milliseconds. */
   readonly readMs: number;
+  /** The part of it that goes before all other reading. */
+  readonly groupReadMs: number;
+  /** Requests that a group's reading would hold up. */
+  readonly readers: readonly Reader[];
   readonly writers: readonly Writers[];
 }
 
@@ -32,8 +45,13 @@
   readonly places: 0 | 1;
   readonly tokens: number;
   readonly readMs: number;
+  /** It is read in parts, by a group; parts go before other reading. */
+  readonly grouped: boolean;
   /** When the reading should be over, from now, in milliseconds. */
   readonly expectedMs: number;
+  /** Time left to the latency objective, in milliseconds. */
+  readonly aimLeftMs: number;
+  readonly aimMarginMs: number;
   readonly pauseAimMs: number;
   readonly weight: number;
 }
@@ -45,6 +63,22 @@
   end(): void;
 }
 
+/** A call at a plain service, or a stream without published figures. */
+export function callWork(replicaId: string, pauseAimMs: number): Work {
+  return {
+    replicaId,
+    places: 1,
+    tokens: 0,
+    readMs: 0,
+    grouped: false,
+    expectedMs: 0,
+    aimLeftMs: 0,
+    aimMarginMs: 0,
+    pauseAimMs,
+    weight: 0,
+  };
+}
+
 export interface LoadBook {
   enter(work: Work): EnteredWork;
   /** What another entry told at this time. */
@@ -53,10 +87,11 @@
   of(replicaId: string): ReplicaLoad;
   /** Load of this entry alone, for the others. */
   own(): readonly ReplicaLoad[];
-  /** Grows with each change of this entry's own load. */
-  version(): number;
 }
 
+/** What changed in this entry's own load: more of it, or less. */
+export type LoadChange = 'more' | 'less';
+
 /** Another entry's word counts no longer than this without a newer one. */
 const OTHERS_AGE_MS = 1_500;
 /** A read that is overdue still has this share of its time ahead. */
@@ -73,25 +108,34 @@
   readonly byReplica: ReadonlyMap<string, ReplicaLoad>;
 }
 
-export function createLoadBook(clock: Clock): LoadBook {
+/** `onChange` hears of each change of this entry's own load. */
+export function createLoadBook(
+  clock: Clock,
+  onChange: (change: LoadChange) => void,
+): LoadBook {
   const own = new Map<string, Set<OpenWork>>();
   const others = new Map<string, OtherLoad>();
-  let version = 0;
 
   const ownOf = (replicaId: string): ReplicaLoad => {
     const now = clock.now();
-    const load = {replicaId, running: 0, tokens: 0, readMs: 0};
+    const load = {replicaId, running: 0, tokens: 0, readMs: 0, groupReadMs: 0};
+    const readers: Reader[] = [];
     const weights = new Map<number, number>();
     for (const open of own.get(replicaId) ?? []) {
       const {work} = open;
       load.running += work.places;
       load.tokens += work.tokens;
-      if (!open.read) load.readMs += readLeft(open, now);
+      if (!open.read) {
+        const leftMs = readLeft(open, now);
+        load.readMs += leftMs;
+        if (work.grouped) load.groupReadMs += leftMs;
+        else readers.push(readerOf(open, now));
+      }
       if (work.places === 0) continue;
       const weight = weights.get(work.pauseAimMs) ?? 0;
       weights.set(work.pauseAimMs, weight + work.weight);
     }
-    return {...load, writers: writersOf(weights)};
+    return {...load, readers, writers: writersOf(weights)};
   };
 
   return {
@@ -100,17 +144,17 @@
       const works = own.get(work.replicaId) ?? new Set();
       works.add(open);
       own.set(work.replicaId, works);
-      version++;
+      onChange('more');
       return {
         hasRead: () => {
           if (open.read) return;
           open.read = true;
-          version++;
+          onChange('less');
         },
         end: () => {
           if (!works.delete(open)) return;
           if (works.size === 0) own.delete(work.replicaId);
-          version++;
+          onChange('less');
         },
       };
     },
@@ -130,7 +174,6 @@
       return sum;
     },
     own: () => [...own.keys()].map(ownOf),
-    version: () => version,
   };
 }
 
@@ -139,16 +182,32 @@
   return work.readMs * Math.max(OVERDUE_SHARE, share);
 }
 
+function readerOf({work, since}: OpenWork, now: number): Reader {
+  const passedMs = now - since;
+  const expectedLeftMs = Math.max(0, work.expectedMs - passedMs);
+  return {
+    slackMs: Math.round(work.aimLeftMs - passedMs - expectedLeftMs),
+    marginMs: Math.round(work.aimMarginMs),
+    weight: Math.round(work.weight),
+  };
+}
+
 function writersOf(weights: ReadonlyMap<number, number>): readonly Writers[] {
   return [...weights].map(([pauseAimMs, weight]) => ({pauseAimMs, weight}));
 }
 
-function added(sum: ReplicaLoad, load: ReplicaLoad, ageMs: number) {
+function added(
+  sum: ReplicaLoad,
+  load: ReplicaLoad,
+  ageMs: number,
+): ReplicaLoad {
   return {
     replicaId: sum.replicaId,
     running: sum.running + load.running,
     tokens: sum.tokens + load.tokens,
     readMs: sum.readMs + Math.max(0, load.readMs - ageMs),
+    groupReadMs: sum.groupReadMs + Math.max(0, load.groupReadMs - ageMs),
+    readers: [...sum.readers, ...load.readers],
     writers: [...sum.writers, ...load.writers],
   };
 }
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -5,10 +5,11 @@
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {chooseForCall} from './choose_call.js';
-import {chooseEngines, weightOf} from './choose_engines.js';
+import {aimMargin, chooseEngines} from './choose_engines.js';
 import type {EngineCandidate, EnginePlan} from './choose_engines.js';
 import type {Exchange} from './exchange.js';
 import type {Group} from './groups.js';
+import {callWork} from './load_book.js';
 import type {EnteredWork} from './load_book.js';
 import {candidatesOf} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -57,7 +58,7 @@
         slowness: ctx.health.slowness(replica.id),
       }));
     if (figures === undefined) return plainPlace(ctx, exchange, candidates);
-    const plan = planFor(figures, exchange, candidates);
+    const plan = planFor(ctx, figures, exchange, candidates);
     if (plan !== undefined) {
       const place = await take(ctx, exchange, plan);
       if ('firstEventMs' in place) return place;
@@ -72,6 +73,7 @@
 }
 
 function planFor(
+  ctx: ServeContext,
   figures: EngineFigures,
   exchange: Exchange,
   candidates: readonly EngineCandidate[],
@@ -79,10 +81,12 @@
   const {facts, route} = exchange;
   const req = {
     promptTokens: facts.promptTokens,
+    weight: exchange.weight,
     answerTokens: answerTokens(exchange),
     aimMs: route.aimMs,
     pauseAimMs: route.pauseAimMs,
     elapsedMs: exchange.elapsedMs(),
+    draw: () => ctx.random.next(),
   };
   return chooseEngines(figures, req, candidates);
 }
@@ -143,7 +147,10 @@
   const total = facts.promptTokens + answerTokens(exchange);
   const shared = {
     readMs: partReadMs,
+    grouped: helpers.length > 0,
     expectedMs: plan.firstEventMs,
+    aimLeftMs: route.aimMs - exchange.elapsedMs(),
+    aimMarginMs: aimMargin(route.aimMs),
     pauseAimMs: route.pauseAimMs,
   };
   const main = ctx.book.enter({
@@ -151,7 +158,7 @@
     replicaId: first.replica.id,
     places: 1,
     tokens: total - partTokens * helpers.length,
-    weight: weightOf(facts.promptTokens),
+    weight: exchange.weight,
   });
   const parts = helpers.map(({replica}) =>
     ctx.book.enter({
@@ -174,7 +181,7 @@
   ctx.log(DIRECT_EVENTS.dispatched, {
     requestId: exchange.id,
     replica: first.replica.id,
-    parts: 1 + helpers.length,
+    helpers: helpers.map(({replica}) => replica.id),
     promptTokens: exchange.facts.promptTokens,
     partTokens: plan.partTokens,
     firstEventMs: Math.round(plan.firstEventMs),
@@ -195,15 +202,8 @@
   );
   if (chosen === undefined) return undefined;
   const {replica} = chosen;
-  const work = ctx.book.enter({
-    replicaId: replica.id,
-    places: 1,
-    tokens: 0,
-    readMs: 0,
-    expectedMs: 0,
-    pauseAimMs: exchange.route.pauseAimMs,
-    weight: 0,
-  });
+  const {pauseAimMs} = exchange.route;
+  const work = ctx.book.enter(callWork(replica.id, pauseAimMs));
   return {
     replica,
     helpers: [],
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -8,6 +8,7 @@
 import {openDispatch} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
+import {callWork} from './load_book.js';
 import {
   candidatesOf,
   dispatchRequest,
@@ -177,15 +178,7 @@
 ): Promise<CallOutcome> {
   const {codec, health, book, clock, metrics} = ctx;
   const startedAt = clock.now();
-  const work = book.enter({
-    replicaId: replica.id,
-    places: 1,
-    tokens: 0,
-    readMs: 0,
-    expectedMs: 0,
-    pauseAimMs: Infinity,
-    weight: 0,
-  });
+  const work = book.enter(callWork(replica.id, Infinity));
   exchange.sent++;
   return new Promise(resolve => {
     let head: AnswerHead | undefined;
