feat(direct): count all readers that a group's part holds up, and worth by size

And a short prompt with a long answer weighed as little as one with a short answer. Change: readers in groups count as harmed; worth goes by prompt and answer.

--- a/src/direct/choose_engines.ts
+++ b/src/direct/choose_engines.ts
@@ -46,9 +46,11 @@
 
 /** Sizes of groups that are compared; a replica takes 16 helpers at most. */
 const GROUP_SIZES = [1, 2, 3, 4, 6, 8, 12, 16] as const;
-/** Worth of a route's requests grows less than their usual length does. */
-const WEIGHT_EXPONENT = 0.75;
-/** Share of a request's worth that does not depend on its length. */
+/** An answer's token is worth and costs about as much as ten of a prompt. */
+const WRITTEN_TOKEN_SIZE = 10;
+/** Worth of a route's requests grows a little more than their usual size. */
+const WEIGHT_EXPONENT = 1.2;
+/** Share of a request's worth that does not depend on its size. */
 const FIXED_SHARE = 0.3;
 /** A pause is at risk from this share of its aim on, and late at all of it. */
 const PAUSE_RISK_FROM = 0.7;
@@ -80,14 +82,19 @@
  */
 const TIE_LOSS = 0.002;
 
+/** Size of a request: a token that is written counts for several read ones. */
+export function sizeOf(promptTokens: number, answerTokens: number): number {
+  return promptTokens + WRITTEN_TOKEN_SIZE * answerTokens;
+}
+
 /**
- * What a request's lateness costs, relative to others: a route's usual prompt
- * says what its requests are worth, and part of that goes by the length.
+ * What a request's lateness costs, relative to others: a route's usual size
+ * says what its requests are worth, and part of that goes by the size.
  */
-export function weightOf(promptTokens: number, usualTokens: number): number {
-  const usual = Math.max(1, usualTokens);
-  const byLength = FIXED_SHARE + (1 - FIXED_SHARE) * (promptTokens / usual);
-  return usual ** WEIGHT_EXPONENT * byLength;
+export function weightOf(size: number, usualSize: number): number {
+  const usual = Math.max(1, usualSize);
+  const bySize = FIXED_SHARE + (1 - FIXED_SHARE) * (size / usual);
+  return usual ** WEIGHT_EXPONENT * bySize;
 }
 
 /** The best plan; undefined when no engine or group has the memory now. */
@@ -182,7 +189,8 @@
   const {weight} = req;
   const pass = passMs(figures, load.running + 1) * slowness;
   const queued = Math.max(0, load.running + 1 - replica.places);
-  const aheadMs = part.grouped ? load.groupReadMs : load.readMs;
+  // A group's newest part is read first; newer ones will come before this one.
+  const aheadMs = load.readMs;
   const firstEventMs =
     1.5 * pass + (aheadMs + part.readMs) * slowness + queued * PLACE_WAIT_MS;
   const harm =
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -12,6 +12,7 @@
 import type {Refused} from './admit_request.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
+import {sizeOf} from './choose_engines.js';
 import {createEvidence} from './evidence.js';
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
@@ -19,7 +20,7 @@
 import {createGroups} from './groups.js';
 import {createLoadBook} from './load_book.js';
 import {sendOwnAnswer} from './own_answers.js';
-import {createUsualLengths} from './usual_lengths.js';
+import {createUsualSizes} from './usual_sizes.js';
 import {createReplicaHealth} from './replica_health.js';
 import {serveCall} from './serve_call.js';
 import {giveUp} from './serve_context.js';
@@ -83,7 +84,7 @@
   let draining = false;
   let entries = 1;
   const open = new Set<Exchange>();
-  const usual = createUsualLengths();
+  const usual = createUsualSizes();
 
   const evidence = createEvidence(
     clock,
@@ -136,6 +137,9 @@
     return false;
   };
 
+  const weigh = ({route, facts}: Admitted): number =>
+    usual.weigh(route.name, sizeOf(facts.promptTokens, facts.maxTokens));
+
   const serve = (admitted: Admitted, ...sides: Sides): void => {
     const [req, res, arrivedAt] = sides;
     const exchange = openExchange({
@@ -144,7 +148,7 @@
       req,
       res,
       admitted,
-      weight: usual.weigh(admitted.route.name, admitted.facts.promptTokens),
+      weight: weigh(admitted),
       onTimeUp: late => giveUp(serveContext, late, 'time is up'),
       onCallerLeft: ({id, elapsedMs}) => {
         const waitedMs = Math.round(elapsedMs());
--- a/src/direct/load_book.ts
+++ b/src/direct/load_book.ts
@@ -31,8 +31,6 @@
   readonly tokens: number;
   /** Reading still ahead, in milliseconds. */
   readonly readMs: number;
-  /** The part of it that goes before all other reading. */
-  readonly groupReadMs: number;
   /** Requests that a group's reading would hold up. */
   readonly readers: readonly Reader[];
   readonly writers: readonly Writers[];
@@ -45,14 +43,13 @@
   readonly places: 0 | 1;
   readonly tokens: number;
   readonly readMs: number;
-  /** It is read in parts, by a group; parts go before other reading. */
-  readonly grouped: boolean;
   /** When the reading should be over, from now, in milliseconds. */
   readonly expectedMs: number;
   /** Time left to the latency objective, in milliseconds. */
   readonly aimLeftMs: number;
   readonly aimMarginMs: number;
   readonly pauseAimMs: number;
+  /** Cost of a late first token, and of a pause where it takes a place. */
   readonly weight: number;
 }
 
@@ -70,7 +67,6 @@
     places: 1,
     tokens: 0,
     readMs: 0,
-    grouped: false,
     expectedMs: 0,
     aimLeftMs: 0,
     aimMarginMs: 0,
@@ -118,7 +114,7 @@
 
   const ownOf = (replicaId: string): ReplicaLoad => {
     const now = clock.now();
-    const load = {replicaId, running: 0, tokens: 0, readMs: 0, groupReadMs: 0};
+    const load = {replicaId, running: 0, tokens: 0, readMs: 0};
     const readers: Reader[] = [];
     const weights = new Map<number, number>();
     for (const open of own.get(replicaId) ?? []) {
@@ -126,10 +122,8 @@
       load.running += work.places;
       load.tokens += work.tokens;
       if (!open.read) {
-        const leftMs = readLeft(open, now);
-        load.readMs += leftMs;
-        if (work.grouped) load.groupReadMs += leftMs;
-        else readers.push(readerOf(open, now));
+        load.readMs += readLeft(open, now);
+        readers.push(readerOf(open, now));
       }
       if (work.places === 0) continue;
       const weight = weights.get(work.pauseAimMs) ?? 0;
@@ -206,7 +200,6 @@
     running: sum.running + load.running,
     tokens: sum.tokens + load.tokens,
     readMs: sum.readMs + Math.max(0, load.readMs - ageMs),
-    groupReadMs: sum.groupReadMs + Math.max(0, load.groupReadMs - ageMs),
     readers: [...sum.readers, ...load.readers],
     writers: [...sum.writers, ...load.writers],
   };
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -147,7 +147,6 @@
   const total = facts.promptTokens + answerTokens(exchange);
   const shared = {
     readMs: partReadMs,
-    grouped: helpers.length > 0,
     expectedMs: plan.firstEventMs,
     aimLeftMs: route.aimMs - exchange.elapsedMs(),
     aimMarginMs: aimMargin(route.aimMs),
@@ -166,7 +165,8 @@
       replicaId: replica.id,
       places: 0,
       tokens: partTokens,
-      weight: 0,
+      // Most of a group's delay is seen at each member that is held up.
+      weight: exchange.weight / Math.sqrt(1 + helpers.length),
     }),
   );
   return [main, ...parts];
