--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -29,6 +29,8 @@
   readonly store: DirectStore;
   readonly codec: HeaderCodec;
   readonly orders: Reservations;
+  /** Time of day, in milliseconds. */
+  readonly wallMs: () => number;
 }
 
 export interface DirectProcess {
@@ -59,7 +61,7 @@
       codec: parts.codec,
       orders: parts.orders,
       holdMs: holdMsOf(settings),
-      wallMs: () => Date.now(),
+      wallMs: parts.wallMs,
     }),
   );
   await kernel.start(createSharing({self, store}));
--- /dev/null
+++ b/standins/users_platform/replica.ts
@@ -0,0 +1,165 @@
+/**
+ * A small stand-in for a replica of the users: it signs what it answers, counts
+ * what it runs, sets memory aside under orders, and misbehaves as told.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** A request that reached the replica. */
+export interface Arrival {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** The caller's connection closed before the answer was whole. */
+  left: boolean;
+}
+
+/** An order that reached the replica. */
+export interface Order {
+  readonly operation: string;
+  readonly id: string;
+  readonly tokens?: number;
+  readonly holdMs?: number;
+}
+
+/** Answers one request; `arrival` has been entered already. */
+export type Behaviour = (
+  arrival: Arrival,
+  res: ServerResponse,
+  req: IncomingMessage,
+) => void;
+
+export interface ReplicaStandIn {
+  readonly id: string;
+  readonly address: string;
+  readonly arrivals: readonly Arrival[];
+  readonly orders: readonly Order[];
+  /** Memory that is set aside now, by reservation. */
+  readonly held: ReadonlyMap<string, number>;
+  behave(behaviour: Behaviour): void;
+  /** What it says to an order; nothing for `undefined`. */
+  answerOrders(status: (order: Order) => number | undefined): void;
+  close(): Promise<void>;
+}
+
+/** Headers of an answer that the replica made. */
+export function signed(arrival: Arrival): Record<string, string> {
+  return {'X-Response-Seal': `seal-${arrival.id}`, 'X-Request-Id': arrival.id};
+}
+
+/** A whole answer. */
+export const answerWell: Behaviour = (arrival, res) => {
+  res.writeHead(200, signed(arrival));
+  res.end(`answer to ${arrival.id}`);
+};
+
+/** One event of a stream. */
+export function eventText(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** Events up to `last`, from the one after the caller's last. */
+export function streamTo(last: number, pauseMs = 1): Behaviour {
+  return (arrival, res) => {
+    const from = Number(arrival.headers['last-event-id'] ?? 0);
+    res.writeHead(200, {
+      ...signed(arrival),
+      'Content-Type': 'text/event-stream',
+    });
+    const next = (id: number): void => {
+      if (id > last) {
+        res.end();
+        return;
+      }
+      res.write(eventText(id));
+      setTimeout(() => next(id + 1), pauseMs);
+    };
+    next(from + 1);
+  };
+}
+
+/** Refuses as not run. */
+export const refuse: Behaviour = (arrival, res) => {
+  res.writeHead(503, {'X-Request-Id': arrival.id, 'X-Not-Executed': '1'});
+  res.end();
+};
+
+/** Takes the request and breaks off without a byte of an answer. */
+export const breakOff: Behaviour = (_arrival, _res, req) => {
+  req.socket.resetAndDestroy();
+};
+
+export async function startReplica(id: string): Promise<ReplicaStandIn> {
+  const arrivals: Arrival[] = [];
+  const orders: Order[] = [];
+  const held = new Map<string, number>();
+  let behaviour: Behaviour = answerWell;
+  let orderStatus: (order: Order) => number | undefined = () => 200;
+
+  const onOrder = (body: string, res: ServerResponse): void => {
+    const order = JSON.parse(body) as Order;
+    orders.push(order);
+    const status = orderStatus(order);
+    if (status === undefined) return;
+    if (status === 200 && order.operation === 'release') held.delete(order.id);
+    if (status === 200 && order.operation === 'reserve') {
+      held.set(order.id, order.tokens ?? 0);
+    }
+    res.writeHead(status, {'content-type': 'application/json'});
+    res.end('{"free":0}');
+  };
+  const onRequest = (
+    req: IncomingMessage,
+    body: string,
+    res: ServerResponse,
+  ) => {
+    const arrival: Arrival = {
+      id: String(req.headers['x-request-id']),
+      method: req.method ?? '',
+      path: req.url ?? '',
+      headers: req.headers,
+      body,
+      left: false,
+    };
+    arrivals.push(arrival);
+    res.on('close', () => {
+      arrival.left = !res.writableFinished;
+    });
+    behaviour(arrival, res, req);
+  };
+  const server = createServer((req, res) => {
+    const pieces: Buffer[] = [];
+    req.on('data', (piece: Buffer) => pieces.push(piece));
+    req.on('error', () => undefined);
+    req.on('end', () => {
+      const body = Buffer.concat(pieces).toString('utf8');
+      if (req.url === '/api/order') onOrder(body, res);
+      else onRequest(req, body, res);
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return {
+    id,
+    address: `127.0.0.1:${port}`,
+    arrivals,
+    orders,
+    held,
+    behave: next => {
+      behaviour = next;
+    },
+    answerOrders: status => {
+      orderStatus = status;
+    },
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/standins/users_platform/store.ts
@@ -0,0 +1,192 @@
+/**
+ * A small stand-in for the users' metadata store: objects by kind and name with
+ * one revision counter, lists in pages, watches, and faults on demand.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+interface StoredObject {
+  readonly metadata: {
+    readonly name: string;
+    readonly revision: number;
+    readonly createRev: number;
+    readonly finalizers: readonly string[];
+    readonly deleting: boolean;
+  };
+  readonly spec: unknown;
+  readonly status: unknown;
+}
+
+interface StoreEvent {
+  readonly kind: string;
+  readonly revision: number;
+  readonly object: StoredObject;
+  readonly removed: boolean;
+}
+
+/** How the store answers: well, with 503, or not at all. */
+export type StoreMode = 'well' | 'busy' | 'silent';
+
+export interface StoreStandIn {
+  readonly address: string;
+  put(kind: string, name: string, spec: unknown): void;
+  remove(kind: string, name: string): void;
+  get(kind: string, name: string): unknown;
+  setMode(mode: StoreMode): void;
+  /** Drops the history before now; watches from before get 410. */
+  forgetHistory(): void;
+  /** Calls that arrived, whatever became of them. */
+  calls(): number;
+  close(): Promise<void>;
+}
+
+const PAGE = 2;
+
+export async function startStore(): Promise<StoreStandIn> {
+  const kinds = new Map<string, Map<string, StoredObject>>();
+  let events: StoreEvent[] = [];
+  let revision = 1;
+  let forgottenTo = 0;
+  let mode: StoreMode = 'well';
+  let calls = 0;
+  const waiting = new Set<() => void>();
+
+  const ofKind = (kind: string) => {
+    const objects = kinds.get(kind) ?? new Map<string, StoredObject>();
+    kinds.set(kind, objects);
+    return objects;
+  };
+  const record = (kind: string, object: StoredObject, removed: boolean) => {
+    events.push({kind, revision: object.metadata.revision, object, removed});
+    for (const wake of [...waiting]) wake();
+  };
+  const put = (kind: string, name: string, spec: unknown): StoredObject => {
+    const before = ofKind(kind).get(name);
+    revision++;
+    const object: StoredObject = {
+      metadata: {
+        name,
+        revision,
+        createRev: before?.metadata.createRev ?? revision,
+        finalizers: [],
+        deleting: false,
+      },
+      spec,
+      status: null,
+    };
+    ofKind(kind).set(name, object);
+    record(kind, object, false);
+    return object;
+  };
+  const remove = (kind: string, name: string): boolean => {
+    const before = ofKind(kind).get(name);
+    if (before === undefined) return false;
+    ofKind(kind).delete(name);
+    revision++;
+    const metadata = {...before.metadata, revision};
+    record(kind, {...before, metadata}, true);
+    return true;
+  };
+
+  const list = (kind: string, after: string, res: ServerResponse): void => {
+    const names = [...ofKind(kind).keys()].sort().filter(name => name > after);
+    const items = names.slice(0, PAGE).map(name => ofKind(kind).get(name));
+    const hasMore = names.length > PAGE;
+    send(res, 200, {items, hasMore, currentRev: revision});
+  };
+  const watch = (
+    kind: string,
+    from: number,
+    waitMs: number,
+    res: ServerResponse,
+  ): void => {
+    if (from < forgottenTo) {
+      send(res, 410, {error: 'history is gone'});
+      return;
+    }
+    const found = () =>
+      events.filter(event => event.kind === kind && event.revision > from);
+    const answer = () => {
+      clearTimeout(timer);
+      waiting.delete(wake);
+      const changes = found().map(({object, removed}) => ({object, removed}));
+      send(res, 200, {events: changes, currentRev: revision});
+    };
+    const wake = () => {
+      if (mode === 'well' && found().length > 0) answer();
+    };
+    const timer = setTimeout(answer, waitMs);
+    res.on('close', () => {
+      clearTimeout(timer);
+      waiting.delete(wake);
+    });
+    waiting.add(wake);
+    wake();
+  };
+
+  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+    calls++;
+    const body = await readText(req);
+    if (mode === 'silent') return;
+    if (mode === 'busy') {
+      send(res, 503, {error: 'busy'});
+      return;
+    }
+    const url = new URL(req.url ?? '/', 'http://store');
+    const [, , , kind = '', name] = url.pathname.split('/');
+    const from = url.searchParams.get('watch');
+    if (req.method === 'GET' && from !== null) {
+      const waitMs = Number(url.searchParams.get('waitMs'));
+      watch(kind, Number(from), waitMs, res);
+    } else if (req.method === 'GET') {
+      list(kind, url.searchParams.get('after') ?? '', res);
+    } else if (req.method === 'POST') {
+      const {metadata, spec} = JSON.parse(body) as StoredObject;
+      const exists = ofKind(kind).has(metadata.name);
+      if (exists) send(res, 409, ofKind(kind).get(metadata.name));
+      else send(res, 200, put(kind, metadata.name, spec));
+    } else if (req.method === 'PUT') {
+      const {spec} = JSON.parse(body) as StoredObject;
+      send(res, 200, put(kind, name, spec));
+    } else {
+      send(res, remove(kind, name) ? 200 : 404, {});
+    }
+  };
+
+  const server = createServer((req, res) => void handle(req, res));
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    put: (kind, name, spec) => void put(kind, name, spec),
+    remove: (kind, name) => void remove(kind, name),
+    get: (kind, name) => ofKind(kind).get(name)?.spec,
+    setMode: next => {
+      mode = next;
+    },
+    forgetHistory: () => {
+      events = [];
+      forgottenTo = ++revision;
+    },
+    calls: () => calls,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function send(res: ServerResponse, status: number, value: unknown): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(value));
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const pieces: Buffer[] = [];
+  for await (const piece of req) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces).toString('utf8');
+}
--- /dev/null
+++ b/test/direct/draining.test.ts
@@ -0,0 +1,57 @@
+/** An entry that is told to end, and replicas that leave. */
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {streamTo} from '../../standins/users_platform/replica.js';
+import {
+  announce,
+  callEntry,
+  startDirectFleet,
+  until,
+} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+let fleet: DirectFleet;
+beforeEach(async () => {
+  fleet = await startDirectFleet();
+});
+afterEach(() => fleet.close());
+
+const HEADERS = {'X-Token-Usage': '1000,100'};
+
+describe('a draining entry', () => {
+  // The signal comes while a stream runs. The entry says at once that it is not
+  // ready, still serves whoever has not heard of it, and ends after the stream.
+  test('gives every request it has read its whole answer', async () => {
+    for (const replica of fleet.pool) replica.behave(streamTo(40, 20));
+    const running = callEntry(fleet, '/stream/a', {headers: HEADERS});
+    await until(() => fleet.pool.some(it => it.arrivals.length > 0));
+    const drained = fleet.entry.drain();
+    const late = await callEntry(fleet, '/again/');
+    expect(late).toMatchObject({status: 200});
+    expect(late.headers.connection).toBe('close');
+    expect(await running).toMatchObject({status: 200, whole: true});
+    await drained;
+    await expect(callEntry(fleet, '/again/')).rejects.toThrow();
+  });
+});
+
+describe('a replica that leaves', () => {
+  test('gets no new work once the store tells of it', async () => {
+    const [leaving] = fleet.desk;
+    announce(fleet.store, leaving, 'desk', 'draining');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    for (let at = 0; at < 6; at++) await callEntry(fleet, '/again/');
+    expect(leaving.arrivals).toEqual([]);
+  });
+
+  // The store was away, and the replicas' entries lapsed meanwhile. They are
+  // back within two seconds; until then requests go where they went before.
+  test('is still asked when its entry lapsed in an outage', async () => {
+    fleet.store.setMode('busy');
+    await new Promise(resolve => setTimeout(resolve, 1_500));
+    for (const {id} of fleet.desk) fleet.store.remove('servers', id);
+    fleet.store.setMode('well');
+    await new Promise(resolve => setTimeout(resolve, 700));
+    expect((await callEntry(fleet, '/again/')).status).toBe(200);
+    await until(async () => (await callEntry(fleet, '/again/')).status === 503);
+  });
+});
--- /dev/null
+++ b/test/direct/groups.test.ts
@@ -0,0 +1,93 @@
+/** Prompts that are larger than one engine's memory, read and held by several. */
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {streamTo} from '../../standins/users_platform/replica.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+let fleet: DirectFleet;
+beforeEach(async () => {
+  fleet = await startDirectFleet({pool: 4});
+  for (const replica of fleet.pool) replica.behave(streamTo(3));
+});
+afterEach(() => fleet.close());
+
+/** One engine holds 10,000 tokens. */
+const LARGE = {'X-Token-Usage': '18000,100'};
+const stream = () => callEntry(fleet, '/stream/a', {headers: LARGE});
+const held = () => fleet.pool.reduce((sum, it) => sum + it.held.size, 0);
+const orders = () => fleet.pool.flatMap(it => it.orders);
+
+describe('a prompt over the memory of one engine', () => {
+  test('runs on a group whose memory is set aside first', async () => {
+    expect(await stream()).toMatchObject({status: 200, whole: true});
+    const [arrival] = fleet.pool.flatMap(it => it.arrivals);
+    const helpers = String(arrival.headers['x-helpers']).split(',');
+    const reserved = orders().filter(it => it.operation === 'reserve');
+    expect(helpers.map(it => it.split('/')[1]).sort()).toEqual(
+      reserved.map(it => it.id).sort(),
+    );
+  });
+
+  test('leaves no memory set aside when it has ended', async () => {
+    await stream();
+    await until(() => held() === 0);
+  });
+
+  // The caller leaves in the middle; the members' memory is released.
+  test('leaves no memory set aside when its caller leaves', async () => {
+    for (const replica of fleet.pool) replica.behave(streamTo(1_000, 20));
+    await callEntry(fleet, '/stream/a', {
+      headers: LARGE,
+      leaveAt: body => body.includes('id: 1'),
+    });
+    await until(() => held() === 0);
+  });
+
+  // One member refuses. None of the others may be left holding memory for a
+  // group that does not run.
+  test('is set aside at all members or at none', async () => {
+    let refusing: string | undefined;
+    for (const replica of fleet.pool) {
+      replica.answerOrders(({operation}) => {
+        if (operation === 'release') return 200;
+        refusing ??= replica.id;
+        return replica.id === refusing ? 409 : 200;
+      });
+    }
+    expect((await stream()).status).toBe(200);
+    await until(() => held() === 0);
+  });
+
+  // A release gets no answer. The entry cannot know whether it came through, so
+  // it sends it again until one is answered.
+  test('is released again when a release is not answered', async () => {
+    const seen = new Set<string>();
+    for (const replica of fleet.pool) {
+      replica.answerOrders(({operation, id}) => {
+        if (operation !== 'release' || seen.has(id)) return 200;
+        seen.add(id);
+        return undefined;
+      });
+    }
+    await stream();
+    await until(() => seen.size > 0 && held() === 0);
+  });
+
+  // A reservation gets no answer and comes true seconds after its release. The
+  // memory would stay set aside for nobody; it is released once more.
+  test('is released once more when a reservation comes true late', async () => {
+    let lateId: string | undefined;
+    for (const replica of fleet.pool) {
+      replica.answerOrders(({operation, id}) => {
+        lateId ??= id;
+        return operation === 'reserve' && id === lateId ? undefined : 200;
+      });
+    }
+    await stream();
+    const releases = () =>
+      orders().filter(it => it.operation === 'release' && it.id === lateId);
+    await until(() => releases().length >= 1);
+    const before = releases().length;
+    await until(() => releases().length > before);
+  });
+});
--- /dev/null
+++ b/test/direct/requests.test.ts
@@ -0,0 +1,243 @@
+/** What a caller gets from an entry that serves replicas directly. */
+import {connect} from 'node:net';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {
+  answerWell,
+  breakOff,
+  refuse,
+  signed,
+} from '../../standins/users_platform/replica.js';
+import {
+  callEntry,
+  configOf,
+  startDirectFleet,
+  until,
+} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+let fleet: DirectFleet;
+beforeEach(async () => {
+  fleet = await startDirectFleet();
+});
+afterEach(() => fleet.close());
+
+const arrivals = () => fleet.desk.flatMap(({arrivals: all}) => all);
+
+/** Writes raw bytes and returns what comes back. */
+function sendRaw(text: string): Promise<string> {
+  const [host, port] = fleet.callers.split(':');
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host);
+    let came = '';
+    socket.on('data', piece => {
+      came += piece.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(came));
+    socket.write(text);
+  });
+}
+
+describe('a request served directly', () => {
+  test('keeps method, path, query, body and end-to-end headers', async () => {
+    const answer = await callEntry(fleet, '/again/a?b=c', {
+      headers: {'X-Other': 'kept', 'X-Hop': 'not', Connection: 'X-Hop'},
+      body: 'the prompt',
+    });
+    expect(answer).toMatchObject({status: 200, whole: true});
+    const [arrival] = arrivals();
+    expect(arrival).toMatchObject({
+      method: 'POST',
+      path: '/again/a?b=c',
+      body: 'the prompt',
+    });
+    expect(arrival.headers['x-other']).toBe('kept');
+    expect(arrival.headers['x-hop']).toBeUndefined();
+    expect(answer.headers['x-response-seal']).toBe(`seal-${arrival.id}`);
+  });
+
+  test('shows the replica the organisation in place of the key', async () => {
+    await callEntry(fleet, '/again/', {headers: {'X-Tenant': 'forged'}});
+    const [{headers}] = arrivals();
+    expect(headers['x-tenant']).toBe('org-1');
+    expect(headers.authorization).toBeUndefined();
+    expect(headers['x-expect-replica']).toMatch(/^desk-/);
+  });
+
+  test('hands the replica no more time than is left', async () => {
+    await callEntry(fleet, '/again/', {headers: {'X-Deadline-Ms': '300'}});
+    const left = Number(arrivals()[0].headers['x-deadline-ms']);
+    expect(left).toBeLessThanOrEqual(300);
+    expect(left).toBeGreaterThan(100);
+  });
+
+  test('needs no key on a public route', async () => {
+    const headers = {Authorization: ''};
+    expect((await callEntry(fleet, '/open/', {headers})).status).toBe(200);
+    expect(arrivals()[0].headers['x-tenant']).toBeUndefined();
+  });
+
+  test('runs nowhere with an unknown key, route or id', async () => {
+    const key = {Authorization: 'Token other'};
+    expect((await callEntry(fleet, '/again/', {headers: key})).status).toBe(
+      401,
+    );
+    expect((await callEntry(fleet, '/nowhere/')).status).toBe(404);
+    const noHost = {Host: 'other.example'};
+    expect((await callEntry(fleet, '/again/', {headers: noHost})).status).toBe(
+      404,
+    );
+    const noId = {'X-Request-Id': ''};
+    expect((await callEntry(fleet, '/again/', {headers: noId})).status).toBe(
+      400,
+    );
+    expect(arrivals()).toEqual([]);
+  });
+
+  test('runs nowhere when headers or body are too large', async () => {
+    const large = {'X-Large': 'x'.repeat(5_000)};
+    expect((await callEntry(fleet, '/again/', {headers: large})).status).toBe(
+      431,
+    );
+    const body = 'x'.repeat(10_001);
+    expect((await callEntry(fleet, '/again/', {body})).status).toBe(413);
+    expect(arrivals()).toEqual([]);
+  });
+
+  test('runs nowhere when a second request is smuggled in it', async () => {
+    const came = await sendRaw(
+      'POST /again/ HTTP/1.1\r\nHost: models.example\r\nX-Request-Id: s1\r\n' +
+        'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n' +
+        '0\r\n\r\nGET /open/ HTTP/1.1\r\nHost: models.example\r\n\r\n',
+    );
+    expect(came).toMatch(/^HTTP\/1\.1 400 /);
+    expect(arrivals()).toEqual([]);
+  });
+});
+
+describe('a request that may not be repeated', () => {
+  // A replica takes the request and its connection breaks. It may have run, so
+  // the caller is told 502, which promises nothing, and no other replica gets
+  // it.
+  test('goes to no second replica after a broken answer', async () => {
+    for (const replica of fleet.desk) replica.behave(breakOff);
+    expect((await callEntry(fleet, '/once/')).status).toBe(502);
+    expect(arrivals()).toHaveLength(1);
+  });
+
+  // The replica says itself that it did not run the request: a second one may.
+  test('goes to a second replica after a refusal', async () => {
+    const [first, second] = fleet.desk;
+    first.behave(refuse);
+    for (let at = 0; at < 4; at++) {
+      expect((await callEntry(fleet, '/once/')).status).toBe(200);
+    }
+    expect(second.arrivals).toHaveLength(4);
+  });
+
+  // All replicas refuse: nothing ran, and the caller is told when to come back.
+  test('ends as not run when every replica refuses', async () => {
+    for (const replica of fleet.desk) replica.behave(refuse);
+    const answer = await callEntry(fleet, '/once/');
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  // The replica keeps silent past the route's time: it may have run.
+  test('ends with 504 at the time limit, and its run is ended', async () => {
+    for (const replica of fleet.desk) replica.behave(() => undefined);
+    const startedAt = Date.now();
+    expect((await callEntry(fleet, '/once/')).status).toBe(504);
+    expect(Date.now() - startedAt).toBeLessThan(1_300);
+    await until(() => arrivals()[0].left);
+  });
+});
+
+describe('a request that may be repeated', () => {
+  test('goes to a second replica when the first breaks off', async () => {
+    fleet.desk[0].behave(breakOff);
+    for (let at = 0; at < 4; at++) {
+      expect((await callEntry(fleet, '/again/')).status).toBe(200);
+    }
+  });
+
+  test('goes to a second replica when the first fails by itself', async () => {
+    let failed: string | undefined;
+    for (const {behave, id} of fleet.desk) {
+      behave((arrival, res, req) => {
+        failed ??= id;
+        if (id !== failed) {
+          answerWell(arrival, res, req);
+          return;
+        }
+        res.writeHead(500, signed(arrival));
+        res.end('failed');
+      });
+    }
+    expect((await callEntry(fleet, '/again/')).status).toBe(200);
+    expect(arrivals()).toHaveLength(2);
+  });
+
+  // An earlier request's late answer comes in place of the right one. Its id
+  // tells; the caller must not see it.
+  test('takes no answer that belongs to another request', async () => {
+    fleet.desk[0].behave((_arrival, res) => {
+      res.writeHead(200, {'X-Request-Id': 'x', 'X-Response-Seal': 'x'});
+      res.end('of another');
+    });
+    for (let at = 0; at < 4; at++) {
+      const {body} = await callEntry(fleet, '/again/');
+      expect(body).toMatch(/^answer to /);
+    }
+  });
+
+  // An answer without a length ends with its connection. The replica breaks off
+  // after half of it; given a length on the way, half would look whole.
+  test('keeps the framing of an answer without a length', async () => {
+    for (const replica of fleet.desk) {
+      replica.behave((arrival, _res, req) => {
+        req.socket.end(
+          'HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n' +
+            `X-Request-Id: ${arrival.id}\r\n\r\nhalf of i`,
+        );
+      });
+    }
+    const {headers, body} = await callEntry(fleet, '/again/');
+    expect(body).toBe('half of i');
+    expect(headers['content-length']).toBeUndefined();
+    expect(headers['transfer-encoding']).toBeUndefined();
+  });
+});
+
+describe('the configuration', () => {
+  test('is in force as soon as the store tells of it', async () => {
+    fleet.store.put('config', 'main', configOf(2, ['key-2']));
+    const other = {Authorization: 'Token key-2'};
+    await until(
+      async () =>
+        (await callEntry(fleet, '/again/', {headers: other})).status === 200,
+    );
+    expect((await callEntry(fleet, '/again/')).status).toBe(401);
+  });
+
+  // A stale read brings an older version after a newer one was in force.
+  test('never goes back to an older version', async () => {
+    fleet.store.put('config', 'main', configOf(7, ['key-7']));
+    const headers = {Authorization: 'Token key-7'};
+    const serves = async () =>
+      (await callEntry(fleet, '/again/', {headers})).status === 200;
+    await until(serves);
+    fleet.store.put('config', 'main', configOf(3));
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(await serves()).toBe(true);
+  });
+
+  test('is followed on when the store has forgotten its history', async () => {
+    fleet.store.forgetHistory();
+    fleet.store.put('config', 'main', configOf(2, ['key-2']));
+    const headers = {Authorization: 'Token key-2'};
+    await until(
+      async () => (await callEntry(fleet, '/again/', {headers})).status === 200,
+    );
+  });
+});
--- /dev/null
+++ b/test/support/direct_fleet.ts
@@ -0,0 +1,308 @@
+/**
+ * A direct entry with all its services, before stand-ins of the users' store
+ * and replicas, on loopback and the real clock.
+ */
+import {request} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
+import {headerCodec} from '../../platform/header_codec.js';
+import {createReservationOrders} from '../../platform/reservation_orders.js';
+import {createStoreClient} from '../../platform/store_client.js';
+import type {DirectSettings} from '../../src/direct/settings.js';
+import {wireDirectEntry} from '../../src/direct_wiring.js';
+import type {DirectProcess} from '../../src/direct_wiring.js';
+import type {Runtime} from '../../src/types/runtime.js';
+import {createProcessClock} from '../../src/utils/clock.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import type {RecordingRuntime} from '../../standins/recording_runtime.js';
+import {startReplica} from '../../standins/users_platform/replica.js';
+import type {ReplicaStandIn} from '../../standins/users_platform/replica.js';
+import {startStore} from '../../standins/users_platform/store.js';
+import type {StoreStandIn} from '../../standins/users_platform/store.js';
+
+export const HOST = 'models.example';
+export const KEY = 'key-1';
+
+/** Engine figures small enough that a test's prompt needs a group. */
+export const ENGINE = {
+  slots: 4,
+  kvCapacityTokens: 10_000,
+  stride: 4,
+  step_ms: 1,
+  per_seq_ms: 0,
+  read_per_s: 1_000_000,
+  pairs_per_m: 0,
+  chunk: 2_048,
+};
+
+const ROUTES = [
+  {
+    name: 'stream',
+    host: HOST,
+    pathPrefix: '/stream/',
+    kind: 'streaming',
+    timeoutMs: 4_000,
+    sloMs: 300,
+    gapAimMs: 100,
+    priority: 1,
+    service: 'pool',
+    maxAttempts: 2,
+    resumable: true,
+  },
+  {
+    name: 'once',
+    host: HOST,
+    pathPrefix: '/once/',
+    kind: 'unsafe',
+    timeoutMs: 800,
+    sloMs: 100,
+    service: 'desk',
+    maxAttempts: 2,
+  },
+  {
+    name: 'again',
+    host: HOST,
+    pathPrefix: '/again/',
+    kind: 'safe',
+    timeoutMs: 800,
+    sloMs: 100,
+    service: 'desk',
+    maxAttempts: 2,
+  },
+  {
+    name: 'open',
+    host: HOST,
+    pathPrefix: '/open/',
+    kind: 'safe',
+    timeoutMs: 800,
+    service: 'desk',
+    maxAttempts: 1,
+    public: true,
+  },
+] as const;
+
+/** A configuration of this version. */
+export function configOf(version: number, apiKeys: readonly string[] = [KEY]) {
+  return {
+    version,
+    routes: ROUTES,
+    services: [{name: 'pool', engine: ENGINE}, {name: 'desk'}],
+    limits: {
+      maxHeaderBytes: 4_096,
+      maxBodyBytes: 10_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 5_000,
+    },
+    tenants: [{name: 'org-1', apiKeys}],
+  };
+}
+
+export interface DirectFleet {
+  readonly store: StoreStandIn;
+  readonly pool: readonly ReplicaStandIn[];
+  readonly desk: readonly ReplicaStandIn[];
+  readonly entry: DirectProcess;
+  readonly callers: string;
+  readonly runtime: RecordingRuntime;
+  /** Shifts the time of day that the entry sees, in milliseconds. */
+  shiftWall(byMs: number): void;
+  close(): Promise<void>;
+}
+
+export interface FleetOptions {
+  /** @default 2 */
+  readonly pool?: number;
+  /** @default 2 */
+  readonly desk?: number;
+  readonly timing?: Partial<DirectSettings['timing']>;
+}
+
+/**
+ * Ports below those that the system hands out by itself, a range for each of
+ * the runner's workers: one that was free a moment ago may be taken since.
+ */
+const FIRST_PORT = 20_000;
+const PORTS_PER_WORKER = 500;
+const worker = Number(process.env['VITEST_POOL_ID'] ?? 0);
+let ports = 0;
+
+function nextPort(): number {
+  ports = (ports + 1) % PORTS_PER_WORKER;
+  return FIRST_PORT + worker * PORTS_PER_WORKER + ports;
+}
+
+function settingsFor(
+  store: string,
+  timing: FleetOptions['timing'],
+): DirectSettings {
+  const address = () => `127.0.0.1:${nextPort()}`;
+  return {
+    node: 'entry-1',
+    failureDomain: 'domain-1',
+    ip: '127.0.0.1',
+    listen: {
+      callers: address(),
+      ready: address(),
+      metrics: address(),
+    },
+    peerPorts: [nextPort()],
+    store: {address: store},
+    limits: {memoryMb: 300, maxDescriptors: 1_000},
+    timing: {
+      graceS: 8,
+      revokeMs: 5_000,
+      freeMs: 2_000,
+      maxHoldMs: undefined,
+      ...timing,
+    },
+    retries: {ratio: 0.2, slack: 100, windowS: 10},
+  };
+}
+
+/** Starts everything and waits until the entry is ready. */
+export async function startDirectFleet(
+  options: FleetOptions = {},
+): Promise<DirectFleet> {
+  const store = await startStore();
+  const start = (service: string, count: number) =>
+    Promise.all(
+      Array.from({length: count}, (_, at) => startReplica(`${service}-${at}`)),
+    );
+  const pool = await start('pool', options.pool ?? 2);
+  const desk = await start('desk', options.desk ?? 2);
+  for (const replica of pool) announce(store, replica, 'pool');
+  for (const replica of desk) announce(store, replica, 'desk');
+  store.put('config', 'main', configOf(1));
+
+  const settings = settingsFor(store.address, options.timing);
+  const clock = createProcessClock();
+  const recorded = createRecordingRuntime();
+  const runtime: Runtime = {...recorded.runtime, clock};
+  let wallShiftMs = 0;
+  const entry = await wireDirectEntry(
+    {
+      settings,
+      store: createStoreClient({
+        address: store.address,
+        clock,
+        metrics: runtime.metrics,
+      }),
+      codec: headerCodec,
+      orders: createReservationOrders(runtime.metrics),
+      wallMs: () => Date.now() + wallShiftMs,
+    },
+    runtime,
+  );
+  await until(() => isReady(settings.listen.ready));
+  return {
+    store,
+    pool,
+    desk,
+    entry,
+    runtime: recorded,
+    callers: settings.listen.callers,
+    shiftWall: byMs => {
+      wallShiftMs += byMs;
+    },
+    close: async () => {
+      await entry.kernel.stop();
+      await Promise.all([store, ...pool, ...desk].map(part => part.close()));
+    },
+  };
+}
+
+/** A replica's record in the store. */
+export function announce(
+  store: StoreStandIn,
+  replica: ReplicaStandIn,
+  service: string,
+  state = 'ready',
+): void {
+  store.put('servers', replica.id, {
+    service,
+    address: replica.address,
+    zone: 'domain-1',
+    slots: 4,
+    state,
+  });
+}
+
+async function isReady(address: string): Promise<boolean> {
+  try {
+    return (await fetch(`http://${address}/api/ready`)).status === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Waits until it holds; fails after some seconds. */
+export async function until(
+  holds: () => boolean | Promise<boolean>,
+  limitMs = 5_000,
+): Promise<void> {
+  const endsAt = Date.now() + limitMs;
+  while (!(await holds())) {
+    if (Date.now() > endsAt) throw new Error('did not come about in time');
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
+
+/** What a caller gets. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** The answer's framing says that it is whole. */
+  readonly whole: boolean;
+}
+
+let requests = 0;
+
+/** Sends one request as a caller; rejects when no answer begins. */
+export function callEntry(
+  fleet: DirectFleet,
+  path: string,
+  options: {
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    /** Called with each piece; true leaves. */
+    readonly leaveAt?: (body: string) => boolean;
+  } = {},
+): Promise<CallerAnswer> {
+  const [host, port] = fleet.callers.split(':');
+  const method = options.method ?? 'POST';
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host,
+      port,
+      path,
+      method,
+      agent: false,
+      headers: {
+        Host: HOST,
+        'X-Request-Id': `req-${++requests}`,
+        Authorization: `Token ${KEY}`,
+        'X-Deadline-Ms': '5000',
+        ...options.headers,
+      },
+    });
+    req.on('error', reject);
+    req.on('response', res => {
+      let body = '';
+      const end = () =>
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body,
+          whole: res.complete,
+        });
+      res.on('data', (piece: Buffer) => {
+        body += piece.toString('utf8');
+        if (options.leaveAt?.(body)) req.destroy();
+      });
+      res.on('error', () => undefined);
+      res.on('close', end);
+    });
+    req.end(options.body ?? (method === 'POST' ? 'a prompt' : undefined));
+  });
+}
