--- a/src/platform/http_client.ts
+++ b/src/platform/http_client.ts
@@ -3,9 +3,10 @@
  * A failure tells whether any byte of the request can have been sent, which
  * is what decides between "did not happen" and "unknown" for a write.
  */
+import {Agent, request} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {Agent, request} from 'undici';
 import type {Clock} from '../types/runtime.js';
 
 /** Failures of dialling: the request had no connection to go out on. */
@@ -14,7 +15,6 @@
   'EHOSTUNREACH',
   'ENETUNREACH',
   'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
 const DEFAULT_TIMEOUT_MS = 1_000;
@@ -68,35 +68,38 @@
   return String((err as {code?: unknown} | undefined)?.code ?? '');
 }
 
+async function readAnswer(res: IncomingMessage): Promise<HttpAnswer> {
+  const pieces: Buffer[] = [];
+  for await (const piece of res) pieces.push(piece as Buffer);
+  return {
+    status: res.statusCode ?? 0,
+    body: Buffer.concat(pieces).toString('utf8'),
+    etag: res.headers.etag ?? '',
+  };
+}
+
 /** Makes a client; nothing is dialled before the first call. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
   const {url, clock, timeoutMs = DEFAULT_TIMEOUT_MS} = options;
   const agent = new Agent({
-    connections: options.connections ?? DEFAULT_CONNECTIONS,
-    // The one timer below covers dialling, headers and body.
-    headersTimeout: 0,
-    bodyTimeout: 0,
+    keepAlive: true,
+    maxSockets: options.connections ?? DEFAULT_CONNECTIONS,
   });
 
-  const exchange = async (
-    call: HttpCall,
-    signal: AbortSignal,
-  ): Promise<HttpAnswer> => {
-    const res = await request(new URL(call.path, url), {
-      method: call.method,
-      headers: call.headers,
-      body: call.body,
-      dispatcher: agent,
-      signal,
+  const exchange = (call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> =>
+    new Promise((resolve, reject) => {
+      const req = request(new URL(call.path, url), {
+        method: call.method,
+        headers: call.headers,
+        agent,
+        signal,
+      });
+      req.on('error', reject);
+      req.on('response', res => {
+        readAnswer(res).then(resolve, reject);
+      });
+      req.end(call.body);
     });
-    const {etag} = res.headers;
-    const body = await res.body.text();
-    return {
-      status: res.statusCode,
-      body,
-      etag: typeof etag === 'string' ? etag : '',
-    };
-  };
 
   return {
     call: async call => {
@@ -118,6 +121,9 @@
         cancel();
       }
     },
-    close: () => agent.destroy(),
+    close: () => {
+      agent.destroy();
+      return Promise.resolve();
+    },
   };
 }
