fix(direct): wait for known reads before a stream counts as silent

And a request whose first event would come after its caller has left took a place all the same. Change: the reading known ahead of a replica lengthens the silence allowed, up to four fifths of the caller's patience; a new request that would come too late is refused at once, as not run.

--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -12,6 +12,7 @@
 import {callWork} from './load_book.js';
 import type {EnteredWork} from './load_book.js';
 import {candidatesOf} from './serve_context.js';
+import {patienceMs} from './patience.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica, EngineFigures, GroupMember} from './types.js';
 
@@ -59,6 +60,10 @@
       }));
     if (figures === undefined) return plainPlace(ctx, exchange, candidates);
     const plan = planFor(ctx, figures, exchange, candidates);
+    const isNew = exchange.sent === 0;
+    if (isNew && plan !== undefined && comesTooLate(exchange, plan)) {
+      return undefined;
+    }
     if (plan !== undefined) {
       const place = await take(ctx, exchange, plan);
       if ('firstEventMs' in place) return place;
@@ -72,6 +77,18 @@
   return undefined;
 }
 
+/**
+ * Whether the caller would have left before its first event. Queued all the
+ * same, it takes a place for an answer that nobody reads; refused at once, it
+ * may come back when there is room.
+ */
+function comesTooLate(
+  {route, elapsedMs}: Exchange,
+  {firstEventMs}: EnginePlan,
+): boolean {
+  return elapsedMs() + firstEventMs > patienceMs(route);
+}
+
 function planFor(
   ctx: ServeContext,
   figures: EngineFigures,
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -10,6 +10,7 @@
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from './exchange.js';
+import {patienceMs} from './patience.js';
 import {openPlace} from './place.js';
 import type {Place} from './place.js';
 import {dispatchRequest, giveUp, mayTry, writeHead} from './serve_context.js';
@@ -22,6 +23,9 @@
 /** Added to it, for pauses that others' work brings. */
 const GRACE_MS = 300;
 
+/** Share of the caller's patience that a known long read may use up. */
+const PATIENCE_SHARE = 0.8;
+
 /** How one try ended. */
 type StreamOutcome =
   | {readonly kind: 'whole'}
@@ -173,12 +177,18 @@
       dispatch.cancel();
       finish({kind: 'ended'});
     };
-    const watchSilence = (limitMs: number) => {
+    const watchSilence = (limitMs: number, since = clock.now()) => {
       cancelSilence();
-      cancelSilence = clock.after(limitMs, () => {
+      const leftMs = since + limitMs - clock.now();
+      cancelSilence = clock.after(leftMs, () => {
         // A last attempt may still come; silence alone ends no answer.
         const last = exchange.sent >= route.maxAttempts;
         if (last || route.kind !== 'resumable-stream') return;
+        const allowedMs = allowedSilence(ctx, exchange, replica.id, limitMs);
+        if (clock.now() - since < allowedMs) {
+          watchSilence(allowedMs, since);
+          return;
+        }
         exchange.mayHaveRun = true;
         breakOff('silent');
       });
@@ -267,6 +277,22 @@
   });
 }
 
+/**
+ * A replica that reads a long prompt is silent to all that write there. Given
+ * up for that, their streams would be read anew elsewhere and gain nothing, so
+ * what is known to be read there is waited for, as long as the caller does.
+ */
+function allowedSilence(
+  ctx: ServeContext,
+  {route}: Exchange,
+  replicaId: string,
+  limitMs: number,
+): number {
+  const readMs = ctx.book.of(replicaId).readMs;
+  const mostMs = patienceMs(route) * PATIENCE_SHARE;
+  return Math.max(limitMs, Math.min(limitMs + readMs, mostMs));
+}
+
 function observeEvent(
   metrics: ServeContext['metrics'],
   exchange: Exchange,
