fix(direct): end a kept connection with its answer when the entry drains

Ruled out: closing idle connections at the end of the drain (this one was busy). Change: while draining, a connection ends with the answer under way. Test seen red without the change.

--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -191,6 +191,11 @@
 
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = clock.now();
+    // A head that went out before the drain promised to keep the connection.
+    // Kept, it would bring a request too late for a whole answer.
+    res.once('finish', () => {
+      if (draining) req.socket.end();
+    });
     const parts = {
       codec,
       draw: () => random.next(),
--- a/test/direct/draining.test.ts
+++ b/test/direct/draining.test.ts
@@ -1,4 +1,5 @@
 /** An entry that is told to end, and replicas that leave. */
+import {Agent} from 'node:http';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {streamTo} from '../../standins/users_platform/replica.js';
 import {
@@ -34,6 +35,24 @@
   });
 });
 
+describe('a kept connection of a draining entry', () => {
+  // The head of an answer went out before the signal and promised to keep the
+  // connection. The caller would send its next request on it long after new
+  // connections are refused, too late for a whole answer. So the connection
+  // ends with the answer.
+  test('ends with the answer that was under way at the signal', async () => {
+    for (const replica of fleet.pool) replica.behave(streamTo(20, 10));
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    const running = callEntry(fleet, '/stream/a', {headers: HEADERS, agent});
+    await until(() => fleet.pool.some(it => it.arrivals.length > 0));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    fleet.entry.drain().catch(() => undefined);
+    expect(await running).toMatchObject({status: 200, whole: true});
+    await until(() => Object.keys(agent.freeSockets).length === 0, 1_000);
+    agent.destroy();
+  });
+});
+
 describe('a replica that leaves', () => {
   test('gets no new work once the store tells of it', async () => {
     const [leaving] = fleet.desk;
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -3,7 +3,7 @@
  * and replicas, on loopback and the real clock.
  */
 import {request} from 'node:http';
-import type {IncomingHttpHeaders} from 'node:http';
+import type {Agent, IncomingHttpHeaders} from 'node:http';
 import {headerCodec} from '../../platform/header_codec.js';
 import {createReservationOrders} from '../../platform/reservation_orders.js';
 import {createStoreClient} from '../../platform/store_client.js';
@@ -265,6 +265,8 @@
     readonly method?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string;
+    /** Keeps connections. @default one for each request */
+    readonly agent?: Agent;
     /** Called with each piece; true leaves. */
     readonly leaveAt?: (body: string) => boolean;
   } = {},
@@ -277,7 +279,7 @@
       port,
       path,
       method,
-      agent: false,
+      agent: options.agent ?? false,
       headers: {
         Host: HOST,
         'X-Request-Id': `req-${++requests}`,
