feat(cli): explain a request from log lines, and check a direct entry's settings

Cause: a direct entry has no operators' API to ask; on call there are only logs and metrics. Two faults found by these tests: a silent entry's load was counted once more after it was dropped, and a call sent in the instant of a suspension counted as evidence; both mended.

--- /dev/null
+++ b/src/cli/explain_logs.ts
@@ -0,0 +1,108 @@
+/**
+ * Explains one request from log lines of any number of processes: its events in
+ * order of time, and its cause in a sentence.
+ */
+import {DIRECT_EVENTS} from '../utils/events.js';
+
+/** One log line that is about the request. */
+export interface RequestLine {
+  readonly time: string;
+  readonly event: number;
+  readonly name: string;
+  readonly node: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+const HEAD = new Set(['time', 'level', 'event', 'name', 'node', 'requestId']);
+
+/** The lines about a request, oldest first. Other text is passed over. */
+export function linesOf(
+  text: string,
+  requestId: string,
+): readonly RequestLine[] {
+  return text
+    .split('\n')
+    .map(parseLine)
+    .filter(line => line?.['requestId'] === requestId)
+    .map(line => lineOf(line as Record<string, unknown>))
+    .sort((a, b) => (a.time < b.time ? -1 : 1));
+}
+
+/** A collector may write something before the JSON, such as the host. */
+function parseLine(line: string): Record<string, unknown> | undefined {
+  const start = line.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    return JSON.parse(line.slice(start)) as Record<string, unknown>;
+  } catch {
+    // Not a log line, or one that was cut.
+    return undefined;
+  }
+}
+
+function lineOf(line: Readonly<Record<string, unknown>>): RequestLine {
+  const fields = Object.entries(line).filter(([name]) => !HEAD.has(name));
+  return {
+    time: String(line['time']),
+    event: Number(line['event']),
+    name: String(line['name']),
+    node: String(line['node']),
+    fields: Object.fromEntries(fields),
+  };
+}
+
+/** What became of the request, and why. */
+export function causeOf(lines: readonly RequestLine[]): string {
+  const last = (event: number) => lines.filter(it => it.event === event).at(-1);
+  const refused = last(DIRECT_EVENTS.refused.number);
+  const givenUp = last(DIRECT_EVENTS.givenUp.number);
+  const answered = last(DIRECT_EVENTS.answered.number);
+  const left = last(DIRECT_EVENTS.callerLeft.number);
+  const failed = last(DIRECT_EVENTS.tryFailed.number);
+  const tried = failed === undefined ? '' : `; ${triedText(failed)}`;
+  if (refused !== undefined) return refusedText(refused);
+  if (givenUp !== undefined) return `${givenUpText(givenUp)}${tried}.`;
+  if (left !== undefined) {
+    const {waitedMs} = left.fields;
+    return `The caller left after ${waitedMs} ms${tried}.`;
+  }
+  if (answered !== undefined) return `${answeredText(answered)}${tried}.`;
+  return lines.length === 0
+    ? 'No line is about this request.'
+    : 'The lines end before the request did: its process ended, or lines are missing.';
+}
+
+function refusedText({node, fields}: RequestLine): string {
+  const {status, message, config, evidenceAgeMs} = fields;
+  return (
+    `${node} refused it with ${status} before any replica was asked: ${message} ` +
+    `(configuration ${config}, the store's last word ${evidenceAgeMs} ms old).`
+  );
+}
+
+function givenUpText({node, fields}: RequestLine): string {
+  const {reason, ran, sent, elapsedMs} = fields;
+  const run = ran === 'no' ? 'it did not run' : 'it may have run';
+  return `${node} gave it up after ${elapsedMs} ms and ${sent} tries: ${reason}; ${run}`;
+}
+
+function triedText({fields}: RequestLine): string {
+  return `replica ${fields['replica']} had failed it at ${fields['elapsedMs']} ms: ${fields['reason']}`;
+}
+
+function answeredText({fields}: RequestLine): string {
+  const {status, elapsedMs, firstEventMs, longestPauseMs} = fields;
+  const stream =
+    firstEventMs === undefined
+      ? ''
+      : `, its first event after ${firstEventMs} ms and its longest pause ${longestPauseMs} ms`;
+  return `It was answered with ${status} after ${elapsedMs} ms${stream}`;
+}
+
+/** The lines and the cause, for a terminal. */
+export function renderExplained(lines: readonly RequestLine[]): string {
+  const rows = lines.map(({time, node, name, fields}) =>
+    [time, node, name, JSON.stringify(fields)].join('  '),
+  );
+  return [...rows, causeOf(lines)].join('\n');
+}
--- a/src/cli/fleet_commands.ts
+++ b/src/cli/fleet_commands.ts
@@ -1,6 +1,14 @@
 /** Commands on the running processes: status, hosts, explain, drain. */
+import {readFile} from 'node:fs/promises';
+import {text} from 'node:stream/consumers';
 import {Command, Option} from 'clipanion';
-import {OperatorCommand} from './operator_command.js';
+import {causeOf, linesOf, renderExplained} from './explain_logs.js';
+import {
+  EXIT_OK,
+  EXIT_USAGE,
+  OperatorCommand,
+  WrongUsage,
+} from './operator_command.js';
 
 const CATEGORY = 'Fleet';
 
@@ -38,16 +46,46 @@
   static override usage = Command.Usage({
     category: CATEGORY,
     description: "show a request's routing decisions and their reasons",
+    details:
+      'Asks an entry, or with --logs reads the log lines of any number of processes, and says in a sentence what became of the request.',
     examples: [
       ['Why it ran there', '$0 explain 9f86d081884c7d659a2feaa0c55ad015'],
+      ['From logs', '$0 explain 9c41d07be2a35f68 --logs a.log --logs b.log'],
+      ['From a pipe', 'cat *.log | $0 explain 9c41d07be2a35f68 --logs -'],
     ],
   });
 
+  logs = Option.Array('--logs', {
+    description: 'A file of log lines; - is standard input',
+  });
+
   request = Option.String({name: 'REQUEST'});
 
   protected override async perform(): Promise<number> {
+    if (this.logs !== undefined) return this.explainLogs(this.logs);
     return this.finish(await this.client().explain(this.request));
   }
+
+  private async explainLogs(files: readonly string[]): Promise<number> {
+    const texts = await Promise.all(files.map(file => this.readLog(file)));
+    const lines = linesOf(texts.join('\n'), this.request);
+    const cause = causeOf(lines);
+    this.print(
+      this.json
+        ? JSON.stringify({cause, lines}, null, 2)
+        : renderExplained(lines),
+    );
+    return lines.length > 0 ? EXIT_OK : EXIT_USAGE;
+  }
+
+  private async readLog(file: string): Promise<string> {
+    if (file === '-') return text(this.context.stdin);
+    try {
+      return await readFile(file, 'utf8');
+    } catch {
+      throw new WrongUsage(`${file} cannot be read; give a file of log lines`);
+    }
+  }
 }
 
 /** `onyxloft drain NODE-URL` */
--- a/src/cli/local_commands.ts
+++ b/src/cli/local_commands.ts
@@ -1,10 +1,25 @@
 /** Commands that talk to no process: settings files and keys. */
 import {Command, Option} from 'clipanion';
+import {existsSync, readFileSync} from 'node:fs';
 import {formatFault} from '../config/settings_faults.js';
+import type {SettingsFault} from '../config/settings_faults.js';
 import {loadSettings} from '../config/settings.js';
+import {isDirectSettings, parseDirectSettings} from '../direct/settings.js';
 import {SALT_BYTES, generateKey, hashGeneratedKey} from '../utils/keys.js';
 import {EXIT_OK, EXIT_USAGE, ToolCommand} from './operator_command.js';
 
+/** A direct entry's file names that role, and has options of its own. */
+function faultsOf(file: string): readonly SettingsFault[] {
+  const text = existsSync(file) ? readFileSync(file, 'utf8') : '';
+  if (!isDirectSettings(text)) return loadSettings(file).swap().orDefault([]);
+  return parseDirectSettings(text)
+    .swap()
+    .map(message => [
+      {file, line: 1, option: '', message, mend: 'see docs/settings.md'},
+    ])
+    .orDefault([]);
+}
+
 /** `onyxloft settings check FILE...` */
 export class SettingsCheckCommand extends ToolCommand {
   static override paths = [['settings', 'check']];
@@ -28,7 +43,7 @@
   protected override async perform(): Promise<number> {
     const checked = this.files.map(file => ({
       file,
-      faults: loadSettings(file).swap().orDefault([]),
+      faults: faultsOf(file),
     }));
     const faults = checked.flatMap(each => each.faults);
     if (this.json) {
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -42,7 +42,7 @@
 
   const ageMs = () => {
     checkLead();
-    return confirmedAt < doubtedAt
+    return confirmedAt <= doubtedAt
       ? Number.POSITIVE_INFINITY
       : clock.now() - confirmedAt;
   };
--- a/src/direct/load_book.ts
+++ b/src/direct/load_book.ts
@@ -161,7 +161,10 @@
       let sum = ownOf(replicaId);
       for (const [node, other] of others) {
         const ageMs = now - other.at;
-        if (ageMs > OTHERS_AGE_MS) others.delete(node);
+        if (ageMs > OTHERS_AGE_MS) {
+          others.delete(node);
+          continue;
+        }
         const load = other.byReplica.get(replicaId);
         if (load !== undefined) sum = added(sum, load, ageMs);
       }
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -4,13 +4,17 @@
  */
 import {parse} from 'jsonc-parser';
 import type {ParseError} from 'jsonc-parser';
-import {Codec, array, number, optional, string} from 'purify-ts/Codec';
+import {Codec, array, exactly, number, optional, string} from 'purify-ts/Codec';
 import {Left, Right} from 'purify-ts/Either';
 import type {Either} from 'purify-ts';
 
 const ADDRESS_FORM = 'IP:PORT';
 
+/** The role that such a file names. */
+const ROLE = 'direct-entry';
+
 export const directSettingsCodec = Codec.interface({
+  role: exactly(ROLE),
   /** Name of this process, on each log line. */
   node: string,
   failureDomain: string,
@@ -51,6 +55,12 @@
   typeof directSettingsCodec.unsafeDecode
 >;
 
+/** Whether a settings file is a direct entry's, also where it has faults. */
+export function isDirectSettings(text: string): boolean {
+  const value = parse(text) as {readonly role?: unknown} | undefined;
+  return value?.role === ROLE;
+}
+
 /** Reads and checks the text of a settings file. */
 export function parseDirectSettings(
   text: string,
--- /dev/null
+++ b/test/direct/choose_engines.test.ts
@@ -0,0 +1,129 @@
+/** Which engines a prompt is given to, on loads made by hand. */
+import {describe, expect, test} from 'vitest';
+import {
+  chooseEngines,
+  sizeOf,
+  weightOf,
+} from '../../src/direct/choose_engines.js';
+import type {
+  EngineCandidate,
+  EngineRequest,
+} from '../../src/direct/choose_engines.js';
+import type {ReplicaLoad} from '../../src/direct/load_book.js';
+import type {EngineFigures} from '../../src/direct/types.js';
+
+const FIGURES: EngineFigures = {
+  places: 10,
+  memoryTokens: 200_000,
+  stepsPerPass: 40,
+  stepMs: 1,
+  stepMsPerWriter: 0,
+  readTokensPerMs: 200,
+  pairsMsPerMillion: 0.1,
+  readTokensPerStep: 2_048,
+};
+
+const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
+
+function engine(id: string, load: Partial<ReplicaLoad> = {}): EngineCandidate {
+  return {
+    replica: {
+      id,
+      service: 'pool',
+      address: `${id}:1`,
+      failureDomain: 'd',
+      places: FIGURES.places,
+      leaving: false,
+    },
+    load: {replicaId: id, ...IDLE, ...load},
+    slowness: 1,
+  };
+}
+
+function prompt(promptTokens: number, more: Partial<EngineRequest> = {}) {
+  return {
+    promptTokens,
+    weight: weightOf(sizeOf(promptTokens, 500), sizeOf(promptTokens, 500)),
+    answerTokens: 500,
+    aimMs: promptTokens > 50_000 ? 3_000 : 300,
+    pauseAimMs: promptTokens > 50_000 ? 1_000 : 250,
+    elapsedMs: 0,
+    draw: () => 0,
+    ...more,
+  };
+}
+
+const SHORT_WRITERS = [{pauseAimMs: 250, weight: 60_000}];
+
+const membersOf = (plan: ReturnType<typeof chooseEngines>) =>
+  plan === undefined
+    ? []
+    : [plan.first, ...plan.helpers].map(it => it.replica.id).sort();
+
+describe('a short prompt', () => {
+  test('joins its like rather than opening an idle engine', () => {
+    const busy = engine('b', {running: 3, writers: SHORT_WRITERS});
+    const plan = chooseEngines(FIGURES, prompt(5_000), [engine('a'), busy]);
+    expect(membersOf(plan)).toEqual(['b']);
+  });
+
+  test('opens another engine before the last places are taken', () => {
+    const full = engine('b', {running: 9, writers: SHORT_WRITERS});
+    const plan = chooseEngines(FIGURES, prompt(5_000), [engine('a'), full]);
+    expect(membersOf(plan)).toEqual(['a']);
+  });
+
+  test('keeps away from an engine that reads a long prompt', () => {
+    const reading = engine('b', {
+      running: 3,
+      readMs: 800,
+      writers: SHORT_WRITERS,
+    });
+    const plan = chooseEngines(FIGURES, prompt(5_000), [engine('a'), reading]);
+    expect(membersOf(plan)).toEqual(['a']);
+  });
+});
+
+describe('a long prompt', () => {
+  test('keeps away from those who bear only short pauses', () => {
+    const short = engine('a', {running: 5, writers: SHORT_WRITERS});
+    const plan = chooseEngines(FIGURES, prompt(60_000), [short, engine('b')]);
+    expect(membersOf(plan)).toEqual(['b']);
+  });
+
+  test('is read in parts where one engine would take too long', () => {
+    const engines = ['a', 'b', 'c', 'd'].map(id => engine(id));
+    const plan = chooseEngines(FIGURES, prompt(190_000), engines);
+    expect(membersOf(plan).length).toBeGreaterThan(1);
+    expect(plan?.partTokens).toBeGreaterThan(0);
+  });
+
+  test('waits when no group has the memory', () => {
+    const engines = ['a', 'b'].map(id => engine(id, {tokens: 150_000}));
+    expect(chooseEngines(FIGURES, prompt(190_000), engines)).toBeUndefined();
+  });
+
+  // A group's part goes before all other reading, so a reader without slack
+  // there would miss its aim.
+  test('forms no group over a reader that it would make late', () => {
+    const readers = [{slackMs: 10, marginMs: 75, weight: 900_000}];
+    const reading = engine('b', {readMs: 100, readers});
+    const engines = [engine('a'), reading, engine('c'), engine('d')];
+    const plan = chooseEngines(FIGURES, prompt(120_000), engines);
+    expect(membersOf(plan)).not.toContain('b');
+  });
+});
+
+describe('entries that choose in the same instant', () => {
+  test('part by chance among idle engines', () => {
+    const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map(id => engine(id));
+    const draws = [0.1, 0.9, 0.3, 0.7, 0.5, 0.2];
+    const firsts = [0, 1, 2, 3].map(shift => {
+      let at = shift;
+      const draw = () => draws[at++ % draws.length];
+      const plan = chooseEngines(FIGURES, prompt(5_000, {draw}), engines);
+      return plan?.first.replica.id;
+    });
+    expect(new Set(firsts).size).toBeGreaterThan(1);
+  });
+});
--- /dev/null
+++ b/test/direct/parts.test.ts
@@ -0,0 +1,150 @@
+/** The small parts of the direct path, each by itself. */
+import {describe, expect, test} from 'vitest';
+import {createEventSplitter} from '../../src/direct/event_splitter.js';
+import {createEvidence} from '../../src/direct/evidence.js';
+import {createFleet} from '../../src/direct/fleet.js';
+import {callWork, createLoadBook} from '../../src/direct/load_book.js';
+import {createReplicaHealth} from '../../src/direct/replica_health.js';
+import {drawService} from '../../src/direct/route_table.js';
+import type {DirectReplica, Route} from '../../src/direct/types.js';
+import {createBoundedSink} from '../../src/utils/bounded_sink.js';
+import {createMetrics} from '../../src/utils/metrics.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+describe('events of a stream', () => {
+  test('come whole, however the bytes are cut', () => {
+    const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata';
+    for (let cut = 1; cut < text.length; cut++) {
+      const splitter = createEventSplitter();
+      const events = [text.slice(0, cut), text.slice(cut)].flatMap(piece =>
+        splitter.push(Buffer.from(piece)),
+      );
+      expect(events.map(({id}) => id)).toEqual([1, 2]);
+      expect(splitter.rest()).toBe('id: 3\ndata'.length);
+    }
+  });
+});
+
+describe('evidence for keys', () => {
+  test('grows old on the monotonic clock, and falls with a suspension', async () => {
+    const clock = createVirtualClock();
+    let wallAhead = 0;
+    const evidence = createEvidence(
+      clock,
+      () => clock.now() + wallAhead,
+      1_000,
+    );
+    expect(evidence.isFresh()).toBe(false);
+    evidence.confirm(clock.now());
+    expect(evidence.isFresh()).toBe(true);
+    await clock.advance(500);
+    wallAhead = 5_000;
+    expect(evidence.isFresh()).toBe(false);
+    // Sent before the suspension was noticed: says nothing of the time since.
+    evidence.confirm(clock.now() - 1);
+    expect(evidence.isFresh()).toBe(false);
+    await clock.advance(1);
+    evidence.confirm(clock.now());
+    expect(evidence.isFresh()).toBe(true);
+    await clock.advance(1_100);
+    expect(evidence.isFresh()).toBe(false);
+  });
+});
+
+describe('the load of a replica', () => {
+  test('is that of all entries, as long as they are heard of', async () => {
+    const clock = createVirtualClock();
+    const changes: string[] = [];
+    const book = createLoadBook(clock, change => changes.push(change));
+    const work = book.enter(callWork('r', 100));
+    book.setOther('entry-2', [{...book.of('r'), running: 4}]);
+    expect(book.of('r').running).toBe(5);
+    await clock.advance(2_000);
+    expect(book.of('r').running).toBe(1);
+    work.end();
+    work.end();
+    expect(book.of('r').running).toBe(0);
+    expect(changes).toEqual(['more', 'less']);
+  });
+});
+
+describe('replicas', () => {
+  const replica = (id: string): DirectReplica => ({
+    id,
+    service: 's',
+    address: `${id}:1`,
+    failureDomain: 'd',
+    places: 1,
+    leaving: false,
+  });
+  const ids = (fleet: ReturnType<typeof createFleet>) =>
+    fleet.serving('s').map(({id}) => id);
+
+  test('that lapsed in an outage serve for a while, those removed do not', async () => {
+    const clock = createVirtualClock();
+    const fleet = createFleet(clock, () => undefined);
+    fleet.setAll(new Map([['a', replica('a')]]));
+    fleet.storeFailed();
+    fleet.setAll(new Map());
+    expect(ids(fleet)).toEqual(['a']);
+    await clock.advance(2_000);
+    expect(ids(fleet)).toEqual([]);
+    await clock.advance(5_000);
+    fleet.setAll(new Map([['b', replica('b')]]));
+    fleet.change(new Map([['b', undefined]]));
+    expect(ids(fleet)).toEqual([]);
+  });
+
+  test('are left alone for longer the more often they fail', async () => {
+    const clock = createVirtualClock();
+    const health = createReplicaHealth(clock);
+    health.failed('a');
+    health.failed('a');
+    await clock.advance(300);
+    expect(health.isSuspect('a')).toBe(true);
+    await clock.advance(300);
+    expect(health.isSuspect('a')).toBe(false);
+  });
+
+  test('that were slow are tried again in time', async () => {
+    const clock = createVirtualClock();
+    const health = createReplicaHealth(clock);
+    for (let at = 0; at < 10; at++) health.answered('a', 800, 100);
+    expect(health.slowness('a')).toBeGreaterThan(5);
+    await clock.advance(20_000);
+    expect(health.slowness('a')).toBeLessThan(1.6);
+  });
+});
+
+describe('a split route', () => {
+  test('gives services their share', () => {
+    const route = {
+      targets: [
+        {service: 'a', weight: 90},
+        {service: 'b', weight: 10},
+      ],
+    } as unknown as Route;
+    expect([0, 0.89, 0.9, 0.99].map(at => drawService(route, at))).toEqual([
+      'a',
+      'a',
+      'b',
+      'b',
+    ]);
+  });
+});
+
+describe('log lines', () => {
+  // Nobody reads the pipe. The process goes on, keeps a bounded number of
+  // lines, failures before others, and counts what it dropped.
+  test('are bounded when nobody reads them', () => {
+    const metrics = createMetrics();
+    const sink = createBoundedSink(metrics, () => undefined);
+    const line = (level: string) =>
+      `${JSON.stringify({level, text: 'x'.repeat(1_000)})}\n`;
+    for (let at = 0; at < 5_000; at++) sink.write(line('info'));
+    for (let at = 0; at < 100; at++) sink.write(line('warn'));
+    const text = metrics.render();
+    expect(text).toContain('lines_dropped_total{kind="other"}');
+    expect(text).not.toContain('lines_dropped_total{kind="failure"}');
+  });
+});
--- /dev/null
+++ b/test/explain_logs.test.ts
@@ -0,0 +1,78 @@
+/** Explaining one request from the log lines of several processes. */
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {describe, expect, test} from 'vitest';
+import {runToolWith} from './support/run_tool.js';
+
+const LINES = [
+  {
+    time: '2026-01-01T00:00:00.100Z',
+    event: 251,
+    name: 'direct-dispatched',
+    node: 'entry-1',
+    requestId: 'r1',
+    replica: 'i-1',
+  },
+  {
+    time: '2026-01-01T00:00:00.900Z',
+    event: 253,
+    name: 'direct-try-failed',
+    node: 'entry-1',
+    requestId: 'r1',
+    replica: 'i-1',
+    reason: 'silent',
+    elapsedMs: 800,
+  },
+  {
+    time: '2026-01-01T00:00:00.950Z',
+    event: 254,
+    name: 'direct-given-up',
+    node: 'entry-1',
+    requestId: 'r1',
+    reason: 'no more attempts',
+    ran: 'unknown',
+    sent: 1,
+    elapsedMs: 850,
+  },
+  {time: '2026-01-01T00:00:00.000Z', event: 252, requestId: 'other'},
+];
+
+function logFiles(): readonly string[] {
+  const folder = mkdtempSync(join(tmpdir(), 'onyxloft-logs-'));
+  const write = (name: string, lines: readonly object[]) => {
+    const path = join(folder, name);
+    const text = lines.map(line => `host-1 ${JSON.stringify(line)}\n`).join('');
+    writeFileSync(path, `${text}not a log line\n`);
+    return path;
+  };
+  return [write('b.log', LINES.slice(1)), write('a.log', LINES.slice(0, 1))];
+}
+
+describe('onyxloft explain --logs', () => {
+  test('follows one id over files and says the cause', async () => {
+    const [b, a] = logFiles();
+    const run = await runToolWith(['explain', 'r1', '--logs', b, '--logs', a]);
+    expect(run.code).toBe(0);
+    const rows = run.stdout.trim().split('\n');
+    expect(rows).toHaveLength(4);
+    expect(rows[0]).toContain('direct-dispatched');
+    expect(rows[3]).toBe(
+      'entry-1 gave it up after 850 ms and 1 tries: no more attempts; it may ' +
+        'have run; replica i-1 had failed it at 800 ms: silent.',
+    );
+  });
+
+  test('says so when no line is about the request', async () => {
+    const [b] = logFiles();
+    const run = await runToolWith(['explain', 'r9', '--logs', b]);
+    expect(run.code).toBe(2);
+    expect(run.stdout).toContain('No line is about this request.');
+  });
+
+  test('names a file that cannot be read', async () => {
+    const run = await runToolWith(['explain', 'r1', '--logs', '/no/such']);
+    expect(run.code).toBe(2);
+    expect(run.stderr).toContain('/no/such cannot be read');
+  });
+});
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -136,6 +136,7 @@
 ): DirectSettings {
   const address = () => `127.0.0.1:${nextPort()}`;
   return {
+    role: 'direct-entry',
     node: 'entry-1',
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
