perf(direct): pack the load that entries tell each other, and watch replicas for 2 s

Ruled out: a longer watch of the configuration; its answers are the evidence for keys. Change: lists in place of named fields; replicas are watched for 2 s.

--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -9,12 +9,16 @@
 import type {DirectConfig, DirectStore, StoreFault} from './types.js';
 
 /**
- * Wait of one watch. Each answer is evidence for callers' keys; evidence is
- * wanted about once a second, and a silent connection shows within a little
- * more than this.
+ * Each answer is evidence for callers' keys, which is wanted about once a
+ * second.
  */
 const CONFIG_WAIT_MS = 1_000;
-const REPLICAS_WAIT_MS = 1_000;
+/**
+ * A watch whose connection fell silent is given up a little after its wait.
+ * Replicas may leave meanwhile; the platform's bound on work for them starts
+ * 3 s after such a fault, and by then the new watch has told of them.
+ */
+const REPLICAS_WAIT_MS = 2_000;
 
 export function createFollowed(store: DirectStore): ServiceSpec<'followed'> {
   return {name: 'followed', start: ctx => startFollowed(store, ctx)};
@@ -31,6 +35,12 @@
     // Without a configuration the last one stays in force.
     if (config !== undefined) ctx.send('direct', {kind: 'config', config});
   };
+  // An outage that one watch outlives is seen by the other: either says that
+  // replicas' records may have lapsed.
+  const onFault = (fault: StoreFault) => {
+    connected.failed(fault);
+    ctx.send('direct', {kind: 'store-failed'});
+  };
   const configs = follow({
     collection: store.configs,
     clock,
@@ -42,7 +52,7 @@
       connected.regained();
       ctx.send('direct', {kind: 'confirmed', sentAt});
     },
-    onFault: connected.failed,
+    onFault,
   });
   const replicas = follow({
     collection: store.replicas,
@@ -53,10 +63,7 @@
     onChanges: items =>
       ctx.send('direct', {kind: 'replica-changes', replicas: items}),
     onConfirmed: () => undefined,
-    onFault: fault => {
-      connected.failed(fault);
-      ctx.send('direct', {kind: 'store-failed'});
-    },
+    onFault,
   });
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -8,6 +8,7 @@
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import type {ReplicaLoad} from './load_book.js';
+import {packLoads, unpackLoads} from './load_codec.js';
 import './messages.js';
 import type {DirectStore, EntryAddress} from './types.js';
 
@@ -32,7 +33,7 @@
   readonly from: EntryAddress;
   /** Grows with each datagram of one incarnation. */
   readonly seq: number;
-  readonly loads: readonly ReplicaLoad[];
+  readonly loads: ReturnType<typeof packLoads>;
 }
 
 interface Peer {
@@ -59,7 +60,8 @@
   const socket = await openSocket(self);
 
   const send = (): void => {
-    const datagram: LoadDatagram = {from: self, seq: ++seq, loads};
+    const packed = packLoads(loads);
+    const datagram: LoadDatagram = {from: self, seq: ++seq, loads: packed};
     const bytes = Buffer.from(JSON.stringify(datagram));
     sentAt = clock.now();
     for (const {entry} of peers.values()) {
@@ -90,7 +92,8 @@
     peer.seq = datagram.seq;
     peer.heardAt = clock.now();
     const {node} = datagram.from;
-    ctx.send('direct', {kind: 'other-load', node, loads: datagram.loads});
+    const told = unpackLoads(datagram.loads);
+    ctx.send('direct', {kind: 'other-load', node, loads: told});
   };
 
   const beat = (): void => {
--- a/test/direct/parts.test.ts
+++ b/test/direct/parts.test.ts
@@ -4,6 +4,7 @@
 import {createEvidence} from '../../src/direct/evidence.js';
 import {createFleet} from '../../src/direct/fleet.js';
 import {callWork, createLoadBook} from '../../src/direct/load_book.js';
+import {packLoads, unpackLoads} from '../../src/direct/load_codec.js';
 import {createReplicaHealth} from '../../src/direct/replica_health.js';
 import {drawService} from '../../src/direct/route_table.js';
 import type {DirectReplica, Route} from '../../src/direct/types.js';
@@ -68,6 +69,26 @@
   });
 });
 
+describe('a load that travels', () => {
+  test('arrives as it was, also without a limit on pauses', () => {
+    const loads = [
+      {
+        replicaId: 'r',
+        running: 2,
+        tokens: 30,
+        readMs: 4,
+        readers: [{slackMs: -5, marginMs: 6, weight: 7}],
+        writers: [
+          {pauseAimMs: Infinity, weight: 8},
+          {pauseAimMs: 250, weight: 9},
+        ],
+      },
+    ];
+    const sent = JSON.stringify(packLoads(loads));
+    expect(unpackLoads(JSON.parse(sent))).toEqual(loads);
+  });
+});
+
 describe('replicas', () => {
   const replica = (id: string): DirectReplica => ({
     id,
