refactor(direct): one judge of heads, and a stream's try, silence and progress apart

Cause: a try of a stream was one function of 130 lines, and both kinds of tries judged a replica's head with the same steps. Change: judgeHead for both; stream_attempt, stream_silence and stream_progress. A failure's body is bounded by its bytes, not by pieces times the last one's size.

--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -13,6 +13,7 @@
   candidatesOf,
   dispatchRequest,
   giveUp,
+  judgeHead,
   mayTry,
   writeHead,
 } from './serve_context.js';
@@ -176,7 +177,7 @@
   exchange: Exchange,
   replica: DirectReplica,
 ): Promise<CallOutcome> {
-  const {codec, health, book, clock, metrics} = ctx;
+  const {health, book, clock, metrics} = ctx;
   const startedAt = clock.now();
   const work = book.enter(callWork(replica.id, Infinity));
   exchange.sent++;
@@ -203,27 +204,16 @@
       held = [];
     };
     const onHead = (came: AnswerHead) => {
-      const facts = codec.readAnswer(came.status, came.headers);
-      if (facts.requestId !== exchange.id || facts.encoded) {
-        exchange.mayHaveRun = true;
-        dispatch.cancel();
-        health.failed(replica.id);
-        finish({kind: 'broken', reason: 'an answer to another request'});
-        return;
-      }
-      if (facts.notRun) {
-        dispatch.cancel();
-        finish({kind: 'not-run', faultAt: facts.faultAt});
-        return;
-      }
-      exchange.mayHaveRun = true;
-      if (came.status < 300 && !facts.signed) {
-        dispatch.cancel();
-        health.failed(replica.id);
-        finish({kind: 'broken', reason: 'an unsigned success'});
+      head = came;
+      const verdict = judgeHead(ctx, exchange, came);
+      if (verdict.kind === 'success' || verdict.kind === 'failure') return;
+      dispatch.cancel();
+      if (verdict.kind === 'not-run') {
+        finish(verdict);
         return;
       }
-      head = came;
+      health.failed(replica.id);
+      finish({kind: 'broken', reason: verdict.reason});
     };
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -88,6 +88,31 @@
   };
 }
 
+/** What the head of an answer says of the request. */
+export type HeadVerdict =
+  | {readonly kind: 'success'}
+  | {readonly kind: 'failure'}
+  | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
+  /** Not this request's answer, or none that may be passed on. */
+  | {readonly kind: 'foreign'; readonly reason: string};
+
+/** Judges a head; but for a refusal, the request may have run. */
+export function judgeHead(
+  {codec}: ServeContext,
+  exchange: Exchange,
+  {status, headers}: AnswerHead,
+): HeadVerdict {
+  const facts = codec.readAnswer(status, headers);
+  const isOurs = facts.requestId === exchange.id && !facts.encoded;
+  if (isOurs && facts.notRun) return {kind: 'not-run', faultAt: facts.faultAt};
+  exchange.mayHaveRun = true;
+  if (!isOurs) return {kind: 'foreign', reason: 'an answer to another request'};
+  if (status >= 300) return {kind: 'failure'};
+  return facts.signed
+    ? {kind: 'success'}
+    : {kind: 'foreign', reason: 'an unsigned success'};
+}
+
 /** Sends a replica's status and headers to the caller. */
 export function writeHead(
   ctx: ServeContext,
--- /dev/null
+++ b/src/direct/stream_attempt.ts
@@ -0,0 +1,130 @@
+/**
+ * One try of a stream at one replica or group. Only whole events are handed on,
+ * so that the stream can go on elsewhere after the last of them.
+ */
+import {openDispatch} from './dispatch.js';
+import type {AnswerHead} from './dispatch.js';
+import {createEventSplitter} from './event_splitter.js';
+import type {StreamEvent} from './event_splitter.js';
+import type {Exchange} from './exchange.js';
+import type {Place} from './place.js';
+import {dispatchRequest, judgeHead, writeHead} from './serve_context.js';
+import type {ServeContext} from './serve_context.js';
+import {enterEvent, hasEvent} from './stream_progress.js';
+import type {StreamProgress} from './stream_progress.js';
+import {watchSilence} from './stream_silence.js';
+
+/** A failure's body is small; a larger one is not kept. */
+const FAILURE_BYTES = 1024 * 1024;
+
+/** How one try ended. */
+export type StreamOutcome =
+  | {readonly kind: 'whole'}
+  | {readonly kind: 'failure'; readonly head: AnswerHead; readonly body: Buffer}
+  | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
+  | {readonly kind: 'not-sent'; readonly reason: string}
+  | {readonly kind: 'broken'; readonly reason: string}
+  | {readonly kind: 'ended'};
+
+/** Sends the request and hands events on until the try ends. */
+export function tryStream(
+  ctx: ServeContext,
+  exchange: Exchange,
+  place: Place,
+  progress: StreamProgress,
+): Promise<StreamOutcome> {
+  const {health, clock, metrics} = ctx;
+  const {res, signal} = exchange;
+  const {replica} = place;
+  const startedAt = clock.now();
+  const splitter = createEventSplitter();
+  exchange.sent++;
+
+  return new Promise(resolve => {
+    let head: AnswerHead | undefined;
+    let failure: Buffer[] | undefined;
+    let failureBytes = 0;
+    let eventsHere = 0;
+
+    const finish = (outcome: StreamOutcome) => {
+      silence.stop();
+      signal.removeEventListener('abort', onAbort);
+      resolve(outcome);
+    };
+    const breakOff = (reason: string) => {
+      exchange.mayHaveRun = true;
+      dispatch.cancel();
+      health.failed(replica.id);
+      finish({kind: 'broken', reason});
+    };
+    const onAbort = () => {
+      exchange.mayHaveRun = true;
+      dispatch.cancel();
+      finish({kind: 'ended'});
+    };
+    const onHead = (came: AnswerHead) => {
+      const verdict = judgeHead(ctx, exchange, came);
+      head = came;
+      if (verdict.kind === 'failure') failure = [];
+      if (verdict.kind === 'foreign') breakOff(verdict.reason);
+      if (verdict.kind !== 'not-run') return;
+      dispatch.cancel();
+      place.refused(verdict.faultAt);
+      finish(verdict);
+    };
+    const writeEvent = ({bytes, id}: StreamEvent) => {
+      if (hasEvent(progress, id)) return;
+      if (!res.headersSent && head !== undefined) writeHead(ctx, res, head);
+      enterEvent(metrics, exchange, progress, id, clock.now());
+      if (res.write(bytes)) return;
+      dispatch.pause();
+      res.once('drain', () => dispatch.resume());
+    };
+    const keepFailure = (kept: Buffer[], chunk: Buffer) => {
+      kept.push(chunk);
+      failureBytes += chunk.length;
+      if (failureBytes > FAILURE_BYTES) breakOff('a failure without end');
+    };
+    const onData = (chunk: Buffer) => {
+      if (failure !== undefined) {
+        keepFailure(failure, chunk);
+        return;
+      }
+      for (const event of splitter.push(chunk)) {
+        if (eventsHere++ === 0) place.hasRead(clock.now() - startedAt);
+        writeEvent(event);
+      }
+      silence.onEvent();
+    };
+    const onEnd = () => {
+      if (head === undefined) return;
+      if (failure !== undefined) {
+        health.failed(replica.id);
+        finish({kind: 'failure', head, body: Buffer.concat(failure)});
+      } else if (splitter.rest() > 0) {
+        breakOff('ended within an event');
+      } else {
+        finish({kind: 'whole'});
+      }
+    };
+    const onBroken = (sent: boolean, reason: string) => {
+      health.failed(replica.id);
+      if (sent) exchange.mayHaveRun = true;
+      else exchange.sent--;
+      finish({kind: sent ? 'broken' : 'not-sent', reason});
+    };
+
+    const silence = watchSilence(ctx, exchange, replica.id, () =>
+      breakOff('silent'),
+    );
+    const lastEventId =
+      progress.events > 0 ? String(progress.lastId) : undefined;
+    const dispatch = openDispatch(
+      dispatchRequest(ctx, exchange, replica, lastEventId, place.helpers),
+      clock,
+      {onHead, onData, onEnd, onBroken},
+    );
+    signal.addEventListener('abort', onAbort);
+    silence.awaitFirst(place.firstEventMs);
+  });
+}
