refactor(direct): tell of unreadable records and unread requests; smaller front

Cause: a record of the store that cannot be decoded was passed over without a line, also a whole configuration; a caller that broke off while its request was read left none either, and a drain did not count requests still being read. Change: events 953 and 259; the drain waits for what is being read; batching and the wait for evidence are modules of their own.

--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -56,3 +56,29 @@
     isFresh: () => ageMs() <= limitMs,
   };
 }
+
+/** A request waits so long for the store to confirm its key. */
+const CONFIRM_WAIT_MS = 400;
+const CONFIRM_LOOK_MS = 20;
+
+/**
+ * Whether keys may be taken as valid. Where the evidence has grown old, `ask`
+ * asks the store, which answers in milliseconds; a freeze or a stepped clock
+ * then costs callers that, and not a refusal.
+ */
+export async function waitForEvidence(
+  clock: Clock,
+  evidence: Evidence,
+  ask: () => void,
+): Promise<boolean> {
+  if (evidence.isFresh()) return true;
+  ask();
+  const until = clock.now() + CONFIRM_WAIT_MS;
+  while (clock.now() < until) {
+    await new Promise<void>(
+      resolve => void clock.after(CONFIRM_LOOK_MS, resolve),
+    );
+    if (evidence.isFresh()) return true;
+  }
+  return false;
+}
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -6,14 +6,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRetryBudget} from '../entry/retry_budget.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import type {Cancel, Clock} from '../types/runtime.js';
+import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {admitRequest} from './admit_request.js';
 import type {Refused} from './admit_request.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {sizeOf} from './choose_engines.js';
-import {createEvidence} from './evidence.js';
+import {createEvidence, waitForEvidence} from './evidence.js';
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
 import {createFleet} from './fleet.js';
@@ -32,9 +32,6 @@
 
 /** Share of the revocation bound for which evidence counts. */
 const EVIDENCE_SHARE = 0.9;
-/** A request waits so long for the store to confirm its key. */
-const CONFIRM_WAIT_MS = 400;
-const CONFIRM_LOOK_MS = 20;
 /**
  * New work is told to the other entries at once, but for what comes in the same
  * instant: two that choose within this time may choose the same replica.
@@ -51,6 +48,8 @@
  * checks, a second each; then the socket is closed.
  */
 const TAKE_ON_MS = 2_600;
+/** Between looks whether all that was taken has ended. */
+const DRAIN_LOOK_MS = 20;
 /** Kept of the grace time for the last answers' way out. */
 const GRACE_MARGIN_MS = 500;
 
@@ -84,6 +83,8 @@
   let draining = false;
   let entries = 1;
   const open = new Set<Exchange>();
+  /** Requests that are read, or whose key waits for the store. */
+  let admitting = 0;
   const usual = createUsualSizes();
 
   const evidence = createEvidence(
@@ -123,25 +124,20 @@
     isDraining: () => draining,
   };
 
-  /** Waits a little for the store, where the evidence has grown old. */
-  const keysAreFresh = async (): Promise<boolean> => {
-    if (evidence.isFresh()) return true;
-    ctx.send('followed', {kind: 'confirm'});
-    const until = clock.now() + CONFIRM_WAIT_MS;
-    while (clock.now() < until) {
-      await new Promise<void>(
-        resolve => void clock.after(CONFIRM_LOOK_MS, resolve),
-      );
-      if (evidence.isFresh()) return true;
-    }
-    return false;
-  };
+  const keysAreFresh = () =>
+    waitForEvidence(clock, evidence, () =>
+      ctx.send('followed', {kind: 'confirm'}),
+    );
 
   const weigh = ({route, facts}: Admitted): number =>
     usual.weigh(route.name, sizeOf(facts.promptTokens, facts.maxTokens));
 
-  const serve = (admitted: Admitted, ...sides: Sides): void => {
-    const [req, res, arrivedAt] = sides;
+  const serve = (
+    admitted: Admitted,
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+  ): void => {
     const exchange = openExchange({
       clock,
       arrivedAt,
@@ -202,7 +198,9 @@
       keysAreFresh,
       config: () => config,
     };
+    admitting++;
     admitRequest(parts, req)
+      .finally(() => admitting--)
       .then(result => {
         if (res.destroyed) return;
         if ('status' in result) {
@@ -212,7 +210,11 @@
           serve(result, req, res, arrivedAt);
         }
       })
-      .catch(() => res.destroy());
+      .catch(err => {
+        const {id} = codec.readRequest(req.headers);
+        log(DIRECT_EVENTS.unread, {requestId: id, cause: String(err)});
+        res.destroy();
+      });
   };
 
   const openServer = async (): Promise<void> => {
@@ -241,9 +243,9 @@
     const startedAt = clock.now();
     clock.after(TAKE_ON_MS, () => server?.stopTaking());
     const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
-    const cancel = clock.every(CONFIRM_LOOK_MS, () => {
+    const cancel = clock.every(DRAIN_LOOK_MS, () => {
       const passedMs = clock.now() - startedAt;
-      const done = passedMs > TAKE_ON_MS && open.size === 0;
+      const done = passedMs > TAKE_ON_MS && open.size + admitting === 0;
       if (!done && passedMs < graceMs) return;
       cancel();
       reply();
@@ -284,21 +286,3 @@
   ctx.own(() => server?.close());
   void ctx.mailbox.observe(handle);
 }
-
-/** Calls `run` once for all that asks within the shortest delay given. */
-function createBatcher(clock: Clock, run: () => void) {
-  let dueAt = Infinity;
-  let cancel: Cancel = () => undefined;
-  return (delayMs: number): void => {
-    const at = clock.now() + delayMs;
-    if (at >= dueAt) return;
-    cancel();
-    dueAt = at;
-    cancel = clock.after(delayMs, () => {
-      dueAt = Infinity;
-      run();
-    });
-  };
-}
-
-type Sides = readonly [IncomingMessage, ServerResponse, number];
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -86,7 +86,10 @@
 
   const receive = (bytes: Buffer): void => {
     const datagram = parseDatagram(bytes);
-    if (datagram === undefined) return;
+    if (datagram === undefined) {
+      metrics.count('onyxloft_sharing_unreadable_total');
+      return;
+    }
     const peer = add(datagram.from);
     if (peer === undefined || datagram.seq <= peer.seq) return;
     peer.seq = datagram.seq;
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -154,6 +154,7 @@
   groupRefused: event(256, 'warn', 'direct-group-refused'),
   faulted: event(257, 'error', 'direct-faulted'),
   listening: event(258, 'info', 'direct-listening'),
+  unread: event(259, 'info', 'direct-unread'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
@@ -161,6 +162,7 @@
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
   storeCallFailed: event(952, 'warn', 'store-call-failed'),
+  recordUnreadable: event(953, 'warn', 'store-record-unreadable'),
 } as const;
 
 /** A fault of the program itself. */
--- a/test/direct/requests.test.ts
+++ b/test/direct/requests.test.ts
@@ -1,6 +1,7 @@
 /** What a caller gets from an entry that serves replicas directly. */
 import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {
   answerWell,
   breakOff,
@@ -240,4 +241,14 @@
       async () => (await callEntry(fleet, '/again/', {headers})).status === 200,
     );
   });
+
+  // The operator's document has not the form it should have. What was in force
+  // stays so, and the log says why the new one is not.
+  test('stays in force when a newer one cannot be read', async () => {
+    fleet.store.put('config', 'main', {version: 9, routes: 'none'});
+    const unreadable = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.recordUnreadable);
+    await until(() => unreadable().length > 0);
+    expect((await callEntry(fleet, '/again/')).status).toBe(200);
+  });
 });
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -186,6 +186,7 @@
         address: store.address,
         clock,
         metrics: runtime.metrics,
+        log: runtime.log,
       }),
       codec: headerCodec,
       orders: createReservationOrders(runtime.metrics),
