fix(direct): sign an answer also when a resumed stream has no event left

Ruled out: a foreign answer (the replica had run it, 200, no event). Change: the replica's head is written before the end. Test seen red without it.

--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -55,6 +55,8 @@
   switch (outcome.kind) {
     case 'whole':
       logAnswered(ctx, exchange, 200, progress);
+      // A stream that is resumed after its last event has none left to write.
+      if (!res.headersSent) writeHead(ctx, res, outcome.head);
       res.end();
       return true;
     case 'ended':
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -19,7 +19,7 @@
 
 /** How one try ended. */
 export type StreamOutcome =
-  | {readonly kind: 'whole'}
+  | {readonly kind: 'whole'; readonly head: AnswerHead}
   | {readonly kind: 'failure'; readonly head: AnswerHead; readonly body: Buffer}
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
   | {readonly kind: 'not-sent'; readonly reason: string}
@@ -104,7 +104,7 @@
       } else if (splitter.rest() > 0) {
         breakOff('ended within an event');
       } else {
-        finish({kind: 'whole'});
+        finish({kind: 'whole', head});
       }
     };
     const onBroken = (sent: boolean, reason: string) => {
--- a/test/direct/streams.test.ts
+++ b/test/direct/streams.test.ts
@@ -118,4 +118,14 @@
     const {body} = await callEntry(fleet, '/stream/a', {headers});
     expect(body).toBe(eventText(5) + eventText(6));
   });
+
+  // The caller lost its connection after the last event and asks for what
+  // comes after it. Nothing does; the answer is empty, and still the replica's.
+  test('bears the signature also when no event is left', async () => {
+    for (const replica of fleet.pool) replica.behave(streamTo(EVENTS));
+    const headers = {...HEADERS, 'Last-Event-Id': String(EVENTS)};
+    const answer = await callEntry(fleet, '/stream/a', {headers});
+    expect(answer).toMatchObject({status: 200, body: '', whole: true});
+    expect(answer.headers['x-response-seal']).toMatch(/^seal-/);
+  });
 });
