--- a/.ci/run_tests.mjs
+++ b/.ci/run_tests.mjs
@@ -5,6 +5,7 @@
 import {spawnSync} from 'node:child_process';
 import {mkdirSync, readFileSync, rmSync} from 'node:fs';
 import {join, relative} from 'node:path';
+import process from 'node:process';
 
 const REPORT = join('.cache', 'tests.json');
 
