fix(side): a side is ready only once its upstream has answered

A side said /readyz while its upstream had not answered its first report yet; asked again a second later only, it refused each offer with engine-down until then. The fleet of the tests waited for the health of sides, not for their readiness.

Ruled out: the incarnation (the test reads it from the same side just before), the queue (nothing was offered yet).

Change: readyz of a side counts its upstream in; the fleet and its restart wait for the readiness of every daemon.

--- a/demo/fleet_plan.ts
+++ b/demo/fleet_plan.ts
@@ -62,6 +62,8 @@
   readonly faultsUrl: string | undefined;
   /** Answers 200 when the process is up. */
   readonly healthUrl: string;
+  /** Answers 200 once it serves; for daemons. */
+  readonly readyUrl: string | undefined;
 }
 
 /** Access of an organisation. */
@@ -137,6 +139,7 @@
       settings: undefined,
       faultsUrl: `http://${address}${faultsPath}`,
       healthUrl: `http://${address}${healthPath}`,
+      readyUrl: undefined,
     });
 
   const bound = (address: string) =>
@@ -157,6 +160,7 @@
       settings: undefined,
       faultsUrl: `http://${control}/faults`,
       healthUrl: `http://${control}/status`,
+      readyUrl: undefined,
     });
     return address;
   };
@@ -190,6 +194,7 @@
       },
       faultsUrl: undefined,
       healthUrl: `http://${listen['operators']}/healthz`,
+      readyUrl: `http://${listen['operators']}/readyz`,
     });
 
   const side = (
--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -58,7 +58,7 @@
   pid(name: string): number;
   /** Resolves with the exit code of the newest process of that name. */
   exited(name: string): Promise<number | NodeJS.Signals>;
-  /** Starts a process again that has ended; an entry until it is ready. */
+  /** Starts a process again that has ended; a daemon until it is ready. */
   restart(name: string): Promise<void>;
   /** Switches faults of a stand-in or relay. */
   fault(name: string, faults: unknown): Promise<void>;
@@ -106,7 +106,7 @@
     await Promise.all(plan.processes.map(waitHealthy));
     await registerHosts(plan);
     await applyDeclarations(plan, token, access);
-    await waitReady(plan);
+    await Promise.all(plan.processes.map(waitReady));
   } catch (err) {
     await fleet.stop();
     throw err;
@@ -165,9 +165,7 @@
       children.set(name, launch(dir, process));
       writeFleetFile(dir, plan, children, token, access);
       await waitHealthy(process);
-      const entries = plan.processes.filter(({role}) => role === 'entry');
-      const url = plan.callerUrls[entries.indexOf(process)];
-      if (url !== undefined) await waitOk(`${url}/readyz`, name);
+      await waitReady(process);
     },
     fault: async (name, faults) => {
       const url = planOf(name).faultsUrl;
@@ -258,10 +256,8 @@
   return waitOk(process.healthUrl, process.name);
 }
 
-async function waitReady(plan: FleetPlan): Promise<void> {
-  await Promise.all(
-    plan.callerUrls.map(url => waitOk(`${url}/readyz`, 'entry')),
-  );
+async function waitReady({name, readyUrl}: ProcessPlan): Promise<void> {
+  if (readyUrl !== undefined) await waitOk(readyUrl, name);
 }
 
 async function postJson(
--- a/src/side/answers.ts
+++ b/src/side/answers.ts
@@ -6,7 +6,7 @@
   SideLoad,
 } from '../types/peer_messages.js';
 import type {SideCore} from './core.js';
-import {classesOf} from './core.js';
+import {classesOf, isUpstreamDown} from './core.js';
 import type {SideStatus} from './messages.js';
 import {modelName} from '../utils/model_name.js';
 import {classIndexOf} from './queue_policy.js';
@@ -85,6 +85,7 @@
   return {
     incarnation: core.incarnation,
     leaving: core.leaving,
+    upstreamUp: !isUpstreamDown(core),
     load: loadOf(core),
     reservedTokens: core.memory.reserved(),
     runs: core.table.all().map(run => ({
--- a/src/side/messages.ts
+++ b/src/side/messages.ts
@@ -137,6 +137,8 @@
 export interface SideStatus {
   readonly incarnation: string;
   readonly leaving: boolean;
+  /** Its upstream answers and holds nothing of an earlier incarnation. */
+  readonly upstreamUp: boolean;
   readonly load: SideLoad;
   readonly reservedTokens: number;
   readonly runs: readonly SideRunStatus[];
--- a/src/side/operator_handlers.ts
+++ b/src/side/operator_handlers.ts
@@ -11,7 +11,7 @@
 }
 
 export function createSideOperatorHandlers(
-  ctx: ServiceContext<'operators'>,
+  ctx: Pick<ServiceContext<'operators'>, 'ask'>,
   options: SideHandlersOptions,
 ): OperatorHandlers {
   const runs = () =>
@@ -20,7 +20,12 @@
       reply,
     }));
   return {
-    ready: async () => !(await runs()).leaving,
+    // While its upstream is down a side refuses every offer: called ready, it
+    // would be counted on by whoever started it.
+    ready: async () => {
+      const {leaving, upstreamUp} = await runs();
+      return !leaving && upstreamUp;
+    },
     status: async () => ({
       node: options.node,
       role: 'side',
