fix(demo): a fleet is up once its entries have heard from all sides

Cause: processes/silence waited 40 s in vain for answers to begin. Traced with the engine's start delayed by 1.8 to 2.1 s: the entry was ready, but the last heartbeat it had of the side was older than the engine's first report, so it answered the first requests with no-upstream, as not run; the test went on waiting for streams that had ended.

Ruled out: kept connections (mended before, and the failure came without any); the side's readiness alone (one of two runs still failed with it).

Change: the fleet waits until each entry's list of hosts shows every side live and a model of an engine. A refusal with 'not run' is right as it is.

--- a/demo/fleet_runner.ts
+++ b/demo/fleet_runner.ts
@@ -17,6 +17,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {toKeyed} from '../src/config/keyed_form.js';
+import type {MembershipView, Replica} from '../src/types/services.js';
 import {hashGeneratedKey} from '../src/utils/keys.js';
 import {demoDeclarations} from './fleet_declarations.js';
 import {planFleet} from './fleet_plan.js';
@@ -107,6 +108,9 @@
     await registerHosts(plan);
     await applyDeclarations(plan, token, access);
     await Promise.all(plan.processes.map(waitReady));
+    await Promise.all(
+      plan.operatorUrls.map(url => waitRoutable(url, token, plan.shape)),
+    );
   } catch (err) {
     await fleet.stop();
     throw err;
@@ -260,6 +264,40 @@
   if (readyUrl !== undefined) await waitOk(readyUrl, name);
 }
 
+/**
+ * Waits until an entry has heard from all sides that it follows, and knows a
+ * model of an engine. An entry is ready before: until the next heartbeats its
+ * first callers would be told that no upstream serves their model.
+ */
+async function waitRoutable(
+  url: string,
+  token: string,
+  {engines, enginePool, services, servicePool}: FleetShape,
+): Promise<void> {
+  const isServed = (replicas: readonly Replica[]) => {
+    const isLive = replicas.every(({state}) => state === 'live');
+    const inPool = (name: string) => replicas.filter(one => one.pool === name);
+    const models = inPool(enginePool).flatMap(replica => replica.models);
+    return (
+      isLive &&
+      (engines === 0 || models.some(({ready}) => ready)) &&
+      (services === 0 || inPool(servicePool).length > 0)
+    );
+  };
+  for (let waited = 0; waited < START_TIMEOUT_MS; waited += POLL_MS) {
+    const res = await request(`${url}/operator/v1/hosts`, {
+      headers: {authorization: `Bearer ${token}`},
+    });
+    const {replicas} = (await res.body.json()) as Pick<
+      MembershipView,
+      'replicas'
+    >;
+    if (isServed(replicas)) return;
+    await sleep(POLL_MS);
+  }
+  throw new Error(`the entry at ${url} has not heard from all its sides`);
+}
+
 async function postJson(
   method: 'POST' | 'PUT',
   url: string,
