feat(soak): real entries under faults from outside, judged by what callers and replicas see

Cause: the only randomised run was in virtual time; nothing played signals, cut connections and stepped clocks against real direct entries.

Change: fault_soak/ starts entries as processes; store, replicas and the links before them are the stand-ins that the tests use, in the soak's own process. A seeded plan of overlapping faults (pause, kill, SIGTERM and restart, all killed at once, time of day stepped, store busy, silent or forgetful, links silent, refused, reset, delayed, cut one way, replicas that refuse, hang, break off or slow down, leave, keys taken away) is played under callers that keep their connections. Judged: final answer in time, answers whole and the caller's own, events once and in order, at most once, not run means not run, keys, retries, memory, recovery, ends of processes, logs. The relay's core moved out of its program and learned delays, resets and one direction; the small deployment of the tests moved to the stand-ins.

One short run is in the tests.

--- /dev/null
+++ b/fault_soak/fault_soak.ts
@@ -0,0 +1,51 @@
+/**
+ * Runs real entries as processes under faults from outside and checks the
+ * promises that callers and replicas can see.
+ *
+ * `npm run fault-soak -- --seed N [--seeds K] [--processes M] [--minutes T]`
+ *
+ * Exit code 1 when a promise was broken; the logs of that seed are kept.
+ */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {parseArgs} from 'node:util';
+import {runSoak} from './soak_run.js';
+
+const {values} = parseArgs({
+  options: {
+    seed: {type: 'string', default: '1'},
+    seeds: {type: 'string', default: '1'},
+    processes: {type: 'string', default: '3'},
+    minutes: {type: 'string', default: '0.5'},
+  },
+});
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function playSeed(seed: number): Promise<boolean> {
+  const dir = mkdtempSync(join(tmpdir(), `fault-soak-${seed}-`));
+  const report = await runSoak({
+    seed,
+    processes: Number(values.processes),
+    durationMs: Number(values.minutes) * 60_000,
+    dir,
+  });
+  const {violations, ...figures} = report;
+  print(JSON.stringify({...figures, violations: violations.length}));
+  for (const {promise, id, detail} of violations) {
+    print(`  BROKEN "${promise}": ${id} ${detail}`);
+  }
+  if (violations.length === 0) rmSync(dir, {recursive: true});
+  else print(`  logs in ${dir}`);
+  return violations.length === 0;
+}
+
+const first = Number(values.seed);
+let broken = 0;
+for (let seed = first; seed < first + Number(values.seeds); seed++) {
+  if (!(await playSeed(seed))) broken += 1;
+}
+process.exitCode = broken === 0 ? 0 : 1;
--- /dev/null
+++ b/fault_soak/faults.ts
@@ -0,0 +1,113 @@
+/** The faults of a run, drawn from its seed before anything starts. */
+import type {RelayFaults} from '../standins/relay_core.js';
+import type {StoreMode} from '../standins/users_platform/store.js';
+import type {Random} from '../src/types/runtime.js';
+
+/** How a replica misbehaves. */
+export type ReplicaFault = 'refuses' | 'hangs' | 'breaks-off' | 'slow';
+
+/** One fault; `forMs` is how long until it is taken back. */
+export type Fault =
+  | {readonly kind: 'pause-entry'; readonly entry: number; forMs: number}
+  | {readonly kind: 'kill-entry'; readonly entry: number; forMs: number}
+  | {readonly kind: 'end-entry'; readonly entry: number; forMs: number}
+  | {readonly kind: 'kill-all-entries'; forMs: number}
+  | {readonly kind: 'step-clock'; readonly entry: number; forMs: number}
+  | {readonly kind: 'store-mode'; readonly mode: StoreMode; forMs: number}
+  | {readonly kind: 'forget-history'; forMs: number}
+  | {
+      readonly kind: 'store-link';
+      readonly entry: number;
+      readonly faults: RelayFaults;
+      forMs: number;
+    }
+  | {
+      readonly kind: 'replica-link';
+      readonly replica: number;
+      readonly faults: RelayFaults;
+      forMs: number;
+    }
+  | {
+      readonly kind: 'replica';
+      readonly replica: number;
+      readonly how: ReplicaFault;
+      forMs: number;
+    }
+  | {readonly kind: 'replica-leaves'; readonly replica: number; forMs: number}
+  | {readonly kind: 'rotate-key'; forMs: number};
+
+/** A fault and when it begins, in milliseconds from the start of the run. */
+export interface PlannedFault {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+export interface FaultPlanShape {
+  readonly entries: number;
+  readonly replicas: number;
+  readonly durationMs: number;
+}
+
+/** Mean pause between two faults; shorter than most last, so they overlap. */
+const MEAN_GAP_MS = 900;
+const SHORTEST_MS = 100;
+const LONGEST_MS = 5_000;
+
+const LINK_FAULTS: readonly RelayFaults[] = [
+  {silence: true},
+  {refuse: true},
+  {reset: true},
+  {delayMs: 60},
+  {delayMs: 700},
+  {drop: 'towards-target'},
+  {drop: 'towards-caller'},
+];
+const REPLICA_FAULTS = ['refuses', 'hangs', 'breaks-off', 'slow'] as const;
+const STORE_MODES = ['busy', 'silent'] as const;
+
+/** Draws the faults of a run; the same seed and shape give the same plan. */
+export function drawFaults(
+  random: Random,
+  shape: FaultPlanShape,
+): readonly PlannedFault[] {
+  const upTo = (count: number) => Math.floor(random.next() * count);
+  const one = <T>(all: readonly T[]): T => all[upTo(all.length)] as T;
+  const entry = () => upTo(shape.entries);
+  const replica = () => upTo(shape.replicas);
+  const draws: ReadonlyArray<(forMs: number) => Fault> = [
+    forMs => ({kind: 'pause-entry', entry: entry(), forMs}),
+    forMs => ({kind: 'kill-entry', entry: entry(), forMs}),
+    forMs => ({kind: 'end-entry', entry: entry(), forMs}),
+    forMs => ({kind: 'kill-all-entries', forMs}),
+    forMs => ({kind: 'step-clock', entry: entry(), forMs}),
+    forMs => ({kind: 'store-mode', mode: one(STORE_MODES), forMs}),
+    forMs => ({kind: 'forget-history', forMs}),
+    forMs => ({
+      kind: 'store-link',
+      entry: entry(),
+      faults: one(LINK_FAULTS),
+      forMs,
+    }),
+    forMs => ({
+      kind: 'replica-link',
+      replica: replica(),
+      faults: one(LINK_FAULTS),
+      forMs,
+    }),
+    forMs => ({
+      kind: 'replica',
+      replica: replica(),
+      how: one(REPLICA_FAULTS),
+      forMs,
+    }),
+    forMs => ({kind: 'replica-leaves', replica: replica(), forMs}),
+    forMs => ({kind: 'rotate-key', forMs}),
+  ];
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_GAP_MS;
+  for (let atMs = gap(); atMs < shape.durationMs; atMs += gap()) {
+    const forMs = SHORTEST_MS + random.next() * (LONGEST_MS - SHORTEST_MS);
+    plan.push({atMs, fault: one(draws)(forMs)});
+  }
+  return plan;
+}
--- /dev/null
+++ b/fault_soak/soak_fleet.ts
@@ -0,0 +1,164 @@
+/**
+ * A fleet for the soak: entries as real processes; store, replicas and the
+ * network before them as stand-ins in this process, so that faults are
+ * injected from outside and the judge sees what ran.
+ */
+import {freeAddresses} from '../demo/free_addresses.js';
+import type {DirectSettings} from '../src/direct/settings.js';
+import {startRelay} from '../standins/relay_core.js';
+import type {Relay} from '../standins/relay_core.js';
+import {announce, configOf} from '../standins/users_platform/deployment.js';
+import {
+  answerWell,
+  breakOff,
+  refuse,
+  startReplica,
+  streamTo,
+} from '../standins/users_platform/replica.js';
+import type {
+  Arrival,
+  Behaviour,
+  ReplicaStandIn,
+} from '../standins/users_platform/replica.js';
+import {startStore} from '../standins/users_platform/store.js';
+import type {StoreStandIn} from '../standins/users_platform/store.js';
+import type {EntryProcess} from './entry_process.js';
+import {createEntryProcess} from './entry_process.js';
+import type {ReplicaFault} from './faults.js';
+import {STREAM_EVENTS} from './soak_requests.js';
+
+export const TIMING = {
+  graceS: 8,
+  revokeMs: 5_000,
+  freeMs: 2_000,
+  maxHoldMs: 20_000,
+} as const;
+/** Shares of retries, as the users' sheets have them. */
+export const RETRIES = {ratio: 0.2, slack: 120, windowS: 10} as const;
+
+const EVENT_PAUSE_MS = 15;
+const SLOW_PAUSE_MS = 150;
+const PORTS_PER_ENTRY = 4;
+
+/** A replica with its link; the store lists the link's address. */
+export interface SoakReplica {
+  readonly standIn: ReplicaStandIn;
+  readonly service: string;
+  readonly link: Relay;
+  become(how: ReplicaFault | undefined): void;
+  /** How often it began to run the request. */
+  runs(id: string): number;
+}
+
+export interface SoakFleet {
+  readonly store: StoreStandIn;
+  readonly entries: readonly EntryProcess[];
+  /** Link of each entry to the store. */
+  readonly storeLinks: readonly Relay[];
+  readonly replicas: readonly SoakReplica[];
+  /** Lists a replica in this state. */
+  list(replica: SoakReplica, state: string): void;
+  close(): Promise<void>;
+}
+
+const FAULTY: {readonly [F in ReplicaFault]: Behaviour} = {
+  refuses: refuse,
+  hangs: () => undefined,
+  'breaks-off': breakOff,
+  slow: (arrival, res, req) =>
+    arrival.path.startsWith('/stream/')
+      ? streamTo(STREAM_EVENTS, SLOW_PAUSE_MS)(arrival, res, req)
+      : void setTimeout(() => answerWell(arrival, res, req), SLOW_PAUSE_MS),
+};
+
+const behaveWell: Behaviour = (arrival, res, req) =>
+  arrival.path.startsWith('/stream/')
+    ? streamTo(STREAM_EVENTS, EVENT_PAUSE_MS)(arrival, res, req)
+    : answerWell(arrival, res, req);
+
+async function createReplica(
+  service: string,
+  at: number,
+): Promise<SoakReplica> {
+  const standIn = await startReplica(`${service}-${at}`);
+  const link = await startRelay('127.0.0.1:0', standIn.address);
+  const ran = new Map<string, number>();
+  let fault: ReplicaFault | undefined;
+  const note = ({id}: Arrival) => void ran.set(id, (ran.get(id) ?? 0) + 1);
+  standIn.behave((arrival, res, req) => {
+    if (fault !== 'refuses') note(arrival);
+    const behaviour = fault === undefined ? behaveWell : FAULTY[fault];
+    behaviour(arrival, res, req);
+  });
+  return {
+    standIn,
+    service,
+    link,
+    become: how => {
+      fault = how;
+    },
+    runs: id => ran.get(id) ?? 0,
+  };
+}
+
+function settingsOf(
+  at: number,
+  store: string,
+  addresses: readonly string[],
+): DirectSettings {
+  const [callers = '', ready = '', metrics = '', peers = ''] = addresses;
+  return {
+    role: 'direct-entry',
+    node: `entry-${at}`,
+    failureDomain: 'domain-1',
+    ip: '127.0.0.1',
+    listen: {callers, ready, metrics},
+    peerPorts: [Number(peers.split(':')[1])],
+    store: {address: store},
+    limits: {memoryMb: 300, maxDescriptors: 1_000},
+    timing: TIMING,
+    retries: RETRIES,
+  };
+}
+
+/** Starts all stand-ins, and the entries' processes without waiting. */
+export async function startSoakFleet(
+  entryCount: number,
+  dir: string,
+): Promise<SoakFleet> {
+  const store = await startStore();
+  const replicas = await Promise.all([
+    ...Array.from({length: 4}, (_, at) => createReplica('pool', at)),
+    ...Array.from({length: 3}, (_, at) => createReplica('desk', at)),
+  ]);
+  const list = ({standIn, service, link}: SoakReplica, state: string) =>
+    announce(store, {...standIn, address: link.address}, service, state);
+  for (const replica of replicas) list(replica, 'ready');
+  store.put('config', 'main', configOf(1));
+
+  const ports = await freeAddresses(entryCount * PORTS_PER_ENTRY);
+  const storeLinks: Relay[] = [];
+  const entries: EntryProcess[] = [];
+  for (let at = 0; at < entryCount; at++) {
+    const link = await startRelay('127.0.0.1:0', store.address);
+    storeLinks.push(link);
+    const from = at * PORTS_PER_ENTRY;
+    const own = ports.slice(from, from + PORTS_PER_ENTRY);
+    entries.push(createEntryProcess(settingsOf(at, link.address, own), dir));
+  }
+  await Promise.all(entries.map(entry => entry.start()));
+  return {
+    store,
+    entries,
+    storeLinks,
+    replicas,
+    list,
+    close: async () => {
+      await Promise.all(entries.map(entry => entry.kill()));
+      const links = [...storeLinks, ...replicas.map(({link}) => link)];
+      await Promise.all(links.map(link => link.close()));
+      const standIns = replicas.map(({standIn}) => standIn);
+      await Promise.all([store, ...standIns].map(part => part.close()));
+    },
+  };
+}
--- /dev/null
+++ b/fault_soak/soak_inject.ts
@@ -0,0 +1,165 @@
+/** Injects faults into a running fleet, and takes each back. */
+import type {RelayFaults} from '../standins/relay_core.js';
+import {configOf} from '../standins/users_platform/deployment.js';
+import type {Fault} from './faults.js';
+import type {SoakFleet} from './soak_fleet.js';
+import {TIMING} from './soak_fleet.js';
+import type {Violation} from './soak_judge.js';
+
+/** An entry may end this much after its grace period. */
+const END_SLACK_MS = 1_000;
+
+/** What takes a link's faults back; silent connections stay silent. */
+export const LINK_WELL: RelayFaults = {
+  refuse: false,
+  delayMs: 0,
+  drop: 'none',
+};
+
+export interface Injector {
+  inject(fault: Fault): void;
+  /** Takes back all that is still in force, and waits for entries to start. */
+  heal(): Promise<void>;
+  /** The key that callers are to use now, and those taken away. */
+  readonly keys: SoakKeys;
+}
+
+export interface SoakKeys {
+  current(): string;
+  /** All that were ever good. */
+  all(): readonly string[];
+  revokedAt(key: string): number | undefined;
+}
+
+export function createInjector(
+  fleet: SoakFleet,
+  blame: (violation: Violation) => void,
+): Injector {
+  const undoing = new Map<object, () => void>();
+  const ends = new Set<Promise<unknown>>();
+  const revoked = new Map<string, number>();
+  const keyOf = (number: number) => `key-${number}`;
+  const good = new Set([keyOf(1)]);
+  let issued = 1;
+  let version = 1;
+
+  const later = (forMs: number, undo: () => void) => {
+    const token = {};
+    const run = () => {
+      undoing.delete(token);
+      undo();
+    };
+    const timer = setTimeout(run, forMs);
+    undoing.set(token, () => {
+      clearTimeout(timer);
+      run();
+    });
+  };
+
+  const endEntry = async (at: number) => {
+    const entry = fleet.entries[at];
+    const hadStarted = entry.hasStarted();
+    const {code, tookMs} = await entry.end();
+    // Node ends at once on a signal before the program has set its handler;
+    // nothing can be in flight then.
+    if (!hadStarted) return;
+    const limitMs = TIMING.graceS * 1_000 + END_SLACK_MS;
+    if (code === 0 && tookMs <= limitMs) return;
+    blame({
+      promise: 'a drained entry ends by itself, within its grace period',
+      id: entry.name,
+      detail: `code ${code} after ${Math.round(tookMs)} ms`,
+    });
+  };
+
+  const keep = (work: Promise<unknown>) => {
+    ends.add(work);
+    void work.finally(() => ends.delete(work));
+  };
+
+  const downAndUp = (at: number, down: Promise<unknown>, forMs: number) => {
+    keep(down);
+    later(forMs, () => keep(down.then(() => fleet.entries[at].start())));
+  };
+
+  const writeConfig = () => {
+    version += 1;
+    fleet.store.put('config', 'main', configOf(version, [...good]));
+  };
+  /** Old and new key are good together for a while. */
+  const rotateKey = (forMs: number) => {
+    const older = [...good];
+    issued += 1;
+    good.add(keyOf(issued));
+    writeConfig();
+    later(forMs, () => {
+      for (const key of older) good.delete(key);
+      writeConfig();
+      const now = performance.now();
+      for (const key of older) {
+        if (!revoked.has(key)) revoked.set(key, now);
+      }
+    });
+  };
+
+  const inject = (fault: Fault): void => {
+    const {entries, replicas, storeLinks, store} = fleet;
+    switch (fault.kind) {
+      case 'pause-entry':
+        entries[fault.entry].pause();
+        return later(fault.forMs, () => entries[fault.entry].wake());
+      case 'kill-entry':
+        return downAndUp(fault.entry, entries[fault.entry].kill(), fault.forMs);
+      case 'end-entry':
+        return downAndUp(fault.entry, endEntry(fault.entry), fault.forMs);
+      case 'kill-all-entries':
+        entries.forEach((entry, at) =>
+          downAndUp(at, entry.kill(), fault.forMs),
+        );
+        return;
+      case 'step-clock':
+        return entries[fault.entry].stepClock();
+      case 'store-mode':
+        store.setMode(fault.mode);
+        return later(fault.forMs, () => store.setMode('well'));
+      case 'forget-history':
+        return store.forgetHistory();
+      case 'store-link': {
+        const link = storeLinks[fault.entry];
+        link.apply(fault.faults);
+        return later(fault.forMs, () => link.apply(LINK_WELL));
+      }
+      case 'replica-link': {
+        const {link} = replicas[fault.replica];
+        link.apply(fault.faults);
+        return later(fault.forMs, () => link.apply(LINK_WELL));
+      }
+      case 'replica':
+        replicas[fault.replica].become(fault.how);
+        return later(fault.forMs, () =>
+          replicas[fault.replica].become(undefined),
+        );
+      case 'replica-leaves':
+        fleet.list(replicas[fault.replica], 'draining');
+        return later(fault.forMs, () =>
+          fleet.list(replicas[fault.replica], 'ready'),
+        );
+      case 'rotate-key':
+        return rotateKey(fault.forMs);
+    }
+  };
+
+  return {
+    inject,
+    heal: async () => {
+      for (const undo of [...undoing.values()]) undo();
+      while (ends.size > 0) await Promise.allSettled([...ends]);
+      await Promise.all(fleet.entries.map(entry => entry.start()));
+    },
+    keys: {
+      current: () => keyOf(issued),
+      all: () => Array.from({length: issued}, (_, at) => keyOf(at + 1)),
+      revokedAt: key => revoked.get(key),
+    },
+  };
+}
--- /dev/null
+++ b/standins/relay_core.ts
@@ -0,0 +1,134 @@
+/**
+ * A TCP relay that stands for the network between two processes: it delays,
+ * resets, refuses, drops one direction, or forgets connections as a middle box
+ * does that lost track of a flow.
+ */
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+
+/** Which bytes are dropped. */
+export type DroppedDirection = 'none' | 'towards-target' | 'towards-caller';
+
+/** What a relay does until it is told otherwise; left out is left as it is. */
+export interface RelayFaults {
+  /** Drops all bytes of the connections that are open now, for good. */
+  readonly silence?: boolean;
+  /** Closes all connections and refuses new ones. */
+  readonly refuse?: boolean;
+  /** Resets the connections that are open now. */
+  readonly reset?: boolean;
+  /** Holds each piece back for this long. */
+  readonly delayMs?: number;
+  readonly drop?: DroppedDirection;
+}
+
+export interface Relay {
+  readonly address: string;
+  apply(faults: RelayFaults): void;
+  counts(): {
+    readonly open: number;
+    readonly silent: number;
+    readonly refuse: boolean;
+  };
+  close(): Promise<void>;
+}
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+  silent: boolean;
+}
+
+function endpoint(text: string) {
+  const [host, port] = text.split(':');
+  return {host: host ?? '', port: Number(port)};
+}
+
+function listenAt(server: Server, address: string): Promise<void> {
+  const {host, port} = endpoint(address);
+  return new Promise(resolve => {
+    server.listen(port, host, resolve);
+  });
+}
+
+/** Relays `listen` to `target`, each `ip:port`; port 0 takes a free one. */
+export async function startRelay(
+  listen: string,
+  target: string,
+): Promise<Relay> {
+  const to = endpoint(target);
+  const pairs = new Set<Pair>();
+  let refuse = false;
+  let delayMs = 0;
+  let drop: DroppedDirection = 'none';
+
+  const pass = (
+    pair: Pair,
+    from: Socket,
+    into: Socket,
+    direction: DroppedDirection,
+  ) => {
+    const write = (data: Buffer) => {
+      if (into.write(data) || from.isPaused()) return;
+      from.pause();
+      into.once('drain', () => from.resume());
+    };
+    from.on('data', data => {
+      if (pair.silent || drop === direction) return;
+      if (delayMs === 0) write(data);
+      else setTimeout(() => write(data), delayMs);
+    });
+    const end = () => {
+      // A silent flow tells neither end that the other one closed.
+      if (pair.silent || drop === direction) return;
+      setTimeout(() => into.destroy(), delayMs);
+      pairs.delete(pair);
+    };
+    from.on('close', end);
+    from.on('error', end);
+  };
+
+  const server = createServer(near => {
+    if (refuse) {
+      near.destroy();
+      return;
+    }
+    const far = connect(to.port, to.host);
+    const pair: Pair = {near, far, silent: false};
+    pairs.add(pair);
+    pass(pair, near, far, 'towards-target');
+    pass(pair, far, near, 'towards-caller');
+  });
+
+  const endAll = (how: (socket: Socket) => void) => {
+    for (const {near, far} of pairs) {
+      how(near);
+      how(far);
+    }
+  };
+  await listenAt(server, listen);
+  const {address, port} = server.address() as AddressInfo;
+  return {
+    address: `${address}:${port}`,
+    apply: faults => {
+      if (faults.silence === true) {
+        for (const pair of pairs) pair.silent = true;
+      }
+      refuse = faults.refuse ?? refuse;
+      delayMs = faults.delayMs ?? delayMs;
+      drop = faults.drop ?? drop;
+      if (faults.reset === true) endAll(socket => socket.resetAndDestroy());
+      if (refuse) endAll(socket => socket.destroy());
+    },
+    counts: () => ({
+      open: pairs.size,
+      silent: [...pairs].filter(pair => pair.silent).length,
+      refuse,
+    }),
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        endAll(socket => socket.destroy());
+      }),
+  };
+}
--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -96,9 +96,17 @@
   const arrivals: Arrival[] = [];
   const orders: Order[] = [];
   const held = new Map<string, number>();
+  const lapses = new Map<string, NodeJS.Timeout>();
   let behaviour: Behaviour = answerWell;
   let orderStatus: (order: Order) => number | undefined = () => 200;
 
+  /** Renewed by an order with the same id; lapses by itself. */
+  const reserve = ({id, tokens, holdMs}: Order): void => {
+    held.set(id, tokens ?? 0);
+    clearTimeout(lapses.get(id));
+    const lapse = setTimeout(() => held.delete(id), holdMs);
+    lapses.set(id, lapse.unref());
+  };
   const onOrder = (body: string, res: ServerResponse): void => {
     const order = JSON.parse(body) as Order;
     orders.push(order);
@@ -106,7 +114,7 @@
     if (status === undefined) return;
     if (status === 200 && order.operation === 'release') held.delete(order.id);
     if (status === 200 && order.operation === 'reserve') {
-      held.set(order.id, order.tokens ?? 0);
+      reserve(order);
     }
     res.writeHead(status, {'content-type': 'application/json'});
     res.end('{"free":0}');
--- a/test/direct/draining.test.ts
+++ b/test/direct/draining.test.ts
@@ -2,12 +2,8 @@
 import {Agent} from 'node:http';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {streamTo} from '../../standins/users_platform/replica.js';
-import {
-  announce,
-  callEntry,
-  startDirectFleet,
-  until,
-} from '../support/direct_fleet.js';
+import {announce} from '../../standins/users_platform/deployment.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 let fleet: DirectFleet;
--- a/test/direct/keys.test.ts
+++ b/test/direct/keys.test.ts
@@ -1,11 +1,7 @@
 /** Keys are served only while the store's word on them is young enough. */
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
-import {
-  callEntry,
-  configOf,
-  startDirectFleet,
-  until,
-} from '../support/direct_fleet.js';
+import {configOf} from '../../standins/users_platform/deployment.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 /** Short, so that the tests need not wait long. */
--- a/test/direct/requests.test.ts
+++ b/test/direct/requests.test.ts
@@ -8,12 +8,8 @@
   refuse,
   signed,
 } from '../../standins/users_platform/replica.js';
-import {
-  callEntry,
-  configOf,
-  startDirectFleet,
-  until,
-} from '../support/direct_fleet.js';
+import {configOf} from '../../standins/users_platform/deployment.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 let fleet: DirectFleet;
--- /dev/null
+++ b/test/fault_soak.test.ts
@@ -0,0 +1,40 @@
+/**
+ * A short run of the fault soak, and the seeds that once failed. Each runs two
+ * or more real entries as processes for some seconds.
+ */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {drawFaults} from '../fault_soak/faults.js';
+import {runSoak} from '../fault_soak/soak_run.js';
+import {createSeededRandom} from '../standins/seeded_random.js';
+
+const SHORT_MS = 6_000;
+
+let dir: string;
+beforeEach(() => {
+  dir = mkdtempSync(join(tmpdir(), 'fault-soak-test-'));
+});
+afterEach(() => rmSync(dir, {recursive: true}));
+
+describe('the fault soak', () => {
+  test('draws the same faults from the same seed', () => {
+    const shape = {entries: 3, replicas: 7, durationMs: 60_000};
+    const draw = (seed: number) => drawFaults(createSeededRandom(seed), shape);
+    expect(draw(77)).toEqual(draw(77));
+    expect(draw(77)).not.toEqual(draw(78));
+  });
+
+  test('finds no promise broken in a short run', async () => {
+    const report = await runSoak({
+      seed: 10,
+      processes: 2,
+      durationMs: SHORT_MS,
+      dir,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.faults).toBeGreaterThan(0);
+    expect(report.served).toBeGreaterThan(50);
+  });
+});
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -12,6 +12,12 @@
 import type {DirectProcess} from '../../src/direct_wiring.js';
 import type {Runtime} from '../../src/types/runtime.js';
 import {createProcessClock} from '../../src/utils/clock.js';
+import {
+  HOST,
+  KEY,
+  announce,
+  configOf,
+} from '../../standins/users_platform/deployment.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import type {RecordingRuntime} from '../../standins/recording_runtime.js';
 import {startReplica} from '../../standins/users_platform/replica.js';
@@ -19,83 +25,6 @@
 import {startStore} from '../../standins/users_platform/store.js';
 import type {StoreStandIn} from '../../standins/users_platform/store.js';
 
-export const HOST = 'models.example';
-export const KEY = 'key-1';
-
-/** Engine figures small enough that a test's prompt needs a group. */
-export const ENGINE = {
-  slots: 4,
-  kvCapacityTokens: 10_000,
-  stride: 4,
-  step_ms: 1,
-  per_seq_ms: 0,
-  read_per_s: 1_000_000,
-  pairs_per_m: 0,
-  chunk: 2_048,
-};
-
-const ROUTES = [
-  {
-    name: 'stream',
-    host: HOST,
-    pathPrefix: '/stream/',
-    kind: 'streaming',
-    timeoutMs: 4_000,
-    sloMs: 300,
-    gapAimMs: 100,
-    priority: 1,
-    service: 'pool',
-    maxAttempts: 2,
-    resumable: true,
-  },
-  {
-    name: 'once',
-    host: HOST,
-    pathPrefix: '/once/',
-    kind: 'unsafe',
-    timeoutMs: 800,
-    sloMs: 100,
-    service: 'desk',
-    maxAttempts: 2,
-  },
-  {
-    name: 'again',
-    host: HOST,
-    pathPrefix: '/again/',
-    kind: 'safe',
-    timeoutMs: 800,
-    sloMs: 100,
-    service: 'desk',
-    maxAttempts: 2,
-  },
-  {
-    name: 'open',
-    host: HOST,
-    pathPrefix: '/open/',
-    kind: 'safe',
-    timeoutMs: 800,
-    service: 'desk',
-    maxAttempts: 1,
-    public: true,
-  },
-] as const;
-
-/** A configuration of this version. */
-export function configOf(version: number, apiKeys: readonly string[] = [KEY]) {
-  return {
-    version,
-    routes: ROUTES,
-    services: [{name: 'pool', engine: ENGINE}, {name: 'desk'}],
-    limits: {
-      maxHeaderBytes: 4_096,
-      maxBodyBytes: 10_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 5_000,
-    },
-    tenants: [{name: 'org-1', apiKeys}],
-  };
-}
-
 export interface DirectFleet {
   readonly store: StoreStandIn;
   readonly pool: readonly ReplicaStandIn[];
@@ -212,22 +141,6 @@
   };
 }
 
-/** A replica's record in the store. */
-export function announce(
-  store: StoreStandIn,
-  replica: ReplicaStandIn,
-  service: string,
-  state = 'ready',
-): void {
-  store.put('servers', replica.id, {
-    service,
-    address: replica.address,
-    zone: 'domain-1',
-    slots: 4,
-    state,
-  });
-}
-
 async function isReady(address: string): Promise<boolean> {
   try {
     return (await fetch(`http://${address}/api/ready`)).status === 200;
