feat(direct): entries take each other's word on the store, exactly

Ways weighed: longer watches alone (evidence would be too old for the bound); passing evidence in the load datagrams (a datagram that waited in the socket of a frozen entry would look fresh); a question and its answer, which counts from the question, less the age that is told. The last was taken. It counts only for the same version of the configuration; another version or other replicas (by digest) are read at once; without an answer for 1.2 s the entry asks the store itself as before.

Change: cover.ts, entry_questions.ts; watches wait 20 s under cover; a pause of 300 ms between watches for replicas after a change.

--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -59,8 +59,8 @@
   {reset: true},
   {delayMs: 60},
   {delayMs: 700},
-  {drop: 'towards-target'},
-  {drop: 'towards-caller'},
+  {cut: 'towards-target'},
+  {cut: 'towards-caller'},
 ];
 const REPLICA_FAULTS = ['refuses', 'hangs', 'breaks-off', 'slow'] as const;
 const STORE_MODES = ['busy', 'silent'] as const;
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -13,7 +13,7 @@
 export const LINK_WELL: RelayFaults = {
   refuse: false,
   delayMs: 0,
-  drop: 'none',
+  cut: 'none',
 };
 
 export interface Injector {
--- /dev/null
+++ b/src/direct/cover.ts
@@ -0,0 +1,94 @@
+/**
+ * Another entry's word in place of own calls to the store.
+ *
+ * Evidence for keys is wanted about once a second, and each call to the store
+ * is paid for: with every entry asking for itself, the calls cost 0.04 of the
+ * worth of a day on 24 entries. So an entry asks another one, in a datagram,
+ * what it knows. While the answers say that both know the same, the own watches
+ * wait long; they still bring each change at once.
+ *
+ * The word is exact. An answer was made after its question was sent, so the
+ * store's answer behind it was asked for no earlier than that time less the
+ * evidence's age. It counts only for the same version of the configuration.
+ * Where two entries lean on each other, the age grows with each answer until
+ * neither is covered. Without cover, watches are short again, and until the
+ * long one has returned the collections are read anew instead.
+ */
+import type {Cancel, Clock} from '../types/runtime.js';
+import type {EntryAnswer} from './types.js';
+
+/** Between two questions; an answer a second old or less is wanted. */
+const ASK_MS = 500;
+/** Older evidence of another entry is no cover. */
+const COVER_AGE_MS = 2_000;
+/** Cover lasts so long after the last good answer. */
+const COVER_MS = 1_200;
+/**
+ * Answers in a row that must tell of other replicas before they are read anew:
+ * one may have been overtaken by a change that the own watch brings.
+ */
+const DIFFERENT_TIMES = 2;
+
+export interface CoverOptions {
+  readonly clock: Clock;
+  ask(): Promise<EntryAnswer | undefined>;
+  /** What this entry has from the store. */
+  own(): {
+    readonly configVersion: number | undefined;
+    readonly replicasDigest: string;
+  };
+  /** The store answered a call that was sent no earlier than `sentAt`. */
+  onConfirmed(sentAt: number): void;
+  /** The other entry has another configuration. */
+  onOtherConfig(): void;
+  onOtherReplicas(): void;
+  /** Called at each question that left this entry without cover. */
+  onUncovered(): void;
+}
+
+export interface Cover {
+  isCovered(): boolean;
+  stop: Cancel;
+}
+
+export function createCover(options: CoverOptions): Cover {
+  const {clock} = options;
+  let coveredAt = Number.NEGATIVE_INFINITY;
+  let different = 0;
+  let asking = false;
+
+  const isCovered = () => clock.now() - coveredAt < COVER_MS;
+
+  const takeReplicas = (digest: string): void => {
+    different = digest === options.own().replicasDigest ? 0 : different + 1;
+    if (different < DIFFERENT_TIMES) return;
+    different = 0;
+    options.onOtherReplicas();
+  };
+
+  const take = (answer: EntryAnswer): void => {
+    const {evidenceAgeMs, askedAt} = answer;
+    if (evidenceAgeMs === undefined || evidenceAgeMs > COVER_AGE_MS) return;
+    if (answer.configVersion !== options.own().configVersion) {
+      options.onOtherConfig();
+      return;
+    }
+    coveredAt = clock.now();
+    options.onConfirmed(askedAt - evidenceAgeMs);
+    takeReplicas(answer.replicasDigest);
+  };
+
+  const askOnce = async (): Promise<void> => {
+    if (asking) return;
+    asking = true;
+    const answer = await options.ask();
+    asking = false;
+    if (answer !== undefined) take(answer);
+    if (!isCovered()) options.onUncovered();
+  };
+
+  return {
+    isCovered,
+    stop: clock.every(ASK_MS, () => void askOnce()),
+  };
+}
--- /dev/null
+++ b/src/direct/entry_questions.ts
@@ -0,0 +1,66 @@
+/**
+ * Questions between entries and their answers, in datagrams of their own. A
+ * lost one is a question without an answer; the next goes to another entry.
+ */
+import type {Clock} from '../types/runtime.js';
+import type {EntryAddress, EntryAnswer, StoreKnowledge} from './types.js';
+
+/** An answer comes in milliseconds, or its entry is cut off or stands still. */
+const ANSWER_MS = 400;
+
+export interface AskDatagram {
+  readonly kind: 'ask';
+  readonly from: EntryAddress;
+  readonly question: number;
+}
+
+export interface AnswerDatagram {
+  readonly kind: 'answer';
+  readonly question: number;
+  readonly knowledge: StoreKnowledge;
+}
+
+export interface EntryQuestionsOptions {
+  readonly clock: Clock;
+  readonly self: EntryAddress;
+  /** Entries that may be asked, in an order that all entries share. */
+  candidates(): readonly EntryAddress[];
+  send(datagram: AskDatagram, to: EntryAddress): void;
+}
+
+export interface EntryQuestions {
+  ask(reply: (answer: EntryAnswer | undefined) => void): void;
+  answered(datagram: AnswerDatagram): void;
+}
+
+export function createEntryQuestions(
+  options: EntryQuestionsOptions,
+): EntryQuestions {
+  const {clock, self} = options;
+  const open = new Map<number, (knowledge?: StoreKnowledge) => void>();
+  let questions = 0;
+  let failures = 0;
+
+  return {
+    ask: reply => {
+      const candidates = options.candidates();
+      const to = candidates[failures % candidates.length];
+      if (to === undefined) {
+        reply(undefined);
+        return;
+      }
+      const question = ++questions;
+      const askedAt = clock.now();
+      const settle = (knowledge?: StoreKnowledge) => {
+        cancel();
+        if (!open.delete(question)) return;
+        if (knowledge === undefined) failures += 1;
+        reply(knowledge && {...knowledge, askedAt});
+      };
+      const cancel = clock.after(ANSWER_MS, settle);
+      open.set(question, settle);
+      options.send({kind: 'ask', from: self, question}, to);
+    },
+    answered: ({question, knowledge}) => open.get(question)?.(knowledge),
+  };
+}
--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -15,8 +15,13 @@
   readonly collection: Collection<T>;
   readonly clock: Clock;
   readonly random: Random;
-  /** Wait of one watch, in milliseconds. */
-  readonly waitMs: number;
+  /** Wait of the next watch, in milliseconds. */
+  waitMs(): number;
+  /**
+   * Pause after changes. A watch returns at the first of them: of seventy that
+   * come within seconds each would cost a call.
+   */
+  readonly settleMs: number;
   /** All items after a whole read. */
   onList(items: ReadonlyMap<string, T>): void;
   /** Items that changed; undefined ones were removed. */
@@ -44,6 +49,7 @@
   let retryMs = RETRY_FIRST_MS;
   let cancelPause: Cancel | undefined;
   let confirming = false;
+  let hasChanged = false;
 
   const readWhole = async (): Promise<boolean> => {
     const sentAt = clock.now();
@@ -67,7 +73,7 @@
 
   const watchOnce = async (from: number): Promise<boolean> => {
     const sentAt = clock.now();
-    const res = await collection.watch(from, options.waitMs);
+    const res = await collection.watch(from, options.waitMs());
     if (stopped) return false;
     return res.caseOf({
       Left: fault => {
@@ -78,26 +84,34 @@
       Right: changes => {
         if (revision !== undefined && changes.revision < revision) return true;
         revision = changes.revision;
-        if (changes.items.size > 0) options.onChanges(changes.items);
+        hasChanged = changes.items.size > 0;
+        if (hasChanged) options.onChanges(changes.items);
         options.onConfirmed(sentAt);
         return true;
       },
     });
   };
 
-  const pause = (): Promise<void> =>
+  const pause = (delayMs: number): Promise<void> =>
     new Promise(resolve => {
-      const delayMs = retryMs * (0.5 + random.next());
-      retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
       cancelPause = clock.after(delayMs, resolve);
     });
 
+  const pauseAfterFault = (): Promise<void> => {
+    const delayMs = retryMs * (0.5 + random.next());
+    retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
+    return pause(delayMs);
+  };
+
   const run = async (): Promise<void> => {
     while (!stopped) {
       const well =
         revision === undefined ? await readWhole() : await watchOnce(revision);
-      if (well) retryMs = RETRY_FIRST_MS;
-      else if (!stopped) await pause();
+      if (stopped) return;
+      if (!well) await pauseAfterFault();
+      else retryMs = RETRY_FIRST_MS;
+      if (hasChanged) await pause(options.settleMs);
+      hasChanged = false;
     }
   };
   void run();
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -2,11 +2,21 @@
  * The service `followed`: follows the configuration and the replicas in the
  * platform's store, and tells the front of each change.
  */
+import {createHash} from 'node:crypto';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import type {Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {createCover} from './cover.js';
 import {follow} from './follow.js';
 import './messages.js';
-import type {DirectConfig, DirectStore, StoreFault} from './types.js';
+import type {
+  DirectConfig,
+  DirectReplica,
+  DirectStore,
+  EntryAnswer,
+  StoreFault,
+  StoreKnowledge,
+} from './types.js';
 
 /**
  * Each answer is evidence for callers' keys, which is wanted about once a
@@ -19,6 +29,15 @@
  * 3 s after such a fault, and by then the new watch has told of them.
  */
 const REPLICAS_WAIT_MS = 2_000;
+/** Of both while another entry vouches for what is known; the store allows 30 s. */
+const COVERED_WAIT_MS = 20_000;
+/**
+ * A tenth of the platform's bound on work for a replica that leaves, which is
+ * what the second of two changes is later by.
+ */
+const REPLICAS_SETTLE_MS = 300;
+/** Without cover nothing may stay unconfirmed for longer than its watch takes. */
+const READ_ANEW_FACTOR = 1.3;
 
 export function createFollowed(store: DirectStore): ServiceSpec<'followed'> {
   return {name: 'followed', start: ctx => startFollowed(store, ctx)};
@@ -30,10 +49,13 @@
 ): void {
   const {clock, random} = ctx;
   const connected = createConnectionLog(ctx);
+  let configVersion: number | undefined;
 
   const tellConfig = (config: DirectConfig | undefined) => {
     // Without a configuration the last one stays in force.
-    if (config !== undefined) ctx.send('direct', {kind: 'config', config});
+    if (config === undefined) return;
+    configVersion = Math.max(configVersion ?? 0, config.version);
+    ctx.send('direct', {kind: 'config', config});
   };
   // An outage that one watch outlives is seen by the other: either says that
   // replicas' records may have lapsed.
@@ -41,15 +63,20 @@
     connected.failed(fault);
     ctx.send('direct', {kind: 'store-failed'});
   };
+  const known = createKnown();
+  const configWatch = createConfirmations(clock, CONFIG_WAIT_MS);
+  const replicasWatch = createConfirmations(clock, REPLICAS_WAIT_MS);
   const configs = follow({
     collection: store.configs,
     clock,
     random,
-    waitMs: CONFIG_WAIT_MS,
+    waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : CONFIG_WAIT_MS),
+    settleMs: 0,
     onList: items => items.forEach(tellConfig),
     onChanges: items => items.forEach(tellConfig),
     onConfirmed: sentAt => {
       connected.regained();
+      configWatch.confirmed();
       ctx.send('direct', {kind: 'confirmed', sentAt});
     },
     onFault,
@@ -58,16 +85,100 @@
     collection: store.replicas,
     clock,
     random,
-    waitMs: REPLICAS_WAIT_MS,
-    onList: items => ctx.send('direct', {kind: 'replicas', replicas: items}),
-    onChanges: items =>
-      ctx.send('direct', {kind: 'replica-changes', replicas: items}),
-    onConfirmed: () => undefined,
+    waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : REPLICAS_WAIT_MS),
+    settleMs: REPLICAS_SETTLE_MS,
+    onList: items => {
+      known.setAll(items);
+      ctx.send('direct', {kind: 'replicas', replicas: items});
+    },
+    onChanges: items => {
+      known.change(items);
+      ctx.send('direct', {kind: 'replica-changes', replicas: items});
+    },
+    onConfirmed: replicasWatch.confirmed,
     onFault,
   });
+  const cover = createCover({
+    clock,
+    ask: () =>
+      ctx.ask(
+        'sharing',
+        (reply: (answer: EntryAnswer | undefined) => void) => ({
+          kind: 'ask-entry',
+          reply,
+        }),
+      ),
+    own: () => ({configVersion, replicasDigest: known.digest()}),
+    onConfirmed: sentAt => ctx.send('direct', {kind: 'confirmed', sentAt}),
+    onOtherConfig: configs.confirmNow,
+    onOtherReplicas: replicas.confirmNow,
+    onUncovered: () => {
+      if (configWatch.isOverdue()) configs.confirmNow();
+      if (replicasWatch.isOverdue()) replicas.confirmNow();
+    },
+  });
+  const tell = async (reply: (knowledge: StoreKnowledge) => void) => {
+    const ageMs = await ctx.ask(
+      'direct',
+      (answer: (ageMs: number) => void) => ({
+        kind: 'evidence-age',
+        reply: answer,
+      }),
+    );
+    // No number of JSON stands for an infinite age.
+    const evidenceAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
+    reply({evidenceAgeMs, configVersion, replicasDigest: known.digest()});
+  };
+  ctx.own(cover.stop);
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
-  void ctx.mailbox.observe(() => configs.confirmNow());
+  void ctx.mailbox.observe(message => {
+    if (message.kind === 'confirm') configs.confirmNow();
+    else void tell(message.reply);
+  });
+}
+
+/** When a collection was last confirmed by an own call. */
+function createConfirmations(clock: Clock, waitMs: number) {
+  let confirmedAt = clock.now();
+  return {
+    confirmed: () => {
+      confirmedAt = clock.now();
+    },
+    isOverdue: () => clock.now() - confirmedAt > waitMs * READ_ANEW_FACTOR,
+  };
+}
+
+/** The replicas as the store has them, and a digest to compare them by. */
+function createKnown() {
+  const replicas = new Map<string, DirectReplica>();
+  let digest: string | undefined;
+  const change = (items: ReadonlyMap<string, DirectReplica | undefined>) => {
+    digest = undefined;
+    for (const [name, replica] of items) {
+      if (replica === undefined) replicas.delete(name);
+      else replicas.set(name, replica);
+    }
+  };
+  const digestNow = () =>
+    createHash('sha1')
+      .update(JSON.stringify([...replicas].sort(byName)))
+      .digest('base64');
+  return {
+    change,
+    setAll: (items: ReadonlyMap<string, DirectReplica>) => {
+      replicas.clear();
+      change(items);
+    },
+    digest: () => (digest ??= digestNow()),
+  };
+}
+
+function byName(
+  [a]: readonly [string, unknown],
+  [b]: readonly [string, unknown],
+) {
+  return a < b ? -1 : 1;
 }
 
 /** One line when the store is lost and one when it is back. */
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -264,6 +264,8 @@
         return fleet.change(message.replicas);
       case 'store-failed':
         return fleet.storeFailed();
+      case 'evidence-age':
+        return message.reply(evidence.ageMs());
       case 'other-load':
         return book.setOther(message.node, message.loads);
       case 'entries':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,6 +1,11 @@
 /** Messages between the services of a direct entry. */
 import type {ReplicaLoad} from './load_book.js';
-import type {DirectConfig, DirectReplica} from './types.js';
+import type {
+  DirectConfig,
+  DirectReplica,
+  EntryAnswer,
+  StoreKnowledge,
+} from './types.js';
 
 /** To the front. */
 export type DirectMessage =
@@ -16,6 +21,8 @@
       readonly replicas: ReadonlyMap<string, DirectReplica | undefined>;
     }
   | {readonly kind: 'store-failed'}
+  /** Age of the newest evidence for keys, in milliseconds. */
+  | {readonly kind: 'evidence-age'; readonly reply: (ageMs: number) => void}
   | {
       readonly kind: 'other-load';
       readonly node: string;
@@ -28,16 +35,22 @@
   | {readonly kind: 'drain'; readonly reply: () => void};
 
 /** To the follower of the store. */
-export interface FollowedMessage {
+export type FollowedMessage =
   /** Reads the configuration anew at once. */
-  readonly kind: 'confirm';
-}
+  | {readonly kind: 'confirm'}
+  | {
+      readonly kind: 'knowledge';
+      readonly reply: (knowledge: StoreKnowledge) => void;
+    };
 
-/** To the service that shares load with the other entries. */
-export interface SharingMessage {
-  readonly kind: 'load';
-  readonly loads: readonly ReplicaLoad[];
-}
+/** To the service that talks with the other entries. */
+export type SharingMessage =
+  | {readonly kind: 'load'; readonly loads: readonly ReplicaLoad[]}
+  /** Asks another entry what it knows; undefined when none answers. */
+  | {
+      readonly kind: 'ask-entry';
+      readonly reply: (answer: EntryAnswer | undefined) => void;
+    };
 
 declare module '../types/kernel.js' {
   interface ServiceMessages {
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -1,16 +1,19 @@
 /**
- * The service `sharing`: tells the other entries what this one has assigned,
- * in datagrams. Each holds all of the entry's load, so a lost one is mended by
- * the next, and there is no connection that could go silent.
+ * The service `sharing`: talks with the other entries in datagrams. It tells
+ * them what this one has assigned; each telling holds all of the entry's load,
+ * so a lost one is mended by the next, and there is no connection that could go
+ * silent. It also asks one of them what it knows of the store.
  */
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import type {AnswerDatagram, AskDatagram} from './entry_questions.js';
+import {createEntryQuestions} from './entry_questions.js';
 import type {ReplicaLoad} from './load_book.js';
 import {packLoads, unpackLoads} from './load_codec.js';
 import './messages.js';
-import type {DirectStore, EntryAddress} from './types.js';
+import type {DirectStore, EntryAddress, StoreKnowledge} from './types.js';
 
 /** An entry without news says that it is there this often. */
 const BEAT_MS = 300;
@@ -30,12 +33,15 @@
 
 /** A datagram between entries. */
 interface LoadDatagram {
+  readonly kind: 'load';
   readonly from: EntryAddress;
   /** Grows with each datagram of one incarnation. */
   readonly seq: number;
   readonly loads: ReturnType<typeof packLoads>;
 }
 
+type Datagram = LoadDatagram | AskDatagram | AnswerDatagram;
+
 interface Peer {
   readonly entry: EntryAddress;
   heardAt: number;
@@ -61,8 +67,7 @@
 
   const send = (): void => {
     const packed = packLoads(loads);
-    const datagram: LoadDatagram = {from: self, seq: ++seq, loads: packed};
-    const bytes = Buffer.from(JSON.stringify(datagram));
+    const bytes = encode({kind: 'load', from: self, seq: ++seq, loads: packed});
     sentAt = clock.now();
     for (const {entry} of peers.values()) {
       socket.send(bytes, entry.port, entry.ip, () => undefined);
@@ -84,12 +89,50 @@
     return peer;
   };
 
+  const isHeard = (peer: Peer) => clock.now() - peer.heardAt < SILENT_MS;
+
+  const sendOne = (datagram: Datagram, {ip, port}: EntryAddress): void => {
+    const bytes = encode(datagram);
+    socket.send(bytes, port, ip, () => undefined);
+    metrics.count('onyxloft_sharing_bytes_total', {}, bytes.length);
+  };
+  const questions = createEntryQuestions({
+    clock,
+    self,
+    // Those before this one by name, so that some entry asks the store itself.
+    candidates: () =>
+      [...peers.values()]
+        .filter(peer => isHeard(peer) && peer.entry.node < self.node)
+        .map(({entry}) => entry)
+        .sort((a, b) => (a.node < b.node ? -1 : 1)),
+    send: sendOne,
+  });
+  const answer = async ({from, question}: AskDatagram): Promise<void> => {
+    const knowledge = await ctx.ask(
+      'followed',
+      (reply: (knowledge: StoreKnowledge) => void) => ({
+        kind: 'knowledge',
+        reply,
+      }),
+    );
+    sendOne({kind: 'answer', question, knowledge}, from);
+  };
+
   const receive = (bytes: Buffer): void => {
     const datagram = parseDatagram(bytes);
-    if (datagram === undefined) {
-      metrics.count('onyxloft_sharing_unreadable_total');
-      return;
+    switch (datagram?.kind) {
+      case 'load':
+        return receiveLoad(datagram);
+      case 'ask':
+        return void answer(datagram);
+      case 'answer':
+        return questions.answered(datagram);
+      case undefined:
+        metrics.count('onyxloft_sharing_unreadable_total');
     }
+  };
+
+  const receiveLoad = (datagram: LoadDatagram): void => {
     const peer = add(datagram.from);
     if (peer === undefined || datagram.seq <= peer.seq) return;
     peer.seq = datagram.seq;
@@ -101,10 +144,7 @@
 
   const beat = (): void => {
     if (clock.now() - sentAt >= BEAT_MS) send();
-    const heard = [...peers.values()].filter(
-      peer => clock.now() - peer.heardAt < SILENT_MS,
-    );
-    const count = heard.length + 1;
+    const count = [...peers.values()].filter(isHeard).length + 1;
     if (count === told) return;
     told = count;
     log(DIRECT_EVENTS.entriesCounted, {count});
@@ -138,6 +178,10 @@
   ctx.own(clock.every(BEAT_MS, beat));
   ctx.own(clock.every(LIST_MS, () => void list()));
   void ctx.mailbox.observe(message => {
+    if (message.kind === 'ask-entry') {
+      questions.ask(message.reply);
+      return;
+    }
     loads = message.loads;
     send();
   });
@@ -157,10 +201,16 @@
   });
 }
 
-function parseDatagram(bytes: Buffer): LoadDatagram | undefined {
+function encode(datagram: Datagram): Buffer {
+  return Buffer.from(JSON.stringify(datagram));
+}
+
+const KINDS: readonly unknown[] = ['load', 'ask', 'answer'];
+
+function parseDatagram(bytes: Buffer): Datagram | undefined {
   try {
-    const value = JSON.parse(bytes.toString('utf8')) as LoadDatagram;
-    return typeof value.from?.node === 'string' ? value : undefined;
+    const value = JSON.parse(bytes.toString('utf8')) as Datagram;
+    return KINDS.includes(value.kind) ? value : undefined;
   } catch {
     // Not from an entry; the sender is not told.
     return undefined;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -108,6 +108,25 @@
   readonly port: number;
 }
 
+/** What an entry knows of the store, as it tells other entries. */
+export interface StoreKnowledge {
+  /**
+   * All that was acknowledged longer ago than this is in what follows;
+   * undefined without any evidence.
+   */
+  readonly evidenceAgeMs: number | undefined;
+  /** Undefined while there is no configuration. */
+  readonly configVersion: number | undefined;
+  /** Equal for equal replicas. */
+  readonly replicasDigest: string;
+}
+
+/** Another entry's answer to a question that was sent at `askedAt`. */
+export interface EntryAnswer extends StoreKnowledge {
+  /** On this process's clock. */
+  readonly askedAt: number;
+}
+
 /** A call to the platform's store that gave no usable answer. */
 export interface StoreFault {
   readonly step: string;
--- a/standins/relay_core.ts
+++ b/standins/relay_core.ts
@@ -1,13 +1,13 @@
 /**
  * A TCP relay that stands for the network between two processes: it delays,
- * resets, refuses, drops one direction, or forgets connections as a middle box
+ * resets, refuses, cuts one direction, or forgets connections as a middle box
  * does that lost track of a flow.
  */
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 
-/** Which bytes are dropped. */
-export type DroppedDirection = 'none' | 'towards-target' | 'towards-caller';
+/** Which way nothing comes through, until the cut is over. */
+export type CutDirection = 'none' | 'towards-target' | 'towards-caller';
 
 /** What a relay does until it is told otherwise; left out is left as it is. */
 export interface RelayFaults {
@@ -19,7 +19,7 @@
   readonly reset?: boolean;
   /** Holds each piece back for this long. */
   readonly delayMs?: number;
-  readonly drop?: DroppedDirection;
+  readonly cut?: CutDirection;
 }
 
 export interface Relay {
@@ -60,28 +60,32 @@
   const pairs = new Set<Pair>();
   let refuse = false;
   let delayMs = 0;
-  let drop: DroppedDirection = 'none';
+  let cut: CutDirection = 'none';
+  const held: Array<() => void> = [];
 
   const pass = (
     pair: Pair,
     from: Socket,
     into: Socket,
-    direction: DroppedDirection,
+    direction: CutDirection,
   ) => {
     const write = (data: Buffer) => {
       if (into.write(data) || from.isPaused()) return;
       from.pause();
       into.once('drain', () => from.resume());
     };
+    const later = (step: () => void) => {
+      if (cut === direction) held.push(step);
+      else if (delayMs === 0) step();
+      else setTimeout(step, delayMs);
+    };
     from.on('data', data => {
-      if (pair.silent || drop === direction) return;
-      if (delayMs === 0) write(data);
-      else setTimeout(() => write(data), delayMs);
+      if (!pair.silent) later(() => write(data));
     });
     const end = () => {
       // A silent flow tells neither end that the other one closed.
-      if (pair.silent || drop === direction) return;
-      setTimeout(() => into.destroy(), delayMs);
+      if (pair.silent) return;
+      later(() => into.destroy());
       pairs.delete(pair);
     };
     from.on('close', end);
@@ -116,7 +120,11 @@
       }
       refuse = faults.refuse ?? refuse;
       delayMs = faults.delayMs ?? delayMs;
-      drop = faults.drop ?? drop;
+      cut = faults.cut ?? cut;
+      // What TCP sent into a cut it sends again after it.
+      if (faults.cut !== undefined) {
+        for (const step of held.splice(0)) step();
+      }
       if (faults.reset === true) endAll(socket => socket.resetAndDestroy());
       if (refuse) endAll(socket => socket.destroy());
     },
--- /dev/null
+++ b/test/direct/cover.test.ts
@@ -0,0 +1,153 @@
+/** Another entry's word in place of own calls to the store. */
+import {describe, expect, test} from 'vitest';
+import {createCover} from '../../src/direct/cover.js';
+import {createEntryQuestions} from '../../src/direct/entry_questions.js';
+import type {AskDatagram} from '../../src/direct/entry_questions.js';
+import type {EntryAnswer, StoreKnowledge} from '../../src/direct/types.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
+
+const SAME = {configVersion: 3, replicasDigest: 'a'};
+
+function coverOf(
+  clock: VirtualClock,
+  answer: () => StoreKnowledge | undefined,
+) {
+  const confirmed: number[] = [];
+  const seen: string[] = [];
+  const cover = createCover({
+    clock,
+    ask: () => {
+      const askedAt = clock.now();
+      const knowledge = answer();
+      const told: EntryAnswer | undefined = knowledge && {
+        ...knowledge,
+        askedAt,
+      };
+      return Promise.resolve(told);
+    },
+    own: () => SAME,
+    onConfirmed: sentAt => confirmed.push(sentAt),
+    onOtherConfig: () => seen.push('config'),
+    onOtherReplicas: () => seen.push('replicas'),
+    onUncovered: () => seen.push('uncovered'),
+  });
+  return {cover, confirmed, seen};
+}
+
+describe('the word of another entry', () => {
+  test('counts from its question, less the age of its evidence', async () => {
+    const clock = createVirtualClock();
+    const word = coverOf(clock, () => ({...SAME, evidenceAgeMs: 300}));
+    await clock.runFor(500);
+    expect(word.confirmed).toEqual([clock.now() - 300]);
+    expect(word.cover.isCovered()).toBe(true);
+    expect(word.seen).toEqual([]);
+  });
+
+  // Entry and store are cut apart, and the other entry has not heard of the
+  // store for long or ever: a key may have been taken away meanwhile.
+  test.each([undefined, 2_001])('is none with evidence aged %s', async age => {
+    const clock = createVirtualClock();
+    const word = coverOf(clock, () => ({...SAME, evidenceAgeMs: age}));
+    await clock.runFor(500);
+    expect(word.confirmed).toEqual([]);
+    expect(word.cover.isCovered()).toBe(false);
+  });
+
+  // A key was taken away in version 4. The other entry knows, this one does
+  // not: the other's fresh evidence says nothing of the keys of version 3.
+  test('is none for another configuration, which is read instead', async () => {
+    const clock = createVirtualClock();
+    const other = {...SAME, configVersion: 4, evidenceAgeMs: 0};
+    const word = coverOf(clock, () => other);
+    await clock.runFor(500);
+    expect(word.confirmed).toEqual([]);
+    expect(word.seen).toEqual(['config', 'uncovered']);
+  });
+
+  test('has replicas read anew when they differ twice', async () => {
+    const clock = createVirtualClock();
+    const other = {...SAME, replicasDigest: 'b', evidenceAgeMs: 0};
+    const word = coverOf(clock, () => other);
+    await clock.runFor(500);
+    expect(word.seen).toEqual([]);
+    await clock.runFor(500);
+    expect(word.seen).toEqual(['replicas']);
+  });
+
+  test('ends soon after the other fell silent', async () => {
+    const clock = createVirtualClock();
+    let isThere = true;
+    const word = coverOf(clock, () =>
+      isThere ? {...SAME, evidenceAgeMs: 0} : undefined,
+    );
+    await clock.runFor(500);
+    isThere = false;
+    await clock.runFor(1_000);
+    expect(word.seen).toEqual([]);
+    await clock.runFor(500);
+    expect(word.cover.isCovered()).toBe(false);
+    expect(word.seen).toEqual(['uncovered']);
+  });
+
+  // Two entries that are both cut off from the store ask each other. Each
+  // answer is older than the one it rests on: no key lives on between them.
+  test('grows old between two entries that lean on each other', async () => {
+    const clock = createVirtualClock();
+    const confirmedAt = [clock.now(), clock.now()];
+    const leanOn = (own: number, other: number) =>
+      createCover({
+        clock,
+        ask: () => {
+          const askedAt = clock.now();
+          const evidenceAgeMs = askedAt - confirmedAt[other];
+          return Promise.resolve({...SAME, askedAt, evidenceAgeMs});
+        },
+        own: () => SAME,
+        onConfirmed: sentAt => {
+          confirmedAt[own] = Math.max(confirmedAt[own], sentAt);
+        },
+        onOtherConfig: () => undefined,
+        onOtherReplicas: () => undefined,
+        onUncovered: () => undefined,
+      });
+    const covers = [leanOn(0, 1), leanOn(1, 0)];
+    await clock.runFor(5_000);
+    expect(confirmedAt).toEqual([0, 0]);
+    expect(covers.map(cover => cover.isCovered())).toEqual([false, false]);
+  });
+});
+
+describe('a question to another entry', () => {
+  const entry = (node: string) => ({
+    node,
+    incarnation: 'i',
+    ip: '127.0.0.1',
+    port: 1,
+  });
+
+  // The first entry stands still. Its silence costs one question, and the next
+  // goes to another entry.
+  test('that is not answered goes to the next entry afterwards', async () => {
+    const clock = createVirtualClock();
+    const sent: Array<{datagram: AskDatagram; to: string}> = [];
+    const answers: Array<EntryAnswer | undefined> = [];
+    const questions = createEntryQuestions({
+      clock,
+      self: entry('c'),
+      candidates: () => [entry('a'), entry('b')],
+      send: (datagram, to) => sent.push({datagram, to: to.node}),
+    });
+    questions.ask(answer => answers.push(answer));
+    await clock.runFor(400);
+    expect(answers).toEqual([undefined]);
+    questions.ask(answer => answers.push(answer));
+    expect(sent.map(({to}) => to)).toEqual(['a', 'b']);
+    const knowledge = {...SAME, evidenceAgeMs: 5};
+    const {question} = sent[1].datagram;
+    questions.answered({kind: 'answer', question, knowledge});
+    questions.answered({kind: 'answer', question, knowledge});
+    expect(answers).toEqual([undefined, {...knowledge, askedAt: 400}]);
+  });
+});
--- /dev/null
+++ b/test/direct/follow.test.ts
@@ -0,0 +1,54 @@
+/** Following one collection of the store. */
+import {Right} from 'purify-ts';
+import {describe, expect, test} from 'vitest';
+import {follow} from '../../src/direct/follow.js';
+import type {Changes} from '../../src/direct/types.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+const SETTLE_MS = 300;
+
+describe('following a collection', () => {
+  // Seventy replicas register within seven seconds, as at the start of a
+  // deployment. A watch returns at the first change after its revision; asked
+  // again at once, each registration would cost every entry a call.
+  test('takes a burst of changes with few calls', async () => {
+    const clock = createVirtualClock();
+    const seen = new Set<string>();
+    let changesMade = 0;
+    let watches = 0;
+    clock.every(100, () => {
+      if (changesMade < 70) changesMade += 1;
+    });
+    const watch = async (revision: number) => {
+      watches += 1;
+      while (changesMade <= revision) {
+        await new Promise<void>(resolve => void clock.after(5, resolve));
+      }
+      const names = Array.from(
+        {length: changesMade - revision},
+        (_, at) => `replica-${revision + at + 1}`,
+      );
+      const items = new Map(names.map(name => [name, name]));
+      return Right<Changes<string>>({revision: changesMade, items});
+    };
+    const follower = follow<string>({
+      collection: {
+        list: async () => Right({revision: 0, items: new Map()}),
+        watch,
+      },
+      clock,
+      random: createSeededRandom(1),
+      waitMs: () => 2_000,
+      settleMs: SETTLE_MS,
+      onList: () => undefined,
+      onChanges: items => [...items.keys()].forEach(name => seen.add(name)),
+      onConfirmed: () => undefined,
+      onFault: () => undefined,
+    });
+    await clock.runFor(8_000);
+    follower.stop();
+    expect(seen.size).toBe(70);
+    expect(watches).toBeLessThan(30);
+  });
+});
