feat(direct): gauges of an entry's state; soak's network keeps the order of bytes

Gauges on the metrics address: age of the evidence for keys, open requests, entries and replicas known, retries left, leases on replicas' memory. They use groups.held(), which nothing read. The retry budget, shared by both paths, moves from entry/ to limits/. A figure of engines that nothing used is gone, and a configuration without it is now accepted.

Cause: the delay of a link was taken back while pieces were under way, the next pieces overtook them and the connection ended before they came; no network reorders TCP. Pieces now leave in order. Ruled out: the entry, whose log shows one try and no resumption of that stream.

--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -4,7 +4,7 @@
  * knows of the replicas; the configuration and the replicas come as messages.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createRetryBudget} from '../entry/retry_budget.js';
+import {createRetryBudget} from '../limits/retry_budget.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -17,6 +17,7 @@
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
 import {createFleet} from './fleet.js';
+import {reportState} from './gauges.js';
 import {createGroups} from './groups.js';
 import {createLoadBook} from './load_book.js';
 import {sendOwnAnswer} from './own_answers.js';
@@ -30,6 +31,8 @@
 import type {DirectSettings} from './settings.js';
 import type {DirectConfig, HeaderCodec, Reservations} from './types.js';
 
+/** In logs and gauges, the age of evidence that there is none of. */
+const NEVER_TOLD_MS = 1e9;
 /** Share of the revocation bound for which evidence counts. */
 const EVIDENCE_SHARE = 0.9;
 /**
@@ -124,6 +127,16 @@
     isDraining: () => draining,
   };
 
+  const toldAgeMs = () => Math.round(Math.min(evidence.ageMs(), NEVER_TOLD_MS));
+  const readState = () => ({
+    evidenceAgeMs: toldAgeMs(),
+    openRequests: open.size,
+    entries,
+    replicas: fleet.size(),
+    retriesLeft: serveContext.budget.left(),
+    memoryLeases: serveContext.groups.held(),
+  });
+
   const keysAreFresh = () =>
     waitForEvidence(clock, evidence, () =>
       ctx.send('followed', {kind: 'confirm'}),
@@ -177,7 +190,7 @@
       status,
       message,
       config: config?.version,
-      evidenceAgeMs: Math.round(Math.min(evidence.ageMs(), 1e9)),
+      evidenceAgeMs: toldAgeMs(),
     });
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
     // A retry should reach an entry that knows more.
@@ -286,5 +299,6 @@
   };
 
   ctx.own(() => server?.close());
+  ctx.own(reportState(clock, metrics, readState));
   void ctx.mailbox.observe(handle);
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -1,6 +1,6 @@
 /** What serving a request needs of the entry, and steps that all kinds share. */
 import type {ServerResponse} from 'node:http';
-import type {RetryBudget} from '../entry/retry_budget.js';
+import type {RetryBudget} from '../limits/retry_budget.js';
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -53,8 +53,6 @@
   readonly readTokensPerMs: number;
   /** For each million pairs of a token with an earlier one. */
   readonly pairsMsPerMillion: number;
-  /** Most prompt tokens read in one step. */
-  readonly readTokensPerStep: number;
 }
 
 /** A pool of replicas; without `engine`, a plain service. */
--- a/src/entry/drive_request.ts
+++ b/src/entry/drive_request.ts
@@ -18,7 +18,7 @@
 import {failedEvent, isOver, isTakenOver, strongerRan} from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import {RETRY_AFTER_MS} from './refusals.js';
-import type {RetryBudget} from './retry_budget.js';
+import type {RetryBudget} from '../limits/retry_budget.js';
 import {judgeOutcome} from './verdict.js';
 import type {Verdict} from './verdict.js';
 
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -37,7 +37,7 @@
 import type {OpenRequest} from './open_request.js';
 import {createRequestTable} from './request_table.js';
 import {createResumer} from './resume.js';
-import {createRetryBudget} from './retry_budget.js';
+import {createRetryBudget} from '../limits/retry_budget.js';
 import {createRouter} from './router.js';
 import {DEFAULT_REQUEST_TIMING} from './timing.js';
 import type {RequestTiming} from './timing.js';
--- a/src/entry/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -12,6 +12,8 @@
   onFirstAttempt(ratio: number): void;
   /** Takes one retry; false when the budget is used up. */
   take(): boolean;
+  /** Retries that may be made at once. */
+  left(): number;
 }
 
 /** A full token bucket of `burst()` retries, which may change with time. */
@@ -27,5 +29,6 @@
       tokens -= 1;
       return true;
     },
+    left: () => Math.min(burst(), tokens),
   };
 }
--- a/standins/relay_core.ts
+++ b/standins/relay_core.ts
@@ -61,7 +61,7 @@
   let refuse = false;
   let delayMs = 0;
   let cut: CutDirection = 'none';
-  const held: Array<() => void> = [];
+  const pumps = new Set<() => void>();
 
   const pass = (
     pair: Pair,
@@ -74,18 +74,34 @@
       from.pause();
       into.once('drain', () => from.resume());
     };
+    // In order, whatever becomes of the delay meanwhile, as TCP keeps it.
+    const line: Array<{readonly dueAt: number; readonly step: () => void}> = [];
+    const pump = () => {
+      while (cut !== direction && line.length > 0) {
+        const waitMs = line[0].dueAt - performance.now();
+        if (waitMs > 0) {
+          setTimeout(pump, Math.ceil(waitMs));
+          return;
+        }
+        line.shift()?.step();
+      }
+    };
     const later = (step: () => void) => {
-      if (cut === direction) held.push(step);
-      else if (delayMs === 0) step();
-      else setTimeout(step, delayMs);
+      const dueAt = performance.now() + delayMs;
+      line.push({dueAt: Math.max(dueAt, line.at(-1)?.dueAt ?? 0), step});
+      if (line.length === 1) pump();
     };
+    pumps.add(pump);
     from.on('data', data => {
       if (!pair.silent) later(() => write(data));
     });
     const end = () => {
       // A silent flow tells neither end that the other one closed.
       if (pair.silent) return;
-      later(() => into.destroy());
+      later(() => {
+        into.destroy();
+        pumps.delete(pump);
+      });
       pairs.delete(pair);
     };
     from.on('close', end);
@@ -122,9 +138,7 @@
       delayMs = faults.delayMs ?? delayMs;
       cut = faults.cut ?? cut;
       // What TCP sent into a cut it sends again after it.
-      if (faults.cut !== undefined) {
-        for (const step of held.splice(0)) step();
-      }
+      if (faults.cut !== undefined) for (const pump of pumps) pump();
       if (faults.reset === true) endAll(socket => socket.resetAndDestroy());
       if (refuse) endAll(socket => socket.destroy());
     },
--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -20,7 +20,6 @@
   stepMsPerWriter: 0,
   readTokensPerMs: 200,
   pairsMsPerMillion: 0.1,
-  readTokensPerStep: 2_048,
 };
 
 const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
--- a/test/direct/requests.test.ts
+++ b/test/direct/requests.test.ts
@@ -248,3 +248,20 @@
     expect((await callEntry(fleet, '/again/')).status).toBe(200);
   });
 });
+
+describe('the metrics of an entry', () => {
+  test('tell its state anew each second', async () => {
+    const {metrics} = fleet.runtime;
+    const gauge = (name: string) =>
+      metrics.value(`onyxloft_direct_${name}`, {});
+    await until(() => gauge('replicas') === 4);
+    expect(gauge('entries')).toBe(1);
+    expect(gauge('evidence_age_ms')).toBeLessThan(2_000);
+    expect(gauge('memory_leases')).toBe(0);
+    expect(gauge('retries_left')).toBe(80);
+    for (const replica of fleet.pool) replica.behave(() => undefined);
+    const hanging = callEntry(fleet, '/stream/a');
+    await until(() => gauge('open_requests') === 1);
+    await hanging;
+  });
+});
