--- a/bench/body.ts
+++ b/bench/body.ts
@@ -11,10 +11,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {fileURLToPath} from 'node:url';
-import {createBodyReader} from '../src/entry/http_body.js';
-import type {BodyReader} from '../src/entry/http_body.js';
-import {openHttpServer} from '../src/entry/http_server.js';
-import {prefixHashes} from '../src/entry/prefix_hashes.js';
+import {createBodyReader} from '../src/entry/front/http_body.js';
+import type {BodyReader} from '../src/entry/front/http_body.js';
+import {openHttpServer} from '../src/entry/front/http_server.js';
+import {prefixHashes} from '../src/entry/admission/prefix_hashes.js';
 import {createProcessClock} from '../src/utils/clock.js';
 import {yieldToLoop} from '../src/utils/event_loop.js';
 
--- a/src/entry/admission.ts
+++ b/src/entry/admission/admission.ts
@@ -11,15 +11,15 @@
   Organisation,
   PlainService,
   PriorityClass,
-} from '../types/config.js';
-import {OnyxError} from '../types/errors.js';
-import type {PoolId, RequestId} from '../types/ids.js';
-import type {CallHead} from '../types/peer_messages.js';
-import type {Body, RequestSpec} from '../types/services.js';
-import type {CompletionFields} from './completion_fields.js';
-import {badRequest} from './faults.js';
+} from '../../types/config.js';
+import {OnyxError} from '../../types/errors.js';
+import type {PoolId, RequestId} from '../../types/ids.js';
+import type {CallHead} from '../../types/peer_messages.js';
+import type {Body, RequestSpec} from '../../types/services.js';
+import type {CompletionFields} from '../front/completion_fields.js';
+import {badRequest} from '../faults.js';
 import {prefixHashes} from './prefix_hashes.js';
-import type {RequestOptions} from './request_options.js';
+import type {RequestOptions} from '../front/request_options.js';
 
 /**
  * Bytes of prompt per token, for the estimate. English prose under the usual
--- a/src/entry/admit.ts
+++ b/src/entry/admission/admit.ts
@@ -4,9 +4,9 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {OnyxError} from '../types/errors.js';
-import type {ServiceContext} from '../types/kernel.js';
-import type {ClaimOutcome, RequestSpec} from '../types/services.js';
+import {OnyxError} from '../../types/errors.js';
+import type {ServiceContext} from '../../types/kernel.js';
+import type {ClaimOutcome, RequestSpec} from '../../types/services.js';
 
 type Ctx = ServiceContext<'requests'>;
 
--- a/src/entry/prefix_hashes.ts
+++ b/src/entry/admission/prefix_hashes.ts
@@ -3,8 +3,8 @@
  * find the engine that has it in its cache. Only the leading blocks are
  * hashed: the cost does not grow with the prompt.
  */
-import type {Body} from '../types/services.js';
-import {chainHash} from '../utils/digest.js';
+import type {Body} from '../../types/services.js';
+import {chainHash} from '../../utils/digest.js';
 
 /** Bytes of prompt in one block: some 256 tokens. */
 export const PREFIX_BLOCK_BYTES = 1024;
--- a/src/entry/claim_record.ts
+++ b/src/entry/claims/claim_record.ts
@@ -7,7 +7,7 @@
 import {Just, Nothing} from 'purify-ts';
 import type {Maybe} from 'purify-ts';
 import {z} from 'zod';
-import type {OrganisationId, RequestId} from '../types/ids.js';
+import type {OrganisationId, RequestId} from '../../types/ids.js';
 
 const PREFIX = 'claims';
 /** Hex digits of the hash that name the shard: 256 shards. */
--- a/src/entry/claim_refused.ts
+++ b/src/entry/claims/claim_refused.ts
@@ -1,7 +1,7 @@
 /** What a caller is told when its idempotency key could not be claimed. */
-import {OnyxError} from '../types/errors.js';
-import type {RequestId} from '../types/ids.js';
-import type {Random} from '../types/runtime.js';
+import {OnyxError} from '../../types/errors.js';
+import type {RequestId} from '../../types/ids.js';
+import type {Random} from '../../types/runtime.js';
 
 /** `retryAfterMs` is spread up to twice, lest all come back at one moment. */
 export function claimRefused(
--- a/src/entry/claim_shard.ts
+++ b/src/entry/claims/claim_shard.ts
@@ -5,8 +5,8 @@
 import {Just, Nothing} from 'purify-ts';
 import type {Maybe} from 'purify-ts';
 import {z} from 'zod';
-import type {RequestId} from '../types/ids.js';
-import type {ClaimOutcome} from '../types/services.js';
+import type {RequestId} from '../../types/ids.js';
+import type {ClaimOutcome} from '../../types/services.js';
 
 /** One claim in the table, by the hash of organisation and key. */
 export interface ShardClaim {
--- a/src/entry/claims.ts
+++ b/src/entry/claims/claims.ts
@@ -6,15 +6,15 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {OnyxError} from '../types/errors.js';
-import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import type {ObjectStore, StoredObject} from '../types/platform.js';
-import type {ClaimOutcome, ClaimsMessage} from '../types/services.js';
-import {PLATFORM_EVENTS} from '../utils/events.js';
+import type {OnyxError} from '../../types/errors.js';
+import type {ServiceContext, ServiceSpec} from '../../types/kernel.js';
+import type {ObjectStore, StoredObject} from '../../types/platform.js';
+import type {ClaimOutcome, ClaimsMessage} from '../../types/services.js';
+import {PLATFORM_EVENTS} from '../../utils/events.js';
 import {claimKey, formatClaimRecord, parseClaimRecord} from './claim_record.js';
 import type {ClaimRecord} from './claim_record.js';
 import {claimRefused} from './claim_refused.js';
-import {createRecentMap} from './recent_map.js';
+import {createRecentMap} from '../../utils/recent_map.js';
 
 const NONCE_BYTES = 12;
 const DEFAULT_TRIES = 3;
--- a/src/entry/claims_batched.ts
+++ b/src/entry/claims/claims_batched.ts
@@ -7,10 +7,10 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {OnyxError} from '../types/errors.js';
-import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import type {ObjectStore} from '../types/platform.js';
-import type {ClaimOutcome, ClaimsMessage} from '../types/services.js';
+import type {OnyxError} from '../../types/errors.js';
+import type {ServiceContext, ServiceSpec} from '../../types/kernel.js';
+import type {ObjectStore} from '../../types/platform.js';
+import type {ClaimOutcome, ClaimsMessage} from '../../types/services.js';
 import {claimHash} from './claim_record.js';
 import {claimRefused} from './claim_refused.js';
 import {
@@ -20,7 +20,7 @@
 } from './claim_shard.js';
 import type {ShardTable, WaitingClaim} from './claim_shard.js';
 import {CLAIMS_METRIC} from './claims.js';
-import {createRecentMap} from './recent_map.js';
+import {createRecentMap} from '../../utils/recent_map.js';
 
 const PREFIX = 'claims-batched';
 const NONCE_BYTES = 12;
--- a/src/entry/answers.ts
+++ b/src/entry/front/answers.ts
@@ -3,11 +3,11 @@
  * object, or as the plain service's own response.
  */
 import type {ServerResponse} from 'node:http';
-import {OnyxError} from '../types/errors.js';
-import type {ModelId, RequestId} from '../types/ids.js';
-import type {CallResHead} from '../types/peer_messages.js';
-import type {RequestEvent} from '../types/services.js';
-import {withoutHopHeaders} from '../utils/hop_headers.js';
+import {OnyxError} from '../../types/errors.js';
+import type {ModelId, RequestId} from '../../types/ids.js';
+import type {CallResHead} from '../../types/peer_messages.js';
+import type {RequestEvent} from '../../types/services.js';
+import {withoutHopHeaders} from '../../utils/hop_headers.js';
 import {createAnswerText} from './answer_text.js';
 import {errorBody, sendError, sendJson} from './http_errors.js';
 
--- a/src/entry/authenticator.ts
+++ b/src/entry/front/authenticator.ts
@@ -2,11 +2,14 @@
  * Tells an organisation by its key. The salted verification is slow by intent,
  * so its outcome is kept per process under a fingerprint of the key.
  */
-import type {Declarations, Organisation} from '../types/config.js';
-import {OnyxError} from '../types/errors.js';
-import type {OrganisationId} from '../types/ids.js';
-import type {YieldLoop} from '../utils/event_loop.js';
-import {fingerprintsEqual, keyFingerprint} from '../utils/key_fingerprint.js';
+import type {Declarations, Organisation} from '../../types/config.js';
+import {OnyxError} from '../../types/errors.js';
+import type {OrganisationId} from '../../types/ids.js';
+import type {YieldLoop} from '../../utils/event_loop.js';
+import {
+  fingerprintsEqual,
+  keyFingerprint,
+} from '../../utils/key_fingerprint.js';
 
 /** Verifies a key against one salted hash. */
 export type VerifyKey = (
--- a/src/entry/callers_front.ts
+++ b/src/entry/front/callers_front.ts
@@ -1,17 +1,17 @@
 /** What the routes of the callers' front share. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {OnyxError} from '../types/errors.js';
-import type {OrganisationId, RequestId} from '../types/ids.js';
-import type {ServiceContext} from '../types/kernel.js';
-import type {LogFields} from '../types/runtime.js';
-import type {RequestListener} from '../types/services.js';
-import {FRONT_EVENTS} from '../utils/events.js';
-import {createLink} from './answer_link.js';
-import type {LinkTiming, Outcome} from './answer_link.js';
+import {OnyxError} from '../../types/errors.js';
+import type {OrganisationId, RequestId} from '../../types/ids.js';
+import type {ServiceContext} from '../../types/kernel.js';
+import type {LogFields} from '../../types/runtime.js';
+import type {RequestListener} from '../../types/services.js';
+import {FRONT_EVENTS} from '../../utils/events.js';
+import {createLink} from '../run/answer_link.js';
+import type {LinkTiming, Outcome} from '../run/answer_link.js';
 import type {Answer} from './answers.js';
 import type {Authenticator} from './authenticator.js';
 import type {CallersState, Place} from './callers_state.js';
-import type {FirstTokenMetrics} from './first_token_metrics.js';
+import type {FirstTokenMetrics} from '../run/first_token_metrics.js';
 import type {BodyReader} from './http_body.js';
 import {lingerAfter, sendError, statusOf} from './http_errors.js';
 
--- a/src/entry/callers_requests.ts
+++ b/src/entry/front/callers_requests.ts
@@ -3,9 +3,9 @@
  * state, its answer again, its end. Only its own organisation gets to it.
  */
 import type {IncomingMessage} from 'node:http';
-import type {Organisation} from '../types/config.js';
-import type {RequestId} from '../types/ids.js';
-import type {RequestState} from '../types/services.js';
+import type {Organisation} from '../../types/config.js';
+import type {RequestId} from '../../types/ids.js';
+import type {RequestState} from '../../types/services.js';
 import {
   createCallAnswer,
   createStreamAnswer,
@@ -14,7 +14,7 @@
 import type {Answer, ResumePoint} from './answers.js';
 import {inTime, join} from './callers_front.js';
 import type {Exchange, Front} from './callers_front.js';
-import {badRequest, noSuchRequest} from './faults.js';
+import {badRequest, noSuchRequest} from '../faults.js';
 import {sendJson} from './http_errors.js';
 
 const MS_PER_SEC = 1000;
--- a/src/entry/callers_state.ts
+++ b/src/entry/front/callers_state.ts
@@ -2,11 +2,11 @@
  * What the callers' front knows and holds: the newest declarations, who is
  * there to serve, and the requests that are open here.
  */
-import type {NumberedDeclarations} from '../types/config.js';
-import {OnyxError} from '../types/errors.js';
-import type {RequestId} from '../types/ids.js';
-import type {MembershipView} from '../types/services.js';
-import type {Link} from './answer_link.js';
+import type {NumberedDeclarations} from '../../types/config.js';
+import {OnyxError} from '../../types/errors.js';
+import type {RequestId} from '../../types/ids.js';
+import type {MembershipView} from '../../types/services.js';
+import type {Link} from '../run/answer_link.js';
 
 /** When a caller that met a full or starting entry should come back. */
 const RETRY_MS = 1_000;
--- a/src/entry/callers_submit.ts
+++ b/src/entry/front/callers_submit.ts
@@ -1,11 +1,15 @@
 /** Routes that start a request: completions, and calls to plain services. */
 import type {IncomingMessage} from 'node:http';
-import type {CallHead, Header} from '../types/peer_messages.js';
-import type {RequestSpec} from '../types/services.js';
-import {FRONT_EVENTS} from '../utils/events.js';
-import {withoutHopHeaders} from '../utils/hop_headers.js';
-import {admitCall, admitCompletion, findService} from './admission.js';
-import type {Arrival} from './admission.js';
+import type {CallHead, Header} from '../../types/peer_messages.js';
+import type {RequestSpec} from '../../types/services.js';
+import {FRONT_EVENTS} from '../../utils/events.js';
+import {withoutHopHeaders} from '../../utils/hop_headers.js';
+import {
+  admitCall,
+  admitCompletion,
+  findService,
+} from '../admission/admission.js';
+import type {Arrival} from '../admission/admission.js';
 import {
   createCallAnswer,
   createStreamAnswer,
@@ -16,7 +20,7 @@
 import type {Exchange, Front} from './callers_front.js';
 import type {Place} from './callers_state.js';
 import {NO_BODY_OPTIONS, checkFields} from './completion_fields.js';
-import {badRequest} from './faults.js';
+import {badRequest} from '../faults.js';
 import {declaredLength} from './http_body.js';
 import {readRequestOptions} from './request_options.js';
 
--- a/src/entry/completion_fields.ts
+++ b/src/entry/front/completion_fields.ts
@@ -4,8 +4,8 @@
  * a caller's slip is told at once.
  */
 import {z} from 'zod';
-import type {Body} from '../types/services.js';
-import {badRequest} from './faults.js';
+import type {Body} from '../../types/services.js';
+import {badRequest} from '../faults.js';
 import type {ParsedCompletion} from './completion_parser.js';
 
 /** Answer length of a request that names none, as is customary. */
--- a/src/entry/http_body.ts
+++ b/src/entry/front/http_body.ts
@@ -4,16 +4,16 @@
  * one turn at a time, so that short requests are served in between.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Body} from '../types/services.js';
-import type {Clock} from '../types/runtime.js';
-import type {YieldLoop} from '../utils/event_loop.js';
+import type {Body} from '../../types/services.js';
+import type {Clock} from '../../types/runtime.js';
+import type {YieldLoop} from '../../utils/event_loop.js';
 import {
   PARSE_STEP_BYTES,
   createCompletionParser,
   parseSmallCompletion,
 } from './completion_parser.js';
 import type {ParsedCompletion} from './completion_parser.js';
-import {badRequest} from './faults.js';
+import {badRequest} from '../faults.js';
 import {createPieceBuffer} from './piece_buffer.js';
 
 /** Bodies up to this size are parsed in one step, in less than 1 ms. */
--- a/src/entry/http_callers.ts
+++ b/src/entry/front/http_callers.ts
@@ -4,10 +4,10 @@
  * answers. Bad input ends here and reaches no upstream.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Address} from '../types/ids.js';
-import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import {FRONT_EVENTS} from '../utils/events.js';
-import type {YieldLoop} from '../utils/event_loop.js';
+import type {Address} from '../../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../../types/kernel.js';
+import {FRONT_EVENTS} from '../../utils/events.js';
+import type {YieldLoop} from '../../utils/event_loop.js';
 import {createAuthenticator} from './authenticator.js';
 import type {VerifyKey} from './authenticator.js';
 import {refuse} from './callers_front.js';
@@ -15,10 +15,10 @@
 import {cancelRequest, showRequest} from './callers_requests.js';
 import {createCallersState} from './callers_state.js';
 import {submitCall, submitCompletion} from './callers_submit.js';
-import {asOnyxError, badRequest} from './faults.js';
-import {followConfig} from '../config/follow_config.js';
-import {followMembership} from '../membership/follow_membership.js';
-import {createFirstTokenMetrics} from './first_token_metrics.js';
+import {asOnyxError, badRequest} from '../faults.js';
+import {followConfig} from '../../config/follow_config.js';
+import {followMembership} from '../../membership/follow_membership.js';
+import {createFirstTokenMetrics} from '../run/first_token_metrics.js';
 import {createBodyReader} from './http_body.js';
 import {sendJson} from './http_errors.js';
 import {openHttpServer} from './http_server.js';
@@ -86,7 +86,7 @@
   readonly open: number;
 }
 
-declare module '../types/kernel.js' {
+declare module '../../types/kernel.js' {
   interface ServiceMessages {
     callers: CallersMessage;
   }
--- a/src/entry/http_errors.ts
+++ b/src/entry/front/http_errors.ts
@@ -1,8 +1,8 @@
 /** The one JSON form of errors towards callers and operators. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ErrorCode, OnyxError} from '../types/errors.js';
-import type {RequestId} from '../types/ids.js';
-import type {Clock} from '../types/runtime.js';
+import type {ErrorCode, OnyxError} from '../../types/errors.js';
+import type {RequestId} from '../../types/ids.js';
+import type {Clock} from '../../types/runtime.js';
 
 const MS_PER_SEC = 1000;
 /** How long the rest of a refused body is read and thrown away. */
--- a/src/entry/http_operators.ts
+++ b/src/entry/front/http_operators.ts
@@ -5,14 +5,14 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
-import {OnyxError} from '../types/errors.js';
-import type {Address} from '../types/ids.js';
-import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import type {ConfigPatch} from '../types/services.js';
-import {FRONT_EVENTS} from '../utils/events.js';
-import type {YieldLoop} from '../utils/event_loop.js';
+import {OnyxError} from '../../types/errors.js';
+import type {Address} from '../../types/ids.js';
+import type {ServiceContext, ServiceSpec} from '../../types/kernel.js';
+import type {ConfigPatch} from '../../types/services.js';
+import {FRONT_EVENTS} from '../../utils/events.js';
+import type {YieldLoop} from '../../utils/event_loop.js';
 import type {VerifyKey} from './authenticator.js';
-import {asOnyxError, badRequest} from './faults.js';
+import {asOnyxError, badRequest} from '../faults.js';
 import {createBodyReader} from './http_body.js';
 import type {BodyReader} from './http_body.js';
 import {
@@ -24,7 +24,7 @@
 } from './http_errors.js';
 import {openHttpServer} from './http_server.js';
 import {createOperatorAuth} from './operator_auth.js';
-import type {OperatorHandlers} from './operator_handlers.js';
+import type {OperatorHandlers} from '../../types/operators.js';
 
 export interface OperatorsOptions {
   /** Port 0 takes any free one; ask `address` for it. */
@@ -45,7 +45,7 @@
   readonly reply: (address: Address) => void;
 };
 
-declare module '../types/kernel.js' {
+declare module '../../types/kernel.js' {
   interface ServiceMessages {
     operators: OperatorsMessage;
   }
--- a/src/entry/http_server.ts
+++ b/src/entry/front/http_server.ts
@@ -6,7 +6,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import type {Address} from '../types/ids.js';
+import type {Address} from '../../types/ids.js';
 
 /** Must not throw; it answers each request by itself. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
--- a/src/entry/operator_auth.ts
+++ b/src/entry/front/operator_auth.ts
@@ -1,6 +1,9 @@
 /** Lets in whoever bears the operators' token. */
-import {OnyxError} from '../types/errors.js';
-import {fingerprintsEqual, keyFingerprint} from '../utils/key_fingerprint.js';
+import {OnyxError} from '../../types/errors.js';
+import {
+  fingerprintsEqual,
+  keyFingerprint,
+} from '../../utils/key_fingerprint.js';
 import {bearerToken} from './authenticator.js';
 import type {VerifyKey} from './authenticator.js';
 
--- a/src/entry/operator_handlers.ts
+++ b/src/entry/front/operator_handlers.ts
@@ -4,53 +4,22 @@
  */
 import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {NumberedDeclarations} from '../types/config.js';
-import {OnyxError} from '../types/errors.js';
-import type {
-  ConfigNumber,
-  Incarnation,
-  NodeId,
-  RequestId,
-} from '../types/ids.js';
-import type {ServiceContext} from '../types/kernel.js';
+import type {NumberedDeclarations} from '../../types/config.js';
+import {OnyxError} from '../../types/errors.js';
+import type {ConfigNumber, Incarnation, NodeId} from '../../types/ids.js';
+import type {ServiceContext} from '../../types/kernel.js';
+import type {ConfigHandlers, OperatorHandlers} from '../../types/operators.js';
 import type {
   ConfigAccepted,
   ConfigHistoryLine,
-  ConfigPatch,
   ConfigRejection,
   MembershipView,
   PlacementStatus,
-  RoutingDecision,
-} from '../types/services.js';
-import {followConfig} from '../config/follow_config.js';
-import {followMembership} from '../membership/follow_membership.js';
+} from '../../types/services.js';
+import {followConfig} from '../../config/follow_config.js';
+import {followMembership} from '../../membership/follow_membership.js';
 import type {CallersStatus} from './http_callers.js';
 
-/** A handler left out answers `not-found`. */
-export interface OperatorHandlers {
-  readonly ready: () => Promise<boolean>;
-  /** Shown as JSON. */
-  readonly status: () => Promise<object>;
-  readonly hosts?: () => Promise<object>;
-  readonly explain?: (id: RequestId) => Promise<readonly RoutingDecision[]>;
-  /** Starts the drain of the process and returns at once. */
-  readonly drain?: () => void;
-  readonly config?: ConfigHandlers;
-}
-
-export interface ConfigHandlers {
-  /** 0 for the newest. */
-  readonly show: (
-    number: ConfigNumber,
-  ) => Promise<Either<OnyxError, NumberedDeclarations>>;
-  readonly history: (
-    limit: number,
-  ) => Promise<Either<OnyxError, readonly ConfigHistoryLine[]>>;
-  readonly apply: (
-    patch: ConfigPatch,
-  ) => Promise<Either<ConfigRejection, ConfigAccepted>>;
-}
-
 export interface EntryHandlersOptions {
   readonly node: NodeId;
   readonly incarnation: Incarnation;
--- a/src/entry/piece_buffer.ts
+++ b/src/entry/front/piece_buffer.ts
@@ -2,7 +2,7 @@
  * Gathers text or bytes into pieces of bounded size, so that a prompt of
  * several megabytes is never held, copied or sent as one block.
  */
-import type {Body} from '../types/services.js';
+import type {Body} from '../../types/services.js';
 
 /** Largest piece of a body, in bytes. */
 export const PIECE_BYTES = 64 * 1024;
--- a/src/entry/request_options.ts
+++ b/src/entry/front/request_options.ts
@@ -1,6 +1,6 @@
 /** What a caller asks for in headers, for completions and calls alike. */
 import type {IncomingHttpHeaders} from 'node:http';
-import {badRequest} from './faults.js';
+import {badRequest} from '../faults.js';
 import type {BodyOptions} from './completion_fields.js';
 
 const MAX_TIME_LIMIT_MS = 24 * 60 * 60 * 1000;
--- a/src/entry/group.ts
+++ b/src/entry/groups/group.ts
@@ -2,8 +2,8 @@
  * Which engines together hold a prompt that is over one engine's memory: the
  * fewest, and of those the roomiest.
  */
-import type {RequestSpec} from '../types/services.js';
-import type {RankedTarget} from '../policy/routing.js';
+import type {RequestSpec} from '../../types/services.js';
+import type {RankedTarget} from '../../policy/routing.js';
 
 /**
  * Share of its members' memory that a group takes where it can. A group that
--- a/src/entry/group_reserve.ts
+++ b/src/entry/groups/group_reserve.ts
@@ -4,16 +4,16 @@
  * that want the same engines meet at the first of them, so neither waits for
  * the other while holding what the other needs.
  */
-import type {ErrorDetails} from '../types/errors.js';
-import type {RequestSpec} from '../types/services.js';
+import type {ErrorDetails} from '../../types/errors.js';
+import type {RequestSpec} from '../../types/services.js';
 import {memoryOf, planGroup} from './group.js';
 import type {GroupPart, GroupPlan} from './group.js';
-import {sendOffer, withdrawOffer} from './offer_call.js';
-import type {AcceptedOffer, OfferDeps} from './offer_call.js';
-import {isOver} from './open_request.js';
-import type {OpenRequest} from './open_request.js';
-import {RETRY_AFTER_MS, refusedBy} from './refusals.js';
-import type {Refusal} from './refusals.js';
+import {sendOffer, withdrawOffer} from '../routing/offer_call.js';
+import type {AcceptedOffer, OfferDeps} from '../routing/offer_call.js';
+import {isOver} from '../open_request.js';
+import type {OpenRequest} from '../open_request.js';
+import {RETRY_AFTER_MS, refusedBy} from '../routing/refusals.js';
+import type {Refusal} from '../routing/refusals.js';
 
 export interface ReservedPart {
   readonly part: GroupPart;
--- a/src/entry/group_run.ts
+++ b/src/entry/groups/group_run.ts
@@ -3,14 +3,14 @@
  * the prompt and gives the answer. Any member lost ends the run on all, at
  * once, since the lead cannot end without the memory that went.
  */
-import type {RequestSpec} from '../types/services.js';
-import {createAnswerLog} from './answer_log.js';
-import {startAttempt} from './attempt.js';
-import type {Attempt, AttemptOutcome} from './attempt.js';
+import type {RequestSpec} from '../../types/services.js';
+import {createAnswerLog} from '../run/answer_log.js';
+import {startAttempt} from '../run/attempt.js';
+import type {Attempt, AttemptOutcome} from '../run/attempt.js';
 import type {ReservedPart} from './group_reserve.js';
-import {withdrawOffer} from './offer_call.js';
-import type {OfferDeps} from './offer_call.js';
-import type {OpenRequest} from './open_request.js';
+import {withdrawOffer} from '../routing/offer_call.js';
+import type {OfferDeps} from '../routing/offer_call.js';
+import type {OpenRequest} from '../open_request.js';
 
 /** Resolves with the lead's outcome; all members are cancelled by then. */
 export async function runGroup(
--- a/src/entry/open_request.ts
+++ b/src/entry/open_request.ts
@@ -11,8 +11,8 @@
   RequestId,
 } from '../types/ids.js';
 import type {WorkKind} from '../types/peer_messages.js';
-import type {AnswerLog, FinalEvent} from './answer_log.js';
-import type {AttemptOutcome} from './attempt.js';
+import type {AnswerLog, FinalEvent} from './run/answer_log.js';
+import type {AttemptOutcome} from './run/attempt.js';
 
 export interface RequestIdentity {
   readonly id: RequestId;
--- a/src/entry/requests.ts
+++ b/src/entry/requests.ts
@@ -21,12 +21,12 @@
 import type {RoutingPolicy} from '../policy/routing.js';
 import {REQUEST_EVENTS} from '../utils/events.js';
 import {modelName} from '../utils/model_name.js';
-import {acquirePlace, claimKey} from './admit.js';
-import {createAnswerLog} from './answer_log.js';
-import type {FinalEvent} from './answer_log.js';
-import {cancelElsewhere} from './cancel_elsewhere.js';
-import {driveRequest} from './drive_request.js';
-import type {DriveDeps} from './drive_request.js';
+import {acquirePlace, claimKey} from './admission/admit.js';
+import {createAnswerLog} from './run/answer_log.js';
+import type {FinalEvent} from './run/answer_log.js';
+import {cancelElsewhere} from './resume/cancel_elsewhere.js';
+import {driveRequest} from './run/drive_request.js';
+import type {DriveDeps} from './run/drive_request.js';
 import {
   createOpenRequest,
   failedEvent,
@@ -36,9 +36,9 @@
 } from './open_request.js';
 import type {OpenRequest} from './open_request.js';
 import {createRequestTable} from './request_table.js';
-import {createResumer} from './resume.js';
+import {createResumer} from './resume/resume.js';
 import {createRetryBudget} from '../limits/retry_budget.js';
-import {createRouter} from './router.js';
+import {createRouter} from './routing/router.js';
 import {DEFAULT_REQUEST_TIMING} from './timing.js';
 import type {RequestTiming} from './timing.js';
 
--- a/src/entry/adopt.ts
+++ b/src/entry/resume/adopt.ts
@@ -2,15 +2,15 @@
  * Takes up a run that another entry started and that its caller resumes here.
  * Attaching makes this entry the owner; its heartbeats keep the run alive.
  */
-import type {Address, Incarnation} from '../types/ids.js';
-import {REQUEST_EVENTS} from '../utils/events.js';
-import {startAttempt} from './attempt.js';
-import type {AttemptOutcome} from './attempt.js';
-import type {DriveDeps} from './drive_request.js';
+import type {Address, Incarnation} from '../../types/ids.js';
+import {REQUEST_EVENTS} from '../../utils/events.js';
+import {startAttempt} from '../run/attempt.js';
+import type {AttemptOutcome} from '../run/attempt.js';
+import type {DriveDeps} from '../run/drive_request.js';
 import type {Located} from './locate.js';
-import {failedEvent, isOver, isTakenOver} from './open_request.js';
-import type {OpenRequest} from './open_request.js';
-import {judgeOutcome} from './verdict.js';
+import {failedEvent, isOver, isTakenOver} from '../open_request.js';
+import type {OpenRequest} from '../open_request.js';
+import {judgeOutcome} from '../run/verdict.js';
 
 export interface Adoption {
   readonly open: OpenRequest;
--- a/src/entry/cancel_elsewhere.ts
+++ b/src/entry/resume/cancel_elsewhere.ts
@@ -3,10 +3,10 @@
  * side is asked for a trace of it, since a group has one at several, and an
  * entry that goes away may leave an older one.
  */
-import type {Address, OrganisationId, RequestId} from '../types/ids.js';
-import type {LocateRes} from '../types/peer_messages.js';
-import {abandonDispatch} from './abandon.js';
-import type {AbandonDeps} from './abandon.js';
+import type {Address, OrganisationId, RequestId} from '../../types/ids.js';
+import type {LocateRes} from '../../types/peer_messages.js';
+import {abandonDispatch} from '../run/abandon.js';
+import type {AbandonDeps} from '../run/abandon.js';
 
 /** Sides asked at once. */
 const PARALLEL = 16;
--- a/src/entry/locate.ts
+++ b/src/entry/resume/locate.ts
@@ -2,11 +2,11 @@
  * Finds the side that holds a run, for a caller that resumes at an entry which
  * does not own it: the side it names first, then all sides, few at a time.
  */
-import type {Address, OrganisationId, RequestId} from '../types/ids.js';
-import type {LocateRes} from '../types/peer_messages.js';
-import type {Clock} from '../types/runtime.js';
-import type {Transport} from '../types/transport.js';
-import type {RequestTiming} from './timing.js';
+import type {Address, OrganisationId, RequestId} from '../../types/ids.js';
+import type {LocateRes} from '../../types/peer_messages.js';
+import type {Clock} from '../../types/runtime.js';
+import type {Transport} from '../../types/transport.js';
+import type {RequestTiming} from '../timing.js';
 
 /** Sides asked at once. */
 const LOCATE_PARALLEL = 16;
--- a/src/entry/resume.ts
+++ b/src/entry/resume/resume.ts
@@ -2,23 +2,23 @@
  * Resuming a request and telling its state, at whichever entry the caller asks:
  * from what is kept here, else from the side that holds the run.
  */
-import {OnyxError} from '../types/errors.js';
-import type {OrganisationId, RequestId} from '../types/ids.js';
+import {OnyxError} from '../../types/errors.js';
+import type {OrganisationId, RequestId} from '../../types/ids.js';
 import type {
   MembershipView,
   RequestListener,
   RequestState,
   RequestsMessage,
-} from '../types/services.js';
+} from '../../types/services.js';
 import {adoptRun} from './adopt.js';
-import {createAnswerLog} from './answer_log.js';
-import type {DriveDeps} from './drive_request.js';
+import {createAnswerLog} from '../run/answer_log.js';
+import type {DriveDeps} from '../run/drive_request.js';
 import {locateRun} from './locate.js';
 import type {Located} from './locate.js';
-import {createOpenRequest, failedEvent, isOver} from './open_request.js';
-import type {OpenRequest} from './open_request.js';
-import {stateOf} from './request_table.js';
-import type {RequestTable} from './request_table.js';
+import {createOpenRequest, failedEvent, isOver} from '../open_request.js';
+import type {OpenRequest} from '../open_request.js';
+import {stateOf} from '../request_table.js';
+import type {RequestTable} from '../request_table.js';
 
 type ResumeMessage = Extract<RequestsMessage, {readonly kind: 'resume'}>;
 
--- a/src/entry/assignments.ts
+++ b/src/entry/routing/assignments.ts
@@ -3,8 +3,8 @@
  * Without it every request between two reports would choose the side that
  * looked best at the last one, and all would herd there.
  */
-import type {Address, DispatchId} from '../types/ids.js';
-import type {Replica} from '../types/services.js';
+import type {Address, DispatchId} from '../../types/ids.js';
+import type {Replica} from '../../types/services.js';
 
 /**
  * How long an assignment whose attempt is over still counts without a report.
--- a/src/entry/offer_call.ts
+++ b/src/entry/routing/offer_call.ts
@@ -2,19 +2,19 @@
  * One offer to one side, and what its answer says of the side. No go is sent
  * in here: whatever the side answers, or fails to, the offer has not run.
  */
-import type {OnyxError} from '../types/errors.js';
-import type {DispatchId, Incarnation, NodeId} from '../types/ids.js';
-import type {GroupRole, OfferReq, OfferRes} from '../types/peer_messages.js';
-import type {Runtime} from '../types/runtime.js';
-import type {MembershipMessage, RequestSpec} from '../types/services.js';
-import type {Transport} from '../types/transport.js';
-import type {RankedTarget} from '../policy/routing.js';
-import {REQUEST_EVENTS, ROUTING_EVENTS} from '../utils/events.js';
-import {abandonDispatch} from './abandon.js';
-import type {OpenRequest} from './open_request.js';
+import type {OnyxError} from '../../types/errors.js';
+import type {DispatchId, Incarnation, NodeId} from '../../types/ids.js';
+import type {GroupRole, OfferReq, OfferRes} from '../../types/peer_messages.js';
+import type {Runtime} from '../../types/runtime.js';
+import type {MembershipMessage, RequestSpec} from '../../types/services.js';
+import type {Transport} from '../../types/transport.js';
+import type {RankedTarget} from '../../policy/routing.js';
+import {REQUEST_EVENTS, ROUTING_EVENTS} from '../../utils/events.js';
+import {abandonDispatch} from '../run/abandon.js';
+import type {OpenRequest} from '../open_request.js';
 import type {NotAccepted, Refusal} from './refusals.js';
 import type {Router} from './router.js';
-import type {RequestTiming} from './timing.js';
+import type {RequestTiming} from '../timing.js';
 
 export interface OfferDeps extends Runtime {
   readonly transport: Transport;
--- a/src/entry/offers.ts
+++ b/src/entry/routing/offers.ts
@@ -2,13 +2,13 @@
  * A round of offers: best candidate first, on refusal the next, until one
  * accepts or the policy's number of offers is used up.
  */
-import type {ErrorDetails} from '../types/errors.js';
-import type {RequestSpec} from '../types/services.js';
-import type {RankedTarget} from '../policy/routing.js';
+import type {ErrorDetails} from '../../types/errors.js';
+import type {RequestSpec} from '../../types/services.js';
+import type {RankedTarget} from '../../policy/routing.js';
 import {sendOffer, withdrawOffer} from './offer_call.js';
 import type {AcceptedOffer, OfferAnswer, OfferDeps} from './offer_call.js';
-import {isOver} from './open_request.js';
-import type {OpenRequest} from './open_request.js';
+import {isOver} from '../open_request.js';
+import type {OpenRequest} from '../open_request.js';
 import {refusedBy} from './refusals.js';
 import type {Refusal} from './refusals.js';
 
--- a/src/entry/refusals.ts
+++ b/src/entry/routing/refusals.ts
@@ -2,9 +2,9 @@
  * Turns the answers of a round of offers into the one failure that its caller
  * gets: the most telling reason, and the earliest time that any side named.
  */
-import type {ErrorCode, ErrorDetails} from '../types/errors.js';
-import type {Address} from '../types/ids.js';
-import type {RefusalReason} from '../types/peer_messages.js';
+import type {ErrorCode, ErrorDetails} from '../../types/errors.js';
+import type {Address} from '../../types/ids.js';
+import type {RefusalReason} from '../../types/peer_messages.js';
 
 /** `unanswered`: no answer came; the go was never sent. */
 export type NotAccepted = RefusalReason | 'unanswered';
--- a/src/entry/router.ts
+++ b/src/entry/routing/router.ts
@@ -8,18 +8,18 @@
   FailureDomain,
   Incarnation,
   RequestId,
-} from '../types/ids.js';
-import type {LogFields, Runtime} from '../types/runtime.js';
+} from '../../types/ids.js';
+import type {LogFields, Runtime} from '../../types/runtime.js';
 import type {
   MembershipView,
   Replica,
   RequestSpec,
   RoutingCandidate,
   RoutingDecision,
-} from '../types/services.js';
-import type {RankedTarget, RoutingPolicy} from '../policy/routing.js';
-import {ROUTING_EVENTS} from '../utils/events.js';
-import type {GroupPart} from './group.js';
+} from '../../types/services.js';
+import type {RankedTarget, RoutingPolicy} from '../../policy/routing.js';
+import {ROUTING_EVENTS} from '../../utils/events.js';
+import type {GroupPart} from '../groups/group.js';
 import {createAssignments} from './assignments.js';
 import {createPrefixMemory} from './prefix_memory.js';
 
--- a/src/entry/abandon.ts
+++ b/src/entry/run/abandon.ts
@@ -3,18 +3,18 @@
  * answers `never-started`, so that answer is evidence that no late copy of the
  * offer or the go will run; every other outcome is not.
  */
-import type {Ran} from '../types/errors.js';
+import type {Ran} from '../../types/errors.js';
 import type {
   Address,
   DispatchId,
   Incarnation,
   NodeId,
   OrganisationId,
-} from '../types/ids.js';
-import type {Log} from '../types/runtime.js';
-import type {Transport} from '../types/transport.js';
-import {REQUEST_EVENTS} from '../utils/events.js';
-import type {RequestTiming} from './timing.js';
+} from '../../types/ids.js';
+import type {Log} from '../../types/runtime.js';
+import type {Transport} from '../../types/transport.js';
+import {REQUEST_EVENTS} from '../../utils/events.js';
+import type {RequestTiming} from '../timing.js';
 
 export interface AbandonTarget {
   readonly side: Address;
--- a/src/entry/answer_check.ts
+++ b/src/entry/run/answer_check.ts
@@ -2,9 +2,9 @@
  * Checks the frames of one dispatch before they may become part of an answer:
  * right dispatch, right order, whole, unchanged.
  */
-import type {DispatchId} from '../types/ids.js';
-import type {Chunk, RunEnd} from '../types/peer_messages.js';
-import {createDigest} from '../utils/digest.js';
+import type {DispatchId} from '../../types/ids.js';
+import type {Chunk, RunEnd} from '../../types/peer_messages.js';
+import {createDigest} from '../../utils/digest.js';
 
 /** `gap`: chunks before it are missing and have to be fetched again. */
 export type ChunkVerdict = 'next' | 'duplicate' | 'gap' | 'foreign';
--- a/src/entry/answer_link.ts
+++ b/src/entry/run/answer_link.ts
@@ -3,13 +3,13 @@
  * caller gets one final answer at most and the run is not left behind.
  */
 import type {ServerResponse} from 'node:http';
-import {OnyxError} from '../types/errors.js';
-import type {RequestId} from '../types/ids.js';
-import type {Cancel, Runtime} from '../types/runtime.js';
-import type {RequestEvent, RequestListener} from '../types/services.js';
-import {FRONT_EVENTS} from '../utils/events.js';
-import type {Answer} from './answers.js';
-import {asOnyxError} from './faults.js';
+import {OnyxError} from '../../types/errors.js';
+import type {RequestId} from '../../types/ids.js';
+import type {Cancel, Runtime} from '../../types/runtime.js';
+import type {RequestEvent, RequestListener} from '../../types/services.js';
+import {FRONT_EVENTS} from '../../utils/events.js';
+import type {Answer} from '../front/answers.js';
+import {asOnyxError} from '../faults.js';
 
 /** How a request ended for its caller. */
 export type Outcome =
--- a/src/entry/answer_log.ts
+++ b/src/entry/run/answer_log.ts
@@ -3,10 +3,10 @@
  * then one final event. Every listener goes through here, so the order and the
  * single final event hold for the first caller and for one that resumes.
  */
-import {OnyxError} from '../types/errors.js';
-import type {RequestId} from '../types/ids.js';
-import type {Invariant} from '../types/runtime.js';
-import type {RequestEvent, RequestListener} from '../types/services.js';
+import {OnyxError} from '../../types/errors.js';
+import type {RequestId} from '../../types/ids.js';
+import type {Invariant} from '../../types/runtime.js';
+import type {RequestEvent, RequestListener} from '../../types/services.js';
 
 export type ChunkEvent = Extract<RequestEvent, {readonly kind: 'chunk'}>;
 export type FinalEvent = Extract<
--- a/src/entry/attempt.ts
+++ b/src/entry/run/attempt.ts
@@ -3,32 +3,32 @@
  * lets only checked chunks through, resumes on new connections, and at the
  * end says what is known of whether the work ran.
  */
-import type {Ran} from '../types/errors.js';
+import type {Ran} from '../../types/errors.js';
 import type {
   Address,
   DispatchId,
   Incarnation,
   NodeId,
   OrganisationId,
-} from '../types/ids.js';
+} from '../../types/ids.js';
 import type {
   CallHead,
   Chunk,
   RunDown,
   RunEnd,
   RunFailed,
-} from '../types/peer_messages.js';
-import type {Cancel, Runtime} from '../types/runtime.js';
-import type {Body} from '../types/services.js';
-import type {Transport} from '../types/transport.js';
-import {REQUEST_EVENTS} from '../utils/events.js';
+} from '../../types/peer_messages.js';
+import type {Cancel, Runtime} from '../../types/runtime.js';
+import type {Body} from '../../types/services.js';
+import type {Transport} from '../../types/transport.js';
+import {REQUEST_EVENTS} from '../../utils/events.js';
 import {abandonDispatch} from './abandon.js';
 import {createAnswerCheck} from './answer_check.js';
 import type {AnswerLog} from './answer_log.js';
 import {sendPrompt} from './prompt_sender.js';
 import {openRunLink} from './run_link.js';
 import type {LinkLoss, RunLink} from './run_link.js';
-import type {RequestTiming} from './timing.js';
+import type {RequestTiming} from '../timing.js';
 
 /** Chunks between acknowledgements. */
 const ACK_EVERY = 32;
--- a/src/entry/drive_request.ts
+++ b/src/entry/run/drive_request.ts
@@ -2,23 +2,28 @@
  * Drives one admitted request: offers, the attempt on the side that accepted,
  * and other attempts where the rules, the budget and the time allow them.
  */
-import type {ErrorDetails} from '../types/errors.js';
-import type {Incarnation} from '../types/ids.js';
-import type {RequestSpec} from '../types/services.js';
-import {REQUEST_EVENTS, ROUTING_EVENTS} from '../utils/events.js';
+import type {ErrorDetails} from '../../types/errors.js';
+import type {Incarnation} from '../../types/ids.js';
+import type {RequestSpec} from '../../types/services.js';
+import {REQUEST_EVENTS, ROUTING_EVENTS} from '../../utils/events.js';
 import type {FinalEvent} from './answer_log.js';
 import {startAttempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
-import {planGroup} from './group.js';
-import {reserveGroup} from './group_reserve.js';
-import type {ReservedPart} from './group_reserve.js';
-import {runGroup} from './group_run.js';
-import type {AcceptedOffer, OfferDeps} from './offer_call.js';
-import {offerRound} from './offers.js';
-import {failedEvent, isOver, isTakenOver, strongerRan} from './open_request.js';
-import type {OpenRequest} from './open_request.js';
-import {RETRY_AFTER_MS} from './refusals.js';
-import type {RetryBudget} from '../limits/retry_budget.js';
+import {planGroup} from '../groups/group.js';
+import {reserveGroup} from '../groups/group_reserve.js';
+import type {ReservedPart} from '../groups/group_reserve.js';
+import {runGroup} from '../groups/group_run.js';
+import type {AcceptedOffer, OfferDeps} from '../routing/offer_call.js';
+import {offerRound} from '../routing/offers.js';
+import {
+  failedEvent,
+  isOver,
+  isTakenOver,
+  strongerRan,
+} from '../open_request.js';
+import type {OpenRequest} from '../open_request.js';
+import {RETRY_AFTER_MS} from '../routing/refusals.js';
+import type {RetryBudget} from '../../limits/retry_budget.js';
 import {judgeOutcome} from './verdict.js';
 import type {Verdict} from './verdict.js';
 
--- a/src/entry/first_token_metrics.ts
+++ b/src/entry/run/first_token_metrics.ts
@@ -7,7 +7,7 @@
  * bursty load some request met an idle engine. The estimate is low rather than
  * high, so the slowdown shown is high rather than low.
  */
-import type {Clock, Metrics} from '../types/runtime.js';
+import type {Clock, Metrics} from '../../types/runtime.js';
 
 const WINDOW_MS = 10 * 60_000;
 const SLOT_MS = 60_000;
--- a/src/entry/prompt_sender.ts
+++ b/src/entry/run/prompt_sender.ts
@@ -3,8 +3,8 @@
  * that a prompt of megabytes neither blocks short requests in this process nor
  * fills its memory with unsent frames.
  */
-import type {RunUp} from '../types/peer_messages.js';
-import type {Body} from '../types/services.js';
+import type {RunUp} from '../../types/peer_messages.js';
+import type {Body} from '../../types/services.js';
 
 /** Largest prompt frame, in bytes. */
 export const PROMPT_FRAME_BYTES = 64 * 1024;
--- a/src/entry/run_link.ts
+++ b/src/entry/run/run_link.ts
@@ -3,11 +3,11 @@
  * silent for good while new ones work; without the watch the run would look
  * slow until its deadline.
  */
-import type {Address} from '../types/ids.js';
-import type {RunDown, RunUp} from '../types/peer_messages.js';
-import type {Cancel, Clock} from '../types/runtime.js';
-import type {Transport} from '../types/transport.js';
-import type {RequestTiming} from './timing.js';
+import type {Address} from '../../types/ids.js';
+import type {RunDown, RunUp} from '../../types/peer_messages.js';
+import type {Cancel, Clock} from '../../types/runtime.js';
+import type {Transport} from '../../types/transport.js';
+import type {RequestTiming} from '../timing.js';
 
 export type LinkLoss = 'silent' | 'closed';
 
--- a/src/entry/verdict.ts
+++ b/src/entry/run/verdict.ts
@@ -2,9 +2,9 @@
  * What follows from an attempt's outcome: the final event, or another try. All
  * rules about running a request twice stand in here.
  */
-import type {ErrorCode, ErrorDetails, Ran} from '../types/errors.js';
-import type {Address} from '../types/ids.js';
-import type {RunFailed} from '../types/peer_messages.js';
+import type {ErrorCode, ErrorDetails, Ran} from '../../types/errors.js';
+import type {Address} from '../../types/ids.js';
+import type {RunFailed} from '../../types/peer_messages.js';
 import type {AttemptOutcome} from './attempt.js';
 
 export interface VerdictInput {
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -23,8 +23,8 @@
 import type {Transport} from '../types/transport.js';
 import {followConfig} from '../config/follow_config.js';
 import {followMembership} from '../membership/follow_membership.js';
-import {createLease} from '../platform/lease.js';
-import type {Lease} from '../platform/lease.js';
+import {createLease} from '../stores/lease.js';
+import type {Lease} from '../stores/lease.js';
 import {PLACEMENT_EVENTS} from '../utils/events.js';
 import {isLeaseCandidate} from './lease_candidates.js';
 import {createOrderBook} from './order_book.js';
--- a/src/placement/placement_lease.ts
+++ b/src/placement/placement_lease.ts
@@ -5,7 +5,7 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {parseLeaseRecord} from '../platform/lease_record.js';
+import {parseLeaseRecord} from '../stores/lease_record.js';
 import {OnyxError} from '../types/errors.js';
 import type {FencingNumber} from '../types/ids.js';
 import type {ObjectStore} from '../types/platform.js';
--- a/src/side/operator_handlers.ts
+++ b/src/side/operator_handlers.ts
@@ -1,5 +1,5 @@
 /** What operators and probes can ask of a side. */
-import type {OperatorHandlers} from '../entry/operator_handlers.js';
+import type {OperatorHandlers} from '../types/operators.js';
 import type {NodeId} from '../types/ids.js';
 import type {ServiceContext} from '../types/kernel.js';
 import type {SideStatus} from './messages.js';
--- a/standins/fleet_callers.ts
+++ b/standins/fleet_callers.ts
@@ -2,7 +2,7 @@
  * Callers of an in-memory fleet: what they ask for, as the entry's front would
  * hand it on, and what they are told.
  */
-import {prefixHashes} from '../src/entry/prefix_hashes.js';
+import {prefixHashes} from '../src/entry/admission/prefix_hashes.js';
 import type {NumberedDeclarations} from '../src/types/config.js';
 import type {
   Address,
--- a/test/authenticator.test.ts
+++ b/test/authenticator.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {createAuthenticator} from '../src/entry/authenticator.js';
+import {createAuthenticator} from '../src/entry/front/authenticator.js';
 import {declarations} from './support/front_bench.js';
 
 const {declarations: base} = declarations();
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -1,7 +1,7 @@
 import type {Either} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
-import {createClaimsService} from '../src/entry/claims.js';
-import {createBatchedClaimsService} from '../src/entry/claims_batched.js';
+import {createClaimsService} from '../src/entry/claims/claims.js';
+import {createBatchedClaimsService} from '../src/entry/claims/claims_batched.js';
 import {createKernel} from '../src/kernel/kernel.js';
 import type {Kernel} from '../src/kernel/kernel.js';
 import type {OnyxError} from '../src/types/errors.js';
--- a/test/completion_parser.test.ts
+++ b/test/completion_parser.test.ts
@@ -3,9 +3,9 @@
 import {
   createCompletionParser,
   parseSmallCompletion,
-} from '../src/entry/completion_parser.js';
-import type {ParsedCompletion} from '../src/entry/completion_parser.js';
-import {PIECE_BYTES} from '../src/entry/piece_buffer.js';
+} from '../src/entry/front/completion_parser.js';
+import type {ParsedCompletion} from '../src/entry/front/completion_parser.js';
+import {PIECE_BYTES} from '../src/entry/front/piece_buffer.js';
 
 /** Writes the body in steps of these lengths, in turn. */
 function parseInSteps(
--- a/test/http_client.test.ts
+++ b/test/http_client.test.ts
@@ -3,7 +3,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
-import {createHttpClient} from '../src/platform/http_client.js';
+import {createHttpClient} from '../src/stores/http_client.js';
 import {createProcessClock} from '../src/utils/clock.js';
 
 const SERVER_KEEPS_MS = 5_000;
--- a/test/http_operators.test.ts
+++ b/test/http_operators.test.ts
@@ -1,8 +1,8 @@
 import {Left, Right} from 'purify-ts';
 import {afterEach, describe, expect, test} from 'vitest';
-import {createOperatorsService} from '../src/entry/http_operators.js';
-import {createEntryHandlers} from '../src/entry/operator_handlers.js';
-import type {OperatorHandlers} from '../src/entry/operator_handlers.js';
+import {createOperatorsService} from '../src/entry/front/http_operators.js';
+import {createEntryHandlers} from '../src/entry/front/operator_handlers.js';
+import type {OperatorHandlers} from '../src/types/operators.js';
 import {OnyxError} from '../src/types/errors.js';
 import type {ConfigPatch, ConfigRejection} from '../src/types/services.js';
 import {yieldToLoop} from '../src/utils/event_loop.js';
--- a/test/http_platform.test.ts
+++ b/test/http_platform.test.ts
@@ -2,12 +2,12 @@
 import {createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
-import {createHttpHostList} from '../src/platform/http_host_list.js';
+import {createHttpHostList} from '../src/stores/http_host_list.js';
 import {
   STORE_CALLS_METRIC,
   createHttpObjectStore,
-} from '../src/platform/http_object_store.js';
-import {createHttpWeightStore} from '../src/platform/http_weight_store.js';
+} from '../src/stores/http_object_store.js';
+import {createHttpWeightStore} from '../src/stores/http_weight_store.js';
 import type {StoreError} from '../src/types/platform.js';
 import {createProcessClock} from '../src/utils/clock.js';
 import {createTestRuntime} from './support/test_runtime.js';
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {createLease} from '../src/platform/lease.js';
-import type {Lease} from '../src/platform/lease.js';
+import {createLease} from '../src/stores/lease.js';
+import type {Lease} from '../src/stores/lease.js';
 import {createMemoryObjectStore} from '../standins/memory_object_store.js';
 import {createObjectStoreCore} from '../standins/object_store_core.js';
 import type {ObjectStoreCore} from '../standins/object_store_core.js';
--- a/test/routing_policies.test.ts
+++ b/test/routing_policies.test.ts
@@ -1,6 +1,6 @@
 /** Order of candidates under each routing policy. */
 import {describe, expect, it} from 'vitest';
-import {createAssignments} from '../src/entry/assignments.js';
+import {createAssignments} from '../src/entry/routing/assignments.js';
 import {predictedFirstToken} from '../src/policy/predicted_first_token.js';
 import type {RoutingInput, RoutingTarget} from '../src/policy/routing.js';
 import {createRoutingPolicies} from '../src/policy/routing_policies.js';
--- a/test/support/front_bench.ts
+++ b/test/support/front_bench.ts
@@ -6,11 +6,11 @@
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
 import {createInitialDeclarations} from '../../src/config/declarations_schema.js';
-import {createCallersService} from '../../src/entry/http_callers.js';
+import {createCallersService} from '../../src/entry/front/http_callers.js';
 import type {
   CallersOptions,
   CallersStatus,
-} from '../../src/entry/http_callers.js';
+} from '../../src/entry/front/http_callers.js';
 import {createKernel} from '../../src/kernel/kernel.js';
 import type {Kernel} from '../../src/kernel/kernel.js';
 import type {NumberedDeclarations} from '../../src/types/config.js';
