--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -29,7 +29,8 @@
 
 export const TIMING = {
   graceS: 8,
-  revokeMs: 5_000,
+  // Shorter than the longest cut from the store.
+  revokeMs: 2_500,
   freeMs: 2_000,
   maxHoldMs: 20_000,
 } as const;
