feat(direct): a line when cover begins or ends; the soak takes keys away from entries that are cut off

An entry that takes another's word on the store changes what it believes: it says so (553, 554), with the entry, its evidence's age and the version, and a gauge shows it.

Now the removal itself cuts one entry off for twice the bound, and a fifth of the requests carry one of the newest three keys.

--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -9,6 +9,8 @@
 /** An entry may end this much after its grace period. */
 const END_SLACK_MS = 1_000;
 
+const CUT_AT_REMOVAL_MS = 2 * TIMING.revokeMs;
+
 /** What takes a link's faults back; silent connections stay silent. */
 export const LINK_WELL: RelayFaults = {
   refuse: false,
@@ -86,7 +88,11 @@
     version += 1;
     fleet.store.put('config', 'main', configOf(version, [...good]));
   };
-  /** Old and new key are good together for a while. */
+  /**
+   * Old and new key are good together for a while. When the old one goes, one
+   * entry is cut off from the store, in turn, for longer than keys may count
+   * without its word.
+   */
   const rotateKey = (forMs: number) => {
     const older = [...good];
     issued += 1;
@@ -94,6 +100,9 @@
     writeConfig();
     later(forMs, () => {
       for (const key of older) good.delete(key);
+      const link = fleet.storeLinks[issued % fleet.storeLinks.length];
+      link.apply({refuse: true});
+      later(CUT_AT_REMOVAL_MS, () => link.apply(LINK_WELL));
       writeConfig();
       const now = performance.now();
       for (const key of older) {
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -47,8 +47,9 @@
 const KINDS: readonly RequestKind[] = ['stream', 'once', 'once', 'again'];
 /** Share of streams whose prompt needs a group. */
 const LARGE_SHARE = 0.25;
-/** Share of requests with a key of before, good or taken away. */
-const OLD_KEY_SHARE = 0.1;
+/** Share of requests with one of the newest keys, good or taken away. */
+const OLD_KEY_SHARE = 0.2;
+const NEWEST_KEYS = 3;
 
 const WARM_UP_DRAWS = 8;
 
@@ -183,7 +184,10 @@
     id: `soak-${++sent}`,
     entry,
     kind: one(KINDS),
-    key: random.next() < OLD_KEY_SHARE ? one(keys.all()) : keys.current(),
+    key:
+      random.next() < OLD_KEY_SHARE
+        ? one(keys.all().slice(-NEWEST_KEYS))
+        : keys.current(),
     isLarge: random.next() < LARGE_SHARE,
   });
   const call = async (entry: number, agent: Agent): Promise<void> => {
--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -44,6 +44,8 @@
   onOtherReplicas(): void;
   /** Called at each question that left this entry without cover. */
   onUncovered(): void;
+  /** Cover began or ended with this answer, or for want of one. */
+  onChange(isCovered: boolean, answer: EntryAnswer | undefined): void;
 }
 
 export interface Cover {
@@ -54,6 +56,7 @@
 export function createCover(options: CoverOptions): Cover {
   const {clock} = options;
   let coveredAt = Number.NEGATIVE_INFINITY;
+  let wasCovered = false;
   let different = 0;
   let asking = false;
 
@@ -78,12 +81,19 @@
     takeReplicas(answer.replicasDigest);
   };
 
+  const noteChange = (answer: EntryAnswer | undefined): void => {
+    if (isCovered() === wasCovered) return;
+    wasCovered = isCovered();
+    options.onChange(wasCovered, answer);
+  };
+
   const askOnce = async (): Promise<void> => {
     if (asking) return;
     asking = true;
     const answer = await options.ask();
     asking = false;
     if (answer !== undefined) take(answer);
+    noteChange(answer);
     if (!isCovered()) options.onUncovered();
   };
 
--- a/src/direct/entry_questions.ts
+++ b/src/direct/entry_questions.ts
@@ -55,7 +55,7 @@
         cancel();
         if (!open.delete(question)) return;
         if (knowledge === undefined) failures += 1;
-        reply(knowledge && {...knowledge, askedAt});
+        reply(knowledge && {...knowledge, askedAt, by: to.node});
       };
       const cancel = clock.after(ANSWER_MS, settle);
       open.set(question, settle);
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -116,6 +116,15 @@
       if (configWatch.isOverdue()) configs.confirmNow();
       if (replicasWatch.isOverdue()) replicas.confirmNow();
     },
+    onChange: (isCovered, answer) => {
+      const {coverBegan, coverEnded} = DIRECT_EVENTS;
+      ctx.metrics.gauge('onyxloft_direct_covered', {}, isCovered ? 1 : 0);
+      ctx.log(isCovered ? coverBegan : coverEnded, {
+        entry: answer?.by,
+        evidenceAgeMs: answer?.evidenceAgeMs,
+        version: answer?.configVersion,
+      });
+    },
   });
   const tell = async (reply: (knowledge: StoreKnowledge) => void) => {
     const ageMs = await ctx.ask(
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -121,6 +121,8 @@
 
 /** Another entry's answer to a question that was sent at `askedAt`. */
 export interface EntryAnswer extends StoreKnowledge {
+  /** Node that answered. */
+  readonly by: string;
   /** On this process's clock. */
   readonly askedAt: number;
 }
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -158,6 +158,8 @@
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
+  coverBegan: event(553, 'info', 'cover-began'),
+  coverEnded: event(554, 'info', 'cover-ended'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -23,6 +23,7 @@
       const told: EntryAnswer | undefined = knowledge && {
         ...knowledge,
         askedAt,
+        by: 'entry-0',
       };
       return Promise.resolve(told);
     },
@@ -31,6 +32,7 @@
     onOtherConfig: () => seen.push('config'),
     onOtherReplicas: () => seen.push('replicas'),
     onUncovered: () => seen.push('uncovered'),
+    onChange: is => seen.push(is ? 'began' : 'ended'),
   });
   return {cover, confirmed, seen};
 }
@@ -42,7 +44,7 @@
     await clock.runFor(500);
     expect(word.confirmed).toEqual([clock.now() - 300]);
     expect(word.cover.isCovered()).toBe(true);
-    expect(word.seen).toEqual([]);
+    expect(word.seen).toEqual(['began']);
   });
 
   // Entry and store are cut apart, and the other entry has not heard of the
@@ -71,9 +73,9 @@
     const other = {...SAME, replicasDigest: 'b', evidenceAgeMs: 0};
     const word = coverOf(clock, () => other);
     await clock.runFor(500);
-    expect(word.seen).toEqual([]);
+    expect(word.seen).toEqual(['began']);
     await clock.runFor(500);
-    expect(word.seen).toEqual(['replicas']);
+    expect(word.seen).toEqual(['began', 'replicas']);
   });
 
   test('ends soon after the other fell silent', async () => {
@@ -85,10 +87,10 @@
     await clock.runFor(500);
     isThere = false;
     await clock.runFor(1_000);
-    expect(word.seen).toEqual([]);
+    expect(word.seen).toEqual(['began']);
     await clock.runFor(500);
     expect(word.cover.isCovered()).toBe(false);
-    expect(word.seen).toEqual(['uncovered']);
+    expect(word.seen).toEqual(['began', 'ended', 'uncovered']);
   });
 
   // Two entries that are both cut off from the store ask each other. Each
@@ -102,7 +104,12 @@
         ask: () => {
           const askedAt = clock.now();
           const evidenceAgeMs = askedAt - confirmedAt[other];
-          return Promise.resolve({...SAME, askedAt, evidenceAgeMs});
+          return Promise.resolve({
+            ...SAME,
+            askedAt,
+            evidenceAgeMs,
+            by: 'the other',
+          });
         },
         own: () => SAME,
         onConfirmed: sentAt => {
@@ -111,6 +118,7 @@
         onOtherConfig: () => undefined,
         onOtherReplicas: () => undefined,
         onUncovered: () => undefined,
+        onChange: () => undefined,
       });
     const covers = [leanOn(0, 1), leanOn(1, 0)];
     await clock.runFor(5_000);
@@ -148,6 +156,6 @@
     const {question} = sent[1].datagram;
     questions.answered({kind: 'answer', question, knowledge});
     questions.answered({kind: 'answer', question, knowledge});
-    expect(answers).toEqual([undefined, {...knowledge, askedAt: 400}]);
+    expect(answers).toEqual([undefined, {...knowledge, askedAt: 400, by: 'b'}]);
   });
 });
