fix(test): fleets of the direct path take ports that no other fleet is given

Cause: four tests of keys failed at once beside a running soak. The fixture took ports from 20,000 on by a worker's number, and the fleets of processes take blocks from 10,000 to 30,000: beside each other, in one run of all tests too, one can find its port taken. Seen in the list of listeners: the block at 20,500, the first of worker 1, was the soak's.

Change: one block of free_addresses a worker, as the others do. Three runs of test/direct beside two soaks: 68 of 68 each.

--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -4,6 +4,7 @@
  */
 import {request} from 'node:http';
 import type {Agent, IncomingHttpHeaders} from 'node:http';
+import {freeAddresses} from '../../demo/free_addresses.js';
 import {headerCodec} from '../../platform/header_codec.js';
 import {createReservationOrders} from '../../platform/reservation_orders.js';
 import {createStoreClient} from '../../platform/store_client.js';
@@ -45,36 +46,33 @@
   readonly timing?: Partial<DirectSettings['timing']>;
 }
 
-/**
- * Ports below those that the system hands out by itself, a range for each of
- * the runner's workers: one that was free a moment ago may be taken since.
- */
-const FIRST_PORT = 20_000;
-const PORTS_PER_WORKER = 500;
-const worker = Number(process.env['VITEST_POOL_ID'] ?? 0);
-let ports = 0;
+/** Of one worker of the runner, for all its fleets in turn. */
+const ADDRESSES = 90;
+const addresses = freeAddresses(ADDRESSES);
+let taken = 0;
 
-function nextPort(): number {
-  ports = (ports + 1) % PORTS_PER_WORKER;
-  return FIRST_PORT + worker * PORTS_PER_WORKER + ports;
+/** Of each fleet the next ones: one that was closed just now may still wait. */
+async function nextAddress(): Promise<string> {
+  taken = (taken + 1) % ADDRESSES;
+  return (await addresses)[taken] as string;
 }
 
-function settingsFor(
+async function settingsFor(
   store: string,
   timing: FleetOptions['timing'],
-): DirectSettings {
-  const address = () => `127.0.0.1:${nextPort()}`;
+): Promise<DirectSettings> {
+  const peers = await nextAddress();
   return {
     role: 'direct-entry',
     node: 'entry-1',
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
     listen: {
-      callers: address(),
-      ready: address(),
-      metrics: address(),
+      callers: await nextAddress(),
+      ready: await nextAddress(),
+      metrics: await nextAddress(),
     },
-    peerPorts: [nextPort()],
+    peerPorts: [Number(peers.split(':')[1])],
     store: {address: store},
     limits: {memoryMb: 300, maxDescriptors: 1_000},
     timing: {
@@ -103,7 +101,7 @@
   for (const replica of desk) announce(store, replica, 'desk');
   store.put('config', 'main', configOf(1));
 
-  const settings = settingsFor(store.address, options.timing);
+  const settings = await settingsFor(store.address, options.timing);
   const clock = createProcessClock();
   const recorded = createRecordingRuntime();
   const runtime: Runtime = {...recorded.runtime, clock};
