--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -161,7 +161,8 @@
   return {
     inject,
     heal: async () => {
-      for (const undo of [...undoing.values()]) undo();
+      // Taking one back may begin another: a key goes, and a link is cut.
+      while (undoing.size > 0) for (const undo of undoing.values()) undo();
       while (ends.size > 0) await Promise.allSettled([...ends]);
       await Promise.all(fleet.entries.map(entry => entry.start()));
     },
