--- a/fault_soak/entry_process.ts
+++ b/fault_soak/entry_process.ts
@@ -26,6 +26,8 @@
   wake(): void;
   stepClock(): void;
   kill(): Promise<void>;
+  /** SIGKILL without a wait, for when the soak itself ends. */
+  abort(): void;
   /** SIGTERM; resolves with the exit code and the time that it took. */
   end(): Promise<{readonly code: number; readonly tookMs: number}>;
   isReady(): Promise<boolean>;
@@ -135,6 +137,7 @@
     kill: async () => {
       await ended('SIGKILL');
     },
+    abort: () => signal('SIGKILL'),
     end: () => ended('SIGTERM'),
     isReady: async () => {
       try {
--- a/fault_soak/fault_soak.ts
+++ b/fault_soak/fault_soak.ts
@@ -43,6 +43,9 @@
   return violations.length === 0;
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(1));
+}
 const first = Number(values.seed);
 let broken = 0;
 for (let seed = first; seed < first + Number(values.seeds); seed++) {
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -147,6 +147,9 @@
     const own = ports.slice(from, from + PORTS_PER_ENTRY);
     entries.push(createEntryProcess(settingsOf(at, link.address, own), dir));
   }
+  // Else they would live on after a soak that is interrupted.
+  const abort = () => entries.forEach(entry => entry.abort());
+  process.once('exit', abort);
   await Promise.all(entries.map(entry => entry.start()));
   return {
     store,
@@ -155,6 +158,7 @@
     replicas,
     list,
     close: async () => {
+      process.off('exit', abort);
       await Promise.all(entries.map(entry => entry.kill()));
       const links = [...storeLinks, ...replicas.map(({link}) => link)];
       await Promise.all(links.map(link => link.close()));
