fix(direct): another entry's word counts only while it keeps this one ready

Cause: an entry is ready while its evidence is younger than 0.6 of the bound on keys. Under cover the evidence may be 2 s old and half a second older at the next answer: with a bound under some 4 s an entry that is served well by another's word would be unready by turns.

Change: the oldest age that counts follows the bound; 2 s as before from 4.5 s on, so that nothing changes where the bound is 5 s.

Test: cover, two bounds.

--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -21,6 +21,8 @@
 const ASK_MS = 500;
 /** Older evidence of another entry is no cover. */
 const COVER_AGE_MS = 2_000;
+/** From one question until the answer to the next, on a slow machine. */
+const NEXT_ANSWER_MS = ASK_MS + 200;
 /** Cover lasts so long after the last good answer. */
 const COVER_MS = 1_200;
 /**
@@ -29,7 +31,19 @@
  */
 const DIFFERENT_TIMES = 2;
 
+/**
+ * Oldest evidence of another entry that counts, where evidence older than
+ * `readyMs` makes this entry unready: it ages on until the next answer. Without
+ * regard to that, an entry under a short bound would be ready and unready by
+ * turns while all is well.
+ */
+export function coverAgeMs(readyMs: number): number {
+  return Math.min(COVER_AGE_MS, readyMs - NEXT_ANSWER_MS);
+}
+
 export interface CoverOptions {
+  /** Oldest evidence of another entry that counts. */
+  readonly maxAgeMs: number;
   readonly clock: Clock;
   ask(): Promise<EntryAnswer | undefined>;
   /** What this entry has from the store. */
@@ -71,7 +85,7 @@
 
   const take = (answer: EntryAnswer): void => {
     const {evidenceAgeMs, askedAt} = answer;
-    if (evidenceAgeMs === undefined || evidenceAgeMs > COVER_AGE_MS) return;
+    if (evidenceAgeMs === undefined || evidenceAgeMs > options.maxAgeMs) return;
     if (answer.configVersion !== options.own().configVersion) {
       options.onOtherConfig();
       return;
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -13,6 +13,14 @@
 /** Time of day and monotonic clock drift apart by less than this. */
 const DRIFT_MS = 250;
 
+/** Ready means that the store was heard of within this share of the bound. */
+const READY_SHARE = 0.6;
+
+/** Older evidence makes an entry say that it is not ready. */
+export function readyAgeMs(revokeMs: number): number {
+  return revokeMs * READY_SHARE;
+}
+
 export interface Evidence {
   /** The store has answered a call that was sent at `sentAt`. */
   confirm(sentAt: number): void;
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -6,7 +6,7 @@
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import type {Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {createCover} from './cover.js';
+import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import './messages.js';
 import type {
@@ -39,12 +39,20 @@
 /** Without cover nothing may stay unconfirmed for longer than its watch takes. */
 const READ_ANEW_FACTOR = 1.3;
 
-export function createFollowed(store: DirectStore): ServiceSpec<'followed'> {
-  return {name: 'followed', start: ctx => startFollowed(store, ctx)};
+export interface FollowedOptions {
+  readonly store: DirectStore;
+  /** Evidence older than this makes the entry unready. */
+  readonly readyMs: number;
+}
+
+export function createFollowed(
+  options: FollowedOptions,
+): ServiceSpec<'followed'> {
+  return {name: 'followed', start: ctx => startFollowed(options, ctx)};
 }
 
 function startFollowed(
-  store: DirectStore,
+  {store, readyMs}: FollowedOptions,
   ctx: ServiceContext<'followed'>,
 ): void {
   const {clock, random} = ctx;
@@ -100,6 +108,7 @@
   });
   const cover = createCover({
     clock,
+    maxAgeMs: coverAgeMs(readyMs),
     ask: () =>
       ctx.ask(
         'sharing',
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -13,7 +13,7 @@
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {sizeOf} from './choose_engines.js';
-import {createEvidence, waitForEvidence} from './evidence.js';
+import {createEvidence, readyAgeMs, waitForEvidence} from './evidence.js';
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
 import {createFleet} from './fleet.js';
@@ -44,8 +44,6 @@
 const SHARE_LESS_MS = 25;
 /** Of the budget for retries, for errors in the share by entries. */
 const BUDGET_SHARE = 0.8;
-/** Ready means that the store was heard of within this share of the bound. */
-const READY_SHARE = 0.6;
 /**
  * From the signal on, new connections come until the balancer has missed two
  * checks, a second each; then the socket is closed.
@@ -289,7 +287,7 @@
           !draining &&
             server !== undefined &&
             fleet.size() > 0 &&
-            evidence.ageMs() < revokeMs * READY_SHARE,
+            evidence.ageMs() < readyAgeMs(revokeMs),
         );
       case 'count':
         return message.reply(open.size);
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -3,6 +3,7 @@
  * platform's protocol comes in as functions.
  */
 import {createDirectFront} from './direct/front.js';
+import {readyAgeMs} from './direct/evidence.js';
 import {createFollowed} from './direct/followed.js';
 import {createReadyServer} from './direct/ready_server.js';
 import type {DirectSettings} from './direct/settings.js';
@@ -65,7 +66,9 @@
     }),
   );
   await kernel.start(createSharing({self, store}));
-  await kernel.start(createFollowed(store));
+  await kernel.start(
+    createFollowed({store, readyMs: readyAgeMs(settings.timing.revokeMs)}),
+  );
   await kernel.start(
     createReadyServer({
       ready: settings.listen.ready,
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -1,12 +1,14 @@
 /** Another entry's word in place of own calls to the store. */
 import {describe, expect, test} from 'vitest';
-import {createCover} from '../../src/direct/cover.js';
+import {coverAgeMs, createCover} from '../../src/direct/cover.js';
 import {createEntryQuestions} from '../../src/direct/entry_questions.js';
 import type {AskDatagram} from '../../src/direct/entry_questions.js';
 import type {EntryAnswer, StoreKnowledge} from '../../src/direct/types.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
 
+/** As with a bound of five seconds. */
+const READY_MS = 3_000;
 const SAME = {configVersion: 3, replicasDigest: 'a'};
 
 function coverOf(
@@ -17,6 +19,7 @@
   const seen: string[] = [];
   const cover = createCover({
     clock,
+    maxAgeMs: coverAgeMs(READY_MS),
     ask: () => {
       const askedAt = clock.now();
       const knowledge = answer();
@@ -57,6 +60,13 @@
     expect(word.cover.isCovered()).toBe(false);
   });
 
+  // With a bound of 2.5 s an entry is unready from 1.5 s on. A word that is a
+  // second old would be older than that before the next one comes.
+  test('counts only if it keeps the entry ready until the next one', () => {
+    expect(coverAgeMs(READY_MS)).toBe(2_000);
+    expect(coverAgeMs(1_500)).toBe(800);
+  });
+
   // A key was taken away in version 4. The other entry knows, this one does
   // not: the other's fresh evidence says nothing of the keys of version 3.
   test('is none for another configuration, which is read instead', async () => {
@@ -101,6 +111,7 @@
     const leanOn = (own: number, other: number) =>
       createCover({
         clock,
+        maxAgeMs: coverAgeMs(READY_MS),
         ask: () => {
           const askedAt = clock.now();
           const evidenceAgeMs = askedAt - confirmedAt[other];
