--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -19,7 +19,7 @@
 
 /** Between two questions; an answer a second old or less is wanted. */
 const ASK_MS = 500;
-/** Older evidence of another entry is no cover. */
+/** Older evidence of another entry is no cover, though keys may count on it. */
 const COVER_AGE_MS = 2_000;
 /** From one question until the answer to the next, on a slow machine. */
 const NEXT_ANSWER_MS = ASK_MS + 200;
@@ -85,13 +85,16 @@
 
   const take = (answer: EntryAnswer): void => {
     const {evidenceAgeMs, askedAt} = answer;
-    if (evidenceAgeMs === undefined || evidenceAgeMs > options.maxAgeMs) return;
-    if (answer.configVersion !== options.own().configVersion) {
+    if (evidenceAgeMs === undefined) return;
+    const isSame = answer.configVersion === options.own().configVersion;
+    // Exact at any age: an entry that is cut off lives on what there is.
+    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs);
+    if (evidenceAgeMs > options.maxAgeMs) return;
+    if (!isSame) {
       options.onOtherConfig();
       return;
     }
     coveredAt = clock.now();
-    options.onConfirmed(askedAt - evidenceAgeMs);
     takeReplicas(answer.replicasDigest);
   };
 
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -11,6 +11,9 @@
 });
 afterEach(() => fleet.close());
 
+/** The bound of the fleet's settings, and the bench's slack. */
+const FREE_MS = 2_000;
+const FREE_SLACK_MS = 500;
 /** One engine holds 10,000 tokens. */
 const LARGE = {'X-Token-Usage': '18000,100'};
 const stream = () => callEntry(fleet, '/stream/a', {headers: LARGE});
@@ -43,6 +46,25 @@
     await until(() => held() === 0);
   });
 
+  // The lead goes dark before its first event. Nothing resets the connection,
+  // and the aim of the route lets the entry wait for six seconds. Meanwhile the
+  // members hold memory for a request that runs nowhere: it must be free again
+  // within the bound on memory after its last use, two seconds here.
+  test('holds no memory for longer than the bound when its lead goes dark', async () => {
+    for (const replica of fleet.pool) replica.behave(() => undefined);
+    const running = callEntry(fleet, '/long/a', {
+      headers: {...LARGE, 'X-Deadline-Ms': '9000'},
+    }).catch(err => String(err));
+    await until(() => held() > 0);
+    await until(() => fleet.pool.some(it => it.arrivals.length > 0));
+    const first = fleet.pool.flatMap(it => [...it.held.keys()]);
+    const isFreed = () =>
+      fleet.pool.every(it => first.every(id => !it.held.has(id)));
+    await until(isFreed, FREE_MS + FREE_SLACK_MS);
+    fleet.pool.forEach(it => it.behave(streamTo(3)));
+    await running;
+  });
+
   // One member refuses. None of the others may be left holding memory for a
   // group that does not run.
   test('is set aside at all members or at none', async () => {
