--- a/fault_soak/entry_process.ts
+++ b/fault_soak/entry_process.ts
@@ -16,10 +16,8 @@
 export interface EntryProcess {
   readonly name: string;
   readonly callers: string;
-  /** When it was last paused, woken, killed or told to end; steady time. */
-  disturbedAt(): number;
-  /** It was killed, or ended, and has not been started again. */
-  isDown(): boolean;
+  /** It runs, and no signal or start came since then; steady time. */
+  isUndisturbedSince(at: number): boolean;
   /** Starts it once its last process is gone; nothing when it runs. */
   start(): Promise<void>;
   pause(): void;
@@ -118,8 +116,8 @@
   return {
     name,
     callers: settings.listen.callers,
-    disturbedAt: () => (paused ? performance.now() : disturbedAt),
-    isDown: () => running === undefined,
+    isUndisturbedSince: at =>
+      running !== undefined && !paused && disturbedAt < at,
     start: async () => {
       await lastExit;
       disturbedAt = performance.now();
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -9,6 +9,7 @@
 /** An entry may end this much after its grace period. */
 const END_SLACK_MS = 1_000;
 
+/** Evidence for keys is over its bound well before the cut ends. */
 const CUT_AT_REMOVAL_MS = 2 * TIMING.revokeMs;
 
 /** What takes a link's faults back; silent connections stay silent. */
--- a/fault_soak/soak_judge.ts
+++ b/fault_soak/soak_judge.ts
@@ -21,8 +21,6 @@
 export interface JudgeView {
   /** How often a replica began to run the request. */
   runs(id: string): number;
-  /** When the entry was last signalled; steady time. */
-  disturbedAt(entry: number): number;
   /** When the store lost the key; undefined while it is good. */
   revokedAt(key: string): number | undefined;
   readonly revokeMs: number;
@@ -39,11 +37,10 @@
   view: JudgeView,
 ): readonly Violation[] {
   const found: Violation[] = [];
-  const {id, status, body, kind, entry, sentAt, endedAt} = outcome;
+  const {id, status, body, kind, sentAt, endedAt, wasUndisturbed} = outcome;
   const blame = (promise: string, detail: string) =>
     found.push({promise, id, detail});
 
-  const wasUndisturbed = view.disturbedAt(entry) < sentAt;
   const tookMs = endedAt - sentAt;
   if (wasUndisturbed && tookMs > DEADLINE_MS + DEADLINE_SLACK_MS) {
     blame('a final answer within the deadline', `took ${Math.round(tookMs)}`);
--- a/fault_soak/soak_requests.ts
+++ b/fault_soak/soak_requests.ts
@@ -33,6 +33,8 @@
 
 /** One request's end, as its caller saw it. Times are steady milliseconds. */
 export interface Outcome extends SoakRequest {
+  /** No signal reached the entry from the sending to the end. */
+  readonly wasUndisturbed: boolean;
   readonly sentAt: number;
   readonly endedAt: number;
   /** Undefined when no answer began. */
@@ -50,6 +52,7 @@
   address: string,
   agent: Agent,
   asked: SoakRequest,
+  isUndisturbedSince: (sentAt: number) => boolean,
 ): Promise<Outcome> {
   const [host, port] = address.split(':');
   const sentAt = performance.now();
@@ -63,6 +66,7 @@
         ...asked,
         sentAt,
         endedAt: performance.now(),
+        wasUndisturbed: isUndisturbedSince(sentAt),
         status: res?.statusCode,
         body,
         isWhole: res?.complete ?? false,
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -49,6 +49,7 @@
 const LARGE_SHARE = 0.25;
 /** Share of requests with one of the newest keys, good or taken away. */
 const OLD_KEY_SHARE = 0.2;
+/** So many of the newest keys are tried. */
 const NEWEST_KEYS = 3;
 
 const WARM_UP_DRAWS = 8;
@@ -82,8 +83,8 @@
     const traffic = startTraffic(fleet, injector, random);
     await play(plan, injector, shape.durationMs);
     await injector.heal();
-    const recovered = await allReady(fleet, RECOVER_LIMIT_MS);
-    for (const name of recovered) {
+    const unready = await allReady(fleet, RECOVER_LIMIT_MS);
+    for (const name of unready) {
       blame({promise: 'ready again after all faults', id: name, detail: ''});
     }
     // A key or replica may be new since the last fault.
@@ -123,7 +124,6 @@
 function viewOf(fleet: SoakFleet, injector: Injector): JudgeView {
   return {
     runs: id => fleet.replicas.reduce((sum, one) => sum + one.runs(id), 0),
-    disturbedAt: entry => fleet.entries[entry].disturbedAt(),
     revokedAt: injector.keys.revokedAt,
     revokeMs: TIMING.revokeMs,
   };
@@ -194,7 +194,12 @@
     while (!stopped) {
       await sleep(random.next() * 2 * CALLER_PAUSE_MS);
       const process = fleet.entries[entry];
-      const outcome = await sendRequest(process.callers, agent, draw(entry));
+      const outcome = await sendRequest(
+        process.callers,
+        agent,
+        draw(entry),
+        process.isUndisturbedSince,
+      );
       const isDown = outcome.error?.includes('ECONNREFUSED') === true;
       if (isDown) await sleep(DOWN_PAUSE_MS);
       else outcomes.push(outcome);
--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -32,7 +32,7 @@
 const DIFFERENT_TIMES = 2;
 
 /**
- * Oldest evidence of another entry that counts, where evidence older than
+ * Oldest evidence of another entry that covers, where evidence older than
  * `readyMs` makes this entry unready: it ages on until the next answer. Without
  * regard to that, an entry under a short bound would be ready and unready by
  * turns while all is well.
@@ -42,7 +42,7 @@
 }
 
 export interface CoverOptions {
-  /** Oldest evidence of another entry that counts. */
+  /** Oldest evidence of another entry that covers. */
   readonly maxAgeMs: number;
   readonly clock: Clock;
   ask(): Promise<EntryAnswer | undefined>;
--- a/test/processes/entry_word.test.ts
+++ b/test/processes/entry_word.test.ts
@@ -46,10 +46,13 @@
   const endsAt = performance.now() + forMs;
   while (performance.now() < endsAt) {
     const asked = {id: `word-${++sent}`, entry: 1, key: KEY, isLarge: false};
-    const {status} = await sendRequest(fleet.entries[1].callers, agent, {
-      ...asked,
-      kind: 'again',
-    });
+    const {callers, isUndisturbedSince} = fleet.entries[1];
+    const {status} = await sendRequest(
+      callers,
+      agent,
+      {...asked, kind: 'again'},
+      isUndisturbedSince,
+    );
     statuses.push(status);
     await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
   }
