fix(direct): keys live on another entry's word between its questions

Cause: an entry that is cut off from the store asked another one every 0.5 s only. The other's evidence is one to two seconds old (its watch returns each second), so under a bound of 2.5 s (evidence counts for 2.25 s) it was too old here for up to 0.44 s, and a request waits 0.4 s: with answers that take 0.25 s, as on a busy machine, callers got 503. Also, a word that was asked for after a doubt about the clocks was void when the call behind it lay before the doubt, though its age was measured elsewhere; and a process that was put off between the readings of two clocks saw a step that was none. Change: a request whose key waits asks another entry at once; evidence tells as-of and asked-at apart; a reading of the clocks that took 20 ms is made anew.

--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -51,8 +51,11 @@
     readonly configVersion: number | undefined;
     readonly replicasDigest: string;
   };
-  /** The store answered a call that was sent no earlier than `sentAt`. */
-  onConfirmed(sentAt: number): void;
+  /**
+   * The other entry was asked at `askedAt`, and the store answered it a call
+   * that was sent no earlier than `asOf`.
+   */
+  onConfirmed(asOf: number, askedAt: number): void;
   /** The other entry has another configuration. */
   onOtherConfig(): void;
   onOtherReplicas(): void;
@@ -64,6 +67,11 @@
 
 export interface Cover {
   isCovered(): boolean;
+  /**
+   * Asks before the next turn. A request whose key waits for evidence would
+   * otherwise be refused while another entry could vouch for it.
+   */
+  askNow(): void;
   stop: Cancel;
 }
 
@@ -73,6 +81,7 @@
   let wasCovered = false;
   let different = 0;
   let asking = false;
+  let isWanted = false;
 
   const isCovered = () => clock.now() - coveredAt < COVER_MS;
 
@@ -88,7 +97,7 @@
     if (evidenceAgeMs === undefined) return;
     const isSame = answer.configVersion === options.own().configVersion;
     // Exact at any age: an entry that is cut off lives on what there is.
-    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs);
+    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
     if (evidenceAgeMs > options.maxAgeMs) return;
     if (!isSame) {
       options.onOtherConfig();
@@ -112,10 +121,17 @@
     if (answer !== undefined) take(answer);
     noteChange(answer);
     if (!isCovered()) options.onUncovered();
+    if (isWanted) askNow();
+  };
+  const askNow = (): void => {
+    // A question that is under way may have been asked before a doubt.
+    isWanted = asking;
+    void askOnce();
   };
 
   return {
     isCovered,
+    askNow,
     stop: clock.every(ASK_MS, () => void askOnce()),
   };
 }
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -12,6 +12,10 @@
 
 /** Time of day and monotonic clock drift apart by less than this. */
 const DRIFT_MS = 250;
+/** Two readings of one clock with the other's between them, on a free core. */
+const READING_MS = 20;
+/** Readings of the clocks before one that was held up is taken as it is. */
+const READING_TRIES = 3;
 
 /** Ready means that the store was heard of within this share of the bound. */
 const READY_SHARE = 0.6;
@@ -22,8 +26,14 @@
 }
 
 export interface Evidence {
-  /** The store has answered a call that was sent at `sentAt`. */
-  confirm(sentAt: number): void;
+  /**
+   * All that was acknowledged before `asOf` is known, from an answer to a
+   * question that was asked at `askedAt`. For an own call to the store both are
+   * the time of its sending. For another entry's word `asOf` is earlier by the
+   * age that it tells, which no suspension of this process can falsify: it
+   * counts though it lies before one, if only the question came after.
+   */
+  confirm(asOf: number, askedAt: number): void;
   /** Age of the newest evidence, in milliseconds; infinite without any. */
   ageMs(): number;
   isFresh(): boolean;
@@ -36,35 +46,50 @@
   limitMs: number,
 ): Evidence {
   let confirmedAt = Number.NEGATIVE_INFINITY;
-  let ahead = 0;
-  /** Before this time nothing counts: the process may have stood still. */
+  /** Answers to what was asked before this time may look younger than they are. */
   let doubtedAt = Number.NEGATIVE_INFINITY;
+  let ahead = leadOf(clock, wallMs);
 
-  const lead = () => wallMs() - clock.now();
   const checkLead = () => {
-    const now = lead();
-    if (Math.abs(now - ahead) > DRIFT_MS) doubtedAt = clock.now();
+    const now = leadOf(clock, wallMs);
+    if (Math.abs(now - ahead) > DRIFT_MS) {
+      doubtedAt = clock.now();
+      confirmedAt = Number.NEGATIVE_INFINITY;
+    }
     ahead = now;
   };
-  ahead = lead();
 
   const ageMs = () => {
     checkLead();
-    return confirmedAt <= doubtedAt
-      ? Number.POSITIVE_INFINITY
-      : clock.now() - confirmedAt;
+    return clock.now() - confirmedAt;
   };
 
   return {
-    confirm: sentAt => {
+    confirm: (asOf, askedAt) => {
       checkLead();
-      confirmedAt = Math.max(confirmedAt, sentAt);
+      if (askedAt <= doubtedAt) return;
+      confirmedAt = Math.max(confirmedAt, asOf);
     },
     ageMs,
     isFresh: () => ageMs() <= limitMs,
   };
 }
 
+/**
+ * How far the time of day runs ahead of the monotonic clock. A process that is
+ * put off between the two readings would see a step that is none, and take all
+ * its evidence as void; such a reading is made anew.
+ */
+function leadOf(clock: Clock, wallMs: () => number): number {
+  let lead = 0;
+  for (let tries = 0; tries < READING_TRIES; tries++) {
+    const before = clock.now();
+    lead = wallMs() - before;
+    if (clock.now() - before < READING_MS) break;
+  }
+  return lead;
+}
+
 /** A request waits so long for the store to confirm its key. */
 const CONFIRM_WAIT_MS = 400;
 const CONFIRM_LOOK_MS = 20;
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -65,6 +65,8 @@
     configVersion = Math.max(configVersion ?? 0, config.version);
     ctx.send('direct', {kind: 'config', config});
   };
+  const tellConfirmed = (asOf: number, askedAt: number) =>
+    ctx.send('direct', {kind: 'confirmed', asOf, askedAt});
   // An outage that one watch outlives is seen by the other: either says that
   // replicas' records may have lapsed.
   const onFault = (fault: StoreFault) => {
@@ -85,7 +87,7 @@
     onConfirmed: sentAt => {
       connected.regained();
       configWatch.confirmed();
-      ctx.send('direct', {kind: 'confirmed', sentAt});
+      tellConfirmed(sentAt, sentAt);
     },
     onFault,
   });
@@ -118,7 +120,7 @@
         }),
       ),
     own: () => ({configVersion, replicasDigest: known.digest()}),
-    onConfirmed: sentAt => ctx.send('direct', {kind: 'confirmed', sentAt}),
+    onConfirmed: tellConfirmed,
     onOtherConfig: configs.confirmNow,
     onOtherReplicas: replicas.confirmNow,
     onUncovered: () => {
@@ -151,8 +153,12 @@
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
   void ctx.mailbox.observe(message => {
-    if (message.kind === 'confirm') configs.confirmNow();
-    else void tell(message.reply);
+    if (message.kind === 'knowledge') {
+      void tell(message.reply);
+      return;
+    }
+    configs.confirmNow();
+    cover.askNow();
   });
 }
 
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -268,7 +268,7 @@
       case 'config':
         return setConfig(message.config);
       case 'confirmed':
-        return evidence.confirm(message.sentAt);
+        return evidence.confirm(message.asOf, message.askedAt);
       case 'replicas':
         return fleet.setAll(message.replicas);
       case 'replica-changes':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -10,8 +10,12 @@
 /** To the front. */
 export type DirectMessage =
   | {readonly kind: 'config'; readonly config: DirectConfig}
-  /** The store answered a call about the configuration, sent at this time. */
-  | {readonly kind: 'confirmed'; readonly sentAt: number}
+  /** The configuration is known as of this time; see `Evidence.confirm`. */
+  | {
+      readonly kind: 'confirmed';
+      readonly asOf: number;
+      readonly askedAt: number;
+    }
   | {
       readonly kind: 'replicas';
       readonly replicas: ReadonlyMap<string, DirectReplica>;
@@ -36,7 +40,7 @@
 
 /** To the follower of the store. */
 export type FollowedMessage =
-  /** Reads the configuration anew at once. */
+  /** Asks store and another entry at once whether the configuration holds. */
   | {readonly kind: 'confirm'}
   | {
       readonly kind: 'knowledge';
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -31,7 +31,7 @@
       return Promise.resolve(told);
     },
     own: () => SAME,
-    onConfirmed: sentAt => confirmed.push(sentAt),
+    onConfirmed: asOf => confirmed.push(asOf),
     onOtherConfig: () => seen.push('config'),
     onOtherReplicas: () => seen.push('replicas'),
     onUncovered: () => seen.push('uncovered'),
@@ -148,6 +148,48 @@
   });
 });
 
+describe('a word that is wanted at once', () => {
+  // A request waits for its key to be confirmed. The next turn is up to half a
+  // second away, which is longer than a request waits.
+  test('is asked for before its turn', async () => {
+    const clock = createVirtualClock();
+    const word = coverOf(clock, () => ({...SAME, evidenceAgeMs: 0}));
+    word.cover.askNow();
+    await clock.settle();
+    expect(word.confirmed).toEqual([0]);
+  });
+
+  // A question is under way when a doubt about the clocks arises; its answer
+  // will be void. The wanted one is asked after it.
+  test('is asked for after the question that is under way', async () => {
+    const clock = createVirtualClock();
+    let asked = 0;
+    const cover = createCover({
+      clock,
+      maxAgeMs: coverAgeMs(READY_MS),
+      ask: () => {
+        asked += 1;
+        return new Promise(resolve => {
+          clock.after(100, () => resolve(undefined));
+        });
+      },
+      own: () => SAME,
+      onConfirmed: () => undefined,
+      onOtherConfig: () => undefined,
+      onOtherReplicas: () => undefined,
+      onUncovered: () => undefined,
+      onChange: () => undefined,
+    });
+    await clock.runFor(500);
+    cover.askNow();
+    expect(asked).toBe(1);
+    await clock.runFor(100);
+    expect(asked).toBe(2);
+    await clock.runFor(100);
+    expect(asked).toBe(2);
+  });
+});
+
 describe('a question to another entry', () => {
   const entry = (node: string) => ({
     node,
--- a/test/direct/parts.test.ts
+++ b/test/direct/parts.test.ts
@@ -36,16 +36,16 @@
       1_000,
     );
     expect(evidence.isFresh()).toBe(false);
-    evidence.confirm(clock.now());
+    evidence.confirm(clock.now(), clock.now());
     expect(evidence.isFresh()).toBe(true);
     await clock.advance(500);
     wallAhead = 5_000;
     expect(evidence.isFresh()).toBe(false);
     // Sent before the suspension was noticed: says nothing of the time since.
-    evidence.confirm(clock.now() - 1);
+    evidence.confirm(clock.now() - 1, clock.now() - 1);
     expect(evidence.isFresh()).toBe(false);
     await clock.advance(1);
-    evidence.confirm(clock.now());
+    evidence.confirm(clock.now(), clock.now());
     expect(evidence.isFresh()).toBe(true);
     await clock.advance(1_100);
     expect(evidence.isFresh()).toBe(false);
