fix(direct): groups live on signs of life; restarts and foreign records are told apart

Cause: (1) a group whose lead went dark before its first event had its members' memory renewed as long as the entry waited for that event, up to 9 s where 4 s are allowed. (2) A replica may now start again under its name: streams to the earlier start stayed silent, and its load, suspicion and told loads were held against the later one. (3) One item of a list or watch that could not be read failed the whole answer, an address that was none was called, a datagram by another program could put what is no number into the load book. Ruled out for (1): the order of release and renewal (its tests were green). Change: leases are renewed as one, on something heard from the lead within 0.3 s or an answer to a question for its report; the id of a replica holds the time of its start; losses end what waits; lists, watches, records and datagrams are read item by item and checked whole.

--- /dev/null
+++ b/src/direct/datagrams.ts
@@ -0,0 +1,116 @@
+/**
+ * Datagrams between entries, and how they are read. A datagram may come from
+ * another program or another version: what is not understood whole is dropped,
+ * as a lost one would be. Taken as it came, a number that is none would spread
+ * into every choice of an engine.
+ */
+import {isIPv4} from 'node:net';
+import {Codec, exactly, number, optional, string} from 'purify-ts/Codec';
+import {Maybe, Nothing} from 'purify-ts/Maybe';
+import type {ReplicaLoad} from './load_book.js';
+import {packLoads, unpackLoads} from './load_codec.js';
+import type {EntryAddress, StoreKnowledge} from './types.js';
+
+/** What an entry has assigned. */
+export interface LoadDatagram {
+  readonly kind: 'load';
+  readonly from: EntryAddress;
+  /** Grows with each datagram of one incarnation. */
+  readonly seq: number;
+  readonly loads: readonly ReplicaLoad[];
+}
+
+/** What does the other entry know of the store? */
+export interface AskDatagram {
+  readonly kind: 'ask';
+  readonly from: EntryAddress;
+  readonly question: number;
+}
+
+export interface AnswerDatagram {
+  readonly kind: 'answer';
+  readonly question: number;
+  readonly knowledge: StoreKnowledge;
+}
+
+export type Datagram = LoadDatagram | AskDatagram | AnswerDatagram;
+
+const addressCodec = Codec.interface({
+  node: string,
+  incarnation: string,
+  ip: string,
+  port: number,
+});
+const askCodec = Codec.interface({
+  kind: exactly('ask'),
+  from: addressCodec,
+  question: number,
+});
+const answerCodec = Codec.interface({
+  kind: exactly('answer'),
+  question: number,
+  knowledge: Codec.interface({
+    evidenceAgeMs: optional(number),
+    configVersion: optional(number),
+    replicasDigest: string,
+  }),
+});
+const loadHeadCodec = Codec.interface({
+  kind: exactly('load'),
+  from: addressCodec,
+  seq: number,
+});
+
+export function encodeDatagram(datagram: Datagram): Buffer {
+  const wire =
+    datagram.kind === 'load'
+      ? {...datagram, loads: packLoads(datagram.loads)}
+      : datagram;
+  return Buffer.from(JSON.stringify(wire));
+}
+
+/** Nothing when the bytes are no datagram between entries. */
+export function decodeDatagram(bytes: Buffer): Maybe<Datagram> {
+  return parsed(bytes).chain((value): Maybe<Datagram> => {
+    const {kind} = value;
+    if (kind === 'load') return decodeLoad(value);
+    if (kind === 'ask') {
+      return askCodec
+        .decode(value)
+        .toMaybe()
+        .filter(({from}) => isEntryAddress(from));
+    }
+    return answerCodec.decode(value).toMaybe().filter(isSoundAnswer);
+  });
+}
+
+function decodeLoad(value: Readonly<Record<string, unknown>>) {
+  return loadHeadCodec
+    .decode(value)
+    .toMaybe()
+    .filter(({from}) => isEntryAddress(from))
+    .chain(head =>
+      unpackLoads(value['loads']).map(loads => ({...head, loads})),
+    );
+}
+
+/** Ages are never negative: evidence cannot come from the future. */
+function isSoundAnswer({knowledge: {evidenceAgeMs}}: AnswerDatagram): boolean {
+  return evidenceAgeMs === undefined || evidenceAgeMs >= 0;
+}
+
+/** Whether datagrams may be sent there. */
+export function isEntryAddress({node, ip, port}: EntryAddress): boolean {
+  const isPort = Number.isInteger(port) && port > 0 && port < 65_536;
+  return node !== '' && isIPv4(ip) && isPort;
+}
+
+function parsed(bytes: Buffer): Maybe<Readonly<Record<string, unknown>>> {
+  return Maybe.encase(
+    () => JSON.parse(bytes.toString('utf8')) as unknown,
+  ).chain(value =>
+    typeof value === 'object' && value !== null
+      ? Maybe.of(value as Readonly<Record<string, unknown>>)
+      : Nothing,
+  );
+}
--- a/src/direct/entry_questions.ts
+++ b/src/direct/entry_questions.ts
@@ -3,23 +3,12 @@
  * lost one is a question without an answer; the next goes to another entry.
  */
 import type {Clock} from '../types/runtime.js';
+import type {AnswerDatagram, AskDatagram} from './datagrams.js';
 import type {EntryAddress, EntryAnswer, StoreKnowledge} from './types.js';
 
 /** An answer comes in milliseconds, or its entry is cut off or stands still. */
 const ANSWER_MS = 400;
 
-export interface AskDatagram {
-  readonly kind: 'ask';
-  readonly from: EntryAddress;
-  readonly question: number;
-}
-
-export interface AnswerDatagram {
-  readonly kind: 'answer';
-  readonly question: number;
-  readonly knowledge: StoreKnowledge;
-}
-
 export interface EntryQuestionsOptions {
   readonly clock: Clock;
   readonly self: EntryAddress;
--- a/src/direct/fleet.ts
+++ b/src/direct/fleet.ts
@@ -2,6 +2,9 @@
  * The replicas that are there. After an outage of the store, entries that
  * lapsed meanwhile come back within about two seconds, so a replica that is
  * missing then is still asked for a while, where nothing better is left.
+ *
+ * A replica may start again under its name and then knows nothing of before.
+ * Its later start is known by the time it tells.
  */
 import type {Clock} from '../types/runtime.js';
 import type {DirectReplica} from './types.js';
@@ -10,9 +13,18 @@
 const OUTAGE_DOUBT_MS = 2_500;
 /** Lapsed replicas that live are back in the store by then. */
 const LAPSED_USE_MS = 1_900;
+/**
+ * A record of an earlier start is a late write of a process that is gone, and
+ * the living one writes over it at its next heartbeat, a second or so later.
+ * One that stands for longer is the truth: its host's time of day was set back.
+ */
+const EARLIER_START_MS = 3_000;
+/** A removed replica's streams are ended if it starts again within this time. */
+const REMEMBERED_MS = 30_000;
 
 export interface Fleet {
   setAll(replicas: ReadonlyMap<string, DirectReplica>): void;
+  /** By name; an undefined one was removed. */
   change(replicas: ReadonlyMap<string, DirectReplica | undefined>): void;
   /** A call to the store failed just now. */
   storeFailed(): void;
@@ -21,51 +33,89 @@
   size(): number;
 }
 
-interface Lapsed {
+export interface FleetOptions {
+  readonly clock: Clock;
+  /** It was removed; work that it has may still be answered. */
+  onGone(replica: DirectReplica): void;
+  /** A later start took its name: it will answer nothing more. */
+  onRestarted(replica: DirectReplica, now: DirectReplica): void;
+}
+
+interface Removed {
   readonly replica: DirectReplica;
-  readonly until: number;
+  readonly at: number;
+  /** Used until then, as its record may have lapsed. */
+  readonly usedUntil: number;
 }
 
-export function createFleet(
-  clock: Clock,
-  onGone: (replica: DirectReplica) => void,
-): Fleet {
+interface EarlierStart {
+  readonly replica: DirectReplica;
+  readonly since: number;
+}
+
+export function createFleet({clock, onGone, onRestarted}: FleetOptions): Fleet {
   const present = new Map<string, DirectReplica>();
-  const lapsed = new Map<string, Lapsed>();
+  const removed = new Map<string, Removed>();
+  const earlier = new Map<string, EarlierStart>();
   let failedAt = Number.NEGATIVE_INFINITY;
 
-  const remove = (id: string) => {
-    const replica = present.get(id);
+  const remove = (name: string) => {
+    earlier.delete(name);
+    const replica = present.get(name);
     if (replica === undefined) return;
-    present.delete(id);
-    const now = clock.now();
-    if (now - failedAt < OUTAGE_DOUBT_MS && !replica.leaving) {
-      lapsed.set(id, {replica, until: now + LAPSED_USE_MS});
-    }
+    present.delete(name);
+    const at = clock.now();
+    const mayHaveLapsed = at - failedAt < OUTAGE_DOUBT_MS && !replica.leaving;
+    const usedUntil = mayHaveLapsed ? at + LAPSED_USE_MS : at;
+    removed.set(name, {replica, at, usedUntil});
     onGone(replica);
   };
+  const take = (replica: DirectReplica) => {
+    const {name} = replica;
+    const before = present.get(name) ?? removed.get(name)?.replica;
+    present.set(name, replica);
+    removed.delete(name);
+    earlier.delete(name);
+    const isOther = before !== undefined && before.id !== replica.id;
+    if (isOther) onRestarted(before, replica);
+  };
   const put = (replica: DirectReplica) => {
-    present.set(replica.id, replica);
-    lapsed.delete(replica.id);
+    const {name} = replica;
+    const known = present.get(name);
+    if (known !== undefined && startOf(replica) < startOf(known)) {
+      const since = earlier.get(name)?.since ?? clock.now();
+      earlier.set(name, {replica, since});
+    } else {
+      take(replica);
+    }
+  };
+  const settle = () => {
+    const now = clock.now();
+    for (const {replica, since} of [...earlier.values()]) {
+      if (now - since >= EARLIER_START_MS) take(replica);
+    }
+    for (const [name, {at}] of removed) {
+      if (now - at >= REMEMBERED_MS) removed.delete(name);
+    }
   };
-  const stillLapsed = (service: string): readonly DirectReplica[] => {
+  const stillUsed = (service: string): readonly DirectReplica[] => {
     const now = clock.now();
-    for (const [id, {until}] of lapsed) if (until < now) lapsed.delete(id);
-    return [...lapsed.values()]
+    return [...removed.values()]
+      .filter(({usedUntil}) => now < usedUntil)
       .map(({replica}) => replica)
       .filter(replica => replica.service === service);
   };
 
   return {
     setAll: replicas => {
-      for (const id of [...present.keys()]) {
-        if (!replicas.has(id)) remove(id);
+      for (const name of [...present.keys()]) {
+        if (!replicas.has(name)) remove(name);
       }
       for (const replica of replicas.values()) put(replica);
     },
     change: replicas => {
-      for (const [id, replica] of replicas) {
-        if (replica === undefined) remove(id);
+      for (const [name, replica] of replicas) {
+        if (replica === undefined) remove(name);
         else put(replica);
       }
     },
@@ -73,11 +123,17 @@
       failedAt = clock.now();
     },
     serving: service => {
+      settle();
       const there = [...present.values()].filter(
         replica => replica.service === service && !replica.leaving,
       );
-      return there.length > 0 ? there : stillLapsed(service);
+      return there.length > 0 ? there : stillUsed(service);
     },
     size: () => present.size,
   };
 }
+
+/** A start whose time is not told counts as the earliest. */
+function startOf({startedAt}: DirectReplica): number {
+  return startedAt ?? Number.NEGATIVE_INFINITY;
+}
--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -64,7 +64,8 @@
         // A read that was overtaken by a watch must not bring back old items.
         if (revision !== undefined && listing.revision < revision) return true;
         revision = listing.revision;
-        options.onList(listing.items);
+        if (listing.isPartial) options.onChanges(listing.items);
+        else options.onList(listing.items);
         options.onConfirmed(sentAt);
         return true;
       },
@@ -77,7 +78,7 @@
     if (stopped) return false;
     return res.caseOf({
       Left: fault => {
-        if (fault.historyGone) revision = undefined;
+        if (fault.historyGone || fault.unreadable) revision = undefined;
         options.onFault(fault);
         return fault.historyGone;
       },
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -23,13 +23,19 @@
 import {sendOwnAnswer} from './own_answers.js';
 import {createUsualSizes} from './usual_sizes.js';
 import {createReplicaHealth} from './replica_health.js';
+import {createReplicaLosses} from './replica_losses.js';
 import {serveCall} from './serve_call.js';
 import {giveUp} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {serveStream} from './serve_stream.js';
 import type {DirectMessage} from './messages.js';
 import type {DirectSettings} from './settings.js';
-import type {DirectConfig, HeaderCodec, Reservations} from './types.js';
+import type {
+  DirectConfig,
+  HeaderCodec,
+  ReadReport,
+  Reservations,
+} from './types.js';
 
 /** In logs and gauges, the age of evidence that there is none of. */
 const NEVER_TOLD_MS = 1e9;
@@ -59,6 +65,7 @@
   readonly incarnation: string;
   readonly codec: HeaderCodec;
   readonly orders: Reservations;
+  readonly readReport: ReadReport;
   /** Time of one lease on a replica's memory, in milliseconds. */
   readonly holdMs: number;
   /** Time of day, in milliseconds. */
@@ -94,7 +101,16 @@
     revokeMs * EVIDENCE_SHARE,
   );
   const health = createReplicaHealth(clock);
-  const fleet = createFleet(clock, ({id}) => health.forget(id));
+  const losses = createReplicaLosses();
+  const fleet = createFleet({
+    clock,
+    onGone: ({id}) => health.forget(id),
+    onRestarted: ({id}, now) => {
+      log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
+      health.forget(id);
+      losses.lost(id);
+    },
+  });
   const shareLater = createBatcher(clock, () =>
     ctx.send('sharing', {kind: 'load', loads: book.own()}),
   );
@@ -110,11 +126,13 @@
     failureDomain: settings.failureDomain,
     fleet,
     health,
+    losses,
     book,
     groups: createGroups({
       clock,
       log,
       orders: options.orders,
+      readReport: options.readReport,
       idPrefix: `${settings.node}-${options.incarnation}`,
       holdMs: options.holdMs,
     }),
--- a/src/direct/groups.ts
+++ b/src/direct/groups.ts
@@ -4,14 +4,22 @@
  * leases while the request runs and releases them when it ends; if the entry
  * dies, they lapse by themselves.
  *
+ * They are renewed only on a sign of life of the engine that leads: one that
+ * goes dark before its first event resets nothing, and its members' memory was
+ * held for 9 s for a request that ran nowhere.
+ *
  * An order without an answer may be carried out seconds later. A reservation
  * that comes true after its release would hold memory that nobody uses, so
  * whatever was left unanswered is released again until no order can still come.
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import type {EngineCandidate} from './choose_engines.js';
-import type {GroupMember, Reservations} from './types.js';
+import type {
+  DirectReplica,
+  GroupMember,
+  ReadReport,
+  Reservations,
+} from './types.js';
 
 /** An unanswered order is carried out within this time, or never. */
 const LATE_ORDER_MS = 13_000;
@@ -23,18 +31,37 @@
 const RESERVE_TRIES = 2;
 /** A lease is renewed after this share of its time. */
 const RENEW_SHARE = 0.45;
+/** What the lead sent this long ago is a sign of life still. */
+const HEARD_MS = 300;
+/** Questions without an answer until the lead counts as gone. */
+const LIFE_TRIES = 2;
 
 /** A group whose members all hold their part. */
 export interface Group {
   readonly members: readonly GroupMember[];
+  /** The lead sent something. */
+  heard(): void;
+  /** `onSilent` is called once, when the lead gives no sign of life. */
+  watchLead(onSilent: () => void): void;
   /** Releases all members. */
   close(): void;
 }
 
+/** What a group is opened for. */
+export interface GroupRequest {
+  readonly requestId: string;
+  /** Reads a part as well, and writes; its own part needs no reservation. */
+  readonly lead: DirectReplica;
+  readonly helpers: readonly DirectReplica[];
+  /** Of each helper's part. */
+  readonly tokens: number;
+}
+
 export interface GroupsOptions {
   readonly clock: Clock;
   readonly log: Log;
   readonly orders: Reservations;
+  readonly readReport: ReadReport;
   /** Prefix of the reservations' ids, unique to this process. */
   readonly idPrefix: string;
   /** Time of one lease, in milliseconds. */
@@ -43,11 +70,7 @@
 
 export interface Groups {
   /** All members or none; a refusal names the replica that refused. */
-  open(
-    requestId: string,
-    helpers: readonly EngineCandidate[],
-    tokens: number,
-  ): Promise<Group | {readonly refusedBy: string}>;
+  open(req: GroupRequest): Promise<Group | {readonly refusedBy: string}>;
   /** Reservations that are held, or may be. */
   held(): number;
 }
@@ -83,15 +106,37 @@
     }
   };
 
-  const keepRenewed = async (lease: Lease): Promise<void> => {
-    let waitMs = holdMs * RENEW_SHARE;
-    for (;;) {
-      await pause(waitMs);
-      if (lease.closed) return;
+  /** Whether the member still holds its part. */
+  const renew = async (lease: Lease): Promise<boolean> => {
+    while (!lease.closed) {
       const answer = await reserve(lease);
-      if (answer === 'refused') return;
-      waitMs = answer === 'done' ? holdMs * RENEW_SHARE : AGAIN_MS;
+      // The renewal may have overtaken the release of a group that ended.
+      if (lease.closed) void release(lease);
+      if (answer !== 'unknown') return answer === 'done';
+      await pause(AGAIN_MS);
     }
+    return false;
+  };
+
+  const renewAll = async (
+    held: readonly Lease[],
+  ): Promise<readonly Lease[]> => {
+    const kept = await Promise.all(held.map(renew));
+    return held.filter((_lease, at) => kept[at]);
+  };
+
+  /** Whether the lead is the start that was chosen, and answers. */
+  const isAlive = async ({address, startedAt}: DirectReplica) => {
+    for (let tries = 1; tries <= LIFE_TRIES; tries++) {
+      const report = await options.readReport(address);
+      if (report === undefined) continue;
+      const isSame =
+        startedAt === undefined ||
+        report.startedAt === undefined ||
+        startedAt === report.startedAt;
+      return isSame;
+    }
+    return false;
   };
 
   const release = async (lease: Lease): Promise<void> => {
@@ -106,32 +151,67 @@
     leases.delete(lease);
   };
 
-  const leaseOf = ({replica}: EngineCandidate, tokens: number): Lease => ({
-    address: replica.address,
+  const leaseOf = ({address}: DirectReplica, tokens: number): Lease => ({
+    address,
     id: `${options.idPrefix}-${++count}`,
     tokens,
     unansweredAt: Number.NEGATIVE_INFINITY,
     closed: false,
   });
 
+  const groupOf = (req: GroupRequest, asked: readonly Lease[]): Group => {
+    let heardAt = clock.now();
+    let isOpen = true;
+    let held = asked;
+    let onLeadSilent = () => {};
+    const close = () => {
+      isOpen = false;
+      for (const lease of asked) if (!lease.closed) void release(lease);
+    };
+    const leadLives = async () =>
+      clock.now() - heardAt < HEARD_MS || (await isAlive(req.lead));
+    const keepRenewed = async (): Promise<void> => {
+      for (;;) {
+        await pause(holdMs * RENEW_SHARE);
+        if (!isOpen) return;
+        if (await leadLives()) {
+          held = await renewAll(held);
+          continue;
+        }
+        if (!isOpen) return;
+        const {requestId, lead} = req;
+        log(DIRECT_EVENTS.leadSilent, {requestId, replica: lead.id});
+        close();
+        onLeadSilent();
+        return;
+      }
+    };
+    void keepRenewed();
+    return {
+      members: asked.map(({address, id}) => ({address, reservation: id})),
+      heard: () => {
+        heardAt = clock.now();
+      },
+      watchLead: onSilent => {
+        onLeadSilent = onSilent;
+      },
+      close,
+    };
+  };
+
   return {
-    open: async (requestId, helpers, tokens) => {
+    open: async req => {
+      const {requestId, helpers, tokens} = req;
       const asked = helpers.map(helper => leaseOf(helper, tokens));
       for (const lease of asked) leases.add(lease);
       const answers = await Promise.all(asked.map(firstReserve));
       const at = answers.findIndex(answer => answer !== 'done');
-      if (at >= 0) {
-        const refusedBy = asked[at].address;
-        const answer = answers[at];
-        log(DIRECT_EVENTS.groupRefused, {requestId, refusedBy, answer});
-        for (const lease of asked) void release(lease);
-        return {refusedBy};
-      }
-      for (const lease of asked) void keepRenewed(lease);
-      return {
-        members: asked.map(({address, id}) => ({address, reservation: id})),
-        close: () => asked.forEach(lease => void release(lease)),
-      };
+      if (at < 0) return groupOf(req, asked);
+      const refusedBy = asked[at].address;
+      const answer = answers[at];
+      log(DIRECT_EVENTS.groupRefused, {requestId, refusedBy, answer});
+      for (const lease of asked) void release(lease);
+      return {refusedBy};
     },
     held: () => leases.size,
   };
--- a/src/direct/load_codec.ts
+++ b/src/direct/load_codec.ts
@@ -3,6 +3,8 @@
  * fields, whole numbers. An entry sends it at each change to every other one,
  * and names were three quarters of its bytes.
  */
+import {Just, Nothing} from 'purify-ts/Maybe';
+import type {Maybe} from 'purify-ts/Maybe';
 import type {ReplicaLoad} from './load_book.js';
 
 type PackedLoad = readonly [
@@ -37,24 +39,63 @@
   ]);
 }
 
-export function unpackLoads(
-  packed: readonly PackedLoad[],
-): readonly ReplicaLoad[] {
-  return packed.map(
-    ([replicaId, running, tokens, readMs, readers, writers]) => ({
-      replicaId,
-      running,
-      tokens,
-      readMs,
-      readers: readers.map(([slackMs, marginMs, weight]) => ({
-        slackMs,
-        marginMs,
-        weight,
-      })),
-      writers: writers.map(([pauseAimMs, weight]) => ({
-        pauseAimMs: pauseAimMs === NO_PAUSE_AIM ? Infinity : pauseAimMs,
-        weight,
-      })),
-    }),
+/** Nothing when any part of it is not as it is packed. */
+export function unpackLoads(packed: unknown): Maybe<readonly ReplicaLoad[]> {
+  return Array.isArray(packed) && packed.every(isPackedLoad)
+    ? Just(packed.map(unpackLoad))
+    : Nothing;
+}
+
+function unpackLoad([
+  replicaId,
+  running,
+  tokens,
+  readMs,
+  readers,
+  writers,
+]: PackedLoad): ReplicaLoad {
+  return {
+    replicaId,
+    running,
+    tokens,
+    readMs,
+    readers: readers.map(([slackMs, marginMs, weight]) => ({
+      slackMs,
+      marginMs,
+      weight,
+    })),
+    writers: writers.map(([pauseAimMs, weight]) => ({
+      pauseAimMs: pauseAimMs === NO_PAUSE_AIM ? Infinity : pauseAimMs,
+      weight,
+    })),
+  };
+}
+
+function isPackedLoad(value: unknown): value is PackedLoad {
+  if (!Array.isArray(value) || value.length !== 6) return false;
+  const [replicaId, running, tokens, readMs, readers, writers] =
+    value as unknown[];
+  return (
+    typeof replicaId === 'string' &&
+    [running, tokens, readMs].every(isAmount) &&
+    isListOf(readers, 3) &&
+    isListOf(writers, 2)
+  );
+}
+
+function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && value >= 0;
+}
+
+/** A list of lists of so many numbers. */
+function isListOf(value: unknown, length: number): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every(
+      each =>
+        Array.isArray(each) &&
+        each.length === length &&
+        each.every(one => typeof one === 'number'),
+    )
   );
 }
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -3,6 +3,7 @@
  * load book, and with its reservations held. Where no engine has the memory,
  * the request waits here for as long as that is worth it.
  */
+import type {Cancel} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {chooseForCall} from './choose_call.js';
 import {aimMargin, chooseEngines} from './choose_engines.js';
@@ -27,11 +28,18 @@
 /** Tokens of an answer whose length nothing tells. */
 const UNKNOWN_ANSWER_TOKENS = 512;
 
+/** Why nothing more will come: sure where a member has started again. */
+export type PlaceLoss = 'a member restarted' | 'the lead is silent';
+
 export interface Place {
   readonly replica: DirectReplica;
   readonly helpers: readonly GroupMember[];
   /** Expected time to the first event, in milliseconds. */
   readonly firstEventMs: number;
+  /** Something came from the replica. */
+  heard(): void;
+  /** `onLost` is called when no answer can come from here any more. */
+  watchLoss(onLost: (loss: PlaceLoss) => void): Cancel;
   /** The first event came after `tookMs`. */
   hasRead(tookMs: number): void;
   /** The replica refused; `faultAt` is the member at fault, if it said so. */
@@ -123,7 +131,12 @@
   const endWorks = () => works.forEach(work => work.end());
   let group: Group | undefined;
   if (partTokens > 0 && helpers.length > 0) {
-    const opened = await ctx.groups.open(exchange.id, helpers, partTokens);
+    const opened = await ctx.groups.open({
+      requestId: exchange.id,
+      lead: first.replica,
+      helpers: helpers.map(({replica}) => replica),
+      tokens: partTokens,
+    });
     if ('refusedBy' in opened) {
       endWorks();
       return opened;
@@ -134,6 +147,14 @@
   const addresses = helpers.map(({replica}) => replica.address);
   return {
     replica: first.replica,
+    heard: () => group?.heard(),
+    watchLoss: onLost => {
+      group?.watchLead(() => {
+        ctx.health.failed(first.replica.id);
+        onLost('the lead is silent');
+      });
+      return watchRestarts(ctx, [first, ...helpers], onLost);
+    },
     helpers:
       group?.members ??
       addresses.map(address => ({address, reservation: undefined})),
@@ -154,6 +175,17 @@
   };
 }
 
+function watchRestarts(
+  ctx: ServeContext,
+  members: readonly Pick<EngineCandidate, 'replica'>[],
+  onLost: (loss: PlaceLoss) => void,
+): Cancel {
+  const cancels = members.map(({replica}) =>
+    ctx.losses.watch(replica.id, () => onLost('a member restarted')),
+  );
+  return () => cancels.forEach(cancel => cancel());
+}
+
 function enterWorks(
   ctx: ServeContext,
   exchange: Exchange,
@@ -223,6 +255,8 @@
   const work = ctx.book.enter(callWork(replica.id, pauseAimMs));
   return {
     replica,
+    heard: () => undefined,
+    watchLoss: onLost => watchRestarts(ctx, [chosen], onLost),
     helpers: [],
     firstEventMs: UNKNOWN_FIRST_EVENT_MS,
     hasRead: tookMs =>
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -177,7 +177,7 @@
   exchange: Exchange,
   replica: DirectReplica,
 ): Promise<CallOutcome> {
-  const {health, book, clock, metrics} = ctx;
+  const {health, losses, book, clock, metrics} = ctx;
   const startedAt = clock.now();
   const work = book.enter(callWork(replica.id, Infinity));
   exchange.sent++;
@@ -189,6 +189,7 @@
 
     const finish = (outcome: CallOutcome) => {
       work.end();
+      stopWatching();
       exchange.signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
@@ -256,6 +257,11 @@
       onEnd,
       onBroken,
     });
+    // Its connection may stay silent without a reset.
+    const stopWatching = losses.watch(replica.id, () => {
+      dispatch.cancel();
+      onBroken(true, 'the replica restarted');
+    });
     exchange.signal.addEventListener('abort', onAbort);
   });
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -11,6 +11,7 @@
 import type {LoadBook} from './load_book.js';
 import {sendOwnAnswer} from './own_answers.js';
 import type {ReplicaHealth} from './replica_health.js';
+import type {ReplicaLosses} from './replica_losses.js';
 import type {
   DirectReplica,
   GroupMember,
@@ -27,6 +28,7 @@
   readonly failureDomain: string;
   readonly fleet: Fleet;
   readonly health: ReplicaHealth;
+  readonly losses: ReplicaLosses;
   readonly book: LoadBook;
   readonly groups: Groups;
   readonly budget: RetryBudget;
@@ -66,7 +68,7 @@
   const {req, body, route, owner} = exchange;
   const priority = owner?.priority ?? route.priority;
   const headers = ctx.codec.dispatchHeaders(req.rawHeaders, {
-    replicaId: replica.id,
+    replicaName: replica.name,
     organisation: owner?.organisation,
     timeLeftMs: exchange.timeLeftMs(),
     priority: Math.min(MOST_PRIORITY, Math.max(0, priority)),
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -8,10 +8,10 @@
 import type {Socket} from 'node:dgram';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import type {AnswerDatagram, AskDatagram} from './entry_questions.js';
+import {decodeDatagram, encodeDatagram} from './datagrams.js';
+import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
 import {createEntryQuestions} from './entry_questions.js';
 import type {ReplicaLoad} from './load_book.js';
-import {packLoads, unpackLoads} from './load_codec.js';
 import './messages.js';
 import type {DirectStore, EntryAddress, StoreKnowledge} from './types.js';
 
@@ -31,17 +31,6 @@
   readonly store: DirectStore;
 }
 
-/** A datagram between entries. */
-interface LoadDatagram {
-  readonly kind: 'load';
-  readonly from: EntryAddress;
-  /** Grows with each datagram of one incarnation. */
-  readonly seq: number;
-  readonly loads: ReturnType<typeof packLoads>;
-}
-
-type Datagram = LoadDatagram | AskDatagram | AnswerDatagram;
-
 interface Peer {
   readonly entry: EntryAddress;
   heardAt: number;
@@ -66,8 +55,7 @@
   const socket = await openSocket(self);
 
   const send = (): void => {
-    const packed = packLoads(loads);
-    const bytes = encode({kind: 'load', from: self, seq: ++seq, loads: packed});
+    const bytes = encodeDatagram({kind: 'load', from: self, seq: ++seq, loads});
     sentAt = clock.now();
     for (const {entry} of peers.values()) {
       socket.send(bytes, entry.port, entry.ip, () => undefined);
@@ -92,7 +80,7 @@
   const isHeard = (peer: Peer) => clock.now() - peer.heardAt < SILENT_MS;
 
   const sendOne = (datagram: Datagram, {ip, port}: EntryAddress): void => {
-    const bytes = encode(datagram);
+    const bytes = encodeDatagram(datagram);
     socket.send(bytes, port, ip, () => undefined);
     metrics.count('onyxloft_sharing_bytes_total', {}, bytes.length);
   };
@@ -119,16 +107,20 @@
   };
 
   const receive = (bytes: Buffer): void => {
-    const datagram = parseDatagram(bytes);
-    switch (datagram?.kind) {
+    decodeDatagram(bytes).caseOf({
+      Nothing: () => metrics.count('onyxloft_sharing_unreadable_total'),
+      Just: take,
+    });
+  };
+
+  const take = (datagram: Datagram): void => {
+    switch (datagram.kind) {
       case 'load':
         return receiveLoad(datagram);
       case 'ask':
         return void answer(datagram);
       case 'answer':
         return questions.answered(datagram);
-      case undefined:
-        metrics.count('onyxloft_sharing_unreadable_total');
     }
   };
 
@@ -137,9 +129,8 @@
     if (peer === undefined || datagram.seq <= peer.seq) return;
     peer.seq = datagram.seq;
     peer.heardAt = clock.now();
-    const {node} = datagram.from;
-    const told = unpackLoads(datagram.loads);
-    ctx.send('direct', {kind: 'other-load', node, loads: told});
+    const {from, loads: told} = datagram;
+    ctx.send('direct', {kind: 'other-load', node: from.node, loads: told});
   };
 
   const beat = (): void => {
@@ -200,19 +191,3 @@
     });
   });
 }
-
-function encode(datagram: Datagram): Buffer {
-  return Buffer.from(JSON.stringify(datagram));
-}
-
-const KINDS: readonly unknown[] = ['load', 'ask', 'answer'];
-
-function parseDatagram(bytes: Buffer): Datagram | undefined {
-  try {
-    const value = JSON.parse(bytes.toString('utf8')) as Datagram;
-    return KINDS.includes(value.kind) ? value : undefined;
-  } catch {
-    // Not from an entry; the sender is not told.
-    return undefined;
-  }
-}
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -7,12 +7,12 @@
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from './exchange.js';
-import type {Place} from './place.js';
+import type {Place, PlaceLoss} from './place.js';
 import {dispatchRequest, judgeHead, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {enterEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
-import {watchSilence} from './stream_silence.js';
+import {mayGoOn, watchSilence} from './stream_silence.js';
 
 /** A failure's body is small; a larger one is not kept. */
 const FAILURE_BYTES = 1024 * 1024;
@@ -48,15 +48,23 @@
 
     const finish = (outcome: StreamOutcome) => {
       silence.stop();
+      stopWatching();
       signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
     const breakOff = (reason: string) => {
+      health.failed(replica.id);
+      leave(reason);
+    };
+    const leave = (reason: string) => {
       exchange.mayHaveRun = true;
       dispatch.cancel();
-      health.failed(replica.id);
       finish({kind: 'broken', reason});
     };
+    const onLost = (loss: PlaceLoss) => {
+      if (loss === 'the lead is silent' && !mayGoOn(exchange)) return;
+      leave(loss);
+    };
     const onAbort = () => {
       exchange.mayHaveRun = true;
       dispatch.cancel();
@@ -95,6 +103,7 @@
         writeEvent(event);
       }
       silence.onEvent();
+      place.heard();
     };
     const onEnd = () => {
       if (head === undefined) return;
@@ -124,6 +133,7 @@
       clock,
       {onHead, onData, onEnd, onBroken},
     );
+    const stopWatching = place.watchLoss(onLost);
     signal.addEventListener('abort', onAbort);
     silence.awaitFirst(place.firstEventMs);
   });
--- a/src/direct/stream_silence.ts
+++ b/src/direct/stream_silence.ts
@@ -25,15 +25,21 @@
   stop(): void;
 }
 
+/** Whether another replica may be tried in place of one that is silent. */
+export function mayGoOn({route, sent}: Exchange): boolean {
+  return route.kind === 'resumable-stream' && sent < route.maxAttempts;
+}
+
 /** `onSilent` is called once, and only while another replica may be tried. */
 export function watchSilence(
   {clock, book}: ServeContext,
-  {route, sent}: Exchange,
+  exchange: Exchange,
   replicaId: string,
   onSilent: () => void,
 ): SilenceWatch {
   // A last attempt may still come; silence alone ends no answer.
-  const canGoOn = route.kind === 'resumable-stream' && sent < route.maxAttempts;
+  const canGoOn = mayGoOn(exchange);
+  const {route} = exchange;
   const mostMs = patienceMs(route) * PATIENCE_SHARE;
   let stop = () => {};
 
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -86,9 +86,17 @@
   readonly limits: CallerLimits;
 }
 
-/** A replica that has announced itself. */
+/** One start of a replica, as it has announced itself. */
 export interface DirectReplica {
+  /**
+   * Names this start alone. Load, suspicion and what other entries tell go by
+   * it, so that nothing of an earlier start is held against a later one.
+   */
   readonly id: string;
+  /** Its name on the platform, which a later start may bear again. */
+  readonly name: string;
+  /** Time of day at its start, in milliseconds; undefined when not told. */
+  readonly startedAt: number | undefined;
   readonly service: string;
   /** IP:PORT. */
   readonly address: string;
@@ -132,6 +140,8 @@
   readonly step: string;
   /** The history asked for is gone: read anew. */
   readonly historyGone: boolean;
+  /** It was answered, with what cannot be read; a watch would be so again. */
+  readonly unreadable: boolean;
   readonly message: string;
 }
 
@@ -139,6 +149,8 @@
 export interface Listing<T> {
   readonly revision: number;
   readonly items: ReadonlyMap<string, T>;
+  /** Part of it could not be read: what is missing here may be there. */
+  readonly isPartial: boolean;
 }
 
 /** What has changed since a revision; an undefined value was removed. */
@@ -182,7 +194,8 @@
 
 /** What an entry tells a replica beside the caller's own headers. */
 export interface DispatchFacts {
-  readonly replicaId: string;
+  /** Any other replica is to refuse. */
+  readonly replicaName: string;
   readonly organisation: string | undefined;
   readonly timeLeftMs: number;
   readonly priority: number;
@@ -223,6 +236,17 @@
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
 }
 
+/** What a replica says of itself when asked. */
+export interface ReplicaReport {
+  /** As in `DirectReplica`. */
+  readonly startedAt: number | undefined;
+}
+
+/** Asks the replica at an address; undefined when no answer comes in time. */
+export type ReadReport = (
+  address: string,
+) => Promise<ReplicaReport | undefined>;
+
 /** Answer of a replica to an order about its memory. */
 export type ReservationAnswer = 'done' | 'refused' | 'unknown';
 
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -12,6 +12,7 @@
   DirectStore,
   EntryAddress,
   HeaderCodec,
+  ReadReport,
   Reservations,
 } from './direct/types.js';
 import {createKernel} from './kernel/kernel.js';
@@ -30,6 +31,7 @@
   readonly store: DirectStore;
   readonly codec: HeaderCodec;
   readonly orders: Reservations;
+  readonly readReport: ReadReport;
   /** Time of day, in milliseconds. */
   readonly wallMs: () => number;
 }
@@ -61,6 +63,7 @@
       incarnation,
       codec: parts.codec,
       orders: parts.orders,
+      readReport: parts.readReport,
       holdMs: holdMsOf(settings),
       wallMs: parts.wallMs,
     }),
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -155,6 +155,8 @@
   faulted: event(257, 'error', 'direct-faulted'),
   listening: event(258, 'info', 'direct-listening'),
   unread: event(259, 'info', 'direct-unread'),
+  leadSilent: event(260, 'warn', 'direct-lead-silent'),
+  replicaRestarted: event(261, 'info', 'direct-replica-restarted'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -101,6 +101,7 @@
   replica: ReplicaStandIn,
   service: string,
   state = 'ready',
+  born?: number,
 ): void {
   store.put('servers', replica.id, {
     service,
@@ -108,5 +109,6 @@
     zone: 'domain-1',
     slots: 4,
     state,
+    ...(born === undefined ? {} : {born}),
   });
 }
--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -132,10 +132,11 @@
       body,
       left: false,
     };
-    arrivals.push(arrival);
     res.on('close', () => {
       arrival.left = !res.writableFinished;
     });
+    // Asked for its state, one that answers no request says nothing either.
+    if (req.url !== '/api/report') arrivals.push(arrival);
     behaviour(arrival, res, req);
   };
   const server = createServer((req, res) => {
--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -28,6 +28,8 @@
   return {
     replica: {
       id,
+      name: id,
+      startedAt: undefined,
       service: 'pool',
       address: `${id}:1`,
       failureDomain: 'd',
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, test} from 'vitest';
 import {coverAgeMs, createCover} from '../../src/direct/cover.js';
 import {createEntryQuestions} from '../../src/direct/entry_questions.js';
-import type {AskDatagram} from '../../src/direct/entry_questions.js';
+import type {AskDatagram} from '../../src/direct/datagrams.js';
 import type {EntryAnswer, StoreKnowledge} from '../../src/direct/types.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
--- a/test/direct/follow.test.ts
+++ b/test/direct/follow.test.ts
@@ -34,7 +34,8 @@
     };
     const follower = follow<string>({
       collection: {
-        list: async () => Right({revision: 0, items: new Map()}),
+        list: async () =>
+          Right({revision: 0, items: new Map(), isPartial: false}),
         watch,
       },
       clock,
--- a/test/direct/parts.test.ts
+++ b/test/direct/parts.test.ts
@@ -11,6 +11,7 @@
 import {createBoundedSink} from '../../src/utils/bounded_sink.js';
 import {createMetrics} from '../../src/utils/metrics.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
 
 describe('events of a stream', () => {
   test('come whole, however the bytes are cut', () => {
@@ -85,25 +86,33 @@
       },
     ];
     const sent = JSON.stringify(packLoads(loads));
-    expect(unpackLoads(JSON.parse(sent))).toEqual(loads);
+    expect(unpackLoads(JSON.parse(sent)).extract()).toEqual(loads);
   });
 });
 
 describe('replicas', () => {
   const replica = (id: string): DirectReplica => ({
     id,
+    name: id,
+    startedAt: undefined,
     service: 's',
     address: `${id}:1`,
     failureDomain: 'd',
     places: 1,
     leaving: false,
   });
+  const fleetOn = (clock: VirtualClock) =>
+    createFleet({
+      clock,
+      onGone: () => undefined,
+      onRestarted: () => undefined,
+    });
   const ids = (fleet: ReturnType<typeof createFleet>) =>
     fleet.serving('s').map(({id}) => id);
 
   test('that lapsed in an outage serve for a while, those removed do not', async () => {
     const clock = createVirtualClock();
-    const fleet = createFleet(clock, () => undefined);
+    const fleet = fleetOn(clock);
     fleet.setAll(new Map([['a', replica('a')]]));
     fleet.storeFailed();
     fleet.setAll(new Map());
