refactor(direct): serving apart from the front, dispatch handed in

Change: serving.ts owns replicas, load book, budget and the requests under way; dispatch is a function in its context. Conclusion: a fleet of entries can now run before modelled engines on a virtual clock.

--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -47,6 +47,13 @@
 }
 
 /** Sends the request; the observer hears of the rest. */
+export type OpenDispatch = (
+  spec: DispatchRequest,
+  clock: Clock,
+  observer: DispatchObserver,
+) => Dispatch;
+
+/** Over HTTP. */
 export function openDispatch(
   spec: DispatchRequest,
   clock: Clock,
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -4,31 +4,18 @@
  * knows of the replicas; the configuration and the replicas come as messages.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createRetryBudget} from '../limits/retry_budget.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {admitRequest} from './admit_request.js';
 import type {Refused} from './admit_request.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
-import {sizeOf} from './choose_engines.js';
+import {openDispatch} from './dispatch.js';
 import {createEvidence, readyAgeMs, waitForEvidence} from './evidence.js';
-import {openExchange} from './exchange.js';
-import type {Admitted, Exchange} from './exchange.js';
-import {createFleet} from './fleet.js';
 import {reportState} from './gauges.js';
-import {createGroups} from './groups.js';
-import {createLoadBook} from './load_book.js';
 import {sendOwnAnswer} from './own_answers.js';
-import {createUsualSizes} from './usual_sizes.js';
-import {createReplicaHealth} from './replica_health.js';
-import {createReplicaLosses} from './replica_losses.js';
-import {serveCall} from './serve_call.js';
-import {giveUp} from './serve_context.js';
-import type {ServeContext} from './serve_context.js';
-import {serveStream} from './serve_stream.js';
 import type {DirectMessage} from './messages.js';
+import {createServing} from './serving.js';
 import type {DirectSettings} from './settings.js';
 import type {
   DirectConfig,
@@ -41,15 +28,6 @@
 const NEVER_TOLD_MS = 1e9;
 /** Share of the revocation bound for which evidence counts. */
 const EVIDENCE_SHARE = 0.9;
-/**
- * New work is told to the other entries at once, but for what comes in the same
- * instant: two that choose within this time may choose the same replica.
- */
-const SHARE_MORE_MS = 2;
-/** Work that has ended only leaves room; it is told in batches. */
-const SHARE_LESS_MS = 25;
-/** Of the budget for retries, for errors in the share by entries. */
-const BUDGET_SHARE = 0.8;
 /**
  * From the signal on, new connections come until the balancer has missed two
  * checks, a second each; then the socket is closed.
@@ -89,68 +67,37 @@
   let server: CallersServer | undefined;
   let opening = false;
   let draining = false;
-  let entries = 1;
-  const open = new Set<Exchange>();
   /** Requests that are read, or whose key waits for the store. */
   let admitting = 0;
-  const usual = createUsualSizes();
 
   const evidence = createEvidence(
     clock,
     options.wallMs,
     revokeMs * EVIDENCE_SHARE,
   );
-  const health = createReplicaHealth(clock);
-  const losses = createReplicaLosses();
-  const fleet = createFleet({
-    clock,
-    onGone: ({id}) => health.forget(id),
-    onRestarted: ({id}, now) => {
-      log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
-      health.forget(id);
-      losses.lost(id);
-    },
-  });
-  const shareLater = createBatcher(clock, () =>
-    ctx.send('sharing', {kind: 'load', loads: book.own()}),
-  );
-  const book = createLoadBook(clock, change =>
-    shareLater(change === 'more' ? SHARE_MORE_MS : SHARE_LESS_MS),
-  );
-  const serveContext: ServeContext = {
+  const serving = createServing({
     clock,
     log,
     metrics,
     random,
     codec,
+    dispatch: openDispatch,
+    orders: options.orders,
+    readReport: options.readReport,
     failureDomain: settings.failureDomain,
-    fleet,
-    health,
-    losses,
-    book,
-    groups: createGroups({
-      clock,
-      log,
-      orders: options.orders,
-      readReport: options.readReport,
-      idPrefix: `${settings.node}-${options.incarnation}`,
-      holdMs: options.holdMs,
-    }),
-    budget: createRetryBudget(
-      () => (settings.retries.slack * BUDGET_SHARE) / entries,
-    ),
-    retryRatio: settings.retries.ratio * BUDGET_SHARE,
+    retries: settings.retries,
+    idPrefix: `${settings.node}-${options.incarnation}`,
+    holdMs: options.holdMs,
     isDraining: () => draining,
-  };
+    share: loads => ctx.send('sharing', {kind: 'load', loads}),
+  });
 
   const toldAgeMs = () => Math.round(Math.min(evidence.ageMs(), NEVER_TOLD_MS));
   const readState = () => ({
     evidenceAgeMs: toldAgeMs(),
-    openRequests: open.size,
-    entries,
-    replicas: fleet.size(),
-    retriesLeft: serveContext.budget.left(),
-    memoryLeases: serveContext.groups.held(),
+    openRequests: serving.open(),
+    replicas: serving.fleet.size(),
+    ...serving.state(),
   });
 
   const keysAreFresh = () =>
@@ -158,47 +105,6 @@
       ctx.send('followed', {kind: 'confirm'}),
     );
 
-  const weigh = ({route, facts}: Admitted): number =>
-    usual.weigh(route.name, sizeOf(facts.promptTokens, facts.maxTokens));
-
-  const serve = (
-    admitted: Admitted,
-    req: IncomingMessage,
-    res: ServerResponse,
-    arrivedAt: number,
-  ): void => {
-    const exchange = openExchange({
-      clock,
-      arrivedAt,
-      req,
-      res,
-      admitted,
-      weight: weigh(admitted),
-      onTimeUp: late => giveUp(serveContext, late, 'time is up'),
-      onCallerLeft: ({id, elapsedMs}) => {
-        const waitedMs = Math.round(elapsedMs());
-        log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
-      },
-    });
-    open.add(exchange);
-    const serving = admitted.route.streaming
-      ? serveStream(serveContext, exchange)
-      : serveCall(serveContext, exchange);
-    void serving
-      .catch(err => {
-        log(DIRECT_EVENTS.faulted, {
-          requestId: exchange.id,
-          cause: String(err),
-        });
-        exchange.mayHaveRun = true;
-        giveUp(serveContext, exchange, 'internal error');
-      })
-      .finally(() => {
-        exchange.end('answered');
-        open.delete(exchange);
-      });
-  };
-
   const refuse = (res: ServerResponse, refused: Refused, id: unknown) => {
     const {status, message} = refused;
     log(DIRECT_EVENTS.refused, {
@@ -236,7 +142,7 @@
           const {id} = codec.readRequest(req.headers);
           refuse(res, result, id);
         } else {
-          serve(result, req, res, arrivedAt);
+          serving.serve(result, req, res, arrivedAt);
         }
       })
       .catch(err => {
@@ -274,7 +180,7 @@
     const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
     const cancel = clock.every(DRAIN_LOOK_MS, () => {
       const passedMs = clock.now() - startedAt;
-      const done = passedMs > TAKE_ON_MS && open.size + admitting === 0;
+      const done = passedMs > TAKE_ON_MS && serving.open() + admitting === 0;
       if (!done && passedMs < graceMs) return;
       cancel();
       reply();
@@ -288,27 +194,26 @@
       case 'confirmed':
         return evidence.confirm(message.asOf, message.askedAt);
       case 'replicas':
-        return fleet.setAll(message.replicas);
+        return serving.fleet.setAll(message.replicas);
       case 'replica-changes':
-        return fleet.change(message.replicas);
+        return serving.fleet.change(message.replicas);
       case 'store-failed':
-        return fleet.storeFailed();
+        return serving.fleet.storeFailed();
       case 'evidence-age':
         return message.reply(evidence.ageMs());
       case 'other-load':
-        return book.setOther(message.node, message.loads);
+        return serving.book.setOther(message.node, message.loads);
       case 'entries':
-        entries = message.count;
-        return;
+        return serving.setEntries(message.count);
       case 'ready':
         return message.reply(
           !draining &&
             server !== undefined &&
-            fleet.size() > 0 &&
+            serving.fleet.size() > 0 &&
             evidence.ageMs() < readyAgeMs(revokeMs),
         );
       case 'count':
-        return message.reply(open.size);
+        return message.reply(serving.open());
       case 'drain':
         return drain(message.reply);
     }
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -5,7 +5,6 @@
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {CALL_MS, chooseForCall} from './choose_call.js';
-import {openDispatch} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import {callWork} from './load_book.js';
@@ -251,7 +250,7 @@
       finish({kind: passing ? 'passed-on' : 'broken', reason});
     };
     const spec = dispatchRequest(ctx, exchange, replica, undefined, []);
-    const dispatch = openDispatch(spec, clock, {
+    const dispatch = ctx.dispatch(spec, clock, {
       onHead,
       onData,
       onEnd,
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -4,7 +4,7 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
-import type {AnswerHead, DispatchRequest} from './dispatch.js';
+import type {AnswerHead, DispatchRequest, OpenDispatch} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import type {Fleet} from './fleet.js';
 import type {Groups} from './groups.js';
@@ -25,6 +25,7 @@
   readonly metrics: Metrics;
   readonly random: Random;
   readonly codec: HeaderCodec;
+  readonly dispatch: OpenDispatch;
   readonly failureDomain: string;
   readonly fleet: Fleet;
   readonly health: ReplicaHealth;
--- /dev/null
+++ b/src/direct/serving.ts
@@ -0,0 +1,176 @@
+/**
+ * Serves admitted requests at replicas: owns what is known of the replicas and
+ * what is assigned to them. Apart from the front, so that a whole fleet of
+ * entries also runs before modelled engines on a virtual clock.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createRetryBudget} from '../limits/retry_budget.js';
+import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
+import {createBatcher} from '../utils/batcher.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import {sizeOf} from './choose_engines.js';
+import type {OpenDispatch} from './dispatch.js';
+import {openExchange} from './exchange.js';
+import type {Admitted, Exchange} from './exchange.js';
+import {createFleet} from './fleet.js';
+import type {Fleet} from './fleet.js';
+import {createGroups} from './groups.js';
+import {createLoadBook} from './load_book.js';
+import type {LoadBook, ReplicaLoad} from './load_book.js';
+import {createReplicaHealth} from './replica_health.js';
+import {createReplicaLosses} from './replica_losses.js';
+import {serveCall} from './serve_call.js';
+import {giveUp} from './serve_context.js';
+import type {ServeContext} from './serve_context.js';
+import {serveStream} from './serve_stream.js';
+import type {DirectSettings} from './settings.js';
+import type {HeaderCodec, ReadReport, Reservations} from './types.js';
+import {createUsualSizes} from './usual_sizes.js';
+
+/**
+ * New work is told to the other entries at once, but for what comes in the same
+ * instant: two that choose within this time may choose the same replica.
+ */
+const SHARE_MORE_MS = 2;
+/** Work that has ended only leaves room; it is told in batches. */
+const SHARE_LESS_MS = 25;
+/** Of the budget for retries, for errors in the share by entries. */
+const BUDGET_SHARE = 0.8;
+
+export interface ServingOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  readonly codec: HeaderCodec;
+  readonly dispatch: OpenDispatch;
+  readonly orders: Reservations;
+  readonly readReport: ReadReport;
+  readonly failureDomain: string;
+  readonly retries: DirectSettings['retries'];
+  /** Prefix of reservations' ids, unique to this process. */
+  readonly idPrefix: string;
+  /** Time of one lease on a replica's memory, in milliseconds. */
+  readonly holdMs: number;
+  isDraining(): boolean;
+  /** Tells the other entries what this one has assigned. */
+  share(loads: readonly ReplicaLoad[]): void;
+}
+
+export interface Serving {
+  readonly fleet: Fleet;
+  readonly book: LoadBook;
+  /** Serves to the final answer. */
+  serve(
+    admitted: Admitted,
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+  ): void;
+  /** Entries that are there, with this one. */
+  setEntries(count: number): void;
+  /** Requests without a final answer. */
+  open(): number;
+  state(): {
+    readonly entries: number;
+    readonly retriesLeft: number;
+    readonly memoryLeases: number;
+  };
+}
+
+export function createServing(options: ServingOptions): Serving {
+  const {clock, log, metrics, random, codec, dispatch, retries} = options;
+  let entries = 1;
+  const open = new Set<Exchange>();
+  const usual = createUsualSizes();
+  const health = createReplicaHealth(clock);
+  const losses = createReplicaLosses();
+  const fleet = createFleet({
+    clock,
+    onGone: ({id}) => health.forget(id),
+    onRestarted: ({id}, now) => {
+      log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
+      health.forget(id);
+      losses.lost(id);
+    },
+  });
+  const shareLater = createBatcher(clock, () => options.share(book.own()));
+  const book = createLoadBook(clock, change =>
+    shareLater(change === 'more' ? SHARE_MORE_MS : SHARE_LESS_MS),
+  );
+  const ctx: ServeContext = {
+    clock,
+    log,
+    metrics,
+    random,
+    codec,
+    dispatch,
+    failureDomain: options.failureDomain,
+    fleet,
+    health,
+    losses,
+    book,
+    groups: createGroups({
+      clock,
+      log,
+      orders: options.orders,
+      readReport: options.readReport,
+      idPrefix: options.idPrefix,
+      holdMs: options.holdMs,
+    }),
+    budget: createRetryBudget(() => (retries.slack * BUDGET_SHARE) / entries),
+    retryRatio: retries.ratio * BUDGET_SHARE,
+    isDraining: options.isDraining,
+  };
+
+  const weigh = ({route, facts}: Admitted): number =>
+    usual.weigh(route.name, sizeOf(facts.promptTokens, facts.maxTokens));
+
+  const serve: Serving['serve'] = (admitted, req, res, arrivedAt) => {
+    const exchange = openExchange({
+      clock,
+      arrivedAt,
+      req,
+      res,
+      admitted,
+      weight: weigh(admitted),
+      onTimeUp: late => giveUp(ctx, late, 'time is up'),
+      onCallerLeft: ({id, elapsedMs}) => {
+        const waitedMs = Math.round(elapsedMs());
+        log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
+      },
+    });
+    open.add(exchange);
+    const serving = admitted.route.streaming
+      ? serveStream(ctx, exchange)
+      : serveCall(ctx, exchange);
+    void serving
+      .catch(err => {
+        log(DIRECT_EVENTS.faulted, {
+          requestId: exchange.id,
+          cause: String(err),
+        });
+        exchange.mayHaveRun = true;
+        giveUp(ctx, exchange, 'internal error');
+      })
+      .finally(() => {
+        exchange.end('answered');
+        open.delete(exchange);
+      });
+  };
+
+  return {
+    fleet,
+    book,
+    serve,
+    setEntries: count => {
+      entries = count;
+    },
+    open: () => open.size,
+    state: () => ({
+      entries,
+      retriesLeft: ctx.budget.left(),
+      memoryLeases: ctx.groups.held(),
+    }),
+  };
+}
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -2,7 +2,6 @@
  * One try of a stream at one replica or group. Only whole events are handed on,
  * so that the stream can go on elsewhere after the last of them.
  */
-import {openDispatch} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
@@ -128,7 +127,7 @@
     );
     const lastEventId =
       progress.events > 0 ? String(progress.lastId) : undefined;
-    const dispatch = openDispatch(
+    const dispatch = ctx.dispatch(
       dispatchRequest(ctx, exchange, replica, lastEventId, place.helpers),
       clock,
       {onHead, onData, onEnd, onBroken},
