feat(bench): a model of the users' engines, and entries that serve before it

Change: standins/pool_engine.ts is an engine by its published figures (passes, chunks, parts, memory, preemption, death); bench/direct runs the entries' own serving code before it on a virtual clock with callers who leave and come back. A re-armed wait in stream_silence now lasts a millisecond or more: a rest left by rounding stopped virtual time.

--- /dev/null
+++ b/bench/direct/load.ts
@@ -0,0 +1,136 @@
+/** Requests of a run, drawn from a seed: kinds, sizes, times, bursts. */
+import type {Route} from '../../src/direct/types.js';
+import type {Random} from '../../src/types/runtime.js';
+
+/** Lognormal, by its mean and its deviation as a share of the mean. */
+export interface SizeSpread {
+  readonly mean: number;
+  readonly spread: number;
+  readonly most: number;
+}
+
+/** One kind of request. */
+export interface LoadKind {
+  readonly name: string;
+  readonly perS: number;
+  readonly promptTokens: SizeSpread;
+  readonly answerTokens: SizeSpread;
+  /** Most tokens of an answer, as each request tells. */
+  readonly maxTokens: number;
+  readonly aimMs: number;
+  readonly pauseAimMs: number;
+  readonly timeLimitMs: number;
+  readonly worth: number;
+  readonly lateWorth: number;
+}
+
+/** The traffic of one kind, or of all, is so many times its usual. */
+export interface Burst {
+  readonly kind: string | undefined;
+  readonly atS: number;
+  readonly forS: number;
+  readonly times: number;
+}
+
+export interface LoadRequest {
+  readonly id: string;
+  readonly atMs: number;
+  readonly kind: LoadKind;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  /** The caller's estimate of the answer, often far off. */
+  readonly expectedTokens: number;
+  /** What it is worth in time, by its size. */
+  readonly worth: number;
+  readonly lateWorth: number;
+  /** Chooses the entry. */
+  readonly caller: number;
+}
+
+/** A token that is written counts as so many read ones in a size. */
+const WRITTEN_TOKEN_SIZE = 10;
+const FIXED_WORTH = 0.3;
+const MOST_TIMES_WORTH = 4;
+/** Deviation of the caller's estimate, of its logarithm. */
+const HINT_SIGMA = 0.9;
+
+export function drawLoad(
+  kinds: readonly LoadKind[],
+  bursts: readonly Burst[],
+  lengthS: number,
+  random: Random,
+): readonly LoadRequest[] {
+  const all = kinds.flatMap(kind => drawKind(kind, bursts, lengthS, random));
+  return all.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawKind(
+  kind: LoadKind,
+  bursts: readonly Burst[],
+  lengthS: number,
+  random: Random,
+): readonly LoadRequest[] {
+  const timesAt = (s: number) =>
+    bursts
+      .filter(it => it.kind === undefined || it.kind === kind.name)
+      .filter(it => s >= it.atS && s < it.atS + it.forS)
+      .reduce((product, {times}) => product * times, 1);
+  const most = Math.max(1, ...bursts.map(({times}) => times));
+  const requests: LoadRequest[] = [];
+  let s = 0;
+  for (;;) {
+    s += -Math.log(1 - random.next()) / (kind.perS * most);
+    if (s >= lengthS) return requests;
+    if (random.next() > timesAt(s) / most) continue;
+    const promptTokens = Math.round(drawSize(kind.promptTokens, random));
+    const answerTokens = Math.round(drawSize(kind.answerTokens, random));
+    const error = Math.exp(HINT_SIGMA * drawNormal(random));
+    const size = promptTokens + WRITTEN_TOKEN_SIZE * kind.maxTokens;
+    const mean = kind.promptTokens.mean + WRITTEN_TOKEN_SIZE * kind.maxTokens;
+    const times = Math.min(
+      MOST_TIMES_WORTH,
+      FIXED_WORTH + (1 - FIXED_WORTH) * (size / mean),
+    );
+    requests.push({
+      id: `${kind.name}-${requests.length}`,
+      atMs: s * 1_000,
+      kind,
+      promptTokens,
+      answerTokens,
+      expectedTokens: Math.min(kind.maxTokens, Math.ceil(answerTokens * error)),
+      worth: kind.worth * times,
+      lateWorth: kind.lateWorth * times,
+      caller: random.next(),
+    });
+  }
+}
+
+function drawSize({mean, spread, most}: SizeSpread, random: Random): number {
+  const variance = Math.log(1 + spread ** 2);
+  const mu = Math.log(mean) - variance / 2;
+  const drawn = Math.exp(mu + Math.sqrt(variance) * drawNormal(random));
+  return Math.min(most, Math.max(1, drawn));
+}
+
+function drawNormal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
+
+/** The route of a kind, as the configuration would have it. */
+export function routeOf(kind: LoadKind, service: string): Route {
+  return {
+    name: kind.name,
+    host: 'models',
+    pathPrefix: `/${kind.name}/`,
+    kind: 'resumable-stream',
+    streaming: true,
+    targets: [{service, weight: 1}],
+    timeLimitMs: kind.timeLimitMs,
+    aimMs: kind.aimMs,
+    pauseAimMs: kind.pauseAimMs,
+    priority: 1,
+    maxAttempts: 2,
+    isPublic: true,
+  };
+}
--- /dev/null
+++ b/bench/direct/model_fleet.ts
@@ -0,0 +1,296 @@
+/**
+ * Entries that serve as in a process, before modelled engines, on a virtual
+ * clock. Between them stand modelled ways: each message takes its time, and
+ * entries hear of each other as they do by datagrams.
+ */
+import type {OpenDispatch} from '../../src/direct/dispatch.js';
+import type {ReplicaLoad} from '../../src/direct/load_book.js';
+import {createServing} from '../../src/direct/serving.js';
+import type {Serving} from '../../src/direct/serving.js';
+import type {
+  AnswerFacts,
+  DirectReplica,
+  DispatchFacts,
+  HeaderCodec,
+  Reservations,
+} from '../../src/direct/types.js';
+import type {Cancel, Clock, Log, Metrics} from '../../src/types/runtime.js';
+import {createPoolEngine} from '../../standins/pool_engine.js';
+import type {
+  PoolEngine,
+  PoolEngineFigures,
+} from '../../standins/pool_engine.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+
+export const SERVICE = 'pool';
+/** Lease on a member's memory. */
+const HOLD_MS = 3_500;
+/** An entry without news says so often that it is there. */
+const BEAT_MS = 300;
+/** Records of replicas are gone so long after their death. */
+const RECORD_MS = 3_600;
+/** A replica that starts is found in the store after so long. */
+const RECORD_AGAIN_MS = 500;
+const RETRIES = {ratio: 0.2, slack: 106, windowS: 10};
+
+export interface ModelFleetOptions {
+  readonly clock: Clock;
+  readonly seed: number;
+  readonly entries: number;
+  readonly engines: number;
+  readonly failureDomains: number;
+  readonly figures: PoolEngineFigures;
+  /** One way, between failure domains and within one. */
+  readonly wayMs: number;
+  /** Share of the datagrams between entries that are lost. */
+  readonly lossShare: number;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+export interface ModelEntry {
+  readonly serving: Serving;
+  isUp(): boolean;
+  /** Fault: the process is gone, and its callers' connections break. */
+  kill(forMs: number): void;
+}
+
+export interface ModelFleet {
+  readonly entries: readonly ModelEntry[];
+  readonly engines: readonly PoolEngine[];
+  /** Fault: engines fall silent, and start again after a while. */
+  darken(at: number, forMs: number): void;
+}
+
+export function createModelFleet(options: ModelFleetOptions): ModelFleet {
+  const {clock, figures} = options;
+  const engines = Array.from({length: options.engines}, (_, at) =>
+    createPoolEngine(`engine-${at}`, figures, clock),
+  );
+  const byAddress = new Map(engines.map(it => [addressOf(it.name), it]));
+  const starts = engines.map(() => 1);
+  const replicaOf = (at: number): DirectReplica => ({
+    id: `${engines[at].name}@${starts[at]}`,
+    name: engines[at].name,
+    startedAt: starts[at],
+    service: SERVICE,
+    address: addressOf(engines[at].name),
+    failureDomain: `domain-${at % options.failureDomains}`,
+    places: figures.places,
+    leaving: false,
+  });
+
+  const entries: ModelEntry[] = [];
+  const shareFrom = (from: number, loads: readonly ReplicaLoad[]): void => {
+    entries.forEach((to, at) => {
+      if (at === from || links.next() < options.lossShare) return;
+      clock.after(options.wayMs, () => {
+        if (to.isUp()) to.serving.book.setOther(`entry-${from}`, loads);
+      });
+    });
+  };
+  const links = createSeededRandom(options.seed ^ 0x5eed);
+
+  for (let at = 0; at < options.entries; at++) {
+    entries.push(createModelEntry(options, at, byAddress, shareFrom));
+  }
+  const tellAll = (tell: (serving: Serving) => void) =>
+    entries.forEach(({serving}) => tell(serving));
+  tellAll(serving => {
+    serving.setEntries(options.entries);
+    serving.fleet.setAll(
+      new Map(engines.map((it, at) => [it.name, replicaOf(at)])),
+    );
+  });
+
+  return {
+    entries,
+    engines,
+    darken: (at, forMs) => {
+      const engine = engines[at];
+      engine.goDark();
+      const removed = clock.after(RECORD_MS, () =>
+        tellAll(({fleet}) => fleet.change(new Map([[engine.name, undefined]]))),
+      );
+      clock.after(forMs, () => {
+        removed();
+        engine.restart();
+        starts[at]++;
+      });
+      clock.after(forMs + RECORD_AGAIN_MS, () =>
+        tellAll(({fleet}) =>
+          fleet.change(new Map([[engine.name, replicaOf(at)]])),
+        ),
+      );
+    },
+  };
+}
+
+function addressOf(name: string): string {
+  return `${name}:1`;
+}
+
+function createModelEntry(
+  options: ModelFleetOptions,
+  at: number,
+  engines: ReadonlyMap<string, PoolEngine>,
+  shareFrom: (from: number, loads: readonly ReplicaLoad[]) => void,
+): ModelEntry {
+  const {clock, wayMs} = options;
+  let downUntil = 0;
+  const isUp = () => clock.now() >= downUntil;
+  const cuts = new Set<Cancel>();
+  const orders: Reservations = {
+    reserve: async (address, id, tokens, holdMs) => {
+      await pause(clock, 2 * wayMs);
+      const engine = engines.get(address);
+      if (engine === undefined || engine.isDark()) return 'unknown';
+      return engine.reserve(id, tokens, holdMs) ? 'done' : 'refused';
+    },
+    release: async (address, id) => {
+      await pause(clock, 2 * wayMs);
+      const engine = engines.get(address);
+      if (engine === undefined || engine.isDark()) return 'unknown';
+      engine.release(id);
+      return 'done';
+    },
+  };
+  const serving = createServing({
+    clock,
+    log: options.log,
+    metrics: options.metrics,
+    random: createSeededRandom(options.seed * 1_000 + at),
+    codec: MODEL_CODEC,
+    dispatch: createModelDispatch(options, engines),
+    orders,
+    readReport: async address => {
+      await pause(clock, 2 * wayMs);
+      const engine = engines.get(address);
+      return engine === undefined || engine.isDark()
+        ? undefined
+        : {startedAt: undefined};
+    },
+    failureDomain: `domain-${at % options.failureDomains}`,
+    retries: RETRIES,
+    idPrefix: `entry-${at}`,
+    holdMs: HOLD_MS,
+    isDraining: () => false,
+    share: loads => isUp() && shareFrom(at, loads),
+  });
+  clock.every(BEAT_MS, () => isUp() && shareFrom(at, serving.book.own()));
+  return {
+    serving: {
+      ...serving,
+      serve: (admitted, req, res, arrivedAt) => {
+        if (!isUp()) {
+          res.destroy();
+          return;
+        }
+        const cut = () => void res.destroy();
+        cuts.add(cut);
+        res.once('close', () => void cuts.delete(cut));
+        serving.serve(admitted, req, res, arrivedAt);
+      },
+    },
+    isUp,
+    kill: forMs => {
+      downUntil = clock.now() + forMs;
+      for (const cut of [...cuts]) cut();
+    },
+  };
+}
+
+function pause(clock: Clock, ms: number): Promise<void> {
+  return new Promise(resolve => void clock.after(ms, resolve));
+}
+
+/** The model's wire: what is told a replica travels as one JSON text. */
+const MODEL_CODEC: HeaderCodec = {
+  readRequest: () => {
+    throw new Error('the model reads no headers of callers');
+  },
+  dispatchHeaders: (raw, facts) => [
+    JSON.stringify({...facts, model: JSON.parse(raw[1]) as ModelRequest}),
+  ],
+  readAnswer: (status, headers): AnswerFacts => ({
+    requestId: String(headers['id']),
+    signed: true,
+    notRun: status === 503,
+    faultAt: undefined,
+    encoded: false,
+  }),
+};
+
+/** What a modelled engine learns of a request, in one header. */
+export interface ModelRequest {
+  readonly id: string;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+}
+
+export function modelHeaders(req: ModelRequest): readonly string[] {
+  return ['model', JSON.stringify(req)];
+}
+
+function createModelDispatch(
+  {wayMs, figures, clock}: ModelFleetOptions,
+  engines: ReadonlyMap<string, PoolEngine>,
+): OpenDispatch {
+  const bytesOf = (id: number) => Buffer.from(`id: ${id}\ndata: x\n\n`);
+  return (spec, _clock, observer) => {
+    let over = false;
+    let cancelRun: Cancel = () => {};
+    const facts = JSON.parse(spec.headers[0]) as DispatchFacts & {
+      readonly model: ModelRequest;
+    };
+    const later = (fn: () => void) =>
+      void clock.after(wayMs, () => over || fn());
+    const engine = engines.get(spec.address);
+    const head = (status: number) => ({
+      status,
+      headers: {id: facts.model.id},
+      rawHeaders: [],
+    });
+    let sent = Number(facts.lastEventId ?? 0);
+    const left = Math.max(
+      1,
+      facts.model.answerTokens - sent * figures.stepsPerPass,
+    );
+    let isFirst = true;
+    const tellHead = (status: number) => {
+      if (isFirst) observer.onHead(head(status));
+      isFirst = false;
+    };
+    const helpers = facts.helpers.map(({address, reservation}) => ({
+      engine: engines.get(address) as PoolEngine,
+      reservation,
+    }));
+    // Dialled and sent: three ways.
+    clock.after(3 * wayMs, () => {
+      if (over || engine === undefined) return;
+      cancelRun = engine.open(
+        {promptTokens: facts.model.promptTokens, answerTokens: left, helpers},
+        {
+          onEvent: () => {
+            const id = ++sent;
+            later(() => {
+              tellHead(200);
+              if (!over) observer.onData(bytesOf(id));
+            });
+          },
+          onEnd: () => later(() => observer.onEnd()),
+          onRefused: () => later(() => tellHead(503)),
+          onCut: () => later(() => observer.onBroken(true, 'cut')),
+        },
+      );
+    });
+    return {
+      cancel: () => {
+        over = true;
+        clock.after(wayMs, () => cancelRun());
+      },
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  };
+}
--- /dev/null
+++ b/bench/direct/scenarios.ts
@@ -0,0 +1,113 @@
+/** Ready scenarios: loads of very unlike lengths that come in turns. */
+import type {PoolEngineFigures} from '../../standins/pool_engine.js';
+import type {Burst, LoadKind} from './load.js';
+import type {Scenario} from './scenario.js';
+
+const SHORT: LoadKind = {
+  name: 'short',
+  perS: 20.9,
+  promptTokens: {mean: 4_960, spread: 0.9, most: 23_800},
+  answerTokens: {mean: 1_359, spread: 0.7, most: 3_401},
+  maxTokens: 3_397,
+  aimMs: 300,
+  pauseAimMs: 250,
+  timeLimitMs: 10_000,
+  worth: 1.3,
+  lateWorth: 0.33,
+};
+const MIDDLE: LoadKind = {
+  name: 'middle',
+  perS: 1.13,
+  promptTokens: {mean: 45_000, spread: 0.5, most: 110_000},
+  answerTokens: {mean: 817, spread: 0.6, most: 2_042},
+  maxTokens: 2_021,
+  aimMs: 1_500,
+  pauseAimMs: 600,
+  timeLimitMs: 10_000,
+  worth: 3.9,
+  lateWorth: 0.98,
+};
+const LONG: LoadKind = {
+  name: 'long',
+  perS: 0.959,
+  promptTokens: {mean: 133_000, spread: 0.55, most: 600_000},
+  answerTokens: {mean: 680, spread: 0.5, most: 1_703},
+  maxTokens: 1_677,
+  aimMs: 3_000,
+  pauseAimMs: 1_000,
+  timeLimitMs: 15_000,
+  worth: 15,
+  lateWorth: 3.7,
+};
+
+const ENGINE: PoolEngineFigures = {
+  places: 11,
+  memoryTokens: 232_000,
+  stepsPerPass: 43,
+  stepMs: 1.02,
+  stepMsPerWriter: 0.0033,
+  contextMsPerThousand: 0.00431,
+  readTokensPerMs: 206,
+  pairsMsPerMillion: 0.138,
+  chunkTokens: 2_048,
+  hopMs: 0.075,
+  stallMs: 1_500,
+  queuePlaces: 22,
+};
+
+/** All kinds at their usual rates, and nothing fails. */
+const STEADY: Scenario = {
+  name: 'steady',
+  lengthS: 34,
+  entries: 5,
+  engines: 14,
+  failureDomains: 3,
+  figures: ENGINE,
+  wayMs: 1.4,
+  lossShare: 0.01,
+  kinds: [SHORT, MIDDLE, LONG],
+  bursts: [],
+  darkened: [],
+  killed: [],
+};
+
+/** A burst of long prompts, or of short ones, of 9.5 s. */
+function burst(kind: 'long' | 'short', atS: number): readonly Burst[] {
+  const times =
+    kind === 'long'
+      ? {short: 0.35, middle: 1.3, long: 2.8}
+      : {short: 2.45, middle: 0.5, long: 0.05};
+  return Object.entries(times).map(([name, each]) => ({
+    kind: name,
+    atS,
+    forS: 9.5,
+    times: each,
+  }));
+}
+
+export const SCENARIOS: readonly Scenario[] = [
+  STEADY,
+  {
+    ...STEADY,
+    name: 'long, short, long',
+    bursts: [...burst('long', 2), ...burst('short', 13), ...burst('long', 23)],
+  },
+  {
+    ...STEADY,
+    name: 'short, long, short',
+    bursts: [...burst('short', 2), ...burst('long', 12), ...burst('short', 23)],
+  },
+  {
+    ...STEADY,
+    name: 'over capacity',
+    bursts: [
+      {kind: undefined, atS: 8, forS: 10, times: 1.8},
+      {kind: 'long', atS: 8, forS: 10, times: 2.5},
+    ],
+    darkened: [
+      {index: 1, atS: 10, forS: 5},
+      {index: 5, atS: 10, forS: 5},
+      {index: 9, atS: 10, forS: 5},
+    ],
+  },
+];
--- a/src/direct/stream_silence.ts
+++ b/src/direct/stream_silence.ts
@@ -17,6 +17,9 @@
 /** Share of the caller's patience that a known long read may use up. */
 const PATIENCE_SHARE = 0.8;
 
+/** A rest that rounding leaves would be waited for without end. */
+const LEAST_WAIT_MS = 1;
+
 export interface SilenceWatch {
   /** Waits for the first event, which should come within `expectedMs`. */
   awaitFirst(expectedMs: number): void;
@@ -48,7 +51,8 @@
   const wait = (limitMs: number, since: number): void => {
     stop();
     if (!canGoOn) return;
-    stop = clock.after(since + limitMs - clock.now(), () => {
+    const leftMs = since + limitMs - clock.now();
+    stop = clock.after(Math.max(LEAST_WAIT_MS, leftMs), () => {
       const allowed = allowedMs(limitMs);
       if (clock.now() - since < allowed) wait(allowed, since);
       else onSilent();
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -53,6 +53,10 @@
   readonly readTokensPerMs: number;
   /** For each million pairs of a token with an earlier one. */
   readonly pairsMsPerMillion: number;
+  /** Most tokens of prompts that one step reads. */
+  readonly chunkTokens: number;
+  /** Added to a step for each 1,000 tokens of a writing request's context. */
+  readonly contextMsPerThousand: number;
 }
 
 /** A pool of replicas; without `engine`, a plain service. */
--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -20,6 +20,8 @@
   stepMsPerWriter: 0,
   readTokensPerMs: 200,
   pairsMsPerMillion: 0.1,
+  chunkTokens: 2_048,
+  contextMsPerThousand: 0,
 };
 
 const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
