feat(direct): what costs others more than it gains waits, or is turned away

Cause: requests were placed as they came. In the modelled fleet one prompt of 417,640 tokens that found no free engines was read beside the three engines of short streams, 4.7 s each: more than twenty of them were late for one that was late itself. Parts of prompts that came within milliseconds lay in one pass. Change: decide/place_or_wait.ts places, waits or refuses, as a pure function; waiting_loss.ts prices lateness in two steps (aim, patience), a pass knows its contexts, requests are weighed by the caller's estimate of the answer, engine time has a price when engines are full, refused callers are told when to come back by the backlog, drawn apart.

--- a/src/direct/choose_engines.ts
+++ b/src/direct/decide/choose_engines.ts
@@ -5,8 +5,10 @@
  * inside the engine's passes, so a long read holds up every stream beside it.
  */
 import {passMs, readMs} from './engine_timing.js';
-import type {ReplicaLoad} from './load_book.js';
-import type {DirectReplica, EngineFigures} from './types.js';
+import {firstEventLoss, pauseLoss, slackRisk} from './waiting_loss.js';
+import type {FirstEventBounds} from './waiting_loss.js';
+import type {ReplicaLoad} from '../load_book.js';
+import type {DirectReplica, EngineFigures} from '../types.js';
 
 /** An engine that could take the request, or a part of it. */
 export interface EngineCandidate {
@@ -17,16 +19,13 @@
 }
 
 /** What the choice depends on. */
-export interface EngineRequest {
+export interface EngineRequest extends FirstEventBounds {
   readonly promptTokens: number;
   /** What its lateness costs; see `weightOf`. */
   readonly weight: number;
   /** Tokens that the answer may take of the memory. */
   readonly answerTokens: number;
-  readonly aimMs: number;
   readonly pauseAimMs: number;
-  /** Time that has passed since the request came. */
-  readonly elapsedMs: number;
   /** Uniform in [0, 1); see `TIE_LOSS`. */
   readonly draw: () => number;
 }
@@ -40,22 +39,16 @@
   /** Tokens of the prompt that each member holds; 0 for no reservations. */
   readonly partTokens: number;
   readonly firstEventMs: number;
-  /** Expected loss, in the unit of `weightOf`. */
+  /** Share of its own worth that the request is expected to lose. */
+  readonly ownLoss: number;
+  /** What others are expected to lose by it, in the unit of `weightOf`. */
+  readonly harm: number;
+  /** Both together, and small terms that rank what is otherwise equal. */
   readonly loss: number;
 }
 
 /** Sizes of groups that are compared; a replica takes 16 helpers at most. */
 const GROUP_SIZES = [1, 2, 3, 4, 6, 8, 12, 16] as const;
-/** An answer's token is worth and costs about as much as ten of a prompt. */
-const WRITTEN_TOKEN_SIZE = 10;
-/** Worth of a route's requests grows a little more than their usual size. */
-const WEIGHT_EXPONENT = 1.2;
-/** Share of a request's worth that does not depend on its size. */
-const FIXED_SHARE = 0.3;
-/** A pause is at risk from this share of its aim on, and late at all of it. */
-const PAUSE_RISK_FROM = 0.7;
-/** A first event is at risk with less slack than this share of its aim. */
-const MARGIN_SHARE = 0.25;
 /** Memory kept free of the prediction's error. */
 const MEMORY_SHARE = 0.96;
 /** Prompts over this share of the memory are held by all members. */
@@ -82,21 +75,6 @@
  */
 const TIE_LOSS = 0.002;
 
-/** Size of a request: a token that is written counts for several read ones. */
-export function sizeOf(promptTokens: number, answerTokens: number): number {
-  return promptTokens + WRITTEN_TOKEN_SIZE * answerTokens;
-}
-
-/**
- * What a request's lateness costs, relative to others: a route's usual size
- * says what its requests are worth, and part of that goes by the size.
- */
-export function weightOf(size: number, usualSize: number): number {
-  const usual = Math.max(1, usualSize);
-  const bySize = FIXED_SHARE + (1 - FIXED_SHARE) * (size / usual);
-  return usual ** WEIGHT_EXPONENT * bySize;
-}
-
 /** The best plan; undefined when no engine or group has the memory now. */
 export function chooseEngines(
   figures: EngineFigures,
@@ -157,17 +135,18 @@
   const members = [first, ...helpers];
   const firstEventMs = Math.max(...members.map(it => it.firstEventMs));
   const {weight} = req;
-  const loss =
-    members.reduce((sum, it) => sum + it.harm, 0) +
-    weight * aimRisk(req, firstEventMs) +
-    weight * TIME_LOSS * (firstEventMs / req.aimMs) +
-    weight * MEMBER_LOSS * helpers.length;
+  const harm = members.reduce((sum, it) => sum + it.harm, 0);
+  const ownLoss = firstEventLoss(req, firstEventMs);
+  const rank =
+    TIME_LOSS * (firstEventMs / req.aimMs) + MEMBER_LOSS * helpers.length;
   return {
     ...part,
     first: first.candidate,
     helpers: helpers.map(it => it.candidate),
     firstEventMs,
-    loss,
+    ownLoss,
+    harm,
+    loss: harm + weight * (ownLoss + rank),
   };
 }
 
@@ -187,19 +166,21 @@
 ): Judged {
   const {load, slowness, replica} = candidate;
   const {weight} = req;
-  const pass = passMs(figures, load.running + 1) * slowness;
+  const pass = passMs(figures, load.running + 1, load.tokens) * slowness;
   const queued = Math.max(0, load.running + 1 - replica.places);
   // A group's newest part is read first; newer ones will come before this one.
   const aheadMs = load.readMs;
   const firstEventMs =
     1.5 * pass + (aheadMs + part.readMs) * slowness + queued * PLACE_WAIT_MS;
   const harm =
-    pauseLoss(load, pass, part.readMs) +
+    pausesLoss(load, pass, part.readMs) +
     (part.grouped ? readersLoss(load, part.readMs * slowness) : 0) +
     weight * SPREAD_OUT_LOSS * spreadOut(req, candidate, part.readMs);
   const timeShare = (req.elapsedMs + firstEventMs) / req.aimMs;
   const ownLoss =
-    aimRisk(req, firstEventMs) + TIME_LOSS * timeShare + TIE_LOSS * req.draw();
+    firstEventLoss(req, firstEventMs) +
+    TIME_LOSS * timeShare +
+    TIE_LOSS * req.draw();
   return {
     candidate,
     firstEventMs,
@@ -209,10 +190,10 @@
 }
 
 /** Lateness that the newcomer's reading adds for those who write there. */
-function pauseLoss(load: ReplicaLoad, pass: number, addedMs: number): number {
+function pausesLoss(load: ReplicaLoad, pass: number, addedMs: number): number {
   return load.writers.reduce((sum, {pauseAimMs, weight}) => {
-    const before = pauseRisk(pass + load.readMs, pauseAimMs);
-    const after = pauseRisk(pass + load.readMs + addedMs, pauseAimMs);
+    const before = pauseLoss(pass + load.readMs, pauseAimMs);
+    const after = pauseLoss(pass + load.readMs + addedMs, pauseAimMs);
     return sum + weight * (after - before);
   }, 0);
 }
@@ -243,27 +224,3 @@
   const alike = load.writers.some(it => it.pauseAimMs <= req.pauseAimMs);
   return alike ? 1 - used : 1;
 }
-
-/** Slack below which a first event may miss its aim, in milliseconds. */
-export function aimMargin(aimMs: number): number {
-  return aimMs * MARGIN_SHARE;
-}
-
-function aimRisk(req: EngineRequest, firstEventMs: number): number {
-  const slackMs = req.aimMs - req.elapsedMs - firstEventMs;
-  return slackRisk(slackMs, aimMargin(req.aimMs));
-}
-
-/** Chance of being late: none with the whole margin left, sure without any. */
-function slackRisk(slackMs: number, marginMs: number): number {
-  return clamp(1 - slackMs / Math.max(1, marginMs));
-}
-
-function pauseRisk(pauseMs: number, pauseAimMs: number): number {
-  const share = pauseMs / pauseAimMs;
-  return clamp((share - PAUSE_RISK_FROM) / (1 - PAUSE_RISK_FROM));
-}
-
-function clamp(value: number): number {
-  return Math.min(1, Math.max(0, value));
-}
--- a/src/direct/patience.ts
+++ b/src/direct/decide/patience.ts
@@ -2,15 +2,20 @@
  * How long a caller waits for the next event of a stream before it leaves, as
  * the callers' protocol says.
  */
-import type {Route} from './types.js';
+import type {Route} from '../types.js';
 
 const LEAST_MS = 2_000;
 const TIMES_AIM = 4;
 const TIMES_PAUSE_AIM = 8;
 
 export function patienceMs({aimMs, pauseAimMs}: Route): number {
+  return Math.max(TIMES_AIM * aimMs, leastPatienceMs(pauseAimMs));
+}
+
+/** What is sure of it where only the aim of a stream's pauses is known. */
+export function leastPatienceMs(pauseAimMs: number): number {
   const byPause = Number.isFinite(pauseAimMs)
     ? TIMES_PAUSE_AIM * pauseAimMs
     : 0;
-  return Math.max(LEAST_MS, TIMES_AIM * aimMs, byPause);
+  return Math.max(LEAST_MS, byPause);
 }
--- /dev/null
+++ b/src/direct/decide/place_or_wait.ts
@@ -0,0 +1,149 @@
+/**
+ * Whether a request is placed at engines now, waits at its entry, or is refused.
+ *
+ * The load it answers: bursts of long prompts beside streams of short ones, and
+ * more of both than the engines carry. Placed as it comes, a prompt of 400,000
+ * tokens that finds no free engines is read beside twenty short streams for
+ * seconds, and all of them are late for one that is late itself. So nothing is
+ * placed that costs others more than it gains its own caller; and nothing that
+ * would cost less a moment later, when the parts that are being read are done.
+ * A request whose time has passed meanwhile is refused there and then: its
+ * caller may come back to engines that have room.
+ */
+import type {EngineFigures} from '../types.js';
+import type {ReplicaLoad} from '../load_book.js';
+import {chooseEngines} from './choose_engines.js';
+import type {
+  EngineCandidate,
+  EnginePlan,
+  EngineRequest,
+} from './choose_engines.js';
+
+/**
+ * Delays at which a later placement is weighed. The least is a look away; the
+ * most is what the parts of a long prompt take on a few engines, and more than
+ * it costs a long prompt of its aim (0.002 of the worth with 0.4 s as the most).
+ */
+const LATER_MS = [25, 50, 100, 200, 400, 800] as const;
+/** A later placement is waited for if it saves this share of the worth. */
+const LEAST_GAIN = 0.01;
+/**
+ * Share of what requests are worth for each millisecond of reading that the
+ * engines' time costs when they are full. Late prompts of a hundred thousand
+ * tokens and more cost more than that, and late short ones far less.
+ */
+const PRICE_SHARE = 0.1;
+/** Engines are full when each has so much to read, in milliseconds. */
+const FULL_BACKLOG_MS = 300;
+/** When a refused caller comes back at the least. */
+const LEAST_COME_BACK_MS = 250;
+
+export interface PlacingRequest extends EngineRequest {
+  /** No replica has had it: it may still be refused as not run. */
+  readonly isNew: boolean;
+}
+
+/** The engines, and what their time is worth. */
+export interface EnginePool {
+  readonly figures: EngineFigures;
+  readonly candidates: readonly EngineCandidate[];
+  /** See `RequestWorth`. */
+  readonly weightPerReadMs: number;
+}
+
+export type PlacingDecision =
+  | {readonly kind: 'place'; readonly plan: EnginePlan}
+  | {readonly kind: 'wait'; readonly reason: WaitReason}
+  | {
+      readonly kind: 'refuse';
+      readonly reason: RefusalReason;
+      /** When there may be room, from now. */
+      readonly comeBackMs: number;
+    };
+
+export type WaitReason = 'no memory' | 'costs others more' | 'better later';
+export type RefusalReason = 'the caller would leave' | 'late for its cost';
+
+export function placeOrWait(
+  pool: EnginePool,
+  req: PlacingRequest,
+): PlacingDecision {
+  const plan = chooseEngines(pool.figures, req, pool.candidates);
+  if (plan === undefined) return {kind: 'wait', reason: 'no memory'};
+  // What has run elsewhere goes on: its answer is half delivered.
+  if (!req.isNew) return {kind: 'place', plan};
+  if (req.elapsedMs + plan.firstEventMs > req.patienceMs) {
+    return refuse(pool, 'the caller would leave');
+  }
+  if (costOf(pool, plan) > req.weight * (1 - plan.ownLoss)) {
+    return isLateAnyway(pool, req)
+      ? refuse(pool, 'late for its cost')
+      : {kind: 'wait', reason: 'costs others more'};
+  }
+  return losesLessLater(pool, req, plan)
+    ? {kind: 'wait', reason: 'better later'}
+    : {kind: 'place', plan};
+}
+
+/** What others lose: those who are there, and those who come meanwhile. */
+function costOf(pool: EnginePool, plan: EnginePlan): number {
+  const engineMs = plan.partReadMs * (1 + plan.helpers.length);
+  return plan.harm + engineMs * priceOf(pool);
+}
+
+/** Worth of a millisecond of reading: none while the engines have room. */
+function priceOf({candidates, weightPerReadMs}: EnginePool): number {
+  const fullness = Math.min(1, backlogMs(candidates) / FULL_BACKLOG_MS);
+  return PRICE_SHARE * weightPerReadMs * fullness;
+}
+
+/** Reading that an engine has ahead, on average, in milliseconds. */
+function backlogMs(candidates: readonly EngineCandidate[]): number {
+  const sum = candidates.reduce((total, {load}) => total + load.readMs, 0);
+  return sum / Math.max(1, candidates.length);
+}
+
+/** Whether even idle engines would miss the aim by now. */
+function isLateAnyway(pool: EnginePool, req: PlacingRequest): boolean {
+  const idle = pool.candidates.map(it => ({...it, load: idleLoad(it.load)}));
+  const plan = chooseEngines(pool.figures, req, idle);
+  return plan !== undefined && req.elapsedMs + plan.firstEventMs > req.aimMs;
+}
+
+function idleLoad({replicaId}: ReplicaLoad): ReplicaLoad {
+  return {
+    replicaId,
+    running: 0,
+    tokens: 0,
+    readMs: 0,
+    readers: [],
+    writers: [],
+  };
+}
+
+function losesLessLater(
+  {figures, candidates}: EnginePool,
+  req: PlacingRequest,
+  now: EnginePlan,
+): boolean {
+  return LATER_MS.some(ms => {
+    const later = chooseEngines(
+      figures,
+      {...req, elapsedMs: req.elapsedMs + ms},
+      candidates.map(it => ({...it, load: loadAfter(it.load, ms)})),
+    );
+    if (later === undefined) return false;
+    return later.loss + LEAST_GAIN * req.weight < now.loss;
+  });
+}
+
+/** The load once so much has been read; who writes stays. */
+function loadAfter(load: ReplicaLoad, ms: number): ReplicaLoad {
+  const readMs = Math.max(0, load.readMs - ms);
+  return {...load, readMs, readers: readMs > 0 ? load.readers : []};
+}
+
+function refuse(pool: EnginePool, reason: RefusalReason): PlacingDecision {
+  const comeBackMs = Math.max(LEAST_COME_BACK_MS, backlogMs(pool.candidates));
+  return {kind: 'refuse', reason, comeBackMs};
+}
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -17,6 +17,14 @@
   readonly body: Buffer;
 }
 
+/** Tokens of an answer whose length nothing tells. */
+const UNKNOWN_ANSWER_TOKENS = 512;
+
+/** Tokens that an answer may take of an engine's memory. */
+export function answerTokens({maxTokens, expectedTokens}: RequestFacts) {
+  return maxTokens || expectedTokens || UNKNOWN_ANSWER_TOKENS;
+}
+
 /** Why nothing more can come of a request. */
 export type EndReason = 'caller left' | 'time is up' | 'answered';
 
--- a/src/direct/own_answers.ts
+++ b/src/direct/own_answers.ts
@@ -4,8 +4,8 @@
  */
 import type {ServerResponse} from 'node:http';
 
-/** When a caller that was refused should come back, in seconds. */
-const COME_BACK_S = 0.25;
+/** When a refused caller should come back, where nothing is known of it. */
+const COME_BACK_MS = 250;
 
 export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 431 | 502 | 503 | 504;
 
@@ -15,12 +15,14 @@
   readonly message: string;
   /** Ends the connection, so that a retry reaches another entry. */
   readonly close: boolean;
+  /** When a refused caller should come back, from now. */
+  readonly comeBackMs?: number;
 }
 
 /** Sends the answer; nothing of another may have been sent. */
 export function sendOwnAnswer(
   res: ServerResponse,
-  {status, message, close}: OwnAnswer,
+  {status, message, close, comeBackMs = COME_BACK_MS}: OwnAnswer,
 ): void {
   const body = JSON.stringify({error: message});
   const headers = [
@@ -29,7 +31,9 @@
     'Content-Length',
     String(Buffer.byteLength(body)),
   ];
-  if (status === 503) headers.push('Retry-After', String(COME_BACK_S));
+  if (status === 503) {
+    headers.push('Retry-After', (comeBackMs / 1_000).toFixed(3));
+  }
   if (close) headers.push('Connection', 'close');
   res.writeHead(status, headers);
   res.end(body);
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -1,33 +1,22 @@
 /**
- * A place for a request at one engine or at a group: chosen, entered in the
- * load book, and with its reservations held. Where no engine has the memory,
- * the request waits here for as long as that is worth it.
+ * A place for a request at one engine or at a group: entered in the load book,
+ * and with its reservations held.
  */
 import type {Cancel} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {chooseForCall} from './choose_call.js';
-import {aimMargin, chooseEngines} from './choose_engines.js';
-import type {EngineCandidate, EnginePlan} from './choose_engines.js';
+import {chooseForCall} from './decide/choose_call.js';
+import type {EngineCandidate, EnginePlan} from './decide/choose_engines.js';
+import {aimMarginMs} from './decide/waiting_loss.js';
+import {answerTokens} from './exchange.js';
 import type {Exchange} from './exchange.js';
 import type {Group} from './groups.js';
 import {callWork} from './load_book.js';
 import type {EnteredWork} from './load_book.js';
-import {candidatesOf} from './serve_context.js';
-import {patienceMs} from './patience.js';
 import type {ServeContext} from './serve_context.js';
-import type {DirectReplica, EngineFigures, GroupMember} from './types.js';
+import type {DirectReplica, GroupMember} from './types.js';
 
-/** Between looks for memory while none is free. */
-const LOOK_MS = 25;
-/** A request waits for memory for this share of its time limit at most. */
-const WAIT_SHARE = 0.3;
-/** Tries to hold a group; its members may be taken in between. */
-const GROUP_TRIES = 4;
 /** First event of a stream without published figures. */
 const UNKNOWN_FIRST_EVENT_MS = 200;
-/** Tokens of an answer whose length nothing tells. */
-const UNKNOWN_ANSWER_TOKENS = 512;
-
 /** Why nothing more will come: sure where a member has started again. */
 export type PlaceLoss = 'a member restarted' | 'the lead is silent';
 
@@ -47,81 +36,8 @@
   close(): void;
 }
 
-/** Undefined when there is no room in time, or the request has ended. */
-export async function openPlace(
-  ctx: ServeContext,
-  exchange: Exchange,
-  tried: ReadonlySet<string>,
-): Promise<Place | undefined> {
-  const {clock} = ctx;
-  const waitUntil = clock.now() + exchange.timeLeftMs() * WAIT_SHARE;
-  const avoided = new Set<string>();
-  let groupTries = 0;
-  while (!exchange.signal.aborted) {
-    const figures = exchange.config.services.get(exchange.service)?.engine;
-    const candidates = candidatesOf(ctx, exchange.service, tried)
-      .filter(({address}) => !avoided.has(address))
-      .map(replica => ({
-        replica,
-        load: ctx.book.of(replica.id),
-        slowness: ctx.health.slowness(replica.id),
-      }));
-    if (figures === undefined) return plainPlace(ctx, exchange, candidates);
-    const plan = planFor(ctx, figures, exchange, candidates);
-    const isNew = exchange.sent === 0;
-    if (isNew && plan !== undefined && comesTooLate(exchange, plan)) {
-      return undefined;
-    }
-    if (plan !== undefined) {
-      const place = await take(ctx, exchange, plan);
-      if ('firstEventMs' in place) return place;
-      avoided.add(place.refusedBy);
-      if (++groupTries < GROUP_TRIES) continue;
-    }
-    if (clock.now() > waitUntil) return undefined;
-    avoided.clear();
-    await new Promise<void>(resolve => void clock.after(LOOK_MS, resolve));
-  }
-  return undefined;
-}
-
-/**
- * Whether the caller would have left before its first event. Queued all the
- * same, it takes a place for an answer that nobody reads; refused at once, it
- * may come back when there is room.
- */
-function comesTooLate(
-  {route, elapsedMs}: Exchange,
-  {firstEventMs}: EnginePlan,
-): boolean {
-  return elapsedMs() + firstEventMs > patienceMs(route);
-}
-
-function planFor(
-  ctx: ServeContext,
-  figures: EngineFigures,
-  exchange: Exchange,
-  candidates: readonly EngineCandidate[],
-): EnginePlan | undefined {
-  const {facts, route} = exchange;
-  const req = {
-    promptTokens: facts.promptTokens,
-    weight: exchange.weight,
-    answerTokens: answerTokens(exchange),
-    aimMs: route.aimMs,
-    pauseAimMs: route.pauseAimMs,
-    elapsedMs: exchange.elapsedMs(),
-    draw: () => ctx.random.next(),
-  };
-  return chooseEngines(figures, req, candidates);
-}
-
-function answerTokens({facts}: Exchange): number {
-  return facts.maxTokens || facts.expectedTokens || UNKNOWN_ANSWER_TOKENS;
-}
-
 /** Holds the plan's place; a refusal names the member's address. */
-async function take(
+export async function takePlace(
   ctx: ServeContext,
   exchange: Exchange,
   plan: EnginePlan,
@@ -193,12 +109,12 @@
 ): readonly EnteredWork[] {
   const {facts, route} = exchange;
   const {first, helpers, partReadMs, partTokens} = plan;
-  const total = facts.promptTokens + answerTokens(exchange);
+  const total = facts.promptTokens + answerTokens(facts);
   const shared = {
     readMs: partReadMs,
     expectedMs: plan.firstEventMs,
     aimLeftMs: route.aimMs - exchange.elapsedMs(),
-    aimMarginMs: aimMargin(route.aimMs),
+    aimMarginMs: aimMarginMs(route.aimMs),
     pauseAimMs: route.pauseAimMs,
   };
   const main = ctx.book.enter({
@@ -236,12 +152,15 @@
     firstEventMs: Math.round(plan.firstEventMs),
     running: first.load.running,
     readMsAhead: Math.round(first.load.readMs),
-    loss: Math.round(plan.loss),
+    ownLoss: Number(plan.ownLoss.toFixed(2)),
+    harm: Number((plan.harm / exchange.weight).toFixed(2)),
+    waitedMs: Math.round(exchange.elapsedMs()),
     config: exchange.config.version,
   });
 }
 
-function plainPlace(
+/** A place at a replica without published figures. */
+export function plainPlace(
   ctx: ServeContext,
   exchange: Exchange,
   candidates: readonly EngineCandidate[],
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -4,7 +4,7 @@
  * replica that breaks off can be replaced before the caller saw a byte.
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {CALL_MS, chooseForCall} from './choose_call.js';
+import {CALL_MS, chooseForCall} from './decide/choose_call.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import {callWork} from './load_book.js';
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -4,6 +4,7 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
+import type {RequestWorth} from './decide/request_worth.js';
 import type {AnswerHead, DispatchRequest, OpenDispatch} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import type {Fleet} from './fleet.js';
@@ -31,6 +32,7 @@
   readonly health: ReplicaHealth;
   readonly losses: ReplicaLosses;
   readonly book: LoadBook;
+  readonly worth: RequestWorth;
   readonly groups: Groups;
   readonly budget: RetryBudget;
   /** Share of the budget that each request adds. */
@@ -155,6 +157,7 @@
   ctx: ServeContext,
   exchange: Exchange,
   reason: string,
+  comeBackMs?: number,
 ): void {
   const {res, id} = exchange;
   const ran = exchange.mayHaveRun ? 'unknown' : 'no';
@@ -164,6 +167,7 @@
     ran,
     sent: exchange.sent,
     elapsedMs: Math.round(exchange.elapsedMs()),
+    comeBackMs: comeBackMs && Math.round(comeBackMs),
   });
   ctx.metrics.count('onyxloft_direct_given_up_total', {ran, reason});
   const timeUp = exchange.signal.reason === 'time is up';
@@ -178,5 +182,6 @@
     status: exchange.mayHaveRun ? failed : 503,
     message: reason,
     close: ctx.isDraining(),
+    comeBackMs,
   });
 }
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -5,7 +5,7 @@
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
 import type {Exchange} from './exchange.js';
-import {openPlace} from './place.js';
+import {openPlace} from './open_place.js';
 import type {Place} from './place.js';
 import {giveUp, mayTry, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -27,11 +27,13 @@
       giveUp(ctx, exchange, 'no more attempts');
       return;
     }
-    const place = await openPlace(ctx, exchange, tried);
-    if (place === undefined) {
-      if (!exchange.signal.aborted) giveUp(ctx, exchange, 'no room in time');
+    const opened = await openPlace(ctx, exchange, tried);
+    if (opened.kind === 'none') {
+      const {reason, comeBackMs} = opened;
+      if (!exchange.signal.aborted) giveUp(ctx, exchange, reason, comeBackMs);
       return;
     }
+    const {place} = opened;
     if (exchange.signal.aborted) {
       place.close();
       return;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -8,7 +8,8 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {sizeOf} from './choose_engines.js';
+import {readMs} from './decide/engine_timing.js';
+import {createRequestWorth, sizeOf} from './decide/request_worth.js';
 import type {OpenDispatch} from './dispatch.js';
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
@@ -25,7 +26,6 @@
 import {serveStream} from './serve_stream.js';
 import type {DirectSettings} from './settings.js';
 import type {HeaderCodec, ReadReport, Reservations} from './types.js';
-import {createUsualSizes} from './usual_sizes.js';
 
 /**
  * New work is told to the other entries at once, but for what comes in the same
@@ -82,7 +82,7 @@
   const {clock, log, metrics, random, codec, dispatch, retries} = options;
   let entries = 1;
   const open = new Set<Exchange>();
-  const usual = createUsualSizes();
+  const worth = createRequestWorth();
   const health = createReplicaHealth(clock);
   const losses = createReplicaLosses();
   const fleet = createFleet({
@@ -110,6 +110,7 @@
     health,
     losses,
     book,
+    worth,
     groups: createGroups({
       clock,
       log,
@@ -123,8 +124,12 @@
     isDraining: options.isDraining,
   };
 
-  const weigh = ({route, facts}: Admitted): number =>
-    usual.weigh(route.name, sizeOf(facts.promptTokens, facts.maxTokens));
+  const weigh = ({config, service, route, facts}: Admitted): number => {
+    const figures = config.services.get(service)?.engine;
+    const ms =
+      figures === undefined ? 0 : readMs(figures, facts.promptTokens, 1);
+    return worth.weigh(route.name, sizeOf(facts), ms);
+  };
 
   const serve: Serving['serve'] = (admitted, req, res, arrivedAt) => {
     const exchange = openExchange({
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -156,6 +156,7 @@
   listening: event(258, 'info', 'direct-listening'),
   unread: event(259, 'info', 'direct-unread'),
   leadSilent: event(260, 'warn', 'direct-lead-silent'),
+  waiting: event(262, 'info', 'direct-waiting'),
   replicaRestarted: event(261, 'info', 'direct-replica-restarted'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -1,14 +1,11 @@
 /** Which engines a prompt is given to, on loads made by hand. */
 import {describe, expect, test} from 'vitest';
-import {
-  chooseEngines,
-  sizeOf,
-  weightOf,
-} from '../../src/direct/choose_engines.js';
+import {chooseEngines} from '../../src/direct/decide/choose_engines.js';
 import type {
   EngineCandidate,
   EngineRequest,
-} from '../../src/direct/choose_engines.js';
+} from '../../src/direct/decide/choose_engines.js';
+import {weightOf} from '../../src/direct/decide/request_worth.js';
 import type {ReplicaLoad} from '../../src/direct/load_book.js';
 import type {EngineFigures} from '../../src/direct/types.js';
 
@@ -46,10 +43,11 @@
 function prompt(promptTokens: number, more: Partial<EngineRequest> = {}) {
   return {
     promptTokens,
-    weight: weightOf(sizeOf(promptTokens, 500), sizeOf(promptTokens, 500)),
+    weight: weightOf(promptTokens + 5_000, promptTokens + 5_000),
     answerTokens: 500,
     aimMs: promptTokens > 50_000 ? 3_000 : 300,
     pauseAimMs: promptTokens > 50_000 ? 1_000 : 250,
+    patienceMs: promptTokens > 50_000 ? 12_000 : 2_000,
     elapsedMs: 0,
     draw: () => 0,
     ...more,
