--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -2,6 +2,7 @@
 import {benchCapacityPage} from './capacity_page.js';
 import {benchConfigSpread} from './config_spread.js';
 import {benchConfigSpreadReal} from './config_spread_real.js';
+import {benchDecision} from './decision.js';
 import {benchMembership} from './membership.js';
 import {benchObjectCalls} from './object_calls.js';
 import {benchPath} from './path.js';
@@ -17,6 +18,7 @@
   ['capacity-page', benchCapacityPage],
   ['path', benchPath],
   ['recovery', benchRecovery],
+  ['decision', benchDecision],
   ['membership', benchMembership],
   ['config-spread', benchConfigSpread],
   ['config-spread-real', benchConfigSpreadReal],
--- a/bench/direct/scenarios.ts
+++ b/bench/direct/scenarios.ts
@@ -3,7 +3,7 @@
 import type {Burst, LoadKind} from './load.js';
 import type {Scenario} from './scenario.js';
 
-const SHORT: LoadKind = {
+export const SHORT: LoadKind = {
   name: 'short',
   perS: 20.9,
   promptTokens: {mean: 4_960, spread: 0.9, most: 23_800},
@@ -27,7 +27,7 @@
   worth: 3.9,
   lateWorth: 0.98,
 };
-const LONG: LoadKind = {
+export const LONG: LoadKind = {
   name: 'long',
   perS: 0.959,
   promptTokens: {mean: 133_000, spread: 0.55, most: 600_000},
@@ -40,7 +40,7 @@
   lateWorth: 3.7,
 };
 
-const ENGINE: PoolEngineFigures = {
+export const ENGINE: PoolEngineFigures = {
   places: 11,
   memoryTokens: 232_000,
   stepsPerPass: 43,
