refactor(direct): loads that others told, and how loads add up, in modules of their own

Cause: load_book.ts had grown to 265 lines with three jobs, and the empty load stood twice. No change of decisions.

--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -7,7 +7,7 @@
 import {isIPv4} from 'node:net';
 import {Codec, exactly, number, optional, string} from 'purify-ts/Codec';
 import {Maybe, Nothing} from 'purify-ts/Maybe';
-import type {ReplicaLoad} from './load_book.js';
+import type {ReplicaLoad} from './load_sum.js';
 import {packLoads, unpackLoads} from './load_codec.js';
 import type {EntryAddress, StoreKnowledge} from './types.js';
 
--- a/src/direct/decide/choose_call.ts
+++ b/src/direct/decide/choose_call.ts
@@ -2,7 +2,7 @@
  * Chooses the replica of a plain service: the least expected time, from what
  * waits there and how it was seen to answer.
  */
-import type {ReplicaLoad} from '../load_book.js';
+import type {ReplicaLoad} from '../load_sum.js';
 import type {DirectReplica} from '../types.js';
 
 /** Added for a replica in another failure domain, in milliseconds. */
--- a/src/direct/decide/place_or_wait.ts
+++ b/src/direct/decide/place_or_wait.ts
@@ -11,7 +11,7 @@
  * caller may come back to engines that have room.
  */
 import type {EngineFigures} from '../types.js';
-import type {ReplicaLoad} from '../load_book.js';
+import {noLoad} from '../load_sum.js';
 import {chooseEngines, leastLoss} from './choose_engines.js';
 import type {EnginePlan} from './choose_engines.js';
 import type {EngineCandidate, EngineRequest} from './judge_engine.js';
@@ -113,22 +113,14 @@
 
 /** Whether even idle engines would miss the aim by now. */
 function isLateAnyway(pool: EnginePool, req: PlacingRequest): boolean {
-  const idle = pool.candidates.map(it => ({...it, load: idleLoad(it.load)}));
+  const idle = pool.candidates.map(it => ({
+    ...it,
+    load: noLoad(it.load.replicaId),
+  }));
   const plan = chooseEngines(pool.figures, req, idle);
   return plan !== undefined && req.elapsedMs + plan.firstEventMs > req.aimMs;
 }
 
-function idleLoad({replicaId}: ReplicaLoad): ReplicaLoad {
-  return {
-    replicaId,
-    running: 0,
-    tokens: 0,
-    readMs: 0,
-    readers: [],
-    writers: [],
-  };
-}
-
 function losesLessLater(
   {figures, candidates}: EnginePool,
   req: PlacingRequest,
--- a/src/direct/load_book.ts
+++ b/src/direct/load_book.ts
@@ -5,36 +5,9 @@
  * fall on one replica.
  */
 import type {Clock} from '../types/runtime.js';
-
-/** Requests that write at a replica, by the longest pause they bear. */
-export interface Writers {
-  readonly pauseAimMs: number;
-  /** What their lateness would cost together; see `weightOf`. */
-  readonly weight: number;
-}
-
-/** A request whose prompt is being read, or waits for it, at a replica. */
-export interface Reader {
-  /** Time left to its latency objective after its expected first token. */
-  readonly slackMs: number;
-  /** Slack below which it may miss the objective. */
-  readonly marginMs: number;
-  readonly weight: number;
-}
-
-/** Load of one replica as one entry tells it to the others. */
-export interface ReplicaLoad {
-  readonly replicaId: string;
-  /** Requests that hold a place. */
-  readonly running: number;
-  /** Memory in use, in tokens. */
-  readonly tokens: number;
-  /** Reading still ahead, in milliseconds. */
-  readonly readMs: number;
-  /** Requests that a group's reading would hold up. */
-  readonly readers: readonly Reader[];
-  readonly writers: readonly Writers[];
-}
+import {addWriters, noLoad} from './load_sum.js';
+import type {LoadSum, Reader, ReplicaLoad} from './load_sum.js';
+import {createOthersLoads} from './others_loads.js';
 
 /** One request's part at one replica. */
 export interface Work {
@@ -93,8 +66,6 @@
 /** What changed in this entry's own load: a long read, other work, or less. */
 export type LoadChange = 'long' | 'more' | 'less';
 
-/** Another entry's word counts no longer than this without a newer one. */
-const OTHERS_AGE_MS = 1_500;
 /** Reads from here on hold up the streams beside them for a good part of a pause. */
 const LONG_READ_MS = 100;
 /** A read that is overdue still has this share of its time ahead. */
@@ -106,13 +77,6 @@
   read: boolean;
 }
 
-/** What one other entry told of one replica. */
-interface ToldLoad {
-  readonly at: number;
-  readonly keepMs: number;
-  readonly load: ReplicaLoad;
-}
-
 /** `onChange` hears of each change of this entry's own load. */
 export function createLoadBook(
   clock: Clock,
@@ -121,7 +85,7 @@
   const own = new Map<string, Set<OpenWork>>();
   const others = createOthersLoads(clock);
 
-  const addOwn = (sum: MutableLoad, replicaId: string): void => {
+  const addOwn = (sum: LoadSum, replicaId: string): void => {
     const now = clock.now();
     for (const open of own.get(replicaId) ?? []) {
       const {work} = open;
@@ -171,46 +135,6 @@
   };
 }
 
-/**
- * What the other entries told, kept by replica: of sixty entries only a few
- * have work at any one replica, and a choice adds up the loads of all of them.
- */
-function createOthersLoads(clock: Clock) {
-  const byReplica = new Map<string, Map<string, ToldLoad>>();
-  const toldOf = new Map<string, readonly ReplicaLoad[]>();
-
-  const drop = (node: string, replicaId: string): void => {
-    const told = byReplica.get(replicaId);
-    told?.delete(node);
-    if (told?.size === 0) byReplica.delete(replicaId);
-  };
-  const set = (
-    node: string,
-    loads: readonly ReplicaLoad[],
-    keepMs = OTHERS_AGE_MS,
-  ): void => {
-    for (const {replicaId} of toldOf.get(node) ?? []) drop(node, replicaId);
-    toldOf.set(node, loads);
-    const at = clock.now();
-    for (const load of loads) {
-      const told = byReplica.get(load.replicaId) ?? new Map();
-      told.set(node, {at, keepMs, load});
-      byReplica.set(load.replicaId, told);
-    }
-  };
-  const addTo = (sum: MutableLoad): void => {
-    const told = byReplica.get(sum.replicaId);
-    if (told === undefined) return;
-    const now = clock.now();
-    for (const [node, {at, keepMs, load}] of told) {
-      const ageMs = now - at;
-      if (ageMs > keepMs) drop(node, sum.replicaId);
-      else addTold(sum, load, ageMs);
-    }
-  };
-  return {set, addTo};
-}
-
 function readLeft({work, since}: OpenWork, now: number): number {
   const share = 1 - (now - since) / Math.max(1, work.expectedMs);
   return work.readMs * Math.max(OVERDUE_SHARE, share);
@@ -225,41 +149,3 @@
     weight: Math.round(work.weight),
   };
 }
-
-/** A load while it is added up. */
-interface MutableLoad extends ReplicaLoad {
-  running: number;
-  tokens: number;
-  readMs: number;
-  readonly readers: Reader[];
-  readonly writers: Writers[];
-}
-
-function noLoad(replicaId: string): MutableLoad {
-  return {
-    replicaId,
-    running: 0,
-    tokens: 0,
-    readMs: 0,
-    readers: [],
-    writers: [],
-  };
-}
-
-function addTold(sum: MutableLoad, load: ReplicaLoad, ageMs: number): void {
-  sum.running += load.running;
-  sum.tokens += load.tokens;
-  sum.readMs += Math.max(0, load.readMs - ageMs);
-  for (const reader of load.readers) sum.readers.push(reader);
-  for (const writers of load.writers) addWriters(sum, writers);
-}
-
-/** Those who bear equal pauses are one row. */
-function addWriters(
-  {writers}: MutableLoad,
-  {pauseAimMs, weight}: Writers,
-): void {
-  const at = writers.findIndex(it => it.pauseAimMs === pauseAimMs);
-  if (at < 0) writers.push({pauseAimMs, weight});
-  else writers[at] = {pauseAimMs, weight: writers[at].weight + weight};
-}
--- a/src/direct/load_codec.ts
+++ b/src/direct/load_codec.ts
@@ -5,7 +5,7 @@
  */
 import {Just, Nothing} from 'purify-ts/Maybe';
 import type {Maybe} from 'purify-ts/Maybe';
-import type {ReplicaLoad} from './load_book.js';
+import type {ReplicaLoad} from './load_sum.js';
 
 type PackedLoad = readonly [
   replicaId: string,
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the services of a direct entry. */
-import type {ReplicaLoad} from './load_book.js';
+import type {ReplicaLoad} from './load_sum.js';
 import type {
   DirectConfig,
   DirectReplica,
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -11,7 +11,7 @@
 import {decodeDatagram, encodeDatagram} from './datagrams.js';
 import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
 import {createEntryQuestions} from './entry_questions.js';
-import type {ReplicaLoad} from './load_book.js';
+import type {ReplicaLoad} from './load_sum.js';
 import './messages.js';
 import {BEAT_MS, createTelling} from './telling.js';
 import type {DirectStore, EntryAddress, StoreKnowledge} from './types.js';
--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -7,7 +7,7 @@
   EngineRequest,
 } from '../../src/direct/decide/judge_engine.js';
 import {weightOf} from '../../src/direct/decide/request_worth.js';
-import type {ReplicaLoad} from '../../src/direct/load_book.js';
+import type {ReplicaLoad} from '../../src/direct/load_sum.js';
 import type {EngineFigures} from '../../src/direct/types.js';
 
 const FIGURES: EngineFigures = {
--- a/test/direct/place_or_wait.test.ts
+++ b/test/direct/place_or_wait.test.ts
@@ -5,7 +5,7 @@
 import {placeOrWait} from '../../src/direct/decide/place_or_wait.js';
 import type {PlacingRequest} from '../../src/direct/decide/place_or_wait.js';
 import {weightOf} from '../../src/direct/decide/request_worth.js';
-import type {ReplicaLoad} from '../../src/direct/load_book.js';
+import type {ReplicaLoad} from '../../src/direct/load_sum.js';
 import type {EngineFigures} from '../../src/direct/types.js';
 
 const FIGURES: EngineFigures = {
