--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -3,6 +3,7 @@
 import {benchConfigSpread} from './config_spread.js';
 import {benchConfigSpreadReal} from './config_spread_real.js';
 import {benchDecision} from './decision.js';
+import {benchDirect} from './direct_runs.js';
 import {benchMembership} from './membership.js';
 import {benchObjectCalls} from './object_calls.js';
 import {benchPath} from './path.js';
@@ -19,6 +20,7 @@
   ['path', benchPath],
   ['recovery', benchRecovery],
   ['decision', benchDecision],
+  ['direct', benchDirect],
   ['membership', benchMembership],
   ['config-spread', benchConfigSpread],
   ['config-spread-real', benchConfigSpreadReal],
--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -4,7 +4,7 @@
  * entries hear of each other as they do by datagrams.
  */
 import type {OpenDispatch} from '../../src/direct/dispatch.js';
-import type {ReplicaLoad} from '../../src/direct/load_book.js';
+import type {ReplicaLoad} from '../../src/direct/load_sum.js';
 import {createServing} from '../../src/direct/serving.js';
 import type {Serving} from '../../src/direct/serving.js';
 import {BEAT_MS, createTelling} from '../../src/direct/telling.js';
--- /dev/null
+++ b/bench/direct_runs.ts
@@ -0,0 +1,101 @@
+/**
+ * Loads replayed at modelled entries and engines, from the command line:
+ * `npm run bench -- direct [--scenario NAME] [--seeds N] [--first SEED]
+ * [--json FILE]`. Two states of the code are compared by the same seeds.
+ */
+import {writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+import {runScenario} from './direct/run.js';
+import type {Scenario} from './direct/scenario.js';
+import {SCENARIOS} from './direct/scenarios.js';
+import {mean} from './direct/worth.js';
+import type {RunFigures} from './direct/worth.js';
+
+const USAGE =
+  'usage: bench direct [--scenario NAME] [--seeds N] [--first SEED] [--json FILE]';
+const DEFAULT_SEEDS = 4;
+
+interface SeedRow {
+  readonly scenario: string;
+  readonly seed: number;
+  readonly worth: number;
+  /** Share of each kind of request that was answered in time. */
+  readonly inTime: Readonly<Record<string, number>>;
+  readonly refusals: number;
+}
+
+export async function benchDirect(args: readonly string[]): Promise<void> {
+  const {values} = parseArgs({
+    args: [...args],
+    options: {
+      scenario: {type: 'string'},
+      seeds: {type: 'string', default: String(DEFAULT_SEEDS)},
+      first: {type: 'string', default: '1'},
+      json: {type: 'string'},
+    },
+  });
+  const seeds = Number(values.seeds);
+  const first = Number(values.first);
+  const scenarios = SCENARIOS.filter(
+    ({name}) => values.scenario === undefined || name === values.scenario,
+  );
+  if (!(seeds >= 1) || !Number.isInteger(first) || scenarios.length === 0) {
+    const names = SCENARIOS.map(({name}) => `"${name}"`).join(', ');
+    console.error(`${USAGE}\nscenarios: ${names}`);
+    process.exitCode = 2;
+    return;
+  }
+  const rows: SeedRow[] = [];
+  for (const scenario of scenarios) {
+    for (let seed = first; seed < first + seeds; seed++) {
+      rows.push(await runSeed(scenario, seed));
+      console.error(`${rows.length} of ${scenarios.length * seeds}`);
+    }
+  }
+  console.table(scenarios.map(({name}) => summaryOf(name, rows)));
+  const {json} = values;
+  if (json !== undefined) writeFileSync(json, JSON.stringify(rows, null, 2));
+}
+
+async function runSeed(scenario: Scenario, seed: number): Promise<SeedRow> {
+  const {figures} = await runScenario({scenario, seed});
+  return {
+    scenario: scenario.name,
+    seed,
+    worth: figures.worth,
+    inTime: inTimeOf(figures),
+    refusals: figures.refusals,
+  };
+}
+
+function inTimeOf({byKind}: RunFigures): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    byKind.map(({kind, inTime, asked}) => [kind, inTime / asked]),
+  );
+}
+
+function summaryOf(scenario: string, all: readonly SeedRow[]) {
+  const rows = all.filter(row => row.scenario === scenario);
+  const worths = rows.map(({worth}) => worth);
+  const kinds = Object.keys(rows[0].inTime);
+  const shares = kinds.map(
+    kind => [kind, rounded(mean(rows.map(row => row.inTime[kind])))] as const,
+  );
+  return {
+    scenario,
+    worth: rounded(mean(worths)),
+    error: rounded(standardError(worths)),
+    ...Object.fromEntries(shares),
+    refusals: rounded(mean(rows.map(({refusals}) => refusals))),
+  };
+}
+
+function standardError(values: readonly number[]): number {
+  const middle = mean(values);
+  const squares = values.reduce((sum, it) => sum + (it - middle) ** 2, 0);
+  return Math.sqrt(squares / (values.length - 1) / values.length);
+}
+
+function rounded(value: number): number {
+  return Number(value.toFixed(3));
+}
