--- a/bench/decision.ts
+++ b/bench/decision.ts
@@ -6,6 +6,8 @@
  */
 import {writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
+import {isReadAlone} from '../src/direct/decide/choose_engines.js';
+import {drawCandidates} from '../src/direct/decide/draw_candidates.js';
 import {readMs} from '../src/direct/decide/engine_timing.js';
 import {patienceMs} from '../src/direct/decide/patience.js';
 import {placeOrWait} from '../src/direct/decide/place_or_wait.js';
@@ -86,7 +88,10 @@
   replicas: readonly DirectReplica[],
   req: PlacingRequest,
 ): void {
-  const candidates = replicas.map(replica => ({
+  const looked = isReadAlone(ENGINE, req)
+    ? drawCandidates(replicas, replicas[0].failureDomain, req.draw)
+    : replicas;
+  const candidates = looked.map(replica => ({
     replica,
     load: book.of(replica.id),
     slowness: 1,
