fix(direct): one look that was held up doesn't keep a request from the next

Cause: found on reading. The pause between looks goes by the mean cost of a look, by the clock; one garbage collection of 400 ms in the only look of a short prompt put its next look off by 800 ms. Change: a look counts as 20 ms at most. The test is red without it.

--- a/src/direct/look_pace.ts
+++ b/src/direct/look_pace.ts
@@ -13,6 +13,12 @@
 const LOOK_MS = 25;
 /** Looks of all who wait take at most this share of the entry's time. */
 const LOOKS_SHARE = 0.1;
+/**
+ * Longer looks were held up by something else, a garbage collection say. Taken
+ * as they are, one of 100 ms would keep a short prompt from looking again until
+ * its aim has passed.
+ */
+const LONGEST_LOOK_MS = 20;
 /** Share of the newest look in the mean cost. */
 const NEWEST_SHARE = 0.2;
 
@@ -34,7 +40,7 @@
       return () => waiting--;
     },
     took: ms => {
-      costMs += NEWEST_SHARE * (ms - costMs);
+      costMs += NEWEST_SHARE * (Math.min(ms, LONGEST_LOOK_MS) - costMs);
     },
     pauseMs: draw => {
       const affordableMs = (waiting * costMs) / LOOKS_SHARE;
--- a/test/direct/look_pace.test.ts
+++ b/test/direct/look_pace.test.ts
@@ -25,4 +25,13 @@
     leaves.forEach(leave => leave());
     expect(pace.pauseMs(MIDDLE_DRAW)).toBe(25);
   });
+
+  // A garbage collection falls into the only look of a short prompt. Its aim is
+  // 300 ms, so it has to look again well before.
+  test('look again soon after one look that was held up', () => {
+    const pace = createLookPace();
+    pace.enter();
+    pace.took(400);
+    expect(pace.pauseMs(MIDDLE_DRAW)).toBeLessThan(75);
+  });
 });
