--- a/test/direct/choose_engines.test.ts
+++ b/test/direct/choose_engines.test.ts
@@ -2,13 +2,11 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {chooseEngines} from '../../src/direct/decide/choose_engines.js';
-import type {
-  EngineCandidate,
-  EngineRequest,
-} from '../../src/direct/decide/judge_engine.js';
+import type {EngineRequest} from '../../src/direct/decide/judge_engine.js';
 import {weightOf} from '../../src/direct/decide/request_worth.js';
 import type {ReplicaLoad} from '../../src/direct/load_sum.js';
 import type {EngineFigures} from '../../src/direct/types.js';
+import {engineCandidate} from '../support/engine_candidates.js';
 
 const FIGURES: EngineFigures = {
   places: 10,
@@ -22,23 +20,8 @@
   contextMsPerThousand: 0,
 };
 
-const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
-
-function engine(id: string, load: Partial<ReplicaLoad> = {}): EngineCandidate {
-  return {
-    replica: {
-      id,
-      name: id,
-      startedAt: undefined,
-      service: 'pool',
-      address: `${id}:1`,
-      failureDomain: 'd',
-      places: FIGURES.places,
-      leaving: false,
-    },
-    load: {replicaId: id, ...IDLE, ...load},
-    slowness: 1,
-  };
+function engine(id: string, load: Partial<ReplicaLoad> = {}) {
+  return engineCandidate(id, FIGURES.places, load);
 }
 
 function prompt(promptTokens: number, more: Partial<EngineRequest> = {}) {
--- a/test/direct/place_or_wait.test.ts
+++ b/test/direct/place_or_wait.test.ts
@@ -7,6 +7,7 @@
 import {weightOf} from '../../src/direct/decide/request_worth.js';
 import type {ReplicaLoad} from '../../src/direct/load_sum.js';
 import type {EngineFigures} from '../../src/direct/types.js';
+import {engineCandidate} from '../support/engine_candidates.js';
 
 const FIGURES: EngineFigures = {
   places: 11,
@@ -21,7 +22,6 @@
 };
 /** Of a mix in which a long prompt comes for twenty short ones. */
 const WEIGHT_PER_READ_MS = 2_000;
-const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
 const SHORT_WEIGHT = weightOf(18_500, 18_500);
 /** Seven short streams that write. */
 const SHORT_STREAMS = {
@@ -30,21 +30,8 @@
   writers: [{pauseAimMs: 250, weight: 7 * SHORT_WEIGHT}],
 };
 
-function engine(id: string, load: Partial<ReplicaLoad> = {}): EngineCandidate {
-  return {
-    replica: {
-      id,
-      name: id,
-      startedAt: undefined,
-      service: 'pool',
-      address: `${id}:1`,
-      failureDomain: 'd',
-      places: FIGURES.places,
-      leaving: false,
-    },
-    load: {replicaId: id, ...IDLE, ...load},
-    slowness: 1,
-  };
+function engine(id: string, load: Partial<ReplicaLoad> = {}) {
+  return engineCandidate(id, FIGURES.places, load);
 }
 
 function engines(count: number, load: Partial<ReplicaLoad> = {}) {
--- /dev/null
+++ b/test/support/engine_candidates.ts
@@ -0,0 +1,27 @@
+/** Engines with loads made by hand. */
+import type {EngineCandidate} from '../../src/direct/decide/judge_engine.js';
+import type {ReplicaLoad} from '../../src/direct/load_sum.js';
+
+const IDLE = {running: 0, tokens: 0, readMs: 0, readers: [], writers: []};
+
+/** An engine of so many places; idle but for the load given. */
+export function engineCandidate(
+  id: string,
+  places: number,
+  load: Partial<ReplicaLoad> = {},
+): EngineCandidate {
+  return {
+    replica: {
+      id,
+      name: id,
+      startedAt: undefined,
+      service: 'pool',
+      address: `${id}:1`,
+      failureDomain: 'd',
+      places,
+      leaving: false,
+    },
+    load: {replicaId: id, ...IDLE, ...load},
+    slowness: 1,
+  };
+}
