--- a/test/direct/entry_questions.test.ts
+++ b/test/direct/entry_questions.test.ts
@@ -38,8 +38,8 @@
   });
 
   // The store turns some machines away, the first entry by name among them, and
-  // serves the others. Callers with keys got 503 from every entry that was
-  // turned away too and went on asking the first, though others knew the store.
+  // serves the others. Callers with keys would get 503 from every entry that is
+  // turned away too and goes on asking the first, though others know the store.
   test('goes to the next when the evidence is old or there is none', () => {
     expect(asked({a: 9_000, b: undefined, c: 500})).toEqual([
       'a',
--- a/test/direct/follow.test.ts
+++ b/test/direct/follow.test.ts
@@ -85,7 +85,7 @@
     return calls;
   }
 
-  test('asks about twice a second alone, and a fourth of it when led', async () => {
+  test('tries a few times a second alone, and about a third of that when led', async () => {
     expect(await callsIn8S(500)).toBeLessThan(45);
     expect(await callsIn8S(2_000)).toBeLessThan(16);
   });
