feat(bench): a scenario of prompts up to 900,000 tokens, and the largest of a kind by themselves

The shifted deployment asks for prompts of which the longest take the whole fleet of 60 engines more than a second, and counts the largest tenth of a kind and the fifth below it as kinds of their own. The model had neither, so the loss that shows there (the worst kind) could not be replayed.

--- a/bench/direct/run.ts
+++ b/bench/direct/run.ts
@@ -93,7 +93,7 @@
   const busyMs = sumOf(fleet, counts => counts.busyMs);
   await clock.runFor(AFTER_MS);
   return {
-    figures: figuresOf(records, scenario.lengthS),
+    figures: figuresOf(records, scenario),
     records,
     busyShare: busyMs / (lengthMs * scenario.engines),
     preemptions: sumOf(fleet, counts => counts.preemptions),
--- a/bench/direct/scenario.ts
+++ b/bench/direct/scenario.ts
@@ -2,8 +2,20 @@
 import type {PoolEngineFigures} from '../../standins/pool_engine.js';
 import type {Burst, LoadKind} from './load.js';
 
+/** How the parts of a run's worth count; together 1. */
+export interface WorthWeights {
+  readonly whole: number;
+  /** The two worst windows. */
+  readonly windows: number;
+  /** The worst kind of request, or the largest of one. */
+  readonly kind: number;
+  /** The worst failure domain of callers. */
+  readonly domain: number;
+}
+
 export interface Scenario {
   readonly name: string;
+  readonly weights: WorthWeights;
   readonly lengthS: number;
   readonly entries: number;
   readonly engines: number;
--- a/bench/direct/scenarios.ts
+++ b/bench/direct/scenarios.ts
@@ -58,6 +58,7 @@
 /** All kinds at their usual rates, and nothing fails. */
 const STEADY: Scenario = {
   name: 'steady',
+  weights: {whole: 0.6, windows: 0.25, kind: 0.15, domain: 0},
   lengthS: 34,
   entries: 5,
   engines: 14,
@@ -71,12 +72,14 @@
   killed: [],
 };
 
+const BURST_TIMES = {
+  long: {short: 0.35, middle: 1.3, long: 2.8},
+  short: {short: 2.45, middle: 0.5, long: 0.05},
+} as const;
+
 /** A burst of long prompts, or of short ones, of 9.5 s. */
 function burst(kind: 'long' | 'short', atS: number): readonly Burst[] {
-  const times =
-    kind === 'long'
-      ? {short: 0.35, middle: 1.3, long: 2.8}
-      : {short: 2.45, middle: 0.5, long: 0.05};
+  const times = BURST_TIMES[kind];
   return Object.entries(times).map(([name, each]) => ({
     kind: name,
     atS,
@@ -113,9 +116,73 @@
   bursts: burst('long', 6),
 };
 
+/**
+ * Prompts of up to 900,000 tokens: one of 260,000 takes an engine 7 s to read,
+ * and the longest takes the whole fleet of 60 engines more than a second. Read
+ * by sixteen, one of more than 840,000 misses its aim on idle engines.
+ */
+const GIANTS: Scenario = {
+  ...STEADY,
+  name: 'giants, steady',
+  weights: {whole: 0.4, windows: 0.1, kind: 0.3, domain: 0.2},
+  entries: 29,
+  engines: 60,
+  figures: {
+    ...ENGINE,
+    places: 8,
+    memoryTokens: 344_250,
+    stepsPerPass: 38,
+    stepMs: 1.31,
+    stepMsPerWriter: 0.000917,
+    contextMsPerThousand: 0.00213,
+    readTokensPerMs: 154,
+    pairsMsPerMillion: 0.162,
+    hopMs: 0.1,
+    queuePlaces: 24,
+  },
+  wayMs: 0.5,
+  kinds: [
+    {
+      ...SHORT,
+      perS: 49.9,
+      answerTokens: {mean: 1_357, spread: 0.7, most: 3_390},
+      maxTokens: 3_390,
+    },
+    {
+      ...MIDDLE,
+      perS: 6.08,
+      answerTokens: {mean: 813, spread: 0.6, most: 2_033},
+      maxTokens: 2_033,
+      worth: 3.3,
+      lateWorth: 0.82,
+    },
+    {
+      ...LONG,
+      perS: 1.13,
+      promptTokens: {mean: 260_000, spread: 0.55, most: 900_000},
+      answerTokens: {mean: 676, spread: 0.5, most: 1_695},
+      maxTokens: 1_695,
+      aimMs: 4_000,
+      worth: 34,
+      lateWorth: 8.6,
+    },
+  ],
+};
+
 export const SCENARIOS: readonly Scenario[] = [
   LARGE,
   STEADY,
+  GIANTS,
+  {
+    ...GIANTS,
+    name: 'giants, long, short, long',
+    bursts: [...burst('long', 2), ...burst('short', 13), ...burst('long', 23)],
+  },
+  {
+    ...GIANTS,
+    name: 'giants, short, long, short',
+    bursts: [...burst('short', 2), ...burst('long', 12), ...burst('short', 23)],
+  },
   {
     ...STEADY,
     name: 'long, short, long',
--- a/bench/direct/worth.ts
+++ b/bench/direct/worth.ts
@@ -3,11 +3,15 @@
  * otherwise; over the whole run, its worst windows and its worst kind.
  */
 import type {CallerRecord} from './model_caller.js';
+import type {Scenario} from './scenario.js';
 
-/** How the parts count. */
-const WEIGHTS = {whole: 0.6, windows: 0.25, kind: 0.15};
 const WINDOW_MS = 2_000;
 const WORST_WINDOWS = 2;
+/** The largest of each kind by prompt, counted as kinds by themselves. */
+const LARGEST = [
+  {name: 'largest tenth', from: 0, to: 0.1},
+  {name: 'fifth below it', from: 0.1, to: 0.3},
+] as const;
 
 export type Outcome = 'in time' | 'late' | 'lost';
 
@@ -30,14 +34,23 @@
   readonly whole: number;
   readonly windows: number;
   readonly kind: number;
+  readonly domain: number;
   readonly byWindow: readonly number[];
   readonly byKind: readonly KindFigures[];
+  /** Worth of the largest of each kind. */
+  readonly bySize: Readonly<Record<string, number>>;
+  readonly byDomain: readonly number[];
   readonly refusals: number;
 }
 
 export function figuresOf(
   records: readonly CallerRecord[],
-  lengthS: number,
+  {
+    lengthS,
+    weights,
+    entries,
+    failureDomains,
+  }: Pick<Scenario, 'lengthS' | 'weights' | 'entries' | 'failureDomains'>,
 ): RunFigures {
   const windows = Math.ceil((lengthS * 1_000) / WINDOW_MS);
   const byWindow = Array.from({length: windows}, (_, at) =>
@@ -52,17 +65,31 @@
   const byKind = kinds.map(kind => kindFigures(kind, records));
   const whole = shareOf(records);
   const worstWindows = mean(worst);
-  const worstKind = Math.min(...byKind.map(({worth}) => worth));
+  const bySize = Object.assign({}, ...kinds.map(it => largestOf(it, records)));
+  const worstKind = Math.min(
+    ...byKind.map(({worth}) => worth),
+    ...Object.values<number>(bySize),
+  );
+  const domainOf = ({request}: CallerRecord) =>
+    Math.floor(request.caller * entries) % failureDomains;
+  const byDomain = Array.from({length: failureDomains}, (_, at) =>
+    shareOf(records.filter(record => domainOf(record) === at)),
+  );
+  const worstDomain = Math.min(...byDomain);
   return {
     worth:
-      WEIGHTS.whole * whole +
-      WEIGHTS.windows * worstWindows +
-      WEIGHTS.kind * worstKind,
+      weights.whole * whole +
+      weights.windows * worstWindows +
+      weights.kind * worstKind +
+      weights.domain * worstDomain,
     whole,
     windows: worstWindows,
     kind: worstKind,
+    domain: worstDomain,
     byWindow,
     byKind,
+    bySize,
+    byDomain,
     refusals: records.reduce((sum, {refusals}) => sum + refusals, 0),
   };
 }
@@ -101,6 +128,27 @@
   return owed === 0 ? 1 : got / owed;
 }
 
+/** Worth of the largest prompts of a kind. */
+function largestOf(
+  kind: string,
+  all: readonly CallerRecord[],
+): Readonly<Record<string, number>> {
+  const records = all
+    .filter(({request}) => request.kind.name === kind)
+    .sort((a, b) => b.request.promptTokens - a.request.promptTokens);
+  return Object.fromEntries(
+    LARGEST.map(({name, from, to}) => [
+      `${kind}, ${name}`,
+      shareOf(
+        records.slice(
+          Math.ceil(from * records.length),
+          Math.ceil(to * records.length),
+        ),
+      ),
+    ]),
+  );
+}
+
 function kindFigures(kind: string, all: readonly CallerRecord[]): KindFigures {
   const records = all.filter(({request}) => request.kind.name === kind);
   const count = (outcome: Outcome) =>
--- a/bench/direct_runs.ts
+++ b/bench/direct_runs.ts
@@ -19,6 +19,10 @@
   readonly scenario: string;
   readonly seed: number;
   readonly worth: number;
+  /** What the worth adds up from, before it is weighed. */
+  readonly parts: Readonly<Record<'whole' | 'windows' | 'kind', number>>;
+  /** Worth of the largest of each kind. */
+  readonly bySize: Readonly<Record<string, number>>;
   /** Share of each kind of request that was answered in time. */
   readonly inTime: Readonly<Record<string, number>>;
   readonly refusals: number;
@@ -63,6 +67,12 @@
     scenario: scenario.name,
     seed,
     worth: figures.worth,
+    parts: {
+      whole: figures.whole,
+      windows: figures.windows,
+      kind: figures.kind,
+    },
+    bySize: figures.bySize,
     inTime: inTimeOf(figures),
     refusals: figures.refusals,
   };
@@ -85,6 +95,9 @@
     scenario,
     worth: rounded(mean(worths)),
     error: rounded(standardError(worths)),
+    whole: rounded(mean(rows.map(({parts}) => parts.whole))),
+    windows: rounded(mean(rows.map(({parts}) => parts.windows))),
+    kind: rounded(mean(rows.map(({parts}) => parts.kind))),
     ...Object.fromEntries(shares),
     refusals: rounded(mean(rows.map(({refusals}) => refusals))),
   };
