fix(direct): plain calls avoid replicas that break off, and are tried again at the last one

Ruled out: the short ends with 'time is up' are the platform's own questions, which nobody is owed.

Change: a call that may be repeated goes on at a replica that had it where no other is left, one try beyond the route's; the share of broken answers is remembered and costs by the aim; the usual time of a call is learned.

--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -5,6 +5,7 @@
 import type {Cancel} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {chooseForCall} from './decide/choose_call.js';
+import type {CallCandidate} from './decide/choose_call.js';
 import type {EnginePlan} from './decide/choose_engines.js';
 import type {EngineCandidate} from './decide/judge_engine.js';
 import {aimMarginMs} from './decide/waiting_loss.js';
@@ -13,6 +14,7 @@
 import type {Group} from './groups.js';
 import {callWork} from './load_book.js';
 import type {EnteredWork} from './load_book.js';
+import {callRequestOf} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica, GroupMember} from './types.js';
 
@@ -164,11 +166,9 @@
 export function plainPlace(
   ctx: ServeContext,
   exchange: Exchange,
-  candidates: readonly EngineCandidate[],
+  candidates: readonly CallCandidate[],
 ): Place | undefined {
-  const chosen = chooseForCall(candidates, ctx.failureDomain, () =>
-    ctx.random.next(),
-  );
+  const chosen = chooseForCall(candidates, callRequestOf(ctx, exchange));
   if (chosen === undefined) return undefined;
   const {replica} = chosen;
   const {pauseAimMs} = exchange.route;
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -4,15 +4,15 @@
  * replica that breaks off can be replaced before the caller saw a byte.
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {CALL_MS, chooseForCall} from './decide/choose_call.js';
+import {tryCall} from './call_attempt.js';
+import type {Answered, CallOutcome} from './call_attempt.js';
+import {chooseForCall} from './decide/choose_call.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
-import {callWork} from './load_book.js';
 import {
+  callRequestOf,
   candidatesOf,
-  dispatchRequest,
   giveUp,
-  judgeHead,
   loadsOf,
   mayTry,
   writeHead,
@@ -20,42 +20,38 @@
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica} from './types.js';
 
-/** Larger answers go on as they come, once so much of them is there. */
-const HELD_BYTES = 1024 * 1024;
+/**
+ * Tries beyond the replicas that the route allows, at those that had it. Kinds
+ * that fail by themselves in one try of seven fail twice in a row for one
+ * caller in fifty, and three times for one in three hundred.
+ */
+const TRIES_AT_THE_SAME = 1;
 
-/** A whole answer. */
-interface Answered {
-  readonly kind: 'answered';
-  readonly head: AnswerHead;
-  readonly body: Buffer;
+/** Replicas that were tried, and those among them that were sent the request. */
+interface Tried {
+  readonly any: Set<string>;
+  readonly sent: Set<string>;
 }
 
-/** How one try ended. */
-type CallOutcome =
-  | Answered
-  | {readonly kind: 'passed-on'}
-  | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
-  | {readonly kind: 'not-sent'; readonly reason: string}
-  | {readonly kind: 'broken'; readonly reason: string}
-  | {readonly kind: 'ended'};
-
 /** Serves the request to its final answer. */
 export async function serveCall(
   ctx: ServeContext,
   exchange: Exchange,
 ): Promise<void> {
-  const tried = new Set<string>();
+  const tried: Tried = {any: new Set(), sent: new Set()};
   let failure: Answered | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
     const replica = choose(ctx, exchange, tried);
-    if (replica === undefined || !mayTry(ctx, exchange)) {
+    const mayGoOn = mayTry(ctx, exchange, triesAtTheSame(exchange));
+    if (replica === undefined || !mayGoOn) {
       endUnserved(ctx, exchange, failure, replica);
       return;
     }
     logChoice(ctx, exchange, replica);
-    tried.add(replica.id);
-    const outcome = await tryOnce(ctx, exchange, replica);
+    tried.any.add(replica.id);
+    const outcome = await tryCall(ctx, exchange, replica);
+    if (outcome.kind !== 'not-sent') tried.sent.add(replica.id);
     if (settle(ctx, exchange, replica, outcome)) return;
     if (outcome.kind === 'answered') failure = outcome;
   }
@@ -76,14 +72,29 @@
   giveUp(ctx, exchange, none ? 'no replica left to try' : 'no more attempts');
 }
 
+/**
+ * A replica that has not had the request, as long as the route allows one more;
+ * then one that had it, where it may be repeated.
+ */
 function choose(
   ctx: ServeContext,
   exchange: Exchange,
-  tried: ReadonlySet<string>,
+  {any, sent}: Tried,
 ): DirectReplica | undefined {
-  const candidates = loadsOf(ctx, candidatesOf(ctx, exchange.service, tried));
-  return chooseForCall(candidates, ctx.failureDomain, () => ctx.random.next())
-    ?.replica;
+  const {service, route} = exchange;
+  const untried =
+    sent.size < route.maxAttempts ? candidatesOf(ctx, service, any) : [];
+  const candidates =
+    untried.length > 0 || triesAtTheSame(exchange) === 0
+      ? untried
+      : ctx.fleet.serving(service).filter(({id}) => sent.has(id));
+  const req = callRequestOf(ctx, exchange);
+  return chooseForCall(loadsOf(ctx, candidates), req)?.replica;
+}
+
+/** None where the request may run once only. */
+function triesAtTheSame({route}: Exchange): number {
+  return route.kind === 'idempotent' ? TRIES_AT_THE_SAME : 0;
 }
 
 function logChoice(
@@ -165,97 +176,3 @@
   writeHead(ctx, res, head, body.length);
   res.end(body);
 }
-
-function tryOnce(
-  ctx: ServeContext,
-  exchange: Exchange,
-  replica: DirectReplica,
-): Promise<CallOutcome> {
-  const {health, losses, book, clock, metrics} = ctx;
-  const startedAt = clock.now();
-  const work = book.enter(callWork(replica.id, Infinity));
-  exchange.sent++;
-  return new Promise(resolve => {
-    let head: AnswerHead | undefined;
-    let held: Buffer[] = [];
-    let bytes = 0;
-    let passing = false;
-
-    const finish = (outcome: CallOutcome) => {
-      work.end();
-      stopWatching();
-      exchange.signal.removeEventListener('abort', onAbort);
-      resolve(outcome);
-    };
-    const onAbort = () => {
-      exchange.mayHaveRun = true;
-      dispatch.cancel();
-      finish({kind: 'ended'});
-    };
-    const startPassing = (of: AnswerHead) => {
-      passing = true;
-      writeHead(ctx, exchange.res, of);
-      for (const piece of held) exchange.res.write(piece);
-      held = [];
-    };
-    const onHead = (came: AnswerHead) => {
-      head = came;
-      const verdict = judgeHead(ctx, exchange, came);
-      if (verdict.kind === 'success' || verdict.kind === 'failure') return;
-      dispatch.cancel();
-      if (verdict.kind === 'not-run') {
-        finish(verdict);
-        return;
-      }
-      health.failed(replica.id);
-      finish({kind: 'broken', reason: verdict.reason});
-    };
-    const onData = (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (!passing) held.push(chunk);
-      if (!passing && bytes > HELD_BYTES && head !== undefined) {
-        startPassing(head);
-        return;
-      }
-      if (!passing || exchange.res.write(chunk)) return;
-      dispatch.pause();
-      exchange.res.once('drain', () => dispatch.resume());
-    };
-    const onEnd = () => {
-      if (passing) {
-        exchange.res.end();
-        finish({kind: 'passed-on'});
-        return;
-      }
-      const tookMs = clock.now() - startedAt;
-      health.answered(replica.id, tookMs, CALL_MS);
-      metrics.observe('onyxloft_direct_call_ms', {}, tookMs);
-      if (head === undefined) return;
-      finish({kind: 'answered', head, body: Buffer.concat(held)});
-    };
-    const onBroken = (sent: boolean, reason: string) => {
-      health.failed(replica.id);
-      if (!sent) {
-        exchange.sent--;
-        finish({kind: 'not-sent', reason});
-        return;
-      }
-      exchange.mayHaveRun = true;
-      if (passing) exchange.res.destroy();
-      finish({kind: passing ? 'passed-on' : 'broken', reason});
-    };
-    const spec = dispatchRequest(ctx, exchange, replica, undefined, []);
-    const dispatch = ctx.dispatch(spec, clock, {
-      onHead,
-      onData,
-      onEnd,
-      onBroken,
-    });
-    // Its connection may stay silent without a reset.
-    const stopWatching = losses.watch(replica.id, () => {
-      dispatch.cancel();
-      onBroken(true, 'the replica restarted');
-    });
-    exchange.signal.addEventListener('abort', onAbort);
-  });
-}
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -4,6 +4,8 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
+import type {CallTimes} from './call_times.js';
+import type {CallCandidate, CallRequest} from './decide/choose_call.js';
 import type {EngineCandidate} from './decide/judge_engine.js';
 import type {RequestWorth} from './decide/request_worth.js';
 import type {AnswerHead, DispatchRequest, OpenDispatch} from './dispatch.js';
@@ -35,6 +37,7 @@
   readonly losses: ReplicaLosses;
   readonly book: LoadBook;
   readonly worth: RequestWorth;
+  readonly callTimes: CallTimes;
   readonly looks: LookPace;
   readonly groups: Groups;
   readonly budget: RetryBudget;
@@ -61,18 +64,37 @@
 export function loadsOf(
   {book, health}: ServeContext,
   replicas: readonly DirectReplica[],
-): readonly EngineCandidate[] {
+): readonly (EngineCandidate & CallCandidate)[] {
   return replicas.map(replica => ({
     replica,
     load: book.of(replica.id),
     slowness: health.slowness(replica.id),
+    brokenShare: health.brokenShare(replica.id),
   }));
 }
 
-/** Whether the request may go to one more replica. */
-export function mayTry(ctx: ServeContext, exchange: Exchange): boolean {
-  if (exchange.sent === 0) return true;
-  return exchange.sent < exchange.route.maxAttempts && ctx.budget.take();
+/** The request as the choice of a plain service's replica takes it. */
+export function callRequestOf(
+  {callTimes, failureDomain, random}: ServeContext,
+  {route, service}: Exchange,
+): CallRequest {
+  return {
+    failureDomain,
+    usualMs: callTimes.usualMs(service),
+    aimMs: route.aimMs,
+    isOnce: route.kind === 'once',
+    draw: () => random.next(),
+  };
+}
+
+/** Whether the request may be sent again; `more` goes beyond the route's tries. */
+export function mayTry(
+  ctx: ServeContext,
+  {sent, route}: Exchange,
+  more = 0,
+): boolean {
+  if (sent === 0) return true;
+  return sent < route.maxAttempts + more && ctx.budget.take();
 }
 
 /** The request as the replica gets it. */
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -8,6 +8,7 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {createCallTimes} from './call_times.js';
 import {readMs} from './decide/engine_timing.js';
 import {createRequestWorth, sizeOf} from './decide/request_worth.js';
 import type {OpenDispatch} from './dispatch.js';
@@ -118,6 +119,7 @@
     losses,
     book,
     worth,
+    callTimes: createCallTimes(),
     looks: createLookPace(),
     groups: createGroups({
       clock,
