feat(direct): an entry that the store turns away takes what it knows from another

Change: a service 'handover' serves configuration and replicas to other entries over HTTP on the peers' port; an entry fetches the configuration when it is told of a newer one twice in a row, and the replicas while the store is lost to it. An entry whose calls fail asks any other one, not only those before it by name.

--- /dev/null
+++ b/src/direct/catch_up.ts
@@ -0,0 +1,76 @@
+/**
+ * Decides when an entry takes over what another one knows of the store. As long
+ * as its own calls are answered, the store's word is newer than anyone else's,
+ * so another entry's is taken only when the own way has failed it.
+ *
+ * A version of the configuration is the same wherever it comes from, and the
+ * newest goes before all others, so the configuration may be taken at any time;
+ * the own watch is given one question's time to bring it first. A list of
+ * replicas bears no version: it is taken only while the store is lost to this
+ * entry, and its own next read goes before it again.
+ */
+import type {DirectConfig, DirectReplica, EntryAnswer} from './types.js';
+
+/** Answers in a row with a newer version until it is fetched from there. */
+const NEWER_TIMES = 2;
+
+export interface CatchUpOptions {
+  /** Version in force here. */
+  ownVersion(): number | undefined;
+  /** The last own call to the store failed. */
+  isStoreLost(): boolean;
+  fetchConfig(from: EntryAnswer): Promise<DirectConfig | undefined>;
+  fetchReplicas(
+    from: EntryAnswer,
+  ): Promise<ReadonlyMap<string, DirectReplica> | undefined>;
+  onConfig(config: DirectConfig, from: EntryAnswer): void;
+  onReplicas(
+    replicas: ReadonlyMap<string, DirectReplica>,
+    from: EntryAnswer,
+  ): void;
+}
+
+export interface CatchUp {
+  /** Another entry has another configuration, on young evidence. */
+  otherConfig(answer: EntryAnswer): void;
+  /** It has the same configuration. */
+  sameConfig(): void;
+  otherReplicas(answer: EntryAnswer): void;
+}
+
+export function createCatchUp(options: CatchUpOptions): CatchUp {
+  let newer = 0;
+  let isFetching = false;
+
+  const isNewer = ({configVersion = -Infinity}: EntryAnswer): boolean =>
+    configVersion > (options.ownVersion() ?? -Infinity);
+
+  const fetchOnce = async (fetch: () => Promise<void>): Promise<void> => {
+    if (isFetching) return;
+    isFetching = true;
+    await fetch();
+    isFetching = false;
+  };
+
+  return {
+    otherConfig: answer => {
+      newer = isNewer(answer) ? newer + 1 : 0;
+      if (newer < NEWER_TIMES) return;
+      void fetchOnce(async () => {
+        const config = await options.fetchConfig(answer);
+        if (config !== undefined) options.onConfig(config, answer);
+      });
+    },
+    sameConfig: () => {
+      newer = 0;
+    },
+    otherReplicas: answer => {
+      if (!options.isStoreLost()) return;
+      void fetchOnce(async () => {
+        const replicas = await options.fetchReplicas(answer);
+        if (replicas === undefined || !options.isStoreLost()) return;
+        options.onReplicas(replicas, answer);
+      });
+    },
+  };
+}
--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -56,9 +56,10 @@
    * that was sent no earlier than `asOf`.
    */
   onConfirmed(asOf: number, askedAt: number): void;
-  /** The other entry has another configuration. */
-  onOtherConfig(): void;
-  onOtherReplicas(): void;
+  /** The other entry has another configuration, on young evidence. */
+  onOtherConfig(answer: EntryAnswer): void;
+  onSameConfig(): void;
+  onOtherReplicas(answer: EntryAnswer): void;
   /** Called at each question that left this entry without cover. */
   onUncovered(): void;
   /** Cover began or ended with this answer, or for want of one. */
@@ -89,11 +90,12 @@
   const isCovered = () => clock.now() - coveredAt < COVER_MS;
   const isAnswered = () => clock.now() - answeredAt < COVER_MS;
 
-  const takeReplicas = (digest: string): void => {
-    different = digest === options.own().replicasDigest ? 0 : different + 1;
+  const takeReplicas = (answer: EntryAnswer): void => {
+    const isSame = answer.replicasDigest === options.own().replicasDigest;
+    different = isSame ? 0 : different + 1;
     if (different < DIFFERENT_TIMES) return;
     different = 0;
-    options.onOtherReplicas();
+    options.onOtherReplicas(answer);
   };
 
   const take = (answer: EntryAnswer): void => {
@@ -104,11 +106,12 @@
     if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
     if (evidenceAgeMs > options.maxAgeMs) return;
     if (!isSame) {
-      options.onOtherConfig();
+      options.onOtherConfig(answer);
       return;
     }
+    options.onSameConfig();
     coveredAt = clock.now();
-    takeReplicas(answer.replicasDigest);
+    takeReplicas(answer);
   };
 
   const noteChange = (answer: EntryAnswer | undefined): void => {
--- a/src/direct/entry_questions.ts
+++ b/src/direct/entry_questions.ts
@@ -17,13 +17,16 @@
 export interface EntryQuestionsOptions {
   readonly clock: Clock;
   readonly self: EntryAddress;
-  /** Entries that may be asked, in an order that all entries share. */
-  candidates(): readonly EntryAddress[];
+  /**
+   * Entries that may be asked, in an order that all entries share; with
+   * `anyone`, those too that may lean on this one.
+   */
+  candidates(anyone: boolean): readonly EntryAddress[];
   send(datagram: AskDatagram, to: EntryAddress): void;
 }
 
 export interface EntryQuestions {
-  ask(reply: (answer: EntryAnswer | undefined) => void): void;
+  ask(anyone: boolean, reply: (answer: EntryAnswer | undefined) => void): void;
   answered(datagram: AnswerDatagram): void;
 }
 
@@ -36,8 +39,8 @@
   let failures = 0;
 
   return {
-    ask: reply => {
-      const candidates = options.candidates();
+    ask: (anyone, reply) => {
+      const candidates = options.candidates(anyone);
       const to = candidates[failures % candidates.length];
       if (to === undefined) {
         reply(undefined);
@@ -49,7 +52,8 @@
         cancel();
         if (!open.delete(question)) return;
         if (!isOfUse(knowledge)) failures += 1;
-        reply(knowledge && {...knowledge, askedAt, by: to.node});
+        const {node: by, ip, port} = to;
+        reply(knowledge && {...knowledge, askedAt, by, ip, port});
       };
       const cancel = clock.after(ANSWER_MS, settle);
       open.set(question, settle);
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -6,6 +6,7 @@
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import type {Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {createCatchUp} from './catch_up.js';
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import './messages.js';
@@ -70,14 +71,20 @@
   const {clock, random} = ctx;
   const settleMs = leavingMs * REPLICAS_SETTLE_SHARE;
   const connected = createConnectionLog(ctx);
-  let configVersion: number | undefined;
+  let newest: DirectConfig | undefined;
 
   const tellConfig = (config: DirectConfig | undefined) => {
-    // Without a configuration the last one stays in force.
+    // Without a configuration the last one stays in force, as it does when an
+    // older one is read.
     if (config === undefined) return;
-    configVersion = Math.max(configVersion ?? 0, config.version);
+    if (newest !== undefined && config.version <= newest.version) return;
+    newest = config;
     ctx.send('direct', {kind: 'config', config});
   };
+  const tellReplicas = (items: ReadonlyMap<string, DirectReplica>) => {
+    known.setAll(items);
+    ctx.send('direct', {kind: 'replicas', replicas: items});
+  };
   const tellConfirmed = (asOf: number, askedAt: number) =>
     ctx.send('direct', {kind: 'confirmed', asOf, askedAt});
   // An outage that one watch outlives is seen by the other: either says that
@@ -114,10 +121,7 @@
     waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : REPLICAS_WAIT_MS),
     retryMostMs,
     settleMs,
-    onList: items => {
-      known.setAll(items);
-      ctx.send('direct', {kind: 'replicas', replicas: items});
-    },
+    onList: tellReplicas,
     onChanges: items => {
       known.change(items);
       ctx.send('direct', {kind: 'replica-changes', replicas: items});
@@ -125,6 +129,39 @@
     onConfirmed: replicasWatch.confirmed,
     onFault,
   });
+  const logTaken = (what: string, {by, configVersion: version}: EntryAnswer) =>
+    ctx.log(DIRECT_EVENTS.knowledgeTaken, {what, entry: by, version});
+  const catchUp = createCatchUp({
+    ownVersion: () => newest?.version,
+    isStoreLost: connected.isLost,
+    fetchConfig: from =>
+      ctx.ask(
+        'handover',
+        (reply: (config: DirectConfig | undefined) => void) => ({
+          kind: 'fetch-config',
+          from,
+          reply,
+        }),
+      ),
+    fetchReplicas: from =>
+      ctx.ask(
+        'handover',
+        (
+          reply: (
+            replicas: ReadonlyMap<string, DirectReplica> | undefined,
+          ) => void,
+        ) => ({kind: 'fetch-replicas', from, reply}),
+      ),
+    onConfig: (config, from) => {
+      logTaken('configuration', from);
+      tellConfig(config);
+      cover.askNow();
+    },
+    onReplicas: (items, from) => {
+      logTaken('replicas', from);
+      tellReplicas(items);
+    },
+  });
   const cover = createCover({
     clock,
     maxAgeMs: coverAgeMs(readyMs),
@@ -133,13 +170,24 @@
         'sharing',
         (reply: (answer: EntryAnswer | undefined) => void) => ({
           kind: 'ask-entry',
+          anyone: connected.isLost(),
           reply,
         }),
       ),
-    own: () => ({configVersion, replicasDigest: known.digest()}),
+    own: () => ({
+      configVersion: newest?.version,
+      replicasDigest: known.digest(),
+    }),
     onConfirmed: tellConfirmed,
-    onOtherConfig: configs.confirmNow,
-    onOtherReplicas: replicas.confirmNow,
+    onOtherConfig: answer => {
+      configs.confirmNow();
+      catchUp.otherConfig(answer);
+    },
+    onSameConfig: catchUp.sameConfig,
+    onOtherReplicas: answer => {
+      replicas.confirmNow();
+      catchUp.otherReplicas(answer);
+    },
     onUncovered: () => {
       if (configWatch.isOverdue()) configs.confirmNow();
       if (replicasWatch.isOverdue()) replicas.confirmNow();
@@ -164,18 +212,25 @@
     );
     // No number of JSON stands for an infinite age.
     const evidenceAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
-    reply({evidenceAgeMs, configVersion, replicasDigest: known.digest()});
+    reply({
+      evidenceAgeMs,
+      configVersion: newest?.version,
+      replicasDigest: known.digest(),
+    });
   };
   ctx.own(cover.stop);
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
   void ctx.mailbox.observe(message => {
-    if (message.kind === 'knowledge') {
-      void tell(message.reply);
-      return;
+    switch (message.kind) {
+      case 'knowledge':
+        return void tell(message.reply);
+      case 'state':
+        return message.reply({config: newest, replicas: known.all()});
+      case 'confirm':
+        configs.confirmNow();
+        return cover.askNow();
     }
-    configs.confirmNow();
-    cover.askNow();
   });
 }
 
@@ -211,6 +266,7 @@
       replicas.clear();
       change(items);
     },
+    all: (): ReadonlyMap<string, DirectReplica> => replicas,
     digest: () => (digest ??= digestNow()),
   };
 }
@@ -226,6 +282,7 @@
 function createConnectionLog({log, clock}: ServiceContext<'followed'>) {
   let lostAt: number | undefined;
   return {
+    isLost: () => lostAt !== undefined,
     failed: ({step, message}: StoreFault) => {
       if (lostAt !== undefined) return;
       lostAt = clock.now();
--- /dev/null
+++ b/src/direct/handover.ts
@@ -0,0 +1,133 @@
+/**
+ * The service `handover`: hands other entries what this one knows of the store,
+ * and fetches it from them. The store can turn some machines away and serve the
+ * others; without this an entry that is turned away stays on the configuration
+ * that it had, and from nine tenths of the bound on keys after the next change
+ * on it refuses every request with a key (840 of 6,700 requests on a day with
+ * such an outage).
+ */
+import {createServer} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import type {Either} from 'purify-ts';
+import {createHttpClient} from '../stores/http_client.js';
+import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import {
+  decodeHandedConfig,
+  decodeReplicas,
+  encodeConfig,
+  encodeReplicas,
+} from './handover_codec.js';
+import './messages.js';
+import type {StoreState} from './messages.js';
+import type {EntryAddress} from './types.js';
+
+const CONFIG_PATH = '/config';
+const REPLICAS_PATH = '/replicas';
+const NOT_FOUND = 404;
+/**
+ * A configuration of a thousand routes has some 400 KB: over a link of 14 Mbit/s
+ * that other answers share it takes under a second.
+ */
+const FETCH_MS = 2_000;
+
+export interface HandoverOptions {
+  readonly self: EntryAddress;
+}
+
+export function createHandover({
+  self,
+}: HandoverOptions): ServiceSpec<'handover'> {
+  return {name: 'handover', start: ctx => startHandover(self, ctx)};
+}
+
+async function startHandover(
+  self: EntryAddress,
+  ctx: ServiceContext<'handover'>,
+): Promise<void> {
+  const state = () =>
+    ctx.ask('followed', (reply: (state: StoreState) => void) => ({
+      kind: 'state',
+      reply,
+    }));
+  const encodedConfig = createConfigCache();
+  const server = createServer((req, res) => {
+    state()
+      .then(known => answer(res, textOf(req.url, known, encodedConfig)))
+      .catch(err => {
+        const message = String(err);
+        ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'hand over', message});
+        res.destroy();
+      });
+  });
+  ctx.own(() => closeNow(server));
+  await listen(server, self);
+
+  const fetch = async <T>(
+    from: Pick<EntryAddress, 'ip' | 'port'>,
+    path: string,
+    decode: (text: string) => Either<string, T>,
+  ): Promise<T | undefined> => {
+    const url = `http://${from.ip}:${from.port}`;
+    const {clock} = ctx;
+    const client = createHttpClient({url, clock, timeoutMs: FETCH_MS});
+    const answered = await client.call({method: 'GET', path});
+    void client.close();
+    return answered
+      .mapLeft(({message}) => message)
+      .chain(({body}) => decode(body))
+      .ifLeft(message =>
+        ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'fetch', url, message}),
+      )
+      .toMaybe()
+      .extract();
+  };
+  void ctx.mailbox.observe(message => {
+    if (message.kind === 'fetch-config') {
+      void fetch(message.from, CONFIG_PATH, decodeHandedConfig).then(
+        message.reply,
+      );
+      return;
+    }
+    void fetch(message.from, REPLICAS_PATH, decodeReplicas).then(message.reply);
+  });
+}
+
+function textOf(
+  path: string | undefined,
+  {config, replicas}: StoreState,
+  encoded: ReturnType<typeof createConfigCache>,
+): string | undefined {
+  if (path === REPLICAS_PATH) return encodeReplicas(replicas);
+  return path === CONFIG_PATH && config !== undefined
+    ? encoded(config)
+    : undefined;
+}
+
+/** Many entries that are turned away fetch the same version at once. */
+function createConfigCache() {
+  let cached: {readonly version: number; readonly text: string} | undefined;
+  return (config: NonNullable<StoreState['config']>): string => {
+    if (cached?.version !== config.version) {
+      cached = {version: config.version, text: encodeConfig(config)};
+    }
+    return cached.text;
+  };
+}
+
+function answer(res: ServerResponse, text: string | undefined): void {
+  if (text === undefined) res.writeHead(NOT_FOUND).end();
+  else res.end(text);
+}
+
+function listen(server: Server, {ip, port}: EntryAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+}
+
+function closeNow(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
--- /dev/null
+++ b/src/direct/handover_codec.ts
@@ -0,0 +1,166 @@
+/**
+ * What one entry knows of the store, as it hands it to another: the newest
+ * configuration and the replicas. It may come from another version of the
+ * program; what is not understood whole is not taken.
+ */
+import {
+  Codec,
+  array,
+  boolean,
+  exactly,
+  nullable,
+  number,
+  oneOf,
+  optional,
+  string,
+} from 'purify-ts/Codec';
+import type {GetType} from 'purify-ts/Codec';
+import {Either} from 'purify-ts/Either';
+import type {DirectConfig, DirectReplica} from './types.js';
+
+const routeCodec = Codec.interface({
+  name: string,
+  host: string,
+  pathPrefix: string,
+  kind: oneOf([
+    exactly('idempotent'),
+    exactly('once'),
+    exactly('resumable-stream'),
+  ]),
+  streaming: boolean,
+  targets: array(Codec.interface({service: string, weight: number})),
+  timeLimitMs: number,
+  aimMs: number,
+  /** Null stands for no aim, which JSON has no number for. */
+  pauseAimMs: nullable(number),
+  priority: number,
+  maxAttempts: number,
+  isPublic: boolean,
+});
+
+const engineCodec = Codec.interface({
+  places: number,
+  memoryTokens: number,
+  stepsPerPass: number,
+  stepMs: number,
+  stepMsPerWriter: number,
+  readTokensPerMs: number,
+  pairsMsPerMillion: number,
+  /** Null stands for no limit. */
+  chunkTokens: nullable(number),
+  contextMsPerThousand: number,
+});
+
+const keyCodec = Codec.interface({
+  key: string,
+  organisation: string,
+  priority: optional(number),
+});
+
+const configCodec = Codec.interface({
+  version: number,
+  routes: array(routeCodec),
+  services: array(
+    Codec.interface({name: string, engine: optional(engineCodec)}),
+  ),
+  /** Null where requests carry no keys. */
+  keys: nullable(array(keyCodec)),
+  limits: Codec.interface({
+    maxHeaderBytes: number,
+    maxBodyBytes: number,
+    headersTimeoutMs: number,
+    idleTimeoutMs: number,
+  }),
+});
+
+const replicasCodec = array(
+  Codec.interface({
+    id: string,
+    name: string,
+    startedAt: optional(number),
+    service: string,
+    address: string,
+    failureDomain: string,
+    places: number,
+    leaving: boolean,
+  }),
+);
+
+type PackedConfig = GetType<typeof configCodec>;
+
+export function encodeConfig({keys, services, ...rest}: DirectConfig): string {
+  const packed = {
+    ...rest,
+    services: [...services.values()],
+    keys: keys && [...keys].map(([key, owner]) => ({key, ...owner})),
+  };
+  return JSON.stringify({...packed, keys: packed.keys ?? null});
+}
+
+export function decodeHandedConfig(text: string): Either<string, DirectConfig> {
+  return parsed(text)
+    .chain(value => configCodec.decode(value))
+    .map(unpackConfig);
+}
+
+export function encodeReplicas(
+  replicas: ReadonlyMap<string, DirectReplica>,
+): string {
+  return JSON.stringify([...replicas.values()]);
+}
+
+/** By name. */
+export function decodeReplicas(
+  text: string,
+): Either<string, ReadonlyMap<string, DirectReplica>> {
+  return parsed(text)
+    .chain(value => replicasCodec.decode(value))
+    .map(
+      replicas =>
+        new Map(
+          replicas.map(it => [it.name, {...it, startedAt: it.startedAt}]),
+        ),
+    );
+}
+
+function unpackConfig({
+  version,
+  routes,
+  services,
+  keys,
+  limits,
+}: PackedConfig): DirectConfig {
+  return {
+    version,
+    routes: routes.map(route => ({
+      ...route,
+      pauseAimMs: route.pauseAimMs ?? Infinity,
+    })),
+    services: new Map(
+      services.map(({name, engine}) => [
+        name,
+        {
+          name,
+          engine: engine && {
+            ...engine,
+            chunkTokens: engine.chunkTokens ?? Infinity,
+          },
+        },
+      ]),
+    ),
+    keys:
+      keys === null
+        ? undefined
+        : new Map(
+            keys.map(({key, organisation, priority}) => [
+              key,
+              {organisation, priority},
+            ]),
+          ),
+    limits,
+  };
+}
+
+function parsed(text: string): Either<string, unknown> {
+  return Either.encase(() => JSON.parse(text) as unknown).mapLeft(String);
+}
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -3,6 +3,7 @@
 import type {
   DirectConfig,
   DirectReplica,
+  EntryAddress,
   EntryAnswer,
   StoreKnowledge,
 } from './types.js';
@@ -47,6 +48,30 @@
   | {
       readonly kind: 'knowledge';
       readonly reply: (knowledge: StoreKnowledge) => void;
+    }
+  | {readonly kind: 'state'; readonly reply: (state: StoreState) => void};
+
+/** What an entry has from the store, whole. */
+export interface StoreState {
+  readonly config: DirectConfig | undefined;
+  /** By name. */
+  readonly replicas: ReadonlyMap<string, DirectReplica>;
+}
+
+/** To the service that hands what is known of the store between entries. */
+export type HandoverMessage =
+  | {
+      readonly kind: 'fetch-config';
+      readonly from: Pick<EntryAddress, 'ip' | 'port'>;
+      /** Undefined when nothing of use came. */
+      readonly reply: (config: DirectConfig | undefined) => void;
+    }
+  | {
+      readonly kind: 'fetch-replicas';
+      readonly from: Pick<EntryAddress, 'ip' | 'port'>;
+      readonly reply: (
+        replicas: ReadonlyMap<string, DirectReplica> | undefined,
+      ) => void;
     };
 
 /** To the service that talks with the other entries. */
@@ -60,6 +85,11 @@
   /** Asks another entry what it knows; undefined when none answers. */
   | {
       readonly kind: 'ask-entry';
+      /**
+       * Also one that may lean on this entry: the store turns this one away, and
+       * no other that it would ask may be there.
+       */
+      readonly anyone: boolean;
       readonly reply: (answer: EntryAnswer | undefined) => void;
     };
 
@@ -67,6 +97,7 @@
   interface ServiceMessages {
     direct: DirectMessage;
     followed: FollowedMessage;
+    handover: HandoverMessage;
     sharing: SharingMessage;
   }
 }
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -103,9 +103,10 @@
     clock,
     self,
     // Those before this one by name, so that some entry asks the store itself.
-    candidates: () =>
+    candidates: anyone =>
       [...peers.values()]
-        .filter(peer => isHeard(peer) && peer.entry.node < self.node)
+        .filter(isHeard)
+        .filter(({entry}) => anyone || entry.node < self.node)
         .map(({entry}) => entry)
         .sort((a, b) => (a.node < b.node ? -1 : 1)),
     send: sendOne,
@@ -191,7 +192,7 @@
   ctx.own(clock.every(LIST_MS, () => void list()));
   void ctx.mailbox.observe(message => {
     if (message.kind === 'ask-entry') {
-      questions.ask(message.reply);
+      questions.ask(message.anyone, message.reply);
       return;
     }
     loads = message.loads;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -135,8 +135,10 @@
 
 /** Another entry's answer to a question that was sent at `askedAt`. */
 export interface EntryAnswer extends StoreKnowledge {
-  /** Node that answered. */
+  /** Node that answered, and where it hands over what it knows. */
   readonly by: string;
+  readonly ip: string;
+  readonly port: number;
   /** On this process's clock. */
   readonly askedAt: number;
 }
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -5,6 +5,7 @@
 import {createDirectFront} from './direct/front.js';
 import {readyAgeMs} from './direct/evidence.js';
 import {createFollowed} from './direct/followed.js';
+import {createHandover} from './direct/handover.js';
 import {createReadyServer} from './direct/ready_server.js';
 import type {DirectSettings} from './direct/settings.js';
 import {createSharing} from './direct/sharing.js';
@@ -72,6 +73,7 @@
     }),
   );
   await kernel.start(createSharing({self, store}));
+  await kernel.start(createHandover({self}));
   await kernel.start(
     createFollowed({
       store,
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -163,6 +163,8 @@
   entriesCounted: event(552, 'info', 'entries-counted'),
   coverBegan: event(553, 'info', 'cover-began'),
   coverEnded: event(554, 'info', 'cover-ended'),
+  knowledgeTaken: event(555, 'info', 'knowledge-taken'),
+  handoverFailed: event(556, 'warn', 'handover-failed'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -27,12 +27,15 @@
         ...knowledge,
         askedAt,
         by: 'entry-0',
+        ip: '127.0.0.1',
+        port: 1,
       };
       return Promise.resolve(told);
     },
     own: () => SAME,
     onConfirmed: asOf => confirmed.push(asOf),
     onOtherConfig: () => seen.push('config'),
+    onSameConfig: () => undefined,
     onOtherReplicas: () => seen.push('replicas'),
     onUncovered: () => seen.push('uncovered'),
     onChange: is => seen.push(is ? 'began' : 'ended'),
@@ -130,6 +133,8 @@
             askedAt,
             evidenceAgeMs,
             by: 'the other',
+            ip: '127.0.0.1',
+            port: 1,
           });
         },
         own: () => SAME,
@@ -137,6 +142,7 @@
           confirmedAt[own] = Math.max(confirmedAt[own], sentAt);
         },
         onOtherConfig: () => undefined,
+        onSameConfig: () => undefined,
         onOtherReplicas: () => undefined,
         onUncovered: () => undefined,
         onChange: () => undefined,
@@ -176,6 +182,7 @@
       own: () => SAME,
       onConfirmed: () => undefined,
       onOtherConfig: () => undefined,
+      onSameConfig: () => undefined,
       onOtherReplicas: () => undefined,
       onUncovered: () => undefined,
       onChange: () => undefined,
@@ -210,15 +217,16 @@
       candidates: () => [entry('a'), entry('b')],
       send: (datagram, to) => sent.push({datagram, to: to.node}),
     });
-    questions.ask(answer => answers.push(answer));
+    questions.ask(false, answer => answers.push(answer));
     await clock.runFor(400);
     expect(answers).toEqual([undefined]);
-    questions.ask(answer => answers.push(answer));
+    questions.ask(false, answer => answers.push(answer));
     expect(sent.map(({to}) => to)).toEqual(['a', 'b']);
     const knowledge = {...SAME, evidenceAgeMs: 5};
     const {question} = sent[1].datagram;
     questions.answered({kind: 'answer', question, knowledge});
     questions.answered({kind: 'answer', question, knowledge});
-    expect(answers).toEqual([undefined, {...knowledge, askedAt: 400, by: 'b'}]);
+    const from = {by: 'b', ip: '127.0.0.1', port: 1};
+    expect(answers).toEqual([undefined, {...knowledge, askedAt: 400, ...from}]);
   });
 });
--- a/test/direct/entry_questions.test.ts
+++ b/test/direct/entry_questions.test.ts
@@ -28,7 +28,7 @@
       questions.answered({kind: 'answer', question, knowledge});
     },
   });
-  for (let turn = 0; turn < 4; turn++) questions.ask(() => undefined);
+  for (let turn = 0; turn < 4; turn++) questions.ask(false, () => undefined);
   return nodes;
 }
 
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -33,6 +33,8 @@
   readonly desk: readonly ReplicaStandIn[];
   readonly entry: DirectProcess;
   readonly callers: string;
+  /** IP:PORT of its datagrams and of what it hands over. */
+  readonly peers: string;
   readonly runtime: RecordingRuntime;
   /** Shifts the time of day that the entry sees, in milliseconds. */
   shiftWall(byMs: number): void;
@@ -40,6 +42,10 @@
 }
 
 export interface FleetOptions {
+  /** Name of the entry. @default 'entry-1' */
+  readonly node?: string;
+  /** Another entry that its store knows, and where it listens. */
+  readonly other?: {readonly node: string; readonly peers: string};
   /** @default 2 */
   readonly pool?: number;
   /** @default 2 */
@@ -60,12 +66,12 @@
 
 async function settingsFor(
   store: string,
-  timing: FleetOptions['timing'],
+  {node = 'entry-1', timing}: FleetOptions,
 ): Promise<DirectSettings> {
   const peers = await nextAddress();
   return {
     role: 'direct-entry',
-    node: 'entry-1',
+    node,
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
     listen: {
@@ -102,8 +108,9 @@
   for (const replica of pool) announce(store, replica, 'pool');
   for (const replica of desk) announce(store, replica, 'desk');
   store.put('config', 'main', configOf(1));
+  if (options.other !== undefined) announceEntry(store, options.other);
 
-  const settings = await settingsFor(store.address, options.timing);
+  const settings = await settingsFor(store.address, options);
   const clock = createProcessClock();
   const recorded = createRecordingRuntime();
   const runtime: Runtime = {...recorded.runtime, clock};
@@ -132,6 +139,7 @@
     entry,
     runtime: recorded,
     callers: settings.listen.callers,
+    peers: `${settings.ip}:${settings.peerPorts[0]}`,
     shiftWall: byMs => {
       wallShiftMs += byMs;
     },
@@ -142,6 +150,15 @@
   };
 }
 
+function announceEntry(
+  store: StoreStandIn,
+  {node, peers}: {readonly node: string; readonly peers: string},
+): void {
+  const [ip, port] = peers.split(':');
+  const entry = {node, incarnation: 'i', ip, port: Number(port)};
+  store.put('onyxloft-entries', node, entry);
+}
+
 async function isReady(address: string): Promise<boolean> {
   try {
     return (await fetch(`http://${address}/api/ready`)).status === 200;
