perf(direct): the store is not asked for a configuration that another entry hands over

Tried and left: others' loads changed in place of taken out and entered anew for each telling, 3.9 and 3.8 us each (28 entries, 8 replicas; process time).

--- a/src/direct/catch_up.ts
+++ b/src/direct/catch_up.ts
@@ -31,8 +31,11 @@
 }
 
 export interface CatchUp {
-  /** Another entry has another configuration, on young evidence. */
-  otherConfig(answer: EntryAnswer): void;
+  /**
+   * Another entry has another configuration, on young evidence. True when it is
+   * fetched from there: the store need not be asked as well.
+   */
+  otherConfig(answer: EntryAnswer): boolean;
   /** It has the same configuration. */
   sameConfig(): void;
   otherReplicas(answer: EntryAnswer): void;
@@ -55,11 +58,12 @@
   return {
     otherConfig: answer => {
       newer = isNewer(answer) ? newer + 1 : 0;
-      if (newer < NEWER_TIMES) return;
+      if (newer < NEWER_TIMES) return false;
       void fetchOnce(async () => {
         const config = await options.fetchConfig(answer);
         if (config !== undefined) options.onConfig(config, answer);
       });
+      return true;
     },
     sameConfig: () => {
       newer = 0;
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -180,8 +180,7 @@
     }),
     onConfirmed: tellConfirmed,
     onOtherConfig: answer => {
-      configs.confirmNow();
-      catchUp.otherConfig(answer);
+      if (!catchUp.otherConfig(answer)) configs.confirmNow();
     },
     onSameConfig: catchUp.sameConfig,
     onOtherReplicas: answer => {
--- a/test/direct/handover.test.ts
+++ b/test/direct/handover.test.ts
@@ -104,12 +104,12 @@
   // A change is on its way to all entries; the own watch brings it as well.
   test('is fetched when a newer version is told twice in a row', async () => {
     const {catchUp, taken, fetched} = catchUpOf(false);
-    catchUp.otherConfig(answer);
+    expect(catchUp.otherConfig(answer)).toBe(false);
     catchUp.sameConfig();
-    catchUp.otherConfig(answer);
+    expect(catchUp.otherConfig(answer)).toBe(false);
     await settled();
     expect(fetched()).toBe(0);
-    catchUp.otherConfig(answer);
+    expect(catchUp.otherConfig(answer)).toBe(true);
     await settled();
     expect(taken).toEqual(['config 4']);
   });
