--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,6 +4,7 @@
 import {benchConfigSpreadReal} from './config_spread_real.js';
 import {benchDecision} from './decision.js';
 import {benchDirect} from './direct_runs.js';
+import {benchLosses} from './losses.js';
 import {benchMembership} from './membership.js';
 import {benchObjectCalls} from './object_calls.js';
 import {benchPath} from './path.js';
@@ -21,6 +22,7 @@
   ['recovery', benchRecovery],
   ['decision', benchDecision],
   ['direct', benchDirect],
+  ['losses', benchLosses],
   ['membership', benchMembership],
   ['config-spread', benchConfigSpread],
   ['config-spread-real', benchConfigSpreadReal],
--- a/src/cli/explain_logs.ts
+++ b/src/cli/explain_logs.ts
@@ -20,12 +20,26 @@
   text: string,
   requestId: string,
 ): readonly RequestLine[] {
-  return text
-    .split('\n')
-    .map(parseLine)
-    .filter(line => line?.['requestId'] === requestId)
-    .map(line => lineOf(line as Record<string, unknown>))
-    .sort((a, b) => (a.time < b.time ? -1 : 1));
+  return linesByRequest(text).get(requestId) ?? [];
+}
+
+/** The lines about each request, oldest first, by its id. */
+export function linesByRequest(
+  text: string,
+): ReadonlyMap<string, readonly RequestLine[]> {
+  const requests = new Map<string, RequestLine[]>();
+  for (const raw of text.split('\n')) {
+    const parsed = parseLine(raw);
+    const id = parsed?.['requestId'];
+    if (parsed === undefined || typeof id !== 'string') continue;
+    const lines = requests.get(id) ?? [];
+    lines.push(lineOf(parsed));
+    requests.set(id, lines);
+  }
+  for (const lines of requests.values()) {
+    lines.sort((a, b) => (a.time < b.time ? -1 : 1));
+  }
+  return requests;
 }
 
 /** A collector may write something before the JSON, such as the host. */
