fix(direct): a failed fetch from another entry ends nothing, and only entries are handed keys

Found on reading the change again: a fetch that was rejected, as while the service that fetches starts anew, was an unhandled rejection, which ends the process, and kept every later fetch from being made. And whoever could dial the peers' port was handed the configuration with the callers' keys; now an address that no entry is known to have gets 404.

Tests: is fetched again after a fetch that failed; is handed to no one who is not an entry.

--- a/src/direct/catch_up.ts
+++ b/src/direct/catch_up.ts
@@ -28,6 +28,8 @@
     replicas: ReadonlyMap<string, DirectReplica>,
     from: EntryAnswer,
   ): void;
+  /** It could not be fetched; the next answer tries again. */
+  onFailed(cause: unknown): void;
 }
 
 export interface CatchUp {
@@ -48,18 +50,21 @@
   const isNewer = ({configVersion = -Infinity}: EntryAnswer): boolean =>
     configVersion > (options.ownVersion() ?? -Infinity);
 
-  const fetchOnce = async (fetch: () => Promise<void>): Promise<void> => {
+  const fetchOnce = (fetch: () => Promise<void>): void => {
     if (isFetching) return;
     isFetching = true;
-    await fetch();
-    isFetching = false;
+    fetch()
+      .catch(options.onFailed)
+      .finally(() => {
+        isFetching = false;
+      });
   };
 
   return {
     otherConfig: answer => {
       newer = isNewer(answer) ? newer + 1 : 0;
       if (newer < NEWER_TIMES) return false;
-      void fetchOnce(async () => {
+      fetchOnce(async () => {
         const config = await options.fetchConfig(answer);
         if (config !== undefined) options.onConfig(config, answer);
       });
@@ -70,7 +75,7 @@
     },
     otherReplicas: answer => {
       if (!options.isStoreLost()) return;
-      void fetchOnce(async () => {
+      fetchOnce(async () => {
         const replicas = await options.fetchReplicas(answer);
         if (replicas === undefined || !options.isStoreLost()) return;
         options.onReplicas(replicas, answer);
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -161,6 +161,10 @@
       logTaken('replicas', from);
       tellReplicas(items);
     },
+    onFailed: cause => {
+      const message = String(cause);
+      ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'ask for it', message});
+    },
   });
   const cover = createCover({
     clock,
--- a/src/direct/handover.ts
+++ b/src/direct/handover.ts
@@ -7,7 +7,7 @@
  * such an outage).
  */
 import {createServer} from 'node:http';
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Either} from 'purify-ts';
 import {createHttpClient} from '../stores/http_client.js';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
@@ -50,10 +50,21 @@
       kind: 'state',
       reply,
     }));
+  // A configuration holds the callers' keys.
+  const isEntry = (ip = '') =>
+    ctx.ask('sharing', (reply: (is: boolean) => void) => ({
+      kind: 'is-entry',
+      ip,
+      reply,
+    }));
   const encodedConfig = createConfigCache();
+  const textFor = async ({url, socket}: IncomingMessage) =>
+    (await isEntry(socket.remoteAddress))
+      ? textOf(url, await state(), encodedConfig)
+      : undefined;
   const server = createServer((req, res) => {
-    state()
-      .then(known => answer(res, textOf(req.url, known, encodedConfig)))
+    textFor(req)
+      .then(text => answer(res, text))
       .catch(err => {
         const message = String(err);
         ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'hand over', message});
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -82,6 +82,12 @@
       /** A long read was added. */
       readonly isLong: boolean;
     }
+  /** Whether an entry is known to have this IP address. */
+  | {
+      readonly kind: 'is-entry';
+      readonly ip: string;
+      readonly reply: (is: boolean) => void;
+    }
   /** Asks another entry what it knows; undefined when none answers. */
   | {
       readonly kind: 'ask-entry';
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -191,12 +191,17 @@
   ctx.own(clock.every(BEAT_MS, beat));
   ctx.own(clock.every(LIST_MS, () => void list()));
   void ctx.mailbox.observe(message => {
-    if (message.kind === 'ask-entry') {
-      questions.ask(message.anyone, message.reply);
-      return;
+    switch (message.kind) {
+      case 'ask-entry':
+        return questions.ask(message.anyone, message.reply);
+      case 'is-entry':
+        return message.reply(
+          entriesThat(it => it.ip === message.ip).length > 0,
+        );
+      case 'load':
+        loads = message.loads;
+        return telling.changed(message.isLong);
     }
-    loads = message.loads;
-    telling.changed(message.isLong);
   });
   void announce().then(list);
 }
--- a/test/direct/handover.test.ts
+++ b/test/direct/handover.test.ts
@@ -73,6 +73,16 @@
   }, 30_000);
 });
 
+describe('what an entry knows', () => {
+  // It holds the callers' keys. On this network's other hosts anyone may dial.
+  test('is handed to no one who is not an entry', async () => {
+    const fleet = await startDirectFleet();
+    const answer = await fetch(`http://${fleet.peers}/config`);
+    expect([answer.status, await answer.text()]).toEqual([404, '']);
+    await fleet.close();
+  });
+});
+
 describe('what another entry knows', () => {
   const answer: EntryAnswer = {
     by: 'entry-1',
@@ -96,6 +106,7 @@
       fetchReplicas: async () => new Map(),
       onConfig: ({version}) => taken.push(`config ${version}`),
       onReplicas: () => taken.push('replicas'),
+      onFailed: () => taken.push('failed'),
     });
     return {catchUp, taken, fetched: () => fetched};
   }
@@ -122,6 +133,30 @@
     expect(fetched()).toBe(0);
   });
 
+  // The service that fetches is starting anew. A fetch that failed must not keep
+  // the next one from being made, nor end the process.
+  test('is fetched again after a fetch that failed', async () => {
+    const taken: string[] = [];
+    let tries = 0;
+    const catchUp = createCatchUp({
+      ownVersion: () => 3,
+      isStoreLost: () => true,
+      fetchConfig: async () => {
+        if (++tries === 1) throw new Error('not running');
+        return {version: 4} as DirectConfig;
+      },
+      fetchReplicas: async () => undefined,
+      onConfig: ({version}) => taken.push(`config ${version}`),
+      onReplicas: () => undefined,
+      onFailed: cause => taken.push(String(cause)),
+    });
+    for (let at = 0; at < 4; at++) {
+      catchUp.otherConfig(answer);
+      await settled();
+    }
+    expect(taken.slice(0, 2)).toEqual(['Error: not running', 'config 4']);
+  });
+
   // The other entry may lag: while the store answers here, its word is newer.
   test('of replicas counts only while the store is lost', async () => {
     const well = catchUpOf(false);
