--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -101,14 +101,16 @@
   const take = (answer: EntryAnswer): void => {
     const {evidenceAgeMs, askedAt} = answer;
     if (evidenceAgeMs === undefined) return;
-    const isSame = answer.configVersion === options.own().configVersion;
+    const {configVersion} = options.own();
+    const isSame = answer.configVersion === configVersion;
     // Exact at any age: an entry that is cut off lives on what there is.
     if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
-    if (evidenceAgeMs > options.maxAgeMs) return;
-    if (!isSame) {
-      options.onOtherConfig(answer);
-      return;
-    }
+    const isYoung = evidenceAgeMs <= options.maxAgeMs;
+    // A newer version is the newer one however old the word is: waiting for a
+    // young one, an entry that is cut off refused keys for up to a second more.
+    const isNewer = (answer.configVersion ?? -1) > (configVersion ?? -1);
+    if (!isSame && (isYoung || isNewer)) options.onOtherConfig(answer);
+    if (!isSame || !isYoung) return;
     options.onSameConfig();
     coveredAt = clock.now();
     takeReplicas(answer);
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -91,6 +91,18 @@
     expect(word.seen).toEqual(['config', 'uncovered']);
   });
 
+  // The other entry's evidence is over what covers, as with a short bound on
+  // keys, and yet its version is the newer one.
+  test('tells of a newer configuration however old it is', async () => {
+    const clock = createVirtualClock();
+    const old = {...SAME, evidenceAgeMs: 2_500};
+    const newer = coverOf(clock, () => ({...old, configVersion: 4}));
+    const older = coverOf(clock, () => ({...old, configVersion: 2}));
+    await clock.runFor(500);
+    expect(newer.seen).toContain('config');
+    expect(older.seen).not.toContain('config');
+  });
+
   test('has replicas read anew when they differ twice', async () => {
     const clock = createVirtualClock();
     const other = {...SAME, replicasDigest: 'b', evidenceAgeMs: 0};
