test(wire): a held heartbeat is held on a stream that stands

Traced: the first call's 50 ms passed while the connection was still dialled, so it never reached the side, and the side held the second call as its first; a first call of 0 ms fails the same way every time. The stream now stands before the held call, and the side must have had three calls. As strict: red with the stream kept after a timeout.

--- a/test/heartbeat_streams.test.ts
+++ b/test/heartbeat_streams.test.ts
@@ -90,7 +90,9 @@
 
   // The entry hears nothing of one heartbeat until its time is over, and the
   // side answers it later, when the entry already waits for the next answer.
-  // Were the stream kept, the late answer would pass for that of the next.
+  // Were the stream kept, the late answer would pass for that of the next. The
+  // stream stands before: the time of the one that is held must not pass while
+  // a busy machine still dials, since the side would hold the next one then.
   test('never take a late answer for that of the next', async () => {
     const [first, second] = fc.sample(RES, {seed: SEED, numRuns: 2});
     let release: (res: SideHeartbeatRes) => void = () => undefined;
@@ -101,13 +103,15 @@
     const address = await listen({
       sideHeartbeat: () => {
         calls += 1;
-        if (calls === 1) return held;
+        if (calls === 1) return Promise.resolve(second);
+        if (calls === 2) return held;
         release(first);
         return Promise.resolve(second);
       },
     });
     const [req] = fc.sample(REQ, {seed: SEED, numRuns: 1});
     const transport = newTransport();
+    await transport.call(address, 'sideHeartbeat', req, TIMEOUT_MS);
     const late = await transport.call(address, 'sideHeartbeat', req, 50);
     expect(late.swap().unsafeCoerce()).toMatchObject({code: 'timeout'});
     const next = await transport.call(
@@ -117,6 +121,7 @@
       TIMEOUT_MS,
     );
     expect(next.unsafeCoerce()).toEqual(second);
+    expect(calls).toBe(3);
   });
 
   test('tell a failed handler, and go on after it', async () => {
