feat(direct): lines and readings that tell whose reservation is whose, and whether it is used

An operator who sees memory set aside under a reservation's name could not find the request that it belongs to: no line of an entry names reservations, renewals or releases, and nothing tells whether the memory is in use. So the lines could not tell a lead that never begins from a request that waits in its queue.

A line when a group's memory is set aside names each member and reservation; a line when it is released tells how long it was held and when use was last seen. Use is read at a member, which lists its reservations with their state, when the lead has sent nothing just before a renewal: one short question a renewal. No decision changes.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -182,7 +182,7 @@
       const engine = engines.get(address);
       return engine === undefined || engine.isDark()
         ? undefined
-        : {startedAt: undefined};
+        : {startedAt: undefined, reservations: undefined};
     },
     failureDomain: `domain-${at % options.failureDomains}`,
     retries: RETRIES,
--- a/src/direct/groups.ts
+++ b/src/direct/groups.ts
@@ -35,6 +35,8 @@
 const HEARD_MS = 300;
 /** Questions without an answer until the lead counts as gone. */
 const LIFE_TRIES = 2;
+/** Members that are asked in turn until one says whether its memory is used. */
+const USE_TRIES = 2;
 
 /** A group whose members all hold their part. */
 export interface Group {
@@ -75,6 +77,9 @@
   held(): number;
 }
 
+/** What a member says of its memory; `untold` where it lists no reservations. */
+type MemoryUse = 'used' | 'unused' | 'untold';
+
 interface Lease {
   readonly address: string;
   readonly id: string;
@@ -139,6 +144,20 @@
     return false;
   };
 
+  /** Undefined when no member that was asked answers. */
+  const askForUse = async (
+    held: readonly Lease[],
+  ): Promise<MemoryUse | undefined> => {
+    for (const {address, id} of held.slice(0, USE_TRIES)) {
+      const report = await options.readReport(address);
+      if (report === undefined) continue;
+      const {reservations} = report;
+      if (reservations === undefined) return 'untold';
+      return reservations.get(id) === 'used' ? 'used' : 'unused';
+    }
+    return undefined;
+  };
+
   const release = async (lease: Lease): Promise<void> => {
     lease.closed = true;
     const endsAt = clock.now() + LATE_ORDER_MS;
@@ -160,27 +179,49 @@
   });
 
   const groupOf = (req: GroupRequest, asked: readonly Lease[]): Group => {
-    let heardAt = clock.now();
+    const {requestId, tokens} = req;
+    const reservedAt = clock.now();
+    let heardAt = reservedAt;
+    let usedAt = reservedAt;
+    let use: MemoryUse | undefined;
     let isOpen = true;
     let held = asked;
     let onLeadSilent = () => {};
+    log(DIRECT_EVENTS.memoryReserved, {
+      requestId,
+      tokens,
+      members: asked.map(({address, id}) => `${address}/${id}`),
+    });
     const close = () => {
+      if (isOpen) {
+        log(DIRECT_EVENTS.memoryReleased, {
+          requestId,
+          heldMs: Math.round(clock.now() - reservedAt),
+          use,
+          unusedMs: Math.round(clock.now() - Math.max(usedAt, heardAt)),
+        });
+      }
       isOpen = false;
       for (const lease of asked) if (!lease.closed) void release(lease);
     };
-    const leadLives = async () =>
-      clock.now() - heardAt < HEARD_MS || (await isAlive(req.lead));
+    const isHeard = () => clock.now() - heardAt < HEARD_MS;
+    const noteUse = async () => {
+      if (isHeard()) return;
+      use = await askForUse(held);
+      if (use === 'used') usedAt = clock.now();
+    };
+    const leadLives = async () => isHeard() || (await isAlive(req.lead));
     const keepRenewed = async (): Promise<void> => {
       for (;;) {
         await pause(holdMs * RENEW_SHARE);
         if (!isOpen) return;
-        if (await leadLives()) {
+        const [lives] = await Promise.all([leadLives(), noteUse()]);
+        if (lives) {
           held = await renewAll(held);
           continue;
         }
         if (!isOpen) return;
-        const {requestId, lead} = req;
-        log(DIRECT_EVENTS.leadSilent, {requestId, replica: lead.id});
+        log(DIRECT_EVENTS.leadSilent, {requestId, replica: req.lead.id});
         close();
         onLeadSilent();
         return;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -244,10 +244,15 @@
   readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
 }
 
+/** State of memory that a replica was asked to set aside. */
+export type ReservationState = 'waiting' | 'unused' | 'used';
+
 /** What a replica says of itself when asked. */
 export interface ReplicaReport {
   /** As in `DirectReplica`. */
   readonly startedAt: number | undefined;
+  /** By the reservation's id; undefined where the replica tells of none. */
+  readonly reservations: ReadonlyMap<string, ReservationState> | undefined;
 }
 
 /** Asks the replica at an address; undefined when no answer comes in time. */
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -157,6 +157,8 @@
   unread: event(259, 'info', 'direct-unread'),
   leadSilent: event(260, 'warn', 'direct-lead-silent'),
   waiting: event(262, 'info', 'direct-waiting'),
+  memoryReserved: event(263, 'info', 'direct-memory-reserved'),
+  memoryReleased: event(264, 'info', 'direct-memory-released'),
   replicaRestarted: event(261, 'info', 'direct-replica-restarted'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
