fix(platform): a report without reservations is still read

The state of a replica that lists no reservations counted as unreadable, so that a start told in it was lost, and an entry would have taken a later start for the one it chose. Reservations are read by row, and are optional.

--- a/test/platform/foreign_records.test.ts
+++ b/test/platform/foreign_records.test.ts
@@ -74,6 +74,26 @@
     expect(decodeReport({born: '5'}).isLeft()).toBe(true);
     expect(decodeReport({born: 5}).extract()).toEqual({startedAt: 5});
   });
+
+  test('tells of the reservations in a report that can be read', () => {
+    const tickets = [
+      {id: 'a', state: 'held'},
+      {id: 'b', state: 'used'},
+      {id: 'c', state: 'lent'},
+      {state: 'used'},
+      'd',
+    ];
+    const states = (report: unknown) =>
+      decodeReport(report).map(({reservations}) => reservations);
+    expect(states({tickets}).extract()).toEqual(
+      new Map([
+        ['a', 'unused'],
+        ['b', 'used'],
+      ]),
+    );
+    expect(states({tickets: 'none'}).extract()).toBeUndefined();
+    expect(states({}).extract()).toBeUndefined();
+  });
 });
 
 const object = (name: string, spec: unknown = GOOD) => ({
