fix(direct): memory of a group is kept only while it is used

Callers of long prompts got no event for ten seconds, and other callers found no memory at five engines at once: the members of a group held theirs for 9.7 s for a request that its lead had taken and never begun.

Before each renewal the entry asked whether the lead lives. An engine that hangs requests answers that question, so the entry renewed for as long as it waited for the first event, four fifths of the caller's patience. The class: a lease that is renewed on the life of a process instead of the use of what is leased.

Now a renewal needs a sign of use: an event of the lead just before, or a member that lists the reservation as used. Without one for 2 s (half of the platform's bounds, where these are lower) the memory is released and the request goes on elsewhere, also when no attempt is left: without the memory its lead cannot serve it, so it is answered then instead of held. A stream that may run once waits for the lead's refusal. Where replicas do not list reservations, the life of the lead counts as before.

Why it holds: use is looked for every 1.6 s, so memory is released 3.2 s after its last use at the latest, also when the connection to the lead has gone silent; a prompt that is read for long keeps its memory, since its members say that it is used.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -27,6 +27,8 @@
 export const SERVICE = 'pool';
 /** Lease on a member's memory. */
 const HOLD_MS = 3_500;
+/** As an entry has it without bounds in its settings. */
+const UNUSED_MS = 2_000;
 /** Records of replicas are gone so long after their death. */
 const RECORD_MS = 3_600;
 /** A replica that starts is found in the store after so long. */
@@ -188,6 +190,7 @@
     retries: RETRIES,
     idPrefix: `entry-${at}`,
     holdMs: HOLD_MS,
+    unusedMs: UNUSED_MS,
     fullness: options.fullness,
     isDraining: () => false,
     share: (_loads, isLong) => telling.changed(isLong),
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -33,6 +33,7 @@
   revokeMs: 2_500,
   leavingMs: 1_500,
   freeMs: 2_000,
+  unusedMs: undefined,
   maxHoldMs: 20_000,
 } as const;
 /** Shares of retries, as the users' sheets have them. */
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -46,6 +46,8 @@
   readonly readReport: ReadReport;
   /** Time of one lease on a replica's memory, in milliseconds. */
   readonly holdMs: number;
+  /** Memory of a group without a sign of use for this long is released. */
+  readonly unusedMs: number;
   /** Time of day, in milliseconds. */
   readonly wallMs: () => number;
 }
@@ -88,6 +90,7 @@
     retries: settings.retries,
     idPrefix: `${settings.node}-${options.incarnation}`,
     holdMs: options.holdMs,
+    unusedMs: options.unusedMs,
     isDraining: () => draining,
     share: (loads, isLong) =>
       ctx.send('sharing', {kind: 'load', loads, isLong}),
--- a/src/direct/groups.ts
+++ b/src/direct/groups.ts
@@ -3,9 +3,11 @@
  * renews its leases while the request runs and releases them when it ends; if
  * the entry dies, they lapse by themselves.
  *
- * They are renewed only on a sign of life of the engine that leads: one that
- * goes dark before its first event resets nothing, and its members' memory
- * would be held for a request that runs nowhere.
+ * They are renewed only on a sign that the memory is used and that the engine
+ * which leads is alive. One that goes dark before its first event resets
+ * nothing; one that takes a request and never begins it answers for its state
+ * all the while. For both the members' memory was held for nobody, for as long
+ * as the entry waited for the first event.
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -20,20 +22,23 @@
 
 /** A lease is renewed after this share of its time. */
 const RENEW_SHARE = 0.45;
-/** What the lead sent this long ago is a sign of life still. */
+/** What the lead sent this long ago is a sign of life and use still. */
 const HEARD_MS = 300;
 /** Questions without an answer until the lead counts as gone. */
 const LIFE_TRIES = 2;
 /** Members that are asked in turn until one says whether its memory is used. */
 const USE_TRIES = 2;
 
+/** Why a group's memory was released before its request ended. */
+export type GroupLoss = 'the lead is silent' | 'the memory is unused';
+
 /** A group whose members all hold their part. */
 export interface Group {
   readonly members: readonly GroupMember[];
   /** The lead sent something. */
   heard(): void;
-  /** `onSilent` is called once, when the lead gives no sign of life. */
-  watchLead(onSilent: () => void): void;
+  /** `onLost` is called once, when the memory is released for this reason. */
+  watchLoss(onLost: (loss: GroupLoss) => void): void;
   /** Releases all members. */
   close(): void;
 }
@@ -57,6 +62,8 @@
   readonly idPrefix: string;
   /** Time of one lease, in milliseconds. */
   readonly holdMs: number;
+  /** Memory without a sign of use for this long is released, in milliseconds. */
+  readonly unusedMs: number;
 }
 
 export interface Groups {
@@ -114,20 +121,27 @@
     let use: MemoryUse | undefined;
     let isOpen = true;
     let held = asked;
-    let onLeadSilent = () => {};
+    let onLost = (_loss: GroupLoss) => {};
     log(DIRECT_EVENTS.memoryReserved, {
       requestId,
       tokens,
       members: asked.map(({address, id}) => `${address}/${id}`),
     });
 
+    const unusedMs = () => clock.now() - Math.max(usedAt, heardAt);
     const isHeard = () => clock.now() - heardAt < HEARD_MS;
     const noteUse = async () => {
       if (isHeard()) return;
       use = await askForUse(held);
-      if (use === 'used') usedAt = clock.now();
+      // Without a word of its use, the lead's life is all there is to go by.
+      if (use === 'used' || use === 'untold') usedAt = clock.now();
     };
     const leadLives = async () => isHeard() || (await isAlive(lead));
+    const findLoss = async (): Promise<GroupLoss | undefined> => {
+      const [lives] = await Promise.all([leadLives(), noteUse()]);
+      if (!lives) return 'the lead is silent';
+      return unusedMs() > options.unusedMs ? 'the memory is unused' : undefined;
+    };
     const renewAll = async () => {
       const kept = await Promise.all(held.map(lease => lease.renew()));
       held = held.filter((_lease, at) => kept[at]);
@@ -139,24 +153,25 @@
         requestId,
         heldMs: Math.round(clock.now() - reservedAt),
         use,
-        unusedMs: Math.round(clock.now() - Math.max(usedAt, heardAt)),
+        unusedMs: Math.round(unusedMs()),
       });
       for (const lease of asked) lease.release();
     };
+    const lose = (loss: GroupLoss) => {
+      const {leadSilent, memoryUnused} = DIRECT_EVENTS;
+      const line = loss === 'the lead is silent' ? leadSilent : memoryUnused;
+      log(line, {requestId, replica: lead.id});
+      close();
+      onLost(loss);
+    };
     const keepRenewed = async (): Promise<void> => {
       for (;;) {
         await pause(holdMs * RENEW_SHARE);
         if (!isOpen) return;
-        const [lives] = await Promise.all([leadLives(), noteUse()]);
-        if (lives) {
-          await renewAll();
-          continue;
-        }
+        const loss = await findLoss();
         if (!isOpen) return;
-        log(DIRECT_EVENTS.leadSilent, {requestId, replica: lead.id});
-        close();
-        onLeadSilent();
-        return;
+        if (loss !== undefined) return lose(loss);
+        await renewAll();
       }
     };
     void keepRenewed();
@@ -165,8 +180,8 @@
       heard: () => {
         heardAt = clock.now();
       },
-      watchLead: onSilent => {
-        onLeadSilent = onSilent;
+      watchLoss: onLoss => {
+        onLost = onLoss;
       },
       close,
     };
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -11,7 +11,7 @@
 import {aimMarginMs} from './decide/waiting_loss.js';
 import {answerTokens} from './exchange.js';
 import type {Exchange} from './exchange.js';
-import type {Group} from './groups.js';
+import type {Group, GroupLoss} from './groups.js';
 import {callWork} from './load_book.js';
 import type {EnteredWork} from './load_book.js';
 import {callRequestOf} from './serve_context.js';
@@ -21,7 +21,7 @@
 /** First event of a stream without published figures. */
 const UNKNOWN_FIRST_EVENT_MS = 200;
 /** Why nothing more will come: sure where a member has started again. */
-export type PlaceLoss = 'a member restarted' | 'the lead is silent';
+export type PlaceLoss = 'a member restarted' | GroupLoss;
 
 export interface Place {
   readonly replica: DirectReplica;
@@ -68,9 +68,9 @@
     replica: first.replica,
     heard: () => group?.heard(),
     watchLoss: onLost => {
-      group?.watchLead(() => {
+      group?.watchLoss(loss => {
         ctx.health.failed(first.replica.id);
-        onLost('the lead is silent');
+        onLost(loss);
       });
       return watchRestarts(ctx, [first, ...helpers], onLost);
     },
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -56,6 +56,8 @@
   readonly idPrefix: string;
   /** Time of one lease on a replica's memory, in milliseconds. */
   readonly holdMs: number;
+  /** Memory of a group without a sign of use for this long is released. */
+  readonly unusedMs: number;
   /** How full the engines are. @default as `placeOrWait` has it */
   readonly fullness?: Fullness;
   isDraining(): boolean;
@@ -132,6 +134,7 @@
       readReport: options.readReport,
       idPrefix: options.idPrefix,
       holdMs: options.holdMs,
+      unusedMs: options.unusedMs,
     }),
     budget: createRetryBudget(() => (retries.slack * BUDGET_SHARE) / entries),
     retryRatio: retries.ratio * BUDGET_SHARE,
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -42,6 +42,8 @@
     leavingMs: optional(number),
     /** Memory may stay set aside this long after its last use. */
     freeMs: optional(number),
+    /** Memory may stay set aside this long without having been used. */
+    unusedMs: optional(number),
   }),
   retries: Codec.interface({
     /** Retries as a share of requests, over all entries. */
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -11,7 +11,7 @@
 import type {ServeContext} from './serve_context.js';
 import {enterEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
-import {mayGoOn, watchSilence} from './stream_silence.js';
+import {watchSilence} from './stream_silence.js';
 
 /** A failure's body is small; a larger one is not kept. */
 const FAILURE_BYTES = 1024 * 1024;
@@ -61,7 +61,10 @@
       finish({kind: 'broken', reason});
     };
     const onLost = (loss: PlaceLoss) => {
-      if (loss === 'the lead is silent' && !mayGoOn(exchange)) return;
+      // An engine that begins without the group's memory refuses as not run,
+      // and only such a refusal lets a stream go on that may run once.
+      const isOnce = exchange.route.kind !== 'resumable-stream';
+      if (loss !== 'a member restarted' && isOnce) return;
       leave(loss);
     };
     const onAbort = () => {
--- a/src/direct/stream_silence.ts
+++ b/src/direct/stream_silence.ts
@@ -29,7 +29,7 @@
 }
 
 /** Whether another replica may be tried in place of one that is silent. */
-export function mayGoOn({route, sent}: Exchange): boolean {
+function mayGoOn({route, sent}: Exchange): boolean {
   return route.kind === 'resumable-stream' && sent < route.maxAttempts;
 }
 
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -27,6 +27,13 @@
 const LEAVING_MS = 1_500;
 /** A lease of a dead entry must lapse before the platform's bound on it. */
 const HOLD_MARGIN_MS = 500;
+/** Memory without a sign of use is released then, where the settings say nothing. */
+const UNUSED_MS = 2_000;
+/**
+ * Of the bounds on unused memory. Use is looked for before each renewal, so
+ * that one more period of it may pass, and the release takes its time.
+ */
+const UNUSED_SHARE = 0.5;
 
 /** What the platform's folder brings. */
 export interface DirectParts {
@@ -69,6 +76,7 @@
       orders: parts.orders,
       readReport: parts.readReport,
       holdMs: holdMsOf(settings),
+      unusedMs: unusedMsOf(settings),
       wallMs: parts.wallMs,
     }),
   );
@@ -106,3 +114,8 @@
   const {maxHoldMs = Infinity, freeMs = Infinity} = timing;
   return Math.min(HOLD_MS, maxHoldMs, freeMs - HOLD_MARGIN_MS);
 }
+
+function unusedMsOf({timing}: DirectSettings): number {
+  const {freeMs = Infinity, unusedMs = Infinity} = timing;
+  return Math.min(UNUSED_MS, UNUSED_SHARE * Math.min(freeMs, unusedMs));
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -159,6 +159,7 @@
   waiting: event(262, 'info', 'direct-waiting'),
   memoryReserved: event(263, 'info', 'direct-memory-reserved'),
   memoryReleased: event(264, 'info', 'direct-memory-released'),
+  memoryUnused: event(265, 'warn', 'direct-memory-unused'),
   replicaRestarted: event(261, 'info', 'direct-replica-restarted'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -40,6 +40,11 @@
   /** Memory that is set aside now, by reservation. */
   readonly held: ReadonlyMap<string, number>;
   behave(behaviour: Behaviour): void;
+  /**
+   * From now on it answers questions for its state, whatever it does with
+   * requests. Memory whose reservation is among `used` is in use.
+   */
+  answerState(used?: ReadonlySet<string>): void;
   /** What it says to an order; nothing for `undefined`. */
   answerOrders(status: (order: Order) => number | undefined): void;
   close(): Promise<void>;
@@ -99,6 +104,7 @@
   const lapses = new Map<string, NodeJS.Timeout>();
   let behaviour: Behaviour = answerWell;
   let orderStatus: (order: Order) => number | undefined = () => 200;
+  let usedMemory: ReadonlySet<string> | undefined;
 
   /** Renewed by an order with the same id; lapses by itself. */
   const reserve = ({id, tokens, holdMs}: Order): void => {
@@ -119,6 +125,14 @@
     res.writeHead(status, {'content-type': 'application/json'});
     res.end('{"free":0}');
   };
+  const tellState = (used: ReadonlySet<string>, res: ServerResponse): void => {
+    const tickets = [...held].map(([id, tokens]) => {
+      const state = used.has(id) ? 'used' : 'held';
+      return {id, tokens, state, ageMs: 0};
+    });
+    res.writeHead(200, {'content-type': 'application/json'});
+    res.end(JSON.stringify({sequence: 0, tickets}));
+  };
   const onRequest = (
     req: IncomingMessage,
     body: string,
@@ -145,7 +159,9 @@
     req.on('error', () => undefined);
     req.on('end', () => {
       const body = Buffer.concat(pieces).toString('utf8');
+      const isQuestion = req.url === '/api/report';
       if (req.url === '/api/order') onOrder(body, res);
+      else if (isQuestion && usedMemory) tellState(usedMemory, res);
       else onRequest(req, body, res);
     });
   });
@@ -162,6 +178,9 @@
     behave: next => {
       behaviour = next;
     },
+    answerState: (used = new Set()) => {
+      usedMemory = used;
+    },
     answerOrders: status => {
       orderStatus = status;
     },
--- a/test/direct/group_memory.test.ts
+++ b/test/direct/group_memory.test.ts
@@ -12,6 +12,8 @@
 
 /** Memory may be set aside for so long without a request that uses it. */
 const UNUSED_MS = 9_000;
+/** Memory may stay set aside for so long after its last use. */
+const FREE_MS = 4_000;
 const HOLD_MS = 3_500;
 const ANSWER_MS = 2;
 
@@ -37,7 +39,7 @@
   /** When each reservation was set aside, and when it lapses. */
   const held = new Map<string, {readonly since: number; lapsesAt: number}>();
   let state: ReservationState = 'unused';
-  let answers = true;
+  let reports: 'whole' | 'without reservations' | 'members silent' = 'whole';
   const answer = <T>(value: T): Promise<T> =>
     new Promise(resolve => void clock.after(ANSWER_MS, () => resolve(value)));
   const isHeld = (id: string) => (held.get(id)?.lapsesAt ?? 0) > clock.now();
@@ -47,6 +49,13 @@
       [...held.keys()].filter(isHeld).map(id => [id, state]),
     ),
   });
+  const reportNow = (address: string): ReplicaReport | undefined => {
+    const isMember = address !== LEAD.address;
+    if (reports === 'members silent' && isMember) return undefined;
+    return reports === 'without reservations'
+      ? {...report(address), reservations: undefined}
+      : report(address);
+  };
   const groups = createGroups({
     clock,
     log: () => undefined,
@@ -62,9 +71,10 @@
         return answer('done');
       },
     },
-    readReport: address => answer(answers ? report(address) : undefined),
+    readReport: address => answer(reportNow(address)),
     idPrefix: 'entry-1',
     holdMs: HOLD_MS,
+    unusedMs: 2_000,
   });
   const open = async (): Promise<Group> => {
     const opening = groups.open({
@@ -83,8 +93,8 @@
     use: (next: ReservationState) => {
       state = next;
     },
-    fallSilent: () => {
-      answers = false;
+    tell: (next: typeof reports) => {
+      reports = next;
     },
   };
 }
@@ -93,7 +103,10 @@
   // The caller of a long prompt gets no event for ten seconds and leaves. The
   // lead had taken the request and never began it, while it answered each
   // question for its state at once. The entry took that for a sign that the
-  // request goes on, and renewed the members' memory for as long as it waited.
+  // request goes on, and renewed the members' memory for as long as it waited:
+  // four fifths of the caller's patience of 12.1 s. No line told of a silent
+  // lead; at the release stood "heldMs":9677,"use":"unused","unusedMs":9677,
+  // and 9,000 ms are allowed.
   test('is released in time when the lead lives and never begins', async () => {
     const {clock, open, heldNow} = rig();
     await open();
@@ -110,4 +123,43 @@
     await clock.runFor(2 * UNUSED_MS);
     expect(heldNow()).toBe(HELPERS.length);
   });
+
+  // The lead has ended the request and its connection has gone silent, so the
+  // entry does not hear of the end. The memory is used no more.
+  test('is released in time when it is used no longer', async () => {
+    const {clock, open, heldNow, use} = rig();
+    await open();
+    use('used');
+    await clock.runFor(UNUSED_MS);
+    use('unused');
+    await clock.runFor(FREE_MS);
+    expect(heldNow()).toBe(0);
+  });
+
+  // Members that answer nothing give no sign of use; the lead alone does not
+  // count, as one that hangs answers too.
+  test('is released in time when no member answers', async () => {
+    const {clock, open, heldNow, tell} = rig();
+    await open();
+    tell('members silent');
+    await clock.runFor(UNUSED_MS);
+    expect(heldNow()).toBe(0);
+  });
+
+  test('is kept while the lead lives where replicas do not tell of use', async () => {
+    const {clock, open, heldNow, tell} = rig();
+    await open();
+    tell('without reservations');
+    await clock.runFor(2 * UNUSED_MS);
+    expect(heldNow()).toBe(HELPERS.length);
+  });
+
+  test('is kept while events come', async () => {
+    const {clock, open, heldNow} = rig();
+    const group = await open();
+    const stop = clock.every(100, () => group.heard());
+    await clock.runFor(2 * UNUSED_MS);
+    stop();
+    expect(heldNow()).toBe(HELPERS.length);
+  });
 });
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -1,5 +1,6 @@
 /** Prompts that are larger than one engine's memory, read and held by several. */
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {streamTo} from '../../standins/users_platform/replica.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
@@ -65,6 +66,49 @@
     await running;
   });
 
+  // The lead takes the request and never begins it; it answers for its state,
+  // and so do the members, whose memory is not used. The entry would wait for
+  // the first event for six seconds. The caller gets its answer from another
+  // group soon, and the first one's memory is free within the bound.
+  test('goes on elsewhere when its lead lives and never begins', async () => {
+    let lead: string | undefined;
+    for (const replica of fleet.pool) {
+      replica.answerState();
+      replica.behave((arrival, res, req) => {
+        lead ??= replica.id;
+        if (replica.id !== lead) streamTo(3)(arrival, res, req);
+      });
+    }
+    const running = callEntry(fleet, '/long/a', {
+      headers: {...LARGE, 'X-Deadline-Ms': '9000'},
+    });
+    await until(() => lead !== undefined);
+    const first = fleet.pool.flatMap(it => [...it.held.keys()]);
+    await until(
+      () => fleet.pool.every(it => first.every(id => !it.held.has(id))),
+      FREE_MS + FREE_SLACK_MS,
+    );
+    expect(await running).toMatchObject({status: 200, whole: true});
+    expect(fleet.runtime.eventsOf(DIRECT_EVENTS.memoryUnused)).toHaveLength(1);
+  });
+
+  // A large prompt is read for longer than memory may go unused. The members
+  // say that theirs is used, so it is kept until the events come.
+  test('keeps memory that is used while the first event is awaited', async () => {
+    const used = new Set<string>();
+    for (const replica of fleet.pool) {
+      replica.answerState(used);
+      replica.behave((arrival, res, req) => {
+        for (const it of fleet.pool) it.held.forEach((_, id) => used.add(id));
+        setTimeout(() => streamTo(3)(arrival, res, req), 2 * FREE_MS);
+      });
+    }
+    const headers = {...LARGE, 'X-Deadline-Ms': '9000'};
+    const answer = await callEntry(fleet, '/long/a', {headers});
+    expect(answer).toMatchObject({status: 200, whole: true});
+    expect(fleet.pool.flatMap(it => it.arrivals)).toHaveLength(1);
+  });
+
   // One member refuses. None of the others may be left holding memory for a
   // group that does not run.
   test('is set aside at all members or at none', async () => {
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -86,6 +86,7 @@
       graceS: 8,
       revokeMs: 5_000,
       freeMs: 2_000,
+      unusedMs: undefined,
       maxHoldMs: undefined,
       leavingMs: undefined,
       ...timing,
