fix(direct): one member whose answers are lost no longer stops the renewal of the others

A prompt read by several engines was cut off in the middle: the renewals of all members were awaited together, each repeated until it was answered. While the answers of one were lost, the others' leases lapsed, and nobody looked whether the memory is used, so that at the first one it stayed set aside for as long as the entry waited. Found when the class of the unused memory was looked for wherever leases are renewed.

Each lease is now renewed by itself; a renewal that is under way is not begun twice.

--- a/src/direct/groups.ts
+++ b/src/direct/groups.ts
@@ -142,9 +142,11 @@
       if (!lives) return 'the lead is silent';
       return unusedMs() > options.unusedMs ? 'the memory is unused' : undefined;
     };
-    const renewAll = async () => {
-      const kept = await Promise.all(held.map(lease => lease.renew()));
-      held = held.filter((_lease, at) => kept[at]);
+    // Each by itself: awaited together, one member whose answers are lost would
+    // keep the others' leases from renewal, and their use from being looked at.
+    const renew = async (lease: MemoryLease) => {
+      const isKept = await lease.renew();
+      if (!isKept) held = held.filter(it => it !== lease);
     };
     const close = () => {
       if (!isOpen) return;
@@ -171,7 +173,7 @@
         const loss = await findLoss();
         if (!isOpen) return;
         if (loss !== undefined) return lose(loss);
-        await renewAll();
+        for (const lease of held) void renew(lease);
       }
     };
     void keepRenewed();
--- a/src/direct/memory_leases.ts
+++ b/src/direct/memory_leases.ts
@@ -24,7 +24,10 @@
   readonly id: string;
   /** Asks for the memory, once more when no answer comes. */
   reserve(): Promise<ReservationAnswer>;
-  /** Whether it may still be held; only a refusal says that it is not. */
+  /**
+   * Repeated until it is answered, or the lease is released; one that is under
+   * way is not begun again. Resolves with whether the memory is still held.
+   */
   renew(): Promise<boolean>;
   /** Sent until nothing can be left; right also more than once. */
   release(): void;
@@ -58,6 +61,7 @@
     const id = `${options.idPrefix}-${++created}`;
     let unansweredAt = Number.NEGATIVE_INFINITY;
     let released = false;
+    let renewing: Promise<boolean> | undefined;
     open.add(id);
 
     const order = async () => {
@@ -71,7 +75,7 @@
         if (answer !== 'unknown' || tries >= RESERVE_TRIES) return answer;
       }
     };
-    const renew = async (): Promise<boolean> => {
+    const askUntilAnswered = async (): Promise<boolean> => {
       while (!released) {
         const answer = await order();
         // The renewal may have overtaken the release.
@@ -81,6 +85,12 @@
       }
       return false;
     };
+    const renew = (): Promise<boolean> => {
+      renewing ??= askUntilAnswered().finally(() => {
+        renewing = undefined;
+      });
+      return renewing;
+    };
     const sweep = async (): Promise<void> => {
       const endsAt = clock.now() + LATE_ORDER_MS;
       while (clock.now() < endsAt) {
--- a/test/direct/group_memory.test.ts
+++ b/test/direct/group_memory.test.ts
@@ -5,6 +5,7 @@
 import type {
   DirectReplica,
   ReplicaReport,
+  ReservationAnswer,
   ReservationState,
 } from '../../src/direct/types.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
@@ -16,6 +17,8 @@
 const FREE_MS = 4_000;
 const HOLD_MS = 3_500;
 const ANSWER_MS = 2;
+/** After which an order without an answer is given up. */
+const SILENT_MS = 300;
 
 function replica(at: number): DirectReplica {
   return {
@@ -39,9 +42,17 @@
   /** When each reservation was set aside, and when it lapses. */
   const held = new Map<string, {readonly since: number; lapsesAt: number}>();
   let state: ReservationState = 'unused';
+  /** Members whose answers to orders are lost; the orders are carried out. */
+  const mute = new Set<string>();
   let reports: 'whole' | 'without reservations' | 'members silent' = 'whole';
   const answer = <T>(value: T): Promise<T> =>
     new Promise(resolve => void clock.after(ANSWER_MS, () => resolve(value)));
+  const answerOrder = (address: string): Promise<ReservationAnswer> =>
+    mute.has(address)
+      ? new Promise(resolve => {
+          clock.after(SILENT_MS, () => resolve('unknown'));
+        })
+      : answer('done');
   const isHeld = (id: string) => (held.get(id)?.lapsesAt ?? 0) > clock.now();
   const report = (address: string): ReplicaReport => ({
     startedAt: Number(address.split(':')[1]),
@@ -60,15 +71,15 @@
     clock,
     log: () => undefined,
     orders: {
-      reserve: (_address, id, _tokens, holdMs) => {
+      reserve: (address, id, _tokens, holdMs) => {
         const now = clock.now();
         const since = isHeld(id) ? (held.get(id)?.since ?? now) : now;
         held.set(id, {since, lapsesAt: now + holdMs});
-        return answer('done');
+        return answerOrder(address);
       },
-      release: (_address, id) => {
+      release: (address, id) => {
         held.delete(id);
-        return answer('done');
+        return answerOrder(address);
       },
     },
     readReport: address => answer(reportNow(address)),
@@ -93,6 +104,7 @@
     use: (next: ReservationState) => {
       state = next;
     },
+    loseAnswersOf: ({address}: DirectReplica) => void mute.add(address),
     tell: (next: typeof reports) => {
       reports = next;
     },
@@ -146,6 +158,28 @@
     expect(heldNow()).toBe(0);
   });
 
+  // The answers of one member to orders are lost, though it carries them out,
+  // and the lead never begins. The entry repeated the renewal until it was
+  // answered, and meanwhile looked for no sign of use.
+  test('is released in time when a renewal stays unanswered', async () => {
+    const {clock, open, heldNow, loseAnswersOf} = rig();
+    await open();
+    loseAnswersOf(HELPERS[0]);
+    await clock.runFor(UNUSED_MS);
+    expect(heldNow()).toBe(0);
+  });
+
+  // As before, but the memory is used: what the other members hold must not
+  // lapse while one of them is asked again and again.
+  test('is kept at the others while one renewal stays unanswered', async () => {
+    const {clock, open, heldNow, use, loseAnswersOf} = rig();
+    await open();
+    use('used');
+    loseAnswersOf(HELPERS[0]);
+    await clock.runFor(2 * UNUSED_MS);
+    expect(heldNow()).toBe(HELPERS.length);
+  });
+
   test('is kept while the lead lives where replicas do not tell of use', async () => {
     const {clock, open, heldNow, tell} = rig();
     await open();
