fix(direct): a group's memory is given back also when the entry itself fails

A caller whose request met a fault of the entry got its answer at once, but the members' memory stayed set aside until the bound on unused memory, and the engines counted as busy for good: the place was closed only after an attempt that ended by itself. It is closed on every way out now. Shown by an entry whose codec throws: memory held past 300 ms before, released at once now.

--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -34,17 +34,27 @@
       return;
     }
     const {place} = opened;
-    if (exchange.signal.aborted) {
-      place.close();
-      return;
-    }
-    const outcome = await tryStream(ctx, exchange, place, progress);
-    place.close();
     tried.add(place.replica.id);
+    const outcome = await tryAt(ctx, exchange, place, progress);
     if (settle(ctx, exchange, place, outcome, progress)) return;
   }
 }
 
+/** Gives the place back also when the entry fails by a fault of its own. */
+async function tryAt(
+  ctx: ServeContext,
+  exchange: Exchange,
+  place: Place,
+  progress: StreamProgress,
+): Promise<StreamOutcome> {
+  try {
+    if (exchange.signal.aborted) return {kind: 'ended'};
+    return await tryStream(ctx, exchange, place, progress);
+  } finally {
+    place.close();
+  }
+}
+
 /** True when the request has its final answer, or needs none. */
 function settle(
   ctx: ServeContext,
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -1,5 +1,6 @@
 /** Prompts that are larger than one engine's memory, read and held by several. */
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {headerCodec} from '../../platform/header_codec.js';
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {streamTo} from '../../standins/users_platform/replica.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
@@ -15,6 +16,8 @@
 /** The bound of the fleet's settings, and the bench's slack. */
 const FREE_MS = 2_000;
 const FREE_SLACK_MS = 500;
+/** Well before the next renewal. */
+const AT_ONCE_MS = 300;
 /** One engine holds 10,000 tokens. */
 const LARGE = {'X-Token-Usage': '18000,100'};
 const stream = () => callEntry(fleet, '/stream/a', {headers: LARGE});
@@ -124,6 +127,28 @@
     await until(() => held() === 0);
   });
 
+  // The entry itself fails between reserving and sending: here its codec
+  // cannot write the headers. The caller gets a final answer at once, and the
+  // members' memory must not wait for the bound on unused memory, nor the
+  // engines count as busy for ever after.
+  test('leaves no memory set aside when the entry fails to send', async () => {
+    const broken = await startDirectFleet({
+      pool: 4,
+      codec: {
+        ...headerCodec,
+        dispatchHeaders: () => {
+          throw new Error('no headers');
+        },
+      },
+    });
+    for (const replica of broken.pool) replica.answerState();
+    const answer = await callEntry(broken, '/long/a', {headers: LARGE});
+    expect(answer.status).toBe(502);
+    const heldThere = () => broken.pool.reduce((n, it) => n + it.held.size, 0);
+    await until(() => heldThere() === 0, AT_ONCE_MS);
+    await broken.close();
+  });
+
   // A release gets no answer. The entry cannot know whether it came through, so
   // it sends it again until one is answered.
   test('is released again when a release is not answered', async () => {
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -12,6 +12,7 @@
 import type {DirectSettings} from '../../src/direct/settings.js';
 import {wireDirectEntry} from '../../src/direct_wiring.js';
 import type {DirectProcess} from '../../src/direct_wiring.js';
+import type {HeaderCodec} from '../../src/direct/types.js';
 import type {Runtime} from '../../src/types/runtime.js';
 import {createProcessClock} from '../../src/utils/clock.js';
 import {
@@ -51,6 +52,8 @@
   /** @default 2 */
   readonly desk?: number;
   readonly timing?: Partial<DirectSettings['timing']>;
+  /** @default that of the users' platform */
+  readonly codec?: HeaderCodec;
 }
 
 /** Of one worker of the runner, for all its fleets in turn. */
@@ -125,7 +128,7 @@
         metrics: runtime.metrics,
         log: runtime.log,
       }),
-      codec: headerCodec,
+      codec: options.codec ?? headerCodec,
       orders: createReservationOrders(runtime.metrics),
       readReport: createReadReport(runtime.metrics),
       wallMs: () => Date.now() + wallShiftMs,
