fix(direct): a store that comes back from an older copy is read whole again

What callers would see: requests sent to replicas that have left, keys served that were taken away, routes that are gone, for as long as the entry runs. After the store's return revisions are given out again; an entry that stood at a revision which the new history has passed meanwhile watched on from there and never heard of the changes before it. An answer from before that came late brought back what is gone.

A position in the store's history is now one value of era and revision, read in platform/ from each answer, with a comparison that knows eras; nothing else compares revisions. A newer era makes the collection be read whole, an older one's answer is dropped, pages of one list must be of one era, and a watch that began in the earlier history is taken for nothing. After a failed call the next watch does not wait, since only its answer shows the era. Where the era is not told, a fall of the revision in the answer to a call that was sent when the newer one was there says the same.

--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -1,14 +1,19 @@
 /**
  * Follows one collection of the platform's store: reads it whole, then watches
- * from that revision on. Watches are short: a connection may go silent without
+ * from that position on. A store that has come back from an older copy is read
+ * whole again. Watches are short: a connection may go silent without
  * a reset, and only a watch that fails to return shows it.
  */
 import type {Cancel, Clock, Random} from '../types/runtime.js';
+import {isOlderEra, orderOf} from './store_position.js';
+import type {StorePosition} from './store_position.js';
 import type {Collection, StoreFault} from './types.js';
 
 /** Pause after a failed call; doubles up to `retryMostMs`, with jitter. */
 const RETRY_FIRST_MS = 100;
 
+type Verdict = 'current' | 'overtaken' | 'restored';
+
 /** What is followed, and who is told. */
 export interface FollowOptions<T> {
   readonly collection: Collection<T>;
@@ -32,6 +37,8 @@
    * `sentAt` is on this process's clock.
    */
   onConfirmed(sentAt: number): void;
+  /** The store has come back from an older copy; what it has is read anew. */
+  onRestored(): void;
   onFault(fault: StoreFault): void;
 }
 
@@ -49,13 +56,40 @@
 export function follow<T>(options: FollowOptions<T>): Follower {
   const {collection, clock, random} = options;
   let stopped = false;
-  let revision: number | undefined;
+  let position: StorePosition | undefined;
+  /** When the position was learned, on this process's clock. */
+  let learnedAt = Number.NEGATIVE_INFINITY;
+  /** The newest that an answer has told. */
+  let era: number | undefined;
+  /** A store that was away may be back from a copy. */
+  let isDoubted = false;
   let retryMs = RETRY_FIRST_MS;
   let cancelPause: Cancel | undefined;
   let confirming = false;
   let confirmFailedAt = Number.NEGATIVE_INFINITY;
   let hasChanged = false;
 
+  /** How the answer to a call that was sent at `sentAt` stands to what is known. */
+  const judge = (came: StorePosition, sentAt: number): Verdict => {
+    if (isOlderEra(came.era, era)) return 'overtaken';
+    if (position === undefined) return 'current';
+    switch (orderOf(came, position)) {
+      case 'newer era':
+        return 'restored';
+      case 'same or newer':
+        return 'current';
+      // A call that was sent when the newer answer was there cannot be
+      // overtaken by it: the history itself has gone back.
+      case 'older':
+        return sentAt > learnedAt ? 'restored' : 'overtaken';
+    }
+  };
+  const learn = (came: StorePosition): void => {
+    position = came;
+    learnedAt = clock.now();
+    era = came.era ?? era;
+  };
+
   const readWhole = async (): Promise<boolean> => {
     const sentAt = clock.now();
     const res = await collection.list();
@@ -66,9 +100,11 @@
         return false;
       },
       Right: listing => {
-        // A read that was overtaken by a watch must not bring back old items.
-        if (revision !== undefined && listing.revision < revision) return true;
-        revision = listing.revision;
+        const verdict = judge(listing.position, sentAt);
+        // A read that was overtaken must not bring back old items.
+        if (verdict === 'overtaken') return true;
+        learn(listing.position);
+        if (verdict === 'restored') options.onRestored();
         if (listing.isPartial) options.onChanges(listing.items);
         else options.onList(listing.items);
         options.onConfirmed(sentAt);
@@ -77,19 +113,33 @@
     });
   };
 
-  const watchOnce = async (from: number): Promise<boolean> => {
+  const watchOnce = async (from: StorePosition): Promise<boolean> => {
     const sentAt = clock.now();
-    const res = await collection.watch(from, options.waitMs());
+    // Watched from a revision that was given out again, it might tell nothing
+    // for as long as it waits; its answer shows the era.
+    const waitMs = isDoubted ? 0 : options.waitMs();
+    const res = await collection.watch(from, waitMs);
     if (stopped) return false;
+    isDoubted = res.isLeft();
     return res.caseOf({
       Left: fault => {
-        if (fault.historyGone || fault.unreadable) revision = undefined;
+        if (fault.historyGone || fault.unreadable) position = undefined;
         options.onFault(fault);
         return fault.historyGone;
       },
       Right: changes => {
-        if (revision !== undefined && changes.revision < revision) return true;
-        revision = changes.revision;
+        const verdict = judge(changes.position, sentAt);
+        if (verdict === 'overtaken') return true;
+        // These are the changes after a revision that was given out again;
+        // those before it in the new history are unknown.
+        if (verdict === 'restored') {
+          position = undefined;
+          options.onRestored();
+          return true;
+        }
+        // The same, but a list of the new history has come in between.
+        if (isOlderEra(from.era, changes.position.era)) return true;
+        learn(changes.position);
         hasChanged = changes.items.size > 0;
         if (hasChanged) options.onChanges(changes.items);
         options.onConfirmed(sentAt);
@@ -112,7 +162,7 @@
   const run = async (): Promise<void> => {
     while (!stopped) {
       const well =
-        revision === undefined ? await readWhole() : await watchOnce(revision);
+        position === undefined ? await readWhole() : await watchOnce(position);
       if (stopped) return;
       if (!well) await pauseAfterFault();
       else retryMs = RETRY_FIRST_MS;
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -112,6 +112,7 @@
       configWatch.confirmed();
       tellConfirmed(sentAt, sentAt);
     },
+    onRestored: () => undefined,
     onFault,
   });
   const replicas = follow({
@@ -127,6 +128,7 @@
       ctx.send('direct', {kind: 'replica-changes', replicas: items});
     },
     onConfirmed: replicasWatch.confirmed,
+    onRestored: () => undefined,
     onFault,
   });
   const logTaken = (what: string, {by, configVersion: version}: EntryAnswer) =>
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -6,6 +6,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Either} from 'purify-ts';
+import type {StorePosition} from './store_position.js';
 
 /** What may be repeated: anything, nothing, or a stream from where it broke. */
 export type RouteKind = 'idempotent' | 'once' | 'resumable-stream';
@@ -153,26 +154,26 @@
   readonly message: string;
 }
 
-/** What there is, as of a revision of the store. */
+/** What there is, as of a position in the store's history. */
 export interface Listing<T> {
-  readonly revision: number;
+  readonly position: StorePosition;
   readonly items: ReadonlyMap<string, T>;
   /** Part of it could not be read: what is missing here may be there. */
   readonly isPartial: boolean;
 }
 
-/** What has changed since a revision; an undefined value was removed. */
+/** What has changed since a position; an undefined value was removed. */
 export interface Changes<T> {
-  readonly revision: number;
+  readonly position: StorePosition;
   readonly items: ReadonlyMap<string, T | undefined>;
 }
 
 /** Objects of one kind in the platform's store. */
 export interface Collection<T> {
   list(): Promise<Either<StoreFault, Listing<T>>>;
-  /** Answers at the first change after `revision`, or after `waitMs`. */
+  /** Answers at the first change after `from`, or after `waitMs`. */
   watch(
-    revision: number,
+    from: StorePosition,
     waitMs: number,
   ): Promise<Either<StoreFault, Changes<T>>>;
 }
--- a/src/stores/http_client.ts
+++ b/src/stores/http_client.ts
@@ -4,7 +4,7 @@
  * is what decides between "did not happen" and "unknown" for a write.
  */
 import {Agent, request} from 'node:http';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {Clock} from '../types/runtime.js';
@@ -43,6 +43,7 @@
   readonly body: string;
   /** Header `ETag`; empty when there is none. */
   readonly etag: string;
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** No whole answer came. */
@@ -81,6 +82,7 @@
     status: res.statusCode ?? 0,
     body: Buffer.concat(pieces).toString('utf8'),
     etag: res.headers.etag ?? '',
+    headers: res.headers,
   };
 }
 
--- a/standins/users_platform/store.ts
+++ b/standins/users_platform/store.ts
@@ -28,6 +28,12 @@
 /** How the store answers: well, with 503, or not at all. */
 export type StoreMode = 'well' | 'busy' | 'silent';
 
+/** What the store held at one moment. */
+export interface StoreCopy {
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly revision: number;
+}
+
 export interface StoreStandIn {
   readonly address: string;
   put(kind: string, name: string, spec: unknown): void;
@@ -36,6 +42,14 @@
   setMode(mode: StoreMode): void;
   /** Drops the history before now; watches from before get 410. */
   forgetHistory(): void;
+  copy(): StoreCopy;
+  /**
+   * Comes back from a copy: what was written since is gone, revisions are given
+   * out again, all connections break, and the era in the answers rises.
+   */
+  restore(copy: StoreCopy): void;
+  /** Whether answers tell the era. @default true */
+  tellEra(tells: boolean): void;
   /** Calls that arrived, whatever became of them. */
   calls(): number;
   close(): Promise<void>;
@@ -44,12 +58,14 @@
 const PAGE = 2;
 
 export async function startStore(): Promise<StoreStandIn> {
-  const kinds = new Map<string, Map<string, StoredObject>>();
+  let kinds = new Map<string, Map<string, StoredObject>>();
   let events: StoreEvent[] = [];
   let revision = 1;
   let forgottenTo = 0;
   let mode: StoreMode = 'well';
   let calls = 0;
+  let era = 1;
+  let tellsEra = true;
   const waiting = new Set<() => void>();
 
   const ofKind = (kind: string) => {
@@ -101,7 +117,7 @@
     waitMs: number,
     res: ServerResponse,
   ): void => {
-    if (from < forgottenTo) {
+    if (from < forgottenTo || from > revision) {
       send(res, 410, {error: 'history is gone'});
       return;
     }
@@ -127,6 +143,7 @@
 
   const handle = async (req: IncomingMessage, res: ServerResponse) => {
     calls++;
+    if (tellsEra) res.setHeader('Store-Era', era);
     const body = await readText(req);
     if (mode === 'silent') return;
     if (mode === 'busy') {
@@ -171,6 +188,18 @@
       events = [];
       forgottenTo = ++revision;
     },
+    copy: () => ({kinds: cloneOf(kinds), revision}),
+    restore: copy => {
+      era++;
+      kinds = cloneOf(copy.kinds);
+      revision = copy.revision;
+      events = events.filter(event => event.revision <= revision);
+      waiting.clear();
+      server.closeAllConnections();
+    },
+    tellEra: tells => {
+      tellsEra = tells;
+    },
     calls: () => calls,
     close: () =>
       new Promise(resolve => {
@@ -180,6 +209,12 @@
   };
 }
 
+function cloneOf(
+  kinds: StoreCopy['kinds'],
+): Map<string, Map<string, StoredObject>> {
+  return new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+}
+
 function send(res: ServerResponse, status: number, value: unknown): void {
   res.writeHead(status, {'content-type': 'application/json'});
   res.end(JSON.stringify(value));
--- a/test/direct/follow.test.ts
+++ b/test/direct/follow.test.ts
@@ -2,6 +2,7 @@
 import {Left, Right} from 'purify-ts';
 import {describe, expect, test} from 'vitest';
 import {follow} from '../../src/direct/follow.js';
+import type {StorePosition} from '../../src/direct/store_position.js';
 import type {Changes} from '../../src/direct/types.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
@@ -20,7 +21,7 @@
     clock.every(100, () => {
       if (changesMade < 70) changesMade += 1;
     });
-    const watch = async (revision: number) => {
+    const watch = async ({revision}: StorePosition) => {
       watches += 1;
       while (changesMade <= revision) {
         await new Promise<void>(resolve => void clock.after(5, resolve));
@@ -30,12 +31,17 @@
         (_, at) => `replica-${revision + at + 1}`,
       );
       const items = new Map(names.map(name => [name, name]));
-      return Right<Changes<string>>({revision: changesMade, items});
+      const position = {era: 1, revision: changesMade};
+      return Right<Changes<string>>({position, items});
     };
     const follower = follow<string>({
       collection: {
         list: async () =>
-          Right({revision: 0, items: new Map(), isPartial: false}),
+          Right({
+            position: {era: 1, revision: 0},
+            items: new Map(),
+            isPartial: false,
+          }),
         watch,
       },
       clock,
@@ -46,6 +52,7 @@
       onList: () => undefined,
       onChanges: items => [...items.keys()].forEach(name => seen.add(name)),
       onConfirmed: () => undefined,
+      onRestored: () => undefined,
       onFault: () => undefined,
     });
     await clock.runFor(8_000);
@@ -77,6 +84,7 @@
       onList: () => undefined,
       onChanges: () => undefined,
       onConfirmed: () => undefined,
+      onRestored: () => undefined,
       onFault: () => undefined,
     });
     clock.every(500, () => follower.confirmNow());
--- /dev/null
+++ b/test/direct/follow_restored.test.ts
@@ -0,0 +1,219 @@
+/** Following a collection of a store that comes back from an older copy. */
+import * as fc from 'fast-check';
+import {Right} from 'purify-ts';
+import {describe, expect, test} from 'vitest';
+import {follow} from '../../src/direct/follow.js';
+import type {StorePosition} from '../../src/direct/store_position.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import {createRestorableCollection} from '../support/restorable_collection.js';
+
+const WAIT_MS = 1_000;
+const RETRY_MOST_MS = 500;
+/** A watch, a retry and the list after it. */
+const SETTLED_MS = 2 * WAIT_MS + 2 * RETRY_MOST_MS;
+
+function start(tellsEra = true) {
+  const clock = createVirtualClock();
+  const store = createRestorableCollection(clock, tellsEra);
+  const known = new Map<string, string>();
+  let restored = 0;
+  const follower = follow<string>({
+    collection: store,
+    clock,
+    random: createSeededRandom(1),
+    waitMs: () => WAIT_MS,
+    retryMostMs: () => RETRY_MOST_MS,
+    settleMs: 0,
+    onList: items => {
+      known.clear();
+      for (const [name, value] of items) known.set(name, value);
+    },
+    onChanges: items => {
+      for (const [name, value] of items) {
+        if (value === undefined) known.delete(name);
+        else known.set(name, value);
+      }
+    },
+    onConfirmed: () => undefined,
+    onRestored: () => {
+      restored += 1;
+    },
+    onFault: () => undefined,
+  });
+  return {clock, store, known, follower, restored: () => restored};
+}
+
+describe('following a store that comes back from a copy', () => {
+  // A replica has left and is used again for good. The store came back from a
+  // copy and gave the revisions since out again, for other changes, before the
+  // next watch from the old position was sent; it was answered as if nothing
+  // had happened, with the changes after that position alone.
+  test('reads anew where revisions were given out again', async () => {
+    const {clock, store, known, follower} = start();
+    store.put('a', 'old');
+    store.copy();
+    store.put('b', 'old');
+    store.put('b', 'newer');
+    await clock.runFor(100);
+    store.setAway(true);
+    await clock.runFor(WAIT_MS);
+    store.restore();
+    store.remove('a');
+    store.put('c', 'new');
+    store.put('d', 'new');
+    store.setAway(false);
+    await clock.runFor(SETTLED_MS);
+    expect(known).toEqual(store.now());
+    follower.stop();
+  });
+
+  // Two connections: the answer to an earlier list is on its way while the
+  // store comes back, and arrives after a list of the new history. Taken, it
+  // would bring back what is gone, under a revision that is higher.
+  test('drops an answer from before that arrives later', async () => {
+    const {clock, store, known, follower} = start();
+    store.copy();
+    store.put('gone', 'old');
+    await clock.runFor(100);
+    store.delay(700);
+    follower.confirmNow();
+    await clock.runFor(10);
+    store.delay(2);
+    store.restore();
+    await clock.runFor(600);
+    expect(known).toEqual(new Map());
+    await clock.runFor(100);
+    expect(known).toEqual(new Map());
+    follower.stop();
+  });
+
+  // A store without the header, before which a watch waits: the watch breaks,
+  // and the next one from the old position is answered that it is not there.
+  test('reads anew also where the era is not told', async () => {
+    const {clock, store, known, follower} = start(false);
+    store.copy();
+    store.put('gone', 'old');
+    await clock.runFor(100);
+    store.restore();
+    await clock.runFor(SETTLED_MS);
+    expect(known).toEqual(store.now());
+    follower.stop();
+  });
+
+  // A list that was sent after the newest answer was there shows an older
+  // revision: nothing else lets the history go back.
+  test('takes a fall of the revision for a return where the era is not told', async () => {
+    const {clock, store, known, follower, restored} = start(false);
+    store.copy();
+    store.put('gone', 'old');
+    await clock.runFor(100);
+    store.setAway(true);
+    await clock.runFor(50);
+    store.restore();
+    store.setAway(false);
+    follower.confirmNow();
+    await clock.runFor(20);
+    expect(known).toEqual(new Map());
+    expect(restored()).toBe(1);
+    follower.stop();
+  });
+
+  // A list of the new history overtakes a watch that was sent from a position
+  // of the old one. What the watch tells begins after a revision that the list
+  // has not reached: taken for what follows the list, it would leave a gap.
+  test('takes nothing from a watch that began in the history before', async () => {
+    const clock = createVirtualClock();
+    const known = new Set<string>();
+    const answers: Array<(revision: number, name: string) => void> = [];
+    const from: StorePosition[] = [];
+    let listed: StorePosition = {era: 1, revision: 900};
+    const take = (items: ReadonlyMap<string, unknown>) =>
+      [...items.keys()].forEach(name => known.add(name));
+    const follower = follow<string>({
+      collection: {
+        list: async () =>
+          Right({position: listed, items: new Map(), isPartial: false}),
+        watch: position => {
+          from.push(position);
+          return new Promise(resolve =>
+            answers.push((revision, name) =>
+              resolve(
+                Right({
+                  position: {era: 2, revision},
+                  items: new Map([[name, name]]),
+                }),
+              ),
+            ),
+          );
+        },
+      },
+      clock,
+      random: createSeededRandom(1),
+      waitMs: () => WAIT_MS,
+      retryMostMs: () => RETRY_MOST_MS,
+      settleMs: 0,
+      onList: take,
+      onChanges: take,
+      onConfirmed: () => undefined,
+      onRestored: () => undefined,
+      onFault: () => undefined,
+    });
+    await clock.runFor(10);
+    listed = {era: 2, revision: 895};
+    follower.confirmNow();
+    await clock.runFor(10);
+    answers[0](905, 'after-900');
+    await clock.runFor(10);
+    expect(from[1]).toEqual(listed);
+    expect(known).toEqual(new Set());
+    follower.stop();
+  });
+
+  const step = fc.oneof(
+    fc.record({
+      kind: fc.constant('put' as const),
+      name: fc.constantFrom('a', 'b', 'c'),
+      value: fc.constantFrom('1', '2', '3'),
+    }),
+    fc.record({
+      kind: fc.constant('remove' as const),
+      name: fc.constantFrom('a', 'b', 'c'),
+    }),
+    fc.record({kind: fc.constantFrom('copy' as const, 'restore' as const)}),
+    fc.record({
+      kind: fc.constant('delay' as const),
+      ms: fc.constantFrom(1, 20, 300),
+    }),
+    fc.record({kind: fc.constant('away' as const), is: fc.boolean()}),
+    fc.record({kind: fc.constant('confirm' as const)}),
+    fc.record({
+      kind: fc.constant('wait' as const),
+      ms: fc.constantFrom(1, 10, 100, 700),
+    }),
+  );
+
+  test('knows what the store has in the end, whatever came in between', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, {maxLength: 40}), async steps => {
+        const {clock, store, known, follower} = start();
+        for (const it of steps) {
+          if (it.kind === 'put') store.put(it.name, it.value);
+          if (it.kind === 'remove') store.remove(it.name);
+          if (it.kind === 'copy') store.copy();
+          if (it.kind === 'restore') store.restore();
+          if (it.kind === 'delay') store.delay(it.ms);
+          if (it.kind === 'away') store.setAway(it.is);
+          if (it.kind === 'confirm') follower.confirmNow();
+          if (it.kind === 'wait') await clock.runFor(it.ms);
+        }
+        store.setAway(false);
+        store.delay(1);
+        await clock.runFor(2 * SETTLED_MS);
+        follower.stop();
+        expect(known).toEqual(store.now());
+      }),
+      {seed: 7, numRuns: 4_000},
+    );
+  });
+});
--- a/test/platform/foreign_records.test.ts
+++ b/test/platform/foreign_records.test.ts
@@ -195,10 +195,10 @@
   });
 
   test('watches on after one of them', async () => {
-    const {revision} = (await store.replicas.list()).unsafeCoerce();
+    const {position} = (await store.replicas.list()).unsafeCoerce();
     stored.put('servers', 'bad', null);
     stored.put('servers', 'good', GOOD);
-    const changes = (await store.replicas.watch(revision, 100)).unsafeCoerce();
+    const changes = (await store.replicas.watch(position, 100)).unsafeCoerce();
     expect(changes.items.get('good')).toMatchObject({name: 'good'});
     expect(changes.items.get('bad')).toBeUndefined();
   });
--- a/test/platform/names.test.ts
+++ b/test/platform/names.test.ts
@@ -9,6 +9,7 @@
   /\/api\/(objects|order|report|ready)/,
   /\b(trafficSplit|gapAimMs|sloMs|kvCapacityTokens|resumable:|apiKeys)\b/,
   /ONYXLOFT_NODE_FILE/,
+  /store-era/i,
 ];
 
 function sources(folder: string): readonly string[] {
