fix(direct): replicas that had left stay unused after the store came back from a copy

Callers' requests would go to replicas that are leaving or have left: the copy lists them as they were. The era in the store's answers, whatever was asked and whatever the answer, tells of the return; the highest seen holds. For four seconds a listed record is then held back when this entry saw that start of the replica leave, until the replica writes again or its record goes. By then one that leaves has written so again, and the record of one that is gone has lapsed. A replica that the copy does not know is used on for a while, as after an outage.

--- a/src/direct/fleet.ts
+++ b/src/direct/fleet.ts
@@ -21,6 +21,12 @@
 const EARLIER_START_MS = 3_000;
 /** A removed replica's streams are ended if it starts again within this time. */
 const REMEMBERED_MS = 30_000;
+/**
+ * What a store that came back from a copy lists of a replica that was leaving,
+ * or had gone, is as old as the copy. One that leaves writes so again within a
+ * heartbeat; the record of one that is gone lapses after three.
+ */
+const COPY_DOUBT_MS = 4_000;
 
 export interface Fleet {
   setAll(replicas: ReadonlyMap<string, DirectReplica>): void;
@@ -28,6 +34,8 @@
   change(replicas: ReadonlyMap<string, DirectReplica | undefined>): void;
   /** A call to the store failed just now. */
   storeFailed(): void;
+  /** The store has come back from an older copy. */
+  restored(): void;
   /** Replicas of a service that may get new work. */
   serving(service: string): readonly DirectReplica[];
   size(): number;
@@ -58,9 +66,15 @@
   const removed = new Map<string, Removed>();
   const earlier = new Map<string, EarlierStart>();
   let failedAt = Number.NEGATIVE_INFINITY;
+  let doubtedUntil = Number.NEGATIVE_INFINITY;
+  /** Starts that were leaving or gone when the store came back from a copy. */
+  let leftBefore: ReadonlySet<string> = new Set();
+  /** Records of such, by name, as the copy has them. */
+  const heldBack = new Map<string, DirectReplica>();
 
   const remove = (name: string) => {
     earlier.delete(name);
+    heldBack.delete(name);
     const replica = present.get(name);
     if (replica === undefined) return;
     present.delete(name);
@@ -79,6 +93,12 @@
     const isOther = before !== undefined && before.id !== replica.id;
     if (isOther) onRestarted(before, replica);
   };
+  /** Of one that was leaving or gone, a copy of the store knows nothing new. */
+  const putListed = (replica: DirectReplica) => {
+    const isDoubted = clock.now() < doubtedUntil && leftBefore.has(replica.id);
+    if (isDoubted && !replica.leaving) heldBack.set(replica.name, replica);
+    else put(replica);
+  };
   const put = (replica: DirectReplica) => {
     const {name} = replica;
     const known = present.get(name);
@@ -91,6 +111,10 @@
   };
   const settle = () => {
     const now = clock.now();
+    if (now >= doubtedUntil) {
+      for (const replica of heldBack.values()) put(replica);
+      heldBack.clear();
+    }
     for (const {replica, since} of [...earlier.values()]) {
       if (now - since >= EARLIER_START_MS) take(replica);
     }
@@ -108,20 +132,36 @@
 
   return {
     setAll: replicas => {
+      heldBack.clear();
       for (const name of [...present.keys()]) {
         if (!replicas.has(name)) remove(name);
       }
-      for (const replica of replicas.values()) put(replica);
+      for (const replica of replicas.values()) putListed(replica);
     },
     change: replicas => {
       for (const [name, replica] of replicas) {
-        if (replica === undefined) remove(name);
-        else put(replica);
+        if (replica === undefined) {
+          remove(name);
+          continue;
+        }
+        // Written since, by the replica itself.
+        heldBack.delete(name);
+        put(replica);
       }
     },
     storeFailed: () => {
       failedAt = clock.now();
     },
+    restored: () => {
+      const now = clock.now();
+      // Records of those that live may have lapsed while it was away.
+      failedAt = now;
+      doubtedUntil = now + COPY_DOUBT_MS;
+      leftBefore = new Set([
+        ...[...present.values()].filter(it => it.leaving).map(it => it.id),
+        ...[...removed.values()].map(it => it.replica.id),
+      ]);
+    },
     serving: service => {
       settle();
       const there = [...present.values()].filter(
--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -6,7 +6,7 @@
  */
 import type {Cancel, Clock, Random} from '../types/runtime.js';
 import {isOlderEra, orderOf} from './store_position.js';
-import type {StorePosition} from './store_position.js';
+import type {StoreEra, StorePosition} from './store_position.js';
 import type {Collection, StoreFault} from './types.js';
 
 /** Pause after a failed call; doubles up to `retryMostMs`, with jitter. */
@@ -49,6 +49,8 @@
    * that failed, only when the pause after a failed call is over.
    */
   confirmNow(): void;
+  /** The store is in this era now; what is known from an older one is read anew. */
+  noteEra(era: StoreEra): void;
   stop(): void;
 }
 
@@ -60,7 +62,7 @@
   /** When the position was learned, on this process's clock. */
   let learnedAt = Number.NEGATIVE_INFINITY;
   /** The newest that an answer has told. */
-  let era: number | undefined;
+  let era: StoreEra;
   /** A store that was away may be back from a copy. */
   let isDoubted = false;
   let retryMs = RETRY_FIRST_MS;
@@ -172,16 +174,21 @@
   };
   void run();
 
+  const confirmNow = (): void => {
+    const sinceFailedMs = clock.now() - confirmFailedAt;
+    const isTooSoon = sinceFailedMs < options.retryMostMs();
+    if (confirming || stopped || isTooSoon) return;
+    confirming = true;
+    void readWhole().then(well => {
+      confirming = false;
+      confirmFailedAt = well ? Number.NEGATIVE_INFINITY : clock.now();
+    });
+  };
+
   return {
-    confirmNow: () => {
-      const sinceFailedMs = clock.now() - confirmFailedAt;
-      const isTooSoon = sinceFailedMs < options.retryMostMs();
-      if (confirming || stopped || isTooSoon) return;
-      confirming = true;
-      void readWhole().then(well => {
-        confirming = false;
-        confirmFailedAt = well ? Number.NEGATIVE_INFINITY : clock.now();
-      });
+    confirmNow,
+    noteEra: now => {
+      if (position !== undefined && isOlderEra(position.era, now)) confirmNow();
     },
     stop: () => {
       stopped = true;
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -10,6 +10,8 @@
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import './messages.js';
+import {createStoreEras} from './store_eras.js';
+import type {StoreEra} from './store_position.js';
 import type {
   DirectConfig,
   DirectReplica,
@@ -73,6 +75,27 @@
   const connected = createConnectionLog(ctx);
   let newest: DirectConfig | undefined;
 
+  const eras = createStoreEras({
+    log: ctx.log,
+    metrics: ctx.metrics,
+    onRisen: () => restored(),
+  });
+  store.watchEra(eras.note);
+  const restored = () => {
+    tellRestored();
+    // After the answer that told of it has been taken.
+    clock.after(0, () => rereadFor(eras.current()));
+  };
+  const tellRestored = () => ctx.send('direct', {kind: 'store-restored'});
+  const rereadFor = (era: StoreEra) => {
+    configs.noteEra(era);
+    replicas.noteEra(era);
+  };
+  // Where the era is told, any answer shows that it has risen.
+  const onRestored = () => {
+    if (eras.current() === undefined) restored();
+  };
+
   const tellConfig = (config: DirectConfig | undefined) => {
     // Without a configuration the last one stays in force, as it does when an
     // older one is read.
@@ -105,14 +128,20 @@
     waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : CONFIG_WAIT_MS),
     retryMostMs,
     settleMs: 0,
-    onList: items => items.forEach(tellConfig),
-    onChanges: items => items.forEach(tellConfig),
+    onList: items => {
+      items.forEach(tellConfig);
+    },
+    onChanges: items => {
+      for (const config of items.values()) {
+        tellConfig(config);
+      }
+    },
     onConfirmed: sentAt => {
       connected.regained();
       configWatch.confirmed();
       tellConfirmed(sentAt, sentAt);
     },
-    onRestored: () => undefined,
+    onRestored,
     onFault,
   });
   const replicas = follow({
@@ -128,7 +157,7 @@
       ctx.send('direct', {kind: 'replica-changes', replicas: items});
     },
     onConfirmed: replicasWatch.confirmed,
-    onRestored: () => undefined,
+    onRestored,
     onFault,
   });
   const logTaken = (what: string, {by, configVersion: version}: EntryAnswer) =>
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -204,6 +204,8 @@
         return serving.fleet.change(message.replicas);
       case 'store-failed':
         return serving.fleet.storeFailed();
+      case 'store-restored':
+        return serving.fleet.restored();
       case 'evidence-age':
         return message.reply(evidence.ageMs());
       case 'other-load':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -26,6 +26,8 @@
       readonly replicas: ReadonlyMap<string, DirectReplica | undefined>;
     }
   | {readonly kind: 'store-failed'}
+  /** The store has come back from an older copy. */
+  | {readonly kind: 'store-restored'}
   /** Age of the newest evidence for keys, in milliseconds. */
   | {readonly kind: 'evidence-age'; readonly reply: (ageMs: number) => void}
   | {
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -6,7 +6,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Either} from 'purify-ts';
-import type {StorePosition} from './store_position.js';
+import type {StoreEra, StorePosition} from './store_position.js';
 
 /** What may be repeated: anything, nothing, or a stream from where it broke. */
 export type RouteKind = 'idempotent' | 'once' | 'resumable-stream';
@@ -182,6 +182,8 @@
 export interface DirectStore {
   readonly configs: Collection<DirectConfig>;
   readonly replicas: Collection<DirectReplica>;
+  /** Calls `onEra` with the era of each answer, whatever was asked. */
+  watchEra(onEra: (era: StoreEra) => void): void;
   listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
   announceEntry(entry: EntryAddress): Promise<Either<StoreFault, void>>;
   removeEntry(node: string): Promise<Either<StoreFault, void>>;
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -16,6 +16,8 @@
 /** The bound of the fleet's settings, and the bench's slack. */
 const FREE_MS = 2_000;
 const FREE_SLACK_MS = 500;
+/** Beyond the bound, and before silence ends the attempt. */
+const FIRST_EVENT_MS = 2_500;
 /** Well before the next renewal. */
 const AT_ONCE_MS = 300;
 /** One engine holds 10,000 tokens. */
@@ -103,7 +105,7 @@
       replica.answerState(used);
       replica.behave((arrival, res, req) => {
         for (const it of fleet.pool) it.held.forEach((_, id) => used.add(id));
-        setTimeout(() => streamTo(3)(arrival, res, req), 2 * FREE_MS);
+        setTimeout(() => streamTo(3)(arrival, res, req), FIRST_EVENT_MS);
       });
     }
     const headers = {...LARGE, 'X-Deadline-Ms': '9000'};
--- /dev/null
+++ b/test/direct/restored_store.test.ts
@@ -0,0 +1,150 @@
+/** What an entry does when the store comes back from an older copy. */
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {createFleet} from '../../src/direct/fleet.js';
+import {createStoreEras} from '../../src/direct/store_eras.js';
+import type {DirectReplica} from '../../src/direct/types.js';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {announce, configOf} from '../../standins/users_platform/deployment.js';
+import {streamTo} from '../../standins/users_platform/replica.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+function replica(name: string, leaving = false, startedAt = 1): DirectReplica {
+  return {
+    id: `${name}@${startedAt}`,
+    name,
+    startedAt,
+    service: 'pool',
+    address: '127.0.0.1:1',
+    failureDomain: 'domain-1',
+    places: 8,
+    leaving,
+  };
+}
+
+const byName = (...replicas: readonly DirectReplica[]) =>
+  new Map(replicas.map(it => [it.name, it]));
+
+describe('replicas after the store came back from a copy', () => {
+  /** Longer than a replica takes to write again. */
+  const DOUBT_MS = 4_000;
+
+  function fleetOf(...replicas: readonly DirectReplica[]) {
+    const clock = createVirtualClock();
+    const fleet = createFleet({
+      clock,
+      onGone: () => undefined,
+      onRestarted: () => undefined,
+    });
+    fleet.setAll(byName(...replicas));
+    const names = () => fleet.serving('pool').map(({name}) => name);
+    return {clock, fleet, names};
+  }
+
+  // A replica that is leaving is in the copy as it was before. It serves on for
+  // two seconds or so and then exits, with what it was sent meanwhile.
+  test('stay unused when they were leaving', async () => {
+    const {clock, fleet, names} = fleetOf(replica('a'), replica('b', true));
+    await clock.runFor(100);
+    fleet.restored();
+    fleet.setAll(byName(replica('a'), replica('b')));
+    expect(names()).toEqual(['a']);
+    fleet.change(byName(replica('b', true)));
+    await clock.runFor(DOUBT_MS);
+    expect(names()).toEqual(['a']);
+  });
+
+  // One that had gone is alive by the copy until its record lapses there.
+  test('stay gone when they were gone', async () => {
+    const {clock, fleet, names} = fleetOf(replica('a'), replica('b'));
+    fleet.change(new Map([['b', undefined]]));
+    await clock.runFor(100);
+    fleet.restored();
+    fleet.setAll(byName(replica('a'), replica('b')));
+    expect(names()).toEqual(['a']);
+    fleet.setAll(byName(replica('a')));
+    await clock.runFor(DOUBT_MS);
+    expect(names()).toEqual(['a']);
+  });
+
+  test('are used again as soon as they write so themselves', () => {
+    const {fleet, names} = fleetOf(replica('a'), replica('b'));
+    fleet.change(new Map([['b', undefined]]));
+    fleet.restored();
+    fleet.setAll(byName(replica('a'), replica('b')));
+    fleet.change(byName(replica('b')));
+    expect(names().sort()).toEqual(['a', 'b']);
+  });
+
+  // No write of its own comes; what the store goes on saying is the truth then.
+  test('are used again when the store says so for long', async () => {
+    const {clock, fleet, names} = fleetOf(replica('a'), replica('b', true));
+    fleet.restored();
+    fleet.setAll(byName(replica('a'), replica('b')));
+    await clock.runFor(DOUBT_MS);
+    expect(names().sort()).toEqual(['a', 'b']);
+  });
+
+  // Its record is younger than the copy. It writes again within two seconds.
+  test('are used on for a while when the copy knows none of them', () => {
+    const {fleet, names} = fleetOf(replica('a'));
+    fleet.restored();
+    fleet.setAll(new Map());
+    expect(names()).toEqual(['a']);
+  });
+});
+
+describe('the era of the store', () => {
+  test('rises, and never falls back', () => {
+    const {runtime, eventsOf} = createRecordingRuntime();
+    let risen = 0;
+    const {log, metrics} = runtime;
+    const eras = createStoreEras({log, metrics, onRisen: () => risen++});
+    for (const era of [3, 3, 4, 3, 3, 4]) eras.note(era);
+    expect(eras.current()).toBe(4);
+    expect(risen).toBe(1);
+    expect(eventsOf(DIRECT_EVENTS.eraOlder)).toHaveLength(1);
+  });
+
+  test('is missed once where it is not told', () => {
+    const {runtime, eventsOf} = createRecordingRuntime();
+    const {log, metrics} = runtime;
+    const eras = createStoreEras({log, metrics, onRisen: () => undefined});
+    eras.note(undefined);
+    eras.note(undefined);
+    expect(eras.current()).toBeUndefined();
+    expect(eventsOf(DIRECT_EVENTS.eraUntold)).toHaveLength(1);
+  });
+});
+
+describe('an entry whose store comes back from a copy', () => {
+  let fleet: DirectFleet;
+  beforeEach(async () => {
+    fleet = await startDirectFleet({pool: 3});
+    for (const it of fleet.pool) it.behave(streamTo(3));
+  });
+  afterEach(() => fleet.close());
+
+  const HEADERS = {'X-Token-Usage': '1000,100'};
+  const stream = () => callEntry(fleet, '/stream/a', {headers: HEADERS});
+  const isRestored = () =>
+    fleet.runtime.eventsOf(DIRECT_EVENTS.storeRestored).length > 0;
+  const known = () =>
+    fleet.runtime.metrics.value('onyxloft_direct_replicas', {});
+
+  // A replica left after the copy was made, and the store gave the revisions
+  // since out again. Callers' requests must not be sent to it any more.
+  test('sends nothing to a replica that had left', async () => {
+    const [gone, ...others] = fleet.pool;
+    const copy = fleet.store.copy();
+    fleet.store.remove('servers', gone.id);
+    await until(() => known() === others.length + fleet.desk.length);
+    fleet.store.restore(copy);
+    for (const it of others) announce(fleet.store, it, 'pool');
+    await until(isRestored);
+    for (let count = 0; count < 20; count++) await stream();
+    expect(gone.arrivals).toEqual([]);
+  });
+});
