fix(direct): a store that came back from a copy confirms no key until the newest configuration is there

A key that was taken away would be served past its bound: the configuration that took it is gone with the copy, the store's answers show the one before, and each counted as proof that it is the newest. Answers now prove nothing while the store shows an older configuration than the one in force here, nor in the two seconds after its return unless a configuration was written in them; the newer one stays in force. Evidence from before is good for longer than that, so that a return alone refuses nobody.

--- /dev/null
+++ b/src/direct/config_proof.ts
@@ -0,0 +1,64 @@
+/**
+ * Whether an answer of the store proves that the configuration in force here is
+ * the newest, and so that no key has been taken away.
+ *
+ * A store that comes back from an older copy has lost what operators wrote
+ * since, and they write it again a little later. Until then its answers prove
+ * nothing: taken as proof, they would let a key be used for as long as the
+ * operators take, though the configuration that took it away was acknowledged.
+ */
+import type {Clock, Log} from '../types/runtime.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+
+/**
+ * Operators have written again by then what was lost. Keys may be used for
+ * longer than that on evidence from before the store went away, so that a
+ * return by itself refuses nobody.
+ */
+const WRITTEN_AGAIN_MS = 2_000;
+
+export interface ConfigProof {
+  /** The store has come back from an older copy. */
+  restored(): void;
+  /** It has listed this version, or none. */
+  listed(version: number | undefined): void;
+  /** It told that this version was written since. */
+  written(version: number): void;
+  /** Whether its answers prove that `version` is the newest. */
+  holds(version: number | undefined): boolean;
+}
+
+export function createConfigProof(clock: Clock, log: Log): ConfigProof {
+  let restoredAt = Number.NEGATIVE_INFINITY;
+  let isWritten = true;
+  let shown: number | undefined;
+  let isKept = false;
+
+  const noteKept = (kept: boolean, version: number | undefined): void => {
+    if (kept === isKept) return;
+    isKept = kept;
+    const {knowledgeKept, knowledgeSettled} = DIRECT_EVENTS;
+    const line = kept ? knowledgeKept : knowledgeSettled;
+    log(line, {version, storeVersion: shown});
+  };
+
+  return {
+    restored: () => {
+      restoredAt = clock.now();
+      isWritten = false;
+    },
+    listed: version => {
+      shown = version;
+    },
+    written: version => {
+      shown = version;
+      isWritten = true;
+    },
+    holds: version => {
+      const isOlder = (shown ?? -Infinity) < (version ?? -Infinity);
+      noteKept(isOlder, version);
+      const mayBeLost = clock.now() - restoredAt < WRITTEN_AGAIN_MS;
+      return !isOlder && (isWritten || !mayBeLost);
+    },
+  };
+}
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCatchUp} from './catch_up.js';
+import {createConfigProof} from './config_proof.js';
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import './messages.js';
@@ -75,6 +76,7 @@
   const connected = createConnectionLog(ctx);
   let newest: DirectConfig | undefined;
 
+  const proof = createConfigProof(clock, ctx.log);
   const eras = createStoreEras({
     log: ctx.log,
     metrics: ctx.metrics,
@@ -82,6 +84,7 @@
   });
   store.watchEra(eras.note);
   const restored = () => {
+    proof.restored();
     tellRestored();
     // After the answer that told of it has been taken.
     clock.after(0, () => rereadFor(eras.current()));
@@ -129,17 +132,20 @@
     retryMostMs,
     settleMs: 0,
     onList: items => {
+      const [config] = items.values();
+      proof.listed(config?.version);
       items.forEach(tellConfig);
     },
     onChanges: items => {
       for (const config of items.values()) {
+        if (config !== undefined) proof.written(config.version);
         tellConfig(config);
       }
     },
     onConfirmed: sentAt => {
       connected.regained();
       configWatch.confirmed();
-      tellConfirmed(sentAt, sentAt);
+      if (proof.holds(newest?.version)) tellConfirmed(sentAt, sentAt);
     },
     onRestored,
     onFault,
@@ -262,7 +268,9 @@
       case 'state':
         return message.reply({config: newest, replicas: known.all()});
       case 'confirm':
-        configs.confirmNow();
+        // Asked for each request, a store that proves nothing would be asked
+        // in vain; its watch tells at once when it does.
+        if (proof.holds(newest?.version)) configs.confirmNow();
         return cover.askNow();
     }
   });
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -171,6 +171,8 @@
   storeRestored: event(557, 'warn', 'store-restored'),
   eraUntold: event(558, 'warn', 'era-untold'),
   eraOlder: event(559, 'warn', 'era-older'),
+  knowledgeKept: event(560, 'warn', 'knowledge-kept'),
+  knowledgeSettled: event(561, 'info', 'knowledge-settled'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -1,5 +1,6 @@
 /** What an entry does when the store comes back from an older copy. */
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {createConfigProof} from '../../src/direct/config_proof.js';
 import {createFleet} from '../../src/direct/fleet.js';
 import {createStoreEras} from '../../src/direct/store_eras.js';
 import type {DirectReplica} from '../../src/direct/types.js';
@@ -96,6 +97,54 @@
   });
 });
 
+describe('proof that a configuration is the newest', () => {
+  const SOON_MS = 100;
+  const LATER_MS = 2_000;
+  const proofOf = () => {
+    const {runtime, clock, eventsOf} = createRecordingRuntime();
+    const proof = createConfigProof(clock, runtime.log);
+    proof.listed(12);
+    return {clock, proof, eventsOf};
+  };
+
+  test('is each answer that shows it', () => {
+    expect(proofOf().proof.holds(12)).toBe(true);
+  });
+
+  // Version 13 takes a key away and is acknowledged; the store comes back
+  // without it. Answers that show 12 must not keep that key in use.
+  test('is none right after a return, until something is written', async () => {
+    const {clock, proof} = proofOf();
+    proof.restored();
+    proof.listed(12);
+    await clock.runFor(SOON_MS);
+    expect(proof.holds(12)).toBe(false);
+    proof.written(13);
+    expect(proof.holds(13)).toBe(true);
+  });
+
+  test('is an answer again when nothing was written for long', async () => {
+    const {clock, proof} = proofOf();
+    proof.restored();
+    proof.listed(12);
+    await clock.runFor(LATER_MS);
+    expect(proof.holds(12)).toBe(true);
+  });
+
+  test('is never an older configuration', async () => {
+    const {clock, proof, eventsOf} = proofOf();
+    proof.restored();
+    proof.listed(10);
+    await clock.runFor(LATER_MS);
+    expect(proof.holds(12)).toBe(false);
+    expect(proof.holds(12)).toBe(false);
+    proof.written(12);
+    expect(proof.holds(12)).toBe(true);
+    expect(eventsOf(DIRECT_EVENTS.knowledgeKept)).toHaveLength(1);
+    expect(eventsOf(DIRECT_EVENTS.knowledgeSettled)).toHaveLength(1);
+  });
+});
+
 describe('the era of the store', () => {
   test('rises, and never falls back', () => {
     const {runtime, eventsOf} = createRecordingRuntime();
@@ -147,4 +196,22 @@
     for (let count = 0; count < 20; count++) await stream();
     expect(gone.arrivals).toEqual([]);
   });
+
+  // A newer configuration was in force; the copy has the one before. It stays
+  // in force here, and the operators write it again.
+  test('keeps the newer configuration', async () => {
+    const copy = fleet.store.copy();
+    fleet.store.put('config', 'main', configOf(2));
+    const adopted = () => fleet.runtime.eventsOf(DIRECT_EVENTS.configAdopted);
+    await until(() => adopted().length === 2);
+    fleet.store.restore(copy);
+    const kept = () => fleet.runtime.eventsOf(DIRECT_EVENTS.knowledgeKept);
+    await until(() => kept().length > 0);
+    expect(adopted()).toHaveLength(2);
+    expect((await stream()).status).toBe(200);
+    fleet.store.put('config', 'main', configOf(2));
+    const settled = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.knowledgeSettled);
+    await until(() => settled().length > 0);
+  });
 });
