fix(direct): the word of an entry from before the store's return proves nothing

An entry that is cut off has not heard that the store came back from a copy. Its evidence, its digest of the replicas and its cover speak of a history that is gone; taken, they would confirm keys, or bring back replicas. Answers between entries bear the era: of an older one only a newer configuration is taken, and one from a newer era makes this entry read anew and hold back what had left. Another entry's word never sets the own era: a wrong one would make each answer of the store look old.

--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -15,6 +15,8 @@
  * long one has returned the collections are read anew instead.
  */
 import type {Cancel, Clock} from '../types/runtime.js';
+import {isOlderEra} from './store_position.js';
+import type {StoreEra} from './store_position.js';
 import type {EntryAnswer} from './types.js';
 
 /** Between two questions; an answer a second old or less is wanted. */
@@ -48,6 +50,7 @@
   ask(): Promise<EntryAnswer | undefined>;
   /** What this entry has from the store. */
   own(): {
+    readonly era: StoreEra;
     readonly configVersion: number | undefined;
     readonly replicasDigest: string;
   };
@@ -60,6 +63,8 @@
   onOtherConfig(answer: EntryAnswer): void;
   onSameConfig(): void;
   onOtherReplicas(answer: EntryAnswer): void;
+  /** It has heard of a return of the store from a copy that is unknown here. */
+  onNewerEra(answer: EntryAnswer): void;
   /** Called at each question that left this entry without cover. */
   onUncovered(): void;
   /** Cover began or ended with this answer, or for want of one. */
@@ -100,15 +105,22 @@
 
   const take = (answer: EntryAnswer): void => {
     const {evidenceAgeMs, askedAt} = answer;
+    const {configVersion, era} = options.own();
+    if (isOlderEra(era, answer.era)) options.onNewerEra(answer);
     if (evidenceAgeMs === undefined) return;
-    const {configVersion} = options.own();
     const isSame = answer.configVersion === configVersion;
-    // Exact at any age: an entry that is cut off lives on what there is.
-    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
-    const isYoung = evidenceAgeMs <= options.maxAgeMs;
     // A newer version is the newer one however old the word is: waiting for a
     // young one, an entry that is cut off stays on the old version meanwhile.
     const isNewer = (answer.configVersion ?? -1) > (configVersion ?? -1);
+    // A version is the same in every era; of the present, the word of an entry
+    // that has not heard of the store's return proves nothing.
+    if (isOlderEra(answer.era, era)) {
+      if (isNewer) options.onOtherConfig(answer);
+      return;
+    }
+    // Exact at any age: an entry that is cut off lives on what there is.
+    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
+    const isYoung = evidenceAgeMs <= options.maxAgeMs;
     if (!isSame && (isYoung || isNewer)) options.onOtherConfig(answer);
     if (!isSame || !isYoung) return;
     options.onSameConfig();
--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -51,6 +51,8 @@
   kind: exactly('answer'),
   question: number,
   knowledge: Codec.interface({
+    /** Not told by earlier versions. */
+    era: optional(number),
     evidenceAgeMs: optional(number),
     configVersion: optional(number),
     replicasDigest: string,
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -83,6 +83,7 @@
     onRisen: () => restored(),
   });
   store.watchEra(eras.note);
+  let heardEra: StoreEra;
   const restored = () => {
     proof.restored();
     tellRestored();
@@ -216,6 +217,7 @@
         }),
       ),
     own: () => ({
+      era: eras.current(),
       configVersion: newest?.version,
       replicasDigest: known.digest(),
     }),
@@ -228,6 +230,13 @@
       replicas.confirmNow();
       catchUp.otherReplicas(answer);
     },
+    onNewerEra: ({era}) => {
+      if (heardEra === era) return;
+      heardEra = era;
+      // Replicas may come from there before the own calls show the return.
+      tellRestored();
+      rereadFor(era);
+    },
     onUncovered: () => {
       if (configWatch.isOverdue()) configs.confirmNow();
       if (replicasWatch.isOverdue()) replicas.confirmNow();
@@ -253,6 +262,7 @@
     // No number of JSON stands for an infinite age.
     const evidenceAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
     reply({
+      era: eras.current(),
       evidenceAgeMs,
       configVersion: newest?.version,
       replicasDigest: known.digest(),
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -123,6 +123,8 @@
 
 /** What an entry knows of the store, as it tells other entries. */
 export interface StoreKnowledge {
+  /** Of the store's history; undefined where it is not told. */
+  readonly era: StoreEra;
   /**
    * All that was acknowledged longer ago than this is in what follows;
    * undefined without any evidence.
--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -9,7 +9,7 @@
 
 /** As with a bound of five seconds. */
 const READY_MS = 3_000;
-const SAME = {configVersion: 3, replicasDigest: 'a'};
+const SAME = {era: 1, configVersion: 3, replicasDigest: 'a'};
 
 function coverOf(
   clock: VirtualClock,
@@ -37,6 +37,7 @@
     onOtherConfig: () => seen.push('config'),
     onSameConfig: () => undefined,
     onOtherReplicas: () => seen.push('replicas'),
+    onNewerEra: () => seen.push('newer era'),
     onUncovered: () => seen.push('uncovered'),
     onChange: is => seen.push(is ? 'began' : 'ended'),
   });
@@ -156,6 +157,7 @@
         onOtherConfig: () => undefined,
         onSameConfig: () => undefined,
         onOtherReplicas: () => undefined,
+        onNewerEra: () => undefined,
         onUncovered: () => undefined,
         onChange: () => undefined,
       });
@@ -196,6 +198,7 @@
       onOtherConfig: () => undefined,
       onSameConfig: () => undefined,
       onOtherReplicas: () => undefined,
+      onNewerEra: () => undefined,
       onUncovered: () => undefined,
       onChange: () => undefined,
     });
--- a/test/direct/entry_questions.test.ts
+++ b/test/direct/entry_questions.test.ts
@@ -21,6 +21,7 @@
     send: ({question}, {node}) => {
       nodes.push(node);
       const knowledge = {
+        era: 1,
         evidenceAgeMs: ages[node],
         configVersion: 1,
         replicasDigest: '',
--- a/test/direct/evidence.test.ts
+++ b/test/direct/evidence.test.ts
@@ -86,6 +86,7 @@
         const by = 'the other';
         await new Promise<void>(resolve => void clock.after(150, resolve));
         return {
+          era: 1,
           configVersion: 1,
           replicasDigest: '',
           askedAt,
@@ -95,11 +96,12 @@
           port: 1,
         };
       },
-      own: () => ({configVersion: 1, replicasDigest: ''}),
+      own: () => ({era: 1, configVersion: 1, replicasDigest: ''}),
       onConfirmed: evidence.confirm,
       onOtherConfig: () => undefined,
       onSameConfig: () => undefined,
       onOtherReplicas: () => undefined,
+      onNewerEra: () => undefined,
       onUncovered: () => undefined,
       onChange: () => undefined,
     });
--- a/test/direct/handover.test.ts
+++ b/test/direct/handover.test.ts
@@ -89,6 +89,7 @@
     ip: '127.0.0.1',
     port: 1,
     askedAt: 0,
+    era: 1,
     evidenceAgeMs: 0,
     configVersion: 4,
     replicasDigest: 'b',
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -1,9 +1,10 @@
 /** What an entry does when the store comes back from an older copy. */
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {createConfigProof} from '../../src/direct/config_proof.js';
+import {createCover} from '../../src/direct/cover.js';
 import {createFleet} from '../../src/direct/fleet.js';
 import {createStoreEras} from '../../src/direct/store_eras.js';
-import type {DirectReplica} from '../../src/direct/types.js';
+import type {DirectReplica, EntryAnswer} from '../../src/direct/types.js';
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import {announce, configOf} from '../../standins/users_platform/deployment.js';
@@ -168,6 +169,52 @@
   });
 });
 
+describe('the word of an entry in another era', () => {
+  async function hear(era: number, configVersion = 3): Promise<string[]> {
+    const clock = createVirtualClock();
+    const seen: string[] = [];
+    const cover = createCover({
+      clock,
+      maxAgeMs: 2_000,
+      ask: async (): Promise<EntryAnswer> => ({
+        era,
+        configVersion,
+        replicasDigest: 'other',
+        evidenceAgeMs: 10,
+        askedAt: clock.now(),
+        by: 'entry-0',
+        ip: '127.0.0.1',
+        port: 1,
+      }),
+      own: () => ({era: 2, configVersion: 3, replicasDigest: 'own'}),
+      onConfirmed: () => seen.push('confirmed'),
+      onOtherConfig: () => seen.push('config'),
+      onSameConfig: () => undefined,
+      onOtherReplicas: () => seen.push('replicas'),
+      onNewerEra: () => seen.push('newer era'),
+      onUncovered: () => undefined,
+      onChange: isCovered => seen.push(isCovered ? 'covered' : 'uncovered'),
+    });
+    await clock.runFor(1_100);
+    cover.stop();
+    return [...new Set(seen)];
+  }
+
+  // The other one has not heard of the return: its evidence, its digest of the
+  // replicas and its cover speak of what is gone.
+  test('proves nothing when the era is older', async () => {
+    expect(await hear(1)).toEqual([]);
+  });
+
+  test('still brings a newer configuration', async () => {
+    expect(await hear(1, 4)).toEqual(['config']);
+  });
+
+  test('tells of the return when the era is newer', async () => {
+    expect(await hear(3)).toContain('newer era');
+  });
+});
+
 describe('an entry whose store comes back from a copy', () => {
   let fleet: DirectFleet;
   beforeEach(async () => {
--- a/test/platform/foreign_records.test.ts
+++ b/test/platform/foreign_records.test.ts
@@ -269,7 +269,12 @@
   // Its age is below zero: evidence from the future would keep a key in force
   // that was taken away.
   test('that tells evidence of the future is dropped', () => {
-    const knowledge = {evidenceAgeMs: -5, configVersion: 1, replicasDigest: ''};
+    const knowledge = {
+      era: 1,
+      evidenceAgeMs: -5,
+      configVersion: 1,
+      replicasDigest: '',
+    };
     const bytes = encodeDatagram({kind: 'answer', question: 1, knowledge});
     expect(decodeDatagram(bytes).isNothing()).toBe(true);
   });
