fix(direct): an entry writes its own record again when the store has lost it

Entries that start find others by their records. After a return from a copy that is older than an entry, nobody who starts would find it. Each writes its record again within a second, drawn apart since all notice in the same instant, and not while it drains.

--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -87,6 +87,7 @@
   const restored = () => {
     proof.restored();
     tellRestored();
+    ctx.send('sharing', {kind: 'store-restored'});
     // After the answer that told of it has been taken.
     clock.after(0, () => rereadFor(eras.current()));
   };
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -180,6 +180,7 @@
   const drain = (reply: () => void): void => {
     if (draining) return;
     draining = true;
+    ctx.send('sharing', {kind: 'draining'});
     const startedAt = clock.now();
     clock.after(TAKE_ON_MS, () => server?.stopTaking());
     const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -84,6 +84,10 @@
       /** A long read was added. */
       readonly isLong: boolean;
     }
+  /** The store has come back from an older copy, without the own record. */
+  | {readonly kind: 'store-restored'}
+  /** This entry takes no new work, and is not to be found any more. */
+  | {readonly kind: 'draining'}
   /** Whether an entry is known to have this IP address. */
   | {
       readonly kind: 'is-entry';
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -29,6 +29,8 @@
 const LIST_MS = 10_000;
 /** Until the own record stands in the store. */
 const ANNOUNCE_AGAIN_MS = 1_000;
+/** Over which entries write their records again that a store has lost. */
+const ANNOUNCE_SPREAD_MS = 1_000;
 
 export interface SharingOptions {
   readonly self: EntryAddress;
@@ -49,11 +51,12 @@
   {self, store}: SharingOptions,
   ctx: ServiceContext<'sharing'>,
 ): Promise<void> {
-  const {clock, log, metrics} = ctx;
+  const {clock, log, metrics, random} = ctx;
   const peers = new Map<string, Peer>();
   let loads: readonly ReplicaLoad[] = [];
   let seq = 0;
   let told = 1;
+  let isDraining = false;
 
   const socket = await openSocket(self);
 
@@ -185,6 +188,17 @@
     });
   };
 
+  // All entries notice in the same instant; their records need not all be
+  // written in it, as each knows the others.
+  const announceAgain = (): void => {
+    const cancel = clock.after(random.next() * ANNOUNCE_SPREAD_MS, () => {
+      if (isDraining) return;
+      log(DIRECT_EVENTS.recordRewritten, {});
+      void announce();
+    });
+    ctx.own(cancel);
+  };
+
   socket.on('message', receive);
   ctx.own(() => void socket.close());
   ctx.own(telling.stop);
@@ -198,6 +212,11 @@
         return message.reply(
           entriesThat(it => it.ip === message.ip).length > 0,
         );
+      case 'store-restored':
+        return announceAgain();
+      case 'draining':
+        isDraining = true;
+        return;
       case 'load':
         loads = message.loads;
         return telling.changed(message.isLong);
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -173,6 +173,7 @@
   eraOlder: event(559, 'warn', 'era-older'),
   knowledgeKept: event(560, 'warn', 'knowledge-kept'),
   knowledgeSettled: event(561, 'info', 'knowledge-settled'),
+  recordRewritten: event(562, 'info', 'entry-record-rewritten'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -229,6 +229,7 @@
     fleet.runtime.eventsOf(DIRECT_EVENTS.storeRestored).length > 0;
   const known = () =>
     fleet.runtime.metrics.value('onyxloft_direct_replicas', {});
+  const ownRecord = () => fleet.store.get('onyxloft-entries', 'entry-1');
 
   // A replica left after the copy was made, and the store gave the revisions
   // since out again. Callers' requests must not be sent to it any more.
@@ -244,6 +245,16 @@
     expect(gone.arrivals).toEqual([]);
   });
 
+  // The record by which other entries find this one is younger than the copy.
+  test('writes its own record again', async () => {
+    const {revision, kinds} = fleet.store.copy();
+    const without = new Map(kinds);
+    without.delete('onyxloft-entries');
+    fleet.store.restore({revision, kinds: without});
+    expect(ownRecord()).toBeUndefined();
+    await until(() => ownRecord() !== undefined);
+  });
+
   // A newer configuration was in force; the copy has the one before. It stays
   // in force here, and the operators write it again.
   test('keeps the newer configuration', async () => {
