test(fault-soak): the store comes back from an older copy

A fault of its own, drawn apart so that the other faults of a seed stay as they were: the store falls silent for up to 1.2 s and returns to a copy up to 5 s old; operators and replicas write again in drawn order within 1.5 s.

--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -34,7 +34,36 @@
       forMs: number;
     }
   | {readonly kind: 'replica-leaves'; readonly replica: number; forMs: number}
-  | {readonly kind: 'rotate-key'; forMs: number};
+  | {readonly kind: 'rotate-key'; forMs: number}
+  | RestoreStore;
+
+/** The store goes away and comes back from a copy that is `forMs` old. */
+export interface RestoreStore {
+  readonly kind: 'restore-store';
+  forMs: number;
+  readonly awayMs: number;
+  /** From the return until operators have written again. */
+  readonly operatorMs: number;
+  /** The same of each replica. */
+  readonly replicaMs: readonly number[];
+}
+
+/** What `--only` may name. */
+export const FAULT_KINDS: ReadonlyArray<Fault['kind']> = [
+  'pause-entry',
+  'kill-entry',
+  'end-entry',
+  'kill-all-entries',
+  'step-clock',
+  'store-mode',
+  'forget-history',
+  'store-link',
+  'replica-link',
+  'replica',
+  'replica-leaves',
+  'rotate-key',
+  'restore-store',
+];
 
 /** A fault and when it begins, in milliseconds from the start of the run. */
 export interface PlannedFault {
@@ -53,6 +82,12 @@
 const SHORTEST_MS = 100;
 const LONGEST_MS = 5_000;
 
+/** Mean pause between two returns of the store. */
+const MEAN_RETURN_GAP_MS = 5_000;
+const LONGEST_AWAY_MS = 1_200;
+/** Operators and replicas write again within this. */
+const LONGEST_REWRITE_MS = 1_500;
+
 const LINK_FAULTS: readonly RelayFaults[] = [
   {silence: true},
   {refuse: true},
@@ -111,3 +146,27 @@
   }
   return plan;
 }
+
+/**
+ * Draws the returns of the store from a chance of their own, so that the other
+ * faults of a seed stay as they are.
+ */
+export function drawReturns(
+  random: Random,
+  {replicas, durationMs}: FaultPlanShape,
+): readonly PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_RETURN_GAP_MS;
+  const rewriteMs = () => random.next() * LONGEST_REWRITE_MS;
+  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
+    const fault: RestoreStore = {
+      kind: 'restore-store',
+      forMs: random.next() * LONGEST_MS,
+      awayMs: random.next() * LONGEST_AWAY_MS,
+      operatorMs: rewriteMs(),
+      replicaMs: Array.from({length: replicas}, rewriteMs),
+    };
+    plan.push({atMs, fault});
+  }
+  return plan;
+}
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -1,7 +1,7 @@
 /** Injects faults into a running fleet, and takes each back. */
 import type {RelayFaults} from '../standins/relay_core.js';
 import {configOf} from '../standins/users_platform/deployment.js';
-import type {Fault} from './faults.js';
+import type {Fault, RestoreStore} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {TIMING} from './soak_fleet.js';
 import type {Violation} from './soak_judge.js';
@@ -43,6 +43,8 @@
   const revoked = new Map<string, number>();
   const keyOf = (number: number) => `key-${number}`;
   const good = new Set([keyOf(1)]);
+  /** Last state of each replica, as it wrote it. */
+  const states = new Map<number, string>();
   let issued = 1;
   let version = 1;
 
@@ -112,6 +114,30 @@
     });
   };
 
+  const list = (at: number, state: string) => {
+    states.set(at, state);
+    fleet.list(fleet.replicas[at], state);
+  };
+  const writeAgain = ({operatorMs, replicaMs}: RestoreStore) => {
+    const config = configOf(version, [...good]);
+    later(operatorMs, () => fleet.store.put('config', 'main', config));
+    replicaMs.forEach((ms, at) =>
+      later(ms, () => list(at, states.get(at) ?? 'ready')),
+    );
+  };
+  const restoreStore = (fault: RestoreStore) => {
+    const {store} = fleet;
+    const copy = store.copy();
+    later(fault.forMs, () => {
+      store.setMode('silent');
+      later(fault.awayMs, () => {
+        store.restore(copy);
+        store.setMode('well');
+        writeAgain(fault);
+      });
+    });
+  };
+
   const inject = (fault: Fault): void => {
     const {entries, replicas, storeLinks, store} = fleet;
     switch (fault.kind) {
@@ -150,12 +176,12 @@
           replicas[fault.replica].become(undefined),
         );
       case 'replica-leaves':
-        fleet.list(replicas[fault.replica], 'draining');
-        return later(fault.forMs, () =>
-          fleet.list(replicas[fault.replica], 'ready'),
-        );
+        list(fault.replica, 'draining');
+        return later(fault.forMs, () => list(fault.replica, 'ready'));
       case 'rotate-key':
         return rotateKey(fault.forMs);
+      case 'restore-store':
+        return restoreStore(fault);
     }
   };
 
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -7,8 +7,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Random} from '../src/types/runtime.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
-import type {PlannedFault} from './faults.js';
-import {drawFaults} from './faults.js';
+import type {Fault, PlannedFault} from './faults.js';
+import {drawFaults, drawReturns} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {RETRIES, TIMING, startSoakFleet} from './soak_fleet.js';
 import type {Injector} from './soak_inject.js';
@@ -24,6 +24,8 @@
   readonly processes: number;
   /** How long faults go on. */
   readonly durationMs: number;
+  /** Faults of this kind alone. @default all */
+  readonly only?: Fault['kind'];
   /** Where settings and logs are written. */
   readonly dir: string;
 }
@@ -53,6 +55,8 @@
 const NEWEST_KEYS = 3;
 
 const WARM_UP_DRAWS = 8;
+/** Sets the chance of the store's returns apart from that of the rest. */
+const RETURNS_SEED = 1_000_003;
 
 const START_LIMIT_MS = 60_000;
 /** From the end of the last fault until all is served again. */
@@ -75,11 +79,7 @@
   try {
     await allReady(fleet, START_LIMIT_MS);
     delay.enable();
-    const plan = drawFaults(random, {
-      entries: fleet.entries.length,
-      replicas: fleet.replicas.length,
-      durationMs: shape.durationMs,
-    });
+    const plan = planOf(shape, fleet, random);
     const traffic = startTraffic(fleet, injector, random);
     await play(plan, injector, shape.durationMs);
     await injector.heal();
@@ -115,6 +115,25 @@
   }
 }
 
+function planOf(
+  {seed, durationMs, only}: SoakShape,
+  {entries, replicas}: SoakFleet,
+  random: Random,
+): readonly PlannedFault[] {
+  const drawn = {
+    entries: entries.length,
+    replicas: replicas.length,
+    durationMs,
+  };
+  const returns = createSeededRandom(seed + RETURNS_SEED);
+  return [
+    ...drawFaults(random, drawn),
+    ...drawReturns(warmedUp(returns), drawn),
+  ]
+    .filter(({fault}) => only === undefined || fault.kind === only)
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
 /** The first draw of a small seed is always close to 1: no fault would come. */
 function warmedUp(random: Random): Random {
   for (let drawn = 0; drawn < WARM_UP_DRAWS; drawn++) random.next();
