fix(direct): a store that tells older eras is not asked without end

Lists of which a part cannot be read no longer count as written since the return, and a store that shows no configuration at all is not taken for one that shows an older one.

--- a/src/direct/config_proof.ts
+++ b/src/direct/config_proof.ts
@@ -55,7 +55,8 @@
       isWritten = true;
     },
     holds: version => {
-      const isOlder = (shown ?? -Infinity) < (version ?? -Infinity);
+      const isOlder =
+        shown !== undefined && version !== undefined && shown < version;
       noteKept(isOlder, version);
       const mayBeLost = clock.now() - restoredAt < WRITTEN_AGAIN_MS;
       return !isOlder && (isWritten || !mayBeLost);
--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -12,7 +12,7 @@
 /** Pause after a failed call; doubles up to `retryMostMs`, with jitter. */
 const RETRY_FIRST_MS = 100;
 
-type Verdict = 'current' | 'overtaken' | 'restored';
+type Verdict = 'current' | 'overtaken' | 'restored' | 'older era';
 
 /** What is followed, and who is told. */
 export interface FollowOptions<T> {
@@ -28,8 +28,8 @@
    * come within seconds each would cost a call.
    */
   readonly settleMs: number;
-  /** All items after a whole read. */
-  onList(items: ReadonlyMap<string, T>): void;
+  /** All items after a whole read; where it is partial, others may be there. */
+  onList(items: ReadonlyMap<string, T>, isPartial: boolean): void;
   /** Items that changed; undefined ones were removed. */
   onChanges(items: ReadonlyMap<string, T | undefined>): void;
   /**
@@ -73,7 +73,7 @@
 
   /** How the answer to a call that was sent at `sentAt` stands to what is known. */
   const judge = (came: StorePosition, sentAt: number): Verdict => {
-    if (isOlderEra(came.era, era)) return 'overtaken';
+    if (isOlderEra(came.era, era)) return 'older era';
     if (position === undefined) return 'current';
     switch (orderOf(came, position)) {
       case 'newer era':
@@ -103,12 +103,14 @@
       },
       Right: listing => {
         const verdict = judge(listing.position, sentAt);
+        // Late on its way, or a store that tells wrong eras: asked again at
+        // once, that one would be asked without end.
+        if (verdict === 'older era') return false;
         // A read that was overtaken must not bring back old items.
         if (verdict === 'overtaken') return true;
         learn(listing.position);
         if (verdict === 'restored') options.onRestored();
-        if (listing.isPartial) options.onChanges(listing.items);
-        else options.onList(listing.items);
+        options.onList(listing.items, listing.isPartial);
         options.onConfirmed(sentAt);
         return true;
       },
@@ -131,6 +133,7 @@
       },
       Right: changes => {
         const verdict = judge(changes.position, sentAt);
+        if (verdict === 'older era') return false;
         if (verdict === 'overtaken') return true;
         // These are the changes after a revision that was given out again;
         // those before it in the new history are unknown.
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -113,6 +113,12 @@
     known.setAll(items);
     ctx.send('direct', {kind: 'replicas', replicas: items});
   };
+  const tellReplicaChanges = (
+    items: ReadonlyMap<string, DirectReplica | undefined>,
+  ) => {
+    known.change(items);
+    ctx.send('direct', {kind: 'replica-changes', replicas: items});
+  };
   const tellConfirmed = (asOf: number, askedAt: number) =>
     ctx.send('direct', {kind: 'confirmed', asOf, askedAt});
   // An outage that one watch outlives is seen by the other: either says that
@@ -159,11 +165,9 @@
     waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : REPLICAS_WAIT_MS),
     retryMostMs,
     settleMs,
-    onList: tellReplicas,
-    onChanges: items => {
-      known.change(items);
-      ctx.send('direct', {kind: 'replica-changes', replicas: items});
-    },
+    onList: (items, isPartial) =>
+      isPartial ? tellReplicaChanges(items) : tellReplicas(items),
+    onChanges: tellReplicaChanges,
     onConfirmed: replicasWatch.confirmed,
     onRestored,
     onFault,
--- a/test/direct/follow_restored.test.ts
+++ b/test/direct/follow_restored.test.ts
@@ -170,6 +170,21 @@
     follower.stop();
   });
 
+  // Two stores at one address, or a header that lies: each answer tells an
+  // older era. Nothing of it is taken, and the store is not asked without end.
+  test('asks seldom while only older eras are told', async () => {
+    const {clock, store, known, follower} = start();
+    store.put('a', '1');
+    await clock.runFor(100);
+    store.fallBack();
+    store.put('b', '1');
+    const before = store.calls();
+    await clock.runFor(8_000);
+    expect(store.calls() - before).toBeLessThan(45);
+    expect(known).toEqual(new Map([['a', '1']]));
+    follower.stop();
+  });
+
   const step = fc.oneof(
     fc.record({
       kind: fc.constant('put' as const),
--- a/test/support/restorable_collection.ts
+++ b/test/support/restorable_collection.ts
@@ -30,7 +30,9 @@
   /** No call is answered, or all are. */
   setAway(isAway: boolean): void;
   now(): ReadonlyMap<string, string>;
-  lists(): number;
+  /** Tells an older era than before, and has forgotten its history. */
+  fallBack(): void;
+  calls(): number;
 }
 
 /** Between looks of a watch at the history. */
@@ -45,7 +47,7 @@
   let era = 1;
   let delayMs = 2;
   let away = false;
-  let lists = 0;
+  let calls = 0;
 
   const pause = (ms: number): Promise<void> =>
     new Promise(resolve => void clock.after(ms, resolve));
@@ -95,13 +97,18 @@
       away = isAway;
     },
     now: () => state.items,
-    lists: () => lists,
+    fallBack: () => {
+      era -= 1;
+      state = {items: state.items, history: [], revision: 0};
+    },
+    calls: () => calls,
     list: () => {
-      lists += 1;
+      calls += 1;
       const items = state.items;
       return answer(Right({position: position(), items, isPartial: false}));
     },
     watch: async (from, waitMs) => {
+      calls += 1;
       const sentIn = era;
       const until = clock.now() + waitMs;
       for (;;) {
