--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -2,15 +2,18 @@
  * The service `followed`: follows the configuration and the replicas in the
  * platform's store, and tells the front of each change.
  */
-import {createHash} from 'node:crypto';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import type {Clock} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCatchUp} from './catch_up.js';
 import {createConfigProof} from './config_proof.js';
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
+import {createKnownReplicas} from './known_replicas.js';
 import './messages.js';
+import {
+  createConfirmations,
+  createStoreConnection,
+} from './store_connection.js';
 import {createStoreEras} from './store_eras.js';
 import type {StoreEra} from './store_position.js';
 import type {
@@ -50,8 +53,6 @@
  * with this and fewer watches together.
  */
 const RETRY_LED_MS = 2_000;
-/** Without cover nothing may stay unconfirmed for longer than its watch takes. */
-const READ_ANEW_FACTOR = 1.3;
 
 export interface FollowedOptions {
   readonly store: DirectStore;
@@ -73,7 +74,7 @@
 ): void {
   const {clock, random} = ctx;
   const settleMs = leavingMs * REPLICAS_SETTLE_SHARE;
-  const connected = createConnectionLog(ctx);
+  const connected = createStoreConnection(clock, ctx.log);
   let newest: DirectConfig | undefined;
 
   const proof = createConfigProof(clock, ctx.log);
@@ -127,7 +128,7 @@
     connected.failed(fault);
     ctx.send('direct', {kind: 'store-failed'});
   };
-  const known = createKnown();
+  const known = createKnownReplicas();
   const retryMostMs = () =>
     cover.isAnswered() ? RETRY_LED_MS : RETRY_ALONE_MS;
   const configWatch = createConfirmations(clock, CONFIG_WAIT_MS);
@@ -290,66 +291,3 @@
     }
   });
 }
-
-/** When a collection was last confirmed by an own call. */
-function createConfirmations(clock: Clock, waitMs: number) {
-  let confirmedAt = clock.now();
-  return {
-    confirmed: () => {
-      confirmedAt = clock.now();
-    },
-    isOverdue: () => clock.now() - confirmedAt > waitMs * READ_ANEW_FACTOR,
-  };
-}
-
-/** The replicas as the store has them, and a digest to compare them by. */
-function createKnown() {
-  const replicas = new Map<string, DirectReplica>();
-  let digest: string | undefined;
-  const change = (items: ReadonlyMap<string, DirectReplica | undefined>) => {
-    digest = undefined;
-    for (const [name, replica] of items) {
-      if (replica === undefined) replicas.delete(name);
-      else replicas.set(name, replica);
-    }
-  };
-  const digestNow = () =>
-    createHash('sha1')
-      .update(JSON.stringify([...replicas].sort(byName)))
-      .digest('base64');
-  return {
-    change,
-    setAll: (items: ReadonlyMap<string, DirectReplica>) => {
-      replicas.clear();
-      change(items);
-    },
-    all: (): ReadonlyMap<string, DirectReplica> => replicas,
-    digest: () => (digest ??= digestNow()),
-  };
-}
-
-function byName(
-  [a]: readonly [string, unknown],
-  [b]: readonly [string, unknown],
-) {
-  return a < b ? -1 : 1;
-}
-
-/** One line when the store is lost and one when it is back. */
-function createConnectionLog({log, clock}: ServiceContext<'followed'>) {
-  let lostAt: number | undefined;
-  return {
-    isLost: () => lostAt !== undefined,
-    failed: ({step, message}: StoreFault) => {
-      if (lostAt !== undefined) return;
-      lostAt = clock.now();
-      log(DIRECT_EVENTS.storeLost, {step, message});
-    },
-    regained: () => {
-      if (lostAt === undefined) return;
-      const awayMs = Math.round(clock.now() - lostAt);
-      lostAt = undefined;
-      log(DIRECT_EVENTS.storeBack, {awayMs});
-    },
-  };
-}
--- /dev/null
+++ b/src/direct/store_connection.ts
@@ -0,0 +1,55 @@
+/**
+ * Whether this entry's own calls reach the store, and when they last confirmed
+ * what is known from it.
+ */
+import type {Clock, Log} from '../types/runtime.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import type {StoreFault} from './types.js';
+
+/** Without cover nothing may stay unconfirmed for longer than its watch takes. */
+const READ_ANEW_FACTOR = 1.3;
+
+export interface Confirmations {
+  confirmed(): void;
+  /** An own call should have confirmed it by now. */
+  isOverdue(): boolean;
+}
+
+/** When a collection was last confirmed by an own call. */
+export function createConfirmations(
+  clock: Clock,
+  waitMs: number,
+): Confirmations {
+  let confirmedAt = clock.now();
+  return {
+    confirmed: () => {
+      confirmedAt = clock.now();
+    },
+    isOverdue: () => clock.now() - confirmedAt > waitMs * READ_ANEW_FACTOR,
+  };
+}
+
+export interface StoreConnection {
+  isLost(): boolean;
+  failed(fault: StoreFault): void;
+  regained(): void;
+}
+
+/** One line when the store is lost and one when it is back. */
+export function createStoreConnection(clock: Clock, log: Log): StoreConnection {
+  let lostAt: number | undefined;
+  return {
+    isLost: () => lostAt !== undefined,
+    failed: ({step, message}) => {
+      if (lostAt !== undefined) return;
+      lostAt = clock.now();
+      log(DIRECT_EVENTS.storeLost, {step, message});
+    },
+    regained: () => {
+      if (lostAt === undefined) return;
+      const awayMs = Math.round(clock.now() - lostAt);
+      lostAt = undefined;
+      log(DIRECT_EVENTS.storeBack, {awayMs});
+    },
+  };
+}
