--- a/src/direct/decide/draw_candidates.ts
+++ b/src/direct/decide/draw_candidates.ts
@@ -8,9 +8,8 @@
 import type {DirectReplica} from '../types.js';
 
 /**
- * Replicas looked at. With all of 135 in sight, entries whose news is 0.7 s old
- * choose the same ones: worth 0.84 while long prompts come in numbers, and 0.92
- * with 40 in sight (68 modelled entries, 6 and 4 seeds).
+ * Replicas looked at. With all of a large pool in sight, entries on old news
+ * would choose the same ones while long prompts come in numbers.
  */
 const MOST = 30;
 /**
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -48,9 +48,8 @@
 const RETRY_ALONE_MS = 500;
 /**
  * The same while another entry answers, of which the first by name tries often:
- * its word is there half a second after the store is back. With all 68 entries
- * trying alone, a day with 8 s without the store took 10,032 calls, and 3,398
- * with this and fewer watches together.
+ * its word is there half a second after the store is back. With all entries
+ * trying alone, the store would be met with several times the calls.
  */
 const RETRY_LED_MS = 2_000;
 
--- a/src/direct/handover.ts
+++ b/src/direct/handover.ts
@@ -3,8 +3,7 @@
  * and fetches it from them. The store can turn some machines away and serve the
  * others; without this an entry that is turned away stays on the configuration
  * that it had, and from nine tenths of the bound on keys after the next change
- * on it refuses every request with a key: 152 of 3,300 requests on a day on
- * which ten of 29 entries were turned away, and 19 with it.
+ * on it refuses every request with a key.
  */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
