--- a/src/direct/cover.ts
+++ b/src/direct/cover.ts
@@ -2,10 +2,9 @@
  * Another entry's word in place of own calls to the store.
  *
  * Evidence for keys is wanted about once a second, and each call to the store
- * is paid for: with every entry asking for itself, the calls cost 0.04 of the
- * worth of a day on 24 entries. So an entry asks another one, in a datagram,
- * what it knows. While the answers say that both know the same, the own watches
- * wait long; they still bring each change at once.
+ * is paid for. So an entry asks another one, in a datagram, what it knows. While
+ * the answers say that both know the same, the own watches wait long; they still
+ * bring each change at once.
  *
  * The word is exact. An answer was made after its question was sent, so the
  * store's answer behind it was asked for no earlier than that time less the
--- a/src/direct/decide/choose_engines.ts
+++ b/src/direct/decide/choose_engines.ts
@@ -6,9 +6,8 @@
  *
  * The choice is made for each request and again while it waits, on machines
  * with a quarter of a core, so sizes of group that cannot be the best are not
- * looked at: before 135 engines under load a decision takes 0.09 ms for a short
- * prompt and 1.5 ms for a long one, where judging every engine for every size
- * took 5.5 and 9.5 ms (mean of 1,500 decisions on one core, "decision" bench).
+ * looked at: judging every engine for every size would take such a machine
+ * several milliseconds before a large pool.
  */
 import type {EngineFigures} from '../types.js';
 import {readMs} from './engine_timing.js';
--- a/src/direct/decide/place_or_wait.ts
+++ b/src/direct/decide/place_or_wait.ts
@@ -23,16 +23,14 @@
 
 /**
  * Delays at which a later placement is weighed. The least is a look away; the
- * most is what the parts of a long prompt take on a few engines, and more than
- * it costs a long prompt of its aim (0.002 of the worth with 0.4 s as the most).
+ * most is what the parts of a long prompt take on a few engines: longer waits
+ * cost a long prompt more of its aim than they gain.
  */
 const LATER_MS = [50, 200, 800] as const;
 /**
  * A later placement comes later than planned: at the next look, on news that is
  * a little old, and beside others who waited for the same engines. Without it
- * short prompts waited into their lateness (share of them in time over capacity
- * 0.80 before and 0.81 after, worth of those runs 0.700 and 0.716; modelled
- * engines, 12 seeds).
+ * short prompts would wait into their lateness.
  */
 const LOOK_LATE_MS = 40;
 /** A later placement is waited for if it saves this share of the worth. */
@@ -41,9 +39,7 @@
  * Share of what requests are worth for each millisecond of reading that the
  * engines' time costs when they are full. Late prompts of a hundred thousand
  * tokens and more cost more than that, and late short ones far less. Without it
- * 0.78 of the short prompts are in time over capacity, with it 0.81, and those
- * runs are worth 0.696 and 0.716 (modelled engines, 12 paired seeds, standard
- * error 0.009).
+ * fewer short prompts are in time over capacity.
  */
 const PRICE_SHARE = 0.2;
 /**
--- a/src/direct/decide/request_worth.ts
+++ b/src/direct/decide/request_worth.ts
@@ -51,9 +51,8 @@
 /**
  * Size of a request: a token that is written counts for several read ones. The
  * caller's estimate of its answer goes before the most that it allows, which is
- * the same for all requests of a kind: sized by that, long prompts weighed half
- * of what they do by their usual answers, and 0.013 of the worth was lost
- * (modelled engines, 40 paired runs, standard error 0.004).
+ * the same for all requests of a kind: sized by that, long prompts would weigh
+ * half of what they do by their usual answers.
  */
 export function sizeOf({
   promptTokens,
--- a/src/direct/decide/waiting_loss.ts
+++ b/src/direct/decide/waiting_loss.ts
@@ -8,9 +8,8 @@
 import {leastPatienceMs} from './patience.js';
 
 /**
- * Lost with the aim. An answer that comes late is worth about a quarter; taken
- * as 0.75 here, 0.004 of the worth is lost under bursts of long prompts
- * (modelled engines, 16 paired runs each), since predictions run short.
+ * Lost with the aim. An answer that comes late is worth about a quarter; the
+ * loss is taken as higher, since predictions run short under bursts.
  */
 const LATE_SHARE = 0.85;
 /** A first event is at risk with less slack than this share of its bound. */
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -66,9 +66,8 @@
 
 /**
  * A replica that has not had the request; where there is none, one that had it
- * and may get it again. Of requests that failed by themselves once, two in five
- * are answered at the second try, at the same replica as well; of those that
- * failed twice one in nineteen at the third, so the route's tries are enough.
+ * and may get it again. What failed by itself once is often answered at the
+ * second try, at the same replica as well, and seldom at a third.
  */
 function choose(
   ctx: ServeContext,
--- a/src/direct/telling.ts
+++ b/src/direct/telling.ts
@@ -1,8 +1,6 @@
 /**
  * When an entry tells the others of its load. Told to everyone at each change,
- * the talk grows with the square of the entries: with 68 of them 0.60 GB went
- * between failure domains on a day of heavy load, and 0.12 GB once the talk had
- * a budget.
+ * the talk would grow with the square of the entries.
  *
  * Entries of the same failure domain choose among the same engines first, so
  * they hear of every change at once. Those of other domains hear of it within a
@@ -17,12 +15,9 @@
 /** The same in another domain. */
 const FAR_BEAT_MS = 1_000;
 /**
- * Datagrams to other failure domains in a second. To read as many takes 0.7% of
- * a core (34 us each, work at 12 replicas). Five entries never reach it; at 68
- * each of the 54 others hears every 0.27 s. With 80 a second long prompts go
- * to engines that others have filled since: worth 0.92 in place of 0.97 while
- * they come in numbers (68 modelled entries, 135 engines, 4 seeds; told of every
- * change 0.98).
+ * Datagrams to other failure domains in a second. To read as many takes less
+ * than a hundredth of a core. With far fewer, long prompts would go to engines
+ * that others have filled since.
  */
 const FAR_PER_S = 200;
 
