fix(fault-soak): operators never write an older configuration again

After a return of the store the soak wrote again the configuration of that moment, also when a newer one had been written since: the store then showed the older one for good, which no operator does, and an entry that started took it.

--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -87,9 +87,11 @@
     later(forMs, () => keep(down.then(() => fleet.entries[at].start())));
   };
 
+  const putConfig = () =>
+    fleet.store.put('config', 'main', configOf(version, [...good]));
   const writeConfig = () => {
     version += 1;
-    fleet.store.put('config', 'main', configOf(version, [...good]));
+    putConfig();
   };
   /**
    * Old and new key are good together for a while. When the old one goes, one
@@ -118,9 +120,9 @@
     states.set(at, state);
     fleet.list(fleet.replicas[at], state);
   };
+  // A newer version may have been written in between; it is not undone.
   const writeAgain = ({operatorMs, replicaMs}: RestoreStore) => {
-    const config = configOf(version, [...good]);
-    later(operatorMs, () => fleet.store.put('config', 'main', config));
+    later(operatorMs, putConfig);
     replicaMs.forEach((ms, at) =>
       later(ms, () => list(at, states.get(at) ?? 'ready')),
     );
