test(direct): an entry that starts just after a return serves a key that was taken away

A caller's key that was taken away is served by an entry that starts between the store's return from an older copy and the operators' writing again: it takes what the store shows and asks no entry after it by name.

--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -273,3 +273,23 @@
     await until(() => settled().length > 0);
   });
 });
+
+describe('an entry that starts just after the store came back from a copy', () => {
+  // A configuration that took a key away is gone with the copy, and operators
+  // have not written it again yet. The other entry still knows it. The one that
+  // starts takes what the store shows, with the key in it, and asks nobody: it
+  // asks only entries before it by name while the store answers. The caller's
+  // key is served though it was taken away long ago.
+  test('serves no key that another entry knows was taken away', async () => {
+    const stands = await startDirectFleet({node: 'entry-2'});
+    stands.store.put('config', 'main', configOf(2, ['key-2']));
+    const {eventsOf} = stands.runtime;
+    await until(() => eventsOf(DIRECT_EVENTS.configAdopted).length === 2);
+    const other = {node: 'entry-2', peers: stands.peers};
+    const starts = await startDirectFleet({node: 'entry-1', other});
+    const answer = await callEntry(starts, '/again/');
+    await starts.close();
+    await stands.close();
+    expect(answer.status).not.toBe(200);
+  }, 30_000);
+});
