--- a/standins/users_platform/store.ts
+++ b/standins/users_platform/store.ts
@@ -193,6 +193,7 @@
       era++;
       kinds = cloneOf(copy.kinds);
       revision = copy.revision;
+      forgottenTo = Math.min(forgottenTo, revision);
       events = events.filter(event => event.revision <= revision);
       waiting.clear();
       server.closeAllConnections();
--- a/test/direct/follow.test.ts
+++ b/test/direct/follow.test.ts
@@ -62,6 +62,46 @@
   });
 });
 
+describe('following a store that has no history', () => {
+  // Each watch is told that its history is gone, that of the newest read too.
+  // Read anew at once each time, the store met a thousand calls a second.
+  test('reads it anew with pauses', async () => {
+    const clock = createVirtualClock();
+    let calls = 0;
+    const answer = <T>(value: T): Promise<T> => {
+      calls += 1;
+      return new Promise(resolve => void clock.after(1, () => resolve(value)));
+    };
+    const gone = {
+      step: 'watch',
+      historyGone: true,
+      unreadable: false,
+      message: 'status 410',
+    };
+    const position = {era: 1, revision: 7};
+    const follower = follow<string>({
+      collection: {
+        list: () =>
+          answer(Right({position, items: new Map(), isPartial: false})),
+        watch: () => answer(Left(gone)),
+      },
+      clock,
+      random: createSeededRandom(1),
+      waitMs: () => 1_000,
+      retryMostMs: () => 500,
+      settleMs: SETTLE_MS,
+      onList: () => undefined,
+      onChanges: () => undefined,
+      onConfirmed: () => undefined,
+      onRestored: () => undefined,
+      onFault: () => undefined,
+    });
+    await clock.runFor(2_000);
+    follower.stop();
+    expect(calls).toBeLessThan(80);
+  });
+});
+
 describe('following while the store fails', () => {
   // The store is away for eight seconds and refuses each call at once, while
   // evidence of the configuration is wanted twice a second. Every one of 68
