--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -52,8 +52,6 @@
  * trying alone, the store would be met with several times the calls.
  */
 const RETRY_LED_MS = 2_000;
-/** After the own start, and after the store's return from a copy. */
-const ASK_ANYONE_MS = 3_000;
 
 export interface FollowedOptions {
   readonly store: DirectStore;
@@ -86,10 +84,7 @@
   });
   store.watchEra(eras.note);
   let heardEra: StoreEra;
-  // Which entry knows the newest configuration does not go by names then.
-  let anyoneUntil = clock.now() + ASK_ANYONE_MS;
   const restored = () => {
-    anyoneUntil = clock.now() + ASK_ANYONE_MS;
     proof.restored();
     tellRestored();
     ctx.send('sharing', {kind: 'store-restored'});
@@ -222,7 +217,7 @@
         'sharing',
         (reply: (answer: EntryAnswer | undefined) => void) => ({
           kind: 'ask-entry',
-          anyone: connected.isLost() || clock.now() < anyoneUntil,
+          anyone: connected.isLost(),
           reply,
         }),
       ),
@@ -233,7 +228,6 @@
     }),
     onConfirmed: tellConfirmed,
     onOtherConfig: answer => {
-      proof.heard(answer.configVersion ?? Number.NEGATIVE_INFINITY);
       if (!catchUp.otherConfig(answer)) configs.confirmNow();
     },
     onSameConfig: catchUp.sameConfig,
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -222,10 +222,7 @@
         return telling.changed(message.isLong);
     }
   });
-  // The first word of another entry is waited for, so it is asked for at once.
-  void announce()
-    .then(list)
-    .then(() => ctx.send('followed', {kind: 'confirm'}));
+  void announce().then(list);
 }
 
 function openSocket(self: EntryAddress): Promise<Socket> {
