feat(direct): the line of a try that broke off tells the request's digest

Requests that ask the same (host, path, organisation, body) could not be told from others that only have the same length, so the logs of the incident did not decide whether one request came again or replicas crashed in waves.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '../types/runtime.js';
+import {digestOf} from './request_digest.js';
 import type {DirectConfig, KeyOwner, RequestFacts, Route} from './types.js';
 
 /** A request that may be served. */
@@ -37,6 +38,8 @@
   readonly signal: AbortSignal;
   timeLeftMs(): number;
   elapsedMs(): number;
+  /** Equal for requests that ask the same; see `digestOf`. */
+  digest(): string;
   /** What its lateness costs, relative to others. */
   readonly weight: number;
   /** Replicas to which the request was sent so far. */
@@ -68,6 +71,7 @@
     cancelTimer();
     if (!abort.signal.aborted) abort.abort(reason);
   };
+  let digest: string | undefined;
   const exchange: Exchange = {
     ...admitted,
     req,
@@ -77,6 +81,13 @@
     signal: abort.signal,
     timeLeftMs: () => arrivedAt + limitMs - clock.now(),
     elapsedMs: () => clock.now() - arrivedAt,
+    digest: () =>
+      (digest ??= digestOf({
+        host: req.headers.host ?? '',
+        path: req.url ?? '/',
+        organisation: admitted.owner?.organisation,
+        body: admitted.body,
+      })),
     sent: 0,
     mayHaveRun: false,
     end,
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -14,6 +14,7 @@
   candidatesOf,
   giveUp,
   loadsOf,
+  lostDigest,
   mayTry,
   writeHead,
 } from './serve_context.js';
@@ -121,7 +122,7 @@
       logFailed(ctx, exchange, replica, outcome.kind);
       return false;
     case 'broken':
-      logFailed(ctx, exchange, replica, outcome.reason);
+      logFailed(ctx, exchange, replica, outcome.reason, outcome.kind);
       if (exchange.route.kind === 'idempotent') return false;
       giveUp(ctx, exchange, 'the replica broke off');
       return true;
@@ -138,12 +139,14 @@
   exchange: Exchange,
   replica: DirectReplica,
   reason: string,
+  kind?: CallOutcome['kind'],
 ): void {
   const elapsedMs = Math.round(exchange.elapsedMs());
   ctx.log(DIRECT_EVENTS.tryFailed, {
     requestId: exchange.id,
     replica: replica.id,
     reason,
+    digest: lostDigest(exchange, kind),
     elapsedMs,
   });
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -16,6 +16,7 @@
 import type {LoadBook} from './load_book.js';
 import type {LookPace} from './look_pace.js';
 import {sendOwnAnswer} from './own_answers.js';
+import {shownDigest} from './request_digest.js';
 import type {ReplicaHealth} from './replica_health.js';
 import type {ReplicaLosses} from './replica_losses.js';
 import type {
@@ -89,6 +90,17 @@
   };
 }
 
+/**
+ * For the log line of a try that broke off: requests that ask the same bear the
+ * same digest under all their ids.
+ */
+export function lostDigest(
+  exchange: Exchange,
+  outcome: string | undefined,
+): string | undefined {
+  return outcome === 'broken' ? shownDigest(exchange.digest()) : undefined;
+}
+
 /** Whether the request may be sent once more. */
 export function mayTry(ctx: ServeContext, {sent, route}: Exchange): boolean {
   if (sent === 0) return true;
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -7,7 +7,7 @@
 import type {Exchange} from './exchange.js';
 import {openPlace} from './open_place.js';
 import type {Place} from './place.js';
-import {giveUp, mayTry, writeHead} from './serve_context.js';
+import {giveUp, lostDigest, mayTry, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {tryStream} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
@@ -88,6 +88,7 @@
     reason,
     faultAt: 'faultAt' in outcome ? outcome.faultAt : undefined,
     events: progress.events,
+    digest: lostDigest(exchange, outcome.kind),
     elapsedMs: Math.round(exchange.elapsedMs()),
   });
   ctx.metrics.count('onyxloft_direct_tries_failed_total', {
