--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -4,7 +4,7 @@
  */
 import {createServer} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 
 /** A request that reached the replica. */
 export interface Arrival {
@@ -47,6 +47,10 @@
   answerState(used?: ReadonlySet<string>): void;
   /** What it says to an order; nothing for `undefined`. */
   answerOrders(status: (order: Order) => number | undefined): void;
+  /** Resets all connections; from then on its port refuses new ones. */
+  crash(): void;
+  /** Listens again at its address, after a crash. */
+  restart(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -97,6 +101,18 @@
   req.socket.resetAndDestroy();
 };
 
+/** Crashes the replica under bodies that hold the text; else as `other`. */
+export function crashUnder(
+  replica: ReplicaStandIn,
+  text: string,
+  other: Behaviour,
+): void {
+  replica.behave((arrival, res, req) => {
+    if (arrival.body.includes(text)) replica.crash();
+    else other(arrival, res, req);
+  });
+}
+
 export async function startReplica(id: string): Promise<ReplicaStandIn> {
   const arrivals: Arrival[] = [];
   const orders: Order[] = [];
@@ -165,9 +181,16 @@
       else onRequest(req, body, res);
     });
   });
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
+  const sockets = new Set<Socket>();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
   });
+  const listen = (at: number) =>
+    new Promise<void>(resolve => {
+      server.listen(at, '127.0.0.1', resolve);
+    });
+  await listen(0);
   const {port} = server.address() as AddressInfo;
   return {
     id,
@@ -184,6 +207,11 @@
     answerOrders: status => {
       orderStatus = status;
     },
+    crash: () => {
+      server.close();
+      for (const socket of sockets) socket.resetAndDestroy();
+    },
+    restart: () => listen(port),
     close: () =>
       new Promise(resolve => {
         server.close(() => resolve());
--- /dev/null
+++ b/test/direct/crashing_requests.test.ts
@@ -0,0 +1,128 @@
+/** Requests that crash each replica that begins to run them. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, test} from 'vitest';
+import {
+  answerWell,
+  crashUnder,
+  streamTo,
+} from '../../standins/users_platform/replica.js';
+import type {ReplicaStandIn} from '../../standins/users_platform/replica.js';
+import {callEntry, startDirectFleet} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+const POISON = 'a prompt that crashes';
+const HEADERS = {'X-Token-Usage': '1000,100'};
+const REPLICAS = 10;
+/** Once a request has ended so many replicas, all entries are to know. */
+const ENDED = 3;
+/** Within this time; see the users' bounds. */
+const KNOWN_MS = 3_000;
+/** After that, it may be sent so many times more. */
+const SENDS_MORE = 3;
+const REPEATS = 8;
+
+let open: DirectFleet[] = [];
+afterEach(async () => {
+  for (const fleet of open.reverse()) await fleet.close();
+  open = [];
+});
+
+async function start(
+  options: Parameters<typeof startDirectFleet>[0],
+): Promise<DirectFleet> {
+  const fleet = await startDirectFleet(options);
+  open.push(fleet);
+  return fleet;
+}
+
+async function startPoisoned(): Promise<DirectFleet> {
+  const fleet = await start({pool: REPLICAS, desk: REPLICAS});
+  for (const replica of fleet.pool) crashUnder(replica, POISON, streamTo(3));
+  for (const replica of fleet.desk) crashUnder(replica, POISON, answerWell);
+  return fleet;
+}
+
+const sendPoison = (entry: DirectFleet, path: string) =>
+  callEntry(entry, path, {headers: HEADERS, body: POISON}).catch(err => err);
+const runs = (replicas: readonly ReplicaStandIn[]) =>
+  replicas.flatMap(it => it.arrivals).filter(({body}) => body.includes(POISON))
+    .length;
+
+/** Sends it to the entries in turn until it has ended three replicas. */
+async function endReplicas(
+  entries: readonly DirectFleet[],
+  path: string,
+  replicas: readonly ReplicaStandIn[],
+): Promise<void> {
+  for (let at = 0; runs(replicas) < ENDED; at++) {
+    await sendPoison(entries[at % entries.length], path);
+  }
+}
+
+/** How often it reaches replicas when it is repeated after that time. */
+async function runsLater(
+  entries: readonly DirectFleet[],
+  path: string,
+  replicas: readonly ReplicaStandIn[],
+): Promise<number> {
+  await endReplicas(entries, path, replicas);
+  await sleep(KNOWN_MS);
+  const before = runs(replicas);
+  for (let at = 0; at < REPEATS; at++) {
+    await sendPoison(entries[at % entries.length], path);
+  }
+  return runs(replicas) - before;
+}
+
+describe('a request that has crashed three replicas', () => {
+  test('is not sent on when it comes again, as a stream', async () => {
+    const entry = await startPoisoned();
+    const later = await runsLater([entry], '/stream/a', entry.pool);
+    expect(later).toBeLessThanOrEqual(SENDS_MORE);
+    const innocent = await callEntry(entry, '/stream/a', {headers: HEADERS});
+    expect(innocent).toMatchObject({status: 200, whole: true});
+  }, 30_000);
+
+  test('is not sent on when it comes again, as a call', async () => {
+    const entry = await startPoisoned();
+    const later = await runsLater([entry], '/again/a', entry.desk);
+    expect(later).toBeLessThanOrEqual(SENDS_MORE);
+    expect((await callEntry(entry, '/again/a')).status).toBe(200);
+  }, 30_000);
+
+  test('is not sent on when it comes again, as a call that may run once', async () => {
+    const entry = await startPoisoned();
+    const later = await runsLater([entry], '/once/a', entry.desk);
+    expect(later).toBeLessThanOrEqual(SENDS_MORE);
+  }, 30_000);
+
+  // Each entry has seen fewer than three of the crashes itself.
+  test('is not sent on by other entries', async () => {
+    const first = await startPoisoned();
+    const second = await start({node: 'entry-2', beside: first});
+    const later = await runsLater([first, second], '/once/a', first.desk);
+    expect(later).toBeLessThanOrEqual(SENDS_MORE);
+  }, 30_000);
+
+  test('is not sent on by an entry that has started since', async () => {
+    const first = await startPoisoned();
+    await endReplicas([first], '/stream/a', first.pool);
+    await sleep(KNOWN_MS);
+    const second = await start({node: 'entry-2', beside: first});
+    const before = runs(first.pool);
+    for (let at = 0; at < REPEATS; at++) await sendPoison(second, '/stream/a');
+    expect(runs(first.pool) - before).toBeLessThanOrEqual(SENDS_MORE);
+  }, 30_000);
+
+  // All entries restart at once, so that none can tell another.
+  test('is not sent on after all entries have started again', async () => {
+    const first = await startPoisoned();
+    await endReplicas([first], '/stream/a', first.pool);
+    await sleep(KNOWN_MS);
+    await first.entry.kernel.stop();
+    const second = await start({node: 'entry-2', beside: first});
+    const before = runs(first.pool);
+    for (let at = 0; at < REPEATS; at++) await sendPoison(second, '/stream/a');
+    expect(runs(first.pool) - before).toBeLessThanOrEqual(SENDS_MORE);
+  }, 30_000);
+});
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -54,6 +54,8 @@
   readonly timing?: Partial<DirectSettings['timing']>;
   /** @default that of the users' platform */
   readonly codec?: HeaderCodec;
+  /** Another entry, whose store and replicas this one has as well. */
+  readonly beside?: DirectFleet;
 }
 
 /** Of one worker of the runner, for all its fleets in turn. */
@@ -102,16 +104,8 @@
 export async function startDirectFleet(
   options: FleetOptions = {},
 ): Promise<DirectFleet> {
-  const store = await startStore();
-  const start = (service: string, count: number) =>
-    Promise.all(
-      Array.from({length: count}, (_, at) => startReplica(`${service}-${at}`)),
-    );
-  const pool = await start('pool', options.pool ?? 2);
-  const desk = await start('desk', options.desk ?? 2);
-  for (const replica of pool) announce(store, replica, 'pool');
-  for (const replica of desk) announce(store, replica, 'desk');
-  store.put('config', 'main', configOf(1));
+  const {beside} = options;
+  const {store, pool, desk} = beside ?? (await startUpstreams(options));
   if (options.other !== undefined) announceEntry(store, options.other);
 
   const settings = await settingsFor(store.address, options);
@@ -149,11 +143,26 @@
     },
     close: async () => {
       await entry.kernel.stop();
+      if (beside !== undefined) return;
       await Promise.all([store, ...pool, ...desk].map(part => part.close()));
     },
   };
 }
 
+async function startUpstreams(options: FleetOptions) {
+  const store = await startStore();
+  const start = (service: string, count: number) =>
+    Promise.all(
+      Array.from({length: count}, (_, at) => startReplica(`${service}-${at}`)),
+    );
+  const pool = await start('pool', options.pool ?? 2);
+  const desk = await start('desk', options.desk ?? 2);
+  for (const replica of pool) announce(store, replica, 'pool');
+  for (const replica of desk) announce(store, replica, 'desk');
+  store.put('config', 'main', configOf(1));
+  return {store, pool, desk};
+}
+
 function announceEntry(
   store: StoreStandIn,
   {node, peers}: {readonly node: string; readonly peers: string},
