fix(direct): a request that has ended three replicas is refused by all entries

Callers saw: answers of 502, and their own requests broken off beside it, again and again: one request ended 35 replicas (users' record), sent 13 times after its third.

Cause: what happened to a request was kept for its id alone. Each repeat under a new id, at whatever entry, was a new request with all its tries.

Change: a run whose connection breaks is looked into: a replica that refuses a new connection has ended. Its start counts against the request's digest, a run that ends well for it. From the third end on (two more for each good run) the request is refused at once, 429 with a Retry-After of the hour for which it lasts. Entries tell each other in datagrams, of several ends three times, and one another in turn each second; the store has a record for those whom datagrams do not reach and for a restart of all. Runs whose callers left count where the replica is found ended for other reasons within 5 s. Nothing is digested on the calm path but small bodies of runs that ended well.

Why it holds: reports merge in any order; a lost one is told again, and the store's watch brings it within its wait where entries are cut off from each other.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -178,6 +178,8 @@
     random: createSeededRandom(options.seed * 1_000 + at),
     codec: MODEL_CODEC,
     dispatch: createModelDispatch(options, engines),
+    dial: () => Promise.resolve('silent'),
+    node: `entry-${at}`,
     orders,
     readReport: async address => {
       await pause(clock, 2 * wayMs);
@@ -194,6 +196,8 @@
     fullness: options.fullness,
     isDraining: () => false,
     share: (_loads, isLong) => telling.changed(isLong),
+    tellCrashes: () => undefined,
+    onQuarantined: () => undefined,
   });
   const domainOf = (entry: number) => entry % options.failureDomains;
   const others = Array.from(
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -26,6 +26,8 @@
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
   | {readonly kind: 'not-sent'; readonly reason: string}
   | {readonly kind: 'broken'; readonly reason: string}
+  /** Requests like it crash replicas: it was not sent. */
+  | {readonly kind: 'quarantined'}
   | {readonly kind: 'ended'};
 
 /** Sends the request and takes its answer until the try ends. */
@@ -34,6 +36,9 @@
   exchange: Exchange,
   replica: DirectReplica,
 ): Promise<CallOutcome> {
+  if (ctx.crashes.isQuarantined(exchange)) {
+    return Promise.resolve({kind: 'quarantined'});
+  }
   const {health, losses, book, clock, metrics, callTimes} = ctx;
   const {service} = exchange;
   const startedAt = clock.now();
@@ -53,6 +58,7 @@
     };
     const onAbort = () => {
       exchange.mayHaveRun = true;
+      ctx.crashes.left(exchange, replica);
       dispatch.cancel();
       finish({kind: 'ended'});
     };
@@ -87,10 +93,14 @@
     };
     const onEnd = () => {
       if (passing) {
+        ctx.crashes.ranWell(exchange);
         exchange.res.end();
         finish({kind: 'passed-on'});
         return;
       }
+      if (head !== undefined && head.status < 500) {
+        ctx.crashes.ranWell(exchange);
+      }
       const tookMs = clock.now() - startedAt;
       health.answered(replica.id, tookMs, callTimes.usualMs(service));
       callTimes.took(service, tookMs);
@@ -106,6 +116,7 @@
         return;
       }
       exchange.mayHaveRun = true;
+      ctx.crashes.broke(exchange, replica);
       if (passing) exchange.res.destroy();
       finish({kind: passing ? 'passed-on' : 'broken', reason});
     };
--- /dev/null
+++ b/src/direct/crash_watch.ts
@@ -0,0 +1,98 @@
+/**
+ * Keeps requests that crash replicas from being sent on: notes how each run
+ * ended, and refuses what has ended too many replicas under whatever ids.
+ */
+import type {Clock, Log} from '../types/runtime.js';
+import {DIRECT_EVENTS} from '../utils/events.js';
+import type {CrashReport} from './crash_reports.js';
+import type {Dial} from './dial.js';
+import type {Exchange} from './exchange.js';
+import {createLostRuns} from './lost_runs.js';
+import {shownDigest} from './request_digest.js';
+import {createSuspects} from './suspects.js';
+import type {Suspects} from './suspects.js';
+import type {DirectReplica} from './types.js';
+
+/**
+ * Larger bodies are digested only while there are suspects. Requests that are
+ * asked again and again, whose good runs matter beforehand, are small.
+ */
+const DIGESTED_BYTES = 64 * 1024;
+
+export interface CrashWatch extends Pick<
+  Suspects,
+  'merge' | 'release' | 'next' | 'size' | 'quarantined'
+> {
+  isQuarantined(exchange: Exchange): boolean;
+  /** The run's connection broke, or fell silent. */
+  broke(exchange: Exchange, replica: DirectReplica): void;
+  /** The run was given up for another reason while it was under way. */
+  left(exchange: Exchange, replica: DirectReplica): void;
+  ranWell(exchange: Exchange): void;
+  /** This start of a replica is known to have ended. */
+  replicaEnded(replicaId: string): void;
+}
+
+export interface CrashWatchOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly dial: Dial;
+  /** Name of this entry. */
+  readonly node: string;
+  isLeaving(replicaId: string): boolean;
+  /** The other entries should hear of it. */
+  tell(report: CrashReport): void;
+  /** It is to last; `isOwn` where this entry saw the last crash. */
+  onQuarantined(report: CrashReport, isOwn: boolean): void;
+}
+
+export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
+  const {clock, log} = options;
+  const suspects = createSuspects({
+    clock,
+    self: options.node,
+    onNews: options.tell,
+    onQuarantined: (report, isOwn) => {
+      const {digest, ended, good} = report;
+      const shown = shownDigest(digest);
+      log(DIRECT_EVENTS.quarantined, {digest: shown, ended, good, isOwn});
+      options.onQuarantined(report, isOwn);
+    },
+    onCleared: digest =>
+      log(DIRECT_EVENTS.quarantineEnded, {
+        digest: shownDigest(digest),
+        reason: 'runs of it ended well',
+      }),
+  });
+  const lost = createLostRuns({
+    clock,
+    dial: options.dial,
+    isLeaving: options.isLeaving,
+    onEnded: (digest, replica) => {
+      log(DIRECT_EVENTS.replicaEnded, {digest: shownDigest(digest), replica});
+      suspects.ended(digest, replica);
+    },
+  });
+  return {
+    merge: suspects.merge,
+    next: suspects.next,
+    size: suspects.size,
+    quarantined: suspects.quarantined,
+    release: digest => {
+      suspects.release(digest);
+      log(DIRECT_EVENTS.quarantineEnded, {
+        digest: shownDigest(digest),
+        reason: 'released',
+      });
+    },
+    isQuarantined: exchange =>
+      suspects.size() > 0 && suspects.isQuarantined(exchange.digest()),
+    broke: (exchange, replica) => lost.broke(exchange.digest(), replica),
+    left: (exchange, replica) => lost.left(exchange.digest(), replica),
+    ranWell: exchange => {
+      const isSmall = exchange.body.length <= DIGESTED_BYTES;
+      if (isSmall || suspects.size() > 0) suspects.ranWell(exchange.digest());
+    },
+    replicaEnded: lost.replicaEnded,
+  };
+}
--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -5,8 +5,10 @@
  * into every choice of an engine.
  */
 import {isIPv4} from 'node:net';
-import {Codec, exactly, number, optional, string} from 'purify-ts/Codec';
+import {Codec, array, exactly, number, optional, string} from 'purify-ts/Codec';
 import {Maybe, Nothing} from 'purify-ts/Maybe';
+import {crashReportCodec, isSoundReport} from './crash_reports.js';
+import type {CrashReport} from './crash_reports.js';
 import type {ReplicaLoad} from './load_sum.js';
 import {packLoads, unpackLoads} from './load_codec.js';
 import type {EntryAddress, StoreKnowledge} from './types.js';
@@ -33,7 +35,14 @@
   readonly knowledge: StoreKnowledge;
 }
 
-export type Datagram = LoadDatagram | AskDatagram | AnswerDatagram;
+/** Requests that may crash replicas. */
+export interface CrashDatagram {
+  readonly kind: 'crashes';
+  readonly reports: readonly CrashReport[];
+}
+
+export type Datagram =
+  LoadDatagram | AskDatagram | AnswerDatagram | CrashDatagram;
 
 export const entryAddressCodec = Codec.interface({
   node: string,
@@ -58,6 +67,10 @@
     replicasDigest: string,
   }),
 });
+const crashCodec = Codec.interface({
+  kind: exactly('crashes'),
+  reports: array(crashReportCodec),
+});
 const loadHeadCodec = Codec.interface({
   kind: exactly('load'),
   from: entryAddressCodec,
@@ -83,6 +96,12 @@
         .toMaybe()
         .filter(({from}) => isEntryAddress(from));
     }
+    if (kind === 'crashes') {
+      return crashCodec
+        .decode(value)
+        .toMaybe()
+        .filter(({reports}) => reports.every(isSoundReport));
+    }
     return answerCodec.decode(value).toMaybe().filter(isSoundAnswer);
   });
 }
--- a/src/direct/fleet.ts
+++ b/src/direct/fleet.ts
@@ -38,6 +38,8 @@
   restored(): void;
   /** Replicas of a service that may get new work. */
   serving(service: string): readonly DirectReplica[];
+  /** This start of a replica was told to leave, or its record is gone. */
+  isLeaving(replicaId: string): boolean;
   size(): number;
 }
 
@@ -169,6 +171,10 @@
       );
       return there.length > 0 ? there : stillUsed(service);
     },
+    isLeaving: replicaId => {
+      const here = [...present.values()].find(({id}) => id === replicaId);
+      return here?.leaving ?? true;
+    },
     size: () => present.size,
   };
 }
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -10,6 +10,7 @@
 import {follow} from './follow.js';
 import {createKnownReplicas} from './known_replicas.js';
 import './messages.js';
+import {createQuarantineRecords} from './quarantine_records.js';
 import {
   createConfirmations,
   createStoreConnection,
@@ -59,6 +60,8 @@
   readonly readyMs: number;
   /** A replica that leaves serves on for so long. */
   readonly leavingMs: number;
+  /** Time of day, in milliseconds. */
+  readonly wallMs: () => number;
 }
 
 export function createFollowed(
@@ -68,7 +71,7 @@
 }
 
 function startFollowed(
-  {store, readyMs, leavingMs}: FollowedOptions,
+  {store, readyMs, leavingMs, wallMs}: FollowedOptions,
   ctx: ServiceContext<'followed'>,
 ): void {
   const {clock, random} = ctx;
@@ -86,6 +89,7 @@
   let heardEra: StoreEra;
   const restored = () => {
     proof.restored();
+    quarantine.restored();
     tellRestored();
     ctx.send('sharing', {kind: 'store-restored'});
     // After the answer that told of it has been taken.
@@ -95,6 +99,7 @@
   const rereadFor = (era: StoreEra) => {
     configs.noteEra(era);
     replicas.noteEra(era);
+    quarantine.noteEra(era);
   };
   // Where the era is told, any answer shows that it has risen.
   const onRestored = () => {
@@ -172,6 +177,18 @@
     onRestored,
     onFault,
   });
+  const quarantine = createQuarantineRecords({
+    store,
+    clock,
+    wallMs,
+    random,
+    log: ctx.log,
+    waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : REPLICAS_WAIT_MS),
+    retryMostMs,
+    onReports: reports => ctx.send('direct', {kind: 'crash-reports', reports}),
+    onReleased: digest => ctx.send('direct', {kind: 'crash-released', digest}),
+    onFault: connected.failed,
+  });
   const logTaken = (what: string, {by, configVersion: version}: EntryAnswer) =>
     ctx.log(DIRECT_EVENTS.knowledgeTaken, {what, entry: by, version});
   const catchUp = createCatchUp({
@@ -276,12 +293,15 @@
   ctx.own(cover.stop);
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
+  ctx.own(quarantine.stop);
   void ctx.mailbox.observe(message => {
     switch (message.kind) {
       case 'knowledge':
         return void tell(message.reply);
       case 'state':
         return message.reply({config: newest, replicas: known.all()});
+      case 'quarantined':
+        return quarantine.keep(message.report, message.isOwn);
       case 'confirm':
         // Asked for each request, a store that proves nothing would be asked
         // in vain; its watch tells at once when it does.
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -8,6 +8,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {admitRequest} from './admit_request.js';
 import type {Refused} from './admit_request.js';
+import {dial} from './dial.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {openDispatch} from './dispatch.js';
@@ -37,6 +38,10 @@
 const DRAIN_LOOK_MS = 20;
 /** Kept of the grace time for the last answers' way out. */
 const GRACE_MARGIN_MS = 500;
+/** One other entry is told of some suspects, so that a lost word is mended. */
+const SUSPECTS_EVERY_MS = 1_000;
+/** As many as one datagram holds. */
+const SUSPECTS_TOLD = 4;
 
 export interface DirectFrontOptions {
   readonly settings: DirectSettings;
@@ -84,6 +89,8 @@
     random,
     codec,
     dispatch: openDispatch,
+    dial,
+    node: settings.node,
     orders: options.orders,
     readReport: options.readReport,
     failureDomain: settings.failureDomain,
@@ -94,6 +101,10 @@
     isDraining: () => draining,
     share: (loads, isLong) =>
       ctx.send('sharing', {kind: 'load', loads, isLong}),
+    tellCrashes: reports =>
+      ctx.send('sharing', {kind: 'crash-reports', reports, toAll: true}),
+    onQuarantined: (report, isOwn) =>
+      ctx.send('followed', {kind: 'quarantined', report, isOwn}),
   });
 
   const toldAgeMs = () => Math.round(Math.min(evidence.ageMs(), NEVER_TOLD_MS));
@@ -211,6 +222,10 @@
         return message.reply(evidence.ageMs());
       case 'other-load':
         return setOther(message.node, message.loads, message.keepMs);
+      case 'crash-reports':
+        return serving.crashes.merge(message.reports);
+      case 'crash-released':
+        return serving.crashes.release(message.digest);
       case 'entries':
         return serving.setEntries(message.count);
       case 'ready':
@@ -229,5 +244,11 @@
 
   ctx.own(() => server?.close());
   ctx.own(reportState(clock, metrics, readState));
+  const tellSuspects = () => {
+    const reports = serving.crashes.next(SUSPECTS_TOLD);
+    if (reports.length === 0) return;
+    ctx.send('sharing', {kind: 'crash-reports', reports, toAll: false});
+  };
+  ctx.own(clock.every(SUSPECTS_EVERY_MS, tellSuspects));
   void ctx.mailbox.observe(handle);
 }
--- a/src/direct/gauges.ts
+++ b/src/direct/gauges.ts
@@ -15,6 +15,10 @@
   readonly retriesLeft: number;
   /** Leases on replicas' memory that are held, or may be. */
   readonly memoryLeases: number;
+  /** Requests under which replicas have ended. */
+  readonly suspects: number;
+  /** Those of them that are refused. */
+  readonly quarantined: number;
 }
 
 /** Sets the gauges every second. */
@@ -33,5 +37,7 @@
     gauge('replicas', state.replicas);
     gauge('retries_left', state.retriesLeft);
     gauge('memory_leases', state.memoryLeases);
+    gauge('suspects', state.suspects);
+    gauge('quarantined', state.quarantined);
   });
 }
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,4 +1,5 @@
 /** Messages between the services of a direct entry. */
+import type {CrashReport} from './crash_reports.js';
 import type {ReplicaLoad} from './load_sum.js';
 import type {
   DirectConfig,
@@ -37,6 +38,12 @@
       /** See `LoadBook.setOther`. */
       readonly keepMs: number;
     }
+  /** Another entry, or the store, tells of requests that crash replicas. */
+  | {
+      readonly kind: 'crash-reports';
+      readonly reports: readonly CrashReport[];
+    }
+  | {readonly kind: 'crash-released'; readonly digest: string}
   /** Entries that are there, with this one. */
   | {readonly kind: 'entries'; readonly count: number}
   | {readonly kind: 'ready'; readonly reply: (ready: boolean) => void}
@@ -47,6 +54,12 @@
 export type FollowedMessage =
   /** Asks store and another entry at once whether the configuration holds. */
   | {readonly kind: 'confirm'}
+  /** The store is to have it; `isOwn` where this entry saw the last crash. */
+  | {
+      readonly kind: 'quarantined';
+      readonly report: CrashReport;
+      readonly isOwn: boolean;
+    }
   | {
       readonly kind: 'knowledge';
       readonly reply: (knowledge: StoreKnowledge) => void;
@@ -84,6 +97,12 @@
       /** A long read was added. */
       readonly isLong: boolean;
     }
+  /** To all other entries, or to one of them in turn. */
+  | {
+      readonly kind: 'crash-reports';
+      readonly reports: readonly CrashReport[];
+      readonly toAll: boolean;
+    }
   /** The store has come back from an older copy, without the own record. */
   | {readonly kind: 'store-restored'}
   /** This entry takes no new work, and is not to be found any more. */
--- a/src/direct/own_answers.ts
+++ b/src/direct/own_answers.ts
@@ -1,13 +1,14 @@
 /**
- * Answers of the entry's own. 503 promises that the request has not run and
- * never will; 502 and 504 promise nothing.
+ * Answers of the entry's own. 503 and 429 promise that the request has not run
+ * and never will; 502 and 504 promise nothing.
  */
 import type {ServerResponse} from 'node:http';
 
 /** When a refused caller should come back, where nothing is known of it. */
 const COME_BACK_MS = 250;
 
-export type OwnStatus = 400 | 401 | 404 | 408 | 413 | 431 | 502 | 503 | 504;
+export type OwnStatus =
+  400 | 401 | 404 | 408 | 413 | 429 | 431 | 502 | 503 | 504;
 
 /** What the caller is told. */
 export interface OwnAnswer {
@@ -31,7 +32,7 @@
     'Content-Length',
     String(Buffer.byteLength(body)),
   ];
-  if (status === 503) {
+  if (status === 503 || status === 429) {
     headers.push('Retry-After', (comeBackMs / 1_000).toFixed(3));
   }
   if (close) headers.push('Connection', 'close');
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -16,6 +16,7 @@
   loadsOf,
   lostDigest,
   mayTry,
+  refuseForGood,
   writeHead,
 } from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -117,6 +118,9 @@
     case 'passed-on':
     case 'ended':
       return true;
+    case 'quarantined':
+      refuseForGood(ctx, exchange);
+      return true;
     case 'not-run':
     case 'not-sent':
       logFailed(ctx, exchange, replica, outcome.kind);
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -5,6 +5,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP, namedByConnection} from '../utils/hop_headers.js';
 import type {CallTimes} from './call_times.js';
+import type {CrashWatch} from './crash_watch.js';
 import type {CallCandidate, CallRequest} from './decide/choose_call.js';
 import type {EngineCandidate} from './decide/judge_engine.js';
 import type {Fullness} from './decide/place_or_wait.js';
@@ -19,6 +20,7 @@
 import {shownDigest} from './request_digest.js';
 import type {ReplicaHealth} from './replica_health.js';
 import type {ReplicaLosses} from './replica_losses.js';
+import {QUARANTINE_MS} from './suspects.js';
 import type {
   DirectReplica,
   GroupMember,
@@ -37,6 +39,7 @@
   readonly fleet: Fleet;
   readonly health: ReplicaHealth;
   readonly losses: ReplicaLosses;
+  readonly crashes: CrashWatch;
   readonly book: LoadBook;
   readonly worth: RequestWorth;
   readonly fullness: Fullness | undefined;
@@ -199,6 +202,27 @@
   return kept;
 }
 
+/** Ends a request of a kind that crashes replicas; it is not sent on. */
+export function refuseForGood(ctx: ServeContext, exchange: Exchange): void {
+  const reason = 'requests like this one crash replicas';
+  if (exchange.mayHaveRun) {
+    giveUp(ctx, exchange, reason);
+    return;
+  }
+  ctx.log(DIRECT_EVENTS.quarantineRefused, {
+    requestId: exchange.id,
+    digest: shownDigest(exchange.digest()),
+  });
+  ctx.metrics.count('onyxloft_direct_quarantine_refused_total', {});
+  exchange.end('answered');
+  sendOwnAnswer(exchange.res, {
+    status: 429,
+    message: reason,
+    close: ctx.isDraining(),
+    comeBackMs: QUARANTINE_MS,
+  });
+}
+
 /** Ends a request that no replica answered. */
 export function giveUp(
   ctx: ServeContext,
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -7,7 +7,13 @@
 import type {Exchange} from './exchange.js';
 import {openPlace} from './open_place.js';
 import type {Place} from './place.js';
-import {giveUp, lostDigest, mayTry, writeHead} from './serve_context.js';
+import {
+  giveUp,
+  lostDigest,
+  mayTry,
+  refuseForGood,
+  writeHead,
+} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {tryStream} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
@@ -73,6 +79,9 @@
       return true;
     case 'ended':
       return true;
+    case 'quarantined':
+      refuseForGood(ctx, exchange);
+      return true;
     case 'failure':
       if (res.headersSent) break;
       logAnswered(ctx, exchange, outcome.head.status, progress);
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -9,9 +9,13 @@
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCallTimes} from './call_times.js';
+import type {CrashReport} from './crash_reports.js';
+import {createCrashWatch} from './crash_watch.js';
+import type {CrashWatch} from './crash_watch.js';
 import {readMs} from './decide/engine_timing.js';
 import type {Fullness} from './decide/place_or_wait.js';
 import {createRequestWorth, sizeOf} from './decide/request_worth.js';
+import type {Dial} from './dial.js';
 import type {OpenDispatch} from './dispatch.js';
 import {openExchange} from './exchange.js';
 import type {Admitted, Exchange} from './exchange.js';
@@ -25,7 +29,7 @@
 import {createReplicaHealth} from './replica_health.js';
 import {createReplicaLosses} from './replica_losses.js';
 import {serveCall} from './serve_call.js';
-import {giveUp} from './serve_context.js';
+import {giveUp, refuseForGood} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {serveStream} from './serve_stream.js';
 import type {DirectSettings} from './settings.js';
@@ -48,6 +52,9 @@
   readonly random: Random;
   readonly codec: HeaderCodec;
   readonly dispatch: OpenDispatch;
+  readonly dial: Dial;
+  /** Name of this entry. */
+  readonly node: string;
   readonly orders: Reservations;
   readonly readReport: ReadReport;
   readonly failureDomain: string;
@@ -63,11 +70,16 @@
   isDraining(): boolean;
   /** Tells the other entries what this one has assigned, a long read among it. */
   share(loads: readonly ReplicaLoad[], isLong: boolean): void;
+  /** Tells them of requests that may crash replicas. */
+  tellCrashes(reports: readonly CrashReport[]): void;
+  /** See `CrashWatchOptions`. */
+  onQuarantined(report: CrashReport, isOwn: boolean): void;
 }
 
 export interface Serving {
   readonly fleet: Fleet;
   readonly book: LoadBook;
+  readonly crashes: Pick<CrashWatch, 'merge' | 'release' | 'next'>;
   /** Serves to the final answer. */
   serve(
     admitted: Admitted,
@@ -83,6 +95,8 @@
     readonly entries: number;
     readonly retriesLeft: number;
     readonly memoryLeases: number;
+    readonly suspects: number;
+    readonly quarantined: number;
   };
 }
 
@@ -96,12 +110,30 @@
   const fleet = createFleet({
     clock,
     onGone: ({id}) => health.forget(id),
-    onRestarted: ({id}, now) => {
+    onRestarted: ({id, leaving}, now) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
       health.forget(id);
+      if (!leaving) crashes.replicaEnded(id);
       losses.lost(id);
     },
   });
+  const news = new Map<string, CrashReport>();
+  const tellCrashes = createBatcher(clock, () => {
+    options.tellCrashes([...news.values()]);
+    news.clear();
+  });
+  const crashes = createCrashWatch({
+    clock,
+    log,
+    dial: options.dial,
+    node: options.node,
+    isLeaving: fleet.isLeaving,
+    tell: report => {
+      news.set(report.digest, report);
+      tellCrashes(SHARE_MORE_MS);
+    },
+    onQuarantined: options.onQuarantined,
+  });
   let isLong = false;
   const shareLater = createBatcher(clock, () => {
     options.share(book.own(), isLong);
@@ -122,6 +154,7 @@
     fleet,
     health,
     losses,
+    crashes,
     book,
     worth,
     fullness: options.fullness,
@@ -162,6 +195,10 @@
         log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
       },
     });
+    if (crashes.isQuarantined(exchange)) {
+      refuseForGood(ctx, exchange);
+      return;
+    }
     open.add(exchange);
     const serving = admitted.route.streaming
       ? serveStream(ctx, exchange)
@@ -184,6 +221,7 @@
   return {
     fleet,
     book,
+    crashes,
     serve,
     setEntries: count => {
       entries = count;
@@ -193,6 +231,8 @@
       entries,
       retriesLeft: ctx.budget.left(),
       memoryLeases: ctx.groups.held(),
+      suspects: crashes.size(),
+      quarantined: crashes.quarantined(),
     }),
   };
 }
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -8,6 +8,7 @@
 import type {Socket} from 'node:dgram';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import type {CrashReport} from './crash_reports.js';
 import {decodeDatagram, encodeDatagram} from './datagrams.js';
 import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
 import {createEntryQuestions} from './entry_questions.js';
@@ -31,6 +32,10 @@
 const ANNOUNCE_AGAIN_MS = 1_000;
 /** Over which entries write their records again that a store has lost. */
 const ANNOUNCE_SPREAD_MS = 1_000;
+/** As many as one datagram holds. */
+const REPORTS_MOST = 4;
+/** A report of several crashes is told again so much later: datagrams are lost. */
+const TELL_CRASHES_AGAIN_MS = [100, 400];
 
 export interface SharingOptions {
   readonly self: EntryAddress;
@@ -57,6 +62,7 @@
   let seq = 0;
   let told = 1;
   let isDraining = false;
+  let isClosed = false;
 
   const socket = await openSocket(self);
 
@@ -125,6 +131,29 @@
     sendOne({kind: 'answer', question, knowledge}, from);
   };
 
+  const tellCrashes = (reports: readonly CrashReport[]): void => {
+    const to = entriesThat(() => true);
+    for (let at = 0; at < reports.length; at += REPORTS_MOST) {
+      const some = reports.slice(at, at + REPORTS_MOST);
+      const bytes = encodeDatagram({kind: 'crashes', reports: some});
+      sendBytes(bytes, to, 'crashes');
+    }
+  };
+  const tellCrashesToAll = (reports: readonly CrashReport[]): void => {
+    tellCrashes(reports);
+    const several = reports.filter(({ended}) => ended.length > 1);
+    if (several.length === 0) return;
+    for (const delayMs of TELL_CRASHES_AGAIN_MS) {
+      clock.after(delayMs, () => isClosed || tellCrashes(several));
+    }
+  };
+  const tellCrashesToOne = (reports: readonly CrashReport[]): void => {
+    const heard = [...peers.values()].filter(isHeard);
+    if (heard.length === 0) return;
+    const {entry} = heard[Math.floor(random.next() * heard.length)];
+    sendOne({kind: 'crashes', reports}, entry);
+  };
+
   const receive = (bytes: Buffer): void => {
     decodeDatagram(bytes).caseOf({
       Nothing: () => metrics.count('onyxloft_sharing_unreadable_total'),
@@ -140,6 +169,11 @@
         return void answer(datagram);
       case 'answer':
         return questions.answered(datagram);
+      case 'crashes':
+        return ctx.send('direct', {
+          kind: 'crash-reports',
+          reports: datagram.reports,
+        });
     }
   };
 
@@ -200,7 +234,10 @@
   };
 
   socket.on('message', receive);
-  ctx.own(() => void socket.close());
+  ctx.own(() => {
+    isClosed = true;
+    socket.close();
+  });
   ctx.own(telling.stop);
   ctx.own(clock.every(BEAT_MS, beat));
   ctx.own(clock.every(LIST_MS, () => void list()));
@@ -212,6 +249,10 @@
         return message.reply(
           entriesThat(it => it.ip === message.ip).length > 0,
         );
+      case 'crash-reports':
+        return message.toAll
+          ? tellCrashesToAll(message.reports)
+          : tellCrashesToOne(message.reports);
       case 'store-restored':
         return announceAgain();
       case 'draining':
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -23,6 +23,8 @@
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
   | {readonly kind: 'not-sent'; readonly reason: string}
   | {readonly kind: 'broken'; readonly reason: string}
+  /** Requests like it crash replicas: it was not sent. */
+  | {readonly kind: 'quarantined'}
   | {readonly kind: 'ended'};
 
 /** Sends the request and hands events on until the try ends. */
@@ -32,6 +34,9 @@
   place: Place,
   progress: StreamProgress,
 ): Promise<StreamOutcome> {
+  if (ctx.crashes.isQuarantined(exchange)) {
+    return Promise.resolve({kind: 'quarantined'});
+  }
   const {health, clock, metrics} = ctx;
   const {res, signal} = exchange;
   const {replica} = place;
@@ -53,6 +58,7 @@
     };
     const breakOff = (reason: string) => {
       health.failed(replica.id);
+      ctx.crashes.broke(exchange, replica);
       leave(reason);
     };
     const leave = (reason: string) => {
@@ -65,10 +71,12 @@
       // and only such a refusal lets a stream go on that may run once.
       const isOnce = exchange.route.kind !== 'resumable-stream';
       if (loss !== 'a member restarted' && isOnce) return;
+      ctx.crashes.left(exchange, replica);
       leave(loss);
     };
     const onAbort = () => {
       exchange.mayHaveRun = true;
+      ctx.crashes.left(exchange, replica);
       dispatch.cancel();
       finish({kind: 'ended'});
     };
@@ -115,13 +123,18 @@
       } else if (splitter.rest() > 0) {
         breakOff('ended within an event');
       } else {
+        ctx.crashes.ranWell(exchange);
         finish({kind: 'whole', head});
       }
     };
     const onBroken = (sent: boolean, reason: string) => {
       health.failed(replica.id);
-      if (sent) exchange.mayHaveRun = true;
-      else exchange.sent--;
+      if (sent) {
+        exchange.mayHaveRun = true;
+        ctx.crashes.broke(exchange, replica);
+      } else {
+        exchange.sent--;
+      }
       finish({kind: sent ? 'broken' : 'not-sent', reason});
     };
 
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -6,6 +6,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Either} from 'purify-ts';
+import type {QuarantineRecord} from './crash_reports.js';
 import type {StoreEra, StorePosition} from './store_position.js';
 
 /** What may be repeated: anything, nothing, or a stream from where it broke. */
@@ -184,6 +185,10 @@
 export interface DirectStore {
   readonly configs: Collection<DirectConfig>;
   readonly replicas: Collection<DirectReplica>;
+  /** By digest; entries write a record, and operators may remove it. */
+  readonly quarantine: Collection<QuarantineRecord>;
+  writeQuarantine(record: QuarantineRecord): Promise<Either<StoreFault, void>>;
+  removeQuarantine(digest: string): Promise<Either<StoreFault, void>>;
   /** Calls `onEra` with the era of each answer, whatever was asked. */
   watchEra(onEra: (era: StoreEra) => void): void;
   listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
