fix(direct): a store that has no history to watch is not read without end

Where also the position of the newest read is answered as gone, list and watch followed each other at once: a thousand calls a second. The second answer of that kind in a row now waits as after any failed call.

--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -63,6 +63,8 @@
   let learnedAt = Number.NEGATIVE_INFINITY;
   /** The newest that an answer has told. */
   let era: StoreEra;
+  /** The newest watch was told that its history is gone. */
+  let isGone = false;
   /** A store that was away may be back from a copy. */
   let isDoubted = false;
   let retryMs = RETRY_FIRST_MS;
@@ -129,11 +131,16 @@
       Left: fault => {
         if (fault.historyGone || fault.unreadable) position = undefined;
         options.onFault(fault);
-        return fault.historyGone;
+        // Read anew at once, but with a pause where the position of the newest
+        // read is refused as well: it would be read without end.
+        const wasGone = isGone;
+        isGone = fault.historyGone;
+        return isGone && !wasGone;
       },
       Right: changes => {
         const verdict = judge(changes.position, sentAt);
         if (verdict === 'older era') return false;
+        isGone = false;
         if (verdict === 'overtaken') return true;
         // These are the changes after a revision that was given out again;
         // those before it in the new history are unknown.
