fix(direct): a request whose callers leave before the crash counts as well

A caller that leaves within a tenth of a second, again and again, never sees the crash, and no connection of the entry breaks: nothing was counted, and the request went on ending replicas. Such a run now counts where the replica's record goes within 5 s of it (not while the store fails, nor where the replica was told to leave), or where it is found ended otherwise; for a request that is suspect already it is looked for. A run that broke off at a replica which still listens is dropped: it ended otherwise. A broken one is looked for after 20 ms, as a process closes its connections before its port.

--- a/src/direct/crash_watch.ts
+++ b/src/direct/crash_watch.ts
@@ -31,6 +31,8 @@
   ranWell(exchange: Exchange): void;
   /** This start of a replica is known to have ended. */
   replicaEnded(replicaId: string): void;
+  /** Its record was removed, and it was not told to leave. */
+  recordGone(replicaId: string): void;
 }
 
 export interface CrashWatchOptions {
@@ -88,11 +90,16 @@
     isQuarantined: exchange =>
       suspects.size() > 0 && suspects.isQuarantined(exchange.digest()),
     broke: (exchange, replica) => lost.broke(exchange.digest(), replica),
-    left: (exchange, replica) => lost.left(exchange.digest(), replica),
+    left: (exchange, replica) => {
+      const digest = exchange.digest();
+      if (suspects.isKnown(digest)) lost.leftSuspect(digest, replica);
+      else lost.left(digest, replica);
+    },
     ranWell: exchange => {
       const isSmall = exchange.body.length <= DIGESTED_BYTES;
       if (isSmall || suspects.size() > 0) suspects.ranWell(exchange.digest());
     },
     replicaEnded: lost.replicaEnded,
+    recordGone: lost.recordGone,
   };
 }
--- a/src/direct/fleet.ts
+++ b/src/direct/fleet.ts
@@ -45,8 +45,11 @@
 
 export interface FleetOptions {
   readonly clock: Clock;
-  /** It was removed; work that it has may still be answered. */
-  onGone(replica: DirectReplica): void;
+  /**
+   * It was removed; work that it has may still be answered. `mayHaveLapsed`
+   * where the store failed just before, so that it may live.
+   */
+  onGone(replica: DirectReplica, mayHaveLapsed: boolean): void;
   /** A later start took its name: it will answer nothing more. */
   onRestarted(replica: DirectReplica, now: DirectReplica): void;
 }
@@ -84,7 +87,7 @@
     const mayHaveLapsed = at - failedAt < OUTAGE_DOUBT_MS && !replica.leaving;
     const usedUntil = mayHaveLapsed ? at + LAPSED_USE_MS : at;
     removed.set(name, {replica, at, usedUntil});
-    onGone(replica);
+    onGone(replica, mayHaveLapsed);
   };
   const take = (replica: DirectReplica) => {
     const {name} = replica;
--- a/src/direct/lost_runs.ts
+++ b/src/direct/lost_runs.ts
@@ -11,10 +11,16 @@
 const ENDED_WITHIN_MS = 5_000;
 /** Of one replica; many run there at once. */
 const RUNS_MOST = 64;
+/** A process that ends closes its connections a moment before its port. */
+const BROKEN_LOOK_MS = 20;
+/** A run that its caller left may go on for so long at most. */
+const LEFT_LOOK_MS = 300;
 
 interface LostRun {
   readonly digest: string;
   readonly at: number;
+  /** The replica's side broke it off; what outlives that did not crash. */
+  readonly isBroken: boolean;
 }
 
 export interface LostRuns {
@@ -22,8 +28,12 @@
   broke(digest: string, replica: DirectReplica): void;
   /** Its caller left; counts if the replica is found ended for other reasons. */
   left(digest: string, replica: DirectReplica): void;
+  /** The same, and the replica is looked for, as the request is suspect. */
+  leftSuspect(digest: string, replica: DirectReplica): void;
   /** It is known from elsewhere that this start of a replica has ended. */
   replicaEnded(replicaId: string): void;
+  /** Its record is gone: its last runs count, but it may serve on for a while. */
+  recordGone(replicaId: string): void;
 }
 
 export interface LostRunsOptions {
@@ -39,7 +49,8 @@
   /** By the replica's start. */
   const pending = new Map<string, LostRun[]>();
   const ended = new Map<string, number>();
-  const dialling = new Set<string>();
+  /** Replicas that are to be looked for in a moment, and after how long. */
+  const looking = new Set<string>();
 
   const isNew = (at: number) => clock.now() - at <= ENDED_WITHIN_MS;
   const prune = () => {
@@ -50,37 +61,63 @@
       else pending.delete(id);
     }
   };
-  const replicaEnded = (replicaId: string): void => {
+  const recordGone = (replicaId: string): void => {
     prune();
-    ended.set(replicaId, clock.now());
     const runs = pending.get(replicaId) ?? [];
     pending.delete(replicaId);
     for (const {digest} of runs) options.onEnded(digest, replicaId);
   };
-  const left = (digest: string, {id}: DirectReplica): void => {
+  const replicaEnded = (replicaId: string): void => {
+    ended.set(replicaId, clock.now());
+    recordGone(replicaId);
+  };
+  const note = (
+    digest: string,
+    {id}: DirectReplica,
+    isBroken: boolean,
+  ): void => {
     prune();
     if (ended.has(id)) {
       options.onEnded(digest, id);
       return;
     }
     const runs = pending.get(id) ?? [];
-    runs.push({digest, at: clock.now()});
+    runs.push({digest, at: clock.now(), isBroken});
     pending.set(id, runs.slice(-RUNS_MOST));
   };
-  const look = async ({id, address}: DirectReplica): Promise<void> => {
-    if (dialling.has(id)) return;
-    dialling.add(id);
+  /** It lives: the runs that broke off before `since` ended otherwise. */
+  const outlived = (replicaId: string, since: number): void => {
+    const runs = pending.get(replicaId) ?? [];
+    const kept = runs.filter(({at, isBroken}) => !isBroken || at > since);
+    pending.set(replicaId, kept);
+  };
+  const lookFor = async ({id, address}: DirectReplica): Promise<void> => {
+    const since = clock.now();
     const answer = await options.dial(address);
-    dialling.delete(id);
+    if (answer === 'open') outlived(id, since);
     if (answer === 'refused' && !options.isLeaving(id)) replicaEnded(id);
   };
+  const lookOnce = (replica: DirectReplica, delayMs: number): void => {
+    const look = `${replica.id}/${delayMs}`;
+    if (looking.has(look) || ended.has(replica.id)) return;
+    looking.add(look);
+    clock.after(delayMs, () => {
+      looking.delete(look);
+      void lookFor(replica);
+    });
+  };
 
   return {
     broke: (digest, replica) => {
-      left(digest, replica);
-      if (!ended.has(replica.id)) void look(replica);
+      note(digest, replica, true);
+      lookOnce(replica, BROKEN_LOOK_MS);
+    },
+    left: (digest, replica) => note(digest, replica, false),
+    leftSuspect: (digest, replica) => {
+      note(digest, replica, false);
+      lookOnce(replica, LEFT_LOOK_MS);
     },
-    left,
     replicaEnded,
+    recordGone,
   };
 }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -109,7 +109,10 @@
   const losses = createReplicaLosses();
   const fleet = createFleet({
     clock,
-    onGone: ({id}) => health.forget(id),
+    onGone: ({id, leaving}, mayHaveLapsed) => {
+      health.forget(id);
+      if (!leaving && !mayHaveLapsed) crashes.recordGone(id);
+    },
     onRestarted: ({id, leaving}, now) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
       health.forget(id);
--- a/src/direct/suspects.ts
+++ b/src/direct/suspects.ts
@@ -52,6 +52,8 @@
   ended(digest: string, replicaId: string): void;
   /** A run of it ended well. */
   ranWell(digest: string): void;
+  /** A replica has ended under it. */
+  isKnown(digest: string): boolean;
   isQuarantined(digest: string): boolean;
   /** Takes what another entry, or the store, tells. */
   merge(reports: readonly CrashReport[]): void;
@@ -79,10 +81,13 @@
     return undefined;
   };
   const dropOldest = () => {
-    const entries = [...suspects];
-    const idle = entries.find(([, {isQuarantined}]) => !isQuarantined);
-    const [digest] = idle ?? entries[0];
-    suspects.delete(digest);
+    for (const [digest, {isQuarantined}] of suspects) {
+      if (isQuarantined) continue;
+      suspects.delete(digest);
+      return;
+    }
+    const [oldest] = suspects.keys();
+    suspects.delete(oldest);
   };
   const add = (digest: string): Suspect => {
     if (suspects.size >= SUSPECTS_MOST) dropOldest();
@@ -138,6 +143,7 @@
       if (isPowerOfTwo(count)) options.onNews(reportOf(digest, suspect));
       judge(digest, suspect, true);
     },
+    isKnown: digest => of(digest) !== undefined,
     isQuarantined: digest => of(digest)?.isQuarantined ?? false,
     merge: reports => reports.forEach(mergeOne),
     release: digest => {
--- a/standins/users_platform/store.ts
+++ b/standins/users_platform/store.ts
@@ -39,6 +39,8 @@
   put(kind: string, name: string, spec: unknown): void;
   remove(kind: string, name: string): void;
   get(kind: string, name: string): unknown;
+  /** Of all objects of a kind. */
+  names(kind: string): readonly string[];
   setMode(mode: StoreMode): void;
   /** Drops the history before now; watches from before get 410. */
   forgetHistory(): void;
@@ -181,6 +183,7 @@
     put: (kind, name, spec) => void put(kind, name, spec),
     remove: (kind, name) => void remove(kind, name),
     get: (kind, name) => ofKind(kind).get(name)?.spec,
+    names: kind => [...ofKind(kind).keys()],
     setMode: next => {
       mode = next;
     },
--- a/test/direct/crashing_requests.test.ts
+++ b/test/direct/crashing_requests.test.ts
@@ -3,11 +3,12 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {
   answerWell,
+  breakOff,
   crashUnder,
   streamTo,
 } from '../../standins/users_platform/replica.js';
 import type {ReplicaStandIn} from '../../standins/users_platform/replica.js';
-import {callEntry, startDirectFleet} from '../support/direct_fleet.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 const POISON = 'a prompt that crashes';
@@ -20,6 +21,12 @@
 /** After that, it may be sent so many times more. */
 const SENDS_MORE = 3;
 const REPEATS = 8;
+/** Engines that a large prompt is read by, and some that it may end. */
+const GROUP_REPLICAS = 14;
+const CRASH_AFTER_MS = 60;
+const LEAVE_AFTER_MS = 20;
+/** A dead replica's record goes from the store after this time. */
+const LAPSE_MS = 200;
 
 let open: DirectFleet[] = [];
 afterEach(async () => {
@@ -74,6 +81,51 @@
   return runs(replicas) - before;
 }
 
+describe('a request that crashes no replica', () => {
+  // Connections break and callers get 502, but the replicas live: it is served
+  // as soon as they answer.
+  test('is served after its connections broke at many replicas', async () => {
+    const entry = await start({desk: REPLICAS});
+    for (const it of entry.desk) it.behave(breakOff);
+    for (let at = 0; at < REPEATS; at++) await callEntry(entry, '/again/a');
+    for (const it of entry.desk) it.behave(answerWell);
+    expect((await callEntry(entry, '/again/a')).status).toBe(200);
+  });
+
+  test('is served where requests with other bodies crash replicas', async () => {
+    const entry = await startPoisoned();
+    await endReplicas([entry], '/again/a', entry.desk);
+    expect((await callEntry(entry, '/again/a')).status).toBe(200);
+  });
+});
+
+describe('a request that is refused for good', () => {
+  test('is told so at once, and that it has not run', async () => {
+    const entry = await startPoisoned();
+    await endReplicas([entry], '/once/a', entry.desk);
+    await until(
+      async () => (await sendPoison(entry, '/once/a')).status === 429,
+    );
+    const before = runs(entry.desk);
+    const answer = await sendPoison(entry, '/once/a');
+    expect(answer.status).toBe(429);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(60);
+    expect(runs(entry.desk)).toBe(before);
+  });
+
+  test('is served again when an operator removes its record', async () => {
+    const entry = await startPoisoned();
+    await endReplicas([entry], '/once/a', entry.desk);
+    const records = () => entry.store.names('onyxloft-quarantine');
+    await until(() => records().length === 1);
+    for (const it of entry.desk) it.behave(answerWell);
+    entry.store.remove('onyxloft-quarantine', records()[0]);
+    await until(
+      async () => (await sendPoison(entry, '/once/a')).status === 200,
+    );
+  });
+});
+
 describe('a request that has crashed three replicas', () => {
   test('is not sent on when it comes again, as a stream', async () => {
     const entry = await startPoisoned();
@@ -96,6 +148,45 @@
     expect(later).toBeLessThanOrEqual(SENDS_MORE);
   }, 30_000);
 
+  // The engine that leads the group crashes; the members of it live on.
+  test('is not sent on when it comes again, as a prompt for a group', async () => {
+    const entry = await start({pool: GROUP_REPLICAS});
+    for (const it of entry.pool) crashUnder(it, POISON, streamTo(3));
+    const headers = {'X-Token-Usage': '18000,100', 'X-Deadline-Ms': '2000'};
+    const send = () =>
+      callEntry(entry, '/long/a', {headers, body: POISON}).catch(err => err);
+    while (runs(entry.pool) < ENDED) await send();
+    await sleep(KNOWN_MS);
+    const before = runs(entry.pool);
+    for (let at = 0; at < REPEATS; at++) await send();
+    expect(runs(entry.pool) - before).toBeLessThanOrEqual(SENDS_MORE);
+  }, 40_000);
+
+  // Its callers are gone before the replica crashes under it: no connection
+  // breaks, and only the replica's record that lapses shows the end.
+  test('is not sent on when its callers leave before the crash', async () => {
+    const entry = await start({desk: REPLICAS});
+    for (const it of entry.desk) {
+      it.behave((arrival, res) => {
+        if (!arrival.body.includes(POISON))
+          return answerWell(arrival, res, res.req);
+        setTimeout(() => it.crash(), CRASH_AFTER_MS);
+        const lapse = () => entry.store.remove('servers', it.id);
+        setTimeout(lapse, CRASH_AFTER_MS + LAPSE_MS);
+      });
+    }
+    const headers = {'X-Deadline-Ms': String(LEAVE_AFTER_MS)};
+    const send = async () => {
+      await callEntry(entry, '/again/a', {headers, body: POISON});
+      await sleep(2 * LAPSE_MS);
+    };
+    while (runs(entry.desk) < ENDED) await send();
+    await sleep(KNOWN_MS);
+    const before = runs(entry.desk);
+    for (let at = 0; at < REPEATS && before < REPLICAS - 1; at++) await send();
+    expect(runs(entry.desk) - before).toBeLessThanOrEqual(SENDS_MORE);
+  }, 40_000);
+
   // Each entry has seen fewer than three of the crashes itself.
   test('is not sent on by other entries', async () => {
     const first = await startPoisoned();
