fix(direct): an entry that starts counts on the store once another entry had time to tell

A caller's key that was taken away was served by an entry that started between the store's return from an older copy and the operators' writing again. An entry that starts cannot know of a return, so its own calls are evidence for keys after 0.6 s, and another entry's word for the same configuration at once; it asks as soon as it knows others, any of them for the first three seconds, and so do all after a return. While a newer configuration that another entry told of is fetched, the store's older one proves nothing, for two seconds at most.

--- a/src/direct/config_proof.ts
+++ b/src/direct/config_proof.ts
@@ -6,6 +6,9 @@
  * since, and they write it again a little later. Until then its answers prove
  * nothing: taken as proof, they would let a key be used for as long as the
  * operators take, though the configuration that took it away was acknowledged.
+ *
+ * An entry that starts cannot know whether the store came back just now, so it
+ * first gives another entry the time to tell of a newer configuration.
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -17,20 +20,34 @@
  */
 const WRITTEN_AGAIN_MS = 2_000;
 
+/** Another entry's word is there by then, also where the first that is asked is not. */
+export const FIRST_WORD_MS = 600;
+/** A newer configuration that another entry tells of has been fetched by then. */
+const FETCHED_MS = 2_000;
+
 export interface ConfigProof {
   /** The store has come back from an older copy. */
   restored(): void;
   /** It has listed this version, or none. */
   listed(version: number | undefined): void;
+  /** Another entry knows this version, which is newer than the one here. */
+  heard(version: number): void;
   /** It told that this version was written since. */
   written(version: number): void;
   /** Whether its answers prove that `version` is the newest. */
   holds(version: number | undefined): boolean;
 }
 
-export function createConfigProof(clock: Clock, log: Log): ConfigProof {
+/** `tellsEra`: the store tells its era, and so may come back from a copy. */
+export function createConfigProof(
+  clock: Clock,
+  log: Log,
+  tellsEra: () => boolean,
+): ConfigProof {
+  const startedAt = clock.now();
   let restoredAt = Number.NEGATIVE_INFINITY;
-  let isWritten = true;
+  let isWritten = false;
+  let heard = {version: Number.NEGATIVE_INFINITY, at: clock.now()};
   let shown: number | undefined;
   let isKept = false;
 
@@ -50,6 +67,9 @@
     listed: version => {
       shown = version;
     },
+    heard: version => {
+      if (version > heard.version) heard = {version, at: clock.now()};
+    },
     written: version => {
       shown = version;
       isWritten = true;
@@ -58,8 +78,13 @@
       const isOlder =
         shown !== undefined && version !== undefined && shown < version;
       noteKept(isOlder, version);
-      const mayBeLost = clock.now() - restoredAt < WRITTEN_AGAIN_MS;
-      return !isOlder && (isWritten || !mayBeLost);
+      const isFetching =
+        version !== undefined &&
+        version < heard.version &&
+        clock.now() - heard.at < FETCHED_MS;
+      const isUntold = tellsEra() && clock.now() - startedAt < FIRST_WORD_MS;
+      const mayBeLost = isUntold || clock.now() - restoredAt < WRITTEN_AGAIN_MS;
+      return !isOlder && !isFetching && (isWritten || !mayBeLost);
     },
   };
 }
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -5,7 +5,7 @@
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCatchUp} from './catch_up.js';
-import {createConfigProof} from './config_proof.js';
+import {FIRST_WORD_MS, createConfigProof} from './config_proof.js';
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import {createKnownReplicas} from './known_replicas.js';
@@ -53,6 +53,8 @@
  * trying alone, the store would be met with several times the calls.
  */
 const RETRY_LED_MS = 2_000;
+/** After the own start, and after the store's return from a copy. */
+const ASK_ANYONE_MS = 3_000;
 
 export interface FollowedOptions {
   readonly store: DirectStore;
@@ -79,15 +81,19 @@
   const connected = createStoreConnection(clock, ctx.log);
   let newest: DirectConfig | undefined;
 
-  const proof = createConfigProof(clock, ctx.log);
   const eras = createStoreEras({
     log: ctx.log,
     metrics: ctx.metrics,
     onRisen: () => restored(),
   });
   store.watchEra(eras.note);
+  const tellsEra = () => eras.current() !== undefined;
+  const proof = createConfigProof(clock, ctx.log, tellsEra);
   let heardEra: StoreEra;
+  // Which entry knows the newest configuration does not go by names then.
+  let anyoneUntil = clock.now() + ASK_ANYONE_MS;
   const restored = () => {
+    anyoneUntil = clock.now() + ASK_ANYONE_MS;
     proof.restored();
     quarantine.restored();
     tellRestored();
@@ -234,7 +240,7 @@
         'sharing',
         (reply: (answer: EntryAnswer | undefined) => void) => ({
           kind: 'ask-entry',
-          anyone: connected.isLost(),
+          anyone: connected.isLost() || clock.now() < anyoneUntil,
           reply,
         }),
       ),
@@ -245,6 +251,7 @@
     }),
     onConfirmed: tellConfirmed,
     onOtherConfig: answer => {
+      proof.heard(answer.configVersion ?? Number.NEGATIVE_INFINITY);
       if (!catchUp.otherConfig(answer)) configs.confirmNow();
     },
     onSameConfig: catchUp.sameConfig,
@@ -290,6 +297,11 @@
       replicasDigest: known.digest(),
     });
   };
+  // What the store showed before that time proved nothing then.
+  const cancelFirst = clock.after(FIRST_WORD_MS, () => {
+    if (tellsEra()) configs.confirmNow();
+  });
+  ctx.own(cancelFirst);
   ctx.own(cover.stop);
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -263,7 +263,10 @@
         return telling.changed(message.isLong);
     }
   });
-  void announce().then(list);
+  // The first word of another entry is waited for, so it is asked for at once.
+  void announce()
+    .then(list)
+    .then(() => ctx.send('followed', {kind: 'confirm'}));
 }
 
 function openSocket(self: EntryAddress): Promise<Socket> {
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -101,21 +101,48 @@
 describe('proof that a configuration is the newest', () => {
   const SOON_MS = 100;
   const LATER_MS = 2_000;
-  const proofOf = () => {
+  const FIRST_WORD_MS = 600;
+  const proofOf = (tellsEra = true) => {
     const {runtime, clock, eventsOf} = createRecordingRuntime();
-    const proof = createConfigProof(clock, runtime.log);
+    const proof = createConfigProof(clock, runtime.log, () => tellsEra);
     proof.listed(12);
     return {clock, proof, eventsOf};
   };
+  const runningProofOf = async () => {
+    const made = proofOf();
+    await made.clock.runFor(LATER_MS);
+    return made;
+  };
+
+  test('is each answer that shows it', async () => {
+    expect((await runningProofOf()).proof.holds(12)).toBe(true);
+  });
+
+  // An entry that starts may do so just after a return, of which it cannot know.
+  test('is none at the start, until another entry had time to tell', async () => {
+    const {clock, proof} = proofOf();
+    expect(proof.holds(12)).toBe(false);
+    await clock.runFor(FIRST_WORD_MS);
+    expect(proof.holds(12)).toBe(true);
+  });
 
-  test('is each answer that shows it', () => {
-    expect(proofOf().proof.holds(12)).toBe(true);
+  // Such a store cannot be known to come back from a copy.
+  test('is each answer at the start where the store tells no era', () => {
+    expect(proofOf(false).proof.holds(12)).toBe(true);
+  });
+
+  test('is none while a newer configuration is fetched from another entry', async () => {
+    const {clock, proof} = await runningProofOf();
+    proof.heard(13);
+    expect(proof.holds(12)).toBe(false);
+    await clock.runFor(LATER_MS);
+    expect(proof.holds(12)).toBe(true);
   });
 
   // Version 13 takes a key away and is acknowledged; the store comes back
   // without it. Answers that show 12 must not keep that key in use.
   test('is none right after a return, until something is written', async () => {
-    const {clock, proof} = proofOf();
+    const {clock, proof} = await runningProofOf();
     proof.restored();
     proof.listed(12);
     await clock.runFor(SOON_MS);
@@ -125,7 +152,7 @@
   });
 
   test('is an answer again when nothing was written for long', async () => {
-    const {clock, proof} = proofOf();
+    const {clock, proof} = await runningProofOf();
     proof.restored();
     proof.listed(12);
     await clock.runFor(LATER_MS);
@@ -133,7 +160,7 @@
   });
 
   test('is never an older configuration', async () => {
-    const {clock, proof, eventsOf} = proofOf();
+    const {clock, proof, eventsOf} = await runningProofOf();
     proof.restored();
     proof.listed(10);
     await clock.runFor(LATER_MS);
@@ -277,9 +304,9 @@
 describe('an entry that starts just after the store came back from a copy', () => {
   // A configuration that took a key away is gone with the copy, and operators
   // have not written it again yet. The other entry still knows it. The one that
-  // starts takes what the store shows, with the key in it, and asks nobody: it
-  // asks only entries before it by name while the store answers. The caller's
-  // key is served though it was taken away long ago.
+  // starts took what the store shows, with the key in it, and asked nobody, as
+  // it asked only entries before it by name while the store answers: the
+  // caller's key was served though it was taken away long ago.
   test('serves no key that another entry knows was taken away', async () => {
     const stands = await startDirectFleet({node: 'entry-2'});
     stands.store.put('config', 'main', configOf(2, ['key-2']));
