fix(direct): a question between entries that nobody can answer ends no process

Asked by another entry while it starts, before the service that knows of the store runs, an entry's process ended by an unhandled rejection; and so it did when the service that talks with entries ended with a question under way (seen as an unhandled error when a test stopped an entry beside another). Both are logged now. The test of the first fails without the change.

--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -232,18 +232,22 @@
       ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'ask for it', message});
     },
   });
+  const askEntry = () =>
+    ctx.ask('sharing', (reply: (answer: EntryAnswer | undefined) => void) => ({
+      kind: 'ask-entry',
+      anyone: connected.isLost() || clock.now() < anyoneUntil,
+      reply,
+    }));
   const cover = createCover({
     clock,
     maxAgeMs: coverAgeMs(readyMs),
+    // The service that talks with entries may end with the question.
     ask: () =>
-      ctx.ask(
-        'sharing',
-        (reply: (answer: EntryAnswer | undefined) => void) => ({
-          kind: 'ask-entry',
-          anyone: connected.isLost() || clock.now() < anyoneUntil,
-          reply,
-        }),
-      ),
+      askEntry().catch(err => {
+        const message = String(err);
+        ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'ask an entry', message});
+        return undefined;
+      }),
     own: () => ({
       era: eras.current(),
       configVersion: newest?.version,
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -154,6 +154,13 @@
     sendOne({kind: 'crashes', reports}, entry);
   };
 
+  // Asked while this entry starts, the service that knows is not there yet.
+  const notAnswered = (err: unknown): void =>
+    log(DIRECT_EVENTS.handoverFailed, {
+      step: 'answer an entry',
+      message: String(err),
+    });
+
   const receive = (bytes: Buffer): void => {
     decodeDatagram(bytes).caseOf({
       Nothing: () => metrics.count('onyxloft_sharing_unreadable_total'),
@@ -166,7 +173,7 @@
       case 'load':
         return receiveLoad(datagram);
       case 'ask':
-        return void answer(datagram);
+        return void answer(datagram).catch(notAnswered);
       case 'answer':
         return questions.answered(datagram);
       case 'crashes':
