--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -45,6 +45,11 @@
  * replicas are replaced within 15 s each change costs every entry a call.
  */
 const REPLICAS_SETTLE_SHARE = 0.3;
+/**
+ * Of the watch of requests that crash replicas, while other entries are heard:
+ * they tell of those too, and a connection that fell silent does no harm.
+ */
+const QUARANTINE_WAIT_MS = 25_000;
 /** Between tries while the store fails and no other entry answers. */
 const RETRY_ALONE_MS = 500;
 /**
@@ -80,6 +85,8 @@
   const settleMs = leavingMs * REPLICAS_SETTLE_SHARE;
   const connected = createStoreConnection(clock, ctx.log);
   let newest: DirectConfig | undefined;
+  /** That are heard, with this one. */
+  let entries = 1;
 
   const eras = createStoreEras({
     log: ctx.log,
@@ -189,7 +196,7 @@
     wallMs,
     random,
     log: ctx.log,
-    waitMs: () => (cover.isCovered() ? COVERED_WAIT_MS : REPLICAS_WAIT_MS),
+    waitMs: () => (entries > 1 ? QUARANTINE_WAIT_MS : REPLICAS_WAIT_MS),
     retryMostMs,
     onReports: reports => ctx.send('direct', {kind: 'crash-reports', reports}),
     onReleased: digest => ctx.send('direct', {kind: 'crash-released', digest}),
@@ -316,6 +323,9 @@
         return void tell(message.reply);
       case 'state':
         return message.reply({config: newest, replicas: known.all()});
+      case 'entries':
+        entries = message.count;
+        return;
       case 'quarantined':
         return quarantine.keep(message.report, message.isOwn);
       case 'confirm':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -54,6 +54,8 @@
 export type FollowedMessage =
   /** Asks store and another entry at once whether the configuration holds. */
   | {readonly kind: 'confirm'}
+  /** Entries that are there, with this one. */
+  | {readonly kind: 'entries'; readonly count: number}
   /** The store is to have it; `isOwn` where this entry saw the last crash. */
   | {
       readonly kind: 'quarantined';
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -205,6 +205,7 @@
     told = count;
     log(DIRECT_EVENTS.entriesCounted, {count});
     ctx.send('direct', {kind: 'entries', count});
+    ctx.send('followed', {kind: 'entries', count});
   };
 
   const list = async (): Promise<void> => {
