--- a/src/cli/explain_logs.ts
+++ b/src/cli/explain_logs.ts
@@ -2,6 +2,7 @@
  * Explains one request from log lines of any number of processes: its events in
  * order of time, and its cause in a sentence.
  */
+import type {EventSpec} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 
 /** One log line that is about the request. */
@@ -15,12 +16,41 @@
 
 const HEAD = new Set(['time', 'level', 'event', 'name', 'node', 'requestId']);
 
-/** The lines about a request, oldest first. Other text is passed over. */
+/**
+ * The lines about a request, oldest first. Other text is passed over. Where it
+ * was refused as one that crashes replicas, those about its like come as well.
+ */
 export function linesOf(
   text: string,
   requestId: string,
 ): readonly RequestLine[] {
-  return linesByRequest(text).get(requestId) ?? [];
+  const own = linesByRequest(text).get(requestId) ?? [];
+  const refused = own.find(isOf(DIRECT_EVENTS.quarantineRefused));
+  if (refused === undefined) return own;
+  const digest = refused.fields['digest'];
+  return [...digestLines(text, digest), ...own].sort(byTime);
+}
+
+/** What became known of all requests of a digest. */
+function digestLines(text: string, digest: unknown): readonly RequestLine[] {
+  const {replicaEnded, quarantined, quarantineEnded} = DIRECT_EVENTS;
+  return text
+    .split('\n')
+    .map(parseLine)
+    .filter(line => line !== undefined)
+    .filter(line => line['digest'] === digest)
+    .map(lineOf)
+    .filter(line =>
+      [replicaEnded, quarantined, quarantineEnded].some(it => isOf(it)(line)),
+    );
+}
+
+function isOf({number}: EventSpec) {
+  return ({event}: RequestLine): boolean => event === number;
+}
+
+function byTime(a: RequestLine, b: RequestLine): number {
+  return a.time < b.time ? -1 : 1;
 }
 
 /** The lines about each request, oldest first, by its id. */
@@ -37,7 +67,7 @@
     requests.set(id, lines);
   }
   for (const lines of requests.values()) {
-    lines.sort((a, b) => (a.time < b.time ? -1 : 1));
+    lines.sort(byTime);
   }
   return requests;
 }
@@ -73,8 +103,10 @@
   const answered = last(DIRECT_EVENTS.answered.number);
   const left = last(DIRECT_EVENTS.callerLeft.number);
   const failed = last(DIRECT_EVENTS.tryFailed.number);
+  const quarantined = last(DIRECT_EVENTS.quarantineRefused.number);
   const tried = failed === undefined ? '' : `; ${triedText(failed)}`;
   if (refused !== undefined) return refusedText(refused);
+  if (quarantined !== undefined) return quarantinedText(quarantined, lines);
   if (givenUp !== undefined) return `${givenUpText(givenUp)}${tried}.`;
   if (left !== undefined) {
     const {waitedMs} = left.fields;
@@ -94,6 +126,20 @@
   );
 }
 
+function quarantinedText(
+  {node}: RequestLine,
+  lines: readonly RequestLine[],
+): string {
+  const told = lines
+    .filter(isOf(DIRECT_EVENTS.replicaEnded))
+    .map(({fields}) => String(fields['replica']));
+  const replicas = [...new Set(told)].join(', ') || 'replicas';
+  return (
+    `${node} refused it and did not send it on: ${replicas} had ended under ` +
+    'requests with the same host, path, organisation and body.'
+  );
+}
+
 function givenUpText({node, fields}: RequestLine): string {
   const {reason, ran, sent, elapsedMs} = fields;
   const run = ran === 'no' ? 'it did not run' : 'it may have run';
--- a/test/explain_logs.test.ts
+++ b/test/explain_logs.test.ts
@@ -75,4 +75,39 @@
     expect(run.code).toBe(2);
     expect(run.stderr).toContain('/no/such cannot be read');
   });
+
+  // Its callers ask why it is refused; the cause lies with other ids.
+  test('leads from a refused request to the replicas that ended under its like', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'onyxloft-logs-'));
+    const path = join(folder, 'all.log');
+    const ended = (replica: string, at: number) => ({
+      time: `2026-01-01T00:00:00.${at}Z`,
+      event: 266,
+      name: 'direct-replica-ended',
+      node: 'entry-2',
+      digest: 'abc',
+      replica,
+    });
+    const lines = [
+      ended('i-1', 100),
+      ended('i-2', 200),
+      {...ended('i-9', 250), digest: 'other'},
+      {
+        time: '2026-01-01T00:00:01.000Z',
+        event: 268,
+        name: 'direct-quarantine-refused',
+        node: 'entry-1',
+        requestId: 'r7',
+        digest: 'abc',
+      },
+    ];
+    writeFileSync(path, lines.map(it => `${JSON.stringify(it)}\n`).join(''));
+    const run = await runToolWith(['explain', 'r7', '--logs', path]);
+    const rows = run.stdout.trim().split('\n');
+    expect(rows).toHaveLength(4);
+    expect(rows[3]).toBe(
+      'entry-1 refused it and did not send it on: i-1, i-2 had ended under ' +
+        'requests with the same host, path, organisation and body.',
+    );
+  });
 });
