test(direct): stand-in replicas listen at a loopback address of their process alone

'takes the replicas as well' failed twice beside three other runs of the suite: the port of a replica that had ended was given to one of another test process, which answered. Each process has an address of its own now; no check changed.

--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -6,6 +6,17 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
+/**
+ * A loopback address of this process alone: at another one, the port of a
+ * replica that has ended may be given to a replica of another process.
+ */
+const OWN_IP = loopbackOf(process.pid);
+
+function loopbackOf(pid: number): string {
+  const [high, middle, low] = [pid >> 14, pid >> 7, pid].map(it => it & 127);
+  return `127.${1 + high}.${middle}.${1 + low}`;
+}
+
 /** A request that reached the replica. */
 export interface Arrival {
   readonly id: string;
@@ -188,13 +199,13 @@
   });
   const listen = (at: number) =>
     new Promise<void>(resolve => {
-      server.listen(at, '127.0.0.1', resolve);
+      server.listen(at, OWN_IP, resolve);
     });
   await listen(0);
   const {port} = server.address() as AddressInfo;
   return {
     id,
-    address: `127.0.0.1:${port}`,
+    address: `${OWN_IP}:${port}`,
     arrivals,
     orders,
     held,
