--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -83,7 +83,8 @@
     elapsedMs: () => clock.now() - arrivedAt,
     digest: () =>
       (digest ??= digestOf({
-        host: req.headers.host ?? '',
+        // As the route has it: callers may write it in several ways.
+        host: admitted.route.host,
         path: req.url ?? '/',
         organisation: admitted.owner?.organisation,
         body: admitted.body,
--- a/test/direct/crashing_requests.test.ts
+++ b/test/direct/crashing_requests.test.ts
@@ -1,6 +1,7 @@
 /** Requests that crash each replica that begins to run them. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
+import {HOST} from '../../standins/users_platform/deployment.js';
 import {
   answerWell,
   breakOff,
@@ -113,6 +114,14 @@
     expect(runs(entry.desk)).toBe(before);
   });
 
+  test('is known when its host is written in another way', async () => {
+    const entry = await startPoisoned();
+    await endReplicas([entry], '/once/a', entry.desk);
+    const headers = {Host: `${HOST.toUpperCase()}:80`};
+    const send = () => callEntry(entry, '/once/a', {headers, body: POISON});
+    await until(async () => (await send()).status === 429);
+  });
+
   test('is served again when an operator removes its record', async () => {
     const entry = await startPoisoned();
     await endReplicas([entry], '/once/a', entry.desk);
