test(fault-soak): requests that crash replicas, again and again at drawn entries

Drawn from a chance of their own, so that the other faults of a seed stay as they are; replicas reset all connections, refuse new ones for 0.9 s and start anew.

--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -35,7 +35,8 @@
     }
   | {readonly kind: 'replica-leaves'; readonly replica: number; forMs: number}
   | {readonly kind: 'rotate-key'; forMs: number}
-  | RestoreStore;
+  | RestoreStore
+  | PoisonRequest;
 
 /** The store goes away and comes back from a copy that is `forMs` old. */
 export interface RestoreStore {
@@ -48,6 +49,18 @@
   readonly replicaMs: readonly number[];
 }
 
+/** A request that crashes what runs it comes again, from now to the end. */
+export interface PoisonRequest {
+  readonly kind: 'poison-request';
+  forMs: number;
+  readonly path: 'stream' | 'once' | 'again';
+  /** Mean pause of a caller between two of them. */
+  readonly everyMs: number;
+  readonly callers: number;
+  /** From its arrival until the replica crashes. */
+  readonly crashMs: number;
+}
+
 /** What `--only` may name. */
 export const FAULT_KINDS: ReadonlyArray<Fault['kind']> = [
   'pause-entry',
@@ -63,6 +76,7 @@
   'replica-leaves',
   'rotate-key',
   'restore-store',
+  'poison-request',
 ];
 
 /** A fault and when it begins, in milliseconds from the start of the run. */
@@ -88,6 +102,13 @@
 /** Operators and replicas write again within this. */
 const LONGEST_REWRITE_MS = 1_500;
 
+/** Mean pause between two requests that crash replicas. */
+const MEAN_POISON_GAP_MS = 9_000;
+const POISON_PATHS = ['stream', 'once', 'again'] as const;
+const POISON_CALLERS = 3;
+const POISON_EVERY_MS = 900;
+const POISON_CRASH_MS = 700;
+
 const LINK_FAULTS: readonly RelayFaults[] = [
   {silence: true},
   {refuse: true},
@@ -170,3 +191,24 @@
   }
   return plan;
 }
+
+/** Draws requests that crash replicas, from a chance of their own as well. */
+export function drawPoison(
+  random: Random,
+  {durationMs}: FaultPlanShape,
+): readonly PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_POISON_GAP_MS;
+  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
+    const fault: PoisonRequest = {
+      kind: 'poison-request',
+      forMs: 0,
+      path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
+      everyMs: random.next() * POISON_EVERY_MS,
+      callers: 1 + Math.floor(random.next() * POISON_CALLERS),
+      crashMs: random.next() ** 2 * POISON_CRASH_MS,
+    };
+    plan.push({atMs, fault});
+  }
+  return plan;
+}
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -42,6 +42,14 @@
 const EVENT_PAUSE_MS = 15;
 const SLOW_PAUSE_MS = 150;
 const PORTS_PER_ENTRY = 4;
+/** A replica that has crashed is back after this time. */
+const DOWN_MS = 900;
+
+/** A replica ended under a request with this body. */
+export interface Crash {
+  readonly body: string;
+  readonly at: number;
+}
 
 /** A replica with its link; the store lists the link's address. */
 export interface SoakReplica {
@@ -49,6 +57,10 @@
   readonly service: string;
   readonly link: Relay;
   become(how: ReplicaFault | undefined): void;
+  /** Requests that crashed it, and when; steady time. */
+  crashes(): readonly Crash[];
+  /** Rises each time that it starts. */
+  born(): number;
   /** How often it began to run the request. */
   runs(id: string): number;
 }
@@ -82,26 +94,50 @@
 async function createReplica(
   service: string,
   at: number,
+  onStart: (replica: SoakReplica) => void,
 ): Promise<SoakReplica> {
   const standIn = await startReplica(`${service}-${at}`);
   const link = await startRelay('127.0.0.1:0', standIn.address);
   const ran = new Map<string, number>();
   let fault: ReplicaFault | undefined;
+  const crashes: Crash[] = [];
+  let born = 1;
+  let isDown = false;
+  const crash = (body: string) => {
+    if (isDown) return;
+    isDown = true;
+    crashes.push({body, at: performance.now()});
+    link.stop();
+    setTimeout(() => {
+      born += 1;
+      isDown = false;
+      void link.start().then(() => onStart(replica));
+    }, DOWN_MS);
+  };
   const note = ({id}: Arrival) => void ran.set(id, (ran.get(id) ?? 0) + 1);
   standIn.behave((arrival, res, req) => {
+    const [poison, , crashMs] = arrival.body.split('-');
+    if (poison === 'poison') {
+      note(arrival);
+      setTimeout(() => crash(arrival.body), Number(crashMs));
+      return;
+    }
     if (fault !== 'refuses') note(arrival);
     const behaviour = fault === undefined ? behaveWell : FAULTY[fault];
     behaviour(arrival, res, req);
   });
-  return {
+  const replica: SoakReplica = {
     standIn,
     service,
     link,
+    crashes: () => crashes,
+    born: () => born,
     become: how => {
       fault = how;
     },
     runs: id => ran.get(id) ?? 0,
   };
+  return replica;
 }
 
 function settingsOf(
@@ -130,12 +166,19 @@
   dir: string,
 ): Promise<SoakFleet> {
   const store = await startStore();
+  const states = new Map<SoakReplica, string>();
+  const list = (replica: SoakReplica, state: string) => {
+    const {standIn, service, link} = replica;
+    states.set(replica, state);
+    const at = {...standIn, address: link.address};
+    announce(store, at, service, state, replica.born());
+  };
+  const onStart = (replica: SoakReplica) =>
+    list(replica, states.get(replica) ?? 'ready');
   const replicas = await Promise.all([
-    ...Array.from({length: 4}, (_, at) => createReplica('pool', at)),
-    ...Array.from({length: 3}, (_, at) => createReplica('desk', at)),
+    ...Array.from({length: 4}, (_, at) => createReplica('pool', at, onStart)),
+    ...Array.from({length: 3}, (_, at) => createReplica('desk', at, onStart)),
   ]);
-  const list = ({standIn, service, link}: SoakReplica, state: string) =>
-    announce(store, {...standIn, address: link.address}, service, state);
   for (const replica of replicas) list(replica, 'ready');
   store.put('config', 'main', configOf(1));
 
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -1,7 +1,7 @@
 /** Injects faults into a running fleet, and takes each back. */
 import type {RelayFaults} from '../standins/relay_core.js';
 import {configOf} from '../standins/users_platform/deployment.js';
-import type {Fault, RestoreStore} from './faults.js';
+import type {Fault, PoisonRequest, RestoreStore} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {TIMING} from './soak_fleet.js';
 import type {Violation} from './soak_judge.js';
@@ -25,6 +25,8 @@
   heal(): Promise<void>;
   /** The key that callers are to use now, and those taken away. */
   readonly keys: SoakKeys;
+  /** Store and link to it have been well for `forMs`. */
+  reachesStore(entry: number, forMs: number): boolean;
 }
 
 export interface SoakKeys {
@@ -37,6 +39,7 @@
 export function createInjector(
   fleet: SoakFleet,
   blame: (violation: Violation) => void,
+  beginPoison: (fault: PoisonRequest) => void,
 ): Injector {
   const undoing = new Map<object, () => void>();
   const ends = new Set<Promise<unknown>>();
@@ -45,6 +48,8 @@
   const good = new Set([keyOf(1)]);
   /** Last state of each replica, as it wrote it. */
   const states = new Map<number, string>();
+  /** When store and links were harmed last, or Infinity while they are. */
+  const harmed = createHarm(fleet.entries.length);
   let issued = 1;
   let version = 1;
 
@@ -107,7 +112,11 @@
       for (const key of older) good.delete(key);
       const link = fleet.storeLinks[issued % fleet.storeLinks.length];
       link.apply({refuse: true});
-      later(CUT_AT_REMOVAL_MS, () => link.apply(LINK_WELL));
+      const end = harmed.begin(issued % fleet.storeLinks.length);
+      later(CUT_AT_REMOVAL_MS, () => {
+        link.apply(LINK_WELL);
+        end();
+      });
       writeConfig();
       const now = performance.now();
       for (const key of older) {
@@ -131,10 +140,12 @@
     const {store} = fleet;
     const copy = store.copy();
     later(fault.forMs, () => {
+      const end = harmed.beginAll();
       store.setMode('silent');
       later(fault.awayMs, () => {
         store.restore(copy);
         store.setMode('well');
+        end();
         writeAgain(fault);
       });
     });
@@ -159,13 +170,20 @@
         return entries[fault.entry].stepClock();
       case 'store-mode':
         store.setMode(fault.mode);
-        return later(fault.forMs, () => store.setMode('well'));
+        return later(
+          fault.forMs,
+          andEnd(() => store.setMode('well'), harmed.beginAll()),
+        );
       case 'forget-history':
         return store.forgetHistory();
       case 'store-link': {
         const link = storeLinks[fault.entry];
         link.apply(fault.faults);
-        return later(fault.forMs, () => link.apply(LINK_WELL));
+        const end = harmed.begin(fault.entry);
+        return later(
+          fault.forMs,
+          andEnd(() => link.apply(LINK_WELL), end),
+        );
       }
       case 'replica-link': {
         const {link} = replicas[fault.replica];
@@ -184,6 +202,8 @@
         return rotateKey(fault.forMs);
       case 'restore-store':
         return restoreStore(fault);
+      case 'poison-request':
+        return beginPoison(fault);
     }
   };
 
@@ -195,6 +215,8 @@
       while (ends.size > 0) await Promise.allSettled([...ends]);
       await Promise.all(fleet.entries.map(entry => entry.start()));
     },
+    reachesStore: (entry, forMs) =>
+      performance.now() - harmed.lastAt(entry) > forMs,
     keys: {
       current: () => keyOf(issued),
       all: () => Array.from({length: issued}, (_, at) => keyOf(at + 1)),
@@ -202,3 +224,31 @@
     },
   };
 }
+
+function andEnd(undo: () => void, end: () => void): () => void {
+  return () => {
+    undo();
+    end();
+  };
+}
+
+/** When each entry's way to the store was harmed last. */
+function createHarm(entries: number) {
+  const open = Array.from({length: entries}, () => 0);
+  const endedAt = Array.from({length: entries}, () => -Infinity);
+  const begin = (entry: number) => {
+    open[entry] += 1;
+    return () => {
+      open[entry] -= 1;
+      endedAt[entry] = performance.now();
+    };
+  };
+  return {
+    begin,
+    beginAll: () => {
+      const ends = open.map((_, entry) => begin(entry));
+      return () => ends.forEach(end => end());
+    },
+    lastAt: (entry: number) => (open[entry] > 0 ? Infinity : endedAt[entry]),
+  };
+}
--- a/fault_soak/soak_judge.ts
+++ b/fault_soak/soak_judge.ts
@@ -4,7 +4,11 @@
  */
 import {eventText} from '../standins/users_platform/replica.js';
 import type {Outcome} from './soak_requests.js';
-import {DEADLINE_MS, STREAM_EVENTS} from './soak_requests.js';
+import {
+  DEADLINE_MS,
+  REFUSED_FOR_GOOD_STATUS,
+  STREAM_EVENTS,
+} from './soak_requests.js';
 
 /** Time for the last bytes on the way, and for a busy machine. */
 const DEADLINE_SLACK_MS = 1_500;
@@ -48,6 +52,9 @@
   if (wasUndisturbed && status === undefined) {
     blame('an answer from an entry that lives', String(outcome.error));
   }
+  if (status === REFUSED_FOR_GOOD_STATUS) {
+    blame('what crashes no replica is not refused for good', body);
+  }
   if (status === 200 && kind === 'stream') {
     if (!WHOLE_STREAM.startsWith(body)) {
       blame('events in order, each once', JSON.stringify(body));
--- a/fault_soak/soak_requests.ts
+++ b/fault_soak/soak_requests.ts
@@ -9,6 +9,8 @@
 const HANG_MS = 30_000;
 /** Promises that the request has not run and never will. */
 export const NOT_RUN_STATUS = 503;
+/** The same, of a request that crashes replicas. */
+export const REFUSED_FOR_GOOD_STATUS = 429;
 /** Events of a whole stream. */
 export const STREAM_EVENTS = 20;
 
@@ -29,6 +31,8 @@
   readonly kind: RequestKind;
   readonly key: string;
   readonly isLarge: boolean;
+  /** What it sends. @default the same for all */
+  readonly prompt?: string;
 }
 
 /** One request's end, as its caller saw it. Times are steady milliseconds. */
@@ -70,7 +74,9 @@
         status: res?.statusCode,
         body,
         isWhole: res?.complete ?? false,
-        saysNotRun: res?.statusCode === NOT_RUN_STATUS,
+        saysNotRun:
+          res?.statusCode === NOT_RUN_STATUS ||
+          res?.statusCode === REFUSED_FOR_GOOD_STATUS,
         error,
       });
     };
@@ -109,7 +115,7 @@
       });
       got.on('close', end);
     });
-    req.end('a prompt');
+    req.end(asked.prompt ?? 'a prompt');
   });
 }
 
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -8,13 +8,14 @@
 import type {Random} from '../src/types/runtime.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 import type {Fault, PlannedFault} from './faults.js';
-import {drawFaults, drawReturns} from './faults.js';
+import {drawFaults, drawPoison, drawReturns} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {RETRIES, TIMING, startSoakFleet} from './soak_fleet.js';
 import type {Injector} from './soak_inject.js';
 import {createInjector} from './soak_inject.js';
 import type {JudgeView, Violation} from './soak_judge.js';
 import {judgeAnswer, judgeRuns} from './soak_judge.js';
+import {createPoisons} from './soak_poison.js';
 import type {Outcome, RequestKind, SoakRequest} from './soak_requests.js';
 import {keptConnections, sendRequest} from './soak_requests.js';
 
@@ -36,6 +37,8 @@
   readonly requests: number;
   readonly served: number;
   readonly notRun: number;
+  /** Replicas that each request which crashes them ended. */
+  readonly ended: readonly number[];
   readonly violations: readonly Violation[];
   /** 99th percentile of this process's own delay, in milliseconds. */
   readonly ownDelayMs: number;
@@ -57,6 +60,8 @@
 const WARM_UP_DRAWS = 8;
 /** Sets the chance of the store's returns apart from that of the rest. */
 const RETURNS_SEED = 1_000_003;
+/** The same of requests that crash replicas. */
+const POISON_SEED = 2_000_003;
 
 const START_LIMIT_MS = 60_000;
 /** From the end of the last fault until all is served again. */
@@ -73,7 +78,15 @@
   const fleet = await startSoakFleet(shape.processes, shape.dir);
   const violations: Violation[] = [];
   const blame = (violation: Violation) => void violations.push(violation);
-  const injector = createInjector(fleet, blame);
+  const poisons = createPoisons({
+    fleet,
+    random: createSeededRandom(shape.seed),
+    key: () => injector.keys.current(),
+    isInTouch: (entry, forMs) =>
+      injector.reachesStore(entry, forMs) &&
+      fleet.entries[entry].isUndisturbedSince(performance.now() - forMs),
+  });
+  const injector = createInjector(fleet, blame, poisons.begin);
   const view = viewOf(fleet, injector);
   const delay = monitorEventLoopDelay();
   try {
@@ -92,6 +105,9 @@
     const calmFrom = performance.now();
     await sleep(CALM_MS);
     const outcomes = await traffic.stop();
+    const poisonous = await poisons.stop();
+    for (const outcome of poisonous) judgeRuns(outcome, view).forEach(blame);
+    poisons.judge().forEach(blame);
     for (const outcome of outcomes) {
       judgeAnswer(outcome, view).forEach(blame);
       judgeRuns(outcome, view).forEach(blame);
@@ -107,6 +123,7 @@
       requests: outcomes.length,
       served: outcomes.filter(isServed).length,
       notRun: outcomes.filter(({saysNotRun}) => saysNotRun).length,
+      ended: poisons.ended(),
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
     };
@@ -126,9 +143,11 @@
     durationMs,
   };
   const returns = createSeededRandom(seed + RETURNS_SEED);
+  const poison = createSeededRandom(seed + POISON_SEED);
   return [
     ...drawFaults(random, drawn),
     ...drawReturns(warmedUp(returns), drawn),
+    ...drawPoison(warmedUp(poison), drawn),
   ]
     .filter(({fault}) => only === undefined || fault.kind === only)
     .sort((a, b) => a.atMs - b.atMs);
--- a/standins/relay_core.ts
+++ b/standins/relay_core.ts
@@ -25,6 +25,10 @@
 export interface Relay {
   readonly address: string;
   apply(faults: RelayFaults): void;
+  /** As a process that ends: resets all connections, and listens no more. */
+  stop(): void;
+  /** Listens again, at the same port. */
+  start(): Promise<void>;
   counts(): {
     readonly open: number;
     readonly silent: number;
@@ -142,6 +146,11 @@
       if (faults.reset === true) endAll(socket => socket.resetAndDestroy());
       if (refuse) endAll(socket => socket.destroy());
     },
+    stop: () => {
+      server.close();
+      endAll(socket => socket.resetAndDestroy());
+    },
+    start: () => listenAt(server, `${address}:${port}`),
     counts: () => ({
       open: pairs.size,
       silent: [...pairs].filter(pair => pair.silent).length,
