fix(direct): what only ran beside a request that crashes replicas is served again soon

Nothing tells the two apart but a run by itself. One request of a quarantined digest may run a second after, and one more after ten; an entry claims the trial by creating an object in the store, so that one of all entries gets it, and a claim that was not answered is made again. A run that ends well ends the quarantine: the record is removed, and all entries hear of that. So a request that does crash replicas is sent twice more at most, of three allowed.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -197,7 +197,11 @@
     isDraining: () => false,
     share: (_loads, isLong) => telling.changed(isLong),
     tellCrashes: () => undefined,
-    onQuarantined: () => undefined,
+    quarantine: {
+      onQuarantined: () => undefined,
+      onCleared: () => undefined,
+      claimTrial: () => Promise.resolve(false),
+    },
   });
   const domainOf = (entry: number) => entry % options.failureDomains;
   const others = Array.from(
--- a/fault_soak/soak_judge.ts
+++ b/fault_soak/soak_judge.ts
@@ -14,6 +14,8 @@
 const DEADLINE_SLACK_MS = 1_500;
 /** From a key's removal in the store to its last use, beside the bound. */
 const REVOKE_SLACK_MS = 200;
+/** Both trials of a request that is quarantined are over by then. */
+const TRIED_MS = 12_000;
 
 export interface Violation {
   readonly promise: string;
@@ -52,9 +54,6 @@
   if (wasUndisturbed && status === undefined) {
     blame('an answer from an entry that lives', String(outcome.error));
   }
-  if (status === REFUSED_FOR_GOOD_STATUS) {
-    blame('what crashes no replica is not refused for good', body);
-  }
   if (status === 200 && kind === 'stream') {
     if (!WHOLE_STREAM.startsWith(body)) {
       blame('events in order, each once', JSON.stringify(body));
@@ -79,6 +78,32 @@
   return found;
 }
 
+/**
+ * What ran beside a request that crashes replicas looks like it, until one run
+ * of its own has ended well.
+ */
+export function judgeRefusals(
+  outcomes: readonly Outcome[],
+): readonly Violation[] {
+  const since = new Map<string, number>();
+  const found: Violation[] = [];
+  const inOrder = [...outcomes].sort((a, b) => a.sentAt - b.sentAt);
+  for (const {id, kind, status, sentAt} of inOrder) {
+    if (status === 200) since.delete(kind);
+    if (status !== REFUSED_FOR_GOOD_STATUS) continue;
+    const first = since.get(kind) ?? sentAt;
+    since.set(kind, first);
+    if (sentAt - first <= TRIED_MS) continue;
+    const detail = `refused since ${Math.round(sentAt - first)} ms`;
+    found.push({
+      promise: 'what crashes no replica is refused for moments only',
+      id,
+      detail,
+    });
+  }
+  return found;
+}
+
 /** Judges what may still change after the answer: late copies may run. */
 export function judgeRuns(
   outcome: Outcome,
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -14,7 +14,7 @@
 import type {Injector} from './soak_inject.js';
 import {createInjector} from './soak_inject.js';
 import type {JudgeView, Violation} from './soak_judge.js';
-import {judgeAnswer, judgeRuns} from './soak_judge.js';
+import {judgeAnswer, judgeRefusals, judgeRuns} from './soak_judge.js';
 import {createPoisons} from './soak_poison.js';
 import type {Outcome, RequestKind, SoakRequest} from './soak_requests.js';
 import {keptConnections, sendRequest} from './soak_requests.js';
@@ -113,6 +113,7 @@
       judgeRuns(outcome, view).forEach(blame);
       judgeCalm(outcome, calmFrom, view).forEach(blame);
     }
+    judgeRefusals(outcomes).forEach(blame);
     judgeRetries(outcomes, view, shape.durationMs).forEach(blame);
     (await judgeMemory(fleet)).forEach(blame);
     await endAll(fleet, blame);
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -36,7 +36,8 @@
   exchange: Exchange,
   replica: DirectReplica,
 ): Promise<CallOutcome> {
-  if (ctx.crashes.isQuarantined(exchange)) {
+  const {isTrial} = exchange;
+  if (!ctx.crashes.maySend(exchange)) {
     return Promise.resolve({kind: 'quarantined'});
   }
   const {health, losses, book, clock, metrics, callTimes} = ctx;
@@ -112,6 +113,7 @@
       health.failed(replica.id);
       if (!sent) {
         exchange.sent--;
+        exchange.isTrial = isTrial;
         finish({kind: 'not-sent', reason});
         return;
       }
--- a/src/direct/crash_watch.ts
+++ b/src/direct/crash_watch.ts
@@ -24,6 +24,10 @@
   'merge' | 'release' | 'next' | 'size' | 'quarantined'
 > {
   isQuarantined(exchange: Exchange): boolean;
+  /** Whether it may be sent to a replica now; takes up its trial, if it has one. */
+  maySend(exchange: Exchange): boolean;
+  /** Makes a quarantined request the trial of its like, if one is due. */
+  claimTrial(exchange: Exchange): Promise<boolean>;
   /** The run's connection broke, or fell silent. */
   broke(exchange: Exchange, replica: DirectReplica): void;
   /** The run was given up for another reason while it was under way. */
@@ -46,6 +50,12 @@
   tell(report: CrashReport): void;
   /** It is to last; `isOwn` where this entry saw the last crash. */
   onQuarantined(report: CrashReport, isOwn: boolean): void;
+  /** See `SuspectsOptions`. */
+  onCleared(digest: string, isOwn: boolean): void;
+  /**
+   * True for one claim of all entries; undefined when nobody answered.
+   */
+  claimTrial(digest: string, trial: number): Promise<boolean | undefined>;
 }
 
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
@@ -60,11 +70,13 @@
       log(DIRECT_EVENTS.quarantined, {digest: shown, ended, good, isOwn});
       options.onQuarantined(report, isOwn);
     },
-    onCleared: digest =>
+    onCleared: (digest, isOwn) => {
       log(DIRECT_EVENTS.quarantineEnded, {
         digest: shownDigest(digest),
         reason: 'runs of it ended well',
-      }),
+      });
+      options.onCleared(digest, isOwn);
+    },
   });
   const lost = createLostRuns({
     clock,
@@ -75,6 +87,8 @@
       suspects.ended(digest, replica);
     },
   });
+  const isQuarantined = (exchange: Exchange) =>
+    suspects.size() > 0 && suspects.isQuarantined(exchange.digest());
   return {
     merge: suspects.merge,
     next: suspects.next,
@@ -87,8 +101,30 @@
         reason: 'released',
       });
     },
-    isQuarantined: exchange =>
-      suspects.size() > 0 && suspects.isQuarantined(exchange.digest()),
+    isQuarantined,
+    maySend: exchange => {
+      if (!isQuarantined(exchange)) return true;
+      const {isTrial} = exchange;
+      exchange.isTrial = false;
+      return isTrial;
+    },
+    claimTrial: async exchange => {
+      const digest = exchange.digest();
+      const trial = suspects.dueTrial(digest);
+      if (trial === undefined) return false;
+      const isGained = await options.claimTrial(digest, trial);
+      suspects.trialSettled(digest, isGained !== undefined);
+      exchange.isTrial = isGained === true;
+      if (exchange.isTrial) {
+        const shown = shownDigest(digest);
+        log(DIRECT_EVENTS.trial, {
+          requestId: exchange.id,
+          digest: shown,
+          trial,
+        });
+      }
+      return exchange.isTrial;
+    },
     broke: (exchange, replica) => lost.broke(exchange.digest(), replica),
     left: (exchange, replica) => {
       const digest = exchange.digest();
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -46,6 +46,8 @@
   sent: number;
   /** It may have run: a replica got it and gave no proof that it did not. */
   mayHaveRun: boolean;
+  /** It may be sent once though requests like it are quarantined. */
+  isTrial: boolean;
   /** Refuses, or ends an answer that has begun; set by the front. */
   end(reason: EndReason): void;
 }
@@ -91,6 +93,7 @@
       })),
     sent: 0,
     mayHaveRun: false,
+    isTrial: false,
     end,
   };
   const cancelTimer = clock.after(exchange.timeLeftMs(), () => {
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -328,6 +328,12 @@
         return;
       case 'quarantined':
         return quarantine.keep(message.report, message.isOwn);
+      case 'quarantine-cleared':
+        return quarantine.clear(message.digest, message.isOwn);
+      case 'claim-trial':
+        return void quarantine
+          .claimTrial(message.digest, message.trial)
+          .then(message.reply);
       case 'confirm':
         // Asked for each request, a store that proves nothing would be asked
         // in vain; its watch tells at once when it does.
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -103,8 +103,22 @@
       ctx.send('sharing', {kind: 'load', loads, isLong}),
     tellCrashes: reports =>
       ctx.send('sharing', {kind: 'crash-reports', reports, toAll: true}),
-    onQuarantined: (report, isOwn) =>
-      ctx.send('followed', {kind: 'quarantined', report, isOwn}),
+    quarantine: {
+      onQuarantined: (report, isOwn) =>
+        ctx.send('followed', {kind: 'quarantined', report, isOwn}),
+      onCleared: (digest, isOwn) =>
+        ctx.send('followed', {kind: 'quarantine-cleared', digest, isOwn}),
+      claimTrial: (digest, trial) =>
+        ctx.ask(
+          'followed',
+          (reply: (isGained: boolean | undefined) => void) => ({
+            kind: 'claim-trial',
+            digest,
+            trial,
+            reply,
+          }),
+        ),
+    },
   });
 
   const toldAgeMs = () => Math.round(Math.min(evidence.ageMs(), NEVER_TOLD_MS));
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -54,6 +54,19 @@
 export type FollowedMessage =
   /** Asks store and another entry at once whether the configuration holds. */
   | {readonly kind: 'confirm'}
+  /** Runs of it ended well; `isOwn` where the last one was here. */
+  | {
+      readonly kind: 'quarantine-cleared';
+      readonly digest: string;
+      readonly isOwn: boolean;
+    }
+  | {
+      readonly kind: 'claim-trial';
+      readonly digest: string;
+      readonly trial: number;
+      /** Undefined when the store did not answer. */
+      readonly reply: (isGained: boolean | undefined) => void;
+    }
   /** Entries that are there, with this one. */
   | {readonly kind: 'entries'; readonly count: number}
   /** The store is to have it; `isOwn` where this entry saw the last crash. */
--- a/src/direct/quarantine_records.ts
+++ b/src/direct/quarantine_records.ts
@@ -25,7 +25,7 @@
 export interface QuarantineRecordsOptions {
   readonly store: Pick<
     DirectStore,
-    'quarantine' | 'writeQuarantine' | 'removeQuarantine'
+    'quarantine' | 'writeQuarantine' | 'removeQuarantine' | 'claimTrial'
   >;
   readonly clock: Clock;
   /** Time of day, in milliseconds. */
@@ -44,6 +44,10 @@
 export interface QuarantineRecords extends Pick<Follower, 'noteEra'> {
   /** Sees to it that the store has the record. */
   keep(report: CrashReport, isOwn: boolean): void;
+  /** Runs of it ended well; with `isOwn` its record is removed from here. */
+  clear(digest: string, isOwn: boolean): void;
+  /** True for one claim of all entries; undefined without an answer. */
+  claimTrial(digest: string, trial: number): Promise<boolean | undefined>;
   /** The store has come back from an older copy. */
   restored(): void;
   stop: Cancel;
@@ -88,16 +92,17 @@
     clock.after(delayMs, () => void write(digest));
   };
   const remove = async (digest: string): Promise<void> => {
-    if (!shown.has(digest) || isStopped) return;
-    (await store.removeQuarantine(digest)).ifLeft(({message}) =>
-      log(DIRECT_EVENTS.storeCallFailed, {step: 'remove quarantine', message}),
-    );
+    if (isStopped) return;
+    (await store.removeQuarantine(digest)).ifLeft(({message}) => {
+      log(DIRECT_EVENTS.storeCallFailed, {step: 'remove quarantine', message});
+      clock.after(WRITE_AGAIN_MS, () => void remove(digest));
+    });
   };
   const removeOver = (): void => {
     for (const [digest, record] of shown) {
       if (!isOver(record)) continue;
       const delayMs = random.next() * LOOK_MS;
-      clock.after(delayMs, () => void remove(digest));
+      clock.after(delayMs, () => shown.has(digest) && void remove(digest));
     }
   };
 
@@ -123,6 +128,17 @@
       if (isOwn) void write(report.digest);
       else writeLater(report.digest, spreadMs);
     },
+    clear: (digest, isOwn) => {
+      kept.delete(digest);
+      if (isOwn) void remove(digest);
+    },
+    claimTrial: async (digest, trial) =>
+      (await store.claimTrial(digest, trial))
+        .ifLeft(({message}) =>
+          log(DIRECT_EVENTS.storeCallFailed, {step: 'claim trial', message}),
+        )
+        .toMaybe()
+        .extract(),
     restored: () => {
       for (const [digest, record] of shown) kept.set(digest, record);
       shown.clear();
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -11,7 +11,7 @@
 import {createCallTimes} from './call_times.js';
 import type {CrashReport} from './crash_reports.js';
 import {createCrashWatch} from './crash_watch.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {CrashWatch, CrashWatchOptions} from './crash_watch.js';
 import {readMs} from './decide/engine_timing.js';
 import type {Fullness} from './decide/place_or_wait.js';
 import {createRequestWorth, sizeOf} from './decide/request_worth.js';
@@ -73,7 +73,10 @@
   /** Tells them of requests that may crash replicas. */
   tellCrashes(reports: readonly CrashReport[]): void;
   /** See `CrashWatchOptions`. */
-  onQuarantined(report: CrashReport, isOwn: boolean): void;
+  readonly quarantine: Pick<
+    CrashWatchOptions,
+    'onQuarantined' | 'onCleared' | 'claimTrial'
+  >;
 }
 
 export interface Serving {
@@ -135,7 +138,7 @@
       news.set(report.digest, report);
       tellCrashes(SHARE_MORE_MS);
     },
-    onQuarantined: options.onQuarantined,
+    ...options.quarantine,
   });
   let isLong = false;
   const shareLater = createBatcher(clock, () => {
@@ -184,6 +187,19 @@
     return worth.weigh(route.name, sizeOf(facts), ms);
   };
 
+  const serveOrRefuse = async (exchange: Exchange): Promise<void> => {
+    if (crashes.isQuarantined(exchange)) {
+      const isTrial = await crashes.claimTrial(exchange);
+      if (exchange.signal.aborted) return;
+      if (!isTrial) {
+        refuseForGood(ctx, exchange);
+        return;
+      }
+    }
+    if (exchange.route.streaming) await serveStream(ctx, exchange);
+    else await serveCall(ctx, exchange);
+  };
+
   const serve: Serving['serve'] = (admitted, req, res, arrivedAt) => {
     const exchange = openExchange({
       clock,
@@ -198,15 +214,8 @@
         log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
       },
     });
-    if (crashes.isQuarantined(exchange)) {
-      refuseForGood(ctx, exchange);
-      return;
-    }
     open.add(exchange);
-    const serving = admitted.route.streaming
-      ? serveStream(ctx, exchange)
-      : serveCall(ctx, exchange);
-    void serving
+    void serveOrRefuse(exchange)
       .catch(err => {
         log(DIRECT_EVENTS.faulted, {
           requestId: exchange.id,
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -34,7 +34,8 @@
   place: Place,
   progress: StreamProgress,
 ): Promise<StreamOutcome> {
-  if (ctx.crashes.isQuarantined(exchange)) {
+  const {isTrial} = exchange;
+  if (!ctx.crashes.maySend(exchange)) {
     return Promise.resolve({kind: 'quarantined'});
   }
   const {health, clock, metrics} = ctx;
@@ -134,6 +135,7 @@
         ctx.crashes.broke(exchange, replica);
       } else {
         exchange.sent--;
+        exchange.isTrial = isTrial;
       }
       finish({kind: sent ? 'broken' : 'not-sent', reason});
     };
--- a/src/direct/suspects.ts
+++ b/src/direct/suspects.ts
@@ -16,6 +16,14 @@
 const ENDED_ALLOWED = 3;
 /** One more is allowed for each run that ended well, times this. */
 const ENDED_PER_GOOD = 2;
+/**
+ * One request of a digest may run so long after it was quarantined, and one
+ * more later. What ran beside a request that crashes replicas looks like it,
+ * and only a run by itself tells them apart.
+ */
+const TRIALS_AFTER_MS = [1_000, 10_000];
+/** Until a trial is asked for again whose claim was not answered. */
+const CLAIM_AGAIN_MS = 1_000;
 /** A request that was refused for so long may run again. */
 export const QUARANTINE_MS = 3_600_000;
 /** Suspects that are kept; the oldest is dropped for a new one. */
@@ -32,7 +40,11 @@
   readonly good: Map<string, number>;
   /** When the newest replica ended, or was told of. */
   endedAt: number;
-  isQuarantined: boolean;
+  /** Undefined while it is served. */
+  quarantinedAt: number | undefined;
+  /** Trials that are over or under way, at whatever entry. */
+  trials: number;
+  nextTrialAt: number;
 }
 
 export interface SuspectsOptions {
@@ -43,8 +55,8 @@
   onNews(report: CrashReport): void;
   /** It is refused from now on; `isOwn` where this entry saw the last crash. */
   onQuarantined(report: CrashReport, isOwn: boolean): void;
-  /** It is refused no longer, as runs of it ended well. */
-  onCleared(digest: string): void;
+  /** It is refused no longer; `isOwn` where the last good run was here. */
+  onCleared(digest: string, isOwn: boolean): void;
 }
 
 export interface Suspects {
@@ -55,6 +67,10 @@
   /** A replica has ended under it. */
   isKnown(digest: string): boolean;
   isQuarantined(digest: string): boolean;
+  /** Number of the trial that is due, from 0; undefined for none. */
+  dueTrial(digest: string): number | undefined;
+  /** `false`: the claim was not answered, and the trial may still be free. */
+  trialSettled(digest: string, isAnswered: boolean): void;
   /** Takes what another entry, or the store, tells. */
   merge(reports: readonly CrashReport[]): void;
   /** An operator has released it. */
@@ -81,8 +97,8 @@
     return undefined;
   };
   const dropOldest = () => {
-    for (const [digest, {isQuarantined}] of suspects) {
-      if (isQuarantined) continue;
+    for (const [digest, {quarantinedAt}] of suspects) {
+      if (quarantinedAt !== undefined) continue;
       suspects.delete(digest);
       return;
     }
@@ -96,17 +112,33 @@
       ended: new Set(),
       good: new Map(known > 0 ? [[self, known]] : []),
       endedAt: clock.now(),
-      isQuarantined: false,
+      quarantinedAt: undefined,
+      trials: 0,
+      nextTrialAt: Infinity,
     };
     suspects.set(digest, suspect);
     return suspect;
   };
+  const drop = (digest: string): void => {
+    suspects.delete(digest);
+    released.set(digest, clock.now() + RELEASED_MS);
+    for (const [key, until] of released) {
+      if (until <= clock.now()) released.delete(key);
+    }
+  };
   const judge = (digest: string, suspect: Suspect, isOwn: boolean): void => {
-    const was = suspect.isQuarantined;
-    suspect.isQuarantined = isTooMany(suspect);
-    if (suspect.isQuarantined === was) return;
-    if (was) options.onCleared(digest);
-    else options.onQuarantined(reportOf(digest, suspect), isOwn);
+    const was = suspect.quarantinedAt !== undefined;
+    if (isTooMany(suspect) === was) return;
+    if (was) {
+      suspect.quarantinedAt = undefined;
+      options.onCleared(digest, isOwn);
+      return;
+    }
+    const now = clock.now();
+    suspect.quarantinedAt = now;
+    suspect.trials = 0;
+    suspect.nextTrialAt = now + TRIALS_AFTER_MS[0];
+    options.onQuarantined(reportOf(digest, suspect), isOwn);
   };
   const mergeOne = (report: CrashReport): void => {
     const {digest} = report;
@@ -137,6 +169,12 @@
         good.add(digest);
         return;
       }
+      // It ran by itself: what crashes replicas would have crashed this one.
+      if (suspect.quarantinedAt !== undefined) {
+        drop(digest);
+        options.onCleared(digest, true);
+        return;
+      }
       const count = (suspect.good.get(self) ?? 0) + 1;
       suspect.good.set(self, count);
       // A request that is asked often would be told of at each of its runs.
@@ -144,15 +182,27 @@
       judge(digest, suspect, true);
     },
     isKnown: digest => of(digest) !== undefined,
-    isQuarantined: digest => of(digest)?.isQuarantined ?? false,
-    merge: reports => reports.forEach(mergeOne),
-    release: digest => {
-      suspects.delete(digest);
-      released.set(digest, clock.now() + RELEASED_MS);
-      for (const [key, until] of released) {
-        if (until <= clock.now()) released.delete(key);
+    isQuarantined: digest => of(digest)?.quarantinedAt !== undefined,
+    dueTrial: digest => {
+      const suspect = of(digest);
+      if (suspect === undefined || clock.now() < suspect.nextTrialAt) {
+        return undefined;
       }
+      // Others of its like are refused while this one is claimed.
+      suspect.nextTrialAt = Infinity;
+      return suspect.trials;
     },
+    trialSettled: (digest, isAnswered) => {
+      const suspect = of(digest);
+      if (suspect?.quarantinedAt === undefined) return;
+      if (isAnswered) suspect.trials++;
+      const afterMs = TRIALS_AFTER_MS[suspect.trials] ?? Infinity;
+      suspect.nextTrialAt = isAnswered
+        ? suspect.quarantinedAt + afterMs
+        : clock.now() + CLAIM_AGAIN_MS;
+    },
+    merge: reports => reports.forEach(mergeOne),
+    release: drop,
     next: count => {
       const all = [...suspects].filter(([, suspect]) => !isOver(suspect));
       const from = all.length === 0 ? 0 : told % all.length;
@@ -162,7 +212,8 @@
     },
     size: () => suspects.size,
     quarantined: () =>
-      [...suspects.values()].filter(it => it.isQuarantined).length,
+      [...suspects.values()].filter(it => it.quarantinedAt !== undefined)
+        .length,
   };
 }
 
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -188,7 +188,13 @@
   /** By digest; entries write a record, and operators may remove it. */
   readonly quarantine: Collection<QuarantineRecord>;
   writeQuarantine(record: QuarantineRecord): Promise<Either<StoreFault, void>>;
+  /** With the trials that were claimed under it. */
   removeQuarantine(digest: string): Promise<Either<StoreFault, void>>;
+  /** True for the first claim of all entries. */
+  claimTrial(
+    digest: string,
+    trial: number,
+  ): Promise<Either<StoreFault, boolean>>;
   /** Calls `onEra` with the era of each answer, whatever was asked. */
   watchEra(onEra: (era: StoreEra) => void): void;
   listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -165,6 +165,7 @@
   quarantined: event(267, 'error', 'direct-quarantined'),
   quarantineRefused: event(268, 'warn', 'direct-quarantine-refused'),
   quarantineEnded: event(269, 'info', 'direct-quarantine-ended'),
+  trial: event(270, 'info', 'direct-trial'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
--- a/test/direct/crashing_requests.test.ts
+++ b/test/direct/crashing_requests.test.ts
@@ -22,6 +22,8 @@
 /** After that, it may be sent so many times more. */
 const SENDS_MORE = 3;
 const REPEATS = 8;
+/** A request that is quarantined is tried once within this time. */
+const SOON_MS = 2_500;
 /** Engines that a large prompt is read by, and some that it may end. */
 const GROUP_REPLICAS = 14;
 const CRASH_AFTER_MS = 60;
@@ -100,6 +102,41 @@
   });
 });
 
+describe('a request that only ran beside one that crashes replicas', () => {
+  // Three replicas ended under it, and no run of it ended well before: nothing
+  // tells it from the guilty one until it has run by itself.
+  test('is served again soon, at all entries', async () => {
+    const first = await startPoisoned();
+    const second = await start({node: 'entry-2', beside: first});
+    await endReplicas([first], '/stream/a', first.pool);
+    await until(
+      async () => (await sendPoison(second, '/stream/a')).status === 429,
+    );
+    for (const it of first.pool) it.behave(streamTo(3));
+    const isServed = async (entry: DirectFleet) =>
+      (await sendPoison(entry, '/stream/a')).status === 200;
+    await until(() => isServed(second), SOON_MS);
+    await until(() => isServed(first), SOON_MS);
+    await until(() => first.store.names('onyxloft-quarantine').length === 0);
+  }, 30_000);
+
+  test('is tried by one entry alone', async () => {
+    const first = await startPoisoned();
+    const second = await start({node: 'entry-2', beside: first});
+    await endReplicas([first], '/once/a', first.desk);
+    const entries = [first, second];
+    await until(
+      async () => (await sendPoison(second, '/once/a')).status === 429,
+    );
+    await sleep(SOON_MS);
+    const before = runs(first.desk);
+    await Promise.all(
+      [...entries, ...entries].map(entry => sendPoison(entry, '/once/a')),
+    );
+    expect(runs(first.desk) - before).toBe(1);
+  }, 30_000);
+});
+
 describe('a request that is refused for good', () => {
   test('is told so at once, and that it has not run', async () => {
     const entry = await startPoisoned();
@@ -117,9 +154,13 @@
   test('is known when its host is written in another way', async () => {
     const entry = await startPoisoned();
     await endReplicas([entry], '/once/a', entry.desk);
+    await until(
+      async () => (await sendPoison(entry, '/once/a')).status === 429,
+    );
+    const before = runs(entry.desk);
     const headers = {Host: `${HOST.toUpperCase()}:80`};
-    const send = () => callEntry(entry, '/once/a', {headers, body: POISON});
-    await until(async () => (await send()).status === 429);
+    await callEntry(entry, '/once/a', {headers, body: POISON});
+    expect(runs(entry.desk)).toBe(before);
   });
 
   test('is served again when an operator removes its record', async () => {
--- a/test/direct/suspects.test.ts
+++ b/test/direct/suspects.test.ts
@@ -77,6 +77,33 @@
     expect(suspects.isQuarantined(A)).toBe(false);
   });
 
+  // What ran beside a request that crashes replicas looks like it.
+  test('is tried twice, and no more', async () => {
+    const {clock, suspects} = entry();
+    endUnder(suspects, 'r1', 'r2', 'r3');
+    expect(suspects.dueTrial(A)).toBe(undefined);
+    await clock.runFor(1_000);
+    expect(suspects.dueTrial(A)).toBe(0);
+    expect(suspects.dueTrial(A)).toBe(undefined);
+    suspects.trialSettled(A, true);
+    await clock.runFor(9_000);
+    expect(suspects.dueTrial(A)).toBe(1);
+    suspects.trialSettled(A, true);
+    await clock.runFor(HOUR_MS / 2);
+    expect(suspects.dueTrial(A)).toBe(undefined);
+  });
+
+  // The store is away just then.
+  test('is tried later when nobody answers the claim', async () => {
+    const {clock, suspects} = entry();
+    endUnder(suspects, 'r1', 'r2', 'r3');
+    await clock.runFor(1_000);
+    expect(suspects.dueTrial(A)).toBe(0);
+    suspects.trialSettled(A, false);
+    await clock.runFor(1_000);
+    expect(suspects.dueTrial(A)).toBe(0);
+  });
+
   // Another entry has not heard of the release yet, and tells what it knows.
   test('stays released against a report that was on its way', () => {
     const {suspects, news} = entry();
@@ -120,7 +147,8 @@
           const good = new Map(digests.map(it => [it, 0]));
           for (const {at, digest, replica, isGood} of steps) {
             const {suspects} = entries[at];
-            if (isGood && suspects.isKnown(digest)) {
+            const mayRun = !suspects.isQuarantined(digest);
+            if (isGood && mayRun && suspects.isKnown(digest)) {
               suspects.ranWell(digest);
               good.set(digest, (good.get(digest) ?? 0) + 1);
             } else if (!isGood) {
