--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -96,6 +96,8 @@
     const traffic = startTraffic(fleet, injector, random);
     await play(plan, injector, shape.durationMs);
     await injector.heal();
+    // The last of them may have ended replicas just now.
+    const poisonous = await poisons.stop();
     const unready = await allReady(fleet, RECOVER_LIMIT_MS);
     for (const name of unready) {
       blame({promise: 'ready again after all faults', id: name, detail: ''});
@@ -105,7 +107,6 @@
     const calmFrom = performance.now();
     await sleep(CALM_MS);
     const outcomes = await traffic.stop();
-    const poisonous = await poisons.stop();
     for (const outcome of poisonous) judgeRuns(outcome, view).forEach(blame);
     poisons.judge().forEach(blame);
     for (const outcome of outcomes) {
