--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -1,4 +1,5 @@
 /** What an entry does when the store comes back from an older copy. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {createConfigProof} from '../../src/direct/config_proof.js';
 import {createCover} from '../../src/direct/cover.js';
@@ -301,6 +302,9 @@
   });
 });
 
+/** The bound on a key that was taken away, in the settings of these tests. */
+const REVOKED_MS = 5_100;
+
 describe('an entry that starts just after the store came back from a copy', () => {
   // A configuration that took a key away is gone with the copy, and operators
   // have not written it again yet. The other entry still knows it. The one that
@@ -319,4 +323,20 @@
     await stands.close();
     expect(answer.status).not.toBe(200);
   }, 30_000);
+
+  // All entries were killed as well, so that nobody knows the configuration that
+  // is lost. Operators write it again a second or so after the return.
+  test('serves no key that was taken away where no other entry is left', async () => {
+    const fleet = await startDirectFleet();
+    const copy = fleet.store.copy();
+    fleet.store.put('config', 'main', configOf(2, ['key-2']));
+    await sleep(REVOKED_MS);
+    await fleet.entry.kernel.stop();
+    fleet.store.restore(copy);
+    const starts = await startDirectFleet({node: 'entry-2', beside: fleet});
+    const answer = await callEntry(starts, '/again/');
+    await starts.close();
+    await fleet.close();
+    expect(answer.status).not.toBe(200);
+  }, 30_000);
 });
