--- a/test/direct/crashing_requests.test.ts
+++ b/test/direct/crashing_requests.test.ts
@@ -85,8 +85,7 @@
 }
 
 describe('a request that crashes no replica', () => {
-  // Connections break and callers get 502, but the replicas live: it is served
-  // as soon as they answer.
+  // Connections break and callers get 502, but the replicas live.
   test('is served after its connections broke at many replicas', async () => {
     const entry = await start({desk: REPLICAS});
     for (const it of entry.desk) it.behave(breakOff);
@@ -103,8 +102,7 @@
 });
 
 describe('a request that only ran beside one that crashes replicas', () => {
-  // Three replicas ended under it, and no run of it ended well before: nothing
-  // tells it from the guilty one until it has run by itself.
+  // Nothing tells it from the guilty one until it has run by itself.
   test('is served again soon, at all entries', async () => {
     const first = await startPoisoned();
     const second = await start({node: 'entry-2', beside: first});
@@ -212,8 +210,7 @@
     expect(runs(entry.pool) - before).toBeLessThanOrEqual(SENDS_MORE);
   }, 40_000);
 
-  // Its callers are gone before the replica crashes under it: no connection
-  // breaks, and only the replica's record that lapses shows the end.
+  // No connection breaks; only the replica's record that lapses shows the end.
   test('is not sent on when its callers leave before the crash', async () => {
     const entry = await start({desk: REPLICAS});
     for (const it of entry.desk) {
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -306,11 +306,8 @@
 const REVOKED_MS = 5_100;
 
 describe('an entry that starts just after the store came back from a copy', () => {
-  // A configuration that took a key away is gone with the copy, and operators
-  // have not written it again yet. The other entry still knows it. The one that
-  // starts took what the store shows, with the key in it, and asked nobody, as
-  // it asked only entries before it by name while the store answers: the
-  // caller's key was served though it was taken away long ago.
+  // The configuration that took the key away is gone with the copy, and only
+  // another entry knows it until operators write again.
   test('serves no key that another entry knows was taken away', async () => {
     const stands = await startDirectFleet({node: 'entry-2'});
     stands.store.put('config', 'main', configOf(2, ['key-2']));
@@ -324,8 +321,7 @@
     expect(answer.status).not.toBe(200);
   }, 30_000);
 
-  // All entries were killed as well, so that nobody knows the configuration that
-  // is lost. Operators write it again a second or so after the return.
+  // All entries were killed as well, so that nobody knows what is lost.
   test('serves no key that was taken away where no other entry is left', async () => {
     const fleet = await startDirectFleet();
     const copy = fleet.store.copy();
--- a/test/direct/sharing.test.ts
+++ b/test/direct/sharing.test.ts
@@ -27,8 +27,7 @@
 } as unknown as DirectStore;
 
 describe('an entry that is asked while it starts', () => {
-  // Another entry knew it before its restart, and asks at once. The service that
-  // could answer has not started: the process must not end for that.
+  // Another entry knew it before its restart, and asks before it can answer.
   test('tells that it could not answer, and lives', async () => {
     const [own, other] = await freeAddresses(2);
     const self = entryAt('entry-1', own);
--- a/test/direct/suspects.test.ts
+++ b/test/direct/suspects.test.ts
@@ -43,8 +43,7 @@
     expect(suspects.isQuarantined(A)).toBe(false);
   });
 
-  // Three replicas of a domain that is lost run the same request, which is
-  // asked all the time.
+  // Three replicas of a domain that is lost run what is asked all the time.
   test('is not refused when it ran well just before', () => {
     const {suspects} = entry();
     suspects.ranWell(A);
@@ -134,8 +133,7 @@
     isGood: fc.boolean(),
   });
 
-  // Datagrams are lost, late and repeated; in the end all judge alike, and as
-  // one entry would that had seen everything.
+  // Datagrams are lost, late and repeated; all must judge alike in the end.
   test('comes to the same in whatever order it is heard', () => {
     fc.assert(
       fc.property(
