--- a/test/direct/follow_restored.test.ts
+++ b/test/direct/follow_restored.test.ts
@@ -45,10 +45,7 @@
 }
 
 describe('following a store that comes back from a copy', () => {
-  // A replica has left and is used again for good. The store came back from a
-  // copy and gave the revisions since out again, for other changes, before the
-  // next watch from the old position was sent; it was answered as if nothing
-  // had happened, with the changes after that position alone.
+  // Revisions were given out again before the next watch from the old position.
   test('reads anew where revisions were given out again', async () => {
     const {clock, store, known, follower} = start();
     store.put('a', 'old');
@@ -68,9 +65,7 @@
     follower.stop();
   });
 
-  // Two connections: the answer to an earlier list is on its way while the
-  // store comes back, and arrives after a list of the new history. Taken, it
-  // would bring back what is gone, under a revision that is higher.
+  // An earlier list arrives after a list of the new history.
   test('drops an answer from before that arrives later', async () => {
     const {clock, store, known, follower} = start();
     store.copy();
@@ -119,9 +114,7 @@
     follower.stop();
   });
 
-  // A list of the new history overtakes a watch that was sent from a position
-  // of the old one. What the watch tells begins after a revision that the list
-  // has not reached: taken for what follows the list, it would leave a gap.
+  // What such a watch tells begins after a revision that the list has not reached.
   test('takes nothing from a watch that began in the history before', async () => {
     const clock = createVirtualClock();
     const known = new Set<string>();
--- a/test/direct/group_memory.test.ts
+++ b/test/direct/group_memory.test.ts
@@ -112,13 +112,7 @@
 }
 
 describe('memory of a group', () => {
-  // The caller of a long prompt gets no event for ten seconds and leaves. The
-  // lead had taken the request and never began it, while it answered each
-  // question for its state at once. The entry took that for a sign that the
-  // request goes on, and renewed the members' memory for as long as it waited:
-  // four fifths of the caller's patience of 12.1 s. No line told of a silent
-  // lead; at the release stood "heldMs":9677,"use":"unused","unusedMs":9677,
-  // and 9,000 ms are allowed.
+  // The lead answers for its state and never begins: its life is no sign of use.
   test('is released in time when the lead lives and never begins', async () => {
     const {clock, open, heldNow} = rig();
     await open();
@@ -158,9 +152,7 @@
     expect(heldNow()).toBe(0);
   });
 
-  // The answers of one member to orders are lost, though it carries them out,
-  // and the lead never begins. The entry repeated the renewal until it was
-  // answered, and meanwhile looked for no sign of use.
+  // One member's answers are lost: the look for use must not wait for them.
   test('is released in time when a renewal stays unanswered', async () => {
     const {clock, open, heldNow, loseAnswersOf} = rig();
     await open();
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -71,10 +71,7 @@
     await running;
   });
 
-  // The lead takes the request and never begins it; it answers for its state,
-  // and so do the members, whose memory is not used. The entry would wait for
-  // the first event for six seconds. The caller gets its answer from another
-  // group soon, and the first one's memory is free within the bound.
+  // The lead lives and never begins; its caller must not wait for it.
   test('goes on elsewhere when its lead lives and never begins', async () => {
     let lead: string | undefined;
     for (const replica of fleet.pool) {
@@ -129,10 +126,7 @@
     await until(() => held() === 0);
   });
 
-  // The entry itself fails between reserving and sending: here its codec
-  // cannot write the headers. The caller gets a final answer at once, and the
-  // members' memory must not wait for the bound on unused memory, nor the
-  // engines count as busy for ever after.
+  // The entry fails between reserving and sending.
   test('leaves no memory set aside when the entry fails to send', async () => {
     const broken = await startDirectFleet({
       pool: 4,
