fix(direct): a front that was started again is told configuration and replicas again

What callers saw: an entry that answered nothing for as long as its process lived. Its balancer's check said 503 and its callers' address refused.

Cause: the kernel starts a service again that has failed. The follower of the store tells the front each change once, so the new front had no configuration, and without one it never listens. The first failure that is at hand is the callers' address: the process before it may still hold it for a moment.

Found while tracing the listed test of the metrics ('not ready within 5 s of its start'): of what can keep an entry unready for that long, this alone does not mend itself within a second or so. Whether it was what was seen then is not known; no run showed what held the address. A fleet that does not come up now prints what its entry has logged, so that the next one tells.

A front that starts for a second time asks the follower and the service that talks with entries to tell it again; both have all of it at hand.

--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -109,6 +109,14 @@
     clock.after(0, () => rereadFor(eras.current()));
   };
   const tellRestored = () => ctx.send('direct', {kind: 'store-restored'});
+  const tellAgain = () => {
+    if (newest !== undefined) {
+      ctx.send('direct', {kind: 'config', config: newest});
+    }
+    ctx.send('direct', {kind: 'replicas', replicas: known.all()});
+    quarantine.tellAgain();
+    configs.confirmNow();
+  };
   const rereadFor = (era: StoreEra) => {
     configs.noteEra(era);
     replicas.noteEra(era);
@@ -339,6 +347,8 @@
         // in vain; its watch tells at once when it does.
         if (proof.holds(newest?.version)) configs.confirmNow();
         return cover.askNow();
+      case 'tell-again':
+        return tellAgain();
     }
   });
 }
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -60,7 +60,24 @@
 export function createDirectFront(
   options: DirectFrontOptions,
 ): ServiceSpec<'direct'> {
-  return {name: 'direct', start: ctx => startFront(options, ctx)};
+  let isRestart = false;
+  return {
+    name: 'direct',
+    start: ctx => {
+      startFront(options, ctx);
+      if (isRestart) askAgain(ctx);
+      isRestart = true;
+    },
+  };
+}
+
+/**
+ * The others tell each change once. Without this a front that was started again
+ * would have no configuration and no replicas, and refuse every caller.
+ */
+function askAgain(ctx: ServiceContext<'direct'>): void {
+  ctx.send('followed', {kind: 'tell-again'});
+  ctx.send('sharing', {kind: 'tell-again'});
 }
 
 function startFront(
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -54,6 +54,8 @@
 export type FollowedMessage =
   /** Asks store and another entry at once whether the configuration holds. */
   | {readonly kind: 'confirm'}
+  /** The front was started again and knows nothing. */
+  | {readonly kind: 'tell-again'}
   /** Runs of it ended well; `isOwn` where the last one was here. */
   | {
       readonly kind: 'quarantine-cleared';
@@ -120,6 +122,8 @@
     }
   /** The store has come back from an older copy, without the own record. */
   | {readonly kind: 'store-restored'}
+  /** The front was started again and knows nothing. */
+  | {readonly kind: 'tell-again'}
   /** This entry takes no new work, and is not to be found any more. */
   | {readonly kind: 'draining'}
   /** Whether an entry is known to have this IP address. */
--- a/src/direct/quarantine_records.ts
+++ b/src/direct/quarantine_records.ts
@@ -48,6 +48,8 @@
   clear(digest: string, isOwn: boolean): void;
   /** True for one claim of all entries; undefined without an answer. */
   claimTrial(digest: string, trial: number): Promise<boolean | undefined>;
+  /** Reports all that the store has once more. */
+  tellAgain(): void;
   /** The store has come back from an older copy. */
   restored(): void;
   stop: Cancel;
@@ -139,6 +141,7 @@
         )
         .toMaybe()
         .extract(),
+    tellAgain: () => options.onReports([...shown.values()]),
     restored: () => {
       for (const [digest, record] of shown) kept.set(digest, record);
       shown.clear();
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -204,6 +204,9 @@
     if (count === told) return;
     told = count;
     log(DIRECT_EVENTS.entriesCounted, {count});
+    tellCount(count);
+  };
+  const tellCount = (count: number): void => {
     ctx.send('direct', {kind: 'entries', count});
     ctx.send('followed', {kind: 'entries', count});
   };
@@ -263,6 +266,8 @@
           : tellCrashesToOne(message.reports);
       case 'store-restored':
         return announceAgain();
+      case 'tell-again':
+        return tellCount(told);
       case 'draining':
         isDraining = true;
         return;
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -56,6 +56,8 @@
   readonly codec?: HeaderCodec;
   /** Another entry, whose store and replicas this one has as well. */
   readonly beside?: DirectFleet;
+  /** IP:PORT for its callers. @default a free one */
+  readonly callers?: string;
 }
 
 /** Of one worker of the runner, for all its fleets in turn. */
@@ -64,14 +66,14 @@
 let taken = 0;
 
 /** Of each fleet the next ones: one that was closed just now may still wait. */
-async function nextAddress(): Promise<string> {
+export async function nextAddress(): Promise<string> {
   taken = (taken + 1) % ADDRESSES;
   return (await addresses)[taken] as string;
 }
 
 async function settingsFor(
   store: string,
-  {node = 'entry-1', timing}: FleetOptions,
+  {node = 'entry-1', timing, callers}: FleetOptions,
 ): Promise<DirectSettings> {
   const peers = await nextAddress();
   return {
@@ -80,7 +82,7 @@
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
     listen: {
-      callers: await nextAddress(),
+      callers: callers ?? (await nextAddress()),
       ready: await nextAddress(),
       metrics: await nextAddress(),
     },
@@ -129,7 +131,9 @@
     },
     runtime,
   );
-  await until(() => isReady(settings.listen.ready));
+  await until(() => isReady(settings.listen.ready)).catch(err => {
+    throw new Error(`not ready: ${storyOf(recorded)}`, {cause: err});
+  });
   return {
     store,
     pool,
@@ -149,6 +153,14 @@
   };
 }
 
+/** What an entry that did not come up has logged and counted. */
+function storyOf({events, metrics}: RecordingRuntime): string {
+  const lines = events.map(
+    ({event, fields}) => `${event.name} ${JSON.stringify(fields)}`,
+  );
+  return [...lines, metrics.render()].join('\n');
+}
+
 async function startUpstreams(options: FleetOptions) {
   const store = await startStore();
   const start = (service: string, count: number) =>
