fix(direct): an entry that starts in an era that nobody has settled gives operators their time

The store had come back from a copy made before the removal, and all entries had been killed, so that nobody who ran knew of it.

Cause: an entry counts the store's answers as evidence for keys 0.6 s after its start, the time that another entry needs to tell of a newer configuration. It cannot see a return that was before its start, and nothing in the store tells.

Change: the store holds a record of the newest settled era. The first look at it is at the store's first answer that tells an era; where it is older or missing, answers count 2 s after the start. Requests with a key are refused at once then, as waiting would be in vain. Entries that run record the era 2 to 4 s after they saw a return. At the first start of the whole system the record is made at once.

Why it holds: a record of the present era is made only when an entry has waited the 2 s in that era, so a start that finds it comes later than operators' writes. A record from a copy is of an older era. A late write of an older era only makes a later start wait. Where the store tells no era nothing changes.

Not met, see design/platform.md: operators that take longer than 2 s, and a copy from before the first record.

--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -151,6 +151,7 @@
     node: `entry-${at}`,
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
+    bootstrap: undefined,
     listen: {callers, ready, metrics},
     peerPorts: [Number(peers.split(':')[1])],
     store: {address: store},
--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -5,6 +5,9 @@
 import {drawService, findRoute} from './route_table.js';
 import type {CallerLimits, DirectConfig, HeaderCodec} from './types.js';
 
+/** All that were refused for one reason would come back in the same instant. */
+const COME_BACK_SPREAD_MS = 500;
+
 /** A refusal, before the connection's fate is known. */
 export type Refused = Omit<OwnAnswer, 'close'>;
 
@@ -13,6 +16,8 @@
   readonly draw: () => number;
   /** Whether keys may be taken as valid now; may wait for the store. */
   readonly keysAreFresh: () => Promise<boolean>;
+  /** No key can be confirmed for so long; 0 where they can. */
+  readonly doubtMs: () => number;
   /** The newest configuration. */
   readonly config: () => DirectConfig | undefined;
 }
@@ -45,7 +50,10 @@
   if (facts.id === undefined) return refused(400, 'the request has no id');
   const route = findRoute(config, req.headers.host ?? '', req.url ?? '');
   // An old configuration may lack a route or key that is there by now.
-  const stale = refused(503, 'the configuration may be old');
+  const stale = {
+    ...refused(503, 'the configuration may be old'),
+    comeBackMs: comeBackMs(options),
+  };
   if (route === undefined) return fresh ? refused(404, 'no route') : stale;
   const service = drawService(route, options.draw());
   if (service === undefined) return refused(503, 'the route has no service');
@@ -60,6 +68,12 @@
     : {...admitted, owner};
 }
 
+/** Undefined where nothing is known of it. */
+function comeBackMs({doubtMs, draw}: AdmitOptions): number | undefined {
+  const leftMs = doubtMs();
+  return leftMs > 0 ? leftMs + draw() * COME_BACK_SPREAD_MS : undefined;
+}
+
 function refused(status: OwnAnswer['status'], message: string): Refused {
   return {status, message};
 }
--- a/src/direct/config_proof.ts
+++ b/src/direct/config_proof.ts
@@ -8,7 +8,8 @@
  * operators take, though the configuration that took it away was acknowledged.
  *
  * An entry that starts cannot know whether the store came back just now, so it
- * first gives another entry the time to tell of a newer configuration.
+ * first gives another entry the time to tell of a newer configuration. Where
+ * nobody has recorded the store's era as settled, it gives operators theirs.
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -18,7 +19,7 @@
  * longer than that on evidence from before the store went away, so that a
  * return by itself refuses nobody.
  */
-const WRITTEN_AGAIN_MS = 2_000;
+export const WRITTEN_AGAIN_MS = 2_000;
 
 /** Another entry's word is there by then, also where the first that is asked is not. */
 export const FIRST_WORD_MS = 600;
@@ -38,11 +39,15 @@
   holds(version: number | undefined): boolean;
 }
 
-/** `tellsEra`: the store tells its era, and so may come back from a copy. */
+/**
+ * `tellsEra`: the store tells its era, and so may come back from a copy.
+ * `isSettled`: its era is recorded as settled.
+ */
 export function createConfigProof(
   clock: Clock,
   log: Log,
   tellsEra: () => boolean,
+  isSettled: () => boolean = () => true,
 ): ConfigProof {
   const startedAt = clock.now();
   let restoredAt = Number.NEGATIVE_INFINITY;
@@ -59,6 +64,13 @@
     log(line, {version, storeVersion: shown});
   };
 
+  const mayHaveMissedReturn = (): boolean => {
+    if (!tellsEra()) return false;
+    const sinceStartMs = clock.now() - startedAt;
+    const doubtMs = isSettled() ? FIRST_WORD_MS : WRITTEN_AGAIN_MS;
+    return sinceStartMs < doubtMs;
+  };
+
   return {
     restored: () => {
       restoredAt = clock.now();
@@ -82,8 +94,8 @@
         version !== undefined &&
         version < heard.version &&
         clock.now() - heard.at < FETCHED_MS;
-      const isUntold = tellsEra() && clock.now() - startedAt < FIRST_WORD_MS;
-      const mayBeLost = isUntold || clock.now() - restoredAt < WRITTEN_AGAIN_MS;
+      const mayBeLost =
+        mayHaveMissedReturn() || clock.now() - restoredAt < WRITTEN_AGAIN_MS;
       return !isOlder && !isFetching && (isWritten || !mayBeLost);
     },
   };
--- a/src/direct/followed.ts
+++ b/src/direct/followed.ts
@@ -5,7 +5,11 @@
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCatchUp} from './catch_up.js';
-import {FIRST_WORD_MS, createConfigProof} from './config_proof.js';
+import {
+  FIRST_WORD_MS,
+  WRITTEN_AGAIN_MS,
+  createConfigProof,
+} from './config_proof.js';
 import {coverAgeMs, createCover} from './cover.js';
 import {follow} from './follow.js';
 import {createKnownReplicas} from './known_replicas.js';
@@ -15,6 +19,7 @@
   createConfirmations,
   createStoreConnection,
 } from './store_connection.js';
+import {createSettledEra} from './settled_era.js';
 import {createStoreEras} from './store_eras.js';
 import type {StoreEra} from './store_position.js';
 import type {
@@ -67,6 +72,8 @@
   readonly readyMs: number;
   /** A replica that leaves serves on for so long. */
   readonly leavingMs: number;
+  /** The whole system starts for the first time. */
+  readonly isBootstrap: boolean;
   /** Time of day, in milliseconds. */
   readonly wallMs: () => number;
 }
@@ -78,7 +85,7 @@
 }
 
 function startFollowed(
-  {store, readyMs, leavingMs, wallMs}: FollowedOptions,
+  {store, readyMs, leavingMs, isBootstrap, wallMs}: FollowedOptions,
   ctx: ServiceContext<'followed'>,
 ): void {
   const {clock, random} = ctx;
@@ -91,17 +98,39 @@
   const eras = createStoreEras({
     log: ctx.log,
     metrics: ctx.metrics,
+    onFirst: () => settledEra.lookUp(),
     onRisen: () => restored(),
   });
   store.watchEra(eras.note);
   const tellsEra = () => eras.current() !== undefined;
-  const proof = createConfigProof(clock, ctx.log, tellsEra);
+  const startedAt = clock.now();
+  const settledEra = createSettledEra({
+    store,
+    clock,
+    random,
+    log: ctx.log,
+    isBootstrap,
+    currentEra: eras.current,
+    onSettled: () => configs.confirmNow(),
+    onUnsettled: () => {
+      const until = startedAt + WRITTEN_AGAIN_MS;
+      ctx.send('direct', {kind: 'keys-in-doubt', until});
+      settledEra.settleAfter(until - clock.now());
+    },
+  });
+  const proof = createConfigProof(
+    clock,
+    ctx.log,
+    tellsEra,
+    settledEra.isSettled,
+  );
   let heardEra: StoreEra;
   // Which entry knows the newest configuration does not go by names then.
   let anyoneUntil = clock.now() + ASK_ANYONE_MS;
   const restored = () => {
     anyoneUntil = clock.now() + ASK_ANYONE_MS;
     proof.restored();
+    settledEra.settleAfter(WRITTEN_AGAIN_MS);
     quarantine.restored();
     tellRestored();
     ctx.send('sharing', {kind: 'store-restored'});
@@ -317,10 +346,12 @@
     });
   };
   // What the store showed before that time proved nothing then.
-  const cancelFirst = clock.after(FIRST_WORD_MS, () => {
+  const confirmTold = () => {
     if (tellsEra()) configs.confirmNow();
-  });
-  ctx.own(cancelFirst);
+  };
+  ctx.own(clock.after(FIRST_WORD_MS, confirmTold));
+  ctx.own(clock.after(WRITTEN_AGAIN_MS, confirmTold));
+  ctx.own(settledEra.stop);
   ctx.own(cover.stop);
   ctx.own(configs.stop);
   ctx.own(replicas.stop);
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -91,6 +91,8 @@
   let server: CallersServer | undefined;
   let opening = false;
   let draining = false;
+  /** No key can be confirmed before, on this process's clock. */
+  let doubtedUntil = Number.NEGATIVE_INFINITY;
   /** Requests that are read, or whose key waits for the store. */
   let admitting = 0;
 
@@ -147,7 +149,11 @@
     ...serving.state(),
   });
 
-  const keysAreFresh = () =>
+  const doubtMs = () =>
+    evidence.isFresh() ? 0 : Math.max(0, doubtedUntil - clock.now());
+  // What is known to be in vain is not waited for.
+  const keysAreFresh = async () =>
+    doubtMs() === 0 &&
     waitForEvidence(clock, evidence, () =>
       ctx.send('followed', {kind: 'confirm'}),
     );
@@ -178,6 +184,7 @@
       codec,
       draw: () => random.next(),
       keysAreFresh,
+      doubtMs,
       config: () => config,
     };
     admitting++;
@@ -245,6 +252,9 @@
         return serving.fleet.setAll(message.replicas);
       case 'replica-changes':
         return serving.fleet.change(message.replicas);
+      case 'keys-in-doubt':
+        doubtedUntil = message.until;
+        return;
       case 'store-failed':
         return serving.fleet.storeFailed();
       case 'store-restored':
@@ -264,7 +274,8 @@
           !draining &&
             server !== undefined &&
             serving.fleet.size() > 0 &&
-            evidence.ageMs() < readyAgeMs(revokeMs),
+            // In doubt are all entries at once, so no other one serves more.
+            (evidence.ageMs() < readyAgeMs(revokeMs) || doubtMs() > 0),
         );
       case 'count':
         return message.reply(serving.open());
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -26,6 +26,8 @@
       readonly kind: 'replica-changes';
       readonly replicas: ReadonlyMap<string, DirectReplica | undefined>;
     }
+  /** No key can be confirmed before this time, but by another entry. */
+  | {readonly kind: 'keys-in-doubt'; readonly until: number}
   | {readonly kind: 'store-failed'}
   /** The store has come back from an older copy. */
   | {readonly kind: 'store-restored'}
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -4,7 +4,15 @@
  */
 import {parse} from 'jsonc-parser';
 import type {ParseError} from 'jsonc-parser';
-import {Codec, array, exactly, number, optional, string} from 'purify-ts/Codec';
+import {
+  Codec,
+  array,
+  boolean,
+  exactly,
+  number,
+  optional,
+  string,
+} from 'purify-ts/Codec';
 import {Left, Right} from 'purify-ts/Either';
 import type {Either} from 'purify-ts';
 
@@ -27,6 +35,8 @@
     /** Counters and histograms, IP:PORT. */
     metrics: string,
   }),
+  /** The whole system starts for the first time. @default false */
+  bootstrap: optional(boolean),
   /** Where other entries reach this one, over UDP. */
   peerPorts: array(number),
   store: Codec.interface({address: string}),
--- a/src/direct/store_eras.ts
+++ b/src/direct/store_eras.ts
@@ -11,6 +11,8 @@
 export interface StoreErasOptions {
   readonly log: Log;
   readonly metrics: Metrics;
+  /** The store has told an era for the first time. */
+  onFirst?(): void;
   /** The store has come back from a copy. */
   onRisen(): void;
 }
@@ -47,7 +49,7 @@
       const before = current;
       current = era;
       metrics.gauge('onyxloft_direct_store_era', {}, era);
-      if (before === undefined) return;
+      if (before === undefined) return options.onFirst?.();
       log(DIRECT_EVENTS.storeRestored, {era, before});
       options.onRisen();
     },
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -195,6 +195,9 @@
     digest: string,
     trial: number,
   ): Promise<Either<StoreFault, boolean>>;
+  /** The newest era that was recorded as settled; no era without a record. */
+  settledEra(): Promise<Either<StoreFault, {readonly era: StoreEra}>>;
+  recordSettledEra(era: number): Promise<Either<StoreFault, void>>;
   /** Calls `onEra` with the era of each answer, whatever was asked. */
   watchEra(onEra: (era: StoreEra) => void): void;
   listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -87,6 +87,7 @@
       store,
       readyMs: readyAgeMs(settings.timing.revokeMs),
       leavingMs: settings.timing.leavingMs ?? LEAVING_MS,
+      isBootstrap: settings.bootstrap ?? false,
       wallMs: parts.wallMs,
     }),
   );
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -179,6 +179,8 @@
   knowledgeKept: event(560, 'warn', 'knowledge-kept'),
   knowledgeSettled: event(561, 'info', 'knowledge-settled'),
   recordRewritten: event(562, 'info', 'entry-record-rewritten'),
+  eraUnsettled: event(563, 'warn', 'era-unsettled'),
+  eraSettled: event(564, 'info', 'era-settled'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
--- /dev/null
+++ b/test/direct/settled_era.test.ts
@@ -0,0 +1,102 @@
+/** The record of the newest era in which operators had time to write again. */
+import {Left, Right} from 'purify-ts/Either';
+import {describe, expect, test} from 'vitest';
+import {createSettledEra} from '../../src/direct/settled_era.js';
+import type {StoreEra} from '../../src/direct/store_position.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+
+const FAULT = {
+  step: 'read settled era',
+  historyGone: false,
+  unreadable: false,
+  message: 'status 503',
+};
+const LONG_MS = 10_000;
+
+function rig(options: {
+  readonly recorded?: number;
+  readonly isBootstrap?: boolean;
+  readonly failures?: number;
+}) {
+  const {runtime, clock, random} = createRecordingRuntime();
+  let failures = options.failures ?? 0;
+  let recorded: StoreEra = options.recorded;
+  let current = 4;
+  const seen: string[] = [];
+  const settledEra = createSettledEra({
+    clock,
+    random,
+    log: runtime.log,
+    isBootstrap: options.isBootstrap ?? false,
+    store: {
+      settledEra: async () =>
+        failures-- > 0 ? Left(FAULT) : Right({era: recorded}),
+      recordSettledEra: async era => {
+        recorded = era;
+        return Right(undefined);
+      },
+    },
+    currentEra: () => current,
+    onSettled: () => seen.push('settled'),
+    onUnsettled: () => seen.push('unsettled'),
+  });
+  return {
+    clock,
+    settledEra,
+    seen,
+    recorded: () => recorded,
+    rise: () => current++,
+  };
+}
+
+describe('the store at the start of an entry', () => {
+  test.each([
+    ['settled', 'with a record of its era', {recorded: 4}],
+    ['unsettled', 'with a record of an older era', {recorded: 3}],
+    ['unsettled', 'without a record', {}],
+    ['settled', 'at the first start of all', {isBootstrap: true}],
+    [
+      'unsettled',
+      'where the record is older',
+      {recorded: 3, isBootstrap: true},
+    ],
+    ['settled', 'after calls that failed', {recorded: 4, failures: 3}],
+  ])('is %s %s', async (verdict, _where, options) => {
+    const {clock, settledEra, seen} = rig(options);
+    settledEra.lookUp();
+    expect(settledEra.isSettled()).toBe(false);
+    await clock.runFor(LONG_MS);
+    expect(seen).toEqual([verdict]);
+    expect(settledEra.isSettled()).toBe(verdict === 'settled');
+  });
+});
+
+describe('the record of a settled era', () => {
+  test('is written when operators had their time', async () => {
+    const {clock, settledEra, recorded} = rig({recorded: 3});
+    settledEra.settleAfter(2_000);
+    await clock.runFor(1_900);
+    expect(recorded()).toBe(3);
+    await clock.runFor(LONG_MS);
+    expect(recorded()).toBe(4);
+    expect(settledEra.isSettled()).toBe(true);
+  });
+
+  // The store came back once more: what that lost has not been written yet.
+  test('is not written for an era that is over', async () => {
+    const {clock, settledEra, recorded, rise} = rig({recorded: 3});
+    settledEra.settleAfter(2_000);
+    await clock.runFor(1_000);
+    rise();
+    await clock.runFor(LONG_MS);
+    expect(recorded()).toBe(3);
+    expect(settledEra.isSettled()).toBe(false);
+  });
+
+  test('is never set back', async () => {
+    const {clock, settledEra, recorded} = rig({recorded: 5});
+    settledEra.settleAfter(2_000);
+    await clock.runFor(LONG_MS);
+    expect(recorded()).toBe(5);
+  });
+});
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -73,7 +73,7 @@
 
 async function settingsFor(
   store: string,
-  {node = 'entry-1', timing, callers}: FleetOptions,
+  {node = 'entry-1', timing, callers, beside}: FleetOptions,
 ): Promise<DirectSettings> {
   const peers = await nextAddress();
   return {
@@ -81,6 +81,7 @@
     node,
     failureDomain: 'domain-1',
     ip: '127.0.0.1',
+    bootstrap: beside === undefined,
     listen: {
       callers: callers ?? (await nextAddress()),
       ready: await nextAddress(),
