feat(cli): quarantine list, show and release

An operator had to remove an object of the platform's store by its whole digest, with a client of his own, to let a request run again whose replicas are mended. An ID that begins several digests, or none, changes nothing; exit codes are as their siblings'.

--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -3,8 +3,10 @@
  * exit codes, and how outcomes and faults are printed.
  */
 import {Command, Option} from 'clipanion';
+import type {BaseContext} from 'clipanion';
 import type {Either} from 'purify-ts';
 import {createProcessRandom} from '../utils/clock.js';
+import type {DirectStore} from '../direct/types.js';
 import type {OnyxError} from '../types/errors.js';
 import {createOperatorClient} from './operator_client.js';
 import type {OperatorClient} from './operator_client.js';
@@ -13,15 +15,27 @@
 /** Exit codes; scripts may rely on them. */
 export const EXIT_OK = 0;
 /** The operation failed, or the patch was in conflict. */
-const EXIT_FAILED = 1;
+export const EXIT_FAILED = 1;
 /** Wrong usage, or a wrong settings or patch file. */
 export const EXIT_USAGE = 2;
 
 /** Wrong usage found after the options were read. */
 export class WrongUsage extends Error {}
 
+/** What commands ask of the platform's store. */
+export type QuarantineStore = Pick<
+  DirectStore,
+  'quarantine' | 'removeQuarantine'
+>;
+
+/** The tool's context, with what the platform brings. */
+export interface ToolContext extends BaseContext {
+  /** `address` is IP:PORT. */
+  openStore(address: string): QuarantineStore;
+}
+
 /** A command that ends with one of the exit codes. */
-export abstract class ToolCommand extends Command {
+export abstract class ToolCommand extends Command<ToolContext> {
   async execute(): Promise<number> {
     try {
       return await this.perform();
--- /dev/null
+++ b/src/cli/quarantine_commands.ts
@@ -0,0 +1,194 @@
+/** Commands on requests that crash replicas, as the platform's store has them. */
+import {Command, Option} from 'clipanion';
+import type {QuarantineRecord} from '../direct/crash_reports.js';
+import {splitAddress} from '../direct/settings.js';
+import type {StoreFault} from '../direct/types.js';
+import {
+  EXIT_FAILED,
+  EXIT_OK,
+  ToolCommand,
+  WrongUsage,
+} from './operator_command.js';
+import type {QuarantineStore} from './operator_command.js';
+import {renderTable} from './render.js';
+
+const CATEGORY = 'Quarantine';
+/** Beginnings of digests in logs are as long. */
+const ID_FORM = /^[0-9a-f]{4,32}$/;
+
+/** As scripts read it. */
+interface Quarantined extends Omit<QuarantineRecord, 'writtenAt'> {
+  /** When the record was written, in ISO 8601. */
+  readonly since: string;
+}
+
+function shown({writtenAt, ...report}: QuarantineRecord): Quarantined {
+  return {...report, since: new Date(writtenAt).toISOString()};
+}
+
+abstract class QuarantineCommand extends ToolCommand {
+  store = Option.String('--store', {
+    env: 'ONYXLOFT_STORE',
+    description: "The platform's metadata store, IP:PORT",
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for scripts',
+  });
+
+  protected open(): QuarantineStore {
+    if (this.store === undefined || splitAddress(this.store) === undefined) {
+      throw new WrongUsage(
+        'give --store or ONYXLOFT_STORE, such as 10.0.0.9:8223',
+      );
+    }
+    return this.context.openStore(this.store);
+  }
+
+  /** All records, by digest; undefined when the store failed. */
+  protected async readAll(
+    store: QuarantineStore,
+  ): Promise<readonly QuarantineRecord[] | undefined> {
+    const listed = await store.quarantine.list();
+    return listed
+      .ifLeft(fault => this.failed(fault))
+      .map(({items}) => [...items.values()].sort(byDigest))
+      .toMaybe()
+      .extract();
+  }
+
+  /** The one record whose digest begins so; undefined where it is not one. */
+  protected pick(
+    records: readonly QuarantineRecord[],
+    id: string,
+  ): QuarantineRecord | undefined {
+    const found = records.filter(({digest}) => digest.startsWith(id));
+    if (found.length === 1) return found[0];
+    this.complain(
+      found.length === 0
+        ? `no request "${id}" is quarantined; see quarantine list`
+        : `"${id}" begins ${found.length} digests; give more of it`,
+    );
+    return undefined;
+  }
+
+  protected printJson(value: unknown): void {
+    this.print(JSON.stringify(value, null, 2));
+  }
+
+  protected failed({step, message}: StoreFault): void {
+    if (this.json) this.printJson({error: {step, message, peer: this.store}});
+    this.complain(`${message} (at ${step}, ${this.store})`);
+  }
+
+  protected checked(id: string): string {
+    if (!ID_FORM.test(id)) {
+      throw new WrongUsage(`ID is no beginning of a digest: "${id}"`);
+    }
+    return id;
+  }
+}
+
+/** `onyxloft quarantine list` */
+export class QuarantineListCommand extends QuarantineCommand {
+  static override paths = [['quarantine', 'list']];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description:
+      'list the requests that are refused because they crash replicas',
+    details:
+      'Reads the records in the store, which name a request by its digest. `direct-quarantined` and `direct-quarantine-refused` lines bear its beginning.',
+    examples: [
+      ['What is refused now', '$0 quarantine list'],
+      ['How many', '$0 quarantine list --json | jq length'],
+    ],
+  });
+
+  protected override async perform(): Promise<number> {
+    const records = await this.readAll(this.open());
+    if (records === undefined) return EXIT_FAILED;
+    if (this.json) {
+      this.printJson(records.map(shown));
+      return EXIT_OK;
+    }
+    const rows = records
+      .map(shown)
+      .map(({digest, ended, since}) => [digest, String(ended.length), since]);
+    this.print(renderTable(['DIGEST', 'REPLICAS ENDED', 'SINCE'], rows));
+    return EXIT_OK;
+  }
+}
+
+/** `onyxloft quarantine show ID` */
+export class QuarantineShowCommand extends QuarantineCommand {
+  static override paths = [['quarantine', 'show']];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: 'show the replicas that ended under one request',
+    details: 'ID is the digest or a beginning of it that no other one has.',
+    examples: [['From a log line', '$0 quarantine show 3f9c41d07be2']],
+  });
+
+  id = Option.String({name: 'ID'});
+
+  protected override async perform(): Promise<number> {
+    const id = this.checked(this.id);
+    const records = await this.readAll(this.open());
+    const record = records && this.pick(records, id);
+    if (record === undefined) return EXIT_FAILED;
+    const {digest, ended, good, since} = shown(record);
+    if (this.json) {
+      this.printJson({digest, ended, good, since});
+      return EXIT_OK;
+    }
+    this.print(`digest: ${digest}\nsince:  ${since}`);
+    const rows = [
+      ...ended.map(replica => ['ended', replica]),
+      ...Object.entries(good).map(([entry, count]) => [
+        'ended well',
+        `${count} runs at ${entry}`,
+      ]),
+    ];
+    this.print(renderTable(['RUN', 'AT'], rows));
+    return EXIT_OK;
+  }
+}
+
+/** `onyxloft quarantine release ID` */
+export class QuarantineReleaseCommand extends QuarantineCommand {
+  static override paths = [['quarantine', 'release']];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: 'let one request run again, at all entries at once',
+    details:
+      'For when the replicas are mended. ID is as for show. If it still crashes replicas, it is refused again after the third.',
+    examples: [['Release one', '$0 quarantine release 3f9c41d07be2']],
+  });
+
+  id = Option.String({name: 'ID'});
+
+  protected override async perform(): Promise<number> {
+    const id = this.checked(this.id);
+    const store = this.open();
+    const records = await this.readAll(store);
+    const record = records && this.pick(records, id);
+    if (record === undefined) return EXIT_FAILED;
+    const {digest} = record;
+    const removed = await store.removeQuarantine(digest);
+    return removed.caseOf({
+      Left: fault => {
+        this.failed(fault);
+        return EXIT_FAILED;
+      },
+      Right: () => {
+        if (this.json) this.printJson({released: digest});
+        else this.print(`released ${digest}`);
+        return EXIT_OK;
+      },
+    });
+  }
+}
+
+function byDigest(a: QuarantineRecord, b: QuarantineRecord): number {
+  return a.digest < b.digest ? -1 : 1;
+}
--- a/src/cli/tool.ts
+++ b/src/cli/tool.ts
@@ -1,6 +1,6 @@
 /** The command line as a whole: its commands, and how it ends. */
 import {Builtins, Cli} from 'clipanion';
-import type {BaseContext, Command} from 'clipanion';
+import type {Command} from 'clipanion';
 import {
   ConfigApplyCommand,
   ConfigDiffCommand,
@@ -16,6 +16,12 @@
 } from './fleet_commands.js';
 import {KeyGenerateCommand, SettingsCheckCommand} from './local_commands.js';
 import {EXIT_OK, EXIT_USAGE} from './operator_command.js';
+import type {ToolContext} from './operator_command.js';
+import {
+  QuarantineListCommand,
+  QuarantineReleaseCommand,
+  QuarantineShowCommand,
+} from './quarantine_commands.js';
 
 /** Commands of the tool, in the order of its help. */
 export const COMMANDS = [
@@ -28,6 +34,9 @@
   HostsCommand,
   ExplainCommand,
   DrainCommand,
+  QuarantineListCommand,
+  QuarantineShowCommand,
+  QuarantineReleaseCommand,
   SettingsCheckCommand,
   KeyGenerateCommand,
 ] as const;
@@ -35,14 +44,14 @@
 /** Runs one command line; resolves to the exit code. */
 export async function runTool(
   args: readonly string[],
-  context: BaseContext,
+  context: ToolContext,
 ): Promise<number> {
   const cli = createTool();
   if (args.length === 0) {
     context.stdout.write(cli.usage());
     return EXIT_OK;
   }
-  let command: Command;
+  let command: Command<ToolContext>;
   try {
     command = cli.process([...args], context);
   } catch (err) {
@@ -53,8 +62,8 @@
 }
 
 /** The tool's parser, for its help texts. */
-export function createTool(): Cli {
-  const cli = new Cli({
+export function createTool(): Cli<ToolContext> {
+  const cli = new Cli<ToolContext>({
     binaryLabel: 'Onyxloft, the command line for operators',
     binaryName: 'onyxloft',
     binaryVersion: '0.1.0',
--- a/test/support/run_tool.ts
+++ b/test/support/run_tool.ts
@@ -1,6 +1,9 @@
 /** Runs the command line in this process and keeps what it printed. */
 import {PassThrough} from 'node:stream';
+import {createStoreClient} from '../../platform/store_client.js';
 import {runTool} from '../../src/cli/tool.js';
+import {createProcessClock} from '../../src/utils/clock.js';
+import {createRecordedMetrics} from '../../standins/recording_runtime.js';
 
 export interface ToolRun {
   readonly code: number;
@@ -15,7 +18,14 @@
   const stdout = new PassThrough();
   const stderr = new PassThrough();
   const stdin = new PassThrough();
-  const context = {env, stdin, stdout, stderr, colorDepth: 1};
+  const openStore = (address: string) =>
+    createStoreClient({
+      address,
+      clock: createProcessClock(),
+      metrics: createRecordedMetrics(),
+      log: () => undefined,
+    });
+  const context = {env, stdin, stdout, stderr, colorDepth: 1, openStore};
   const code = await runTool(args, context);
   const kept = (stream: PassThrough) => String(stream.read() ?? '');
   return {code, stdout: kept(stdout), stderr: kept(stderr)};
