fix(direct): a collection whose watches are refused again and again is read ever more seldom

What the store met: 20 calls a second of each entry and collection for as long as it refused watches from the position that it had just told (22,000 a second of 370 entries and three collections), and a thousand where refusals and changes came by turns. Callers see that as evidence for their keys that grows old, when the store turns entries away for it.

Now only a watch that went well shortens the pause, and the collection is read anew without one at most once a second. One compaction, or one a second, is followed as before: at once.

--- a/src/direct/follow.ts
+++ b/src/direct/follow.ts
@@ -11,6 +11,14 @@
 
 /** Pause after a failed call; doubles up to `retryMostMs`, with jitter. */
 const RETRY_FIRST_MS = 100;
+/**
+ * A store that drops its history again and again would be read whole without a
+ * pause between.
+ */
+const READ_ANEW_APART_MS = 1_000;
+
+/** What a call says of the next one; `wait`: after the pause for faults. */
+type Next = 'at once' | 'wait';
 
 type Verdict = 'current' | 'overtaken' | 'restored' | 'older era';
 
@@ -63,8 +71,10 @@
   let learnedAt = Number.NEGATIVE_INFINITY;
   /** The newest that an answer has told. */
   let era: StoreEra;
-  /** The newest watch was told that its history is gone. */
-  let isGone = false;
+  /** The newest watch could not go on from its position. */
+  let isRefused = false;
+  /** When the collection was last read anew without a pause. */
+  let readAnewAt = Number.NEGATIVE_INFINITY;
   /** A store that was away may be back from a copy. */
   let isDoubted = false;
   let retryMs = RETRY_FIRST_MS;
@@ -94,6 +104,9 @@
     era = came.era ?? era;
   };
 
+  const mayReadAnew = ({historyGone}: StoreFault): boolean =>
+    historyGone && !isRefused && clock.now() - readAnewAt > READ_ANEW_APART_MS;
+
   const readWhole = async (): Promise<boolean> => {
     const sentAt = clock.now();
     const res = await collection.list();
@@ -119,46 +132,54 @@
     });
   };
 
-  const watchOnce = async (from: StorePosition): Promise<boolean> => {
+  const watchOnce = async (from: StorePosition): Promise<Next> => {
     const sentAt = clock.now();
     // Watched from a revision that was given out again, it might tell nothing
     // for as long as it waits; its answer shows the era.
     const waitMs = isDoubted ? 0 : options.waitMs();
     const res = await collection.watch(from, waitMs);
-    if (stopped) return false;
+    if (stopped) return 'wait';
     isDoubted = res.isLeft();
-    return res.caseOf({
+    return res.caseOf<Next>({
       Left: fault => {
-        if (fault.historyGone || fault.unreadable) position = undefined;
         options.onFault(fault);
-        // Read anew at once, but with a pause where the position of the newest
-        // read is refused as well: it would be read without end.
-        const wasGone = isGone;
-        isGone = fault.historyGone;
-        return isGone && !wasGone;
+        if (!fault.historyGone && !fault.unreadable) return 'wait';
+        position = undefined;
+        const isAtOnce = mayReadAnew(fault);
+        isRefused = true;
+        if (!isAtOnce) return 'wait';
+        readAnewAt = clock.now();
+        return 'at once';
       },
       Right: changes => {
         const verdict = judge(changes.position, sentAt);
-        if (verdict === 'older era') return false;
-        isGone = false;
-        if (verdict === 'overtaken') return true;
+        if (verdict === 'older era') return 'wait';
+        isRefused = false;
+        retryMs = RETRY_FIRST_MS;
+        if (verdict === 'overtaken') return 'at once';
         // These are the changes after a revision that was given out again;
         // those before it in the new history are unknown.
         if (verdict === 'restored') {
           position = undefined;
           options.onRestored();
-          return true;
+          return 'at once';
         }
         // The same, but a list of the new history has come in between.
-        if (isOlderEra(from.era, changes.position.era)) return true;
+        if (isOlderEra(from.era, changes.position.era)) return 'at once';
         learn(changes.position);
         hasChanged = changes.items.size > 0;
         if (hasChanged) options.onChanges(changes.items);
         options.onConfirmed(sentAt);
-        return true;
+        return 'at once';
       },
     });
   };
+  const readOnce = async (): Promise<Next> => {
+    if (!(await readWhole())) return 'wait';
+    // Reading does not show that a watch can go on from there.
+    if (!isRefused) retryMs = RETRY_FIRST_MS;
+    return 'at once';
+  };
 
   const pause = (delayMs: number): Promise<void> =>
     new Promise(resolve => {
@@ -173,11 +194,10 @@
 
   const run = async (): Promise<void> => {
     while (!stopped) {
-      const well =
-        position === undefined ? await readWhole() : await watchOnce(position);
+      const next =
+        position === undefined ? await readOnce() : await watchOnce(position);
       if (stopped) return;
-      if (!well) await pauseAfterFault();
-      else retryMs = RETRY_FIRST_MS;
+      if (next === 'wait') await pauseAfterFault();
       if (hasChanged) await pause(options.settleMs);
       hasChanged = false;
     }
--- a/test/direct/follow.test.ts
+++ b/test/direct/follow.test.ts
@@ -1,9 +1,10 @@
 /** Following one collection of the store. */
 import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import {describe, expect, test} from 'vitest';
 import {follow} from '../../src/direct/follow.js';
 import type {StorePosition} from '../../src/direct/store_position.js';
-import type {Changes} from '../../src/direct/types.js';
+import type {Changes, StoreFault} from '../../src/direct/types.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 
@@ -100,6 +101,76 @@
     follower.stop();
     expect(calls).toBeLessThan(80);
   });
+
+  const GONE = Left({
+    step: 'watch',
+    historyGone: true,
+    unreadable: false,
+    message: 'status 410',
+  });
+  const UNREADABLE = GONE.mapLeft(fault => ({
+    ...fault,
+    historyGone: false,
+    unreadable: true,
+  }));
+  const CHANGED = Right({
+    position: {era: 1, revision: 8},
+    items: new Map([['a', 'changed']]),
+  });
+
+  /** Calls a second where the store answers watches so in turn. */
+  async function callsPerSecond(
+    answers: ReadonlyArray<Either<StoreFault, Changes<string>>>,
+  ): Promise<number> {
+    const clock = createVirtualClock();
+    const runS = 30;
+    let calls = 0;
+    let watches = 0;
+    const soon = <T>(value: T): Promise<T> => {
+      calls += 1;
+      return new Promise(resolve => void clock.after(1, () => resolve(value)));
+    };
+    const follower = follow<string>({
+      collection: {
+        list: () =>
+          soon(
+            Right({
+              position: {era: 1, revision: 7},
+              items: new Map(),
+              isPartial: false,
+            }),
+          ),
+        watch: () => soon(answers[watches++ % answers.length]),
+      },
+      clock,
+      random: createSeededRandom(1),
+      waitMs: () => 1_000,
+      retryMostMs: () => 500,
+      settleMs: 0,
+      onList: () => undefined,
+      onChanges: () => undefined,
+      onConfirmed: () => undefined,
+      onRestored: () => undefined,
+      onFault: () => undefined,
+    });
+    await clock.runFor(runS * 1_000);
+    follower.stop();
+    return calls / runS;
+  }
+
+  // Hundreds of entries that go on at the first pause overload the store.
+  test.each([
+    ['whose watches are all refused', [GONE]],
+    ['whose watches cannot be read', [UNREADABLE]],
+    ['where both come by turns', [GONE, UNREADABLE]],
+  ])('asks one ever more seldom %s', async (_what, answers) => {
+    expect(await callsPerSecond(answers)).toBeLessThan(6);
+  });
+
+  // Changes come fast, and the history is dropped after each.
+  test('asks one seldom that forgets after each change', async () => {
+    expect(await callsPerSecond([GONE, CHANGED])).toBeLessThan(50);
+  });
 });
 
 describe('following while the store fails', () => {
