feat(bench): requests that crash replicas, on a model of entries and replicas

Ways of telling them apart are compared by what one costs and what others pay, at any number of entries: the one that entries have, a plain count, a likelihood.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -2,6 +2,7 @@
 import {benchCapacityPage} from './capacity_page.js';
 import {benchConfigSpread} from './config_spread.js';
 import {benchConfigSpreadReal} from './config_spread_real.js';
+import {benchCrashing} from './crashing.js';
 import {benchDecision} from './decision.js';
 import {benchDirect} from './direct_runs.js';
 import {benchLosses} from './losses.js';
@@ -21,6 +22,7 @@
   ['path', benchPath],
   ['recovery', benchRecovery],
   ['decision', benchDecision],
+  ['crashing', benchCrashing],
   ['direct', benchDirect],
   ['losses', benchLosses],
   ['membership', benchMembership],
--- /dev/null
+++ b/bench/direct/crash_ways.ts
@@ -0,0 +1,126 @@
+/**
+ * Ways of telling which request crashes the replicas that run it, to compare
+ * with the one that entries have. They share what they know as entries do: all
+ * ends and good runs of a digest, by who saw them.
+ */
+import type {CrashReport} from '../../src/direct/crash_reports.js';
+import {createSuspects} from '../../src/direct/suspects.js';
+import type {Suspects, SuspectsOptions} from '../../src/direct/suspects.js';
+
+/** The part of `Suspects` that the model needs. */
+export type CrashWay = Pick<
+  Suspects,
+  | 'ended'
+  | 'ranWell'
+  | 'isQuarantined'
+  | 'dueTrial'
+  | 'trialSettled'
+  | 'merge'
+  | 'release'
+  | 'next'
+>;
+
+export type MakeCrashWay = (options: SuspectsOptions) => CrashWay;
+
+/** Ends under one request that are allowed. */
+const ENDED_ALLOWED = 3;
+/** Share of the runs of a guilty request that end their replica. */
+const GUILTY_SHARE = 0.95;
+/** Runs that end so whatever they run, where fewer were seen. */
+const LEAST_SHARE = 0.02;
+/** The guilty one is this much likelier than chance before it is refused. */
+const ODDS = 1e6;
+
+interface Known {
+  readonly ended: Set<string>;
+  readonly good: Map<string, number>;
+  isQuarantined: boolean;
+}
+
+/** A way without trials, by a verdict on ends and good runs. */
+function byVerdict(
+  isGuilty: (ended: number, good: number, endedShare: number) => boolean,
+): MakeCrashWay {
+  return ({self, onNews, onQuarantined}) => {
+    const known = new Map<string, Known>();
+    const goodBefore = new Map<string, number>();
+    let runs = 1;
+    let endedRuns = 0;
+    let told = 0;
+    const of = (digest: string): Known => {
+      const found = known.get(digest);
+      if (found !== undefined) return found;
+      const before = goodBefore.get(digest) ?? 0;
+      const made = {
+        ended: new Set<string>(),
+        good: new Map([[self, before]]),
+        isQuarantined: false,
+      };
+      known.set(digest, made);
+      return made;
+    };
+    const reportOf = (digest: string): CrashReport => {
+      const {ended, good} = of(digest);
+      return {digest, ended: [...ended], good: Object.fromEntries(good)};
+    };
+    const judge = (digest: string, isOwn: boolean): void => {
+      const it = of(digest);
+      const good = [...it.good.values()].reduce((sum, count) => sum + count, 0);
+      if (it.isQuarantined) return;
+      if (!isGuilty(it.ended.size, good, endedRuns / runs)) return;
+      it.isQuarantined = true;
+      onQuarantined(reportOf(digest), isOwn);
+    };
+    return {
+      ended: (digest, replicaId) => {
+        runs++;
+        endedRuns++;
+        of(digest).ended.add(replicaId);
+        onNews(reportOf(digest));
+        judge(digest, true);
+      },
+      ranWell: digest => {
+        runs++;
+        goodBefore.set(digest, (goodBefore.get(digest) ?? 0) + 1);
+        const it = known.get(digest);
+        it?.good.set(self, (it.good.get(self) ?? 0) + 1);
+      },
+      isQuarantined: digest => known.get(digest)?.isQuarantined ?? false,
+      dueTrial: () => undefined,
+      trialSettled: () => undefined,
+      merge: reports => {
+        for (const {digest, ended, good} of reports) {
+          const it = of(digest);
+          ended.forEach(id => it.ended.add(id));
+          for (const [node, count] of Object.entries(good)) {
+            it.good.set(node, Math.max(it.good.get(node) ?? 0, count));
+          }
+          judge(digest, false);
+        }
+      },
+      release: digest => void known.delete(digest),
+      next: count => {
+        const all = [...known.keys()];
+        const some = Array.from(
+          {length: Math.min(count, all.length)},
+          (_, at) => all[(told + at) % all.length],
+        );
+        told += count;
+        return some.map(reportOf);
+      },
+    };
+  };
+}
+
+/** By name; the first is the one that entries have. */
+export const CRASH_WAYS: Readonly<Record<string, MakeCrashWay>> = {
+  'good-runs-and-trials': createSuspects,
+  count: byVerdict(ended => ended >= ENDED_ALLOWED),
+  likelihood: byVerdict((ended, good, endedShare) => {
+    const share = Math.min(0.5, Math.max(LEAST_SHARE, endedShare));
+    const odds =
+      ended * Math.log(GUILTY_SHARE / share) +
+      good * Math.log((1 - GUILTY_SHARE) / (1 - share));
+    return ended >= ENDED_ALLOWED && odds > Math.log(ODDS);
+  }),
+};
