refactor(test): transports and passed-over words of another entry stand once

Three test files made the same transports and closed them in the same way; three tests of cover passed over the same words line by line. No check changed.

--- a/test/direct/cover.test.ts
+++ b/test/direct/cover.test.ts
@@ -6,6 +6,7 @@
 import type {EntryAnswer, StoreKnowledge} from '../../src/direct/types.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
+import {DEAF} from '../support/cover.js';
 
 /** As with a bound of five seconds. */
 const READY_MS = 3_000;
@@ -151,15 +152,10 @@
           });
         },
         own: () => SAME,
+        ...DEAF,
         onConfirmed: sentAt => {
           confirmedAt[own] = Math.max(confirmedAt[own], sentAt);
         },
-        onOtherConfig: () => undefined,
-        onSameConfig: () => undefined,
-        onOtherReplicas: () => undefined,
-        onNewerEra: () => undefined,
-        onUncovered: () => undefined,
-        onChange: () => undefined,
       });
     const covers = [leanOn(0, 1), leanOn(1, 0)];
     await clock.runFor(5_000);
@@ -194,13 +190,7 @@
         });
       },
       own: () => SAME,
-      onConfirmed: () => undefined,
-      onOtherConfig: () => undefined,
-      onSameConfig: () => undefined,
-      onOtherReplicas: () => undefined,
-      onNewerEra: () => undefined,
-      onUncovered: () => undefined,
-      onChange: () => undefined,
+      ...DEAF,
     });
     await clock.runFor(500);
     cover.askNow();
--- a/test/direct/evidence.test.ts
+++ b/test/direct/evidence.test.ts
@@ -3,6 +3,7 @@
 import {coverAgeMs, createCover} from '../../src/direct/cover.js';
 import {createEvidence, waitForEvidence} from '../../src/direct/evidence.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
+import {DEAF} from '../support/cover.js';
 
 const LIMIT_MS = 4_500;
 
@@ -97,13 +98,8 @@
         };
       },
       own: () => ({era: 1, configVersion: 1, replicasDigest: ''}),
+      ...DEAF,
       onConfirmed: evidence.confirm,
-      onOtherConfig: () => undefined,
-      onSameConfig: () => undefined,
-      onOtherReplicas: () => undefined,
-      onNewerEra: () => undefined,
-      onUncovered: () => undefined,
-      onChange: () => undefined,
     });
     await clock.runFor(2_000);
     const answers: boolean[] = [];
--- a/test/grpc_tls.test.ts
+++ b/test/grpc_tls.test.ts
@@ -1,22 +1,23 @@
 import {ChannelCredentials, Client, status} from '@grpc/grpc-js';
 import type {ServiceError} from '@grpc/grpc-js';
-import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
-import type {Transport} from '../src/types/transport.js';
-import {createProcessClock} from '../src/utils/clock.js';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import type {PeerHandlers} from '../src/types/transport.js';
 import {CALL_CODECS} from '../src/wire/codec.js';
 import {TLS_SERVER_NAME} from '../src/wire/credentials.js';
 import type {TlsOptions} from '../src/wire/credentials.js';
-import {createGrpcTransport} from '../src/wire/grpc_transport.js';
-import {createRecordedMetrics} from '../standins/recording_runtime.js';
 import {createAuthority} from './support/certificates.js';
 import type {Authority} from './support/certificates.js';
+import {
+  closeAfterTest,
+  listen,
+  newTransport,
+} from './support/grpc_transports.js';
 
 const TIMEOUT_MS = 10_000;
 const REQ = {requestId: 'r', organisation: 'o'};
 
 let authority: Authority;
 let stranger: Authority;
-const closers: Array<() => Promise<void>> = [];
 
 beforeAll(() => {
   authority = createAuthority();
@@ -28,36 +29,23 @@
   stranger.remove();
 });
 
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) await close();
-});
-
-function newTransport(tls?: TlsOptions): Transport {
-  const metrics = createRecordedMetrics();
-  const clock = createProcessClock();
-  const transport = createGrpcTransport({clock, metrics, tls});
-  closers.push(() => transport.close());
-  return transport;
-}
-
-async function listen(tls: TlsOptions, onCall: () => void): Promise<string> {
-  const listener = await newTransport(tls).listen('127.0.0.1:0', {
+function listenWith(tls: TlsOptions, onCall: () => void): Promise<string> {
+  const handlers: PeerHandlers = {
     locate: async () => {
       onCall();
       return {state: 'none', dispatchId: '', nextSeq: 0, kind: 'call'};
     },
-  });
-  closers.push(() => listener.close());
-  return listener.address;
+  };
+  return listen(handlers, newTransport(undefined, tls));
 }
 
 /** What a call gives, and whether a handler saw it. */
 async function tryCall(server: TlsOptions, client?: TlsOptions) {
   let handled = false;
-  const address = await listen(server, () => {
+  const address = await listenWith(server, () => {
     handled = true;
   });
-  const got = await newTransport(client).call(
+  const got = await newTransport(undefined, client).call(
     address,
     'locate',
     REQ,
@@ -80,7 +68,7 @@
   it('refuses a caller that shows no certificate', async () => {
     const server = authority.issue('127.0.0.1');
     let handled = false;
-    const address = await listen(server, () => {
+    const address = await listenWith(server, () => {
       handled = true;
     });
     const {path, req, res} = CALL_CODECS.locate;
@@ -91,7 +79,7 @@
       }),
       {'grpc.ssl_target_name_override': TLS_SERVER_NAME},
     );
-    closers.push(async () => client.close());
+    closeAfterTest(async () => client.close());
     const err = await new Promise<ServiceError | null>(resolve => {
       client.makeUnaryRequest(path, req.encode, res.decode, REQ, resolve);
     });
--- a/test/grpc_transport.test.ts
+++ b/test/grpc_transport.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import fc from 'fast-check';
 import type {Arbitrary} from 'fast-check';
-import {afterEach, describe, expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import type {
   LocateRes,
   PeerMethod,
@@ -16,7 +16,6 @@
   RunServerChannel,
   Transport,
 } from '../src/types/transport.js';
-import {createProcessClock} from '../src/utils/clock.js';
 import {CALL_CODECS} from '../src/wire/codec.js';
 import {createGrpcTransport} from '../src/wire/grpc_transport.js';
 import {createRecordedMetrics} from '../standins/recording_runtime.js';
@@ -27,29 +26,14 @@
   RUN_DOWN_ARBITRARY,
   RUN_UP_ARBITRARY,
 } from './support/message_arbitraries.js';
+import {
+  closeAfterTest,
+  listen,
+  newTransport,
+} from './support/grpc_transports.js';
 
 const SEED = 20260101;
 const TIMEOUT_MS = 10_000;
-const closers: Array<() => Promise<void>> = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) await close();
-});
-
-function newTransport(metrics = createRecordedMetrics()): Transport {
-  const transport = createGrpcTransport({clock: createProcessClock(), metrics});
-  closers.push(() => transport.close());
-  return transport;
-}
-
-async function listen(
-  handlers: PeerHandlers,
-  transport = newTransport(),
-): Promise<string> {
-  const listener = await transport.listen('127.0.0.1:0', handlers);
-  closers.push(() => listener.close());
-  return listener.address;
-}
 
 /** Forwards bytes to a peer until it is told to swallow them. */
 async function listenSilenceable(target: string) {
@@ -72,7 +56,7 @@
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  closers.push(async () => {
+  closeAfterTest(async () => {
     for (const socket of sockets) socket.destroy();
     server.close();
   });
@@ -342,7 +326,7 @@
     const clock = createVirtualClock();
     const metrics = createRecordedMetrics();
     const transport = createGrpcTransport({clock, metrics});
-    closers.push(() => transport.close());
+    closeAfterTest(() => transport.close());
     const kept = openRun(transport, silent.address, false);
     expect(await kept.next()).toEqual({kind: 'started'});
 
--- a/test/heartbeat_streams.test.ts
+++ b/test/heartbeat_streams.test.ts
@@ -1,35 +1,17 @@
 import fc from 'fast-check';
-import {afterEach, describe, expect, test} from 'vitest';
+import {describe, expect, test} from 'vitest';
 import type {
   SideHeartbeatReq,
   SideHeartbeatRes,
 } from '../src/types/peer_messages.js';
-import type {PeerHandlers, Transport} from '../src/types/transport.js';
-import {createProcessClock} from '../src/utils/clock.js';
 import {createGrpcTransport} from '../src/wire/grpc_transport.js';
 import {createRecordedMetrics} from '../standins/recording_runtime.js';
 import {createVirtualClock} from '../standins/virtual_clock.js';
 import {CALL_ARBITRARIES} from './support/message_arbitraries.js';
+import {listen, newTransport} from './support/grpc_transports.js';
 
 const SEED = 20261202;
 const TIMEOUT_MS = 10_000;
-const closers: Array<() => Promise<void>> = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) await close();
-});
-
-function newTransport(metrics = createRecordedMetrics()): Transport {
-  const transport = createGrpcTransport({clock: createProcessClock(), metrics});
-  closers.push(() => transport.close());
-  return transport;
-}
-
-async function listen(handlers: PeerHandlers): Promise<string> {
-  const listener = await newTransport().listen('127.0.0.1:0', handlers);
-  closers.push(() => listener.close());
-  return listener.address;
-}
 
 const {req: REQ, res: RES} = CALL_ARBITRARIES.sideHeartbeat;
 
