--- a/bench/direct/crash_model.ts
+++ b/bench/direct/crash_model.ts
@@ -3,13 +3,12 @@
  * runs them, sent again and again under new ids to drawn entries, among others
  * that crash nothing, and storms in which replicas crash by themselves.
  */
-import {encodeDatagram} from '../../src/direct/datagrams.js';
-import {isSoundReport} from '../../src/direct/crash_reports.js';
-import type {CrashReport} from '../../src/direct/crash_reports.js';
 import type {Random} from '../../src/types/runtime.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
-import type {CrashWay, MakeCrashWay} from './crash_ways.js';
+import {createCrashTalk} from './crash_talk.js';
+import {createReplicas} from './crash_replicas.js';
+import type {MakeCrashWay} from './crash_ways.js';
 
 export interface CrashScenario {
   readonly entries: number;
@@ -47,237 +46,165 @@
 const AGAIN_MS = 300;
 const CRASH_FIRST_MS = 20;
 const CRASH_SPREAD_MS = 300;
-const REBORN_MS = 3_000;
-/** From a broken connection until the refused one that shows the end. */
-const PROBE_MS = 20;
-const DATAGRAM_MS = 2;
-const LOST_SHARE = 0.01;
-const TOLD_AGAIN_MS = [0, 100, 400];
-const GOSSIP_MS = 1_000;
-const GOSSIP_REPORTS = 4;
-/** A write to the store and the watch that tells of it. */
-const STORE_MS = 10;
+/** Killers come first within this share of the run. */
+const KILLERS_BY_SHARE = 0.5;
 /** Operators allow sends for so long after the third end. */
 const STABLE_MS = 3_000;
 const THIRD = 3;
-
-interface Replica {
-  readonly at: number;
-  start: number;
-  isUp: boolean;
-  readonly runs: Set<Run>;
-}
-
-interface Run {
-  readonly digest: string;
-  isOver: boolean;
-  onBroken(replicaId: string): void;
-}
+/** A claim of a trial in the store. */
+const CLAIM_MS = 4;
+const DIGEST_BYTES = 16;
 
 interface Killer {
   readonly digest: string;
+  readonly refusedAt: Set<number>;
   ended: number;
-  thirdAt: number;
   sentLate: number;
-  readonly knownBy: Set<number>;
+  thirdEndAt: number;
   allKnowAt: number;
 }
 
-const idOf = ({at, start}: Replica) => `replica-${at}@${start}`;
+/** A request on its way through one entry. */
+interface Sending {
+  readonly digest: string;
+  readonly entry: number;
+  readonly attempts: number;
+  readonly isTrial: boolean;
+  onOver(): void;
+}
 
 export async function runCrashes(
   scenario: CrashScenario,
 ): Promise<CrashFigures> {
+  const {durationMs} = scenario;
   const clock = createVirtualClock();
   const random = createSeededRandom(scenario.seed);
-  const digestOf = () => hex(random);
-  let bytes = 0;
-  let innocents = 0;
-  let refused = 0;
-  const claims = new Set<string>();
   const killers = new Map<string, Killer>();
-  const replicas: readonly Replica[] = Array.from(
-    {length: scenario.replicas},
-    (_, at) => ({at, start: 1, isUp: true, runs: new Set<Run>()}),
-  );
-  const entries: CrashWay[] = [];
+  const claims = new Set<string>();
+  let innocents = 0;
+  let innocentsRefused = 0;
 
-  const toEach = (from: number, act: (to: CrashWay) => void, ms: number) =>
-    clock.after(ms, () => entries.forEach((to, at) => at === from || act(to)));
-  const tell = (to: number, reports: readonly CrashReport[]) => {
-    bytes += encodeDatagram({kind: 'crashes', reports}).length;
-    // What an entry cannot take is as good as lost.
-    const isTaken = reports.every(isSoundReport);
-    if (!isTaken || random.next() < LOST_SHARE) return;
-    clock.after(DATAGRAM_MS, () => entries[to].merge(reports));
-  };
-  const tellAll = (from: number, report: CrashReport) => {
-    const times = report.ended.length > 1 ? TOLD_AGAIN_MS : [0];
-    for (const ms of times) {
-      clock.after(ms, () =>
-        entries.forEach((_, to) => to === from || tell(to, [report])),
-      );
-    }
-  };
-  const noteKnown = (at: number, digest: string) => {
-    const killer = killers.get(digest);
-    if (killer === undefined) return;
-    killer.knownBy.add(at);
-    if (killer.knownBy.size === entries.length) killer.allKnowAt = clock.now();
-  };
-  for (let at = 0; at < scenario.entries; at++) {
-    entries.push(
-      scenario.way({
-        clock,
-        self: `entry-${at}`,
-        onNews: report => tellAll(at, report),
-        onQuarantined: (report, isOwn) => {
-          noteKnown(at, report.digest);
-          if (isOwn) toEach(at, to => to.merge([report]), STORE_MS);
-        },
-        onCleared: (digest, isOwn) => {
-          if (isOwn) toEach(at, to => to.release(digest), STORE_MS);
-        },
-      }),
-    );
-    if (scenario.entries === 1) continue;
-    clock.every(GOSSIP_MS, () => {
-      const reports = entries[at].next(GOSSIP_REPORTS);
-      const step = 1 + Math.floor(random.next() * (scenario.entries - 1));
-      if (reports.length > 0) tell((at + step) % scenario.entries, reports);
-    });
-  }
+  const replicas = createReplicas(clock, random, scenario.replicas);
+  const talk = createCrashTalk({
+    clock,
+    random,
+    entries: scenario.entries,
+    way: scenario.way,
+    onRefusedAt: (entry, digest) => {
+      const killer = killers.get(digest);
+      if (killer === undefined) return;
+      killer.refusedAt.add(entry);
+      const allKnow = killer.refusedAt.size === scenario.entries;
+      if (allKnow) killer.allKnowAt = clock.now();
+    },
+  });
+  const {entries} = talk;
 
-  const crash = (replica: Replica): void => {
-    if (!replica.isUp) return;
-    replica.isUp = false;
-    const id = idOf(replica);
-    const broken = [...replica.runs];
-    replica.runs.clear();
-    for (const run of broken) {
-      run.isOver = true;
-      clock.after(PROBE_MS, () => run.onBroken(id));
-    }
-    clock.after(REBORN_MS, () => {
-      replica.start++;
-      replica.isUp = true;
-    });
-  };
-  const drawReplica = (): Replica | undefined => {
-    const up = replicas.filter(({isUp}) => isUp);
-    return up[Math.floor(random.next() * up.length)];
-  };
-  const send = (
-    digest: string,
-    entry: number,
-    isTrial: boolean,
-    attempts: number,
-    onOver: () => void,
-  ): void => {
-    const replica = drawReplica();
-    const isBarred = entries[entry].isQuarantined(digest) && !isTrial;
-    if (replica === undefined || isBarred || attempts === 0) return onOver();
+  const send = (sending: Sending): void => {
+    const {digest, entry, attempts, isTrial, onOver} = sending;
+    const replica = replicas.draw();
+    const isRefused = entries[entry].isQuarantined(digest) && !isTrial;
+    if (replica === undefined || isRefused || attempts === 0) return onOver();
     const killer = killers.get(digest);
-    const run: Run = {
-      digest,
-      isOver: false,
-      onBroken: id => {
-        if (killer !== undefined) noteEnd(killer);
-        entries[entry].ended(digest, id);
-        send(digest, entry, false, attempts - 1, onOver);
-      },
-    };
-    replica.runs.add(run);
-    if (killer === undefined) {
-      const runMs = RUN_MS * (0.5 + random.next());
-      clock.after(runMs, () => {
-        if (run.isOver) return;
-        replica.runs.delete(run);
+    const isLate = clock.now() - (killer?.thirdEndAt ?? Infinity) > STABLE_MS;
+    if (killer !== undefined && isLate) killer.sentLate++;
+    replicas.run(replica, {
+      lastsMs: RUN_MS * (0.5 + random.next()),
+      crashMs: killer && CRASH_FIRST_MS + random.next() * CRASH_SPREAD_MS,
+      onWell: () => {
         entries[entry].ranWell(digest);
         onOver();
-      });
-      return;
-    }
-    if (clock.now() - killer.thirdAt > STABLE_MS) killer.sentLate++;
-    clock.after(CRASH_FIRST_MS + random.next() * CRASH_SPREAD_MS, () => {
-      if (!run.isOver) crash(replica);
+      },
+      onBroken: replicaId => {
+        if (killer !== undefined) noteEnd(killer, clock.now());
+        entries[entry].ended(digest, replicaId);
+        send({...sending, attempts: attempts - 1, isTrial: false});
+      },
     });
   };
-  const noteEnd = (killer: Killer): void => {
-    killer.ended++;
-    if (killer.ended === THIRD) killer.thirdAt = clock.now();
-  };
-  /** Calls `onOver` with whether it was refused. */
-  const arrive = (digest: string, onOver: (isRefused: boolean) => void) => {
-    const at = Math.floor(random.next() * entries.length);
-    const entry = entries[at];
-    if (!entry.isQuarantined(digest)) {
-      return send(digest, at, false, ATTEMPTS, () => onOver(false));
-    }
-    const trial = entry.dueTrial(digest);
-    if (trial === undefined) return onOver(true);
-    clock.after(STORE_MS, () => {
+  const claimTrial = (sending: Sending, onRefused: () => void): void => {
+    const {digest, entry} = sending;
+    const trial = entries[entry].dueTrial(digest);
+    if (trial === undefined) return onRefused();
+    clock.after(CLAIM_MS, () => {
       const claim = `${digest}-${trial}`;
       const isGained = !claims.has(claim);
       claims.add(claim);
-      entry.trialSettled(digest, true);
-      if (isGained) send(digest, at, true, 1, () => onOver(false));
-      else onOver(true);
+      entries[entry].trialSettled(digest, true);
+      if (isGained) send({...sending, attempts: 1, isTrial: true});
+      else onRefused();
     });
   };
+  /** At a drawn entry. */
+  const arrive = (
+    digest: string,
+    onOver: () => void,
+    onRefused: () => void,
+  ): void => {
+    const entry = Math.floor(random.next() * entries.length);
+    const sending = {digest, entry, attempts: ATTEMPTS, isTrial: false, onOver};
+    if (entries[entry].isQuarantined(digest)) claimTrial(sending, onRefused);
+    else send(sending);
+  };
 
-  const popular = Array.from({length: POPULAR}, digestOf);
-  const innocent = () => {
-    const isPopular = random.next() < POPULAR_SHARE;
-    const digest = isPopular
+  const popular = Array.from({length: POPULAR}, () => drawDigest(random));
+  const drawInnocent = () =>
+    random.next() < POPULAR_SHARE
       ? popular[Math.floor(random.next() * POPULAR)]
-      : digestOf();
+      : drawDigest(random);
+  const innocentGapMs = 1_000 / (ARRIVALS_PER_S * scenario.replicas);
+  const nextInnocent = (): void => {
     innocents++;
-    arrive(digest, isRefused => {
-      if (isRefused) refused++;
-    });
+    arrive(
+      drawInnocent(),
+      () => undefined,
+      () => innocentsRefused++,
+    );
+    const gapMs = -Math.log(1 - random.next()) * innocentGapMs;
+    clock.after(gapMs, nextInnocent);
   };
-  const gapMs = 1_000 / (ARRIVALS_PER_S * scenario.replicas);
-  const nextInnocent = () => {
-    innocent();
-    clock.after(-Math.log(1 - random.next()) * gapMs, nextInnocent);
+  const addKiller = (): void => {
+    const killer = newKiller(drawDigest(random));
+    killers.set(killer.digest, killer);
+    const sendAgain = () => void clock.after(AGAIN_MS, sendNow);
+    const sendNow = () => arrive(killer.digest, sendAgain, sendAgain);
+    clock.after(random.next() * durationMs * KILLERS_BY_SHARE, sendNow);
   };
+
   nextInnocent();
-  for (let at = 0; at < scenario.killers; at++) {
-    const killer: Killer = {
-      digest: digestOf(),
-      ended: 0,
-      thirdAt: Infinity,
-      sentLate: 0,
-      knownBy: new Set(),
-      allKnowAt: Infinity,
-    };
-    killers.set(killer.digest, killer);
-    const again = () =>
-      arrive(killer.digest, () => clock.after(AGAIN_MS, again));
-    clock.after(random.next() * scenario.durationMs * 0.5, again);
-  }
+  for (let at = 0; at < scenario.killers; at++) addKiller();
   for (const {atMs, share} of scenario.storms) {
-    clock.after(atMs, () =>
-      replicas.forEach(it => random.next() < share && crash(it)),
-    );
+    clock.after(atMs, () => replicas.storm(share));
   }
-  await clock.runFor(scenario.durationMs);
-  return figuresOf([...killers.values()]);
+  await clock.runFor(durationMs);
 
-  function figuresOf(all: readonly Killer[]): CrashFigures {
-    const seconds = scenario.durationMs / 1_000;
-    return {
-      ended: all.map(it => it.ended),
-      sentLate: all.map(it => it.sentLate),
-      allKnowMs: all.map(it => it.allKnowAt - it.thirdAt),
-      innocents,
-      innocentsRefused: refused,
-      bytesPerEntryPerS: bytes / scenario.entries / seconds,
-    };
-  }
+  const all = [...killers.values()];
+  return {
+    ended: all.map(({ended}) => ended),
+    sentLate: all.map(({sentLate}) => sentLate),
+    allKnowMs: all.map(({allKnowAt, thirdEndAt}) => allKnowAt - thirdEndAt),
+    innocents,
+    innocentsRefused,
+    bytesPerEntryPerS: talk.bytes() / scenario.entries / (durationMs / 1_000),
+  };
+}
+
+function newKiller(digest: string): Killer {
+  return {
+    digest,
+    refusedAt: new Set(),
+    ended: 0,
+    sentLate: 0,
+    thirdEndAt: Infinity,
+    allKnowAt: Infinity,
+  };
+}
+
+function noteEnd(killer: Killer, at: number): void {
+  killer.ended++;
+  if (killer.ended === THIRD) killer.thirdEndAt = at;
 }
 
-function hex(random: Random): string {
-  return random.hex(16);
+function drawDigest(random: Random): string {
+  return random.hex(DIGEST_BYTES);
 }
--- /dev/null
+++ b/bench/direct/crash_talk.ts
@@ -0,0 +1,80 @@
+/** What modelled entries tell each other of requests that crash replicas. */
+import {isSoundReport} from '../../src/direct/crash_reports.js';
+import type {CrashReport} from '../../src/direct/crash_reports.js';
+import {encodeDatagram} from '../../src/direct/datagrams.js';
+import type {Clock, Random} from '../../src/types/runtime.js';
+import type {CrashWay, MakeCrashWay} from './crash_ways.js';
+
+const DATAGRAM_MS = 2;
+const LOST_SHARE = 0.01;
+/** As `sharing.ts` tells a report: at once, and again where several ended. */
+const TOLD_AGAIN_MS = [0, 100, 400];
+const TOLD_SUSPECTS_MS = 1_000;
+const TOLD_SUSPECTS = 4;
+/** A write to the store and the watch that tells of it. */
+const STORE_MS = 10;
+
+export interface CrashTalkOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly entries: number;
+  readonly way: MakeCrashWay;
+  /** An entry refuses the request from now on. */
+  onRefusedAt(entry: number, digest: string): void;
+}
+
+export interface CrashTalk {
+  readonly entries: readonly CrashWay[];
+  /** Of all datagrams that were sent. */
+  bytes(): number;
+}
+
+export function createCrashTalk(options: CrashTalkOptions): CrashTalk {
+  const {clock, random} = options;
+  const entries: CrashWay[] = [];
+  let bytes = 0;
+
+  const send = (to: number, reports: readonly CrashReport[]): void => {
+    bytes += encodeDatagram({kind: 'crashes', reports}).length;
+    // What an entry cannot take is as good as lost.
+    const isTaken = reports.every(isSoundReport);
+    if (!isTaken || random.next() < LOST_SHARE) return;
+    clock.after(DATAGRAM_MS, () => entries[to].merge(reports));
+  };
+  const others = (from: number): readonly number[] =>
+    [...entries.keys()].filter(at => at !== from);
+  const tellAll = (from: number, report: CrashReport): void => {
+    const times = report.ended.length > 1 ? TOLD_AGAIN_MS : [0];
+    for (const ms of times) {
+      clock.after(ms, () => others(from).forEach(to => send(to, [report])));
+    }
+  };
+  const tellOne = (from: number): void => {
+    const reports = entries[from].next(TOLD_SUSPECTS);
+    const to = others(from)[Math.floor(random.next() * (entries.length - 1))];
+    if (reports.length > 0 && to !== undefined) send(to, reports);
+  };
+  const byStore = (from: number, act: (to: CrashWay) => void): void =>
+    void clock.after(STORE_MS, () =>
+      others(from).forEach(to => act(entries[to])),
+    );
+
+  for (let at = 0; at < options.entries; at++) {
+    entries.push(
+      options.way({
+        clock,
+        self: `entry-${at}`,
+        onNews: report => tellAll(at, report),
+        onQuarantined: (report, isOwn) => {
+          options.onRefusedAt(at, report.digest);
+          if (isOwn) byStore(at, to => to.merge([report]));
+        },
+        onCleared: (digest, isOwn) => {
+          if (isOwn) byStore(at, to => to.release(digest));
+        },
+      }),
+    );
+    clock.every(TOLD_SUSPECTS_MS, () => tellOne(at));
+  }
+  return {entries, bytes: () => bytes};
+}
