--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -12,6 +12,7 @@
 import {benchPolicy} from './policy.js';
 import {benchRecovery} from './recovery.js';
 import {benchSlopes} from './slopes.js';
+import {benchStoreReturn} from './store_return.js';
 
 type Bench = (args: readonly string[]) => Promise<void>;
 
@@ -29,6 +30,7 @@
   ['config-spread', benchConfigSpread],
   ['config-spread-real', benchConfigSpreadReal],
   ['object-calls', benchObjectCalls],
+  ['store-return', benchStoreReturn],
 ]);
 
 const [name = '', ...args] = process.argv.slice(2);
