feat(direct): log and count the request limits that replicas name

Entries exceeded a replica's limit, and neither logs nor metrics said that an answer had named one, so three hypotheses could not be told apart: the limit is not known, is kept by each entry alone, or is kept too late or in part.

The adapter decodes the limit; a table keeps the newest statement of each start of a replica. Events 271 to 273 tell when a limit is learned, ends or cannot be read, line 251 shows the one in force at each dispatch, and two gauges show how many replicas name one and their sum. Choices are made as before.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -258,6 +258,7 @@
     JSON.stringify({...facts, model: JSON.parse(raw[1]) as ModelRequest}),
   ],
   readAnswer: (status, headers): AnswerFacts => ({
+    requestLimit: {kind: 'none'},
     requestId: String(headers['id']),
     signed: true,
     notRun: status === 503,
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -82,7 +82,8 @@
     };
     const onHead = (received: AnswerHead) => {
       head = received;
-      const verdict = classifyHead(ctx, exchange, received);
+      const sentTo = {replicaId: replica.id, sentAt: startedAt};
+      const verdict = classifyHead(ctx, exchange, sentTo, received);
       if (verdict.kind === 'success' || verdict.kind === 'failure') return;
       dispatch.cancel();
       if (verdict.kind === 'not-run') {
--- a/src/direct/gauges.ts
+++ b/src/direct/gauges.ts
@@ -20,6 +20,10 @@
   readonly suspects: number;
   /** Suspects that are refused. */
   readonly quarantined: number;
+  /** Replicas that name a request limit. */
+  readonly limitedReplicas: number;
+  /** Sum of these limits, in requests a second. */
+  readonly limitSum: number;
 }
 
 /** Updates the gauges every second until it is cancelled. */
@@ -40,5 +44,7 @@
     setGauge('memory_leases', readings.memoryLeases);
     setGauge('suspects', readings.suspects);
     setGauge('quarantined', readings.quarantined);
+    setGauge('limited_replicas', readings.limitedReplicas);
+    setGauge('replica_limits_per_s', readings.limitSum);
   });
 }
--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -169,6 +169,7 @@
     partTokens: plan.partTokens,
     firstEventMs: Math.round(plan.firstEventMs),
     running: lead.load.running,
+    limit: ctx.limits.limitOf(lead.replica.id),
     readMsAhead: Math.round(lead.load.readMs),
     ownLoss: Number(plan.ownLoss.toFixed(2)),
     harm: Number((plan.harm / exchange.weight).toFixed(2)),
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -100,6 +100,7 @@
     replica: id,
     running: ctx.loadTracker.totalLoad(id).running,
     slowness: ctx.health.slowness(id),
+    limit: ctx.limits.limitOf(id),
     config: exchange.config.version,
   });
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -19,6 +19,7 @@
 import {sendLocalAnswer} from './local_answers.js';
 import {shortDigest} from './request_digest.js';
 import type {ReplicaHealth} from './replica_health.js';
+import type {ReplicaLimits} from './replica_limits.js';
 import type {ReplicaLosses} from './replica_losses.js';
 import {QUARANTINE_MS} from './suspects.js';
 import type {
@@ -38,6 +39,7 @@
   readonly failureDomain: string;
   readonly replicas: ReplicaTable;
   readonly health: ReplicaHealth;
+  readonly limits: ReplicaLimits;
   readonly losses: ReplicaLosses;
   readonly crashes: CrashWatch;
   readonly loadTracker: LoadTracker;
@@ -163,17 +165,28 @@
   /** An answer to another request, or one that must not be forwarded. */
   | {readonly kind: 'foreign'; readonly reason: string};
 
+/** The replica that a request was sent to, and when. */
+export interface SentTo {
+  readonly replicaId: string;
+  /** On this process's clock, in milliseconds. */
+  readonly sentAt: number;
+}
+
 /**
  * Classifies an answer by its head. Unless the replica states that it did not
  * run the request, the request is marked as possibly run.
  */
 export function classifyHead(
-  {codec}: ServeContext,
+  {codec, limits}: ServeContext,
   exchange: Exchange,
+  {replicaId, sentAt}: SentTo,
   {status, headers}: AnswerHead,
 ): HeadVerdict {
   const facts = codec.readAnswer(status, headers);
   const isOwn = facts.requestId === exchange.id && !facts.encoded;
+  if (isOwn && facts.requestLimit !== undefined) {
+    limits.answered(replicaId, sentAt, facts.requestLimit);
+  }
   if (isOwn && facts.notRun) return {kind: 'not-run', faultAt: facts.faultAt};
   exchange.mayHaveRun = true;
   if (!isOwn) return {kind: 'foreign', reason: 'an answer to another request'};
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -27,6 +27,7 @@
 import type {ReplicaLoad} from './replica_load.js';
 import {createPlacementPollPace} from './placement_poll_pace.js';
 import {createReplicaHealth} from './replica_health.js';
+import {createReplicaLimits} from './replica_limits.js';
 import {createReplicaLosses} from './replica_losses.js';
 import {serveCall} from './serve_call.js';
 import {giveUp, refuseQuarantined} from './serve_context.js';
@@ -114,6 +115,8 @@
     readonly memoryLeases: number;
     readonly suspects: number;
     readonly quarantined: number;
+    readonly limitedReplicas: number;
+    readonly limitSum: number;
   };
 }
 
@@ -123,16 +126,19 @@
   const openExchanges = new Set<Exchange>();
   const requestWeights = createRequestWeights();
   const health = createReplicaHealth(clock);
+  const limits = createReplicaLimits(clock, log);
   const losses = createReplicaLosses();
   const replicas = createReplicaTable({
     clock,
     onRemoved: ({id, leaving}, mayHaveLapsed) => {
       health.forget(id);
+      if (!mayHaveLapsed) limits.forget(id);
       if (!leaving && !mayHaveLapsed) crashes.recordRemoved(id);
     },
     onRestarted: ({id, leaving}, now) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
       health.forget(id);
+      limits.forget(id);
       if (!leaving) crashes.replicaEnded(id);
       losses.notifyLost(id);
     },
@@ -175,6 +181,7 @@
     failureDomain: options.failureDomain,
     replicas,
     health,
+    limits,
     losses,
     crashes,
     loadTracker,
@@ -268,6 +275,8 @@
       memoryLeases: ctx.groups.reservationCount(),
       suspects: crashes.suspectCount(),
       quarantined: crashes.quarantinedCount(),
+      limitedReplicas: limits.count(),
+      limitSum: limits.sum(),
     }),
   };
 }
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -93,7 +93,8 @@
       finish({kind: 'ended'});
     };
     const onHead = (received: AnswerHead) => {
-      const verdict = classifyHead(ctx, exchange, received);
+      const sentTo = {replicaId: replica.id, sentAt: startedAt};
+      const verdict = classifyHead(ctx, exchange, sentTo, received);
       head = received;
       if (verdict.kind === 'failure') failure = [];
       if (verdict.kind === 'foreign') fail(verdict.reason);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -317,6 +317,15 @@
   readonly reservation: string | undefined;
 }
 
+/**
+ * What an answer states about the replica's request limit: the requests a
+ * second that the replica takes from all entries together.
+ */
+export type StatedLimit =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'limited'; readonly perSecond: number}
+  | {readonly kind: 'unreadable'; readonly text: string};
+
 /** What a replica's response headers state. */
 export interface AnswerFacts {
   readonly requestId: string | undefined;
@@ -330,6 +339,8 @@
    */
   readonly faultAt: string | undefined;
   readonly encoded: boolean;
+  /** Undefined where another replica than the expected one answered. */
+  readonly requestLimit: StatedLimit | undefined;
 }
 
 /** Header names and values, alternating. */
--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -24,6 +24,8 @@
   readonly path: string;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
+  /** When it had arrived; steady time, in milliseconds. */
+  readonly at: number;
   /** The caller's connection closed before the answer was whole. */
   left: boolean;
 }
@@ -107,6 +109,18 @@
   res.end();
 };
 
+/** Names a request limit in its answers while there is one; else as `other`. */
+export function nameLimit(
+  limit: () => string | undefined,
+  other: Behaviour,
+): Behaviour {
+  return (arrival, res, req) => {
+    const text = limit();
+    if (text !== undefined) res.setHeader('Server-Limit', text);
+    other(arrival, res, req);
+  };
+}
+
 /** Takes the request and breaks off without a byte of an answer. */
 export const breakOff: Behaviour = (_arrival, _res, req) => {
   req.socket.resetAndDestroy();
@@ -171,6 +185,7 @@
       path: req.url ?? '',
       headers: req.headers,
       body,
+      at: performance.now(),
       left: false,
     };
     res.on('close', () => {
