fix(direct): keep the limits that replicas name, over all entries together

Callers of a replica in need waited behind requests that it had said it could not take. No entry used the limit in its answers: it was handed on to the caller, and the replica chosen by load and memory as before. The class: a bound that belongs to all entries together and that none, or each alone, keeps.

Each limited replica has a home among the live entries, by rendezvous hashing. The home keeps a bucket of permits that starts empty, and every entry, the home too, takes a permit before each send; asks and answers are datagrams. Without a permit another replica is chosen, or the caller is rejected at once with the time at which one may be available; the last permit is kept while a more urgent ask is about to come back. A silent home means no permits until the next one takes over; a new home starts empty, after the time in which the old one notices; a part that is cut off grants its share. Limits are told to peers when they begin and end, to the home when they change, and some each second in turn.

A share of a count of entries is no answer: a bucket that starts full breaks the bound with twenty entries, and at 370 each may send one request in six minutes.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -202,6 +202,11 @@
     fullness: options.fullness,
     isDraining: () => false,
     shareLoads: (_loads, isLong) => telling.loadChanged(isLong),
+    limitLinks: {
+      shareReports: () => undefined,
+      sendAsk: () => undefined,
+      sendAnswer: () => undefined,
+    },
     shareCrashReports: () => undefined,
     quarantine: {
       onQuarantined: () => undefined,
--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -6,10 +6,31 @@
  * engine.
  */
 import {isIPv4} from 'node:net';
-import {Codec, array, exactly, number, optional, string} from 'purify-ts/Codec';
+import {
+  Codec,
+  array,
+  boolean,
+  exactly,
+  number,
+  optional,
+  string,
+} from 'purify-ts/Codec';
 import {Maybe, Nothing} from 'purify-ts/Maybe';
 import {crashReportCodec, isValidReport} from './crash_reports.js';
 import type {CrashReport} from './crash_reports.js';
+import {
+  isValidAnswer as isValidPermitAnswer,
+  isValidAsk,
+  isValidLimit,
+  limitReportCodec,
+  permitAnswerCodec,
+  permitAskCodec,
+} from './limits/limit_messages.js';
+import type {
+  LimitReport,
+  PermitAnswer,
+  PermitAsk,
+} from './limits/limit_messages.js';
 import type {ReplicaLoad} from './replica_load.js';
 import {packLoads, unpackLoads} from './load_codec.js';
 import type {EntryAddress, StoreKnowledge} from './types.js';
@@ -42,8 +63,32 @@
   readonly reports: readonly CrashReport[];
 }
 
+/** Request limits that replicas named. */
+export interface LimitsDatagram {
+  readonly kind: 'limits';
+  readonly reports: readonly LimitReport[];
+}
+
+/** Asks the home of a replica for permits. */
+export interface PermitAskDatagram {
+  readonly kind: 'permit-ask';
+  readonly from: EntryAddress;
+  readonly ask: PermitAsk;
+}
+
+export interface PermitAnswerDatagram {
+  readonly kind: 'permit-answer';
+  readonly answer: PermitAnswer;
+}
+
 export type Datagram =
-  LoadDatagram | AskDatagram | AnswerDatagram | CrashDatagram;
+  | LoadDatagram
+  | AskDatagram
+  | AnswerDatagram
+  | CrashDatagram
+  | LimitsDatagram
+  | PermitAskDatagram
+  | PermitAnswerDatagram;
 
 export const entryAddressCodec = Codec.interface({
   node: string,
@@ -51,6 +96,7 @@
   ip: string,
   port: number,
   failureDomain: optional(string),
+  grantsPermits: optional(boolean),
 });
 const askCodec = Codec.interface({
   kind: exactly('ask'),
@@ -72,6 +118,19 @@
   kind: exactly('crashes'),
   reports: array(crashReportCodec),
 });
+const limitsCodec = Codec.interface({
+  kind: exactly('limits'),
+  reports: array(limitReportCodec),
+});
+const permitAskDatagramCodec = Codec.interface({
+  kind: exactly('permit-ask'),
+  from: entryAddressCodec,
+  ask: permitAskCodec,
+});
+const permitAnswerDatagramCodec = Codec.interface({
+  kind: exactly('permit-answer'),
+  answer: permitAnswerCodec,
+});
 const loadHeadCodec = Codec.interface({
   kind: exactly('load'),
   from: entryAddressCodec,
@@ -97,6 +156,24 @@
         .toMaybe()
         .filter(({from}) => isEntryAddress(from));
     }
+    if (kind === 'limits') {
+      return limitsCodec
+        .decode(value)
+        .toMaybe()
+        .filter(({reports}) => reports.every(isValidLimit));
+    }
+    if (kind === 'permit-ask') {
+      return permitAskDatagramCodec
+        .decode(value)
+        .toMaybe()
+        .filter(({from, ask}) => isEntryAddress(from) && isValidAsk(ask));
+    }
+    if (kind === 'permit-answer') {
+      return permitAnswerDatagramCodec
+        .decode(value)
+        .toMaybe()
+        .filter(({answer}) => isValidPermitAnswer(answer));
+    }
     if (kind === 'crashes') {
       return crashCodec
         .decode(value)
--- a/src/direct/decide/choose_engines.ts
+++ b/src/direct/decide/choose_engines.ts
@@ -109,18 +109,19 @@
   afterMs = 0,
 ): EnginePlan | undefined {
   const states = candidates.map(it => engineStateOf(figures, req, it, afterMs));
+  const groupable = states.filter(it => it.candidate.joinsGroups ?? true);
   let groupStates: readonly EngineState[] | undefined;
   let best: EnginePlan | undefined;
   for (const {size, partPrefillMs, idleLoss} of candidateSizes(
     figures,
     req,
-    states,
+    Math.max(Math.min(1, states.length), groupable.length),
   )) {
     if (best !== undefined && idleLoss >= best.loss) break;
     const sizeStates =
       size === 1
         ? states
-        : (groupStates ??= bestGroupStates(figures, req, states));
+        : (groupStates ??= bestGroupStates(figures, req, groupable));
     const plan = planForSize(figures, req, sizeStates, {
       size,
       prefillMs: partPrefillMs,
@@ -150,14 +151,14 @@
 function candidateSizes(
   figures: EngineFigures,
   req: EngineRequest,
-  {length}: readonly EngineState[],
+  maxSize: number,
 ): readonly GroupSizeOption[] {
   const mustSplit = exceedsOneEngine(figures, req);
   const sizes: GroupSizeOption[] = [];
   for (const size of GROUP_SIZES) {
     const partPrefillMs = prefillMs(figures, req.promptTokens, size);
     const isPartTooSmall = size > 1 && partPrefillMs < MIN_PART_PREFILL_MS;
-    if (size > length || (isPartTooSmall && !mustSplit)) break;
+    if (size > maxSize || (isPartTooSmall && !mustSplit)) break;
     const idleLoss = idleLossOf(figures, req, partPrefillMs, size);
     sizes.push({size, partPrefillMs, idleLoss});
   }
--- a/src/direct/decide/score_engine.ts
+++ b/src/direct/decide/score_engine.ts
@@ -17,6 +17,11 @@
   readonly load: ReplicaLoad;
   /** Measured time of recent answers divided by the expected time. */
   readonly slowness: number;
+  /**
+   * False for an engine that gets only requests of its own: a group costs each
+   * member several requests. @default true
+   */
+  readonly joinsGroups?: boolean;
 }
 
 /** Properties of the request that the choice depends on. */
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -55,6 +55,14 @@
 /** Crash reports that fit into one datagram. */
 const REPORTS_PER_DATAGRAM = 4;
 
+/**
+ * Interval at which some request limits are reported to one peer. The
+ * repetition tells entries that started since, and makes up for lost reports.
+ */
+const LIMIT_REPORT_INTERVAL_MS = 1_000;
+/** Limits that fit into one datagram. */
+const LIMITS_PER_DATAGRAM = 8;
+
 export interface DirectFrontOptions {
   readonly settings: DirectSettings;
   readonly incarnation: string;
@@ -140,6 +148,13 @@
         loads,
         hasLongPrefill: hasLongPrefill,
       }),
+    limitLinks: {
+      shareReports: (reports, to) =>
+        ctx.send('sharing', {kind: 'limit-reports', reports, to}),
+      sendAsk: (to, ask) => ctx.send('sharing', {kind: 'permit-ask', to, ask}),
+      sendAnswer: (to, answer) =>
+        ctx.send('sharing', {kind: 'permit-answer', to, answer}),
+    },
     shareCrashReports: reports =>
       ctx.send('sharing', {kind: 'crash-reports', reports, toAll: true}),
     quarantine: {
@@ -291,7 +306,14 @@
       case 'quarantine-released':
         return serving.crashes.release(message.digest);
       case 'entries':
+        serving.permits.setGrantingEntries(message.granting);
         return serving.setEntryCount(message.count);
+      case 'limit-reports':
+        return message.reports.forEach(serving.limits.merge);
+      case 'permit-ask':
+        return serving.permits.handleAsk(message.from, message.ask);
+      case 'permit-answer':
+        return serving.permits.handleAnswer(message.answer);
       case 'ready':
         return message.reply(
           !isDraining &&
@@ -317,5 +339,11 @@
     ctx.send('sharing', {kind: 'crash-reports', reports, toAll: false});
   };
   ctx.own(clock.every(CRASH_REPORT_INTERVAL_MS, shareSuspects));
+  const shareLimits = () => {
+    const reports = serving.limits.nextReports(LIMITS_PER_DATAGRAM);
+    if (reports.length === 0) return;
+    ctx.send('sharing', {kind: 'limit-reports', reports, to: 'one'});
+  };
+  ctx.own(clock.every(LIMIT_REPORT_INTERVAL_MS, shareLimits));
   void ctx.mailbox.observe(handle);
 }
--- a/src/direct/load_broadcast.ts
+++ b/src/direct/load_broadcast.ts
@@ -38,6 +38,8 @@
    * know that this entry is alive.
    */
   heartbeat(): void;
+  /** Sends the load to all peers at once. */
+  sendToAll(): void;
   stop: Cancel;
 }
 
@@ -110,6 +112,10 @@
       if (now - otherDomainsSentAt >= OTHER_DOMAIN_HEARTBEAT_MS)
         sendToOtherDomains(otherDomainPeers());
     },
+    sendToAll: () => {
+      sendToSameDomain();
+      sendToOtherDomains(otherDomainPeers());
+    },
     stop: () => cancelScheduled?.(),
   };
 }
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -6,6 +6,13 @@
  * the store's content from peers and serves it to them.
  */
 import type {CrashReport} from './crash_reports.js';
+import type {
+  LimitAudience,
+  LimitReport,
+  PermitAnswer,
+  PermitAsk,
+} from './limits/limit_messages.js';
+import type {GrantingEntries} from './limits/request_permits.js';
 import type {ReplicaLoad} from './replica_load.js';
 import type {
   DirectConfig,
@@ -87,7 +94,25 @@
   /** The quarantine record with this digest was removed. */
   | {readonly kind: 'quarantine-released'; readonly digest: string}
   /** Number of live entries, including this one. */
-  | {readonly kind: 'entries'; readonly count: number}
+  | {
+      readonly kind: 'entries';
+      readonly count: number;
+      readonly granting: GrantingEntries;
+    }
+  /** A peer reports request limits that replicas named. */
+  | {
+      readonly kind: 'limit-reports';
+      readonly reports: readonly LimitReport[];
+    }
+  /** A peer asks this entry, as the home of a replica, for permits. */
+  | {
+      readonly kind: 'permit-ask';
+      /** Name of the peer. */
+      readonly from: string;
+      readonly ask: PermitAsk;
+    }
+  /** A home's answer to an ask of this entry. */
+  | {readonly kind: 'permit-answer'; readonly answer: PermitAnswer}
   /** Asks whether this entry is ready to serve callers. */
   | {readonly kind: 'ready'; readonly reply: (ready: boolean) => void}
   /** Asks for the number of open requests. */
@@ -216,6 +241,20 @@
       readonly reports: readonly CrashReport[];
       readonly toAll: boolean;
     }
+  /** Sends reports of request limits to peers. */
+  | {
+      readonly kind: 'limit-reports';
+      readonly reports: readonly LimitReport[];
+      readonly to: LimitAudience;
+    }
+  /** Asks the peer `to` for permits. */
+  | {readonly kind: 'permit-ask'; readonly to: string; readonly ask: PermitAsk}
+  /** Answers an ask of the peer `to`. */
+  | {
+      readonly kind: 'permit-answer';
+      readonly to: string;
+      readonly answer: PermitAnswer;
+    }
   /**
    * The store was restored from an older copy. The copy may lack the record with
    * this entry's address, so the record is written again.
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -3,7 +3,9 @@
  * decision: it places the request, refuses it, or waits and decides again.
  */
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {chooseCallReplica} from './decide/choose_call_replica.js';
 import {usesSingleEngine} from './decide/choose_engines.js';
+import type {EnginePlan} from './decide/choose_engines.js';
 import {sampleCandidates} from './decide/sample_candidates.js';
 import {callerTimeoutMs} from './decide/caller_timeout.js';
 import {placeOrWait} from './decide/place_or_wait.js';
@@ -14,9 +16,17 @@
 } from './decide/place_or_wait.js';
 import {answerTokens} from './exchange.js';
 import type {Exchange} from './exchange.js';
+import {
+  LIMITS_REACHED,
+  choosePermitted,
+  comeBackMs,
+  permittedOf,
+  takePermits,
+  waitForPermit,
+} from './permitted_choice.js';
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
-import {candidatesOf, withLoads} from './serve_context.js';
+import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica, EngineFigures} from './types.js';
 
@@ -66,20 +76,30 @@
   }
 }
 
-function placeAtPlainService(
+async function placeAtPlainService(
   ctx: ServeContext,
   exchange: Exchange,
   tried: ReadonlySet<string>,
-): PlacementResult {
-  const untried = candidatesOf(ctx, exchange.service, tried);
-  const placement = placeOnPlainService(
+): Promise<PlacementResult> {
+  const choice = await choosePermitted(
     ctx,
     exchange,
-    withLoads(ctx, sampled(ctx, untried)),
+    () => candidatesOf(ctx, exchange.service, tried),
+    open =>
+      chooseCallReplica(
+        withLoads(ctx, sampled(ctx, open)),
+        callRequestOf(ctx, exchange),
+      ),
   );
-  return placement === undefined
+  if (choice.kind === 'chosen') {
+    const {replica} = choice.chosen;
+    const placement = placeOnPlainService(ctx, exchange, replica);
+    return {kind: 'place', placement};
+  }
+  const {retryAfterMs} = choice;
+  return retryAfterMs === undefined
     ? notPlaced('no replica is there')
-    : {kind: 'place', placement};
+    : notPlaced(LIMITS_REACHED, retryAfterMs);
 }
 
 async function placeAtEngine(
@@ -98,7 +118,12 @@
     const candidates = candidatesOf(ctx, exchange.service, tried).filter(
       ({address}) => !refusedAddresses.has(address),
     );
-    const decision = decide(ctx, exchange, figures, candidates);
+    const {open, waitMs} = permittedOf(ctx, exchange, candidates);
+    if (open.length === 0 && waitMs !== undefined) {
+      if (await waitForPermit(ctx, exchange, waitMs)) continue;
+      return notPlaced(LIMITS_REACHED, comeBackMs(ctx, waitMs));
+    }
+    const decision = decide(ctx, exchange, figures, open);
     if (decision.kind === 'refuse') {
       return notPlaced(
         decision.reason,
@@ -106,6 +131,8 @@
       );
     }
     if (decision.kind === 'place') {
+      if (!(await takePlanPermits(ctx, exchange, decision.plan))) continue;
+      if (exchange.signal.aborted) break;
       const placement = await acquirePlacement(ctx, exchange, decision.plan);
       if ('replica' in placement) return {kind: 'place', placement};
       refusedAddresses.add(placement.refusedBy);
@@ -122,6 +149,22 @@
   return notPlaced('the request has ended');
 }
 
+/**
+ * Takes permits for the members that name a request limit. Reserving memory at
+ * a helper, and releasing it, are requests to it as well.
+ */
+async function takePlanPermits(
+  ctx: ServeContext,
+  exchange: Exchange,
+  {lead, helpers}: EnginePlan,
+): Promise<boolean> {
+  const needs = [
+    {replicaId: lead.replica.id, count: helpers.length > 0 ? 2 : 1},
+    ...helpers.map(({replica}) => ({replicaId: replica.id, count: 3})),
+  ].filter(({replicaId}) => ctx.limits.limitOf(replicaId) !== undefined);
+  return needs.length === 0 || takePermits(ctx, exchange, needs);
+}
+
 /** Decides once, by the engines' current load. */
 function decide(
   ctx: ServeContext,
--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -5,8 +5,6 @@
  */
 import type {Cancel} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {chooseCallReplica} from './decide/choose_call_replica.js';
-import type {CallCandidate} from './decide/choose_call_replica.js';
 import type {EnginePlan} from './decide/choose_engines.js';
 import type {EngineCandidate} from './decide/score_engine.js';
 import {aimMarginMs} from './decide/waiting_loss.js';
@@ -15,7 +13,7 @@
 import type {Group, GroupLoss} from './groups.js';
 import {plainCallAssignment} from './load_tracker.js';
 import type {OpenAssignment} from './load_tracker.js';
-import {callRequestOf} from './serve_context.js';
+import {passedOver} from './permitted_choice.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica, GroupMember} from './types.js';
 
@@ -170,6 +168,7 @@
     firstEventMs: Math.round(plan.firstEventMs),
     running: lead.load.running,
     limit: ctx.limits.limitOf(lead.replica.id),
+    passedOver: passedOver(ctx, exchange),
     readMsAhead: Math.round(lead.load.readMs),
     ownLoss: Number(plan.ownLoss.toFixed(2)),
     harm: Number((plan.harm / exchange.weight).toFixed(2)),
@@ -182,11 +181,8 @@
 export function placeOnPlainService(
   ctx: ServeContext,
   exchange: Exchange,
-  candidates: readonly CallCandidate[],
-): RequestPlacement | undefined {
-  const chosen = chooseCallReplica(candidates, callRequestOf(ctx, exchange));
-  if (chosen === undefined) return undefined;
-  const {replica} = chosen;
+  replica: DirectReplica,
+): RequestPlacement {
   const {pauseAimMs} = exchange.route;
   const assignment = ctx.loadTracker.assign(
     plainCallAssignment(replica.id, pauseAimMs),
@@ -194,7 +190,7 @@
   return {
     replica,
     noteActivity: () => undefined,
-    watchLoss: onLost => watchRestarts(ctx, [chosen], onLost),
+    watchLoss: onLost => watchRestarts(ctx, [{replica}], onLost),
     helpers: [],
     firstEventMs: DEFAULT_FIRST_EVENT_MS,
     onFirstEvent: tookMs =>
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -7,8 +7,15 @@
 import {attemptCall} from './call_attempt.js';
 import type {BufferedAnswer, CallOutcome} from './call_attempt.js';
 import {chooseCallReplica} from './decide/choose_call_replica.js';
+import type {CallCandidate} from './decide/choose_call_replica.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
+import {
+  LIMITS_REACHED,
+  choosePermitted,
+  passedOver,
+} from './permitted_choice.js';
+import type {PermittedChoice} from './permitted_choice.js';
 import {
   callRequestOf,
   candidatesOf,
@@ -37,11 +44,14 @@
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
-    const replica = chooseReplica(ctx, exchange, tried);
-    if (replica === undefined || !mayAttempt(ctx, exchange)) {
-      endWithoutAttempt(ctx, exchange, failure, replica);
+    const choice = await chooseReplica(ctx, exchange, tried);
+    // The request may have ended while the replica's permit was awaited.
+    if (exchange.signal.aborted) return;
+    if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
+      endWithoutAttempt(ctx, exchange, failure, choice);
       return;
     }
+    const {replica} = choice.chosen;
     logChoice(ctx, exchange, replica);
     tried.all.add(replica.id);
     const outcome = await attemptCall(ctx, exchange, replica);
@@ -59,14 +69,22 @@
   ctx: ServeContext,
   exchange: Exchange,
   failure: BufferedAnswer | undefined,
-  replica: DirectReplica | undefined,
+  choice: PermittedChoice<CallCandidate>,
 ): void {
   if (failure !== undefined) {
     sendAnswer(ctx, exchange, failure.head, failure.body);
     return;
   }
-  const none = replica === undefined;
-  giveUp(ctx, exchange, none ? 'no replica left to try' : 'no more attempts');
+  if (choice.kind === 'chosen') {
+    giveUp(ctx, exchange, 'no more attempts');
+    return;
+  }
+  const {retryAfterMs} = choice;
+  if (retryAfterMs === undefined) {
+    giveUp(ctx, exchange, 'no replica left to try');
+  } else {
+    giveUp(ctx, exchange, LIMITS_REACHED, retryAfterMs);
+  }
 }
 
 /**
@@ -79,15 +97,18 @@
   ctx: ServeContext,
   exchange: Exchange,
   {all, sent}: TriedReplicas,
-): DirectReplica | undefined {
+): Promise<PermittedChoice<CallCandidate>> {
   const {service, route} = exchange;
-  const untried = candidatesOf(ctx, service, all);
-  const candidates =
-    untried.length > 0 || route.kind !== 'idempotent'
+  const candidates = () => {
+    const untried = candidatesOf(ctx, service, all);
+    return untried.length > 0 || route.kind !== 'idempotent'
       ? untried
       : ctx.replicas.availableFor(service).filter(({id}) => sent.has(id));
+  };
   const req = callRequestOf(ctx, exchange);
-  return chooseCallReplica(withLoads(ctx, candidates), req)?.replica;
+  return choosePermitted(ctx, exchange, candidates, open =>
+    chooseCallReplica(withLoads(ctx, open), req),
+  );
 }
 
 function logChoice(
@@ -101,6 +122,7 @@
     running: ctx.loadTracker.totalLoad(id).running,
     slowness: ctx.health.slowness(id),
     limit: ctx.limits.limitOf(id),
+    passedOver: passedOver(ctx, exchange),
     config: exchange.config.version,
   });
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -19,7 +19,8 @@
 import {sendLocalAnswer} from './local_answers.js';
 import {shortDigest} from './request_digest.js';
 import type {ReplicaHealth} from './replica_health.js';
-import type {ReplicaLimits} from './replica_limits.js';
+import type {ReplicaLimits} from './limits/replica_limits.js';
+import type {RequestPermits} from './limits/request_permits.js';
 import type {ReplicaLosses} from './replica_losses.js';
 import {QUARANTINE_MS} from './suspects.js';
 import type {
@@ -40,6 +41,7 @@
   readonly replicas: ReplicaTable;
   readonly health: ReplicaHealth;
   readonly limits: ReplicaLimits;
+  readonly permits: RequestPermits;
   readonly losses: ReplicaLosses;
   readonly crashes: CrashWatch;
   readonly loadTracker: LoadTracker;
@@ -60,6 +62,12 @@
  */
 const MAX_PRIORITY = 9;
 
+/**
+ * Where so many engines name no request limit, groups are of these alone. A
+ * group costs a helper three requests: two for its memory, and the part.
+ */
+const MIN_UNLIMITED_FOR_GROUPS = 8;
+
 /** Untried replicas for the next attempt: the healthy ones, or else all. */
 export function candidatesOf(
   ctx: ServeContext,
@@ -75,14 +83,18 @@
 
 /** Adds to each replica its known load, slowness and share of failures. */
 export function withLoads(
-  {loadTracker, health}: ServeContext,
+  {loadTracker, health, limits}: ServeContext,
   replicas: readonly DirectReplica[],
 ): readonly (EngineCandidate & CallCandidate)[] {
+  const isUnlimited = ({id}: DirectReplica) => limits.limitOf(id) === undefined;
+  const unlimited = replicas.filter(isUnlimited);
+  const hasGroup = unlimited.length >= MIN_UNLIMITED_FOR_GROUPS;
   return replicas.map(replica => ({
     replica,
     load: loadTracker.totalLoad(replica.id),
     slowness: health.slowness(replica.id),
     brokenShare: health.brokenShare(replica.id),
+    joinsGroups: !hasGroup || isUnlimited(replica),
   }));
 }
 
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -27,7 +27,16 @@
 import type {ReplicaLoad} from './replica_load.js';
 import {createPlacementPollPace} from './placement_poll_pace.js';
 import {createReplicaHealth} from './replica_health.js';
-import {createReplicaLimits} from './replica_limits.js';
+import type {
+  LimitAudience,
+  LimitReport,
+  PermitAnswer,
+  PermitAsk,
+} from './limits/limit_messages.js';
+import {createReplicaLimits} from './limits/replica_limits.js';
+import type {ReplicaLimits} from './limits/replica_limits.js';
+import {createRequestPermits} from './limits/request_permits.js';
+import type {RequestPermits} from './limits/request_permits.js';
 import {createReplicaLosses} from './replica_losses.js';
 import {serveCall} from './serve_call.js';
 import {giveUp, refuseQuarantined} from './serve_context.js';
@@ -53,6 +62,13 @@
  */
 const BUDGET_SHARE = 0.8;
 
+/** Sends messages about request limits to other entries. */
+export interface LimitLinks {
+  shareReports(reports: readonly LimitReport[], to: LimitAudience): void;
+  sendAsk(to: string, ask: PermitAsk): void;
+  sendAnswer(to: string, answer: PermitAnswer): void;
+}
+
 export interface ServingOptions {
   readonly clock: Clock;
   readonly log: Log;
@@ -84,6 +100,8 @@
    * prefill was added since the last call.
    */
   shareLoads(loads: readonly ReplicaLoad[], hasLongPrefill: boolean): void;
+  /** Sends messages about request limits to the peers. */
+  readonly limitLinks: LimitLinks;
   /** Sends crash reports to the peers. */
   shareCrashReports(reports: readonly CrashReport[]): void;
   /** See `CrashWatchOptions`. */
@@ -96,6 +114,11 @@
 export interface Serving {
   readonly replicas: ReplicaTable;
   readonly loadTracker: LoadTracker;
+  readonly limits: Pick<ReplicaLimits, 'merge' | 'nextReports'>;
+  readonly permits: Pick<
+    RequestPermits,
+    'handleAsk' | 'handleAnswer' | 'setGrantingEntries'
+  >;
   readonly crashes: Pick<CrashWatch, 'merge' | 'release' | 'nextReports'>;
   /** Serves a request until its final answer; `arrivedAt` is its arrival. */
   serve(
@@ -126,7 +149,29 @@
   const openExchanges = new Set<Exchange>();
   const requestWeights = createRequestWeights();
   const health = createReplicaHealth(clock);
-  const limits = createReplicaLimits(clock, log);
+  const {limitLinks} = options;
+  const limits = createReplicaLimits({
+    clock,
+    log,
+    isInUse: replicaId => !replicas.isLeaving(replicaId),
+    onChange: (report, change) => {
+      // Only the home needs another value; the others ask it for permits.
+      const home = permits.homeOf(report.replicaId);
+      if (change !== 'changed') limitLinks.shareReports([report], 'all');
+      else if (home !== options.node) {
+        limitLinks.shareReports([report], {node: home});
+      }
+    },
+  });
+  const permits = createRequestPermits({
+    clock,
+    log,
+    metrics,
+    node: options.node,
+    limits,
+    sendAsk: limitLinks.sendAsk,
+    sendAnswer: limitLinks.sendAnswer,
+  });
   const losses = createReplicaLosses();
   const replicas = createReplicaTable({
     clock,
@@ -182,6 +227,7 @@
     replicas,
     health,
     limits,
+    permits,
     losses,
     crashes,
     loadTracker,
@@ -263,6 +309,8 @@
   return {
     replicas,
     loadTracker,
+    limits,
+    permits,
     crashes,
     serve,
     setEntryCount: count => {
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -12,6 +12,8 @@
 import {decodeDatagram, encodeDatagram} from './datagrams.js';
 import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
 import {createPeerQueries} from './peer_queries.js';
+import type {LimitAudience, LimitReport} from './limits/limit_messages.js';
+import type {GrantingEntries} from './limits/request_permits.js';
 import type {ReplicaLoad} from './replica_load.js';
 import './messages.js';
 import {HEARTBEAT_MS, createLoadBroadcast} from './load_broadcast.js';
@@ -66,7 +68,7 @@
 }
 
 interface Peer {
-  readonly entry: EntryAddress;
+  entry: EntryAddress;
   heardAt: number;
   seq: number;
 }
@@ -84,6 +86,7 @@
   let loads: readonly ReplicaLoad[] = [];
   let seq = 0;
   let reportedCount = 1;
+  let reportedEntries = '';
   let isDraining = false;
   let isClosed = false;
 
@@ -98,6 +101,12 @@
     const total = bytes.length * to.length;
     metrics.count('onyxloft_sharing_bytes_total', {kind}, total);
   };
+  // A draining entry grants no permits, so that another one takes over before
+  // it ends.
+  const ownAddress = (): EntryAddress => ({
+    ...self,
+    grantsPermits: !isDraining,
+  });
   const isSameDomain = ({failureDomain}: EntryAddress) =>
     failureDomain === self.failureDomain;
   const peersWhere = (matches: (entry: EntryAddress) => boolean) =>
@@ -109,7 +118,12 @@
     send: to => {
       if (to.length === 0) return;
       const kind = 'load';
-      const bytes = encodeDatagram({kind, from: self, seq: ++seq, loads});
+      const bytes = encodeDatagram({
+        kind,
+        from: ownAddress(),
+        seq: ++seq,
+        loads,
+      });
       sendBytes(bytes, to, kind);
     },
   });
@@ -121,6 +135,7 @@
     const peer = {entry, heardAt: clock.now(), seq: 0};
     peers.set(entry.node, peer);
     log(DIRECT_EVENTS.entryFound, {entry: entry.node, ip: entry.ip});
+    reportEntries();
     return peer;
   };
 
@@ -171,11 +186,25 @@
       clock.after(delayMs, () => isClosed || sendCrashReports(repeatedCrashes));
     }
   };
-  const sendCrashReportsToOne = (reports: readonly CrashReport[]): void => {
+  const sendToOne = (datagram: Datagram): void => {
     const alivePeers = [...peers.values()].filter(isAlive);
     if (alivePeers.length === 0) return;
     const {entry} = alivePeers[Math.floor(random.next() * alivePeers.length)];
-    sendTo({kind: 'crashes', reports}, entry);
+    sendTo(datagram, entry);
+  };
+  const sendToNode = (datagram: Datagram, node: string): void => {
+    const peer = peers.get(node);
+    if (peer !== undefined) sendTo(datagram, peer.entry);
+  };
+  const sendLimitReports = (
+    reports: readonly LimitReport[],
+    to: LimitAudience,
+  ): void => {
+    const datagram: Datagram = {kind: 'limits', reports};
+    if (to === 'one') return sendToOne(datagram);
+    if (to !== 'all') return sendToNode(datagram, to.node);
+    const all = peersWhere(() => true);
+    return sendBytes(encodeDatagram(datagram), all, datagram.kind);
   };
 
   // A query may arrive while this entry starts, before the service that knows
@@ -201,6 +230,21 @@
         return void answerQuery(datagram).catch(logUnanswered);
       case 'answer':
         return queries.handleAnswer(datagram);
+      case 'limits':
+        return ctx.send('direct', {
+          kind: 'limit-reports',
+          reports: datagram.reports,
+        });
+      case 'permit-ask': {
+        const {from, ask} = datagram;
+        addPeer(from);
+        return ctx.send('direct', {kind: 'permit-ask', from: from.node, ask});
+      }
+      case 'permit-answer':
+        return ctx.send('direct', {
+          kind: 'permit-answer',
+          answer: datagram.answer,
+        });
       case 'crashes':
         return ctx.send('direct', {
           kind: 'crash-reports',
@@ -210,11 +254,15 @@
   };
 
   const handleLoad = (datagram: LoadDatagram): void => {
-    const peer = addPeer(datagram.from);
+    const {from, loads: peerLoads} = datagram;
+    const peer = addPeer(from);
     if (peer === undefined || datagram.seq <= peer.seq) return;
     peer.seq = datagram.seq;
     peer.heardAt = clock.now();
-    const {from, loads: peerLoads} = datagram;
+    if (peer.entry.grantsPermits !== from.grantsPermits) {
+      peer.entry = from;
+      reportEntries();
+    }
     ctx.send('direct', {
       kind: 'peer-load',
       node: from.node,
@@ -225,14 +273,28 @@
 
   const heartbeat = (): void => {
     loadBroadcast.heartbeat();
+    reportEntries();
+  };
+  /** The entries that grant permits; those that drain do not. */
+  const grantingEntries = (): GrantingEntries => {
+    const others = [...peers.values()].filter(it => it.entry.grantsPermits);
+    const own = isDraining ? [] : [self.node];
+    const live = others.filter(isAlive).map(({entry}) => entry.node);
+    return {
+      live: [...own, ...live].sort(),
+      known: own.length + others.length,
+    };
+  };
+  /** Tells the other services which entries live, if that has changed. */
+  const reportEntries = (): void => {
     const count = [...peers.values()].filter(isAlive).length + 1;
-    if (count === reportedCount) return;
+    const granting = grantingEntries();
+    const described = JSON.stringify([count, granting]);
+    if (described === reportedEntries) return;
+    reportedEntries = described;
+    if (count !== reportedCount) log(DIRECT_EVENTS.entriesCounted, {count});
     reportedCount = count;
-    log(DIRECT_EVENTS.entriesCounted, {count});
-    sendCount(count);
-  };
-  const sendCount = (count: number): void => {
-    ctx.send('direct', {kind: 'entries', count});
+    ctx.send('direct', {kind: 'entries', count, granting});
     ctx.send('followed', {kind: 'entries', count});
   };
 
@@ -250,7 +312,7 @@
   };
 
   const announce = async (): Promise<void> => {
-    const announced = await store.announceEntry(self);
+    const announced = await store.announceEntry(ownAddress());
     announced.ifLeft(({message}) => {
       log(DIRECT_EVENTS.storeCallFailed, {step: 'announce entry', message});
       const cancel = clock.after(ANNOUNCE_RETRY_MS, () => void announce());
@@ -286,14 +348,28 @@
       case 'crash-reports':
         return message.toAll
           ? sendCrashReportsToAll(message.reports)
-          : sendCrashReportsToOne(message.reports);
+          : sendToOne({kind: 'crashes', reports: message.reports});
       case 'store-restored':
         return reannounce();
       case 'resend-state':
-        return sendCount(reportedCount);
+        reportedEntries = '';
+        return reportEntries();
       case 'draining':
         isDraining = true;
-        return;
+        reportEntries();
+        // Peers are to take over before this entry has ended.
+        return loadBroadcast.sendToAll();
+      case 'limit-reports':
+        return sendLimitReports(message.reports, message.to);
+      case 'permit-ask': {
+        const from = ownAddress();
+        const {to, ask} = message;
+        return sendToNode({kind: 'permit-ask', from, ask}, to);
+      }
+      case 'permit-answer': {
+        const {to, answer} = message;
+        return sendToNode({kind: 'permit-answer', answer}, to);
+      }
       case 'load':
         loads = message.loads;
         return loadBroadcast.loadChanged(message.hasLongPrefill);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -152,6 +152,11 @@
   readonly port: number;
   /** Undefined for entries of earlier versions, which do not announce it. */
   readonly failureDomain?: string;
+  /**
+   * Whether the entry grants permits for replicas that name a request limit.
+   * Entries of earlier versions and draining ones do not.
+   */
+  readonly grantsPermits?: boolean;
 }
 
 /** What an entry knows about the store, as it reports it to peers. */
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -170,6 +170,7 @@
   limitLearned: event(271, 'info', 'direct-limit-learned'),
   limitEnded: event(272, 'info', 'direct-limit-ended'),
   limitUnreadable: event(273, 'warn', 'direct-limit-unreadable'),
+  limitHomeSilent: event(274, 'warn', 'direct-limit-home-silent'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
--- a/test/direct/replica_limits.test.ts
+++ b/test/direct/replica_limits.test.ts
@@ -1,8 +1,8 @@
 /** What an entry knows of the request limits that replicas name. */
 import {beforeEach, describe, expect, test} from 'vitest';
 import {headerCodec} from '../../platform/header_codec.js';
-import {createReplicaLimits} from '../../src/direct/replica_limits.js';
-import type {ReplicaLimits} from '../../src/direct/replica_limits.js';
+import {createReplicaLimits} from '../../src/direct/limits/replica_limits.js';
+import type {ReplicaLimits} from '../../src/direct/limits/replica_limits.js';
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import type {RecordingRuntime} from '../../standins/recording_runtime.js';
@@ -37,10 +37,18 @@
   let clock: VirtualClock;
   let recorded: RecordingRuntime;
   let limits: ReplicaLimits;
+  let reported: string[];
   beforeEach(() => {
     clock = createVirtualClock();
     recorded = createRecordingRuntime();
-    limits = createReplicaLimits(clock, recorded.runtime.log);
+    reported = [];
+    limits = createReplicaLimits({
+      clock,
+      log: recorded.runtime.log,
+      isInUse: replicaId => replicaId !== 'gone',
+      onChange: ({replicaId}, change) =>
+        reported.push(`${replicaId} ${change}`),
+    });
   });
   const name = (perSecond: number, sentAt = clock.now()) =>
     limits.answered('a', sentAt, {kind: 'limited', perSecond});
@@ -76,6 +84,38 @@
     expect(fields).toMatchObject({replica: 'a', text: 'x', perSecond: 1.5});
   });
 
+  // Guards against a peer's older report that undoes what an answer has said.
+  test("is the newest statement, whatever the order of peers' reports", () => {
+    clock.advance(1_000);
+    name(2);
+    limits.merge({replicaId: 'a', perSecond: 9, ageMs: 500});
+    expect(limits.limitOf('a')).toBe(2);
+    clock.advance(100);
+    limits.merge({replicaId: 'a', perSecond: undefined, ageMs: 50});
+    expect(limits.limitOf('a')).toBeUndefined();
+    limits.merge({replicaId: 'a', perSecond: 2, ageMs: 90});
+    expect(limits.limitOf('a')).toBeUndefined();
+    expect(reported).toEqual(['a began']);
+  });
+
+  // Guards against reports of a replica that has ended, which entries would
+  // repeat to each other for good.
+  test('is not taken over for a replica that is not in use', () => {
+    limits.merge({replicaId: 'gone', perSecond: 2, ageMs: 0});
+    expect(limits.limitOf('gone')).toBeUndefined();
+  });
+
+  test('is reported in turn, with its age', () => {
+    name(2);
+    limits.answered('b', 0, {kind: 'limited', perSecond: 3});
+    clock.advance(40);
+    const ids = () => limits.nextReports(1).map(it => it.replicaId);
+    expect([ids(), ids(), ids()]).toEqual([['a'], ['b'], ['a']]);
+    expect(limits.nextReports(1)).toEqual([
+      {replicaId: 'b', perSecond: 3, ageMs: 40},
+    ]);
+  });
+
   test('is gone when the replica has ended', () => {
     name(1);
     limits.forget('a');
