fix(platform): hash for permits without a top-level await

The bundle for the platform did not build: rendezvous hashing imports a hash that a top-level await initialises, and the bundle is in CommonJS format. No entry could have started. The hashing now takes its hash as a function; the permits use one of node:crypto, and homes elsewhere stay where they were.

--- a/src/direct/limits/request_permits.ts
+++ b/src/direct/limits/request_permits.ts
@@ -12,9 +12,10 @@
  * A part of the fleet that is cut off from the rest has a home of its own. It
  * grants only the share of the limit that belongs to the entries it reaches.
  */
+import {createHash} from 'node:crypto';
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
-import {rendezvousFirst} from '../../utils/rendezvous.js';
+import {createRendezvous} from '../../utils/rendezvous_hashing.js';
 import type {LimitReport, PermitAnswer, PermitAsk} from './limit_messages.js';
 import {MAX_RETRY_MS, createPermitLedger} from './permit_ledger.js';
 import type {LedgerAnswer, PermitLedger} from './permit_ledger.js';
@@ -35,6 +36,12 @@
  */
 export const MIN_RATE_PER_S = 0.25;
 
+// The hash of `utils/digest.ts` is initialised by a top-level await, which a
+// bundle in CommonJS format cannot hold.
+const rendezvous = createRendezvous(text =>
+  createHash('sha1').update(text).digest('hex'),
+);
+
 /** The entries that grant permits, as this entry sees them. */
 export interface GrantingEntries {
   /** Names of the live ones, including this entry unless it is draining. */
@@ -106,7 +113,7 @@
     const known = homes.get(replicaId);
     if (known !== undefined) return known;
     const nodes = entries.live.map(id => ({id}));
-    const home = rendezvousFirst(replicaId, nodes)?.id ?? node;
+    const home = rendezvous.first(replicaId, nodes)?.id ?? node;
     homes.set(replicaId, home);
     return home;
   };
