feat(direct): begun streams wait for a permit, and reports count as older

A stream that a replica has begun cannot be rejected as not run, so it waits for a permit instead of ending in 502. A report of a limit counts as 10 ms older than it says: on its way, it could override an answer since then. Entries that are found together are reported to the other services once. An entry that is alone and draining still grants.

--- a/src/direct/limits/replica_limits.ts
+++ b/src/direct/limits/replica_limits.ts
@@ -19,6 +19,12 @@
  */
 const ENDED_KEPT_MS = 10_000;
 
+/**
+ * Longest usual way of a report between entries, in milliseconds. It counts as
+ * part of a report's age, so that a report does not override a newer answer.
+ */
+const REPORT_WAY_MS = 10;
+
 /** The newest that is known of one replica's limit. */
 interface LimitRecord {
   /** Undefined where the limit has ended. */
@@ -135,7 +141,7 @@
     },
     merge: ({replicaId, perSecond, ageMs}) => {
       if (!options.isInUse(replicaId)) return;
-      const statedAt = clock.now() - ageMs;
+      const statedAt = clock.now() - ageMs - REPORT_WAY_MS;
       const known = records.get(replicaId);
       if (known !== undefined && statedAt <= known.statedAt) return;
       if (known === undefined && perSecond === undefined) return;
--- a/src/direct/limits/request_permits.ts
+++ b/src/direct/limits/request_permits.ts
@@ -127,7 +127,7 @@
   };
   /** Share of the granting entries that this one reaches. */
   const reachableShare = () =>
-    Math.min(1, entries.live.length / Math.max(1, entries.known));
+    Math.min(1, Math.max(1, entries.live.length) / Math.max(1, entries.known));
 
   /** Grants as the home; `limit` is the newest that is known of the limit. */
   const grant = (
--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -87,16 +87,19 @@
 }
 
 /**
- * Waits for a permit if it comes soon, or if the caller has a part of the
- * answer. Resolves to false without waiting when the request is to be rejected.
+ * Waits for a permit if it comes soon, or if a replica has begun the stream:
+ * such a request cannot be rejected as not run. Resolves to false without
+ * waiting when the request is to be rejected.
  */
 export async function waitForPermit(
   {clock}: ServeContext,
-  {res}: Exchange,
+  {mayHaveRun, route}: Exchange,
   waitMs: number,
 ): Promise<boolean> {
-  if (waitMs > MAX_PERMIT_WAIT_MS && !res.headersSent) return false;
-  await new Promise<void>(resolve => void clock.after(waitMs, resolve));
+  const isBegun = mayHaveRun && route.streaming;
+  if (waitMs > MAX_PERMIT_WAIT_MS && !isBegun) return false;
+  const pauseMs = Math.min(waitMs, MAX_PERMIT_WAIT_MS);
+  await new Promise<void>(resolve => void clock.after(pauseMs, resolve));
   return true;
 }
 
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -7,6 +7,7 @@
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import type {CrashReport} from './crash_reports.js';
 import {decodeDatagram, encodeDatagram} from './datagrams.js';
@@ -62,6 +63,9 @@
  */
 const CRASH_REPORT_RESEND_DELAYS_MS = [100, 400];
 
+/** Entries that are found together are reported together after this delay. */
+const REPORT_ENTRIES_MS = 20;
+
 export interface SharingOptions {
   readonly self: EntryAddress;
   readonly store: DirectStore;
@@ -135,7 +139,7 @@
     const peer = {entry, heardAt: clock.now(), seq: 0};
     peers.set(entry.node, peer);
     log(DIRECT_EVENTS.entryFound, {entry: entry.node, ip: entry.ip});
-    reportEntries();
+    scheduleEntries(REPORT_ENTRIES_MS);
     return peer;
   };
 
@@ -261,7 +265,7 @@
     peer.heardAt = clock.now();
     if (peer.entry.grantsPermits !== from.grantsPermits) {
       peer.entry = from;
-      reportEntries();
+      scheduleEntries(REPORT_ENTRIES_MS);
     }
     ctx.send('direct', {
       kind: 'peer-load',
@@ -285,6 +289,9 @@
       known: own.length + others.length,
     };
   };
+  const scheduleEntries = createBatcher(clock, () => {
+    if (!isClosed) reportEntries();
+  });
   /** Tells the other services which entries live, if that has changed. */
   const reportEntries = (): void => {
     const count = [...peers.values()].filter(isAlive).length + 1;
--- a/test/direct/replica_limits.test.ts
+++ b/test/direct/replica_limits.test.ts
@@ -116,6 +116,15 @@
     ]);
   });
 
+  // Guards against a report on its way that overrides an answer since then.
+  test('is not overridden by a report that was sent before the answer', () => {
+    clock.advance(1_000);
+    name(1);
+    clock.advance(4);
+    limits.merge({replicaId: 'a', perSecond: 10, ageMs: 0});
+    expect(limits.limitOf('a')).toBe(1);
+  });
+
   test('is gone when the replica has ended', () => {
     name(1);
     limits.forget('a');
