--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -5,6 +5,7 @@
 import {benchCrashing} from './crashing.js';
 import {benchDecision} from './decision.js';
 import {benchDirect} from './direct_runs.js';
+import {benchLimits} from './limits.js';
 import {benchLosses} from './losses.js';
 import {benchMembership} from './membership.js';
 import {benchObjectCalls} from './object_calls.js';
@@ -25,6 +26,7 @@
   ['decision', benchDecision],
   ['crashing', benchCrashing],
   ['direct', benchDirect],
+  ['limits', benchLimits],
   ['losses', benchLosses],
   ['membership', benchMembership],
   ['config-spread', benchConfigSpread],
--- a/bench/request_limits.ts
+++ b/bench/request_limits_model.ts
@@ -2,8 +2,6 @@
  * Weighs ways in which entries can keep a limit that a replica names for all of
  * them together, on a model with a virtual clock: requests over the bound, the
  * share of the limit that is used, and what the entries send each other.
- *
- * `npm run bench -- limits [--seeds N] [--json FILE]`
  */
 import type {EntryAddress} from '../src/direct/types.js';
 import {encodeDatagram} from '../src/direct/datagrams.js';
@@ -21,7 +19,8 @@
 export type LimitWay = 'own-share' | 'told-sums' | 'home';
 
 /** What happens to an entry; the home where there is one. */
-export type LimitTrouble = 'none' | 'home-ends' | 'home-freezes' | 'cut-off';
+export type LimitTrouble =
+  'none' | 'home-ends' | 'home-freezes' | 'home-joins' | 'cut-off';
 
 export interface LimitScenario {
   readonly entries: number;
@@ -132,7 +131,11 @@
       );
     }
   };
-  if (trouble !== 'none') {
+  if (trouble === 'home-joins') {
+    away.add(target);
+    all.forEach(entry => setLive(entry, target));
+    clock.after(TROUBLE_AT_MS, end);
+  } else if (trouble !== 'none') {
     clock.after(TROUBLE_AT_MS, begin);
     if (trouble !== 'home-ends') {
       clock.after(TROUBLE_AT_MS + TROUBLE_FOR_MS, end);
