--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -36,7 +36,8 @@
   | {readonly kind: 'replica-leaves'; readonly replica: number; forMs: number}
   | {readonly kind: 'rotate-key'; forMs: number}
   | RestoreStore
-  | PoisonRequest;
+  | PoisonRequest
+  | ServerLimit;
 
 /** The store goes away and comes back from a copy that is `forMs` old. */
 export interface RestoreStore {
@@ -61,6 +62,18 @@
   readonly crashMs: number;
 }
 
+/** A replica names limits on its requests that change, until `forMs`. */
+export interface ServerLimit {
+  readonly kind: 'server-limit';
+  forMs: number;
+  readonly replica: number;
+  /** Limits in requests a second, each from this much after the start. */
+  readonly steps: ReadonlyArray<{
+    readonly afterMs: number;
+    readonly perSecond: number;
+  }>;
+}
+
 /** What `--only` may name. */
 export const FAULT_KINDS: ReadonlyArray<Fault['kind']> = [
   'pause-entry',
@@ -77,8 +90,16 @@
   'rotate-key',
   'restore-store',
   'poison-request',
+  'server-limit',
 ];
 
+/** Faults that come beside another one when it is played alone. */
+export const COMPANIONS: {
+  readonly [F in Fault['kind']]?: ReadonlyArray<Fault['kind']>;
+} = {
+  'server-limit': ['pause-entry', 'kill-entry', 'end-entry', 'store-link'],
+};
+
 /** A fault and when it begins, in milliseconds from the start of the run. */
 export interface PlannedFault {
   readonly atMs: number;
@@ -109,6 +130,12 @@
 const POISON_EVERY_MS = 900;
 const POISON_CRASH_MS = 700;
 
+/** Mean pause between two replicas that begin to name limits. */
+const MEAN_LIMIT_GAP_MS = 3_000;
+const LONGEST_LIMIT_MS = 14_000;
+const LIMIT_STEPS = 3;
+const HIGHEST_LIMIT_PER_S = 5;
+
 const LINK_FAULTS: readonly RelayFaults[] = [
   {silence: true},
   {refuse: true},
@@ -212,3 +239,27 @@
   }
   return plan;
 }
+
+/** Draws replicas that name limits, from a chance of their own as well. */
+export function drawLimits(
+  random: Random,
+  {replicas, durationMs}: FaultPlanShape,
+): readonly PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_LIMIT_GAP_MS;
+  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
+    const forMs = random.next() * LONGEST_LIMIT_MS;
+    const count = 1 + Math.floor(random.next() * LIMIT_STEPS);
+    const fault: ServerLimit = {
+      kind: 'server-limit',
+      forMs,
+      replica: Math.floor(random.next() * replicas),
+      steps: Array.from({length: count}, (_, at) => ({
+        afterMs: (at * forMs) / count,
+        perSecond: Math.round(random.next() * HIGHEST_LIMIT_PER_S * 10) / 10,
+      })),
+    };
+    plan.push({atMs, fault});
+  }
+  return plan;
+}
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -3,6 +3,7 @@
  * network before them as stand-ins in this process, so that faults are
  * injected from outside and the judge sees what ran.
  */
+import type {ServerResponse} from 'node:http';
 import {freeAddresses} from '../demo/free_addresses.js';
 import type {DirectSettings} from '../src/direct/settings.js';
 import {startRelay} from '../standins/relay_core.js';
@@ -39,6 +40,7 @@
 /** Shares of retries, as the users' sheets have them. */
 export const RETRIES = {ratio: 0.2, slack: 120, windowS: 10} as const;
 
+const REPORT_PATH = '/api/report';
 const EVENT_PAUSE_MS = 15;
 const SLOW_PAUSE_MS = 150;
 const PORTS_PER_ENTRY = 4;
@@ -51,6 +53,20 @@
   readonly at: number;
 }
 
+/** A request or an order that reached a replica. */
+export interface Reached {
+  readonly id: string;
+  readonly at: number;
+}
+
+/** What a replica named as its limit from a time on. */
+export interface NamedLimit {
+  /** When its first answer with the limit went out. */
+  readonly at: number;
+  /** Undefined where it named none any more. */
+  readonly perSecond: number | undefined;
+}
+
 /** A replica with its link; the store lists the link's address. */
 export interface SoakReplica {
   readonly standIn: ReplicaStandIn;
@@ -63,6 +79,12 @@
   born(): number;
   /** How often it began to run the request. */
   runs(id: string): number;
+  /** Names a limit in its answers from now on, or none. */
+  limit(perSecond: number | undefined): void;
+  /** All that it named, in order of time. */
+  named(): readonly NamedLimit[];
+  /** Requests and orders that reached it; those of reports name no sender. */
+  reached(): readonly Reached[];
 }
 
 export interface SoakFleet {
@@ -107,6 +129,8 @@
     if (isDown) return;
     isDown = true;
     crashes.push({body, at: performance.now()});
+    // The limit is gone until its next start names one.
+    setLimit(undefined);
     link.stop();
     setTimeout(() => {
       born += 1;
@@ -114,8 +138,31 @@
       void link.start().then(() => onStart(replica));
     }, DOWN_MS);
   };
+  let limit: number | undefined;
+  const named: NamedLimit[] = [];
+  const reached: Reached[] = [];
+  const setLimit = (perSecond: number | undefined) => {
+    limit = perSecond;
+    if (perSecond === undefined && named.at(-1)?.perSecond !== undefined) {
+      named.push({at: performance.now(), perSecond});
+    }
+  };
+  const nameLimit = (res: ServerResponse) => {
+    if (limit === undefined) return;
+    res.setHeader('Server-Limit', String(limit));
+    if (named.at(-1)?.perSecond === limit) return;
+    named.push({at: performance.now(), perSecond: limit});
+  };
+  const noteReached = (id: string) =>
+    void reached.push({id, at: performance.now()});
   const note = ({id}: Arrival) => void ran.set(id, (ran.get(id) ?? 0) + 1);
+  standIn.answerOrders(order => {
+    noteReached(order.id);
+    return 200;
+  });
   standIn.behave((arrival, res, req) => {
+    if (arrival.path !== REPORT_PATH) noteReached(arrival.id);
+    nameLimit(res);
     const [poison, , crashMs] = arrival.body.split('-');
     if (poison === 'poison') {
       note(arrival);
@@ -136,6 +183,9 @@
       fault = how;
     },
     runs: id => ran.get(id) ?? 0,
+    limit: setLimit,
+    named: () => named,
+    reached: () => reached,
   };
   return replica;
 }
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -1,7 +1,12 @@
 /** Injects faults into a running fleet, and takes each back. */
 import type {RelayFaults} from '../standins/relay_core.js';
 import {configOf} from '../standins/users_platform/deployment.js';
-import type {Fault, PoisonRequest, RestoreStore} from './faults.js';
+import type {
+  Fault,
+  PoisonRequest,
+  RestoreStore,
+  ServerLimit,
+} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {TIMING} from './soak_fleet.js';
 import type {Violation} from './soak_judge.js';
@@ -151,6 +156,22 @@
     });
   };
 
+  /** Replicas that name limits now, with what began last at each. */
+  const limiting = new Map<number, ServerLimit>();
+  const nameLimits = (fault: ServerLimit) => {
+    const replica = fleet.replicas[fault.replica];
+    limiting.set(fault.replica, fault);
+    const isCurrent = () => limiting.get(fault.replica) === fault;
+    for (const {afterMs, perSecond} of fault.steps) {
+      later(afterMs, () => isCurrent() && replica.limit(perSecond));
+    }
+    later(fault.forMs, () => {
+      if (!isCurrent()) return;
+      limiting.delete(fault.replica);
+      replica.limit(undefined);
+    });
+  };
+
   const inject = (fault: Fault): void => {
     const {entries, replicas, storeLinks, store} = fleet;
     switch (fault.kind) {
@@ -204,6 +225,8 @@
         return restoreStore(fault);
       case 'poison-request':
         return beginPoison(fault);
+      case 'server-limit':
+        return nameLimits(fault);
     }
   };
 
--- a/fault_soak/soak_poison.ts
+++ b/fault_soak/soak_poison.ts
@@ -57,7 +57,7 @@
     const agent = keptConnections();
     const isInTouch = options.isInTouch(entry, KNOWN_MS);
     const asked = {
-      id: `${poison.body}-${poison.sent.length}-${Math.round(random.next() * 1e9)}`,
+      id: `${poison.body}-${poison.sent.length}-${Math.round(random.next() * 1e9)}-at-${entry}`,
       entry,
       kind: path,
       key: options.key(),
--- a/fault_soak/soak_requests.ts
+++ b/fault_soak/soak_requests.ts
@@ -49,6 +49,8 @@
   /** The answer says that the request did not run. */
   readonly saysNotRun: boolean;
   readonly error: string | undefined;
+  /** When an answer began that names its replica's limit. */
+  readonly limitNamedAt: number | undefined;
 }
 
 /** Sends one request; always resolves. */
@@ -64,6 +66,7 @@
     let res: IncomingMessage | undefined;
     let body = '';
     let error: string | undefined;
+    let limitNamedAt: number | undefined;
     const end = () => {
       clearTimeout(hang);
       resolve({
@@ -78,6 +81,7 @@
           res?.statusCode === NOT_RUN_STATUS ||
           res?.statusCode === REFUSED_FOR_GOOD_STATUS,
         error,
+        limitNamedAt,
       });
     };
     const req = request({
@@ -107,6 +111,9 @@
     });
     req.on('response', got => {
       res = got;
+      if (got.headers['server-limit'] !== undefined) {
+        limitNamedAt = performance.now();
+      }
       got.on('data', (piece: Buffer) => {
         body += piece.toString('utf8');
       });
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -8,13 +8,20 @@
 import type {Random} from '../src/types/runtime.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 import type {Fault, PlannedFault} from './faults.js';
-import {drawFaults, drawPoison, drawReturns} from './faults.js';
+import {
+  COMPANIONS,
+  drawFaults,
+  drawLimits,
+  drawPoison,
+  drawReturns,
+} from './faults.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {RETRIES, TIMING, startSoakFleet} from './soak_fleet.js';
 import type {Injector} from './soak_inject.js';
 import {createInjector} from './soak_inject.js';
 import type {JudgeView, Violation} from './soak_judge.js';
 import {judgeAnswer, judgeRefusals, judgeRuns} from './soak_judge.js';
+import {watchLimits} from './soak_limits.js';
 import {createPoisons} from './soak_poison.js';
 import type {Outcome, RequestKind, SoakRequest} from './soak_requests.js';
 import {keptConnections, sendRequest} from './soak_requests.js';
@@ -39,6 +46,8 @@
   readonly notRun: number;
   /** Replicas that each request which crashes them ended. */
   readonly ended: readonly number[];
+  /** Windows that were judged by a replica's limit, and arrivals in them. */
+  readonly limitedWindows: number;
   readonly violations: readonly Violation[];
   /** 99th percentile of this process's own delay, in milliseconds. */
   readonly ownDelayMs: number;
@@ -62,6 +71,8 @@
 const RETURNS_SEED = 1_000_003;
 /** The same of requests that crash replicas. */
 const POISON_SEED = 2_000_003;
+/** The same of replicas that name limits. */
+const LIMIT_SEED = 3_000_017;
 
 const START_LIMIT_MS = 60_000;
 /** From the end of the last fault until all is served again. */
@@ -87,6 +98,7 @@
       fleet.entries[entry].isUndisturbedSince(performance.now() - forMs),
   });
   const injector = createInjector(fleet, blame, poisons.begin);
+  const limitWatch = watchLimits(fleet);
   const view = viewOf(fleet, injector);
   const delay = monitorEventLoopDelay();
   try {
@@ -115,6 +127,7 @@
       judgeCalm(outcome, calmFrom, view).forEach(blame);
     }
     judgeRefusals(outcomes).forEach(blame);
+    limitWatch.judge([...outcomes, ...poisonous]).forEach(blame);
     judgeRetries(outcomes, view, shape.durationMs).forEach(blame);
     (await judgeMemory(fleet)).forEach(blame);
     await endAll(fleet, blame);
@@ -126,10 +139,12 @@
       served: outcomes.filter(isServed).length,
       notRun: outcomes.filter(({saysNotRun}) => saysNotRun).length,
       ended: poisons.ended(),
+      limitedWindows: limitWatch.windows(),
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
     };
   } finally {
+    limitWatch.stop();
     await fleet.close();
   }
 }
@@ -146,15 +161,25 @@
   };
   const returns = createSeededRandom(seed + RETURNS_SEED);
   const poison = createSeededRandom(seed + POISON_SEED);
+  const limits = createSeededRandom(seed + LIMIT_SEED);
   return [
     ...drawFaults(random, drawn),
     ...drawReturns(warmedUp(returns), drawn),
     ...drawPoison(warmedUp(poison), drawn),
+    ...drawLimits(warmedUp(limits), drawn),
   ]
-    .filter(({fault}) => only === undefined || fault.kind === only)
+    .filter(({fault}) => isPlayed(fault.kind, only))
     .sort((a, b) => a.atMs - b.atMs);
 }
 
+function isPlayed(
+  kind: Fault['kind'],
+  only: Fault['kind'] | undefined,
+): boolean {
+  if (only === undefined || kind === only) return true;
+  return COMPANIONS[only]?.includes(kind) ?? false;
+}
+
 /** The first draw of a small seed is always close to 1: no fault would come. */
 function warmedUp(random: Random): Random {
   for (let drawn = 0; drawn < WARM_UP_DRAWS; drawn++) random.next();
@@ -221,7 +246,7 @@
   const one = <T>(all: readonly T[]): T =>
     all[Math.floor(random.next() * all.length)] as T;
   const draw = (entry: number): SoakRequest => ({
-    id: `soak-${++sent}`,
+    id: `soak-${++sent}-at-${entry}`,
     entry,
     kind: one(KINDS),
     key:
--- a/test/fault_soak.test.ts
+++ b/test/fault_soak.test.ts
@@ -11,6 +11,8 @@
 import {createSeededRandom} from '../standins/seeded_random.js';
 
 const SHORT_MS = 6_000;
+/** Limits of replicas bind some seconds after they are named. */
+const LIMITED_MS = 15_000;
 
 let dir: string;
 beforeEach(() => {
@@ -37,4 +39,18 @@
     expect(report.faults).toBeGreaterThan(0);
     expect(report.served).toBeGreaterThan(50);
   });
+
+  // Guards against entries that exceed a limit after one of them was killed,
+  // paused or cut off.
+  test('finds that entries under faults keep the limits of replicas', async () => {
+    const report = await runSoak({
+      seed: 5003,
+      processes: 3,
+      durationMs: LIMITED_MS,
+      only: 'server-limit',
+      dir,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.limitedWindows).toBeGreaterThan(0);
+  });
 });
