fix(direct): send limits only to entries that can read them

Beside entries of an earlier build, reports of limits would be counted there as unreadable datagrams. A peer that announces whether it grants permits is of a version that knows of limits; only such peers get reports and are asked.

--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -66,6 +66,11 @@
 /** Entries that are found together are reported together after this delay. */
 const REPORT_ENTRIES_MS = 20;
 
+/** Whether the entry is of a version that knows of request limits. */
+function readsLimits({grantsPermits}: EntryAddress): boolean {
+  return grantsPermits !== undefined;
+}
+
 export interface SharingOptions {
   readonly self: EntryAddress;
   readonly store: DirectStore;
@@ -190,11 +195,17 @@
       clock.after(delayMs, () => isClosed || sendCrashReports(repeatedCrashes));
     }
   };
-  const sendToOne = (datagram: Datagram): void => {
-    const alivePeers = [...peers.values()].filter(isAlive);
-    if (alivePeers.length === 0) return;
-    const {entry} = alivePeers[Math.floor(random.next() * alivePeers.length)];
-    sendTo(datagram, entry);
+  /** Sends to a random one of the peers that are alive and match. */
+  const sendToOne = (
+    datagram: Datagram,
+    matches: (entry: EntryAddress) => boolean,
+  ): void => {
+    const to = [...peers.values()]
+      .filter(isAlive)
+      .map(({entry}) => entry)
+      .filter(matches);
+    if (to.length === 0) return;
+    sendTo(datagram, to[Math.floor(random.next() * to.length)]);
   };
   const sendToNode = (datagram: Datagram, node: string): void => {
     const peer = peers.get(node);
@@ -205,9 +216,9 @@
     to: LimitAudience,
   ): void => {
     const datagram: Datagram = {kind: 'limits', reports};
-    if (to === 'one') return sendToOne(datagram);
+    if (to === 'one') return sendToOne(datagram, readsLimits);
     if (to !== 'all') return sendToNode(datagram, to.node);
-    const all = peersWhere(() => true);
+    const all = peersWhere(readsLimits);
     return sendBytes(encodeDatagram(datagram), all, datagram.kind);
   };
 
@@ -355,7 +366,7 @@
       case 'crash-reports':
         return message.toAll
           ? sendCrashReportsToAll(message.reports)
-          : sendToOne({kind: 'crashes', reports: message.reports});
+          : sendToOne({kind: 'crashes', reports: message.reports}, () => true);
       case 'store-restored':
         return reannounce();
       case 'resend-state':
