test(direct): judge by its cause whether limited engines are used

Traced: at idle engines the choice follows the measured slowness, and the first, cold answer of an engine keeps it unchosen for seconds; line 251 shows it open and not passed over. So nothing had to go there. Instead, three engines that all name a limit must each get at least three of the streams they allow in 6 s, within the bound, and where others take the streams, line 251 must name the engine that was passed over.

--- a/test/direct/limited_replicas.test.ts
+++ b/test/direct/limited_replicas.test.ts
@@ -160,23 +160,47 @@
   });
 });
 
-describe('engines of which one names a limit', () => {
+describe('engines that name a limit', () => {
+  let fleet: DirectFleet;
+  beforeEach(async () => {
+    fleet = await startDirectFleet({pool: 3});
+  });
+  afterEach(() => fleet.close());
+  /** Statuses of streams that follow each other closely. */
+  const sendStreams = async (count: number) => {
+    const headers = {'X-Token-Usage': '100,10'};
+    const statuses: number[] = [];
+    for (let sent = 0; sent < count; sent++) {
+      statuses.push((await callEntry(fleet, '/stream/', {headers})).status);
+      await sleep(80);
+    }
+    return new Set(statuses);
+  };
+
   // Guards against a replica in need that is chosen because it looks idle.
-  test('get the streams that it cannot take', async () => {
-    const fleet = await startDirectFleet({pool: 3});
+  test('are passed over while others take the streams', async () => {
     const [limited, ...others] = fleet.pool;
     limited.behave(nameLimit(() => '1', streamTo(2)));
     for (const other of others) other.behave(streamTo(2));
-    const statuses = new Set<number>();
-    for (let sent = 0; sent < 60; sent++) {
-      const headers = {'X-Token-Usage': '100,10'};
-      statuses.add((await callEntry(fleet, '/stream/', {headers})).status);
-      await sleep(80);
-    }
-    expect(statuses).toEqual(new Set([200]));
+    expect(await sendStreams(60)).toEqual(new Set([200]));
     const most = mostInWindow(boundArrivals(limited));
     expect(most).toBeLessThanOrEqual(allowedInWindow(1));
-    expect(most).toBeGreaterThan(0);
-    await fleet.close();
+    const passedOver = fleet.runtime
+      .eventsOf(DIRECT_EVENTS.dispatched)
+      .filter(({fields}) => fields['passedOver'] !== undefined);
+    expect(passedOver.length).toBeGreaterThan(0);
+  });
+
+  // Guards against a limit that is kept by not using the replica at all.
+  test('get what they allow when all of them name one', async () => {
+    for (const replica of fleet.pool) {
+      replica.behave(nameLimit(() => '1', streamTo(2)));
+    }
+    expect(await sendStreams(75)).toEqual(new Set([200, 503]));
+    for (const {arrivals} of fleet.pool) {
+      expect(arrivals.length).toBeGreaterThanOrEqual(3);
+      const times = arrivals.map(({at}) => at);
+      expect(mostInWindow(times)).toBeLessThanOrEqual(allowedInWindow(1));
+    }
   });
 });
