--- a/src/direct/limits/replica_limits.ts
+++ b/src/direct/limits/replica_limits.ts
@@ -91,7 +91,7 @@
   };
 
   /** Takes in a statement; returns what it changed, if anything. */
-  const state = (
+  const update = (
     replicaId: string,
     record: LimitRecord,
     source: 'answer' | 'peer',
@@ -112,8 +112,8 @@
     log(DIRECT_EVENTS.limitLearned, fields);
     return before === undefined ? 'began' : 'changed';
   };
-  const stateOwn = (replicaId: string, record: LimitRecord): void => {
-    const change = state(replicaId, record, 'answer');
+  const updateFromAnswer = (replicaId: string, record: LimitRecord): void => {
+    const change = update(replicaId, record, 'answer');
     if (change !== undefined) {
       options.onChange(toReport(replicaId, record), change);
     }
@@ -125,11 +125,14 @@
       const known = records.get(replicaId);
       switch (stated.kind) {
         case 'limited':
-          return stateOwn(replicaId, {perSecond: stated.perSecond, statedAt});
+          return updateFromAnswer(replicaId, {
+            perSecond: stated.perSecond,
+            statedAt,
+          });
         case 'none':
           if (known?.perSecond === undefined || sentAt <= known.statedAt)
             return;
-          return stateOwn(replicaId, {perSecond: undefined, statedAt});
+          return updateFromAnswer(replicaId, {perSecond: undefined, statedAt});
         case 'unreadable':
           // The last readable limit stays in force.
           return log(DIRECT_EVENTS.limitUnreadable, {
@@ -145,7 +148,7 @@
       const known = records.get(replicaId);
       if (known !== undefined && statedAt <= known.statedAt) return;
       if (known === undefined && perSecond === undefined) return;
-      state(replicaId, {perSecond, statedAt}, 'peer');
+      update(replicaId, {perSecond, statedAt}, 'peer');
     },
     limitOf,
     reportOf: replicaId => {
--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -52,8 +52,9 @@
 ): number {
   // At a lower limit, permits are granted only to find out whether it still
   // holds. A request that may run only once is not risked for that.
-  const isRefusedThere = (limits.limitOf(replicaId) ?? 1) < MIN_RATE_PER_S;
-  if (isRefusedThere && exchange.route.kind === 'once') return MAX_RETRY_MS;
+  const limit = limits.limitOf(replicaId);
+  const isNearZero = limit !== undefined && limit < MIN_RATE_PER_S;
+  if (isNearZero && exchange.route.kind === 'once') return MAX_RETRY_MS;
   return permits.waitMs(replicaId, urgencyOf(exchange));
 }
 
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -40,6 +40,10 @@
  * because other requests took its memory since the decision.
  */
 const GROUP_ATTEMPTS = 4;
+/** The request, and a question for the lead's state while it prefills. */
+const REQUESTS_TO_LEAD = 2;
+/** The part of the prompt, and the orders to reserve and release its memory. */
+const REQUESTS_TO_HELPER = 3;
 /**
  * Retry times are varied randomly by up to this share, earlier or later, so
  * that refused callers do not all retry at the same instant.
@@ -149,18 +153,21 @@
   return notPlaced('the request has ended');
 }
 
-/**
- * Takes permits for the members that name a request limit. Reserving memory at
- * a helper, and releasing it, are requests to it as well.
- */
+/** Takes permits for the members that name a request limit. */
 async function takePlanPermits(
   ctx: ServeContext,
   exchange: Exchange,
   {lead, helpers}: EnginePlan,
 ): Promise<boolean> {
   const needs = [
-    {replicaId: lead.replica.id, count: helpers.length > 0 ? 2 : 1},
-    ...helpers.map(({replica}) => ({replicaId: replica.id, count: 3})),
+    {
+      replicaId: lead.replica.id,
+      count: helpers.length > 0 ? REQUESTS_TO_LEAD : 1,
+    },
+    ...helpers.map(({replica}) => ({
+      replicaId: replica.id,
+      count: REQUESTS_TO_HELPER,
+    })),
   ].filter(({replicaId}) => ctx.limits.limitOf(replicaId) !== undefined);
   return needs.length === 0 || takePermits(ctx, exchange, needs);
 }
