--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -46,7 +46,7 @@
   readonly notRun: number;
   /** Replicas that each request which crashes them ended. */
   readonly ended: readonly number[];
-  /** Windows that were judged by a replica's limit, and arrivals in them. */
+  /** Windows that were judged by the limit of a replica. */
   readonly limitedWindows: number;
   readonly violations: readonly Violation[];
   /** 99th percentile of this process's own delay, in milliseconds. */
