--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -194,6 +194,7 @@
         ? undefined
         : {startedAt: undefined, reservations: undefined};
     },
+    watchNotices: () => undefined,
     failureDomain: `domain-${at % options.failureDomains}`,
     retries: RETRIES,
     idPrefix: `entry-${at}`,
@@ -264,6 +265,7 @@
   ],
   readAnswer: (status, headers): AnswerFacts => ({
     requestLimit: {kind: 'none'},
+    notices: undefined,
     requestId: String(headers['id']),
     signed: true,
     notRun: status === 503,
--- a/bench/store_return.ts
+++ b/bench/store_return.ts
@@ -11,8 +11,7 @@
 import {parseArgs} from 'node:util';
 import {freeAddresses} from '../demo/free_addresses.js';
 import {headerCodec} from '../platform/header_codec.js';
-import {createReadReport} from '../platform/replica_report.js';
-import {createReservationOrders} from '../platform/reservation_orders.js';
+import {createReplicaCalls} from '../platform/replica_calls.js';
 import {createStoreClient} from '../platform/store_client.js';
 import type {DirectSettings} from '../src/direct/settings.js';
 import {wireDirectEntry} from '../src/direct_wiring.js';
@@ -182,8 +181,7 @@
       settings,
       store: createStoreClient({address, clock, metrics, log}),
       codec: headerCodec,
-      orders: createReservationOrders(metrics),
-      readReport: createReadReport(metrics),
+      ...createReplicaCalls(metrics),
       wallMs: Date.now,
     },
     runtime,
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -28,6 +28,7 @@
   HeaderCodec,
   ReadReport,
   Reservations,
+  WatchNotices,
 } from './types.js';
 
 /** Age that logs and gauges show when there is no evidence for keys. */
@@ -69,6 +70,9 @@
   readonly codec: HeaderCodec;
   readonly orders: Reservations;
   readonly readReport: ReadReport;
+  readonly watchNotices: WatchNotices;
+  /** How long a replica that is shutting down still serves, in milliseconds. */
+  readonly leavingMs: number;
   /** Duration of one lease on a replica's memory, in milliseconds. */
   readonly holdMs: number;
   /**
@@ -136,6 +140,7 @@
     node: settings.node,
     orders: options.orders,
     readReport: options.readReport,
+    watchNotices: options.watchNotices,
     failureDomain: settings.failureDomain,
     retries: settings.retries,
     idPrefix: `${settings.node}-${options.incarnation}`,
@@ -194,7 +199,12 @@
       ctx.send('followed', {kind: 'confirm'}),
     );
 
-  const refuse = (res: ServerResponse, refusal: Refusal, id: unknown) => {
+  const refuse = (
+    res: ServerResponse,
+    refusal: Refusal,
+    id: unknown,
+    arrivedAt: number,
+  ) => {
     const {status, message} = refusal;
     log(DIRECT_EVENTS.refused, {
       requestId: String(id),
@@ -202,6 +212,7 @@
       message,
       config: config?.version,
       evidenceAgeMs: shownEvidenceAgeMs(),
+      waitedMs: Math.round(clock.now() - arrivedAt),
     });
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
     // Closes the connection, so that a retry can reach another entry.
@@ -230,7 +241,7 @@
         if (res.destroyed) return;
         if ('status' in result) {
           const {id} = codec.readRequest(req.headers);
-          refuse(res, result, id);
+          refuse(res, result, id, arrivedAt);
         } else {
           serving.serve(result, req, res, arrivedAt);
         }
--- a/src/direct/gauges.ts
+++ b/src/direct/gauges.ts
@@ -24,6 +24,10 @@
   readonly limitedReplicas: number;
   /** Sum of these limits, in requests a second. */
   readonly limitSum: number;
+  /** Replicas that stated in an answer that they are shutting down. */
+  readonly leavingReplicas: number;
+  /** Replicas that asked this entry for a pause. */
+  readonly pausedReplicas: number;
 }
 
 /** Updates the gauges every second until it is cancelled. */
@@ -46,5 +50,7 @@
     setGauge('quarantined', readings.quarantined);
     setGauge('limited_replicas', readings.limitedReplicas);
     setGauge('replica_limits_per_s', readings.limitSum);
+    setGauge('leaving_replicas', readings.leavingReplicas);
+    setGauge('paused_replicas', readings.pausedReplicas);
   });
 }
--- a/src/direct/replica_table.ts
+++ b/src/direct/replica_table.ts
@@ -53,6 +53,8 @@
   availableFor(service: string): readonly DirectReplica[];
   /** Whether the replica is shutting down or has no record any more. */
   isLeaving(replicaId: string): boolean;
+  /** The known replica at an address, as IP:PORT. */
+  findAt(address: string): DirectReplica | undefined;
   size(): number;
 }
 
@@ -202,6 +204,8 @@
       const found = [...present.values()].find(({id}) => id === replicaId);
       return found?.leaving ?? true;
     },
+    findAt: address =>
+      [...present.values()].find(replica => replica.address === address),
     size: () => present.size,
   };
 }
--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -168,6 +168,7 @@
     firstEventMs: Math.round(plan.firstEventMs),
     running: lead.load.running,
     limit: ctx.limits.limitOf(lead.replica.id),
+    ...ctx.gate.dispatchNotices(lead.replica.id),
     passedOver: passedOver(ctx, exchange),
     readMsAhead: Math.round(lead.load.readMs),
     ownLoss: Number(plan.ownLoss.toFixed(2)),
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -122,6 +122,7 @@
     running: ctx.loadTracker.totalLoad(id).running,
     slowness: ctx.health.slowness(id),
     limit: ctx.limits.limitOf(id),
+    ...ctx.gate.dispatchNotices(id),
     passedOver: passedOver(ctx, exchange),
     config: exchange.config.version,
   });
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -12,6 +12,7 @@
 import type {RequestWeights} from './decide/request_weights.js';
 import type {AnswerHead, DispatchRequest, OpenDispatch} from './dispatch.js';
 import type {Exchange} from './exchange.js';
+import type {ReplicaGate} from './gate/replica_gate.js';
 import type {ReplicaTable} from './replica_table.js';
 import type {Groups} from './groups.js';
 import type {LoadTracker} from './load_tracker.js';
@@ -42,6 +43,7 @@
   readonly health: ReplicaHealth;
   readonly limits: ReplicaLimits;
   readonly permits: RequestPermits;
+  readonly gate: ReplicaGate;
   readonly losses: ReplicaLosses;
   readonly crashes: CrashWatch;
   readonly loadTracker: LoadTracker;
@@ -189,13 +191,18 @@
  * run the request, the request is marked as possibly run.
  */
 export function classifyHead(
-  {codec, limits}: ServeContext,
+  {codec, limits, gate}: ServeContext,
   exchange: Exchange,
   {replicaId, sentAt}: SentTo,
   {status, headers}: AnswerHead,
 ): HeadVerdict {
   const facts = codec.readAnswer(status, headers);
-  const isOwn = facts.requestId === exchange.id && !facts.encoded;
+  const isFromReplica = facts.requestId === exchange.id;
+  // An encoded body is not the replica's, but its headers are.
+  if (isFromReplica && facts.notices !== undefined) {
+    gate.answered(replicaId, facts.notices);
+  }
+  const isOwn = isFromReplica && !facts.encoded;
   if (isOwn && facts.requestLimit !== undefined) {
     limits.answered(replicaId, sentAt, facts.requestLimit);
   }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -26,6 +26,7 @@
 import type {LoadTracker} from './load_tracker.js';
 import type {ReplicaLoad} from './replica_load.js';
 import {createPlacementPollPace} from './placement_poll_pace.js';
+import {createReplicaGate} from './gate/replica_gate.js';
 import {createReplicaHealth} from './replica_health.js';
 import type {
   LimitAudience,
@@ -43,7 +44,12 @@
 import type {ServeContext} from './serve_context.js';
 import {serveStream} from './serve_stream.js';
 import type {DirectSettings} from './settings.js';
-import type {HeaderCodec, ReadReport, Reservations} from './types.js';
+import type {
+  HeaderCodec,
+  ReadReport,
+  Reservations,
+  WatchNotices,
+} from './types.js';
 
 /**
  * New load is sent to the peers after this delay, which batches what
@@ -81,6 +87,7 @@
   readonly node: string;
   readonly orders: Reservations;
   readonly readReport: ReadReport;
+  readonly watchNotices: WatchNotices;
   readonly failureDomain: string;
   readonly retries: DirectSettings['retries'];
   /** Prefix of the reservations' ids, unique to this process. */
@@ -140,6 +147,8 @@
     readonly quarantined: number;
     readonly limitedReplicas: number;
     readonly limitSum: number;
+    readonly leavingReplicas: number;
+    readonly pausedReplicas: number;
   };
 }
 
@@ -172,6 +181,11 @@
     sendAsk: limitLinks.sendAsk,
     sendAnswer: limitLinks.sendAnswer,
   });
+  const gate = createReplicaGate(clock, log);
+  options.watchNotices((address, notices) => {
+    const replica = replicas.findAt(address);
+    if (replica !== undefined) gate.answered(replica.id, notices);
+  });
   const losses = createReplicaLosses();
   const replicas = createReplicaTable({
     clock,
@@ -184,6 +198,7 @@
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
       health.forget(id);
       limits.forget(id);
+      gate.forget(id);
       if (!leaving) crashes.replicaEnded(id);
       losses.notifyLost(id);
     },
@@ -228,6 +243,7 @@
     health,
     limits,
     permits,
+    gate,
     losses,
     crashes,
     loadTracker,
@@ -325,6 +341,8 @@
       quarantined: crashes.quarantinedCount(),
       limitedReplicas: limits.count(),
       limitSum: limits.sum(),
+      leavingReplicas: gate.leavingCount(),
+      pausedReplicas: gate.pausedCount(),
     }),
   };
 }
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -331,6 +331,35 @@
   | {readonly kind: 'limited'; readonly perSecond: number}
   | {readonly kind: 'unreadable'; readonly text: string};
 
+/** Whether an answer states that its replica is shutting down. */
+export type StatedLeaving =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'leaving'}
+  | {readonly kind: 'unreadable'; readonly text: string};
+
+/**
+ * Whether an answer asks for a pause, in which the replica wants no requests of
+ * the entry that it answers.
+ */
+export type StatedPause =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'pause'; readonly durationMs: number}
+  | {readonly kind: 'unreadable'; readonly text: string};
+
+/** What a replica states about itself in an answer, whatever it was asked. */
+export interface ReplicaNotices {
+  readonly leaving: StatedLeaving;
+  readonly pause: StatedPause;
+}
+
+/**
+ * Calls `onNotices` with the notices in each answer to an order or a query of
+ * the state, and with the IP:PORT of the replica that was asked.
+ */
+export type WatchNotices = (
+  onNotices: (address: string, notices: ReplicaNotices) => void,
+) => void;
+
 /** What a replica's response headers state. */
 export interface AnswerFacts {
   readonly requestId: string | undefined;
@@ -346,6 +375,8 @@
   readonly encoded: boolean;
   /** Undefined where another replica than the expected one answered. */
   readonly requestLimit: StatedLimit | undefined;
+  /** Undefined where another replica than the expected one answered. */
+  readonly notices: ReplicaNotices | undefined;
 }
 
 /** Header names and values, alternating. */
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -15,6 +15,7 @@
   HeaderCodec,
   ReadReport,
   Reservations,
+  WatchNotices,
 } from './direct/types.js';
 import {createKernel} from './kernel/kernel.js';
 import type {Kernel} from './kernel/kernel.js';
@@ -47,6 +48,7 @@
   readonly codec: HeaderCodec;
   readonly orders: Reservations;
   readonly readReport: ReadReport;
+  readonly watchNotices: WatchNotices;
   /** Time of day, in milliseconds. */
   readonly wallMs: () => number;
 }
@@ -81,6 +83,8 @@
       codec: dependencies.codec,
       orders: dependencies.orders,
       readReport: dependencies.readReport,
+      watchNotices: dependencies.watchNotices,
+      leavingMs: leavingMsOf(settings),
       holdMs: holdMsOf(settings),
       unusedMs: unusedMsOf(settings),
       wallMs: dependencies.wallMs,
@@ -92,7 +96,7 @@
     createStoreFollower({
       store,
       maxReadyAgeMs: maxReadyAgeMs(settings.timing.revokeMs),
-      leavingMs: settings.timing.leavingMs ?? DEFAULT_LEAVING_MS,
+      leavingMs: leavingMsOf(settings),
       isBootstrap: settings.bootstrap ?? false,
       wallMs: dependencies.wallMs,
     }),
@@ -118,6 +122,10 @@
   };
 }
 
+function leavingMsOf({timing}: DirectSettings): number {
+  return timing.leavingMs ?? DEFAULT_LEAVING_MS;
+}
+
 function holdMsOf({timing}: DirectSettings): number {
   const {maxHoldMs = Infinity, freeMs = Infinity} = timing;
   return Math.min(MAX_HOLD_MS, maxHoldMs, freeMs - HOLD_MARGIN_MS);
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -6,8 +6,7 @@
 import type {Agent, IncomingHttpHeaders} from 'node:http';
 import {freeAddresses} from '../../demo/free_addresses.js';
 import {headerCodec} from '../../platform/header_codec.js';
-import {createReadReport} from '../../platform/replica_report.js';
-import {createReservationOrders} from '../../platform/reservation_orders.js';
+import {createReplicaCalls} from '../../platform/replica_calls.js';
 import {createStoreClient} from '../../platform/store_client.js';
 import type {DirectSettings} from '../../src/direct/settings.js';
 import {wireDirectEntry} from '../../src/direct_wiring.js';
@@ -130,8 +129,7 @@
         log: runtime.log,
       }),
       codec: options.codec ?? headerCodec,
-      orders: createReservationOrders(runtime.metrics),
-      readReport: createReadReport(runtime.metrics),
+      ...createReplicaCalls(runtime.metrics),
       wallMs: () => Date.now() + wallShiftMs,
     },
     runtime,
