test(direct): replicas get requests although they leave or want a pause

What callers see: calls and streams that go to a replica which has said that it is shutting down, for as long as the store does not tell; calls that are turned away one after another while another replica is idle.

--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -58,6 +58,11 @@
    * requests. Memory whose reservation is among `used` is in use.
    */
   answerState(used?: ReadonlySet<string>): void;
+  /**
+   * From now on all its answers, also those to orders and questions for its
+   * state, have these headers.
+   */
+  stateInAll(headers: Readonly<Record<string, string>>): void;
   /** What it says to an order; nothing for `undefined`. */
   answerOrders(status: (order: Order) => number | undefined): void;
   /** Resets all connections; from then on its port refuses new ones. */
@@ -121,6 +126,14 @@
   };
 }
 
+/** Refuses as not run, and wants no request for so many seconds. */
+export function askForPause(retryAfter: string): Behaviour {
+  return (arrival, res, req) => {
+    res.setHeader('Retry-After', retryAfter);
+    refuse(arrival, res, req);
+  };
+}
+
 /** Takes the request and breaks off without a byte of an answer. */
 export const breakOff: Behaviour = (_arrival, _res, req) => {
   req.socket.resetAndDestroy();
@@ -146,6 +159,7 @@
   let behaviour: Behaviour = answerWell;
   let orderStatus: (order: Order) => number | undefined = () => 200;
   let usedMemory: ReadonlySet<string> | undefined;
+  let statedInAll: Readonly<Record<string, string>> = {};
 
   /** Renewed by an order with the same id; lapses by itself. */
   const reserve = ({id, tokens, holdMs}: Order): void => {
@@ -196,6 +210,9 @@
     behaviour(arrival, res, req);
   };
   const server = createServer((req, res) => {
+    for (const [name, value] of Object.entries(statedInAll)) {
+      res.setHeader(name, value);
+    }
     const pieces: Buffer[] = [];
     req.on('data', (piece: Buffer) => pieces.push(piece));
     req.on('error', () => undefined);
@@ -230,6 +247,9 @@
     answerState: (used = new Set()) => {
       usedMemory = used;
     },
+    stateInAll: headers => {
+      statedInAll = headers;
+    },
     answerOrders: status => {
       orderStatus = status;
     },
