fix(direct): send nothing to replicas that state that they are shutting down

Callers saw calls cut, and streams ended midway, at replicas that had said in their answers that they were leaving. The cause: no part of the program read that statement; that a replica leaves was known from the store alone, and the store may be silent for as long as it likes.

One gate now answers for every replica: open, last resort, or closed with the cause and a time. It covers leaving and the request limits; it is asked when a replica or a group is chosen, and again when the request is sent. The replica stays closed until its start ends, whatever the store or a restored copy says. The last replica of a service is used for three quarters of the time that it still serves, counted by the arrival of each request; after it callers are rejected at once. Its end is no crash, it helps no group, and a healthy replica that is closed does not hide an open one with recent failures.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -30,6 +30,8 @@
 export const SERVICE = 'pool';
 /** Lease on a member's memory. */
 const HOLD_MS = 3_500;
+/** No replica of the model shuts down, so this decides nothing. */
+const LEAVING_MS = 2_000;
 /** As an entry has it without bounds in its settings. */
 const UNUSED_MS = 2_000;
 /** Records of replicas are gone so long after their death. */
@@ -195,6 +197,7 @@
         : {startedAt: undefined, reservations: undefined};
     },
     watchNotices: () => undefined,
+    leavingMs: LEAVING_MS,
     failureDomain: `domain-${at % options.failureDomains}`,
     retries: RETRIES,
     idPrefix: `entry-${at}`,
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -5,6 +5,7 @@
  */
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
+import {CLOSED_REASON, gateRequestOf} from './permitted_choice.js';
 import {plainCallAssignment} from './load_tracker.js';
 import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -46,6 +47,9 @@
   replica: DirectReplica,
 ): Promise<CallOutcome> {
   const {isTrial} = exchange;
+  if (!ctx.gate.maySend(replica.id, gateRequestOf(exchange))) {
+    return Promise.resolve({kind: 'not-sent', reason: CLOSED_REASON});
+  }
   if (!ctx.crashes.maySend(exchange)) {
     return Promise.resolve({kind: 'quarantined'});
   }
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -141,6 +141,7 @@
     orders: options.orders,
     readReport: options.readReport,
     watchNotices: options.watchNotices,
+    leavingMs: options.leavingMs,
     failureDomain: settings.failureDomain,
     retries: settings.retries,
     idPrefix: `${settings.node}-${options.incarnation}`,
--- a/src/direct/gate/departures.ts
+++ b/src/direct/gate/departures.ts
@@ -2,6 +2,9 @@
  * Replicas that stated in an answer that they are shutting down. The statement
  * holds until the replica's start ends, whatever the store says: its record may
  * be seconds old, or come from a restored copy.
+ *
+ * A replica that is shutting down still serves for a while. Requests that
+ * arrive early in that time may go there when nothing else is left.
  */
 import type {Clock, Log} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
@@ -12,12 +15,19 @@
  * shutting down has ended by then.
  */
 const KEPT_MS = 600_000;
+/**
+ * Requests may go to a replica that is shutting down within this share of the
+ * time for which it still serves.
+ */
+const USED_SHARE = 0.75;
 
 export interface Departures {
   /** Takes in what an answer of the replica states. */
   answered(replicaId: string, stated: StatedLeaving): void;
   /** Whether the replica has stated that it is shutting down. */
   isLeaving(replicaId: string): boolean;
+  /** Whether the replica still serves a request that arrived at that time. */
+  stillServes(replicaId: string, arrivedAt: number): boolean;
   /**
    * Time in milliseconds since the replica first stated it; undefined where it
    * did not.
@@ -28,7 +38,16 @@
   count(): number;
 }
 
-export function createDepartures(clock: Clock, log: Log): Departures {
+export interface DeparturesOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  /** How long a replica that is shutting down still serves, in milliseconds. */
+  readonly leavingMs: number;
+}
+
+export function createDepartures(options: DeparturesOptions): Departures {
+  const {clock, log} = options;
+  const usedMs = options.leavingMs * USED_SHARE;
   /** When each replica first stated it, in milliseconds. */
   const statedAt = new Map<string, number>();
   const dropOld = (): void => {
@@ -55,6 +74,8 @@
       }
     },
     isLeaving: replicaId => statedAt.has(replicaId),
+    stillServes: (replicaId, arrivedAt) =>
+      arrivedAt <= (statedAt.get(replicaId) ?? Infinity) + usedMs,
     leavingForMs: replicaId => {
       const at = statedAt.get(replicaId);
       return at === undefined ? undefined : clock.now() - at;
--- a/src/direct/gate/replica_gate.ts
+++ b/src/direct/gate/replica_gate.ts
@@ -1,9 +1,53 @@
-/** What replicas state about themselves in answers, for all parts of an entry. */
+/**
+ * Decides whether a replica may get a request now, by what the replica stated in
+ * its answers: that it is shutting down, that it wants no requests for a while,
+ * or how many it takes from all entries together.
+ *
+ * Whatever is sent to a replica asks first, once when the replica is chosen and
+ * once more when the request is sent, since it may have waited in between.
+ */
 import type {Clock, Log} from '../../types/runtime.js';
+import type {ReplicaLimits} from '../limits/replica_limits.js';
+import {MAX_RETRY_MS} from '../limits/permit_ledger.js';
+import {MIN_RATE_PER_S} from '../limits/request_permits.js';
+import type {RequestPermits} from '../limits/request_permits.js';
 import type {ReplicaNotices} from '../types.js';
 import {createDepartures} from './departures.js';
 import {createPauses} from './pauses.js';
 
+/**
+ * Time in milliseconds after which the successor of a replica that is shutting
+ * down may be known: about one heartbeat of a replica.
+ */
+const SUCCESSOR_MS = 1_000;
+
+/** Why a replica may not get a request. */
+export type ClosedCause = 'leaving' | 'paused' | 'limited';
+
+export type GateAnswer =
+  | {readonly kind: 'open'}
+  /** The request may go there if no replica is open. */
+  | {readonly kind: 'last-resort'; readonly cause: ClosedCause}
+  | {
+      readonly kind: 'closed';
+      readonly cause: ClosedCause;
+      /**
+       * Time until the replica, or its successor, may get the request, in
+       * milliseconds.
+       */
+      readonly waitMs: number;
+    };
+
+/** What the gate needs to know of a request. */
+export interface GateRequest {
+  /** Time of arrival on this process's clock, in milliseconds. */
+  readonly arrivedAt: number;
+  /** Smaller is more urgent. */
+  readonly urgency: number;
+  /** Whether it may not be repeated once a replica may have run it. */
+  readonly isOnce: boolean;
+}
+
 /** What a dispatch's log line tells of the chosen replica. */
 export interface DispatchNotices {
   /** Time in milliseconds since the replica stated that it shuts down. */
@@ -15,6 +59,16 @@
 export interface ReplicaGate {
   /** Takes in what an answer of the replica states. */
   answered(replicaId: string, notices: ReplicaNotices): void;
+  /** Whether no known statement closes any replica. */
+  isOpenToAll(): boolean;
+  ask(replicaId: string, req: GateRequest): GateAnswer;
+  /**
+   * Asks again for a request that is about to be sent, with its permits taken:
+   * the replica may have stated something since it was chosen.
+   */
+  maySend(replicaId: string, req: GateRequest): boolean;
+  /** Whether the replica stated that it is shutting down. */
+  isLeaving(replicaId: string): boolean;
   dispatchNotices(replicaId: string): DispatchNotices;
   /** Drops what is known of a start that has ended. */
   forget(replicaId: string): void;
@@ -24,14 +78,62 @@
   pausedCount(): number;
 }
 
-export function createReplicaGate(clock: Clock, log: Log): ReplicaGate {
-  const departures = createDepartures(clock, log);
+export interface ReplicaGateOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly limits: Pick<ReplicaLimits, 'limitOf' | 'count'>;
+  readonly permits: Pick<RequestPermits, 'waitMs'>;
+  /** How long a replica that is shutting down still serves, in milliseconds. */
+  readonly leavingMs: number;
+}
+
+const OPEN: GateAnswer = {kind: 'open'};
+
+export function createReplicaGate(options: ReplicaGateOptions): ReplicaGate {
+  const {clock, log, limits, permits} = options;
+  const departures = createDepartures(options);
   const pauses = createPauses(clock, log);
+
+  /** By what the replica stated about itself alone. */
+  const askNotices = (
+    replicaId: string,
+    {arrivedAt}: GateRequest,
+  ): GateAnswer => {
+    if (!departures.isLeaving(replicaId)) return OPEN;
+    const cause = 'leaving';
+    return departures.stillServes(replicaId, arrivedAt)
+      ? {kind: 'last-resort', cause}
+      : {kind: 'closed', cause, waitMs: SUCCESSOR_MS};
+  };
+  /** Time until a permit may be available, in milliseconds; 0 for now. */
+  const permitWaitMs = (
+    replicaId: string,
+    {urgency, isOnce}: GateRequest,
+  ): number => {
+    // At a lower limit, permits are granted only to find out whether it still
+    // holds. A request that may run only once is not risked for that.
+    const limit = limits.limitOf(replicaId);
+    const isNearZero = limit !== undefined && limit < MIN_RATE_PER_S;
+    if (isNearZero && isOnce) return MAX_RETRY_MS;
+    return permits.waitMs(replicaId, urgency);
+  };
+
   return {
     answered: (replicaId, {leaving, pause}) => {
       departures.answered(replicaId, leaving);
       pauses.answered(replicaId, pause);
     },
+    isOpenToAll: () => departures.count() === 0 && limits.count() === 0,
+    ask: (replicaId, req) => {
+      const byNotices = askNotices(replicaId, req);
+      if (byNotices.kind === 'closed') return byNotices;
+      const waitMs = permitWaitMs(replicaId, req);
+      return waitMs > 0
+        ? {kind: 'closed', cause: 'limited', waitMs}
+        : byNotices;
+    },
+    maySend: (replicaId, req) => askNotices(replicaId, req).kind !== 'closed',
+    isLeaving: departures.isLeaving,
     dispatchNotices: replicaId => {
       const leavingForMs = departures.leavingForMs(replicaId);
       const pauseLeftMs = pauses.leftMs(replicaId);
--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -1,17 +1,23 @@
 /**
- * Chooses among replicas of which some name a request limit. A request is sent
- * to such a replica only with a permit, which all entries share. Without one it
- * goes to another replica, or it is rejected at once with the time at which a
- * permit may be available.
+ * Chooses among the replicas that may get a request now, as the gate tells. A
+ * replica that names a request limit gets it only with a permit, which all
+ * entries share. Where no replica may get it, the request waits a moment, or it
+ * is rejected at once with the time at which one may.
  */
-import {MIN_RATE_PER_S} from './limits/request_permits.js';
-import {MAX_RETRY_MS} from './limits/permit_ledger.js';
+import type {LogFields} from '../types/runtime.js';
 import type {Exchange} from './exchange.js';
-import type {ServeContext} from './serve_context.js';
+import type {ClosedCause, GateRequest} from './gate/replica_gate.js';
+import type {CandidateGroups, ServeContext} from './serve_context.js';
 import type {DirectReplica} from './types.js';
 
-/** Reason of a rejection for which the replicas' limits leave nothing. */
-export const LIMITS_REACHED = 'the replicas named their limits';
+/** Reason of a rejection because all replicas are closed for the cause. */
+const REJECTION_REASONS: Readonly<Record<ClosedCause, string>> = {
+  leaving: 'the replicas are shutting down',
+  paused: 'the replicas asked for a pause',
+  limited: 'the replicas named their limits',
+};
+/** Why an attempt was not made at a replica that was chosen for it. */
+export const CLOSED_REASON = 'the replica closed since it was chosen';
 /**
  * Longest wait for a permit, in milliseconds. A caller that has to wait longer
  * is told at once when to come back.
@@ -24,14 +30,18 @@
 /** Most replicas that a log line names. */
 const MAX_LOGGED = 4;
 
-/** Replicas that may get the request now, and when others may. */
+/** Why no replica may get a request, and when one may. */
+export interface Closed {
+  readonly cause: ClosedCause;
+  /** In milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Replicas that may get the request now. */
 export interface PermittedReplicas {
   readonly open: readonly DirectReplica[];
-  /**
-   * Time in milliseconds until one of the other replicas may get the request;
-   * undefined where there are no others.
-   */
-  readonly waitMs: number | undefined;
+  /** Of the replicas that may not; undefined where all may. */
+  readonly closed: Closed | undefined;
 }
 
 /** Permits that a request needs at a replica. */
@@ -40,47 +50,78 @@
   readonly count: number;
 }
 
-function urgencyOf({attempts, owner, route}: Exchange): number {
-  return attempts > 0 ? BEGUN_URGENCY : (owner?.priority ?? route.priority);
+/** What the gate needs to know of the exchange. */
+export function gateRequestOf({
+  arrivedAt,
+  attempts,
+  owner,
+  route,
+}: Exchange): GateRequest {
+  const urgency =
+    attempts > 0 ? BEGUN_URGENCY : (owner?.priority ?? route.priority);
+  return {arrivedAt, urgency, isOnce: route.kind === 'once'};
 }
 
-/** Time until the replica may get the request, in milliseconds; 0 for now. */
-function waitMsOf(
-  {limits, permits}: ServeContext,
-  exchange: Exchange,
-  replicaId: string,
-): number {
-  // At a lower limit, permits are granted only to find out whether it still
-  // holds. A request that may run only once is not risked for that.
-  const limit = limits.limitOf(replicaId);
-  const isNearZero = limit !== undefined && limit < MIN_RATE_PER_S;
-  if (isNearZero && exchange.route.kind === 'once') return MAX_RETRY_MS;
-  return permits.waitMs(replicaId, urgencyOf(exchange));
-}
-
-/** Separates the replicas that may get the request now from the others. */
+/**
+ * The replicas that may get the request now, of the first group that has any,
+ * so that a healthy replica that is closed does not hide an open one with
+ * recent failures.
+ */
 export function permittedOf(
   ctx: ServeContext,
   exchange: Exchange,
-  replicas: readonly DirectReplica[],
+  groups: CandidateGroups,
 ): PermittedReplicas {
-  if (ctx.limits.count() === 0) return {open: replicas, waitMs: undefined};
-  const waits = replicas.map(({id}) => waitMsOf(ctx, exchange, id));
-  const open = replicas.filter((_, at) => waits[at] === 0);
-  const others = waits.filter(waitMs => waitMs > 0);
+  const asked = groups.map(group => permittedInGroup(ctx, exchange, group));
   return {
-    open,
-    waitMs: others.length === 0 ? undefined : Math.min(...others),
+    open: asked.find(({open}) => open.length > 0)?.open ?? [],
+    closed: asked
+      .map(({closed}) => closed)
+      .reduce((known, next) => soonerOf(known, next), undefined),
   };
 }
 
+/**
+ * Separates the replicas that may get the request now from the others. Those of
+ * last resort may get it only where no other may.
+ */
+function permittedInGroup(
+  {gate}: ServeContext,
+  exchange: Exchange,
+  replicas: readonly DirectReplica[],
+): PermittedReplicas {
+  if (gate.isOpenToAll()) return {open: replicas, closed: undefined};
+  const req = gateRequestOf(exchange);
+  const open: DirectReplica[] = [];
+  const lastResorts: DirectReplica[] = [];
+  let closed: Closed | undefined;
+  for (const replica of replicas) {
+    const answer = gate.ask(replica.id, req);
+    if (answer.kind === 'open') open.push(replica);
+    else if (answer.kind === 'last-resort') lastResorts.push(replica);
+    else closed = soonerOf(closed, answer);
+  }
+  return {open: open.length > 0 ? open : lastResorts, closed};
+}
+
+/** A successor's time is a guess, so any other time goes before it. */
+function soonerOf(
+  known: Closed | undefined,
+  next: Closed | undefined,
+): Closed | undefined {
+  if (known === undefined || next === undefined) return known ?? next;
+  const isGuess = (one: Closed) => one.cause === 'leaving';
+  if (isGuess(known) !== isGuess(next)) return isGuess(known) ? next : known;
+  return next.waitMs < known.waitMs ? next : known;
+}
+
 /** Takes the permits; false when a replica granted none. */
 export async function takePermits(
   {permits}: ServeContext,
   exchange: Exchange,
   needs: readonly PermitNeed[],
 ): Promise<boolean> {
-  const urgency = urgencyOf(exchange);
+  const {urgency} = gateRequestOf(exchange);
   const taken = await Promise.all(
     needs.map(need => permits.take({...need, urgency})),
   );
@@ -88,14 +129,14 @@
 }
 
 /**
- * Waits for a permit if it comes soon, or if a replica has begun the stream:
- * such a request cannot be rejected as not run. Resolves to false without
- * waiting when the request is to be rejected.
+ * Waits if a replica opens soon, or if one has begun the stream: such a request
+ * cannot be rejected as not run. Resolves to false without waiting when the
+ * request is to be rejected.
  */
-export async function waitForPermit(
+export async function waitForOpening(
   {clock}: ServeContext,
   {mayHaveRun, route}: Exchange,
-  waitMs: number,
+  {waitMs}: Closed,
 ): Promise<boolean> {
   const isBegun = mayHaveRun && route.streaming;
   if (waitMs > MAX_PERMIT_WAIT_MS && !isBegun) return false;
@@ -104,18 +145,30 @@
   return true;
 }
 
-/**
- * When a rejected caller is to come back, in milliseconds: not before a permit
- * may be available, and not all at the same instant.
- */
-export function comeBackMs({random}: ServeContext, waitMs: number): number {
-  return waitMs * (1 + RETRY_SPREAD * random.next());
+/** Why a request is rejected, and when its caller is to come back. */
+export interface Rejection {
+  readonly reason: string;
+  /**
+   * In milliseconds: not before a replica may open, and not the same for all
+   * callers.
+   */
+  readonly retryAfterMs: number;
 }
 
-/** A replica with a permit, or the time until one may be available. */
+export function rejectionOf(
+  {random}: ServeContext,
+  {cause, waitMs}: Closed,
+): Rejection {
+  return {
+    reason: REJECTION_REASONS[cause],
+    retryAfterMs: waitMs * (1 + RETRY_SPREAD * random.next()),
+  };
+}
+
+/** A replica with a permit, or why there is none. */
 export type PermittedChoice<T> =
   | {readonly kind: 'chosen'; readonly chosen: T}
-  | {readonly kind: 'none'; readonly retryAfterMs: number | undefined};
+  | {readonly kind: 'none'; readonly rejection: Rejection | undefined};
 
 /**
  * Chooses a replica and takes a permit for it, until both succeed. `choose`
@@ -126,39 +179,43 @@
 >(
   ctx: ServeContext,
   exchange: Exchange,
-  candidates: () => readonly DirectReplica[],
+  candidates: () => CandidateGroups,
   choose: (open: readonly DirectReplica[]) => T | undefined,
 ): Promise<PermittedChoice<T>> {
   while (!exchange.signal.aborted) {
-    const {open, waitMs} = permittedOf(ctx, exchange, candidates());
+    const {open, closed} = permittedOf(ctx, exchange, candidates());
     const chosen = choose(open);
     if (chosen !== undefined) {
       const need = {replicaId: chosen.replica.id, count: 1};
       const isTaken = await takePermits(ctx, exchange, [need]);
       if (isTaken) return {kind: 'chosen', chosen};
     } else if (
-      waitMs === undefined ||
-      !(await waitForPermit(ctx, exchange, waitMs))
+      closed === undefined ||
+      !(await waitForOpening(ctx, exchange, closed))
     ) {
-      const retryAfterMs = waitMs && comeBackMs(ctx, waitMs);
-      return {kind: 'none', retryAfterMs};
+      return {kind: 'none', rejection: closed && rejectionOf(ctx, closed)};
     }
   }
-  return {kind: 'none', retryAfterMs: undefined};
+  return {kind: 'none', rejection: undefined};
 }
 
 /**
- * Ids of replicas that are passed over for their limits, for log lines;
- * undefined where there are none.
+ * Replicas that could not be chosen beside the chosen one, and why, for log
+ * lines; undefined where there are none.
  */
 export function passedOver(
-  ctx: ServeContext,
+  {gate, replicas}: ServeContext,
   exchange: Exchange,
-): readonly string[] | undefined {
-  if (ctx.limits.count() === 0) return undefined;
-  const ids = ctx.replicas
-    .availableFor(exchange.service)
-    .filter(({id}) => waitMsOf(ctx, exchange, id) > 0)
-    .map(({id}) => id);
-  return ids.length === 0 ? undefined : ids.slice(0, MAX_LOGGED);
+  chosenId: string,
+): readonly LogFields[] | undefined {
+  if (gate.isOpenToAll()) return undefined;
+  const req = gateRequestOf(exchange);
+  const found: LogFields[] = [];
+  for (const {id} of replicas.availableFor(exchange.service)) {
+    const answer = gate.ask(id, req);
+    if (answer.kind === 'open' || id === chosenId) continue;
+    found.push({replica: id, cause: answer.cause});
+    if (found.length === MAX_LOGGED) break;
+  }
+  return found.length === 0 ? undefined : found;
 }
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -17,13 +17,14 @@
 import {answerTokens} from './exchange.js';
 import type {Exchange} from './exchange.js';
 import {
-  LIMITS_REACHED,
   choosePermitted,
-  comeBackMs,
+  gateRequestOf,
   permittedOf,
+  rejectionOf,
   takePermits,
-  waitForPermit,
+  waitForOpening,
 } from './permitted_choice.js';
+import type {Rejection} from './permitted_choice.js';
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
 import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
@@ -100,10 +101,9 @@
     const placement = placeOnPlainService(ctx, exchange, replica);
     return {kind: 'place', placement};
   }
-  const {retryAfterMs} = choice;
-  return retryAfterMs === undefined
+  return choice.rejection === undefined
     ? notPlaced('no replica is there')
-    : notPlaced(LIMITS_REACHED, retryAfterMs);
+    : rejected(choice.rejection);
 }
 
 async function placeAtEngine(
@@ -119,13 +119,13 @@
   const logWait = createWaitLog(ctx, exchange);
   let groupAttempts = 0;
   while (!exchange.signal.aborted) {
-    const candidates = candidatesOf(ctx, exchange.service, tried).filter(
-      ({address}) => !refusedAddresses.has(address),
+    const candidates = candidatesOf(ctx, exchange.service, tried).map(group =>
+      group.filter(({address}) => !refusedAddresses.has(address)),
     );
-    const {open, waitMs} = permittedOf(ctx, exchange, candidates);
-    if (open.length === 0 && waitMs !== undefined) {
-      if (await waitForPermit(ctx, exchange, waitMs)) continue;
-      return notPlaced(LIMITS_REACHED, comeBackMs(ctx, waitMs));
+    const {open, closed} = permittedOf(ctx, exchange, candidates);
+    if (open.length === 0 && closed !== undefined) {
+      if (await waitForOpening(ctx, exchange, closed)) continue;
+      return rejected(rejectionOf(ctx, closed));
     }
     const decision = decide(ctx, exchange, figures, open);
     if (decision.kind === 'refuse') {
@@ -137,6 +137,8 @@
     if (decision.kind === 'place') {
       if (!(await takePlanPermits(ctx, exchange, decision.plan))) continue;
       if (exchange.signal.aborted) break;
+      // A member may have stated something while its permits were awaited.
+      if (!maySendTo(ctx, exchange, decision.plan)) continue;
       const placement = await acquirePlacement(ctx, exchange, decision.plan);
       if ('replica' in placement) return {kind: 'place', placement};
       refusedAddresses.add(placement.refusedBy);
@@ -153,6 +155,15 @@
   return notPlaced('the request has ended');
 }
 
+function maySendTo(
+  {gate}: ServeContext,
+  exchange: Exchange,
+  {lead, helpers}: EnginePlan,
+): boolean {
+  const req = gateRequestOf(exchange);
+  return [lead, ...helpers].every(({replica}) => gate.maySend(replica.id, req));
+}
+
 /** Takes permits for the members that name a request limit. */
 async function takePlanPermits(
   ctx: ServeContext,
@@ -222,6 +233,10 @@
   return {kind: 'none', reason, retryAfterMs};
 }
 
+function rejected({reason, retryAfterMs}: Rejection): NotPlaced {
+  return notPlaced(reason, retryAfterMs);
+}
+
 function withRetrySpread({random}: ServeContext, ms: number): number {
   return ms * (1 + RETRY_SPREAD * (2 * random.next() - 1));
 }
--- a/src/direct/replica_table.ts
+++ b/src/direct/replica_table.ts
@@ -49,7 +49,10 @@
   storeFailed(): void;
   /** Records that the store was restored from an older copy. */
   storeRestored(): void;
-  /** Replicas of a service that may get new work. */
+  /**
+   * Replicas of a service that may get new work by their records. Some may have
+   * stated themselves that they are shutting down.
+   */
   availableFor(service: string): readonly DirectReplica[];
   /** Whether the replica is shutting down or has no record any more. */
   isLeaving(replicaId: string): boolean;
@@ -60,6 +63,11 @@
 
 export interface ReplicaTableOptions {
   readonly clock: Clock;
+  /**
+   * Whether the replica itself stated that it is shutting down, whatever its
+   * record says. @default none did
+   */
+  saysLeaving?(replicaId: string): boolean;
   /**
    * A replica's record was removed; its open work may still be answered.
    * `mayHaveLapsed` is true when the store failed just before, so that the
@@ -86,6 +94,7 @@
 
 export function createReplicaTable({
   clock,
+  saysLeaving = () => false,
   onRemoved,
   onRestarted,
 }: ReplicaTableOptions): ReplicaTable {
@@ -106,8 +115,9 @@
     if (replica === undefined) return;
     present.delete(name);
     const removedAt = clock.now();
+    const isLeaving = replica.leaving || saysLeaving(replica.id);
     const mayHaveLapsed =
-      removedAt - storeFailedAt < EXPIRY_SUSPECTED_MS && !replica.leaving;
+      removedAt - storeFailedAt < EXPIRY_SUSPECTED_MS && !isLeaving;
     const usedUntil = mayHaveLapsed
       ? removedAt + USE_AFTER_EXPIRY_MS
       : removedAt;
@@ -198,11 +208,12 @@
       const available = [...present.values()].filter(
         replica => replica.service === service && !replica.leaving,
       );
-      return available.length > 0 ? available : recentlyRemoved(service);
+      const stays = available.some(({id}) => !saysLeaving(id));
+      return stays ? available : [...available, ...recentlyRemoved(service)];
     },
     isLeaving: replicaId => {
       const found = [...present.values()].find(({id}) => id === replicaId);
-      return found?.leaving ?? true;
+      return saysLeaving(replicaId) || (found?.leaving ?? true);
     },
     findAt: address =>
       [...present.values()].find(replica => replica.address === address),
--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -169,7 +169,7 @@
     running: lead.load.running,
     limit: ctx.limits.limitOf(lead.replica.id),
     ...ctx.gate.dispatchNotices(lead.replica.id),
-    passedOver: passedOver(ctx, exchange),
+    passedOver: passedOver(ctx, exchange, lead.replica.id),
     readMsAhead: Math.round(lead.load.readMs),
     ownLoss: Number(plan.ownLoss.toFixed(2)),
     harm: Number((plan.harm / exchange.weight).toFixed(2)),
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -10,11 +10,7 @@
 import type {CallCandidate} from './decide/choose_call_replica.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
-import {
-  LIMITS_REACHED,
-  choosePermitted,
-  passedOver,
-} from './permitted_choice.js';
+import {choosePermitted, passedOver} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
 import {
   callRequestOf,
@@ -79,19 +75,19 @@
     giveUp(ctx, exchange, 'no more attempts');
     return;
   }
-  const {retryAfterMs} = choice;
-  if (retryAfterMs === undefined) {
+  const {rejection} = choice;
+  if (rejection === undefined) {
     giveUp(ctx, exchange, 'no replica left to try');
   } else {
-    giveUp(ctx, exchange, LIMITS_REACHED, retryAfterMs);
+    giveUp(ctx, exchange, rejection.reason, rejection.retryAfterMs);
   }
 }
 
 /**
- * Chooses a replica that was not tried yet. If there is none, an idempotent
- * request may go to a replica that got it before: a request that failed once
- * often succeeds at the second attempt, even at the same replica, and seldom
- * only at a third.
+ * Chooses a replica that was not tried yet. If none of them may get it now, an
+ * idempotent request may go to a replica that got it before: a request that
+ * failed once often succeeds at the second attempt, even at the same replica,
+ * and seldom only at a third.
  */
 function chooseReplica(
   ctx: ServeContext,
@@ -101,9 +97,9 @@
   const {service, route} = exchange;
   const candidates = () => {
     const untried = candidatesOf(ctx, service, all);
-    return untried.length > 0 || route.kind !== 'idempotent'
-      ? untried
-      : ctx.replicas.availableFor(service).filter(({id}) => sent.has(id));
+    if (route.kind !== 'idempotent') return untried;
+    const available = ctx.replicas.availableFor(service);
+    return [...untried, available.filter(({id}) => sent.has(id))];
   };
   const req = callRequestOf(ctx, exchange);
   return choosePermitted(ctx, exchange, candidates, open =>
@@ -123,7 +119,7 @@
     slowness: ctx.health.slowness(id),
     limit: ctx.limits.limitOf(id),
     ...ctx.gate.dispatchNotices(id),
-    passedOver: passedOver(ctx, exchange),
+    passedOver: passedOver(ctx, exchange, id),
     config: exchange.config.version,
   });
 }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -64,28 +64,33 @@
  */
 const MAX_PRIORITY = 9;
 
+/** Replicas that may be chosen, in groups by order of preference. */
+export type CandidateGroups = ReadonlyArray<readonly DirectReplica[]>;
+
 /**
  * Where so many engines name no request limit, groups are of these alone. A
  * group costs a helper three requests: two for its memory, and the part.
  */
 const MIN_UNLIMITED_FOR_GROUPS = 8;
 
-/** Untried replicas for the next attempt: the healthy ones, or else all. */
+/** Untried replicas for the next attempt: healthy ones, and then the others. */
 export function candidatesOf(
-  ctx: ServeContext,
+  {replicas, health}: ServeContext,
   service: string,
   tried: ReadonlySet<string>,
-): readonly DirectReplica[] {
-  const untried = ctx.replicas
+): CandidateGroups {
+  const untried = replicas
     .availableFor(service)
     .filter(({id}) => !tried.has(id));
-  const healthy = untried.filter(({id}) => !ctx.health.isSuspect(id));
-  return healthy.length > 0 ? healthy : untried;
+  return [
+    untried.filter(({id}) => !health.isSuspect(id)),
+    untried.filter(({id}) => health.isSuspect(id)),
+  ];
 }
 
 /** Adds to each replica its known load, slowness and share of failures. */
 export function withLoads(
-  {loadTracker, health, limits}: ServeContext,
+  {loadTracker, health, limits, gate}: ServeContext,
   replicas: readonly DirectReplica[],
 ): readonly (EngineCandidate & CallCandidate)[] {
   const isUnlimited = ({id}: DirectReplica) => limits.limitOf(id) === undefined;
@@ -96,7 +101,9 @@
     load: loadTracker.totalLoad(replica.id),
     slowness: health.slowness(replica.id),
     brokenShare: health.brokenShare(replica.id),
-    joinsGroups: !hasGroup || isUnlimited(replica),
+    // A helper that is shutting down refuses its part.
+    joinsGroups:
+      (!hasGroup || isUnlimited(replica)) && !gate.isLeaving(replica.id),
   }));
 }
 
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -99,6 +99,8 @@
    * used, in milliseconds.
    */
   readonly unusedMs: number;
+  /** How long a replica that is shutting down still serves, in milliseconds. */
+  readonly leavingMs: number;
   /** How full the engines are. @default that of `placeOrWait` */
   readonly fullness?: Fullness;
   isDraining(): boolean;
@@ -181,7 +183,13 @@
     sendAsk: limitLinks.sendAsk,
     sendAnswer: limitLinks.sendAnswer,
   });
-  const gate = createReplicaGate(clock, log);
+  const gate = createReplicaGate({
+    clock,
+    log,
+    limits,
+    permits,
+    leavingMs: options.leavingMs,
+  });
   options.watchNotices((address, notices) => {
     const replica = replicas.findAt(address);
     if (replica !== undefined) gate.answered(replica.id, notices);
@@ -189,17 +197,19 @@
   const losses = createReplicaLosses();
   const replicas = createReplicaTable({
     clock,
+    saysLeaving: gate.isLeaving,
     onRemoved: ({id, leaving}, mayHaveLapsed) => {
       health.forget(id);
       if (!mayHaveLapsed) limits.forget(id);
-      if (!leaving && !mayHaveLapsed) crashes.recordRemoved(id);
+      const isLeaving = leaving || gate.isLeaving(id);
+      if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(id);
     },
     onRestarted: ({id, leaving}, now) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
       health.forget(id);
       limits.forget(id);
+      if (!leaving && !gate.isLeaving(id)) crashes.replicaEnded(id);
       gate.forget(id);
-      if (!leaving) crashes.replicaEnded(id);
       losses.notifyLost(id);
     },
   });
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -7,6 +7,7 @@
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from './exchange.js';
+import {CLOSED_REASON, gateRequestOf} from './permitted_choice.js';
 import type {RequestPlacement, PlacementLoss} from './request_placement.js';
 import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -45,6 +46,10 @@
   progress: StreamProgress,
 ): Promise<StreamOutcome> {
   const {isTrial} = exchange;
+  const toReplica = placement.replica.id;
+  if (!ctx.gate.maySend(toReplica, gateRequestOf(exchange))) {
+    return Promise.resolve({kind: 'not-sent', reason: CLOSED_REASON});
+  }
   if (!ctx.crashes.maySend(exchange)) {
     return Promise.resolve({kind: 'quarantined'});
   }
--- /dev/null
+++ b/test/direct/replica_gate.test.ts
@@ -0,0 +1,106 @@
+/** Which replicas may get a request, by what they stated in their answers. */
+import {beforeEach, describe, expect, test} from 'vitest';
+import {headerCodec} from '../../platform/header_codec.js';
+import {createReplicaGate} from '../../src/direct/gate/replica_gate.js';
+import type {
+  GateRequest,
+  ReplicaGate,
+} from '../../src/direct/gate/replica_gate.js';
+import type {ReplicaNotices} from '../../src/direct/types.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+import type {VirtualClock} from '../../standins/virtual_clock.js';
+
+const LEAVING_MS = 2_000;
+const LEAVING: ReplicaNotices = {
+  leaving: {kind: 'leaving'},
+  pause: {kind: 'none'},
+};
+
+describe("an answer's statement that the replica is leaving", () => {
+  const leavingIn = (status: number, text: string) =>
+    headerCodec.readAnswer(status, {'server-leaving': text}).notices?.leaving;
+
+  test.each(['1', ' 1 ', '1, 1'])('is "%s"', text => {
+    expect(leavingIn(200, text)).toEqual({kind: 'leaving'});
+    expect(leavingIn(503, text)).toEqual({kind: 'leaving'});
+  });
+
+  test('is not 0', () => {
+    expect(leavingIn(200, '0')).toEqual({kind: 'none'});
+  });
+
+  test.each(['yes', '', '2'])('cannot be read from "%s"', text => {
+    expect(leavingIn(200, text)).toEqual({kind: 'unreadable', text});
+  });
+
+  // Another replica at the address says nothing about the expected one.
+  test('does not count from another replica', () => {
+    expect(leavingIn(421, '1')).toBeUndefined();
+  });
+});
+
+describe('a replica that is leaving', () => {
+  let clock: VirtualClock;
+  let gate: ReplicaGate;
+  let permitWaitMs: number;
+  beforeEach(() => {
+    clock = createVirtualClock();
+    permitWaitMs = 0;
+    gate = createReplicaGate({
+      clock,
+      log: createRecordingRuntime().runtime.log,
+      limits: {limitOf: () => undefined, count: () => 0},
+      permits: {waitMs: () => permitWaitMs},
+      leavingMs: LEAVING_MS,
+    });
+  });
+  const requestNow = (): GateRequest => ({
+    arrivedAt: clock.now(),
+    urgency: 1,
+    isOnce: false,
+  });
+
+  test('is open until it says so', () => {
+    expect(gate.isOpenToAll()).toBe(true);
+    expect(gate.ask('a', requestNow())).toEqual({kind: 'open'});
+    gate.answered('a', LEAVING);
+    expect(gate.isOpenToAll()).toBe(false);
+    expect(gate.ask('b', requestNow())).toEqual({kind: 'open'});
+  });
+
+  test('is a last resort for requests that arrive in time', () => {
+    gate.answered('a', LEAVING);
+    const early = requestNow();
+    clock.advance(LEAVING_MS);
+    const late = requestNow();
+    expect(gate.ask('a', early).kind).toBe('last-resort');
+    expect(gate.ask('a', late)).toMatchObject({
+      kind: 'closed',
+      cause: 'leaving',
+    });
+  });
+
+  // Guards against a time that starts again with each answer.
+  test('counts the time from its first statement', () => {
+    gate.answered('a', LEAVING);
+    clock.advance(LEAVING_MS);
+    gate.answered('a', LEAVING);
+    expect(gate.ask('a', requestNow()).kind).toBe('closed');
+  });
+
+  // Guards against a request that waited and is sent by an old choice.
+  test('gets no request that was chosen before', () => {
+    const req = {...requestNow(), arrivedAt: clock.now() + LEAVING_MS};
+    expect(gate.maySend('a', req)).toBe(true);
+    gate.answered('a', LEAVING);
+    expect(gate.maySend('a', req)).toBe(false);
+  });
+
+  test('needs a permit as a last resort as well', () => {
+    gate.answered('a', LEAVING);
+    permitWaitMs = 300;
+    const answer = gate.ask('a', requestNow());
+    expect(answer).toEqual({kind: 'closed', cause: 'limited', waitMs: 300});
+  });
+});
