fix(direct): send nothing to replicas in the pause that they asked for

Callers of a route with one attempt were rejected one after another by a replica that turned everything away, while two idle ones stood beside it. The cause: the time in which such a replica wants no request was not read. It has nothing running and answers in a millisecond, so it looked the best. Evidence, with the pause logged but not used: 33 of 34 requests to such a replica went out with the pause known in their own dispatch line, first sends as well as second ones, so it was neither kept for the one request nor fed by retries.

The gate now closes the replica for this entry until the latest end that it asked for, drawn apart by up to a tenth. A request whose connection to it is still being opened is taken back. After the end one request goes first, and each answer lets two more go; requests without a retry go elsewhere meanwhile. Where all replicas pause, a request waits if the end comes within half of its latency objective, otherwise it is rejected at once with a time that holds. Being turned away is no sign of illness, as before.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -345,6 +345,7 @@
         over = true;
         clock.after(wayMs, () => cancelRun());
       },
+      takeBack: () => false,
       pause: () => undefined,
       resume: () => undefined,
     };
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -5,7 +5,11 @@
  */
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
-import {CLOSED_REASON, gateRequestOf} from './permitted_choice.js';
+import {
+  CLOSED_REASON,
+  TAKEN_BACK_REASON,
+  gateRequestOf,
+} from './permitted_choice.js';
 import {plainCallAssignment} from './load_tracker.js';
 import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -69,9 +73,15 @@
     const finish = (outcome: CallOutcome) => {
       assignment.end();
       stopWatching();
+      stopWatchingPause();
       exchange.signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
+    const finishNotSent = (reason: string) => {
+      exchange.attempts--;
+      exchange.isTrial = isTrial;
+      finish({kind: 'not-sent', reason});
+    };
     const onAbort = () => {
       exchange.mayHaveRun = true;
       ctx.crashes.runCancelled(exchange, replica);
@@ -128,9 +138,7 @@
     const onBroken = (sent: boolean, reason: string) => {
       health.failed(replica.id);
       if (!sent) {
-        exchange.attempts--;
-        exchange.isTrial = isTrial;
-        finish({kind: 'not-sent', reason});
+        finishNotSent(reason);
         return;
       }
       exchange.mayHaveRun = true;
@@ -145,6 +153,10 @@
       onEnd,
       onBroken,
     });
+    ctx.gate.sent(replica.id);
+    const stopWatchingPause = ctx.gate.watchPause(replica.id, () => {
+      if (dispatch.takeBack()) finishNotSent(TAKEN_BACK_REASON);
+    });
     // A replica that restarted may leave the connection open without a reset.
     const stopWatching = losses.watch(replica.id, () => {
       dispatch.cancel();
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -56,6 +56,11 @@
    * called any more.
    */
   cancel(): void;
+  /**
+   * Takes the request back if nothing of it has been sent; the observer is then
+   * not called any more. Returns whether it was taken back.
+   */
+  takeBack(): boolean;
   pause(): void;
   resume(): void;
 }
@@ -128,10 +133,16 @@
   req.on('close', () => fail('closed without an answer'));
   req.end(spec.body);
 
+  const cancel = () => {
+    finish(() => undefined);
+    req.destroy();
+  };
   return {
-    cancel: () => {
-      finish(() => undefined);
-      req.destroy();
+    cancel,
+    takeBack: () => {
+      if (isConnected || isFinished) return false;
+      cancel();
+      return true;
     },
     pause: () => answer?.pause(),
     resume: () => answer?.resume(),
--- a/src/direct/gate/departures.ts
+++ b/src/direct/gate/departures.ts
@@ -23,7 +23,7 @@
 
 export interface Departures {
   /** Takes in what an answer of the replica states. */
-  answered(replicaId: string, stated: StatedLeaving): void;
+  stated(replicaId: string, leaving: StatedLeaving): void;
   /** Whether the replica has stated that it is shutting down. */
   isLeaving(replicaId: string): boolean;
   /** Whether the replica still serves a request that arrived at that time. */
@@ -56,8 +56,8 @@
     }
   };
   return {
-    answered: (replicaId, stated) => {
-      switch (stated.kind) {
+    stated: (replicaId, leaving) => {
+      switch (leaving.kind) {
         case 'none':
           return;
         case 'leaving':
@@ -69,7 +69,7 @@
           return log(DIRECT_EVENTS.noticeUnreadable, {
             replica: replicaId,
             notice: 'leaving',
-            text: stated.text,
+            text: leaving.text,
           });
       }
     },
--- a/src/direct/gate/replica_gate.ts
+++ b/src/direct/gate/replica_gate.ts
@@ -6,7 +6,7 @@
  * Whatever is sent to a replica asks first, once when the replica is chosen and
  * once more when the request is sent, since it may have waited in between.
  */
-import type {Clock, Log} from '../../types/runtime.js';
+import type {Cancel, Clock, Log, Random} from '../../types/runtime.js';
 import type {ReplicaLimits} from '../limits/replica_limits.js';
 import {MAX_RETRY_MS} from '../limits/permit_ledger.js';
 import {MIN_RATE_PER_S} from '../limits/request_permits.js';
@@ -14,6 +14,7 @@
 import type {ReplicaNotices} from '../types.js';
 import {createDepartures} from './departures.js';
 import {createPauses} from './pauses.js';
+import type {RequestAnswer} from './pauses.js';
 
 /**
  * Time in milliseconds after which the successor of a replica that is shutting
@@ -46,6 +47,8 @@
   readonly urgency: number;
   /** Whether it may not be repeated once a replica may have run it. */
   readonly isOnce: boolean;
+  /** Whether it may be sent to another replica if this one turns it away. */
+  readonly hasRetry: boolean;
 }
 
 /** What a dispatch's log line tells of the chosen replica. */
@@ -57,8 +60,14 @@
 }
 
 export interface ReplicaGate {
-  /** Takes in what an answer of the replica states. */
-  answered(replicaId: string, notices: ReplicaNotices): void;
+  /** Takes in what any answer of the replica states. */
+  stated(replicaId: string, notices: ReplicaNotices): void;
+  /** Takes in that a request was answered, and what the answer states. */
+  answered(
+    replicaId: string,
+    answer: Omit<RequestAnswer, 'asksForPause'>,
+    notices: ReplicaNotices,
+  ): void;
   /** Whether no known statement closes any replica. */
   isOpenToAll(): boolean;
   ask(replicaId: string, req: GateRequest): GateAnswer;
@@ -67,6 +76,10 @@
    * the replica may have stated something since it was chosen.
    */
   maySend(replicaId: string, req: GateRequest): boolean;
+  /** Records that a request is sent to the replica. */
+  sent(replicaId: string): void;
+  /** Calls `onPaused` when the replica asks for a pause, until cancelled. */
+  watchPause(replicaId: string, onPaused: () => void): Cancel;
   /** Whether the replica stated that it is shutting down. */
   isLeaving(replicaId: string): boolean;
   dispatchNotices(replicaId: string): DispatchNotices;
@@ -74,13 +87,14 @@
   forget(replicaId: string): void;
   /** Number of replicas that stated that they shut down. */
   leavingCount(): number;
-  /** Number of replicas in a pause. */
+  /** Number of replicas in a pause, or not recovered from one. */
   pausedCount(): number;
 }
 
 export interface ReplicaGateOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly random: Pick<Random, 'next'>;
   readonly limits: Pick<ReplicaLimits, 'limitOf' | 'count'>;
   readonly permits: Pick<RequestPermits, 'waitMs'>;
   /** How long a replica that is shutting down still serves, in milliseconds. */
@@ -90,20 +104,36 @@
 const OPEN: GateAnswer = {kind: 'open'};
 
 export function createReplicaGate(options: ReplicaGateOptions): ReplicaGate {
-  const {clock, log, limits, permits} = options;
+  const {limits, permits} = options;
   const departures = createDepartures(options);
-  const pauses = createPauses(clock, log);
+  const watchers = new Map<string, Set<() => void>>();
+  const pauses = createPauses({
+    ...options,
+    onPaused: replicaId => {
+      for (const onPaused of [...(watchers.get(replicaId) ?? [])]) onPaused();
+    },
+  });
 
+  const stated: ReplicaGate['stated'] = (replicaId, {leaving, pause}) => {
+    departures.stated(replicaId, leaving);
+    pauses.stated(replicaId, pause);
+  };
   /** By what the replica stated about itself alone. */
   const askNotices = (
     replicaId: string,
-    {arrivedAt}: GateRequest,
+    {arrivedAt, hasRetry}: GateRequest,
   ): GateAnswer => {
-    if (!departures.isLeaving(replicaId)) return OPEN;
-    const cause = 'leaving';
-    return departures.stillServes(replicaId, arrivedAt)
-      ? {kind: 'last-resort', cause}
-      : {kind: 'closed', cause, waitMs: SUCCESSOR_MS};
+    const isLeaving = departures.isLeaving(replicaId);
+    if (isLeaving && !departures.stillServes(replicaId, arrivedAt)) {
+      return {kind: 'closed', cause: 'leaving', waitMs: SUCCESSOR_MS};
+    }
+    const pause = pauses.ask(replicaId);
+    if (pause.kind === 'closed') return {...pause, cause: 'paused'};
+    if (isLeaving) return {kind: 'last-resort', cause: 'leaving'};
+    // Not risked where another replica takes it: turned away, it is lost.
+    return pause.kind === 'untested' && !hasRetry
+      ? {kind: 'last-resort', cause: 'paused'}
+      : OPEN;
   };
   /** Time until a permit may be available, in milliseconds; 0 for now. */
   const permitWaitMs = (
@@ -119,11 +149,15 @@
   };
 
   return {
-    answered: (replicaId, {leaving, pause}) => {
-      departures.answered(replicaId, leaving);
-      pauses.answered(replicaId, pause);
+    stated,
+    answered: (replicaId, answer, notices) => {
+      const {pause} = notices;
+      const asksForPause = pause.kind === 'pause' && pause.durationMs > 0;
+      pauses.answered(replicaId, {...answer, asksForPause});
+      stated(replicaId, notices);
     },
-    isOpenToAll: () => departures.count() === 0 && limits.count() === 0,
+    isOpenToAll: () =>
+      departures.count() + pauses.count() + limits.count() === 0,
     ask: (replicaId, req) => {
       const byNotices = askNotices(replicaId, req);
       if (byNotices.kind === 'closed') return byNotices;
@@ -133,6 +167,15 @@
         : byNotices;
     },
     maySend: (replicaId, req) => askNotices(replicaId, req).kind !== 'closed',
+    sent: pauses.sent,
+    watchPause: (replicaId, onPaused) => {
+      const known = watchers.get(replicaId) ?? new Set();
+      watchers.set(replicaId, known.add(onPaused));
+      return () => {
+        known.delete(onPaused);
+        if (known.size === 0) watchers.delete(replicaId);
+      };
+    },
     isLeaving: departures.isLeaving,
     dispatchNotices: replicaId => {
       const leavingForMs = departures.leavingForMs(replicaId);
--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -16,13 +16,22 @@
   paused: 'the replicas asked for a pause',
   limited: 'the replicas named their limits',
 };
+/** Why an attempt was ended before the replica had the request. */
+export const TAKEN_BACK_REASON = 'the replica asked for a pause';
 /** Why an attempt was not made at a replica that was chosen for it. */
 export const CLOSED_REASON = 'the replica closed since it was chosen';
 /**
- * Longest wait for a permit, in milliseconds. A caller that has to wait longer
- * is told at once when to come back.
+ * Longest wait for a replica to open, in milliseconds. A caller that has to wait
+ * longer is told at once when to come back.
  */
-const MAX_PERMIT_WAIT_MS = 100;
+const MAX_WAIT_MS = 100;
+/**
+ * A request waits longer for the end of a pause if that comes within this share
+ * of its latency objective: it is then still answered on time.
+ */
+const PAUSE_WAIT_AIM_SHARE = 0.5;
+/** Earliest time to come back after a pause, in milliseconds. */
+const MIN_PAUSE_RETRY_MS = 250;
 /** Urgency of a request that a replica has begun to answer. */
 const BEGUN_URGENCY = -1;
 /** Rejected callers come back later by up to this share, at random. */
@@ -59,7 +68,12 @@
 }: Exchange): GateRequest {
   const urgency =
     attempts > 0 ? BEGUN_URGENCY : (owner?.priority ?? route.priority);
-  return {arrivedAt, urgency, isOnce: route.kind === 'once'};
+  return {
+    arrivedAt,
+    urgency,
+    isOnce: route.kind === 'once',
+    hasRetry: attempts + 1 < route.maxAttempts,
+  };
 }
 
 /**
@@ -135,16 +149,26 @@
  */
 export async function waitForOpening(
   {clock}: ServeContext,
-  {mayHaveRun, route}: Exchange,
-  {waitMs}: Closed,
+  exchange: Exchange,
+  closed: Closed,
 ): Promise<boolean> {
-  const isBegun = mayHaveRun && route.streaming;
-  if (waitMs > MAX_PERMIT_WAIT_MS && !isBegun) return false;
-  const pauseMs = Math.min(waitMs, MAX_PERMIT_WAIT_MS);
+  const isBegun = exchange.mayHaveRun && exchange.route.streaming;
+  if (!isBegun && !opensSoon(exchange, closed)) return false;
+  const pauseMs = Math.min(closed.waitMs, MAX_WAIT_MS);
   await new Promise<void>(resolve => void clock.after(pauseMs, resolve));
   return true;
 }
 
+/** Whether a replica opens so soon that the request had better wait for it. */
+function opensSoon(
+  {elapsedMs, route}: Exchange,
+  {cause, waitMs}: Closed,
+): boolean {
+  if (cause !== 'paused') return waitMs <= MAX_WAIT_MS;
+  const maxMs = Math.max(MAX_WAIT_MS, PAUSE_WAIT_AIM_SHARE * route.aimMs);
+  return elapsedMs() + waitMs <= maxMs;
+}
+
 /** Why a request is rejected, and when its caller is to come back. */
 export interface Rejection {
   readonly reason: string;
@@ -159,9 +183,11 @@
   {random}: ServeContext,
   {cause, waitMs}: Closed,
 ): Rejection {
+  const minMs = cause === 'paused' ? MIN_PAUSE_RETRY_MS : 0;
+  const spread = 1 + RETRY_SPREAD * random.next();
   return {
     reason: REJECTION_REASONS[cause],
-    retryAfterMs: waitMs * (1 + RETRY_SPREAD * random.next()),
+    retryAfterMs: Math.max(minMs, waitMs) * spread,
   };
 }
 
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -207,7 +207,8 @@
   const isFromReplica = facts.requestId === exchange.id;
   // An encoded body is not the replica's, but its headers are.
   if (isFromReplica && facts.notices !== undefined) {
-    gate.answered(replicaId, facts.notices);
+    const answer = {sentAt, isTurnedAway: facts.notRun};
+    gate.answered(replicaId, answer, facts.notices);
   }
   const isOwn = isFromReplica && !facts.encoded;
   if (isOwn && facts.requestLimit !== undefined) {
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -186,13 +186,14 @@
   const gate = createReplicaGate({
     clock,
     log,
+    random,
     limits,
     permits,
     leavingMs: options.leavingMs,
   });
   options.watchNotices((address, notices) => {
     const replica = replicas.findAt(address);
-    if (replica !== undefined) gate.answered(replica.id, notices);
+    if (replica !== undefined) gate.stated(replica.id, notices);
   });
   const losses = createReplicaLosses();
   const replicas = createReplicaTable({
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -7,7 +7,11 @@
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from './exchange.js';
-import {CLOSED_REASON, gateRequestOf} from './permitted_choice.js';
+import {
+  CLOSED_REASON,
+  TAKEN_BACK_REASON,
+  gateRequestOf,
+} from './permitted_choice.js';
 import type {RequestPlacement, PlacementLoss} from './request_placement.js';
 import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
@@ -46,8 +50,8 @@
   progress: StreamProgress,
 ): Promise<StreamOutcome> {
   const {isTrial} = exchange;
-  const toReplica = placement.replica.id;
-  if (!ctx.gate.maySend(toReplica, gateRequestOf(exchange))) {
+  const {replica} = placement;
+  if (!ctx.gate.maySend(replica.id, gateRequestOf(exchange))) {
     return Promise.resolve({kind: 'not-sent', reason: CLOSED_REASON});
   }
   if (!ctx.crashes.maySend(exchange)) {
@@ -55,7 +59,6 @@
   }
   const {health, clock, metrics} = ctx;
   const {res, signal} = exchange;
-  const {replica} = placement;
   const startedAt = clock.now();
   const splitter = createEventSplitter();
   exchange.attempts++;
@@ -69,9 +72,15 @@
     const finish = (outcome: StreamOutcome) => {
       silence.stop();
       stopWatching();
+      stopWatchingPause();
       signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
+    const finishNotSent = (reason: string) => {
+      exchange.attempts--;
+      exchange.isTrial = isTrial;
+      finish({kind: 'not-sent', reason});
+    };
     const fail = (reason: string) => {
       health.failed(replica.id);
       ctx.crashes.runBroken(exchange, replica);
@@ -147,14 +156,13 @@
     };
     const onBroken = (sent: boolean, reason: string) => {
       health.failed(replica.id);
-      if (sent) {
-        exchange.mayHaveRun = true;
-        ctx.crashes.runBroken(exchange, replica);
-      } else {
-        exchange.attempts--;
-        exchange.isTrial = isTrial;
+      if (!sent) {
+        finishNotSent(reason);
+        return;
       }
-      finish({kind: sent ? 'broken' : 'not-sent', reason});
+      exchange.mayHaveRun = true;
+      ctx.crashes.runBroken(exchange, replica);
+      finish({kind: 'broken', reason});
     };
 
     const silence = watchSilence(ctx, exchange, replica.id, () =>
@@ -167,6 +175,10 @@
       clock,
       {onHead, onData, onEnd, onBroken},
     );
+    ctx.gate.sent(replica.id);
+    const stopWatchingPause = ctx.gate.watchPause(replica.id, () => {
+      if (dispatch.takeBack()) finishNotSent(TAKEN_BACK_REASON);
+    });
     const stopWatching = placement.watchLoss(onLost);
     signal.addEventListener('abort', onAbort);
     silence.awaitFirst(placement.firstEventMs);
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -173,6 +173,7 @@
   limitHomeSilent: event(274, 'warn', 'direct-limit-home-silent'),
   replicaLeaving: event(275, 'info', 'direct-replica-leaving'),
   replicaPaused: event(276, 'warn', 'direct-replica-paused'),
+  replicaResumed: event(278, 'info', 'direct-replica-resumed'),
   noticeUnreadable: event(277, 'warn', 'direct-notice-unreadable'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
--- a/test/direct/paused_replicas.test.ts
+++ b/test/direct/paused_replicas.test.ts
@@ -4,10 +4,12 @@
 import {
   answerWell,
   askForPause,
+  refuse,
   streamTo,
 } from '../../standins/users_platform/replica.js';
 import type {ReplicaStandIn} from '../../standins/users_platform/replica.js';
-import {callEntry, startDirectFleet} from '../support/direct_fleet.js';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 const PAUSE_MS = 3_000;
@@ -74,3 +76,94 @@
     expect(arrivalsInPause(paused).length).toBeLessThanOrEqual(MOST_IN_PAUSE);
   });
 });
+
+describe('an entry whose only replica of a service asks for a pause', () => {
+  let fleet: DirectFleet;
+  beforeEach(async () => {
+    fleet = await startDirectFleet({desk: 1, pool: 1});
+  });
+  afterEach(() => fleet.close());
+  const pauseFor = (text: string) => {
+    const [replica] = fleet.desk;
+    replica.behave(askForPause(text));
+    return callEntry(fleet, '/again/').then(() => replica);
+  };
+  const burst = async (path: string, count: number) => {
+    const calls = Array.from({length: count}, () => callEntry(fleet, path));
+    return Promise.all(calls);
+  };
+
+  // Guards against callers that are held until their time is up, or that come
+  // back at one moment.
+  test('rejects at once, with times to come back that hold', async () => {
+    const replica = await pauseFor('1');
+    const sentAt = performance.now();
+    const rejected = await burst('/again/', 8);
+    expect(performance.now() - sentAt).toBeLessThan(500);
+    expect(replica.arrivals).toHaveLength(1);
+    const times = rejected.map(({headers}) => Number(headers['retry-after']));
+    expect(rejected.map(({status}) => status)).toEqual(Array(8).fill(503));
+    expect(new Set(times).size).toBeGreaterThan(1);
+    replica.behave(answerWell);
+    await sleep(Math.max(...times) * 1_000);
+    expect((await callEntry(fleet, '/again/')).status).toBe(200);
+  });
+
+  test('waits for an end that comes in time', async () => {
+    const replica = await pauseFor('0.05');
+    replica.behave(answerWell);
+    const answers = await burst('/once/', 1);
+    expect(answers.map(({status}) => status)).toEqual([200]);
+  });
+
+  // Guards against a crowd that is turned away at the end of each pause.
+  test('sends one request first when the pause ends', async () => {
+    const replica = await pauseFor('0.3');
+    await sleep(500);
+    replica.behave(refuse);
+    await burst('/again/', 10);
+    expect(replica.arrivals.length).toBeLessThanOrEqual(2);
+  });
+
+  test('serves all again after some answers', async () => {
+    const replica = await pauseFor('0.3');
+    replica.behave(answerWell);
+    const resumed = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.replicaResumed).length > 0;
+    await sleep(400);
+    await until(async () => {
+      await callEntry(fleet, '/again/');
+      return resumed();
+    });
+    const answers = await burst('/again/', 10);
+    expect(new Set(answers.map(({status}) => status))).toEqual(new Set([200]));
+  });
+
+  // Guards against a replica in need that counts as ill.
+  test('does not suspect it', async () => {
+    await pauseFor('0.2');
+    const line = () => fleet.runtime.eventsOf(DIRECT_EVENTS.replicaPaused);
+    expect(line()[0].fields).toMatchObject({replica: 'desk-0', forMs: 200});
+    fleet.desk[0].behave(answerWell);
+    await sleep(300);
+    expect((await callEntry(fleet, '/once/')).status).toBe(200);
+  });
+});
+
+describe('another entry than the one that was asked for a pause', () => {
+  test('goes on with its requests', async () => {
+    const first = await startDirectFleet({desk: 1});
+    const second = await startDirectFleet({
+      node: 'entry-2',
+      sharedFleet: first,
+    });
+    const [replica] = first.desk;
+    replica.behave(askForPause(PAUSE_TEXT));
+    expect((await callEntry(first, '/again/')).status).toBe(503);
+    replica.behave(answerWell);
+    expect((await callEntry(second, '/again/')).status).toBe(200);
+    expect((await callEntry(first, '/again/')).status).toBe(503);
+    await second.close();
+    await first.close();
+  });
+});
--- a/test/direct/replica_gate.test.ts
+++ b/test/direct/replica_gate.test.ts
@@ -50,6 +50,7 @@
     gate = createReplicaGate({
       clock,
       log: createRecordingRuntime().runtime.log,
+      random: {next: () => 0},
       limits: {limitOf: () => undefined, count: () => 0},
       permits: {waitMs: () => permitWaitMs},
       leavingMs: LEAVING_MS,
@@ -59,18 +60,19 @@
     arrivedAt: clock.now(),
     urgency: 1,
     isOnce: false,
+    hasRetry: true,
   });
 
   test('is open until it says so', () => {
     expect(gate.isOpenToAll()).toBe(true);
     expect(gate.ask('a', requestNow())).toEqual({kind: 'open'});
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     expect(gate.isOpenToAll()).toBe(false);
     expect(gate.ask('b', requestNow())).toEqual({kind: 'open'});
   });
 
   test('is a last resort for requests that arrive in time', () => {
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     const early = requestNow();
     clock.advance(LEAVING_MS);
     const late = requestNow();
@@ -83,9 +85,9 @@
 
   // Guards against a time that starts again with each answer.
   test('counts the time from its first statement', () => {
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     clock.advance(LEAVING_MS);
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     expect(gate.ask('a', requestNow()).kind).toBe('closed');
   });
 
@@ -93,12 +95,12 @@
   test('gets no request that was chosen before', () => {
     const req = {...requestNow(), arrivedAt: clock.now() + LEAVING_MS};
     expect(gate.maySend('a', req)).toBe(true);
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     expect(gate.maySend('a', req)).toBe(false);
   });
 
   test('needs a permit as a last resort as well', () => {
-    gate.answered('a', LEAVING);
+    gate.stated('a', LEAVING);
     permitWaitMs = 300;
     const answer = gate.ask('a', requestNow());
     expect(answer).toEqual({kind: 'closed', cause: 'limited', waitMs: 300});
