fix(direct): read what lies on a caller's connection before sending its request

Requests that lay unread while an entry stood still were sent to replicas although their callers had left. The cause: the request and the end of its connection are read in two turns of the event loop, and the request was sent between them; that the response closes was noticed even later.

A request is now written one whole turn of the loop after its connection to the replica is established, and the end of the caller's connection counts as soon as it is read. All sends pass there: first ones, retries, resumed streams, leads of groups, and what waited for a place. A request that is not written yet can also be taken back from a replica that asks for a pause.

--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -7,6 +7,7 @@
 import {request} from 'node:http';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Clock} from '../types/runtime.js';
+import {yieldToLoop} from '../utils/event_loop.js';
 import {splitAddress} from './settings.js';
 
 /**
@@ -16,6 +17,12 @@
  */
 const CONNECT_TIMEOUT_MS = 300;
 
+/**
+ * Yields after which all that lay in the sockets has been read: the first one
+ * ends the current turn of the event loop, the second one the next turn.
+ */
+const PHASES_PER_TURN = 2;
+
 /** Status line and headers of a replica's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -80,6 +87,8 @@
 ): Dispatch {
   const endpoint = splitAddress(spec.address);
   let isFinished = false;
+  /** A part of the request may be on its way to the replica. */
+  let isSent = false;
   let isConnected = false;
   let answer: IncomingMessage | undefined;
 
@@ -90,7 +99,7 @@
     notify();
   };
   const fail = (reason: string) =>
-    finish(() => observer.onBroken(isConnected, reason));
+    finish(() => observer.onBroken(isSent, reason));
 
   const req = request({
     host: endpoint?.ip,
@@ -100,6 +109,14 @@
     headers: spec.headers as string[],
     agent: false,
   });
+  // After a stall of this process, that the caller has left may still lie unread
+  // in its connection. One turn of the event loop reads it.
+  const sendAfterTurn = async (): Promise<void> => {
+    for (let at = 0; at < PHASES_PER_TURN; at++) await yieldToLoop();
+    if (isFinished) return;
+    isSent = true;
+    req.end(spec.body);
+  };
   const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
     if (isConnected) return;
     fail('dial timed out');
@@ -109,6 +126,7 @@
     socket.setNoDelay(true);
     socket.once('connect', () => {
       isConnected = true;
+      void sendAfterTurn();
     });
   });
   req.on('response', res => {
@@ -131,7 +149,6 @@
   });
   req.on('error', err => fail(err.message));
   req.on('close', () => fail('closed without an answer'));
-  req.end(spec.body);
 
   const cancel = () => {
     finish(() => undefined);
@@ -140,7 +157,7 @@
   return {
     cancel,
     takeBack: () => {
-      if (isConnected || isFinished) return false;
+      if (isSent || isFinished) return false;
       cancel();
       return true;
     },
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -75,6 +75,7 @@
   const abort = new AbortController();
   const end = (reason: EndReason) => {
     cancelTimer();
+    req.socket?.off('end', onClosed);
     if (!abort.signal.aborted) abort.abort(reason);
   };
   let digest: string | undefined;
@@ -105,11 +106,14 @@
     end('time is up');
     options.onTimeUp(exchange);
   });
-  res.once('close', () => {
+  const onClosed = () => {
     if (abort.signal.aborted) return;
     const isComplete = res.writableFinished;
     end(isComplete ? 'answered' : 'caller left');
     if (!isComplete) options.onCallerLeft(exchange);
-  });
+  };
+  res.once('close', onClosed);
+  // The response closes some turns of the event loop after the caller's end.
+  req.socket?.once('end', onClosed);
   return exchange;
 }
