--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -20,6 +20,7 @@
 } from './evidence.js';
 import {reportGauges} from './gauges.js';
 import {sendLocalAnswer} from './local_answers.js';
+import {watchLoopStalls} from './loop_stalls.js';
 import type {DirectMessage} from './messages.js';
 import {createServing} from './serving.js';
 import type {DirectSettings} from './settings.js';
@@ -344,6 +345,7 @@
   };
 
   ctx.own(() => server?.close());
+  ctx.own(watchLoopStalls(clock, log, metrics));
   ctx.own(reportGauges(clock, metrics, readGauges));
   const shareSuspects = () => {
     const reports = serving.crashes.nextReports(REPORTS_PER_DATAGRAM);
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -175,6 +175,7 @@
   replicaPaused: event(276, 'warn', 'direct-replica-paused'),
   replicaResumed: event(278, 'info', 'direct-replica-resumed'),
   noticeUnreadable: event(277, 'warn', 'direct-notice-unreadable'),
+  loopStalled: event(279, 'warn', 'direct-loop-stalled'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
