test(soak): faults server-leaving and retry-after, and their judge

Replicas say in all their answers that they leave and end after a while, with the store silent, slow, restored or naming them ready; one, some or nearly all turn requests away and ask for 0.1 to 2.5 s.

That entries were disturbed is now watched in one place for both judges.

--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -37,7 +37,9 @@
   | {readonly kind: 'rotate-key'; forMs: number}
   | RestoreStore
   | PoisonRequest
-  | ServerLimit;
+  | ServerLimit
+  | ServerLeaving
+  | RetryAfter;
 
 /** The store goes away and comes back from a copy that is `forMs` old. */
 export interface RestoreStore {
@@ -74,6 +76,21 @@
   }>;
 }
 
+/** A replica says in all its answers that it leaves, and ends after `forMs`. */
+export interface ServerLeaving {
+  readonly kind: 'server-leaving';
+  forMs: number;
+  readonly replica: number;
+}
+
+/** Replicas turn all requests away and ask for pauses, until `forMs`. */
+export interface RetryAfter {
+  readonly kind: 'retry-after';
+  forMs: number;
+  readonly replicas: readonly number[];
+  readonly pauseS: number;
+}
+
 /** What `--only` may name. */
 export const FAULT_KINDS: ReadonlyArray<Fault['kind']> = [
   'pause-entry',
@@ -91,6 +108,8 @@
   'restore-store',
   'poison-request',
   'server-limit',
+  'server-leaving',
+  'retry-after',
 ];
 
 /** Faults that come beside another one when it is played alone. */
@@ -98,6 +117,15 @@
   readonly [F in Fault['kind']]?: ReadonlyArray<Fault['kind']>;
 } = {
   'server-limit': ['pause-entry', 'kill-entry', 'end-entry', 'store-link'],
+  'server-leaving': [
+    'pause-entry',
+    'kill-entry',
+    'store-mode',
+    'store-link',
+    'restore-store',
+    'replica-leaves',
+  ],
+  'retry-after': ['pause-entry', 'kill-entry', 'end-entry', 'store-link'],
 };
 
 /** A fault and when it begins, in milliseconds from the start of the run. */
@@ -263,3 +291,58 @@
   }
   return plan;
 }
+
+/** Mean pause between two replicas that say that they leave. */
+const MEAN_DEPARTURE_GAP_MS = 4_000;
+/** Longer than what a leaving replica still takes, so that it binds. */
+const LONGEST_DEPARTURE_MS = 9_000;
+
+/** Draws replicas that leave, from a chance of their own as well. */
+export function drawDepartures(
+  random: Random,
+  {replicas, durationMs}: FaultPlanShape,
+): readonly PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_DEPARTURE_GAP_MS;
+  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
+    const fault: ServerLeaving = {
+      kind: 'server-leaving',
+      forMs: random.next() * LONGEST_DEPARTURE_MS,
+      replica: Math.floor(random.next() * replicas),
+    };
+    plan.push({atMs, fault});
+  }
+  return plan;
+}
+
+/** Mean pause between two times in which replicas turn requests away. */
+const MEAN_PAUSE_GAP_MS = 4_000;
+const LONGEST_TURNING_AWAY_MS = 6_000;
+const SHORTEST_PAUSE_S = 0.1;
+const LONGEST_PAUSE_S = 2.5;
+
+/** Draws replicas that ask for pauses, from a chance of their own as well. */
+export function drawPauses(
+  random: Random,
+  {replicas, durationMs}: FaultPlanShape,
+): readonly PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const gap = () => -Math.log(1 - random.next()) * MEAN_PAUSE_GAP_MS;
+  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
+    // One replica, some of them, or nearly all.
+    const share = random.next() ** 2;
+    const all = Array.from({length: replicas}, (_, at) => at);
+    const some = all.filter(() => random.next() < share);
+    const pauseS =
+      SHORTEST_PAUSE_S + random.next() * (LONGEST_PAUSE_S - SHORTEST_PAUSE_S);
+    const fault: RetryAfter = {
+      kind: 'retry-after',
+      forMs: random.next() * LONGEST_TURNING_AWAY_MS,
+      replicas:
+        some.length > 0 ? some : [all[Math.floor(random.next() * replicas)]],
+      pauseS: Math.round(pauseS * 100) / 100,
+    };
+    plan.push({atMs, fault});
+  }
+  return plan;
+}
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -11,6 +11,7 @@
 import {announce, configOf} from '../standins/users_platform/deployment.js';
 import {
   answerWell,
+  askForPause,
   breakOff,
   refuse,
   startReplica,
@@ -85,6 +86,37 @@
   named(): readonly NamedLimit[];
   /** Requests and orders that reached it; those of reports name no sender. */
   reached(): readonly Reached[];
+  /**
+   * Says in all answers from now on that it leaves. The returned function ends
+   * it, and it starts again after a while.
+   */
+  leave(): () => void;
+  /** Times in which it said so. */
+  departures(): readonly Span[];
+  /** Turns requests away and asks for a pause, until the function is called. */
+  turnAway(pauseS: number): () => void;
+  /** All that it asked for. */
+  pauses(): readonly AskedPause[];
+  /** When the start ended that ran at this time; Infinity for the last one. */
+  endOfStartAt(at: number): number;
+  /** Notes that its link is harmed, until the function is called. */
+  beginLinkHarm(): () => void;
+  isLinkHarmed(from: number, to: number): boolean;
+}
+
+/** Steady times, in milliseconds. */
+export interface Span {
+  readonly from: number;
+  /** Infinity while it lasts. */
+  to: number;
+}
+
+/** A pause that the replica asked for when it turned a request away. */
+export interface AskedPause {
+  /** Of the request. */
+  readonly id: string;
+  readonly at: number;
+  readonly durationMs: number;
 }
 
 export interface SoakFleet {
@@ -125,10 +157,31 @@
   const crashes: Crash[] = [];
   let born = 1;
   let isDown = false;
+  const startEnds: number[] = [];
+  const departures: Span[] = [];
+  const pauses: AskedPause[] = [];
+  const linkHarm: Span[] = [];
+  /** Pauses that it asks for now; the newest one counts. */
+  const turning: number[] = [];
+  const beginSpan = (spans: Span[]): (() => void) => {
+    const span: Span = {from: performance.now(), to: Infinity};
+    spans.push(span);
+    return () => {
+      span.to = Math.min(span.to, performance.now());
+    };
+  };
+  let endDeparture = () => {};
   const crash = (body: string) => {
     if (isDown) return;
-    isDown = true;
     crashes.push({body, at: performance.now()});
+    end();
+  };
+  const end = () => {
+    if (isDown) return;
+    isDown = true;
+    startEnds.push(performance.now());
+    endDeparture();
+    standIn.stateInAll({});
     // The limit is gone until its next start names one.
     setLimit(undefined);
     link.stop();
@@ -163,6 +216,14 @@
   standIn.behave((arrival, res, req) => {
     if (arrival.path !== REPORT_PATH) noteReached(arrival.id);
     nameLimit(res);
+    const pauseS = turning.at(-1);
+    if (pauseS !== undefined && arrival.path !== REPORT_PATH) {
+      const {id} = arrival;
+      const at = performance.now();
+      pauses.push({id, at, durationMs: pauseS * 1_000});
+      askForPause(String(pauseS))(arrival, res, req);
+      return;
+    }
     const [poison, , crashMs] = arrival.body.split('-');
     if (poison === 'poison') {
       note(arrival);
@@ -186,6 +247,24 @@
     limit: setLimit,
     named: () => named,
     reached: () => reached,
+    leave: () => {
+      const bornThen = born;
+      endDeparture();
+      endDeparture = beginSpan(departures);
+      standIn.stateInAll({'Server-Leaving': '1'});
+      // It may have crashed and started again since.
+      return () => born === bornThen && end();
+    },
+    departures: () => departures,
+    turnAway: pauseS => {
+      turning.push(pauseS);
+      return () => void turning.splice(turning.indexOf(pauseS), 1);
+    },
+    pauses: () => pauses,
+    endOfStartAt: at => startEnds.find(time => time > at) ?? Infinity,
+    beginLinkHarm: () => beginSpan(linkHarm),
+    isLinkHarmed: (from, to) =>
+      linkHarm.some(span => span.from < to && span.to > from),
   };
   return replica;
 }
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -207,9 +207,13 @@
         );
       }
       case 'replica-link': {
-        const {link} = replicas[fault.replica];
-        link.apply(fault.faults);
-        return later(fault.forMs, () => link.apply(LINK_WELL));
+        const replica = replicas[fault.replica];
+        replica.link.apply(fault.faults);
+        const end = replica.beginLinkHarm();
+        return later(
+          fault.forMs,
+          andEnd(() => replica.link.apply(LINK_WELL), end),
+        );
       }
       case 'replica':
         replicas[fault.replica].become(fault.how);
@@ -227,6 +231,13 @@
         return beginPoison(fault);
       case 'server-limit':
         return nameLimits(fault);
+      case 'server-leaving':
+        return later(fault.forMs, replicas[fault.replica].leave());
+      case 'retry-after': {
+        const turning = fault.replicas.map(at => replicas[at]);
+        const ends = turning.map(it => it.turnAway(fault.pauseS));
+        return later(fault.forMs, () => ends.forEach(end => end()));
+      }
     }
   };
 
--- a/fault_soak/soak_limits.ts
+++ b/fault_soak/soak_limits.ts
@@ -4,6 +4,7 @@
  * answer with its limit. Reports of a replica's state name no sender and are not
  * counted.
  */
+import type {Disturbance} from './soak_disturbance.js';
 import type {
   NamedLimit,
   Reached,
@@ -23,7 +24,6 @@
 const TOLD_AFTER_MS = 500;
 /** A start, end or pause of an entry excuses it for this long. */
 const EXCUSED_MS = 3_000;
-const LOOK_MS = 20;
 /** Requests are named after the entry that they were sent to, orders as well. */
 const ENTRY_PATTERN = /-at-(\d+)$|^entry-(\d+)-/;
 
@@ -31,7 +31,6 @@
   judge(outcomes: readonly Outcome[]): readonly Violation[];
   /** Windows that were judged. */
   windows(): number;
-  stop(): void;
 }
 
 /** A time in which a replica named limits without a break. */
@@ -41,21 +40,14 @@
   readonly named: readonly NamedLimit[];
 }
 
-export function watchLimits(fleet: SoakFleet): LimitWatch {
-  /** Times at which an entry was not undisturbed, by entry. */
-  const disturbed = fleet.entries.map((): number[] => []);
-  const timer = setInterval(() => {
-    const now = performance.now();
-    fleet.entries.forEach((entry, at) => {
-      if (!entry.isUndisturbedSince(now - LOOK_MS)) disturbed[at].push(now);
-    });
-  }, LOOK_MS);
+export function watchLimits(
+  fleet: SoakFleet,
+  disturbance: Disturbance,
+): LimitWatch {
   let windows = 0;
 
   const isExcused = (entry: number, at: number) =>
-    disturbed[entry].some(
-      time => time > at - EXCUSED_MS && time <= at + LOOK_MS,
-    );
+    disturbance.isDisturbed(entry, at - EXCUSED_MS, at);
   const judgeSpan = (
     replica: SoakReplica,
     span: LimitedSpan,
@@ -94,7 +86,6 @@
         );
       }),
     windows: () => windows,
-    stop: () => clearInterval(timer),
   };
 }
 
--- a/fault_soak/soak_requests.ts
+++ b/fault_soak/soak_requests.ts
@@ -51,6 +51,8 @@
   readonly error: string | undefined;
   /** When an answer began that names its replica's limit. */
   readonly limitNamedAt: number | undefined;
+  /** When an answer began that says that its replica leaves. */
+  readonly leavingSaidAt: number | undefined;
 }
 
 /** Sends one request; always resolves. */
@@ -67,6 +69,7 @@
     let body = '';
     let error: string | undefined;
     let limitNamedAt: number | undefined;
+    let leavingSaidAt: number | undefined;
     const end = () => {
       clearTimeout(hang);
       resolve({
@@ -82,6 +85,7 @@
           res?.statusCode === REFUSED_FOR_GOOD_STATUS,
         error,
         limitNamedAt,
+        leavingSaidAt,
       });
     };
     const req = request({
@@ -114,6 +118,9 @@
       if (got.headers['server-limit'] !== undefined) {
         limitNamedAt = performance.now();
       }
+      if (got.headers['server-leaving'] !== undefined) {
+        leavingSaidAt = performance.now();
+      }
       got.on('data', (piece: Buffer) => {
         body += piece.toString('utf8');
       });
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -10,11 +10,14 @@
 import type {Fault, PlannedFault} from './faults.js';
 import {
   COMPANIONS,
+  drawDepartures,
   drawFaults,
   drawLimits,
+  drawPauses,
   drawPoison,
   drawReturns,
 } from './faults.js';
+import {watchDisturbance} from './soak_disturbance.js';
 import type {SoakFleet} from './soak_fleet.js';
 import {RETRIES, TIMING, startSoakFleet} from './soak_fleet.js';
 import type {Injector} from './soak_inject.js';
@@ -22,6 +25,7 @@
 import type {JudgeView, Violation} from './soak_judge.js';
 import {judgeAnswer, judgeRefusals, judgeRuns} from './soak_judge.js';
 import {watchLimits} from './soak_limits.js';
+import {judgeNotices} from './soak_notices.js';
 import {createPoisons} from './soak_poison.js';
 import type {Outcome, RequestKind, SoakRequest} from './soak_requests.js';
 import {keptConnections, sendRequest} from './soak_requests.js';
@@ -48,6 +52,8 @@
   readonly ended: readonly number[];
   /** Windows that were judged by the limit of a replica. */
   readonly limitedWindows: number;
+  /** Answers that said that their replica leaves, and pauses, judged. */
+  readonly noticesJudged: number;
   readonly violations: readonly Violation[];
   /** 99th percentile of this process's own delay, in milliseconds. */
   readonly ownDelayMs: number;
@@ -73,6 +79,10 @@
 const POISON_SEED = 2_000_003;
 /** The same of replicas that name limits. */
 const LIMIT_SEED = 3_000_017;
+/** The same of replicas that say that they leave. */
+const DEPARTURE_SEED = 4_000_037;
+/** The same of replicas that ask for pauses. */
+const PAUSE_SEED = 5_000_011;
 
 const START_LIMIT_MS = 60_000;
 /** From the end of the last fault until all is served again. */
@@ -98,7 +108,8 @@
       fleet.entries[entry].isUndisturbedSince(performance.now() - forMs),
   });
   const injector = createInjector(fleet, blame, poisons.begin);
-  const limitWatch = watchLimits(fleet);
+  const disturbance = watchDisturbance(fleet);
+  const limitWatch = watchLimits(fleet, disturbance);
   const view = viewOf(fleet, injector);
   const delay = monitorEventLoopDelay();
   try {
@@ -127,7 +138,10 @@
       judgeCalm(outcome, calmFrom, view).forEach(blame);
     }
     judgeRefusals(outcomes).forEach(blame);
-    limitWatch.judge([...outcomes, ...poisonous]).forEach(blame);
+    const all = [...outcomes, ...poisonous];
+    limitWatch.judge(all).forEach(blame);
+    const notices = judgeNotices(fleet, disturbance, all);
+    notices.violations.forEach(blame);
     judgeRetries(outcomes, view, shape.durationMs).forEach(blame);
     (await judgeMemory(fleet)).forEach(blame);
     await endAll(fleet, blame);
@@ -140,11 +154,12 @@
       notRun: outcomes.filter(({saysNotRun}) => saysNotRun).length,
       ended: poisons.ended(),
       limitedWindows: limitWatch.windows(),
+      noticesJudged: notices.judged,
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
     };
   } finally {
-    limitWatch.stop();
+    disturbance.stop();
     await fleet.close();
   }
 }
@@ -162,11 +177,15 @@
   const returns = createSeededRandom(seed + RETURNS_SEED);
   const poison = createSeededRandom(seed + POISON_SEED);
   const limits = createSeededRandom(seed + LIMIT_SEED);
+  const departures = createSeededRandom(seed + DEPARTURE_SEED);
+  const pauses = createSeededRandom(seed + PAUSE_SEED);
   return [
     ...drawFaults(random, drawn),
     ...drawReturns(warmedUp(returns), drawn),
     ...drawPoison(warmedUp(poison), drawn),
     ...drawLimits(warmedUp(limits), drawn),
+    ...drawDepartures(warmedUp(departures), drawn),
+    ...drawPauses(warmedUp(pauses), drawn),
   ]
     .filter(({fault}) => isPlayed(fault.kind, only))
     .sort((a, b) => a.atMs - b.atMs);
--- a/test/fault_soak.test.ts
+++ b/test/fault_soak.test.ts
@@ -53,4 +53,20 @@
     expect(report.violations).toEqual([]);
     expect(report.limitedWindows).toBeGreaterThan(0);
   });
+
+  // Guards against entries that do not heed what replicas say in their answers.
+  test.each(['server-leaving', 'retry-after'] as const)(
+    'finds that entries under faults heed replicas under %s',
+    async only => {
+      const report = await runSoak({
+        seed: 6001,
+        processes: 3,
+        durationMs: LIMITED_MS,
+        only,
+        dir,
+      });
+      expect(report.violations).toEqual([]);
+      expect(report.noticesJudged).toBeGreaterThan(0);
+    },
+  );
 });
