--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -6,6 +6,7 @@
 import {benchDecision} from './decision.js';
 import {benchDirect} from './direct_runs.js';
 import {benchLimits} from './limits.js';
+import {benchPauses} from './pauses.js';
 import {benchLosses} from './losses.js';
 import {benchMembership} from './membership.js';
 import {benchObjectCalls} from './object_calls.js';
@@ -27,6 +28,7 @@
   ['crashing', benchCrashing],
   ['direct', benchDirect],
   ['limits', benchLimits],
+  ['pauses', benchPauses],
   ['losses', benchLosses],
   ['membership', benchMembership],
   ['config-spread', benchConfigSpread],
