--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -248,6 +248,8 @@
     named: () => named,
     reached: () => reached,
     leave: () => {
+      // A process that has ended says nothing.
+      if (isDown) return () => undefined;
       const bornThen = born;
       endDeparture();
       endDeparture = beginSpan(departures);
