--- a/src/direct/gate/replica_gate.ts
+++ b/src/direct/gate/replica_gate.ts
@@ -3,7 +3,7 @@
  * its answers: that it is shutting down, that it wants no requests for a while,
  * or how many it takes from all entries together.
  *
- * Whatever is sent to a replica asks first, once when the replica is chosen and
+ * Whatever is sent to a replica asks first, once when the replica is selected and
  * once more when the request is sent, since it may have waited in between.
  */
 import type {Cancel, Clock, Log, Random} from '../../types/runtime.js';
@@ -73,7 +73,7 @@
   ask(replicaId: string, req: GateRequest): GateAnswer;
   /**
    * Asks again for a request that is about to be sent, with its permits taken:
-   * the replica may have stated something since it was chosen.
+   * the replica may have stated something since the choice.
    */
   maySend(replicaId: string, req: GateRequest): boolean;
   /** Records that a request is sent to the replica. */
--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -18,8 +18,8 @@
 };
 /** Why an attempt was ended before the replica had the request. */
 export const TAKEN_BACK_REASON = 'the replica asked for a pause';
-/** Why an attempt was not made at a replica that was chosen for it. */
-export const CLOSED_REASON = 'the replica closed since it was chosen';
+/** Why an attempt was not made at a replica that had been selected for it. */
+export const CLOSED_REASON = 'the replica has closed meanwhile';
 /**
  * Longest wait for a replica to open, in milliseconds. A caller that has to wait
  * longer is told at once when to come back.
