refactor(direct): what finds crashing requests is in a folder of its own

Cause: six modules of one concern lay at the flat top of src/direct. Change: they and the probe of ports they use move to src/direct/crashes; only paths of imports change.

--- a/bench/direct/crash_talk.ts
+++ b/bench/direct/crash_talk.ts
@@ -1,6 +1,6 @@
 /** What modelled entries tell each other of requests that crash replicas. */
-import {isValidReport} from '../../src/direct/crash_reports.js';
-import type {CrashReport} from '../../src/direct/crash_reports.js';
+import {isValidReport} from '../../src/direct/crashes/crash_reports.js';
+import type {CrashReport} from '../../src/direct/crashes/crash_reports.js';
 import {encodeDatagram} from '../../src/direct/datagrams.js';
 import type {Clock, Random} from '../../src/types/runtime.js';
 import type {CrashWay, MakeCrashWay} from './crash_ways.js';
--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -3,9 +3,12 @@
  * with the one that entries have. They share what they know as entries do: all
  * ends and good runs of a digest, by who saw them.
  */
-import type {CrashReport} from '../../src/direct/crash_reports.js';
-import {createSuspects} from '../../src/direct/suspects.js';
-import type {Suspects, SuspectsOptions} from '../../src/direct/suspects.js';
+import type {CrashReport} from '../../src/direct/crashes/crash_reports.js';
+import {createSuspects} from '../../src/direct/crashes/suspects.js';
+import type {
+  Suspects,
+  SuspectsOptions,
+} from '../../src/direct/crashes/suspects.js';
 
 /** The part of `Suspects` that the model needs. */
 export type CrashWay = Pick<
--- a/src/cli/quarantine_commands.ts
+++ b/src/cli/quarantine_commands.ts
@@ -3,7 +3,7 @@
  * remove its records in the platform's store.
  */
 import {Command, Option} from 'clipanion';
-import type {QuarantineRecord} from '../direct/crash_reports.js';
+import type {QuarantineRecord} from '../direct/crashes/crash_reports.js';
 import {splitAddress} from '../direct/settings.js';
 import type {StoreFault} from '../direct/types.js';
 import {
--- a/src/direct/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -3,16 +3,16 @@
  * how each run ended, and quarantines a request whose runs ended too many
  * replicas, whatever request ids it had.
  */
-import type {Clock, Log} from '../types/runtime.js';
-import {DIRECT_EVENTS} from '../utils/events.js';
+import type {Clock, Log} from '../../types/runtime.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {CrashReport} from './crash_reports.js';
 import type {ProbePort} from './port_probe.js';
-import type {Exchange} from './exchange.js';
+import type {Exchange} from '../exchange.js';
 import {createLostRuns} from './lost_runs.js';
 import {shortDigest} from './request_digest.js';
 import {createSuspects} from './suspects.js';
 import type {Suspects} from './suspects.js';
-import type {DirectReplica} from './types.js';
+import type {DirectReplica} from '../types.js';
 
 /**
  * Largest body, in bytes, whose successful runs are counted while no request is
--- a/src/direct/lost_runs.ts
+++ b/src/direct/crashes/lost_runs.ts
@@ -4,9 +4,9 @@
  * host whose process has ended refuses new connections at once, so the
  * replica's port is probed.
  */
-import type {Clock} from '../types/runtime.js';
+import type {Clock} from '../../types/runtime.js';
 import type {ProbePort} from './port_probe.js';
-import type {DirectReplica} from './types.js';
+import type {DirectReplica} from '../types.js';
 
 /**
  * A replica's end is attributed to the runs that were lost at most this long
--- a/src/direct/port_probe.ts
+++ b/src/direct/crashes/port_probe.ts
@@ -1,6 +1,6 @@
 /** Checks whether a process listens at an address. */
 import {connect} from 'node:net';
-import {splitAddress} from './settings.js';
+import {splitAddress} from '../settings.js';
 
 /**
  * Timeout of a connection attempt, in milliseconds; beyond it the address
--- a/src/direct/quarantine_records.ts
+++ b/src/direct/crashes/quarantine_records.ts
@@ -4,13 +4,13 @@
  * are for entries that the datagrams do not reach, and for the time after all
  * entries have restarted.
  */
-import type {Cancel, Clock, Log, Random} from '../types/runtime.js';
-import {DIRECT_EVENTS} from '../utils/events.js';
+import type {Cancel, Clock, Log, Random} from '../../types/runtime.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {CrashReport, QuarantineRecord} from './crash_reports.js';
-import {followCollection} from './collection_follower.js';
-import type {CollectionFollower} from './collection_follower.js';
+import {followCollection} from '../collection_follower.js';
+import type {CollectionFollower} from '../collection_follower.js';
 import {QUARANTINE_MS} from './suspects.js';
-import type {DirectStore, StoreFault} from './types.js';
+import type {DirectStore, StoreFault} from '../types.js';
 
 /**
  * The entry that saw the last crash writes the record at once. Its peers write
--- a/src/direct/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -8,7 +8,7 @@
  * request runs at many of them. The merge of the entries' reports is
  * commutative, so all entries reach the same result.
  */
-import type {Clock} from '../types/runtime.js';
+import type {Clock} from '../../types/runtime.js';
 import {MAX_ENDED_REPLICAS} from './crash_reports.js';
 import type {CrashReport} from './crash_reports.js';
 
--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -16,8 +16,8 @@
   string,
 } from 'purify-ts/Codec';
 import {Maybe, Nothing} from 'purify-ts/Maybe';
-import {crashReportCodec, isValidReport} from './crash_reports.js';
-import type {CrashReport} from './crash_reports.js';
+import {crashReportCodec, isValidReport} from './crashes/crash_reports.js';
+import type {CrashReport} from './crashes/crash_reports.js';
 import {
   isValidAnswer as isValidPermitAnswer,
   isValidAsk,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -5,7 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '../types/runtime.js';
 import type {RequestAccount} from './held/held_bytes.js';
-import {digestOf} from './request_digest.js';
+import {digestOf} from './crashes/request_digest.js';
 import type {DirectConfig, KeyOwner, RequestFacts, Route} from './types.js';
 
 /** A request that passed all checks, with the route and service for it. */
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -9,7 +9,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {admitRequest} from './admit_request.js';
 import type {Refusal} from './admit_request.js';
-import {probePort} from './port_probe.js';
+import {probePort} from './crashes/port_probe.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {openDispatch} from './dispatch.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -5,7 +5,7 @@
  * `sharing` exchanges datagrams with peers, the other entries. `handover` fetches
  * the store's content from peers and serves it to them.
  */
-import type {CrashReport} from './crash_reports.js';
+import type {CrashReport} from './crashes/crash_reports.js';
 import type {
   LimitAudience,
   LimitReport,
--- a/src/direct/peers/outgoing.ts
+++ b/src/direct/peers/outgoing.ts
@@ -5,7 +5,7 @@
  */
 import type {Socket} from 'node:dgram';
 import type {Clock, Metrics, Random} from '../../types/runtime.js';
-import type {CrashReport} from '../crash_reports.js';
+import type {CrashReport} from '../crashes/crash_reports.js';
 import {encodeDatagram} from '../datagrams.js';
 import type {Datagram} from '../datagrams.js';
 import type {LimitAudience, LimitReport} from '../limits/limit_messages.js';
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -5,7 +5,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP_HEADERS, connectionOptions} from '../utils/hop_headers.js';
 import type {ColdReplicas} from './cold/cold_replicas.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {CrashWatch} from './crashes/crash_watch.js';
 import type {CallCandidate, CallRequest} from './decide/choose_call_replica.js';
 import type {EngineCandidate} from './decide/score_engine.js';
 import type {Fullness} from './decide/place_or_wait.js';
@@ -19,13 +19,13 @@
 import type {PlacementPollPace} from './placement_poll_pace.js';
 import type {CallTimes} from './health/call_times.js';
 import {sendLocalAnswer} from './local_answers.js';
-import {shortDigest} from './request_digest.js';
+import {shortDigest} from './crashes/request_digest.js';
 import type {ReplicaHealth} from './replica_health.js';
 import type {ReplicaLimits} from './limits/replica_limits.js';
 import type {RequestPermits} from './limits/request_permits.js';
 import type {ReplicaLosses} from './replica_losses.js';
 import type {RequestShares} from './shares/request_shares.js';
-import {QUARANTINE_MS} from './suspects.js';
+import {QUARANTINE_MS} from './crashes/suspects.js';
 import type {
   DirectReplica,
   GroupMember,
--- a/src/direct/shares/request_shares.ts
+++ b/src/direct/shares/request_shares.ts
@@ -16,7 +16,7 @@
 import {shareFullness, sharePrice} from '../decide/share_price.js';
 import type {ShareCause, SharePrice} from '../decide/share_price.js';
 import type {Exchange} from '../exchange.js';
-import {shortDigest} from '../request_digest.js';
+import {shortDigest} from '../crashes/request_digest.js';
 import {DECAY_MS} from './engine_time_record.js';
 import type {RecordedRequest} from './engine_time_record.js';
 import {createOrganisationShares} from './organisation_shares.js';
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -34,7 +34,7 @@
 } from './followed/watch_times.js';
 import {createKnownReplicas} from './known_replicas.js';
 import './messages.js';
-import {createQuarantineRecords} from './quarantine_records.js';
+import {createQuarantineRecords} from './crashes/quarantine_records.js';
 import {
   createConfirmationTimer,
   createStoreConnection,
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -8,7 +8,7 @@
 import type {Either} from 'purify-ts';
 import type {ColdStart, StatedCold} from './cold/cold_types.js';
 import type {StatedLimit, ReplicaNotices} from './gate/replica_statements.js';
-import type {QuarantineRecord} from './crash_reports.js';
+import type {QuarantineRecord} from './crashes/crash_reports.js';
 import type {StoreEra, StorePosition} from './store_position.js';
 
 /**
--- a/test/direct/lost_runs.test.ts
+++ b/test/direct/lost_runs.test.ts
@@ -1,7 +1,7 @@
 /** Detecting that a replica ended during a run that broke or was cancelled. */
 import {describe, expect, test} from 'vitest';
-import type {PortState} from '../../src/direct/port_probe.js';
-import {createLostRuns} from '../../src/direct/lost_runs.js';
+import type {PortState} from '../../src/direct/crashes/port_probe.js';
+import {createLostRuns} from '../../src/direct/crashes/lost_runs.js';
 import type {DirectReplica} from '../../src/direct/types.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 
--- a/test/direct/suspects.test.ts
+++ b/test/direct/suspects.test.ts
@@ -1,9 +1,9 @@
 /** Detecting requests that crash replicas. */
 import * as fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import type {CrashReport} from '../../src/direct/crash_reports.js';
-import {createSuspects} from '../../src/direct/suspects.js';
-import type {Suspects} from '../../src/direct/suspects.js';
+import type {CrashReport} from '../../src/direct/crashes/crash_reports.js';
+import {createSuspects} from '../../src/direct/crashes/suspects.js';
+import type {Suspects} from '../../src/direct/crashes/suspects.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 
 const A = 'a'.repeat(32);
