feat(direct): log lines name the shared parts of a prompt

Cause: the entries' logs cannot part the two hypotheses that are left of the incident, since no line names the parts that a prompt shares with others. Nothing is decided by them. A lost run is of any type now, so one older test names the type of its callback's parameter; what it checks is as before.

--- a/bench/direct/model_caller.ts
+++ b/bench/direct/model_caller.ts
@@ -163,6 +163,7 @@
       maxTokens: request.kind.maxTokens,
       expectedTokens: request.expectedTokens,
       lastEventId: record.events > 0 ? String(record.events) : undefined,
+      sharedParts: [],
     },
     id: `${request.id}/${record.tries}`,
     owner:
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -9,7 +9,7 @@
 import type {ProbePort} from './port_probe.js';
 import type {Exchange} from '../exchange.js';
 import {createLostRuns} from './lost_runs.js';
-import {shortDigest} from './request_digest.js';
+import {loggedParts, shortDigest} from './request_digest.js';
 import {createSuspects} from './suspects.js';
 import type {Suspects} from './suspects.js';
 import type {DirectReplica} from '../types.js';
@@ -72,6 +72,23 @@
   claimTrial(digest: string, trial: number): Promise<boolean | undefined>;
 }
 
+/** What a run holds that may have crashed its replica. */
+interface RunSubjects {
+  readonly requestId: string;
+  /** Digest of the request. */
+  readonly digest: string;
+  /** Digests of the shared parts of its prompt. */
+  readonly parts: readonly string[];
+}
+
+function subjectsOf(exchange: Exchange): RunSubjects {
+  return {
+    requestId: exchange.id,
+    digest: exchange.digest(),
+    parts: exchange.partDigests(),
+  };
+}
+
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
   const {clock, log} = options;
   const suspects = createSuspects({
@@ -92,12 +109,17 @@
       options.onCleared(digest, isOwn);
     },
   });
-  const lost = createLostRuns({
+  const lost = createLostRuns<RunSubjects>({
     clock,
     probePort: options.probePort,
     isLeaving: options.isLeaving,
-    onEnded: (digest, replica) => {
-      log(DIRECT_EVENTS.replicaEnded, {digest: shortDigest(digest), replica});
+    onEnded: ({requestId, digest, parts}, replica) => {
+      log(DIRECT_EVENTS.replicaEnded, {
+        requestId,
+        digest: shortDigest(digest),
+        parts: loggedParts(parts),
+        replica,
+      });
       suspects.replicaEnded(digest, replica);
     },
   });
@@ -140,11 +162,14 @@
       return exchange.isTrial;
     },
     runBroken: (exchange, replica) =>
-      lost.runBroken(exchange.digest(), replica),
+      lost.runBroken(subjectsOf(exchange), replica),
     runCancelled: (exchange, replica) => {
       const digest = exchange.digest();
-      if (suspects.isSuspect(digest)) lost.suspectRunCancelled(digest, replica);
-      else lost.runCancelled(digest, replica);
+      if (suspects.isSuspect(digest)) {
+        lost.suspectRunCancelled(subjectsOf(exchange), replica);
+      } else {
+        lost.runCancelled(subjectsOf(exchange), replica);
+      }
     },
     runSucceeded: exchange => {
       const isSmall = exchange.body.length <= MAX_ALWAYS_DIGESTED_BYTES;
--- a/src/direct/crashes/lost_runs.ts
+++ b/src/direct/crashes/lost_runs.ts
@@ -26,9 +26,8 @@
  */
 const CANCELLED_PROBE_DELAY_MS = 300;
 
-interface LostRun {
-  /** Digest of the request. */
-  readonly digest: string;
+interface LostRun<R> {
+  readonly run: R;
   /** Time of the loss on this process's clock, in milliseconds. */
   readonly at: number;
   /**
@@ -38,16 +37,17 @@
   readonly isBroken: boolean;
 }
 
-export interface LostRuns {
+/** `R` describes a run to those who are told of it. */
+export interface LostRuns<R> {
   /** The run's connection broke or fell silent. Probes the replica. */
-  runBroken(digest: string, replica: DirectReplica): void;
+  runBroken(run: R, replica: DirectReplica): void;
   /**
    * The run was cancelled. It counts if the replica is found to have ended; the
    * replica is not probed for it.
    */
-  runCancelled(digest: string, replica: DirectReplica): void;
+  runCancelled(run: R, replica: DirectReplica): void;
   /** The run of a suspect request was cancelled. Probes the replica. */
-  suspectRunCancelled(digest: string, replica: DirectReplica): void;
+  suspectRunCancelled(run: R, replica: DirectReplica): void;
   /** Another source reports that the replica with this id has ended. */
   replicaEnded(replicaId: string): void;
   /**
@@ -57,19 +57,19 @@
   recordRemoved(replicaId: string): void;
 }
 
-export interface LostRunsOptions {
+export interface LostRunsOptions<R> {
   readonly clock: Clock;
   readonly probePort: ProbePort;
   /** Whether the replica is shutting down, so that its end is not a crash. */
   isLeaving(replicaId: string): boolean;
-  /** The replica ended during a run of the request with this digest. */
-  onEnded(digest: string, replicaId: string): void;
+  /** The replica ended during the run. */
+  onEnded(run: R, replicaId: string): void;
 }
 
-export function createLostRuns(options: LostRunsOptions): LostRuns {
+export function createLostRuns<R>(options: LostRunsOptions<R>): LostRuns<R> {
   const {clock} = options;
   /** Lost runs by replica id; each start of a replica has its own id. */
-  const lostRuns = new Map<string, LostRun[]>();
+  const lostRuns = new Map<string, Array<LostRun<R>>>();
   /** Times at which replicas were found to have ended, by replica id. */
   const endedAt = new Map<string, number>();
   /** Scheduled probes, as replica id and delay. */
@@ -88,24 +88,20 @@
     dropOld();
     const runs = lostRuns.get(replicaId) ?? [];
     lostRuns.delete(replicaId);
-    for (const {digest} of runs) options.onEnded(digest, replicaId);
+    for (const {run} of runs) options.onEnded(run, replicaId);
   };
   const replicaEnded = (replicaId: string): void => {
     endedAt.set(replicaId, clock.now());
     recordRemoved(replicaId);
   };
-  const addRun = (
-    digest: string,
-    {id}: DirectReplica,
-    isBroken: boolean,
-  ): void => {
+  const addRun = (run: R, {id}: DirectReplica, isBroken: boolean): void => {
     dropOld();
     if (endedAt.has(id)) {
-      options.onEnded(digest, id);
+      options.onEnded(run, id);
       return;
     }
     const runs = lostRuns.get(id) ?? [];
-    runs.push({digest, at: clock.now(), isBroken});
+    runs.push({run, at: clock.now(), isBroken});
     lostRuns.set(id, runs.slice(-MAX_RUNS_PER_REPLICA));
   };
   /** The replica is alive, so runs that broke up to `since` did not crash it. */
@@ -131,13 +127,13 @@
   };
 
   return {
-    runBroken: (digest, replica) => {
-      addRun(digest, replica, true);
+    runBroken: (run, replica) => {
+      addRun(run, replica, true);
       scheduleProbe(replica, BROKEN_PROBE_DELAY_MS);
     },
-    runCancelled: (digest, replica) => addRun(digest, replica, false),
-    suspectRunCancelled: (digest, replica) => {
-      addRun(digest, replica, false);
+    runCancelled: (run, replica) => addRun(run, replica, false),
+    suspectRunCancelled: (run, replica) => {
+      addRun(run, replica, false);
       scheduleProbe(replica, CANCELLED_PROBE_DELAY_MS);
     },
     replicaEnded,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -5,7 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '../types/runtime.js';
 import type {RequestAccount} from './held/held_bytes.js';
-import {digestOf} from './crashes/request_digest.js';
+import {digestOf, partDigestOf} from './crashes/request_digest.js';
 import type {DirectConfig, KeyOwner, RequestFacts, Route} from './types.js';
 
 /** A request that passed all checks, with the route and service for it. */
@@ -44,6 +44,8 @@
   elapsedMs(): number;
   /** Digest that equal requests share; see `digestOf`. */
   digest(): string;
+  /** Digests of the shared parts of its prompt; see `partDigestOf`. */
+  partDigests(): readonly string[];
   /** Cost of a late answer, relative to other requests. */
   readonly weight: number;
   /** Number of times that the request was sent to a replica. */
@@ -82,6 +84,7 @@
     if (!abort.signal.aborted) abort.abort(reason);
   };
   let digest: string | undefined;
+  let partDigests: readonly string[] | undefined;
   const exchange: Exchange = {
     ...admitted,
     req,
@@ -99,6 +102,10 @@
         organisation: admitted.owner?.organisation,
         body: admitted.body,
       })),
+    partDigests: () =>
+      (partDigests ??= admitted.facts.sharedParts.map(part =>
+        partDigestOf(admitted.service, part),
+      )),
     attempts: 0,
     mayHaveRun: false,
     isTrial: false,
--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -7,6 +7,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import type {EnginePlan} from './decide/choose_engines.js';
 import type {EngineCandidate} from './decide/score_engine.js';
+import {loggedParts} from './crashes/request_digest.js';
 import {aimMarginMs} from './decide/waiting_loss.js';
 import {answerTokens} from './exchange.js';
 import type {Exchange} from './exchange.js';
@@ -195,6 +196,7 @@
     harm: Number((plan.harm / exchange.weight).toFixed(2)),
     waitedMs: Math.round(exchange.elapsedMs()),
     config: exchange.config.version,
+    parts: loggedParts(exchange.partDigests()),
   });
 }
 
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -6,6 +6,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {attemptCall} from './call_attempt.js';
 import type {BufferedAnswer, CallOutcome} from './call_attempt.js';
+import {loggedParts} from './crashes/request_digest.js';
 import {chooseCallReplica} from './decide/choose_call_replica.js';
 import type {CallCandidate} from './decide/choose_call_replica.js';
 import type {AnswerHead} from './dispatch.js';
@@ -121,6 +122,7 @@
     ...ctx.gate.dispatchNotices(id),
     passedOver: passedOver(ctx, exchange, id),
     config: exchange.config.version,
+    parts: loggedParts(exchange.partDigests()),
   });
 }
 
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -330,6 +330,11 @@
    * Id of the last event that the caller received from the stream it resumes.
    */
   readonly lastEventId: string | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order;
+   * empty where the caller names none.
+   */
+  readonly sharedParts: readonly string[];
 }
 
 /**
--- a/test/direct/evacuated_groups.test.ts
+++ b/test/direct/evacuated_groups.test.ts
@@ -177,6 +177,7 @@
       maxTokens: 10,
       expectedTokens: undefined,
       lastEventId: undefined,
+      sharedParts: [],
     },
     id: REQUEST_ID,
     owner: undefined,
--- a/test/direct/lost_runs.test.ts
+++ b/test/direct/lost_runs.test.ts
@@ -31,7 +31,7 @@
       return Promise.resolve(portState);
     },
     isLeaving: () => isLeaving,
-    onEnded: digest => ended.push(digest),
+    onEnded: (digest: string) => ended.push(digest),
   });
   return {clock, runs, ended, probes: () => probeCount};
 }
