test(direct): parts that crash replicas, unframed ends and floods of connections

The fixture gave the same address to two fleets that started at once; it takes its place in the rotation before it waits.

--- a/standins/users_platform/replica.ts
+++ b/standins/users_platform/replica.ts
@@ -67,6 +67,11 @@
   answerOrders(status: (order: Order) => number | undefined): void;
   /** Resets all connections; from then on its port refuses new ones. */
   crash(): void;
+  /**
+   * Ends as a process whose host closes its connections in order; from then on
+   * its port refuses new ones.
+   */
+  endInOrder(): void;
   /** Listens again at its address, after a crash. */
   restart(): Promise<void>;
   close(): Promise<void>;
@@ -108,6 +113,15 @@
   };
 }
 
+/** The answer has neither a length nor chunks and ends with its connection. */
+export function withoutFraming(other: Behaviour): Behaviour {
+  return (arrival, res, req) => {
+    res.useChunkedEncodingByDefault = false;
+    res.setHeader('Connection', 'close');
+    other(arrival, res, req);
+  };
+}
+
 /** Refuses as not run. */
 export const refuse: Behaviour = (arrival, res) => {
   res.writeHead(503, {'X-Request-Id': arrival.id, 'X-Not-Executed': '1'});
@@ -257,6 +271,10 @@
       server.close();
       for (const socket of sockets) socket.resetAndDestroy();
     },
+    endInOrder: () => {
+      server.close();
+      for (const socket of sockets) socket.end();
+    },
     restart: () => listen(port),
     close: () =>
       new Promise(resolve => {
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -85,8 +85,8 @@
  * not be free yet.
  */
 export async function nextAddress(): Promise<string> {
-  addressIndex = (addressIndex + 1) % ADDRESS_COUNT;
-  return (await addresses)[addressIndex] as string;
+  const at = (addressIndex = (addressIndex + 1) % ADDRESS_COUNT);
+  return (await addresses)[at] as string;
 }
 
 async function settingsFor(
