fix(direct): an unframed answer of an ended replica is not taken as whole

Callers saw a stream without length or chunks end after any whole event, as if that had been its last, when its replica had crashed; and an unframed answer that the entry cut off ended in order, which is how a whole one ends. Cause: the orderly end of the connection was the only sign of the end, and the host of an ended process closes its connections in order as well. Change: 20 ms after such an end the replica's port is tried; one that refuses has ended, so the attempt is broken: resumed or failed. An unframed answer that is cut off ends with a reset. The test of a large call is made stricter: the first version ended before the entry passed anything on and got a whole 502.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -424,7 +424,7 @@
               if (!over) observer.onData(bytesOf(id));
             });
           },
-          onEnd: () => later(() => observer.onEnd()),
+          onEnd: () => later(() => observer.onEnd(false)),
           onRefused: () => later(() => tellHead(503)),
           onCut: () => later(() => observer.onBroken(true, 'cut')),
         },
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -11,7 +11,12 @@
   gateRequestOf,
 } from './permitted_choice.js';
 import {plainCallAssignment} from './load_tracker.js';
-import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
+import {
+  buildDispatch,
+  classifyHead,
+  cutAnswer,
+  writeHead,
+} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica} from './types.js';
 
@@ -69,8 +74,10 @@
     let buffered: Buffer[] = [];
     let bytes = 0;
     let isStreaming = false;
+    let isOver = false;
 
     const finish = (outcome: CallOutcome) => {
+      isOver = true;
       assignment.end();
       stopWatching();
       stopWatchingGate();
@@ -127,22 +134,32 @@
       exchange.res.write(chunk);
       pauseIfUnread();
     };
-    const onEnd = () => {
+    const onEnd = (endsWithConnection: boolean) => {
+      if (!endsWithConnection) return complete();
+      void ctx.crashes.hasSurvived(replica).then(hasSurvived => {
+        if (isOver) return;
+        if (hasSurvived) complete();
+        else onBroken(true, 'the replica ended');
+      });
+    };
+    const complete = () => {
+      noteSuccess();
       if (isStreaming) {
-        ctx.crashes.runSucceeded(exchange);
         exchange.res.end();
         finish({kind: 'passed-on'});
         return;
       }
-      if (head !== undefined && head.status < 500) {
-        ctx.crashes.runSucceeded(exchange);
-      }
       const tookMs = clock.now() - startedAt;
       callTimes.answered(service, replica.id, tookMs);
       metrics.observe('onyxloft_direct_call_ms', {}, tookMs);
       if (head === undefined) return;
       finish({kind: 'answered', head, body: Buffer.concat(buffered)});
     };
+    const noteSuccess = () => {
+      if (isStreaming || (head && head.status < 500)) {
+        ctx.crashes.runSucceeded(exchange);
+      }
+    };
     const onBroken = (sent: boolean, reason: string) => {
       health.failed(replica.id);
       if (!sent) {
@@ -151,7 +168,7 @@
       }
       exchange.mayHaveRun = true;
       ctx.crashes.runBroken(exchange, replica);
-      if (isStreaming) exchange.res.destroy();
+      if (isStreaming) cutAnswer(exchange.res);
       finish({kind: isStreaming ? 'passed-on' : 'broken', reason});
     };
     const spec = buildDispatch(ctx, exchange, replica, undefined, []);
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -21,6 +21,12 @@
  * are small.
  */
 const MAX_ALWAYS_DIGESTED_BYTES = 64 * 1024;
+/**
+ * Time from the end of an answer without framing until its replica is looked
+ * for, in milliseconds. A process that ends closes its connections a moment
+ * before its port.
+ */
+const ENDED_PROBE_DELAY_MS = 20;
 
 export interface CrashWatch extends Pick<
   Suspects,
@@ -42,6 +48,11 @@
   /** This entry cancelled the run before its end. */
   runCancelled(exchange: Exchange, replica: DirectReplica): void;
   runSucceeded(exchange: Exchange): void;
+  /**
+   * Whether the replica still listens. An answer without framing ends like this
+   * too when its replica crashes.
+   */
+  hasSurvived(replica: DirectReplica): Promise<boolean>;
   /** The replica with this id has ended. */
   replicaEnded(replicaId: string): void;
   /** The record of a replica that was not shutting down was removed. */
@@ -176,6 +187,13 @@
       if (isSmall || suspects.suspectCount() > 0)
         suspects.runSucceeded(exchange.digest());
     },
+    hasSurvived: async ({id, address}) => {
+      await new Promise<void>(
+        resolve => void clock.after(ENDED_PROBE_DELAY_MS, resolve),
+      );
+      if (options.isLeaving(id)) return true;
+      return (await options.probePort(address)) !== 'refused';
+    },
     replicaEnded: lost.replicaEnded,
     recordRemoved: lost.recordRemoved,
   };
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -23,6 +23,10 @@
  */
 const PHASES_PER_TURN = 2;
 
+/** Statuses of answers that never have a body. */
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 /** Status line and headers of a replica's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -48,8 +52,12 @@
 export interface DispatchObserver {
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
-  /** The body is complete by its HTTP framing. */
-  onEnd(): void;
+  /**
+   * The body is complete by its HTTP framing. `endsWithConnection` is true where
+   * the answer has neither a length nor chunks, so that its end is only the
+   * orderly end of its connection.
+   */
+  onEnd(endsWithConnection: boolean): void;
   /**
    * The exchange failed before the answer was complete. `sent` is false when no
    * connection was established, so that the replica cannot have the request.
@@ -141,7 +149,8 @@
       if (!isFinished) observer.onData(chunk);
     });
     res.on('end', () => {
-      if (res.complete) finish(() => observer.onEnd());
+      const isWhole = res.complete;
+      if (isWhole) finish(() => observer.onEnd(hasNoFraming(res)));
       else fail('cut');
     });
     res.on('error', err => fail(err.message));
@@ -165,3 +174,13 @@
     resume: () => answer?.resume(),
   };
 }
+
+/** Whether only the end of its connection ends the answer. */
+function hasNoFraming({statusCode, headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined &&
+    statusCode !== NO_CONTENT &&
+    statusCode !== NOT_MODIFIED
+  );
+}
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -289,6 +289,15 @@
   });
 }
 
+/**
+ * Cuts an answer off, since a normal end would look like a whole one. Without
+ * chunks only a reset of the connection differs from a normal end.
+ */
+export function cutAnswer(res: ServerResponse): void {
+  if (res.chunkedEncoding || !res.socket) res.destroy();
+  else res.socket.resetAndDestroy();
+}
+
 /**
  * Ends a request that no replica answered. Sends an error to the caller, or
  * closes the connection if a part of an answer has been sent.
@@ -313,8 +322,7 @@
   const isTimeUp = exchange.signal.reason === 'time is up';
   exchange.end('answered');
   if (res.headersSent) {
-    // Cuts the connection, since a normal end would look like a whole answer.
-    res.destroy();
+    cutAnswer(res);
     return;
   }
   const errorStatus = isTimeUp ? 504 : 502;
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -79,8 +79,10 @@
     let failureBytes = 0;
     let eventCount = 0;
     let isPaused = false;
+    let isOver = false;
 
     const finish = (outcome: StreamOutcome) => {
+      isOver = true;
       silence.stop();
       stopWatching();
       cancelGateWatches.forEach(cancel => cancel());
@@ -169,7 +171,16 @@
       else silence.onEvent();
       placement.noteActivity();
     };
-    const onEnd = () => {
+    const onEnd = (endsWithConnection: boolean) => {
+      if (!endsWithConnection) return complete();
+      silence.stop();
+      void ctx.crashes.hasSurvived(replica).then(hasSurvived => {
+        if (isOver) return;
+        if (hasSurvived) complete();
+        else onBroken(true, 'the replica ended');
+      });
+    };
+    const complete = () => {
       if (head === undefined) return;
       if (failure !== undefined) {
         health.failed(replica.id);
--- a/test/direct/evacuated_groups.test.ts
+++ b/test/direct/evacuated_groups.test.ts
@@ -78,7 +78,7 @@
       isSent = true;
       observer.onHead({status: 200, headers: {}, rawHeaders: []});
       observer.onData(Buffer.from('id: 1\ndata: x\n\n'));
-      observer.onEnd();
+      observer.onEnd(false);
     },
   };
   dispatches.push(opened);
--- a/test/direct/unframed_answers.test.ts
+++ b/test/direct/unframed_answers.test.ts
@@ -18,6 +18,8 @@
 /** More than an entry buffers of a call's answer. */
 const LARGE_BYTES = 3 * 1024 * 1024;
 const PAUSE_MS = 20;
+/** An entry has passed a large answer on by then. */
+const FORWARDED_MS = 300;
 
 function textOf(first: number, last: number): string {
   return Array.from({length: last - first + 1}, (_, at) =>
@@ -140,14 +142,16 @@
   // Without framing, only a reset tells the caller that the stream is cut.
   test('is cut with a reset when it breaks and no attempt is left', async () => {
     allMeet(writeThen('id: 1\ndata: piece 1\n\nid: 2\nda', endInOrder));
-    const {body, whole} = await stream();
-    expect(body).toBe(eventText(1));
-    expect(whole).toBe(false);
+    const bodies: string[] = [];
+    const leaveAt = (body: string) => bodies.push(body) < 0;
+    await expect(stream({leaveAt})).rejects.toThrow('ECONNRESET');
+    expect(bodies.at(-1)).toBe(eventText(1));
   });
 
   test('is cut with a reset when a large call breaks', async () => {
-    allMeet(writeThen('x'.repeat(LARGE_BYTES), reset));
-    const answer = await callEntry(fleet, '/again/a').catch(() => undefined);
-    expect(answer?.whole ?? false).toBe(false);
+    const resetLater: Behaviour = (...run) =>
+      void setTimeout(() => reset(...run), FORWARDED_MS);
+    allMeet(writeThen('x'.repeat(LARGE_BYTES), resetLater));
+    await expect(callEntry(fleet, '/again/a')).rejects.toThrow('ECONNRESET');
   });
 });
