fix(direct): a part of prompts that crashes replicas is refused like a request

Cause: crashes were kept by the digest of the whole request, a name that the caller chooses anew; what recurs is a part of the prompt, which nothing read. Change: one kind of suspect with a type, a request or a part of one service's prompts, one table, one gate, one record in the store. A run that ended well clears a part if its replica was alive afterwards (looked up only when it matters). Of the parts that never ran well, one whose crashes are all those of another is not blamed; with the same crashes the later part is. Parts are judged 300 ms after the third end; requests with them wait for it. A trial holds one suspect alone. Peers' reports are answered once for all entries, at a drawn time, in place of once by each. A record is also removed by its writer when a peer remembers good runs. Why it works: the evidence is kept by what recurs, and a new request brings only its last part, which never counts.

--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -156,9 +156,13 @@
       finish({kind: 'answered', head, body: Buffer.concat(buffered)});
     };
     const noteSuccess = () => {
-      if (isStreaming || (head && head.status < 500)) {
+      const {status = 0} = head ?? {};
+      if (isStreaming || (head && status < 500)) {
         ctx.crashes.runSucceeded(exchange);
       }
+      if (status >= 200 && status < 300) {
+        ctx.crashes.answerWritten(exchange, replica);
+      }
     };
     const onBroken = (sent: boolean, reason: string) => {
       health.failed(replica.id);
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -1,18 +1,21 @@
 /**
  * Stops requests that crash replicas from being dispatched again. It records
- * how each run ended, and quarantines a request whose runs ended too many
- * replicas, whatever request ids it had.
+ * how each run ended, and quarantines a request, or a part of prompts, whose
+ * runs ended too many replicas, whatever ids the requests had.
  */
-import type {Clock, Log} from '../../types/runtime.js';
+import type {Clock, Log, Random} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
-import type {CrashReport} from './crash_reports.js';
-import type {ProbePort} from './port_probe.js';
 import type {Exchange} from '../exchange.js';
+import type {DirectReplica} from '../types.js';
+import type {CrashReport} from './crash_reports.js';
+import type {RunReplica} from './good_runs.js';
 import {createLostRuns} from './lost_runs.js';
+import type {ProbePort} from './port_probe.js';
 import {loggedParts, shortDigest} from './request_digest.js';
-import {createSuspects} from './suspects.js';
+import {partSubjects, requestSubject, subjectsOf} from './subjects.js';
+import type {RunSubjects, Subject} from './subjects.js';
+import {QUARANTINE_MS, createSuspects} from './suspects.js';
 import type {Suspects} from './suspects.js';
-import type {DirectReplica} from '../types.js';
 
 /**
  * Largest body, in bytes, whose successful runs are counted while no request is
@@ -21,18 +24,47 @@
  * are small.
  */
 const MAX_ALWAYS_DIGESTED_BYTES = 64 * 1024;
+/**
+ * A run that ended well may count for its parts after this time, in
+ * milliseconds, if its replica has not ended until then. A short answer may be
+ * complete before its replica crashes.
+ */
+const PROOF_GRACE_MS = 1_000;
+/** Most parts of one run that are counted as suspects. */
+const MAX_PARTS_COUNTED = 16;
 /**
  * Time from the end of an answer without framing until its replica is looked
  * for, in milliseconds. A process that ends closes its connections a moment
  * before its port.
  */
 const ENDED_PROBE_DELAY_MS = 20;
+/**
+ * An entry tells its peers that a suspect of theirs ran well after a random
+ * part of this time, in milliseconds, so that few of them answer.
+ */
+const MAX_REPLY_DELAY_MS = 150;
+/** Shortest time after which a caller may ask again for a part on trial. */
+const MIN_TRIAL_RETRY_MS = 1_000;
+
+/** A quarantine that a request is refused for. */
+export interface Refusal {
+  readonly subject: Subject;
+  /** Time after which the caller should retry, in milliseconds. */
+  readonly retryAfterMs: number;
+}
 
 export interface CrashWatch extends Pick<
   Suspects,
   'merge' | 'release' | 'nextReports' | 'suspectCount' | 'quarantinedCount'
 > {
+  /**
+   * Resolves when it is decided whether the request's parts crash replicas, if
+   * that is about to be decided.
+   */
+  settled(exchange: Exchange): Promise<void>;
   isQuarantined(exchange: Exchange): boolean;
+  /** Why the request is refused; undefined when it is not quarantined. */
+  refusalOf(exchange: Exchange): Refusal | undefined;
   /**
    * Whether the request may be sent to a replica now. A quarantined request may
    * be sent once as a trial; the call uses that trial up.
@@ -47,7 +79,10 @@
   runBroken(exchange: Exchange, replica: DirectReplica): void;
   /** This entry cancelled the run before its end. */
   runCancelled(exchange: Exchange, replica: DirectReplica): void;
+  /** The replica answered the request. */
   runSucceeded(exchange: Exchange): void;
+  /** The replica wrote a whole successful answer to the request. */
+  answerWritten(exchange: Exchange, replica: DirectReplica): void;
   /**
    * Whether the replica still listens. An answer without framing ends like this
    * too when its replica crashes.
@@ -65,12 +100,15 @@
   readonly probePort: ProbePort;
   /** Name of this entry. */
   readonly node: string;
+  readonly random: Random;
   /** Whether the replica is shutting down, so that its end is not a crash. */
   isLeaving(replicaId: string): boolean;
+  /** Whether the newest known start at the replica's address is this one. */
+  isCurrent(replica: RunReplica): boolean;
   /** Sends a report to the peers, which are the other entries. */
   shareReport(report: CrashReport): void;
   /**
-   * Called when a request is quarantined, to store it. `isOwn` is true when
+   * Called when a subject is quarantined, to store it. `isOwn` is true when
    * this entry observed the last crash.
    */
   onQuarantined(report: CrashReport, isOwn: boolean): void;
@@ -83,33 +121,24 @@
   claimTrial(digest: string, trial: number): Promise<boolean | undefined>;
 }
 
-/** What a run holds that may have crashed its replica. */
-interface RunSubjects {
-  readonly requestId: string;
-  /** Digest of the request. */
-  readonly digest: string;
-  /** Digests of the shared parts of its prompt. */
-  readonly parts: readonly string[];
-}
-
-function subjectsOf(exchange: Exchange): RunSubjects {
-  return {
-    requestId: exchange.id,
-    digest: exchange.digest(),
-    parts: exchange.partDigests(),
-  };
-}
-
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
   const {clock, log} = options;
   const suspects = createSuspects({
     clock,
     self: options.node,
+    replyDelayMs: () => options.random.next() * MAX_REPLY_DELAY_MS,
+    confirmRun: (digest, replica) => void confirmRun(digest, replica),
     onChanged: options.shareReport,
     onQuarantined: (report, isOwn) => {
-      const {digest, ended, good} = report;
+      const {digest, position, ended, good} = report;
       const shown = shortDigest(digest);
-      log(DIRECT_EVENTS.quarantined, {digest: shown, ended, good, isOwn});
+      log(DIRECT_EVENTS.quarantined, {
+        digest: shown,
+        position,
+        ended,
+        good,
+        isOwn,
+      });
       options.onQuarantined(report, isOwn);
     },
     onCleared: (digest, isOwn) => {
@@ -120,22 +149,95 @@
       options.onCleared(digest, isOwn);
     },
   });
+
+  const isAlive = async (replica: RunReplica): Promise<boolean> =>
+    options.isCurrent(replica) &&
+    !hasEnded(replica.id) &&
+    (await options.probePort(replica.address)) === 'open';
+  /** Resolves with whether a run with the part ended well at the replica. */
+  const confirmRun = async (
+    digest: string,
+    replica: RunReplica,
+  ): Promise<boolean> => {
+    if (await isAlive(replica)) {
+      suspects.partRanWell(digest);
+      return true;
+    }
+    suspects.forgetPartRun(digest);
+    return false;
+  };
+  /** Counts the end against the part, unless the part ran well elsewhere. */
+  const partEnded = async (
+    {digest, type}: Subject,
+    replicaId: string,
+  ): Promise<void> => {
+    const last = suspects.lastReplicaOf(digest);
+    const isProven = last !== undefined && (await confirmRun(digest, last));
+    if (!isProven) suspects.replicaEnded(digest, replicaId, type);
+  };
+  /** The parts that may have crashed the replica, known suspects first. */
+  const unprovenParts = ({parts}: RunSubjects): readonly Subject[] => {
+    const unproven = parts.filter(({digest}) => !suspects.isProven(digest));
+    const known = unproven.filter(({digest}) => suspects.isSuspect(digest));
+    const others = unproven.filter(({digest}) => !suspects.isSuspect(digest));
+    return [...known, ...others].slice(0, MAX_PARTS_COUNTED);
+  };
   const lost = createLostRuns<RunSubjects>({
     clock,
     probePort: options.probePort,
     isLeaving: options.isLeaving,
-    onEnded: ({requestId, digest, parts}, replica) => {
+    onEnded: (run, replica) => {
+      const {requestId, request, parts} = run;
+      const unproven = unprovenParts(run);
       log(DIRECT_EVENTS.replicaEnded, {
         requestId,
-        digest: shortDigest(digest),
-        parts: loggedParts(parts),
+        digest: shortDigest(request.digest),
+        parts: loggedParts(parts.map(({digest}) => digest)),
+        unproven: loggedParts(unproven.map(({digest}) => digest)),
         replica,
       });
-      suspects.replicaEnded(digest, replica);
+      suspects.replicaEnded(request.digest, replica, request.type);
+      for (const part of unproven) void partEnded(part, replica);
     },
   });
+
+  const quarantinedSubjects = (exchange: Exchange): readonly Subject[] => {
+    const requests =
+      suspects.quarantinedCount('request') > 0
+        ? [requestSubject(exchange)]
+        : [];
+    const parts =
+      suspects.quarantinedCount('part') > 0 ? partSubjects(exchange) : [];
+    return [...requests, ...parts].filter(({digest}) =>
+      suspects.isQuarantined(digest),
+    );
+  };
   const isQuarantined = (exchange: Exchange) =>
-    suspects.suspectCount() > 0 && suspects.isQuarantined(exchange.digest());
+    quarantinedSubjects(exchange).length > 0;
+  /**
+   * The subject that a run of the request would be a trial of. Beside another
+   * suspect part the run would show nothing of either.
+   */
+  const trialSubject = (exchange: Exchange): Subject | undefined => {
+    const [subject, ...others] = quarantinedSubjects(exchange);
+    const isAlone = exchange
+      .partDigests()
+      .every(
+        digest =>
+          digest === subject?.digest ||
+          suspects.isProven(digest) ||
+          !suspects.isSuspect(digest),
+      );
+    return others.length === 0 && isAlone ? subject : undefined;
+  };
+  const isSuspect = (exchange: Exchange): boolean => {
+    if (suspects.suspectCount() === 0) return false;
+    const {request, parts} = subjectsOf(exchange);
+    return [request, ...parts].some(({digest}) => suspects.isSuspect(digest));
+  };
+  const hasEnded = (replicaId: string): boolean =>
+    suspects.hasEnded(replicaId) || lost.hasEnded(replicaId);
+
   return {
     merge: suspects.merge,
     nextReports: suspects.nextReports,
@@ -148,7 +250,25 @@
         reason: 'released',
       });
     },
+    settled: async exchange => {
+      if (suspects.suspectCount() === 0) return;
+      const waits = exchange.partDigests().map(suspects.judgedInMs);
+      const waitMs = Math.max(0, ...waits);
+      if (waitMs === 0) return;
+      await new Promise<void>(resolve => void clock.after(waitMs, resolve));
+    },
     isQuarantined,
+    refusalOf: exchange => {
+      const [subject] = quarantinedSubjects(exchange);
+      if (subject === undefined) return undefined;
+      const trialInMs = suspects.nextTrialInMs(subject.digest);
+      const isPartOnTrial =
+        subject.type.kind === 'part' && Number.isFinite(trialInMs);
+      const retryAfterMs = isPartOnTrial
+        ? Math.max(MIN_TRIAL_RETRY_MS, trialInMs)
+        : QUARANTINE_MS;
+      return {subject, retryAfterMs};
+    },
     maySend: exchange => {
       if (!isQuarantined(exchange)) return true;
       const {isTrial} = exchange;
@@ -156,7 +276,9 @@
       return isTrial;
     },
     claimTrial: async exchange => {
-      const digest = exchange.digest();
+      const subject = trialSubject(exchange);
+      if (subject === undefined) return false;
+      const {digest} = subject;
       const trial = suspects.dueTrial(digest);
       if (trial === undefined) return false;
       const isGained = await options.claimTrial(digest, trial);
@@ -175,18 +297,27 @@
     runBroken: (exchange, replica) =>
       lost.runBroken(subjectsOf(exchange), replica),
     runCancelled: (exchange, replica) => {
-      const digest = exchange.digest();
-      if (suspects.isSuspect(digest)) {
-        lost.suspectRunCancelled(subjectsOf(exchange), replica);
-      } else {
-        lost.runCancelled(subjectsOf(exchange), replica);
-      }
+      const run = subjectsOf(exchange);
+      if (isSuspect(exchange)) lost.suspectRunCancelled(run, replica);
+      else lost.runCancelled(run, replica);
     },
     runSucceeded: exchange => {
       const isSmall = exchange.body.length <= MAX_ALWAYS_DIGESTED_BYTES;
       if (isSmall || suspects.suspectCount() > 0)
         suspects.runSucceeded(exchange.digest());
     },
+    answerWritten: (exchange, {id, address}) => {
+      const parts = exchange.partDigests();
+      if (parts.length === 0) return;
+      const replica = {id, address};
+      clock.after(PROOF_GRACE_MS, () => {
+        if (hasEnded(id)) return;
+        for (const digest of parts) {
+          suspects.partSeemedToRunWell(digest, replica);
+          if (suspects.isSuspect(digest)) void confirmRun(digest, replica);
+        }
+      });
+    },
     hasSurvived: async ({id, address}) => {
       await new Promise<void>(
         resolve => void clock.after(ENDED_PROBE_DELAY_MS, resolve),
--- a/src/direct/crashes/lost_runs.ts
+++ b/src/direct/crashes/lost_runs.ts
@@ -55,6 +55,8 @@
    * but later ones do not, since the process may still serve for a while.
    */
   recordRemoved(replicaId: string): void;
+  /** Whether the replica was found to have ended in the last seconds. */
+  hasEnded(replicaId: string): boolean;
 }
 
 export interface LostRunsOptions<R> {
@@ -138,5 +140,6 @@
     },
     replicaEnded,
     recordRemoved,
+    hasEnded: replicaId => isRecent(endedAt.get(replicaId) ?? -Infinity),
   };
 }
--- /dev/null
+++ b/src/direct/crashes/part_verdict.ts
@@ -0,0 +1,44 @@
+/**
+ * Decides which parts of prompts crash replicas. A crash takes along all that
+ * ran there, with all its parts, so innocent parts have ended replicas as well.
+ * A part that ran well anywhere is innocent. Of the others, one that another
+ * one explains is not blamed: if each crash of it is also one of the other.
+ */
+import {MAX_ENDED_REPLICAS} from './crash_reports.js';
+
+/** Number of ended replicas from which on a part may be blamed. */
+export const PART_THRESHOLD = 3;
+
+/** Crashes under a part, no run of which ended well. */
+export interface PartCrashes {
+  readonly digest: string;
+  readonly ended: ReadonlySet<string>;
+  /** Index of the part in its prompts; the smallest one of those seen. */
+  readonly position: number;
+}
+
+/** Returns the parts to blame, among all that crashed and never ran well. */
+export function blamedParts(
+  crashes: readonly PartCrashes[],
+): readonly PartCrashes[] {
+  const candidates = crashes.filter(({ended}) => ended.size >= PART_THRESHOLD);
+  return candidates.filter(
+    part => !candidates.some(other => explains(other, part)),
+  );
+}
+
+/**
+ * Whether the crashes of `part` are rather those of `other`. With the same
+ * crashes, the later part of a prompt is blamed, since fewer requests share it.
+ */
+function explains(other: PartCrashes, part: PartCrashes): boolean {
+  if (other === part || !covers(other, part)) return false;
+  return other.ended.size > part.ended.size || other.position > part.position;
+}
+
+/** Sets that are full have lost what would tell them apart. */
+function covers({ended: all}: PartCrashes, {ended}: PartCrashes): boolean {
+  const areFull =
+    all.size >= MAX_ENDED_REPLICAS && ended.size >= MAX_ENDED_REPLICAS;
+  return areFull || [...ended].every(id => all.has(id));
+}
--- a/src/direct/crashes/quarantine_records.ts
+++ b/src/direct/crashes/quarantine_records.ts
@@ -58,7 +58,8 @@
    */
   ensureStored(report: CrashReport, isOwn: boolean): void;
   /**
-   * The request ran well again. With `isOwn`, this entry removes its record.
+   * The subject ran well. This entry removes its record if it saw the run, with
+   * `isOwn`, or has written the record.
    */
   clear(digest: string, isOwn: boolean): void;
   /**
@@ -84,6 +85,8 @@
    * first.
    */
   const recordsToStore = new Map<string, QuarantineRecord>();
+  /** Digests of the records that this entry has written. */
+  const written = new Set<string>();
   let isStopped = false;
 
   const handleRecords = (
@@ -94,6 +97,7 @@
       if (record === undefined) {
         storedRecords.delete(digest);
         recordsToStore.delete(digest);
+        written.delete(digest);
         options.onReleased(digest);
       } else if (!isExpired(record)) {
         storedRecords.set(digest, record);
@@ -108,8 +112,8 @@
   const write = async (digest: string): Promise<void> => {
     const record = recordsToStore.get(digest);
     if (record === undefined || storedRecords.has(digest) || isStopped) return;
-    const written = await store.writeQuarantine(record);
-    written.ifLeft(({message}) => {
+    written.add(digest);
+    (await store.writeQuarantine(record)).ifLeft(({message}) => {
       log(DIRECT_EVENTS.storeCallFailed, {step: 'write quarantine', message});
       scheduleWrite(digest, RETRY_MS);
     });
@@ -160,7 +164,8 @@
     },
     clear: (digest, isOwn) => {
       recordsToStore.delete(digest);
-      if (isOwn) void remove(digest);
+      // Where a peer remembered that it ran well, no entry saw the run just now.
+      if (isOwn || written.delete(digest)) void remove(digest);
     },
     claimTrial: async (digest, trial) =>
       (await store.claimTrial(digest, trial))
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -1,90 +1,127 @@
 /**
- * Finds requests that crash the replicas which run them ("queries of death").
- * Such a request is repeated under new ids and at any entry. Undetected, it
- * crashes one replica after another, with all requests that run there.
+ * Finds requests, and parts of prompts, that crash the replicas which run them
+ * ("queries of death"). Such a request is repeated under new ids and at any
+ * entry, and such a part comes in requests of which no two are alike.
+ * Undetected, they crash one replica after another, with all requests that run
+ * there.
  *
- * A replica that ends during a run counts against the request, and a successful
- * run counts for it. Replicas also crash for other reasons, and a frequent
- * request runs at many of them. The merge of the entries' reports is
- * commutative, so all entries reach the same result.
+ * A replica that ends during a run counts against the request and against the
+ * parts that have not run well lately, and a successful run counts for them.
+ * Replicas also crash for other reasons, and a frequent request runs at many of
+ * them. The merge of the entries' reports is commutative, so all entries reach
+ * the same result.
  */
 import type {Clock} from '../../types/runtime.js';
-import {MAX_ENDED_REPLICAS} from './crash_reports.js';
+import {MAX_ENDED_REPLICAS, typeOf} from './crash_reports.js';
 import type {CrashReport} from './crash_reports.js';
+import {createGoodRuns} from './good_runs.js';
+import type {RunReplica} from './good_runs.js';
+import {PART_THRESHOLD, blamedParts} from './part_verdict.js';
+import {createRecentEnds} from './recent_ends.js';
+import {createReplies} from './replies.js';
+import {REQUEST} from './subjects.js';
+import type {SubjectKind, SubjectType} from './subjects.js';
+import {createTrials} from './trials.js';
+import type {Trials} from './trials.js';
 
 /** Number of ended replicas at which a request is quarantined. */
 const QUARANTINE_THRESHOLD = 3;
-/** Each successful run raises the threshold by this. */
+/** Each successful run of a request raises the threshold by this. */
 const THRESHOLD_PER_SUCCESS = 2;
 /**
- * Times after the quarantine at which one request of the digest may run as a
- * trial. A harmless request that ran beside a crashing one looks the same; only
- * a run by itself distinguishes them.
+ * With so many successful runs a request is never quarantined, since a report
+ * names fewer ended replicas than its threshold.
  */
-const TRIAL_DELAYS_MS = [1_000, 10_000];
-/** Time until a trial is claimed again when its claim was not answered. */
-const CLAIM_RETRY_MS = 1_000;
+const ENOUGH_SUCCESSES = 3;
+/**
+ * Time from the third crash under a part until parts are judged, in
+ * milliseconds. Other entries report their runs at the same replicas and which
+ * of the parts ran well there.
+ */
+const SETTLE_MS = 300;
 /**
  * Duration of a quarantine, from the last end of a replica. After it the
  * request may run again.
  */
 export const QUARANTINE_MS = 3_600_000;
 /**
- * Most suspects that are kept. Beyond it the oldest one that is not quarantined
- * is dropped, or else the oldest.
+ * Most suspects that are kept. Beyond it the one that crashed longest ago and
+ * is not quarantined is dropped, or else the oldest.
  */
 const MAX_SUSPECTS = 1_000;
-/** Time for which successful runs of a request that is no suspect are kept. */
-const SUCCESSES_KEPT_MS = 60_000;
-/** Most requests whose successful runs are kept; the oldest is dropped. */
-const MAX_SUCCESSFUL_REQUESTS = 1_000;
 /**
- * Reports of a released request are ignored for this long, so that one that was
+ * Reports of a released subject are ignored for this long, so that one that was
  * on its way does not undo the release.
  */
 const RELEASE_GRACE_MS = 5_000;
 
 interface Suspect {
+  type: SubjectType;
   /** Ids of replicas that ended during a run. */
   readonly ended: Set<string>;
   /** Number of successful runs, by the entry that observed them. */
   readonly good: Map<string, number>;
   /** Time at which this entry last learned of an ended replica. */
   endedAt: number;
-  /** Undefined while the request is not quarantined. */
-  quarantinedAt: number | undefined;
-  /** Number of trials that are known to be claimed, by any entry. */
-  trials: number;
-  /** Earliest time of the next trial; infinite when none is planned. */
-  nextTrialAt: number;
+  /** True when this entry observed the last end itself. */
+  isOwn: boolean;
+  /** Defined while the subject is quarantined. */
+  trials: Trials | undefined;
 }
 
 export interface SuspectsOptions {
   readonly clock: Clock;
   /** Name of this entry. */
   readonly self: string;
+  /**
+   * Delay before peers are told that a suspect of theirs ran well here. Drawn
+   * apart, one entry answers for many. @default no delay
+   */
+  replyDelayMs?(): number;
+  /**
+   * A peer suspects a part whose last run here seemed to end well at the replica.
+   * `partRanWell` is to be called if that is alive. @default nothing
+   */
+  confirmRun?(digest: string, replica: RunReplica): void;
   /** Called with a report that the peers should get. */
   onChanged(report: CrashReport): void;
   /**
-   * A request is refused from now on. `isOwn` is true when this entry observed
+   * A subject is refused from now on. `isOwn` is true when this entry observed
    * the last crash.
    */
   onQuarantined(report: CrashReport, isOwn: boolean): void;
   /**
-   * A request is no longer refused. `isOwn` is true when the last successful
+   * A subject is no longer refused. `isOwn` is true when the last successful
    * run was at this entry.
    */
   onCleared(digest: string, isOwn: boolean): void;
 }
 
 export interface Suspects {
-  /** Records that a replica ended while it ran the request. */
-  replicaEnded(digest: string, replicaId: string): void;
+  /** Records that a replica ended while it ran the subject. */
+  replicaEnded(digest: string, replicaId: string, type?: SubjectType): void;
   /** Records a successful run of the request. */
   runSucceeded(digest: string): void;
-  /** Whether a replica has ended during a run of the request. */
+  /**
+   * Records that a run with the part ended well, as it seems. Only a replica
+   * that is alive afterwards shows it.
+   */
+  partSeemedToRunWell(digest: string, replica: RunReplica): void;
+  /** The replica of the last run with the part that seemed to end well. */
+  lastReplicaOf(digest: string): RunReplica | undefined;
+  /** The replica of that run did not survive it. */
+  forgetPartRun(digest: string): void;
+  /** Records that a run with the part ended well and its replica survived. */
+  partRanWell(digest: string): void;
+  /** Whether a run with the part ended well lately, and its replica survived. */
+  isProven(digest: string): boolean;
+  /** Whether a replica has ended during a run of the subject. */
   isSuspect(digest: string): boolean;
   isQuarantined(digest: string): boolean;
+  /** Time until the part is judged, in milliseconds; 0 when it is not due. */
+  judgedInMs(digest: string): number;
+  /** Whether the replica is known to have ended in the last seconds. */
+  hasEnded(replicaId: string): boolean;
   /**
    * Number of the trial that is due, from 0; undefined when none is due. The
    * trial is not due again until `trialSettled` is called.
@@ -95,6 +132,8 @@
    * answered, so that the trial may still be free.
    */
   trialSettled(digest: string, isAnswered: boolean): void;
+  /** Time until the next trial, in milliseconds; infinite when none is planned. */
+  nextTrialInMs(digest: string): number;
   /** Merges reports of a peer or of the store. */
   merge(reports: readonly CrashReport[]): void;
   /** Ends the quarantine that an operator has released. */
@@ -102,105 +141,216 @@
   /** The next `count` reports, in rotation, to send to a peer. */
   nextReports(count: number): readonly CrashReport[];
   suspectCount(): number;
-  quarantinedCount(): number;
+  quarantinedCount(kind?: SubjectKind): number;
 }
 
 export function createSuspects(options: SuspectsOptions): Suspects {
   const {clock, self} = options;
-  /** Suspects by digest, the oldest first. */
+  /** Suspects by digest, the one that crashed last at the end. */
   const suspects = new Map<string, Suspect>();
+  const quarantined = {request: new Set<string>(), part: new Set<string>()};
   /** End of the grace after a release, by digest. */
   const released = new Map<string, number>();
-  const earlierSuccesses = createSuccessCounts(clock);
+  const recentEnds = createRecentEnds(clock);
+  const goodRuns = createGoodRuns(clock);
+  const replies = createReplies(clock, options.replyDelayMs ?? (() => 0));
+  let judgementAt: number | undefined;
   let nextIndex = 0;
 
-  const isExpired = ({endedAt}: Suspect) =>
-    clock.now() - endedAt > QUARANTINE_MS;
+  const isExpired = (suspect: Suspect) =>
+    clock.now() - suspect.endedAt > QUARANTINE_MS;
+  const forget = (digest: string): void => {
+    suspects.delete(digest);
+    quarantined.request.delete(digest);
+    quarantined.part.delete(digest);
+  };
   const findCurrent = (digest: string): Suspect | undefined => {
     const suspect = suspects.get(digest);
     if (suspect === undefined || !isExpired(suspect)) return suspect;
-    suspects.delete(digest);
+    forget(digest);
     return undefined;
   };
   const dropOldest = () => {
-    for (const [digest, {quarantinedAt}] of suspects) {
-      if (quarantinedAt !== undefined) continue;
-      suspects.delete(digest);
+    for (const [digest, {trials}] of suspects) {
+      if (trials !== undefined) continue;
+      forget(digest);
       return;
     }
     const [oldest] = suspects.keys();
-    suspects.delete(oldest);
+    forget(oldest);
   };
-  const add = (digest: string): Suspect => {
+  const add = (digest: string, type: SubjectType): Suspect => {
     if (suspects.size >= MAX_SUSPECTS) dropOldest();
-    const successes = earlierSuccesses.take(digest);
+    const successes = goodRuns.takeRequest(digest);
     const suspect: Suspect = {
+      type,
       ended: new Set(),
       good: new Map(successes > 0 ? [[self, successes]] : []),
       endedAt: clock.now(),
-      quarantinedAt: undefined,
-      trials: 0,
-      nextTrialAt: Infinity,
+      isOwn: false,
+      trials: undefined,
     };
     suspects.set(digest, suspect);
     return suspect;
   };
-  const drop = (digest: string): void => {
+  /** Returns false when the replica is known or the report is full. */
+  const addEnded = (
+    digest: string,
+    suspect: Suspect,
+    replicaId: string,
+    isOwn: boolean,
+  ): boolean => {
+    const {ended} = suspect;
+    if (ended.has(replicaId) || ended.size >= MAX_ENDED_REPLICAS) return false;
+    ended.add(replicaId);
+    suspect.endedAt = clock.now();
+    suspect.isOwn = isOwn;
     suspects.delete(digest);
+    suspects.set(digest, suspect);
+    return true;
+  };
+  const drop = (digest: string): void => {
+    forget(digest);
     released.set(digest, clock.now() + RELEASE_GRACE_MS);
     for (const [key, until] of released) {
       if (until <= clock.now()) released.delete(key);
     }
   };
-  const updateQuarantine = (
+
+  const quarantine = (
     digest: string,
     suspect: Suspect,
     isOwn: boolean,
   ): void => {
-    const wasQuarantined = suspect.quarantinedAt !== undefined;
+    suspect.trials = createTrials(clock);
+    quarantined[suspect.type.kind].add(digest);
+    options.onQuarantined(reportOf(digest, suspect), isOwn);
+  };
+  const updateRequest = (
+    digest: string,
+    suspect: Suspect,
+    isOwn: boolean,
+  ): void => {
+    const wasQuarantined = suspect.trials !== undefined;
     if (reachesThreshold(suspect) === wasQuarantined) return;
-    if (wasQuarantined) {
-      suspect.quarantinedAt = undefined;
-      options.onCleared(digest, isOwn);
+    if (!wasQuarantined) return quarantine(digest, suspect, isOwn);
+    suspect.trials = undefined;
+    quarantined.request.delete(digest);
+    options.onCleared(digest, isOwn);
+  };
+
+  const crashesOfParts = () =>
+    [...suspects].flatMap(([digest, suspect]) => {
+      const {type, ended} = suspect;
+      if (type.kind !== 'part' || isExpired(suspect)) return [];
+      return [{digest, ended, position: type.position}];
+    });
+  const judgeParts = (): void => {
+    judgementAt = undefined;
+    for (const {digest} of blamedParts(crashesOfParts())) {
+      const suspect = suspects.get(digest);
+      if (suspect === undefined || suspect.trials !== undefined) continue;
+      quarantine(digest, suspect, suspect.isOwn);
+    }
+  };
+  const judgeSoon = (): void => {
+    if (judgementAt !== undefined) return;
+    judgementAt = clock.now() + SETTLE_MS;
+    clock.after(SETTLE_MS, judgeParts);
+  };
+  const updatePart = ({ended, trials}: Suspect): void => {
+    if (ended.size >= PART_THRESHOLD && trials === undefined) judgeSoon();
+  };
+  /** The part ran well, so what it seemed to explain is judged anew. */
+  const clearPart = (
+    digest: string,
+    {trials}: Suspect,
+    isOwn: boolean,
+  ): void => {
+    forget(digest);
+    judgeSoon();
+    if (trials !== undefined) options.onCleared(digest, isOwn);
+  };
+
+  const mergePart = (
+    report: CrashReport,
+    type: SubjectType & {readonly kind: 'part'},
+  ): void => {
+    const {digest, ended} = report;
+    const known = findCurrent(digest);
+    if (successesOf(Object.values(report.good)) > 0) {
+      goodRuns.provePart(digest);
+      replies.heard(digest);
+      if (known !== undefined) clearPart(digest, known, false);
       return;
     }
-    const now = clock.now();
-    suspect.quarantinedAt = now;
-    suspect.trials = 0;
-    suspect.nextTrialAt = now + TRIAL_DELAYS_MS[0];
-    options.onQuarantined(reportOf(digest, suspect), isOwn);
+    if (goodRuns.isProven(digest)) {
+      replies.schedule(digest, () =>
+        options.onChanged({...report, good: {[self]: 1}}),
+      );
+      return;
+    }
+    const suspect = known ?? add(digest, type);
+    // Different prompts may have the part at different places.
+    suspect.type = earlierOf(suspect.type, type);
+    for (const id of ended) addEnded(digest, suspect, id, false);
+    updatePart(suspect);
+    const replica = goodRuns.lastReplica(digest);
+    if (replica === undefined) return;
+    replies.schedule(digest, () => options.confirmRun?.(digest, replica));
   };
-  const mergeOne = (report: CrashReport): void => {
+  const mergeRequest = (report: CrashReport): void => {
     const {digest} = report;
-    if ((released.get(digest) ?? -Infinity) > clock.now()) return;
-    if (report.ended.length === 0) return;
     const known = findCurrent(digest);
-    const suspect = known ?? add(digest);
-    for (const id of report.ended) addEnded(suspect, id, clock.now());
+    const suspect = known ?? add(digest, REQUEST);
+    for (const id of report.ended) addEnded(digest, suspect, id, false);
     for (const [node, count] of Object.entries(report.good)) {
       suspect.good.set(node, Math.max(suspect.good.get(node) ?? 0, count));
     }
     // The sender of the report does not know of successful runs at this entry.
     const isNewHere = known === undefined && suspect.good.has(self);
-    if (isNewHere) options.onChanged(reportOf(digest, suspect));
-    updateQuarantine(digest, suspect, false);
+    if (isNewHere) {
+      replies.schedule(digest, () => {
+        if (successesElsewhere(suspect, self) >= ENOUGH_SUCCESSES) return;
+        options.onChanged(reportOf(digest, suspect));
+      });
+    }
+    updateRequest(digest, suspect, false);
+  };
+  const mergeOne = (report: CrashReport): void => {
+    report.ended.forEach(recentEnds.add);
+    if ((released.get(report.digest) ?? -Infinity) > clock.now()) return;
+    if (report.ended.length === 0) return;
+    // Entries of earlier versions pass reports of parts on without their type.
+    const stated = typeOf(report);
+    const type =
+      stated.kind === 'part'
+        ? stated
+        : (findCurrent(report.digest)?.type ?? stated);
+    if (type.kind === 'part') mergePart(report, type);
+    else mergeRequest(report);
   };
 
   return {
-    replicaEnded: (digest, replicaId) => {
-      const suspect = findCurrent(digest) ?? add(digest);
-      if (!addEnded(suspect, replicaId, clock.now())) return;
+    replicaEnded: (digest, replicaId, type = REQUEST) => {
+      recentEnds.add(replicaId);
+      const isPart = type.kind === 'part';
+      if (isPart && goodRuns.isProven(digest)) return;
+      const suspect = findCurrent(digest) ?? add(digest, type);
+      suspect.type = earlierOf(suspect.type, type);
+      if (!addEnded(digest, suspect, replicaId, true)) return;
       options.onChanged(reportOf(digest, suspect));
-      updateQuarantine(digest, suspect, true);
+      if (isPart) updatePart(suspect);
+      else updateRequest(digest, suspect, true);
     },
     runSucceeded: digest => {
       const suspect = findCurrent(digest);
       if (suspect === undefined) {
-        earlierSuccesses.add(digest);
+        goodRuns.addRequest(digest);
         return;
       }
       // The run was a trial, and a crashing request would have failed it.
-      if (suspect.quarantinedAt !== undefined) {
+      if (suspect.trials !== undefined) {
         drop(digest);
         options.onCleared(digest, true);
         return;
@@ -208,29 +358,40 @@
       const count = (suspect.good.get(self) ?? 0) + 1;
       suspect.good.set(self, count);
       // Limits the reports of a frequent request: not one for each run.
-      if (isPowerOfTwo(count)) options.onChanged(reportOf(digest, suspect));
-      updateQuarantine(digest, suspect, true);
+      const isNews =
+        isPowerOfTwo(count) &&
+        successesElsewhere(suspect, self) < ENOUGH_SUCCESSES;
+      if (isNews) options.onChanged(reportOf(digest, suspect));
+      updateRequest(digest, suspect, true);
     },
-    isSuspect: digest => findCurrent(digest) !== undefined,
-    isQuarantined: digest => findCurrent(digest)?.quarantinedAt !== undefined,
-    dueTrial: digest => {
+    partSeemedToRunWell: goodRuns.addPartRun,
+    lastReplicaOf: goodRuns.lastReplica,
+    forgetPartRun: goodRuns.forgetPartRun,
+    partRanWell: digest => {
+      goodRuns.provePart(digest);
       const suspect = findCurrent(digest);
-      if (suspect === undefined || clock.now() < suspect.nextTrialAt) {
-        return undefined;
-      }
-      // Equal requests are refused while this one claims the trial.
-      suspect.nextTrialAt = Infinity;
-      return suspect.trials;
+      if (suspect === undefined) return;
+      suspect.good.set(self, 1);
+      options.onChanged(reportOf(digest, suspect));
+      clearPart(digest, suspect, true);
     },
-    trialSettled: (digest, isAnswered) => {
+    isProven: goodRuns.isProven,
+    isSuspect: digest => findCurrent(digest) !== undefined,
+    isQuarantined: digest => findCurrent(digest)?.trials !== undefined,
+    judgedInMs: digest => {
+      if (judgementAt === undefined) return 0;
       const suspect = findCurrent(digest);
-      if (suspect?.quarantinedAt === undefined) return;
-      if (isAnswered) suspect.trials++;
-      const afterMs = TRIAL_DELAYS_MS[suspect.trials] ?? Infinity;
-      suspect.nextTrialAt = isAnswered
-        ? suspect.quarantinedAt + afterMs
-        : clock.now() + CLAIM_RETRY_MS;
+      const isJudged =
+        suspect?.type.kind === 'part' &&
+        suspect.ended.size >= PART_THRESHOLD &&
+        suspect.trials === undefined;
+      return isJudged ? Math.max(0, judgementAt - clock.now()) : 0;
     },
+    hasEnded: recentEnds.has,
+    dueTrial: digest => findCurrent(digest)?.trials?.claim(),
+    trialSettled: (digest, isAnswered) =>
+      findCurrent(digest)?.trials?.settled(isAnswered),
+    nextTrialInMs: digest => findCurrent(digest)?.trials?.dueInMs() ?? Infinity,
     merge: reports => reports.forEach(mergeOne),
     release: drop,
     nextReports: count => {
@@ -244,56 +405,42 @@
       return selected.map(([digest, suspect]) => reportOf(digest, suspect));
     },
     suspectCount: () => suspects.size,
-    quarantinedCount: () =>
-      [...suspects.values()].filter(it => it.quarantinedAt !== undefined)
-        .length,
+    quarantinedCount: kind =>
+      kind === undefined
+        ? quarantined.request.size + quarantined.part.size
+        : quarantined[kind].size,
   };
 }
 
 function reachesThreshold({ended, good}: Suspect): boolean {
-  const runs = [...good.values()].reduce((sum, count) => sum + count, 0);
+  const runs = successesOf(good.values());
   return ended.size >= QUARANTINE_THRESHOLD + THRESHOLD_PER_SUCCESS * runs;
 }
 
-/** Returns false when the replica is known or the report is full. */
-function addEnded(suspect: Suspect, replicaId: string, at: number): boolean {
-  const {ended} = suspect;
-  if (ended.has(replicaId) || ended.size >= MAX_ENDED_REPLICAS) return false;
-  ended.add(replicaId);
-  suspect.endedAt = at;
-  return true;
+function successesOf(counts: Iterable<number>): number {
+  return [...counts].reduce((sum, count) => sum + count, 0);
 }
 
-function reportOf(digest: string, {ended, good}: Suspect): CrashReport {
-  return {digest, ended: [...ended], good: Object.fromEntries(good)};
+function successesElsewhere({good}: Suspect, self: string): number {
+  return successesOf(good.values()) - (good.get(self) ?? 0);
 }
 
-function isPowerOfTwo(count: number): boolean {
-  return (count & (count - 1)) === 0;
+function earlierOf(known: SubjectType, next: SubjectType): SubjectType {
+  if (known.kind !== 'part' || next.kind !== 'part') {
+    return known.kind === 'part' ? known : next;
+  }
+  return next.position < known.position ? next : known;
 }
 
-/** Counts successful runs of requests that are no suspects so far. */
-function createSuccessCounts(clock: Clock) {
-  /** Counts by digest, the newest last. */
-  const runs = new Map<string, {readonly count: number; readonly at: number}>();
-  const countOf = (digest: string): number => {
-    const known = runs.get(digest);
-    const isKept =
-      known !== undefined && clock.now() - known.at <= SUCCESSES_KEPT_MS;
-    return isKept ? known.count : 0;
-  };
-  const take = (digest: string): number => {
-    const count = countOf(digest);
-    runs.delete(digest);
-    return count;
-  };
+function reportOf(digest: string, {type, ended, good}: Suspect): CrashReport {
   return {
-    take,
-    add: (digest: string): void => {
-      const count = take(digest) + 1;
-      runs.set(digest, {count, at: clock.now()});
-      const [oldest] = runs.keys();
-      if (runs.size > MAX_SUCCESSFUL_REQUESTS) runs.delete(oldest);
-    },
+    digest,
+    position: type.kind === 'part' ? type.position : undefined,
+    ended: [...ended],
+    good: Object.fromEntries(good),
   };
 }
+
+function isPowerOfTwo(count: number): boolean {
+  return (count & (count - 1)) === 0;
+}
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -275,17 +275,20 @@
     giveUp(ctx, exchange, reason);
     return;
   }
+  const refusal = ctx.crashes.refusalOf(exchange);
+  const kind = refusal?.subject.type.kind ?? 'request';
   ctx.log(DIRECT_EVENTS.quarantineRefused, {
     requestId: exchange.id,
-    digest: shortDigest(exchange.digest()),
+    digest: shortDigest(refusal?.subject.digest ?? exchange.digest()),
+    kind,
   });
-  ctx.metrics.count('onyxloft_direct_quarantine_refused_total', {});
+  ctx.metrics.count('onyxloft_direct_quarantine_refused_total', {kind});
   exchange.end('answered');
   sendLocalAnswer(exchange.res, {
     status: 429,
     message: reason,
     close: ctx.isDraining(),
-    retryAfterMs: QUARANTINE_MS,
+    retryAfterMs: refusal?.retryAfterMs ?? QUARANTINE_MS,
   });
 }
 
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -9,6 +9,7 @@
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import type {CrashReport} from './crashes/crash_reports.js';
+import {createReportBatch} from './crashes/report_batch.js';
 import {createCrashWatch} from './crashes/crash_watch.js';
 import type {CrashWatch, CrashWatchOptions} from './crashes/crash_watch.js';
 import {prefillMs} from './decide/engine_timing.js';
@@ -267,21 +268,15 @@
       losses.notifyLost(id);
     },
   });
-  const changedReports = new Map<string, CrashReport>();
-  const scheduleReports = createBatcher(clock, () => {
-    options.shareCrashReports([...changedReports.values()]);
-    changedReports.clear();
-  });
   const crashes = createCrashWatch({
     clock,
     log,
     probePort: options.probePort,
     node: options.node,
+    random,
     isLeaving: replicas.isLeaving,
-    shareReport: report => {
-      changedReports.set(report.digest, report);
-      scheduleReports(SHARE_ADDED_LOAD_MS);
-    },
+    isCurrent: ({id, address}) => replicas.findAt(address)?.id === id,
+    shareReport: createReportBatch(clock, options.shareCrashReports),
     ...options.quarantine,
   });
   let hasLongPrefill = false;
@@ -361,6 +356,8 @@
   };
 
   const serveOrRefuse = async (exchange: Exchange): Promise<void> => {
+    await crashes.settled(exchange);
+    if (exchange.signal.aborted) return;
     if (crashes.isQuarantined(exchange)) {
       const isTrial = await crashes.claimTrial(exchange);
       if (exchange.signal.aborted) return;
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -189,6 +189,8 @@
         fail('ended within an event');
       } else {
         ctx.crashes.runSucceeded(exchange);
+        // A resumed stream may have had no event left to write.
+        if (eventCount > 0) ctx.crashes.answerWritten(exchange, replica);
         finish({kind: 'whole', head});
       }
     };
--- /dev/null
+++ b/test/direct/crash_watch.test.ts
@@ -0,0 +1,112 @@
+/** What counts as a run that ended well, for the parts of its prompt. */
+import {describe, expect, test} from 'vitest';
+import {createCrashWatch} from '../../src/direct/crashes/crash_watch.js';
+import type {PortState} from '../../src/direct/crashes/port_probe.js';
+import type {Exchange} from '../../src/direct/exchange.js';
+import type {DirectReplica} from '../../src/direct/types.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+const PART = 'b'.repeat(32);
+/** After it, a run that ended well counts, and parts have been judged. */
+const SETTLED_MS = 2_000;
+
+function replica(id: string): DirectReplica {
+  return {
+    id,
+    name: id,
+    startedAt: undefined,
+    service: 'pool',
+    address: `127.0.0.1:${id.length}`,
+    failureDomain: 'domain-1',
+    places: 8,
+    leaving: false,
+  };
+}
+
+function setUp(probe: (address: string) => PortState) {
+  const clock = createVirtualClock();
+  const probed: string[] = [];
+  let requests = 0;
+  const watch = createCrashWatch({
+    clock,
+    log: () => undefined,
+    random: createSeededRandom(1),
+    node: 'entry-1',
+    probePort: address => {
+      probed.push(address);
+      return Promise.resolve(probe(address));
+    },
+    isLeaving: () => false,
+    isCurrent: () => true,
+    shareReport: () => undefined,
+    onQuarantined: () => undefined,
+    onCleared: () => undefined,
+    claimTrial: () => Promise.resolve(false),
+  });
+  /** Requests with the part, of which no two are alike. */
+  const request = (): Exchange => {
+    const own = (++requests).toString(16).padStart(32, '0');
+    const parts: Partial<Exchange> = {
+      id: own,
+      body: Buffer.alloc(0),
+      isTrial: false,
+      digest: () => own,
+      partDigests: () => [PART],
+    };
+    return parts as Exchange;
+  };
+  const crash = async (id: string): Promise<void> => {
+    watch.runBroken(request(), replica(id));
+    await clock.runFor(SETTLED_MS);
+  };
+  return {clock, watch, probed, request, crash};
+}
+
+describe('a part of prompts during whose runs three replicas ended', () => {
+  const ids = ['r1', 'r22', 'r333'];
+
+  test('is refused', async () => {
+    const {watch, request, crash} = setUp(() => 'refused');
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(true);
+  });
+
+  test('is not refused after a run whose replica is alive', async () => {
+    const alive = replica('alive');
+    const {clock, watch, request, crash} = setUp(address =>
+      address === alive.address ? 'open' : 'refused',
+    );
+    watch.answerWritten(request(), alive);
+    await clock.runFor(SETTLED_MS);
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(false);
+  });
+
+  // The answer was whole, and its replica crashed a moment later.
+  test('is refused after a run whose replica has not survived', async () => {
+    const {clock, watch, request, crash} = setUp(() => 'refused');
+    watch.answerWritten(request(), replica('gone'));
+    await clock.runFor(SETTLED_MS);
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(true);
+  });
+
+  test('is refused again where only a run like that followed', async () => {
+    const {clock, watch, request, crash} = setUp(() => 'refused');
+    for (const id of ids) await crash(id);
+    watch.answerWritten(request(), replica('gone'));
+    await clock.runFor(SETTLED_MS);
+    expect(watch.isQuarantined(request())).toBe(true);
+  });
+});
+
+// Each part would cost its replica a connection in quiet times.
+test('runs that end well open no connection while nothing crashes', async () => {
+  const {clock, watch, probed, request} = setUp(() => 'open');
+  for (let at = 0; at < 20; at++) {
+    watch.answerWritten(request(), replica(`r${at}`));
+  }
+  await clock.runFor(SETTLED_MS);
+  expect(probed).toEqual([]);
+});
--- /dev/null
+++ b/test/direct/suspect_parts.test.ts
@@ -0,0 +1,178 @@
+/** Detecting parts of prompts that crash replicas. */
+import {describe, expect, test} from 'vitest';
+import {decodeDatagram, encodeDatagram} from '../../src/direct/datagrams.js';
+import type {CrashReport} from '../../src/direct/crashes/crash_reports.js';
+import {blamedParts} from '../../src/direct/crashes/part_verdict.js';
+import type {SubjectType} from '../../src/direct/crashes/subjects.js';
+import {createSuspects} from '../../src/direct/crashes/suspects.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+const FIRST_PART = 'f'.repeat(32);
+const BAD_PART = 'b'.repeat(32);
+const OTHER_PART = 'c'.repeat(32);
+/** Reports of other entries have been heard by then. */
+const JUDGED_MS = 400;
+const MINUTE_MS = 60_000;
+
+const partAt = (position: number): SubjectType => ({kind: 'part', position});
+
+function createEntry(self = 'entry-1', replyDelayMs = () => 0) {
+  const clock = createVirtualClock();
+  const changes: CrashReport[] = [];
+  const quarantined: string[] = [];
+  const suspects = createSuspects({
+    clock,
+    self,
+    replyDelayMs,
+    onChanged: report => changes.push(report),
+    onQuarantined: ({digest}) => quarantined.push(digest),
+    onCleared: digest => quarantined.splice(quarantined.indexOf(digest), 1),
+  });
+  /** A request with the first part and this one ran at each of the replicas. */
+  const end = (part: string, ...replicas: readonly string[]) => {
+    for (const replica of replicas) {
+      suspects.replicaEnded(FIRST_PART, replica, partAt(0));
+      suspects.replicaEnded(part, replica, partAt(1));
+    }
+  };
+  return {clock, suspects, changes, quarantined, end};
+}
+
+describe('of the parts of requests during which replicas ended', () => {
+  test('the one that has not run well is refused', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    suspects.partRanWell(FIRST_PART);
+    end(BAD_PART, 'r1', 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([BAD_PART]);
+  });
+
+  // All entries have restarted, so that nothing is known to have run well.
+  test('the later one is refused when they crashed the same replicas', async () => {
+    const {clock, quarantined, end} = createEntry();
+    end(BAD_PART, 'r1', 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([BAD_PART]);
+  });
+
+  test('the first one is refused when the later ones vary', async () => {
+    const {clock, quarantined, end} = createEntry();
+    end(BAD_PART, 'r1');
+    end(OTHER_PART, 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([FIRST_PART]);
+  });
+
+  test('another one is refused when the refused one runs well', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    end(BAD_PART, 'r1', 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    suspects.partRanWell(BAD_PART);
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([FIRST_PART]);
+  });
+
+  test('none is refused after two replicas', async () => {
+    const {clock, quarantined, end} = createEntry();
+    end(BAD_PART, 'r1', 'r2', 'r2');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([]);
+  });
+
+  // The run seemed to end well just before its replica crashed.
+  test('one whose last run has not been confirmed is refused', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    suspects.partSeemedToRunWell(BAD_PART, {id: 'r0', address: 'a'});
+    end(BAD_PART, 'r1', 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([BAD_PART]);
+  });
+
+  // Replicas of a new version may crash under a part that ran well before.
+  test('one that ran well long ago may be refused', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    suspects.partRanWell(BAD_PART);
+    await clock.runFor(MINUTE_MS + 1);
+    end(BAD_PART, 'r1', 'r2', 'r3');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([BAD_PART]);
+  });
+
+  test('those with full reports are told apart by their place', () => {
+    const replicas = Array.from({length: 8}, (_, at) => `r${at}`);
+    const later = replicas.map(id => `${id}-later`);
+    const blamed = blamedParts([
+      {digest: FIRST_PART, ended: new Set(replicas), position: 0},
+      {digest: BAD_PART, ended: new Set(later), position: 1},
+    ]);
+    expect(blamed.map(({digest}) => digest)).toEqual([BAD_PART]);
+  });
+});
+
+describe('an entry that has just started', () => {
+  // It knows no part that ran well, and the first part stands in every crash.
+  test('does not refuse a part that ran well at a peer', async () => {
+    const one = createEntry('entry-1');
+    const two = createEntry('entry-2');
+    two.suspects.partRanWell(FIRST_PART);
+    one.end(BAD_PART, 'r1');
+    one.end(OTHER_PART, 'r2', 'r3');
+    two.suspects.merge(one.changes);
+    one.suspects.merge(two.changes);
+    await one.clock.runFor(JUDGED_MS);
+    expect(one.quarantined).toEqual([]);
+    expect(one.suspects.isProven(FIRST_PART)).toBe(true);
+  });
+
+  test('gets one answer for all peers', async () => {
+    const one = createEntry('entry-1');
+    const two = createEntry('entry-2', () => 10);
+    const three = createEntry('entry-3', () => 100);
+    one.end(BAD_PART, 'r1');
+    for (const {suspects} of [two, three]) {
+      suspects.partRanWell(FIRST_PART);
+      suspects.merge(one.changes);
+    }
+    await two.clock.runFor(50);
+    three.suspects.merge(two.changes);
+    await three.clock.runFor(200);
+    expect(two.changes.map(({digest}) => digest)).toEqual([FIRST_PART]);
+    expect(three.changes).toEqual([]);
+  });
+});
+
+describe('reports of parts', () => {
+  test('keep their type in datagrams', () => {
+    const report = {digest: BAD_PART, position: 3, ended: ['r1'], good: {}};
+    const bytes = encodeDatagram({kind: 'crashes', reports: [report]});
+    expect(decodeDatagram(bytes).extract()).toEqual({
+      kind: 'crashes',
+      reports: [report],
+    });
+  });
+
+  // An entry of an earlier version has passed the report on.
+  test('are merged with what is known where their type is missing', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    end(BAD_PART, 'r1', 'r2');
+    suspects.merge([{digest: BAD_PART, ended: ['r3'], good: {}}]);
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([BAD_PART]);
+    expect(suspects.quarantinedCount('part')).toBe(1);
+  });
+
+  // A caller sends ever new parts, each of which ends a replica.
+  test('do not push out a part that crashes again and again', async () => {
+    const {clock, suspects, end} = createEntry();
+    for (let at = 0; at < 3; at++) {
+      end(BAD_PART, `r${at}`);
+      for (let other = 0; other < 900; other++) {
+        const digest = (at * 1_000 + other).toString(16).padStart(32, '0');
+        suspects.replicaEnded(digest, `other-${at}`, partAt(1));
+      }
+    }
+    await clock.runFor(JUDGED_MS);
+    expect(suspects.isQuarantined(BAD_PART)).toBe(true);
+    expect(suspects.suspectCount()).toBe(1_000);
+  });
+});
