feat(direct): connections of a flood are closed unread

Callers of an entry that got most new connections of a region would all be read and answered late, with those on kept connections and the peers' talk. Cause: nothing bounded what an entry accepts. Change: while the event loop is late (30 ms on average) and more than twice the usual connections come (20 a second at least), new connections are closed unread, so that a retry meets another entry; event 280 and a counter tell. Neither sign alone does it, nor the first 3 s of an entry. No play or soak of such a flood was made.

--- /dev/null
+++ b/src/direct/callers/connection_gate.ts
@@ -0,0 +1,91 @@
+/**
+ * Decides which new connections of callers are taken. A load balancer may hand
+ * most of a region's connections to one entry for a while. An entry that reads
+ * them all falls behind on every request, and on the talk with its peers; one
+ * that is closed unread is retried at another entry at once.
+ *
+ * Both signs are needed: far more connections than usual, and an event loop
+ * that is behind. A stall alone, as at a large configuration, is over before
+ * callers could come back.
+ */
+import type {Cancel, Clock} from '../../types/runtime.js';
+
+/** Interval of the measurements, in milliseconds. */
+const INTERVAL_MS = 50;
+/** The delay of the event loop is averaged over about this time. */
+const DELAY_WINDOW_MS = 250;
+/** Average delay of the event loop, in milliseconds, from which on it is late. */
+const LATE_MS = 30;
+/** The present rate of connections is averaged over about this time. */
+const PRESENT_WINDOW_MS = 500;
+/** The usual rate of connections is averaged over about this time. */
+const USUAL_WINDOW_MS = 20_000;
+/** Until then the usual rate is not known. */
+const LEARNING_MS = 3_000;
+/** A flood has at least this many times the usual connections. */
+const FLOOD_FACTOR = 2;
+/** Fewer new connections a second are never a flood. */
+const LEAST_FLOOD_PER_S = 20;
+
+export interface ConnectionGate {
+  /** Counts a new connection and returns whether to take it. */
+  admit(): boolean;
+  stop: Cancel;
+}
+
+/** `onClosed` is called with the number of connections closed in an interval. */
+export function createConnectionGate(
+  clock: Clock,
+  onClosed: (count: number) => void,
+): ConnectionGate {
+  const startedAt = clock.now();
+  let measuredAt = startedAt;
+  let arrived = 0;
+  let closed = 0;
+  let delayMs = 0;
+  let presentPerS = 0;
+  let usualPerS = 0;
+  let isFlooded = false;
+
+  const measure = (): void => {
+    const now = clock.now();
+    const elapsedMs = now - measuredAt;
+    measuredAt = now;
+    const lateMs = Math.max(0, elapsedMs - INTERVAL_MS);
+    const perS = (arrived / elapsedMs) * 1_000;
+    delayMs = average(delayMs, lateMs, elapsedMs, DELAY_WINDOW_MS);
+    presentPerS = average(presentPerS, perS, elapsedMs, PRESENT_WINDOW_MS);
+    isFlooded =
+      now - startedAt > LEARNING_MS &&
+      delayMs > LATE_MS &&
+      presentPerS > Math.max(LEAST_FLOOD_PER_S, FLOOD_FACTOR * usualPerS);
+    // A flood does not become usual while it lasts.
+    if (!isFlooded) {
+      const windowMs = Math.min(USUAL_WINDOW_MS, now - startedAt);
+      usualPerS = average(usualPerS, perS, elapsedMs, windowMs);
+    }
+    if (closed > 0) onClosed(closed);
+    arrived = 0;
+    closed = 0;
+  };
+  const stop = clock.every(INTERVAL_MS, measure);
+  return {
+    admit: () => {
+      arrived++;
+      if (isFlooded) closed++;
+      return !isFlooded;
+    },
+    stop,
+  };
+}
+
+/** Exponential average over a time window. */
+function average(
+  known: number,
+  next: number,
+  elapsedMs: number,
+  windowMs: number,
+): number {
+  const share = 1 - Math.exp(-elapsedMs / Math.max(1, windowMs));
+  return known + share * (next - known);
+}
--- a/src/direct/callers_server.ts
+++ b/src/direct/callers_server.ts
@@ -46,10 +46,14 @@
   res: ServerResponse,
 ) => void;
 
-/** Listens at `address`, an IP:PORT; rejects when it cannot be bound. */
+/**
+ * Listens at `address`, an IP:PORT; rejects when it cannot be bound. A new
+ * connection for which `admit` returns false is closed unread.
+ */
 export async function openCallersServer(
   address: string,
   handler: RequestHandler,
+  admit: () => boolean,
 ): Promise<CallersServer> {
   const server = createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
@@ -61,7 +65,10 @@
     res.writeContinue();
     handler(req, res);
   });
-  server.on('connection', socket => socket.setNoDelay(true));
+  server.on('connection', socket => {
+    if (admit()) socket.setNoDelay(true);
+    else socket.destroy();
+  });
   server.on('clientError', refuse);
   await listen(server, address);
   return {
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -10,6 +10,7 @@
 import {admitRequest} from './admit_request.js';
 import type {Refusal} from './admit_request.js';
 import {probePort} from './crashes/port_probe.js';
+import {createConnectionGate} from './callers/connection_gate.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {openDispatch} from './dispatch.js';
@@ -286,9 +287,19 @@
       });
   };
 
+  const connectionGate = createConnectionGate(clock, closed => {
+    log(DIRECT_EVENTS.connectionsClosed, {closed});
+    metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
+  });
+  ctx.own(connectionGate.stop);
+
   const openServer = async (): Promise<void> => {
     isOpening = true;
-    server = await openCallersServer(settings.listen.callers, onRequest);
+    server = await openCallersServer(
+      settings.listen.callers,
+      onRequest,
+      connectionGate.admit,
+    );
     if (config !== undefined) server.setLimits(config.limits);
     log(DIRECT_EVENTS.listening, {address: settings.listen.callers});
   };
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -175,6 +175,7 @@
   replicaPaused: event(276, 'warn', 'direct-replica-paused'),
   replicaResumed: event(278, 'info', 'direct-replica-resumed'),
   noticeUnreadable: event(277, 'warn', 'direct-notice-unreadable'),
+  connectionsClosed: event(280, 'warn', 'direct-connections-closed'),
   loopStalled: event(279, 'warn', 'direct-loop-stalled'),
   evacuationBegan: event(290, 'warn', 'direct-evacuation-began'),
   evacuationEnded: event(291, 'info', 'direct-evacuation-ended'),
