fix(direct): sound parts are not blamed for a refused request, and get their trial

Cause: a part that ran beside a refused request stood in all its crashes, and was blamed for one more; its trial needed a request without other suspect parts, and all requests with it had the same first part, unproven as well. Change: of a part's three ends two must lie outside those of refused requests; a trial waits one second for a request that shows more, and then takes any.

--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -43,6 +43,8 @@
  * part of this time, in milliseconds, so that few of them answer.
  */
 const MAX_REPLY_DELAY_MS = 150;
+/** Time for which a trial waits for a request that shows more, in milliseconds. */
+const BETTER_TRIAL_WAIT_MS = 1_000;
 /** Shortest time after which a caller may ask again for a part on trial. */
 const MIN_TRIAL_RETRY_MS = 1_000;
 
@@ -215,20 +217,19 @@
   const isQuarantined = (exchange: Exchange) =>
     quarantinedSubjects(exchange).length > 0;
   /**
-   * The subject that a run of the request would be a trial of. Beside another
-   * suspect part the run would show nothing of either.
+   * The subject that a run of the request would be a trial of. Beside a part
+   * that may be guilty instead, a crash would show nothing of the subject. Such
+   * a request is taken where no better one came for a while.
    */
   const trialSubject = (exchange: Exchange): Subject | undefined => {
     const [subject, ...others] = quarantinedSubjects(exchange);
-    const isAlone = exchange
+    if (subject === undefined || others.length > 0) return undefined;
+    const isOverdue =
+      suspects.nextTrialInMs(subject.digest) <= -BETTER_TRIAL_WAIT_MS;
+    const isClear = exchange
       .partDigests()
-      .every(
-        digest =>
-          digest === subject?.digest ||
-          suspects.isProven(digest) ||
-          !suspects.isSuspect(digest),
-      );
-    return others.length === 0 && isAlone ? subject : undefined;
+      .every(it => it === subject.digest || !suspects.mayBeGuilty(it));
+    return isClear || isOverdue ? subject : undefined;
   };
   const isSuspect = (exchange: Exchange): boolean => {
     if (suspects.suspectCount() === 0) return false;
--- a/src/direct/crashes/part_verdict.ts
+++ b/src/direct/crashes/part_verdict.ts
@@ -2,13 +2,17 @@
  * Decides which parts of prompts crash replicas. A crash takes along all that
  * ran there, with all its parts, so innocent parts have ended replicas as well.
  * A part that ran well anywhere is innocent. Of the others, one that another
- * one explains is not blamed: if each crash of it is also one of the other.
+ * one explains is not blamed: if each crash of it is also one of the other. So
+ * are crashes under a request that is refused by itself.
  */
 import {MAX_ENDED_REPLICAS} from './crash_reports.js';
 
 /** Number of ended replicas from which on a part may be blamed. */
 export const PART_THRESHOLD = 3;
 
+/** Number of them that no refused request explains. */
+const LEAST_UNEXPLAINED = 2;
+
 /** Crashes under a part, no run of which ended well. */
 export interface PartCrashes {
   readonly digest: string;
@@ -17,11 +21,21 @@
   readonly position: number;
 }
 
-/** Returns the parts to blame, among all that crashed and never ran well. */
+/**
+ * Returns the parts to blame, among all that crashed and never ran well.
+ * `explained` are the replicas that ended under requests that are refused by
+ * themselves.
+ */
 export function blamedParts(
   crashes: readonly PartCrashes[],
+  explained: ReadonlySet<string>,
 ): readonly PartCrashes[] {
-  const candidates = crashes.filter(({ended}) => ended.size >= PART_THRESHOLD);
+  const candidates = crashes.filter(({ended}) => {
+    const unexplained = [...ended].filter(id => !explained.has(id));
+    return (
+      ended.size >= PART_THRESHOLD && unexplained.length >= LEAST_UNEXPLAINED
+    );
+  });
   return candidates.filter(
     part => !candidates.some(other => explains(other, part)),
   );
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -12,7 +12,7 @@
  * the same result.
  */
 import type {Clock} from '../../types/runtime.js';
-import {MAX_ENDED_REPLICAS, typeOf} from './crash_reports.js';
+import {typeOf} from './crash_reports.js';
 import type {CrashReport} from './crash_reports.js';
 import {createGoodRuns} from './good_runs.js';
 import type {RunReplica} from './good_runs.js';
@@ -20,19 +20,19 @@
 import {createRecentEnds} from './recent_ends.js';
 import {createReplies} from './replies.js';
 import {REQUEST} from './subjects.js';
+import {
+  ENOUGH_SUCCESSES,
+  earlierOf,
+  isFull,
+  reachesThreshold,
+  reportOf,
+  successesElsewhere,
+  successesOf,
+} from './suspect.js';
+import type {Suspect} from './suspect.js';
 import type {SubjectKind, SubjectType} from './subjects.js';
 import {createTrials} from './trials.js';
-import type {Trials} from './trials.js';
 
-/** Number of ended replicas at which a request is quarantined. */
-const QUARANTINE_THRESHOLD = 3;
-/** Each successful run of a request raises the threshold by this. */
-const THRESHOLD_PER_SUCCESS = 2;
-/**
- * With so many successful runs a request is never quarantined, since a report
- * names fewer ended replicas than its threshold.
- */
-const ENOUGH_SUCCESSES = 3;
 /**
  * Time from the third crash under a part until parts are judged, in
  * milliseconds. Other entries report their runs at the same replicas and which
@@ -55,20 +55,6 @@
  */
 const RELEASE_GRACE_MS = 5_000;
 
-interface Suspect {
-  type: SubjectType;
-  /** Ids of replicas that ended during a run. */
-  readonly ended: Set<string>;
-  /** Number of successful runs, by the entry that observed them. */
-  readonly good: Map<string, number>;
-  /** Time at which this entry last learned of an ended replica. */
-  endedAt: number;
-  /** True when this entry observed the last end itself. */
-  isOwn: boolean;
-  /** Defined while the subject is quarantined. */
-  trials: Trials | undefined;
-}
-
 export interface SuspectsOptions {
   readonly clock: Clock;
   /** Name of this entry. */
@@ -118,6 +104,8 @@
   /** Whether a replica has ended during a run of the subject. */
   isSuspect(digest: string): boolean;
   isQuarantined(digest: string): boolean;
+  /** Whether the part may have crashed replicas although it is not blamed. */
+  mayBeGuilty(digest: string): boolean;
   /** Time until the part is judged, in milliseconds; 0 when it is not due. */
   judgedInMs(digest: string): number;
   /** Whether the replica is known to have ended in the last seconds. */
@@ -132,7 +120,10 @@
    * answered, so that the trial may still be free.
    */
   trialSettled(digest: string, isAnswered: boolean): void;
-  /** Time until the next trial, in milliseconds; infinite when none is planned. */
+  /**
+   * Time until the next trial, in milliseconds; negative when it is overdue,
+   * infinite when none is planned.
+   */
   nextTrialInMs(digest: string): number;
   /** Merges reports of a peer or of the store. */
   merge(reports: readonly CrashReport[]): void;
@@ -201,7 +192,7 @@
     isOwn: boolean,
   ): boolean => {
     const {ended} = suspect;
-    if (ended.has(replicaId) || ended.size >= MAX_ENDED_REPLICAS) return false;
+    if (ended.has(replicaId) || isFull(suspect)) return false;
     ended.add(replicaId);
     suspect.endedAt = clock.now();
     suspect.isOwn = isOwn;
@@ -247,7 +238,12 @@
     });
   const judgeParts = (): void => {
     judgementAt = undefined;
-    for (const {digest} of blamedParts(crashesOfParts())) {
+    const explained = new Set(
+      [...quarantined.request].flatMap(digest => [
+        ...(suspects.get(digest)?.ended ?? []),
+      ]),
+    );
+    for (const {digest} of blamedParts(crashesOfParts(), explained)) {
       const suspect = suspects.get(digest);
       if (suspect === undefined || suspect.trials !== undefined) continue;
       quarantine(digest, suspect, suspect.isOwn);
@@ -378,6 +374,10 @@
     isProven: goodRuns.isProven,
     isSuspect: digest => findCurrent(digest) !== undefined,
     isQuarantined: digest => findCurrent(digest)?.trials !== undefined,
+    mayBeGuilty: digest => {
+      const ends = findCurrent(digest)?.ended.size ?? 0;
+      return ends >= PART_THRESHOLD && !goodRuns.isProven(digest);
+    },
     judgedInMs: digest => {
       if (judgementAt === undefined) return 0;
       const suspect = findCurrent(digest);
@@ -412,35 +412,6 @@
   };
 }
 
-function reachesThreshold({ended, good}: Suspect): boolean {
-  const runs = successesOf(good.values());
-  return ended.size >= QUARANTINE_THRESHOLD + THRESHOLD_PER_SUCCESS * runs;
-}
-
-function successesOf(counts: Iterable<number>): number {
-  return [...counts].reduce((sum, count) => sum + count, 0);
-}
-
-function successesElsewhere({good}: Suspect, self: string): number {
-  return successesOf(good.values()) - (good.get(self) ?? 0);
-}
-
-function earlierOf(known: SubjectType, next: SubjectType): SubjectType {
-  if (known.kind !== 'part' || next.kind !== 'part') {
-    return known.kind === 'part' ? known : next;
-  }
-  return next.position < known.position ? next : known;
-}
-
-function reportOf(digest: string, {type, ended, good}: Suspect): CrashReport {
-  return {
-    digest,
-    position: type.kind === 'part' ? type.position : undefined,
-    ended: [...ended],
-    good: Object.fromEntries(good),
-  };
-}
-
 function isPowerOfTwo(count: number): boolean {
   return (count & (count - 1)) === 0;
 }
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -38,6 +38,6 @@
         ? quarantinedAt + afterMs
         : clock.now() + CLAIM_RETRY_MS;
     },
-    dueInMs: () => Math.max(0, nextAt - clock.now()),
+    dueInMs: () => nextAt - clock.now(),
   };
 }
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -27,6 +27,7 @@
 function setUp(probe: (address: string) => PortState) {
   const clock = createVirtualClock();
   const probed: string[] = [];
+  const claims: string[] = [];
   let requests = 0;
   const watch = createCrashWatch({
     clock,
@@ -42,7 +43,10 @@
     shareReport: () => undefined,
     onQuarantined: () => undefined,
     onCleared: () => undefined,
-    claimTrial: () => Promise.resolve(false),
+    claimTrial: digest => {
+      claims.push(digest);
+      return Promise.resolve(false);
+    },
   });
   /** Requests with the part, of which no two are alike. */
   const request = (): Exchange => {
@@ -60,7 +64,7 @@
     watch.runBroken(request(), replica(id));
     await clock.runFor(SETTLED_MS);
   };
-  return {clock, watch, probed, request, crash};
+  return {clock, watch, probed, claims, request, crash};
 }
 
 describe('a part of prompts during whose runs three replicas ended', () => {
@@ -101,6 +105,23 @@
   });
 });
 
+// All requests with the refused part have another one that crashed as often.
+test('a part is tried at last beside another suspect part', async () => {
+  const other = 'c'.repeat(32);
+  const {clock, watch, request, claims} = setUp(() => 'refused');
+  const both = (): Exchange => ({
+    ...request(),
+    partDigests: () => [other, PART],
+  });
+  for (const id of ['r1', 'r22', 'r333']) watch.runBroken(both(), replica(id));
+  await clock.runFor(1_500);
+  await watch.claimTrial(both());
+  expect(claims).toEqual([]);
+  await clock.runFor(1_500);
+  await watch.claimTrial(both());
+  expect(claims).toEqual([PART]);
+});
+
 // Each part would cost its replica a connection in quiet times.
 test('runs that end well open no connection while nothing crashes', async () => {
   const {clock, watch, probed, request} = setUp(() => 'open');
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -98,13 +98,31 @@
     expect(quarantined).toEqual([BAD_PART]);
   });
 
+  // The request is sent again and again, each time with all its parts.
+  test('none is refused for the crashes of a refused request', async () => {
+    const {clock, suspects, quarantined, end} = createEntry();
+    const request = 'd'.repeat(32);
+    for (const replica of ['r1', 'r2', 'r3']) {
+      suspects.replicaEnded(request, replica);
+      end(OTHER_PART, replica);
+    }
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([request]);
+    end(OTHER_PART, 'r4', 'r5');
+    await clock.runFor(JUDGED_MS);
+    expect(quarantined).toEqual([request, OTHER_PART]);
+  });
+
   test('those with full reports are told apart by their place', () => {
     const replicas = Array.from({length: 8}, (_, at) => `r${at}`);
     const later = replicas.map(id => `${id}-later`);
-    const blamed = blamedParts([
-      {digest: FIRST_PART, ended: new Set(replicas), position: 0},
-      {digest: BAD_PART, ended: new Set(later), position: 1},
-    ]);
+    const blamed = blamedParts(
+      [
+        {digest: FIRST_PART, ended: new Set(replicas), position: 0},
+        {digest: BAD_PART, ended: new Set(later), position: 1},
+      ],
+      new Set(),
+    );
     expect(blamed.map(({digest}) => digest)).toEqual([BAD_PART]);
   });
 });
