feat(bench): the crash model knows parts of prompts

Cause: ways to tell which part crashes replicas could not be weighed. Change: organisations with shared first and second parts; a bad part after the shared one or first, two of them, storms, and a restart of all entries.

--- a/bench/crashing.ts
+++ b/bench/crashing.ts
@@ -21,11 +21,32 @@
   {atMs: 16_000, share: 0.15},
 ];
 
-type Load = Pick<CrashScenario, 'killers' | 'storms'>;
+type Load = Pick<
+  CrashScenario,
+  'killers' | 'storms' | 'badParts' | 'restartAtMs'
+>;
 const LOADS: Readonly<Record<string, Load>> = {
   killers: {killers: 4, storms: []},
   storms: {killers: 0, storms: STORMS},
   both: {killers: 4, storms: STORMS},
+  part: {killers: 0, storms: [], badParts: ['after-shared']},
+  'first part': {killers: 0, storms: [], badParts: ['first']},
+  'two parts': {
+    killers: 0,
+    storms: [],
+    badParts: ['after-shared', 'after-shared'],
+  },
+  'parts and storms': {
+    killers: 0,
+    storms: STORMS,
+    badParts: ['after-shared', 'first'],
+  },
+  'part and restart': {
+    killers: 0,
+    storms: STORMS,
+    badParts: ['after-shared'],
+    restartAtMs: STORMS[0].atMs - 100,
+  },
 };
 
 /** Over several seeds; what there is none of is undefined. */
--- a/bench/direct/crash_talk.ts
+++ b/bench/direct/crash_talk.ts
@@ -11,6 +11,8 @@
 const TOLD_AGAIN_MS = [0, 100, 400];
 const TOLD_SUSPECTS_MS = 1_000;
 const TOLD_SUSPECTS = 4;
+/** As `crash_watch.ts` draws the delay of an answer to a report. */
+const REPLY_DELAY_MS = 150;
 /** A write to the store and the watch that tells of it. */
 const STORE_MS = 10;
 
@@ -24,7 +26,10 @@
 }
 
 export interface CrashTalk {
+  /** Those that run now; a restart replaces them. */
   readonly entries: readonly CrashWay[];
+  /** All entries lose what they know but for what the store has. */
+  restartAll(): void;
   /** Of all datagrams that were sent. */
   bytes(): number;
 }
@@ -59,22 +64,40 @@
       others(from).forEach(to => act(entries[to])),
     );
 
+  const stored = new Map<string, CrashReport>();
+  const startEntry = (at: number): CrashWay => {
+    const entry = options.way({
+      clock,
+      self: `entry-${at}`,
+      replyDelayMs: () => random.next() * REPLY_DELAY_MS,
+      confirmRun: digest => entry.partRanWell(digest),
+      onChanged: report => tellAll(at, report),
+      onQuarantined: (report, isOwn) => {
+        options.onRefusedAt(at, report.digest);
+        if (!isOwn) return;
+        stored.set(report.digest, report);
+        byStore(at, to => to.merge([report]));
+      },
+      onCleared: (digest, isOwn) => {
+        if (!isOwn) return;
+        stored.delete(digest);
+        byStore(at, to => to.release(digest));
+      },
+    });
+    return entry;
+  };
   for (let at = 0; at < options.entries; at++) {
-    entries.push(
-      options.way({
-        clock,
-        self: `entry-${at}`,
-        onChanged: report => tellAll(at, report),
-        onQuarantined: (report, isOwn) => {
-          options.onRefusedAt(at, report.digest);
-          if (isOwn) byStore(at, to => to.merge([report]));
-        },
-        onCleared: (digest, isOwn) => {
-          if (isOwn) byStore(at, to => to.release(digest));
-        },
-      }),
-    );
+    entries.push(startEntry(at));
     clock.every(TOLD_SUSPECTS_MS, () => tellOne(at));
   }
-  return {entries, bytes: () => bytes};
+  return {
+    entries,
+    restartAll: () => {
+      for (let at = 0; at < entries.length; at++) {
+        entries[at] = startEntry(at);
+        entries[at].merge([...stored.values()]);
+      }
+    },
+    bytes: () => bytes,
+  };
 }
--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -15,6 +15,14 @@
   Suspects,
   | 'replicaEnded'
   | 'runSucceeded'
+  | 'partSeemedToRunWell'
+  | 'lastReplicaOf'
+  | 'partRanWell'
+  | 'isProven'
+  | 'isSuspect'
+  | 'mayBeGuilty'
+  | 'nextTrialInMs'
+  | 'judgedInMs'
   | 'isQuarantined'
   | 'dueTrial'
   | 'trialSettled'
@@ -74,7 +82,21 @@
       it.isQuarantined = true;
       onQuarantined(reportOf(digest), isOwn);
     };
+    const runSucceeded = (digest: string): void => {
+      runs++;
+      goodBefore.set(digest, (goodBefore.get(digest) ?? 0) + 1);
+      const it = known.get(digest);
+      it?.good.set(self, (it.good.get(self) ?? 0) + 1);
+    };
     return {
+      partSeemedToRunWell: runSucceeded,
+      lastReplicaOf: () => undefined,
+      partRanWell: runSucceeded,
+      isProven: () => false,
+      isSuspect: () => false,
+      mayBeGuilty: () => false,
+      nextTrialInMs: () => Infinity,
+      judgedInMs: () => 0,
       replicaEnded: (digest, replicaId) => {
         runs++;
         endedRuns++;
@@ -82,12 +104,7 @@
         onChanged(reportOf(digest));
         judge(digest, true);
       },
-      runSucceeded: digest => {
-        runs++;
-        goodBefore.set(digest, (goodBefore.get(digest) ?? 0) + 1);
-        const it = known.get(digest);
-        it?.good.set(self, (it.good.get(self) ?? 0) + 1);
-      },
+      runSucceeded,
       isQuarantined: digest => known.get(digest)?.isQuarantined ?? false,
       dueTrial: () => undefined,
       trialSettled: () => undefined,
