--- a/fault_soak/faults.ts
+++ b/fault_soak/faults.ts
@@ -1,4 +1,5 @@
 /** The faults of a run, drawn from its seed before anything starts. */
+import type {PoisonPart, PoisonRequest} from './poison_faults.js';
 import type {RelayFaults} from '../standins/relay_core.js';
 import type {StoreMode} from '../standins/users_platform/store.js';
 import type {Random} from '../src/types/runtime.js';
@@ -37,6 +38,7 @@
   | {readonly kind: 'rotate-key'; forMs: number}
   | RestoreStore
   | PoisonRequest
+  | PoisonPart
   | ServerLimit
   | ServerLeaving
   | RetryAfter
@@ -54,18 +56,6 @@
   readonly replicaMs: readonly number[];
 }
 
-/** A request that crashes what runs it comes again, from now to the end. */
-export interface PoisonRequest {
-  readonly kind: 'poison-request';
-  forMs: number;
-  readonly path: 'stream' | 'once' | 'again';
-  /** Mean pause of a caller between two of them. */
-  readonly everyMs: number;
-  readonly callers: number;
-  /** From its arrival until the replica crashes. */
-  readonly crashMs: number;
-}
-
 /** A replica names limits on its requests that change, until `forMs`. */
 export interface ServerLimit {
   readonly kind: 'server-limit';
@@ -123,6 +113,7 @@
   'rotate-key',
   'restore-store',
   'poison-request',
+  'poison-part',
   'server-limit',
   'server-leaving',
   'retry-after',
@@ -135,6 +126,16 @@
   readonly [F in Fault['kind']]?: ReadonlyArray<Fault['kind']>;
 } = {
   'server-limit': ['pause-entry', 'kill-entry', 'end-entry', 'store-link'],
+  'poison-part': [
+    'pause-entry',
+    'kill-entry',
+    'end-entry',
+    'kill-all-entries',
+    'store-mode',
+    'store-link',
+    'restore-store',
+    'poison-request',
+  ],
   'server-leaving': [
     'pause-entry',
     'kill-entry',
@@ -188,13 +189,6 @@
 /** Operators and replicas write again within this. */
 const LONGEST_REWRITE_MS = 1_500;
 
-/** Mean pause between two requests that crash replicas. */
-const MEAN_POISON_GAP_MS = 9_000;
-const POISON_PATHS = ['stream', 'once', 'again'] as const;
-const POISON_CALLERS = 3;
-const POISON_EVERY_MS = 900;
-const POISON_CRASH_MS = 700;
-
 /** Mean pause between two replicas that begin to name limits. */
 const MEAN_LIMIT_GAP_MS = 3_000;
 const LONGEST_LIMIT_MS = 14_000;
@@ -284,27 +278,6 @@
   return plan;
 }
 
-/** Draws requests that crash replicas, from a chance of their own as well. */
-export function drawPoison(
-  random: Random,
-  {durationMs}: FaultPlanShape,
-): readonly PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  const gap = () => -Math.log(1 - random.next()) * MEAN_POISON_GAP_MS;
-  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
-    const fault: PoisonRequest = {
-      kind: 'poison-request',
-      forMs: 0,
-      path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
-      everyMs: random.next() * POISON_EVERY_MS,
-      callers: 1 + Math.floor(random.next() * POISON_CALLERS),
-      crashMs: random.next() ** 2 * POISON_CRASH_MS,
-    };
-    plan.push({atMs, fault});
-  }
-  return plan;
-}
-
 /** Draws replicas that name limits, from a chance of their own as well. */
 export function drawLimits(
   random: Random,
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -4,6 +4,7 @@
  * injected from outside and the judge sees what ran.
  */
 import type {ServerResponse} from 'node:http';
+import {poisonOf} from './poison_labels.js';
 import {freeAddresses} from '../demo/free_addresses.js';
 import type {DirectSettings} from '../src/direct/settings.js';
 import {startRelay} from '../standins/relay_core.js';
@@ -265,10 +266,10 @@
       askForPause(String(pauseS))(arrival, res, req);
       return;
     }
-    const [poison, , crashMs] = arrival.body.split('-');
-    if (poison === 'poison') {
+    const poison = poisonOf(arrival);
+    if (poison !== undefined) {
       note(arrival);
-      setTimeout(() => crash(arrival.body), Number(crashMs));
+      setTimeout(() => crash(poison.label), poison.crashMs);
       return;
     }
     if (fault !== 'refuses') note(arrival);
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -1,12 +1,8 @@
 /** Injects faults into a running fleet, and takes each back. */
 import type {RelayFaults} from '../standins/relay_core.js';
 import {configOf} from '../standins/users_platform/deployment.js';
-import type {
-  Fault,
-  PoisonRequest,
-  RestoreStore,
-  ServerLimit,
-} from './faults.js';
+import type {Fault, RestoreStore, ServerLimit} from './faults.js';
+import type {PoisonPart, PoisonRequest} from './poison_faults.js';
 import type {Evacuator} from './soak_evacuations.js';
 import type {SoakFleet, Span} from './soak_fleet.js';
 import {SERVICE_COLD, TIMING} from './soak_fleet.js';
@@ -47,7 +43,7 @@
 export function createInjector(
   fleet: SoakFleet,
   blame: (violation: Violation) => void,
-  beginPoison: (fault: PoisonRequest) => void,
+  beginPoison: (fault: PoisonRequest | PoisonPart) => void,
   evacuator: Evacuator,
 ): Injector {
   const undoing = new Map<object, () => void>();
@@ -240,6 +236,7 @@
       case 'restore-store':
         return restoreStore(fault);
       case 'poison-request':
+      case 'poison-part':
         return beginPoison(fault);
       case 'server-limit':
         return nameLimits(fault);
--- a/fault_soak/soak_requests.ts
+++ b/fault_soak/soak_requests.ts
@@ -33,6 +33,8 @@
   readonly isLarge: boolean;
   /** What it sends. @default the same for all */
   readonly prompt?: string;
+  /** Parts of the prompt that others share. @default some of a few */
+  readonly parts?: readonly string[];
 }
 
 /** One request's end, as its caller saw it. Times are steady milliseconds. */
@@ -55,6 +57,24 @@
   readonly leavingSaidAt: number | undefined;
 }
 
+/** The first part of all prompts that name no other. */
+export const SHARED_PART = 'f0';
+/** Second parts of ordinary prompts. */
+const SECOND_PARTS = 5;
+/** Length of one part in tokens. */
+const PART_TOKENS = 40;
+
+function secondPartOf(id: string): number {
+  return Buffer.from(id).reduce((sum, byte) => sum + byte, 0) % SECOND_PARTS;
+}
+
+/** The header that names the prompt's parts; the last is the request's own. */
+function partsHeader({parts, kind, id}: SoakRequest): string {
+  const shared = parts ?? [SHARED_PART, `a${secondPartOf(id)}`];
+  const own = Buffer.from(`${kind}${id}`).toString('hex').slice(-32);
+  return [...shared, own].map(part => `${part}:${PART_TOKENS}`).join(',');
+}
+
 /** Sends one request; always resolves. */
 export function sendRequest(
   address: string,
@@ -99,6 +119,7 @@
         'X-Request-Id': asked.id,
         Authorization: `Token ${asked.key}`,
         'X-Deadline-Ms': String(DEADLINE_MS),
+        'X-Prompt-Prefix': partsHeader(asked),
         ...(asked.kind === 'stream'
           ? {'X-Token-Usage': LENGTHS[asked.isLarge ? 'large' : 'small']}
           : {}),
--- a/fault_soak/soak_run.ts
+++ b/fault_soak/soak_run.ts
@@ -8,6 +8,7 @@
 import type {Random} from '../src/types/runtime.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 import type {Fault, PlannedFault} from './faults.js';
+import {drawPoison, drawPoisonParts} from './poison_faults.js';
 import {
   COMPANIONS,
   drawColdStarts,
@@ -16,7 +17,6 @@
   drawFaults,
   drawLimits,
   drawPauses,
-  drawPoison,
   drawReturns,
 } from './faults.js';
 import {judgeCold} from './soak_cold.js';
@@ -101,6 +101,8 @@
 const EVACUATION_SEED = 6_000_011;
 /** The same for replicas that start cold. */
 const COLD_SEED = 7_000_003;
+/** The same for parts of prompts that crash replicas. */
+const PART_SEED = 8_000_009;
 
 const START_LIMIT_MS = 60_000;
 /** From the end of the last fault until all is served again. */
@@ -213,10 +215,12 @@
   const pauses = createSeededRandom(seed + PAUSE_SEED);
   const evacuations = createSeededRandom(seed + EVACUATION_SEED);
   const coldStarts = createSeededRandom(seed + COLD_SEED);
+  const parts = createSeededRandom(seed + PART_SEED);
   return [
     ...drawFaults(random, drawn),
     ...drawReturns(warmedUp(returns), drawn),
     ...drawPoison(warmedUp(poison), drawn),
+    ...drawPoisonParts(warmedUp(parts), drawn),
     ...drawLimits(warmedUp(limits), drawn),
     ...drawDepartures(warmedUp(departures), drawn),
     ...drawPauses(warmedUp(pauses), drawn),
