--- a/src/cli/quarantine_commands.ts
+++ b/src/cli/quarantine_commands.ts
@@ -1,5 +1,6 @@
 /**
- * Commands for the quarantine of requests that crash replicas. They read and
+ * Commands for the quarantine of requests, and parts of prompts, that crash
+ * replicas. They read and
  * remove its records in the platform's store.
  */
 import {Command, Option} from 'clipanion';
@@ -149,12 +150,15 @@
     const records = await this.readAll(this.openStore());
     const record = records && this.findByPrefix(records, id);
     if (record === undefined) return EXIT_FAILED;
-    const {digest, ended, good, since} = toQuarantineJson(record);
+    const {digest, position, ended, good, since} = toQuarantineJson(record);
     if (this.json) {
-      this.printJson({digest, ended, good, since});
+      this.printJson({digest, position, ended, good, since});
       return EXIT_OK;
     }
     this.print(`digest: ${digest}\nsince:  ${since}`);
+    if (position !== undefined) {
+      this.print(`part:   ${position} of the prompts, counted from 0`);
+    }
     const rows = [
       ...ended.map(replica => ['ended', replica]),
       ...Object.entries(good).map(([entry, count]) => [
--- a/test/cli_quarantine.test.ts
+++ b/test/cli_quarantine.test.ts
@@ -51,6 +51,15 @@
     expect(stdout).toContain('2 runs at entry-1');
   });
 
+  test('show tells where a refused part stands in its prompts', async () => {
+    const digest = 'cd'.repeat(16);
+    const record = {digest, position: 1, ended: ENDED, good: {}, writtenAt: 0};
+    store.put(KIND, digest, record);
+    const {code, stdout} = await quarantine('show', 'cdcd');
+    expect(code).toBe(0);
+    expect(stdout).toContain('1 of the prompts');
+  });
+
   test('release removes the record of one request, with its trials', async () => {
     store.put(TRIALS, `${FIRST}-0`, {});
     const {code, stdout} = await quarantine('release', 'abab', '--json');
