fix(direct): a recorded part is refused by an entry that restarts

Cause: a record was merged like a report of a peer and judged anew; beside the record of a request that was refused later, ends of the part looked explained, so that an entry after a restart would have sent it on. Seen by reading. Records and reports that an earlier build passed on lack the part's type, and were not compared with the parts of a request. Change: records of the store are verdicts: their parts are refused at once, unless proven here or just released; parts are compared with all that is refused.

--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -57,7 +57,12 @@
 
 export interface CrashWatch extends Pick<
   Suspects,
-  'merge' | 'release' | 'nextReports' | 'suspectCount' | 'quarantinedCount'
+  | 'merge'
+  | 'mergeRecords'
+  | 'release'
+  | 'nextReports'
+  | 'suspectCount'
+  | 'quarantinedCount'
 > {
   /**
    * Resolves when it is decided whether the request's parts crash replicas, if
@@ -208,9 +213,8 @@
       suspects.quarantinedCount('request') > 0
         ? [requestSubject(exchange)]
         : [];
-    const parts =
-      suspects.quarantinedCount('part') > 0 ? partSubjects(exchange) : [];
-    return [...requests, ...parts].filter(({digest}) =>
+    // Of what entries of earlier versions pass on, the type is not known.
+    return [...requests, ...partSubjects(exchange)].filter(({digest}) =>
       suspects.isQuarantined(digest),
     );
   };
@@ -241,6 +245,7 @@
 
   return {
     merge: suspects.merge,
+    mergeRecords: suspects.mergeRecords,
     nextReports: suspects.nextReports,
     suspectCount: suspects.suspectCount,
     quarantinedCount: suspects.quarantinedCount,
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -125,8 +125,13 @@
    * infinite when none is planned.
    */
   nextTrialInMs(digest: string): number;
-  /** Merges reports of a peer or of the store. */
+  /** Merges reports of a peer. */
   merge(reports: readonly CrashReport[]): void;
+  /**
+   * Merges what the store has recorded as refused. Another entry has judged it,
+   * so it is refused here as well, unless it ran well.
+   */
+  mergeRecords(reports: readonly CrashReport[]): void;
   /** Ends the quarantine that an operator has released. */
   release(digest: string): void;
   /** The next `count` reports, in rotation, to send to a peer. */
@@ -326,6 +331,14 @@
     if (type.kind === 'part') mergePart(report, type);
     else mergeRequest(report);
   };
+  const mergeRecord = (record: CrashReport): void => {
+    mergeOne(record);
+    const suspect = findCurrent(record.digest);
+    const isRefused = suspect === undefined || suspect.trials !== undefined;
+    // A request is refused by its ends, which the record names.
+    if (isRefused || suspect.type.kind === 'request') return;
+    quarantine(record.digest, suspect, false);
+  };
 
   return {
     replicaEnded: (digest, replicaId, type = REQUEST) => {
@@ -393,6 +406,7 @@
       findCurrent(digest)?.trials?.settled(isAnswered),
     nextTrialInMs: digest => findCurrent(digest)?.trials?.dueInMs() ?? Infinity,
     merge: reports => reports.forEach(mergeOne),
+    mergeRecords: reports => reports.forEach(mergeRecord),
     release: drop,
     nextReports: count => {
       const all = [...suspects].filter(([, suspect]) => !isExpired(suspect));
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -361,6 +361,8 @@
         return setPeerLoad(message.node, message.loads, message);
       case 'crash-reports':
         return serving.crashes.merge(message.reports);
+      case 'quarantine-records':
+        return serving.crashes.mergeRecords(message.reports);
       case 'quarantine-released':
         return serving.crashes.release(message.digest);
       case 'entries':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -95,11 +95,16 @@
        */
       readonly keepMs: number;
     }
-  /** A peer or the store reports requests that crash replicas. */
+  /** A peer reports requests, or parts of prompts, that may crash replicas. */
   | {
       readonly kind: 'crash-reports';
       readonly reports: readonly CrashReport[];
     }
+  /** The store has records of what is refused because it crashes replicas. */
+  | {
+      readonly kind: 'quarantine-records';
+      readonly reports: readonly CrashReport[];
+    }
   /** The quarantine record with this digest was removed. */
   | {readonly kind: 'quarantine-released'; readonly digest: string}
   /** Number of live entries, including this one. */
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -136,7 +136,10 @@
     RequestPermits,
     'handleAsk' | 'handleAnswer' | 'setGrantingEntries'
   >;
-  readonly crashes: Pick<CrashWatch, 'merge' | 'release' | 'nextReports'>;
+  readonly crashes: Pick<
+    CrashWatch,
+    'merge' | 'mergeRecords' | 'release' | 'nextReports'
+  >;
   readonly evacuations: Pick<Evacuations, 'replaceAll'>;
   /** Undefined where organisations have no shares. */
   readonly shares: Omit<RequestShares, 'open'> | undefined;
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -247,7 +247,8 @@
     log: ctx.log,
     waitMs: () => (entryCount > 1 ? QUARANTINE_WATCH_MS : REPLICAS_WATCH_MS),
     maxRetryMs,
-    onReports: reports => ctx.send('direct', {kind: 'crash-reports', reports}),
+    onReports: reports =>
+      ctx.send('direct', {kind: 'quarantine-records', reports}),
     onReleased: digest =>
       ctx.send('direct', {kind: 'quarantine-released', digest}),
     onFault: connection.callFailed,
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -105,6 +105,13 @@
   });
 });
 
+// An entry of an earlier version has written the record, without the part's place.
+test('a part is refused by a record without its type', () => {
+  const {watch, request} = setUp(() => 'refused');
+  watch.mergeRecords([{digest: PART, ended: ['r1', 'r2', 'r3'], good: {}}]);
+  expect(watch.isQuarantined(request())).toBe(true);
+});
+
 // All requests with the refused part have another one that crashed as often.
 test('a part is tried at last beside another suspect part', async () => {
   const other = 'c'.repeat(32);
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -159,6 +159,38 @@
   });
 });
 
+describe('a record of a refused part', () => {
+  const record = {
+    digest: BAD_PART,
+    position: 1,
+    ended: ['r1', 'r2', 'r3'],
+    good: {},
+  };
+
+  // Ends of a request that was refused later would explain those of the part.
+  test('is in force at an entry that restarts, at once', () => {
+    const {suspects} = createEntry();
+    const request = {digest: 'd'.repeat(32), ended: record.ended, good: {}};
+    suspects.mergeRecords([request, record]);
+    expect(suspects.isQuarantined(BAD_PART)).toBe(true);
+  });
+
+  test('is not in force where the part ran well lately', () => {
+    const {suspects} = createEntry();
+    suspects.partRanWell(BAD_PART);
+    suspects.mergeRecords([record]);
+    expect(suspects.isQuarantined(BAD_PART)).toBe(false);
+  });
+
+  test('is not in force just after an operator removed it', () => {
+    const {suspects} = createEntry();
+    suspects.mergeRecords([record]);
+    suspects.release(BAD_PART);
+    suspects.mergeRecords([record]);
+    expect(suspects.isQuarantined(BAD_PART)).toBe(false);
+  });
+});
+
 describe('reports of parts', () => {
   test('keep their type in datagrams', () => {
     const report = {digest: BAD_PART, position: 3, ended: ['r1'], good: {}};
