fix(direct): a part that crashes on is refused however much others explain

Cause: a part names eight ended replicas at most. When those had also ended under refused requests, none was left unexplained and no further one was taken: on the crash model (4 entries, part and restart) one part ended 116 replicas. Change: a part with a full set is a candidate in any case.

--- a/src/direct/crashes/part_verdict.ts
+++ b/src/direct/crashes/part_verdict.ts
@@ -33,7 +33,9 @@
   const candidates = crashes.filter(({ended}) => {
     const unexplained = [...ended].filter(id => !explained.has(id));
     return (
-      ended.size >= PART_THRESHOLD && unexplained.length >= LEAST_UNEXPLAINED
+      ended.size >= PART_THRESHOLD &&
+      // A full set takes no further ends that might be unexplained.
+      (unexplained.length >= LEAST_UNEXPLAINED || isFull(ended))
     );
   });
   return candidates.filter(
@@ -52,7 +54,10 @@
 
 /** Sets that are full have lost what would tell them apart. */
 function covers({ended: all}: PartCrashes, {ended}: PartCrashes): boolean {
-  const areFull =
-    all.size >= MAX_ENDED_REPLICAS && ended.size >= MAX_ENDED_REPLICAS;
+  const areFull = isFull(all) && isFull(ended);
   return areFull || [...ended].every(id => all.has(id));
 }
+
+function isFull(ended: ReadonlySet<string>): boolean {
+  return ended.size >= MAX_ENDED_REPLICAS;
+}
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -113,6 +113,17 @@
     expect(quarantined).toEqual([request, OTHER_PART]);
   });
 
+  // All replicas that the report names ended under refused requests as well.
+  test('one that crashes on is refused however much others explain', () => {
+    const replicas = Array.from({length: 8}, (_, at) => `r${at}`);
+    const crashes = {
+      digest: BAD_PART,
+      ended: new Set(replicas),
+      position: 1,
+    };
+    expect(blamedParts([crashes], new Set(replicas))).toEqual([crashes]);
+  });
+
   test('those with full reports are told apart by their place', () => {
     const replicas = Array.from({length: 8}, (_, at) => `r${at}`);
     const later = replicas.map(id => `${id}-later`);
