fix(direct): a part keeps more ends than a report names

Cause: of each part eight ends were kept, as a report names. Change: 64 ends of a part are kept, the newest; a report names its last eight. Requests are as before. The model lets peers write records as entries do.

--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -27,6 +27,7 @@
   | 'dueTrial'
   | 'trialSettled'
   | 'merge'
+  | 'mergeRecords'
   | 'release'
   | 'nextReports'
 >;
@@ -88,6 +89,16 @@
       const it = known.get(digest);
       it?.good.set(self, (it.good.get(self) ?? 0) + 1);
     };
+    const merge: CrashWay['merge'] = reports => {
+      for (const {digest, ended, good} of reports) {
+        const it = of(digest);
+        ended.forEach(id => it.ended.add(id));
+        for (const [node, count] of Object.entries(good)) {
+          it.good.set(node, Math.max(it.good.get(node) ?? 0, count));
+        }
+        judge(digest, false);
+      }
+    };
     return {
       partSeemedToRunWell: runSucceeded,
       lastReplicaOf: () => undefined,
@@ -108,16 +119,8 @@
       isQuarantined: digest => known.get(digest)?.isQuarantined ?? false,
       dueTrial: () => undefined,
       trialSettled: () => undefined,
-      merge: reports => {
-        for (const {digest, ended, good} of reports) {
-          const it = of(digest);
-          ended.forEach(id => it.ended.add(id));
-          for (const [node, count] of Object.entries(good)) {
-            it.good.set(node, Math.max(it.good.get(node) ?? 0, count));
-          }
-          judge(digest, false);
-        }
-      },
+      merge,
+      mergeRecords: merge,
       release: digest => void known.delete(digest),
       nextReports: count => {
         const all = [...known.keys()];
--- a/src/direct/crashes/part_verdict.ts
+++ b/src/direct/crashes/part_verdict.ts
@@ -5,8 +5,6 @@
  * one explains is not blamed: if each crash of it is also one of the other. So
  * are crashes under a request that is refused by itself.
  */
-import {MAX_ENDED_REPLICAS} from './crash_reports.js';
-
 /** Number of ended replicas from which on a part may be blamed. */
 export const PART_THRESHOLD = 3;
 
@@ -33,9 +31,7 @@
   const candidates = crashes.filter(({ended}) => {
     const unexplained = [...ended].filter(id => !explained.has(id));
     return (
-      ended.size >= PART_THRESHOLD &&
-      // A full set takes no further ends that might be unexplained.
-      (unexplained.length >= LEAST_UNEXPLAINED || isFull(ended))
+      ended.size >= PART_THRESHOLD && unexplained.length >= LEAST_UNEXPLAINED
     );
   });
   return candidates.filter(
@@ -52,12 +48,6 @@
   return other.ended.size > part.ended.size || other.position > part.position;
 }
 
-/** Sets that are full have lost what would tell them apart. */
 function covers({ended: all}: PartCrashes, {ended}: PartCrashes): boolean {
-  const areFull = isFull(all) && isFull(ended);
-  return areFull || [...ended].every(id => all.has(id));
-}
-
-function isFull(ended: ReadonlySet<string>): boolean {
-  return ended.size >= MAX_ENDED_REPLICAS;
+  return [...ended].every(id => all.has(id));
 }
--- a/src/direct/crashes/suspect.ts
+++ b/src/direct/crashes/suspect.ts
@@ -13,6 +13,9 @@
  * names fewer ended replicas than its threshold.
  */
 export const ENOUGH_SUCCESSES = 3;
+/** Most ended replicas that are kept of a part. */
+const MAX_PART_ENDS = 64;
+
 export interface Suspect {
   type: SubjectType;
   /** Ids of replicas that ended during a run. */
@@ -54,12 +57,22 @@
   return {
     digest,
     position: type.kind === 'part' ? type.position : undefined,
-    ended: [...ended],
+    ended: [...ended].slice(-MAX_ENDED_REPLICAS),
     good: Object.fromEntries(good),
   };
 }
 
-/** Whether its report names as many replicas as it can. */
-export function isFull({ended}: Suspect): boolean {
-  return ended.size >= MAX_ENDED_REPLICAS;
+/**
+ * Adds a replica that ended. Returns false when it is known, or when more of
+ * them would tell nothing. Parts are compared with each other by their ends, so
+ * the newest ones are kept.
+ */
+export function addEnd({type, ended}: Suspect, replicaId: string): boolean {
+  if (ended.has(replicaId)) return false;
+  const isRequest = type.kind === 'request';
+  if (isRequest && ended.size >= MAX_ENDED_REPLICAS) return false;
+  ended.add(replicaId);
+  const [oldest] = ended;
+  if (ended.size > MAX_PART_ENDS) ended.delete(oldest);
+  return true;
 }
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -22,8 +22,8 @@
 import {REQUEST} from './subjects.js';
 import {
   ENOUGH_SUCCESSES,
+  addEnd,
   earlierOf,
-  isFull,
   reachesThreshold,
   reportOf,
   successesElsewhere,
@@ -189,16 +189,14 @@
     suspects.set(digest, suspect);
     return suspect;
   };
-  /** Returns false when the replica is known or the report is full. */
+  /** See `addEnd`. */
   const addEnded = (
     digest: string,
     suspect: Suspect,
     replicaId: string,
     isOwn: boolean,
   ): boolean => {
-    const {ended} = suspect;
-    if (ended.has(replicaId) || isFull(suspect)) return false;
-    ended.add(replicaId);
+    if (!addEnd(suspect, replicaId)) return false;
     suspect.endedAt = clock.now();
     suspect.isOwn = isOwn;
     suspects.delete(digest);
