fix(direct): refused requests do not hide a bad part together

Cause: ends of all refused requests together explained those of a part. Change: each refused request is compared alone; a part needs two ends outside of it.

--- a/src/direct/crashes/part_verdict.ts
+++ b/src/direct/crashes/part_verdict.ts
@@ -8,7 +8,7 @@
 /** Number of ended replicas from which on a part may be blamed. */
 export const PART_THRESHOLD = 3;
 
-/** Number of them that no refused request explains. */
+/** Number of them that one refused request does not explain. */
 const LEAST_UNEXPLAINED = 2;
 
 /** Crashes under a part, no run of which ended well. */
@@ -21,19 +21,18 @@
 
 /**
  * Returns the parts to blame, among all that crashed and never ran well.
- * `explained` are the replicas that ended under requests that are refused by
- * themselves.
+ * `refused` has the replicas that ended under each request that is refused by
+ * itself. Each is compared alone: many of them together would hide a part.
  */
 export function blamedParts(
   crashes: readonly PartCrashes[],
-  explained: ReadonlySet<string>,
+  refused: ReadonlyArray<ReadonlySet<string>>,
 ): readonly PartCrashes[] {
-  const candidates = crashes.filter(({ended}) => {
-    const unexplained = [...ended].filter(id => !explained.has(id));
-    return (
-      ended.size >= PART_THRESHOLD && unexplained.length >= LEAST_UNEXPLAINED
-    );
-  });
+  const candidates = crashes.filter(
+    ({ended}) =>
+      ended.size >= PART_THRESHOLD &&
+      refused.every(by => unexplained(ended, by) >= LEAST_UNEXPLAINED),
+  );
   return candidates.filter(
     part => !candidates.some(other => explains(other, part)),
   );
@@ -51,3 +50,10 @@
 function covers({ended: all}: PartCrashes, {ended}: PartCrashes): boolean {
   return [...ended].every(id => all.has(id));
 }
+
+function unexplained(
+  ended: ReadonlySet<string>,
+  by: ReadonlySet<string>,
+): number {
+  return [...ended].filter(id => !by.has(id)).length;
+}
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -241,12 +241,10 @@
     });
   const judgeParts = (): void => {
     judgementAt = undefined;
-    const explained = new Set(
-      [...quarantined.request].flatMap(digest => [
-        ...(suspects.get(digest)?.ended ?? []),
-      ]),
+    const refused = [...quarantined.request].flatMap(
+      digest => suspects.get(digest)?.ended ?? [],
     );
-    for (const {digest} of blamedParts(crashesOfParts(), explained)) {
+    for (const {digest} of blamedParts(crashesOfParts(), refused)) {
       const suspect = suspects.get(digest);
       if (suspect === undefined || suspect.trials !== undefined) continue;
       quarantine(digest, suspect, suspect.isOwn);
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -144,7 +144,18 @@
       ended: new Set(replicas),
       position: 0,
     };
-    expect(blamedParts([...later, first], new Set())).toEqual([first]);
+    expect(blamedParts([...later, first], [])).toEqual([first]);
+  });
+
+  // Each of the sound requests stands in some of the part's crashes.
+  test('one is refused although refused requests explain it together', () => {
+    const crashes = {
+      digest: BAD_PART,
+      ended: new Set(['r1', 'r2', 'r3', 'r4', 'r5']),
+      position: 1,
+    };
+    const refused = [new Set(['r1', 'r2', 'r3']), new Set(['r3', 'r4', 'r5'])];
+    expect(blamedParts([crashes], refused)).toEqual([crashes]);
   });
 
   test('one with many crashes is still refused by the newest ones', async () => {
