fix(direct): a sound part that is refused gets its second trial after four seconds

Cause: the delays of requests, of which each concerns one caller. Change: a part's trials come after 1 s and 4 s; still two for the fleet, of the three sends that are allowed.

--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -216,7 +216,7 @@
     suspect: Suspect,
     isOwn: boolean,
   ): void => {
-    suspect.trials = createTrials(clock);
+    suspect.trials = createTrials(clock, suspect.type.kind);
     quarantined[suspect.type.kind].add(digest);
     options.onQuarantined(reportOf(digest, suspect), isOwn);
   };
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -3,9 +3,16 @@
  * crashing one looks the same; only a run by itself distinguishes them.
  */
 import type {Clock} from '../../types/runtime.js';
+import type {SubjectKind} from './subjects.js';
 
-/** Times after the quarantine at which one request may run as a trial. */
-const TRIAL_DELAYS_MS = [1_000, 10_000];
+/**
+ * Times after the quarantine at which one request may run as a trial. A sound
+ * part that is refused takes many callers along, so its second trial is earlier.
+ */
+const TRIAL_DELAYS_MS: Readonly<Record<SubjectKind, readonly number[]>> = {
+  request: [1_000, 10_000],
+  part: [1_000, 4_000],
+};
 /** Time until a trial is claimed again when its claim was not answered. */
 const CLAIM_RETRY_MS = 1_000;
 
@@ -19,11 +26,12 @@
 }
 
 /** Plans the trials of a subject that is quarantined now. */
-export function createTrials(clock: Clock): Trials {
+export function createTrials(clock: Clock, kind: SubjectKind): Trials {
+  const delaysMs = TRIAL_DELAYS_MS[kind];
   const quarantinedAt = clock.now();
   /** Number of trials that are known to be claimed, by any entry. */
   let claimed = 0;
-  let nextAt = quarantinedAt + TRIAL_DELAYS_MS[0];
+  let nextAt = quarantinedAt + delaysMs[0];
   return {
     claim: () => {
       if (clock.now() < nextAt) return undefined;
@@ -33,7 +41,7 @@
     },
     settled: isAnswered => {
       if (isAnswered) claimed++;
-      const afterMs = TRIAL_DELAYS_MS[claimed] ?? Infinity;
+      const afterMs = delaysMs[claimed] ?? Infinity;
       nextAt = isAnswered
         ? quarantinedAt + afterMs
         : clock.now() + CLAIM_RETRY_MS;
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -168,6 +168,20 @@
   });
 });
 
+// The first trial may meet a replica that ends by itself.
+test('a refused part gets its second trial within four seconds', async () => {
+  const {clock, suspects, end} = createEntry();
+  end(BAD_PART, 'r1', 'r2', 'r3');
+  await clock.runFor(JUDGED_MS + 1_000);
+  expect(suspects.dueTrial(BAD_PART)).toBe(0);
+  suspects.trialSettled(BAD_PART, true);
+  await clock.runFor(3_000);
+  expect(suspects.dueTrial(BAD_PART)).toBe(1);
+  suspects.trialSettled(BAD_PART, true);
+  await clock.runFor(MINUTE_MS);
+  expect(suspects.dueTrial(BAD_PART)).toBe(undefined);
+});
+
 describe('an entry that has just started', () => {
   // It knows no part that ran well, and the first part stands in every crash.
   test('does not refuse a part that ran well at a peer', async () => {
