fix(direct): a sound part is proven by any of its last four replicas

By reading, not by a trace: only the replica of a part's last good run was remembered; when that had ended under the bad part, the sound second part had no proof and was blamed. Change: four replicas of the last good runs are remembered, and one that is alive proves the part. Result: unit test, red before.

--- a/bench/direct/crash_talk.ts
+++ b/bench/direct/crash_talk.ts
@@ -79,7 +79,7 @@
       clock,
       self: `entry-${at}`,
       replyDelayMs: () => random.next() * REPLY_DELAY_MS,
-      confirmRun: digest => entry.partRanWell(digest),
+      confirmRuns: digest => entry.partRanWell(digest),
       onChanged: report => tellAll(at, report),
       onQuarantined: (report, isOwn) => {
         options.onRefusedAt(at, report.digest);
--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -16,7 +16,7 @@
   | 'replicaEnded'
   | 'runSucceeded'
   | 'partSeemedToRunWell'
-  | 'lastReplicaOf'
+  | 'lastReplicasOf'
   | 'partRanWell'
   | 'isProven'
   | 'isSuspect'
@@ -101,7 +101,7 @@
     };
     return {
       partSeemedToRunWell: runSucceeded,
-      lastReplicaOf: () => undefined,
+      lastReplicasOf: () => [],
       partRanWell: runSucceeded,
       isProven: () => false,
       isSuspect: () => false,
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -134,7 +134,7 @@
     clock,
     self: options.node,
     replyDelayMs: () => options.random.next() * MAX_REPLY_DELAY_MS,
-    confirmRun: (digest, replica) => void confirmRun(digest, replica),
+    confirmRuns: digest => void confirmRuns(digest),
     onChanged: options.shareReport,
     onQuarantined: (report, isOwn) => {
       const {digest, position, ended, good} = report;
@@ -161,16 +161,14 @@
     options.isCurrent(replica) &&
     !hasEnded(replica.id) &&
     (await options.probePort(replica.address)) === 'open';
-  /** Resolves with whether a run with the part ended well at the replica. */
-  const confirmRun = async (
-    digest: string,
-    replica: RunReplica,
-  ): Promise<boolean> => {
-    if (await isAlive(replica)) {
+  /** Resolves with whether a run with the part ended well and is confirmed. */
+  const confirmRuns = async (digest: string): Promise<boolean> => {
+    for (const replica of suspects.lastReplicasOf(digest)) {
+      if (!(await isAlive(replica))) continue;
       suspects.partRanWell(digest);
       return true;
     }
-    suspects.forgetPartRun(digest);
+    suspects.forgetPartRuns(digest);
     return false;
   };
   /** Counts the end against the part, unless the part ran well elsewhere. */
@@ -178,8 +176,7 @@
     {digest, type}: Subject,
     replicaId: string,
   ): Promise<void> => {
-    const last = suspects.lastReplicaOf(digest);
-    const isProven = last !== undefined && (await confirmRun(digest, last));
+    const isProven = await confirmRuns(digest);
     if (!isProven) suspects.replicaEnded(digest, replicaId, type);
   };
   /** The parts that may have crashed the replica, known suspects first. */
@@ -320,7 +317,7 @@
         if (hasEnded(id)) return;
         for (const digest of parts) {
           suspects.partSeemedToRunWell(digest, replica);
-          if (suspects.isSuspect(digest)) void confirmRun(digest, replica);
+          if (suspects.isSuspect(digest)) void confirmRuns(digest);
         }
       });
     },
--- a/src/direct/crashes/good_runs.ts
+++ b/src/direct/crashes/good_runs.ts
@@ -15,6 +15,8 @@
 const MAX_REQUESTS = 1_000;
 /** Parts are few and shared by many requests. */
 const MAX_PARTS = 4_000;
+/** Replicas that are kept of a part's runs; some of them may have ended since. */
+const MAX_REPLICAS_PER_PART = 4;
 
 /** The replica of a run, as far as it has to be found again. */
 export type RunReplica = Pick<DirectReplica, 'id' | 'address'>;
@@ -25,10 +27,10 @@
   takeRequest(digest: string): number;
   /** A run with the part seemed to end well at the replica. */
   addPartRun(digest: string, replica: RunReplica): void;
-  /** The replica of the last run that seemed to end well. */
-  lastReplica(digest: string): RunReplica | undefined;
-  /** The replica of the last run did not survive it. */
-  forgetPartRun(digest: string): void;
+  /** Replicas of the last runs that seemed to end well, the newest first. */
+  lastReplicas(digest: string): readonly RunReplica[];
+  /** None of these replicas is known to have survived its run. */
+  forgetPartRuns(digest: string): void;
   /** A run with the part ended well, and its replica was alive afterwards. */
   provePart(digest: string): void;
   /** Whether the part was proven lately. */
@@ -40,8 +42,8 @@
   readonly at: number;
 }
 
-interface PartRun {
-  readonly replica: RunReplica;
+interface PartRuns {
+  readonly replicas: readonly RunReplica[];
   readonly at: number;
 }
 
@@ -52,7 +54,7 @@
 export function createGoodRuns(clock: Clock): GoodRuns {
   /** By digest, the newest last; so are the others. */
   const requests = new Map<string, RequestRuns>();
-  const partRuns = new Map<string, PartRun>();
+  const partRuns = new Map<string, PartRuns>();
   const proofs = new Map<string, Proof>();
 
   const findCurrent = <T extends {readonly at: number}>(
@@ -78,6 +80,8 @@
   };
   const countRequest = (digest: string): number =>
     findCurrent(requests, digest)?.count ?? 0;
+  const lastReplicas = (digest: string): readonly RunReplica[] =>
+    findCurrent(partRuns, digest)?.replicas ?? [];
 
   return {
     takeRequest: digest => {
@@ -89,10 +93,13 @@
       const count = countRequest(digest) + 1;
       setNewest(requests, digest, {count, at: clock.now()}, MAX_REQUESTS);
     },
-    addPartRun: (digest, replica) =>
-      setNewest(partRuns, digest, {replica, at: clock.now()}, MAX_PARTS),
-    lastReplica: digest => findCurrent(partRuns, digest)?.replica,
-    forgetPartRun: digest => void partRuns.delete(digest),
+    addPartRun: (digest, replica) => {
+      const others = lastReplicas(digest).filter(({id}) => id !== replica.id);
+      const replicas = [replica, ...others].slice(0, MAX_REPLICAS_PER_PART);
+      setNewest(partRuns, digest, {replicas, at: clock.now()}, MAX_PARTS);
+    },
+    lastReplicas,
+    forgetPartRuns: digest => void partRuns.delete(digest),
     provePart: digest =>
       setNewest(proofs, digest, {at: clock.now()}, MAX_PARTS),
     isProven: digest => findCurrent(proofs, digest) !== undefined,
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -65,10 +65,10 @@
    */
   replyDelayMs?(): number;
   /**
-   * A peer suspects a part whose last run here seemed to end well at the replica.
-   * `partRanWell` is to be called if that is alive. @default nothing
+   * A peer suspects a part whose last runs here seemed to end well. `partRanWell`
+   * is to be called if one of their replicas is alive. @default nothing
    */
-  confirmRun?(digest: string, replica: RunReplica): void;
+  confirmRuns?(digest: string): void;
   /** Called with a report that the peers should get. */
   onChanged(report: CrashReport): void;
   /**
@@ -93,10 +93,10 @@
    * that is alive afterwards shows it.
    */
   partSeemedToRunWell(digest: string, replica: RunReplica): void;
-  /** The replica of the last run with the part that seemed to end well. */
-  lastReplicaOf(digest: string): RunReplica | undefined;
-  /** The replica of that run did not survive it. */
-  forgetPartRun(digest: string): void;
+  /** Replicas of the last runs with the part that seemed to end well. */
+  lastReplicasOf(digest: string): readonly RunReplica[];
+  /** None of these replicas is known to have survived its run. */
+  forgetPartRuns(digest: string): void;
   /** Records that a run with the part ended well and its replica survived. */
   partRanWell(digest: string): void;
   /** Whether a run with the part ended well lately, and its replica survived. */
@@ -292,9 +292,8 @@
     suspect.type = earlierOf(suspect.type, type);
     for (const id of ended) addEnded(digest, suspect, id, false);
     updatePart(suspect);
-    const replica = goodRuns.lastReplica(digest);
-    if (replica === undefined) return;
-    replies.schedule(digest, () => options.confirmRun?.(digest, replica));
+    if (goodRuns.lastReplicas(digest).length === 0) return;
+    replies.schedule(digest, () => options.confirmRuns?.(digest));
   };
   const mergeRequest = (report: CrashReport): void => {
     const {digest} = report;
@@ -370,8 +369,8 @@
       updateRequest(digest, suspect, true);
     },
     partSeemedToRunWell: goodRuns.addPartRun,
-    lastReplicaOf: goodRuns.lastReplica,
-    forgetPartRun: goodRuns.forgetPartRun,
+    lastReplicasOf: goodRuns.lastReplicas,
+    forgetPartRuns: goodRuns.forgetPartRuns,
     partRanWell: digest => {
       goodRuns.provePart(digest);
       const suspect = findCurrent(digest);
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -87,6 +87,20 @@
     expect(watch.isQuarantined(request())).toBe(false);
   });
 
+  // Replicas that ran a sound part well have ended since, under another part.
+  test('is not refused where one of the last four replicas is alive', async () => {
+    const alive = replica('alive');
+    const {clock, watch, request, crash} = setUp(address =>
+      address === alive.address ? 'open' : 'refused',
+    );
+    for (const it of [alive, replica('r7777777'), replica('r88888888')]) {
+      watch.answerWritten(request(), it);
+      await clock.runFor(SETTLED_MS);
+    }
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(false);
+  });
+
   // The answer was whole, and its replica crashed a moment later.
   test('is refused after a run whose replica has not survived', async () => {
     const {clock, watch, request, crash} = setUp(() => 'refused');
