--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,19 +1,12 @@
 /**
- * Entries are stopped in turn while clients send one request after the other on
- * kept connections. A request that an entry passes on must be answered.
+ * Replicas leave without a notice while another program keeps writing an entry
+ * that cannot be read. Requests must not go to replicas whose entry is gone.
  */
-import {Agent} from 'node:http';
 import {dirname} from 'node:path';
-import {performance} from 'node:perf_hooks';
-import {
-  clearInterval,
-  clearTimeout,
-  setInterval,
-  setTimeout,
-} from 'node:timers';
+import {setInterval, setTimeout, clearInterval} from 'node:timers';
 import {fileURLToPath} from 'node:url';
 import {
-  RESTART_DELAY_MS,
+  UnreadableBytes,
   configOf,
   loopback,
   runCase,
@@ -23,177 +16,125 @@
   startEntries,
   startReplica,
   startStore,
-  untilReady,
 } from '../lib/platform.mjs';
 
 const ENTRIES = 3;
-const CLIENTS = 24;
-const EVENTS = 32;
-const EVENT_INTERVAL_MS = 60;
-const BOOKING_MS = 21;
-/** A client works this long on an answer that it has read. */
-const CLIENT_WORK_MS = 5;
-/** One entry of three gets SIGTERM, then the next one (`roll_term`). */
-const STOPPED = 2;
-const GRACE_MS = 8_000;
-const SETTLE_MS = 4_000;
-
-const eventOf = id => `id: ${id}\ndata: piece ${id}\n\n`;
+const REPLICAS = 24;
+/** `drainMs` of kassavo-be-grown. */
+const DRAIN_MS = 3_000;
+/** A replica serves for drainMs and a little longer, then it exits. */
+const EXIT_AFTER_MS = DRAIN_MS + 5_000;
+/** Three replicas of 24 (share 0.125) leave together, `ROUNDS` times. */
+const LEAVING = 3;
+const LEAVE_GAP_MS = 100;
+const ROUNDS = 3;
+const ROUND_MS = 9_000;
+/** The other program writes as often as replicas do (`heartbeatMs`). */
+const FOREIGN_WRITE_MS = 1_200;
+const REQUEST_INTERVAL_MS = 25;
+const WORK_MS = 100;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async context => {
   const {dir, record, hasTrouble} = context;
   const store = await startStore(loopback(1));
-  const ran = new Map();
-  const stream = ({requestId, id}, res, headers) => {
-    record(`ran ${requestId} at ${id}`);
-    ran.set(requestId, id);
-    res.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
-    let sent = 0;
-    const timer = setInterval(() => {
-      if (sent++ < EVENTS) return void res.write(eventOf(sent));
-      clearInterval(timer);
-      res.end();
-    }, EVENT_INTERVAL_MS);
-    res.once('close', () => clearInterval(timer));
-  };
-  const book = ({requestId, id}, res, headers) => {
-    record(`ran ${requestId} at ${id}`);
-    ran.set(requestId, id);
-    const body = `booked ${requestId}`;
-    setTimeout(() => {
-      res.writeHead(200, {...headers, 'Content-Length': body.length});
-      res.end(body);
-    }, BOOKING_MS);
-  };
-  const addReplica = async (host, id, service, behave) => {
-    const replica = await startReplica(loopback(host), id, behave);
-    store.put('servers', id, serverEntry(replica, service, 16));
-  };
-  for (let at = 0; at < 4; at++) {
-    await addReplica(10 + at, `i-llm-${at}`, 'credit-llm', stream);
-  }
-  for (let at = 0; at < 3; at++) {
-    await addReplica(20 + at, `i-app-${at}`, 'ledger-app', book);
+  const replicas = [];
+  const cut = new Set();
+  for (let at = 0; at < REPLICAS; at++) {
+    const running = new Set();
+    const work = ({requestId, id}, res, headers) => {
+      record(`ran ${requestId} at ${id}`);
+      running.add(requestId);
+      const body = `answer to ${requestId}`;
+      setTimeout(() => {
+        if (!running.delete(requestId)) return;
+        res.writeHead(200, {...headers, 'Content-Length': body.length});
+        res.end(body);
+      }, WORK_MS);
+    };
+    const replica = await startReplica(loopback(10 + at), `i-app-${at}`, work);
+    replicas.push({...replica, running});
+    store.put('servers', replica.id, serverEntry(replica, 'ledger-app', 6));
   }
-  const chat = {
-    name: 'checkout-chat',
-    pathPrefix: '/chat/',
-    kind: 'streaming',
-    timeoutMs: 10_000,
-    sloMs: 304,
-    gapAimMs: 250,
-    priority: 1,
-    service: 'credit-llm',
-    maxAttempts: 2,
-    resumable: true,
-  };
-  const booking = {
+  const route = {
     name: 'plan-booking',
     pathPrefix: '/book/',
     kind: 'unsafe',
-    timeoutMs: 5_000,
+    timeoutMs: 800,
     sloMs: 145,
     priority: 2,
     service: 'ledger-app',
-    maxAttempts: 1,
+    maxAttempts: 2,
+  };
+  store.put('config', 'main', configOf([route], ['ledger-app']));
+
+  let writes = 0;
+  const writeForeign = () => {
+    const address = `"address":"${loopback(200)}:8080"`;
+    const text = `{"service":"ledger-app",${address},"sequence":${++writes},zz}`;
+    store.put('servers', 'i-foreign', new UnreadableBytes(text));
+    record('another program wrote servers/i-foreign, unreadable');
   };
-  const services = ['credit-llm', 'ledger-app'];
-  store.put('config', 'main', configOf([chat, booking], services));
+  if (hasTrouble) writeForeign();
   const entries = await startEntries(ENTRIES, {store, dir, firstHost: 30});
-  const inRotation = new Set(entries);
+  if (hasTrouble) setInterval(writeForeign, FOREIGN_WRITE_MS);
 
   let requests = 0;
   const answers = [];
-  const send = async (agent, entry, path, deadlineMs) => {
-    const id = (requests++).toString(16).padStart(16, '0');
-    record(`sent ${id} ${path} to ${entry.node}`);
-    const request = {id, path, deadlineMs, key: 'key-1', agent};
+  const sendOne = async () => {
+    const at = requests++;
+    const id = at.toString(16).padStart(16, '0');
+    const entry = entries[at % ENTRIES];
+    record(`sent ${id} to ${entry.node}`);
+    const request = {id, path: '/book/2f', deadlineMs: 800, key: 'key-1'};
     const answer = await sendRequest(entry, request);
-    workFor(CLIENT_WORK_MS);
-    const {status, isComplete, error = 'none'} = answer;
-    const state = isComplete ? 'complete' : `no complete answer, ${error}`;
-    record(`answered ${id}: ${status}, ${state}`);
-    answers.push({id, path, entry: entry.node, at: Date.now(), ...answer});
-    return answer;
+    record(`answered ${id}: ${answer.status ?? answer.error}`);
+    answers.push({id, ...answer});
   };
-  let isOver = false;
-  /**
-   * A chat, and a booking that waits for the same connection. A connection that
-   * the entry has closed, or says it closes, is replaced by a new one.
-   */
-  const runClient = async number => {
-    await sleep(number * 90);
-    while (!isOver) {
-      const ready = [...inRotation];
-      const entry = ready[number % ready.length];
-      const agent = new Agent({keepAlive: true, maxSockets: 1});
-      let isOpen = true;
-      while (isOpen && !isOver) {
-        const both = await Promise.all([
-          send(agent, entry, '/chat/2f', 10_000),
-          send(agent, entry, '/book/2f', 5_000),
-        ]);
-        isOpen = both.every(
-          ({isComplete, connection}) => isComplete && connection !== 'close',
-        );
-      }
-      agent.destroy();
-    }
-  };
-  const clients = Array.from({length: CLIENTS}, (_, at) => runClient(at));
+  const open = new Set();
+  const traffic = setInterval(() => {
+    const sending = sendOne().finally(() => open.delete(sending));
+    open.add(sending);
+  }, REQUEST_INTERVAL_MS);
 
-  /** New connections end after two failed checks, one second apart. */
-  const leaveRotation = async entry => {
-    await sleep(2_000);
-    inRotation.delete(entry);
-  };
-  const stops = [];
-  const stop = async entry => {
-    record(`SIGTERM to ${entry.node}`);
-    stops.push({entry: entry.node, at: Date.now()});
-    entry.signal('SIGTERM');
-    const hasLeft = leaveRotation(entry);
-    const grace = setTimeout(() => entry.signal('SIGKILL'), GRACE_MS);
-    await entry.ended;
-    clearTimeout(grace);
-    record(`${entry.node} ended`);
-    await hasLeft;
-    await sleep(RESTART_DELAY_MS);
-    entry.start();
-    await untilReady(entry);
-    inRotation.add(entry);
+  const leave = async replica => {
+    store.remove('servers', replica.id);
+    replica.removedAt = Date.now();
+    record(`entry of ${replica.id} removed`);
+    await sleep(EXIT_AFTER_MS);
+    for (const id of replica.running) cut.add(id);
+    record(`${replica.id} exits, ${replica.running.size} requests run there`);
+    replica.running.clear();
+    replica.close();
   };
-  await sleep(SETTLE_MS);
-  for (const entry of entries.slice(0, STOPPED)) {
-    if (hasTrouble) await stop(entry);
-    await sleep(SETTLE_MS);
+  await sleep(ROUND_MS);
+  for (let round = 0; round < ROUNDS; round++) {
+    const leaving = replicas.slice(round * LEAVING, (round + 1) * LEAVING);
+    const exits = leaving.map(async (replica, at) => {
+      await sleep(at * LEAVE_GAP_MS);
+      await leave(replica);
+    });
+    await Promise.all([...exits, sleep(ROUND_MS)]);
   }
-  isOver = true;
-  await Promise.all(clients);
+  await sleep(EXIT_AFTER_MS);
+  clearInterval(traffic);
+  await Promise.all(open);
 
-  const isDuringStop = ({entry, at}) =>
-    stops.some(
-      it => it.entry === entry && at >= it.at && at < it.at + GRACE_MS + 1_000,
-    );
-  const lost = answers.filter(
-    answer => !answer.isComplete && ran.has(answer.id),
+  const late = replicas.flatMap(({arrivals, removedAt = Infinity}) =>
+    arrivals
+      .map(({requestId, id, at}) => ({requestId, id, afterMs: at - removedAt}))
+      .filter(({afterMs}) => afterMs > DRAIN_MS),
   );
-  const counted = hasTrouble ? lost.filter(isDuringStop) : lost;
-  for (const {id, path, entry} of counted) {
-    record(`LOST ${id} ${path}: ran at ${ran.get(id)}, closed by ${entry}`);
+  for (const {requestId, id, afterMs} of late) {
+    record(`LATE ${requestId} reached ${id} ${afterMs} ms after its removal`);
   }
-  const open = answers.filter(({isComplete}) => !isComplete).length;
+  const failed = answers.filter(({status}) => status !== 200);
+  const lost = failed.filter(({id}) => cut.has(id));
   return {
-    isBroken: counted.length > 0,
+    isBroken: late.length > 0,
     summary:
-      `${requests} requests, ${stops.length} entries stopped, ` +
-      `${open} connections closed without a complete answer, ` +
-      `${counted.length} of these requests were passed on and ran`,
+      `${requests} requests, ${ROUNDS * LEAVING} replicas left, ` +
+      `${late.length} requests reached one later than drainMs after its ` +
+      `removal, ${failed.length} not answered with 200, ` +
+      `${lost.length} of them cut off at the replica's exit`,
   };
 });
-
-/** The client's own work on an answer. */
-function workFor(ms) {
-  const endsAt = performance.now() + ms;
-  while (performance.now() < endsAt);
-}
