fix(utils): log lines are not lost when the pipe to their reader is full for a moment

Seen: the ids of refused requests stood in no line of an entry's log. Cause shown: an entry's standard output is a pipe in non-blocking mode (O_NONBLOCK in fdinfo of a running entry, bundled and not), so a write to a full pipe fails with EAGAIN, and the sink dropped the whole batch, torn in the middle of a line, counting one failed write in a metric. 64 KB, some seconds of an entry's lines, are enough if the reader is busy for so long. Whether this is why the record lacks them isn't known; it is one way, and the only one found.

Change: a full pipe is tried again after 10 ms with the rest of the batch; lines dropped at the bound of 1 MB are counted in a line (log-lines-dropped).

--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -33,7 +33,9 @@
   const metrics = createMetrics();
   const log = createProcessLog({
     node: settings.node,
-    stream: createBoundedSink(metrics),
+    stream: createBoundedSink(metrics, {
+      onDropped: lines => log(KERNEL_EVENTS.logLinesDropped, {lines}),
+    }),
   });
   const runtime: Runtime = {
     clock: createProcessClock(),
--- a/src/utils/bounded_sink.ts
+++ b/src/utils/bounded_sink.ts
@@ -2,9 +2,10 @@
  * Writes log lines to standard output without blocking on its reader. A
  * synchronous write to a full pipe would block the process until the reader
  * catches up. Every line is queued, and the queue is written as one batch when
- * no write is in progress. The queue is bounded; lines that do not fit are
- * dropped and counted. A failed write loses the rest of its batch and counts as
- * one.
+ * no write is in progress. A pipe may also be in non-blocking mode and refuse a
+ * write while it is full; the write is then repeated. The queue is bounded;
+ * lines that do not fit are dropped and counted. Any other failed write loses
+ * the rest of its batch and counts as one.
  */
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
@@ -29,6 +30,10 @@
  * `write-failed`, whatever the number of lines lost.
  */
 const DROPPED_METRIC = 'onyxloft_log_lines_dropped_total';
+/** Error of a write to a full pipe in non-blocking mode. */
+const PIPE_FULL = 'EAGAIN';
+/** Pause before a write to a full pipe is repeated, in milliseconds. */
+const PIPE_FULL_PAUSE_MS = 10;
 
 /** Writes bytes and calls back like `fs.write`. */
 export type WriteFd = (
@@ -40,14 +45,24 @@
   write(STDOUT, bytes, 0, bytes.length, null, done);
 };
 
-/** Creates the stream; tests pass their own `writeFd`. */
+export interface BoundedSinkOptions {
+  /** @default a write to standard output */
+  readonly writeFd?: WriteFd;
+  /**
+   * Called with the number of lines that were dropped, when lines fit again.
+   * Without a line that says so, a reader cannot tell a gap from silence.
+   */
+  readonly onDropped?: (lines: number) => void;
+}
+
 export function createBoundedSink(
   metrics: Metrics,
-  writeFd: WriteFd = writeStdout,
+  {writeFd = writeStdout, onDropped}: BoundedSinkOptions = {},
 ): Writable {
   let queue: Buffer[] = [];
   let queuedBytes = 0;
   let isWriting = false;
+  let droppedLines = 0;
 
   const flush = (): void => {
     if (isWriting || queue.length === 0) return;
@@ -57,18 +72,31 @@
     queuedBytes = 0;
     writeAll(batch);
   };
+  const endBatch = (): void => {
+    isWriting = false;
+    reportDropped();
+    flush();
+  };
   const writeAll = (batch: Buffer): void => {
     writeFd(batch, (err, written) => {
-      if (err !== null) {
+      if (isPipeFull(err)) {
+        setTimeout(() => writeAll(batch), PIPE_FULL_PAUSE_MS);
+      } else if (err !== null) {
         metrics.count(DROPPED_METRIC, {kind: 'write-failed'});
+        endBatch();
       } else if (written < batch.length) {
         writeAll(batch.subarray(written));
-        return;
+      } else {
+        endBatch();
       }
-      isWriting = false;
-      flush();
     });
   };
+  const reportDropped = (): void => {
+    if (droppedLines === 0) return;
+    const lines = droppedLines;
+    droppedLines = 0;
+    onDropped?.(lines);
+  };
 
   return new Writable({
     decodeStrings: true,
@@ -78,6 +106,7 @@
       );
       const share = isWarningOrError ? 1 : 1 - RESERVED_SHARE;
       if (queuedBytes + line.length > MAX_QUEUED_BYTES * share) {
+        droppedLines++;
         metrics.count(DROPPED_METRIC, {
           kind: isWarningOrError ? 'failure' : 'other',
         });
@@ -90,3 +119,7 @@
     },
   });
 }
+
+function isPipeFull(err: Error | null): boolean {
+  return (err as NodeJS.ErrnoException | null)?.code === PIPE_FULL;
+}
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -27,6 +27,7 @@
   drainStarted: event(111, 'info', 'drain-started'),
   drainEnded: event(112, 'info', 'drain-ended'),
   reloaded: event(113, 'info', 'settings-reloaded'),
+  logLinesDropped: event(114, 'warn', 'log-lines-dropped'),
 } as const;
 
 /** Requests at an entry's HTTP front end, from admission to the answer. */
--- a/test/direct/parts.test.ts
+++ b/test/direct/parts.test.ts
@@ -171,7 +171,7 @@
   // lines, prefers failures to other lines, and counts dropped ones.
   test('are bounded when the pipe is not read', () => {
     const metrics = createMetrics();
-    const sink = createBoundedSink(metrics, () => undefined);
+    const sink = createBoundedSink(metrics, {writeFd: () => undefined});
     const line = (level: string) =>
       `${JSON.stringify({level, text: 'x'.repeat(1_000)})}\n`;
     for (let at = 0; at < 5_000; at++) sink.write(line('info'));
