feat(direct): a refusal tells what it rests on, and how a version reached the entry

Cause: the log could not part the hypotheses of the incident: a refusal gave the age of its evidence, not whose it was, nor whether the entry had heard of a newer version; nothing told when a version was heard of or read.

Change: direct-refused has evidenceFrom (own call, or the peer), heardVersion, heardFrom and heardAgoMs; new lines direct-config-heard and direct-config-fetched; gauges of the version in force and the newest heard of. No decision is changed.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -73,13 +73,19 @@
    * Called with all listed items. `isPartial` is true where the answer was not
    * valid JSON; an item that is missing may then still exist. An item whose own
    * content cannot be decoded is left out too, but does not set `isPartial`.
+   * `sentAt` is when the list was sent, on this process's clock.
    */
-  onList(items: ReadonlyMap<string, T>, isPartial: boolean): void;
+  onList(
+    items: ReadonlyMap<string, T>,
+    isPartial: boolean,
+    sentAt: number,
+  ): void;
   /**
-   * Called with the items that changed. An item is undefined if it was removed
-   * or if its content cannot be decoded.
+   * Called with the items that changed, as shown by a watch that was sent at
+   * `sentAt`. An item is undefined if it was removed or if its content cannot
+   * be decoded.
    */
-  onChanges(items: ReadonlyMap<string, T | undefined>): void;
+  onChanges(items: ReadonlyMap<string, T | undefined>, sentAt: number): void;
   /**
    * Called after the answer to a list or a watch that was sent at `sentAt`, on
    * this process's clock. The items that were passed to `onList` and
@@ -206,7 +212,7 @@
         if (order === 'overtaken') return true;
         advance(listing.position);
         if (order === 'restored') options.onRestored();
-        options.onList(listing.items, listing.isPartial);
+        options.onList(listing.items, listing.isPartial, sentAt);
         options.onConfirmed(sentAt);
         return true;
       },
@@ -255,7 +261,7 @@
         if (isOlderEra(from.era, changes.position.era)) return 'at once';
         advance(changes.position);
         hasChanged = changes.items.size > 0;
-        if (hasChanged) options.onChanges(changes.items);
+        if (hasChanged) options.onChanges(changes.items, sentAt);
         options.onConfirmed(sentAt);
         return 'at once';
       },
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -46,11 +46,14 @@
    * `asOf` is earlier by the age that the answer states. That age was measured
    * elsewhere, so a suspension of this process cannot falsify it: such an
    * answer counts even if `asOf` lies before a suspension, as long as `askedAt`
-   * lies after it.
+   * lies after it. `from` says whose call it was: `store` for an own one, or
+   * the name of the peer.
    */
-  confirm(asOf: number, askedAt: number): void;
+  confirm(asOf: number, askedAt: number, from?: string): void;
   /** Age of the newest evidence, in milliseconds; infinite without any. */
   ageMs(): number;
+  /** Whose call the newest evidence is; undefined without any. */
+  source(): string | undefined;
   /** Whether the evidence is recent enough to accept keys. */
   isFresh(): boolean;
   /** Calls `listener` after each `confirm`, until the result is called. */
@@ -64,6 +67,7 @@
   maxAgeMs: number,
 ): StoreEvidence {
   let confirmedAt = Number.NEGATIVE_INFINITY;
+  let source: string | undefined;
   /**
    * Time of the last detected suspension or clock step. Answers to earlier
    * queries may be older than they appear.
@@ -77,6 +81,7 @@
     if (Math.abs(offset - clockOffset) > MAX_CLOCK_DRIFT_MS) {
       invalidatedAt = clock.now();
       confirmedAt = Number.NEGATIVE_INFINITY;
+      source = undefined;
     }
     clockOffset = offset;
   };
@@ -87,13 +92,17 @@
   };
 
   return {
-    confirm: (asOf, askedAt) => {
+    confirm: (asOf, askedAt, from) => {
       checkClockOffset();
       if (askedAt <= invalidatedAt) return;
-      confirmedAt = Math.max(confirmedAt, asOf);
+      if (asOf > confirmedAt) {
+        confirmedAt = asOf;
+        source = from;
+      }
       for (const listener of [...listeners]) listener();
     },
     ageMs,
+    source: () => source,
     isFresh: () => ageMs() <= maxAgeMs,
     onConfirm: listener => {
       listeners.add(listener);
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -20,6 +20,7 @@
   maxReadyAgeMs,
   waitForFreshEvidence,
 } from './evidence.js';
+import {createHeardVersion} from './freshness/heard_version.js';
 import {reportGauges} from './gauges.js';
 import {createHeldBytes} from './held/held_bytes.js';
 import {sendLocalAnswer} from './local_answers.js';
@@ -143,6 +144,7 @@
     options.wallMs,
     revokeMs * EVIDENCE_SHARE,
   );
+  const heardVersion = createHeardVersion(clock);
   const serving = createServing({
     clock,
     log,
@@ -197,6 +199,11 @@
     Math.round(Math.min(evidence.ageMs(), NO_EVIDENCE_AGE_MS));
   const {setPeerLoad} = serving.loadTracker;
   const readGauges = () => ({
+    configVersion: config?.version ?? 0,
+    heardVersion: Math.max(
+      config?.version ?? 0,
+      heardVersion.fields(config?.version).heardVersion ?? 0,
+    ),
     evidenceAgeMs: shownEvidenceAgeMs(),
     openRequests: serving.openRequests(),
     replicas: serving.replicas.size(),
@@ -233,6 +240,8 @@
       message,
       config: config?.version,
       evidenceAgeMs: shownEvidenceAgeMs(),
+      evidenceFrom: evidence.source(),
+      ...heardVersion.fields(config?.version),
       waitedMs: Math.round(clock.now() - arrivedAt),
     });
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
@@ -341,7 +350,9 @@
       case 'config':
         return setConfig(message.config);
       case 'confirmed':
-        return evidence.confirm(message.asOf, message.askedAt);
+        return evidence.confirm(message.asOf, message.askedAt, message.from);
+      case 'version-heard':
+        return heardVersion.heard(message.version, message.from);
       case 'replicas':
         return serving.replicas.replaceAll(message.replicas);
       case 'replica-changes':
--- a/src/direct/gauges.ts
+++ b/src/direct/gauges.ts
@@ -7,6 +7,10 @@
 
 /** Values of the gauges at one time. */
 export interface GaugeReadings {
+  /** Version of the configuration in force; 0 without any. */
+  readonly configVersion: number;
+  /** Newest version in force or named by another entry. */
+  readonly heardVersion: number;
   /** Age of the newest evidence for keys, in milliseconds. */
   readonly evidenceAgeMs: number;
   readonly openRequests: number;
@@ -48,6 +52,8 @@
   const setEvacuations = createEvacuationGauges(metrics);
   return clock.every(UPDATE_INTERVAL_MS, () => {
     const readings = read();
+    setGauge('config_version', readings.configVersion);
+    setGauge('config_heard_version', readings.heardVersion);
     setGauge('evidence_age_ms', readings.evidenceAgeMs);
     setGauge('open_requests', readings.openRequests);
     setGauge('entries', readings.entries);
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -42,6 +42,15 @@
        * the peer's evidence.
        */
       readonly askedAt: number;
+      /** `store` for an own call, or the name of the peer that answered. */
+      readonly from: string;
+    }
+  /** A peer named a version that is newer than the newest one known here. */
+  | {
+      readonly kind: 'version-heard';
+      readonly version: number;
+      /** Name of the peer. */
+      readonly from: string;
     }
   /** All known replicas, by name; they replace those known to the front. */
   | {
--- a/src/direct/peer_confirmation.ts
+++ b/src/direct/peer_confirmation.ts
@@ -82,9 +82,9 @@
   };
   /**
    * The peer was queried at `askedAt`, and its evidence is a call to the store
-   * that was sent no earlier than `asOf`.
+   * that was sent no earlier than `asOf`. `from` is the peer's name.
    */
-  onConfirmed(asOf: number, askedAt: number): void;
+  onConfirmed(asOf: number, askedAt: number, from: string): void;
   /**
    * The peer has a different configuration: a newer one, or any other on recent
    * evidence.
@@ -182,7 +182,8 @@
     }
     // The evidence is exact at any age, and a disconnected entry may have
     // nothing better.
-    if (isSame) options.onConfirmed(askedAt - evidenceAgeMs, askedAt);
+    if (isSame)
+      options.onConfirmed(askedAt - evidenceAgeMs, askedAt, answer.node);
     const isRecent = evidenceAgeMs <= options.maxAgeMs;
     if (!isSame && (isRecent || isNewer)) options.onDifferentConfig(answer);
     if (!isSame || !isRecent) return;
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -32,6 +32,7 @@
   REPLICAS_CHANGE_PAUSE_SHARE,
   REPLICAS_WATCH_MS,
 } from './followed/watch_times.js';
+import {OWN_CALL, createVersionNews} from './freshness/version_news.js';
 import {createKnownReplicas} from './known_replicas.js';
 import './messages.js';
 import {createQuarantineRecords} from './crashes/quarantine_records.js';
@@ -159,12 +160,23 @@
     if (eraTracker.current() === undefined) handleRestore();
   };
 
-  const applyConfig = (config: DirectConfig | undefined) => {
+  const news = createVersionNews({
+    clock,
+    log: ctx.log,
+    onHeard: (version, from) =>
+      ctx.send('direct', {kind: 'version-heard', version, from}),
+  });
+  const applyConfig = (
+    config: DirectConfig | undefined,
+    from: string,
+    sentAt: number,
+  ) => {
     // The last configuration stays in force when the store has none or an older
     // one.
     if (config === undefined) return;
     if (newest !== undefined && config.version <= newest.version) return;
     newest = config;
+    news.fetched(config.version, from, sentAt);
     ctx.send('direct', {kind: 'config', config});
   };
   const applyReplicas = (items: ReadonlyMap<string, DirectReplica>) => {
@@ -183,8 +195,8 @@
   };
   const sendEvacuated = (failureDomains: ReadonlySet<string>) =>
     ctx.send('direct', {kind: 'evacuations', failureDomains});
-  const sendConfirmed = (asOf: number, askedAt: number) =>
-    ctx.send('direct', {kind: 'confirmed', asOf, askedAt});
+  const sendConfirmed = (asOf: number, askedAt: number, from: string) =>
+    ctx.send('direct', {kind: 'confirmed', asOf, askedAt, from});
   // An outage may end before one of the watches notices it. Either watch's
   // failure means that records of replicas may have expired.
   const onFault = (fault: StoreFault) => {
@@ -205,22 +217,22 @@
     waitMs: () => (confirmation.isActive() ? LONG_WATCH_MS : CONFIG_WATCH_MS),
     maxRetryMs,
     changePauseMs: 0,
-    onList: items => {
+    onList: (items, _isPartial, sentAt) => {
       const [config] = items.values();
       configProof.versionListed(config?.version);
-      items.forEach(applyConfig);
+      items.forEach(item => applyConfig(item, OWN_CALL, sentAt));
     },
-    onChanges: items => {
+    onChanges: (items, sentAt) => {
       for (const config of items.values()) {
         if (config !== undefined) configProof.versionWritten(config.version);
-        applyConfig(config);
+        applyConfig(config, OWN_CALL, sentAt);
       }
     },
     onConfirmed: sentAt => {
       connection.callSucceeded();
       configTimer.markConfirmed();
       if (configProof.provesNewest(newest?.version))
-        sendConfirmed(sentAt, sentAt);
+        sendConfirmed(sentAt, sentAt, OWN_CALL);
     },
     onRestored,
     onFault,
@@ -288,7 +300,7 @@
     fetchReplicas: peerRequests.fetchReplicas,
     onConfig: (config, from) => {
       logFetched('configuration', from);
-      applyConfig(config);
+      applyConfig(config, from.node, from.askedAt);
       confirmation.queryNow();
     },
     onReplicas: (items, from) => {
@@ -319,6 +331,7 @@
     ownKnowledge,
     onConfirmed: sendConfirmed,
     onDifferentConfig: answer => {
+      news.heard(answer);
       configProof.peerHasVersion(
         answer.configVersion ?? Number.NEGATIVE_INFINITY,
       );
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -211,6 +211,8 @@
   eraUnsettled: event(563, 'warn', 'era-unsettled'),
   eraSettled: event(564, 'info', 'era-settled'),
   configAdopted: event(650, 'info', 'direct-config-adopted'),
+  configHeard: event(651, 'info', 'direct-config-heard'),
+  configFetched: event(652, 'info', 'direct-config-fetched'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
   storeCallFailed: event(952, 'warn', 'store-call-failed'),
