--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -324,6 +324,7 @@
   at: number,
   store: string,
   addresses: readonly string[],
+  timing: DirectSettings['timing'],
 ): DirectSettings {
   const [callers = '', ready = '', metrics = '', peers = ''] = addresses;
   return {
@@ -338,7 +339,7 @@
     peerPorts: [Number(peers.split(':')[1])],
     store: {address: store},
     limits: {memoryMb: 300, maxDescriptors: 1_000},
-    timing: TIMING,
+    timing,
     retries: RETRIES,
     coldReplicas: COLD_REPLICAS,
   };
@@ -348,6 +349,7 @@
 export async function startSoakFleet(
   entryCount: number,
   dir: string,
+  timing: DirectSettings['timing'] = TIMING,
 ): Promise<SoakFleet> {
   const store = await startStore();
   const states = new Map<SoakReplica, string>();
@@ -382,7 +384,9 @@
     storeLinks.push(link);
     const from = at * PORTS_PER_ENTRY;
     const own = ports.slice(from, from + PORTS_PER_ENTRY);
-    entries.push(createEntryProcess(settingsOf(at, link.address, own), dir));
+    entries.push(
+      createEntryProcess(settingsOf(at, link.address, own, timing), dir),
+    );
   }
   // Else they would live on after a soak that is interrupted.
   const abort = () => entries.forEach(entry => entry.abort());
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -18,6 +18,7 @@
 export const LINK_WELL: RelayFaults = {
   refuse: false,
   delayMs: 0,
+  pieces: null,
   cut: 'none',
 };
 
--- a/standins/relay_core.ts
+++ b/standins/relay_core.ts
@@ -13,12 +13,19 @@
 export interface RelayFaults {
   /** Drops all bytes of the connections that are open now, for good. */
   readonly silence?: boolean;
+  /**
+   * Resets the connections that have been silent for this long, as keep-alive
+   * probes without answers do.
+   */
+  readonly endSilentForMs?: number;
   /** Closes all connections and refuses new ones. */
   readonly refuse?: boolean;
   /** Resets the connections that are open now. */
   readonly reset?: boolean;
   /** Holds each piece back for this long. */
   readonly delayMs?: number;
+  /** Passes bytes on in pieces with a gap between them; null for none. */
+  readonly pieces?: {readonly bytes: number; readonly gapMs: number} | null;
   readonly cut?: CutDirection;
 }
 
@@ -41,6 +48,8 @@
   readonly near: Socket;
   readonly far: Socket;
   silent: boolean;
+  /** Infinity while it is not silent. */
+  silentAt: number;
 }
 
 function endpoint(text: string) {
@@ -64,6 +73,7 @@
   const pairs = new Set<Pair>();
   let refuse = false;
   let delayMs = 0;
+  let pieces: RelayFaults['pieces'] = null;
   let cut: CutDirection = 'none';
   const pumps = new Set<() => void>();
 
@@ -90,14 +100,22 @@
         line.shift()?.step();
       }
     };
-    const later = (step: () => void) => {
+    const later = (step: () => void, gapMs = 0) => {
       const dueAt = performance.now() + delayMs;
-      line.push({dueAt: Math.max(dueAt, line.at(-1)?.dueAt ?? 0), step});
+      const afterLast = (line.at(-1)?.dueAt ?? 0) + gapMs;
+      line.push({dueAt: Math.max(dueAt, afterLast), step});
       if (line.length === 1) pump();
     };
+    const passOn = (data: Buffer) => {
+      if (!pieces) return later(() => write(data));
+      for (let at = 0; at < data.length; at += pieces.bytes) {
+        const piece = data.subarray(at, at + pieces.bytes);
+        later(() => write(piece), pieces.gapMs);
+      }
+    };
     pumps.add(pump);
     from.on('data', data => {
-      if (!pair.silent) later(() => write(data));
+      if (!pair.silent) passOn(data);
     });
     const end = () => {
       // A silent flow tells neither end that the other one closed.
@@ -118,7 +136,7 @@
       return;
     }
     const far = connect(to.port, to.host);
-    const pair: Pair = {near, far, silent: false};
+    const pair: Pair = {near, far, silent: false, silentAt: Infinity};
     pairs.add(pair);
     pass(pair, near, far, 'towards-target');
     pass(pair, far, near, 'towards-caller');
@@ -136,10 +154,19 @@
     address: `${address}:${port}`,
     apply: faults => {
       if (faults.silence === true) {
-        for (const pair of pairs) pair.silent = true;
+        for (const pair of pairs) {
+          if (!pair.silent) pair.silentAt = performance.now();
+          pair.silent = true;
+        }
+      }
+      const {endSilentForMs = Infinity} = faults;
+      for (const {silentAt, near} of pairs) {
+        const isLong = performance.now() - silentAt >= endSilentForMs;
+        if (isLong) near.resetAndDestroy();
       }
       refuse = faults.refuse ?? refuse;
       delayMs = faults.delayMs ?? delayMs;
+      if (faults.pieces !== undefined) pieces = faults.pieces;
       cut = faults.cut ?? cut;
       // What TCP sent into a cut it sends again after it.
       if (faults.cut !== undefined) for (const pump of pumps) pump();
