fix(direct): no two entries rely on each other in place of calls to the store

Seen by callers: after connections to the store had fallen silent, entries refused routes that had been added and served routes that had been dropped, for up to seconds after the acknowledgement, at entries in touch.

Cause: an entry that lost one call, of any collection, asks any other entry, also one that rests on its own word, and let that word replace its own calls: its watch of the configuration got 29 s. Both then held an old version until both words were over 2 s old.

Change: an answer says whose call to the store its evidence is, and it replaces own calls only where that entry comes before this one by name. That order has no cycle. Evidence counts as before; entries of earlier versions are taken at their name.

Tests: two entries that confirm each other, before: both covered.

--- a/bench/store_calls.ts
+++ b/bench/store_calls.ts
@@ -136,14 +136,17 @@
   const {runtime} = createRecordingRuntime({clock, seed: at + 1});
   const kernel = createKernel(runtime);
   let evidenceAt = Number.NEGATIVE_INFINITY;
+  let source: string | undefined;
   await kernel.start({
     name: 'direct',
     start: ctx =>
       void ctx.mailbox.observe(message => {
-        if (message.kind === 'confirmed')
-          evidenceAt = Math.max(evidenceAt, message.asOf);
-        if (message.kind === 'evidence-age')
-          message.reply(clock.now() - evidenceAt);
+        if (message.kind === 'confirmed' && message.asOf > evidenceAt) {
+          evidenceAt = message.asOf;
+          source = message.origin.source;
+        }
+        if (message.kind === 'evidence')
+          message.reply({ageMs: clock.now() - evidenceAt, source});
       }),
   });
   await kernel.start({
@@ -167,6 +170,7 @@
   });
   await kernel.start(
     createStoreFollower({
+      node: `entry-${at}`,
       store: store.clientFor(counts),
       maxReadyAgeMs: MAX_READY_AGE_MS,
       leavingMs: LEAVING_MS,
--- a/src/direct/datagrams.ts
+++ b/src/direct/datagrams.ts
@@ -129,6 +129,8 @@
     /** Undefined from entries of earlier versions, which do not send it. */
     era: optional(number),
     evidenceAgeMs: optional(number),
+    /** Undefined from entries of earlier versions, which do not send it. */
+    evidenceSource: optional(string),
     configVersion: optional(number),
     replicasDigest: string,
     /** Undefined from entries that do not follow evacuations. */
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -38,6 +38,14 @@
   return revokeMs * READY_AGE_SHARE;
 }
 
+/** Where evidence comes from. */
+export interface EvidenceOrigin {
+  /** Name of the peer that answered; undefined for an own call. */
+  readonly peer?: string;
+  /** Name of the entry whose call to the store it is. */
+  readonly source: string;
+}
+
 export interface StoreEvidence {
   /**
    * Records that every write acknowledged before `asOf` is known, from an
@@ -46,14 +54,13 @@
    * `asOf` is earlier by the age that the answer states. That age was measured
    * elsewhere, so a suspension of this process cannot falsify it: such an
    * answer counts even if `asOf` lies before a suspension, as long as `askedAt`
-   * lies after it. `from` says whose call it was: `store` for an own one, or
-   * the name of the peer.
+   * lies after it.
    */
-  confirm(asOf: number, askedAt: number, from?: string): void;
+  confirm(asOf: number, askedAt: number, origin?: EvidenceOrigin): void;
   /** Age of the newest evidence, in milliseconds; infinite without any. */
   ageMs(): number;
-  /** Whose call the newest evidence is; undefined without any. */
-  source(): string | undefined;
+  /** Where the newest evidence comes from; undefined without any. */
+  origin(): EvidenceOrigin | undefined;
   /** Whether the evidence is recent enough to accept keys. */
   isFresh(): boolean;
   /** Calls `listener` after each `confirm`, until the result is called. */
@@ -67,7 +74,7 @@
   maxAgeMs: number,
 ): StoreEvidence {
   let confirmedAt = Number.NEGATIVE_INFINITY;
-  let source: string | undefined;
+  let newestOrigin: EvidenceOrigin | undefined;
   /**
    * Time of the last detected suspension or clock step. Answers to earlier
    * queries may be older than they appear.
@@ -81,7 +88,7 @@
     if (Math.abs(offset - clockOffset) > MAX_CLOCK_DRIFT_MS) {
       invalidatedAt = clock.now();
       confirmedAt = Number.NEGATIVE_INFINITY;
-      source = undefined;
+      newestOrigin = undefined;
     }
     clockOffset = offset;
   };
@@ -92,17 +99,17 @@
   };
 
   return {
-    confirm: (asOf, askedAt, from) => {
+    confirm: (asOf, askedAt, origin) => {
       checkClockOffset();
       if (askedAt <= invalidatedAt) return;
       if (asOf > confirmedAt) {
         confirmedAt = asOf;
-        source = from;
+        newestOrigin = origin;
       }
       for (const listener of [...listeners]) listener();
     },
     ageMs,
-    source: () => source,
+    origin: () => newestOrigin,
     isFresh: () => ageMs() <= maxAgeMs,
     onConfirm: listener => {
       listeners.add(listener);
--- a/src/direct/followed/knowledge_reports.ts
+++ b/src/direct/followed/knowledge_reports.ts
@@ -4,11 +4,14 @@
  */
 import type {ServiceContext} from '../../types/kernel.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
-import '../messages.js';
+import type {EvidenceReport} from '../messages.js';
 import type {PeerAnswer, StoreKnowledge} from '../types.js';
 
 /** What is known, without the age of the evidence for it. */
-export type OwnKnowledge = Omit<StoreKnowledge, 'evidenceAgeMs'>;
+export type OwnKnowledge = Omit<
+  StoreKnowledge,
+  'evidenceAgeMs' | 'evidenceSource'
+>;
 
 export interface KnowledgeReports {
   /** Replies with what this entry knows and the age of its evidence. */
@@ -25,16 +28,16 @@
 ): KnowledgeReports {
   return {
     reply: async reply => {
-      const ageMs = await ctx.ask(
+      const {ageMs, source} = await ctx.ask(
         'direct',
-        (answer: (ageMs: number) => void) => ({
-          kind: 'evidence-age',
+        (answer: (evidence: EvidenceReport) => void) => ({
+          kind: 'evidence',
           reply: answer,
         }),
       );
       // JSON cannot represent an infinite age.
       const evidenceAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
-      reply({...ownKnowledge(), evidenceAgeMs});
+      reply({...ownKnowledge(), evidenceAgeMs, evidenceSource: source});
     },
     logCover: (isActive, answer) => {
       const {coverBegan, coverEnded} = DIRECT_EVENTS;
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -240,7 +240,8 @@
       message,
       config: config?.version,
       evidenceAgeMs: shownEvidenceAgeMs(),
-      evidenceFrom: evidence.source(),
+      evidencePeer: evidence.origin()?.peer,
+      evidenceSource: evidence.origin()?.source,
       ...heardVersion.fields(config?.version),
       waitedMs: Math.round(clock.now() - arrivedAt),
     });
@@ -350,7 +351,7 @@
       case 'config':
         return setConfig(message.config);
       case 'confirmed':
-        return evidence.confirm(message.asOf, message.askedAt, message.from);
+        return evidence.confirm(message.asOf, message.askedAt, message.origin);
       case 'version-heard':
         return heardVersion.heard(message.version, message.from);
       case 'replicas':
@@ -366,8 +367,11 @@
         return serving.replicas.storeFailed();
       case 'store-restored':
         return serving.replicas.storeRestored();
-      case 'evidence-age':
-        return message.reply(evidence.ageMs());
+      case 'evidence':
+        return message.reply({
+          ageMs: evidence.ageMs(),
+          source: evidence.origin()?.source,
+        });
       case 'peer-load':
         return setPeerLoad(message.node, message.loads, message);
       case 'crash-reports':
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -12,6 +12,7 @@
   PermitAnswer,
   PermitAsk,
 } from './limits/limit_messages.js';
+import type {EvidenceOrigin} from './evidence.js';
 import type {GrantingEntries} from './limits/request_permits.js';
 import type {LoadChanges} from './load_broadcast.js';
 import type {PeerLoad, ReplicaLoad} from './replica_load.js';
@@ -24,6 +25,14 @@
   StoreKnowledge,
 } from './types.js';
 
+/** The newest evidence from the store that an entry has. */
+export interface EvidenceReport {
+  /** In milliseconds; infinite without evidence. */
+  readonly ageMs: number;
+  /** Name of the entry whose call it is; undefined without evidence. */
+  readonly source: string | undefined;
+}
+
 /** Messages to the service `direct`, the front, which serves callers. */
 export type DirectMessage =
   /** A configuration that is newer than the front's, or the same again. */
@@ -42,8 +51,7 @@
        * the peer's evidence.
        */
       readonly askedAt: number;
-      /** `store` for an own call, or the name of the peer that answered. */
-      readonly from: string;
+      readonly origin: EvidenceOrigin;
     }
   /** A peer named a version that is newer than the newest one known here. */
   | {
@@ -86,11 +94,13 @@
    */
   | {readonly kind: 'store-restored'}
   /**
-   * Asks for the age of the newest evidence that the configuration, and so the
-   * keys in it, is up to date. The age is in milliseconds, infinite without
-   * evidence.
+   * Asks for the newest evidence that the configuration, and so the keys in it,
+   * is up to date.
    */
-  | {readonly kind: 'evidence-age'; readonly reply: (ageMs: number) => void}
+  | {
+      readonly kind: 'evidence';
+      readonly reply: (evidence: EvidenceReport) => void;
+    }
   /** Loads that a peer reported. */
   | {
       readonly kind: 'peer-load';
--- a/src/direct/peer_confirmation.ts
+++ b/src/direct/peer_confirmation.ts
@@ -11,12 +11,19 @@
  * The evidence from such an answer is exact. The peer answered after the query
  * was sent, so the store call behind its evidence was sent no earlier than that
  * time minus the evidence's age. It counts only if both entries have the same
- * version of the configuration. If two entries rely on each other, the age
- * grows with each answer until neither is confirmed. Without a confirmation,
- * watches are short again. Until a long watch that is still running has
- * returned, the collections are listed instead.
+ * version of the configuration.
+ *
+ * An answer replaces own calls only if the call behind it is that of an entry
+ * that may be relied on: one before this entry in an order that all share.
+ * Otherwise two entries could each give up their own calls for the other's
+ * word, and a change would reach neither until both words are too old. The
+ * evidence counts all the same: its age grows until neither accepts it.
+ *
+ * Without a confirmation, watches are short again. Until a long watch that is
+ * still running has returned, the collections are listed instead.
  */
 import type {Cancel, Clock} from '../types/runtime.js';
+import type {EvidenceOrigin} from './evidence.js';
 import {isOlderEra} from './store_position.js';
 import type {StoreEra} from './store_position.js';
 import type {PeerAnswer} from './types.js';
@@ -71,6 +78,11 @@
    */
   readonly maxAgeMs: number;
   readonly clock: Clock;
+  /**
+   * Whether own calls may be replaced by those of this entry.
+   * @default those of any entry
+   */
+  mayRelyOn?(entry: string): boolean;
   queryPeer(): Promise<PeerAnswer | undefined>;
   /** What this entry knows from the store. */
   ownKnowledge(): {
@@ -82,9 +94,9 @@
   };
   /**
    * The peer was queried at `askedAt`, and its evidence is a call to the store
-   * that was sent no earlier than `asOf`. `from` is the peer's name.
+   * that was sent no earlier than `asOf`.
    */
-  onConfirmed(asOf: number, askedAt: number, from: string): void;
+  onConfirmed(asOf: number, askedAt: number, origin: EvidenceOrigin): void;
   /**
    * The peer has a different configuration: a newer one, or any other on recent
    * evidence.
@@ -140,6 +152,9 @@
   const isPeerAnswering = () =>
     clock.now() - lastAnswerAt < CONFIRMATION_LIFETIME_MS;
 
+  const mayReplaceCalls = (answer: PeerAnswer): boolean =>
+    options.mayRelyOn?.(originOf(answer).source) ?? true;
+
   const compareReplicas = (answer: PeerAnswer): void => {
     const isSame =
       answer.replicasDigest === options.ownKnowledge().replicasDigest;
@@ -159,7 +174,8 @@
       return;
     }
     const isRecent = evidenceAgeMs <= options.maxAgeMs;
-    if (isRecent && !isOlderEra(answer.era, own.era)) {
+    const isCurrent = isRecent && !isOlderEra(answer.era, own.era);
+    if (isCurrent && mayReplaceCalls(answer)) {
       lastSameEvacuationsAt = clock.now();
     }
   };
@@ -182,13 +198,15 @@
     }
     // The evidence is exact at any age, and a disconnected entry may have
     // nothing better.
-    if (isSame)
-      options.onConfirmed(askedAt - evidenceAgeMs, askedAt, answer.node);
+    if (isSame) {
+      const asOf = askedAt - evidenceAgeMs;
+      options.onConfirmed(asOf, askedAt, originOf(answer));
+    }
     const isRecent = evidenceAgeMs <= options.maxAgeMs;
     if (!isSame && (isRecent || isNewer)) options.onDifferentConfig(answer);
     if (!isSame || !isRecent) return;
     options.onSameConfig();
-    lastConfirmedAt = clock.now();
+    if (mayReplaceCalls(answer)) lastConfirmedAt = clock.now();
     compareReplicas(answer);
   };
 
@@ -234,3 +252,7 @@
     }),
   };
 }
+
+function originOf({node, evidenceSource}: PeerAnswer): EvidenceOrigin {
+  return {peer: node, source: evidenceSource ?? node};
+}
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -16,6 +16,7 @@
   maxPeerEvidenceAgeMs,
   createPeerConfirmation,
 } from './peer_confirmation.js';
+import type {EvidenceOrigin} from './evidence.js';
 import {followCollection} from './collection_follower.js';
 import {
   NO_EVACUATIONS,
@@ -58,6 +59,8 @@
 const QUERY_ANY_PEER_MS = 3_000;
 
 export interface StoreFollowerOptions {
+  /** Name of this entry. */
+  readonly node: string;
   readonly store: DirectStore;
   /**
    * Age of the evidence, in milliseconds, from which on the entry is not ready.
@@ -83,7 +86,7 @@
   options: StoreFollowerOptions,
   ctx: ServiceContext<'followed'>,
 ): void {
-  const {store, maxReadyAgeMs, leavingMs, evacuateMs} = options;
+  const {node, store, maxReadyAgeMs, leavingMs, evacuateMs} = options;
   const {clock, random} = ctx;
   const changePauseMs = leavingMs * REPLICAS_CHANGE_PAUSE_SHARE;
   const connection = createStoreConnection(clock, ctx.log);
@@ -195,8 +198,11 @@
   };
   const sendEvacuated = (failureDomains: ReadonlySet<string>) =>
     ctx.send('direct', {kind: 'evacuations', failureDomains});
-  const sendConfirmed = (asOf: number, askedAt: number, from: string) =>
-    ctx.send('direct', {kind: 'confirmed', asOf, askedAt, from});
+  const sendConfirmed = (
+    asOf: number,
+    askedAt: number,
+    origin: EvidenceOrigin,
+  ) => ctx.send('direct', {kind: 'confirmed', asOf, askedAt, origin});
   // An outage may end before one of the watches notices it. Either watch's
   // failure means that records of replicas may have expired.
   const onFault = (fault: StoreFault) => {
@@ -232,7 +238,7 @@
       connection.callSucceeded();
       configTimer.markConfirmed();
       if (configProof.provesNewest(newest?.version))
-        sendConfirmed(sentAt, sentAt, OWN_CALL);
+        sendConfirmed(sentAt, sentAt, {source: node});
     },
     onRestored,
     onFault,
@@ -329,6 +335,8 @@
         return undefined;
       }),
     ownKnowledge,
+    // The entries before this one by name: no two entries rely on each other.
+    mayRelyOn: entry => entry < node,
     onConfirmed: sendConfirmed,
     onDifferentConfig: answer => {
       news.heard(answer);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -199,6 +199,11 @@
    * that was acknowledged longer ago than this. Undefined without any evidence.
    */
   readonly evidenceAgeMs: number | undefined;
+  /**
+   * Name of the entry whose own call to the store that evidence is. Undefined
+   * without any evidence, and from entries of earlier versions.
+   */
+  readonly evidenceSource?: string;
   /**
    * Version of the newest known configuration; undefined while there is none.
    */
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -97,6 +97,7 @@
   await kernel.start(createHandover({self}));
   await kernel.start(
     createStoreFollower({
+      node: settings.node,
       store,
       maxReadyAgeMs: maxReadyAgeMs(settings.timing.revokeMs),
       leavingMs: leavingMsOf(settings),
--- a/test/direct/peer_confirmation.test.ts
+++ b/test/direct/peer_confirmation.test.ts
@@ -51,6 +51,64 @@
   return {confirmation, confirmed, seen};
 }
 
+describe('entries that confirm each other', () => {
+  // Guards against two entries that each give up their own calls for the
+  // other's word, while a newer version reaches neither.
+  test('do not both rely on the other', async () => {
+    const clock = createVirtualClock();
+    const names = ['entry-0', 'entry-1'];
+    /** The last call to the store that was answered was sent by entry-0. */
+    const evidence = names.map(() => ({asOf: 0, source: 'entry-0'}));
+    const confirmations = names.map((self, at) => {
+      const other = 1 - at;
+      return createPeerConfirmation({
+        ...IGNORED_CALLBACKS,
+        clock,
+        maxAgeMs: maxPeerEvidenceAgeMs(READY_MS),
+        mayRelyOn: entry => entry < self,
+        queryPeer: () =>
+          Promise.resolve({
+            ...SAME,
+            evidenceAgeMs: clock.now() - evidence[other].asOf,
+            evidenceSource: evidence[other].source,
+            askedAt: clock.now(),
+            node: names[other],
+            ip: '127.0.0.1',
+            port: 1,
+          }),
+        ownKnowledge: () => SAME,
+        onConfirmed: (asOf, _askedAt, {source}) => {
+          if (asOf > evidence[at].asOf) evidence[at] = {asOf, source};
+        },
+      });
+    });
+    await clock.runFor(1_000);
+    expect(confirmations.map(it => it.isActive())).toEqual([false, true]);
+  });
+
+  test('rely on no call of a later entry that an earlier one tells of', async () => {
+    const clock = createVirtualClock();
+    const knowledge = {...SAME, evidenceAgeMs: 100, evidenceSource: 'entry-2'};
+    const confirmation = createPeerConfirmation({
+      ...IGNORED_CALLBACKS,
+      clock,
+      maxAgeMs: maxPeerEvidenceAgeMs(READY_MS),
+      mayRelyOn: entry => entry < 'entry-1',
+      queryPeer: () =>
+        Promise.resolve({
+          ...knowledge,
+          askedAt: clock.now(),
+          node: 'entry-0',
+          ip: '127.0.0.1',
+          port: 1,
+        }),
+      ownKnowledge: () => SAME,
+    });
+    await clock.runFor(1_000);
+    expect(confirmation.isActive()).toBe(false);
+  });
+});
+
 describe('confirmation by another entry', () => {
   test('counts from the time of the query minus the age of the evidence', async () => {
     const clock = createVirtualClock();
