fix(stores): a call without an answer closes the idle connections too

Cause: connections to the store fall silent together. A client that had met one of them sent its next call on the next idle one and waited for its limit again, half a second each.

Change: after a call without an answer the idle connections are closed, so the next call opens a new one.

Test: three connections through a relay, all silent; before, the second call failed as well.

--- a/src/stores/http_client.ts
+++ b/src/stores/http_client.ts
@@ -99,6 +99,17 @@
   };
 }
 
+/**
+ * Closes the idle connections. Connections to one service tend to fail silently
+ * together. A call that was sent on the next idle one would wait for its limit
+ * as well, and so on for each of them.
+ */
+function dropIdle(agent: Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
 /** Creates a client. It connects at the first call. */
 export function createHttpClient(options: HttpClientOptions): HttpClient {
   const {url, clock, timeoutMs = DEFAULT_TIMEOUT_MS} = options;
@@ -138,6 +149,7 @@
       try {
         return Right(await exchange(req, abort.signal));
       } catch (err) {
+        dropIdle(agent);
         return Left({
           sent: !NOT_SENT_CODES.has(errorCode(err)),
           timedOut: abort.signal.aborted,
--- a/test/http_client.test.ts
+++ b/test/http_client.test.ts
@@ -3,6 +3,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {startRelay} from '../standins/relay_core.js';
 import {createHttpClient} from '../src/stores/http_client.js';
 import {createProcessClock} from '../src/utils/clock.js';
 
@@ -27,6 +28,25 @@
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 describe('an idle connection', () => {
+  // Guards against calls that wait for their limit on one silent connection
+  // after the other.
+  test('is not reused after a call on another one got no answer', async () => {
+    const {port} = server.address() as AddressInfo;
+    const relay = await startRelay('127.0.0.1:0', `127.0.0.1:${port}`);
+    const client = createHttpClient({
+      url: `http://${relay.address}`,
+      clock: createProcessClock(),
+      timeoutMs: 200,
+    });
+    const call = () => client.call({method: 'GET', path: '/'});
+    await Promise.all([call(), call(), call()]);
+    relay.apply({silence: true});
+    expect((await call()).isRight()).toBe(false);
+    expect((await call()).isRight()).toBe(true);
+    await client.close();
+    await relay.close();
+  });
+
   // A call that is sent while the server closes its idle connection has an
   // unknown outcome. The client therefore closes it well before the server.
   test('is reused at once, but not shortly before the server closes it', async () => {
