fix(direct): a list that got no answer is sent once more at once

Cause: an entry whose confirmation had ended listed the configuration on a connection that had fallen silent, and was then not allowed to list it again for 2 s; meanwhile it answered by an outdated version.

Change: the fault says that no answer came, and a list on demand is then repeated once, on a new connection. A store that is away gets two calls where it got one, at most once in 2 s and entry.

Test: collection_follower; before: one list, and the next after 2 s.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -48,6 +48,9 @@
   /** The answer is from an earlier era than one whose position was taken over. */
   | 'older era';
 
+/** How a list ended. An unanswered one may succeed on a new connection. */
+type ListOutcome = 'listed' | 'failed' | 'unanswered';
+
 /** What to follow and whom to notify. */
 export interface CollectionFollowerOptions<T> {
   readonly collection: Collection<T>;
@@ -110,8 +113,10 @@
 /** A running follower. */
 export interface CollectionFollower {
   /**
-   * Lists the collection now, while the watch continues. Does nothing while such
-   * a list is running, or within `maxRetryMs` after one failed.
+   * Lists the collection now, while the watch continues. A list that gets no
+   * answer is sent once more at once: its connection may have failed silently.
+   * Does nothing while such a list is running, or within `maxRetryMs` after it
+   * failed.
    */
   relistNow(): void;
   /**
@@ -191,33 +196,38 @@
     !hasLostPosition &&
     clock.now() - immediateRelistAt > IMMEDIATE_RELIST_INTERVAL_MS;
 
-  /** Lists the collection; resolves to whether the list succeeded. */
-  const listItems = async (): Promise<boolean> => {
+  const listItems = async (): Promise<ListOutcome> => {
     const sentAt = clock.now();
     const res = await collection.list();
-    if (isStopped) return false;
-    return res.caseOf({
+    if (isStopped) return 'failed';
+    return res.caseOf<ListOutcome>({
       Left: fault => {
         options.onFault(fault);
-        return false;
+        return fault.unanswered === true ? 'unanswered' : 'failed';
       },
       Right: listing => {
         const order = classifyAnswer(listing.position, sentAt);
         // The answer is late, or the store reports wrong eras. A store that
         // reports wrong eras would be called in a tight loop if the next call
         // followed without a pause, so the list counts as failed.
-        if (order === 'older era') return false;
+        if (order === 'older era') return 'failed';
         // A newer answer has already been handled. The older list must not
         // replace its items.
-        if (order === 'overtaken') return true;
+        if (order === 'overtaken') return 'listed';
         advance(listing.position);
         if (order === 'restored') options.onRestored();
         options.onList(listing.items, listing.isPartial, sentAt);
         options.onConfirmed(sentAt);
-        return true;
+        return 'listed';
       },
     });
   };
+  /** Resolves to whether one of at most two lists succeeded. */
+  const relist = async (): Promise<boolean> => {
+    const outcome = await listItems();
+    if (outcome !== 'unanswered' || isStopped) return outcome === 'listed';
+    return (await listItems()) === 'listed';
+  };
 
   const watchOnce = async (from: StorePosition): Promise<NextCall> => {
     const sentAt = clock.now();
@@ -269,7 +279,7 @@
   };
   /** Lists the collection to get a position for the next watch. */
   const listBeforeWatch = async (): Promise<NextCall> => {
-    if (!(await listItems())) return 'wait';
+    if ((await listItems()) !== 'listed') return 'wait';
     // After a watch that gave up its position, the base of the pause is not
     // reset. The list succeeded, but that does not show that the next watch
     // will.
@@ -308,7 +318,7 @@
     const isTooSoon = sinceFailedMs < options.maxRetryMs();
     if (isRelisting || isStopped || isTooSoon) return;
     isRelisting = true;
-    void listItems().then(hasSucceeded => {
+    void relist().then(hasSucceeded => {
       isRelisting = false;
       relistFailedAt = hasSucceeded ? Number.NEGATIVE_INFINITY : clock.now();
     });
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -245,6 +245,11 @@
    * get the same value.
    */
   readonly unreadable: boolean;
+  /**
+   * No answer came. The connection may have failed silently, and a new one may
+   * work. @default false
+   */
+  readonly unanswered?: boolean;
   readonly message: string;
 }
 
--- a/test/direct/collection_follower.test.ts
+++ b/test/direct/collection_follower.test.ts
@@ -62,6 +62,54 @@
   });
 });
 
+describe('listing a collection on demand', () => {
+  // Guards against an entry that keeps an old version for seconds because its
+  // list met a connection that had failed silently.
+  test('is repeated at once where no answer came', async () => {
+    const clock = createVirtualClock();
+    const position = {era: 1, revision: 7};
+    let lists = 0;
+    let confirmedAt: number | undefined;
+    const unanswered = {
+      step: 'list',
+      historyGone: false,
+      unreadable: false,
+      unanswered: true,
+      message: 'aborted',
+    };
+    const follower = followCollection<string>({
+      collection: {
+        list: async () => {
+          lists += 1;
+          if (lists !== 2)
+            return Right({position, items: new Map(), isPartial: false});
+          await new Promise<void>(resolve => void clock.after(500, resolve));
+          return Left(unanswered);
+        },
+        watch: () => new Promise(() => undefined),
+      },
+      clock,
+      random: createSeededRandom(1),
+      waitMs: () => 29_000,
+      maxRetryMs: () => 2_000,
+      changePauseMs: 0,
+      onList: () => undefined,
+      onChanges: () => undefined,
+      onConfirmed: sentAt => {
+        confirmedAt = sentAt;
+      },
+      onRestored: () => undefined,
+      onFault: () => undefined,
+    });
+    await clock.runFor(1_000);
+    follower.relistNow();
+    await clock.runFor(600);
+    follower.stop();
+    expect(lists).toBe(3);
+    expect(confirmedAt).toBe(1_500);
+  });
+});
+
 describe('following a store without a history', () => {
   // The history is gone at each watch, even right after a list. Without pauses
   // the store received a thousand calls per second.
