fix(direct): a route or key is denied only on evidence younger than a new version's bound

Seen by callers: 404 or 401 for what an acknowledged version allows.

Cause: whether a request may be denied was decided by the evidence that is good for accepting keys, up to nine tenths of the bound on removed keys (4.5 s as deployed), though a new version must be in force after 2 s. Two decisions, one limit. Whatever delayed a version, the entry denied on the old one.

Change: timing.configMs (from the platform's bounds; absent: as before). A denial needs evidence younger than nine tenths of it; else the entry asks the store and a peer, waits up to 0.4 s, and judges by what it then has: served, denied, or 503, which promises that the request did not run.

--- a/bench/store_return.ts
+++ b/bench/store_return.ts
@@ -209,6 +209,7 @@
     timing: {
       graceS: 8,
       revokeMs: 5_000,
+      configMs: undefined,
       freeMs: undefined,
       unusedMs: undefined,
       maxHoldMs: undefined,
--- a/fault_soak/config_changes/config_run.ts
+++ b/fault_soak/config_changes/config_run.ts
@@ -154,7 +154,7 @@
   return {
     ...TIMING,
     revokeMs: REVOKE_MS,
-    configApplyMs: CONFIG_APPLY_MS,
+    configMs: CONFIG_APPLY_MS,
     evacuateMs: seed % 2 === 0 ? TIMING.evacuateMs : undefined,
   };
 }
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -34,6 +34,7 @@
   graceS: 8,
   // Shorter than the longest cut from the store.
   revokeMs: 2_500,
+  configMs: 2_000,
   leavingMs: 1_500,
   freeMs: 2_000,
   unusedMs: undefined,
--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -28,6 +28,11 @@
    * answer of the store.
    */
   readonly keysAreFresh: () => Promise<boolean>;
+  /**
+   * Whether the known routes and keys are recent enough to deny a request. May
+   * wait for an answer of the store.
+   */
+  readonly denialsAreFresh: () => Promise<boolean>;
   /**
    * Time until keys can be confirmed again, in milliseconds; 0 when they can be
    * confirmed now.
@@ -67,7 +72,25 @@
   const isFresh = await options.keysAreFresh();
   // A configuration that arrived during the body or the store call applies.
   const config = options.config() ?? earlyConfig;
-  return authorise(options, config, req, body, isFresh);
+  const result = authorise(options, config, req, body, isFresh);
+  if (!isDenial(result)) return result;
+  const mayDeny = await options.denialsAreFresh();
+  const newest = options.config() ?? config;
+  const denied = authorise(options, newest, req, body, isFresh);
+  return isDenial(denied) && !mayDeny ? outdated(options) : denied;
+}
+
+/** Whether a newer configuration might allow the request. */
+function isDenial(result: AdmittedRequest | Refusal): boolean {
+  return 'status' in result && (result.status === 404 || result.status === 401);
+}
+
+/** An outdated configuration may lack a route or a key that exists by now. */
+function outdated(options: AdmitOptions): Refusal {
+  return {
+    ...refused(503, 'the configuration may be old'),
+    retryAfterMs: retryAfterMs(options),
+  };
 }
 
 /** Whether the configuration has a route for the request that needs no key. */
@@ -90,18 +113,15 @@
   const facts = options.codec.readRequest(req.headers);
   if (facts.id === undefined) return refused(400, 'the request has no id');
   const route = findRoute(config, req.headers.host ?? '', req.url ?? '');
-  // An outdated configuration may lack a route or a key that exists by now.
-  const stale = {
-    ...refused(503, 'the configuration may be old'),
-    retryAfterMs: retryAfterMs(options),
-  };
-  if (route === undefined) return isFresh ? refused(404, 'no route') : stale;
+  if (route === undefined) {
+    return isFresh ? refused(404, 'no route') : outdated(options);
+  }
   const service = pickService(route, options.random());
   if (service === undefined) return refused(503, 'the route has no service');
   const {account} = options;
   const admitted = {config, route, service, facts, id: facts.id, body, account};
   if (acceptsWithoutKey(config, route)) return {...admitted, owner: undefined};
-  if (!isFresh) return stale;
+  if (!isFresh) return outdated(options);
   const owner = config.keys?.get(facts.key ?? '');
   return owner === undefined
     ? refused(401, 'unknown key')
--- a/src/direct/evidence.ts
+++ b/src/direct/evidence.ts
@@ -8,6 +8,10 @@
  * time of day does, so a changed difference between the two shows a suspension.
  * A step of the time of day looks the same. Evidence is then discarded, and one
  * more call to the store replaces it.
+ *
+ * The same evidence decides whether a request may be denied for its route or
+ * its key. A version that allows it may be newer than the evidence, so the limit
+ * there is the time within which a new version must be in force.
  */
 import type {Cancel, Clock} from '../types/runtime.js';
 
@@ -63,6 +67,11 @@
   origin(): EvidenceOrigin | undefined;
   /** Whether the evidence is recent enough to accept keys. */
   isFresh(): boolean;
+  /**
+   * Whether the evidence is no older than this, in milliseconds, and recent
+   * enough to accept keys.
+   */
+  isYoungerThan(ageMs: number): boolean;
   /** Calls `listener` after each `confirm`, until the result is called. */
   onConfirm(listener: () => void): Cancel;
 }
@@ -111,6 +120,7 @@
     ageMs,
     origin: () => newestOrigin,
     isFresh: () => ageMs() <= maxAgeMs,
+    isYoungerThan: limitMs => ageMs() <= Math.min(limitMs, maxAgeMs),
     onConfirm: listener => {
       listeners.add(listener);
       return () => listeners.delete(listener);
@@ -169,18 +179,40 @@
   ask: () => void,
   timeoutMs = CONFIRM_TIMEOUT_MS,
 ): Promise<boolean> {
-  if (evidence.isFresh()) return Promise.resolve(true);
+  return waitForEvidence(clock, evidence, ask, timeoutMs, Infinity);
+}
+
+/**
+ * Likewise resolves to whether a request may be denied: whether the newest
+ * evidence is no older than `maxAgeMs`.
+ */
+export function waitForYoungEvidence(
+  clock: Clock,
+  evidence: StoreEvidence,
+  ask: () => void,
+  maxAgeMs: number,
+): Promise<boolean> {
+  return waitForEvidence(clock, evidence, ask, CONFIRM_TIMEOUT_MS, maxAgeMs);
+}
+
+function waitForEvidence(
+  clock: Clock,
+  evidence: StoreEvidence,
+  ask: () => void,
+  timeoutMs: number,
+  maxAgeMs: number,
+): Promise<boolean> {
+  const isEnough = () => evidence.isYoungerThan(maxAgeMs);
+  if (isEnough()) return Promise.resolve(true);
   return new Promise(resolve => {
     const settle = (isFresh: boolean): void => {
       cancelTimer();
       stopListening();
       resolve(isFresh);
     };
-    const cancelTimer = clock.after(timeoutMs, () =>
-      settle(evidence.isFresh()),
-    );
+    const cancelTimer = clock.after(timeoutMs, () => settle(isEnough()));
     const stopListening = evidence.onConfirm(() => {
-      if (evidence.isFresh()) settle(true);
+      if (isEnough()) settle(true);
     });
     ask();
   });
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -14,12 +14,8 @@
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
 import {openDispatch} from './dispatch.js';
-import {
-  confirmTimeoutMs,
-  createStoreEvidence,
-  maxReadyAgeMs,
-  waitForFreshEvidence,
-} from './evidence.js';
+import {createStoreEvidence, maxReadyAgeMs} from './evidence.js';
+import {createEvidenceChecks} from './freshness/evidence_checks.js';
 import {createHeardVersion} from './freshness/heard_version.js';
 import {reportGauges} from './gauges.js';
 import {createHeldBytes} from './held/held_bytes.js';
@@ -51,12 +47,6 @@
  * have failed.
  */
 const ACCEPT_AFTER_DRAIN_MS = 2_600;
-/**
- * Shortest time between two queries of peers for the confirmation of keys, in
- * milliseconds. Requests that wait share a query, because many callers may
- * return at once to an entry that starts.
- */
-const CONFIRMATION_ASK_MS = 10;
 /** Interval at which a drain checks whether all requests have ended. */
 const DRAIN_POLL_MS = 20;
 /** The drain ends this long before the grace time, to send the last answers. */
@@ -127,15 +117,11 @@
 ): void {
   const {settings, codec} = options;
   const {clock, log, metrics, random} = ctx;
-  const {revokeMs} = settings.timing;
-  const startedAt = clock.now();
+  const {revokeMs, configMs} = settings.timing;
   let config: DirectConfig | undefined;
   let server: CallersServer | undefined;
   let isOpening = false;
   let isDraining = false;
-  /** Earliest time, on this process's clock, at which keys can be confirmed. */
-  let keysUnconfirmedUntil = Number.NEGATIVE_INFINITY;
-  let confirmationAskedAt = Number.NEGATIVE_INFINITY;
   /** Requests whose body is being read or whose key waits for the store. */
   let admittingCount = 0;
 
@@ -210,22 +196,12 @@
     ...serving.state(),
   });
 
-  const keysUnconfirmedMs = () =>
-    evidence.isFresh() ? 0 : Math.max(0, keysUnconfirmedUntil - clock.now());
-  const askForConfirmation = () => {
-    if (clock.now() - confirmationAskedAt < CONFIRMATION_ASK_MS) return;
-    confirmationAskedAt = clock.now();
-    ctx.send('followed', {kind: 'confirm'});
-  };
-  // There is no wait when it is known that keys cannot be confirmed yet.
-  const keysAreFresh = async () =>
-    keysUnconfirmedMs() === 0 &&
-    waitForFreshEvidence(
-      clock,
-      evidence,
-      askForConfirmation,
-      confirmTimeoutMs(clock.now() - startedAt),
-    );
+  const checks = createEvidenceChecks({
+    clock,
+    evidence,
+    configMs,
+    ask: () => ctx.send('followed', {kind: 'confirm'}),
+  });
 
   const refuse = (
     res: ServerResponse,
@@ -273,8 +249,7 @@
     const admitOptions = {
       codec,
       random: () => random.next(),
-      keysAreFresh,
-      keysUnconfirmedMs,
+      ...checks,
       config: () => config,
       account: held?.track(req, res),
     };
@@ -361,7 +336,7 @@
       case 'evacuations':
         return serving.evacuations.replaceAll(message.failureDomains);
       case 'keys-unconfirmed':
-        keysUnconfirmedUntil = message.until;
+        checks.keysUnconfirmedUntil(message.until);
         return serving.replicas.startedUnsettled();
       case 'store-failed':
         return serving.replicas.storeFailed();
@@ -399,7 +374,7 @@
             // When keys cannot be confirmed, the peers cannot confirm
             // them either, so this one stays in the load balancer's rotation.
             (evidence.ageMs() < maxReadyAgeMs(revokeMs) ||
-              keysUnconfirmedMs() > 0),
+              checks.keysUnconfirmedMs() > 0),
         );
       case 'count':
         return message.reply(serving.openRequests());
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -67,6 +67,13 @@
      * from the configuration, in milliseconds.
      */
     revokeMs: number,
+    /**
+     * Longest time from the store's acknowledgement of a configuration until it
+     * must be in force, in milliseconds. Routes and keys are denied only on
+     * evidence from the store that is younger than this.
+     * @default any evidence that is recent enough to accept keys
+     */
+    configMs: optional(number),
     /**
      * Longest lease on engine memory that a replica grants, in milliseconds. An
      * entry leases memory at the replicas of a group, which prefill one long
--- a/test/direct/first_moments.test.ts
+++ b/test/direct/first_moments.test.ts
@@ -86,6 +86,7 @@
       codec: headerCodec,
       random: () => 0,
       keysAreFresh: () => FOREVER,
+      denialsAreFresh: () => FOREVER,
       keysUnconfirmedMs: () => 0,
       config: () => config,
     };
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -121,6 +121,7 @@
     timing: {
       graceS: 8,
       revokeMs: 5_000,
+      configMs: undefined,
       freeMs: 2_000,
       unusedMs: undefined,
       maxHoldMs: undefined,
