fix(direct): an entry that lost one call asks at once whether the store is lost

Cause: an entry counts the store as lost after any failed call until a call for the configuration succeeds. While a peer confirms it, that call may be 29 s away; until then it takes peers' lists of replicas over its own, and asks entries that cannot know more than it does.

--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -206,9 +206,16 @@
   // An outage may end before one of the watches notices it. Either watch's
   // failure means that records of replicas may have expired.
   const onFault = (fault: StoreFault) => {
-    connection.callFailed(fault);
+    onCallFailed(fault);
     ctx.send('direct', {kind: 'store-failed'});
   };
+  // A call without an answer may mean a lost store, or one connection that
+  // failed silently. The next watch of the configuration may be long in coming,
+  // and as long as the store counts as lost, peers' replicas replace own ones.
+  const onCallFailed = (fault: StoreFault) => {
+    connection.callFailed(fault);
+    if (fault.unanswered === true) configFollower.relistNow();
+  };
   const knownReplicas = createKnownReplicas();
   const maxRetryMs = () =>
     confirmation.isPeerAnswering()
@@ -269,7 +276,7 @@
       ctx.send('direct', {kind: 'quarantine-records', reports}),
     onReleased: digest =>
       ctx.send('direct', {kind: 'quarantine-released', digest}),
-    onFault: connection.callFailed,
+    onFault: onCallFailed,
   });
   const evacuations =
     evacuateMs === undefined
@@ -287,7 +294,7 @@
           fetchFromPeer: from =>
             peerRequests.fetchEvacuations(from).catch(logFetchFailed),
           onChange: sendEvacuated,
-          onFault: connection.callFailed,
+          onFault: onCallFailed,
         });
   const peerRequests = createPeerRequests(ctx);
   const logFetchFailed = (cause: unknown): undefined => {
