fix(direct): no request is passed on from a connection whose answer could not be written

Cause: a draining entry ends its direction of a kept connection after the answer under way, but still read the client's next request from it and passed it on. A request that was pipelined behind that answer likewise.

Change: the requests of one connection take turns; one whose connection can't be written any more when its turn comes is dropped, with a line, and the client sees a connection that closed before the request was read. A second SIGTERM doesn't end the process in the middle of the drain; SIGHUP has its handler before the services start.

--- /dev/null
+++ b/src/direct/callers/connection_turns.ts
@@ -0,0 +1,49 @@
+/**
+ * Lets the requests of one connection be served in turn. An answer is written
+ * only after those before it. Where an earlier answer closes the connection,
+ * or a drain does, a later request must not be passed on: it would run, and its
+ * answer could not be written any more.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+interface Turn {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly serve: () => void;
+}
+
+export interface ConnectionTurns {
+  /**
+   * Calls `serve` once the answers to earlier requests on the connection have
+   * ended, unless the connection is closing by then.
+   */
+  take(req: IncomingMessage, res: ServerResponse, serve: () => void): void;
+}
+
+/** `onDropped` is called with each request that is not served. */
+export function createConnectionTurns(
+  onDropped: (req: IncomingMessage) => void,
+): ConnectionTurns {
+  /** Requests that wait, by the connection on which one is being served. */
+  const waiting = new WeakMap<Socket, Turn[]>();
+
+  const begin = ({req, res, serve}: Turn): void => {
+    const {socket} = req;
+    if (!socket.writable) return onDropped(req);
+    const queue: Turn[] = [];
+    waiting.set(socket, queue);
+    res.once('close', () => {
+      waiting.delete(socket);
+      for (const turn of queue) take(turn);
+    });
+    serve();
+  };
+  const take = (turn: Turn): void => {
+    const queue = waiting.get(turn.req.socket);
+    if (queue === undefined) begin(turn);
+    else queue.push(turn);
+  };
+
+  return {take: (req, res, serve) => take({req, res, serve})};
+}
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -10,6 +10,7 @@
 import {admitRequest} from './admit_request.js';
 import type {Refusal} from './admit_request.js';
 import {probePort} from './crashes/port_probe.js';
+import {createConnectionTurns} from './callers/connection_turns.js';
 import {createConnectionGate} from './callers/connection_gate.js';
 import {openCallersServer} from './callers_server.js';
 import type {CallersServer} from './callers_server.js';
@@ -239,8 +240,19 @@
     });
   if (held !== undefined) ctx.own(held.stop);
 
+  const turns = createConnectionTurns(req => {
+    const {id} = codec.readRequest(req.headers);
+    log(DIRECT_EVENTS.unread, {requestId: id, cause: 'the connection closes'});
+  });
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = clock.now();
+    turns.take(req, res, () => admit(req, res, arrivedAt));
+  };
+  const admit = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+  ): void => {
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -37,6 +37,8 @@
       onDropped: lines => log(KERNEL_EVENTS.logLinesDropped, {lines}),
     }),
   });
+  // Until a handler is set, the signal ends the process.
+  process.on('SIGHUP', () => log(KERNEL_EVENTS.reloaded, {changed: false}));
   const runtime: Runtime = {
     clock: createProcessClock(),
     random: createProcessRandom(),
@@ -58,7 +60,11 @@
         pid: process.pid,
         callers: settings.listen.callers,
       });
-      process.once('SIGTERM', signal => {
+      let isDraining = false;
+      // A second signal must not end the process before its answers have ended.
+      process.on('SIGTERM', signal => {
+        if (isDraining) return;
+        isDraining = true;
         const limitMs = settings.timing.graceS * 1_000;
         log(KERNEL_EVENTS.drainStarted, {signal, limitMs});
         void wired.drain().then(async () => {
@@ -67,7 +73,6 @@
           runtime.clock.after(LOG_FLUSH_MS, () => process.exit(0));
         });
       });
-      process.on('SIGHUP', () => log(KERNEL_EVENTS.reloaded, {changed: false}));
     })
     .catch(err => {
       process.stderr.write(`onyxloft could not start: ${String(err)}\n`);
