fix(direct): a stream without a length is sent in chunks

Cause: the framing of the replica's answer was kept, none. For a call that is right, as nothing shows whether it is complete; a stream shows it by its events, and the entry already checks that it ends between two and that its replica lives before it writes the end.

Change: such a stream goes out in chunks, its last chunk only after that check; not without a body, nor in HTTP/1.0; a cut one is still reset. Calls without a length keep the replica's framing: one that is larger than the buffer, or that a caller reads slowly, is still not told from a complete one.

--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -70,6 +70,10 @@
  */
 const MAX_PRIORITY = 9;
 
+/** Statuses of answers that have no body. */
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
 /** Replicas that may be chosen, in groups by order of preference. */
 export type CandidateGroups = ReadonlyArray<readonly DirectReplica[]>;
 
@@ -242,12 +246,11 @@
   length?: number,
 ): void {
   const headers = [...endToEndHeaders(head)];
-  const {'content-length': declared, 'transfer-encoding': coding} =
-    head.headers;
+  const {'content-length': declared} = head.headers;
   // An answer without a length ends when its connection closes, so a truncated
   // one looks complete. If a length or chunked coding were added here, the
   // caller would trust a truncated answer. The replica's framing is kept.
-  const hasNoFraming = declared === undefined && coding === undefined;
+  const hasNoFraming = hasNoLength(head);
   if (hasNoFraming) res.removeHeader('Transfer-Encoding');
   else if (declared === undefined && length !== undefined) {
     headers.push('Content-Length', String(length));
@@ -256,6 +259,43 @@
   res.writeHead(head.status, headers);
 }
 
+/**
+ * Sends the status and headers of a stream. One without a length is sent in
+ * chunks: its events show whether it is complete, and its last chunk is written
+ * only then. Otherwise a stream would look complete if this process were killed
+ * in the middle.
+ */
+export function writeStreamHead(
+  ctx: ServeContext,
+  res: ServerResponse,
+  head: AnswerHead,
+): void {
+  if (!hasNoLength(head) || !mayAddChunks(res, head.status)) {
+    writeHead(ctx, res, head);
+    return;
+  }
+  chunkedHere.add(res);
+  const headers = [...endToEndHeaders(head)];
+  if (ctx.isDraining()) headers.push('Connection', 'close');
+  res.writeHead(head.status, headers);
+}
+
+/** Answers whose chunks are not the replica's. */
+const chunkedHere = new WeakSet<ServerResponse>();
+
+/** Whether only the end of its connection ends the replica's answer. */
+function hasNoLength({headers}: AnswerHead): boolean {
+  const {'content-length': declared, 'transfer-encoding': coding} = headers;
+  return declared === undefined && coding === undefined;
+}
+
+/** Not where there is no body, nor for callers that cannot read chunks. */
+function mayAddChunks({req}: ServerResponse, status: number): boolean {
+  const hasBody =
+    req.method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
+  return hasBody && req.httpVersion !== '1.0';
+}
+
 /** The replica's headers without those of its connection. */
 function endToEndHeaders({rawHeaders}: AnswerHead): HeaderList {
   const dropped = connectionOptions(rawHeaders);
@@ -293,11 +333,12 @@
 }
 
 /**
- * Cuts an answer off, since a normal end would look like a whole one. Without
- * chunks only a reset of the connection differs from a normal end.
+ * Cuts an answer off, since a normal end would look like a whole one. Where the
+ * replica's answer has no chunks, the connection is reset.
  */
 export function cutAnswer(res: ServerResponse): void {
-  if (res.chunkedEncoding || !res.socket) res.destroy();
+  const hasChunks = res.chunkedEncoding && !chunkedHere.has(res);
+  if (hasChunks || !res.socket) res.destroy();
   else res.socket.resetAndDestroy();
 }
 
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -13,7 +13,7 @@
   gateRequestOf,
 } from './permitted_choice.js';
 import type {RequestPlacement, PlacementLoss} from './request_placement.js';
-import {buildDispatch, classifyHead, writeHead} from './serve_context.js';
+import {buildDispatch, classifyHead, writeStreamHead} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import {recordEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
@@ -136,7 +136,9 @@
     };
     const forwardEvent = ({bytes, id}: StreamEvent) => {
       if (hasEvent(progress, id)) return;
-      if (!res.headersSent && head !== undefined) writeHead(ctx, res, head);
+      if (!res.headersSent && head !== undefined) {
+        writeStreamHead(ctx, res, head);
+      }
       recordEvent(metrics, exchange, progress, id, clock.now());
       if (!res.write(bytes)) pauseForCaller();
     };
--- a/test/direct/unframed_answers.test.ts
+++ b/test/direct/unframed_answers.test.ts
@@ -1,6 +1,8 @@
 /** Answers with neither a length nor chunks, which end with their connection. */
 import {Agent} from 'node:http';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {HOST, KEY} from '../../standins/users_platform/deployment.js';
 import {
   eventText,
   signed,
@@ -79,6 +81,29 @@
     agent.destroy();
   });
 
+  // Guards against a stream that looks complete because its entry was killed.
+  test('reaches the caller in chunks, which have an end of their own', async () => {
+    allMeet(withoutFraming(streamTo(EVENTS)));
+    const {headers, body} = await stream();
+    expect(headers['transfer-encoding']).toBe('chunked');
+    expect(body).toBe(WHOLE);
+  });
+
+  test('reaches a caller of HTTP/1.0 as the replica sent it', async () => {
+    allMeet(withoutFraming(streamTo(EVENTS)));
+    const [host, port] = fleet.callers.split(':');
+    const socket = connect({host, port: Number(port)});
+    socket.write(
+      'POST /stream/a HTTP/1.0\r\nX-Request-Id: old\r\n' +
+        `Host: ${HOST}\r\nAuthorization: Token ${KEY}\r\n` +
+        'X-Token-Usage: 1000,100\r\nContent-Length: 0\r\n\r\n',
+    );
+    let text = '';
+    for await (const piece of socket) text += String(piece);
+    expect(text).not.toContain('chunked');
+    expect(text.endsWith(WHOLE)).toBe(true);
+  });
+
   test('may be a stream without events', async () => {
     allMeet(
       withoutFraming((arrival, res) => {
