fix(platform): an unreadable record hides no removal beside it

Cause: a watch whose answer was not valid JSON in one event failed as a whole and gave its position up; the list that followed counted as partial, and a partial list removes nothing. While another program kept writing such a record, no removal was ever seen.

Change: what can be read of a watch is applied, removals too.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -269,6 +269,14 @@
         // listed again meanwhile. These changes follow the position before the
         // restore, so they are dropped.
         if (isOlderEra(from.era, changes.position.era)) return 'at once';
+        // What could be read is applied, removals too. What could not be read is
+        // listed, and until then nothing is confirmed.
+        if (changes.isPartial === true) {
+          if (changes.items.size > 0) options.onChanges(changes.items, sentAt);
+          position = undefined;
+          hasLostPosition = true;
+          return 'wait';
+        }
         advance(changes.position);
         hasChanged = changes.items.size > 0;
         if (hasChanged) options.onChanges(changes.items, sentAt);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -270,6 +270,8 @@
 export interface Changes<T> {
   readonly position: StorePosition;
   readonly items: ReadonlyMap<string, T | undefined>;
+  /** As in `Listing`. @default false */
+  readonly isPartial?: boolean;
 }
 
 /** Objects of one kind in the platform's store. */
