fix(direct): a configuration that could not be read confirms no older one

Routes of the unread version were denied on fresh evidence, and keys that it takes away accepted without end.

Change: while the configuration in the store cannot be read, nothing is confirmed: the older one stays in force, routes and keys are denied with 503, and keys refused once the evidence is older than their bound.

--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -91,6 +91,8 @@
   const changePauseMs = leavingMs * REPLICAS_CHANGE_PAUSE_SHARE;
   const connection = createStoreConnection(clock, ctx.log);
   let newest: DirectConfig | undefined;
+  /** The store has a configuration that could not be read. */
+  let isConfigUnread = false;
   /** Number of live entries, including this one. */
   let entryCount = 1;
 
@@ -232,6 +234,7 @@
     changePauseMs: 0,
     onList: (items, _isPartial, sentAt) => {
       const [config] = items.values();
+      isConfigUnread = config === undefined && newest !== undefined;
       configProof.versionListed(config?.version);
       items.forEach(item => applyConfig(item, OWN_CALL, sentAt));
     },
@@ -240,11 +243,14 @@
         if (config !== undefined) configProof.versionWritten(config.version);
         applyConfig(config, OWN_CALL, sentAt);
       }
+      // The list shows whether this was the configuration.
+      isConfigUnread ||= [...items.values()].includes(undefined);
+      if (isConfigUnread) configFollower.relistNow();
     },
     onConfirmed: sentAt => {
       connection.callSucceeded();
       configTimer.markConfirmed();
-      if (configProof.provesNewest(newest?.version))
+      if (!isConfigUnread && configProof.provesNewest(newest?.version))
         sendConfirmed(sentAt, sentAt, {source: node});
     },
     onRestored,
--- a/test/direct/outdated_denials.test.ts
+++ b/test/direct/outdated_denials.test.ts
@@ -49,6 +49,20 @@
   });
 });
 
+describe('a configuration that cannot be read', () => {
+  // Guards against an older version that counts as confirmed by an answer whose
+  // newer one was passed over.
+  test('makes no older one the newest', async () => {
+    fleet.store.put('config', 'main', {version: 9, routes: 'none'});
+    await wait(CONFIG_MS);
+    expect(await call('/added/')).toBe(503);
+    expect(await call('/again/')).toBe(200);
+    fleet.store.put('config', 'main', withRoute(10, '/added/'));
+    await until(async () => (await call('/added/')) === 200);
+    expect(await call('/other/')).toBe(404);
+  });
+});
+
 describe('a key that the entry does not know', () => {
   test('is refused as not run once a newer version may be in force', async () => {
     const status = async () =>
