fix(direct): whether a stream may be chunked is decided by the request

Cause: the check read the request from the response, which models of the entry do not set; the replays failed with a TypeError. Test: load_replay, evacuated_groups and share_replay (17 tests) failed, and pass.

--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -1,5 +1,5 @@
 /** State of the entry that serving a request needs, and shared steps of it. */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RetryBudget} from '../limits/retry_budget.js';
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
@@ -267,10 +267,10 @@
  */
 export function writeStreamHead(
   ctx: ServeContext,
-  res: ServerResponse,
+  {req, res}: Exchange,
   head: AnswerHead,
 ): void {
-  if (!hasNoLength(head) || !mayAddChunks(res, head.status)) {
+  if (!hasNoLength(head) || !mayAddChunks(req, head.status)) {
     writeHead(ctx, res, head);
     return;
   }
@@ -290,10 +290,13 @@
 }
 
 /** Not where there is no body, nor for callers that cannot read chunks. */
-function mayAddChunks({req}: ServerResponse, status: number): boolean {
+function mayAddChunks(
+  {method, httpVersion}: IncomingMessage,
+  status: number,
+): boolean {
   const hasBody =
-    req.method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-  return hasBody && req.httpVersion !== '1.0';
+    method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
+  return hasBody && httpVersion !== '1.0';
 }
 
 /** The replica's headers without those of its connection. */
--- a/src/direct/serve_stream.ts
+++ b/src/direct/serve_stream.ts
@@ -93,7 +93,7 @@
       logAnswered(ctx, exchange, 200, progress);
       // The headers are written with the first event. If there was no event,
       // they are not yet written.
-      if (!res.headersSent) writeStreamHead(ctx, res, outcome.head);
+      if (!res.headersSent) writeStreamHead(ctx, exchange, outcome.head);
       res.end();
       return true;
     // The request ended before its answer was complete: its time is up or the
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -137,7 +137,7 @@
     const forwardEvent = ({bytes, id}: StreamEvent) => {
       if (hasEvent(progress, id)) return;
       if (!res.headersSent && head !== undefined) {
-        writeStreamHead(ctx, res, head);
+        writeStreamHead(ctx, exchange, head);
       }
       recordEvent(metrics, exchange, progress, id, clock.now());
       if (!res.write(bytes)) pauseForCaller();
