--- a/fault_soak/config_changes/config_run.ts
+++ b/fault_soak/config_changes/config_run.ts
@@ -45,8 +45,11 @@
   readonly probes: number;
   /** Of entries in touch. */
   readonly judged: number;
-  /** Requests of entries in touch that were told to come back, or not answered. */
-  readonly unserved: number;
+  /**
+   * Requests of entries in touch that were told to come back, or not answered,
+   * by what they got.
+   */
+  readonly unserved: Readonly<Record<string, number>>;
   readonly lateInTouch: number;
   readonly lateInAll: number;
   readonly late: readonly LateAnswer[];
@@ -86,6 +89,8 @@
   readonly endedAt: number;
   /** Undefined without an answer. */
   readonly status: number | undefined;
+  /** Body of an answer without success, or the error without an answer. */
+  readonly message: string;
 }
 
 export async function runConfigChanges(
@@ -127,15 +132,13 @@
         inTouch: troubles.isInTouch(entry, sentAt),
       }));
     const judged = seen.filter(it => troubles.isInTouch(it.entry, it.sentAt));
-    const isUnserved = ({status}: Probe) =>
-      status !== OK && status !== NOT_FOUND;
     return {
       seed,
       trouble: shape.trouble ?? 'all',
       versions,
       probes: seen.length,
       judged: judged.length,
-      unserved: judged.filter(isUnserved).length,
+      unserved: countUnserved(judged),
       lateInTouch: late.filter(({inTouch}) => inTouch).length,
       lateInAll: late.length,
       late,
@@ -149,6 +152,18 @@
   }
 }
 
+function countUnserved(
+  probes: readonly Probe[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const {status, message} of probes) {
+    if (status === OK || status === NOT_FOUND) continue;
+    const answer = `${status ?? 'none'} ${message}`;
+    counts[answer] = (counts[answer] ?? 0) + 1;
+  }
+  return counts;
+}
+
 /** Some deployments do not ask for evacuations. */
 function timingOf(seed: number) {
   return {
@@ -257,8 +272,8 @@
   const [host, port] = address.split(':');
   const sentAt = performance.now();
   return new Promise(resolve => {
-    const end = (status: number | undefined) =>
-      resolve({...asked, sentAt, endedAt: performance.now(), status});
+    const end = (status: number | undefined, message: string) =>
+      resolve({...asked, sentAt, endedAt: performance.now(), status, message});
     const req = request({
       host,
       port,
@@ -273,11 +288,14 @@
       },
     });
     req.on('response', res => {
-      res.resume();
-      res.on('close', () => end(res.statusCode));
+      let body = '';
+      res.on('data', piece => {
+        body += String(piece);
+      });
+      res.on('close', () => end(res.statusCode, body));
     });
     req.on('timeout', () => req.destroy());
-    req.on('error', () => end(undefined));
+    req.on('error', err => end(undefined, err.message));
     req.end();
   });
 }
--- a/test/config_soak.test.ts
+++ b/test/config_soak.test.ts
@@ -27,7 +27,7 @@
       dir,
     });
     expect(report.late).toEqual([]);
-    expect(report.unserved).toBe(0);
+    expect(report.unserved).toEqual({});
     expect(report.judged).toBeGreaterThan(300);
   });
 
