--- a/test/direct/slow_readers.test.ts
+++ b/test/direct/slow_readers.test.ts
@@ -3,7 +3,7 @@
 import type {Socket} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {parseDirectSettings} from '../../src/direct/settings.js';
-import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import {HOST, KEY, configOf} from '../../standins/users_platform/deployment.js';
 import {answerWell, signed} from '../../standins/users_platform/replica.js';
 import type {Behaviour} from '../../standins/users_platform/replica.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
@@ -17,6 +17,8 @@
 /** Answers that are buffered until they are complete. */
 const ANSWER_BYTES = 1_000_000;
 const ANSWERS = 10;
+/** Time limit of routes that is reached by no request, in milliseconds. */
+const PATIENT_MS = 30_000;
 
 let fleet: DirectFleet;
 const sockets: Socket[] = [];
@@ -157,6 +159,16 @@
         res.end('x'.repeat(ANSWER_BYTES));
       });
     }
+    // Requests of one connection take turns, and none may be late for that.
+    const {routes, ...config} = configOf(2);
+    const patient = routes.map(route => ({...route, timeoutMs: PATIENT_MS}));
+    fleet.store.put('config', 'main', {...config, routes: patient});
+    await until(() =>
+      fleet.runtime.events.some(
+        ({event, fields}) =>
+          event.name === 'direct-config-adopted' && fields['version'] === 2,
+      ),
+    );
     const caller = openCaller('/again/a');
     // Further answers on the connection exceed the kernel's buffers.
     for (let at = 1; at < ANSWERS; at++) sendRequest(caller.socket, '/again/a');
