fix(platform): a record's bytes damage no more than the record itself

Seen by callers: while another program kept writing a record with a string without its end, brackets too many or control characters, requests went to replicas until they exited, long after their removal; where the record stood there first, no entry became ready.

Cause: an answer that was not valid JSON was read item by item. That works while the fault lies within one item. Bytes that damage the text around them made the whole list unreadable (no position, no start) or partial (a partial list removes nothing), and the watch before it gave its position up. The pause before that list grew up to 3 s, as for a store that fails.

Change: what the store wrote itself is told from what the record may have written. All before the first record that cannot be read is the store's, its name and revision too, since the metadata comes first; so are the fields after the list. A list goes on after that name, a watch after that revision, and both answers are free of the bytes. What stands between is never used, whatever it looks like. A store that does not go on after a name is queried for each further object by name, and a page that shows a name twice is read as damaged. The types of a collection get a file in `followed`, the calls and the collections of the client files of their own.

Price: one call for each damaged record of a list, one more call for each damaged change; none where all answers are valid JSON.

--- a/bench/store_calls.ts
+++ b/bench/store_calls.ts
@@ -10,8 +10,8 @@
 import {Right} from 'purify-ts/Either';
 import type {StorePosition} from '../src/direct/store_position.js';
 import {createStoreFollower} from '../src/direct/store_follower.js';
+import type {Collection} from '../src/direct/followed/collection.js';
 import type {
-  Collection,
   DirectConfig,
   DirectReplica,
   DirectStore,
--- a/src/cli/quarantine_commands.ts
+++ b/src/cli/quarantine_commands.ts
@@ -6,7 +6,7 @@
 import {Command, Option} from 'clipanion';
 import type {QuarantineRecord} from '../direct/crashes/crash_reports.js';
 import {splitAddress} from '../direct/settings.js';
-import type {StoreFault} from '../direct/types.js';
+import type {StoreFault} from '../direct/followed/collection.js';
 import {
   EXIT_FAILED,
   EXIT_OK,
--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -10,7 +10,7 @@
 import type {Cancel, Clock, Random} from '../types/runtime.js';
 import {isOlderEra, comparePositions} from './store_position.js';
 import type {StoreEra, StorePosition} from './store_position.js';
-import type {Collection, StoreFault} from './types.js';
+import type {Collection, StoreFault} from './followed/collection.js';
 
 /**
  * Base of the pause after the first failed call, in milliseconds. The base
@@ -28,6 +28,16 @@
  */
 const IMMEDIATE_RELIST_INTERVAL_MS = 1_000;
 
+/**
+ * Longest pause before the list that follows partial answers, in milliseconds.
+ */
+const MAX_DAMAGED_PAUSE_MS = 500;
+/**
+ * Most watches in a row that are resumed after a partial answer. Each passes by
+ * one damaged record; a list would need as many calls, with longer answers.
+ */
+const MAX_RESUMED = 50;
+
 /** When to make the next call: without the pause for failed calls, or after it. */
 type NextCall = 'at once' | 'wait';
 
@@ -161,6 +171,10 @@
   let relistFailedAt = Number.NEGATIVE_INFINITY;
   /** Whether the last call of `run` was a watch that brought changes. */
   let hasChanged = false;
+  /** Number of watches in a row whose answers were partial and were resumed. */
+  let resumedCount = 0;
+  /** Whether the position was given up because of a partial answer. */
+  let isDamaged = false;
 
   /**
    * Compares an answer's position with the known one. `sentAt` is when the call
@@ -269,22 +283,36 @@
         // listed again meanwhile. These changes follow the position before the
         // restore, so they are dropped.
         if (isOlderEra(from.era, changes.position.era)) return 'at once';
-        // What could be read is applied, removals too. What could not be read is
-        // listed, and until then nothing is confirmed.
+        // What could be read is applied, removals too. Until the rest is read,
+        // nothing is confirmed.
         if (changes.isPartial === true) {
           if (changes.items.size > 0) options.onChanges(changes.items, sentAt);
-          position = undefined;
-          hasLostPosition = true;
-          return 'wait';
+          return readRest(changes.resumeAt);
         }
         advance(changes.position);
-        hasChanged = changes.items.size > 0;
-        if (hasChanged) options.onChanges(changes.items, sentAt);
+        hasChanged = changes.items.size > 0 || resumedCount > 0;
+        resumedCount = 0;
+        if (changes.items.size > 0) options.onChanges(changes.items, sentAt);
         options.onConfirmed(sentAt);
         return 'at once';
       },
     });
   };
+  /** Goes on after a partial answer to a watch. */
+  const readRest = (resumeAt: StorePosition | undefined): NextCall => {
+    if (resumeAt !== undefined && resumedCount < MAX_RESUMED) {
+      resumedCount++;
+      advance(resumeAt);
+      // The rest is there already, so the next watch need not wait.
+      hasLastWatchFailed = true;
+      return 'at once';
+    }
+    resumedCount = 0;
+    position = undefined;
+    hasLostPosition = true;
+    isDamaged = true;
+    return 'wait';
+  };
   /** Lists the collection to get a position for the next watch. */
   const listBeforeWatch = async (): Promise<NextCall> => {
     if ((await listItems()) !== 'listed') return 'wait';
@@ -303,7 +331,11 @@
   const pauseAfterFault = (): Promise<void> => {
     const delayMs = retryBaseMs * (0.5 + random.next());
     retryBaseMs = Math.min(options.maxRetryMs(), retryBaseMs * 2);
-    return pause(delayMs);
+    // Another program may damage the answers for hours, and what they hide must
+    // be known in time.
+    const limitMs = isDamaged ? MAX_DAMAGED_PAUSE_MS : Infinity;
+    isDamaged = false;
+    return pause(Math.min(delayMs, limitMs));
   };
 
   /** Lists and watches until the follower is stopped. */
--- a/src/direct/crashes/quarantine_records.ts
+++ b/src/direct/crashes/quarantine_records.ts
@@ -10,7 +10,8 @@
 import {followCollection} from '../collection_follower.js';
 import type {CollectionFollower} from '../collection_follower.js';
 import {QUARANTINE_MS} from './suspects.js';
-import type {DirectStore, StoreFault} from '../types.js';
+import type {StoreFault} from '../followed/collection.js';
+import type {DirectStore} from '../types.js';
 
 /**
  * The entry that saw the last crash writes the record at once. Its peers write
--- a/src/direct/evacuations/evacuation_follower.ts
+++ b/src/direct/evacuations/evacuation_follower.ts
@@ -14,7 +14,8 @@
 import type {CollectionFollower} from '../collection_follower.js';
 import {REWRITE_GRACE_MS} from '../config_proof.js';
 import {createConfirmationTimer} from '../store_connection.js';
-import type {Collection, PeerAnswer, StoreFault} from '../types.js';
+import type {Collection, StoreFault} from '../followed/collection.js';
+import type {PeerAnswer} from '../types.js';
 import {createKnownEvacuations} from './known_evacuations.js';
 
 /**
--- a/src/direct/settled_era.ts
+++ b/src/direct/settled_era.ts
@@ -12,7 +12,8 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {isOlderEra} from './store_position.js';
 import type {StoreEra} from './store_position.js';
-import type {DirectStore, StoreFault} from './types.js';
+import type {StoreFault} from './followed/collection.js';
+import type {DirectStore} from './types.js';
 
 /** Pause between attempts of a failed call, in milliseconds. */
 const RETRY_MS = 300;
--- a/src/direct/store_connection.ts
+++ b/src/direct/store_connection.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import type {StoreFault} from './types.js';
+import type {StoreFault} from './followed/collection.js';
 
 /** A confirmation is overdue after the wait of its watch times this factor. */
 const OVERDUE_FACTOR = 1.3;
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -44,12 +44,12 @@
 import {createSettledEra} from './settled_era.js';
 import {createStoreEraTracker} from './store_era_tracker.js';
 import type {StoreEra} from './store_position.js';
+import type {StoreFault} from './followed/collection.js';
 import type {
   DirectConfig,
   DirectReplica,
   DirectStore,
   PeerAnswer,
-  StoreFault,
 } from './types.js';
 
 /**
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -9,7 +9,8 @@
 import type {ColdStart, StatedCold} from './cold/cold_types.js';
 import type {StatedLimit, ReplicaNotices} from './gate/replica_statements.js';
 import type {QuarantineRecord} from './crashes/crash_reports.js';
-import type {StoreEra, StorePosition} from './store_position.js';
+import type {Collection, StoreFault} from './followed/collection.js';
+import type {StoreEra} from './store_position.js';
 
 /**
  * How a request may be repeated after a failure: `idempotent` may be sent
@@ -232,61 +233,6 @@
   readonly askedAt: number;
 }
 
-/** A call to the platform's store that gave no usable answer. */
-export interface StoreFault {
-  readonly step: string;
-  /**
-   * The store no longer has the history that was asked for; the collection has
-   * to be listed again.
-   */
-  readonly historyGone: boolean;
-  /**
-   * The store answered with a value that cannot be decoded; another watch would
-   * get the same value.
-   */
-  readonly unreadable: boolean;
-  /**
-   * No answer came. The connection may have failed silently, and a new one may
-   * work. @default false
-   */
-  readonly unanswered?: boolean;
-  readonly message: string;
-}
-
-/** All items of a collection at a position in the store's history. */
-export interface Listing<T> {
-  readonly position: StorePosition;
-  readonly items: ReadonlyMap<string, T>;
-  /**
-   * Part of the answer could not be decoded, so an item that is missing here
-   * may still exist.
-   */
-  readonly isPartial: boolean;
-}
-
-/**
- * Items that changed after a position; an undefined value marks a removed item.
- */
-export interface Changes<T> {
-  readonly position: StorePosition;
-  readonly items: ReadonlyMap<string, T | undefined>;
-  /** As in `Listing`. @default false */
-  readonly isPartial?: boolean;
-}
-
-/** Objects of one kind in the platform's store. */
-export interface Collection<T> {
-  list(): Promise<Either<StoreFault, Listing<T>>>;
-  /**
-   * Resolves at the first change after `from`, or after `waitMs` without a
-   * change.
-   */
-  watch(
-    from: StorePosition,
-    waitMs: number,
-  ): Promise<Either<StoreFault, Changes<T>>>;
-}
-
 /** The calls that the direct path makes to the platform's store. */
 export interface DirectStore {
   readonly configs: Collection<DirectConfig>;
--- a/standins/users_platform/store.ts
+++ b/standins/users_platform/store.ts
@@ -34,6 +34,14 @@
   readonly revision: number;
 }
 
+/**
+ * Content that another program wrote. The store gives the bytes back as they
+ * are, valid JSON or not.
+ */
+export class ForeignBytes {
+  constructor(readonly text: string) {}
+}
+
 export interface StoreStandIn {
   readonly address: string;
   put(kind: string, name: string, spec: unknown): void;
@@ -52,6 +60,11 @@
   restore(copy: StoreCopy): void;
   /** Whether answers tell the era. @default true */
   tellEra(tells: boolean): void;
+  /**
+   * Whether a list comes in pages and goes on after a name. Otherwise each holds
+   * all objects, whatever name it is to go on after. @default true
+   */
+  listInPages(inPages: boolean): void;
   /** Calls that arrived, whatever became of them. */
   calls(): number;
   close(): Promise<void>;
@@ -68,6 +81,7 @@
   let calls = 0;
   let era = 1;
   let tellsEra = true;
+  let isPaged = true;
   const waiting = new Set<() => void>();
 
   const ofKind = (kind: string) => {
@@ -108,9 +122,11 @@
   };
 
   const list = (kind: string, after: string, res: ServerResponse): void => {
-    const names = [...ofKind(kind).keys()].sort().filter(name => name > after);
-    const items = names.slice(0, PAGE).map(name => ofKind(kind).get(name));
-    const hasMore = names.length > PAGE;
+    const all = [...ofKind(kind).keys()].sort();
+    const names = isPaged ? all.filter(name => name > after) : all;
+    const page = isPaged ? names.slice(0, PAGE) : names;
+    const items = page.map(name => ofKind(kind).get(name));
+    const hasMore = page.length < names.length;
     send(res, 200, {items, hasMore, currentRev: revision});
   };
   const watch = (
@@ -158,6 +174,9 @@
     if (req.method === 'GET' && from !== null) {
       const waitMs = Number(url.searchParams.get('waitMs'));
       watch(kind, Number(from), waitMs, res);
+    } else if (req.method === 'GET' && name !== undefined) {
+      const object = ofKind(kind).get(decodeURIComponent(name));
+      send(res, object === undefined ? 404 : 200, object ?? {});
     } else if (req.method === 'GET') {
       list(kind, url.searchParams.get('after') ?? '', res);
     } else if (req.method === 'POST') {
@@ -204,6 +223,9 @@
     tellEra: tells => {
       tellsEra = tells;
     },
+    listInPages: inPages => {
+      isPaged = inPages;
+    },
     calls: () => calls,
     close: () =>
       new Promise(resolve => {
@@ -221,7 +243,18 @@
 
 function send(res: ServerResponse, status: number, value: unknown): void {
   res.writeHead(status, {'content-type': 'application/json'});
-  res.end(JSON.stringify(value));
+  res.end(textOf(value));
+}
+
+function textOf(value: unknown): string {
+  const foreign: string[] = [];
+  const text = JSON.stringify(value, (_key, item: unknown) =>
+    item instanceof ForeignBytes ? `foreign ${foreign.push(item.text)}` : item,
+  );
+  return foreign.reduce(
+    (rest, bytes, at) => rest.replace(`"foreign ${at + 1}"`, () => bytes),
+    text,
+  );
 }
 
 async function readText(req: IncomingMessage): Promise<string> {
--- a/test/direct/collection_follower.test.ts
+++ b/test/direct/collection_follower.test.ts
@@ -4,7 +4,10 @@
 import {describe, expect, test} from 'vitest';
 import {followCollection} from '../../src/direct/collection_follower.js';
 import type {StorePosition} from '../../src/direct/store_position.js';
-import type {Changes, StoreFault} from '../../src/direct/types.js';
+import type {
+  Changes,
+  StoreFault,
+} from '../../src/direct/followed/collection.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 
--- a/test/direct/evacuation_follower.test.ts
+++ b/test/direct/evacuation_follower.test.ts
@@ -15,9 +15,9 @@
   Changes,
   Collection,
   Listing,
-  PeerAnswer,
   StoreFault,
-} from '../../src/direct/types.js';
+} from '../../src/direct/followed/collection.js';
+import type {PeerAnswer} from '../../src/direct/types.js';
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import type {RecordingRuntime} from '../../standins/recording_runtime.js';
--- a/test/direct/lost_call.test.ts
+++ b/test/direct/lost_call.test.ts
@@ -2,7 +2,11 @@
 import {Left, Right} from 'purify-ts';
 import {describe, expect, test} from 'vitest';
 import {createStoreFollower} from '../../src/direct/store_follower.js';
-import type {Collection, DirectStore, Listing} from '../../src/direct/types.js';
+import type {
+  Collection,
+  Listing,
+} from '../../src/direct/followed/collection.js';
+import type {DirectStore} from '../../src/direct/types.js';
 import {createKernel} from '../../src/kernel/kernel.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
--- /dev/null
+++ b/test/platform/damaged_answers.test.ts
@@ -0,0 +1,146 @@
+/** Records of other programs whose bytes damage the answers that hold them. */
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {createStoreClient} from '../../platform/store_client.js';
+import {followCollection} from '../../src/direct/collection_follower.js';
+import type {CollectionFollower} from '../../src/direct/collection_follower.js';
+import type {DirectReplica, DirectStore} from '../../src/direct/types.js';
+import {createProcessClock} from '../../src/utils/clock.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {ForeignBytes, startStore} from '../../standins/users_platform/store.js';
+import type {StoreStandIn} from '../../standins/users_platform/store.js';
+import {until} from '../support/direct_fleet.js';
+
+const RECORD = {
+  service: 'pool',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  slots: 4,
+  state: 'ready',
+};
+const VALID = JSON.stringify(RECORD);
+const objectText = (name: string, spec = VALID) =>
+  `{"metadata":{"name":"${name}","revision":9},"spec":${spec},"status":null}`;
+
+/** Content that is no JSON, and damages what stands around it in its own way. */
+const DAMAGES: ReadonlyArray<readonly [what: string, bytes: string]> = [
+  ['a syntax error', '{"service":"pool",zz}'],
+  ['a string without its end', '{"service":"po'],
+  ['a backslash at its end', '"\\'],
+  ['brackets too many', `${VALID}}}]}`],
+  ['brackets too many and more', '{}},{"a":1}'],
+  ['brackets that end the answer', '{}}],"hasMore":false,"currentRev":1}'],
+  ['brackets too few', '{"service":[{"a":['],
+  ['control characters', '\u0000\u0001\u001f{}'],
+  ['no content', ''],
+  ['the bytes of another record', `zz},${objectText('gone')},{"metadata":zz`],
+  ['a gone record', `{}},${objectText('gone')},${objectText('x', 'zz')}`],
+];
+
+let standIn: StoreStandIn;
+let store: DirectStore;
+let follower: CollectionFollower | undefined;
+let known: Map<string, DirectReplica>;
+beforeEach(async () => {
+  standIn = await startStore();
+  const {log, metrics} = createRecordingRuntime().runtime;
+  const clock = createProcessClock();
+  store = createStoreClient({address: standIn.address, clock, metrics, log});
+  known = new Map();
+  for (const name of ['a', 'k', 'z']) standIn.put('servers', name, RECORD);
+});
+afterEach(() => {
+  follower?.stop();
+  follower = undefined;
+  return standIn.close();
+});
+
+const writeForeign = (bytes: string, name = 'foreign') =>
+  standIn.put('servers', name, new ForeignBytes(bytes));
+const listNames = async () => {
+  const listing = (await store.replicas.list()).unsafeCoerce();
+  return {names: [...listing.items.keys()].sort(), ...listing};
+};
+const follow = () => {
+  follower = followCollection({
+    collection: store.replicas,
+    clock: createProcessClock(),
+    random: createSeededRandom(1),
+    waitMs: () => 1_000,
+    maxRetryMs: () => 500,
+    changePauseMs: 0,
+    onList: (items, isPartial) => {
+      known = new Map(isPartial ? [...known, ...items] : items);
+    },
+    onChanges: items => {
+      for (const [name, item] of items) {
+        if (item === undefined) known.delete(name);
+        else known.set(name, item);
+      }
+    },
+    onConfirmed: () => undefined,
+    onRestored: () => undefined,
+    onFault: () => undefined,
+  });
+};
+const knownNames = () => [...known.keys()].sort().join();
+
+describe.each(DAMAGES)('a record with %s', (_what, bytes) => {
+  // Guards against a fleet that one bad record keeps from starting.
+  test.each([true, false])(
+    'hides nothing from a list (pages: %s)',
+    async inPages => {
+      standIn.listInPages(inPages);
+      writeForeign(bytes);
+      const {names, isPartial} = await listNames();
+      expect(names).toEqual(['a', 'k', 'z']);
+      expect(isPartial).toBe(false);
+    },
+  );
+
+  // Guards against requests to a replica whose removal was not seen.
+  test('hides no removal and no new record beside it', async () => {
+    follow();
+    await until(() => knownNames() === 'a,k,z');
+    writeForeign(bytes);
+    standIn.remove('servers', 'k');
+    writeForeign(bytes);
+    standIn.put('servers', 'n', RECORD);
+    writeForeign(bytes);
+    await until(() => knownNames() === 'a,n,z', 1_000);
+    standIn.remove('servers', 'foreign');
+    standIn.remove('servers', 'z');
+    await until(() => knownNames() === 'a,n', 1_000);
+  });
+});
+
+describe('several records with bytes of all sorts', () => {
+  test('hide nothing from a list', async () => {
+    DAMAGES.forEach(([, bytes], at) => writeForeign(bytes, `foreign-${at}`));
+    const {names, isPartial} = await listNames();
+    expect(names).toEqual(['a', 'k', 'z']);
+    expect(isPartial).toBe(false);
+  });
+
+  // Guards against a follower that falls behind a fast writer for good.
+  test('that are rewritten all the time hide no removal', async () => {
+    follow();
+    await until(() => knownNames() === 'a,k,z');
+    const write = () =>
+      DAMAGES.forEach(([, bytes], at) => writeForeign(bytes, `foreign-${at}`));
+    write();
+    const timer = setInterval(write, 20);
+    try {
+      await new Promise(resolve => setTimeout(resolve, 200));
+      for (const [name, rest] of [
+        ['k', 'a,z'],
+        ['a', 'z'],
+      ] as const) {
+        standIn.remove('servers', name);
+        await until(() => knownNames() === rest, 1_500);
+      }
+    } finally {
+      clearInterval(timer);
+    }
+  });
+});
--- a/test/support/restorable_collection.ts
+++ b/test/support/restorable_collection.ts
@@ -5,7 +5,10 @@
  */
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import type {Collection, StoreFault} from '../../src/direct/types.js';
+import type {
+  Collection,
+  StoreFault,
+} from '../../src/direct/followed/collection.js';
 import type {VirtualClock} from '../../standins/virtual_clock.js';
 
 interface Change {
