fix(direct): a backlog of damaged changes is listed after ten watches

Cause: each watch that is resumed after a damaged change parses the rest of the backlog again, so fifty of them cost more than the list that they save.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -34,9 +34,9 @@
 const MAX_DAMAGED_PAUSE_MS = 500;
 /**
  * Most watches in a row that are resumed after a partial answer. Each passes by
- * one damaged record; a list would need as many calls, with longer answers.
+ * one damaged change; a list passes by each damaged record only once.
  */
-const MAX_RESUMED = 50;
+const MAX_RESUMED = 10;
 
 /** When to make the next call: without the pause for failed calls, or after it. */
 type NextCall = 'at once' | 'wait';
