fix(platform): a record that is nested deeply does not end the entry

Seen: an entry whose store held one record with tens of thousands of nested brackets ended with an unhandled rejection, at its start and with each rewrite. The record may be valid JSON.

Cause: JSON.parse reads such a value without recursion; the parser of damaged answers, the error messages of decoders and the text of an invalid cold time recurse, and a RangeError there was caught by nobody.

--- a/test/platform/damaged_answers.test.ts
+++ b/test/platform/damaged_answers.test.ts
@@ -33,6 +33,8 @@
   ['brackets too few', '{"service":[{"a":['],
   ['control characters', '\u0000\u0001\u001f{}'],
   ['no content', ''],
+  ['deep nesting', '['.repeat(20_000)],
+  ['deep nesting that ends', `${'['.repeat(20_000)}${']'.repeat(20_000)}`],
   ['the bytes of another record', `zz},${objectText('gone')},{"metadata":zz`],
   ['a gone record', `{}},${objectText('gone')},${objectText('x', 'zz')}`],
 ];
@@ -114,6 +116,13 @@
   });
 });
 
+// Guards against an entry that ends because of a record it only has to skip.
+test('a record whose cold time is nested deeply does not end the list', async () => {
+  const deep = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
+  writeForeign(`${VALID.slice(0, -1)},"coldLeftMs":${deep}}`);
+  expect((await listNames()).names).toEqual(['a', 'foreign', 'k', 'z']);
+});
+
 describe('several records with bytes of all sorts', () => {
   test('hide nothing from a list', async () => {
     DAMAGES.forEach(([, bytes], at) => writeForeign(bytes, `foreign-${at}`));
