fix(direct): bytes of a record that look like other records change nothing

Seen: the bytes of one record, written so that they end its event and look like further ones, took a sound replica out of use, or brought one into use that no record names, until the next list. In the same answer a record that had become unreadable stayed in use where it had been readable just before.

Cause: an answer to a watch was read item by item, so what followed the bytes was believed, and unreadable items were applied before all others, whatever their order.

Change: in an answer that holds an item which cannot be read, an item that would change what is known is read by its name first; the order of the events counts. In an answer that is valid JSON these are the items after the unreadable one, in any other all. Where such a read fails, an item that is shown as gone counts as gone, the others wait for a list.

Price: no call while nothing else changes beside the unreadable record; one for each change in the same answer otherwise.

Left: bytes that form a whole valid answer with a valid record at their head cannot be told from records.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -7,9 +7,12 @@
  * the only sign of that. Callers of this module therefore keep watches short,
  * unless peers report the same changes.
  */
+import {Left, Right} from 'purify-ts/Either';
+import type {Either} from 'purify-ts';
 import type {Cancel, Clock, Random} from '../types/runtime.js';
 import {isOlderEra, comparePositions} from './store_position.js';
 import type {StoreEra, StorePosition} from './store_position.js';
+import {makeCertain} from './followed/certain_changes.js';
 import type {Collection, StoreFault} from './followed/collection.js';
 
 /**
@@ -171,6 +174,8 @@
   let relistFailedAt = Number.NEGATIVE_INFINITY;
   /** Whether the last call of `run` was a watch that brought changes. */
   let hasChanged = false;
+  /** Names of the items that were reported and not removed since. */
+  const knownNames = new Set<string>();
   /** Number of watches in a row whose answers were partial and were resumed. */
   let resumedCount = 0;
   /** Whether the position was given up because of a partial answer. */
@@ -230,6 +235,8 @@
         if (order === 'overtaken') return 'listed';
         advance(listing.position);
         if (order === 'restored') options.onRestored();
+        if (!listing.isPartial) knownNames.clear();
+        for (const name of listing.items.keys()) knownNames.add(name);
         options.onList(listing.items, listing.isPartial, sentAt);
         options.onConfirmed(sentAt);
         return 'listed';
@@ -243,6 +250,17 @@
     return (await listItems()) === 'listed';
   };
 
+  const reportChanges = (
+    items: ReadonlyMap<string, T | undefined>,
+    sentAt: number,
+  ): void => {
+    if (items.size === 0) return;
+    for (const [name, item] of items) {
+      if (item === undefined) knownNames.delete(name);
+      else knownNames.add(name);
+    }
+    options.onChanges(items, sentAt);
+  };
   const watchOnce = async (from: StorePosition): Promise<NextCall> => {
     const sentAt = clock.now();
     // After a restore the store may assign the revision of `from` to another
@@ -250,7 +268,10 @@
     // it ends. A watch that does not wait is answered at once, and its answer
     // shows the store's era.
     const waitMs = hasLastWatchFailed ? 0 : options.waitMs();
-    const res = await collection.watch(from, waitMs);
+    const answer = await collection.watch(from, waitMs);
+    const res = await mapAsync(answer, changes =>
+      makeCertain(collection, changes, name => knownNames.has(name)),
+    );
     if (isStopped) return 'wait';
     hasLastWatchFailed = res.isLeft();
     return res.caseOf<NextCall>({
@@ -286,13 +307,13 @@
         // What could be read is applied, removals too. Until the rest is read,
         // nothing is confirmed.
         if (changes.isPartial === true) {
-          if (changes.items.size > 0) options.onChanges(changes.items, sentAt);
+          reportChanges(changes.items, sentAt);
           return readRest(changes.resumeAt);
         }
         advance(changes.position);
         hasChanged = changes.items.size > 0 || resumedCount > 0;
         resumedCount = 0;
-        if (changes.items.size > 0) options.onChanges(changes.items, sentAt);
+        reportChanges(changes.items, sentAt);
         options.onConfirmed(sentAt);
         return 'at once';
       },
@@ -376,3 +397,13 @@
     },
   };
 }
+
+async function mapAsync<L, A, B>(
+  either: Either<L, A>,
+  map: (value: A) => Promise<B>,
+): Promise<Either<L, B>> {
+  return either.caseOf<Promise<Either<L, B>>>({
+    Left: fault => Promise.resolve(Left(fault)),
+    Right: async value => Right(await map(value)),
+  });
+}
--- a/src/direct/followed/collection.ts
+++ b/src/direct/followed/collection.ts
@@ -45,6 +45,11 @@
   readonly items: ReadonlyMap<string, T | undefined>;
   /** As in `Listing`. @default false */
   readonly isPartial?: boolean;
+  /**
+   * Names in `items` that the answer shows only after an item that cannot be
+   * read. What is shown of them may be part of that item. @default none
+   */
+  readonly uncertain?: ReadonlySet<string>;
   /**
    * Of a partial answer: a watch from here shows the changes that this one does
    * not. Undefined where only a list shows them.
--- a/test/platform/damaged_answers.test.ts
+++ b/test/platform/damaged_answers.test.ts
@@ -116,6 +116,56 @@
   });
 });
 
+const eventText = (name: string, spec: string, removed: boolean) =>
+  `{"object":{"metadata":{"name":"${name}","revision":9},"spec":${spec},` +
+  `"status":null},"removed":${removed}}`;
+/** What the store writes around the content of a changed record. */
+const inEvents = (content: string, ...events: readonly string[]) =>
+  [`${content},"status":null},"removed":false}`, ...events].join() +
+  ',{"object":{"metadata":{"name":"foreign","revision":9},"spec":zz';
+
+describe.each(['zz', '{}', VALID])('a record that begins with %s', content => {
+  // Guards against a sound replica that another record's bytes take away.
+  test.each([
+    ['removal', eventText('k', VALID, true)],
+    ['unreadable content', eventText('k', 'zz', false)],
+    ['other content', eventText('k', '{"service":"pool"}', false)],
+  ])('and then looks like a %s changes nothing else', async (_what, event) => {
+    follow();
+    await until(() => knownNames() === 'a,k,z');
+    const seen: string[] = [];
+    const timer = setInterval(() => seen.push(knownNames()), 1);
+    writeForeign(inEvents(content, event));
+    standIn.remove('servers', 'a');
+    await until(() => !knownNames().includes('a'));
+    clearInterval(timer);
+    expect(knownNames().split(',')).toContain('k');
+    expect(seen.every(names => names.includes('k'))).toBe(true);
+  });
+
+  // Guards against the use of a replica that only another record's bytes name.
+  test('and then looks like another record names no replica', async () => {
+    follow();
+    await until(() => knownNames() === 'a,k,z');
+    writeForeign(inEvents(content, eventText('gone', VALID, false)));
+    standIn.remove('servers', 'a');
+    await until(() => !knownNames().includes('a'));
+    expect(knownNames()).not.toContain('gone');
+  });
+});
+
+// Guards against the use of a record that was readable a moment before.
+test('a record that becomes unreadable is used no more, and again when readable', async () => {
+  follow();
+  await until(() => knownNames() === 'a,k,z');
+  standIn.put('servers', 'k', {...RECORD, slots: 5});
+  writeForeign('{zz}', 'k');
+  await until(() => knownNames() === 'a,z');
+  writeForeign('{zz}', 'k');
+  standIn.put('servers', 'k', RECORD);
+  await until(() => knownNames() === 'a,k,z');
+});
+
 // Guards against an entry that ends because of a record it only has to skip.
 test('a record whose cold time is nested deeply does not end the list', async () => {
   const deep = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
