fix(direct): requests that were read before a stop are answered

Seen by callers: requests sent at once behind a stream on one connection were read whole, held while the stream went on, and dropped without an answer when it ended after SIGTERM, up to two seconds after their last byte. They had not run, but their callers could not tell. A refusal that closes the connection dropped those behind it in the same way.

Cause: at a drain the connection was closed after the answer that was being written, whatever had been read behind it. The drain itself counted only requests in service, so it could end between two of them.

Change: a connection closes after the last request that has been read; that answer alone says so. Requests that wait for their turn count for the drain. After 413 the connection closes as before, since nothing behind it is read.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -260,7 +260,7 @@
     unusedMs: UNUSED_MS,
     fullness: options.fullness,
     organisationShares: options.organisationShares,
-    isDraining: () => false,
+    closesAfter: () => false,
     shareLoads: (_loads, {hasLongPrefill, domains}) =>
       telling.loadChanged(hasLongPrefill, domains),
     limitLinks: {
--- a/src/direct/callers/connection_turns.ts
+++ b/src/direct/callers/connection_turns.ts
@@ -1,8 +1,9 @@
 /**
  * Lets the requests of one connection be served in turn. An answer is written
- * only after those before it. Where an earlier answer closes the connection,
- * or a drain does, a later request must not be passed on: it would run, and its
- * answer could not be written any more.
+ * only after those before it. Where an earlier answer closes the connection, a
+ * later request must not be passed on: it would run, and its answer could not be
+ * written any more. A connection is therefore closed after the last request that
+ * has been read: a caller cannot tell one that was dropped from one that ran.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -19,6 +20,10 @@
    * ended, unless the connection is closing by then.
    */
   take(req: IncomingMessage, res: ServerResponse, serve: () => void): void;
+  /** Whether a request waits until the one that is served now has ended. */
+  hasWaiting(socket: Socket): boolean;
+  /** Number of requests that wait on all connections. */
+  waitingCount(): number;
 }
 
 /** `onDropped` is called with each request that is not served. */
@@ -27,6 +32,7 @@
 ): ConnectionTurns {
   /** Requests that wait, by the connection on which one is being served. */
   const waiting = new WeakMap<Socket, Turn[]>();
+  let waitingCount = 0;
 
   const begin = ({req, res, serve}: Turn): void => {
     const {socket} = req;
@@ -35,6 +41,7 @@
     waiting.set(socket, queue);
     res.once('close', () => {
       waiting.delete(socket);
+      waitingCount -= queue.length;
       for (const turn of queue) take(turn);
     });
     serve();
@@ -42,8 +49,15 @@
   const take = (turn: Turn): void => {
     const queue = waiting.get(turn.req.socket);
     if (queue === undefined) begin(turn);
-    else queue.push(turn);
+    else {
+      queue.push(turn);
+      waitingCount++;
+    }
   };
 
-  return {take: (req, res, serve) => take({req, res, serve})};
+  return {
+    take: (req, res, serve) => take({req, res, serve}),
+    hasWaiting: socket => (waiting.get(socket)?.length ?? 0) > 0,
+    waitingCount: () => waitingCount,
+  };
 }
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -132,6 +132,13 @@
     revokeMs * EVIDENCE_SHARE,
   );
   const heardVersion = createHeardVersion(clock);
+  const turns = createConnectionTurns(req => {
+    const {id} = codec.readRequest(req.headers);
+    log(DIRECT_EVENTS.unread, {requestId: id, cause: 'the connection closes'});
+  });
+  /** Whether no request that has been read waits behind this one. */
+  const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
+    !turns.hasWaiting(socket);
   const serving = createServing({
     clock,
     log,
@@ -152,7 +159,7 @@
     holdMs: options.holdMs,
     unusedMs: options.unusedMs,
     organisationShares: settings.organisationShares,
-    isDraining: () => isDraining,
+    closesAfter: res => isDraining && isLastRead(res),
     shareLoads: (loads, changes) =>
       ctx.send('sharing', {kind: 'load', loads, changes}),
     limitLinks: {
@@ -223,8 +230,10 @@
       waitedMs: Math.round(clock.now() - arrivedAt),
     });
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
-    // Closes the connection, so that a retry can reach another entry.
-    const close = isDraining || status === 503 || status === 413;
+    // Closes the connection, so that a retry can reach another entry. After 413
+    // the rest of the body is not read, and nothing behind it.
+    const mayClose = isDraining || status === 503;
+    const close = status === 413 || (mayClose && isLastRead(res));
     sendLocalAnswer(res, {...refusal, close});
   };
 
@@ -240,10 +249,6 @@
     });
   if (held !== undefined) ctx.own(held.stop);
 
-  const turns = createConnectionTurns(req => {
-    const {id} = codec.readRequest(req.headers);
-    log(DIRECT_EVENTS.unread, {requestId: id, cause: 'the connection closes'});
-  });
   const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedAt = clock.now();
     turns.take(req, res, () => admit(req, res, arrivedAt));
@@ -256,7 +261,7 @@
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
-      if (isDraining) req.socket.end();
+      if (isDraining && !turns.hasWaiting(req.socket)) req.socket.end();
     });
     const admitOptions = {
       codec,
@@ -326,7 +331,7 @@
       const elapsedMs = clock.now() - drainStartedAt;
       const done =
         elapsedMs > ACCEPT_AFTER_DRAIN_MS &&
-        serving.openRequests() + admittingCount === 0;
+        serving.openRequests() + admittingCount + turns.waitingCount() === 0;
       if (!done && elapsedMs < graceMs) return;
       cancel();
       reply();
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -61,7 +61,8 @@
   readonly budget: RetryBudget;
   /** Retries that each request adds to the budget. */
   readonly retryRatio: number;
-  isDraining(): boolean;
+  /** Whether the connection closes after this answer. */
+  closesAfter(res: ServerResponse): boolean;
 }
 
 /**
@@ -255,7 +256,7 @@
   else if (declared === undefined && length !== undefined) {
     headers.push('Content-Length', String(length));
   }
-  if (ctx.isDraining() || hasNoFraming) headers.push('Connection', 'close');
+  if (ctx.closesAfter(res) || hasNoFraming) headers.push('Connection', 'close');
   res.writeHead(head.status, headers);
 }
 
@@ -276,7 +277,7 @@
   }
   chunkedHere.add(res);
   const headers = [...endToEndHeaders(head)];
-  if (ctx.isDraining()) headers.push('Connection', 'close');
+  if (ctx.closesAfter(res)) headers.push('Connection', 'close');
   res.writeHead(head.status, headers);
 }
 
@@ -330,7 +331,7 @@
   sendLocalAnswer(exchange.res, {
     status: 429,
     message: reason,
-    close: ctx.isDraining(),
+    close: ctx.closesAfter(exchange.res),
     retryAfterMs: refusal?.retryAfterMs ?? QUARANTINE_MS,
   });
 }
@@ -376,7 +377,7 @@
   sendLocalAnswer(res, {
     status: exchange.mayHaveRun ? errorStatus : 503,
     message: reason,
-    close: ctx.isDraining(),
+    close: ctx.closesAfter(res),
     retryAfterMs,
   });
 }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -113,7 +113,8 @@
   readonly fullness?: Fullness;
   /** Shares of organisations under overload. @default none */
   readonly organisationShares?: ShareSettings;
-  isDraining(): boolean;
+  /** Whether the connection closes after this answer. */
+  closesAfter(res: ServerResponse): boolean;
   /** Sends this entry's load to the peers. */
   shareLoads(loads: readonly ReplicaLoad[], changes: LoadChanges): void;
   /** Sends messages about request limits to the peers. */
@@ -343,7 +344,7 @@
       () => (retries.slack * BUDGET_SHARE) / entryCount,
     ),
     retryRatio: retries.ratio * BUDGET_SHARE,
-    isDraining: options.isDraining,
+    closesAfter: options.closesAfter,
   };
 
   const weightOf = ({
