fix(direct): a lost call shows that the watch of the replicas is lost too

Seen: where all open connections to the store fall silent at once, removals of replicas were known up to 2.7 s later at single entries, with 2 s allowed.

Cause, by reading and by the test: each watch waits for its own limit (1.5 s for the configuration, 2.5 s for the replicas) though all connections fail together. An entry that relies on a peer waits for two different answers, 0.5 s apart, then lists over an idle connection that is as silent, which takes another 0.5 s; its own watch stays on the silent connection, so the next removal takes as long.

Change: the first call without an answer restarts the watch of the replicas, over a new connection. Where a peer's replicas differ and the own ones have not changed for a second, the second look comes after 0.15 s; idle connections are closed before the list; a list that shows what the watch did not restarts the watch.

Price: one call for each loss, none in calm.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -132,6 +132,11 @@
    * failed.
    */
   relistNow(): void;
+  /**
+   * Sends the watch that is waiting once more, from the same position: its
+   * connection may have failed silently.
+   */
+  restartWatch(): void;
   /**
    * Called with the era that the store is in now. Lists the collection again if
    * the follower's position is from an older era.
@@ -176,6 +181,8 @@
   let hasChanged = false;
   /** Names of the items that were reported and not removed since. */
   const knownNames = new Set<string>();
+  /** Stops waiting for the answer to the watch; undefined without one. */
+  let abandonWatch: (() => void) | undefined;
   /** Number of watches in a row whose answers were partial and were resumed. */
   let resumedCount = 0;
   /** Whether the position was given up because of a partial answer. */
@@ -268,7 +275,14 @@
     // it ends. A watch that does not wait is answered at once, and its answer
     // shows the store's era.
     const waitMs = hasLastWatchFailed ? 0 : options.waitMs();
-    const answer = await collection.watch(from, waitMs);
+    const answer = await Promise.race([
+      collection.watch(from, waitMs),
+      new Promise<undefined>(resolve => {
+        abandonWatch = () => resolve(undefined);
+      }),
+    ]);
+    abandonWatch = undefined;
+    if (answer === undefined) return 'at once';
     const res = await mapAsync(answer, changes =>
       makeCertain(collection, changes, name => knownNames.has(name)),
     );
@@ -387,6 +401,7 @@
 
   return {
     relistNow,
+    restartWatch: () => abandonWatch?.(),
     observeEra: storeEra => {
       if (position !== undefined && isOlderEra(position.era, storeEra))
         relistNow();
--- a/src/direct/peer_confirmation.ts
+++ b/src/direct/peer_confirmation.ts
@@ -60,6 +60,14 @@
  * own watch is about to deliver.
  */
 const DIFFERENT_DIGESTS_BEFORE_REREAD = 2;
+/**
+ * After the first of these answers the peer is queried again after this time, in
+ * milliseconds, if the own replicas have not changed for `SETTLED_MS`: a watch
+ * that works would have delivered the change by then.
+ */
+const SECOND_LOOK_MS = 150;
+/** Entries know of a change at different times, within this many milliseconds. */
+const SETTLED_MS = 1_000;
 
 /**
  * Largest age of a peer's evidence that replaces own calls, in milliseconds.
@@ -84,6 +92,11 @@
    */
   mayRelyOn?(entry: string): boolean;
   queryPeer(): Promise<PeerAnswer | undefined>;
+  /**
+   * Time of the last change of the own replicas, on this process's clock.
+   * @default just now
+   */
+  replicasChangedAt?(): number;
   /** What this entry knows from the store. */
   ownKnowledge(): {
     readonly era: StoreEra;
@@ -144,6 +157,7 @@
   let isQuerying = false;
   let isQueryPending = false;
   let immediateQueries = 0;
+  let cancelSecondLook: Cancel = () => undefined;
 
   const isActive = () =>
     clock.now() - lastConfirmedAt < CONFIRMATION_LIFETIME_MS;
@@ -155,10 +169,18 @@
   const mayReplaceCalls = (answer: PeerAnswer): boolean =>
     options.mayRelyOn?.(originOf(answer).source) ?? true;
 
+  const areReplicasSettled = (): boolean => {
+    const changedAt = options.replicasChangedAt?.() ?? clock.now();
+    return clock.now() - changedAt > SETTLED_MS;
+  };
   const compareReplicas = (answer: PeerAnswer): void => {
     const isSame =
       answer.replicasDigest === options.ownKnowledge().replicasDigest;
     differentDigests = isSame ? 0 : differentDigests + 1;
+    if (differentDigests === 1 && areReplicasSettled()) {
+      cancelSecondLook();
+      cancelSecondLook = clock.after(SECOND_LOOK_MS, queryNow);
+    }
     if (differentDigests < DIFFERENT_DIGESTS_BEFORE_REREAD) return;
     differentDigests = 0;
     options.onDifferentReplicas(answer);
@@ -241,15 +263,19 @@
     void query();
   };
 
+  const stopQueries = clock.every(QUERY_INTERVAL_MS, () => {
+    immediateQueries = 0;
+    void query();
+  });
   return {
     isActive,
     isActiveForEvacuations,
     isPeerAnswering,
     queryNow,
-    stop: clock.every(QUERY_INTERVAL_MS, () => {
-      immediateQueries = 0;
-      void query();
-    }),
+    stop: () => {
+      stopQueries();
+      cancelSecondLook();
+    },
   };
 }
 
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -93,6 +93,8 @@
   let newest: DirectConfig | undefined;
   /** The store has a configuration that could not be read. */
   let isConfigUnread = false;
+  /** When replicas were last taken over, on this process's clock. */
+  let replicasChangedAt = clock.now();
   /** Number of live entries, including this one. */
   let entryCount = 1;
 
@@ -185,6 +187,7 @@
     ctx.send('direct', {kind: 'config', config});
   };
   const applyReplicas = (items: ReadonlyMap<string, DirectReplica>) => {
+    replicasChangedAt = clock.now();
     knownReplicas.replaceAll(items);
     evacuations.whenKnown(() =>
       ctx.send('direct', {kind: 'replicas', replicas: items}),
@@ -193,6 +196,7 @@
   const applyReplicaChanges = (
     items: ReadonlyMap<string, DirectReplica | undefined>,
   ) => {
+    replicasChangedAt = clock.now();
     knownReplicas.applyChanges(items);
     evacuations.whenKnown(() =>
       ctx.send('direct', {kind: 'replica-changes', replicas: items}),
@@ -214,9 +218,14 @@
   // A call without an answer may mean a lost store, or one connection that
   // failed silently. The next watch of the configuration may be long in coming,
   // and as long as the store counts as lost, peers' replicas replace own ones.
+  // Connections fail silently together, so the watch of the replicas may wait in
+  // vain as well.
   const onCallFailed = (fault: StoreFault) => {
+    const isFirst = !connection.isLost();
     connection.callFailed(fault);
-    if (fault.unanswered === true) configFollower.relistNow();
+    if (fault.unanswered !== true) return;
+    configFollower.relistNow();
+    if (isFirst) replicaFollower.restartWatch();
   };
   const knownReplicas = createKnownReplicas();
   const maxRetryMs = () =>
@@ -263,8 +272,13 @@
     waitMs: () => (confirmation.isActive() ? LONG_WATCH_MS : REPLICAS_WATCH_MS),
     maxRetryMs,
     changePauseMs,
-    onList: (items, isPartial) =>
-      isPartial ? applyReplicaChanges(items) : applyReplicas(items),
+    onList: (items, isPartial) => {
+      const digest = knownReplicas.digest();
+      if (isPartial) applyReplicaChanges(items);
+      else applyReplicas(items);
+      // A watch that is waiting should have reported what the list shows.
+      if (knownReplicas.digest() !== digest) replicaFollower.restartWatch();
+    },
     onChanges: applyReplicaChanges,
     onConfirmed: replicasTimer.markConfirmed,
     onRestored,
@@ -341,6 +355,7 @@
     clock,
     maxAgeMs: maxPeerEvidenceAgeMs(maxReadyAgeMs),
     // The service `sharing` may end while the query is open.
+    replicasChangedAt: () => replicasChangedAt,
     queryPeer: () =>
       peerRequests.queryPeer(mayQueryAnyPeer()).catch(err => {
         const message = String(err);
@@ -360,6 +375,8 @@
     },
     onSameConfig: catchUp.handleSameConfig,
     onDifferentReplicas: answer => {
+      // The idle connections may have failed together with that of the watch.
+      store.closeIdle?.();
       replicaFollower.relistNow();
       catchUp.handleDifferentReplicas(answer);
     },
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -263,6 +263,11 @@
    * answers.
    */
   watchEra(onEra: (era: StoreEra) => void): void;
+  /**
+   * Closes the idle connections, so that the next calls are made over new ones.
+   * @default nothing is closed
+   */
+  closeIdle?(): void;
   listEntries(): Promise<Either<StoreFault, readonly EntryAddress[]>>;
   announceEntry(entry: EntryAddress): Promise<Either<StoreFault, void>>;
   removeEntry(node: string): Promise<Either<StoreFault, void>>;
--- a/src/stores/http_client.ts
+++ b/src/stores/http_client.ts
@@ -80,6 +80,8 @@
 /** Client of one platform service, with pooled connections. */
 export interface HttpClient {
   call(req: HttpRequest): Promise<Either<HttpFailure, HttpResponse>>;
+  /** Closes the connections without a request in progress. */
+  closeIdle(): void;
   /** Closes all connections, also those of requests in progress. */
   close(): Promise<void>;
 }
@@ -159,6 +161,7 @@
         cancel();
       }
     },
+    closeIdle: () => dropIdle(agent),
     close: () => {
       agent.destroy();
       return Promise.resolve();
