fix(direct): invalid bytes are refused behind the answers before them

Seen: a caller whose connection carried invalid bytes behind good requests got the head of a 400 in the middle of its stream, and the connection closed; a request that had been read between the two was dropped. A header that is too large or too slow on a kept connection did the same.

Cause: the parser's error was answered at once on the socket, whatever was being written there.

Change: the refusal is written when the last answer of the connection has ended.

Tests: closing_connections, one new; it failed before.

--- a/src/direct/callers_server.ts
+++ b/src/direct/callers_server.ts
@@ -60,16 +60,24 @@
     requestTimeout: 0,
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
-  server.on('request', handler);
+  const lastAnswers = createLastAnswers();
+  const handle: RequestHandler = (req, res) => {
+    lastAnswers.add(req.socket, res);
+    handler(req, res);
+  };
+  server.on('request', handle);
   server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
     res.writeContinue();
-    handler(req, res);
+    handle(req, res);
   });
   server.on('connection', socket => {
     if (admit()) socket.setNoDelay(true);
     else socket.destroy();
   });
-  server.on('clientError', refuse);
+  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    lastAnswers.whenEnded(socket, () => refuse(err, socket));
+  });
   await listen(server, address);
   return {
     setLimits: ({headersTimeoutMs, idleTimeoutMs}) => {
@@ -88,6 +96,25 @@
   };
 }
 
+/**
+ * Knows the last answer on each connection. Invalid bytes may follow a request
+ * whose answer is still being written, and nothing may be written into it.
+ */
+function createLastAnswers() {
+  const answers = new WeakMap<Socket, ServerResponse>();
+  return {
+    add: (socket: Socket, res: ServerResponse): void => {
+      answers.set(socket, res);
+    },
+    /** Runs the function when all requests of the connection are answered. */
+    whenEnded: (socket: Socket, run: () => void): void => {
+      const last = answers.get(socket);
+      if (last === undefined || last.closed) run();
+      else last.once('close', run);
+    },
+  };
+}
+
 function listen(server: Server, address: string): Promise<void> {
   const endpoint = splitAddress(address);
   return new Promise((resolve, reject) => {
@@ -100,8 +127,7 @@
 }
 
 /** Answers bytes that are not a valid HTTP request, and closes the socket. */
-function refuse(err: NodeJS.ErrnoException, duplex: unknown): void {
-  const socket = duplex as Socket;
+function refuse(err: NodeJS.ErrnoException, socket: Socket): void {
   if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
     return;
--- a/test/direct/closing_connections.test.ts
+++ b/test/direct/closing_connections.test.ts
@@ -131,6 +131,24 @@
   });
 });
 
+describe('bytes that are no request', () => {
+  // Guards against a refusal that is written into the answer before it.
+  test('are refused when the requests before them are answered', async () => {
+    for (const replica of fleet.pool) replica.behave(streamTo(20, 10));
+    const {socket, seen} = openConnection();
+    socket.write(requestText('/stream/a', 'first'));
+    await until(() => seen.text.includes('200 OK'));
+    socket.write(requestText('/once/b', 'second'));
+    socket.write('no request at all\r\n\r\n');
+    await until(() => seen.isEnded);
+    const parts = seen.text.split('HTTP/1.1 ').slice(1);
+    expect(parts.map(part => part.slice(0, 3))).toEqual(['200', '200', '400']);
+    expect(parts[0]).toMatch(/id: 20\n[^]*\r\n0\r\n\r\n$/);
+    expect(parts[1]).toContain('answer to second');
+    socket.destroy();
+  });
+});
+
 describe('requests that are pipelined on an open connection', () => {
   test('are all answered, in their order', async () => {
     const {socket, seen} = openConnection();
