test(fault-soak): sound replicas that fall silent and go on (known red)

Callers of a service whose only sound replica was silent for 1.2 s and went on got cut streams and 502. Nothing here could show it: no soak paused a replica process, no service of a soak had one sound replica, and no judge counted incomplete answers beside replicas that had not broken off.

--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -57,7 +57,7 @@
 const REPORT_PATH = '/api/report';
 const EVENT_PAUSE_MS = 15;
 const SLOW_PAUSE_MS = 150;
-const PORTS_PER_ENTRY = 4;
+export const PORTS_PER_ENTRY = 4;
 /** A replica that has crashed is back after this time. */
 const DOWN_MS = 900;
 
@@ -321,7 +321,8 @@
   return replica;
 }
 
-function settingsOf(
+/** Settings of the entry with this index. */
+export function settingsOf(
   at: number,
   store: string,
   addresses: readonly string[],
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -111,7 +111,7 @@
 /** A replica's record in the store. */
 export function announce(
   store: StoreStandIn,
-  replica: ReplicaStandIn,
+  replica: Pick<ReplicaStandIn, 'id' | 'address'>,
   service: string,
   state = 'ready',
   born?: number,
--- /dev/null
+++ b/test/direct/silent_replicas.test.ts
@@ -0,0 +1,243 @@
+/** Sound replicas that fall silent for more than a second and then go on. */
+import {afterEach, describe, expect, test} from 'vitest';
+import {
+  breakOff,
+  eventText,
+  refuse,
+  signed,
+  streamTo,
+} from '../../standins/users_platform/replica.js';
+import type {
+  Behaviour,
+  ReplicaStandIn,
+} from '../../standins/users_platform/replica.js';
+import {announce, configOf} from '../../standins/users_platform/deployment.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
+import type {CallerAnswer, DirectFleet} from '../support/direct_fleet.js';
+
+const EVENTS = 6;
+const SILENT_AFTER = 2;
+const SILENCE_MS = 1_200;
+/** Time after which the entry looks for another replica on this route. */
+const LOOKED_MS = 700;
+const WHOLE = Array.from({length: EVENTS}, (_, at) => eventText(at + 1)).join(
+  '',
+);
+const HEADERS = {'X-Token-Usage': '1000,100'};
+
+let fleet: DirectFleet;
+afterEach(() => fleet.close());
+
+const stream = () => callEntry(fleet, '/stream/a', {headers: HEADERS});
+
+/** Sends `count` events, is silent, and then sends the others. */
+function silentAfter(count: number, silenceMs = SILENCE_MS): Behaviour {
+  return (arrival, res) => {
+    const begin = () => {
+      res.writeHead(200, {
+        ...signed(arrival),
+        'Content-Type': 'text/event-stream',
+      });
+    };
+    if (count > 0) begin();
+    for (let id = 1; id <= count; id++) res.write(eventText(id));
+    setTimeout(() => {
+      if (count === 0) begin();
+      for (let id = count + 1; id <= EVENTS; id++) res.write(eventText(id));
+      res.end();
+    }, silenceMs);
+  };
+}
+
+/** The replica that gets the first stream, and what the others get then. */
+function firstBehaves(first: Behaviour, others: Behaviour) {
+  let chosen: ReplicaStandIn | undefined;
+  for (const replica of fleet.pool) {
+    replica.behave((...args) => {
+      chosen ??= replica;
+      (chosen === replica ? first : others)(...args);
+    });
+  }
+  return () => chosen;
+}
+
+function expectWhole(answer: CallerAnswer): void {
+  expect(answer).toMatchObject({status: 200, body: WHOLE, whole: true});
+}
+
+/** Attempts of streams at all replicas. */
+const arrivals = () => fleet.pool.flatMap(replica => replica.arrivals);
+
+describe('the only replica of a service falls silent and goes on', () => {
+  test.each([
+    ['before its head', 0],
+    ['between two events', SILENT_AFTER],
+    ['before its last event', EVENTS - 1],
+  ])('%s, and the stream is whole', async (_, count) => {
+    fleet = await startDirectFleet({pool: 1});
+    fleet.pool[0].behave(silentAfter(count));
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(1);
+  });
+
+  test('more than once, and the stream is whole', async () => {
+    fleet = await startDirectFleet({pool: 1});
+    fleet.pool[0].behave((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      [0, 1_100, 2_200].forEach((ms, at) =>
+        setTimeout(() => {
+          res.write(eventText(2 * at + 1) + eventText(2 * at + 2));
+          if (at === 2) res.end();
+        }, ms),
+      );
+    });
+    expectWhole(await stream());
+  });
+
+  test('and many streams at once are whole', async () => {
+    fleet = await startDirectFleet({pool: 1});
+    fleet.pool[0].behave(silentAfter(SILENT_AFTER));
+    const answers = await Promise.all(Array.from({length: 20}, stream));
+    answers.forEach(expectWhole);
+  });
+});
+
+describe('a replica falls silent and goes on', () => {
+  const startPair = async (others: Behaviour) => {
+    fleet = await startDirectFleet();
+    return firstBehaves(silentAfter(SILENT_AFTER), others);
+  };
+
+  test('while the other one refuses, and the stream is whole', async () => {
+    await startPair(refuse);
+    expectWhole(await stream());
+  });
+
+  test('while the other one breaks off, and the stream is whole', async () => {
+    await startPair(breakOff);
+    expectWhole(await stream());
+  });
+
+  test('while the other one answers with an error, and the stream is whole', async () => {
+    await startPair((arrival, res) => {
+      res.writeHead(500, signed(arrival));
+      res.end('failed');
+    });
+    expectWhole(await stream());
+  });
+
+  test('while the other one is silent too, and the stream is whole', async () => {
+    await startPair(silentAfter(SILENT_AFTER, 2_000));
+    expectWhole(await stream());
+  });
+
+  test('while the other one never answers, and the stream is whole', async () => {
+    await startPair(() => undefined);
+    expectWhole(await stream());
+  });
+
+  test('while the port of the other one is closed, and the stream is whole', async () => {
+    await startPair(refuse);
+    const answer = stream();
+    await until(() => arrivals().length === 1);
+    const other = fleet.pool.find(it => it.arrivals.length === 0);
+    other?.crash();
+    expectWhole(await answer);
+  });
+
+  test('while the other one is leaving, and the stream is whole', async () => {
+    await startPair(refuse);
+    const answer = stream();
+    await until(() => arrivals().length === 1);
+    const other = fleet.pool.find(it => it.arrivals.length === 0);
+    announce(fleet.store, other as ReplicaStandIn, 'pool', 'draining');
+    expectWhole(await answer);
+    expect(other?.arrivals).toHaveLength(0);
+  });
+
+  test('while no retry is left, and the stream is whole', async () => {
+    fleet = await startDirectFleet({
+      retries: {ratio: 0, slack: 0, windowS: 10},
+    });
+    firstBehaves(silentAfter(SILENT_AFTER), streamTo(EVENTS));
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(1);
+  });
+
+  test('after the other one had taken over, and each event comes once', async () => {
+    await startPair(streamTo(EVENTS));
+    expectWhole(await stream());
+    await until(() => arrivals().some(({left}) => left));
+    expect(arrivals()).toHaveLength(2);
+  });
+
+  test('before the other one has begun, and the other run is cancelled', async () => {
+    await startPair(silentAfter(0, 3_000));
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(2);
+    await until(() => arrivals().some(({left}) => left));
+  });
+
+  test('on a route that allows one attempt, and the stream is whole', async () => {
+    fleet = await startDirectFleet();
+    const {routes, ...rest} = configOf(2);
+    const single = routes.map(it => ({...it, maxAttempts: 1}));
+    fleet.store.put('config', 'main', {...rest, routes: single});
+    firstBehaves(silentAfter(SILENT_AFTER), streamTo(EVENTS));
+    await new Promise(resolve => setTimeout(resolve, LOOKED_MS));
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(1);
+  });
+});
+
+describe('a replica falls silent for good', () => {
+  test('and the stream goes on at a replica that is listed later', async () => {
+    fleet = await startDirectFleet();
+    const [early, late] = fleet.pool;
+    fleet.store.remove('servers', late.id);
+    early.behave((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      for (let id = 1; id <= SILENT_AFTER; id++) res.write(eventText(id));
+    });
+    late.behave(streamTo(EVENTS));
+    await new Promise(resolve => setTimeout(resolve, LOOKED_MS));
+    const answer = stream();
+    await until(() => early.arrivals.length === 1);
+    await new Promise(resolve => setTimeout(resolve, LOOKED_MS));
+    announce(fleet.store, late, 'pool');
+    expectWhole(await answer);
+  });
+
+  test('and the connection of its run is closed once another has begun', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      res.write(eventText(1));
+    }, streamTo(EVENTS));
+    expectWhole(await stream());
+    await until(() => arrivals().some(({left}) => left));
+  });
+
+  test('and a stream whose caller leaves is cancelled at all replicas', async () => {
+    fleet = await startDirectFleet();
+    for (const replica of fleet.pool) replica.behave(() => undefined);
+    const left = new AbortController();
+    const call = callEntry(fleet, '/stream/a', {
+      headers: {...HEADERS, 'X-Deadline-Ms': '2000'},
+      signal: left.signal,
+    });
+    call.catch(() => undefined);
+    await until(() => arrivals().length === 2);
+    left.abort();
+    await until(() => arrivals().every(arrival => arrival.left));
+  });
+
+  test('and its caller gets 504 when the time is up', async () => {
+    fleet = await startDirectFleet({pool: 1});
+    fleet.pool[0].behave(() => undefined);
+    const {status} = await callEntry(fleet, '/stream/a', {
+      headers: {...HEADERS, 'X-Deadline-Ms': '1500'},
+    });
+    expect(status).toBe(504);
+  });
+});
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -60,6 +60,8 @@
   readonly slowReaders?: DirectSettings['slowReaders'];
   /** @default 300 */
   readonly memoryMb?: number;
+  /** @default a share of 0.2 and 100 at once */
+  readonly retries?: DirectSettings['retries'];
   /** @default that of the users' platform */
   readonly codec?: HeaderCodec;
   /** A fleet whose store and replicas this entry shares. */
@@ -100,6 +102,7 @@
     coldReplicas,
     slowReaders,
     memoryMb = 300,
+    retries = {ratio: 0.2, slack: 100, windowS: 10},
   }: FleetOptions,
 ): Promise<DirectSettings> {
   const peers = await nextAddress();
@@ -129,7 +132,7 @@
       evacuateMs: undefined,
       ...timing,
     },
-    retries: {ratio: 0.2, slack: 100, windowS: 10},
+    retries,
     coldReplicas,
     slowReaders,
   };
@@ -272,6 +275,8 @@
      * it returns true.
      */
     readonly leaveAt?: (body: string) => boolean;
+    /** The caller disconnects when it is aborted. @default never */
+    readonly signal?: AbortSignal;
   } = {},
 ): Promise<CallerAnswer> {
   const [host, port] = fleet.callers.split(':');
@@ -283,6 +288,7 @@
       path,
       method,
       agent: options.agent ?? false,
+      signal: options.signal,
       headers: {
         Host: HOST,
         'X-Request-Id': `req-${++requestCount}`,
