refactor(direct): the modules of streams get a folder of their own

Moves serve_stream, stream_attempt, stream_progress, stream_silence and event_splitter to src/direct/streams; only import paths change.

--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -50,7 +50,7 @@
 import {serveCall} from './serve_call.js';
 import {giveUp, refuseQuarantined} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
-import {serveStream} from './serve_stream.js';
+import {serveStream} from './streams/serve_stream.js';
 import type {DirectSettings} from './settings.js';
 import {createRequestShares} from './shares/request_shares.js';
 import type {RequestShares, ShareSettings} from './shares/request_shares.js';
--- a/src/direct/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -4,10 +4,10 @@
  * within the same answer, after the last event that was written to the caller.
  * On other routes a stream that breaks or stalls is given up.
  */
-import {DIRECT_EVENTS} from '../utils/events.js';
-import type {Exchange} from './exchange.js';
-import {placeRequest} from './place_request.js';
-import type {RequestPlacement} from './request_placement.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
+import type {Exchange} from '../exchange.js';
+import {placeRequest} from '../place_request.js';
+import type {RequestPlacement} from '../request_placement.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -15,8 +15,8 @@
   refuseQuarantined,
   writeHead,
   writeStreamHead,
-} from './serve_context.js';
-import type {ServeContext} from './serve_context.js';
+} from '../serve_context.js';
+import type {ServeContext} from '../serve_context.js';
 import {attemptStream} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
 import {startProgress} from './stream_progress.js';
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -3,18 +3,22 @@
  * Only complete events are forwarded, so that another replica can resume the
  * stream after the last one.
  */
-import type {AnswerHead} from './dispatch.js';
+import type {AnswerHead} from '../dispatch.js';
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
-import type {Exchange} from './exchange.js';
+import type {Exchange} from '../exchange.js';
 import {
   CLOSED_REASON,
   TAKEN_BACK_REASONS,
   gateRequestOf,
-} from './permitted_choice.js';
-import type {RequestPlacement, PlacementLoss} from './request_placement.js';
-import {buildDispatch, classifyHead, writeStreamHead} from './serve_context.js';
-import type {ServeContext} from './serve_context.js';
+} from '../permitted_choice.js';
+import type {RequestPlacement, PlacementLoss} from '../request_placement.js';
+import {
+  buildDispatch,
+  classifyHead,
+  writeStreamHead,
+} from '../serve_context.js';
+import type {ServeContext} from '../serve_context.js';
 import {recordEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
 import {watchSilence} from './stream_silence.js';
--- a/src/direct/stream_progress.ts
+++ b/src/direct/streams/stream_progress.ts
@@ -1,6 +1,6 @@
 /** Tracks which events of a stream the caller has, and measures its latency. */
-import type {Metrics} from '../types/runtime.js';
-import type {Exchange} from './exchange.js';
+import type {Metrics} from '../../types/runtime.js';
+import type {Exchange} from '../exchange.js';
 
 export interface StreamProgress {
   /** Id of the last event that the caller has; undefined when it has none. */
--- a/src/direct/stream_silence.ts
+++ b/src/direct/streams/stream_silence.ts
@@ -5,9 +5,9 @@
  * and nothing gained. So the known prefill time at the replica is added to the
  * limit, as far as the caller waits.
  */
-import type {Exchange} from './exchange.js';
-import {callerTimeoutMs} from './decide/caller_timeout.js';
-import type {ServeContext} from './serve_context.js';
+import type {Exchange} from '../exchange.js';
+import {callerTimeoutMs} from '../decide/caller_timeout.js';
+import type {ServeContext} from '../serve_context.js';
 
 /** The limit for a first event is at least its expected time times this. */
 const EXPECTED_TIME_FACTOR = 4;
--- a/test/direct/parts.test.ts
+++ b/test/direct/parts.test.ts
@@ -1,6 +1,6 @@
 /** Small modules of the direct path, each tested alone. */
 import {describe, expect, test} from 'vitest';
-import {createEventSplitter} from '../../src/direct/event_splitter.js';
+import {createEventSplitter} from '../../src/direct/streams/event_splitter.js';
 import {createStoreEvidence} from '../../src/direct/evidence.js';
 import {createReplicaTable} from '../../src/direct/replica_table.js';
 import {
