feat(direct): logs tell a silent run, and a request cut at a stop

By a request's id the logs could not tell "given up as silent and no other replica found" from "the replica broke off" and "the entry closed at its stop": the silence stood only as the reason of a failed attempt, without its length or the retries left, and a connection closed at the end of the grace time counted as a caller that left.

Adds direct-run-silent (281) and direct-cut-at-stop (282).

--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -199,7 +199,7 @@
       heardVersion.fields(config?.version).heardVersion ?? 0,
     ),
     evidenceAgeMs: shownEvidenceAgeMs(),
-    openRequests: serving.openRequests(),
+    openRequests: serving.openRequests.count(),
     replicas: serving.replicas.size(),
     ...serving.state(),
   });
@@ -331,9 +331,11 @@
       const elapsedMs = clock.now() - drainStartedAt;
       const done =
         elapsedMs > ACCEPT_AFTER_DRAIN_MS &&
-        serving.openRequests() + admittingCount + turns.waitingCount() === 0;
+        serving.openRequests.count() + admittingCount + turns.waitingCount() ===
+          0;
       if (!done && elapsedMs < graceMs) return;
       cancel();
+      serving.openRequests.logCutAtStop();
       reply();
     });
   };
@@ -394,7 +396,7 @@
               checks.keysUnconfirmedMs() > 0),
         );
       case 'count':
-        return message.reply(serving.openRequests());
+        return message.reply(serving.openRequests.count());
       case 'drain':
         return drain(message.reply);
     }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -25,6 +25,8 @@
 import type {LoadChanges} from './load_broadcast.js';
 import {createLoadTracker} from './load_tracker.js';
 import type {LoadTracker} from './load_tracker.js';
+import {createOpenRequests} from './callers/open_requests.js';
+import type {OpenRequests} from './callers/open_requests.js';
 import {createColdLimits} from './cold/cold_limits.js';
 import {createColdSlowness} from './cold/cold_slowness.js';
 import {createColdReplicas} from './cold/cold_replicas.js';
@@ -153,8 +155,7 @@
   ): void;
   /** Sets the number of known entries, including this one. */
   setEntryCount(count: number): void;
-  /** Number of requests without a final answer. */
-  openRequests(): number;
+  readonly openRequests: Pick<OpenRequests, 'count' | 'logCutAtStop'>;
   /** Values for the gauges; see `GaugeReadings`. */
   state(): {
     readonly entries: number;
@@ -175,7 +176,7 @@
 export function createServing(options: ServingOptions): Serving {
   const {clock, log, metrics, random, codec, dispatch, retries} = options;
   let entryCount = 1;
-  const openExchanges = new Set<Exchange>();
+  const openRequests = createOpenRequests(log);
   const requestWeights = createRequestWeights();
   const coldServiceOf = (id: string) => cold.coldServiceOf(id);
   const coldSlowness = createColdSlowness({coldServiceOf});
@@ -388,7 +389,7 @@
         log(DIRECT_EVENTS.callerLeft, {requestId: id, waitedMs});
       },
     });
-    openExchanges.add(exchange);
+    openRequests.add(exchange);
     void serveOrRefuse(exchange)
       .catch(err => {
         log(DIRECT_EVENTS.faulted, {
@@ -400,7 +401,7 @@
       })
       .finally(() => {
         exchange.end('answered');
-        openExchanges.delete(exchange);
+        openRequests.delete(exchange);
       });
   };
 
@@ -428,7 +429,7 @@
       entryCount = count;
       shares?.setEntryCount(count);
     },
-    openRequests: () => openExchanges.size,
+    openRequests,
     state: () => ({
       entries: entryCount,
       retriesLeft: ctx.budget.left(),
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -3,6 +3,7 @@
  * Only complete events are forwarded, so that another replica can resume the
  * stream after the last one.
  */
+import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {AnswerHead} from '../dispatch.js';
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
@@ -211,9 +212,19 @@
       finish({kind: 'broken', reason});
     };
 
-    const silence = watchSilence(ctx, exchange, replica.id, () =>
-      fail('silent'),
-    );
+    const onSilent = (silentMs: number) => {
+      ctx.log(DIRECT_EVENTS.runSilent, {
+        requestId: exchange.id,
+        replica: replica.id,
+        silentMs: Math.round(silentMs),
+        events: progress.events,
+        sent: exchange.attempts,
+        retriesLeft: Math.floor(ctx.budget.left()),
+        elapsedMs: Math.round(exchange.elapsedMs()),
+      });
+      fail('silent');
+    };
+    const silence = watchSilence(ctx, exchange, replica.id, onSilent);
     const lastEventId =
       progress.events > 0 ? String(progress.lastId) : undefined;
     const dispatch = ctx.dispatch(
--- a/src/direct/streams/stream_silence.ts
+++ b/src/direct/streams/stream_silence.ts
@@ -40,12 +40,15 @@
   return route.kind === 'resumable-stream' && attempts < route.maxAttempts;
 }
 
-/** `onSilent` is called once, and only while another replica may be tried. */
+/**
+ * `onSilent` is called once, and only while another replica may be tried, with
+ * the time since the last event in milliseconds.
+ */
 export function watchSilence(
   {clock, loadTracker}: ServeContext,
   exchange: Exchange,
   replicaId: string,
-  onSilent: () => void,
+  onSilent: (silentMs: number) => void,
 ): SilenceWatch {
   // The last attempt is not ended for silence, since its answer may still come.
   const canRetry = mayRetry(exchange);
@@ -64,8 +67,9 @@
     const leftMs = since + limitMs - clock.now();
     stop = clock.after(Math.max(MIN_WAIT_MS, leftMs), () => {
       const allowed = allowedMs(limitMs);
-      if (clock.now() - since < allowed) wait(allowed, since);
-      else onSilent();
+      const silentMs = clock.now() - since;
+      if (silentMs < allowed) wait(allowed, since);
+      else onSilent(silentMs);
     });
   };
 
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -178,6 +178,8 @@
   noticeUnreadable: event(277, 'warn', 'direct-notice-unreadable'),
   connectionsClosed: event(280, 'warn', 'direct-connections-closed'),
   loopStalled: event(279, 'warn', 'direct-loop-stalled'),
+  runSilent: event(281, 'info', 'direct-run-silent'),
+  cutAtStop: event(282, 'warn', 'direct-cut-at-stop'),
   evacuationBegan: event(290, 'warn', 'direct-evacuation-began'),
   evacuationEnded: event(291, 'info', 'direct-evacuation-ended'),
   evacuationDrained: event(292, 'info', 'direct-evacuation-drained'),
