fix(direct): a silent run is kept until another one has delivered

What callers saw: a stream whose replica was silent for a second and went on was cut, or got 502, where the entry found no other replica for it.

Cause: after twice the pause objective and 0.3 s without an event the entry cancelled the run and only then asked whether another attempt was allowed, had a replica, room, a permit and a retry. Each of these may be missing: a service with one sound replica, a second replica that refuses, hangs, has ended or is leaving, the entry's budget of retries used up by the other streams of the same replica. By id: direct-try-failed (silent), then direct-given-up (no room in time, or no more attempts), while the replica had gone on long before.

Change: a silence ends nothing. The run stays open while another replica is sought; a second run starts beside it, and whichever sends the next event goes on alone (open_runs.ts). Where no other can take the stream, the run is kept and a replica is sought again while the silence lasts. A retry that was not made is given back.

Why this is enough: the only ways to end a run are now its own end, the request's end and an event of another run.

--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -223,8 +223,9 @@
   | {readonly kind: 'none'; readonly rejection: Rejection | undefined};
 
 /**
- * Chooses a replica and takes a permit for it, until both succeed. `choose`
- * returns undefined when there is nothing to choose from.
+ * Chooses a replica and takes a permit for it, until both succeed or none is
+ * needed any more. `choose` returns undefined when there is nothing to choose
+ * from.
  */
 export async function choosePermitted<
   T extends {readonly replica: DirectReplica},
@@ -233,8 +234,9 @@
   exchange: Exchange,
   candidates: () => CandidateGroups,
   choose: (open: readonly DirectReplica[]) => T | undefined,
+  isNeeded = () => !exchange.signal.aborted,
 ): Promise<PermittedChoice<T>> {
-  while (!exchange.signal.aborted) {
+  while (isNeeded()) {
     const {open, closed} = permittedOf(ctx, exchange, candidates());
     const chosen = choose(open);
     if (chosen !== undefined) {
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -71,17 +71,25 @@
 export type PlacementResult =
   {readonly kind: 'place'; readonly placement: RequestPlacement} | NotPlaced;
 
+/** What a replica is sought for. */
+export interface ReplicaSearch {
+  /** Ids of replicas that are not to be chosen. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether a replica is still needed; false once the request has ended. */
+  isNeeded(): boolean;
+}
+
 /**
- * Places the request at a replica that is not in `tried`. Resolves at the
- * latest when the request ends.
+ * Places the request at a replica that is not in `tried`. Resolves soon after
+ * none is needed any more.
  */
 export async function placeRequest(
   ctx: ServeContext,
   exchange: Exchange,
-  tried: ReadonlySet<string>,
+  search: ReplicaSearch,
 ): Promise<PlacementResult> {
   const figures = exchange.config.services.get(exchange.service)?.engine;
-  if (figures === undefined) return placeAtPlainService(ctx, exchange, tried);
+  if (figures === undefined) return placeAtPlainService(ctx, exchange, search);
   const stopWaiting = ctx.pollPace.startWaiting();
   const {promptTokens} = exchange.facts;
   // A request that was sent to a replica is a running one and pays no price.
@@ -90,7 +98,7 @@
       ? ctx.shares?.open(exchange, prefillMs(figures, promptTokens, 1))
       : undefined;
   try {
-    return await placeAtEngine(ctx, exchange, tried, {figures, share});
+    return await placeAtEngine(ctx, exchange, search, {figures, share});
   } finally {
     stopWaiting();
   }
@@ -99,7 +107,7 @@
 async function placeAtPlainService(
   ctx: ServeContext,
   exchange: Exchange,
-  tried: ReadonlySet<string>,
+  {tried, isNeeded}: ReplicaSearch,
 ): Promise<PlacementResult> {
   const choice = await choosePermitted(
     ctx,
@@ -110,6 +118,7 @@
         withLoads(ctx, sampled(ctx, open)),
         callRequestOf(ctx, exchange),
       ),
+    isNeeded,
   );
   if (choice.kind === 'chosen') {
     const {replica} = choice.chosen;
@@ -124,7 +133,7 @@
 async function placeAtEngine(
   ctx: ServeContext,
   exchange: Exchange,
-  tried: ReadonlySet<string>,
+  {tried, isNeeded}: ReplicaSearch,
   pricing: Pricing,
 ): Promise<PlacementResult> {
   const {clock} = ctx;
@@ -140,7 +149,7 @@
   const refusedAddresses = new Set<string>();
   const logWait = createWaitLog(ctx, exchange);
   let groupAttempts = 0;
-  while (!exchange.signal.aborted) {
+  while (isNeeded()) {
     const candidates = candidatesOf(ctx, exchange.service, tried).map(group =>
       group.filter(({address}) => !refusedAddresses.has(address)),
     );
@@ -160,7 +169,7 @@
     }
     if (decision.kind === 'place') {
       if (!(await takePlanPermits(ctx, exchange, decision.plan))) continue;
-      if (exchange.signal.aborted) break;
+      if (!isNeeded()) break;
       // A member may have stated something while its permits were awaited.
       if (!maySendTo(ctx, exchange, decision.plan)) continue;
       const placement = await acquirePlacement(ctx, exchange, decision.plan);
@@ -179,7 +188,7 @@
     refusedAddresses.clear();
     await pause(ctx, ctx.pollPace.pauseMs(ctx.random.next()));
   }
-  return notPlaced('the request has ended');
+  return notPlaced('no replica is needed any more');
 }
 
 function maySendTo(
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -1,13 +1,16 @@
 /**
  * Serves a request whose answer is a stream of events. When the stream of a
- * route of kind `resumable-stream` breaks or stalls, another replica resumes it
- * within the same answer, after the last event that was written to the caller.
- * On other routes a stream that breaks or stalls is given up.
+ * route of kind `resumable-stream` breaks or falls silent, another replica
+ * resumes it within the same answer, after the last event that was written to
+ * the caller. On other routes a stream that breaks is given up.
+ *
+ * A silent replica may be sound and go on a moment later. Its run is therefore
+ * kept open while another replica is sought and until that one has sent an
+ * event, so that the answer never depends on whether a second replica is found.
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {Exchange} from '../exchange.js';
 import {placeRequest} from '../place_request.js';
-import type {RequestPlacement} from '../request_placement.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -17,11 +20,30 @@
   writeStreamHead,
 } from '../serve_context.js';
 import type {ServeContext} from '../serve_context.js';
-import {attemptStream} from './stream_attempt.js';
-import type {StreamOutcome} from './stream_attempt.js';
+import {createOpenRuns} from './open_runs.js';
+import type {EndedRun, OpenRuns} from './open_runs.js';
 import {startProgress} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
 
+/** What one request's runs share. */
+interface StreamState {
+  readonly progress: StreamProgress;
+  readonly runs: OpenRuns;
+  /** Ids of replicas that were chosen before; further attempts exclude them. */
+  readonly tried: Set<string>;
+}
+
+/** What came of the search for a replica. */
+type SearchResult =
+  | {readonly kind: 'started'}
+  /** A run has gone on meanwhile, or the request has ended. */
+  | {readonly kind: 'not-needed'}
+  | {
+      readonly kind: 'none';
+      readonly reason: string;
+      readonly retryAfterMs?: number;
+    };
+
 /**
  * Serves the request until its final answer, until its time is up or until the
  * caller leaves.
@@ -30,66 +52,73 @@
   ctx: ServeContext,
   exchange: Exchange,
 ): Promise<void> {
-  /** Ids of replicas that were chosen before; further attempts exclude them. */
-  const tried = new Set<string>();
   const progress = startProgress(exchange);
+  const runs = createOpenRuns(ctx, exchange, progress);
+  const state: StreamState = {progress, runs, tried: new Set()};
+  let search: Promise<SearchResult> | undefined;
   // Each request earns a share of a retry. `mayAttempt` takes one retry for each
   // attempt after the first, so that retries stay a share of all requests.
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
-    if (!mayAttempt(ctx, exchange)) {
-      giveUp(ctx, exchange, 'no more attempts');
-      return;
+    const ended = runs.takeEnded();
+    if (ended !== undefined) {
+      if (handleOutcome(ctx, exchange, state, ended)) return;
+      continue;
     }
-    const result = await placeRequest(ctx, exchange, tried);
-    if (result.kind === 'none') {
-      const {reason, retryAfterMs} = result;
-      if (!exchange.signal.aborted) giveUp(ctx, exchange, reason, retryAfterMs);
-      return;
+    if (search === undefined && runs.takeDue()) {
+      search = startAnother(ctx, exchange, state);
     }
-    const {placement} = result;
-    tried.add(placement.replica.id);
-    const outcome = await attemptAtPlacement(
-      ctx,
-      exchange,
-      placement,
-      progress,
+    const result = await Promise.race(
+      search === undefined ? [runs.changed()] : [runs.changed(), search],
     );
-    if (outcome.kind === 'withdrawn') tried.delete(placement.replica.id);
-    if (handleOutcome(ctx, exchange, placement, outcome, progress)) return;
+    if (result === undefined) continue;
+    search = undefined;
+    if (result.kind !== 'none' || exchange.signal.aborted) continue;
+    if (runs.isIdle()) {
+      giveUp(ctx, exchange, result.reason, result.retryAfterMs);
+      return;
+    }
+    runs.noteNoOther(result.reason);
   }
 }
 
-/** Runs one attempt and closes its placement, also after an internal error. */
-async function attemptAtPlacement(
+/** Seeks a replica for another run and starts the run there. */
+async function startAnother(
   ctx: ServeContext,
   exchange: Exchange,
-  placement: RequestPlacement,
-  progress: StreamProgress,
-): Promise<StreamOutcome> {
-  try {
-    if (exchange.signal.aborted) return {kind: 'ended'};
-    return await attemptStream(ctx, exchange, placement, progress);
-  } finally {
-    placement.close();
+  {runs, tried}: StreamState,
+): Promise<SearchResult> {
+  const isRetry = exchange.attempts > 0;
+  if (!mayAttempt(ctx, exchange)) {
+    return {kind: 'none', reason: 'no more attempts'};
+  }
+  const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
+  const result = await placeRequest(ctx, exchange, {tried, isNeeded});
+  if (result.kind === 'place' && isNeeded()) {
+    tried.add(result.placement.replica.id);
+    runs.start(result.placement);
+    return {kind: 'started'};
   }
+  if (isRetry) ctx.budget.giveBack();
+  if (result.kind === 'place') result.placement.close();
+  return isNeeded() && result.kind === 'none' ? result : {kind: 'not-needed'};
 }
 
 /**
  * Returns true when nothing is left to do: the final answer was sent, or the
- * request ended before it. Returns false when another attempt may follow.
+ * request ended before it. Returns false when another run may deliver it.
  */
 function handleOutcome(
   ctx: ServeContext,
   exchange: Exchange,
-  placement: RequestPlacement,
-  outcome: StreamOutcome,
-  progress: StreamProgress,
+  {progress, runs, tried}: StreamState,
+  {replica, outcome}: EndedRun,
 ): boolean {
   const {res, route} = exchange;
   switch (outcome.kind) {
     // The stream is complete. It is written to the caller up to its last event.
     case 'whole':
+      runs.cancelAll();
       logAnswered(ctx, exchange, 200, progress);
       // The headers are written with the first event. If there was no event,
       // they are not yet written.
@@ -101,14 +130,15 @@
     case 'ended':
       return true;
     case 'quarantined':
+      if (runs.count() > 0) break;
       refuseQuarantined(ctx, exchange);
       return true;
     case 'failure':
       // The replica answered with an error status, which is passed on to the
-      // caller if nothing was written to it yet. If the caller already has part
-      // of a stream, the error status cannot be sent to it. The attempt then
-      // counts as failed and another may follow.
-      if (res.headersSent) break;
+      // caller if nothing was written to it yet and no other run can answer. If
+      // the caller already has part of a stream, the error status cannot be sent
+      // to it. The attempt then counts as failed and another may follow.
+      if (res.headersSent || runs.count() > 0) break;
       logAnswered(ctx, exchange, outcome.head.status, progress);
       writeHead(ctx, res, outcome.head, outcome.body.length);
       res.end(outcome.body);
@@ -119,7 +149,7 @@
   const reason = 'reason' in outcome ? outcome.reason : outcome.kind;
   ctx.log(DIRECT_EVENTS.tryFailed, {
     requestId: exchange.id,
-    replica: placement.replica.id,
+    replica: replica.id,
     reason,
     faultAt: 'faultAt' in outcome ? outcome.faultAt : undefined,
     events: progress.events,
@@ -133,6 +163,7 @@
   // In these cases another replica may run the request: `not-run` is a
   // replica's refusal, `not-sent` is a connection that was never established,
   // and `withdrawn` is a request that was taken back before that.
+  if (outcome.kind === 'withdrawn') tried.delete(replica.id);
   if (outcome.kind === 'not-run' || outcome.kind === 'not-sent') return false;
   if (outcome.kind === 'withdrawn') return false;
   if (route.kind === 'resumable-stream') return false;
--- a/src/direct/streams/stream_silence.ts
+++ b/src/direct/streams/stream_silence.ts
@@ -35,14 +35,15 @@
   stop(): void;
 }
 
-/** Whether another replica may be tried instead of a silent one. */
-function mayRetry({route, attempts}: Exchange): boolean {
+/** Whether another replica may be tried beside a silent one. */
+export function mayRetry({route, attempts}: Exchange): boolean {
   return route.kind === 'resumable-stream' && attempts < route.maxAttempts;
 }
 
 /**
- * `onSilent` is called once, and only while another replica may be tried, with
- * the time since the last event in milliseconds.
+ * `onSilent` is called with the time since the last event in milliseconds, and
+ * only while another replica may be tried: once the limit has passed, and each
+ * time that it passes again.
  */
 export function watchSilence(
   {clock, loadTracker}: ServeContext,
@@ -50,8 +51,6 @@
   replicaId: string,
   onSilent: (silentMs: number) => void,
 ): SilenceWatch {
-  // The last attempt is not ended for silence, since its answer may still come.
-  const canRetry = mayRetry(exchange);
   const {route} = exchange;
   const maxMs = callerTimeoutMs(route) * CALLER_TIMEOUT_SHARE;
   let stop = () => {};
@@ -61,17 +60,22 @@
       limitMs,
       Math.min(limitMs + loadTracker.totalLoad(replicaId).readMs, maxMs),
     );
-  const wait = (limitMs: number, since: number): void => {
+  const startTimer = (ms: number, onTime: () => void): void => {
     stop();
-    if (!canRetry) return;
-    const leftMs = since + limitMs - clock.now();
-    stop = clock.after(Math.max(MIN_WAIT_MS, leftMs), () => {
+    if (route.kind !== 'resumable-stream') return;
+    stop = clock.after(Math.max(MIN_WAIT_MS, ms), onTime);
+  };
+  const wait = (limitMs: number, since: number): void => {
+    startTimer(since + limitMs - clock.now(), () => {
       const allowed = allowedMs(limitMs);
-      const silentMs = clock.now() - since;
-      if (silentMs < allowed) wait(allowed, since);
-      else onSilent(silentMs);
+      if (clock.now() - since < allowed) wait(allowed, since);
+      else report(limitMs, since);
     });
   };
+  const report = (intervalMs: number, since: number): void => {
+    startTimer(intervalMs, () => report(intervalMs, since));
+    if (mayRetry(exchange)) onSilent(clock.now() - since);
+  };
 
   return {
     awaitFirst: expectedMs => {
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -13,6 +13,8 @@
   onFirstAttempt(ratio: number): void;
   /** Takes one retry. Returns false when none is left. */
   take(): boolean;
+  /** Returns a retry that was taken and not made. */
+  giveBack(): void;
   /** Retries that may be made at once now. */
   left(): number;
 }
@@ -32,6 +34,9 @@
       tokens -= 1;
       return true;
     },
+    giveBack: () => {
+      tokens = Math.min(burst(), tokens + 1);
+    },
     left: () => Math.min(burst(), tokens),
   };
 }
