fix(groups): a silent replica's group keeps its memory until the leases end

Cause: two unanswered status requests of 300 ms each counted as the end of the lead, and a check that no member answered as no use. The memory was released, which cuts the run at a sound lead, and the attempt was ended.

Change: without an answer the leases are neither renewed nor released. The replicas are asked again every 150 ms, and the leases are renewed when the lead answers. The memory is released when the leases end, a lease's time after its last known use, when a member reports for unusedMs that it is unused, or when the lead has restarted, which has its own cause in the log. The decision is judge_memory.ts.

--- a/src/direct/groups.ts
+++ b/src/direct/groups.ts
@@ -3,14 +3,24 @@
  * together. The entry renews the leases while the request runs and releases
  * them when it ends. If the entry dies, the leases expire.
  *
- * The leases are renewed only while the lead engine is alive and the memory is
- * used. A lead that becomes unreachable before its first event resets no
- * connection, and one that accepts a request but never starts it still answers
- * status requests. In both cases the members' memory would otherwise be held
- * without use for as long as the entry waits for the first event.
+ * The leases are renewed only on a sign of life of the lead, and while the
+ * memory is used. A lead that becomes unreachable before its first event resets
+ * no connection, and one that accepts a request but never starts it still
+ * answers status requests. In both cases the members' memory would otherwise be
+ * held without use for as long as the entry waits for the first event.
+ *
+ * Without an answer the leases are neither renewed nor released: the replicas
+ * are asked again until the leases expire.
  */
 import type {Clock, Log} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {judgeMemory, memoryDeadline} from './decide/judge_memory.js';
+import type {
+  GroupLoss,
+  LeadState,
+  MemoryUse,
+  MemoryVerdict,
+} from './decide/judge_memory.js';
 import {createMemoryLeases} from './memory_leases.js';
 import type {MemoryLease} from './memory_leases.js';
 import type {
@@ -27,14 +37,14 @@
  * memory, so no status request is needed.
  */
 const RECENT_ACTIVITY_MS = 300;
-/** Unanswered status requests after which the lead counts as gone. */
-const LEAD_CHECK_ATTEMPTS = 2;
+/**
+ * Pause before a replica that did not answer is asked again, in milliseconds.
+ * It is short against the time between a renewal and the end of a lease.
+ */
+const ASK_AGAIN_MS = 150;
 /** Most members that are asked, in turn, whether their memory is used. */
 const MAX_MEMBERS_ASKED = 2;
 
-/** Why a group's memory was released before its request ended. */
-export type GroupLoss = 'the lead is silent' | 'the memory is unused';
-
 /** A group whose helpers have all reserved their memory. */
 export interface Group {
   readonly members: readonly GroupMember[];
@@ -96,12 +106,6 @@
   reservationCount(): number;
 }
 
-/**
- * Use of a member's memory as the member reports it; `untold` when its report
- * lists no reservations.
- */
-type MemoryUse = 'used' | 'unused' | 'untold';
-
 export function createGroups(options: GroupsOptions): Groups {
   const {clock, log, holdMs} = options;
   const leases = createMemoryLeases(options);
@@ -109,18 +113,17 @@
   const pause = (ms: number): Promise<void> =>
     new Promise(resolve => void clock.after(ms, resolve));
 
-  /** Whether the lead answers and has not restarted since it was chosen. */
-  const checkAlive = async ({address, startedAt}: DirectReplica) => {
-    for (let attempt = 1; attempt <= LEAD_CHECK_ATTEMPTS; attempt++) {
-      const report = await options.readReport(address);
-      if (report === undefined) continue;
-      const isSame =
-        startedAt === undefined ||
-        report.startedAt === undefined ||
-        startedAt === report.startedAt;
-      return isSame;
-    }
-    return false;
+  const queryLead = async ({
+    address,
+    startedAt,
+  }: DirectReplica): Promise<LeadState> => {
+    const report = await options.readReport(address);
+    if (report === undefined) return 'silent';
+    const isSame =
+      startedAt === undefined ||
+      report.startedAt === undefined ||
+      startedAt === report.startedAt;
+    return isSame ? 'alive' : 'restarted';
   };
 
   /** Asks the members in turn; undefined when none of them answers. */
@@ -143,7 +146,10 @@
   ): Group => {
     const reservedAt = clock.now();
     let lastActivityAt = reservedAt;
-    let lastUseAt = reservedAt;
+    let lastReportedUseAt = reservedAt;
+    let leadBackAt = reservedAt;
+    let renewedAt = reservedAt;
+    let leadState: LeadState = 'alive';
     let use: MemoryUse | undefined;
     let isOpen = true;
     let held = reserved;
@@ -154,28 +160,60 @@
       members: reserved.map(({address, id}) => `${address}/${id}`),
     });
 
-    const unusedMs = () => clock.now() - Math.max(lastUseAt, lastActivityAt);
+    const lastUseAt = () => Math.max(lastReportedUseAt, lastActivityAt);
     const isRecentlyActive = () =>
       clock.now() - lastActivityAt < RECENT_ACTIVITY_MS;
-    const checkUse = async () => {
-      if (isRecentlyActive()) return;
-      use = await queryUse(held);
+    const leasesEndAt = () => renewedAt + holdMs;
+    const msToDeadline = () =>
+      memoryDeadline(
+        {lastUseAt: lastUseAt(), leasesEndAt: leasesEndAt()},
+        options,
+      ) - clock.now();
+    /** Undefined when the answer does not come before the deadline. */
+    const beforeDeadline = <T>(answer: Promise<T>): Promise<T | undefined> =>
+      Promise.race([answer, pause(msToDeadline()).then(() => undefined)]);
+    const noteLead = (state: LeadState) => {
+      if (leadState === 'silent' && state === 'alive') leadBackAt = clock.now();
+      leadState = state;
+    };
+    const noteUse = (reported: MemoryUse | undefined) => {
+      use = reported;
       // Where members report no reservations, only the lead's life counts.
-      if (use === 'used' || use === 'untold') lastUseAt = clock.now();
+      if (use === 'used' || use === 'untold') lastReportedUseAt = clock.now();
     };
-    const isLeadAlive = async () =>
-      isRecentlyActive() || (await checkAlive(lead));
-    const findLoss = async (): Promise<GroupLoss | undefined> => {
-      const [isAlive] = await Promise.all([isLeadAlive(), checkUse()]);
-      if (!isAlive) return 'the lead is silent';
-      return unusedMs() > options.unusedMs ? 'the memory is unused' : undefined;
+    const judge = (): MemoryVerdict =>
+      judgeMemory(
+        {
+          now: clock.now(),
+          lead: leadState,
+          use: isRecentlyActive() ? 'used' : use,
+          lastUseAt: lastUseAt(),
+          leadBackAt,
+          leasesEndAt: leasesEndAt(),
+        },
+        options,
+      );
+    const check = async (): Promise<MemoryVerdict> => {
+      if (isRecentlyActive()) {
+        noteLead('alive');
+        return judge();
+      }
+      noteLead((await beforeDeadline(queryLead(lead))) ?? 'silent');
+      if (leadState === 'alive') noteUse(await beforeDeadline(queryUse(held)));
+      return judge();
     };
     // Each lease is renewed on its own. If all were awaited together, a member
     // whose answers are lost would delay the other renewals and the use check.
-    const renew = async (lease: MemoryLease) => {
+    const renewLease = async (lease: MemoryLease) => {
       const isKept = await lease.renew();
       if (!isKept) held = held.filter(it => it !== lease);
     };
+    const msToRenewal = () => renewedAt + holdMs * RENEW_SHARE - clock.now();
+    const renewIfDue = () => {
+      if (leadState !== 'alive' || msToRenewal() > 0) return;
+      renewedAt = clock.now();
+      for (const lease of held) void renewLease(lease);
+    };
     const close = () => {
       if (!isOpen) return;
       isOpen = false;
@@ -183,25 +221,29 @@
         requestId,
         heldMs: Math.round(clock.now() - reservedAt),
         use,
-        unusedMs: Math.round(unusedMs()),
+        unusedMs: Math.round(clock.now() - lastUseAt()),
       });
       for (const lease of reserved) lease.release();
     };
     const lose = (loss: GroupLoss) => {
       const {leadSilent, memoryUnused} = DIRECT_EVENTS;
-      const event = loss === 'the lead is silent' ? leadSilent : memoryUnused;
-      log(event, {requestId, replica: lead.id});
+      const event = loss === 'the memory is unused' ? memoryUnused : leadSilent;
+      log(event, {requestId, replica: lead.id, cause: loss});
       close();
       onLost(loss);
     };
     const keepRenewed = async (): Promise<void> => {
-      for (;;) {
-        await pause(holdMs * RENEW_SHARE);
+      for (let verdict: MemoryVerdict = 'keep'; ;) {
+        const pauseMs =
+          verdict === 'keep'
+            ? Math.max(ASK_AGAIN_MS, msToRenewal())
+            : ASK_AGAIN_MS;
+        await beforeDeadline(pause(pauseMs));
         if (!isOpen) return;
-        const loss = await findLoss();
+        verdict = await check();
         if (!isOpen) return;
-        if (loss !== undefined) return lose(loss);
-        for (const lease of held) void renew(lease);
+        if (verdict !== 'keep' && verdict !== 'unsure') return lose(verdict);
+        renewIfDue();
       }
     };
     void keepRenewed();
--- a/test/direct/group_memory.test.ts
+++ b/test/direct/group_memory.test.ts
@@ -1,7 +1,8 @@
 /** How long the memory is kept that a group's members have reserved. */
 import {describe, expect, test} from 'vitest';
 import {createGroups} from '../../src/direct/groups.js';
-import type {Group, GroupLoss} from '../../src/direct/groups.js';
+import type {Group} from '../../src/direct/groups.js';
+import type {GroupLoss} from '../../src/direct/decide/judge_memory.js';
 import type {
   DirectReplica,
   ReplicaReport,
@@ -331,7 +332,7 @@
     await clock.runFor(SETTLED_MS);
     restart(LEAD);
     await clock.runFor(HOLD_MS / 2);
-    expect([heldNow(), losses.length]).toEqual([0, 1]);
+    expect([heldNow(), losses]).toEqual([0, ['the lead has restarted']]);
   });
 
   // The request has ended, but nothing reaches the entry from the members.
