fix(drain): an answer that its caller is still reading is not cut at a stop

Cause: a request counted as ended once its answer was handed to the response, and Node's closeIdleConnections destroys connections whose answer has ended but lies unread in this process. Both come 2.6 s after SIGTERM.

Change: a drain waits, within the grace time, until each served response has closed, and a connection is idle only then.

--- a/src/direct/callers/connection_turns.ts
+++ b/src/direct/callers/connection_turns.ts
@@ -24,6 +24,11 @@
   hasWaiting(socket: Socket): boolean;
   /** Number of requests that wait on all connections. */
   waitingCount(): number;
+  /**
+   * Number of requests that are served on all connections, until the last byte
+   * of the answer is handed to the kernel.
+   */
+  servedCount(): number;
 }
 
 /** `onDropped` is called with each request that is not served. */
@@ -33,13 +38,16 @@
   /** Requests that wait, by the connection on which one is being served. */
   const waiting = new WeakMap<Socket, Turn[]>();
   let waitingCount = 0;
+  let servedCount = 0;
 
   const begin = ({req, res, serve}: Turn): void => {
     const {socket} = req;
     if (!socket.writable) return onDropped(req);
     const queue: Turn[] = [];
     waiting.set(socket, queue);
+    servedCount++;
     res.once('close', () => {
+      servedCount--;
       waiting.delete(socket);
       waitingCount -= queue.length;
       for (const turn of queue) take(turn);
@@ -59,5 +67,6 @@
     take: (req, res, serve) => take({req, res, serve}),
     hasWaiting: socket => (waiting.get(socket)?.length ?? 0) > 0,
     waitingCount: () => waitingCount,
+    servedCount: () => servedCount,
   };
 }
--- a/src/direct/callers_server.ts
+++ b/src/direct/callers_server.ts
@@ -61,6 +61,14 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const lastAnswers = createLastAnswers();
+  const connections = new Set<Socket>();
+  // Called by `server.close` too. The method of Node also closes connections
+  // whose answer has ended but has not been handed to the kernel completely.
+  server.closeIdleConnections = () => {
+    for (const socket of connections) {
+      if (lastAnswers.isIdle(socket)) socket.destroy();
+    }
+  };
   const handle: RequestHandler = (req, res) => {
     lastAnswers.add(req.socket, res);
     handler(req, res);
@@ -71,8 +79,13 @@
     handle(req, res);
   });
   server.on('connection', socket => {
-    if (admit()) socket.setNoDelay(true);
-    else socket.destroy();
+    if (!admit()) {
+      socket.destroy();
+      return;
+    }
+    socket.setNoDelay(true);
+    connections.add(socket);
+    socket.once('close', () => connections.delete(socket));
   });
   server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
@@ -102,10 +115,17 @@
  */
 function createLastAnswers() {
   const answers = new WeakMap<Socket, ServerResponse>();
+  /** Bytes that were read on a connection until its last answer had closed. */
+  const bytesRead = new WeakMap<Socket, number>();
   return {
     add: (socket: Socket, res: ServerResponse): void => {
       answers.set(socket, res);
+      res.once('close', () => bytesRead.set(socket, socket.bytesRead));
     },
+    /** Whether no answer is open and no part of a further request was read. */
+    isIdle: (socket: Socket): boolean =>
+      (answers.get(socket)?.closed ?? true) &&
+      socket.bytesRead === (bytesRead.get(socket) ?? 0),
     /** Runs the function when all requests of the connection are answered. */
     whenEnded: (socket: Socket, run: () => void): void => {
       const last = answers.get(socket);
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -329,9 +329,13 @@
     const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
     const cancel = clock.every(DRAIN_POLL_MS, () => {
       const elapsedMs = clock.now() - drainStartedAt;
-      const done =
-        elapsedMs > ACCEPT_AFTER_DRAIN_MS &&
-        serving.openRequests() + admittingCount + turns.waitingCount() === 0;
+      // A request that was served may still have bytes of its answer here.
+      const openCount =
+        serving.openRequests() +
+        admittingCount +
+        turns.servedCount() +
+        turns.waitingCount();
+      const done = elapsedMs > ACCEPT_AFTER_DRAIN_MS && openCount === 0;
       if (!done && elapsedMs < graceMs) return;
       cancel();
       reply();
--- a/test/direct/slow_readers.test.ts
+++ b/test/direct/slow_readers.test.ts
@@ -17,6 +17,10 @@
 /** Answers that are buffered until they are complete. */
 const ANSWER_BYTES = 1_000_000;
 const ANSWERS = 10;
+/** Time until the held bytes of a new answer are measured. */
+const HELD_SHOWN_MS = 250;
+/** Time for which a draining entry still accepts connections. */
+const ACCEPTING_MS = 2_600;
 /** Time limit of routes that is reached by no request, in milliseconds. */
 const PATIENT_MS = 30_000;
 
@@ -190,6 +194,39 @@
   });
 });
 
+describe('a caller that is still reading its answer at a drain', () => {
+  // Node counts a connection as idle once its answer has been handed over, and
+  // the drain counted the request as ended then.
+  test('gets all of it', async () => {
+    await start({slowReaders: {...SLOW_READERS, callerTimeoutMs: 10_000}});
+    for (const replica of fleet.desk) {
+      replica.behave((arrival, res) => {
+        res.writeHead(200, signed(arrival));
+        res.end('x'.repeat(ANSWER_BYTES));
+      });
+    }
+    const caller = openCaller('/again/a');
+    await until(() => caller.received() > 0);
+    caller.socket.pause();
+    let sent = 1;
+    // The answers before the last one fill the kernel's buffers.
+    for (; heldAnswerBytes() === 0 && sent < 2 * ANSWERS; sent++) {
+      sendRequest(caller.socket, '/again/a');
+      await sleep(HELD_SHOWN_MS);
+    }
+    let isDrained = false;
+    const drained = fleet.entry.drain().then(() => {
+      isDrained = true;
+    });
+    await sleep(ACCEPTING_MS + HELD_SHOWN_MS);
+    expect(isDrained).toBe(false);
+    caller.socket.resume();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.received()).toBeGreaterThan(sent * ANSWER_BYTES);
+    await drained;
+  });
+});
+
 /** Reads that many bytes in equal steps over `overMs`. */
 async function readSlowly(
   caller: ManualCaller,
