fix(calls): the only replica is dialled again when its host accepts nothing

Cause: a connection attempt that is not answered within 300 ms ends the attempt as not sent, and the replica counted as tried. A call to a service whose only replica is paused, with a full queue of connections, was refused with 503 after 300 ms, though the replica goes on.

Change: such a replica is dialled again when nothing else is left, for three seconds and at most half of the call's time (may_dial_again.ts). A closed port and a removed replica still end the call at once, and the refusal is still true, since nothing was sent. No retry is taken from the budget.

--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -17,6 +17,9 @@
  */
 const CONNECT_TIMEOUT_MS = 300;
 
+/** Reason of a failure to connect within that time. */
+export const DIAL_TIMED_OUT = 'dial timed out';
+
 /**
  * Yields after which all that lay in the sockets has been read: the first one
  * ends the current turn of the event loop, the second one the next turn.
@@ -127,7 +130,7 @@
   };
   const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
     if (isConnected) return;
-    fail('dial timed out');
+    fail(DIAL_TIMED_OUT);
     req.destroy();
   });
   req.on('socket', socket => {
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -9,6 +9,8 @@
 import {loggedParts} from './crashes/request_digest.js';
 import {chooseCallReplica} from './decide/choose_call_replica.js';
 import type {CallCandidate} from './decide/choose_call_replica.js';
+import {mayDialAgain} from './decide/may_dial_again.js';
+import {DIAL_TIMED_OUT} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import {choosePermitted, passedOver} from './permitted_choice.js';
@@ -26,10 +28,16 @@
 import type {ServeContext} from './serve_context.js';
 import type {DirectReplica} from './types.js';
 
-/** Ids of replicas that were tried, and of those that got the request. */
+/** Ids of replicas that were tried. */
 interface TriedReplicas {
   readonly all: Set<string>;
+  /** Those that got the request. */
   readonly sent: Set<string>;
+  /**
+   * Those whose host accepted no connection in time, and when the first attempt
+   * to connect to each began.
+   */
+  readonly undialled: Map<string, number>;
 }
 
 /** Serves the request until its final answer. */
@@ -37,7 +45,11 @@
   ctx: ServeContext,
   exchange: Exchange,
 ): Promise<void> {
-  const tried: TriedReplicas = {all: new Set(), sent: new Set()};
+  const tried: TriedReplicas = {
+    all: new Set(),
+    sent: new Set(),
+    undialled: new Map(),
+  };
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
@@ -51,13 +63,28 @@
     const {replica} = choice.chosen;
     logChoice(ctx, exchange, replica);
     tried.all.add(replica.id);
+    const dialledAt = ctx.clock.now();
     const outcome = await attemptCall(ctx, exchange, replica);
-    if (outcome.kind !== 'not-sent') tried.sent.add(replica.id);
+    noteDial(tried, replica, dialledAt, outcome);
     if (handleOutcome(ctx, exchange, replica, outcome)) return;
     if (outcome.kind === 'answered') failure = outcome;
   }
 }
 
+function noteDial(
+  {sent, undialled}: TriedReplicas,
+  {id}: DirectReplica,
+  dialledAt: number,
+  outcome: CallOutcome,
+): void {
+  if (outcome.kind !== 'not-sent') sent.add(id);
+  if (outcome.kind !== 'not-sent' || outcome.reason !== DIAL_TIMED_OUT) {
+    undialled.delete(id);
+  } else if (!undialled.has(id)) {
+    undialled.set(id, dialledAt);
+  }
+}
+
 /**
  * Ends a request that has no attempt left. The caller gets the failure that a
  * replica answered with, if there is one.
@@ -88,19 +115,27 @@
  * Chooses a replica that was not tried yet. If none of them may get it now, an
  * idempotent request may go to a replica that got it before: a request that
  * failed once often succeeds at the second attempt, even at the same replica,
- * and seldom only at a third.
+ * and seldom only at a third. Last come replicas whose host accepted no
+ * connection: they may be paused, and nothing was sent to them.
  */
 function chooseReplica(
   ctx: ServeContext,
   exchange: Exchange,
-  {all, sent}: TriedReplicas,
+  {all, sent, undialled}: TriedReplicas,
 ): Promise<PermittedChoice<CallCandidate>> {
   const {service, route} = exchange;
+  const isDialledAgain = ({id}: DirectReplica): boolean => {
+    const firstAt = undialled.get(id) ?? -Infinity;
+    return mayDialAgain(ctx.clock.now() - firstAt, exchange.timeLeftMs());
+  };
   const candidates = () => {
-    const untried = candidatesOf(ctx, service, all);
-    if (route.kind !== 'idempotent') return untried;
     const available = ctx.replicas.availableFor(service);
-    return [...untried, available.filter(({id}) => sent.has(id))];
+    const isRepeatable = route.kind === 'idempotent';
+    return [
+      ...candidatesOf(ctx, service, all),
+      available.filter(({id}) => isRepeatable && sent.has(id)),
+      available.filter(isDialledAgain),
+    ];
   };
   const req = callRequestOf(ctx, exchange);
   return choosePermitted(ctx, exchange, candidates, open =>
--- /dev/null
+++ b/test/direct/unanswered_dials.test.ts
@@ -0,0 +1,242 @@
+/**
+ * Calls to replicas whose host accepts no connection for a while, as that of a
+ * paused process whose queue of connections is full. No network; the clock is
+ * virtual.
+ */
+import {EventEmitter} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {describe, expect, test} from 'vitest';
+import {decodeConfig} from '../../platform/config_document.js';
+import {DIAL_TIMED_OUT} from '../../src/direct/dispatch.js';
+import type {OpenDispatch} from '../../src/direct/dispatch.js';
+import {mayDialAgain} from '../../src/direct/decide/may_dial_again.js';
+import {createServing} from '../../src/direct/serving.js';
+import type {DirectReplica} from '../../src/direct/types.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import {configOf} from '../../standins/users_platform/deployment.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+const REQUEST_ID = 'request-1';
+const CONFIG = decodeConfig(configOf(1)).unsafeCoerce();
+const DIAL_MS = 300;
+const ANSWER_MS = 5;
+
+function replicaOf(name: string): DirectReplica {
+  return {
+    id: name,
+    name,
+    startedAt: undefined,
+    service: 'desk',
+    address: name,
+    failureDomain: 'a',
+    places: 4,
+    leaving: false,
+  };
+}
+
+type Dial = 'answers' | 'times out' | 'is refused';
+
+function setUp(names: readonly string[], dial: (address: string) => Dial) {
+  const clock = createVirtualClock();
+  const {runtime} = createRecordingRuntime();
+  const dials: string[] = [];
+  const dispatch: OpenDispatch = ({address}, _clock, observer) => {
+    dials.push(address);
+    const outcome = dial(address);
+    const cancel = clock.after(
+      outcome === 'times out' ? DIAL_MS : ANSWER_MS,
+      () => {
+        if (outcome === 'times out') {
+          observer.onBroken(false, DIAL_TIMED_OUT);
+          return;
+        }
+        if (outcome === 'is refused') {
+          observer.onBroken(false, 'connect ECONNREFUSED');
+          return;
+        }
+        observer.onHead({
+          status: 200,
+          headers: {'content-length': '2'},
+          rawHeaders: [],
+        });
+        observer.onData(Buffer.from('ok'));
+        observer.onEnd(false);
+      },
+    );
+    return {
+      cancel,
+      takeBack: () => false,
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  };
+  const serving = createServing({
+    clock,
+    log: runtime.log,
+    metrics: runtime.metrics,
+    random: createSeededRandom(1),
+    codec: {
+      readRequest: () => {
+        throw new Error('not used');
+      },
+      dispatchHeaders: () => [],
+      readAnswer: () => ({
+        requestId: REQUEST_ID,
+        signed: true,
+        notRun: false,
+        faultAt: undefined,
+        encoded: false,
+        requestLimit: undefined,
+        notices: undefined,
+      }),
+    },
+    dispatch,
+    probePort: () => Promise.resolve('silent'),
+    node: 'entry-1',
+    orders: {
+      reserve: () => Promise.resolve('refused'),
+      release: () => Promise.resolve('refused'),
+    },
+    readReport: () => Promise.resolve(undefined),
+    watchNotices: () => undefined,
+    leavingMs: 1_500,
+    failureDomain: 'a',
+    retries: {ratio: 0, slack: 0, windowS: 10},
+    idPrefix: 'entry-1',
+    holdMs: 3_500,
+    unusedMs: 2_000,
+    closesAfter: () => false,
+    shareLoads: () => undefined,
+    limitLinks: {
+      shareReports: () => undefined,
+      sendAsk: () => undefined,
+      sendAnswer: () => undefined,
+    },
+    shareCrashReports: () => undefined,
+    quarantine: {
+      onQuarantined: () => undefined,
+      onCleared: () => undefined,
+      claimTrial: () => Promise.resolve(false),
+    },
+  });
+  const listed = (present: readonly string[]) =>
+    serving.replicas.replaceAll(
+      new Map(present.map(name => [name, replicaOf(name)])),
+    );
+  listed(names);
+  /** Sends a call; returns the caller's response as it is written. */
+  const call = (routeName: string, timeLimitMs = 10_000) => {
+    const [route] = CONFIG.routes.filter(({name}) => name === routeName);
+    const written = {status: 0, at: 0};
+    const res = Object.assign(new EventEmitter(), {
+      headersSent: false,
+      writeHead: (status: number) => {
+        Object.assign(written, {status, at: clock.now()});
+        res.headersSent = true;
+        return res;
+      },
+      write: () => true,
+      end: () => undefined,
+      removeHeader: () => undefined,
+      setHeader: () => undefined,
+      destroy: () => undefined,
+    });
+    serving.serve(
+      {
+        config: CONFIG,
+        route: {...route, timeLimitMs},
+        service: 'desk',
+        facts: {
+          id: REQUEST_ID,
+          key: undefined,
+          timeLeftMs: undefined,
+          promptTokens: 0,
+          maxTokens: 0,
+          expectedTokens: undefined,
+          lastEventId: undefined,
+          sharedParts: [],
+        },
+        id: REQUEST_ID,
+        owner: undefined,
+        body: Buffer.from('a call'),
+      },
+      {
+        rawHeaders: [],
+        headers: {},
+        method: 'POST',
+        url: '/',
+      } as unknown as IncomingMessage,
+      res as unknown as ServerResponse,
+      clock.now(),
+    );
+    return written;
+  };
+  return {clock, call, dials, listed};
+}
+
+describe('a call to the only replica, whose host accepts no connection', () => {
+  // Nothing had been sent, and the call was refused after one attempt to connect.
+  test.each([
+    ['once', 1_200],
+    ['once', 2_500],
+    ['again', 1_200],
+    ['again', 2_500],
+  ])('is answered on route %s if it goes on after %i ms', async (name, ms) => {
+    const {clock, call} = setUp(['a'], () =>
+      clock.now() < ms ? 'times out' : 'answers',
+    );
+    const written = call(name);
+    await clock.runFor(ms + 2 * DIAL_MS);
+    expect(written.status).toBe(200);
+  });
+
+  test('is refused as not run when the replica is gone', async () => {
+    const {clock, call, listed} = setUp(['a'], () => 'times out');
+    const written = call('once');
+    await clock.runFor(1_000);
+    expect(written.status).toBe(0);
+    listed([]);
+    await clock.runFor(2 * DIAL_MS);
+    expect(written.status).toBe(503);
+  });
+
+  test('is refused as not run while its caller may still ask elsewhere', async () => {
+    const {clock, call, dials} = setUp(['a'], () => 'times out');
+    const written = call('once', 2_000);
+    await clock.runFor(2_000);
+    expect(written.status).toBe(503);
+    expect(written.at).toBeLessThan(1_500);
+    expect(dials.length).toBeLessThan(6);
+  });
+
+  // A host without the process refuses at once.
+  test('is refused at once when its port is closed', async () => {
+    const {clock, call, dials} = setUp(['a'], () => 'is refused');
+    const written = call('again');
+    await clock.runFor(10 * ANSWER_MS);
+    expect(written.status).toBe(503);
+    expect(dials).toHaveLength(1);
+  });
+});
+
+describe('a call beside a replica whose host accepts no connection', () => {
+  test('goes to the other one first', async () => {
+    const {clock, call, dials} = setUp(['a', 'b'], address =>
+      address === dials[0] ? 'times out' : 'answers',
+    );
+    const written = call('once');
+    await clock.runFor(2 * DIAL_MS);
+    expect(written.status).toBe(200);
+    expect(new Set(dials).size).toBe(2);
+  });
+});
+
+describe('further attempts to connect', () => {
+  test('end after three seconds, and at half of the time', () => {
+    expect(mayDialAgain(2_999, 7_000)).toBe(true);
+    expect(mayDialAgain(3_000, 7_000)).toBe(false);
+    expect(mayDialAgain(900, 1_000)).toBe(true);
+    expect(mayDialAgain(1_000, 1_000)).toBe(false);
+  });
+});
