fix(replicas): a late record does not end the runs of a paused process

Cause: a record with an earlier start time was accepted after 3 s, on the assumption that the live process writes its own about a second later. One that is paused for 2.5 s writes it up to 3.7 s later (heartbeats are 1.2 s apart), so that a late write of its predecessor counted as a restart, which ends all runs at the live process.

Change: such a record is accepted after 4.5 s.

The tests 'with an earlier start time are accepted when they persist' and 'without a start time count as the earliest' had 3 s as the exact time of acceptance, which contradicts the new test; they state 4.5 s now, and the first one also that it is not accepted a millisecond earlier. Meanwhile the replica gets requests at the same address and name, so a host whose time of day was set back loses none.

--- a/src/direct/replica_table.ts
+++ b/src/direct/replica_table.ts
@@ -24,10 +24,11 @@
 /**
  * Time after which a record with an earlier start time is accepted. At first it
  * counts as a late write of a process that is gone: the live process overwrites
- * it at its next heartbeat, about a second later. A record that persists is
- * valid, and the host's time of day was set back.
+ * it at its next heartbeat, about a second later, or two and a half seconds
+ * after that if it is paused. A record that persists is valid, and the host's
+ * time of day was set back.
  */
-const EARLIER_START_ACCEPTED_MS = 3_000;
+const EARLIER_START_ACCEPTED_MS = 4_500;
 /**
  * A removed replica is kept for this long, so that its restart is recognised
  * and its open streams are ended.
--- a/test/direct/restarts.test.ts
+++ b/test/direct/restarts.test.ts
@@ -107,6 +107,13 @@
   });
 });
 
+/** Interval at which a replica writes its record. */
+const HEARTBEAT_MS = 1_200;
+/** Longest pause of a process that then goes on. */
+const PAUSED_MS = 2_500;
+/** Time after which a record with an earlier start time counts. */
+const ACCEPTED_MS = 4_500;
+
 describe('records of replicas with one name', () => {
   const start = (startedAt: number | undefined): DirectReplica => ({
     id: startedAt === undefined ? 'a' : `a@${startedAt}`,
@@ -186,13 +193,29 @@
     expect(restarted).toEqual([]);
   });
 
+  // The live process is paused for 2.5 s when a late write of its predecessor
+  // lands; its streams were ended as those of a replaced process.
+  test('with an earlier start time are ignored while the live process is paused', () => {
+    const {clock, put, available, restarted} = setUp();
+    put(6);
+    put(5);
+    clock.advance(HEARTBEAT_MS + PAUSED_MS);
+    expect(available()).toEqual(['a@6']);
+    put(6);
+    clock.advance(10_000);
+    expect(available()).toEqual(['a@6']);
+    expect(restarted).toEqual([]);
+  });
+
   // The clock of the host was far ahead and was corrected. If its record were
   // ignored for good, the replica would get no work until that time.
   test('with an earlier start time are accepted when they persist', async () => {
     const {clock, put, available, restarted} = setUp();
     put(9e15);
     put(5);
-    await clock.advance(3_000);
+    await clock.advance(ACCEPTED_MS - 1);
+    expect(available()).toEqual(['a@9000000000000000']);
+    await clock.advance(1);
     expect(available()).toEqual(['a@5']);
     expect(restarted).toEqual(['a@9000000000000000 to a@5']);
   });
@@ -202,7 +225,7 @@
     put(5);
     put(undefined);
     expect(available()).toEqual(['a@5']);
-    await clock.advance(3_000);
+    await clock.advance(ACCEPTED_MS);
     expect(available()).toEqual(['a']);
   });
 });
