--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -198,13 +198,18 @@
     });
   };
   const onLost = (loss: PlacementLoss) => {
-    if (loss === 'a member restarted') {
+    const {kind} = exchange.route;
+    const isCertain =
+      loss === 'a member restarted' ||
+      (loss === 'the lead has restarted' && kind === 'resumable-stream');
+    if (isCertain) {
       ctx.crashes.runCancelled(exchange, replica);
       endBroken(loss);
       return;
     }
-    // The other losses are inferred, and the run may go on. A lead that starts
-    // after the group's memory was released refuses the request as not run.
+    // Other losses are inferred, and the run may go on. A lead that starts after
+    // the group's memory was released refuses the request as not run; only after
+    // it may one that runs once be sent to another replica.
     if (mayRetry(exchange)) onSilent(clock.now() - lastEventAt);
   };
   const onAbort = () => {
