fix(calls): a call whose connection is being opened counts as not run

Cause: when a call's time is up, or its replica has restarted, while its connection is still being opened, the call counted as possibly run: its caller got 504 or 502, which promise nothing, and a call that may run only once was not sent to the next start.

Change: the call is taken back if nothing of it was sent.

Measured: the two new tests of unanswered_dials.test.ts failed before (504 and 502) and pass now, with the tests of requests, restarts and crashing requests.

--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -90,9 +90,12 @@
       finish({kind: 'not-sent', reason});
     };
     const onAbort = () => {
-      exchange.mayHaveRun = true;
-      ctx.crashes.runCancelled(exchange, replica);
-      dispatch.cancel();
+      // While its connection is being opened, nothing of the call was sent.
+      if (!dispatch.takeBack()) {
+        exchange.mayHaveRun = true;
+        ctx.crashes.runCancelled(exchange, replica);
+        dispatch.cancel();
+      }
       finish({kind: 'ended'});
     };
     const startStreaming = (answerHead: AnswerHead) => {
@@ -188,8 +191,9 @@
     });
     // A replica that restarted may leave the connection open without a reset.
     const stopWatching = losses.watch(replica.id, () => {
+      const isTakenBack = dispatch.takeBack();
       dispatch.cancel();
-      onBroken(true, 'the replica restarted');
+      onBroken(!isTakenBack, 'the replica restarted');
     });
     exchange.signal.addEventListener('abort', onAbort);
   });
--- a/test/direct/unanswered_dials.test.ts
+++ b/test/direct/unanswered_dials.test.ts
@@ -66,7 +66,11 @@
     );
     return {
       cancel,
-      takeBack: () => false,
+      // Only an answered attempt to connect lets the request be sent.
+      takeBack: () => {
+        if (outcome !== 'answers') cancel();
+        return outcome !== 'answers';
+      },
       pause: () => undefined,
       resume: () => undefined,
     };
@@ -124,6 +128,11 @@
     serving.replicas.replaceAll(
       new Map(present.map(name => [name, replicaOf(name)])),
     );
+  const restart = (name: string, startedAt: number) => {
+    const id = `${name}@${startedAt}`;
+    const started = {...replicaOf(name), id, startedAt};
+    serving.replicas.applyChanges(new Map([[name, started]]));
+  };
   listed(names);
   /** Sends a call; returns the caller's response as it is written. */
   const call = (routeName: string, timeLimitMs = 10_000) => {
@@ -172,7 +181,7 @@
     );
     return written;
   };
-  return {clock, call, dials, listed};
+  return {clock, call, dials, listed, restart};
 }
 
 describe('a call to the only replica, whose host accepts no connection', () => {
@@ -210,6 +219,28 @@
     expect(dials.length).toBeLessThan(6);
   });
 
+  // A replica that has not got the request cannot have run it, and the caller
+  // may send it again only if it is told so.
+  test('is refused as not run when its time is up', async () => {
+    const {clock, call} = setUp(['a'], () => 'times out');
+    const written = call('once', DIAL_MS / 2);
+    await clock.runFor(DIAL_MS);
+    expect(written.status).toBe(503);
+  });
+
+  test('is sent to the next start if the replica restarts meanwhile', async () => {
+    let hasRestarted = false;
+    const {clock, call, restart} = setUp(['a'], () =>
+      hasRestarted ? 'answers' : 'times out',
+    );
+    const written = call('once');
+    await clock.runFor(DIAL_MS / 2);
+    hasRestarted = true;
+    restart('a', 1);
+    await clock.runFor(DIAL_MS);
+    expect(written.status).toBe(200);
+  });
+
   // A host without the process refuses at once.
   test('is refused at once when its port is closed', async () => {
     const {clock, call, dials} = setUp(['a'], () => 'is refused');
