--- a/src/cli/quarantine_commands.ts
+++ b/src/cli/quarantine_commands.ts
@@ -20,6 +20,16 @@
 /** A digest or a prefix of it, such as logs show. */
 const ID_PATTERN = /^[0-9a-f]{4,32}$/;
 
+const IS_PARTIAL =
+  "some of the store's records could not be read, so there may be more";
+
+/** The records that could be read, sorted by digest. */
+interface ReadRecords {
+  readonly records: readonly QuarantineRecord[];
+  /** There may be further records. */
+  readonly isPartial: boolean;
+}
+
 /** A quarantine record as printed with `--json`. */
 interface QuarantineJson extends Omit<QuarantineRecord, 'writtenAt'> {
   /** Time at which the record was written, in ISO 8601. */
@@ -54,29 +64,37 @@
   }
 
   /**
-   * Reads all records, sorted by digest. Prints the error and returns undefined
-   * when the store failed.
+   * Reads all records. Prints the error and returns undefined when the store
+   * failed.
    */
   protected async readAll(
     store: QuarantineStore,
-  ): Promise<readonly QuarantineRecord[] | undefined> {
+  ): Promise<ReadRecords | undefined> {
     const listed = await store.quarantine.list();
     return listed
       .ifLeft(fault => this.printFailure(fault))
-      .map(({items}) => [...items.values()].sort(byDigest))
+      .map(({items, isPartial}) => ({
+        records: [...items.values()].sort(byDigest),
+        isPartial,
+      }))
       .toMaybe()
       .extract();
   }
 
   /**
    * Returns the only record whose digest starts with `id`. Prints an error and
-   * returns undefined when there is none or more than one.
+   * returns undefined when there is none or more than one, or when there may be
+   * another one that could not be read.
    */
   protected findByPrefix(
-    records: readonly QuarantineRecord[],
+    {records, isPartial}: ReadRecords,
     id: string,
   ): QuarantineRecord | undefined {
     const found = records.filter(({digest}) => digest.startsWith(id));
+    if (isPartial && found.length <= 1 && found[0]?.digest !== id) {
+      this.printError(`${IS_PARTIAL}; give a whole digest`);
+      return undefined;
+    }
     if (found.length === 1) return found[0];
     this.printError(
       found.length === 0
@@ -119,17 +137,20 @@
   });
 
   protected override async perform(): Promise<number> {
-    const records = await this.readAll(this.openStore());
-    if (records === undefined) return EXIT_FAILED;
+    const found = await this.readAll(this.openStore());
+    if (found === undefined) return EXIT_FAILED;
+    const {records, isPartial} = found;
+    if (isPartial) this.printError(IS_PARTIAL);
+    const code = isPartial ? EXIT_FAILED : EXIT_OK;
     if (this.json) {
       this.printJson(records.map(toQuarantineJson));
-      return EXIT_OK;
+      return code;
     }
     const rows = records
       .map(toQuarantineJson)
       .map(({digest, ended, since}) => [digest, String(ended.length), since]);
     this.print(renderTable(['DIGEST', 'REPLICAS ENDED', 'SINCE'], rows));
-    return EXIT_OK;
+    return code;
   }
 }
 
