--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -252,7 +252,7 @@
         if (config !== undefined) configProof.versionWritten(config.version);
         applyConfig(config, OWN_CALL, sentAt);
       }
-      // The list shows whether this was the configuration.
+      // It was removed or cannot be decoded; the list shows which.
       isConfigUnread ||= [...items.values()].includes(undefined);
       if (isConfigUnread) configFollower.relistNow();
     },
--- a/test/platform/list_reader.test.ts
+++ b/test/platform/list_reader.test.ts
@@ -3,7 +3,12 @@
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {readList} from '../../platform/list_reader.js';
 import type {ListPage} from '../../platform/list_reader.js';
+import {createStoreClient} from '../../platform/store_client.js';
 import type {ObjectPage, StoredObject} from '../../platform/stored_objects.js';
+import type {DirectStore} from '../../src/direct/types.js';
+import {createProcessClock} from '../../src/utils/clock.js';
+import {createRecordingRuntime} from '../../standins/recording_runtime.js';
+import {configOf} from '../../standins/users_platform/deployment.js';
 import {ForeignBytes, startStore} from '../../standins/users_platform/store.js';
 import type {StoreStandIn} from '../../standins/users_platform/store.js';
 import {runToolWith} from '../support/run_tool.js';
@@ -101,8 +106,12 @@
 
 describe('behind more damaged records than a list passes by', () => {
   let standIn: StoreStandIn;
+  let store: DirectStore;
   beforeEach(async () => {
     standIn = await startStore();
+    const {log, metrics} = createRecordingRuntime().runtime;
+    const clock = createProcessClock();
+    store = createStoreClient({address: standIn.address, clock, metrics, log});
   });
   afterEach(() => standIn.close());
   const writeDamaged = (kind: string, prefix = '') => {
@@ -111,6 +120,27 @@
     }
   };
 
+  // Guards against an era that counts as unsettled, or is recorded anew.
+  test('the settled era is read', async () => {
+    writeDamaged('onyxloft-eras');
+    standIn.put('onyxloft-eras', 'settled', {era: 4});
+    expect((await store.settledEra()).unsafeCoerce()).toEqual({era: 4});
+  });
+
+  test('no settled era is read where there is none', async () => {
+    writeDamaged('onyxloft-eras');
+    expect((await store.settledEra()).unsafeCoerce().era).toBeUndefined();
+  });
+
+  // Guards against an entry that refuses keys because it cannot confirm them.
+  test('the configuration is read', async () => {
+    writeDamaged('config');
+    standIn.put('config', 'main', configOf(3));
+    const {items, isPartial} = (await store.configs.list()).unsafeCoerce();
+    expect([...items.values()].map(({version}) => version)).toEqual([3]);
+    expect(isPartial).toBe(false);
+  });
+
   // Guards against the release of a request whose prefix another one shares.
   test('no quarantined request is taken for the only one with a prefix', async () => {
     const kind = 'onyxloft-quarantine';
