test(direct): a caller that polls a limited replica is no flood

Cause: the test calls one entry as fast as it can, each call on a new connection, and needs an answer to each. An entry whose event loop is late closes connections unread when more than twice the usual number and more than 20 a second arrive. Clients then retry at another entry, which the test's caller does not, so it saw a socket hang up. The entry does as it is meant to. Change: 100 ms between the calls, fewer than are ever a flood. Each call must still be answered, and the limit must still end within 12 s.

--- a/test/direct/limited_replicas.test.ts
+++ b/test/direct/limited_replicas.test.ts
@@ -18,6 +18,12 @@
 /** An entry that had an answer with the limit is bound by it after this. */
 const KNOWN_AFTER_MS = 500;
 
+/**
+ * Pause between calls that each need an answer. An entry whose event loop is
+ * late closes connections unread when they come much faster than before.
+ */
+const CALL_INTERVAL_MS = 100;
+
 /** Sends requests to the entries in turn for the time; all get status 200. */
 async function sendTo(entries: readonly DirectFleet[], forMs: number) {
   const answers: Array<ReturnType<typeof callEntry>> = [];
@@ -137,6 +143,7 @@
     limit = undefined;
     const ended = () => fleet.runtime.eventsOf(DIRECT_EVENTS.limitEnded);
     await until(async () => {
+      await sleep(CALL_INTERVAL_MS);
       await callEntry(fleet, '/again/');
       return ended().length > 0;
     }, 12_000);
