test(fault-soak): stops, changes, shapes and pairs beside silent replicas

Cause: the soak of silent replicas knew one silence length, changed only a time-out, stopped no entry, had no service with one sound replica and sent no prompt that needs a group. Its judge had no bound for a caller that is kept at a replica that is gone.

--- a/fault_soak/entry_process.ts
+++ b/fault_soak/entry_process.ts
@@ -23,6 +23,8 @@
   pause(): void;
   wake(): void;
   stepClock(): void;
+  /** SIGHUP, if it can take it yet; whether it was sent. */
+  hangUp(): boolean;
   kill(): Promise<void>;
   /** SIGKILL without a wait, for when the soak itself ends. */
   abort(): void;
@@ -137,6 +139,11 @@
     stepClock: () => {
       if (running !== undefined && hasStarted()) signal('SIGUSR2');
     },
+    hangUp: () => {
+      if (running === undefined || !hasStarted()) return false;
+      signal('SIGHUP');
+      return true;
+    },
     kill: async () => {
       await ended('SIGKILL');
     },
--- a/fault_soak/silent_replicas/replica_program.ts
+++ b/fault_soak/silent_replicas/replica_program.ts
@@ -1,10 +1,11 @@
 /**
  * A replica as a process of its own, so that it can be paused by a signal. It
- * tells its address and each run to the process that started it.
+ * tells the process that started it its address, each run, and each end of one.
  */
 import type {Behaviour} from '../../standins/users_platform/replica.js';
 import {
   answerWell,
+  refuse,
   startReplica,
   streamTo,
 } from '../../standins/users_platform/replica.js';
@@ -12,7 +13,16 @@
 /** What the program sends to its parent. */
 export type ReplicaNews =
   | {readonly kind: 'listening'; readonly address: string}
-  | {readonly kind: 'ran'; readonly id: string};
+  | {readonly kind: 'ran'; readonly id: string}
+  | {readonly kind: 'ended'; readonly id: string};
+
+/** What the parent sends. */
+export type ReplicaCommand =
+  | {readonly kind: 'refuse'}
+  | {
+      readonly kind: 'state';
+      readonly headers: Readonly<Record<string, string>>;
+    };
 
 const [id = 'replica', events = '32', pauseMs = '60'] = process.argv.slice(2);
 
@@ -20,6 +30,7 @@
 const answerStream = streamTo(Number(events), Number(pauseMs));
 const behave: Behaviour = (arrival, res, req) => {
   tell({kind: 'ran', id: arrival.id});
+  res.once('close', () => tell({kind: 'ended', id: arrival.id}));
   const isStream = arrival.headers['x-token-usage'] !== undefined;
   (isStream ? answerStream : answerWell)(arrival, res, req);
 };
@@ -27,5 +38,9 @@
 const replica = await startReplica(id);
 replica.answerState();
 replica.behave(behave);
+process.on('message', (command: ReplicaCommand) => {
+  if (command.kind === 'refuse') replica.behave(refuse);
+  else replica.stateInAll(command.headers);
+});
 process.once('disconnect', () => process.exit(0));
 tell({kind: 'listening', address: replica.address});
--- a/fault_soak/silent_replicas/silence_soak.ts
+++ b/fault_soak/silent_replicas/silence_soak.ts
@@ -1,27 +1,38 @@
 /**
- * Lets sound replicas fall silent and go on beside changes of the configuration,
- * and checks that every request ends with a complete answer.
+ * Lets sound replicas fall silent and go on beside changes of the configuration
+ * and stops of entries, and checks that every request ends with a complete
+ * answer.
  *
  * `npm run silence-soak -- --seed N [--seeds K] [--processes M] [--engines E]
- * [--silence-ms S] [--all] [--no-changes] [--minutes T]`
+ * [--silence-ms S] [--group NAME] [--other KIND] [--changes KINDS]
+ * [--no-changes] [--stops] [--minutes T]`
  *
- * Exit code 1 when a promise is broken; the logs of that seed are kept.
+ * Exit code 1 when a promise is broken; the logs of that seed are kept. Exit
+ * code 2 for a name that there is not.
  */
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
+import {OTHER_KINDS} from './other_replica.js';
+import {CHANGE_KINDS} from './silence_config.js';
 import {runSilences} from './silence_run.js';
+import {GROUPS} from './silence_shapes.js';
+
+const EXIT_USAGE = 2;
 
 const {values} = parseArgs({
   options: {
     seed: {type: 'string', default: '1'},
     seeds: {type: 'string', default: '1'},
     processes: {type: 'string', default: '3'},
-    engines: {type: 'string', default: '1'},
-    'silence-ms': {type: 'string', default: '1200'},
-    all: {type: 'boolean', default: false},
+    engines: {type: 'string'},
+    'silence-ms': {type: 'string'},
+    group: {type: 'string'},
+    other: {type: 'string'},
+    changes: {type: 'string'},
     'no-changes': {type: 'boolean', default: false},
+    stops: {type: 'boolean', default: false},
     minutes: {type: 'string', default: '0.5'},
   },
 });
@@ -30,18 +41,44 @@
   process.stdout.write(`${line}\n`);
 }
 
+function named<T extends string>(known: readonly T[], name: string): T {
+  const found = known.find(it => it === name);
+  if (found !== undefined) return found;
+  process.stderr.write(`no "${name}"; there are: ${known.join(', ')}\n`);
+  process.exit(EXIT_USAGE);
+}
+
+function maybeNamed<T extends string>(
+  known: readonly T[],
+  name: string | undefined,
+): T | undefined {
+  return name === undefined ? undefined : named(known, name);
+}
+
+function maybeNumber(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
+function changesOf() {
+  if (values['no-changes']) return [];
+  if (values.changes === undefined) return CHANGE_KINDS;
+  return values.changes.split(',').map(name => named(CHANGE_KINDS, name));
+}
+
+const fixed = {
+  processes: Number(values.processes),
+  engines: maybeNumber(values.engines),
+  silenceMs: maybeNumber(values['silence-ms']),
+  group: maybeNamed(GROUPS, values.group),
+  other: maybeNamed([...OTHER_KINDS, 'none'] as const, values.other),
+  changes: changesOf(),
+  stops: values.stops,
+  durationMs: Number(values.minutes) * 60_000,
+};
+
 async function playSeed(seed: number): Promise<boolean> {
   const dir = mkdtempSync(join(tmpdir(), `silence-soak-${seed}-`));
-  const {violations, ...figures} = await runSilences({
-    seed,
-    processes: Number(values.processes),
-    engines: Number(values.engines),
-    silenceMs: Number(values['silence-ms']),
-    all: values.all,
-    changes: !values['no-changes'],
-    durationMs: Number(values.minutes) * 60_000,
-    dir,
-  });
+  const {violations, ...figures} = await runSilences({...fixed, seed, dir});
   print(JSON.stringify(figures));
   for (const violation of violations) print(`  BROKEN ${violation}`);
   if (violations.length === 0) rmSync(dir, {recursive: true});
