--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -66,7 +66,7 @@
       continue;
     }
     if (search === undefined && runs.takeDue()) {
-      search = startAnother(ctx, exchange, state);
+      search = seekAnother(ctx, exchange, state);
     }
     const result = await Promise.race(
       search === undefined ? [runs.changed()] : [runs.changed(), search],
@@ -82,6 +82,25 @@
   }
 }
 
+/**
+ * Starts another run. Nobody waits for the search once the request has ended, so
+ * an error after that is only logged.
+ */
+async function seekAnother(
+  ctx: ServeContext,
+  exchange: Exchange,
+  state: StreamState,
+): Promise<SearchResult> {
+  try {
+    return await startAnother(ctx, exchange, state);
+  } catch (err) {
+    if (!exchange.signal.aborted) throw err;
+    const cause = String(err);
+    ctx.log(DIRECT_EVENTS.faulted, {requestId: exchange.id, cause});
+    return {kind: 'not-needed'};
+  }
+}
+
 /** Seeks a replica for another run and starts the run there. */
 async function startAnother(
   ctx: ServeContext,
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -198,6 +198,7 @@
     });
   };
   const onLost = (loss: PlacementLoss) => {
+    if (isOver) return;
     const {kind} = exchange.route;
     const isCertain =
       loss === 'a member restarted' ||
