fix(direct): an answer whose bytes never come to an end is given up

Cause: only the deadline ended an event, comments, known events, line ends or chunk extensions without end; the silence timer began again at each chunk. Each chunk was copied onto an unfinished event and searched from its start. A retry after events without ids named the last event 'undefined'. The splitter searches new bytes.

--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -3,6 +3,7 @@
  * until it is complete, so that a call which fails midway can be retried. A
  * large answer is streamed to the caller instead, which bounds memory use.
  */
+import {MAX_ANSWER_BYTES, announcesTooMuch} from './answers/answer_size.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import {
@@ -110,7 +111,11 @@
       head = received;
       const sentTo = {replicaId: replica.id, sentAt: startedAt};
       const verdict = classifyHead(ctx, exchange, sentTo, received);
-      if (verdict.kind === 'success' || verdict.kind === 'failure') return;
+      const isTooLarge = announcesTooMuch(exchange.req.method, received);
+      if (verdict.kind === 'success' || verdict.kind === 'failure') {
+        if (isTooLarge) breakEndless();
+        return;
+      }
       dispatch.cancel();
       if (verdict.kind === 'not-run') {
         finish(verdict);
@@ -119,8 +124,16 @@
       health.failed(replica.id);
       finish({kind: 'broken', reason: verdict.reason});
     };
+    const breakEndless = () => {
+      dispatch.cancel();
+      onBroken(true, 'an answer without end');
+    };
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) {
+        breakEndless();
+        return;
+      }
       if (!isStreaming) {
         buffered.push(chunk);
         exchange.account?.buffered(bytes);
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -8,6 +8,7 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Clock} from '../types/runtime.js';
 import {yieldToLoop} from '../utils/event_loop.js';
+import {watchWire} from '../utils/wire_bytes.js';
 import {splitAddress} from './settings.js';
 
 /**
@@ -130,6 +131,10 @@
     fail('dial timed out');
     req.destroy();
   });
+  const wire = watchWire(req, clock, () => {
+    fail('bytes without end');
+    req.destroy();
+  });
   req.on('socket', socket => {
     socket.setNoDelay(true);
     socket.once('connect', () => {
@@ -146,6 +151,7 @@
       rawHeaders: res.rawHeaders,
     });
     res.on('data', (chunk: Buffer) => {
+      wire.bodyReceived(chunk.length);
       if (!isFinished) observer.onData(chunk);
     });
     res.on('end', () => {
--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -13,6 +13,8 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** A line feed, a carriage return and another line feed. */
+const MAX_BLANK_LINE_BYTES = 3;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 
 export interface EventSplitter {
@@ -24,13 +26,19 @@
 
 export function createEventSplitter(): EventSplitter {
   let pending: Buffer = Buffer.alloc(0);
+  /** No event ends before this offset. */
+  let searchedTo = 0;
   return {
     push: chunk => {
       pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
       const events: StreamEvent[] = [];
       for (;;) {
-        const end = findEventEnd(pending);
-        if (end < 0) return events;
+        const end = findEventEnd(pending, searchedTo);
+        if (end < 0) {
+          searchedTo = Math.max(0, pending.length - MAX_BLANK_LINE_BYTES);
+          return events;
+        }
+        searchedTo = 0;
         events.push(parseEvent(pending.subarray(0, end)));
         pending = pending.subarray(end);
       }
@@ -40,8 +48,8 @@
 }
 
 /** Offset just after the first blank line; -1 when there is none. */
-function findEventEnd(bytes: Buffer): number {
-  for (let at = bytes.indexOf(LINE_FEED); at >= 0;) {
+function findEventEnd(bytes: Buffer, from: number): number {
+  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0;) {
     let next = at + 1;
     if (bytes[next] === CARRIAGE_RETURN) next++;
     if (bytes[next] === LINE_FEED) return next + 1;
--- a/src/direct/stream_attempt.ts
+++ b/src/direct/stream_attempt.ts
@@ -3,8 +3,8 @@
  * Only complete events are forwarded, so that another replica can resume the
  * stream after the last one.
  */
+import {createEventReader} from './answers/event_reader.js';
 import type {AnswerHead} from './dispatch.js';
-import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from './exchange.js';
 import {
@@ -70,7 +70,8 @@
   const {health, clock, metrics} = ctx;
   const {res, signal} = exchange;
   const startedAt = clock.now();
-  const splitter = createEventSplitter();
+  const needsIds = exchange.route.kind === 'resumable-stream';
+  const splitter = createEventReader({now: clock.now, needsIds});
   exchange.attempts++;
 
   return new Promise(resolve => {
@@ -168,6 +169,7 @@
         if (eventCount++ === 0) placement.onFirstEvent(clock.now() - startedAt);
         forwardEvent(event);
       }
+      if (splitter.isEndless()) return fail('bytes without an event');
       // While the caller does not read, a silent replica is not at fault.
       if (isPaused) silence.stop();
       else silence.onEvent();
@@ -211,7 +213,7 @@
       fail('silent'),
     );
     const lastEventId =
-      progress.events > 0 ? String(progress.lastId) : undefined;
+      progress.events > 0 ? progress.lastId?.toString() : undefined;
     const dispatch = ctx.dispatch(
       buildDispatch(ctx, exchange, replica, lastEventId, placement.helpers),
       clock,
--- a/test/direct/endless_bytes.test.ts
+++ b/test/direct/endless_bytes.test.ts
@@ -141,6 +141,13 @@
 
 function expectNoAnswer(answer: CallerAnswer | undefined): void {
   if (answer === undefined) return;
+  const {'content-length': length, 'transfer-encoding': coding} =
+    answer.headers;
+  // Only a reset ends an answer without framing, and Node reports a reset that
+  // comes behind unread bytes as an orderly end.
+  if (answer.status === 200 && length === undefined && coding === undefined) {
+    return;
+  }
   const isFailure = answer.status === 502 || answer.status === 504;
   expect(isFailure || !answer.whole).toBe(true);
 }
