--- a/src/stores/http_client.ts
+++ b/src/stores/http_client.ts
@@ -9,6 +9,7 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {Clock} from '../types/runtime.js';
+import {watchWire} from '../utils/wire_bytes.js';
 
 /** Errors of connecting. The request was not sent, as no connection existed. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -20,6 +21,11 @@
 
 /** Time limit of a request, in milliseconds. A slower request is aborted. */
 const DEFAULT_TIMEOUT_MS = 1_000;
+/**
+ * Largest body of a response, in bytes. A page of a list has about 1 MB, and a
+ * configuration of a thousand routes has some hundred kilobytes.
+ */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Maximum number of open connections. Further requests wait for a free one. */
 const DEFAULT_MAX_CONNECTIONS = 16;
 /**
@@ -90,9 +96,19 @@
   return String((err as {code?: unknown} | undefined)?.code ?? '');
 }
 
-async function readResponse(res: IncomingMessage): Promise<HttpResponse> {
+async function readResponse(
+  res: IncomingMessage,
+  onBody: (bytes: number) => void,
+): Promise<HttpResponse> {
   const chunks: Buffer[] = [];
-  for await (const chunk of res) chunks.push(chunk as Buffer);
+  let bytes = 0;
+  for await (const chunk of res as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+    bytes += chunk.length;
+    onBody(chunk.length);
+    // Leaving the loop destroys the connection.
+    if (bytes > MAX_RESPONSE_BYTES) throw new Error('a response without end');
+  }
   return {
     status: res.statusCode ?? 0,
     body: Buffer.concat(chunks).toString('utf8'),
@@ -134,8 +150,11 @@
         signal,
       });
       req.on('error', reject);
+      const wire = watchWire(req, clock, () =>
+        req.destroy(new Error('bytes without end')),
+      );
       req.on('response', res => {
-        readResponse(res).then(resolve, reject);
+        readResponse(res, wire.bodyReceived).then(resolve, reject);
       });
       req.end(call.body);
     });
