--- a/test/direct/endless_bytes.test.ts
+++ b/test/direct/endless_bytes.test.ts
@@ -288,6 +288,14 @@
   });
 });
 
+// Guards against an answer that mixes two runs.
+test('events without an id, and the caller gets those of one run alone', async () => {
+  fleet = await startDirectFleet();
+  const endless = stream(() => 'data: piece\n\n');
+  firstIsEndless(fleet.pool, drip, endless, streamTo(EVENTS));
+  expect((await openStream()).body).toBe(WHOLE);
+});
+
 // Guards against a sound replica that is taken for one without end.
 describe('a sound replica', () => {
   const EVENT_TEXT = eventText(EVENTS);
