--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -8,6 +8,7 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Clock} from '../types/runtime.js';
 import {yieldToLoop} from '../utils/event_loop.js';
+import {watchWire} from '../utils/wire_bytes.js';
 import {splitAddress} from './settings.js';
 
 /**
@@ -133,6 +134,10 @@
     fail(DIAL_TIMED_OUT);
     req.destroy();
   });
+  const wire = watchWire(req, clock, () => {
+    fail('bytes without end');
+    req.destroy();
+  });
   req.on('socket', socket => {
     socket.setNoDelay(true);
     socket.once('connect', () => {
@@ -149,6 +154,7 @@
       rawHeaders: res.rawHeaders,
     });
     res.on('data', (chunk: Buffer) => {
+      wire.bodyReceived(chunk.length);
       if (!isFinished) observer.onData(chunk);
     });
     res.on('end', () => {
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -4,8 +4,8 @@
  * stream after the last one. A silent replica is reported, and its run goes on.
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {createEventReader} from '../answers/event_reader.js';
 import type {AnswerHead} from '../dispatch.js';
-import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
 import type {Exchange} from '../exchange.js';
 import {
@@ -129,7 +129,8 @@
   const {health, clock, metrics} = ctx;
   const {res, signal} = exchange;
   const startedAt = clock.now();
-  const splitter = createEventSplitter();
+  const needsIds = exchange.route.kind === 'resumable-stream';
+  const reader = createEventReader({now: clock.now, needsIds});
   let head: AnswerHead | undefined;
   let failure: Buffer[] | undefined;
   let failureBytes = 0;
@@ -137,6 +138,7 @@
   let isPaused = false;
   let isOver = false;
   let hasBeenSilent = false;
+  let heldBack: Buffer[] = [];
   let lastEventAt = startedAt;
 
   const stop = () => {
@@ -228,7 +230,15 @@
     placement.refused(verdict.faultAt);
     finish(verdict);
   };
+  // Another run could not tell which of the events without ids the caller has,
+  // so they are written only together with the next one that has an id.
   const forwardEvent = ({bytes, id}: StreamEvent) => {
+    if (needsIds && id === undefined) {
+      heldBack.push(bytes);
+      return;
+    }
+    const before = heldBack;
+    heldBack = [];
     if (hasEvent(progress, id)) return;
     lastEventAt = clock.now();
     observer.onAhead();
@@ -236,7 +246,13 @@
       writeStreamHead(ctx, exchange, head);
     }
     recordEvent(metrics, exchange, progress, id, clock.now());
-    if (!res.write(bytes)) pauseForCaller();
+    if (!res.write(Buffer.concat([...before, bytes]))) pauseForCaller();
+  };
+  const writeHeldBack = (answerHead: AnswerHead) => {
+    if (heldBack.length === 0) return;
+    observer.onAhead();
+    if (!res.headersSent) writeStreamHead(ctx, exchange, answerHead);
+    res.write(Buffer.concat(heldBack));
   };
   const pauseForCaller = () => {
     if (isPaused) return;
@@ -255,19 +271,21 @@
     exchange.account?.buffered(failureBytes);
     if (failureBytes > MAX_FAILURE_BYTES) fail('a failure without end');
   };
+  const isProgress = ({id}: StreamEvent) => !needsIds || id !== undefined;
   const onData = (chunk: Buffer) => {
     if (failure !== undefined) {
       keepFailure(failure, chunk);
       return;
     }
-    const events = splitter.push(chunk);
+    const events = reader.push(chunk);
     for (const event of events) {
       if (eventCount++ === 0) placement.onFirstEvent(clock.now() - startedAt);
       forwardEvent(event);
     }
+    if (reader.isEndless()) return fail('bytes without an event');
     // While the caller does not read, a silent replica is not at fault.
     if (isPaused) silence.stop();
-    else if (events.length > 0) silence.onEvent();
+    else if (events.some(isProgress)) silence.onEvent();
     placement.noteActivity();
   };
   const onEnd = (endsWithConnection: boolean) => {
@@ -284,12 +302,13 @@
     if (failure !== undefined) {
       health.failed(replica.id);
       finish({kind: 'failure', head, body: Buffer.concat(failure)});
-    } else if (splitter.pendingBytes() > 0) {
+    } else if (reader.pendingBytes() > 0) {
       fail('ended within an event');
     } else {
       ctx.crashes.runSucceeded(exchange);
       // A resumed stream may have had no event left to write.
       if (eventCount > 0) ctx.crashes.answerWritten(exchange, replica);
+      writeHeldBack(head);
       finish({kind: 'whole', head});
     }
   };
@@ -305,7 +324,8 @@
   };
 
   const silence = watchSilence(ctx, exchange, replica.id, onSilent);
-  const lastEventId = progress.events > 0 ? String(progress.lastId) : undefined;
+  const lastEventId =
+    progress.events > 0 ? progress.lastId?.toString() : undefined;
   const dispatch = ctx.dispatch(
     buildDispatch(ctx, exchange, replica, lastEventId, placement.helpers),
     clock,
--- a/test/platform/list_reader.test.ts
+++ b/test/platform/list_reader.test.ts
@@ -62,6 +62,9 @@
     eraChanged: () => {
       throw new Error('the era did not change');
     },
+    withoutEnd: () => {
+      throw new Error('the list has an end');
+    },
   });
   const {items, isPartial} = list.unsafeCoerce();
   return {names: [...items.keys()], isPartial};
