fix(direct): an unframed answer that is reset is not taken as whole

What callers saw: a stream or call whose replica answers without a length and is reset could end as complete though events were missing.

Cause: where the last bytes and the reset are read in one turn of the event loop, the reset shows as an orderly end, and the replica's port is open.

Change: at the end of its bytes the socket of such an answer must still have a peer; after a reset it has none.

--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -102,6 +102,7 @@
   /** A part of the request may be on its way to the replica. */
   let isSent = false;
   let isConnected = false;
+  let wasReset = false;
   let answer: IncomingMessage | undefined;
 
   const finish = (notify: () => void) => {
@@ -140,6 +141,11 @@
   });
   req.on('socket', socket => {
     socket.setNoDelay(true);
+    // A reset that is read together with the last bytes looks like an orderly
+    // end, but the socket has no peer any more.
+    socket.prependListener('end', () => {
+      wasReset = socket.remoteAddress === undefined;
+    });
     socket.once('connect', () => {
       isConnected = true;
       void sendAfterTurn();
@@ -158,9 +164,10 @@
       if (!isFinished) observer.onData(chunk);
     });
     res.on('end', () => {
-      const isWhole = res.complete;
-      if (isWhole) finish(() => observer.onEnd(hasNoFraming(res)));
-      else fail('cut');
+      const endsWithConnection = hasNoFraming(res);
+      if (!res.complete) fail('cut');
+      else if (endsWithConnection && wasReset) fail('reset');
+      else finish(() => observer.onEnd(endsWithConnection));
     });
     res.on('error', err => fail(err.message));
     res.on('close', () => fail('closed'));
