fix(drain): a connection that was just accepted is not closed unread

A connection without any request counted as idle when a drain stopped accepting, though a request could lie unread on it. Only one whose answer has closed is idle now, as with Node's own method.

--- a/src/direct/callers_server.ts
+++ b/src/direct/callers_server.ts
@@ -122,9 +122,12 @@
       answers.set(socket, res);
       res.once('close', () => bytesRead.set(socket, socket.bytesRead));
     },
-    /** Whether no answer is open and no part of a further request was read. */
+    /**
+     * Whether an answer has closed and no part of a further request was read. On
+     * a new connection a request may lie unread.
+     */
     isIdle: (socket: Socket): boolean =>
-      (answers.get(socket)?.closed ?? true) &&
+      (answers.get(socket)?.closed ?? false) &&
       socket.bytesRead === (bytesRead.get(socket) ?? 0),
     /** Runs the function when all requests of the connection are answered. */
     whenEnded: (socket: Socket, run: () => void): void => {
