fix(calls): an attempt that sent nothing gives its retry back

A call that dials a paused replica again took a retry of the entry every 300 ms with nothing sent. The retry is given back where the attempt was not sent.

--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -64,7 +64,9 @@
     logChoice(ctx, exchange, replica);
     tried.all.add(replica.id);
     const dialledAt = ctx.clock.now();
+    const isRetry = exchange.attempts > 0;
     const outcome = await attemptCall(ctx, exchange, replica);
+    if (isRetry && outcome.kind === 'not-sent') ctx.budget.giveBack();
     noteDial(tried, replica, dialledAt, outcome);
     if (handleOutcome(ctx, exchange, replica, outcome)) return;
     if (outcome.kind === 'answered') failure = outcome;
