fix(direct): a run that was superseded may be followed by another at its replica

What callers saw: the first run sent one event, the second one, sound and still reading, was cancelled and both attempts were used up; when the first one then fell silent for good or broke, the stream was cut, though the other replica was free. The same where the second run had taken over and its replica broke off, while the first one had gone on.

Change: a replica whose run was cancelled for another one counts as reached and may be asked once more where the route allows no further replica, so the number of replicas stays within maxAttempts and that of runs within twice as many. A retry is taken only when its replica has been found, so vain searches hold none, and is given back where nothing was sent; a quarantined request whose run is open seeks no other replica.

--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -29,7 +29,7 @@
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
 import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
-import type {ServeContext} from './serve_context.js';
+import type {ExcludedIds, ServeContext} from './serve_context.js';
 import type {RequestShare} from './shares/request_shares.js';
 import type {DirectReplica, EngineFigures} from './types.js';
 
@@ -73,15 +73,15 @@
 
 /** What a replica is sought for. */
 export interface ReplicaSearch {
-  /** Ids of replicas that are not to be chosen. */
-  readonly tried: ReadonlySet<string>;
+  /** Replicas that are not to be chosen. */
+  readonly excluded: ExcludedIds;
   /** Whether a replica is still needed; false once the request has ended. */
   isNeeded(): boolean;
 }
 
 /**
- * Places the request at a replica that is not in `tried`. Resolves soon after
- * none is needed any more.
+ * Places the request at a replica that is not excluded. Resolves soon after none
+ * is needed any more.
  */
 export async function placeRequest(
   ctx: ServeContext,
@@ -107,12 +107,12 @@
 async function placeAtPlainService(
   ctx: ServeContext,
   exchange: Exchange,
-  {tried, isNeeded}: ReplicaSearch,
+  {excluded, isNeeded}: ReplicaSearch,
 ): Promise<PlacementResult> {
   const choice = await choosePermitted(
     ctx,
     exchange,
-    () => candidatesOf(ctx, exchange.service, tried),
+    () => candidatesOf(ctx, exchange.service, excluded),
     open =>
       chooseCallReplica(
         withLoads(ctx, sampled(ctx, open)),
@@ -133,7 +133,7 @@
 async function placeAtEngine(
   ctx: ServeContext,
   exchange: Exchange,
-  {tried, isNeeded}: ReplicaSearch,
+  {excluded, isNeeded}: ReplicaSearch,
   pricing: Pricing,
 ): Promise<PlacementResult> {
   const {clock} = ctx;
@@ -150,8 +150,8 @@
   const logWait = createWaitLog(ctx, exchange);
   let groupAttempts = 0;
   while (isNeeded()) {
-    const candidates = candidatesOf(ctx, exchange.service, tried).map(group =>
-      group.filter(({address}) => !refusedAddresses.has(address)),
+    const candidates = candidatesOf(ctx, exchange.service, excluded).map(
+      group => group.filter(({address}) => !refusedAddresses.has(address)),
     );
     const {open, closed} = permittedOf(ctx, exchange, candidates);
     if (open.length === 0 && closed !== undefined) {
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -84,18 +84,21 @@
  */
 const MIN_UNLIMITED_FOR_GROUPS = 8;
 
-/** Untried replicas for the next attempt: healthy ones, and then the others. */
+/** Tells which replicas may not be chosen, by their ids. */
+export type ExcludedIds = Pick<ReadonlySet<string>, 'has'>;
+
+/** Replicas for the next attempt: healthy ones, and then the others. */
 export function candidatesOf(
   {replicas, health}: ServeContext,
   service: string,
-  tried: ReadonlySet<string>,
+  excluded: ExcludedIds,
 ): CandidateGroups {
-  const untried = replicas
+  const eligible = replicas
     .availableFor(service)
-    .filter(({id}) => !tried.has(id));
+    .filter(({id}) => !excluded.has(id));
   return [
-    untried.filter(({id}) => !health.isSuspect(id)),
-    untried.filter(({id}) => health.isSuspect(id)),
+    eligible.filter(({id}) => !health.isSuspect(id)),
+    eligible.filter(({id}) => health.isSuspect(id)),
   ];
 }
 
--- a/src/direct/streams/open_runs.ts
+++ b/src/direct/streams/open_runs.ts
@@ -40,6 +40,11 @@
   /** Logs why the silent runs are all that the request has. */
   noteNoOther(reason: string): void;
   cancelAll(): void;
+  /**
+   * Ids of replicas whose runs were cancelled for another one. They count as
+   * reached, and each may be asked once more.
+   */
+  readonly superseded: ReadonlySet<string>;
 }
 
 interface OpenRun {
@@ -57,6 +62,8 @@
   const {clock, log, metrics} = ctx;
   const open = new Set<OpenRun>();
   const ended: EndedRun[] = [];
+  const superseded = new Set<string>();
+  const askedAgain = new Set<string>();
   let isDue = true;
   let hasChanged = false;
   let notifyWaiting = () => {};
@@ -105,6 +112,10 @@
       log(DIRECT_EVENTS.runSuperseded, {...fieldsOf(other), by});
       if (other.silentSince !== undefined) countSilence('superseded');
       cancel(other);
+      const {id} = other.placement.replica;
+      if (askedAgain.has(id)) continue;
+      superseded.add(id);
+      exchange.attempts--;
     }
   };
   const onEnded = (run: OpenRun, outcome: StreamOutcome): void => {
@@ -117,7 +128,10 @@
   };
 
   return {
+    superseded,
     start: placement => {
+      const {id} = placement.replica;
+      if (superseded.delete(id)) askedAgain.add(id);
       const run: OpenRun = {
         placement,
         silentSince: undefined,
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -14,14 +14,14 @@
 import {
   giveUp,
   brokenRunDigest,
-  mayAttempt,
   refuseQuarantined,
   writeHead,
   writeStreamHead,
 } from '../serve_context.js';
-import type {ServeContext} from '../serve_context.js';
+import type {ExcludedIds, ServeContext} from '../serve_context.js';
 import {createOpenRuns} from './open_runs.js';
 import type {EndedRun, OpenRuns} from './open_runs.js';
+import type {StreamOutcome} from './stream_attempt.js';
 import {startProgress} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
 
@@ -56,8 +56,8 @@
   const runs = createOpenRuns(ctx, exchange, progress);
   const state: StreamState = {progress, runs, tried: new Set()};
   let search: Promise<SearchResult> | undefined;
-  // Each request earns a share of a retry. `mayAttempt` takes one retry for each
-  // attempt after the first, so that retries stay a share of all requests.
+  // Each request earns a share of a retry, and each attempt after the first takes
+  // one, so that retries stay a share of all requests.
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
     const ended = runs.takeEnded();
@@ -105,22 +105,45 @@
 async function startAnother(
   ctx: ServeContext,
   exchange: Exchange,
-  {runs, tried}: StreamState,
+  state: StreamState,
 ): Promise<SearchResult> {
+  const {runs} = state;
+  const excluded = excludedReplicas(exchange, state);
   const isRetry = exchange.attempts > 0;
-  if (!mayAttempt(ctx, exchange)) {
+  if (excluded === undefined || (isRetry && ctx.budget.left() < 1)) {
     return {kind: 'none', reason: 'no more attempts'};
   }
+  if (runs.count() > 0 && ctx.crashes.isQuarantined(exchange)) {
+    return {kind: 'none', reason: 'quarantined'};
+  }
   const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
-  const result = await placeRequest(ctx, exchange, {tried, isNeeded});
-  if (result.kind === 'place' && isNeeded()) {
-    tried.add(result.placement.replica.id);
-    runs.start(result.placement);
-    return {kind: 'started'};
+  const search = {excluded, isNeeded};
+  const result = await placeRequest(ctx, exchange, search);
+  if (!isNeeded()) {
+    if (result.kind === 'place') result.placement.close();
+    return {kind: 'not-needed'};
   }
-  if (isRetry) ctx.budget.giveBack();
-  if (result.kind === 'place') result.placement.close();
-  return isNeeded() && result.kind === 'none' ? result : {kind: 'not-needed'};
+  if (result.kind === 'none') return result;
+  const {placement} = result;
+  if (isRetry && !ctx.budget.take()) {
+    placement.close();
+    return {kind: 'none', reason: 'no more attempts'};
+  }
+  state.tried.add(placement.replica.id);
+  runs.start(placement);
+  return {kind: 'started'};
+}
+
+/**
+ * The replicas that may not be asked; undefined when none may. Where the route
+ * allows no further replica, one that was superseded may be asked again.
+ */
+function excludedReplicas(
+  {attempts, route}: Exchange,
+  {runs: {superseded}, tried}: StreamState,
+): ExcludedIds | undefined {
+  if (attempts + superseded.size < route.maxAttempts) return tried;
+  return superseded.size > 0 ? {has: id => !superseded.has(id)} : undefined;
 }
 
 /**
@@ -183,13 +206,21 @@
   // replica's refusal, `not-sent` is a connection that was never established,
   // and `withdrawn` is a request that was taken back before that.
   if (outcome.kind === 'withdrawn') tried.delete(replica.id);
-  if (outcome.kind === 'not-run' || outcome.kind === 'not-sent') return false;
-  if (outcome.kind === 'withdrawn') return false;
+  if (isUnsent(outcome)) {
+    if (exchange.attempts > 0) ctx.budget.giveBack();
+    return false;
+  }
+  if (outcome.kind === 'not-run') return false;
   if (route.kind === 'resumable-stream') return false;
   giveUp(ctx, exchange, 'the replica broke off');
   return true;
 }
 
+/** Whether the attempt sent nothing to its replica. */
+function isUnsent({kind}: StreamOutcome): boolean {
+  return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
+}
+
 /** Logs the final answer of a request. */
 function logAnswered(
   ctx: ServeContext,
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -174,6 +174,46 @@
     expect(arrivals()).toHaveLength(2);
   });
 
+  test('for good after it had superseded the other one, and that one is asked again', async () => {
+    fleet = await startDirectFleet();
+    let isFirst = true;
+    let first: ReplicaStandIn | undefined;
+    for (const replica of fleet.pool) {
+      replica.behave((arrival, res, req) => {
+        first ??= replica;
+        const isOther = replica !== first;
+        if (isOther && !isFirst) return streamTo(EVENTS)(arrival, res, req);
+        if (isOther) {
+          isFirst = false;
+          return;
+        }
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(1));
+        setTimeout(() => res.write(eventText(2)), SILENCE_MS);
+      });
+    }
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(3);
+  });
+
+  test('and the one that took over breaks off, and the first one goes on', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves(
+      (arrival, res, req) => {
+        const from = Number(arrival.headers['last-event-id'] ?? 0);
+        if (from > 0) return streamTo(EVENTS)(arrival, res, req);
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(1));
+      },
+      (arrival, res, req) => {
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(2));
+        setTimeout(() => req.socket.resetAndDestroy(), 50);
+      },
+    );
+    expectWhole(await stream());
+  });
+
   test('before the other one has begun, and the other run is cancelled', async () => {
     await startPair(silentAfter(0, 3_000));
     expectWhole(await stream());
