--- a/fault_soak/silent_replicas/replica_process.ts
+++ b/fault_soak/silent_replicas/replica_process.ts
@@ -32,6 +32,8 @@
   readonly address: string;
   /** How often it began to run the request. */
   runs(requestId: string): number;
+  /** How often the request reached it and was refused. */
+  refusals(requestId: string): number;
   /** It had a run of the request that had not ended by then. */
   isAtWork(requestId: string, at: number): boolean;
   pause(): void;
@@ -54,6 +56,7 @@
   const {id, service, domain, events, pauseMs} = shape;
   const child = fork(PROGRAM, [id, String(events), String(pauseMs)]);
   const ran = new Map<string, number>();
+  const refused = new Map<string, number>();
   const endedAt = new Map<string, number>();
   const silences: Span[] = [];
   let pausedAt: number | undefined;
@@ -65,8 +68,9 @@
       if (news.kind === 'listening') resolve(news.address);
       else if (news.kind === 'ended') endedAt.set(news.id, performance.now());
       else {
-        ran.set(news.id, (ran.get(news.id) ?? 0) + 1);
-        endedAt.delete(news.id);
+        const counts = news.kind === 'ran' ? ran : refused;
+        counts.set(news.id, (counts.get(news.id) ?? 0) + 1);
+        if (news.kind === 'ran') endedAt.delete(news.id);
       }
     });
   });
@@ -86,6 +90,7 @@
     domain,
     address,
     runs: requestId => ran.get(requestId) ?? 0,
+    refusals: requestId => refused.get(requestId) ?? 0,
     isAtWork: (requestId, at) =>
       ran.has(requestId) && (endedAt.get(requestId) ?? Infinity) > at,
     pause: () => {
--- a/fault_soak/silent_replicas/replica_program.ts
+++ b/fault_soak/silent_replicas/replica_program.ts
@@ -1,6 +1,7 @@
 /**
  * A replica as a process of its own, so that it can be paused by a signal. It
- * tells the process that started it its address, each run, and each end of one.
+ * tells the process that started it its address, each run and its end, and each
+ * request that it refused.
  */
 import type {Behaviour} from '../../standins/users_platform/replica.js';
 import {
@@ -14,7 +15,8 @@
 export type ReplicaNews =
   | {readonly kind: 'listening'; readonly address: string}
   | {readonly kind: 'ran'; readonly id: string}
-  | {readonly kind: 'ended'; readonly id: string};
+  | {readonly kind: 'ended'; readonly id: string}
+  | {readonly kind: 'refused'; readonly id: string};
 
 /** What the parent sends. */
 export type ReplicaCommand =
@@ -34,12 +36,16 @@
   const isStream = arrival.headers['x-token-usage'] !== undefined;
   (isStream ? answerStream : answerWell)(arrival, res, req);
 };
+const refuseAll: Behaviour = (arrival, res, req) => {
+  tell({kind: 'refused', id: arrival.id});
+  refuse(arrival, res, req);
+};
 
 const replica = await startReplica(id);
 replica.answerState();
 replica.behave(behave);
 process.on('message', (command: ReplicaCommand) => {
-  if (command.kind === 'refuse') replica.behave(refuse);
+  if (command.kind === 'refuse') replica.behave(refuseAll);
   else replica.stateInAll(command.headers);
 });
 process.once('disconnect', () => process.exit(0));
--- a/fault_soak/silent_replicas/silence_judge.ts
+++ b/fault_soak/silent_replicas/silence_judge.ts
@@ -75,6 +75,8 @@
 /** What the judge knows of one request besides its end. */
 export interface RequestFacts {
   readonly runs: number;
+  /** Runs, and refusals by replicas. */
+  readonly attempts: number;
   /** A replica had not ended its work on the request by then. */
   isAtWork(at: number): boolean;
   /** The stop of its entry that was under way when it ended. */
--- a/fault_soak/silent_replicas/silence_report.ts
+++ b/fault_soak/silent_replicas/silence_report.ts
@@ -15,7 +15,7 @@
   /** Streams in whose time a sound replica of their service was silent. */
   readonly besideSilence: Lateness;
   readonly withoutSilence: Lateness;
-  /** Runs of one stream, over all replicas. */
+  /** Of streams that reached a replica; refusals by replicas count too. */
   readonly attemptsPerStream: number;
   readonly mostAttempts: number;
 }
@@ -23,18 +23,21 @@
 /** Long streams are left out: they have other objectives. */
 export function summarise(
   streams: readonly Ended[],
-  factsOf: (one: Ended) => Pick<RequestFacts, 'silentMs' | 'runs'>,
+  factsOf: (one: Ended) => Pick<RequestFacts, 'silentMs' | 'attempts'>,
 ): StreamFigures {
   const short = streams.filter(({kind}) => kind !== 'long');
   const isBeside = (one: Ended) => factsOf(one).silentMs > 0;
-  const runs = streams.map(one => factsOf(one).runs).filter(it => it > 0);
+  const attempts = streams
+    .map(one => factsOf(one).attempts)
+    .filter(it => it > 0);
   return {
     besideSilence: latenessOf(short.filter(isBeside)),
     withoutSilence: latenessOf(short.filter(one => !isBeside(one))),
     attemptsPerStream: round(
-      runs.reduce((sum, count) => sum + count, 0) / Math.max(1, runs.length),
+      attempts.reduce((sum, count) => sum + count, 0) /
+        Math.max(1, attempts.length),
     ),
-    mostAttempts: Math.max(0, ...runs),
+    mostAttempts: Math.max(0, ...attempts),
   };
 }
 
--- a/fault_soak/silent_replicas/silence_run.ts
+++ b/fault_soak/silent_replicas/silence_run.ts
@@ -171,8 +171,10 @@
   const engines = fleet.enginesOf(kind);
   const silences = engines.flatMap(engine => engine.silences());
   const {bySome, byAll} = fleet.config.allowed(one);
+  const runs = fleet.runs(id);
   return {
-    runs: fleet.runs(id),
+    runs,
+    attempts: engines.reduce((sum, it) => sum + it.refusals(id), runs),
     isAtWork: at => engines.some(engine => engine.isAtWork(id, at)),
     stop: stops
       .stops()
--- a/test/silence_judge.test.ts
+++ b/test/silence_judge.test.ts
@@ -45,6 +45,7 @@
 function facts(changed: Partial<RequestFacts> = {}): RequestFacts {
   return {
     runs: 1,
+    attempts: 1,
     isAtWork: () => false,
     stop: undefined,
     graceMs: GRACE_MS,
