test(fault-soak): memory of a group counts as used in the soak of silences

Cause: the stand-in reported memory that a running request uses as merely held, so an entry could have given up a group for unused memory.

--- a/fault_soak/silent_replicas/replica_program.ts
+++ b/fault_soak/silent_replicas/replica_program.ts
@@ -41,8 +41,15 @@
   refuse(arrival, res, req);
 };
 
+/** Requests follow their reservations at once, so all memory is in use. */
+class AllMemory extends Set<string> {
+  override has(): boolean {
+    return true;
+  }
+}
+
 const replica = await startReplica(id);
-replica.answerState();
+replica.answerState(new AllMemory());
 replica.behave(behave);
 process.on('message', (command: ReplicaCommand) => {
   if (command.kind === 'refuse') replica.behave(refuseAll);
