--- a/src/direct/request_placement.ts
+++ b/src/direct/request_placement.ts
@@ -48,6 +48,8 @@
    * the member at fault, if the replica named one.
    */
   refused(faultAt: string | undefined): void;
+  /** Removes the load, while the reservations are kept. */
+  endLoad(): void;
   /** Removes the load and releases the reservations. */
   close(): void;
 }
@@ -107,6 +109,7 @@
       const helper = helpers.find(it => it.replica.address === faultAt);
       if (helper !== undefined) ctx.health.failed(helper.replica.id);
     },
+    endLoad: endAssignments,
     close: () => {
       endAssignments();
       group?.close();
@@ -221,6 +224,7 @@
     onFirstEvent: tookMs =>
       ctx.health.answered(replica.id, tookMs, DEFAULT_FIRST_EVENT_MS),
     refused: () => undefined,
+    endLoad: () => assignment.end(),
     close: () => assignment.end(),
   };
 }
--- a/src/direct/streams/open_runs.ts
+++ b/src/direct/streams/open_runs.ts
@@ -132,6 +132,9 @@
     start: placement => {
       const {id} = placement.replica;
       if (superseded.delete(id)) askedAgain.add(id);
+      // Most silent runs are superseded, and their load would make the replicas
+      // look fuller than they are.
+      for (const {placement: silent} of open) silent.endLoad();
       const run: OpenRun = {
         placement,
         silentSince: undefined,
