test(fault-soak): a caller may see the end of an entry just after it

The judge looked for a stop that was still under way when the caller saw its connection end, but the exit of the entry's process is seen first. The exit is counted for a second more; the checks stay.

--- a/fault_soak/silent_replicas/silence_run.ts
+++ b/fault_soak/silent_replicas/silence_run.ts
@@ -72,6 +72,9 @@
 /** The first draws of small seeds are alike. */
 const WARM_UP_DRAWS = 8;
 
+/** Callers see the end of an entry's process within this time after it. */
+const END_SEEN_MS = 1_000;
+
 export async function runSilences(shape: SilenceShape): Promise<SilenceReport> {
   const {seed, other, silenceMs} = shape;
   const drawn = Math.floor(seeded(seed, 0).next() * POOL_SIZES.length);
@@ -178,7 +181,12 @@
     isAtWork: at => engines.some(engine => engine.isAtWork(id, at)),
     stop: stops
       .stops()
-      .find(it => it.entry === entry && it.from <= endedAt && it.to >= endedAt),
+      .find(
+        it =>
+          it.entry === entry &&
+          it.from <= endedAt &&
+          it.to + END_SEEN_MS >= endedAt,
+      ),
     graceMs: GRACE_MS,
     silentMs: coveredMs(silences, sentAt, endedAt),
     allowedBySome: bySome,
