--- a/fault_soak/fault_soak.ts
+++ b/fault_soak/fault_soak.ts
@@ -7,10 +7,8 @@
  * Exit code 1 when a promise was broken; the logs of that seed are kept. Exit
  * code 2 for a fault that there is not; those that there are are printed.
  */
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {parseArgs} from 'node:util';
+import {playSeeds} from './play_seeds.js';
 import {FAULT_KINDS} from './faults.js';
 import type {Fault} from './faults.js';
 import {runSoak} from './soak_run.js';
@@ -27,10 +25,6 @@
   },
 });
 
-function print(line: string): void {
-  process.stdout.write(`${line}\n`);
-}
-
 /** Undefined for all. */
 function onlyFault(name: string | undefined): Fault['kind'] | undefined {
   const only = FAULT_KINDS.find(kind => kind === name);
@@ -41,35 +35,23 @@
   process.exit(EXIT_USAGE);
 }
 
-async function playSeed(
-  seed: number,
-  only: Fault['kind'] | undefined,
-): Promise<boolean> {
-  const dir = mkdtempSync(join(tmpdir(), `fault-soak-${seed}-`));
-  const report = await runSoak({
-    seed,
-    processes: Number(values.processes),
-    durationMs: Number(values.minutes) * 60_000,
-    only,
-    dir,
-  });
-  const {violations, ...figures} = report;
-  print(JSON.stringify({...figures, violations: violations.length}));
-  for (const {promise, id, detail} of violations) {
-    print(`  BROKEN "${promise}": ${id} ${detail}`);
-  }
-  if (violations.length === 0) rmSync(dir, {recursive: true});
-  else print(`  logs in ${dir}`);
-  return violations.length === 0;
-}
-
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-  process.once(signal, () => process.exit(1));
-}
 const only = onlyFault(values.only);
-const first = Number(values.seed);
-let broken = 0;
-for (let seed = first; seed < first + Number(values.seeds); seed++) {
-  if (!(await playSeed(seed, only))) broken += 1;
-}
-process.exitCode = broken === 0 ? 0 : 1;
+await playSeeds({
+  name: 'fault-soak',
+  values,
+  play: async (seed, dir) => {
+    const {violations, ...figures} = await runSoak({
+      seed,
+      processes: Number(values.processes),
+      durationMs: Number(values.minutes) * 60_000,
+      only,
+      dir,
+    });
+    return {
+      figures: {...figures, violations: violations.length},
+      broken: violations.map(
+        ({promise, id, detail}) => `BROKEN "${promise}": ${id} ${detail}`,
+      ),
+    };
+  },
+});
--- a/fault_soak/silent_replicas/silence_soak.ts
+++ b/fault_soak/silent_replicas/silence_soak.ts
@@ -10,10 +10,8 @@
  * Exit code 1 when a promise is broken; the logs of that seed are kept. Exit
  * code 2 for a name that there is not.
  */
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {parseArgs} from 'node:util';
+import {playSeeds} from '../play_seeds.js';
 import {OTHER_KINDS} from './other_replica.js';
 import {CHANGE_KINDS} from './silence_config.js';
 import {runSilences} from './silence_run.js';
@@ -37,10 +35,6 @@
   },
 });
 
-function print(line: string): void {
-  process.stdout.write(`${line}\n`);
-}
-
 function named<T extends string>(known: readonly T[], name: string): T {
   const found = known.find(it => it === name);
   if (found !== undefined) return found;
@@ -76,22 +70,11 @@
   durationMs: Number(values.minutes) * 60_000,
 };
 
-async function playSeed(seed: number): Promise<boolean> {
-  const dir = mkdtempSync(join(tmpdir(), `silence-soak-${seed}-`));
-  const {violations, ...figures} = await runSilences({...fixed, seed, dir});
-  print(JSON.stringify(figures));
-  for (const violation of violations) print(`  BROKEN ${violation}`);
-  if (violations.length === 0) rmSync(dir, {recursive: true});
-  else print(`  logs in ${dir}`);
-  return violations.length === 0;
-}
-
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-  process.once(signal, () => process.exit(1));
-}
-const first = Number(values.seed);
-let broken = 0;
-for (let seed = first; seed < first + Number(values.seeds); seed++) {
-  if (!(await playSeed(seed))) broken += 1;
-}
-process.exitCode = broken === 0 ? 0 : 1;
+await playSeeds({
+  name: 'silence-soak',
+  values,
+  play: async (seed, dir) => {
+    const {violations, ...figures} = await runSilences({...fixed, seed, dir});
+    return {figures, broken: violations.map(it => `BROKEN ${it}`)};
+  },
+});
