test(fault-soak): a stream cut by the end of its replica is not judged

The rule does not count what the replica broke off; a cut within 0.5 s of the kill of a replica with an open run of it is excused, with a test.

--- a/fault_soak/silent_replicas/replica_process.ts
+++ b/fault_soak/silent_replicas/replica_process.ts
@@ -36,6 +36,8 @@
   refusals(requestId: string): number;
   /** It had a run of the request that had not ended by then. */
   isAtWork(requestId: string, at: number): boolean;
+  /** It was killed in this time, with a run of the request that had not ended. */
+  brokeOff(requestId: string, from: number, to: number): boolean;
   pause(): void;
   wake(): void;
   /** Pauses it for good. */
@@ -60,6 +62,7 @@
   const endedAt = new Map<string, number>();
   const silences: Span[] = [];
   let pausedAt: number | undefined;
+  let killedAt: number | undefined;
   let isHung = false;
   const address = await new Promise<string>((resolve, reject) => {
     child.once('error', reject);
@@ -93,6 +96,12 @@
     refusals: requestId => refused.get(requestId) ?? 0,
     isAtWork: (requestId, at) =>
       ran.has(requestId) && (endedAt.get(requestId) ?? Infinity) > at,
+    brokeOff: (requestId, from, to) =>
+      killedAt !== undefined &&
+      killedAt >= from &&
+      killedAt <= to &&
+      ran.has(requestId) &&
+      !endedAt.has(requestId),
     pause: () => {
       if (hasEnded()) return;
       pausedAt ??= performance.now();
@@ -112,6 +121,7 @@
     state: headers => command({kind: 'state', headers}),
     end: () => {
       wake();
+      killedAt ??= performance.now();
       child.kill('SIGKILL');
     },
   };
--- a/fault_soak/silent_replicas/silence_judge.ts
+++ b/fault_soak/silent_replicas/silence_judge.ts
@@ -79,6 +79,8 @@
   readonly attempts: number;
   /** A replica had not ended its work on the request by then. */
   isAtWork(at: number): boolean;
+  /** A replica was killed under a run of it just before it ended. */
+  readonly brokeOff: boolean;
   /** The stop of its entry that was under way when it ended. */
   readonly stop: Stop | undefined;
   readonly graceMs: number;
@@ -142,6 +144,7 @@
   if (end === 'whole' || end === 'not connected') return [];
   const isExcused =
     isDenied(one, facts) ||
+    facts.brokeOff ||
     (one.status !== undefined && NOT_RUN.has(one.status) && facts.runs === 0) ||
     one.endedAt - one.sentAt > DEADLINE_SHARE * DEADLINE_MS ||
     isEndedByStop(one, facts);
--- a/fault_soak/silent_replicas/silence_run.ts
+++ b/fault_soak/silent_replicas/silence_run.ts
@@ -72,6 +72,8 @@
 /** The first draws of small seeds are alike. */
 const WARM_UP_DRAWS = 8;
 
+/** The end of a replica ends an answer within this time. */
+const BREAK_SEEN_MS = 500;
 /** Callers see the end of an entry's process within this time after it. */
 const END_SEEN_MS = 1_000;
 
@@ -178,6 +180,9 @@
   return {
     runs,
     attempts: engines.reduce((sum, it) => sum + it.refusals(id), runs),
+    brokeOff: engines.some(engine =>
+      engine.brokeOff(id, Math.max(sentAt, endedAt - BREAK_SEEN_MS), endedAt),
+    ),
     isAtWork: at => engines.some(engine => engine.isAtWork(id, at)),
     stop: stops
       .stops()
--- a/test/silence_judge.test.ts
+++ b/test/silence_judge.test.ts
@@ -47,6 +47,7 @@
     runs: 1,
     attempts: 1,
     isAtWork: () => false,
+    brokeOff: false,
     stop: undefined,
     graceMs: GRACE_MS,
     silentMs: 0,
@@ -130,6 +131,10 @@
     expect(judge(denied, facts(none))).toHaveLength(1);
     expect(judge(denied, facts({...none, allowedByAll: false}))).toEqual([]);
   });
+  test('a cut by the end of a replica is not judged', () => {
+    expect(judge(stream(900, CUT), facts({brokeOff: true}))).toEqual([]);
+    expect(judge(stream(900, CUT), facts())).toHaveLength(1);
+  });
   test('a cut is judged whatever versions allow', () => {
     const outside = {allowedBySome: false, allowedByAll: false};
     expect(judge(stream(900, CUT), facts(outside))).toHaveLength(1);
