--- a/src/direct/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -5,8 +5,8 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {splitAddress} from './settings.js';
-import type {CallerLimits} from './types.js';
+import {splitAddress} from '../settings.js';
+import type {CallerLimits} from '../types.js';
 
 /**
  * The server keeps idle connections open for this much longer than the
