--- /dev/null
+++ b/test/direct/late_headers.test.ts
@@ -0,0 +1,72 @@
+/** Heads of requests that are under way while the header limit changes. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, test} from 'vitest';
+import {
+  openRawCaller,
+  requestText,
+  startCallersServer,
+} from '../support/callers_server.js';
+import type {CallersServerFixture} from '../support/callers_server.js';
+import {until} from '../support/direct_fleet.js';
+
+const HEAD = requestText('/first');
+const FIRST_BYTES = 10;
+
+let fixture: CallersServerFixture;
+afterEach(() => fixture.server.close());
+
+async function beginHead() {
+  const caller = openRawCaller(fixture.address);
+  caller.socket.write(HEAD.slice(0, FIRST_BYTES));
+  await sleep(100);
+  return caller;
+}
+
+describe('a head that is under way', () => {
+  // Guards against a limit that applies to a request which began before it.
+  test('is read in the time of a limit that is lowered meanwhile', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 3_000});
+    const caller = await beginHead();
+    fixture.setLimits({headersTimeoutMs: 200});
+    await sleep(1_500);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    await until(() => caller.text() !== '');
+    expect(caller.text()).toContain('answer to /first');
+  });
+
+  test('is read in the time of a limit that is raised meanwhile', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 800});
+    const caller = await beginHead();
+    fixture.setLimits({headersTimeoutMs: 5_000});
+    await sleep(2_000);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    await until(() => caller.text() !== '');
+    expect(caller.text()).toContain('answer to /first');
+  });
+
+  // Guards against a refusal of a request whose rest has come while the event
+  // loop stood still.
+  test('is served where its rest lies unread at the limit', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 300});
+    const caller = await beginHead();
+    await sleep(0);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    const endsAt = performance.now() + 1_500;
+    while (performance.now() < endsAt);
+    await until(() => caller.text() !== '');
+    expect(caller.text()).toContain('answer to /first');
+  });
+
+  // Guards against descriptors that are never freed.
+  test('is refused when it takes longer', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 300});
+    const caller = await beginHead();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain('408');
+    expect(caller.closedBy()).toBe('end');
+    expect(fixture.runtime.events.map(({event}) => event.name)).toContain(
+      'direct-caller-closed',
+    );
+    caller.socket.destroy();
+  });
+});
--- /dev/null
+++ b/test/direct/refused_uploads.test.ts
@@ -0,0 +1,76 @@
+/** Callers that are still sending when the entry refuses their request. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, test} from 'vitest';
+import {openRawCaller, startCallersServer} from '../support/callers_server.js';
+import type {
+  CallersServerFixture,
+  RawCaller,
+} from '../support/callers_server.js';
+import {until} from '../support/direct_fleet.js';
+
+/** More than the kernel's buffers of both ends hold. */
+const MUCH_BYTES = 20_000_000;
+/** Many pieces, so that some come after the refusal. */
+const PIECE = 'x'.repeat(16 * 1024);
+const PIECES = 64;
+/** Time between two pieces, in milliseconds. */
+const PIECE_MS = 10;
+
+let fixture: CallersServerFixture;
+let caller: RawCaller;
+afterEach(async () => {
+  caller.socket.destroy();
+  await fixture.server.close();
+});
+
+/** Writes all pieces at a steady pace, and reads what is answered after that. */
+async function writePieces(): Promise<void> {
+  caller.socket.pause();
+  for (let at = 0; at < PIECES && !caller.socket.destroyed; at++) {
+    caller.socket.write(PIECE);
+    await sleep(PIECE_MS);
+  }
+  caller.socket.resume();
+}
+
+describe('a caller whose request is refused while it sends', () => {
+  // Guards against a reset that discards the refusal, after which the caller
+  // does not know whether its request ran.
+  test('reads the refusal of a body that is too large', async () => {
+    fixture = await startCallersServer({}, (_req, res) => {
+      res.writeHead(413, {Connection: 'close', 'Content-Length': 0});
+      res.end();
+    });
+    caller = openRawCaller(fixture.address);
+    caller.socket.write(
+      `POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ${MUCH_BYTES}\r\n\r\n`,
+    );
+    await writePieces();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain('413');
+    expect(caller.closedBy()).toBe('end');
+  });
+
+  // Guards against a second error of the parser, which ended the connection
+  // before the refusal was read.
+  test('reads the refusal of headers that are too large', async () => {
+    fixture = await startCallersServer({});
+    caller = openRawCaller(fixture.address);
+    caller.socket.write('GET /a HTTP/1.1\r\nHost: h\r\nX-Large: ');
+    await writePieces();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain('431');
+    expect(caller.closedBy()).toBe('end');
+  });
+
+  // Guards against descriptors that are never freed.
+  test('is disconnected when it goes on sending', async () => {
+    fixture = await startCallersServer({});
+    caller = openRawCaller(fixture.address);
+    caller.socket.write('no request\r\n\r\n');
+    const sending = setInterval(() => caller.socket.write(PIECE), PIECE_MS);
+    await until(() => caller.socket.destroyed);
+    clearInterval(sending);
+    expect(caller.text()).toContain('400');
+  });
+});
