refactor(callers): the intake of requests is a module of its own

What takes requests from their connections, has them admitted and refuses them is moved to callers/request_intake.ts.

--- /dev/null
+++ b/src/direct/callers/request_intake.ts
@@ -0,0 +1,145 @@
+/**
+ * Takes the requests of callers from their connections, each connection's in
+ * turn, and has them admitted and served, or refuses them.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  Clock,
+  Log,
+  LogFields,
+  Metrics,
+  Random,
+} from '../../types/runtime.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
+import {admitRequest} from '../admit_request.js';
+import type {AdmitOptions, Refusal} from '../admit_request.js';
+import type {HeldBytes} from '../held/held_bytes.js';
+import {sendLocalAnswer} from '../local_answers.js';
+import type {Serving} from '../serving.js';
+import type {DirectConfig, HeaderCodec} from '../types.js';
+import {connectionOf} from './connection_name.js';
+import {createConnectionTurns} from './connection_turns.js';
+
+export interface RequestIntakeOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly random: Random;
+  readonly codec: HeaderCodec;
+  /** Undefined where the bytes that the entry holds are not bounded. */
+  readonly held: HeldBytes | undefined;
+  readonly checks: Pick<
+    AdmitOptions,
+    'keysAreFresh' | 'denialsAreFresh' | 'keysUnconfirmedMs'
+  >;
+  /** The newest configuration. */
+  config(): DirectConfig | undefined;
+  isDraining(): boolean;
+  readonly serve: Serving['serve'];
+  /** What is known of the store's state, for the line of a refusal. */
+  evidenceFields(): LogFields;
+}
+
+export interface RequestIntake {
+  /** Takes a request whose headers have been read. */
+  take(req: IncomingMessage, res: ServerResponse): void;
+  /** Whether the connection closes after this answer. */
+  closesAfter(res: ServerResponse): boolean;
+  /**
+   * Number of requests whose body is being read, whose key waits for the store,
+   * which wait for their turn, or whose answer is not handed over completely.
+   */
+  openCount(): number;
+}
+
+export function createRequestIntake(
+  options: RequestIntakeOptions,
+): RequestIntake {
+  const {clock, log, metrics, codec, config, isDraining} = options;
+  /** Requests whose body is being read or whose key waits for the store. */
+  let admittingCount = 0;
+  const turns = createConnectionTurns(req => {
+    const {id} = codec.readRequest(req.headers);
+    log(DIRECT_EVENTS.unread, {
+      requestId: id,
+      connection: connectionOf(req.socket),
+      cause: 'the connection closes',
+    });
+  });
+  /** Whether no request that has been read waits behind this one. */
+  const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
+    !turns.hasWaiting(socket);
+
+  const refuse = (
+    res: ServerResponse,
+    refusal: Refusal,
+    id: unknown,
+    arrivedAt: number,
+  ) => {
+    const {status, message} = refusal;
+    log(DIRECT_EVENTS.refused, {
+      requestId: String(id),
+      status,
+      message,
+      config: config()?.version,
+      ...options.evidenceFields(),
+      waitedMs: Math.round(clock.now() - arrivedAt),
+    });
+    metrics.count('onyxloft_direct_refused_total', {status: String(status)});
+    // Closes the connection, so that a retry can reach another entry. After 413
+    // the rest of the body is not read, and nothing behind it.
+    const mayClose = isDraining() || status === 503;
+    const close = status === 413 || (mayClose && isLastRead(res));
+    sendLocalAnswer(res, {...refusal, close});
+  };
+
+  const admit = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+  ): void => {
+    // Headers that were sent before the drain announced keep-alive. A request
+    // that came later on the kept connection might not be answered completely.
+    res.once('finish', () => {
+      if (isDraining() && !turns.hasWaiting(req.socket)) req.socket.end();
+    });
+    const admitOptions = {
+      codec,
+      random: () => options.random.next(),
+      ...options.checks,
+      config,
+      account: options.held?.track(req, res),
+    };
+    admittingCount++;
+    admitRequest(admitOptions, req)
+      .finally(() => admittingCount--)
+      .then(result => {
+        if (res.destroyed) return;
+        if ('status' in result) {
+          const {id} = codec.readRequest(req.headers);
+          refuse(res, result, id, arrivedAt);
+        } else {
+          options.serve(result, req, res, arrivedAt);
+        }
+      })
+      .catch(err => {
+        const {id} = codec.readRequest(req.headers);
+        log(DIRECT_EVENTS.unread, {
+          requestId: id,
+          connection: connectionOf(req.socket),
+          cause: String(err),
+        });
+        res.destroy();
+      });
+  };
+
+  return {
+    take: (req, res) => {
+      const arrivedAt = clock.now();
+      turns.take(req, res, () => admit(req, res, arrivedAt));
+    },
+    closesAfter: res => isDraining() && isLastRead(res),
+    openCount: () =>
+      admittingCount + turns.servedCount() + turns.waitingCount(),
+  };
+}
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -4,24 +4,19 @@
  * each replica and the health of each replica. The configuration and the list
  * of replicas arrive as messages from other services.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {admitRequest} from './admit_request.js';
-import type {Refusal} from './admit_request.js';
 import {probePort} from './crashes/port_probe.js';
-import {connectionOf} from './callers/connection_name.js';
-import {createConnectionTurns} from './callers/connection_turns.js';
 import {createConnectionGate} from './callers/connection_gate.js';
 import {openCallersServer} from './callers/callers_server.js';
 import type {CallersServer} from './callers/callers_server.js';
+import {createRequestIntake} from './callers/request_intake.js';
 import {openDispatch} from './dispatch.js';
 import {createStoreEvidence, maxReadyAgeMs} from './evidence.js';
 import {createEvidenceChecks} from './freshness/evidence_checks.js';
 import {createHeardVersion} from './freshness/heard_version.js';
 import {reportGauges} from './gauges.js';
 import {createHeldBytes} from './held/held_bytes.js';
-import {sendLocalAnswer} from './local_answers.js';
 import {watchLoopStalls} from './loop_stalls.js';
 import type {DirectMessage} from './messages.js';
 import {createServing} from './serving.js';
@@ -124,8 +119,6 @@
   let server: CallersServer | undefined;
   let isOpening = false;
   let isDraining = false;
-  /** Requests whose body is being read or whose key waits for the store. */
-  let admittingCount = 0;
 
   const evidence = createStoreEvidence(
     clock,
@@ -133,17 +126,6 @@
     revokeMs * EVIDENCE_SHARE,
   );
   const heardVersion = createHeardVersion(clock);
-  const turns = createConnectionTurns(req => {
-    const {id} = codec.readRequest(req.headers);
-    log(DIRECT_EVENTS.unread, {
-      requestId: id,
-      connection: connectionOf(req.socket),
-      cause: 'the connection closes',
-    });
-  });
-  /** Whether no request that has been read waits behind this one. */
-  const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
-    !turns.hasWaiting(socket);
   const serving = createServing({
     clock,
     log,
@@ -164,7 +146,7 @@
     holdMs: options.holdMs,
     unusedMs: options.unusedMs,
     organisationShares: settings.organisationShares,
-    closesAfter: res => isDraining && isLastRead(res),
+    closesAfter: res => intake.closesAfter(res),
     shareLoads: (loads, changes) =>
       ctx.send('sharing', {kind: 'load', loads, changes}),
     limitLinks: {
@@ -216,32 +198,6 @@
     ask: () => ctx.send('followed', {kind: 'confirm'}),
   });
 
-  const refuse = (
-    res: ServerResponse,
-    refusal: Refusal,
-    id: unknown,
-    arrivedAt: number,
-  ) => {
-    const {status, message} = refusal;
-    log(DIRECT_EVENTS.refused, {
-      requestId: String(id),
-      status,
-      message,
-      config: config?.version,
-      evidenceAgeMs: shownEvidenceAgeMs(),
-      evidencePeer: evidence.origin()?.peer,
-      evidenceSource: evidence.origin()?.source,
-      ...heardVersion.fields(config?.version),
-      waitedMs: Math.round(clock.now() - arrivedAt),
-    });
-    metrics.count('onyxloft_direct_refused_total', {status: String(status)});
-    // Closes the connection, so that a retry can reach another entry. After 413
-    // the rest of the body is not read, and nothing behind it.
-    const mayClose = isDraining || status === 503;
-    const close = status === 413 || (mayClose && isLastRead(res));
-    sendLocalAnswer(res, {...refusal, close});
-  };
-
   const held =
     settings.slowReaders &&
     createHeldBytes({
@@ -254,49 +210,24 @@
     });
   if (held !== undefined) ctx.own(held.stop);
 
-  const onRequest = (req: IncomingMessage, res: ServerResponse): void => {
-    const arrivedAt = clock.now();
-    turns.take(req, res, () => admit(req, res, arrivedAt));
-  };
-  const admit = (
-    req: IncomingMessage,
-    res: ServerResponse,
-    arrivedAt: number,
-  ): void => {
-    // Headers that were sent before the drain announced keep-alive. A request
-    // that came later on the kept connection might not be answered completely.
-    res.once('finish', () => {
-      if (isDraining && !turns.hasWaiting(req.socket)) req.socket.end();
-    });
-    const admitOptions = {
-      codec,
-      random: () => random.next(),
-      ...checks,
-      config: () => config,
-      account: held?.track(req, res),
-    };
-    admittingCount++;
-    admitRequest(admitOptions, req)
-      .finally(() => admittingCount--)
-      .then(result => {
-        if (res.destroyed) return;
-        if ('status' in result) {
-          const {id} = codec.readRequest(req.headers);
-          refuse(res, result, id, arrivedAt);
-        } else {
-          serving.serve(result, req, res, arrivedAt);
-        }
-      })
-      .catch(err => {
-        const {id} = codec.readRequest(req.headers);
-        log(DIRECT_EVENTS.unread, {
-          requestId: id,
-          connection: connectionOf(req.socket),
-          cause: String(err),
-        });
-        res.destroy();
-      });
-  };
+  const intake = createRequestIntake({
+    clock,
+    log,
+    metrics,
+    random,
+    codec,
+    held,
+    checks,
+    config: () => config,
+    isDraining: () => isDraining,
+    serve: serving.serve,
+    evidenceFields: () => ({
+      evidenceAgeMs: shownEvidenceAgeMs(),
+      evidencePeer: evidence.origin()?.peer,
+      evidenceSource: evidence.origin()?.source,
+      ...heardVersion.fields(config?.version),
+    }),
+  });
 
   const connectionGate = createConnectionGate(clock, closed => {
     log(DIRECT_EVENTS.connectionsClosed, {closed});
@@ -308,7 +239,7 @@
     isOpening = true;
     server = await openCallersServer({
       address: settings.listen.callers,
-      handler: onRequest,
+      handler: intake.take,
       admit: connectionGate.admit,
       clock,
       log,
@@ -342,11 +273,7 @@
     const cancel = clock.every(DRAIN_POLL_MS, () => {
       const elapsedMs = clock.now() - drainStartedAt;
       // A request that was served may still have bytes of its answer here.
-      const openCount =
-        serving.openRequests.count() +
-        admittingCount +
-        turns.servedCount() +
-        turns.waitingCount();
+      const openCount = serving.openRequests.count() + intake.openCount();
       const done = elapsedMs > ACCEPT_AFTER_DRAIN_MS && openCount === 0;
       if (!done && elapsedMs < graceMs) return;
       cancel();
