fix(callers): an idle connection is closed in order, and only when nothing came

What callers saw: after a stall of the entry, a whole request that lay in the kernel was lost, as the connection's idle timer had expired meanwhile. A request that crossed the closing of an idle connection ended with a reset.

Cause: timers that have expired run before the sockets are read, and closing a socket with unread bytes resets it.

Change: where the time of a connection is over, it is looked at once more after the sockets have been read. An idle connection is ended by the entry's own direction only; it is closed 2 s later.

An ending connection holds its descriptor for 2 s. The two tests that count closings wait for them, since they are counted at the closing and no longer at the end of the entry's direction.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -10,6 +10,7 @@
 import {createCallerConnections} from './caller_connections.js';
 import {createClosingReports} from './closings.js';
 import type {CloseCause} from './closings.js';
+import {afterPoll, createConnectionEnds} from './connection_end.js';
 import {idleTimeMs, statedIdleMs} from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
 
@@ -70,6 +71,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const connections = createCallerConnections(clock.now);
+  const ends = createConnectionEnds(clock);
   const reportClosing = createClosingReports(options.log, options.metrics);
   const report = (socket: Socket, cause: CloseCause, limitMs?: number) =>
     reportClosing(socket, {
@@ -78,13 +80,23 @@
       limitMs,
       isUnanswered: connections.hasUnanswered(socket),
     });
+  const endQuiet = (socket: Socket, cause: CloseCause, limitMs?: number) => {
+    const idleMs = connections.quietMs(socket);
+    const isUnanswered = connections.hasUnanswered(socket);
+    ends.end(socket, 'leave', hasLateBytes =>
+      reportClosing(socket, {
+        cause,
+        idleMs,
+        limitMs,
+        isUnanswered: isUnanswered || hasLateBytes,
+      }),
+    );
+  };
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () => {
     for (const socket of connections.all()) {
-      if (!connections.isIdle(socket)) continue;
-      report(socket, 'drain');
-      socket.destroy();
+      if (connections.isIdle(socket)) endQuiet(socket, 'drain');
     }
   };
   const handle: RequestHandler = (req, res) => {
@@ -111,11 +123,17 @@
   const closeIdle = () => {
     const current = limits.current();
     if (current === undefined) return;
+    const dueMs = new Map<Socket, number>();
     connections.visitQuiet((socket, connection) => {
       const limitMs = idleTimeMs(connection, current);
-      if (connections.quietMs(socket) < limitMs) return;
-      report(socket, 'idle', limitMs);
-      socket.destroy();
+      if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
+    });
+    if (dueMs.size === 0) return;
+    afterPoll(() => {
+      for (const [socket, limitMs] of dueMs) {
+        if (connections.quietMs(socket) < limitMs) continue;
+        endQuiet(socket, 'idle', limitMs);
+      }
     });
   };
   const applyLimits = () => {
--- /dev/null
+++ b/src/direct/callers/connection_end.ts
@@ -0,0 +1,71 @@
+/**
+ * Ends connections of callers. This entry ends its own direction, and closes the
+ * connection some time later: closed at once, it would be reset where bytes of
+ * the caller are unread or on their way, and a reset discards an answer that the
+ * caller has not read yet. No request that comes after the end is passed on.
+ */
+import type {Socket} from 'node:net';
+import type {Clock} from '../../types/runtime.js';
+
+/**
+ * Time between the end of this entry's direction and the closing, in
+ * milliseconds. It bounds the descriptors of ending connections.
+ */
+const LINGER_MS = 2_000;
+
+/**
+ * What becomes of bytes that come after the end. `discard` reads them at once,
+ * so that a caller can send the rest of a refused request and then read the
+ * refusal. `leave` reads them only when the caller has seen the end: a caller
+ * that can tell that its request was not read may send it again.
+ */
+export type LateBytes = 'discard' | 'leave';
+
+export interface ConnectionEnds {
+  /**
+   * Ends a connection after what has been written to it. `onClosing` is called
+   * before the closing, with whether bytes came that were left.
+   */
+  end(
+    socket: Socket,
+    lateBytes: LateBytes,
+    onClosing: (hasLateBytes: boolean) => void,
+  ): void;
+  isEnding(socket: Socket): boolean;
+}
+
+export function createConnectionEnds(clock: Clock): ConnectionEnds {
+  const ending = new WeakSet<Socket>();
+
+  const end: ConnectionEnds['end'] = (socket, lateBytes, onClosing) => {
+    if (ending.has(socket)) return;
+    ending.add(socket);
+    if (lateBytes === 'leave') socket.pause();
+    socket.end();
+    const bytesRead = socket.bytesRead;
+    let isReported = false;
+    const report = () => {
+      if (isReported) return;
+      isReported = true;
+      onClosing(lateBytes === 'leave' && socket.bytesRead !== bytesRead);
+    };
+    const cancel = clock.after(LINGER_MS, () => {
+      socket.resume();
+      afterPoll(() => socket.destroy());
+    });
+    socket.once('close', () => {
+      cancel();
+      report();
+    });
+  };
+  return {end, isEnding: socket => ending.has(socket)};
+}
+
+/**
+ * Calls the function when everything has been read that lay in the kernel.
+ * Timers that expired while the process stood still run before that.
+ */
+export function afterPoll(run: () => void): void {
+  // An immediate that is set within the poll phase would run just after it.
+  setImmediate(() => setImmediate(run));
+}
--- a/test/direct/caller_closings.test.ts
+++ b/test/direct/caller_closings.test.ts
@@ -27,9 +27,10 @@
   test('is only counted where no request was left', async () => {
     fixture = await startCallersServer({idleTimeoutMs: 100});
     const caller = await openIdleCaller(fixture.address);
-    await until(() => caller.closedBy() !== undefined, CLOSED_WITHIN_MS);
     const labels = {cause: 'idle', unanswered: 'false'};
-    expect(fixture.runtime.metrics.total(CLOSED_TOTAL, labels)).toBe(1);
+    const closed = () => fixture.runtime.metrics.total(CLOSED_TOTAL, labels);
+    await until(() => closed() === 1, CLOSED_WITHIN_MS);
+    expect(caller.closedBy()).toBe('end');
     expect(fixture.runtime.events).toEqual([]);
     caller.socket.destroy();
   });
--- a/test/direct/idle_connections.test.ts
+++ b/test/direct/idle_connections.test.ts
@@ -85,6 +85,30 @@
     expect(caller.text()).toContain('answer to /second');
   }, 10_000);
 
+  // Guards against a reset, and against a request that runs and whose answer
+  // cannot be written.
+  test('is ended in order for a request that crosses its end', async () => {
+    const fixture = await start({idleTimeoutMs: 200}, (req, res) => {
+      if (res.socket?.writable) answerPath(req, res);
+    });
+    const caller = await openIdleCaller(fixture.address);
+    await until(() => caller.closedBy() !== undefined, CLOSE_WITHIN_MS);
+    caller.socket.write(requestText('/second'));
+    let isReset = false;
+    caller.socket.once('error', () => (isReset = true));
+    const lost = () =>
+      fixture.runtime.events.filter(
+        ({event}) => event.name === 'direct-caller-closed',
+      );
+    await until(() => lost().length > 0);
+    expect(lost()[0].fields).toMatchObject({
+      cause: 'idle',
+      connection: `127.0.0.1:${caller.socket.localPort}`,
+    });
+    expect(isReset).toBe(false);
+    caller.socket.destroy();
+  }, 10_000);
+
   // Guards against descriptors that are never freed.
   test('is closed in the end, also after a lowered limit', async () => {
     const fixture = await start({idleTimeoutMs: 1_000});
@@ -96,7 +120,7 @@
       1_000 + CLOSE_WITHIN_MS,
     );
     expect([before.closedBy(), after.closedBy()]).toEqual(['end', 'end']);
-    expect(closings(fixture, 'idle')).toBe(2);
+    await until(() => closings(fixture, 'idle') === 2);
     before.socket.destroy();
     after.socket.destroy();
   }, 10_000);
