fix(callers): the time for headers is that of the limit a head began with

What callers saw: a head that was under way when the header limit was lowered got 408 by the new limit; one whose rest had come during a stall of the entry got 408; a connection that was opened ahead got 408 at the header limit although no head had begun; and behind an answer under way a head that came slowly but whole was refused with 408 at the end of that answer, while its request ran.

Cause: Node checks one limit against all heads every 500 ms, also against connections without a byte, and before it reads what has come. The refusal waited for the answer before it and did not look again.

Change: the limit that Node checks is lowered when all heads that may have begun by the older one have had their time, and raised at once. A late head is looked at again after the sockets have been read and when the answers before it have ended, and refused only if it is still incomplete.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -22,6 +22,7 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
+/** Code of the error for headers that did not come in time. */
 const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
 /**
  * Time between the answer to an invalid request and the closing of its socket,
@@ -139,15 +140,30 @@
   const applyLimits = () => {
     const newest = limits.newest();
     if (newest === undefined) return;
-    server.headersTimeout = newest.headersTimeoutMs;
+    server.headersTimeout = limits.headersTimeoutMs();
     server.keepAliveTimeout = statedIdleMs(newest);
   };
+  const refuseLate = (socket: Socket, err: NodeJS.ErrnoException) => {
+    // The idle time ends a connection that was opened ahead.
+    if (connections.isUnused(socket)) return;
+    const limitMs = server.headersTimeout;
+    const requestCount = connections.requestCount(socket);
+    afterPoll(() =>
+      connections.whenEnded(socket, () => {
+        if (connections.requestCount(socket) > requestCount) return;
+        report(socket, 'headers late', limitMs);
+        refuse(err, socket);
+      }),
+    );
+  };
   server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
+    if (err.code === HEADERS_LATE) {
+      refuseLate(socket, err);
+      return;
+    }
     connections.whenEnded(socket, () => {
-      if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-        report(socket, 'headers late', server.headersTimeout);
-      } else if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
+      if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
       refuse(err, socket);
     });
   });
--- a/test/direct/late_headers.test.ts
+++ b/test/direct/late_headers.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
 import {
+  answerPath,
   openRawCaller,
   requestText,
   startCallersServer,
@@ -57,6 +58,23 @@
     expect(caller.text()).toContain('answer to /first');
   });
 
+  // Guards against a refusal that promises that a request did not run, while it
+  // runs: its head was completed behind an answer under way.
+  test('is not refused where it is complete when the answer before it ends', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 300}, (req, res) => {
+      setTimeout(() => answerPath(req, res), 1_500);
+    });
+    const caller = openRawCaller(fixture.address);
+    caller.socket.write(requestText('/before'));
+    await sleep(100);
+    caller.socket.write(HEAD.slice(0, FIRST_BYTES));
+    await sleep(1_000);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    await until(() => caller.text().includes('answer to /first'));
+    expect(caller.text()).not.toContain('408');
+    caller.socket.destroy();
+  });
+
   // Guards against descriptors that are never freed.
   test('is refused when it takes longer', async () => {
     fixture = await startCallersServer({headersTimeoutMs: 300});
