fix(callers): a refusal is readable while its caller still sends

What callers saw: one that sends its request before it reads got a reset and no 413 (body) or 431 (headers), so it could not know that its request had not run.

Cause: after an answer that closes the connection Node closes the socket at once. With bytes unread that is a reset, which discards the answer. After invalid bytes the next chunk was a second error, which closed the socket before the 200 ms that were meant for the reading.

Change: after such an answer, and after a refusal by the parser, the entry ends its own direction, reads and discards what still comes, and closes when the caller has ended its direction too, after 2 s at the latest.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -13,6 +13,7 @@
 import {afterPoll, createConnectionEnds} from './connection_end.js';
 import {idleTimeMs, statedIdleMs} from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
+import {createParserErrors} from './parser_errors.js';
 
 /**
  * Largest headers that the HTTP parser accepts, in bytes. It exceeds the
@@ -22,19 +23,6 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
-/** Code of the error for headers that did not come in time. */
-const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
-/**
- * Time between the answer to an invalid request and the closing of its socket,
- * in milliseconds. It lets the caller read the answer.
- */
-const CLOSE_DELAY_MS = 200;
-
-const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  [HEADERS_LATE]: '408 Request Timeout',
-};
-
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
@@ -93,6 +81,11 @@
       }),
     );
   };
+  const endAnswered = (socket: Socket) => {
+    const count = () =>
+      reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
+    ends.end(socket, 'discard', count);
+  };
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () => {
@@ -117,6 +110,9 @@
     }
     socket.setNoDelay(true);
     connections.add(socket);
+    // Called by Node after an answer that closes the connection. The method of
+    // Node closes it at once.
+    socket.destroySoon = () => endAnswered(socket);
   });
   // Node closes by the limit that was in force when the last answer ended; with
   // a listener, it closes nothing.
@@ -143,30 +139,15 @@
     server.headersTimeout = limits.headersTimeoutMs();
     server.keepAliveTimeout = statedIdleMs(newest);
   };
-  const refuseLate = (socket: Socket, err: NodeJS.ErrnoException) => {
-    // The idle time ends a connection that was opened ahead.
-    if (connections.isUnused(socket)) return;
-    const limitMs = server.headersTimeout;
-    const requestCount = connections.requestCount(socket);
-    afterPoll(() =>
-      connections.whenEnded(socket, () => {
-        if (connections.requestCount(socket) > requestCount) return;
-        report(socket, 'headers late', limitMs);
-        refuse(err, socket);
-      }),
-    );
-  };
-  server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
-    const socket = duplex as Socket;
-    if (err.code === HEADERS_LATE) {
-      refuseLate(socket, err);
-      return;
-    }
-    connections.whenEnded(socket, () => {
-      if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
-      refuse(err, socket);
-    });
+  const onParserError = createParserErrors({
+    connections,
+    ends,
+    report,
+    headersTimeoutMs: () => server.headersTimeout,
   });
+  server.on('clientError', (err, socket) =>
+    onParserError(err, socket as Socket),
+  );
   applyLimits();
   await listen(server, options.address);
   const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
@@ -199,16 +180,3 @@
     });
   });
 }
-
-/** Answers bytes that are not a valid HTTP request, and closes the socket. */
-function refuse(err: NodeJS.ErrnoException, socket: Socket): void {
-  if (err.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const status = STATUS_BY_ERROR[err.code ?? ''] ?? '400 Bad Request';
-  socket.end(
-    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-  setTimeout(() => socket.destroy(), CLOSE_DELAY_MS).unref();
-}
--- a/src/direct/callers/closings.ts
+++ b/src/direct/callers/closings.ts
@@ -15,6 +15,8 @@
   | 'headers late'
   /** Bytes that are no valid request. */
   | 'invalid bytes'
+  /** The last answer stated that the connection closes. */
+  | 'answer'
   /** The process is draining. */
   | 'drain'
   /** The service that owns the connections has ended. */
--- /dev/null
+++ b/src/direct/callers/parser_errors.ts
@@ -0,0 +1,67 @@
+/**
+ * Refuses bytes that are no valid request, and requests whose headers do not come
+ * in time, and ends their connections.
+ */
+import type {Socket} from 'node:net';
+import type {CallerConnections} from './caller_connections.js';
+import type {CloseCause} from './closings.js';
+import {afterPoll} from './connection_end.js';
+import type {ConnectionEnds} from './connection_end.js';
+
+/** Code of the error for headers that did not come in time. */
+const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
+const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEADERS_LATE]: '408 Request Timeout',
+};
+
+export interface ParserErrorsOptions {
+  readonly connections: CallerConnections;
+  readonly ends: Pick<ConnectionEnds, 'end' | 'isEnding'>;
+  report(socket: Socket, cause: CloseCause, limitMs?: number): void;
+  headersTimeoutMs(): number;
+}
+
+/** Returns the listener for the server's event `clientError`. */
+export function createParserErrors(options: ParserErrorsOptions) {
+  const {connections, ends, report} = options;
+
+  const refuse = (err: NodeJS.ErrnoException, socket: Socket): void => {
+    if (err.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = STATUS_BY_ERROR[err.code ?? ''] ?? '400 Bad Request';
+    socket.write(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    );
+    ends.end(socket, 'discard', () => undefined);
+  };
+  const refuseLate = (err: NodeJS.ErrnoException, socket: Socket) => {
+    // The idle time ends a connection that was opened ahead.
+    if (connections.isUnused(socket)) return;
+    const limitMs = options.headersTimeoutMs();
+    const requestCount = connections.requestCount(socket);
+    afterPoll(() =>
+      connections.whenEnded(socket, () => {
+        if (connections.requestCount(socket) > requestCount) return;
+        report(socket, 'headers late', limitMs);
+        refuse(err, socket);
+      }),
+    );
+  };
+
+  return (err: NodeJS.ErrnoException, socket: Socket): void => {
+    // Each further chunk of the caller is an error too.
+    if (ends.isEnding(socket) && !socket.destroyed) return;
+    if (err.code === HEADERS_LATE) {
+      refuseLate(err, socket);
+      return;
+    }
+    connections.whenEnded(socket, () => {
+      if (ends.isEnding(socket)) return;
+      if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
+      refuse(err, socket);
+    });
+  };
+}
