fix(drain): idle connections end only when nothing has come on them

What callers saw: at a stop of the entry a whole request that lay unread, after a stall or in the moment of the closing, was reset.

The drain counted as done in the same turn of the event loop.

Change: both look once more after the sockets have been read, and end only this entry's direction. The drain is done only after that look.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -26,8 +26,13 @@
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
-  /** Accepts no new connections and closes the idle ones. */
-  stopAccepting(): void;
+  /**
+   * Accepts no new connections and ends the idle ones. Resolves when requests
+   * that had come on them are taken.
+   */
+  stopAccepting(): Promise<void>;
+  /** Ends a connection unless a further request has come. */
+  endWhenIdle(socket: Socket): void;
   /** Closes all connections, also those with open requests. */
   close(): Promise<void>;
 }
@@ -86,12 +91,13 @@
       reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
     ends.end(socket, 'discard', count);
   };
+  const endIfIdle = (socket: Socket) => {
+    if (connections.isIdle(socket)) endQuiet(socket, 'drain');
+  };
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () => {
-    for (const socket of connections.all()) {
-      if (connections.isIdle(socket)) endQuiet(socket, 'drain');
-    }
+    afterPoll(() => [...connections.all()].forEach(endIfIdle));
   };
   const handle: RequestHandler = (req, res) => {
     // Node fixes what the answer states when the request has come.
@@ -156,10 +162,12 @@
   });
   return {
     applyLimits,
-    stopAccepting: () => {
-      server.close();
-      server.closeIdleConnections();
-    },
+    stopAccepting: () =>
+      new Promise(resolve => {
+        server.close();
+        afterPoll(resolve);
+      }),
+    endWhenIdle: socket => afterPoll(() => endIfIdle(socket)),
     close: () =>
       new Promise(resolve => {
         cancelChecks();
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -3,6 +3,7 @@
  * turn, and has them admitted and served, or refuses them.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {
   Clock,
   Log,
@@ -36,6 +37,8 @@
   config(): DirectConfig | undefined;
   isDraining(): boolean;
   readonly serve: Serving['serve'];
+  /** Ends the connection unless a further request has come. */
+  endWhenIdle(socket: Socket): void;
   /** What is known of the store's state, for the line of a refusal. */
   evidenceFields(): LogFields;
 }
@@ -101,7 +104,8 @@
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
-      if (isDraining() && !turns.hasWaiting(req.socket)) req.socket.end();
+      if (!isDraining() || turns.hasWaiting(req.socket)) return;
+      options.endWhenIdle(req.socket);
     });
     const admitOptions = {
       codec,
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -228,6 +228,7 @@
     config: () => config,
     isDraining: () => isDraining,
     serve: serving.serve,
+    endWhenIdle: socket => server?.endWhenIdle(socket),
     evidenceFields: () => ({
       evidenceAgeMs: shownEvidenceAgeMs(),
       evidencePeer: evidence.origin()?.peer,
@@ -276,13 +277,18 @@
     isDraining = true;
     ctx.send('sharing', {kind: 'draining'});
     const drainStartedAt = clock.now();
-    clock.after(ACCEPT_AFTER_DRAIN_MS, () => server?.stopAccepting());
+    let hasStoppedAccepting = false;
+    clock.after(ACCEPT_AFTER_DRAIN_MS, () => {
+      void Promise.resolve(server?.stopAccepting()).then(() => {
+        hasStoppedAccepting = true;
+      });
+    });
     const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
     const cancel = clock.every(DRAIN_POLL_MS, () => {
       const elapsedMs = clock.now() - drainStartedAt;
       // A request that was served may still have bytes of its answer here.
       const openCount = serving.openRequests.count() + intake.openCount();
-      const done = elapsedMs > ACCEPT_AFTER_DRAIN_MS && openCount === 0;
+      const done = hasStoppedAccepting && openCount === 0;
       if (!done && elapsedMs < graceMs) return;
       cancel();
       serving.openRequests.logCutAtStop();
