fix(callers): an error of the entry before the sending is refused as not run

What callers saw: an error of the entry while it admitted a request closed the connection without an answer, and an error before anything was sent was answered 502, after which a caller must not send a request that may run once again. An error while the headers were read ended the process: the line about it read them once more.

Cause: the handler of such errors closed the connection whatever had happened, and the one of the serving assumed that the request may have run.

Change: where nothing was sent the answer is 503. Only where the caller has left, or a part of an answer was sent, the connection is closed. A request's id is read for the log without errors, also by what measures held bytes. Headers for a replica are built before an attempt at a call is counted and its load noted; an error there left the load noted for ever.

--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -65,6 +65,7 @@
   }
   const {health, losses, loadTracker, clock, metrics, callTimes} = ctx;
   const {service} = exchange;
+  const spec = buildDispatch(ctx, exchange, replica, undefined, []);
   const startedAt = clock.now();
   const assignment = loadTracker.assign(
     plainCallAssignment(replica.id, Infinity),
@@ -191,7 +192,6 @@
       if (isStreaming) cutAnswer(exchange.res);
       finish({kind: isStreaming ? 'passed-on' : 'broken', reason});
     };
-    const spec = buildDispatch(ctx, exchange, replica, undefined, []);
     const dispatch = ctx.dispatch(spec, clock, {
       onHead,
       onData,
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -20,6 +20,7 @@
 import type {DirectConfig, HeaderCodec} from '../types.js';
 import {connectionOf} from './connection_name.js';
 import {createConnectionTurns} from './connection_turns.js';
+import {readId} from './request_id.js';
 
 export interface RequestIntakeOptions {
   readonly clock: Clock;
@@ -61,10 +62,10 @@
   const {clock, log, metrics, codec, config, isDraining} = options;
   /** Requests whose body is being read or whose key waits for the store. */
   let admittingCount = 0;
+  const idOf = (req: IncomingMessage) => readId(codec, req);
   const turns = createConnectionTurns(req => {
-    const {id} = codec.readRequest(req.headers);
     log(DIRECT_EVENTS.unread, {
-      requestId: id,
+      requestId: idOf(req),
       connection: connectionOf(req.socket),
       cause: 'the connection closes',
     });
@@ -119,22 +120,29 @@
       .finally(() => admittingCount--)
       .then(result => {
         if (res.destroyed) return;
-        if ('status' in result) {
-          const {id} = codec.readRequest(req.headers);
-          refuse(res, result, id, arrivedAt);
-        } else {
-          options.serve(result, req, res, arrivedAt);
-        }
+        if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
+        else options.serve(result, req, res, arrivedAt);
       })
-      .catch(err => {
-        const {id} = codec.readRequest(req.headers);
-        log(DIRECT_EVENTS.unread, {
-          requestId: id,
-          connection: connectionOf(req.socket),
-          cause: String(err),
-        });
-        res.destroy();
-      });
+      .catch(err => endFailed(req, res, err));
+  };
+  /** Ends a request that was not sent to a replica. */
+  const endFailed = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    err: unknown,
+  ): void => {
+    const hasCallerLeft = req.socket.destroyed || req.errored !== null;
+    log(hasCallerLeft ? DIRECT_EVENTS.unread : DIRECT_EVENTS.faulted, {
+      requestId: idOf(req),
+      connection: connectionOf(req.socket),
+      cause: String(err),
+    });
+    if (hasCallerLeft || res.headersSent) {
+      res.destroy();
+      return;
+    }
+    const close = isLastRead(res);
+    sendLocalAnswer(res, {status: 503, message: 'internal error', close});
   };
 
   return {
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -11,6 +11,7 @@
 import {openCallersServer} from './callers/callers_server.js';
 import type {CallersServer} from './callers/callers_server.js';
 import {createLimitsInForce} from './callers/limits_in_force.js';
+import {readId} from './callers/request_id.js';
 import {createRequestIntake} from './callers/request_intake.js';
 import {openDispatch} from './dispatch.js';
 import {createStoreEvidence, maxReadyAgeMs} from './evidence.js';
@@ -213,7 +214,7 @@
       metrics,
       settings: settings.slowReaders,
       memoryMb: settings.limits.memoryMb,
-      idOf: req => codec.readRequest(req.headers).id,
+      idOf: req => readId(codec, req),
     });
   if (held !== undefined) ctx.own(held.stop);
 
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -5,6 +5,7 @@
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {HOP_BY_HOP_HEADERS, connectionOptions} from '../utils/hop_headers.js';
 import {connectionOf} from './callers/connection_name.js';
+import {beforeSending} from './callers/unsent_error.js';
 import type {ColdReplicas} from './cold/cold_replicas.js';
 import type {CrashWatch} from './crashes/crash_watch.js';
 import type {CallCandidate, CallRequest} from './decide/choose_call_replica.js';
@@ -169,14 +170,17 @@
 ): DispatchRequest {
   const {req, body, route, owner} = exchange;
   const priority = owner?.priority ?? route.priority;
-  const headers = ctx.codec.dispatchHeaders(req.rawHeaders, {
+  const facts = {
     replicaName: replica.name,
     organisation: owner?.organisation,
     timeLeftMs: exchange.timeLeftMs(),
     priority: Math.min(MAX_PRIORITY, Math.max(0, priority)),
     lastEventId,
     helpers,
-  });
+  };
+  const headers = beforeSending(() =>
+    ctx.codec.dispatchHeaders(req.rawHeaders, facts),
+  );
   const needsContentLength =
     body.length > 0 ||
     req.headers['content-length'] !== undefined ||
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -26,6 +26,7 @@
 import {createLoadTracker} from './load_tracker.js';
 import type {LoadTracker} from './load_tracker.js';
 import {createOpenRequests} from './callers/open_requests.js';
+import {UnsentError} from './callers/unsent_error.js';
 import type {OpenRequests} from './callers/open_requests.js';
 import {createColdLimits} from './cold/cold_limits.js';
 import {createColdSlowness} from './cold/cold_slowness.js';
@@ -393,7 +394,8 @@
           requestId: exchange.id,
           cause: String(err),
         });
-        exchange.mayHaveRun = true;
+        const isUnsent = exchange.attempts === 0 || err instanceof UnsentError;
+        exchange.mayHaveRun ||= !isUnsent;
         giveUp(ctx, exchange, 'internal error');
       })
       .finally(() => {
