feat(fault-soak): callers reuse idle connections beside new idle limits

An idle connection keeps the time-out that it was given at its last answer. Raised meanwhile, the newest limit lets callers reuse a connection that the entry still closes by the older one. None of the soaks plays this: their connections are hardly idle.

The new soak starts entries as processes and keeps connections through links that delay bytes, ends and resets by 0, 1, 10 and 50 ms. Callers reuse them after idle times that are aimed at the ends of earlier limits. The judge holds requests within the limits that their callers could know to an answer.

--- /dev/null
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -0,0 +1,295 @@
+/**
+ * One run of new limits beside connections that idle. Callers go by the limits
+ * that they can know, so each whole request ends with an answer.
+ */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createSeededRandom} from '../../standins/seeded_random.js';
+import type {Random} from '../../src/types/runtime.js';
+import {countBy} from '../silent_replicas/silence_report.js';
+import {GRACE_MS, allReady} from '../silent_replicas/silence_stops.js';
+import {TIMING, startSoakFleet} from '../soak_fleet.js';
+import type {SoakFleet} from '../soak_fleet.js';
+import {readAdoptions} from './adoptions.js';
+import {startDelayLink} from './delay_link.js';
+import type {DelayLink} from './delay_link.js';
+import {DISTURBANCES, createDisturbances} from './disturbances.js';
+import type {Disturbance, Disturbances} from './disturbances.js';
+import {callInSeries, sit} from './idle_callers.js';
+import type {CallerShape} from './idle_callers.js';
+import type {Seen} from './idle_connection.js';
+import {judge, longestKeptMs} from './idle_judge.js';
+import type {EntryFacts, Verdict} from './idle_judge.js';
+import {CHANGE_KINDS, LADDERS, createLimitChanges} from './limit_changes.js';
+import type {ChangeKind, LimitChanges} from './limit_changes.js';
+
+/** Delays of the links between callers and entries, one way. */
+export const DELAYS_MS = [0, 1, 10, 50] as const;
+const CALLERS = 180;
+const LEAST_CALLERS_PER_ENTRY = 8;
+/** Connections of each entry that are used once. */
+const SITTERS_PER_ENTRY = 2;
+/** A silent second of the store is no reason to doubt keys. */
+const REVOKE_MS = 5_000;
+/** Callers begin spread over this time, and so do not stay in step. */
+const BEGIN_SPREAD_MS = 2_000;
+/** Lanes of changes, and of disturbances, that a run draws at most. */
+const MOST_LANES = 3;
+/** The first draws of small seeds are alike. */
+const WARM_UP_DRAWS = 8;
+
+export interface IdleShape {
+  readonly seed: number;
+  /** Entries, each a process. */
+  readonly processes: number;
+  readonly durationMs: number;
+  /** The one kind of change. @default some, drawn, overlapping */
+  readonly kind?: ChangeKind;
+  /** The one disturbance. @default some, drawn, overlapping */
+  readonly beside?: Disturbance | 'none';
+  /** Of all links, one way. @default each of some */
+  readonly delayMs?: number;
+  /** Idle limits in rising order; a single one stays. @default drawn */
+  readonly ladder?: readonly number[];
+  /** Callers use connections for longer than the answers state. */
+  readonly ignoresStated?: boolean;
+  /** Where settings and logs are written. */
+  readonly dir: string;
+}
+
+export interface IdleReport {
+  readonly seed: number;
+  readonly ladder: readonly number[];
+  readonly kinds: readonly ChangeKind[];
+  readonly beside: Readonly<Record<string, number>>;
+  readonly versions: number;
+  readonly requests: number;
+  /** Requests on connections that had been used before. */
+  readonly reused: number;
+  readonly byEnd: Readonly<Record<string, number>>;
+  readonly excused: Readonly<Record<string, number>>;
+  /** Connections that were used once, by what became of them. */
+  readonly sitters: Readonly<Record<string, number>>;
+  readonly violations: readonly string[];
+  /** 99th percentile of this process's own delay, in milliseconds. */
+  readonly ownDelayMs: number;
+}
+
+interface At {
+  readonly entry: number;
+  readonly delayMs: number;
+  readonly seen: Seen;
+}
+
+export async function runIdle(shape: IdleShape): Promise<IdleReport> {
+  const {seed, processes, dir} = shape;
+  const plan = drawPlan(shape);
+  const fleet = await startSoakFleet(processes, dir, {
+    ...TIMING,
+    revokeMs: REVOKE_MS,
+  });
+  const firstIdleMs =
+    plan.kinds[0] === 'idle-lowered'
+      ? (plan.ladder.at(-1) ?? 0)
+      : plan.ladder[0];
+  const changes = createLimitChanges(fleet.store, plan.ladder, firstIdleMs);
+  const disturbances = createDisturbances(fleet);
+  const links = await linksTo(fleet, shape.delayMs);
+  const delay = monitorEventLoopDelay();
+  try {
+    await allReady(fleet.entries);
+    delay.enable();
+    let isOver = false;
+    const over = () => isOver;
+    const all: At[] = [];
+    const troubles = [
+      ...plan.kinds.map((kind, at) =>
+        changes.changeInSeries(kind, seeded(seed, 1 + at), over),
+      ),
+      ...plan.beside.map((how, at) =>
+        disturbances.disturbInSeries(how, seeded(seed, 10 + at), over),
+      ),
+    ];
+    const makeShape = callerShapes(shape, changes, plan.ladder, all, over);
+    const callers = startCallers(links, makeShape, over);
+    const sitters = startSitters(links, makeShape, changes);
+    await sleep(shape.durationMs);
+    isOver = true;
+    await Promise.all([...troubles, callers]);
+    const sat = await Promise.all(sitters);
+    const verdicts = judgeAll(shape, all, fleet, changes, disturbances);
+    return {
+      seed,
+      ladder: plan.ladder,
+      kinds: plan.kinds,
+      beside: disturbances.counts(),
+      versions: changes.history().length,
+      requests: all.length,
+      reused: all.filter(({seen}) => seen.idleMs !== undefined).length,
+      byEnd: countBy(all, ({seen}) =>
+        `${seen.end} ${seen.status ?? ''}`.trim(),
+      ),
+      excused: countBy(verdicts.flatMap(whyExcused), why => why),
+      sitters: countBy(sat, end => end),
+      violations: [
+        ...all.flatMap((one, at) => describe(one, verdicts[at], fleet)),
+        ...sat
+          .filter(end => end === 'kept')
+          .map(() => 'a connection that nobody uses is kept'),
+        ...disturbances.stops.violations(),
+        ...fleet.entries.flatMap(entry => entry.faults()),
+      ],
+      ownDelayMs: Math.round(delay.percentile(99) / 1e6),
+    };
+  } finally {
+    await Promise.all(links.flat().map(link => link.close()));
+    await fleet.close();
+  }
+}
+
+function drawPlan({seed, kind, beside, ladder}: IdleShape) {
+  const random = seeded(seed, 0);
+  const drawn = LADDERS[Math.floor(random.next() * LADDERS.length)];
+  const some = <T>(names: readonly T[], least: number): readonly T[] => {
+    const count = least + Math.floor(random.next() * (MOST_LANES - least + 1));
+    const from = Math.floor(random.next() * names.length);
+    return [...names, ...names].slice(from, from + count);
+  };
+  const kinds = kind === undefined ? some(CHANGE_KINDS, 1) : [kind];
+  const others = some(DISTURBANCES, 0);
+  return {
+    ladder: ladder ?? drawn,
+    kinds: ladder?.length === 1 ? [] : kinds,
+    beside: beside === undefined ? others : beside === 'none' ? [] : [beside],
+  };
+}
+
+/** Links of each entry. */
+function linksTo(
+  {entries}: SoakFleet,
+  delayMs: number | undefined,
+): Promise<ReadonlyArray<readonly DelayLink[]>> {
+  const delays = delayMs === undefined ? DELAYS_MS : [delayMs];
+  return Promise.all(
+    entries.map(({callers}) =>
+      Promise.all(delays.map(ms => startDelayLink(callers, ms))),
+    ),
+  );
+}
+
+type MakeShape = (entry: number, link: DelayLink) => CallerShape;
+
+function callerShapes(
+  {seed, ignoresStated}: IdleShape,
+  changes: LimitChanges,
+  ladder: readonly number[],
+  all: At[],
+  isOver: () => boolean,
+): MakeShape {
+  let made = 0;
+  let sent = 0;
+  return (entry, link) => ({
+    entry,
+    link,
+    heedsStated: ignoresStated !== true,
+    random: seeded(seed, 100 + made++),
+    largestIdleMs: Math.max(...ladder),
+    history: changes.history,
+    nextId: () => `idle-${++sent}-at-${entry}`,
+    isOver,
+    onSeen: seen => all.push({entry, delayMs: link.delayMs, seen}),
+  });
+}
+
+async function startCallers(
+  links: ReadonlyArray<readonly DelayLink[]>,
+  makeShape: MakeShape,
+  isOver: () => boolean,
+): Promise<void> {
+  const perEntry = Math.max(
+    LEAST_CALLERS_PER_ENTRY,
+    Math.ceil(CALLERS / links.length),
+  );
+  const call = async (entry: number, at: number): Promise<void> => {
+    await sleep((BEGIN_SPREAD_MS * at) / perEntry);
+    const link = links[entry][at % links[entry].length];
+    if (!isOver()) await callInSeries(makeShape(entry, link));
+  };
+  await Promise.all(
+    links.flatMap((_, entry) =>
+      Array.from({length: perEntry}, (__, at) => call(entry, at)),
+    ),
+  );
+}
+
+function startSitters(
+  links: ReadonlyArray<readonly DelayLink[]>,
+  makeShape: MakeShape,
+  changes: LimitChanges,
+) {
+  return links.flatMap((own, entry) =>
+    Array.from({length: SITTERS_PER_ENTRY}, () =>
+      sit(makeShape(entry, own[0]), () => longestKeptMs(changes.history())),
+    ),
+  );
+}
+
+function judgeAll(
+  {dir, ignoresStated}: IdleShape,
+  all: readonly At[],
+  fleet: SoakFleet,
+  changes: LimitChanges,
+  {stops, freezes}: Disturbances,
+): readonly Verdict[] {
+  const entries = fleet.entries.map(({name}, at): EntryFacts => {
+    const adoptions = readAdoptions(dir, name);
+    return {
+      stops: stops.stops().filter(({entry}) => entry === at),
+      freezes: freezes(at),
+      adoptedAt: version => adoptions.get(version),
+    };
+  });
+  return all.map(({seen, entry, delayMs}) =>
+    judge(seen, {
+      history: changes.history(),
+      entry: entries[entry],
+      runs: runsOf(fleet, seen.id),
+      delayMs,
+      graceMs: GRACE_MS,
+      heedsStated: ignoresStated !== true,
+    }),
+  );
+}
+
+function runsOf({replicas}: SoakFleet, id: string): number {
+  return replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
+}
+
+function whyExcused(verdict: Verdict): readonly string[] {
+  return verdict.kind === 'excused' ? [verdict.why] : [];
+}
+
+/** In words, what was broken. */
+function describe(
+  {seen, delayMs}: At,
+  verdict: Verdict,
+  fleet: SoakFleet,
+): readonly string[] {
+  if (verdict.kind !== 'broken') return [];
+  const {id, end, status, idleMs, statedMs, beganAt, sentAt, endedAt} = seen;
+  const ms = (value: number | undefined) =>
+    value === undefined ? 'none' : `${Math.round(value)} ms`;
+  const wallTime = new Date(performance.timeOrigin + endedAt).toISOString();
+  return [
+    `${id} ${verdict.what}: ${end} ${status ?? ''} at ${wallTime}, ` +
+      `${ms(sentAt === undefined ? undefined : endedAt - sentAt)} after it was sent, ` +
+      `began ${ms(endedAt - beganAt)} before; idle ${ms(idleMs)}, stated ` +
+      `${ms(statedMs)}, link ${delayMs} ms, cut ${seen.cut}, ran ${runsOf(fleet, id)} times`,
+  ];
+}
+
+function seeded(seed: number, part: number): Random {
+  const random = createSeededRandom(seed * 10_000 + part);
+  for (let at = 0; at < WARM_UP_DRAWS; at++) random.next();
+  return random;
+}
--- a/fault_soak/play_seeds.ts
+++ b/fault_soak/play_seeds.ts
@@ -3,6 +3,8 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
+const EXIT_USAGE = 2;
+
 /** What came of one seed. */
 export interface SeedResult {
   /** Written as one line of JSON. */
@@ -52,3 +54,22 @@
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
+
+/** One of the known names; ends the program for any other one. */
+export function named<T extends string>(known: readonly T[], name: string): T {
+  const found = known.find(it => it === name);
+  if (found !== undefined) return found;
+  process.stderr.write(`no "${name}"; there are: ${known.join(', ')}\n`);
+  process.exit(EXIT_USAGE);
+}
+
+export function maybeNamed<T extends string>(
+  known: readonly T[],
+  name: string | undefined,
+): T | undefined {
+  return name === undefined ? undefined : named(known, name);
+}
+
+export function maybeNumber(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
--- a/fault_soak/silent_replicas/silence_soak.ts
+++ b/fault_soak/silent_replicas/silence_soak.ts
@@ -11,14 +11,12 @@
  * code 2 for a name that there is not.
  */
 import {parseArgs} from 'node:util';
-import {playSeeds} from '../play_seeds.js';
+import {maybeNamed, maybeNumber, named, playSeeds} from '../play_seeds.js';
 import {OTHER_KINDS} from './other_replica.js';
 import {CHANGE_KINDS} from './silence_config.js';
 import {runSilences} from './silence_run.js';
 import {GROUPS} from './silence_shapes.js';
 
-const EXIT_USAGE = 2;
-
 const {values} = parseArgs({
   options: {
     seed: {type: 'string', default: '1'},
@@ -35,24 +33,6 @@
   },
 });
 
-function named<T extends string>(known: readonly T[], name: string): T {
-  const found = known.find(it => it === name);
-  if (found !== undefined) return found;
-  process.stderr.write(`no "${name}"; there are: ${known.join(', ')}\n`);
-  process.exit(EXIT_USAGE);
-}
-
-function maybeNamed<T extends string>(
-  known: readonly T[],
-  name: string | undefined,
-): T | undefined {
-  return name === undefined ? undefined : named(known, name);
-}
-
-function maybeNumber(text: string | undefined): number | undefined {
-  return text === undefined ? undefined : Number(text);
-}
-
 function changesOf() {
   if (values['no-changes']) return [];
   if (values.changes === undefined) return CHANGE_KINDS;
--- a/fault_soak/stops_and_records/pipelining_caller.ts
+++ b/fault_soak/stops_and_records/pipelining_caller.ts
@@ -96,15 +96,16 @@
   ].join('\r\n');
 }
 
-interface Answer {
+export interface Answer {
   readonly status: number;
   readonly closes: boolean;
+  readonly head: string;
   /** Of all its text. */
   readonly length: number;
 }
 
 /** Reads the answer at the start of the text; undefined until it is whole. */
-function readAnswer(text: string): Answer | undefined {
+export function readAnswer(text: string): Answer | undefined {
   const headEnd = text.indexOf('\r\n\r\n');
   if (headEnd < 0) return undefined;
   const head = text.slice(0, headEnd);
@@ -114,7 +115,7 @@
     declared === null ? endOfChunks(text, from) : from + Number(declared[1]);
   if (length === undefined || text.length < length) return undefined;
   const status = Number(head.slice(9, 12));
-  return {status, closes: /\r\nconnection: *close/i.test(head), length};
+  return {status, closes: /\r\nconnection: *close/i.test(head), head, length};
 }
 
 function endOfChunks(text: string, from: number): number | undefined {
