fix(streams): a stream dials its only replica again while the host accepts no connection

What callers saw: a stream whose only replica was paused, with its host's queue of connections full, was refused as not run after 0.3 s (plain service), or waited without another attempt until it was refused for lack of room (engines). The replica went on a moment later.

Cause: only calls dialled a replica again. A stream excluded a replica for good once an attempt to connect had timed out, although nothing had been sent.

Change: what a request knows of its attempts to connect is a module of its own, used by calls and streams. A replica whose host accepted no connection is chosen again where no other one may be, for three seconds, for at most half of the time left, and while the caller still waits for an event. A replica beyond the route's attempts is never dialled; a closed port is not dialled again.

--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -29,7 +29,11 @@
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
 import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
-import type {ExcludedIds, ServeContext} from './serve_context.js';
+import type {
+  CandidateGroups,
+  ExcludedIds,
+  ServeContext,
+} from './serve_context.js';
 import type {RequestShare} from './shares/request_shares.js';
 import type {DirectReplica, EngineFigures} from './types.js';
 
@@ -75,6 +79,8 @@
 export interface ReplicaSearch {
   /** Replicas that are not to be chosen. */
   readonly excluded: ExcludedIds;
+  /** Whether the replica may be chosen where no other one may. */
+  isLastResort(replicaId: string): boolean;
   /** Whether a replica is still needed; false once the request has ended. */
   isNeeded(): boolean;
 }
@@ -107,18 +113,18 @@
 async function placeAtPlainService(
   ctx: ServeContext,
   exchange: Exchange,
-  {excluded, isNeeded}: ReplicaSearch,
+  search: ReplicaSearch,
 ): Promise<PlacementResult> {
   const choice = await choosePermitted(
     ctx,
     exchange,
-    () => candidatesOf(ctx, exchange.service, excluded),
+    () => groupsOf(ctx, exchange, search),
     open =>
       chooseCallReplica(
         withLoads(ctx, sampled(ctx, open)),
         callRequestOf(ctx, exchange),
       ),
-    isNeeded,
+    search.isNeeded,
   );
   if (choice.kind === 'chosen') {
     const {replica} = choice.chosen;
@@ -133,10 +139,11 @@
 async function placeAtEngine(
   ctx: ServeContext,
   exchange: Exchange,
-  {excluded, isNeeded}: ReplicaSearch,
+  search: ReplicaSearch,
   pricing: Pricing,
 ): Promise<PlacementResult> {
   const {clock} = ctx;
+  const {isNeeded} = search;
   const {share} = pricing;
   const repeat = share?.repeatAnswer(() =>
     withLoads(ctx, ctx.replicas.availableFor(exchange.service)),
@@ -150,8 +157,8 @@
   const logWait = createWaitLog(ctx, exchange);
   let groupAttempts = 0;
   while (isNeeded()) {
-    const candidates = candidatesOf(ctx, exchange.service, excluded).map(
-      group => group.filter(({address}) => !refusedAddresses.has(address)),
+    const candidates = groupsOf(ctx, exchange, search).map(group =>
+      group.filter(({address}) => !refusedAddresses.has(address)),
     );
     const {open, closed} = permittedOf(ctx, exchange, candidates);
     if (open.length === 0 && closed !== undefined) {
@@ -191,6 +198,18 @@
   return notPlaced('no replica is needed any more');
 }
 
+/** The replicas to choose from, those of last resort at the end. */
+function groupsOf(
+  ctx: ServeContext,
+  {service}: Exchange,
+  {excluded, isLastResort}: ReplicaSearch,
+): CandidateGroups {
+  const lastResorts = ctx.replicas
+    .availableFor(service)
+    .filter(({id}) => excluded.has(id) && isLastResort(id));
+  return [...candidatesOf(ctx, service, excluded), lastResorts];
+}
+
 function maySendTo(
   {gate}: ServeContext,
   exchange: Exchange,
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -9,10 +9,11 @@
 import {loggedParts} from './crashes/request_digest.js';
 import {chooseCallReplica} from './decide/choose_call_replica.js';
 import type {CallCandidate} from './decide/choose_call_replica.js';
-import {mayDialAgain} from './decide/may_dial_again.js';
 import {DIAL_TIMED_OUT} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
+import {createUndialledReplicas} from './health/undialled_replicas.js';
+import type {UndialledReplicas} from './health/undialled_replicas.js';
 import {choosePermitted, passedOver} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
 import {
@@ -33,11 +34,7 @@
   readonly all: Set<string>;
   /** Those that got the request. */
   readonly sent: Set<string>;
-  /**
-   * Those whose host accepted no connection in time, and when the first attempt
-   * to connect to each began.
-   */
-  readonly undialled: Map<string, number>;
+  readonly undialled: UndialledReplicas;
 }
 
 /** Serves the request until its final answer. */
@@ -48,7 +45,7 @@
   const tried: TriedReplicas = {
     all: new Set(),
     sent: new Set(),
-    undialled: new Map(),
+    undialled: createUndialledReplicas(ctx.clock),
   };
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
@@ -63,11 +60,11 @@
     const {replica} = choice.chosen;
     logChoice(ctx, exchange, replica);
     tried.all.add(replica.id);
-    const dialledAt = ctx.clock.now();
+    tried.undialled.dialling(replica.id);
     const isRetry = exchange.attempts > 0;
     const outcome = await attemptCall(ctx, exchange, replica);
     if (isRetry && outcome.kind === 'not-sent') ctx.budget.giveBack();
-    noteDial(tried, replica, dialledAt, outcome);
+    noteDial(tried, replica, outcome);
     if (handleOutcome(ctx, exchange, replica, outcome)) return;
     if (outcome.kind === 'answered') failure = outcome;
   }
@@ -76,15 +73,11 @@
 function noteDial(
   {sent, undialled}: TriedReplicas,
   {id}: DirectReplica,
-  dialledAt: number,
   outcome: CallOutcome,
 ): void {
-  if (outcome.kind !== 'not-sent') sent.add(id);
-  if (outcome.kind !== 'not-sent' || outcome.reason !== DIAL_TIMED_OUT) {
-    undialled.delete(id);
-  } else if (!undialled.has(id)) {
-    undialled.set(id, dialledAt);
-  }
+  const isUnsent = outcome.kind === 'not-sent';
+  if (!isUnsent) sent.add(id);
+  undialled.dialled(id, isUnsent && outcome.reason === DIAL_TIMED_OUT);
 }
 
 /**
@@ -126,10 +119,8 @@
   {all, sent, undialled}: TriedReplicas,
 ): Promise<PermittedChoice<CallCandidate>> {
   const {service, route} = exchange;
-  const isDialledAgain = ({id}: DirectReplica): boolean => {
-    const firstAt = undialled.get(id) ?? -Infinity;
-    return mayDialAgain(ctx.clock.now() - firstAt, exchange.timeLeftMs());
-  };
+  const isDialledAgain = ({id}: DirectReplica): boolean =>
+    undialled.mayDialAgain(id, exchange.timeLeftMs());
   const candidates = () => {
     const available = ctx.replicas.availableFor(service);
     const isRepeatable = route.kind === 'idempotent';
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -9,8 +9,13 @@
  * event, so that the answer never depends on whether a second replica is found.
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {callerTimeoutMs} from '../decide/caller_timeout.js';
+import {DIAL_TIMED_OUT} from '../dispatch.js';
 import type {Exchange} from '../exchange.js';
+import {createUndialledReplicas} from '../health/undialled_replicas.js';
+import type {UndialledReplicas} from '../health/undialled_replicas.js';
 import {placeRequest} from '../place_request.js';
+import type {ReplicaSearch} from '../place_request.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -18,7 +23,7 @@
   writeHead,
   writeStreamHead,
 } from '../serve_context.js';
-import type {ExcludedIds, ServeContext} from '../serve_context.js';
+import type {ServeContext} from '../serve_context.js';
 import {createOpenRuns} from './open_runs.js';
 import type {EndedRun, OpenRuns} from './open_runs.js';
 import type {StreamOutcome} from './stream_attempt.js';
@@ -31,6 +36,7 @@
   readonly runs: OpenRuns;
   /** Ids of replicas that were chosen before; further attempts exclude them. */
   readonly tried: Set<string>;
+  readonly undialled: UndialledReplicas;
 }
 
 /** What came of the search for a replica. */
@@ -54,7 +60,8 @@
 ): Promise<void> {
   const progress = startProgress(exchange);
   const runs = createOpenRuns(ctx, exchange, progress);
-  const state: StreamState = {progress, runs, tried: new Set()};
+  const undialled = createUndialledReplicas(ctx.clock);
+  const state: StreamState = {progress, runs, tried: new Set(), undialled};
   let search: Promise<SearchResult> | undefined;
   // Each request earns a share of a retry, and each attempt after the first takes
   // one, so that retries stay a share of all requests.
@@ -108,17 +115,16 @@
   state: StreamState,
 ): Promise<SearchResult> {
   const {runs} = state;
-  const excluded = excludedReplicas(exchange, state);
+  const choosable = choosableReplicas(ctx, exchange, state);
   const isRetry = exchange.attempts > 0;
-  if (excluded === undefined || (isRetry && ctx.budget.left() < 1)) {
+  if (choosable === undefined || (isRetry && ctx.budget.left() < 1)) {
     return {kind: 'none', reason: 'no more attempts'};
   }
   if (runs.count() > 0 && ctx.crashes.isQuarantined(exchange)) {
     return {kind: 'none', reason: 'quarantined'};
   }
   const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
-  const search = {excluded, isNeeded};
-  const result = await placeRequest(ctx, exchange, search);
+  const result = await placeRequest(ctx, exchange, {...choosable, isNeeded});
   if (!isNeeded()) {
     if (result.kind === 'place') result.placement.close();
     return {kind: 'not-needed'};
@@ -130,20 +136,48 @@
     return {kind: 'none', reason: 'no more attempts'};
   }
   state.tried.add(placement.replica.id);
+  state.undialled.dialling(placement.replica.id);
   runs.start(placement);
   return {kind: 'started'};
 }
 
 /**
- * The replicas that may not be asked; undefined when none may. Where the route
+ * The replicas that may be asked; undefined when none may. Where the route
  * allows no further replica, one that was superseded may be asked again.
  */
-function excludedReplicas(
-  {attempts, route}: Exchange,
-  {runs: {superseded}, tried}: StreamState,
-): ExcludedIds | undefined {
-  if (attempts + superseded.size < route.maxAttempts) return tried;
-  return superseded.size > 0 ? {has: id => !superseded.has(id)} : undefined;
+function choosableReplicas(
+  ctx: ServeContext,
+  exchange: Exchange,
+  state: StreamState,
+): Pick<ReplicaSearch, 'excluded' | 'isLastResort'> | undefined {
+  const {attempts, route} = exchange;
+  const {superseded} = state.runs;
+  if (attempts + superseded.size < route.maxAttempts) {
+    const isLastResort = (id: string) =>
+      isDialledAgain(ctx, exchange, state, id);
+    return {excluded: state.tried, isLastResort};
+  }
+  if (superseded.size === 0) return undefined;
+  const excluded = {has: (id: string) => !superseded.has(id)};
+  return {excluded, isLastResort: () => false};
+}
+
+/**
+ * Whether the replica, whose host accepted no connection, is dialled again
+ * where no other one is left. It is not once the caller has stopped waiting.
+ */
+function isDialledAgain(
+  {clock}: ServeContext,
+  exchange: Exchange,
+  {progress, tried, undialled}: StreamState,
+  replicaId: string,
+): boolean {
+  const waitedMs = clock.now() - progress.lastEventAt;
+  return (
+    tried.has(replicaId) &&
+    waitedMs < callerTimeoutMs(exchange.route) &&
+    undialled.mayDialAgain(replicaId, exchange.timeLeftMs())
+  );
 }
 
 /**
@@ -153,10 +187,13 @@
 function handleOutcome(
   ctx: ServeContext,
   exchange: Exchange,
-  {progress, runs, tried}: StreamState,
+  {progress, runs, tried, undialled}: StreamState,
   {replica, outcome}: EndedRun,
 ): boolean {
   const {res, route} = exchange;
+  const timedOut =
+    outcome.kind === 'not-sent' && outcome.reason === DIAL_TIMED_OUT;
+  undialled.dialled(replica.id, timedOut);
   switch (outcome.kind) {
     // The stream is complete. It is written to the caller up to its last event.
     case 'whole':
--- a/test/direct/unanswered_dials.test.ts
+++ b/test/direct/unanswered_dials.test.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to replicas whose host accepts no connection for a while, as that of a
+ * Requests to replicas whose host accepts no connection for a while, as that of a
  * paused process whose queue of connections is full. No network; the clock is
  * virtual.
  */
@@ -11,7 +11,7 @@
 import type {OpenDispatch} from '../../src/direct/dispatch.js';
 import {mayDialAgain} from '../../src/direct/decide/may_dial_again.js';
 import {createServing} from '../../src/direct/serving.js';
-import type {DirectReplica} from '../../src/direct/types.js';
+import type {DirectReplica, Route} from '../../src/direct/types.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {configOf} from '../../standins/users_platform/deployment.js';
@@ -21,13 +21,17 @@
 const CONFIG = decodeConfig(configOf(1)).unsafeCoerce();
 const DIAL_MS = 300;
 const ANSWER_MS = 5;
+const EVENT = 'id: 1\ndata: x\n\n';
 
-function replicaOf(name: string): DirectReplica {
+/** The plain service, and that of engines. */
+type Service = 'desk' | 'pool';
+
+function replicaOf(name: string, service: Service): DirectReplica {
   return {
     id: name,
     name,
     startedAt: undefined,
-    service: 'desk',
+    service,
     address: name,
     failureDomain: 'a',
     places: 4,
@@ -37,7 +41,11 @@
 
 type Dial = 'answers' | 'times out' | 'is refused';
 
-function setUp(names: readonly string[], dial: (address: string) => Dial) {
+function setUp(
+  names: readonly string[],
+  dial: (address: string) => Dial,
+  service: Service = 'desk',
+) {
   const clock = createVirtualClock();
   const {runtime} = createRecordingRuntime();
   const dials: string[] = [];
@@ -57,10 +65,10 @@
         }
         observer.onHead({
           status: 200,
-          headers: {'content-length': '2'},
+          headers: {'content-length': String(EVENT.length)},
           rawHeaders: [],
         });
-        observer.onData(Buffer.from('ok'));
+        observer.onData(Buffer.from(EVENT));
         observer.onEnd(false);
       },
     );
@@ -126,16 +134,20 @@
   });
   const listed = (present: readonly string[]) =>
     serving.replicas.replaceAll(
-      new Map(present.map(name => [name, replicaOf(name)])),
+      new Map(present.map(name => [name, replicaOf(name, service)])),
     );
   const restart = (name: string, startedAt: number) => {
     const id = `${name}@${startedAt}`;
-    const started = {...replicaOf(name), id, startedAt};
+    const started = {...replicaOf(name, service), id, startedAt};
     serving.replicas.applyChanges(new Map([[name, started]]));
   };
   listed(names);
-  /** Sends a call; returns the caller's response as it is written. */
-  const call = (routeName: string, timeLimitMs = 10_000) => {
+  /** Sends a request; returns the caller's response as it is written. */
+  const call = (
+    routeName: string,
+    timeLimitMs = 10_000,
+    differing: Partial<Route> = {},
+  ) => {
     const [route] = CONFIG.routes.filter(({name}) => name === routeName);
     const written = {status: 0, at: 0};
     const res = Object.assign(new EventEmitter(), {
@@ -154,8 +166,8 @@
     serving.serve(
       {
         config: CONFIG,
-        route: {...route, timeLimitMs},
-        service: 'desk',
+        route: {...route, timeLimitMs, ...differing},
+        service,
         facts: {
           id: REQUEST_ID,
           key: undefined,
@@ -251,6 +263,85 @@
   });
 });
 
+describe.each<[string, Service]>([
+  ['an engine', 'pool'],
+  ['a replica of a plain service', 'desk'],
+])(
+  'a stream to %s, the only one, whose host accepts no connection',
+  (_, service) => {
+    // Nothing had been sent, and the stream was refused after one attempt.
+    test.each([
+      ['resumable-stream', 1_200],
+      ['resumable-stream', 2_500],
+      ['once', 1_200],
+      ['once', 2_500],
+    ] as const)(
+      'is whole as %s if it goes on after %i ms',
+      async (kind, ms) => {
+        const {clock, call} = setUp(
+          ['a'],
+          () => (clock.now() < ms ? 'times out' : 'answers'),
+          service,
+        );
+        const written = call('long', undefined, {kind});
+        await clock.runFor(ms + 2 * DIAL_MS);
+        expect(written.status).toBe(200);
+      },
+    );
+
+    test('is refused as not run when the replica is gone', async () => {
+      const {clock, call, listed} = setUp(['a'], () => 'times out', service);
+      const written = call('long');
+      await clock.runFor(1_000);
+      expect(written.status).toBe(0);
+      listed([]);
+      await clock.runFor(5_000);
+      expect(written.status).toBe(503);
+    });
+
+    test('is refused as not run, and not sent once its caller has left', async () => {
+      const {clock, call, dials} = setUp(['a'], () => 'times out', service);
+      const written = call('stream');
+      await clock.runFor(1_900);
+      expect(written.status).toBe(0);
+      expect(dials.length).toBeGreaterThan(4);
+      await clock.runFor(3_000);
+      expect(written.status).toBe(503);
+      expect(dials.length).toBeLessThan(8);
+    });
+
+    test('is refused as not run while its caller may still ask elsewhere', async () => {
+      const {clock, call} = setUp(['a'], () => 'times out', service);
+      const written = call('long', 2_000);
+      await clock.runFor(2_000);
+      expect(written.status).toBe(503);
+      expect(written.at).toBeLessThan(1_500);
+    });
+
+    test('goes to a replica that is listed meanwhile', async () => {
+      const {clock, call, dials, listed} = setUp(
+        ['a'],
+        address => (address === 'a' ? 'times out' : 'answers'),
+        service,
+      );
+      const written = call('long');
+      await clock.runFor(1_000);
+      listed(['a', 'b']);
+      await clock.runFor(2 * DIAL_MS);
+      expect([written.status, dials.at(-1)]).toEqual([200, 'b']);
+    });
+
+    // A host without the process refuses at once.
+    test('is refused without a second attempt when its port is closed', async () => {
+      const {clock, call, dials} = setUp(['a'], () => 'is refused', service);
+      const written = call('long');
+      await clock.runFor(5_000);
+      expect(written.status).toBe(503);
+      expect(dials).toHaveLength(1);
+    });
+  },
+);
+
 describe('a call beside a replica whose host accepts no connection', () => {
   test('goes to the other one first', async () => {
     const {clock, call, dials} = setUp(['a', 'b'], address =>
