test(direct): requests and permits while the configuration or a limit changes

Callers whose request no replica had begun were refused (503) though the newest version of the configuration led to a service with room, and requests were held back for up to 4 s by a request limit that had risen since.

--- /dev/null
+++ b/test/direct/moved_services.test.ts
@@ -0,0 +1,101 @@
+/** Requests that no replica has begun while their route leads elsewhere. */
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
+import {
+  ENGINE,
+  announce,
+  configOf,
+} from '../../standins/users_platform/deployment.js';
+import {
+  answerWell,
+  refuse,
+  startReplica,
+  streamTo,
+} from '../../standins/users_platform/replica.js';
+import type {
+  Behaviour,
+  ReplicaStandIn,
+} from '../../standins/users_platform/replica.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
+import type {DirectFleet} from '../support/direct_fleet.js';
+
+const REFUSED_AFTER_MS = 300;
+/** Prompts of this size fill an engine four at a time. */
+const LARGE = {headers: {'X-Token-Usage': '2000,400'}};
+
+let fleet: DirectFleet;
+let other: ReplicaStandIn;
+beforeEach(async () => {
+  fleet = await startDirectFleet({pool: 1, desk: 1});
+  other = await startReplica('other-0');
+  announce(fleet.store, other, 'other');
+  const known = () =>
+    fleet.runtime.metrics.value('onyxloft_direct_replicas', {});
+  await until(() => known() === 3);
+});
+afterEach(async () => {
+  await fleet.close();
+  await other.close();
+});
+
+/** All routes lead to the service `other`. */
+async function move(version = 2, engine?: typeof ENGINE): Promise<void> {
+  const config = configOf(version);
+  fleet.store.put('config', 'main', {
+    ...config,
+    routes: config.routes.map(route => ({...route, service: 'other'})),
+    services: [...config.services, {name: 'other', engine}],
+  });
+  const adopted = () => fleet.runtime.eventsOf(DIRECT_EVENTS.configAdopted);
+  await until(() => adopted().some(({fields}) => fields.version === version));
+}
+
+const refuseLate: Behaviour = (...args) => {
+  setTimeout(() => refuse(...args), REFUSED_AFTER_MS);
+};
+
+// Guards against requests that are refused for want of room where the newest
+// configuration has room for them.
+describe('a request that has not run is answered by the new service', () => {
+  test('while it waits for room at the old one', async () => {
+    const [engine] = fleet.pool;
+    engine.behave(streamTo(60, 60));
+    other.behave(streamTo(2));
+    const full = Array.from({length: 4}, () =>
+      callEntry(fleet, '/long/a', LARGE),
+    );
+    await until(() => engine.arrivals.length === 4);
+    const waiting = callEntry(fleet, '/stream/a', LARGE);
+    const isWaiting = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.waiting).length > 0;
+    await until(isWaiting);
+    await move(2, ENGINE);
+    expect(await waiting).toMatchObject({status: 200, whole: true});
+    expect(other.arrivals).toHaveLength(1);
+    await Promise.all(full);
+  });
+
+  test.each(['/again/', '/once/'])(
+    'when the old one refuses its call to %s',
+    async path => {
+      const [desk] = fleet.desk;
+      desk.behave(refuseLate);
+      other.behave(answerWell);
+      const answer = callEntry(fleet, path);
+      await until(() => desk.arrivals.length === 1);
+      await move();
+      expect(await answer).toMatchObject({status: 200, whole: true});
+      expect(other.arrivals).toHaveLength(1);
+    },
+  );
+
+  test('when the old one refuses its stream', async () => {
+    const [engine] = fleet.pool;
+    engine.behave(refuseLate);
+    other.behave(streamTo(2));
+    const answer = callEntry(fleet, '/stream/a', LARGE);
+    await until(() => engine.arrivals.length === 1);
+    await move();
+    expect(await answer).toMatchObject({status: 200, whole: true});
+  });
+});
--- a/test/direct/permit_ledger.test.ts
+++ b/test/direct/permit_ledger.test.ts
@@ -52,6 +52,20 @@
     expect(ledger.take(ask(1), 4_000).isGranted).toBe(true);
   });
 
+  // Guards against callers that are sent away for as long as an earlier, lower
+  // limit would have held them back.
+  test('tells refused asks no time of a limit that has risen since', () => {
+    const ledger = createPermitLedger(0);
+    expect(ledger.take(ask(0.25), 0).retryAfterMs).toBe(MAX_RETRY_MS);
+    const answers = [1, 2, 3].map(() => ledger.take(ask(100), 100));
+    expect(answers.map(({isGranted}) => isGranted)).toEqual([
+      true,
+      true,
+      false,
+    ]);
+    expect(answers[2].retryAfterMs).toBeLessThanOrEqual(20);
+  });
+
   // Guards against rejected callers that all come back for the same permit.
   test('tells each refused ask a time of its own, which holds', () => {
     const ledger = createPermitLedger(0);
--- a/test/direct/request_permits.test.ts
+++ b/test/direct/request_permits.test.ts
@@ -133,6 +133,41 @@
     expect(permits.waitMs('a', 2)).toBe(0);
   });
 
+  // Guards against requests that are held back by a limit that is gone.
+  test('asks again at once when the limit has risen', async () => {
+    name(0.25);
+    expect(await take()).toBe(false);
+    expect(permits.waitMs('a', 1)).toBeGreaterThan(1_000);
+    name(100);
+    clock.advance(50);
+    expect(permits.waitMs('a', 1)).toBe(0);
+    expect(await take()).toBe(true);
+  });
+
+  // Guards against a limit that is tried each time another one is named.
+  test('is held back as before when the limit has fallen', async () => {
+    name(1);
+    await take();
+    const waitMs = permits.waitMs('a', 1);
+    name(0.5);
+    expect(permits.waitMs('a', 1)).toBe(waitMs);
+  });
+
+  // Guards against a request that waits for an entry that is no home any more.
+  test('asks the new home after an ask that the earlier one left open', async () => {
+    live('entry-2');
+    name(5);
+    const taken = take();
+    await clock.settle();
+    live('entry-3');
+    await clock.runFor(200);
+    expect(await taken).toBe(false);
+    await clock.runFor(permits.waitMs('a', 1));
+    void take();
+    await clock.settle();
+    expect(asks.map(({to}) => to)).toEqual(['entry-2', 'entry-3']);
+  });
+
   // Guards against permits of two entries that both think they are the home.
   test('grants nothing for a replica whose home is another', () => {
     live('entry-1', 'entry-2');
