fix(limits): a limit that has risen holds back no requests for the lower one

Callers were refused (503) for up to 4 s after a replica had named a higher limit: the time until which an entry asks for no permit, and the times that a home has told refused asks, were computed from the limit of that moment and used whatever the limit was later. A closure now ends when the limit in force is higher than the one it was made by; a home forgets the times that it told when its rate rises. A limit that falls changes neither, since the home grants by the newest limit anyway.

Red before: request_permits 3,950 ms where 0 is asked, permit_ledger 3,910 ms where 20 ms is asked. Green after, with limited_replicas, cold_permits and cold_fleet (109 tests; the models' bounds of the limit hold).

--- a/src/direct/limits/permit_ledger.ts
+++ b/src/direct/limits/permit_ledger.ts
@@ -54,6 +54,8 @@
   let filledAt = startAt;
   /** When the last refused ask of an urgency was told to come back. */
   const returnsAt = new Map<number, number>();
+  /** Rate by which they were told. */
+  let toldRatePerS = Infinity;
 
   const refill = (ratePerS: number, now: number): void => {
     if (now <= filledAt) return;
@@ -79,6 +81,8 @@
   return {
     take: (ask, now) => {
       refill(ask.ratePerS, now);
+      if (ask.ratePerS > toldRatePerS) returnsAt.clear();
+      toldRatePerS = ask.ratePerS;
       const isUrgentDue =
         returnsOf(urgency => urgency < ask.urgency) > now - KEPT_FOR_URGENT_MS;
       const needed = isUrgentDue ? 2 : 1;
--- a/src/direct/limits/request_permits.ts
+++ b/src/direct/limits/request_permits.ts
@@ -132,6 +132,8 @@
 /** A replica for which this entry was refused permits. */
 interface Closure {
   readonly until: number;
+  /** Limit in force at the refusal; under a higher one, `until` is too late. */
+  readonly perSecond: number;
   /** Urgency of the refused request; more urgent ones may still ask. */
   readonly urgency: number;
 }
@@ -352,9 +354,11 @@
   };
 
   const waitMs = (replicaId: string, urgency: number): number => {
-    if (limits.limitOf(replicaId) === undefined) return 0;
+    const perSecond = limits.limitOf(replicaId);
+    if (perSecond === undefined) return 0;
     const closure = closures.get(replicaId);
     if (closure === undefined || urgency < closure.urgency) return 0;
+    if (perSecond > closure.perSecond) return 0;
     return Math.max(0, closure.until - clock.now());
   };
   const close = (req: PermitRequest, retryAfterMs: number): void => {
@@ -362,8 +366,10 @@
     for (const [replicaId, {until}] of closures) {
       if (until <= now) closures.delete(replicaId);
     }
+    const {replicaId, urgency} = req;
     const until = now + Math.max(1, retryAfterMs);
-    closures.set(req.replicaId, {until, urgency: req.urgency});
+    const perSecond = limits.limitOf(replicaId) ?? Infinity;
+    closures.set(replicaId, {until, perSecond, urgency});
     metrics.count('onyxloft_direct_limit_held_back_total');
   };
 
--- a/test/direct/request_permits.test.ts
+++ b/test/direct/request_permits.test.ts
@@ -135,6 +135,7 @@
 
   // Guards against requests that are held back by a limit that is gone.
   test('asks again at once when the limit has risen', async () => {
+    clock.advance(5_000);
     name(0.25);
     expect(await take()).toBe(false);
     expect(permits.waitMs('a', 1)).toBeGreaterThan(1_000);
