--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -7,17 +7,13 @@
 import type {Socket} from 'node:net';
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
 import {splitAddress} from '../settings.js';
-import type {CallerLimits} from '../types.js';
 import {createCallerConnections} from './caller_connections.js';
 import {createClosingReports} from './closings.js';
 import type {CloseCause} from './closings.js';
+import {afterPoll, createConnectionEnds} from './connection_end.js';
+import {idleTimeMs, statedIdleMs} from './idle_time.js';
+import type {LimitsInForce} from './limits_in_force.js';
 
-/**
- * The server keeps idle connections open for this much longer than the
- * configured limit. Callers reuse a connection until shortly before the limit,
- * and one that closed at the limit could break a request on its way.
- */
-const IDLE_MARGIN_MS = 1_000;
 /**
  * Largest headers that the HTTP parser accepts, in bytes. It exceeds the
  * configured limit, so that requests between the two are answered with 431 by
@@ -26,6 +22,8 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
+/** Code of the error for headers that did not come in time. */
+const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
 /**
  * Time between the answer to an invalid request and the closing of its socket,
  * in milliseconds. It lets the caller read the answer.
@@ -34,11 +32,12 @@
 
 const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [HEADERS_LATE]: '408 Request Timeout',
 };
 
 export interface CallersServer {
-  setLimits(limits: CallerLimits): void;
+  /** Applies limits that have changed. */
+  applyLimits(): void;
   /** Accepts no new connections and closes the idle ones. */
   stopAccepting(): void;
   /** Closes all connections, also those with open requests. */
@@ -56,6 +55,7 @@
   readonly handler: RequestHandler;
   /** A new connection for which it returns false is closed unread. */
   readonly admit: () => boolean;
+  readonly limits: LimitsInForce;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -65,32 +65,44 @@
 export async function openCallersServer(
   options: CallersServerOptions,
 ): Promise<CallersServer> {
-  const {clock, handler} = options;
+  const {clock, handler, limits} = options;
   const server = createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
     requestTimeout: 0,
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const connections = createCallerConnections(clock.now);
+  const ends = createConnectionEnds(clock);
   const reportClosing = createClosingReports(options.log, options.metrics);
   const report = (socket: Socket, cause: CloseCause, limitMs?: number) =>
     reportClosing(socket, {
       cause,
-      idleMs: connections.idleMs(socket),
+      idleMs: connections.quietMs(socket),
       limitMs,
       isUnanswered: connections.hasUnanswered(socket),
     });
+  const endQuiet = (socket: Socket, cause: CloseCause, limitMs?: number) => {
+    const idleMs = connections.quietMs(socket);
+    const isUnanswered = connections.hasUnanswered(socket);
+    ends.end(socket, 'leave', hasLateBytes =>
+      reportClosing(socket, {
+        cause,
+        idleMs,
+        limitMs,
+        isUnanswered: isUnanswered || hasLateBytes,
+      }),
+    );
+  };
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () => {
     for (const socket of connections.all()) {
-      if (!connections.isIdle(socket)) continue;
-      report(socket, 'drain');
-      socket.destroy();
+      if (connections.isIdle(socket)) endQuiet(socket, 'drain');
     }
   };
   const handle: RequestHandler = (req, res) => {
-    connections.began(req.socket, res);
+    // Node fixes what the answer states when the request has come.
+    connections.began(req, res, server.keepAliveTimeout);
     handler(req, res);
   };
   server.on('request', handle);
@@ -106,31 +118,70 @@
     socket.setNoDelay(true);
     connections.add(socket);
   });
-  server.on('timeout', socket => {
-    report(socket, 'idle', server.keepAliveTimeout - IDLE_MARGIN_MS);
-    socket.destroy();
-  });
+  // Node closes by the limit that was in force when the last answer ended; with
+  // a listener, it closes nothing.
+  server.on('timeout', () => undefined);
+  const closeIdle = () => {
+    const current = limits.current();
+    if (current === undefined) return;
+    const dueMs = new Map<Socket, number>();
+    connections.visitQuiet((socket, connection) => {
+      const limitMs = idleTimeMs(connection, current);
+      if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
+    });
+    if (dueMs.size === 0) return;
+    afterPoll(() => {
+      for (const [socket, limitMs] of dueMs) {
+        if (connections.quietMs(socket) < limitMs) continue;
+        endQuiet(socket, 'idle', limitMs);
+      }
+    });
+  };
+  const applyLimits = () => {
+    const newest = limits.newest();
+    if (newest === undefined) return;
+    server.headersTimeout = limits.headersTimeoutMs();
+    server.keepAliveTimeout = statedIdleMs(newest);
+  };
+  const refuseLate = (socket: Socket, err: NodeJS.ErrnoException) => {
+    // The idle time ends a connection that was opened ahead.
+    if (connections.isUnused(socket)) return;
+    const limitMs = server.headersTimeout;
+    const requestCount = connections.requestCount(socket);
+    afterPoll(() =>
+      connections.whenEnded(socket, () => {
+        if (connections.requestCount(socket) > requestCount) return;
+        report(socket, 'headers late', limitMs);
+        refuse(err, socket);
+      }),
+    );
+  };
   server.on('clientError', (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
+    if (err.code === HEADERS_LATE) {
+      refuseLate(socket, err);
+      return;
+    }
     connections.whenEnded(socket, () => {
-      if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-        report(socket, 'headers late', server.headersTimeout);
-      } else if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
+      if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
       refuse(err, socket);
     });
   });
+  applyLimits();
   await listen(server, options.address);
+  const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
+    applyLimits();
+    closeIdle();
+  });
   return {
-    setLimits: ({headersTimeoutMs, idleTimeoutMs}) => {
-      server.headersTimeout = headersTimeoutMs;
-      server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
-    },
+    applyLimits,
     stopAccepting: () => {
       server.close();
       server.closeIdleConnections();
     },
     close: () =>
       new Promise(resolve => {
+        cancelChecks();
         server.close(() => resolve());
         for (const socket of connections.all()) report(socket, 'service ended');
         server.closeAllConnections();
