fix(callers): requests that are open when the entry ends get an answer

What callers saw: when the service for callers failed and restarted, and when the grace time of a stop was over, whole requests ended with their connections, without an answer or a refusal.

Cause: both closed all connections and left their requests to it.

Change: before that every open request is ended: 503 where no replica has it, 502 where one may have run it; only an answer that was begun is cut. Requests whose body is not read yet, that wait for their turn or that come later get 503. The connections of a service that ended are ended in order instead of destroyed.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -33,7 +33,10 @@
   stopAccepting(): Promise<void>;
   /** Ends a connection unless a further request has come. */
   endWhenIdle(socket: Socket): void;
-  /** Closes all connections, also those with open requests. */
+  /**
+   * Accepts no new connections, and ends all of them, also those with open
+   * requests. An answer that was written before can still be read.
+   */
   close(): Promise<void>;
 }
 
@@ -91,6 +94,13 @@
       reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
     ends.end(socket, 'discard', count);
   };
+  const endLast = (socket: Socket) => {
+    if (ends.isEnding(socket)) return;
+    if (connections.hasUnanswered(socket)) {
+      report(socket, 'service ended');
+      socket.destroy();
+    } else endQuiet(socket, 'service ended');
+  };
   const endIfIdle = (socket: Socket) => {
     if (connections.isIdle(socket)) endQuiet(socket, 'drain');
   };
@@ -171,9 +181,11 @@
     close: () =>
       new Promise(resolve => {
         cancelChecks();
-        server.close(() => resolve());
-        for (const socket of connections.all()) report(socket, 'service ended');
-        server.closeAllConnections();
+        server.close();
+        afterPoll(() => {
+          for (const socket of connections.all()) endLast(socket);
+          resolve();
+        });
       }),
   };
 }
--- a/src/direct/callers/open_requests.ts
+++ b/src/direct/callers/open_requests.ts
@@ -10,16 +10,27 @@
   count(): number;
   /** Logs one whose caller has closed the connection. */
   logCallerLeft(exchange: Exchange): void;
+  /** Ends all of them, since their connections close. */
+  giveUpAll(reason: string): void;
   /** Logs those that end without an answer when this process ends now. */
   logCutAtStop(): void;
 }
 
-export function createOpenRequests(log: Log): OpenRequests {
+export type GiveUp = (exchange: Exchange, reason: string) => void;
+
+export function createOpenRequests(log: Log, giveUp: GiveUp): OpenRequests {
   const open = new Set<Exchange>();
   return {
     add: exchange => void open.add(exchange),
     delete: exchange => void open.delete(exchange),
     count: () => open.size,
+    giveUpAll: reason => {
+      for (const exchange of [...open]) {
+        // Tells whether a replica has it.
+        exchange.end('answered');
+        giveUp(exchange, reason);
+      }
+    },
     logCallerLeft: ({id, req, elapsedMs}) =>
       log(DIRECT_EVENTS.callerLeft, {
         requestId: id,
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -22,6 +22,9 @@
 import {createConnectionTurns} from './connection_turns.js';
 import {readId} from './request_id.js';
 
+/** Message to callers whose request comes when the entry ends. */
+const ENDED_MESSAGE = 'the entry ends';
+
 export interface RequestIntakeOptions {
   readonly clock: Clock;
   readonly log: Log;
@@ -49,6 +52,8 @@
   take(req: IncomingMessage, res: ServerResponse): void;
   /** Whether the connection closes after this answer. */
   closesAfter(res: ServerResponse): boolean;
+  /** Refuses the requests that are not served yet, and all that come later. */
+  refuseAll(): void;
   /**
    * Number of requests whose body is being read, whose key waits for the store,
    * which wait for their turn, or whose answer is not handed over completely.
@@ -60,8 +65,9 @@
   options: RequestIntakeOptions,
 ): RequestIntake {
   const {clock, log, metrics, codec, config, isDraining} = options;
-  /** Requests whose body is being read or whose key waits for the store. */
-  let admittingCount = 0;
+  /** Answers to requests whose body is read or whose key waits for the store. */
+  const admitting = new Set<ServerResponse>();
+  let hasEnded = false;
   const idOf = (req: IncomingMessage) => readId(codec, req);
   const turns = createConnectionTurns(req => {
     log(DIRECT_EVENTS.unread, {
@@ -70,6 +76,7 @@
       cause: 'the connection closes',
     });
   });
+  const closes = () => hasEnded || isDraining();
   /** Whether no request that has been read waits behind this one. */
   const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
     !turns.hasWaiting(socket);
@@ -92,7 +99,7 @@
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
     // Closes the connection, so that a retry can reach another entry. After 413
     // the rest of the body is not read, and nothing behind it.
-    const mayClose = isDraining() || status === 503;
+    const mayClose = closes() || status === 503;
     const close = status === 413 || (mayClose && isLastRead(res));
     sendLocalAnswer(res, {...refusal, close});
   };
@@ -102,10 +109,14 @@
     res: ServerResponse,
     arrivedAt: number,
   ): void => {
+    if (hasEnded) {
+      refuseEnded(res);
+      return;
+    }
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
-      if (!isDraining() || turns.hasWaiting(req.socket)) return;
+      if (!closes() || turns.hasWaiting(req.socket)) return;
       options.endWhenIdle(req.socket);
     });
     const admitOptions = {
@@ -115,22 +126,33 @@
       config,
       account: options.held?.track(req, res),
     };
-    admittingCount++;
+    admitting.add(res);
     admitRequest(admitOptions, req)
-      .finally(() => admittingCount--)
+      .finally(() => admitting.delete(res))
       .then(result => {
-        if (res.destroyed) return;
+        if (res.destroyed || res.writableEnded) return;
         if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
         else options.serve(result, req, res, arrivedAt);
       })
       .catch(err => endFailed(req, res, err));
   };
+  const refuseEnded = (res: ServerResponse): void => {
+    log(DIRECT_EVENTS.refused, {
+      requestId: idOf(res.req),
+      status: 503,
+      message: ENDED_MESSAGE,
+      config: config()?.version,
+    });
+    const close = isLastRead(res);
+    sendLocalAnswer(res, {status: 503, message: ENDED_MESSAGE, close});
+  };
   /** Ends a request that was not sent to a replica. */
   const endFailed = (
     req: IncomingMessage,
     res: ServerResponse,
     err: unknown,
   ): void => {
+    if (res.writableEnded) return;
     const hasCallerLeft = req.socket.destroyed || req.errored !== null;
     log(hasCallerLeft ? DIRECT_EVENTS.unread : DIRECT_EVENTS.faulted, {
       requestId: idOf(req),
@@ -150,8 +172,12 @@
       const arrivedAt = clock.now();
       turns.take(req, res, () => admit(req, res, arrivedAt));
     },
-    closesAfter: res => isDraining() && isLastRead(res),
+    closesAfter: res => closes() && isLastRead(res),
+    refuseAll: () => {
+      hasEnded = true;
+      for (const res of [...admitting]) refuseEnded(res);
+    },
     openCount: () =>
-      admittingCount + turns.servedCount() + turns.waitingCount(),
+      admitting.size + turns.servedCount() + turns.waitingCount(),
   };
 }
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -273,6 +273,11 @@
     if (!isOpening) openServer().catch(ctx.fail);
   };
 
+  const endRequests = (): void => {
+    intake.refuseAll();
+    serving.openRequests.giveUpAll('the entry ends');
+  };
+
   const drain = (reply: () => void): void => {
     if (isDraining) return;
     isDraining = true;
@@ -293,6 +298,7 @@
       if (!done && elapsedMs < graceMs) return;
       cancel();
       serving.openRequests.logCutAtStop();
+      endRequests();
       reply();
     });
   };
@@ -359,7 +365,10 @@
     }
   };
 
-  ctx.own(() => server?.close());
+  ctx.own(() => {
+    endRequests();
+    return server?.close();
+  });
   ctx.own(watchLoopStalls(clock, log, metrics));
   ctx.own(reportGauges(clock, metrics, readGauges));
   const shareSuspects = () => {
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -156,7 +156,7 @@
   ): void;
   /** Sets the number of known entries, including this one. */
   setEntryCount(count: number): void;
-  readonly openRequests: Pick<OpenRequests, 'count' | 'logCutAtStop'>;
+  readonly openRequests: Omit<OpenRequests, 'add' | 'delete'>;
   /** Values for the gauges; see `GaugeReadings`. */
   state(): {
     readonly entries: number;
@@ -177,7 +177,7 @@
 export function createServing(options: ServingOptions): Serving {
   const {clock, log, metrics, random, codec, dispatch, retries} = options;
   let entryCount = 1;
-  const openRequests = createOpenRequests(log);
+  const openRequests = createOpenRequests(log, (...of) => giveUp(ctx, ...of));
   const requestWeights = createRequestWeights();
   const coldServiceOf = (id: string) => cold.coldServiceOf(id);
   const coldSlowness = createColdSlowness({coldServiceOf});
--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -1,4 +1,4 @@
-/** Connections of callers that idle when the entry stops accepting. */
+/** Connections of callers at a stop of the entry. */
 import {afterEach, describe, expect, test} from 'vitest';
 import {
   openIdleCaller,
@@ -7,18 +7,23 @@
   writeAndStall,
 } from '../support/callers_server.js';
 import type {CallersServerFixture} from '../support/callers_server.js';
-import {until} from '../support/direct_fleet.js';
+import {configOf} from '../../standins/users_platform/deployment.js';
+import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 
-let fixture: CallersServerFixture;
-afterEach(() => fixture.server.close());
+const GRACE_S = 4;
+/** Time limit that is longer than the grace time, in milliseconds. */
+const PATIENT_MS = 20_000;
 
 describe('a connection that idles when the entry stops accepting', () => {
+  let fixture: CallersServerFixture;
+  afterEach(() => fixture.server.close());
+
   // Guards against a reset of a whole request that has come while the event
   // loop stood still.
   test('is kept until a request that lies unread is answered', async () => {
     fixture = await startCallersServer({});
     const caller = await openIdleCaller(fixture.address);
-    setTimeout(() => fixture.server.stopAccepting(), 10);
+    setTimeout(() => void fixture.server.stopAccepting(), 10);
     await writeAndStall(caller, requestText('/second'), 200);
     await until(() => caller.text().includes('/second'), 1_000).catch(() => {});
     expect(caller.text()).toContain('answer to /second');
@@ -30,8 +35,35 @@
   test('is ended', async () => {
     fixture = await startCallersServer({});
     const caller = await openIdleCaller(fixture.address);
-    fixture.server.stopAccepting();
+    await fixture.server.stopAccepting();
     await until(() => caller.closedBy() === 'end', 1_000);
     caller.socket.destroy();
   });
 });
+
+describe('a request that outlasts the grace time of a stop', () => {
+  // Guards against a whole request that gets neither an answer nor a refusal
+  // when the process ends.
+  test('ends with an unknown outcome where a replica has it', async () => {
+    const fleet = await startDirectFleet({timing: {graceS: GRACE_S}});
+    const {routes, ...config} = configOf(2);
+    const patient = routes.map(route => ({...route, timeoutMs: PATIENT_MS}));
+    fleet.store.put('config', 'main', {...config, routes: patient});
+    await until(() =>
+      fleet.runtime.events.some(
+        ({event, fields}) =>
+          event.name === 'direct-config-adopted' && fields['version'] === 2,
+      ),
+    );
+    for (const replica of fleet.desk) replica.behave(() => undefined);
+    const answer = callEntry(fleet, '/once/a', {
+      headers: {'X-Deadline-Ms': String(PATIENT_MS)},
+      signal: AbortSignal.timeout(GRACE_S * 1_000),
+    });
+    await until(() => fleet.desk.some(({arrivals}) => arrivals.length > 0));
+    const drained = fleet.entry.drain();
+    expect((await answer).status).toBe(502);
+    await drained;
+    await fleet.close();
+  });
+});
