fix(callers): limits on sizes are those that a caller may go by

What callers saw: 413 or 431 right after a lower limit, for requests that were proper by the version before, which may be in force for a caller for configMs more; and 413 for a body that was under way when the limit was raised.

Cause: a request was checked by the newest configuration when its turn on the connection came, and its body by the one of that moment.

Change: a request has the larger limits of those that a caller may have gone by when its headers had been read, and those that a caller may go by at the check.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -40,6 +40,11 @@
   readonly keysUnconfirmedMs: () => number;
   /** The newest configuration. */
   readonly config: () => DirectConfig | undefined;
+  /**
+   * The limits for this request: those of the version that was in force when it
+   * came, or of a newer one where they are larger.
+   */
+  readonly limits: () => CallerLimits | undefined;
   /** Undefined where the bytes that the entry holds are not bounded. */
   readonly account?: RequestAccount;
 }
@@ -50,8 +55,11 @@
   req: IncomingMessage,
 ): Promise<AdmittedRequest | Refusal> {
   const earlyConfig = options.config();
-  if (earlyConfig === undefined) return refused(503, 'no configuration yet');
-  const refusal = checkHeaders(earlyConfig.limits, req);
+  const earlyLimits = options.limits();
+  if (earlyConfig === undefined || earlyLimits === undefined) {
+    return refused(503, 'no configuration yet');
+  }
+  const refusal = checkHeaders(earlyLimits, req);
   if (refusal !== undefined) return refusal;
   const {account} = options;
   const waitMs = account?.reserve(announcedBytes(req));
@@ -59,7 +67,7 @@
     const retryAfterMs = waitMs + options.random() * RETRY_SPREAD_MS;
     return {...refused(503, 'too many bytes are held'), retryAfterMs};
   }
-  const {maxBodyBytes} = earlyConfig.limits;
+  const maxBodyBytes = () => (options.limits() ?? earlyLimits).maxBodyBytes;
   const body = await readBody(req, maxBodyBytes, account);
   account?.complete();
   if (body === undefined) return refused(413, 'the body is too large');
@@ -166,12 +174,12 @@
 }
 
 /**
- * Returns undefined when the body exceeds `maxBytes`. Rejects when the caller
+ * Returns undefined when the body exceeds `maxBytes`, which may rise. Rejects when the caller
  * closes the connection first.
  */
 function readBody(
   req: IncomingMessage,
-  maxBytes: number,
+  maxBytes: () => number,
   account: RequestAccount | undefined,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
@@ -179,7 +187,7 @@
     let bytes = 0;
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBytes) {
+      if (bytes > maxBytes()) {
         resolve(undefined);
         return;
       }
--- a/src/direct/callers/limits_in_force.ts
+++ b/src/direct/callers/limits_in_force.ts
@@ -66,8 +66,15 @@
   };
 }
 
-/** The larger one of each limit. */
-export function widest(a: CallerLimits, b: CallerLimits): CallerLimits {
+/** The larger one of each limit; undefined where neither is known. */
+export function widestOf(
+  a: CallerLimits | undefined,
+  b: CallerLimits | undefined,
+): CallerLimits | undefined {
+  return a !== undefined && b !== undefined ? widest(a, b) : (a ?? b);
+}
+
+function widest(a: CallerLimits, b: CallerLimits): CallerLimits {
   return {
     maxHeaderBytes: Math.max(a.maxHeaderBytes, b.maxHeaderBytes),
     maxBodyBytes: Math.max(a.maxBodyBytes, b.maxBodyBytes),
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -17,9 +17,11 @@
 import type {HeldBytes} from '../held/held_bytes.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import type {Serving} from '../serving.js';
-import type {DirectConfig, HeaderCodec} from '../types.js';
+import type {CallerLimits, DirectConfig, HeaderCodec} from '../types.js';
 import {connectionOf} from './connection_name.js';
 import {createConnectionTurns} from './connection_turns.js';
+import {widestOf} from './limits_in_force.js';
+import type {LimitsInForce} from './limits_in_force.js';
 import {readId} from './request_id.js';
 
 /** Message to callers whose request comes when the entry ends. */
@@ -39,6 +41,7 @@
   >;
   /** The newest configuration. */
   config(): DirectConfig | undefined;
+  readonly limits: LimitsInForce;
   isDraining(): boolean;
   readonly serve: Serving['serve'];
   /** Ends the connection unless a further request has come. */
@@ -47,6 +50,14 @@
   evidenceFields(): LogFields;
 }
 
+interface TakenRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly arrivedAt: number;
+  /** The limits when its headers had been read. */
+  readonly limits: CallerLimits | undefined;
+}
+
 export interface RequestIntake {
   /** Takes a request whose headers have been read. */
   take(req: IncomingMessage, res: ServerResponse): void;
@@ -104,11 +115,7 @@
     sendLocalAnswer(res, {...refusal, close});
   };
 
-  const admit = (
-    req: IncomingMessage,
-    res: ServerResponse,
-    arrivedAt: number,
-  ): void => {
+  const admit = ({req, res, arrivedAt, limits}: TakenRequest): void => {
     if (hasEnded) {
       refuseEnded(res);
       return;
@@ -124,6 +131,7 @@
       random: () => options.random.next(),
       ...options.checks,
       config,
+      limits: () => widestOf(limits, options.limits.current()),
       account: options.held?.track(req, res),
     };
     admitting.add(res);
@@ -170,7 +178,8 @@
   return {
     take: (req, res) => {
       const arrivedAt = clock.now();
-      turns.take(req, res, () => admit(req, res, arrivedAt));
+      const limits = options.limits.current();
+      turns.take(req, res, () => admit({req, res, arrivedAt, limits}));
     },
     closesAfter: res => closes() && isLastRead(res),
     refuseAll: () => {
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -227,6 +227,7 @@
     held,
     checks,
     config: () => config,
+    limits,
     isDraining: () => isDraining,
     serve: serving.serve,
     endWhenIdle: socket => server?.endWhenIdle(socket),
--- a/test/direct/first_moments.test.ts
+++ b/test/direct/first_moments.test.ts
@@ -89,6 +89,7 @@
       denialsAreFresh: () => FOREVER,
       keysUnconfirmedMs: () => 0,
       config: () => config,
+      limits: () => config?.limits,
     };
     const message = Object.assign(req, {
       url: path,
