test(fault-soak): the judge of idle connections is tested without a network

The judge decides what counts against an entry, so it may neither blame it for what it cannot know nor pass over a lost request. 24 cases cover the limits that a caller can know, requests without an answer, raises that an entry does not know of yet, stops, pauses, and refusals of what a limit forbids that was lowered meanwhile. A finding names when the newest version was acknowledged and adopted. Where no idle limit changes, callers go by the largest one.

--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -19,7 +19,7 @@
 import type {CallerShape} from './idle_callers.js';
 import type {Seen} from './idle_connection.js';
 import {judge, longestKeptMs} from './idle_judge.js';
-import type {EntryFacts, Verdict} from './idle_judge.js';
+import type {EntryFacts, JudgedFacts, Verdict} from './idle_judge.js';
 import {CHANGE_KINDS, LADDERS, createLimitChanges} from './limit_changes.js';
 import type {ChangeKind, LimitChanges} from './limit_changes.js';
 
@@ -88,11 +88,11 @@
     ...TIMING,
     revokeMs: REVOKE_MS,
   });
-  const firstIdleMs =
-    plan.kinds[0] === 'idle-lowered'
-      ? (plan.ladder.at(-1) ?? 0)
-      : plan.ladder[0];
-  const changes = createLimitChanges(fleet.store, plan.ladder, firstIdleMs);
+  const changes = createLimitChanges(
+    fleet.store,
+    plan.ladder,
+    plan.firstIdleMs,
+  );
   const disturbances = createDisturbances(fleet);
   const links = await linksTo(fleet, shape.delayMs);
   const delay = monitorEventLoopDelay();
@@ -110,14 +110,21 @@
         disturbances.disturbInSeries(how, seeded(seed, 10 + at), over),
       ),
     ];
-    const makeShape = callerShapes(shape, changes, plan.ladder, all, over);
+    const makeShape = callerShapes(
+      shape,
+      changes,
+      plan.largestIdleMs,
+      all,
+      over,
+    );
     const callers = startCallers(links, makeShape, over);
     const sitters = startSitters(links, makeShape, changes);
     await sleep(shape.durationMs);
     isOver = true;
     await Promise.all([...troubles, callers]);
     const sat = await Promise.all(sitters);
-    const verdicts = judgeAll(shape, all, fleet, changes, disturbances);
+    const factsOf = factsFor(shape, fleet, changes, disturbances);
+    const verdicts = all.map(one => judge(one.seen, factsOf(one)));
     return {
       seed,
       ladder: plan.ladder,
@@ -132,7 +139,9 @@
       excused: countBy(verdicts.flatMap(whyExcused), why => why),
       sitters: countBy(sat, end => end),
       violations: [
-        ...all.flatMap((one, at) => describe(one, verdicts[at], fleet)),
+        ...all.flatMap((one, at) =>
+          describe(one.seen, verdicts[at], factsOf(one)),
+        ),
         ...sat
           .filter(end => end === 'kept')
           .map(() => 'a connection that nobody uses is kept'),
@@ -157,8 +166,13 @@
   };
   const kinds = kind === undefined ? some(CHANGE_KINDS, 1) : [kind];
   const others = some(DISTURBANCES, 0);
+  const limits = ladder ?? drawn;
+  const largestMs = Math.max(...limits);
+  const firstIdleMs = kinds.includes('idle-raised') ? limits[0] : largestMs;
   return {
-    ladder: ladder ?? drawn,
+    ladder: limits,
+    firstIdleMs,
+    largestIdleMs: largestMs,
     kinds: ladder?.length === 1 ? [] : kinds,
     beside: beside === undefined ? others : beside === 'none' ? [] : [beside],
   };
@@ -182,7 +196,7 @@
 function callerShapes(
   {seed, ignoresStated}: IdleShape,
   changes: LimitChanges,
-  ladder: readonly number[],
+  largestIdleMs: number,
   all: At[],
   isOver: () => boolean,
 ): MakeShape {
@@ -193,7 +207,7 @@
     link,
     heedsStated: ignoresStated !== true,
     random: seeded(seed, 100 + made++),
-    largestIdleMs: Math.max(...ladder),
+    largestIdleMs,
     history: changes.history,
     nextId: () => `idle-${++sent}-at-${entry}`,
     isOver,
@@ -234,13 +248,12 @@
   );
 }
 
-function judgeAll(
+function factsFor(
   {dir, ignoresStated}: IdleShape,
-  all: readonly At[],
   fleet: SoakFleet,
   changes: LimitChanges,
   {stops, freezes}: Disturbances,
-): readonly Verdict[] {
+): (one: At) => JudgedFacts {
   const entries = fleet.entries.map(({name}, at): EntryFacts => {
     const adoptions = readAdoptions(dir, name);
     return {
@@ -249,16 +262,14 @@
       adoptedAt: version => adoptions.get(version),
     };
   });
-  return all.map(({seen, entry, delayMs}) =>
-    judge(seen, {
-      history: changes.history(),
-      entry: entries[entry],
-      runs: runsOf(fleet, seen.id),
-      delayMs,
-      graceMs: GRACE_MS,
-      heedsStated: ignoresStated !== true,
-    }),
-  );
+  return ({seen, entry, delayMs}) => ({
+    history: changes.history(),
+    entry: entries[entry],
+    runs: runsOf(fleet, seen.id),
+    delayMs,
+    graceMs: GRACE_MS,
+    heedsStated: ignoresStated !== true,
+  });
 }
 
 function runsOf({replicas}: SoakFleet, id: string): number {
@@ -271,20 +282,24 @@
 
 /** In words, what was broken. */
 function describe(
-  {seen, delayMs}: At,
+  seen: Seen,
   verdict: Verdict,
-  fleet: SoakFleet,
+  {history, entry, runs, delayMs}: JudgedFacts,
 ): readonly string[] {
   if (verdict.kind !== 'broken') return [];
   const {id, end, status, idleMs, statedMs, beganAt, sentAt, endedAt} = seen;
-  const ms = (value: number | undefined) =>
-    value === undefined ? 'none' : `${Math.round(value)} ms`;
-  const wallTime = new Date(performance.timeOrigin + endedAt).toISOString();
+  const ms = (from: number | undefined, to: number | undefined) =>
+    from === undefined || to === undefined
+      ? 'none'
+      : `${Math.round(to - from)} ms`;
+  const last = history.filter(({at}) => at <= endedAt).at(-1);
   return [
-    `${id} ${verdict.what}: ${end} ${status ?? ''} at ${wallTime}, ` +
-      `${ms(sentAt === undefined ? undefined : endedAt - sentAt)} after it was sent, ` +
-      `began ${ms(endedAt - beganAt)} before; idle ${ms(idleMs)}, stated ` +
-      `${ms(statedMs)}, link ${delayMs} ms, cut ${seen.cut}, ran ${runsOf(fleet, id)} times`,
+    `${id} ${verdict.what}: ${end} ${status ?? ''}, ` +
+      `${ms(sentAt, endedAt)} after it was sent, ${ms(beganAt, endedAt)} after it began; ` +
+      `idle ${ms(0, idleMs)}, stated ${ms(0, statedMs)}, cut ${seen.cut}, link ${delayMs} ms, ` +
+      `ran ${runs} times; version ${last?.version} acknowledged ${ms(beganAt, last?.at)} and ` +
+      `adopted ${ms(beganAt, entry.adoptedAt(last?.version ?? 0))} after it began, ` +
+      `ended at ${new Date(performance.timeOrigin + endedAt).toISOString()}`,
   ];
 }
 
--- /dev/null
+++ b/test/idle_judge.test.ts
@@ -0,0 +1,225 @@
+/** What the soak of idle connections holds entries to, without a network. */
+import {describe, expect, test} from 'vitest';
+import type {Seen} from '../fault_soak/idle_connections/idle_connection.js';
+import {
+  judge,
+  longestKeptMs,
+} from '../fault_soak/idle_connections/idle_judge.js';
+import type {
+  EntryFacts,
+  JudgedFacts,
+} from '../fault_soak/idle_connections/idle_judge.js';
+import {
+  reusableMs,
+  safeLimit,
+} from '../fault_soak/idle_connections/limit_history.js';
+import type {
+  LimitVersion,
+  Limits,
+} from '../fault_soak/idle_connections/limit_history.js';
+
+const SENT_AT = 60_000;
+const GRACE_MS = 8_000;
+const FIRST: Limits = {
+  maxHeaderBytes: 4_000,
+  maxBodyBytes: 10_000,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 1_000,
+};
+
+/** A version that was acknowledged so long before the request was sent. */
+function acked(
+  beforeMs: number,
+  version: number,
+  limits: Partial<Limits> = {},
+): LimitVersion {
+  return {version, limits: {...FIRST, ...limits}, at: SENT_AT - beforeMs};
+}
+
+const RAISED = [acked(50_000, 1), acked(10_000, 2, {idleTimeoutMs: 8_000})];
+
+function answered(status: number, changed: Partial<Seen> = {}): Seen {
+  return {
+    id: 'idle-1-at-0',
+    kind: 'once',
+    cut: 'none',
+    pauseMs: 0,
+    headBytes: 300,
+    bodyBytes: 8,
+    idleMs: 3_000,
+    statedMs: 9_000,
+    beganAt: SENT_AT,
+    headSentAt: SENT_AT,
+    sentAt: SENT_AT,
+    firstByteAt: SENT_AT + 5,
+    endedAt: SENT_AT + 5,
+    end: 'answer',
+    status,
+    ...changed,
+  };
+}
+
+/** Its connection ended so long after it was sent. */
+function ended(afterMs: number, changed: Partial<Seen> = {}): Seen {
+  const none = {firstByteAt: undefined, status: undefined};
+  const endedAt = SENT_AT + afterMs;
+  return answered(0, {...none, end: 'end', endedAt, ...changed});
+}
+
+function facts(changed: Partial<JudgedFacts> = {}): JudgedFacts {
+  return {
+    history: RAISED,
+    entry: entry(),
+    runs: 0,
+    delayMs: 0,
+    graceMs: GRACE_MS,
+    heedsStated: true,
+    ...changed,
+  };
+}
+
+/** It adopts each version at once. */
+function entry(changed: Partial<EntryFacts> = {}): EntryFacts {
+  return {stops: [], freezes: [], adoptedAt: () => 0, ...changed};
+}
+
+/** Its SIGTERM came so long before the request was sent. */
+function stopped(beforeMs: number): EntryFacts {
+  const from = SENT_AT - beforeMs;
+  return entry({stops: [{entry: 0, from, to: Infinity}]});
+}
+
+const kindOf = (seen: Seen, changed: Partial<JudgedFacts> = {}) =>
+  judge(seen, facts(changed)).kind;
+
+// Guards against a judge that holds callers to what they cannot know.
+describe('the limits that a caller can know', () => {
+  const lowered = [acked(9_000, 1, {idleTimeoutMs: 8_000}), acked(1_900, 2)];
+  test('are raised with the acknowledgement', () => {
+    const raisedNow = [acked(9_000, 1), acked(0, 2, {idleTimeoutMs: 8_000})];
+    expect(reusableMs(raisedNow, SENT_AT)).toBe(6_400);
+  });
+  test('are lowered when the version is in force everywhere', () => {
+    expect(reusableMs(lowered, SENT_AT)).toBe(6_400);
+    expect(reusableMs(lowered, SENT_AT + 200)).toBe(800);
+  });
+  test('of a request are those that all versions in force allow', () => {
+    const sizes = [acked(9_000, 1), acked(500, 2, {maxBodyBytes: 20_000})];
+    expect(safeLimit(sizes, 'maxBodyBytes', SENT_AT)).toBe(10_000);
+    expect(safeLimit(sizes, 'maxBodyBytes', SENT_AT + 1_600)).toBe(20_000);
+  });
+});
+
+// Guards against a judge that passes over requests without an answer.
+describe('a request without an answer', () => {
+  test('is a finding once a replica has run it', () => {
+    expect(kindOf(ended(5), {runs: 1})).toBe('broken');
+  });
+  test('is a finding when its connection ends late', () => {
+    const beyond = {idleMs: 7_000};
+    expect(kindOf(ended(150, beyond))).toBe('excused');
+    expect(kindOf(ended(250, beyond))).toBe('broken');
+  });
+  test('is a finding when its caller kept the limits', () => {
+    expect(kindOf(ended(5, {idleMs: 6_300}))).toBe('broken');
+    expect(kindOf(ended(5, {idleMs: 6_500}))).toBe('excused');
+  });
+  test('is a finding on a new connection', () => {
+    expect(kindOf(ended(5, {idleMs: undefined}))).toBe('broken');
+  });
+  test('is a finding when a part of it was still to be sent', () => {
+    const part = {sentAt: undefined, headSentAt: undefined};
+    expect(kindOf(ended(5, part))).toBe('broken');
+  });
+  test('is a finding when it has no end at all', () => {
+    expect(kindOf(ended(15_000, {end: 'hang'}))).toBe('broken');
+  });
+  test('is excused when it was sent later than its connection was stated to be kept', () => {
+    const late = ended(5, {statedMs: 2_000});
+    expect(kindOf(late)).toBe('excused');
+    expect(kindOf(late, {heedsStated: false})).toBe('broken');
+  });
+  test('is excused when its time is nearly over', () => {
+    expect(kindOf(ended(5_000), {runs: 1})).toBe('excused');
+  });
+});
+
+// Guards against a judge that blames an entry for a raise it cannot know yet.
+describe('a close by the limit before a raise', () => {
+  const raisedLately = [acked(9_000, 1), acked(1_500, 2, {idleTimeoutMs: 8e3})];
+  const adoptedAt = (at: number) =>
+    entry({adoptedAt: version => (version === 1 ? 0 : at)});
+  test('is excused until the entry adopted the raise', () => {
+    const history = raisedLately;
+    const adoptsLater = {history, entry: adoptedAt(SENT_AT + 50)};
+    expect(kindOf(ended(5), adoptsLater)).toBe('excused');
+    expect(kindOf(ended(100), adoptsLater)).toBe('broken');
+  });
+  test('is excused where it was on its way when the entry adopted it', () => {
+    const adopted = {history: raisedLately, entry: adoptedAt(SENT_AT)};
+    expect(kindOf(ended(40), adopted)).toBe('broken');
+    expect(kindOf(ended(40), {...adopted, delayMs: 50})).toBe('excused');
+  });
+  test('is a finding once each entry has to know of the raise', () => {
+    const never = {entry: adoptedAt(Infinity)};
+    expect(kindOf(ended(5), {...never, history: raisedLately})).toBe('excused');
+    expect(kindOf(ended(5), never)).toBe('broken');
+  });
+});
+
+// Guards against a judge that takes stops and pauses for excuses of everything.
+describe('beside a stop', () => {
+  test('a request may cross the close, unless it ran or is late', () => {
+    const stop = {entry: stopped(500)};
+    expect(kindOf(ended(5), stop)).toBe('excused');
+    expect(kindOf(ended(5), {...stop, runs: 1})).toBe('broken');
+    expect(kindOf(ended(250), stop)).toBe('broken');
+  });
+  test('the end of the grace time may cut what was sent early', () => {
+    const runs = 1;
+    expect(kindOf(ended(4_000), {runs, entry: stopped(2_900)})).toBe('excused');
+    expect(kindOf(ended(4_000), {runs, entry: stopped(3_100)})).toBe('broken');
+    expect(kindOf(ended(3_000), {runs, entry: stopped(2_900)})).toBe('broken');
+  });
+  test('an entry that was paused lately is not held to anything', () => {
+    const freezes = [{from: SENT_AT - 4_000, to: SENT_AT - 2_900}];
+    expect(kindOf(ended(5), {entry: entry({freezes})})).toBe('excused');
+    const earlier = [{from: SENT_AT - 5_000, to: SENT_AT - 3_100}];
+    expect(kindOf(ended(5), {entry: entry({freezes: earlier})})).toBe('broken');
+  });
+});
+
+// Guards against a judge that passes over refusals of proper requests.
+describe('an answered request', () => {
+  test('is kept by an answer or a promise that it has not run', () => {
+    expect(kindOf(answered(200), {runs: 1})).toBe('kept');
+    expect(kindOf(answered(503))).toBe('kept');
+    expect(kindOf(answered(503), {runs: 1})).toBe('broken');
+  });
+  test('runs once where it may not be repeated', () => {
+    expect(kindOf(answered(200), {runs: 2})).toBe('broken');
+    expect(kindOf(answered(200, {kind: 'stream'}), {runs: 2})).toBe('kept');
+  });
+  test.each([
+    [413, {bodyBytes: 4_000}, {maxBodyBytes: 2_000}],
+    [431, {headBytes: 3_000}, {maxHeaderBytes: 1_000}],
+    [408, {headSentAt: SENT_AT + 2_000}, {headerTimeoutMs: 1_000}],
+    [400, {bodyBytes: 4_000}, {maxBodyBytes: 2_000}],
+  ])(
+    'is not refused with %i by a limit lowered meanwhile',
+    (status, sent, limits) => {
+      const seen = answered(status, {...sent, endedAt: SENT_AT + 2_000});
+      const lowered = (beforeMs: number) => ({
+        history: [acked(9_000, 1), acked(beforeMs, 2, limits)],
+      });
+      expect(kindOf(seen, lowered(-10))).toBe('broken');
+      // Its caller could know that the limit is being lowered.
+      expect(kindOf(seen, lowered(10))).toBe('excused');
+    },
+  );
+});
+
+// Guards against a bound that lets an entry keep unused connections for ever.
+test('a connection that nobody uses may be kept for three of the largest limits', () => {
+  expect(longestKeptMs(RAISED)).toBe(29_000);
+});
