--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -3,6 +3,7 @@
  * turn, and has them admitted and served, or refuses them.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {
   Clock,
   Log,
@@ -19,6 +20,7 @@
 import type {DirectConfig, HeaderCodec} from '../types.js';
 import {connectionOf} from './connection_name.js';
 import {createConnectionTurns} from './connection_turns.js';
+import {readId} from './request_id.js';
 
 export interface RequestIntakeOptions {
   readonly clock: Clock;
@@ -36,6 +38,8 @@
   config(): DirectConfig | undefined;
   isDraining(): boolean;
   readonly serve: Serving['serve'];
+  /** Ends the connection unless a further request has come. */
+  endWhenIdle(socket: Socket): void;
   /** What is known of the store's state, for the line of a refusal. */
   evidenceFields(): LogFields;
 }
@@ -58,10 +62,10 @@
   const {clock, log, metrics, codec, config, isDraining} = options;
   /** Requests whose body is being read or whose key waits for the store. */
   let admittingCount = 0;
+  const idOf = (req: IncomingMessage) => readId(codec, req);
   const turns = createConnectionTurns(req => {
-    const {id} = codec.readRequest(req.headers);
     log(DIRECT_EVENTS.unread, {
-      requestId: id,
+      requestId: idOf(req),
       connection: connectionOf(req.socket),
       cause: 'the connection closes',
     });
@@ -101,7 +105,8 @@
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
-      if (isDraining() && !turns.hasWaiting(req.socket)) req.socket.end();
+      if (!isDraining() || turns.hasWaiting(req.socket)) return;
+      options.endWhenIdle(req.socket);
     });
     const admitOptions = {
       codec,
@@ -115,22 +120,29 @@
       .finally(() => admittingCount--)
       .then(result => {
         if (res.destroyed) return;
-        if ('status' in result) {
-          const {id} = codec.readRequest(req.headers);
-          refuse(res, result, id, arrivedAt);
-        } else {
-          options.serve(result, req, res, arrivedAt);
-        }
+        if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
+        else options.serve(result, req, res, arrivedAt);
       })
-      .catch(err => {
-        const {id} = codec.readRequest(req.headers);
-        log(DIRECT_EVENTS.unread, {
-          requestId: id,
-          connection: connectionOf(req.socket),
-          cause: String(err),
-        });
-        res.destroy();
-      });
+      .catch(err => endFailed(req, res, err));
+  };
+  /** Ends a request that was not sent to a replica. */
+  const endFailed = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    err: unknown,
+  ): void => {
+    const hasCallerLeft = req.socket.destroyed || req.errored !== null;
+    log(hasCallerLeft ? DIRECT_EVENTS.unread : DIRECT_EVENTS.faulted, {
+      requestId: idOf(req),
+      connection: connectionOf(req.socket),
+      cause: String(err),
+    });
+    if (hasCallerLeft || res.headersSent) {
+      res.destroy();
+      return;
+    }
+    const close = isLastRead(res);
+    sendLocalAnswer(res, {status: 503, message: 'internal error', close});
   };
 
   return {
