fix(streams): a refusal beside a run that is silent for good no longer ends the search

What callers saw: a replica fell silent for good, the second one refused the request as not run, and on a route with two attempts the stream ended at its time limit, although the second replica would have taken it a moment later.

Cause: the refusal used up the last attempt.

Change: a replica that refuses beside a silent run is no longer counted as an attempt and may be asked once more, as one that was superseded may, at the next report of the silence or when another run has ended. It still counts among the replicas that the route allows, so where further ones are allowed they come first, and never more of them are reached.

--- a/src/direct/streams/open_runs.ts
+++ b/src/direct/streams/open_runs.ts
@@ -41,10 +41,12 @@
   noteNoOther(reason: string): void;
   cancelAll(): void;
   /**
-   * Ids of replicas whose runs were cancelled for another one. They count as
-   * reached, and each may be asked once more.
+   * Ids of replicas that may be asked once more: their runs were cancelled for
+   * another one, or they refused the request beside a silent run some time ago.
    */
-  readonly superseded: ReadonlySet<string>;
+  readonly askable: ReadonlySet<string>;
+  /** Replicas that were reached and are not counted as attempts. */
+  uncountedReplicas(): number;
 }
 
 interface OpenRun {
@@ -62,7 +64,9 @@
   const {clock, log, metrics} = ctx;
   const open = new Set<OpenRun>();
   const ended: EndedRun[] = [];
-  const superseded = new Set<string>();
+  const askable = new Set<string>();
+  /** Those that refused the request since a run was last reported as silent. */
+  const refused = new Set<string>();
   const askedAgain = new Set<string>();
   let isDue = true;
   let hasChanged = false;
@@ -92,9 +96,20 @@
     close(run);
     run.cancel();
   };
+  /** The attempt is not counted; the replica may be asked once more. */
+  const uncount = (id: string, uncounted: Set<string>): void => {
+    if (askedAgain.has(id)) return;
+    uncounted.add(id);
+    exchange.attempts--;
+  };
+  const askRefusedAgain = (): void => {
+    for (const id of refused) askable.add(id);
+    refused.clear();
+  };
   const onSilent = (run: OpenRun, silentMs: number): void => {
     run.silentSince ??= clock.now() - silentMs;
     if (!needsAnother()) return;
+    askRefusedAgain();
     isDue = true;
     notify();
   };
@@ -112,26 +127,30 @@
       log(DIRECT_EVENTS.runSuperseded, {...fieldsOf(other), by});
       if (other.silentSince !== undefined) countSilence('superseded');
       cancel(other);
-      const {id} = other.placement.replica;
-      if (askedAgain.has(id)) continue;
-      superseded.add(id);
-      exchange.attempts--;
+      uncount(other.placement.replica.id, askable);
     }
   };
   const onEnded = (run: OpenRun, outcome: StreamOutcome): void => {
     if (!open.has(run)) return;
     if (run.silentSince !== undefined) countSilence('ended');
     close(run);
-    ended.push({replica: run.placement.replica, outcome});
+    const {replica} = run.placement;
+    if (outcome.kind === 'not-run' && open.size > 0) {
+      uncount(replica.id, refused);
+    } else {
+      askRefusedAgain();
+    }
+    ended.push({replica, outcome});
     isDue = true;
     notify();
   };
 
   return {
-    superseded,
+    askable,
+    uncountedReplicas: () => askable.size + refused.size,
     start: placement => {
       const {id} = placement.replica;
-      if (superseded.delete(id)) askedAgain.add(id);
+      if (askable.delete(id)) askedAgain.add(id);
       // Most silent runs are superseded, and their load would make the replicas
       // look fuller than they are.
       for (const {placement: silent} of open) silent.endLoad();
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -143,7 +143,7 @@
 
 /**
  * The replicas that may be asked; undefined when none may. Where the route
- * allows no further replica, one that was superseded may be asked again.
+ * allows no further replica, one that was asked before may be asked again.
  */
 function choosableReplicas(
   ctx: ServeContext,
@@ -151,14 +151,14 @@
   state: StreamState,
 ): Pick<ReplicaSearch, 'excluded' | 'isLastResort'> | undefined {
   const {attempts, route} = exchange;
-  const {superseded} = state.runs;
-  if (attempts + superseded.size < route.maxAttempts) {
+  const {askable, uncountedReplicas} = state.runs;
+  if (attempts + uncountedReplicas() < route.maxAttempts) {
     const isLastResort = (id: string) =>
       isDialledAgain(ctx, exchange, state, id);
     return {excluded: state.tried, isLastResort};
   }
-  if (superseded.size === 0) return undefined;
-  const excluded = {has: (id: string) => !superseded.has(id)};
+  if (askable.size === 0) return undefined;
+  const excluded = {has: (id: string) => !askable.has(id)};
   return {excluded, isLastResort: () => false};
 }
 
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -251,6 +251,31 @@
     expectWhole(await answer);
   });
 
+  // A refusal had used up the last attempt, so the stream ended at its time limit.
+  test('and the other one, which has refused, is asked again', async () => {
+    fleet = await startDirectFleet();
+    let refusals = 0;
+    firstBehaves(
+      (arrival, res) => {
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(1));
+      },
+      (...args) => (refusals++ === 0 ? refuse : streamTo(EVENTS))(...args),
+    );
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(3);
+  });
+
+  test('and another one that always refuses is asked twice', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      res.write(eventText(1));
+    }, refuse);
+    expect((await stream()).whole).toBe(false);
+    expect(arrivals()).toHaveLength(3);
+  });
+
   test('and the connection of its run is closed once another has begun', async () => {
     fleet = await startDirectFleet();
     firstBehaves((arrival, res) => {
