fix(streams): a replica's own failure reaches the caller when the first run breaks later

What callers saw: a run fell silent before its first event, the second replica answered with an error, and when the first run broke off, the caller got 502 in place of the replica's answer.

Cause: a failure was passed on only where no other run was open at that moment; otherwise it was dropped.

Change: the last failure of a replica is kept and passed on when no run is left and nothing was written to the caller. At the time limit the answer stays 504.

Measured: one test of silent_replicas red before (502), green after (500 with the replica's body); 59 tests of silent_replicas, streams, unframed_answers and crashing_requests green.

--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -37,8 +37,12 @@
   /** Ids of replicas that were chosen before; further attempts exclude them. */
   readonly tried: Set<string>;
   readonly undialled: UndialledReplicas;
+  /** The last error that a replica answered while another run was open. */
+  failure: ReplicaFailure | undefined;
 }
 
+type ReplicaFailure = Extract<StreamOutcome, {readonly kind: 'failure'}>;
+
 /** What came of the search for a replica. */
 type SearchResult =
   | {readonly kind: 'started'}
@@ -60,8 +64,13 @@
 ): Promise<void> {
   const progress = startProgress(exchange);
   const runs = createOpenRuns(ctx, exchange, progress);
-  const undialled = createUndialledReplicas(ctx.clock);
-  const state: StreamState = {progress, runs, tried: new Set(), undialled};
+  const state: StreamState = {
+    progress,
+    runs,
+    tried: new Set(),
+    undialled: createUndialledReplicas(ctx.clock),
+    failure: undefined,
+  };
   let search: Promise<SearchResult> | undefined;
   // Each request earns a share of a retry, and each attempt after the first takes
   // one, so that retries stay a share of all requests.
@@ -82,7 +91,9 @@
     search = undefined;
     if (result.kind !== 'none' || exchange.signal.aborted) continue;
     if (runs.isIdle()) {
-      giveUp(ctx, exchange, result.reason, result.retryAfterMs);
+      if (!sendFailure(ctx, exchange, state)) {
+        giveUp(ctx, exchange, result.reason, result.retryAfterMs);
+      }
       return;
     }
     runs.noteNoOther(result.reason);
@@ -187,9 +198,10 @@
 function handleOutcome(
   ctx: ServeContext,
   exchange: Exchange,
-  {progress, runs, tried, undialled}: StreamState,
+  state: StreamState,
   {replica, outcome}: EndedRun,
 ): boolean {
+  const {progress, runs, tried, undialled} = state;
   const {res, route} = exchange;
   const timedOut =
     outcome.kind === 'not-sent' && outcome.reason === DIAL_TIMED_OUT;
@@ -210,18 +222,17 @@
       return true;
     case 'quarantined':
       if (runs.count() > 0) break;
-      refuseQuarantined(ctx, exchange);
+      if (!sendFailure(ctx, exchange, state)) refuseQuarantined(ctx, exchange);
       return true;
     case 'failure':
       // The replica answered with an error status, which is passed on to the
       // caller if nothing was written to it yet and no other run can answer. If
       // the caller already has part of a stream, the error status cannot be sent
       // to it. The attempt then counts as failed and another may follow.
-      if (res.headersSent || runs.count() > 0) break;
-      logAnswered(ctx, exchange, outcome.head.status, progress);
-      writeHead(ctx, res, outcome.head, outcome.body.length);
-      res.end(outcome.body);
-      return true;
+      state.failure = outcome;
+      if (runs.count() > 0) break;
+      if (sendFailure(ctx, exchange, state)) return true;
+      break;
     // Every other outcome is a failed attempt and is handled below.
     default:
   }
@@ -253,6 +264,24 @@
   return true;
 }
 
+/**
+ * Passes on the error that a replica answered. Returns false where there is none
+ * or where the caller already has a part of a stream.
+ */
+function sendFailure(
+  ctx: ServeContext,
+  exchange: Exchange,
+  {failure, progress}: StreamState,
+): boolean {
+  const {res} = exchange;
+  if (failure === undefined || res.headersSent) return false;
+  const {head, body} = failure;
+  logAnswered(ctx, exchange, head.status, progress);
+  writeHead(ctx, res, head, body.length);
+  res.end(body);
+  return true;
+}
+
 /** Whether the attempt sent nothing to its replica. */
 function isUnsent({kind}: StreamOutcome): boolean {
   return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -139,6 +139,22 @@
     expectWhole(await stream());
   });
 
+  // The caller got 502 in place of what a replica had answered.
+  test('before its head and breaks off, and the caller gets the error of the other one', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves(
+      (_arrival, _res, req) => {
+        setTimeout(() => req.socket.resetAndDestroy(), SILENCE_MS);
+      },
+      (arrival, res) => {
+        res.writeHead(500, signed(arrival));
+        res.end('failed');
+      },
+    );
+    expect(await stream()).toMatchObject({status: 500, body: 'failed'});
+    expect(arrivals()).toHaveLength(2);
+  });
+
   test('while the port of the other one is closed, and the stream is whole', async () => {
     await startPair(refuse);
     const answer = stream();
