fix(callers): a request for a tunnel is refused

What callers saw: a whole request with the method CONNECT ended its connection without an answer, and with it the answer to the request before it.

Cause: without a listener for tunnels Node closes the connection at once.

Change: it gets 400 when the answers before it have ended. A request with an expectation that is not met (417 from Node itself) is noted as answered, so that its connection counts as idle afterwards.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -23,6 +23,8 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
+/** Status for an `Expect` header other than `100-continue`. */
+const EXPECTATION_FAILED = 417;
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
@@ -119,6 +121,18 @@
     res.writeContinue();
     handle(req, res);
   });
+  server.on('checkExpectation', (req: IncomingMessage, res: ServerResponse) => {
+    connections.began(req, res, server.keepAliveTimeout);
+    res.writeHead(EXPECTATION_FAILED);
+    res.end();
+  });
+  // Without a listener, Node closes the connection without an answer. It does
+  // not handle the socket's errors any more.
+  server.on('connect', (_req, duplex) => {
+    const socket = duplex as Socket;
+    socket.on('error', () => socket.destroy());
+    onParserError(new Error('tunnels are not served'), socket);
+  });
   server.on('connection', socket => {
     if (!options.admit()) {
       socket.destroy();
--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -41,6 +41,7 @@
     if (ending.has(socket)) return;
     ending.add(socket);
     if (lateBytes === 'leave') socket.pause();
+    else socket.resume();
     socket.end();
     const bytesRead = socket.bytesRead;
     let isReported = false;
--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -1,7 +1,13 @@
-/** Callers that are still sending when the entry refuses their request. */
+/** Callers whose request is refused, also while they still send. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
-import {openRawCaller, startCallersServer} from '../support/callers_server.js';
+import {
+  answerPath,
+  ask,
+  openRawCaller,
+  requestText,
+  startCallersServer,
+} from '../support/callers_server.js';
 import type {
   CallersServerFixture,
   RawCaller,
@@ -74,3 +80,37 @@
     expect(caller.text()).toContain('400');
   });
 });
+
+describe('a request for a tunnel', () => {
+  // Guards against a whole request that gets neither an answer nor a refusal.
+  test('is refused', async () => {
+    fixture = await startCallersServer({});
+    caller = openRawCaller(fixture.address);
+    caller.socket.write('CONNECT host:443 HTTP/1.1\r\nHost: host\r\n\r\n');
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain('400');
+    expect(caller.closedBy()).toBe('end');
+  });
+
+  // Guards against a refusal that is written into the answer before it.
+  test('is refused after the answer to the request before', async () => {
+    fixture = await startCallersServer({}, (req, res) => {
+      setTimeout(() => answerPath(req, res), 200);
+    });
+    caller = openRawCaller(fixture.address);
+    caller.socket.write(requestText('/before'));
+    caller.socket.write('CONNECT host:443 HTTP/1.1\r\nHost: host\r\n\r\n');
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toMatch(/answer to \/beforeHTTP\/1.1 400/);
+  });
+});
+
+describe('a request with an expectation that the entry does not meet', () => {
+  test('is refused, and the connection is kept', async () => {
+    fixture = await startCallersServer({});
+    caller = openRawCaller(fixture.address);
+    caller.socket.write('GET /a HTTP/1.1\r\nHost: h\r\nExpect: more\r\n\r\n');
+    await until(() => caller.text().includes('417'));
+    expect(await ask(caller, '/second')).toContain('answer to /second');
+  });
+});
