fix(direct): open requests are answered when an uncaught error ends the process

What callers saw: after an error that nothing had caught, all connections were closed with their requests.

Cause: the process had no handler, so Node ended it at once.

Change: the error is logged (event 115, process-failed) and the services are stopped, which answers open requests with 502 or 503; then the process ends with code 1, after 0.5 s at the latest. It does not go on: its state may be wrong.

That open requests are answered when the services stop is shown by faults_before_sending; a whole process that meets such an error was not run.

--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -8,6 +8,7 @@
 import type {Runtime} from './types/runtime.js';
 import {createBoundedSink} from './utils/bounded_sink.js';
 import {createProcessClock, createProcessRandom} from './utils/clock.js';
+import {createErrorEnd} from './utils/error_end.js';
 import {DIRECT_EVENTS, KERNEL_EVENTS} from './utils/events.js';
 import {createProcessInvariant} from './utils/invariant.js';
 import {createProcessLog} from './utils/logger.js';
@@ -60,6 +61,13 @@
         pid: process.pid,
         callers: settings.listen.callers,
       });
+      const onUncaught = createErrorEnd({
+        clock: runtime.clock,
+        log,
+        stop: () => wired.kernel.stop(),
+        exit: code => process.exit(code),
+      });
+      process.on('uncaughtException', onUncaught);
       let isDraining = false;
       // A second signal must not end the process before its answers have ended.
       process.on('SIGTERM', signal => {
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -28,6 +28,7 @@
   drainEnded: event(112, 'info', 'drain-ended'),
   reloaded: event(113, 'info', 'settings-reloaded'),
   logLinesDropped: event(114, 'warn', 'log-lines-dropped'),
+  processFailed: event(115, 'error', 'process-failed'),
 } as const;
 
 /** Requests at an entry's HTTP front end, from admission to the answer. */
