--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -138,7 +138,8 @@
     admitRequest(admitOptions, req)
       .finally(() => admitting.delete(res))
       .then(result => {
-        if (res.destroyed || res.writableEnded) return;
+        if (res.writableEnded) return;
+        if (res.destroyed) throw new Error('the caller left');
         if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
         else options.serve(result, req, res, arrivedAt);
       })
