perf(callers): the check of idle connections reads only those that may be due

The check read the byte counters of each connection twice a second. It passes over those on which something happened within the idle limit now.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -43,8 +43,12 @@
   hasUnanswered(socket: Socket): boolean;
   /** Time without a byte and an open request, in milliseconds. */
   quietMs(socket: Socket): number;
-  /** Calls `visit` for each connection without an open request. */
+  /**
+   * Calls `visit` for each connection without an open request on which nothing
+   * has happened for `leastMs`.
+   */
   visitQuiet(
+    leastMs: number,
     visit: (socket: Socket, connection: QuietConnection) => void,
   ): void;
   /** Runs the function when all requests of the connection are answered. */
@@ -121,8 +125,11 @@
       noteQuiet(socket, connection);
       return now() - connection.quietSince;
     },
-    visitQuiet: visit => {
+    visitQuiet: (leastMs, visit) => {
+      const dueAt = now() - leastMs;
       for (const [socket, connection] of connections) {
+        // Bytes that came since only make it later.
+        if (connection.quietSince > dueAt) continue;
         if (connection.open !== undefined) continue;
         visit(socket, {
           statedMs: connection.statedMs,
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -151,7 +151,7 @@
     const current = limits.current();
     if (current === undefined) return;
     const dueMs = new Map<Socket, number>();
-    connections.visitQuiet((socket, connection) => {
+    connections.visitQuiet(current.idleTimeoutMs, (socket, connection) => {
       const limitMs = idleTimeMs(connection, current);
       if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
     });
