--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -70,8 +70,10 @@
     /**
      * Longest time from the store's acknowledgement of a configuration until it
      * must be in force, in milliseconds. Routes and keys are denied only on
-     * evidence from the store that is younger than this.
-     * @default any evidence that is recent enough to accept keys
+     * evidence from the store that is younger than this. Lowered limits on
+     * callers apply after this time.
+     * @default any evidence that is recent enough to accept keys; 5000 for the
+     * limits
      */
     configMs: optional(number),
     /**
