fix(direct): a request that no replica has begun follows the route that is in force

While an operator moved a route to another service, callers whose requests waited for room at the old service, or whom its replicas refused, got 503, though the newest version had room for them elsewhere: the service was fixed when the request was admitted. Each attempt of a request that no replica may have run now goes by the newest version if that leads it to another service and admits it. Once a replica may have run it, it stays with its service; so it does where the newest version still leads there, drops the route or no longer holds its key. The time limit stays the one it came with. Logged as direct-request-moved (286).

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -8,7 +8,11 @@
 import {digestOf, partDigestOf} from './crashes/request_digest.js';
 import type {DirectConfig, KeyOwner, RequestFacts, Route} from './types.js';
 
-/** A request that passed all checks, with the route and service for it. */
+/**
+ * A request that passed all checks, with the route and service for it. It keeps
+ * the version of the configuration that admitted it, whatever comes later; see
+ * `Exchange.moveTo` for the one exception.
+ */
 export interface AdmittedRequest {
   readonly config: DirectConfig;
   readonly route: Route;
@@ -57,6 +61,13 @@
   mayHaveRun: boolean;
   /** True when the request may be sent once although it is quarantined. */
   isTrial: boolean;
+  /**
+   * Replaces the version that admitted the request and all that came with it,
+   * but for the time limit, which stays. Only before a replica may have run it.
+   */
+  moveTo(
+    to: Pick<AdmittedRequest, 'config' | 'route' | 'service' | 'owner'>,
+  ): void;
   /** Stops the timer and aborts `signal`, if it is not aborted yet. */
   end(reason: EndReason): void;
 }
@@ -99,16 +110,21 @@
         // The route's spelling, since callers may write the host differently.
         host: admitted.route.host,
         path: req.url ?? '/',
-        organisation: admitted.owner?.organisation,
+        organisation: exchange.owner?.organisation,
         body: admitted.body,
       })),
     partDigests: () =>
       (partDigests ??= admitted.facts.sharedParts.map(part =>
-        partDigestOf(admitted.service, part),
+        partDigestOf(exchange.service, part),
       )),
     attempts: 0,
     mayHaveRun: false,
     isTrial: false,
+    moveTo: to => {
+      Object.assign(exchange, to);
+      digest = undefined;
+      partDigests = undefined;
+    },
     end,
   };
   const cancelTimer = clock.after(exchange.timeLeftMs(), () => {
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -159,6 +159,7 @@
     holdMs: options.holdMs,
     unusedMs: options.unusedMs,
     organisationShares: settings.organisationShares,
+    newestConfig: () => config,
     closesAfter: res => isDraining && isLastRead(res),
     shareLoads: (loads, changes) =>
       ctx.send('sharing', {kind: 'load', loads, changes}),
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -28,6 +28,7 @@
 import type {Rejection} from './permitted_choice.js';
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
+import {hasNewerRoute} from './routes/newer_route.js';
 import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
 import type {ExcludedIds, ServeContext} from './serve_context.js';
 import type {RequestShare} from './shares/request_shares.js';
@@ -77,6 +78,8 @@
   readonly excluded: ExcludedIds;
   /** Whether a replica is still needed; false once the request has ended. */
   isNeeded(): boolean;
+  /** Whether the request may still go to another service. */
+  mayMove(): boolean;
 }
 
 /**
@@ -133,7 +136,7 @@
 async function placeAtEngine(
   ctx: ServeContext,
   exchange: Exchange,
-  {excluded, isNeeded}: ReplicaSearch,
+  {excluded, isNeeded, mayMove}: ReplicaSearch,
   pricing: Pricing,
 ): Promise<PlacementResult> {
   const {clock} = ctx;
@@ -182,6 +185,9 @@
     }
     const reason = decision.kind === 'wait' ? decision.reason : 'no memory';
     logWait(reason);
+    if (mayMove() && hasNewerRoute(ctx, exchange)) {
+      return notPlaced('its route leads to another service');
+    }
     if (reason === 'no memory' && clock.now() > memoryWaitEndsAt) {
       return notPlaced('no room in time');
     }
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -15,6 +15,7 @@
 import type {Exchange} from './exchange.js';
 import {choosePermitted, passedOver} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
+import {followNewerRoute} from './routes/newer_route.js';
 import {
   callRequestOf,
   candidatesOf,
@@ -53,10 +54,12 @@
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
+    followNewerRoute(ctx, exchange);
     const choice = await chooseReplica(ctx, exchange, tried);
     // The request may have ended while the replica's permit was awaited.
     if (exchange.signal.aborted) return;
     if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
+      if (followNewerRoute(ctx, exchange)) continue;
       endWithoutAttempt(ctx, exchange, failure, choice);
       return;
     }
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -27,6 +27,7 @@
 import type {RequestShares} from './shares/request_shares.js';
 import {QUARANTINE_MS} from './crashes/suspects.js';
 import type {
+  DirectConfig,
   DirectReplica,
   GroupMember,
   HeaderCodec,
@@ -61,6 +62,8 @@
   readonly budget: RetryBudget;
   /** Retries that each request adds to the budget. */
   readonly retryRatio: number;
+  /** Undefined while there is none. */
+  newestConfig(): DirectConfig | undefined;
   /** Whether the connection closes after this answer. */
   closesAfter(res: ServerResponse): boolean;
 }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -115,6 +115,8 @@
   readonly fullness?: Fullness;
   /** Shares of organisations under overload. @default none */
   readonly organisationShares?: ShareSettings;
+  /** @default requests keep the version that they came with */
+  readonly newestConfig?: ServeContext['newestConfig'];
   /** Whether the connection closes after this answer. */
   closesAfter(res: ServerResponse): boolean;
   /** Sends this entry's load to the peers. */
@@ -181,7 +183,7 @@
   const coldServiceOf = (id: string) => cold.coldServiceOf(id);
   const coldSlowness = createColdSlowness({coldServiceOf});
   const health = createReplicaHealth(clock, coldSlowness);
-  const {limitLinks} = options;
+  const {limitLinks, organisationShares} = options;
   const namedLimits = createReplicaLimits({
     clock,
     log,
@@ -299,7 +301,6 @@
       change === 'less' ? SHARE_ENDED_LOAD_MS : SHARE_ADDED_LOAD_MS,
     );
   });
-  const {organisationShares} = options;
   const shares =
     organisationShares &&
     createRequestShares({
@@ -345,6 +346,7 @@
       () => (retries.slack * BUDGET_SHARE) / entryCount,
     ),
     retryRatio: retries.ratio * BUDGET_SHARE,
+    newestConfig: options.newestConfig ?? (() => undefined),
     closesAfter: options.closesAfter,
   };
 
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -11,6 +11,7 @@
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {Exchange} from '../exchange.js';
 import {placeRequest} from '../place_request.js';
+import {followNewerRoute} from '../routes/newer_route.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -75,6 +76,10 @@
     search = undefined;
     if (result.kind !== 'none' || exchange.signal.aborted) continue;
     if (runs.isIdle()) {
+      if (followNewerRoute(ctx, exchange)) {
+        search = seekAnother(ctx, exchange, state);
+        continue;
+      }
       giveUp(ctx, exchange, result.reason, result.retryAfterMs);
       return;
     }
@@ -108,6 +113,7 @@
   state: StreamState,
 ): Promise<SearchResult> {
   const {runs} = state;
+  if (runs.isIdle()) followNewerRoute(ctx, exchange);
   const excluded = excludedReplicas(exchange, state);
   const isRetry = exchange.attempts > 0;
   if (excluded === undefined || (isRetry && ctx.budget.left() < 1)) {
@@ -117,7 +123,7 @@
     return {kind: 'none', reason: 'quarantined'};
   }
   const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
-  const search = {excluded, isNeeded};
+  const search = {excluded, isNeeded, mayMove: () => runs.isIdle()};
   const result = await placeRequest(ctx, exchange, search);
   if (!isNeeded()) {
     if (result.kind === 'place') result.placement.close();
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -183,6 +183,7 @@
   runResumed: event(283, 'info', 'direct-run-resumed'),
   runSuperseded: event(284, 'info', 'direct-run-superseded'),
   runKept: event(285, 'warn', 'direct-run-kept'),
+  requestMoved: event(286, 'info', 'direct-request-moved'),
   evacuationBegan: event(290, 'warn', 'direct-evacuation-began'),
   evacuationEnded: event(291, 'info', 'direct-evacuation-ended'),
   evacuationDrained: event(292, 'info', 'direct-evacuation-drained'),
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -8,6 +8,7 @@
 } from '../../standins/users_platform/deployment.js';
 import {
   answerWell,
+  breakOff,
   refuse,
   startReplica,
   streamTo,
@@ -39,12 +40,17 @@
 });
 
 /** All routes lead to the service `other`. */
-async function move(version = 2, engine?: typeof ENGINE): Promise<void> {
+async function move(
+  version = 2,
+  engine?: typeof ENGINE,
+  change: object = {},
+): Promise<void> {
   const config = configOf(version);
   fleet.store.put('config', 'main', {
     ...config,
     routes: config.routes.map(route => ({...route, service: 'other'})),
     services: [...config.services, {name: 'other', engine}],
+    ...change,
   });
   const adopted = () => fleet.runtime.eventsOf(DIRECT_EVENTS.configAdopted);
   await until(() => adopted().some(({fields}) => fields.version === version));
@@ -99,3 +105,53 @@
     expect(await answer).toMatchObject({status: 200, whole: true});
   });
 });
+
+// Guards against a second run at a service that was not asked for, and against
+// a denial of what was allowed when it was sent.
+describe('a request stays with its service', () => {
+  test('once a replica may have run it', async () => {
+    const [desk] = fleet.desk;
+    let calls = 0;
+    desk.behave((...args) => {
+      if (calls++ > 0) refuse(...args);
+      else setTimeout(() => breakOff(...args), REFUSED_AFTER_MS);
+    });
+    const answer = callEntry(fleet, '/again/');
+    await until(() => desk.arrivals.length === 1);
+    await move();
+    expect(await answer).toMatchObject({status: 502});
+    expect([desk.arrivals.length, other.arrivals.length]).toEqual([2, 0]);
+  });
+
+  test.each([
+    ['no route leads anywhere', {routes: []}],
+    ['its key is removed', {tenants: [{name: 'org-1', apiKeys: ['another']}]}],
+  ])('where %s, and is refused as not run', async (_, change) => {
+    const [desk] = fleet.desk;
+    desk.behave(refuseLate);
+    const answer = callEntry(fleet, '/once/');
+    await until(() => desk.arrivals.length === 1);
+    await move(2, undefined, change);
+    expect(await answer).toMatchObject({status: 503});
+    expect(other.arrivals).toHaveLength(0);
+  });
+
+  test('where a part of its route still leads there', async () => {
+    const [desk] = fleet.desk;
+    desk.behave(refuseLate);
+    const answer = callEntry(fleet, '/once/');
+    await until(() => desk.arrivals.length === 1);
+    const split = [
+      {service: 'other', weight: 99},
+      {service: 'desk', weight: 1},
+    ];
+    const routes = configOf(2).routes.map(route => ({
+      ...route,
+      service: undefined,
+      trafficSplit: split,
+    }));
+    await move(2, undefined, {routes});
+    expect(await answer).toMatchObject({status: 503});
+    expect(other.arrivals).toHaveLength(0);
+  });
+});
