--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -154,6 +154,7 @@
     holdMs: options.holdMs,
     unusedMs: options.unusedMs,
     organisationShares: settings.organisationShares,
+    newestConfig: () => config,
     closesAfter: res => intake.closesAfter(res),
     shareLoads: (loads, changes) =>
       ctx.send('sharing', {kind: 'load', loads, changes}),
--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -28,6 +28,7 @@
 import type {Rejection} from './permitted_choice.js';
 import {placeOnPlainService, acquirePlacement} from './request_placement.js';
 import type {RequestPlacement} from './request_placement.js';
+import {hasNewerRoute} from './routes/newer_route.js';
 import {callRequestOf, candidatesOf, withLoads} from './serve_context.js';
 import type {
   CandidateGroups,
@@ -83,6 +84,8 @@
   isLastResort(replicaId: string): boolean;
   /** Whether a replica is still needed; false once the request has ended. */
   isNeeded(): boolean;
+  /** Whether the request may still go to another service. */
+  mayMove(): boolean;
 }
 
 /**
@@ -143,7 +146,7 @@
   pricing: Pricing,
 ): Promise<PlacementResult> {
   const {clock} = ctx;
-  const {isNeeded} = search;
+  const {isNeeded, mayMove} = search;
   const {share} = pricing;
   const repeat = share?.repeatAnswer(() =>
     withLoads(ctx, ctx.replicas.availableFor(exchange.service)),
@@ -189,6 +192,9 @@
     }
     const reason = decision.kind === 'wait' ? decision.reason : 'no memory';
     logWait(reason);
+    if (mayMove() && hasNewerRoute(ctx, exchange)) {
+      return notPlaced('its route leads to another service');
+    }
     if (reason === 'no memory' && clock.now() > memoryWaitEndsAt) {
       return notPlaced('no room in time');
     }
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -16,6 +16,7 @@
 import type {UndialledReplicas} from './health/undialled_replicas.js';
 import {choosePermitted, passedOver} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
+import {followNewerRoute} from './routes/newer_route.js';
 import {
   callRequestOf,
   candidatesOf,
@@ -50,10 +51,12 @@
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
+    followNewerRoute(ctx, exchange);
     const choice = await chooseReplica(ctx, exchange, tried);
     // The request may have ended while the replica's permit was awaited.
     if (exchange.signal.aborted) return;
     if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
+      if (followNewerRoute(ctx, exchange)) continue;
       endWithoutAttempt(ctx, exchange, failure, choice);
       return;
     }
--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -30,7 +30,7 @@
   test('is ended', async () => {
     fixture = await startCallersServer({});
     const caller = await openIdleCaller(fixture.address);
-    fixture.server.stopAccepting();
+    void fixture.server.stopAccepting();
     await until(() => caller.closedBy() === 'end', 1_000);
     caller.socket.destroy();
   });
