fix(platform): a record's bytes hide no change that the same answer shows

A watch that returns several changes at once, of which one is a record of another program that looks like a later change of a known item, dropped the real change: the uncertain event had the same name, and dropping it dropped the certain one too. The watch was then resumed after the real change, so a new configuration, or a removal of a replica, was not seen until the next list. It needs an entry that reads its answers late, so that one answer holds both. A new item was lost in the same way where the record looked like its removal, since removals of unknown items are not read.

--- a/test/platform/damaged_answers.test.ts
+++ b/test/platform/damaged_answers.test.ts
@@ -152,6 +152,26 @@
     expect(seen.every(names => names.includes('k'))).toBe(true);
   });
 
+  // Guards against a change that is lost where the same answer shows a record
+  // whose bytes look like a later one.
+  test('and then looks like a later change hides no earlier one', async () => {
+    follow();
+    await until(() => knownNames() === 'a,k,z');
+    // The first record ends the watch, so that the next one shows the others.
+    writeForeign('{zz}');
+    standIn.remove('servers', 'k');
+    standIn.put('servers', 'n', RECORD);
+    writeForeign(
+      inEvents(
+        content,
+        eventText('k', VALID, false),
+        eventText('n', VALID, true),
+      ),
+    );
+    await until(() => !knownNames().includes('k'), 1_000);
+    await until(() => knownNames().includes('n'), 1_000);
+  });
+
   // Guards against the use of a replica that only another record's bytes name.
   test('and then looks like another record names no replica', async () => {
     follow();
--- a/test/platform/foreign_config_records.test.ts
+++ b/test/platform/foreign_config_records.test.ts
@@ -12,6 +12,8 @@
 /** Calls to list the configuration that the entry may make for other reasons. */
 const MOST_LISTS = WRITES / 5;
 const WRITE_INTERVAL_MS = 20;
+/** An entry lists the configuration more often shortly after its start. */
+const AFTER_START_MS = 2_500;
 const VALID = JSON.stringify(configOf(7));
 const MAIN =
   '{"object":{"metadata":{"name":"main","revision":9},"spec":null},"removed":true}';
@@ -50,8 +52,7 @@
   // Guards against entries that call the store without a pause because another
   // program writes records of its own.
   test('cost no list each, and a new configuration is applied beside them', async () => {
-    // An entry lists the configuration more often shortly after its start.
-    await sleep(2_500);
+    await sleep(AFTER_START_MS);
     const listsBefore = callsOf(`list ${KIND}`);
     for (let at = 0; at < WRITES; at++) {
       fleet.store.put(KIND, `foreign-${at % 3}`, spec);
@@ -65,4 +66,15 @@
     );
     expect(callsOf(`watch ${KIND}`)).toBeGreaterThan(2);
   });
+
+  // Guards against a configuration that is lost where an answer also shows a
+  // record whose bytes look like a later change of it.
+  test('hide no new configuration that the same answer shows', async () => {
+    await sleep(AFTER_START_MS);
+    // The first record ends the watch, so that the next one shows the others.
+    fleet.store.put(KIND, 'foreign-1', spec);
+    fleet.store.put(KIND, 'main', configOf(2));
+    fleet.store.put(KIND, 'foreign-2', spec);
+    await until(() => appliedVersions().at(-1) === 2);
+  });
 });
