--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -23,6 +23,8 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
+/** Status for an `Expect` header other than `100-continue`. */
+const EXPECTATION_FAILED = 417;
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
@@ -33,7 +35,10 @@
   stopAccepting(): Promise<void>;
   /** Ends a connection unless a further request has come. */
   endWhenIdle(socket: Socket): void;
-  /** Closes all connections, also those with open requests. */
+  /**
+   * Accepts no new connections, and ends all of them, also those with open
+   * requests. An answer that was written before can still be read.
+   */
   close(): Promise<void>;
 }
 
@@ -91,6 +96,13 @@
       reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
     ends.end(socket, 'discard', count);
   };
+  const endLast = (socket: Socket) => {
+    if (ends.isEnding(socket)) return;
+    if (connections.hasUnanswered(socket)) {
+      report(socket, 'service ended');
+      socket.destroy();
+    } else endQuiet(socket, 'service ended');
+  };
   const endIfIdle = (socket: Socket) => {
     if (connections.isIdle(socket)) endQuiet(socket, 'drain');
   };
@@ -109,6 +121,18 @@
     res.writeContinue();
     handle(req, res);
   });
+  server.on('checkExpectation', (req: IncomingMessage, res: ServerResponse) => {
+    connections.began(req, res, server.keepAliveTimeout);
+    res.writeHead(EXPECTATION_FAILED);
+    res.end();
+  });
+  // Without a listener, Node closes the connection without an answer. It does
+  // not handle the socket's errors any more.
+  server.on('connect', (_req, duplex) => {
+    const socket = duplex as Socket;
+    socket.on('error', () => socket.destroy());
+    onParserError(new Error('tunnels are not served'), socket);
+  });
   server.on('connection', socket => {
     if (!options.admit()) {
       socket.destroy();
@@ -127,7 +151,7 @@
     const current = limits.current();
     if (current === undefined) return;
     const dueMs = new Map<Socket, number>();
-    connections.visitQuiet((socket, connection) => {
+    connections.visitQuiet(current.idleTimeoutMs, (socket, connection) => {
       const limitMs = idleTimeMs(connection, current);
       if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
     });
@@ -171,9 +195,11 @@
     close: () =>
       new Promise(resolve => {
         cancelChecks();
-        server.close(() => resolve());
-        for (const socket of connections.all()) report(socket, 'service ended');
-        server.closeAllConnections();
+        server.close();
+        afterPoll(() => {
+          for (const socket of connections.all()) endLast(socket);
+          resolve();
+        });
       }),
   };
 }
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -17,11 +17,16 @@
 import type {HeldBytes} from '../held/held_bytes.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import type {Serving} from '../serving.js';
-import type {DirectConfig, HeaderCodec} from '../types.js';
+import type {CallerLimits, DirectConfig, HeaderCodec} from '../types.js';
 import {connectionOf} from './connection_name.js';
 import {createConnectionTurns} from './connection_turns.js';
+import {widestOf} from './limits_in_force.js';
+import type {LimitsInForce} from './limits_in_force.js';
 import {readId} from './request_id.js';
 
+/** Message to callers whose request comes when the entry ends. */
+const ENDED_MESSAGE = 'the entry ends';
+
 export interface RequestIntakeOptions {
   readonly clock: Clock;
   readonly log: Log;
@@ -36,6 +41,7 @@
   >;
   /** The newest configuration. */
   config(): DirectConfig | undefined;
+  readonly limits: LimitsInForce;
   isDraining(): boolean;
   readonly serve: Serving['serve'];
   /** Ends the connection unless a further request has come. */
@@ -44,11 +50,21 @@
   evidenceFields(): LogFields;
 }
 
+interface TakenRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly arrivedAt: number;
+  /** The limits when its headers had been read. */
+  readonly limits: CallerLimits | undefined;
+}
+
 export interface RequestIntake {
   /** Takes a request whose headers have been read. */
   take(req: IncomingMessage, res: ServerResponse): void;
   /** Whether the connection closes after this answer. */
   closesAfter(res: ServerResponse): boolean;
+  /** Refuses the requests that are not served yet, and all that come later. */
+  refuseAll(): void;
   /**
    * Number of requests whose body is being read, whose key waits for the store,
    * which wait for their turn, or whose answer is not handed over completely.
@@ -60,8 +76,9 @@
   options: RequestIntakeOptions,
 ): RequestIntake {
   const {clock, log, metrics, codec, config, isDraining} = options;
-  /** Requests whose body is being read or whose key waits for the store. */
-  let admittingCount = 0;
+  /** Answers to requests whose body is read or whose key waits for the store. */
+  const admitting = new Set<ServerResponse>();
+  let hasEnded = false;
   const idOf = (req: IncomingMessage) => readId(codec, req);
   const turns = createConnectionTurns(req => {
     log(DIRECT_EVENTS.unread, {
@@ -70,6 +87,7 @@
       cause: 'the connection closes',
     });
   });
+  const closes = () => hasEnded || isDraining();
   /** Whether no request that has been read waits behind this one. */
   const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
     !turns.hasWaiting(socket);
@@ -92,20 +110,20 @@
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
     // Closes the connection, so that a retry can reach another entry. After 413
     // the rest of the body is not read, and nothing behind it.
-    const mayClose = isDraining() || status === 503;
+    const mayClose = closes() || status === 503;
     const close = status === 413 || (mayClose && isLastRead(res));
     sendLocalAnswer(res, {...refusal, close});
   };
 
-  const admit = (
-    req: IncomingMessage,
-    res: ServerResponse,
-    arrivedAt: number,
-  ): void => {
+  const admit = ({req, res, arrivedAt, limits}: TakenRequest): void => {
+    if (hasEnded) {
+      refuseEnded(res);
+      return;
+    }
     // Headers that were sent before the drain announced keep-alive. A request
     // that came later on the kept connection might not be answered completely.
     res.once('finish', () => {
-      if (!isDraining() || turns.hasWaiting(req.socket)) return;
+      if (!closes() || turns.hasWaiting(req.socket)) return;
       options.endWhenIdle(req.socket);
     });
     const admitOptions = {
@@ -113,24 +131,37 @@
       random: () => options.random.next(),
       ...options.checks,
       config,
+      limits: () => widestOf(limits, options.limits.current()),
       account: options.held?.track(req, res),
     };
-    admittingCount++;
+    admitting.add(res);
     admitRequest(admitOptions, req)
-      .finally(() => admittingCount--)
+      .finally(() => admitting.delete(res))
       .then(result => {
-        if (res.destroyed) return;
+        if (res.writableEnded) return;
+        if (res.destroyed) throw new Error('the caller left');
         if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
         else options.serve(result, req, res, arrivedAt);
       })
       .catch(err => endFailed(req, res, err));
   };
+  const refuseEnded = (res: ServerResponse): void => {
+    log(DIRECT_EVENTS.refused, {
+      requestId: idOf(res.req),
+      status: 503,
+      message: ENDED_MESSAGE,
+      config: config()?.version,
+    });
+    const close = isLastRead(res);
+    sendLocalAnswer(res, {status: 503, message: ENDED_MESSAGE, close});
+  };
   /** Ends a request that was not sent to a replica. */
   const endFailed = (
     req: IncomingMessage,
     res: ServerResponse,
     err: unknown,
   ): void => {
+    if (res.writableEnded) return;
     const hasCallerLeft = req.socket.destroyed || req.errored !== null;
     log(hasCallerLeft ? DIRECT_EVENTS.unread : DIRECT_EVENTS.faulted, {
       requestId: idOf(req),
@@ -148,10 +179,15 @@
   return {
     take: (req, res) => {
       const arrivedAt = clock.now();
-      turns.take(req, res, () => admit(req, res, arrivedAt));
+      const limits = options.limits.current();
+      turns.take(req, res, () => admit({req, res, arrivedAt, limits}));
+    },
+    closesAfter: res => closes() && isLastRead(res),
+    refuseAll: () => {
+      hasEnded = true;
+      for (const res of [...admitting]) refuseEnded(res);
     },
-    closesAfter: res => isDraining() && isLastRead(res),
     openCount: () =>
-      admittingCount + turns.servedCount() + turns.waitingCount(),
+      admitting.size + turns.servedCount() + turns.waitingCount(),
   };
 }
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -228,6 +228,7 @@
     held,
     checks,
     config: () => config,
+    limits,
     isDraining: () => isDraining,
     serve: serving.serve,
     endWhenIdle: socket => server?.endWhenIdle(socket),
@@ -274,6 +275,11 @@
     if (!isOpening) openServer().catch(ctx.fail);
   };
 
+  const endRequests = (): void => {
+    intake.refuseAll();
+    serving.openRequests.giveUpAll('the entry ends');
+  };
+
   const drain = (reply: () => void): void => {
     if (isDraining) return;
     isDraining = true;
@@ -294,6 +300,7 @@
       if (!done && elapsedMs < graceMs) return;
       cancel();
       serving.openRequests.logCutAtStop();
+      endRequests();
       reply();
     });
   };
@@ -360,7 +367,10 @@
     }
   };
 
-  ctx.own(() => server?.close());
+  ctx.own(() => {
+    endRequests();
+    return server?.close();
+  });
   ctx.own(watchLoopStalls(clock, log, metrics));
   ctx.own(reportGauges(clock, metrics, readGauges));
   const shareSuspects = () => {
