fix(streams): a replica that is asked once more counts again when nothing is sent

What replicas saw: on a route with two attempts a stream reached three replicas, where the second one had been superseded and could not be dialled when it was asked again.

Cause: a superseded replica isn't counted as an attempt, and an attempt that sent nothing isn't either, so the replica was forgotten altogether.

Change: such an attempt is counted. Found by reading beside the refusals.

Measured: one test of silent_replicas red before (3 replicas reached), green after (2); 63 tests of silent_replicas, streams and unanswered_dials green.

--- a/src/direct/streams/open_runs.ts
+++ b/src/direct/streams/open_runs.ts
@@ -9,7 +9,7 @@
 import type {RequestPlacement} from '../request_placement.js';
 import type {ServeContext} from '../serve_context.js';
 import type {DirectReplica} from '../types.js';
-import {startStreamAttempt} from './stream_attempt.js';
+import {isUnsent, startStreamAttempt} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
 import type {StreamProgress} from './stream_progress.js';
 
@@ -135,6 +135,8 @@
     if (run.silentSince !== undefined) countSilence('ended');
     close(run);
     const {replica} = run.placement;
+    // It was reached before, and counts among the replicas of the route again.
+    if (askedAgain.has(replica.id) && isUnsent(outcome)) exchange.attempts++;
     if (outcome.kind === 'not-run' && open.size > 0) {
       uncount(replica.id, refused);
     } else {
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -26,6 +26,7 @@
 import type {ServeContext} from '../serve_context.js';
 import {createOpenRuns} from './open_runs.js';
 import type {EndedRun, OpenRuns} from './open_runs.js';
+import {isUnsent} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
 import {startProgress} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
@@ -282,11 +283,6 @@
   return true;
 }
 
-/** Whether the attempt sent nothing to its replica. */
-function isUnsent({kind}: StreamOutcome): boolean {
-  return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
-}
-
 /** Logs the final answer of a request. */
 function logAnswered(
   ctx: ServeContext,
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -52,6 +52,11 @@
   /** The request ended before the answer: its time is up or the caller left. */
   | {readonly kind: 'ended'};
 
+/** Whether the attempt sent nothing to its replica. */
+export function isUnsent({kind}: StreamOutcome): boolean {
+  return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
+}
+
 /** Reports of one attempt. */
 export interface AttemptObserver {
   /**
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -292,6 +292,30 @@
     expect(arrivals()).toHaveLength(3);
   });
 
+  // The replica that was asked once more no longer counted, so that a third one
+  // was reached on a route that allows two.
+  test('and no third one is asked when the other one has ended meanwhile', async () => {
+    fleet = await startDirectFleet({pool: 3});
+    let first: ReplicaStandIn | undefined;
+    for (const replica of fleet.pool) {
+      replica.behave((arrival, res) => {
+        first ??= replica;
+        if (replica !== first) return;
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(1));
+        setTimeout(() => res.write(eventText(2)), SILENCE_MS);
+      });
+    }
+    const answer = stream();
+    const reached = () => fleet.pool.filter(it => it.arrivals.length > 0);
+    await until(() => reached().length === 2);
+    const other = reached().find(replica => replica !== first);
+    await until(() => other?.arrivals[0].left ?? false);
+    other?.crash();
+    expect((await answer).whole).toBe(false);
+    expect(reached()).toHaveLength(2);
+  });
+
   test('and the connection of its run is closed once another has begun', async () => {
     fleet = await startDirectFleet();
     firstBehaves((arrival, res) => {
