fix(crashes): a removed record alone no longer ends the runs that were lost at its replica

What callers saw: a replica that was silent until its record lapsed counted as crashed by the requests that had been lost there, so these, and a part of prompts that they shared, could be quarantined although the replica went on.

Cause: the removal of a record was taken for the process's end, without a probe.

Change: the replica is probed when its record is removed and it lost runs recently. They count as ended if its port is closed, if its address is that of another replica by then, or if four probes within some 2.5 s are not answered; not if it listens or its record comes back. Runs that are lost later still don't count.

--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -98,7 +98,7 @@
   /** The replica with this id has ended. */
   replicaEnded(replicaId: string): void;
   /** The record of a replica that was not shutting down was removed. */
-  recordRemoved(replicaId: string): void;
+  recordRemoved(replica: DirectReplica): void;
 }
 
 export interface CrashWatchOptions {
@@ -112,6 +112,8 @@
   isLeaving(replicaId: string): boolean;
   /** Whether the newest known start at the replica's address is this one. */
   isCurrent(replica: RunReplica): boolean;
+  /** Id of the replica that is known at the address; undefined without one. */
+  replicaAt(address: string): string | undefined;
   /** Sends a report to the peers, which are the other entries. */
   shareReport(report: CrashReport): void;
   /**
@@ -190,6 +192,7 @@
     clock,
     probePort: options.probePort,
     isLeaving: options.isLeaving,
+    replicaAt: options.replicaAt,
     onEnded: (run, replica) => {
       const {requestId, request, parts} = run;
       const unproven = unprovenParts(run);
--- a/src/direct/crashes/lost_runs.ts
+++ b/src/direct/crashes/lost_runs.ts
@@ -25,6 +25,14 @@
  * for this long at most and crash the replica in that time.
  */
 const CANCELLED_PROBE_DELAY_MS = 300;
+/**
+ * Probes of a replica whose record was removed, as long as none is answered. A
+ * paused replica writes no heartbeats, and while its host's queue of
+ * connections is full, none is accepted either.
+ */
+const REMOVED_PROBES = 4;
+/** Pause between these probes, in milliseconds. */
+const REMOVED_PROBE_PAUSE_MS = 400;
 
 interface LostRun<R> {
   readonly run: R;
@@ -51,10 +59,11 @@
   /** Another source reports that the replica with this id has ended. */
   replicaEnded(replicaId: string): void;
   /**
-   * The replica's record is gone. Its recent lost runs count as ended with it,
-   * but later ones do not, since the process may still serve for a while.
+   * The replica's record is gone. If it lost runs recently, it is probed, and
+   * they count as ended with it unless it listens or is recorded again. Later
+   * ones do not, since the process may still serve for a while.
    */
-  recordRemoved(replicaId: string): void;
+  recordRemoved(replica: DirectReplica): void;
   /** Whether the replica was found to have ended in the last seconds. */
   hasEnded(replicaId: string): boolean;
 }
@@ -64,6 +73,8 @@
   readonly probePort: ProbePort;
   /** Whether the replica is shutting down, so that its end is not a crash. */
   isLeaving(replicaId: string): boolean;
+  /** Id of the replica that is known at the address; undefined without one. */
+  replicaAt(address: string): string | undefined;
   /** The replica ended during the run. */
   onEnded(run: R, replicaId: string): void;
 }
@@ -76,7 +87,11 @@
   const endedAt = new Map<string, number>();
   /** Scheduled probes, as replica id and delay. */
   const scheduledProbes = new Set<string>();
+  /** Replicas whose records were removed and which are probed. */
+  const removedIds = new Set<string>();
 
+  const pause = (ms: number): Promise<void> =>
+    new Promise(resolve => void clock.after(ms, resolve));
   const isRecent = (at: number) => clock.now() - at <= ATTRIBUTION_WINDOW_MS;
   const dropOld = () => {
     for (const [id, at] of endedAt) if (!isRecent(at)) endedAt.delete(id);
@@ -86,16 +101,13 @@
       else lostRuns.delete(id);
     }
   };
-  const recordRemoved = (replicaId: string): void => {
+  const replicaEnded = (replicaId: string): void => {
     dropOld();
+    endedAt.set(replicaId, clock.now());
     const runs = lostRuns.get(replicaId) ?? [];
     lostRuns.delete(replicaId);
     for (const {run} of runs) options.onEnded(run, replicaId);
   };
-  const replicaEnded = (replicaId: string): void => {
-    endedAt.set(replicaId, clock.now());
-    recordRemoved(replicaId);
-  };
   const addRun = (run: R, {id}: DirectReplica, isBroken: boolean): void => {
     dropOld();
     if (endedAt.has(id)) {
@@ -118,6 +130,36 @@
     if (state === 'open') dropSurvivedRuns(id, since);
     if (state === 'refused' && !options.isLeaving(id)) replicaEnded(id);
   };
+  /** Resolves with whether a replica without a record has ended. */
+  const hasRemovedEnded = async ({
+    id,
+    address,
+  }: DirectReplica): Promise<boolean> => {
+    for (let probes = 1; ; probes++) {
+      const since = clock.now();
+      const state = await options.probePort(address);
+      const known = options.replicaAt(address);
+      if (known !== undefined) return known !== id;
+      if (state === 'open') dropSurvivedRuns(id, since);
+      if (state !== 'silent') return state === 'refused';
+      if (probes === REMOVED_PROBES) return true;
+      await pause(REMOVED_PROBE_PAUSE_MS);
+    }
+  };
+  const recordRemoved = async (replica: DirectReplica): Promise<void> => {
+    const {id} = replica;
+    dropOld();
+    const runs = [...(lostRuns.get(id) ?? [])];
+    if (runs.length === 0 || removedIds.has(id)) return;
+    removedIds.add(id);
+    const hasEnded = await hasRemovedEnded(replica);
+    removedIds.delete(id);
+    // Another source may have reported the end meanwhile.
+    if (!hasEnded || endedAt.has(id)) return;
+    const later = (lostRuns.get(id) ?? []).filter(run => !runs.includes(run));
+    lostRuns.set(id, later);
+    for (const {run} of runs) options.onEnded(run, id);
+  };
   const scheduleProbe = (replica: DirectReplica, delayMs: number): void => {
     const key = `${replica.id}/${delayMs}`;
     if (scheduledProbes.has(key) || endedAt.has(replica.id)) return;
@@ -139,7 +181,7 @@
       scheduleProbe(replica, CANCELLED_PROBE_DELAY_MS);
     },
     replicaEnded,
-    recordRemoved,
+    recordRemoved: replica => void recordRemoved(replica),
     hasEnded: replicaId => isRecent(endedAt.get(replicaId) ?? -Infinity),
   };
 }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -257,11 +257,12 @@
   const replicas = createReplicaTable({
     clock,
     saysLeaving: gate.isLeaving,
-    onRemoved: ({id, leaving}, mayHaveLapsed) => {
+    onRemoved: (replica, mayHaveLapsed) => {
+      const {id, leaving} = replica;
       health.forget(id);
       if (!mayHaveLapsed) limits.forget(id);
       const isLeaving = leaving || gate.isLeaving(id);
-      if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(id);
+      if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(replica);
     },
     onRestarted: ({id, leaving}, now, mayBeSame) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
@@ -281,6 +282,7 @@
     random,
     isLeaving: replicas.isLeaving,
     isCurrent: ({id, address}) => replicas.findAt(address)?.id === id,
+    replicaAt: address => replicas.findAt(address)?.id,
     shareReport: createReportBatch(clock, options.shareCrashReports),
     ...options.quarantine,
   });
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -40,6 +40,7 @@
     },
     isLeaving: () => false,
     isCurrent: () => true,
+    replicaAt: () => undefined,
     shareReport: () => undefined,
     onQuarantined: () => undefined,
     onCleared: () => undefined,
