fix(cold): a replica whose record lapses and comes back is not presumed cold

What callers saw: a warm replica that was silent until its record lapsed took only the rate of a cold one for as long as its service's replicas are cold, and requests beyond it were refused or waited.

Cause: the removal of a record dropped what was known of the start, so its next record looked like that of a new start.

Change: what is known of a start whose record was removed is remembered, for at most 1,000 starts, and counts again when its record comes back; a replica that was cold stays so for the rest. A later start, and a failure domain that was presumed cold meanwhile, are presumed cold as before.

--- a/src/direct/cold/cold_limits.ts
+++ b/src/direct/cold/cold_limits.ts
@@ -14,10 +14,15 @@
  */
 const NOTHING_STATED_MS = 1e9;
 
+export interface ColdLimits extends ReplicaLimits {
+  /** The replica's record was removed; its start may come back. */
+  removed(replicaId: string): void;
+}
+
 export function createColdLimits(
   named: ReplicaLimits,
   cold: ColdReplicas,
-): ReplicaLimits {
+): ColdLimits {
   const reportOf = (replicaId: string): LimitReport | undefined => {
     const byName = named.reportOf(replicaId);
     const coldness = cold.reportOf(replicaId);
@@ -60,6 +65,10 @@
         .map(reportOf)
         .filter(report => report !== undefined);
     },
+    removed: replicaId => {
+      named.forget(replicaId);
+      cold.removed(replicaId);
+    },
     forget: replicaId => {
       named.forget(replicaId);
       cold.forget(replicaId);
--- a/src/direct/cold/cold_replicas.ts
+++ b/src/direct/cold/cold_replicas.ts
@@ -7,10 +7,12 @@
  * The replica states its coldness in its record and in its answers. One that
  * appears or restarts while this entry runs and states nothing is presumed to
  * be cold for as long as its service's replicas are. The first listing does not
- * show which replicas are new, so for these only their records count.
+ * show which replicas are new, so for these only their records count. A start
+ * whose record lapses and comes back has not started anew.
  */
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {createRecentMap} from '../../utils/recent_map.js';
 import type {ColdReport} from '../limits/limit_messages.js';
 import type {DirectSettings} from '../settings.js';
 import type {DirectReplica} from '../types.js';
@@ -42,6 +44,8 @@
  * permits that were saved, and those of an ask for several that go beyond them.
  */
 const LEDGER_BURST = 4;
+/** Most starts that are remembered after their records were removed. */
+const MAX_REMOVED_STARTS = 1_000;
 
 /** Where a change of coldness became known. */
 export type ColdSource = 'record' | 'answer' | 'peer' | 'presumed';
@@ -79,6 +83,8 @@
   reportOf(replicaId: string): ColdReport | undefined;
   /** Replicas of which something is known. */
   ids(): readonly string[];
+  /** The start's record was removed; it may come back. */
+  removed(replicaId: string): void;
   /** Drops what is known of a start that has ended. */
   forget(replicaId: string): void;
   /** Number of cold replicas that take a limited number of requests. */
@@ -99,6 +105,12 @@
 
 type Start = Pick<DirectReplica, 'name' | 'service' | 'failureDomain'>;
 
+/** What was known of a start when its record was removed. */
+interface RemovedStart {
+  readonly coldness: Coldness | undefined;
+  readonly removedAt: number;
+}
+
 export function createColdReplicas(options: ColdReplicasOptions): ColdReplicas {
   const {clock, log, metrics, settings} = options;
   const known = new Map<string, Coldness>();
@@ -106,6 +118,9 @@
   /** What peers reported of starts that are not known here. */
   const reported = new Map<string, Pick<ColdReport, 'name' | 'perSecond'>>();
   const unreadable = new Set<string>();
+  const removedStarts = createRecentMap<RemovedStart>(MAX_REMOVED_STARTS);
+  /** Times at which whole failure domains were last presumed cold. */
+  const domainPresumedAt = new Map<string, number>();
   let services: Parameters<ColdReplicas['setServices']>[0] = new Map();
   let hasListed = false;
 
@@ -184,9 +199,26 @@
     const statement = {leftMs: durationMs, fromAt: now, toAt: now};
     update(replicaId, statement, 'presumed');
   };
+  /** Restores what is known of a start; false for one that is new. */
+  const restore = ({id, failureDomain}: DirectReplica): boolean => {
+    const removed = removedStarts.get(id);
+    removedStarts.delete(id);
+    if (removed === undefined) return false;
+    const {coldness, removedAt} = removed;
+    const presumedAt = domainPresumedAt.get(failureDomain) ?? -Infinity;
+    if (presumedAt >= removedAt) return false;
+    if (coldness !== undefined && !known.has(id)) known.set(id, coldness);
+    return true;
+  };
+  const forget = (replicaId: string): void => {
+    known.delete(replicaId);
+    starts.delete(replicaId);
+    reported.delete(replicaId);
+    unreadable.delete(replicaId);
+  };
   const takeRecord = (replica: DirectReplica, mayBeNew: boolean): void => {
     const {id, cold = {kind: 'none'}} = replica;
-    const isNew = !starts.has(id);
+    const isNew = !starts.has(id) && !restore(replica);
     starts.set(id, replica);
     takeStated(id, cold, clock.now() - RECORD_AGE_MS, 'record');
     // The first record of a start is a statement of that start itself.
@@ -223,6 +255,7 @@
       update(replicaId, statement, 'peer');
     },
     presumeCold: failureDomain => {
+      domainPresumedAt.set(failureDomain, clock.now());
       const presumed = [...starts]
         .filter(([, start]) => start.failureDomain === failureDomain)
         .map(([id]) => id);
@@ -255,12 +288,14 @@
       dropEnded();
       return [...known.keys()];
     },
-    forget: replicaId => {
-      known.delete(replicaId);
-      starts.delete(replicaId);
-      reported.delete(replicaId);
-      unreadable.delete(replicaId);
+    removed: replicaId => {
+      if (!starts.has(replicaId)) return;
+      const coldness = known.get(replicaId);
+      const removedAt = clock.now();
+      removedStarts.set(replicaId, {coldness, removedAt});
+      forget(replicaId);
     },
+    forget,
     count: () => limited().length,
     sum: () => limited().reduce((sum, perSecond) => sum + perSecond, 0),
   };
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -260,7 +260,7 @@
     onRemoved: (replica, mayHaveLapsed) => {
       const {id, leaving} = replica;
       health.forget(id);
-      if (!mayHaveLapsed) limits.forget(id);
+      if (!mayHaveLapsed) limits.removed(id);
       const isLeaving = leaving || gate.isLeaving(id);
       if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(replica);
     },
--- a/test/direct/cold_replicas.test.ts
+++ b/test/direct/cold_replicas.test.ts
@@ -161,6 +161,39 @@
     ]);
   });
 
+  // A replica that is silent for a few seconds loses its record and writes it
+  // again. It was limited as if it had just started.
+  test('does not presume that one whose record comes back is cold', () => {
+    list(startOf('a', 1), startOf('b', 1));
+    cold.removed('a@1');
+    clock.advance(1_000);
+    write(startOf('a', 1));
+    list(startOf('a', 1));
+    cold.removed('b@1');
+    list(startOf('a', 1), startOf('b', 1));
+    expect([cold.leftMs('a@1'), cold.leftMs('b@1')]).toEqual([0, 0]);
+    expect(news).toEqual([]);
+  });
+
+  test('remembers how long one whose record comes back stays cold', () => {
+    list();
+    write(startOf('a', 1));
+    clock.advance(1_000);
+    cold.removed('a@1');
+    expect(cold.leftMs('a@1')).toBe(0);
+    clock.advance(500);
+    write(startOf('a', 1));
+    expect(cold.leftMs('a@1')).toBe(1_500);
+  });
+
+  test('presumes a domain cold together with one whose record comes back', () => {
+    list(startOf('a', 1));
+    cold.removed('a@1');
+    cold.presumeCold('domain-1');
+    write(startOf('a', 1));
+    expect(cold.leftMs('a@1')).toBe(3_000);
+  });
+
   test('takes the first record of a start before a presumption', () => {
     list();
     write(startOf('b', 1, stated(0)));
