--- a/test/direct/changed_configs.test.ts
+++ b/test/direct/changed_configs.test.ts
@@ -185,3 +185,59 @@
     expect(new Set(organisations)).toEqual(new Set(['org-1']));
   });
 });
+
+// Guards against a second run of a request that was sent as one to run once.
+test('a call that may run once does so, also when its route is made safe', async () => {
+  fleet = await startDirectFleet();
+  firstBehaves(fleet.desk, breakOffLate, answerWell);
+  const answer = callEntry(fleet, '/once/a');
+  await arrived();
+  await adopt(2, set({kind: 'safe', maxAttempts: 3}));
+  expect(await answer).toMatchObject({status: 502});
+  expect(arrivals()).toHaveLength(1);
+});
+
+describe('the time of a route changes beside a call', () => {
+  const hang = () => fleet.desk.forEach(it => it.behave(() => undefined));
+  const endedAfterMs = async (timeoutMs: number, deadlineMs: number) => {
+    fleet = await startDirectFleet();
+    hang();
+    const sentAt = performance.now();
+    const answer = callEntry(fleet, '/again/a', {
+      headers: {'X-Deadline-Ms': String(deadlineMs)},
+    });
+    await arrived();
+    await adopt(2, set({timeoutMs}));
+    expect(await answer).toMatchObject({status: 504});
+    return performance.now() - sentAt;
+  };
+
+  // The replica was told the earlier time, and stops at it.
+  test.each([
+    ['rises', 5_000],
+    ['falls', 50],
+  ])('%s, and it ends after the time that it came with', async (_, ms) => {
+    const took = await endedAfterMs(ms, 10_000);
+    expect(took).toBeGreaterThan(780);
+    expect(took).toBeLessThan(1_500);
+  });
+
+  test('rises, and its caller is answered when its own time is up', async () => {
+    const took = await endedAfterMs(5_000, 600);
+    expect(took).toBeLessThan(1_200);
+  });
+});
+
+// Guards against a version that is missed, or one that comes late and counts.
+test('a route that is dropped and back serves again, and streams go on beside it', async () => {
+  fleet = await startDirectFleet();
+  fleet.pool.forEach(replica => replica.behave(streamTo(EVENTS, 200)));
+  const answer = stream();
+  await arrived();
+  await adopt(2, before => ({...before, routes: []}));
+  expect((await stream()).status).toBe(404);
+  await adopt(3, before => before);
+  fleet.pool.forEach(replica => replica.behave(streamTo(EVENTS)));
+  expectWhole(await stream());
+  expectWhole(await answer);
+});
