fix(direct): a request that waits for room goes by the figures that are in force

A stream that waited for room at an engine was refused (503, no room in time) though a version of the configuration had meanwhile stated more memory or slots for the service: the figures were fixed when the request was admitted. A request that no replica has begun is now placed by the newest figures of its service. A version that changes neither its service nor their figures does not begin its wait anew.

--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -186,7 +186,7 @@
     const reason = decision.kind === 'wait' ? decision.reason : 'no memory';
     logWait(reason);
     if (mayMove() && hasNewerRoute(ctx, exchange)) {
-      return notPlaced('its route leads to another service');
+      return notPlaced('its route leads elsewhere by now');
     }
     if (reason === 'no memory' && clock.now() > memoryWaitEndsAt) {
       return notPlaced('no room in time');
--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -1,14 +1,17 @@
 /**
  * Lets a request that no replica has begun follow a newer configuration to
- * another service. The load that it answers: requests that wait or are refused
- * at a service from which an operator has moved the traffic, often because it is
- * full or about to end.
+ * another service, or to other figures of its service. The load that it answers:
+ * requests that wait or are refused at a service from which an operator has moved
+ * the traffic, often because it is full or about to end, or that has become
+ * larger.
  *
  * Whatever a replica may have run stays with the version that it came with, so
  * that its repeats are at the same service. A request also stays if the newer
- * version still leads it to its service, or would not admit it: it was sent
- * while the earlier one was in force.
+ * version would not admit it: it was sent while the earlier one was in force.
+ * Where nothing is different for it, it stays too, since its wait for room would
+ * begin anew with each version.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {AdmittedRequest, Exchange} from '../exchange.js';
 import {findRoute, pickService} from '../route_table.js';
@@ -16,20 +19,20 @@
 import type {DirectConfig, KeyOwner, RequestFacts, Route} from '../types.js';
 
 /** Where a version of the configuration leads a request. */
-export type Destination = Pick<
+interface Destination extends Pick<
   AdmittedRequest,
-  'config' | 'route' | 'service' | 'owner'
->;
+  'config' | 'route' | 'owner'
+> {
+  /** Undefined where one of the route's services is to be picked. */
+  readonly service: string | undefined;
+}
 
-/** Whether the newest configuration leads the request to another service. */
+/** Whether the newest configuration leads the request elsewhere. */
 export function hasNewerRoute(ctx: ServeContext, exchange: Exchange): boolean {
   return newerRoute(ctx, exchange) !== undefined;
 }
 
-/**
- * Moves the request to the service to which the newest configuration leads it.
- * Returns false where it stays.
- */
+/** Moves the request there; returns false where it stays. */
 export function followNewerRoute(
   ctx: ServeContext,
   exchange: Exchange,
@@ -37,7 +40,7 @@
   const found = newerRoute(ctx, exchange);
   if (found === undefined) return false;
   const {config, route, owner} = found;
-  const service = pickService(route, ctx.random.next());
+  const service = found.service ?? pickService(route, ctx.random.next());
   if (service === undefined) return false;
   ctx.log(DIRECT_EVENTS.requestMoved, {
     requestId: exchange.id,
@@ -57,7 +60,7 @@
 function newerRoute(
   {newestConfig}: ServeContext,
   exchange: Exchange,
-): Omit<Destination, 'service'> | undefined {
+): Destination | undefined {
   const config = newestConfig();
   if (exchange.mayHaveRun || config === undefined) return undefined;
   if (config.version <= exchange.config.version) return undefined;
@@ -70,13 +73,24 @@
 function routeUnder(
   config: DirectConfig,
   exchange: Exchange,
-): Omit<Destination, 'service'> | undefined {
+): Destination | undefined {
   const {req, facts, service} = exchange;
   const route = findRoute(config, req.headers.host ?? '', req.url ?? '');
   if (route === undefined || !isAlike(route, exchange.route)) return undefined;
-  if (leadsTo(route, service)) return undefined;
+  const keeps = leadsTo(route, service);
+  if (keeps && hasSameFigures(config, exchange)) return undefined;
   const {owner, isAdmitted} = admit(config, route, facts);
-  return isAdmitted ? {config, route, owner} : undefined;
+  if (!isAdmitted) return undefined;
+  return {config, route, owner, service: keeps ? service : undefined};
+}
+
+function hasSameFigures(
+  {services}: DirectConfig,
+  {config, service}: Exchange,
+): boolean {
+  const figuresIn = (known: DirectConfig['services']) =>
+    known.get(service)?.engine;
+  return isDeepStrictEqual(figuresIn(services), figuresIn(config.services));
 }
 
 /** Whether requests of both are served and repeated in the same way. */
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -106,6 +106,48 @@
   });
 });
 
+describe('a stream waits for room at an engine', () => {
+  /** Streams that fill the engine for a while, and one that waits. */
+  const startWaiting = async () => {
+    const [engine] = fleet.pool;
+    engine.behave(streamTo(60, 60));
+    const full = Array.from({length: 4}, () =>
+      callEntry(fleet, '/long/a', LARGE),
+    );
+    await until(() => engine.arrivals.length === 4);
+    const waiting = callEntry(fleet, '/stream/a', LARGE);
+    const isWaiting = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.waiting).length > 0;
+    await until(isWaiting);
+    engine.behave(streamTo(2));
+    return {engine, waiting, full: Promise.all(full)};
+  };
+  const withFigures = (engine: typeof ENGINE) =>
+    move(2, undefined, {
+      ...configOf(2),
+      services: [{name: 'pool', engine}, {name: 'desk'}],
+    });
+
+  // Guards against a refusal by figures that are not in force any more.
+  test('and is placed by a version that states more memory', async () => {
+    const {engine, waiting, full} = await startWaiting();
+    await withFigures({...ENGINE, kvCapacityTokens: 100_000, slots: 100});
+    expect(await waiting).toMatchObject({status: 200, whole: true});
+    expect(engine.arrivals).toHaveLength(5);
+    await full;
+  });
+
+  // Guards against requests that are held for longer with each version.
+  test('and waits no longer for a version that changes nothing for it', async () => {
+    const {waiting, full} = await startWaiting();
+    const since = performance.now();
+    await withFigures(ENGINE);
+    expect(await waiting).toMatchObject({status: 503});
+    expect(performance.now() - since).toBeLessThan(1_800);
+    await full;
+  });
+});
+
 // Guards against a second run at a service that was not asked for, and against
 // a denial of what was allowed when it was sent.
 describe('a request stays with its service', () => {
