test(fault-soak): the store and entries fall silent beside configurations

The judge allows for the time in which a request's entry was paused, and holds that no run goes on at a replica once all callers have ended. http_client: the newest keep-alive time that a server stated counts.

--- a/fault_soak/silent_replicas/silence_run.ts
+++ b/fault_soak/silent_replicas/silence_run.ts
@@ -20,6 +20,8 @@
 import type {StreamFigures} from './silence_report.js';
 import {coveredMs, silenceInSeries} from './silence_shapes.js';
 import type {Group} from './silence_shapes.js';
+import {createSilentParts} from './silent_parts.js';
+import type {PartKind, SilentParts} from './silent_parts.js';
 import {GRACE_MS, allReady, createStopSeries} from './silence_stops.js';
 import type {StopSeries} from './silence_stops.js';
 
@@ -35,6 +37,10 @@
   readonly group?: Group;
   /** How the other engine of the pair is of no use. @default drawn in turn */
   readonly other?: OtherKind | 'none';
+  /** Whether engines fall silent. @default true */
+  readonly silences?: boolean;
+  /** Other parts that fall silent. @default none */
+  readonly parts?: readonly PartKind[];
   /** Kinds of new versions that come. */
   readonly changes: readonly ChangeKind[];
   /** Whether entries are stopped and started, and get SIGHUP. */
@@ -50,6 +56,8 @@
   /** By group and length. */
   readonly silences: Readonly<Record<string, number>>;
   readonly changes: Readonly<Record<string, number>>;
+  /** How often each other part was silent. */
+  readonly parts: Readonly<Record<string, number>>;
   /** How often the other engine of the pair became useless in each way. */
   readonly others: Readonly<Record<string, number>>;
   readonly stops: number;
@@ -103,18 +111,20 @@
       silenceMs,
       shortestGapMs: PAIR_GAP_MS,
     } as const;
-    const silences = silenceInSeries(pool, poolDraw, seeded(seed, 2), over);
-    const pairSilences = silenceInSeries(
-      sound,
-      pairDraw,
-      seeded(seed, 3),
-      over,
-    );
+    const isSilenced = shape.silences ?? true;
+    const silences = isSilenced
+      ? silenceInSeries(pool, poolDraw, seeded(seed, 2), over)
+      : Promise.resolve({});
+    const pairSilences = isSilenced
+      ? silenceInSeries(sound, pairDraw, seeded(seed, 3), over)
+      : Promise.resolve({});
+    const parts = createSilentParts(fleet.store, fleet.entries);
     const others =
       other === 'none'
         ? Promise.resolve({})
         : troubleOther(fleet, other, seeded(seed, 4), over);
     const troubles = [
+      parts.silenceInSeries(shape.parts ?? [], seeded(seed, 7), over),
       fleet.config.changeInSeries(shape.changes, seeded(seed, 1), over),
       ...(shape.stops
         ? [
@@ -142,13 +152,15 @@
     await Promise.all(troubles);
     await callers;
     await sleep(SETTLE_MS);
-    const facts = new Map(ended.map(it => [it, factsOf(it, fleet, stops)]));
-    const known = (one: Ended) => facts.get(one) ?? factsOf(one, fleet, stops);
+    const look = (one: Ended) => factsOf(one, fleet, stops, parts);
+    const facts = new Map(ended.map(it => [it, look(it)]));
+    const known = (one: Ended) => facts.get(one) ?? look(one);
     return {
       seed,
       engines: poolSize,
       silences: silenceCounts,
       changes: fleet.config.changes(),
+      parts: parts.counts(),
       others: otherCounts,
       stops: stops.stops().length,
       hangUps: stops.hangUps(),
@@ -171,6 +183,7 @@
   one: Ended,
   fleet: SilenceFleet,
   stops: StopSeries,
+  parts: SilentParts,
 ): RequestFacts {
   const {id, kind, entry, sentAt, endedAt} = one;
   const engines = fleet.enginesOf(kind);
@@ -194,6 +207,8 @@
       ),
     graceMs: GRACE_MS,
     silentMs: coveredMs(silences, sentAt, endedAt),
+    entrySilentMs: coveredMs(parts.pausesOf(entry), sentAt, endedAt),
+    isStillRun: fleet.engines.some(it => it.isAtWork(id, performance.now())),
     allowedBySome: bySome,
     allowedByAll: byAll,
   };
--- a/fault_soak/silent_replicas/silence_soak.ts
+++ b/fault_soak/silent_replicas/silence_soak.ts
@@ -5,7 +5,7 @@
  *
  * `npm run silence-soak -- --seed N [--seeds K] [--processes M] [--engines E]
  * [--silence-ms S] [--group NAME] [--other KIND] [--changes KINDS]
- * [--no-changes] [--stops] [--minutes T]`
+ * [--no-changes] [--stops] [--no-silences] [--parts KINDS] [--minutes T]`
  *
  * Exit code 1 when a promise is broken; the logs of that seed are kept. Exit
  * code 2 for a name that there is not.
@@ -16,6 +16,7 @@
 import {CHANGE_KINDS} from './silence_config.js';
 import {runSilences} from './silence_run.js';
 import {GROUPS} from './silence_shapes.js';
+import {PART_KINDS} from './silent_parts.js';
 
 const EXIT_USAGE = 2;
 
@@ -31,6 +32,8 @@
     changes: {type: 'string'},
     'no-changes': {type: 'boolean', default: false},
     stops: {type: 'boolean', default: false},
+    'no-silences': {type: 'boolean', default: false},
+    parts: {type: 'string', default: ''},
     minutes: {type: 'string', default: '0.5'},
   },
 });
@@ -67,6 +70,11 @@
   other: maybeNamed([...OTHER_KINDS, 'none'] as const, values.other),
   changes: changesOf(),
   stops: values.stops,
+  silences: !values['no-silences'],
+  parts: values.parts
+    .split(',')
+    .filter(name => name !== '')
+    .map(name => named(PART_KINDS, name)),
   durationMs: Number(values.minutes) * 60_000,
 };
 
--- a/test/http_client.test.ts
+++ b/test/http_client.test.ts
@@ -64,4 +64,26 @@
     expect(connections).toBe(2);
     await client.close();
   });
+
+  // A server may state a shorter time in a later answer. A call on a connection
+  // that is kept by an earlier statement would cross its close.
+  test.each([2_000, 1_000])(
+    'is kept by the newest time that the server stated, %i ms',
+    async shorterMs => {
+      const {port} = server.address() as AddressInfo;
+      const client = createHttpClient({
+        url: `http://127.0.0.1:${port}`,
+        clock: createProcessClock(),
+      });
+      const call = () => client.call({method: 'GET', path: '/'});
+      await call();
+      server.keepAliveTimeout = shorterMs;
+      await call();
+      expect(connections).toBe(1);
+      await wait(shorterMs - 1_000 + 200);
+      expect((await call()).isRight()).toBe(true);
+      expect(connections).toBe(2);
+      await client.close();
+    },
+  );
 });
--- a/test/silence_judge.test.ts
+++ b/test/silence_judge.test.ts
@@ -51,6 +51,8 @@
     stop: undefined,
     graceMs: GRACE_MS,
     silentMs: 0,
+    entrySilentMs: 0,
+    isStillRun: false,
     allowedBySome: true,
     allowedByAll: true,
     ...changed,
