--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -106,6 +106,26 @@
   });
 });
 
+// Guards against a failure that only says that an operator has moved the traffic
+// and stopped the replicas.
+describe('an idempotent call whose service has ended', () => {
+  test('is answered by the new service', async () => {
+    const [desk] = fleet.desk;
+    desk.behave(() => {
+      setTimeout(() => {
+        fleet.store.remove('servers', desk.id);
+        desk.crash();
+      }, REFUSED_AFTER_MS);
+    });
+    other.behave(answerWell);
+    const answer = callEntry(fleet, '/again/');
+    await until(() => desk.arrivals.length === 1);
+    await move();
+    expect(await answer).toMatchObject({status: 200, whole: true});
+    expect(other.arrivals).toHaveLength(1);
+  });
+});
+
 describe('a stream waits for room at an engine', () => {
   /** Streams that fill the engine for a while, and one that waits. */
   const startWaiting = async () => {
@@ -153,16 +173,27 @@
 describe('a request stays with its service', () => {
   test('once a replica may have run it', async () => {
     const [desk] = fleet.desk;
-    let calls = 0;
     desk.behave((...args) => {
-      if (calls++ > 0) refuse(...args);
-      else setTimeout(() => breakOff(...args), REFUSED_AFTER_MS);
+      setTimeout(() => breakOff(...args), REFUSED_AFTER_MS);
     });
-    const answer = callEntry(fleet, '/again/');
+    const answer = callEntry(fleet, '/once/');
     await until(() => desk.arrivals.length === 1);
     await move();
     expect(await answer).toMatchObject({status: 502});
-    expect([desk.arrivals.length, other.arrivals.length]).toEqual([2, 0]);
+    expect([desk.arrivals.length, other.arrivals.length]).toEqual([1, 0]);
+  });
+
+  test('once it has sent events of its stream', async () => {
+    const [engine] = fleet.pool;
+    engine.behave((arrival, res, req) => {
+      streamTo(60, 60)(arrival, res, req);
+      setTimeout(() => breakOff(arrival, res, req), REFUSED_AFTER_MS);
+    });
+    const answer = callEntry(fleet, '/stream/a', LARGE);
+    await until(() => engine.arrivals.length === 1);
+    await move(2, ENGINE);
+    expect(await answer).toMatchObject({status: 200, whole: false});
+    expect(other.arrivals).toHaveLength(0);
   });
 
   test.each([
