fix(direct): trials of refused subjects do not run at the same time

Sound requests whose runs were not proven well in time are blamed for the same crashes as the bad part, both are refused at the same moment, and their trials are due at the same moments, 1 s and 4 s later. The two entries that claim them choose the same idle replica, the bad part ends it, and the trial of the sound part is lost. After the second one it stays refused for an hour. Traced in plays with a warm-up of 0.2 s in place of 1.5 s: in those that failed the trials of both parts ran at one replica both times. Change: trials of different subjects are 400 ms apart, by their order among the subjects that are refused, which is the same at all entries.

--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -233,6 +233,11 @@
     options.onCleared(digest, isOwn);
   };
 
+  /** Also counts those whose trials have all run, so that ranks stay. */
+  const rankOf = (digest: string): number =>
+    [...quarantined.request, ...quarantined.part].filter(it => it < digest)
+      .length;
+
   const crashesOfParts = () =>
     [...suspects].flatMap(([digest, suspect]) => {
       const {type, ended} = suspect;
@@ -396,10 +401,11 @@
       return isJudged ? Math.max(0, judgementAt - clock.now()) : 0;
     },
     hasEnded: recentEnds.has,
-    dueTrial: digest => findCurrent(digest)?.trials?.claim(),
+    dueTrial: digest => findCurrent(digest)?.trials?.claim(rankOf(digest)),
     trialSettled: (digest, isAnswered) =>
       findCurrent(digest)?.trials?.settled(isAnswered),
-    nextTrialInMs: digest => findCurrent(digest)?.trials?.dueInMs() ?? Infinity,
+    nextTrialInMs: digest =>
+      findCurrent(digest)?.trials?.dueInMs(rankOf(digest)) ?? Infinity,
     merge: reports => reports.forEach(mergeOne),
     mergeRecords: reports => reports.forEach(mergeRecord),
     release: drop,
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -15,14 +15,26 @@
 };
 /** Time until a trial is claimed again when its claim was not answered. */
 const CLAIM_RETRY_MS = 1_000;
+/**
+ * Time between the trials of two subjects, in milliseconds. Trials at the same
+ * time may run at the same replica, at two entries as well, and the subject that
+ * crashes replicas would end the trial of a harmless one each time. It does not
+ * divide `BETTER_TRIAL_WAIT_MS`, by which some trials come later.
+ */
+const SPACING_MS = 400;
+/** Trials of more subjects share their times, or the last would come late. */
+const MAX_SPACED = 4;
 
 export interface Trials {
-  /** See `Suspects.dueTrial`. */
-  claim(): number | undefined;
+  /**
+   * See `Suspects.dueTrial`. `rank` is the number of quarantined subjects that
+   * come before this one, in an order that is the same at all entries.
+   */
+  claim(rank: number): number | undefined;
   /** See `Suspects.trialSettled`. */
   settled(isAnswered: boolean): void;
   /** See `Suspects.nextTrialInMs`. */
-  dueInMs(): number;
+  dueInMs(rank: number): number;
 }
 
 /** Plans the trials of a subject that is quarantined now. */
@@ -32,9 +44,11 @@
   /** Number of trials that are known to be claimed, by any entry. */
   let claimed = 0;
   let nextAt = quarantinedAt + delaysMs[0];
+  const dueInMs = (rank: number): number =>
+    nextAt + (rank % MAX_SPACED) * SPACING_MS - clock.now();
   return {
-    claim: () => {
-      if (clock.now() < nextAt) return undefined;
+    claim: rank => {
+      if (dueInMs(rank) > 0) return undefined;
       // Equal requests are refused while this one claims the trial.
       nextAt = Infinity;
       return claimed;
@@ -46,6 +60,6 @@
         ? quarantinedAt + afterMs
         : clock.now() + CLAIM_RETRY_MS;
     },
-    dueInMs: () => nextAt - clock.now(),
+    dueInMs,
   };
 }
--- a/test/direct/crashing_parts.test.ts
+++ b/test/direct/crashing_parts.test.ts
@@ -9,6 +9,7 @@
   withoutFraming,
 } from '../../standins/users_platform/replica.js';
 import type {Behaviour} from '../../standins/users_platform/replica.js';
+import {partDigestOf} from '../../src/direct/crashes/request_digest.js';
 import {startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 import {
@@ -213,3 +214,39 @@
     expectBounds(await play({disturb}));
   }, 60_000);
 });
+
+describe('two parts that are refused, of which one is sound', () => {
+  const SERVED_AGAIN_MS = 4_000;
+  const RECORDS = 'onyxloft-quarantine';
+  const ended = ['gone-1', 'gone-2', 'gone-3'];
+
+  // Guards against a sound part that stays refused, since each of its trials
+  // runs beside one of the part that crashes replicas.
+  test('do not keep the sound one refused', async () => {
+    const first = await start({pool: 1});
+    const entries = [first, await start({node: 'entry-2', sharedFleet: first})];
+    endUnderParts(first.store, 'pool', first.pool, [B], {
+      ending: crashAtOnce,
+      other: SOUND,
+    });
+    for (const part of [B, F]) {
+      const digest = partDigestOf('pool', part);
+      const record = {digest, position: 0, ended, good: {}};
+      first.store.put(RECORDS, digest, {...record, writtenAt: Date.now()});
+    }
+    const traffic = startTraffic({
+      entries: () => entries,
+      path: '/stream/a',
+      headers: HEADERS,
+      sound: () => [F],
+      bad: () => [B],
+    });
+    traffic.startBad();
+    const startedAt = performance.now();
+    await sleep(SERVED_AGAIN_MS + MEASURED_MS);
+    await traffic.stop();
+    const from = startedAt + SERVED_AGAIN_MS;
+    const share = servedShare(traffic.sound, from, from + MEASURED_MS);
+    expect(share).toBeGreaterThanOrEqual(LEAST_SERVED);
+  }, 40_000);
+});
--- a/test/direct/suspect_parts.test.ts
+++ b/test/direct/suspect_parts.test.ts
@@ -13,6 +13,11 @@
 /** Reports of other entries have been heard by then. */
 const JUDGED_MS = 400;
 const MINUTE_MS = 60_000;
+/** All trials of two parts are due by then. */
+const TRIALS_MS = 6_000;
+const STEP_MS = 50;
+/** Peers know by then which replica runs a trial, or that it has ended. */
+const LEAST_APART_MS = 400;
 
 const partAt = (position: number): SubjectType => ({kind: 'part', position});
 
@@ -182,6 +187,37 @@
   expect(suspects.dueTrial(BAD_PART)).toBe(undefined);
 });
 
+// The part that crashes replicas would end the trial of the sound one as well:
+// both entries may choose the same replica.
+test('two refused parts get their trials apart from each other at any entry', async () => {
+  const parts = [BAD_PART, FIRST_PART];
+  const entries = [parts, [...parts].reverse()].map((inOrder, at) => {
+    const entry = createEntry(`entry-${at}`);
+    for (const replica of ['r1', 'r2', 'r3']) {
+      for (const part of inOrder) {
+        entry.suspects.replicaEnded(part, replica, partAt(0));
+      }
+    }
+    return entry;
+  });
+  const trials: Array<{readonly part: string; readonly atMs: number}> = [];
+  for (let atMs = 0; atMs < TRIALS_MS; atMs += STEP_MS) {
+    for (const {clock} of entries) await clock.runFor(STEP_MS);
+    for (const part of parts) {
+      const due = entries.filter(
+        ({suspects}) => suspects.dueTrial(part) !== undefined,
+      );
+      if (due.length > 0) trials.push({part, atMs});
+      due.forEach(({suspects}) => suspects.trialSettled(part, true));
+    }
+  }
+  expect(trials.map(({part}) => part).sort()).toEqual(
+    [...parts, ...parts].sort(),
+  );
+  const gaps = trials.slice(1).map(({atMs}, at) => atMs - trials[at].atMs);
+  expect(Math.min(...gaps)).toBeGreaterThanOrEqual(LEAST_APART_MS);
+});
+
 describe('an entry that has just started', () => {
   // It knows no part that ran well, and the first part stands in every crash.
   test('does not refuse a part that ran well at a peer', async () => {
