test(direct): the sound second part in the tests of crashing parts is read

Cause: its id was not hexadecimal, so entries left it out, and the tests played prompts of one shared part where two were meant. Change: an id that is read.

--- a/test/direct/crashing_parts.test.ts
+++ b/test/direct/crashing_parts.test.ts
@@ -36,7 +36,8 @@
 const WARM_UP_MS = 1_500;
 
 const F = 'f1';
-const S = 's1';
+// Ids of parts are hexadecimal; others are not read.
+const S = 'c1';
 const B = 'b1';
 const SOUND: Behaviour = streamTo(4, 25);
 
