--- a/fault_soak/idle_connections/delay_link.ts
+++ b/fault_soak/idle_connections/delay_link.ts
@@ -68,7 +68,9 @@
           const {localPort = 0} = socket;
           void openingOf(localPort).settled.then(stands => {
             openings.delete(localPort);
-            if (stands) setTimeout(() => resolve(socket), 2 * delayMs);
+            // It may have been reset by then.
+            const use = () => resolve(socket.destroyed ? undefined : socket);
+            if (stands) setTimeout(use, 2 * delayMs);
             else resolve(undefined);
           });
         });
--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -54,8 +54,9 @@
       continue;
     }
     const connection = createIdleConnection(socket);
-    await useUntilClosed(shape, connection);
+    const isAnswered = await useUntilClosed(shape, connection);
     connection.destroy();
+    if (!isAnswered) await sleep(RETRY_MS);
   }
 }
 
@@ -78,23 +79,28 @@
   return shape.isOver() ? 'over' : 'kept';
 }
 
+/** Whether its last requests were answered. */
 async function useUntilClosed(
   shape: CallerShape,
   connection: IdleConnection,
-): Promise<void> {
+): Promise<boolean> {
   do {
-    await exchange(shape, connection);
+    if (!(await exchange(shape, connection))) return false;
     await beIdle(shape, connection);
   } while (connection.isOpen() && mayReuse(shape, connection));
+  return true;
 }
 
+/** Whether all was answered. */
 async function exchange(
   shape: CallerShape,
   connection: IdleConnection,
-): Promise<void> {
+): Promise<boolean> {
   const count = shape.random.next() < PAIR_SHARE ? 2 : 1;
   const asked = Array.from({length: count}, () => drawRequest(shape));
-  (await connection.send(asked)).forEach(shape.onSeen);
+  const seen = await connection.send(asked);
+  seen.forEach(shape.onSeen);
+  return seen.every(({end}) => end === 'answer');
 }
 
 async function beIdle(
--- a/fault_soak/idle_connections/idle_judge.ts
+++ b/fault_soak/idle_connections/idle_judge.ts
@@ -83,9 +83,11 @@
 
 function judgeEnd(seen: Seen, facts: JudgedFacts): Verdict {
   const {sentAt, endedAt, beganAt} = seen;
+  // A pause is long over by then, and so is the request's time.
+  if (seen.end === 'hang') return broken('has no end');
   // The rule holds for machines in touch.
   if (wasFrozen(seen, facts)) return excused('frozen');
-  if (endedAt - beganAt > DEADLINE_SHARE * DEADLINE_MS && seen.end !== 'hang') {
+  if (endedAt - beganAt > DEADLINE_SHARE * DEADLINE_MS) {
     return excused('out of time');
   }
   if (isCutByGrace(seen, facts)) return excused('the grace time ended');
--- a/test/idle_judge.test.ts
+++ b/test/idle_judge.test.ts
@@ -132,7 +132,10 @@
     expect(kindOf(ended(5, part))).toBe('broken');
   });
   test('is a finding when it has no end at all', () => {
-    expect(kindOf(ended(15_000, {end: 'hang'}))).toBe('broken');
+    const hung = ended(15_000, {end: 'hang'});
+    expect(kindOf(hung)).toBe('broken');
+    const freezes = [{from: SENT_AT, to: SENT_AT + 2_000}];
+    expect(kindOf(hung, {entry: entry({freezes})})).toBe('broken');
   });
   test('is excused when it was sent later than its connection was stated to be kept', () => {
     const late = ended(5, {statedMs: 2_000});
