--- /dev/null
+++ b/src/direct/callers/caller_connections.ts
@@ -0,0 +1,141 @@
+/**
+ * The open connections of callers: whether a request is open on each, and since
+ * when no byte has come. Bytes that belong to no answered request tell that a
+ * request is under way, although its headers are not read yet.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {nameConnection} from './connection_name.js';
+import type {QuietConnection} from './idle_time.js';
+
+interface CallerConnection {
+  /** The answer to the newest request, until it has closed. */
+  open: ServerResponse | undefined;
+  /** Requests whose headers were read. */
+  requests: number;
+  /** Bytes that were read up to the end of the newest request. */
+  requestBytes: number;
+  /** Bytes that had been read at the latest look. */
+  seenBytes: number;
+  /** Since when no byte has come, and no request was open. */
+  quietSince: number;
+  statedMs: number;
+}
+
+export interface CallerConnections {
+  /** Adds a connection that was just accepted, until it closes. */
+  add(socket: Socket): void;
+  /**
+   * Notes that the headers of a request have been read, whose answer states
+   * `statedMs` in `Keep-Alive`.
+   */
+  began(req: IncomingMessage, res: ServerResponse, statedMs: number): void;
+  /** Number of requests whose headers were read. */
+  requestCount(socket: Socket): number;
+  /** Whether no byte has ever come. */
+  isUnused(socket: Socket): boolean;
+  /**
+   * Whether all requests are answered and no part of a further one was read. On
+   * a new connection a request may be on its way.
+   */
+  isIdle(socket: Socket): boolean;
+  /** Whether bytes have been read of a request that is not answered. */
+  hasUnanswered(socket: Socket): boolean;
+  /** Time without a byte and an open request, in milliseconds. */
+  quietMs(socket: Socket): number;
+  /** Calls `visit` for each connection without an open request. */
+  visitQuiet(
+    visit: (socket: Socket, connection: QuietConnection) => void,
+  ): void;
+  /** Runs the function when all requests of the connection are answered. */
+  whenEnded(socket: Socket, run: () => void): void;
+  all(): Iterable<Socket>;
+}
+
+export function createCallerConnections(now: () => number): CallerConnections {
+  const connections = new Map<Socket, CallerConnection>();
+
+  const add = (socket: Socket): void => {
+    nameConnection(socket);
+    connections.set(socket, {
+      open: undefined,
+      requests: 0,
+      requestBytes: 0,
+      seenBytes: 0,
+      quietSince: now(),
+      statedMs: 0,
+    });
+    socket.once('close', () => connections.delete(socket));
+  };
+  const began: CallerConnections['began'] = (req, res, statedMs) => {
+    const {socket} = req;
+    const connection = connections.get(socket);
+    if (connection === undefined) return;
+    connection.open = res;
+    connection.requests++;
+    connection.statedMs = statedMs;
+    const noteBytes = () => {
+      connection.requestBytes = socket.bytesRead;
+    };
+    noteBytes();
+    req.once('end', noteBytes);
+    res.once('close', () => {
+      // Of a body that is not read yet, the rest may follow.
+      if (!req.complete) noteBytes();
+      if (connection.open === res) connection.open = undefined;
+      connection.quietSince = now();
+    });
+  };
+  const hasNewBytes = (socket: Socket, {requestBytes}: CallerConnection) =>
+    socket.bytesRead !== requestBytes;
+  const noteQuiet = (socket: Socket, connection: CallerConnection) => {
+    if (socket.bytesRead === connection.seenBytes) return;
+    connection.seenBytes = socket.bytesRead;
+    connection.quietSince = now();
+  };
+
+  return {
+    add,
+    began,
+    requestCount: socket => connections.get(socket)?.requests ?? 0,
+    isUnused: socket => socket.bytesRead === 0,
+    isIdle: socket => {
+      const connection = connections.get(socket);
+      return (
+        connection !== undefined &&
+        connection.requests > 0 &&
+        connection.open === undefined &&
+        !hasNewBytes(socket, connection)
+      );
+    },
+    hasUnanswered: socket => {
+      const connection = connections.get(socket);
+      return (
+        connection !== undefined &&
+        (connection.open !== undefined || hasNewBytes(socket, connection))
+      );
+    },
+    quietMs: socket => {
+      const connection = connections.get(socket);
+      if (connection === undefined || connection.open !== undefined) return 0;
+      noteQuiet(socket, connection);
+      return now() - connection.quietSince;
+    },
+    visitQuiet: visit => {
+      for (const [socket, connection] of connections) {
+        if (connection.open !== undefined) continue;
+        visit(socket, {
+          statedMs: connection.statedMs,
+          awaitsHeaders:
+            connection.requests === 0 || hasNewBytes(socket, connection),
+        });
+      }
+    },
+    whenEnded: (socket, run) => {
+      const open = connections.get(socket)?.open;
+      if (open === undefined) run();
+      else open.once('close', run);
+    },
+    all: () => connections.keys(),
+  };
+}
--- /dev/null
+++ b/src/direct/callers/callers_server.ts
@@ -0,0 +1,190 @@
+/**
+ * The HTTP server for callers. It applies the limits of the configuration and
+ * can stop accepting connections while open requests still get their answers.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock, Log, Metrics} from '../../types/runtime.js';
+import {splitAddress} from '../settings.js';
+import {createCallerConnections} from './caller_connections.js';
+import {createClosingReports} from './closings.js';
+import type {CloseCause} from './closings.js';
+import {afterPoll, createConnectionEnds} from './connection_end.js';
+import {idleTimeMs, statedIdleMs} from './idle_time.js';
+import type {LimitsInForce} from './limits_in_force.js';
+import {createParserErrors} from './parser_errors.js';
+
+/**
+ * Largest headers that the HTTP parser accepts, in bytes. It exceeds the
+ * configured limit, so that requests between the two are answered with 431 by
+ * `admitRequest`; the parser refuses larger ones.
+ */
+const PARSER_HEADER_BYTES = 256 * 1024;
+/** Interval at which connections are checked for timeouts, in milliseconds. */
+const TIMEOUT_CHECK_MS = 500;
+export interface CallersServer {
+  /** Applies limits that have changed. */
+  applyLimits(): void;
+  /**
+   * Accepts no new connections and ends the idle ones. Resolves when requests
+   * that had come on them are taken.
+   */
+  stopAccepting(): Promise<void>;
+  /** Ends a connection unless a further request has come. */
+  endWhenIdle(socket: Socket): void;
+  /** Closes all connections, also those with open requests. */
+  close(): Promise<void>;
+}
+
+export type RequestHandler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+) => void;
+
+export interface CallersServerOptions {
+  /** IP:PORT to listen at. */
+  readonly address: string;
+  readonly handler: RequestHandler;
+  /** A new connection for which it returns false is closed unread. */
+  readonly admit: () => boolean;
+  readonly limits: LimitsInForce;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Rejects when the address cannot be bound. */
+export async function openCallersServer(
+  options: CallersServerOptions,
+): Promise<CallersServer> {
+  const {clock, handler, limits} = options;
+  const server = createServer({
+    maxHeaderSize: PARSER_HEADER_BYTES,
+    requestTimeout: 0,
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+  });
+  const connections = createCallerConnections(clock.now);
+  const ends = createConnectionEnds(clock);
+  const reportClosing = createClosingReports(options.log, options.metrics);
+  const report = (socket: Socket, cause: CloseCause, limitMs?: number) =>
+    reportClosing(socket, {
+      cause,
+      idleMs: connections.quietMs(socket),
+      limitMs,
+      isUnanswered: connections.hasUnanswered(socket),
+    });
+  const endQuiet = (socket: Socket, cause: CloseCause, limitMs?: number) => {
+    const idleMs = connections.quietMs(socket);
+    const isUnanswered = connections.hasUnanswered(socket);
+    ends.end(socket, 'leave', hasLateBytes =>
+      reportClosing(socket, {
+        cause,
+        idleMs,
+        limitMs,
+        isUnanswered: isUnanswered || hasLateBytes,
+      }),
+    );
+  };
+  const endAnswered = (socket: Socket) => {
+    const count = () =>
+      reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
+    ends.end(socket, 'discard', count);
+  };
+  const endIfIdle = (socket: Socket) => {
+    if (connections.isIdle(socket)) endQuiet(socket, 'drain');
+  };
+  // Called by `server.close` too. The method of Node also closes connections
+  // whose answer has ended but has not been handed to the kernel completely.
+  server.closeIdleConnections = () => {
+    afterPoll(() => [...connections.all()].forEach(endIfIdle));
+  };
+  const handle: RequestHandler = (req, res) => {
+    // Node fixes what the answer states when the request has come.
+    connections.began(req, res, server.keepAliveTimeout);
+    handler(req, res);
+  };
+  server.on('request', handle);
+  server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+    res.writeContinue();
+    handle(req, res);
+  });
+  server.on('connection', socket => {
+    if (!options.admit()) {
+      socket.destroy();
+      return;
+    }
+    socket.setNoDelay(true);
+    connections.add(socket);
+    // Called by Node after an answer that closes the connection. The method of
+    // Node closes it at once.
+    socket.destroySoon = () => endAnswered(socket);
+  });
+  // Node closes by the limit that was in force when the last answer ended; with
+  // a listener, it closes nothing.
+  server.on('timeout', () => undefined);
+  const closeIdle = () => {
+    const current = limits.current();
+    if (current === undefined) return;
+    const dueMs = new Map<Socket, number>();
+    connections.visitQuiet((socket, connection) => {
+      const limitMs = idleTimeMs(connection, current);
+      if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
+    });
+    if (dueMs.size === 0) return;
+    afterPoll(() => {
+      for (const [socket, limitMs] of dueMs) {
+        if (connections.quietMs(socket) < limitMs) continue;
+        endQuiet(socket, 'idle', limitMs);
+      }
+    });
+  };
+  const applyLimits = () => {
+    const newest = limits.newest();
+    if (newest === undefined) return;
+    server.headersTimeout = limits.headersTimeoutMs();
+    server.keepAliveTimeout = statedIdleMs(newest);
+  };
+  const onParserError = createParserErrors({
+    connections,
+    ends,
+    report,
+    headersTimeoutMs: () => server.headersTimeout,
+  });
+  server.on('clientError', (err, socket) =>
+    onParserError(err, socket as Socket),
+  );
+  applyLimits();
+  await listen(server, options.address);
+  const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
+    applyLimits();
+    closeIdle();
+  });
+  return {
+    applyLimits,
+    stopAccepting: () =>
+      new Promise(resolve => {
+        server.close();
+        afterPoll(resolve);
+      }),
+    endWhenIdle: socket => afterPoll(() => endIfIdle(socket)),
+    close: () =>
+      new Promise(resolve => {
+        cancelChecks();
+        server.close(() => resolve());
+        for (const socket of connections.all()) report(socket, 'service ended');
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const endpoint = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(endpoint?.port, endpoint?.ip, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+}
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -9,8 +9,13 @@
  * event, so that the answer never depends on whether a second replica is found.
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {callerTimeoutMs} from '../decide/caller_timeout.js';
+import {DIAL_TIMED_OUT} from '../dispatch.js';
 import type {Exchange} from '../exchange.js';
+import {createUndialledReplicas} from '../health/undialled_replicas.js';
+import type {UndialledReplicas} from '../health/undialled_replicas.js';
 import {placeRequest} from '../place_request.js';
+import type {ReplicaSearch} from '../place_request.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -18,7 +23,7 @@
   writeHead,
   writeStreamHead,
 } from '../serve_context.js';
-import type {ExcludedIds, ServeContext} from '../serve_context.js';
+import type {ServeContext} from '../serve_context.js';
 import {createOpenRuns} from './open_runs.js';
 import type {EndedRun, OpenRuns} from './open_runs.js';
 import type {StreamOutcome} from './stream_attempt.js';
@@ -31,8 +36,13 @@
   readonly runs: OpenRuns;
   /** Ids of replicas that were chosen before; further attempts exclude them. */
   readonly tried: Set<string>;
+  readonly undialled: UndialledReplicas;
+  /** The last error that a replica answered while another run was open. */
+  failure: ReplicaFailure | undefined;
 }
 
+type ReplicaFailure = Extract<StreamOutcome, {readonly kind: 'failure'}>;
+
 /** What came of the search for a replica. */
 type SearchResult =
   | {readonly kind: 'started'}
@@ -54,7 +64,13 @@
 ): Promise<void> {
   const progress = startProgress(exchange);
   const runs = createOpenRuns(ctx, exchange, progress);
-  const state: StreamState = {progress, runs, tried: new Set()};
+  const state: StreamState = {
+    progress,
+    runs,
+    tried: new Set(),
+    undialled: createUndialledReplicas(ctx.clock),
+    failure: undefined,
+  };
   let search: Promise<SearchResult> | undefined;
   // Each request earns a share of a retry, and each attempt after the first takes
   // one, so that retries stay a share of all requests.
@@ -75,7 +91,9 @@
     search = undefined;
     if (result.kind !== 'none' || exchange.signal.aborted) continue;
     if (runs.isIdle()) {
-      giveUp(ctx, exchange, result.reason, result.retryAfterMs);
+      if (!sendFailure(ctx, exchange, state)) {
+        giveUp(ctx, exchange, result.reason, result.retryAfterMs);
+      }
       return;
     }
     runs.noteNoOther(result.reason);
@@ -108,17 +126,16 @@
   state: StreamState,
 ): Promise<SearchResult> {
   const {runs} = state;
-  const excluded = excludedReplicas(exchange, state);
+  const choosable = choosableReplicas(ctx, exchange, state);
   const isRetry = exchange.attempts > 0;
-  if (excluded === undefined || (isRetry && ctx.budget.left() < 1)) {
+  if (choosable === undefined || (isRetry && ctx.budget.left() < 1)) {
     return {kind: 'none', reason: 'no more attempts'};
   }
   if (runs.count() > 0 && ctx.crashes.isQuarantined(exchange)) {
     return {kind: 'none', reason: 'quarantined'};
   }
   const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
-  const search = {excluded, isNeeded};
-  const result = await placeRequest(ctx, exchange, search);
+  const result = await placeRequest(ctx, exchange, {...choosable, isNeeded});
   if (!isNeeded()) {
     if (result.kind === 'place') result.placement.close();
     return {kind: 'not-needed'};
@@ -130,20 +147,48 @@
     return {kind: 'none', reason: 'no more attempts'};
   }
   state.tried.add(placement.replica.id);
+  state.undialled.dialling(placement.replica.id);
   runs.start(placement);
   return {kind: 'started'};
 }
 
 /**
- * The replicas that may not be asked; undefined when none may. Where the route
- * allows no further replica, one that was superseded may be asked again.
+ * The replicas that may be asked; undefined when none may. Where the route
+ * allows no further replica, one that was asked before may be asked again.
  */
-function excludedReplicas(
-  {attempts, route}: Exchange,
-  {runs: {superseded}, tried}: StreamState,
-): ExcludedIds | undefined {
-  if (attempts + superseded.size < route.maxAttempts) return tried;
-  return superseded.size > 0 ? {has: id => !superseded.has(id)} : undefined;
+function choosableReplicas(
+  ctx: ServeContext,
+  exchange: Exchange,
+  state: StreamState,
+): Pick<ReplicaSearch, 'excluded' | 'isLastResort'> | undefined {
+  const {attempts, route} = exchange;
+  const {askable, uncountedReplicas} = state.runs;
+  if (attempts + uncountedReplicas() < route.maxAttempts) {
+    const isLastResort = (id: string) =>
+      isDialledAgain(ctx, exchange, state, id);
+    return {excluded: state.tried, isLastResort};
+  }
+  if (askable.size === 0) return undefined;
+  const excluded = {has: (id: string) => !askable.has(id)};
+  return {excluded, isLastResort: () => false};
+}
+
+/**
+ * Whether the replica, whose host accepted no connection, is dialled again
+ * where no other one is left. It is not once the caller has stopped waiting.
+ */
+function isDialledAgain(
+  {clock}: ServeContext,
+  exchange: Exchange,
+  {progress, tried, undialled}: StreamState,
+  replicaId: string,
+): boolean {
+  const waitedMs = clock.now() - progress.lastEventAt;
+  return (
+    tried.has(replicaId) &&
+    waitedMs < callerTimeoutMs(exchange.route) &&
+    undialled.mayDialAgain(replicaId, exchange.timeLeftMs())
+  );
 }
 
 /**
@@ -153,10 +198,14 @@
 function handleOutcome(
   ctx: ServeContext,
   exchange: Exchange,
-  {progress, runs, tried}: StreamState,
+  state: StreamState,
   {replica, outcome}: EndedRun,
 ): boolean {
+  const {progress, runs, tried, undialled} = state;
   const {res, route} = exchange;
+  const timedOut =
+    outcome.kind === 'not-sent' && outcome.reason === DIAL_TIMED_OUT;
+  undialled.dialled(replica.id, timedOut);
   switch (outcome.kind) {
     // The stream is complete. It is written to the caller up to its last event.
     case 'whole':
@@ -173,18 +222,17 @@
       return true;
     case 'quarantined':
       if (runs.count() > 0) break;
-      refuseQuarantined(ctx, exchange);
+      if (!sendFailure(ctx, exchange, state)) refuseQuarantined(ctx, exchange);
       return true;
     case 'failure':
       // The replica answered with an error status, which is passed on to the
       // caller if nothing was written to it yet and no other run can answer. If
       // the caller already has part of a stream, the error status cannot be sent
       // to it. The attempt then counts as failed and another may follow.
-      if (res.headersSent || runs.count() > 0) break;
-      logAnswered(ctx, exchange, outcome.head.status, progress);
-      writeHead(ctx, res, outcome.head, outcome.body.length);
-      res.end(outcome.body);
-      return true;
+      state.failure = outcome;
+      if (runs.count() > 0) break;
+      if (sendFailure(ctx, exchange, state)) return true;
+      break;
     // Every other outcome is a failed attempt and is handled below.
     default:
   }
@@ -216,6 +264,24 @@
   return true;
 }
 
+/**
+ * Passes on the error that a replica answered. Returns false where there is none
+ * or where the caller already has a part of a stream.
+ */
+function sendFailure(
+  ctx: ServeContext,
+  exchange: Exchange,
+  {failure, progress}: StreamState,
+): boolean {
+  const {res} = exchange;
+  if (failure === undefined || res.headersSent) return false;
+  const {head, body} = failure;
+  logAnswered(ctx, exchange, head.status, progress);
+  writeHead(ctx, res, head, body.length);
+  res.end(body);
+  return true;
+}
+
 /** Whether the attempt sent nothing to its replica. */
 function isUnsent({kind}: StreamOutcome): boolean {
   return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -139,6 +139,22 @@
     expectWhole(await stream());
   });
 
+  // The caller got 502 in place of what a replica had answered.
+  test('before its head and breaks off, and the caller gets the error of the other one', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves(
+      (_arrival, _res, req) => {
+        setTimeout(() => req.socket.resetAndDestroy(), SILENCE_MS);
+      },
+      (arrival, res) => {
+        res.writeHead(500, signed(arrival));
+        res.end('failed');
+      },
+    );
+    expect(await stream()).toMatchObject({status: 500, body: 'failed'});
+    expect(arrivals()).toHaveLength(2);
+  });
+
   test('while the port of the other one is closed, and the stream is whole', async () => {
     await startPair(refuse);
     const answer = stream();
@@ -251,6 +267,31 @@
     expectWhole(await answer);
   });
 
+  // A refusal had used up the last attempt, so the stream ended at its time limit.
+  test('and the other one, which has refused, is asked again', async () => {
+    fleet = await startDirectFleet();
+    let refusals = 0;
+    firstBehaves(
+      (arrival, res) => {
+        res.writeHead(200, signed(arrival));
+        res.write(eventText(1));
+      },
+      (...args) => (refusals++ === 0 ? refuse : streamTo(EVENTS))(...args),
+    );
+    expectWhole(await stream());
+    expect(arrivals()).toHaveLength(3);
+  });
+
+  test('and another one that always refuses is asked twice', async () => {
+    fleet = await startDirectFleet();
+    firstBehaves((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      res.write(eventText(1));
+    }, refuse);
+    expect((await stream()).whole).toBe(false);
+    expect(arrivals()).toHaveLength(3);
+  });
+
   test('and the connection of its run is closed once another has begun', async () => {
     fleet = await startDirectFleet();
     firstBehaves((arrival, res) => {
