test(fault-soak): the judge knows floods and answers that close their connection

A caller no longer reuses a connection whose last request was refused before all of it was sent: what follows is taken for the rest of the body (400).

--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -12,7 +12,7 @@
 import type {LimitHistory} from './limit_history.js';
 
 /** An entry may close connections so long after their limit. */
-const MARGINS_MS = [0, 1_000, 2_000];
+const MARGINS_MS = [0, 1_000, 2_000, 2_250, 2_500];
 const AIM_SPREAD_MS = 40;
 const SHORTEST_IDLE_MS = 300;
 /** Earlier limits of so many versions are aimed at. */
@@ -46,7 +46,7 @@
 
 /** Uses one connection after the other until the run is over. */
 export async function callInSeries(shape: CallerShape): Promise<void> {
-  const {link, isOver} = shape;
+  const {link, random, isOver} = shape;
   while (!isOver()) {
     const socket = await link.open();
     if (socket === undefined) {
@@ -54,9 +54,10 @@
       continue;
     }
     const connection = createIdleConnection(socket);
-    const isAnswered = await useUntilClosed(shape, connection);
+    await useUntilClosed(shape, connection);
     connection.destroy();
-    if (!isAnswered) await sleep(RETRY_MS);
+    // Else the callers of one moment would flood their entry together.
+    await sleep(2 * RETRY_MS * random.next());
   }
 }
 
@@ -79,28 +80,23 @@
   return shape.isOver() ? 'over' : 'kept';
 }
 
-/** Whether its last requests were answered. */
 async function useUntilClosed(
   shape: CallerShape,
   connection: IdleConnection,
-): Promise<boolean> {
+): Promise<void> {
   do {
-    if (!(await exchange(shape, connection))) return false;
+    await exchange(shape, connection);
     await beIdle(shape, connection);
   } while (connection.isOpen() && mayReuse(shape, connection));
-  return true;
 }
 
-/** Whether all was answered. */
 async function exchange(
   shape: CallerShape,
   connection: IdleConnection,
-): Promise<boolean> {
+): Promise<void> {
   const count = shape.random.next() < PAIR_SHARE ? 2 : 1;
   const asked = Array.from({length: count}, () => drawRequest(shape));
-  const seen = await connection.send(asked);
-  seen.forEach(shape.onSeen);
-  return seen.every(({end}) => end === 'answer');
+  (await connection.send(asked)).forEach(shape.onSeen);
 }
 
 async function beIdle(
--- a/fault_soak/idle_connections/idle_connection.ts
+++ b/fault_soak/idle_connections/idle_connection.ts
@@ -45,6 +45,8 @@
   readonly endedAt: number;
   readonly end: End;
   readonly status: number | undefined;
+  /** An answer before it said that the connection closes. */
+  readonly isBehindClose: boolean;
 }
 
 export interface IdleConnection {
@@ -86,7 +88,9 @@
   const note = (one: Waiting, end: End, status?: number): void => {
     const {asked, ...times} = one;
     const endedAt = performance.now();
-    seen.push({...asked, ...times, ...before, endedAt, end, status});
+    const isBehindClose = isClosing;
+    const ended = {endedAt, end, status, isBehindClose};
+    seen.push({...asked, ...times, ...before, ...ended});
   };
   const endAll = (end: End): void => {
     for (const one of waiting) note(one, end);
@@ -95,12 +99,13 @@
   };
   const take = (answer: Answer): void => {
     text = text.slice(answer.length);
-    isClosing ||= answer.closes;
     const stated = /\r\nkeep-alive: *timeout=(\d+)/i.exec(answer.head);
     statedMs = stated === null ? undefined : Number(stated[1]) * 1_000;
     const [first, ...rest] = waiting;
     waiting = rest;
     if (first !== undefined) note(first, 'answer', answer.status);
+    // What follows would be taken for the rest of a refused body.
+    isClosing ||= answer.closes || first?.sentAt === undefined;
     if (rest.length === 0) settle();
   };
   const close = (end: End): void => {
@@ -171,7 +176,7 @@
       });
       const hang = setTimeout(() => endAll('hang'), HANG_MS);
       for (const asked of requests) {
-        if (closedAt === undefined) await write(asked);
+        if (isOpen()) await write(asked);
       }
       if (closedAt !== undefined) endAll(isReset ? 'reset' : 'end');
       if (waiting.length > 0) await settled;
--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -10,7 +10,6 @@
 import {GRACE_MS, allReady} from '../silent_replicas/silence_stops.js';
 import {TIMING, startSoakFleet} from '../soak_fleet.js';
 import type {SoakFleet} from '../soak_fleet.js';
-import {readAdoptions} from './adoptions.js';
 import {startDelayLink} from './delay_link.js';
 import type {DelayLink} from './delay_link.js';
 import {DISTURBANCES, createDisturbances} from './disturbances.js';
@@ -18,6 +17,7 @@
 import {callInSeries, sit} from './idle_callers.js';
 import type {CallerShape} from './idle_callers.js';
 import type {Seen} from './idle_connection.js';
+import {readEntryLog} from './entry_log.js';
 import {judge, longestKeptMs} from './idle_judge.js';
 import type {EntryFacts, JudgedFacts, Verdict} from './idle_judge.js';
 import {CHANGE_KINDS, LADDERS, createLimitChanges} from './limit_changes.js';
@@ -255,10 +255,11 @@
   {stops, freezes}: Disturbances,
 ): (one: At) => JudgedFacts {
   const entries = fleet.entries.map(({name}, at): EntryFacts => {
-    const adoptions = readAdoptions(dir, name);
+    const {adoptions, turnedAwayAt} = readEntryLog(dir, name);
     return {
       stops: stops.stops().filter(({entry}) => entry === at),
       freezes: freezes(at),
+      turnedAwayAt,
       adoptedAt: version => adoptions.get(version),
     };
   });
