refactor(direct): the serving of an admitted request is a module of its own

The second one moves to callers/serve_admitted.ts unchanged. requests, streams, faults_before_sending and crashing_requests pass.

--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -3,7 +3,7 @@
  * health and their load. It is separate from the HTTP front end, so that a
  * model can run many entries against simulated engines on a virtual clock.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {createRetryBudget} from '../limits/retry_budget.js';
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {createBatcher} from '../utils/batcher.js';
@@ -12,13 +12,10 @@
 import {createReportBatch} from './crashes/report_batch.js';
 import {createCrashWatch} from './crashes/crash_watch.js';
 import type {CrashWatch, CrashWatchOptions} from './crashes/crash_watch.js';
-import {prefillMs} from './decide/engine_timing.js';
 import type {Fullness} from './decide/place_or_wait.js';
-import {createRequestWeights, weightedSize} from './decide/request_weights.js';
+import {createRequestWeights} from './decide/request_weights.js';
 import type {ProbePort} from './crashes/port_probe.js';
 import type {OpenDispatch} from './dispatch.js';
-import {openExchange} from './exchange.js';
-import type {AdmittedRequest, Exchange} from './exchange.js';
 import {createReplicaTable} from './replica_table.js';
 import type {ReplicaTable} from './replica_table.js';
 import {createGroups} from './groups.js';
@@ -26,8 +23,9 @@
 import {createLoadTracker} from './load_tracker.js';
 import type {LoadTracker} from './load_tracker.js';
 import {createOpenRequests} from './callers/open_requests.js';
-import {UnsentError} from './callers/unsent_error.js';
 import type {OpenRequests} from './callers/open_requests.js';
+import {createServeAdmitted} from './callers/serve_admitted.js';
+import type {ServeAdmitted} from './callers/serve_admitted.js';
 import {createColdLimits} from './cold/cold_limits.js';
 import {createColdSlowness} from './cold/cold_slowness.js';
 import {createColdReplicas} from './cold/cold_replicas.js';
@@ -50,10 +48,8 @@
 import {createRequestPermits} from './limits/request_permits.js';
 import type {RequestPermits} from './limits/request_permits.js';
 import {createReplicaLosses} from './replica_losses.js';
-import {serveCall} from './serve_call.js';
-import {giveUp, refuseQuarantined} from './serve_context.js';
+import {giveUp} from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
-import {serveStream} from './streams/serve_stream.js';
 import type {DirectSettings} from './settings.js';
 import {createRequestShares} from './shares/request_shares.js';
 import type {RequestShares, ShareSettings} from './shares/request_shares.js';
@@ -149,13 +145,7 @@
   readonly evacuations: Pick<Evacuations, 'replaceAll'>;
   /** Undefined where organisations have no shares. */
   readonly shares: Omit<RequestShares, 'open'> | undefined;
-  /** Serves a request until its final answer; `arrivedAt` is its arrival. */
-  serve(
-    admitted: AdmittedRequest,
-    req: IncomingMessage,
-    res: ServerResponse,
-    arrivedAt: number,
-  ): void;
+  readonly serve: ServeAdmitted;
   /** Sets the number of known entries, including this one. */
   setEntryCount(count: number): void;
   readonly openRequests: Omit<OpenRequests, 'add' | 'delete'>;
@@ -353,60 +343,7 @@
     closesAfter: options.closesAfter,
   };
 
-  const weightOf = ({
-    config,
-    service,
-    route,
-    facts,
-  }: AdmittedRequest): number => {
-    const figures = config.services.get(service)?.engine;
-    const ms =
-      figures === undefined ? 0 : prefillMs(figures, facts.promptTokens, 1);
-    return requestWeights.weigh(route.name, weightedSize(facts), ms);
-  };
-
-  const serveOrRefuse = async (exchange: Exchange): Promise<void> => {
-    await crashes.settled(exchange);
-    if (exchange.signal.aborted) return;
-    if (crashes.isQuarantined(exchange)) {
-      const isTrial = await crashes.claimTrial(exchange);
-      if (exchange.signal.aborted) return;
-      if (!isTrial) {
-        refuseQuarantined(ctx, exchange);
-        return;
-      }
-    }
-    if (exchange.route.streaming) await serveStream(ctx, exchange);
-    else await serveCall(ctx, exchange);
-  };
-
-  const serve: Serving['serve'] = (admitted, req, res, arrivedAt) => {
-    const exchange = openExchange({
-      clock,
-      arrivedAt,
-      req,
-      res,
-      admitted,
-      weight: weightOf(admitted),
-      onTimeUp: late => giveUp(ctx, late, 'time is up'),
-      onCallerLeft: openRequests.logCallerLeft,
-    });
-    openRequests.add(exchange);
-    void serveOrRefuse(exchange)
-      .catch(err => {
-        log(DIRECT_EVENTS.faulted, {
-          requestId: exchange.id,
-          cause: String(err),
-        });
-        const isUnsent = exchange.attempts === 0 || err instanceof UnsentError;
-        exchange.mayHaveRun ||= !isUnsent;
-        giveUp(ctx, exchange, 'internal error');
-      })
-      .finally(() => {
-        exchange.end('answered');
-        openRequests.delete(exchange);
-      });
-  };
+  const serve = createServeAdmitted(ctx, openRequests);
 
   return {
     replicas: {
