fix(followed): a store that answers each watch at once without changes is asked four times a second

What the store saw: a watch that comes back at once without events was followed by the next one without a pause, a thousand calls a second from each entry where an answer takes a millisecond. The same holds for the head of our own configuration.

Cause: a watch is taken to wait in the store, so only failures were paced.

Change: from the second answer in a row on that comes early and without changes, watches begin 250 ms apart. A single watch that is cut short is repeated at once, and so is one that brought changes. Where another program writes records beside the one that counts, their answers are such ones too.

--- a/src/config/head_follower.ts
+++ b/src/config/head_follower.ts
@@ -8,6 +8,7 @@
 import type {OnyxError} from '../types/errors.js';
 import type {Either, Maybe} from 'purify-ts';
 import type {Clock, Random} from '../types/runtime.js';
+import {createWatchPace} from '../utils/watch_pace.js';
 import type {ConfigHead, ConfigStore} from './config_store.js';
 
 /**
@@ -60,6 +61,9 @@
   let stopped = false;
   let failures = 0;
   let version = 0;
+  const pace = createWatchPace(clock);
+  /** Pause after a watch that was cut short, in milliseconds. */
+  let cutShortPauseMs = 0;
   let endPause: () => void = () => undefined;
 
   const pause = (ms: number) =>
@@ -73,9 +77,12 @@
 
   const readOnce = async (): Promise<Either<OnyxError, void>> => {
     const isWatching = options.isHome() && version > 0;
+    const knownVersion = version;
+    const sentAt = clock.now();
     const read = isWatching
       ? await store.watchHead(version, options.watchMs)
       : await store.readHead('config');
+    cutShortPauseMs = 0;
     if (read.isLeft()) return read;
     const head = read.extract() as Maybe<ConfigHead>;
     const handled = await options.onHead(head);
@@ -86,6 +93,10 @@
         version = Math.max(version, found.version);
       });
     }
+    if (isWatching) {
+      const hasChanged = version > knownVersion;
+      cutShortPauseMs = pace.answered(sentAt, options.watchMs, hasChanged);
+    }
     return handled;
   };
 
@@ -102,9 +113,9 @@
       return retryMs;
     }
     failures = 0;
-    // A watch waits in the store, so it needs no pause. Without a head, there
-    // is nothing to watch.
-    if (options.isHome() && version > 0) return 0;
+    // A watch waits in the store, so it needs no pause, unless it was cut short.
+    // Without a head, there is nothing to watch.
+    if (options.isHome() && version > 0) return cutShortPauseMs;
     return options.pollMs * (0.5 + random.next());
   };
 
--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -10,6 +10,7 @@
 import {Left, Right} from 'purify-ts/Either';
 import type {Either} from 'purify-ts';
 import type {Cancel, Clock, Random} from '../types/runtime.js';
+import {createWatchPace} from '../utils/watch_pace.js';
 import {isOlderEra, comparePositions} from './store_position.js';
 import type {StoreEra, StorePosition} from './store_position.js';
 import {makeCertain} from './followed/certain_changes.js';
@@ -179,6 +180,9 @@
   let relistFailedAt = Number.NEGATIVE_INFINITY;
   /** Whether the last call of `run` was a watch that brought changes. */
   let hasChanged = false;
+  /** Pause after a watch that was cut short, in milliseconds. */
+  let cutShortPauseMs = 0;
+  const pace = createWatchPace(clock);
   /** Names of the items that were reported and not removed since. */
   const knownNames = new Set<string>();
   /** Stops waiting for the answer to the watch; undefined without one. */
@@ -326,6 +330,7 @@
         }
         advance(changes.position);
         hasChanged = changes.items.size > 0 || resumedCount > 0;
+        cutShortPauseMs = pace.answered(sentAt, waitMs, hasChanged);
         resumedCount = 0;
         reportChanges(changes.items, sentAt);
         options.onConfirmed(sentAt);
@@ -383,7 +388,9 @@
       if (isStopped) return;
       if (next === 'wait') await pauseAfterFault();
       if (hasChanged) await pause(options.changePauseMs);
+      else if (cutShortPauseMs > 0) await pause(cutShortPauseMs);
       hasChanged = false;
+      cutShortPauseMs = 0;
     }
   };
   void run();
--- a/test/direct/collection_follower.test.ts
+++ b/test/direct/collection_follower.test.ts
@@ -174,14 +174,17 @@
    */
   async function callsPerSecond(
     answers: ReadonlyArray<Either<StoreFault, Changes<string>>>,
+    watchedMs = 1,
   ): Promise<number> {
     const clock = createVirtualClock();
     const runS = 30;
     let calls = 0;
     let watches = 0;
-    const soon = <T>(value: T): Promise<T> => {
+    const soon = <T>(value: T, tookMs = 1): Promise<T> => {
       calls += 1;
-      return new Promise(resolve => void clock.after(1, () => resolve(value)));
+      return new Promise(
+        resolve => void clock.after(tookMs, () => resolve(value)),
+      );
     };
     const follower = followCollection<string>({
       collection: {
@@ -193,7 +196,7 @@
               isPartial: false,
             }),
           ),
-        watch: () => soon(answers[watches++ % answers.length]),
+        watch: () => soon(answers[watches++ % answers.length], watchedMs),
       },
       clock,
       random: createSeededRandom(1),
@@ -220,6 +223,23 @@
     expect(await callsPerSecond(answers)).toBeLessThan(6);
   });
 
+  const UNCHANGED = Right({
+    position: {era: 1, revision: 7},
+    items: new Map<string, string>(),
+  });
+
+  // Each answer was followed by the next watch at once.
+  test.each([1, 20])(
+    'calls a few times a second a store whose watches do not wait, but end after %i ms',
+    async ms => {
+      expect(await callsPerSecond([UNCHANGED], ms)).toBeLessThan(6);
+    },
+  );
+
+  test('calls at once again where a single watch is cut short', async () => {
+    expect(await callsPerSecond([UNCHANGED, CHANGED], 10)).toBeGreaterThan(50);
+  });
+
   // Changes come quickly, and the history is dropped after each of them.
   test('calls rarely a store that drops its history after each change', async () => {
     expect(await callsPerSecond([GONE, CHANGED])).toBeLessThan(50);
