fix(calls): a replica that refuses the connection is not asked again for the call

The caller of an idempotent call whose only replica had ended, while its record was still there, got 504 when its time was up, and the entry tried to connect to the closed port about once a millisecond until then (904 times in 0.8 s, two log lines each). A replica that had got the call once was offered again whenever no other was left; since an attempt that sends nothing gives its attempt and its retry back, nothing bounded this. The fact that it may be repeated there now ends with a refused connection. A host that accepts no connection in time is dialled again as before, and a replica that was closed by a pause or an evacuation may be asked again.

--- a/src/direct/permitted_choice.ts
+++ b/src/direct/permitted_choice.ts
@@ -29,6 +29,11 @@
 };
 /** Why an attempt was not made at a replica that had been selected for it. */
 export const CLOSED_REASON = 'the replica has closed meanwhile';
+/** Why nothing was sent to a replica that may yet open again. */
+export const WITHDRAWN_REASONS: ReadonlySet<string> = new Set([
+  CLOSED_REASON,
+  ...Object.values(TAKEN_BACK_REASONS),
+]);
 /**
  * Longest wait for a replica to open, in milliseconds. A caller that has to wait
  * longer is told at once when to come back.
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -13,7 +13,11 @@
 import {DIAL_TIMED_OUT} from './dispatch.js';
 import type {AnswerHead} from './dispatch.js';
 import type {Exchange} from './exchange.js';
-import {choosePermitted, passedOver} from './permitted_choice.js';
+import {
+  WITHDRAWN_REASONS,
+  choosePermitted,
+  passedOver,
+} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
 import {followNewerRoute} from './routes/newer_route.js';
 import {
@@ -32,7 +36,7 @@
 /** Ids of replicas that were tried. */
 interface TriedReplicas {
   readonly all: Set<string>;
-  /** Those that got the request. */
+  /** Those that got the request, and have refused no connection since. */
   readonly sent: Set<string>;
   /**
    * Those whose host accepted no connection in time, and when the first attempt
@@ -83,6 +87,8 @@
   outcome: CallOutcome,
 ): void {
   if (outcome.kind !== 'not-sent') sent.add(id);
+  // Its port is closed. Nothing was sent, so nothing else bounds the attempts.
+  else if (!WITHDRAWN_REASONS.has(outcome.reason)) sent.delete(id);
   if (outcome.kind !== 'not-sent' || outcome.reason !== DIAL_TIMED_OUT) {
     undialled.delete(id);
   } else if (!undialled.has(id)) {
