fix(calls): an idempotent call whose service has ended goes on by the route in force

While an operator moved a route and stopped the replicas of the old service, callers whose idempotent call was cut with its replica got 502, though the newest version led to a service with room. Such a call may run more than once, so it now goes on at the new service once its own has no replica left for it. Calls that may run once and streams that have begun stay.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -63,7 +63,7 @@
   isTrial: boolean;
   /**
    * Replaces the version that admitted the request and all that came with it,
-   * but for the time limit, which stays. Only before a replica may have run it.
+   * but for the time limit, which stays; see `routes/newer_route.ts`.
    */
   moveTo(
     to: Pick<AdmittedRequest, 'config' | 'route' | 'service' | 'owner'>,
--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -6,7 +6,8 @@
  * larger.
  *
  * Whatever a replica may have run stays with the version that it came with, so
- * that its repeats are at the same service. A request also stays if the newer
+ * that its repeats are at the same service; an idempotent call does so until
+ * none of its replicas is left. A request also stays if the newer
  * version would not admit it: it was sent while the earlier one was in force.
  * Where nothing is different for it, it stays too, since its wait for room would
  * begin anew with each version.
@@ -29,14 +30,20 @@
 
 /** Whether the newest configuration leads the request elsewhere. */
 export function hasNewerRoute(ctx: ServeContext, exchange: Exchange): boolean {
-  return newerRoute(ctx, exchange) !== undefined;
+  return !exchange.mayHaveRun && newerRoute(ctx, exchange) !== undefined;
 }
 
-/** Moves the request there; returns false where it stays. */
+/**
+ * Moves the request there; returns false where it stays. `isLast` tells that its
+ * service has nothing left for it.
+ */
 export function followNewerRoute(
   ctx: ServeContext,
   exchange: Exchange,
+  isLast = false,
 ): boolean {
+  const mayRepeat = isLast && exchange.route.kind === 'idempotent';
+  if (exchange.mayHaveRun && !mayRepeat) return false;
   const found = newerRoute(ctx, exchange);
   if (found === undefined) return false;
   const {config, route, owner} = found;
@@ -62,8 +69,8 @@
   exchange: Exchange,
 ): Destination | undefined {
   const config = newestConfig();
-  if (exchange.mayHaveRun || config === undefined) return undefined;
-  if (config.version <= exchange.config.version) return undefined;
+  const before = exchange.config.version;
+  if (config === undefined || config.version <= before) return undefined;
   if (staysUnder.get(exchange) === config) return undefined;
   const found = routeUnder(config, exchange);
   if (found === undefined) staysUnder.set(exchange, config);
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -63,7 +63,8 @@
     // The request may have ended while the replica's permit was awaited.
     if (exchange.signal.aborted) return;
     if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
-      if (followNewerRoute(ctx, exchange)) continue;
+      const isLast = failure === undefined;
+      if (followNewerRoute(ctx, exchange, isLast)) continue;
       endWithoutAttempt(ctx, exchange, failure, choice);
       return;
     }
