fix(limits): all entries are told when a limit rises from nearly 0

Requests that may run only once were refused (503) at entries that knew a limit of nearly 0 after it had risen: they ask for no permit at such a limit, and the new value was told to the replica's home alone, so that they waited for the reports that go to one random entry a second. A rise from under 0.25 requests a second is now told to all entries at once, as the begin and the end of a limit are. How long it took in a fleet was not measured.

replica_limits, "rises from nearly 0": red before, green after; with request_permits and limited_replicas 65 tests green.

--- a/src/direct/limits/replica_limits.ts
+++ b/src/direct/limits/replica_limits.ts
@@ -12,6 +12,7 @@
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {StatedLimit} from '../gate/replica_statements.js';
 import type {LimitReport} from './limit_messages.js';
+import {MIN_RATE_PER_S} from './request_permits.js';
 
 /**
  * Time for which an ended limit is remembered, in milliseconds. Older reports
@@ -33,8 +34,11 @@
   readonly statedAt: number;
 }
 
-/** What an answer changed: no limit was known, another one, or it ended. */
-export type LimitChange = 'began' | 'changed' | 'ended';
+/**
+ * What an answer changed: no limit was known, another one, one so low that
+ * entries hardly ask for permits, or it ended.
+ */
+export type LimitChange = 'began' | 'changed' | 'reopened' | 'ended';
 
 export interface ReplicaLimits {
   /** Takes in what an answer states to a request that was sent at `sentAt`. */
@@ -110,7 +114,10 @@
     }
     const fields = {replica: replicaId, perSecond, before, source, ageMs};
     log(DIRECT_EVENTS.limitLearned, fields);
-    return before === undefined ? 'began' : 'changed';
+    if (before === undefined) return 'began';
+    return before < MIN_RATE_PER_S && perSecond >= MIN_RATE_PER_S
+      ? 'reopened'
+      : 'changed';
   };
   const updateFromAnswer = (replicaId: string, record: LimitRecord): void => {
     const change = update(replicaId, record, 'answer');
--- a/test/direct/replica_limits.test.ts
+++ b/test/direct/replica_limits.test.ts
@@ -66,6 +66,19 @@
     expect(recorded.eventsOf(DIRECT_EVENTS.limitEnded)).toHaveLength(1);
   });
 
+  // At a limit of nearly 0, entries ask for no permit for what may run once, so
+  // they would not learn from their home that the limit has risen.
+  test('is told apart where it rises from nearly 0', () => {
+    [0, 0.1, 5, 6, 0].forEach(perSecond => name(perSecond));
+    expect(reported).toEqual([
+      'a began',
+      'a changed',
+      'a reopened',
+      'a changed',
+      'a changed',
+    ]);
+  });
+
   // Guards against a limit that is dropped because an older answer, on another
   // connection, arrives after the one that named it.
   test('is not ended by an answer to an earlier request', () => {
