--- a/test/direct/leaving_replicas.test.ts
+++ b/test/direct/leaving_replicas.test.ts
@@ -280,3 +280,41 @@
     expect(await arrivalsOf(fleet, leaving, 20)).toBe(0);
   });
 });
+
+describe('an entry that starts while the store lacks its last writes', () => {
+  let fleets: DirectFleet[] = [];
+  afterEach(async () => {
+    for (const fleet of fleets.reverse()) await fleet.close();
+    fleets = [];
+  });
+
+  // Guards against a replica that is used twice as long, since the store first
+  // names its earlier start.
+  test('counts the time of a leaving replica from its first statement', async () => {
+    const timing = {leavingMs: LEAVING_MS};
+    const fleet = await startDirectFleet({desk: 1, timing});
+    fleets.push(fleet);
+    const [leaving] = fleet.desk;
+    announce(fleet.store, leaving, 'desk', 'ready', 1);
+    const copy = fleet.store.copy();
+    announce(fleet.store, leaving, 'desk', 'ready', 2);
+    await fleet.entry.kernel.stop();
+    fleet.store.restore(copy);
+    leaving.stateInAll(LEAVING);
+    const starting = await startDirectFleet({
+      node: 'entry-2',
+      sharedFleet: fleet,
+      timing,
+    });
+    fleets.push(starting);
+    const restarts = () =>
+      starting.runtime.eventsOf(DIRECT_EVENTS.replicaRestarted);
+    const sent = sendFor(starting, '/open/', LEAVING_MS * 1.5);
+    await sleep(LEAVING_MS / 2);
+    announce(fleet.store, leaving, 'desk', 'ready', 2);
+    await until(() => restarts().length > 0);
+    await sent;
+    expect(leaving.arrivals.length).toBeGreaterThan(0);
+    expect(arrivalsAfter(leaving, LEAVING_MS)).toHaveLength(0);
+  });
+});
