--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -12,7 +12,7 @@
 import type {LimitHistory} from './limit_history.js';
 
 /** An entry may close connections so long after their limit. */
-const MARGINS_MS = [0, 1_000, 2_000];
+const MARGINS_MS = [0, 1_000, 2_000, 2_250, 2_500];
 const AIM_SPREAD_MS = 40;
 const SHORTEST_IDLE_MS = 300;
 /** Earlier limits of so many versions are aimed at. */
@@ -46,7 +46,7 @@
 
 /** Uses one connection after the other until the run is over. */
 export async function callInSeries(shape: CallerShape): Promise<void> {
-  const {link, isOver} = shape;
+  const {link, random, isOver} = shape;
   while (!isOver()) {
     const socket = await link.open();
     if (socket === undefined) {
@@ -56,6 +56,8 @@
     const connection = createIdleConnection(socket);
     await useUntilClosed(shape, connection);
     connection.destroy();
+    // Else the callers of one moment would flood their entry together.
+    await sleep(2 * RETRY_MS * random.next());
   }
 }
 
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -14,8 +14,13 @@
 import type {Exchange} from './exchange.js';
 import {createUndialledReplicas} from './health/undialled_replicas.js';
 import type {UndialledReplicas} from './health/undialled_replicas.js';
-import {choosePermitted, passedOver} from './permitted_choice.js';
+import {
+  WITHDRAWN_REASONS,
+  choosePermitted,
+  passedOver,
+} from './permitted_choice.js';
 import type {PermittedChoice} from './permitted_choice.js';
+import {followNewerRoute} from './routes/newer_route.js';
 import {
   callRequestOf,
   candidatesOf,
@@ -32,7 +37,7 @@
 /** Ids of replicas that were tried. */
 interface TriedReplicas {
   readonly all: Set<string>;
-  /** Those that got the request. */
+  /** Those that got the request, and have refused no connection since. */
   readonly sent: Set<string>;
   readonly undialled: UndialledReplicas;
 }
@@ -50,10 +55,13 @@
   let failure: BufferedAnswer | undefined;
   ctx.budget.onFirstAttempt(ctx.retryRatio);
   while (!exchange.signal.aborted) {
+    followNewerRoute(ctx, exchange);
     const choice = await chooseReplica(ctx, exchange, tried);
     // The request may have ended while the replica's permit was awaited.
     if (exchange.signal.aborted) return;
     if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
+      const isLast = failure === undefined;
+      if (followNewerRoute(ctx, exchange, isLast)) continue;
       endWithoutAttempt(ctx, exchange, failure, choice);
       return;
     }
@@ -77,6 +85,8 @@
 ): void {
   const isUnsent = outcome.kind === 'not-sent';
   if (!isUnsent) sent.add(id);
+  // Its port is closed. Nothing was sent, so nothing else bounds the attempts.
+  else if (!WITHDRAWN_REASONS.has(outcome.reason)) sent.delete(id);
   undialled.dialled(id, isUnsent && outcome.reason === DIAL_TIMED_OUT);
 }
 
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -16,6 +16,7 @@
 import type {UndialledReplicas} from '../health/undialled_replicas.js';
 import {placeRequest} from '../place_request.js';
 import type {ReplicaSearch} from '../place_request.js';
+import {followNewerRoute} from '../routes/newer_route.js';
 import {
   giveUp,
   brokenRunDigest,
@@ -26,6 +27,7 @@
 import type {ServeContext} from '../serve_context.js';
 import {createOpenRuns} from './open_runs.js';
 import type {EndedRun, OpenRuns} from './open_runs.js';
+import {isUnsent} from './stream_attempt.js';
 import type {StreamOutcome} from './stream_attempt.js';
 import {startProgress} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
@@ -91,6 +93,10 @@
     search = undefined;
     if (result.kind !== 'none' || exchange.signal.aborted) continue;
     if (runs.isIdle()) {
+      if (followNewerRoute(ctx, exchange)) {
+        search = seekAnother(ctx, exchange, state);
+        continue;
+      }
       if (!sendFailure(ctx, exchange, state)) {
         giveUp(ctx, exchange, result.reason, result.retryAfterMs);
       }
@@ -126,6 +132,7 @@
   state: StreamState,
 ): Promise<SearchResult> {
   const {runs} = state;
+  if (runs.isIdle()) followNewerRoute(ctx, exchange);
   const choosable = choosableReplicas(ctx, exchange, state);
   const isRetry = exchange.attempts > 0;
   if (choosable === undefined || (isRetry && ctx.budget.left() < 1)) {
@@ -135,7 +142,11 @@
     return {kind: 'none', reason: 'quarantined'};
   }
   const isNeeded = () => !exchange.signal.aborted && runs.needsAnother();
-  const result = await placeRequest(ctx, exchange, {...choosable, isNeeded});
+  const result = await placeRequest(ctx, exchange, {
+    ...choosable,
+    isNeeded,
+    mayMove: () => runs.isIdle(),
+  });
   if (!isNeeded()) {
     if (result.kind === 'place') result.placement.close();
     return {kind: 'not-needed'};
@@ -282,11 +293,6 @@
   return true;
 }
 
-/** Whether the attempt sent nothing to its replica. */
-function isUnsent({kind}: StreamOutcome): boolean {
-  return kind === 'not-sent' || kind === 'withdrawn' || kind === 'quarantined';
-}
-
 /** Logs the final answer of a request. */
 function logAnswered(
   ctx: ServeContext,
