test(fault-soak): callers open no connections to an entry that is out of rotation

The platform hands an entry no new connections once it missed two questions. They open none from 2 s after the SIGTERM now.

--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -40,6 +40,8 @@
   readonly largestIdleMs: number;
   history(): LimitHistory;
   nextId(): string;
+  /** Whether the platform sends its entry new connections. */
+  isInRotation(): boolean;
   isOver(): boolean;
   onSeen(seen: Seen): void;
 }
@@ -48,7 +50,7 @@
 export async function callInSeries(shape: CallerShape): Promise<void> {
   const {link, random, isOver} = shape;
   while (!isOver()) {
-    const socket = await link.open();
+    const socket = shape.isInRotation() ? await link.open() : undefined;
     if (socket === undefined) {
       await sleep(RETRY_MS);
       continue;
--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -33,6 +33,8 @@
 const REVOKE_MS = 5_000;
 /** Callers begin spread over this time, and so do not stay in step. */
 const BEGIN_SPREAD_MS = 2_000;
+/** The platform sends no new connections to an entry that missed two questions. */
+const MISSES_MS = 2_000;
 /** Lanes of changes, and of disturbances, that a run draws at most. */
 const MOST_LANES = 3;
 /** The first draws of small seeds are alike. */
@@ -113,6 +115,7 @@
     const makeShape = callerShapes(
       shape,
       changes,
+      disturbances,
       plan.largestIdleMs,
       all,
       over,
@@ -196,6 +199,7 @@
 function callerShapes(
   {seed, ignoresStated}: IdleShape,
   changes: LimitChanges,
+  {stops}: Disturbances,
   largestIdleMs: number,
   all: At[],
   isOver: () => boolean,
@@ -210,6 +214,11 @@
     largestIdleMs,
     history: changes.history,
     nextId: () => `idle-${++sent}-at-${entry}`,
+    isInRotation: () =>
+      !stops.stops().some(it => {
+        const sinceMs = performance.now() - it.from;
+        return it.entry === entry && it.to === Infinity && sinceMs > MISSES_MS;
+      }),
     isOver,
     onSeen: seen => all.push({entry, delayMs: link.delayMs, seen}),
   });
