test(fault-soak): the test of limits judges windows on a busy machine as well

The soak judges windows only at replicas that name a limit, and with this seed one plain replica never has one. Entries that get little processor time receive permits too late and send to that one, which keeps every promise. Traced with entries paused and continued all the time: paused for half of it, 12 and 13 windows; for three quarters of it in pauses of 150 ms, 8 and 16; in pauses of 300 ms, 6 and 1. Held-up stand-ins do not have this effect (10 to 15 windows at an own delay of up to 498 ms). The report of the failed run is not kept, so that this was its cause is inferred. Change: the test also plays seed 6407, with which all plain replicas are limited at the same time, and asks for a judged window in either run. Both runs may break no promise.

--- a/test/fault_soak.test.ts
+++ b/test/fault_soak.test.ts
@@ -8,6 +8,7 @@
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {drawFaults} from '../fault_soak/faults.js';
 import {runSoak} from '../fault_soak/soak_run.js';
+import type {SoakReport} from '../fault_soak/soak_run.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
 
 const SHORT_MS = 6_000;
@@ -43,20 +44,26 @@
   });
 
   // Guards against entries that exceed a limit after one of them was killed,
-  // paused or cut off.
+  // paused or cut off. Entries that get little processor time may leave limited
+  // replicas to others; with the second seed all replicas of a service have one.
   test('finds that entries under faults keep the limits of replicas', async () => {
-    const report = await runSoak({
-      seed: 5003,
-      processes: 3,
-      durationMs: LIMITED_MS,
-      only: 'server-limit',
-      dir,
-    });
-    expect(report.violations).toEqual([]);
+    const reports: SoakReport[] = [];
+    for (const seed of [5003, 6407]) {
+      const report = await runSoak({
+        seed,
+        processes: 3,
+        durationMs: LIMITED_MS,
+        only: 'server-limit',
+        dir: mkdtempSync(join(dir, 'seed-')),
+      });
+      expect(report.violations).toEqual([]);
+      reports.push(report);
+    }
     // The figures show what kept the windows from being judged.
-    const figures = JSON.stringify(report);
-    expect(report.limitedWindows, figures).toBeGreaterThan(0);
-  });
+    const figures = JSON.stringify(reports);
+    const windows = reports.map(({limitedWindows}) => limitedWindows);
+    expect(Math.max(...windows), figures).toBeGreaterThan(0);
+  }, 120_000);
 
   // Guards against entries that send to a failure domain after its evacuation,
   // by the replicas' count, while the store fails or entries are killed.
