fix(shares): a request that went to another service counts there alone

With shares of organisations (off by default), the record of a request named the service of its first placement. A request that followed its route to another service before it ran would have raised the prices of its organisation at the old service, where it used nothing. The record is now taken when it is counted.

--- a/src/direct/shares/request_shares.ts
+++ b/src/direct/shares/request_shares.ts
@@ -95,7 +95,8 @@
   const opened = new WeakMap<Exchange, RequestShare>();
   const create = (exchange: Exchange, engineMs: number): RequestShare => {
     const {route, arrivedAt} = exchange;
-    const recorded = recordedOf(exchange, engineMs);
+    // Until it runs, the request may go to another service, and counts there.
+    const recorded = () => recordedOf(exchange, engineMs);
     const repeatable = repeatableOf(exchange);
     const earlier = repeats.earlierOf(repeatable);
     exchange.signal.addEventListener('abort', repeats.runs(repeatable), {
@@ -109,7 +110,7 @@
     // were counted on arrival, those that wait a moment would look unserved.
     const count = () => {
       // What a repetition wants was counted with the first request.
-      if (!isCounted && earlier.kind === 'none') shares.asked(recorded);
+      if (!isCounted && earlier.kind === 'none') shares.asked(recorded());
       isCounted = true;
     };
     exchange.signal.addEventListener('abort', count, {once: true});
@@ -118,10 +119,10 @@
     const logHeld = (outcome: 'waits' | 'refused', cause: ShareCause): void => {
       if (lastHeld === outcome) return;
       lastHeld = outcome;
-      const {excess, servedLead, gainLead} = shares.standingOf(recorded);
+      const {excess, servedLead, gainLead} = shares.standingOf(recorded());
       log(DIRECT_EVENTS.shareHeld, {
         requestId: exchange.id,
-        organisation: recorded.organisation,
+        organisation: recorded().organisation,
         outcome,
         cause,
         excess: Number(excess.toFixed(2)),
@@ -147,7 +148,7 @@
       },
       price: () =>
         sharePrice(
-          shares.standingOf(recorded),
+          shares.standingOf(recorded()),
           (clock.now() - firstAt) / route.aimMs,
         ),
       decided: decision => {
@@ -157,7 +158,7 @@
       },
       placed: ownLoss => {
         count();
-        if (!isPlaced) shares.placed(recorded, 1 - ownLoss);
+        if (!isPlaced) shares.placed(recorded(), 1 - ownLoss);
         isPlaced = true;
       },
       rejected: minMs => {
@@ -168,7 +169,7 @@
             exchange.timeLeftMs() * RETURN_TIME_LEFT_SHARE,
           ),
         );
-        const usedRate = shares.ownUsedMs(recorded.service) / DECAY_MS;
+        const usedRate = shares.ownUsedMs(exchange.service) / DECAY_MS;
         // A caller that came back too early keeps the time that it was told.
         const leftMs =
           earlier.kind === 'rejected' ? earlier.comeBackAt - clock.now() : 0;
