fix(callers): a request that crosses a closing answer stays unread

What callers saw: a request that crossed an answer with Connection: close, as a refusal with 503 or the last answer at a stop has it, was read and dropped. A caller that can tell this must not send a request again that may run once.

Cause: since refusals are readable for callers that still send, everything that comes after such an answer was read and discarded.

Change: that holds only where the rest of a body is due, or where the caller itself asked for the end. Otherwise nothing is read until the caller has seen the end, as on idle connections.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -32,6 +32,11 @@
   began(req: IncomingMessage, res: ServerResponse, statedMs: number): void;
   /** Number of requests whose headers were read. */
   requestCount(socket: Socket): number;
+  /**
+   * Whether no further request is expected behind the newest one: its body is
+   * not read completely, or it asked for the end of the connection.
+   */
+  isLast(socket: Socket): boolean;
   /** Whether no byte has ever come. */
   isUnused(socket: Socket): boolean;
   /**
@@ -102,6 +107,10 @@
     add,
     began,
     requestCount: socket => connections.get(socket)?.requests ?? 0,
+    isLast: socket => {
+      const req = connections.get(socket)?.open?.req;
+      return req !== undefined && (!req.complete || asksForEnd(req));
+    },
     isUnused: socket => socket.bytesRead === 0,
     isIdle: socket => {
       const connection = connections.get(socket);
@@ -146,3 +155,9 @@
     all: () => connections.keys(),
   };
 }
+
+/** Whether the caller sends no further request on its connection. */
+function asksForEnd({headers, httpVersion}: IncomingMessage): boolean {
+  const options = headers.connection?.toLowerCase() ?? '';
+  return httpVersion === '1.0' || options.includes('close');
+}
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -92,9 +92,14 @@
     );
   };
   const endAnswered = (socket: Socket) => {
-    const count = () =>
-      reportClosing(socket, {cause: 'answer', idleMs: 0, isUnanswered: false});
-    ends.end(socket, 'discard', count);
+    const lateBytes = connections.isLast(socket) ? 'discard' : 'leave';
+    ends.end(socket, lateBytes, hasLateBytes =>
+      reportClosing(socket, {
+        cause: 'answer',
+        idleMs: 0,
+        isUnanswered: hasLateBytes,
+      }),
+    );
   };
   const endLast = (socket: Socket) => {
     if (ends.isEnding(socket)) return;
--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -16,8 +16,9 @@
 /**
  * What becomes of bytes that come after the end. `discard` reads them at once,
  * so that a caller can send the rest of a refused request and then read the
- * refusal, and the connection closes as soon as the caller ends it too. `leave` reads them only when the caller has seen the end: a caller
- * that can tell that its request was not read may send it again.
+ * refusal, and the connection closes as soon as the caller ends it too. `leave`
+ * reads them only when the caller has seen the end: a caller that can tell that
+ * its request was not read may send it again.
  */
 export type LateBytes = 'discard' | 'leave';
 
--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -81,6 +81,28 @@
   });
 });
 
+describe('a request that crosses an answer which closes the connection', () => {
+  // Guards against a request that its caller must not repeat, since it was read
+  // although nothing became of it.
+  test('is not read, and the connection is closed in the end', async () => {
+    const handled: string[] = [];
+    fixture = await startCallersServer({}, (req, res) => {
+      handled.push(req.url ?? '');
+      if (!res.socket?.writable) return;
+      res.writeHead(503, {Connection: 'close', 'Content-Length': 0});
+      res.end();
+    });
+    caller = openRawCaller(fixture.address);
+    caller.socket.write(requestText('/first'));
+    await until(() => caller.closedBy() !== undefined);
+    caller.socket.write(requestText('/second'));
+    await sleep(500);
+    expect(handled).toEqual(['/first']);
+    await until(() => caller.socket.destroyed || handled.length > 1);
+    expect(caller.text()).not.toContain('/second');
+  });
+});
+
 describe('a request for a tunnel', () => {
   // Guards against a whole request that gets neither an answer nor a refusal.
   test('is refused', async () => {
