--- a/test/direct/changed_records.test.ts
+++ b/test/direct/changed_records.test.ts
@@ -19,6 +19,7 @@
 const ANSWER_MS = 700;
 /** Changes of records are taken in within this time. */
 const TAKEN_MS = 500;
+const CALLS = 5;
 const WHOLE = Array.from({length: EVENTS}, (_, at) => eventText(at + 1)).join(
   '',
 );
@@ -116,3 +117,21 @@
     expect(fleet.desk[0].arrivals).toHaveLength(before);
   });
 });
+
+// Guards against a request that crosses the close of a connection which the
+// replica had promised to keep.
+test('a replica keeps its connections for a shorter time than it stated, and gets each request on a new one', async () => {
+  fleet = await startDirectFleet({pool: 1, desk: 1});
+  const sockets = new Set<unknown>();
+  fleet.desk[0].behave((arrival, res, req) => {
+    sockets.add(req.socket);
+    res.setHeader('Connection', 'keep-alive');
+    res.setHeader('Keep-Alive', `timeout=${sockets.size === 1 ? 60 : 1}`);
+    res.once('finish', () => req.socket.end());
+    answerWell(arrival, res, req);
+  });
+  for (let at = 0; at < CALLS; at++) {
+    expect((await callEntry(fleet, '/once/a')).status).toBe(200);
+  }
+  expect(sockets.size).toBe(CALLS);
+});
