--- a/fault_soak/idle_connections/idle_judge.ts
+++ b/fault_soak/idle_connections/idle_judge.ts
@@ -54,6 +54,8 @@
   /** Of its link, one way. */
   readonly delayMs: number;
   readonly graceMs: number;
+  /** The soak's own process stood still while the request was under way. */
+  readonly wasHeldUp: boolean;
   /** Whether callers go by the time that answers state. */
   readonly heedsStated: boolean;
 }
@@ -79,6 +81,7 @@
   const {status = 0} = seen;
   if (NOT_RUN.has(status) && facts.runs > 0) return broken('refused and ran');
   if (!BLAMING.has(status) && status !== TIMED_OUT) return KEPT;
+  if (status === TIMED_OUT && facts.wasHeldUp) return excused('held up');
   if (wasFrozen(seen, facts)) return excused('frozen');
   return isProper(seen, facts.history)
     ? broken(`proper and refused with ${status}`)
@@ -96,6 +99,7 @@
   }
   if (isCutByGrace(seen, facts)) return excused('the grace time ended');
   if (facts.runs > 0) return broken('ran and has no whole answer');
+  if (facts.wasHeldUp) return excused('held up');
   if (seen.isBehindClose) return excused('behind an answer that closes');
   if (wasTurnedAway(seen, facts)) return excused('a flood of connections');
   const isLate = sentAt !== undefined && endedAt - sentAt > CROSSING_MS;
--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -22,6 +22,8 @@
 import type {EntryFacts, JudgedFacts, Verdict} from './idle_judge.js';
 import {CHANGE_KINDS, LADDERS, createLimitChanges} from './limit_changes.js';
 import type {ChangeKind, LimitChanges} from './limit_changes.js';
+import {watchOwnStalls} from './own_stalls.js';
+import type {OwnStalls} from './own_stalls.js';
 
 /** Delays of the links between callers and entries, one way. */
 export const DELAYS_MS = [0, 1, 10, 50] as const;
@@ -98,6 +100,7 @@
   const disturbances = createDisturbances(fleet);
   const links = await linksTo(fleet, shape.delayMs);
   const delay = monitorEventLoopDelay();
+  const stalls = watchOwnStalls();
   try {
     await allReady(fleet.entries);
     delay.enable();
@@ -126,7 +129,7 @@
     isOver = true;
     await Promise.all([...troubles, callers]);
     const sat = await Promise.all(sitters);
-    const factsOf = factsFor(shape, fleet, changes, disturbances);
+    const factsOf = factsFor(shape, fleet, changes, disturbances, stalls);
     const verdicts = all.map(one => judge(one.seen, factsOf(one)));
     return {
       seed,
@@ -154,6 +157,7 @@
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
     };
   } finally {
+    stalls.stop();
     await Promise.all(links.flat().map(link => link.close()));
     await fleet.close();
   }
@@ -262,6 +266,7 @@
   fleet: SoakFleet,
   changes: LimitChanges,
   {stops, freezes}: Disturbances,
+  stalls: OwnStalls,
 ): (one: At) => JudgedFacts {
   const entries = fleet.entries.map(({name}, at): EntryFacts => {
     const {adoptions, turnedAwayAt} = readEntryLog(dir, name);
@@ -278,6 +283,7 @@
     runs: runsOf(fleet, seen.id),
     delayMs,
     graceMs: GRACE_MS,
+    wasHeldUp: stalls.hadAny(seen.beganAt, seen.endedAt),
     heedsStated: ignoresStated !== true,
   });
 }
--- a/test/idle_judge.test.ts
+++ b/test/idle_judge.test.ts
@@ -74,6 +74,7 @@
     runs: 0,
     delayMs: 0,
     graceMs: GRACE_MS,
+    wasHeldUp: false,
     heedsStated: true,
     ...changed,
   };
@@ -213,6 +214,20 @@
   });
 });
 
+// Guards against a judge that blames entries for the lateness of the soak.
+describe('while the soak itself stood still', () => {
+  const wasHeldUp = true;
+  test('late ends and late heads count against no entry', () => {
+    expect(kindOf(ended(400), {wasHeldUp})).toBe('excused');
+    expect(kindOf(answered(408), {wasHeldUp})).toBe('excused');
+  });
+  test('what ran, what has no end and other refusals count', () => {
+    expect(kindOf(ended(400), {wasHeldUp, runs: 1})).toBe('broken');
+    expect(kindOf(ended(15_000, {end: 'hang'}), {wasHeldUp})).toBe('broken');
+    expect(kindOf(answered(413), {wasHeldUp})).toBe('broken');
+  });
+});
+
 // Guards against a judge that passes over refusals of proper requests.
 describe('an answered request', () => {
   test('is kept by an answer or a promise that it has not run', () => {
