fix(callers): a request whose body can never come to its end does not wait for itself

What callers saw: one that left in the middle of a body, or of a request behind an open one, stayed a connection of the entry for ever; the bytes that its request had announced stayed reserved, so that after enough of them each further body was refused with 503 until a restart; and a stop took its whole grace time. A request with an invalid chunk of its own got no 400.

Cause: an error of the parser is answered behind the open answers, so that it is not written into one. Where the error lies in the newest request itself, that answer is never written; where the caller has ended its direction, the run before is cancelled and its answer is never written either. After CONNECT nobody read the end of the caller.

Change: such a request is answered with 400 through its own response; a caller that ends its direction within a request has left, and the connection is ended; after CONNECT the connection is read on.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -56,6 +56,8 @@
     leastMs: number,
     visit: (socket: Socket, connection: QuietConnection) => void,
   ): void;
+  /** The answer to the newest request, until it has closed. */
+  openAnswer(socket: Socket): ServerResponse | undefined;
   /** Runs the function when all requests of the connection are answered. */
   whenEnded(socket: Socket, run: () => void): void;
   all(): Iterable<Socket>;
@@ -147,6 +149,7 @@
         });
       }
     },
+    openAnswer: socket => connections.get(socket)?.open,
     whenEnded: (socket, run) => {
       const open = connections.get(socket)?.open;
       if (open === undefined) run();
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -136,6 +136,9 @@
   server.on('connect', (_req, duplex) => {
     const socket = duplex as Socket;
     socket.on('error', () => socket.destroy());
+    // Node reads nothing any more, also not that the caller leaves.
+    socket.once('end', () => socket.end());
+    socket.resume();
     onParserError(new Error('tunnels are not served'), socket);
   });
   server.on('connection', socket => {
--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -10,6 +10,8 @@
 
 /** Code of the error for headers that did not come in time. */
 const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Code of the error for a caller that ends its direction within a request. */
+const ENDED_WITHIN = 'HPE_INVALID_EOF_STATE';
 const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   [HEADERS_LATE]: '408 Request Timeout',
@@ -58,6 +60,21 @@
       refuseLate(err, socket);
       return;
     }
+    const open = connections.openAnswer(socket);
+    // The run before is cancelled, as for any caller that ends its direction,
+    // so that its answer is never written.
+    if (open !== undefined && err.code === ENDED_WITHIN) {
+      report(socket, 'invalid bytes');
+      socket.end();
+      return;
+    }
+    // Its body can't become complete, so nothing else ends this request.
+    if (open !== undefined && !open.req.complete && !open.headersSent) {
+      report(socket, 'invalid bytes');
+      open.writeHead(400, {Connection: 'close', 'Content-Length': 0});
+      open.end();
+      return;
+    }
     connections.whenEnded(socket, () => {
       if (ends.isEnding(socket)) return;
       if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
