--- a/test/direct/left_callers.test.ts
+++ b/test/direct/left_callers.test.ts
@@ -16,7 +16,7 @@
 
 function headOf(id: string, ...more: readonly string[]): string {
   return [
-    `POST /again/a HTTP/1.1`,
+    'POST /again/a HTTP/1.1',
     `Host: ${HOST}`,
     `X-Request-Id: ${id}`,
     `Authorization: Token ${KEY}`,
