fix(callers): late headers discard no answer that closes its connection

What callers saw: an answer with Connection: close was discarded by a reset where a part of a further head had come behind it and was late. Cause: the refusal of the late head waited for the answer, found that nothing could be written any more, and destroyed a connection that was just being ended. Change: it looks whether the connection ends already. Result: a new test of late_headers, red before (no byte of the answer), passes.

--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -47,6 +47,7 @@
     afterPoll(() =>
       connections.whenEnded(socket, () => {
         if (connections.requestCount(socket) > requestCount) return;
+        if (ends.isEnding(socket)) return;
         report(socket, 'headers late', limitMs);
         refuse(err, socket);
       }),
--- a/test/direct/late_headers.test.ts
+++ b/test/direct/late_headers.test.ts
@@ -12,6 +12,7 @@
 
 const HEAD = requestText('/first');
 const FIRST_BYTES = 10;
+const LARGE_BYTES = 400_000;
 
 let fixture: CallersServerFixture;
 afterEach(() => fixture.server.close());
@@ -75,6 +76,34 @@
     caller.socket.destroy();
   });
 
+  // Guards against a reset that discards the answer before it.
+  test('leaves an answer readable that closes the connection', async () => {
+    const answer = 'x'.repeat(LARGE_BYTES);
+    fixture = await startCallersServer({headersTimeoutMs: 300}, (_req, res) => {
+      setTimeout(() => {
+        res.writeHead(200, {
+          Connection: 'close',
+          'Content-Length': LARGE_BYTES,
+        });
+        res.end(answer);
+      }, 1_500);
+    });
+    const caller = openRawCaller(fixture.address);
+    caller.socket.write(requestText('/before'));
+    await sleep(100);
+    caller.socket.write(HEAD.slice(0, FIRST_BYTES));
+    await sleep(1_000);
+    caller.socket.pause();
+    for (let at = 0; at < 30; at++) {
+      if (!caller.socket.destroyed) caller.socket.write('y');
+      await sleep(40);
+    }
+    caller.socket.resume();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain(answer);
+    caller.socket.destroy();
+  });
+
   // Guards against descriptors that are never freed.
   test('is refused when it takes longer', async () => {
     fixture = await startCallersServer({headersTimeoutMs: 300});
