fix(handover): a peer that falls silent holds up no fetch from another one

An entry that the store refuses fetched neither a newer configuration nor listed it for up to 2 s, the limit of a fetch, when the peer of a running fetch fell silent, of replicas too: all fetches shared one place, which was taken when the fetch began. Callers would have been served by the older version meanwhile. A configuration is now fetched from each peer that reports it, one fetch at a time from each, and replicas beside it. Versions only rise, so a late answer changes nothing.

Not seen in a fleet.

--- a/src/direct/catch_up.ts
+++ b/src/direct/catch_up.ts
@@ -12,6 +12,9 @@
  * A list of replicas has no version, so a peer's list may be older than this
  * entry's. It is fetched only while this entry's calls to the store fail. The
  * next list that this entry gets from the store replaces it.
+ *
+ * A peer may fall silent during a fetch. Configurations are therefore fetched
+ * from several peers at a time, one from each, and replicas beside them.
  */
 import type {DirectConfig, DirectReplica, PeerAnswer} from './types.js';
 
@@ -62,8 +65,8 @@
    * Handles a peer's answer whose configuration differs from this entry's.
    * Returns true if enough answers in a row named a newer version to fetch the
    * configuration from the peer. The caller then does not list the store's
-   * configuration. If another fetch, perhaps of replicas, is running, the
-   * result is still true, but no fetch is started.
+   * configuration. If a fetch from the same peer is running, the result is
+   * still true, but no fetch is started.
    */
   handleDifferentConfig(answer: PeerAnswer): boolean;
   /** Handles a peer's answer with the configuration that this entry has. */
@@ -77,30 +80,29 @@
 
 export function createCatchUp(options: CatchUpOptions): CatchUp {
   let newerAnswers = 0;
-  let isFetching = false;
+  /** Fetches that are running; see `fetchUnlessFetching`. */
+  const running = new Set<string>();
 
   const isNewer = ({configVersion = -Infinity}: PeerAnswer): boolean =>
     configVersion > (options.ownVersion() ?? -Infinity);
 
-  /**
-   * Starts the fetch unless one is running. Fetches of the configuration and of
-   * replicas share this limit of one.
-   */
-  const fetchUnlessFetching = (fetch: () => Promise<void>): void => {
-    if (isFetching) return;
-    isFetching = true;
+  /** Starts the fetch unless one of the same name is running. */
+  const fetchUnlessFetching = (
+    name: string,
+    fetch: () => Promise<void>,
+  ): void => {
+    if (running.has(name)) return;
+    running.add(name);
     fetch()
       .catch(options.onFetchFailed)
-      .finally(() => {
-        isFetching = false;
-      });
+      .finally(() => running.delete(name));
   };
 
   return {
     handleDifferentConfig: answer => {
       newerAnswers = isNewer(answer) ? newerAnswers + 1 : 0;
       if (newerAnswers < NEWER_ANSWERS_BEFORE_FETCH) return false;
-      fetchUnlessFetching(async () => {
+      fetchUnlessFetching(`config of ${answer.node}`, async () => {
         const config = await options.fetchConfig(answer);
         if (config !== undefined) options.onConfig(config, answer);
       });
@@ -111,7 +113,8 @@
     },
     handleDifferentReplicas: answer => {
       if (!options.isStoreLost()) return;
-      fetchUnlessFetching(async () => {
+      // An earlier list must not replace a later one, so one is fetched at a time.
+      fetchUnlessFetching('replicas', async () => {
         const replicas = await options.fetchReplicas(answer);
         if (replicas === undefined || !options.isStoreLost()) return;
         options.onReplicas(replicas, answer);
--- a/test/direct/handover.test.ts
+++ b/test/direct/handover.test.ts
@@ -188,6 +188,34 @@
     expect(taken.slice(0, 2)).toEqual(['Error: not running', 'config 4']);
   });
 
+  // Guards against a new version that comes late because a peer fell silent.
+  test('is fetched while another peer leaves a fetch unanswered', async () => {
+    const taken: string[] = [];
+    const asked: string[] = [];
+    const never = new Promise<undefined>(() => undefined);
+    const catchUp = createCatchUp({
+      ownVersion: () => 3,
+      isStoreLost: () => true,
+      fetchConfig: ({node}) => {
+        asked.push(node);
+        return node === 'silent'
+          ? never
+          : Promise.resolve({version: 4} as DirectConfig);
+      },
+      fetchReplicas: () => never,
+      onConfig: ({version}) => taken.push(`config ${version}`),
+      onReplicas: () => undefined,
+      onFetchFailed: cause => taken.push(String(cause)),
+    });
+    catchUp.handleDifferentReplicas(answer);
+    const silent = {...answer, node: 'silent'};
+    for (let at = 0; at < 3; at++) catchUp.handleDifferentConfig(silent);
+    expect(asked).toEqual(['silent']);
+    catchUp.handleDifferentConfig(answer);
+    await flush();
+    expect(taken).toEqual(['config 4']);
+  });
+
   // The peer may be behind. While the store answers here, its answers are more
   // current.
   test('about replicas counts only while the store is lost', async () => {
