fix(direct): a call that may have run moves with the attempts and the organisation it came with

What callers saw: an idempotent call that had used up the attempts of the version that admitted it went on under a newer one that allows more (four replicas reached by one attempt of a caller, two allowed); and its second run could name another organisation than the first where the key had moved. Cause: the move to a newer route replaced route and owner for calls that may have run as for those that had not, and also where only the attempts were used up. Change: such a call moves only where its service has no replica left, with the smaller number of attempts, and not to another organisation.

--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -88,7 +88,18 @@
   if (keeps && hasSameFigures(config, exchange)) return undefined;
   const {owner, isAdmitted} = admit(config, route, facts);
   if (!isAdmitted) return undefined;
-  return {config, route, owner, service: keeps ? service : undefined};
+  const found = {config, route, owner, service: keeps ? service : undefined};
+  return exchange.mayHaveRun ? forRepeat(found, exchange) : found;
+}
+
+/** Two runs of one request name one organisation, and share its attempts. */
+function forRepeat(
+  found: Destination,
+  {route, owner}: Exchange,
+): Destination | undefined {
+  if (found.owner?.organisation !== owner?.organisation) return undefined;
+  const maxAttempts = Math.min(found.route.maxAttempts, route.maxAttempts);
+  return {...found, route: {...found.route, maxAttempts}};
 }
 
 function hasSameFigures(
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -60,7 +60,7 @@
     // The request may have ended while the replica's permit was awaited.
     if (exchange.signal.aborted) return;
     if (choice.kind === 'none' || !mayAttempt(ctx, exchange)) {
-      const isLast = failure === undefined;
+      const isLast = failure === undefined && choice.kind === 'none';
       if (followNewerRoute(ctx, exchange, isLast)) continue;
       endWithoutAttempt(ctx, exchange, failure, choice);
       return;
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -3,6 +3,7 @@
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {
   ENGINE,
+  KEY,
   announce,
   configOf,
 } from '../../standins/users_platform/deployment.js';
@@ -106,10 +107,9 @@
   });
 });
 
-// Guards against a failure that only says that an operator has moved the traffic
-// and stopped the replicas.
 describe('an idempotent call whose service has ended', () => {
-  test('is answered by the new service', async () => {
+  /** Sends it; the only replica of its service ends while it runs the call. */
+  const startCall = () => {
     const [desk] = fleet.desk;
     desk.behave(() => {
       setTimeout(() => {
@@ -118,12 +118,48 @@
       }, REFUSED_AFTER_MS);
     });
     other.behave(answerWell);
-    const answer = callEntry(fleet, '/again/');
-    await until(() => desk.arrivals.length === 1);
+    return callEntry(fleet, '/again/');
+  };
+
+  // Guards against a failure that only says that an operator has moved the
+  // traffic and stopped the replicas.
+  test('is answered by the new service', async () => {
+    const answer = startCall();
+    await until(() => fleet.desk[0].arrivals.length === 1);
     await move();
     expect(await answer).toMatchObject({status: 200, whole: true});
     expect(other.arrivals).toHaveLength(1);
   });
+
+  // Guards against two runs of one request that name two organisations.
+  test('stays where the key belongs to another organisation by then', async () => {
+    const answer = startCall();
+    await until(() => fleet.desk[0].arrivals.length === 1);
+    const tenants = [{name: 'org-2', apiKeys: [KEY]}];
+    await move(2, undefined, {tenants});
+    expect((await answer).status).toBeGreaterThan(500);
+    expect(other.arrivals).toHaveLength(0);
+  });
+});
+
+// Guards against more runs than the version allows that admitted the request.
+test('an idempotent call that has used up its attempts stays with its service', async () => {
+  const [desk] = fleet.desk;
+  desk.behave((...args) => {
+    setTimeout(() => breakOff(...args), REFUSED_AFTER_MS);
+  });
+  other.behave(answerWell);
+  const answer = callEntry(fleet, '/again/');
+  await until(() => desk.arrivals.length === 1);
+  const routes = configOf(2).routes.map(route => ({
+    ...route,
+    service: 'other',
+    maxAttempts: 4,
+  }));
+  await move(2, undefined, {routes});
+  expect((await answer).status).toBeGreaterThan(500);
+  expect(desk.arrivals).toHaveLength(2);
+  expect(other.arrivals).toHaveLength(0);
 });
 
 describe('a stream waits for room at an engine', () => {
