fix(limits): a limit that varies a little takes no permits from urgent requests

What callers saw: urgent requests were refused or waited while less urgent ones were served at a replica whose limit varied a little (9.9 and 10.1 a second by turns: 1 of 199 permits for the urgent ones that came back as told). Cause: any rise of the limit dropped the times that refused asks had been told, and with them the permit that is kept for urgent ones. Change: a rise brings the times forward by the ratio of the limits.

--- a/src/direct/limits/permit_ledger.ts
+++ b/src/direct/limits/permit_ledger.ts
@@ -55,7 +55,7 @@
   /** When the last refused ask of an urgency was told to come back. */
   const returnsAt = new Map<number, number>();
   /** Rate by which they were told. */
-  let toldRatePerS = Infinity;
+  let toldRatePerS = 0;
 
   const refill = (ratePerS: number, now: number): void => {
     if (now <= filledAt) return;
@@ -67,6 +67,15 @@
     const times = [...returnsAt].filter(([urgency]) => matches(urgency));
     return Math.max(Number.NEGATIVE_INFINITY, ...times.map(([, at]) => at));
   };
+  /** Permits for those who were told a time come earlier at a higher rate. */
+  const bringForward = (ratePerS: number, now: number): void => {
+    if (ratePerS <= toldRatePerS) return;
+    for (const [urgency, at] of returnsAt) {
+      const leftMs = Math.max(0, at - now) * (toldRatePerS / ratePerS);
+      returnsAt.set(urgency, Math.min(at, now + leftMs));
+    }
+    toldRatePerS = ratePerS;
+  };
   /** Tells each refused ask of an urgency a later time than the one before. */
   const refuse = (ask: LedgerAsk, needed: number, now: number) => {
     const msPerPermit = 1_000 / ask.ratePerS;
@@ -75,14 +84,14 @@
       returnsOf(urgency => urgency <= ask.urgency) + ask.count * msPerPermit;
     const at = Math.min(now + MAX_RETRY_MS, Math.max(nextAt, behind));
     returnsAt.set(ask.urgency, at);
+    toldRatePerS = ask.ratePerS;
     return {isGranted: false, retryAfterMs: Math.ceil(at - now)};
   };
 
   return {
     take: (ask, now) => {
       refill(ask.ratePerS, now);
-      if (ask.ratePerS > toldRatePerS) returnsAt.clear();
-      toldRatePerS = ask.ratePerS;
+      bringForward(ask.ratePerS, now);
       const isUrgentDue =
         returnsOf(urgency => urgency < ask.urgency) > now - KEPT_FOR_URGENT_MS;
       const needed = isUrgentDue ? 2 : 1;
--- a/test/direct/permit_ledger.test.ts
+++ b/test/direct/permit_ledger.test.ts
@@ -95,4 +95,23 @@
     expect(ledger.take(urgent, 1_000).isGranted).toBe(true);
     expect(ledger.take(other, 2_300).isGranted).toBe(true);
   });
+
+  // Guards against a limit that varies a little and takes the permits that are
+  // kept for urgent requests.
+  test('keeps permits for an urgent ask while the limit varies', () => {
+    const ledger = createPermitLedger(0);
+    const granted = {urgent: 0, other: 0};
+    let urgentAt = 0;
+    for (let now = 0; now < 20_000; now += 5) {
+      const rate = now % 10 === 0 ? 10.1 : 9.9;
+      if (now < urgentAt) {
+        if (ledger.take(ask(rate, 5), now).isGranted) granted.other++;
+        continue;
+      }
+      const {isGranted, retryAfterMs} = ledger.take(ask(rate, 0), now);
+      if (isGranted) granted.urgent++;
+      urgentAt = now + Math.max(5, retryAfterMs);
+    }
+    expect(granted.urgent).toBeGreaterThan(10 * granted.other);
+  });
 });
