fix(streams): a stream whose time is up while its replica is dialled is refused as not run

What callers saw: 504 where no connection had been accepted and nothing sent, so that a stream which may run once was not sent again; at the end of the grace time 502. Calls got 503 already. Cause: the end of the request counted the attempt as possibly run without asking whether anything had been sent. Change: the attempt is taken back where nothing was sent, as for calls. Found by the review.

--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -166,6 +166,8 @@
     finish({kind, reason});
   };
   const cancelRun = () => {
+    // While its connection is being opened, nothing was sent.
+    if (dispatch.takeBack()) return;
     exchange.mayHaveRun = true;
     ctx.crashes.runCancelled(exchange, replica);
     dispatch.cancel();
--- a/test/direct/unanswered_dials.test.ts
+++ b/test/direct/unanswered_dials.test.ts
@@ -332,6 +332,17 @@
     });
 
     // A host without the process refuses at once.
+    // Guards against a stream that counts as possibly run though nothing was sent.
+    test.each(['resumable-stream', 'once'] as const)(
+      'is refused as not run when its time is up: %s',
+      async kind => {
+        const {clock, call} = setUp(['a'], () => 'times out', service);
+        const written = call('long', DIAL_MS / 2, {kind});
+        await clock.runFor(DIAL_MS);
+        expect(written.status).toBe(503);
+      },
+    );
+
     test('is refused without a second attempt when its port is closed', async () => {
       const {clock, call, dials} = setUp(['a'], () => 'is refused', service);
       const written = call('long');
