fix(callers): ended connections hold no parser and few descriptors

And each connection ended as idle kept its descriptor for 2 s, although its caller had closed at once, so that 4,000 that end together meet the bound of the host. Cause: the HTTP parser stayed attached while late bytes were discarded; a connection that is left unread does not see its caller's end. Change: what is discarded goes past the parser; at most 256 ended connections stay unread, and the oldest beyond them is closed. The bound of 256 has no test.

--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -12,6 +12,11 @@
  * milliseconds. It bounds the descriptors of ending connections.
  */
 const LINGER_MS = 2_000;
+/**
+ * Most connections that stay unread after their end. The caller's own end is not
+ * seen meanwhile, so each of them holds its descriptor for the whole time.
+ */
+const MAX_UNREAD = 256;
 
 /**
  * What becomes of bytes that come after the end. `discard` reads them at once,
@@ -37,12 +42,14 @@
 
 export function createConnectionEnds(clock: Clock): ConnectionEnds {
   const ending = new WeakSet<Socket>();
+  /** Closes connections that are not read, the oldest first. */
+  const unread = new Map<Socket, () => void>();
 
   const end: ConnectionEnds['end'] = (socket, lateBytes, onClosing) => {
     if (ending.has(socket)) return;
     ending.add(socket);
     if (lateBytes === 'leave') socket.pause();
-    else socket.resume();
+    else discardInput(socket);
     socket.end();
     const bytesRead = socket.bytesRead;
     let isReported = false;
@@ -51,18 +58,30 @@
       isReported = true;
       onClosing(lateBytes === 'leave' && socket.bytesRead !== bytesRead);
     };
-    const cancel = clock.after(LINGER_MS, () => {
+    const close = () => {
+      unread.delete(socket);
       socket.resume();
       afterPoll(() => socket.destroy());
-    });
+    };
+    const cancel = clock.after(LINGER_MS, close);
     socket.once('close', () => {
       cancel();
+      unread.delete(socket);
       report();
     });
+    if (lateBytes === 'leave') unread.set(socket, close);
+    if (unread.size > MAX_UNREAD) unread.values().next().value?.();
   };
   return {end, isEnding: socket => ending.has(socket)};
 }
 
+/** Reads what comes past the parser, which would go on to find requests in it. */
+function discardInput(socket: Socket): void {
+  socket.removeAllListeners('data');
+  socket.on('data', () => undefined);
+  socket.resume();
+}
+
 /**
  * Calls the function when everything has been read that lay in the kernel.
  * Timers that expired while the process stood still run before that.
