--- a/src/direct/callers/limits_in_force.ts
+++ b/src/direct/callers/limits_in_force.ts
@@ -4,6 +4,7 @@
  * A raised limit therefore applies at once, and a lowered one only from the time
  * at which every caller can know of it.
  */
+import {isDeepStrictEqual} from 'node:util';
 import type {CallerLimits} from '../types.js';
 
 interface Superseded {
@@ -44,6 +45,7 @@
 
   return {
     set: limits => {
+      if (isDeepStrictEqual(limits, newest)) return;
       const at = now();
       const replaced = newest === undefined ? [] : [{limits: newest, at}];
       older = [...older, ...replaced].filter(entry => isOverAt(entry) > at);
--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -27,6 +27,8 @@
 /** Returns the listener for the server's event `clientError`. */
 export function createParserErrors(options: ParserErrorsOptions) {
   const {connections, ends, report} = options;
+  /** Connections whose refusal waits for earlier answers. */
+  const awaited = new WeakSet<Socket>();
 
   const refuse = (err: NodeJS.ErrnoException, socket: Socket): void => {
     if (err.code === 'ECONNRESET' || !socket.writable) {
@@ -76,6 +78,8 @@
       open.end();
       return;
     }
+    if (awaited.has(socket)) return;
+    awaited.add(socket);
     connections.whenEnded(socket, () => {
       if (ends.isEnding(socket)) return;
       if (err.code !== 'ECONNRESET') report(socket, 'invalid bytes');
