fix(callers): a request that was refused within its body counts as open no more

A refusal within a body left the request among those that are being admitted, so that a stop waited for it until its grace time ended, and then refused it again, which is an error. Result: left_callers, 'is refused behind an earlier one' (red before: the test's time-out).

--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -135,6 +135,8 @@
       account: options.held?.track(req, res),
     };
     admitting.add(res);
+    // Where the body never ends, the admission does not end either.
+    res.once('close', () => admitting.delete(res));
     admitRequest(admitOptions, req)
       .finally(() => admitting.delete(res))
       .then(result => {
@@ -185,7 +187,9 @@
     closesAfter: res => closes() && isLastRead(res),
     refuseAll: () => {
       hasEnded = true;
-      for (const res of [...admitting]) refuseEnded(res);
+      for (const res of [...admitting]) {
+        if (!res.headersSent) refuseEnded(res);
+      }
     },
     openCount: () =>
       admitting.size + turns.servedCount() + turns.waitingCount(),
