fix(callers): a body that stops coming is refused after the idle time

What callers saw: bodies that stopped for good, over a cut link or from a host that was gone, kept their connections and the bytes reserved for them for ever; after enough of them every further body was refused with 503. Cause: no limit covered a body under way: the header time ends with the head, the idle time concerns connections without an open request, and the route's time begins after the admission.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -11,6 +11,8 @@
 interface CallerConnection {
   /** The answer to the newest request, until it has closed. */
   open: ServerResponse | undefined;
+  /** Number of answers that have not closed. */
+  openCount: number;
   /** Requests whose headers were read. */
   requests: number;
   /** Bytes that were read up to the end of the newest request. */
@@ -56,6 +58,10 @@
     leastMs: number,
     visit: (socket: Socket, connection: QuietConnection) => void,
   ): void;
+  /** Time without a byte of a body that is being read, in milliseconds. */
+  bodyQuietMs(socket: Socket): number;
+  /** Calls `visit` for each connection on which a body is being read. */
+  visitBodies(visit: (socket: Socket, res: ServerResponse) => void): void;
   /** The answer to the newest request, until it has closed. */
   openAnswer(socket: Socket): ServerResponse | undefined;
   /** Runs the function when all requests of the connection are answered. */
@@ -70,6 +76,7 @@
     nameConnection(socket);
     connections.set(socket, {
       open: undefined,
+      openCount: 0,
       requests: 0,
       requestBytes: 0,
       seenBytes: 0,
@@ -83,6 +90,7 @@
     const connection = connections.get(socket);
     if (connection === undefined) return;
     connection.open = res;
+    connection.openCount++;
     connection.requests++;
     connection.statedMs = statedMs;
     const noteBytes = () => {
@@ -94,6 +102,7 @@
       // Of a body that is not read yet, the rest may follow.
       if (!req.complete) noteBytes();
       if (connection.open === res) connection.open = undefined;
+      connection.openCount--;
       connection.quietSince = now();
     });
   };
@@ -149,6 +158,18 @@
         });
       }
     },
+    bodyQuietMs: socket => {
+      const connection = connections.get(socket);
+      if (connection === undefined || !isBodyRead(connection)) return 0;
+      noteQuiet(socket, connection);
+      return now() - connection.quietSince;
+    },
+    visitBodies: visit => {
+      for (const [socket, connection] of connections) {
+        const {open} = connection;
+        if (open !== undefined && isBodyRead(connection)) visit(socket, open);
+      }
+    },
     openAnswer: socket => connections.get(socket)?.open,
     whenEnded: (socket, run) => {
       const open = connections.get(socket)?.open;
@@ -159,6 +180,11 @@
   };
 }
 
+/** A body behind an open answer is read only when that one has ended. */
+function isBodyRead({open, openCount}: CallerConnection): boolean {
+  return open !== undefined && openCount === 1 && !open.req.complete;
+}
+
 /** Whether the caller sends no further request on its connection. */
 function asksForEnd({headers, httpVersion}: IncomingMessage): boolean {
   const options = headers.connection?.toLowerCase() ?? '';
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -6,12 +6,13 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
+import {sendLocalAnswer} from '../local_answers.js';
 import {splitAddress} from '../settings.js';
 import {createCallerConnections} from './caller_connections.js';
 import {createClosingReports} from './closings.js';
 import type {CloseCause} from './closings.js';
 import {afterPoll, createConnectionEnds} from './connection_end.js';
-import {idleTimeMs, statedIdleMs} from './idle_time.js';
+import {idleTimeMs, stalledTimeMs, statedIdleMs} from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
 import {createParserErrors} from './parser_errors.js';
 
@@ -171,6 +172,21 @@
       }
     });
   };
+  const refuseStalled = () => {
+    const current = limits.current();
+    if (current === undefined) return;
+    const limitMs = stalledTimeMs(current);
+    connections.visitBodies((socket, res) => {
+      if (connections.bodyQuietMs(socket) < limitMs) return;
+      afterPoll(() => {
+        if (connections.bodyQuietMs(socket) < limitMs || res.headersSent)
+          return;
+        report(socket, 'body late', limitMs);
+        const message = 'the body did not come in time';
+        sendLocalAnswer(res, {status: 408, message, close: true});
+      });
+    });
+  };
   const applyLimits = () => {
     const newest = limits.newest();
     if (newest === undefined) return;
@@ -191,6 +207,7 @@
   const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
     applyLimits();
     closeIdle();
+    refuseStalled();
   });
   return {
     applyLimits,
--- a/src/direct/callers/closings.ts
+++ b/src/direct/callers/closings.ts
@@ -13,6 +13,8 @@
   | 'idle'
   /** The headers of a request did not come within the header limit. */
   | 'headers late'
+  /** No byte of a request's body came for the idle time. */
+  | 'body late'
   /** Bytes that are no valid request. */
   | 'invalid bytes'
   /** The last answer stated that the connection closes. */
--- a/src/direct/callers/idle_time.ts
+++ b/src/direct/callers/idle_time.ts
@@ -36,3 +36,8 @@
   const headersMs = awaitsHeaders ? headersTimeoutMs : 0;
   return Math.max(idleTimeoutMs, statedMs, headersMs) + IDLE_MARGIN_MS;
 }
+
+/** Time within which a further byte of a body has to come, in milliseconds. */
+export function stalledTimeMs(limits: CallerLimits): number {
+  return idleTimeMs({statedMs: 0, awaitsHeaders: true}, limits);
+}
--- a/test/direct/left_callers.test.ts
+++ b/test/direct/left_callers.test.ts
@@ -2,7 +2,8 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
-import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
+import {HOST, KEY, configOf} from '../../standins/users_platform/deployment.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
@@ -95,6 +96,22 @@
   });
 });
 
+describe('a caller that stops in the middle of a body', () => {
+  // Guards against a connection, and the bytes held for it, that stay for ever.
+  test('is refused after the idle time', async () => {
+    fleet = await startDirectFleet({timing: {configMs: 100}});
+    const config = configOf(2);
+    const limits = {...config.limits, headerTimeoutMs: 300, idleTimeoutMs: 300};
+    fleet.store.put('config', 'main', {...config, limits});
+    await sleep(500);
+    const {socket, seen} = open();
+    socket.write(PART_OF_BODY);
+    await until(() => seen.isEnded, 5_000);
+    expect(seen.text).toMatch(/^HTTP\/1\.1 408 /);
+    socket.destroy();
+  });
+});
+
 describe('a request whose own body is invalid', () => {
   // Guards against a refusal that waits for the answer to the same request.
   test('is refused', async () => {
@@ -107,4 +124,40 @@
     expect(seen.text).toMatch(/^HTTP\/1\.1 400 /);
     socket.destroy();
   });
+
+  // Guards against a refused request that counts as open until the grace time
+  // is over, and is then refused once more.
+  test('is refused behind an earlier one, and holds up no drain', async () => {
+    fleet = await startDirectFleet({timing: {graceS: GRACE_S}});
+    const {socket, seen} = open();
+    socket.write(headOf('first', 'Content-Length: 0'));
+    socket.write(headOf('second', 'Transfer-Encoding: chunked'));
+    socket.write('5\r\nhello\r\nZZ\r\n');
+    await until(() => seen.isEnded);
+    const statuses = [...seen.text.matchAll(/HTTP\/1\.1 (\d+)/g)];
+    expect(statuses.map(([, status]) => status)).toEqual(['200', '400']);
+    expect(await drainMs()).toBeLessThan(DRAINED_WITHIN_MS);
+    socket.destroy();
+  });
+});
+
+describe('a caller that goes on sending behind a refusal', () => {
+  // Guards against processor time for requests that cannot be answered any more.
+  test('has nothing read as requests', async () => {
+    fleet = await startDirectFleet();
+    const {socket, seen} = open();
+    const more = headOf('late', 'Content-Length: 0').repeat(200);
+    const large = 12_000;
+    socket.write(headOf('large', 'Transfer-Encoding: chunked'));
+    socket.write(`${large.toString(16)}\r\n${'x'.repeat(large)}`);
+    await until(() => seen.text.includes('413'));
+    socket.write('\r\n0\r\n\r\n');
+    for (let at = 0; at < 20; at++) {
+      if (!socket.destroyed) socket.write(more);
+      await sleep(20);
+    }
+    const unread = fleet.runtime.eventsOf(DIRECT_EVENTS.unread);
+    expect(unread).toHaveLength(0);
+    socket.destroy();
+  });
 });
