fix(platform): foreign records beside a change cost one step, not a call each

A watch whose answer is damaged by a record was resumed just after that record, so that several damaged records cost an entry as many calls one after the other. Change: the items that such an answer names are read by name, together, and the watch goes on after the whole answer.

--- a/src/direct/followed/certain_changes.ts
+++ b/src/direct/followed/certain_changes.ts
@@ -9,7 +9,8 @@
 const MAX_READ = 50;
 
 /**
- * Reads the uncertain items that would change what is known. Where that fails,
+ * Reads the uncertain items that would change what is known, and those of which
+ * the answer shows only the name. Where that fails,
  * or where they are too many, the answer becomes a partial one: items that it
  * shows as gone count as gone until a list shows them, and others wait for it.
  */
@@ -18,11 +19,12 @@
   changes: Changes<T>,
   isKnown: (name: string) => boolean,
 ): Promise<Changes<T>> {
-  const {uncertain = new Set<string>()} = changes;
+  const {uncertain = new Set<string>(), unread = new Set<string>()} = changes;
   const {read} = collection;
-  const names = [...uncertain].filter(
+  const changing = [...uncertain].filter(
     name => changes.items.get(name) !== undefined || isKnown(name),
   );
+  const names = [...new Set([...changing, ...unread])];
   if (names.length === 0 || read === undefined) return changes;
   if (names.length > MAX_READ) return withoutNews(changes, names);
   const answers = await Promise.all(names.map(name => read(name)));
--- a/src/direct/followed/collection.ts
+++ b/src/direct/followed/collection.ts
@@ -50,6 +50,11 @@
    * read. What is shown of them may be part of that item. @default none
    */
   readonly uncertain?: ReadonlySet<string>;
+  /**
+   * Further names of which the answer does not show what became of them.
+   * @default none
+   */
+  readonly unread?: ReadonlySet<string>;
   /**
    * Of a partial answer: a watch from here shows the changes that this one does
    * not. Undefined where only a list shows them.
