fix(direct): versions that change figures extend no wait for memory

Cause: the search begins again by the newest figures, and its wait with it. Change: the end of the wait stays with the request for one service and attempt. Result: a new test of moved_services, red before (2.0 s, 1.8 s allowed); 15 of 15.

--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -154,8 +154,7 @@
   if (repeat !== undefined) {
     return notPlaced(repeat.reason, share?.rejected(repeat.comeBackMs));
   }
-  const memoryWaitEndsAt =
-    clock.now() + exchange.timeLeftMs() * MEMORY_WAIT_SHARE;
+  const waitEndsAt = memoryWaitEndsAt(ctx, exchange);
   const refusedAddresses = new Set<string>();
   const logWait = createWaitLog(ctx, exchange);
   let groupAttempts = 0;
@@ -195,7 +194,7 @@
     if (mayMove() && hasNewerRoute(ctx, exchange)) {
       return notPlaced('its route leads elsewhere by now');
     }
-    if (reason === 'no memory' && clock.now() > memoryWaitEndsAt) {
+    if (reason === 'no memory' && clock.now() > waitEndsAt) {
       return notPlaced('no room in time');
     }
     refusedAddresses.clear();
@@ -204,6 +203,29 @@
   return notPlaced('no replica is needed any more');
 }
 
+interface MemoryWait {
+  readonly service: string;
+  readonly attempts: number;
+  readonly endsAt: number;
+}
+
+const memoryWaits = new WeakMap<Exchange, MemoryWait>();
+
+/**
+ * When the request stops waiting for memory. A search that begins again by
+ * other figures of the same service does not extend the wait.
+ */
+function memoryWaitEndsAt({clock}: ServeContext, exchange: Exchange): number {
+  const {service, attempts} = exchange;
+  const known = memoryWaits.get(exchange);
+  if (known?.service === service && known.attempts === attempts) {
+    return known.endsAt;
+  }
+  const endsAt = clock.now() + exchange.timeLeftMs() * MEMORY_WAIT_SHARE;
+  memoryWaits.set(exchange, {service, attempts, endsAt});
+  return endsAt;
+}
+
 /** The replicas to choose from, those of last resort at the end. */
 function groupsOf(
   ctx: ServeContext,
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -1,4 +1,5 @@
 /** Requests that no replica has begun while their route leads elsewhere. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {
@@ -178,9 +179,9 @@
     engine.behave(streamTo(2));
     return {engine, waiting, full: Promise.all(full)};
   };
-  const withFigures = (engine: typeof ENGINE) =>
-    move(2, undefined, {
-      ...configOf(2),
+  const withFigures = (engine: typeof ENGINE, version = 2) =>
+    move(version, undefined, {
+      ...configOf(version),
       services: [{name: 'pool', engine}, {name: 'desk'}],
     });
 
@@ -202,6 +203,21 @@
     expect(performance.now() - since).toBeLessThan(1_800);
     await full;
   });
+
+  // Guards against the same where each version states other figures.
+  test('and waits no longer for versions that state other figures', async () => {
+    const {waiting, full} = await startWaiting();
+    const since = performance.now();
+    const answeredAt = waiting.then(() => performance.now());
+    for (let version = 2; version < 14; version++) {
+      const read_per_s = ENGINE.read_per_s + version;
+      await withFigures({...ENGINE, read_per_s}, version);
+      await sleep(100);
+    }
+    expect(await waiting).toMatchObject({status: 503});
+    expect((await answeredAt) - since).toBeLessThan(1_800);
+    await full;
+  });
 });
 
 // Guards against a second run at a service that was not asked for, and against
