fix(cold): a service that is named later presumes the rest of a start

Callers would see a new replica get the load of a warm one, and crash under it, where the configuration names its service's cold start after its first record.

Cause: the presumption was made once, at the first record, by the services of that moment.

Change: starts that have stated nothing are remembered with the time of their first record, and new services presume what is left of the start. A statement of the replica ends that.

--- a/src/direct/cold/cold_replicas.ts
+++ b/src/direct/cold/cold_replicas.ts
@@ -6,9 +6,10 @@
  *
  * The replica states its coldness in its record and in its answers. One that
  * appears or restarts while this entry runs and states nothing is presumed to
- * be cold for as long as its service's replicas are. The first listing does not
- * show which replicas are new, so for these only their records count. A start
- * whose record lapses and comes back has not started anew.
+ * be cold for as long as its service's replicas are, also where the configuration
+ * states that time only after its first record. The first listing does not show
+ * which replicas are new, so for these only their records count. A start whose
+ * record lapses and comes back has not started anew.
  */
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
@@ -118,6 +119,8 @@
   /** What peers reported of starts that are not known here. */
   const reported = new Map<string, Pick<ColdReport, 'name' | 'perSecond'>>();
   const unreadable = new Set<string>();
+  /** When the first records came of new starts that have stated nothing. */
+  const unstatedSince = new Map<string, number>();
   const removedStarts = createRecentMap<RemovedStart>(MAX_REMOVED_STARTS);
   /** Times at which whole failure domains were last presumed cold. */
   const domainPresumedAt = new Map<string, number>();
@@ -187,18 +190,27 @@
       noteUnreadable(replicaId, stated.text);
       return;
     }
+    unstatedSince.delete(replicaId);
     const {leftMs: statedMs} = stated;
     const statement = {leftMs: statedMs, fromAt, toAt: clock.now()};
     update(replicaId, statement, source);
   };
   /** Never shortens what is known. */
-  const presume = (replicaId: string): void => {
+  const presume = (replicaId: string, since = clock.now()): void => {
     const durationMs = coldStartOf(replicaId)?.durationMs;
-    if (durationMs === undefined || durationMs <= leftMs(replicaId)) return;
+    if (durationMs === undefined) return;
     const now = clock.now();
-    const statement = {leftMs: durationMs, fromAt: now, toAt: now};
+    const presumedMs = since + durationMs - now;
+    if (presumedMs <= leftMs(replicaId)) return;
+    const statement = {leftMs: presumedMs, fromAt: now, toAt: now};
     update(replicaId, statement, 'presumed');
   };
+  /** Presumes what the services of the first record did not state yet. */
+  const presumeLate = (): void => {
+    for (const [replicaId, since] of unstatedSince) {
+      if (!known.has(replicaId)) presume(replicaId, since);
+    }
+  };
   /** Restores what is known of a start; false for one that is new. */
   const restore = ({id, failureDomain}: DirectReplica): boolean => {
     const removed = removedStarts.get(id);
@@ -215,6 +227,7 @@
     starts.delete(replicaId);
     reported.delete(replicaId);
     unreadable.delete(replicaId);
+    unstatedSince.delete(replicaId);
   };
   const takeRecord = (replica: DirectReplica, mayBeNew: boolean): void => {
     const {id, cold = {kind: 'none'}} = replica;
@@ -222,12 +235,15 @@
     starts.set(id, replica);
     takeStated(id, cold, clock.now() - RECORD_AGE_MS, 'record');
     // The first record of a start is a statement of that start itself.
-    if (isNew && mayBeNew && cold.kind !== 'cold') presume(id);
+    if (!isNew || !mayBeNew || cold.kind === 'cold') return;
+    unstatedSince.set(id, clock.now());
+    presume(id);
   };
 
   return {
     setServices: next => {
       services = next;
+      presumeLate();
     },
     listed: (replicas, isAll) => {
       const mayBeNew = hasListed;
@@ -259,7 +275,7 @@
       const presumed = [...starts]
         .filter(([, start]) => start.failureDomain === failureDomain)
         .map(([id]) => id);
-      presumed.forEach(presume);
+      presumed.forEach(id => presume(id));
       const count = presumed.filter(id => leftMs(id) > 0).length;
       log(DIRECT_EVENTS.coldPresumed, {failureDomain, count});
     },
