fix(direct): a stream whose run breaks off waits for room again

What callers saw: a stream was cut at once ("no room in time") when its silent replica broke off while the others were full, although room was there a moment later and its time was not over. Cause: the end of the wait for memory was kept for one service and number of attempts, so the search after the break went by the wait of the search beside the silent run, which had ended in vain. Further searches beside a silent run did not wait either. Change: a wait goes on only in the search that follows one that ended for a newer configuration; every other search has its own.

--- a/src/direct/place_request.ts
+++ b/src/direct/place_request.ts
@@ -192,6 +192,8 @@
     const reason = decision.kind === 'wait' ? decision.reason : 'no memory';
     logWait(reason);
     if (mayMove() && hasNewerRoute(ctx, exchange)) {
+      const {service} = exchange;
+      interruptedWaits.set(exchange, {service, endsAt: waitEndsAt});
       return notPlaced('its route leads elsewhere by now');
     }
     if (reason === 'no memory' && clock.now() > waitEndsAt) {
@@ -205,25 +207,24 @@
 
 interface MemoryWait {
   readonly service: string;
-  readonly attempts: number;
   readonly endsAt: number;
 }
 
-const memoryWaits = new WeakMap<Exchange, MemoryWait>();
+/** Waits of searches that ended for a newer configuration. */
+const interruptedWaits = new WeakMap<Exchange, MemoryWait>();
 
 /**
  * When the request stops waiting for memory. A search that begins again by
- * other figures of the same service does not extend the wait.
+ * other figures of the same service does not extend the wait. Any other search
+ * has a wait of its own: an earlier one, beside a silent run, may have waited
+ * in vain before that run broke off.
  */
 function memoryWaitEndsAt({clock}: ServeContext, exchange: Exchange): number {
-  const {service, attempts} = exchange;
-  const known = memoryWaits.get(exchange);
-  if (known?.service === service && known.attempts === attempts) {
-    return known.endsAt;
-  }
-  const endsAt = clock.now() + exchange.timeLeftMs() * MEMORY_WAIT_SHARE;
-  memoryWaits.set(exchange, {service, attempts, endsAt});
-  return endsAt;
+  const interrupted = interruptedWaits.get(exchange);
+  interruptedWaits.delete(exchange);
+  return interrupted?.service === exchange.service
+    ? interrupted.endsAt
+    : clock.now() + exchange.timeLeftMs() * MEMORY_WAIT_SHARE;
 }
 
 /** The replicas to choose from, those of last resort at the end. */
--- a/test/direct/silent_replicas.test.ts
+++ b/test/direct/silent_replicas.test.ts
@@ -5,6 +5,7 @@
   eventText,
   refuse,
   signed,
+  startReplica,
   streamTo,
 } from '../../standins/users_platform/replica.js';
 import type {
@@ -12,6 +13,7 @@
   ReplicaStandIn,
 } from '../../standins/users_platform/replica.js';
 import {announce, configOf} from '../../standins/users_platform/deployment.js';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 import type {CallerAnswer, DirectFleet} from '../support/direct_fleet.js';
 
@@ -349,3 +351,36 @@
     expect(status).toBe(504);
   });
 });
+
+describe('a replica falls silent, and then breaks off', () => {
+  // Guards against a stream that is cut at once because an earlier search, beside
+  // its silent run, had waited in vain.
+  test('while the other one is full, and the stream waits for room', async () => {
+    fleet = await startDirectFleet({pool: 1});
+    const [full] = fleet.pool;
+    const large = {'X-Token-Usage': '2000,400'};
+    const filling = new AbortController();
+    full.behave(streamTo(1_000, 50));
+    for (let at = 0; at < 4; at++) {
+      const {signal} = filling;
+      callEntry(fleet, '/long/a', {headers: large, signal}).catch(() => {});
+    }
+    await until(() => full.arrivals.length === 4);
+    full.behave(streamTo(EVENTS));
+    const silent = await startReplica('silent-0');
+    silent.behave((arrival, res) => {
+      res.writeHead(200, signed(arrival));
+      res.write(eventText(1));
+    });
+    announce(fleet.store, silent, 'pool');
+    const {metrics, eventsOf} = fleet.runtime;
+    await until(() => metrics.value('onyxloft_direct_replicas', {}) === 4);
+    const answer = callEntry(fleet, '/stream/a', {headers: large});
+    await until(() => eventsOf(DIRECT_EVENTS.runKept).length > 0);
+    silent.crash();
+    await until(() => eventsOf(DIRECT_EVENTS.tryFailed).length > 0);
+    filling.abort();
+    expectWhole(await answer);
+    await silent.close();
+  });
+});
