--- a/test/direct/idle_connections.test.ts
+++ b/test/direct/idle_connections.test.ts
@@ -124,6 +124,19 @@
     before.socket.destroy();
     after.socket.destroy();
   }, 10_000);
+
+  // Guards against descriptors that are held for twice the limit, because the
+  // bytes of the answered request count as new ones at the first look.
+  test('is closed one limit and a margin after its last answer', async () => {
+    const idleTimeoutMs = 3_000;
+    const fixture = await start({idleTimeoutMs});
+    const caller = await openIdleCaller(fixture.address);
+    const since = performance.now();
+    await until(() => caller.closedBy() !== undefined, 10_000);
+    const closedAfterMs = performance.now() - since;
+    expect(closedAfterMs).toBeLessThan(idleTimeoutMs + CLOSE_WITHIN_MS);
+    caller.socket.destroy();
+  }, 15_000);
 });
 
 describe('a connection that was opened and not used', () => {
