fix(callers): a request without a host is refused in its turn

What callers saw: behind a pipelined request that names no host, a further one was passed on to a replica and its connection closed without an answer to it. Cause: Node's HTTP server refuses such a request by itself and closes the connection behind that refusal, past the turns of the connection; the next request had begun. Change: the check of Node is off, and the admission refuses the request with 400 like any other refusal; the connection stays open.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -156,6 +156,9 @@
   limits: CallerLimits,
   req: IncomingMessage,
 ): Refusal | undefined {
+  if (req.headers.host === undefined && req.httpVersion === '1.1') {
+    return refused(400, 'the request names no host');
+  }
   const headerBytes = req.rawHeaders.reduce(
     (sum, text) => sum + text.length + 2,
     (req.url ?? '').length,
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -68,6 +68,9 @@
   const server = createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
     requestTimeout: 0,
+    // Node's own refusal closes the connection, also where a request behind it
+    // is served already; `admitRequest` refuses such requests in their turn.
+    requireHostHeader: false,
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const connections = createCallerConnections(clock.now);
--- a/test/direct/closing_connections.test.ts
+++ b/test/direct/closing_connections.test.ts
@@ -161,3 +161,23 @@
     socket.destroy();
   });
 });
+
+describe('a request that names no host', () => {
+  // Guards against a request behind it that runs and whose answer cannot be
+  // written, since the parser's own refusal closes the connection.
+  test('is refused in turn, and the one behind it is answered', async () => {
+    const {socket, seen} = openConnection();
+    const nameless = requestText('/once/b', 'second').replace(
+      /Host: .*\r\n/,
+      '',
+    );
+    socket.write(requestText('/once/a', 'first'));
+    socket.write(nameless);
+    socket.write(requestText('/once/c', 'third'));
+    await until(() => /answer to third/.test(seen.text) || seen.isEnded);
+    const statuses = [...seen.text.matchAll(/HTTP\/1\.1 (\d+)/g)];
+    expect(statuses.map(([, status]) => status)).toEqual(['200', '400', '200']);
+    expect(arrivals().map(({id}) => id)).toEqual(['first', 'third']);
+    socket.destroy();
+  });
+});
