fix(direct): the idle time counts from the last answer

Callers saw no loss by this. Each idle connection held its descriptor for about twice the limit and 2 s.

Cause: the bytes of the last request were taken for new ones at the first look at a connection, which the limit has to pass before, so that its idle time began anew there. A raise that callers know early was masked by this: the connection was kept for the old limit once more.

Change: what was read up to the end of an answer counts as seen.

Measured: idle_connections, 2.5 s limit: closed after 7.0 s before, within 5.5 s now; the nine tests of the file pass.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -103,6 +103,7 @@
       if (!req.complete) noteBytes();
       if (connection.open === res) connection.open = undefined;
       connection.openCount--;
+      connection.seenBytes = socket.bytesRead;
       connection.quietSince = now();
     });
   };
--- a/test/direct/idle_connections.test.ts
+++ b/test/direct/idle_connections.test.ts
@@ -17,6 +17,10 @@
 const REUSE_SHARE = 0.8;
 /** A connection is closed at most this much after its time, in milliseconds. */
 const CLOSE_WITHIN_MS = 4_000;
+/** A connection is kept for this much longer than its limit, in milliseconds. */
+const MARGIN_MS = 2_000;
+/** Time within which a connection is looked at after its time. */
+const LOOK_WITHIN_MS = 1_000;
 
 const fixtures: CallersServerFixture[] = [];
 async function start(...args: Parameters<typeof startCallersServer>) {
@@ -109,6 +113,20 @@
     caller.socket.destroy();
   }, 10_000);
 
+  // Guards against an idle time that begins anew at the first look, so that each
+  // connection holds its descriptor for twice the limit.
+  test('is closed at its time, counted from its last answer', async () => {
+    const idleTimeoutMs = 2_500;
+    const fixture = await start({idleTimeoutMs});
+    const caller = await openIdleCaller(fixture.address);
+    const answeredAt = performance.now();
+    await until(() => caller.closedBy() !== undefined, 10_000);
+    const idledMs = performance.now() - answeredAt;
+    expect(idledMs).toBeGreaterThan(idleTimeoutMs);
+    expect(idledMs).toBeLessThan(idleTimeoutMs + MARGIN_MS + LOOK_WITHIN_MS);
+    caller.socket.destroy();
+  }, 15_000);
+
   // Guards against descriptors that are never freed.
   test('is closed in the end, also after a lowered limit', async () => {
     const fixture = await start({idleTimeoutMs: 1_000});
