fix(direct): idle connections outlast raises that callers know first

Callers that knew a raised idle limit before the entry, and reused a connection beyond the old limit and 2 s, met its closing: the request ended without a byte.

Cause: the margin beyond the limits that the entry knows was 2 s; a version may reach the entry timing.configMs later than a caller.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -67,6 +67,8 @@
   /** Runs the function when all requests of the connection are answered. */
   whenEnded(socket: Socket, run: () => void): void;
   all(): Iterable<Socket>;
+  /** Number of open connections. */
+  count(): number;
 }
 
 export function createCallerConnections(now: () => number): CallerConnections {
@@ -178,6 +180,7 @@
       else open.once('close', run);
     },
     all: () => connections.keys(),
+    count: () => connections.size,
   };
 }
 
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -12,7 +12,12 @@
 import {createClosingReports} from './closings.js';
 import type {CloseCause} from './closings.js';
 import {afterPoll, createConnectionEnds} from './connection_end.js';
-import {idleTimeMs, stalledTimeMs, statedIdleMs} from './idle_time.js';
+import {
+  idleMarginMs,
+  idleTimeMs,
+  stalledTimeMs,
+  statedIdleMs,
+} from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
 import {createParserErrors} from './parser_errors.js';
 
@@ -55,6 +60,8 @@
   /** A new connection for which it returns false is closed unread. */
   readonly admit: () => boolean;
   readonly limits: LimitsInForce;
+  /** Descriptors that the host allows this process. */
+  readonly maxDescriptors: number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -64,7 +71,7 @@
 export async function openCallersServer(
   options: CallersServerOptions,
 ): Promise<CallersServer> {
-  const {clock, handler, limits} = options;
+  const {clock, handler, limits, maxDescriptors} = options;
   const server = createServer({
     maxHeaderSize: PARSER_HEADER_BYTES,
     requestTimeout: 0,
@@ -159,9 +166,12 @@
   const closeIdle = () => {
     const current = limits.current();
     if (current === undefined) return;
+    const openConnections = connections.count();
+    const use = {openConnections, maxDescriptors};
+    const marginMs = idleMarginMs(use, limits.knownWithinMs);
     const dueMs = new Map<Socket, number>();
     connections.visitQuiet(current.idleTimeoutMs, (socket, connection) => {
-      const limitMs = idleTimeMs(connection, current);
+      const limitMs = idleTimeMs(connection, current, marginMs);
       if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
     });
     if (dueMs.size === 0) return;
--- a/src/direct/callers/idle_time.ts
+++ b/src/direct/callers/idle_time.ts
@@ -2,10 +2,16 @@
 import type {CallerLimits} from '../types.js';
 
 /**
- * A connection stays open for this much longer than its caller may reuse it, in
- * milliseconds: a request that was sent at the limit may still be on its way.
+ * A connection stays open for at least this much longer than its caller may
+ * reuse it, in milliseconds: a request that was sent at the limit may still be on
+ * its way.
  */
-const IDLE_MARGIN_MS = 2_000;
+const LEAST_MARGIN_MS = 2_000;
+/**
+ * Descriptors are plentiful while callers' connections use less than this share
+ * of them. Each request that is served needs one more, to its replica.
+ */
+const PLENTIFUL_SHARE = 0.5;
 /** `Keep-Alive` states whole seconds, and 0 would forbid any reuse. */
 const LEAST_STATED_MS = 1_000;
 
@@ -17,6 +23,30 @@
   readonly awaitsHeaders: boolean;
 }
 
+export interface DescriptorUse {
+  /** Open connections of callers. */
+  readonly openConnections: number;
+  /** Descriptors that the host allows this process. */
+  readonly maxDescriptors: number;
+}
+
+/**
+ * Time for which a connection stays open beyond its limit, in milliseconds.
+ * `knownWithinMs` is the time in which a configuration reaches everyone: a caller
+ * may know a raised limit for so long before this entry does. Each second holds
+ * one more second's worth of idle connections, so the whole time is given only
+ * while descriptors are plentiful.
+ */
+export function idleMarginMs(
+  {openConnections, maxDescriptors}: DescriptorUse,
+  knownWithinMs: number,
+): number {
+  const isPlentiful = openConnections < maxDescriptors * PLENTIFUL_SHARE;
+  return isPlentiful
+    ? Math.max(LEAST_MARGIN_MS, knownWithinMs)
+    : LEAST_MARGIN_MS;
+}
+
 /** The time that an answer states in `Keep-Alive`, in milliseconds. */
 export function statedIdleMs({idleTimeoutMs}: CallerLimits): number {
   const wholeMs = Math.floor(idleTimeoutMs / 1_000) * 1_000;
@@ -28,13 +58,16 @@
  * `limits` are the largest that a caller may go by. An answer states a time
  * before it is known when it ends, and the limit may be lowered meanwhile, but
  * what was stated is kept.
+ *
+ * @default marginMs the least margin
  */
 export function idleTimeMs(
   {statedMs, awaitsHeaders}: QuietConnection,
   {idleTimeoutMs, headersTimeoutMs}: CallerLimits,
+  marginMs = LEAST_MARGIN_MS,
 ): number {
   const headersMs = awaitsHeaders ? headersTimeoutMs : 0;
-  return Math.max(idleTimeoutMs, statedMs, headersMs) + IDLE_MARGIN_MS;
+  return Math.max(idleTimeoutMs, statedMs, headersMs) + marginMs;
 }
 
 /** Time within which a further byte of a body has to come, in milliseconds. */
--- a/src/direct/callers/limits_in_force.ts
+++ b/src/direct/callers/limits_in_force.ts
@@ -14,6 +14,8 @@
 }
 
 export interface LimitsInForce {
+  /** The time in which a configuration reaches everyone, in milliseconds. */
+  readonly knownWithinMs: number;
   /** Sets the limits of a newer configuration. */
   set(limits: CallerLimits): void;
   /** The limits of the newest configuration; undefined before the first one. */
@@ -31,7 +33,7 @@
   headersTimeoutMs(): number;
 }
 
-/** `knownWithinMs` is the time in which a configuration reaches all callers. */
+/** `knownWithinMs` is the time in which a configuration reaches everyone. */
 export function createLimitsInForce(
   now: () => number,
   knownWithinMs: number,
@@ -44,6 +46,7 @@
     knownAt(entry) + entry.limits.headersTimeoutMs;
 
   return {
+    knownWithinMs,
     set: limits => {
       if (isDeepStrictEqual(limits, newest)) return;
       const at = now();
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -253,6 +253,7 @@
       handler: intake.take,
       admit: connectionGate.admit,
       limits,
+      maxDescriptors: settings.limits.maxDescriptors,
       clock,
       log,
       metrics,
--- a/test/direct/limits_in_force.test.ts
+++ b/test/direct/limits_in_force.test.ts
@@ -1,6 +1,10 @@
 /** Which limits apply to a caller while the configuration changes. */
 import {describe, expect, test} from 'vitest';
-import {idleTimeMs, statedIdleMs} from '../../src/direct/callers/idle_time.js';
+import {
+  idleMarginMs,
+  idleTimeMs,
+  statedIdleMs,
+} from '../../src/direct/callers/idle_time.js';
 import {createLimitsInForce} from '../../src/direct/callers/limits_in_force.js';
 import type {CallerLimits} from '../../src/direct/types.js';
 
@@ -101,3 +105,28 @@
     expect(idleTimeMs(awaited, limits)).toBe(4_000 + MARGIN_MS);
   });
 });
+
+describe('the margin of an idle connection', () => {
+  const maxDescriptors = 1_000;
+
+  // Guards against the closing of a connection beneath a caller that knows a
+  // raised limit before this entry.
+  test('is the time of a configuration while descriptors are plentiful', () => {
+    const use = {openConnections: 499, maxDescriptors};
+    expect(idleMarginMs(use, KNOWN_WITHIN_MS)).toBe(KNOWN_WITHIN_MS);
+    // A request at the limit may still be on its way.
+    expect(idleMarginMs(use, 500)).toBe(MARGIN_MS);
+  });
+
+  // Guards against idle connections that use up the descriptors.
+  test('is the least one when half of the descriptors are used', () => {
+    const use = {openConnections: 500, maxDescriptors};
+    expect(idleMarginMs(use, KNOWN_WITHIN_MS)).toBe(MARGIN_MS);
+  });
+
+  test('makes the idle time of a connection longer', () => {
+    const quiet = {statedMs: 0, awaitsHeaders: false};
+    const idleMs = idleTimeMs(quiet, limitsOf(3_000), KNOWN_WITHIN_MS);
+    expect(idleMs).toBe(3_000 + KNOWN_WITHIN_MS);
+  });
+});
--- a/test/support/callers_server.ts
+++ b/test/support/callers_server.ts
@@ -19,6 +19,8 @@
 
 /** Time in which a version of the limits reaches all callers. */
 const KNOWN_WITHIN_MS = 5_000;
+/** So few that one connection uses half of them: the least margins apply. */
+const FEW_DESCRIPTORS = 1;
 /** Limits that no test reaches unless it sets others. */
 export const WIDE_LIMITS: CallerLimits = {
   maxHeaderBytes: 4_096,
@@ -65,6 +67,7 @@
     handler,
     admit: () => true,
     limits: inForce,
+    maxDescriptors: FEW_DESCRIPTORS,
     clock,
     log: runtime.runtime.log,
     metrics: runtime.metrics,
