fix(direct): callers' connections leave descriptors for their requests

Callers of an entry whose descriptors were used up got 503 to every request on a kept connection, and a new connection was closed unread, until other callers closed theirs. No line told of it.

Cause: callers' connections were accepted without a bound. With none left, no connection to a replica can be opened; the event loop closes new connections.

Change: a part of limits.maxDescriptors is left for replicas, the store and the rest. Beyond it, a new connection is closed unread, as in a flood. Event 344 tells of both, and the cause "descriptors" in the count of closings.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -69,10 +69,13 @@
   all(): Iterable<Socket>;
   /** Number of open connections. */
   count(): number;
+  /** Number of connections with an open request. */
+  busyCount(): number;
 }
 
 export function createCallerConnections(now: () => number): CallerConnections {
   const connections = new Map<Socket, CallerConnection>();
+  let busyCount = 0;
 
   const add = (socket: Socket): void => {
     nameConnection(socket);
@@ -92,6 +95,7 @@
     const connection = connections.get(socket);
     if (connection === undefined) return;
     connection.open = res;
+    if (connection.openCount === 0) busyCount++;
     connection.openCount++;
     connection.requests++;
     connection.statedMs = statedMs;
@@ -105,6 +109,7 @@
       if (!req.complete) noteBytes();
       if (connection.open === res) connection.open = undefined;
       connection.openCount--;
+      if (connection.openCount === 0) busyCount--;
       connection.seenBytes = socket.bytesRead;
       connection.quietSince = now();
     });
@@ -181,6 +186,7 @@
     },
     all: () => connections.keys(),
     count: () => connections.size,
+    busyCount: () => busyCount,
   };
 }
 
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -6,12 +6,14 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock, Log, Metrics} from '../../types/runtime.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import {splitAddress} from '../settings.js';
 import {createCallerConnections} from './caller_connections.js';
 import {createClosingReports} from './closings.js';
 import type {CloseCause} from './closings.js';
 import {afterPoll, createConnectionEnds} from './connection_end.js';
+import {longestIdle, mayAccept, surplusOf} from './descriptor_use.js';
 import {
   idleMarginMs,
   idleTimeMs,
@@ -29,6 +31,11 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
+/**
+ * A connection without a byte for so long is taken for idle when descriptors are
+ * short, in milliseconds. On a newer one the first request is on its way.
+ */
+const LEAST_IDLE_MS = 1_000;
 /** Status for an `Expect` header other than `100-continue`. */
 const EXPECTATION_FAILED = 417;
 export interface CallersServer {
@@ -79,6 +86,13 @@
   });
   const connections = createCallerConnections(clock.now);
   const ends = createConnectionEnds(clock);
+  const descriptorUse = () => ({
+    connections: connections.count(),
+    busy: connections.busyCount(),
+    maxDescriptors,
+  });
+  /** New connections that were closed unread since the latest check. */
+  let unaccepted = 0;
   const reportClosing = createClosingReports(options.log, options.metrics);
   const report = (socket: Socket, cause: CloseCause, limitMs?: number) =>
     reportClosing(socket, {
@@ -154,6 +168,11 @@
       socket.destroy();
       return;
     }
+    if (!mayAccept(descriptorUse())) {
+      unaccepted++;
+      socket.destroy();
+      return;
+    }
     socket.setNoDelay(true);
     connections.add(socket);
     // Called by Node after an answer that closes the connection. The method of
@@ -166,9 +185,7 @@
   const closeIdle = () => {
     const current = limits.current();
     if (current === undefined) return;
-    const openConnections = connections.count();
-    const use = {openConnections, maxDescriptors};
-    const marginMs = idleMarginMs(use, limits.knownWithinMs);
+    const marginMs = idleMarginMs(descriptorUse(), limits.knownWithinMs);
     const dueMs = new Map<Socket, number>();
     connections.visitQuiet(current.idleTimeoutMs, (socket, connection) => {
       const limitMs = idleTimeMs(connection, current, marginMs);
@@ -182,6 +199,34 @@
       }
     });
   };
+  const freeDescriptors = () => {
+    const use = descriptorUse();
+    const surplus = surplusOf(use);
+    const idleMs = new Map<Socket, number>();
+    if (surplus > 0) {
+      connections.visitQuiet(LEAST_IDLE_MS, (socket, {awaitsHeaders}) => {
+        if (awaitsHeaders && !connections.isUnused(socket)) return;
+        idleMs.set(socket, connections.quietMs(socket));
+      });
+    }
+    // Those that are ending already are among the surplus.
+    const due = longestIdle(idleMs, surplus).filter(it => !ends.isEnding(it));
+    if (due.length > 0) {
+      afterPoll(() => {
+        for (const socket of due) {
+          if (connections.quietMs(socket) < LEAST_IDLE_MS) continue;
+          endQuiet(socket, 'descriptors');
+        }
+      });
+    }
+    if (unaccepted === 0 && due.length === 0) return;
+    options.log(DIRECT_EVENTS.descriptorsShort, {
+      ...use,
+      ended: due.length,
+      unaccepted,
+    });
+    unaccepted = 0;
+  };
   const refuseStalled = () => {
     const current = limits.current();
     if (current === undefined) return;
@@ -217,6 +262,7 @@
   const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
     applyLimits();
     closeIdle();
+    freeDescriptors();
     refuseStalled();
   });
   return {
--- a/src/direct/callers/closings.ts
+++ b/src/direct/callers/closings.ts
@@ -19,6 +19,8 @@
   | 'invalid bytes'
   /** The last answer stated that the connection closes. */
   | 'answer'
+  /** Its descriptor was needed for new connections. */
+  | 'descriptors'
   /** The process is draining. */
   | 'drain'
   /** The service that owns the connections has ended. */
--- a/src/direct/callers/idle_time.ts
+++ b/src/direct/callers/idle_time.ts
@@ -1,5 +1,7 @@
 /** How long a connection on which nothing happens stays open. */
 import type {CallerLimits} from '../types.js';
+import {arePlentiful} from './descriptor_use.js';
+import type {DescriptorUse} from './descriptor_use.js';
 
 /**
  * A connection stays open for at least this much longer than its caller may
@@ -7,11 +9,6 @@
  * its way.
  */
 const LEAST_MARGIN_MS = 2_000;
-/**
- * Descriptors are plentiful while callers' connections use less than this share
- * of them. Each request that is served needs one more, to its replica.
- */
-const PLENTIFUL_SHARE = 0.5;
 /** `Keep-Alive` states whole seconds, and 0 would forbid any reuse. */
 const LEAST_STATED_MS = 1_000;
 
@@ -23,13 +20,6 @@
   readonly awaitsHeaders: boolean;
 }
 
-export interface DescriptorUse {
-  /** Open connections of callers. */
-  readonly openConnections: number;
-  /** Descriptors that the host allows this process. */
-  readonly maxDescriptors: number;
-}
-
 /**
  * Time for which a connection stays open beyond its limit, in milliseconds.
  * `knownWithinMs` is the time in which a configuration reaches everyone: a caller
@@ -38,11 +28,10 @@
  * while descriptors are plentiful.
  */
 export function idleMarginMs(
-  {openConnections, maxDescriptors}: DescriptorUse,
+  use: DescriptorUse,
   knownWithinMs: number,
 ): number {
-  const isPlentiful = openConnections < maxDescriptors * PLENTIFUL_SHARE;
-  return isPlentiful
+  return arePlentiful(use)
     ? Math.max(LEAST_MARGIN_MS, knownWithinMs)
     : LEAST_MARGIN_MS;
 }
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -203,6 +203,7 @@
   heldFull: event(341, 'warn', 'direct-held-full'),
   heldFree: event(342, 'info', 'direct-held-free'),
   callerClosed: event(343, 'warn', 'direct-caller-closed'),
+  descriptorsShort: event(344, 'warn', 'direct-descriptors-short'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
--- a/test/direct/limits_in_force.test.ts
+++ b/test/direct/limits_in_force.test.ts
@@ -112,7 +112,7 @@
   // Guards against the closing of a connection beneath a caller that knows a
   // raised limit before this entry.
   test('is the time of a configuration while descriptors are plentiful', () => {
-    const use = {openConnections: 499, maxDescriptors};
+    const use = {connections: 499, busy: 0, maxDescriptors};
     expect(idleMarginMs(use, KNOWN_WITHIN_MS)).toBe(KNOWN_WITHIN_MS);
     // A request at the limit may still be on its way.
     expect(idleMarginMs(use, 500)).toBe(MARGIN_MS);
@@ -120,7 +120,7 @@
 
   // Guards against idle connections that use up the descriptors.
   test('is the least one when half of the descriptors are used', () => {
-    const use = {openConnections: 500, maxDescriptors};
+    const use = {connections: 500, busy: 0, maxDescriptors};
     expect(idleMarginMs(use, KNOWN_WITHIN_MS)).toBe(MARGIN_MS);
   });
 
--- a/test/support/callers_server.ts
+++ b/test/support/callers_server.ts
@@ -19,8 +19,8 @@
 
 /** Time in which a version of the limits reaches all callers. */
 const KNOWN_WITHIN_MS = 5_000;
-/** So few that one connection uses half of them: the least margins apply. */
-const FEW_DESCRIPTORS = 1;
+/** More descriptors than a test uses unless it sets others. */
+const MAX_DESCRIPTORS = 1_000;
 /** Limits that no test reaches unless it sets others. */
 export const WIDE_LIMITS: CallerLimits = {
   maxHeaderBytes: 4_096,
@@ -56,6 +56,7 @@
 export async function startCallersServer(
   limits: Partial<CallerLimits>,
   handler: RequestHandler = answerPath,
+  maxDescriptors = MAX_DESCRIPTORS,
 ): Promise<CallersServerFixture> {
   const runtime = createRecordingRuntime();
   const address = await nextAddress();
@@ -66,8 +67,9 @@
     address,
     handler,
     admit: () => true,
-    limits: inForce,
-    maxDescriptors: FEW_DESCRIPTORS,
+    // Idle connections are kept for the least margin.
+    limits: {...inForce, knownWithinMs: 0},
+    maxDescriptors,
     clock,
     log: runtime.runtime.log,
     metrics: runtime.metrics,
