--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -67,10 +67,15 @@
   /** Runs the function when all requests of the connection are answered. */
   whenEnded(socket: Socket, run: () => void): void;
   all(): Iterable<Socket>;
+  /** Number of open connections. */
+  count(): number;
+  /** Number of connections with an open request. */
+  busyCount(): number;
 }
 
 export function createCallerConnections(now: () => number): CallerConnections {
   const connections = new Map<Socket, CallerConnection>();
+  let busyCount = 0;
 
   const add = (socket: Socket): void => {
     nameConnection(socket);
@@ -90,6 +95,7 @@
     const connection = connections.get(socket);
     if (connection === undefined) return;
     connection.open = res;
+    if (connection.openCount === 0) busyCount++;
     connection.openCount++;
     connection.requests++;
     connection.statedMs = statedMs;
@@ -103,6 +109,7 @@
       if (!req.complete) noteBytes();
       if (connection.open === res) connection.open = undefined;
       connection.openCount--;
+      if (connection.openCount === 0) busyCount--;
       connection.seenBytes = socket.bytesRead;
       connection.quietSince = now();
     });
@@ -178,6 +185,8 @@
       else open.once('close', run);
     },
     all: () => connections.keys(),
+    count: () => connections.size,
+    busyCount: () => busyCount,
   };
 }
 
