test(direct): a connection that waits to be accepted at a stop is not reset

Cause: `stopAccepting` calls `server.close()` from a timer. Timers run before the poll phase, so connections that the kernel has accepted meanwhile, with requests in them, are still in the queue of the listening socket and are reset with it. Idle connections are looked at once more after a poll; the queue isn't.

--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -1,4 +1,5 @@
 /** Connections of callers at a stop of the entry. */
+import {Worker} from 'node:worker_threads';
 import {afterEach, describe, expect, test} from 'vitest';
 import {
   openIdleCaller,
@@ -41,6 +42,43 @@
   });
 });
 
+/**
+ * Opens a connection and sends a request from another thread. It is told the
+ * port, and tells the answer, or the error that ended the connection.
+ */
+const CALLER_THREAD = `
+  const {connect} = require('node:net');
+  const {parentPort} = require('node:worker_threads');
+  parentPort.once('message', ({port, request}) => {
+    const socket = connect(port, '127.0.0.1', () => socket.write(request));
+    socket.once('data', data => parentPort.postMessage(data.toString()));
+    socket.once('error', err => parentPort.postMessage(err.message));
+    socket.once('end', () => parentPort.postMessage('end'));
+  });
+`;
+
+describe('a connection that comes before the entry stops accepting', () => {
+  // Guards against a reset of a whole request whose connection waits to be
+  // accepted while the event loop stands still.
+  test('is accepted and its request answered', async () => {
+    const {server, address} = await startCallersServer({});
+    const thread = new Worker(CALLER_THREAD, {eval: true});
+    await new Promise(resolve => thread.once('online', resolve));
+    const seen = new Promise(resolve => thread.once('message', resolve));
+    setTimeout(() => void server.stopAccepting(), 10);
+    thread.postMessage({
+      port: Number(address.split(':')[1]),
+      request: requestText('/first'),
+    });
+    const endsAt = performance.now() + 500;
+    while (performance.now() < endsAt);
+    const text = await seen;
+    await thread.terminate();
+    await server.close();
+    expect(text).toContain('answer to /first');
+  });
+});
+
 describe('a request that outlasts the grace time of a stop', () => {
   // Guards against a whole request that gets neither an answer nor a refusal
   // when the process ends.
