refactor(limits): divide permits by the entry's part in them

Cause: request_permits.ts held the choice of a replica's home, the ledgers of a home, the turns at cold replicas without one, and the asks of a home. Change: granting_entries.ts tells the home of a replica and when an earlier one has ended, home_grants.ts keeps the ledgers, fallback_turns.ts takes the turns, and request_permits.ts asks. Statements are moved as they were; MIN_RATE_PER_S and GrantingEntries are imported from their new modules.

--- a/src/direct/gate/replica_gate.ts
+++ b/src/direct/gate/replica_gate.ts
@@ -10,7 +10,7 @@
 import type {Cancel, Clock, Log, Random} from '../../types/runtime.js';
 import type {ReplicaLimits} from '../limits/replica_limits.js';
 import {MAX_RETRY_MS} from '../limits/permit_ledger.js';
-import {MIN_RATE_PER_S} from '../limits/request_permits.js';
+import {MIN_RATE_PER_S} from '../limits/home_grants.js';
 import type {RequestPermits} from '../limits/request_permits.js';
 import type {ReplicaNotices} from './replica_statements.js';
 import {createDepartures} from './departures.js';
--- a/src/direct/limits/limit_messages.ts
+++ b/src/direct/limits/limit_messages.ts
@@ -64,6 +64,20 @@
   readonly isTakingOver?: boolean;
 }
 
+export function isCold({cold}: LimitReport): boolean {
+  return cold !== undefined && cold.leftMs > 0;
+}
+
+/**
+ * The key of a replica's home and ledger. Entries may know different starts of
+ * a cold replica, so its key is its name, which all starts have in common.
+ */
+export function homeKeyOf(limit: LimitReport, replicaId: string): string {
+  return limit.cold !== undefined && isCold(limit)
+    ? limit.cold.name
+    : replicaId;
+}
+
 /** Largest number of permits that one ask may want. */
 const MAX_PERMITS = 16;
 
@@ -96,10 +110,12 @@
 
 /** Whether the values of a report that came from outside are possible. */
 export function isValidLimit({perSecond, ageMs, cold}: LimitReport): boolean {
-  const isCold =
+  const isColdValid =
     cold === undefined ||
     (cold.leftMs >= 0 && cold.ageMs >= 0 && cold.perSecond > 0);
-  return isCold && ageMs >= 0 && (perSecond === undefined || perSecond >= 0);
+  return (
+    isColdValid && ageMs >= 0 && (perSecond === undefined || perSecond >= 0)
+  );
 }
 
 /** Requests a second that a report allows; undefined where it has no limit. */
--- a/src/direct/limits/replica_limits.ts
+++ b/src/direct/limits/replica_limits.ts
@@ -12,7 +12,7 @@
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {StatedLimit} from '../gate/replica_statements.js';
 import type {LimitReport} from './limit_messages.js';
-import {MIN_RATE_PER_S} from './request_permits.js';
+import {MIN_RATE_PER_S} from './home_grants.js';
 
 /**
  * Time for which an ended limit is remembered, in milliseconds. Older reports
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -13,7 +13,7 @@
   PermitAsk,
 } from './limits/limit_messages.js';
 import type {EvidenceOrigin} from './evidence.js';
-import type {GrantingEntries} from './limits/request_permits.js';
+import type {GrantingEntries} from './limits/granting_entries.js';
 import type {LoadChanges} from './load_broadcast.js';
 import type {PeerLoad, ReplicaLoad} from './replica_load.js';
 import type {ShareReport} from './shares/share_messages.js';
--- a/src/direct/peers/peer_table.ts
+++ b/src/direct/peers/peer_table.ts
@@ -1,6 +1,6 @@
 /** The peers (other entries) that an entry knows, and when each was heard. */
 import type {Clock} from '../../types/runtime.js';
-import type {GrantingEntries} from '../limits/request_permits.js';
+import type {GrantingEntries} from '../limits/granting_entries.js';
 import type {EntryAddress} from '../types.js';
 
 /**
