--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -14,7 +14,8 @@
 import {loggedParts, shortDigest} from './request_digest.js';
 import {partSubjects, requestSubject, subjectsOf} from './subjects.js';
 import type {RunSubjects, Subject} from './subjects.js';
-import {QUARANTINE_MS, createSuspects} from './suspects.js';
+import {QUARANTINE_MS} from './suspect_table.js';
+import {createSuspects} from './suspects.js';
 import type {Suspects} from './suspects.js';
 
 /**
--- a/src/direct/crashes/quarantine_records.ts
+++ b/src/direct/crashes/quarantine_records.ts
@@ -9,7 +9,7 @@
 import type {CrashReport, QuarantineRecord} from './crash_reports.js';
 import {followCollection} from '../collection_follower.js';
 import type {CollectionFollower} from '../collection_follower.js';
-import {QUARANTINE_MS} from './suspects.js';
+import {QUARANTINE_MS} from './suspect_table.js';
 import type {StoreFault} from '../followed/collection.js';
 import type {DirectStore} from '../types.js';
 
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -16,13 +16,13 @@
 import type {CrashReport} from './crash_reports.js';
 import {createGoodRuns} from './good_runs.js';
 import type {RunReplica} from './good_runs.js';
-import {PART_THRESHOLD, blamedParts} from './part_verdict.js';
+import {createPartJudgement} from './part_judgement.js';
+import {PART_THRESHOLD} from './part_verdict.js';
 import {createRecentEnds} from './recent_ends.js';
 import {createReplies} from './replies.js';
 import {REQUEST} from './subjects.js';
 import {
   ENOUGH_SUCCESSES,
-  addEnd,
   earlierOf,
   reachesThreshold,
   reportOf,
@@ -30,25 +30,9 @@
   successesOf,
 } from './suspect.js';
 import type {Suspect} from './suspect.js';
+import {createSuspectTable} from './suspect_table.js';
 import type {SubjectKind, SubjectType} from './subjects.js';
-import {createTrials} from './trials.js';
 
-/**
- * Time from the third crash under a part until parts are judged, in
- * milliseconds. Other entries report their runs at the same replicas and which
- * of the parts ran well there.
- */
-const SETTLE_MS = 300;
-/**
- * Duration of a quarantine, from the last end of a replica. After it the
- * request may run again.
- */
-export const QUARANTINE_MS = 3_600_000;
-/**
- * Most suspects that are kept. Beyond it the one that crashed longest ago and
- * is not quarantined is dropped, or else the oldest.
- */
-const MAX_SUSPECTS = 1_000;
 /**
  * Reports of a released subject are ignored for this long, so that one that was
  * on its way does not undo the release.
@@ -142,84 +126,36 @@
 
 export function createSuspects(options: SuspectsOptions): Suspects {
   const {clock, self} = options;
-  /** Suspects by digest, the one that crashed last at the end. */
-  const suspects = new Map<string, Suspect>();
-  const quarantined = {request: new Set<string>(), part: new Set<string>()};
+  const suspects = createSuspectTable(clock, self);
   /** End of the grace after a release, by digest. */
   const released = new Map<string, number>();
   const recentEnds = createRecentEnds(clock);
   const goodRuns = createGoodRuns(clock);
   const replies = createReplies(clock, options.replyDelayMs ?? (() => 0));
-  let judgementAt: number | undefined;
-  let nextIndex = 0;
 
-  const isExpired = (suspect: Suspect) =>
-    clock.now() - suspect.endedAt > QUARANTINE_MS;
-  const forget = (digest: string): void => {
-    suspects.delete(digest);
-    quarantined.request.delete(digest);
-    quarantined.part.delete(digest);
-  };
-  const findCurrent = (digest: string): Suspect | undefined => {
-    const suspect = suspects.get(digest);
-    if (suspect === undefined || !isExpired(suspect)) return suspect;
-    forget(digest);
-    return undefined;
-  };
-  const dropOldest = () => {
-    for (const [digest, {trials}] of suspects) {
-      if (trials !== undefined) continue;
-      forget(digest);
-      return;
-    }
-    const [oldest] = suspects.keys();
-    forget(oldest);
-  };
-  const add = (digest: string, type: SubjectType): Suspect => {
-    if (suspects.size >= MAX_SUSPECTS) dropOldest();
-    const successes = goodRuns.takeRequest(digest);
-    const suspect: Suspect = {
-      type,
-      ended: new Set(),
-      good: new Map(successes > 0 ? [[self, successes]] : []),
-      endedAt: clock.now(),
-      isOwn: false,
-      trials: undefined,
-    };
-    suspects.set(digest, suspect);
-    return suspect;
-  };
-  /** See `addEnd`. */
-  const addEnded = (
+  const quarantine = (
     digest: string,
     suspect: Suspect,
-    replicaId: string,
     isOwn: boolean,
-  ): boolean => {
-    if (!addEnd(suspect, replicaId)) return false;
-    suspect.endedAt = clock.now();
-    suspect.isOwn = isOwn;
-    suspects.delete(digest);
-    suspects.set(digest, suspect);
-    return true;
+  ): void => {
+    suspects.quarantine(digest, suspect);
+    options.onQuarantined(reportOf(digest, suspect), isOwn);
   };
+  const judgement = createPartJudgement(clock, suspects, (digest, suspect) =>
+    quarantine(digest, suspect, suspect.isOwn),
+  );
+
+  const findOrAdd = (digest: string, type: SubjectType): Suspect =>
+    suspects.find(digest) ??
+    suspects.add(digest, type, goodRuns.takeRequest(digest));
   const drop = (digest: string): void => {
-    forget(digest);
+    suspects.forget(digest);
     released.set(digest, clock.now() + RELEASE_GRACE_MS);
     for (const [key, until] of released) {
       if (until <= clock.now()) released.delete(key);
     }
   };
 
-  const quarantine = (
-    digest: string,
-    suspect: Suspect,
-    isOwn: boolean,
-  ): void => {
-    suspect.trials = createTrials(clock, suspect.type.kind);
-    quarantined[suspect.type.kind].add(digest);
-    options.onQuarantined(reportOf(digest, suspect), isOwn);
-  };
   const updateRequest = (
     digest: string,
     suspect: Suspect,
@@ -228,49 +164,18 @@
     const wasQuarantined = suspect.trials !== undefined;
     if (reachesThreshold(suspect) === wasQuarantined) return;
     if (!wasQuarantined) return quarantine(digest, suspect, isOwn);
-    suspect.trials = undefined;
-    quarantined.request.delete(digest);
+    suspects.endRequestQuarantine(digest, suspect);
     options.onCleared(digest, isOwn);
   };
 
-  /** Also counts those whose trials have all run, so that ranks stay. */
-  const rankOf = (digest: string): number =>
-    [...quarantined.request, ...quarantined.part].filter(it => it < digest)
-      .length;
-
-  const crashesOfParts = () =>
-    [...suspects].flatMap(([digest, suspect]) => {
-      const {type, ended} = suspect;
-      if (type.kind !== 'part' || isExpired(suspect)) return [];
-      return [{digest, ended, position: type.position}];
-    });
-  const judgeParts = (): void => {
-    judgementAt = undefined;
-    const refused = [...quarantined.request].flatMap(
-      digest => suspects.get(digest)?.ended ?? [],
-    );
-    for (const {digest} of blamedParts(crashesOfParts(), refused)) {
-      const suspect = suspects.get(digest);
-      if (suspect === undefined || suspect.trials !== undefined) continue;
-      quarantine(digest, suspect, suspect.isOwn);
-    }
-  };
-  const judgeSoon = (): void => {
-    if (judgementAt !== undefined) return;
-    judgementAt = clock.now() + SETTLE_MS;
-    clock.after(SETTLE_MS, judgeParts);
-  };
-  const updatePart = ({ended, trials}: Suspect): void => {
-    if (ended.size >= PART_THRESHOLD && trials === undefined) judgeSoon();
-  };
   /** The part ran well, so what it seemed to explain is judged anew. */
   const clearPart = (
     digest: string,
     {trials}: Suspect,
     isOwn: boolean,
   ): void => {
-    forget(digest);
-    judgeSoon();
+    suspects.forget(digest);
+    judgement.judgeSoon();
     if (trials !== undefined) options.onCleared(digest, isOwn);
   };
 
@@ -279,7 +184,7 @@
     type: SubjectType & {readonly kind: 'part'},
   ): void => {
     const {digest, ended} = report;
-    const known = findCurrent(digest);
+    const known = suspects.find(digest);
     if (successesOf(Object.values(report.good)) > 0) {
       goodRuns.provePart(digest);
       replies.heard(digest);
@@ -292,19 +197,21 @@
       );
       return;
     }
-    const suspect = known ?? add(digest, type);
+    const suspect = findOrAdd(digest, type);
     // Different prompts may have the part at different places.
     suspect.type = earlierOf(suspect.type, type);
-    for (const id of ended) addEnded(digest, suspect, id, false);
-    updatePart(suspect);
+    for (const id of ended) suspects.addEnded(digest, suspect, id, false);
+    judgement.judgeIfDue(suspect);
     if (goodRuns.lastReplicas(digest).length === 0) return;
     replies.schedule(digest, () => options.confirmRuns?.(digest));
   };
   const mergeRequest = (report: CrashReport): void => {
     const {digest} = report;
-    const known = findCurrent(digest);
-    const suspect = known ?? add(digest, REQUEST);
-    for (const id of report.ended) addEnded(digest, suspect, id, false);
+    const known = suspects.find(digest);
+    const suspect = findOrAdd(digest, REQUEST);
+    for (const id of report.ended) {
+      suspects.addEnded(digest, suspect, id, false);
+    }
     for (const [node, count] of Object.entries(report.good)) {
       suspect.good.set(node, Math.max(suspect.good.get(node) ?? 0, count));
     }
@@ -327,13 +234,13 @@
     const type =
       stated.kind === 'part'
         ? stated
-        : (findCurrent(report.digest)?.type ?? stated);
+        : (suspects.find(report.digest)?.type ?? stated);
     if (type.kind === 'part') mergePart(report, type);
     else mergeRequest(report);
   };
   const mergeRecord = (record: CrashReport): void => {
     mergeOne(record);
-    const suspect = findCurrent(record.digest);
+    const suspect = suspects.find(record.digest);
     const isRefused = suspect === undefined || suspect.trials !== undefined;
     // A request is refused by its ends, which the record names.
     if (isRefused || suspect.type.kind === 'request') return;
@@ -345,15 +252,15 @@
       recentEnds.add(replicaId);
       const isPart = type.kind === 'part';
       if (isPart && goodRuns.isProven(digest)) return;
-      const suspect = findCurrent(digest) ?? add(digest, type);
+      const suspect = findOrAdd(digest, type);
       suspect.type = earlierOf(suspect.type, type);
-      if (!addEnded(digest, suspect, replicaId, true)) return;
+      if (!suspects.addEnded(digest, suspect, replicaId, true)) return;
       options.onChanged(reportOf(digest, suspect));
-      if (isPart) updatePart(suspect);
+      if (isPart) judgement.judgeIfDue(suspect);
       else updateRequest(digest, suspect, true);
     },
     runSucceeded: digest => {
-      const suspect = findCurrent(digest);
+      const suspect = suspects.find(digest);
       if (suspect === undefined) {
         goodRuns.addRequest(digest);
         return;
@@ -378,52 +285,34 @@
     forgetPartRuns: goodRuns.forgetPartRuns,
     partRanWell: digest => {
       goodRuns.provePart(digest);
-      const suspect = findCurrent(digest);
+      const suspect = suspects.find(digest);
       if (suspect === undefined) return;
       suspect.good.set(self, 1);
       options.onChanged(reportOf(digest, suspect));
       clearPart(digest, suspect, true);
     },
     isProven: goodRuns.isProven,
-    isSuspect: digest => findCurrent(digest) !== undefined,
-    isQuarantined: digest => findCurrent(digest)?.trials !== undefined,
+    isSuspect: digest => suspects.find(digest) !== undefined,
+    isQuarantined: digest => suspects.find(digest)?.trials !== undefined,
     mayBeGuilty: digest => {
-      const ends = findCurrent(digest)?.ended.size ?? 0;
+      const ends = suspects.find(digest)?.ended.size ?? 0;
       return ends >= PART_THRESHOLD && !goodRuns.isProven(digest);
     },
-    judgedInMs: digest => {
-      if (judgementAt === undefined) return 0;
-      const suspect = findCurrent(digest);
-      const isJudged =
-        suspect?.type.kind === 'part' &&
-        suspect.ended.size >= PART_THRESHOLD &&
-        suspect.trials === undefined;
-      return isJudged ? Math.max(0, judgementAt - clock.now()) : 0;
-    },
+    judgedInMs: judgement.judgedInMs,
     hasEnded: recentEnds.has,
-    dueTrial: digest => findCurrent(digest)?.trials?.claim(rankOf(digest)),
+    dueTrial: digest =>
+      suspects.find(digest)?.trials?.claim(suspects.rankOf(digest)),
     trialSettled: (digest, isAnswered) =>
-      findCurrent(digest)?.trials?.settled(isAnswered),
+      suspects.find(digest)?.trials?.settled(isAnswered),
     nextTrialInMs: digest =>
-      findCurrent(digest)?.trials?.dueInMs(rankOf(digest)) ?? Infinity,
+      suspects.find(digest)?.trials?.dueInMs(suspects.rankOf(digest)) ??
+      Infinity,
     merge: reports => reports.forEach(mergeOne),
     mergeRecords: reports => reports.forEach(mergeRecord),
     release: drop,
-    nextReports: count => {
-      const all = [...suspects].filter(([, suspect]) => !isExpired(suspect));
-      const start = all.length === 0 ? 0 : nextIndex % all.length;
-      const selected = [...all.slice(start), ...all.slice(0, start)].slice(
-        0,
-        count,
-      );
-      nextIndex = start + selected.length;
-      return selected.map(([digest, suspect]) => reportOf(digest, suspect));
-    },
-    suspectCount: () => suspects.size,
-    quarantinedCount: kind =>
-      kind === undefined
-        ? quarantined.request.size + quarantined.part.size
-        : quarantined[kind].size,
+    nextReports: suspects.nextReports,
+    suspectCount: suspects.size,
+    quarantinedCount: suspects.quarantinedCount,
   };
 }
 
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -27,7 +27,7 @@
 import type {RequestPermits} from './limits/request_permits.js';
 import type {ReplicaLosses} from './replica_losses.js';
 import type {RequestShares} from './shares/request_shares.js';
-import {QUARANTINE_MS} from './crashes/suspects.js';
+import {QUARANTINE_MS} from './crashes/suspect_table.js';
 import type {
   DirectConfig,
   DirectReplica,
