refactor(sharing): keep the entries' records apart from the datagrams

Cause: sharing.ts exchanged datagrams and also kept the entries' records in the store: reading them, writing the own one, and removing those of silent peers. Change: peers/entry_records.ts keeps the records. Statements are moved.

--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -12,6 +12,7 @@
 import {LOAD_FORMAT, isAddress} from './peers/compact_load.js';
 import type {CompactLoadDatagram} from './peers/compact_load.js';
 import {openSocket} from './peers/datagram_socket.js';
+import {keepEntryRecords} from './peers/entry_records.js';
 import {createKnownSenders} from './peers/known_senders.js';
 import {createLoadDeltas} from './peers/load_deltas.js';
 import {createLoadSender} from './peers/load_sender.js';
@@ -27,33 +28,6 @@
 import type {LoadChanges} from './load_broadcast.js';
 import type {DirectStore, EntryAddress, StoreKnowledge} from './types.js';
 
-/**
- * Silence in milliseconds after which an entry's record is removed from the
- * store.
- */
-const REMOVE_RECORD_AFTER_MS = 15_000;
-/**
- * Time between reads of the entries' records after the own start, and between
- * checks for silent peers, in milliseconds. An entry that starts sends to every
- * entry that it finds, so these reads only have to find entries that started at
- * the same moment.
- */
-const LIST_INTERVAL_MS = 10_000;
-/** Successful reads after which the records are read less often. */
-const FREQUENT_LISTS = 3;
-/** Time between later reads, as a multiple of the interval. */
-const LATER_LIST_FACTOR = 6;
-/**
- * Delay before another attempt to write the own record to the store, in
- * milliseconds.
- */
-const ANNOUNCE_RETRY_MS = 1_000;
-/**
- * After the store lost the records, entries write theirs at random times within
- * this period, in milliseconds. Otherwise all of them would write at the same
- * moment.
- */
-const REANNOUNCE_SPREAD_MS = 1_000;
 /** Entries that are found together are reported together after this delay. */
 const REPORT_ENTRIES_MS = 20;
 
@@ -85,9 +59,6 @@
   let loads: readonly ReplicaLoad[] = [];
   let reportedCount = 1;
   let reportedEntries = '';
-  let lists = 0;
-  /** Number of intervals since the start. */
-  let intervals = 0;
   let isDraining = false;
   let isClosed = false;
 
@@ -175,8 +146,6 @@
     sendTo({kind: 'answer', question, knowledge}, from);
   };
 
-  const isSelf = ({node, ip, port}: EntryAddress) =>
-    node === self.node && ip === self.ip && port === self.port;
   const sendShareReport = (report: ShareReport): void => {
     const readers = peers
       .live()
@@ -299,49 +268,6 @@
     ctx.send('followed', {kind: 'entries', count});
   };
 
-  /** Resolves to true if the store's list lacks this entry's own address. */
-  const listPeers = async (): Promise<boolean> => {
-    const entries = await store.listEntries();
-    entries.ifRight(found => {
-      lists += 1;
-      found.forEach(peers.add);
-    });
-    return entries.map(found => !found.some(isSelf)).orDefault(false);
-  };
-  const refreshPeers = async (): Promise<void> => {
-    intervals += 1;
-    const isDue = intervals % LATER_LIST_FACTOR === 0;
-    if (lists < FREQUENT_LISTS || isDue) await listPeers();
-    for (const node of peers.silentFor(REMOVE_RECORD_AFTER_MS)) {
-      peers.remove(node);
-      log(DIRECT_EVENTS.entryRemoved, {entry: node});
-      (await store.removeEntry(node)).ifLeft(({message}) =>
-        log(DIRECT_EVENTS.storeCallFailed, {step: 'remove entry', message}),
-      );
-    }
-  };
-
-  const announce = async (): Promise<void> => {
-    const announced = await store.announceEntry(ownAddress());
-    announced.ifLeft(({message}) => {
-      log(DIRECT_EVENTS.storeCallFailed, {step: 'announce entry', message});
-      const cancel = clock.after(ANNOUNCE_RETRY_MS, () => void announce());
-      ctx.own(cancel);
-    });
-  };
-
-  // All entries notice a restore at the same moment. They still know each
-  // other, so the records need not be written at once.
-  const reannounce = (): void => {
-    const cancel = clock.after(random.next() * REANNOUNCE_SPREAD_MS, () => {
-      if (isDraining) return;
-      lists = 0;
-      log(DIRECT_EVENTS.recordRewritten, {});
-      void announce();
-    });
-    ctx.own(cancel);
-  };
-
   socket.on('message', receive);
   ctx.own(() => {
     isClosed = true;
@@ -350,7 +276,17 @@
   });
   ctx.own(loadBroadcast.stop);
   ctx.own(clock.every(HEARTBEAT_MS, heartbeat));
-  ctx.own(clock.every(LIST_INTERVAL_MS, () => void refreshPeers()));
+  const records = keepEntryRecords({
+    clock,
+    log,
+    random,
+    self,
+    store,
+    peers,
+    ownAddress,
+    isDraining: () => isDraining,
+    own: ctx.own,
+  });
   void ctx.mailbox.observe(message => {
     switch (message.kind) {
       case 'query-peer':
@@ -360,7 +296,7 @@
       case 'crash-reports':
         return outgoing.sendCrashReports(message.reports, message.toAll);
       case 'store-restored':
-        return reannounce();
+        return records.reannounce();
       case 'resend-state':
         reportedEntries = '';
         return reportEntries();
@@ -389,14 +325,14 @@
   // Keys cannot be confirmed before a peer has answered, so one is queried at
   // once instead of after the first interval.
   const findPeers = async (): Promise<boolean> => {
-    const isMissing = await listPeers();
+    const isMissing = await records.listPeers();
     ctx.send('followed', {kind: 'confirm'});
     return isMissing;
   };
   // An entry that starts again still has its record, so other entries find it
   // while the record is written. Of two new entries, each may list before the
   // other has its record; so those list once more.
-  void Promise.all([findPeers(), announce()]).then(([isMissing]) =>
+  void Promise.all([findPeers(), records.announce()]).then(([isMissing]) =>
     isMissing ? findPeers() : undefined,
   );
 }
