refactor(followed): keep a collection's known position apart

Cause: collection_follower.ts ordered answers by the history's positions and eras between its calls, pauses and reports. Change: followed/known_position.ts holds the position and classifies answers.

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -11,10 +11,11 @@
 import type {Either} from 'purify-ts';
 import type {Cancel, Clock, Random} from '../types/runtime.js';
 import {createWatchPace} from '../utils/watch_pace.js';
-import {isOlderEra, comparePositions} from './store_position.js';
+import {isOlderEra} from './store_position.js';
 import type {StoreEra, StorePosition} from './store_position.js';
 import {makeCertain} from './followed/certain_changes.js';
 import type {Collection, StoreFault} from './followed/collection.js';
+import {createKnownPosition} from './followed/known_position.js';
 
 /**
  * Base of the pause after the first failed call, in milliseconds. The base
@@ -45,23 +46,6 @@
 /** When to make the next call: without the pause for failed calls, or after it. */
 type NextCall = 'at once' | 'wait';
 
-/**
- * Where an answer stands relative to the position that is known. An era is the
- * time between two restores of the store; see `store_position.ts`.
- */
-type AnswerOrder =
-  /** The answer is as new as the known position, or newer. */
-  | 'current'
-  /**
-   * The answer is older than the known position, because a call that was sent
-   * earlier was answered later.
-   */
-  | 'overtaken'
-  /** The store was restored from an older copy since the known position. */
-  | 'restored'
-  /** The answer is from an earlier era than one whose position was taken over. */
-  | 'older era';
-
 /** How a list ended. An unanswered one may succeed on a new connection. */
 type ListOutcome = 'listed' | 'failed' | 'unanswered';
 
@@ -152,11 +136,7 @@
 ): CollectionFollower {
   const {collection, clock, random} = options;
   let isStopped = false;
-  let position: StorePosition | undefined;
-  /** Time on this process's clock at which the position was set. */
-  let positionSetAt = Number.NEGATIVE_INFINITY;
-  /** The newest era of the answers whose position was taken over. */
-  let era: StoreEra;
+  const position = createKnownPosition(clock);
   /**
    * Whether a watch failed and gave up its position, and none has succeeded
    * since. A watch gives it up if the store no longer has the history, or if
@@ -192,34 +172,6 @@
   /** Whether the position was given up because of a partial answer. */
   let isDamaged = false;
 
-  /**
-   * Compares an answer's position with the known one. `sentAt` is when the call
-   * was sent.
-   */
-  const classifyAnswer = (
-    answerPosition: StorePosition,
-    sentAt: number,
-  ): AnswerOrder => {
-    if (isOlderEra(answerPosition.era, era)) return 'older era';
-    if (position === undefined) return 'current';
-    switch (comparePositions(answerPosition, position)) {
-      case 'newer era':
-        return 'restored';
-      case 'same or newer':
-        return 'current';
-      // If the call was sent after the known position was set, its answer should
-      // have been as new as that. The history itself went back, so the store was
-      // restored.
-      case 'older':
-        return sentAt > positionSetAt ? 'restored' : 'overtaken';
-    }
-  };
-  const advance = (answerPosition: StorePosition): void => {
-    position = answerPosition;
-    positionSetAt = clock.now();
-    era = answerPosition.era ?? era;
-  };
-
   /** Whether a list without a pause may follow a watch that failed like this. */
   const mayRelistAtOnce = ({historyGone}: StoreFault): boolean =>
     historyGone &&
@@ -236,7 +188,7 @@
         return fault.unanswered === true ? 'unanswered' : 'failed';
       },
       Right: listing => {
-        const order = classifyAnswer(listing.position, sentAt);
+        const order = position.classify(listing.position, sentAt);
         // The answer is late, or the store reports wrong eras. A store that
         // reports wrong eras would be called in a tight loop if the next call
         // followed without a pause, so the list counts as failed.
@@ -244,7 +196,7 @@
         // A newer answer has already been handled. The older list must not
         // replace its items.
         if (order === 'overtaken') return 'listed';
-        advance(listing.position);
+        position.advance(listing.position);
         if (order === 'restored') options.onRestored();
         if (!listing.isPartial) knownNames.clear();
         for (const name of listing.items.keys()) knownNames.add(name);
@@ -296,7 +248,7 @@
       Left: fault => {
         options.onFault(fault);
         if (!fault.historyGone && !fault.unreadable) return 'wait';
-        position = undefined;
+        position.giveUp();
         const isAtOnce = mayRelistAtOnce(fault);
         hasLostPosition = true;
         if (!isAtOnce) return 'wait';
@@ -304,7 +256,7 @@
         return 'at once';
       },
       Right: changes => {
-        const order = classifyAnswer(changes.position, sentAt);
+        const order = position.classify(changes.position, sentAt);
         if (order === 'older era') return 'wait';
         hasLostPosition = false;
         retryBaseMs = FIRST_RETRY_BASE_MS;
@@ -314,7 +266,7 @@
         // revision in the restored history are unknown, so the collection is
         // listed again.
         if (order === 'restored') {
-          position = undefined;
+          position.giveUp();
           options.onRestored();
           return 'at once';
         }
@@ -328,7 +280,7 @@
           reportChanges(changes.items, sentAt);
           return readRest(changes.resumeAt);
         }
-        advance(changes.position);
+        position.advance(changes.position);
         hasChanged = changes.items.size > 0 || resumedCount > 0;
         cutShortPauseMs = pace.answered(sentAt, waitMs, hasChanged);
         resumedCount = 0;
@@ -342,13 +294,13 @@
   const readRest = (resumeAt: StorePosition | undefined): NextCall => {
     if (resumeAt !== undefined && resumedCount < MAX_RESUMED) {
       resumedCount++;
-      advance(resumeAt);
+      position.advance(resumeAt);
       // The rest is there already, so the next watch need not wait.
       hasLastWatchFailed = true;
       return 'at once';
     }
     resumedCount = 0;
-    position = undefined;
+    position.giveUp();
     hasLostPosition = true;
     isDamaged = true;
     return 'wait';
@@ -381,10 +333,9 @@
   /** Lists and watches until the follower is stopped. */
   const run = async (): Promise<void> => {
     while (!isStopped) {
+      const from = position.current();
       const next =
-        position === undefined
-          ? await listBeforeWatch()
-          : await watchOnce(position);
+        from === undefined ? await listBeforeWatch() : await watchOnce(from);
       if (isStopped) return;
       if (next === 'wait') await pauseAfterFault();
       if (hasChanged) await pause(options.changePauseMs);
@@ -410,8 +361,7 @@
     relistNow,
     restartWatch: () => abandonWatch?.(),
     observeEra: storeEra => {
-      if (position !== undefined && isOlderEra(position.era, storeEra))
-        relistNow();
+      if (position.isBefore(storeEra)) relistNow();
     },
     stop: () => {
       isStopped = true;
