fix(callers): connections that wait to be accepted are taken before a stop closes

Cause: the listening socket was closed in a timer. Timers run before the poll phase, so what the kernel had accepted during a stall was reset with the socket.

Change: the listening socket closes after one more poll, at a stop and at the end of the service.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -262,6 +262,13 @@
   );
   applyLimits();
   await listen(server, options.address);
+  // Connections that wait in the kernel to be accepted are reset with the
+  // listening socket, also those with whole requests.
+  const closeListener = (whenClosed: () => void) =>
+    afterPoll(() => {
+      server.close();
+      whenClosed();
+    });
   const cancelChecks = clock.every(TIMEOUT_CHECK_MS, () => {
     applyLimits();
     closeIdle();
@@ -272,18 +279,18 @@
     applyLimits,
     stopAccepting: () =>
       new Promise(resolve => {
-        server.close();
-        afterPoll(resolve);
+        closeListener(() => afterPoll(resolve));
       }),
     endWhenIdle: socket => afterPoll(() => endIfIdle(socket)),
     close: () =>
       new Promise(resolve => {
         cancelChecks();
-        server.close();
-        afterPoll(() => {
-          for (const socket of connections.all()) endLast(socket);
-          resolve();
-        });
+        closeListener(() =>
+          afterPoll(() => {
+            for (const socket of connections.all()) endLast(socket);
+            resolve();
+          }),
+        );
       }),
   };
 }
