fix(callers): a head that lies unread behind an answer is no late one

What callers saw: a request that had come whole was refused with 408 and its connection closed, right behind an answer that its caller had read slowly. Cause: Node reads nothing more while an answer fills the connection, so the rest of the head stays in the kernel past its time; the refusal came when the answer before it ended, before anything was read again. Change: the connection is looked at once more after that answer; one that was closed meanwhile counts as no late one.

--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -46,13 +46,16 @@
     if (connections.isUnused(socket)) return;
     const limitMs = options.headersTimeoutMs();
     const requestCount = connections.requestCount(socket);
+    const refuseUnlessRead = () => {
+      if (connections.requestCount(socket) > requestCount) return;
+      if (ends.isEnding(socket) || socket.destroyed) return;
+      report(socket, 'headers late', limitMs);
+      refuse(err, socket);
+    };
+    // Nothing is read behind an answer that the caller does not take, so the rest
+    // may lie unread until that one has ended.
     afterPoll(() =>
-      connections.whenEnded(socket, () => {
-        if (connections.requestCount(socket) > requestCount) return;
-        if (ends.isEnding(socket)) return;
-        report(socket, 'headers late', limitMs);
-        refuse(err, socket);
-      }),
+      connections.whenEnded(socket, () => afterPoll(refuseUnlessRead)),
     );
   };
 
--- a/test/direct/late_headers.test.ts
+++ b/test/direct/late_headers.test.ts
@@ -1,6 +1,7 @@
 /** Heads of requests that are under way while the header limit changes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
+import {createConnectionTurns} from '../../src/direct/callers/connection_turns.js';
 import {
   answerPath,
   openRawCaller,
@@ -76,6 +77,30 @@
     caller.socket.destroy();
   });
 
+  // Guards against a refusal of a request that has come whole: Node reads nothing
+  // behind an answer that its caller does not read.
+  test('is served where its rest lies unread behind an answer that was not read', async () => {
+    const turns = createConnectionTurns(() => undefined);
+    fixture = await startCallersServer({headersTimeoutMs: 300}, (req, res) =>
+      turns.take(req, res, () => {
+        if (req.url !== '/large') answerPath(req, res);
+        else res.end('x'.repeat(50 * LARGE_BYTES));
+      }),
+    );
+    const caller = openRawCaller(fixture.address);
+    caller.socket.pause();
+    caller.socket.write(requestText('/large'));
+    await sleep(200);
+    caller.socket.write(requestText('/second') + HEAD.slice(0, FIRST_BYTES));
+    await sleep(100);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    await sleep(1_500);
+    caller.socket.resume();
+    await until(() => /answer to .first|408/.test(caller.text()));
+    expect(caller.text()).toContain('answer to /first');
+    caller.socket.destroy();
+  });
+
   // Guards against a reset that discards the answer before it.
   test('leaves an answer readable that closes the connection', async () => {
     const answer = 'x'.repeat(LARGE_BYTES);
