fix(direct): a request stays where its route has no service any more

What callers saw: a stream that waited for room was refused at once (503, "its route leads elsewhere by now") by a version whose route names no service. Cause: such a version counted as one that leads the request elsewhere, and then no service could be picked. Change: it counts as one that does not admit the request, as for new ones.

--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -87,7 +87,7 @@
   const keeps = leadsTo(route, service);
   if (keeps && hasSameFigures(config, exchange)) return undefined;
   const {owner, isAdmitted} = admit(config, route, facts);
-  if (!isAdmitted) return undefined;
+  if (!isAdmitted || !hasService(route)) return undefined;
   const found = {config, route, owner, service: keeps ? service : undefined};
   return exchange.mayHaveRun ? forRepeat(found, exchange) : found;
 }
@@ -116,6 +116,10 @@
   return a.kind === b.kind && a.streaming === b.streaming;
 }
 
+function hasService({targets}: Route): boolean {
+  return targets.some(({weight}) => weight > 0);
+}
+
 function leadsTo({targets}: Route, service: string): boolean {
   return targets.some(it => it.service === service && it.weight > 0);
 }
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -165,9 +165,9 @@
 
 describe('a stream waits for room at an engine', () => {
   /** Streams that fill the engine for a while, and one that waits. */
-  const startWaiting = async () => {
+  const startWaiting = async (events = 60) => {
     const [engine] = fleet.pool;
-    engine.behave(streamTo(60, 60));
+    engine.behave(streamTo(events, 60));
     const full = Array.from({length: 4}, () =>
       callEntry(fleet, '/long/a', LARGE),
     );
@@ -204,6 +204,17 @@
     await full;
   });
 
+  // Guards against a refusal by a version that names no service for the route:
+  // it would not admit the request, which came before it.
+  test('and stays there where its route has no service any more', async () => {
+    const {waiting, engine, full} = await startWaiting(10);
+    const routes = configOf(2).routes.map(it => ({...it, service: undefined}));
+    await move(2, undefined, {routes});
+    expect(await waiting).toMatchObject({status: 200, whole: true});
+    expect(engine.arrivals).toHaveLength(5);
+    await full;
+  });
+
   // Guards against the same where each version states other figures.
   test('and waits no longer for versions that state other figures', async () => {
     const {waiting, full} = await startWaiting();
