fix(direct): a request stays while its new service has no known replica

What callers saw: a call that its replica had refused as not run was answered 503, although the replica would have taken it a moment later: a version had moved its route to a service of which no replica was known yet. Versions and records are followed apart, so a version may come first. Cause: the request followed the newest version wherever it leads. Change: it follows only where a replica of the services there is known; it is asked again at each poll and each attempt.

--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -8,7 +8,8 @@
  * Whatever a replica may have run stays with the version that it came with, so
  * that its repeats are at the same service; an idempotent call does so until
  * none of its replicas is left. A request also stays if the newer
- * version would not admit it: it was sent while the earlier one was in force.
+ * version would not admit it: it was sent while the earlier one was in force; and
+ * as long as no replica of the services there is known.
  * Where nothing is different for it, it stays too, since its wait for room would
  * begin anew with each version.
  */
@@ -65,16 +66,29 @@
 const staysUnder = new WeakMap<Exchange, DirectConfig>();
 
 function newerRoute(
-  {newestConfig}: ServeContext,
+  ctx: ServeContext,
   exchange: Exchange,
 ): Destination | undefined {
-  const config = newestConfig();
+  const config = ctx.newestConfig();
   const before = exchange.config.version;
   if (config === undefined || config.version <= before) return undefined;
   if (staysUnder.get(exchange) === config) return undefined;
   const found = routeUnder(config, exchange);
   if (found === undefined) staysUnder.set(exchange, config);
-  return found;
+  return found !== undefined && hasReplica(ctx, found) ? found : undefined;
+}
+
+/** A version may come before the records of a new service's replicas. */
+function hasReplica(
+  {replicas}: ServeContext,
+  {service, route}: Destination,
+): boolean {
+  return (
+    service !== undefined ||
+    route.targets.some(
+      it => it.weight > 0 && replicas.availableFor(it.service).length > 0,
+    )
+  );
 }
 
 function routeUnder(
--- a/test/direct/moved_services.test.ts
+++ b/test/direct/moved_services.test.ts
@@ -97,6 +97,22 @@
     },
   );
 
+  // Guards against a refusal beside a version that comes before the records of
+  // the new service's replicas.
+  test('but by the old one while the new one has no replica', async () => {
+    const [desk] = fleet.desk;
+    let calls = 0;
+    desk.behave((...args) =>
+      (calls++ === 0 ? refuseLate : answerWell)(...args),
+    );
+    const answer = callEntry(fleet, '/again/');
+    await until(() => desk.arrivals.length === 1);
+    const routes = configOf(2).routes.map(it => ({...it, service: 'later'}));
+    await move(2, undefined, {routes});
+    expect(await answer).toMatchObject({status: 200, whole: true});
+    expect(desk.arrivals).toHaveLength(2);
+  });
+
   test('when the old one refuses its stream', async () => {
     const [engine] = fleet.pool;
     engine.behave(refuseLate);
