fix(direct): a replica's connection that was accepted during a stall is used

Cause: the timer of the dial runs before it is read that the replica has accepted the connection. Change: the sockets are read once more before the dial fails.

--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -125,16 +125,23 @@
   // After a stall of this process, that the caller has left may still lie unread
   // in its connection. One turn of the event loop reads it.
   const sendAfterTurn = async (): Promise<void> => {
-    for (let at = 0; at < PHASES_PER_TURN; at++) await yieldToLoop();
+    await endTurn();
     if (isFinished) return;
     isSent = true;
     req.end(spec.body);
   };
-  const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
-    if (isConnected) return;
+  // After a stall, this timer runs before it is read that the replica has
+  // accepted the connection.
+  const failUnlessConnected = async (): Promise<void> => {
+    await endTurn();
+    if (isConnected || isFinished) return;
     fail(DIAL_TIMED_OUT);
     req.destroy();
-  });
+  };
+  const cancelTimeout = clock.after(
+    CONNECT_TIMEOUT_MS,
+    () => void failUnlessConnected(),
+  );
   const wire = watchWire(req, clock, () => {
     fail('bytes without end');
     req.destroy();
@@ -191,6 +198,11 @@
   };
 }
 
+/** Resolves when all has been read that lay in the sockets. */
+async function endTurn(): Promise<void> {
+  for (let at = 0; at < PHASES_PER_TURN; at++) await yieldToLoop();
+}
+
 /** Whether only the end of its connection ends the answer. */
 function hasNoFraming({statusCode, headers}: IncomingMessage): boolean {
   return (
--- a/test/direct/stalled_entry.test.ts
+++ b/test/direct/stalled_entry.test.ts
@@ -3,13 +3,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {HOST, KEY} from '../../standins/users_platform/deployment.js';
-import {streamTo} from '../../standins/users_platform/replica.js';
+import {startReplica, streamTo} from '../../standins/users_platform/replica.js';
+import {openDispatch} from '../../src/direct/dispatch.js';
+import {createProcessClock} from '../../src/utils/clock.js';
 import {callEntry, startDirectFleet} from '../support/direct_fleet.js';
 import type {DirectFleet} from '../support/direct_fleet.js';
 
 const CALLERS = 20;
 /** Longest time for which the entry's loop is blocked, in milliseconds. */
 const MAX_BLOCK_MS = 5_000;
+/** Longer than a connection to a replica may take to open, in milliseconds. */
+const DIAL_STALL_MS = 500;
 
 /** Each caller sends its request and closes the connection. */
 const CALLERS_PROGRAM = `
@@ -84,3 +88,30 @@
     },
   );
 });
+
+// Guards against sound replicas that count as failed, and requests that are
+// refused, beside a stall: the timer of a dial runs before its end is read.
+test('a connection that a replica accepted during a stall is used', async () => {
+  const replica = await startReplica('replica-0');
+  const outcome = new Promise<string>(resolve => {
+    const spec = {
+      address: replica.address,
+      method: 'POST',
+      path: '/',
+      headers: ['X-Request-Id', 'dialled', 'Content-Length', '0'],
+      body: Buffer.alloc(0),
+    };
+    openDispatch(spec, createProcessClock(), {
+      onHead: () => undefined,
+      onData: () => undefined,
+      onEnd: () => resolve('answered'),
+      onBroken: (_sent, reason) => resolve(reason),
+    });
+  });
+  // By then the connection is being opened.
+  await new Promise<void>(resolve => process.nextTick(resolve));
+  const endsAt = performance.now() + DIAL_STALL_MS;
+  while (performance.now() < endsAt);
+  expect(await outcome).toBe('answered');
+  await replica.close();
+});
