--- a/src/direct/routes/newer_route.ts
+++ b/src/direct/routes/newer_route.ts
@@ -8,7 +8,8 @@
  * Whatever a replica may have run stays with the version that it came with, so
  * that its repeats are at the same service; an idempotent call does so until
  * none of its replicas is left. A request also stays if the newer
- * version would not admit it: it was sent while the earlier one was in force.
+ * version would not admit it: it was sent while the earlier one was in force; and
+ * as long as no replica of the services there is known.
  * Where nothing is different for it, it stays too, since its wait for room would
  * begin anew with each version.
  */
@@ -65,16 +66,29 @@
 const staysUnder = new WeakMap<Exchange, DirectConfig>();
 
 function newerRoute(
-  {newestConfig}: ServeContext,
+  ctx: ServeContext,
   exchange: Exchange,
 ): Destination | undefined {
-  const config = newestConfig();
+  const config = ctx.newestConfig();
   const before = exchange.config.version;
   if (config === undefined || config.version <= before) return undefined;
   if (staysUnder.get(exchange) === config) return undefined;
   const found = routeUnder(config, exchange);
   if (found === undefined) staysUnder.set(exchange, config);
-  return found;
+  return found !== undefined && hasReplica(ctx, found) ? found : undefined;
+}
+
+/** A version may come before the records of a new service's replicas. */
+function hasReplica(
+  {replicas}: ServeContext,
+  {service, route}: Destination,
+): boolean {
+  return (
+    service !== undefined ||
+    route.targets.some(
+      it => it.weight > 0 && replicas.availableFor(it.service).length > 0,
+    )
+  );
 }
 
 function routeUnder(
@@ -87,7 +101,7 @@
   const keeps = leadsTo(route, service);
   if (keeps && hasSameFigures(config, exchange)) return undefined;
   const {owner, isAdmitted} = admit(config, route, facts);
-  if (!isAdmitted) return undefined;
+  if (!isAdmitted || !hasService(route)) return undefined;
   const found = {config, route, owner, service: keeps ? service : undefined};
   return exchange.mayHaveRun ? forRepeat(found, exchange) : found;
 }
@@ -116,6 +130,10 @@
   return a.kind === b.kind && a.streaming === b.streaming;
 }
 
+function hasService({targets}: Route): boolean {
+  return targets.some(({weight}) => weight > 0);
+}
+
 function leadsTo({targets}: Route, service: string): boolean {
   return targets.some(it => it.service === service && it.weight > 0);
 }
