fix(direct): a stop ends connections that were opened ahead

A caller that sent its first request in the last moments of a stop saw it run at a replica and got no whole answer; a request that may run once is not sent again then.

Cause: a connection without a request got no sign of a stop, and was served until the process ended.

Change: when the entry stops accepting, connections on which no byte has come for 1 s are ended in order, after a look. Newer ones are kept until they are so old: their first request is on its way. The stop lasts up to 1 s longer for them.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -5,7 +5,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock, Log, Metrics} from '../../types/runtime.js';
+import type {Cancel, Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import {splitAddress} from '../settings.js';
@@ -21,6 +21,7 @@
   statedIdleMs,
 } from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
+import {FIRST_REQUEST_MS, endOpenedAhead} from './opened_ahead.js';
 import {createParserErrors} from './parser_errors.js';
 
 /**
@@ -31,19 +32,14 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
-/**
- * A connection without a byte for so long is taken for idle when descriptors are
- * short, in milliseconds. On a newer one the first request is on its way.
- */
-const LEAST_IDLE_MS = 1_000;
 /** Status for an `Expect` header other than `100-continue`. */
 const EXPECTATION_FAILED = 417;
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
   /**
-   * Accepts no new connections and ends the idle ones. Resolves when requests
-   * that had come on them are taken.
+   * Accepts no new connections and ends the idle ones, and those that were opened
+   * ahead and never used. Resolves when requests that had come on them are taken.
    */
   stopAccepting(): Promise<void>;
   /** Ends a connection unless a further request has come. */
@@ -204,7 +200,7 @@
     const surplus = surplusOf(use);
     const idleMs = new Map<Socket, number>();
     if (surplus > 0) {
-      connections.visitQuiet(LEAST_IDLE_MS, (socket, {awaitsHeaders}) => {
+      connections.visitQuiet(FIRST_REQUEST_MS, (socket, {awaitsHeaders}) => {
         if (awaitsHeaders && !connections.isUnused(socket)) return;
         idleMs.set(socket, connections.quietMs(socket));
       });
@@ -214,7 +210,7 @@
     if (due.length > 0) {
       afterPoll(() => {
         for (const socket of due) {
-          if (connections.quietMs(socket) < LEAST_IDLE_MS) continue;
+          if (connections.quietMs(socket) < FIRST_REQUEST_MS) continue;
           endQuiet(socket, 'descriptors');
         }
       });
@@ -265,17 +261,22 @@
     freeDescriptors();
     refuseStalled();
   });
+  let cancelStop: Cancel = () => undefined;
   return {
     applyLimits,
     stopAccepting: () =>
       new Promise(resolve => {
         server.close();
-        afterPoll(resolve);
+        const {isEnding} = ends;
+        const end = (socket: Socket) => endQuiet(socket, 'drain');
+        const options = {clock, connections, isEnding, end};
+        cancelStop = endOpenedAhead(options, resolve);
       }),
     endWhenIdle: socket => afterPoll(() => endIfIdle(socket)),
     close: () =>
       new Promise(resolve => {
         cancelChecks();
+        cancelStop();
         server.close();
         afterPoll(() => {
           for (const socket of connections.all()) endLast(socket);
--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -1,16 +1,23 @@
 /** Connections of callers at a stop of the entry. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, describe, expect, test} from 'vitest';
 import {
+  ask,
   openIdleCaller,
+  openRawCaller,
   requestText,
   startCallersServer,
   writeAndStall,
 } from '../support/callers_server.js';
 import type {CallersServerFixture} from '../support/callers_server.js';
-import {configOf} from '../../standins/users_platform/deployment.js';
+import {HOST, KEY, configOf} from '../../standins/users_platform/deployment.js';
 import {callEntry, startDirectFleet, until} from '../support/direct_fleet.js';
 
 const GRACE_S = 4;
+/** Just before the requests that are open at the end are given up. */
+const LAST_MOMENTS_MS = 3_200;
+/** A connection without a byte for so long was opened ahead. */
+const OPENED_AHEAD_MS = 1_200;
 /** Time limit that is longer than the grace time, in milliseconds. */
 const PATIENT_MS = 20_000;
 
@@ -41,6 +48,82 @@
   });
 });
 
+describe('a connection without a request when the entry stops accepting', () => {
+  let fixture: CallersServerFixture;
+  afterEach(() => fixture.server.close());
+
+  // Guards against a caller that learns of the stop only by its first request.
+  test('is ended where it was opened ahead', async () => {
+    fixture = await startCallersServer({});
+    const caller = openRawCaller(fixture.address);
+    await sleep(OPENED_AHEAD_MS);
+    await fixture.server.stopAccepting();
+    await until(() => caller.closedBy() === 'end', 1_000);
+    caller.socket.destroy();
+  });
+
+  // Guards against a closing that the first request of a new connection crosses.
+  test('is kept until its first request has had time to come', async () => {
+    fixture = await startCallersServer({});
+    const caller = openRawCaller(fixture.address);
+    const late = openRawCaller(fixture.address);
+    await sleep(100);
+    let hasStopped = false;
+    void fixture.server.stopAccepting().then(() => (hasStopped = true));
+    await sleep(600);
+    expect(await ask(caller, '/first')).toContain('answer to /first');
+    expect(hasStopped).toBe(false);
+    await until(() => late.closedBy() === 'end', 2_000);
+    await until(() => hasStopped, 1_000);
+    for (const {socket} of [caller, late]) socket.destroy();
+  });
+
+  // Guards against a reset of a whole request that has come while the event
+  // loop stood still.
+  test('is kept where its first request lies unread', async () => {
+    fixture = await startCallersServer({});
+    const caller = openRawCaller(fixture.address);
+    await sleep(OPENED_AHEAD_MS);
+    setTimeout(() => void fixture.server.stopAccepting(), 10);
+    await writeAndStall(caller, requestText('/first'), 200);
+    await until(() => caller.text().includes('/first'), 1_000).catch(() => {});
+    expect(caller.text()).toContain('answer to /first');
+    caller.socket.destroy();
+  });
+});
+
+describe('a first request in the last moments of the grace time', () => {
+  // Guards against an unknown outcome: the entry can't serve it to its end, and
+  // a request that may run once is not sent again after 502.
+  test('is not read, and the caller sees the end before', async () => {
+    const fleet = await startDirectFleet({timing: {graceS: GRACE_S}});
+    const unused = openRawCaller(fleet.callers);
+    for (const replica of fleet.desk) replica.behave(() => undefined);
+    const open = callEntry(fleet, '/long/a', {
+      headers: {'X-Deadline-Ms': String(PATIENT_MS)},
+    }).catch(() => undefined);
+    for (const replica of fleet.pool) replica.behave(() => undefined);
+    await until(() => fleet.pool.some(({arrivals}) => arrivals.length > 0));
+    const drained = fleet.entry.drain();
+    await sleep(LAST_MOMENTS_MS);
+    const closedBy = unused.closedBy();
+    unused.socket.write(
+      `POST /once/a HTTP/1.1\r\nHost: ${HOST}\r\nX-Request-Id: late\r\n` +
+        `Authorization: Token ${KEY}\r\nContent-Length: 0\r\n\r\n`,
+    );
+    await drained;
+    await open;
+    const arrivals = fleet.desk.flatMap(replica => replica.arrivals);
+    expect({closedBy, text: unused.text(), arrivals: arrivals.length}).toEqual({
+      closedBy: 'end',
+      text: '',
+      arrivals: 0,
+    });
+    unused.socket.destroy();
+    await fleet.close();
+  }, 20_000);
+});
+
 describe('a request that outlasts the grace time of a stop', () => {
   // Guards against a whole request that gets neither an answer nor a refusal
   // when the process ends.
