fix(direct): a head that began without a time limit gets none

Callers whose version of the configuration had no time limit for headers got 408 when the next version had one, also for a head that began before they could know it.

Cause: a lowered limit waits until heads that began before have had their time. A version without a limit has no such time, and was forgotten as soon as callers could know the next one.

Change: the heads that are under way at that moment are remembered, and the limit does not apply to them. Those that stop coming are ended by the idle time.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -46,6 +46,8 @@
    * a new connection a request may be on its way.
    */
   isIdle(socket: Socket): boolean;
+  /** Whether bytes have been read behind the headers of the newest request. */
+  hasPart(socket: Socket): boolean;
   /** Whether bytes have been read of a request that is not answered. */
   hasUnanswered(socket: Socket): boolean;
   /** Time without a byte and an open request, in milliseconds. */
@@ -140,6 +142,10 @@
         !hasNewBytes(socket, connection)
       );
     },
+    hasPart: socket => {
+      const connection = connections.get(socket);
+      return connection !== undefined && hasNewBytes(socket, connection);
+    },
     hasUnanswered: socket => {
       const connection = connections.get(socket);
       return (
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -23,6 +23,7 @@
 import type {LimitsInForce} from './limits_in_force.js';
 import {FIRST_REQUEST_MS, endOpenedAhead} from './opened_ahead.js';
 import {createParserErrors} from './parser_errors.js';
+import {createUnlimitedHeads} from './unlimited_heads.js';
 
 /**
  * Largest headers that the HTTP parser accepts, in bytes. It exceeds the
@@ -81,6 +82,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const connections = createCallerConnections(clock.now);
+  const unlimitedHeads = createUnlimitedHeads(connections);
   const ends = createConnectionEnds(clock);
   const descriptorUse = () => ({
     connections: connections.count(),
@@ -241,7 +243,10 @@
   const applyLimits = () => {
     const newest = limits.newest();
     if (newest === undefined) return;
-    server.headersTimeout = limits.headersTimeoutMs();
+    const headersTimeoutMs = limits.headersTimeoutMs();
+    const becomesLimited = server.headersTimeout === 0 && headersTimeoutMs > 0;
+    if (becomesLimited) unlimitedHeads.note();
+    server.headersTimeout = headersTimeoutMs;
     server.keepAliveTimeout = statedIdleMs(newest);
   };
   const onParserError = createParserErrors({
@@ -249,6 +254,7 @@
     ends,
     report,
     headersTimeoutMs: () => server.headersTimeout,
+    isUnlimited: unlimitedHeads.has,
   });
   server.on('clientError', (err, socket) =>
     onParserError(err, socket as Socket),
--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -22,6 +22,8 @@
   readonly ends: Pick<ConnectionEnds, 'end' | 'isEnding'>;
   report(socket: Socket, cause: CloseCause, limitMs?: number): void;
   headersTimeoutMs(): number;
+  /** Whether no time limit applies to the head that is under way. */
+  isUnlimited(socket: Socket): boolean;
 }
 
 /** Returns the listener for the server's event `clientError`. */
@@ -44,6 +46,8 @@
   const refuseLate = (err: NodeJS.ErrnoException, socket: Socket) => {
     // The idle time ends a connection that was opened ahead.
     if (connections.isUnused(socket)) return;
+    // Node reports each head once.
+    if (options.isUnlimited(socket)) return;
     const limitMs = options.headersTimeoutMs();
     const requestCount = connections.requestCount(socket);
     afterPoll(() =>
--- a/test/direct/late_headers.test.ts
+++ b/test/direct/late_headers.test.ts
@@ -13,6 +13,8 @@
 const HEAD = requestText('/first');
 const FIRST_BYTES = 10;
 const LARGE_BYTES = 400_000;
+/** Time in which a version of the limits reaches all callers. */
+const KNOWN_WITHIN_MS = 5_000;
 
 let fixture: CallersServerFixture;
 afterEach(() => fixture.server.close());
@@ -104,6 +106,43 @@
     caller.socket.destroy();
   });
 
+  // Guards against a refusal of a head that was begun by a version without a
+  // limit, which its caller could not know to be replaced.
+  test('is read where it began without a limit', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 0});
+    fixture.setLimits({headersTimeoutMs: 300});
+    await sleep(KNOWN_WITHIN_MS - 1_000);
+    const caller = await beginHead();
+    await sleep(3_500);
+    caller.socket.write(HEAD.slice(FIRST_BYTES));
+    await until(() => caller.text() !== '');
+    expect(caller.text()).toContain('answer to /first');
+    caller.socket.destroy();
+  }, 15_000);
+
+  // Guards against descriptors that are never freed.
+  test('is ended where it began without a limit and stops coming', async () => {
+    const idleTimeoutMs = 1_000;
+    fixture = await startCallersServer({headersTimeoutMs: 0, idleTimeoutMs});
+    fixture.setLimits({headersTimeoutMs: 300, idleTimeoutMs});
+    await sleep(KNOWN_WITHIN_MS - 500);
+    const caller = await beginHead();
+    await until(() => caller.closedBy() !== undefined, 6_000);
+    expect(caller.closedBy()).toBe('end');
+    caller.socket.destroy();
+  }, 15_000);
+
+  // Guards against a limit that never applies, since there was none before.
+  test('is refused where it began when callers knew the limit', async () => {
+    fixture = await startCallersServer({headersTimeoutMs: 0});
+    fixture.setLimits({headersTimeoutMs: 300});
+    await sleep(KNOWN_WITHIN_MS + 100);
+    const caller = await beginHead();
+    await until(() => caller.closedBy() !== undefined);
+    expect(caller.text()).toContain('408');
+    caller.socket.destroy();
+  }, 15_000);
+
   // Guards against descriptors that are never freed.
   test('is refused when it takes longer', async () => {
     fixture = await startCallersServer({headersTimeoutMs: 300});
