fix(direct): a fresh entry refuses what is too large with 503 at first

Callers that went by an older, larger limit got 413 or 431 from an entry that had just started, and send nothing again after these.

Cause: a process knows no limits from before its first version, while callers may go by older ones until that version has reached them.

Change: with timing.configMs, 503 is sent instead for so long after the first version.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -45,6 +45,11 @@
    * came, or of a newer one where they are larger.
    */
   readonly limits: () => CallerLimits | undefined;
+  /**
+   * Whether all limits are known that the caller may go by. A request that is too
+   * large is refused with 503 meanwhile, so that it is sent again.
+   */
+  readonly limitsAreComplete: () => boolean;
   /** Undefined where the bytes that the entry holds are not bounded. */
   readonly account?: RequestAccount;
 }
@@ -60,7 +65,7 @@
     return refused(503, 'no configuration yet');
   }
   const refusal = checkHeaders(earlyLimits, req);
-  if (refusal !== undefined) return refusal;
+  if (refusal !== undefined) return tooLarge(options, refusal);
   const {account} = options;
   const waitMs = account?.reserve(announcedBytes(req));
   if (waitMs !== undefined) {
@@ -70,7 +75,9 @@
   const maxBodyBytes = () => (options.limits() ?? earlyLimits).maxBodyBytes;
   const body = await readBody(req, maxBodyBytes, account);
   account?.complete();
-  if (body === undefined) return refused(413, 'the body is too large');
+  if (body === undefined) {
+    return tooLarge(options, refused(413, 'the body is too large'));
+  }
   const current = options.config() ?? earlyConfig;
   // Without a key there is nothing to confirm. In the first moments of an entry
   // the wait may take most of a second.
@@ -152,6 +159,14 @@
   return {status, message};
 }
 
+/** Callers send nothing again after 413 and 431. */
+function tooLarge(
+  {limitsAreComplete}: AdmitOptions,
+  {status, message}: Refusal,
+): Refusal {
+  return refused(limitsAreComplete() ? status : 503, message);
+}
+
 function checkHeaders(
   limits: CallerLimits,
   req: IncomingMessage,
--- a/src/direct/callers/limits_in_force.ts
+++ b/src/direct/callers/limits_in_force.ts
@@ -25,6 +25,11 @@
    * go by. Undefined before the first configuration.
    */
   current(): CallerLimits | undefined;
+  /**
+   * Whether every version that a caller may go by is known here. A process that
+   * has just started knows none before its first one.
+   */
+  isComplete(): boolean;
   /**
    * The time for the headers of any request that may be under way, in
    * milliseconds: a lowered one applies when all requests that began before
@@ -39,6 +44,7 @@
   knownWithinMs: number,
 ): LimitsInForce {
   let newest: CallerLimits | undefined;
+  let firstAt = Number.POSITIVE_INFINITY;
   let older: readonly Superseded[] = [];
   const knownAt = ({at}: Superseded) => at + knownWithinMs;
   /** When no request that began by these limits has time left for its head. */
@@ -50,11 +56,13 @@
     set: limits => {
       if (isDeepStrictEqual(limits, newest)) return;
       const at = now();
+      firstAt = Math.min(firstAt, at);
       const replaced = newest === undefined ? [] : [{limits: newest, at}];
       older = [...older, ...replaced].filter(entry => isOverAt(entry) > at);
       newest = limits;
     },
     newest: () => newest,
+    isComplete: () => now() >= firstAt + knownWithinMs,
     current: () => {
       if (newest === undefined) return undefined;
       const at = now();
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -42,6 +42,8 @@
   /** The newest configuration. */
   config(): DirectConfig | undefined;
   readonly limits: LimitsInForce;
+  /** See `AdmitOptions`. */
+  limitsAreComplete(): boolean;
   isDraining(): boolean;
   readonly serve: Serving['serve'];
   /** Ends the connection unless a further request has come. */
@@ -131,6 +133,7 @@
       random: () => options.random.next(),
       ...options.checks,
       config,
+      limitsAreComplete: options.limitsAreComplete,
       limits: () => widestOf(limits, options.limits.current()),
       account: options.held?.track(req, res),
     };
--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -229,6 +229,7 @@
     checks,
     config: () => config,
     limits,
+    limitsAreComplete: () => configMs === undefined || limits.isComplete(),
     isDraining: () => isDraining,
     serve: serving.serve,
     endWhenIdle: socket => server?.endWhenIdle(socket),
--- a/test/direct/caller_limits.test.ts
+++ b/test/direct/caller_limits.test.ts
@@ -8,6 +8,8 @@
 
 /** Time in which a version reaches all callers. */
 const CONFIG_MS = 1_000;
+/** So long that it is not over when an entry is ready and was called. */
+const FIRST_MS = 5_000;
 
 let fleet: DirectFleet;
 beforeEach(async () => {
@@ -72,3 +74,31 @@
     socket.destroy();
   });
 });
+
+describe('a request that is too large for an entry that has just started', () => {
+  // Guards against a refusal after which a caller sends nothing again, although
+  // an older version which may still be in force for it allows the request.
+  test('is refused as not run until callers can know the limits', async () => {
+    const started = await startDirectFleet({timing: {configMs: FIRST_MS}});
+    const call = (bodyBytes: number, headerBytes = 1) =>
+      callEntry(started, '/again/', {
+        body: 'x'.repeat(bodyBytes),
+        headers: {'X-Large': 'x'.repeat(headerBytes)},
+      });
+    const chunked = () =>
+      callEntry(started, '/again/', {
+        body: 'x'.repeat(20_000),
+        headers: {'Transfer-Encoding': 'chunked'},
+      });
+    expect((await call(20_000)).status).toBe(503);
+    expect((await call(10, 6_000)).status).toBe(503);
+    const early = await chunked();
+    expect(early.status).toBe(503);
+    expect(early.headers.connection).toBe('close');
+    await sleep(FIRST_MS);
+    expect((await call(20_000)).status).toBe(413);
+    expect((await call(10, 6_000)).status).toBe(431);
+    expect((await chunked()).status).toBe(413);
+    await started.close();
+  }, 20_000);
+});
--- a/test/direct/first_moments.test.ts
+++ b/test/direct/first_moments.test.ts
@@ -88,6 +88,7 @@
       keysAreFresh: () => FOREVER,
       denialsAreFresh: () => FOREVER,
       keysUnconfirmedMs: () => 0,
+      limitsAreComplete: () => true,
       config: () => config,
       limits: () => config?.limits,
     };
--- a/test/direct/limits_in_force.test.ts
+++ b/test/direct/limits_in_force.test.ts
@@ -74,6 +74,19 @@
     expect(limits.current()).toEqual(limitsOf(1_000));
   });
 
+  // Guards against a process that takes its first version for all that a caller
+  // may go by.
+  test('are incomplete until callers can know the first ones', () => {
+    const {limits, pass} = start();
+    expect(limits.isComplete()).toBe(false);
+    limits.set(limitsOf(15_000));
+    pass(KNOWN_WITHIN_MS - 1);
+    limits.set(limitsOf(3_000));
+    expect(limits.isComplete()).toBe(false);
+    pass(1);
+    expect(limits.isComplete()).toBe(true);
+  });
+
   test('of time for headers are none while a version has none', () => {
     const {limits} = start();
     limits.set({...limitsOf(15_000), headersTimeoutMs: 0});
