fix(direct): sizes are denied on young evidence only

Callers that knew a raised size before the entry got 413 or 431 from an entry that was cut off from the store, and send nothing again after these.

Cause: a size was checked against the version that the entry had, however old; a route or a key is denied only while evidence from the store is young enough.

Change: the same check for sizes; on older evidence the refusal is 503.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -29,8 +29,8 @@
    */
   readonly keysAreFresh: () => Promise<boolean>;
   /**
-   * Whether the known routes and keys are recent enough to deny a request. May
-   * wait for an answer of the store.
+   * Whether the known routes, keys and limits are recent enough to deny a request.
+   * May wait for an answer of the store.
    */
   readonly denialsAreFresh: () => Promise<boolean>;
   /**
@@ -159,12 +159,16 @@
   return {status, message};
 }
 
-/** Callers send nothing again after 413 and 431. */
-function tooLarge(
-  {limitsAreComplete}: AdmitOptions,
+/**
+ * Callers send nothing again after 413 and 431. The caller may go by larger limits
+ * of an older version, or of one that has not reached this entry.
+ */
+async function tooLarge(
+  {limitsAreComplete, denialsAreFresh}: AdmitOptions,
   {status, message}: Refusal,
-): Refusal {
-  return refused(limitsAreComplete() ? status : 503, message);
+): Promise<Refusal> {
+  const mayDeny = limitsAreComplete() && (await denialsAreFresh());
+  return refused(mayDeny ? status : 503, message);
 }
 
 function checkHeaders(
--- a/test/direct/outdated_denials.test.ts
+++ b/test/direct/outdated_denials.test.ts
@@ -81,3 +81,36 @@
     await until(async () => (await status()) === 200);
   });
 });
+
+describe('a request that is larger than the entry knows to be allowed', () => {
+  const withSizes = (version: number) => {
+    const config = configOf(version);
+    const limits = {...config.limits, maxBodyBytes: 50_000};
+    return {...config, limits: {...limits, maxHeaderBytes: 9_000}};
+  };
+  const status = async (bodyBytes: number, headers = {}) => {
+    const body = 'x'.repeat(bodyBytes);
+    return (await callEntry(fleet, '/again/', {body, headers})).status;
+  };
+  const chunked = {'Transfer-Encoding': 'chunked'};
+  const large = {'X-Large': 'x'.repeat(6_000)};
+
+  // Guards against a refusal after which a caller sends nothing again, while the
+  // entry had no time to learn of the larger limit.
+  test('is refused as not run once a newer version may be in force', async () => {
+    // Until then, callers may go by versions before the entry's first one.
+    await wait(CONFIG_MS);
+    expect(await status(20_000)).toBe(413);
+    fleet.store.setMode('silent');
+    await wait(WATCH_MS);
+    fleet.store.put('config', 'main', withSizes(2));
+    await wait(CONFIG_MS);
+    expect(await status(20_000)).toBe(503);
+    expect(await status(20_000, chunked)).toBe(503);
+    expect(await status(10, large)).toBe(503);
+    fleet.store.setMode('well');
+    await until(async () => (await status(20_000)) === 200);
+    expect(await status(10, large)).toBe(200);
+    expect(await status(60_000)).toBe(413);
+  }, 15_000);
+});
