--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -5,7 +5,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock, Log, Metrics} from '../../types/runtime.js';
+import type {Cancel, Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import {splitAddress} from '../settings.js';
@@ -21,7 +21,9 @@
   statedIdleMs,
 } from './idle_time.js';
 import type {LimitsInForce} from './limits_in_force.js';
+import {FIRST_REQUEST_MS, endOpenedAhead} from './opened_ahead.js';
 import {createParserErrors} from './parser_errors.js';
+import {createUnlimitedHeads} from './unlimited_heads.js';
 
 /**
  * Largest headers that the HTTP parser accepts, in bytes. It exceeds the
@@ -31,19 +33,14 @@
 const PARSER_HEADER_BYTES = 256 * 1024;
 /** Interval at which connections are checked for timeouts, in milliseconds. */
 const TIMEOUT_CHECK_MS = 500;
-/**
- * A connection without a byte for so long is taken for idle when descriptors are
- * short, in milliseconds. On a newer one the first request is on its way.
- */
-const LEAST_IDLE_MS = 1_000;
 /** Status for an `Expect` header other than `100-continue`. */
 const EXPECTATION_FAILED = 417;
 export interface CallersServer {
   /** Applies limits that have changed. */
   applyLimits(): void;
   /**
-   * Accepts no new connections and ends the idle ones. Resolves when requests
-   * that had come on them are taken.
+   * Accepts no new connections and ends the idle ones, and those that were opened
+   * ahead and never used. Resolves when requests that had come on them are taken.
    */
   stopAccepting(): Promise<void>;
   /** Ends a connection unless a further request has come. */
@@ -88,6 +85,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_MS,
   });
   const connections = createCallerConnections(clock.now);
+  const unlimitedHeads = createUnlimitedHeads(connections);
   const ends = createConnectionEnds(clock);
   const descriptorUse = () => ({
     connections: connections.count(),
@@ -207,7 +205,7 @@
     const surplus = surplusOf(use);
     const idleMs = new Map<Socket, number>();
     if (surplus > 0) {
-      connections.visitQuiet(LEAST_IDLE_MS, (socket, {awaitsHeaders}) => {
+      connections.visitQuiet(FIRST_REQUEST_MS, (socket, {awaitsHeaders}) => {
         if (awaitsHeaders && !connections.isUnused(socket)) return;
         idleMs.set(socket, connections.quietMs(socket));
       });
@@ -217,7 +215,7 @@
     if (due.length > 0) {
       afterPoll(() => {
         for (const socket of due) {
-          if (connections.quietMs(socket) < LEAST_IDLE_MS) continue;
+          if (connections.quietMs(socket) < FIRST_REQUEST_MS) continue;
           endQuiet(socket, 'descriptors');
         }
       });
@@ -248,7 +246,10 @@
   const applyLimits = () => {
     const newest = limits.newest();
     if (newest === undefined) return;
-    server.headersTimeout = limits.headersTimeoutMs();
+    const headersTimeoutMs = limits.headersTimeoutMs();
+    const becomesLimited = server.headersTimeout === 0 && headersTimeoutMs > 0;
+    if (becomesLimited) unlimitedHeads.note();
+    server.headersTimeout = headersTimeoutMs;
     server.keepAliveTimeout = statedIdleMs(newest);
   };
   const onParserError = createParserErrors({
@@ -256,6 +257,7 @@
     ends,
     report,
     headersTimeoutMs: () => server.headersTimeout,
+    isUnlimited: unlimitedHeads.has,
   });
   server.on('clientError', (err, socket) =>
     onParserError(err, socket as Socket),
@@ -275,16 +277,23 @@
     freeDescriptors();
     refuseStalled();
   });
+  let cancelStop: Cancel = () => undefined;
   return {
     applyLimits,
     stopAccepting: () =>
       new Promise(resolve => {
-        closeListener(() => afterPoll(resolve));
+        closeListener(() => {
+          const {isEnding} = ends;
+          const end = (socket: Socket) => endQuiet(socket, 'drain');
+          const options = {clock, connections, isEnding, end};
+          cancelStop = endOpenedAhead(options, resolve);
+        });
       }),
     endWhenIdle: socket => afterPoll(() => endIfIdle(socket)),
     close: () =>
       new Promise(resolve => {
         cancelChecks();
+        cancelStop();
         closeListener(() =>
           afterPoll(() => {
             for (const socket of connections.all()) endLast(socket);
