refactor(entry): run an attempt of a request in one place

Cause: a new run, an adopted run and the members of a group each passed the evidence of an attempt to the membership in the same words, and the first two also set the request's current attempt around it in the same lines. Change: run_attempt.ts does both for all of them. The statements and their order stay.

--- a/src/entry/groups/group_run.ts
+++ b/src/entry/groups/group_run.ts
@@ -8,6 +8,7 @@
 import {createAnswerLog} from '../run/answer_log.js';
 import {startAttempt} from '../run/attempt.js';
 import type {Attempt, AttemptOutcome} from '../run/attempt.js';
+import {reportEvidence} from '../run/run_attempt.js';
 import type {ReservedPart} from './group_reserve.js';
 import {withdrawOffer} from '../routing/send_offer.js';
 import type {OfferDeps} from '../routing/send_offer.js';
@@ -60,13 +61,7 @@
       go: {body, call: undefined, deadlineAt: spec.deadlineAt},
       answerLog,
       onStarted,
-      onEvidence: (what, incarnation) =>
-        deps.sendToMembership({
-          kind: 'evidence',
-          address: side,
-          what,
-          incarnation,
-        }),
+      onEvidence: reportEvidence(deps, side),
     });
   };
 
--- a/src/entry/resume/adopt_run.ts
+++ b/src/entry/resume/adopt_run.ts
@@ -5,13 +5,13 @@
  */
 import type {Address, Incarnation} from '../../types/ids.js';
 import {REQUEST_EVENTS} from '../../utils/events.js';
-import {startAttempt} from '../run/attempt.js';
 import type {AttemptOutcome} from '../run/attempt.js';
 import type {ExecuteDeps} from '../run/execute_request.js';
 import type {LocatedRun} from './locate_run.js';
 import {failedEvent, isFinished, isTakenOver} from '../open_request.js';
 import type {OpenRequest} from '../open_request.js';
 import {decideAfterAttempt} from '../run/attempt_decision.js';
+import {runAttempt} from '../run/run_attempt.js';
 
 /** The run to take over, and the request that it belongs to. */
 export interface AdoptRunOptions {
@@ -54,31 +54,17 @@
 }
 
 /** Attaches to the run and waits for the attempt's outcome. */
-async function attachToRun(
+function attachToRun(
   deps: ExecuteDeps,
   options: AdoptRunOptions,
 ): Promise<AttemptOutcome> {
   const {open, located} = options;
-  const attempt = startAttempt(deps, {
+  return runAttempt(deps, open, {
     side: located.side,
     dispatchId: located.res.dispatchId,
     incarnation: options.incarnation,
     organisation: open.organisation,
-    answerLog: open.answerLog,
-    onEvidence: (what, incarnation) =>
-      deps.sendToMembership({
-        kind: 'evidence',
-        address: located.side,
-        what,
-        incarnation,
-      }),
   });
-  open.stopCurrentAttempt = attempt.stop;
-  open.currentAttemptRan = attempt.ran;
-  const outcome = await attempt.outcome;
-  open.stopCurrentAttempt = undefined;
-  open.currentAttemptRan = undefined;
-  return outcome;
 }
 
 /**
--- a/src/entry/run/execute_request.ts
+++ b/src/entry/run/execute_request.ts
@@ -8,7 +8,6 @@
 import type {RequestSpec} from '../../types/services.js';
 import {REQUEST_EVENTS, ROUTING_EVENTS} from '../../utils/events.js';
 import type {FinalEvent} from './answer_log.js';
-import {startAttempt} from './attempt.js';
 import type {AttemptOutcome} from './attempt.js';
 import {planGroup} from '../groups/group_plan.js';
 import {reserveGroup} from '../groups/group_reserve.js';
@@ -27,6 +26,7 @@
 import type {RetryBudget} from '../../limits/retry_budget.js';
 import {decideAfterAttempt} from './attempt_decision.js';
 import type {AttemptDecision} from './attempt_decision.js';
+import {runAttempt} from './run_attempt.js';
 
 export interface ExecuteDeps extends OfferDeps {
   readonly retryBudget: RetryBudget;
@@ -122,26 +122,13 @@
   open.dispatchId = dispatchId;
   deps.sendToMembership({kind: 'own', address: side, dispatchId});
   open.answerLog.setPlacement({kind: 'placed', dispatchId, side});
-  const attempt = startAttempt(deps, {
+  const outcome = await runAttempt(deps, open, {
     side,
     dispatchId,
     incarnation: offer.incarnation,
     organisation: spec.organisation,
     go: {body: spec.body, call: spec.call, deadlineAt: spec.deadlineAt},
-    answerLog: open.answerLog,
-    onEvidence: (what, incarnation) =>
-      deps.sendToMembership({
-        kind: 'evidence',
-        address: side,
-        what,
-        incarnation,
-      }),
   });
-  open.stopCurrentAttempt = attempt.stop;
-  open.currentAttemptRan = attempt.ran;
-  const outcome = await attempt.outcome;
-  open.stopCurrentAttempt = undefined;
-  open.currentAttemptRan = undefined;
   deps.sendToMembership({kind: 'disown', address: side, dispatchId});
   deps.router.endAssignment(side, dispatchId);
   return outcome;
