refactor(front): move the service direct and its gauges into a folder

Cause: the service's file has several jobs, and the parts that they become need a place. Change: git mv of front.ts and gauges.ts to src/direct/front, with their imports and that of direct_wiring.ts. Result: no statement changed; tsc and eslint are clean.

--- a/src/direct/front.ts
+++ b/src/direct/front/front.ts
@@ -4,34 +4,34 @@
  * each replica and the health of each replica. The configuration and the list
  * of replicas arrive as messages from other services.
  */
-import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import {DIRECT_EVENTS} from '../utils/events.js';
-import {probePort} from './crashes/port_probe.js';
-import {createConnectionGate} from './callers/connection_gate.js';
-import {openCallersServer} from './callers/callers_server.js';
-import type {CallersServer} from './callers/callers_server.js';
-import {createLimitsInForce} from './callers/limits_in_force.js';
-import {readId} from './callers/request_id.js';
-import {createRequestIntake} from './callers/request_intake.js';
-import {openDispatch} from './dispatch.js';
-import {createStoreEvidence, maxReadyAgeMs} from './evidence.js';
-import {createEvidenceChecks} from './freshness/evidence_checks.js';
-import {createHeardVersion} from './freshness/heard_version.js';
+import type {ServiceContext, ServiceSpec} from '../../types/kernel.js';
+import {DIRECT_EVENTS} from '../../utils/events.js';
+import {probePort} from '../crashes/port_probe.js';
+import {createConnectionGate} from '../callers/connection_gate.js';
+import {openCallersServer} from '../callers/callers_server.js';
+import type {CallersServer} from '../callers/callers_server.js';
+import {createLimitsInForce} from '../callers/limits_in_force.js';
+import {readId} from '../callers/request_id.js';
+import {createRequestIntake} from '../callers/request_intake.js';
+import {openDispatch} from '../dispatch.js';
+import {createStoreEvidence, maxReadyAgeMs} from '../evidence.js';
+import {createEvidenceChecks} from '../freshness/evidence_checks.js';
+import {createHeardVersion} from '../freshness/heard_version.js';
 import {reportGauges} from './gauges.js';
-import {createHeldBytes} from './held/held_bytes.js';
-import {watchLoopStalls} from './loop_stalls.js';
-import type {DirectMessage} from './messages.js';
-import {createServing} from './serving.js';
-import type {DirectSettings} from './settings.js';
-import {SHARE_REPORT_INTERVAL_MS} from './shares/share_broadcast.js';
-import {reportStandings} from './shares/share_gauges.js';
+import {createHeldBytes} from '../held/held_bytes.js';
+import {watchLoopStalls} from '../loop_stalls.js';
+import type {DirectMessage} from '../messages.js';
+import {createServing} from '../serving.js';
+import type {DirectSettings} from '../settings.js';
+import {SHARE_REPORT_INTERVAL_MS} from '../shares/share_broadcast.js';
+import {reportStandings} from '../shares/share_gauges.js';
 import type {
   DirectConfig,
   HeaderCodec,
   ReadReport,
   Reservations,
-} from './types.js';
-import type {WatchNotices} from './gate/replica_statements.js';
+} from '../types.js';
+import type {WatchNotices} from '../gate/replica_statements.js';
 
 /** Time in which a configuration reaches all callers if no setting bounds it. */
 const CONFIG_KNOWN_WITHIN_MS = 5_000;
--- a/src/direct/gauges.ts
+++ b/src/direct/front/gauges.ts
@@ -1,6 +1,6 @@
 /** Publishes the state of a direct entry as gauges of its metrics endpoint. */
-import type {Cancel, Clock, Metrics} from '../types/runtime.js';
-import type {EvacuationReading} from './gate/evacuations.js';
+import type {Cancel, Clock, Metrics} from '../../types/runtime.js';
+import type {EvacuationReading} from '../gate/evacuations.js';
 
 /** Update interval of the gauges. Collectors read less often than this. */
 const UPDATE_INTERVAL_MS = 1_000;
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -2,7 +2,7 @@
  * Creates and connects the services of a direct entry, which serves upstreams
  * without side processes. The platform's protocol is injected as functions.
  */
-import {createDirectFront} from './direct/front.js';
+import {createDirectFront} from './direct/front/front.js';
 import {maxReadyAgeMs} from './direct/evidence.js';
 import {createStoreFollower} from './direct/store_follower.js';
 import {createHandover} from './direct/handover.js';
