refactor(front): divide the service direct by its jobs

Cause: front.ts connected the parts, drained the entry, repeated reports to peers and held the messages that serving sends to other services.

--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -17,13 +17,11 @@
 import {createStoreEvidence, maxReadyAgeMs} from '../evidence.js';
 import {createEvidenceChecks} from '../freshness/evidence_checks.js';
 import {createHeardVersion} from '../freshness/heard_version.js';
-import {reportGauges} from './gauges.js';
 import {createHeldBytes} from '../held/held_bytes.js';
 import {watchLoopStalls} from '../loop_stalls.js';
 import type {DirectMessage} from '../messages.js';
 import {createServing} from '../serving.js';
 import type {DirectSettings} from '../settings.js';
-import {SHARE_REPORT_INTERVAL_MS} from '../shares/share_broadcast.js';
 import {reportStandings} from '../shares/share_gauges.js';
 import type {
   DirectConfig,
@@ -32,6 +30,10 @@
   Reservations,
 } from '../types.js';
 import type {WatchNotices} from '../gate/replica_statements.js';
+import {createDrain} from './drain.js';
+import {reportGauges} from './gauges.js';
+import {sendPeerReports} from './peer_reports.js';
+import {createServiceLinks} from './service_links.js';
 
 /** Time in which a configuration reaches all callers if no setting bounds it. */
 const CONFIG_KNOWN_WITHIN_MS = 5_000;
@@ -42,32 +44,6 @@
  * a margin, so that no revoked key is accepted after the bound.
  */
 const EVIDENCE_SHARE = 0.9;
-/**
- * Time for which new connections are still accepted after the drain signal. The
- * load balancer sends connections until two readiness checks, one second apart,
- * have failed.
- */
-const ACCEPT_AFTER_DRAIN_MS = 2_600;
-/** Interval at which a drain checks whether all requests have ended. */
-const DRAIN_POLL_MS = 20;
-/** The drain ends this long before the grace time, to send the last answers. */
-const GRACE_MARGIN_MS = 500;
-/**
- * Interval at which some crash reports are sent to one peer. The
- * repetition makes up for reports that were lost.
- */
-const CRASH_REPORT_INTERVAL_MS = 1_000;
-/** Crash reports that fit into one datagram. */
-const REPORTS_PER_DATAGRAM = 4;
-
-/**
- * Interval at which some request limits are reported to one peer. The
- * repetition tells entries that started since, and makes up for lost reports.
- */
-const LIMIT_REPORT_INTERVAL_MS = 1_000;
-/** Limits that fit into one datagram. */
-const LIMITS_PER_DATAGRAM = 8;
-
 export interface DirectFrontOptions {
   readonly settings: DirectSettings;
   readonly incarnation: string;
@@ -126,7 +102,6 @@
   let config: DirectConfig | undefined;
   let server: CallersServer | undefined;
   let isOpening = false;
-  let isDraining = false;
 
   const evidence = createStoreEvidence(
     clock,
@@ -156,33 +131,7 @@
     organisationShares: settings.organisationShares,
     newestConfig: () => config,
     closesAfter: res => intake.closesAfter(res),
-    shareLoads: (loads, changes) =>
-      ctx.send('sharing', {kind: 'load', loads, changes}),
-    limitLinks: {
-      shareReports: (reports, to) =>
-        ctx.send('sharing', {kind: 'limit-reports', reports, to}),
-      sendAsk: (to, ask) => ctx.send('sharing', {kind: 'permit-ask', to, ask}),
-      sendAnswer: (to, answer) =>
-        ctx.send('sharing', {kind: 'permit-answer', to, answer}),
-    },
-    shareCrashReports: reports =>
-      ctx.send('sharing', {kind: 'crash-reports', reports, toAll: true}),
-    quarantine: {
-      onQuarantined: (report, isOwn) =>
-        ctx.send('followed', {kind: 'quarantined', report, isOwn}),
-      onCleared: (digest, isOwn) =>
-        ctx.send('followed', {kind: 'quarantine-cleared', digest, isOwn}),
-      claimTrial: (digest, trial) =>
-        ctx.ask(
-          'followed',
-          (reply: (isGained: boolean | undefined) => void) => ({
-            kind: 'claim-trial',
-            digest,
-            trial,
-            reply,
-          }),
-        ),
-    },
+    ...createServiceLinks(ctx),
   });
 
   const shownEvidenceAgeMs = () =>
@@ -229,7 +178,7 @@
     checks,
     config: () => config,
     limits,
-    isDraining: () => isDraining,
+    isDraining: () => drain.isDraining(),
     serve: serving.serve,
     endWhenIdle: socket => server?.endWhenIdle(socket),
     evidenceFields: () => ({
@@ -280,30 +229,18 @@
     serving.openRequests.giveUpAll('the entry ends');
   };
 
-  const drain = (reply: () => void): void => {
-    if (isDraining) return;
-    isDraining = true;
-    ctx.send('sharing', {kind: 'draining'});
-    const drainStartedAt = clock.now();
-    let hasStoppedAccepting = false;
-    clock.after(ACCEPT_AFTER_DRAIN_MS, () => {
-      void Promise.resolve(server?.stopAccepting()).then(() => {
-        hasStoppedAccepting = true;
-      });
-    });
-    const graceMs = settings.timing.graceS * 1_000 - GRACE_MARGIN_MS;
-    const cancel = clock.every(DRAIN_POLL_MS, () => {
-      const elapsedMs = clock.now() - drainStartedAt;
-      // A request that was served may still have bytes of its answer here.
-      const openCount = serving.openRequests.count() + intake.openCount();
-      const done = hasStoppedAccepting && openCount === 0;
-      if (!done && elapsedMs < graceMs) return;
-      cancel();
+  const drain = createDrain({
+    clock,
+    graceS: settings.timing.graceS,
+    onBegin: () => ctx.send('sharing', {kind: 'draining'}),
+    stopAccepting: () => server?.stopAccepting(),
+    // A request that was served may still have bytes of its answer here.
+    openCount: () => serving.openRequests.count() + intake.openCount(),
+    onEnd: () => {
       serving.openRequests.logCutAtStop();
       endRequests();
-      reply();
-    });
-  };
+    },
+  });
 
   const handle = (message: DirectMessage): void => {
     switch (message.kind) {
@@ -352,7 +289,7 @@
         return serving.permits.handleAnswer(message.answer);
       case 'ready':
         return message.reply(
-          !isDraining &&
+          !drain.isDraining() &&
             server !== undefined &&
             serving.replicas.size() > 0 &&
             // When keys cannot be confirmed, the peers cannot confirm
@@ -363,7 +300,7 @@
       case 'count':
         return message.reply(serving.openRequests.count());
       case 'drain':
-        return drain(message.reply);
+        return drain.begin(message.reply);
     }
   };
 
@@ -373,27 +310,9 @@
   });
   ctx.own(watchLoopStalls(clock, log, metrics));
   ctx.own(reportGauges(clock, metrics, readGauges));
-  const shareSuspects = () => {
-    const reports = serving.crashes.nextReports(REPORTS_PER_DATAGRAM);
-    if (reports.length === 0) return;
-    ctx.send('sharing', {kind: 'crash-reports', reports, toAll: false});
-  };
-  ctx.own(clock.every(CRASH_REPORT_INTERVAL_MS, shareSuspects));
-  const shareLimits = () => {
-    const reports = serving.limits.nextReports(LIMITS_PER_DATAGRAM);
-    if (reports.length === 0) return;
-    ctx.send('sharing', {kind: 'limit-reports', reports, to: 'one'});
-  };
-  ctx.own(clock.every(LIMIT_REPORT_INTERVAL_MS, shareLimits));
+  sendPeerReports(ctx, serving).forEach(ctx.own);
   const {shares} = serving;
   if (shares !== undefined) {
-    const shareTimes = () => {
-      const report = shares.nextReport();
-      if (report !== undefined) {
-        ctx.send('sharing', {kind: 'share-report', report});
-      }
-    };
-    ctx.own(clock.every(SHARE_REPORT_INTERVAL_MS, shareTimes));
     ctx.own(reportStandings({clock, log, metrics, shares}));
   }
   void ctx.mailbox.observe(handle);
