docs(direct): say plainly what some comments left open

Cause: comments of recent changes were wrapped in mid-sentence, named a constant without its module, or left a unit or a subject out. Change: comments only, in seven files.

--- a/src/cli/quarantine_commands.ts
+++ b/src/cli/quarantine_commands.ts
@@ -1,7 +1,6 @@
 /**
  * Commands for the quarantine of requests, and parts of prompts, that crash
- * replicas. They read and
- * remove its records in the platform's store.
+ * replicas. They read and remove its records in the platform's store.
  */
 import {Command, Option} from 'clipanion';
 import type {QuarantineRecord} from '../direct/crashes/crash_reports.js';
--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -174,8 +174,8 @@
 }
 
 /**
- * Returns undefined when the body exceeds `maxBytes`, which may rise. Rejects when the caller
- * closes the connection first.
+ * Resolves to undefined when the body exceeds `maxBytes`, which may rise while
+ * it is read. Rejects when the caller closes the connection first.
  */
 function readBody(
   req: IncomingMessage,
--- a/src/direct/crashes/lost_runs.ts
+++ b/src/direct/crashes/lost_runs.ts
@@ -26,9 +26,9 @@
  */
 const CANCELLED_PROBE_DELAY_MS = 300;
 /**
- * Probes of a replica whose record was removed, as long as none is answered. A
- * paused replica writes no heartbeats, and while its host's queue of
- * connections is full, none is accepted either.
+ * Most probes of a replica whose record was removed, while its host does not
+ * answer them. A paused replica writes no heartbeats, so its record may be
+ * removed, and its host accepts no connection while its queue of them is full.
  */
 const REMOVED_PROBES = 4;
 /** Pause between these probes, in milliseconds. */
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -19,7 +19,8 @@
  * Time between the trials of two subjects, in milliseconds. Trials at the same
  * time may run at the same replica, at two entries as well, and the subject that
  * crashes replicas would end the trial of a harmless one each time. It does not
- * divide `BETTER_TRIAL_WAIT_MS`, by which some trials come later.
+ * divide `BETTER_TRIAL_WAIT_MS` of `crash_watch.ts`, by which some trials come
+ * later.
  */
 const SPACING_MS = 400;
 /** Trials of more subjects share their times, or the last would come late. */
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -62,8 +62,8 @@
   /** True when the request may be sent once although it is quarantined. */
   isTrial: boolean;
   /**
-   * Replaces the version that admitted the request and all that came with it,
-   * but for the time limit, which stays; see `routes/newer_route.ts`.
+   * Replaces the version that admitted the request, and what that version said
+   * of it. The time limit stays as it was; see `routes/newer_route.ts`.
    */
   moveTo(
     to: Pick<AdmittedRequest, 'config' | 'route' | 'service' | 'owner'>,
--- a/src/direct/followed/certain_changes.ts
+++ b/src/direct/followed/certain_changes.ts
@@ -10,9 +10,9 @@
 
 /**
  * Reads the uncertain items that would change what is known, and those of which
- * the answer shows only the name. Where that fails,
- * or where they are too many, the answer becomes a partial one: items that it
- * shows as gone count as gone until a list shows them, and others wait for it.
+ * the answer shows only the name. Where that fails, or where they are too many,
+ * the answer becomes a partial one: items that it shows as removed count as
+ * removed until a list shows them, and all others wait for the list.
  */
 export async function makeCertain<T>(
   collection: Collection<T>,
--- a/src/direct/limits/permit_ledger.ts
+++ b/src/direct/limits/permit_ledger.ts
@@ -54,7 +54,7 @@
   let filledAt = startAt;
   /** When the last refused ask of an urgency was told to come back. */
   const returnsAt = new Map<number, number>();
-  /** Rate by which they were told. */
+  /** Rate, in permits a second, by which the times in `returnsAt` were told. */
   let toldRatePerS = 0;
 
   const refill = (ratePerS: number, now: number): void => {
@@ -67,7 +67,7 @@
     const times = [...returnsAt].filter(([urgency]) => matches(urgency));
     return Math.max(Number.NEGATIVE_INFINITY, ...times.map(([, at]) => at));
   };
-  /** Permits for those who were told a time come earlier at a higher rate. */
+  /** At a higher rate, permits for the refused asks are due earlier than told. */
   const bringForward = (ratePerS: number, now: number): void => {
     if (ratePerS <= toldRatePerS) return;
     for (const [urgency, at] of returnsAt) {
