refactor(answers): keep what is passed on of an answer's head apart

Cause: serve_context.ts holds the state of serving, the dispatch, the class of an answer, and how the replica's headers and framing are passed on. Change: answers/answer_head.ts tells which headers are passed on and whether chunks may be added. The functions that send heads stay where their callers import them. Result: the tests unframed_answers, calls, streams and request_placement pass unchanged.

--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -1,9 +1,13 @@
 /** State of the entry that serving a request needs, and shared steps of it. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {RetryBudget} from '../limits/retry_budget.js';
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
-import {HOP_BY_HOP_HEADERS, connectionOptions} from '../utils/hop_headers.js';
+import {
+  endToEndHeaders,
+  hasNoLength,
+  mayAddChunks,
+} from './answers/answer_head.js';
 import {connectionOf} from './callers/connection_name.js';
 import {beforeSending} from './callers/unsent_error.js';
 import type {ColdReplicas} from './cold/cold_replicas.js';
@@ -33,7 +37,6 @@
   DirectReplica,
   GroupMember,
   HeaderCodec,
-  HeaderList,
 } from './types.js';
 
 export interface ServeContext {
@@ -76,10 +79,6 @@
  */
 const MAX_PRIORITY = 9;
 
-/** Statuses of answers that have no body. */
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-
 /** Replicas that may be chosen, in groups by order of preference. */
 export type CandidateGroups = ReadonlyArray<readonly DirectReplica[]>;
 
@@ -295,34 +294,6 @@
 /** Answers whose chunks are not the replica's. */
 const chunkedHere = new WeakSet<ServerResponse>();
 
-/** Whether only the end of its connection ends the replica's answer. */
-function hasNoLength({headers}: AnswerHead): boolean {
-  const {'content-length': declared, 'transfer-encoding': coding} = headers;
-  return declared === undefined && coding === undefined;
-}
-
-/** Not where there is no body, nor for callers that cannot read chunks. */
-function mayAddChunks(
-  {method, httpVersion}: IncomingMessage,
-  status: number,
-): boolean {
-  const hasBody =
-    method !== 'HEAD' && status !== NO_CONTENT && status !== NOT_MODIFIED;
-  return hasBody && httpVersion !== '1.0';
-}
-
-/** The replica's headers without those of its connection. */
-function endToEndHeaders({rawHeaders}: AnswerHead): HeaderList {
-  const dropped = connectionOptions(rawHeaders);
-  const kept: string[] = [];
-  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-    const name = rawHeaders[at].toLowerCase();
-    if (HOP_BY_HOP_HEADERS.has(name) || dropped.has(name)) continue;
-    kept.push(rawHeaders[at], rawHeaders[at + 1]);
-  }
-  return kept;
-}
-
 /** Refuses a quarantined request, which is not sent to a replica. */
 export function refuseQuarantined(ctx: ServeContext, exchange: Exchange): void {
   const reason = 'requests like this one crash replicas';
