test(direct): more room for a machine under load in the new tests

The bounds that tell the faults apart stay: an idle time that began anew at the first look would be over 10 s at a limit of 4 s, the test allows 8 s.

--- a/test/direct/early_raises.test.ts
+++ b/test/direct/early_raises.test.ts
@@ -10,7 +10,7 @@
 const OLD_IDLE_MS = 1_000;
 const NEW_IDLE_MS = 8_000;
 /** Time for which the entry's link to the store is held back. */
-const HELD_BACK_MS = 4_500;
+const HELD_BACK_MS = 4_800;
 /** Just past the old limit and the margin for a request on its way. */
 const REUSED_AFTER_MS = OLD_IDLE_MS + 2_800;
 
--- a/test/direct/idle_connections.test.ts
+++ b/test/direct/idle_connections.test.ts
@@ -20,7 +20,7 @@
 /** A connection is kept for this much longer than its limit, in milliseconds. */
 const MARGIN_MS = 2_000;
 /** Time within which a connection is looked at after its time. */
-const LOOK_WITHIN_MS = 1_000;
+const LOOK_WITHIN_MS = 2_000;
 
 const fixtures: CallersServerFixture[] = [];
 async function start(...args: Parameters<typeof startCallersServer>) {
@@ -116,7 +116,7 @@
   // Guards against an idle time that begins anew at the first look, so that each
   // connection holds its descriptor for twice the limit.
   test('is closed at its time, counted from its last answer', async () => {
-    const idleTimeoutMs = 2_500;
+    const idleTimeoutMs = 4_000;
     const fixture = await start({idleTimeoutMs});
     const caller = await openIdleCaller(fixture.address);
     const answeredAt = performance.now();
--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -70,7 +70,7 @@
     await sleep(100);
     let hasStopped = false;
     void fixture.server.stopAccepting().then(() => (hasStopped = true));
-    await sleep(600);
+    await sleep(300);
     expect(await ask(caller, '/first')).toContain('answer to /first');
     expect(hasStopped).toBe(false);
     await until(() => late.closedBy() === 'end', 2_000);
