refactor(fault_soak): divide the plan, the callers and the last judgement

Cause: faults.ts named the kinds of faults and drew them, with the same loop in nine functions (two in poison_faults.ts); soak_run.ts drew the plan, played it, ran the callers and judged what holds after all faults. Change: plan/draw_faults.ts draws, plan/random_times.ts has the loop, plan/soak_plan.ts puts the plan together, soak_traffic.ts runs the callers, and soak_end_judge.ts judges the end. fault_soak.test.ts imports drawFaults from plan/draw_faults.ts; nothing else in it changed.

--- a/fault_soak/poison_faults.ts
+++ b/fault_soak/poison_faults.ts
@@ -1,6 +1,7 @@
 /** Faults of a soak in which requests crash the replicas that run them. */
 import type {Random} from '../src/types/runtime.js';
 import type {FaultPlanShape, PlannedFault} from './faults.js';
+import {planAtRandom} from './plan/random_times.js';
 
 /** A request that crashes what runs it comes again, from now to the end. */
 export interface PoisonRequest {
@@ -32,45 +33,33 @@
 const POISON_CRASH_MS = 700;
 const FIRST_PART_SHARE = 0.3;
 
-/** Draws requests that crash replicas, from a chance of their own as well. */
+/** Draws requests that crash replicas, from a separate random sequence as well. */
 export function drawPoison(
   random: Random,
   {durationMs}: FaultPlanShape,
 ): readonly PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  const gap = () => -Math.log(1 - random.next()) * MEAN_POISON_GAP_MS;
-  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
-    const fault: PoisonRequest = {
-      kind: 'poison-request',
-      forMs: 0,
-      path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
-      everyMs: random.next() * POISON_EVERY_MS,
-      callers: 1 + Math.floor(random.next() * POISON_CALLERS),
-      crashMs: random.next() ** 2 * POISON_CRASH_MS,
-    };
-    plan.push({atMs, fault});
-  }
-  return plan;
+  return planAtRandom(random, MEAN_POISON_GAP_MS, durationMs, () => ({
+    kind: 'poison-request',
+    forMs: 0,
+    path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
+    everyMs: random.next() * POISON_EVERY_MS,
+    callers: 1 + Math.floor(random.next() * POISON_CALLERS),
+    crashMs: random.next() ** 2 * POISON_CRASH_MS,
+  }));
 }
 
-/** Draws parts that crash replicas, from a chance of their own as well. */
+/** Draws parts that crash replicas, from a separate random sequence as well. */
 export function drawPoisonParts(
   random: Random,
   {durationMs}: FaultPlanShape,
 ): readonly PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  const gap = () => -Math.log(1 - random.next()) * MEAN_POISON_GAP_MS;
-  for (let atMs = gap(); atMs < durationMs; atMs += gap()) {
-    const fault: PoisonPart = {
-      kind: 'poison-part',
-      forMs: 0,
-      path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
-      everyMs: random.next() * POISON_EVERY_MS,
-      callers: 1 + Math.floor(random.next() * POISON_CALLERS),
-      crashMs: random.next() ** 2 * POISON_CRASH_MS,
-      isFirst: random.next() < FIRST_PART_SHARE,
-    };
-    plan.push({atMs, fault});
-  }
-  return plan;
+  return planAtRandom(random, MEAN_POISON_GAP_MS, durationMs, () => ({
+    kind: 'poison-part',
+    forMs: 0,
+    path: POISON_PATHS[Math.floor(random.next() * POISON_PATHS.length)],
+    everyMs: random.next() * POISON_EVERY_MS,
+    callers: 1 + Math.floor(random.next() * POISON_CALLERS),
+    crashMs: random.next() ** 2 * POISON_CRASH_MS,
+    isFirst: random.next() < FIRST_PART_SHARE,
+  }));
 }
--- a/test/fault_soak.test.ts
+++ b/test/fault_soak.test.ts
@@ -6,7 +6,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
-import {drawFaults} from '../fault_soak/faults.js';
+import {drawFaults} from '../fault_soak/plan/draw_faults.js';
 import {runSoak} from '../fault_soak/soak_run.js';
 import type {SoakReport} from '../fault_soak/soak_run.js';
 import {createSeededRandom} from '../standins/seeded_random.js';
