refactor(fault_soak): keep a replica of the fleet in a module of its own

Cause: soak_fleet.ts held the settings and processes of the fleet, and the stand-in of a replica with its faults and records. Change: soak_replica.ts has the replica, its records' types and SERVICE_COLD; the failure domain is passed in. Importers name it, but for stops_run.ts, for which soak_fleet.ts exports the type SoakReplica on.

--- a/fault_soak/config_changes/troubles.ts
+++ b/fault_soak/config_changes/troubles.ts
@@ -6,7 +6,8 @@
 import {spawn} from 'node:child_process';
 import type {RelayFaults} from '../../standins/relay_core.js';
 import type {Random} from '../../src/types/runtime.js';
-import type {SoakFleet, Span} from '../soak_fleet.js';
+import type {SoakFleet} from '../soak_fleet.js';
+import type {Span} from '../soak_replica.js';
 import {LINK_WELL} from '../soak_inject.js';
 
 /** An entry that was left alone for so long is in touch. */
--- a/fault_soak/silent_replicas/other_replica.ts
+++ b/fault_soak/silent_replicas/other_replica.ts
@@ -4,7 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Random} from '../../src/types/runtime.js';
-import {SERVICE_COLD, TIMING} from '../soak_fleet.js';
+import {TIMING} from '../soak_fleet.js';
+import {SERVICE_COLD} from '../soak_replica.js';
 import type {ReplicaProcess} from './replica_process.js';
 import type {SilenceFleet} from './silence_fleet.js';
 import {SILENCES_MS} from './silence_shapes.js';
--- a/fault_soak/silent_replicas/silence_config.ts
+++ b/fault_soak/silent_replicas/silence_config.ts
@@ -11,7 +11,8 @@
 } from '../../standins/users_platform/deployment.js';
 import type {StoreStandIn} from '../../standins/users_platform/store.js';
 import type {Random} from '../../src/types/runtime.js';
-import {SERVICE_COLD, TIMING} from '../soak_fleet.js';
+import {TIMING} from '../soak_fleet.js';
+import {SERVICE_COLD} from '../soak_replica.js';
 import {
   DEADLINE_MS,
   FIRST_EVENT_AIM_MS,
--- a/fault_soak/soak_cold.ts
+++ b/fault_soak/soak_cold.ts
@@ -7,8 +7,10 @@
  * not counted: they concern the earlier start, and need no permit.
  */
 import {mostInWindow} from '../standins/sliding_window.js';
-import type {Reached, SoakFleet, SoakReplica} from './soak_fleet.js';
-import {COLD_REPLICAS, SERVICE_COLD} from './soak_fleet.js';
+import type {SoakFleet} from './soak_fleet.js';
+import type {Reached, SoakReplica} from './soak_replica.js';
+import {COLD_REPLICAS} from './soak_fleet.js';
+import {SERVICE_COLD} from './soak_replica.js';
 import type {Violation} from './soak_judge.js';
 
 const WINDOW_MS = 1_000;
--- a/fault_soak/soak_evacuations.ts
+++ b/fault_soak/soak_evacuations.ts
@@ -6,7 +6,8 @@
  */
 import type {StoreStandIn} from '../standins/users_platform/store.js';
 import type {Disturbance} from './soak_disturbance.js';
-import type {Reached, SoakFleet, SoakReplica} from './soak_fleet.js';
+import type {SoakFleet} from './soak_fleet.js';
+import type {Reached, SoakReplica} from './soak_replica.js';
 import {TIMING} from './soak_fleet.js';
 import type {Violation} from './soak_judge.js';
 
--- a/fault_soak/soak_inject.ts
+++ b/fault_soak/soak_inject.ts
@@ -4,8 +4,10 @@
 import type {Fault, RestoreStore, ServerLimit} from './faults.js';
 import type {PoisonPart, PoisonRequest} from './poison_faults.js';
 import type {Evacuator} from './soak_evacuations.js';
-import type {SoakFleet, Span} from './soak_fleet.js';
-import {SERVICE_COLD, TIMING} from './soak_fleet.js';
+import type {SoakFleet} from './soak_fleet.js';
+import type {Span} from './soak_replica.js';
+import {TIMING} from './soak_fleet.js';
+import {SERVICE_COLD} from './soak_replica.js';
 import type {Violation} from './soak_judge.js';
 
 /** An entry may end this much after its grace period. */
--- a/fault_soak/soak_limits.ts
+++ b/fault_soak/soak_limits.ts
@@ -5,12 +5,8 @@
  * counted.
  */
 import type {Disturbance} from './soak_disturbance.js';
-import type {
-  NamedLimit,
-  Reached,
-  SoakFleet,
-  SoakReplica,
-} from './soak_fleet.js';
+import type {SoakFleet} from './soak_fleet.js';
+import type {NamedLimit, Reached, SoakReplica} from './soak_replica.js';
 import type {Violation} from './soak_judge.js';
 import type {Outcome} from './soak_requests.js';
 
--- a/fault_soak/soak_notices.ts
+++ b/fault_soak/soak_notices.ts
@@ -3,7 +3,8 @@
  * that they leave, and that they want no requests for a while.
  */
 import type {Disturbance} from './soak_disturbance.js';
-import type {SoakFleet, SoakReplica} from './soak_fleet.js';
+import type {SoakFleet} from './soak_fleet.js';
+import type {SoakReplica} from './soak_replica.js';
 import {TIMING} from './soak_fleet.js';
 import type {Violation} from './soak_judge.js';
 import type {Outcome} from './soak_requests.js';
