fix(shares): a flood no longer holds back organisations that are short of their share

Now requests rejected as above their share are not counted by their urgency, and an organisation that has used less than nine tenths of its share while another is above its own does not pay the usual price. It pays the price for urgency as before. Without the setting organisationShares nothing changes.

--- a/src/direct/decide/place_or_wait.ts
+++ b/src/direct/decide/place_or_wait.ts
@@ -124,7 +124,7 @@
   if (req.elapsedMs + plan.firstEventMs > req.callerTimeoutMs) {
     return refusal(pool, 'the caller would leave');
   }
-  if (costToOthers(pool, plan) > req.weight * (1 - plan.ownLoss)) {
+  if (costToOthers(pool, plan, req) > req.weight * (1 - plan.ownLoss)) {
     return isLateOnIdleEngines(pool, req)
       ? refusal(pool, 'late for its cost')
       : {kind: 'wait', reason: 'costs others more'};
@@ -142,7 +142,12 @@
  * Expected loss of other requests: those on the engines now, and, by the price of
  * engine time, those that arrive during the prefill.
  */
-function costToOthers(pool: EnginePool, plan: EnginePlan): number {
+function costToOthers(
+  pool: EnginePool,
+  plan: EnginePlan,
+  {sharePrice}: PlacingRequest,
+): number {
+  if (sharePrice?.isShort) return plan.harm;
   const {candidates, fullness = defaultFullness} = pool;
   return plan.harm + fullPrice(pool, plan) * fullness(candidates);
 }
@@ -166,8 +171,8 @@
   const surcharge =
     fullPrice(pool, plan) * (factor - 1) * shareFullness(pool.candidates);
   const gain = req.weight * (1 - plan.ownLoss);
-  const cost = costToOthers(pool, plan) + surcharge;
-  if (surcharge === 0 || cost <= gain) return undefined;
+  const cost = costToOthers(pool, plan, req) + surcharge;
+  if (cause === undefined || surcharge === 0 || cost <= gain) return undefined;
   const hasProspect =
     cost <= NO_PROSPECT * gain && req.elapsedMs < HELD_AIM_SHARE * req.aimMs;
   return hasProspect ? {kind: 'wait', reason: cause} : refusal(pool, cause);
--- a/src/direct/decide/share_price.ts
+++ b/src/direct/decide/share_price.ts
@@ -7,8 +7,11 @@
  * under overload whether it is served. A few large organisations, or callers
  * that repeat their requests aggressively, then take the capacity of the
  * others. The price rises only for the requests named above, and only while the
- * engines are full. No organisation has a fixed limit, so capacity that nobody
- * else wants is never left unused.
+ * engines are full. An organisation that is short of its share while another one
+ * is above its own does not pay the usual price: that price keeps engine time
+ * for later requests, and during a flood these are mostly those of the flood. No
+ * organisation has a fixed limit, so capacity that nobody else wants is never
+ * left unused.
  */
 import type {EngineCandidate} from './score_engine.js';
 
@@ -19,6 +22,11 @@
    * it used its share or less, and where its use is not known.
    */
   readonly excess: number;
+  /**
+   * Whether the organisation is short of its fair share while another one is
+   * above its own. @default false
+   */
+  readonly isShort?: boolean;
   /**
    * Served share of the requests of this urgency, minus the lowest such share of
    * a greater urgency, but at least 0.
@@ -31,11 +39,17 @@
 /** Why engine time costs more for a request. */
 export type ShareCause = 'above its share' | 'less urgent';
 
-/** How much more engine time costs for a request. */
+/** How much more or less engine time costs for a request. */
 export interface SharePrice {
   /** At least 1. */
   readonly factor: number;
-  readonly cause: ShareCause;
+  /** Undefined where the factor is 1. */
+  readonly cause?: ShareCause;
+  /**
+   * Whether the request does not pay the usual price of engine time, because its
+   * organisation is short of its share. @default false
+   */
+  readonly isShort?: boolean;
 }
 
 /**
@@ -43,7 +57,7 @@
  * estimate from the reports of other entries, and single long prompts change
  * it. With a smaller value, organisations of equal load are held back by turns.
  */
-const FREE_EXCESS = 0.1;
+export const FREE_EXCESS = 0.1;
 /**
  * Growth of the price with the excess: at an excess of 1.3 it is five times the
  * usual price, and at 1.7 about a hundred times. A short prompt is worth
@@ -86,7 +100,7 @@
  * objective.
  */
 export function sharePrice(
-  {excess, servedLead, gainLead}: ShareStanding,
+  {excess, isShort = false, servedLead, gainLead}: ShareStanding,
   ageAims: number,
 ): SharePrice | undefined {
   const ageing = clamp(2 - ageAims / AGEING_AIMS);
@@ -97,9 +111,9 @@
   );
   const forUrgency = growth(lead, LEAD_GROWTH * ageing);
   const factor = Math.min(MAX_FACTOR, forExcess * forUrgency);
-  if (factor <= 1) return undefined;
+  if (factor <= 1) return isShort ? {factor: 1, isShort} : undefined;
   const cause = forExcess >= forUrgency ? 'above its share' : 'less urgent';
-  return {factor, cause};
+  return {factor, cause, isShort};
 }
 
 function growth(beyond: number, rate: number): number {
--- a/src/direct/shares/engine_time_record.ts
+++ b/src/direct/shares/engine_time_record.ts
@@ -43,6 +43,11 @@
 export interface EngineTimeRecord {
   /** Records a request, placed or not; call it before `placed`. */
   asked(req: RecordedRequest): void;
+  /**
+   * Records the engine time of a request that was rejected because its
+   * organisation is above its share. It is not counted by its urgency.
+   */
+  askedAboveShare(req: RecordedRequest): void;
   /**
    * Records that the request was placed; its engine time counts as used. `gain`
    * is 1 where it is expected in time, and less where it is late.
@@ -121,6 +126,10 @@
       add(times, [req.engineMs, 0]);
       add(counts, [1, 0, 0]);
     },
+    askedAboveShare: req => {
+      const {times} = sumsOf(req);
+      add(times, [req.engineMs, 0]);
+    },
     placed: (req, gain) => {
       const {times, counts} = sumsOf(req);
       add(times, [0, req.engineMs]);
--- a/src/direct/shares/organisation_shares.ts
+++ b/src/direct/shares/organisation_shares.ts
@@ -8,6 +8,7 @@
  */
 import type {Clock} from '../../types/runtime.js';
 import {fairLevel} from '../decide/fair_level.js';
+import {FREE_EXCESS} from '../decide/share_price.js';
 import type {ShareStanding} from '../decide/share_price.js';
 import {createEngineTimeRecord} from './engine_time_record.js';
 import type {
@@ -35,6 +36,11 @@
  * for all less urgent ones.
  */
 const PRESUMED_SERVED = 2;
+/**
+ * An organisation that has used less than this part of its share is short of it;
+ * no organisation may get less while another one is above its own.
+ */
+const SHORT_SHARE = 0.9;
 
 /** Excess of the organisations with the largest one, for metrics. */
 export interface ShareReading {
@@ -47,7 +53,7 @@
 
 export interface OrganisationShares
   extends
-    Pick<EngineTimeRecord, 'asked' | 'placed'>,
+    Pick<EngineTimeRecord, 'asked' | 'askedAboveShare' | 'placed'>,
     Pick<FleetTimes, 'merge' | 'setEntryCount' | 'reportCount'> {
   standingOf(req: RecordedRequest): ShareStanding;
   /** Engine time that this entry's requests used, in milliseconds. */
@@ -72,6 +78,8 @@
   readonly times: ServiceTimes;
   readonly usedMs: number;
   readonly level: number;
+  /** Largest excess of an organisation. */
+  readonly maxExcess: number;
 }
 
 export function createOrganisationShares(
@@ -96,12 +104,12 @@
       (sum, it) => sum + it.usedMs,
       0,
     );
-    return {
-      at: clock.now(),
-      times,
-      usedMs,
-      level: fairLevel(claims, usedMs),
-    };
+    const level = fairLevel(claims, usedMs);
+    const excesses = [...times.organisations].map(([name, it]) =>
+      level > 0 ? it.usedMs / (level * weightOf(name)) : 1,
+    );
+    const maxExcess = excesses.reduce((most, it) => Math.max(most, it), 1);
+    return {at: clock.now(), times, usedMs, level, maxExcess};
   };
   const sharesOf = (service: string): ServiceShares => {
     const known = computed.get(service);
@@ -117,17 +125,35 @@
     const shareMs = level * weightOf(name);
     return shareMs > 0 ? Math.max(1, usedMs / shareMs) : 1;
   };
+  // The request itself counts as wanted; it is recorded only when it is placed or
+  // has ended.
+  const isShort = (
+    {level, times, maxExcess}: ServiceShares,
+    {organisation, engineMs}: RecordedRequest,
+  ): boolean => {
+    if (maxExcess <= 1 + FREE_EXCESS) return false;
+    const {usedMs = 0, wantedMs = 0} =
+      times.organisations.get(organisation) ?? {};
+    const shareMs = Math.min(
+      wantedMs + engineMs,
+      level * weightOf(organisation),
+    );
+    return usedMs < SHORT_SHARE * shareMs;
+  };
 
   return {
     asked: record.asked,
+    askedAboveShare: record.askedAboveShare,
     placed: record.placed,
     merge: fleet.merge,
     setEntryCount: fleet.setEntryCount,
     reportCount: fleet.reportCount,
-    standingOf: ({service, organisation, urgency}) => {
+    standingOf: req => {
+      const {service, organisation, urgency} = req;
       const shares = sharesOf(service);
       return {
         excess: excessOf(shares, organisation),
+        isShort: isShort(shares, req),
         ...urgencyLeadOf(shares.times, urgency),
       };
     },
--- a/src/direct/shares/request_shares.ts
+++ b/src/direct/shares/request_shares.ts
@@ -106,11 +106,18 @@
     let isAnswered = false;
     let isCounted = false;
     let isPlaced = false;
+    /** Why the last decision did not place it, if the shares did that. */
+    let heldFor: ShareCause | undefined;
     // A request is counted when it is placed or has ended without that. If it
     // were counted on arrival, those that wait a moment would look unserved.
     const count = () => {
       // What a repetition wants was counted with the first request.
-      if (!isCounted && earlier.kind === 'none') shares.asked(recorded());
+      if (!isCounted && earlier.kind === 'none') {
+        // If these were counted by their urgency, a flood of urgent requests
+        // would hold back less urgent ones of all other organisations.
+        if (heldFor === 'above its share') shares.askedAboveShare(recorded());
+        else shares.asked(recorded());
+      }
       isCounted = true;
     };
     exchange.signal.addEventListener('abort', count, {once: true});
@@ -152,7 +159,9 @@
           (clock.now() - firstAt) / route.aimMs,
         ),
       decided: decision => {
+        heldFor = undefined;
         if (decision.kind === 'place' || !isShareCause(decision.reason)) return;
+        heldFor = decision.reason;
         const outcome = decision.kind === 'wait' ? 'waits' : 'refused';
         logHeld(outcome, decision.reason);
       },
--- a/test/direct/organisation_shares.test.ts
+++ b/test/direct/organisation_shares.test.ts
@@ -108,6 +108,47 @@
   });
 });
 
+describe('an organisation is short of its share', () => {
+  const FLOOD_MS = 1_000;
+  const isShort = (
+    shares: OrganisationShares,
+    organisation: string,
+    engineMs = 100,
+  ) => shares.standingOf(requestOf(organisation, engineMs)).isShort;
+
+  // Guards against the requests of a flood that are let through, and against
+  // those of others that pay for it.
+  test('while another one is above its own', () => {
+    const {shares} = createEntry();
+    use(shares, 'flood', FLOOD_MS);
+    shares.asked(requestOf('flood', FLOOD_MS));
+    shares.asked(requestOf('small', 400));
+    expect(isShort(shares, 'small')).toBe(true);
+    // Its first request is not recorded yet.
+    expect(isShort(shares, 'new')).toBe(true);
+    expect(isShort(shares, 'flood')).toBe(false);
+  });
+
+  // Guards against a discount for each organisation whose requests wait.
+  test('not while none is above its own', () => {
+    const {shares} = createEntry();
+    for (const organisation of ['a', 'b', 'c']) {
+      use(shares, organisation, FLOOD_MS);
+      shares.asked(requestOf(organisation, FLOOD_MS));
+    }
+    expect(isShort(shares, 'a')).toBe(false);
+    expect(isShort(shares, 'new')).toBe(false);
+  });
+
+  test('not while it has used nine tenths of it', () => {
+    const {shares} = createEntry();
+    use(shares, 'flood', FLOOD_MS);
+    use(shares, 'small', 95);
+    shares.asked(requestOf('small', 2));
+    expect(isShort(shares, 'small', 3)).toBe(false);
+  });
+});
+
 describe('reports between entries', () => {
   test('let an entry see a flood that goes to other entries', () => {
     const clock = createVirtualClock();
@@ -248,6 +289,21 @@
   });
 });
 
+describe('the price for an organisation that is short of its share', () => {
+  const standing = {excess: 1, isShort: true, ...NO_LEAD};
+
+  test('is not the usual one', () => {
+    expect(sharePrice(standing, 0)).toEqual({factor: 1, isShort: true});
+  });
+
+  // Guards against less urgent requests that are served more often.
+  test('rises for less urgent requests as for others', () => {
+    const {factor, cause} = sharePrice({...standing, servedLead: 0.3}, 0) ?? {};
+    expect(factor).toBeGreaterThan(2);
+    expect(cause).toBe('less urgent');
+  });
+});
+
 describe('a decision with a price', () => {
   const req = {
     isNew: true,
@@ -286,6 +342,15 @@
     });
   });
 
+  // Guards against a price that keeps engine time for the requests of a flood
+  // and from those of others.
+  test('places one whose organisation is short of its share', () => {
+    const pool = {...poolOf(120), weightPerPrefillMs: 200_000};
+    const short = {...req, sharePrice: {factor: 1, isShort: true}};
+    expect(placeOrWait(pool, req).kind).not.toBe('place');
+    expect(placeOrWait(pool, short).kind).toBe('place');
+  });
+
   // Guards against a request that is rejected as not run though a part of its
   // answer was sent.
   test('places one that a replica has begun', () => {
