fix(direct): a server that opens after its service has ended is closed

What callers saw: all requests were refused with 503 ("the entry ends") until the process restarted, if the service failed while its server was being opened. Cause: the server was known only once it listened, so the end of the service did not close it; it went on listening, and the next server found the address in use. Change: a server that is opened for a service that has ended is closed at once.

--- a/src/direct/front.ts
+++ b/src/direct/front.ts
@@ -127,6 +127,7 @@
   let server: CallersServer | undefined;
   let isOpening = false;
   let isDraining = false;
+  let hasEnded = false;
 
   const evidence = createStoreEvidence(
     clock,
@@ -248,7 +249,7 @@
 
   const openServer = async (): Promise<void> => {
     isOpening = true;
-    server = await openCallersServer({
+    const opened = await openCallersServer({
       address: settings.listen.callers,
       handler: intake.take,
       admit: connectionGate.admit,
@@ -257,6 +258,8 @@
       log,
       metrics,
     });
+    if (hasEnded) return opened.close();
+    server = opened;
     log(DIRECT_EVENTS.listening, {address: settings.listen.callers});
   };
 
@@ -368,6 +371,7 @@
   };
 
   ctx.own(() => {
+    hasEnded = true;
     endRequests();
     return server?.close();
   });
--- a/test/direct/front_restarts.test.ts
+++ b/test/direct/front_restarts.test.ts
@@ -2,10 +2,12 @@
 import {createServer} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, expect, test} from 'vitest';
+import {DIRECT_EVENTS} from '../../src/utils/events.js';
 import {
   callEntry,
   nextAddress,
   startDirectFleet,
+  until,
 } from '../support/direct_fleet.js';
 
 /** Longer than the entry takes to read everything from the store. */
@@ -25,4 +27,32 @@
     await fleet.close();
     expect(answer.status).toBe(200);
   }, 30_000);
+
+  // Guards against a server that goes on listening after its service has ended:
+  // it refuses all requests, and the next one finds its address in use.
+  test('serves after a failure while its server was being opened', async () => {
+    const fleet = await startDirectFleet();
+    const {kernel} = fleet.entry;
+    const {events} = fleet.runtime;
+    const fail = () =>
+      kernel.send('direct', {kind: 'replicas', replicas: undefined} as never);
+    const adoptions = () =>
+      fleet.runtime.eventsOf(DIRECT_EVENTS.configAdopted).length;
+    const push = events.push.bind(events);
+    let hasFailed = false;
+    events.push = (...added) => {
+      const count = push(...added);
+      if (adoptions() === 2 && !hasFailed) {
+        hasFailed = true;
+        fail();
+      }
+      return count;
+    };
+    fail();
+    await until(() => adoptions() === 3);
+    await sleep(HELD_MS);
+    const answer = await callEntry(fleet, '/again/');
+    await fleet.close();
+    expect(answer.status).toBe(200);
+  });
 });
