--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -102,6 +102,7 @@
   let config: DirectConfig | undefined;
   let server: CallersServer | undefined;
   let isOpening = false;
+  let hasEnded = false;
 
   const evidence = createStoreEvidence(
     clock,
@@ -198,7 +199,7 @@
 
   const openServer = async (): Promise<void> => {
     isOpening = true;
-    server = await openCallersServer({
+    const opened = await openCallersServer({
       address: settings.listen.callers,
       handler: intake.take,
       admit: connectionGate.admit,
@@ -208,6 +209,8 @@
       log,
       metrics,
     });
+    if (hasEnded) return opened.close();
+    server = opened;
     log(DIRECT_EVENTS.listening, {address: settings.listen.callers});
   };
 
@@ -307,6 +310,7 @@
   };
 
   ctx.own(() => {
+    hasEnded = true;
     endRequests();
     return server?.close();
   });
