test(endless-bytes): a replica may be chosen again once its time of being avoided is over

The product does what it states.

The test now reads from the entry's events that the failure was counted, and that no stream was placed at the replica within 250 ms of it; a stream that was placed later fails there again and is followed by another one, until one goes to the other replica. Recorded events have times of the process's clock for that.

--- a/standins/recording_runtime.ts
+++ b/standins/recording_runtime.ts
@@ -16,7 +16,7 @@
 import type {VirtualClock} from './virtual_clock.js';
 
 export interface RecordedEvent {
-  /** On the virtual clock. */
+  /** On the virtual clock, or by `RecordingOptions.now`. */
   readonly at: number;
   readonly event: EventSpec;
   readonly fields: LogFields;
@@ -52,6 +52,8 @@
   readonly clock?: VirtualClock;
   /** Chance to share between several runtimes. @default from `seed` */
   readonly random?: Random;
+  /** Time of recorded events, in milliseconds. @default the virtual clock's */
+  readonly now?: () => number;
 }
 
 function seriesOf(name: string, labels: MetricLabels): string {
@@ -119,6 +121,7 @@
 ): RecordingRuntime {
   const clock = options.clock ?? createVirtualClock();
   const random = options.random ?? createSeededRandom(options.seed ?? 1);
+  const {now = clock.now} = options;
   const metrics = createRecordedMetrics();
   const events: RecordedEvent[] = [];
   const violations: string[] = [];
@@ -128,7 +131,7 @@
     random,
     metrics,
     log: (event, fields) => {
-      events.push({at: clock.now(), event, fields});
+      events.push({at: now(), event, fields});
     },
     invariant: (holds, name, fields) => {
       if (holds) return;
