test(fault-soak): a broken promise of idle connections tells when its connection was opened

It now tells when the connection was opened, and when the entry last reported that it closed new ones.

--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -50,12 +50,13 @@
 export async function callInSeries(shape: CallerShape): Promise<void> {
   const {link, random, isOver} = shape;
   while (!isOver()) {
+    const openedAt = performance.now();
     const socket = shape.isInRotation() ? await link.open() : undefined;
     if (socket === undefined) {
       await sleep(RETRY_MS);
       continue;
     }
-    const connection = createIdleConnection(socket);
+    const connection = createIdleConnection(socket, openedAt);
     await useUntilClosed(shape, connection);
     connection.destroy();
     // Else the callers of one moment would flood their entry together.
@@ -68,9 +69,10 @@
   shape: CallerShape,
   longestMs: () => number,
 ): Promise<'closed' | 'kept' | 'over'> {
+  const openedAt = performance.now();
   const socket = await shape.link.open();
   if (socket === undefined) return 'over';
-  const connection = createIdleConnection(socket);
+  const connection = createIdleConnection(socket, openedAt);
   await exchange(shape, connection);
   while (connection.closedAt() === undefined && !shape.isOver()) {
     if (performance.now() - connection.idleFrom() > longestMs()) break;
--- a/fault_soak/idle_connections/idle_connection.ts
+++ b/fault_soak/idle_connections/idle_connection.ts
@@ -36,6 +36,8 @@
   readonly idleMs: number | undefined;
   /** What the last answer stated before; undefined where it stated nothing. */
   readonly statedMs: number | undefined;
+  /** When its caller began to open the connection. */
+  readonly openedAt: number;
   readonly beganAt: number;
   /** Undefined where a part of the request was never sent. */
   readonly headSentAt: number | undefined;
@@ -71,7 +73,10 @@
   firstByteAt: number | undefined;
 }
 
-export function createIdleConnection(socket: Socket): IdleConnection {
+export function createIdleConnection(
+  socket: Socket,
+  openedAt: number,
+): IdleConnection {
   let waiting: Waiting[] = [];
   let seen: Seen[] = [];
   let text = '';
@@ -89,7 +94,7 @@
     const {asked, ...times} = one;
     const endedAt = performance.now();
     const isBehindClose = isClosing;
-    const ended = {endedAt, end, status, isBehindClose};
+    const ended = {openedAt, endedAt, end, status, isBehindClose};
     seen.push({...asked, ...times, ...before, ...ended});
   };
   const endAll = (end: End): void => {
--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -303,18 +303,22 @@
   {history, entry, runs, delayMs}: JudgedFacts,
 ): readonly string[] {
   if (verdict.kind !== 'broken') return [];
-  const {id, end, status, idleMs, statedMs, beganAt, sentAt, endedAt} = seen;
+  const {id, end, status, idleMs, statedMs, sentAt} = seen;
+  const {openedAt, beganAt, endedAt} = seen;
   const ms = (from: number | undefined, to: number | undefined) =>
     from === undefined || to === undefined
       ? 'none'
       : `${Math.round(to - from)} ms`;
   const last = history.filter(({at}) => at <= endedAt).at(-1);
+  const turnedAwayAt = entry.turnedAwayAt.filter(at => at <= endedAt).at(-1);
   return [
     `${id} ${verdict.what}: ${end} ${status ?? ''}, ` +
       `${ms(sentAt, endedAt)} after it was sent, ${ms(beganAt, endedAt)} after it began; ` +
+      `opened ${ms(openedAt, beganAt)} before it began, ` +
       `idle ${ms(0, idleMs)}, stated ${ms(0, statedMs)}, cut ${seen.cut}, link ${delayMs} ms, ` +
       `ran ${runs} times; version ${last?.version} acknowledged ${ms(beganAt, last?.at)} and ` +
       `adopted ${ms(beganAt, entry.adoptedAt(last?.version ?? 0))} after it began, ` +
+      `new connections closed ${ms(turnedAwayAt, endedAt)} before its end, ` +
       `ended at ${new Date(performance.timeOrigin + endedAt).toISOString()}`,
   ];
 }
--- a/test/idle_judge.test.ts
+++ b/test/idle_judge.test.ts
@@ -48,6 +48,7 @@
     bodyBytes: 8,
     idleMs: 3_000,
     statedMs: 9_000,
+    openedAt: SENT_AT - 4_000,
     beganAt: SENT_AT,
     headSentAt: SENT_AT,
     sentAt: SENT_AT,
