test(fault-soak): an answer that its deadline cuts short counts against no entry

All three had been sent at once with a deadline of 4 s, so the time of each was over.

The judge now passes over these, and reports their number: only where the whole deadline is over, the first one's answer had begun, and so can't be replaced by a refusal, and the others were sent with it.

--- a/fault_soak/stops_and_records/pipelining_caller.ts
+++ b/fault_soak/stops_and_records/pipelining_caller.ts
@@ -8,16 +8,21 @@
 
 /** Paths of the requests that are sent at once: a stream, and two behind it. */
 const PATHS = ['/stream/', '/once/', '/once/'] as const;
-const DEADLINE_MS = 4_000;
+/** Time that a caller gives its requests. */
+export const DEADLINE_MS = 4_000;
 
 /** How one request ended. Times are steady milliseconds. */
 export interface PipelinedOutcome {
   readonly id: string;
+  /** Of the first request that was sent with it. */
+  readonly firstId: string;
   readonly entry: number;
   readonly writtenAt: number;
   readonly endedAt: number;
   /** Undefined where the connection ended without a whole answer. */
   readonly status: number | undefined;
+  /** Some of its answer came. */
+  readonly hasBegun: boolean;
 }
 
 export interface PipeliningCaller {
@@ -31,6 +36,7 @@
 
 interface Waiting {
   readonly id: string;
+  readonly firstId: string;
   readonly writtenAt: number;
 }
 
@@ -44,7 +50,9 @@
   let isClosing = false;
 
   const sendNext = (): void => {
-    waiting = PATHS.map(() => ({id: nextId(), writtenAt: performance.now()}));
+    const ids = PATHS.map(nextId);
+    const writtenAt = performance.now();
+    waiting = ids.map(id => ({id, firstId: ids[0], writtenAt}));
     socket.write(
       waiting.map(({id}, at) => requestText(PATHS[at], id)).join(''),
     );
@@ -59,7 +67,8 @@
       const [first, ...rest] = waiting;
       waiting = rest;
       if (first === undefined) continue;
-      onEnd({...first, entry, endedAt: performance.now(), status});
+      const endedAt = performance.now();
+      onEnd({...first, entry, endedAt, status, hasBegun: true});
       if (rest.length > 0) continue;
       if (isClosing || isOver()) socket.destroy();
       else sendNext();
@@ -74,9 +83,10 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       const endedAt = performance.now();
-      for (const it of waiting) {
-        onEnd({...it, entry, endedAt, status: undefined});
-      }
+      waiting.forEach((it, at) => {
+        const hasBegun = at === 0 && text !== '';
+        onEnd({...it, entry, endedAt, status: undefined, hasBegun});
+      });
       resolve();
     });
   });
--- a/fault_soak/stops_and_records/stops_run.ts
+++ b/fault_soak/stops_and_records/stops_run.ts
@@ -12,6 +12,7 @@
 import {startForeignWriter} from './foreign_writer.js';
 import {useConnection} from './pipelining_caller.js';
 import type {PipelinedOutcome} from './pipelining_caller.js';
+import {judgeOutcomes} from './stops_judge.js';
 
 export interface StopsShape {
   readonly seed: number;
@@ -29,6 +30,8 @@
   readonly foreignWrites: number;
   readonly requests: number;
   readonly byStatus: Readonly<Record<string, number>>;
+  /** Requests whose time was over in or behind an answer that had begun. */
+  readonly outOfTime: number;
   /** Calls that reached the store, a second and entry. */
   readonly storeCalls: number;
   readonly violations: readonly string[];
@@ -40,8 +43,6 @@
 const LEAVING_MS = 2_000;
 /** An entry is held to removals this long after a signal or a start of it. */
 const IN_TOUCH_MS = 3_000;
-/** A request that is written so shortly before the end crosses the close. */
-const CROSSING_MS = 200;
 const START_LIMIT_MS = 15_000;
 const CALLERS_PER_ENTRY = 3;
 const MEAN_STOP_GAP_MS = 2_000;
@@ -75,6 +76,8 @@
     const callsBefore = fleet.store.calls();
     let isOver = false;
     const over = () => isOver;
+    const runs = (id: string) =>
+      fleet.replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
     const signals = fleet.entries.map((): number[] => []);
     const stops = stopInTurn(fleet, signals, seeded(seed, 2), over, violations);
     const removals = removeInTurn(fleet, seeded(seed, 3), over);
@@ -86,8 +89,9 @@
     const absences = await removals;
     await callers;
     const calls = fleet.store.calls() - callsBefore;
+    const judged = judgeOutcomes(outcomes, runs);
     violations.push(
-      ...judgeOutcomes(fleet, outcomes),
+      ...judged.violations,
       ...judgeAbsences(absences, signals),
       ...fleet.entries.flatMap(entry => entry.faults()),
     );
@@ -98,6 +102,7 @@
       foreignWrites: writer.writes(),
       requests: outcomes.length,
       byStatus: countBy(outcomes, ({status}) => String(status ?? 'none')),
+      outOfTime: judged.outOfTime,
       storeCalls: calls / (durationMs / 1_000) / processes,
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
@@ -202,26 +207,6 @@
   );
 }
 
-/** A request that has been read whole gets an answer, also at a stop. */
-function judgeOutcomes(
-  fleet: SoakFleet,
-  outcomes: readonly PipelinedOutcome[],
-): readonly string[] {
-  const runs = (id: string) =>
-    fleet.replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
-  return outcomes.flatMap(({id, status, writtenAt, endedAt}) => {
-    if (status === 503 && runs(id) > 0) return [`${id} got 503 and ran`];
-    if (status !== undefined) return [];
-    const tookMs = Math.round(endedAt - writtenAt);
-    const ran = runs(id);
-    return ran > 0 || tookMs > CROSSING_MS
-      ? [
-          `${id} got no answer, ${tookMs} ms after it was sent, ran ${ran} times`,
-        ]
-      : [];
-  });
-}
-
 function judgeAbsences(
   absences: readonly Absence[],
   signals: ReadonlyArray<readonly number[]>,
