test(fault-soak): the soak of stops plays its store in a process of its own

The soak's own process played the store, and the links to it, beside callers and replicas.

The store is now a child process, as the replicas of the soak of silences are; entries reach it without a link, since this soak harms none. A removal counts from the time at which the store has carried it out, by the clock that all processes share. The judge and its bounds are as before. The report tells the store's own delay beside that of the soak.

--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -141,17 +141,21 @@
   readonly durationMs: number;
 }
 
-export interface SoakFleet {
-  readonly store: StoreStandIn;
+/** Entries and replicas, without what they reach the store by. */
+export interface EntriesAndReplicas {
   readonly entries: readonly EntryProcess[];
-  /** Link of each entry to the store. */
-  readonly storeLinks: readonly Relay[];
   readonly replicas: readonly SoakReplica[];
   /** Lists a replica in this state. */
   list(replica: SoakReplica, state: string): void;
   close(): Promise<void>;
 }
 
+export interface SoakFleet extends EntriesAndReplicas {
+  readonly store: StoreStandIn;
+  /** Link of each entry to the store. */
+  readonly storeLinks: readonly Relay[];
+}
+
 const FAULTY: {readonly [F in ReplicaFault]: Behaviour} = {
   refuses: refuse,
   hangs: () => undefined,
@@ -354,6 +358,34 @@
   timing: DirectSettings['timing'] = TIMING,
 ): Promise<SoakFleet> {
   const store = await startStore();
+  const storeLinks: Relay[] = [];
+  for (let at = 0; at < entryCount; at++) {
+    storeLinks.push(await startRelay('127.0.0.1:0', store.address));
+  }
+  const addresses = storeLinks.map(({address}) => address);
+  const others = await startEntriesAndReplicas(store, addresses, dir, timing);
+  return {
+    ...others,
+    store,
+    storeLinks,
+    close: async () => {
+      await others.close();
+      await Promise.all(storeLinks.map(link => link.close()));
+      await store.close();
+    },
+  };
+}
+
+/**
+ * Lists the replicas in the store, and starts an entry for each address at which
+ * one reaches the store, without waiting.
+ */
+export async function startEntriesAndReplicas(
+  store: Pick<StoreStandIn, 'put'>,
+  storeAddresses: readonly string[],
+  dir: string,
+  timing: DirectSettings['timing'],
+): Promise<EntriesAndReplicas> {
   const states = new Map<SoakReplica, string>();
   const list = (replica: SoakReplica, state: string) => {
     const {standIn, service, domain, link} = replica;
@@ -378,35 +410,25 @@
   for (const replica of replicas) list(replica, 'ready');
   store.put('config', 'main', configOf(1, undefined, SERVICE_COLD));
 
-  const ports = await freeAddresses(entryCount * PORTS_PER_ENTRY);
-  const storeLinks: Relay[] = [];
-  const entries: EntryProcess[] = [];
-  for (let at = 0; at < entryCount; at++) {
-    const link = await startRelay('127.0.0.1:0', store.address);
-    storeLinks.push(link);
+  const ports = await freeAddresses(storeAddresses.length * PORTS_PER_ENTRY);
+  const entries = storeAddresses.map((address, at) => {
     const from = at * PORTS_PER_ENTRY;
     const own = ports.slice(from, from + PORTS_PER_ENTRY);
-    entries.push(
-      createEntryProcess(settingsOf(at, link.address, own, timing), dir),
-    );
-  }
+    return createEntryProcess(settingsOf(at, address, own, timing), dir);
+  });
   // Else they would live on after a soak that is interrupted.
   const abort = () => entries.forEach(entry => entry.abort());
   process.once('exit', abort);
   await Promise.all(entries.map(entry => entry.start()));
   return {
-    store,
     entries,
-    storeLinks,
     replicas,
     list,
     close: async () => {
       process.off('exit', abort);
       await Promise.all(entries.map(entry => entry.kill()));
-      const links = [...storeLinks, ...replicas.map(({link}) => link)];
-      await Promise.all(links.map(link => link.close()));
-      const standIns = replicas.map(({standIn}) => standIn);
-      await Promise.all([store, ...standIns].map(part => part.close()));
+      await Promise.all(replicas.map(({link}) => link.close()));
+      await Promise.all(replicas.map(({standIn}) => standIn.close()));
     },
   };
 }
--- a/fault_soak/stops_and_records/foreign_writer.ts
+++ b/fault_soak/stops_and_records/foreign_writer.ts
@@ -3,8 +3,8 @@
  * names before, between and after those of the replicas.
  */
 import {ForeignBytes} from '../../standins/users_platform/store.js';
-import type {StoreStandIn} from '../../standins/users_platform/store.js';
 import type {Random} from '../../src/types/runtime.js';
+import type {StoreProcess} from './store_process.js';
 
 const KINDS = [
   'servers',
@@ -53,7 +53,7 @@
 }
 
 export function startForeignWriter(
-  store: StoreStandIn,
+  store: Pick<StoreProcess, 'put' | 'remove'>,
   replicaNames: readonly string[],
   random: Random,
 ): ForeignWriter {
@@ -69,9 +69,11 @@
     const kind = one(KINDS);
     const name = one(names);
     writes++;
-    if (random.next() < REMOVED_SHARE) store.remove(kind, name);
-    else
-      store.put(kind, name, new ForeignBytes(one(bytesOf(one(replicaNames)))));
+    if (random.next() < REMOVED_SHARE) void store.remove(kind, name);
+    else {
+      const bytes = new ForeignBytes(one(bytesOf(one(replicaNames))));
+      void store.put(kind, name, bytes);
+    }
     timer = setTimeout(write, random.next() * 2 * meanGapMs);
   };
   write();
--- a/fault_soak/stops_and_records/stops_run.ts
+++ b/fault_soak/stops_and_records/stops_run.ts
@@ -7,12 +7,14 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import type {Random} from '../../src/types/runtime.js';
-import {TIMING, startSoakFleet} from '../soak_fleet.js';
-import type {SoakFleet, SoakReplica} from '../soak_fleet.js';
+import {TIMING, startEntriesAndReplicas} from '../soak_fleet.js';
+import type {EntriesAndReplicas, SoakReplica} from '../soak_fleet.js';
 import {startForeignWriter} from './foreign_writer.js';
 import {useConnection} from './pipelining_caller.js';
 import type {PipelinedOutcome} from './pipelining_caller.js';
 import {judgeOutcomes} from './stops_judge.js';
+import {startStoreProcess} from './store_process.js';
+import type {StoreProcess} from './store_process.js';
 
 export interface StopsShape {
   readonly seed: number;
@@ -37,6 +39,8 @@
   readonly violations: readonly string[];
   /** 99th percentile of this process's own delay, in milliseconds. */
   readonly ownDelayMs: number;
+  /** The same of the store's process. */
+  readonly storeDelayMs: number;
 }
 
 /** How long a replica serves after its removal, as the users' sheets have it. */
@@ -64,23 +68,25 @@
 export async function runStops(shape: StopsShape): Promise<StopsReport> {
   const {seed, processes, durationMs, dir} = shape;
   const timing = {...TIMING, leavingMs: LEAVING_MS, revokeMs: 5_000};
-  const fleet = await startSoakFleet(processes, dir, timing);
+  const store = await startStoreProcess();
+  const addresses = Array.from({length: processes}, () => store.address);
+  const fleet = await startEntriesAndReplicas(store, addresses, dir, timing);
   const names = fleet.replicas.map(({standIn}) => standIn.id);
   // It writes before the entries are ready.
-  const writer = startForeignWriter(fleet.store, names, seeded(seed, 1));
+  const writer = startForeignWriter(store, names, seeded(seed, 1));
   const violations: string[] = [];
   const delay = monitorEventLoopDelay();
   try {
     await allReady(fleet, violations);
     delay.enable();
-    const callsBefore = fleet.store.calls();
+    const {calls: callsBefore} = await store.look();
     let isOver = false;
     const over = () => isOver;
     const runs = (id: string) =>
       fleet.replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
     const signals = fleet.entries.map((): number[] => []);
     const stops = stopInTurn(fleet, signals, seeded(seed, 2), over, violations);
-    const removals = removeInTurn(fleet, seeded(seed, 3), over);
+    const removals = removeInTurn(fleet, store, seeded(seed, 3), over);
     const outcomes: PipelinedOutcome[] = [];
     const callers = startCallers(fleet, outcomes, over);
     await sleep(durationMs);
@@ -88,7 +94,8 @@
     const stopCount = await stops;
     const absences = await removals;
     await callers;
-    const calls = fleet.store.calls() - callsBefore;
+    const storeLook = await store.look();
+    const calls = storeLook.calls - callsBefore;
     const judged = judgeOutcomes(outcomes, runs);
     violations.push(
       ...judged.violations,
@@ -106,15 +113,17 @@
       storeCalls: calls / (durationMs / 1_000) / processes,
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
+      storeDelayMs: storeLook.ownDelayMs,
     };
   } finally {
     writer.stop();
     await fleet.close();
+    await store.close();
   }
 }
 
 async function stopInTurn(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   signals: ReadonlyArray<number[]>,
   random: Random,
   isOver: () => boolean,
@@ -149,7 +158,8 @@
 }
 
 async function removeInTurn(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
+  store: StoreProcess,
   random: Random,
   isOver: () => boolean,
 ): Promise<readonly Absence[]> {
@@ -173,8 +183,8 @@
       .every(it => it === replica || away.has(it));
     if (away.has(replica) || isLast) continue;
     away.add(replica);
-    fleet.store.remove('servers', replica.standIn.id);
-    const absence = {replica, from: performance.now(), to: Infinity};
+    const from = await store.remove('servers', replica.standIn.id);
+    const absence = {replica, from, to: Infinity};
     absences.push(absence);
     backs.push(comeBack(absence));
   }
@@ -183,7 +193,7 @@
 }
 
 async function startCallers(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   outcomes: PipelinedOutcome[],
   isOver: () => boolean,
 ): Promise<void> {
@@ -230,14 +240,17 @@
   );
 }
 
-async function allReady(fleet: SoakFleet, violations: string[]): Promise<void> {
+async function allReady(
+  fleet: EntriesAndReplicas,
+  violations: string[],
+): Promise<void> {
   await Promise.all(
     fleet.entries.map((_, at) => untilReady(fleet, at, violations)),
   );
 }
 
 async function untilReady(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   at: number,
   violations: string[],
 ): Promise<void> {
--- a/standins/users_platform/deployment.ts
+++ b/standins/users_platform/deployment.ts
@@ -110,7 +110,7 @@
 
 /** A replica's record in the store. */
 export function announce(
-  store: StoreStandIn,
+  store: Pick<StoreStandIn, 'put'>,
   replica: Pick<ReplicaStandIn, 'id' | 'address'>,
   service: string,
   state = 'ready',
