--- a/fault_soak/stops_and_records/stops_run.ts
+++ b/fault_soak/stops_and_records/stops_run.ts
@@ -7,11 +7,14 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import type {Random} from '../../src/types/runtime.js';
-import {TIMING, startSoakFleet} from '../soak_fleet.js';
-import type {SoakFleet, SoakReplica} from '../soak_fleet.js';
+import {TIMING, startEntriesAndReplicas} from '../soak_fleet.js';
+import type {EntriesAndReplicas, SoakReplica} from '../soak_fleet.js';
 import {startForeignWriter} from './foreign_writer.js';
 import {useConnection} from './pipelining_caller.js';
 import type {PipelinedOutcome} from './pipelining_caller.js';
+import {judgeOutcomes} from './stops_judge.js';
+import {startStoreProcess} from './store_process.js';
+import type {StoreProcess} from './store_process.js';
 
 export interface StopsShape {
   readonly seed: number;
@@ -29,19 +32,21 @@
   readonly foreignWrites: number;
   readonly requests: number;
   readonly byStatus: Readonly<Record<string, number>>;
+  /** Requests whose time was over in or behind an answer that had begun. */
+  readonly outOfTime: number;
   /** Calls that reached the store, a second and entry. */
   readonly storeCalls: number;
   readonly violations: readonly string[];
   /** 99th percentile of this process's own delay, in milliseconds. */
   readonly ownDelayMs: number;
+  /** The same of the store's process. */
+  readonly storeDelayMs: number;
 }
 
 /** How long a replica serves after its removal, as the users' sheets have it. */
 const LEAVING_MS = 2_000;
 /** An entry is held to removals this long after a signal or a start of it. */
 const IN_TOUCH_MS = 3_000;
-/** A request that is written so shortly before the end crosses the close. */
-const CROSSING_MS = 200;
 const START_LIMIT_MS = 15_000;
 const CALLERS_PER_ENTRY = 3;
 const MEAN_STOP_GAP_MS = 2_000;
@@ -63,21 +68,25 @@
 export async function runStops(shape: StopsShape): Promise<StopsReport> {
   const {seed, processes, durationMs, dir} = shape;
   const timing = {...TIMING, leavingMs: LEAVING_MS, revokeMs: 5_000};
-  const fleet = await startSoakFleet(processes, dir, timing);
+  const store = await startStoreProcess();
+  const addresses = Array.from({length: processes}, () => store.address);
+  const fleet = await startEntriesAndReplicas(store, addresses, dir, timing);
   const names = fleet.replicas.map(({standIn}) => standIn.id);
   // It writes before the entries are ready.
-  const writer = startForeignWriter(fleet.store, names, seeded(seed, 1));
+  const writer = startForeignWriter(store, names, seeded(seed, 1));
   const violations: string[] = [];
   const delay = monitorEventLoopDelay();
   try {
     await allReady(fleet, violations);
     delay.enable();
-    const callsBefore = fleet.store.calls();
+    const {calls: callsBefore} = await store.look();
     let isOver = false;
     const over = () => isOver;
+    const runs = (id: string) =>
+      fleet.replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
     const signals = fleet.entries.map((): number[] => []);
     const stops = stopInTurn(fleet, signals, seeded(seed, 2), over, violations);
-    const removals = removeInTurn(fleet, seeded(seed, 3), over);
+    const removals = removeInTurn(fleet, store, seeded(seed, 3), over);
     const outcomes: PipelinedOutcome[] = [];
     const callers = startCallers(fleet, outcomes, over);
     await sleep(durationMs);
@@ -85,9 +94,11 @@
     const stopCount = await stops;
     const absences = await removals;
     await callers;
-    const calls = fleet.store.calls() - callsBefore;
+    const storeLook = await store.look();
+    const calls = storeLook.calls - callsBefore;
+    const judged = judgeOutcomes(outcomes, runs);
     violations.push(
-      ...judgeOutcomes(fleet, outcomes),
+      ...judged.violations,
       ...judgeAbsences(absences, signals),
       ...fleet.entries.flatMap(entry => entry.faults()),
     );
@@ -98,18 +109,21 @@
       foreignWrites: writer.writes(),
       requests: outcomes.length,
       byStatus: countBy(outcomes, ({status}) => String(status ?? 'none')),
+      outOfTime: judged.outOfTime,
       storeCalls: calls / (durationMs / 1_000) / processes,
       violations,
       ownDelayMs: Math.round(delay.percentile(99) / 1e6),
+      storeDelayMs: storeLook.ownDelayMs,
     };
   } finally {
     writer.stop();
     await fleet.close();
+    await store.close();
   }
 }
 
 async function stopInTurn(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   signals: ReadonlyArray<number[]>,
   random: Random,
   isOver: () => boolean,
@@ -144,7 +158,8 @@
 }
 
 async function removeInTurn(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
+  store: StoreProcess,
   random: Random,
   isOver: () => boolean,
 ): Promise<readonly Absence[]> {
@@ -168,8 +183,8 @@
       .every(it => it === replica || away.has(it));
     if (away.has(replica) || isLast) continue;
     away.add(replica);
-    fleet.store.remove('servers', replica.standIn.id);
-    const absence = {replica, from: performance.now(), to: Infinity};
+    const from = await store.remove('servers', replica.standIn.id);
+    const absence = {replica, from, to: Infinity};
     absences.push(absence);
     backs.push(comeBack(absence));
   }
@@ -178,7 +193,7 @@
 }
 
 async function startCallers(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   outcomes: PipelinedOutcome[],
   isOver: () => boolean,
 ): Promise<void> {
@@ -202,26 +217,6 @@
   );
 }
 
-/** A request that has been read whole gets an answer, also at a stop. */
-function judgeOutcomes(
-  fleet: SoakFleet,
-  outcomes: readonly PipelinedOutcome[],
-): readonly string[] {
-  const runs = (id: string) =>
-    fleet.replicas.reduce((sum, replica) => sum + replica.runs(id), 0);
-  return outcomes.flatMap(({id, status, writtenAt, endedAt}) => {
-    if (status === 503 && runs(id) > 0) return [`${id} got 503 and ran`];
-    if (status !== undefined) return [];
-    const tookMs = Math.round(endedAt - writtenAt);
-    const ran = runs(id);
-    return ran > 0 || tookMs > CROSSING_MS
-      ? [
-          `${id} got no answer, ${tookMs} ms after it was sent, ran ${ran} times`,
-        ]
-      : [];
-  });
-}
-
 function judgeAbsences(
   absences: readonly Absence[],
   signals: ReadonlyArray<readonly number[]>,
@@ -245,14 +240,17 @@
   );
 }
 
-async function allReady(fleet: SoakFleet, violations: string[]): Promise<void> {
+async function allReady(
+  fleet: EntriesAndReplicas,
+  violations: string[],
+): Promise<void> {
   await Promise.all(
     fleet.entries.map((_, at) => untilReady(fleet, at, violations)),
   );
 }
 
 async function untilReady(
-  fleet: SoakFleet,
+  fleet: EntriesAndReplicas,
   at: number,
   violations: string[],
 ): Promise<void> {
