--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -136,3 +136,20 @@
     expect(await ask(caller, '/second')).toContain('answer to /second');
   });
 });
+
+describe('a request that asks for another protocol', () => {
+  // Guards against a whole request behind it that gets neither an answer, nor a
+  // refusal, nor the end of its connection.
+  test('leaves the request behind it an answer or the end', async () => {
+    fixture = await startCallersServer({}, answerPath);
+    caller = openRawCaller(fixture.address);
+    const upgrade = 'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n';
+    caller.socket.write(
+      requestText('/first').replace(/\r\n$/, upgrade) + requestText('/second'),
+    );
+    await until(() => caller.text().includes('answer to /first'));
+    await sleep(500);
+    const isAnswered = caller.text().includes('answer to /second');
+    expect(isAnswered || caller.closedBy() !== undefined).toBe(true);
+  });
+});
