test(direct): an entry reads the records of the others again soon after a failure

Trace: all entries were ended and started again 14 to 15 s past the minute. The store was disturbed, so 'announce entry' and the first read of the entries' records were aborted. The record is written again after 1 s, the read is repeated only after 10 s ('entry-found' and 'entries-counted' come at 24.19 s at all of them). Until then each knows only itself, is its own home of permits, and grants itself the whole limit: {live: [node], known: 1} in request_permits.ts.

--- a/test/direct/sharing.test.ts
+++ b/test/direct/sharing.test.ts
@@ -55,6 +55,8 @@
 
 describe('the records of entries', () => {
   const LIST_INTERVAL_MS = 10_000;
+  /** Time after a start from which on an entry is held to all limits. */
+  const IN_TOUCH_MS = 3_000;
 
   async function startLists(fails: (list: number) => boolean) {
     const recorded = createRecordingRuntime();
@@ -100,6 +102,14 @@
     expect(times).toHaveLength(8);
   });
 
+  // Guards against an entry that finds no others for a whole interval, and takes
+  // all of a replica's limit for itself meanwhile.
+  test('are read again soon after a first read that failed', async () => {
+    const {clock, times} = await startLists(list => list === 1);
+    await clock.runFor(IN_TOUCH_MS);
+    expect(times.length).toBeGreaterThan(1);
+  });
+
   test('of silent entries are removed in time, though records are read rarely', async () => {
     const {clock, removed} = await startLists(() => false);
     await clock.runFor(2 * LIST_INTERVAL_MS);
