fix(crashes): a part's good runs count where their replicas end later

Cause: a run counted for its parts only if its replica was found alive when the next crash was looked up. Requests with a shared part follow it to the same replicas, and so do those that crash them, so the replicas of the last four good runs may all have ended by then. A lookup without a result also forgot the runs that ended well while it ran.

Change: a replica that began and ended another run well later than the grace after a part's run has survived it, whether it ended since or not. A lookup forgets only the runs that it looked up.

--- a/bench/direct/crash_model.ts
+++ b/bench/direct/crash_model.ts
@@ -146,7 +146,7 @@
     way.replicaEnded(digest, replicaId);
     parts.forEach((part, position) => {
       if (way.isProven(part)) return;
-      if (way.lastReplicasOf(part).length > 0) way.partRanWell(part);
+      if (way.lastPartRuns(part).length > 0) way.partRanWell(part);
       else way.replicaEnded(part, replicaId, {kind: 'part', position});
     });
   };
--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -16,7 +16,7 @@
   | 'replicaEnded'
   | 'runSucceeded'
   | 'partSeemedToRunWell'
-  | 'lastReplicasOf'
+  | 'lastPartRuns'
   | 'partRanWell'
   | 'isProven'
   | 'isSuspect'
@@ -101,7 +101,7 @@
     };
     return {
       partSeemedToRunWell: runSucceeded,
-      lastReplicasOf: () => [],
+      lastPartRuns: () => [],
       partRanWell: runSucceeded,
       isProven: () => false,
       isSuspect: () => false,
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -178,7 +178,7 @@
         ctx.crashes.runSucceeded(exchange);
       }
       if (status >= 200 && status < 300) {
-        ctx.crashes.answerWritten(exchange, replica);
+        ctx.crashes.answerWritten(exchange, replica, startedAt);
       }
     };
     const onBroken = (sent: boolean, reason: string) => {
--- a/src/direct/crashes/good_runs.ts
+++ b/src/direct/crashes/good_runs.ts
@@ -4,8 +4,9 @@
  * ago is dropped first.
  *
  * A run may seem to end well and crash its replica a moment later, so a run
- * proves a part only when the replica was found alive afterwards. That is looked
- * up when it matters, which saves a connection for each part.
+ * proves a part only when the replica was found alive afterwards: by a later run
+ * there that ended well, or by a connection. That is looked up when it matters,
+ * which saves a connection for each part.
  */
 import type {Clock} from '../../types/runtime.js';
 import type {DirectReplica} from '../types.js';
@@ -21,16 +22,23 @@
 /** The replica of a run, as far as it has to be found again. */
 export type RunReplica = Pick<DirectReplica, 'id' | 'address'>;
 
+/** A replica at which runs with a part seemed to end well. */
+export interface PartRun {
+  readonly replica: RunReplica;
+  /** Time from which on life of the replica shows that it survived the first. */
+  readonly since: number;
+}
+
 export interface GoodRuns {
   addRequest(digest: string): void;
   /** Number of the request's runs; they are forgotten here. */
   takeRequest(digest: string): number;
   /** A run with the part seemed to end well at the replica. */
   addPartRun(digest: string, replica: RunReplica): void;
-  /** Replicas of the last runs that seemed to end well, the newest first. */
-  lastReplicas(digest: string): readonly RunReplica[];
-  /** None of these replicas is known to have survived its run. */
-  forgetPartRuns(digest: string): void;
+  /** The last replicas at which runs seemed to end well, the newest first. */
+  lastPartRuns(digest: string): readonly PartRun[];
+  /** None of the replicas is known to have survived these runs. */
+  forgetPartRuns(digest: string, runs: readonly PartRun[]): void;
   /** A run with the part ended well, and its replica was alive afterwards. */
   provePart(digest: string): void;
   /** Whether the part was proven lately. */
@@ -43,7 +51,7 @@
 }
 
 interface PartRuns {
-  readonly replicas: readonly RunReplica[];
+  readonly runs: readonly PartRun[];
   readonly at: number;
 }
 
@@ -80,8 +88,8 @@
   };
   const countRequest = (digest: string): number =>
     findCurrent(requests, digest)?.count ?? 0;
-  const lastReplicas = (digest: string): readonly RunReplica[] =>
-    findCurrent(partRuns, digest)?.replicas ?? [];
+  const lastPartRuns = (digest: string): readonly PartRun[] =>
+    findCurrent(partRuns, digest)?.runs ?? [];
 
   return {
     takeRequest: digest => {
@@ -94,12 +102,22 @@
       setNewest(requests, digest, {count, at: clock.now()}, MAX_REQUESTS);
     },
     addPartRun: (digest, replica) => {
-      const others = lastReplicas(digest).filter(({id}) => id !== replica.id);
-      const replicas = [replica, ...others].slice(0, MAX_REPLICAS_PER_PART);
-      setNewest(partRuns, digest, {replicas, at: clock.now()}, MAX_PARTS);
+      const at = clock.now();
+      const known = lastPartRuns(digest);
+      const isSame = (run: PartRun) => run.replica.id === replica.id;
+      const newest = known.find(isSame) ?? {replica, since: at};
+      const others = known.filter(run => !isSame(run));
+      const runs = [newest, ...others].slice(0, MAX_REPLICAS_PER_PART);
+      setNewest(partRuns, digest, {runs, at}, MAX_PARTS);
+    },
+    lastPartRuns,
+    forgetPartRuns: (digest, forgotten) => {
+      const known = partRuns.get(digest);
+      if (known === undefined) return;
+      const runs = known.runs.filter(run => !forgotten.includes(run));
+      if (runs.length === 0) partRuns.delete(digest);
+      else partRuns.set(digest, {...known, runs});
     },
-    lastReplicas,
-    forgetPartRuns: digest => void partRuns.delete(digest),
     provePart: digest =>
       setNewest(proofs, digest, {at: clock.now()}, MAX_PARTS),
     isProven: digest => findCurrent(proofs, digest) !== undefined,
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -15,7 +15,7 @@
 import {typeOf} from './crash_reports.js';
 import type {CrashReport} from './crash_reports.js';
 import {createGoodRuns} from './good_runs.js';
-import type {RunReplica} from './good_runs.js';
+import type {PartRun, RunReplica} from './good_runs.js';
 import {createPartJudgement} from './part_judgement.js';
 import {PART_THRESHOLD} from './part_verdict.js';
 import {createRecentEnds} from './recent_ends.js';
@@ -77,10 +77,10 @@
    * that is alive afterwards shows it.
    */
   partSeemedToRunWell(digest: string, replica: RunReplica): void;
-  /** Replicas of the last runs with the part that seemed to end well. */
-  lastReplicasOf(digest: string): readonly RunReplica[];
-  /** None of these replicas is known to have survived its run. */
-  forgetPartRuns(digest: string): void;
+  /** The last replicas at which runs with the part seemed to end well. */
+  lastPartRuns(digest: string): readonly PartRun[];
+  /** None of the replicas is known to have survived these runs. */
+  forgetPartRuns(digest: string, runs: readonly PartRun[]): void;
   /** Records that a run with the part ended well and its replica survived. */
   partRanWell(digest: string): void;
   /** Whether a run with the part ended well lately, and its replica survived. */
@@ -202,7 +202,7 @@
     suspect.type = earlierOf(suspect.type, type);
     for (const id of ended) suspects.addEnded(digest, suspect, id, false);
     judgement.judgeIfDue(suspect);
-    if (goodRuns.lastReplicas(digest).length === 0) return;
+    if (goodRuns.lastPartRuns(digest).length === 0) return;
     replies.schedule(digest, () => options.confirmRuns?.(digest));
   };
   const mergeRequest = (report: CrashReport): void => {
@@ -281,7 +281,7 @@
       updateRequest(digest, suspect, true);
     },
     partSeemedToRunWell: goodRuns.addPartRun,
-    lastReplicasOf: goodRuns.lastReplicas,
+    lastPartRuns: goodRuns.lastPartRuns,
     forgetPartRuns: goodRuns.forgetPartRuns,
     partRanWell: digest => {
       goodRuns.provePart(digest);
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -314,7 +314,9 @@
     } else {
       ctx.crashes.runSucceeded(exchange);
       // A resumed stream may have had no event left to write.
-      if (eventCount > 0) ctx.crashes.answerWritten(exchange, replica);
+      if (eventCount > 0) {
+        ctx.crashes.answerWritten(exchange, replica, startedAt);
+      }
       writeHeldBack(head);
       finish({kind: 'whole', head});
     }
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -4,10 +4,12 @@
 import type {PortState} from '../../src/direct/crashes/port_probe.js';
 import type {Exchange} from '../../src/direct/exchange.js';
 import type {DirectReplica} from '../../src/direct/types.js';
+import type {Clock} from '../../src/types/runtime.js';
 import {createSeededRandom} from '../../standins/seeded_random.js';
 import {createVirtualClock} from '../../standins/virtual_clock.js';
 
 const PART = 'b'.repeat(32);
+const OTHER_PART = 'd'.repeat(32);
 /** After it, a run that ended well counts, and parts have been judged. */
 const SETTLED_MS = 2_000;
 
@@ -24,7 +26,9 @@
   };
 }
 
-function setUp(probe: (address: string) => PortState) {
+type Probe = (address: string, clock: Clock) => PortState | Promise<PortState>;
+
+function setUp(probe: Probe) {
   const clock = createVirtualClock();
   const probed: string[] = [];
   const claims: string[] = [];
@@ -36,7 +40,7 @@
     node: 'entry-1',
     probePort: address => {
       probed.push(address);
-      return Promise.resolve(probe(address));
+      return Promise.resolve(probe(address, clock));
     },
     isLeaving: () => false,
     isCurrent: () => true,
@@ -50,22 +54,23 @@
     },
   });
   /** Requests with the part, of which no two are alike. */
-  const request = (): Exchange => {
+  const request = (parts: readonly string[] = [PART]): Exchange => {
     const own = (++requests).toString(16).padStart(32, '0');
-    const parts: Partial<Exchange> = {
+    const known: Partial<Exchange> = {
       id: own,
       body: Buffer.alloc(0),
       isTrial: false,
       digest: () => own,
-      partDigests: () => [PART],
+      partDigests: () => parts,
     };
-    return parts as Exchange;
+    return known as Exchange;
   };
+  const another = () => request([OTHER_PART]);
   const crash = async (id: string): Promise<void> => {
     watch.runBroken(request(), replica(id));
     await clock.runFor(SETTLED_MS);
   };
-  return {clock, watch, probed, claims, request, crash};
+  return {clock, watch, probed, claims, request, another, crash};
 }
 
 describe('a part of prompts during whose runs three replicas ended', () => {
@@ -82,7 +87,7 @@
     const {clock, watch, request, crash} = setUp(address =>
       address === alive.address ? 'open' : 'refused',
     );
-    watch.answerWritten(request(), alive);
+    watch.answerWritten(request(), alive, clock.now());
     await clock.runFor(SETTLED_MS);
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(false);
@@ -95,17 +100,63 @@
       address === alive.address ? 'open' : 'refused',
     );
     for (const it of [alive, replica('r7777777'), replica('r88888888')]) {
-      watch.answerWritten(request(), it);
+      watch.answerWritten(request(), it, clock.now());
       await clock.runFor(SETTLED_MS);
     }
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(false);
   });
 
+  // Guards against a part that runs well all the time, each run at a replica
+  // that ends later, and is refused with the part that crashes them.
+  test('is not refused after a run whose replica served on and ended later', async () => {
+    const {clock, watch, request, crash, another} = setUp(() => 'refused');
+    const served = replica('served');
+    watch.answerWritten(request(), served, clock.now());
+    await clock.runFor(SETTLED_MS);
+    watch.answerWritten(another(), served, clock.now());
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(false);
+  });
+
+  // The other run had begun before, so that its end shows nothing.
+  test('is refused after a run whose replica only ended an older run', async () => {
+    const {clock, watch, request, crash, another} = setUp(() => 'refused');
+    const served = replica('served');
+    watch.answerWritten(request(), served, clock.now());
+    const startedAt = clock.now() + 500;
+    await clock.runFor(SETTLED_MS);
+    watch.answerWritten(another(), served, startedAt);
+    for (const id of ids) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(true);
+  });
+
+  // Guards against good runs that are forgotten with others that are looked up.
+  test('is not refused after a run that ended well during a slow lookup', async () => {
+    const alive = replica('alive');
+    const gone = replica('gone-before');
+    const {clock, watch, request, crash} = setUp(
+      async (address, {after}): Promise<PortState> => {
+        if (address === alive.address) return 'open';
+        if (address === gone.address) {
+          await new Promise<void>(resolve => void after(SETTLED_MS, resolve));
+        }
+        return 'refused';
+      },
+    );
+    watch.answerWritten(request(), gone, clock.now());
+    await clock.runFor(SETTLED_MS);
+    watch.runBroken(request(), replica('r1'));
+    watch.answerWritten(request(), alive, clock.now());
+    await clock.runFor(2 * SETTLED_MS);
+    for (const id of ids.slice(1)) await crash(id);
+    expect(watch.isQuarantined(request())).toBe(false);
+  });
+
   // The answer was whole, and its replica crashed a moment later.
   test('is refused after a run whose replica has not survived', async () => {
     const {clock, watch, request, crash} = setUp(() => 'refused');
-    watch.answerWritten(request(), replica('gone'));
+    watch.answerWritten(request(), replica('gone'), clock.now());
     await clock.runFor(SETTLED_MS);
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(true);
@@ -114,7 +165,7 @@
   test('is refused again where only a run like that followed', async () => {
     const {clock, watch, request, crash} = setUp(() => 'refused');
     for (const id of ids) await crash(id);
-    watch.answerWritten(request(), replica('gone'));
+    watch.answerWritten(request(), replica('gone'), clock.now());
     await clock.runFor(SETTLED_MS);
     expect(watch.isQuarantined(request())).toBe(true);
   });
@@ -148,7 +199,7 @@
 test('runs that end well open no connection while nothing crashes', async () => {
   const {clock, watch, probed, request} = setUp(() => 'open');
   for (let at = 0; at < 20; at++) {
-    watch.answerWritten(request(), replica(`r${at}`));
+    watch.answerWritten(request(), replica(`r${at}`), clock.now());
   }
   await clock.runFor(SETTLED_MS);
   expect(probed).toEqual([]);
