fix(crashes): trials of a sound part are not failed by parts with few crashes

What callers saw: all requests with a sound shared part refused for an hour where two other parts crashed replicas by turns.

Cause: a trial of a refused part was kept from requests with another part that had three crashes, but not from those with one or two. Of parts that crash replicas by turns each has fewer crashes than the part that they share, so their requests were preferred for its trials, and failed both.

Change: for a second after a trial is due, only a request runs as it whose other parts have crashed no replica since they last ran well.

--- a/bench/direct/crash_model.ts
+++ b/bench/direct/crash_model.ts
@@ -185,7 +185,7 @@
     );
     if (subject === undefined || others.length > 0) return undefined;
     const isClear = asked.parts.every(
-      it => it === subject || !way.mayBeGuilty(it),
+      it => it === subject || !way.isSuspect(it),
     );
     const isOverdue = way.nextTrialInMs(subject) <= -BETTER_TRIAL_WAIT_MS;
     return isClear || isOverdue ? subject : undefined;
--- a/bench/direct/crash_ways.ts
+++ b/bench/direct/crash_ways.ts
@@ -20,7 +20,6 @@
   | 'partRanWell'
   | 'isProven'
   | 'isSuspect'
-  | 'mayBeGuilty'
   | 'nextTrialInMs'
   | 'judgedInMs'
   | 'isQuarantined'
@@ -105,7 +104,6 @@
       partRanWell: runSucceeded,
       isProven: () => false,
       isSuspect: () => false,
-      mayBeGuilty: () => false,
       nextTrialInMs: () => Infinity,
       judgedInMs: () => 0,
       replicaEnded: (digest, replicaId) => {
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -240,8 +240,9 @@
     quarantinedSubjects(exchange).length > 0;
   /**
    * The subject that a run of the request would be a trial of. Beside a part
-   * that may be guilty instead, a crash would show nothing of the subject. Such
-   * a request is taken where no better one came for a while.
+   * that may be guilty instead, a crash would show nothing of the subject: any
+   * part that has crashed a replica and has not run well since. Such a request
+   * is taken where no better one came for a while.
    */
   const trialSubject = (exchange: Exchange): Subject | undefined => {
     const [subject, ...others] = quarantinedSubjects(exchange);
@@ -250,7 +251,7 @@
       suspects.nextTrialInMs(subject.digest) <= -BETTER_TRIAL_WAIT_MS;
     const isClear = exchange
       .partDigests()
-      .every(it => it === subject.digest || !suspects.mayBeGuilty(it));
+      .every(it => it === subject.digest || !suspects.isSuspect(it));
     return isClear || isOverdue ? subject : undefined;
   };
   const isSuspect = (exchange: Exchange): boolean => {
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -17,7 +17,6 @@
 import {createGoodRuns} from './good_runs.js';
 import type {PartRun, RunReplica} from './good_runs.js';
 import {createPartJudgement} from './part_judgement.js';
-import {PART_THRESHOLD} from './part_verdict.js';
 import {createRecentEnds} from './recent_ends.js';
 import {createReplies} from './replies.js';
 import {REQUEST} from './subjects.js';
@@ -88,8 +87,6 @@
   /** Whether a replica has ended during a run of the subject. */
   isSuspect(digest: string): boolean;
   isQuarantined(digest: string): boolean;
-  /** Whether the part may have crashed replicas although it is not blamed. */
-  mayBeGuilty(digest: string): boolean;
   /** Time until the part is judged, in milliseconds; 0 when it is not due. */
   judgedInMs(digest: string): number;
   /** Whether the replica is known to have ended in the last seconds. */
@@ -294,10 +291,6 @@
     isProven: goodRuns.isProven,
     isSuspect: digest => suspects.find(digest) !== undefined,
     isQuarantined: digest => suspects.find(digest)?.trials !== undefined,
-    mayBeGuilty: digest => {
-      const ends = suspects.find(digest)?.ended.size ?? 0;
-      return ends >= PART_THRESHOLD && !goodRuns.isProven(digest);
-    },
     judgedInMs: judgement.judgedInMs,
     hasEnded: recentEnds.has,
     dueTrial: digest =>
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -195,6 +195,22 @@
   expect(claims).toEqual([PART]);
 });
 
+// Guards against trials that all fail by parts with too few crashes to be
+// refused, so that the sound part that they share stays refused.
+test('a part is tried without one that has crashed only once', async () => {
+  const {clock, watch, request, another, claims} = setUp(() => 'refused');
+  const fresh = 'e'.repeat(32);
+  const beside = () => request([PART, OTHER_PART]);
+  watch.runBroken(beside(), replica('r1'));
+  for (const id of ['r22', 'r333']) watch.runBroken(request(), replica(id));
+  await clock.runFor(1_500);
+  expect(watch.isQuarantined(another())).toBe(false);
+  await watch.claimTrial(beside());
+  expect(claims).toEqual([]);
+  await watch.claimTrial(request([PART, fresh]));
+  expect(claims).toEqual([PART]);
+});
+
 // Each part would cost its replica a connection in quiet times.
 test('runs that end well open no connection while nothing crashes', async () => {
   const {clock, watch, probed, request} = setUp(() => 'open');
