test(endless-bytes): time without a processor is not the entry's time

Change: the time in which the test's process was ready to run and got no processor is subtracted, as the system counts it.

--- a/test/direct/endless_bytes.test.ts
+++ b/test/direct/endless_bytes.test.ts
@@ -17,6 +17,7 @@
 import type {CallerAnswer, DirectFleet} from '../support/direct_fleet.js';
 import {drip, flood} from '../support/endless_bytes.js';
 import type {Flooded, WriteEndless} from '../support/endless_bytes.js';
+import {starvedMs} from '../support/starved.js';
 
 const MB = 1024 * 1024;
 const EVENTS = 6;
@@ -127,8 +128,12 @@
 
 const openStream = () => callEntry(fleet, '/stream/a', {headers: HEADERS});
 
-/** Measures the memory that is added while the call lasts. */
+/**
+ * Measures the memory that is added while the call lasts, and its time without
+ * that in which this process was ready and got no processor.
+ */
 async function measured<T>(call: () => Promise<T>) {
+  const starvedBefore = starvedMs();
   const before = process.memoryUsage();
   let added = 0;
   const measure = () => {
@@ -138,7 +143,8 @@
   const timer = setInterval(measure, 20);
   const startedAt = performance.now();
   const result = await call().finally(() => clearInterval(timer));
-  return {result, added, tookMs: performance.now() - startedAt};
+  const starved = starvedMs() - starvedBefore;
+  return {result, added, tookMs: performance.now() - startedAt - starved};
 }
 
 /** The connections are closed, and little was read from them. */
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -11,6 +11,7 @@
 import {until} from '../support/direct_fleet.js';
 import {drip, flood} from '../support/endless_bytes.js';
 import type {Flooded, WriteEndless} from '../support/endless_bytes.js';
+import {starvedMs} from '../support/starved.js';
 
 const MB = 1024 * 1024;
 const OK = 'HTTP/1.1 200 OK\r\n';
@@ -101,9 +102,13 @@
   for (const {bytes} of floods) expect(bytes).toBeLessThan(maxBytes);
 }
 
+/** Without the time in which this process was ready and got no processor. */
 async function timed<T>(call: Promise<T>) {
+  const starvedBefore = starvedMs();
   const startedAt = performance.now();
-  return {result: await call, tookMs: performance.now() - startedAt};
+  const result = await call;
+  const starved = starvedMs() - starvedBefore;
+  return {result, tookMs: performance.now() - startedAt - starved};
 }
 
 const WRITERS: ReadonlyArray<readonly [string, WriteEndless]> = [
