fix(crashes): a trial that no replica ran is left to the next request

Cause: a refused part has two trials over all entries.

Change: where a request ends whose trial no replica has run, the entry keeps the claim and the next request with the part runs as it. The bound on runs stays, as a trial is used up when it is sent.

--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -122,6 +122,7 @@
       }
       dispatch.cancel();
       if (verdict.kind === 'not-run') {
+        exchange.isTrial = isTrial;
         finish(verdict);
         return;
       }
--- a/src/direct/callers/serve_admitted.ts
+++ b/src/direct/callers/serve_admitted.ts
@@ -44,6 +44,7 @@
       .catch(err => endFailed(ctx, exchange, err))
       .finally(() => {
         exchange.end('answered');
+        ctx.crashes.requestEnded(exchange);
         openRequests.delete(exchange);
       });
   };
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -84,6 +84,11 @@
    * whether this request may run as the trial.
    */
   claimTrial(exchange: Exchange): Promise<boolean>;
+  /**
+   * The request has ended. A trial that no replica has run shows nothing, so it
+   * is left to another request.
+   */
+  requestEnded(exchange: Exchange): void;
   /** The connection of the run broke, or no more data came on it. */
   runBroken(exchange: Exchange, replica: DirectReplica): void;
   /** This entry cancelled the run before its end. */
@@ -169,6 +174,8 @@
   });
 
   const lastRuns = createLastRuns(clock);
+  /** What the requests that run as trials are trials of. */
+  const trialDigests = new WeakMap<Exchange, string>();
   const isAlive = async (replica: RunReplica): Promise<boolean> =>
     options.isCurrent(replica) &&
     !hasEnded(replica.id) &&
@@ -259,6 +266,13 @@
     const {request, parts} = subjectsOf(exchange);
     return [request, ...parts].some(({digest}) => suspects.isSuspect(digest));
   };
+  /** `trial` is undefined for one that another request left unused. */
+  const startTrial = (exchange: Exchange, digest: string, trial?: number) => {
+    exchange.isTrial = true;
+    trialDigests.set(exchange, digest);
+    const shown = shortDigest(digest);
+    log(DIRECT_EVENTS.trial, {requestId: exchange.id, digest: shown, trial});
+  };
   const hasEnded = (replicaId: string): boolean =>
     suspects.hasEnded(replicaId) || lost.hasEnded(replicaId);
 
@@ -304,20 +318,23 @@
       const subject = trialSubject(exchange);
       if (subject === undefined) return false;
       const {digest} = subject;
+      if (suspects.takeUnusedTrial(digest)) {
+        startTrial(exchange, digest);
+        return true;
+      }
       const trial = suspects.dueTrial(digest);
       if (trial === undefined) return false;
       const isGained = await options.claimTrial(digest, trial);
       suspects.trialSettled(digest, isGained !== undefined);
-      exchange.isTrial = isGained === true;
-      if (exchange.isTrial) {
-        const shown = shortDigest(digest);
-        log(DIRECT_EVENTS.trial, {
-          requestId: exchange.id,
-          digest: shown,
-          trial,
-        });
+      if (isGained !== true) return false;
+      startTrial(exchange, digest, trial);
+      return true;
+    },
+    requestEnded: exchange => {
+      const digest = trialDigests.get(exchange);
+      if (digest !== undefined && exchange.isTrial) {
+        suspects.trialUnused(digest);
       }
-      return exchange.isTrial;
     },
     runBroken: (exchange, replica) =>
       lost.runBroken(subjectsOf(exchange), replica),
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -101,6 +101,13 @@
    * answered, so that the trial may still be free.
    */
   trialSettled(digest: string, isAnswered: boolean): void;
+  /**
+   * The trial that this entry has claimed did not run, so that another request
+   * may run as it; see `takeUnusedTrial`.
+   */
+  trialUnused(digest: string): void;
+  /** Takes a trial that is due again after `trialUnused`, if there is one. */
+  takeUnusedTrial(digest: string): boolean;
   /**
    * Time until the next trial, in milliseconds; negative when it is overdue,
    * infinite when none is planned.
@@ -297,6 +304,10 @@
       suspects.find(digest)?.trials?.claim(suspects.rankOf(digest)),
     trialSettled: (digest, isAnswered) =>
       suspects.find(digest)?.trials?.settled(isAnswered),
+    trialUnused: digest => suspects.find(digest)?.trials?.unused(),
+    takeUnusedTrial: digest =>
+      suspects.find(digest)?.trials?.takeUnused(suspects.rankOf(digest)) ??
+      false,
     nextTrialInMs: digest =>
       suspects.find(digest)?.trials?.dueInMs(suspects.rankOf(digest)) ??
       Infinity,
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -34,6 +34,10 @@
   claim(rank: number): number | undefined;
   /** See `Suspects.trialSettled`. */
   settled(isAnswered: boolean): void;
+  /** See `Suspects.trialUnused`. */
+  unused(): void;
+  /** Takes an unused trial, if there is one; it is claimed already. */
+  takeUnused(rank: number): boolean;
   /** See `Suspects.nextTrialInMs`. */
   dueInMs(rank: number): number;
 }
@@ -45,21 +49,32 @@
   /** Number of trials that are known to be claimed, by any entry. */
   let claimed = 0;
   let nextAt = quarantinedAt + delaysMs[0];
+  /** Whether this entry has claimed a trial that did not run. */
+  let hasUnused = false;
+  const plannedAt = (): number =>
+    quarantinedAt + (delaysMs[claimed] ?? Infinity);
   const dueInMs = (rank: number): number =>
     nextAt + (rank % MAX_SPACED) * SPACING_MS - clock.now();
   return {
     claim: rank => {
-      if (dueInMs(rank) > 0) return undefined;
+      if (hasUnused || dueInMs(rank) > 0) return undefined;
       // Equal requests are refused while this one claims the trial.
       nextAt = Infinity;
       return claimed;
     },
     settled: isAnswered => {
       if (isAnswered) claimed++;
-      const afterMs = delaysMs[claimed] ?? Infinity;
-      nextAt = isAnswered
-        ? quarantinedAt + afterMs
-        : clock.now() + CLAIM_RETRY_MS;
+      nextAt = isAnswered ? plannedAt() : clock.now() + CLAIM_RETRY_MS;
+    },
+    unused: () => {
+      hasUnused = true;
+      nextAt = clock.now();
+    },
+    takeUnused: rank => {
+      if (!hasUnused || dueInMs(rank) > 0) return false;
+      hasUnused = false;
+      nextAt = plannedAt();
+      return true;
     },
     dueInMs,
   };
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -97,7 +97,7 @@
     exchange.attempts--;
     exchange.isTrial = isTrial;
   };
-  const options = {placement, progress, observer, takeBack};
+  const options = {placement, progress, observer, isTrial, takeBack};
   return sendStream(ctx, exchange, options);
 }
 
@@ -121,6 +121,8 @@
   readonly placement: RequestPlacement;
   readonly progress: StreamProgress;
   readonly observer: AttemptObserver;
+  /** Whether this attempt is a trial of a refused subject. */
+  readonly isTrial: boolean;
   /** Called where nothing of the request was sent. */
   readonly takeBack: () => void;
 }
@@ -128,7 +130,7 @@
 function sendStream(
   ctx: ServeContext,
   exchange: Exchange,
-  {placement, progress, observer, takeBack}: SendOptions,
+  {placement, progress, observer, isTrial, takeBack}: SendOptions,
 ): StreamAttempt {
   const {replica} = placement;
   const {health, clock, metrics} = ctx;
@@ -233,6 +235,7 @@
     if (verdict.kind === 'failure') failure = [];
     if (verdict.kind === 'foreign') fail(verdict.reason);
     if (verdict.kind !== 'not-run') return;
+    exchange.isTrial = isTrial;
     dispatch.cancel();
     placement.refused(verdict.faultAt);
     finish(verdict);
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -28,7 +28,7 @@
 
 type Probe = (address: string, clock: Clock) => PortState | Promise<PortState>;
 
-function setUp(probe: Probe) {
+function setUp(probe: Probe, isGained = false) {
   const clock = createVirtualClock();
   const probed: string[] = [];
   const claims: string[] = [];
@@ -50,7 +50,7 @@
     onCleared: () => undefined,
     claimTrial: digest => {
       claims.push(digest);
-      return Promise.resolve(false);
+      return Promise.resolve(isGained);
     },
   });
   /** Requests with the part, of which no two are alike. */
@@ -211,6 +211,51 @@
   expect(claims).toEqual([PART]);
 });
 
+describe('a trial of a refused part', () => {
+  const ids = ['r1', 'r22', 'r333'];
+  const startTrial = async () => {
+    const all = setUp(() => 'refused', true);
+    for (const id of ids) all.watch.runBroken(all.request(), replica(id));
+    await all.clock.runFor(1_500);
+    const first = all.request();
+    expect(await all.watch.claimTrial(first)).toBe(true);
+    return {...all, first};
+  };
+
+  // Guards against a sound part that stays refused since its trials found no
+  // replica that took them.
+  test('is left to the next request where no replica ran it', async () => {
+    const {watch, request, claims, first} = await startTrial();
+    watch.requestEnded(first);
+    const next = request();
+    expect(await watch.claimTrial(next)).toBe(true);
+    expect(watch.maySend(next)).toBe(true);
+    expect(claims).toEqual([PART]);
+    expect(await watch.claimTrial(request())).toBe(false);
+  });
+
+  test('is used up once it was sent', async () => {
+    const {watch, request, first} = await startTrial();
+    expect(watch.maySend(first)).toBe(true);
+    watch.requestEnded(first);
+    expect(await watch.claimTrial(request())).toBe(false);
+  });
+
+  test('leaves the second trial as it was planned', async () => {
+    const {clock, watch, request, claims, first} = await startTrial();
+    watch.requestEnded(first);
+    const next = request();
+    await watch.claimTrial(next);
+    watch.maySend(next);
+    watch.requestEnded(next);
+    await clock.runFor(2_000);
+    expect(await watch.claimTrial(request())).toBe(false);
+    await clock.runFor(1_500);
+    expect(await watch.claimTrial(request())).toBe(true);
+    expect(claims).toEqual([PART, PART]);
+  });
+});
+
 // Each part would cost its replica a connection in quiet times.
 test('runs that end well open no connection while nothing crashes', async () => {
   const {clock, watch, probed, request} = setUp(() => 'open');
