--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -179,7 +179,7 @@
         ctx.crashes.runSucceeded(exchange);
       }
       if (status >= 200 && status < 300) {
-        ctx.crashes.answerWritten(exchange, replica, startedAt);
+        ctx.crashes.answerWritten(exchange, replica);
       }
     };
     const onBroken = (sent: boolean, reason: string) => {
--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -9,7 +9,6 @@
 import type {DirectReplica} from '../types.js';
 import type {CrashReport} from './crash_reports.js';
 import type {PartRun, RunReplica} from './good_runs.js';
-import {createLastRuns} from './last_runs.js';
 import {createLostRuns} from './lost_runs.js';
 import type {ProbePort} from './port_probe.js';
 import {loggedParts, shortDigest} from './request_digest.js';
@@ -95,15 +94,8 @@
   runCancelled(exchange: Exchange, replica: DirectReplica): void;
   /** The replica answered the request. */
   runSucceeded(exchange: Exchange): void;
-  /**
-   * The replica wrote a whole successful answer to the request, whose run began
-   * at `startedAt` on this process's clock.
-   */
-  answerWritten(
-    exchange: Exchange,
-    replica: DirectReplica,
-    startedAt: number,
-  ): void;
+  /** The replica wrote a whole successful answer to the request. */
+  answerWritten(exchange: Exchange, replica: DirectReplica): void;
   /**
    * Whether the replica still listens. An answer without framing ends like this
    * too when its replica crashes.
@@ -173,26 +165,20 @@
     },
   });
 
-  const lastRuns = createLastRuns(clock);
   /** What the requests that run as trials are trials of. */
   const trialDigests = new WeakMap<Exchange, string>();
   const isAlive = async (replica: RunReplica): Promise<boolean> =>
     options.isCurrent(replica) &&
     !hasEnded(replica.id) &&
     (await options.probePort(replica.address)) === 'open';
-  const hasSurvivedOneOf = async (
-    runs: readonly PartRun[],
-  ): Promise<boolean> => {
-    if (runs.some(it => lastRuns.beganSince(it.replica.id, it.since))) {
-      return true;
-    }
+  const hasAliveOne = async (runs: readonly PartRun[]): Promise<boolean> => {
     for (const {replica} of runs) if (await isAlive(replica)) return true;
     return false;
   };
   /** Resolves with whether a run with the part ended well and is confirmed. */
   const confirmRuns = async (digest: string): Promise<boolean> => {
     const runs = suspects.lastPartRuns(digest);
-    const isConfirmed = await hasSurvivedOneOf(runs);
+    const isConfirmed = await hasAliveOne(runs);
     if (isConfirmed) suspects.partRanWell(digest);
     // Runs that ended in the meantime have not been looked up.
     else suspects.forgetPartRuns(digest, runs);
@@ -348,8 +334,7 @@
       if (isSmall || suspects.suspectCount() > 0)
         suspects.runSucceeded(exchange.digest());
     },
-    answerWritten: (exchange, {id, address}, startedAt) => {
-      lastRuns.add(id, startedAt);
+    answerWritten: (exchange, {id, address}) => {
       const parts = exchange.partDigests();
       if (parts.length === 0) return;
       const replica = {id, address};
--- a/src/direct/crashes/good_runs.ts
+++ b/src/direct/crashes/good_runs.ts
@@ -4,9 +4,8 @@
  * ago is dropped first.
  *
  * A run may seem to end well and crash its replica a moment later, so a run
- * proves a part only when the replica was found alive afterwards: by a later run
- * there that ended well, or by a connection. That is looked up when it matters,
- * which saves a connection for each part.
+ * proves a part only when the replica was found alive afterwards. That is looked
+ * up when it matters, which saves a connection for each part.
  */
 import type {Clock} from '../../types/runtime.js';
 import type {DirectReplica} from '../types.js';
@@ -22,11 +21,9 @@
 /** The replica of a run, as far as it has to be found again. */
 export type RunReplica = Pick<DirectReplica, 'id' | 'address'>;
 
-/** A replica at which runs with a part seemed to end well. */
+/** The last run with a part that seemed to end well at a replica. */
 export interface PartRun {
   readonly replica: RunReplica;
-  /** Time from which on life of the replica shows that it survived the first. */
-  readonly since: number;
 }
 
 export interface GoodRuns {
@@ -35,7 +32,7 @@
   takeRequest(digest: string): number;
   /** A run with the part seemed to end well at the replica. */
   addPartRun(digest: string, replica: RunReplica): void;
-  /** The last replicas at which runs seemed to end well, the newest first. */
+  /** The last runs that seemed to end well, one a replica, the newest first. */
   lastPartRuns(digest: string): readonly PartRun[];
   /** None of the replicas is known to have survived these runs. */
   forgetPartRuns(digest: string, runs: readonly PartRun[]): void;
@@ -102,13 +99,11 @@
       setNewest(requests, digest, {count, at: clock.now()}, MAX_REQUESTS);
     },
     addPartRun: (digest, replica) => {
-      const at = clock.now();
-      const known = lastPartRuns(digest);
-      const isSame = (run: PartRun) => run.replica.id === replica.id;
-      const newest = known.find(isSame) ?? {replica, since: at};
-      const others = known.filter(run => !isSame(run));
-      const runs = [newest, ...others].slice(0, MAX_REPLICAS_PER_PART);
-      setNewest(partRuns, digest, {runs, at}, MAX_PARTS);
+      const others = lastPartRuns(digest).filter(
+        run => run.replica.id !== replica.id,
+      );
+      const runs = [{replica}, ...others].slice(0, MAX_REPLICAS_PER_PART);
+      setNewest(partRuns, digest, {runs, at: clock.now()}, MAX_PARTS);
     },
     lastPartRuns,
     forgetPartRuns: (digest, forgotten) => {
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -76,7 +76,7 @@
    * that is alive afterwards shows it.
    */
   partSeemedToRunWell(digest: string, replica: RunReplica): void;
-  /** The last replicas at which runs with the part seemed to end well. */
+  /** The last runs with the part that seemed to end well, one a replica. */
   lastPartRuns(digest: string): readonly PartRun[];
   /** None of the replicas is known to have survived these runs. */
   forgetPartRuns(digest: string, runs: readonly PartRun[]): void;
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -317,9 +317,7 @@
     } else {
       ctx.crashes.runSucceeded(exchange);
       // A resumed stream may have had no event left to write.
-      if (eventCount > 0) {
-        ctx.crashes.answerWritten(exchange, replica, startedAt);
-      }
+      if (eventCount > 0) ctx.crashes.answerWritten(exchange, replica);
       writeHeldBack(head);
       finish({kind: 'whole', head});
     }
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -87,7 +87,7 @@
     const {clock, watch, request, crash} = setUp(address =>
       address === alive.address ? 'open' : 'refused',
     );
-    watch.answerWritten(request(), alive, clock.now());
+    watch.answerWritten(request(), alive);
     await clock.runFor(SETTLED_MS);
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(false);
@@ -100,37 +100,13 @@
       address === alive.address ? 'open' : 'refused',
     );
     for (const it of [alive, replica('r7777777'), replica('r88888888')]) {
-      watch.answerWritten(request(), it, clock.now());
+      watch.answerWritten(request(), it);
       await clock.runFor(SETTLED_MS);
     }
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(false);
   });
 
-  // Guards against a part that runs well all the time, each run at a replica
-  // that ends later, and is refused with the part that crashes them.
-  test('is not refused after a run whose replica served on and ended later', async () => {
-    const {clock, watch, request, crash, another} = setUp(() => 'refused');
-    const served = replica('served');
-    watch.answerWritten(request(), served, clock.now());
-    await clock.runFor(SETTLED_MS);
-    watch.answerWritten(another(), served, clock.now());
-    for (const id of ids) await crash(id);
-    expect(watch.isQuarantined(request())).toBe(false);
-  });
-
-  // The other run had begun before, so that its end shows nothing.
-  test('is refused after a run whose replica only ended an older run', async () => {
-    const {clock, watch, request, crash, another} = setUp(() => 'refused');
-    const served = replica('served');
-    watch.answerWritten(request(), served, clock.now());
-    const startedAt = clock.now() + 500;
-    await clock.runFor(SETTLED_MS);
-    watch.answerWritten(another(), served, startedAt);
-    for (const id of ids) await crash(id);
-    expect(watch.isQuarantined(request())).toBe(true);
-  });
-
   // Guards against good runs that are forgotten with others that are looked up.
   test('is not refused after a run that ended well during a slow lookup', async () => {
     const alive = replica('alive');
@@ -144,10 +120,10 @@
         return 'refused';
       },
     );
-    watch.answerWritten(request(), gone, clock.now());
+    watch.answerWritten(request(), gone);
     await clock.runFor(SETTLED_MS);
     watch.runBroken(request(), replica('r1'));
-    watch.answerWritten(request(), alive, clock.now());
+    watch.answerWritten(request(), alive);
     await clock.runFor(2 * SETTLED_MS);
     for (const id of ids.slice(1)) await crash(id);
     expect(watch.isQuarantined(request())).toBe(false);
@@ -156,7 +132,7 @@
   // The answer was whole, and its replica crashed a moment later.
   test('is refused after a run whose replica has not survived', async () => {
     const {clock, watch, request, crash} = setUp(() => 'refused');
-    watch.answerWritten(request(), replica('gone'), clock.now());
+    watch.answerWritten(request(), replica('gone'));
     await clock.runFor(SETTLED_MS);
     for (const id of ids) await crash(id);
     expect(watch.isQuarantined(request())).toBe(true);
@@ -165,7 +141,7 @@
   test('is refused again where only a run like that followed', async () => {
     const {clock, watch, request, crash} = setUp(() => 'refused');
     for (const id of ids) await crash(id);
-    watch.answerWritten(request(), replica('gone'), clock.now());
+    watch.answerWritten(request(), replica('gone'));
     await clock.runFor(SETTLED_MS);
     expect(watch.isQuarantined(request())).toBe(true);
   });
@@ -260,7 +236,7 @@
 test('runs that end well open no connection while nothing crashes', async () => {
   const {clock, watch, probed, request} = setUp(() => 'open');
   for (let at = 0; at < 20; at++) {
-    watch.answerWritten(request(), replica(`r${at}`), clock.now());
+    watch.answerWritten(request(), replica(`r${at}`));
   }
   await clock.runFor(SETTLED_MS);
   expect(probed).toEqual([]);
