refactor(callers): the server for callers is split by job

Cause: `openCallersServer` was one function of about 230 lines, with the listeners, three checks at intervals, the reports of closings and the stop.

Change: each is a module with one job, and `callers_server.ts` wires them. `http_server` creates and binds Node's server, `server_listeners` handles its events, `server_limits` sets its time limits, `server_stop` stops it. `connection_closer` ends connections and reports each closing. `idle_check`, `descriptor_guard` and `stalled_bodies` are the checks. `RequestHandler` moved to `server_listeners`; the test fixture imports it from there. The order of listeners, checks and writes is as before.

Measured: compiler, linter and formatter clean.

--- /dev/null
+++ b/src/direct/callers/server_stop.ts
@@ -0,0 +1,69 @@
+/**
+ * Stops the server for callers in two steps: first it accepts no connections any
+ * more, while open requests still get their answers, and later it ends all.
+ */
+import type {Server} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Cancel, Clock} from '../../types/runtime.js';
+import type {CallerConnections} from './caller_connections.js';
+import type {ConnectionCloser} from './connection_closer.js';
+import {afterPoll} from './connection_end.js';
+import {endOpenedAhead} from './opened_ahead.js';
+
+export interface ServerStop {
+  /** Resolves when requests that had come on ended connections are taken. */
+  stopAccepting(): Promise<void>;
+  /** Resolves when the end of all connections has begun. */
+  close(): Promise<void>;
+}
+
+export interface ServerStopOptions {
+  readonly server: Pick<Server, 'close'>;
+  readonly clock: Clock;
+  readonly connections: Pick<CallerConnections, 'all' | 'isUnused' | 'quietMs'>;
+  readonly closer: Pick<ConnectionCloser, 'endAll' | 'endQuiet'>;
+  readonly isEnding: (socket: Socket) => boolean;
+  /** Cancels the checks at intervals. */
+  readonly cancelChecks: Cancel;
+}
+
+export function createServerStop({
+  server,
+  clock,
+  connections,
+  closer,
+  isEnding,
+  cancelChecks,
+}: ServerStopOptions): ServerStop {
+  let cancelStop: Cancel = () => undefined;
+
+  // Connections that wait in the kernel to be accepted are reset with the
+  // listening socket, also those with whole requests.
+  const closeListener = (whenClosed: () => void) =>
+    afterPoll(() => {
+      server.close();
+      whenClosed();
+    });
+  const end = (socket: Socket) => closer.endQuiet(socket, 'drain');
+
+  return {
+    stopAccepting: () =>
+      new Promise(resolve => {
+        closeListener(() => {
+          const options = {clock, connections, isEnding, end};
+          cancelStop = endOpenedAhead(options, resolve);
+        });
+      }),
+    close: () =>
+      new Promise(resolve => {
+        cancelChecks();
+        cancelStop();
+        closeListener(() =>
+          afterPoll(() => {
+            closer.endAll();
+            resolve();
+          }),
+        );
+      }),
+  };
+}
--- a/test/support/callers_server.ts
+++ b/test/support/callers_server.ts
@@ -6,11 +6,9 @@
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {openCallersServer} from '../../src/direct/callers/callers_server.js';
-import type {
-  CallersServer,
-  RequestHandler,
-} from '../../src/direct/callers/callers_server.js';
+import type {CallersServer} from '../../src/direct/callers/callers_server.js';
 import {createLimitsInForce} from '../../src/direct/callers/limits_in_force.js';
+import type {RequestHandler} from '../../src/direct/callers/server_listeners.js';
 import type {CallerLimits} from '../../src/direct/types.js';
 import {createProcessClock} from '../../src/utils/clock.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
