test(crashes): two ways in which a sound part stays refused (known red)

A trial is open to any request a second after it is due, so requests with parts that crash replicas get both where they come more often; and a claim whose answer is lost is never run.

--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -28,7 +28,9 @@
 
 type Probe = (address: string, clock: Clock) => PortState | Promise<PortState>;
 
-function setUp(probe: Probe, isGained = false) {
+type Claim = (digest: string, trial: number) => boolean | undefined;
+
+function setUp(probe: Probe, claim: Claim = () => false) {
   const clock = createVirtualClock();
   const probed: string[] = [];
   const claims: string[] = [];
@@ -48,9 +50,9 @@
     shareReport: () => undefined,
     onQuarantined: () => undefined,
     onCleared: () => undefined,
-    claimTrial: digest => {
+    claimTrial: (digest, trial) => {
       claims.push(digest);
-      return Promise.resolve(isGained);
+      return Promise.resolve(claim(digest, trial));
     },
   });
   /** Requests with the part, of which no two are alike. */
@@ -190,7 +192,10 @@
 describe('a trial of a refused part', () => {
   const ids = ['r1', 'r22', 'r333'];
   const startTrial = async () => {
-    const all = setUp(() => 'refused', true);
+    const all = setUp(
+      () => 'refused',
+      () => true,
+    );
     for (const id of ids) all.watch.runBroken(all.request(), replica(id));
     await all.clock.runFor(1_500);
     const first = all.request();
@@ -230,6 +235,52 @@
     expect(await watch.claimTrial(request())).toBe(true);
     expect(claims).toEqual([PART, PART]);
   });
+
+  // Guards against a sound part that stays refused where requests with parts
+  // that crash replicas come more often than sound ones.
+  test('is kept for a request whose other parts crashed nothing', async () => {
+    const {clock, watch, request} = setUp(
+      () => 'refused',
+      () => true,
+    );
+    const beside = (part: string) => request([PART, part.repeat(32)]);
+    watch.runBroken(beside('1'), replica('r1'));
+    watch.runBroken(beside('2'), replica('r22'));
+    watch.runBroken(beside('1'), replica('r333'));
+    await clock.runFor(400);
+    let served = 0;
+    // A crashing request each 100 ms and a sound one each 3 s, for a minute.
+    for (let at = 0; at < 600; at++) {
+      await clock.runFor(100);
+      const isSound = at % 30 === 29;
+      const one = beside(isSound ? 'e' : at % 2 === 0 ? '1' : '2');
+      if (watch.isQuarantined(one) && !(await watch.claimTrial(one))) continue;
+      if (!watch.maySend(one)) continue;
+      if (isSound) served++;
+      else watch.runBroken(one, replica(`t${'x'.repeat(at)}`));
+    }
+    expect(served).toBeGreaterThan(0);
+  });
+
+  // The store made the claim, and its answer was lost.
+  test('is run although the answer to its claim was lost', async () => {
+    const made = new Set<string>();
+    const {clock, watch, request, crash} = setUp(
+      () => 'refused',
+      (digest, trial) => {
+        const isLost = !made.has(`${digest}-${trial}`);
+        made.add(`${digest}-${trial}`);
+        return isLost ? undefined : false;
+      },
+    );
+    for (const id of ids) await crash(id);
+    let gained = 0;
+    for (let at = 0; at < 600; at++) {
+      await clock.runFor(100);
+      if (await watch.claimTrial(request())) gained++;
+    }
+    expect(gained).toBeGreaterThan(0);
+  });
 });
 
 // Each part would cost its replica a connection in quiet times.
