--- a/fault_soak/idle_connections/delay_link.ts
+++ b/fault_soak/idle_connections/delay_link.ts
@@ -5,6 +5,14 @@
  */
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
+import {createPassage} from './passage.js';
+import type {NotedPassage, Passage} from './passage.js';
+
+/** A connection of a caller through the link. */
+export interface LinkConnection {
+  readonly socket: Socket;
+  readonly passage: Passage;
+}
 
 export interface DelayLink {
   /** One way, in milliseconds. */
@@ -13,7 +21,7 @@
    * Opens a connection through the link; undefined where its target accepts
    * none.
    */
-  open(): Promise<Socket | undefined>;
+  open(): Promise<LinkConnection | undefined>;
   close(): Promise<void>;
 }
 
@@ -47,11 +55,13 @@
     const far = connect({host, port: Number(port), allowHalfOpen: true});
     keep(near);
     keep(far);
-    const {settle} = openingOf(near.remotePort ?? 0);
+    const {settle, passage} = openingOf(near.remotePort ?? 0);
     far.once('connect', () => settle(true));
     far.once('error', () => settle(false));
-    pass(near, far, delayMs);
-    pass(far, near, delayMs);
+    far.once('end', passage.noteEnd);
+    far.once('error', passage.noteEnd);
+    pass(near, far, delayMs, passage.notePassed);
+    pass(far, near, delayMs, () => undefined);
   });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
@@ -66,10 +76,12 @@
         socket.on('error', () => resolve(undefined));
         socket.once('connect', () => {
           const {localPort = 0} = socket;
-          void openingOf(localPort).settled.then(stands => {
+          const {settled, passage} = openingOf(localPort);
+          void settled.then(stands => {
             openings.delete(localPort);
             // It may have been reset by then.
-            const use = () => resolve(socket.destroyed ? undefined : socket);
+            const use = () =>
+              resolve(socket.destroyed ? undefined : {socket, passage});
             if (stands) setTimeout(use, 2 * delayMs);
             else resolve(undefined);
           });
@@ -87,6 +99,7 @@
 interface Opening {
   readonly settled: Promise<boolean>;
   settle(stands: boolean): void;
+  readonly passage: NotedPassage;
 }
 
 function createOpening(): Opening {
@@ -94,16 +107,23 @@
   const settled = new Promise<boolean>(resolve => {
     settle = resolve;
   });
-  return {settled, settle};
+  return {settled, settle, passage: createPassage()};
 }
 
-function pass(from: Socket, into: Socket, delayMs: number): void {
+function pass(
+  from: Socket,
+  into: Socket,
+  delayMs: number,
+  onPassed: (bytes: number) => void,
+): void {
   const line: Due[] = [];
+  // Steps run as immediates: after a stall of this process, a timer runs before
+  // an end is read that came during the stall.
   const pump = (): void => {
     for (let first = line[0]; first !== undefined; first = line[0]) {
       const waitMs = first.at - performance.now();
       if (waitMs > 0) {
-        setTimeout(pump, Math.ceil(waitMs));
+        setTimeout(() => setImmediate(pump), Math.ceil(waitMs));
         return;
       }
       line.shift();
@@ -112,10 +132,14 @@
   };
   const later = (step: () => void): void => {
     line.push({at: performance.now() + delayMs, step});
-    if (line.length === 1) pump();
+    if (line.length === 1) setImmediate(pump);
   };
   from.on('data', (piece: Buffer) => {
-    later(() => into.writable && into.write(piece));
+    later(() => {
+      if (!into.writable) return;
+      into.write(piece);
+      onPassed(piece.length);
+    });
   });
   from.on('end', () => later(() => into.end()));
   from.on('error', () => later(() => into.resetAndDestroy()));
--- a/fault_soak/idle_connections/idle_callers.ts
+++ b/fault_soak/idle_connections/idle_callers.ts
@@ -51,12 +51,12 @@
   const {link, random, isOver} = shape;
   while (!isOver()) {
     const openedAt = performance.now();
-    const socket = shape.isInRotation() ? await link.open() : undefined;
-    if (socket === undefined) {
+    const opened = shape.isInRotation() ? await link.open() : undefined;
+    if (opened === undefined) {
       await sleep(RETRY_MS);
       continue;
     }
-    const connection = createIdleConnection(socket, openedAt);
+    const connection = createIdleConnection(opened, openedAt);
     await useUntilClosed(shape, connection);
     connection.destroy();
     // Else the callers of one moment would flood their entry together.
@@ -70,9 +70,9 @@
   longestMs: () => number,
 ): Promise<'closed' | 'kept' | 'over'> {
   const openedAt = performance.now();
-  const socket = await shape.link.open();
-  if (socket === undefined) return 'over';
-  const connection = createIdleConnection(socket, openedAt);
+  const opened = await shape.link.open();
+  if (opened === undefined) return 'over';
+  const connection = createIdleConnection(opened, openedAt);
   await exchange(shape, connection);
   while (connection.closedAt() === undefined && !shape.isOver()) {
     if (performance.now() - connection.idleFrom() > longestMs()) break;
--- a/fault_soak/idle_connections/idle_connection.ts
+++ b/fault_soak/idle_connections/idle_connection.ts
@@ -2,11 +2,11 @@
  * One connection of a caller, which notes when bytes were sent and received, and
  * what the last answer stated on how long the connection is kept.
  */
-import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {HOST, KEY} from '../../standins/users_platform/deployment.js';
 import {readAnswer} from '../stops_and_records/pipelining_caller.js';
 import type {Answer} from '../stops_and_records/pipelining_caller.js';
+import type {LinkConnection} from './delay_link.js';
 
 /** Time that a caller gives its requests. */
 export const DEADLINE_MS = 6_000;
@@ -42,6 +42,12 @@
   /** Undefined where a part of the request was never sent. */
   readonly headSentAt: number | undefined;
   readonly sentAt: number | undefined;
+  /** When the link passed on its first byte; undefined where it did not. */
+  readonly firstPassedAt: number | undefined;
+  /** When the link passed on its last byte; undefined where it did not. */
+  readonly passedAt: number | undefined;
+  /** When the entry's end came to the link; undefined where none did. */
+  readonly entryEndedAt: number | undefined;
   /** First byte of its answer. */
   readonly firstByteAt: number | undefined;
   readonly endedAt: number;
@@ -68,18 +74,24 @@
 interface Waiting {
   readonly asked: Asked;
   readonly beganAt: number;
+  /** Bytes that were sent on the connection before it. */
+  readonly bytesBefore: number;
+  /** Of the whole request. */
+  readonly bytes: number;
   headSentAt: number | undefined;
   sentAt: number | undefined;
   firstByteAt: number | undefined;
 }
 
 export function createIdleConnection(
-  socket: Socket,
+  {socket, passage}: LinkConnection,
   openedAt: number,
 ): IdleConnection {
   let waiting: Waiting[] = [];
   let seen: Seen[] = [];
   let text = '';
+  /** Of all requests so far. */
+  let allBytes = 0;
   let idleFrom = performance.now();
   let wasUsed = false;
   let statedMs: number | undefined;
@@ -91,11 +103,16 @@
   let before: Pick<Seen, 'idleMs' | 'statedMs'>;
 
   const note = (one: Waiting, end: End, status?: number): void => {
-    const {asked, ...times} = one;
+    const {asked, bytesBefore, bytes, ...times} = one;
     const endedAt = performance.now();
     const isBehindClose = isClosing;
     const ended = {openedAt, endedAt, end, status, isBehindClose};
-    seen.push({...asked, ...times, ...before, ...ended});
+    const atLink = {
+      firstPassedAt: passage.passedAt(bytesBefore + 1),
+      passedAt: passage.passedAt(bytesBefore + bytes),
+      entryEndedAt: passage.entryEndedAt(),
+    };
+    seen.push({...asked, ...times, ...before, ...atLink, ...ended});
   };
   const endAll = (end: End): void => {
     for (const one of waiting) note(one, end);
@@ -135,16 +152,20 @@
   const isOpen = () => !isClosing && closedAt === undefined;
   const write = async (asked: Asked): Promise<void> => {
     const beganAt = performance.now();
+    const {head, body} = textOf(asked);
+    const bytes = head.length + body.length;
     const one: Waiting = {
       asked,
       beganAt,
+      bytesBefore: allBytes,
+      bytes,
       headSentAt: undefined,
       sentAt: undefined,
       firstByteAt: undefined,
     };
+    allBytes += bytes;
     waiting.push(one);
     const {cut, pauseMs} = asked;
-    const {head, body} = textOf(asked);
     const half = Math.floor((cut === 'in-head' ? head : body).length / 2);
     if (cut === 'in-head') {
       socket.write(head.slice(0, half));
--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -304,7 +304,7 @@
 ): readonly string[] {
   if (verdict.kind !== 'broken') return [];
   const {id, end, status, idleMs, statedMs, sentAt} = seen;
-  const {openedAt, beganAt, endedAt} = seen;
+  const {openedAt, beganAt, endedAt, firstPassedAt, entryEndedAt} = seen;
   const ms = (from: number | undefined, to: number | undefined) =>
     from === undefined || to === undefined
       ? 'none'
@@ -314,6 +314,8 @@
   return [
     `${id} ${verdict.what}: ${end} ${status ?? ''}, ` +
       `${ms(sentAt, endedAt)} after it was sent, ${ms(beganAt, endedAt)} after it began; ` +
+      `its first byte passed on by the link ${ms(beganAt, firstPassedAt)} and its last one ${ms(beganAt, seen.passedAt)} after it began, ` +
+      `the entry's end read there ${ms(beganAt, entryEndedAt)} after it began; ` +
       `opened ${ms(openedAt, beganAt)} before it began, ` +
       `idle ${ms(0, idleMs)}, stated ${ms(0, statedMs)}, cut ${seen.cut}, link ${delayMs} ms, ` +
       `ran ${runs} times; version ${last?.version} acknowledged ${ms(beganAt, last?.at)} and ` +
