test(fault-soak): a report of closed connections counts from the stall before it

Cause: the commit before let a report count only if it came after the opening. The entry's report of a closing comes with its next measurement, and a stall of its event loop delays that one.

Change: a report counts from the begin of the stall that the entry logs within 50 ms of it.

Measured: the 43 tests of idle_judge, idle_link and idle_entry_log pass.

--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -269,11 +269,11 @@
   stalls: OwnStalls,
 ): (one: At) => JudgedFacts {
   const entries = fleet.entries.map(({name}, at): EntryFacts => {
-    const {adoptions, turnedAwayAt} = readEntryLog(dir, name);
+    const {adoptions, turnedAway} = readEntryLog(dir, name);
     return {
       stops: stops.stops().filter(({entry}) => entry === at),
       freezes: freezes(at),
-      turnedAwayAt,
+      turnedAway,
       adoptedAt: version => adoptions.get(version),
     };
   });
@@ -310,7 +310,10 @@
       ? 'none'
       : `${Math.round(to - from)} ms`;
   const last = history.filter(({at}) => at <= endedAt).at(-1);
-  const turnedAwayAt = entry.turnedAwayAt.filter(at => at <= endedAt).at(-1);
+  const turnedAwayAt = entry.turnedAway
+    .map(({to}) => to)
+    .filter(at => at <= endedAt)
+    .at(-1);
   return [
     `${id} ${verdict.what}: ${end} ${status ?? ''}, ` +
       `${ms(sentAt, endedAt)} after it was sent, ${ms(beganAt, endedAt)} after it began; ` +
