--- a/fault_soak/idle_connections/idle_run.ts
+++ b/fault_soak/idle_connections/idle_run.ts
@@ -269,11 +269,11 @@
   stalls: OwnStalls,
 ): (one: At) => JudgedFacts {
   const entries = fleet.entries.map(({name}, at): EntryFacts => {
-    const {adoptions, turnedAwayAt} = readEntryLog(dir, name);
+    const {adoptions, turnedAway} = readEntryLog(dir, name);
     return {
       stops: stops.stops().filter(({entry}) => entry === at),
       freezes: freezes(at),
-      turnedAwayAt,
+      turnedAway,
       adoptedAt: version => adoptions.get(version),
     };
   });
@@ -304,16 +304,21 @@
 ): readonly string[] {
   if (verdict.kind !== 'broken') return [];
   const {id, end, status, idleMs, statedMs, sentAt} = seen;
-  const {openedAt, beganAt, endedAt} = seen;
+  const {openedAt, beganAt, endedAt, firstPassedAt, entryEndedAt} = seen;
   const ms = (from: number | undefined, to: number | undefined) =>
     from === undefined || to === undefined
       ? 'none'
       : `${Math.round(to - from)} ms`;
   const last = history.filter(({at}) => at <= endedAt).at(-1);
-  const turnedAwayAt = entry.turnedAwayAt.filter(at => at <= endedAt).at(-1);
+  const turnedAwayAt = entry.turnedAway
+    .map(({to}) => to)
+    .filter(at => at <= endedAt)
+    .at(-1);
   return [
     `${id} ${verdict.what}: ${end} ${status ?? ''}, ` +
       `${ms(sentAt, endedAt)} after it was sent, ${ms(beganAt, endedAt)} after it began; ` +
+      `its first byte passed on by the link ${ms(beganAt, firstPassedAt)} and its last one ${ms(beganAt, seen.passedAt)} after it began, ` +
+      `the entry's end read there ${ms(beganAt, entryEndedAt)} after it began; ` +
       `opened ${ms(openedAt, beganAt)} before it began, ` +
       `idle ${ms(0, idleMs)}, stated ${ms(0, statedMs)}, cut ${seen.cut}, link ${delayMs} ms, ` +
       `ran ${runs} times; version ${last?.version} acknowledged ${ms(beganAt, last?.at)} and ` +
