test(callers): connections that wait together at a stop are reset (known red)

The listening socket closes one turn after the decision, so of those that came during a stall one is served, and the others are reset.

--- a/test/direct/stopped_connections.test.ts
+++ b/test/direct/stopped_connections.test.ts
@@ -56,34 +56,55 @@
 const CALLER_THREAD = `
   const {connect} = require('node:net');
   const {parentPort} = require('node:worker_threads');
-  parentPort.once('message', ({port, request}) => {
+  parentPort.once('message', ({port, request, count}) => {
+    for (let at = 0; at < count; at++) open(port, request);
+  });
+  function open(port, request) {
     const socket = connect(port, '127.0.0.1', () => socket.write(request));
     socket.once('data', data => parentPort.postMessage(data.toString()));
     socket.once('error', err => parentPort.postMessage(err.message));
     socket.once('end', () => parentPort.postMessage('end'));
-  });
+  }
 `;
 
+/** What callers see that connect while the event loop stands still. */
+async function seenAtStop(count: number): Promise<readonly string[]> {
+  const {server, address} = await startCallersServer({});
+  const thread = new Worker(CALLER_THREAD, {eval: true});
+  await new Promise(resolve => thread.once('online', resolve));
+  const seen: string[] = [];
+  const allSeen = new Promise<void>(resolve => {
+    thread.on('message', (text: string) => {
+      if (seen.push(text) === count) resolve();
+    });
+  });
+  setTimeout(() => void server.stopAccepting(), 10);
+  thread.postMessage({
+    port: Number(address.split(':')[1]),
+    request: requestText('/first'),
+    count,
+  });
+  const endsAt = performance.now() + 500;
+  while (performance.now() < endsAt);
+  await allSeen;
+  await thread.terminate();
+  await server.close();
+  return seen;
+}
+
 describe('a connection that comes before the entry stops accepting', () => {
   // Guards against a reset of a whole request whose connection waits to be
   // accepted while the event loop stands still.
   test('is accepted and its request answered', async () => {
-    const {server, address} = await startCallersServer({});
-    const thread = new Worker(CALLER_THREAD, {eval: true});
-    await new Promise(resolve => thread.once('online', resolve));
-    const seen = new Promise(resolve => thread.once('message', resolve));
-    setTimeout(() => void server.stopAccepting(), 10);
-    thread.postMessage({
-      port: Number(address.split(':')[1]),
-      request: requestText('/first'),
-    });
-    const endsAt = performance.now() + 500;
-    while (performance.now() < endsAt);
-    const text = await seen;
-    await thread.terminate();
-    await server.close();
+    const [text] = await seenAtStop(1);
     expect(text).toContain('answer to /first');
   });
+
+  // Node accepts one connection in each turn of the event loop.
+  test('is accepted beside others that wait too', async () => {
+    const seen = await seenAtStop(10);
+    expect(seen.filter(text => !text.includes('answer to /first'))).toEqual([]);
+  });
 });
 
 describe('a connection without a request when the entry stops accepting', () => {
