test(processes): errors in steps that are nobody's request (known red)

Cause of the failures: an uncaught error ends the process, and an error at a message fails a service with all requests it has.

--- a/test/support/built_entry.ts
+++ b/test/support/built_entry.ts
@@ -1,6 +1,6 @@
 /** The built program of an entry, as processes of their own. */
 import {execFile, spawn} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join, resolve} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -26,6 +26,8 @@
   readsOutput?: boolean;
   /** Flags of Node. */
   flags?: readonly string[];
+  /** Runs before the program, in its process. */
+  first?: string;
 }>;
 
 /** Builds the program, and starts stand-ins of the store and the replicas. */
@@ -39,6 +41,13 @@
   store.put('config', 'main', configOf(1));
   const processes: Array<ReturnType<typeof startProcess>> = [];
   let files = 0;
+  const programWith = (first: string | undefined): string => {
+    const program = join(dir, 'onyxloft.cjs');
+    if (first === undefined) return program;
+    const path = join(dir, `onyxloft-${++files}.cjs`);
+    writeFileSync(path, `${first}${readFileSync(program, 'utf8')}`);
+    return path;
+  };
 
   return {
     dir,
@@ -58,7 +67,7 @@
       return {path, text, callers, ready, metrics, peers};
     },
     start: (path: string, options: StartOptions = {}) => {
-      const started = startProcess(join(dir, 'onyxloft.cjs'), path, options);
+      const started = startProcess(programWith(options.first), path, options);
       processes.push(started);
       return started;
     },
