fix(process): an error in a step ends that step only

What callers saw: an error in a gauge, report, measure, line of the log or message of a service ended the process (exit 1), or the service with all requests it had. Cause: only requests, connections, calls and messages of peers had an owner for their errors; all else reached the process. Change: one place owns the steps. The clock that services get guards each timer, log and metrics lose what they can't write, the kernel ends a message alone where its service says that it goes on (all of the direct entry), and an error that nothing owns is counted and said. An error that lasts takes a line a minute.

--- a/fault_soak/odd_wires/wires_judge.ts
+++ b/fault_soak/odd_wires/wires_judge.ts
@@ -9,7 +9,14 @@
 import type {SentAnswer} from './odd_replica.js';
 
 /** Log lines that no bytes from outside may bring about. */
-const FAULT_LINES = ['service-failed', 'invariant-violated', 'process-failed'];
+const FAULT_LINES = [
+  'service-failed',
+  'message-failed',
+  'step-failed',
+  'error-unowned',
+  'invariant-violated',
+  'process-failed',
+];
 const MOST_LINES = 3;
 const MOST_CHARACTERS = 400;
 /** A process's connections close before its exit is seen. */
--- a/src/direct/boundary/connection_guard.ts
+++ b/src/direct/boundary/connection_guard.ts
@@ -11,9 +11,10 @@
 import type {Guard} from '../../utils/callback_guard.js';
 import {causeOf} from '../../utils/error_cause.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {runEach} from '../../utils/run_each.js';
 import {connectionOf, nameConnection} from '../callers/connection_name.js';
 import {sendLocalAnswer} from '../local_answers.js';
-import {ERROR_REASON, reportRequestError, runEach} from './request_errors.js';
+import {ERROR_REASON, reportRequestError} from './request_errors.js';
 
 /** Counter of errors within connections, by callback. */
 const ERRORS_METRIC = 'onyxloft_direct_connection_errors_total';
--- a/src/direct/boundary/contained_errors.ts
+++ b/src/direct/boundary/contained_errors.ts
@@ -8,7 +8,7 @@
 import type {OnError} from '../../utils/callback_guard.js';
 import {causeOf} from '../../utils/error_cause.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
-import {runEach} from './request_errors.js';
+import {runEach} from '../../utils/run_each.js';
 
 /** Counter of such errors, by event and callback. */
 const ERRORS_METRIC = 'onyxloft_contained_errors_total';
--- a/src/direct/boundary/request_errors.ts
+++ b/src/direct/boundary/request_errors.ts
@@ -9,6 +9,7 @@
 import type {Guard} from '../../utils/callback_guard.js';
 import {causeOf} from '../../utils/error_cause.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {runEach} from '../../utils/run_each.js';
 import {UnsentError} from '../callers/unsent_error.js';
 import type {Exchange} from '../exchange.js';
 import {giveUp} from '../serve_context.js';
@@ -43,22 +44,6 @@
   ]);
 }
 
-/**
- * Runs all steps, also after one that fails. Returns whether none has failed;
- * the error that they follow has been logged.
- */
-export function runEach(steps: ReadonlyArray<() => void>): boolean {
-  let isWell = true;
-  for (const step of steps) {
-    try {
-      step();
-    } catch {
-      isWell = false;
-    }
-  }
-  return isWell;
-}
-
 /** Ends a request that met an error outside of its attempts at replicas. */
 export function endFailedRequest(
   ctx: ServeContext,
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -5,11 +5,7 @@
  */
 import {isSuccess} from '../utils/final_status.js';
 import {MAX_ANSWER_BYTES, announcesTooMuch} from './answers/answer_size.js';
-import {
-  ERROR_REASON,
-  createAttemptGuard,
-  runEach,
-} from './boundary/request_errors.js';
+import {ERROR_REASON, createAttemptGuard} from './boundary/request_errors.js';
 import {beforeSending} from './callers/unsent_error.js';
 import type {AnswerHead, Dispatch} from './dispatch.js';
 import type {Exchange} from './exchange.js';
@@ -28,6 +24,7 @@
 import type {ServeContext} from './serve_context.js';
 import type {WithdrawalCause} from './gate/replica_gate.js';
 import type {DirectReplica} from './types.js';
+import {runEach} from '../utils/run_each.js';
 
 /**
  * Largest answer that is buffered, in bytes. Once more has arrived, the answer
--- a/src/direct/callers/serve_admitted.ts
+++ b/src/direct/callers/serve_admitted.ts
@@ -4,7 +4,7 @@
  * have run.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {endFailedRequest, runEach} from '../boundary/request_errors.js';
+import {endFailedRequest} from '../boundary/request_errors.js';
 import {prefillMs} from '../decide/engine_timing.js';
 import {weightedSize} from '../decide/request_weights.js';
 import {openExchange} from '../exchange.js';
@@ -19,6 +19,7 @@
 import type {ServeContext} from '../serve_context.js';
 import {serveStream} from '../streams/serve_stream.js';
 import type {OpenRequests} from './open_requests.js';
+import {runEach} from '../../utils/run_each.js';
 
 /** Serves a request until its final answer; `arrivedAt` is its arrival. */
 export type ServeAdmitted = (
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -47,6 +47,9 @@
  * a margin, so that no revoked key is accepted after the bound.
  */
 const EVIDENCE_SHARE = 0.9;
+/** Time from a failed message to the request for the full state. */
+const RESEND_STATE_MS = 1_000;
+
 export interface DirectFrontOptions {
   readonly settings: DirectSettings;
   readonly incarnation: string;
@@ -72,6 +75,7 @@
   options: DirectFrontOptions,
 ): ServiceSpec<'direct'> {
   let isRestart = false;
+  let isStateDue = false;
   const drainStart: DrainStart = {at: undefined};
   return {
     name: 'direct',
@@ -82,6 +86,19 @@
       startFront(options, ctx, drainStart);
       if (wasStarted) requestState(ctx);
     },
+    // What a message left half done is made whole by the full state.
+    messageFailed: ctx => {
+      if (isStateDue) return;
+      isStateDue = true;
+      ctx.clock.after(
+        RESEND_STATE_MS,
+        () => {
+          isStateDue = false;
+          requestState(ctx);
+        },
+        'state after a failed message',
+      );
+    },
   };
 }
 
--- a/src/direct/handover.ts
+++ b/src/direct/handover.ts
@@ -42,7 +42,12 @@
 export function createHandover({
   self,
 }: HandoverOptions): ServiceSpec<'handover'> {
-  return {name: 'handover', start: ctx => startHandover(self, ctx)};
+  return {
+    name: 'handover',
+    start: ctx => startHandover(self, ctx),
+    // A fetch that is lost is repeated by the service that asked for it.
+    messageFailed: () => undefined,
+  };
 }
 
 async function startHandover(
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -51,7 +51,12 @@
 > & {readonly isWhole: boolean};
 
 export function createSharing(options: SharingOptions): ServiceSpec<'sharing'> {
-  return {name: 'sharing', start: ctx => startSharing(options, ctx)};
+  return {
+    name: 'sharing',
+    start: ctx => startSharing(options, ctx),
+    // The next load datagram holds the whole load, and reports are repeated.
+    messageFailed: () => undefined,
+  };
 }
 
 async function startSharing(
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -81,7 +81,11 @@
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): ServiceSpec<'followed'> {
-  return {name: 'followed', start: ctx => startStoreFollower(options, ctx)};
+  return {
+    name: 'followed',
+    start: ctx => startStoreFollower(options, ctx),
+    messageFailed: () => undefined,
+  };
 }
 
 function startStoreFollower(
@@ -99,7 +103,6 @@
   let replicasChangedAt = clock.now();
   /** Number of live entries, including this one. */
   let entryCount = 1;
-
   const eraTracker = createStoreEraTracker({
     log: ctx.log,
     metrics: ctx.metrics,
@@ -174,7 +177,6 @@
   const onRestored = () => {
     if (eraTracker.current() === undefined) handleRestore();
   };
-
   const news = createVersionNews({
     clock,
     log: ctx.log,
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -5,11 +5,7 @@
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import {createEventReader} from '../answers/event_reader.js';
-import {
-  ERROR_REASON,
-  createAttemptGuard,
-  runEach,
-} from '../boundary/request_errors.js';
+import {ERROR_REASON, createAttemptGuard} from '../boundary/request_errors.js';
 import {beforeSending} from '../callers/unsent_error.js';
 import type {AnswerHead} from '../dispatch.js';
 import type {StreamEvent} from './event_splitter.js';
@@ -29,6 +25,7 @@
 import {recordEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
 import {mayRetry, watchSilence} from './stream_silence.js';
+import {runEach} from '../../utils/run_each.js';
 
 /**
  * Largest body of a failure, in bytes. Such bodies are small; beyond this bound
--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -4,13 +4,16 @@
  */
 import type {DirectSettings} from './direct/settings.js';
 import {wireDirectEntry} from './direct_wiring.js';
-import type {DirectDependencies, DirectProcess} from './direct_wiring.js';
+import type {DirectDependencies} from './direct_wiring.js';
 import type {ProcessLife} from './process/process_life.js';
+import {createContainedRuntime} from './process/contained_runtime.js';
+import {limitKeyOf} from './process/error_kinds.js';
 import {createServiceStop} from './process/service_stop.js';
+import {createUnownedErrors} from './process/unowned_errors.js';
+import {createStepReport} from './direct/boundary/contained_errors.js';
 import type {Log, Runtime} from './types/runtime.js';
-import {createBoundedSink} from './utils/bounded_sink.js';
+import {DROPPED_METRIC, createBoundedSink} from './utils/bounded_sink.js';
 import {createProcessClock, createProcessRandom} from './utils/clock.js';
-import {createErrorEnd} from './utils/error_end.js';
 import {DIRECT_EVENTS, KERNEL_EVENTS} from './utils/events.js';
 import {createProcessInvariant} from './utils/invariant.js';
 import {createProcessLog} from './utils/logger.js';
@@ -49,22 +52,15 @@
     limitMs: settings.timing.graceS * MS_PER_S,
     end: life.end,
   });
-  let wired: DirectProcess | undefined;
   life.handle({
     stop: stop.request,
     hangUp: () => log(KERNEL_EVENTS.reloaded, {changed: false}),
     ignored: signal => log(KERNEL_EVENTS.signalIgnored, {signal}),
-    error: createErrorEnd({
-      clock,
-      log,
-      stop: async () => wired?.kernel.stop(),
-      exit: (_code, cause, place) => life.end('uncaught-error', cause, place),
-    }),
+    error: createUnownedErrors(runtime),
   });
   const dependencies = {...options.createDependencies(runtime), settings};
   wireDirectEntry(dependencies, runtime)
     .then(running => {
-      wired = running;
       log(KERNEL_EVENTS.processStarted, {
         role: 'direct-entry',
         pid: process.pid,
@@ -80,13 +76,17 @@
   const stream = createBoundedSink(metrics, {
     onDropped: lines => log(KERNEL_EVENTS.logLinesDropped, {lines}),
   });
-  const log: Log = createProcessLog({node, stream});
+  const written: Log = createProcessLog({node, stream});
   life.handle({flush: stream.flushNow, isWriting: stream.isWriting});
-  return {
+  const runtime = createContainedRuntime({
     clock: createProcessClock(),
     random: createProcessRandom(),
-    log,
+    log: written,
     metrics,
-    invariant: createProcessInvariant(log, metrics),
-  };
+    lostLines: DROPPED_METRIC,
+    limitKey: limitKeyOf,
+    createReport: createStepReport,
+  });
+  const {log} = runtime;
+  return {...runtime, invariant: createProcessInvariant(log, runtime.metrics)};
 }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -1,7 +1,8 @@
 /**
  * The micro-kernel of a process. It starts services, passes messages between
- * them by service name, and restarts a service that fails. It does not depend
- * on what the services do.
+ * them by service name, and restarts a service that fails. An error at one
+ * message ends that message only, where the service says that it can go on. It
+ * does not depend on what the services do.
  */
 import {OnyxError} from '../types/errors.js';
 import type {
@@ -11,7 +12,9 @@
   ServiceSpec,
 } from '../types/kernel.js';
 import type {Cancel, Runtime} from '../types/runtime.js';
+import {causeOf} from '../utils/error_cause.js';
 import {KERNEL_EVENTS} from '../utils/events.js';
+import {runEach} from '../utils/run_each.js';
 import {createMailbox} from './mailbox.js';
 import type {Mailbox} from './mailbox.js';
 
@@ -29,6 +32,8 @@
 const STABLE_AFTER_MS = 10_000;
 /** Counter of failures, also at a start, by service. */
 const FAILED_METRIC = 'onyxloft_service_failed_total';
+/** Counter of messages whose handler threw, by service and kind. */
+const MESSAGE_FAILED_METRIC = 'onyxloft_message_failed_total';
 
 /** Starts, connects and stops the services of one process. */
 export interface Kernel {
@@ -63,6 +68,8 @@
   readonly releases: Array<() => void | Promise<void>>;
   /** Reject functions of asks that wait for a reply from this service. */
   readonly pendingAsks: Set<(err: OnyxError) => void>;
+  /** The same by message. */
+  readonly askOf: WeakMap<object, (err: OnyxError) => void>;
   /** Clock reading at the start, in milliseconds. */
   readonly startedAt: number;
   ended: boolean;
@@ -107,7 +114,9 @@
         service.pendingAsks.delete(reject);
         resolve(value);
       };
-      service.mailbox.push(createMessage(reply));
+      const message = createMessage(reply);
+      if (isObject(message)) service.askOf.set(message, reject);
+      service.mailbox.push(message);
     });
 
   const releaseService = async (service: RunningService) => {
@@ -145,8 +154,7 @@
     runtime.metrics.count(FAILED_METRIC, {service: spec.name});
     runtime.log(KERNEL_EVENTS.serviceFailed, {
       service: spec.name,
-      cause:
-        cause instanceof Error ? (cause.stack ?? cause.message) : String(cause),
+      cause: causeOf(cause),
     });
     await releaseService(service);
     if (stopping) return;
@@ -160,27 +168,90 @@
   const contextOf = <N extends ServiceName>(
     spec: ServiceSpec<N>,
     service: RunningService,
-  ): ServiceContext<N> => ({
-    ...runtime,
-    name: spec.name,
-    mailbox: observedMailbox(spec, service),
-    send,
-    ask,
-    own: runRelease => {
-      service.releases.push(runRelease);
-    },
-    fail: cause => void fail(spec, service, cause),
-  });
+  ): ServiceContext<N> => {
+    const ctx: ServiceContext<N> = {
+      ...runtime,
+      name: spec.name,
+      mailbox: observedMailbox(spec, service, () => ctx),
+      send,
+      ask,
+      own: runRelease => {
+        service.releases.push(runRelease);
+      },
+      fail: cause => void fail(spec, service, cause),
+    };
+    return ctx;
+  };
+
+  /**
+   * Ends a message whose handler threw. Each step runs though another one fails:
+   * nothing here may end the service.
+   */
+  const endMessage = (
+    service: RunningService,
+    message: unknown,
+    cause: unknown,
+    repair: () => void,
+  ): void => {
+    const kind = kindOf(message);
+    const labels = {service: service.name, kind};
+    const reject = isObject(message) ? service.askOf.get(message) : undefined;
+    runEach([
+      () => runtime.metrics.count(MESSAGE_FAILED_METRIC, labels),
+      () =>
+        runtime.log(KERNEL_EVENTS.messageFailed, {
+          ...labels,
+          cause: causeOf(cause),
+        }),
+      () => {
+        if (reject === undefined) return;
+        service.pendingAsks.delete(reject);
+        reject(
+          new OnyxError({
+            code: 'internal',
+            step: 'run',
+            peer: service.name,
+            message: `service "${service.name}" failed at "${kind}"`,
+          }),
+        );
+      },
+      repair,
+    ]);
+  };
 
-  /** The mailbox's stream; an error in its observer fails the service. */
+  /**
+   * The mailbox's stream. An error in its observer ends the message where the
+   * service can go on without it, and otherwise fails the service.
+   */
   const observedMailbox = <N extends ServiceName>(
     spec: ServiceSpec<N>,
     service: RunningService,
+    createContext: () => ServiceContext<N>,
   ) => {
+    const {messageFailed} = spec;
     const stream = service.mailbox.stream as ServiceContext<N>['mailbox'];
     const observe = stream.observe.bind(stream);
+    const contain =
+      (handler: (message: ServiceMessages[N]) => unknown) =>
+      (message: ServiceMessages[N]): void => {
+        const handleError = (err: unknown): void => {
+          if (messageFailed === undefined) throw err;
+          endMessage(service, message, err, () =>
+            messageFailed(createContext(), message),
+          );
+        };
+        try {
+          const done = handler(message);
+          if (!(done instanceof Promise)) return;
+          done
+            .catch(handleError)
+            .catch((err: unknown) => fail(spec, service, err));
+        } catch (err) {
+          handleError(err);
+        }
+      };
     stream.observe = handler => {
-      const done = observe(handler);
+      const done = observe(contain(handler));
       done.catch(cause => fail(spec, service, cause));
       return done;
     };
@@ -190,9 +261,16 @@
   const launch = async <N extends ServiceName>(spec: ServiceSpec<N>) => {
     const service: RunningService = {
       name: spec.name,
-      mailbox: createMailbox<unknown>(),
+      mailbox: createMailbox<unknown>(err =>
+        runtime.log(KERNEL_EVENTS.messageFailed, {
+          service: spec.name,
+          kind: '',
+          cause: causeOf(err),
+        }),
+      ),
       releases: [],
       pendingAsks: new Set(),
+      askOf: new WeakMap(),
       startedAt: runtime.clock.now(),
       ended: false,
     };
@@ -234,3 +312,12 @@
     runningServices: () => [...services.keys()],
   };
 }
+
+function isObject(message: unknown): message is object {
+  return typeof message === 'object' && message !== null;
+}
+
+/** Messages are told apart by their kind. */
+function kindOf(message: unknown): string {
+  return isObject(message) && 'kind' in message ? String(message.kind) : '';
+}
--- a/src/kernel/mailbox.ts
+++ b/src/kernel/mailbox.ts
@@ -6,6 +6,11 @@
 import {Stream} from 'most';
 import type {Disposable, Scheduler, Sink} from 'most';
 
+/** For mailboxes whose owner takes no errors. */
+function toProcess(err: unknown): never {
+  throw err;
+}
+
 /** The message queue of one service. */
 export interface Mailbox<T> {
   /** The messages, for one observer. */
@@ -18,8 +23,13 @@
   size(): number;
 }
 
-/** Creates an empty mailbox for one observer. */
-export function createMailbox<T>(): Mailbox<T> {
+/**
+ * Creates an empty mailbox for one observer. `onError` takes an error in the
+ * mailbox itself, which loses at most one message.
+ */
+export function createMailbox<T>(
+  onError: (err: unknown) => void = toProcess,
+): Mailbox<T> {
   const queue: T[] = [];
   let sink: Sink<T> | undefined;
   let time: () => number = () => 0;
@@ -42,10 +52,18 @@
     }
   };
 
+  const deliver = () => {
+    try {
+      drain();
+    } catch (err) {
+      onError(err);
+      if (queue.length > 0) schedule();
+    }
+  };
   const schedule = () => {
     if (scheduled || sink === undefined) return;
     scheduled = true;
-    queueMicrotask(drain);
+    queueMicrotask(deliver);
   };
 
   const run = (observer: Sink<T>, scheduler: Scheduler): Disposable<T> => {
--- a/src/types/kernel.ts
+++ b/src/types/kernel.ts
@@ -47,9 +47,18 @@
   readonly name: N;
   /**
    * Starts the service, which observes its mailbox. Returns or resolves when
-   * the service is ready for messages. If this function or the mailbox's
-   * observer throws, the kernel calls the service's cleanup functions and
-   * restarts it.
+   * the service is ready for messages. If this function throws, the kernel calls
+   * the service's cleanup functions and restarts it.
    */
   start(ctx: ServiceContext<N>): void | Promise<void>;
+  /**
+   * Called when the handler of a message has thrown, so that the service can
+   * renew what the message may have left half done. The service goes on, and an
+   * ask that the message carried is rejected.
+   * @default the service ends and is started again
+   */
+  readonly messageFailed?: (
+    ctx: ServiceContext<N>,
+    message: ServiceMessages[N],
+  ) => void;
 }
--- a/src/types/runtime.ts
+++ b/src/types/runtime.ts
@@ -11,10 +11,13 @@
 export interface Clock {
   /** Milliseconds since an arbitrary start. */
   now(): number;
-  /** Calls `fn` once, after `delayMs` milliseconds. */
-  after(delayMs: number, fn: () => void): Cancel;
+  /**
+   * Calls `fn` once, after `delayMs` milliseconds. `step` names it in the log and
+   * the metrics. @default the name of the function
+   */
+  after(delayMs: number, fn: () => void, step?: string): Cancel;
   /** Calls `fn` every `periodMs` milliseconds, first after one period. */
-  every(periodMs: number, fn: () => void): Cancel;
+  every(periodMs: number, fn: () => void, step?: string): Cancel;
 }
 
 /** A random source; seeded in tests and randomised runs. */
--- a/src/utils/bounded_sink.ts
+++ b/src/utils/bounded_sink.ts
@@ -31,7 +31,7 @@
  * Counter of dropped lines, by kind. A failed write adds one under the kind
  * `write-failed`, whatever the number of lines lost.
  */
-const DROPPED_METRIC = 'onyxloft_log_lines_dropped_total';
+export const DROPPED_METRIC = 'onyxloft_log_lines_dropped_total';
 /** Error of a write to a full pipe in non-blocking mode. */
 const PIPE_FULL = 'EAGAIN';
 /** Pause before a write to a full pipe is repeated, in milliseconds. */
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -25,12 +25,12 @@
   serviceFailed: event(101, 'error', 'service-failed'),
   serviceEnded: event(102, 'info', 'service-ended'),
   messageDropped: event(103, 'warn', 'message-dropped'),
+  messageFailed: event(104, 'error', 'message-failed'),
   processStarted: event(110, 'info', 'process-started'),
   drainStarted: event(111, 'info', 'drain-started'),
   drainEnded: event(112, 'info', 'drain-ended'),
   reloaded: event(113, 'info', 'settings-reloaded'),
   logLinesDropped: event(114, 'warn', 'log-lines-dropped'),
-  processFailed: event(115, 'error', 'process-failed'),
   processEnded: event(116, 'info', 'process-ended'),
   settingsAwaited: event(117, 'warn', 'settings-awaited'),
   settingsRead: event(118, 'info', 'settings-read'),
@@ -38,6 +38,7 @@
   addressBound: event(120, 'info', 'address-bound'),
   signalIgnored: event(121, 'info', 'signal-ignored'),
   acceptFailed: event(122, 'warn', 'accept-failed'),
+  errorUnowned: event(123, 'error', 'error-unowned'),
 } as const;
 
 /** Requests at an entry's HTTP front end, from admission to the answer. */
