fix(build): builds without development packages

Seen: the build line ends with ERR_MODULE_NOT_FOUND, exit 1, and leaves no target/ where NODE_ENV is production or npm omits development packages.

Cause: esbuild, which the build loads, was a development dependency, and its native part is an optional package. An installation that was interrupted or belongs to another commit passed for fitting by its time alone.

--- a/test/platform/build_line.test.ts
+++ b/test/platform/build_line.test.ts
@@ -10,7 +10,7 @@
   writeFileSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {join, resolve} from 'node:path';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 
 let directory = '';
@@ -30,15 +30,20 @@
 }
 
 /** Runs the line with stand-ins for its programs; returns their calls. */
-function callsOfBuild(esbuild: string, installedAgoS: number): string[] {
+function callsOfBuild(
+  esbuild: string,
+  installedAgoS: number,
+  versions: string,
+): string[] {
   const bin = join(directory, 'bin');
   const packages = join(directory, 'node_modules', '.bin');
   mkdirSync(bin, {recursive: true});
   mkdirSync(packages, {recursive: true});
   const calls = join(directory, 'calls');
-  for (const name of ['npm', 'node']) {
-    writeProgram(join(bin, name), `echo ${name} "$@" >> ${calls}`);
-  }
+  const called = (name: string) => `echo ${name} "$@" >> ${calls}`;
+  writeProgram(join(bin, 'npm'), called('npm'));
+  const check = `case "$1" in *check_packages.mjs) ${versions};; esac`;
+  writeProgram(join(bin, 'node'), `${check}\n${called('node')}`);
   writeProgram(join(packages, 'esbuild'), esbuild);
   writeFileSync(join(directory, 'package-lock.json'), '{}');
   const installed = Date.now() / 1_000 - installedAgoS;
@@ -53,22 +58,69 @@
   return readFileSync(calls, 'utf8').trim().split('\n');
 }
 
-// Guards against a build that fails, or packages of another processor that it
-// uses, after the folder was carried over from another machine.
+// Guards against a build that fails, or packages of another processor or another
+// commit that it uses, after the folder was carried over from another machine.
 test.each([
-  {state: 'fit', esbuild: 'exit 0', installedAgoS: 10, installs: false},
+  {
+    state: 'fit',
+    esbuild: 'exit 0',
+    installedAgoS: 10,
+    versions: 'exit 0',
+    installs: false,
+  },
   {
     state: 'are of another processor',
     esbuild: 'exit 126',
     installedAgoS: 10,
+    versions: 'exit 0',
+    installs: true,
+  },
+  {
+    state: 'are outdated',
+    esbuild: 'exit 0',
+    installedAgoS: 90,
+    versions: 'exit 0',
+    installs: true,
+  },
+  {
+    state: 'have other versions',
+    esbuild: 'exit 0',
+    installedAgoS: 10,
+    versions: 'exit 1',
     installs: true,
   },
-  {state: 'are outdated', esbuild: 'exit 0', installedAgoS: 90, installs: true},
 ])(
   'the build installs packages only where they do not fit: they $state',
-  ({esbuild, installedAgoS, installs}) => {
+  ({esbuild, installedAgoS, versions, installs}) => {
     const build = 'node platform/build.mjs';
-    const expected = installs ? ['npm ci --silent', build] : [build];
-    expect(callsOfBuild(esbuild, installedAgoS)).toEqual(expected);
+    const install = 'npm ci --silent --include=optional';
+    const expected = installs ? [install, build] : [build];
+    expect(callsOfBuild(esbuild, installedAgoS, versions)).toEqual(expected);
   },
 );
+
+// Guards against a build from packages that are newer than the lock file but
+// belong to another, or that an interrupted installation left.
+test.each([
+  {state: 'fit', installed: '1.2.3', code: 0},
+  {state: 'have another version', installed: '1.2.2', code: 1},
+  {state: 'are missing', installed: undefined, code: 1},
+])('the check of installed packages: they $state', ({installed, code}) => {
+  const packages = {
+    '': {version: '0.1.0'},
+    'node_modules/needed': {version: '1.2.3'},
+    'node_modules/unused': {version: '2.0.0', dev: true},
+    'node_modules/other-processor': {version: '3.0.0', optional: true},
+  };
+  const lock = JSON.stringify({packages});
+  writeFileSync(join(directory, 'package-lock.json'), lock);
+  if (installed !== undefined) {
+    const path = join(directory, 'node_modules', 'needed');
+    mkdirSync(path, {recursive: true});
+    const text = JSON.stringify({version: installed});
+    writeFileSync(join(path, 'package.json'), text);
+  }
+  const check = resolve('platform/check_packages.mjs');
+  const run = spawnSync(process.execPath, [check], {cwd: directory});
+  expect(run.status).toBe(code);
+});
