test(soak): errors in steps, and starts without a configuration

Cause: no soak throws errors into the program's own steps, and none holds an entry without a configuration to an answer. Change: fault_soak/failing_steps plays both beside ends, signals, new configurations and troubles of the store; throwing_builtins gets an end, a share, a seed and a record of what was thrown.

--- /dev/null
+++ b/fault_soak/failing_steps/step_callers.ts
@@ -0,0 +1,169 @@
+/**
+ * Callers that use a connection until it closes, with calls and streams, pauses
+ * between them, and some that leave; and checks of readiness.
+ */
+import {get} from 'node:http';
+import {connect} from 'node:net';
+import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import type {Draw} from '../odd_wires/draws.js';
+import {readSoFar} from '../odd_wires/honest_callers.js';
+
+/** Time that a caller gives a request. */
+export const DEADLINE_MS = 8_000;
+/** It waits so much longer for the end of an answer. */
+const PATIENCE_MS = 4_000;
+const PATHS = ['/again/a', '/again/a', '/once/a', '/open/a', '/stream/a'];
+const LEAVES_SHARE = 0.1;
+const LONGEST_STAY_MS = 300;
+/** Idle connections, shorter than the limit for them. */
+const IDLE_SHARE = 0.05;
+const LONGEST_IDLE_MS = 2_500;
+const MEAN_PAUSE_MS = 40;
+const CHECK_LIMIT_MS = 1_000;
+
+/** What a caller got. Times are steady milliseconds. */
+export interface StepOutcome {
+  /** Undefined where no request was sent. */
+  readonly id: string | undefined;
+  readonly path: string | undefined;
+  readonly entry: number;
+  /** IP:PORT of its end of the connection; undefined if it was refused. */
+  readonly connection: string | undefined;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** Undefined where its connection ended before a head. */
+  readonly status: number | undefined;
+  readonly hasRetryAfter: boolean;
+  readonly isWhole: boolean;
+  /** The caller closed the connection. */
+  readonly hasLeft: boolean;
+}
+
+/** A check of readiness. */
+export interface ReadyCheck {
+  readonly entry: number;
+  /** As for `StepOutcome`. */
+  readonly connection: string | undefined;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** Undefined where there was no answer. */
+  readonly status: number | undefined;
+}
+
+export interface StepCaller {
+  readonly entry: number;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly draw: Draw;
+  nextId(): string;
+  isOver(): boolean;
+  onEnd(outcome: StepOutcome): void;
+}
+
+/** Uses one connection until it ends; always resolves. */
+export function useConnection(caller: StepCaller): Promise<void> {
+  const {entry, address, draw, isOver, onEnd} = caller;
+  const [host, port] = address.split(':');
+  const openedAt = performance.now();
+  const socket = connect({host, port: Number(port)});
+  let connection: string | undefined;
+  let sent: Pick<StepOutcome, 'id' | 'path' | 'sentAt'> | undefined;
+  let text = '';
+  let hasLeft = false;
+  let patience: NodeJS.Timeout | undefined;
+  const end = (): void => {
+    const refused = {id: undefined, path: undefined, sentAt: openedAt};
+    const request = connection === undefined ? refused : sent;
+    clearTimeout(patience);
+    if (request === undefined) return;
+    const {status, isWhole} = readSoFar(text);
+    const hasRetryAfter = /\r\nretry-after: *\d/i.test(text);
+    const answer = {status, isWhole, hasRetryAfter};
+    const endedAt = performance.now();
+    onEnd({...request, entry, connection, endedAt, ...answer, hasLeft});
+    sent = undefined;
+    text = '';
+  };
+  const leave = (): void => {
+    hasLeft = true;
+    socket.destroy();
+  };
+  const sendNext = (): void => {
+    if (isOver()) return void socket.destroy();
+    sent = {
+      id: caller.nextId(),
+      path: draw.one(PATHS),
+      sentAt: performance.now(),
+    };
+    patience = setTimeout(() => socket.destroy(), DEADLINE_MS + PATIENCE_MS);
+    socket.write(requestText(sent.id, sent.path));
+    if (!draw.chance(LEAVES_SHARE)) return;
+    const id = sent.id;
+    const leaveLate = () => {
+      if (sent?.id === id) leave();
+    };
+    setTimeout(leaveLate, draw.below(LONGEST_STAY_MS));
+  };
+  const pauseMs = () =>
+    draw.chance(IDLE_SHARE)
+      ? draw.below(LONGEST_IDLE_MS)
+      : draw.below(2 * MEAN_PAUSE_MS);
+  socket.on('connect', () => {
+    connection = `${socket.localAddress}:${socket.localPort}`;
+    sendNext();
+  });
+  socket.on('data', (piece: Buffer) => {
+    text += piece.toString('latin1');
+    const {isWhole, closes} = readSoFar(text);
+    if (!isWhole) return;
+    end();
+    if (closes) socket.destroy();
+    else setTimeout(sendNext, pauseMs());
+  });
+  return new Promise(resolve => {
+    // Seen as its close.
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      end();
+      resolve();
+    });
+  });
+}
+
+function requestText(id?: string, path?: string): string {
+  return [
+    `POST ${path} HTTP/1.1`,
+    `Host: ${HOST}`,
+    `X-Request-Id: ${id}`,
+    `Authorization: Token ${KEY}`,
+    `X-Deadline-Ms: ${DEADLINE_MS}`,
+    'Content-Length: 8',
+    '',
+    'a prompt',
+  ].join('\r\n');
+}
+
+/** One check, as the load balancer makes it. */
+export function checkReady(
+  entry: number,
+  address: string,
+): Promise<ReadyCheck> {
+  const sentAt = performance.now();
+  let connection: string | undefined;
+  return new Promise(resolve => {
+    const end = (status?: number) =>
+      resolve({entry, connection, sentAt, endedAt: performance.now(), status});
+    const url = `http://${address}/api/ready`;
+    const req = get(url, {agent: false, timeout: CHECK_LIMIT_MS}, res => {
+      res.resume();
+      res.once('close', () => end(res.statusCode));
+    });
+    req.once('socket', socket =>
+      socket.once('connect', () => {
+        connection = `${socket.localAddress}:${socket.localPort}`;
+      }),
+    );
+    req.once('timeout', () => req.destroy());
+    req.once('error', () => end());
+  });
+}
--- /dev/null
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -0,0 +1,326 @@
+/**
+ * One run: processes of the built program in which errors are thrown, and that
+ * start without a configuration, beside ends, signals and changes.
+ */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {freeAddresses} from '../../demo/free_addresses.js';
+import {callEntry} from '../../standins/users_platform/entry_program.js';
+import {createDraw} from '../odd_wires/draws.js';
+import {longestStallMs} from '../odd_wires/wires_judge.js';
+import {seeded} from '../plan/seeded.js';
+import {countBy} from '../silent_replicas/silence_report.js';
+import {PORTS_PER_ENTRY, TIMING, settingsOf} from '../soak_fleet.js';
+import {createEntrySeries} from '../starts_and_ends/entry_series.js';
+import type {EntrySeries, SeriesPart} from '../starts_and_ends/entry_series.js';
+import {createGate} from '../starts_and_ends/gate.js';
+import {buildProgram} from '../starts_and_ends/program_build.js';
+import type {ProgramBuild} from '../starts_and_ends/program_build.js';
+import {
+  startStartsFleet,
+  startsConfig,
+} from '../starts_and_ends/starts_fleet.js';
+import {judgeLife} from '../starts_and_ends/starts_judge.js';
+import type {Span} from '../starts_and_ends/starts_judge.js';
+import {checkReady, useConnection} from './step_callers.js';
+import type {ReadyCheck, StepOutcome} from './step_callers.js';
+import {judgeLog, judgeSteps, shorten} from './steps_judge.js';
+import {createThrownErrors} from './thrown_errors.js';
+import type {ErrorKind} from './thrown_errors.js';
+
+const ERROR_KINDS: readonly ErrorKind[] = ['once', 'each', 'timers'];
+export const PARTS = [...ERROR_KINDS, 'store', 'ends', 'changes'] as const;
+export type Part = (typeof PARTS)[number];
+
+export interface StepsShape {
+  readonly seed: number;
+  /** Entries, each a process. */
+  readonly processes: number;
+  /** Until the errors end. */
+  readonly durationMs: number;
+  /** @default all of them */
+  readonly only?: Part;
+  /** Folder of a build. @default this repository is built */
+  readonly program?: string;
+  /** Where the build, settings and logs are written. */
+  readonly dir: string;
+}
+
+const ENDS: readonly SeriesPart[] = ['kills', 'signals'];
+const MEMORY_MB = [250, 350] as const;
+const REVOKE_MS = 5_000;
+/** One entry of so many is not ended, so that its errors go on. */
+const STEADY_OF = 3;
+const FEW_PROCESSES = 6;
+const CALLERS_PER_ENTRY = 6;
+const FEWER_CALLERS = 2;
+const RECONNECT_MS = 50;
+const CHECK_MS = 100;
+const MEAN_CHANGE_MS = 1_000;
+const MEAN_HANG_UP_MS = 1_500;
+const MEAN_TROUBLE_GAP_MS = 2_500;
+const SHORTEST_TROUBLE_MS = 1_500;
+const LONGEST_TROUBLE_MS = 5_000;
+/** After a trouble of the store, entries catch up with it. */
+const CATCH_UP_MS = 6_000;
+/** All are started again so long before the errors end. */
+const LAST_START_MS = 9_000;
+const TROUBLES = ['unset', 'away', 'silent', 'late'] as const;
+type Trouble = (typeof TROUBLES)[number];
+const LATE_MS = 1_500;
+/** Every entry serves so soon after the errors have ended. */
+const SERVE_WITHIN_MS = 10_000;
+const PROBE_GAP_MS = 200;
+const PROBES = 20;
+
+export async function runSteps(shape: StepsShape) {
+  const {seed, processes, durationMs, only, dir, program} = shape;
+  const plays = (part: Part) => only === undefined || only === part;
+  const draws = (part: number) => createDraw(seeded(seed, part));
+  const draw = draws(1);
+  const fleet = await startStartsFleet();
+  const {store} = fleet;
+  const built = buildProgram(dir, program);
+  const beganAt = performance.now();
+  const errors = createThrownErrors({
+    kinds: ERROR_KINDS.filter(plays),
+    build: built,
+    dir,
+    draw: draws(2),
+    endAt: beganAt + durationMs,
+  });
+  const entries = await createEntries(shape, store.address, errors.build);
+  const abort = () => entries.forEach(entry => entry.abort());
+  process.once('exit', abort);
+  const delay = monitorEventLoopDelay();
+  let areErrorsOver = false;
+  let isOver = false;
+  let ids = 0;
+  let version = 1;
+  let isUnset = false;
+  const nextId = () => `step-${seed}-${++ids}`;
+  const outcomes: StepOutcome[] = [];
+  const checks: ReadyCheck[] = [];
+  const played: string[] = [];
+  const unconfigured: Span[] = [];
+  const away: Span[] = [];
+  const pause = (meanMs: number) => sleep(draw.below(2 * meanMs));
+
+  const configure = () => store.put('config', 'main', startsConfig(++version));
+  const trouble = async (kind: Trouble): Promise<() => Promise<number>> => {
+    const manner = {
+      mode: 'well',
+      lateMs: [0, 0],
+      cutShare: 0,
+      seed: draw.below(2 ** 31),
+    } as const;
+    played.push(`store ${kind}`);
+    if (kind === 'unset') {
+      isUnset = true;
+      await store.remove('config', 'main');
+      return () => {
+        isUnset = false;
+        return configure();
+      };
+    }
+    await store.behave(
+      kind === 'late'
+        ? {...manner, lateMs: [LATE_MS, LATE_MS]}
+        : {...manner, mode: kind},
+    );
+    return () => store.behave(manner);
+  };
+  /** Troubles the store while all of these processes are started. */
+  const startWithout = async (
+    start: () => Promise<unknown>,
+    isAll: boolean,
+  ) => {
+    const kind = plays('store') ? draw.one(TROUBLES) : 'unset';
+    const troubledAt = performance.now();
+    const heal = await trouble(kind);
+    await start();
+    const from = performance.now();
+    const spareMs = LONGEST_TROUBLE_MS - SHORTEST_TROUBLE_MS;
+    await sleep(SHORTEST_TROUBLE_MS + draw.below(spareMs));
+    const isWithout = isAll && kind !== 'late';
+    // What is asked for meanwhile may have the healed store's answer.
+    if (isWithout) unconfigured.push({from, to: performance.now()});
+    away.push({from: troubledAt, to: (await heal()) + CATCH_UP_MS});
+  };
+  const troubleOne = async () => {
+    await pause(MEAN_TROUBLE_GAP_MS);
+    const entry = draw.one(entries);
+    await startWithout(async () => entry.losePower(), false);
+  };
+  const change = async () => {
+    await pause(MEAN_CHANGE_MS);
+    if (!isUnset) await configure();
+  };
+  const hangUp = async () => {
+    await pause(MEAN_HANG_UP_MS);
+    const life = draw.one(entries).lives.at(-1);
+    if (life?.isReady()) life.send('SIGHUP');
+  };
+  const loseAll = async () => {
+    entries.forEach(entry => entry.losePower());
+    const ended = entries.flatMap(it => it.lives.map(life => life.exited));
+    await Promise.all(ended);
+  };
+  const repeat = async (until: () => boolean, act: () => Promise<unknown>) => {
+    while (!until()) await act();
+  };
+  const call = (entry: number) => async () => {
+    await useConnection({
+      entry,
+      address: entries[entry].callers,
+      draw,
+      nextId,
+      isOver: () => isOver,
+      onEnd: it => outcomes.push(it),
+    });
+    await sleep(RECONNECT_MS);
+  };
+  const check = (entry: number) => async () => {
+    checks.push(await checkReady(entry, entries[entry].ready));
+    await sleep(CHECK_MS);
+  };
+  const callersOfEach =
+    processes <= FEW_PROCESSES ? CALLERS_PER_ENTRY : FEWER_CALLERS;
+  try {
+    delay.enable();
+    const over = () => isOver;
+    const traffic = entries.flatMap((_, at) => [
+      ...Array.from({length: callersOfEach}, () => repeat(over, call(at))),
+      repeat(over, check(at)),
+    ]);
+    let isLastStart = false;
+    await startWithout(
+      () => Promise.all(entries.map(entry => entry.begin())),
+      true,
+    );
+    const series = [
+      ...entries.map(entry => entry.play(() => areErrorsOver)),
+      ...(plays('changes')
+        ? [
+            repeat(() => areErrorsOver, change),
+            repeat(() => areErrorsOver, hangUp),
+          ]
+        : []),
+    ];
+    const troubles = plays('store')
+      ? repeat(() => isLastStart, troubleOne)
+      : Promise.resolve();
+    const leftMs = () => beganAt + durationMs - performance.now();
+    await sleep(Math.max(0, leftMs() - LAST_START_MS));
+    isLastStart = true;
+    await troubles;
+    await startWithout(loseAll, true);
+    await sleep(Math.max(0, leftMs()));
+    areErrorsOver = true;
+    await Promise.all(series);
+    await Promise.all(entries.map(entry => entry.settle()));
+    const unserved = await Promise.all(entries.map(it => probe(it, nextId)));
+    isOver = true;
+    await Promise.all(traffic);
+    const observedTo = performance.now();
+    await Promise.all(entries.map(entry => entry.finish()));
+
+    const lives = entries.flatMap(it => it.lives.map(life => life.facts()));
+    const rules = {graceMs: TIMING.graceS * 1_000, observedTo, away};
+    const {timeOrigin} = performance;
+    const steps = judgeSteps(outcomes, checks, {
+      lives,
+      timeOrigin,
+      unconfigured,
+      away,
+    });
+    const violations = [
+      ...lives.flatMap(life => [
+        ...judgeLife(life, rules),
+        ...judgeLog(life, {timeOrigin, observedTo}),
+      ]),
+      ...unserved.flat(),
+      ...steps.violations,
+    ];
+    const peaks = entries.flatMap(it => it.lives.map(life => life.peakMb()));
+    return {
+      seed,
+      starts: lives.length,
+      thrown: errors.counts(),
+      played: countBy(
+        [...played, ...entries.flatMap(it => it.played)].sort(),
+        it => it,
+      ),
+      requests: outcomes.length,
+      served: steps.served,
+      refusedWithout: steps.refusedWithout,
+      excused: steps.excused,
+      peakMb: Math.round(Math.max(...peaks)),
+      brokenByKind: countBy(violations, it => it.split(':')[0]),
+      violations: shorten(violations),
+      longestStallMs: longestStallMs(lives),
+      ownDelayMs: Math.round(delay.percentile(99) / 1e6),
+      storeDelayMs: (await store.look()).ownDelayMs,
+    };
+  } finally {
+    areErrorsOver = true;
+    isOver = true;
+    process.off('exit', abort);
+    abort();
+    await fleet.close();
+  }
+}
+
+async function createEntries(
+  {seed, processes, only, dir}: StepsShape,
+  store: string,
+  build: ProgramBuild,
+): Promise<readonly EntrySeries[]> {
+  const ports = await freeAddresses(processes * PORTS_PER_ENTRY);
+  const gate = createGate();
+  return Array.from({length: processes}, (_, at) => {
+    const from = at * PORTS_PER_ENTRY;
+    const addresses = ports.slice(from, from + PORTS_PER_ENTRY);
+    const timing = {...TIMING, revokeMs: REVOKE_MS};
+    const settings = settingsOf(at, store, addresses, timing);
+    const memoryMb = MEMORY_MB[seed % MEMORY_MB.length];
+    const limits = {...settings.limits, memoryMb};
+    const isSteady = at % STEADY_OF === 0;
+    const isEnded = only === 'ends' || (only === undefined && !isSteady);
+    return createEntrySeries({
+      entry: at,
+      settings: {...settings, limits},
+      addresses,
+      parts: new Set(isEnded ? ENDS : []),
+      holdsMetrics: false,
+      random: seeded(seed, 10 + at),
+      gate,
+      dir,
+      build,
+    });
+  });
+}
+
+/** What an entry doesn't serve in time, though no error is thrown any more. */
+async function probe(
+  {callers}: EntrySeries,
+  nextId: () => string,
+): Promise<readonly string[]> {
+  const until = performance.now() + SERVE_WITHIN_MS;
+  let statuses: Array<number | undefined> = [];
+  while (performance.now() < until) {
+    statuses = [];
+    for (let n = 0; n < PROBES && performance.now() < until; n++) {
+      const path = n % 2 === 0 ? '/again/probe' : '/stream/probe';
+      const late = sleep(SERVE_WITHIN_MS, undefined, {ref: false});
+      const called = callEntry(callers, path, nextId());
+      statuses.push(await Promise.race([called, late]));
+    }
+    if (statuses.length === PROBES && statuses.every(it => it === 200)) {
+      return [];
+    }
+    await sleep(PROBE_GAP_MS);
+  }
+  const seen = countBy(statuses, it => String(it ?? 'none'));
+  return [`end: ${callers} answers with ${JSON.stringify(seen)}`];
+}
--- a/fault_soak/starts_and_ends/starts_fleet.ts
+++ b/fault_soak/starts_and_ends/starts_fleet.ts
@@ -77,8 +77,8 @@
   };
 }
 
-function startsConfig(): unknown {
-  const config = configOf(1);
+export function startsConfig(version = 1): unknown {
+  const config = configOf(version);
   const added = [
     ['bulk', BULK_PATH],
     ['endless', ENDLESS_PATH],
--- a/fault_soak/starts_and_ends/starts_judge.ts
+++ b/fault_soak/starts_and_ends/starts_judge.ts
@@ -63,7 +63,7 @@
 const MOST_LINES = 3;
 const MOST_TIMES = 8;
 /** Fewer requests say nothing about a share. */
-const FEWEST_JUDGED = 20;
+export const FEWEST_JUDGED = 20;
 const SMALL_SERVED_SHARE = 0.5;
 const WINDOW_SERVED_SHARE = 0.9;
 /**
--- a/standins/throwing_builtins.ts
+++ b/standins/throwing_builtins.ts
@@ -15,22 +15,41 @@
    * text of a regular expression. @default each place throws once
    */
   readonly each?: string;
+  /** Time after which no call throws, in milliseconds. @default never */
+  readonly untilMs?: number;
+  /** Share of the calls that are considered. @default all of them */
+  readonly share?: number;
+  /** Of what is drawn where only a share is considered. */
+  readonly seed?: number;
+  /** File that gets a line for each error: its time of day and its place. */
+  readonly record?: string;
 }
 
 /** Text to write in front of the file that is run. */
 export function throwingBuiltins(options: ThrowingBuiltins): string {
-  return `(${install.toString()})(${JSON.stringify(options)});\n`;
+  return `(${install.toString()})(${JSON.stringify(options)}, require('node:fs'));\n`;
 }
 
 /** Marks the errors in the process's lines. */
 export const THROWN = 'thrown by a built-in function';
 
 // Runs in the process under test, so it uses nothing from outside.
-function install({program, afterMs, gapMs, each}: ThrowingBuiltins): void {
+function install(
+  options: ThrowingBuiltins,
+  {appendFileSync}: {appendFileSync(path: string, text: string): void},
+): void {
+  const {program, afterMs, gapMs, each, record} = options;
+  const {untilMs = Infinity, share = 1, seed = 0} = options;
   const STACK_LINES = 12;
+  // Lines of the stack that a record shows, and records in a file at most.
+  const RECORDED_LINES = 5;
+  const MOST_RECORDS = 2_000;
   const apply = Reflect.apply;
   const now = performance.now.bind(performance);
-  const {includes, split} = String.prototype;
+  const wallNow = Date.now;
+  const {includes, split, trim} = String.prototype;
+  const {slice, join} = Array.prototype;
+  const {imul} = Math;
   const {has, add} = Set.prototype;
   const test = RegExp.prototype.test;
   const pattern = each === undefined ? undefined : new RegExp(each);
@@ -38,6 +57,25 @@
   const startAt = now() + afterMs;
   let lastAt = 0;
   let isLooking = false;
+  let records = 0;
+  // A generator of its own, so that the program's random numbers stay as they are.
+  let state = seed | 0;
+  const draw = (): number => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = imul(state ^ (state >>> 15), 1 | state);
+    mixed = (mixed + imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+  const write = (name: string, lines: string[]): void => {
+    if (record === undefined || ++records > MOST_RECORDS) return;
+    const shown = apply(slice, lines, [3, 3 + RECORDED_LINES]) as string[];
+    const trimmed: string[] = [];
+    for (const line of shown) {
+      trimmed[trimmed.length] = apply(trim, line, []) as string;
+    }
+    const text = apply(join, trimmed, [' < ']) as string;
+    appendFileSync(record, `${wallNow()} ${name} ${text}\n`);
+  };
 
   const isDue = (name: string): boolean => {
     const limit = Error.stackTraceLimit;
@@ -48,10 +86,12 @@
     // The message, this function, and the wrapper.
     const caller = lines[3] ?? '';
     if (!(apply(includes, caller, [program]) as boolean)) return false;
-    if (pattern !== undefined) return apply(test, pattern, [stack]) as boolean;
-    const place = `${name} ${caller}`;
-    if (apply(has, thrown, [place]) as boolean) return false;
-    apply(add, thrown, [place]);
+    if (pattern === undefined) {
+      const place = `${name} ${caller}`;
+      if (apply(has, thrown, [place]) as boolean) return false;
+      apply(add, thrown, [place]);
+    } else if (!(apply(test, pattern, [stack]) as boolean)) return false;
+    write(name, lines);
     return true;
   };
   const wrap = (owner: object, name: string): void => {
@@ -59,7 +99,8 @@
     const fn = fields[name] as (...args: unknown[]) => unknown;
     fields[name] = function throwing(this: unknown, ...args: unknown[]) {
       const at = isLooking ? 0 : now();
-      if (at >= startAt && at - lastAt >= gapMs) {
+      const isTime = at >= startAt && at < untilMs && at - lastAt >= gapMs;
+      if (isTime && (share >= 1 || draw() < share)) {
         isLooking = true;
         let due = false;
         try {
