fix(build): starts beside a build load the files of one build

Seen: of starts beside two builds of one tree some end with code 0 and no line, some find no compiled code or that of another build. A build that was killed or found no room leaves a program that can't start.

Cause: the build wrote the files of the program in place, one after the other; Node runs an empty file without an error.

Change: each build writes to a directory of its own, the started file names it, and is renamed into its place last.

--- a/fault_soak/starts_and_ends/program_build.ts
+++ b/fault_soak/starts_and_ends/program_build.ts
@@ -14,7 +14,8 @@
   ? resolve(import.meta.dirname, '..', '..')
   : resolve(import.meta.dirname, '..', '..', '..');
 const STARTED = 'onyxloft.cjs';
-const BESIDE = ['program.cjs', 'program.cache'];
+/** What the started file loads lies in this folder beside it. */
+const BESIDE = 'builds';
 /** As in `deploy/system.toml`. */
 const FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 /**
@@ -50,9 +51,7 @@
     copy: (name, first = '') => {
       const own = join(dir, name);
       mkdirSync(own);
-      for (const file of BESIDE) {
-        symlinkSync(join(target, file), join(own, file));
-      }
+      symlinkSync(join(target, BESIDE), join(own, BESIDE));
       const path = join(own, STARTED);
       const program = readFileSync(join(target, STARTED), 'utf8');
       writeFileSync(path, `${first}${program}`);
--- a/test/platform/builds_beside_starts.test.ts
+++ b/test/platform/builds_beside_starts.test.ts
@@ -44,7 +44,8 @@
   writeFileSync(settingsPath, JSON.stringify(settings));
   expect(await exitOf(startBuild())).toBe(0);
 });
-afterAll(() => rmSync(directory, {recursive: true}));
+// A build that was killed may leave a process that still writes for a moment.
+afterAll(() => rmSync(directory, {recursive: true, maxRetries: 5}));
 
 function startBuild(): ChildProcess {
   const args = ['platform/build.mjs', target];
--- a/test/platform/bundle.test.ts
+++ b/test/platform/bundle.test.ts
@@ -5,6 +5,7 @@
   existsSync,
   mkdtempSync,
   readFileSync,
+  readdirSync,
   rmSync,
   truncateSync,
   writeFileSync,
@@ -53,6 +54,12 @@
   return copy;
 }
 
+/** The folder of the files that the started one loads. */
+function loadedFrom(target: string): string {
+  const [id = ''] = readdirSync(join(target, 'builds'));
+  return join(target, 'builds', id);
+}
+
 /**
  * Starts the program of a directory with the arguments of the run line; returns
  * what its first log line says of the compiled code.
@@ -89,16 +96,17 @@
   // run line that names a file which the build does not write: no entry starts.
   test('writes the file of the run line and all that it loads', () => {
     const program = runArguments().at(-1) ?? '';
-    const names = [program, 'target/program.cjs', 'target/program.cache'];
-    for (const name of names) {
-      const path = join(built, name.slice('target/'.length));
-      expect(existsSync(path), name).toBe(true);
+    expect(existsSync(join(built, program.slice('target/'.length)))).toBe(true);
+    for (const name of ['program.cjs', 'program.cache']) {
+      expect(existsSync(join(loadedFrom(built), name)), name).toBe(true);
     }
   });
 
   // Guards against the settings of the build's own run being left in place.
   test('leaves no settings behind', () => {
-    expect(existsSync(join(built, 'build_settings.json'))).toBe(false);
+    expect(readdirSync(built).sort()).toEqual(['builds', 'onyxloft.cjs']);
+    const files = readdirSync(loadedFrom(built));
+    expect(files.sort()).toEqual(['program.cache', 'program.cjs']);
   });
 });
 
@@ -112,14 +120,14 @@
   // Guards against an entry that does not start after a build without a cache.
   test('works without compiled code', async () => {
     const copy = copyOfBuilt();
-    rmSync(join(copy, 'program.cache'));
+    rmSync(join(loadedFrom(copy), 'program.cache'));
     expect(await codeCacheAtStart(copy)).toBe('missing');
   });
 
   // Guards against a crash of V8 on a file that was written in part.
   test.each([0, 20, 10_000])('works with a cache of %i bytes', async size => {
     const copy = copyOfBuilt();
-    truncateSync(join(copy, 'program.cache'), size);
+    truncateSync(join(loadedFrom(copy), 'program.cache'), size);
     expect(await codeCacheAtStart(copy)).toBe('damaged');
   });
 
@@ -127,7 +135,7 @@
   // V8 itself compares only the program's length.
   test('does not use the compiled code of another program', async () => {
     const copy = copyOfBuilt();
-    const path = join(copy, 'program.cjs');
+    const path = join(loadedFrom(copy), 'program.cjs');
     const program = readFileSync(path, 'utf8');
     const changed = program.replace('direct-listening', 'direct-l1stening');
     expect(changed).not.toBe(program);
@@ -139,8 +147,8 @@
   // program than the one that built it.
   test('works with compiled code of another version of V8', async () => {
     const copy = copyOfBuilt();
-    const program = readFileSync(join(copy, 'program.cjs'));
-    const path = join(copy, 'program.cache');
+    const program = readFileSync(join(loadedFrom(copy), 'program.cjs'));
+    const path = join(loadedFrom(copy), 'program.cache');
     const code = decodeCodeCache(program, readFileSync(path));
     // The second word of V8's header is a hash of its version.
     code?.writeUInt32LE(code.readUInt32LE(4) ^ 1, 4);
@@ -156,8 +164,8 @@
     {v8: '11.3.244.8-node.1'},
   ])('works with compiled code made for %o', async other => {
     const copy = copyOfBuilt();
-    const program = readFileSync(join(copy, 'program.cjs'));
-    const path = join(copy, 'program.cache');
+    const program = readFileSync(join(loadedFrom(copy), 'program.cjs'));
+    const path = join(loadedFrom(copy), 'program.cache');
     const code = decodeCodeCache(program, readFileSync(path));
     expect(code).toBeDefined();
     const target = {...ownTarget(), ...other};
