fix(direct): organisations with any name are served, or refused at once

Callers of an organisation whose name fits no header got 503 "internal error" each time: http.request refuses the name in X-Tenant. A name of Latin-1 letters beyond ASCII was sent as other bytes than a reader of UTF-8 expects, and white space at its ends was lost on the way.

Names for which no header has a form (control characters, white space at an end, half a surrogate pair) are refused before anything is sent, with 503 "the organisation's name fits no header": without the name, or with another one, a replica would run the request for another organisation. 503 says that it has not run, and no 4xx denies a request that the configuration allows.

--- a/bench/direct/model_fleet.ts
+++ b/bench/direct/model_fleet.ts
@@ -353,6 +353,7 @@
   readRequest: () => {
     throw new Error('the model reads no headers of callers');
   },
+  canName: () => true,
   dispatchHeaders: (raw, facts) => [
     JSON.stringify({...facts, model: JSON.parse(raw[1]) as ModelRequest}),
   ],
--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -146,9 +146,11 @@
   if (acceptsWithoutKey(config, route)) return {...admitted, owner: undefined};
   if (!isFresh) return outdated(options);
   const owner = config.keys?.get(facts.key ?? '');
-  return owner === undefined
-    ? refused(401, 'unknown key')
-    : {...admitted, owner};
+  if (owner === undefined) return refused(401, 'unknown key');
+  // Another name, or none, would be that of another organisation.
+  return options.codec.canName(owner.organisation)
+    ? {...admitted, owner}
+    : refused(503, "the organisation's name fits no header");
 }
 
 /**
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -355,6 +355,8 @@
 /** Translates headers between callers, entries and replicas. */
 export interface HeaderCodec {
   readRequest(headers: IncomingHttpHeaders): RequestFacts;
+  /** Whether a replica can be told this organisation's name. */
+  canName(organisation: string): boolean;
   /** Builds the headers that are sent to the replica. */
   dispatchHeaders(
     rawHeaders: readonly string[],
--- a/test/direct/evacuated_groups.test.ts
+++ b/test/direct/evacuated_groups.test.ts
@@ -115,6 +115,7 @@
       readRequest: () => {
         throw new Error('not used');
       },
+      canName: () => true,
       dispatchHeaders: (_raw, {helpers}) => {
         helpersOfNext = helpers;
         return [];
--- a/test/direct/faults_before_sending.test.ts
+++ b/test/direct/faults_before_sending.test.ts
@@ -23,6 +23,7 @@
     }
     return headerCodec.readRequest(headers);
   },
+  canName: headerCodec.canName,
   dispatchHeaders: (raw, facts) => {
     if (at === 'dispatchHeaders' && raw.includes('X-Faulty')) {
       throw new Error('the headers cannot be built');
--- a/test/direct/groups.test.ts
+++ b/test/direct/groups.test.ts
@@ -129,6 +129,7 @@
       pool: 4,
       codec: {
         ...headerCodec,
+        canName: () => true,
         dispatchHeaders: () => {
           throw new Error('no headers');
         },
--- a/test/direct/odd_names.test.ts
+++ b/test/direct/odd_names.test.ts
@@ -48,6 +48,51 @@
   });
 });
 
+/** Puts a configuration in force in which the only organisation has the name. */
+async function nameOrganisation(name: string, version: number): Promise<void> {
+  const {metrics} = fleet.runtime;
+  const config = configOf(version);
+  const tenants = config.tenants.map(it => ({...it, name}));
+  fleet.store.put('config', 'main', {...config, tenants});
+  const known = () => metrics.value('onyxloft_direct_config_version', {});
+  await until(() => known() === version);
+}
+
+// Guards against an organisation that is never served, and against a name that
+// its replicas read as another one.
+test.each(['東京', 'Zoë', '😀', 'a\tb'])(
+  'requests of an organisation named %j reach replicas with its UTF-8 bytes',
+  async name => {
+    await nameOrganisation(name, 2);
+    for (const path of ['/again/a', '/once/a', '/stream/a']) {
+      const answer = await callEntry(fleet, path, {headers: HEADERS});
+      expect(answer).toMatchObject({status: 200, whole: true});
+    }
+    const arrivals = [...fleet.desk, ...fleet.pool].flatMap(it => it.arrivals);
+    expect(arrivals).toHaveLength(3);
+    for (const {headers} of arrivals) {
+      const bytes = Buffer.from(String(headers['x-tenant']), 'latin1');
+      expect(bytes.toString('utf8')).toBe(name);
+    }
+  },
+);
+
+// Guards against a request that runs in the name of another organisation, or of
+// none, and against an error of the entry in place of a clear refusal.
+test.each(['a\nb', 'a\u0000b', ' a', 'a ', 'a\u007f', '\ud800'])(
+  'requests of an organisation named %j are refused, and reach no replica',
+  async name => {
+    await nameOrganisation(name, 2);
+    for (const path of ['/again/a', '/once/a', '/stream/a']) {
+      const answer = await callEntry(fleet, path, {headers: HEADERS});
+      expect(answer).toMatchObject({status: 503, whole: true});
+      expect(answer.body).toContain('name fits no header');
+    }
+    const arrivals = [...fleet.desk, ...fleet.pool].flatMap(it => it.arrivals);
+    expect(arrivals).toEqual([]);
+  },
+);
+
 // Guards against an organisation whose requests are never served, since each one
 // ends as an error of the entry that promises a later success.
 test('requests of an organisation whose name fits no header meet no error of the entry', async () => {
--- a/test/direct/unanswered_dials.test.ts
+++ b/test/direct/unanswered_dials.test.ts
@@ -92,6 +92,7 @@
       readRequest: () => {
         throw new Error('not used');
       },
+      canName: () => true,
       dispatchHeaders: () => [],
       readAnswer: () => ({
         requestId: REQUEST_ID,
