fix(build): packages are installed where npm's cache can't be written

Seen: on a host whose user can't write npm's cache the build line ends with exit 1 and no target/. Cause: npm stops at its cache.

--- a/test/platform/build_line.test.ts
+++ b/test/platform/build_line.test.ts
@@ -34,6 +34,7 @@
   esbuild: string,
   installedAgoS: number,
   versions: string,
+  npm = 'exit 0',
 ): string[] {
   const bin = join(directory, 'bin');
   const packages = join(directory, 'node_modules', '.bin');
@@ -41,7 +42,7 @@
   mkdirSync(packages, {recursive: true});
   const calls = join(directory, 'calls');
   const called = (name: string) => `echo ${name} "$@" >> ${calls}`;
-  writeProgram(join(bin, 'npm'), called('npm'));
+  writeProgram(join(bin, 'npm'), `${called('npm')}\n${npm}`);
   const check = `case "$1" in *check_packages.mjs) ${versions};; esac`;
   writeProgram(join(bin, 'node'), `${check}\n${called('node')}`);
   writeProgram(join(packages, 'esbuild'), esbuild);
@@ -99,6 +100,18 @@
   },
 );
 
+// Guards against a build that fails where npm's cache can't be written, as for a
+// user without a home folder.
+test('the build installs packages with a cache of its own where npm has none', () => {
+  const npm = 'case "$*" in *--cache*) exit 0;; esac; exit 243';
+  const install = 'npm ci --loglevel=error --include=optional';
+  expect(callsOfBuild('exit 1', 10, 'exit 0', npm)).toEqual([
+    install,
+    `${install} --cache target/npm`,
+    'node platform/build.mjs',
+  ]);
+});
+
 // Guards against a build from packages that are newer than the lock file but
 // belong to another, or that an interrupted installation left.
 test.each([
