fix(entry): a request that may have run fails as its lost run did

A caller whose repeatable request lost its run was told deadline-unreachable or overloaded when another engine refused the new offer: codes that say that nothing ran, and without a retry time where the refusal named none.

Cause: executeRequest gave the caller the failure of the newest round of offers, whatever an attempt before had come to.

Change: after an attempt that may have run, a request that no engine takes fails with the code of that attempt, with the refusal's retry time. One that did not run still fails as refused.

--- a/src/entry/run/execute_request.ts
+++ b/src/entry/run/execute_request.ts
@@ -51,12 +51,14 @@
   spec: RequestSpec,
 ): Promise<void> {
   const failedOn = new Set<Incarnation>();
+  let lost: ErrorDetails | undefined;
   deps.retryBudget.onFirstAttempt(spec.config.declarations.policy.retryRatio);
   for (let tries = 1; !isFinished(open); tries++) {
     const result = await placeRequest(deps, open, spec, failedOn);
     if (result.kind === 'over') return;
     if (result.kind === 'none') {
-      deps.finish(open, failedEvent(open, result.details));
+      const details = failureOf(result.details, lost);
+      deps.finish(open, failedEvent(open, details));
       return;
     }
     checkMayRun(deps, open, spec);
@@ -76,9 +78,23 @@
     });
     if (next === undefined || isFinished(open)) return;
     if (!(await endOrRetry(deps, open, spec, next, {tries, failedOn}))) return;
+    if (next.kind === 'retry' && next.ran !== 'no') lost = next.details;
   }
 }
 
+/**
+ * The failure for the caller when no engine takes the request. The code of a
+ * refusal says that it did not run, so after a run that may have run, the caller
+ * gets that run's failure, with the refusal's retry time.
+ */
+function failureOf(
+  refused: ErrorDetails,
+  lost: ErrorDetails | undefined,
+): ErrorDetails {
+  if (lost === undefined) return refused;
+  return {...lost, retryAfterMs: refused.retryAfterMs ?? RETRY_AFTER_MS};
+}
+
 /** The result of reserving engines. `over`: the request ended meanwhile. */
 type PlacementResult =
   | AcceptedOffer
--- a/test/entry_attempts.test.ts
+++ b/test/entry_attempts.test.ts
@@ -232,6 +232,50 @@
     expect(goDispatchesOf(entry)).toHaveLength(1);
   });
 
+  // Guards against the code of a refusal, which says that nothing ran, for a
+  // request that may have run.
+  it.each([
+    ['too-late', 0, 1_000],
+    ['full', 2_500, 2_500],
+  ] as const)(
+    'fails as its lost run when another side refuses it as %s',
+    async (reason, namedMs, retryAfterMs) => {
+      const entry = await startEntry({
+        sides: [
+          {run: side => takeDown(entry, side.address)},
+          {offer: () => refused(reason, namedMs)},
+        ],
+        requests: {routingPolicy: () => inOrder},
+      });
+      const caller = entry.submit();
+      await entry.clock.runFor(20_000);
+      expect(entry.sides[1].offers).toHaveLength(1);
+      expect(errorOf(caller)).toMatchObject({
+        code: 'upstream-lost',
+        ran: 'unknown',
+        retryAfterMs,
+      });
+    },
+  );
+
+  // Guards against a failure of the run for a request that did not run.
+  it('fails as refused when its first run never started', async () => {
+    const entry = await startEntry({
+      sides: [
+        {run: (_side, run) => run.send(failed(run.dispatchId, 'no'))},
+        {offer: () => refused('full', 2_500)},
+      ],
+      requests: {routingPolicy: () => inOrder},
+    });
+    const caller = entry.submit();
+    await entry.clock.runFor(20_000);
+    expect(errorOf(caller)).toMatchObject({
+      code: 'overloaded',
+      ran: 'no',
+      retryAfterMs: 2_500,
+    });
+  });
+
   // Every run fails on every side. Without a budget each request would run
   // three times, and the extra load would overload the remaining sides.
   it('is retried within a budget for all requests', async () => {
