fix(log): the log goes on after an error in its sink or in winston's streams

What callers saw: nothing; operators saw no line any more, for as long as the process ran. Cause: the sink noted a write as under way before it built the batch, and an error in its write callback left Node's stream in that write for good; winston's streams pass on nothing after an error within them. Change: an error loses the batch or the line and counts it; winston's streams are created again after an error or when lines lie in them.

--- a/src/utils/bounded_sink.ts
+++ b/src/utils/bounded_sink.ts
@@ -5,13 +5,15 @@
  * no write is in progress. A pipe may also be in non-blocking mode and refuse a
  * write while it is full; the write is then repeated. The queue is bounded;
  * lines that do not fit are dropped and counted. Any other failed write loses
- * the rest of its batch and counts as one.
+ * the rest of its batch and counts as one, and so does an error in a step here:
+ * the next line is written all the same.
  */
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
 import {writeStdoutNow} from './event_line.js';
 import type {WriteNow} from './event_line.js';
 import type {Metrics} from '../types/runtime.js';
+import {runEach} from './run_each.js';
 
 /** File descriptor of standard output. */
 const STDOUT = 1;
@@ -29,7 +31,8 @@
 const WARNING_OR_ERROR_LINE = /"level":"(?:warn|error)"/;
 /**
  * Counter of dropped lines, by kind. A failed write adds one under the kind
- * `write-failed`, whatever the number of lines lost.
+ * `write-failed`, whatever the number of lines lost, and a line that can't be
+ * taken adds one under `failed`.
  */
 export const DROPPED_METRIC = 'onyxloft_log_lines_dropped_total';
 /** Error of a write to a full pipe in non-blocking mode. */
@@ -84,12 +87,23 @@
   /** Rest of a batch that waits for room in the pipe. */
   let waiting: Buffer | undefined;
 
+  /** Runs a step; an error in it loses the batch and ends no later write. */
+  const contain = (step: () => void): void => {
+    try {
+      step();
+    } catch {
+      isWriting = false;
+      waiting = undefined;
+      runEach([() => metrics.count(DROPPED_METRIC, {kind: 'write-failed'})]);
+    }
+  };
   const flush = (): void => {
     if (isWriting || queue.length === 0) return;
-    isWriting = true;
-    const batch = Buffer.concat(queue);
+    const lines = queue;
     queue = [];
     queuedBytes = 0;
+    const batch = Buffer.concat(lines);
+    isWriting = true;
     writeAll(batch);
   };
   const endBatch = (): void => {
@@ -98,19 +112,26 @@
     flush();
   };
   const writeAll = (batch: Buffer): void => {
-    writeFd(batch, (err, written) => {
-      if (isPipeFull(err)) {
-        waiting = batch;
-        setTimeout(writeWaiting, PIPE_FULL_PAUSE_MS);
-      } else if (err !== null) {
-        metrics.count(DROPPED_METRIC, {kind: 'write-failed'});
-        endBatch();
-      } else if (written < batch.length) {
-        writeAll(batch.subarray(written));
-      } else {
-        endBatch();
-      }
-    });
+    writeFd(batch, (err, written) =>
+      contain(() => takeWritten(batch, err, written)),
+    );
+  };
+  const takeWritten = (
+    batch: Buffer,
+    err: Error | null,
+    written: number,
+  ): void => {
+    if (isPipeFull(err)) {
+      waiting = batch;
+      setTimeout(() => contain(writeWaiting), PIPE_FULL_PAUSE_MS);
+    } else if (err !== null) {
+      metrics.count(DROPPED_METRIC, {kind: 'write-failed'});
+      endBatch();
+    } else if (written < batch.length) {
+      writeAll(batch.subarray(written));
+    } else {
+      endBatch();
+    }
   };
   const writeWaiting = (): void => {
     if (waiting === undefined) return;
@@ -132,22 +153,30 @@
     onDropped?.(lines);
   };
 
+  const take = (line: Buffer): void => {
+    const isWarningOrError = WARNING_OR_ERROR_LINE.test(
+      line.toString('latin1'),
+    );
+    const share = isWarningOrError ? 1 : 1 - RESERVED_SHARE;
+    if (queuedBytes + line.length > MAX_QUEUED_BYTES * share) {
+      droppedLines++;
+      metrics.count(DROPPED_METRIC, {
+        kind: isWarningOrError ? 'failure' : 'other',
+      });
+    } else {
+      queue.push(line);
+      queuedBytes += line.length;
+      setImmediate(() => contain(flush));
+    }
+  };
   const stream = new Writable({
     decodeStrings: true,
     write: (line: Buffer, _encoding, done) => {
-      const isWarningOrError = WARNING_OR_ERROR_LINE.test(
-        line.toString('latin1'),
-      );
-      const share = isWarningOrError ? 1 : 1 - RESERVED_SHARE;
-      if (queuedBytes + line.length > MAX_QUEUED_BYTES * share) {
-        droppedLines++;
-        metrics.count(DROPPED_METRIC, {
-          kind: isWarningOrError ? 'failure' : 'other',
-        });
-      } else {
-        queue.push(line);
-        queuedBytes += line.length;
-        setImmediate(flush);
+      try {
+        take(line);
+      } catch {
+        // Thrown from here, it would leave the stream in its write for good.
+        runEach([() => metrics.count(DROPPED_METRIC, {kind: 'failed'})]);
       }
       done();
     },
--- a/src/utils/logger.ts
+++ b/src/utils/logger.ts
@@ -8,6 +8,12 @@
 /** Names of the fields that the logger itself adds to each line. */
 const RESERVED_FIELDS = new Set(['time', 'level', 'event', 'name', 'node']);
 
+/**
+ * Lines that winston passes on later, beyond which its streams count as stuck.
+ * They are lost then. The sink of a process takes each line at once.
+ */
+const MAX_PENDING_LINES = 64;
+
 /** Options of a process's logger. */
 export interface LoggerOptions {
   /** Name of this process; written on each line. */
@@ -27,18 +33,27 @@
 
 /** Creates a logger. */
 export function createLogger(options: LoggerOptions): Logger {
-  const winston = createWinston({
-    levels: {error: 0, warn: 1, info: 2, debug: 3},
-    level: options.level ?? 'info',
-    format: format.combine(format.timestamp(), format.printf(formatLine)),
-    transports: [
-      new transports.Stream({stream: options.stream ?? process.stdout}),
-    ],
-  });
+  const create = () =>
+    createWinston({
+      levels: {error: 0, warn: 1, info: 2, debug: 3},
+      level: options.level ?? 'info',
+      format: format.combine(format.timestamp(), format.printf(formatLine)),
+      transports: [
+        new transports.Stream({stream: options.stream ?? process.stdout}),
+      ],
+    });
+  let winston = create();
   const log: Log = (event, fields) => {
     const {number, name, level} = event;
     const head = {event: number, name, node: options.node};
-    winston.log({level, message: name, head, fields});
+    // After an error within them, winston's streams may pass on nothing more.
+    if (winston.writableLength > MAX_PENDING_LINES) winston = create();
+    try {
+      winston.log({level, message: name, head, fields});
+    } catch (err) {
+      winston = create();
+      throw err;
+    }
   };
   const close = () =>
     new Promise<void>(resolve => {
