fix(followed): one error stops no follower, query or batch for good

What callers saw: 503 for every request some seconds after one error, though the process lived and the store answered.

--- a/src/direct/catch_up.ts
+++ b/src/direct/catch_up.ts
@@ -93,9 +93,9 @@
   ): void => {
     if (running.has(name)) return;
     running.add(name);
-    fetch()
-      .catch(options.onFetchFailed)
-      .finally(() => running.delete(name));
+    // Deleted first: a fetch that seems to run would keep out every later one.
+    const end = () => running.delete(name);
+    fetch().finally(end).catch(options.onFetchFailed);
   };
 
   return {
--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -82,6 +82,12 @@
   stop(): void;
 }
 
+/**
+ * Interval at which a follower that an error has ended is started again, in
+ * milliseconds.
+ */
+const REVIVE_MS = 1_000;
+
 /** Starts to follow the collection until `stop` is called. */
 export function followCollection<T>(
   options: CollectionFollowerOptions<T>,
@@ -126,10 +132,19 @@
     position.giveUp();
     onError(err, step);
   };
+  // Nobody else would start it again, and what is known would grow old.
+  const cancelRevival = clock.every(
+    REVIVE_MS,
+    () => {
+      if (!isRunning && !isStopped) startRun();
+    },
+    'start of a follower',
+  );
   const calls = createPatientCalls(clock, takeError);
   const retry = createRetryPause(options);
   const {kind = 'items'} = collection;
   let confirmedBesideAt = Number.NEGATIVE_INFINITY;
+  let isRunning = false;
 
   /** Whether a list without a pause may follow a watch that failed like this. */
   const mayRelistAtOnce = ({historyGone}: StoreFault): boolean =>
@@ -349,7 +364,16 @@
       cutShortPauseMs = 0;
     }
   };
-  void run();
+  const startRun = (): void => {
+    isRunning = true;
+    run()
+      .catch((err: unknown) => takeError(err, `pause of ${kind}`))
+      .finally(() => {
+        isRunning = false;
+      })
+      .catch((err: unknown) => onError(err, `pause of ${kind}`));
+  };
+  startRun();
 
   function confirmBeside(): void {
     const from = position.current();
@@ -395,6 +419,7 @@
     },
     stop: () => {
       isStopped = true;
+      cancelRevival();
       retry.end();
     },
   };
--- a/src/direct/evacuations/evacuation_follower.ts
+++ b/src/direct/evacuations/evacuation_follower.ts
@@ -15,6 +15,7 @@
 import {followCollection} from '../collection_follower.js';
 import type {CollectionFollower} from '../collection_follower.js';
 import {REWRITE_GRACE_MS} from '../config_proof.js';
+import {runAll} from '../../utils/run_each.js';
 import {createConfirmationTimer} from '../store_connection.js';
 import type {Collection, StoreFault} from '../followed/collection.js';
 import type {PeerAnswer} from '../types.js';
@@ -126,9 +127,10 @@
   const hold = createHold(clock);
 
   const report = (): void => {
-    if (reportedDigest === known.digest()) return;
-    reportedDigest = known.digest();
+    const digest = known.digest();
+    if (reportedDigest === digest) return;
     options.onChange(known.domains());
+    reportedDigest = digest;
   };
   const dropExpired = (): void => {
     if (isStopped) return;
@@ -187,9 +189,12 @@
     (options.isStoreLost() && evidenceAgeMs <= MAX_EVIDENCE_AGE_MS);
   const takeFrom = async (answer: PeerAnswer): Promise<void> => {
     isFetching = true;
-    const domains = await options.fetchFromPeer(answer).finally(() => {
+    let domains: ReadonlySet<string> | undefined;
+    try {
+      domains = await options.fetchFromPeer(answer);
+    } finally {
       isFetching = false;
-    });
+    }
     if (domains === undefined || isStopped || !mayTakeFrom(answer)) return;
     known.taken(domains);
     // The store may be restored from a copy that is older than this.
@@ -235,8 +240,9 @@
     if (!isHolding) return;
     isHolding = false;
     cancel?.();
-    for (const run of held) run();
+    const runs = held;
     held = [];
+    runAll(runs);
   };
   return {
     release,
--- a/src/direct/peer_confirmation.ts
+++ b/src/direct/peer_confirmation.ts
@@ -244,9 +244,12 @@
   const queryOnce = async (): Promise<void> => {
     if (isQuerying) return;
     isQuerying = true;
-    const answer = await options.queryPeer().finally(() => {
+    let answer: PeerAnswer | undefined;
+    try {
+      answer = await options.queryPeer();
+    } finally {
       isQuerying = false;
-    });
+    }
     if (answer !== undefined) {
       lastAnswerAt = clock.now();
       handleAnswer(answer);
--- a/src/direct/peer_queries.ts
+++ b/src/direct/peer_queries.ts
@@ -65,8 +65,8 @@
     const sentAt = clock.now();
     const cancel = clock.after(FORGET_MS, () => open.delete(question));
     open.set(question, knowledge => {
-      cancel();
       open.delete(question);
+      cancel();
       times.answered(clock.now() - sentAt);
       onAnswer(knowledge);
     });
@@ -87,9 +87,10 @@
         if (isSettled) return;
         isSettled = true;
         cancel();
-        if (!isUseful(knowledge)) failures += 1;
         const {node, ip, port} = peer;
+        // The one who asked waits for it without a time limit.
         reply(knowledge && {...knowledge, askedAt, node, ip, port});
+        if (!isUseful(knowledge)) failures += 1;
       };
       const cancel = clock.after(times.limitMs(), settle);
       const question = register(settle);
--- a/src/direct/settled_era.ts
+++ b/src/direct/settled_era.ts
@@ -110,15 +110,29 @@
     if (!isStopped && isOlderEra(recorded ?? -1, era)) await record(era);
   };
 
+  /** Without it no key would ever be confirmed, so an error repeats it. */
+  const lookUpUntilDone = guard('look-up of the settled era', async () => {
+    try {
+      await lookUp();
+    } catch (err) {
+      if (!isStopped) clock.after(RETRY_MS, lookUpUntilDone);
+      throw err;
+    }
+  });
+
   return {
-    lookUp: guard('look-up of the settled era', lookUp),
+    lookUp: lookUpUntilDone,
     isSettled,
     settleAfter: delayMs => {
       const era = options.currentEra();
       if (era === undefined) return;
       const spreadMs = random.next() * RECORD_SPREAD_MS;
       const run = guard('settling of an era', settle);
-      clock.after(delayMs + spreadMs, () => isStopped || run(era));
+      clock.after(
+        delayMs + spreadMs,
+        () => isStopped || run(era),
+        'settling of an era',
+      );
     },
     stop: () => {
       isStopped = true;
--- a/src/utils/batcher.ts
+++ b/src/utils/batcher.ts
@@ -18,10 +18,12 @@
     const at = clock.now() + delayMs;
     if (at >= dueAt) return;
     cancel();
-    dueAt = at;
+    // Noted last: without a timer, a due time would keep out every later call.
+    dueAt = Infinity;
     cancel = clock.after(delayMs, () => {
       dueAt = Infinity;
       run();
     });
+    dueAt = at;
   };
 }
