fix(direct): what a message left half done is sent again until it is taken

What callers saw: 503 for every request of a pool whose one replica was dropped by an error in the table, or of an entry that noted a configuration as taken and had not taken it. Cause: a version was noted before what may fail, and the same version is then ignored; one record that threw in the table of replicas dropped those behind it; a request for the whole state was itself sent once; a question whose reply threw stayed open; the state of an entry's count was noted before it was sent. Change: notes come last; a list visits every record and reports the first error at its end; the request for the state is repeated until it was sent and handled; replies come first; the mailbox goes on after an error of its own; a restart of a service that can't be prepared is tried again; each gauge is read by itself.

--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -34,6 +34,7 @@
 import {createDrain} from './drain.js';
 import type {DrainStart} from './drain.js';
 import {reportGauges} from './gauges.js';
+import type {GaugeReaders} from './gauges.js';
 import {createPeerMessages} from './peer_messages.js';
 import {sendPeerReports} from './peer_reports.js';
 import {createServiceLinks} from './service_links.js';
@@ -89,15 +90,23 @@
     // What a message left half done is made whole by the full state.
     messageFailed: ctx => {
       if (isStateDue) return;
-      isStateDue = true;
-      ctx.clock.after(
-        RESEND_STATE_MS,
-        () => {
-          isStateDue = false;
+      const renewState = (): void => {
+        try {
           requestState(ctx);
-        },
-        'state after a failed message',
-      );
+          isStateDue = false;
+        } catch (err) {
+          scheduleRenewal();
+          throw err;
+        }
+      };
+      const scheduleRenewal = () =>
+        ctx.clock.after(
+          RESEND_STATE_MS,
+          renewState,
+          'state after a failed message',
+        );
+      scheduleRenewal();
+      isStateDue = true;
     },
   };
 }
@@ -169,17 +178,18 @@
     serving,
     heardVersion,
   });
-  const readGauges = () => ({
-    configVersion: config?.version ?? 0,
-    heardVersion: Math.max(
-      config?.version ?? 0,
-      heardVersion.fields(config?.version).heardVersion ?? 0,
-    ),
-    evidenceAgeMs: shownEvidenceAgeMs(),
-    openRequests: serving.openRequests.count(),
-    replicas: serving.replicas.size(),
-    ...serving.state(),
-  });
+  const gauges: GaugeReaders = {
+    configVersion: () => config?.version ?? 0,
+    heardVersion: () =>
+      Math.max(
+        config?.version ?? 0,
+        heardVersion.fields(config?.version).heardVersion ?? 0,
+      ),
+    evidenceAgeMs: shownEvidenceAgeMs,
+    openRequests: serving.openRequests.count,
+    replicas: serving.replicas.size,
+    ...serving.state,
+  };
 
   const checks = createEvidenceChecks({
     clock,
@@ -257,9 +267,10 @@
       before: config?.version,
       routes: next.routes.length,
     });
-    config = next;
     serving.cold.setServices(next.services);
     limits.set(next.limits);
+    // Noted behind what may fail: a version that is noted is not taken again.
+    config = next;
     server?.applyLimits();
     if (!isOpening && drain.isAccepting()) openServer().catch(ctx.fail);
   };
@@ -350,7 +361,7 @@
     return server?.close();
   });
   ctx.own(watchLoopStalls(clock, log, metrics));
-  ctx.own(reportGauges(clock, metrics, readGauges));
+  ctx.own(reportGauges(clock, metrics, gauges));
   sendPeerReports(ctx, serving).forEach(ctx.own);
   const {shares} = serving;
   if (shares !== undefined) {
--- a/src/direct/front/gauges.ts
+++ b/src/direct/front/gauges.ts
@@ -2,6 +2,7 @@
 import type {Cancel, Clock, Metrics} from '../../types/runtime.js';
 import type {EvacuationReading} from '../gate/evacuations.js';
 import type {ServingState} from '../serving.js';
+import {runAll} from '../../utils/run_each.js';
 
 /** Update interval of the gauges. Collectors read less often than this. */
 const UPDATE_INTERVAL_MS = 1_000;
@@ -18,36 +19,42 @@
   readonly replicas: number;
 }
 
+/** Reads each value by itself, so that an error at one concerns no other. */
+export type GaugeReaders = {
+  readonly [Name in keyof GaugeReadings]: () => GaugeReadings[Name];
+};
+
 /** Updates the gauges every second until it is cancelled. */
 export function reportGauges(
   clock: Clock,
   metrics: Metrics,
-  read: () => GaugeReadings,
+  read: GaugeReaders,
 ): Cancel {
-  const setGauge = (name: string, value: number) =>
-    metrics.gauge(`onyxloft_direct_${name}`, {}, value);
+  const setGauge = (name: string, readValue: () => number) => () =>
+    metrics.gauge(`onyxloft_direct_${name}`, {}, readValue());
   const setEvacuations = createEvacuationGauges(metrics);
-  return clock.every(UPDATE_INTERVAL_MS, () => {
-    const readings = read();
-    setGauge('config_version', readings.configVersion);
-    setGauge('config_heard_version', readings.heardVersion);
-    setGauge('evidence_age_ms', readings.evidenceAgeMs);
-    setGauge('open_requests', readings.openRequests);
-    setGauge('entries', readings.entries);
-    setGauge('replicas', readings.replicas);
-    setGauge('retries_left', readings.retriesLeft);
-    setGauge('memory_leases', readings.memoryLeases);
-    setGauge('suspects', readings.suspects);
-    setGauge('quarantined', readings.quarantined);
-    setGauge('limited_replicas', readings.limitedReplicas);
-    setGauge('replica_limits_per_s', readings.limitSum);
-    setGauge('cold_replicas', readings.coldReplicas);
-    setGauge('cold_limits_per_s', readings.coldSum);
-    setGauge('leaving_replicas', readings.leavingReplicas);
-    setGauge('paused_replicas', readings.pausedReplicas);
-    setGauge('evacuated_domains', readings.evacuations.length);
-    setEvacuations(readings.evacuations);
-  });
+  const setAll = [
+    setGauge('config_version', read.configVersion),
+    setGauge('config_heard_version', read.heardVersion),
+    setGauge('evidence_age_ms', read.evidenceAgeMs),
+    setGauge('open_requests', read.openRequests),
+    setGauge('entries', read.entries),
+    setGauge('replicas', read.replicas),
+    setGauge('retries_left', read.retriesLeft),
+    setGauge('memory_leases', read.memoryLeases),
+    setGauge('suspects', read.suspects),
+    setGauge('quarantined', read.quarantined),
+    setGauge('limited_replicas', read.limitedReplicas),
+    setGauge('replica_limits_per_s', read.limitSum),
+    setGauge('cold_replicas', read.coldReplicas),
+    setGauge('cold_limits_per_s', read.coldSum),
+    setGauge('leaving_replicas', read.leavingReplicas),
+    setGauge('paused_replicas', read.pausedReplicas),
+    setGauge('evacuated_domains', () => read.evacuations().length),
+    () => setEvacuations(read.evacuations()),
+  ];
+  const readGauges = () => runAll(setAll);
+  return clock.every(UPDATE_INTERVAL_MS, readGauges);
 }
 
 /** Value of `last_sent_age_ms` if this entry sent no request to the domain. */
--- a/src/direct/loop_stalls.ts
+++ b/src/direct/loop_stalls.ts
@@ -17,12 +17,14 @@
   metrics: Metrics,
 ): Cancel {
   let expectedAt = clock.now() + INTERVAL_MS;
-  return clock.every(INTERVAL_MS, () => {
+  return clock.every(INTERVAL_MS, watchLoop);
+
+  function watchLoop(): void {
     const now = clock.now();
     const stalledMs = Math.max(0, now - expectedAt);
     expectedAt = now + INTERVAL_MS;
     metrics.observe('onyxloft_loop_stall_ms', {}, stalledMs);
     if (stalledMs <= LOGGED_STALL_MS) return;
     log(DIRECT_EVENTS.loopStalled, {stalledMs: Math.round(stalledMs)});
-  });
+  }
 }
--- a/src/direct/replica_table.ts
+++ b/src/direct/replica_table.ts
@@ -9,6 +9,7 @@
  */
 import type {Clock} from '../types/runtime.js';
 import {createRecentMap} from '../utils/recent_map.js';
+import {runAll, visitAll} from '../utils/run_each.js';
 import type {DirectReplica} from './types.js';
 
 /**
@@ -217,22 +218,19 @@
   return {
     replaceAll: replicas => {
       untrusted.clear();
-      for (const name of [...present.keys()]) {
-        if (!replicas.has(name)) remove(name);
-      }
-      for (const replica of replicas.values()) putListedRecord(replica);
+      const gone = [...present.keys()].filter(name => !replicas.has(name));
+      runAll([
+        () => visitAll(gone, remove),
+        () => visitAll(replicas.values(), putListedRecord),
+      ]);
     },
-    applyChanges: replicas => {
-      for (const [name, replica] of replicas) {
-        if (replica === undefined) {
-          remove(name);
-          continue;
-        }
+    applyChanges: replicas =>
+      visitAll(replicas, ([name, replica]) => {
+        if (replica === undefined) return remove(name);
         // The replica itself has written a record since the restore.
         untrusted.delete(name);
         put(replica);
-      }
-    },
+      }),
     storeFailed: () => {
       storeFailedAt = clock.now();
     },
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -8,6 +8,7 @@
 import type {Clock, Log, Metrics, Random} from '../types/runtime.js';
 import {createBatcher} from '../utils/batcher.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {runAll} from '../utils/run_each.js';
 import {createStepReport} from './boundary/contained_errors.js';
 import type {CrashReport} from './crashes/crash_reports.js';
 import {createReportBatch} from './crashes/report_batch.js';
@@ -182,8 +183,10 @@
   /** Sets the number of known entries, including this one. */
   setEntryCount(count: number): void;
   readonly openRequests: Omit<OpenRequests, 'add' | 'delete'>;
-  /** Values for the gauges. */
-  state(): ServingState;
+  /** Reads the values for the gauges. */
+  readonly state: {
+    readonly [Name in keyof ServingState]: () => ServingState[Name];
+  };
 }
 
 export function createServing(options: ServingOptions): Serving {
@@ -279,19 +282,28 @@
     saysLeaving: gate.isLeaving,
     onRemoved: (replica, mayHaveLapsed) => {
       const {id, leaving} = replica;
-      health.forget(id);
-      if (!mayHaveLapsed) limits.removed(id);
-      const isLeaving = leaving || gate.isLeaving(id);
-      if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(replica);
+      runAll([
+        () => health.forget(id),
+        () => mayHaveLapsed || limits.removed(id),
+        () => {
+          const isLeaving = leaving || gate.isLeaving(id);
+          if (!isLeaving && !mayHaveLapsed) crashes.recordRemoved(replica);
+        },
+      ]);
     },
     onRestarted: ({id, leaving}, now, mayBeSame) => {
       log(DIRECT_EVENTS.replicaRestarted, {replica: id, now: now.id});
-      health.forget(id);
-      limits.forget(id);
-      if (!leaving && !gate.isLeaving(id)) crashes.replicaEnded(id);
-      if (mayBeSame) gate.moveDeparture(id, now.id);
-      gate.forget(id);
-      losses.notifyLost(id);
+      // Told once: the table has the later start by now.
+      runAll([
+        () => losses.notifyLost(id),
+        () => health.forget(id),
+        () => limits.forget(id),
+        () => {
+          if (!leaving && !gate.isLeaving(id)) crashes.replicaEnded(id);
+        },
+        () => mayBeSame && gate.moveDeparture(id, now.id),
+        () => gate.forget(id),
+      ]);
     },
   });
   const crashes = createCrashWatch({
@@ -379,12 +391,16 @@
     replicas: {
       ...replicas,
       replaceAll: records => {
-        replicas.replaceAll(records);
-        cold.listed(records, true);
+        runAll([
+          () => replicas.replaceAll(records),
+          () => cold.listed(records, true),
+        ]);
       },
       applyChanges: records => {
-        replicas.applyChanges(records);
-        cold.listed(records, false);
+        runAll([
+          () => replicas.applyChanges(records),
+          () => cold.listed(records, false),
+        ]);
       },
     },
     loadTracker,
@@ -400,19 +416,19 @@
       shares?.setEntryCount(count);
     },
     openRequests,
-    state: () => ({
-      entries: entryCount,
-      retriesLeft: ctx.budget.left(),
-      memoryLeases: ctx.groups.reservationCount(),
-      suspects: crashes.suspectCount(),
-      quarantined: crashes.quarantinedCount(),
-      limitedReplicas: namedLimits.count(),
-      limitSum: namedLimits.sum(),
-      coldReplicas: cold.count(),
-      coldSum: cold.sum(),
-      leavingReplicas: gate.leavingCount(),
-      pausedReplicas: gate.pausedCount(),
-      evacuations: evacuations.readings(),
-    }),
+    state: {
+      entries: () => entryCount,
+      retriesLeft: ctx.budget.left,
+      memoryLeases: ctx.groups.reservationCount,
+      suspects: crashes.suspectCount,
+      quarantined: crashes.quarantinedCount,
+      limitedReplicas: namedLimits.count,
+      limitSum: namedLimits.sum,
+      coldReplicas: cold.count,
+      coldSum: cold.sum,
+      leavingReplicas: gate.leavingCount,
+      pausedReplicas: gate.pausedCount,
+      evacuations: evacuations.readings,
+    },
   };
 }
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -27,6 +27,7 @@
 import {SHARE_REPORT_PEERS, sampleRandomly} from './shares/share_broadcast.js';
 import type {ShareReport} from './shares/share_messages.js';
 import './messages.js';
+import {repeatResend} from './followed/repeat_resend.js';
 import {HEARTBEAT_MS, createLoadBroadcast} from './load_broadcast.js';
 import type {LoadChanges} from './load_broadcast.js';
 import type {DirectStore, EntryAddress, StoreKnowledge} from './types.js';
@@ -55,7 +56,7 @@
     name: 'sharing',
     start: ctx => startSharing(options, ctx),
     // The next load datagram holds the whole load, and reports are repeated.
-    messageFailed: () => undefined,
+    messageFailed: (ctx, message) => repeatResend(ctx, message),
   };
 }
 
@@ -236,9 +237,9 @@
       loadFormat !== from.loadFormat ||
       readsShares !== from.readsShares;
     if (isOutdated) {
-      peer.entry = from;
       senders.learn(from);
       scheduleEntries(REPORT_ENTRIES_MS);
+      peer.entry = from;
     }
     ctx.send('direct', {
       kind: 'peer-load',
@@ -250,8 +251,12 @@
   };
 
   const heartbeat = (): void => {
-    loadBroadcast.heartbeat();
-    reportEntries();
+    // Entries are counted though loads can't be sent.
+    try {
+      loadBroadcast.heartbeat();
+    } finally {
+      reportEntries();
+    }
   };
   const scheduleEntries = createBatcher(clock, () => {
     if (!isClosed) reportEntries();
@@ -262,11 +267,12 @@
     const granting = peers.grantingEntries(isDraining);
     const described = JSON.stringify([count, granting]);
     if (described === reportedEntries) return;
-    reportedEntries = described;
     if (count !== reportedCount) log(DIRECT_EVENTS.entriesCounted, {count});
     reportedCount = count;
     ctx.send('direct', {kind: 'entries', count, granting});
     ctx.send('followed', {kind: 'entries', count});
+    // Noted last: what is noted is not sent again.
+    reportedEntries = described;
   };
 
   socket.onDatagram(createIncoming({log, metrics, handle: handleDatagram}));
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -5,7 +5,6 @@
  * confirms that the configuration is the newest, it calls the store less often.
  */
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
-import {createGuard} from '../utils/callback_guard.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCatchUp} from './catch_up.js';
 import {
@@ -24,6 +23,7 @@
   followEvacuations,
 } from './evacuations/evacuation_follower.js';
 import {createPeerRequests} from './followed/peer_requests.js';
+import {repeatResend} from './followed/repeat_resend.js';
 import {createKnowledgeReports} from './followed/knowledge_reports.js';
 import {
   CONFIG_WATCH_MS,
@@ -84,7 +84,7 @@
   return {
     name: 'followed',
     start: ctx => startStoreFollower(options, ctx),
-    messageFailed: () => undefined,
+    messageFailed: repeatResend,
   };
 }
 
@@ -192,9 +192,10 @@
     // one.
     if (config === undefined) return;
     if (newest !== undefined && config.version <= newest.version) return;
+    ctx.send('direct', {kind: 'config', config});
+    // Noted last: a version that is noted is not sent again.
     newest = config;
     news.fetched(config.version, from, sentAt);
-    ctx.send('direct', {kind: 'config', config});
   };
   const applyReplicas = (items: ReadonlyMap<string, DirectReplica>) => {
     replicasChangedAt = clock.now();
@@ -361,7 +362,6 @@
     evacuationsDigest: evacuations.digest(),
   });
   const reports = createKnowledgeReports(ctx, ownKnowledge);
-  const tellPeer = createGuard(onError)('knowledge', reports.reply);
   const mayQueryAnyPeer = () =>
     connection.isLost() || clock.now() < queryAnyPeerUntil;
   const confirmation = createPeerConfirmation({
@@ -418,7 +418,7 @@
   void ctx.mailbox.observe(message => {
     switch (message.kind) {
       case 'knowledge':
-        return tellPeer(message.reply);
+        return reports.reply(message.reply);
       case 'state':
         return message.reply({
           config: newest,
@@ -433,7 +433,7 @@
       case 'quarantine-cleared':
         return quarantineRecords.clear(message.digest, message.isOwn);
       case 'claim-trial':
-        return void quarantineRecords
+        return quarantineRecords
           .claimTrial(message.digest, message.trial, message.claimant)
           .then(message.reply);
       case 'confirm':
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -111,14 +111,22 @@
       }
       service.pendingAsks.add(reject);
       const reply = (value: R) => {
-        service.pendingAsks.delete(reject);
+        // First, so that no error keeps the answer from the one who asked.
         resolve(value);
+        service.pendingAsks.delete(reject);
       };
       const message = createMessage(reply);
       if (isObject(message)) service.askOf.set(message, reject);
       service.mailbox.push(message);
     });
 
+  const reportRelease =
+    ({name}: RunningService) =>
+    (err: unknown): void =>
+      runtime.log(KERNEL_EVENTS.serviceFailed, {
+        service: name,
+        cause: `release: ${String(err)}`,
+      });
   const releaseService = async (service: RunningService) => {
     service.ended = true;
     if (services.get(service.name) === service) services.delete(service.name);
@@ -129,10 +137,7 @@
       try {
         await runRelease();
       } catch (err) {
-        runtime.log(KERNEL_EVENTS.serviceFailed, {
-          service: service.name,
-          cause: `release: ${String(err)}`,
-        });
+        reportRelease(service)(err);
       }
     }
   };
@@ -156,13 +161,27 @@
       service: spec.name,
       cause: causeOf(cause),
     });
-    await releaseService(service);
-    if (stopping) return;
-    const cancel = runtime.clock.after(restartDelay(service), () => {
-      restartTimers.delete(cancel);
-      if (!stopping) void launch(spec).catch(() => undefined);
-    });
-    restartTimers.add(cancel);
+    await releaseService(service).catch(reportRelease(service));
+    if (!stopping) scheduleRestart(spec, service);
+  };
+
+  /** A restart that can't be prepared is tried again: nobody else would. */
+  const scheduleRestart = <N extends ServiceName>(
+    spec: ServiceSpec<N>,
+    service: RunningService,
+  ) => {
+    const schedule = () => {
+      const cancel = runtime.clock.after(
+        restartDelay(service),
+        () => {
+          runEach([() => restartTimers.delete(cancel)]);
+          if (!stopping) void launch(spec).catch(() => undefined);
+        },
+        `restart of ${spec.name}`,
+      );
+      runEach([() => restartTimers.add(cancel)]);
+    };
+    if (!runEach([schedule])) schedule();
   };
 
   const contextOf = <N extends ServiceName>(
@@ -259,23 +278,24 @@
   };
 
   const launch = async <N extends ServiceName>(spec: ServiceSpec<N>) => {
+    const {messageFailed} = spec;
     const service: RunningService = {
       name: spec.name,
-      mailbox: createMailbox<unknown>(err =>
-        runtime.log(KERNEL_EVENTS.messageFailed, {
-          service: spec.name,
-          kind: '',
-          cause: causeOf(err),
-        }),
-      ),
+      mailbox: createMailbox<unknown>({
+        goesOn: messageFailed !== undefined,
+        onError: err =>
+          endMessage(service, undefined, err, () =>
+            messageFailed?.(contextOf(spec, service), undefined),
+          ),
+      }),
       releases: [],
       pendingAsks: new Set(),
       askOf: new WeakMap(),
       startedAt: runtime.clock.now(),
       ended: false,
     };
-    services.set(spec.name, service);
     try {
+      services.set(spec.name, service);
       await spec.start(contextOf(spec, service));
       runtime.log(KERNEL_EVENTS.serviceStarted, {service: spec.name});
     } catch (err) {
--- a/src/kernel/mailbox.ts
+++ b/src/kernel/mailbox.ts
@@ -6,11 +6,21 @@
 import {Stream} from 'most';
 import type {Disposable, Scheduler, Sink} from 'most';
 
-/** For mailboxes whose owner takes no errors. */
-function toProcess(err: unknown): never {
-  throw err;
+export interface MailboxOptions {
+  /** Takes an error in the mailbox itself, which loses at most one message. */
+  onError(err: unknown): void;
+  /** Whether the observer goes on after an error at one message. */
+  readonly goesOn: boolean;
 }
 
+/** For mailboxes whose owner takes no errors. */
+const NO_OWNER: MailboxOptions = {
+  onError: err => {
+    throw err;
+  },
+  goesOn: false,
+};
+
 /** The message queue of one service. */
 export interface Mailbox<T> {
   /** The messages, for one observer. */
@@ -23,13 +33,11 @@
   size(): number;
 }
 
-/**
- * Creates an empty mailbox for one observer. `onError` takes an error in the
- * mailbox itself, which loses at most one message.
- */
-export function createMailbox<T>(
-  onError: (err: unknown) => void = toProcess,
-): Mailbox<T> {
+/** Creates an empty mailbox for one observer. */
+export function createMailbox<T>({
+  onError,
+  goesOn,
+}: MailboxOptions = NO_OWNER): Mailbox<T> {
   const queue: T[] = [];
   let sink: Sink<T> | undefined;
   let time: () => number = () => 0;
@@ -43,6 +51,8 @@
       try {
         sink.event(time(), message);
       } catch (err) {
+        // The next messages are delivered in a microtask of their own.
+        if (goesOn) throw err;
         // This rejects the observer's promise, and the kernel then fails the
         // service.
         const failedSink = sink;
@@ -56,8 +66,8 @@
     try {
       drain();
     } catch (err) {
-      onError(err);
       if (queue.length > 0) schedule();
+      onError(err);
     }
   };
   const schedule = () => {
--- a/src/types/kernel.ts
+++ b/src/types/kernel.ts
@@ -54,11 +54,12 @@
   /**
    * Called when the handler of a message has thrown, so that the service can
    * renew what the message may have left half done. The service goes on, and an
-   * ask that the message carried is rejected.
+   * ask that the message carried is rejected. Undefined stands for a message that
+   * an error in the mailbox itself may have lost.
    * @default the service ends and is started again
    */
   readonly messageFailed?: (
     ctx: ServiceContext<N>,
-    message: ServiceMessages[N],
+    message: ServiceMessages[N] | undefined,
   ) => void;
 }
