fix(callers): requests and connections own the last of their errors

What callers saw: a request behind another one on its connection that was never answered, an open request that a drain waited for, room that was missing for good, after an error in a callback of a request or connection that was nobody's. Cause: the removal of a request, the end of an admission, the end of a turn and of a connection had no guard; measures stopped half-way and left sums that were partly new. Change: the guard of the request or connection owns them, and bookkeeping is repeated once after an error; the checks of connections are steps of their own; a flood gate whose measure fails is open until the next one; sums are computed before they are noted.

--- a/src/direct/callers/caller_connections.ts
+++ b/src/direct/callers/caller_connections.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
+import {runTwice} from '../../utils/run_each.js';
 import {nameConnection} from './connection_name.js';
 import type {QuietConnection} from './idle_time.js';
 
@@ -97,7 +98,8 @@
       quietSince: now(),
       statedMs: 0,
     });
-    socket.once('close', () => connections.delete(socket));
+    const remove = () => runTwice(() => connections.delete(socket));
+    socket.once('close', guards.of(socket)('closed', remove));
   };
   const began: CallerConnections['began'] = (req, res, statedMs) => {
     const {socket} = req;
@@ -114,11 +116,11 @@
     noteBytes();
     req.once('end', noteBytes);
     const noteClosed = guards.of(socket)('answer closed', () => {
-      // Of a body that is not read yet, the rest may follow.
-      if (!req.complete) noteBytes();
       if (connection.open === res) connection.open = undefined;
       connection.openCount--;
       if (connection.openCount === 0) busyCount--;
+      // Of a body that is not read yet, the rest may follow.
+      if (!req.complete) noteBytes();
       connection.seenBytes = socket.bytesRead;
       connection.quietSince = now();
     });
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -6,8 +6,10 @@
  */
 import type {Socket} from 'node:net';
 import type {Cancel, Clock, Log, Metrics} from '../../types/runtime.js';
+import {createGuard} from '../../utils/callback_guard.js';
 import {createConnectionGuards} from '../boundary/connection_guard.js';
 import type {RequestErrors} from '../boundary/connection_guard.js';
+import {createStepReport} from '../boundary/contained_errors.js';
 import {createCallerConnections} from './caller_connections.js';
 import {createClosingReports} from './closings.js';
 import {createConnectionCloser} from './connection_closer.js';
@@ -126,7 +128,7 @@
     // between the time at which callers know it and that check.
     const changeInMs = limits.headersChangeInMs();
     if (changeInMs !== undefined) {
-      cancelChange = clock.after(changeInMs, applyLimits);
+      cancelChange = clock.after(changeInMs, applyLimits, 'limits of callers');
     }
   };
   applyLimits();
@@ -146,12 +148,19 @@
     connections,
     report,
   });
-  const cancelEvery = clock.every(TIMEOUT_CHECK_MS, () => {
-    applyLimits();
-    endIdle();
-    descriptors.endSurplus();
-    refuseStalled();
-  });
+  const guard = createGuard(createStepReport(options));
+  // Each a step of its own, so that one that fails keeps no other from its turn.
+  const checks = [
+    guard('limits of callers', applyLimits),
+    guard('idle check', endIdle),
+    guard('descriptor check', descriptors.endSurplus),
+    guard('body check', refuseStalled),
+  ];
+  const cancelEvery = clock.every(
+    TIMEOUT_CHECK_MS,
+    () => checks.forEach(check => check()),
+    'checks of connections',
+  );
   const cancelChecks = () => {
     cancelEvery();
     cancelChange();
--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -6,6 +6,7 @@
  */
 import type {Socket} from 'node:net';
 import type {Clock} from '../../types/runtime.js';
+import {runAll, runTwice} from '../../utils/run_each.js';
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
 
 /**
@@ -69,9 +70,9 @@
       onClosing(lateBytes === 'leave' && socket.bytesRead !== bytesRead);
     };
     const close = guard('closing', () => {
-      unread.delete(socket);
-      socket.resume();
       afterPoll(() => socket.destroy());
+      socket.resume();
+      unread.delete(socket);
     });
     let seenBytes = bytesRead;
     const closeUnlessSending = guard('end of the wait', () => {
@@ -88,8 +89,7 @@
     const onClosed = guard('closed', () => {
       cancelLinger();
       cancelBound();
-      unread.delete(socket);
-      report();
+      runAll([() => runTwice(() => unread.delete(socket)), report]);
     });
     socket.once('close', onClosed);
     if (lateBytes === 'leave') unread.set(socket, close);
--- a/src/direct/callers/connection_gate.ts
+++ b/src/direct/callers/connection_gate.ts
@@ -56,11 +56,17 @@
   let isFlooded = false;
 
   const measure = (): void => {
+    // An error below leaves the gate open until the next measurement.
+    isFlooded = false;
     const now = clock.now();
     const elapsedMs = now - measuredAt;
+    const counted = arrived;
+    const refused = closed;
     measuredAt = now;
+    arrived = 0;
+    closed = 0;
     const lateMs = Math.max(0, elapsedMs - INTERVAL_MS);
-    const perS = (arrived / elapsedMs) * 1_000;
+    const perS = (counted / elapsedMs) * 1_000;
     delayMs = average(delayMs, lateMs, elapsedMs, DELAY_WINDOW_MS);
     presentPerS = average(presentPerS, perS, elapsedMs, PRESENT_WINDOW_MS);
     rememberedPerS = average(rememberedPerS, 0, elapsedMs, FORGETTING_MS);
@@ -79,11 +85,9 @@
         rememberedPerS = Math.max(rememberedPerS, usualPerS);
       }
     }
-    if (closed > 0) onClosed(closed);
-    arrived = 0;
-    closed = 0;
+    if (refused > 0) onClosed(refused);
   };
-  const stop = clock.every(INTERVAL_MS, measure);
+  const stop = clock.every(INTERVAL_MS, measure, 'rate of connections');
   return {
     admit: () => {
       firstAt ??= clock.now();
--- a/src/direct/callers/connection_turns.ts
+++ b/src/direct/callers/connection_turns.ts
@@ -7,6 +7,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {runTwice} from '../../utils/run_each.js';
 
 interface Turn {
   readonly req: IncomingMessage;
@@ -14,6 +15,11 @@
   readonly serve: () => void;
 }
 
+/** For turns whose owner takes no errors. */
+function toProcess(_res: ServerResponse, err: unknown): never {
+  throw err;
+}
+
 export interface ConnectionTurns {
   /**
    * Calls `serve` once the answers to earlier requests on the connection have
@@ -31,9 +37,13 @@
   servedCount(): number;
 }
 
-/** `onDropped` is called with each request that is not served. */
+/**
+ * `onDropped` is called with each request that is not served. `onFailed` ends a
+ * request that can't take its turn because of an error.
+ */
 export function createConnectionTurns(
   onDropped: (req: IncomingMessage) => void,
+  onFailed: (res: ServerResponse, err: unknown) => void = toProcess,
 ): ConnectionTurns {
   /** Requests that wait, by the connection on which one is being served. */
   const waiting = new WeakMap<Socket, Turn[]>();
@@ -48,12 +58,19 @@
     servedCount++;
     res.once('close', () => {
       servedCount--;
-      waiting.delete(socket);
       waitingCount -= queue.length;
-      for (const turn of queue) take(turn);
+      runTwice(() => waiting.delete(socket));
+      for (const turn of queue) takeOrFail(turn);
     });
     serve();
   };
+  const takeOrFail = (turn: Turn): void => {
+    try {
+      take(turn);
+    } catch (err) {
+      onFailed(turn.res, err);
+    }
+  };
   const take = (turn: Turn): void => {
     const queue = waiting.get(turn.req.socket);
     if (queue === undefined) begin(turn);
--- a/src/direct/callers/open_requests.ts
+++ b/src/direct/callers/open_requests.ts
@@ -1,6 +1,7 @@
 /** The requests of callers that have no final answer yet. */
 import type {Log} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {runTwice, visitAll} from '../../utils/run_each.js';
 import type {Exchange} from '../exchange.js';
 import {connectionOf} from './connection_name.js';
 
@@ -39,7 +40,7 @@
   const open = new Set<Exchange>();
   return {
     add: exchange => void open.add(exchange),
-    delete: exchange => void open.delete(exchange),
+    delete: exchange => runTwice(() => open.delete(exchange)),
     count: () => open.size,
     refuseLate: () => {
       for (const exchange of [...open]) {
@@ -67,14 +68,14 @@
         waitedMs: Math.round(elapsedMs()),
       }),
     logCutAtStop: () => {
-      for (const {id, req, attempts, elapsedMs} of open) {
+      visitAll(open, ({id, req, attempts, elapsedMs}) =>
         log(DIRECT_EVENTS.cutAtStop, {
           requestId: id,
           connection: connectionOf(req.socket),
           sent: attempts,
           elapsedMs: Math.round(elapsedMs()),
-        });
-      }
+        }),
+      );
     },
   };
 }
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -21,6 +21,7 @@
 } from '../boundary/connection_guard.js';
 import type {RequestErrors} from '../boundary/connection_guard.js';
 import type {HeldBytes} from '../held/held_bytes.js';
+import {runTwice} from '../../utils/run_each.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import type {Serving} from '../serving.js';
 import type {CallerLimits, DirectConfig, HeaderCodec} from '../types.js';
@@ -97,10 +98,13 @@
       connection: connectionOf(req.socket),
       cause,
     });
-  const turns = createConnectionTurns(req => {
-    const drop = guards.of(req.socket)('request dropped', logUnread);
-    drop(req, 'the connection closes');
-  });
+  const turns = createConnectionTurns(
+    req => {
+      const drop = guards.of(req.socket)('request dropped', logUnread);
+      drop(req, 'the connection closes');
+    },
+    (res, err) => fail(res, err, 'request turn'),
+  );
   const closes = () => hasEnded || isDraining();
   /** Whether no request that has been read waits behind this one. */
   const isLastRead = ({req: {socket}}: ServerResponse): boolean =>
@@ -151,11 +155,12 @@
       limits: () => widestOf(limits, options.limits.current()),
       account: options.held.track(req, res),
     };
-    admitting.add(res);
+    const endAdmission = () => runTwice(() => admitting.delete(res));
     // Where the body never ends, the admission does not end either.
-    res.once('close', () => admitting.delete(res));
+    res.once('close', guards.of(req.socket)('answer closed', endAdmission));
+    admitting.add(res);
     admitRequest(admitOptions, req)
-      .finally(() => admitting.delete(res))
+      .finally(endAdmission)
       .then(result => {
         if (res.writableEnded) return;
         if (res.destroyed) throw new Error('the caller left');
--- a/src/direct/callers/serve_admitted.ts
+++ b/src/direct/callers/serve_admitted.ts
@@ -19,7 +19,7 @@
 import type {ServeContext} from '../serve_context.js';
 import {serveStream} from '../streams/serve_stream.js';
 import type {OpenRequests} from './open_requests.js';
-import {runEach} from '../../utils/run_each.js';
+import {runAll, runEach} from '../../utils/run_each.js';
 
 /** Serves a request until its final answer; `arrivedAt` is its arrival. */
 export type ServeAdmitted = (
@@ -46,8 +46,7 @@
       onError: (failed, err, callback) =>
         endFailedRequest(ctx, failed, err, callback),
     });
-    openRequests.add(exchange);
-    void serveToEnd(ctx, exchange).finally(() => openRequests.delete(exchange));
+    void serveToEnd(ctx, exchange, openRequests);
   };
 }
 
@@ -65,18 +64,25 @@
 async function serveToEnd(
   ctx: ServeContext,
   exchange: Exchange,
+  openRequests: Pick<OpenRequests, 'add' | 'delete'>,
 ): Promise<void> {
   try {
+    openRequests.add(exchange);
     ctx.stop.began(exchange);
     await serveOrRefuse(ctx, exchange);
   } catch (err) {
     endFailedRequest(ctx, exchange, err);
   }
-  const finish = exchange.guard('request end', () => {
-    ctx.stop.ended(exchange);
-    ctx.crashes.requestEnded(exchange);
-  });
-  runEach([() => exchange.end('answered'), finish]);
+  const finish = exchange.guard('request end', () =>
+    runAll([
+      () => ctx.stop.ended(exchange),
+      () => ctx.crashes.requestEnded(exchange),
+    ]),
+  );
+  const remove = exchange.guard('request removed', () =>
+    openRequests.delete(exchange),
+  );
+  runEach([() => exchange.end('answered'), finish, remove]);
 }
 
 async function serveOrRefuse(
--- a/src/direct/held/held_bytes.ts
+++ b/src/direct/held/held_bytes.ts
@@ -7,6 +7,7 @@
 import type {Socket} from 'node:net';
 import type {Cancel, Clock, Log, Metrics} from '../../types/runtime.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {runAll, runTwice} from '../../utils/run_each.js';
 import {createConnectionGuards} from '../boundary/connection_guard.js';
 import {connectionOf} from '../callers/connection_name.js';
 import {chooseCuts, heldBytesOf, mayReadBody} from '../decide/bound_held.js';
@@ -197,29 +198,37 @@
     req.socket.resetAndDestroy();
   };
 
-  const measureAll = () => {
-    const now = clock.now();
-    for (const request of tracked) {
-      const guard = guards.of(request.req.socket);
-      guard('held bytes', measure)(request, now);
-    }
-    room.measure();
+  const cutSlow = (now: number): void => {
     const isShort = room.isAwaited() || now - rejectedAt < SHORT_FOR_MS;
     const cuts = chooseCuts([...tracked], {...bounds, isShort});
     for (const {held, cause} of cuts) {
       guards.of(held.req.socket)('slow reader', cut)(held, cause);
     }
-    const cutRequests = new Set(cuts.map(({held}) => held));
-    answerSum = 0;
+  };
+  const sumAnswers = (): void => {
+    let sum = 0;
+    for (const {req, answerBytes, bufferedBytes} of tracked) {
+      if (!req.socket.destroyed) sum += answerBytes + bufferedBytes;
+    }
+    answerSum = sum;
+  };
+  const measureAll = () => {
+    const now = clock.now();
     for (const request of tracked) {
-      if (cutRequests.has(request)) continue;
-      answerSum += request.answerBytes + request.bufferedBytes;
+      const guard = guards.of(request.req.socket);
+      guard('held bytes', measure)(request, now);
     }
     const setGauge = (direction: string, bytes: number) =>
       metrics.gauge('onyxloft_direct_held_bytes', {direction}, bytes);
-    setGauge('answers', answerSum);
-    setGauge('bodies', bodySum);
-    endRejecting();
+    // One that fails leaves the figures of the others as they are now.
+    runAll([
+      room.measure,
+      () => cutSlow(now),
+      sumAnswers,
+      () => setGauge('answers', answerSum),
+      () => setGauge('bodies', bodySum),
+      endRejecting,
+    ]);
   };
 
   const reject = () => {
@@ -292,8 +301,10 @@
   const endBody = (request: TrackedRequest): void => {
     request.isReadingBody = false;
     const missing = request.reservedBytes - request.readBytes;
-    if (missing > 0) room.dropped(missing);
-    request.reservedBytes = Math.min(request.reservedBytes, request.readBytes);
+    if (missing > 0) {
+      room.dropped(missing);
+      request.reservedBytes = request.readBytes;
+    }
     setBody(request, request.readBytes);
   };
 
@@ -325,13 +336,16 @@
         position: positionOf(res.socket),
       };
       tracked.add(request);
-      const release = guards.of(req.socket)('answer closed', () => {
-        endBody(request);
-        room.dropped(request.keptBytes);
-        setBody(request, 0);
-        setSmall(request, 0);
-        tracked.delete(request);
-      });
+      // What stays counted here would be missing as room for good.
+      const release = guards.of(req.socket)('answer closed', () =>
+        runAll([
+          () => runTwice(() => endBody(request)),
+          () => room.dropped(request.keptBytes),
+          () => runTwice(() => setBody(request, 0)),
+          () => setSmall(request, 0),
+          () => runTwice(() => tracked.delete(request)),
+        ]),
+      );
       res.once('close', release);
       return {
         reserve: (bytes, maxWaitMs) => reserve(request, bytes, maxWaitMs),
