fix(process): a stop ends in time though one of its steps fails

What callers saw: nothing in tests; a stop that lasts until the limit and ends with a failure. Cause: an error in one step of a drain or stop kept the reply that the end of the process waits for. Change: the reply, the limit and the checks come though another step fails, and the stop of accepting is repeated after an error.

--- a/src/direct/callers/server_stop.ts
+++ b/src/direct/callers/server_stop.ts
@@ -84,8 +84,12 @@
         cancelStop();
         closeListener(() =>
           afterPoll(() => {
-            closer.endAll();
-            resolve();
+            // The stop of the process waits for it.
+            try {
+              closer.endAll();
+            } finally {
+              resolve();
+            }
           }),
         );
       }),
--- a/src/direct/front/drain.ts
+++ b/src/direct/front/drain.ts
@@ -60,28 +60,39 @@
     start.at === undefined ? 0 : clock.now() - start.at;
   const cancel = () => cancels.forEach(end => end());
 
-  const stopAccepting = () => {
-    void Promise.resolve(options.stopAccepting()).then(() => {
+  /** An error repeats it: a drain that still accepts would not end before its time. */
+  const stopAccepting = async (): Promise<void> => {
+    try {
+      await options.stopAccepting();
       hasStoppedAccepting = true;
-    });
+    } catch (err) {
+      const again = () => void stopAccepting();
+      if (!hasEnded) clock.after(REFUSE_LATE_MS, again, 'stop of accepting');
+      throw err;
+    }
   };
   const check = () => {
-    const done = hasStoppedAccepting && options.openCount() === 0;
-    if (!done && stoppingMs() < graceMs) return;
+    const isTimeUp = stoppingMs() >= graceMs;
+    const isDone = () => hasStoppedAccepting && options.openCount() === 0;
+    if (!isTimeUp && !isDone()) return;
     cancel();
-    options.onEnd();
     hasEnded = true;
-    for (const reply of replies) reply();
+    // The process ends by the replies.
+    try {
+      options.onEnd();
+    } finally {
+      for (const reply of replies) reply();
+    }
   };
   const run = () => {
-    options.onBegin();
     // The load balancer sends connections until callers know of the stop.
     const acceptMs = Math.max(0, UNAWARE_MS - stoppingMs());
     cancels = [
-      clock.after(acceptMs, stopAccepting),
-      clock.every(DRAIN_POLL_MS, check),
+      clock.every(DRAIN_POLL_MS, check, 'check of the drain'),
       clock.every(REFUSE_LATE_MS, options.refuseLate),
+      clock.after(acceptMs, () => void stopAccepting(), 'stop of accepting'),
     ];
+    options.onBegin();
   };
   if (start.at !== undefined) run();
 
--- a/src/process/service_stop.ts
+++ b/src/process/service_stop.ts
@@ -3,6 +3,7 @@
  * with the class that tells how the drain went. A signal that comes while the
  * services start is kept until they can drain.
  */
+import {runAll} from '../utils/run_each.js';
 import type {Clock, Log} from '../types/runtime.js';
 import {KERNEL_EVENTS} from '../utils/events.js';
 import type {EndClass} from './end_classes.js';
@@ -63,10 +64,13 @@
       // A second signal must not end the process before its answers have ended.
       if (requested !== undefined) return;
       requested = signal;
-      clock.after(Math.max(0, limitMs - LIMIT_MARGIN_MS), () =>
-        end('drain-limit', `${signal}, ${limitMs} ms ago`),
-      );
-      begin();
+      const endAtLimit = () =>
+        end('drain-limit', `${signal}, ${limitMs} ms ago`);
+      const delayMs = limitMs > LIMIT_MARGIN_MS ? limitMs - LIMIT_MARGIN_MS : 0;
+      runAll([
+        () => clock.after(delayMs, endAtLimit, 'limit of the drain'),
+        begin,
+      ]);
     },
   };
 }
