fix(kernel): what runs once is not lost to an error

Found by the review: a release without an end kept a service from starting again; an error in one attempt to bind an address ended all further ones; an error in one step of a restore lost the others; a drain that met an error ended the process at once with the requests it had (drain-failed); a configuration whose adoption failed half-way left revoked keys in force while the evidence for keys stayed fresh. Change: releases have a time limit; an address is tried at an interval; the steps of a restore run one by one; a drain that failed is tried again until the grace time is over, and the class drain-failed is gone; a configuration is in force first and noted as adopted last.

--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -134,6 +134,8 @@
     configMs ?? CONFIG_KNOWN_WITHIN_MS,
   );
   let config: DirectConfig | undefined;
+  /** Of the configuration that is in force in all parts. */
+  let adoptedVersion: number | undefined;
   let server: CallersServer | undefined;
   let isOpening = false;
   let stopOpening = (): void => undefined;
@@ -261,17 +263,20 @@
 
   const setConfig = (next: DirectConfig): void => {
     // An older version never replaces a newer one.
-    if (config !== undefined && next.version <= config.version) return;
+    const isOlder = config !== undefined && next.version < config.version;
+    if (isOlder || next.version === adoptedVersion) return;
     log(DIRECT_EVENTS.configAdopted, {
       version: next.version,
       before: config?.version,
       routes: next.routes.length,
     });
+    // First, so that a key that it lacks is refused whatever fails below.
+    config = next;
     serving.cold.setServices(next.services);
     limits.set(next.limits);
-    // Noted behind what may fail: a version that is noted is not taken again.
-    config = next;
     server?.applyLimits();
+    // Last: a version that is noted is not taken again.
+    adoptedVersion = next.version;
     if (!isOpening && drain.isAccepting()) openServer().catch(ctx.fail);
   };
 
--- a/src/direct/listening/bound_address.ts
+++ b/src/direct/listening/bound_address.ts
@@ -44,14 +44,16 @@
   let isStopped = false;
   let failedAt: number | undefined;
   let pauseMs = MIN_PAUSE_MS;
-  let cancelTimer = (): void => undefined;
+  let retryAt = 0;
+  let isAttempting = false;
   let setBound = (): void => undefined;
   const bound = new Promise<void>(resolve => (setBound = resolve));
 
   const succeed = (): void => {
+    isBound = !isStopped;
+    cancelRetries();
     setBound();
     if (isStopped) return;
-    isBound = true;
     if (failedAt !== undefined) {
       const waitedMs = Math.round(clock.now() - failedAt);
       log(KERNEL_EVENTS.addressBound, {part, address, waitedMs});
@@ -60,15 +62,28 @@
   };
   const fail = (err: unknown): void => {
     if (isStopped) return;
+    retryAt = clock.now() + pauseMs;
+    pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
     if (failedAt === undefined) {
       failedAt = clock.now();
       log(KERNEL_EVENTS.addressTaken, {part, address, reason: String(err)});
       metrics.gauge(UNBOUND_METRIC, {part}, 1);
     }
-    cancelTimer = clock.after(pauseMs, () => void attempt());
-    pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
   };
-  const attempt = (): Promise<void> => bind().then(succeed, fail);
+  const attempt = async (): Promise<void> => {
+    isAttempting = true;
+    try {
+      await bind().then(succeed, fail);
+    } finally {
+      isAttempting = false;
+    }
+  };
+  const retry = (): void => {
+    const isDue = clock.now() >= retryAt;
+    if (isDue && !isBound && !isStopped && !isAttempting) void attempt();
+  };
+  // At an interval, so that an error in one attempt doesn't end the others.
+  const cancelRetries = clock.every(MIN_PAUSE_MS, retry, `address of ${part}`);
 
   return {
     attempted: attempt(),
@@ -76,7 +91,7 @@
     isBound: () => isBound,
     stop: () => {
       isStopped = true;
-      cancelTimer();
+      cancelRetries();
     },
   };
 }
--- a/src/direct/store_era_tracker.ts
+++ b/src/direct/store_era_tracker.ts
@@ -50,10 +50,11 @@
       if (isOlderEra(era, current)) return logOlderEra(era);
       const before = current;
       current = era;
+      if (before === undefined) options.onFirstEra?.();
+      else options.onRestored();
       metrics.gauge('onyxloft_direct_store_era', {}, era);
-      if (before === undefined) return options.onFirstEra?.();
+      if (before === undefined) return;
       log(DIRECT_EVENTS.storeRestored, {era, before});
-      options.onRestored();
     },
     current: () => current,
   };
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -6,6 +6,7 @@
  */
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {runAll} from '../utils/run_each.js';
 import {createCatchUp} from './catch_up.js';
 import {
   FIRST_PEER_ANSWER_MS,
@@ -47,12 +48,8 @@
 import {createStoreEraTracker} from './store_era_tracker.js';
 import type {StoreEra} from './store_position.js';
 import type {StoreFault} from './followed/collection.js';
-import type {
-  DirectConfig,
-  DirectReplica,
-  DirectStore,
-  PeerAnswer,
-} from './types.js';
+import type {StoreFollowerOptions} from './followed/store_follower_options.js';
+import type {DirectConfig, DirectReplica, PeerAnswer} from './types.js';
 
 /**
  * For this long after its own start, and after a restore of the store, the
@@ -60,24 +57,6 @@
  */
 const QUERY_ANY_PEER_MS = 3_000;
 
-export interface StoreFollowerOptions {
-  /** Name of this entry. */
-  readonly node: string;
-  readonly store: DirectStore;
-  /**
-   * Age of the evidence, in milliseconds, from which on the entry is not ready.
-   */
-  readonly maxReadyAgeMs: number;
-  /** How long a replica that is shutting down still serves, in milliseconds. */
-  readonly leavingMs: number;
-  /** See `timing.evacuateMs` of the settings. */
-  readonly evacuateMs: number | undefined;
-  /** Whether the whole system starts for the first time. */
-  readonly isBootstrap: boolean;
-  /** Time of day, in milliseconds. */
-  readonly wallMs: () => number;
-}
-
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): ServiceSpec<'followed'> {
@@ -143,15 +122,18 @@
   let queryAnyPeerUntil = clock.now() + QUERY_ANY_PEER_MS;
   const handleRestore = () => {
     queryAnyPeerUntil = clock.now() + QUERY_ANY_PEER_MS;
-    configProof.storeRestored();
-    clock.after(REWRITE_GRACE_MS, () => configFollower.relistNow());
-    settledEra.settleAfter(REWRITE_GRACE_MS);
-    quarantineRecords.storeRestored();
-    evacuations.storeRestored();
-    sendRestored();
-    ctx.send('sharing', {kind: 'store-restored'});
-    // Runs after the answer that showed the new era has been handled.
-    clock.after(0, () => observeEra(eraTracker.current()));
+    // A restore is told once, so no step may keep the others from theirs.
+    runAll([
+      configProof.storeRestored,
+      () => clock.after(REWRITE_GRACE_MS, () => configFollower.relistNow()),
+      () => settledEra.settleAfter(REWRITE_GRACE_MS),
+      quarantineRecords.storeRestored,
+      evacuations.storeRestored,
+      sendRestored,
+      () => ctx.send('sharing', {kind: 'store-restored'}),
+      // Runs after the answer that showed the new era has been handled.
+      () => clock.after(0, () => observeEra(eraTracker.current())),
+    ]);
   };
   const sendRestored = () => ctx.send('direct', {kind: 'store-restored'});
   const resendState = () => {
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -30,6 +30,11 @@
  * next failure then restarts it after the shortest delay.
  */
 const STABLE_AFTER_MS = 10_000;
+/**
+ * Longest wait for one cleanup of a service, in milliseconds. Without a limit, one
+ * that never ends would keep the service from starting again.
+ */
+const MAX_RELEASE_MS = 2_000;
 /** Counter of failures, also at a start, by service. */
 const FAILED_METRIC = 'onyxloft_service_failed_total';
 /** Counter of messages whose handler threw, by service and kind. */
@@ -120,6 +125,16 @@
       service.mailbox.push(message);
     });
 
+  /** Rejects where the release takes longer. */
+  const within = async (limitMs: number, released: void | Promise<void>) => {
+    if (!(released instanceof Promise)) return;
+    let cancel: Cancel = () => undefined;
+    const late = new Promise<never>((_, reject) => {
+      const giveUp = () => reject(new Error(`not released in ${limitMs} ms`));
+      cancel = runtime.clock.after(limitMs, giveUp, 'release of a service');
+    });
+    await Promise.race([released, late]).finally(cancel);
+  };
   const reportRelease =
     ({name}: RunningService) =>
     (err: unknown): void =>
@@ -135,7 +150,7 @@
     service.pendingAsks.clear();
     for (const runRelease of service.releases.reverse()) {
       try {
-        await runRelease();
+        await within(MAX_RELEASE_MS, runRelease());
       } catch (err) {
         reportRelease(service)(err);
       }
--- a/src/process/end_classes.ts
+++ b/src/process/end_classes.ts
@@ -17,8 +17,6 @@
   'start-failed': 20,
   /** The drain did not end in the grace time. */
   'drain-limit': 21,
-  /** The service that drains failed during the drain. */
-  'drain-failed': 22,
   /** Nothing was left that the process could wait for. */
   'no-work': 23,
 } as const;
--- a/src/process/service_stop.ts
+++ b/src/process/service_stop.ts
@@ -5,11 +5,14 @@
  */
 import {runAll} from '../utils/run_each.js';
 import type {Clock, Log} from '../types/runtime.js';
+import {causeOf} from '../utils/error_cause.js';
 import {KERNEL_EVENTS} from '../utils/events.js';
 import type {EndClass} from './end_classes.js';
 
 /** Delay before the process exits, so that the last log lines are written. */
 const LOG_FLUSH_MS = 20;
+/** Pause before a drain that failed is tried again, in milliseconds. */
+const DRAIN_AGAIN_MS = 100;
 /**
  * Time before the end of the grace time at which the process ends though the
  * drain has not, in milliseconds, so that its last line can be written.
@@ -52,7 +55,10 @@
   };
   const begin = (): void => {
     if (services === undefined || requested === undefined) return;
-    drain(services, requested).catch(err => end('drain-failed', String(err)));
+    drain(services, requested).catch(err => {
+      log(KERNEL_EVENTS.drainRepeated, {cause: causeOf(err)});
+      clock.after(DRAIN_AGAIN_MS, begin, 'drain');
+    });
   };
 
   return {
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -39,6 +39,7 @@
   signalIgnored: event(121, 'info', 'signal-ignored'),
   acceptFailed: event(122, 'warn', 'accept-failed'),
   errorUnowned: event(123, 'error', 'error-unowned'),
+  drainRepeated: event(124, 'error', 'drain-repeated'),
 } as const;
 
 /** Requests at an entry's HTTP front end, from admission to the answer. */
