fix(drain): a drain whose begin fails is begun again

What callers saw: nothing; the process ended by its limit, with exit 21. Cause: the begin of a drain was noted before its timers were set, so that after an error none was ever set; and the end of idle connections belonged to nobody. Change: the timers are set first, and who asks again begins it again; the end of idle connections is a step.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -74,6 +74,7 @@
 ): Promise<CallersServer> {
   const {clock, limits, log, maxDescriptors, metrics} = options;
   const guards = createConnectionGuards(options);
+  const guard = createGuard(createStepReport(options));
   const server = createHttpServer(TIMEOUT_CHECK_MS);
   const connections = createCallerConnections(clock.now, guards);
   const unlimitedHeads = createUnlimitedHeads(connections);
@@ -99,7 +100,8 @@
   });
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
-  server.closeIdleConnections = () => afterPoll(closer.endAllIdle);
+  server.closeIdleConnections = () =>
+    afterPoll(guard('idle end', closer.endAllIdle));
   addServerListeners(server, {
     ...options,
     connections,
@@ -148,7 +150,6 @@
     connections,
     report,
   });
-  const guard = createGuard(createStepReport(options));
   // Each a step of its own, so that one that fails keeps no other from its turn.
   const checks = [
     guard('limits of callers', applyLimits),
--- a/src/direct/front/drain.ts
+++ b/src/direct/front/drain.ts
@@ -54,6 +54,7 @@
   const graceMs = options.graceS * 1_000 - GRACE_MARGIN_MS;
   const replies: Array<() => void> = [];
   let cancels: readonly Cancel[] = [];
+  let isRunning = false;
   let hasEnded = false;
   let hasStoppedAccepting = false;
   const stoppingMs = () =>
@@ -72,6 +73,7 @@
     }
   };
   const check = () => {
+    if (hasEnded) return;
     const isTimeUp = stoppingMs() >= graceMs;
     const isDone = () => hasStoppedAccepting && options.openCount() === 0;
     if (!isTimeUp && !isDone()) return;
@@ -84,6 +86,7 @@
       for (const reply of replies) reply();
     }
   };
+  /** Called again after an error, since who asked for the drain asks again. */
   const run = () => {
     // The load balancer sends connections until callers know of the stop.
     const acceptMs = Math.max(0, UNAWARE_MS - stoppingMs());
@@ -92,6 +95,7 @@
       clock.every(REFUSE_LATE_MS, options.refuseLate),
       clock.after(acceptMs, () => void stopAccepting(), 'stop of accepting'),
     ];
+    isRunning = true;
     options.onBegin();
   };
   if (start.at !== undefined) run();
@@ -103,10 +107,9 @@
     stoppingMs,
     begin: reply => {
       if (hasEnded) return reply();
+      start.at ??= clock.now();
       replies.push(reply);
-      if (start.at !== undefined) return;
-      start.at = clock.now();
-      run();
+      if (!isRunning) run();
     },
     cancel,
   };
