test(direct): a front that fails, in tests where an error at a message ends it no more

What callers saw: nothing; three tests failed since an error at a message ends that message only, as they let the service fail by one.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -56,6 +56,11 @@
   ): Promise<R>;
   /** Stops all services, newest first, and waits for their cleanup. */
   stop(): Promise<void>;
+  /**
+   * Ends a running service as its own `fail` does, which starts it again. It is
+   * for tests: an error at a message ends no service that goes on without it.
+   */
+  fail(name: ServiceName, cause: unknown): void;
   /** Names of the running services, oldest first. */
   runningServices(): readonly string[];
 }
@@ -70,6 +75,7 @@
   readonly pendingAsks: Set<(err: OnyxError) => void>;
   /** The same by message. */
   readonly askOf: WeakMap<object, (err: OnyxError) => void>;
+  fail(cause: unknown): void;
   /** Clock reading at the start, in milliseconds. */
   readonly startedAt: number;
   ended: boolean;
@@ -197,7 +203,7 @@
       own: runRelease => {
         service.releases.push(runRelease);
       },
-      fail: cause => void fail(spec, service, cause),
+      fail: service.fail,
     };
     return ctx;
   };
@@ -291,6 +297,7 @@
       releases: [],
       pendingAsks: new Set(),
       askOf: new WeakMap(),
+      fail: cause => void fail(spec, service, cause),
       startedAt: runtime.clock.now(),
       ended: false,
     };
@@ -329,6 +336,7 @@
     send,
     ask,
     stop,
+    fail: (name, cause) => services.get(name)?.fail(cause),
     runningServices: () => [...services.keys()],
   };
 }
