fix(callers): the rest of a refused body is read

Callers that send their whole request before they read saw the connection reset 2 s after the refusal (EPIPE), and lost the answer, in about half of the refusals of an upload of 4 MB.

Cause: while the parser takes bytes from the handle, a read of the socket's stream stays open. A full request buffer stops the handle; `resume` then starts no read, since one is open, and nothing of the body was read any more.

Change: an empty chunk ends that read before the input is discarded.

--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -109,6 +109,10 @@
   socket.removeAllListeners('data');
   socket.once('data', onFirst);
   socket.on('data', () => undefined);
+  // While the parser takes bytes from the handle, a read of the stream itself
+  // stays open, and `resume` starts no other one where a full request buffer has
+  // stopped the handle. An empty chunk ends that read.
+  socket.push('');
   socket.resume();
 }
 
--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -71,6 +71,7 @@
     return this.read++;
   }
   pause(): void {}
+  push(): void {}
   resume(): void {}
   end(): void {}
   destroy(): void {
@@ -114,6 +115,35 @@
     expect(caller.closedBy()).toBe('end');
   });
 
+  // Guards against a rest of the body that is not read, where the request's
+  // buffer was full at the refusal: a caller that sends first can't finish, and
+  // its connection is reset in the end.
+  test.each([0, 50])(
+    'can send the whole body when it is refused after %i ms',
+    async lateMs => {
+      fixture = await startCallersServer({}, (_req, res) => {
+        setTimeout(() => {
+          res.writeHead(503, {Connection: 'close', 'Content-Length': 0});
+          res.end();
+        }, lateMs);
+      });
+      caller = openRawCaller(fixture.address);
+      const {socket} = caller;
+      socket.pause();
+      socket.write(
+        `POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ${MUCH_BYTES}\r\n\r\n`,
+      );
+      let isSent = false;
+      socket.write('x'.repeat(MUCH_BYTES), err => (isSent = !err));
+      await until(() => isSent || socket.destroyed);
+      expect(isSent).toBe(true);
+      socket.resume();
+      await until(() => caller.closedBy() !== undefined);
+      expect(caller.text()).toContain('503');
+      expect(caller.closedBy()).toBe('end');
+    },
+  );
+
   // Guards against a second error of the parser, which ended the connection
   // before the refusal was read.
   test('reads the refusal of headers that are too large', async () => {
