feat(front): a line and a gauge tell that there is no configuration

Operators saw nothing: an entry that waits for its first configuration wrote no line about it, and its readiness does not tell the reason.

--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -31,6 +31,7 @@
   Reservations,
 } from '../types.js';
 import type {WatchNotices} from '../gate/replica_statements.js';
+import {createConfigWait} from './config_wait.js';
 import {createDrain} from './drain.js';
 import type {DrainStart} from './drain.js';
 import {reportGauges} from './gauges.js';
@@ -139,6 +140,9 @@
   let stopOpening = (): void => undefined;
   let hasEnded = false;
 
+  const configWait = createConfigWait(clock, log);
+  ctx.own(configWait.end);
+
   const evidence = createStoreEvidence(
     clock,
     options.wallMs,
@@ -180,6 +184,7 @@
   });
   const gauges: GaugeReaders = {
     configVersion: () => config?.version ?? 0,
+    configAwaitedMs: configWait.awaitedMs,
     heardVersion: () =>
       Math.max(
         config?.version ?? 0,
@@ -271,6 +276,7 @@
     limits.set(next.limits);
     // Noted behind what may fail: a version that is noted is not taken again.
     config = next;
+    configWait.end();
     server?.applyLimits();
     if (!isOpening && drain.isAccepting()) openServer().catch(ctx.fail);
   };
--- a/src/direct/front/gauges.ts
+++ b/src/direct/front/gauges.ts
@@ -11,6 +11,8 @@
 export interface GaugeReadings extends ServingState {
   /** Version of the configuration in force; 0 without any. */
   readonly configVersion: number;
+  /** Time without any configuration, in milliseconds; 0 with one. */
+  readonly configAwaitedMs: number;
   /** Newest version in force or named by another entry. */
   readonly heardVersion: number;
   /** Age of the newest evidence for keys, in milliseconds. */
@@ -35,6 +37,7 @@
   const setEvacuations = createEvacuationGauges(metrics);
   const setAll = [
     setGauge('config_version', read.configVersion),
+    setGauge('config_awaited_ms', read.configAwaitedMs),
     setGauge('config_heard_version', read.heardVersion),
     setGauge('evidence_age_ms', read.evidenceAgeMs),
     setGauge('open_requests', read.openRequests),
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -238,6 +238,7 @@
   configAdopted: event(650, 'info', 'direct-config-adopted'),
   configHeard: event(651, 'info', 'direct-config-heard'),
   configFetched: event(652, 'info', 'direct-config-fetched'),
+  configAwaited: event(653, 'warn', 'direct-config-awaited'),
   storeLost: event(950, 'warn', 'store-lost'),
   storeBack: event(951, 'info', 'store-back'),
   storeCallFailed: event(952, 'warn', 'store-call-failed'),
