fix(front): a process answers callers from its first moment

Callers saw each connection refused while an entry knew no configuration (198 of 198 in 6 s, also at one that starts beside others while the store is silent); who looks at its port sees a process that did not start.

Cause: the server for callers was opened by the first configuration, whose limits it took.

Change: the address is bound when the service `direct` starts. Without a configuration each request gets 503 with a Retry-After as soon as its headers are read, without an interim answer, and the connection ends behind it. Times for heads and idle connections have initial values; headers that the parser refuses get 503 in place of 431. Readiness needs a configuration. The usual rate of connections is learnt anew at the first configuration.

`headersTimeoutMs` of the limits is no longer 0 (unlimited) before the first configuration: the test of it is replaced by one of the initial times.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -7,6 +7,7 @@
 import type {AdmittedRequest} from './exchange.js';
 import type {RequestAccount} from './held/held_bytes.js';
 import {readBody} from './held/read_body.js';
+import {DEFAULT_RETRY_AFTER_MS} from './local_answers.js';
 import type {LocalAnswer} from './local_answers.js';
 import {pickService, findRoute} from './route_table.js';
 import type {CallerLimits, DirectConfig, HeaderCodec, Route} from './types.js';
@@ -67,7 +68,9 @@
   const earlyConfig = options.config();
   const earlyLimits = options.limits();
   if (earlyConfig === undefined || earlyLimits === undefined) {
-    return refused(503, 'no configuration yet');
+    const spreadMs = options.random() * RETRY_SPREAD_MS;
+    const retryAfterMs = DEFAULT_RETRY_AFTER_MS + spreadMs;
+    return {...refused(503, 'no configuration yet'), retryAfterMs};
   }
   const refusal = checkHeaders(earlyLimits, req);
   if (refusal !== undefined) return tooLarge(options, refusal);
--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -100,8 +100,10 @@
   // Called by `server.close` too. The method of Node also closes connections
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () => afterPoll(closer.endAllIdle);
+  const isConfigured = () => limits.newest() !== undefined;
   addServerListeners(server, {
     ...options,
+    readsBodies: isConfigured,
     connections,
     guards,
     admit: () => {
@@ -117,6 +119,7 @@
       report,
       headersTimeoutMs: () => server.headersTimeout,
       isUnlimited: unlimitedHeads.has,
+      knowsLimits: isConfigured,
       guards,
     }),
   });
--- a/src/direct/callers/idle_check.ts
+++ b/src/direct/callers/idle_check.ts
@@ -13,7 +13,7 @@
 
 export interface IdleCheckOptions {
   readonly connections: Pick<CallerConnections, 'quietMs' | 'visitQuiet'>;
-  readonly limits: Pick<LimitsInForce, 'current' | 'knownWithinMs'>;
+  readonly limits: Pick<LimitsInForce, 'times' | 'knownWithinMs'>;
   readonly descriptorUse: () => DescriptorUse;
   readonly endQuiet: ConnectionCloser['endQuiet'];
   readonly guards: Pick<ConnectionGuards, 'each'>;
@@ -30,11 +30,10 @@
   /** The limit that is over, in milliseconds, by connection. */
   const findDue = (): ReadonlyMap<Socket, number> => {
     const dueMs = new Map<Socket, number>();
-    const current = limits.current();
-    if (current === undefined) return dueMs;
+    const times = limits.times();
     const marginMs = idleMarginMs(descriptorUse(), limits.knownWithinMs);
-    connections.visitQuiet(current.idleTimeoutMs, (socket, connection) => {
-      const limitMs = idleTimeMs(connection, current, marginMs);
+    connections.visitQuiet(times.idleTimeoutMs, (socket, connection) => {
+      const limitMs = idleTimeMs(connection, times, marginMs);
       if (connections.quietMs(socket) >= limitMs) dueMs.set(socket, limitMs);
     });
     return dueMs;
--- a/src/direct/callers/idle_time.ts
+++ b/src/direct/callers/idle_time.ts
@@ -1,7 +1,7 @@
 /** How long a connection on which nothing happens stays open. */
-import type {CallerLimits} from '../types.js';
 import {arePlentiful} from './descriptor_use.js';
 import type {DescriptorUse} from './descriptor_use.js';
+import type {TimeLimits} from './limits_in_force.js';
 
 /**
  * A connection stays open for at least this much longer than its caller may
@@ -42,7 +42,7 @@
 }
 
 /** The time that an answer states in `Keep-Alive`, in milliseconds. */
-export function statedIdleMs({idleTimeoutMs}: CallerLimits): number {
+export function statedIdleMs({idleTimeoutMs}: TimeLimits): number {
   const wholeMs = Math.floor(idleTimeoutMs / 1_000) * 1_000;
   return Math.min(MAX_STATED_MS, Math.max(LEAST_STATED_MS, wholeMs));
 }
@@ -57,7 +57,7 @@
  */
 export function idleTimeMs(
   {statedMs, awaitsHeaders}: QuietConnection,
-  {idleTimeoutMs, headersTimeoutMs}: CallerLimits,
+  {idleTimeoutMs, headersTimeoutMs}: TimeLimits,
   marginMs = LEAST_MARGIN_MS,
 ): number {
   const headersMs = awaitsHeaders ? headersTimeoutMs : 0;
@@ -65,6 +65,6 @@
 }
 
 /** Time within which a further byte of a body has to come, in milliseconds. */
-export function stalledTimeMs(limits: CallerLimits): number {
+export function stalledTimeMs(limits: TimeLimits): number {
   return idleTimeMs({statedMs: 0, awaitsHeaders: true}, limits);
 }
--- a/src/direct/callers/limits_in_force.ts
+++ b/src/direct/callers/limits_in_force.ts
@@ -7,6 +7,22 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {CallerLimits} from '../types.js';
 
+/** Limits on how long a connection is held. */
+export type TimeLimits = Pick<
+  CallerLimits,
+  'headersTimeoutMs' | 'idleTimeoutMs'
+>;
+
+/**
+ * In force before the first configuration. Nothing is admitted meanwhile, so they
+ * only bound what connections hold. A connection that was opened ahead should
+ * outlast the wait for the configuration; the descriptors bound their number.
+ */
+export const INITIAL_TIME_LIMITS: TimeLimits = {
+  headersTimeoutMs: 10_000,
+  idleTimeoutMs: 30_000,
+};
+
 interface Superseded {
   readonly limits: CallerLimits;
   /** When a newer configuration was adopted. */
@@ -25,6 +41,8 @@
    * go by. Undefined before the first configuration.
    */
   current(): CallerLimits | undefined;
+  /** As `current`; the initial ones before the first configuration. */
+  times(): TimeLimits;
   /**
    * Whether every version that a caller may go by is known here. A process that
    * has just started knows none before its first one.
@@ -55,6 +73,12 @@
   /** When no request that began by these limits has time left for its head. */
   const isOverAt = (entry: Superseded) =>
     knownAt(entry) + entry.limits.headersTimeoutMs;
+  const current = (): CallerLimits | undefined => {
+    if (newest === undefined) return undefined;
+    const at = now();
+    const unknown = older.filter(entry => knownAt(entry) > at);
+    return unknown.map(({limits}) => limits).reduce(widest, newest);
+  };
 
   return {
     knownWithinMs,
@@ -68,18 +92,15 @@
     },
     newest: () => newest,
     isComplete: () => now() >= firstAt + knownWithinMs,
-    current: () => {
-      if (newest === undefined) return undefined;
-      const at = now();
-      const unknown = older.filter(entry => knownAt(entry) > at);
-      return unknown.map(({limits}) => limits).reduce(widest, newest);
-    },
+    current,
+    times: () => current() ?? INITIAL_TIME_LIMITS,
     headersTimeoutMs: () => {
       const at = now();
       const times = older
         .filter(entry => isOverAt(entry) > at)
         .map(({limits}) => limits.headersTimeoutMs);
-      return times.reduce(longest, newest?.headersTimeoutMs ?? 0);
+      const {headersTimeoutMs} = newest ?? INITIAL_TIME_LIMITS;
+      return times.reduce(longest, headersTimeoutMs);
     },
     headersChangeInMs: () => {
       const at = now();
--- a/src/direct/callers/parser_errors.ts
+++ b/src/direct/callers/parser_errors.ts
@@ -4,19 +4,26 @@
  */
 import type {Socket} from 'node:net';
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
+import {DEFAULT_RETRY_AFTER_MS} from '../local_answers.js';
 import type {CallerConnections} from './caller_connections.js';
 import type {CloseCause} from './closings.js';
 import {afterPoll} from './connection_end.js';
 import type {ConnectionEnds} from './connection_end.js';
 
+/** Code of the error for headers that are larger than the parser accepts. */
+const HEADERS_LARGE = 'HPE_HEADER_OVERFLOW';
 /** Code of the error for headers that did not come in time. */
 const HEADERS_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Code of the error for a caller that ends its direction within a request. */
 const ENDED_WITHIN = 'HPE_INVALID_EOF_STATE';
 const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEADERS_LARGE]: '431 Request Header Fields Too Large',
   [HEADERS_LATE]: '408 Request Timeout',
 };
+/** Where no limit is known, so that the request is sent again. */
+const LARGE_FOR_NOW = `503 Service Unavailable\r\nRetry-After: ${(
+  DEFAULT_RETRY_AFTER_MS / 1_000
+).toFixed(3)}`;
 
 export interface ParserErrorsOptions {
   readonly connections: CallerConnections;
@@ -25,6 +32,8 @@
   headersTimeoutMs(): number;
   /** Whether no time limit applies to the head that is under way. */
   isUnlimited(socket: Socket): boolean;
+  /** Whether limits of a configuration are known. */
+  knowsLimits(): boolean;
   readonly guards: Pick<ConnectionGuards, 'of'>;
 }
 
@@ -39,7 +48,10 @@
       socket.destroy();
       return;
     }
-    const status = STATUS_BY_ERROR[err.code ?? ''] ?? '400 Bad Request';
+    const isDenial = err.code !== HEADERS_LARGE || options.knowsLimits();
+    const status = isDenial
+      ? (STATUS_BY_ERROR[err.code ?? ''] ?? '400 Bad Request')
+      : LARGE_FOR_NOW;
     socket.write(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
--- a/src/direct/callers/server_listeners.ts
+++ b/src/direct/callers/server_listeners.ts
@@ -31,6 +31,8 @@
     'add' | 'began' | 'requestBytes'
   >;
   readonly handler: RequestHandler;
+  /** Whether the handler may read bodies; callers are asked for theirs then. */
+  readonly readsBodies: () => boolean;
   readonly admit: () => Admission;
   readonly refuse: ConnectionRefusals['refuse'];
   readonly endAnswered: ConnectionCloser['endAnswered'];
@@ -63,7 +65,7 @@
 
 function addRequestListeners(
   server: Server,
-  {connections, handler, onRequestError}: ServerListenersOptions,
+  {connections, handler, readsBodies, onRequestError}: ServerListenersOptions,
 ): void {
   const began: RequestHandler = (req, res) => {
     const guard = guardUnsent(onRequestError, res);
@@ -83,7 +85,7 @@
   };
   listen('request', handle);
   listen('checkContinue', (req, res) => {
-    res.writeContinue();
+    if (readsBodies()) res.writeContinue();
     handle(req, res);
   });
   listen('checkExpectation', (req, res) => {
--- a/src/direct/callers/stalled_bodies.ts
+++ b/src/direct/callers/stalled_bodies.ts
@@ -12,7 +12,7 @@
 
 export interface StalledBodyCheckOptions {
   readonly connections: Pick<CallerConnections, 'bodyQuietMs' | 'visitBodies'>;
-  readonly limits: Pick<LimitsInForce, 'current'>;
+  readonly limits: Pick<LimitsInForce, 'times'>;
   readonly report: ConnectionCloser['report'];
   readonly onRequestError: RequestErrors;
 }
@@ -31,9 +31,7 @@
   };
 
   return () => {
-    const current = limits.current();
-    if (current === undefined) return;
-    const limitMs = stalledTimeMs(current);
+    const limitMs = stalledTimeMs(limits.times());
     const isLate = (socket: Socket) =>
       connections.bodyQuietMs(socket) >= limitMs;
     connections.visitBodies((socket, res) => {
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -136,7 +136,6 @@
   );
   let config: DirectConfig | undefined;
   let server: CallersServer | undefined;
-  let isOpening = false;
   let stopOpening = (): void => undefined;
   let hasEnded = false;
 
@@ -236,14 +235,17 @@
     }),
   });
 
-  const connectionGate = createConnectionGate(clock, closed => {
-    log(DIRECT_EVENTS.connectionsClosed, {closed});
-    metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
-  });
-  ctx.own(connectionGate.stop);
+  const openGate = () =>
+    createConnectionGate(clock, closed => {
+      log(DIRECT_EVENTS.connectionsClosed, {closed});
+      metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
+    });
+  let connectionGate = openGate();
+  ctx.own(() => connectionGate.stop());
 
+  // Opened without a configuration too: callers then get 503 with a time to come
+  // back, where a refused connection looks like a process that does not run.
   const openServer = async (): Promise<void> => {
-    isOpening = true;
     const opened = await openCallersServer({
       address: settings.listen.callers,
       handler: intake.take,
@@ -274,11 +276,16 @@
     });
     serving.cold.setServices(next.services);
     limits.set(next.limits);
+    if (config === undefined) {
+      // Each request that is refused without a configuration comes on a
+      // connection of its own, so the rate until now is not the usual one.
+      connectionGate.stop();
+      connectionGate = openGate();
+    }
     // Noted behind what may fail: a version that is noted is not taken again.
     config = next;
     configWait.end();
     server?.applyLimits();
-    if (!isOpening && drain.isAccepting()) openServer().catch(ctx.fail);
   };
 
   const endRequests = (): void => {
@@ -347,6 +354,7 @@
         return message.reply(
           !drain.isDraining() &&
             server !== undefined &&
+            config !== undefined &&
             serving.replicas.size() > 0 &&
             // When keys cannot be confirmed, the peers cannot confirm
             // them either, so this one stays in the load balancer's rotation.
@@ -374,4 +382,5 @@
     ctx.own(reportStandings({clock, log, metrics, shares}));
   }
   void ctx.mailbox.observe(handle);
+  if (drain.isAccepting()) openServer().catch(ctx.fail);
 }
--- a/src/direct/local_answers.ts
+++ b/src/direct/local_answers.ts
@@ -5,7 +5,7 @@
 import type {ServerResponse} from 'node:http';
 
 /** Retry time for a refused caller when no better one is known. */
-const DEFAULT_RETRY_AFTER_MS = 250;
+export const DEFAULT_RETRY_AFTER_MS = 250;
 
 export type LocalStatus =
   400 | 401 | 404 | 408 | 413 | 429 | 431 | 502 | 503 | 504;
--- a/test/direct/limits_in_force.test.ts
+++ b/test/direct/limits_in_force.test.ts
@@ -5,7 +5,10 @@
   idleTimeMs,
   statedIdleMs,
 } from '../../src/direct/callers/idle_time.js';
-import {createLimitsInForce} from '../../src/direct/callers/limits_in_force.js';
+import {
+  INITIAL_TIME_LIMITS,
+  createLimitsInForce,
+} from '../../src/direct/callers/limits_in_force.js';
 import type {CallerLimits} from '../../src/direct/types.js';
 
 const KNOWN_WITHIN_MS = 5_000;
@@ -32,8 +35,22 @@
 describe('limits of callers', () => {
   test('are unknown before the first configuration', () => {
     const {limits} = start();
+    expect(limits.newest()).toBeUndefined();
     expect(limits.current()).toBeUndefined();
-    expect(limits.headersTimeoutMs()).toBe(0);
+    expect(limits.isComplete()).toBe(false);
+  });
+
+  // Guards against connections and heads that are held for any time while no
+  // configuration is known.
+  test('bound times before the first configuration, and not after it', () => {
+    const {limits} = start();
+    expect(limits.times()).toEqual(INITIAL_TIME_LIMITS);
+    expect(limits.headersTimeoutMs()).toBe(
+      INITIAL_TIME_LIMITS.headersTimeoutMs,
+    );
+    limits.set(limitsOf(3_000));
+    expect(limits.times()).toEqual(limitsOf(3_000));
+    expect(limits.headersTimeoutMs()).toBe(3_000);
   });
 
   test('apply at once when they are raised', () => {
