--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -102,8 +102,10 @@
   // whose answer has ended but has not been handed to the kernel completely.
   server.closeIdleConnections = () =>
     afterPoll(guard('idle end', closer.endAllIdle));
+  const isConfigured = () => limits.newest() !== undefined;
   addServerListeners(server, {
     ...options,
+    readsBodies: isConfigured,
     connections,
     guards,
     admit: () => {
@@ -119,6 +121,7 @@
       report,
       headersTimeoutMs: () => server.headersTimeout,
       isUnlimited: unlimitedHeads.has,
+      knowsLimits: isConfigured,
       guards,
     }),
   });
@@ -134,10 +137,6 @@
     }
   };
   applyLimits();
-  const listening = listenAt(server, {...options, part: 'callers'});
-  options.onWait?.(listening.stop);
-  await listening.bound;
-
   const endIdle = createIdleCheck({
     connections,
     limits,
@@ -175,6 +174,13 @@
     guards,
     cancelChecks,
   });
+  // Last: an error behind it would leave a listener that nobody closes.
+  const listening = listenAt(server, {...options, part: 'callers'});
+  options.onWait?.(() => {
+    cancelChecks();
+    listening.stop();
+  });
+  await listening.bound;
   return {
     applyLimits,
     stopAccepting: stop.stopAccepting,
--- a/src/direct/callers/server_stop.ts
+++ b/src/direct/callers/server_stop.ts
@@ -61,9 +61,13 @@
         afterPoll(closeIfQuiet);
         return;
       }
-      server.off('connection', onConnection);
-      server.close();
-      whenClosed();
+      try {
+        server.off('connection', onConnection);
+        server.close();
+      } finally {
+        // The end of the service waits for it.
+        whenClosed();
+      }
     };
     server.on('connection', onConnection);
     afterPoll(closeIfQuiet);
@@ -80,8 +84,6 @@
       }),
     close: () =>
       new Promise(resolve => {
-        cancelChecks();
-        cancelStop();
         closeListener(() =>
           afterPoll(() => {
             // The stop of the process waits for it.
@@ -92,6 +94,8 @@
             }
           }),
         );
+        cancelChecks();
+        cancelStop();
       }),
   };
 }
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -31,6 +31,7 @@
   Reservations,
 } from '../types.js';
 import type {WatchNotices} from '../gate/replica_statements.js';
+import {createConfigWait} from './config_wait.js';
 import {createDrain} from './drain.js';
 import type {DrainStart} from './drain.js';
 import {reportGauges} from './gauges.js';
@@ -137,10 +138,12 @@
   /** Of the configuration that is in force in all parts. */
   let adoptedVersion: number | undefined;
   let server: CallersServer | undefined;
-  let isOpening = false;
   let stopOpening = (): void => undefined;
   let hasEnded = false;
 
+  const configWait = createConfigWait(clock, log);
+  ctx.own(configWait.end);
+
   const evidence = createStoreEvidence(
     clock,
     options.wallMs,
@@ -182,6 +185,7 @@
   });
   const gauges: GaugeReaders = {
     configVersion: () => config?.version ?? 0,
+    configAwaitedMs: configWait.awaitedMs,
     heardVersion: () =>
       Math.max(
         config?.version ?? 0,
@@ -233,14 +237,17 @@
     }),
   });
 
-  const connectionGate = createConnectionGate(clock, closed => {
-    log(DIRECT_EVENTS.connectionsClosed, {closed});
-    metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
-  });
-  ctx.own(connectionGate.stop);
+  const openGate = () =>
+    createConnectionGate(clock, closed => {
+      log(DIRECT_EVENTS.connectionsClosed, {closed});
+      metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
+    });
+  let connectionGate = openGate();
+  ctx.own(() => connectionGate.stop());
 
+  // Opened without a configuration too: callers then get 503 with a time to come
+  // back, where a refused connection looks like a process that does not run.
   const openServer = async (): Promise<void> => {
-    isOpening = true;
     const opened = await openCallersServer({
       address: settings.listen.callers,
       handler: intake.take,
@@ -274,10 +281,17 @@
     config = next;
     serving.cold.setServices(next.services);
     limits.set(next.limits);
+    if (adoptedVersion === undefined) {
+      // Each request that is refused without a configuration comes on a
+      // connection of its own, so the rate until now is not the usual one.
+      const refusing = connectionGate;
+      connectionGate = openGate();
+      refusing.stop();
+    }
+    configWait.end();
     server?.applyLimits();
     // Last: a version that is noted is not taken again.
     adoptedVersion = next.version;
-    if (!isOpening && drain.isAccepting()) openServer().catch(ctx.fail);
   };
 
   const endRequests = (): void => {
@@ -346,6 +360,7 @@
         return message.reply(
           !drain.isDraining() &&
             server !== undefined &&
+            config !== undefined &&
             serving.replicas.size() > 0 &&
             // When keys cannot be confirmed, the peers cannot confirm
             // them either, so this one stays in the load balancer's rotation.
@@ -359,11 +374,14 @@
     }
   };
 
-  ctx.own(() => {
+  ctx.own(async () => {
     hasEnded = true;
-    stopOpening();
-    endRequests();
-    return server?.close();
+    try {
+      stopOpening();
+      endRequests();
+    } finally {
+      await server?.close();
+    }
   });
   ctx.own(watchLoopStalls(clock, log, metrics));
   ctx.own(reportGauges(clock, metrics, gauges));
@@ -373,4 +391,5 @@
     ctx.own(reportStandings({clock, log, metrics, shares}));
   }
   void ctx.mailbox.observe(handle);
+  if (drain.isAccepting()) openServer().catch(ctx.fail);
 }
