fix(process): a stop ends within the grace time where timers are late

Seen: entries that stop beside other load ended up to 0.7 s after the grace time, when a platform that kills at its end sees a process that did not end.

Cause: the margins before the end of the grace time were fixed, while each later step of the end waits for the event loop again. The wait for lines that are being written counted timers of 5 ms in place of time, so that its 200 ms lasted 2 s where each of 40 timers took 50 ms.

Change: the wait goes by the clock. Both margins follow the recent lateness of the process's own timers, at most 1/6 of the grace time for requests and 1/8 for the limit, and keep the distance that they had.

--- a/src/direct/front/drain.ts
+++ b/src/direct/front/drain.ts
@@ -3,6 +3,7 @@
  * longer, and ends once all requests have ended or the grace time is over.
  */
 import type {Cancel, Clock} from '../../types/runtime.js';
+import {createTimerLateness, endMarginMs} from '../../utils/timer_lateness.js';
 import {UNAWARE_MS} from '../decide/begin_at_stop.js';
 
 /** Interval at which a drain checks whether all requests have ended. */
@@ -11,6 +12,10 @@
 const REFUSE_LATE_MS = 100;
 /** The drain ends this long before the grace time, to send the last answers. */
 const GRACE_MARGIN_MS = 500;
+/** Late steps of an end: answers, the reply, the services' end, the exit. */
+const GRACE_STEPS = 4;
+/** Largest share of the grace time that late timers take from the requests. */
+const MAX_MARGIN_SHARE = 1 / 6;
 
 /** When the drain of a process began. It outlasts a restart of the service. */
 export interface DrainStart {
@@ -51,7 +56,18 @@
 
 export function createDrain(options: DrainOptions): Drain {
   const {clock, start} = options;
-  const graceMs = options.graceS * 1_000 - GRACE_MARGIN_MS;
+  const limitMs = options.graceS * 1_000;
+  let lateness = createTimerLateness(clock.now());
+  const graceMs = () =>
+    limitMs -
+    endMarginMs(
+      {
+        leastMs: GRACE_MARGIN_MS,
+        mostMs: limitMs * MAX_MARGIN_SHARE,
+        steps: GRACE_STEPS,
+      },
+      lateness.recentMs(),
+    );
   const replies: Array<() => void> = [];
   let cancels: readonly Cancel[] = [];
   let hasEnded = false;
@@ -72,7 +88,8 @@
     }
   };
   const check = () => {
-    const isTimeUp = stoppingMs() >= graceMs;
+    lateness.ran(clock.now(), DRAIN_POLL_MS);
+    const isTimeUp = stoppingMs() >= graceMs();
     const isDone = () => hasStoppedAccepting && options.openCount() === 0;
     if (!isTimeUp && !isDone()) return;
     cancel();
@@ -85,6 +102,7 @@
     }
   };
   const run = () => {
+    lateness = createTimerLateness(clock.now());
     // The load balancer sends connections until callers know of the stop.
     const acceptMs = Math.max(0, UNAWARE_MS - stoppingMs());
     cancels = [
@@ -99,7 +117,8 @@
   return {
     isDraining: () => start.at !== undefined,
     isAccepting: () => stoppingMs() < UNAWARE_MS,
-    leftMs: () => (start.at === undefined ? Infinity : graceMs - stoppingMs()),
+    leftMs: () =>
+      start.at === undefined ? Infinity : graceMs() - stoppingMs(),
     stoppingMs,
     begin: reply => {
       if (hasEnded) return reply();
--- a/src/process/process_life.ts
+++ b/src/process/process_life.ts
@@ -49,10 +49,15 @@
   log: Log;
   /**
    * Writes the last line and ends the process; only the first call counts. Lines
-   * that are being written come first, unless that takes too long. `place` is
-   * where an error arose, as far as known.
+   * that are being written come first, unless that takes longer than `writingMs`.
+   * `place` is where an error arose, as far as known.
    */
-  end(endClass: EndClass, cause: string, place?: LogFields): void;
+  end(
+    endClass: EndClass,
+    cause: string,
+    place?: LogFields,
+    writingMs?: number,
+  ): void;
 }
 
 /** Takes over the signals and the uncaught errors of this process. */
@@ -81,11 +86,16 @@
       });
     }
   };
-  const end: ProcessLife['end'] = (endClass, cause, place) => {
+  const end: ProcessLife['end'] = (
+    endClass,
+    cause,
+    place,
+    writingMs = MAX_WRITING_MS,
+  ) => {
     if (isEnding) return;
     isEnding = true;
     const exitCode = END_CODES[endClass];
-    afterWriting(MAX_WRITING_MS, () => {
+    afterWriting(performance.now() + writingMs, () => {
       try {
         writeLastLine(endClass, exitCode, cause, place);
       } finally {
@@ -93,10 +103,10 @@
       }
     });
   };
-  const afterWriting = (leftMs: number, run: () => void): void => {
-    if (leftMs <= 0 || !handlers.isWriting()) return run();
-    const next = () => afterWriting(leftMs - WRITING_POLL_MS, run);
-    setTimeout(next, WRITING_POLL_MS);
+  // By the clock: a number of timers lasts longer the later each of them is.
+  const afterWriting = (untilMs: number, run: () => void): void => {
+    if (performance.now() >= untilMs || !handlers.isWriting()) return run();
+    setTimeout(() => afterWriting(untilMs, run), WRITING_POLL_MS);
   };
   const log: ProcessLife['log'] = (event, fields) =>
     writeEventLine(event, node, fields);
--- a/src/process/service_stop.ts
+++ b/src/process/service_stop.ts
@@ -4,17 +4,28 @@
  * services start is kept until they can drain.
  */
 import {runAll} from '../utils/run_each.js';
-import type {Clock, Log} from '../types/runtime.js';
+import type {Cancel, Clock, Log} from '../types/runtime.js';
 import {KERNEL_EVENTS} from '../utils/events.js';
-import type {EndClass} from './end_classes.js';
+import {createTimerLateness, endMarginMs} from '../utils/timer_lateness.js';
+import type {ProcessLife} from './process_life.js';
 
 /** Delay before the process exits, so that the last log lines are written. */
 const LOG_FLUSH_MS = 20;
+/** Interval at which the end of the grace time is looked for. */
+const LIMIT_POLL_MS = 50;
 /**
  * Time before the end of the grace time at which the process ends though the
  * drain has not, in milliseconds, so that its last line can be written.
  */
 const LIMIT_MARGIN_MS = 200;
+/** Late steps between that moment and the end: lines, the last line, the exit. */
+const LIMIT_STEPS = 2;
+/** Largest share of the grace time that late timers take from it. */
+const MAX_MARGIN_SHARE = 1 / 8;
+/** Largest share of the grace time by which requests are ended earlier. */
+const REQUESTS_SHARE = 1 / 6;
+/** Least time between the end of the requests and the limit, in milliseconds. */
+const REQUESTS_GAP_MS = 300;
 
 export interface Drainable {
   /** Resolves when all open requests have ended. */
@@ -28,7 +39,7 @@
   readonly log: Log;
   /** Longest time from the signal to the end, in milliseconds. */
   readonly limitMs: number;
-  end(endClass: EndClass, cause: string): void;
+  readonly end: ProcessLife['end'];
 }
 
 export interface ServiceStop {
@@ -42,6 +53,8 @@
   const {clock, log, limitMs, end} = options;
   let services: Drainable | undefined;
   let requested: string | undefined;
+  /** When the process has to end; infinite before a signal. */
+  let limitAt = Infinity;
 
   const drain = async (from: Drainable, signal: string): Promise<void> => {
     log(KERNEL_EVENTS.drainStarted, {signal, limitMs});
@@ -50,6 +63,39 @@
     log(KERNEL_EVENTS.drainEnded, {why: 'drained', open});
     clock.after(LOG_FLUSH_MS, () => end('stopped', signal));
   };
+  const marginMsAt = (latenessMs: number): number => {
+    const mostMs = Math.min(
+      limitMs * MAX_MARGIN_SHARE,
+      limitMs * REQUESTS_SHARE - REQUESTS_GAP_MS,
+    );
+    const margin = {leastMs: LIMIT_MARGIN_MS, mostMs, steps: LIMIT_STEPS};
+    return endMarginMs(margin, latenessMs);
+  };
+  const watchLimit = (signal: string): void => {
+    const lateness = createTimerLateness(clock.now());
+    const cancels: Cancel[] = [];
+    const endBefore = (marginMs: number): void => {
+      endAtLimit(signal, marginMs);
+      for (const cancel of cancels) cancel();
+    };
+    const endAtLatest = () => endBefore(LIMIT_MARGIN_MS);
+    const check = (): void => {
+      lateness.ran(clock.now(), LIMIT_POLL_MS);
+      const marginMs = marginMsAt(lateness.recentMs());
+      if (clock.now() >= limitAt - marginMs) endBefore(marginMs);
+    };
+    // The limit has a timer of its own, which an error in a check does not stop.
+    const delayMs = limitMs > LIMIT_MARGIN_MS ? limitMs - LIMIT_MARGIN_MS : 0;
+    const setLimit = () =>
+      cancels.push(clock.after(delayMs, endAtLatest, 'limit of the drain'));
+    const setCheck = () =>
+      cancels.push(clock.every(LIMIT_POLL_MS, check, 'lateness of a stop'));
+    runAll([setLimit, setCheck]);
+  };
+  const endAtLimit = (signal: string, marginMs: number): void => {
+    const cause = `${signal}, ${limitMs} ms ago`;
+    end('drain-limit', cause, undefined, marginMs / 2);
+  };
   const begin = (): void => {
     if (services === undefined || requested === undefined) return;
     drain(services, requested).catch(err => end('drain-failed', String(err)));
@@ -64,13 +110,8 @@
       // A second signal must not end the process before its answers have ended.
       if (requested !== undefined) return;
       requested = signal;
-      const endAtLimit = () =>
-        end('drain-limit', `${signal}, ${limitMs} ms ago`);
-      const delayMs = limitMs > LIMIT_MARGIN_MS ? limitMs - LIMIT_MARGIN_MS : 0;
-      runAll([
-        () => clock.after(delayMs, endAtLimit, 'limit of the drain'),
-        begin,
-      ]);
+      limitAt = clock.now() + limitMs;
+      runAll([() => watchLimit(signal), begin]);
     },
   };
 }
--- a/test/processes/last_line.test.ts
+++ b/test/processes/last_line.test.ts
@@ -58,3 +58,27 @@
   const lines = await outputOf(FAILING_FLUSH);
   expect(lines.at(-1)).toContain('"class":"stopped"');
 }, 30_000);
+
+const LATE_LOOP = `
+import {writeSync} from 'node:fs';
+import {createProcessLife} from './src/process/process_life.js';
+const life = createProcessLife();
+let asked = 0;
+const isWriting = () => {
+  asked++;
+  const untilMs = performance.now() + 50;
+  while (performance.now() < untilMs);
+  return true;
+};
+life.handle({isWriting, flush: () => writeSync(1, asked + '\\n')});
+life.end('stopped', 'SIGTERM');
+`;
+
+// Guards against a wait for lines that is counted in timers, and lasts seconds
+// where each of them is late.
+test('the wait for lines goes by the clock', async () => {
+  const lines = await outputOf(LATE_LOOP);
+  expect(lines.at(-1)).toContain('"class":"stopped"');
+  expect(Number(lines[0])).toBeGreaterThan(0);
+  expect(Number(lines[0])).toBeLessThan(10);
+}, 30_000);
