fix(process): the last line waits longer after a drain with time left

Seen: last lines that stand before others of the process in its log.

Cause: the last line waits 0.2 s for a write that is under way and then overtakes it. Beside load a write may wait longer for a processor.

Change: after a drain that leaves the time, the wait is up to 1 s, and ends 0.2 s before the end of the grace time. A stop that reaches its limit after its drain has ended counts as stopped.

Measured on a virtual clock: a wait of up to 1 s after a drain of 3 s, and none that ends after the grace time for drains of 7 to 7.79 s. The lines of real processes beside load were not measured.

--- a/src/process/service_stop.ts
+++ b/src/process/service_stop.ts
@@ -26,6 +26,11 @@
 const REQUESTS_SHARE = 1 / 6;
 /** Least time between the end of the requests and the limit, in milliseconds. */
 const REQUESTS_GAP_MS = 300;
+/**
+ * Longest wait for lines that are being written, in milliseconds, where enough of
+ * the grace time is left. The write may wait for a processor that long.
+ */
+const MAX_WRITING_MS = 1_000;
 
 export interface Drainable {
   /** Resolves when all open requests have ended. */
@@ -55,13 +60,20 @@
   let requested: string | undefined;
   /** When the process has to end; infinite before a signal. */
   let limitAt = Infinity;
+  let isDrained = false;
 
+  const endDrained = (signal: string): void => {
+    const leftMs = limitAt - LIMIT_MARGIN_MS - clock.now();
+    const writingMs = Math.max(0, Math.min(MAX_WRITING_MS, leftMs));
+    end('stopped', signal, undefined, writingMs);
+  };
   const drain = async (from: Drainable, signal: string): Promise<void> => {
     log(KERNEL_EVENTS.drainStarted, {signal, limitMs});
     await from.drain();
     const open = await from.openRequests();
     log(KERNEL_EVENTS.drainEnded, {why: 'drained', open});
-    clock.after(LOG_FLUSH_MS, () => end('stopped', signal));
+    isDrained = true;
+    clock.after(LOG_FLUSH_MS, () => endDrained(signal));
   };
   const marginMsAt = (latenessMs: number): number => {
     const mostMs = Math.min(
@@ -93,6 +105,7 @@
     runAll([setLimit, setCheck]);
   };
   const endAtLimit = (signal: string, marginMs: number): void => {
+    if (isDrained) return endDrained(signal);
     const cause = `${signal}, ${limitMs} ms ago`;
     end('drain-limit', cause, undefined, marginMs / 2);
   };
--- a/test/late_stops.test.ts
+++ b/test/late_stops.test.ts
@@ -165,3 +165,40 @@
   run(250, 0);
   expect(lateness.recentMs()).toBeLessThan(2);
 });
+
+/** How long a stop lets its last line wait whose drain ends at `drainedMs`. */
+async function writingMsAfter(drainedMs: number): Promise<number | undefined> {
+  const clock = createVirtualClock();
+  const waits: Array<number | undefined> = [];
+  const stop = createServiceStop({
+    clock,
+    log: () => undefined,
+    limitMs: GRACE_MS,
+    end: (endClass, _cause, _place, writingMs) => {
+      expect(endClass).toBe('stopped');
+      waits.push(writingMs);
+    },
+  });
+  stop.started({
+    drain: () => new Promise<void>(done => clock.after(drainedMs, done)),
+    openRequests: async () => 0,
+  });
+  stop.request('SIGTERM');
+  await clock.runFor(GRACE_MS * 2);
+  return waits[0];
+}
+
+// Guards against a last line that overtakes a write which waits for a processor.
+test('the last line waits longer where the drain left the time', async () => {
+  expect(await writingMsAfter(3_000)).toBe(1_000);
+});
+
+// Guards against a wait for lines that lasts past the end of the grace time.
+test.each([7_000, 7_500, 7_790])(
+  'after a drain of %i ms the wait for lines ends before the grace time',
+  async drainedMs => {
+    const writingMs = await writingMsAfter(drainedMs);
+    expect(writingMs).toBeGreaterThanOrEqual(0);
+    expect(drainedMs + Number(writingMs)).toBeLessThan(GRACE_MS);
+  },
+);
