--- a/fault_soak/failing_steps/step_callers.ts
+++ b/fault_soak/failing_steps/step_callers.ts
@@ -4,12 +4,13 @@
  */
 import {get} from 'node:http';
 import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import {callEntry} from '../../standins/users_platform/entry_program.js';
 import type {Draw} from '../odd_wires/draws.js';
-import {readSoFar} from '../odd_wires/honest_callers.js';
+import {DEADLINE_MS, readSoFar} from '../odd_wires/honest_callers.js';
+import {byStatus} from '../starts_and_ends/starts_judge.js';
 
-/** Time that a caller gives a request. */
-export const DEADLINE_MS = 8_000;
 /** It waits so much longer for the end of an answer. */
 const PATIENCE_MS = 4_000;
 const PATHS = ['/again/a', '/again/a', '/once/a', '/open/a', '/stream/a'];
@@ -20,6 +21,8 @@
 const LONGEST_IDLE_MS = 2_500;
 const MEAN_PAUSE_MS = 40;
 const CHECK_LIMIT_MS = 1_000;
+const PROBE_GAP_MS = 200;
+const PROBES = 20;
 
 /** What a caller got. Times are steady milliseconds. */
 export interface StepOutcome {
@@ -39,16 +42,11 @@
   readonly hasLeft: boolean;
 }
 
-/** A check of readiness. */
-export interface ReadyCheck {
-  readonly entry: number;
-  /** As for `StepOutcome`. */
-  readonly connection: string | undefined;
-  readonly sentAt: number;
-  readonly endedAt: number;
-  /** Undefined where there was no answer. */
-  readonly status: number | undefined;
-}
+/** A check of readiness; no status where there was no answer. */
+export type ReadyCheck = Pick<
+  StepOutcome,
+  'entry' | 'connection' | 'sentAt' | 'endedAt' | 'status'
+>;
 
 export interface StepCaller {
   readonly entry: number;
@@ -167,3 +165,28 @@
     req.once('error', () => end());
   });
 }
+
+/** What an entry doesn't serve in time, though no error is thrown any more. */
+export async function findUnserved(
+  callers: string,
+  nextId: () => string,
+  withinMs: number,
+): Promise<readonly string[]> {
+  const until = performance.now() + withinMs;
+  let seen: ReadonlyArray<Pick<StepOutcome, 'status'>> = [];
+  while (performance.now() < until) {
+    const answers: Array<Pick<StepOutcome, 'status'>> = [];
+    while (answers.length < PROBES && performance.now() < until) {
+      const path = answers.length % 2 === 0 ? '/again/probe' : '/stream/probe';
+      const late = sleep(withinMs, undefined, {ref: false});
+      const called = callEntry(callers, path, nextId());
+      answers.push({status: await Promise.race([called, late])});
+    }
+    seen = answers;
+    if (seen.length === PROBES && seen.every(it => it.status === 200)) {
+      return [];
+    }
+    await sleep(PROBE_GAP_MS);
+  }
+  return [`end: ${callers} answers with ${JSON.stringify(byStatus(seen))}`];
+}
--- a/fault_soak/failing_steps/steps_judge.ts
+++ b/fault_soak/failing_steps/steps_judge.ts
@@ -2,17 +2,19 @@
  * Judges processes in which errors are thrown, or that have no configuration:
  * none ends by itself, each caller has an answer, and the log stays bounded.
  */
+import {DEADLINE_MS} from '../odd_wires/honest_callers.js';
+import {countBy} from '../silent_replicas/silence_report.js';
 import {
   FEWEST_JUDGED,
   askedAt,
   byStatus,
 } from '../starts_and_ends/starts_judge.js';
 import type {LifeFacts, Span} from '../starts_and_ends/starts_judge.js';
-import {DEADLINE_MS} from './step_callers.js';
 import type {ReadyCheck, StepOutcome} from './step_callers.js';
 
 /** Lines of errors that belong to one request or connection. */
-const OWNED = ['direct-faulted', 'direct-connection-faulted'];
+const OWNED = /"(direct-faulted|direct-connection-faulted)"/;
+const OWNERS = /"(?:requestId|connection)":"([^"]+)"/g;
 /** Lines of errors that are nobody's. */
 const FAILED =
   /"name":"(service-failed|message-failed|error-unowned|call-failed|peer-message-dropped|step-failed)"/;
@@ -56,126 +58,91 @@
   readonly excused: number;
 }
 
-interface Timed {
-  readonly entry: number;
-  readonly sentAt: number;
-  readonly endedAt: number;
-}
-
-interface Service {
-  readonly life: LifeFacts;
-  readonly from: number;
-  readonly to: number;
-  readonly owned: ReadonlySet<string>;
-}
+type Timed = Pick<StepOutcome, 'entry' | 'sentAt' | 'endedAt'>;
 
 /** Violations as "KIND: text". */
 export function judgeSteps(
   outcomes: readonly StepOutcome[],
   checks: readonly ReadyCheck[],
-  rules: StepRules,
+  {lives, timeOrigin, unconfigured, away}: StepRules,
 ): StepReport {
-  const services = rules.lives.map(life => serviceOf(life, rules.timeOrigin));
-  const serviceFor = ({entry, sentAt, endedAt}: Timed) =>
-    services.find(
-      ({life, from, to}) =>
-        life.entry === entry && from <= sentAt && endedAt <= to,
+  const services = lives.map(life => serviceOf(life, timeOrigin));
+  const inService = <T extends Timed>(all: readonly T[]) =>
+    all.flatMap(it => {
+      const service = services.find(
+        ({life, from, to}) =>
+          life.entry === it.entry && from <= it.sentAt && it.endedAt <= to,
+      );
+      return service === undefined ? [] : [{it, ...service}];
+    });
+  const isWithout = ({sentAt, endedAt}: Timed) =>
+    unconfigured.some(({from, to}) => from <= sentAt && endedAt <= to);
+  const touchesTrouble = ({sentAt, endedAt}: Timed) =>
+    [...unconfigured, ...away].some(
+      ({from, to}) => from <= endedAt && sentAt <= to,
     );
-  const isWithin = ({sentAt, endedAt}: Timed, spans: readonly Span[]) =>
-    spans.some(({from, to}) => from <= sentAt && endedAt <= to);
-  const touches = ({sentAt, endedAt}: Timed, spans: readonly Span[]) =>
-    spans.some(({from, to}) => from <= endedAt && sentAt <= to);
-  const judged = outcomes.flatMap(outcome => {
-    const service = serviceFor(outcome);
-    return service === undefined ? [] : [{outcome, service}];
+  const answers = inService(outcomes).map(({it, life, owned}) => {
+    const wrong = judgeAnswer(it, life);
+    const isOwned = owned.has(it.id ?? '') || owned.has(it.connection ?? '');
+    const isRefusable = !it.hasLeft && isWithout(it);
+    const kind = wrong ?? (isRefusable ? judgeRefusal(it) : undefined);
+    const isExcused = wrong !== undefined && isOwned;
+    return {it, life, kind, isRefusable, isExcused};
   });
-  const broken: string[] = [];
-  const usual = new Map<LifeFacts, StepOutcome[]>();
+  const usual = answers.filter(
+    ({it, life: {readyAt = Infinity}}) =>
+      !it.hasLeft && it.sentAt >= readyAt && !touchesTrouble(it),
+  );
   const logged = new Set(
-    rules.lives.flatMap(({lines}) =>
+    lives.flatMap(({lines}) =>
       lines.map(line => /"requestId":"([^"]*)"/.exec(line)?.[1]),
     ),
   );
-  let refusedWithout = 0;
-  let excused = 0;
-  for (const {outcome, service} of judged) {
-    const {id, connection} = outcome;
-    const found = judgeAnswer(outcome, service.life);
-    if (found !== undefined) {
-      const isOwned = [id, connection].some(
-        it => it !== undefined && service.owned.has(it),
+  const violations = [
+    ...answers
+      .filter(({kind, isExcused}) => kind !== undefined && !isExcused)
+      .map(({it, life, kind}) => `${kind}: ${describe(it, life)}`),
+    ...inService(checks)
+      .filter(({it, owned}) => !owned.has(it.connection ?? ''))
+      .flatMap(({it, life}) => judgeCheck(it, life, isWithout(it))),
+    ...lives.flatMap(life => {
+      const own = usual.filter(answer => answer.life === life);
+      return judgeShares(
+        life,
+        own.map(({it}) => it),
+        logged,
       );
-      if (isOwned) excused++;
-      else broken.push(`${found}: ${describe(outcome, service.life)}`);
-    } else if (isWithin(outcome, rules.unconfigured) && !outcome.hasLeft) {
-      const tookMs = outcome.endedAt - outcome.sentAt;
-      const isRefused = outcome.status === 503 && outcome.hasRetryAfter;
-      if (isRefused && tookMs <= AT_ONCE_MS) refusedWithout++;
-      else broken.push(`unconfigured: ${describe(outcome, service.life)}`);
-    }
-    const isUsual =
-      !outcome.hasLeft &&
-      !touches(outcome, [...rules.unconfigured, ...rules.away]);
-    if (!isUsual || outcome.sentAt < (service.life.readyAt ?? Infinity))
-      continue;
-    usual.set(service.life, [...(usual.get(service.life) ?? []), outcome]);
-  }
-  for (const check of checks) {
-    const service = serviceFor(check);
-    if (service === undefined) continue;
-    if (service.owned.has(check.connection ?? '')) continue;
-    const isUnconfigured = isWithin(check, rules.unconfigured);
-    const when = `${service.life.name} at ${Math.round(check.sentAt)}`;
-    const is = check.status ?? 'nothing';
-    if (isUnconfigured && check.status !== 503) {
-      broken.push(`readiness: ${is} without a configuration, ${when}`);
-    } else if (check.status === undefined) {
-      broken.push(`readiness: no answer, ${when}`);
-    }
-  }
-  for (const [{name}, all] of usual) {
-    const served = all.filter(({status}) => status === 200).length;
-    if (all.length >= FEWEST_JUDGED && served < SERVED_SHARE * all.length) {
-      broken.push(`served: ${name} ${JSON.stringify(byStatus(all))}`);
-    }
-  }
-  for (const [{name}, all] of usual) {
-    const served = all.filter(({status}) => status === 200);
-    const untold = served.filter(({id}) => !logged.has(id)).length;
-    if (served.length < FEWEST_JUDGED) continue;
-    if (untold <= UNTOLD_SHARE * served.length) continue;
-    broken.push(`log-lost: ${name} no line of ${untold} of ${served.length}`);
-  }
+    }),
+  ];
   return {
-    violations: broken,
-    served: byStatus([...usual.values()].flat()),
-    refusedWithout,
-    excused,
+    violations,
+    served: byStatus(usual.map(({it}) => it)),
+    refusedWithout: answers.filter(
+      ({isRefusable, kind}) => isRefusable && kind === undefined,
+    ).length,
+    excused: answers.filter(({isExcused}) => isExcused).length,
   };
 }
 
-/** A process in which the first line was written, until it is asked to end. */
-function serviceOf(life: LifeFacts, timeOrigin: number): Service {
-  const times = life.lines
-    .slice(0, 1)
-    .map(line => /"time":"([^"]+)"/.exec(line)?.[1])
-    .map(time => Date.parse(time ?? '') - timeOrigin);
-  const [firstAt = Infinity] = times;
-  const endAt = (life.end?.at ?? Infinity) - EXIT_SEEN_MS;
+/** A process from its first line until it is asked to end. */
+function serviceOf(life: LifeFacts, timeOrigin: number) {
   const owned = life.lines
-    .filter(line => OWNED.some(name => line.includes(`"${name}"`)))
-    .flatMap(line => [
-      ...line.matchAll(/"(?:requestId|connection)":"([^"]*)"/g),
-    ])
-    .map(([, value]) => value);
+    .filter(line => OWNED.test(line))
+    .flatMap(line => [...line.matchAll(OWNERS)].map(([, value]) => value));
   return {
     life,
-    from: firstAt + BIND_MS,
-    to: Math.min(askedAt(life), endAt),
+    from: firstLineAt(life, timeOrigin) + BIND_MS,
+    to: Math.min(askedAt(life), (life.end?.at ?? Infinity) - EXIT_SEEN_MS),
     owned: new Set(owned),
   };
 }
 
+/** Steady time of its first line; Infinity without one. */
+function firstLineAt({lines}: LifeFacts, timeOrigin: number): number {
+  const time = /"time":"([^"]+)"/.exec(lines[0] ?? '')?.[1];
+  return time === undefined ? Infinity : Date.parse(time) - timeOrigin;
+}
+
 /** What is wrong with an answer or its lack, whatever the entry knew. */
 function judgeAnswer(
   outcome: StepOutcome,
@@ -192,6 +159,47 @@
   return isWhole ? undefined : 'cut';
 }
 
+function judgeRefusal(outcome: StepOutcome): string | undefined {
+  const {status, hasRetryAfter, sentAt, endedAt} = outcome;
+  const isAtOnce = endedAt - sentAt <= AT_ONCE_MS;
+  return status === 503 && hasRetryAfter && isAtOnce
+    ? undefined
+    : 'unconfigured';
+}
+
+function judgeCheck(
+  {status, sentAt}: ReadyCheck,
+  {name}: LifeFacts,
+  isWithout: boolean,
+): readonly string[] {
+  const when = `${name} at ${Math.round(sentAt)}`;
+  if (isWithout && status !== 503) {
+    const is = status ?? 'nothing';
+    return [`readiness: ${is} without a configuration, ${when}`];
+  }
+  return status === undefined ? [`readiness: no answer, ${when}`] : [];
+}
+
+/** Whether most of its usual requests were served, and most served ones logged. */
+function judgeShares(
+  {name}: LifeFacts,
+  usual: readonly StepOutcome[],
+  logged: ReadonlySet<string | undefined>,
+): readonly string[] {
+  const served = usual.filter(({status}) => status === 200);
+  const untold = served.filter(({id}) => !logged.has(id)).length;
+  const isTooFew = served.length < SERVED_SHARE * usual.length;
+  const isLost = untold > UNTOLD_SHARE * served.length;
+  return [
+    ...(usual.length >= FEWEST_JUDGED && isTooFew
+      ? [`served: ${name} ${JSON.stringify(byStatus(usual))}`]
+      : []),
+    ...(served.length >= FEWEST_JUDGED && isLost
+      ? [`log-lost: ${name} no line of ${untold} of ${served.length}`]
+      : []),
+  ];
+}
+
 function describe(outcome: StepOutcome, {name}: LifeFacts): string {
   const {id, path, connection, status, sentAt, endedAt} = outcome;
   const tookMs = Math.round(endedAt - sentAt);
@@ -201,23 +209,15 @@
 
 /** Whether errors of one kind take more lines than a few a minute. */
 export function judgeLog(
-  {name, lines, end}: LifeFacts,
-  {
-    timeOrigin,
-    observedTo,
-  }: {readonly timeOrigin: number; readonly observedTo: number},
+  life: LifeFacts,
+  times: {readonly timeOrigin: number; readonly observedTo: number},
 ): readonly string[] {
-  const firstAt = Date.parse(
-    /"time":"([^"]+)"/.exec(lines[0] ?? '')?.[1] ?? '',
-  );
-  const ranMs = (end?.at ?? observedTo) - (firstAt - timeOrigin);
+  const {name, lines, end} = life;
+  const endAt = end?.at ?? times.observedTo;
+  const ranMs = Math.max(0, endAt - firstLineAt(life, times.timeOrigin));
   const most = MOST_AT_ONCE + (MOST_A_MINUTE * ranMs) / MS_PER_MINUTE;
-  const counts = new Map<string, number>();
-  for (const line of lines.filter(it => FAILED.test(it))) {
-    const kind = kindOf(line);
-    counts.set(kind, (counts.get(kind) ?? 0) + 1);
-  }
-  return [...counts]
+  const failed = lines.filter(it => FAILED.test(it));
+  return Object.entries(countBy(failed, kindOf))
     .filter(([, count]) => count > most)
     .slice(0, MOST_EXAMPLES)
     .map(
@@ -235,13 +235,14 @@
 
 /** At most a few of each kind, and how many more there are. */
 export function shorten(violations: readonly string[]): readonly string[] {
-  const counts = new Map<string, number>();
+  const kindOfOne = (it: string) => it.split(' ', 2).join(' ');
+  const seen = new Map<string, number>();
   const shown = violations.filter(it => {
-    const kind = it.split(' ', 2).join(' ');
-    counts.set(kind, (counts.get(kind) ?? 0) + 1);
-    return (counts.get(kind) ?? 0) <= MOST_EXAMPLES;
+    const count = (seen.get(kindOfOne(it)) ?? 0) + 1;
+    seen.set(kindOfOne(it), count);
+    return count <= MOST_EXAMPLES;
   });
-  const more = [...counts]
+  const more = [...seen]
     .filter(([, count]) => count > MOST_EXAMPLES)
     .map(([kind, count]) => `${kind} ${count - MOST_EXAMPLES} more`);
   return [...shown, ...more];
--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -5,7 +5,6 @@
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {freeAddresses} from '../../demo/free_addresses.js';
-import {callEntry} from '../../standins/users_platform/entry_program.js';
 import {createDraw} from '../odd_wires/draws.js';
 import {longestStallMs} from '../odd_wires/wires_judge.js';
 import {seeded} from '../plan/seeded.js';
@@ -22,7 +21,7 @@
 } from '../starts_and_ends/starts_fleet.js';
 import {judgeLife} from '../starts_and_ends/starts_judge.js';
 import type {Span} from '../starts_and_ends/starts_judge.js';
-import {checkReady, useConnection} from './step_callers.js';
+import {checkReady, findUnserved, useConnection} from './step_callers.js';
 import type {ReadyCheck, StepOutcome} from './step_callers.js';
 import {judgeLog, judgeSteps, shorten} from './steps_judge.js';
 import {createThrownErrors} from './thrown_errors.js';
@@ -70,8 +69,6 @@
 const LATE_MS = 1_500;
 /** Every entry serves so soon after the errors have ended. */
 const SERVE_WITHIN_MS = 10_000;
-const PROBE_GAP_MS = 200;
-const PROBES = 20;
 
 export async function runSteps(shape: StepsShape) {
   const {seed, processes, durationMs, only, dir, program} = shape;
@@ -219,7 +216,9 @@
     areErrorsOver = true;
     await Promise.all(series);
     await Promise.all(entries.map(entry => entry.settle()));
-    const unserved = await Promise.all(entries.map(it => probe(it, nextId)));
+    const unserved = await Promise.all(
+      entries.map(it => findUnserved(it.callers, nextId, SERVE_WITHIN_MS)),
+    );
     isOver = true;
     await Promise.all(traffic);
     const observedTo = performance.now();
@@ -300,27 +299,3 @@
     });
   });
 }
-
-/** What an entry doesn't serve in time, though no error is thrown any more. */
-async function probe(
-  {callers}: EntrySeries,
-  nextId: () => string,
-): Promise<readonly string[]> {
-  const until = performance.now() + SERVE_WITHIN_MS;
-  let statuses: Array<number | undefined> = [];
-  while (performance.now() < until) {
-    statuses = [];
-    for (let n = 0; n < PROBES && performance.now() < until; n++) {
-      const path = n % 2 === 0 ? '/again/probe' : '/stream/probe';
-      const late = sleep(SERVE_WITHIN_MS, undefined, {ref: false});
-      const called = callEntry(callers, path, nextId());
-      statuses.push(await Promise.race([called, late]));
-    }
-    if (statuses.length === PROBES && statuses.every(it => it === 200)) {
-      return [];
-    }
-    await sleep(PROBE_GAP_MS);
-  }
-  const seen = countBy(statuses, it => String(it ?? 'none'));
-  return [`end: ${callers} answers with ${JSON.stringify(seen)}`];
-}
--- a/fault_soak/failing_steps/thrown_errors.ts
+++ b/fault_soak/failing_steps/thrown_errors.ts
@@ -62,7 +62,8 @@
     const step = draw.one(STEP_NAMES);
     const isStep = kind === 'each';
     drawn.set(name, isStep ? `each ${step}` : kind);
-    const functions = isStep ? `at (\\S+\\.)?(${STEPS[step]}) ` : TIMERS;
+    // The bundle numbers functions of the same name.
+    const functions = isStep ? `at (\\S+\\.)?(${STEPS[step]})\\d* ` : TIMERS;
     return throwingBuiltins({
       program: PROGRAM,
       afterMs: draw.below(LONGEST_LEAD_MS),
