--- a/fault_soak/failing_steps/step_callers.ts
+++ b/fault_soak/failing_steps/step_callers.ts
@@ -62,45 +62,42 @@
 export function useConnection(caller: StepCaller): Promise<void> {
   const {entry, address, draw, isOver, onEnd} = caller;
   const [host, port] = address.split(':');
-  const openedAt = performance.now();
+  const refused = {id: undefined, path: undefined};
+  let sent: Pick<StepOutcome, 'id' | 'path' | 'sentAt'> | undefined = {
+    ...refused,
+    sentAt: performance.now(),
+  };
   const socket = connect({host, port: Number(port)});
   let connection: string | undefined;
-  let sent: Pick<StepOutcome, 'id' | 'path' | 'sentAt'> | undefined;
   let text = '';
   let hasLeft = false;
   let patience: NodeJS.Timeout | undefined;
   const end = (): void => {
-    const refused = {id: undefined, path: undefined, sentAt: openedAt};
-    const request = connection === undefined ? refused : sent;
     clearTimeout(patience);
-    if (request === undefined) return;
+    if (sent === undefined) return;
     const {status, isWhole} = readSoFar(text);
     const hasRetryAfter = /\r\nretry-after: *\d/i.test(text);
     const answer = {status, isWhole, hasRetryAfter};
     const endedAt = performance.now();
-    onEnd({...request, entry, connection, endedAt, ...answer, hasLeft});
+    onEnd({...sent, entry, connection, endedAt, ...answer, hasLeft});
     sent = undefined;
     text = '';
   };
-  const leave = (): void => {
+  const leave = (id: string): void => {
+    if (sent?.id !== id) return;
     hasLeft = true;
     socket.destroy();
   };
   const sendNext = (): void => {
+    sent = undefined;
     if (isOver()) return void socket.destroy();
-    sent = {
-      id: caller.nextId(),
-      path: draw.one(PATHS),
-      sentAt: performance.now(),
-    };
+    const id = caller.nextId();
+    const path = draw.one(PATHS);
+    sent = {id, path, sentAt: performance.now()};
     patience = setTimeout(() => socket.destroy(), DEADLINE_MS + PATIENCE_MS);
-    socket.write(requestText(sent.id, sent.path));
+    socket.write(requestText(id, path));
     if (!draw.chance(LEAVES_SHARE)) return;
-    const id = sent.id;
-    const leaveLate = () => {
-      if (sent?.id === id) leave();
-    };
-    setTimeout(leaveLate, draw.below(LONGEST_STAY_MS));
+    setTimeout(leave, draw.below(LONGEST_STAY_MS), id);
   };
   const pauseMs = () =>
     draw.chance(IDLE_SHARE)
@@ -128,7 +125,7 @@
   });
 }
 
-function requestText(id?: string, path?: string): string {
+function requestText(id: string, path: string): string {
   return [
     `POST ${path} HTTP/1.1`,
     `Host: ${HOST}`,
@@ -182,10 +179,10 @@
       const called = callEntry(callers, path, nextId());
       answers.push({status: await Promise.race([called, late])});
     }
-    seen = answers;
-    if (seen.length === PROBES && seen.every(it => it.status === 200)) {
-      return [];
-    }
+    // A round that the time limit cuts short doesn't hide a whole one.
+    const isWhole = answers.length === PROBES;
+    if (isWhole && answers.every(it => it.status === 200)) return [];
+    if (isWhole || seen.length === 0) seen = answers;
     await sleep(PROBE_GAP_MS);
   }
   return [`end: ${callers} answers with ${JSON.stringify(byStatus(seen))}`];
--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -7,6 +7,7 @@
 import {freeAddresses} from '../../demo/free_addresses.js';
 import {createDraw} from '../odd_wires/draws.js';
 import {longestStallMs} from '../odd_wires/wires_judge.js';
+import type {WiresShape} from '../odd_wires/wires_run.js';
 import {seeded} from '../plan/seeded.js';
 import {countBy} from '../silent_replicas/silence_report.js';
 import {PORTS_PER_ENTRY, TIMING, settingsOf} from '../soak_fleet.js';
@@ -21,6 +22,7 @@
 } from '../starts_and_ends/starts_fleet.js';
 import {judgeLife} from '../starts_and_ends/starts_judge.js';
 import type {Span} from '../starts_and_ends/starts_judge.js';
+import type {StoreManner} from '../stops_and_records/store_program.js';
 import {checkReady, findUnserved, useConnection} from './step_callers.js';
 import type {ReadyCheck, StepOutcome} from './step_callers.js';
 import {judgeLog, judgeSteps, shorten} from './steps_judge.js';
@@ -31,18 +33,9 @@
 export const PARTS = [...ERROR_KINDS, 'store', 'ends', 'changes'] as const;
 export type Part = (typeof PARTS)[number];
 
-export interface StepsShape {
-  readonly seed: number;
-  /** Entries, each a process. */
-  readonly processes: number;
-  /** Until the errors end. */
-  readonly durationMs: number;
+export interface StepsShape extends Omit<WiresShape, 'only'> {
   /** @default all of them */
   readonly only?: Part;
-  /** Folder of a build. @default this repository is built */
-  readonly program?: string;
-  /** Where the build, settings and logs are written. */
-  readonly dir: string;
 }
 
 const ENDS: readonly SeriesPart[] = ['kills', 'signals'];
@@ -104,28 +97,24 @@
   const pause = (meanMs: number) => sleep(draw.below(2 * meanMs));
 
   const configure = () => store.put('config', 'main', startsConfig(++version));
-  const trouble = async (kind: Trouble): Promise<() => Promise<number>> => {
-    const manner = {
+  const behave = (change: Partial<StoreManner>) =>
+    store.behave({
       mode: 'well',
       lateMs: [0, 0],
       cutShare: 0,
       seed: draw.below(2 ** 31),
-    } as const;
+      ...change,
+    });
+  const trouble = async (kind: Trouble) => {
     played.push(`store ${kind}`);
-    if (kind === 'unset') {
-      isUnset = true;
-      await store.remove('config', 'main');
-      return () => {
-        isUnset = false;
-        return configure();
-      };
-    }
-    await store.behave(
-      kind === 'late'
-        ? {...manner, lateMs: [LATE_MS, LATE_MS]}
-        : {...manner, mode: kind},
-    );
-    return () => store.behave(manner);
+    isUnset = kind === 'unset';
+    if (kind === 'unset') await store.remove('config', 'main');
+    else if (kind === 'late') await behave({lateMs: [LATE_MS, LATE_MS]});
+    else await behave({mode: kind});
+  };
+  const heal = (kind: Trouble) => {
+    isUnset = false;
+    return kind === 'unset' ? configure() : behave({});
   };
   /** Troubles the store while all of these processes are started. */
   const startWithout = async (
@@ -134,7 +123,7 @@
   ) => {
     const kind = plays('store') ? draw.one(TROUBLES) : 'unset';
     const troubledAt = performance.now();
-    const heal = await trouble(kind);
+    await trouble(kind);
     await start();
     const from = performance.now();
     const spareMs = LONGEST_TROUBLE_MS - SHORTEST_TROUBLE_MS;
@@ -142,7 +131,7 @@
     const isWithout = isAll && kind !== 'late';
     // What is asked for meanwhile may have the healed store's answer.
     if (isWithout) unconfigured.push({from, to: performance.now()});
-    away.push({from: troubledAt, to: (await heal()) + CATCH_UP_MS});
+    away.push({from: troubledAt, to: (await heal(kind)) + CATCH_UP_MS});
   };
   const troubleOne = async () => {
     await pause(MEAN_TROUBLE_GAP_MS);
@@ -197,12 +186,9 @@
     );
     const series = [
       ...entries.map(entry => entry.play(() => areErrorsOver)),
-      ...(plays('changes')
-        ? [
-            repeat(() => areErrorsOver, change),
-            repeat(() => areErrorsOver, hangUp),
-          ]
-        : []),
+      ...(plays('changes') ? [change, hangUp] : []).map(it =>
+        repeat(() => areErrorsOver, it),
+      ),
     ];
     const troubles = plays('store')
       ? repeat(() => isLastStart, troubleOne)
@@ -227,12 +213,8 @@
     const lives = entries.flatMap(it => it.lives.map(life => life.facts()));
     const rules = {graceMs: TIMING.graceS * 1_000, observedTo, away};
     const {timeOrigin} = performance;
-    const steps = judgeSteps(outcomes, checks, {
-      lives,
-      timeOrigin,
-      unconfigured,
-      away,
-    });
+    const times = {timeOrigin, unconfigured, away};
+    const steps = judgeSteps(outcomes, checks, {lives, ...times});
     const violations = [
       ...lives.flatMap(life => [
         ...judgeLife(life, rules),
@@ -241,15 +223,13 @@
       ...unserved.flat(),
       ...steps.violations,
     ];
+    const all = [...played, ...entries.flatMap(it => it.played)];
     const peaks = entries.flatMap(it => it.lives.map(life => life.peakMb()));
     return {
       seed,
       starts: lives.length,
       thrown: errors.counts(),
-      played: countBy(
-        [...played, ...entries.flatMap(it => it.played)].sort(),
-        it => it,
-      ),
+      played: countBy(all.sort(), it => it),
       requests: outcomes.length,
       served: steps.served,
       refusedWithout: steps.refusedWithout,
