--- a/fault_soak/failing_steps/step_callers.ts
+++ b/fault_soak/failing_steps/step_callers.ts
@@ -4,12 +4,13 @@
  */
 import {get} from 'node:http';
 import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import {callEntry} from '../../standins/users_platform/entry_program.js';
 import type {Draw} from '../odd_wires/draws.js';
-import {readSoFar} from '../odd_wires/honest_callers.js';
+import {DEADLINE_MS, readSoFar} from '../odd_wires/honest_callers.js';
+import {byStatus} from '../starts_and_ends/starts_judge.js';
 
-/** Time that a caller gives a request. */
-export const DEADLINE_MS = 8_000;
 /** It waits so much longer for the end of an answer. */
 const PATIENCE_MS = 4_000;
 const PATHS = ['/again/a', '/again/a', '/once/a', '/open/a', '/stream/a'];
@@ -20,6 +21,8 @@
 const LONGEST_IDLE_MS = 2_500;
 const MEAN_PAUSE_MS = 40;
 const CHECK_LIMIT_MS = 1_000;
+const PROBE_GAP_MS = 200;
+const PROBES = 20;
 
 /** What a caller got. Times are steady milliseconds. */
 export interface StepOutcome {
@@ -39,16 +42,11 @@
   readonly hasLeft: boolean;
 }
 
-/** A check of readiness. */
-export interface ReadyCheck {
-  readonly entry: number;
-  /** As for `StepOutcome`. */
-  readonly connection: string | undefined;
-  readonly sentAt: number;
-  readonly endedAt: number;
-  /** Undefined where there was no answer. */
-  readonly status: number | undefined;
-}
+/** A check of readiness; no status where there was no answer. */
+export type ReadyCheck = Pick<
+  StepOutcome,
+  'entry' | 'connection' | 'sentAt' | 'endedAt' | 'status'
+>;
 
 export interface StepCaller {
   readonly entry: number;
@@ -64,45 +62,42 @@
 export function useConnection(caller: StepCaller): Promise<void> {
   const {entry, address, draw, isOver, onEnd} = caller;
   const [host, port] = address.split(':');
-  const openedAt = performance.now();
+  const refused = {id: undefined, path: undefined};
+  let sent: Pick<StepOutcome, 'id' | 'path' | 'sentAt'> | undefined = {
+    ...refused,
+    sentAt: performance.now(),
+  };
   const socket = connect({host, port: Number(port)});
   let connection: string | undefined;
-  let sent: Pick<StepOutcome, 'id' | 'path' | 'sentAt'> | undefined;
   let text = '';
   let hasLeft = false;
   let patience: NodeJS.Timeout | undefined;
   const end = (): void => {
-    const refused = {id: undefined, path: undefined, sentAt: openedAt};
-    const request = connection === undefined ? refused : sent;
     clearTimeout(patience);
-    if (request === undefined) return;
+    if (sent === undefined) return;
     const {status, isWhole} = readSoFar(text);
     const hasRetryAfter = /\r\nretry-after: *\d/i.test(text);
     const answer = {status, isWhole, hasRetryAfter};
     const endedAt = performance.now();
-    onEnd({...request, entry, connection, endedAt, ...answer, hasLeft});
+    onEnd({...sent, entry, connection, endedAt, ...answer, hasLeft});
     sent = undefined;
     text = '';
   };
-  const leave = (): void => {
+  const leave = (id: string): void => {
+    if (sent?.id !== id) return;
     hasLeft = true;
     socket.destroy();
   };
   const sendNext = (): void => {
+    sent = undefined;
     if (isOver()) return void socket.destroy();
-    sent = {
-      id: caller.nextId(),
-      path: draw.one(PATHS),
-      sentAt: performance.now(),
-    };
+    const id = caller.nextId();
+    const path = draw.one(PATHS);
+    sent = {id, path, sentAt: performance.now()};
     patience = setTimeout(() => socket.destroy(), DEADLINE_MS + PATIENCE_MS);
-    socket.write(requestText(sent.id, sent.path));
+    socket.write(requestText(id, path));
     if (!draw.chance(LEAVES_SHARE)) return;
-    const id = sent.id;
-    const leaveLate = () => {
-      if (sent?.id === id) leave();
-    };
-    setTimeout(leaveLate, draw.below(LONGEST_STAY_MS));
+    setTimeout(leave, draw.below(LONGEST_STAY_MS), id);
   };
   const pauseMs = () =>
     draw.chance(IDLE_SHARE)
@@ -130,7 +125,7 @@
   });
 }
 
-function requestText(id?: string, path?: string): string {
+function requestText(id: string, path: string): string {
   return [
     `POST ${path} HTTP/1.1`,
     `Host: ${HOST}`,
@@ -167,3 +162,28 @@
     req.once('error', () => end());
   });
 }
+
+/** What an entry doesn't serve in time, though no error is thrown any more. */
+export async function findUnserved(
+  callers: string,
+  nextId: () => string,
+  withinMs: number,
+): Promise<readonly string[]> {
+  const until = performance.now() + withinMs;
+  let seen: ReadonlyArray<Pick<StepOutcome, 'status'>> = [];
+  while (performance.now() < until) {
+    const answers: Array<Pick<StepOutcome, 'status'>> = [];
+    while (answers.length < PROBES && performance.now() < until) {
+      const path = answers.length % 2 === 0 ? '/again/probe' : '/stream/probe';
+      const late = sleep(withinMs, undefined, {ref: false});
+      const called = callEntry(callers, path, nextId());
+      answers.push({status: await Promise.race([called, late])});
+    }
+    // A round that the time limit cuts short doesn't hide a whole one.
+    const isWhole = answers.length === PROBES;
+    if (isWhole && answers.every(it => it.status === 200)) return [];
+    if (isWhole || seen.length === 0) seen = answers;
+    await sleep(PROBE_GAP_MS);
+  }
+  return [`end: ${callers} answers with ${JSON.stringify(byStatus(seen))}`];
+}
