fix(kernel): a message that can't be taken leaves time for other work

Seen in the soak of failing steps: an error at each take of a message let the process spin in microtasks; it answered neither readiness checks nor calls. Cause: the next delivery was a microtask of the same turn. Change: after an error the next delivery has a turn of its own. Measured: mailbox_errors; its first test does not pass on the code before.

--- a/src/kernel/mailbox.ts
+++ b/src/kernel/mailbox.ts
@@ -51,7 +51,7 @@
       try {
         sink.event(time(), message);
       } catch (err) {
-        // The next messages are delivered in a microtask of their own.
+        // The next messages are delivered in a turn of their own.
         if (goesOn) throw err;
         // This rejects the observer's promise, and the kernel then fails the
         // service.
@@ -66,7 +66,7 @@
     try {
       drain();
     } catch (err) {
-      if (queue.length > 0) schedule();
+      if (queue.length > 0) scheduleTurn();
       onError(err);
     }
   };
@@ -75,6 +75,11 @@
     scheduled = true;
     queueMicrotask(deliver);
   };
+  /** In a later turn, so that an error that lasts leaves time for other work. */
+  const scheduleTurn = () => {
+    scheduled = true;
+    setImmediate(deliver);
+  };
 
   const run = (observer: Sink<T>, scheduler: Scheduler): Disposable<T> => {
     sink = observer;
