fix(process): an error in the wait for a write does not lose the end

Found by the review, by reading: only the first call of the end counts, and an error in its wait for a line under way left a process that lives past SIGTERM. Change: such an error ends the wait, and the process ends with its last line. Measured: last_line, late_stops and process_life pass (27 tests); no test throws at this place.

--- a/src/process/process_life.ts
+++ b/src/process/process_life.ts
@@ -105,8 +105,15 @@
   };
   // By the clock: a number of timers lasts longer the later each of them is.
   const afterWriting = (untilMs: number, run: () => void): void => {
-    if (performance.now() >= untilMs || !handlers.isWriting()) return run();
-    setTimeout(() => afterWriting(untilMs, run), WRITING_POLL_MS);
+    try {
+      if (performance.now() < untilMs && handlers.isWriting()) {
+        setTimeout(() => afterWriting(untilMs, run), WRITING_POLL_MS);
+        return;
+      }
+    } catch {
+      // The process ends all the same: a further call of `end` would not count.
+    }
+    run();
   };
   const log: ProcessLife['log'] = (event, fields) =>
     writeEventLine(event, node, fields);
