refactor(soak): callers, entries and probes of three soaks stand once

Cause: the soaks of wires, starts and steps each had their own callers on kept connections, creation of entries, last probe and command line.

Change: kept_connection.ts, all_entries.ts, unserved.ts and play_parts.ts. Callers read their end of a connection when the kernel assigns it; a connection that isn't taken is excused only by a line that names this end. The last probe of the wires soak asks for all kinds in one round now.

--- a/fault_soak/failing_steps/steps_judge.ts
+++ b/fault_soak/failing_steps/steps_judge.ts
@@ -148,8 +148,8 @@
   outcome: StepOutcome,
   {readyAt = Infinity}: LifeFacts,
 ): string | undefined {
-  const {connection, status, isWhole, hasLeft, sentAt, endedAt} = outcome;
-  if (connection === undefined) {
+  const {isTaken, status, isWhole, hasLeft, sentAt, endedAt} = outcome;
+  if (!isTaken) {
     return sentAt < readyAt ? 'refused-unready' : 'refused';
   }
   if (hasLeft) return undefined;
--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -4,26 +4,31 @@
  */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {freeAddresses} from '../../demo/free_addresses.js';
 import {createDraw} from '../odd_wires/draws.js';
 import {longestStallMs} from '../odd_wires/wires_judge.js';
-import type {WiresShape} from '../odd_wires/wires_run.js';
 import {seeded} from '../plan/seeded.js';
 import {countBy} from '../silent_replicas/silence_report.js';
-import {PORTS_PER_ENTRY, TIMING, settingsOf} from '../soak_fleet.js';
-import {createEntrySeries} from '../starts_and_ends/entry_series.js';
-import type {EntrySeries, SeriesPart} from '../starts_and_ends/entry_series.js';
+import {TIMING} from '../soak_fleet.js';
+import {
+  abortAtExit,
+  createEntries,
+  factsOf,
+  isSteady,
+  peakMb,
+} from '../starts_and_ends/all_entries.js';
+import type {SeriesPart} from '../starts_and_ends/entry_series.js';
 import {createGate} from '../starts_and_ends/gate.js';
+import type {PartsShape} from '../starts_and_ends/play_parts.js';
 import {buildProgram} from '../starts_and_ends/program_build.js';
-import type {ProgramBuild} from '../starts_and_ends/program_build.js';
 import {
   startStartsFleet,
   startsConfig,
 } from '../starts_and_ends/starts_fleet.js';
 import {judgeLife} from '../starts_and_ends/starts_judge.js';
 import type {Span} from '../starts_and_ends/starts_judge.js';
+import {findUnserved} from '../starts_and_ends/unserved.js';
 import type {StoreManner} from '../stops_and_records/store_program.js';
-import {checkReady, findUnserved, useConnection} from './step_callers.js';
+import {callAndLeave, checkReady} from './step_callers.js';
 import type {ReadyCheck, StepOutcome} from './step_callers.js';
 import {judgeLog, judgeSteps, shorten} from './steps_judge.js';
 import {createThrownErrors} from './thrown_errors.js';
@@ -33,16 +38,8 @@
 export const PARTS = [...ERROR_KINDS, 'store', 'ends', 'changes'] as const;
 export type Part = (typeof PARTS)[number];
 
-export interface StepsShape extends Omit<WiresShape, 'only'> {
-  /** @default all of them */
-  readonly only?: Part;
-}
-
 const ENDS: readonly SeriesPart[] = ['kills', 'signals'];
 const MEMORY_MB = [250, 350] as const;
-const REVOKE_MS = 5_000;
-/** One entry of so many is not ended, so that its errors go on. */
-const STEADY_OF = 3;
 const FEW_PROCESSES = 6;
 const CALLERS_PER_ENTRY = 6;
 const FEWER_CALLERS = 2;
@@ -62,8 +59,12 @@
 const LATE_MS = 1_500;
 /** Every entry serves so soon after the errors have ended. */
 const SERVE_WITHIN_MS = 10_000;
+/** Of one round in which all are to be served. */
+export const PROBES = Array<readonly string[]>(10)
+  .fill(['/again/probe', '/stream/probe'])
+  .flat();
 
-export async function runSteps(shape: StepsShape) {
+export async function runSteps(shape: PartsShape<Part>) {
   const {seed, processes, durationMs, only, dir, program} = shape;
   const plays = (part: Part) => only === undefined || only === part;
   const draws = (part: number) => createDraw(seeded(seed, part));
@@ -79,9 +80,19 @@
     draw: draws(2),
     endAt: beganAt + durationMs,
   });
-  const entries = await createEntries(shape, store.address, errors.build);
-  const abort = () => entries.forEach(entry => entry.abort());
-  process.once('exit', abort);
+  const entries = await createEntries({
+    seed,
+    processes,
+    dir,
+    build: errors.build,
+    store: store.address,
+    memoryMb: MEMORY_MB[seed % MEMORY_MB.length],
+    gate: createGate(),
+    // The errors of steady ones go on.
+    partsOf: at =>
+      only === 'ends' || (only === undefined && !isSteady(at)) ? ENDS : [],
+  });
+  const abort = abortAtExit(entries);
   const delay = monitorEventLoopDelay();
   let areErrorsOver = false;
   let isOver = false;
@@ -156,7 +167,7 @@
     while (!until()) await act();
   };
   const call = (entry: number) => async () => {
-    await useConnection({
+    await callAndLeave({
       entry,
       address: entries[entry].callers,
       draw,
@@ -203,14 +214,16 @@
     await Promise.all(series);
     await Promise.all(entries.map(entry => entry.settle()));
     const unserved = await Promise.all(
-      entries.map(it => findUnserved(it.callers, nextId, SERVE_WITHIN_MS)),
+      entries.map(it =>
+        findUnserved(it.callers, PROBES, nextId, SERVE_WITHIN_MS),
+      ),
     );
     isOver = true;
     await Promise.all(traffic);
     const observedTo = performance.now();
     await Promise.all(entries.map(entry => entry.finish()));
 
-    const lives = entries.flatMap(it => it.lives.map(life => life.facts()));
+    const lives = factsOf(entries);
     const rules = {graceMs: TIMING.graceS * 1_000, observedTo, away};
     const {timeOrigin} = performance;
     const times = {timeOrigin, unconfigured, away};
@@ -224,7 +237,6 @@
       ...steps.violations,
     ];
     const all = [...played, ...entries.flatMap(it => it.played)];
-    const peaks = entries.flatMap(it => it.lives.map(life => life.peakMb()));
     return {
       seed,
       starts: lives.length,
@@ -234,7 +246,7 @@
       served: steps.served,
       refusedWithout: steps.refusedWithout,
       excused: steps.excused,
-      peakMb: Math.round(Math.max(...peaks)),
+      peakMb: peakMb(entries),
       brokenByKind: countBy(violations, it => it.split(':')[0]),
       violations: shorten(violations),
       longestStallMs: longestStallMs(lives),
@@ -244,38 +256,7 @@
   } finally {
     areErrorsOver = true;
     isOver = true;
-    process.off('exit', abort);
     abort();
     await fleet.close();
   }
 }
-
-async function createEntries(
-  {seed, processes, only, dir}: StepsShape,
-  store: string,
-  build: ProgramBuild,
-): Promise<readonly EntrySeries[]> {
-  const ports = await freeAddresses(processes * PORTS_PER_ENTRY);
-  const gate = createGate();
-  return Array.from({length: processes}, (_, at) => {
-    const from = at * PORTS_PER_ENTRY;
-    const addresses = ports.slice(from, from + PORTS_PER_ENTRY);
-    const timing = {...TIMING, revokeMs: REVOKE_MS};
-    const settings = settingsOf(at, store, addresses, timing);
-    const memoryMb = MEMORY_MB[seed % MEMORY_MB.length];
-    const limits = {...settings.limits, memoryMb};
-    const isSteady = at % STEADY_OF === 0;
-    const isEnded = only === 'ends' || (only === undefined && !isSteady);
-    return createEntrySeries({
-      entry: at,
-      settings: {...settings, limits},
-      addresses,
-      parts: new Set(isEnded ? ENDS : []),
-      holdsMetrics: false,
-      random: seeded(seed, 10 + at),
-      gate,
-      dir,
-      build,
-    });
-  });
-}
--- a/fault_soak/odd_wires/wires_run.ts
+++ b/fault_soak/odd_wires/wires_run.ts
@@ -4,19 +4,24 @@
  */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {freeAddresses} from '../../demo/free_addresses.js';
-import {callEntry} from '../../standins/users_platform/entry_program.js';
 import {seeded} from '../plan/seeded.js';
 import {countBy} from '../silent_replicas/silence_report.js';
-import {PORTS_PER_ENTRY, TIMING, settingsOf} from '../soak_fleet.js';
-import {createEntrySeries} from '../starts_and_ends/entry_series.js';
-import type {EntrySeries, SeriesPart} from '../starts_and_ends/entry_series.js';
+import {TIMING} from '../soak_fleet.js';
+import {
+  abortAtExit,
+  createEntries,
+  factsOf,
+  isSteady,
+} from '../starts_and_ends/all_entries.js';
+import type {SeriesPart} from '../starts_and_ends/entry_series.js';
 import {createGate} from '../starts_and_ends/gate.js';
+import type {PartsShape} from '../starts_and_ends/play_parts.js';
 import {buildProgram} from '../starts_and_ends/program_build.js';
 import {judgeLife} from '../starts_and_ends/starts_judge.js';
 import type {Span} from '../starts_and_ends/starts_judge.js';
+import {findUnserved} from '../starts_and_ends/unserved.js';
 import {createDraw} from './draws.js';
-import {KINDS, useConnection} from './honest_callers.js';
+import {KINDS, callInOrder} from './honest_callers.js';
 import type {Outcome} from './honest_callers.js';
 import {sendOddBytes} from './odd_callers.js';
 import {FALSE_PEER, startFalsePeer} from './odd_peers.js';
@@ -28,26 +33,10 @@
 export const WIRES = ['replicas', 'store', 'peers', 'callers', 'ends'] as const;
 export type Wire = (typeof WIRES)[number];
 
-export interface WiresShape {
-  readonly seed: number;
-  /** Entries, each a process. */
-  readonly processes: number;
-  readonly durationMs: number;
-  /** @default all of them */
-  readonly only?: Wire;
-  /** Folder of a build. @default this repository is built */
-  readonly program?: string;
-  /** Where the build, settings and logs are written. */
-  readonly dir: string;
-}
-
 const ENDS: readonly SeriesPart[] = ['kills', 'beside', 'signals'];
 const MEMORY_MB = 350;
 /** Attempts at odd replicas must not use up what sound ones need. */
 const RETRIES = {ratio: 1, slack: 10_000, windowS: 10};
-const REVOKE_MS = 5_000;
-/** One entry of so many is not ended. */
-const STEADY_OF = 3;
 /** Half of them send to services that have odd replicas alone. */
 const CALLERS_PER_ENTRY = 4;
 const MEAN_PAUSE_MS = 25;
@@ -61,10 +50,12 @@
 const ODD_CALLERS_PER_ENTRY = 2;
 /** Every entry serves so soon after the odd bytes have stopped. */
 const SERVE_WITHIN_MS = 5_000;
-const PROBE_GAP_MS = 200;
+const PROBES = KINDS.filter(it => !it.startsWith('odd')).map(
+  it => `/${it}/probe`,
+);
 
-export async function runWires(shape: WiresShape) {
-  const {seed, durationMs, only} = shape;
+export async function runWires(shape: PartsShape<Wire>) {
+  const {seed, processes, durationMs, only, program, dir} = shape;
   const plays = (wire: Wire) => only === undefined || only === wire;
   const draws = (part: number) => createDraw(seeded(seed, part));
   let isOver = false;
@@ -85,9 +76,19 @@
   );
   const oddIds = fleet.odd.map(({name}) => `${name}@1`);
   const peer = await startFalsePeer(draws(3), oddIds, () => !isOver);
-  const {entries, addresses} = await createEntries(shape, store.address);
-  const abort = () => entries.forEach(entry => entry.abort());
-  process.once('exit', abort);
+  const entries = await createEntries({
+    seed,
+    processes,
+    dir,
+    build: buildProgram(dir, program),
+    store: store.address,
+    memoryMb: MEMORY_MB,
+    retries: RETRIES,
+    gate: createGate(),
+    partsOf: at =>
+      only === 'ends' || (only === undefined && !isSteady(at)) ? ENDS : [],
+  });
+  const abort = abortAtExit(entries);
   const delay = monitorEventLoopDelay();
   const chance = draws(4);
   const pause = (meanMs: number) => sleep(chance.below(2 * meanMs));
@@ -109,7 +110,7 @@
     away.push({from, to: performance.now() + CATCH_UP_MS});
   };
   const spoilPeers = async () => {
-    for (const {peers} of addresses) peer.send(peers);
+    for (const {peers} of entries) peer.send(peers);
     await pause(DATAGRAM_GAP_MS);
   };
   const announcePeer = async () => {
@@ -117,7 +118,7 @@
     await sleep(ANNOUNCE_MS);
   };
   const callOddly = (at: number) => async () => {
-    const {callers, ready, metrics, peers} = addresses[at];
+    const {callers, ready, metrics, peers} = entries[at];
     const address = chance.chance(0.8)
       ? callers
       : chance.one([ready, metrics, peers]);
@@ -125,7 +126,7 @@
   };
   const call = (entry: number, caller: number) => async () => {
     const some = KINDS.filter(it => it.startsWith('odd') === caller % 2 > 0);
-    await useConnection({
+    await callInOrder({
       entry,
       address: entries[entry].callers,
       drawKind: () => chance.one(some),
@@ -160,11 +161,15 @@
     isStoreOdd = false;
     await Promise.all(played);
     await Promise.all(entries.map(entry => entry.settle()));
-    const unserved = await Promise.all(entries.map(it => probe(it, nextId)));
+    const unserved = await Promise.all(
+      entries.map(it =>
+        findUnserved(it.callers, PROBES, nextId, SERVE_WITHIN_MS),
+      ),
+    );
     const observedTo = performance.now();
     await Promise.all(entries.map(entry => entry.finish()));
 
-    const lives = entries.flatMap(it => it.lives.map(life => life.facts()));
+    const lives = factsOf(entries);
     const rules = {graceMs: TIMING.graceS * 1_000, observedTo, away};
     const {soundRuns} = fleet;
     const answers = judgeAnswers(outcomes, {lives, sent, soundRuns, away});
@@ -191,64 +196,7 @@
     };
   } finally {
     isOver = true;
-    process.off('exit', abort);
     abort();
     await Promise.all([peer.close(), store.close(), fleet.close()]);
   }
 }
-
-async function createEntries(shape: WiresShape, store: string) {
-  const {seed, processes, only, dir, program} = shape;
-  const build = buildProgram(dir, program);
-  const ports = await freeAddresses(processes * PORTS_PER_ENTRY);
-  const gate = createGate();
-  const all = Array.from({length: processes}, (_, at) => {
-    const from = at * PORTS_PER_ENTRY;
-    const own = ports.slice(from, from + PORTS_PER_ENTRY);
-    const settings = settingsOf(at, store, own, {
-      ...TIMING,
-      revokeMs: REVOKE_MS,
-    });
-    const limits = {...settings.limits, memoryMb: MEMORY_MB};
-    const isSteady = at % STEADY_OF === 0;
-    const isEnded = only === 'ends' || (only === undefined && !isSteady);
-    const entry = createEntrySeries({
-      entry: at,
-      settings: {...settings, limits, retries: RETRIES},
-      addresses: own,
-      parts: new Set(isEnded ? ENDS : []),
-      holdsMetrics: false,
-      random: seeded(seed, 10 + at),
-      gate,
-      dir,
-      build,
-    });
-    const [callers, ready, metrics, peers] = own;
-    return {entry, address: {callers, ready, metrics, peers}};
-  });
-  return {
-    entries: all.map(({entry}) => entry),
-    addresses: all.map(({address}) => address),
-  };
-}
-
-/** What an entry doesn't serve in time, though nothing is odd any more. */
-async function probe(
-  {callers}: EntrySeries,
-  nextId: () => string,
-): Promise<readonly string[]> {
-  const until = performance.now() + SERVE_WITHIN_MS;
-  const probeKind = async (kind: string): Promise<readonly string[]> => {
-    let status: number | undefined;
-    while (performance.now() < until) {
-      const late = sleep(until - performance.now(), undefined, {ref: false});
-      const called = callEntry(callers, `/${kind}/probe`, nextId());
-      status = await Promise.race([called, late]);
-      if (status === 200) return [];
-      await sleep(PROBE_GAP_MS);
-    }
-    return [`end: ${callers} answers ${kind} with ${status ?? 'nothing'}`];
-  };
-  const kinds = KINDS.filter(it => !it.startsWith('odd'));
-  return (await Promise.all(kinds.map(probeKind))).flat();
-}
--- a/fault_soak/odd_wires/wires_soak.ts
+++ b/fault_soak/odd_wires/wires_soak.ts
@@ -7,34 +7,12 @@
  *
  * Exit code 1 when a promise is broken; the logs of that seed are kept.
  */
-import {parseArgs} from 'node:util';
-import {maybeNamed, playSeeds} from '../play_seeds.js';
+import {playParts} from '../starts_and_ends/play_parts.js';
 import {WIRES, runWires} from './wires_run.js';
 
-const {values} = parseArgs({
-  options: {
-    seed: {type: 'string', default: '1'},
-    seeds: {type: 'string', default: '1'},
-    processes: {type: 'string', default: '3'},
-    minutes: {type: 'string', default: '0.3'},
-    only: {type: 'string'},
-    program: {type: 'string'},
-  },
-});
-const only = maybeNamed(WIRES, values.only);
-
-await playSeeds({
+await playParts({
   name: 'wires-soak',
-  values,
-  play: async (seed, dir) => {
-    const {violations, ...figures} = await runWires({
-      seed,
-      processes: Number(values.processes),
-      durationMs: Number(values.minutes) * 60_000,
-      only,
-      program: values.program,
-      dir,
-    });
-    return {figures, broken: violations.map(it => `BROKEN ${it}`)};
-  },
+  parts: WIRES,
+  minutes: '0.3',
+  run: runWires,
 });
--- a/fault_soak/starts_and_ends/entry_series.ts
+++ b/fault_soak/starts_and_ends/entry_series.ts
@@ -62,6 +62,9 @@
   readonly callers: string;
   /** Address of its readiness check. */
   readonly ready: string;
+  readonly metrics: string;
+  /** Where it takes messages of other entries. */
+  readonly peers: string;
   readonly lives: readonly ProgramLife[];
   /** What was played, by name. */
   readonly played: readonly string[];
@@ -247,6 +250,8 @@
   return {
     callers: settings.listen.callers,
     ready: settings.listen.ready,
+    metrics: settings.listen.metrics,
+    peers: addresses[3],
     lives,
     played,
     begin: async () => {
--- a/fault_soak/starts_and_ends/starts_run.ts
+++ b/fault_soak/starts_and_ends/starts_run.ts
@@ -4,23 +4,29 @@
  */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {freeAddresses} from '../../demo/free_addresses.js';
 import {seeded} from '../plan/seeded.js';
-import {callEntry} from '../../standins/users_platform/entry_program.js';
 import type {Random} from '../../src/types/runtime.js';
 import {countBy} from '../silent_replicas/silence_report.js';
-import {PORTS_PER_ENTRY, TIMING, settingsOf} from '../soak_fleet.js';
+import {TIMING} from '../soak_fleet.js';
 import {startForeignWriter} from '../stops_and_records/foreign_writer.js';
 import type {StoreProcess} from '../stops_and_records/store_process.js';
 import {useConnection} from '../stops_and_records/pipelining_caller.js';
+import {
+  abortAtExit,
+  createEntries,
+  factsOf,
+  isSteady,
+  peakMb,
+} from './all_entries.js';
 import {askEndless, playBurst} from './bursts.js';
 import type {Burst} from './bursts.js';
 import {ENDLESS_KINDS, endlessly} from './endless_answers.js';
-import {SERIES_PARTS, createEntrySeries} from './entry_series.js';
-import type {EntrySeries, SeriesPart} from './entry_series.js';
+import {SERIES_PARTS} from './entry_series.js';
+import type {EntrySeries} from './entry_series.js';
 import {createGate} from './gate.js';
 import type {Gate} from './gate.js';
 import {ODD_RECORDS} from './odd_records.js';
+import type {PartsShape} from './play_parts.js';
 import {buildProgram} from './program_build.js';
 import {
   byStatus,
@@ -34,6 +40,7 @@
 import type {StartsFleet} from './starts_fleet.js';
 import {playTroubles} from './store_troubles.js';
 import type {TroubleReport} from './store_troubles.js';
+import {findUnserved} from './unserved.js';
 
 export const PARTS = [
   ...SERIES_PARTS,
@@ -44,19 +51,6 @@
 ] as const;
 export type Part = (typeof PARTS)[number];
 
-export interface StartsShape {
-  readonly seed: number;
-  /** Entries, each a process. */
-  readonly processes: number;
-  readonly durationMs: number;
-  /** @default all of them */
-  readonly only?: Part;
-  /** Folder of a build. @default this repository is built */
-  readonly program?: string;
-  /** Where the build, settings and logs are written. */
-  readonly dir: string;
-}
-
 export interface StartsReport {
   readonly seed: number;
   readonly memoryMb: number;
@@ -90,8 +84,6 @@
 
 /** Limits of memory of the users' sheets. */
 const MEMORY_MB = [160, 250, 350] as const;
-/** As the users' sheets have it: evidence for keys is accepted so long. */
-const REVOKE_MS = 5_000;
 const NO_TROUBLES: TroubleReport = {
   played: [],
   away: [],
@@ -106,22 +98,31 @@
 const ENDLESS_CALLERS = 4;
 const GATE_POLL_MS = 100;
 const PROBE_LIMIT_MS = 15_000;
-const PROBE_GAP_MS = 200;
-/** One entry of so many is not ended, so that bursts meet one in service. */
-const STEADY_OF = 3;
+const PROBES = ['/once/probe'];
+/** Of those that are not ended, so that bursts meet one in service. */
 const STEADY_AT = 2;
 
-export async function runStarts(shape: StartsShape): Promise<StartsReport> {
-  const {seed, durationMs, only} = shape;
+export async function runStarts(
+  shape: PartsShape<Part>,
+): Promise<StartsReport> {
+  const {seed, processes, durationMs, only, program, dir} = shape;
   const plays = (part: Part) => only === undefined || only === part;
   const fleet = await startStartsFleet();
   const memoryMb = MEMORY_MB[seed % MEMORY_MB.length];
   const gate = createGate();
-  const {address} = fleet.store;
-  const entries = await createEntries(shape, memoryMb, address, gate);
-  // Else they would live on after a soak that is interrupted.
-  const abort = () => entries.forEach(entry => entry.abort());
-  process.once('exit', abort);
+  const some = SERIES_PARTS.filter(plays);
+  const entries = await createEntries({
+    seed,
+    processes,
+    dir,
+    build: buildProgram(dir, program),
+    store: fleet.store.address,
+    memoryMb,
+    gate,
+    partsOf: at => (only === undefined && isSteady(at, STEADY_AT) ? [] : some),
+    metricsHeldAt: plays('addresses') ? 0 : undefined,
+  });
+  const abort = abortAtExit(entries);
   const writer = plays('records')
     ? startForeignWriter(
         whileOpen(gate, fleet.store),
@@ -170,11 +171,15 @@
       ...store.played,
     ];
     await Promise.all(entries.map(entry => entry.settle()));
-    const unserved = await Promise.all(entries.map(it => probe(it, nextId)));
+    const unserved = await Promise.all(
+      entries.map(it =>
+        findUnserved(it.callers, PROBES, nextId, PROBE_LIMIT_MS),
+      ),
+    );
     await Promise.all(entries.map(entry => entry.finish()));
     await callers;
 
-    const lives = entries.flatMap(it => it.lives.map(life => life.facts()));
+    const lives = factsOf(entries);
     const rules = {
       graceMs: TIMING.graceS * 1_000,
       observedTo: performance.now(),
@@ -189,13 +194,12 @@
       ...judgeWindows(windows, outcomes),
     ];
     const all = [...played, ...entries.flatMap(entry => entry.played)];
-    const peaks = entries.flatMap(it => it.lives.map(life => life.peakMb()));
     const starts = lives.map(it => startMs(it, rules));
     return {
       seed,
       memoryMb,
       starts: lives.length,
-      peakMb: Math.round(Math.max(...peaks)),
+      peakMb: peakMb(entries),
       slowestStartMs: Math.round(Math.max(...starts.filter(Number.isFinite))),
       slowestReadyMs: Math.round(store.slowestReadyMs),
       windows: windows.length,
@@ -212,43 +216,11 @@
     };
   } finally {
     writer?.stop();
-    process.off('exit', abort);
     abort();
     await fleet.close();
   }
 }
 
-async function createEntries(
-  {seed, processes, only, dir, program}: StartsShape,
-  memoryMb: number,
-  store: string,
-  gate: Gate,
-): Promise<readonly EntrySeries[]> {
-  const build = buildProgram(dir, program);
-  const ports = await freeAddresses(processes * PORTS_PER_ENTRY);
-  const timing = {...TIMING, revokeMs: REVOKE_MS};
-  const some = SERIES_PARTS.filter(it => only === undefined || only === it);
-  return Array.from({length: processes}, (_, at) => {
-    const from = at * PORTS_PER_ENTRY;
-    const addresses = ports.slice(from, from + PORTS_PER_ENTRY);
-    const settings = settingsOf(at, store, addresses, timing);
-    const limits = {...settings.limits, memoryMb};
-    const isSteady = only === undefined && at % STEADY_OF === STEADY_AT;
-    const parts: ReadonlySet<SeriesPart> = new Set(isSteady ? [] : some);
-    return createEntrySeries({
-      entry: at,
-      settings: {...settings, limits},
-      addresses,
-      parts,
-      holdsMetrics: at === 0 && parts.has('addresses'),
-      random: seeded(seed, 10 + at),
-      gate,
-      dir,
-      build,
-    });
-  });
-}
-
 /** A writer of this store does nothing while the fleet is left alone. */
 function whileOpen(
   gate: Gate,
@@ -300,7 +272,7 @@
   gate: Gate,
 ): Promise<readonly Burst[]> {
   const bursts: Burst[] = [];
-  const steady = entries.findIndex((_, at) => at % STEADY_OF === STEADY_AT);
+  const steady = entries.findIndex((_, at) => isSteady(at, STEADY_AT));
   while (!isOver()) {
     await sleep(BURST_LEAD_MS + random.next() * 2 * MEAN_BURST_GAP_MS);
     const drawn = Math.floor(random.next() * entries.length);
@@ -341,23 +313,3 @@
   }
   return answered;
 }
-
-/** It must answer in the end, whatever it met. */
-async function probe(
-  entry: EntrySeries,
-  nextId: () => string,
-): Promise<readonly string[]> {
-  const until = performance.now() + PROBE_LIMIT_MS;
-  let status: number | undefined;
-  while (performance.now() < until) {
-    status = await Promise.race([
-      callEntry(entry.callers, '/once/probe', nextId()),
-      sleep(PROBE_LIMIT_MS, undefined, {ref: false}),
-    ]);
-    if (status === 200) return [];
-    await sleep(PROBE_GAP_MS);
-  }
-  return [
-    `end: ${entry.callers} answers with ${status ?? 'nothing'} at the end`,
-  ];
-}
--- a/fault_soak/starts_and_ends/starts_soak.ts
+++ b/fault_soak/starts_and_ends/starts_soak.ts
@@ -8,34 +8,12 @@
  *
  * Exit code 1 when a promise is broken; the logs of that seed are kept.
  */
-import {parseArgs} from 'node:util';
-import {maybeNamed, playSeeds} from '../play_seeds.js';
+import {playParts} from './play_parts.js';
 import {PARTS, runStarts} from './starts_run.js';
 
-const {values} = parseArgs({
-  options: {
-    seed: {type: 'string', default: '1'},
-    seeds: {type: 'string', default: '1'},
-    processes: {type: 'string', default: '3'},
-    minutes: {type: 'string', default: '0.5'},
-    only: {type: 'string'},
-    program: {type: 'string'},
-  },
-});
-const only = maybeNamed(PARTS, values.only);
-
-await playSeeds({
+await playParts({
   name: 'starts-soak',
-  values,
-  play: async (seed, dir) => {
-    const {violations, ...figures} = await runStarts({
-      seed,
-      processes: Number(values.processes),
-      durationMs: Number(values.minutes) * 60_000,
-      only,
-      program: values.program,
-      dir,
-    });
-    return {figures, broken: violations.map(it => `BROKEN ${it}`)};
-  },
+  parts: PARTS,
+  minutes: '0.5',
+  run: runStarts,
 });
--- a/fault_soak/stops_and_records/pipelining_caller.ts
+++ b/fault_soak/stops_and_records/pipelining_caller.ts
@@ -4,10 +4,12 @@
  * the connection or closes it.
  */
 import {connect} from 'node:net';
-import {HOST, KEY} from '../../standins/users_platform/deployment.js';
+import {KEY} from '../../standins/users_platform/deployment.js';
+import {requestText} from '../kept_connection.js';
 
 /** Paths of the requests that are sent at once: a stream, and two behind it. */
 const PATHS = ['/stream/', '/once/', '/once/'] as const;
+const HEADERS = [`Authorization: Token ${KEY}`, 'X-Token-Usage: 1000,100'];
 /** Time that a caller gives its requests. */
 export const DEADLINE_MS = 4_000;
 
@@ -53,9 +55,15 @@
     const ids = PATHS.map(nextId);
     const writtenAt = performance.now();
     waiting = ids.map(id => ({id, firstId: ids[0], writtenAt}));
-    socket.write(
-      waiting.map(({id}, at) => requestText(PATHS[at], id)).join(''),
+    const texts = ids.map((id, at) =>
+      requestText({
+        id,
+        path: PATHS[at],
+        headers: HEADERS,
+        deadlineMs: DEADLINE_MS,
+      }),
     );
+    socket.write(texts.join(''));
   };
   const take = (): void => {
     for (;;) {
@@ -92,20 +100,6 @@
   });
 }
 
-function requestText(path: string, id: string): string {
-  return [
-    `POST ${path} HTTP/1.1`,
-    `Host: ${HOST}`,
-    `X-Request-Id: ${id}`,
-    `Authorization: Token ${KEY}`,
-    'X-Token-Usage: 1000,100',
-    `X-Deadline-Ms: ${DEADLINE_MS}`,
-    'Content-Length: 8',
-    '',
-    'a prompt',
-  ].join('\r\n');
-}
-
 export interface Answer {
   readonly status: number;
   readonly closes: boolean;
--- a/test/steps_judge.test.ts
+++ b/test/steps_judge.test.ts
@@ -3,7 +3,6 @@
 import type {RequestListener, Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
-import {findUnserved} from '../fault_soak/failing_steps/step_callers.js';
 import type {
   ReadyCheck,
   StepOutcome,
@@ -13,8 +12,10 @@
   judgeSteps,
   shorten,
 } from '../fault_soak/failing_steps/steps_judge.js';
+import {PROBES} from '../fault_soak/failing_steps/steps_run.js';
 import type {StepRules} from '../fault_soak/failing_steps/steps_judge.js';
 import type {LifeFacts} from '../fault_soak/starts_and_ends/starts_judge.js';
+import {findUnserved} from '../fault_soak/starts_and_ends/unserved.js';
 
 const FIRST_LINE = '{"time":"1970-01-01T00:00:00.500Z","name":"loaded"}';
 const LIFE: LifeFacts = {
@@ -32,6 +33,7 @@
   path: '/again/a',
   entry: 0,
   connection: '127.0.0.1:1',
+  isTaken: true,
   sentAt: 3_000,
   endedAt: 3_100,
   status: 200,
@@ -46,7 +48,12 @@
   endedAt: 3_010,
   status: 200,
 };
-const REFUSED = {id: undefined, connection: undefined, status: undefined};
+const REFUSED = {
+  id: undefined,
+  connection: '127.0.0.1:3',
+  isTaken: false,
+  status: undefined,
+};
 const RESET = {status: undefined, isWhole: false};
 const BEFORE = {sentAt: 1_000, endedAt: 1_010};
 const ENDED = {at: 4_000, code: 0, signal: null};
@@ -158,6 +165,16 @@
     });
     expect(brokenOf(REFUSED, {lines})).toEqual(['refused']);
   });
+  test('may have its connection reset before the caller has seen it open', () => {
+    const own = lineOf(
+      'direct-connection-faulted',
+      'connection',
+      '127.0.0.1:3',
+    );
+    const report = judge([REFUSED], {lines: [FIRST_LINE, own]});
+    expect(report).toMatchObject({broken: [], excused: 1});
+    expect(brokenOf(REFUSED, {lines: [FIRST_LINE, torn]})).toEqual(['refused']);
+  });
   test('is not taken from other lines or from another process', () => {
     const ended = lineOf('request-ended', 'requestId', 'a');
     expect(brokenOf(RESET, {lines: [FIRST_LINE, ended]})).toEqual(['reset']);
@@ -372,7 +389,8 @@
     const {port} = server.address() as AddressInfo;
     let ids = 0;
     const nextId = () => `probe-${++ids}`;
-    const broken = await findUnserved(`127.0.0.1:${port}`, nextId, WITHIN_MS);
+    const address = `127.0.0.1:${port}`;
+    const broken = await findUnserved(address, PROBES, nextId, WITHIN_MS);
     return broken.map(it => it.replace(/ .* with /, ' '));
   };
   test('finds an entry in order that serves 20 of 20', async () => {
--- a/test/wires_judge.test.ts
+++ b/test/wires_judge.test.ts
@@ -1,6 +1,6 @@
 /** What the soak of odd bytes holds processes and answers to, without a process. */
 import {describe, expect, test} from 'vitest';
-import {readSoFar} from '../fault_soak/odd_wires/honest_callers.js';
+import {readSoFar} from '../fault_soak/kept_connection.js';
 import type {Outcome} from '../fault_soak/odd_wires/honest_callers.js';
 import {STREAM_EVENTS} from '../fault_soak/odd_wires/odd_replica.js';
 import type {SentAnswer} from '../fault_soak/odd_wires/odd_replica.js';
