test(soak): the judge of steps knows what an error in the log loses

Change: the probe's streams are short. A reset or cut is excused, and counted as untold, if the record of thrown errors has one outside of the log in the time of the request, which stands for this answer alone, and one in the log until 100 ms after its end. Only processes where errors arise at any place have such a record; a late answer, a wrong status and a check that waits for 500 ms are never excused.

--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -100,6 +100,8 @@
   let version = 1;
   let isUnset = false;
   const nextId = () => `step-${seed}-${++ids}`;
+  // Replicas draw the length of a stream from the last number; this one is short.
+  const probeId = () => `${nextId()}-1`;
   const outcomes: StepOutcome[] = [];
   const checks: ReadyCheck[] = [];
   const played: string[] = [];
@@ -215,7 +217,7 @@
     await Promise.all(entries.map(entry => entry.settle()));
     const unserved = await Promise.all(
       entries.map(it =>
-        findUnserved(it.callers, PROBES, nextId, SERVE_WITHIN_MS),
+        findUnserved(it.callers, PROBES, probeId, SERVE_WITHIN_MS),
       ),
     );
     isOver = true;
@@ -227,7 +229,8 @@
     const rules = {graceMs: TIMING.graceS * 1_000, observedTo, away};
     const {timeOrigin} = performance;
     const times = {timeOrigin, unconfigured, away};
-    const steps = judgeSteps(outcomes, checks, {lives, ...times});
+    const {thrownIn} = errors;
+    const steps = judgeSteps(outcomes, checks, {lives, ...times, thrownIn});
     const violations = [
       ...lives.flatMap(life => [
         ...judgeLife(life, rules),
@@ -246,6 +249,7 @@
       served: steps.served,
       refusedWithout: steps.refusedWithout,
       excused: steps.excused,
+      untold: steps.untold,
       peakMb: peakMb(entries),
       brokenByKind: countBy(violations, it => it.split(':')[0]),
       violations: shorten(violations),
--- a/fault_soak/failing_steps/thrown_errors.ts
+++ b/fault_soak/failing_steps/thrown_errors.ts
@@ -21,6 +21,7 @@
   evidence: 'ageMs|confirm|queryNow',
 } as const;
 const STEP_NAMES = Object.keys(STEPS) as ReadonlyArray<keyof typeof STEPS>;
+const LOG_STEPS = /\bat (\S+\.)?(flush|formatLine|limitKeyOf|log)\d* \(/;
 /** Timers of requests are among them, so that most run well. */
 const TIMERS = 'listOnTimeout';
 const TIMERS_SHARE = 0.02;
@@ -39,6 +40,15 @@
   readonly build: ProgramBuild;
   /** How many were thrown, by kind and step. */
   counts(): Readonly<Record<string, number>>;
+  /** Those of a process in which errors arise at any place. */
+  thrownIn(name: string): readonly ThrownError[];
+}
+
+export interface ThrownError {
+  /** Time of day, in milliseconds. */
+  readonly wallMs: number;
+  /** In a step of the log, which loses lines. */
+  readonly isInLog: boolean;
 }
 
 export interface ThrownShape {
@@ -83,14 +93,21 @@
     counts: () => {
       const counts: Record<string, number> = {};
       for (const [name, what] of drawn) {
-        counts[what] = (counts[what] ?? 0) + linesIn(recordOf(name));
+        counts[what] = (counts[what] ?? 0) + linesIn(recordOf(name)).length;
       }
       return counts;
     },
+    thrownIn: name => {
+      if ((drawn.get(name) ?? 'each').startsWith('each')) return [];
+      return linesIn(recordOf(name)).map(line => ({
+        wallMs: Number(line.split(' ', 1)[0]),
+        isInLog: LOG_STEPS.test(line),
+      }));
+    },
   };
 }
 
-function linesIn(path: string): number {
-  if (!existsSync(path)) return 0;
-  return readFileSync(path, 'utf8').split('\n').length - 1;
+function linesIn(path: string): readonly string[] {
+  if (!existsSync(path)) return [];
+  return readFileSync(path, 'utf8').split('\n').slice(0, -1);
 }
