--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -115,9 +115,7 @@
     expect(caller.closedBy()).toBe('end');
   });
 
-  // Guards against a rest of the body that is not read, where the request's
-  // buffer was full at the refusal: a caller that sends first can't finish, and
-  // its connection is reset in the end.
+  // Guards against callers that are reset while they send a refused body.
   test.each([0, 50])(
     'can send the whole body when it is refused after %i ms',
     async lateMs => {
