fix(callers): discarded bytes are bounded between two collections

At 160 MB, bursts of bodies took 164 to 180 MB, and one in ten of the small requests beside them was served; the entry refused for want of memory.

Cause: since the rest of a refused body is read, all refused connections were read at once, and what is read stays resident until it is collected.

--- a/src/direct/callers/callers_server.ts
+++ b/src/direct/callers/callers_server.ts
@@ -19,6 +19,7 @@
 import {listenAt} from '../listening/listening_server.js';
 import {createHttpServer} from './http_server.js';
 import {createIdleCheck} from './idle_check.js';
+import {createInputDiscards} from './input_discards.js';
 import type {LimitsInForce} from './limits_in_force.js';
 import {createParserErrors} from './parser_errors.js';
 import {applyServerLimits} from './server_limits.js';
@@ -59,6 +60,8 @@
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly limits: LimitsInForce;
+  /** Collects the buffers that were allocated lately. */
+  readonly collect: () => void;
   /** Descriptors that the host allows this process. */
   readonly maxDescriptors: number;
   readonly clock: Clock;
@@ -78,7 +81,8 @@
   const server = createHttpServer(TIMEOUT_CHECK_MS);
   const connections = createCallerConnections(clock.now, guards);
   const unlimitedHeads = createUnlimitedHeads(connections);
-  const ends = createConnectionEnds(clock, guards);
+  const discards = createInputDiscards({...options, guards});
+  const ends = createConnectionEnds({clock, guards, discards});
   const {isEnding} = ends;
   const reportClosing = createClosingReports(log, metrics);
   const closer = createConnectionCloser({
@@ -88,7 +92,12 @@
     guards,
   });
   const {endAnswered, endIfIdle, endQuiet, report} = closer;
-  const refusals = createConnectionRefusals({...options, ends, guards});
+  const refusals = createConnectionRefusals({
+    ...options,
+    ends,
+    discards,
+    guards,
+  });
   const descriptors = createDescriptorGuard({
     connections,
     refusedCount: refusals.count,
--- a/src/direct/callers/connection_end.ts
+++ b/src/direct/callers/connection_end.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../../types/runtime.js';
 import {runAll, runTwice} from '../../utils/run_each.js';
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
+import type {InputDiscards} from './input_discards.js';
 
 /**
  * Time between the end of this entry's direction and the closing, in
@@ -26,8 +27,8 @@
 const MAX_UNREAD = 256;
 
 /**
- * What becomes of bytes that come after the end. `discard` reads them at once,
- * so that a caller can send the rest of a refused request and then read the
+ * What becomes of bytes that come after the end. `discard` reads them, so
+ * that a caller can send the rest of a refused request and then read the
  * refusal, and the connection closes as soon as the caller ends it too. `leave`
  * reads them only when the caller has seen the end: a caller that can tell that
  * its request was not read may send it again.
@@ -47,10 +48,17 @@
   isEnding(socket: Socket): boolean;
 }
 
-export function createConnectionEnds(
-  clock: Clock,
-  guards: Pick<ConnectionGuards, 'of'>,
-): ConnectionEnds {
+export interface ConnectionEndsOptions {
+  readonly clock: Clock;
+  readonly guards: Pick<ConnectionGuards, 'of'>;
+  readonly discards: Pick<InputDiscards, 'discard' | 'isWaiting'>;
+}
+
+export function createConnectionEnds({
+  clock,
+  guards,
+  discards,
+}: ConnectionEndsOptions): ConnectionEnds {
   const ending = new WeakSet<Socket>();
   /** Closes connections that are not read, the oldest first. */
   const unread = new Map<Socket, () => void>();
@@ -60,7 +68,7 @@
     ending.add(socket);
     const guard = guards.of(socket);
     if (lateBytes === 'leave') socket.pause();
-    else discardInput(socket);
+    else discards.discard(socket);
     socket.end();
     const bytesRead = socket.bytesRead;
     let isReported = false;
@@ -77,7 +85,8 @@
     let seenBytes = bytesRead;
     const closeUnlessSending = guard('end of the wait', () => {
       const isSending =
-        lateBytes === 'discard' && socket.bytesRead !== seenBytes;
+        lateBytes === 'discard' &&
+        (socket.bytesRead !== seenBytes || discards.isWaiting(socket));
       seenBytes = socket.bytesRead;
       if (!isSending) close();
       else cancelLinger = clock.after(LINGER_MS, closeUnlessSending);
@@ -98,24 +107,6 @@
   return {end, isEnding: socket => ending.has(socket)};
 }
 
-/**
- * Reads what comes past the parser, which would go on to find requests in it.
- * Calls `onFirst` when the first bytes come.
- */
-export function discardInput(
-  socket: Socket,
-  onFirst: () => void = () => undefined,
-): void {
-  socket.removeAllListeners('data');
-  socket.once('data', onFirst);
-  socket.on('data', () => undefined);
-  // While the parser takes bytes from the handle, a read of the stream itself
-  // stays open, and `resume` starts no other one where a full request buffer has
-  // stopped the handle. An empty chunk ends that read.
-  socket.push('');
-  socket.resume();
-}
-
 /**
  * Calls the function when everything has been read that lay in the kernel.
  * Timers that expired while the process stood still run before that.
--- a/src/direct/callers/connection_refusals.ts
+++ b/src/direct/callers/connection_refusals.ts
@@ -8,7 +8,8 @@
 import type {Clock} from '../../types/runtime.js';
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
 import type {ConnectionEnds} from './connection_end.js';
-import {afterPoll, discardInput} from './connection_end.js';
+import {afterPoll} from './connection_end.js';
+import type {InputDiscards} from './input_discards.js';
 
 /** Most refused connections that are open; others are closed unread. */
 const MAX_REFUSED = 512;
@@ -30,6 +31,7 @@
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly ends: Pick<ConnectionEnds, 'end'>;
+  readonly discards: Pick<InputDiscards, 'discardFirst'>;
   readonly guards: Pick<ConnectionGuards, 'of'>;
 }
 
@@ -37,6 +39,7 @@
   clock,
   random,
   ends,
+  discards,
   guards,
 }: ConnectionRefusalsOptions): ConnectionRefusals {
   const open = new Set<Socket>();
@@ -68,7 +71,7 @@
       socket.write(refusalText(retryMs));
       ends.end(socket, 'discard', () => undefined);
     });
-    discardInput(socket, answer);
+    discards.discardFirst(socket, answer);
   };
   return {refuse, count: () => open.size};
 }
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -255,6 +255,7 @@
       admit: () => connectionGate.admit() && held.admitsConnection(),
       random: () => random.next(),
       limits,
+      collect: () => options.memory.collect('minor'),
       maxDescriptors: settings.limits.maxDescriptors,
       clock,
       log,
--- a/test/direct/connection_end_errors.test.ts
+++ b/test/direct/connection_end_errors.test.ts
@@ -67,7 +67,11 @@
       return clock.after(delayMs, fn);
     },
   };
-  const ends = createConnectionEnds(faulty, guards);
+  const ends = createConnectionEnds({
+    clock: faulty,
+    guards,
+    discards: {discard: () => undefined, isWaiting: () => false},
+  });
   const sockets = [new FakeSocket(), new FakeSocket()];
   for (const socket of sockets) {
     ends.end(asSocket(socket), 'discard', () => undefined);
--- a/test/direct/refused_connections.test.ts
+++ b/test/direct/refused_connections.test.ts
@@ -6,6 +6,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {createConnectionGuards} from '../../src/direct/boundary/connection_guard.js';
 import {createConnectionEnds} from '../../src/direct/callers/connection_end.js';
+import {createInputDiscards} from '../../src/direct/callers/input_discards.js';
 import {createConnectionRefusals} from '../../src/direct/callers/connection_refusals.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import {
@@ -135,9 +136,16 @@
   caller.on('error', () => (isReset = true));
   const clock = createVirtualClock();
   const guards = createConnectionGuards(createRecordingRuntime().runtime);
-  const ends = createConnectionEnds(clock, guards);
-  const random = () => 0;
-  const refusals = createConnectionRefusals({clock, random, ends, guards});
+  const collect = () => undefined;
+  const discards = createInputDiscards({clock, guards, collect});
+  const ends = createConnectionEnds({clock, guards, discards});
+  const refusals = createConnectionRefusals({
+    clock,
+    random: () => 0,
+    ends,
+    discards,
+    guards,
+  });
   refusals.refuse(socket);
   caller.write(HEAD);
   // The first timer fires before the event loop polls.
--- a/test/direct/refused_uploads.test.ts
+++ b/test/direct/refused_uploads.test.ts
@@ -8,6 +8,7 @@
   afterPoll,
   createConnectionEnds,
 } from '../../src/direct/callers/connection_end.js';
+import {createInputDiscards} from '../../src/direct/callers/input_discards.js';
 import type {Clock} from '../../src/types/runtime.js';
 import {createRecordingRuntime} from '../../standins/recording_runtime.js';
 import {
@@ -176,7 +177,9 @@
   const {clock, now, runNext} = createEarlyClock();
   const socket = new SendingSocket();
   const guards = createConnectionGuards(createRecordingRuntime().runtime);
-  const ends = createConnectionEnds(clock, guards);
+  const collect = () => undefined;
+  const discards = createInputDiscards({clock, guards, collect});
+  const ends = createConnectionEnds({clock, guards, discards});
   ends.end(socket as unknown as Socket, 'discard', () => undefined);
   while (!socket.destroyed) {
     runNext();
--- a/test/support/callers_server.ts
+++ b/test/support/callers_server.ts
@@ -78,6 +78,7 @@
       isLastRead: () => true,
     }),
     admit,
+    collect: () => undefined,
     random: () => random.next() * 0,
     // Idle connections are kept for the least margin.
     limits: {...inForce, knownWithinMs: 0},
