--- a/src/direct/callers/input_discards.ts
+++ b/src/direct/callers/input_discards.ts
@@ -10,7 +10,7 @@
 import type {ConnectionGuards} from '../boundary/connection_guard.js';
 
 /** Most bytes that are read between two collections. */
-const MAX_BYTES = 4 * 1024 * 1024;
+const MAX_BYTES = 2 * 1024 * 1024;
 /** Shortest time between two collections, in milliseconds. */
 const INTERVAL_MS = 40;
 /**
