refactor(boundary): no module stands in a circle with what reports its errors

The report of an error within a request is a module of its own, which depends on none of the parts that report through it, and the sums of engine time stand beside the record that keeps them.

--- a/src/direct/boundary/connection_guard.ts
+++ b/src/direct/boundary/connection_guard.ts
@@ -14,7 +14,7 @@
 import {runEach} from '../../utils/run_each.js';
 import {connectionOf, nameConnection} from '../callers/connection_name.js';
 import {sendLocalAnswer} from '../local_answers.js';
-import {ERROR_REASON, reportRequestError} from './request_errors.js';
+import {ERROR_REASON, reportRequestError} from './error_report.js';
 
 /** Counter of errors within connections, by callback. */
 const ERRORS_METRIC = 'onyxloft_direct_connection_errors_total';
--- a/src/direct/boundary/request_errors.ts
+++ b/src/direct/boundary/request_errors.ts
@@ -4,45 +4,17 @@
  * part of one was sent. Each step of the end runs though another one fails.
  */
 import type {ServerResponse} from 'node:http';
-import type {Log, LogFields, Metrics} from '../../types/runtime.js';
 import {createGuard} from '../../utils/callback_guard.js';
 import type {Guard} from '../../utils/callback_guard.js';
-import {causeOf} from '../../utils/error_cause.js';
-import {DIRECT_EVENTS} from '../../utils/events.js';
 import {runEach} from '../../utils/run_each.js';
 import {UnsentError} from '../callers/unsent_error.js';
 import type {Exchange} from '../exchange.js';
 import {giveUp} from '../serve_context.js';
 import type {ServeContext} from '../serve_context.js';
+import {ERROR_REASON, reportRequestError} from './error_report.js';
 
-/** Counter of errors within requests, by callback. */
-const ERRORS_METRIC = 'onyxloft_direct_request_errors_total';
 /** Stands for the code that a request's own promise runs. */
 const SERVING = 'serving';
-/** Message to callers, and the reason of a broken attempt. */
-export const ERROR_REASON = 'internal error';
-
-/** What an entry worked on when it met an error. */
-export interface ErrorPlace extends LogFields {
-  readonly requestId: string | undefined;
-  readonly callback: string;
-  readonly connection?: string;
-  readonly replica?: string;
-  /** Of the replica's answer, if it has begun. */
-  readonly status?: number;
-}
-
-/** Logs and counts an error within a request. */
-export function reportRequestError(
-  {log, metrics}: {readonly log: Log; readonly metrics: Metrics},
-  place: ErrorPlace,
-  err: unknown,
-): void {
-  runEach([
-    () => log(DIRECT_EVENTS.faulted, {...place, cause: causeOf(err)}),
-    () => metrics.count(ERRORS_METRIC, {callback: place.callback}),
-  ]);
-}
 
 /** Ends a request that met an error outside of its attempts at replicas. */
 export function endFailedRequest(
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -5,7 +5,8 @@
  */
 import {isSuccess} from '../utils/final_status.js';
 import {MAX_ANSWER_BYTES, announcesTooMuch} from './answers/answer_size.js';
-import {ERROR_REASON, createAttemptGuard} from './boundary/request_errors.js';
+import {ERROR_REASON} from './boundary/error_report.js';
+import {createAttemptGuard} from './boundary/request_errors.js';
 import {beforeSending} from './callers/unsent_error.js';
 import type {AnswerHead, Dispatch} from './dispatch.js';
 import type {Exchange} from './exchange.js';
--- a/src/direct/shares/engine_time_record.ts
+++ b/src/direct/shares/engine_time_record.ts
@@ -4,7 +4,6 @@
  * some seconds only.
  */
 import type {Clock} from '../../types/runtime.js';
-import type {EngineTimes, UrgencyCounts} from './share_messages.js';
 
 /**
  * Time constant of the decay, in milliseconds. In a shorter time, an entry of a
@@ -24,6 +23,20 @@
 /** Largest urgency that is counted apart; larger ones count as this. */
 const MAX_URGENCY = 9;
 
+/** Decayed sums of engine time, in milliseconds. */
+export interface EngineTimes {
+  readonly wantedMs: number;
+  readonly usedMs: number;
+}
+
+/** Decayed counts of requests of one urgency. */
+export interface UrgencyCounts {
+  readonly asked: number;
+  readonly placed: number;
+  /** Sum of what the placements gained, each from 0 (lost) to 1 (in time). */
+  readonly gained: number;
+}
+
 /** A request as the record counts it. */
 export interface RecordedRequest {
   readonly service: string;
--- a/src/direct/shares/fleet_times.ts
+++ b/src/direct/shares/fleet_times.ts
@@ -9,13 +9,12 @@
  */
 import type {Clock} from '../../types/runtime.js';
 import {DECAY_MS} from './engine_time_record.js';
-import type {ServiceTimes} from './engine_time_record.js';
 import type {
   EngineTimes,
-  ServiceReport,
-  ShareReport,
+  ServiceTimes,
   UrgencyCounts,
-} from './share_messages.js';
+} from './engine_time_record.js';
+import type {ServiceReport, ShareReport} from './share_messages.js';
 
 /** Age at which a report is dropped, in milliseconds. */
 const MAX_REPORT_AGE_MS = 3 * DECAY_MS;
--- a/src/direct/shares/organisation_shares.ts
+++ b/src/direct/shares/organisation_shares.ts
@@ -15,11 +15,12 @@
   EngineTimeRecord,
   RecordedRequest,
   ServiceTimes,
+  UrgencyCounts,
 } from './engine_time_record.js';
 import {createFleetTimes} from './fleet_times.js';
 import type {FleetTimes} from './fleet_times.js';
 import {buildReport} from './share_messages.js';
-import type {ShareReport, UrgencyCounts} from './share_messages.js';
+import type {ShareReport} from './share_messages.js';
 
 /**
  * Time for which a computed level is used, in milliseconds. A computation over
--- a/src/direct/shares/share_messages.ts
+++ b/src/direct/shares/share_messages.ts
@@ -6,21 +6,11 @@
  */
 import {Codec, array, number, string, tuple} from 'purify-ts/Codec';
 import {DECAY_MS} from './engine_time_record.js';
-import type {ServiceTimes} from './engine_time_record.js';
-
-/** Decayed sums of engine time, in milliseconds. */
-export interface EngineTimes {
-  readonly wantedMs: number;
-  readonly usedMs: number;
-}
-
-/** Decayed counts of requests of one urgency. */
-export interface UrgencyCounts {
-  readonly asked: number;
-  readonly placed: number;
-  /** Sum of what the placements gained, each from 0 (lost) to 1 (in time). */
-  readonly gained: number;
-}
+import type {
+  EngineTimes,
+  ServiceTimes,
+  UrgencyCounts,
+} from './engine_time_record.js';
 
 /** An array, since field names would take half of a report's bytes. */
 export type OrganisationTimes = readonly [
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -5,7 +5,8 @@
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import {createEventReader} from '../answers/event_reader.js';
-import {ERROR_REASON, createAttemptGuard} from '../boundary/request_errors.js';
+import {ERROR_REASON} from '../boundary/error_report.js';
+import {createAttemptGuard} from '../boundary/request_errors.js';
 import {beforeSending} from '../callers/unsent_error.js';
 import type {AnswerHead} from '../dispatch.js';
 import type {StreamEvent} from './event_splitter.js';
