fix(callers): a refusal before the body closes only behind what has come

Callers that pipeline requests with bodies got one 503 with "Connection: close" from an entry without a configuration, and for those behind it neither an answer nor a line.

Cause: without a configuration a request is refused as soon as its head is read. Node's parser runs the answer between two pieces of a body, before it reaches the requests behind, so that none of them counted as read.

Change: a refusal of a request that is not complete waits until what has come with it is parsed. The rest of a larger body is not read, as before.

--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -26,6 +26,7 @@
 import type {Serving} from '../serving.js';
 import type {CallerLimits, DirectConfig, HeaderCodec} from '../types.js';
 import {connectionOf} from './connection_name.js';
+import {afterPoll} from './connection_end.js';
 import {createConnectionTurns} from './connection_turns.js';
 import {widestOf} from './limits_in_force.js';
 import type {LimitsInForce} from './limits_in_force.js';
@@ -59,6 +60,14 @@
   evidenceFields(): LogFields;
 }
 
+/**
+ * Resolves when what has come with a head has been parsed: requests behind it are
+ * answered too, unless the body before them is not read to its end.
+ */
+function restOfRead(): Promise<void> {
+  return new Promise(afterPoll);
+}
+
 interface TakenRequest {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
@@ -161,7 +170,8 @@
     admitting.add(res);
     admitRequest(admitOptions, req)
       .finally(endAdmission)
-      .then(result => {
+      .then(async result => {
+        if ('status' in result && !req.complete) await restOfRead();
         if (res.writableEnded) return;
         if (res.destroyed) throw new Error('the caller left');
         if ('status' in result) refuse(res, result, idOf(req), arrivedAt);
--- a/test/processes/no_configuration.test.ts
+++ b/test/processes/no_configuration.test.ts
@@ -227,11 +227,12 @@
   );
 
   // Guards against requests that are read and get no answer before the end.
-  test(
-    'each of several pipelined requests is answered',
-    async () => {
+  test.each([0, 8, 20_000])(
+    'each of several pipelined requests is answered: bodies of %i bytes',
+    async bodyBytes => {
       const {callers} = await startUnconfigured();
-      const one = headOf('a', 'Content-Length: 0\r\n\r\n');
+      const head = headOf('a', `Content-Length: ${bodyBytes}\r\n\r\n`);
+      const one = head + 'x'.repeat(bodyBytes);
       const {text, error} = await exchange(callers, one.repeat(3));
       expect(error).toBeUndefined();
       expect(statusesIn(text)).toEqual(['503', '503', '503']);
