fix(crashes): a part that a refused one explains keeps no trial waiting

Cause: a trial waits for a request without other suspect parts, the last one for 30 s. A part that sound and crashing requests share crashes with each of them, and after a restart of all entries no run proves it. So a sound part that is refused beside a guilty one found no such request: its first trial came a second late, and its last one after 34 s. Change: a part is not in the way of a trial if a refused part that the request does not have also ran at each replica that ended under it. Result: crash_watch, "is run beside a part that another refused part explains", failed before (1 of 2 trials run within 6 s) and passes.

--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -260,8 +260,9 @@
   /**
    * The subject that a run of the request would be a trial of. Beside a part
    * that may be guilty instead, a crash would show nothing of the subject: any
-   * part that has crashed a replica and has not run well since. Such a request
-   * is taken where no better one came for a while.
+   * part that has crashed a replica and has not run well since, unless refused
+   * parts of other requests explain its crashes. Such a request is taken where
+   * no better one came for a while.
    */
   const trialSubject = (exchange: Exchange): Subject | undefined => {
     const [subject, ...others] = quarantinedSubjects(exchange);
@@ -270,9 +271,10 @@
       ? BETTER_LAST_TRIAL_WAIT_MS
       : BETTER_TRIAL_WAIT_MS;
     const isOverdue = suspects.nextTrialInMs(subject.digest) <= -waitMs;
-    const isClear = exchange
-      .partDigests()
-      .every(it => it === subject.digest || !suspects.isSuspect(it));
+    const parts = exchange.partDigests();
+    const isClear = parts.every(
+      it => it === subject.digest || !suspects.isUnexplained(it, parts),
+    );
     return isClear || isOverdue ? subject : undefined;
   };
   const isSuspect = (exchange: Exchange): boolean => {
--- a/src/direct/crashes/part_verdict.ts
+++ b/src/direct/crashes/part_verdict.ts
@@ -38,6 +38,19 @@
   );
 }
 
+/**
+ * Whether each crash is also one of a part that is refused: a run beside the
+ * part that had these crashes then tells about others. `refused` has the
+ * replicas that ended under each such part. All are compared together, since a
+ * shared part runs beside any of them.
+ */
+export function isExplained(
+  ended: ReadonlySet<string>,
+  refused: ReadonlyArray<ReadonlySet<string>>,
+): boolean {
+  return [...ended].every(id => refused.some(by => by.has(id)));
+}
+
 /**
  * Whether the crashes of `part` are rather those of `other`. With the same
  * crashes, the later part of a prompt is blamed, since fewer requests share it.
--- a/src/direct/crashes/suspect_table.ts
+++ b/src/direct/crashes/suspect_table.ts
@@ -43,6 +43,10 @@
   endRequestQuarantine(digest: string, suspect: Suspect): void;
   /** Replicas that ended under each quarantined request. */
   endedUnderRequests(): ReadonlyArray<ReadonlySet<string>>;
+  /** The same for each quarantined part that is none of these. */
+  endedUnderParts(
+    except: readonly string[],
+  ): ReadonlyArray<ReadonlySet<string>>;
   /**
    * Number of quarantined subjects before this one. Also counts those whose
    * trials have all run, so that ranks stay.
@@ -77,6 +81,8 @@
     const [oldest] = suspects.keys();
     forget(oldest);
   };
+  const endsOf = (digests: readonly string[]) =>
+    digests.flatMap(digest => suspects.get(digest)?.ended ?? []);
   const current = () =>
     [...suspects].filter(([, suspect]) => !isExpired(suspect));
 
@@ -118,10 +124,9 @@
       suspect.trials = undefined;
       quarantined.request.delete(digest);
     },
-    endedUnderRequests: () =>
-      [...quarantined.request].flatMap(
-        digest => suspects.get(digest)?.ended ?? [],
-      ),
+    endedUnderRequests: () => endsOf([...quarantined.request]),
+    endedUnderParts: except =>
+      endsOf([...quarantined.part].filter(it => !except.includes(it))),
     rankOf: digest =>
       [...quarantined.request, ...quarantined.part].filter(it => it < digest)
         .length,
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -17,6 +17,7 @@
 import {createGoodRuns} from './good_runs.js';
 import type {PartRun, RunReplica} from './good_runs.js';
 import {createPartJudgement} from './part_judgement.js';
+import {isExplained} from './part_verdict.js';
 import {createRecentEnds} from './recent_ends.js';
 import {createReplies} from './replies.js';
 import {REQUEST} from './subjects.js';
@@ -87,6 +88,11 @@
   /** Whether a replica has ended during a run of the subject. */
   isSuspect(digest: string): boolean;
   isQuarantined(digest: string): boolean;
+  /**
+   * Whether the part may crash replicas by itself: not if a refused part that is
+   * none of `beside` also ran at each replica that ended under it.
+   */
+  isUnexplained(digest: string, beside: readonly string[]): boolean;
   /** Time until the part is judged, in milliseconds; 0 when it is not due. */
   judgedInMs(digest: string): number;
   /** Whether the replica is known to have ended in the last seconds. */
@@ -300,6 +306,11 @@
     isProven: goodRuns.isProven,
     isSuspect: digest => suspects.find(digest) !== undefined,
     isQuarantined: digest => suspects.find(digest)?.trials !== undefined,
+    isUnexplained: (digest, beside) => {
+      const suspect = suspects.find(digest);
+      if (suspect === undefined) return false;
+      return !isExplained(suspect.ended, suspects.endedUnderParts(beside));
+    },
     judgedInMs: judgement.judgedInMs,
     hasEnded: recentEnds.has,
     dueTrial: digest =>
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -266,6 +266,30 @@
     expect(served).toBeGreaterThan(0);
   });
 
+  // Guards against a sound part that stays refused because each request with it
+  // has a part that sound and crashing requests share.
+  test('is run beside a part that another refused part explains', async () => {
+    const {clock, watch, request} = setUp(
+      () => 'refused',
+      () => true,
+    );
+    const [shared, sound, bad] = ['f', 'c', 'b'].map(it => it.repeat(32));
+    for (const id of ids) {
+      watch.runBroken(request([shared, sound]), replica(id));
+      watch.runBroken(request([shared, bad]), replica(id));
+    }
+    await clock.runFor(400);
+    let tried = 0;
+    for (let at = 0; at < 60; at++) {
+      await clock.runFor(100);
+      const one = request([shared, sound]);
+      expect(watch.isQuarantined(one)).toBe(true);
+      // Its trials show nothing, so that the last one is run as well.
+      if ((await watch.claimTrial(one)) && watch.maySend(one)) tried++;
+    }
+    expect(tried).toBe(2);
+  });
+
   // The store made the claim, and its answer was lost.
   test('is run although the answer to its claim was lost', async () => {
     const made = new Map<string, string>();
