fix(crashes): a good trial whose replica another refused part ended is repeated

Cause: a trial that ended well counts only if its replica lives a second later. A refused part of another request could end that replica meanwhile, e.g. by its own trial 400 ms later. The trial was used up then, and a sound part had only its last trial left. Beside it, a trial that became unused while the next one was claimed was never due again. Change: 1.3 s after the end of such a trial the entry keeps its claim for the next request, if a refused part that the request did not have ran at the replica that ended. The trials of that part bound how often. A trial that is unused stays due when a claim settles. Result: crash_watch, "is repeated where another refused part ran there", and trials, "a trial that becomes unused during a claim is taken again", failed before and pass. "is used up where nothing else explains the end" passes before and after.

--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -37,6 +37,11 @@
  * complete before its replica crashes.
  */
 const PROOF_GRACE_MS = 1_000;
+/**
+ * A trial that ended well is looked at again after this time, in milliseconds:
+ * the grace, and time for reports of what else ran at its replica.
+ */
+const TRIAL_REVIEW_MS = PROOF_GRACE_MS + 300;
 /** Most parts of one run that are counted as suspects. */
 const MAX_PARTS_COUNTED = 16;
 /**
@@ -289,6 +294,20 @@
     const shown = shortDigest(digest);
     log(DIRECT_EVENTS.trial, {requestId: exchange.id, digest: shown, trial});
   };
+  /**
+   * The trial ended well. If its replica ended soon after, that shows nothing
+   * where a refused part of another request ran there, so the trial is repeated.
+   * The trials of that part bound how often.
+   */
+  const reviewTrial = (exchange: Exchange, replicaId: string): void => {
+    const digest = trialDigests.get(exchange);
+    if (digest === undefined) return;
+    const parts = exchange.partDigests();
+    clock.after(TRIAL_REVIEW_MS, () => {
+      if (suspects.endedUnderRefused(replicaId, parts))
+        suspects.trialUnused(digest);
+    });
+  };
   const hasEnded = (replicaId: string): boolean =>
     suspects.hasEnded(replicaId) || lost.hasEnded(replicaId);
 
@@ -374,6 +393,7 @@
       const parts = exchange.partDigests();
       if (parts.length === 0) return;
       const replica = {id, address};
+      reviewTrial(exchange, id);
       clock.after(PROOF_GRACE_MS, () => {
         if (hasEnded(id)) return;
         for (const digest of parts) {
--- a/src/direct/crashes/suspects.ts
+++ b/src/direct/crashes/suspects.ts
@@ -93,6 +93,8 @@
    * none of `beside` also ran at each replica that ended under it.
    */
   isUnexplained(digest: string, beside: readonly string[]): boolean;
+  /** Whether a refused part that is none of `beside` ran where the replica ended. */
+  endedUnderRefused(replicaId: string, beside: readonly string[]): boolean;
   /** Time until the part is judged, in milliseconds; 0 when it is not due. */
   judgedInMs(digest: string): number;
   /** Whether the replica is known to have ended in the last seconds. */
@@ -311,6 +313,8 @@
       if (suspect === undefined) return false;
       return !isExplained(suspect.ended, suspects.endedUnderParts(beside));
     },
+    endedUnderRefused: (replicaId, beside) =>
+      suspects.endedUnderParts(beside).some(ended => ended.has(replicaId)),
     judgedInMs: judgement.judgedInMs,
     hasEnded: recentEnds.has,
     dueTrial: digest =>
--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -66,6 +66,8 @@
     },
     settled: isAnswered => {
       if (isAnswered) claimed++;
+      // An earlier trial that became unused during the claim stays due.
+      if (hasUnused) return;
       nextAt = isAnswered ? plannedAt() : clock.now() + CLAIM_RETRY_MS;
     },
     unused: () => {
--- a/test/direct/crash_watch.test.ts
+++ b/test/direct/crash_watch.test.ts
@@ -1,6 +1,7 @@
 /** What counts as a run that ended well, for the parts of its prompt. */
 import {describe, expect, test} from 'vitest';
 import {createCrashWatch} from '../../src/direct/crashes/crash_watch.js';
+import type {CrashWatch} from '../../src/direct/crashes/crash_watch.js';
 import type {PortState} from '../../src/direct/crashes/port_probe.js';
 import type {Exchange} from '../../src/direct/exchange.js';
 import type {DirectReplica} from '../../src/direct/types.js';
@@ -290,6 +291,54 @@
     expect(tried).toBe(2);
   });
 
+  describe('that ended well at a replica that ended a moment later', () => {
+    const [shared, sound, bad] = ['f', 'c', 'b'].map(it => it.repeat(32));
+    /** Plays the trial; resolves with whether the next request runs as it again. */
+    const isRepeated = async (
+      endReplica: (
+        watch: CrashWatch,
+        at: DirectReplica,
+        later: Exchange,
+      ) => void,
+    ): Promise<boolean> => {
+      const {clock, watch, request, claims} = setUp(
+        () => 'refused',
+        () => true,
+      );
+      for (const id of ids) {
+        watch.runBroken(request([shared, sound]), replica(id));
+        watch.runBroken(request([shared, bad]), replica(id));
+      }
+      await clock.runFor(1_900);
+      const trial = request([shared, sound]);
+      expect(await watch.claimTrial(trial)).toBe(true);
+      expect(watch.maySend(trial)).toBe(true);
+      watch.answerWritten(trial, replica('of-the-trial'));
+      watch.requestEnded(trial);
+      await clock.runFor(900);
+      endReplica(watch, replica('of-the-trial'), request([shared, bad]));
+      await clock.runFor(1_200);
+      const isGained = await watch.claimTrial(request([shared, sound]));
+      expect(claims).toEqual([sound]);
+      return isGained;
+    };
+
+    // Guards against a sound part that stays refused since the trial of another
+    // part ends the replica of its own trial.
+    test('is repeated where another refused part ran there', async () => {
+      expect(
+        await isRepeated((watch, at, later) => watch.runBroken(later, at)),
+      ).toBe(true);
+    });
+
+    // Else a part that crashes its replica after the answer has many trials.
+    test('is used up where nothing else explains the end', async () => {
+      expect(await isRepeated((watch, at) => watch.replicaEnded(at.id))).toBe(
+        false,
+      );
+    });
+  });
+
   // The store made the claim, and its answer was lost.
   test('is run although the answer to its claim was lost', async () => {
     const made = new Map<string, string>();
--- /dev/null
+++ b/test/direct/trials.test.ts
@@ -0,0 +1,19 @@
+/** When the trials of a refused part are due. */
+import {expect, test} from 'vitest';
+import {createTrials} from '../../src/direct/crashes/trials.js';
+import {createVirtualClock} from '../../standins/virtual_clock.js';
+
+// Guards against a trial that is lost as it became unused during the claim of
+// the next one.
+test('a trial that becomes unused during a claim is taken again', async () => {
+  const clock = createVirtualClock();
+  const trials = createTrials(clock, 'part');
+  await clock.runFor(1_000);
+  expect(trials.claim(0)).toBe(0);
+  trials.settled(true);
+  await clock.runFor(3_000);
+  expect(trials.claim(0)).toBe(1);
+  trials.unused();
+  trials.settled(true);
+  expect(trials.takeUnused(0)).toBe(true);
+});
