--- a/src/direct/crashes/crash_watch.ts
+++ b/src/direct/crashes/crash_watch.ts
@@ -37,6 +37,11 @@
  * complete before its replica crashes.
  */
 const PROOF_GRACE_MS = 1_000;
+/**
+ * A trial that ended well is looked at again after this time, in milliseconds:
+ * the grace, and time for reports of what else ran at its replica.
+ */
+const TRIAL_REVIEW_MS = PROOF_GRACE_MS + 300;
 /** Most parts of one run that are counted as suspects. */
 const MAX_PARTS_COUNTED = 16;
 /**
@@ -260,8 +265,9 @@
   /**
    * The subject that a run of the request would be a trial of. Beside a part
    * that may be guilty instead, a crash would show nothing of the subject: any
-   * part that has crashed a replica and has not run well since. Such a request
-   * is taken where no better one came for a while.
+   * part that has crashed a replica and has not run well since, unless refused
+   * parts of other requests explain its crashes. Such a request is taken where
+   * no better one came for a while.
    */
   const trialSubject = (exchange: Exchange): Subject | undefined => {
     const [subject, ...others] = quarantinedSubjects(exchange);
@@ -270,9 +276,10 @@
       ? BETTER_LAST_TRIAL_WAIT_MS
       : BETTER_TRIAL_WAIT_MS;
     const isOverdue = suspects.nextTrialInMs(subject.digest) <= -waitMs;
-    const isClear = exchange
-      .partDigests()
-      .every(it => it === subject.digest || !suspects.isSuspect(it));
+    const parts = exchange.partDigests();
+    const isClear = parts.every(
+      it => it === subject.digest || !suspects.isUnexplained(it, parts),
+    );
     return isClear || isOverdue ? subject : undefined;
   };
   const isSuspect = (exchange: Exchange): boolean => {
@@ -287,6 +294,20 @@
     const shown = shortDigest(digest);
     log(DIRECT_EVENTS.trial, {requestId: exchange.id, digest: shown, trial});
   };
+  /**
+   * The trial ended well. If its replica ended soon after, that shows nothing
+   * where a refused part of another request ran there, so the trial is repeated.
+   * The trials of that part bound how often.
+   */
+  const reviewTrial = (exchange: Exchange, replicaId: string): void => {
+    const digest = trialDigests.get(exchange);
+    if (digest === undefined) return;
+    const parts = exchange.partDigests();
+    clock.after(TRIAL_REVIEW_MS, () => {
+      if (suspects.endedUnderRefused(replicaId, parts))
+        suspects.trialUnused(digest);
+    });
+  };
   const hasEnded = (replicaId: string): boolean =>
     suspects.hasEnded(replicaId) || lost.hasEnded(replicaId);
 
@@ -372,6 +393,7 @@
       const parts = exchange.partDigests();
       if (parts.length === 0) return;
       const replica = {id, address};
+      reviewTrial(exchange, id);
       clock.after(PROOF_GRACE_MS, () => {
         if (hasEnded(id)) return;
         for (const digest of parts) {
