fix(ready): answers to those outside wait for a service within limits

A readiness check awaited the service direct without a time limit. Where each delivery of a message fails, no message of its mailbox is taken, and the check got no answer. A handover to a peer and the evidence in an answer to a peer's query had the same fault, bounded by the connection (10 s) and by nothing.

The check answers 503 after 300 ms, also where callers are served meanwhile: the load balancer has other entries, and callers that come all the same are served. A handover is cut after 500 ms. A query is answered without evidence after 200 ms, so that the peer has the rest and asks another one. Late answers change nothing.

--- a/src/direct/followed/knowledge_reports.ts
+++ b/src/direct/followed/knowledge_reports.ts
@@ -4,10 +4,17 @@
  */
 import type {ServiceContext} from '../../types/kernel.js';
 import {createStepReport} from '../boundary/contained_errors.js';
+import {answerWithin} from '../../utils/answer_limit.js';
 import {DIRECT_EVENTS} from '../../utils/events.js';
 import type {EvidenceReport} from '../messages.js';
 import type {PeerAnswer, StoreKnowledge} from '../types.js';
 
+/**
+ * Longest wait for the age of the evidence, in milliseconds. A peer waits at least
+ * 400 ms for the whole answer.
+ */
+const EVIDENCE_LIMIT_MS = 200;
+
 /** What is known, without the age of the evidence for it. */
 export type OwnKnowledge = Omit<
   StoreKnowledge,
@@ -28,19 +35,23 @@
   ownKnowledge: () => OwnKnowledge,
 ): KnowledgeReports {
   const reportError = createStepReport(ctx);
-  // The service that has the evidence may be starting again.
+  // The service that has the evidence may be starting again, or take no messages.
   const withoutEvidence = (err: unknown): EvidenceReport => {
     reportError(err, 'knowledge for a peer');
     return {ageMs: Infinity, source: undefined};
   };
+  const askEvidence = () =>
+    ctx.ask('direct', (answer: (evidence: EvidenceReport) => void) => ({
+      kind: 'evidence',
+      reply: answer,
+    }));
   return {
     reply: async reply => {
-      const {ageMs, source} = await ctx
-        .ask('direct', (answer: (evidence: EvidenceReport) => void) => ({
-          kind: 'evidence',
-          reply: answer,
-        }))
-        .catch(withoutEvidence);
+      const {ageMs, source} = await answerWithin(
+        ctx.clock,
+        EVIDENCE_LIMIT_MS,
+        askEvidence(),
+      ).catch(withoutEvidence);
       // JSON cannot represent an infinite age.
       const evidenceAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       reply({...ownKnowledge(), evidenceAgeMs, evidenceSource: source});
--- a/src/direct/handover.ts
+++ b/src/direct/handover.ts
@@ -10,6 +10,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Either} from 'purify-ts';
 import type {ServiceContext, ServiceSpec} from '../types/kernel.js';
+import {answerWithin} from '../utils/answer_limit.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
 import {createCallReport} from './boundary/contained_errors.js';
 import {
@@ -35,6 +36,9 @@
 /** Path of the evacuated failure domains. */
 const EVACUATIONS_PATH = '/evacuations';
 const NOT_FOUND = 404;
+/** Longest wait for what is handed over to one peer, in milliseconds. */
+const BODY_LIMIT_MS = 500;
+
 export interface HandoverOptions {
   readonly self: EntryAddress;
 }
@@ -77,7 +81,10 @@
     res: ServerResponse,
   ): Promise<void> => {
     try {
-      sendBody(res, await loadBody(req));
+      sendBody(
+        res,
+        await answerWithin(ctx.clock, BODY_LIMIT_MS, loadBody(req)),
+      );
     } catch (err) {
       const message = String(err);
       ctx.log(DIRECT_EVENTS.handoverFailed, {step: 'hand over', message});
--- a/src/direct/ready_server.ts
+++ b/src/direct/ready_server.ts
@@ -6,6 +6,7 @@
 import {createConnectionGuards} from './boundary/connection_guard.js';
 import {boundConnections} from './listening/bounded_connections.js';
 import {listenAt} from './listening/listening_server.js';
+import {readyStatus} from './listening/ready_status.js';
 
 export interface ReadyOptions {
   /** IP:PORT of the readiness checks. */
@@ -38,8 +39,7 @@
     }));
   const guards = createConnectionGuards(ctx);
   const sendReady = async (res: ServerResponse): Promise<void> => {
-    const isReadyNow = await isReady().catch(() => false);
-    res.writeHead(isReadyNow ? 200 : 503).end();
+    res.writeHead(await readyStatus(ctx.clock, isReady)).end();
   };
   const sendMetrics = (req: IncomingMessage, res: ServerResponse): void => {
     if (req.url !== METRICS_PATH) {
