fix(process): the last line waits for a write also at the limit of a drain

A drain that ended within the last 0.2 s before its limit left 0 ms for a write under way, so that the last line stood before an older one. The margin of 0.2 s before the end of the grace time is for this write, the last line and the exit, and the end of a finished drain kept all of it for the latter two.

Both ends of a stop now share one rule: a write under way is awaited for up to 1 s, until half of the margin is left. The margin follows the lateness of timers for a finished drain too, and the wait goes by the clock, so that it ends within grace times shorter than the margin.

--- a/src/process/service_stop.ts
+++ b/src/process/service_stop.ts
@@ -23,6 +23,8 @@
 const LIMIT_MARGIN_MS = 200;
 /** Late steps between that moment and the end: lines, the last line, the exit. */
 const LIMIT_STEPS = 2;
+/** Share of that time which is left for the last line and the exit. */
+const EXIT_SHARE = 1 / 2;
 /** Largest share of the grace time that late timers take from it. */
 const MAX_MARGIN_SHARE = 1 / 8;
 /** Largest share of the grace time by which requests are ended earlier. */
@@ -64,12 +66,19 @@
   /** When the process has to end; infinite before a signal. */
   let limitAt = Infinity;
   let isDrained = false;
+  /** How long before the end of the grace time the process ends at the latest. */
+  let marginMs = LIMIT_MARGIN_MS;
 
-  const endDrained = (signal: string): void => {
-    const leftMs = limitAt - LIMIT_MARGIN_MS - clock.now();
-    const writingMs = Math.max(0, Math.min(MAX_WRITING_MS, leftMs));
-    end('stopped', signal, undefined, writingMs);
+  /**
+   * Also a drain that lasted until its limit leaves time for a write under way:
+   * the last line would overtake it.
+   */
+  const writingMs = (): number => {
+    const leftMs = limitAt - marginMs * EXIT_SHARE - clock.now();
+    return Math.max(0, Math.min(MAX_WRITING_MS, leftMs));
   };
+  const endDrained = (signal: string): void =>
+    end('stopped', signal, undefined, writingMs());
   const drain = async (from: Drainable, signal: string): Promise<void> => {
     log(KERNEL_EVENTS.drainStarted, {signal, limitMs});
     await from.drain();
@@ -89,28 +98,27 @@
   const watchLimit = (signal: string): void => {
     const lateness = createTimerLateness(clock.now());
     const cancels: Cancel[] = [];
-    const endBefore = (marginMs: number): void => {
-      endAtLimit(signal, marginMs);
+    const endNow = (): void => {
+      endAtLimit(signal);
       for (const cancel of cancels) cancel();
     };
-    const endAtLatest = () => endBefore(LIMIT_MARGIN_MS);
     const check = (): void => {
       lateness.ran(clock.now(), LIMIT_POLL_MS);
-      const marginMs = marginMsAt(lateness.recentMs());
-      if (clock.now() >= limitAt - marginMs) endBefore(marginMs);
+      marginMs = marginMsAt(lateness.recentMs());
+      if (clock.now() >= limitAt - marginMs) endNow();
     };
     // The limit has a timer of its own, which an error in a check does not stop.
     const delayMs = limitMs > LIMIT_MARGIN_MS ? limitMs - LIMIT_MARGIN_MS : 0;
     const setLimit = () =>
-      cancels.push(clock.after(delayMs, endAtLatest, 'limit of the drain'));
+      cancels.push(clock.after(delayMs, endNow, 'limit of the drain'));
     const setCheck = () =>
       cancels.push(clock.every(LIMIT_POLL_MS, check, 'lateness of a stop'));
     runAll([setLimit, setCheck]);
   };
-  const endAtLimit = (signal: string, marginMs: number): void => {
+  const endAtLimit = (signal: string): void => {
     if (isDrained) return endDrained(signal);
     const cause = `${signal}, ${limitMs} ms ago`;
-    end('drain-limit', cause, undefined, marginMs / 2);
+    end('drain-limit', cause, undefined, writingMs());
   };
   const begin = (): void => {
     if (services === undefined || requested === undefined) return;
--- a/test/late_stops.test.ts
+++ b/test/late_stops.test.ts
@@ -166,17 +166,28 @@
   expect(lateness.recentMs()).toBeLessThan(2);
 });
 
+interface LastLineWait {
+  readonly endClass: string;
+  /** When the wait for lines that are being written begins. */
+  readonly fromMs: number;
+  readonly lengthMs: number;
+}
+
 /** How long a stop lets its last line wait whose drain ends at `drainedMs`. */
-async function writingMsAfter(drainedMs: number): Promise<number | undefined> {
+async function waitAfter(
+  drainedMs: number,
+  lateMs = 0,
+  graceMs = GRACE_MS,
+): Promise<LastLineWait> {
   const clock = createVirtualClock();
-  const waits: Array<number | undefined> = [];
+  const startMs = clock.now();
+  const waits: LastLineWait[] = [];
   const stop = createServiceStop({
-    clock,
+    clock: lateClock(clock, lateMs),
     log: () => undefined,
-    limitMs: GRACE_MS,
-    end: (endClass, _cause, _place, writingMs) => {
-      expect(endClass).toBe('stopped');
-      waits.push(writingMs);
+    limitMs: graceMs,
+    end: (endClass, _cause, _place, lengthMs = NaN) => {
+      waits.push({endClass, fromMs: clock.now() - startMs, lengthMs});
     },
   });
   stop.started({
@@ -184,10 +195,16 @@
     openRequests: async () => 0,
   });
   stop.request('SIGTERM');
-  await clock.runFor(GRACE_MS * 2);
+  await clock.runFor(graceMs * 2);
   return waits[0];
 }
 
+async function writingMsAfter(drainedMs: number): Promise<number> {
+  const {endClass, lengthMs} = await waitAfter(drainedMs);
+  expect(endClass).toBe('stopped');
+  return lengthMs;
+}
+
 // Guards against a last line that overtakes a write which waits for a processor.
 test('the last line waits longer where the drain left the time', async () => {
   expect(await writingMsAfter(3_000)).toBe(1_000);
@@ -199,6 +216,53 @@
   async drainedMs => {
     const writingMs = await writingMsAfter(drainedMs);
     expect(writingMs).toBeGreaterThanOrEqual(0);
-    expect(drainedMs + Number(writingMs)).toBeLessThan(GRACE_MS);
+    expect(drainedMs + writingMs).toBeLessThan(GRACE_MS);
+  },
+);
+
+// Guards against a last line that stands before others since the drain ended just
+// before its limit, or not at all.
+test.each([
+  {drainedMs: 7_500, endClass: 'stopped', leastMs: 300},
+  {drainedMs: 7_700, endClass: 'stopped', leastMs: 150},
+  {drainedMs: 7_770, endClass: 'stopped', leastMs: 90},
+  {drainedMs: 7_790, endClass: 'stopped', leastMs: 90},
+  {drainedMs: 9_000, endClass: 'drain-limit', leastMs: 90},
+])(
+  'after a drain of $drainedMs ms the last line waits for a write under way',
+  async ({drainedMs, endClass, leastMs}) => {
+    const wait = await waitAfter(drainedMs);
+    expect(wait.endClass).toBe(endClass);
+    expect(wait.lengthMs).toBeGreaterThanOrEqual(leastMs);
+    expect(wait.fromMs + wait.lengthMs).toBeLessThanOrEqual(GRACE_MS - 100);
+  },
+);
+
+// Guards against a wait for lines that leaves no time for the exit, where each
+// timer of the process is late.
+test.each([
+  {lateMs: 50, drainedMs: 7_400},
+  {lateMs: 100, drainedMs: 7_400},
+  {lateMs: 200, drainedMs: 7_000},
+  {lateMs: 200, drainedMs: 9_000},
+  {lateMs: 350, drainedMs: 9_000},
+])(
+  'with timers late by $lateMs ms and a drain of $drainedMs ms the wait leaves time',
+  async ({lateMs, drainedMs}) => {
+    const {fromMs, lengthMs} = await waitAfter(drainedMs, lateMs);
+    expect(lengthMs).toBeGreaterThanOrEqual(50);
+    expect(fromMs + lengthMs + lateMs).toBeLessThan(GRACE_MS);
+  },
+);
+
+// Guards against a wait of less than no time, where the grace time is short.
+test.each([50, 150, 300, 1_000])(
+  'with a grace time of %i ms the last line waits within it',
+  async graceMs => {
+    for (const drainedMs of [10, graceMs * 2]) {
+      const {fromMs, lengthMs} = await waitAfter(drainedMs, 0, graceMs);
+      expect(lengthMs).toBeGreaterThanOrEqual(0);
+      expect(fromMs + lengthMs).toBeLessThanOrEqual(graceMs);
+    }
   },
 );
