fix(process): kinds of errors are forgotten, and lost lines not noted as said

The limit for lines of errors told 200 kinds apart in the life of a process: the errors of a bad start hid all later ones behind one line a minute. It also noted a line as said before it was written, so that an error whose line was lost was told a minute later at the earliest.

A kind that has not come for ten minutes makes room for another one; kinds that last keep theirs. The line is noted once the log has taken it; the next one of its kind is written otherwise, and counts the lost one in 'repeated'. A line that is lost later, in the sink, still counts as said.

--- a/src/process/contained_runtime.ts
+++ b/src/process/contained_runtime.ts
@@ -24,8 +24,8 @@
 const REPEAT_MS = 60_000;
 /** Errors that are told apart; the others share one line in `REPEAT_MS`. */
 const MAX_KINDS = 200;
-/** Stands for the errors beyond `MAX_KINDS`. */
-const OTHERS = 'others';
+/** A kind that has not come for this long makes room for another one. */
+const FORGET_MS = 10 * REPEAT_MS;
 
 /** A clock whose callbacks are steps; their errors go to `onError`. */
 export function createStepClock(clock: Clock, onError: OnError): Clock {
@@ -41,38 +41,60 @@
   };
 }
 
-/** Lines that were not written since the last one of their kind. */
-interface SaidError {
-  at: number;
-  repeated: number;
+interface ErrorKind {
+  /** When its last line was written. */
+  saidAt: number;
+  /** When it came last. */
+  cameAt: number;
+  /** How often it came since its last line. */
+  unsaid: number;
+}
+
+/** The kinds of errors that came lately, as many as `MAX_KINDS`. */
+function createErrorKinds(): (key: string, now: number) => ErrorKind {
+  /** The one that came longest ago first. */
+  const kinds = new Map<string, ErrorKind>();
+  const create = (): ErrorKind => ({saidAt: -Infinity, cameAt: 0, unsaid: 0});
+  /** Shared by the kinds for which there is no room. */
+  const others = create();
+  const makeRoom = (now: number): boolean => {
+    if (kinds.size < MAX_KINDS) return true;
+    const [[key, {cameAt}]] = kinds;
+    return now - cameAt >= FORGET_MS && kinds.delete(key);
+  };
+  return (key, now) => {
+    const known = kinds.get(key);
+    if (known === undefined && !makeRoom(now)) return others;
+    const kind = known ?? create();
+    kind.cameAt = now;
+    kinds.delete(key);
+    kinds.set(key, kind);
+    return kind;
+  };
 }
 
 /**
  * A log in which an error that lasts takes a line a minute. The next line of its
  * kind says in `repeated` how often it came meanwhile. `keyOf` tells the kinds
- * apart; lines without a key are all written.
+ * apart; lines without a key are all written. A line that can't be written leaves
+ * the next error of its kind to be said.
  */
 export function createErrorLimit(
   log: Log,
   now: () => number,
   keyOf: (event: EventSpec, fields: LogFields) => string | undefined,
 ): Log {
-  const said = new Map<string, SaidError>();
-  const kindOf = (key: string) =>
-    said.has(key) || said.size < MAX_KINDS ? key : OTHERS;
+  const kindOf = createErrorKinds();
   return (event, fields) => {
     const key = keyOf(event, fields);
     if (key === undefined) return log(event, fields);
-    const kind = kindOf(key);
-    const before = said.get(kind);
     const at = now();
-    if (before !== undefined && at - before.at < REPEAT_MS) {
-      before.repeated++;
-      return;
-    }
-    said.set(kind, {at, repeated: 0});
-    const repeated = before?.repeated || undefined;
+    const kind = kindOf(key, at);
+    const repeated = kind.unsaid++ || undefined;
+    if (at - kind.saidAt < REPEAT_MS) return;
     log(event, {...fields, repeated});
+    kind.saidAt = at;
+    kind.unsaid = 0;
   };
 }
 
--- a/test/contained_runtime.test.ts
+++ b/test/contained_runtime.test.ts
@@ -18,6 +18,8 @@
 const REPEAT_MS = 60_000;
 /** Kinds of errors that are told apart. */
 const MAX_KINDS = 200;
+/** A kind that has not come for this long is forgotten, in milliseconds. */
+const FORGET_MS = 600_000;
 
 const error = new Error('a step fails');
 const fail = () => {
@@ -163,6 +165,58 @@
       repeated: MAX_KINDS - 1,
     });
   });
+
+  // Guards against a process whose later errors are hidden by those of its start.
+  test('has a line of its own once as many other kinds have ceased', async () => {
+    const {clock, log} = contain();
+    const failKind = (kind: number) =>
+      log(stepFailed, {callback: `step ${kind}`, cause: 'a fault'});
+    clock.every(REPEAT_MS / 2, fail, 'gauges');
+    await recorded.clock.runFor(REPEAT_MS / 2);
+    for (let kind = 1; kind < MAX_KINDS; kind++) failKind(kind);
+    await recorded.clock.runFor(FORGET_MS + 1);
+    const before = linesOf(stepFailed).length;
+    for (let i = 0; i < 3; i++) {
+      for (let kind = 1; kind < MAX_KINDS; kind++) failKind(1_000 + kind);
+    }
+    expect(linesOf(stepFailed)).toHaveLength(before + MAX_KINDS - 1);
+    const named = linesOf(stepFailed).slice(before);
+    expect(named.map(line => line['repeated'])).toEqual(
+      named.map(() => undefined),
+    );
+    // The one that lasts is still limited, and the bound holds.
+    await recorded.clock.runFor(REPEAT_MS);
+    const last = linesOf(stepFailed).at(-1);
+    expect(last).toMatchObject({callback: 'gauges', repeated: 1});
+    failKind(5_000);
+    failKind(5_001);
+    expect(linesOf(stepFailed).at(-1)).toMatchObject({callback: 'step 5000'});
+  });
+
+  // Guards against an error that no line tells of, since the first one was lost.
+  test('is said at its next time where its line could not be written', async () => {
+    let isBroken = true;
+    const {log} = contain({
+      log: (event, fields) => {
+        if (isBroken) fail();
+        recorded.runtime.log(event, fields);
+      },
+    });
+    const failStep = () =>
+      log(stepFailed, {callback: 'gauges', cause: 'a fault'});
+    failStep();
+    isBroken = false;
+    failStep();
+    failStep();
+    expect(linesOf(stepFailed)).toMatchObject([{repeated: 1}]);
+    await recorded.clock.runFor(REPEAT_MS);
+    isBroken = true;
+    failStep();
+    isBroken = false;
+    failStep();
+    expect(linesOf(stepFailed).map(line => line['repeated'])).toEqual([1, 2]);
+    expect(recorded.metrics.total(LOST_LINES, {kind: 'failed'})).toBe(2);
+  });
 });
 
 describe('a log and metrics that throw', () => {
