fix(process): adapters that can't be created are a start that failed

An error in createDependencies was thrown past the end of a failed start. It counted as one that nothing owns, and the process lived on without a service.

--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -14,6 +14,7 @@
 import type {Log, Runtime} from './types/runtime.js';
 import {DROPPED_METRIC, createBoundedSink} from './utils/bounded_sink.js';
 import {createProcessClock, createProcessRandom} from './utils/clock.js';
+import {causeOf} from './utils/error_cause.js';
 import {DIRECT_EVENTS, KERNEL_EVENTS} from './utils/events.js';
 import {createProcessInvariant} from './utils/invariant.js';
 import {createProcessLog} from './utils/logger.js';
@@ -58,17 +59,19 @@
     ignored: signal => log(KERNEL_EVENTS.signalIgnored, {signal}),
     error: createUnownedErrors(runtime),
   });
-  const dependencies = {...options.createDependencies(runtime), settings};
-  wireDirectEntry(dependencies, runtime)
-    .then(running => {
-      log(KERNEL_EVENTS.processStarted, {
-        role: 'direct-entry',
-        pid: process.pid,
-        callers: settings.listen.callers,
-      });
-      stop.started(running);
-    })
-    .catch(err => life.end('start-failed', String(err)));
+  const start = async (): Promise<void> => {
+    const adapters = options.createDependencies(runtime);
+    const running = await wireDirectEntry({...adapters, settings}, runtime);
+    log(KERNEL_EVENTS.processStarted, {
+      role: 'direct-entry',
+      pid: process.pid,
+      callers: settings.listen.callers,
+    });
+    stop.started(running);
+  };
+  // Also an error before the first wait: nothing else would end the process, which
+  // could not serve.
+  start().catch(err => life.end('start-failed', causeOf(err)));
 }
 
 function createRuntime(node: string, life: ProcessLife): Runtime {
