--- a/src/utils/run_each.ts
+++ b/src/utils/run_each.ts
@@ -39,8 +39,10 @@
 }
 
 /**
- * Runs a step once more after an error in it. It is for bookkeeping that nothing
- * else would make up for, such as a count that a drain waits for.
+ * Runs a step and, only if it threw, runs it a second time, whose error is thrown.
+ * It is for bookkeeping that must not be lost to one error, and that does no harm
+ * when it is done twice: an entry that stays in a set of open requests, for example,
+ * would keep a drain from ending.
  */
 export function runTwice(step: () => void): void {
   if (!runEach([step])) step();
