fix(start): an entry without the store asks the others at once

An entry that was started again while the store was silent or away refused all callers with 503 for as long as that lasted. It could not resolve the hashes by which the others name themselves in load datagrams; their addresses come every 5 s. A found peer was sent its address at the next heartbeat, asked at the next interval, and had to name its version twice before the fetch; replicas were fetched only on evidence that was less than 2 s old.

The entry sends its address to where an unknown peer's datagram came from, and a peer that is found by a datagram is sent the load at once. A first peer is asked as soon as it is known, its first answer is enough while there is no configuration, and replicas are taken from it while there are none. Evidence for keys is as before.

The option isStoreLost of catch_up is mayTakeReplicas now; its tests expect the same.

--- a/src/direct/catch_up.ts
+++ b/src/direct/catch_up.ts
@@ -7,11 +7,13 @@
  * version replaces a lower one. A configuration may therefore be fetched
  * whether or not this entry's calls to the store fail. The fetch starts at the
  * second answer in a row that names a newer version, so that this entry's own
- * watch of the store can deliver that version first.
+ * watch of the store can deliver that version first. An entry without any
+ * configuration serves nobody, so it fetches at the first answer.
  *
  * A list of replicas has no version, so a peer's list may be older than this
- * entry's. It is fetched only while this entry's calls to the store fail. The
- * next list that this entry gets from the store replaces it.
+ * entry's. It is fetched only while this entry's calls to the store fail, or
+ * while it has no list. The next list that this entry gets from the store
+ * replaces it.
  *
  * A peer may fall silent during a fetch. Configurations are therefore fetched
  * from several peers at a time, one from each, and replicas beside them.
@@ -32,10 +34,11 @@
    */
   ownVersion(): number | undefined;
   /**
-   * Whether this entry's calls to the store fail: one has failed, and none for
-   * the configuration has been confirmed since.
+   * Whether a peer's list of replicas may replace this entry's: it has none, or
+   * its calls to the store fail. They fail when one has failed, and none for the
+   * configuration has been confirmed since.
    */
-  isStoreLost(): boolean;
+  mayTakeReplicas(): boolean;
   /** Resolves to undefined when no valid configuration was received. */
   fetchConfig(from: PeerAnswer): Promise<DirectConfig | undefined>;
   /** Resolves to undefined when no valid list was received. */
@@ -45,8 +48,8 @@
   /** Called with a configuration that was fetched. */
   onConfig(config: DirectConfig, from: PeerAnswer): void;
   /**
-   * Called with replicas that were fetched, if this entry's calls to the store
-   * still fail.
+   * Called with replicas that were fetched, if they may still replace this
+   * entry's.
    */
   onReplicas(
     replicas: ReadonlyMap<string, DirectReplica>,
@@ -73,7 +76,7 @@
   handleSameConfig(): void;
   /**
    * Handles a peer's answer whose replicas differ from this entry's. Fetches
-   * the peer's replicas if this entry's calls to the store fail.
+   * the peer's replicas if they may replace this entry's.
    */
   handleDifferentReplicas(answer: PeerAnswer): void;
 }
@@ -101,7 +104,9 @@
   return {
     handleDifferentConfig: answer => {
       newerAnswers = isNewer(answer) ? newerAnswers + 1 : 0;
-      if (newerAnswers < NEWER_ANSWERS_BEFORE_FETCH) return false;
+      const required =
+        options.ownVersion() === undefined ? 1 : NEWER_ANSWERS_BEFORE_FETCH;
+      if (newerAnswers < required) return false;
       fetchUnlessFetching(`config of ${answer.node}`, async () => {
         const config = await options.fetchConfig(answer);
         if (config !== undefined) options.onConfig(config, answer);
@@ -112,11 +117,11 @@
       newerAnswers = 0;
     },
     handleDifferentReplicas: answer => {
-      if (!options.isStoreLost()) return;
+      if (!options.mayTakeReplicas()) return;
       // An earlier list must not replace a later one, so one is fetched at a time.
       fetchUnlessFetching('replicas', async () => {
         const replicas = await options.fetchReplicas(answer);
-        if (replicas === undefined || !options.isStoreLost()) return;
+        if (replicas === undefined || !options.mayTakeReplicas()) return;
         options.onReplicas(replicas, answer);
       });
     },
--- a/src/direct/peer_confirmation.ts
+++ b/src/direct/peer_confirmation.ts
@@ -118,6 +118,11 @@
    */
   onDifferentConfig(answer: PeerAnswer): void;
   onSameConfig(): void;
+  /**
+   * The peer has evidence of any age for what it knows, and knows of all
+   * restores of the store that this entry has seen. @default ignored
+   */
+  onKnowledge?(answer: PeerAnswer): void;
   onDifferentReplicas(answer: PeerAnswer): void;
   /** The peer knows other evacuations. @default ignored */
   onDifferentEvacuations?(answer: PeerAnswer): void;
@@ -221,6 +226,7 @@
       if (isNewer) options.onDifferentConfig(answer);
       return;
     }
+    options.onKnowledge?.(answer);
     // The evidence is exact at any age, and a disconnected entry may have
     // nothing better.
     if (isSame) {
--- a/src/direct/peers/datagram_socket.ts
+++ b/src/direct/peers/datagram_socket.ts
@@ -9,8 +9,11 @@
   send(bytes: Buffer, port: number, ip: string, done: () => void): void;
 }
 
+/** Where a datagram came from: the address of the peer that sent it. */
+export type DatagramSource = Pick<EntryAddress, 'ip' | 'port'>;
+
 export interface DatagramSocket extends DatagramSender {
-  onDatagram(handler: (bytes: Buffer) => void): void;
+  onDatagram(handler: (bytes: Buffer, source: DatagramSource) => void): void;
   close(): void;
 }
 
@@ -53,7 +56,11 @@
     send: (bytes, port, ip, done) => {
       if (address.isBound()) socket.send(bytes, port, ip, done);
     },
-    onDatagram: handler => void socket.on('message', handler),
+    onDatagram: handler => {
+      socket.on('message', (bytes, {address: ip, port}) => {
+        handler(bytes, {ip, port});
+      });
+    },
     close: () => {
       address.stop();
       socket.close();
--- a/src/direct/peers/incoming.ts
+++ b/src/direct/peers/incoming.ts
@@ -8,20 +8,21 @@
 import {decodeDatagram} from '../datagrams.js';
 import type {Datagram} from '../datagrams.js';
 import {isAddress} from './compact_load.js';
+import type {DatagramSource} from './datagram_socket.js';
 
 export interface IncomingOptions extends ErrorSinks {
   readonly metrics: Metrics;
-  handle(datagram: Datagram): void;
+  handle(datagram: Datagram, source: DatagramSource): void;
 }
 
 export function createIncoming(
   options: IncomingOptions,
-): (bytes: Buffer) => void {
-  return bytes => {
+): (bytes: Buffer, source: DatagramSource) => void {
+  return (bytes, source) => {
     let datagram: Datagram | undefined;
     try {
       datagram = decodeDatagram(bytes).extract();
-      if (datagram !== undefined) options.handle(datagram);
+      if (datagram !== undefined) options.handle(datagram, source);
       else options.metrics.count('onyxloft_sharing_unreadable_total');
     } catch (err) {
       const entry = datagram && senderOf(datagram);
--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -14,8 +14,10 @@
 import {LOAD_FORMAT, isAddress} from './peers/compact_load.js';
 import type {CompactLoadDatagram} from './peers/compact_load.js';
 import {openSocket} from './peers/datagram_socket.js';
+import type {DatagramSource} from './peers/datagram_socket.js';
 import {keepEntryRecords} from './peers/entry_records.js';
 import {createIncoming} from './peers/incoming.js';
+import {createIntroductions} from './peers/introductions.js';
 import {createKnownSenders} from './peers/known_senders.js';
 import {createLoadDeltas} from './peers/load_deltas.js';
 import {createLoadSender} from './peers/load_sender.js';
@@ -174,12 +176,12 @@
       message: String(err),
     });
 
-  const handleDatagram = (datagram: Datagram): void => {
+  const handleDatagram = (datagram: Datagram, source: DatagramSource): void => {
     switch (datagram.kind) {
       case 'load':
         return handleLoad(datagram.from, {...datagram, isWhole: true});
       case 'compact-load':
-        return handleCompactLoad(datagram);
+        return handleCompactLoad(datagram, source);
       case 'ask':
         return void answerQuery(datagram).catch(logUnanswered);
       case 'answer':
@@ -212,13 +214,21 @@
     }
   };
 
-  const handleCompactLoad = (datagram: CompactLoadDatagram): void => {
+  const sendWhole = (to: Peer): void =>
+    sendLoad([to], {complete: loads, compact: deltas.whole()});
+  const introduce = createIntroductions(clock, sendWhole);
+  const handleCompactLoad = (
+    datagram: CompactLoadDatagram,
+    source: DatagramSource,
+  ): void => {
     const {from, grantsPermits} = datagram;
     if (isAddress(from)) senders.learn(from);
     const sender = isAddress(from) ? from : senders.find(from);
-    // The next datagram with the sender's address makes it known.
-    if (sender === undefined)
-      return metrics.count('onyxloft_sharing_unknown_sender_total');
+    // Its next datagram with its address makes it known.
+    if (sender === undefined) {
+      metrics.count('onyxloft_sharing_unknown_sender_total');
+      return introduce(source);
+    }
     return handleLoad({...sender, grantsPermits}, datagram);
   };
   const handleLoad = (
@@ -241,6 +251,8 @@
       scheduleEntries(REPORT_ENTRIES_MS);
       peer.entry = from;
     }
+    // The peer may have started just now, and know no other entry.
+    if (isFirst && peer.addressesSent === 0) sendWhole(peer);
     ctx.send('direct', {
       kind: 'peer-load',
       node: from.node,
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -46,6 +46,7 @@
 import {createStepReport} from './boundary/contained_errors.js';
 import {createSettledEra} from './settled_era.js';
 import {createStoreEraTracker} from './store_era_tracker.js';
+import {isOlderEra} from './store_position.js';
 import type {StoreEra} from './store_position.js';
 import type {StoreFault} from './followed/collection.js';
 import type {StoreFollowerOptions} from './followed/store_follower_options.js';
@@ -80,12 +81,21 @@
   let isConfigUnread = false;
   /** When replicas were last taken over, on this process's clock. */
   let replicasChangedAt = clock.now();
+  let hasReplicas = false;
+  /**
+   * Era of the peer whose configuration was taken before the store answered. A
+   * later era in the store's first answer shows a restore.
+   */
+  let takenEra: StoreEra;
   /** Number of live entries, including this one. */
   let entryCount = 1;
   const eraTracker = createStoreEraTracker({
     log: ctx.log,
     metrics: ctx.metrics,
-    onFirstEra: () => settledEra.lookUp(),
+    onFirstEra: () => {
+      settledEra.lookUp();
+      if (isOlderEra(takenEra, eraTracker.current())) handleRestore();
+    },
     onRestored: () => handleRestore(),
   });
   store.watchEra(eraTracker.observe);
@@ -185,6 +195,7 @@
     evacuations.whenKnown(() =>
       ctx.send('direct', {kind: 'replicas', replicas: items}),
     );
+    hasReplicas = true;
   };
   const applyReplicaChanges = (
     items: ReadonlyMap<string, DirectReplica | undefined>,
@@ -323,11 +334,12 @@
   ) => ctx.log(DIRECT_EVENTS.knowledgeTaken, {what, entry: node, version});
   const catchUp = createCatchUp({
     ownVersion: () => newest?.version,
-    isStoreLost: connection.isLost,
+    mayTakeReplicas: () => connection.isLost() || !hasReplicas,
     fetchConfig: peerRequests.fetchConfig,
     fetchReplicas: peerRequests.fetchReplicas,
     onConfig: (config, from) => {
       logFetched('configuration', from);
+      if (!hasEra()) takenEra = from.era;
       applyConfig(config, from.node, from.askedAt);
       confirmation.queryNow();
     },
@@ -370,6 +382,9 @@
       if (!catchUp.handleDifferentConfig(answer)) configFollower.relistNow();
     },
     onSameConfig: catchUp.handleSameConfig,
+    onKnowledge: answer => {
+      if (!hasReplicas) catchUp.handleDifferentReplicas(answer);
+    },
     onDifferentReplicas: answer => {
       closeIdle();
       replicaFollower.relistNow();
@@ -409,7 +424,8 @@
         });
       case 'entries':
         entryCount = message.count;
-        return;
+        // A peer may know what this entry has not read yet.
+        return newest === undefined ? confirmation.queryNow() : undefined;
       case 'quarantined':
         return quarantineRecords.ensureStored(message.report, message.isOwn);
       case 'quarantine-cleared':
--- a/test/direct/handover.test.ts
+++ b/test/direct/handover.test.ts
@@ -123,12 +123,15 @@
     configVersion: 4,
     replicasDigest: 'b',
   };
-  function createFixture(isStoreLost: boolean) {
+  function createFixture(
+    mayTakeReplicas: boolean,
+    ownVersion: number | null = 3,
+  ) {
     const taken: string[] = [];
     let fetched = 0;
     const catchUp = createCatchUp({
-      ownVersion: () => 3,
-      isStoreLost: () => isStoreLost,
+      ownVersion: () => ownVersion ?? undefined,
+      mayTakeReplicas: () => mayTakeReplicas,
       fetchConfig: async () => {
         fetched++;
         return {version: 4} as DirectConfig;
@@ -156,6 +159,14 @@
     expect(taken).toEqual(['config 4']);
   });
 
+  // Guards against 503 for another interval from an entry that starts.
+  test('is fetched at the first report where there is no configuration', async () => {
+    const {catchUp, taken} = createFixture(true, null);
+    expect(catchUp.handleDifferentConfig(answer)).toBe(true);
+    await flush();
+    expect(taken).toEqual(['config 4']);
+  });
+
   test('is not fetched when it is older', async () => {
     const {catchUp, fetched} = createFixture(true);
     const older = {...answer, configVersion: 2};
@@ -171,7 +182,7 @@
     let tries = 0;
     const catchUp = createCatchUp({
       ownVersion: () => 3,
-      isStoreLost: () => true,
+      mayTakeReplicas: () => true,
       fetchConfig: async () => {
         if (++tries === 1) throw new Error('not running');
         return {version: 4} as DirectConfig;
@@ -195,7 +206,7 @@
     const never = new Promise<undefined>(() => undefined);
     const catchUp = createCatchUp({
       ownVersion: () => 3,
-      isStoreLost: () => true,
+      mayTakeReplicas: () => true,
       fetchConfig: ({node}) => {
         asked.push(node);
         return node === 'silent'
--- a/test/direct/sharing.test.ts
+++ b/test/direct/sharing.test.ts
@@ -4,6 +4,9 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {freeAddresses} from '../../demo/free_addresses.js';
 import {decodeDatagram, encodeDatagram} from '../../src/direct/datagrams.js';
+import type {Datagram} from '../../src/direct/datagrams.js';
+import {HEARTBEAT_MS} from '../../src/direct/load_broadcast.js';
+import {senderHashOf} from '../../src/direct/peers/compact_load.js';
 import {createSharing} from '../../src/direct/sharing.js';
 import type {DirectStore, EntryAddress} from '../../src/direct/types.js';
 import {createKernel} from '../../src/kernel/kernel.js';
@@ -154,15 +157,68 @@
   });
 });
 
-/** A peer that records the kinds of the datagrams that it gets. */
+/** A peer that records the datagrams that it gets. */
 async function openPeer(entry: EntryAddress) {
   const kinds: string[] = [];
+  const datagrams: Datagram[] = [];
   const socket = createSocket('udp4');
   socket.on('message', bytes =>
-    decodeDatagram(bytes).ifJust(({kind}) => kinds.push(kind)),
+    decodeDatagram(bytes).ifJust(datagram => {
+      kinds.push(datagram.kind);
+      datagrams.push(datagram);
+    }),
   );
   await new Promise<void>(resolve => {
     socket.bind(entry.port, entry.ip, resolve);
   });
-  return {entry, socket, kinds};
+  return {entry, socket, kinds, datagrams};
 }
+
+describe('an entry that knows no other since it can not read their records', () => {
+  const compactFrom = (from: EntryAddress | ReturnType<typeof senderHashOf>) =>
+    encodeDatagram({
+      kind: 'compact-load',
+      from,
+      grantsPermits: true,
+      seq: 1,
+      isWhole: true,
+      loads: [],
+    });
+
+  async function startBeside() {
+    const [own, other] = await freeAddresses(2);
+    const self = entryAt('entry-1', own);
+    const recorded = createRecordingRuntime();
+    kernel = createKernel({...recorded.runtime, clock: createProcessClock()});
+    const listEntries = async () => Left(FAULT);
+    await kernel.start(createSharing({self, store: {...store, listEntries}}));
+    const peer = await openPeer(entryAt('entry-2', other));
+    const send = (bytes: Buffer) => peer.socket.send(bytes, self.port, self.ip);
+    return {recorded, peer, send};
+  }
+
+  // Guards against seconds until the peer's next datagram with its address.
+  test('sends its address to a peer that names itself by a hash', async () => {
+    const {peer, send} = await startBeside();
+    send(compactFrom(senderHashOf(peer.entry)));
+    send(compactFrom(senderHashOf(peer.entry)));
+    await until(() => peer.datagrams.length > 0);
+    peer.socket.close();
+    expect(peer.datagrams).toHaveLength(1);
+    const [load] = peer.datagrams;
+    expect(load).toMatchObject({
+      kind: 'compact-load',
+      from: {node: 'entry-1', incarnation: 'i'},
+    });
+  });
+
+  // Guards against a wait for the next heartbeat of the peer that is found.
+  test('is sent the address of the peer that found it', async () => {
+    const {recorded, peer, send} = await startBeside();
+    send(compactFrom(peer.entry));
+    await until(() => peer.datagrams.length > 0, HEARTBEAT_MS / 2);
+    peer.socket.close();
+    expect(recorded.eventsOf(DIRECT_EVENTS.entryFound)).toHaveLength(1);
+    expect(peer.datagrams[0]).toMatchObject({from: {node: 'entry-1'}});
+  });
+});
