fix(era): an error does not keep a settled era from being recorded

A call that threw, unlike one that the store refused, ended the settling of an era for good. Until the next restore each entry that started found no record, and refused keys at first. The settling is repeated until it is done, as the look-up of the record is. The test failed before (the record stayed at 3).

--- a/src/direct/settled_era.ts
+++ b/src/direct/settled_era.ts
@@ -105,11 +105,23 @@
     options.onUnsettled();
   };
   const settle = async (era: number): Promise<void> => {
-    if (options.currentEra() !== era) return;
+    if (isStopped || options.currentEra() !== era) return;
     await read();
     if (!isStopped && isOlderEra(recorded ?? -1, era)) await record(era);
   };
 
+  /**
+   * Entries that start in an era without a record refuse keys at first, so an
+   * error repeats it.
+   */
+  const settleUntilDone = guard('settling of an era', async (era: number) => {
+    try {
+      await settle(era);
+    } catch (err) {
+      if (!isStopped) clock.after(RETRY_MS, () => settleUntilDone(era));
+      throw err;
+    }
+  });
   /** Without it no key would ever be confirmed, so an error repeats it. */
   const lookUpUntilDone = guard('look-up of the settled era', async () => {
     try {
@@ -127,10 +139,9 @@
       const era = options.currentEra();
       if (era === undefined) return;
       const spreadMs = random.next() * RECORD_SPREAD_MS;
-      const run = guard('settling of an era', settle);
       clock.after(
         delayMs + spreadMs,
-        () => isStopped || run(era),
+        () => isStopped || settleUntilDone(era),
         'settling of an era',
       );
     },
--- a/test/direct/settled_era.test.ts
+++ b/test/direct/settled_era.test.ts
@@ -20,20 +20,27 @@
   readonly recorded?: number;
   readonly isBootstrap?: boolean;
   readonly failures?: number;
+  /** Calls that throw, unlike one that is refused. */
+  readonly errors?: number;
 }) {
   const {runtime, clock, random} = createRecordingRuntime();
   let failures = options.failures ?? 0;
+  let errors = options.errors ?? 0;
+  const reported: string[] = [];
   let recorded: StoreEra = options.recorded;
   let current = 4;
   const seen: string[] = [];
   const settledEra = createSettledEra({
     clock,
     random,
+    onError: err => reported.push(String(err)),
     log: runtime.log,
     isBootstrap: options.isBootstrap ?? false,
     store: {
-      settledEra: async () =>
-        failures-- > 0 ? Left(FAULT) : Right({era: recorded}),
+      settledEra: async () => {
+        if (errors-- > 0) throw new Error('not sent');
+        return failures-- > 0 ? Left(FAULT) : Right({era: recorded});
+      },
       recordSettledEra: async era => {
         recorded = era;
         return Right(undefined);
@@ -47,6 +54,7 @@
     clock,
     settledEra,
     seen,
+    reported,
     recorded: () => recorded,
     raiseEra: () => current++,
   };
@@ -102,6 +110,17 @@
     expect(settledEra.isSettled()).toBe(false);
   });
 
+  // Guards against keys that entries refuse at each start until the next restore
+  // since one error kept the era from being recorded.
+  test('is written after an error', async () => {
+    const options = {recorded: 3, errors: 2};
+    const {clock, settledEra, recorded, reported} = createFixture(options);
+    settledEra.settleAfter(2_000);
+    await clock.runFor(ALL_DONE_MS);
+    expect(recorded()).toBe(4);
+    expect(reported).toHaveLength(2);
+  });
+
   test('is never replaced by an older era', async () => {
     const {clock, settledEra, recorded} = createFixture({recorded: 5});
     settledEra.settleAfter(2_000);
