fix(era): an error does not keep a restore from being told

The era that a peer named was noted before the front and the followers were told of it, so that after an error at one of them neither it nor those behind it were told until this entry's own calls showed the restore. All are told, and the era is noted last.

--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -50,6 +50,7 @@
 import type {StoreEra} from './store_position.js';
 import type {StoreFault} from './followed/collection.js';
 import type {StoreFollowerOptions} from './followed/store_follower_options.js';
+import {createToldEra} from './followed/told_era.js';
 import type {DirectConfig, DirectReplica, PeerAnswer} from './types.js';
 
 /**
@@ -126,7 +127,6 @@
     hasEra,
     settledEra.isSettled,
   );
-  let reportedEra: StoreEra;
   // During this time any entry may be the one that knows the newest
   // configuration, not only those with earlier names.
   let queryAnyPeerUntil = clock.now() + QUERY_ANY_PEER_MS;
@@ -158,12 +158,16 @@
     quarantineRecords.reportAll();
     configFollower.relistNow();
   };
-  const observeEra = (era: StoreEra) => {
-    configFollower.observeEra(era);
-    replicaFollower.observeEra(era);
-    quarantineRecords.observeEra(era);
-    evacuations.observeEra(era);
-  };
+  const observeEra = (era: StoreEra) =>
+    runAll([
+      () => configFollower.observeEra(era),
+      () => replicaFollower.observeEra(era),
+      () => quarantineRecords.observeEra(era),
+      () => evacuations.observeEra(era),
+    ]);
+  // Replicas may be fetched from a peer before this entry's own calls show the
+  // restore.
+  const tellEra = createToldEra([sendRestored, observeEra]);
   // Where the store reports its era, the era tracker detects a restore from any
   // answer.
   const onRestored = () => {
@@ -391,14 +395,7 @@
       catchUp.handleDifferentReplicas(answer);
     },
     onDifferentEvacuations: evacuations.handleDifferent,
-    onNewerEra: ({era}) => {
-      if (reportedEra === era) return;
-      reportedEra = era;
-      // Replicas may be fetched from that peer before this entry's own calls
-      // show the restore.
-      sendRestored();
-      observeEra(era);
-    },
+    onNewerEra: ({era}) => tellEra(era),
     onUnconfirmed: () => {
       configTimer.renew(configFollower);
       if (replicasTimer.isOverdue()) replicaFollower.relistNow();
