fix(sharing): an error at one send of the load costs one send

A load counted as sent before it was, so that a peer's domain got it up to a second later, the domains behind it got nothing, and without a timer a due time kept out each later change. What was sent is noted afterwards, each domain has its turn, and a heartbeat is due after an error. Four new tests failed before.

--- a/src/direct/load_broadcast.ts
+++ b/src/direct/load_broadcast.ts
@@ -13,6 +13,7 @@
  * and every stream there, for seconds.
  */
 import type {Cancel, Clock} from '../types/runtime.js';
+import {runAll, visitAll} from '../utils/run_each.js';
 
 /**
  * Time after which a heartbeat is sent to entries in the same failure domain if
@@ -142,24 +143,28 @@
   };
   const sendTo = (name: string | undefined, peers: readonly Peer[]): void => {
     const state = stateOf(name);
+    // After an error at the send, the next heartbeat is due.
+    state.sentAt = Number.NEGATIVE_INFINITY;
+    send(peers);
+    state.sentAt = clock.now();
+    budget -= peers.length;
     state.cancelScheduled?.();
     state.cancelScheduled = undefined;
     state.dueAt = Infinity;
-    state.sentAt = clock.now();
-    budget -= peers.length;
-    send(peers);
   };
   const schedule = (name: string | undefined, delayMs: number): void => {
     const state = stateOf(name);
     const dueAt = clock.now() + delayMs;
     if (state.dueAt <= dueAt) return;
     state.cancelScheduled?.();
-    state.dueAt = dueAt;
+    // Noted last: without a timer, a due time would keep out every later send.
+    state.dueAt = Infinity;
     state.cancelScheduled = clock.after(delayMs, () => {
       // The budget may be overdrawn by now, and then this is scheduled again.
       state.dueAt = Infinity;
       sendInBudget(name, peersByDomain().get(name) ?? [], 0);
     });
+    state.dueAt = dueAt;
   };
   const sendInBudget = (
     name: string | undefined,
@@ -175,17 +180,25 @@
     }
   };
   const sendToSameDomain = (): void => {
-    sameDomainSentAt = clock.now();
+    sameDomainSentAt = Number.NEGATIVE_INFINITY;
     send(sameDomainPeers());
+    sameDomainSentAt = clock.now();
   };
+  /** Visits each other domain, also after an error at this one or another. */
+  const sendToDomains = (
+    sendToOwn: () => void,
+    visit: (name: string | undefined, peers: readonly Peer[]) => void,
+  ): void =>
+    runAll([
+      sendToOwn,
+      () => visitAll(peersByDomain(), ([name, peers]) => visit(name, peers)),
+    ]);
 
   return {
     loadChanged: (hasLongPrefill, changed = new Set([undefined])) => {
-      sendToSameDomain();
-      const byDomain = peersByDomain();
       const peerCount = otherDomainPeers().length;
       const outsideIntervalMs = (peerCount / outsideDatagramsPerS) * 1_000;
-      for (const [name, peers] of byDomain) {
+      sendToDomains(sendToSameDomain, (name, peers) => {
         const {sentAt} = stateOf(name);
         const isAffected = changed.has(name) || changed.has(undefined);
         const waitMs = sentAt + outsideIntervalMs - clock.now();
@@ -195,20 +208,20 @@
         else if (isAffected || waitMs <= 0)
           sendInBudget(name, peers, peers.length);
         else schedule(name, waitMs);
-      }
+      });
     },
     heartbeat: () => {
       const now = clock.now();
-      if (now - sameDomainSentAt >= SAME_DOMAIN_HEARTBEAT_MS)
-        sendToSameDomain();
-      for (const [name, peers] of peersByDomain())
+      const sendToOwn = (): void => {
+        if (now - sameDomainSentAt >= SAME_DOMAIN_HEARTBEAT_MS)
+          sendToSameDomain();
+      };
+      sendToDomains(sendToOwn, (name, peers) => {
         if (now - stateOf(name).sentAt >= OTHER_DOMAIN_HEARTBEAT_MS)
           sendTo(name, peers);
+      });
     },
-    sendToAll: () => {
-      sendToSameDomain();
-      for (const [name, peers] of peersByDomain()) sendTo(name, peers);
-    },
+    sendToAll: () => sendToDomains(sendToSameDomain, sendTo),
     stop: () => {
       for (const {cancelScheduled} of domains.values()) cancelScheduled?.();
     },
--- a/test/direct/load_broadcast.test.ts
+++ b/test/direct/load_broadcast.test.ts
@@ -174,3 +174,73 @@
     }
   });
 });
+
+describe('an error while the load is sent', () => {
+  /** The first call that `isFailing` picks throws. */
+  function createFailing(isFailing: (to: readonly string[]) => boolean) {
+    const clock = createVirtualClock();
+    const sent: Array<readonly [peer: string, at: number]> = [];
+    let hasFailed = false;
+    let failsTimer = false;
+    const broadcast = createLoadBroadcast<string>({
+      clock: {
+        ...clock,
+        after: (delayMs, fn) => {
+          if (!failsTimer) return clock.after(delayMs, fn);
+          failsTimer = false;
+          throw new Error('no timer');
+        },
+      },
+      sameDomainPeers: () => ['near'],
+      otherDomainPeers: () => ['far-1', 'far-2'],
+      domainOf: peer => peer,
+      limits: {datagramsPerS: 4, outsideDatagramsPerS: 4},
+      send: to => {
+        if (!hasFailed && isFailing(to)) {
+          hasFailed = true;
+          throw new Error('not sent');
+        }
+        to.forEach(peer => sent.push([peer, clock.now()]));
+      },
+    });
+    return {
+      clock,
+      sent,
+      broadcast,
+      failTimer: () => {
+        failsTimer = true;
+      },
+    };
+  }
+
+  // Guards against a change that is known a whole interval later, or only at the
+  // next change, since it counted as sent.
+  test.each(['near', 'far-1', 'far-2'])(
+    'costs no other peer the change, and is made up for at the next heartbeat: %s',
+    async failing => {
+      const {clock, sent, broadcast} = createFailing(to => to[0] === failing);
+      expect(() => broadcast.loadChanged(false)).toThrow('not sent');
+      const others = ['near', 'far-1', 'far-2'].filter(it => it !== failing);
+      expect(sent.map(([peer]) => peer)).toEqual(others);
+      await clock.runFor(HEARTBEAT_MS);
+      broadcast.heartbeat();
+      expect(sent.filter(([peer]) => peer === failing)).toEqual([
+        [failing, HEARTBEAT_MS],
+      ]);
+    },
+  );
+
+  // Guards against changes that are kept out by a send that is never due.
+  test('at the timer of a delayed change leaves the next change its own', async () => {
+    const {clock, sent, broadcast, failTimer} = createFailing(() => false);
+    broadcast.loadChanged(false);
+    broadcast.loadChanged(false);
+    failTimer();
+    expect(() => broadcast.loadChanged(false)).toThrow('no timer');
+    sent.length = 0;
+    broadcast.loadChanged(false);
+    await clock.runFor(1_000);
+    const peers = new Set(sent.map(([peer]) => peer));
+    expect(peers).toEqual(new Set(['near', 'far-1', 'far-2']));
+  });
+});
