fix(sharing): an error at the own load costs one heartbeat

The message with the own load was dropped at an error. An entry whose last request had ended had no further change, so that its peers went on by a load that was gone. The newest load is kept until it is shared, and shared again at the next heartbeat.

--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -8,6 +8,7 @@
 import {createBatcher} from '../utils/batcher.js';
 import {createGuard} from '../utils/callback_guard.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {runAll} from '../utils/run_each.js';
 import {createStepReport} from './boundary/contained_errors.js';
 import {encodeDatagram} from './datagrams.js';
 import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
@@ -47,6 +48,12 @@
   readonly readsCompactLoads?: boolean;
 }
 
+/** This entry's own load, and what changed in it. */
+interface ChangedLoad {
+  readonly loads: readonly ReplicaLoad[];
+  readonly changes: LoadChanges;
+}
+
 /** The loads of a datagram in either format. */
 type ReportedLoads = Pick<
   LoadDatagram | CompactLoadDatagram,
@@ -68,6 +75,8 @@
 ): Promise<void> {
   const {clock, log, metrics, random} = ctx;
   let loads: readonly ReplicaLoad[] = [];
+  /** The newest own load, after an error at it. */
+  let unshared: ChangedLoad | undefined;
   let reportedCount = 1;
   let reportedEntries = '';
   let isDraining = false;
@@ -124,13 +133,18 @@
     },
   });
 
-  const shareLoad = (
-    own: readonly ReplicaLoad[],
-    {hasLongPrefill, domains}: LoadChanges,
-  ): void => {
-    loads = own;
+  const shareLoad = (changed: ChangedLoad): void => {
+    unshared = changed;
+    const {hasLongPrefill, domains} = changed.changes;
+    const own = changed.loads;
     deltas.set(own);
+    loads = own;
     loadBroadcast.loadChanged(hasLongPrefill, domains);
+    unshared = undefined;
+  };
+  /** The next load may be long in coming, so an error repeats the newest one. */
+  const shareAgain = (): void => {
+    if (unshared !== undefined) shareLoad(unshared);
   };
 
   const queries = createPeerQueries({
@@ -264,11 +278,7 @@
 
   const heartbeat = (): void => {
     // Entries are counted though loads can't be sent.
-    try {
-      loadBroadcast.heartbeat();
-    } finally {
-      reportEntries();
-    }
+    runAll([shareAgain, loadBroadcast.heartbeat, reportEntries]);
   };
   const scheduleEntries = createBatcher(clock, () => {
     if (!isClosed) reportEntries();
@@ -339,7 +349,7 @@
         return sendToNode({kind: 'permit-answer', answer}, to);
       }
       case 'load':
-        return shareLoad(message.loads, message.changes);
+        return shareLoad(message);
     }
   });
   // Keys cannot be confirmed before a peer has answered, so one is queried at
--- a/test/direct/sharing.test.ts
+++ b/test/direct/sharing.test.ts
@@ -7,6 +7,7 @@
 import type {Datagram} from '../../src/direct/datagrams.js';
 import {HEARTBEAT_MS} from '../../src/direct/load_broadcast.js';
 import {senderHashOf} from '../../src/direct/peers/compact_load.js';
+import {emptyLoad} from '../../src/direct/replica_load.js';
 import {createSharing} from '../../src/direct/sharing.js';
 import type {DirectStore, EntryAddress} from '../../src/direct/types.js';
 import {createKernel} from '../../src/kernel/kernel.js';
@@ -222,3 +223,37 @@
     expect(peer.datagrams[0]).toMatchObject({from: {node: 'entry-1'}});
   });
 });
+
+describe('an error at the own load', () => {
+  // Guards against a load that peers know only from the next change on, which an
+  // entry without requests does not have.
+  test('costs a delay only', async () => {
+    const [own, other] = await freeAddresses(2);
+    const self = entryAt('entry-1', own);
+    const recorded = createRecordingRuntime();
+    kernel = createKernel({...recorded.runtime, clock: createProcessClock()});
+    await kernel.start(createSharing({self, store}));
+    const peer = await openPeer(entryAt('entry-2', other));
+    const from = peer.entry;
+    const load = encodeDatagram({kind: 'load', from, seq: 1, loads: []});
+    peer.socket.send(load, self.port, self.ip);
+    await until(() => peer.datagrams.length > 0);
+    let reads = 0;
+    const busy = {...emptyLoad('replica-1'), running: 3};
+    const changes = {hasLongPrefill: false, domains: new Set([undefined])};
+    kernel.send('sharing', {
+      kind: 'load',
+      get loads() {
+        reads += 1;
+        if (reads === 1) throw new Error('not read');
+        return [busy];
+      },
+      changes,
+    });
+    const hasLoad = (datagram: Datagram) =>
+      datagram.kind === 'load' && datagram.loads.length === 1;
+    await until(() => peer.datagrams.some(hasLoad), 4 * HEARTBEAT_MS);
+    peer.socket.close();
+    expect(reads).toBe(2);
+  });
+});
