fix(followers): a start that fails half-way leaves no timer

The timer that revives a follower was started before the parts that it uses. An error in between left it running without an owner, with an error each second. It starts after them now. At the stop, the pause ends also after an error at that timer. The test failed before (one timer left).

--- a/src/direct/collection_follower.ts
+++ b/src/direct/collection_follower.ts
@@ -10,6 +10,7 @@
 import {Left, Right} from 'purify-ts/Either';
 import type {Either} from 'purify-ts';
 import {toProcess} from '../utils/callback_guard.js';
+import {runAll} from '../utils/run_each.js';
 import {createWatchPace} from '../utils/watch_pace.js';
 import {isOlderEra} from './store_position.js';
 import type {StoreEra, StorePosition} from './store_position.js';
@@ -132,14 +133,6 @@
     position.giveUp();
     onError(err, step);
   };
-  // Nobody else would start it again, and what is known would grow old.
-  const cancelRevival = clock.every(
-    REVIVE_MS,
-    () => {
-      if (!isRunning && !isStopped) startRun();
-    },
-    'start of a follower',
-  );
   const calls = createPatientCalls(clock, takeError);
   const retry = createRetryPause(options);
   const {kind = 'items'} = collection;
@@ -373,6 +366,16 @@
       })
       .catch((err: unknown) => onError(err, `pause of ${kind}`));
   };
+  // Nobody else would start it again, and what is known would grow old. The timer
+  // starts after all that may fail, and before the loop, so that neither is left
+  // without an owner.
+  const cancelRevival = clock.every(
+    REVIVE_MS,
+    () => {
+      if (!isRunning && !isStopped) startRun();
+    },
+    'start of a follower',
+  );
   startRun();
 
   function confirmBeside(): void {
@@ -419,8 +422,7 @@
     },
     stop: () => {
       isStopped = true;
-      cancelRevival();
-      retry.end();
+      runAll([cancelRevival, retry.end]);
     },
   };
 }
--- a/test/direct/collection_follower.test.ts
+++ b/test/direct/collection_follower.test.ts
@@ -281,3 +281,42 @@
     expect(await callsIn8S(2_000)).toBeLessThan(16);
   });
 });
+
+describe('a follower whose start fails half-way', () => {
+  // Guards against a timer without an owner that fails each second.
+  test('leaves no timer behind', () => {
+    const clock = createVirtualClock();
+    let timers = 0;
+    const every: typeof clock.every = (periodMs, fn) => {
+      timers += 1;
+      const cancel = clock.every(periodMs, fn);
+      return () => {
+        timers -= 1;
+        cancel();
+      };
+    };
+    const collection = {
+      get kind(): string {
+        throw new Error('unknown');
+      },
+      list: () => new Promise<never>(() => undefined),
+      watch: () => new Promise<never>(() => undefined),
+    };
+    const start = () =>
+      followCollection<string>({
+        collection,
+        clock: {...clock, every},
+        random: createSeededRandom(1),
+        waitMs: () => 2_000,
+        maxRetryMs: () => 500,
+        changePauseMs: 0,
+        onList: () => undefined,
+        onChanges: () => undefined,
+        onConfirmed: () => undefined,
+        onRestored: () => undefined,
+        onFault: () => undefined,
+      });
+    expect(start).toThrow('unknown');
+    expect(timers).toBe(0);
+  });
+});
