--- a/src/direct/sharing.ts
+++ b/src/direct/sharing.ts
@@ -8,14 +8,17 @@
 import {createBatcher} from '../utils/batcher.js';
 import {createGuard} from '../utils/callback_guard.js';
 import {DIRECT_EVENTS} from '../utils/events.js';
+import {runAll} from '../utils/run_each.js';
 import {createStepReport} from './boundary/contained_errors.js';
 import {encodeDatagram} from './datagrams.js';
 import type {AskDatagram, Datagram, LoadDatagram} from './datagrams.js';
 import {LOAD_FORMAT, isAddress} from './peers/compact_load.js';
 import type {CompactLoadDatagram} from './peers/compact_load.js';
 import {openSocket} from './peers/datagram_socket.js';
+import type {DatagramSource} from './peers/datagram_socket.js';
 import {keepEntryRecords} from './peers/entry_records.js';
 import {createIncoming} from './peers/incoming.js';
+import {createIntroductions} from './peers/introductions.js';
 import {createKnownSenders} from './peers/known_senders.js';
 import {createLoadDeltas} from './peers/load_deltas.js';
 import {createLoadSender} from './peers/load_sender.js';
@@ -45,6 +48,12 @@
   readonly readsCompactLoads?: boolean;
 }
 
+/** This entry's own load, and what changed in it. */
+interface ChangedLoad {
+  readonly loads: readonly ReplicaLoad[];
+  readonly changes: LoadChanges;
+}
+
 /** The loads of a datagram in either format. */
 type ReportedLoads = Pick<
   LoadDatagram | CompactLoadDatagram,
@@ -66,6 +75,8 @@
 ): Promise<void> {
   const {clock, log, metrics, random} = ctx;
   let loads: readonly ReplicaLoad[] = [];
+  /** The newest own load, after an error at it. */
+  let unshared: ChangedLoad | undefined;
   let reportedCount = 1;
   let reportedEntries = '';
   let isDraining = false;
@@ -122,13 +133,18 @@
     },
   });
 
-  const shareLoad = (
-    own: readonly ReplicaLoad[],
-    {hasLongPrefill, domains}: LoadChanges,
-  ): void => {
-    loads = own;
+  const shareLoad = (changed: ChangedLoad): void => {
+    unshared = changed;
+    const {hasLongPrefill, domains} = changed.changes;
+    const own = changed.loads;
     deltas.set(own);
+    loads = own;
     loadBroadcast.loadChanged(hasLongPrefill, domains);
+    unshared = undefined;
+  };
+  /** The next load may be long in coming, so an error repeats the newest one. */
+  const shareAgain = (): void => {
+    if (unshared !== undefined) shareLoad(unshared);
   };
 
   const queries = createPeerQueries({
@@ -174,12 +190,12 @@
       message: String(err),
     });
 
-  const handleDatagram = (datagram: Datagram): void => {
+  const handleDatagram = (datagram: Datagram, source: DatagramSource): void => {
     switch (datagram.kind) {
       case 'load':
         return handleLoad(datagram.from, {...datagram, isWhole: true});
       case 'compact-load':
-        return handleCompactLoad(datagram);
+        return handleCompactLoad(datagram, source);
       case 'ask':
         return void answerQuery(datagram).catch(logUnanswered);
       case 'answer':
@@ -212,13 +228,21 @@
     }
   };
 
-  const handleCompactLoad = (datagram: CompactLoadDatagram): void => {
+  const sendWhole = (to: Peer): void =>
+    sendLoad([to], {complete: loads, compact: deltas.whole()});
+  const introduce = createIntroductions(clock, sendWhole);
+  const handleCompactLoad = (
+    datagram: CompactLoadDatagram,
+    source: DatagramSource,
+  ): void => {
     const {from, grantsPermits} = datagram;
     if (isAddress(from)) senders.learn(from);
     const sender = isAddress(from) ? from : senders.find(from);
-    // The next datagram with the sender's address makes it known.
-    if (sender === undefined)
-      return metrics.count('onyxloft_sharing_unknown_sender_total');
+    // Its next datagram with its address makes it known.
+    if (sender === undefined) {
+      metrics.count('onyxloft_sharing_unknown_sender_total');
+      return introduce(source);
+    }
     return handleLoad({...sender, grantsPermits}, datagram);
   };
   const handleLoad = (
@@ -241,6 +265,8 @@
       scheduleEntries(REPORT_ENTRIES_MS);
       peer.entry = from;
     }
+    // The peer may have started just now, and know no other entry.
+    if (isFirst && peer.addressesSent === 0) sendWhole(peer);
     ctx.send('direct', {
       kind: 'peer-load',
       node: from.node,
@@ -252,11 +278,7 @@
 
   const heartbeat = (): void => {
     // Entries are counted though loads can't be sent.
-    try {
-      loadBroadcast.heartbeat();
-    } finally {
-      reportEntries();
-    }
+    runAll([shareAgain, loadBroadcast.heartbeat, reportEntries]);
   };
   const scheduleEntries = createBatcher(clock, () => {
     if (!isClosed) reportEntries();
@@ -327,7 +349,7 @@
         return sendToNode({kind: 'permit-answer', answer}, to);
       }
       case 'load':
-        return shareLoad(message.loads, message.changes);
+        return shareLoad(message);
     }
   });
   // Keys cannot be confirmed before a peer has answered, so one is queried at
