--- a/src/direct/held/memory_room.ts
+++ b/src/direct/held/memory_room.ts
@@ -40,7 +40,7 @@
 /**
  * Bytes that are read between two collections while memory is short, as a share
  * of the limit. Each byte is copied into its body, and what was read of it stays
- * resident until it is collected: 14 MB came within 20 ms in a burst.
+ * resident until it is collected.
  */
 const COPIED_SHARE = 0.02;
 /** Shortest time between two collections of each kind, in milliseconds. */
