fix(kernel): an ask is rejected though it can't be forgotten

Where a message fails, the kernel removed its ask from the open ones first and rejected it then; an error in the removal left who asked without an answer. The rejection comes first now, as the answer of a reply does.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -244,9 +244,8 @@
           cause: causeOf(cause),
         }),
       () => {
-        if (reject === undefined) return;
-        service.pendingAsks.delete(reject);
-        reject(
+        // First, so that no error keeps the rejection from the one who asked.
+        reject?.(
           new OnyxError({
             code: 'internal',
             step: 'run',
@@ -255,6 +254,9 @@
           }),
         );
       },
+      () => {
+        if (reject !== undefined) service.pendingAsks.delete(reject);
+      },
       repair,
     ]);
   };
--- a/test/kernel_errors.test.ts
+++ b/test/kernel_errors.test.ts
@@ -117,6 +117,33 @@
     },
   );
 
+  // Guards against an ask without an end since an error follows the first one.
+  test('rejects the ask though it cannot be forgotten', async () => {
+    const {delete: forget} = Set.prototype;
+    await kernel.start({
+      ...goingOn,
+      start: ctx => {
+        void ctx.mailbox.observe(message => {
+          Set.prototype.delete = () => {
+            throw new Error('no set');
+          };
+          return handle(message);
+        });
+      },
+    });
+    let cause = '';
+    const asked = kernel.ask<'probe', string>('probe', reply => ({
+      kind: 'throws',
+      reply,
+    }));
+    asked.catch((err: unknown) => (cause = String(err)));
+    await Promise.resolve();
+    await Promise.resolve();
+    Set.prototype.delete = forget;
+    await recorded.clock.settle();
+    expect(cause).toContain('throws');
+  });
+
   // Guards against an ask that is rejected for an error at another message.
   test('leaves the asks of other messages open', async () => {
     let answer = (value: string): void => void value;
