fix(callers): a refusal waits until the bytes behind it are parsed

Node runs promises between the body of a request and the head behind it, though both were read together. A request with a body that was refused at once, as each one is without a configuration, was answered at that moment; no other request seemed to have been read, so its answer closed the connection and those behind it got none. A refusal now waits for the next turn of the event loop.

test/processes/no_configuration.test.ts, 'each of several pipelined requests with bodies is answered': one of three answers before, three now. intake_errors 4 of 4.

--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -160,6 +160,10 @@
     res.once('close', guards.of(req.socket)('answer closed', endAdmission));
     admitting.add(res);
     admitRequest(admitOptions, req)
+      .then(async result => {
+        if ('status' in result) await bytesParsed();
+        return result;
+      })
       .finally(endAdmission)
       .then(result => {
         if (res.writableEnded) return;
@@ -219,3 +223,12 @@
       admitting.size + turns.servedCount() + turns.waitingCount(),
   };
 }
+
+/**
+ * Resolves when the bytes that were read together are parsed. Promises go on
+ * between a body and the head behind it, and an answer at that moment would close
+ * the connection before requests that have been read.
+ */
+function bytesParsed(): Promise<void> {
+  return new Promise(resolve => void setImmediate(resolve));
+}
--- a/test/processes/no_configuration.test.ts
+++ b/test/processes/no_configuration.test.ts
@@ -239,6 +239,19 @@
     TEST_MS,
   );
 
+  // Guards against the same where the bodies stand between the heads.
+  test(
+    'each of several pipelined requests with bodies is answered',
+    async () => {
+      const {callers} = await startUnconfigured();
+      const one = `${headOf('a', 'Content-Length: 8\r\n\r\n')}a prompt`;
+      const {text, error} = await exchange(callers, one.repeat(3));
+      expect(error).toBeUndefined();
+      expect(statusesIn(text)).toEqual(['503', '503', '503']);
+    },
+    TEST_MS,
+  );
+
   // Guards against denials, after which callers send nothing again, for what a
   // configuration may allow.
   test(
