fix(held): buffers are collected while memory is short, unasked

Cause: chunks of answers pass through the process without asking for room, and buffers were collected only where something asked.

The unit test 'has buffers collected while memory is short, though none is asked for' failed before: nothing was collected.

--- a/src/direct/held/memory_room.ts
+++ b/src/direct/held/memory_room.ts
@@ -10,6 +10,11 @@
 
 /** Interval while requests wait for room. */
 const WAITING_INTERVAL_MS = 20;
+/**
+ * Interval at which buffers are collected while memory is short: chunks of
+ * answers pass through the process, and nobody asks for room meanwhile.
+ */
+const SHORT_INTERVAL_MS = 20;
 /** A reading is not repeated within this time, in milliseconds. */
 const FRESH_MS = 5;
 /**
@@ -111,6 +116,8 @@
   let copied = 0;
   const collectedAt = {minor: -Infinity, major: -Infinity};
   let cancelPump: Cancel | undefined;
+  let cancelWatch: Cancel | undefined;
+  let isStopped = false;
 
   const measure = (): void => {
     const reading = memory.read();
@@ -147,7 +154,18 @@
   const copy = (bytes: number): void => {
     copied += bytes;
     if (copied < shares.limit * COPIED_SHARE) return;
-    if (measured + since > shares.normal) collect('minor');
+    if (isHigh()) collect('minor');
+  };
+  const isHigh = (): boolean => measured + since > shares.normal;
+  const watch = (): void => {
+    cancelWatch = undefined;
+    measureIfOld();
+    if (isHigh()) collectIfDue('minor');
+    watchIfHigh();
+  };
+  const watchIfHigh = (): void => {
+    if (cancelWatch !== undefined || isStopped || !isHigh()) return;
+    cancelWatch = clock.after(SHORT_INTERVAL_MS, watch, 'memory while short');
   };
   const fits = (bytes: number, bound: number): boolean =>
     measured + since + waitingBytes + bytes <= bound;
@@ -261,13 +279,19 @@
     },
     grew: bytes => {
       since += bytes;
+      watchIfHigh();
     },
     hasRoom: () => makeRoomFor(0, shares.small),
     admitsConnection: () =>
       makeRoom(() => residentBytes() <= shares.connections),
     isAwaited: () => waiting.size > 0,
-    measure,
+    measure: () => {
+      measure();
+      watchIfHigh();
+    },
     stop: () => {
+      isStopped = true;
+      cancelWatch?.();
       cancelPump?.();
       for (const next of [...waiting]) next.end(false);
     },
--- a/test/direct/memory_room.test.ts
+++ b/test/direct/memory_room.test.ts
@@ -163,6 +163,22 @@
     expect(collected).toEqual(Array(6).fill('minor'));
   });
 
+  // Guards against chunks of answers that pass the limit while nobody asks for
+  // room.
+  test('has buffers collected while memory is short, though none is asked for', async () => {
+    const {room, clock, collected, set} = createRoom(reading(40));
+    set(reading(70, 30));
+    room.measure();
+    await clock.runFor(100);
+    expect(collected.length).toBeGreaterThanOrEqual(2);
+    set(reading(40));
+    await clock.runFor(100);
+    const count = collected.length;
+    await clock.runFor(1_000);
+    expect(collected.length).toBe(count);
+    room.stop();
+  });
+
   // Guards against time that is spent on collections while there is room.
   test('has nothing collected by its amount while there is room', () => {
     const {room, collected} = createRoom(reading(40));
