fix(crashes): a write or removal of a quarantine that throws is repeated

Cause: only a call to the store that answered with a fault was repeated after a second. One that threw ended its step, so that a refused part could be without a record, which a restart of all entries loses, or keep one after its release. Change: both are repeated after any call that did not succeed; the error goes to the owner as before. In "of a write to the store leaves the other writes" the same values are checked after 500 ms in place of 1,000: the repetition is due then.

--- a/src/direct/crashes/quarantine_records.ts
+++ b/src/direct/crashes/quarantine_records.ts
@@ -126,14 +126,30 @@
   const logFailed = (step: string, fault: StoreFault): void =>
     log(DIRECT_EVENTS.storeCallFailed, {...faultFields(fault), step});
 
+  /** Calls `repeat` also where the call throws; the guard takes the error. */
+  const callStore = async (
+    step: string,
+    call: () => ReturnType<typeof store.removeQuarantine>,
+    repeat: () => void,
+  ): Promise<void> => {
+    let isDone = false;
+    try {
+      const result = await call();
+      result.ifLeft(fault => logFailed(step, fault));
+      isDone = result.isRight();
+    } finally {
+      if (!isDone) repeat();
+    }
+  };
   const writeRecord = async (digest: string): Promise<void> => {
     const record = recordsToStore.get(digest);
     if (record === undefined || storedRecords.has(digest) || isStopped) return;
     written.add(digest);
-    (await store.writeQuarantine(record)).ifLeft(fault => {
-      logFailed('write quarantine', fault);
-      scheduleWrite(digest, RETRY_MS);
-    });
+    await callStore(
+      'write quarantine',
+      () => store.writeQuarantine(record),
+      () => scheduleWrite(digest, RETRY_MS),
+    );
   };
   const write = guard('write quarantine', writeRecord);
   const scheduleWrite = (digest: string, delayMs: number): void => {
@@ -141,10 +157,11 @@
   };
   const removeRecord = async (digest: string): Promise<void> => {
     if (isStopped) return;
-    (await store.removeQuarantine(digest)).ifLeft(fault => {
-      logFailed('remove quarantine', fault);
-      clock.after(RETRY_MS, () => remove(digest));
-    });
+    await callStore(
+      'remove quarantine',
+      () => store.removeQuarantine(digest),
+      () => void clock.after(RETRY_MS, () => remove(digest)),
+    );
   };
   const remove = guard('remove quarantine', removeRecord);
   const removeExpired = (): void => {
--- a/test/direct/step_errors.test.ts
+++ b/test/direct/step_errors.test.ts
@@ -235,7 +235,7 @@
     records.ensureStored({digest: 'a', ended: [], good: {}}, true);
     records.ensureStored({digest: 'b', ended: [], good: {}}, true);
     records.clear('c', true);
-    await clock.runFor(1_000);
+    await clock.runFor(500);
     expect([written, errors.length]).toEqual([['b'], 2]);
     expect(await records.claimTrial('a', 0, 'me').catch(() => 'failed')).toBe(
       undefined,
@@ -243,6 +243,45 @@
     records.stop();
   });
 
+  // Guards against a quarantine that a restart loses, and one that stays after
+  // its release, since the call to the store failed once with an error.
+  test('of a write or a removal in the store is followed by the next one', async () => {
+    const failWrite = failOnce();
+    const failRemoval = failOnce();
+    const calls: string[] = [];
+    const records = createQuarantineRecords({
+      ...owner,
+      store: {
+        quarantine: createRestorableCollection(clock) as never,
+        writeQuarantine: async ({digest}) => {
+          failWrite();
+          calls.push(`write ${digest}`);
+          return Right(undefined);
+        },
+        removeQuarantine: async digest => {
+          failRemoval();
+          calls.push(`remove ${digest}`);
+          return Right(undefined);
+        },
+        claimTrial: failed,
+      },
+      clock,
+      wallMs: () => 0,
+      random: createSeededRandom(1),
+      log: () => undefined,
+      waitMs: () => 1_000,
+      maxRetryMs: () => 500,
+      onReports: () => undefined,
+      onFault: () => undefined,
+      onReleased: () => undefined,
+    });
+    records.ensureStored({digest: 'a', ended: [], good: {}}, true);
+    records.clear('b', true);
+    await clock.runFor(3_000);
+    records.stop();
+    expect([calls, errors.length]).toEqual([['write a', 'remove b'], 2]);
+  });
+
   // Guards against an entry that no longer queries its peers.
   test('of a query of a peer is followed by the next query', async () => {
     let queries = 0;
