--- a/src/direct/callers/input_discards.ts
+++ b/src/direct/callers/input_discards.ts
@@ -14,10 +14,15 @@
 /** Shortest time between two collections, in milliseconds. */
 const INTERVAL_MS = 40;
 /**
- * Most connections that are read while bytes come on them. Each may buffer a
+ * Most connections that are read while many bytes come on them. Each may buffer a
  * further chunk when it is paused.
  */
 const MAX_SENDING = 16;
+/**
+ * Bytes within `INTERVAL_MS` that take a turn. Callers that send less are read
+ * beside the turns, so that they keep no other from its own.
+ */
+const TURN_BYTES = 16 * 1024;
 
 export interface InputDiscards {
   /** Reads what comes past the parser, when its turn comes. */
@@ -40,9 +45,9 @@
   guards,
   collect,
 }: InputDiscardsOptions): InputDiscards {
-  /** Connections that are not read yet, the oldest first. */
+  /** Connections that wait for a turn, the oldest first. */
   const waiting = new Set<Socket>();
-  /** Connections that are read, with the bytes since the last step. */
+  /** Connections that have a turn, with the bytes since the last step. */
   const sending = new Map<Socket, number>();
   /** Bytes that were read since the last collection. */
   let bytes = 0;
@@ -61,13 +66,14 @@
     }
     if (waiting.size + sending.size > 0) schedule();
   };
-  /** A connection on which nothing came leaves its turn, and is still read. */
+  /** A connection on which little came leaves its turn, and is still read. */
   const goOn = (): void => {
-    for (const [socket, came] of sending) {
-      if (came === 0) sending.delete(socket);
+    guards.each('discard', [...sending.keys()], socket => {
+      const came = sending.get(socket) ?? 0;
+      if (came < TURN_BYTES && !socket.isPaused()) sending.delete(socket);
       else sending.set(socket, 0);
-    }
-    guards.each('discard', sending.keys(), socket => socket.resume());
+      socket.resume();
+    });
     beginNext();
   };
   const collectIfFull = (): void => {
@@ -77,23 +83,31 @@
   };
   const schedule = (): void => {
     if (isScheduled) return;
-    isScheduled = true;
     const step = () => {
       isScheduled = false;
       runAll([collectIfFull, goOn]);
     };
     clock.after(INTERVAL_MS, step, 'discarded bytes');
+    // Noted last: without a timer, no connection would be read any more.
+    isScheduled = true;
   };
   const take = (socket: Socket, chunk: Buffer): void => {
     bytes += chunk.length;
-    if (waiting.has(socket)) {
-      socket.pause();
-      return;
+    const came = sending.get(socket);
+    const mayTakeTurn = !waiting.has(socket) && sending.size < MAX_SENDING;
+    if (came !== undefined) sending.set(socket, came + chunk.length);
+    else if (chunk.length >= TURN_BYTES && mayTakeTurn) {
+      sending.set(socket, chunk.length);
     }
-    sending.set(socket, (sending.get(socket) ?? 0) + chunk.length);
-    if (!hasRoom()) socket.pause();
+    const isFast = chunk.length >= TURN_BYTES && !sending.has(socket);
+    if (isFast || !hasRoom()) wait(socket);
     schedule();
   };
+  /** A connection that has a turn keeps it. */
+  const wait = (socket: Socket): void => {
+    socket.pause();
+    if (!sending.has(socket)) waiting.add(socket);
+  };
 
   return {
     discard: socket => {
--- a/test/direct/input_discards.test.ts
+++ b/test/direct/input_discards.test.ts
@@ -17,17 +17,20 @@
 /** A connection whose caller sends a body of this length after the refusal. */
 class Upload extends EventEmitter {
   isReset = false;
-  private isPaused = true;
+  private hasStopped = true;
 
   constructor(private leftBytes: number) {
     super();
   }
   push(): void {}
   pause(): void {
-    this.isPaused = true;
+    this.hasStopped = true;
   }
   resume(): void {
-    this.isPaused = false;
+    this.hasStopped = false;
+  }
+  isPaused(): boolean {
+    return this.hasStopped;
   }
   resetAndDestroy(): void {
     this.isReset = true;
@@ -38,7 +41,7 @@
   }
   /** Delivers what the kernel holds; a paused socket takes one more chunk. */
   deliver(): void {
-    while (!this.isPaused && this.leftBytes > 0) {
+    while (!this.hasStopped && this.leftBytes > 0) {
       this.leftBytes -= CHUNK.length;
       this.emit('data', CHUNK);
     }
@@ -50,13 +53,20 @@
 let discards: InputDiscards;
 let collections: number;
 let failing: number;
+let failingTimers: number;
 beforeEach(() => {
   recorded = createRecordingRuntime();
   const {clock} = recorded;
   collections = 0;
   failing = 0;
+  failingTimers = 0;
   discards = createInputDiscards({
-    clock,
+    clock: {
+      after: (...timer) => {
+        if (failingTimers-- > 0) throw new Error('broken');
+        return clock.after(...timer);
+      },
+    },
     guards: createConnectionGuards(recorded.runtime),
     collect: () => {
       collections++;
@@ -112,3 +122,37 @@
   await deliverAll(uploads);
   expect(uploads.filter(it => !it.isSent())).toEqual([]);
 });
+
+// Guards against an entry that reads no refused caller any more after one error.
+test('an error at a timer costs its own connection only', async () => {
+  failingTimers = 1;
+  expect(() => refuse(1, 4 * MB)).toThrow('broken');
+  const later = refuse(60, 4 * MB);
+  await deliverAll(later);
+  expect(later.filter(it => !it.isSent())).toEqual([]);
+});
+
+// Guards against a memory limit that is passed by callers that send late.
+test('callers that send after a pause wait for their turns', async () => {
+  const uploads = refuse(400, MB);
+  await recorded.clock.runFor(40 * STEP_MS);
+  // Each of them is read until its first bytes come.
+  for (const it of uploads) it.deliver();
+  await recorded.clock.runFor(STEP_MS);
+  expect(await deliverAll(uploads)).toBeLessThanOrEqual(MAX_KEPT_BYTES);
+});
+
+// Guards against callers that get no answer in time beside slow uploads.
+test('slow uploads keep no other caller from its turn', async () => {
+  const slow = refuse(60, 4 * MB);
+  const drip = () => slow.forEach(it => it.emit('data', Buffer.alloc(100)));
+  drip();
+  await recorded.clock.runFor(STEP_MS);
+  const [fast] = refuse(1, MB);
+  for (let step = 0; step < 10 && !fast?.isSent(); step++) {
+    fast?.deliver();
+    drip();
+    await recorded.clock.runFor(STEP_MS);
+  }
+  expect(fast?.isSent()).toBe(true);
+});
