fix(crashes): a trial is not claimed again while its claim is under way

Found by review. Cause: a trial that became unused while the next one was claimed set the due time of that claim, so that its number was handed out a second time; the store grants it to the same entry, and one more replica could end.

Change: a claim under way keeps out another one until it is settled.

Result: trials, "a trial is not claimed again while its claim is under way", failed before and passes.

--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -53,18 +53,22 @@
   let nextAt = quarantinedAt + delaysMs[0];
   /** Whether this entry has claimed a trial that did not run. */
   let hasUnused = false;
+  /** Whether a claim of this entry is under way. */
+  let isClaiming = false;
   const plannedAt = (): number =>
     quarantinedAt + (delaysMs[claimed] ?? Infinity);
   const dueInMs = (rank: number): number =>
     nextAt + (rank % MAX_SPACED) * SPACING_MS - clock.now();
   return {
     claim: rank => {
-      if (hasUnused || dueInMs(rank) > 0) return undefined;
+      if (isClaiming || hasUnused || dueInMs(rank) > 0) return undefined;
       // Equal requests are refused while this one claims the trial.
       nextAt = Infinity;
+      isClaiming = true;
       return claimed;
     },
     settled: isAnswered => {
+      isClaiming = false;
       if (isAnswered) claimed++;
       // An earlier trial that became unused during the claim stays due.
       if (hasUnused) return;
--- a/test/direct/trials.test.ts
+++ b/test/direct/trials.test.ts
@@ -17,3 +17,18 @@
   trials.settled(true);
   expect(trials.takeUnused(0)).toBe(true);
 });
+
+// Guards against a trial that reaches two replicas, since it was handed out again
+// while the store was asked for it.
+test('a trial is not claimed again while its claim is under way', async () => {
+  const clock = createVirtualClock();
+  const trials = createTrials(clock, 'part');
+  await clock.runFor(1_000);
+  expect(trials.claim(0)).toBe(0);
+  trials.settled(true);
+  await clock.runFor(3_000);
+  expect(trials.claim(0)).toBe(1);
+  trials.unused();
+  expect(trials.takeUnused(0)).toBe(true);
+  expect(trials.claim(0)).toBeUndefined();
+});
