fix(era): the time for rewriting counts from the first sight of an era

Found by review.

Cause: the time in which others write again what the copy lacks counted from the start of the entry.

Change: it counts from the first era that the store tells, while that era is not settled. The era that came with a configuration is kept and handed on. A peer without a list of replicas hands over an empty one, which is not taken for a list.

--- a/src/direct/config_proof.ts
+++ b/src/direct/config_proof.ts
@@ -50,14 +50,14 @@
 }
 
 /**
- * `hasEra` returns whether the store reports its era, which means that it may
- * be restored from a copy. `isSettled` returns whether that era is recorded as
- * settled.
+ * `firstEraAt` returns when the store first reported its era, on this process's
+ * clock; a store that reports one may be restored from a copy. `isSettled` returns
+ * whether that era is recorded as settled.
  */
 export function createConfigProof(
   clock: Clock,
   log: Log,
-  hasEra: () => boolean,
+  firstEraAt: () => number | undefined,
   isSettled: () => boolean = () => true,
 ): ConfigProof {
   const startedAt = clock.now();
@@ -76,10 +76,12 @@
   };
 
   const mayHaveMissedRestore = (sentAt: number): boolean => {
-    if (!hasEra()) return false;
-    const sinceStartMs = sentAt - startedAt;
-    const graceMs = isSettled() ? FIRST_PEER_ANSWER_MS : REWRITE_GRACE_MS;
-    return sinceStartMs < graceMs;
+    const eraAt = firstEraAt();
+    if (eraAt === undefined) return false;
+    // The store may have been restored while it could not be reached.
+    return isSettled()
+      ? sentAt - startedAt < FIRST_PEER_ANSWER_MS
+      : sentAt - eraAt < REWRITE_GRACE_MS;
   };
 
   return {
--- a/src/direct/store_follower.ts
+++ b/src/direct/store_follower.ts
@@ -88,12 +88,15 @@
    * later era in the store's first answer shows a restore.
    */
   let takenEra: StoreEra;
+  /** When the store first told its era. */
+  let firstEraAt: number | undefined;
   /** Number of live entries, including this one. */
   let entryCount = 1;
   const eraTracker = createStoreEraTracker({
     log: ctx.log,
     metrics: ctx.metrics,
     onFirstEra: () => {
+      firstEraAt = clock.now();
       settledEra.lookUp();
       if (isOlderEra(takenEra, eraTracker.current())) handleRestore();
     },
@@ -101,7 +104,6 @@
   });
   store.watchEra(eraTracker.observe);
   const hasEra = () => eraTracker.current() !== undefined;
-  const startedAt = clock.now();
   const onError = createStepReport(ctx);
   const settledEra = createSettledEra({
     onError,
@@ -113,7 +115,7 @@
     currentEra: eraTracker.current,
     onSettled: () => configFollower.relistNow(),
     onUnsettled: () => {
-      const until = startedAt + REWRITE_GRACE_MS;
+      const until = (firstEraAt ?? clock.now()) + REWRITE_GRACE_MS;
       ctx.send('direct', {kind: 'keys-unconfirmed', until});
       settledEra.settleAfter(until - clock.now());
     },
@@ -124,7 +126,7 @@
   const configProof = createConfigProof(
     clock,
     ctx.log,
-    hasEra,
+    () => firstEraAt,
     settledEra.isSettled,
   );
   // During this time any entry may be the one that knows the newest
@@ -343,18 +345,21 @@
     fetchReplicas: peerRequests.fetchReplicas,
     onConfig: (config, from) => {
       logFetched('configuration', from);
-      if (!hasEra()) takenEra = from.era;
+      if (!hasEra()) takenEra ??= from.era;
       applyConfig(config, from.node, from.askedAt);
       confirmation.queryNow();
     },
     onReplicas: (items, from) => {
+      // A peer that has no list yet hands over an empty one.
+      if (items.size === 0 && !hasReplicas) return;
       logFetched('replicas', from);
       applyReplicas(items);
     },
     onFetchFailed: logFetchFailed,
   });
   const ownKnowledge = () => ({
-    era: eraTracker.current(),
+    // A peer that takes the configuration from here takes its era as well.
+    era: eraTracker.current() ?? takenEra,
     configVersion: newest?.version,
     replicasDigest: knownReplicas.digest(),
     evacuationsDigest: evacuations.digest(),
--- a/test/direct/restored_store.test.ts
+++ b/test/direct/restored_store.test.ts
@@ -110,7 +110,8 @@
   const FIRST_WORD_MS = 600;
   const createProof = (hasEra = true) => {
     const {runtime, clock, eventsOf} = createRecordingRuntime();
-    const proof = createConfigProof(clock, runtime.log, () => hasEra);
+    const firstEraAt = hasEra ? clock.now() : undefined;
+    const proof = createConfigProof(clock, runtime.log, () => firstEraAt);
     proof.versionListed(12);
     return {clock, proof, eventsOf};
   };
@@ -133,6 +134,25 @@
     expect(proof.provesNewest(12)).toBe(true);
   });
 
+  // Guards against a removed key that is served when the store comes back from a
+  // copy after it was away for long.
+  test('is not given until others had time to write to a store that comes back', async () => {
+    const {runtime, clock} = createRecordingRuntime();
+    const era: {firstAt?: number} = {};
+    const proof = createConfigProof(
+      clock,
+      runtime.log,
+      () => era.firstAt,
+      () => false,
+    );
+    await clock.runFor(LATER_MS * 3);
+    era.firstAt = clock.now();
+    proof.versionListed(12);
+    expect(proof.provesNewest(12)).toBe(false);
+    await clock.runFor(LATER_MS);
+    expect(proof.provesNewest(12)).toBe(true);
+  });
+
   // Such a store cannot be known to be restored from a copy.
   test('is given at the start where the store reports no era', () => {
     expect(createProof(false).proof.provesNewest(12)).toBe(true);
