test(crashes): a last trial that is due at once after a late first one is red

Cause: the times of both trials count from the quarantine. Where the first one is claimed late, the second is due at once, at the same moment and perhaps at the same replica. Result: trials, "the last trial is not due at once after a late first one", fails.

--- a/test/direct/trials.test.ts
+++ b/test/direct/trials.test.ts
@@ -17,3 +17,15 @@
   trials.settled(true);
   expect(trials.takeUnused(0)).toBe(true);
 });
+
+// Guards against a sound part that stays refused because both of its trials, of
+// which the first was taken late, run at the same moment at the same replica.
+test('the last trial is not due at once after a late first one', async () => {
+  const clock = createVirtualClock();
+  const trials = createTrials(clock, 'part');
+  await clock.runFor(8_000);
+  expect(trials.claim(0)).toBe(0);
+  trials.settled(true);
+  await clock.runFor(60);
+  expect(trials.claim(0)).toBe(undefined);
+});
