fix(crashes): the last trial follows a late first one by two seconds

Cause: the times of both trials count from the quarantine, so that after a late first trial the last one was due at once, ran beside the same others and showed nothing more. In the logs of a fault soak two sound parts had theirs 61 and 177 ms apart.

Change: a trial is planned two seconds after the claim of the one before at the earliest.

--- a/src/direct/crashes/trials.ts
+++ b/src/direct/crashes/trials.ts
@@ -13,6 +13,11 @@
   request: [1_000, 10_000],
   part: [1_000, 4_000],
 };
+/**
+ * Least time between two trials of a subject, in milliseconds, where the first one
+ * was late: at the same moment, both would run beside the same others.
+ */
+const LEAST_GAP_MS = 2_000;
 /** Time until a trial is claimed again when its claim was not answered. */
 const CLAIM_RETRY_MS = 1_000;
 /**
@@ -55,8 +60,10 @@
   let hasUnused = false;
   /** Whether a claim of this entry is under way. */
   let isClaiming = false;
-  const plannedAt = (): number =>
-    quarantinedAt + (delaysMs[claimed] ?? Infinity);
+  const plannedAt = (): number => {
+    const delayMs = delaysMs[claimed] ?? Infinity;
+    return Math.max(quarantinedAt + delayMs, clock.now() + LEAST_GAP_MS);
+  };
   const dueInMs = (rank: number): number =>
     nextAt + (rank % MAX_SPACED) * SPACING_MS - clock.now();
   return {
