--- a/test/direct/input_discards.test.ts
+++ b/test/direct/input_discards.test.ts
@@ -156,3 +156,15 @@
   }
   expect(fast?.isSent()).toBe(true);
 });
+
+// Guards against an error at the bytes of one refused caller that ends others.
+test('an error at the bytes of a connection ends that one only', async () => {
+  const [first, other] = refuse(2, MB);
+  await recorded.clock.runFor(10 * STEP_MS);
+  failingTimers = 1;
+  first?.deliver();
+  expect(first?.isReset).toBe(true);
+  await deliverAll(other === undefined ? [] : [other]);
+  expect(other?.isSent()).toBe(true);
+  expect(other?.isReset).toBe(false);
+});
