--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -52,6 +52,8 @@
 const LONGEST_TROUBLE_MS = 5_000;
 /** After a trouble of the store, entries catch up with it. */
 const CATCH_UP_MS = 6_000;
+/** Entries are observed for at least so long behind the last trouble. */
+const OBSERVED_MS = 3_000;
 /** All are started again so long before the errors end. */
 const LAST_START_MS = 9_000;
 const TROUBLES = ['unset', 'away', 'silent', 'late'] as const;
@@ -220,6 +222,9 @@
         findUnserved(it.callers, PROBES, probeId, SERVE_WITHIN_MS),
       ),
     );
+    const untroubledAt = Math.max(...away.map(({to}) => to));
+    const observeMs = untroubledAt + OBSERVED_MS - performance.now();
+    await sleep(Math.max(0, observeMs));
     isOver = true;
     await Promise.all(traffic);
     const observedTo = performance.now();
