--- a/fault_soak/failing_steps/steps_run.ts
+++ b/fault_soak/failing_steps/steps_run.ts
@@ -53,7 +53,7 @@
 /** After a trouble of the store, entries catch up with it. */
 const CATCH_UP_MS = 6_000;
 /** Entries are observed for at least so long behind the last trouble. */
-const OBSERVED_MS = 3_000;
+const OBSERVED_MS = 6_000;
 /** All are started again so long before the errors end. */
 const LAST_START_MS = 9_000;
 const TROUBLES = ['unset', 'away', 'silent', 'late'] as const;
