--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -6,7 +6,7 @@
 
 /** Resolves to the answer; `status` is undefined where the connection broke. */
 export function sendOnce({entry, agent = false, id, path, method, ...more}) {
-  const {deadlineMs = 1_500, body} = more;
+  const {deadlineMs = 1_500, body, headers = {}} = more;
   return new Promise(done => {
     const req = request(
       {
@@ -20,6 +20,7 @@
           'X-Request-Id': id,
           'X-Deadline-Ms': deadlineMs,
           Authorization: `Token ${KEY}`,
+          ...headers,
         },
       },
       res => {
--- a/review/lib-2/config.mjs
+++ b/review/lib-2/config.mjs
@@ -20,7 +20,30 @@
   };
 }
 
-export function configOf(version, routes) {
+/** The published figures of the engines of `onyx-pool`. */
+export const ENGINE = {
+  slots: 11,
+  kvCapacityTokens: 232_000,
+  kvTokenBytes: 327_680,
+  linkMbps: 400_000,
+  stride: 43,
+  models: [{name: 'm'}],
+  step_ms: 1.02,
+  per_seq_ms: 0.0033,
+  context_per_k: 0.00431,
+  read_per_s: 206_000,
+  pairs_per_m: 0.138,
+  chunk: 2_048,
+  report_lag_ms: 200,
+  loadsPerS: 0,
+  loads_at_once: 8,
+  delays: [],
+  usual: {prompt: 5_000, answer: 860},
+  hopMs: 0.075,
+};
+
+/** `engines` names the services of model replicas. */
+export function configOf(version, routes, engines = []) {
   const services = [...new Set(routes.map(({service}) => service))];
   return {
     version,
@@ -31,6 +54,7 @@
       maxConns: 100,
       protocol: 'h1',
       tls: false,
+      ...(engines.includes(name) ? {engine: ENGINE} : {}),
     })),
     limits: CALLER_LIMITS,
     tenants: [{name: 'tenant-1', apiKeys: [KEY], priority: 1}],
