--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -16,9 +16,9 @@
 const REPLACED = 3;
 const RELEASE_GAP_MS = 1_000;
 const EVENTS = 20;
-const EVENT_PAUSE_MS = 20;
-const STREAMS = 160;
-const STREAM_PAUSE_MS = 50;
+const EVENT_PAUSE_MS = 40;
+const STREAMS = 320;
+const STREAM_PAUSE_MS = 30;
 const LIMIT_MS = 90_000;
 
 /** Small ids from 1 on. */
