--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -234,7 +234,7 @@
     record(broken.length > 0 ? 'the rule was broken' : 'the rule held');
     code = broken.length > 0 ? 1 : 0;
   } catch (err) {
-    record(`the case could not run: ${err.stack}`);
+    record(`the case could not run: ${err.message}`);
   }
   for (const close of closers.reverse()) await close();
   write();
