fix(direct): a status that promises no run is withheld behind one

Callers of routes that may run a request once got a replica's own 503, 429 or 408 with its status, although the replica had run the request and did not say otherwise (X-Not-Executed). To them it is the promise that nothing has run, so they ordered again, and orders ran twice.

Cause: `classifyHead` took each status outside of 2xx for a failure that is passed on as it is, whatever the route's kind; it alone knows both the status and whether a run may stand behind it. It now withholds such a status where the request may run once only. The caller gets 502 at once, without the seal (MIXED), the body and Retry-After of the replica, for calls and streams and for bodies that were passed on early. Requests that may run again still get what the replica said: there the promise harms nobody.

The judge of the wires soak excused a replica's own status behind a run; that line of its test is now the opposite, which is stricter.

--- a/fault_soak/odd_wires/wires_judge.ts
+++ b/fault_soak/odd_wires/wires_judge.ts
@@ -138,9 +138,7 @@
   if (kind !== 'once') return [];
   const runs = soundRuns + sent.filter(it => !it.isNotRun).length;
   if (runs > 1) return [`twice: ran ${runs} times`];
-  // A replica's own status is passed on, whatever it promises with it.
-  const isPassedOn = sent.some(it => it.status === status);
-  return PROMISES.includes(status ?? 0) && runs > 0 && !isPassedOn
+  return PROMISES.includes(status ?? 0) && runs > 0
     ? [`refused: ${status}, and it ran`]
     : [];
 }
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -49,6 +49,8 @@
   | {readonly kind: 'passed-on'}
   /** The replica refused the request and did not run it. */
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
+  /** The replica failed with a status that the caller must not get. */
+  | {readonly kind: 'withheld'; readonly reason: string}
   /** No connection was established, so the replica received nothing. */
   | {readonly kind: 'not-sent'; readonly reason: string}
   /** The answer failed midway or was invalid; the request may have run. */
@@ -153,6 +155,11 @@
         finish(verdict);
         return;
       }
+      if (verdict.kind === 'withheld') {
+        noteSuccess();
+        finish(verdict);
+        return;
+      }
       health.failed(replica.id);
       finish({kind: 'broken', reason: verdict.reason});
     };
--- a/src/direct/serve_call.ts
+++ b/src/direct/serve_call.ts
@@ -24,6 +24,7 @@
 import {
   callRequestOf,
   candidatesOf,
+  REPLICA_FAILED,
   giveUp,
   withLoads,
   brokenRunDigest,
@@ -203,6 +204,10 @@
     case 'not-sent':
       logFailedAttempt(ctx, exchange, replica, outcome.kind);
       return false;
+    case 'withheld':
+      logFailedAttempt(ctx, exchange, replica, outcome.reason);
+      giveUp(ctx, exchange, REPLICA_FAILED);
+      return true;
     case 'broken':
       logFailedAttempt(ctx, exchange, replica, outcome.reason, outcome.kind);
       if (exchange.route.kind === 'idempotent') return false;
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -16,6 +16,7 @@
   readsChunks,
   withoutLength,
 } from './answers/answer_head.js';
+import {isFalsePromise} from './answers/false_promise.js';
 import {connectionOf} from './callers/connection_name.js';
 import {beforeSending} from './callers/unsent_error.js';
 import type {ColdReplicas} from './cold/cold_replicas.js';
@@ -90,6 +91,9 @@
  */
 const MAX_PRIORITY = 9;
 
+/** Reason of an end where the replica's own failure can't be passed on. */
+export const REPLICA_FAILED = 'the replica failed';
+
 /** Replicas that may be chosen, in groups by order of preference. */
 export type CandidateGroups = ReadonlyArray<readonly DirectReplica[]>;
 
@@ -232,7 +236,9 @@
    * An answer to another request, one without a final status, or another one that
    * must not be forwarded.
    */
-  | {readonly kind: 'foreign'; readonly reason: string};
+  | {readonly kind: 'foreign'; readonly reason: string}
+  /** A failure whose status must not reach the caller; see `false_promise.ts`. */
+  | {readonly kind: 'withheld'; readonly reason: string};
 
 /** The replica that a request was sent to, and when. */
 export interface SentTo {
@@ -281,6 +287,9 @@
   if (!canPassOn(head)) {
     return {kind: 'foreign', reason: 'headers that cannot be passed on'};
   }
+  if (isFalsePromise(exchange, status)) {
+    return {kind: 'withheld', reason: `status ${status} behind a run`};
+  }
   if (!isSuccess(status)) return {kind: 'failure'};
   return facts.signed
     ? {kind: 'success'}
--- a/src/direct/streams/serve_stream.ts
+++ b/src/direct/streams/serve_stream.ts
@@ -18,6 +18,7 @@
 import type {ReplicaSearch} from '../place_request.js';
 import {followNewerRoute} from '../routes/newer_route.js';
 import {
+  REPLICA_FAILED,
   giveUp,
   brokenRunDigest,
   isTooLateToBegin,
@@ -278,7 +279,9 @@
   }
   if (outcome.kind === 'not-run') return false;
   if (route.kind === 'resumable-stream') return false;
-  giveUp(ctx, exchange, 'the replica broke off');
+  const isWithheld = outcome.kind === 'withheld';
+  const cause = isWithheld ? REPLICA_FAILED : 'the replica broke off';
+  giveUp(ctx, exchange, cause);
   return true;
 }
 
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -45,6 +45,8 @@
   | {readonly kind: 'failure'; readonly head: AnswerHead; readonly body: Buffer}
   /** The replica refused the request and did not run it. */
   | {readonly kind: 'not-run'; readonly faultAt: string | undefined}
+  /** The replica failed with a status that the caller must not get. */
+  | {readonly kind: 'withheld'; readonly reason: string}
   /** No connection was established, so the replica received nothing. */
   | {readonly kind: 'not-sent'; readonly reason: string}
   /**
@@ -258,6 +260,11 @@
     if (verdict.kind === 'success' && !mayContinue(received)) {
       fail('a success that continues no stream');
     }
+    if (verdict.kind === 'withheld') {
+      health.failed(replica.id);
+      dispatch.cancel();
+      finish(verdict);
+    }
     if (verdict.kind !== 'not-run') return;
     exchange.isTrial = isTrial;
     dispatch.cancel();
--- a/test/wires_judge.test.ts
+++ b/test/wires_judge.test.ts
@@ -134,11 +134,15 @@
     expect(brokenOf(once, [{}])).toEqual(['twice']);
     expect(brokenOf(once, [{isNotRun: true}])).toEqual([]);
   });
-  test('is not refused after it ran, but by its replica', () => {
+  // Guards against a promise of its replica's that a run stands behind.
+  test('is not refused after it ran, by its replica either', () => {
     const refused = {...once, status: 503, seal: undefined};
     const none = {soundRuns: () => 0};
     expect(brokenOf(refused, [{}], none)).toEqual(['refused']);
-    expect(brokenOf(refused, [{status: 503}], none)).toEqual([]);
+    expect(brokenOf(refused, [{status: 503}], none)).toEqual(['refused']);
+    expect(brokenOf(refused, [{status: 503, isNotRun: true}], none)).toEqual(
+      [],
+    );
     expect(brokenOf(refused, [], none)).toEqual([]);
   });
 });
