--- a/fault_soak/odd_wires/odd_store.ts
+++ b/fault_soak/odd_wires/odd_store.ts
@@ -53,23 +53,17 @@
 ): Promise<OddStore> {
   let count = 0;
   const handle = async (req: IncomingMessage, res: ServerResponse) => {
-    const pieces: Buffer[] = [];
-    for await (const piece of req) pieces.push(piece as Buffer);
-    const body = Buffer.concat(pieces);
+    const body = await readAll(req);
     if (isOdd() && draw.chance(NOT_PASSED_SHARE)) {
       answerOddly(req, draw.one(BODIES), undefined);
       return;
     }
-    const answer = await pass(store, req, res, body);
+    const answer = await ask(store, req, res, body);
     if (answer === undefined) req.socket.destroy();
     else if (isOdd()) {
       const own = draw.chance(0.5) ? answer.body : draw.one(BODIES);
       answerOddly(req, own, answer.era);
-    } else {
-      if (answer.era !== undefined) res.setHeader('Store-Era', answer.era);
-      res.writeHead(answer.status, {'content-type': 'application/json'});
-      res.end(answer.body, 'latin1');
-    }
+    } else sendSound(res, answer);
   };
   const answerOddly = (
     {socket}: IncomingMessage,
@@ -100,8 +94,35 @@
   };
 }
 
+/** Answers as the store does. */
+export async function passOn(
+  store: string,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  try {
+    const answer = await ask(store, req, res, await readAll(req));
+    if (answer === undefined) req.socket.destroy();
+    else sendSound(res, answer);
+  } catch {
+    req.socket.destroy();
+  }
+}
+
+async function readAll(req: IncomingMessage): Promise<Buffer> {
+  const pieces: Buffer[] = [];
+  for await (const piece of req) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces);
+}
+
+function sendSound(res: ServerResponse, {status, body, era}: StoreAnswer) {
+  if (era !== undefined) res.setHeader('Store-Era', era);
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(body, 'latin1');
+}
+
 /** What the store says; undefined where it says nothing, or is not asked on. */
-function pass(
+function ask(
   store: string,
   {method, url, headers}: IncomingMessage,
   res: ServerResponse,
