fix(direct): bytes in small pieces cost what they are, and take a bounded share

A faulty replica that answers in chunks of one byte ended the entry by its heap limit, or took the event loop from all others; so did callers' uploads, the store and events without end.

Cause: bytes were bounded by their amount, but kept as lists of pieces of over a hundred bytes each, in seven places, and in the queue of a paused message; and nothing bounded how much of the event loop the pieces of one party take.

Answers and uploads have a bound on pieces, uploads on the time of their request; a replica that sent bytes without end gets no new work for 10 s where another one is there.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -7,6 +7,7 @@
 import type {AdmittedRequest} from './exchange.js';
 import type {RequestAccount} from './held/held_bytes.js';
 import {readBody} from './held/read_body.js';
+import type {BodyBounds} from './held/read_body.js';
 import {DEFAULT_RETRY_AFTER_MS} from './local_answers.js';
 import type {LocalAnswer} from './local_answers.js';
 import {pickService, findRoute} from './route_table.js';
@@ -19,6 +20,8 @@
 const RETRY_SPREAD_MS = 500;
 /** Longest time for which a body waits for room, in milliseconds. */
 const MAX_WAIT_MS = 1_500;
+/** Longest time for the body of a request without a route, in milliseconds. */
+const MAX_UNROUTED_MS = 30_000;
 /** Largest share of the caller's own time limit that this may take. */
 const MAX_WAIT_SHARE = 0.2;
 
@@ -58,6 +61,11 @@
   readonly limitsAreComplete: () => boolean;
   /** Undefined where the bytes that the entry holds are not bounded. */
   readonly account?: RequestAccount;
+  /** Bounds bodies by the time that requests have. @default they are not */
+  readonly bodies?: Pick<BodyBounds, 'clock' | 'turns'> & {
+    /** Time since the request came, in milliseconds. */
+    elapsedMs(): number;
+  };
 }
 
 /** Returns the admitted request, or the refusal to answer it with. */
@@ -79,6 +87,7 @@
     announcedBytes: announcedBytes(req),
     maxBytes: () => (options.limits() ?? earlyLimits).maxBodyBytes,
     maxWaitMs: () => maxWaitMs(options, req),
+    bounds: bodyBounds(options, earlyConfig, req),
     account,
   });
   if (read.kind === 'no room') {
@@ -88,6 +97,12 @@
   if (read.kind === 'too large') {
     return tooLarge(options, refused(413, 'the body is too large'));
   }
+  if (read.kind === 'too late') {
+    return refused(503, 'the body did not come in the time for the request');
+  }
+  if (read.kind === 'too many pieces') {
+    return refused(503, 'the body comes in too many pieces');
+  }
   const {body} = read;
   const current = options.config() ?? earlyConfig;
   // Without a key there is nothing to confirm. In the first moments of an entry
@@ -208,6 +223,23 @@
   return Number(req.headers['content-length'] ?? 0);
 }
 
+/** A body that takes longer than its request has can't be served any more. */
+function bodyBounds(
+  {codec, bodies}: AdmitOptions,
+  config: DirectConfig,
+  {headers, url = ''}: IncomingMessage,
+): BodyBounds | undefined {
+  if (bodies === undefined) return undefined;
+  const {clock, turns, elapsedMs} = bodies;
+  const leftMs = (): number => {
+    const {timeLeftMs = Infinity} = codec.readRequest(headers);
+    const route = findRoute(config, headers.host ?? '', url);
+    const limitMs = route?.timeLimitMs ?? MAX_UNROUTED_MS;
+    return Math.min(timeLeftMs, limitMs) - elapsedMs();
+  };
+  return {clock, turns, leftMs};
+}
+
 /** Longest time for which the body waits for room, in milliseconds. */
 function maxWaitMs({codec}: AdmitOptions, {headers}: IncomingMessage): number {
   const {timeLeftMs = Infinity} = codec.readRequest(headers);
--- a/src/direct/answers/event_reader.ts
+++ b/src/direct/answers/event_reader.ts
@@ -6,6 +6,8 @@
 import type {EventSplitter, StreamEvent} from '../streams/event_splitter.js';
 import {createFruitlessBytes} from '../../utils/fruitless_bytes.js';
 
+/** Bytes for which each piece counts besides its own. */
+const PIECE_BYTES = 16;
 /** Largest sum without a new event; events have some hundred bytes. */
 const MAX_BYTES_WITHOUT_EVENT = 1024 * 1024;
 /**
@@ -16,7 +18,12 @@
 const MAX_MS_WITHOUT_EVENT = 1_000;
 const DATA_LINE = /^data/m;
 
-export interface EventReader extends EventSplitter {
+export interface EventReader extends Pick<EventSplitter, 'pendingBytes'> {
+  /**
+   * Adds bytes that came in so many pieces, and returns the events that they
+   * complete. @default one piece
+   */
+  push(chunk: Buffer, pieces?: number): readonly StreamEvent[];
   /** Whether too much has come since the last new event. */
   isEndless(): boolean;
 }
@@ -46,9 +53,10 @@
     return true;
   };
   return {
-    push: chunk => {
+    push: (chunk, pieces = 1) => {
       const events = splitter.push(chunk);
-      isEndless = fruitless.received(chunk.length, options.now());
+      const bytes = chunk.length + pieces * PIECE_BYTES;
+      isEndless = fruitless.received(bytes, options.now());
       if (events.filter(isNew).length > 0) {
         fruitless.progressed();
         isEndless = false;
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -4,7 +4,11 @@
  * large answer is streamed to the caller instead, which bounds memory use.
  */
 import {isSuccess} from '../utils/final_status.js';
-import {MAX_ANSWER_BYTES, announcesTooMuch} from './answers/answer_size.js';
+import {
+  MAX_ANSWER_BYTES,
+  MAX_ANSWER_PIECES,
+  announcesTooMuch,
+} from './answers/answer_size.js';
 import {ERROR_REASON} from './boundary/error_report.js';
 import {createAttemptGuard} from './boundary/request_errors.js';
 import {beforeSending} from './callers/unsent_error.js';
@@ -20,11 +24,13 @@
   buildDispatch,
   classifyHead,
   cutAnswer,
+  noteIfTooLate,
   writeHead,
 } from './serve_context.js';
 import type {ServeContext} from './serve_context.js';
 import type {WithdrawalCause} from './gate/replica_gate.js';
 import type {DirectReplica} from './types.js';
+import {createReceivedBytes} from '../utils/received_bytes.js';
 import {runEach} from '../utils/run_each.js';
 
 /**
@@ -83,8 +89,9 @@
   exchange.attempts++;
   return new Promise((resolve, reject) => {
     let head: AnswerHead | undefined;
-    let buffered: Buffer[] = [];
+    const buffered = createReceivedBytes();
     let bytes = 0;
+    let pieces = 0;
     let isStreaming = false;
     let isOver = false;
 
@@ -118,6 +125,7 @@
     const onAbort = guard('request ended', () => {
       // While its connection is being opened, nothing of the call was sent.
       if (!dispatch.takeBack()) {
+        noteIfTooLate(ctx, exchange, replica.id, dispatch);
         exchange.mayHaveRun = true;
         ctx.crashes.runCancelled(exchange, replica);
         dispatch.cancel();
@@ -127,8 +135,7 @@
     const startStreaming = (answerHead: AnswerHead) => {
       isStreaming = true;
       writeHead(ctx, exchange.res, answerHead);
-      for (const chunk of buffered) exchange.res.write(chunk);
-      buffered = [];
+      exchange.res.write(buffered.take());
     };
     const mustStream = () =>
       bytes > MAX_BUFFERED_BYTES ||
@@ -165,16 +172,18 @@
     };
     const breakEndless = () => {
       dispatch.cancel();
+      health.flooded(replica.id);
       onBroken(true, 'an answer without end');
     };
-    const onData = (chunk: Buffer) => {
+    const onData = (chunk: Buffer, count = 1) => {
       bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) {
+      pieces += count;
+      if (bytes > MAX_ANSWER_BYTES || pieces > MAX_ANSWER_PIECES) {
         breakEndless();
         return;
       }
       if (!isStreaming) {
-        buffered.push(chunk);
+        buffered.add(chunk);
         exchange.account?.buffered(bytes);
       }
       if (!isStreaming && mustStream() && head !== undefined) {
@@ -207,7 +216,7 @@
       callTimes.answered(service, replica.id, tookMs);
       metrics.observe('onyxloft_direct_call_ms', {}, tookMs);
       if (head === undefined) return;
-      finish({kind: 'answered', head, body: Buffer.concat(buffered)});
+      finish({kind: 'answered', head, body: buffered.take()});
     };
     const noteSuccess = () => {
       const {status = 0} = head ?? {};
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -22,6 +22,7 @@
 import type {RequestErrors} from '../boundary/connection_guard.js';
 import type {HeldBytes} from '../held/held_bytes.js';
 import {runTwice} from '../../utils/run_each.js';
+import type {ReadTurns} from '../../utils/read_turns.js';
 import {sendLocalAnswer} from '../local_answers.js';
 import type {Serving} from '../serving.js';
 import type {CallerLimits, DirectConfig, HeaderCodec} from '../types.js';
@@ -43,6 +44,8 @@
   readonly codec: HeaderCodec;
   /** Bounds the bytes that the entry holds. */
   readonly held: Pick<HeldBytes, 'track'>;
+  /** Bounds the work with bodies. */
+  readonly turns: ReadTurns;
   readonly checks: Pick<
     AdmitOptions,
     'keysAreFresh' | 'denialsAreFresh' | 'evidenceDueMs'
@@ -163,6 +166,11 @@
       limitsAreComplete: options.limitsAreComplete,
       limits: () => widestOf(limits, options.limits.current()),
       account: options.held.track(req, res),
+      bodies: {
+        clock,
+        turns: options.turns,
+        elapsedMs: () => clock.now() - arrivedAt,
+      },
     };
     const endAdmission = () => runTwice(() => admitting.delete(res));
     // Where the body never ends, the admission does not end either.
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -13,6 +13,7 @@
 import {untilSocketsRead} from '../utils/event_loop.js';
 import {isSuccess} from '../utils/final_status.js';
 import {watchReset} from '../utils/socket_reset.js';
+import type {ReadTurns} from '../utils/read_turns.js';
 import {watchWire} from '../utils/wire_bytes.js';
 import {splitAddress} from './settings.js';
 
@@ -50,7 +51,11 @@
  */
 export interface DispatchObserver {
   onHead(head: AnswerHead): void;
-  onData(chunk: Buffer): void;
+  /**
+   * Bytes that came together, in so many pieces. Returns the number of events
+   * among them that it has passed on. @default one piece, and no event
+   */
+  onData(chunk: Buffer, pieces?: number): number | void;
   /**
    * The body is complete by its HTTP framing. `endsWithConnection` is true where
    * its end is only the orderly end of its connection; see `answer_end.ts`.
@@ -81,6 +86,11 @@
   takeBack(): boolean;
   pause(): void;
   resume(): void;
+  /**
+   * Whether the answer is so much work that it was read in turns. @default it
+   * never is
+   */
+  isInTurns?(): boolean;
 }
 
 /** Sends a request and reports the answer to the observer. */
@@ -92,11 +102,17 @@
 
 const UNGUARDED: Guard = (_callback, fn) => fn;
 
+/** Returns a function that sends requests over HTTP and reads them in turns. */
+export function createDispatch(turns: ReadTurns | undefined): OpenDispatch {
+  return (...request) => openDispatch(...request, turns);
+}
+
 /** Sends the request over HTTP. */
 export function openDispatch(
   spec: DispatchRequest,
   clock: Clock,
   observer: DispatchObserver,
+  turns?: ReadTurns,
 ): Dispatch {
   const endpoint = splitAddress(spec.address);
   const {guard = UNGUARDED} = observer;
@@ -106,7 +122,6 @@
   let isConnected = false;
   let wasReset = () => false;
   let wasRequestCut = false;
-  let answer: IncomingMessage | undefined;
 
   const finish = (notify: () => void) => {
     if (isFinished) return;
@@ -152,7 +167,13 @@
     fail('bytes without end');
     req.destroy();
   });
-  const wire = watchWire(req, clock, endEndless);
+  const wire = watchWire(req, {
+    now: clock.now,
+    turns,
+    from: {kind: 'replica', name: spec.address},
+    onEndless: endEndless,
+    guard,
+  });
   const onSocket = guard('replica connection', (socket: Socket) => {
     socket.setNoDelay(true);
     wasReset = watchReset(socket);
@@ -167,17 +188,12 @@
     socket.once('end', onSocketEnd);
   });
   const onResponse = guard('answer head', (res: IncomingMessage) => {
-    answer = res;
     if (isFinished) return;
     const {statusCode: status = 0, headers, rawHeaders} = res;
     const head: AnswerHead = {status, headers, rawHeaders};
     const end = answerEnd(spec.method, head);
     const endsWithConnection = end === 'connection';
     observer.onHead(head);
-    const onData = guard('answer body', (chunk: Buffer) => {
-      wire.bodyReceived(chunk.length);
-      if (!isFinished) observer.onData(chunk);
-    });
     const onEnd = guard('answer end', () => {
       const isCut = endsWithConnection && wasRequestCut;
       if (!res.complete) fail('cut');
@@ -190,7 +206,9 @@
       // Nobody reads the rest, which would keep the connection.
       if (isCut) req.destroy();
     });
-    res.on('data', onData);
+    wire.readBody(res, (bytes, pieces) =>
+      isFinished ? 0 : observer.onData(bytes, pieces),
+    );
     res.on('end', onEnd);
     res.on('error', failWith);
     res.on('close', failClosed('closed'));
@@ -218,7 +236,8 @@
       cancel();
       return true;
     },
-    pause: () => answer?.pause(),
-    resume: () => answer?.resume(),
+    pause: wire.pause,
+    resume: wire.resume,
+    isInTurns: wire.isInTurns,
   };
 }
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -13,7 +13,7 @@
 import {createLimitsInForce} from '../callers/limits_in_force.js';
 import {readId} from '../callers/request_id.js';
 import {createRequestIntake} from '../callers/request_intake.js';
-import {openDispatch} from '../dispatch.js';
+import {createDispatch} from '../dispatch.js';
 import {createStoreEvidence, maxReadyAgeMs} from '../evidence.js';
 import {createEvidenceChecks} from '../freshness/evidence_checks.js';
 import {createHeardVersion} from '../freshness/heard_version.js';
@@ -31,6 +31,7 @@
   Reservations,
 } from '../types.js';
 import type {WatchNotices} from '../gate/replica_statements.js';
+import type {ReadTurns} from '../../utils/read_turns.js';
 import {createConfigWait} from './config_wait.js';
 import {createDrain} from './drain.js';
 import type {DrainStart} from './drain.js';
@@ -71,6 +72,7 @@
   /** Time of day, in milliseconds. */
   readonly wallMs: () => number;
   readonly memory: ProcessMemory;
+  readonly turns: ReadTurns;
 }
 
 export function createDirectFront(
@@ -156,7 +158,7 @@
     metrics,
     random,
     codec,
-    dispatch: openDispatch,
+    dispatch: createDispatch(options.turns),
     probePort,
     node: settings.node,
     orders: options.orders,
@@ -222,6 +224,7 @@
     random,
     codec,
     held,
+    turns: options.turns,
     checks,
     config: () => config,
     limits,
--- a/src/direct/handover.ts
+++ b/src/direct/handover.ts
@@ -27,6 +27,7 @@
 import './messages.js';
 import type {StoreState} from './messages.js';
 import {MAX_FETCH_MS, fetchText} from './peers/fetch_text.js';
+import type {ReadTurns} from '../utils/read_turns.js';
 import type {EntryAddress} from './types.js';
 
 /** Path of the newest configuration. */
@@ -41,21 +42,23 @@
 
 export interface HandoverOptions {
   readonly self: EntryAddress;
+  /** @default the work with what peers send is not bounded */
+  readonly turns?: ReadTurns | undefined;
 }
 
-export function createHandover({
-  self,
-}: HandoverOptions): ServiceSpec<'handover'> {
+export function createHandover(
+  options: HandoverOptions,
+): ServiceSpec<'handover'> {
   return {
     name: 'handover',
-    start: ctx => startHandover(self, ctx),
+    start: ctx => startHandover(options, ctx),
     // A fetch that is lost is repeated by the service that asked for it.
     messageFailed: () => undefined,
   };
 }
 
 async function startHandover(
-  self: EntryAddress,
+  {self, turns}: HandoverOptions,
   ctx: ServiceContext<'handover'>,
 ): Promise<void> {
   const getState = () =>
@@ -110,7 +113,7 @@
     decode: (text: string) => Either<string, T>,
   ): Promise<T | undefined> => {
     const url = `http://${from.ip}:${from.port}`;
-    const text = await fetchText({clock: ctx.clock, from, path});
+    const text = await fetchText({clock: ctx.clock, turns, from, path});
     return text
       .chain(decode)
       .ifLeft(message =>
--- a/src/direct/peers/fetch_text.ts
+++ b/src/direct/peers/fetch_text.ts
@@ -12,6 +12,8 @@
 import {createGuard} from '../../utils/callback_guard.js';
 import {untilSocketsRead} from '../../utils/event_loop.js';
 import {NO_FINAL_STATUS} from '../../utils/final_status.js';
+import type {ReadTurns} from '../../utils/read_turns.js';
+import {createReceivedBytes} from '../../utils/received_bytes.js';
 import {watchWire} from '../../utils/wire_bytes.js';
 import type {EntryAddress} from '../types.js';
 
@@ -27,6 +29,8 @@
   readonly clock: Clock;
   readonly from: Pick<EntryAddress, 'ip' | 'port'>;
   readonly path: string;
+  /** @default the work with the text is not bounded */
+  readonly turns?: ReadTurns | undefined;
   /** @default 2000 */
   readonly maxSilenceMs?: number;
   /** @default 10000 */
@@ -37,7 +41,7 @@
 export function fetchText(
   options: FetchTextOptions,
 ): Promise<Either<string, string>> {
-  const {clock, from, path} = options;
+  const {clock, turns, from, path} = options;
   const {maxSilenceMs = MAX_SILENCE_MS, maxFetchMs = MAX_FETCH_MS} = options;
   const fetched = new Promise<Either<string, string>>(resolve => {
     const req = request({host: from.ip, port: from.port, path, agent: false});
@@ -67,23 +71,25 @@
     // An error of the entry itself ends this fetch only.
     const guard = createGuard(err => end(String(err)));
     const endEndless = () => end('bytes without end');
-    const wire = watchWire(req, clock, endEndless, undefined, guard);
+    const wire = watchWire(req, {
+      now: clock.now,
+      turns,
+      from: {kind: 'peer', name: `${from.ip}:${from.port}`},
+      onEndless: endEndless,
+      guard,
+    });
     const onResponse = (res: IncomingMessage) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      const onData = (chunk: Buffer) => {
+      const received = createReceivedBytes();
+      wire.readBody(res, chunk => {
         awaitBytes();
-        wire.bodyReceived(chunk.length);
-        chunks.push(chunk);
-        bytes += chunk.length;
-        if (bytes > MAX_BYTES) end('a text without end');
-      };
-      res.on('data', guard('body', onData));
+        received.add(chunk);
+        if (received.length() > MAX_BYTES) end('a text without end');
+      });
       res.on('error', err => end(err.message));
       res.on('end', () =>
         finish(
           res.statusCode === OK
-            ? Right(Buffer.concat(chunks).toString('utf8'))
+            ? Right(received.take().toString('utf8'))
             : Left(`status ${res.statusCode}`),
         ),
       );
--- a/src/direct/replica_health.ts
+++ b/src/direct/replica_health.ts
@@ -10,6 +10,8 @@
 const FIRST_SUSPECT_MS = 250;
 /** Longest time as suspect after one failure. */
 const MAX_SUSPECT_MS = 4_000;
+/** Time as suspect after a flood, which costs other requests too. */
+const FLOOD_SUSPECT_MS = 10_000;
 /** Weight of the newest observation in the moving average. */
 const NEWEST_WEIGHT = 0.3;
 /** Upper bound of one observed slowness; a slower answer counts as this. */
@@ -25,6 +27,7 @@
 interface Observations {
   consecutiveFailures: number;
   suspectUntil: number;
+  floodedUntil: number;
   slowness: number;
   answeredAt: number;
   /** Attempts and failed ones among them, decayed until `triedAt`. */
@@ -38,6 +41,8 @@
   answered(replicaId: string, tookMs: number, expectedMs: number): void;
   /** Records a failed attempt. */
   failed(replicaId: string): void;
+  /** Records that the replica sent bytes without end in a failed attempt. */
+  flooded(replicaId: string): void;
   /** Whether the replica should get no new work after recent failures. */
   isSuspect(replicaId: string): boolean;
   /** Time taken divided by time expected; 1 when unknown. */
@@ -70,6 +75,7 @@
     const fresh: Observations = {
       consecutiveFailures: 0,
       suspectUntil: 0,
+      floodedUntil: 0,
       slowness: usual?.startOf(replicaId) ?? 1,
       answeredAt: clock.now(),
       attempts: 0,
@@ -116,8 +122,14 @@
       one.suspectUntil = clock.now() + Math.min(MAX_SUSPECT_MS, suspectMs);
       countAttempt(one, true);
     },
-    isSuspect: replicaId =>
-      (observations.get(replicaId)?.suspectUntil ?? 0) > clock.now(),
+    flooded: replicaId => {
+      findOrCreate(replicaId).floodedUntil = clock.now() + FLOOD_SUSPECT_MS;
+    },
+    isSuspect: replicaId => {
+      const one = observations.get(replicaId);
+      if (one === undefined) return false;
+      return Math.max(one.suspectUntil, one.floodedUntil) > clock.now();
+    },
     slowness: replicaId => {
       const one = observations.get(replicaId);
       if (one !== undefined) return slownessOf(one);
--- a/src/direct/serve_context.ts
+++ b/src/direct/serve_context.ts
@@ -25,7 +25,12 @@
 import type {EngineCandidate} from './decide/score_engine.js';
 import type {Fullness} from './decide/place_or_wait.js';
 import type {RequestWeights} from './decide/request_weights.js';
-import type {AnswerHead, DispatchRequest, OpenDispatch} from './dispatch.js';
+import type {
+  AnswerHead,
+  Dispatch,
+  DispatchRequest,
+  OpenDispatch,
+} from './dispatch.js';
 import type {Exchange} from './exchange.js';
 import type {ReplicaGate} from './gate/replica_gate.js';
 import type {ReplicaTable} from './replica_table.js';
@@ -386,6 +391,21 @@
   else res.socket.resetAndDestroy();
 }
 
+/**
+ * Notes a replica whose answer was so much work that it did not come whole in the
+ * time that the request had.
+ */
+export function noteIfTooLate(
+  {health}: ServeContext,
+  {signal}: Exchange,
+  replicaId: string,
+  dispatch: Pick<Dispatch, 'isInTurns'>,
+): void {
+  if (signal.reason !== 'time is up' || !dispatch.isInTurns?.()) return;
+  health.failed(replicaId);
+  health.flooded(replicaId);
+}
+
 /**
  * Ends a request that no replica answered. Sends an error to the caller, or
  * closes the connection if a part of an answer has been sent.
--- a/src/direct/streams/event_splitter.ts
+++ b/src/direct/streams/event_splitter.ts
@@ -26,11 +26,32 @@
 
 export function createEventSplitter(): EventSplitter {
   let pending: Buffer = Buffer.alloc(0);
+  /** The memory that `pending` is a part of, with room behind it. */
+  let room: Buffer | undefined;
   /** No event ends before this offset. */
   let searchedTo = 0;
+  /** A copy of what is pending for each chunk would make long events dear. */
+  const append = (chunk: Buffer): void => {
+    if (pending.length === 0) {
+      pending = chunk;
+      room = undefined;
+      return;
+    }
+    const bytes = pending.length + chunk.length;
+    const from = room === undefined ? 0 : pending.byteOffset - room.byteOffset;
+    if (room === undefined || from + bytes > room.length) {
+      room = Buffer.allocUnsafeSlow(bytes * 2);
+      pending.copy(room);
+      chunk.copy(room, pending.length);
+      pending = room.subarray(0, bytes);
+      return;
+    }
+    chunk.copy(room, from + pending.length);
+    pending = room.subarray(from, from + bytes);
+  };
   return {
     push: chunk => {
-      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      append(chunk);
       const events: StreamEvent[] = [];
       for (;;) {
         const end = findEventEnd(pending, searchedTo);
--- a/src/direct/streams/stream_attempt.ts
+++ b/src/direct/streams/stream_attempt.ts
@@ -4,6 +4,7 @@
  * stream after the last one. A silent replica is reported, and its run goes on.
  */
 import {DIRECT_EVENTS} from '../../utils/events.js';
+import {MAX_FAILURE_PIECES} from '../answers/answer_size.js';
 import {createEventReader} from '../answers/event_reader.js';
 import {ERROR_REASON} from '../boundary/error_report.js';
 import {createAttemptGuard} from '../boundary/request_errors.js';
@@ -20,12 +21,15 @@
 import {
   buildDispatch,
   classifyHead,
+  noteIfTooLate,
   writeStreamHead,
 } from '../serve_context.js';
 import type {ServeContext} from '../serve_context.js';
 import {recordEvent, hasEvent} from './stream_progress.js';
 import type {StreamProgress} from './stream_progress.js';
 import {mayRetry, watchSilence} from './stream_silence.js';
+import {createReceivedBytes} from '../../utils/received_bytes.js';
+import type {ReceivedBytes} from '../../utils/received_bytes.js';
 import {runEach} from '../../utils/run_each.js';
 
 /**
@@ -148,13 +152,15 @@
   const needsIds = exchange.route.kind === 'resumable-stream';
   const reader = createEventReader({now: clock.now, needsIds});
   let head: AnswerHead | undefined;
-  let failure: Buffer[] | undefined;
-  let failureBytes = 0;
+  let failure: ReceivedBytes | undefined;
+  let failurePieces = 0;
   let eventCount = 0;
   let isPaused = false;
   let isOver = false;
   let hasBeenSilent = false;
-  let heldBack: Buffer[] = [];
+  const heldBack = createReceivedBytes();
+  /** Events of one read, which are written together. */
+  const unwritten = createReceivedBytes();
   let lastEventAt = startedAt;
 
   const guard = createAttemptGuard(ctx, exchange, {
@@ -193,6 +199,7 @@
   const cancelRun = () => {
     // While its connection is being opened, nothing was sent.
     if (dispatch.takeBack()) return;
+    noteIfTooLate(ctx, exchange, replica.id, dispatch);
     exchange.mayHaveRun = true;
     ctx.crashes.runCancelled(exchange, replica);
     dispatch.cancel();
@@ -255,7 +262,7 @@
     const sentTo = {replicaId: replica.id, sentAt: startedAt};
     const verdict = classifyHead(ctx, exchange, sentTo, received);
     head = received;
-    if (verdict.kind === 'failure') failure = [];
+    if (verdict.kind === 'failure') failure = createReceivedBytes();
     if (verdict.kind === 'foreign') fail(verdict.reason);
     if (verdict.kind === 'success' && !mayContinue(received)) {
       fail('a success that continues no stream');
@@ -279,11 +286,10 @@
   // so they are written only together with the next one that has an id.
   const forwardEvent = ({bytes, id}: StreamEvent) => {
     if (needsIds && id === undefined) {
-      heldBack.push(bytes);
+      heldBack.add(bytes);
       return;
     }
-    const before = heldBack;
-    heldBack = [];
+    const before = heldBack.take();
     if (hasEvent(progress, id)) return;
     lastEventAt = clock.now();
     observer.onAhead();
@@ -291,13 +297,18 @@
       writeStreamHead(ctx, exchange, head);
     }
     recordEvent(metrics, exchange, progress, id, clock.now());
-    if (!res.write(Buffer.concat([...before, bytes]))) pauseForCaller();
+    unwritten.add(before);
+    unwritten.add(bytes);
+  };
+  const writeEvents = () => {
+    if (unwritten.length() === 0) return;
+    if (!res.write(unwritten.take())) pauseForCaller();
   };
   const writeHeldBack = (answerHead: AnswerHead) => {
-    if (heldBack.length === 0) return;
+    if (heldBack.length() === 0) return;
     observer.onAhead();
     if (!res.headersSent) writeStreamHead(ctx, exchange, answerHead);
-    res.write(Buffer.concat(heldBack));
+    res.write(heldBack.take());
   };
   const pauseForCaller = () => {
     if (isPaused) return;
@@ -310,28 +321,39 @@
     dispatch.resume();
     silence.onEvent();
   });
-  const keepFailure = (kept: Buffer[], chunk: Buffer) => {
-    kept.push(chunk);
-    failureBytes += chunk.length;
-    exchange.account?.buffered(failureBytes);
-    if (failureBytes > MAX_FAILURE_BYTES) fail('a failure without end');
+  const keepFailure = (kept: ReceivedBytes, chunk: Buffer, pieces: number) => {
+    kept.add(chunk);
+    failurePieces += pieces;
+    exchange.account?.buffered(kept.length());
+    const isEndless =
+      kept.length() > MAX_FAILURE_BYTES || failurePieces > MAX_FAILURE_PIECES;
+    if (isEndless) failEndless('a failure without end');
+  };
+  const failEndless = (reason: string) => {
+    health.flooded(replica.id);
+    fail(reason);
   };
   const isProgress = ({id}: StreamEvent) => !needsIds || id !== undefined;
-  const onData = (chunk: Buffer) => {
+  const onData = (chunk: Buffer, pieces = 1): number => {
     if (failure !== undefined) {
-      keepFailure(failure, chunk);
-      return;
+      keepFailure(failure, chunk, pieces);
+      return 0;
     }
-    const events = reader.push(chunk);
+    const events = reader.push(chunk, pieces);
     for (const event of events) {
       if (eventCount++ === 0) placement.onFirstEvent(clock.now() - startedAt);
       forwardEvent(event);
     }
-    if (reader.isEndless()) return fail('bytes without an event');
+    writeEvents();
+    if (reader.isEndless()) {
+      failEndless('bytes without an event');
+      return events.length;
+    }
     // While the caller does not read, a silent replica is not at fault.
     if (isPaused) silence.stop();
     else if (events.some(isProgress)) silence.onEvent();
     placement.noteActivity();
+    return events.length;
   };
   const onEnd = (endsWithConnection: boolean) => {
     if (!endsWithConnection) return complete();
@@ -348,7 +370,7 @@
     if (head === undefined) return;
     if (failure !== undefined) {
       health.failed(replica.id);
-      finish({kind: 'failure', head, body: Buffer.concat(failure)});
+      finish({kind: 'failure', head, body: failure.take()});
     } else if (reader.pendingBytes() > 0) {
       fail('ended within an event');
     } else {
--- a/src/direct_main.ts
+++ b/src/direct_main.ts
@@ -19,13 +19,16 @@
 import {createProcessInvariant} from './utils/invariant.js';
 import {createProcessLog} from './utils/logger.js';
 import {createMetrics} from './utils/metrics.js';
+import {createReadTurns} from './utils/read_turns.js';
+import type {ReadTurns} from './utils/read_turns.js';
 
 const MS_PER_S = 1_000;
 
 /** Creates the platform's adapters, with the process's clock and metrics. */
 export type CreateDependencies = (
   runtime: Runtime,
-) => Omit<DirectDependencies, 'settings'>;
+  turns: ReadTurns,
+) => Omit<DirectDependencies, 'settings' | 'turns'>;
 
 export interface DirectEntryOptions {
   readonly settings: DirectSettings;
@@ -60,8 +63,13 @@
     error: createUnownedErrors(runtime),
   });
   const start = async (): Promise<void> => {
-    const adapters = options.createDependencies(runtime);
-    const running = await wireDirectEntry({...adapters, settings}, runtime);
+    // One for all connections: they share the event loop.
+    const turns = createReadTurns(runtime);
+    const adapters = options.createDependencies(runtime, turns);
+    const running = await wireDirectEntry(
+      {...adapters, settings, turns},
+      runtime,
+    );
     log(KERNEL_EVENTS.processStarted, {
       role: 'direct-entry',
       pid: process.pid,
--- a/src/direct_wiring.ts
+++ b/src/direct_wiring.ts
@@ -23,6 +23,8 @@
 import {createKernel} from './kernel/kernel.js';
 import type {Kernel} from './kernel/kernel.js';
 import type {Runtime} from './types/runtime.js';
+import {createReadTurns} from './utils/read_turns.js';
+import type {ReadTurns} from './utils/read_turns.js';
 
 /** Random bytes that distinguish this process from earlier ones of its name. */
 const INCARNATION_BYTES = 6;
@@ -56,6 +58,8 @@
   readonly wallMs: () => number;
   /** @default that of this process */
   readonly memory?: ProcessMemory;
+  /** Bounds the work with received bytes. @default created here */
+  readonly turns?: ReadTurns;
   /** See `SharingOptions`. @default true */
   readonly readsCompactLoads?: boolean;
 }
@@ -74,6 +78,7 @@
   runtime: Runtime,
 ): Promise<DirectProcess> {
   const {settings, store, readsCompactLoads} = dependencies;
+  const {turns = createReadTurns(runtime)} = dependencies;
   const kernel = createKernel(runtime);
   const incarnation = runtime.random.hex(INCARNATION_BYTES);
   const self: EntryAddress = {
@@ -97,10 +102,11 @@
       unusedMs: unusedMsOf(settings),
       wallMs: dependencies.wallMs,
       memory: dependencies.memory ?? createProcessMemory(),
+      turns,
     }),
   );
   await kernel.keep(createSharing({self, store, readsCompactLoads}));
-  await kernel.keep(createHandover({self}));
+  await kernel.keep(createHandover({self, turns}));
   await kernel.keep(
     createStoreFollower({
       node: settings.node,
--- a/src/stores/http_client.ts
+++ b/src/stores/http_client.ts
@@ -14,7 +14,10 @@
 import {untilSocketsRead} from '../utils/event_loop.js';
 import {NO_FINAL_STATUS, isFinalStatus} from '../utils/final_status.js';
 import {watchReset} from '../utils/socket_reset.js';
+import type {ReadTurns} from '../utils/read_turns.js';
+import {createReceivedBytes} from '../utils/received_bytes.js';
 import {watchWire} from '../utils/wire_bytes.js';
+import type {WireWatch} from '../utils/wire_bytes.js';
 
 /** Errors of connecting. The request was not sent, as no connection existed. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -89,6 +92,8 @@
   /** Base URL, for example `http://127.0.0.1:7400`. */
   readonly url: string;
   readonly clock: Clock;
+  /** @default the work with responses is not bounded */
+  readonly turns?: ReadTurns | undefined;
   /**
    * Limit from the call to the complete response, in milliseconds.
    * @default 1000
@@ -119,7 +124,7 @@
 async function readResponse(
   method: string,
   res: IncomingMessage,
-  onBody: (bytes: number) => void,
+  wire: Pick<WireWatch, 'readBody'>,
 ): Promise<HttpResponse> {
   const {statusCode: status = 0, headers} = res;
   if (!isFinalStatus(status)) {
@@ -134,25 +139,36 @@
     res.destroy();
     throw new Error('a response in a transfer coding');
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of res as AsyncIterable<Buffer>) {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    onBody(chunk.length);
-    // Leaving the loop destroys the connection.
-    if (bytes > MAX_RESPONSE_BYTES) throw new Error('a response without end');
-  }
+  const body = await readWhole(res, wire);
   if (endsWithConnection && wasReset()) throw new Error('reset');
   return {
     status,
-    body: Buffer.concat(chunks).toString('utf8'),
+    body: body.toString('utf8'),
     etag: headers.etag ?? '',
     headers,
     endsWithConnection,
   };
 }
 
+/** Rejects where the response breaks off or has no end. */
+function readWhole(
+  res: IncomingMessage,
+  wire: Pick<WireWatch, 'readBody'>,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const received = createReceivedBytes();
+    wire.readBody(res, bytes => {
+      received.add(bytes);
+      if (received.length() <= MAX_RESPONSE_BYTES) return;
+      reject(new Error('a response without end'));
+      res.destroy();
+    });
+    res.once('end', () => resolve(received.take()));
+    res.once('error', reject);
+    res.once('close', () => reject(new Error('cut')));
+  });
+}
+
 /**
  * Closes the idle connections. Connections to one service tend to fail silently
  * together. A call that was sent on the next idle one would wait for its limit
@@ -188,7 +204,9 @@
       req.on('error', reject);
       const guard = createGuard((err, callback) => {
         onError?.(err, callback);
-        req.destroy(err as Error);
+        reject(err as Error);
+        // With the error, a connection that is free again would emit it.
+        req.destroy();
       });
       const {transferTimeoutMs = Infinity} = call;
       const limitTransfer = () => {
@@ -206,20 +224,21 @@
           cancel();
         });
       };
-      const wire = watchWire(
-        req,
-        clock,
-        () => req.destroy(new Error('bytes without end')),
-        limitTransfer,
+      const wire = watchWire(req, {
+        now: clock.now,
+        turns: options.turns,
+        from: {kind: 'store', name: url},
+        onEndless: () => req.destroy(new Error('bytes without end')),
+        onFirst: limitTransfer,
         guard,
-      );
+      });
       // A switch to another protocol ends the request without an error.
       req.on('upgrade', (_res, socket) => {
         socket.destroy();
         reject(new Error(NO_FINAL_STATUS));
       });
       const onResponse = (res: IncomingMessage) => {
-        readResponse(call.method, res, wire.bodyReceived).then(resolve, reject);
+        readResponse(call.method, res, wire).then(resolve, reject);
       };
       req.on('response', guard('answer', onResponse));
       req.end(call.body);
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -218,6 +218,8 @@
   memoryHigh: event(345, 'warn', 'direct-memory-high'),
   memoryNormal: event(346, 'info', 'direct-memory-normal'),
   connectionFaulted: event(347, 'error', 'direct-connection-faulted'),
+  turnsBegan: event(348, 'warn', 'direct-turns-began'),
+  turnsEnded: event(349, 'info', 'direct-turns-ended'),
   entryFound: event(550, 'info', 'entry-found'),
   entryRemoved: event(551, 'info', 'entry-removed'),
   entriesCounted: event(552, 'info', 'entries-counted'),
