fix(direct): a call that may be repeated leaves half of its time to another replica

A call whose answer came in small pieces was read in turns until its time was up, and got 504, though another replica could have answered. It is now broken off after half of the time that the request had left. A body that is late for its request gets 408, as one that stalls does, and closes its connection.

--- a/src/direct/admit_request.ts
+++ b/src/direct/admit_request.ts
@@ -98,7 +98,7 @@
     return tooLarge(options, refused(413, 'the body is too large'));
   }
   if (read.kind === 'too late') {
-    return refused(503, 'the body did not come in the time for the request');
+    return refused(408, 'the body did not come in the time for the request');
   }
   if (read.kind === 'too many pieces') {
     return refused(503, 'the body comes in too many pieces');
--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -114,6 +114,7 @@
       assignment.end();
       stopWatching();
       stopWatchingGate();
+      cancelHalf?.();
       exchange.signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
@@ -147,6 +148,11 @@
       const onDrain = guard('caller reads on', () => dispatch.resume());
       exchange.res.once('drain', onDrain);
     };
+    // The other half of the time is another replica's.
+    const endIfTooMuchWork = guard('half of the time', () => {
+      if (isOver || isStreaming || !dispatch.isInTurns?.()) return;
+      breakEndless();
+    });
     const onHead = (received: AnswerHead) => {
       head = received;
       const sentTo = {replicaId: replica.id, sentAt: startedAt};
@@ -261,5 +267,9 @@
     });
     const stopWatching = losses.watch(replica.id, onRestarted);
     exchange.signal.addEventListener('abort', onAbort);
+    const cancelHalf =
+      exchange.route.kind === 'idempotent'
+        ? clock.after(exchange.timeLeftMs() / 2, endIfTooMuchWork)
+        : undefined;
   });
 }
--- a/src/direct/callers/request_intake.ts
+++ b/src/direct/callers/request_intake.ts
@@ -139,10 +139,11 @@
       waitedMs: Math.round(clock.now() - arrivedAt),
     });
     metrics.count('onyxloft_direct_refused_total', {status: String(status)});
-    // Closes the connection, so that a retry can reach another entry. After 413
-    // the rest of the body is not read, and nothing behind it.
+    // Closes the connection, so that a retry can reach another entry. After 408
+    // and 413 the rest of the body is not read, and nothing behind it.
+    const isBodyUnread = status === 408 || status === 413;
     const mayClose = closes() || status === 503;
-    const close = status === 413 || (mayClose && isLastRead(res));
+    const close = isBodyUnread || (mayClose && isLastRead(res));
     sendLocalAnswer(res, {...refusal, close});
   };
 
--- a/test/direct/endless_bytes.test.ts
+++ b/test/direct/endless_bytes.test.ts
@@ -301,6 +301,17 @@
   },
 );
 
+// Guards against a call that waits for an answer in small pieces until its time
+// is up, though another replica could answer.
+test('a replica sends a body in chunks of one byte, and another one answers', async () => {
+  fleet = await startDirectFleet();
+  const endless = stream(() => chunk('x'), CHUNKED);
+  const {floods} = firstIsEndless(fleet.desk, flood, endless, answerWell);
+  const answer = await callEntry(fleet, '/again/a');
+  expect(answer).toMatchObject({status: 200, whole: true});
+  await expectClosed(floods);
+});
+
 describe.each(WRITERS)('a replica sends %s without end', (_, write) => {
   const behind = (body: string, framing: string): Endless => ({
     head: arrival => signedHead(arrival, framing) + body,
