fix(direct): calm requests at a replica go before its own bytes in small pieces

Turns were given to the parties one after the other, whatever a turn took.

The next turn is now that of the party that has taken least in its turns, and of its connection that has taken least; the loop is left to others twice as long as a turn took, three times before.

--- a/src/utils/read_turns.ts
+++ b/src/utils/read_turns.ts
@@ -20,7 +20,7 @@
 /** Units that a party may take at once. */
 const BURST_UNITS = 40_000;
 /** The loop is left to others for so many times as long as a turn took. */
-const REST_FACTOR = 3;
+const REST_FACTOR = 2;
 const LEAST_REST_MS = 1;
 /**
  * Longest time that counts for one unit, in milliseconds. More is time in which
@@ -67,6 +67,11 @@
   creditAt: number;
   readers: number;
   readonly waiting: Set<Waiting>;
+  /**
+   * Units that it has taken in turns, so that the party with the fewest is next.
+   * One that begins to wait starts beside the others.
+   */
+  taken: number;
   /** Of the present time of turns; undefined while it is read freely. */
   turns: {units: number; since: number; lastAt: number} | undefined;
 }
@@ -81,11 +86,13 @@
 export function createReadTurns(options: ReadTurnsOptions): ReadTurns {
   const {clock, log, metrics} = options;
   const parties = new Map<string, PartyState>();
-  /** Parties with waiting connections; the one at the front is next. */
+  /** Parties with waiting connections. */
   const queue = new Set<PartyState>();
   let inTurn: Waiting | undefined;
   let inTurnSince = 0;
   let nextTurnAt = 0;
+  /** What the party had taken that had the latest turn. */
+  let served = 0;
   let cancelTurn: (() => void) | undefined;
 
   const stateOf = (party: Party): PartyState => {
@@ -99,6 +106,7 @@
       creditAt: clock.now(),
       readers: 0,
       waiting: new Set(),
+      taken: 0,
       turns: undefined,
     };
     parties.set(key, state);
@@ -119,7 +127,11 @@
     const now = clock.now();
     state.turns = {units: 0, since: now, lastAt: now};
     const {kind, name} = state.party;
-    log(DIRECT_EVENTS.turnsBegan, {from: kind, name, open: state.readers});
+    log(DIRECT_EVENTS.turnsBegan, {
+      from: kind,
+      address: name,
+      open: state.readers,
+    });
     metrics.count('onyxloft_read_turns_began_total', {from: kind});
   };
   const endTurns = (state: PartyState): void => {
@@ -128,7 +140,7 @@
     state.turns = undefined;
     const {kind, name} = state.party;
     const heldMs = Math.round(clock.now() - since);
-    log(DIRECT_EVENTS.turnsEnded, {from: kind, name, units, heldMs});
+    log(DIRECT_EVENTS.turnsEnded, {from: kind, address: name, units, heldMs});
   };
   const isOverdrawn = (state: PartyState): boolean => {
     refill(state);
@@ -138,6 +150,7 @@
     const {state, socket} = waiting;
     holdReads(socket, 'turn');
     state.waiting.add(waiting);
+    if (!queue.has(state)) state.taken = Math.max(state.taken, served);
     queue.add(state);
     schedule();
     if (state.turns === undefined) beginTurns(state);
@@ -150,18 +163,15 @@
     const restMs = Math.max(LEAST_REST_MS, nextTurnAt - clock.now());
     cancelTurn = clock.after(restMs, beginTurn, 'turns of reading');
   };
-  /** The connection of the next party that has taken the least so far. */
+  /** Of the party that has taken least, the connection that has taken least. */
   const takeNext = (): Waiting | undefined => {
-    const [state] = queue;
+    const state = leastOf(queue, it => it.taken);
     if (state === undefined) return undefined;
-    queue.delete(state);
-    let least: Waiting | undefined;
-    for (const it of state.waiting) {
-      if (least === undefined || it.units < least.units) least = it;
-    }
-    if (least !== undefined) state.waiting.delete(least);
-    if (state.waiting.size > 0) queue.add(state);
-    return least;
+    served = Math.max(served, state.taken);
+    const next = leastOf(state.waiting, it => it.units);
+    if (next !== undefined) state.waiting.delete(next);
+    if (state.waiting.size === 0) queue.delete(state);
+    return next;
   };
   const beginTurn = (): void => {
     cancelTurn = undefined;
@@ -207,6 +217,7 @@
           waiting.units += units;
           const isInTurns = state.turns !== undefined;
           if (state.turns !== undefined) state.turns.units += units;
+          state.taken += units;
           if (isInTurns || state.credit < 0) {
             const ms = Math.min(tookMs, units * MAX_UNIT_MS);
             nextTurnAt = Math.max(nextTurnAt, clock.now()) + ms * REST_FACTOR;
@@ -231,3 +242,19 @@
     },
   };
 }
+
+/** The first item with the smallest value. */
+function leastOf<T>(
+  items: Iterable<T>,
+  valueOf: (item: T) => number,
+): T | undefined {
+  let least: T | undefined;
+  let leastValue = Infinity;
+  for (const item of items) {
+    const value = valueOf(item);
+    if (value >= leastValue) continue;
+    least = item;
+    leastValue = value;
+  }
+  return least;
+}
