--- a/src/direct/callers/connection_gate.ts
+++ b/src/direct/callers/connection_gate.ts
@@ -38,12 +38,18 @@
   stop: Cancel;
 }
 
-/** `onClosed` is called with the number of connections closed in an interval. */
+/**
+ * `onClosed` is called with the number of connections closed in an interval.
+ * `piecesMs` is the time that went into bytes in many pieces so far: a loop that
+ * is late by these has no flood of connections.
+ */
 export function createConnectionGate(
   clock: Clock,
   onClosed: (count: number) => void,
+  piecesMs: () => number = () => 0,
 ): ConnectionGate {
   let measuredAt = clock.now();
+  let measuredPiecesMs = piecesMs();
   /** Of the first connection. The usual rate is learnt from then on. */
   let firstAt: number | undefined;
   let arrived = 0;
@@ -65,7 +71,9 @@
     measuredAt = now;
     arrived = 0;
     closed = 0;
-    const lateMs = Math.max(0, elapsedMs - INTERVAL_MS);
+    const inPiecesMs = piecesMs() - measuredPiecesMs;
+    measuredPiecesMs += inPiecesMs;
+    const lateMs = Math.max(0, elapsedMs - INTERVAL_MS - inPiecesMs);
     const perS = (counted / elapsedMs) * 1_000;
     delayMs = average(delayMs, lateMs, elapsedMs, DELAY_WINDOW_MS);
     presentPerS = average(presentPerS, perS, elapsedMs, PRESENT_WINDOW_MS);
--- a/src/direct/front/front.ts
+++ b/src/direct/front/front.ts
@@ -241,10 +241,14 @@
   });
 
   const openGate = () =>
-    createConnectionGate(clock, closed => {
-      log(DIRECT_EVENTS.connectionsClosed, {closed});
-      metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
-    });
+    createConnectionGate(
+      clock,
+      closed => {
+        log(DIRECT_EVENTS.connectionsClosed, {closed});
+        metrics.count('onyxloft_direct_connections_closed_total', {}, closed);
+      },
+      options.turns.piecesMs,
+    );
   let connectionGate = openGate();
   ctx.own(() => connectionGate.stop());
 
--- a/src/utils/read_turns.ts
+++ b/src/utils/read_turns.ts
@@ -27,6 +27,8 @@
  * the process did not run, or in which the loop served others.
  */
 const MAX_UNIT_MS = 0.02;
+/** Units from which on a read is one of many pieces. */
+const MANY_UNITS = 256;
 /** A connection on which nothing comes keeps its turn for so long. */
 const TURN_MS = 20;
 /** A party that takes no more than its share for so long is read freely again. */
@@ -52,6 +54,8 @@
 
 export interface ReadTurns {
   open(party: Party, socket: Socket): TurnReader;
+  /** Time that went into reads of many pieces so far, in milliseconds. */
+  piecesMs(): number;
 }
 
 export interface ReadTurnsOptions {
@@ -93,6 +97,7 @@
   let nextTurnAt = 0;
   /** What the party had taken that had the latest turn. */
   let served = 0;
+  let piecesMs = 0;
   let cancelTurn: (() => void) | undefined;
 
   const stateOf = (party: Party): PartyState => {
@@ -199,6 +204,7 @@
   };
 
   return {
+    piecesMs: () => piecesMs,
     open: (party, socket) => {
       const state = stateOf(party);
       const waiting: Waiting = {state, socket, units: 0};
@@ -218,8 +224,9 @@
           const isInTurns = state.turns !== undefined;
           if (state.turns !== undefined) state.turns.units += units;
           state.taken += units;
+          const ms = Math.min(tookMs, units * MAX_UNIT_MS);
+          if (units >= MANY_UNITS) piecesMs += ms;
           if (isInTurns || state.credit < 0) {
-            const ms = Math.min(tookMs, units * MAX_UNIT_MS);
             nextTurnAt = Math.max(nextTurnAt, clock.now()) + ms * REST_FACTOR;
           }
           endTurn(waiting);
