--- a/src/direct/call_attempt.ts
+++ b/src/direct/call_attempt.ts
@@ -148,10 +148,12 @@
       const onDrain = guard('caller reads on', () => dispatch.resume());
       exchange.res.once('drain', onDrain);
     };
+    const hasOtherReplica = () =>
+      ctx.replicas.availableFor(service).some(({id}) => id !== replica.id);
     // The other half of the time is another replica's.
     const endIfTooMuchWork = guard('half of the time', () => {
       if (isOver || isStreaming || !dispatch.isInTurns?.()) return;
-      breakEndless();
+      if (hasOtherReplica()) breakEndless();
     });
     const onHead = (received: AnswerHead) => {
       head = received;
